--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,4 +1,4 @@
-// The decisions of cleatpick. The types, events and actions are in api.go; docs/design.md names every
+// The decisions of rooktrestle. The types, events and actions are in api.go; docs/design.md names every
 // departure from the ranking rule and says when it acts. state.go holds what it remembers.
 
 package balance
--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"cleatpick/balance"
+	"rooktrestle/balance"
 )
 
 // A gatherer hands over what happened in a turn and carries out what comes back.
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"cleatpick/balance"
-	"cleatpick/internal/wire"
+	"rooktrestle/balance"
+	"rooktrestle/internal/wire"
 )
 
 func main() {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"cleatpick/balance"
+	"rooktrestle/balance"
 )
 
 // micros is a time on the wire.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"cleatpick/balance"
+	"rooktrestle/balance"
 )
 
 // Start is a gatherer's start. It knows nothing yet.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"cleatpick/balance"
+	"rooktrestle/balance"
 )
 
 const settings = `{"callers":{"marks_retry":true},` +
