--- /dev/null
+++ b/cmd/rooktrestle/serve.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"rooktrestle/balance"
+	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/net/discovery"
+	"rooktrestle/internal/net/httpfront"
+	"rooktrestle/internal/net/leaf"
+	"rooktrestle/internal/net/tcp"
+)
+
+const (
+	// lateArrivals is how long clients may go on asking after SIGTERM.
+	lateArrivals = 700 * time.Millisecond
+	// readyAnyway is how long a start waits for discovery before it serves by the list it was given.
+	readyAnyway = 3 * time.Second
+	// otherSockets are kept for the listener, discovery, pollers and standard streams.
+	otherSockets = 32
+	flushed      = 50 * time.Millisecond
+)
+
+func logf(format string, args ...any) {
+	fmt.Fprintf(os.Stderr, time.Now().UTC().Format("15:04:05.000")+" "+format+"\n", args...)
+}
+
+// servePlatform serves the platform's protocol until it is told to end.
+func servePlatform() error {
+	n, err := loadNode()
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(n.Cores))))
+	debug.SetMemoryLimit(int64(n.MemoryMB) << 20 * 3 / 4)
+
+	d := n.Deployment
+	decide, err := balance.New(d.Decisions)
+	if err != nil {
+		return err
+	}
+	clock, box := mixer.SystemClock{}, mixer.NewMailbox()
+	pool := leaf.NewPool(leaf.Limits{
+		Streams: d.Streams, Idle: d.ConnIdle, ConnectTimeout: d.ConnectTimeout, Sockets: n.Sockets / 3,
+	}, box, tcp.Dial)
+	lim := mixer.Limits{MaxOpen: d.MaxOpen, ComeBack: d.MaxRetryAfter}
+	longest := time.Duration(0)
+	for _, c := range d.Decisions.Classes {
+		lim.SecondStep = append(lim.SecondStep, c.FollowUp)
+		longest = max(longest, c.Deadline)
+	}
+	core := mixer.NewCore(decide, pool, lim, clock.Now())
+	pool.Use(core)
+
+	watch := &discovery.Watch{Addr: n.Discovery, Zones: d.Zones, Put: box.Put, Log: logf}
+	if len(n.Known) > 0 {
+		version, known, err := discovery.Parse(n.Known, d.Zones)
+		if err != nil {
+			return fmt.Errorf("known: %w", err)
+		}
+		known.Kind = balance.ListStale
+		watch.Version = version
+		box.Put(known)
+	}
+	stop := make(chan struct{})
+	loop := &mixer.Loop{Core: core, Box: box, Adapter: pool, Clock: clock, Stop: stop}
+
+	var front *httpfront.Front
+	report := func() string {
+		return fmt.Sprintf("%v; leaf connections: dialed %d, refused %d, broken %d, late answers %d; front: %+v",
+			core.Count, pool.Stats.Dials, pool.Stats.DialsFailed, pool.Stats.Broken, pool.Stats.Late, front.Counters())
+	}
+	onLoop := func(f func()) { // runs f on the loop and waits for it
+		done := make(chan struct{})
+		box.Put(mixer.OnLoop(func() { f(); close(done) }))
+		<-done
+	}
+	front = httpfront.New(httpfront.Settings{
+		Classes: d.Classes, Tenants: d.Tenants, Shards: d.Decisions.Shards, MaxWait: 2 * longest,
+		IdleTimeout: 2 * time.Minute, ReadTimeout: 10 * time.Second,
+	}, box.Put, clock.Now, func() (text string) {
+		onLoop(func() { text = report() })
+		return text
+	})
+	server, err := tcp.Listen(n.Listen, &tcp.Gate{Most: n.Sockets - n.Sockets/3 - otherSockets}, front.Accept)
+	if err != nil {
+		return err
+	}
+	loopOver := make(chan struct{})
+	go func() { loop.Run(); close(loopOver) }()
+
+	heard := make(chan struct{}, 1)
+	go watch.Run(stop, func() {
+		select {
+		case heard <- struct{}{}:
+		default:
+		}
+	})
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	onRequest := make(chan os.Signal, 1)
+	signal.Notify(onRequest, syscall.SIGUSR1)
+
+	ready := time.After(readyAnyway)
+	for told := false; !told; {
+		select {
+		case <-heard:
+			front.SetReady(true)
+		case <-ready:
+			front.SetReady(true)
+		case <-onRequest:
+			onLoop(func() { logf("%s", report()) })
+		case <-signals:
+			told = true
+		}
+	}
+	// Late arrivals are served as before; then connections without a request end, and the rest with their
+	// answers.
+	front.SetReady(false)
+	logf("told to end")
+	time.Sleep(lateArrivals)
+	front.CloseIdle()
+	for held := 1; held > 0 || front.Open() > 0; {
+		onLoop(func() { held = core.Held() })
+		time.Sleep(flushed)
+	}
+	server.Close()
+	close(stop)
+	<-loopOver
+	logf("%s", report())
+	return nil
+}
--- /dev/null
+++ b/internal/config/node.go
@@ -0,0 +1,111 @@
+// Package config reads what a mixer is told at its start: the platform's configuration, and the operator's
+// file of the second front.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"os"
+	"strconv"
+
+	"rooktrestle/internal/wire"
+)
+
+// Node is the platform's configuration of one mixer.
+type Node struct {
+	Name       string
+	Listen     string
+	Discovery  string
+	Seed       uint64
+	Cores      float64
+	MemoryMB   int
+	Sockets    int
+	Known      json.RawMessage
+	Deployment wire.Deployment
+}
+
+// LoadNode reads the file that NODE_CONFIG names; the other variables win over it.
+func LoadNode(env func(string) string) (Node, error) {
+	path := env("NODE_CONFIG")
+	if path == "" {
+		return Node{}, errors.New("NODE_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Node{}, fmt.Errorf("NODE_CONFIG: %w", err)
+	}
+	n, err := ParseNode(text)
+	if err != nil {
+		return n, fmt.Errorf("%s: %w", path, err)
+	}
+	for name, field := range map[string]*string{"NODE_NAME": &n.Name, "NODE_LISTEN": &n.Listen, "NODE_DISCOVERY": &n.Discovery} {
+		if v := env(name); v != "" {
+			*field = v
+		}
+	}
+	if n.Listen == "" || n.Discovery == "" {
+		return n, errors.New("the configuration names no address to listen on, or no discovery")
+	}
+	return n, nil
+}
+
+// ParseNode reads the configuration's text.
+func ParseNode(text []byte) (Node, error) {
+	var f struct {
+		Name      string          `json:"name"`
+		Listen    string          `json:"listen"`
+		Discovery string          `json:"discovery"`
+		Seed      json.RawMessage `json:"seed"`
+		Limits    struct {
+			Cores    float64 `json:"cores"`
+			MemoryMB int     `json:"memory_mb"`
+			Sockets  int     `json:"sockets"`
+		} `json:"limits"`
+		Known    json.RawMessage `json:"known"`
+		Settings json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &f); err != nil {
+		return Node{}, err
+	}
+	if len(f.Settings) == 0 {
+		return Node{}, errors.New("no settings")
+	}
+	n := Node{
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Known: f.Known,
+		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Seed: seed(f.Seed),
+	}
+	var err error
+	if n.Deployment, err = wire.ParseDeployment(f.Settings); err != nil {
+		return n, err
+	}
+	if n.Cores <= 0 {
+		n.Cores = 1
+	}
+	if n.MemoryMB <= 0 {
+		n.MemoryMB = 192
+	}
+	if n.Sockets <= 0 {
+		n.Sockets = 1024
+	}
+	n.Deployment.Decisions.Seed = n.Seed
+	// Clients of a real mixer read Retry-After whatever the simulator forwards: a query given up on is
+	// answered at once, and the client is told when to come back instead of being held.
+	n.Deployment.Decisions.MaxRetryAfter = n.Deployment.MaxRetryAfter
+	return n, nil
+}
+
+// seed reads a seed: hexadecimal text as a rule, a number, or any other text.
+func seed(raw json.RawMessage) uint64 {
+	var text string
+	if json.Unmarshal(raw, &text) != nil {
+		text = string(raw)
+	}
+	if v, err := strconv.ParseUint(text, 16, 64); err == nil {
+		return v
+	}
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/mixer/core.go
@@ -0,0 +1,421 @@
+package mixer
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"rooktrestle/balance"
+)
+
+// clockMargin is how long before its start a core's clock begins, so that servers' starts lie after zero.
+const clockMargin = 24 * time.Hour
+
+type query struct {
+	id    balance.ID
+	req   *Request
+	end   time.Time
+	parts []*part // of the present step
+	step  int
+	first []*part // parts of the first step that were in
+	whole bool    // the first step was
+}
+
+type part struct {
+	id    balance.ID
+	q     *query
+	spec  Spec
+	name  string
+	tries int
+	in    bool
+	score float64
+	value string
+}
+
+type attempt struct {
+	part    *part
+	server  balance.Replica
+	sent    time.Time
+	until   time.Time
+	expired bool // its time is over; waiting for the server to be told
+	asked   bool // withdrawal asked for
+}
+
+// Core holds the open queries and attempts of one mixer.
+type Core struct {
+	Count   Counters
+	decide  *balance.Balancer
+	backend Backend
+	lim     Limits
+	epoch   time.Time
+
+	next     balance.ID
+	queries  map[balance.ID]*query
+	byReq    map[*Request]*query
+	names    map[string]bool // ids of open queries
+	parts    map[balance.ID]*part
+	attempts map[AttemptID]*attempt
+	order    []AttemptID // attempts out, as sent: times must not depend on map order
+	servers  map[balance.Replica]Server
+	wakeAt   time.Time
+
+	calls []outCall // of this turn
+}
+
+type outCall struct {
+	to    balance.Replica
+	calls []Call
+}
+
+// Limits are what a core keeps to beside the decisions.
+type Limits struct {
+	SecondStep []int         // of each class: parts of its second step; 0: one step only
+	MaxOpen    int           // queries and parts held; 0: not limited
+	ComeBack   time.Duration // advice to a client turned away because of it
+}
+
+// NewCore returns a core that decides by b.
+func NewCore(b *balance.Balancer, backend Backend, lim Limits, start time.Time) *Core {
+	return &Core{
+		decide: b, backend: backend, lim: lim, epoch: start.Add(-clockMargin),
+		queries: map[balance.ID]*query{}, byReq: map[*Request]*query{}, names: map[string]bool{},
+		parts: map[balance.ID]*part{}, attempts: map[AttemptID]*attempt{}, servers: map[balance.Replica]Server{},
+	}
+}
+
+// Open says whether a server takes new work by the list as last told.
+func (c *Core) Open(id balance.Replica) bool {
+	s, ok := c.servers[id]
+	return ok && s.State == balance.InService
+}
+
+// server is what is listed of a server; one that is gone has no address.
+func (c *Core) server(id balance.Replica) Server {
+	s := c.servers[id]
+	s.ID = id
+	return s
+}
+
+// Held is the number of open queries.
+func (c *Core) Held() int { return len(c.queries) }
+
+// Listed is the number of servers in service.
+func (c *Core) Listed() int {
+	n := 0
+	for id := range c.servers {
+		if c.Open(id) {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Core) clock(t time.Time) time.Duration { return t.Sub(c.epoch) }
+
+// Turn takes events, lets the decisions act on them, and returns when the next turn is due at the latest;
+// zero if nothing is.
+func (c *Core) Turn(now time.Time, events []any) (next time.Time) {
+	var told []balance.Event
+	for _, e := range events {
+		told = c.event(now, e, told)
+	}
+	for _, id := range c.order {
+		a := c.attempts[id]
+		if a != nil && !a.expired && !now.Before(a.until) {
+			a.expired = true
+			c.withdraw(now, id, a)
+		}
+	}
+	// One final answer while the client's time lasts, whatever the decisions do. Guards against a query left
+	// open by a turn that came too late for them.
+	for _, q := range c.overdue(now) {
+		told = append(told, balance.Gone{Query: q.id})
+		c.Count.Overdue++
+		c.close(q, Final{Kind: Failed, Overdue: true})
+	}
+	if !c.wakeAt.IsZero() && !now.Before(c.wakeAt) {
+		c.wakeAt = time.Time{}
+		told = append(told, balance.Tick{})
+	}
+	c.act(now, c.decide.Turn(c.clock(now), told))
+	c.order = slices.DeleteFunc(c.order, func(id AttemptID) bool { return c.attempts[id] == nil })
+	return c.due()
+}
+
+func (c *Core) overdue(now time.Time) (late []*query) {
+	for _, q := range c.queries {
+		if !now.Before(q.end) {
+			late = append(late, q)
+		}
+	}
+	slices.SortFunc(late, func(q, o *query) int { return cmp.Compare(q.id, o.id) })
+	return late
+}
+
+func (c *Core) due() (next time.Time) {
+	sooner := func(t time.Time) {
+		if !t.IsZero() && (next.IsZero() || t.Before(next)) {
+			next = t
+		}
+	}
+	sooner(c.wakeAt)
+	for _, id := range c.order {
+		if a := c.attempts[id]; !a.expired {
+			sooner(a.until)
+		}
+	}
+	for _, q := range c.queries {
+		sooner(q.end)
+	}
+	return next
+}
+
+func (c *Core) event(now time.Time, e any, told []balance.Event) []balance.Event {
+	switch e := e.(type) {
+	case Arrive:
+		return c.arrive(now, e.Request, told)
+	case Left:
+		if q := c.byReq[e.Request]; q != nil {
+			told = append(told, balance.Gone{Query: q.id})
+			c.close(q, Final{Kind: Gone})
+		}
+	case Ended:
+		return c.ended(now, e, told)
+	case Probed:
+		told = append(told, balance.Probed{
+			Replica: e.Server, Result: result(e.Err), Took: e.Took, Report: e.Report,
+		})
+	case Members:
+		told = append(told, c.members(e))
+	default:
+		panic(fmt.Sprintf("mixer: no such event: %T", e))
+	}
+	return told
+}
+
+func (c *Core) members(e Members) balance.Event {
+	if e.Kind != balance.ListDelta && e.Kind != balance.ListFailed {
+		clear(c.servers)
+	}
+	m := balance.Members{Kind: e.Kind}
+	for _, s := range e.List {
+		if s.State == balance.Removed {
+			delete(c.servers, s.ID)
+		} else {
+			c.servers[s.ID] = s
+		}
+		entry := balance.Member{Replica: s.ID, Zone: s.Zone, Cell: s.Cell, Size: s.Weight, State: s.State}
+		if !s.Started.IsZero() {
+			entry.Started = max(0, c.clock(s.Started))
+		}
+		m.List = append(m.List, entry)
+	}
+	return m
+}
+
+func (c *Core) arrive(now time.Time, r *Request, told []balance.Event) []balance.Event {
+	c.Count.Taken++
+	end := r.Arrived.Add(r.Wait)
+	// A mixer holds only so many queries and parts. Guards its memory, as the simulator's entrance does.
+	if c.lim.MaxOpen > 0 && len(c.queries)+len(c.parts) >= c.lim.MaxOpen || c.names[r.ID] || !now.Before(end) {
+		c.Count.Refused++
+		c.Count.Overfull++
+		r.Front.Answer(Final{Kind: Refused, RetryAfter: c.lim.ComeBack})
+		return told
+	}
+	c.next++
+	q := &query{id: c.next, req: r, end: end}
+	c.queries[q.id], c.byReq[r], c.names[r.ID] = q, q, true
+	told = append(told, balance.Query{
+		ID: q.id, Group: uint64(q.id), Class: r.Class, Tenant: r.Tenant, Key: r.Key,
+		TimeLeft: end.Sub(now), Retry: r.Retry, Parts: len(r.Parts),
+	})
+	return c.addParts(q, r.Parts, "", told)
+}
+
+func (c *Core) addParts(q *query, specs []Spec, suffix string, told []balance.Event) []balance.Event {
+	q.parts = nil
+	for _, s := range specs {
+		c.next++
+		p := &part{id: c.next, q: q, spec: s, name: fmt.Sprintf("%s.%d%s", q.req.ID, s.Shard, suffix)}
+		c.parts[p.id] = p
+		q.parts = append(q.parts, p)
+		told = append(told, balance.Part{
+			ID: p.id, Group: uint64(q.id), Shard: s.Shard, Weight: s.Weight, Hint: s.Hint,
+		})
+	}
+	return told
+}
+
+func (c *Core) ended(now time.Time, e Ended, told []balance.Event) []balance.Event {
+	a := c.attempts[e.Attempt]
+	if a == nil {
+		return told // ended before: late word is dropped by attempt, not by part
+	}
+	delete(c.attempts, e.Attempt)
+	r := result(e.Err)
+	if a.expired && (r == balance.Canceled || r == balance.Ignored) {
+		r = balance.TimedOut
+	}
+	c.Count.Outcomes[r]++
+	if p := a.part; r == balance.OK && !p.in && c.parts[p.id] == p {
+		p.in, p.score, p.value = true, e.Score, e.Value
+	}
+	return append(told, balance.Outcome{
+		Part: e.Attempt.Part, Attempt: e.Attempt.N, Replica: a.server, Result: r,
+		Took: now.Sub(a.sent), Report: e.Report,
+	})
+}
+
+func (c *Core) withdraw(now time.Time, id AttemptID, a *attempt) {
+	if !a.asked {
+		a.asked = true
+		c.Count.Withdrawn++
+		c.backend.Withdraw(now, id)
+	}
+}
+
+// act carries out actions in order. Sends of one turn to one server share calls. The parts of a second step
+// are told to the decisions at once, as they are known at once.
+func (c *Core) act(now time.Time, actions []balance.Action) {
+	for len(actions) > 0 {
+		var told []balance.Event
+		for _, a := range actions {
+			switch a := a.(type) {
+			case balance.Send:
+				c.send(now, a)
+			case balance.Hedge:
+				c.send(now, balance.Send(a))
+			case balance.Cancel:
+				id := AttemptID{a.Part, a.Attempt}
+				if out := c.attempts[id]; out != nil {
+					c.withdraw(now, id, out)
+				}
+			case balance.Answer:
+				told = c.answer(a, told)
+			case balance.Refuse:
+				if q := c.queries[a.Query]; q != nil {
+					c.close(q, Final{Kind: Refused, RetryAfter: a.RetryAfter})
+				}
+			case balance.Fail:
+				if q := c.queries[a.Query]; q != nil {
+					c.close(q, Final{Kind: Failed})
+				}
+			case balance.Probe:
+				c.Count.Probes++
+				c.backend.Probe(now, c.server(a.Replica))
+			case balance.Wake:
+				c.wakeAt = now.Add(a.After)
+			case balance.Watch: // the directory watches all the time
+			}
+		}
+		actions = nil
+		if len(told) > 0 {
+			actions = c.decide.Turn(c.clock(now), told)
+		}
+	}
+	for _, o := range c.calls {
+		c.backend.Send(now, c.server(o.to), o.calls)
+	}
+	c.calls = nil
+}
+
+func (c *Core) send(now time.Time, a balance.Send) {
+	p := c.parts[a.Part]
+	if p == nil {
+		return
+	}
+	q := p.q
+	until := q.end
+	if a.Timeout > 0 && now.Add(a.Timeout).Before(until) {
+		until = now.Add(a.Timeout)
+	}
+	id := AttemptID{p.id, p.tries}
+	p.tries++
+	c.attempts[id] = &attempt{part: p, server: a.Replica, sent: now, until: until}
+	c.order = append(c.order, id)
+	c.Count.Sent++
+	call := Call{
+		Attempt: id, Name: p.name, Class: q.req.Class, Shard: p.spec.Shard, Until: until, Text: q.req.Text,
+		Second: q.step > 0, Whole: q.whole,
+	}
+	for _, f := range q.first {
+		call.From = append(call.From, f.spec.Shard)
+	}
+	for i := range c.calls {
+		if c.calls[i].to == a.Replica {
+			c.calls[i].calls = append(c.calls[i].calls, call)
+			return
+		}
+	}
+	c.calls = append(c.calls, outCall{a.Replica, []Call{call}})
+}
+
+// answer ends a query's step with the parts that are in. A class with a second step goes on with parts at
+// the highest-scoring of the shards that are in.
+func (c *Core) answer(a balance.Answer, told []balance.Event) []balance.Event {
+	q := c.queries[a.Query]
+	if q == nil {
+		return told
+	}
+	var in []*part
+	final := Final{Kind: Served, Whole: a.Whole}
+	for _, p := range q.parts {
+		if p.in {
+			in = append(in, p)
+			final.Items = append(final.Items, Item{p.spec.Shard, p.value})
+		} else {
+			final.Missing = append(final.Missing, p.spec.Shard)
+		}
+	}
+	if n := c.secondStep(q.req.Class); q.step == 0 && n > 0 && len(in) > 0 {
+		c.Count.SecondSteps++
+		q.step, q.first, q.whole = 1, in, a.Whole
+		best := slices.Clone(in)
+		slices.SortStableFunc(best, func(p, o *part) int { return cmp.Compare(o.score, p.score) })
+		best = best[:min(n, len(best))]
+		var specs []Spec
+		for _, p := range best {
+			specs = append(specs, Spec{Shard: p.spec.Shard, Weight: 1 / float64(len(best))})
+		}
+		for _, p := range q.parts {
+			delete(c.parts, p.id)
+		}
+		return c.addParts(q, specs, ".phase2", told)
+	}
+	c.close(q, final)
+	return told
+}
+
+func (c *Core) secondStep(class int) int {
+	if class < 0 || class >= len(c.lim.SecondStep) {
+		return 0
+	}
+	return c.lim.SecondStep[class]
+}
+
+// close gives a query its one final answer.
+func (c *Core) close(q *query, f Final) {
+	delete(c.queries, q.id)
+	delete(c.byReq, q.req)
+	delete(c.names, q.req.ID)
+	for _, p := range q.parts {
+		delete(c.parts, p.id)
+	}
+	switch f.Kind {
+	case Served:
+		c.Count.Served++
+		if !f.Whole {
+			c.Count.Partial++
+		}
+	case Refused:
+		c.Count.Refused++
+	case Failed:
+		c.Count.Failed++
+	case Gone:
+		c.Count.Gone++
+		return
+	}
+	q.req.Front.Answer(f)
+}
--- /dev/null
+++ b/internal/mixer/loop.go
@@ -0,0 +1,116 @@
+package mixer
+
+import (
+	"sync"
+	"time"
+)
+
+// Clock tells the time and when a time has come. The program uses SystemClock; tests pass their own.
+type Clock interface {
+	Now() time.Time
+	// At returns a channel that delivers once t has come, and a way to give it up.
+	At(t time.Time) (<-chan time.Time, func())
+}
+
+// SystemClock is the machine's clock.
+type SystemClock struct{}
+
+func (SystemClock) Now() time.Time { return time.Now() }
+
+func (SystemClock) At(t time.Time) (<-chan time.Time, func()) {
+	timer := time.NewTimer(time.Until(t))
+	return timer.C, func() { timer.Stop() }
+}
+
+// Mailbox gathers what happens until a loop takes it. Put never blocks.
+type Mailbox struct {
+	mu    sync.Mutex
+	items []any
+	ready chan struct{}
+}
+
+// NewMailbox returns an empty Mailbox.
+func NewMailbox() *Mailbox { return &Mailbox{ready: make(chan struct{}, 1)} }
+
+// Put adds an event.
+func (m *Mailbox) Put(e any) {
+	m.mu.Lock()
+	m.items = append(m.items, e)
+	m.mu.Unlock()
+	select {
+	case m.ready <- struct{}{}:
+	default:
+	}
+}
+
+// Take removes all that is there.
+func (m *Mailbox) Take() []any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	items := m.items
+	m.items = nil
+	return items
+}
+
+// Ready delivers when there may be something to take.
+func (m *Mailbox) Ready() <-chan struct{} { return m.ready }
+
+// Adapter is an adapter's state that lives on the loop.
+type Adapter interface {
+	// Handle takes an event of the adapter's own and says whether it was one; it returns core events.
+	Handle(now time.Time, e any) (events []any, mine bool)
+	// Sweep does what is due and returns when more is; zero if nothing is.
+	Sweep(now time.Time) (events []any, next time.Time)
+}
+
+// OnLoop is run on the loop, between turns.
+type OnLoop func()
+
+// Loop gathers what is ready, hands it to the core in one turn, and waits for more.
+type Loop struct {
+	Core    *Core
+	Box     *Mailbox
+	Adapter Adapter
+	Clock   Clock
+	Stop    <-chan struct{}
+}
+
+// Run runs until Stop is closed.
+func (l *Loop) Run() {
+	for {
+		next := l.Once()
+		var due <-chan time.Time
+		stop := func() {}
+		if !next.IsZero() {
+			due, stop = l.Clock.At(next)
+		}
+		select {
+		case <-l.Box.Ready():
+		case <-due:
+		case <-l.Stop:
+			stop()
+			return
+		}
+		stop()
+	}
+}
+
+// Once runs one turn of all that is ready and returns when the next is due.
+func (l *Loop) Once() time.Time {
+	now := l.Clock.Now()
+	events, adapterDue := l.Adapter.Sweep(now)
+	for _, e := range l.Box.Take() {
+		if f, ok := e.(OnLoop); ok {
+			f()
+		} else if more, mine := l.Adapter.Handle(now, e); mine {
+			events = append(events, more...)
+		} else {
+			events = append(events, e)
+		}
+	}
+	next := l.Core.Turn(now, events)
+	if next.IsZero() || !adapterDue.IsZero() && adapterDue.Before(next) {
+		next = adapterDue
+	}
+	return next
+}
--- /dev/null
+++ b/internal/mixer/mixer.go
@@ -0,0 +1,216 @@
+// Package mixer is the core round the decisions: requests, their parts, attempts and outcomes. It does no I/O
+// and reads no clock. A Core takes the events of one turn, hands them to the decisions in one go and carries
+// out what comes back through its ports. It is not safe for concurrent use; Loop drives it.
+package mixer
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"rooktrestle/balance"
+)
+
+// Reach says how far an attempt had come when it ended.
+type Reach int
+
+const (
+	NotConnected Reach = iota // no connection came up, or nothing of it was written
+	PartWritten               // it broke before its last byte was written
+	Written                   // all of it was written, or it cannot be proved that it was not
+	Answered                  // the server gave its word
+)
+
+func (r Reach) String() string {
+	return [...]string{"not connected", "not wholly written", "written", "answered"}[r]
+}
+
+// AttemptError says how an attempt failed. Reach and the two flags alone decide whether it may have run.
+type AttemptError struct {
+	Reach      Reach
+	TurnedAway bool // Answered: the server did not take it
+	Withdrawn  bool // this mixer gave it up
+	Cause      error
+}
+
+func (e *AttemptError) Error() string {
+	what := e.Reach.String()
+	if e.TurnedAway {
+		what = "turned away"
+	} else if e.Withdrawn {
+		what = "given up, " + what
+	}
+	if e.Cause != nil {
+		return fmt.Sprintf("%s: %v", what, e.Cause)
+	}
+	return what
+}
+
+func (e *AttemptError) Unwrap() error { return e.Cause }
+
+// result is the outcome that an attempt's error stands for. An error of another kind proves nothing.
+func result(err error) balance.Result {
+	var a *AttemptError
+	switch {
+	case err == nil:
+		return balance.OK
+	case !errors.As(err, &a):
+		return balance.Reset
+	case a.TurnedAway:
+		return balance.QueueFull
+	case a.Withdrawn && a.Reach < Written:
+		return balance.Ignored
+	case a.Withdrawn:
+		return balance.Canceled
+	case a.Reach < Written:
+		return balance.ConnectFailed
+	case a.Reach == Answered:
+		return balance.Failed
+	}
+	return balance.Reset
+}
+
+// Front is where a request came from. Answer is called once for each request whose client has not left.
+type Front interface{ Answer(Final) }
+
+// Backend carries attempts to servers. Each attempt sent ends in one Ended and each probe in one Probed event.
+type Backend interface {
+	// Send makes one call of these attempts.
+	Send(now time.Time, to Server, calls []Call)
+	// Withdraw gives an attempt up. Its Ended event comes only when the server has been told, or the
+	// connection is closed, so that the part's next attempt is no second copy.
+	Withdraw(now time.Time, a AttemptID)
+	Probe(now time.Time, to Server)
+}
+
+// Directory says what is known of a server; Core is one.
+type Directory interface {
+	// Open says whether new work may go to a server by now.
+	Open(balance.Replica) bool
+}
+
+// Server is one server as last listed.
+type Server struct {
+	ID      balance.Replica
+	Addr    string
+	Zone    int
+	Cell    int
+	Weight  float64
+	State   balance.State
+	Started time.Time // zero: long ago
+}
+
+// Spec is one part of a request.
+type Spec struct {
+	Shard  int
+	Weight float64
+	Hint   time.Duration
+}
+
+// Request is one query as a front took it.
+type Request struct {
+	ID      string
+	Class   int
+	Tenant  int
+	Key     string
+	Arrived time.Time
+	Wait    time.Duration // the client waits so long from Arrived on
+	Retry   bool
+	Text    string
+	Parts   []Spec
+	Front   Front
+}
+
+// FinalKind is how a query ended.
+type FinalKind int
+
+const (
+	Served FinalKind = iota
+	Refused
+	Failed
+	Gone // the client left: nobody is told
+)
+
+// Final is the one final answer of a query.
+type Final struct {
+	Kind       FinalKind
+	Whole      bool
+	Items      []Item
+	RetryAfter time.Duration // Refused: when to come back; 0: no advice
+	Overdue    bool          // Failed: the time was over
+	Missing    []int         // Served, not whole: shards that are not in
+}
+
+// Item is the value of one part, as a server gave it.
+type Item struct {
+	Shard int
+	Value string
+}
+
+// AttemptID names an attempt: the part and its number.
+type AttemptID struct {
+	Part balance.ID
+	N    int
+}
+
+// Call is one attempt of a part.
+type Call struct {
+	Attempt AttemptID
+	Name    string // of the part, on the wire
+	Class   int
+	Shard   int
+	Until   time.Time // the mixer waits no longer
+	Text    string
+	Second  bool // part of a second step, which came after From
+	From    []int
+	Whole   bool // the first step was whole
+}
+
+// Events of the core.
+type (
+	// Arrive is a new request.
+	Arrive struct{ Request *Request }
+	// Left says that a request's client has gone away.
+	Left struct{ Request *Request }
+	// Ended ends an attempt.
+	Ended struct {
+		Attempt AttemptID
+		Err     error // nil: served
+		Score   float64
+		Value   string
+		Report  *balance.Report
+	}
+	// Probed ends a probe.
+	Probed struct {
+		Server balance.Replica
+		Err    error
+		Took   time.Duration
+		Report *balance.Report
+	}
+	// Members is word from discovery.
+	Members struct {
+		Kind balance.ListKind
+		List []Server
+	}
+)
+
+// Counters count what a mixer took in, sent and answered.
+type Counters struct {
+	Taken, Served, Partial, Refused, Failed, Gone uint64
+	Overfull, Overdue, SecondSteps                uint64
+	Sent, Probes, Withdrawn                       uint64
+	Outcomes                                      [balance.Ignored + 1]uint64
+}
+
+var outcomeNames = [...]string{"served", "error", "turned away", "timed out", "could not connect", "reset", "cancelled", "not sent"}
+
+func (c Counters) String() string {
+	text := fmt.Sprintf("taken %d; answered: served %d (partial %d), refused %d (full %d), failed %d (overdue %d), gone %d; "+
+		"second steps %d; sent %d, withdrawn %d, probes %d; attempts:",
+		c.Taken, c.Served, c.Partial, c.Refused, c.Overfull, c.Failed, c.Overdue, c.Gone,
+		c.SecondSteps, c.Sent, c.Withdrawn, c.Probes)
+	for i, n := range c.Outcomes {
+		text += fmt.Sprintf(" %s %d,", outcomeNames[i], n)
+	}
+	return text[:len(text)-1]
+}
--- /dev/null
+++ b/internal/net/leaf/pool.go
@@ -0,0 +1,621 @@
+package leaf
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"rooktrestle/balance"
+	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/net/tcp"
+)
+
+// Link is a connection as the pool uses it.
+type Link interface {
+	Write(b []byte, done func(tcp.Wrote))
+	Close(cause error)
+}
+
+// Dial opens a connection off the loop. It blocks.
+type Dial func(addr string, timeout time.Duration, handler func(*tcp.Link) tcp.Handler) (*tcp.Link, error)
+
+// Limits of a pool.
+type Limits struct {
+	Streams        int           // calls at once on one connection
+	Idle           time.Duration // the server closes a connection left idle for so long
+	ConnectTimeout time.Duration
+	Sockets        int // connections together
+}
+
+const (
+	// slack is added to each time limit of the settings that a server or the network may use up.
+	slack = 50 * time.Millisecond
+	// idleMargin keeps writes off a connection that the server may be about to close: a call written to it
+	// would end as a reset, and may have run for all one knows.
+	idleMargin = 2 * time.Second
+	// givenUpFor is how long late word on an attempt that was given up may still come.
+	givenUpFor = 30 * time.Second
+)
+
+// Stats count what the pool did.
+type Stats struct{ Dials, DialsFailed, Broken, Late uint64 }
+
+// Pool holds the connections to all leaf servers. It lives on the loop.
+type Pool struct {
+	Stats Stats
+	lim   Limits
+	box   interface{ Put(any) }
+	dial  func(c *conn, addr string, timeout time.Duration) // starts; posts dialed
+	open  mixer.Directory
+	hosts map[balance.Replica]*host
+	calls map[mixer.AttemptID]*attempt
+	total int
+	soon  []any // core events of the socket event in hand
+	busy  bool  // one is in hand
+}
+
+type host struct {
+	id      balance.Replica
+	conns   []*conn
+	waiting []*group // calls that wait for a connection
+	probes  []*probe // and probes
+}
+
+// group is one call: parts that go in one frame.
+type group struct {
+	host  *host
+	parts []*attempt
+}
+
+type state int
+
+const (
+	queued  state = iota // waits for a connection
+	writing              // handed to the link
+	out                  // written whole
+)
+
+type attempt struct {
+	call      mixer.Call
+	host      *host
+	conn      *conn
+	state     state
+	withdrawn bool
+}
+
+type probe struct {
+	host  *host
+	conn  *conn
+	sent  time.Time
+	until time.Time
+	over  bool // ended; its answer, if it still comes, is for nobody
+}
+
+type conn struct {
+	host    *host
+	addr    string
+	link    Link
+	up      bool
+	closed  bool
+	groups  int // dialing: groups that will go out on it
+	streams map[string]*attempt
+	probes  []*probe
+	givenUp map[string]time.Time
+	used    time.Time // last time that surely counts as use
+	since   time.Time // dialing since
+}
+
+// events of the sockets
+type (
+	dialed struct {
+		c    *conn
+		link Link
+		err  error
+	}
+	framed struct {
+		c *conn
+		f Frame
+	}
+	closed struct {
+		c   *conn
+		err error
+	}
+	wrote struct {
+		c     *conn
+		parts []*attempt
+		how   tcp.Wrote
+	}
+	told struct { // a frame 2 left, or its connection broke
+		a *attempt
+	}
+)
+
+// NewPool returns a pool that posts to box. dial is tcp.Dial in the program.
+func NewPool(lim Limits, box interface{ Put(any) }, dial Dial) *Pool {
+	p := &Pool{lim: lim, box: box, hosts: map[balance.Replica]*host{}, calls: map[mixer.AttemptID]*attempt{}}
+	p.dial = func(c *conn, addr string, timeout time.Duration) {
+		go func() {
+			link, err := dial(addr, timeout, func(*tcp.Link) tcp.Handler { return &reader{c: c, box: box} })
+			if err != nil {
+				box.Put(dialed{c: c, err: err})
+				return
+			}
+			box.Put(dialed{c: c, link: link})
+		}()
+	}
+	return p
+}
+
+// Use names the directory that says where new work may go.
+func (p *Pool) Use(d mixer.Directory) { p.open = d }
+
+// reader reads frames off a link and posts them.
+type reader struct {
+	c      *conn
+	box    interface{ Put(any) }
+	parser Parser
+	bad    error
+}
+
+func (r *reader) Data(b []byte) {
+	if r.bad != nil {
+		return
+	}
+	r.parser.Feed(b)
+	for {
+		f, ok, err := r.parser.Next()
+		if err != nil {
+			r.bad = err
+			r.box.Put(closed{r.c, err}) // a frame that cannot be read ends the connection
+			return
+		}
+		if !ok {
+			return
+		}
+		r.box.Put(framed{r.c, f})
+	}
+}
+
+func (r *reader) Closed(err error) { r.box.Put(closed{r.c, err}) }
+
+func (p *Pool) host(id balance.Replica) *host {
+	h := p.hosts[id]
+	if h == nil {
+		h = &host{id: id}
+		p.hosts[id] = h
+	}
+	return h
+}
+
+// Send makes one call of these attempts, or several where they are more than a connection has room for.
+func (p *Pool) Send(now time.Time, to mixer.Server, calls []mixer.Call) {
+	h := p.host(to.ID)
+	g := &group{host: h}
+	for _, c := range calls {
+		a := &attempt{call: c, host: h}
+		p.calls[c.Attempt] = a
+		g.parts = append(g.parts, a)
+	}
+	p.place(now, g, to.Addr)
+}
+
+// place writes a group on a connection with room, or lets it wait for a new one.
+func (p *Pool) place(now time.Time, g *group, addr string) {
+	for _, c := range g.host.conns {
+		if c.up && p.fit(now, c, g, addr) {
+			p.write(now, c, g)
+			return
+		}
+	}
+	g.host.waiting = append(g.host.waiting, g)
+	room := 0
+	for _, c := range g.host.conns {
+		if !c.up && !c.closed && c.addr == addr {
+			room += p.lim.Streams
+		}
+	}
+	if room < len(g.host.waiting) {
+		p.connect(now, g.host, addr)
+	}
+}
+
+func (p *Pool) fit(now time.Time, c *conn, g *group, addr string) bool {
+	if c.closed || c.addr != addr || len(c.streams)+len(g.parts) > max(p.lim.Streams, len(g.parts)) || p.stale(now, c) {
+		return false
+	}
+	for _, a := range g.parts {
+		// A late answer to an earlier attempt of the part would be taken for this one's.
+		if _, gaveUp := c.givenUp[a.call.Name]; gaveUp || c.streams[a.call.Name] != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// stale says whether the server may close a connection for idleness by the time a frame arrives.
+func (p *Pool) stale(now time.Time, c *conn) bool {
+	return len(c.streams) == 0 && p.lim.Idle > 0 && now.Sub(c.used) > max(p.lim.Idle/2, p.lim.Idle-idleMargin)
+}
+
+func (p *Pool) connect(now time.Time, h *host, addr string) {
+	c := &conn{host: h, addr: addr, since: now, used: now, streams: map[string]*attempt{}, givenUp: map[string]time.Time{}}
+	if addr == "" || p.total >= p.lim.Sockets && !p.spare() {
+		p.box.Put(dialed{c: c, err: errors.New("no address, or no socket left")})
+	} else {
+		p.Stats.Dials++
+		p.dial(c, addr, p.lim.ConnectTimeout+slack)
+	}
+	p.total++
+	h.conns = append(h.conns, c)
+}
+
+// spare closes the connection that has been idle longest. Guards the limit on sockets.
+func (p *Pool) spare() bool {
+	var idle *conn
+	for _, h := range p.hosts {
+		for _, c := range h.conns {
+			if c.up && !c.closed && len(c.streams) == 0 && len(c.probes) == 0 && (idle == nil || c.used.Before(idle.used)) {
+				idle = c
+			}
+		}
+	}
+	if idle == nil {
+		return false
+	}
+	p.shut(idle, errors.New("idle, and sockets run short"))
+	return true
+}
+
+func (p *Pool) shut(c *conn, cause error) {
+	if c.link != nil {
+		c.link.Close(cause)
+	}
+	p.gone(c, cause)
+}
+
+func (p *Pool) write(now time.Time, c *conn, g *group) {
+	calls := make([]mixer.Call, len(g.parts))
+	for i, a := range g.parts {
+		calls[i] = a.call
+		a.conn, a.state = c, writing
+		c.streams[a.call.Name] = a
+	}
+	c.used = now
+	parts := g.parts
+	c.link.Write(callFrame(now, calls), func(how tcp.Wrote) { p.box.Put(wrote{c, parts, how}) })
+}
+
+// Withdraw gives an attempt up; it ends once the frame that says so has left.
+func (p *Pool) Withdraw(now time.Time, id mixer.AttemptID) {
+	a := p.calls[id]
+	if a == nil || a.withdrawn {
+		return
+	}
+	a.withdrawn = true
+	if a.state == queued {
+		for _, g := range a.host.waiting {
+			g.parts = slices.DeleteFunc(g.parts, func(o *attempt) bool { return o == a })
+		}
+		a.host.waiting = slices.DeleteFunc(a.host.waiting, func(g *group) bool { return len(g.parts) == 0 })
+		p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Withdrawn: true})
+		return
+	}
+	a.conn.used = now
+	a.conn.link.Write(Append(nil, letterGiveUp, []byte(a.call.Name)), func(tcp.Wrote) { p.box.Put(told{a}) })
+}
+
+// Probe asks a server for its load.
+func (p *Pool) Probe(now time.Time, to mixer.Server) {
+	h := p.host(to.ID)
+	pr := &probe{host: h, sent: now, until: now.Add(p.lim.ConnectTimeout + slack)}
+	for _, c := range h.conns {
+		if c.up && !c.closed && c.addr == to.Addr && !p.stale(now, c) {
+			p.ask(c, pr)
+			return
+		}
+	}
+	h.probes = append(h.probes, pr)
+	if !slices.ContainsFunc(h.conns, func(c *conn) bool { return !c.up && !c.closed && c.addr == to.Addr }) {
+		p.connect(now, h, to.Addr)
+	}
+}
+
+func (p *Pool) ask(c *conn, pr *probe) {
+	pr.conn = c
+	c.probes = append(c.probes, pr)
+	c.link.Write(Append(nil, letterLoad, nil), nil)
+}
+
+// emit passes a core event on: with the socket event in hand, or to a later turn if the core called.
+func (p *Pool) emit(e any) {
+	if p.busy {
+		p.soon = append(p.soon, e)
+	} else {
+		p.box.Put(e)
+	}
+}
+
+// end ends an attempt with an error, or with none if it was served; then ended says with what.
+func (p *Pool) end(a *attempt, err error, with ...mixer.Ended) {
+	if p.calls[a.call.Attempt] != a {
+		return
+	}
+	delete(p.calls, a.call.Attempt)
+	if a.conn != nil && a.conn.streams[a.call.Name] == a {
+		delete(a.conn.streams, a.call.Name)
+	}
+	e := mixer.Ended{}
+	if len(with) > 0 {
+		e = with[0]
+	}
+	e.Attempt, e.Err = a.call.Attempt, err
+	p.emit(e)
+}
+
+func (p *Pool) endProbe(now time.Time, pr *probe, err error, r *balance.Report) {
+	if pr.over {
+		return
+	}
+	pr.over = true
+	p.emit(mixer.Probed{Server: pr.host.id, Err: err, Took: now.Sub(pr.sent), Report: r})
+}
+
+func (p *Pool) flush() []any {
+	p.busy = false
+	events := p.soon
+	p.soon = nil
+	return events
+}
+
+// Handle takes what a socket posted.
+func (p *Pool) Handle(now time.Time, e any) ([]any, bool) {
+	p.busy = true
+	switch e := e.(type) {
+	case dialed:
+		p.dialed(now, e)
+	case framed:
+		p.framed(now, e.c, e.f)
+	case closed:
+		if e.c.link != nil && !e.c.closed {
+			p.Stats.Broken++
+			e.c.link.Close(e.err)
+		}
+		p.gone(e.c, e.err)
+	case wrote:
+		for _, a := range e.parts {
+			p.wrote(a, e.how)
+		}
+	case told:
+		// Written, or the connection is gone: either way the server has it given up, or soon will.
+		if p.calls[e.a.call.Attempt] == e.a {
+			if e.a.conn != nil {
+				e.a.conn.givenUp[e.a.call.Name] = now
+			}
+			p.end(e.a, &mixer.AttemptError{Reach: mixer.Written, Withdrawn: true})
+		}
+	default:
+		p.busy = false
+		return nil, false
+	}
+	return p.flush(), true
+}
+
+func (p *Pool) wrote(a *attempt, how tcp.Wrote) {
+	if p.calls[a.call.Attempt] != a || a.state != writing {
+		return
+	}
+	switch {
+	case how == tcp.Nothing:
+		// No byte of it left, so it never ran.
+		p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Cause: errors.New("the connection broke before the frame")})
+	case how == tcp.Unknown:
+		// The end of the frame may have left: it may run.
+		p.end(a, &mixer.AttemptError{Reach: mixer.Written, Cause: errors.New("the connection broke under the frame")})
+	case a.conn.closed:
+		p.end(a, &mixer.AttemptError{Reach: mixer.Written, Cause: errors.New("the connection broke")})
+	default:
+		a.state = out
+	}
+}
+
+func (p *Pool) dialed(now time.Time, e dialed) {
+	c := e.c
+	if e.err != nil {
+		p.Stats.DialsFailed++
+		p.drop(c)
+		// What waits is not tried again here: the decisions may know a better server.
+		if !slices.ContainsFunc(c.host.conns, func(o *conn) bool { return !o.up && !o.closed }) {
+			p.fail(now, c.host, e.err)
+		}
+		return
+	}
+	if c.closed { // closed before it was told to be up
+		c.link = e.link
+		e.link.Close(nil)
+		p.fail(now, c.host, errors.New("the connection broke at once"))
+		return
+	}
+	c.link, c.up, c.used = e.link, true, now
+	h := c.host
+	waiting, probes := h.waiting, h.probes
+	h.waiting, h.probes = nil, nil
+	for _, g := range waiting {
+		// Checked again before its first byte: the server may drain by now, and the time may be over.
+		ready := g.parts[:0]
+		for _, a := range g.parts {
+			switch {
+			case !p.open.Open(h.id):
+				p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, TurnedAway: true, Cause: errors.New("it drains")})
+			case !now.Before(a.call.Until):
+				p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Withdrawn: true})
+			default:
+				ready = append(ready, a)
+			}
+		}
+		if g.parts = ready; len(ready) == 0 {
+			continue
+		}
+		p.place(now, g, c.addr)
+	}
+	for _, pr := range probes {
+		if !pr.over {
+			p.ask(c, pr)
+		}
+	}
+}
+
+// fail ends all that waits for a connection to a server: none of it was written.
+func (p *Pool) fail(now time.Time, h *host, err error) {
+	waiting, probes := h.waiting, h.probes
+	h.waiting, h.probes = nil, nil
+	for _, g := range waiting {
+		for _, a := range g.parts {
+			p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Cause: err})
+		}
+	}
+	for _, pr := range probes {
+		p.endProbe(now, pr, &mixer.AttemptError{Reach: mixer.NotConnected, Cause: err}, nil)
+	}
+}
+
+func (p *Pool) drop(c *conn) {
+	if !c.closed {
+		c.closed = true
+		p.total--
+		c.host.conns = slices.DeleteFunc(c.host.conns, func(o *conn) bool { return o == c })
+	}
+}
+
+// gone ends all that is out on a connection that broke. What the link has not yet accounted for ends when it
+// does, as only then it is known whether it can have run.
+func (p *Pool) gone(c *conn, cause error) {
+	if c.closed {
+		return
+	}
+	p.drop(c)
+	if cause == nil {
+		cause = errors.New("the server closed the connection")
+	}
+	var names []string
+	for name, a := range c.streams {
+		if a.state == out {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		p.end(c.streams[name], &mixer.AttemptError{Reach: mixer.Written, Cause: cause})
+	}
+	for _, pr := range c.probes {
+		p.endProbe(pr.sent, pr, &mixer.AttemptError{Reach: mixer.Written, Cause: cause}, nil)
+	}
+}
+
+func (p *Pool) framed(now time.Time, c *conn, f Frame) {
+	if c.closed {
+		return
+	}
+	switch f.Letter {
+	case letterAnswer:
+		a, err := parseAnswer(f.Rest)
+		if err != nil {
+			p.Stats.Broken++
+			p.shut(c, err)
+			return
+		}
+		c.used = now
+		at := c.streams[a.name]
+		if at == nil {
+			p.Stats.Late++
+			delete(c.givenUp, a.name)
+			return
+		}
+		switch a.end {
+		case 'S':
+			p.end(at, nil, mixer.Ended{Score: a.score, Value: a.value, Report: a.report})
+		case 'E':
+			p.end(at, &mixer.AttemptError{Reach: mixer.Answered}, mixer.Ended{Report: a.report})
+		case 'B':
+			p.end(at, &mixer.AttemptError{Reach: mixer.Answered, TurnedAway: true}, mixer.Ended{Report: a.report})
+		}
+	case letterLoad, letterProbe:
+		if len(c.probes) == 0 {
+			return
+		}
+		pr := c.probes[0]
+		c.probes = c.probes[1:]
+		var err error
+		if string(f.Rest) == "E" {
+			err = &mixer.AttemptError{Reach: mixer.Answered}
+		}
+		p.endProbe(now, pr, err, parseReport(string(f.Rest)))
+	case letterBad:
+		p.Stats.Broken++
+		p.shut(c, fmt.Errorf("the server could not use a frame: %q", f.Rest[:min(len(f.Rest), 80)]))
+	default:
+		p.Stats.Broken++
+		p.shut(c, fmt.Errorf("frame %q", f.Letter))
+	}
+}
+
+// Sweep ends probes that are overdue and closes connections before their idle limit.
+func (p *Pool) Sweep(now time.Time) ([]any, time.Time) {
+	p.busy = true
+	var next time.Time
+	sooner := func(t time.Time) {
+		if next.IsZero() || t.Before(next) {
+			next = t
+		}
+	}
+	for _, h := range p.sorted() {
+		for _, pr := range h.probes {
+			p.late(now, pr, sooner)
+		}
+		for _, c := range slices.Clone(h.conns) {
+			for _, pr := range c.probes {
+				p.late(now, pr, sooner)
+			}
+			for name, at := range c.givenUp {
+				if now.Sub(at) > givenUpFor {
+					delete(c.givenUp, name)
+				}
+			}
+			if c.up && len(c.streams) == 0 && p.lim.Idle > 0 {
+				if p.stale(now, c) {
+					p.shut(c, errors.New("idle"))
+					continue
+				}
+				sooner(c.used.Add(max(p.lim.Idle/2, p.lim.Idle-idleMargin) + time.Millisecond))
+			}
+		}
+		if len(h.conns) == 0 && len(h.waiting) == 0 && len(h.probes) == 0 {
+			delete(p.hosts, h.id)
+		}
+	}
+	return p.flush(), next
+}
+
+func (p *Pool) late(now time.Time, pr *probe, sooner func(time.Time)) {
+	switch {
+	case pr.over:
+	case !now.Before(pr.until):
+		p.endProbe(now, pr, &mixer.AttemptError{Reach: mixer.Written, Withdrawn: true}, nil)
+	default:
+		sooner(pr.until)
+	}
+}
+
+func (p *Pool) sorted() []*host {
+	hosts := make([]*host, 0, len(p.hosts))
+	for _, h := range p.hosts {
+		hosts = append(hosts, h)
+	}
+	slices.SortFunc(hosts, func(a, b *host) int {
+		if a.id < b.id {
+			return -1
+		}
+		return 1
+	})
+	return hosts
+}
--- /dev/null
+++ b/internal/net/tcp/tcp.go
@@ -0,0 +1,311 @@
+// Package tcp puts TCP connections on netpoll behind a small face: a Link takes bytes to write without ever
+// blocking its caller, and says of each write how far it came.
+package tcp
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// Wrote says how far a write had come.
+type Wrote int
+
+const (
+	All     Wrote = iota // all of it was handed to the network
+	Nothing              // provably no byte of it
+	Unknown              // it broke on the way
+)
+
+const (
+	writeTimeout = 2 * time.Second // a peer that takes nothing for so long is given up
+	queueMost    = 1 << 20         // bytes waiting to be written on one link
+	lingerFor    = time.Second
+)
+
+// ErrSlow ends a link whose peer does not read what is sent to it.
+var ErrSlow = errors.New("the peer does not read")
+
+// Handler is what a link's owner does with it. Data and Closed are called one at a time, in order, off the
+// loop; Closed is called once and last. A panic in them ends the link only.
+type Handler interface {
+	Data(b []byte)
+	Closed(err error)
+}
+
+type item struct {
+	b    []byte
+	done func(Wrote)
+}
+
+// Link is one connection.
+type Link struct {
+	conn    netpoll.Connection
+	handler Handler
+	dead    sync.Once
+
+	mu      sync.Mutex
+	queue   []item
+	bytes   int
+	pumping bool
+	closed  bool
+	finish  bool // close once the queue is written
+	linger  bool
+	cause   error
+}
+
+// Write queues bytes. done, which may be nil, is told how far they came, not on the caller's goroutine.
+func (l *Link) Write(b []byte, done func(Wrote)) {
+	l.mu.Lock()
+	// Guards memory against a peer that asks and does not read.
+	if l.bytes+len(b) > queueMost && !l.closed {
+		l.closed, l.cause = true, ErrSlow
+		go l.conn.Close()
+	}
+	if l.closed || l.finish {
+		l.mu.Unlock()
+		if done != nil {
+			go done(Nothing)
+		}
+		return
+	}
+	l.queue = append(l.queue, item{b, done})
+	l.bytes += len(b)
+	start := !l.pumping
+	l.pumping = true
+	l.mu.Unlock()
+	if start {
+		go l.pump()
+	}
+}
+
+// Finish closes the link once all that is queued is written. With linger it goes on reading for a while, so
+// that an answer to a message that was not read whole is not lost to the reset that closing then brings.
+func (l *Link) Finish(linger bool) {
+	l.mu.Lock()
+	l.finish, l.linger = true, linger
+	idle := !l.pumping
+	l.mu.Unlock()
+	if idle {
+		l.shut()
+	}
+}
+
+// Close closes the link at once.
+func (l *Link) Close(cause error) {
+	l.mu.Lock()
+	l.closed = true
+	if l.cause == nil {
+		l.cause = cause
+	}
+	l.mu.Unlock()
+	l.conn.Close()
+}
+
+func (l *Link) shut() {
+	if c, ok := l.conn.(netpoll.Conn); ok && l.linger && l.conn.IsActive() {
+		syscall.Shutdown(c.Fd(), syscall.SHUT_WR)
+		time.AfterFunc(lingerFor, func() { l.conn.Close() })
+		return
+	}
+	l.conn.Close()
+}
+
+// pump writes what is queued, and ends when there is no more.
+func (l *Link) pump() {
+	for {
+		l.mu.Lock()
+		items := l.queue
+		l.queue, l.bytes = nil, 0
+		if len(items) == 0 {
+			l.pumping = false
+			finish := l.finish
+			l.mu.Unlock()
+			if finish {
+				l.shut()
+			}
+			return
+		}
+		l.mu.Unlock()
+		for _, i := range items {
+			wrote := l.write(i.b)
+			if i.done != nil {
+				i.done(wrote)
+			}
+		}
+	}
+}
+
+func (l *Link) write(b []byte) Wrote {
+	l.mu.Lock()
+	closed := l.closed
+	l.mu.Unlock()
+	if closed || !l.conn.IsActive() {
+		return Nothing
+	}
+	w := l.conn.Writer()
+	if _, err := w.WriteBinary(b); err != nil {
+		return Nothing
+	}
+	err := w.Flush()
+	if err == nil {
+		return All
+	}
+	l.Close(fmt.Errorf("write: %w", err))
+	// Only the first call to the system fails with these, and then it has taken nothing. Whatever else comes,
+	// part of it or all of it may be under way.
+	if errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
+		return Nothing
+	}
+	return Unknown
+}
+
+func (l *Link) read() {
+	r := l.conn.Reader()
+	n := r.Len()
+	if n == 0 {
+		return
+	}
+	b, err := r.Next(n)
+	if err != nil {
+		return
+	}
+	defer r.Release()
+	l.mu.Lock()
+	deaf := l.closed || l.finish
+	l.mu.Unlock()
+	if deaf {
+		return
+	}
+	// A panic stops at the connection. Its owner closes what was open on it when told that it ended.
+	defer func() {
+		if p := recover(); p != nil {
+			fmt.Fprintf(os.Stderr, "connection %v: panic: %v\n", l.conn.RemoteAddr(), p)
+			l.Close(fmt.Errorf("panic: %v", p))
+		}
+	}()
+	l.handler.Data(b)
+}
+
+func (l *Link) ended() {
+	l.dead.Do(func() {
+		l.mu.Lock()
+		l.closed = true
+		cause := l.cause
+		l.mu.Unlock()
+		defer func() {
+			if p := recover(); p != nil {
+				fmt.Fprintf(os.Stderr, "connection %v: panic at its end: %v\n", l.conn.RemoteAddr(), p)
+			}
+		}()
+		l.handler.Closed(cause)
+	})
+}
+
+// Peer is the other side's address.
+func (l *Link) Peer() string { return l.conn.RemoteAddr().String() }
+
+// attach makes a connection a link.
+func attach(conn netpoll.Connection, l *Link) {
+	l.conn = conn
+	conn.SetWriteTimeout(writeTimeout)
+	conn.AddCloseCallback(func(netpoll.Connection) error { l.ended(); return nil })
+}
+
+// Dial opens a connection; it blocks until that comes up or the time is over. handler makes the handler of
+// the link.
+func Dial(addr string, timeout time.Duration, handler func(*Link) Handler) (*Link, error) {
+	conn, err := netpoll.DialConnection("tcp", addr, timeout)
+	if err != nil {
+		return nil, err
+	}
+	l := &Link{}
+	attach(conn, l)
+	l.handler = handler(l)
+	if err := conn.SetOnRequest(func(context.Context, netpoll.Connection) error { l.read(); return nil }); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// Server accepts connections.
+type Server struct {
+	ln   net.Listener
+	loop netpoll.EventLoop
+	gate *Gate
+}
+
+// Gate caps the connections that servers hold together. Guards the limit on sockets.
+type Gate struct {
+	mu        sync.Mutex
+	Most, now int
+}
+
+func (g *Gate) enter() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.now >= g.Most {
+		return false
+	}
+	g.now++
+	return true
+}
+
+func (g *Gate) leave() {
+	g.mu.Lock()
+	g.now--
+	g.mu.Unlock()
+}
+
+type linkKey struct{}
+
+// Listen listens on an address and serves each connection with the handler that accept makes of it.
+func Listen(addr string, gate *Gate, accept func(*Link) Handler) (*Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{ln: ln, gate: gate}
+	s.loop, err = netpoll.NewEventLoop(
+		func(ctx context.Context, conn netpoll.Connection) error {
+			if l, ok := ctx.Value(linkKey{}).(*Link); ok {
+				l.read()
+			}
+			return nil
+		},
+		netpoll.WithOnPrepare(func(conn netpoll.Connection) context.Context {
+			if !gate.enter() {
+				conn.Close()
+				return context.Background()
+			}
+			l := &Link{}
+			l.handler = accept(l)
+			attach(conn, l)
+			conn.AddCloseCallback(func(netpoll.Connection) error { gate.leave(); return nil })
+			return context.WithValue(context.Background(), linkKey{}, l)
+		}))
+	if err != nil {
+		ln.Close()
+		return nil, err
+	}
+	go s.loop.Serve(ln)
+	return s, nil
+}
+
+// Addr is where the server listens.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
+// Close stops accepting; connections that are busy have a moment to end.
+func (s *Server) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	s.loop.Shutdown(ctx)
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -17,6 +17,7 @@
 // env is the settings object as the wire spells it. Other keys are ignored.
 type env struct {
 	Classes []struct {
+		Name       string  `json:"name"`
 		Aim        micros  `json:"aim"`
 		AimStretch float64 `json:"aim_stretch"`
 		Credit     float64 `json:"credit"`
@@ -42,18 +43,23 @@
 		WarmKeys        bool      `json:"warm_keys"`
 	} `json:"extra"`
 	Limits struct {
-		Cancel        bool   `json:"cancel"`
-		MaxRetryAfter micros `json:"max_retry_after"`
-		Probing       bool   `json:"probing"`
-		RetryAfter    bool   `json:"retry_after"`
-		SecondCopies  bool   `json:"second_copies"`
-		SendCap       int    `json:"send_cap"`
+		Cancel         bool   `json:"cancel"`
+		ConnIdle       micros `json:"conn_idle"`
+		ConnectTimeout micros `json:"connect_timeout"`
+		MaxOpen        int    `json:"max_open"`
+		StreamsPerConn int    `json:"streams_per_conn"`
+		MaxRetryAfter  micros `json:"max_retry_after"`
+		Probing        bool   `json:"probing"`
+		RetryAfter     bool   `json:"retry_after"`
+		SecondCopies   bool   `json:"second_copies"`
+		SendCap        int    `json:"send_cap"`
 	} `json:"limits"`
 	LoadInfo struct {
 		How string `json:"how"`
 	} `json:"load_info"`
 	Instances int `json:"n_instances"`
 	Orgs      []struct {
+		Name  string  `json:"name"`
 		Quota float64 `json:"quota_per_s"`
 	} `json:"orgs"`
 	OverShareWorth float64 `json:"over_share_worth"`
@@ -68,19 +74,44 @@
 		MustAskIn    micros  `json:"must_ask_in"`
 		TipMultiple  float64 `json:"tip_multiple"`
 	} `json:"rules"`
-	Tick micros `json:"tick"`
-	Zone int    `json:"zone"`
+	Tick  micros   `json:"tick"`
+	Zone  int      `json:"zone"`
+	Zones []string `json:"zones"`
 }
 
 var effects = map[string]balance.Effect{
 	"safe": balance.Safe, "keyed": balance.Keyed, "unsafe": balance.Unsafe,
 }
 
-// ParseSettings reads a gatherer's settings. Keys that it does not know are ignored.
+// Deployment is all that the settings state: what the decisions need, and what a mixer on sockets needs beside it.
+type Deployment struct {
+	Decisions      balance.Settings
+	Classes        []string // names, in the order of Decisions.Classes
+	Tenants        []string
+	Zones          []string
+	ConnIdle       time.Duration // a connection left idle for so long is closed by the server
+	ConnectTimeout time.Duration
+	MaxOpen        int           // queries and parts held; 0: not limited
+	Streams        int           // calls at once on one connection
+	MaxRetryAfter  time.Duration // the longest advice that clients follow, whether or not the simulator forwards it
+}
+
+// ParseSettings reads what the decisions need. Keys that it does not know are ignored.
 func ParseSettings(text []byte) (balance.Settings, error) {
+	d, err := ParseDeployment(text)
+	return d.Decisions, err
+}
+
+// ParseDeployment reads the settings object whole.
+func ParseDeployment(text []byte) (Deployment, error) {
 	var e env
 	if err := json.Unmarshal(text, &e); err != nil {
-		return balance.Settings{}, fmt.Errorf("settings: %w", err)
+		return Deployment{}, fmt.Errorf("settings: %w", err)
+	}
+	d := Deployment{
+		Zones: e.Zones, ConnIdle: e.Limits.ConnIdle.time(), ConnectTimeout: e.Limits.ConnectTimeout.time(),
+		MaxOpen: e.Limits.MaxOpen, Streams: max(1, e.Limits.StreamsPerConn),
+		MaxRetryAfter: e.Limits.MaxRetryAfter.time(),
 	}
 	set := balance.Settings{
 		Instances: e.Instances, Tick: e.Tick.time(), Zone: e.Zone, OverShareWorth: e.OverShareWorth,
@@ -104,13 +135,14 @@
 	n := len(e.Classes)
 	x := e.Extra
 	if len(x.ClassFloor) != n || len(x.NeedByClass) != n || len(x.IncompleteWorth) != n || len(x.FollowUp) != n {
-		return set, errors.New("settings: extra does not state each class once")
+		return d, errors.New("settings: extra does not state each class once")
 	}
 	for i, c := range e.Classes {
 		effect, ok := effects[c.Effect]
 		if !ok {
-			return set, fmt.Errorf("settings: class %d: effect %q is not known", i, c.Effect)
+			return d, fmt.Errorf("settings: class %d: effect %q is not known", i, c.Effect)
 		}
+		d.Classes = append(d.Classes, c.Name)
 		set.Classes = append(set.Classes, balance.Class{
 			Aim: c.Aim.time(), AimStretch: c.AimStretch, Deadline: c.Deadline.time(), Worth: c.Credit,
 			LateWorth: c.LateWorth, Effect: effect, Window: c.MemorySpan.time(),
@@ -119,7 +151,9 @@
 		})
 	}
 	for _, o := range e.Orgs {
+		d.Tenants = append(d.Tenants, o.Name)
 		set.Tenants = append(set.Tenants, balance.Tenant{Quota: o.Quota})
 	}
-	return set, nil
+	d.Decisions = set
+	return d, nil
 }
--- a/test.sh
+++ b/test.sh
@@ -24,4 +24,5 @@
 [ -n "$build" ]
 sh -c "$build"
 test -x bin/wirehost
+test -x bin/rooktrestle
 echo "balance/balance.go: $lines lines; deploy build done"
