--- /dev/null
+++ b/internal/query/work.go
@@ -0,0 +1,50 @@
+package query
+
+import "encoding/json"
+
+// Work is what each part of a query has to carry: a search, or a record to be changed.
+type Work struct {
+	CQL    string `json:"cql,omitempty"`
+	Most   int    `json:"most,omitempty"` // records wanted
+	Action Action `json:"action,omitempty"`
+	Record Record `json:"record,omitzero"`
+}
+
+// Action is what a correction does to a record.
+type Action string
+
+const (
+	Create Action = "create"
+	Change Action = "replace"
+	Delete Action = "delete"
+)
+
+// Record is one record.
+type Record struct {
+	ID     string `json:"id,omitempty"`
+	Schema string `json:"schema,omitempty"`
+	XML    string `json:"xml,omitempty"`
+}
+
+// Found is the value of a part.
+type Found struct {
+	Count   int         `json:"count"`
+	Records []Record    `json:"records,omitempty"`
+	Trouble *Diagnostic `json:"trouble,omitempty"` // the server's word on the query itself
+}
+
+// Diagnostic is a server's word on what is wrong with a request.
+type Diagnostic struct {
+	SRU     string `json:"sru,omitempty"` // whole URI
+	Bib1    int    `json:"bib1,omitempty"`
+	Details string `json:"details,omitempty"`
+}
+
+// Encode prints a value that always can be.
+func Encode(v any) string {
+	text, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // plain strings and numbers: cannot fail
+	}
+	return string(text)
+}
