--- a/cmd/rooktrestle/serve.go
+++ b/cmd/rooktrestle/serve.go
@@ -14,6 +14,7 @@
 	"rooktrestle/internal/mixer"
 	"rooktrestle/internal/net/discovery"
 	"rooktrestle/internal/net/httpfront"
+	"rooktrestle/internal/net/httpserve"
 	"rooktrestle/internal/net/leaf"
 	"rooktrestle/internal/net/tcp"
 )
@@ -84,7 +85,7 @@
 	}
 	front = httpfront.New(httpfront.Settings{
 		Classes: d.Classes, Tenants: d.Tenants, Shards: d.Decisions.Shards, MaxWait: 2 * longest,
-		IdleTimeout: 2 * time.Minute, ReadTimeout: 10 * time.Second,
+		Timeouts: httpserve.Timeouts{Idle: 2 * time.Minute, Read: 10 * time.Second},
 	}, box.Put, clock.Now, func() (text string) {
 		onLoop(func() { text = report() })
 		return text
--- /dev/null
+++ b/internal/net/httpserve/httpserve.go
@@ -0,0 +1,297 @@
+// Package httpserve is the server's side of HTTP/1.1 connections: one request at a time on each, whatever is
+// asked on them. Fronts that speak HTTP stand on it.
+package httpserve
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"rooktrestle/internal/http1"
+	"rooktrestle/internal/net/tcp"
+)
+
+// Timeouts of a connection.
+type Timeouts struct {
+	Idle time.Duration // between requests
+	Read time.Duration // for the rest of a request that has begun
+}
+
+// Counters count connections and requests, and how the server itself ended some.
+type Counters struct{ Conns, Requests, Bad, Panics uint64 }
+
+// Server holds connections.
+type Server struct {
+	handle func(*Exchange)
+	times  Timeouts
+	now    func() time.Time
+
+	mu      sync.Mutex
+	closing bool // every answer ends its connection
+	conns   map[*conn]bool
+	count   Counters
+}
+
+// New returns a Server that hands each request to handle, which answers it then or later.
+func New(times Timeouts, now func() time.Time, handle func(*Exchange)) *Server {
+	return &Server{handle: handle, times: times, now: now, conns: map[*conn]bool{}}
+}
+
+// CloseIdle ends connections that have no request in hand, and makes every later answer end its connection.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	s.closing = true
+	var all []*conn
+	for c := range s.conns {
+		all = append(all, c)
+	}
+	s.mu.Unlock()
+	for _, c := range all {
+		c.finishIfIdle()
+	}
+}
+
+// Open is the number of connections.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Counters returns the counts so far.
+func (s *Server) Counters() Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.count
+}
+
+// Link is a connection as the server uses it.
+type Link interface {
+	Write(b []byte, done func(tcp.Wrote))
+	Finish(linger bool)
+	Close(cause error)
+}
+
+// Accept makes the handler of a new connection.
+func (s *Server) Accept(l *tcp.Link) tcp.Handler { return s.Attach(l) }
+
+// Attach makes the handler of a connection.
+func (s *Server) Attach(l Link) tcp.Handler {
+	c := &conn{s: s, link: l}
+	c.mu.Lock()
+	c.arm(s.times.Idle)
+	c.mu.Unlock()
+	s.mu.Lock()
+	s.conns[c] = true
+	s.count.Conns++
+	s.mu.Unlock()
+	return c
+}
+
+// Exchange is a request and the way to answer it.
+type Exchange struct {
+	*http1.Message
+	Begun time.Time // when its first byte came
+	c     *conn
+	left  func()
+}
+
+// OnLeft sets what is called if the client goes away before it is answered. It returns false if that has
+// happened already.
+func (x *Exchange) OnLeft(f func()) bool {
+	x.c.mu.Lock()
+	defer x.c.mu.Unlock()
+	x.left = f
+	return x.c.open == x
+}
+
+// conn is one client's connection. What is sent behind a request that is not answered yet waits.
+type conn struct {
+	s    *Server
+	link Link
+
+	mu     sync.Mutex
+	parser http1.Parser
+	begun  time.Time
+	open   *Exchange // taken and not answered
+	over   bool
+	timer  *time.Timer
+	asked  bool // 100 Continue was sent
+	inside bool // advance is on its way up the stack
+}
+
+// arm sets the time by which the next whole request must be in.
+func (c *conn) arm(d time.Duration) {
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+	if d > 0 {
+		c.timer = time.AfterFunc(d, c.expire)
+	}
+}
+
+func (c *conn) expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open != nil || c.over {
+		return
+	}
+	if c.parser.Begun() {
+		c.refuse(408, "the request did not come in time")
+		return
+	}
+	c.over = true
+	c.link.Finish(false)
+}
+
+func (c *conn) finishIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open == nil && !c.parser.Begun() && !c.over {
+		c.over = true
+		c.link.Finish(false)
+	}
+}
+
+// Data reads requests.
+func (c *conn) Data(b []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.over {
+		return
+	}
+	if !c.parser.Begun() {
+		c.begun = c.s.now()
+		if c.open == nil {
+			c.arm(c.s.times.Read)
+		}
+	}
+	c.parser.Feed(b)
+	// Guards memory against a client that sends on and on behind a request that is not answered yet.
+	if c.open != nil && c.parser.Buffered() > http1.MaxBody+http1.MaxHead {
+		c.over = true
+		go c.link.Close(fmt.Errorf("too much sent behind a request"))
+		return
+	}
+	c.advance()
+}
+
+// advance hands on whole requests, one at a time. It is called with the lock held and lets go of it while
+// the request is handled, as that may answer at once.
+func (c *conn) advance() {
+	if c.inside {
+		return
+	}
+	c.inside = true
+	defer func() { c.inside = false }()
+	for c.open == nil && !c.over {
+		m, err := c.parser.Next()
+		if err != nil {
+			status := 400
+			if e, ok := err.(*http1.Error); ok {
+				status = e.Status
+			}
+			c.refuse(status, err.Error())
+			return
+		}
+		if m == nil {
+			if c.parser.WantsContinue() && !c.asked {
+				c.asked = true
+				c.link.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"), nil)
+			}
+			return
+		}
+		c.asked = false
+		x := &Exchange{Message: m, Begun: c.begun, c: c}
+		c.open = x
+		c.arm(0)
+		c.s.counted(&c.s.count.Requests)
+		c.mu.Unlock()
+		c.call(x)
+		c.mu.Lock()
+	}
+}
+
+// call stops a panic at its request: the client gets an answer, the connection ends.
+func (c *conn) call(x *Exchange) {
+	defer func() {
+		if p := recover(); p != nil {
+			fmt.Fprintf(os.Stderr, "request %s %s: panic: %v\n", x.Method, x.Target, p)
+			c.s.counted(&c.s.count.Panics)
+			x.Close = true
+			x.Respond(500, nil)
+		}
+	}()
+	c.s.handle(x)
+}
+
+func (s *Server) counted(which *uint64) {
+	s.mu.Lock()
+	*which++
+	s.mu.Unlock()
+}
+
+// refuse answers what cannot be read; the framing is lost, so the connection ends.
+func (c *conn) refuse(status int, reason string) {
+	c.s.counted(&c.s.count.Bad)
+	c.over = true
+	c.link.Write(http1.Response(status, true, []byte(reason+"\n"), "Content-Type", "text/plain"), nil)
+	c.link.Finish(true)
+}
+
+// Respond answers. Only the first call counts, and none after the client has left.
+func (x *Exchange) Respond(status int, body []byte, fields ...string) {
+	c := x.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open != x {
+		return
+	}
+	c.open = nil
+	if c.over {
+		return
+	}
+	if status >= 400 && status < 500 {
+		c.s.counted(&c.s.count.Bad)
+	}
+	c.s.mu.Lock()
+	closing := x.Close || c.s.closing
+	c.s.mu.Unlock()
+	answer := http1.Response(status, closing, body, fields...)
+	if x.Method == "HEAD" {
+		answer = answer[:len(answer)-len(body)]
+	}
+	c.link.Write(answer, nil)
+	if closing {
+		c.over = true
+		c.link.Finish(false)
+		return
+	}
+	if c.parser.Begun() {
+		c.begun = c.s.now()
+		c.arm(c.s.times.Read)
+	} else {
+		c.arm(c.s.times.Idle)
+	}
+	c.advance()
+}
+
+// Closed tells the owner of the request in hand that its client has gone away.
+func (c *conn) Closed(error) {
+	c.mu.Lock()
+	c.over = true
+	c.arm(0)
+	var left func()
+	if c.open != nil {
+		left = c.open.left
+	}
+	c.open = nil
+	c.mu.Unlock()
+	c.s.mu.Lock()
+	delete(c.s.conns, c)
+	c.s.mu.Unlock()
+	if left != nil {
+		left()
+	}
+}
--- a/internal/net/tcp/tcp.go
+++ b/internal/net/tcp/tcp.go
@@ -94,7 +94,7 @@
 	idle := !l.pumping
 	l.mu.Unlock()
 	if idle {
-		l.shut()
+		go l.shut()
 	}
 }
 
@@ -106,7 +106,7 @@
 		l.cause = cause
 	}
 	l.mu.Unlock()
-	l.conn.Close()
+	go l.conn.Close() // it may call Closed at once, and the caller may hold what that needs
 }
 
 func (l *Link) shut() {
