--- a/cmd/rooktrestle/serve.go
+++ b/cmd/rooktrestle/serve.go
@@ -71,7 +71,9 @@
 		box.Put(known)
 	}
 	stop := make(chan struct{})
-	loop := &mixer.Loop{Core: core, Box: box, Adapter: pool, Clock: clock, Stop: stop}
+	loop := &mixer.Loop{Core: core, Box: box, Adapter: pool, Clock: clock, Stop: stop, Fresh: func() (*balance.Balancer, error) {
+		return balance.New(d.Decisions)
+	}}
 
 	var front *httpfront.Front
 	report := func() string {
--- a/internal/mixer/core.go
+++ b/internal/mixer/core.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"os"
 	"slices"
 	"time"
 
@@ -143,14 +144,17 @@
 	return c.due()
 }
 
-func (c *Core) overdue(now time.Time) (late []*query) {
+func (c *Core) overdue(now time.Time) []*query {
+	return slices.DeleteFunc(c.all(), func(q *query) bool { return now.Before(q.end) })
+}
+
+// all are the open queries in the order of their arrival.
+func (c *Core) all() (open []*query) {
 	for _, q := range c.queries {
-		if !now.Before(q.end) {
-			late = append(late, q)
-		}
+		open = append(open, q)
 	}
-	slices.SortFunc(late, func(q, o *query) int { return cmp.Compare(q.id, o.id) })
-	return late
+	slices.SortFunc(open, func(q, o *query) int { return cmp.Compare(q.id, o.id) })
+	return open
 }
 
 func (c *Core) due() (next time.Time) {
@@ -221,7 +225,7 @@
 	if c.lim.MaxOpen > 0 && len(c.queries)+len(c.parts) >= c.lim.MaxOpen || c.names[r.ID] || !now.Before(end) {
 		c.Count.Refused++
 		c.Count.Overfull++
-		r.Front.Answer(Final{Kind: Refused, RetryAfter: c.lim.ComeBack})
+		c.tell(r, Final{Kind: Refused, RetryAfter: c.lim.ComeBack})
 		return told
 	}
 	c.next++
@@ -415,7 +419,56 @@
 		c.Count.Failed++
 	case Gone:
 		c.Count.Gone++
+		q.req.done = true
 		return
 	}
-	q.req.Front.Answer(f)
+	c.tell(q.req, f)
+}
+
+// tell passes a final answer to its front. A panic there stops at that request.
+func (c *Core) tell(r *Request, f Final) {
+	r.done = true
+	defer func() {
+		if p := recover(); p != nil {
+			c.Count.Panics++
+			fmt.Fprintf(os.Stderr, "request %s: panic at its answer: %v\n", r.ID, p)
+		}
+	}()
+	r.Front.Answer(f)
+}
+
+// Restart gives every open query its final answer and goes on with new decisions. Guards the process, and the
+// queries it holds, against a panic in a turn: nothing of them is sent again.
+func (c *Core) Restart(now time.Time, fresh *balance.Balancer, events []any) {
+	c.Count.Panics++
+	for _, q := range c.all() {
+		c.close(q, Final{Kind: Failed})
+	}
+	for _, e := range events { // of the turn that failed, which may not have come to them
+		switch e := e.(type) {
+		case Arrive:
+			if !e.Request.done {
+				c.Count.Failed++
+				c.tell(e.Request, Final{Kind: Failed})
+			}
+		case Members:
+			c.members(e)
+		}
+	}
+	c.calls, c.wakeAt, c.decide = nil, time.Time{}, fresh
+	for _, id := range c.order {
+		if a := c.attempts[id]; a != nil {
+			delete(c.attempts, id)
+			if !a.asked {
+				c.backend.Withdraw(now, id)
+			}
+		}
+	}
+	c.order = nil
+	var list []Server
+	for _, s := range c.servers {
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	fresh.Turn(c.clock(now), []balance.Event{c.members(Members{Kind: balance.ListFull, List: list})})
 }
--- a/internal/mixer/loop.go
+++ b/internal/mixer/loop.go
@@ -1,8 +1,12 @@
 package mixer
 
 import (
+	"fmt"
+	"os"
 	"sync"
 	"time"
+
+	"rooktrestle/balance"
 )
 
 // Clock tells the time and when a time has come. The program uses SystemClock; tests pass their own.
@@ -72,6 +76,7 @@
 	Box     *Mailbox
 	Adapter Adapter
 	Clock   Clock
+	Fresh   func() (*balance.Balancer, error) // new decisions, should a turn panic
 	Stop    <-chan struct{}
 }
 
@@ -102,15 +107,44 @@
 	for _, e := range l.Box.Take() {
 		if f, ok := e.(OnLoop); ok {
 			f()
-		} else if more, mine := l.Adapter.Handle(now, e); mine {
+		} else if more, mine := l.handle(now, e); mine {
 			events = append(events, more...)
 		} else {
 			events = append(events, e)
 		}
 	}
-	next := l.Core.Turn(now, events)
+	next := l.turn(now, events)
 	if next.IsZero() || !adapterDue.IsZero() && adapterDue.Before(next) {
 		next = adapterDue
 	}
 	return next
 }
+
+// handle stops a panic at the event: what hung on it ends by its deadline.
+func (l *Loop) handle(now time.Time, e any) (events []any, mine bool) {
+	defer func() {
+		if p := recover(); p != nil {
+			l.Core.Count.Panics++
+			fmt.Fprintf(os.Stderr, "event %T: panic: %v\n", e, p)
+			events, mine = nil, true
+		}
+	}()
+	return l.Adapter.Handle(now, e)
+}
+
+// turn stops a panic in the core or the decisions: open queries get their final answer, and new ones are
+// decided anew.
+func (l *Loop) turn(now time.Time, events []any) (next time.Time) {
+	defer func() {
+		if p := recover(); p != nil {
+			fmt.Fprintf(os.Stderr, "turn: panic: %v\n", p)
+			fresh, err := l.Fresh()
+			if err != nil {
+				panic(err) // the same settings made the decisions at the start
+			}
+			l.Core.Restart(now, fresh, events)
+			next = now
+		}
+	}()
+	return l.Core.Turn(now, events)
+}
--- a/internal/mixer/mixer.go
+++ b/internal/mixer/mixer.go
@@ -119,6 +119,8 @@
 	Text    string
 	Parts   []Spec
 	Front   Front
+
+	done bool // it has its final answer, or its client has left
 }
 
 // FinalKind is how a query ended.
@@ -197,7 +199,7 @@
 // Counters count what a mixer took in, sent and answered.
 type Counters struct {
 	Taken, Served, Partial, Refused, Failed, Gone uint64
-	Overfull, Overdue, SecondSteps                uint64
+	Overfull, Overdue, SecondSteps, Panics        uint64
 	Sent, Probes, Withdrawn                       uint64
 	Outcomes                                      [balance.Ignored + 1]uint64
 }
--- /dev/null
+++ b/internal/net/issue/issue.go
@@ -0,0 +1,484 @@
+// Package issue carries attempts to servers that speak a protocol with one request at a time on a connection.
+// Pool lives on the mixer's loop and owns every state; sockets only post to it.
+package issue
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"rooktrestle/balance"
+	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/net/tcp"
+	"rooktrestle/internal/query"
+)
+
+// Codec words attempts for one server.
+type Codec interface {
+	// Greeting is what opens a connection; nil if nothing does. Its answer is a Reply with Greeting set.
+	Greeting() []byte
+	Request(c mixer.Call, w query.Work) ([]byte, error)
+	Parser() Parser
+}
+
+// Parser reads a server's answers out of a stream of bytes.
+type Parser interface {
+	Feed(b []byte) ([]Reply, error)
+	End() []Reply // the stream ended; an answer may last until then
+}
+
+// Reply is one answer.
+type Reply struct {
+	Greeting bool
+	Err      error
+	Value    string
+	Score    float64
+	Close    bool // the connection serves no further request
+}
+
+// Link is a connection as the pool uses it.
+type Link interface {
+	Write(b []byte, done func(tcp.Wrote))
+	Close(cause error)
+}
+
+// Dial opens a connection. It blocks, off the loop.
+type Dial func(addr string, timeout time.Duration, handler func(*tcp.Link) tcp.Handler) (*tcp.Link, error)
+
+// Limits of a pool.
+type Limits struct {
+	Connect time.Duration
+	Idle    time.Duration // a server closes a connection left idle for so long
+	Sockets int
+}
+
+// idleMargin keeps writes off a connection that the server may be about to close: a correction written to it
+// may have run for all one knows.
+const idleMargin = 2 * time.Second
+
+// greetFor is how long a server may take to answer the greeting.
+const greetFor = 500 * time.Millisecond
+
+var errNoGreeting = errors.New("the server does not answer the greeting")
+
+// Stats count what the pool did.
+type Stats struct{ Dials, DialsFailed, Broken, Late uint64 }
+
+// Pool holds the connections to all servers.
+type Pool struct {
+	Stats Stats
+	lim   Limits
+	box   interface{ Put(any) }
+	codec func(balance.Replica) Codec
+	dial  Dial
+	open  mixer.Directory
+	idle  map[balance.Replica][]*conn
+	calls map[mixer.AttemptID]*attempt
+	total int
+	soon  []any
+	busy  bool
+	young map[*conn]time.Time // greeting since
+}
+
+type attempt struct {
+	call      mixer.Call
+	server    mixer.Server
+	conn      *conn
+	written   mixer.Reach // as far as is known
+	settled   bool        // the link has accounted for the write
+	withdrawn bool
+}
+
+type conn struct {
+	server balance.Replica
+	addr   string
+	link   Link
+	up     bool // connected, and greeted where that is needed
+	closed bool
+	at     *attempt
+	used   time.Time
+}
+
+// events of the sockets
+type (
+	dialed struct {
+		c    *conn
+		link Link
+		err  error
+	}
+	replied struct {
+		c *conn
+		r Reply
+	}
+	closed struct {
+		c   *conn
+		err error
+	}
+	wrote struct {
+		a   *attempt
+		how tcp.Wrote
+	}
+)
+
+// NewPool returns a pool that posts to box.
+func NewPool(lim Limits, box interface{ Put(any) }, dial Dial, codec func(balance.Replica) Codec) *Pool {
+	return &Pool{
+		lim: lim, box: box, dial: dial, codec: codec,
+		idle: map[balance.Replica][]*conn{}, calls: map[mixer.AttemptID]*attempt{}, young: map[*conn]time.Time{},
+	}
+}
+
+// Use names the directory that says where new work may go.
+func (p *Pool) Use(d mixer.Directory) { p.open = d }
+
+// reader reads answers off a link and posts them.
+type reader struct {
+	c      *conn
+	box    interface{ Put(any) }
+	parser Parser
+	bad    bool
+}
+
+func (r *reader) Data(b []byte) {
+	if r.bad {
+		return
+	}
+	replies, err := r.parser.Feed(b)
+	for _, one := range replies {
+		r.box.Put(replied{r.c, one})
+	}
+	if err != nil { // an answer that cannot be read ends the connection
+		r.bad = true
+		r.box.Put(closed{r.c, err})
+	}
+}
+
+func (r *reader) Closed(err error) {
+	if !r.bad {
+		for _, one := range r.parser.End() {
+			r.box.Put(replied{r.c, one})
+		}
+	}
+	r.box.Put(closed{r.c, err})
+}
+
+// Send starts each attempt on a connection of its own.
+func (p *Pool) Send(now time.Time, to mixer.Server, calls []mixer.Call) {
+	for _, call := range calls {
+		a := &attempt{call: call, server: to}
+		p.calls[call.Attempt] = a
+		if c := p.take(now, to); c != nil {
+			p.write(now, c, a)
+			continue
+		}
+		p.connect(now, to, a)
+	}
+}
+
+// take returns an idle connection that the server surely still holds.
+func (p *Pool) take(now time.Time, to mixer.Server) *conn {
+	for _, c := range slices.Backward(p.idle[to.ID]) {
+		if c.addr == to.Addr && !p.stale(now, c) {
+			p.drop(c)
+			return c
+		}
+	}
+	return nil
+}
+
+func (p *Pool) stale(now time.Time, c *conn) bool {
+	return now.Sub(c.used) > max(p.lim.Idle/2, p.lim.Idle-idleMargin)
+}
+
+// drop takes a connection out of the idle ones.
+func (p *Pool) drop(c *conn) {
+	p.idle[c.server] = slices.DeleteFunc(p.idle[c.server], func(o *conn) bool { return o == c })
+	if len(p.idle[c.server]) == 0 {
+		delete(p.idle, c.server)
+	}
+}
+
+func (p *Pool) connect(now time.Time, to mixer.Server, a *attempt) {
+	c := &conn{server: to.ID, addr: to.Addr, at: a, used: now}
+	a.conn = c
+	if p.total >= p.lim.Sockets {
+		p.shutOldest()
+	}
+	codec := p.codec(to.ID)
+	if p.total >= p.lim.Sockets || codec == nil || to.Addr == "" {
+		p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Cause: errors.New("no socket left, or a server that is gone")}, nil)
+		return
+	}
+	p.total++
+	p.Stats.Dials++
+	go func() {
+		link, err := p.dial(to.Addr, p.lim.Connect, func(*tcp.Link) tcp.Handler {
+			return &reader{c: c, box: p.box, parser: codec.Parser()}
+		})
+		if err != nil {
+			p.box.Put(dialed{c: c, err: err})
+			return
+		}
+		p.box.Put(dialed{c: c, link: link})
+	}()
+}
+
+// shutOldest closes the connection that has been idle longest. Guards the limit on sockets.
+func (p *Pool) shutOldest() {
+	var oldest *conn
+	for _, list := range p.idle {
+		for _, c := range list {
+			if oldest == nil || c.used.Before(oldest.used) {
+				oldest = c
+			}
+		}
+	}
+	if oldest != nil {
+		p.shut(oldest, errors.New("idle, and sockets run short"))
+	}
+}
+
+func (p *Pool) shut(c *conn, cause error) {
+	if c.link != nil {
+		c.link.Close(cause)
+	}
+	if !c.closed {
+		c.closed = true
+		p.total--
+		p.drop(c)
+	}
+}
+
+// write sends an attempt. It is checked again before its first byte: it may have had to wait for its
+// connection, and the server may drain by now, or the time be over.
+func (p *Pool) write(now time.Time, c *conn, a *attempt) {
+	c.at, a.conn = a, c
+	refuse := func(e *mixer.AttemptError) {
+		p.end(a, e, nil)
+		p.rest(now, c)
+	}
+	if !p.open.Open(a.server.ID) {
+		refuse(&mixer.AttemptError{Reach: mixer.NotConnected, TurnedAway: true, Cause: errors.New("it drains")})
+		return
+	}
+	if a.withdrawn || !now.Before(a.call.Until) {
+		refuse(&mixer.AttemptError{Reach: mixer.NotConnected, Withdrawn: true})
+		return
+	}
+	var w query.Work
+	err := json.Unmarshal([]byte(a.call.Text), &w)
+	var frame []byte
+	if err == nil {
+		frame, err = p.codec(a.server.ID).Request(a.call, w)
+	}
+	if err != nil {
+		refuse(&mixer.AttemptError{Reach: mixer.NotConnected, Cause: err})
+		return
+	}
+	a.written = mixer.Written // until the link says otherwise
+	c.used = now
+	c.link.Write(frame, func(how tcp.Wrote) { p.box.Put(wrote{a, how}) })
+}
+
+// rest makes a connection idle.
+func (p *Pool) rest(now time.Time, c *conn) {
+	c.at = nil
+	if c.closed || !c.up {
+		return
+	}
+	c.used = now
+	p.idle[c.server] = append(p.idle[c.server], c)
+}
+
+// Withdraw gives an attempt up. Neither protocol can call off what is under way so that nothing of it comes
+// back, so the connection is closed, and the attempt ends when it is.
+func (p *Pool) Withdraw(now time.Time, id mixer.AttemptID) {
+	a := p.calls[id]
+	if a == nil || a.withdrawn {
+		return
+	}
+	a.withdrawn = true
+	if a.conn.link == nil || !a.conn.up { // dialing or greeting: nothing of it was written
+		p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Withdrawn: true}, nil)
+		if a.conn.link != nil {
+			p.shut(a.conn, errors.New("given up"))
+		}
+		return
+	}
+	a.conn.link.Close(errors.New("given up"))
+}
+
+// Probe tells nothing: these protocols have no probe for load.
+func (p *Pool) Probe(now time.Time, to mixer.Server) {
+	p.emit(mixer.Probed{Server: to.ID, Err: &mixer.AttemptError{Reach: mixer.NotConnected}})
+}
+
+func (p *Pool) emit(e any) {
+	if p.busy {
+		p.soon = append(p.soon, e)
+	} else {
+		p.box.Put(e)
+	}
+}
+
+func (p *Pool) end(a *attempt, err error, r *Reply) {
+	if p.calls[a.call.Attempt] != a {
+		return
+	}
+	delete(p.calls, a.call.Attempt)
+	if a.conn != nil && a.conn.at == a {
+		a.conn.at = nil
+	}
+	e := mixer.Ended{Attempt: a.call.Attempt, Err: err}
+	if r != nil {
+		e.Score, e.Value = r.Score, r.Value
+	}
+	p.emit(e)
+}
+
+// Handle takes what a socket posted.
+func (p *Pool) Handle(now time.Time, e any) ([]any, bool) {
+	p.busy = true
+	defer func() { p.busy = false }()
+	switch e := e.(type) {
+	case dialed:
+		p.dialed(now, e)
+	case replied:
+		p.replied(now, e.c, e.r)
+	case closed:
+		p.closed(e.c, e.err)
+	case wrote:
+		p.wrote(e.a, e.how)
+	default:
+		return nil, false
+	}
+	events := p.soon
+	p.soon = nil
+	return events, true
+}
+
+func (p *Pool) dialed(now time.Time, e dialed) {
+	c := e.c
+	if e.err != nil {
+		p.Stats.DialsFailed++
+		p.shut(c, nil)
+		if c.at != nil {
+			p.end(c.at, &mixer.AttemptError{Reach: mixer.NotConnected, Cause: e.err}, nil)
+		}
+		return
+	}
+	c.link = e.link
+	if c.closed || c.at == nil { // closed at once, or given up meanwhile
+		p.shut(c, errors.New("not wanted any more"))
+		return
+	}
+	if hello := p.codec(c.server).Greeting(); hello != nil {
+		c.link.Write(hello, nil)
+		p.young[c] = now
+		return
+	}
+	c.up = true
+	p.write(now, c, c.at)
+}
+
+func (p *Pool) replied(now time.Time, c *conn, r Reply) {
+	a := c.at
+	switch {
+	case r.Greeting && !c.up:
+		if r.Err != nil {
+			p.shut(c, r.Err)
+			if a != nil {
+				p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Cause: r.Err}, nil)
+			}
+			return
+		}
+		delete(p.young, c)
+		if c.up = true; a != nil {
+			p.write(now, c, a)
+		}
+		return
+	case a == nil || a.withdrawn || r.Greeting:
+		p.Stats.Late++ // nobody waits for it; whatever follows on this connection cannot be told apart
+		p.shut(c, errors.New("an answer that nobody waits for"))
+		if a != nil {
+			p.lost(a, errors.New("given up"))
+		}
+		return
+	}
+	p.end(a, r.Err, &r)
+	if r.Close {
+		p.shut(c, errors.New("the server wants it closed"))
+		return
+	}
+	p.rest(now, c)
+}
+
+func (p *Pool) closed(c *conn, cause error) {
+	if !c.closed && c.link != nil {
+		p.Stats.Broken++
+	}
+	p.shut(c, cause)
+	if cause == nil {
+		cause = errors.New("the server closed the connection")
+	}
+	if a := c.at; a != nil {
+		p.lost(a, cause)
+	}
+}
+
+// lost ends an attempt whose connection is gone, once it is known how far its request had come.
+func (p *Pool) lost(a *attempt, cause error) {
+	switch {
+	case a.written < mixer.Written:
+		p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Withdrawn: a.withdrawn, Cause: cause}, nil)
+	case a.settled:
+		p.end(a, &mixer.AttemptError{Reach: mixer.Written, Withdrawn: a.withdrawn, Cause: cause}, nil)
+	}
+}
+
+func (p *Pool) wrote(a *attempt, how tcp.Wrote) {
+	a.settled = true
+	if how == tcp.Nothing {
+		a.written = mixer.NotConnected // no byte of it left
+	}
+	if a.conn.closed && p.calls[a.call.Attempt] == a {
+		p.lost(a, fmt.Errorf("the connection broke"))
+	}
+}
+
+// Sweep closes connections before their idle limit.
+func (p *Pool) Sweep(now time.Time) ([]any, time.Time) {
+	var next time.Time
+	for _, list := range p.idle {
+		for _, c := range slices.Clone(list) {
+			if p.stale(now, c) {
+				p.shut(c, errors.New("idle"))
+				continue
+			}
+			if due := c.used.Add(max(p.lim.Idle/2, p.lim.Idle-idleMargin) + time.Millisecond); next.IsZero() || due.Before(next) {
+				next = due
+			}
+		}
+	}
+	p.busy = true
+	defer func() { p.busy = false }()
+	for c, since := range p.young {
+		// Guards a part against a server that accepts and never greets: nothing of it was written, so it may
+		// go elsewhere.
+		due := since.Add(greetFor)
+		if !now.Before(due) {
+			a := c.at
+			p.shut(c, errNoGreeting)
+			if a != nil {
+				p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Cause: errNoGreeting}, nil)
+			}
+		} else if next.IsZero() || due.Before(next) {
+			next = due
+		}
+	}
+	events := p.soon
+	p.soon = nil
+	return events, next
+}
--- a/internal/partner/partner.go
+++ b/internal/partner/partner.go
@@ -69,16 +69,15 @@
 	return slices.IndexFunc(s.Conf.Tenants, func(t config.PartnerTenant) bool { return slices.Contains(t.Users, user) })
 }
 
-// Search looks for a query in databases and asks each shard for most records. done is told the outcome once,
-// on the loop or before Search returns.
-func (s *Service) Search(who Caller, databases []string, n query.Node, most int, done func(Outcome)) Cancel {
+// Search looks for a query in databases and asks each shard for most records. An outcome that is known at once
+// is returned; any other is told to done, once, on the loop.
+func (s *Service) Search(who Caller, databases []string, n query.Node, most int, done func(Outcome)) (Cancel, *Outcome) {
 	var shards []int
 	var first *config.Database
 	for _, name := range databases {
 		d := s.Database(name)
 		if d == nil || first != nil && d.Search != first.Search {
-			done(Outcome{Kind: NoDatabase, Details: name})
-			return func() {}
+			return nil, &Outcome{Kind: NoDatabase, Details: name}
 		}
 		if first == nil {
 			first = d
@@ -90,23 +89,21 @@
 		}
 	}
 	if first == nil {
-		done(Outcome{Kind: NoDatabase})
-		return func() {}
+		return nil, &Outcome{Kind: NoDatabase}
 	}
 	work := query.Work{CQL: query.CQL(n), Most: most}
 	return s.ask(who, first, first.Search, shards, work, done)
 }
 
 // Correct changes a record. It goes to one shard and never runs twice.
-func (s *Service) Correct(who Caller, database string, action query.Action, r query.Record, done func(Outcome)) Cancel {
+func (s *Service) Correct(who Caller, database string, action query.Action, r query.Record, done func(Outcome)) (Cancel, *Outcome) {
 	d := s.Database(database)
 	if d == nil || d.Correction == "" {
 		kind := NoDatabase
 		if d != nil {
 			kind = ReadOnly
 		}
-		done(Outcome{Kind: kind, Details: database})
-		return func() {}
+		return nil, &Outcome{Kind: kind, Details: database}
 	}
 	return s.ask(who, d, d.Correction, []int{Place(d, r.ID)}, query.Work{Action: action, Record: r}, done)
 }
@@ -126,7 +123,7 @@
 	return d.Shards[int(h.Sum32()%uint32(len(d.Shards)))]
 }
 
-func (s *Service) ask(who Caller, d *config.Database, class string, shards []int, work query.Work, done func(Outcome)) Cancel {
+func (s *Service) ask(who Caller, d *config.Database, class string, shards []int, work query.Work, done func(Outcome)) (Cancel, *Outcome) {
 	index := s.Conf.Class(class)
 	tenant := s.Conf.Tenant(d.Tenant)
 	if t := s.Tenant(who.User); who.User != "" && t >= 0 {
@@ -141,7 +138,7 @@
 	}
 	r.Front = &asked{done: done}
 	s.Put(mixer.Arrive{Request: r})
-	return func() { s.Put(mixer.Left{Request: r}) }
+	return func() { s.Put(mixer.Left{Request: r}) }, nil
 }
 
 // asked waits for a query's final answer.
--- a/internal/query/bib1.go
+++ b/internal/query/bib1.go
@@ -1,6 +1,9 @@
 package query
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // Attribute is a Bib-1 attribute: its type and value.
 type Attribute struct{ Type, Value int }
@@ -162,3 +165,14 @@
 	}
 	return c, nil
 }
+
+// Indexes returns the names of all indexes, sorted.
+func Indexes() (names []string) {
+	for name := range uses {
+		if name != "" {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/sru/client.go
@@ -0,0 +1,88 @@
+package sru
+
+import (
+	"errors"
+	"fmt"
+	"net/url"
+
+	"rooktrestle/internal/http1"
+	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/net/issue"
+	"rooktrestle/internal/query"
+)
+
+// maxAnswer is the longest answer taken from a server.
+const maxAnswer = 1 << 20
+
+// Client words attempts as SRU requests.
+type Client struct {
+	Host     string
+	Database func(shard int) string
+}
+
+// Greeting is nothing: HTTP needs none.
+func (c *Client) Greeting() []byte { return nil }
+
+// Request words an attempt.
+func (c *Client) Request(call mixer.Call, w query.Work) ([]byte, error) {
+	database := c.Database(call.Shard)
+	if w.Action == "" {
+		return http1.Request("GET", SearchTarget(database, w.CQL, 1, w.Most), c.Host, nil), nil
+	}
+	body := UpdateRequest(Update{w.Action, w.Record})
+	return http1.Request("POST", "/"+url.PathEscape(database), c.Host, body,
+		"Content-Type", xmlType, "SOAPAction", `""`), nil
+}
+
+// Parser reads answers.
+func (c *Client) Parser() issue.Parser {
+	return &clientParser{http1.Parser{Responses: true, MaxBody: maxAnswer}}
+}
+
+type clientParser struct{ http http1.Parser }
+
+func (p *clientParser) Feed(b []byte) (replies []issue.Reply, err error) {
+	p.http.Feed(b)
+	for {
+		m, err := p.http.Next()
+		if err != nil || m == nil {
+			return replies, err
+		}
+		replies = append(replies, reply(m))
+	}
+}
+
+func (p *clientParser) End() []issue.Reply {
+	if m := p.http.End(); m != nil {
+		return []issue.Reply{reply(m)}
+	}
+	return nil
+}
+
+// reply judges an answer. What a server says of the query itself is an answer; what it says of itself is an
+// error, and nothing in it proves that the request did not run.
+func reply(m *http1.Message) issue.Reply {
+	r := issue.Reply{Close: m.Close}
+	failed := func(cause error) issue.Reply {
+		r.Err = &mixer.AttemptError{Reach: mixer.Answered, Cause: cause}
+		return r
+	}
+	if m.Status != 200 {
+		return failed(fmt.Errorf("status %d", m.Status))
+	}
+	a, err := ParseResponse(m.Body)
+	if err != nil {
+		return failed(err)
+	}
+	if t := a.Trouble; t != nil && (t.SRU == diag+"1" || t.SRU == diag+"2" || t.SRU == diag+"3") {
+		return failed(errors.New(t.SRU + " " + t.Details))
+	}
+	if a.Update && !a.Good && a.Trouble == nil {
+		a.Trouble = &query.Diagnostic{SRU: diag + "1", Details: "the server failed the update"}
+	}
+	if a.Trouble != nil && a.Trouble.SRU == diag+"59" {
+		a.Trouble = nil // a valid part of it all the same
+	}
+	r.Value, r.Score = query.Encode(a.Found), float64(a.Count)
+	return r
+}
--- /dev/null
+++ b/internal/sru/server.go
@@ -0,0 +1,180 @@
+package sru
+
+import (
+	"fmt"
+	"math"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"rooktrestle/internal/config"
+	"rooktrestle/internal/net/httpserve"
+	"rooktrestle/internal/partner"
+	"rooktrestle/internal/query"
+)
+
+// Server is the SRU front.
+type Server struct{ Service *partner.Service }
+
+const xmlType = "text/xml; charset=utf-8"
+
+// Handle answers one request: /DATABASE with the parameters of SRU, or an update in a POST of XML.
+func (s *Server) Handle(x *httpserve.Exchange) {
+	path, text, _ := strings.Cut(x.Target, "?")
+	name, err := url.PathUnescape(strings.Trim(path, "/"))
+	if err != nil {
+		x.Respond(400, []byte("path\n"))
+		return
+	}
+	if name == "" {
+		name = s.Service.Conf.Databases[0].Name
+	}
+	base := s.Service.Database(name)
+	kind, _, _ := strings.Cut(x.Header.Get("Content-Type"), ";")
+	switch {
+	case x.Method == "POST" && strings.HasSuffix(strings.TrimSpace(kind), "xml"):
+		s.update(x, name)
+		return
+	case x.Method == "POST" && strings.TrimSpace(kind) == "application/x-www-form-urlencoded":
+		text = string(x.Body)
+	case x.Method != "GET" && x.Method != "HEAD":
+		x.Respond(405, []byte("GET or POST\n"), "Allow", "GET, HEAD, POST")
+		return
+	}
+	params, err := url.ParseQuery(text)
+	if err != nil {
+		s.refuse(x, fault(6, "the query string cannot be read"))
+		return
+	}
+	r, err := ParseRequest(params)
+	if err != nil {
+		s.refuse(x, asFault(err))
+		return
+	}
+	if base == nil {
+		s.refuse(x, fault(235, name))
+		return
+	}
+	if r.Operation == "explain" {
+		x.Respond(200, s.explain(base), "Content-Type", xmlType)
+		return
+	}
+	s.search(x, base, r)
+}
+
+func (s *Server) refuse(x *httpserve.Exchange, f *Fault) {
+	x.Respond(200, SearchResponse(0, nil, 1, 0, "xml", []query.Diagnostic{f.Diagnose()}), "Content-Type", xmlType)
+}
+
+func (s *Server) search(x *httpserve.Exchange, base *config.Database, r Request) {
+	limit := s.Service.Conf.Limits.MaxRecords
+	if r.Most < 0 {
+		r.Most = min(10, limit)
+	}
+	if r.Schema != "" && r.Schema != "dc" && r.Schema != DefaultSchema {
+		s.refuse(x, fault(66, r.Schema))
+		return
+	}
+	if r.Start > limit {
+		s.refuse(x, fault(61, strconv.Itoa(r.Start)))
+		return
+	}
+	r.Most = min(r.Most, limit-r.Start+1)
+	answer := func(o partner.Outcome) {
+		if o.Kind != partner.Whole && o.Kind != partner.Partial {
+			status, ds, fields := troubles(o)
+			x.Respond(status, SearchResponse(0, nil, 1, 0, "xml", ds), fields...)
+			return
+		}
+		var ds []query.Diagnostic
+		if o.Kind == partner.Partial {
+			ds = append(ds, fault(59, "some shards of the database are not in").Diagnose())
+		}
+		if r.Start > 1 && r.Start > o.Count {
+			ds = append(ds, fault(61, strconv.Itoa(r.Start)).Diagnose())
+		}
+		records := o.Cut(r.Start, r.Most)
+		next := 0
+		if end := r.Start + len(records); len(records) > 0 && end <= o.Count {
+			next = end
+		}
+		x.Respond(200, SearchResponse(o.Count, records, r.Start, next, r.Packing, ds), "Content-Type", xmlType)
+	}
+	cancel, known := s.Service.Search(partner.Caller{}, []string{base.Name}, r.Query, r.Start-1+r.Most, answer)
+	wait(x, cancel, known, answer)
+}
+
+// wait leaves a request to its outcome, or gives it up if the client has left.
+func wait(x *httpserve.Exchange, cancel partner.Cancel, known *partner.Outcome, answer func(partner.Outcome)) {
+	if known != nil {
+		answer(*known)
+	} else if !x.OnLeft(cancel) {
+		cancel() // answered already, or the client is gone: nothing of it is left to give up, or all of it
+	}
+}
+
+// troubles words an outcome that is no answer. Refusals also say so in the status, with when to come back.
+func troubles(o partner.Outcome) (status int, ds []query.Diagnostic, fields []string) {
+	fields = []string{"Content-Type", xmlType}
+	one := func(f *Fault) []query.Diagnostic { return []query.Diagnostic{f.Diagnose()} }
+	switch o.Kind {
+	case partner.Refused:
+		if o.RetryAfter > 0 {
+			fields = append(fields, "Retry-After", strconv.Itoa(int(math.Ceil(o.RetryAfter.Seconds()))))
+		}
+		return 503, one(fault(2, fmt.Sprintf("refused; asking again is harmless, after %v", o.RetryAfter))), fields
+	case partner.TimedOut:
+		return 200, one(fault(1, "timed out")), fields
+	case partner.NoDatabase:
+		return 200, one(fault(235, o.Details)), fields
+	case partner.ReadOnly:
+		return 200, one(fault(4, "update of "+o.Details)), fields
+	case partner.ServerSaid:
+		d := *o.Said
+		if d.SRU == "" {
+			d.SRU, d.Details = diag+"1", fmt.Sprintf("bib-1 %d %s", d.Bib1, d.Details)
+		}
+		return 200, []query.Diagnostic{d}, fields
+	}
+	return 200, one(fault(1, strings.TrimSpace("failed "+o.Details))), fields
+}
+
+func (s *Server) update(x *httpserve.Exchange, name string) {
+	u, err := ParseUpdate(x.Body)
+	if err != nil {
+		x.Respond(200, UpdateResponse(false, u.Record.ID, []query.Diagnostic{asFault(err).Diagnose()}), "Content-Type", xmlType)
+		return
+	}
+	answer := func(o partner.Outcome) {
+		if o.Kind == partner.Whole {
+			x.Respond(200, UpdateResponse(true, u.Record.ID, nil), "Content-Type", xmlType)
+			return
+		}
+		status, ds, fields := troubles(o)
+		x.Respond(status, UpdateResponse(false, u.Record.ID, ds), fields...)
+	}
+	cancel, known := s.Service.Correct(partner.Caller{}, name, u.Action, u.Record, answer)
+	wait(x, cancel, known, answer)
+}
+
+func (s *Server) explain(d *config.Database) []byte {
+	host, port, _ := strings.Cut(s.Service.Conf.Listen.SRU, ":")
+	title := d.Title
+	if title == "" {
+		title = d.Name
+	}
+	var idx strings.Builder
+	for _, name := range query.Indexes() {
+		set, short, _ := strings.Cut(name, ".")
+		fmt.Fprintf(&idx, `<index search="true" scan="false" sort="false"><title>%s</title><map><name set="%s">%s</name></map></index>`,
+			esc(name), esc(set), esc(short))
+	}
+	return fmt.Appendf(nil, head+`<explainResponse xmlns="%s"><version>1.2</version><record>`+
+		`<recordSchema>http://explain.z3950.org/dtd/2.0/</recordSchema><recordPacking>xml</recordPacking><recordData>`+
+		`<explain xmlns="http://explain.z3950.org/dtd/2.0/"><serverInfo protocol="SRU" version="1.2" transport="http" method="GET POST">`+
+		`<host>%s</host><port>%s</port><database>%s</database></serverInfo><databaseInfo><title>%s</title></databaseInfo>`+
+		`<indexInfo>%s</indexInfo><schemaInfo><schema identifier="%s" name="dc"><title>Dublin Core</title></schema></schemaInfo>`+
+		`<configInfo><default type="numberOfRecords">10</default><setting type="maximumRecords">%d</setting></configInfo>`+
+		`</explain></recordData></record></explainResponse>`+"\n",
+		nsSRW, esc(host), esc(port), esc(d.Name), esc(title), idx.String(), DefaultSchema, s.Service.Conf.Limits.MaxRecords)
+}
--- /dev/null
+++ b/internal/z3950/server.go
@@ -0,0 +1,581 @@
+package z3950
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"rooktrestle/internal/net/tcp"
+	"rooktrestle/internal/partner"
+	"rooktrestle/internal/query"
+)
+
+const (
+	maxIn     = 128 << 10 // the longest unit taken from an origin
+	maxWait   = 8         // units that may wait behind the one in hand
+	prefetch  = 10        // records fetched with a search, for the first presents
+	leastSize = 4 << 10
+)
+
+// Server is the Z39.50 front: a target.
+type Server struct {
+	Service *partner.Service
+	Idle    time.Duration // of an association
+
+	mu    sync.Mutex
+	open  map[*assoc]bool
+	count Counters
+}
+
+// Counters count associations and units.
+type Counters struct{ Associations, Units, Bad uint64 }
+
+// Link is a connection as the server uses it.
+type Link interface {
+	Write(b []byte, done func(tcp.Wrote))
+	Finish(linger bool)
+}
+
+// Accept makes the handler of a new connection.
+func (s *Server) Accept(l *tcp.Link) tcp.Handler { return s.Attach(l) }
+
+// Attach makes the handler of a connection.
+func (s *Server) Attach(l Link) tcp.Handler {
+	a := &assoc{s: s, link: l, sets: map[string]*set{}, size: maxPDU}
+	s.mu.Lock()
+	if s.open == nil {
+		s.open = map[*assoc]bool{}
+	}
+	s.open[a] = true
+	s.count.Associations++
+	s.mu.Unlock()
+	a.mu.Lock()
+	a.rest()
+	a.mu.Unlock()
+	return a
+}
+
+// Shutdown closes associations, each after the operation in hand.
+func (s *Server) Shutdown() {
+	s.mu.Lock()
+	var all []*assoc
+	for a := range s.open {
+		all = append(all, a)
+	}
+	s.mu.Unlock()
+	for _, a := range all {
+		a.mu.Lock()
+		if a.leaving = true; a.busy == nil {
+			a.end(closeShutdown, "the target shuts down")
+		}
+		a.mu.Unlock()
+	}
+}
+
+// Open is the number of associations.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
+// Counters returns the counts so far.
+func (s *Server) Counters() Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.count
+}
+
+// set is a result set. It lives as long as its association.
+type set struct {
+	node      query.Node
+	databases []string
+	count     int
+	records   []query.Record
+	fetched   int // positions up to it are known
+}
+
+// operation is what an association waits for.
+type operation struct {
+	ref    *Node
+	kind   int // tag of the request
+	cancel partner.Cancel
+	over   bool
+}
+
+// assoc is one association. One operation is in hand at a time; what is sent behind it waits.
+type assoc struct {
+	s    *Server
+	link Link
+
+	mu      sync.Mutex
+	buf     []byte
+	begun   bool // Init was accepted
+	over    bool
+	leaving bool
+	user    string
+	size    int // message size agreed on
+	sets    map[string]*set
+	busy    *operation
+	waiting []*Node
+	timer   *time.Timer
+}
+
+// rest starts the time after which an association without activity is closed.
+func (a *assoc) rest() {
+	if a.timer != nil {
+		a.timer.Stop()
+	}
+	if a.s.Idle > 0 {
+		a.timer = time.AfterFunc(a.s.Idle, func() {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			if a.busy == nil {
+				a.end(closeIdle, "no activity")
+			}
+		})
+	}
+}
+
+func (a *assoc) send(n *Node) { a.link.Write(n.Encode(nil), nil) }
+
+// end closes the association. A correction in hand is given up: no part of it is sent again.
+func (a *assoc) end(reason int, why string) {
+	if a.over {
+		return
+	}
+	a.over = true
+	a.abandon()
+	a.send(ctx(closePDU, num(211, reason), str(3, why)))
+	a.link.Finish(reason == closeProtocol || reason == closeLimits)
+}
+
+func (a *assoc) abandon() {
+	if a.busy != nil && !a.busy.over {
+		a.busy.over = true
+		if a.busy.cancel != nil {
+			a.busy.cancel()
+		}
+	}
+	a.busy, a.waiting = nil, nil
+}
+
+// Data reads units. A panic in it ends the connection, and the operation in hand is given up in Closed.
+func (a *assoc) Data(b []byte) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.over {
+		return
+	}
+	a.rest()
+	a.buf = append(a.buf, b...)
+	for len(a.buf) > 0 && !a.over {
+		n, rest, err := Decode(a.buf)
+		if err == errMore && len(a.buf) <= maxIn {
+			return
+		}
+		if err != nil || n.Class != Context || !n.Cons {
+			a.s.counted(&a.s.count.Bad)
+			why := "not a unit of this protocol"
+			if err != nil {
+				why = err.Error()
+			}
+			a.end(closeProtocol, why)
+			return
+		}
+		a.buf = append([]byte(nil), rest...)
+		a.s.counted(&a.s.count.Units)
+		a.take(n)
+	}
+}
+
+func (s *Server) counted(which *uint64) {
+	s.mu.Lock()
+	*which++
+	s.mu.Unlock()
+}
+
+// Closed gives up what is in hand.
+func (a *assoc) Closed(error) {
+	a.mu.Lock()
+	a.over = true
+	a.abandon()
+	a.sets = nil
+	if a.timer != nil {
+		a.timer.Stop()
+	}
+	a.mu.Unlock()
+	a.s.mu.Lock()
+	delete(a.s.open, a)
+	a.s.mu.Unlock()
+}
+
+func (a *assoc) take(n *Node) {
+	switch {
+	case n.Tag == closePDU:
+		a.end(closeFinished, "")
+	case n.Tag == triggerControl:
+		if n.kid(46).intOr(0) == 3 && a.busy != nil { // cancel
+			op := a.busy
+			op.over = true
+			if op.cancel != nil {
+				op.cancel()
+			}
+			a.fail(op, 105, "", -1)
+			a.next()
+		}
+	case a.busy != nil:
+		// Guards memory against an origin that asks on and on.
+		if a.waiting = append(a.waiting, n); len(a.waiting) > maxWait {
+			a.end(closeLimits, "too many requests at once")
+		}
+	default:
+		a.perform(n)
+	}
+}
+
+// next goes on with what waited.
+func (a *assoc) next() {
+	a.busy = nil
+	if a.leaving {
+		a.end(closeShutdown, "the target shuts down")
+	}
+	for a.busy == nil && len(a.waiting) > 0 && !a.over {
+		n := a.waiting[0]
+		a.waiting = a.waiting[1:]
+		a.perform(n)
+	}
+}
+
+func (a *assoc) perform(n *Node) {
+	if n.Tag == initRequest && !a.begun {
+		a.init(n)
+		return
+	}
+	if !a.begun || n.Tag == initRequest {
+		a.end(closeProtocol, "init once, and first")
+		return
+	}
+	ref := n.kid(2)
+	switch n.Tag {
+	case searchRequest:
+		a.search(n, ref)
+	case presentRequest:
+		a.present(n, ref)
+	case deleteRequest:
+		a.remove(n, ref)
+	case esRequest:
+		a.update(n, ref)
+	default:
+		a.s.counted(&a.s.count.Bad)
+		a.end(closeProtocol, fmt.Sprintf("unit %d is not served", n.Tag))
+	}
+}
+
+func (a *assoc) init(n *Node) {
+	auth := n.kid(7).only()
+	switch {
+	case auth == nil:
+	case auth.Class == Universal && auth.Tag == tagVisible:
+		a.user, _, _ = strings.Cut(auth.text(), "/")
+	case auth.Cons:
+		a.user = auth.kid(1).text()
+	}
+	good := n.kid(3).bit(2) && (a.user == "" || a.s.Service.Tenant(a.user) >= 0) // version 3, and a known user
+	offered := []int{}
+	for _, o := range []int{optSearch, optPresent, optDelete, optTrigger, optES, optNamed} {
+		if n.kid(4).bit(o) {
+			offered = append(offered, o)
+		}
+	}
+	a.size = min(maxPDU, max(leastSize, n.kid(5).intOr(maxPDU)))
+	a.begun = good
+	a.send(ctx(initResponse, n.kid(2), bits(3, 0, 1, 2), bits(4, offered...), num(5, a.size), num(6, maxPDU),
+		boolean(12, good), str(110, "rooktrestle"), str(111, "rooktrestle")))
+	if !good {
+		a.over = true
+		a.link.Finish(false)
+	}
+}
+
+// fail answers a request with a diagnostic. status is a result set's, or -1.
+func (a *assoc) fail(op *operation, code int, info string, status int) {
+	switch op.kind {
+	case searchRequest:
+		var st *Node
+		if status < 0 {
+			status = 3 // none
+		}
+		st = num(26, status)
+		a.send(ctx(searchResponse, op.ref, num(23, 0), num(24, 0), num(25, 0), boolean(22, false), st, diagnostic(130, code, info)))
+	case presentRequest:
+		a.send(ctx(presentResponse, op.ref, num(24, 0), num(25, 0), num(27, 5), diagnostic(130, code, info)))
+	case esRequest:
+		a.send(ctx(esResponse, op.ref, num(3, 3), ctx(4, diagnostic(-1, code, info))))
+	}
+}
+
+// begin makes a request the operation in hand. done is run with the lock held, once, unless the operation is
+// given up before.
+func (a *assoc) begin(kind int, ref *Node, start func(func(partner.Outcome)) (partner.Cancel, *partner.Outcome), done func(*operation, partner.Outcome)) {
+	op := &operation{ref: ref, kind: kind}
+	a.busy = op
+	cancel, known := start(func(o partner.Outcome) { // on the loop
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if op.over || a.over {
+			return
+		}
+		op.over = true
+		done(op, o)
+		a.rest()
+		a.next()
+	})
+	op.cancel = cancel
+	if known != nil {
+		op.over, a.busy = true, nil
+		done(op, *known)
+	}
+}
+
+// trouble is the diagnostic of an outcome that is no answer.
+func trouble(o partner.Outcome) (code int, info string) {
+	switch o.Kind {
+	case partner.Refused:
+		return 2, fmt.Sprintf("refused; asking again is harmless, after %v", o.RetryAfter)
+	case partner.TimedOut:
+		return 31, "timed out"
+	case partner.NoDatabase:
+		return 109, o.Details
+	case partner.ReadOnly:
+		return 236, o.Details
+	case partner.ServerSaid:
+		if o.Said.Bib1 != 0 {
+			return o.Said.Bib1, o.Said.Details
+		}
+		return 100, strings.TrimSpace(o.Said.SRU + " " + o.Said.Details)
+	}
+	return 100, strings.TrimSpace("failed " + o.Details)
+}
+
+func codeOf(err error) (int, string) {
+	if e, ok := err.(*query.Error); ok {
+		return e.Bib1, e.Details
+	}
+	return 100, err.Error()
+}
+
+func syntaxOf(n *Node) (string, bool) {
+	s := n.kid(104)
+	if s == nil {
+		return oidXML, true
+	}
+	return s.oid(), s.oid() == oidXML || s.oid() == oidSUTRS
+}
+
+func (a *assoc) search(n, ref *Node) {
+	op := &operation{ref: ref, kind: searchRequest}
+	name := n.kid(17).text()
+	var bases []string
+	if list := n.kid(18); list != nil {
+		for _, k := range list.Kids {
+			bases = append(bases, k.text())
+		}
+	}
+	old := a.sets[name]
+	limit := a.s.Service.Conf.Limits.MaxRecords
+	syntax, known := syntaxOf(n)
+	switch {
+	case name == "":
+		a.fail(op, 128, "", -1)
+		return
+	case old != nil && !n.kid(16).truth():
+		a.fail(op, 21, name, -1)
+		return
+	case old == nil && len(a.sets) >= a.s.Service.Conf.Limits.ResultSets:
+		a.fail(op, 112, strconv.Itoa(len(a.sets)), -1)
+		return
+	case len(bases) > 16:
+		a.fail(op, 111, "16", -1)
+		return
+	}
+	tree, err := parseRPN(n.kid(21))
+	if err == nil {
+		tree, err = query.Replace(tree, func(set string) (query.Node, error) {
+			if s := a.sets[set]; s != nil {
+				return s.node, nil
+			}
+			return nil, &query.Error{SRU: 51, Bib1: 30, Details: set}
+		})
+	}
+	if err == nil {
+		err = query.Check(tree) // sets of sets of sets could grow beyond measure
+	}
+	if err != nil {
+		code, info := codeOf(err)
+		a.fail(op, code, info, -1)
+		return
+	}
+	small, large, medium := n.kid(13).intOr(0), n.kid(14).intOr(1), n.kid(15).intOr(0)
+	most := min(limit, max(prefetch, small, medium))
+	a.begin(searchRequest, ref, func(done func(partner.Outcome)) (partner.Cancel, *partner.Outcome) {
+		return a.s.Service.Search(partner.Caller{User: a.user}, bases, tree, most, done)
+	}, func(op *operation, o partner.Outcome) {
+		delete(a.sets, name)
+		if o.Kind != partner.Whole && o.Kind != partner.Partial {
+			code, info := trouble(o)
+			a.fail(op, code, info, -1)
+			return
+		}
+		s := &set{node: tree, databases: bases, count: o.Count, records: o.Records, fetched: most}
+		a.sets[name] = s
+		if o.Kind == partner.Partial { // a valid subset: marked as such, and usable
+			a.send(ctx(searchResponse, op.ref, num(23, o.Count), num(24, 0), num(25, 1), boolean(22, false), num(26, 1),
+				diagnostic(130, 33, "some shards are not in")))
+			return
+		}
+		want := 0
+		if o.Count <= small {
+			want = o.Count
+		} else if o.Count < large {
+			want = min(medium, o.Count)
+		}
+		var extra []*Node
+		sent := 0
+		if want > 0 && !known {
+			extra = []*Node{num(27, 5), diagnostic(130, 239, syntax)}
+		} else if want > 0 {
+			list := a.fit(s.cut(1, want))
+			sent = len(list)
+			extra = []*Node{num(27, partialStatus(sent, want)), records(bases[0], syntax, list)}
+		}
+		next := sent + 1
+		if sent >= o.Count {
+			next = 0
+		}
+		a.send(ctx(searchResponse, append([]*Node{
+			op.ref, num(23, o.Count), num(24, sent), num(25, next), boolean(22, true),
+		}, extra...)...))
+	})
+}
+
+// partialStatus of a present: all is there, or the message was too small for all.
+func partialStatus(sent, want int) int {
+	if sent < want {
+		return 2
+	}
+	return 0
+}
+
+func (s *set) cut(start, number int) []query.Record {
+	o := partner.Outcome{Records: s.records}
+	return o.Cut(start, number)
+}
+
+// fit cuts records down to what a message may hold.
+func (a *assoc) fit(list []query.Record) []query.Record {
+	room := a.size - 512
+	for i, r := range list {
+		if room -= len(r.XML) + 64; room < 0 && i > 0 {
+			return list[:i]
+		}
+	}
+	return list
+}
+
+func (a *assoc) present(n, ref *Node) {
+	op := &operation{ref: ref, kind: presentRequest}
+	s := a.sets[n.kid(31).text()]
+	start, number := n.kid(30).intOr(0), n.kid(29).intOr(-1)
+	syntax, known := syntaxOf(n)
+	switch {
+	case s == nil:
+		a.fail(op, 30, n.kid(31).text(), -1)
+		return
+	case start < 1 || number < 0 || number > s.count || start-1 > s.count-number:
+		a.fail(op, 13, fmt.Sprintf("%d records from %d of %d", number, start, s.count), -1)
+		return
+	case !known:
+		a.fail(op, 239, syntax, -1)
+		return
+	case n.kid(212) != nil:
+		a.fail(op, 243, "", -1)
+		return
+	}
+	last := start + number - 1
+	if last > a.s.Service.Conf.Limits.MaxRecords {
+		a.fail(op, 31, fmt.Sprintf("records beyond %d are not kept", a.s.Service.Conf.Limits.MaxRecords), -1)
+		return
+	}
+	if last <= s.fetched {
+		a.presented(op, s, start, number, syntax)
+		return
+	}
+	a.begin(presentRequest, ref, func(done func(partner.Outcome)) (partner.Cancel, *partner.Outcome) {
+		return a.s.Service.Search(partner.Caller{User: a.user}, s.databases, s.node, last, done)
+	}, func(op *operation, o partner.Outcome) {
+		if o.Kind != partner.Whole {
+			if o.Kind == partner.Partial {
+				a.fail(op, 14, "some shards are not in", -1)
+				return
+			}
+			code, info := trouble(o)
+			a.fail(op, code, info, -1)
+			return
+		}
+		s.records, s.fetched = o.Records, last
+		a.presented(op, s, start, number, syntax)
+	})
+}
+
+func (a *assoc) presented(op *operation, s *set, start, number int, syntax string) {
+	all := s.cut(start, number)
+	list := a.fit(all)
+	next := start + len(list)
+	if next > s.count {
+		next = 0
+	}
+	a.send(ctx(presentResponse, op.ref, num(24, len(list)), num(25, next), num(27, partialStatus(len(list), number)),
+		records(s.databases[0], syntax, list)))
+}
+
+func (a *assoc) remove(n, ref *Node) {
+	status := 0
+	if n.kid(32).intOr(-1) == 1 {
+		clear(a.sets)
+	} else {
+		for _, k := range n.Kids {
+			if k.Class != Universal || k.Tag != tagSequence {
+				continue
+			}
+			for _, id := range k.Kids {
+				if a.sets[id.text()] == nil {
+					status = 1 // there is no such set
+				}
+				delete(a.sets, id.text())
+			}
+		}
+	}
+	a.send(ctx(deleteResponse, ref, num(0, status)))
+}
+
+func (a *assoc) update(n, ref *Node) {
+	op := &operation{ref: ref, kind: esRequest}
+	database, action, record, code, info := parseUpdate(n)
+	if code != 0 {
+		a.fail(op, code, info, -1)
+		return
+	}
+	a.begin(esRequest, ref, func(done func(partner.Outcome)) (partner.Cancel, *partner.Outcome) {
+		return a.s.Service.Correct(partner.Caller{User: a.user}, database, action, record, done)
+	}, func(op *operation, o partner.Outcome) {
+		if o.Kind != partner.Whole {
+			code, info := trouble(o)
+			a.fail(op, code, info, -1)
+			return
+		}
+		a.send(ctx(esResponse, op.ref, num(3, 1)))
+	})
+}
