--- a/cmd/rooktrestle/main.go
+++ b/cmd/rooktrestle/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"runtime/debug"
 
@@ -23,12 +24,24 @@
 		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error { return servePlatform() },
 	}
-	root.AddCommand(&cobra.Command{
-		Use: "serve", Short: "Serve by the platform's configuration (NODE_CONFIG)", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error { return servePlatform() },
-	}, &cobra.Command{
-		Use: "check-config", Short: "Read the configuration and say whether it can be served", Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
+	var front string
+	serve := &cobra.Command{
+		Use: "serve", Short: "Serve by the platform's configuration (NODE_CONFIG), or the operator's second front", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if front != "" {
+				return servePartners(front)
+			}
+			return servePlatform()
+		},
+	}
+	serve.Flags().StringVar(&front, "front", "", "the operator's file of the second front (SRU and Z39.50)")
+	root.AddCommand(serve, &cobra.Command{
+		Use: "check-config [FILE]", Short: "Read the platform's configuration, or the operator's FILE, and say whether it can be served",
+		Args: cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(args) == 1 {
+				return checkPartners(cmd.OutOrStdout(), args[0])
+			}
 			n, err := loadNode()
 			if err == nil {
 				fmt.Fprintf(cmd.OutOrStdout(), "%s: %d classes, %d tenants, %d shards: good\n", n.Name,
@@ -63,3 +76,16 @@
 	_, err = balance.New(n.Deployment.Decisions)
 	return n, err
 }
+
+// checkPartners reads an operator's file and tries its settings on the decisions.
+func checkPartners(out io.Writer, path string) error {
+	p, err := config.LoadPartners(path)
+	if err != nil {
+		return err
+	}
+	if _, err := balance.New(p.Decisions(1)); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	fmt.Fprintf(out, "%s: %d databases, %d classes, %d servers: good\n", p.Name, len(p.Databases), len(p.Classes), len(p.Servers))
+	return nil
+}
--- a/cmd/rooktrestle/serve.go
+++ b/cmd/rooktrestle/serve.go
@@ -80,16 +80,11 @@
 		return fmt.Sprintf("%v; leaf connections: dialed %d, refused %d, broken %d, late answers %d; front: %+v",
 			core.Count, pool.Stats.Dials, pool.Stats.DialsFailed, pool.Stats.Broken, pool.Stats.Late, front.Counters())
 	}
-	onLoop := func(f func()) { // runs f on the loop and waits for it
-		done := make(chan struct{})
-		box.Put(mixer.OnLoop(func() { f(); close(done) }))
-		<-done
-	}
 	front = httpfront.New(httpfront.Settings{
 		Classes: d.Classes, Tenants: d.Tenants, Shards: d.Decisions.Shards, MaxWait: 2 * longest,
 		Timeouts: httpserve.Timeouts{Idle: 2 * time.Minute, Read: 10 * time.Second},
 	}, box.Put, clock.Now, func() (text string) {
-		onLoop(func() { text = report() })
+		loop.Do(func() { text = report() })
 		return text
 	})
 	server, err := tcp.Listen(n.Listen, &tcp.Gate{Most: n.Sockets - n.Sockets/3 - otherSockets}, front.Accept)
@@ -119,7 +114,7 @@
 		case <-ready:
 			front.SetReady(true)
 		case <-onRequest:
-			onLoop(func() { logf("%s", report()) })
+			loop.Do(func() { logf("%s", report()) })
 		case <-signals:
 			told = true
 		}
@@ -131,7 +126,7 @@
 	time.Sleep(lateArrivals)
 	front.CloseIdle()
 	for held := 1; held > 0 || front.Open() > 0; {
-		onLoop(func() { held = core.Held() })
+		loop.Do(func() { held = core.Held() })
 		time.Sleep(flushed)
 	}
 	server.Close()
--- a/internal/mixer/loop.go
+++ b/internal/mixer/loop.go
@@ -148,3 +148,10 @@
 	}()
 	return l.Core.Turn(now, events)
 }
+
+// Do runs f on the loop and waits until it has run.
+func (l *Loop) Do(f func()) {
+	done := make(chan struct{})
+	l.Box.Put(OnLoop(func() { f(); close(done) }))
+	<-done
+}
--- a/internal/net/tcp/tcp.go
+++ b/internal/net/tcp/tcp.go
@@ -40,6 +40,9 @@
 	Closed(err error)
 }
 
+// Opener is a Handler that speaks first.
+type Opener interface{ Opened() }
+
 type item struct {
 	b    []byte
 	done func(Wrote)
@@ -194,6 +197,12 @@
 	l.handler.Data(b)
 }
 
+func (l *Link) opened() {
+	if o, ok := l.handler.(Opener); ok {
+		o.Opened()
+	}
+}
+
 func (l *Link) ended() {
 	l.dead.Do(func() {
 		l.mu.Lock()
@@ -227,12 +236,15 @@
 		return nil, err
 	}
 	l := &Link{}
-	attach(conn, l)
 	l.handler = handler(l)
+	attach(conn, l)
 	if err := conn.SetOnRequest(func(context.Context, netpoll.Connection) error { l.read(); return nil }); err != nil {
 		conn.Close()
 		return nil, err
 	}
+	if !conn.IsActive() { // netpoll tells nobody of an end that came before there was a callback
+		go conn.Close()
+	}
 	return l, nil
 }
 
@@ -286,11 +298,17 @@
 				conn.Close()
 				return context.Background()
 			}
-			l := &Link{}
+			l := &Link{conn: conn}
 			l.handler = accept(l)
 			attach(conn, l)
 			conn.AddCloseCallback(func(netpoll.Connection) error { gate.leave(); return nil })
 			return context.WithValue(context.Background(), linkKey{}, l)
+		}),
+		netpoll.WithOnConnect(func(ctx context.Context, _ netpoll.Connection) context.Context {
+			if l, ok := ctx.Value(linkKey{}).(*Link); ok {
+				l.opened()
+			}
+			return ctx
 		}))
 	if err != nil {
 		ln.Close()
