--- a/cmd/rooktrestle/serve.go
+++ b/cmd/rooktrestle/serve.go
@@ -91,6 +91,7 @@
 	if err != nil {
 		return err
 	}
+	logf("listen http %s", server.Addr())
 	loopOver := make(chan struct{})
 	go func() { loop.Run(); close(loopOver) }()
 
