Prove the second front with stand-in clients and servers of both protocols

Seen in the tests and mended: an origin that sends another protocol was waited for (server.go, Data); an update's records inside an explicit tag were miscounted (pdu.go, parseUpdate); a correction that ran out of time was worded as failed (core.go, close).

--- a/cmd/rooktrestle/partners.go
+++ b/cmd/rooktrestle/partners.go
@@ -69,7 +69,7 @@
 	pool := issue.NewPool(issue.Limits{
 		Connect: conf.Limits.Connect.Duration, Idle: conf.Limits.Idle.Duration, Sockets: conf.Limits.Sockets / 2,
 	}, box, tcp.Dial, codecs(conf))
-	lim := mixer.Limits{MaxOpen: conf.Limits.MaxOpen, ComeBack: time.Second}
+	lim := mixer.Limits{MaxOpen: conf.Limits.MaxOpen, ComeBack: time.Second, Ahead: 4 * set.Tick}
 	for _, c := range conf.Classes {
 		lim.SecondStep = append(lim.SecondStep, c.SecondStep)
 	}
--- /dev/null
+++ b/cmd/rooktrestle/partners_test.go
@@ -0,0 +1,446 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// partners starts the second front with two SRU servers and two Z39.50 targets round the ring: shard 0 is held
+// by a and b, 1 by b and c, 2 by c and d, 3 by d and a.
+func partners(t *testing.T, a *archive, change func(servers map[string]string)) *program {
+	t.Helper()
+	servers := map[string]string{"a": a.sruServer(t, "a"), "b": a.zServer(t, "b"), "c": a.sruServer(t, "c"), "d": a.zServer(t, "d")}
+	if change != nil {
+		change(servers)
+	}
+	conf := `name = "p"
+[listen]
+sru = "127.0.0.1:0"
+z3950 = "127.0.0.1:0"
+health = "127.0.0.1:0"
+agent = "127.0.0.1:0"
+[limits]
+result_sets = 2
+[checks]
+every = "20ms"
+[shards]
+count = 4
+cells = 4
+reach = 2
+[[class]]
+name = "line-search"
+aim = "1.5s"
+deadline = "4s"
+late_worth = 0.3
+[[class]]
+name = "coverage-report"
+aim = "400ms"
+deadline = "600ms"
+late_worth = 0.1
+floor = 0.5
+partial = 0.8
+[[class]]
+name = "line-correction"
+aim = "1s"
+deadline = "2s"
+late_worth = 0.3
+unsafe = true
+[[tenant]]
+name = "tv"
+quota = 100
+users = ["editor"]
+[[database]]
+name = "captions"
+shards = [0, 1, 2, 3]
+search = "line-search"
+correction = "line-correction"
+tenant = "tv"
+[[database]]
+name = "coverage"
+shards = [0, 1, 2, 3]
+search = "coverage-report"
+tenant = "tv"
+`
+	for i, id := range []string{"a", "b", "c", "d"} {
+		protocol := []string{"sru", "z3950"}[i%2]
+		check := servers[id+"-check"]
+		conf += fmt.Sprintf("[[server]]\nid = %q\nprotocol = %q\naddr = %q\ncell = %d\ndatabase = \"block-%%d\"\n%s\n", id, protocol, servers[id], i, check)
+	}
+	path := filepath.Join(t.TempDir(), "partners.toml")
+	if err := os.WriteFile(path, []byte(conf), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return start(t, 4, nil, "serve", "--front", path)
+}
+
+func (p *program) sru(database, query string, more ...string) (int, string) {
+	p.t.Helper()
+	v := url.Values{"operation": {"searchRetrieve"}, "version": {"1.2"}, "query": {query}}
+	for i := 0; i+1 < len(more); i += 2 {
+		v.Set(more[i], more[i+1])
+	}
+	return p.get("http://" + p.listen["sru"] + "/" + database + "?" + v.Encode())
+}
+
+func (p *program) get(u string) (int, string) {
+	p.t.Helper()
+	resp, err := http.Get(u)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text)
+}
+
+func updateXML(id string) string {
+	return `<updateRequest xmlns="http://www.loc.gov/zing/srw/update/"><version>1.0</version><action>info:srw/action/1/replace</action>` +
+		`<recordIdentifier>` + id + `</recordIdentifier><record><recordPacking>xml</recordPacking><recordData><line/></recordData></record></updateRequest>`
+}
+
+func (p *program) correct(id string) string {
+	p.t.Helper()
+	resp, err := http.Post("http://"+p.listen["sru"]+"/captions", "text/xml", strings.NewReader(updateXML(id)))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	return string(text)
+}
+
+func contains(t *testing.T, text string, parts ...string) {
+	t.Helper()
+	for _, part := range parts {
+		if !strings.Contains(text, part) {
+			t.Errorf("%q is not in %s", part, text)
+		}
+	}
+}
+
+// One search goes out in both protocols and comes back as one answer, over either.
+func TestSRUSearchReachesBothProtocols(t *testing.T) {
+	a := newArchive(t)
+	p := partners(t, a, nil)
+	status, text := p.sru("captions", `dc.title = "budget speech" and dc.language = ne`)
+	if status != 200 {
+		t.Error(status)
+	}
+	contains(t, text, "<numberOfRecords>4<", "line of block-0", "line of block-3", "<recordPosition>4<")
+	_, text = p.sru("captions", "x", "startRecord", "2", "maximumRecords", "2", "recordPacking", "string")
+	contains(t, text, "&lt;dc:title", "line of block-1", "line of block-2", "<nextRecordPosition>4<")
+	for query, code := range map[string]string{`a and`: "1/10<", `nope.x = 1`: "1/16<", `a prox b`: "1/37<"} {
+		_, text := p.sru("captions", query)
+		contains(t, text, "info:srw/diagnostic/"+code)
+	}
+	_, text = p.sru("nowhere", "x")
+	contains(t, text, "diagnostic/1/235<")
+	_, text = p.sru("captions", "x", "startRecord", "0")
+	contains(t, text, "diagnostic/1/6<")
+	_, text = p.get("http://" + p.listen["sru"] + "/captions")
+	contains(t, text, "<explainResponse", `<name set="caption">text</name>`)
+	for _, q := range a.queries {
+		server, query, _ := strings.Cut(q, " ")
+		if query == "x" || strings.HasSuffix(query, " x") {
+			continue
+		}
+		want := ""
+		if want = `dc.title = "budget speech" and dc.language = ne`; server == "b" || server == "d" {
+			want = `(and @1=4 @2=3 @4=1 budget speech @1=54 @2=3 @4=2 ne)`
+		}
+		if query != want {
+			t.Errorf("%s was asked %s", server, query)
+		}
+	}
+	if n := p.stop(); n != [5]int{2, 2, 0, 0, 0} {
+		t.Error(n)
+	}
+}
+
+// An association keeps its named result sets over several searches, and no other sees them.
+func TestZ3950KeepsStateAcrossSearches(t *testing.T) {
+	a := newArchive(t)
+	p := partners(t, a, nil)
+	o := dialZ(t, p.listen["z3950"], "editor")
+	if r := o.ask(searchUnit("one", "captions", term(4, "budget"))); r.kid(23).num() != 4 || condition(r) != 0 || string(r.kid(2).body) != "r-one" {
+		t.Fatalf("%+v", r)
+	}
+	if r := o.ask(searchUnit("two", "captions", both(2, setOf("one"), term(1003, "rai")))); r.kid(23).num() != 4 || condition(r) != 0 {
+		t.Fatalf("%+v", r)
+	}
+	both := 0
+	for _, q := range a.queries {
+		if strings.HasSuffix(q, "(not @1=4 @2=3 @4=2 budget @1=1003 @2=3 @4=2 rai)") || strings.HasSuffix(q, "dc.title = budget not dc.creator = rai") {
+			both++
+		}
+	}
+	if both != 4 {
+		t.Errorf("the second search stood for %q", a.queries)
+	}
+	for _, set := range []string{"one", "two"} {
+		r := o.ask(presentUnit(set, 2, 3))
+		if r.tag != 25 || r.kid(24).num() != 3 || condition(r) != 0 || !strings.Contains(string(r.body), "line of block-1") || strings.Contains(string(r.body), "block-0") {
+			t.Errorf("%s: %+v", set, r)
+		}
+	}
+	for want, unit := range map[int]string{
+		13: presentUnit("one", 4, 2), 30: presentUnit("three", 1, 1), 112: searchUnit("three", "captions", term(4, "x")),
+		109: searchUnit("one", "nowhere", term(4, "x")), 114: searchUnit("two", "captions", term(9999, "x")),
+		239: group(24, leafOf(31, "one"), number(30, 1), number(29, 1), leafOf(104, "\x2a\x86\x48\xce\x13\x05\x0a")),
+	} {
+		if want == 109 {
+			continue
+		}
+		if r := o.ask(unit); condition(r) != want {
+			t.Errorf("diagnostic %d, want %d: %+v", condition(r), want, r)
+		}
+	}
+	other := dialZ(t, p.listen["z3950"], "")
+	if r := other.ask(presentUnit("one", 1, 1)); condition(r) != 30 {
+		t.Errorf("another association sees the set: %+v", r)
+	}
+	if r := o.ask(group(26, number(32, 0), group(-16, leafOf(31, "one")))); r.tag != 27 || r.kid(0).num() != 0 {
+		t.Errorf("%+v", r)
+	}
+	if r := o.ask(presentUnit("one", 1, 1)); condition(r) != 30 {
+		t.Errorf("%+v", r)
+	}
+	if r := o.ask(searchUnit("x", "nowhere", term(4, "x"))); condition(r) != 109 {
+		t.Errorf("%+v", r)
+	}
+	if r := o.ask(updateUnit("2:line")); r.tag != 47 || r.kid(3).num() != 1 || a.count("2:line") != 1 {
+		t.Errorf("%+v", r)
+	}
+	if r := o.ask(group(48, number(211, 0))); r.tag != 48 {
+		t.Errorf("%+v", r)
+	}
+	if n := p.stop(); n != [5]int{3, 3, 0, 0, 0} {
+		t.Error(n)
+	}
+}
+
+// A client that leaves half way through a correction: the server is let go, nothing is sent again, and the
+// query is closed once.
+func TestSRUCorrectionCancelledHalfWay(t *testing.T) {
+	a := newArchive(t)
+	a.act = func(string, string) string { return "hang" }
+	p := partners(t, a, nil)
+	for _, id := range []string{"0:x", "1:x", "2:x", "3:x"} {
+		c, err := net.Dial("tcp", p.listen["sru"])
+		if err != nil {
+			t.Fatal(err)
+		}
+		body := updateXML(id)
+		fmt.Fprintf(c, "POST /captions HTTP/1.1\r\nHost: x\r\nContent-Type: text/xml\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		server := <-a.begun
+		c.Close()
+		if left := <-a.left; left != server {
+			t.Errorf("%s was let go, not %s", left, server)
+		}
+	}
+	if n := p.stop(); n != [5]int{4, 0, 0, 0, 4} {
+		t.Error(n)
+	}
+	for id, n := range a.changed {
+		if n != 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+}
+
+// The same over Z39.50: by a cancel, by a Close, and by leaving.
+func TestZ3950CorrectionCancelledHalfWay(t *testing.T) {
+	a := newArchive(t)
+	a.act = func(string, string) string { return "hang" }
+	p := partners(t, a, nil)
+	o := dialZ(t, p.listen["z3950"], "")
+	o.send(updateUnit("0:z"))
+	<-a.begun
+	if r := o.ask(group(32, number(46, 3))); r.tag != 47 || r.kid(3).num() != 3 || condition(r) != 105 {
+		t.Errorf("%+v", r)
+	}
+	<-a.left
+	o.send(updateUnit("1:z"))
+	<-a.begun
+	if r := o.ask(group(48, number(211, 0))); r.tag != 48 {
+		t.Errorf("%+v", r)
+	}
+	<-a.left
+	o = dialZ(t, p.listen["z3950"], "")
+	o.send(updateUnit("2:z"))
+	<-a.begun
+	o.c.Close()
+	<-a.left
+	if n := p.stop(); n != [5]int{3, 0, 0, 0, 3} {
+		t.Error(n)
+	}
+	for id, n := range a.changed {
+		if n != 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+}
+
+// A correction that may have run fails and is not sent again, whether its server breaks off or stays silent.
+func TestCorrectionsThatMayHaveRun(t *testing.T) {
+	a := newArchive(t)
+	a.act = func(_, id string) string { return map[byte]string{'b': "break", 'h': "hang", 'r': "reject"}[id[2]] }
+	p := partners(t, a, nil)
+	for _, id := range []string{"0:break", "1:break", "2:break", "3:break"} {
+		contains(t, p.correct(id), "<operationStatus>fail<", "diagnostic/1/1<", "failed")
+	}
+	contains(t, p.correct("0:hang"), "<operationStatus>fail<", "diagnostic/1/1<", "timed out")
+	contains(t, p.correct("1:reject"), "<operationStatus>fail<")
+	contains(t, p.correct("2:good"), "<operationStatus>success<")
+	p.stop()
+	if len(a.changed) != 7 {
+		t.Error(a.changed)
+	}
+	for id, n := range a.changed {
+		if n != 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+}
+
+// Deadlines and partial answers: servers that stay silent leave a marked part of an answer, or a diagnostic.
+func TestDeadlinesAndPartialAnswers(t *testing.T) {
+	a := newArchive(t)
+	a.find = func(server string) string { return map[string]string{"a": "hang", "b": "hang"}[server] }
+	p := partners(t, a, nil)
+	_, text := p.sru("coverage", "x") // shard 0 is held by a and b alone
+	contains(t, text, "diagnostic/1/59<", "line of block-2")
+	if strings.Contains(text, "line of block-0") {
+		t.Error(text)
+	}
+	a.mu.Lock()
+	a.find = func(string) string { return "hang" }
+	a.mu.Unlock()
+	status, text := p.sru("coverage", "x")
+	if contains(t, text, "<diagnostic ", "<numberOfRecords>0<"); status != 200 && status != 503 {
+		t.Error(status)
+	}
+	o := dialZ(t, p.listen["z3950"], "")
+	if r := o.ask(searchUnit("s", "coverage", term(4, "x"))); condition(r) == 0 || r.kid(22).num() != 0 {
+		t.Errorf("%+v", r)
+	}
+	if n := p.stop(); n[0] != 3 || n[1] != 1 {
+		t.Error(n)
+	}
+}
+
+// Dead servers: nothing was written, so a correction goes to the other replica, once.
+func TestDeadServers(t *testing.T) {
+	a := newArchive(t)
+	p := partners(t, a, func(servers map[string]string) {
+		for _, id := range []string{"a", "b"} {
+			ln, _ := net.Listen("tcp", "127.0.0.1:0")
+			servers[id] = ln.Addr().String()
+			ln.Close()
+		}
+	})
+	for _, id := range []string{"1:dead", "2:dead", "3:dead"} { // each has one sound holder at least
+		if contains(t, p.correct(id), "<operationStatus>success<"); a.count(id) != 1 {
+			t.Errorf("%s ran %d times", id, a.count(id))
+		}
+	}
+	if text := p.correct("0:dead"); !strings.Contains(text, "<operationStatus>fail<") || a.count("0:dead") != 0 {
+		t.Error(text)
+	}
+	p.stop()
+}
+
+// Bad units end their association with a Close, and no other.
+func TestBadUnits(t *testing.T) {
+	p := partners(t, newArchive(t), nil)
+	good := dialZ(t, p.listen["z3950"], "")
+	for name, unit := range map[string]string{
+		"garbage": "GET / HTTP/1.1\r\n\r\n", "no init": searchUnit("x", "captions", term(4, "x")), "too long": "\xb6\x84\x7f\xff\xff\xff",
+		"deep": strings.Repeat("\xb6\x80", 100), "twice": "", "unknown": group(99),
+	} {
+		var o *origin
+		if name == "garbage" || name == "no init" {
+			c, err := net.Dial("tcp", p.listen["z3950"])
+			if err != nil {
+				t.Fatal(err)
+			}
+			o = &origin{t, c, bufio.NewReader(c)}
+		} else {
+			o = dialZ(t, p.listen["z3950"], "")
+		}
+		if name == "twice" {
+			unit = group(20, leafOf(3, "\x05\xe0"))
+		}
+		if r := o.ask(unit); r.tag != 48 || r.kid(211).num() != 6 {
+			t.Errorf("%s: %+v", name, r)
+		}
+		if _, err := o.in.ReadByte(); err == nil {
+			t.Errorf("%s: the association goes on", name)
+		}
+		o.c.Close()
+	}
+	if r := good.ask(searchUnit("x", "captions", group(0, leafOf(77, "")))); condition(r) != 108 {
+		t.Errorf("%+v", r)
+	}
+	if r := good.ask(searchUnit("x", "captions", term(4, "x"))); r.kid(23).num() != 4 {
+		t.Errorf("%+v", r)
+	}
+	p.stop()
+}
+
+// Servers tell their state by agent-check; the mixer tells its own by both protocols.
+func TestStatesAreToldAndHeard(t *testing.T) {
+	a := newArchive(t)
+	agent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer agent.Close()
+	asked := make(chan struct{}, 100)
+	go func() {
+		for {
+			c, err := agent.Accept()
+			if err != nil {
+				return
+			}
+			io.WriteString(c, "up drain 50%\n")
+			c.Close()
+			select {
+			case asked <- struct{}{}:
+			default:
+			}
+		}
+	}()
+	p := partners(t, a, func(servers map[string]string) {
+		servers["b-check"] = fmt.Sprintf("agent = %q", agent.Addr())
+		servers["c-check"] = `health = "/healthz"`
+	})
+	for range 3 { // the first answer has been taken in before the third question
+		<-asked
+	}
+	for i := range 6 {
+		contains(t, p.correct(fmt.Sprintf("1:line%d", i)), "<operationStatus>success<")
+		if server := <-a.begun; server != "c" {
+			t.Errorf("%s was sent a correction while it drains", server)
+		}
+	}
+	if status, text := p.get("http://" + p.listen["health"] + "/healthz"); status != 200 || text != "up ready 100%\n" {
+		t.Error(status, text)
+	}
+	c, err := net.Dial("tcp", p.listen["agent"])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text, _ := io.ReadAll(c); string(text) != "up ready 100%\n" {
+		t.Errorf("%q", text)
+	}
+	p.stop()
+}
--- a/cmd/rooktrestle/program_test.go
+++ b/cmd/rooktrestle/program_test.go
@@ -74,7 +74,7 @@
 	return p
 }
 
-var numbers = regexp.MustCompile(`taken (\d+); answered: served (\d+) \(partial \d+\), refused (\d+) \(full \d+\), failed (\d+) \(overdue \d+\), gone (\d+)`)
+var numbers = regexp.MustCompile(`taken (\d+); answered: served (\d+) \(partial \d+\), refused (\d+) \(full \d+\), failed (\d+), gone (\d+)`)
 
 // stop ends the program and returns its counts: taken, served, refused, failed, gone. Each query must have
 // been closed once.
--- a/internal/mixer/core.go
+++ b/internal/mixer/core.go
@@ -60,6 +60,7 @@
 	order    []AttemptID // attempts out, as sent: times must not depend on map order
 	servers  map[balance.Replica]Server
 	wakeAt   time.Time
+	now      time.Time // of this turn
 
 	calls []outCall // of this turn
 }
@@ -74,6 +75,7 @@
 	SecondStep []int         // of each class: parts of its second step; 0: one step only
 	MaxOpen    int           // queries and parts held; 0: not limited
 	ComeBack   time.Duration // advice to a client turned away because of it
+	Ahead      time.Duration // a query given up so long before its end has run out of time
 }
 
 // NewCore returns a core that decides by b.
@@ -117,6 +119,7 @@
 // Turn takes events, lets the decisions act on them, and returns when the next turn is due at the latest;
 // zero if nothing is.
 func (c *Core) Turn(now time.Time, events []any) (next time.Time) {
+	c.now = now
 	var told []balance.Event
 	for _, e := range events {
 		told = c.event(now, e, told)
@@ -132,7 +135,6 @@
 	// open by a turn that came too late for them.
 	for _, q := range c.overdue(now) {
 		told = append(told, balance.Gone{Query: q.id})
-		c.Count.Overdue++
 		c.close(q, Final{Kind: Failed, Overdue: true})
 	}
 	if !c.wakeAt.IsZero() && !now.Before(c.wakeAt) {
@@ -407,6 +409,10 @@
 	for _, p := range q.parts {
 		delete(c.parts, p.id)
 	}
+	f.Overdue = f.Overdue || f.Kind != Served && !c.now.Before(q.end.Add(-c.lim.Ahead))
+	if f.Overdue && f.Kind != Gone {
+		c.Count.Overdue++
+	}
 	switch f.Kind {
 	case Served:
 		c.Count.Served++
@@ -440,6 +446,7 @@
 // Restart gives every open query its final answer and goes on with new decisions. Guards the process, and the
 // queries it holds, against a panic in a turn: nothing of them is sent again.
 func (c *Core) Restart(now time.Time, fresh *balance.Balancer, events []any) {
+	c.now = now
 	c.Count.Panics++
 	for _, q := range c.all() {
 		c.close(q, Final{Kind: Failed})
--- a/internal/mixer/mixer.go
+++ b/internal/mixer/mixer.go
@@ -139,7 +139,7 @@
 	Whole      bool
 	Items      []Item
 	RetryAfter time.Duration // Refused: when to come back; 0: no advice
-	Overdue    bool          // Failed: the time was over
+	Overdue    bool          // not served: its time was over
 	Missing    []int         // Served, not whole: shards that are not in
 }
 
@@ -207,9 +207,9 @@
 var outcomeNames = [...]string{"served", "error", "turned away", "timed out", "could not connect", "reset", "cancelled", "not sent"}
 
 func (c Counters) String() string {
-	text := fmt.Sprintf("taken %d; answered: served %d (partial %d), refused %d (full %d), failed %d (overdue %d), gone %d; "+
+	text := fmt.Sprintf("taken %d; answered: served %d (partial %d), refused %d (full %d), failed %d, gone %d, out of time %d; "+
 		"second steps %d; sent %d, withdrawn %d, probes %d; attempts:",
-		c.Taken, c.Served, c.Partial, c.Refused, c.Overfull, c.Failed, c.Overdue, c.Gone,
+		c.Taken, c.Served, c.Partial, c.Refused, c.Overfull, c.Failed, c.Gone, c.Overdue,
 		c.SecondSteps, c.Sent, c.Withdrawn, c.Probes)
 	for i, n := range c.Outcomes {
 		text += fmt.Sprintf(" %s %d,", outcomeNames[i], n)
--- a/internal/partner/partner.go
+++ b/internal/partner/partner.go
@@ -146,17 +146,15 @@
 
 // Answer merges the parts: shards in order, each with its records in its own order.
 func (a *asked) Answer(f mixer.Final) {
-	switch f.Kind {
-	case mixer.Served:
+	switch {
+	case f.Kind == mixer.Served:
 		a.done(merge(f))
-	case mixer.Refused:
+	case f.Overdue:
+		a.done(Outcome{Kind: TimedOut})
+	case f.Kind == mixer.Refused:
 		a.done(Outcome{Kind: Refused, RetryAfter: f.RetryAfter})
 	default:
-		kind := Failed
-		if f.Overdue {
-			kind = TimedOut
-		}
-		a.done(Outcome{Kind: kind})
+		a.done(Outcome{Kind: Failed})
 	}
 }
 
--- a/internal/z3950/pdu.go
+++ b/internal/z3950/pdu.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strings"
 
 	"rooktrestle/internal/query"
@@ -337,7 +338,10 @@
 		return "", "", r, 228, "action"
 	}
 	database = keep.kid(2).text()
-	list := inside(supplied)
+	list := supplied
+	if k := inside(supplied); !slices.ContainsFunc(k.Kids, func(r *Node) bool { return r.Class != Universal }) {
+		list = k // the sequence of records itself stands inside the tag
+	}
 	// One record is one query: an answer for several could not say which of them was changed.
 	if len(list.Kids) != 1 {
 		return database, a, r, 228, "one record a request"
--- a/internal/z3950/server.go
+++ b/internal/z3950/server.go
@@ -1,6 +1,7 @@
 package z3950
 
 import (
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -173,16 +174,17 @@
 	a.buf = append(a.buf, b...)
 	for len(a.buf) > 0 && !a.over {
 		n, rest, err := Decode(a.buf)
+		// What does not begin as a unit is no unit, however long it is. Guards against a peer that speaks something
+		// else and would be waited for.
+		if a.buf[0]&0xe0 != 0xa0 {
+			err = errors.New("not a unit of this protocol")
+		}
 		if err == errMore && len(a.buf) <= maxIn {
 			return
 		}
-		if err != nil || n.Class != Context || !n.Cons {
+		if err != nil {
 			a.s.counted(&a.s.count.Bad)
-			why := "not a unit of this protocol"
-			if err != nil {
-				why = err.Error()
-			}
-			a.end(closeProtocol, why)
+			a.end(closeProtocol, err.Error())
 			return
 		}
 		a.buf = append([]byte(nil), rest...)
