--- /dev/null
+++ b/internal/mixer/core_test.go
@@ -0,0 +1,272 @@
+package mixer
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"testing"
+	"time"
+
+	"rooktrestle/balance"
+)
+
+var begin = time.Unix(1_700_000_000, 0)
+
+// world is a backend and a front that only note what they are told.
+type world struct {
+	t         *testing.T
+	c         *Core
+	now       time.Time
+	calls     []Call
+	to        []Server
+	withdrawn []AttemptID
+	probes    []Server
+	finals    map[string][]Final
+}
+
+type asker struct {
+	w  *world
+	id string
+}
+
+func (a asker) Answer(f Final) {
+	a.w.finals[a.id] = append(a.w.finals[a.id], f)
+	if a.id == "panics" {
+		panic("at its answer")
+	}
+}
+
+func (w *world) Send(_ time.Time, to Server, calls []Call) {
+	for _, c := range calls {
+		w.calls, w.to = append(w.calls, c), append(w.to, to)
+	}
+}
+func (w *world) Withdraw(_ time.Time, a AttemptID) { w.withdrawn = append(w.withdrawn, a) }
+func (w *world) Probe(_ time.Time, to Server)      { w.probes = append(w.probes, to) }
+
+func settings() balance.Settings {
+	return balance.Settings{
+		Seed: 1, Instances: 1, Tick: 5 * time.Millisecond, Cells: 2, Reach: 2, Shards: 4, CallParts: 1,
+		MaxAttempts: 3, CanCancel: true, MaxRetryAfter: time.Second,
+		Classes: []balance.Class{
+			{Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, LateWorth: 0.3, Floor: 1, Need: 1},
+			{Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, LateWorth: 0.3, Floor: 1, Need: 1, Effect: balance.Unsafe},
+			{Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, LateWorth: 0.3, Floor: 0.5, Need: 1, Partial: 0.8, FollowUp: 2},
+		},
+	}
+}
+
+func newWorld(t *testing.T) *world {
+	b, err := balance.New(settings())
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{t: t, now: begin, finals: map[string][]Final{}}
+	w.c = NewCore(b, w, Limits{SecondStep: []int{0, 0, 2}, MaxOpen: 20, ComeBack: time.Second, Ahead: 20 * time.Millisecond}, begin)
+	w.turn(Members{Kind: balance.ListFull, List: []Server{{ID: "a", Addr: "a:1", Cell: 0}, {ID: "b", Addr: "b:1", Cell: 1}}})
+	return w
+}
+
+func (w *world) turn(events ...any) time.Time { return w.c.Turn(w.now, events) }
+
+func (w *world) ask(id string, class, parts int) *Request {
+	r := &Request{ID: id, Class: class, Arrived: w.now, Wait: 3 * time.Second, Text: "text", Front: asker{w, id}}
+	for i := range parts {
+		r.Parts = append(r.Parts, Spec{Shard: i, Weight: 1 / float64(parts)})
+	}
+	w.turn(Arrive{r})
+	return r
+}
+
+// end ends the calls that are out, each with an error or a value of its name.
+func (w *world) end(err error) {
+	calls := w.calls
+	w.calls, w.to = nil, nil
+	var events []any
+	for _, c := range calls {
+		events = append(events, Ended{Attempt: c.Attempt, Err: err, Score: float64(c.Shard), Value: c.Name})
+	}
+	w.turn(events...)
+}
+
+func (w *world) one(id string) Final {
+	w.t.Helper()
+	if len(w.finals[id]) != 1 {
+		w.t.Fatalf("%s has %d final answers", id, len(w.finals[id]))
+	}
+	return w.finals[id][0]
+}
+
+func TestServed(t *testing.T) {
+	w := newWorld(t)
+	w.ask("q", 0, 3)
+	if len(w.calls) != 3 || w.calls[1].Name != "q.1" || w.to[0].Addr == "" || !w.calls[0].Until.Equal(begin.Add(3*time.Second)) {
+		t.Fatalf("%+v", w.calls)
+	}
+	w.end(nil)
+	if f := w.one("q"); f.Kind != Served || !f.Whole || !slices.Equal(f.Items, []Item{{0, "q.0"}, {1, "q.1"}, {2, "q.2"}}) {
+		t.Errorf("%+v", f)
+	}
+	if w.c.Held() != 0 || len(w.c.parts) != 0 || len(w.c.attempts) != 0 {
+		t.Error("something is left")
+	}
+}
+
+func TestSecondStepGoesToTheHighestScores(t *testing.T) {
+	w := newWorld(t)
+	w.ask("q", 2, 4)
+	w.end(nil)
+	if len(w.finals) != 0 || len(w.calls) != 2 {
+		t.Fatalf("%+v %+v", w.finals, w.calls)
+	}
+	for i, c := range w.calls {
+		if want := fmt.Sprintf("q.%d.phase2", 3-i); c.Name != want || !c.Second || !c.Whole || !slices.Equal(c.From, []int{0, 1, 2, 3}) {
+			t.Errorf("%+v, want %s", c, want)
+		}
+	}
+	w.end(nil)
+	if f := w.one("q"); !f.Whole || !slices.Equal(f.Items, []Item{{3, "q.3.phase2"}, {2, "q.2.phase2"}}) {
+		t.Errorf("%+v", f)
+	}
+}
+
+func TestErrorsDecideWhetherAPartMayRunAgain(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		want balance.Result
+	}{
+		{nil, balance.OK},
+		{&AttemptError{Reach: NotConnected}, balance.ConnectFailed},
+		{&AttemptError{Reach: PartWritten}, balance.ConnectFailed},
+		{&AttemptError{Reach: Written}, balance.Reset},
+		{&AttemptError{Reach: Answered}, balance.Failed},
+		{&AttemptError{Reach: Answered, TurnedAway: true}, balance.QueueFull},
+		{&AttemptError{Reach: Written, Withdrawn: true}, balance.Canceled},
+		{&AttemptError{Reach: NotConnected, Withdrawn: true}, balance.Ignored},
+		{fmt.Errorf("wrapped: %w", &AttemptError{Reach: NotConnected}), balance.ConnectFailed},
+		{io.EOF, balance.Reset}, // proves nothing
+	} {
+		if got := result(c.err); got != c.want {
+			t.Errorf("%v: %v, want %v", c.err, got, c.want)
+		}
+		never := c.want == balance.ConnectFailed || c.want == balance.QueueFull || c.want == balance.Ignored
+		w := newWorld(t)
+		w.ask("q", 1, 1)
+		if w.end(c.err); never && len(w.calls) == 0 { // the decisions may wait before they try again
+			w.now = w.now.Add(time.Second)
+			w.turn()
+		}
+		if again := len(w.calls) > 0; again && !never {
+			t.Errorf("%v: the part was sent again", c.err)
+		} else if c.want == balance.ConnectFailed && !again {
+			t.Errorf("%v: the part was not sent again", c.err)
+		}
+	}
+}
+
+func TestTimeOutWaitsForTheServerToBeTold(t *testing.T) {
+	w := newWorld(t)
+	w.ask("q", 1, 1)
+	w.now = w.now.Add(4 * time.Second)
+	w.turn()
+	if f := w.one("q"); f.Kind != Failed || !f.Overdue {
+		t.Errorf("%+v", f)
+	}
+	if len(w.withdrawn) != 1 {
+		t.Fatal(w.withdrawn)
+	}
+	w.end(&AttemptError{Reach: Written, Withdrawn: true})
+	if w.c.Count.Outcomes[balance.TimedOut] != 1 {
+		t.Error(w.c.Count)
+	}
+	w.turn(Ended{Attempt: w.withdrawn[0], Value: "late"})
+	if w.one("q"); w.c.Count.Outcomes[balance.OK] != 0 {
+		t.Error("a late answer counted")
+	}
+}
+
+func TestClientLeaves(t *testing.T) {
+	w := newWorld(t)
+	r := w.ask("q", 1, 1)
+	w.turn(Left{r})
+	w.turn(Left{r})
+	if len(w.withdrawn) != 1 || w.c.Count.Gone != 1 || len(w.finals) != 0 {
+		t.Errorf("%v %v", w.withdrawn, w.c.Count)
+	}
+	sent := len(w.calls)
+	w.end(&AttemptError{Reach: NotConnected, Withdrawn: true})
+	if w.now = w.now.Add(time.Second); len(w.calls) > 0 {
+		t.Errorf("sent again after %d", sent)
+	}
+}
+
+func TestFullMixerTurnsQueriesAway(t *testing.T) {
+	w := newWorld(t)
+	for i := range 5 {
+		w.ask(fmt.Sprint(i), 0, 4)
+	}
+	if f := w.one("4"); f.Kind != Refused || f.RetryAfter != time.Second {
+		t.Errorf("%+v", f)
+	}
+	w.ask("0", 0, 1) // an id that is open already
+	if w.c.Count.Overfull != 2 {
+		t.Error(w.c.Count)
+	}
+}
+
+func TestStartsAreOnTheCoresClock(t *testing.T) {
+	w := newWorld(t)
+	m := w.c.members(Members{Kind: balance.ListDelta, List: []Server{
+		{ID: "c", Started: begin.Add(-time.Minute)}, {ID: "d"}, {ID: "e", Started: begin.Add(-48 * time.Hour)}, {ID: "a", State: balance.Removed},
+	}}).(balance.Members)
+	if got := m.List[0].Started; got != clockMargin-time.Minute || m.List[1].Started != 0 || m.List[2].Started != 0 {
+		t.Errorf("%+v", m.List)
+	}
+	if w.c.Open("a") || !w.c.Open("c") {
+		t.Error("a is gone and c is there")
+	}
+}
+
+// stuck is an adapter whose events are functions.
+type stuck struct{}
+
+func (stuck) Handle(_ time.Time, e any) ([]any, bool) {
+	if f, ok := e.(func()); ok {
+		f()
+		return nil, true
+	}
+	return nil, false
+}
+func (stuck) Sweep(time.Time) ([]any, time.Time) { return nil, time.Time{} }
+
+type stopped struct{ w *world }
+
+func (s stopped) Now() time.Time                          { return s.w.now }
+func (s stopped) At(time.Time) (<-chan time.Time, func()) { return nil, func() {} }
+
+// A panic stops at its event, its answer or its turn, and every query still gets one final answer.
+func TestPanicsStop(t *testing.T) {
+	w := newWorld(t)
+	box := NewMailbox()
+	l := &Loop{Core: w.c, Box: box, Adapter: stuck{}, Clock: stopped{w}, Fresh: func() (*balance.Balancer, error) { return balance.New(settings()) }}
+	box.Put(func() { panic("an event") })
+	r := &Request{ID: "panics", Class: 99, Arrived: w.now, Wait: time.Second, Front: asker{w, "panics"}}
+	box.Put(Arrive{r})
+	l.Once()
+	if w.one("panics").Kind != Refused || w.c.Count.Panics != 2 {
+		t.Error(w.c.Count)
+	}
+	w.ask("open", 1, 1)
+	late := &Request{ID: "late", Arrived: w.now, Wait: time.Second, Front: asker{w, "late"}}
+	box.Put(errors.New("an event of no kind"))
+	box.Put(Arrive{late})
+	l.Once()
+	if w.one("open").Kind != Failed || w.one("late").Kind != Failed || w.c.Held() != 0 || len(w.withdrawn) != 1 {
+		t.Errorf("%+v", w.finals)
+	}
+	w.ask("next", 0, 1)
+	if w.end(nil); w.one("next").Kind != Served {
+		t.Errorf("%+v", w.finals)
+	}
+}
--- /dev/null
+++ b/internal/net/leaf/pool_test.go
@@ -0,0 +1,397 @@
+package leaf
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"rooktrestle/balance"
+	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/net/tcp"
+)
+
+// rig drives a pool by hand: it is the mailbox, the dialer, the links, the directory and the model of what each
+// attempt may have come to.
+type rig struct {
+	t       *testing.T
+	p       *Pool
+	now     time.Time
+	box     []any
+	dials   []*conn
+	links   []*link
+	drained bool
+	sent    []*sent
+}
+
+// sent is the model of an attempt.
+type sent struct {
+	id        mixer.AttemptID
+	name      string
+	link      *link // its frame was handed to
+	settled   bool
+	how       tcp.Wrote
+	toldOff   bool // a frame 2 was handed on
+	withdrawn bool
+	answer    byte // that came on its connection
+	ended     int
+}
+
+type link struct {
+	r      *rig
+	c      *conn
+	closed bool
+	queue  []func(tcp.Wrote)
+	shared []*sent // whose frames wait in queue; nil for others
+}
+
+func (l *link) Write(b []byte, done func(tcp.Wrote)) {
+	var p Parser
+	p.Feed(b)
+	f, ok, err := p.Next()
+	if !ok || err != nil {
+		l.r.t.Fatalf("a frame %q: %v", b, err)
+	}
+	var of *sent
+	switch f.Letter {
+	case letterCall:
+		line, _, _ := strings.Cut(string(f.Rest), "\n")
+		name, _, _ := strings.Cut(line, " ")
+		of = l.r.named(name)
+		of.link = l
+		if !l.closed && l.r.drained {
+			l.r.t.Fatalf("%s was sent to a server that drains", name)
+		}
+		if idle := l.r.now.Sub(l.c.used); idle > 10*time.Second {
+			l.r.t.Fatalf("%s was sent on a connection idle for %v", name, idle)
+		}
+		if len(l.c.streams) > 2 {
+			l.r.t.Fatalf("%d streams", len(l.c.streams))
+		}
+	case letterGiveUp:
+		l.r.named(string(f.Rest)).toldOff = true
+	}
+	if done == nil {
+		done = func(tcp.Wrote) {}
+	}
+	if l.closed {
+		if of != nil {
+			of.settled, of.how = true, tcp.Nothing
+		}
+		done(tcp.Nothing)
+		return
+	}
+	l.queue, l.shared = append(l.queue, done), append(l.shared, of)
+}
+
+func (l *link) Close(error) { l.end(tcp.Unknown) }
+
+// settle accounts for the oldest write.
+func (l *link) settle(how tcp.Wrote) {
+	if len(l.queue) == 0 {
+		return
+	}
+	done, of := l.queue[0], l.shared[0]
+	l.queue, l.shared = l.queue[1:], l.shared[1:]
+	if of != nil {
+		of.settled, of.how = true, how
+	}
+	done(how)
+}
+
+func (l *link) end(first tcp.Wrote) {
+	if l.closed {
+		return
+	}
+	l.closed = true
+	l.r.box = append(l.r.box, closed{l.c, errors.New("broken")})
+	for how := first; len(l.queue) > 0; how = tcp.Nothing {
+		l.settle(how)
+	}
+}
+
+func (r *rig) Put(e any)                 { r.box = append(r.box, e) }
+func (r *rig) Open(balance.Replica) bool { return !r.drained }
+
+func (r *rig) named(name string) *sent {
+	for _, s := range r.sent {
+		if s.name == name {
+			return s
+		}
+	}
+	r.t.Fatalf("no such part: %s", name)
+	return nil
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{t: t, now: time.Unix(1000, 0)}
+	r.p = NewPool(Limits{Streams: 2, Idle: 12 * time.Second, ConnectTimeout: 250 * time.Millisecond, Sockets: 3}, r, nil)
+	r.p.dial = func(c *conn, _ string, _ time.Duration) { r.dials = append(r.dials, c) }
+	r.p.Use(r)
+	return r
+}
+
+func (r *rig) send() *sent {
+	n := len(r.sent)
+	s := &sent{id: mixer.AttemptID{Part: balance.ID(n)}, name: fmt.Sprintf("q.%d", n)}
+	r.sent = append(r.sent, s)
+	r.p.Send(r.now, mixer.Server{ID: "s", Addr: "x"}, []mixer.Call{{Attempt: s.id, Name: s.name, Until: r.now.Add(5 * time.Second)}})
+	r.turn()
+	return s
+}
+
+func (r *rig) withdraw(s *sent) {
+	s.withdrawn = true
+	r.p.Withdraw(r.now, s.id)
+	r.turn()
+}
+
+func (r *rig) dialed(err error) {
+	if len(r.dials) == 0 {
+		return
+	}
+	c := r.dials[0]
+	r.dials = r.dials[1:]
+	if err == nil {
+		l := &link{r: r, c: c}
+		r.links = append(r.links, l)
+		r.Put(dialed{c: c, link: l})
+	} else {
+		r.Put(dialed{c: c, err: err})
+	}
+	r.turn()
+}
+
+func (r *rig) answer(l *link, name string, end byte) {
+	for _, s := range r.sent {
+		if s.name == name && s.link == l {
+			s.answer = end
+		}
+	}
+	r.Put(framed{l.c, Frame{letterAnswer, fmt.Appendf(nil, "%s %c 7 queue=1\nv", name, end)}})
+	r.turn()
+}
+
+// turn lets the pool take what is there and checks each end against the model.
+func (r *rig) turn() {
+	for len(r.box) > 0 {
+		e := r.box[0]
+		r.box = r.box[1:]
+		events, mine := r.p.Handle(r.now, e)
+		if !mine {
+			events = []any{e}
+		}
+		for _, e := range events {
+			if ended, ok := e.(mixer.Ended); ok {
+				r.check(ended)
+			}
+		}
+	}
+}
+
+func (r *rig) check(e mixer.Ended) {
+	s := r.sent[e.Attempt.Part]
+	if s.ended++; s.ended > 1 {
+		r.t.Fatalf("%s ended twice", s.name)
+	}
+	var a *mixer.AttemptError
+	if e.Err == nil {
+		if s.answer != 'S' || e.Value != "v" || e.Score != 7 || e.Report == nil || e.Report.Queue != 1 {
+			r.t.Fatalf("%s is served: %+v", s.name, e)
+		}
+		return
+	}
+	if !errors.As(e.Err, &a) {
+		r.t.Fatalf("%s: %v says nothing", s.name, e.Err)
+	}
+	mayRun := s.link != nil && (!s.settled || s.how != tcp.Nothing)
+	switch {
+	case a.Reach == mixer.Answered && a.TurnedAway != (s.answer == 'B'), a.Reach == mixer.Answered && s.answer == 0:
+		r.t.Fatalf("%s: %v after answer %q", s.name, a, s.answer)
+	case a.Reach < mixer.Written && mayRun:
+		r.t.Fatalf("%s is said not to have run: %v", s.name, a)
+	case a.Withdrawn && !s.withdrawn && r.now.Before(time.Unix(1005, 0)):
+		r.t.Fatalf("%s was not given up: %v", s.name, a)
+	case a.Withdrawn && mayRun && !s.toldOff && !s.link.closed:
+		r.t.Fatalf("%s was given up before its server was told", s.name)
+	}
+}
+
+// finish breaks all there is: whatever was sent must have ended by then, once.
+func (r *rig) finish() {
+	for len(r.dials) > 0 {
+		r.dialed(errors.New("refused"))
+	}
+	for _, l := range r.links {
+		l.end(tcp.Nothing)
+	}
+	r.turn()
+	for len(r.dials) > 0 {
+		r.dialed(errors.New("refused"))
+	}
+	for _, s := range r.sent {
+		if s.ended != 1 {
+			r.t.Fatalf("%s ended %d times", s.name, s.ended)
+		}
+	}
+	if r.p.total != 0 || len(r.p.calls) != 0 {
+		r.t.Fatalf("%d connections and %d attempts are left", r.p.total, len(r.p.calls))
+	}
+}
+
+func FuzzPool(f *testing.F) {
+	f.Add([]byte{0, 2, 4, 6})                         // served
+	f.Add([]byte{0, 0, 0, 2, 2, 4, 4, 4, 5, 4})       // broken under three
+	f.Add([]byte{0, 1, 2, 0, 2, 4, 1, 4, 6, 7})       // given up before and after
+	f.Add([]byte{0, 2, 4, 6, 8, 8, 8, 8, 8, 8, 0, 0}) // near the idle limit
+	f.Add([]byte{0, 9, 2, 9, 0, 3, 3})                // drains while it connects
+	f.Add([]byte{0, 2, 15, 0, 2, 10, 0, 26, 4, 6})    // broken before the first byte
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		r := newRig(t)
+		for _, step := range steps[:min(len(steps), 200)] {
+			pick := int(step) / 10
+			var l *link
+			if len(r.links) > 0 {
+				l = r.links[len(r.links)-1-pick%len(r.links)]
+			}
+			var s *sent
+			if len(r.sent) > 0 {
+				s = r.sent[len(r.sent)-1-pick%len(r.sent)]
+			}
+			switch {
+			case step%10 == 0:
+				if !r.drained { // the decisions send nothing new there
+					r.send()
+				}
+			case step%10 == 1 && s != nil:
+				r.withdraw(s)
+			case step%10 == 2:
+				r.dialed(nil)
+			case step%10 == 3:
+				r.dialed(errors.New("refused"))
+			case step%10 == 4 && l != nil:
+				l.settle(tcp.All)
+				r.turn()
+			case step%10 == 5 && l != nil:
+				l.end(tcp.Wrote(pick % 3))
+				r.turn()
+			case step%10 == 6 && s != nil && s.link != nil && !s.link.closed:
+				r.answer(s.link, s.name, "SEB"[pick%3])
+			case step%10 == 7 && l != nil && !l.closed:
+				r.answer(l, "q.unknown", 'S')
+			case step%10 == 8:
+				r.now = r.now.Add(2 * time.Second)
+				events, _ := r.p.Sweep(r.now)
+				for _, e := range events {
+					r.Put(e)
+				}
+				r.turn()
+			case step%10 == 9:
+				r.drained = !r.drained
+			}
+		}
+		r.finish()
+	})
+}
+
+// A late answer to an attempt that was given up must not be taken for the part's next attempt.
+func TestLateAnswerIsNotTheNextAttempts(t *testing.T) {
+	r := newRig(t)
+	first := r.send()
+	r.dialed(nil)
+	r.links[0].settle(tcp.All)
+	r.withdraw(first)
+	r.links[0].settle(tcp.All)
+	r.turn()
+	again := mixer.Call{Attempt: mixer.AttemptID{Part: 0, N: 1}, Name: first.name, Until: r.now.Add(time.Second)}
+	r.p.Send(r.now, mixer.Server{ID: "s", Addr: "x"}, []mixer.Call{again})
+	r.turn()
+	if len(r.dials) != 1 || len(r.links[0].queue) != 0 {
+		t.Error("the part's next attempt went out on the connection of the one that was given up")
+	}
+}
+
+func TestBadFramesEndTheirConnection(t *testing.T) {
+	for _, bad := range []Frame{{'5', []byte("no line")}, {'5', []byte("q.0 Z 1 -\nv")}, {'5', []byte("q.0 S x -\nv")}, {'X', []byte("what?")}, {'9', nil}} {
+		r := newRig(t)
+		s := r.send()
+		r.dialed(nil)
+		r.links[0].settle(tcp.All)
+		r.Put(framed{r.links[0].c, bad})
+		r.turn()
+		if s.ended != 1 || !r.links[0].closed {
+			t.Errorf("%q: ended %d times", bad.Rest, s.ended)
+		}
+	}
+	for _, bytes := range []string{"\x00\x00\x00\x00", "\x7f\xff\xff\xff5"} {
+		var p Parser
+		p.Feed([]byte(bytes))
+		if _, _, err := p.Next(); err == nil {
+			t.Errorf("%q was taken", bytes)
+		}
+	}
+}
+
+func TestProbes(t *testing.T) {
+	r := newRig(t)
+	var got []mixer.Probed
+	take := func(events []any) {
+		for _, e := range events {
+			if p, ok := e.(mixer.Probed); ok {
+				got = append(got, p)
+			}
+		}
+	}
+	s := r.send()
+	r.dialed(nil)
+	r.links[0].settle(tcp.All)
+	r.p.Probe(r.now, mixer.Server{ID: "s", Addr: "x"})
+	r.p.Probe(r.now, mixer.Server{ID: "s", Addr: "x"})
+	r.now = r.now.Add(time.Second) // both are overdue
+	events, _ := r.p.Sweep(r.now)
+	take(events)
+	r.p.Probe(r.now, mixer.Server{ID: "s", Addr: "x"})
+	for _, text := range []string{"queue=9", "E", "queue=3,util=0.5,new=x"} { // the first two are late
+		events, _ := r.p.Handle(r.now, framed{r.links[0].c, Frame{letterLoad, []byte(text)}})
+		take(events)
+	}
+	if len(got) != 3 || got[0].Err == nil || got[1].Err == nil || got[2].Err != nil || got[2].Report == nil || got[2].Report.Queue != 3 || got[2].Report.Util != 0.5 {
+		t.Errorf("%+v", got)
+	}
+	if s.ended != 0 {
+		t.Error("the attempt ended by a probe")
+	}
+}
+
+// However a stream is cut up, the same frames come of it.
+func FuzzParser(f *testing.F) {
+	f.Add(Append(Append(nil, '5', []byte("q.1 S 1 -\nx")), '4', []byte("-")), 3, 9)
+	f.Add([]byte("\x00\x00\x00\x01\x35\xff\xff\xff\xff"), 1, 6)
+	f.Fuzz(func(t *testing.T, b []byte, x, y int) {
+		read := func(cuts ...int) string {
+			var p Parser
+			out, from := "", 0
+			for _, to := range append(cuts, len(b)) {
+				if to < from || to > len(b) {
+					continue
+				}
+				p.Feed(b[from:to])
+				for from = to; ; {
+					f, ok, err := p.Next()
+					if err != nil {
+						return out + " bad"
+					}
+					if !ok {
+						break
+					}
+					out += fmt.Sprintf("%c%q ", f.Letter, f.Rest)
+				}
+			}
+			return out
+		}
+		if whole, cut := read(), read(x, y); whole != cut {
+			t.Fatalf("%s, cut: %s", whole, cut)
+		}
+	})
+}
