--- a/internal/net/leaf/frame.go
+++ b/internal/net/leaf/frame.go
@@ -11,6 +11,7 @@
 
 	"rooktrestle/balance"
 	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/wire"
 )
 
 // The letters of frames.
@@ -128,14 +129,8 @@
 		if err != nil || !(v >= 0) || v > 1e9 {
 			continue
 		}
-		switch name {
-		case "queue":
-			r.Queue = v
-		case "inflight":
-			r.InFlight = v
-		case "util":
-			r.Util = v
-		}
+		// Guards against reports that are read and say nothing: leaf servers use the settings' names.
+		wire.Load(r, name, v)
 	}
 	return r
 }
--- a/internal/net/leaf/pool_test.go
+++ b/internal/net/leaf/pool_test.go
@@ -395,3 +395,17 @@
 		}
 	})
 }
+
+// Reports name their values as the settings do, or as the protocol's page does; both must reach the decisions.
+func TestReportsInEitherNames(t *testing.T) {
+	for _, text := range []string{"pending=2.5,busy_reqs=7,cpu_share=0.61", "queue=2.5,inflight=7,util=0.61,else=1"} {
+		if r := parseReport(text); r == nil || *r != (balance.Report{Queue: 2.5, InFlight: 7, Util: 0.61}) {
+			t.Errorf("%s: %+v", text, r)
+		}
+	}
+	for _, text := range []string{"-", "", "E"} {
+		if r := parseReport(text); r != nil {
+			t.Errorf("%q: %+v", text, r)
+		}
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -419,6 +419,19 @@
 	})
 }
 
+// Load puts a value of a load report in its place. Values not known are skipped. Leaf servers name them as the
+// settings do, or in the words of the protocol's page.
+func Load(r *balance.Report, name string, v float64) {
+	switch name {
+	case "pending", "queue":
+		r.Queue = v
+	case "busy_reqs", "inflight":
+		r.InFlight = v
+	case "cpu_share", "util":
+		r.Util = v
+	}
+}
+
 // report reads the load report of a message, nil where there is none. Values not recognised are skipped.
 func (m *message) report(key string) *balance.Report {
 	text := m.textOr(key, "")
@@ -433,14 +446,7 @@
 			m.fail("%s: %q is not name:number", key, pair)
 			return nil
 		}
-		switch name {
-		case "pending":
-			rep.Queue = v
-		case "busy_reqs":
-			rep.InFlight = v
-		case "cpu_share":
-			rep.Util = v
-		}
+		Load(rep, name, v)
 	}
 	return rep
 }
