--- a/cmd/rooktrestle/serve.go
+++ b/cmd/rooktrestle/serve.go
@@ -51,7 +51,7 @@
 	pool := leaf.NewPool(leaf.Limits{
 		Streams: d.Streams, Idle: d.ConnIdle, ConnectTimeout: d.ConnectTimeout, Sockets: n.Sockets / 3,
 	}, box, tcp.Dial)
-	lim := mixer.Limits{MaxOpen: d.MaxOpen, ComeBack: d.MaxRetryAfter, Ahead: 4 * d.Decisions.Tick}
+	lim := mixer.Limits{MaxOpen: d.MaxOpen, CallParts: d.Decisions.CallParts, ComeBack: d.MaxRetryAfter, Ahead: 4 * d.Decisions.Tick}
 	longest := time.Duration(0)
 	for _, c := range d.Decisions.Classes {
 		lim.SecondStep = append(lim.SecondStep, c.FollowUp)
--- a/internal/mixer/core.go
+++ b/internal/mixer/core.go
@@ -74,6 +74,7 @@
 type Limits struct {
 	SecondStep []int         // of each class: parts of its second step; 0: one step only
 	MaxOpen    int           // queries and parts held; 0: not limited
+	CallParts  int           // most parts that share one call; 0: one
 	ComeBack   time.Duration // advice to a client turned away because of it
 	Ahead      time.Duration // a query given up so long before its end has run out of time
 }
@@ -350,7 +351,8 @@
 		call.From = append(call.From, f.spec.Shard)
 	}
 	for i := range c.calls {
-		if c.calls[i].to == a.Replica {
+		// Guards the parts of a call that is too long: leaf servers turn all of them away.
+		if c.calls[i].to == a.Replica && len(c.calls[i].calls) < c.lim.CallParts {
 			c.calls[i].calls = append(c.calls[i].calls, call)
 			return
 		}
--- a/internal/mixer/core_test.go
+++ b/internal/mixer/core_test.go
@@ -19,6 +19,7 @@
 	c         *Core
 	now       time.Time
 	calls     []Call
+	frames    []int // parts of each call
 	to        []Server
 	withdrawn []AttemptID
 	probes    []Server
@@ -38,6 +39,7 @@
 }
 
 func (w *world) Send(_ time.Time, to Server, calls []Call) {
+	w.frames = append(w.frames, len(calls))
 	for _, c := range calls {
 		w.calls, w.to = append(w.calls, c), append(w.to, to)
 	}
@@ -270,3 +272,18 @@
 		t.Errorf("%+v", w.finals)
 	}
 }
+
+// Parts of one turn to one server share calls of the settings' length and no longer.
+func TestCallsAreNotTooLong(t *testing.T) {
+	for _, c := range []struct {
+		most int
+		want []int
+	}{{0, []int{1, 1, 1, 1}}, {1, []int{1, 1, 1, 1}}, {3, []int{3, 1}}, {9, []int{4}}} {
+		w := newWorld(t)
+		w.c.lim.CallParts = c.most
+		w.turn(Members{Kind: balance.ListFull, List: []Server{{ID: "a", Addr: "a:1", Cell: 0}}})
+		if w.ask("q", 0, 4); !slices.Equal(w.frames, c.want) {
+			t.Errorf("at most %d parts a call: %v, want %v", c.most, w.frames, c.want)
+		}
+	}
+}
