--- a/internal/net/issue/issue.go
+++ b/internal/net/issue/issue.go
@@ -72,7 +72,7 @@
 	lim   Limits
 	box   interface{ Put(any) }
 	codec func(balance.Replica) Codec
-	dial  Dial
+	start func(c *conn, addr string, codec Codec) // dials off the loop; posts dialed
 	open  mixer.Directory
 	idle  map[balance.Replica][]*conn
 	calls map[mixer.AttemptID]*attempt
@@ -124,10 +124,23 @@
 
 // NewPool returns a pool that posts to box.
 func NewPool(lim Limits, box interface{ Put(any) }, dial Dial, codec func(balance.Replica) Codec) *Pool {
-	return &Pool{
-		lim: lim, box: box, dial: dial, codec: codec,
+	p := &Pool{
+		lim: lim, box: box, codec: codec,
 		idle: map[balance.Replica][]*conn{}, calls: map[mixer.AttemptID]*attempt{}, young: map[*conn]time.Time{},
 	}
+	p.start = func(c *conn, addr string, codec Codec) {
+		go func() {
+			link, err := dial(addr, lim.Connect, func(*tcp.Link) tcp.Handler {
+				return &reader{c: c, box: box, parser: codec.Parser()}
+			})
+			if err != nil {
+				box.Put(dialed{c: c, err: err})
+				return
+			}
+			box.Put(dialed{c: c, link: link})
+		}()
+	}
+	return p
 }
 
 // Use names the directory that says where new work may go.
@@ -213,16 +226,7 @@
 	}
 	p.total++
 	p.Stats.Dials++
-	go func() {
-		link, err := p.dial(to.Addr, p.lim.Connect, func(*tcp.Link) tcp.Handler {
-			return &reader{c: c, box: p.box, parser: codec.Parser()}
-		})
-		if err != nil {
-			p.box.Put(dialed{c: c, err: err})
-			return
-		}
-		p.box.Put(dialed{c: c, link: link})
-	}()
+	p.start(c, to.Addr, codec)
 }
 
 // shutOldest closes the connection that has been idle longest. Guards the limit on sockets.
@@ -399,6 +403,14 @@
 			p.write(now, c, a)
 		}
 		return
+	case !c.up:
+		// Guards against a server that answers before it was asked: that is no answer to the attempt that waits.
+		cause := errors.New("the server answered before it was asked")
+		p.shut(c, cause)
+		if a != nil {
+			p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Cause: cause}, nil)
+		}
+		return
 	case a == nil || a.withdrawn || r.Greeting:
 		p.Stats.Late++ // nobody waits for it; whatever follows on this connection cannot be told apart
 		p.shut(c, errors.New("an answer that nobody waits for"))
