--- /dev/null
+++ b/internal/net/discovery/watch_test.go
@@ -0,0 +1,67 @@
+package discovery
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"rooktrestle/balance"
+	"rooktrestle/internal/mixer"
+)
+
+func TestLists(t *testing.T) {
+	version, m, err := Parse([]byte(`{"version":41,"full":true,"servers":[
+		{"id":"s","addr":"a:1","zone":"east","cell":3,"state":"SERVING","weight":1.5,"started_ms":1700000000123},
+		{"id":"d","zone":"b","state":"DRAINING"},{"id":"g","state":"DELETED"},{"id":"n","zone":"south","state":"NEW"}]}`), []string{"west", "east"})
+	if err != nil || version != 41 || m.Kind != balance.ListFull || len(m.List) != 4 {
+		t.Fatal(version, m, err)
+	}
+	if s := m.List[0]; s.Zone != 1 || s.Cell != 3 || s.Weight != 1.5 || !s.Started.Equal(time.UnixMilli(1700000000123)) {
+		t.Errorf("%+v", s)
+	}
+	for i, want := range []balance.State{balance.InService, balance.Draining, balance.Removed, balance.Draining} {
+		if m.List[i].State != want {
+			t.Errorf("%d: %v, want %v", i, m.List[i].State, want)
+		}
+	}
+	if !m.List[1].Started.IsZero() || m.List[1].Zone != 1 || m.List[3].Zone != 2 {
+		t.Errorf("%+v", m.List)
+	}
+	for _, bad := range []string{"", "[]", `{"servers":[{"addr":"x"}]}`} {
+		if _, _, err := Parse([]byte(bad), nil); err == nil {
+			t.Errorf("%q was taken", bad)
+		}
+	}
+}
+
+// A watch that ends is opened again, from the version that was heard last.
+func TestWatchResumes(t *testing.T) {
+	asked := make(chan string, 10)
+	n := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.Query().Get("index")
+		n++
+		fmt.Fprintf(w, "\n{\"version\":%d,\"full\":%v,\"servers\":[]}\n", 10*n, n == 1)
+		w.(http.Flusher).Flush()
+		if n == 3 {
+			<-r.Context().Done()
+		}
+	}))
+	defer server.Close()
+	got, stop, over := make(chan any, 10), make(chan struct{}), make(chan struct{})
+	w := &Watch{Addr: strings.TrimPrefix(server.URL, "http://"), Version: 7, Put: func(e any) { got <- e }, Log: t.Logf}
+	go func() { w.Run(stop, func() {}); close(over) }()
+	for i, want := range []string{"7", "10", "20"} {
+		if index := <-asked; index != want {
+			t.Errorf("watch %d from %s, want %s", i, index, want)
+		}
+		if m := (<-got).(mixer.Members); (m.Kind == balance.ListFull) != (i == 0) {
+			t.Errorf("watch %d: %+v", i, m)
+		}
+	}
+	close(stop)
+	<-over
+}
--- /dev/null
+++ b/internal/sru/sru_test.go
@@ -0,0 +1,108 @@
+package sru
+
+import (
+	"encoding/xml"
+	"errors"
+	"net/url"
+	"strings"
+	"testing"
+
+	"rooktrestle/internal/http1"
+	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/query"
+)
+
+func TestParametersNameTheirFaults(t *testing.T) {
+	good := "operation=searchRetrieve&version=1.2&query=cat"
+	for more, want := range map[string]int{
+		"": 0, "&maximumRecords=0&startRecord=3&recordPacking=string&x-any=1": 0, "&startRecord=0": 6, "&maximumRecords=-1": 6,
+		"&recordPacking=pdf": 71, "&sortKeys=date": 80, "&stylesheet=x": 110, "&nothing=1": 8, "&version=1.2": 6,
+	} {
+		params, err := url.ParseQuery(good + more)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = ParseRequest(params)
+		var f *Fault
+		if got := errors.As(err, &f); got != (want != 0) || got && f.Code != want {
+			t.Errorf("%s: %v, want %d", more, err, want)
+		}
+	}
+	for text, want := range map[string]int{
+		"version=1.2": 7, "operation=scan&version=1.2": 4, "operation=searchRetrieve": 7,
+		"operation=searchRetrieve&version=3.0": 5, "operation=searchRetrieve&version=1.2": 7,
+		"operation=searchRetrieve&version=1.2&query=cql.resultSetId+%3D+x": 50,
+	} {
+		params, _ := url.ParseQuery(text)
+		_, err := ParseRequest(params)
+		var f *Fault
+		if !errors.As(err, &f) || f.Code != want {
+			t.Errorf("%s: %v, want %d", text, err, want)
+		}
+	}
+}
+
+func TestUpdatesSurvive(t *testing.T) {
+	for _, u := range []Update{
+		{query.Change, query.Record{ID: `3:<&"`, Schema: DefaultSchema, XML: `<a x="1"><b/></a>`}},
+		{query.Delete, query.Record{ID: "1:x"}},
+	} {
+		if got, err := ParseUpdate(UpdateRequest(u)); err != nil || got != u {
+			t.Errorf("%+v came back as %+v, %v", u, got, err)
+		}
+	}
+	for text, want := range map[string]int{
+		"nonsense": 6, "<other/>": 4, "<updateRequest><action>info:srw/action/1/burn</action></updateRequest>": 6,
+		"<updateRequest><action>info:srw/action/1/delete</action></updateRequest>":                                       7,
+		"<updateRequest><action>info:srw/action/1/create</action><recordIdentifier>x</recordIdentifier></updateRequest>": 7,
+		`<!DOCTYPE a [<!ENTITY b "c">]><updateRequest/>`:                                                                 6,
+		strings.Repeat("<a>", maxDepth+1) + strings.Repeat("</a>", maxDepth+1):                                           6,
+		"<updateRequest><version>9</version><action>info:srw/action/1/delete</action></updateRequest>":                   5,
+	} {
+		_, err := ParseUpdate([]byte(text))
+		var f *Fault
+		if !errors.As(err, &f) || f.Code != want {
+			t.Errorf("%.60s: %v, want %d", text, err, want)
+		}
+	}
+}
+
+// A record keeps the names that were declared around it, and one that is not XML does not break the answer.
+func TestRecordsKeepTheirNames(t *testing.T) {
+	in := `<z:searchRetrieveResponse xmlns:z="http://www.loc.gov/zing/srw/" xmlns:dc="http://purl.org/dc/elements/1.1/">` +
+		`<z:numberOfRecords>1</z:numberOfRecords><z:records><z:record><z:recordPacking>xml</z:recordPacking>` +
+		`<z:recordData><dc:title>x</dc:title></z:recordData></z:record></z:records></z:searchRetrieveResponse>`
+	r, err := ParseResponse([]byte(in))
+	if err != nil || len(r.Records) != 1 {
+		t.Fatal(r, err)
+	}
+	var title struct{ XMLName xml.Name }
+	if err := xml.Unmarshal([]byte(r.Records[0].XML), &title); err != nil || title.XMLName.Space != "http://purl.org/dc/elements/1.1/" {
+		t.Errorf("%s: %v %v", r.Records[0].XML, title, err)
+	}
+	out := SearchResponse(2, append(r.Records, query.Record{XML: "<broken"}), 1, 0, "xml", nil)
+	again, err := ParseResponse(out)
+	if err != nil || len(again.Records) != 2 || again.Records[1].XML != "<broken" || again.Records[0].XML != r.Records[0].XML {
+		t.Errorf("%s: %+v %v", out, again, err)
+	}
+}
+
+func TestAnswersAreJudged(t *testing.T) {
+	diagnosed := func(code string) string {
+		return `<searchRetrieveResponse><numberOfRecords>0</numberOfRecords><diagnostics><diagnostic><uri>info:srw/diagnostic/1/` + code + `</uri></diagnostic></diagnostics></searchRetrieveResponse>`
+	}
+	for text, bad := range map[string]bool{
+		diagnosed("1"): true, diagnosed("2"): true, diagnosed("16"): false, diagnosed("59"): false, "junk": true, "<html/>": true,
+		"<searchRetrieveResponse><numberOfRecords>-4</numberOfRecords></searchRetrieveResponse>": true,
+		"<updateResponse><operationStatus>fail</operationStatus></updateResponse>":               false,
+	} {
+		r := reply(&http1.Message{Status: 200, Body: []byte(text)})
+		var a *mixer.AttemptError
+		if (r.Err != nil) != bad || bad && (!errors.As(r.Err, &a) || a.Reach != mixer.Answered || a.TurnedAway) {
+			t.Errorf("%s: %+v", text, r)
+		}
+	}
+	if r := reply(&http1.Message{Status: 503}); r.Err == nil {
+		t.Error("a status 503 is an answer")
+	}
+}
