--- /dev/null
+++ b/internal/partner/partner_test.go
@@ -0,0 +1,59 @@
+package partner
+
+import (
+	"testing"
+	"time"
+
+	"rooktrestle/internal/config"
+	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/query"
+)
+
+func TestCorrectionsGoToOneShard(t *testing.T) {
+	d := &config.Database{Shards: []int{2, 5, 7}}
+	if Place(d, "5:x") != 5 || Place(d, "7:x") != 7 {
+		t.Error("the number before the colon names the shard")
+	}
+	seen := map[int]bool{}
+	for _, id := range []string{"9:x", "a", "b", "c", "d", "e", "f", ":"} {
+		at := Place(d, id)
+		if seen[at] = true; at != Place(d, id) || at != 2 && at != 5 && at != 7 {
+			t.Errorf("%s goes to %d", id, at)
+		}
+	}
+	if len(seen) < 2 {
+		t.Error("the hash spreads nothing")
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	value := func(f query.Found) string { return query.Encode(f) }
+	one := value(query.Found{Count: 2, Records: []query.Record{{XML: "<a/>"}, {XML: "<b/>"}}})
+	two := value(query.Found{Count: 1, Records: []query.Record{{XML: "<c/>"}}})
+	said := value(query.Found{Trouble: &query.Diagnostic{Bib1: 114}})
+	for _, c := range []struct {
+		f     mixer.Final
+		kind  Kind
+		count int
+		first string
+	}{
+		{mixer.Final{Kind: mixer.Served, Whole: true, Items: []mixer.Item{{Shard: 3, Value: two}, {Shard: 1, Value: one}}}, Whole, 3, "<a/>"},
+		{mixer.Final{Kind: mixer.Served, Items: []mixer.Item{{Shard: 3, Value: two}}}, Partial, 1, "<c/>"},
+		{mixer.Final{Kind: mixer.Served, Whole: true, Items: []mixer.Item{{Shard: 3, Value: two}, {Shard: 4, Value: said}}}, ServerSaid, 1, "<c/>"},
+		{mixer.Final{Kind: mixer.Served, Whole: true, Items: []mixer.Item{{Value: "junk"}}}, Failed, 0, ""},
+		{mixer.Final{Kind: mixer.Refused, RetryAfter: time.Second}, Refused, 0, ""},
+		{mixer.Final{Kind: mixer.Refused, Overdue: true}, TimedOut, 0, ""},
+		{mixer.Final{Kind: mixer.Failed, Overdue: true}, TimedOut, 0, ""},
+		{mixer.Final{Kind: mixer.Failed}, Failed, 0, ""},
+	} {
+		var got Outcome
+		(&asked{func(o Outcome) { got = o }}).Answer(c.f)
+		if got.Kind != c.kind || got.Count != c.count || c.first != "" && got.Records[0].XML != c.first {
+			t.Errorf("%+v: %+v", c.f, got)
+		}
+	}
+	o := Outcome{Records: make([]query.Record, 5)}
+	if len(o.Cut(2, 2)) != 2 || len(o.Cut(5, 9)) != 1 || o.Cut(6, 1) != nil || o.Cut(0, 1) != nil {
+		t.Error("cut")
+	}
+}
