--- a/internal/net/leaf/pool.go
+++ b/internal/net/leaf/pool.go
@@ -34,6 +34,9 @@
 	// idleMargin keeps writes off a connection that the server may be about to close: a call written to it
 	// would end as a reset, and may have run for all one knows.
 	idleMargin = 2 * time.Second
+	// silentAfter is how long a server may say nothing at all before an attempt that is given up counts against
+	// its connection.
+	silentAfter = time.Second
 	// givenUpFor is how long late word on an attempt that was given up may still come.
 	givenUpFor = 30 * time.Second
 )
@@ -81,6 +84,7 @@
 	host      *host
 	conn      *conn
 	state     state
+	written   time.Time
 	withdrawn bool
 }
 
@@ -103,6 +107,8 @@
 	probes  []*probe
 	givenUp map[string]time.Time
 	used    time.Time // last time that surely counts as use
+	heard   time.Time // last time that the server said anything
+	silent  bool      // it may be gone without a word: nothing new goes out on it
 	since   time.Time // dialing since
 }
 
@@ -221,7 +227,7 @@
 }
 
 func (p *Pool) fit(now time.Time, c *conn, g *group, addr string) bool {
-	if c.closed || c.addr != addr || len(c.streams)+len(g.parts) > max(p.lim.Streams, len(g.parts)) || p.stale(now, c) {
+	if c.closed || c.silent || c.addr != addr || len(c.streams)+len(g.parts) > max(p.lim.Streams, len(g.parts)) || p.stale(now, c) {
 		return false
 	}
 	for _, a := range g.parts {
@@ -278,7 +284,7 @@
 	calls := make([]mixer.Call, len(g.parts))
 	for i, a := range g.parts {
 		calls[i] = a.call
-		a.conn, a.state = c, writing
+		a.conn, a.state, a.written = c, writing, now
 		c.streams[a.call.Name] = a
 	}
 	c.used = now
@@ -310,7 +316,7 @@
 	h := p.host(to.ID)
 	pr := &probe{host: h, sent: now, until: now.Add(p.lim.ConnectTimeout + slack)}
 	for _, c := range h.conns {
-		if c.up && !c.closed && c.addr == to.Addr && !p.stale(now, c) {
+		if c.up && !c.closed && !c.silent && c.addr == to.Addr && !p.stale(now, c) {
 			p.ask(c, pr)
 			return
 		}
@@ -389,8 +395,11 @@
 	case told:
 		// Written, or the connection is gone: either way the server has it given up, or soon will.
 		if p.calls[e.a.call.Attempt] == e.a {
-			if e.a.conn != nil {
-				e.a.conn.givenUp[e.a.call.Name] = now
+			if c := e.a.conn; c != nil {
+				c.givenUp[e.a.call.Name] = now
+				// Guards against a machine that vanished: its connections stay open and say nothing, and whatever is
+				// written on them may have run for all one knows. A new one shows whether it is there.
+				c.silent = c.silent || c.heard.Before(e.a.written) && now.Sub(e.a.written) > silentAfter
 			}
 			p.end(e.a, &mixer.AttemptError{Reach: mixer.Written, Withdrawn: true})
 		}
@@ -516,6 +525,7 @@
 	if c.closed {
 		return
 	}
+	c.heard, c.silent = now, false
 	switch f.Letter {
 	case letterAnswer:
 		a, err := parseAnswer(f.Rest)
--- a/internal/net/leaf/pool_test.go
+++ b/internal/net/leaf/pool_test.go
@@ -409,3 +409,28 @@
 		}
 	}
 }
+
+// A machine that vanished leaves its connections open and silent: the next part must not go out on one.
+func TestSilentConnectionIsLeft(t *testing.T) {
+	for _, c := range []struct {
+		after time.Duration
+		heard bool
+		dials int
+	}{{2 * time.Second, false, 1}, {2 * time.Second, true, 0}, {100 * time.Millisecond, false, 0}} {
+		r := newRig(t)
+		first := r.send()
+		r.dialed(nil)
+		l := r.links[0]
+		l.settle(tcp.All)
+		r.now = r.now.Add(c.after)
+		if c.heard {
+			r.answer(l, "q.unknown", 'S')
+		}
+		r.withdraw(first)
+		l.settle(tcp.All)
+		r.turn()
+		if r.send(); len(r.dials) != c.dials {
+			t.Errorf("%+v: %d dials", c, len(r.dials))
+		}
+	}
+}
