--- a/cmd/rooktrestle/program_test.go
+++ b/cmd/rooktrestle/program_test.go
@@ -34,12 +34,15 @@
 	cmd    *exec.Cmd
 	listen map[string]string // what listens where
 	last   chan string       // the last line, once it has ended
+	lines  chan string       // lines on the configuration
+	conf   string            // the configuration's file
 }
 
 // start starts the program and waits until it has named so many listeners.
 func start(t *testing.T, listeners int, env []string, args ...string) *program {
 	t.Helper()
-	p := &program{t: t, cmd: exec.Command(os.Args[0], args...), listen: map[string]string{}, last: make(chan string, 1)}
+	p := &program{t: t, cmd: exec.Command(os.Args[0], args...), listen: map[string]string{}, last: make(chan string, 1),
+		lines: make(chan string, 8)}
 	p.cmd.Env = append(append(os.Environ(), "ROOKTRESTLE_PROGRAM=1"), env...)
 	out, err := p.cmd.StderrPipe()
 	if err != nil {
@@ -58,6 +61,9 @@
 					close(ready)
 				}
 			}
+			if strings.Contains(last, "configuration") {
+				p.lines <- last
+			}
 			if strings.Contains(last, "panic") || strings.Contains(last, "DATA RACE") {
 				t.Errorf("the program says: %s", last)
 			}
@@ -178,9 +184,8 @@
  "load_info":{"fields":["pending"],"how":"pull"},"n_instances":1,"orgs":[{"name":"tv","quota_per_s":100,"share":1}],
  "rules":{"cold":16000000,"cold_from":0.28,"fall":2000000,"tip_multiple":3},"tick":5000,"zone":0,"zones":["a","b"]}`
 
-// platform starts the program with a stand-in of discovery that lists these leaf servers.
-func platform(t *testing.T, leaves ...*leafServer) *program {
-	t.Helper()
+// newDiscovery starts a stand-in that lists these leaf servers.
+func newDiscovery(t *testing.T, leaves ...*leafServer) string {
 	list := `{"version":1,"full":true,"servers":[`
 	for i, l := range leaves {
 		if i > 0 {
@@ -190,23 +195,38 @@
 	}
 	list += "]}"
 	disco := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != "/v1/servers" || r.URL.Query().Get("stream") != "1" {
+		if r.URL.Path != "/v1/servers" {
 			w.WriteHeader(404)
 			return
 		}
 		fmt.Fprintln(w, list)
+		if r.URL.Query().Get("stream") != "1" {
+			return
+		}
 		w.(http.Flusher).Flush()
 		<-r.Context().Done()
 	}))
 	t.Cleanup(disco.CloseClientConnections)
-	addr := strings.TrimPrefix(disco.URL, "http://")
-	path := filepath.Join(t.TempDir(), "config.json")
+	return strings.TrimPrefix(disco.URL, "http://")
+}
+
+// configure writes the platform's configuration.
+func configure(t *testing.T, path, discovery string) {
 	conf := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
-		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"version":0,"full":true,"servers":[]},"settings":%s}`, addr, platformSettings)
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"version":0,"full":true,"servers":[]},"settings":%s}`, discovery, platformSettings)
 	if err := os.WriteFile(path, []byte(conf), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := start(t, 1, []string{"NODE_CONFIG=" + path})
+}
+
+// platform starts the program with a stand-in of discovery that lists these leaf servers.
+func platform(t *testing.T, leaves ...*leafServer) *program {
+	t.Helper()
+	path, at := filepath.Join(t.TempDir(), "config.json"), newDiscovery(t, leaves...)
+	configure(t, path, at)
+	// On the platform the variable names the address of the start for good.
+	p := start(t, 1, []string{"NODE_CONFIG=" + path, "NODE_DISCOVERY=" + at})
+	p.conf = path
 	for status := 0; status != 200; { // once it is ready
 		if resp, err := http.Get("http://" + p.listen["http"] + "/healthz"); err == nil {
 			status = resp.StatusCode
@@ -382,3 +402,29 @@
 		}
 	}
 }
+
+// SIGHUP turns the mixer to the discovery that the file names now; a bad file leaves all as it was. Neither
+// ends it.
+func TestPlatformReadsItsConfigurationAgain(t *testing.T) {
+	a, b := newLeaf(t, value), newLeaf(t, value)
+	p := platform(t, a)
+	again := func(want string) {
+		t.Helper()
+		p.cmd.Process.Signal(syscall.SIGHUP)
+		if line := <-p.lines; !strings.Contains(line, want) {
+			t.Errorf("%q, want %q", line, want)
+		}
+	}
+	os.WriteFile(p.conf, []byte("{"), 0o600)
+	again("the new configuration is bad")
+	body := `{"slices":[{"slice":0,"mass":1}],"filter":"x"}`
+	if status, text := p.ask("q6", "search", body); status != 200 {
+		t.Errorf("%d %s", status, text)
+	}
+	configure(t, p.conf, newDiscovery(t, b))
+	again("configuration read again")
+	for i := 0; len(b.seen()) == 0; i++ { // once the new list is in, only b is listed
+		p.ask(fmt.Sprintf("r%d", i), "search", body)
+	}
+	p.stop()
+}
--- a/cmd/rooktrestle/serve.go
+++ b/cmd/rooktrestle/serve.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"rooktrestle/balance"
+	"rooktrestle/internal/config"
 	"rooktrestle/internal/mixer"
 	"rooktrestle/internal/net/discovery"
 	"rooktrestle/internal/net/httpfront"
@@ -35,12 +36,15 @@
 
 // servePlatform serves the platform's protocol until it is told to end.
 func servePlatform() error {
+	// From the start: a SIGHUP that nobody takes ends the program.
+	renewed := make(chan os.Signal, 1)
+	signal.Notify(renewed, syscall.SIGHUP)
 	n, err := loadNode()
 	if err != nil {
 		return err
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(n.Cores))))
-	debug.SetMemoryLimit(int64(n.MemoryMB) << 20 * 3 / 4)
+	debug.SetMemoryLimit(memoryLimit(n))
 
 	d := n.Deployment
 	decide, err := balance.New(d.Decisions)
@@ -102,6 +106,11 @@
 		default:
 		}
 	})
+	go func(n config.Node) {
+		for range renewed {
+			n = reload(n, watch)
+		}
+	}(n)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	onRequest := make(chan os.Signal, 1)
@@ -136,3 +145,24 @@
 	logf("%s", report())
 	return nil
 }
+
+// reload reads the configuration again, off the loop. A bad one leaves all as it was.
+func reload(n config.Node, watch *discovery.Watch) config.Node {
+	next, rest, err := n.Reload(os.Getenv)
+	if err != nil {
+		logf("the new configuration is bad, the old one stays: %v", err)
+		return n
+	}
+	debug.SetMemoryLimit(memoryLimit(next))
+	if next.Discovery != n.Discovery {
+		watch.Move(next.Discovery)
+	}
+	if rest {
+		logf("configuration read again: what changed beside discovery and memory waits for the next start")
+	} else {
+		logf("configuration read again")
+	}
+	return next
+}
+
+func memoryLimit(n config.Node) int64 { return int64(n.MemoryMB) << 20 * 3 / 4 }
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -1,8 +1,9 @@
-// Package config reads what a mixer is told at its start: the platform's configuration, and the operator's
+// Package config reads what a mixer is told, at its start and again: the platform's configuration, and the operator's
 // file of the second front.
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -24,6 +25,9 @@
 	Sockets    int
 	Known      json.RawMessage
 	Deployment wire.Deployment
+
+	stated string // the file's word on discovery
+	text   []byte // and on the settings
 }
 
 // LoadNode reads the file that NODE_CONFIG names; the other variables win over it.
@@ -51,6 +55,26 @@
 	return n, nil
 }
 
+// Reload reads the file that NODE_CONFIG names once more and returns what a running mixer goes on with: a new
+// address of discovery and a new limit on memory. The file wins over NODE_DISCOVERY once it names another
+// address than before, as the variables of a running program cannot change. rest says whether there are
+// changes that only a start takes up.
+func (n Node) Reload(env func(string) string) (next Node, rest bool, err error) {
+	at, err := LoadNode(env)
+	if err != nil {
+		return n, false, err
+	}
+	next = n
+	next.MemoryMB = at.MemoryMB
+	if at.stated != n.stated {
+		if next.stated = at.stated; at.stated != "" {
+			next.Discovery = at.stated
+		}
+	}
+	rest = at.Listen != n.Listen || at.Cores != n.Cores || at.Sockets != n.Sockets || !bytes.Equal(at.text, n.text)
+	return next, rest, nil
+}
+
 // ParseNode reads the configuration's text.
 func ParseNode(text []byte) (Node, error) {
 	var f struct {
@@ -75,6 +99,7 @@
 	n := Node{
 		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Known: f.Known,
 		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Seed: seed(f.Seed),
+		stated: f.Discovery, text: f.Settings,
 	}
 	var err error
 	if n.Deployment, err = wire.ParseDeployment(f.Settings); err != nil {
--- a/internal/net/discovery/watch.go
+++ b/internal/net/discovery/watch.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"rooktrestle/balance"
@@ -91,41 +92,89 @@
 	Put     func(any)
 	Log     func(format string, args ...any)
 	heard   func()
+
+	moves chan string // the newest address not yet gone to; made by Run or Move, whichever comes first
+	made  sync.Once
+	fresh bool // versions held may not continue at Addr: take the whole list first
+}
+
+func (w *Watch) moved() chan string {
+	w.made.Do(func() { w.moves = make(chan string, 1) })
+	return w.moves
+}
+
+// Move turns the watch to another address at once. It may be called at any time, by one goroutine.
+func (w *Watch) Move(addr string) {
+	select {
+	case <-w.moved(): // not gone to yet, and out of date
+	default:
+	}
+	w.moved() <- addr
 }
 
 // Run follows the list until stop is closed. heard is called after each message.
 func (w *Watch) Run(stop <-chan struct{}, heard func()) {
 	w.heard = heard
 	for {
-		if err := w.once(stop); err != nil {
+		err := w.once(stop)
+		if err != nil && err != errMoved {
 			w.Log("discovery: %v", err)
 		}
+		if err == errMoved {
+			continue
+		}
 		select {
 		case <-stop:
 			return
+		case addr := <-w.moved():
+			w.turn(addr)
 		case <-time.After(again):
 		}
 	}
 }
 
+var errMoved = errors.New("moved")
+
+// turn notes the address to go to. Guards against a list that is patched with another discovery's changes:
+// its versions need not continue those held.
+func (w *Watch) turn(addr string) {
+	w.Addr, w.fresh = addr, true
+	w.Log("discovery: moved to %s", addr)
+}
+
 func (w *Watch) once(stop <-chan struct{}) error {
-	s := &stream{w: w, alive: make(chan struct{}, 1), over: make(chan error, 1)}
+	s := &stream{w: w, whole: w.fresh, alive: make(chan struct{}, 1), over: make(chan error, 1), listed: make(chan struct{}, 1)}
 	s.parser = http1.Parser{Responses: true, Stream: s.body}
 	link, err := tcp.Dial(w.Addr, connectTimeout, func(*tcp.Link) tcp.Handler { return s })
 	if err != nil {
 		return err
 	}
 	defer link.Close(nil)
-	target := fmt.Sprintf("/v1/servers?stream=1&index=%d", w.Version)
-	link.Write(http1.Request("GET", target, w.Addr, nil), nil)
+	defer s.leave()
+	follow := func() {
+		link.Write(http1.Request("GET", fmt.Sprintf("/v1/servers?stream=1&index=%d", w.version(s)), w.Addr, nil), nil)
+	}
+	if w.fresh {
+		link.Write(http1.Request("GET", "/v1/servers", w.Addr, nil), nil)
+	} else {
+		follow()
+	}
 	for {
 		timer := time.NewTimer(silence)
 		select {
 		case <-s.alive:
 			timer.Stop()
+		case <-s.listed:
+			timer.Stop()
+			w.fresh = false
+			follow()
 		case err := <-s.over:
 			timer.Stop()
 			return err
+		case addr := <-w.moved():
+			timer.Stop()
+			w.turn(addr)
+			return errMoved
 		case <-timer.C:
 			return errors.New("nothing said for too long")
 		case <-stop:
@@ -135,13 +184,31 @@
 	}
 }
 
-// stream reads one watch's answer. It runs on its connection.
+func (w *Watch) version(s *stream) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return w.Version
+}
+
+// stream reads one watch's answers: the whole list, where it has to come first, and then the changes. It runs
+// on its connection.
 type stream struct {
 	w      *Watch
 	parser http1.Parser
 	line   []byte
 	alive  chan struct{}
 	over   chan error
+	listed chan struct{} // the whole list has come
+
+	mu    sync.Mutex
+	whole bool // what comes is the whole list
+	left  bool // the watch has gone on: what still comes here is for nobody
+}
+
+func (s *stream) leave() {
+	s.mu.Lock()
+	s.left = true
+	s.mu.Unlock()
 }
 
 func (s *stream) Data(b []byte) {
@@ -149,11 +216,24 @@
 	case s.alive <- struct{}{}:
 	default:
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.left { // guards the new list against late word from the old discovery
+		return
+	}
 	s.parser.Feed(b)
 	m, err := s.parser.Next()
 	if err == nil && m != nil {
-		if err = errors.New("the watch ended"); m.Status != 200 {
+		switch {
+		case m.Status != 200:
 			err = fmt.Errorf("status %d", m.Status)
+		case s.whole:
+			if err = s.take(s.line); err == nil {
+				s.whole, s.line = false, nil
+				s.listed <- struct{}{}
+			}
+		default:
+			err = errors.New("the watch ended")
 		}
 	}
 	if err != nil {
@@ -171,9 +251,24 @@
 	}
 }
 
+// take passes on one message.
+func (s *stream) take(text []byte) error {
+	version, m, err := Parse(text, s.w.Zones)
+	if err != nil {
+		return err
+	}
+	if s.whole {
+		m.Kind = balance.ListFull
+	}
+	s.w.Put(m)
+	s.w.Version = version
+	s.w.heard()
+	return nil
+}
+
 func (s *stream) body(b []byte) error {
 	s.line = append(s.line, b...)
-	for {
+	for !s.whole {
 		i := bytes.IndexByte(s.line, '\n')
 		if i < 0 {
 			break
@@ -183,13 +278,9 @@
 		if len(text) == 0 {
 			continue
 		}
-		version, m, err := Parse(text, s.w.Zones)
-		if err != nil {
+		if err := s.take(text); err != nil {
 			return err
 		}
-		s.w.Put(m)
-		s.w.Version = version
-		s.w.heard()
 	}
 	if len(s.line) > maxLine {
 		return fmt.Errorf("a line over %d bytes", maxLine)
--- a/internal/net/discovery/watch_test.go
+++ b/internal/net/discovery/watch_test.go
@@ -65,3 +65,41 @@
 	close(stop)
 	<-over
 }
+
+// A watch that is moved takes the new discovery's whole list before its changes: versions may not continue.
+func TestWatchMoves(t *testing.T) {
+	asked := make(chan string, 10)
+	serve := func(name string) string {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked <- name + " " + r.URL.RawQuery
+			if r.URL.RawQuery == "" {
+				fmt.Fprintf(w, "{\"version\":3,\"full\":true,\n\"servers\":[{\"id\":%q}]}\n", name)
+				return
+			}
+			fmt.Fprintf(w, "{\"version\":4,\"full\":false,\"servers\":[{\"id\":%q}]}\n", name)
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}))
+		t.Cleanup(server.CloseClientConnections)
+		return strings.TrimPrefix(server.URL, "http://")
+	}
+	got, stop, over := make(chan any, 10), make(chan struct{}), make(chan struct{})
+	w := &Watch{Addr: serve("old"), Version: 41, Put: func(e any) { got <- e }, Log: t.Logf}
+	go func() { w.Run(stop, func() {}); close(over) }()
+	expect := func(ask string, kind balance.ListKind, id balance.Replica) {
+		t.Helper()
+		if a := <-asked; a != ask {
+			t.Errorf("asked %q, want %q", a, ask)
+		}
+		if m := (<-got).(mixer.Members); m.Kind != kind || len(m.List) != 1 || m.List[0].ID != id {
+			t.Errorf("%+v", m)
+		}
+	}
+	expect("old stream=1&index=41", balance.ListDelta, "old")
+	w.Move("127.0.0.1:1") // overtaken by the next
+	w.Move(serve("new"))
+	expect("new ", balance.ListFull, "new")
+	expect("new stream=1&index=3", balance.ListDelta, "new")
+	close(stop)
+	<-over
+}
