--- a/cmd/rooktrestle/partners.go
+++ b/cmd/rooktrestle/partners.go
@@ -87,12 +87,12 @@
 	service := &partner.Service{Conf: conf, Put: box.Put, Now: clock.Now}
 	own := &health.Own{}
 	own.Set(health.Report{Admin: health.Up, State: health.Up, Weight: 1})
-	times := httpserve.Timeouts{Idle: 2 * time.Minute, Read: 10 * time.Second}
+	times := httpserve.Timeouts{First: 10 * time.Second, Idle: 2 * time.Minute, Read: 10 * time.Second, Spare: spareClient}
 	web := httpserve.New(times, clock.Now, (&sru.Server{Service: service}).Handle)
 	checks := httpserve.New(times, clock.Now, own.HTTP)
 	target := &z3950.Server{Service: service, Idle: associationIdle}
 
-	gate := &tcp.Gate{Most: max(1, conf.Limits.Sockets/2-otherSockets)}
+	gate := &tcp.Gate{Most: max(1, conf.Limits.Sockets/2-otherSockets), Room: func() bool { return web.Room(true) || checks.Room(true) }}
 	var servers []*tcp.Server
 	for _, l := range []struct {
 		what, addr string
--- a/cmd/rooktrestle/serve.go
+++ b/cmd/rooktrestle/serve.go
@@ -28,6 +28,10 @@
 	// otherSockets are kept for the listener, discovery, pollers and standard streams.
 	otherSockets = 32
 	flushed      = 50 * time.Millisecond
+	// firstRequest is the time for a request: a client that begins and does not end is owed an error or a close.
+	firstRequest = 2200 * time.Millisecond
+	idleClient   = 15 * time.Second // a connection between requests
+	spareClient  = 2 * time.Second  // the same, where many are open
 )
 
 func logf(format string, args ...any) {
@@ -86,12 +90,15 @@
 	}
 	front = httpfront.New(httpfront.Settings{
 		Classes: d.Classes, Tenants: d.Tenants, Shards: d.Decisions.Shards, MaxWait: 2 * longest,
-		Timeouts: httpserve.Timeouts{Idle: 2 * time.Minute, Read: 10 * time.Second},
+		Timeouts: httpserve.Timeouts{First: firstRequest, Idle: idleClient, Read: firstRequest, Spare: spareClient},
 	}, box.Put, clock.Now, func() (text string) {
 		loop.Do(func() { text = report() })
 		return text
 	})
-	server, err := tcp.Listen(n.Listen, &tcp.Gate{Most: n.Sockets - n.Sockets/3 - otherSockets}, front.Accept)
+	most := n.Sockets - n.Sockets/3 - otherSockets
+	front.Crowd = most / 2
+	gate := &tcp.Gate{Most: most, Room: func() bool { return front.Room(true) }}
+	server, err := tcp.Listen(n.Listen, gate, front.Accept)
 	if err != nil {
 		return err
 	}
--- a/internal/net/httpserve/httpserve.go
+++ b/internal/net/httpserve/httpserve.go
@@ -3,6 +3,8 @@
 package httpserve
 
 import (
+	"cmp"
+	"container/list"
 	"fmt"
 	"os"
 	"sync"
@@ -14,15 +16,18 @@
 
 // Timeouts of a connection.
 type Timeouts struct {
-	Idle time.Duration // between requests
-	Read time.Duration // for the rest of a request that has begun
+	First time.Duration // for the first request, from the start; 0: as Idle and Read say
+	Idle  time.Duration // between requests
+	Read  time.Duration // for the rest of a request that has begun
+	Spare time.Duration // idle for so long, a connection may make room for another
 }
 
 // Counters count connections and requests, and how the server itself ended some.
-type Counters struct{ Conns, Requests, Bad, Panics uint64 }
+type Counters struct{ Conns, Requests, Bad, Spared, Panics uint64 }
 
 // Server holds connections.
 type Server struct {
+	Crowd  int // more connections than this, and those idle for Spare make room; 0: never
 	handle func(*Exchange)
 	times  Timeouts
 	now    func() time.Time
@@ -30,6 +35,8 @@
 	mu      sync.Mutex
 	closing bool // every answer ends its connection
 	conns   map[*conn]bool
+	unused  list.List // of connections without a whole request so far, oldest first
+	idle    list.List // of connections between requests, the one idle longest first
 	count   Counters
 }
 
@@ -71,6 +78,53 @@
 	Write(b []byte, done func(tcp.Wrote))
 	Finish(linger bool)
 	Close(cause error)
+	Drop()
+}
+
+// Room closes a connection that is in nobody's way, before it returns, and says whether there was one. Guards
+// the limit on sockets: against clients that connect and say nothing, and against those that ask once and
+// keep their connection. With force any that has no request in hand goes; else one that was idle for Spare.
+func (s *Server) Room(force bool) bool {
+	s.mu.Lock()
+	var c *conn
+	if e := s.idle.Front(); e != nil && s.now().Sub(e.Value.(*conn).since) >= s.times.Spare {
+		c = e.Value.(*conn)
+	} else if e := s.unused.Front(); e != nil && force {
+		c = e.Value.(*conn)
+	} else if e := s.idle.Front(); e != nil && force {
+		c = e.Value.(*conn)
+	}
+	if c == nil {
+		s.mu.Unlock()
+		return false
+	}
+	c.unlist()
+	s.count.Spared++
+	s.mu.Unlock()
+	c.mu.Lock()
+	open := c.open != nil // a request has come in just now
+	c.over = c.over || !open
+	c.mu.Unlock()
+	if !open {
+		c.link.Drop()
+	}
+	return !open
+}
+
+// enlist and unlist keep what list a connection is on. They are called with the server's lock held.
+func (c *conn) enlist(l *list.List) {
+	c.unlist()
+	if c.s.conns[c] {
+		c.since, c.on = c.s.now(), l
+		c.place = l.PushBack(c)
+	}
+}
+
+func (c *conn) unlist() {
+	if c.on != nil {
+		c.on.Remove(c.place)
+		c.on, c.place = nil, nil
+	}
 }
 
 // Accept makes the handler of a new connection.
@@ -80,12 +134,17 @@
 func (s *Server) Attach(l Link) tcp.Handler {
 	c := &conn{s: s, link: l}
 	c.mu.Lock()
-	c.arm(s.times.Idle)
+	c.arm(cmp.Or(s.times.First, s.times.Idle))
 	c.mu.Unlock()
 	s.mu.Lock()
 	s.conns[c] = true
 	s.count.Conns++
+	c.enlist(&s.unused)
+	crowded := s.Crowd > 0 && len(s.conns) > s.Crowd
 	s.mu.Unlock()
+	if crowded {
+		s.Room(false)
+	}
 	return c
 }
 
@@ -113,12 +172,19 @@
 
 	mu     sync.Mutex
 	parser http1.Parser
-	begun  time.Time
+	begun  time.Time // when the first byte of the next request came
+	heard  time.Time
 	open   *Exchange // taken and not answered
 	over   bool
 	timer  *time.Timer
 	asked  bool // 100 Continue was sent
 	inside bool // advance is on its way up the stack
+	used   bool // a whole request has come
+
+	// under the server's lock
+	on    *list.List // it is listed on; nil: on none
+	place *list.Element
+	since time.Time // when it was listed
 }
 
 // arm sets the time by which the next whole request must be in.
@@ -161,9 +227,11 @@
 	if c.over {
 		return
 	}
+	c.heard = c.s.now()
 	if !c.parser.Begun() {
-		c.begun = c.s.now()
-		if c.open == nil {
+		c.begun = c.heard
+		// The first request has its time from the start. Guards against clients that begin and never end.
+		if c.open == nil && (c.used || c.s.times.First == 0) {
 			c.arm(c.s.times.Read)
 		}
 	}
@@ -202,11 +270,15 @@
 			}
 			return
 		}
-		c.asked = false
+		c.asked, c.used = false, true
 		x := &Exchange{Message: m, Begun: c.begun, c: c}
+		c.begun = c.heard // of one that was sent right behind it
 		c.open = x
 		c.arm(0)
-		c.s.counted(&c.s.count.Requests)
+		c.s.mu.Lock()
+		c.s.count.Requests++
+		c.unlist()
+		c.s.mu.Unlock()
 		c.mu.Unlock()
 		c.call(x)
 		c.mu.Lock()
@@ -269,12 +341,16 @@
 		return
 	}
 	if c.parser.Begun() {
-		c.begun = c.s.now()
 		c.arm(c.s.times.Read)
 	} else {
 		c.arm(c.s.times.Idle)
 	}
 	c.advance()
+	if c.open == nil && !c.over {
+		c.s.mu.Lock()
+		c.enlist(&c.s.idle)
+		c.s.mu.Unlock()
+	}
 }
 
 // Closed tells the owner of the request in hand that its client has gone away.
@@ -290,6 +366,7 @@
 	c.mu.Unlock()
 	c.s.mu.Lock()
 	delete(c.s.conns, c)
+	c.unlist()
 	c.s.mu.Unlock()
 	if left != nil {
 		left()
--- a/internal/net/httpserve/httpserve_test.go
+++ b/internal/net/httpserve/httpserve_test.go
@@ -12,9 +12,11 @@
 type link struct {
 	out              strings.Builder
 	finished, closed bool
+	dropped          bool
 }
 
 func (l *link) Write(b []byte, _ func(tcp.Wrote)) { l.out.Write(b) }
+func (l *link) Drop()                             { l.dropped = true }
 func (l *link) Finish(bool)                       { l.finished = true }
 func (l *link) Close(error)                       { l.closed = true }
 
@@ -87,3 +89,81 @@
 		t.Error("a client that floods was answered")
 	}
 }
+
+// Connections that are in nobody's way make room for others: those kept after an answer once they were idle
+// for a while, then those that said nothing, oldest first, then any without a request. One at work stays.
+func TestRoom(t *testing.T) {
+	at := now()
+	var open *Exchange
+	s := New(Timeouts{Spare: 2 * time.Second}, func() time.Time { return at }, func(x *Exchange) { open = x })
+	attach := func(say string, answer bool) *link {
+		l := &link{}
+		c := s.Attach(l)
+		if c.Data([]byte(say)); answer {
+			open.Respond(200, nil)
+		}
+		return l
+	}
+	kept := attach("GET / HTTP/1.1\r\n\r\n", true)
+	silent := attach("", false)
+	half := attach("GET", false)
+	busy := attach("GET / HTTP/1.1\r\n\r\n", false)
+	fresh := attach("GET / HTTP/1.1\r\n\r\n", true)
+	if s.Room(false) {
+		t.Error("a connection went that was not idle for long")
+	}
+	at = at.Add(1500 * time.Millisecond)
+	if !s.Room(true) || !silent.dropped {
+		t.Error("the silent one stayed")
+	}
+	at = at.Add(time.Second)
+	s.Crowd = 1
+	attach("", false) // one more makes a crowd
+	if !kept.dropped && !fresh.dropped {
+		t.Error("the crowd stayed")
+	}
+	for range 4 {
+		s.Room(true)
+	}
+	if !kept.dropped || !fresh.dropped || !half.dropped || busy.dropped || s.Room(true) {
+		t.Errorf("kept %v, fresh %v, half %v, busy %v", kept.dropped, fresh.dropped, half.dropped, busy.dropped)
+	}
+	if n := s.Counters().Spared; n != 5 {
+		t.Errorf("%d spared", n)
+	}
+}
+
+// The first request has its time from the start of the connection: what trickles in does not prolong it.
+func TestTimeForTheFirstRequest(t *testing.T) {
+	s := New(Timeouts{First: time.Hour, Idle: time.Hour, Read: time.Hour}, now, func(x *Exchange) { x.Respond(200, nil) })
+	for say, want := range map[string]string{"": "", "GET / HT": "HTTP/1.1 408 "} {
+		l := &link{}
+		c := s.Attach(l).(*conn)
+		timer := c.timer
+		if c.Data([]byte(say)); c.timer != timer {
+			t.Errorf("%q: the time was set anew", say)
+		}
+		if c.expire(); !l.finished || !strings.HasPrefix(l.out.String(), want) || want == "" && l.out.Len() > 0 {
+			t.Errorf("%q: %q", say, l.out.String())
+		}
+	}
+	c := s.Attach(&link{}).(*conn)
+	c.Data([]byte("GET / HTTP/1.1\r\n\r\n"))
+	timer := c.timer
+	if c.Data([]byte("GET")); c.timer == timer {
+		t.Error("a later request has no time of its own")
+	}
+}
+
+// What was sent behind a request counts from when it came, not from that request's answer.
+func TestArrivalBehindARequest(t *testing.T) {
+	at := now()
+	var open *Exchange
+	s := New(Timeouts{}, func() time.Time { return at }, func(x *Exchange) { open = x })
+	c := s.Attach(&link{})
+	c.Data([]byte("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n"))
+	at = at.Add(time.Second)
+	if open.Respond(200, nil); open.Target != "/2" || !open.Begun.Equal(now()) {
+		t.Errorf("%s begun %v", open.Target, open.Begun)
+	}
+}
--- a/internal/net/tcp/tcp.go
+++ b/internal/net/tcp/tcp.go
@@ -28,6 +28,7 @@
 	writeTimeout = 2 * time.Second // a peer that takes nothing for so long is given up
 	queueMost    = 1 << 20         // bytes waiting to be written on one link
 	lingerFor    = time.Second
+	gateTries    = 4 // connections that may be closed for one that comes
 )
 
 // ErrSlow ends a link whose peer does not read what is sent to it.
@@ -112,6 +113,14 @@
 	go l.conn.Close() // it may call Closed at once, and the caller may hold what that needs
 }
 
+// Drop closes the link before it returns: its socket is free then. The caller holds nothing that Closed needs.
+func (l *Link) Drop() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	l.conn.Close()
+}
+
 func (l *Link) shut() {
 	if c, ok := l.conn.(netpoll.Conn); ok && l.linger && l.conn.IsActive() {
 		syscall.Shutdown(c.Fd(), syscall.SHUT_WR)
@@ -257,18 +266,25 @@
 
 // Gate caps the connections that servers hold together. Guards the limit on sockets.
 type Gate struct {
-	mu        sync.Mutex
-	Most, now int
+	Room func() bool // if set, closes some connection to make room, before it returns; false: none may go
+	mu   sync.Mutex
+	Most int
+	now  int
 }
 
 func (g *Gate) enter() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.now >= g.Most {
-		return false
+	for tries := 0; ; tries++ {
+		g.mu.Lock()
+		if g.now < g.Most {
+			g.now++
+			g.mu.Unlock()
+			return true
+		}
+		g.mu.Unlock()
+		if g.Room == nil || tries == gateTries || !g.Room() {
+			return false
+		}
 	}
-	g.now++
-	return true
 }
 
 func (g *Gate) leave() {
@@ -295,8 +311,7 @@
 		},
 		netpoll.WithOnPrepare(func(conn netpoll.Connection) context.Context {
 			if !gate.enter() {
-				conn.Close()
-				return context.Background()
+				return context.Background() // closed by the next step, once it is registered
 			}
 			l := &Link{conn: conn}
 			l.handler = accept(l)
@@ -304,9 +319,11 @@
 			conn.AddCloseCallback(func(netpoll.Connection) error { gate.leave(); return nil })
 			return context.WithValue(context.Background(), linkKey{}, l)
 		}),
-		netpoll.WithOnConnect(func(ctx context.Context, _ netpoll.Connection) context.Context {
+		netpoll.WithOnConnect(func(ctx context.Context, conn netpoll.Connection) context.Context {
 			if l, ok := ctx.Value(linkKey{}).(*Link); ok {
 				l.opened()
+			} else {
+				conn.Close()
 			}
 			return ctx
 		}))
