--- a/cmd/rooktrestle/program_test.go
+++ b/cmd/rooktrestle/program_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
@@ -252,7 +253,14 @@
 	return resp.StatusCode, string(text)
 }
 
-func value(name string, _ net.Conn) string { return "S 7 -\nv:" + name }
+// valueOf is the value that stand-ins make for a part.
+func valueOf(name string) string {
+	h := fnv.New64a()
+	io.WriteString(h, name)
+	return fmt.Sprintf("%016x", h.Sum64())
+}
+
+func value(name string, _ net.Conn) string { return "S 7 -\n" + valueOf(name) }
 
 func TestPlatformServes(t *testing.T) {
 	a, b := newLeaf(t, value), newLeaf(t, value)
@@ -265,7 +273,7 @@
 			Body  string
 		}
 	}
-	if err := json.Unmarshal([]byte(text), &got); status != 200 || err != nil || !got.Entire || len(got.Items) != 2 || got.Items[1].Body != "v:q1.3" {
+	if err := json.Unmarshal([]byte(text), &got); status != 200 || err != nil || !got.Entire || len(got.Items) != 2 || got.Items[1].Body != valueOf("q1.3") {
 		t.Errorf("%d %s", status, text)
 	}
 	for _, line := range append(a.seen(), b.seen()...) {
@@ -280,12 +288,12 @@
 
 func TestPlatformSecondStep(t *testing.T) {
 	score := func(name string, _ net.Conn) string {
-		return map[byte]string{'0': "S 5", '1': "S 9", '2': "S 1", '3': "S 8"}[name[3]] + " -\nv:" + name
+		return map[byte]string{'0': "S 5", '1': "S 9", '2': "S 1", '3': "S 8"}[name[3]] + " -\n" + valueOf(name)
 	}
 	a, b := newLeaf(t, score), newLeaf(t, score)
 	p := platform(t, a, b)
 	_, text := p.ask("q2", "report", `{"slices":[{"slice":0,"mass":0.25},{"slice":1,"mass":0.25},{"slice":2,"mass":0.25},{"slice":3,"mass":0.25}],"filter":"x"}`)
-	if !strings.Contains(text, `"entire":true`) || !strings.Contains(text, "v:q2.1.phase2") || !strings.Contains(text, "v:q2.3.phase2") || strings.Contains(text, "q2.0") {
+	if !strings.Contains(text, `"entire":true`) || !strings.Contains(text, valueOf("q2.1.phase2")) || !strings.Contains(text, valueOf("q2.3.phase2")) || strings.Contains(text, valueOf("q2.0.phase2")) {
 		t.Error(text)
 	}
 	second := 0
@@ -333,7 +341,7 @@
 		return value(name, c)
 	}
 	p := platform(t, newLeaf(t, first), newLeaf(t, first))
-	if status, text := p.ask("q4", "search", `{"slices":[{"slice":1,"mass":1}],"filter":"x"}`); status != 200 || !strings.Contains(text, "v:q4.1") {
+	if status, text := p.ask("q4", "search", `{"slices":[{"slice":1,"mass":1}],"filter":"x"}`); status != 200 || !strings.Contains(text, valueOf("q4.1")) {
 		t.Errorf("%d %s", status, text)
 	}
 	p.stop()
@@ -384,7 +392,7 @@
 	<-asked
 	p.cmd.Process.Signal(syscall.SIGTERM)
 	close(told)
-	if got := <-done; !strings.HasPrefix(got, "200") || !strings.Contains(got, "v:q5.1") {
+	if got := <-done; !strings.HasPrefix(got, "200") || !strings.Contains(got, valueOf("q5.1")) {
 		t.Error(got)
 	}
 	p.stop()
--- a/cmd/rooktrestle/serve.go
+++ b/cmd/rooktrestle/serve.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -58,6 +60,7 @@
 	clock, box := mixer.SystemClock{}, mixer.NewMailbox()
 	pool := leaf.NewPool(leaf.Limits{
 		Streams: d.Streams, Idle: d.ConnIdle, ConnectTimeout: d.ConnectTimeout, Sockets: n.Sockets / 3,
+		Silent: shortestAim(d.Decisions.Classes) / 2,
 	}, box, tcp.Dial)
 	lim := mixer.Limits{MaxOpen: d.MaxOpen, CallParts: d.Decisions.CallParts, ComeBack: d.MaxRetryAfter, Ahead: 4 * d.Decisions.Tick}
 	longest := time.Duration(0)
@@ -85,8 +88,8 @@
 
 	var front *httpfront.Front
 	report := func() string {
-		return fmt.Sprintf("%v; leaf connections: dialed %d, refused %d, broken %d, late answers %d; front: %+v",
-			core.Count, pool.Stats.Dials, pool.Stats.DialsFailed, pool.Stats.Broken, pool.Stats.Late, front.Counters())
+		return fmt.Sprintf("%v; leaf connections: dialed %d, refused %d, broken %d, spoilt %d, late answers %d; front: %+v",
+			core.Count, pool.Stats.Dials, pool.Stats.DialsFailed, pool.Stats.Broken, pool.Stats.Spoilt, pool.Stats.Late, front.Counters())
 	}
 	front = httpfront.New(httpfront.Settings{
 		Classes: d.Classes, Tenants: d.Tenants, Shards: d.Decisions.Shards, MaxWait: 2 * longest,
@@ -173,3 +176,7 @@
 }
 
 func memoryLimit(n config.Node) int64 { return int64(n.MemoryMB) << 20 * 3 / 4 }
+
+func shortestAim(classes []balance.Class) time.Duration {
+	return slices.MinFunc(classes, func(c, o balance.Class) int { return cmp.Compare(c.Aim, o.Aim) }).Aim
+}
--- a/internal/mixer/mixer.go
+++ b/internal/mixer/mixer.go
@@ -25,11 +25,12 @@
 	return [...]string{"not connected", "not wholly written", "written", "answered"}[r]
 }
 
-// AttemptError says how an attempt failed. Reach and the two flags alone decide whether it may have run.
+// AttemptError says how an attempt failed. Reach and the flags alone decide whether it may have run.
 type AttemptError struct {
 	Reach      Reach
 	TurnedAway bool // Answered: the server did not take it
 	Withdrawn  bool // this mixer gave it up
+	Spoilt     bool // Written: the server lives, and what it said on the connection cannot be read
 	Cause      error
 }
 
@@ -64,7 +65,7 @@
 		return balance.Canceled
 	case a.Reach < Written:
 		return balance.ConnectFailed
-	case a.Reach == Answered:
+	case a.Reach == Answered, a.Spoilt:
 		return balance.Failed
 	}
 	return balance.Reset
--- a/internal/net/leaf/pool.go
+++ b/internal/net/leaf/pool.go
@@ -26,6 +26,9 @@
 	Idle           time.Duration // the server closes a connection left idle for so long
 	ConnectTimeout time.Duration
 	Sockets        int // connections together
+	// Silent is how long a server may say nothing at all before an attempt that is given up counts against its
+	// connection.
+	Silent time.Duration
 }
 
 const (
@@ -34,15 +37,16 @@
 	// idleMargin keeps writes off a connection that the server may be about to close: a call written to it
 	// would end as a reset, and may have run for all one knows.
 	idleMargin = 2 * time.Second
-	// silentAfter is how long a server may say nothing at all before an attempt that is given up counts against
-	// its connection.
-	silentAfter = time.Second
 	// givenUpFor is how long late word on an attempt that was given up may still come.
 	givenUpFor = 30 * time.Second
+	// partialFor is how long the rest of a frame may take: servers write each whole.
+	partialFor = 100 * time.Millisecond
+	// spread is how many connections to one server are opened before parts share them.
+	spread = 8
 )
 
 // Stats count what the pool did.
-type Stats struct{ Dials, DialsFailed, Broken, Late uint64 }
+type Stats struct{ Dials, DialsFailed, Broken, Spoilt, Late uint64 }
 
 // Pool holds the connections to all leaf servers. It lives on the loop.
 type Pool struct {
@@ -93,6 +97,7 @@
 	conn  *conn
 	sent  time.Time
 	until time.Time
+	again bool // asked a second time
 	over  bool // ended; its answer, if it still comes, is for nobody
 }
 
@@ -110,6 +115,10 @@
 	heard   time.Time // last time that the server said anything
 	silent  bool      // it may be gone without a word: nothing new goes out on it
 	since   time.Time // dialing since
+	partial time.Time // a frame began then and is not whole; zero: none
+	last    string    // part that was answered last
+	retired bool      // nothing new goes out on it
+	spoilt  bool      // it ended by what came on it
 }
 
 // events of the sockets
@@ -119,9 +128,13 @@
 		link Link
 		err  error
 	}
+	// framed is what came at once: whole frames, and then perhaps the beginning of another, or what cannot be
+	// read. It is one event, so that nothing is sent on the connection between an answer and the noise behind it.
 	framed struct {
-		c *conn
-		f Frame
+		c       *conn
+		frames  []Frame
+		partial bool
+		err     error
 	}
 	closed struct {
 		c   *conn
@@ -158,29 +171,33 @@
 
 // reader reads frames off a link and posts them.
 type reader struct {
-	c      *conn
-	box    interface{ Put(any) }
-	parser Parser
-	bad    error
+	c       *conn
+	box     interface{ Put(any) }
+	parser  Parser
+	partial bool // as last posted
+	bad     bool
 }
 
 func (r *reader) Data(b []byte) {
-	if r.bad != nil {
+	if r.bad {
 		return
 	}
 	r.parser.Feed(b)
+	e := framed{c: r.c}
 	for {
 		f, ok, err := r.parser.Next()
 		if err != nil {
-			r.bad = err
-			r.box.Put(closed{r.c, err}) // a frame that cannot be read ends the connection
-			return
+			r.bad, e.err = true, err
 		}
 		if !ok {
-			return
+			break
 		}
-		r.box.Put(framed{r.c, f})
+		e.frames = append(e.frames, f)
+	}
+	if e.partial = r.parser.Partial(); len(e.frames) > 0 || r.bad || e.partial && !r.partial {
+		r.box.Put(e)
 	}
+	r.partial = e.partial
 }
 
 func (r *reader) Closed(err error) { r.box.Put(closed{r.c, err}) }
@@ -208,12 +225,28 @@
 
 // place writes a group on a connection with room, or lets it wait for a new one.
 func (p *Pool) place(now time.Time, g *group, addr string) {
+	var best *conn
+	idle := 0
 	for _, c := range g.host.conns {
 		if c.up && p.fit(now, c, g, addr) {
-			p.write(now, c, g)
-			return
+			if len(c.streams) == 0 {
+				idle++
+			}
+			if best == nil || len(c.streams) < len(best.streams) {
+				best = c
+			}
 		}
 	}
+	if best != nil {
+		p.write(now, best, g)
+		// Another connection for the next part, while there is room. Guards the parts that share one: it ends
+		// with a spoilt answer to any of them.
+		if h := g.host; idle <= 1 && len(h.conns) < spread && p.total < p.lim.Sockets*3/4 && p.open.Open(h.id) &&
+			!slices.ContainsFunc(h.conns, func(c *conn) bool { return !c.up }) {
+			p.connect(now, h, addr)
+		}
+		return
+	}
 	g.host.waiting = append(g.host.waiting, g)
 	room := 0
 	for _, c := range g.host.conns {
@@ -227,7 +260,7 @@
 }
 
 func (p *Pool) fit(now time.Time, c *conn, g *group, addr string) bool {
-	if c.closed || c.silent || c.addr != addr || len(c.streams)+len(g.parts) > max(p.lim.Streams, len(g.parts)) || p.stale(now, c) {
+	if c.closed || c.silent || c.retired || !c.partial.IsZero() || c.addr != addr || len(c.streams)+len(g.parts) > max(p.lim.Streams, len(g.parts)) || p.stale(now, c) {
 		return false
 	}
 	for _, a := range g.parts {
@@ -313,17 +346,20 @@
 
 // Probe asks a server for its load.
 func (p *Pool) Probe(now time.Time, to mixer.Server) {
-	h := p.host(to.ID)
-	pr := &probe{host: h, sent: now, until: now.Add(p.lim.ConnectTimeout + slack)}
+	p.probe(now, &probe{host: p.host(to.ID), sent: now, until: now.Add(p.lim.ConnectTimeout + slack)}, to.Addr)
+}
+
+func (p *Pool) probe(now time.Time, pr *probe, addr string) {
+	h := pr.host
 	for _, c := range h.conns {
-		if c.up && !c.closed && !c.silent && c.addr == to.Addr && !p.stale(now, c) {
+		if c.up && !c.closed && !c.silent && !c.retired && c.addr == addr && !p.stale(now, c) {
 			p.ask(c, pr)
 			return
 		}
 	}
 	h.probes = append(h.probes, pr)
-	if !slices.ContainsFunc(h.conns, func(c *conn) bool { return !c.up && !c.closed && c.addr == to.Addr }) {
-		p.connect(now, h, to.Addr)
+	if !slices.ContainsFunc(h.conns, func(c *conn) bool { return !c.up && !c.closed && c.addr == addr }) {
+		p.connect(now, h, addr)
 	}
 }
 
@@ -381,7 +417,7 @@
 	case dialed:
 		p.dialed(now, e)
 	case framed:
-		p.framed(now, e.c, e.f)
+		p.read(now, e)
 	case closed:
 		if e.c.link != nil && !e.c.closed {
 			p.Stats.Broken++
@@ -399,7 +435,7 @@
 				c.givenUp[e.a.call.Name] = now
 				// Guards against a machine that vanished: its connections stay open and say nothing, and whatever is
 				// written on them may have run for all one knows. A new one shows whether it is there.
-				c.silent = c.silent || c.heard.Before(e.a.written) && now.Sub(e.a.written) > silentAfter
+				c.silent = c.silent || c.heard.Before(e.a.written) && now.Sub(e.a.written) > p.lim.Silent
 			}
 			p.end(e.a, &mixer.AttemptError{Reach: mixer.Written, Withdrawn: true})
 		}
@@ -422,7 +458,7 @@
 		// The end of the frame may have left: it may run.
 		p.end(a, &mixer.AttemptError{Reach: mixer.Written, Cause: errors.New("the connection broke under the frame")})
 	case a.conn.closed:
-		p.end(a, &mixer.AttemptError{Reach: mixer.Written, Cause: errors.New("the connection broke")})
+		p.end(a, &mixer.AttemptError{Reach: mixer.Written, Spoilt: a.conn.spoilt, Cause: errors.New("the connection broke")})
 	default:
 		a.state = out
 	}
@@ -514,33 +550,68 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		p.end(c.streams[name], &mixer.AttemptError{Reach: mixer.Written, Cause: cause})
+		p.end(c.streams[name], &mixer.AttemptError{Reach: mixer.Written, Spoilt: c.spoilt, Cause: cause})
 	}
 	for _, pr := range c.probes {
+		// Asked once more: a connection may end while its server lives, and only a new one shows that.
+		if !pr.over && !pr.again && p.open.Open(pr.host.id) {
+			pr.again = true
+			p.probe(pr.sent, pr, c.addr)
+			continue
+		}
 		p.endProbe(pr.sent, pr, &mixer.AttemptError{Reach: mixer.Written, Cause: cause}, nil)
 	}
 }
 
-func (p *Pool) framed(now time.Time, c *conn, f Frame) {
+// read takes what came on a connection.
+func (p *Pool) read(now time.Time, e framed) {
+	c := e.c
+	for _, f := range e.frames {
+		if c.closed {
+			return
+		}
+		c.heard, c.silent, c.partial = now, false, time.Time{}
+		if err := p.framed(now, c, f); err != nil {
+			p.spoilt(c, err)
+		}
+	}
+	switch {
+	case c.closed:
+	case e.err != nil:
+		p.spoilt(c, e.err)
+	case e.partial && len(c.streams) == 0 && !slices.ContainsFunc(c.probes, func(pr *probe) bool { return !pr.over }):
+		p.spoilt(c, errors.New("bytes that nothing waits for"))
+	case e.partial:
+		c.partial = now
+	case c.retired && len(c.streams) == 0:
+		p.shut(c, errors.New("more came than belongs to an answer"))
+	}
+}
+
+// spoilt ends a connection on which something came that cannot be read. The server has had what is out on it,
+// so that may have run.
+func (p *Pool) spoilt(c *conn, cause error) {
 	if c.closed {
 		return
 	}
-	c.heard, c.silent = now, false
+	p.Stats.Spoilt++
+	c.spoilt = true
+	p.shut(c, cause)
+}
+
+func (p *Pool) framed(now time.Time, c *conn, f Frame) error {
 	switch f.Letter {
 	case letterAnswer:
 		a, err := parseAnswer(f.Rest)
 		if err != nil {
-			p.Stats.Broken++
-			p.shut(c, err)
-			return
+			return err
 		}
 		c.used = now
 		at := c.streams[a.name]
 		if at == nil {
-			p.Stats.Late++
-			delete(c.givenUp, a.name)
-			return
+			return p.stray(c, a.name)
 		}
+		c.last = a.name
 		switch a.end {
 		case 'S':
 			p.end(at, nil, mixer.Ended{Score: a.score, Value: a.value, Report: a.report})
@@ -551,7 +622,7 @@
 		}
 	case letterLoad, letterProbe:
 		if len(c.probes) == 0 {
-			return
+			return errors.New("an answer to no probe")
 		}
 		pr := c.probes[0]
 		c.probes = c.probes[1:]
@@ -560,13 +631,25 @@
 			err = &mixer.AttemptError{Reach: mixer.Answered}
 		}
 		p.endProbe(now, pr, err, parseReport(string(f.Rest)))
-	case letterBad:
-		p.Stats.Broken++
-		p.shut(c, fmt.Errorf("the server could not use a frame: %q", f.Rest[:min(len(f.Rest), 80)]))
 	default:
-		p.Stats.Broken++
-		p.shut(c, fmt.Errorf("frame %q", f.Letter))
+		return fmt.Errorf("the server could not use a frame: %.80q", f.Rest)
+	}
+	return nil
+}
+
+// stray takes an answer for a part that is not out on the connection. One that was given up is late. A second
+// copy does no harm, but the connection is not used further. Any other is for a part that never gets its own.
+func (p *Pool) stray(c *conn, name string) error {
+	if _, gaveUp := c.givenUp[name]; gaveUp {
+		p.Stats.Late++
+		delete(c.givenUp, name)
+		return nil
+	}
+	if name == c.last {
+		c.retired = true
+		return nil
 	}
+	return fmt.Errorf("an answer for %.80q, which is not out", name)
 }
 
 // Sweep ends probes that are overdue and closes connections before their idle limit.
@@ -591,6 +674,18 @@
 					delete(c.givenUp, name)
 				}
 			}
+			if !c.partial.IsZero() {
+				if due := c.partial.Add(partialFor); !now.Before(due) {
+					p.spoilt(c, errors.New("a frame that does not end"))
+					continue
+				} else {
+					sooner(due)
+				}
+			}
+			if c.up && len(c.streams) == 0 && c.retired {
+				p.shut(c, errors.New("not used further"))
+				continue
+			}
 			if c.up && len(c.streams) == 0 && p.lim.Idle > 0 {
 				if p.stale(now, c) {
 					p.shut(c, errors.New("idle"))
--- a/internal/net/leaf/pool_test.go
+++ b/internal/net/leaf/pool_test.go
@@ -1,6 +1,7 @@
 package leaf
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"strings"
@@ -47,12 +48,10 @@
 }
 
 func (l *link) Write(b []byte, done func(tcp.Wrote)) {
-	var p Parser
-	p.Feed(b)
-	f, ok, err := p.Next()
-	if !ok || err != nil {
-		l.r.t.Fatalf("a frame %q: %v", b, err)
+	if len(b) < 5 || int(binary.BigEndian.Uint32(b)) != len(b)-4 {
+		l.r.t.Fatalf("a frame %q", b)
 	}
+	f := Frame{b[4], b[5:]}
 	var of *sent
 	switch f.Letter {
 	case letterCall:
@@ -126,7 +125,7 @@
 
 func newRig(t *testing.T) *rig {
 	r := &rig{t: t, now: time.Unix(1000, 0)}
-	r.p = NewPool(Limits{Streams: 2, Idle: 12 * time.Second, ConnectTimeout: 250 * time.Millisecond, Sockets: 3}, r, nil)
+	r.p = NewPool(Limits{Streams: 2, Idle: 12 * time.Second, ConnectTimeout: 250 * time.Millisecond, Sockets: 3, Silent: time.Second}, r, nil)
 	r.p.dial = func(c *conn, _ string, _ time.Duration) { r.dials = append(r.dials, c) }
 	r.p.Use(r)
 	return r
@@ -169,7 +168,13 @@
 			s.answer = end
 		}
 	}
-	r.Put(framed{l.c, Frame{letterAnswer, fmt.Appendf(nil, "%s %c 7 queue=1\nv", name, end)}})
+	r.came(l, Frame{letterAnswer, fmt.Appendf(nil, "%s %c 7 queue=1\n%s", name, end, someValue)})
+}
+
+const someValue = "5be2a07c19f04d63"
+
+func (r *rig) came(l *link, frames ...Frame) {
+	r.Put(framed{c: l.c, frames: frames})
 	r.turn()
 }
 
@@ -197,7 +202,7 @@
 	}
 	var a *mixer.AttemptError
 	if e.Err == nil {
-		if s.answer != 'S' || e.Value != "v" || e.Score != 7 || e.Report == nil || e.Report.Queue != 1 {
+		if s.answer != 'S' || e.Value != someValue || e.Score != 7 || e.Report == nil || e.Report.Queue != 1 {
 			r.t.Fatalf("%s is served: %+v", s.name, e)
 		}
 		return
@@ -279,7 +284,16 @@
 			case step%10 == 6 && s != nil && s.link != nil && !s.link.closed:
 				r.answer(s.link, s.name, "SEB"[pick%3])
 			case step%10 == 7 && l != nil && !l.closed:
-				r.answer(l, "q.unknown", 'S')
+				switch pick % 3 {
+				case 0:
+					r.answer(l, "q.unknown", 'S')
+				case 1:
+					r.Put(framed{c: l.c, err: errors.New("noise")})
+					r.turn()
+				case 2:
+					r.Put(framed{c: l.c, partial: true})
+					r.turn()
+				}
 			case step%10 == 8:
 				r.now = r.now.Add(2 * time.Second)
 				events, _ := r.p.Sweep(r.now)
@@ -318,19 +332,127 @@
 		s := r.send()
 		r.dialed(nil)
 		r.links[0].settle(tcp.All)
-		r.Put(framed{r.links[0].c, bad})
-		r.turn()
+		r.came(r.links[0], bad)
 		if s.ended != 1 || !r.links[0].closed {
 			t.Errorf("%q: ended %d times", bad.Rest, s.ended)
 		}
 	}
-	for _, bytes := range []string{"\x00\x00\x00\x00", "\x7f\xff\xff\xff5"} {
+	// Each as soon as its bytes show it, without waiting for the rest.
+	for _, bytes := range []string{
+		"\x00\x00\x00\x00", "\xc0", "\x00\x01", "\x00\x00\x10\x01", "\x00\x00\x00\x405q.0 S 1 -\n", "\x00\x00\x00\x108",
+		"\x00\x00\x00\x0e5q.0 S 1 -\nabc", "\x00\x00\x00\x085q.0 S 1", "\x00\x00\x00\x205q.0 Q 1 -\n",
+		"\x00\x00\x0f\x005" + strings.Repeat("x", maxLine+1),
+	} {
 		var p Parser
 		p.Feed([]byte(bytes))
 		if _, _, err := p.Next(); err == nil {
 			t.Errorf("%q was taken", bytes)
 		}
 	}
+	for _, rest := range []string{"q.0 S 1 -\n5be2a07c19f04d6", "q.0 S 1 -\n5be2a07c19f04d6Z", "q.0 S NaN -\n" + someValue} {
+		if _, err := parseAnswer([]byte(rest)); err == nil {
+			t.Errorf("%q was taken", rest)
+		}
+	}
+	// An answer whose report cannot be read, or is missing, is good, and says nothing of the queue.
+	for _, report := range []string{"", " ", " \xff\xfe queue = none", " queue=-4", " queue=1e300"} {
+		if a, err := parseAnswer([]byte("q.0 S 1" + report + "\n" + someValue)); err != nil || a.value != someValue || a.report != nil {
+			t.Errorf("%q: %v, %+v", report, err, a.report)
+		}
+	}
+}
+
+// What comes behind a good answer does no harm to it, nor to what goes out next.
+func TestMoreThanBelongsToAnAnswer(t *testing.T) {
+	good := Frame{letterAnswer, []byte("q.0 S 7 queue=1\n" + someValue)}
+	for name, e := range map[string]framed{
+		"noise":    {frames: []Frame{good}, err: errors.New("noise")},
+		"begun":    {frames: []Frame{good}, partial: true},
+		"again":    {frames: []Frame{good, good}},
+		"no probe": {frames: []Frame{good, {letterLoad, []byte("-")}}},
+	} {
+		r := newRig(t)
+		s := r.send()
+		r.dialed(nil)
+		s.answer = 'S'
+		r.links[0].settle(tcp.All)
+		e.c = r.links[0].c
+		r.Put(e)
+		r.turn()
+		if s.ended != 1 || !r.links[0].closed {
+			t.Errorf("%s: ended %d times, closed %v", name, s.ended, r.links[0].closed)
+		}
+		if next := r.send(); next.link == r.links[0] {
+			t.Errorf("%s: the next part went out on the same connection", name)
+		}
+	}
+}
+
+// A frame that does not end holds up what is out on its connection: that ends soon, and may have run.
+func TestFrameThatDoesNotEnd(t *testing.T) {
+	r := newRig(t)
+	s := r.send()
+	r.dialed(nil)
+	r.links[0].settle(tcp.All)
+	r.Put(framed{c: r.links[0].c, partial: true})
+	r.turn()
+	var next time.Time
+	for _, at := range []time.Duration{0, partialFor} {
+		r.now = r.now.Add(at)
+		var events []any
+		events, next = r.p.Sweep(r.now)
+		for _, e := range events {
+			if ended := e.(mixer.Ended); !errors.As(ended.Err, new(*mixer.AttemptError)) || !ended.Err.(*mixer.AttemptError).Spoilt {
+				t.Errorf("%+v", ended)
+			}
+			r.Put(e)
+		}
+		r.turn()
+		if over := at > 0; s.ended == 1 != over || r.links[0].closed != over || !over && !next.Equal(r.now.Add(partialFor)) {
+			t.Errorf("after %v: ended %d times, closed %v, next look at %v", at, s.ended, r.links[0].closed, next)
+		}
+	}
+}
+
+// A part has a connection of its own while there is room: one spoilt answer must not end the others' attempts.
+func TestPartsSpreadOverConnections(t *testing.T) {
+	r := newRig(t)
+	r.p.lim.Sockets = 8
+	first := r.send()
+	r.dialed(nil)
+	second := r.send() // shares the connection, and another is opened
+	r.dialed(nil)
+	third := r.send()
+	if first.link != second.link || third.link == first.link {
+		t.Fatal("the third part shares a connection with the others")
+	}
+	for _, l := range r.links {
+		l.settle(tcp.All)
+	}
+	r.Put(framed{c: third.link.c, err: errors.New("noise")})
+	r.turn()
+	if first.ended+second.ended != 0 || third.ended != 1 {
+		t.Error(first.ended, second.ended, third.ended)
+	}
+}
+
+// A probe whose connection ends is asked again on another: the server may live.
+func TestProbeOutlivesItsConnection(t *testing.T) {
+	r := newRig(t)
+	r.send()
+	r.dialed(nil)
+	r.p.Probe(r.now, mixer.Server{ID: "s", Addr: "x"})
+	r.links[0].end(tcp.All)
+	r.turn()
+	r.dialed(nil)
+	var got []any
+	for len(r.box) > 0 {
+		got, r.box = append(got, r.box[0]), r.box[1:]
+	}
+	events, _ := r.p.Handle(r.now, framed{c: r.links[len(r.links)-1].c, frames: []Frame{{letterLoad, []byte("queue=2")}}})
+	if len(events) != 1 || events[0].(mixer.Probed).Err != nil {
+		t.Errorf("%+v %+v", got, events)
+	}
 }
 
 func TestProbes(t *testing.T) {
@@ -353,7 +475,7 @@
 	take(events)
 	r.p.Probe(r.now, mixer.Server{ID: "s", Addr: "x"})
 	for _, text := range []string{"queue=9", "E", "queue=3,util=0.5,new=x"} { // the first two are late
-		events, _ := r.p.Handle(r.now, framed{r.links[0].c, Frame{letterLoad, []byte(text)}})
+		events, _ := r.p.Handle(r.now, framed{c: r.links[0].c, frames: []Frame{{letterLoad, []byte(text)}}})
 		take(events)
 	}
 	if len(got) != 3 || got[0].Err == nil || got[1].Err == nil || got[2].Err != nil || got[2].Report == nil || got[2].Report.Queue != 3 || got[2].Report.Util != 0.5 {
@@ -415,8 +537,8 @@
 	for _, c := range []struct {
 		after time.Duration
 		heard bool
-		dials int
-	}{{2 * time.Second, false, 1}, {2 * time.Second, true, 0}, {100 * time.Millisecond, false, 0}} {
+		left  bool
+	}{{2 * time.Second, false, true}, {2 * time.Second, true, false}, {100 * time.Millisecond, false, false}} {
 		r := newRig(t)
 		first := r.send()
 		r.dialed(nil)
@@ -424,13 +546,14 @@
 		l.settle(tcp.All)
 		r.now = r.now.Add(c.after)
 		if c.heard {
-			r.answer(l, "q.unknown", 'S')
+			r.p.Probe(r.now, mixer.Server{ID: "s", Addr: "x"})
+			r.came(l, Frame{letterLoad, []byte("queue=1")})
 		}
 		r.withdraw(first)
 		l.settle(tcp.All)
 		r.turn()
-		if r.send(); len(r.dials) != c.dials {
-			t.Errorf("%+v: %d dials", c, len(r.dials))
+		if next := r.send(); (next.link != l) != c.left {
+			t.Errorf("%+v: sent on %v", c, next.link)
 		}
 	}
 }
