--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,6 +27,7 @@
 
 	lateDevs    = 3.0   // an attempt is late beyond the mean answer time and so many mean deviations
 	cancelLate  = 2.0   // late times after which a part is called off and sent anew; no copies
+	lostLate    = 3.0   // and so many, though the server has answered others since
 	doubtMost   = 3.0   // failed attempts that count against a server: bounds how long recovery takes
 	wayOut      = 2.0   // and against the way to a zone, if so many times what is still out there
 	wayRise     = 0.01  // weight of answer times over a way's least: wide queries end with slow ones
@@ -35,6 +36,7 @@
 	slowRatio   = 2.5   // least recent time over the fleet's median that counts as slow
 	slowTimes   = 4     // of its last answers
 	unsafeTrial = 20    // late times that a trial by what may not run twice waits beyond that
+	trialMost   = 8     // times longer it is at most, after failures with a class
 	trialGap    = 1.2   // late times between two trials of a doubted server, times the root of n: all try
 	probeRate   = 0.15  // probes earned by a part taken
 	probeMost   = 2     // and the most kept for later, for each part of a query
@@ -184,14 +186,6 @@
 	}
 }
 
-// restarted forgets what a server's earlier process showed.
-func (s *server) restarted(at time.Duration) {
-	s.started, s.heard, s.times, s.doubt, s.reported, s.coldSends = at, false, nil, 0, 0, nil
-	for i := range s.of {
-		s.of[i].doubt = 0
-	}
-}
-
 // coldShare is the least share of its capacity that a server has by now: it grows at least evenly.
 func (b *Balancer) coldShare(s *server) float64 {
 	age := b.now - s.started
@@ -481,7 +475,7 @@
 			continue
 		}
 		sound += b.coldShare(s)
-		own += float64(len(s.out))
+		own += float64(len(s.out) - s.stuck)
 		if s.told >= 0 && s.reported > 0 && b.now-s.reported < rateSpan*b.shortAim {
 			parts := s.told
 			for _, a := range s.out {
@@ -553,12 +547,12 @@
 	age, late := us(b.now-a.sent), b.late()
 	if !b.set.SecondCopies {
 		// Starting over loses the time waited and adds work, and the late parts of a sound server are heavy
-		// ones, late again elsewhere: only where the server shows nothing.
+		// ones, late again elsewhere: where the server shows nothing, or so late that the part is lost there.
 		if late *= cancelLate; !a.srv.way.fit() {
 			late = b.mean + b.dev
 		}
 		if a.srv.listed && a.srv.of[p.q.Class].lastOK > a.sent {
-			return
+			late = lostLate * b.late()
 		}
 	} else if !a.srv.sound(p.q.Class) || !a.srv.listed {
 		late = b.mean + b.dev
@@ -567,7 +561,7 @@
 		return
 	}
 	s := b.choose(p)
-	if s == nil || s.doubt > 0 || s.silent {
+	if s == nil || s.doubt+s.of[p.q.Class].doubt > 0 || s.silent {
 		return
 	}
 	if b.hedgeTokens--; b.set.SecondCopies {
@@ -629,7 +623,7 @@
 func (b *Balancer) rank(s *server) float64 {
 	r, sv, q := b.averages(s)
 	share := b.coldShare(s)
-	qHat := 1 + float64(len(s.out))*min(ownMost, float64(b.set.Instances)) + q
+	qHat := 1 + float64(len(s.out)-s.stuck)*min(ownMost, float64(b.set.Instances)) + q
 	return r - sv + math.Pow(qHat, rankPower)*sv/share
 }
 
@@ -684,12 +678,15 @@
 	}
 	from := sound
 	if len(sound) == 0 {
-		// None is sound: a good way, then no failure of this part, then the quick, then the least doubted.
+		// None is sound: a good way, then no failure of this part, then none of its class, then the quick, then
+		// the least doubted.
 		from = prefer(can, func(s *server) bool { return s.way.fit() })
 		from = prefer(from, func(s *server) bool { return !slices.Contains(p.failed, s) })
+		from = prefer(from, func(s *server) bool { return s.of[p.q.Class].doubt == 0 })
 		from = prefer(from, func(s *server) bool { return !s.slow })
-		least := slices.MinFunc(from, func(s, o *server) int { return cmp.Compare(s.doubt, o.doubt) }).doubt
-		from = prefer(from, func(s *server) bool { return s.doubt == least })
+		doubt := func(s *server) float64 { return s.doubt + s.of[p.q.Class].doubt }
+		least := doubt(slices.MinFunc(from, func(s, o *server) int { return cmp.Compare(doubt(s), doubt(o)) }))
+		from = prefer(from, func(s *server) bool { return doubt(s) == least })
 	}
 	// Near ties go to the own zone.
 	ranks, best := make([]float64, len(from)), math.Inf(1)
@@ -749,7 +746,7 @@
 		b.answered(s, took, len(p.q.parts))
 		if b.parts[p.ID] == p && !p.in {
 			p.in = true
-			if len(p.out) > 0 && a.n > 0 {
+			if a.n > 0 && (len(p.out) > 0 || took <= b.late()) {
 				b.hedgeTokens = min(hedgeMost, b.hedgeTokens+1) // it paid
 			}
 			for _, o := range p.out {
@@ -779,10 +776,12 @@
 		p.ran(a)
 		// Late, and nothing came from there since or another attempt was quicker: as good as a failure. Else
 		// a server that answers nothing, or not everything, would be as new once its parts are called off.
-		if e.Result == TimedOut || took > b.late() && (p.in || of.lastOK <= a.sent) {
+		if e.Result == TimedOut || took > b.late() && (p.in || of.lastOK <= a.sent || took > lostLate*b.late()) {
 			b.blame(s, of, a.sent)
 		}
-		b.censored(s, took, len(p.q.parts))
+		if s.lastOK <= a.sent { // else the part was lost, and its time says nothing of the others'
+			b.censored(s, took, len(p.q.parts))
+		}
 	}
 	p.failed = append(p.failed, s)
 }
@@ -806,7 +805,9 @@
 // blame holds a failure against how a server does with a class of queries, and unless it has answered others
 // since then, against the server.
 func (b *Balancer) blame(s *server, of *health, since time.Duration) {
-	trial := b.now + duration(trialGap*b.rootN*b.late())
+	// Longer each time: a server may lose most of a class, and each trial costs a query its late time.
+	of.fails++
+	trial := b.now + duration(trialGap*b.rootN*b.late()*min(trialMost, of.fails))
 	of.doubt, of.trialAt = min(doubtMost, of.doubt+1), trial
 	if s.lastOK > since {
 		return
@@ -814,13 +815,7 @@
 	if s.zone != b.set.Zone {
 		s.way.doubt++
 	}
-	s.doubt, s.trialAt = min(doubtMost, s.doubt+1), trial
-}
-
-func (s *server) note(took float64) {
-	if s.times = append(s.times, took); len(s.times) > recentTimes {
-		s.times = s.times[1:]
-	}
+	s.doubt, s.trialAt = min(doubtMost, s.doubt+1), b.now+duration(trialGap*b.rootN*b.late())
 }
 
 // answered takes an answer time into the averages.
@@ -936,8 +931,10 @@
 	b.median = b.least() // for the rest of the turn: no answer comes in before the next
 	for _, s := range b.order {
 		s.silent = b.mute(&s.health, b.late()/b.coldShare(s)) > 0
+		s.stuck = 0
 		for c := range s.of {
-			s.of[c].silent = b.mute(&s.of[c], b.late()/b.coldShare(s)) > 0
+			stuck := b.mute(&s.of[c], b.late()/b.coldShare(s))
+			s.of[c].silent, s.stuck = stuck > 0, s.stuck+stuck
 		}
 		s.slow = b.coldShare(s) == 1 && len(s.times) >= slowTimes-1 &&
 			slices.Min(s.times[max(0, len(s.times)-slowTimes):]) > slowRatio*b.median
@@ -953,10 +950,10 @@
 	}
 }
 
-// mute counts the attempts that are older than that and since which nothing came.
+// mute counts the attempts that are older than that and since which nothing came, or so old that they are lost.
 func (b *Balancer) mute(h *health, than float64) (n int) {
 	for _, a := range h.out {
-		if us(b.now-a.sent) > than && h.lastOK <= a.sent {
+		if age := us(b.now - a.sent); age > than && h.lastOK <= a.sent || age > lostLate*than {
 			n++
 		}
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1499,3 +1499,62 @@
 		}
 	}
 }
+
+// Where no replica is sound, one that loses the class comes after one that is slow.
+func TestReplicaThatLosesTheClassIsTheLastResort(t *testing.T) {
+	h := newBench(t, twoClasses(Safe))
+	h.serve(40, 100*ms)
+	for id, s := range h.b.servers {
+		s.trialAt = h.now + time.Hour
+		s.of[0].trialAt = s.trialAt
+		if id == "a" {
+			s.times = []float64{900e3, 900e3, 900e3, 900e3}
+		} else {
+			s.of[0].doubt = 1
+		}
+	}
+	for class, want := range []bool{true, false} {
+		_, ev := h.query(class, 1)
+		if s := one[Send](h, h.turn(ev...)); (s.Replica == "a") != want {
+			t.Errorf("class %d goes to %s", class, s.Replica)
+		}
+	}
+}
+
+// A part is called off though its server answers others of the class, once it is so late that it must be lost;
+// what is lost is no load, and a call-off that pays earns the next.
+func TestPartsLostAmongOthers(t *testing.T) {
+	set := testSettings()
+	set.SecondCopies = false
+	h := newBench(t, set)
+	h.serve(60, 100*ms)
+	h.b.hedgeTokens = 1
+	_, ev := h.query(0, 1)
+	lost := one[Send](h, h.turn(ev...))
+	srv := h.b.servers[lost.Replica]
+	calledAt := time.Duration(0)
+	for sent := h.now; calledAt == 0 && h.now < sent+2*time.Second; h.now += 10 * ms {
+		srv.lastOK, srv.of[0].lastOK = h.now, h.now
+		if len(all[Cancel](h.turn(Tick{}))) > 0 {
+			calledAt = h.now - sent
+		}
+	}
+	if late := h.b.late(); us(calledAt) < lostLate*late || us(calledAt) > lostLate*late+20e3 {
+		t.Errorf("called off after %v, late is %v", calledAt, duration(late))
+	}
+	if srv.stuck != 1 || srv.sound(0) {
+		t.Errorf("%d parts are lost there, sound: %v", srv.stuck, srv.sound(0))
+	}
+	if r := h.b.rank(srv); r > 10*us(100*ms) {
+		t.Errorf("rank %v: a lost part counts as load", r)
+	}
+	doubt, tokens := srv.doubt, h.b.hedgeTokens
+	again := one[Send](h, h.turn(Outcome{Part: lost.Part, Replica: lost.Replica, Result: Canceled}))
+	if srv.doubt != doubt || srv.of[0].doubt != 1 || again.Replica == lost.Replica {
+		t.Errorf("doubt %v, with the class %v; again at %s", srv.doubt, srv.of[0].doubt, again.Replica)
+	}
+	h.end(again, 1, OK, 100*ms)
+	if h.b.hedgeTokens < tokens+1 {
+		t.Errorf("%v tokens after %v", h.b.hedgeTokens, tokens)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -13,6 +13,7 @@
 	lastOK       time.Duration
 	out          []*attempt
 	doubt        float64
+	fails        float64 // since the last answer
 	silent, slow bool
 	trialAt      time.Duration // earliest next trial
 }
@@ -43,6 +44,7 @@
 	full             time.Duration   // full, or down: keep off until then
 	coldSends        []time.Duration // since its start; nil: none yet
 	lot              float64         // drawn at its start: so much of a part is owed before the first goes to it
+	stuck            int             // parts out that are lost there, as of this turn
 	lost             []*query        // that lost a connection to it; it is being asked whether it lives
 	probed           time.Duration
 	probing, noReply bool // noReply: the last probe was not answered
@@ -214,6 +216,7 @@
 
 // clear takes some of the doubt away after an answer.
 func (h *health) clear() {
+	h.fails = 0
 	if h.doubt *= doubtKeep; h.doubt < doubtClear {
 		h.doubt = 0
 	}
@@ -228,6 +231,20 @@
 	return mean
 }
 
+func (s *server) note(took float64) {
+	if s.times = append(s.times, took); len(s.times) > recentTimes {
+		s.times = s.times[1:]
+	}
+}
+
+// restarted forgets what a server's earlier process showed.
+func (s *server) restarted(at time.Duration) {
+	s.started, s.heard, s.times, s.doubt, s.reported, s.coldSends = at, false, nil, 0, 0, nil
+	for i := range s.of {
+		s.of[i].doubt, s.of[i].fails = 0, 0
+	}
+}
+
 // ran notes that an attempt may have run.
 func (p *part) ran(a *attempt) {
 	if !p.mayRun || a.sent < p.firstRun {
