--- a/cmd/rooktrestle/serve.go
+++ b/cmd/rooktrestle/serve.go
@@ -29,7 +29,9 @@
 	readyAnyway = 3 * time.Second
 	// otherSockets are kept for the listener, discovery, pollers and standard streams.
 	otherSockets = 32
-	flushed      = 50 * time.Millisecond
+	// clientShare: clients hold a third of the sockets for requests at most. Half of that may be kept idle.
+	clientShare = 6
+	flushed     = 50 * time.Millisecond
 	// firstRequest is the time for a request: a client that begins and does not end is owed an error or a close.
 	firstRequest = 2200 * time.Millisecond
 	idleClient   = 15 * time.Second // a connection between requests
@@ -99,7 +101,7 @@
 		return text
 	})
 	most := n.Sockets - n.Sockets/3 - otherSockets
-	front.Crowd = most / 2
+	front.Crowd = n.Sockets / clientShare
 	gate := &tcp.Gate{Most: most, Room: func() bool { return front.Room(true) }}
 	server, err := tcp.Listen(n.Listen, gate, front.Accept)
 	if err != nil {
@@ -144,8 +146,10 @@
 	front.SetReady(false)
 	logf("told to end")
 	time.Sleep(lateArrivals)
+	gate.Shut()
 	front.CloseIdle()
-	for held := 1; held > 0 || front.Open() > 0; {
+	// Guards the end against clients that connect and say nothing, or ask whether it is ready, all the time.
+	for held := 1; held > 0 || front.Busy() > 0; {
 		loop.Do(func() { held = core.Held() })
 		time.Sleep(flushed)
 	}
--- a/internal/net/httpserve/httpserve.go
+++ b/internal/net/httpserve/httpserve.go
@@ -27,7 +27,10 @@
 
 // Server holds connections.
 type Server struct {
-	Crowd  int // more connections than this, and those idle for Spare make room; 0: never
+	// Crowd is how many connections may be kept between requests. With more, an answer ends its connection, and
+	// those idle for Spare make room. Guards clients that ask once and keep their connection against running out
+	// of them, and the limit on sockets. 0: no limit.
+	Crowd  int
 	handle func(*Exchange)
 	times  Timeouts
 	now    func() time.Time
@@ -140,7 +143,7 @@
 	s.conns[c] = true
 	s.count.Conns++
 	c.enlist(&s.unused)
-	crowded := s.Crowd > 0 && len(s.conns) > s.Crowd
+	crowded := s.crowded()
 	s.mu.Unlock()
 	if crowded {
 		s.Room(false)
@@ -148,6 +151,16 @@
 	return c
 }
 
+// crowded is called with the lock held. Connections that were never used do not count: they are nobody's.
+func (s *Server) crowded() bool { return s.Crowd > 0 && len(s.conns)-s.unused.Len() > s.Crowd }
+
+// Busy is the number of connections with a request in hand, or an answer on its way.
+func (s *Server) Busy() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns) - s.unused.Len() - s.idle.Len()
+}
+
 // Exchange is a request and the way to answer it.
 type Exchange struct {
 	*http1.Message
@@ -328,7 +341,7 @@
 		c.s.counted(&c.s.count.Bad)
 	}
 	c.s.mu.Lock()
-	closing := x.Close || c.s.closing
+	closing := x.Close || c.s.closing || c.s.crowded()
 	c.s.mu.Unlock()
 	answer := http1.Response(status, closing, body, fields...)
 	if x.Method == "HEAD" {
--- a/internal/net/httpserve/httpserve_test.go
+++ b/internal/net/httpserve/httpserve_test.go
@@ -167,3 +167,22 @@
 		t.Errorf("%s begun %v", open.Target, open.Begun)
 	}
 }
+
+// In a crowd an answer ends its connection: clients that ask once and keep theirs would run out of them.
+func TestCrowdEndsWithTheAnswer(t *testing.T) {
+	var open *Exchange
+	s := New(Timeouts{Spare: time.Hour}, now, func(x *Exchange) { open = x })
+	s.Crowd = 2
+	s.Attach(&link{}) // said nothing: does not count
+	for i := range 4 {
+		l := &link{}
+		s.Attach(l).Data([]byte("GET / HTTP/1.1\r\n\r\n"))
+		if s.Busy() != 1+max(0, i-2) {
+			t.Errorf("%d: %d busy", i, s.Busy())
+		}
+		open.Respond(200, nil)
+		if crowd := i >= 2; l.finished != crowd || strings.Contains(l.out.String(), "Connection: close") != crowd {
+			t.Errorf("%d: finished %v, %q", i, l.finished, l.out.String())
+		}
+	}
+}
--- a/internal/net/tcp/tcp.go
+++ b/internal/net/tcp/tcp.go
@@ -272,6 +272,13 @@
 	now  int
 }
 
+// Shut lets nobody in any more.
+func (g *Gate) Shut() {
+	g.mu.Lock()
+	g.Most, g.Room = 0, nil
+	g.mu.Unlock()
+}
+
 func (g *Gate) enter() bool {
 	for tries := 0; ; tries++ {
 		g.mu.Lock()
@@ -280,8 +287,9 @@
 			g.mu.Unlock()
 			return true
 		}
+		room := g.Room
 		g.mu.Unlock()
-		if g.Room == nil || tries == gateTries || !g.Room() {
+		if room == nil || tries == gateTries || !room() {
 			return false
 		}
 	}
