--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,6 +28,9 @@
 	lateDevs    = 3.0   // an attempt is late beyond the mean answer time and so many mean deviations
 	cancelLate  = 2.0   // late times after which a part is called off and sent anew; no copies
 	lostLate    = 3.0   // and so many, though the server has answered others since
+	lossWeight  = 0.1   // of an attempt in the share lost of a class; what loses more is called off sooner
+	lossMost    = 0.4   // of them: what loses no more is of use while the sound are busy
+	lossRank    = 27    // times worse it ranks then, as with two parts more in hand
 	doubtMost   = 3.0   // failed attempts that count against a server: bounds how long recovery takes
 	wayOut      = 2.0   // and against the way to a zone, if so many times what is still out there
 	wayRise     = 0.01  // weight of answer times over a way's least: wide queries end with slow ones
@@ -389,7 +392,7 @@
 	for pass := range 3 { // unsent parts with a sound replica, other unsent ones, further attempts
 		for _, p := range q.parts {
 			if p.in || p.dead || hope >= want && q.need() < 1 || (p.tries > 0) != (pass == 2) ||
-				pass == 0 && !slices.ContainsFunc(b.replicas(p.Shard), func(s *server) bool { return s.sound(q.Class) }) {
+				pass == 0 && !slices.ContainsFunc(b.replicas(p.Shard), p.soundAt) {
 				continue
 			}
 			if b.advancePart(p); len(p.out) > 0 {
@@ -413,9 +416,7 @@
 		worth *= b.set.OverShareWorth
 	}
 	density := worth / float64(max(1, q.Parts))
-	if b.density == 0 {
-		b.density = density
-	}
+	b.density = cmp.Or(b.density, density)
 	b.density += densitySm * (density - b.density)
 	left := us(b.due(q) - b.now)
 	limit := left * admitBase * min(admitMost, max(admitLeast, math.Cbrt(density/b.density)))
@@ -551,7 +552,7 @@
 		if late *= cancelLate; !a.srv.way.fit() {
 			late = b.mean + b.dev
 		}
-		if a.srv.listed && a.srv.of[p.q.Class].lastOK > a.sent {
+		if of := a.srv.of[p.q.Class]; a.srv.listed && of.lastOK > a.sent && of.loss < lossWeight {
 			late = lostLate * b.late()
 		}
 	} else if !a.srv.sound(p.q.Class) || !a.srv.listed {
@@ -561,7 +562,7 @@
 		return
 	}
 	s := b.choose(p)
-	if s == nil || s.doubt+s.of[p.q.Class].doubt > 0 || s.silent {
+	if s == nil || p.doubts(s) > 0 || s.silent {
 		return
 	}
 	if b.hedgeTokens--; b.set.SecondCopies {
@@ -640,14 +641,9 @@
 	return r, sv, q
 }
 
-// fit says whether the way to a zone serves. Failures come back before answers: what is out may still come.
-func (w *way) fit() bool {
-	return w.doubt < max(doubtMost, wayOut*float64(len(w.out))) && !w.silent && !w.slow
-}
-
 // choose picks the replica for a part's next attempt: the lowest C3 rank among the candidates; or nil.
 func (b *Balancer) choose(p *part) *server {
-	var can, sound []*server
+	var can, sound, some []*server
 	for _, s := range b.replicas(p.Shard) {
 		busy := slices.ContainsFunc(p.out, func(a *attempt) bool { return a.srv == s })
 		if busy || b.now < s.full || !b.coldRoom(s) {
@@ -656,6 +652,8 @@
 		can = append(can, s)
 		if s.sound(p.q.Class) && !slices.Contains(p.failed, s) {
 			sound = append(sound, s)
+		} else if s.useful(p) {
+			some = append(some, s)
 		}
 	}
 	if len(can) == 0 {
@@ -676,26 +674,28 @@
 			}
 		}
 	}
-	from := sound
+	// What loses some answers does the rest: it takes what would wait long at the sound.
+	from := append(slices.Clone(sound), some...)
 	if len(sound) == 0 {
-		// None is sound: a good way, then no failure of this part, then none of its class, then the quick, then
-		// the least doubted.
+		// None is sound: a good way, then no failure of this part, then none of its class, then the quick,
+		// then the least doubted.
 		from = prefer(can, func(s *server) bool { return s.way.fit() })
 		from = prefer(from, func(s *server) bool { return !slices.Contains(p.failed, s) })
 		from = prefer(from, func(s *server) bool { return s.of[p.q.Class].doubt == 0 })
 		from = prefer(from, func(s *server) bool { return !s.slow })
-		doubt := func(s *server) float64 { return s.doubt + s.of[p.q.Class].doubt }
-		least := doubt(slices.MinFunc(from, func(s, o *server) int { return cmp.Compare(doubt(s), doubt(o)) }))
-		from = prefer(from, func(s *server) bool { return doubt(s) == least })
+		least := slices.MinFunc(from, func(s, o *server) int { return cmp.Compare(p.doubts(s), p.doubts(o)) })
+		from = prefer(from, func(s *server) bool { return p.doubts(s) == p.doubts(least) })
 	}
 	// Near ties go to the own zone.
 	ranks, best := make([]float64, len(from)), math.Inf(1)
 	for i, s := range from {
 		ranks[i] = b.rank(s) * (1 + b.rng.Float64()*lotSpread)
+		if len(sound) > 0 && i >= len(sound) {
+			ranks[i] *= lossRank
+		}
 		best = min(best, ranks[i])
 	}
-	var win *server
-	winHome, winRank := false, 0.0
+	win, winHome, winRank := (*server)(nil), false, 0.0
 	for i, s := range from {
 		home := s.zone == b.set.Zone
 		if ranks[i] > best && (!home || ranks[i] > best*nearTie) {
@@ -706,7 +706,7 @@
 		}
 	}
 	if p.tries == 0 {
-		b.pull(win, from)
+		b.pull(win, from[:cmp.Or(len(sound), len(from))])
 	}
 	return win
 }
@@ -739,6 +739,7 @@
 	of.out = slices.DeleteFunc(of.out, same)
 	b.report(s, e.Report)
 	took := us(b.now - a.sent)
+	of.lose(e.Result != OK && e.Result != QueueFull && (e.Result < Canceled || took > b.late()))
 	switch e.Result {
 	case OK:
 		of.lastOK = b.now
@@ -776,7 +777,8 @@
 		p.ran(a)
 		// Late, and nothing came from there since or another attempt was quicker: as good as a failure. Else
 		// a server that answers nothing, or not everything, would be as new once its parts are called off.
-		if e.Result == TimedOut || took > b.late() && (p.in || of.lastOK <= a.sent || took > lostLate*b.late()) {
+		lost := of.lastOK <= a.sent || took > lostLate*b.late()
+		if e.Result == TimedOut || took > b.late() && (p.in || lost) {
 			b.blame(s, of, a.sent)
 		}
 		if s.lastOK <= a.sent { // else the part was lost, and its time says nothing of the others'
@@ -950,7 +952,7 @@
 	}
 }
 
-// mute counts the attempts that are older than that and since which nothing came, or so old that they are lost.
+// mute counts the attempts that are older than that and since which nothing came, or that must be lost.
 func (b *Balancer) mute(h *health, than float64) (n int) {
 	for _, a := range h.out {
 		if age := us(b.now - a.sent); age > than && h.lastOK <= a.sent || age > lostLate*than {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1558,3 +1558,37 @@
 		t.Errorf("%v tokens after %v", h.b.hedgeTokens, tokens)
 	}
 }
+
+// A server that loses some answers is of use while the sound ones are busy, but not to what may not run twice,
+// nor once it loses most.
+func TestServerThatLosesSomeAnswersHelpsTheBusy(t *testing.T) {
+	for _, c := range []struct {
+		loss   float64
+		busy   int // parts in hand at the sound servers
+		effect Effect
+		want   bool
+	}{{0.25, 8, Safe, true}, {0.25, 0, Safe, false}, {0.8, 8, Safe, false}, {0.25, 8, Unsafe, false}} {
+		h := newBench(t, twoClasses(c.effect))
+		h.serve(60, 100*ms)
+		for id, s := range h.b.servers {
+			if id == "a" {
+				s.of[1].doubt, s.of[1].loss, s.of[1].trialAt = 1, c.loss, h.now+time.Hour
+				continue
+			}
+			for range c.busy {
+				s.out = append(s.out, &attempt{part: &part{q: &query{}}, srv: s, sent: h.now})
+			}
+		}
+		_, ev := h.query(1, 1)
+		if s := one[Send](h, h.turn(ev...)); (s.Replica == "a") != c.want {
+			t.Errorf("%+v: went to %s", c, s.Replica)
+		}
+	}
+	var of health
+	for i := range 200 {
+		of.lose(i%4 == 0)
+	}
+	if of.loss < 0.15 || of.loss > 0.35 {
+		t.Errorf("a quarter is lost, taken for %v", of.loss)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -14,6 +14,7 @@
 	out          []*attempt
 	doubt        float64
 	fails        float64 // since the last answer
+	loss         float64 // share of the attempts that came to nothing
 	silent, slow bool
 	trialAt      time.Duration // earliest next trial
 }
@@ -196,6 +197,11 @@
 	return some
 }
 
+// fit says whether the way to a zone serves. Failures come back before answers: what is out may still come.
+func (w *way) fit() bool {
+	return w.doubt < max(doubtMost, wayOut*float64(len(w.out))) && !w.silent && !w.slow
+}
+
 // well says whether a server may be trusted, and sound, whether it may with a class of queries.
 func (s *server) well() bool { return s.doubt == 0 && !s.silent && !s.slow && s.way.fit() }
 
@@ -203,6 +209,11 @@
 	return s.well() && s.of[class].doubt == 0 && !s.of[class].silent
 }
 
+func (p *part) soundAt(s *server) bool { return s.sound(p.q.Class) }
+
+// doubts are those of a server, and of how it does with the part's class.
+func (p *part) doubts(s *server) float64 { return s.doubt + s.of[p.q.Class].doubt }
+
 // doubted is what is not sound about a server for a class; nil if it is.
 func (s *server) doubted(class int) *health {
 	switch {
@@ -214,6 +225,21 @@
 	return nil
 }
 
+// lose takes the end of an attempt into the share that is lost.
+func (h *health) lose(lost bool) {
+	h.loss -= lossWeight * h.loss
+	if lost {
+		h.loss += lossWeight
+	}
+}
+
+// useful says whether a server that is not sound does most of what a part of this class asks of it. What may not
+// run twice does not go where some is lost.
+func (s *server) useful(p *part) bool {
+	return p.q.class.Effect != Unsafe && !slices.Contains(p.failed, s) && !s.silent && !s.slow && !s.noReply &&
+		s.way.fit() && s.of[p.q.Class].loss < lossMost && s.lastOK > 0
+}
+
 // clear takes some of the doubt away after an answer.
 func (h *health) clear() {
 	h.fails = 0
@@ -241,7 +267,7 @@
 func (s *server) restarted(at time.Duration) {
 	s.started, s.heard, s.times, s.doubt, s.reported, s.coldSends = at, false, nil, 0, 0, nil
 	for i := range s.of {
-		s.of[i].doubt, s.of[i].fails = 0, 0
+		s.of[i].doubt, s.of[i].fails, s.of[i].loss = 0, 0, 0
 	}
 }
 
