--- a/cmd/rooktrestle/partners.go
+++ b/cmd/rooktrestle/partners.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"os"
 	"os/signal"
@@ -54,6 +55,8 @@
 
 // servePartners serves the operator's second front until it is told to end.
 func servePartners(path string) error {
+	renewed := make(chan os.Signal, 1)
+	signal.Notify(renewed, syscall.SIGHUP) // one that nobody takes ends the program
 	conf, err := config.LoadPartners(path)
 	if err != nil {
 		return err
@@ -124,6 +127,12 @@
 	}
 	for told := false; !told; {
 		select {
+		case <-renewed:
+			if err := checkPartners(io.Discard, path); err != nil {
+				logf("the new configuration is bad, the old one stays: %v", err)
+			} else {
+				logf("the new configuration is good and waits for the next start")
+			}
 		case <-onRequest:
 			loop.Do(report)
 		case <-signals:
--- a/cmd/rooktrestle/partners_test.go
+++ b/cmd/rooktrestle/partners_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 )
 
@@ -78,7 +79,9 @@
 	if err := os.WriteFile(path, []byte(conf), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return start(t, 4, nil, "serve", "--front", path)
+	p := start(t, 4, nil, "serve", "--front", path)
+	p.conf = path
+	return p
 }
 
 func (p *program) sru(database, query string, more ...string) (int, string) {
@@ -445,3 +448,20 @@
 	}
 	p.stop()
 }
+
+// SIGHUP does not end the second front; it says whether the file could be served.
+func TestPartnersReadTheirFileAgain(t *testing.T) {
+	a := newArchive(t)
+	p := partners(t, a, nil)
+	for _, want := range []string{"is good", "is bad"} {
+		p.cmd.Process.Signal(syscall.SIGHUP)
+		if line := <-p.lines; !strings.Contains(line, want) {
+			t.Errorf("%q, want %q", line, want)
+		}
+		os.WriteFile(p.conf, []byte("name ="), 0o600)
+	}
+	if _, text := p.sru("captions", "x"); !strings.Contains(text, "line of block-0") {
+		t.Error(text)
+	}
+	p.stop()
+}
