Move packages to rooms: protocol, front, back and app; behaviour unchanged

Growth needs room: codecs as pure functions, fronts and backs apart, and a composition that tests can start. The library protocols were each one package for messages, server and client; they are three now. Names that crossed the split are exported, nothing else changed.

--- a/cmd/rooktrestle/partners.go
+++ b/internal/app/partners.go
@@ -1,4 +1,4 @@
-package main
+package app
 
 import (
 	"fmt"
@@ -12,15 +12,17 @@
 	"time"
 
 	"rooktrestle/balance"
+	"rooktrestle/internal/back/library"
+	sruback "rooktrestle/internal/back/sru"
+	zback "rooktrestle/internal/back/z3950"
 	"rooktrestle/internal/config"
+	srufront "rooktrestle/internal/front/sru"
+	zfront "rooktrestle/internal/front/z3950"
 	"rooktrestle/internal/health"
 	"rooktrestle/internal/mixer"
 	"rooktrestle/internal/net/httpserve"
-	"rooktrestle/internal/net/issue"
 	"rooktrestle/internal/net/tcp"
 	"rooktrestle/internal/partner"
-	"rooktrestle/internal/sru"
-	"rooktrestle/internal/z3950"
 )
 
 const (
@@ -29,17 +31,17 @@
 )
 
 // codecs are the servers' protocols.
-func codecs(conf *config.Partners) func(balance.Replica) issue.Codec {
-	all := map[balance.Replica]issue.Codec{}
+func codecs(conf *config.Partners) func(balance.Replica) library.Codec {
+	all := map[balance.Replica]library.Codec{}
 	for _, s := range conf.Servers {
 		database := func(shard int) string { return strings.ReplaceAll(s.Database, "%d", fmt.Sprint(shard)) }
 		if s.Protocol == config.SRU {
-			all[balance.Replica(s.ID)] = &sru.Client{Host: s.Addr, Database: database}
+			all[balance.Replica(s.ID)] = &sruback.Client{Host: s.Addr, Database: database}
 		} else {
-			all[balance.Replica(s.ID)] = &z3950.Client{Database: database}
+			all[balance.Replica(s.ID)] = &zback.Client{Database: database}
 		}
 	}
-	return func(id balance.Replica) issue.Codec { return all[id] }
+	return func(id balance.Replica) library.Codec { return all[id] }
 }
 
 // targets are the servers as listed by the operator, with the way to check each.
@@ -53,8 +55,8 @@
 	return list
 }
 
-// servePartners serves the operator's second front until it is told to end.
-func servePartners(path string) error {
+// ServePartners serves the operator's second front until it is told to end.
+func ServePartners(path string) error {
 	renewed := make(chan os.Signal, 1)
 	signal.Notify(renewed, syscall.SIGHUP) // one that nobody takes ends the program
 	conf, err := config.LoadPartners(path)
@@ -69,7 +71,7 @@
 		return err
 	}
 	clock, box, stop := mixer.SystemClock{}, mixer.NewMailbox(), make(chan struct{})
-	pool := issue.NewPool(issue.Limits{
+	pool := library.NewPool(library.Limits{
 		Connect: conf.Limits.Connect.Duration, Idle: conf.Limits.Idle.Duration, Sockets: conf.Limits.Sockets / 2,
 	}, box, tcp.Dial, codecs(conf))
 	lim := mixer.Limits{MaxOpen: conf.Limits.MaxOpen, ComeBack: time.Second, Ahead: 4 * set.Tick}
@@ -91,9 +93,9 @@
 	own := &health.Own{}
 	own.Set(health.Report{Admin: health.Up, State: health.Up, Weight: 1})
 	times := httpserve.Timeouts{First: 10 * time.Second, Idle: 2 * time.Minute, Read: 10 * time.Second, Spare: spareClient}
-	web := httpserve.New(times, clock.Now, (&sru.Server{Service: service}).Handle)
+	web := httpserve.New(times, clock.Now, (&srufront.Server{Service: service}).Handle)
 	checks := httpserve.New(times, clock.Now, own.HTTP)
-	target := &z3950.Server{Service: service, Idle: associationIdle}
+	target := &zfront.Server{Service: service, Idle: associationIdle}
 
 	gate := &tcp.Gate{Most: max(1, conf.Limits.Sockets/2-otherSockets), Room: func() bool { return web.Room(true) || checks.Room(true) }}
 	var servers []*tcp.Server
@@ -128,7 +130,7 @@
 	for told := false; !told; {
 		select {
 		case <-renewed:
-			if err := checkPartners(io.Discard, path); err != nil {
+			if err := CheckPartners(io.Discard, path); err != nil {
 				logf("the new configuration is bad, the old one stays: %v", err)
 			} else {
 				logf("the new configuration is good and waits for the next start")
--- a/cmd/rooktrestle/serve.go
+++ b/internal/app/platform.go
@@ -1,4 +1,4 @@
-package main
+package app
 
 import (
 	"cmp"
@@ -13,12 +13,12 @@
 	"time"
 
 	"rooktrestle/balance"
+	"rooktrestle/internal/back/leaf"
 	"rooktrestle/internal/config"
+	"rooktrestle/internal/front/platform"
 	"rooktrestle/internal/mixer"
 	"rooktrestle/internal/net/discovery"
-	"rooktrestle/internal/net/httpfront"
 	"rooktrestle/internal/net/httpserve"
-	"rooktrestle/internal/net/leaf"
 	"rooktrestle/internal/net/tcp"
 )
 
@@ -42,12 +42,12 @@
 	fmt.Fprintf(os.Stderr, time.Now().UTC().Format("15:04:05.000")+" "+format+"\n", args...)
 }
 
-// servePlatform serves the platform's protocol until it is told to end.
-func servePlatform() error {
+// ServePlatform serves the platform's protocol until it is told to end.
+func ServePlatform() error {
 	// From the start: a SIGHUP that nobody takes ends the program.
 	renewed := make(chan os.Signal, 1)
 	signal.Notify(renewed, syscall.SIGHUP)
-	n, err := loadNode()
+	n, err := LoadNode()
 	if err != nil {
 		return err
 	}
@@ -88,12 +88,12 @@
 		return balance.New(d.Decisions)
 	}}
 
-	var front *httpfront.Front
+	var front *platform.Front
 	report := func() string {
 		return fmt.Sprintf("%v; leaf connections: dialed %d, refused %d, broken %d, spoilt %d, late answers %d; front: %+v",
 			core.Count, pool.Stats.Dials, pool.Stats.DialsFailed, pool.Stats.Broken, pool.Stats.Spoilt, pool.Stats.Late, front.Counters())
 	}
-	front = httpfront.New(httpfront.Settings{
+	front = platform.New(platform.Settings{
 		Classes: d.Classes, Tenants: d.Tenants, Shards: d.Decisions.Shards, MaxWait: 2 * longest,
 		Timeouts: httpserve.Timeouts{First: firstRequest, Idle: idleClient, Read: firstRequest, Spare: spareClient},
 	}, box.Put, clock.Now, func() (text string) {
--- a/internal/net/issue/issue.go
+++ b/internal/back/library/issue.go
@@ -1,6 +1,6 @@
-// Package issue carries attempts to servers that speak a protocol with one request at a time on a connection.
+// Package library carries attempts to servers that speak a protocol with one request at a time on a connection.
 // Pool lives on the mixer's loop and owns every state; sockets only post to it.
-package issue
+package library
 
 import (
 	"encoding/json"
--- a/internal/net/issue/issue_test.go
+++ b/internal/back/library/issue_test.go
@@ -1,4 +1,4 @@
-package issue
+package library
 
 import (
 	"errors"
--- a/internal/sru/client.go
+++ b/internal/back/sru/client.go
@@ -1,3 +1,4 @@
+// Package sru words attempts as SRU requests and judges the answers.
 package sru
 
 import (
@@ -5,9 +6,10 @@
 	"fmt"
 	"net/url"
 
-	"rooktrestle/internal/http1"
+	"rooktrestle/internal/back/library"
 	"rooktrestle/internal/mixer"
-	"rooktrestle/internal/net/issue"
+	"rooktrestle/internal/protocol/http1"
+	"rooktrestle/internal/protocol/sru"
 	"rooktrestle/internal/query"
 )
 
@@ -27,21 +29,21 @@
 func (c *Client) Request(call mixer.Call, w query.Work) ([]byte, error) {
 	database := c.Database(call.Shard)
 	if w.Action == "" {
-		return http1.Request("GET", SearchTarget(database, w.CQL, 1, w.Most), c.Host, nil), nil
+		return http1.Request("GET", sru.SearchTarget(database, w.CQL, 1, w.Most), c.Host, nil), nil
 	}
-	body := UpdateRequest(Update{w.Action, w.Record})
+	body := sru.UpdateRequest(sru.Update{Action: w.Action, Record: w.Record})
 	return http1.Request("POST", "/"+url.PathEscape(database), c.Host, body,
-		"Content-Type", xmlType, "SOAPAction", `""`), nil
+		"Content-Type", sru.XMLType, "SOAPAction", `""`), nil
 }
 
 // Parser reads answers.
-func (c *Client) Parser() issue.Parser {
+func (c *Client) Parser() library.Parser {
 	return &clientParser{http1.Parser{Responses: true, MaxBody: maxAnswer}}
 }
 
 type clientParser struct{ http http1.Parser }
 
-func (p *clientParser) Feed(b []byte) (replies []issue.Reply, err error) {
+func (p *clientParser) Feed(b []byte) (replies []library.Reply, err error) {
 	p.http.Feed(b)
 	for {
 		m, err := p.http.Next()
@@ -52,35 +54,35 @@
 	}
 }
 
-func (p *clientParser) End() []issue.Reply {
+func (p *clientParser) End() []library.Reply {
 	if m := p.http.End(); m != nil {
-		return []issue.Reply{reply(m)}
+		return []library.Reply{reply(m)}
 	}
 	return nil
 }
 
 // reply judges an answer. What a server says of the query itself is an answer; what it says of itself is an
 // error, and nothing in it proves that the request did not run.
-func reply(m *http1.Message) issue.Reply {
-	r := issue.Reply{Close: m.Close}
-	failed := func(cause error) issue.Reply {
+func reply(m *http1.Message) library.Reply {
+	r := library.Reply{Close: m.Close}
+	failed := func(cause error) library.Reply {
 		r.Err = &mixer.AttemptError{Reach: mixer.Answered, Cause: cause}
 		return r
 	}
 	if m.Status != 200 {
 		return failed(fmt.Errorf("status %d", m.Status))
 	}
-	a, err := ParseResponse(m.Body)
+	a, err := sru.ParseResponse(m.Body)
 	if err != nil {
 		return failed(err)
 	}
-	if t := a.Trouble; t != nil && (t.SRU == diag+"1" || t.SRU == diag+"2" || t.SRU == diag+"3") {
+	if t := a.Trouble; t != nil && (t.SRU == sru.Diag+"1" || t.SRU == sru.Diag+"2" || t.SRU == sru.Diag+"3") {
 		return failed(errors.New(t.SRU + " " + t.Details))
 	}
 	if a.Update && !a.Good && a.Trouble == nil {
-		a.Trouble = &query.Diagnostic{SRU: diag + "1", Details: "the server failed the update"}
+		a.Trouble = &query.Diagnostic{SRU: sru.Diag + "1", Details: "the server failed the update"}
 	}
-	if a.Trouble != nil && a.Trouble.SRU == diag+"59" {
+	if a.Trouble != nil && a.Trouble.SRU == sru.Diag+"59" {
 		a.Trouble = nil // a valid part of it all the same
 	}
 	r.Value, r.Score = query.Encode(a.Found), float64(a.Count)
--- a/internal/net/httpfront/front.go
+++ b/internal/front/platform/front.go
@@ -1,5 +1,5 @@
-// Package httpfront is the platform's front: queries over HTTP/1.1.
-package httpfront
+// Package platform is the platform's front: queries over HTTP/1.1.
+package platform
 
 import (
 	"encoding/json"
@@ -13,9 +13,9 @@
 	"time"
 	"unicode/utf8"
 
-	"rooktrestle/internal/http1"
 	"rooktrestle/internal/mixer"
 	"rooktrestle/internal/net/httpserve"
+	"rooktrestle/internal/protocol/http1"
 )
 
 // Settings are what the front needs to know.
--- a/internal/sru/server.go
+++ b/internal/front/sru/server.go
@@ -1,3 +1,4 @@
+// Package sru is the SRU front: a server.
 package sru
 
 import (
@@ -10,14 +11,13 @@
 	"rooktrestle/internal/config"
 	"rooktrestle/internal/net/httpserve"
 	"rooktrestle/internal/partner"
+	"rooktrestle/internal/protocol/sru"
 	"rooktrestle/internal/query"
 )
 
 // Server is the SRU front.
 type Server struct{ Service *partner.Service }
 
-const xmlType = "text/xml; charset=utf-8"
-
 // Handle answers one request: /DATABASE with the parameters of SRU, or an update in a POST of XML.
 func (s *Server) Handle(x *httpserve.Exchange) {
 	path, text, _ := strings.Cut(x.Target, "?")
@@ -43,62 +43,62 @@
 	}
 	params, err := url.ParseQuery(text)
 	if err != nil {
-		s.refuse(x, fault(6, "the query string cannot be read"))
+		s.refuse(x, sru.NewFault(6, "the query string cannot be read"))
 		return
 	}
-	r, err := ParseRequest(params)
+	r, err := sru.ParseRequest(params)
 	if err != nil {
-		s.refuse(x, asFault(err))
+		s.refuse(x, sru.AsFault(err))
 		return
 	}
 	if base == nil {
-		s.refuse(x, fault(235, name))
+		s.refuse(x, sru.NewFault(235, name))
 		return
 	}
 	if r.Operation == "explain" {
-		x.Respond(200, s.explain(base), "Content-Type", xmlType)
+		x.Respond(200, s.explain(base), "Content-Type", sru.XMLType)
 		return
 	}
 	s.search(x, base, r)
 }
 
-func (s *Server) refuse(x *httpserve.Exchange, f *Fault) {
-	x.Respond(200, SearchResponse(0, nil, 1, 0, "xml", []query.Diagnostic{f.Diagnose()}), "Content-Type", xmlType)
+func (s *Server) refuse(x *httpserve.Exchange, f *sru.Fault) {
+	x.Respond(200, sru.SearchResponse(0, nil, 1, 0, "xml", []query.Diagnostic{f.Diagnose()}), "Content-Type", sru.XMLType)
 }
 
-func (s *Server) search(x *httpserve.Exchange, base *config.Database, r Request) {
+func (s *Server) search(x *httpserve.Exchange, base *config.Database, r sru.Request) {
 	limit := s.Service.Conf.Limits.MaxRecords
 	if r.Most < 0 {
 		r.Most = min(10, limit)
 	}
-	if r.Schema != "" && r.Schema != "dc" && r.Schema != DefaultSchema {
-		s.refuse(x, fault(66, r.Schema))
+	if r.Schema != "" && r.Schema != "dc" && r.Schema != sru.DefaultSchema {
+		s.refuse(x, sru.NewFault(66, r.Schema))
 		return
 	}
 	if r.Start > limit {
-		s.refuse(x, fault(61, strconv.Itoa(r.Start)))
+		s.refuse(x, sru.NewFault(61, strconv.Itoa(r.Start)))
 		return
 	}
 	r.Most = min(r.Most, limit-r.Start+1)
 	answer := func(o partner.Outcome) {
 		if o.Kind != partner.Whole && o.Kind != partner.Partial {
 			status, ds, fields := troubles(o)
-			x.Respond(status, SearchResponse(0, nil, 1, 0, "xml", ds), fields...)
+			x.Respond(status, sru.SearchResponse(0, nil, 1, 0, "xml", ds), fields...)
 			return
 		}
 		var ds []query.Diagnostic
 		if o.Kind == partner.Partial {
-			ds = append(ds, fault(59, "some shards of the database are not in").Diagnose())
+			ds = append(ds, sru.NewFault(59, "some shards of the database are not in").Diagnose())
 		}
 		if r.Start > 1 && r.Start > o.Count {
-			ds = append(ds, fault(61, strconv.Itoa(r.Start)).Diagnose())
+			ds = append(ds, sru.NewFault(61, strconv.Itoa(r.Start)).Diagnose())
 		}
 		records := o.Cut(r.Start, r.Most)
 		next := 0
 		if end := r.Start + len(records); len(records) > 0 && end <= o.Count {
 			next = end
 		}
-		x.Respond(200, SearchResponse(o.Count, records, r.Start, next, r.Packing, ds), "Content-Type", xmlType)
+		x.Respond(200, sru.SearchResponse(o.Count, records, r.Start, next, r.Packing, ds), "Content-Type", sru.XMLType)
 	}
 	cancel, known := s.Service.Search(partner.Caller{}, []string{base.Name}, r.Query, r.Start-1+r.Most, answer)
 	wait(x, cancel, known, answer)
@@ -115,43 +115,43 @@
 
 // troubles words an outcome that is no answer. Refusals also say so in the status, with when to come back.
 func troubles(o partner.Outcome) (status int, ds []query.Diagnostic, fields []string) {
-	fields = []string{"Content-Type", xmlType}
-	one := func(f *Fault) []query.Diagnostic { return []query.Diagnostic{f.Diagnose()} }
+	fields = []string{"Content-Type", sru.XMLType}
+	one := func(f *sru.Fault) []query.Diagnostic { return []query.Diagnostic{f.Diagnose()} }
 	switch o.Kind {
 	case partner.Refused:
 		if o.RetryAfter > 0 {
 			fields = append(fields, "Retry-After", strconv.Itoa(int(math.Ceil(o.RetryAfter.Seconds()))))
 		}
-		return 503, one(fault(2, fmt.Sprintf("refused; asking again is harmless, after %v", o.RetryAfter))), fields
+		return 503, one(sru.NewFault(2, fmt.Sprintf("refused; asking again is harmless, after %v", o.RetryAfter))), fields
 	case partner.TimedOut:
-		return 200, one(fault(1, "timed out")), fields
+		return 200, one(sru.NewFault(1, "timed out")), fields
 	case partner.NoDatabase:
-		return 200, one(fault(235, o.Details)), fields
+		return 200, one(sru.NewFault(235, o.Details)), fields
 	case partner.ReadOnly:
-		return 200, one(fault(4, "update of "+o.Details)), fields
+		return 200, one(sru.NewFault(4, "update of "+o.Details)), fields
 	case partner.ServerSaid:
 		d := *o.Said
 		if d.SRU == "" {
-			d.SRU, d.Details = diag+"1", fmt.Sprintf("bib-1 %d %s", d.Bib1, d.Details)
+			d.SRU, d.Details = sru.Diag+"1", fmt.Sprintf("bib-1 %d %s", d.Bib1, d.Details)
 		}
 		return 200, []query.Diagnostic{d}, fields
 	}
-	return 200, one(fault(1, strings.TrimSpace("failed "+o.Details))), fields
+	return 200, one(sru.NewFault(1, strings.TrimSpace("failed "+o.Details))), fields
 }
 
 func (s *Server) update(x *httpserve.Exchange, name string) {
-	u, err := ParseUpdate(x.Body)
+	u, err := sru.ParseUpdate(x.Body)
 	if err != nil {
-		x.Respond(200, UpdateResponse(false, u.Record.ID, []query.Diagnostic{asFault(err).Diagnose()}), "Content-Type", xmlType)
+		x.Respond(200, sru.UpdateResponse(false, u.Record.ID, []query.Diagnostic{sru.AsFault(err).Diagnose()}), "Content-Type", sru.XMLType)
 		return
 	}
 	answer := func(o partner.Outcome) {
 		if o.Kind == partner.Whole {
-			x.Respond(200, UpdateResponse(true, u.Record.ID, nil), "Content-Type", xmlType)
+			x.Respond(200, sru.UpdateResponse(true, u.Record.ID, nil), "Content-Type", sru.XMLType)
 			return
 		}
 		status, ds, fields := troubles(o)
-		x.Respond(status, UpdateResponse(false, u.Record.ID, ds), fields...)
+		x.Respond(status, sru.UpdateResponse(false, u.Record.ID, ds), fields...)
 	}
 	cancel, known := s.Service.Correct(partner.Caller{}, name, u.Action, u.Record, answer)
 	wait(x, cancel, known, answer)
@@ -167,14 +167,14 @@
 	for _, name := range query.Indexes() {
 		set, short, _ := strings.Cut(name, ".")
 		fmt.Fprintf(&idx, `<index search="true" scan="false" sort="false"><title>%s</title><map><name set="%s">%s</name></map></index>`,
-			esc(name), esc(set), esc(short))
+			sru.Esc(name), sru.Esc(set), sru.Esc(short))
 	}
-	return fmt.Appendf(nil, head+`<explainResponse xmlns="%s"><version>1.2</version><record>`+
+	return fmt.Appendf(nil, sru.Head+`<explainResponse xmlns="%s"><version>1.2</version><record>`+
 		`<recordSchema>http://explain.z3950.org/dtd/2.0/</recordSchema><recordPacking>xml</recordPacking><recordData>`+
 		`<explain xmlns="http://explain.z3950.org/dtd/2.0/"><serverInfo protocol="SRU" version="1.2" transport="http" method="GET POST">`+
 		`<host>%s</host><port>%s</port><database>%s</database></serverInfo><databaseInfo><title>%s</title></databaseInfo>`+
 		`<indexInfo>%s</indexInfo><schemaInfo><schema identifier="%s" name="dc"><title>Dublin Core</title></schema></schemaInfo>`+
 		`<configInfo><default type="numberOfRecords">10</default><setting type="maximumRecords">%d</setting></configInfo>`+
 		`</explain></recordData></record></explainResponse>`+"\n",
-		nsSRW, esc(host), esc(port), esc(d.Name), esc(title), idx.String(), DefaultSchema, s.Service.Conf.Limits.MaxRecords)
+		sru.NsSRW, sru.Esc(host), sru.Esc(port), sru.Esc(d.Name), sru.Esc(title), idx.String(), sru.DefaultSchema, s.Service.Conf.Limits.MaxRecords)
 }
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/http1"
 	"rooktrestle/internal/mixer"
 	"rooktrestle/internal/net/httpserve"
 	"rooktrestle/internal/net/tcp"
+	"rooktrestle/internal/protocol/http1"
 )
 
 // Word is a state in the words of an agent-check.
--- a/internal/net/discovery/watch.go
+++ b/internal/net/discovery/watch.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/http1"
 	"rooktrestle/internal/mixer"
 	"rooktrestle/internal/net/tcp"
+	"rooktrestle/internal/protocol/http1"
 )
 
 const (
--- a/internal/net/httpserve/httpserve.go
+++ b/internal/net/httpserve/httpserve.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
-	"rooktrestle/internal/http1"
 	"rooktrestle/internal/net/tcp"
+	"rooktrestle/internal/protocol/http1"
 )
 
 // Timeouts of a connection.
--- a/internal/sru/sru.go
+++ b/internal/protocol/sru/sru.go
@@ -1,4 +1,4 @@
-// Package sru speaks SRU 1.2 and its record update over HTTP, as a server and as a client.
+// Package sru speaks SRU 1.2 and its record update over HTTP: requests, answers and diagnostics, worded and read.
 package sru
 
 import (
@@ -14,11 +14,11 @@
 )
 
 const (
-	nsSRW    = "http://www.loc.gov/zing/srw/"
+	NsSRW    = "http://www.loc.gov/zing/srw/"
 	nsDiag   = "http://www.loc.gov/zing/srw/diagnostic/"
 	nsUpdate = "http://www.loc.gov/zing/srw/update/"
 	nsSOAP   = "http://schemas.xmlsoap.org/soap/envelope/"
-	diag     = "info:srw/diagnostic/1/"
+	Diag     = "info:srw/diagnostic/1/"
 	action   = "info:srw/action/1/"
 	// DefaultSchema of records where none is named.
 	DefaultSchema = "info:srw/schema/1/dc-v1.1"
@@ -36,6 +36,9 @@
 	Schema    string
 }
 
+// XMLType is the media type of answers and updates.
+const XMLType = "text/xml; charset=utf-8"
+
 // Fault is a diagnostic of this side's own.
 type Fault struct {
 	Code    int // info:srw/diagnostic/1/
@@ -43,10 +46,11 @@
 }
 
 func (f *Fault) Error() string {
-	return fmt.Sprintf("%s%d %s: %s", diag, f.Code, message(f.Code), f.Details)
+	return fmt.Sprintf("%s%d %s: %s", Diag, f.Code, message(f.Code), f.Details)
 }
 
-func fault(code int, details string) *Fault { return &Fault{code, details} }
+// NewFault returns the diagnostic of a number, with its details.
+func NewFault(code int, details string) *Fault { return &Fault{code, details} }
 
 var messages = map[int]string{
 	1: "General system error", 2: "System temporarily unavailable", 4: "Unsupported operation",
@@ -73,22 +77,22 @@
 	}
 	for name, values := range params {
 		if len(values) > 1 {
-			return r, fault(6, name)
+			return r, NewFault(6, name)
 		}
 	}
 	if v := params.Get("version"); v == "" {
-		return r, fault(7, "version")
+		return r, NewFault(7, "version")
 	} else if v != "1.1" && v != "1.2" {
-		return r, fault(5, "1.2")
+		return r, NewFault(5, "1.2")
 	}
 	switch r.Operation {
 	case "explain":
 		return r, nil
 	case "searchRetrieve":
 	case "":
-		return r, fault(7, "operation")
+		return r, NewFault(7, "operation")
 	default:
-		return r, fault(4, r.Operation)
+		return r, NewFault(4, r.Operation)
 	}
 	for name, values := range params {
 		v := values[0]
@@ -99,58 +103,58 @@
 		case "startRecord":
 			n, err := strconv.Atoi(v)
 			if err != nil || n < 1 {
-				return r, fault(6, name)
+				return r, NewFault(6, name)
 			}
 			r.Start = n
 		case "maximumRecords":
 			n, err := strconv.Atoi(v)
 			if err != nil || n < 0 {
-				return r, fault(6, name)
+				return r, NewFault(6, name)
 			}
 			r.Most = n
 		case "recordPacking":
 			if v != "xml" && v != "string" {
-				return r, fault(71, v)
+				return r, NewFault(71, v)
 			}
 			r.Packing = v
 		case "recordSchema":
 			r.Schema = v
 		case "sortKeys":
 			if v != "" {
-				return r, fault(80, v)
+				return r, NewFault(80, v)
 			}
 		case "stylesheet":
-			return r, fault(110, v)
+			return r, NewFault(110, v)
 		default:
 			if !strings.HasPrefix(name, "x-") {
-				return r, fault(8, name)
+				return r, NewFault(8, name)
 			}
 		}
 	}
 	if r.Text == "" {
-		return r, fault(7, "query")
+		return r, NewFault(7, "query")
 	}
 	n, err := query.Parse(r.Text)
 	if err != nil {
-		return r, asFault(err)
+		return r, AsFault(err)
 	}
-	if _, err := query.Replace(n, func(string) (query.Node, error) { return nil, fault(50, "cql.resultSetId") }); err != nil {
+	if _, err := query.Replace(n, func(string) (query.Node, error) { return nil, NewFault(50, "cql.resultSetId") }); err != nil {
 		return r, err
 	}
 	r.Query = n
 	return r, nil
 }
 
-func asFault(err error) *Fault {
+func AsFault(err error) *Fault {
 	var q *query.Error
 	var f *Fault
 	switch {
 	case errors.As(err, &f):
 		return f
 	case errors.As(err, &q):
-		return fault(q.SRU, q.Details)
+		return NewFault(q.SRU, q.Details)
 	}
-	return fault(1, err.Error())
+	return NewFault(1, err.Error())
 }
 
 // Update is a record update request.
@@ -201,7 +205,7 @@
 	add := ""
 	for _, prefix := range order {
 		if !strings.Contains(tag, "xmlns:"+prefix+"=") && strings.Contains(text, prefix+":") {
-			add += fmt.Sprintf(` xmlns:%s="%s"`, prefix, esc(declared[prefix]))
+			add += fmt.Sprintf(` xmlns:%s="%s"`, prefix, Esc(declared[prefix]))
 		}
 	}
 	return text[:end] + add + text[end:]
@@ -256,18 +260,18 @@
 func ParseUpdate(text []byte) (u Update, err error) {
 	e, err := parseXML(text)
 	if err != nil {
-		return u, fault(6, err.Error())
+		return u, NewFault(6, err.Error())
 	}
 	if e.XMLName.Local != "updateRequest" {
-		return u, fault(4, e.XMLName.Local)
+		return u, NewFault(4, e.XMLName.Local)
 	}
 	if v := e.text("version"); v != "" && v != "1.0" && v != "1.1" && v != "1.2" {
-		return u, fault(5, "1.0")
+		return u, NewFault(5, "1.0")
 	}
 	what := e.text("action")
 	u.Action = query.Action(strings.TrimPrefix(what, action))
 	if u.Action != query.Create && u.Action != query.Change && u.Action != query.Delete {
-		return u, fault(6, "action "+what)
+		return u, NewFault(6, "action "+what)
 	}
 	u.Record.ID = e.text("recordIdentifier")
 	if rec := e.child("record"); rec != nil {
@@ -279,15 +283,15 @@
 		}
 	}
 	if u.Record.ID == "" {
-		return u, fault(7, "recordIdentifier")
+		return u, NewFault(7, "recordIdentifier")
 	}
 	if u.Record.XML == "" && u.Action != query.Delete {
-		return u, fault(7, "record")
+		return u, NewFault(7, "record")
 	}
 	return u, nil
 }
 
-func esc(s string) string {
+func Esc(s string) string {
 	var b strings.Builder
 	xml.EscapeText(&b, []byte(s))
 	return b.String()
@@ -300,26 +304,26 @@
 	var b strings.Builder
 	for _, d := range ds {
 		code := 0
-		if strings.HasPrefix(d.SRU, diag) {
-			code, _ = strconv.Atoi(d.SRU[len(diag):])
+		if strings.HasPrefix(d.SRU, Diag) {
+			code, _ = strconv.Atoi(d.SRU[len(Diag):])
 		}
 		fmt.Fprintf(&b, `<diagnostic xmlns="%s"><uri>%s</uri><details>%s</details><message>%s</message></diagnostic>`,
-			nsDiag, esc(d.SRU), esc(d.Details), esc(message(code)))
+			nsDiag, Esc(d.SRU), Esc(d.Details), Esc(message(code)))
 	}
 	return "<" + tag + ">" + b.String() + "</" + tag + ">"
 }
 
 // Diagnose makes a diagnostic of a fault.
 func (f *Fault) Diagnose() query.Diagnostic {
-	return query.Diagnostic{SRU: diag + strconv.Itoa(f.Code), Details: f.Details}
+	return query.Diagnostic{SRU: Diag + strconv.Itoa(f.Code), Details: f.Details}
 }
 
-const head = `<?xml version="1.0" encoding="UTF-8"?>` + "\n"
+const Head = `<?xml version="1.0" encoding="UTF-8"?>` + "\n"
 
 // SearchResponse prints the answer to a search. next is the position after the last record, or 0.
 func SearchResponse(count int, records []query.Record, start, next int, packing string, ds []query.Diagnostic) []byte {
 	var b strings.Builder
-	fmt.Fprintf(&b, head+`<searchRetrieveResponse xmlns="%s"><version>1.2</version><numberOfRecords>%d</numberOfRecords>`, nsSRW, count)
+	fmt.Fprintf(&b, Head+`<searchRetrieveResponse xmlns="%s"><version>1.2</version><numberOfRecords>%d</numberOfRecords>`, NsSRW, count)
 	if len(records) > 0 {
 		b.WriteString("<records>")
 		for i, r := range records {
@@ -329,16 +333,16 @@
 				packing = "string"
 			}
 			if packing == "string" {
-				data = esc(data)
+				data = Esc(data)
 			}
 			schema := r.Schema
 			if schema == "" {
 				schema = DefaultSchema
 			}
 			fmt.Fprintf(&b, "<record><recordSchema>%s</recordSchema><recordPacking>%s</recordPacking><recordData>%s</recordData>",
-				esc(schema), packing, data)
+				Esc(schema), packing, data)
 			if r.ID != "" {
-				fmt.Fprintf(&b, "<recordIdentifier>%s</recordIdentifier>", esc(r.ID))
+				fmt.Fprintf(&b, "<recordIdentifier>%s</recordIdentifier>", Esc(r.ID))
 			}
 			fmt.Fprintf(&b, "<recordPosition>%d</recordPosition></record>", start+i)
 		}
@@ -357,9 +361,9 @@
 	if good {
 		status = "success"
 	}
-	return fmt.Appendf(nil, head+`<soap:Envelope xmlns:soap="%s"><soap:Body><updateResponse xmlns="%s"><version>1.0</version>`+
+	return fmt.Appendf(nil, Head+`<soap:Envelope xmlns:soap="%s"><soap:Body><updateResponse xmlns="%s"><version>1.0</version>`+
 		"<operationStatus>%s</operationStatus><recordIdentifier>%s</recordIdentifier>%s</updateResponse></soap:Body></soap:Envelope>\n",
-		nsSOAP, nsUpdate, status, esc(id), diagnostics("diagnostics", ds))
+		nsSOAP, nsUpdate, status, Esc(id), diagnostics("diagnostics", ds))
 }
 
 // UpdateRequest prints an update in a SOAP envelope.
@@ -371,11 +375,11 @@
 	record := ""
 	if u.Record.XML != "" {
 		record = fmt.Sprintf("<record><recordSchema>%s</recordSchema><recordPacking>xml</recordPacking><recordData>%s</recordData></record>",
-			esc(schema), u.Record.XML)
+			Esc(schema), u.Record.XML)
 	}
-	return fmt.Appendf(nil, head+`<soap:Envelope xmlns:soap="%s"><soap:Body><updateRequest xmlns="%s"><version>1.0</version>`+
+	return fmt.Appendf(nil, Head+`<soap:Envelope xmlns:soap="%s"><soap:Body><updateRequest xmlns="%s"><version>1.0</version>`+
 		"<action>%s%s</action><recordIdentifier>%s</recordIdentifier>%s</updateRequest></soap:Body></soap:Envelope>\n",
-		nsSOAP, nsUpdate, action, u.Action, esc(u.Record.ID), record)
+		nsSOAP, nsUpdate, action, u.Action, Esc(u.Record.ID), record)
 }
 
 // SearchTarget is the target of a GET for a search on a database.
--- a/internal/z3950/ber.go
+++ b/internal/protocol/z3950/ber.go
@@ -1,5 +1,4 @@
-// Package z3950 speaks Z39.50 version 3 as a target and as an origin: BER, the protocol's units, and the state
-// of associations.
+// Package z3950 words and reads Z39.50 version 3: BER and the protocol's units.
 package z3950
 
 import (
@@ -26,13 +25,13 @@
 	tagNull     = 5
 	tagOID      = 6
 	tagExternal = 8
-	tagSequence = 16
-	tagVisible  = 26
+	TagSequence = 16
+	TagVisible  = 26
 	tagGeneral  = 27
 )
 
 const (
-	maxPDU   = 1 << 20
+	MaxPDU   = 1 << 20
 	maxDepth = 48
 	maxNodes = 20000
 )
@@ -46,7 +45,7 @@
 	Kids  []*Node
 }
 
-var errMore = errors.New("z3950: more bytes are needed")
+var ErrMore = errors.New("z3950: more bytes are needed")
 
 // Decode reads one value from the front of b. It returns errMore if b ends too soon.
 func Decode(b []byte) (n *Node, rest []byte, err error) {
@@ -62,7 +61,7 @@
 		return nil, nil, fmt.Errorf("z3950: over %d values", maxNodes)
 	}
 	if len(b) < 2 {
-		return nil, nil, errMore
+		return nil, nil, ErrMore
 	}
 	n := &Node{Class: Class(b[0] >> 6), Cons: b[0]&0x20 != 0, Tag: int(b[0] & 0x1f)}
 	b = b[1:]
@@ -73,7 +72,7 @@
 				return nil, nil, errors.New("z3950: a tag too long")
 			}
 			if i >= len(b) {
-				return nil, nil, errMore
+				return nil, nil, ErrMore
 			}
 			n.Tag = n.Tag<<7 | int(b[i]&0x7f)
 			if b[i]&0x80 == 0 {
@@ -83,7 +82,7 @@
 		}
 	}
 	if len(b) == 0 {
-		return nil, nil, errMore
+		return nil, nil, ErrMore
 	}
 	size, more := int(b[0]), 0
 	b = b[1:]
@@ -107,7 +106,7 @@
 			return nil, nil, errors.New("z3950: a length too long")
 		}
 		if len(b) < more {
-			return nil, nil, errMore
+			return nil, nil, ErrMore
 		}
 		size = 0
 		for _, c := range b[:more] {
@@ -115,11 +114,11 @@
 		}
 		b = b[more:]
 	}
-	if size > maxPDU {
+	if size > MaxPDU {
 		return nil, nil, fmt.Errorf("z3950: a value of %d bytes", size)
 	}
 	if len(b) < size {
-		return nil, nil, errMore
+		return nil, nil, ErrMore
 	}
 	in, rest := b[:size], b[size:]
 	if !n.Cons {
@@ -128,7 +127,7 @@
 	}
 	for len(in) > 0 {
 		kid, after, err := decode(in, depth+1, left)
-		if err == errMore {
+		if err == ErrMore {
 			err = errors.New("z3950: a value is longer than what holds it")
 		}
 		if err != nil {
@@ -181,7 +180,7 @@
 func (n *Node) is(tag int) bool { return n.Class == Context && n.Tag == tag }
 
 // kid returns the value inside that has a context tag, or nil. It may be called on nil.
-func (n *Node) kid(tag int) *Node {
+func (n *Node) Kid(tag int) *Node {
 	if n == nil {
 		return nil
 	}
@@ -194,7 +193,7 @@
 }
 
 // only returns the one value inside an explicit tag, or nil.
-func (n *Node) only() *Node {
+func (n *Node) Only() *Node {
 	if n == nil || len(n.Kids) != 1 {
 		return nil
 	}
@@ -202,7 +201,7 @@
 }
 
 // text reads octets, in pieces if they were sent so.
-func (n *Node) text() string {
+func (n *Node) Text() string {
 	if n == nil {
 		return ""
 	}
@@ -211,7 +210,7 @@
 	}
 	var b strings.Builder
 	for _, k := range n.Kids {
-		b.WriteString(k.text())
+		b.WriteString(k.Text())
 	}
 	return b.String()
 }
@@ -227,16 +226,16 @@
 	return int(v), true
 }
 
-func (n *Node) intOr(other int) int {
+func (n *Node) IntOr(other int) int {
 	if v, ok := n.integer(); ok {
 		return v
 	}
 	return other
 }
 
-func (n *Node) truth() bool { return n != nil && len(n.Bytes) == 1 && n.Bytes[0] != 0 }
+func (n *Node) Truth() bool { return n != nil && len(n.Bytes) == 1 && n.Bytes[0] != 0 }
 
-func (n *Node) oid() string {
+func (n *Node) Oid() string {
 	if n == nil || n.Cons || len(n.Bytes) == 0 {
 		return ""
 	}
@@ -273,13 +272,13 @@
 	return n
 }
 
-func ctx(tag int, kids ...*Node) *Node { return cons(Context, tag, kids...) }
+func Ctx(tag int, kids ...*Node) *Node { return cons(Context, tag, kids...) }
 
-func seq(kids ...*Node) *Node { return cons(Universal, tagSequence, kids...) }
+func seq(kids ...*Node) *Node { return cons(Universal, TagSequence, kids...) }
 
 func prim(class Class, tag int, b []byte) *Node { return &Node{Class: class, Tag: tag, Bytes: b} }
 
-func str(tag int, s string) *Node { return prim(Context, tag, []byte(s)) }
+func Str(tag int, s string) *Node { return prim(Context, tag, []byte(s)) }
 
 func intBytes(v int) []byte {
 	b := []byte{byte(v)}
@@ -289,9 +288,9 @@
 	return b
 }
 
-func num(tag, v int) *Node { return prim(Context, tag, intBytes(v)) }
+func Num(tag, v int) *Node { return prim(Context, tag, intBytes(v)) }
 
-func boolean(tag int, v bool) *Node {
+func Boolean(tag int, v bool) *Node {
 	b := byte(0)
 	if v {
 		b = 0xff
@@ -327,6 +326,6 @@
 	return b
 }
 
-func oid(class Class, tag int, dotted string) *Node { return prim(class, tag, oidBytes(dotted)) }
+func Oid(class Class, tag int, dotted string) *Node { return prim(class, tag, oidBytes(dotted)) }
 
 func itoa(v int) string { return strconv.Itoa(v) }
--- a/internal/z3950/pdu.go
+++ b/internal/protocol/z3950/pdu.go
@@ -13,50 +13,50 @@
 	base       = "1.2.840.10003."
 	oidBib1    = base + "3.1"
 	oidDiag    = base + "4.1"
-	oidSUTRS   = base + "5.101"
-	oidXML     = base + "5.109.10"
+	OidSUTRS   = base + "5.101"
+	OidXML     = base + "5.109.10"
 	oidUpdate  = base + "9.5" // database update, in any of its revisions
 	oidUpdate1 = base + "9.5.1.1"
 )
 
 // Tags of the protocol's units.
 const (
-	initRequest     = 20
-	initResponse    = 21
-	searchRequest   = 22
-	searchResponse  = 23
-	presentRequest  = 24
-	presentResponse = 25
-	deleteRequest   = 26
-	deleteResponse  = 27
-	triggerControl  = 32
-	esRequest       = 46
-	esResponse      = 47
-	closePDU        = 48
+	InitRequest     = 20
+	InitResponse    = 21
+	SearchRequest   = 22
+	SearchResponse  = 23
+	PresentRequest  = 24
+	PresentResponse = 25
+	DeleteRequest   = 26
+	DeleteResponse  = 27
+	TriggerControl  = 32
+	EsRequest       = 46
+	EsResponse      = 47
+	ClosePDU        = 48
 )
 
 // Reasons of a Close.
 const (
-	closeFinished = 0
-	closeShutdown = 1
+	CloseFinished = 0
+	CloseShutdown = 1
 	closeProblem  = 2
-	closeLimits   = 4
-	closeProtocol = 6
-	closeIdle     = 7
+	CloseLimits   = 4
+	CloseProtocol = 6
+	CloseIdle     = 7
 )
 
 // Options that may be agreed on, by their bits.
 const (
-	optSearch  = 0
-	optPresent = 1
-	optDelete  = 2
-	optTrigger = 6
-	optES      = 13
-	optNamed   = 14
+	OptSearch  = 0
+	OptPresent = 1
+	OptDelete  = 2
+	OptTrigger = 6
+	OptES      = 13
+	OptNamed   = 14
 )
 
 // bits is a BIT STRING with these bits set.
-func bits(tag int, set ...int) *Node {
+func Bits(tag int, set ...int) *Node {
 	b := []byte{0, 0, 0}
 	for _, i := range set {
 		b[1+i/8] |= 0x80 >> (i % 8)
@@ -65,17 +65,17 @@
 	return prim(Context, tag, b)
 }
 
-func (n *Node) bit(i int) bool {
+func (n *Node) Bit(i int) bool {
 	return n != nil && len(n.Bytes) > 1+i/8 && n.Bytes[1+i/8]&(0x80>>(i%8)) != 0
 }
 
 // rpn words a query as an RPNQuery.
-func rpn(n query.Node) (*Node, error) {
+func Rpn(n query.Node) (*Node, error) {
 	s, err := rpnStructure(query.Plain(n))
 	if err != nil {
 		return nil, err
 	}
-	return ctx(1, oid(Universal, tagOID, oidBib1), s), nil
+	return Ctx(1, Oid(Universal, tagOID, oidBib1), s), nil
 }
 
 func rpnStructure(n query.Node) (*Node, error) {
@@ -90,19 +90,19 @@
 			return nil, err
 		}
 		op := map[query.Op]int{query.And: 0, query.Or: 1, query.Not: 2}[n.Op]
-		return ctx(1, l, r, ctx(46, prim(Context, op, nil))), nil
+		return Ctx(1, l, r, Ctx(46, prim(Context, op, nil))), nil
 	case *query.Set:
-		return ctx(0, str(31, n.Name)), nil
+		return Ctx(0, Str(31, n.Name)), nil
 	case *query.Clause:
 		attrs, term, err := query.Attributes(n)
 		if err != nil {
 			return nil, err
 		}
-		list := ctx(44)
+		list := Ctx(44)
 		for _, a := range attrs {
-			list.Kids = append(list.Kids, seq(num(120, a.Type), num(121, a.Value)))
+			list.Kids = append(list.Kids, seq(Num(120, a.Type), Num(121, a.Value)))
 		}
-		return ctx(0, ctx(102, list, str(45, term))), nil
+		return Ctx(0, Ctx(102, list, Str(45, term))), nil
 	}
 	return nil, errors.New("z3950: no such query")
 }
@@ -110,8 +110,8 @@
 func malformed(what string) error { return &query.Error{SRU: 10, Bib1: 108, Details: what} }
 
 // parseRPN reads the query of a search.
-func parseRPN(q *Node) (query.Node, error) {
-	in := q.only() // the query is a choice inside an explicit tag
+func ParseRPN(q *Node) (query.Node, error) {
+	in := q.Only() // the query is a choice inside an explicit tag
 	if in == nil {
 		return nil, malformed("no query")
 	}
@@ -121,7 +121,7 @@
 	if len(in.Kids) != 2 {
 		return nil, malformed("rpn")
 	}
-	if set := in.Kids[0].oid(); set != oidBib1 {
+	if set := in.Kids[0].Oid(); set != oidBib1 {
 		return nil, &query.Error{SRU: 15, Bib1: 121, Details: set}
 	}
 	n, err := parseStructure(in.Kids[1], 1)
@@ -137,7 +137,7 @@
 	}
 	switch {
 	case s.is(0):
-		return parseOperand(s.only())
+		return parseOperand(s.Only())
 	case s.is(1) && len(s.Kids) == 3:
 		l, err := parseStructure(s.Kids[0], depth+1)
 		if err != nil {
@@ -147,7 +147,7 @@
 		if err != nil {
 			return nil, err
 		}
-		op := s.Kids[2].only()
+		op := s.Kids[2].Only()
 		if !s.Kids[2].is(46) || op == nil || op.Class != Context {
 			return nil, malformed("operator")
 		}
@@ -165,18 +165,18 @@
 		return nil, malformed("operand")
 	}
 	if o.is(31) {
-		return &query.Set{Name: o.text()}, nil
+		return &query.Set{Name: o.Text()}, nil
 	}
 	if !o.is(102) || len(o.Kids) != 2 || !o.Kids[0].is(44) {
 		return nil, malformed("operand")
 	}
 	var attrs []query.Attribute
 	for _, a := range o.Kids[0].Kids {
-		if set := a.kid(1); set != nil && set.oid() != oidBib1 {
-			return nil, &query.Error{SRU: 15, Bib1: 121, Details: set.oid()}
+		if set := a.Kid(1); set != nil && set.Oid() != oidBib1 {
+			return nil, &query.Error{SRU: 15, Bib1: 121, Details: set.Oid()}
 		}
-		t, okT := a.kid(120).integer()
-		v, okV := a.kid(121).integer()
+		t, okT := a.Kid(120).integer()
+		v, okV := a.Kid(121).integer()
 		if !okT || !okV {
 			return nil, &query.Error{SRU: 24, Bib1: 113, Details: "attribute"}
 		}
@@ -186,40 +186,40 @@
 	if !term.is(45) && !term.is(216) {
 		return nil, &query.Error{SRU: 24, Bib1: 229, Details: "term"}
 	}
-	return query.FromAttributes(attrs, strings.ToValidUTF8(term.text(), "\uFFFD"))
+	return query.FromAttributes(attrs, strings.ToValidUTF8(term.Text(), "\uFFFD"))
 }
 
 // diagnostic is a DefaultDiagFormat under a context tag, or a sequence with tag -1.
-func diagnostic(tag, code int, info string) *Node {
+func Diagnostic(tag, code int, info string) *Node {
 	kids := []*Node{
-		oid(Universal, tagOID, oidDiag), prim(Universal, tagInteger, intBytes(code)), prim(Universal, tagGeneral, []byte(info)),
+		Oid(Universal, tagOID, oidDiag), prim(Universal, tagInteger, intBytes(code)), prim(Universal, tagGeneral, []byte(info)),
 	}
 	if tag < 0 {
 		return seq(kids...)
 	}
-	return ctx(tag, kids...)
+	return Ctx(tag, kids...)
 }
 
 // parseDiagnostic reads a DefaultDiagFormat.
-func parseDiagnostic(n *Node) *query.Diagnostic {
+func ParseDiagnostic(n *Node) *query.Diagnostic {
 	if n == nil || len(n.Kids) < 2 {
 		return nil
 	}
-	d := &query.Diagnostic{Bib1: n.Kids[1].intOr(100)}
+	d := &query.Diagnostic{Bib1: n.Kids[1].IntOr(100)}
 	if len(n.Kids) > 2 {
-		d.Details = n.Kids[2].text()
+		d.Details = n.Kids[2].Text()
 	}
 	return d
 }
 
 // external is an EXTERNAL of octets.
 func external(syntax, text string) *Node {
-	return cons(Universal, tagExternal, oid(Universal, tagOID, syntax), str(1, text))
+	return cons(Universal, tagExternal, Oid(Universal, tagOID, syntax), Str(1, text))
 }
 
 // sutrs is an EXTERNAL of plain text.
 func sutrs(text string) *Node {
-	return cons(Universal, tagExternal, oid(Universal, tagOID, oidSUTRS), ctx(0, prim(Universal, tagGeneral, []byte(text))))
+	return cons(Universal, tagExternal, Oid(Universal, tagOID, OidSUTRS), Ctx(0, prim(Universal, tagGeneral, []byte(text))))
 }
 
 // parseExternal reads an EXTERNAL of octets or of one string.
@@ -230,53 +230,53 @@
 	for _, k := range n.Kids {
 		switch {
 		case k.Class == Universal && k.Tag == tagOID:
-			syntax = k.oid()
+			syntax = k.Oid()
 		case k.is(0):
-			text = k.only().text()
+			text = k.Only().Text()
 		case k.is(1):
-			text = k.text()
+			text = k.Text()
 		}
 	}
 	return syntax, text
 }
 
 // records is a list of records of a database in a syntax.
-func records(database, syntax string, list []query.Record) *Node {
-	out := ctx(28)
+func Records(database, syntax string, list []query.Record) *Node {
+	out := Ctx(28)
 	for _, r := range list {
-		e := external(oidXML, r.XML)
-		if syntax == oidSUTRS {
+		e := external(OidXML, r.XML)
+		if syntax == OidSUTRS {
 			e = sutrs(r.XML)
 		}
-		out.Kids = append(out.Kids, seq(str(0, database), ctx(1, ctx(1, e))))
+		out.Kids = append(out.Kids, seq(Str(0, database), Ctx(1, Ctx(1, e))))
 	}
 	return out
 }
 
 // parseRecords reads what came with a response: records, or a diagnostic.
-func parseRecords(n *Node) (list []query.Record, d *query.Diagnostic) {
-	if d = parseDiagnostic(n.kid(130)); d != nil {
+func ParseRecords(n *Node) (list []query.Record, d *query.Diagnostic) {
+	if d = ParseDiagnostic(n.Kid(130)); d != nil {
 		return nil, d
 	}
-	if many := n.kid(205); many != nil && len(many.Kids) > 0 {
-		return nil, parseDiagnostic(many.Kids[0])
+	if many := n.Kid(205); many != nil && len(many.Kids) > 0 {
+		return nil, ParseDiagnostic(many.Kids[0])
 	}
-	in := n.kid(28)
+	in := n.Kid(28)
 	if in == nil {
 		return nil, nil
 	}
 	for _, k := range in.Kids {
-		choice := k.kid(1).only()
+		choice := k.Kid(1).Only()
 		if choice == nil {
 			continue
 		}
 		if choice.is(2) {
 			if d == nil {
-				d = parseDiagnostic(choice.only())
+				d = ParseDiagnostic(choice.Only())
 			}
 			continue
 		}
-		if _, text := parseExternal(choice.only()); text != "" {
+		if _, text := parseExternal(choice.Only()); text != "" {
 			list = append(list, query.Record{XML: text})
 		}
 	}
@@ -286,7 +286,7 @@
 var actions = map[int]query.Action{1: query.Create, 2: query.Change, 3: query.Delete}
 
 // update words a database update as an extended services request.
-func update(ref, database string, a query.Action, r query.Record) *Node {
+func Update(ref, database string, a query.Action, r query.Record) *Node {
 	code := 0
 	for n, name := range actions {
 		if name == a {
@@ -295,49 +295,49 @@
 	}
 	var rec *Node
 	if r.XML != "" {
-		rec = ctx(4, external(oidXML, r.XML))
+		rec = Ctx(4, external(OidXML, r.XML))
 	}
-	params := ctx(1,
-		ctx(1, seq(num(1, code), str(2, database))),
-		ctx(2, seq(seq(ctx(1, str(2, r.ID)), rec))))
-	return ctx(esRequest, str(2, ref), num(3, 1), oid(Context, 4, oidUpdate1),
-		ctx(10, oid(Universal, tagOID, oidUpdate1), ctx(0, params)), num(11, 1))
+	params := Ctx(1,
+		Ctx(1, seq(Num(1, code), Str(2, database))),
+		Ctx(2, seq(seq(Ctx(1, Str(2, r.ID)), rec))))
+	return Ctx(EsRequest, Str(2, ref), Num(3, 1), Oid(Context, 4, oidUpdate1),
+		Ctx(10, Oid(Universal, tagOID, oidUpdate1), Ctx(0, params)), Num(11, 1))
 }
 
 // inside steps through a sequence where one stands inside an explicit tag.
 func inside(n *Node) *Node {
-	if k := n.only(); k != nil && k.Class == Universal && k.Tag == tagSequence {
+	if k := n.Only(); k != nil && k.Class == Universal && k.Tag == TagSequence {
 		return k
 	}
 	return n
 }
 
 // parseUpdate reads a database update. code is the diagnostic if it cannot be taken.
-func parseUpdate(n *Node) (database string, a query.Action, r query.Record, code int, info string) {
-	if n.kid(3).intOr(0) != 1 {
+func ParseUpdate(n *Node) (database string, a query.Action, r query.Record, code int, info string) {
+	if n.Kid(3).IntOr(0) != 1 {
 		return "", "", r, 223, "function"
 	}
-	if !strings.HasPrefix(n.kid(4).oid(), oidUpdate) {
-		return "", "", r, 221, n.kid(4).oid()
+	if !strings.HasPrefix(n.Kid(4).Oid(), oidUpdate) {
+		return "", "", r, 221, n.Kid(4).Oid()
 	}
-	ext := n.kid(10)
-	if k := ext.only(); k != nil && k.Class == Universal && k.Tag == tagExternal {
+	ext := n.Kid(10)
+	if k := ext.Only(); k != nil && k.Class == Universal && k.Tag == tagExternal {
 		ext = k
 	}
-	es := ext.kid(0).only()
+	es := ext.Kid(0).Only()
 	if es == nil || !es.is(1) {
 		return "", "", r, 228, "task parameters"
 	}
-	keep, supplied := es.kid(1), es.kid(2)
+	keep, supplied := es.Kid(1), es.Kid(2)
 	if keep == nil || supplied == nil {
 		return "", "", r, 228, "task parameters"
 	}
 	keep = inside(keep)
-	a, known := actions[keep.kid(1).intOr(0)]
+	a, known := actions[keep.Kid(1).IntOr(0)]
 	if !known {
 		return "", "", r, 228, "action"
 	}
-	database = keep.kid(2).text()
+	database = keep.Kid(2).Text()
 	list := supplied
 	if k := inside(supplied); !slices.ContainsFunc(k.Kids, func(r *Node) bool { return r.Class != Universal }) {
 		list = k // the sequence of records itself stands inside the tag
@@ -347,13 +347,13 @@
 		return database, a, r, 228, "one record a request"
 	}
 	one := list.Kids[0]
-	id := one.kid(1)
-	if id = id.only(); id != nil && id.is(1) {
-		r.ID = itoa(id.intOr(0))
+	id := one.Kid(1)
+	if id = id.Only(); id != nil && id.is(1) {
+		r.ID = itoa(id.IntOr(0))
 	} else {
-		r.ID = id.text()
+		r.ID = id.Text()
 	}
-	if _, text := parseExternal(one.kid(4).only()); text != "" {
+	if _, text := parseExternal(one.Kid(4).Only()); text != "" {
 		r.XML = text
 	}
 	if r.ID == "" || r.XML == "" && a != query.Delete {
