Serve the second front by evidence: checks in the background, ejection, own word, sockets apart

Checks ran in rounds and were believed; our own word was ready whatever happened; all listeners drew on one gate. Now results of checks and ends of parts meet in decide/health on the loop and reach the choice through the list; our word is made of the core's facts each 50 ms; each listener has sockets of its own and makes room itself. The platform sets none of it.

--- a/cmd/rooktrestle/main.go
+++ b/cmd/rooktrestle/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"os"
 	"runtime/debug"
 
@@ -22,12 +23,20 @@
 		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error { return app.ServePlatform() },
 	}
+	var format, level string
+	logger := slog.Default()
+	root.PersistentFlags().StringVar(&format, "log-format", "text", "text or json")
+	root.PersistentFlags().StringVar(&level, "log-level", "info", "debug, info, warn or error")
+	root.PersistentPreRunE = func(*cobra.Command, []string) (err error) {
+		logger, err = app.Logger(os.Stderr, format, level)
+		return err
+	}
 	var front string
 	serve := &cobra.Command{
 		Use: "serve", Short: "Serve by the platform's configuration (NODE_CONFIG), or the operator's second front", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			if front != "" {
-				return app.ServePartners(front)
+				return app.ServePartners(front, logger)
 			}
 			return app.ServePlatform()
 		},
--- a/cmd/rooktrestle/program_test.go
+++ b/cmd/rooktrestle/program_test.go
@@ -57,8 +57,8 @@
 		lines, last := bufio.NewScanner(out), ""
 		for lines.Scan() {
 			last = lines.Text()
-			if f := strings.Fields(last); len(f) == 4 && f[1] == "listen" && len(p.listen) < listeners {
-				if p.listen[f[2]] = f[3]; len(p.listen) == listeners {
+			if f := listening.FindStringSubmatch(last); f != nil && len(p.listen) < listeners {
+				if p.listen[f[1]+f[3]] = f[2] + f[4]; len(p.listen) == listeners {
 					close(ready)
 				}
 			}
@@ -81,6 +81,9 @@
 	return p
 }
 
+// A listener's line, plain on the platform and structured on the second front.
+var listening = regexp.MustCompile(`^\S+ listen (\S+) (\S+)$|msg=listen what=(\S+) addr=(\S+)`)
+
 var numbers = regexp.MustCompile(`taken (\d+); answered: served (\d+) \(partial \d+\), refused (\d+) \(full \d+\), failed (\d+), gone (\d+)`)
 
 // stop ends the program and returns its counts: taken, served, refused, failed, gone. Each query must have
--- /dev/null
+++ b/internal/app/evidence.go
@@ -0,0 +1,162 @@
+package app
+
+import (
+	"log/slog"
+	"time"
+
+	"rooktrestle/balance"
+	"rooktrestle/internal/back/checks"
+	"rooktrestle/internal/config"
+	"rooktrestle/internal/decide/health"
+	"rooktrestle/internal/mixer"
+)
+
+// evidence brings what checks and parts show of servers to the core's list. It lives on the loop.
+type evidence struct {
+	table   *health.Table
+	servers map[health.ID]mixer.Server
+	aims    []time.Duration // of each class
+	log     *slog.Logger
+	box     interface{ Put(any) }
+	asked   bool // a settle event is under way
+	changes uint64
+}
+
+// checked is the result of one check, posted to the loop.
+type checked struct {
+	server health.ID
+	source int
+	result checks.Result
+}
+
+// settle makes the loop look at what parts have shown.
+type settle struct{}
+
+func newEvidence(conf *config.Partners, list []mixer.Server, now time.Time, box interface{ Put(any) }, log *slog.Logger) (*evidence, error) {
+	table, err := health.New(conf.Rules(), conf.Sources(), now)
+	if err != nil {
+		return nil, err
+	}
+	e := &evidence{table: table, servers: map[health.ID]mixer.Server{}, log: log, box: box}
+	for _, c := range conf.Classes {
+		e.aims = append(e.aims, c.Aim.Duration)
+	}
+	var nodes []health.Node
+	for _, s := range list {
+		e.servers[health.ID(s.ID)] = s
+		nodes = append(nodes, health.Node{ID: health.ID(s.ID), Blocks: blocksOf(conf, s.Cell)})
+	}
+	table.Roster(now, nodes, true)
+	e.settled(now)
+	return e, nil
+}
+
+// blocksOf are the shards that a server of a cell holds: those that begin at its cell or at the reach-1 before it.
+func blocksOf(conf *config.Partners, cell int) (blocks []int) {
+	for s := range conf.Shards.Count {
+		if (cell-s%conf.Shards.Cells+conf.Shards.Cells)%conf.Shards.Cells < conf.Shards.Reach {
+			blocks = append(blocks, s)
+		}
+	}
+	return blocks
+}
+
+// Saw takes the end of an attempt as evidence.
+func (e *evidence) Saw(now time.Time, a mixer.Attempt) {
+	r := health.Neutral
+	switch a.Result {
+	case balance.OK:
+		r = health.Good
+	case balance.Failed, balance.Reset, balance.TimedOut:
+		r = health.Bad
+	case balance.ConnectFailed:
+		if r = health.Unreached; a.Own {
+			r = health.Neutral // for want of something of ours
+		}
+	case balance.Canceled:
+		// Called off after more than the aim: it was silent. Before that, its client left or another part failed.
+		if now.Sub(a.Sent) >= e.aims[a.Class] {
+			r = health.Bad
+		}
+	}
+	e.table.Outcome(now, health.ID(a.Server), a.Class, r, a.Sent)
+	if !e.asked {
+		e.asked = true
+		e.box.Put(settle{})
+	}
+}
+
+// Handle takes results of checks.
+func (e *evidence) Handle(now time.Time, ev any) ([]any, bool) {
+	switch ev := ev.(type) {
+	case checked:
+		e.table.Check(now, ev.server, ev.source, ev.result.Report)
+	case settle:
+		e.asked = false
+	default:
+		return nil, false
+	}
+	return e.settled(now), true
+}
+
+// Sweep does what is due.
+func (e *evidence) Sweep(now time.Time) ([]any, time.Time) {
+	events := e.settled(now)
+	next, _ := e.table.Next()
+	return events, next
+}
+
+var states = map[health.State]balance.State{health.InService: balance.InService, health.Draining: balance.Draining, health.Out: balance.Removed}
+
+// settled turns what has changed into word of the list. Each change of a conclusion is logged once, with its cause.
+func (e *evidence) settled(now time.Time) []any {
+	changes := e.table.Changes(now)
+	if len(changes) == 0 {
+		return nil
+	}
+	m := mixer.Members{Kind: balance.ListDelta}
+	for _, c := range changes {
+		if c.Told {
+			e.changes++
+			cause := c.Cause
+			if cause == "" {
+				cause = "well"
+			}
+			e.log.Info("health", "server", string(c.ID), "state", c.State.String(), "shunned", c.Shun == health.Everything, "usable", c.Usable,
+				"dubious", c.Dubious, "cause", cause)
+		}
+		s, ok := e.servers[c.ID]
+		if !ok {
+			continue
+		}
+		s.State = states[c.State]
+		s.Evidence = balance.Evidence{Share: c.Share, Most: c.MaxOut, Shun: c.Shun, Trial: c.Trial}
+		m.List = append(m.List, s)
+	}
+	return []any{m}
+}
+
+// adapters are several adapters of one loop.
+type adapters []mixer.Adapter
+
+// Handle gives an event to the adapter that it is of.
+func (as adapters) Handle(now time.Time, e any) ([]any, bool) {
+	for _, a := range as {
+		if events, mine := a.Handle(now, e); mine {
+			return events, true
+		}
+	}
+	return nil, false
+}
+
+// Sweep lets each do what is due.
+func (as adapters) Sweep(now time.Time) (events []any, next time.Time) {
+	for _, a := range as {
+		more, due := a.Sweep(now)
+		events = append(events, more...)
+		if !due.IsZero() && (next.IsZero() || due.Before(next)) {
+			next = due
+		}
+	}
+	return events, next
+}
--- a/internal/app/partners.go
+++ b/internal/app/partners.go
@@ -1,8 +1,10 @@
 package app
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"os"
 	"os/signal"
@@ -12,13 +14,17 @@
 	"time"
 
 	"rooktrestle/balance"
+	"rooktrestle/internal/app/background"
+	"rooktrestle/internal/back/checks"
 	"rooktrestle/internal/back/library"
 	sruback "rooktrestle/internal/back/sru"
 	zback "rooktrestle/internal/back/z3950"
 	"rooktrestle/internal/config"
+	"rooktrestle/internal/decide/health"
+	"rooktrestle/internal/decide/schedule"
+	fronthealth "rooktrestle/internal/front/health"
 	srufront "rooktrestle/internal/front/sru"
 	zfront "rooktrestle/internal/front/z3950"
-	"rooktrestle/internal/health"
 	"rooktrestle/internal/mixer"
 	"rooktrestle/internal/net/httpserve"
 	"rooktrestle/internal/net/tcp"
@@ -27,6 +33,8 @@
 
 const (
 	associationIdle = 5 * time.Minute
+	associationInit = 10 * time.Second // for Init, from the start
+	setsRecent      = time.Minute      // an association whose result sets were used since makes room for nobody
 	drainMost       = 30 * time.Second // the longest that a shutdown waits for clients to end
 )
 
@@ -44,121 +52,263 @@
 	return func(id balance.Replica) library.Codec { return all[id] }
 }
 
-// targets are the servers as listed by the operator, with the way to check each.
-func targets(conf *config.Partners) (list []health.Target) {
+// servers are those listed by the operator.
+func servers(conf *config.Partners) (list []mixer.Server) {
 	for _, s := range conf.Servers {
-		list = append(list, health.Target{
-			Server: mixer.Server{ID: balance.Replica(s.ID), Addr: s.Addr, Zone: s.Zone, Cell: s.Cell, Weight: 1},
-			Agent:  s.Agent, Path: s.Health,
-		})
+		list = append(list, mixer.Server{ID: balance.Replica(s.ID), Addr: s.Addr, Zone: s.Zone, Cell: s.Cell, Weight: 1})
 	}
 	return list
 }
 
-// ServePartners serves the operator's second front until it is told to end.
-func ServePartners(path string) error {
-	renewed := make(chan os.Signal, 1)
-	signal.Notify(renewed, syscall.SIGHUP) // one that nobody takes ends the program
-	conf, err := config.LoadPartners(path)
-	if err != nil {
-		return err
-	}
-	debug.SetMemoryLimit(int64(conf.Limits.MemoryMB) << 20 * 3 / 4)
-	set := conf.Decisions(rand.Uint64())
+// Partners is a running installation of the second front.
+type Partners struct {
+	conf     *config.Partners
+	log      *slog.Logger
+	clock    mixer.Clock
+	core     *mixer.Core
+	loop     *mixer.Loop
+	pool     *library.Pool
+	evidence *evidence
+	word     *word
+	teller   *fronthealth.Teller
+	runner   *background.Runner
+	web      *httpserve.Server
+	checks   *httpserve.Server
+	target   *zfront.Server
+	gates    map[string]*tcp.Gate
+	servers  map[string]*tcp.Server
+	stop     chan struct{}
+	over     chan struct{} // the loop has ended
+	idle     chan struct{} // background work has ended
+}
+
+// StartPartners builds an installation from a checked configuration and starts it. seed is that of its chance.
+func StartPartners(conf *config.Partners, seed uint64, log *slog.Logger) (*Partners, error) {
+	set := conf.Decisions(seed)
 	fresh := func() (*balance.Balancer, error) { return balance.New(set) }
 	decide, err := fresh()
 	if err != nil {
-		return err
+		return nil, err
 	}
-	clock, box, stop := mixer.SystemClock{}, mixer.NewMailbox(), make(chan struct{})
-	pool := library.NewPool(library.Limits{
-		Connect: conf.Limits.Connect.Duration, Idle: conf.Limits.Idle.Duration, Sockets: conf.Limits.Sockets / 2,
+	p := &Partners{conf: conf, log: log, clock: mixer.SystemClock{}, stop: make(chan struct{}), over: make(chan struct{}),
+		idle: make(chan struct{}), gates: map[string]*tcp.Gate{}, servers: map[string]*tcp.Server{}}
+	box := mixer.NewMailbox()
+	p.pool = library.NewPool(library.Limits{
+		Connect: conf.Limits.Connect.Duration, Idle: conf.Limits.Idle.Duration, Sockets: max(1, conf.Limits.Sockets/2-conf.Checks.AtOnce),
 	}, box, tcp.Dial, codecs(conf))
 	lim := mixer.Limits{MaxOpen: conf.Limits.MaxOpen, ComeBack: time.Second, Ahead: 4 * set.Tick}
 	for _, c := range conf.Classes {
 		lim.SecondStep = append(lim.SecondStep, c.SecondStep)
 	}
-	core := mixer.NewCore(decide, pool, lim, clock.Now())
-	pool.Use(core)
-	list := targets(conf)
-	first := mixer.Members{Kind: balance.ListFull}
-	for _, t := range list {
-		first.List = append(first.List, t.Server)
+	now := p.clock.Now()
+	p.core = mixer.NewCore(decide, p.pool, lim, now)
+	p.pool.Use(p.core)
+	list := servers(conf)
+	if p.evidence, err = newEvidence(conf, list, now, box, log); err != nil {
+		return nil, err
+	}
+	p.core.Witness = p.evidence
+	box.Put(mixer.Members{Kind: balance.ListFull, List: list})
+	p.teller = &fronthealth.Teller{Now: p.clock.Now, Wait: conf.Listen.AgentWait.Duration, Servers: p.serversJSON, Metrics: p.Report}
+	p.word = newWord(conf, p.core, p.evidence, p.teller)
+	p.loop = &mixer.Loop{Core: p.core, Box: box, Adapter: adapters{p.pool, p.evidence, p.word}, Clock: p.clock, Stop: p.stop, Fresh: fresh}
+	if p.runner, err = background.New(schedule.Budget{
+		PerSecond: conf.Checks.PerSecond, Burst: max(8, conf.Checks.AtOnce), AtOnce: conf.Checks.AtOnce, Jitter: conf.Checks.Jitter,
+	}, seed, p.clock); err != nil {
+		return nil, err
+	}
+	p.addChecks(box)
+	if err := p.listen(box); err != nil {
+		p.closeListeners()
+		return nil, err
 	}
-	box.Put(first)
-	loop := &mixer.Loop{Core: core, Box: box, Adapter: pool, Clock: clock, Stop: stop, Fresh: fresh}
-	loopOver := make(chan struct{})
+	go func() { p.loop.Run(); close(p.over) }()
+	go func() { p.runner.Run(p.stop); close(p.idle) }()
+	return p, nil
+}
 
-	service := &partner.Service{Conf: conf, Put: box.Put, Now: clock.Now}
-	own := &health.Own{}
-	own.Set(health.Report{Admin: health.Up, State: health.Up, Weight: 1})
-	times := httpserve.Timeouts{First: 10 * time.Second, Idle: 2 * time.Minute, Read: 10 * time.Second, Spare: spareClient}
-	web := httpserve.New(times, clock.Now, (&srufront.Server{Service: service}).Handle)
-	checks := httpserve.New(times, clock.Now, own.HTTP)
-	target := &zfront.Server{Service: service, Idle: associationIdle}
+// addChecks gives each check of each server to the background.
+func (p *Partners) addChecks(box interface{ Put(any) }) {
+	for _, s := range p.conf.Servers {
+		for _, name := range s.Checks {
+			source := 0
+			for i := range p.conf.Profiles {
+				if p.conf.Profiles[i].Name == name {
+					source = i
+				}
+			}
+			f := &p.conf.Profiles[source]
+			check := checks.Check{Profile: f, Addr: f.AddrOf(s), Bridge: p.conf.Checks.GRPCBridge, Dial: tcp.Dial}
+			id, last := health.ID(s.ID), health.Report{}
+			p.runner.Add(schedule.Task{Priority: schedule.Normal, Every: f.Every.Duration, Fast: f.Fast.Duration, FastFor: f.FastFor,
+				Slow: f.Slow.Duration}, f.Every.Duration/4, func() (schedule.Pace, bool) {
+				res := check.Run()
+				box.Put(checked{id, source, res})
+				pace := schedule.Steady
+				now := res.Report
+				switch {
+				case now.Failed != last.Failed || now.Admin != last.Admin || now.Oper != last.Oper:
+					pace = schedule.Changed
+				case now.Failed || now.Oper == health.Down:
+					pace = schedule.Down
+				}
+				last = now
+				return pace, res.Hung
+			})
+		}
+	}
+}
 
-	gate := &tcp.Gate{Most: max(1, conf.Limits.Sockets/2-otherSockets), Room: func() bool { return web.Room(true) || checks.Room(true) }}
-	var servers []*tcp.Server
+// listen opens the listeners. Each has sockets of its own and makes room on its own: whatever one of them suffers,
+// the others go on.
+func (p *Partners) listen(box *mixer.Mailbox) error {
+	conf := p.conf
+	service := &partner.Service{Conf: conf, Put: box.Put, Now: p.clock.Now}
+	times := httpserve.Timeouts{First: 10 * time.Second, Idle: 2 * time.Minute, Read: 10 * time.Second, Spare: spareClient}
+	p.web = httpserve.New(times, p.clock.Now, (&srufront.Server{Service: service}).Handle)
+	short := httpserve.Timeouts{First: 2 * time.Second, Idle: time.Minute, Read: 2 * time.Second, Spare: spareClient}
+	p.checks = httpserve.New(short, p.clock.Now, p.teller.HTTP)
+	p.target = zfront.New(service, zfront.Times{Init: associationInit, Idle: associationIdle, Recent: setsRecent}, p.clock.Now)
 	for _, l := range []struct {
 		what, addr string
+		share      int
+		room       func() bool
 		accept     func(*tcp.Link) tcp.Handler
 	}{
-		{"sru", conf.Listen.SRU, web.Accept}, {"z3950", conf.Listen.Z3950, target.Accept},
-		{"health", conf.Listen.Health, checks.Accept}, {"agent", conf.Listen.Agent, own.Agent},
+		{"sru", conf.Listen.SRU, conf.Listen.Share.SRU, func() bool { return p.web.Room(true) }, p.web.Accept},
+		{"z3950", conf.Listen.Z3950, conf.Listen.Share.Z3950, p.target.Room, p.target.Accept},
+		{"health", conf.Listen.Health, conf.Listen.Share.Health, func() bool { return p.checks.Room(true) }, p.checks.Accept},
+		{"agent", conf.Listen.Agent, conf.Listen.Share.Agent, nil, p.teller.Agent},
 	} {
 		if l.addr == "" {
 			continue
 		}
+		gate := &tcp.Gate{Most: l.share, Room: l.room}
 		server, err := tcp.Listen(l.addr, gate, l.accept)
 		if err != nil {
 			return fmt.Errorf("%s: %w", l.what, err)
 		}
-		logf("listen %s %s", l.what, server.Addr())
-		servers = append(servers, server)
+		p.log.Info("listen", "what", l.what, "addr", server.Addr(), "sockets", l.share)
+		p.gates[l.what], p.servers[l.what] = gate, server
+	}
+	return nil
+}
+
+func (p *Partners) closeListeners() {
+	for _, s := range p.servers {
+		s.Close()
+	}
+}
+
+// Addr is where a front listens: sru, z3950, health or agent.
+func (p *Partners) Addr(what string) string {
+	if s := p.servers[what]; s != nil {
+		return s.Addr()
+	}
+	return ""
+}
+
+// Count returns the core's counters.
+func (p *Partners) Count() (c mixer.Counters) {
+	p.loop.Do(func() { c = p.core.Count })
+	return c
+}
+
+// Report is the counters as text.
+func (p *Partners) Report() (text string) {
+	p.loop.Do(func() { text = p.counters() })
+	return text
+}
+
+func (p *Partners) counters() string {
+	agent, web, late := p.teller.Counters()
+	st := p.runner.Stats()
+	return fmt.Sprintf("%v; servers: dialed %d, refused %d, broken %d, late answers %d; sru: %+v; z39.50: %+v; health asked: agent %d, http %d, "+
+		"while late %d; checks: %d targets, %d begun, held back %d, late p50 %v p99 %v; conclusions changed %d",
+		p.core.Count, p.pool.Stats.Dials, p.pool.Stats.DialsFailed, p.pool.Stats.Broken, p.pool.Stats.Late, p.web.Counters(), p.target.Counters(),
+		agent, web, late, st.Tasks, st.Starts, st.Held, st.P50, st.P99, p.evidence.changes)
+}
+
+// ServerWord is what is known of one server.
+type ServerWord struct {
+	ID      string        `json:"server"`
+	State   string        `json:"state"`
+	Usable  bool          `json:"usable"`
+	Shunned uint64        `json:"shunned_classes,omitempty"`
+	Share   float64       `json:"share"`
+	Most    int           `json:"most,omitempty"`
+	Cause   string        `json:"cause,omitempty"`
+	Facts   []health.Fact `json:"facts"`
+}
+
+func wordOn(t *health.Table, now time.Time, id string) ServerWord {
+	c, _ := t.Conclusion(health.ID(id))
+	return ServerWord{id, c.State.String(), c.Usable, c.Shun, c.Share, c.MaxOut, c.Cause, t.Facts(now, health.ID(id))}
+}
+
+func (p *Partners) serversJSON() (text []byte) {
+	var all []ServerWord
+	p.loop.Do(func() {
+		for _, s := range p.conf.Servers {
+			all = append(all, wordOn(p.evidence.table, p.clock.Now(), s.ID))
+		}
+	})
+	text, _ = json.MarshalIndent(all, "", "  ")
+	return append(text, '\n')
+}
+
+// Stop ends the installation: late arrivals are served, then what is held, then clients' connections end.
+func (p *Partners) Stop(late time.Duration) {
+	p.loop.Do(func() { p.word.drain(p.clock.Now()) })
+	time.Sleep(late)
+	p.web.CloseIdle()
+	p.checks.CloseIdle()
+	p.target.Shutdown()
+	for end := time.Now().Add(drainMost); time.Now().Before(end); time.Sleep(flushed) {
+		held := 0
+		p.loop.Do(func() { held = p.core.Held() })
+		if held == 0 && p.web.Open() == 0 && p.target.Open() == 0 {
+			break
+		}
+	}
+	p.closeListeners()
+	close(p.stop)
+	<-p.over
+	<-p.idle
+}
+
+// ServePartners serves the operator's second front until it is told to end.
+func ServePartners(path string, log *slog.Logger) error {
+	renewed := make(chan os.Signal, 1)
+	signal.Notify(renewed, syscall.SIGHUP) // one that nobody takes ends the program
+	conf, err := config.LoadPartners(path)
+	if err != nil {
+		return err
 	}
+	debug.SetMemoryLimit(int64(conf.Limits.MemoryMB) << 20 * 3 / 4)
 	signals, onRequest := make(chan os.Signal, 2), make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(onRequest, syscall.SIGUSR1)
-	go func() { loop.Run(); close(loopOver) }()
-	go health.Watch(stop, list, health.Rules{Fall: conf.Checks.Fall, Rise: conf.Checks.Rise},
-		conf.Checks.Every.Duration, conf.Checks.Timeout.Duration, box.Put)
-
-	report := func() {
-		logf("%v; servers: dialed %d, refused %d, broken %d, late answers %d; sru: %+v; z39.50: %+v", core.Count,
-			pool.Stats.Dials, pool.Stats.DialsFailed, pool.Stats.Broken, pool.Stats.Late, web.Counters(), target.Counters())
+	p, err := StartPartners(conf, rand.Uint64(), log)
+	if err != nil {
+		return err
 	}
 	for told := false; !told; {
 		select {
 		case <-renewed:
 			if err := CheckPartners(io.Discard, path); err != nil {
-				logf("the new configuration is bad, the old one stays: %v", err)
+				log.Error("the new configuration is bad, the old one stays", "err", err.Error())
 			} else {
-				logf("the new configuration is good and waits for the next start")
+				log.Info("the new configuration is good and waits for the next start")
 			}
 		case <-onRequest:
-			loop.Do(report)
+			log.Info("counters", "report", p.Report())
 		case <-signals:
 			told = true
 		}
 	}
-	logf("told to end")
-	own.Set(health.Report{Admin: health.Drain, State: health.Up, Weight: -1, Why: "shutting down"})
-	time.Sleep(lateArrivals)
-	web.CloseIdle()
-	checks.CloseIdle()
-	target.Shutdown()
-	for end := time.Now().Add(drainMost); time.Now().Before(end); time.Sleep(flushed) {
-		held := 0
-		loop.Do(func() { held = core.Held() })
-		if held == 0 && web.Open() == 0 && target.Open() == 0 {
-			break
-		}
-	}
-	for _, s := range servers {
-		s.Close()
-	}
-	close(stop)
-	<-loopOver
-	report()
+	log.Info("told to end")
+	p.Stop(lateArrivals)
+	log.Info("counters", "report", p.counters()) // nothing runs any more
 	return nil
 }
--- /dev/null
+++ b/internal/app/word.go
@@ -0,0 +1,83 @@
+package app
+
+import (
+	"runtime/metrics"
+	"time"
+
+	"rooktrestle/internal/config"
+	"rooktrestle/internal/decide/readiness"
+	fronthealth "rooktrestle/internal/front/health"
+	"rooktrestle/internal/mixer"
+)
+
+// wordEvery is how often the mixer's own word is made: many times in the second within which it has to be true.
+const wordEvery = 50 * time.Millisecond
+
+// word makes the mixer's own word from the core's facts. It lives on the loop.
+type word struct {
+	conf     *config.Partners
+	core     *mixer.Core
+	evidence *evidence
+	judge    *readiness.Judge
+	teller   *fronthealth.Teller
+	draining bool
+	due      time.Time
+	memory   []metrics.Sample
+}
+
+func newWord(conf *config.Partners, core *mixer.Core, e *evidence, teller *fronthealth.Teller) *word {
+	return &word{conf: conf, core: core, evidence: e, judge: readiness.New(readiness.Defaults()), teller: teller,
+		memory: []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}}
+}
+
+// Handle takes nothing.
+func (*word) Handle(time.Time, any) ([]any, bool) { return nil, false }
+
+// Sweep makes the word when it is due.
+func (w *word) Sweep(now time.Time) ([]any, time.Time) {
+	if now.Before(w.due) {
+		return nil, w.due
+	}
+	w.tell(now)
+	w.due = now.Add(wordEvery)
+	return nil, w.due
+}
+
+// drain says from now on that queries should go elsewhere.
+func (w *word) drain(now time.Time) {
+	w.draining = true
+	w.tell(now)
+}
+
+func (w *word) tell(now time.Time) {
+	metrics.Read(w.memory)
+	c := w.core.Count
+	f := readiness.Facts{
+		Draining: w.draining, Open: w.core.Load(), Most: w.conf.Limits.MaxOpen, Taken: c.Taken, Refused: c.Refused,
+		Memory: w.memory[0].Value.Uint64() - w.memory[1].Value.Uint64(), Limit: uint64(w.conf.Limits.MemoryMB) << 20,
+	}
+	if !w.due.IsZero() {
+		f.Lag = max(0, now.Sub(w.due))
+	}
+	for _, d := range w.conf.Databases {
+		f.Bases = append(f.Bases, w.base(d))
+	}
+	w.teller.Set(w.judge.Judge(now, f))
+}
+
+func (w *word) base(d config.Database) readiness.BaseFacts {
+	search, correction := w.conf.Class(d.Search), w.conf.Class(d.Correction)
+	b := readiness.BaseFacts{Name: d.Name, Blocks: len(d.Shards), Floor: w.conf.Classes[search].Floor}
+	if w.evidence.table.Doubted() {
+		b.Suspect = "checks are doubted"
+	}
+	for _, s := range d.Shards {
+		if w.evidence.table.Usable(s, search) == 0 {
+			b.Lost = append(b.Lost, s)
+		}
+		if correction >= 0 && w.evidence.table.Usable(s, correction) == 0 {
+			b.Closed = append(b.Closed, s)
+		}
+	}
+	return b
+}
--- a/internal/back/library/issue.go
+++ b/internal/back/library/issue.go
@@ -221,7 +221,7 @@
 	}
 	codec := p.codec(to.ID)
 	if p.total >= p.lim.Sockets || codec == nil || to.Addr == "" {
-		p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Cause: errors.New("no socket left, or a server that is gone")}, nil)
+		p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Own: true, Cause: errors.New("no socket left, or a server that is gone")}, nil)
 		return
 	}
 	p.total++
--- a/internal/front/z3950/server.go
+++ b/internal/front/z3950/server.go
@@ -2,6 +2,7 @@
 package z3950
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"strconv"
@@ -9,6 +10,7 @@
 	"sync"
 	"time"
 
+	"rooktrestle/internal/decide/room"
 	"rooktrestle/internal/net/tcp"
 	"rooktrestle/internal/partner"
 	"rooktrestle/internal/protocol/z3950"
@@ -22,23 +24,87 @@
 	leastSize = 4 << 10
 )
 
+// Times of associations.
+type Times struct {
+	Init   time.Duration // for Init, from the start; 0: as Idle says
+	Idle   time.Duration // without activity; 0: not limited
+	Recent time.Duration // result sets used since are in use: their association makes room for nobody
+}
+
 // Server is the Z39.50 front: a target.
 type Server struct {
 	Service *partner.Service
-	Idle    time.Duration // of an association
+	times   Times
+	now     func() time.Time
 
 	mu    sync.Mutex
 	open  map[*assoc]bool
+	room  *room.Register[*assoc]
 	count Counters
 }
 
+// New returns a target that serves service.
+func New(service *partner.Service, times Times, now func() time.Time) *Server {
+	return &Server{Service: service, times: times, now: now, open: map[*assoc]bool{}, room: room.New[*assoc](times.Recent)}
+}
+
 // Counters count associations and units.
-type Counters struct{ Associations, Units, Bad uint64 }
+type Counters struct{ Associations, Units, Bad, Spared uint64 }
 
 // Link is a connection as the server uses it.
 type Link interface {
 	Write(b []byte, done func(tcp.Wrote))
 	Finish(linger bool)
+	Drop()
+}
+
+// Room closes the association that is in nobody's way, before it returns, and says whether there was one. Guards
+// the limit on sockets: against origins that connect and say nothing, or sign on and do nothing. One with an
+// operation in hand, or with result sets in recent use, stays.
+func (s *Server) Room() bool {
+	s.mu.Lock()
+	a, ok := s.room.Pick(s.now())
+	if ok {
+		s.count.Spared++
+	}
+	s.mu.Unlock()
+	if !ok {
+		return false
+	}
+	a.mu.Lock()
+	busy := a.busy != nil // an operation has come in just now
+	a.over = a.over || !busy
+	a.mu.Unlock()
+	if busy {
+		a.lies(room.Busy)
+		return false
+	}
+	a.link.Drop()
+	return true
+}
+
+// lies says what an association is to the listener from now on.
+func (a *assoc) lies(c room.Class) {
+	a.s.mu.Lock()
+	defer a.s.mu.Unlock()
+	if a.s.open[a] {
+		a.s.room.Put(a, c, a.s.now())
+	}
+}
+
+// lie says so from its own state. It is called with the association's lock held.
+func (a *assoc) lie() {
+	switch {
+	case a.over:
+	case a.busy != nil:
+		a.lies(room.Busy)
+	case !a.begun:
+		// As it was: what it sends before Init does not make it newer.
+	case len(a.sets) > 0:
+		a.lies(room.Kept)
+	default:
+		a.lies(room.Idle)
+	}
 }
 
 // Accept makes the handler of a new connection.
@@ -48,14 +114,12 @@
 func (s *Server) Attach(l Link) tcp.Handler {
 	a := &assoc{s: s, link: l, sets: map[string]*set{}, size: z3950.MaxPDU}
 	s.mu.Lock()
-	if s.open == nil {
-		s.open = map[*assoc]bool{}
-	}
 	s.open[a] = true
+	s.room.Put(a, room.Fresh, s.now())
 	s.count.Associations++
 	s.mu.Unlock()
 	a.mu.Lock()
-	a.rest()
+	a.arm(cmp.Or(s.times.Init, s.times.Idle))
 	a.mu.Unlock()
 	return a
 }
@@ -126,13 +190,19 @@
 	timer   *time.Timer
 }
 
-// rest starts the time after which an association without activity is closed.
+// rest starts the time after which an association without activity is closed. Before Init there is one time for all.
 func (a *assoc) rest() {
+	if a.begun {
+		a.arm(a.s.times.Idle)
+	}
+}
+
+func (a *assoc) arm(d time.Duration) {
 	if a.timer != nil {
 		a.timer.Stop()
 	}
-	if a.s.Idle > 0 {
-		a.timer = time.AfterFunc(a.s.Idle, func() {
+	if d > 0 {
+		a.timer = time.AfterFunc(d, func() {
 			a.mu.Lock()
 			defer a.mu.Unlock()
 			if a.busy == nil {
@@ -193,6 +263,7 @@
 		a.s.counted(&a.s.count.Units)
 		a.take(n)
 	}
+	a.lie()
 }
 
 func (s *Server) counted(which *uint64) {
@@ -213,6 +284,7 @@
 	a.mu.Unlock()
 	a.s.mu.Lock()
 	delete(a.s.open, a)
+	a.s.room.Remove(a)
 	a.s.mu.Unlock()
 }
 
@@ -336,6 +408,7 @@
 		done(op, o)
 		a.rest()
 		a.next()
+		a.lie()
 	})
 	op.cancel = cancel
 	if known != nil {
--- a/internal/mixer/core.go
+++ b/internal/mixer/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"os"
 	"slices"
@@ -105,6 +106,9 @@
 // Held is the number of open queries.
 func (c *Core) Held() int { return len(c.queries) }
 
+// Load is the number of queries and parts held, as Limits.MaxOpen counts them.
+func (c *Core) Load() int { return len(c.queries) + len(c.parts) }
+
 // Listed is the number of servers in service.
 func (c *Core) Listed() int {
 	n := 0
@@ -270,7 +274,9 @@
 	}
 	c.Count.Outcomes[r]++
 	if c.Witness != nil {
-		c.Witness.Saw(now, Attempt{Server: a.server, Class: a.part.q.req.Class, Result: r, Sent: a.sent})
+		var cause *AttemptError
+		own := errors.As(e.Err, &cause) && cause.Own
+		c.Witness.Saw(now, Attempt{Server: a.server, Class: a.part.q.req.Class, Result: r, Sent: a.sent, Own: own})
 	}
 	if p := a.part; r == balance.OK && !p.in && c.parts[p.id] == p {
 		p.in, p.score, p.value = true, e.Score, e.Value
--- a/internal/mixer/mixer.go
+++ b/internal/mixer/mixer.go
@@ -31,6 +31,7 @@
 	TurnedAway bool // Answered: the server did not take it
 	Withdrawn  bool // this mixer gave it up
 	Spoilt     bool // Written: the server lives, and what it said on the connection cannot be read
+	Own        bool // NotConnected: for want of something of this mixer's; tells nothing of the server
 	Cause      error
 }
 
@@ -113,6 +114,7 @@
 	Class  int
 	Result balance.Result
 	Sent   time.Time
+	Own    bool // it failed for want of something of this mixer's
 }
 
 // Spec is one part of a request.
--- a/internal/protocol/httpcheck/httpcheck.go
+++ b/internal/protocol/httpcheck/httpcheck.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"regexp"
 	"strconv"
 	"strings"
@@ -74,13 +73,13 @@
 	Why      string
 }
 
-// Judge holds an answer against what is expected.
-func (e *Expect) Judge(status int, h http.Header, body []byte) Verdict {
-	v := Verdict{Degraded: said(h, DegradedHeader)}
+// Judge holds an answer against what is expected. header returns a field's value, empty if it is not there.
+func (e *Expect) Judge(status int, header func(name string) string, body []byte) Verdict {
+	v := Verdict{Degraded: said(header(DegradedHeader))}
 	switch {
 	case In(e.Drain, status):
 		v.Drain, v.Good, v.Why = true, true, fmt.Sprintf("status %d", status)
-	case said(h, ImmediateHeader):
+	case said(header(ImmediateHeader)):
 		v.AtOnce, v.Why = true, "immediate failure told"
 	case !In(e.Status, status):
 		v.Why = fmt.Sprintf("status %d", status)
@@ -95,7 +94,4 @@
 }
 
 // said: the header is there, and does not say no. Its value does not matter to Envoy beyond that.
-func said(h http.Header, name string) bool {
-	v, ok := h[name]
-	return ok && (len(v) == 0 || !strings.EqualFold(v[0], "false") && v[0] != "0")
-}
+func said(v string) bool { return v != "" && !strings.EqualFold(v, "false") && v != "0" }
--- a/internal/protocol/httpcheck/httpcheck_test.go
+++ b/internal/protocol/httpcheck/httpcheck_test.go
@@ -31,7 +31,7 @@
 		{200, nil, "fine, all", Verdict{Why: "the body does not match"}},
 		{200, http.Header{ImmediateHeader: {"true"}}, "all fine", Verdict{AtOnce: true, Why: "immediate failure told"}},
 	} {
-		if got := e.Judge(c.status, c.head, []byte(c.body)); got != c.want {
+		if got := e.Judge(c.status, c.head.Get, []byte(c.body)); got != c.want {
 			t.Errorf("%d %v %q: %+v", c.status, c.head, c.body, got)
 		}
 	}
