Add the laboratory: stand-in nodes and agents, load, rule checks, demo and experiments on health

A newcomer had no first command, and the stand-ins lived in one test. rooklab demo starts nodes of both protocols, the real second front and clients; rooklab health runs seven experiments and says which claims break.

--- /dev/null
+++ b/internal/lab/client/client.go
@@ -0,0 +1,191 @@
+// Package client has the laboratory's own callers: of SRU over the standard library's HTTP, of Z39.50 over the
+// laboratory's own BER, and of the health protocols. They share no code with the program.
+package client
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"rooktrestle/internal/lab/ber"
+)
+
+// Outcome of one call, as its caller sees it.
+type Outcome int
+
+const (
+	Whole   Outcome = iota
+	Partial         // an answer that says that it is not whole
+	Refused         // asking again is harmless
+	Failed          // no answer, or one that says so
+	Broken          // no word at all: the connection ended, or the time was over
+)
+
+func (o Outcome) String() string {
+	return [...]string{"whole", "partial", "refused", "failed", "broken"}[o]
+}
+
+// SRU calls one SRU server. It is safe for concurrent use.
+type SRU struct {
+	addr string
+	http *http.Client
+}
+
+// NewSRU returns a caller that gives up after timeout.
+func NewSRU(addr string, timeout time.Duration) *SRU {
+	return &SRU{addr, &http.Client{Timeout: timeout, Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: (&net.Dialer{Timeout: timeout}).DialContext}}}
+}
+
+// Close ends idle connections.
+func (c *SRU) Close() { c.http.CloseIdleConnections() }
+
+// SearchURL is where a search is asked.
+func (c *SRU) SearchURL(base, cql string) string {
+	v := url.Values{"operation": {"searchRetrieve"}, "version": {"1.2"}, "query": {cql}, "maximumRecords": {"10"}}
+	return "http://" + c.addr + "/" + base + "?" + v.Encode()
+}
+
+// Search looks for something in a database.
+func (c *SRU) Search(base, cql string) Outcome {
+	resp, err := c.http.Get(c.SearchURL(base, cql))
+	return judge(resp, err, "<numberOfRecords>")
+}
+
+// Correct changes a record.
+func (c *SRU) Correct(base, id string) Outcome {
+	resp, err := c.http.Post("http://"+c.addr+"/"+base, "text/xml", strings.NewReader(UpdateXML(id)))
+	return judge(resp, err, "<operationStatus>success<")
+}
+
+func judge(resp *http.Response, err error, good string) Outcome {
+	if err != nil {
+		return Broken
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	switch {
+	case err != nil:
+		return Broken
+	case resp.StatusCode == 503 || resp.StatusCode == 429:
+		return Refused
+	case resp.StatusCode != 200:
+		return Failed
+	case strings.Contains(string(text), "diagnostic/1/59<"):
+		return Partial
+	case strings.Contains(string(text), "<diagnostic "), !strings.Contains(string(text), good):
+		return Failed
+	}
+	return Whole
+}
+
+// UpdateXML is the body of a record update.
+func UpdateXML(id string) string {
+	return `<updateRequest xmlns="http://www.loc.gov/zing/srw/update/"><version>1.0</version><action>info:srw/action/1/replace</action>` +
+		`<recordIdentifier>` + id + `</recordIdentifier><record><recordPacking>xml</recordPacking><recordData><line/></recordData></record></updateRequest>`
+}
+
+// Origin is a Z39.50 client with one association. One goroutine uses it.
+type Origin struct {
+	c       net.Conn
+	in      *bufio.Reader
+	timeout time.Duration
+}
+
+// Dial opens an association; user may be empty.
+func Dial(addr, user string, timeout time.Duration) (*Origin, error) {
+	c, err := net.DialTimeout("tcp", addr, timeout)
+	if err != nil {
+		return nil, err
+	}
+	o := &Origin{c, bufio.NewReader(c), timeout}
+	v, err := o.Ask(ber.InitUnit(user))
+	if err == nil && (v.Tag != 21 || len(v.Kid(12).Body) != 1 || v.Kid(12).Body[0] == 0) {
+		err = fmt.Errorf("init: refused, unit %d", v.Tag)
+	}
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	return o, nil
+}
+
+// Close ends the association without a word.
+func (o *Origin) Close() { o.c.Close() }
+
+// Ask sends a unit and reads one.
+func (o *Origin) Ask(unit string) (ber.TLV, error) {
+	o.c.SetDeadline(time.Now().Add(o.timeout))
+	if _, err := io.WriteString(o.c, unit); err != nil {
+		return ber.TLV{}, err
+	}
+	return ber.Read(o.in)
+}
+
+// Search looks for something in a database.
+func (o *Origin) Search(set, base, text string) Outcome {
+	v, err := o.Ask(ber.SearchUnit(set, base, ber.Term(4, text)))
+	switch code := ber.Condition(v); {
+	case err != nil || v.Tag != 23:
+		return Broken
+	case code == 33:
+		return Partial
+	case code == 2:
+		return Refused
+	case code != 0:
+		return Failed
+	}
+	return Whole
+}
+
+// Correct changes a record of the database captions.
+func (o *Origin) Correct(id string) Outcome {
+	v, err := o.Ask(ber.UpdateUnit(id))
+	switch code := ber.Condition(v); {
+	case err != nil || v.Tag != 47:
+		return Broken
+	case code == 2:
+		return Refused
+	case code != 0 || v.Kid(3).Num() != 1:
+		return Failed
+	}
+	return Whole
+}
+
+// Agent asks an agent-check and returns its line. send, if not empty, is sent first.
+func Agent(addr, send string, timeout time.Duration) (string, error) {
+	c, err := net.DialTimeout("tcp", addr, timeout)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(timeout))
+	if send != "" {
+		io.WriteString(c, send)
+	}
+	text, err := io.ReadAll(c)
+	return strings.TrimSpace(string(text)), err
+}
+
+// Get asks for a page of HTTP on a connection of its own.
+func Get(rawURL string, timeout time.Duration) (status int, header http.Header, body string, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, "GET", rawURL, nil)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header, string(text), err
+}
--- /dev/null
+++ b/internal/lab/health/scenario.go
@@ -0,0 +1,483 @@
+// Package health has the experiments on health evidence: nodes that lie in both directions, drains, broken checks,
+// agents that misbehave, crowds of silent connections, and whether the mixer's own word is true. Each runs the real
+// second front on loopback against stand-ins and measures; each says which of its claims did not hold.
+package health
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"time"
+
+	"rooktrestle/internal/lab/ber"
+	"rooktrestle/internal/lab/client"
+	"rooktrestle/internal/lab/install"
+	"rooktrestle/internal/lab/load"
+	"rooktrestle/internal/lab/node"
+	"rooktrestle/internal/lab/rules"
+)
+
+// Result of one run of a scenario.
+type Result struct {
+	Values map[string]float64 // measured; names end in their unit
+	Broken []string           // claims that did not hold
+	Series []Point            // of the node's share, where the scenario has one
+}
+
+// Point of a series.
+type Point struct{ At, Value float64 }
+
+func (r *Result) set(name string, v float64) {
+	if r.Values == nil {
+		r.Values = map[string]float64{}
+	}
+	r.Values[name] = v
+}
+
+func (r *Result) claim(holds bool, format string, args ...any) {
+	if !holds {
+		r.Broken = append(r.Broken, fmt.Sprintf(format, args...))
+	}
+}
+
+func (r *Result) rules(in *install.Install) {
+	twice := rules.Twice(in.Archive)
+	r.set("corrections-twice", float64(len(twice)))
+	r.claim(len(twice) == 0, "corrections ran twice: %v", twice)
+}
+
+// Scenario is one experiment. scale is 1 for a recorded run; tests may shorten the waits that only measure.
+type Scenario struct {
+	Name, What string
+	Run        func(seed uint64) (Result, error)
+}
+
+// All are the scenarios, in the order of the page that asks for them.
+var All = []Scenario{
+	{"liar-up", "every check says healthy, 80% of the parts fail at once", LiarUp},
+	{"drain", "a node says drain, with 1,000 other targets, slow checks and greetings in the way", Drain},
+	{"liar-down", "a node says down and serves; then it holds a block alone", LiarDown},
+	{"blind", "all checks fail at once while parts succeed", Blind},
+	{"agents", "agents that hang, drip, flood, slam and refuse", Agents},
+	{"crowd", "700 silent or half-begun connections on each listener in turn", Crowd},
+	{"truth", "our own word against what a client gets, each 50 ms", Truth},
+}
+
+// rate is the steady load, in calls a second; a search has a part for each block.
+const rate = 40
+
+func begin(in *install.Install, seed uint64) (*load.Result, func()) {
+	return load.Start(load.Plan{SRU: in.Front.Addr("sru"), Z3950: in.Front.Addr("z3950"), Rate: rate, Mix: load.Usual, Seed: seed,
+		Timeout: 5 * time.Second, Origins: 16})
+}
+
+func steady() node.Faults {
+	return node.Faults{Delay: 5 * time.Millisecond, Jitter: 10 * time.Millisecond}
+}
+
+// wait waits for an event, for a time at most, and returns how long after since it came.
+func wait(told <-chan install.Event, since time.Time, most time.Duration) (time.Duration, bool) {
+	select {
+	case ev := <-told:
+		return ev.At.Sub(since), true
+	case <-time.After(most):
+		return most, false
+	}
+}
+
+// LiarUp measures how soon a node is left whose checks all say healthy while it fails 80% of its parts, what share
+// it keeps, what its failing costs, and how soon it is back once sound.
+func LiarUp(seed uint64) (r Result, err error) {
+	in, err := install.Start(install.Options{Nodes: 4, Reach: 2, Seed: seed, Agents: true})
+	if err != nil {
+		return r, err
+	}
+	defer in.Stop()
+	for _, n := range in.Nodes {
+		n.Set(steady())
+	}
+	calls, end := begin(in, seed)
+	defer end()
+	start := time.Now()
+	time.Sleep(4 * time.Second)
+	bad := steady()
+	bad.Error = 0.8
+	left := in.Events.Next(install.Health("n1", "parts fail"))
+	fault := time.Now()
+	in.Node("n1").Set(bad)
+	detect, ok := wait(left, fault, 3*time.Second)
+	r.claim(ok, "not left within 3 s")
+	r.set("detect-s", detect.Seconds())
+	time.Sleep(time.Until(fault.Add(3 * time.Second)))
+	from := time.Now()
+	time.Sleep(12 * time.Second)
+	to := time.Now()
+	back := in.Events.Next(install.Health("n1", "well"))
+	in.Node("n1").Set(steady())
+	sound := time.Now()
+	recover, ok := wait(back, sound, 10*time.Second)
+	r.claim(ok, "not back within 10 s")
+	r.set("recover-s", recover.Seconds())
+	time.Sleep(6 * time.Second)
+	again := time.Now()
+	time.Sleep(4 * time.Second)
+	over := time.Now()
+	end()
+	share, parts := rules.Share(in.Archive, "n1", from, to)
+	r.set("share-%", 100*share)
+	r.set("parts", float64(parts))
+	r.claim(share < 0.02, "%.2f%% of the parts after 3 s", 100*share)
+	whole := load.WholeShare(calls.Calls(from, to.Add(-time.Second)))
+	r.set("whole-%", 100*whole)
+	r.claim(whole >= 0.995, "%.2f%% whole answers", 100*whole)
+	r.set("whole-at-onset-%", 100*load.WholeShare(calls.Calls(fault, from)))
+	share, _ = rules.Share(in.Archive, "n1", again, over)
+	r.set("share-back-%", 100*share)
+	r.claim(share > 0.1, "%.1f%% of the parts after its return", 100*share)
+	for at := start; at.Before(over); at = at.Add(250 * time.Millisecond) {
+		s, _ := rules.Share(in.Archive, "n1", at, at.Add(250*time.Millisecond))
+		r.Series = append(r.Series, Point{at.Sub(fault).Seconds(), 100 * s})
+	}
+	r.rules(in)
+	return r, nil
+}
+
+// Drain measures how long after a node's word of drain the last new part reaches it.
+func Drain(seed uint64) (r Result, err error) {
+	others := node.NewArchive(1)
+	defer others.Close()
+	quick, err := others.SRU("quick", seed)
+	if err != nil {
+		return r, err
+	}
+	defer quick.Kill()
+	slow, err := others.SRU("slow", seed)
+	if err != nil {
+		return r, err
+	}
+	defer slow.Kill()
+	slow.Say(node.Health{Hang: true})
+	in, err := install.Start(install.Options{Nodes: 6, Reach: 3, Seed: seed, Agents: true, Every: 200 * time.Millisecond, Sockets: 4096,
+		Others: func(i int) string {
+			if i%20 == 0 {
+				return slow.Addr()
+			}
+			return quick.Addr()
+		}, OtherCount: 1000, Extra: ""})
+	if err != nil {
+		return r, err
+	}
+	defer in.Stop()
+	for _, n := range in.Nodes {
+		f := steady()
+		f.Delay, f.Greet = 60*time.Millisecond, 150*time.Millisecond
+		n.Set(f)
+	}
+	calls, end := begin(in, seed)
+	defer end()
+	time.Sleep(4 * time.Second)
+	for i, name := range []string{"n1", "n2"} { // one of each protocol
+		word := in.Events.Next(install.Health(name, "drain"))
+		set := time.Now()
+		in.Agents[1+i].Set("up drain", node.Speaks)
+		_, ok := wait(word, set, 5*time.Second)
+		r.claim(ok, "%s: its word was not heard within 5 s", name)
+		time.Sleep(2 * time.Second)
+		told := in.Agents[1+i].Told()
+		late, last := rules.After(in.Archive, name, told, 300*time.Millisecond)
+		r.claim(len(late) == 0, "%s: %d new parts later than 300 ms after its word", name, len(late))
+		r.set("last-part-"+name+"-ms", float64(last.Microseconds())/1000)
+		r.set("heard-"+name+"-ms", float64(told.Sub(set).Milliseconds()))
+		in.Agents[1+i].Set("up ready 100%", node.Speaks)
+		time.Sleep(time.Second)
+	}
+	to := time.Now()
+	end()
+	whole := load.WholeShare(calls.Calls(to.Add(-6*time.Second), to.Add(-time.Second)))
+	r.set("whole-%", 100*whole)
+	r.claim(whole >= 0.995, "%.2f%% whole answers: what was in hand did not finish", 100*whole)
+	r.rules(in)
+	return r, nil
+}
+
+// LiarDown: a node says down and serves. It is left; once it holds a block alone, parts reach it and the log says why.
+func LiarDown(seed uint64) (r Result, err error) {
+	in, err := install.Start(install.Options{Nodes: 4, Reach: 2, Seed: seed, SRUOnly: true})
+	if err != nil {
+		return r, err
+	}
+	defer in.Stop()
+	for _, n := range in.Nodes {
+		n.Set(steady())
+	}
+	calls, end := begin(in, seed)
+	defer end()
+	time.Sleep(2 * time.Second)
+	left := in.Events.Next(install.Health("n1", "down (status 500)"))
+	at := time.Now()
+	in.Node("n1").Say(node.Health{Status: 500})
+	d, ok := wait(left, at, 3*time.Second)
+	r.claim(ok, "not left")
+	r.set("left-s", d.Seconds())
+	from := time.Now().Add(300 * time.Millisecond)
+	time.Sleep(3 * time.Second)
+	share, _ := rules.Share(in.Archive, "n1", from, time.Now())
+	r.set("share-left-%", 100*share)
+	r.claim(share == 0, "%.1f%% of the parts at a node that says down", 100*share)
+	alone := in.Events.Next(install.Health("n1", "alone"))
+	in.Node("n2").Kill() // block 1 is held by n1 and n2
+	at = time.Now()
+	d, ok = wait(alone, at, 3*time.Second)
+	r.claim(ok, "the log does not say that it holds a block alone")
+	r.set("alone-s", d.Seconds())
+	time.Sleep(500 * time.Millisecond)
+	from = time.Now()
+	time.Sleep(4 * time.Second)
+	to := time.Now()
+	share, _ = rules.Share(in.Archive, "n1", from, to)
+	r.set("share-alone-%", 100*share)
+	r.claim(share > 0.15, "%.1f%% of the parts at the only holder", 100*share)
+	end()
+	whole := load.WholeShare(calls.Calls(from, to.Add(-time.Second)))
+	r.set("whole-%", 100*whole)
+	r.claim(whole >= 0.995, "%.2f%% whole answers", 100*whole)
+	r.rules(in)
+	return r, nil
+}
+
+// Blind: all checks fail at once while parts succeed. Service goes on.
+func Blind(seed uint64) (r Result, err error) {
+	in, err := install.Start(install.Options{Nodes: 6, Reach: 2, Seed: seed})
+	if err != nil {
+		return r, err
+	}
+	defer in.Stop()
+	for _, n := range in.Nodes {
+		n.Set(steady())
+	}
+	calls, end := begin(in, seed)
+	defer end()
+	time.Sleep(3 * time.Second)
+	from := time.Now()
+	for _, n := range in.Nodes {
+		n.Say(node.Health{Status: 503, Refuse: true})
+	}
+	worst := 0.0
+	for time.Since(from) < 8*time.Second {
+		if line, err := client.Agent(in.Front.Addr("agent"), "", time.Second); err != nil || strings.HasPrefix(line, "down") {
+			worst++
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	to := time.Now()
+	for _, n := range in.Nodes {
+		n.Say(node.Health{})
+	}
+	time.Sleep(2 * time.Second)
+	end()
+	whole := load.WholeShare(calls.Calls(from, to))
+	r.set("whole-%", 100*whole)
+	r.claim(whole >= 0.995, "%.2f%% whole answers while all checks fail", 100*whole)
+	r.set("own-word-down-samples", worst)
+	r.claim(worst == 0, "our own word was down %v times while all was answered", worst)
+	r.rules(in)
+	return r, nil
+}
+
+// Agents: five nodes' agents hang, drip, flood, slam and refuse, the sixth speaks. Time and memory are bounded, and
+// the checks of the others keep their pace.
+func Agents(seed uint64) (r Result, err error) {
+	in, err := install.Start(install.Options{Nodes: 6, Reach: 2, Seed: seed, Agents: true, Every: 100 * time.Millisecond})
+	if err != nil {
+		return r, err
+	}
+	defer in.Stop()
+	for _, n := range in.Nodes {
+		n.Set(steady())
+	}
+	calls, end := begin(in, seed)
+	defer end()
+	time.Sleep(2 * time.Second)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	from := time.Now()
+	for i, how := range []node.Manner{node.Hangs, node.Drips, node.Floods, node.Slams} {
+		in.Agents[i].Set("", how)
+	}
+	in.Agents[4].Close()
+	time.Sleep(6 * time.Second)
+	word := in.Events.Next(install.Health("n5", "drain"))
+	at := time.Now()
+	in.Agents[5].Set("drain", node.Speaks)
+	d, ok := wait(word, at, 5*time.Second)
+	r.claim(ok && d < time.Second, "the agent that speaks was heard after %v", d)
+	r.set("heard-s", d.Seconds())
+	time.Sleep(2 * time.Second)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	to := time.Now()
+	end()
+	grown := float64(int64(after.HeapAlloc)-int64(before.HeapAlloc)) / (1 << 20)
+	r.set("heap-grown-MB", grown)
+	r.claim(grown < 16, "the heap grew by %.1f MB", grown)
+	whole := load.WholeShare(calls.Calls(from, to.Add(-time.Second)))
+	r.set("whole-%", 100*whole)
+	r.claim(whole >= 0.995, "%.2f%% whole answers", 100*whole)
+	r.rules(in)
+	return r, nil
+}
+
+// crowdSize is how many connections a crowd opens.
+const crowdSize = 700
+
+// Crowd opens 700 silent or half-begun connections on each listener in turn. Meanwhile callers on every listener, new
+// ones included, and health checks are served, and an association with a result set in use keeps it.
+func Crowd(seed uint64) (r Result, err error) {
+	in, err := install.Start(install.Options{Nodes: 4, Reach: 2, Seed: seed})
+	if err != nil {
+		return r, err
+	}
+	defer in.Stop()
+	keeper, err := client.Dial(in.Front.Addr("z3950"), "editor", 5*time.Second)
+	if err != nil {
+		return r, err
+	}
+	defer keeper.Close()
+	if out := keeper.Search("kept", "captions", "budget"); out != client.Whole {
+		return r, fmt.Errorf("the search before: %v", out)
+	}
+	asked, failed := 0, 0
+	check := func(what string, good bool) {
+		if asked++; !good {
+			failed++
+			if failed <= 5 {
+				r.claim(false, "%s was not served", what)
+			}
+		}
+	}
+	for _, l := range []string{"z3950", "sru", "health", "agent"} {
+		for _, half := range []string{"", "G", "\xb4\x20", ber.InitUnit("")} {
+			if l != "z3950" && len(half) > 2 {
+				half = "GET / HTTP/1.1\r\nHost: x\r\n"
+			}
+			crowd := openCrowd(in.Front.Addr(l), half)
+			what := fmt.Sprintf("%s crowd of %d (%q)", l, crowdSize, half)
+			for i := range 10 {
+				web := client.NewSRU(in.Front.Addr("sru"), 3*time.Second)
+				check(what+": sru search", web.Search("captions", "budget") == client.Whole)
+				check(what+": sru correction", web.Correct("captions", fmt.Sprintf("%d:%s-%d-%d", i%4, l, len(half), i)) == client.Whole)
+				web.Close()
+				o, err := client.Dial(in.Front.Addr("z3950"), "", 3*time.Second)
+				check(what+": z39.50 init", err == nil)
+				if err == nil {
+					check(what+": z39.50 search", o.Search("s", "captions", "budget") == client.Whole)
+					o.Close()
+				}
+				line, err := client.Agent(in.Front.Addr("agent"), "", 3*time.Second)
+				check(what+": agent-check", err == nil && strings.HasPrefix(line, "up"))
+				status, _, _, err := client.Get("http://"+in.Front.Addr("health")+"/healthz", 3*time.Second)
+				check(what+": health check", err == nil && status == 200)
+				v, err := keeper.Ask(ber.PresentUnit("kept", 1, 2))
+				check(what+": a kept result set", err == nil && v.Tag == 25 && ber.Condition(v) == 0)
+			}
+			crowd()
+		}
+	}
+	r.set("asked", float64(asked))
+	r.set("not-served", float64(failed))
+	r.rules(in)
+	return r, nil
+}
+
+// openCrowd opens connections that send half a beginning and then nothing. The returned function ends them.
+func openCrowd(addr, half string) func() {
+	var conns []net.Conn
+	for range crowdSize {
+		c, err := net.DialTimeout("tcp", addr, 2*time.Second)
+		if err != nil {
+			continue
+		}
+		if half != "" {
+			io.WriteString(c, half)
+		}
+		conns = append(conns, c)
+	}
+	return func() {
+		for _, c := range conns {
+			c.Close()
+		}
+	}
+}
+
+// Truth compares the mixer's own word with what a client asking at that moment gets, each 50 ms, while a block loses
+// its holders and gets them back, while the mixer is overloaded, and while it drains.
+func Truth(seed uint64) (r Result, err error) {
+	in, err := install.Start(install.Options{Nodes: 4, Reach: 2, Seed: seed, MaxOpen: 200})
+	if err != nil {
+		return r, err
+	}
+	defer in.Stop()
+	for _, n := range in.Nodes {
+		n.Set(steady())
+	}
+	time.Sleep(time.Second)
+	w := newWitness(in.Front.Addr("agent"), in.Front.Addr("health"), in.Front.Addr("sru"))
+	defer w.stop()
+	phase := func(name string, d time.Duration, do func()) time.Time {
+		at := time.Now()
+		do()
+		time.Sleep(d)
+		lies, most := w.untrue(at, time.Now().Add(-500*time.Millisecond))
+		r.set("untrue-"+name+"-ms", float64(lies.Milliseconds()))
+		r.claim(lies < time.Second, "%s: untrue for %v, %v at a stretch", name, lies, most)
+		return at
+	}
+	phase("calm", 2*time.Second, func() {})
+	phase("block-lost", 4*time.Second, func() { in.Node("n1").Kill(); in.Node("n2").Kill() })
+	phase("block-back", 5*time.Second, func() { in.Node("n1").Start(); in.Node("n2").Start() })
+	phase("checks-lie-down", 4*time.Second, func() {
+		for _, n := range in.Nodes {
+			n.Say(node.Health{Status: 500, Refuse: true})
+		}
+	})
+	phase("checks-well", 3*time.Second, func() {
+		for _, n := range in.Nodes {
+			n.Say(node.Health{})
+		}
+	})
+	var end func()
+	at := phase("overload", 5*time.Second, func() {
+		for _, n := range in.Nodes {
+			f := steady()
+			f.Delay, f.Cores = 60*time.Millisecond, 2
+			n.Set(f)
+		}
+		_, end = load.Start(load.Plan{SRU: in.Front.Addr("sru"), Rate: 150, Mix: load.Mix{Searches: 1}, Seed: seed, Timeout: 5 * time.Second})
+	})
+	refused, weight := w.pressed(at.Add(time.Second), time.Now())
+	r.set("overload-refused-%", 100*refused)
+	r.set("overload-weight-median-%", weight)
+	r.claim(refused > 0.2 && weight <= 50, "no overload to speak of: %.0f%% refused, weight %v", 100*refused, weight)
+	phase("overload-over", 5*time.Second, func() {
+		for _, n := range in.Nodes {
+			n.Set(steady())
+		}
+		go end()
+	})
+	var once sync.WaitGroup
+	once.Add(1)
+	at = phase("drain", 2*time.Second, func() {
+		go func() { in.Front.Stop(3 * time.Second); once.Done() }()
+	})
+	w.stop()
+	told := w.drained(at)
+	r.set("drain-told-ms", float64(told.Milliseconds()))
+	r.claim(told > 0 && told < time.Second, "the drain was told after %v", told)
+	once.Wait()
+	in.Front = nil
+	return r, nil
+}
--- /dev/null
+++ b/internal/lab/node/node.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// Faults are what a node does wrong. Shares are of parts, drawn by the node's own seeded chance.
+type Faults struct {
+	Error  float64       // fails them at once
+	Reset  float64       // breaks the connection after it has begun
+	Spoil  float64       // answers noise
+	Hang   float64       // says nothing
+	Delay  time.Duration // before each answer
+	Jitter time.Duration // and so much more at most
+	Cold   time.Duration // after a start, answers take up to four times as long, for so long
+	Cores  int           // parts served at once; 0: any number
+	Greet  time.Duration // before Init is answered
+}
+
+// Health is what a node's own checks say, true or not.
+type Health struct {
+	Status   int    // of GET /healthz of an SRU node; 0: 200
+	Degraded bool   // tells so in Envoy's header
+	Refuse   bool   // refuses Init, and explain
+	Hang     bool   // says nothing
+	Body     string // of /healthz
+}
+
+// Node is a running stand-in.
+type Node struct {
+	Name, Protocol string
+	archive        *Archive
+
+	mu      sync.Mutex
+	addr    string
+	rng     *rand.Rand
+	faults  Faults
+	health  Health
+	started time.Time
+	slots   chan struct{}
+	stop    func()            // ends the listener and all connections
+	conns   map[net.Conn]bool // of a Z39.50 node
+	up      bool
+}
+
+// Seed of a node's chance: its own, from the run's and its name.
+func seedOf(seed uint64, name string) *rand.Rand {
+	h := fnv.New64a()
+	fmt.Fprint(h, name)
+	return rand.New(rand.NewPCG(seed, h.Sum64()))
+}
+
+func (a *Archive) start(name, protocol string, seed uint64) (*Node, error) {
+	n := &Node{Name: name, Protocol: protocol, archive: a, rng: seedOf(seed, name), addr: "127.0.0.1:0"}
+	return n, n.Start()
+}
+
+// SRU starts an SRU node, Z3950 a Z39.50 target, on a port of its own.
+func (a *Archive) SRU(name string, seed uint64) (*Node, error) { return a.start(name, "sru", seed) }
+
+// Z3950 starts a Z39.50 target.
+func (a *Archive) Z3950(name string, seed uint64) (*Node, error) { return a.start(name, "z3950", seed) }
+
+// Addr is where the node listens, or listened.
+func (n *Node) Addr() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.addr
+}
+
+// Start starts a node that is stopped, at the address it had.
+func (n *Node) Start() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.up {
+		return nil
+	}
+	ln, err := net.Listen("tcp", n.addr)
+	if err != nil {
+		return err
+	}
+	n.addr, n.up, n.started = ln.Addr().String(), true, time.Now()
+	if n.Protocol == "sru" {
+		n.stop = n.serveSRU(ln)
+	} else {
+		n.stop = n.serveZ(ln)
+	}
+	return nil
+}
+
+// Kill ends a node as a process that dies does: connections are reset, new ones refused.
+func (n *Node) Kill() {
+	n.mu.Lock()
+	stop := n.stop
+	n.up, n.stop = false, nil
+	n.mu.Unlock()
+	if stop != nil {
+		stop()
+	}
+}
+
+// Set changes what the node does wrong.
+func (n *Node) Set(f Faults) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.faults = f
+	if n.slots = nil; f.Cores > 0 {
+		n.slots = make(chan struct{}, f.Cores)
+	}
+}
+
+// Say changes what its checks say.
+func (n *Node) Say(h Health) {
+	n.mu.Lock()
+	n.health = h
+	n.mu.Unlock()
+}
+
+func (n *Node) says() Health {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.health
+}
+
+// draw decides on one part: which fault it meets, and how long it takes.
+func (n *Node) draw() (fault string, wait time.Duration, slots chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f := n.faults
+	wait = f.Delay
+	if f.Jitter > 0 {
+		wait += time.Duration(n.rng.Int64N(int64(f.Jitter)))
+	}
+	if age := time.Since(n.started); f.Cold > 0 && age < f.Cold {
+		wait += time.Duration(3 * float64(wait) * (1 - float64(age)/float64(f.Cold)))
+	}
+	p := n.rng.Float64()
+	for _, one := range []struct {
+		share float64
+		name  string
+	}{{f.Error, "error"}, {f.Reset, "break"}, {f.Spoil, "spoil"}, {f.Hang, "hang"}} {
+		if p < one.share {
+			return one.name, wait, n.slots
+		}
+		p -= one.share
+	}
+	return "", wait, n.slots
+}
+
+// take is draw, and the time it takes: queued for a core, then worked on.
+func (n *Node) take() (fault string) {
+	fault, wait, slots := n.draw()
+	if fault == "error" {
+		return fault // fails quickly: that is what makes such a node dangerous
+	}
+	if slots != nil {
+		slots <- struct{}{}
+		defer func() { <-slots }()
+	}
+	if wait > 0 {
+		time.Sleep(wait)
+	}
+	return fault
+}
