--- a/cmd/rooktrestle/partners_test.go
+++ b/cmd/rooktrestle/partners_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -12,13 +11,18 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
+
+	"rooktrestle/internal/lab/ber"
+	"rooktrestle/internal/lab/client"
+	"rooktrestle/internal/lab/node"
 )
 
 // partners starts the second front with two SRU servers and two Z39.50 targets round the ring: shard 0 is held
 // by a and b, 1 by b and c, 2 by c and d, 3 by d and a.
-func partners(t *testing.T, a *archive, change func(servers map[string]string)) *program {
+func partners(t *testing.T, a *node.Archive, change func(servers map[string]string)) *program {
 	t.Helper()
-	servers := map[string]string{"a": a.sruServer(t, "a"), "b": a.zServer(t, "b"), "c": a.sruServer(t, "c"), "d": a.zServer(t, "d")}
+	servers := map[string]string{"a": serve(t, a.SRU, "a"), "b": serve(t, a.Z3950, "b"), "c": serve(t, a.SRU, "c"), "d": serve(t, a.Z3950, "d")}
 	if change != nil {
 		change(servers)
 	}
@@ -104,14 +108,9 @@
 	return resp.StatusCode, string(text)
 }
 
-func updateXML(id string) string {
-	return `<updateRequest xmlns="http://www.loc.gov/zing/srw/update/"><version>1.0</version><action>info:srw/action/1/replace</action>` +
-		`<recordIdentifier>` + id + `</recordIdentifier><record><recordPacking>xml</recordPacking><recordData><line/></recordData></record></updateRequest>`
-}
-
 func (p *program) correct(id string) string {
 	p.t.Helper()
-	resp, err := http.Post("http://"+p.listen["sru"]+"/captions", "text/xml", strings.NewReader(updateXML(id)))
+	resp, err := http.Post("http://"+p.listen["sru"]+"/captions", "text/xml", strings.NewReader(client.UpdateXML(id)))
 	if err != nil {
 		p.t.Fatal(err)
 	}
@@ -150,7 +149,7 @@
 	contains(t, text, "diagnostic/1/6<")
 	_, text = p.get("http://" + p.listen["sru"] + "/captions")
 	contains(t, text, "<explainResponse", `<name set="caption">text</name>`)
-	for _, q := range a.queries {
+	for _, q := range a.Queries() {
 		server, query, _ := strings.Cut(q, " ")
 		if query == "x" || strings.HasSuffix(query, " x") {
 			continue
@@ -173,56 +172,56 @@
 	a := newArchive(t)
 	p := partners(t, a, nil)
 	o := dialZ(t, p.listen["z3950"], "editor")
-	if r := o.ask(searchUnit("one", "captions", term(4, "budget"))); r.kid(23).num() != 4 || condition(r) != 0 || string(r.kid(2).body) != "r-one" {
+	if r := o.ask(ber.SearchUnit("one", "captions", ber.Term(4, "budget"))); r.Kid(23).Num() != 4 || ber.Condition(r) != 0 || string(r.Kid(2).Body) != "r-one" {
 		t.Fatalf("%+v", r)
 	}
-	if r := o.ask(searchUnit("two", "captions", both(2, setOf("one"), term(1003, "rai")))); r.kid(23).num() != 4 || condition(r) != 0 {
+	if r := o.ask(ber.SearchUnit("two", "captions", ber.Both(2, ber.SetOf("one"), ber.Term(1003, "rai")))); r.Kid(23).Num() != 4 || ber.Condition(r) != 0 {
 		t.Fatalf("%+v", r)
 	}
 	both := 0
-	for _, q := range a.queries {
+	for _, q := range a.Queries() {
 		if strings.HasSuffix(q, "(not @1=4 @2=3 @4=2 budget @1=1003 @2=3 @4=2 rai)") || strings.HasSuffix(q, "dc.title = budget not dc.creator = rai") {
 			both++
 		}
 	}
 	if both != 4 {
-		t.Errorf("the second search stood for %q", a.queries)
+		t.Errorf("the second search stood for %q", a.Queries())
 	}
 	for _, set := range []string{"one", "two"} {
-		r := o.ask(presentUnit(set, 2, 3))
-		if r.tag != 25 || r.kid(24).num() != 3 || condition(r) != 0 || !strings.Contains(string(r.body), "line of block-1") || strings.Contains(string(r.body), "block-0") {
+		r := o.ask(ber.PresentUnit(set, 2, 3))
+		if r.Tag != 25 || r.Kid(24).Num() != 3 || ber.Condition(r) != 0 || !strings.Contains(string(r.Body), "line of block-1") || strings.Contains(string(r.Body), "block-0") {
 			t.Errorf("%s: %+v", set, r)
 		}
 	}
 	for want, unit := range map[int]string{
-		13: presentUnit("one", 4, 2), 30: presentUnit("three", 1, 1), 112: searchUnit("three", "captions", term(4, "x")),
-		109: searchUnit("one", "nowhere", term(4, "x")), 114: searchUnit("two", "captions", term(9999, "x")),
-		239: group(24, leafOf(31, "one"), number(30, 1), number(29, 1), leafOf(104, "\x2a\x86\x48\xce\x13\x05\x0a")),
+		13: ber.PresentUnit("one", 4, 2), 30: ber.PresentUnit("three", 1, 1), 112: ber.SearchUnit("three", "captions", ber.Term(4, "x")),
+		109: ber.SearchUnit("one", "nowhere", ber.Term(4, "x")), 114: ber.SearchUnit("two", "captions", ber.Term(9999, "x")),
+		239: ber.Group(24, ber.Leaf(31, "one"), ber.Number(30, 1), ber.Number(29, 1), ber.Leaf(104, ber.MARC)),
 	} {
 		if want == 109 {
 			continue
 		}
-		if r := o.ask(unit); condition(r) != want {
-			t.Errorf("diagnostic %d, want %d: %+v", condition(r), want, r)
+		if r := o.ask(unit); ber.Condition(r) != want {
+			t.Errorf("diagnostic %d, want %d: %+v", ber.Condition(r), want, r)
 		}
 	}
 	other := dialZ(t, p.listen["z3950"], "")
-	if r := other.ask(presentUnit("one", 1, 1)); condition(r) != 30 {
+	if r := other.ask(ber.PresentUnit("one", 1, 1)); ber.Condition(r) != 30 {
 		t.Errorf("another association sees the set: %+v", r)
 	}
-	if r := o.ask(group(26, number(32, 0), group(-16, leafOf(31, "one")))); r.tag != 27 || r.kid(0).num() != 0 {
+	if r := o.ask(ber.Group(26, ber.Number(32, 0), ber.Group(-16, ber.Leaf(31, "one")))); r.Tag != 27 || r.Kid(0).Num() != 0 {
 		t.Errorf("%+v", r)
 	}
-	if r := o.ask(presentUnit("one", 1, 1)); condition(r) != 30 {
+	if r := o.ask(ber.PresentUnit("one", 1, 1)); ber.Condition(r) != 30 {
 		t.Errorf("%+v", r)
 	}
-	if r := o.ask(searchUnit("x", "nowhere", term(4, "x"))); condition(r) != 109 {
+	if r := o.ask(ber.SearchUnit("x", "nowhere", ber.Term(4, "x"))); ber.Condition(r) != 109 {
 		t.Errorf("%+v", r)
 	}
-	if r := o.ask(updateUnit("2:line")); r.tag != 47 || r.kid(3).num() != 1 || a.count("2:line") != 1 {
+	if r := o.ask(ber.UpdateUnit("2:line")); r.Tag != 47 || r.Kid(3).Num() != 1 || a.Changed()["2:line"] != 1 {
 		t.Errorf("%+v", r)
 	}
-	if r := o.ask(group(48, number(211, 0))); r.tag != 48 {
+	if r := o.ask(ber.Group(48, ber.Number(211, 0))); r.Tag != 48 {
 		t.Errorf("%+v", r)
 	}
 	if n := p.stop(); n != [5]int{3, 3, 0, 0, 0} {
@@ -234,25 +233,25 @@
 // query is closed once.
 func TestSRUCorrectionCancelledHalfWay(t *testing.T) {
 	a := newArchive(t)
-	a.act = func(string, string) string { return "hang" }
+	a.Act = func(string, string) string { return "hang" }
 	p := partners(t, a, nil)
 	for _, id := range []string{"0:x", "1:x", "2:x", "3:x"} {
 		c, err := net.Dial("tcp", p.listen["sru"])
 		if err != nil {
 			t.Fatal(err)
 		}
-		body := updateXML(id)
+		body := client.UpdateXML(id)
 		fmt.Fprintf(c, "POST /captions HTTP/1.1\r\nHost: x\r\nContent-Type: text/xml\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-		server := <-a.begun
+		server := <-a.Begun
 		c.Close()
-		if left := <-a.left; left != server {
+		if left := <-a.Left; left != server {
 			t.Errorf("%s was let go, not %s", left, server)
 		}
 	}
 	if n := p.stop(); n != [5]int{4, 0, 0, 0, 4} {
 		t.Error(n)
 	}
-	for id, n := range a.changed {
+	for id, n := range a.Changed() {
 		if n != 1 {
 			t.Errorf("%s ran %d times", id, n)
 		}
@@ -262,30 +261,30 @@
 // The same over Z39.50: by a cancel, by a Close, and by leaving.
 func TestZ3950CorrectionCancelledHalfWay(t *testing.T) {
 	a := newArchive(t)
-	a.act = func(string, string) string { return "hang" }
+	a.Act = func(string, string) string { return "hang" }
 	p := partners(t, a, nil)
 	o := dialZ(t, p.listen["z3950"], "")
-	o.send(updateUnit("0:z"))
-	<-a.begun
-	if r := o.ask(group(32, number(46, 3))); r.tag != 47 || r.kid(3).num() != 3 || condition(r) != 105 {
+	o.Tell(ber.UpdateUnit("0:z"))
+	<-a.Begun
+	if r := o.ask(ber.Group(32, ber.Number(46, 3))); r.Tag != 47 || r.Kid(3).Num() != 3 || ber.Condition(r) != 105 {
 		t.Errorf("%+v", r)
 	}
-	<-a.left
-	o.send(updateUnit("1:z"))
-	<-a.begun
-	if r := o.ask(group(48, number(211, 0))); r.tag != 48 {
+	<-a.Left
+	o.Tell(ber.UpdateUnit("1:z"))
+	<-a.Begun
+	if r := o.ask(ber.Group(48, ber.Number(211, 0))); r.Tag != 48 {
 		t.Errorf("%+v", r)
 	}
-	<-a.left
+	<-a.Left
 	o = dialZ(t, p.listen["z3950"], "")
-	o.send(updateUnit("2:z"))
-	<-a.begun
-	o.c.Close()
-	<-a.left
+	o.Tell(ber.UpdateUnit("2:z"))
+	<-a.Begun
+	o.Close()
+	<-a.Left
 	if n := p.stop(); n != [5]int{3, 0, 0, 0, 3} {
 		t.Error(n)
 	}
-	for id, n := range a.changed {
+	for id, n := range a.Changed() {
 		if n != 1 {
 			t.Errorf("%s ran %d times", id, n)
 		}
@@ -295,7 +294,7 @@
 // A correction that may have run fails and is not sent again, whether its server breaks off or stays silent.
 func TestCorrectionsThatMayHaveRun(t *testing.T) {
 	a := newArchive(t)
-	a.act = func(_, id string) string { return map[byte]string{'b': "break", 'h': "hang", 'r': "reject"}[id[2]] }
+	a.Act = func(_, id string) string { return map[byte]string{'b': "break", 'h': "hang", 'r': "reject"}[id[2]] }
 	p := partners(t, a, nil)
 	for _, id := range []string{"0:break", "1:break", "2:break", "3:break"} {
 		contains(t, p.correct(id), "<operationStatus>fail<", "diagnostic/1/1<", "failed")
@@ -304,10 +303,10 @@
 	contains(t, p.correct("1:reject"), "<operationStatus>fail<")
 	contains(t, p.correct("2:good"), "<operationStatus>success<")
 	p.stop()
-	if len(a.changed) != 7 {
-		t.Error(a.changed)
+	if len(a.Changed()) != 7 {
+		t.Error(a.Changed())
 	}
-	for id, n := range a.changed {
+	for id, n := range a.Changed() {
 		if n != 1 {
 			t.Errorf("%s ran %d times", id, n)
 		}
@@ -318,22 +317,20 @@
 func TestDeadlinesAndPartialAnswers(t *testing.T) {
 	a := newArchive(t)
 	// One shard only, or by the choice of replicas less than half of the parts might be in.
-	a.find = func(base string) string { return map[string]string{"block-0": "hang"}[base] }
+	a.Find = func(base string) string { return map[string]string{"block-0": "hang"}[base] }
 	p := partners(t, a, nil)
 	_, text := p.sru("coverage", "x")
 	contains(t, text, "diagnostic/1/59<", "line of block-2")
 	if strings.Contains(text, "line of block-0") {
 		t.Error(text)
 	}
-	a.mu.Lock()
-	a.find = func(string) string { return "hang" }
-	a.mu.Unlock()
+	a.SetFind(func(string) string { return "hang" })
 	status, text := p.sru("coverage", "x")
 	if contains(t, text, "<diagnostic ", "<numberOfRecords>0<"); status != 200 && status != 503 {
 		t.Error(status)
 	}
 	o := dialZ(t, p.listen["z3950"], "")
-	if r := o.ask(searchUnit("s", "coverage", term(4, "x"))); condition(r) == 0 || r.kid(22).num() != 0 {
+	if r := o.ask(ber.SearchUnit("s", "coverage", ber.Term(4, "x"))); ber.Condition(r) == 0 || r.Kid(22).Num() != 0 {
 		t.Errorf("%+v", r)
 	}
 	if n := p.stop(); n[0] != 3 || n[1] != 1 {
@@ -352,11 +349,11 @@
 		}
 	})
 	for _, id := range []string{"1:dead", "2:dead", "3:dead"} { // each has one sound holder at least
-		if contains(t, p.correct(id), "<operationStatus>success<"); a.count(id) != 1 {
-			t.Errorf("%s ran %d times", id, a.count(id))
+		if contains(t, p.correct(id), "<operationStatus>success<"); a.Changed()[id] != 1 {
+			t.Errorf("%s ran %d times", id, a.Changed()[id])
 		}
 	}
-	if text := p.correct("0:dead"); !strings.Contains(text, "<operationStatus>fail<") || a.count("0:dead") != 0 {
+	if text := p.correct("0:dead"); !strings.Contains(text, "<operationStatus>fail<") || a.Changed()["0:dead"] != 0 {
 		t.Error(text)
 	}
 	p.stop()
@@ -367,34 +364,34 @@
 	p := partners(t, newArchive(t), nil)
 	good := dialZ(t, p.listen["z3950"], "")
 	for name, unit := range map[string]string{
-		"garbage": "GET / HTTP/1.1\r\n\r\n", "no init": searchUnit("x", "captions", term(4, "x")), "too long": "\xb6\x84\x7f\xff\xff\xff",
-		"deep": strings.Repeat("\xb6\x80", 100), "twice": "", "unknown": group(99),
+		"garbage": "GET / HTTP/1.1\r\n\r\n", "no init": ber.SearchUnit("x", "captions", ber.Term(4, "x")), "too long": "\xb6\x84\x7f\xff\xff\xff",
+		"deep": strings.Repeat("\xb6\x80", 100), "twice": "", "unknown": ber.Group(99),
 	} {
 		var o *origin
 		if name == "garbage" || name == "no init" {
-			c, err := net.Dial("tcp", p.listen["z3950"])
+			raw, err := client.Raw(p.listen["z3950"], 20*time.Second)
 			if err != nil {
 				t.Fatal(err)
 			}
-			o = &origin{t, c, bufio.NewReader(c)}
+			o = &origin{raw, t}
 		} else {
 			o = dialZ(t, p.listen["z3950"], "")
 		}
 		if name == "twice" {
-			unit = group(20, leafOf(3, "\x05\xe0"))
+			unit = ber.Group(20, ber.Leaf(3, "\x05\xe0"))
 		}
-		if r := o.ask(unit); r.tag != 48 || r.kid(211).num() != 6 {
+		if r := o.ask(unit); r.Tag != 48 || r.Kid(211).Num() != 6 {
 			t.Errorf("%s: %+v", name, r)
 		}
-		if _, err := o.in.ReadByte(); err == nil {
+		if _, err := o.Ask(""); err == nil {
 			t.Errorf("%s: the association goes on", name)
 		}
-		o.c.Close()
+		o.Close()
 	}
-	if r := good.ask(searchUnit("x", "captions", group(0, leafOf(77, "")))); condition(r) != 108 {
+	if r := good.ask(ber.SearchUnit("x", "captions", ber.Group(0, ber.Leaf(77, "")))); ber.Condition(r) != 108 {
 		t.Errorf("%+v", r)
 	}
-	if r := good.ask(searchUnit("x", "captions", term(4, "x"))); r.kid(23).num() != 4 {
+	if r := good.ask(ber.SearchUnit("x", "captions", ber.Term(4, "x"))); r.Kid(23).Num() != 4 {
 		t.Errorf("%+v", r)
 	}
 	p.stop()
@@ -432,7 +429,7 @@
 	}
 	for i := range 6 {
 		contains(t, p.correct(fmt.Sprintf("1:line%d", i)), "<operationStatus>success<")
-		if server := <-a.begun; server != "c" {
+		if server := <-a.Begun; server != "c" {
 			t.Errorf("%s was sent a correction while it drains", server)
 		}
 	}
--- a/internal/lab/client/client.go
+++ b/internal/lab/client/client.go
@@ -99,22 +99,36 @@
 
 // Dial opens an association; user may be empty.
 func Dial(addr, user string, timeout time.Duration) (*Origin, error) {
-	c, err := net.DialTimeout("tcp", addr, timeout)
+	o, err := Raw(addr, timeout)
 	if err != nil {
 		return nil, err
 	}
-	o := &Origin{c, bufio.NewReader(c), timeout}
 	v, err := o.Ask(ber.InitUnit(user))
 	if err == nil && (v.Tag != 21 || len(v.Kid(12).Body) != 1 || v.Kid(12).Body[0] == 0) {
 		err = fmt.Errorf("init: refused, unit %d", v.Tag)
 	}
 	if err != nil {
-		c.Close()
+		o.Close()
 		return nil, err
 	}
 	return o, nil
 }
 
+// Raw opens a connection without Init.
+func Raw(addr string, timeout time.Duration) (*Origin, error) {
+	c, err := net.DialTimeout("tcp", addr, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return &Origin{c, bufio.NewReader(c), timeout}, nil
+}
+
+// Tell sends a unit and reads nothing.
+func (o *Origin) Tell(unit string) error {
+	_, err := io.WriteString(o.c, unit)
+	return err
+}
+
 // Close ends the association without a word.
 func (o *Origin) Close() { o.c.Close() }
 
