--- a/internal/decide/health/merge.go
+++ b/internal/decide/health/merge.go
@@ -92,7 +92,7 @@
 			n.classes[k].granted = false
 		}
 	}
-	c.Share = t.shareOf(n)
+	c.Share = max(1, math.Round(t.shareOf(n)*shareSteps)) / shareSteps
 	for k := range n.checks {
 		if m := n.checks[k].maxConn; m > 0 && t.valid(&n.checks[k]) && (c.MaxOut == 0 || m < c.MaxOut) {
 			c.MaxOut = m
@@ -107,14 +107,12 @@
 	n := t.nodes[i]
 	old := n.said
 	told := !n.saidOnce || old.State != c.State || old.Shun != c.Shun || old.Cause != c.Cause || old.MaxOut != c.MaxOut
-	if told || trial != 0 || math.Round(old.Share*shareSteps) != math.Round(c.Share*shareSteps) {
+	if told || trial != 0 || old.Share != c.Share {
 		t.changes = append(t.changes, Change{ID: n.ID, Conclusion: c, Trial: trial, Told: told && (n.saidOnce || c.Cause != ""), Was: old.State})
 		n.said, n.saidOnce = c, true
 		return
 	}
-	share := old.Share
 	n.said = c
-	n.said.Share = share // as it was told
 }
 
 // valid says whether what a check said still counts.
