--- /dev/null
+++ b/internal/decide/blocks/file.go
@@ -0,0 +1,108 @@
+package blocks
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+)
+
+// Files of maps are JSON:
+//
+//	{"archive":"captions","epoch":7,"next_id":13,"blocks":[
+//	 {"id":1,"from":"","to":"news@2019","state":"serving","weight":3,"holders":[{"server":"n0"},{"server":"n1"}]}, ...]}
+
+type file struct {
+	Archive string   `json:"archive"`
+	Epoch   Epoch    `json:"epoch"`
+	NextID  ID       `json:"next_id"`
+	Blocks  []*Block `json:"blocks"`
+}
+
+// maxFile is the longest text of a map that is read, in bytes.
+const maxFile = 1 << 30
+
+// Parse reads a map.
+func Parse(text []byte) (*Map, error) {
+	if len(text) > maxFile {
+		return nil, fmt.Errorf("a map over %d bytes", maxFile)
+	}
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("not a map: %w", err)
+	}
+	for _, b := range f.Blocks {
+		if b == nil {
+			return nil, errors.New("a block that is null")
+		}
+	}
+	return New(f.Archive, f.Epoch, f.NextID, f.Blocks)
+}
+
+// Print words a map as Parse reads it. Equal maps have equal text.
+func (m *Map) Print() []byte {
+	f := file{Archive: m.Archive, Epoch: m.Epoch, NextID: m.NextID}
+	m.Every(func(b *Block) bool {
+		f.Blocks = append(f.Blocks, b)
+		return true
+	})
+	text, _ := json.Marshal(f) // nothing in it can fail
+	return append(text, '\n')
+}
+
+// Difference is what changed of one block between two maps.
+type Difference struct {
+	ID       ID
+	Was, Is  *Block // nil: not there
+	Joined   []string
+	Left     []string
+	Promoted []string // served not, and do now
+}
+
+// Diff lists what changed from one map to another, by id.
+func Diff(old, now *Map) (list []Difference) {
+	now.Every(func(b *Block) bool {
+		was := old.Block(b.ID)
+		if was == b {
+			return true
+		}
+		d := Difference{ID: b.ID, Was: was, Is: b}
+		for _, h := range b.Holders {
+			had, served := false, false
+			if was != nil {
+				for _, o := range was.Holders {
+					had = had || o.Server == h.Server
+				}
+				served = was.Serves(h.Server)
+			}
+			switch {
+			case !had:
+				d.Joined = append(d.Joined, h.Server)
+			case !served && !h.Joining:
+				d.Promoted = append(d.Promoted, h.Server)
+			}
+		}
+		if was != nil {
+			for _, o := range was.Holders {
+				gone := true
+				for _, h := range b.Holders {
+					gone = gone && h.Server != o.Server
+				}
+				if gone {
+					d.Left = append(d.Left, o.Server)
+				}
+			}
+			if was.State == b.State && was.Weight == b.Weight && d.Joined == nil && d.Left == nil && d.Promoted == nil {
+				return true
+			}
+		}
+		list = append(list, d)
+		return true
+	})
+	old.Every(func(b *Block) bool {
+		if now.Block(b.ID) == nil {
+			list = append(list, Difference{ID: b.ID, Was: b})
+		}
+		return true
+	})
+	return list
+}
--- /dev/null
+++ b/internal/decide/blocks/follow.go
@@ -0,0 +1,150 @@
+package blocks
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+)
+
+// Refusals that a source has to be told apart.
+var (
+	ErrOlder  = errors.New("an older epoch, or the same again")
+	ErrOther  = errors.New("a map of another archive")
+	ErrForked = errors.New("the same epoch with other blocks")
+)
+
+// Follows says whether a map may follow another. One epoch on, every step has to be legal; more epochs on, what
+// cannot be seen is left open, but ids, ranges and the cover still have to fit.
+func (m *Map) Follows(old *Map) error {
+	switch {
+	case m.Archive != old.Archive:
+		return fmt.Errorf("%w: %q after %q", ErrOther, m.Archive, old.Archive)
+	case m.Epoch == old.Epoch && !m.same(old):
+		return fmt.Errorf("%w: %d", ErrForked, m.Epoch)
+	case m.Epoch <= old.Epoch:
+		return fmt.Errorf("%w: %d after %d", ErrOlder, m.Epoch, old.Epoch)
+	case m.NextID < old.NextID:
+		return fmt.Errorf("next_id goes back from %d to %d", old.NextID, m.NextID)
+	}
+	gap := m.Epoch > old.Epoch+1
+	var err error
+	m.Every(func(b *Block) bool {
+		was := old.Block(b.ID)
+		switch {
+		case was == b: // shared
+		case was == nil && b.ID < old.NextID:
+			err = fmt.Errorf("block %d: the id was given before", b.ID)
+		case was == nil && !gap:
+			err = m.newcomer(old, b)
+		case was == nil:
+		case was.From != b.From || was.To != b.To:
+			err = fmt.Errorf("block %d: its range goes from %s to %s; that takes a new id", b.ID, was.Range(), b.Range())
+		case !gap:
+			err = succeeds(was, b, m.Epoch)
+		case was.State == Retiring && b.State != Retiring:
+			err = fmt.Errorf("block %d: from retiring to %s", b.ID, b.State)
+		}
+		return err == nil
+	})
+	if err != nil || gap {
+		return err
+	}
+	old.Every(func(was *Block) bool {
+		if m.Block(was.ID) == nil && was.Active() {
+			err = fmt.Errorf("block %d: gone while it is %s; it has to retire first", was.ID, was.State)
+		}
+		return err == nil
+	})
+	return err
+}
+
+// same says whether two maps list the same blocks.
+func (m *Map) same(o *Map) bool {
+	if m.all.Len() != o.all.Len() || m.NextID != o.NextID {
+		return false
+	}
+	same := true
+	m.Every(func(b *Block) bool {
+		c := o.Block(b.ID)
+		same = c == b || c != nil && c.From == b.From && c.To == b.To && c.State == b.State && c.Weight == b.Weight &&
+			slices.Equal(c.Holders, b.Holders) && slices.Equal(c.Parents, b.Parents)
+		return same
+	})
+	return same
+}
+
+// states that may follow one another, of one block.
+var follow = map[State][]State{
+	Serving:   {Serving, Moving, Splitting, Merging},
+	Moving:    {Moving, Serving},
+	Splitting: {Splitting, Serving, Retiring},
+	Merging:   {Merging, Serving, Retiring},
+	Retiring:  {Retiring},
+}
+
+// succeeds checks one block from one epoch to the next.
+func succeeds(was, is *Block, epoch Epoch) error {
+	if !slices.Contains(follow[was.State], is.State) {
+		return fmt.Errorf("block %d: from %s to %s", is.ID, was.State, is.State)
+	}
+	if !slices.Equal(was.Parents, is.Parents) {
+		return fmt.Errorf("block %d: its parents change", is.ID)
+	}
+	for _, h := range is.Holders {
+		i := slices.IndexFunc(was.Holders, func(o Holder) bool { return o.Server == h.Server })
+		switch {
+		case i < 0 && !h.Joining:
+			return fmt.Errorf("block %d: %s serves without having joined", is.ID, h.Server)
+		case i < 0 && was.State != Serving && was.State != Moving:
+			return fmt.Errorf("block %d: %s joins while the block is %s", is.ID, h.Server, was.State)
+		case i >= 0 && !was.Holders[i].Joining && h.Joining:
+			return fmt.Errorf("block %d: %s served, and joins again", is.ID, h.Server)
+		case i >= 0 && was.Holders[i].Joining && !h.Joining && h.Since != epoch:
+			return fmt.Errorf("block %d: %s serves since epoch %d, and not since %d", is.ID, h.Server, epoch, h.Since)
+		case i >= 0 && !was.Holders[i].Joining && h.Since != was.Holders[i].Since:
+			return fmt.Errorf("block %d: %s served since epoch %d, and now since %d", is.ID, h.Server, was.Holders[i].Since, h.Since)
+		}
+	}
+	if was.State != Moving && is.State != Moving && len(is.Servers()) < len(was.Servers()) && is.State != Retiring {
+		return fmt.Errorf("block %d: a holder leaves while the block is %s", is.ID, is.State)
+	}
+	// Someone who served before has to be among those who serve now: nobody else is known to have all.
+	kept := was.State == Retiring
+	for _, h := range is.Servers() {
+		kept = kept || was.Serves(h.Server)
+	}
+	if !kept {
+		return fmt.Errorf("block %d: none of its holders held it before", is.ID)
+	}
+	return nil
+}
+
+// newcomer checks a block whose id is new: it takes the place of its parents, which retire with this epoch.
+func (m *Map) newcomer(old *Map, b *Block) error {
+	if b.State != Serving {
+		return fmt.Errorf("block %d: new, and %s", b.ID, b.State)
+	}
+	if len(b.Parents) == 0 {
+		return fmt.Errorf("block %d: new, and without parents", b.ID)
+	}
+	for i, id := range b.Parents {
+		was, is := old.Block(id), m.Block(id)
+		switch {
+		case was == nil || is == nil:
+			return fmt.Errorf("block %d: its parent %d is not there", b.ID, id)
+		case was.State != Splitting && was.State != Merging || is.State != Retiring:
+			return fmt.Errorf("block %d: its parent %d goes from %s to %s", b.ID, id, was.State, is.State)
+		case was.State == Splitting && (len(b.Parents) != 1 || b.From < was.From || was.To != "" && (b.To == "" || b.To > was.To)):
+			return fmt.Errorf("block %d: its range %s is not a part of its parent's %s", b.ID, b.Range(), was.Range())
+		case was.State == Merging && i == 0 && b.From != was.From, was.State == Merging && i == len(b.Parents)-1 && b.To != was.To,
+			was.State == Merging && i > 0 && old.Block(b.Parents[i-1]).To != was.From:
+			return fmt.Errorf("block %d: its range %s is not that of its parents together", b.ID, b.Range())
+		}
+		for _, h := range b.Servers() {
+			if !was.Serves(h.Server) {
+				return fmt.Errorf("block %d: its holder %s did not serve its parent %d", b.ID, h.Server, id)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/decide/blocks/views.go
@@ -0,0 +1,228 @@
+package blocks
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// ViewRules bound what is held for queries of earlier epochs, and pace holders that are new to a block.
+type ViewRules struct {
+	MostPinned int           // epochs held beside the present one, at least 1
+	MostAge    time.Duration // of a pinned epoch since it was replaced
+	ColdFor    time.Duration // a new holder of a block is warm after it; 0: at once
+	ColdFrom   float64       // share of its parts with which it begins, over 0 to 1
+}
+
+func (r ViewRules) check() error {
+	switch {
+	case r.MostPinned < 1:
+		return errors.New("most_pinned must be at least 1")
+	case r.MostAge <= 0:
+		return errors.New("pinned_for must be over 0")
+	case r.ColdFor < 0 || !(r.ColdFrom > 0 && r.ColdFrom <= 1):
+		return errors.New("cold must not be negative, and cold_from over 0 to 1")
+	}
+	return nil
+}
+
+// View is one epoch as queries see it. Those of one epoch share it.
+type View struct {
+	Map      *Map
+	pins     int
+	replaced time.Time // by a newer epoch; zero: it is the present one
+	expired  bool      // told as to be left
+	active   []*Block  // of the map, in the order of their ranges
+}
+
+// Blocks are the active blocks in the order of their ranges. They are made once an epoch, when first asked for.
+func (v *View) Blocks() []*Block {
+	if v.active == nil {
+		v.active = make([]*Block, 0, v.Map.Len())
+		v.Map.Active(func(b *Block) bool {
+			v.active = append(v.active, b)
+			return true
+		})
+	}
+	return v.active
+}
+
+// ViewStats count what happened to maps and views.
+type ViewStats struct {
+	Accepted, Gaps, Older, Refused uint64 // maps offered; Gaps: accepted with epochs left out
+	Expired                        uint64 // epochs that queries were made to leave
+	MostPinned                     int
+	Restarts, Waits                uint64 // of queries
+	Lies                           uint64 // words of servers that the map contradicts
+}
+
+// Views hold the present map and those that queries are still pinned to. They are owned by one goroutine.
+type Views struct {
+	Stats  ViewStats
+	rules  ViewRules
+	now    *View
+	old    []*View             // pinned, oldest first
+	since  map[Epoch]time.Time // when epochs were adopted from which holders are cold
+	fresh  Epoch               // the highest epoch heard of, by whomever
+	asked  bool                // a newer map is wanted
+	heard  time.Time
+	source time.Time // when the source last answered
+}
+
+// NewViews returns Views without a map.
+func NewViews(r ViewRules) (*Views, error) {
+	if err := r.check(); err != nil {
+		return nil, fmt.Errorf("blocks: %w", err)
+	}
+	return &Views{rules: r, since: map[Epoch]time.Time{}}, nil
+}
+
+// Now is the present map; nil if there is none yet.
+func (vs *Views) Now() *Map {
+	if vs.now == nil {
+		return nil
+	}
+	return vs.now.Map
+}
+
+// Offer takes a map that a source has brought. It is adopted if it may follow the present one; an error says why
+// not, and the present one stays. A map that is the present one again is no error.
+func (vs *Views) Offer(now time.Time, m *Map) (adopted bool, err error) {
+	vs.source = now
+	if vs.now != nil {
+		old := vs.now.Map
+		if m.Epoch == old.Epoch && m.Archive == old.Archive && m.same(old) {
+			vs.answered()
+			return false, nil
+		}
+		if err := m.Follows(old); err != nil {
+			if errors.Is(err, ErrOlder) {
+				vs.Stats.Older++
+			} else {
+				vs.Stats.Refused++
+			}
+			return false, err
+		}
+		if m.Epoch > old.Epoch+1 {
+			vs.Stats.Gaps++
+		}
+		vs.now.replaced = now
+		if vs.now.pins > 0 {
+			vs.old = append(vs.old, vs.now)
+			vs.Stats.MostPinned = max(vs.Stats.MostPinned, len(vs.old))
+		}
+	}
+	first := vs.now == nil
+	vs.now = &View{Map: m}
+	vs.Stats.Accepted++
+	if !first { // who held blocks at the start is taken for warm
+		vs.since[m.Epoch] = now
+	}
+	for e, at := range vs.since {
+		if now.Sub(at) >= vs.rules.ColdFor && e != m.Epoch {
+			delete(vs.since, e)
+		}
+	}
+	vs.answered()
+	return true, nil
+}
+
+// answered ends the wish for a newer map where there is none newer than was heard of.
+func (vs *Views) answered() {
+	if vs.now != nil && vs.now.Map.Epoch >= vs.fresh {
+		vs.asked = false
+	}
+}
+
+// Same says that the source has answered and has nothing newer: whatever else was heard is not so.
+func (vs *Views) Same(now time.Time) {
+	vs.source = now
+	vs.asked = false
+	if vs.now != nil {
+		vs.fresh = vs.now.Map.Epoch
+	}
+}
+
+// Heard takes an epoch that a server spoke of. It is no map; it says whether the source should be asked.
+func (vs *Views) Heard(now time.Time, e Epoch) (ask bool) {
+	if vs.now != nil && e <= vs.now.Map.Epoch || e <= vs.fresh && vs.asked {
+		return false
+	}
+	vs.fresh, vs.asked, vs.heard = max(vs.fresh, e), true, now
+	return true
+}
+
+// Awaits says whether a newer map may be on its way.
+func (vs *Views) Awaits() bool { return vs.asked }
+
+// Pin holds the present epoch for a query; nil if there is no map.
+func (vs *Views) Pin() *View {
+	if vs.now != nil {
+		vs.now.pins++
+	}
+	return vs.now
+}
+
+// Release lets an epoch go once for a query. It is forgotten with its last.
+func (vs *Views) Release(v *View) {
+	if v == nil {
+		return
+	}
+	v.pins--
+	if v.pins > 0 || v == vs.now {
+		return
+	}
+	for i, o := range vs.old {
+		if o == v {
+			vs.old = append(vs.old[:i:i], vs.old[i+1:]...)
+			return
+		}
+	}
+}
+
+// Expired returns the epochs that queries have to leave by now, each once: the oldest beyond the number that may be
+// held, and those held too long. Guards memory, and holders that serve a retiring block, against queries that stay.
+func (vs *Views) Expired(now time.Time) (list []*View) {
+	for i, v := range vs.old {
+		if !v.expired && (len(vs.old)-i > vs.rules.MostPinned || now.Sub(v.replaced) >= vs.rules.MostAge) {
+			v.expired = true
+			vs.Stats.Expired++
+			list = append(list, v)
+		}
+	}
+	return list
+}
+
+// Due is when Expired has something by age; zero if nothing is pinned.
+func (vs *Views) Due() (t time.Time) {
+	for _, v := range vs.old {
+		if at := v.replaced.Add(vs.rules.MostAge); !v.expired && (t.IsZero() || at.Before(t)) {
+			t = at
+		}
+	}
+	return t
+}
+
+// Pinned is the number of earlier epochs held, and of queries that hold them.
+func (vs *Views) Pinned() (epochs, queries int) {
+	for _, v := range vs.old {
+		queries += v.pins
+	}
+	return len(vs.old), queries
+}
+
+// Share is how much of its parts a holder of a block should get by now, over 0 to 1: one that is new to it is cold.
+func (vs *Views) Share(now time.Time, h Holder) float64 {
+	if h.Since == 0 || vs.rules.ColdFor <= 0 {
+		return 1
+	}
+	at, ok := vs.since[h.Since]
+	if !ok {
+		return 1
+	}
+	age := float64(now.Sub(at)) / float64(vs.rules.ColdFor)
+	if age >= 1 {
+		return 1
+	}
+	return vs.rules.ColdFrom + (1-vs.rules.ColdFrom)*max(0, age)
+}
