--- a/balance/api.go
+++ b/balance/api.go
@@ -89,8 +89,8 @@
 	Replica string
 )
 
-// Event is something that happened: Query, Part, Outcome, Probed, Members,
-// Tick or Gone.
+// Event is something that happened: Query, Part, Placed, Outcome, Probed,
+// Members, Tick or Gone.
 type Event interface{ event() }
 
 // Query is a new query. Its parts follow as Part events of the same turn.
@@ -106,13 +106,26 @@
 	Parts    int
 }
 
+// Holder is a replica that may be asked for a part.
+type Holder struct {
+	Replica Replica
+	Share   float64 // of the parts it would get, under 1; 0: all of them
+}
+
 // Part is one part of a query: its share that one shard answers.
 type Part struct {
-	ID     ID
-	Group  uint64
-	Shard  int
-	Weight float64 // the weights of a step add up to 1
-	Hint   time.Duration
+	ID      ID
+	Group   uint64
+	Shard   int
+	Weight  float64 // the weights of a step add up to 1
+	Hint    time.Duration
+	Holders []Holder // who may be asked; nil: the replicas of the shard's cells
+}
+
+// Placed changes who may be asked for a part from now on.
+type Placed struct {
+	ID      ID
+	Holders []Holder
 }
 
 // Result says how an attempt or a probe ended.
@@ -207,6 +220,7 @@
 
 func (Query) event()   {}
 func (Part) event()    {}
+func (Placed) event()  {}
 func (Outcome) event() {}
 func (Probed) event()  {}
 func (Members) event() {}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -100,6 +100,10 @@
 			b.take(e)
 		case Part:
 			b.takePart(e)
+		case Placed:
+			if p := b.parts[e.ID]; p != nil {
+				p.Holders = e.Holders
+			}
 		case Outcome:
 			b.outcome(e)
 		case Probed:
@@ -393,7 +397,7 @@
 	for pass := range 3 { // unsent parts with a sound replica, other unsent ones, further attempts
 		for _, p := range q.parts {
 			if p.in || p.dead || hope >= want && q.need() < 1 || (p.tries > 0) != (pass == 2) ||
-				pass == 0 && !slices.ContainsFunc(b.replicas(p.Shard), p.soundAt) {
+				pass == 0 && !slices.ContainsFunc(b.holders(p), p.soundAt) {
 				continue
 			}
 			if b.advancePart(p); len(p.out) > 0 {
@@ -425,7 +429,7 @@
 	// parts in hand and took too long lately, or is too slow and no trial is due.
 	open := 0.0
 	for _, p := range q.parts {
-		if slices.ContainsFunc(b.replicas(p.Shard), func(s *server) bool {
+		if slices.ContainsFunc(b.holders(p), func(s *server) bool {
 			trial := len(s.out) == 0 && b.now >= s.trialAt
 			quick := s.meanTime(slowTimes) <= limit || !s.slow && len(s.out) < jamParts
 			return b.now >= s.full && b.coldRoom(s) && (quick || trial)
@@ -524,7 +528,7 @@
 // spent says whether a part that has no answer may not be sent again: rule 2, the cap, no replica.
 func (b *Balancer) spent(p *part) bool {
 	c := p.q.class
-	return !p.in && len(p.out) == 0 && (p.tries >= b.set.MaxAttempts || len(b.replicas(p.Shard)) == 0 ||
+	return !p.in && len(p.out) == 0 && (p.tries >= b.set.MaxAttempts || len(b.holders(p)) == 0 ||
 		p.mayRun &&
 			(c.Effect == Unsafe || c.Effect == Keyed && b.now > p.firstRun+c.Window-b.set.Tick))
 }
@@ -645,7 +649,7 @@
 // choose picks the replica for a part's next attempt: the lowest C3 rank among the candidates; or nil.
 func (b *Balancer) choose(p *part) *server {
 	var can, sound, some []*server
-	all := b.replicas(p.Shard)
+	all := b.holders(p)
 	// Evidence keeps a class off a server: but for a trial where one is granted, it gets those parts only whose
 	// replicas are all like that.
 	if slices.ContainsFunc(all, p.shunnedBy) {
@@ -707,7 +711,7 @@
 	ranks, best := make([]float64, len(from)), math.Inf(1)
 	for i, s := range from {
 		ranks[i] = b.rank(s) * (1 + b.rng.Float64()*lotSpread)
-		if len(sound) > 0 && i >= len(sound) || b.thinned(s) {
+		if len(sound) > 0 && i >= len(sound) || b.thinned(p, s) {
 			ranks[i] *= lossRank
 		}
 		best = min(best, ranks[i])
@@ -730,8 +734,14 @@
 
 // thinned says whether a server with a share gives this part to others: between two of which one has share w, it
 // gets w parts for each of the other's.
-func (b *Balancer) thinned(s *server) bool {
-	return s.Share > 0 && s.Share < 1 && b.rng.Float64() > 2*s.Share/(1+s.Share)
+func (b *Balancer) thinned(p *part, s *server) bool {
+	w := cmp.Or(s.Share, 1)
+	for _, h := range p.Holders {
+		if h.Replica == s.id {
+			w = min(w, cmp.Or(h.Share, 1)) // it is cold for the part's block
+		}
+	}
+	return w < 1 && b.rng.Float64() > 2*w/(1+w)
 }
 
 // pull moves the losers' averages half way to the winner's. Only candidates: a server that answers nothing
@@ -923,7 +933,7 @@
 	}
 	var holders []*server
 	for _, p := range q.parts {
-		holders = append(holders, b.replicas(p.Shard)...)
+		holders = append(holders, b.holders(p)...)
 	}
 	if q.askedAt == 0 {
 		q.askedAt = b.now
--- a/balance/state.go
+++ b/balance/state.go
@@ -301,6 +301,19 @@
 	return all
 }
 
+// holders are the servers in service that may be asked for a part.
+func (b *Balancer) holders(p *part) (all []*server) {
+	if p.Holders == nil {
+		return b.replicas(p.Shard)
+	}
+	for _, h := range p.Holders {
+		if s := b.servers[h.Replica]; s != nil && s.listed {
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
 // verdict says whether a server that lost connections is dead; it lives if only answers were lost.
 func (s *server) verdict(dead bool) {
 	for _, q := range s.lost {
--- a/internal/app/evidence.go
+++ b/internal/app/evidence.go
@@ -2,11 +2,14 @@
 
 import (
 	"log/slog"
+	"slices"
+	"strings"
 	"time"
 
 	"rooktrestle/balance"
 	"rooktrestle/internal/back/checks"
 	"rooktrestle/internal/config"
+	"rooktrestle/internal/decide/blocks"
 	"rooktrestle/internal/decide/health"
 	"rooktrestle/internal/mixer"
 )
@@ -44,7 +47,11 @@
 	var nodes []health.Node
 	for _, s := range list {
 		e.servers[health.ID(s.ID)] = s
-		nodes = append(nodes, health.Node{ID: health.ID(s.ID), Blocks: blocksOf(conf, s.Cell)})
+		n := health.Node{ID: health.ID(s.ID)}
+		if !conf.Blocks.On() {
+			n.Blocks = blocksOf(conf, s.Cell)
+		}
+		nodes = append(nodes, n)
 	}
 	table.Roster(now, nodes, true)
 	e.settled(now)
@@ -79,6 +86,9 @@
 			r = health.Bad
 		}
 	}
+	if a.Lie { // it turns away what it holds
+		r = health.Bad
+	}
 	e.table.Outcome(now, health.ID(a.Server), a.Class, r, a.Sent)
 	if !e.asked {
 		e.asked = true
@@ -86,6 +96,25 @@
 	}
 }
 
+// mapped takes who holds which block from a map.
+func (e *evidence) mapped(now time.Time, m *blocks.Map) {
+	held := map[health.ID][]int{}
+	m.Every(func(b *blocks.Block) bool {
+		for _, h := range b.Servers() {
+			if b.Active() {
+				held[health.ID(h.Server)] = append(held[health.ID(h.Server)], int(b.ID))
+			}
+		}
+		return true
+	})
+	var nodes []health.Node
+	for id := range e.servers {
+		nodes = append(nodes, health.Node{ID: id, Blocks: held[id]})
+	}
+	slices.SortFunc(nodes, func(a, b health.Node) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	e.table.Roster(now, nodes, true)
+}
+
 // Handle takes results of checks.
 func (e *evidence) Handle(now time.Time, ev any) ([]any, bool) {
 	switch ev := ev.(type) {
--- /dev/null
+++ b/internal/app/maps.go
@@ -0,0 +1,154 @@
+package app
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rooktrestle/internal/config"
+	"rooktrestle/internal/decide/blocks"
+	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/net/mapsource"
+	"rooktrestle/internal/net/tcp"
+	"rooktrestle/internal/state/keep"
+)
+
+// askAgain is how long after an answer without news a source that may be late is asked again.
+const askAgain = 50 * time.Millisecond
+
+// maps bring maps of blocks to the core, and keep the last good one.
+type maps struct {
+	conf     *config.Partners
+	views    *blocks.Views // on the loop
+	evidence *evidence
+	box      interface{ Put(any) }
+	log      *slog.Logger
+	wake     chan struct{}
+	epoch    atomic.Uint64 // adopted
+	newest   chan *blocks.Map
+	kept     atomic.Uint64 // epoch that is kept
+	running  sync.WaitGroup
+}
+
+func newMaps(conf *config.Partners, e *evidence, box interface{ Put(any) }, log *slog.Logger) (*maps, error) {
+	views, err := blocks.NewViews(conf.Blocks.Rules())
+	if err != nil {
+		return nil, err
+	}
+	return &maps{conf: conf, views: views, evidence: e, box: box, log: log, wake: make(chan struct{}, 1), newest: make(chan *blocks.Map, 1)}, nil
+}
+
+func (m *maps) reshape() *mixer.Reshape {
+	return &mixer.Reshape{Views: m.views, Ask: m.ask, Again: func() { time.AfterFunc(askAgain, m.ask) }, Adopted: m.adopted, Refused: func(source string, err error) {
+		m.log.Warn("map refused, the present one stays", "source", source, "err", err.Error())
+	}}
+}
+
+// ask has the source asked now.
+func (m *maps) ask() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// adopted is called on the loop.
+func (m *maps) adopted(old, now *blocks.Map) {
+	m.epoch.Store(uint64(now.Epoch))
+	m.evidence.mapped(m.evidence.table.Now(), now)
+	m.box.Put(settle{})
+	was := blocks.Epoch(0)
+	if old != nil {
+		was = old.Epoch
+	}
+	m.log.Info("map adopted", "epoch", uint64(now.Epoch), "was", uint64(was), "blocks", now.Len(), "listed", now.Listed())
+	if m.conf.Blocks.Keep == "" {
+		return
+	}
+	select { // only the newest is kept
+	case <-m.newest:
+	default:
+	}
+	m.newest <- now
+}
+
+// run starts what brings maps and what keeps them.
+func (m *maps) run(stop <-chan struct{}) {
+	b := m.conf.Blocks
+	if b.Keep != "" {
+		box := keep.New(keep.OS{}, b.Keep)
+		m.load(box)
+		m.running.Add(1)
+		go func() {
+			defer m.running.Done()
+			m.store(box, stop)
+		}()
+	}
+	m.running.Add(1)
+	go func() {
+		defer m.running.Done()
+		if b.File != "" {
+			(&mapsource.File{Path: b.File, Every: b.Every.Duration, Put: m.take, Wake: m.wake}).Run(stop)
+			return
+		}
+		(&mapsource.HTTP{Addr: b.Source, Wait: b.Wait.Duration, Least: 50 * time.Millisecond, Most: 5 * time.Second, Put: m.take, Epoch: m.epoch.Load,
+			Wake: m.wake, Dial: tcp.Dial}).Run(stop)
+	}()
+}
+
+// take reads what a source told, off the loop.
+func (m *maps) take(t mapsource.Told) {
+	e := mixer.MapOffered{Source: t.Source, Err: t.Err}
+	if t.Err == nil && t.Text != nil {
+		e.Map, e.Err = blocks.Parse(t.Text)
+		if e.Err == nil && e.Map.Archive != m.conf.Blocks.Archive {
+			e.Map, e.Err = nil, fmt.Errorf("%w: %q, and not %q", blocks.ErrOther, e.Map.Archive, m.conf.Blocks.Archive)
+		}
+	}
+	m.box.Put(e)
+}
+
+// load offers the map that is kept, before any source has spoken. An older one from a source is refused then.
+func (m *maps) load(box *keep.Box) {
+	text, err := box.Load()
+	if errors.Is(err, keep.ErrNone) {
+		return
+	}
+	if err != nil {
+		m.log.Warn("the kept map is of no use", "err", err.Error())
+		return
+	}
+	m.take(mapsource.Told{Source: "kept " + m.conf.Blocks.Keep, Text: text})
+}
+
+// store keeps each map that is adopted, but for those that a newer one overtakes. A disk that is slow or full delays
+// nobody.
+func (m *maps) store(box *keep.Box, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case now := <-m.newest:
+			if err := box.Store(now.Print()); err != nil {
+				m.log.Warn("the map is not kept", "epoch", uint64(now.Epoch), "err", err.Error())
+				continue
+			}
+			m.kept.Store(uint64(now.Epoch))
+		}
+	}
+}
+
+// counters are told on the loop; of no maps they are nothing.
+func (m *maps) counters() string {
+	if m == nil {
+		return ""
+	}
+	epochs, queries := m.views.Pinned()
+	s := m.views.Stats
+	return fmt.Sprintf("; map: epoch %d, kept %d, adopted %d, over gaps %d, older %d, refused %d, pinned epochs %d by %d queries (most %d), left %d, "+
+		"queries begun anew %d, held %d, lies %d", m.epoch.Load(), m.kept.Load(), s.Accepted, s.Gaps, s.Older, s.Refused, epochs, queries, s.MostPinned, s.Expired,
+		s.Restarts, s.Waits, s.Lies)
+}
--- a/internal/app/partners.go
+++ b/internal/app/partners.go
@@ -20,6 +20,7 @@
 	sruback "rooktrestle/internal/back/sru"
 	zback "rooktrestle/internal/back/z3950"
 	"rooktrestle/internal/config"
+	"rooktrestle/internal/decide/blocks"
 	"rooktrestle/internal/decide/health"
 	"rooktrestle/internal/decide/schedule"
 	fronthealth "rooktrestle/internal/front/health"
@@ -42,7 +43,9 @@
 func codecs(conf *config.Partners) func(balance.Replica) library.Codec {
 	all := map[balance.Replica]library.Codec{}
 	for _, s := range conf.Servers {
-		database := func(shard int) string { return strings.ReplaceAll(s.Database, "%d", fmt.Sprint(shard)) }
+		database := func(shard int, epoch blocks.Epoch) string {
+			return strings.NewReplacer("%d", fmt.Sprint(shard), "%e", fmt.Sprint(epoch)).Replace(s.Database)
+		}
 		if s.Protocol == config.SRU {
 			all[balance.Replica(s.ID)] = &sruback.Client{Host: s.Addr, Database: database}
 		} else {
@@ -72,6 +75,7 @@
 	word     *word
 	teller   *fronthealth.Teller
 	runner   *background.Runner
+	maps     *maps // nil: blocks are fixed
 	web      *httpserve.Server
 	checks   *httpserve.Server
 	target   *zfront.Server
@@ -99,6 +103,7 @@
 	lim := mixer.Limits{MaxOpen: conf.Limits.MaxOpen, ComeBack: time.Second, Ahead: 4 * set.Tick}
 	for _, c := range conf.Classes {
 		lim.SecondStep = append(lim.SecondStep, c.SecondStep)
+		lim.Unsafe = append(lim.Unsafe, c.Unsafe)
 	}
 	now := p.clock.Now()
 	p.core = mixer.NewCore(decide, p.pool, lim, now)
@@ -108,6 +113,12 @@
 		return nil, err
 	}
 	p.core.Witness = p.evidence
+	if conf.Blocks.On() {
+		if p.maps, err = newMaps(conf, p.evidence, box, log); err != nil {
+			return nil, err
+		}
+		p.core.Reshape = p.maps.reshape()
+	}
 	box.Put(mixer.Members{Kind: balance.ListFull, List: list})
 	p.teller = &fronthealth.Teller{Now: p.clock.Now, Wait: conf.Listen.AgentWait.Duration, Servers: p.serversJSON, Metrics: p.Report}
 	p.word = newWord(conf, p.core, p.evidence, p.teller)
@@ -123,6 +134,9 @@
 		return nil, err
 	}
 	go func() { p.loop.Run(); close(p.over) }()
+	if p.maps != nil {
+		p.maps.run(p.stop)
+	}
 	go func() { p.runner.Run(p.stop); close(p.idle) }()
 	return p, nil
 }
@@ -224,9 +238,9 @@
 	agent, web, late := p.teller.Counters()
 	st := p.runner.Stats()
 	return fmt.Sprintf("%v; servers: dialed %d, refused %d, broken %d, late answers %d; sru: %+v; z39.50: %+v; health asked: agent %d, http %d, "+
-		"while late %d; checks: %d targets, %d begun, held back %d, late p50 %v p99 %v; conclusions changed %d",
+		"while late %d; checks: %d targets, %d begun, held back %d, late p50 %v p99 %v; conclusions changed %d%s",
 		p.core.Count, p.pool.Stats.Dials, p.pool.Stats.DialsFailed, p.pool.Stats.Broken, p.pool.Stats.Late, p.web.Counters(), p.target.Counters(),
-		agent, web, late, st.Tasks, st.Starts, st.Held, st.P50, st.P99, p.evidence.changes)
+		agent, web, late, st.Tasks, st.Starts, st.Held, st.P50, st.P99, p.evidence.changes, p.maps.counters())
 }
 
 // ServerWord is what is known of one server.
@@ -275,6 +289,9 @@
 	close(p.stop)
 	<-p.over
 	<-p.idle
+	if p.maps != nil {
+		p.maps.running.Wait()
+	}
 }
 
 // ServePartners serves the operator's second front until it is told to end.
@@ -296,6 +313,9 @@
 	for told := false; !told; {
 		select {
 		case <-renewed:
+			if p.maps != nil {
+				p.maps.ask()
+			}
 			if err := CheckPartners(io.Discard, path); err != nil {
 				log.Error("the new configuration is bad, the old one stays", "err", err.Error())
 			} else {
--- a/internal/app/word.go
+++ b/internal/app/word.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rooktrestle/internal/config"
+	"rooktrestle/internal/decide/blocks"
 	"rooktrestle/internal/decide/readiness"
 	fronthealth "rooktrestle/internal/front/health"
 	"rooktrestle/internal/mixer"
@@ -67,17 +68,33 @@
 
 func (w *word) base(d config.Database) readiness.BaseFacts {
 	search, correction := w.conf.Class(d.Search), w.conf.Class(d.Correction)
-	b := readiness.BaseFacts{Name: d.Name, Blocks: len(d.Shards), Floor: w.conf.Classes[search].Floor}
+	b := readiness.BaseFacts{Name: d.Name, Floor: w.conf.Classes[search].Floor}
 	if w.evidence.table.Doubted() {
 		b.Suspect = "checks are doubted"
 	}
-	for _, s := range d.Shards {
-		if w.evidence.table.Usable(s, search) == 0 {
-			b.Lost = append(b.Lost, s)
+	look := func(block int) {
+		b.Blocks++
+		if w.evidence.table.Usable(block, search) == 0 {
+			b.Lost = append(b.Lost, block)
 		}
-		if correction >= 0 && w.evidence.table.Usable(s, correction) == 0 {
-			b.Closed = append(b.Closed, s)
+		if correction >= 0 && w.evidence.table.Usable(block, correction) == 0 {
+			b.Closed = append(b.Closed, block)
 		}
 	}
+	if w.core.Reshape == nil {
+		for _, s := range d.Shards {
+			look(s)
+		}
+		return b
+	}
+	m := w.core.Reshape.Views.Now()
+	if m == nil {
+		b.Blocks, b.Lost, b.Suspect = 1, []int{0}, "there is no map of blocks yet"
+		return b
+	}
+	m.Active(func(k *blocks.Block) bool {
+		look(int(k.ID))
+		return true
+	})
 	return b
 }
--- a/internal/back/sru/client.go
+++ b/internal/back/sru/client.go
@@ -7,6 +7,7 @@
 	"net/url"
 
 	"rooktrestle/internal/back/library"
+	"rooktrestle/internal/decide/blocks"
 	"rooktrestle/internal/mixer"
 	"rooktrestle/internal/protocol/http1"
 	"rooktrestle/internal/protocol/sru"
@@ -19,7 +20,7 @@
 // Client words attempts as SRU requests.
 type Client struct {
 	Host     string
-	Database func(shard int) string
+	Database func(shard int, epoch blocks.Epoch) string
 }
 
 // Greeting is nothing: HTTP needs none.
@@ -27,7 +28,7 @@
 
 // Request words an attempt.
 func (c *Client) Request(call mixer.Call, w query.Work) ([]byte, error) {
-	database := c.Database(call.Shard)
+	database := c.Database(call.Shard, call.Epoch)
 	if w.Action == "" {
 		return http1.Request("GET", sru.SearchTarget(database, w.CQL, 1, w.Most), c.Host, nil), nil
 	}
@@ -79,6 +80,13 @@
 	if t := a.Trouble; t != nil && (t.SRU == sru.Diag+"1" || t.SRU == sru.Diag+"2" || t.SRU == sru.Diag+"3") {
 		return failed(errors.New(t.SRU + " " + t.Details))
 	}
+	// What it does not hold it has not run.
+	if t := a.Trouble; t != nil && t.SRU == sru.Diag+"235" {
+		if w, e, ok := blocks.ParseWord(t.Details); ok {
+			r.Err = &mixer.AttemptError{Reach: mixer.Answered, TurnedAway: true, Word: w, Epoch: e, Cause: errors.New(t.Details)}
+			return r
+		}
+	}
 	if a.Update && !a.Good && a.Trouble == nil {
 		a.Trouble = &query.Diagnostic{SRU: sru.Diag + "1", Details: "the server failed the update"}
 	}
--- a/internal/back/z3950/client.go
+++ b/internal/back/z3950/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	"rooktrestle/internal/back/library"
+	"rooktrestle/internal/decide/blocks"
 	"rooktrestle/internal/mixer"
 	"rooktrestle/internal/protocol/z3950"
 	"rooktrestle/internal/query"
@@ -13,7 +14,7 @@
 
 // Client words attempts as an origin's requests.
 type Client struct {
-	Database func(shard int) string
+	Database func(shard int, epoch blocks.Epoch) string
 }
 
 // Greeting is an Init.
@@ -27,7 +28,7 @@
 
 // Request words an attempt. A search asks for its records along with the count.
 func (c *Client) Request(call mixer.Call, w query.Work) ([]byte, error) {
-	database := c.Database(call.Shard)
+	database := c.Database(call.Shard, call.Epoch)
 	if w.Action != "" {
 		return z3950.Update(call.Name, database, w.Action, w.Record).Encode(nil), nil
 	}
@@ -105,6 +106,13 @@
 	default:
 		return r, fmt.Errorf("z3950: unit %d", n.Tag)
 	}
+	// What it does not hold it has not run.
+	if t := found.Trouble; t != nil && t.Bib1 == 109 {
+		if w, e, ok := blocks.ParseWord(t.Details); ok {
+			r.Err = &mixer.AttemptError{Reach: mixer.Answered, TurnedAway: true, Word: w, Epoch: e, Cause: errors.New(t.Details)}
+			return r, nil
+		}
+	}
 	if t := found.Trouble; t != nil && ownFaults[t.Bib1] {
 		r.Err = &mixer.AttemptError{Reach: mixer.Answered, Cause: fmt.Errorf("bib-1 %d %s", t.Bib1, t.Details)}
 		return r, nil
--- a/internal/config/partners.go
+++ b/internal/config/partners.go
@@ -62,6 +62,7 @@
 	Tenants   []PartnerTenant `toml:"tenant"`
 	Databases []Database      `toml:"database"`
 	Servers   []PartnerServer `toml:"server"`
+	Blocks    Blocks          `toml:"blocks"`
 	Checks    Checks          `toml:"checks"`
 	Profiles  []Profile       `toml:"check"`
 	Health    Health          `toml:"health"`
@@ -104,7 +105,7 @@
 	Addr     string   `toml:"addr"`
 	Cell     int      `toml:"cell"`
 	Zone     int      `toml:"zone"`
-	Database string   `toml:"database"` // how it names a shard: %d stands for its number
+	Database string   `toml:"database"` // how it names a shard or block: %d stands for its number, %e for the epoch
 	Agent    string   `toml:"agent"`    // agent-check address: the profile "agent"
 	Health   string   `toml:"health"`   // path of an HTTP health check at its address: the profile "http"
 	Checks   []string `toml:"checks"`   // profiles by name
@@ -153,15 +154,19 @@
 	}
 	p.shareDefaults()
 	p.checkDefaults()
+	p.blockDefaults()
 }
 
 func (p *Partners) check(c *checker) {
 	if p.Listen.SRU == "" && p.Listen.Z3950 == "" {
 		c.bad("listen", "neither sru nor z3950 is listened to")
 	}
-	c.least("shards.count", p.Shards.Count, 1)
-	c.least("shards.cells", p.Shards.Cells, 1)
-	c.least("shards.reach", p.Shards.Reach, 1)
+	if !p.Blocks.On() {
+		c.least("shards.count", p.Shards.Count, 1)
+		c.least("shards.cells", p.Shards.Cells, 1)
+		c.least("shards.reach", p.Shards.Reach, 1)
+	}
+	p.checkBlocks(c)
 	if p.Shards.Reach > p.Shards.Cells {
 		c.bad("shards.reach", "reach must be at most cells: %d of %d", p.Shards.Reach, p.Shards.Cells)
 	}
@@ -191,7 +196,7 @@
 		if s.Protocol != SRU && s.Protocol != Z3950 {
 			c.bad(at+".protocol", "server %q: protocol %q is neither sru nor z3950", s.ID, s.Protocol)
 		}
-		if s.Cell < 0 || s.Cell >= p.Shards.Cells {
+		if !p.Blocks.On() && (s.Cell < 0 || s.Cell >= p.Shards.Cells) {
 			c.bad(at+".cell", "server %q: cell %d is not there", s.ID, s.Cell)
 		}
 		if s.Database == "" {
@@ -241,9 +246,12 @@
 		if p.Tenant(d.Tenant) < 0 {
 			c.bad(at+".tenant", "database %s: tenant %q is not there", d.Name, d.Tenant)
 		}
-		if len(d.Shards) == 0 || d.Name == "" {
+		if d.Name == "" || len(d.Shards) == 0 && !p.Blocks.On() {
 			c.bad(at, "database %q: no name or no shards", d.Name)
 		}
+		if p.Blocks.On() {
+			continue
+		}
 		for k, s := range d.Shards {
 			if s < 0 || s >= p.Shards.Count || slices.Contains(d.Shards[:k], s) {
 				c.bad(at+".shards", "database %s: shard %d is not there, or twice", d.Name, s)
@@ -269,6 +277,9 @@
 		Cells: p.Shards.Cells, Reach: p.Shards.Reach, Shards: p.Shards.Count, CallParts: 1,
 		MaxAttempts: p.Limits.Attempts, CanCancel: true, MaxRetryAfter: 5 * time.Second, OverShareWorth: 1,
 	}
+	if p.Blocks.On() { // each part says who holds it
+		set.Cells, set.Reach, set.Shards = 1, 1, 1
+	}
 	for _, c := range p.Classes {
 		effect := balance.Safe
 		if c.Unsafe {
--- a/internal/decide/blocks/views.go
+++ b/internal/decide/blocks/views.go
@@ -12,6 +12,7 @@
 	MostAge    time.Duration // of a pinned epoch since it was replaced
 	ColdFor    time.Duration // a new holder of a block is warm after it; 0: at once
 	ColdFrom   float64       // share of its parts with which it begins, over 0 to 1
+	Patience   time.Duration // a source may be as late as this behind an epoch that a server spoke of
 }
 
 func (r ViewRules) check() error {
@@ -20,6 +21,8 @@
 		return errors.New("most_pinned must be at least 1")
 	case r.MostAge <= 0:
 		return errors.New("pinned_for must be over 0")
+	case r.Patience < 0:
+		return errors.New("patience must not be negative")
 	case r.ColdFor < 0 || !(r.ColdFrom > 0 && r.ColdFrom <= 1):
 		return errors.New("cold must not be negative, and cold_from over 0 to 1")
 	}
@@ -134,13 +137,18 @@
 	}
 }
 
-// Same says that the source has answered and has nothing newer: whatever else was heard is not so.
-func (vs *Views) Same(now time.Time) {
+// Same says that the source has answered and has nothing newer. What servers spoke of is not so, unless that was only
+// just: the source may be late. again: it should be asked again in a while.
+func (vs *Views) Same(now time.Time) (again bool) {
 	vs.source = now
+	if vs.asked && now.Sub(vs.heard) < vs.rules.Patience {
+		return true
+	}
 	vs.asked = false
 	if vs.now != nil {
 		vs.fresh = vs.now.Map.Epoch
 	}
+	return false
 }
 
 // Heard takes an epoch that a server spoke of. It is no map; it says whether the source should be asked.
@@ -148,7 +156,10 @@
 	if vs.now != nil && e <= vs.now.Map.Epoch || e <= vs.fresh && vs.asked {
 		return false
 	}
-	vs.fresh, vs.asked, vs.heard = max(vs.fresh, e), true, now
+	if !vs.asked { // from the first word on: a server that speaks of ever newer ones gains no time
+		vs.heard = now
+	}
+	vs.fresh, vs.asked = max(vs.fresh, e), true
 	return true
 }
 
--- a/internal/decide/health/table.go
+++ b/internal/decide/health/table.go
@@ -17,7 +17,7 @@
 	nodes   []*node // by index; nil: free
 	index   map[ID]int
 	free    []int
-	holders [][]int // of each block
+	holders map[int][]int // of each block; one without any is dropped
 	fleet   []window
 	parts   []float64 // of each class, ended since the start
 	timers  *timers.Wheel
@@ -107,7 +107,7 @@
 		}
 	}
 	return &Table{
-		rules: rules, sources: sources, index: map[ID]int{}, fleet: make([]window, rules.Classes),
+		rules: rules, sources: sources, index: map[ID]int{}, holders: map[int][]int{}, fleet: make([]window, rules.Classes),
 		parts: make([]float64, rules.Classes), timers: timers.NewWheel(start, 10*time.Millisecond), now: start,
 	}, nil
 }
@@ -163,9 +163,6 @@
 func (t *Table) list(i int) {
 	n := t.nodes[i]
 	for _, b := range n.Blocks {
-		for b >= len(t.holders) {
-			t.holders = append(t.holders, nil)
-		}
 		t.holders[b] = append(t.holders[b], i)
 	}
 	t.touchNeighbours(i)
@@ -174,7 +171,9 @@
 func (t *Table) unlist(i int) {
 	t.touchNeighbours(i)
 	for _, b := range t.nodes[i].Blocks {
-		t.holders[b] = slices.DeleteFunc(t.holders[b], func(o int) bool { return o == i })
+		if t.holders[b] = slices.DeleteFunc(t.holders[b], func(o int) bool { return o == i }); len(t.holders[b]) == 0 {
+			delete(t.holders, b)
+		}
 	}
 }
 
@@ -394,9 +393,6 @@
 
 // Usable counts the holders of a block that may be expected to answer parts of a class.
 func (t *Table) Usable(block, of int) (n int) {
-	if block < 0 || block >= len(t.holders) {
-		return 0
-	}
 	for _, i := range t.holders[block] {
 		if t.nodes[i].usable(of) {
 			n++
@@ -409,6 +405,9 @@
 	return n.saidOnce && n.said.State == InService && n.said.Usable && !n.classes[of].ejected && !n.classes[of].limited
 }
 
+// Now is the latest time that the table was told.
+func (t *Table) Now() time.Time { return t.now }
+
 // Len is the number of servers listed.
 func (t *Table) Len() int { return len(t.index) }
 
--- a/internal/front/sru/server.go
+++ b/internal/front/sru/server.go
@@ -88,7 +88,7 @@
 		}
 		var ds []query.Diagnostic
 		if o.Kind == partner.Partial {
-			ds = append(ds, sru.NewFault(59, "some shards of the database are not in").Diagnose())
+			ds = append(ds, sru.NewFault(59, o.Included()).Diagnose())
 		}
 		if r.Start > 1 && r.Start > o.Count {
 			ds = append(ds, sru.NewFault(61, strconv.Itoa(r.Start)).Diagnose())
--- a/internal/front/z3950/server.go
+++ b/internal/front/z3950/server.go
@@ -510,7 +510,7 @@
 		a.sets[name] = s
 		if o.Kind == partner.Partial { // a valid subset: marked as such, and usable
 			a.send(z3950.Ctx(z3950.SearchResponse, op.ref, z3950.Num(23, o.Count), z3950.Num(24, 0), z3950.Num(25, 1), z3950.Boolean(22, false), z3950.Num(26, 1),
-				z3950.Diagnostic(130, 33, "some shards are not in")))
+				z3950.Diagnostic(130, 33, o.Included())))
 			return
 		}
 		want := 0
@@ -595,7 +595,7 @@
 	}, func(op *operation, o partner.Outcome) {
 		if o.Kind != partner.Whole {
 			if o.Kind == partner.Partial {
-				a.fail(op, 14, "some shards are not in", -1)
+				a.fail(op, 14, o.Included(), -1)
 				return
 			}
 			code, info := trouble(o)
--- a/internal/lab/install/install.go
+++ b/internal/lab/install/install.go
@@ -267,6 +267,13 @@
 	return nil
 }
 
+// Then hands each event on to another handler, too; nil: to none.
+func (e *Events) Then(next slog.Handler) {
+	e.mu.Lock()
+	e.next = next
+	e.mu.Unlock()
+}
+
 // All are the events so far.
 func (e *Events) All() []Event {
 	e.mu.Lock()
--- a/internal/lab/node/node.go
+++ b/internal/lab/node/node.go
@@ -31,6 +31,17 @@
 	Body     string // of /healthz
 }
 
+// Shelf is what a node holds where blocks change: it answers for a database's name, or says a word instead.
+type Shelf interface {
+	// Search returns the records of a block, at most so many, in the order of their identifiers, and how many there are.
+	Search(base string, most int) (records []Record, count int, word string)
+	// Correct changes a record: it runs if word is empty.
+	Correct(base, id string) (word string)
+}
+
+// Record is one record with its identifier.
+type Record struct{ ID, XML string }
+
 // Node is a running stand-in.
 type Node struct {
 	Name, Protocol string
@@ -39,6 +50,7 @@
 	mu      sync.Mutex
 	addr    string
 	rng     *rand.Rand
+	shelf   Shelf
 	faults  Faults
 	health  Health
 	started time.Time
@@ -104,6 +116,19 @@
 	}
 }
 
+// Put gives the node a shelf, in the place of the archive's blocks.
+func (n *Node) Put(s Shelf) {
+	n.mu.Lock()
+	n.shelf = s
+	n.mu.Unlock()
+}
+
+func (n *Node) shelved() Shelf {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.shelf
+}
+
 // Set changes what the node does wrong.
 func (n *Node) Set(f Faults) {
 	n.mu.Lock()
--- a/internal/lab/node/sru.go
+++ b/internal/lab/node/sru.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -70,10 +71,21 @@
 			http.Error(w, "no update", 400)
 			return
 		}
+		if s := n.shelved(); s != nil { // before anything runs
+			if word := s.Correct(base, e.ID); word != "" {
+				fmt.Fprintf(w, `<updateResponse xmlns="http://www.loc.gov/zing/srw/update/"><version>1.0</version><operationStatus>fail</operationStatus>`+
+					`<diagnostics><diagnostic xmlns="http://www.loc.gov/zing/srw/diagnostic/"><uri>info:srw/diagnostic/1/235</uri><details>%s</details></diagnostic></diagnostics></updateResponse>`, word)
+				return
+			}
+		}
 		fault = n.take()
 		id = e.ID
 		do = n.archive.correct(n, at, id, fault)
 	} else {
+		if s := n.shelved(); s != nil {
+			n.shelfSearch(w, r, s, at, base)
+			return
+		}
 		fault = n.take()
 		record, do = n.archive.search(n, at, base, r.URL.Query().Get("query"), fault)
 	}
@@ -101,3 +113,35 @@
 		`<zs:numberOfRecords>1</zs:numberOfRecords><zs:records><zs:record><zs:recordSchema>info:srw/schema/1/dc-v1.1</zs:recordSchema>`+
 		`<zs:recordPacking>xml</zs:recordPacking><zs:recordData>%s</zs:recordData></zs:record></zs:records></zs:searchRetrieveResponse>`, record)
 }
+
+// shelfSearch answers a search from the node's shelf.
+func (n *Node) shelfSearch(w http.ResponseWriter, r *http.Request, s Shelf, at time.Time, base string) {
+	most, _ := strconv.Atoi(r.URL.Query().Get("maximumRecords"))
+	records, count, word := s.Search(base, most)
+	if word != "" {
+		fmt.Fprintf(w, `<searchRetrieveResponse xmlns="http://www.loc.gov/zing/srw/"><version>1.2</version><numberOfRecords>0</numberOfRecords>`+
+			`<diagnostics><diagnostic xmlns="http://www.loc.gov/zing/srw/diagnostic/"><uri>info:srw/diagnostic/1/235</uri><details>%s</details></diagnostic></diagnostics></searchRetrieveResponse>`, word)
+		return
+	}
+	fault := n.take()
+	_, do := n.archive.search(n, at, base, r.URL.Query().Get("query"), fault)
+	switch do {
+	case "hang":
+		n.wait(r.Context(), true)
+		return
+	case "break":
+		panic(http.ErrAbortHandler)
+	case "error":
+		http.Error(w, "failing", 500)
+		return
+	case "spoil":
+		io.WriteString(w, "<noise")
+		return
+	}
+	fmt.Fprintf(w, `<?xml version="1.0"?><zs:searchRetrieveResponse xmlns:zs="http://www.loc.gov/zing/srw/"><zs:version>1.2</zs:version><zs:numberOfRecords>%d</zs:numberOfRecords><zs:records>`, count)
+	for _, rec := range records {
+		fmt.Fprintf(w, `<zs:record><zs:recordSchema>info:srw/schema/1/dc-v1.1</zs:recordSchema><zs:recordPacking>xml</zs:recordPacking><zs:recordData>%s</zs:recordData>`+
+			`<zs:recordIdentifier>%s</zs:recordIdentifier></zs:record>`, rec.XML, rec.ID)
+	}
+	io.WriteString(w, `</zs:records></zs:searchRetrieveResponse>`)
+}
--- a/internal/lab/node/z3950.go
+++ b/internal/lab/node/z3950.go
@@ -83,6 +83,12 @@
 			continue
 		case 22:
 			base := string(v.Kid(18).Kids[0].Body)
+			if s := n.shelved(); s != nil {
+				if do = n.shelfAnswer(c, s, v, at, base, ref); do == "" {
+					continue
+				}
+				break
+			}
 			fault := n.take()
 			record, what := a.search(n, at, base, ber.Words(v.Kid(21).Kids[0].Kids[1]), fault)
 			do = what
@@ -99,6 +105,17 @@
 		case 46:
 			es := v.Kid(10).Kid(0).Kids[0] // esRequest
 			id := string(es.Kid(2).Kids[0].Kids[0].Kid(1).Kids[0].Body)
+			if s := n.shelved(); s != nil {
+				keep := es.Kid(1)
+				if len(keep.Kids) == 1 && keep.Kids[0].Class == 0 { // a sequence inside
+					keep = keep.Kids[0]
+				}
+				if word := s.Correct(string(keep.Kid(2).Body), id); word != "" {
+					diag := ber.Group(-16, ber.Leaf(-6, ber.Diag), ber.Leaf(-2, "\x6d"), ber.Leaf(-26, word))
+					io.WriteString(c, ber.Group(47, ref, ber.Number(3, 3), ber.Group(4, diag)))
+					continue
+				}
+			}
 			fault := n.take()
 			switch do = a.correct(n, at, id, fault); do {
 			case "":
@@ -126,3 +143,30 @@
 		return // "break"
 	}
 }
+
+// shelfAnswer answers a search from the node's shelf, and returns the fault that it met instead.
+func (n *Node) shelfAnswer(c net.Conn, s Shelf, v ber.TLV, at time.Time, base, ref string) (do string) {
+	records, count, word := s.Search(base, v.Kid(15).Num())
+	failed := func(code, text string) {
+		io.WriteString(c, ber.Group(23, ref, ber.Number(23, 0), ber.Number(24, 0), ber.Number(25, 0), ber.Leaf(22, "\x00"), ber.Number(26, 3),
+			ber.Group(130, ber.Leaf(-6, ber.Diag), ber.Leaf(-2, code), ber.Leaf(-26, text))))
+	}
+	if word != "" {
+		failed("\x6d", word) // 109
+		return ""
+	}
+	fault := n.take()
+	if _, do = n.archive.search(n, at, base, ber.Words(v.Kid(21).Kids[0].Kids[1]), fault); do == "error" {
+		failed("\x02", "failing")
+		return ""
+	}
+	if do != "" {
+		return do
+	}
+	var list []string
+	for _, rec := range records {
+		list = append(list, ber.Group(-16, ber.Leaf(0, base), ber.Group(1, ber.Group(1, ber.Group(-8, ber.Leaf(-6, ber.XML), ber.Leaf(1, rec.XML))))))
+	}
+	io.WriteString(c, ber.Group(23, ref, ber.Number(23, count), ber.Number(24, len(list)), ber.Number(25, 0), ber.Leaf(22, "\xff"), ber.Number(27, 0), ber.Group(28, list...)))
+	return ""
+}
--- /dev/null
+++ b/internal/lab/reshape/controller.go
@@ -0,0 +1,232 @@
+package reshape
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"rooktrestle/internal/decide/blocks"
+	"rooktrestle/internal/state/keep"
+)
+
+// Source is a stand-in of an HTTP source of maps with long poll, and faults.
+type Source struct {
+	ln    net.Listener
+	web   *http.Server
+	mu    sync.Mutex
+	text  []byte
+	epoch uint64
+	next  chan struct{} // closed with each publication
+	fault func() (status int, body []byte)
+	asked int
+}
+
+// NewSource starts a source without a map.
+func NewSource() (*Source, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Source{ln: ln, next: make(chan struct{})}
+	s.web = &http.Server{Handler: s}
+	go s.web.Serve(ln)
+	return s, nil
+}
+
+// Addr is where it listens.
+func (s *Source) Addr() string { return s.ln.Addr().String() }
+
+// Close ends it.
+func (s *Source) Close() { s.web.Close() }
+
+// Publish makes a text the present map.
+func (s *Source) Publish(epoch uint64, text []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.text, s.epoch = text, epoch
+	close(s.next)
+	s.next = make(chan struct{})
+}
+
+// Fail makes the source answer in another way; nil ends it.
+func (s *Source) Fail(f func() (status int, body []byte)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+	close(s.next)
+	s.next = make(chan struct{})
+}
+
+// Asked is how often it was asked.
+func (s *Source) Asked() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked
+}
+
+// ServeHTTP answers a long poll.
+func (s *Source) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
+	end := time.After(wait)
+	s.mu.Lock()
+	s.asked++
+	s.mu.Unlock()
+	for {
+		s.mu.Lock()
+		text, epoch, next, fault := s.text, s.epoch, s.next, s.fault
+		s.mu.Unlock()
+		switch {
+		case fault != nil:
+			status, body := fault()
+			w.WriteHeader(status)
+			w.Write(body)
+			return
+		case epoch > after:
+			w.Write(text)
+			return
+		}
+		select {
+		case <-next:
+		case <-end:
+			w.WriteHeader(http.StatusNotModified)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// Controller carries plans out: it keeps the map and the plan on disk, tells the nodes, then publishes. It may be killed
+// between any two of its steps; a new one goes on from what is kept.
+type Controller struct {
+	Shelves map[string]*Shelf
+	Publish func(epoch uint64, text []byte)
+	Timing  blocks.Timing
+	Killed  func(at string) bool // if set, asked before each step of its own: true ends it there
+	Log     func(text string)
+
+	mapBox, planBox *keep.Box
+	now             *blocks.Map
+}
+
+var errKilled = errors.New("killed")
+
+// NewController opens the state in a folder; first is the map where none is kept.
+func NewController(dir string, first *blocks.Map, c Controller) (*Controller, error) {
+	c.mapBox, c.planBox = keep.New(keep.OS{}, dir+"/map"), keep.New(keep.OS{}, dir+"/plan")
+	text, err := c.mapBox.Load()
+	switch {
+	case errors.Is(err, keep.ErrNone):
+		c.now = first
+		if err := c.mapBox.Store(first.Print()); err != nil {
+			return nil, err
+		}
+	case err != nil:
+		return nil, err
+	default:
+		if c.now, err = blocks.Parse(text); err != nil {
+			return nil, err
+		}
+	}
+	return &c, c.announce(c.now) // again, if it was announced before
+}
+
+// Map is the present map.
+func (c *Controller) Map() *blocks.Map { return c.now }
+
+func (c *Controller) killed(at string) bool { return c.Killed != nil && c.Killed(at) }
+
+// announce tells the nodes of a map, then everybody.
+func (c *Controller) announce(m *blocks.Map) error {
+	text := m.Print()
+	for name, s := range c.Shelves {
+		if c.killed("telling " + name) {
+			return errKilled
+		}
+		if err := s.Learn(text); err != nil {
+			return err
+		}
+	}
+	if c.killed("publishing") {
+		return errKilled
+	}
+	c.Publish(uint64(m.Epoch), text)
+	return nil
+}
+
+// Copied and Knows tell of the nodes.
+func (c *Controller) Copied(block blocks.ID, server string) bool {
+	s := c.Shelves[server]
+	return s != nil && s.Copied(uint64(block))
+}
+
+// Knows is the epoch that a node knows.
+func (c *Controller) Knows(server string) blocks.Epoch {
+	if s := c.Shelves[server]; s != nil {
+		return blocks.Epoch(s.Knows())
+	}
+	return 0
+}
+
+// Start keeps a plan, so that it is carried out whatever happens.
+func (c *Controller) Start(p *blocks.Plan) error {
+	text, err := json.Marshal(p)
+	if err != nil {
+		return err
+	}
+	return c.planBox.Store(text)
+}
+
+// Run carries the kept plan out, until it is done, killed, or stop is closed.
+func (c *Controller) Run(stop <-chan struct{}) error {
+	text, err := c.planBox.Load()
+	if errors.Is(err, keep.ErrNone) || err == nil && len(text) == 0 {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var p blocks.Plan
+	if err := json.Unmarshal(text, &p); err != nil {
+		return err
+	}
+	carry := &blocks.Carry{Plan: &p}
+	for {
+		move, err := carry.Next(time.Now(), c.now, c)
+		switch {
+		case err != nil:
+			return fmt.Errorf("%s: %w", p.What, err)
+		case move.Done:
+			return c.planBox.Store(nil)
+		case move.Publish != nil:
+			if c.Log != nil {
+				c.Log(fmt.Sprintf("epoch %d: %s", move.Publish.Epoch, p.Steps[move.Step].What))
+			}
+			if c.killed("keeping the map") {
+				return errKilled
+			}
+			if err := c.mapBox.Store(move.Publish.Print()); err != nil {
+				return err
+			}
+			if c.killed("after keeping the map") {
+				return errKilled
+			}
+			c.now = move.Publish
+			if err := c.announce(c.now); err != nil {
+				return err
+			}
+		default:
+			select {
+			case <-stop:
+				return nil
+			case <-time.After(time.Until(move.Wait)):
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/reshape/setup.go
@@ -0,0 +1,262 @@
+package reshape
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"time"
+
+	"rooktrestle/internal/app"
+	"rooktrestle/internal/config"
+	"rooktrestle/internal/decide/blocks"
+	"rooktrestle/internal/lab/install"
+	"rooktrestle/internal/lab/node"
+)
+
+// Options of an archive.
+type Options struct {
+	Seed    uint64
+	Nodes   int           // every second one speaks Z39.50
+	Blocks  int           // at the start; each is held by two nodes
+	Fronts  int           // mixers; each hears of maps by itself
+	Late    time.Duration // the last front hears of maps so late
+	Copy    time.Duration // of a block to a joining node
+	Records int
+	Keep    bool // fronts keep the last good map
+	Timing  blocks.Timing
+	Delay   time.Duration // of an answer
+	Log     slog.Handler
+	Class   string // more keys of the class of searches
+}
+
+// Archive is a running archive whose blocks change.
+type Archive struct {
+	Options
+	Content    *Content
+	Archive    *node.Archive
+	Nodes      []*node.Node
+	Shelves    map[string]*Shelf
+	Sources    []*Source
+	Controller *Controller
+	Fronts     []*app.Partners
+	Events     []*install.Events
+	Dir        string
+	late       []*time.Timer
+}
+
+// Start starts an archive.
+func Start(o Options) (a *Archive, err error) {
+	a = &Archive{Options: o, Content: NewContent(max(4, o.Records/12), 4, 3), Archive: node.NewArchive(0), Shelves: map[string]*Shelf{}}
+	defer func() {
+		if err != nil {
+			a.Stop()
+			a = nil
+		}
+	}()
+	if a.Dir, err = os.MkdirTemp("", "reshape"); err != nil {
+		return a, err
+	}
+	for i := range o.Nodes {
+		name := fmt.Sprintf("n%d", i)
+		start := a.Archive.SRU
+		if i%2 == 1 {
+			start = a.Archive.Z3950
+		}
+		n, err := start(name, o.Seed)
+		if err != nil {
+			return a, err
+		}
+		n.Set(node.Faults{Delay: o.Delay, Jitter: o.Delay})
+		s := NewShelf(name, a.Content, o.Copy)
+		n.Put(s)
+		a.Nodes, a.Shelves[name] = append(a.Nodes, n), s
+	}
+	for range max(1, o.Fronts) {
+		s, err := NewSource()
+		if err != nil {
+			return a, err
+		}
+		a.Sources = append(a.Sources, s)
+	}
+	first, err := a.first()
+	if err != nil {
+		return a, err
+	}
+	if err = a.Control(first, nil); err != nil {
+		return a, err
+	}
+	for i, s := range a.Sources {
+		ev := &install.Events{}
+		ev.Then(o.Log)
+		path := filepath.Join(a.Dir, fmt.Sprintf("front%d.toml", i))
+		if err = os.WriteFile(path, []byte(a.file(i, s.Addr())), 0o600); err != nil {
+			return a, err
+		}
+		conf, err := config.LoadPartners(path)
+		if err != nil {
+			return a, err
+		}
+		adopted := ev.Next(func(e install.Event) bool { return e.Msg == "map adopted" })
+		f, err := app.StartPartners(conf, o.Seed+uint64(i), slog.New(ev))
+		if err != nil {
+			return a, err
+		}
+		a.Fronts, a.Events = append(a.Fronts, f), append(a.Events, ev)
+		select {
+		case <-adopted:
+		case <-time.After(30 * time.Second):
+			return a, fmt.Errorf("front %d has no map", i)
+		}
+	}
+	return a, nil
+}
+
+// Control makes the controller anew, as after it was killed.
+func (a *Archive) Control(first *blocks.Map, killed func(at string) bool) error {
+	c, err := NewController(a.Dir, first, Controller{Shelves: a.Shelves, Publish: a.publish, Timing: a.Timing, Killed: killed})
+	a.Controller = c
+	return err
+}
+
+// publish tells every source; the last one late.
+func (a *Archive) publish(epoch uint64, text []byte) {
+	for i, s := range a.Sources {
+		if i > 0 && i == len(a.Sources)-1 && a.Late > 0 && epoch > 1 {
+			a.late = append(a.late, time.AfterFunc(a.Late, func() { s.Publish(epoch, text) }))
+			continue
+		}
+		s.Publish(epoch, text)
+	}
+}
+
+// first cuts the keys into blocks of about the same size.
+func (a *Archive) first() (*blocks.Map, error) {
+	var keys []string
+	for _, id := range a.Content.IDs {
+		if k := keyOf(id); len(keys) == 0 || keys[len(keys)-1] != k {
+			keys = append(keys, k)
+		}
+	}
+	n := min(a.Blocks, len(keys))
+	var list []*blocks.Block
+	for i := range n {
+		b := &blocks.Block{ID: blocks.ID(i + 1), State: blocks.Serving, Holders: []blocks.Holder{
+			{Server: a.Nodes[i%len(a.Nodes)].Name}, {Server: a.Nodes[(i+1)%len(a.Nodes)].Name}}}
+		if i > 0 {
+			b.From = blocks.Key(keys[i*len(keys)/n])
+		}
+		if i+1 < n {
+			b.To = blocks.Key(keys[(i+1)*len(keys)/n])
+		}
+		b.Weight = float64(len(a.Content.in(string(b.From), string(b.To))))
+		list = append(list, b)
+	}
+	return blocks.New("captions", 1, blocks.ID(n+1), list)
+}
+
+func (a *Archive) file(i int, source string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, `name = "front%d"
+[listen]
+sru = "127.0.0.1:0"
+z3950 = "127.0.0.1:0"
+health = "127.0.0.1:0"
+agent = "127.0.0.1:0"
+[limits]
+sockets = 2048
+max_open = 4000
+max_records = 2000
+[checks]
+every = "500ms"
+[blocks]
+archive = "captions"
+source = %q
+wait = "2s"
+cold = "2s"
+`, i, source)
+	if a.Keep {
+		fmt.Fprintf(&b, "keep = %q\n", filepath.Join(a.Dir, fmt.Sprintf("kept%d", i)))
+	}
+	fmt.Fprintf(&b, `[[class]]
+name = "line-search"
+aim = "1.5s"
+deadline = "4s"
+late_worth = 0.3
+%s
+[[class]]
+name = "coverage-report"
+aim = "1.2s"
+deadline = "2s"
+late_worth = 0.1
+floor = 0.5
+partial = 0.8
+[[class]]
+name = "line-correction"
+aim = "1s"
+deadline = "2s"
+late_worth = 0.3
+unsafe = true
+[[tenant]]
+name = "tv"
+quota = 100000
+users = ["editor"]
+[[database]]
+name = "captions"
+search = "line-search"
+correction = "line-correction"
+tenant = "tv"
+[[database]]
+name = "coverage"
+search = "coverage-report"
+tenant = "tv"
+`, a.Class)
+	for _, n := range a.Nodes {
+		fmt.Fprintf(&b, "[[server]]\nid = %q\nprotocol = %q\naddr = %q\ndatabase = \"block-%%d@%%e\"\n", n.Name, n.Protocol, n.Addr())
+	}
+	return b.String()
+}
+
+// Ran is how often each correction ran, on all nodes together.
+func (a *Archive) Ran() map[string]int {
+	all := map[string]int{}
+	for _, s := range a.Shelves {
+		for id, n := range s.Runs() {
+			all[id] += n
+		}
+	}
+	return all
+}
+
+// Twice lists the corrections that ran more than once.
+func (a *Archive) Twice() (ids []string) {
+	for id, n := range a.Ran() {
+		if n > 1 {
+			ids = append(ids, fmt.Sprintf("%s (%d times)", id, n))
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// Stop ends all of it.
+func (a *Archive) Stop() {
+	a.Archive.Close()
+	for _, t := range a.late {
+		t.Stop()
+	}
+	for _, f := range a.Fronts {
+		f.Stop(0)
+	}
+	for _, s := range a.Sources {
+		s.Close()
+	}
+	for _, n := range a.Nodes {
+		n.Kill()
+	}
+	if a.Dir != "" {
+		os.RemoveAll(a.Dir)
+	}
+}
--- a/internal/mixer/core.go
+++ b/internal/mixer/core.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"rooktrestle/balance"
+	"rooktrestle/internal/decide/blocks"
 )
 
 // clockMargin is how long before its start a core's clock begins, so that servers' starts lie after zero.
@@ -22,6 +23,13 @@
 	step  int
 	first []*part // parts of the first step that were in
 	whole bool    // the first step was
+
+	out      int          // attempts out
+	view     *blocks.View // that it is pinned to; nil where holders are fixed
+	flight   *blocks.Flight
+	restarts int
+	anew     bool // it begins anew once nothing of it is out
+	waits    bool // for a newer map
 }
 
 type part struct {
@@ -33,6 +41,7 @@
 	in    bool
 	score float64
 	value string
+	at    int // in the query's flight
 }
 
 type attempt struct {
@@ -47,7 +56,8 @@
 // Core holds the open queries and attempts of one mixer.
 type Core struct {
 	Count   Counters
-	Witness Witness // if set, told of each attempt's end
+	Witness Witness  // if set, told of each attempt's end
+	Reshape *Reshape // nil: holders are fixed
 	decide  *balance.Balancer
 	backend Backend
 	lim     Limits
@@ -75,6 +85,7 @@
 // Limits are what a core keeps to beside the decisions.
 type Limits struct {
 	SecondStep []int         // of each class: parts of its second step; 0: one step only
+	Unsafe     []bool        // of each class, where maps of blocks change: no part may run twice
 	MaxOpen    int           // queries and parts held; 0: not limited
 	CallParts  int           // most parts that share one call; 0: one
 	ComeBack   time.Duration // advice to a client turned away because of it
@@ -130,6 +141,7 @@
 	for _, e := range events {
 		told = c.event(now, e, told)
 	}
+	told = c.leave(now, told)
 	for _, id := range c.order {
 		a := c.attempts[id]
 		if a != nil && !a.expired && !now.Before(a.until) {
@@ -180,6 +192,9 @@
 	for _, q := range c.queries {
 		sooner(q.end)
 	}
+	if c.Reshape != nil {
+		sooner(c.Reshape.Views.Due())
+	}
 	return next
 }
 
@@ -200,6 +215,8 @@
 		})
 	case Members:
 		told = append(told, c.members(e))
+	case MapOffered:
+		return c.mapped(now, e, told)
 	default:
 		panic(fmt.Sprintf("mixer: no such event: %T", e))
 	}
@@ -240,22 +257,28 @@
 	q := &query{id: c.next, req: r, end: end}
 	c.queries[q.id], c.byReq[r] = q, q
 	c.names[r.ID]++
-	told = append(told, balance.Query{
-		ID: q.id, Group: uint64(q.id), Class: r.Class, Tenant: r.Tenant, Key: r.Key,
-		TimeLeft: end.Sub(now), Retry: r.Retry, Parts: len(r.Parts),
-	})
-	return c.addParts(q, r.Parts, "", told)
+	specs := r.Parts
+	if r.Layout != nil {
+		if specs = c.pin(q); len(specs) == 0 { // no map yet
+			c.close(q, Final{Kind: Refused, RetryAfter: c.lim.ComeBack})
+			return told
+		}
+	}
+	return c.tellQuery(now, q, specs, told)
 }
 
-func (c *Core) addParts(q *query, specs []Spec, suffix string, told []balance.Event) []balance.Event {
+func (c *Core) addParts(now time.Time, q *query, specs []Spec, suffix string, told []balance.Event) []balance.Event {
 	q.parts = nil
+	if q.flight != nil {
+		q.flight.Parts, q.flight.Second = nil, q.step > 0
+	}
 	for _, s := range specs {
 		c.next++
 		p := &part{id: c.next, q: q, spec: s, name: fmt.Sprintf("%s.%d%s", q.req.ID, s.Shard, suffix)}
 		c.parts[p.id] = p
 		q.parts = append(q.parts, p)
 		told = append(told, balance.Part{
-			ID: p.id, Group: uint64(q.id), Shard: s.Shard, Weight: s.Weight, Hint: s.Hint,
+			ID: p.id, Group: uint64(q.id), Shard: s.Shard, Weight: s.Weight, Hint: s.Hint, Holders: c.place(now, q, p),
 		})
 	}
 	return told
@@ -267,24 +290,39 @@
 		return told // ended before: late word is dropped by attempt, not by part
 	}
 	delete(c.attempts, e.Attempt)
-	c.release(a.part.q)
+	p, q := a.part, a.part.q
+	q.out--
+	c.release(q)
 	r := result(e.Err)
 	if a.expired && (r == balance.Canceled || r == balance.Ignored) {
 		r = balance.TimedOut
 	}
 	c.Count.Outcomes[r]++
-	if c.Witness != nil {
-		var cause *AttemptError
-		own := errors.As(e.Err, &cause) && cause.Own
-		c.Witness.Saw(now, Attempt{Server: a.server, Class: a.part.q.req.Class, Result: r, Sent: a.sent, Own: own})
-	}
-	if p := a.part; r == balance.OK && !p.in && c.parts[p.id] == p {
+	if r == balance.OK && !p.in && c.parts[p.id] == p {
 		p.in, p.score, p.value = true, e.Score, e.Value
 	}
-	return append(told, balance.Outcome{
+	var cause *AttemptError
+	errors.As(e.Err, &cause)
+	lie := false
+	if q.flight != nil && c.parts[p.id] == p {
+		f := &q.flight.Parts[p.at]
+		f.In = f.In || p.in
+		f.MayRun = f.MayRun || r == balance.Failed || r == balance.TimedOut || r == balance.Reset || r == balance.Canceled
+		if cause != nil && cause.Word != blocks.NoWord {
+			lie, told = c.turnedAway(now, a, cause, told)
+		}
+	}
+	if c.Witness != nil {
+		c.Witness.Saw(now, Attempt{Server: a.server, Class: q.req.Class, Result: r, Sent: a.sent, Own: cause != nil && cause.Own, Lie: lie})
+	}
+	told = append(told, balance.Outcome{
 		Part: e.Attempt.Part, Attempt: e.Attempt.N, Replica: a.server, Result: r,
 		Took: now.Sub(a.sent), Report: e.Report,
 	})
+	if q.anew && q.out == 0 && c.queries[q.id] == q {
+		told = c.again(now, q, told)
+	}
+	return told
 }
 
 func (c *Core) withdraw(now time.Time, id AttemptID, a *attempt) {
@@ -312,14 +350,14 @@
 					c.withdraw(now, id, out)
 				}
 			case balance.Answer:
-				told = c.answer(a, told)
+				told = c.answer(now, a, told)
 			case balance.Refuse:
 				if q := c.queries[a.Query]; q != nil {
-					c.close(q, Final{Kind: Refused, RetryAfter: a.RetryAfter})
+					told = c.gaveUp(now, q, Final{Kind: Refused, RetryAfter: a.RetryAfter}, told)
 				}
 			case balance.Fail:
 				if q := c.queries[a.Query]; q != nil {
-					c.close(q, Final{Kind: Failed})
+					told = c.gaveUp(now, q, Final{Kind: Failed}, told)
 				}
 			case balance.Probe:
 				c.Count.Probes++
@@ -353,6 +391,7 @@
 	id := AttemptID{p.id, p.tries}
 	p.tries++
 	c.attempts[id] = &attempt{part: p, server: a.Replica, sent: now, until: until}
+	q.out++
 	c.order = append(c.order, id)
 	c.names[q.req.ID]++
 	c.Count.Sent++
@@ -360,6 +399,9 @@
 		Attempt: id, Name: p.name, Class: q.req.Class, Shard: p.spec.Shard, Until: until, Text: q.req.Text,
 		Second: q.step > 0, Whole: q.whole,
 	}
+	if q.view != nil {
+		call.Epoch = q.view.Map.Epoch
+	}
 	for _, f := range q.first {
 		call.From = append(call.From, f.spec.Shard)
 	}
@@ -375,15 +417,16 @@
 
 // answer ends a query's step with the parts that are in. A class with a second step goes on with parts at
 // the highest-scoring of the shards that are in.
-func (c *Core) answer(a balance.Answer, told []balance.Event) []balance.Event {
+func (c *Core) answer(now time.Time, a balance.Answer, told []balance.Event) []balance.Event {
 	q := c.queries[a.Query]
 	if q == nil {
 		return told
 	}
 	var in []*part
-	final := Final{Kind: Served, Whole: a.Whole}
+	final := Final{Kind: Served, Whole: a.Whole, Of: len(q.parts)}
 	for _, p := range q.parts {
 		if p.in {
+			final.Share += p.spec.Weight
 			in = append(in, p)
 			final.Items = append(final.Items, Item{p.spec.Shard, p.value})
 		} else {
@@ -403,7 +446,7 @@
 		for _, p := range q.parts {
 			delete(c.parts, p.id)
 		}
-		return c.addParts(q, specs, ".phase2", told)
+		return c.addParts(now, q, specs, ".phase2", told)
 	}
 	c.close(q, final)
 	return told
@@ -429,6 +472,7 @@
 	delete(c.queries, q.id)
 	delete(c.byReq, q.req)
 	c.release(q)
+	c.unpin(q)
 	for _, p := range q.parts {
 		delete(c.parts, p.id)
 	}
--- a/internal/mixer/mixer.go
+++ b/internal/mixer/mixer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"rooktrestle/balance"
+	"rooktrestle/internal/decide/blocks"
 )
 
 // Reach says how far an attempt had come when it ended.
@@ -30,9 +31,13 @@
 	Reach      Reach
 	TurnedAway bool // Answered: the server did not take it
 	Withdrawn  bool // this mixer gave it up
-	Spoilt     bool // Written: the server lives, and what it said on the connection cannot be read
-	Own        bool // NotConnected: for want of something of this mixer's; tells nothing of the server
-	Cause      error
+	// TurnedAway because of the map of blocks: what the server said, and the epoch it named.
+	Word  blocks.Word
+	Epoch blocks.Epoch
+
+	Spoilt bool // Written: the server lives, and what it said on the connection cannot be read
+	Own    bool // NotConnected: for want of something of this mixer's; tells nothing of the server
+	Cause  error
 }
 
 func (e *AttemptError) Error() string {
@@ -58,6 +63,8 @@
 		return balance.OK
 	case !errors.As(err, &a):
 		return balance.Reset
+	case a.TurnedAway && a.Word != blocks.NoWord:
+		return balance.Ignored // it tells nothing of the server's load
 	case a.TurnedAway:
 		return balance.QueueFull
 	case a.Withdrawn && a.Reach < Written:
@@ -115,11 +122,12 @@
 	Result balance.Result
 	Sent   time.Time
 	Own    bool // it failed for want of something of this mixer's
+	Lie    bool // it was turned away with a word that the map contradicts
 }
 
 // Spec is one part of a request.
 type Spec struct {
-	Shard  int
+	Shard  int // or the block's id
 	Weight float64
 	Hint   time.Duration
 }
@@ -136,6 +144,9 @@
 	Text    string
 	Parts   []Spec
 	Front   Front
+	// Layout, if set, makes the parts from the view that the query is pinned to; each is a block. It is called again
+	// if the query begins anew on another view.
+	Layout func(*blocks.View) []Spec
 
 	done bool // it has its final answer, or its client has left
 }
@@ -158,6 +169,8 @@
 	RetryAfter time.Duration // Refused: when to come back; 0: no advice
 	Overdue    bool          // not served: its time was over
 	Missing    []int         // Served, not whole: shards that are not in
+	Share      float64       // Served: weight of the parts that are in
+	Of         int           // Served: parts of the step
 }
 
 // Item is the value of one part, as a server gave it.
@@ -182,7 +195,8 @@
 	Text    string
 	Second  bool // part of a second step, which came after From
 	From    []int
-	Whole   bool // the first step was whole
+	Whole   bool         // the first step was whole
+	Epoch   blocks.Epoch // of the view; 0: there is none
 }
 
 // Events of the core.
@@ -206,6 +220,12 @@
 		Took   time.Duration
 		Report *balance.Report
 	}
+	// MapOffered is word of a source of maps. Map is nil where it has nothing newer.
+	MapOffered struct {
+		Source string
+		Map    *blocks.Map
+		Err    error // why it has none
+	}
 	// Members is word from discovery.
 	Members struct {
 		Kind balance.ListKind
@@ -217,6 +237,7 @@
 type Counters struct {
 	Taken, Served, Partial, Refused, Failed, Gone uint64
 	Overfull, Overdue, SecondSteps, Panics        uint64
+	Restarts, Waits                               uint64 // queries begun anew, or held for a newer map
 	Sent, Probes, Withdrawn                       uint64
 	Outcomes                                      [balance.Ignored + 1]uint64
 }
@@ -225,9 +246,9 @@
 
 func (c Counters) String() string {
 	text := fmt.Sprintf("taken %d; answered: served %d (partial %d), refused %d (full %d), failed %d, gone %d, out of time %d; "+
-		"second steps %d; sent %d, withdrawn %d, probes %d; attempts:",
+		"second steps %d, begun anew %d; sent %d, withdrawn %d, probes %d; attempts:",
 		c.Taken, c.Served, c.Partial, c.Refused, c.Overfull, c.Failed, c.Gone, c.Overdue,
-		c.SecondSteps, c.Sent, c.Withdrawn, c.Probes)
+		c.SecondSteps, c.Restarts, c.Sent, c.Withdrawn, c.Probes)
 	for i, n := range c.Outcomes {
 		text += fmt.Sprintf(" %s %d,", outcomeNames[i], n)
 	}
--- /dev/null
+++ b/internal/mixer/reshape.go
@@ -0,0 +1,251 @@
+package mixer
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"rooktrestle/balance"
+	"rooktrestle/internal/decide/blocks"
+)
+
+// Reshape is what a core has to do with maps of blocks that change. It is nil where holders are fixed.
+type Reshape struct {
+	Views *blocks.Views
+	// Ask has the source asked for a newer map. It is called on the loop and must not block.
+	Ask func()
+	// Again has it asked in a moment: it may be late.
+	Again func()
+	// Adopted is told of each map that is adopted, and what was before (nil at first); Refused of each that is not.
+	Adopted func(old, now *blocks.Map)
+	Refused func(source string, err error)
+}
+
+// pin makes a query's parts from the present view.
+func (c *Core) pin(q *query) []Spec {
+	q.view = c.Reshape.Views.Pin()
+	if q.view == nil {
+		return nil
+	}
+	specs := q.req.Layout(q.view)
+	q.flight = &blocks.Flight{View: q.view, Safe: c.safe(q.req.Class), Restarts: q.restarts}
+	return specs
+}
+
+func (c *Core) safe(class int) bool {
+	return class >= 0 && class < len(c.lim.Unsafe) && !c.lim.Unsafe[class]
+}
+
+// unpin lets the view go.
+func (c *Core) unpin(q *query) {
+	if q.view != nil {
+		c.Reshape.Views.Release(q.view)
+		q.view = nil
+	}
+}
+
+// place notes a part in the flight and says who may be asked for it.
+func (c *Core) place(now time.Time, q *query, p *part) (list []balance.Holder) {
+	if q.flight == nil {
+		return nil
+	}
+	id := blocks.ID(p.spec.Shard)
+	entry := blocks.Part{Block: id}
+	list = []balance.Holder{}
+	if b := q.view.Map.Block(id); b != nil {
+		for _, h := range b.Servers() {
+			entry.Servers = append(entry.Servers, h.Server)
+			list = append(list, balance.Holder{Replica: balance.Replica(h.Server), Share: c.Reshape.Views.Share(now, h)})
+		}
+	}
+	p.at = len(q.flight.Parts)
+	q.flight.Parts = append(q.flight.Parts, entry)
+	return list
+}
+
+// mapped takes word of a source of maps.
+func (c *Core) mapped(now time.Time, e MapOffered, told []balance.Event) []balance.Event {
+	r := c.Reshape
+	if r == nil {
+		return told
+	}
+	switch {
+	case e.Err != nil: // it may have a newer one all the same
+		r.Refused(e.Source, e.Err)
+		return told
+	case e.Map == nil:
+		if r.Views.Same(now) {
+			r.Again()
+		}
+	default:
+		old := r.Views.Now()
+		adopted, err := r.Views.Offer(now, e.Map)
+		if err != nil {
+			r.Refused(e.Source, err)
+		}
+		if adopted {
+			r.Adopted(old, e.Map)
+		} else if err == nil && r.Views.Same(now) {
+			r.Again()
+		}
+	}
+	// Those that wait begin anew, or wait no longer.
+	for _, q := range c.all() {
+		if q.waits {
+			told = c.stranded(now, q, told)
+		}
+	}
+	return told
+}
+
+// leave makes queries leave views that are held too long.
+func (c *Core) leave(now time.Time, told []balance.Event) []balance.Event {
+	if c.Reshape == nil {
+		return told
+	}
+	for _, v := range c.Reshape.Views.Expired(now) {
+		for _, q := range c.all() {
+			if q.view == v && !q.anew {
+				told = c.stranded(now, q, told)
+			}
+		}
+	}
+	return told
+}
+
+// turnedAway takes a server's word that it does not hold the part's block, and never ran it.
+func (c *Core) turnedAway(now time.Time, a *attempt, cause *AttemptError, told []balance.Event) (lie bool, _ []balance.Event) {
+	p, q := a.part, a.part.q
+	r := c.Reshape
+	if r == nil || q.flight == nil || c.parts[p.id] != p {
+		return false, told
+	}
+	ask := r.Views.Heard(now, cause.Epoch)
+	v := q.flight.TurnedAway(r.Views, p.at, string(a.server), cause.Word, cause.Epoch, ask)
+	if v.Lie {
+		r.Views.Stats.Lies++
+	}
+	if v.Ask {
+		r.Ask()
+	}
+	if v.Restart || v.Wait {
+		return v.Lie, c.verdict(now, q, v, told)
+	}
+	left := []balance.Holder{}
+	if b := q.view.Map.Block(blocks.ID(p.spec.Shard)); b != nil {
+		for _, h := range b.Servers() {
+			if slices.Contains(q.flight.Parts[p.at].Servers, h.Server) {
+				left = append(left, balance.Holder{Replica: balance.Replica(h.Server), Share: r.Views.Share(now, h)})
+			}
+		}
+	}
+	return v.Lie, append(told, balance.Placed{ID: p.id, Holders: left})
+}
+
+// stranded decides on a query whose view is of no more use to it.
+func (c *Core) stranded(now time.Time, q *query, told []balance.Event) []balance.Event {
+	return c.verdict(now, q, q.flight.Stranded(c.Reshape.Views), told)
+}
+
+// verdict carries out what was decided on a query: it begins anew, waits for a newer map, or ends.
+func (c *Core) verdict(now time.Time, q *query, v blocks.Verdict, told []balance.Event) []balance.Event {
+	if !q.anew && !q.waits { // the decisions on it begin anew, too
+		told = append(told, balance.Gone{Query: q.id})
+		for _, p := range q.parts {
+			delete(c.parts, p.id)
+		}
+	}
+	switch {
+	case v.Restart:
+		q.anew, q.waits = true, false
+		q.restarts++
+		c.Count.Restarts++
+		c.Reshape.Views.Stats.Restarts++
+		// Nothing of it may be out any more: a part's next attempt would be a second copy.
+		for _, id := range c.order {
+			if a := c.attempts[id]; a != nil && a.part.q == q {
+				c.withdraw(now, id, a)
+			}
+		}
+		if q.out == 0 {
+			told = c.again(now, q, told)
+		}
+	case v.Wait:
+		if !q.waits {
+			c.Count.Waits++
+			c.Reshape.Views.Stats.Waits++
+		}
+		q.waits = true
+	default:
+		q.waits = false
+		if q.flight.Safe || !ran(q.flight) {
+			c.close(q, Final{Kind: Refused, RetryAfter: c.lim.ComeBack})
+		} else {
+			c.close(q, Final{Kind: Failed})
+		}
+	}
+	return told
+}
+
+func ran(f *blocks.Flight) bool {
+	return slices.ContainsFunc(f.Parts, func(p blocks.Part) bool { return p.MayRun || p.In })
+}
+
+// again begins a query anew on the present view.
+func (c *Core) again(now time.Time, q *query, told []balance.Event) []balance.Event {
+	q.anew = false
+	c.unpin(q)
+	delete(c.queries, q.id)
+	c.next++
+	q.id = c.next
+	c.queries[q.id] = q
+	specs := c.pin(q)
+	if !now.Before(q.end) || len(specs) == 0 {
+		c.close(q, Final{Kind: Refused, RetryAfter: c.lim.ComeBack})
+		return told
+	}
+	return c.tellQuery(now, q, specs, told)
+}
+
+// tellQuery tells the decisions of a query and its parts.
+func (c *Core) tellQuery(now time.Time, q *query, specs []Spec, told []balance.Event) []balance.Event {
+	r := q.req
+	told = append(told, balance.Query{
+		ID: q.id, Group: uint64(q.id), Class: r.Class, Tenant: r.Tenant, Key: r.Key,
+		TimeLeft: q.end.Sub(now), Retry: r.Retry, Parts: len(specs),
+	})
+	return c.addParts(now, q, specs, "", told)
+}
+
+// orphaned says whether a query that the decisions gave up has a part that nobody in service may be asked for.
+func (c *Core) orphaned(q *query) bool {
+	if q.flight == nil || q.step > 0 {
+		return false
+	}
+	for _, p := range q.parts {
+		f := &q.flight.Parts[p.at]
+		if !f.In && !slices.ContainsFunc(f.Servers, func(s string) bool { return c.Open(balance.Replica(s)) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// gaveUp ends a query that the decisions have given up, or begins it anew where its view was the reason.
+func (c *Core) gaveUp(now time.Time, q *query, f Final, told []balance.Event) []balance.Event {
+	if c.Reshape != nil && !q.anew && !q.waits && q.out == 0 && now.Before(q.end.Add(-c.lim.Ahead)) && c.orphaned(q) {
+		if v := q.flight.Stranded(c.Reshape.Views); v.Restart || v.Wait {
+			return c.verdict(now, q, v, told)
+		}
+	}
+	c.close(q, f)
+	return told
+}
+
+// String prints a map's epoch for logs.
+func (e MapOffered) String() string {
+	if e.Map == nil {
+		return fmt.Sprintf("nothing newer from %s", e.Source)
+	}
+	return fmt.Sprintf("epoch %d from %s", e.Map.Epoch, e.Source)
+}
--- a/internal/partner/partner.go
+++ b/internal/partner/partner.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"rooktrestle/internal/config"
+	"rooktrestle/internal/decide/blocks"
 	"rooktrestle/internal/mixer"
 	"rooktrestle/internal/query"
 )
@@ -38,6 +39,25 @@
 	RetryAfter time.Duration
 	Said       *query.Diagnostic
 	Details    string
+	Missing    []int   // Partial: shards or blocks that are not in
+	Of         int     // parts of the query
+	Share      float64 // weight of what is in
+}
+
+// Included says in words how much of the whole an outcome holds.
+func (o *Outcome) Included() string {
+	var missing []string
+	for _, m := range o.Missing[:min(len(o.Missing), 8)] {
+		missing = append(missing, fmt.Sprint(m))
+	}
+	text := fmt.Sprintf("%d of %d blocks are in, %.1f%% of the weight", o.Of-len(o.Missing), o.Of, 100*o.Share)
+	if len(missing) > 0 {
+		text += "; not in: " + strings.Join(missing, ", ")
+		if more := len(o.Missing) - len(missing); more > 0 {
+			text += fmt.Sprintf(" and %d more", more)
+		}
+	}
+	return text
 }
 
 // Service makes queries.
@@ -72,6 +92,9 @@
 // Search looks for a query in databases and asks each shard for most records. An outcome that is known at once
 // is returned; any other is told to done, once, on the loop.
 func (s *Service) Search(who Caller, databases []string, n query.Node, most int, done func(Outcome)) (Cancel, *Outcome) {
+	if len(databases) == 0 {
+		return nil, &Outcome{Kind: NoDatabase}
+	}
 	var shards []int
 	var first *config.Database
 	for _, name := range databases {
@@ -92,7 +115,7 @@
 		return nil, &Outcome{Kind: NoDatabase}
 	}
 	work := query.Work{CQL: query.CQL(n), Most: most}
-	return s.ask(who, first, first.Search, shards, work, done)
+	return s.ask(who, first, first.Search, shards, work, s.everyBlock(), done)
 }
 
 // Correct changes a record. It goes to one shard and never runs twice.
@@ -105,7 +128,33 @@
 		}
 		return nil, &Outcome{Kind: kind, Details: database}
 	}
-	return s.ask(who, d, d.Correction, []int{Place(d, r.ID)}, query.Work{Action: action, Record: r}, done)
+	work := query.Work{Action: action, Record: r}
+	if s.Conf.Blocks.On() {
+		key := blocks.KeyOf(r.ID)
+		return s.ask(who, d, d.Correction, nil, work, func(v *blocks.View) []mixer.Spec {
+			return []mixer.Spec{{Shard: int(v.Map.At(key).ID), Weight: 1}}
+		}, done)
+	}
+	return s.ask(who, d, d.Correction, []int{Place(d, r.ID)}, work, nil, done)
+}
+
+// everyBlock makes a part of each block of a view, by its share of the weight; nil where there is no map.
+func (s *Service) everyBlock() func(*blocks.View) []mixer.Spec {
+	if !s.Conf.Blocks.On() {
+		return nil
+	}
+	return func(v *blocks.View) []mixer.Spec {
+		list := v.Blocks()
+		specs := make([]mixer.Spec, len(list))
+		for i, b := range list {
+			w := b.Weight
+			if w <= 0 {
+				w = 1
+			}
+			specs[i] = mixer.Spec{Shard: int(b.ID), Weight: w / v.Map.Weight()}
+		}
+		return specs
+	}
 }
 
 // Place is the shard that holds a record: the number before the first colon of its identifier, if that is one
@@ -123,7 +172,7 @@
 	return d.Shards[int(h.Sum32()%uint32(len(d.Shards)))]
 }
 
-func (s *Service) ask(who Caller, d *config.Database, class string, shards []int, work query.Work, done func(Outcome)) (Cancel, *Outcome) {
+func (s *Service) ask(who Caller, d *config.Database, class string, shards []int, work query.Work, layout func(*blocks.View) []mixer.Spec, done func(Outcome)) (Cancel, *Outcome) {
 	index := s.Conf.Class(class)
 	tenant := s.Conf.Tenant(d.Tenant)
 	if t := s.Tenant(who.User); who.User != "" && t >= 0 {
@@ -131,24 +180,28 @@
 	}
 	r := &mixer.Request{
 		ID: fmt.Sprintf("%s-%d", s.Conf.Name, s.name.Add(1)), Class: index, Tenant: tenant,
-		Arrived: s.Now(), Wait: s.Conf.Classes[index].Deadline.Duration, Text: query.Encode(work),
+		Arrived: s.Now(), Wait: s.Conf.Classes[index].Deadline.Duration, Text: query.Encode(work), Layout: layout,
 	}
 	for _, shard := range shards {
 		r.Parts = append(r.Parts, mixer.Spec{Shard: shard, Weight: 1 / float64(len(shards))})
 	}
-	r.Front = &asked{done: done}
+	r.Front = &asked{done: done, byID: layout != nil}
 	s.Put(mixer.Arrive{Request: r})
 	return func() { s.Put(mixer.Left{Request: r}) }, nil
 }
 
 // asked waits for a query's final answer.
-type asked struct{ done func(Outcome) }
+type asked struct {
+	done func(Outcome)
+	byID bool // records are in the order of their identifiers, whatever block they came from
+}
 
-// Answer merges the parts: shards in order, each with its records in its own order.
+// Answer merges the parts: shards in order, each with its records in its own order; or where blocks may change, all
+// records in the order of their identifiers, so that a page is the same before and after.
 func (a *asked) Answer(f mixer.Final) {
 	switch {
 	case f.Kind == mixer.Served:
-		a.done(merge(f))
+		a.done(merge(f, a.byID))
 	case f.Overdue:
 		a.done(Outcome{Kind: TimedOut})
 	case f.Kind == mixer.Refused:
@@ -158,10 +211,11 @@
 	}
 }
 
-func merge(f mixer.Final) (o Outcome) {
+func merge(f mixer.Final, byID bool) (o Outcome) {
 	if !f.Whole {
 		o.Kind = Partial
 	}
+	o.Missing, o.Of, o.Share = f.Missing, f.Of, f.Share
 	items := slices.Clone(f.Items)
 	slices.SortStableFunc(items, func(a, b mixer.Item) int { return a.Shard - b.Shard })
 	for _, i := range items {
@@ -175,6 +229,21 @@
 		o.Count += found.Count
 		o.Records = append(o.Records, found.Records...)
 	}
+	if byID {
+		ids := make(map[string]string, len(o.Records)) // by text, as finding one may mean to read it
+		for _, r := range o.Records {
+			if r.ID == "" {
+				ids[r.XML] = r.Identifier()
+			}
+		}
+		id := func(r query.Record) string {
+			if r.ID != "" {
+				return r.ID
+			}
+			return ids[r.XML]
+		}
+		slices.SortStableFunc(o.Records, func(a, b query.Record) int { return strings.Compare(id(a), id(b)) })
+	}
 	return o
 }
 
--- a/internal/partner/partner_test.go
+++ b/internal/partner/partner_test.go
@@ -47,7 +47,7 @@
 		{mixer.Final{Kind: mixer.Failed}, Failed, 0, ""},
 	} {
 		var got Outcome
-		(&asked{func(o Outcome) { got = o }}).Answer(c.f)
+		(&asked{done: func(o Outcome) { got = o }}).Answer(c.f)
 		if got.Kind != c.kind || got.Count != c.count || c.first != "" && got.Records[0].XML != c.first {
 			t.Errorf("%+v: %+v", c.f, got)
 		}
--- a/internal/query/work.go
+++ b/internal/query/work.go
@@ -1,6 +1,10 @@
 package query
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"encoding/xml"
+	"strings"
+)
 
 // Work is what each part of a query has to carry: a search, or a record to be changed.
 type Work struct {
@@ -26,6 +30,27 @@
 	XML    string `json:"xml,omitempty"`
 }
 
+// Identifier is the record's own: as it came with it, or as it stands in its Dublin Core; empty if neither says.
+func (r Record) Identifier() string {
+	if r.ID != "" {
+		return r.ID
+	}
+	d := xml.NewDecoder(strings.NewReader(r.XML))
+	for {
+		t, err := d.Token()
+		if err != nil {
+			return ""
+		}
+		if e, ok := t.(xml.StartElement); ok && e.Name.Local == "identifier" {
+			var text string
+			if d.DecodeElement(&text, &e) != nil {
+				return ""
+			}
+			return strings.TrimSpace(text)
+		}
+	}
+}
+
 // Found is the value of a part.
 type Found struct {
 	Count   int         `json:"count"`
