--- a/internal/decide/blocks/blocks_test.go
+++ b/internal/decide/blocks/blocks_test.go
@@ -383,17 +383,18 @@
 	m := three(t)
 	busy := change(t, m, 1, func(b map[ID]*Block) { b[2].State = Splitting })
 	for name, err := range map[string]error{
-		"not there":   second(PlanMove(m, 9, []string{"a"}, Timing{})),
-		"no holder":   second(PlanMove(m, 2, nil, Timing{})),
-		"twice":       second(PlanMove(m, 2, []string{"c", "c"}, Timing{})),
-		"already":     second(PlanMove(m, 2, []string{"b", "a"}, Timing{})),
-		"under way":   second(PlanMove(busy, 2, []string{"c"}, Timing{})),
-		"no key":      second(PlanSplit(m, 2, nil, Timing{})),
-		"does not":    second(PlanSplit(m, 2, []Key{"z@2000"}, Timing{})),
-		"order":       second(PlanSplit(m, 2, []Key{"k@2000", "h@2000"}, Timing{})),
-		"not next to": second(PlanMerge(three(t), []ID{1, 3}, Timing{})),
-		"other hold":  second(PlanMerge(m, []ID{2, 3}, Timing{})),
-		"two blocks":  second(PlanMerge(m, []ID{2}, Timing{})),
+		"not there":    second(PlanMove(m, 9, []string{"a"}, Timing{})),
+		"no holder":    second(PlanMove(m, 2, nil, Timing{})),
+		"twice":        second(PlanMove(m, 2, []string{"c", "c"}, Timing{})),
+		"already":      second(PlanMove(m, 2, []string{"b", "a"}, Timing{})),
+		"under way":    second(PlanMove(busy, 2, []string{"c"}, Timing{})),
+		"no key":       second(PlanSplit(m, 2, nil, Timing{})),
+		"does not":     second(PlanSplit(m, 2, []Key{"z@2000"}, Timing{})),
+		"order":        second(PlanSplit(m, 2, []Key{"k@2000", "h@2000"}, Timing{})),
+		"not next to":  second(PlanMerge(three(t), []ID{1, 3}, Timing{})),
+		"other hold":   second(PlanMerge(m, []ID{2, 3}, Timing{})),
+		"stands twice": second(PlanMerge(m, []ID{2, 2}, Timing{})),
+		"two blocks":   second(PlanMerge(m, []ID{2}, Timing{})),
 	} {
 		if err == nil || !strings.Contains(err.Error(), name) {
 			t.Errorf("%s: %v", name, err)
--- a/internal/decide/blocks/flight.go
+++ b/internal/decide/blocks/flight.go
@@ -18,9 +18,12 @@
 	Block   ID
 	Servers []string // that may still be asked for it
 	MayRun  bool     // some attempt of it may have run
+	Out     bool     // an attempt is out, and may run
 	In      bool     // its answer is in
 }
 
+func (p *Part) mayHaveRun() bool { return p.MayRun || p.Out || p.In }
+
 // Flight is one query on its view. It holds what decides whether parts may be placed anew; the choice among the
 // servers of a part is made elsewhere.
 type Flight struct {
@@ -59,8 +62,8 @@
 			v.Lie = true
 		}
 	}
-	if len(p.Servers) > 0 || p.MayRun && !f.Safe || p.In {
-		return v // others may be asked, or nobody may
+	if len(p.Servers) > 0 || p.In {
+		return v // others may be asked
 	}
 	v.Restart, v.Wait = f.anew(vs)
 	return v
@@ -88,10 +91,15 @@
 	if f.Safe {
 		return true
 	}
+	return !f.MayHaveRun()
+}
+
+// MayHaveRun says whether any part of the query may have run, or may be running.
+func (f *Flight) MayHaveRun() bool {
 	for i := range f.Parts {
-		if f.Parts[i].MayRun || f.Parts[i].In {
-			return false
+		if f.Parts[i].mayHaveRun() {
+			return true
 		}
 	}
-	return true
+	return false
 }
--- a/internal/decide/blocks/plan.go
+++ b/internal/decide/blocks/plan.go
@@ -127,11 +127,14 @@
 		return nil, fmt.Errorf("a merge takes two blocks or more")
 	}
 	var list []*Block
-	for _, id := range ids {
+	for i, id := range ids {
 		b, err := ready(m, id)
 		if err != nil {
 			return nil, err
 		}
+		if slices.Contains(ids[:i], id) {
+			return nil, fmt.Errorf("block %d stands twice", id)
+		}
 		list = append(list, b)
 	}
 	slices.SortFunc(list, func(a, b *Block) int {
--- a/internal/mixer/core.go
+++ b/internal/mixer/core.go
@@ -306,6 +306,7 @@
 	lie := false
 	if q.flight != nil && c.parts[p.id] == p {
 		f := &q.flight.Parts[p.at]
+		f.Out = false // one attempt of a part is out at a time
 		f.In = f.In || p.in
 		f.MayRun = f.MayRun || r == balance.Failed || r == balance.TimedOut || r == balance.Reset || r == balance.Canceled
 		if cause != nil && cause.Word != blocks.NoWord {
@@ -392,6 +393,9 @@
 	p.tries++
 	c.attempts[id] = &attempt{part: p, server: a.Replica, sent: now, until: until}
 	q.out++
+	if q.flight != nil {
+		q.flight.Parts[p.at].Out = true
+	}
 	c.order = append(c.order, id)
 	c.names[q.req.ID]++
 	c.Count.Sent++
--- a/internal/mixer/reshape.go
+++ b/internal/mixer/reshape.go
@@ -105,7 +105,8 @@
 	}
 	for _, v := range c.Reshape.Views.Expired(now) {
 		for _, q := range c.all() {
-			if q.view == v && !q.anew {
+			// What may be running and must not run twice stays until its answer, or its deadline.
+			if q.view == v && !q.anew && (q.flight.Safe || q.out == 0) {
 				told = c.stranded(now, q, told)
 			}
 		}
@@ -178,7 +179,7 @@
 		q.waits = true
 	default:
 		q.waits = false
-		if q.flight.Safe || !ran(q.flight) {
+		if q.flight.Safe || !q.flight.MayHaveRun() {
 			c.close(q, Final{Kind: Refused, RetryAfter: c.lim.ComeBack})
 		} else {
 			c.close(q, Final{Kind: Failed})
@@ -187,10 +188,6 @@
 	return told
 }
 
-func ran(f *blocks.Flight) bool {
-	return slices.ContainsFunc(f.Parts, func(p blocks.Part) bool { return p.MayRun || p.In })
-}
-
 // again begins a query anew on the present view.
 func (c *Core) again(now time.Time, q *query, told []balance.Event) []balance.Event {
 	q.anew = false
