--- a/balance/evidence_test.go
+++ b/balance/evidence_test.go
@@ -104,3 +104,36 @@
 		}
 	}
 }
+
+// A part that names its holders goes to them only; one that is cold for it gets its share; when the last is taken away
+// the query ends at once, and a holder given instead is asked.
+func TestPartsNameTheirHolders(t *testing.T) {
+	h := newBench(t, testSettings())
+	holders := func(list ...Holder) (ID, []Event) {
+		id, ev := h.query(0, 1)
+		p := ev[1].(Part)
+		p.Holders = list
+		ev[1] = p
+		return id, ev
+	}
+	got := map[Replica]int{}
+	for range 1000 {
+		_, ev := holders(Holder{Replica: "a", Share: 0.25}, Holder{Replica: "b"}, Holder{Replica: "unlisted"})
+		s := one[Send](h, h.turn(ev...))
+		got[s.Replica]++
+		h.end(s, 0, OK, 50*ms)
+	}
+	if got["c"] != 0 || got["a"] < 50 || got["a"] > 350 || got["a"]+got["b"] != 1000 {
+		t.Errorf("%v", got)
+	}
+	id, ev := holders(Holder{Replica: "a"})
+	s := one[Send](h, h.turn(ev...))
+	if acts := h.turn(Placed{ID: s.Part, Holders: []Holder{}}, Outcome{Part: s.Part, Replica: "a", Result: Ignored}); one[Refuse](h, acts).Query != id {
+		t.Errorf("%v", acts)
+	}
+	_, ev = holders(Holder{Replica: "a"})
+	s = one[Send](h, h.turn(ev...))
+	if acts := h.turn(Placed{ID: s.Part, Holders: []Holder{{Replica: "c"}}}, Outcome{Part: s.Part, Replica: "a", Result: Ignored}); one[Send](h, acts).Replica != "c" {
+		t.Errorf("%v", acts)
+	}
+}
--- a/internal/config/blocks.go
+++ b/internal/config/blocks.go
@@ -26,6 +26,9 @@
 // On says whether blocks come from a map.
 func (b *Blocks) On() bool { return b.File != "" || b.Source != "" }
 
+// wanted says whether the file means to have blocks from a map, whether it says where from or not.
+func (b *Blocks) wanted() bool { return b.On() || b.Archive != "" || b.Keep != "" }
+
 // Rules are those of views.
 func (b *Blocks) Rules() blocks.ViewRules {
 	return blocks.ViewRules{MostPinned: b.Pinned, MostAge: b.PinnedFor.Duration, ColdFor: b.Cold.Duration, ColdFrom: b.ColdFrom, Patience: b.Patience.Duration}
@@ -56,7 +59,7 @@
 func (p *Partners) checkBlocks(c *checker) {
 	b := &p.Blocks
 	if !b.On() {
-		if b.Archive != "" || b.Keep != "" {
+		if b.wanted() {
 			c.bad("blocks", "neither file nor source says where the map comes from")
 		}
 		return
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -102,6 +102,41 @@
 	}
 }
 
+// The same for a file whose blocks come from a map.
+func TestBadBlocksAreNamed(t *testing.T) {
+	good, err := os.ReadFile("../../deploy/blocks.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p, err := LoadPartners("../../deploy/blocks.toml"); err != nil || !p.Blocks.On() || p.Decisions(1).Cells != 1 {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, want string }{
+		{`archive = "captions" `, `#`, "archive"},
+		{`source = "127.0.0.1:8600" `, `source = "nowhere" #`, "host:port"},
+		{`source = "127.0.0.1:8600" `, `source = "127.0.0.1:8600"` + "\nfile = \"x\" #", "not both"},
+		{`source = "127.0.0.1:8600" `, `#`, "neither file nor source"},
+		{`pinned = 8 `, `pinned = -1 #`, "most_pinned"},
+		{`pinned_for = "9.5s" `, `pinned_for = "2s" #`, "shorter than the longest deadline"},
+		{`wait = "10s" `, `wait = "10m" #`, "at most 1m"},
+		{`cold_from = 0.28 `, `cold_from = 1.5 #`, "cold_from"},
+		{`name = "captions" `, `name = "captions"` + "\nshards = [0] #", "names no shards"},
+		{`[blocks]`, "[shards]\ncount = 1\ncells = 1\nreach = 1\n[blocks]", "only one of them"},
+	} {
+		if !strings.Contains(string(good), c.old) {
+			t.Errorf("%q is not in the example", c.old)
+			continue
+		}
+		path := filepath.Join(t.TempDir(), "f.toml")
+		os.WriteFile(path, []byte(strings.Replace(string(good), c.old, c.new, 1)), 0o600)
+		_, err := LoadPartners(path)
+		var ps Problems
+		if !errors.As(err, &ps) || ps[0].Line == 0 || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %s", c.new, err, c.want)
+		}
+	}
+}
+
 // A file with several faults names them all, in the order of its lines.
 func TestAllFaultsAreNamed(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "f.toml")
--- a/internal/config/partners.go
+++ b/internal/config/partners.go
@@ -161,7 +161,7 @@
 	if p.Listen.SRU == "" && p.Listen.Z3950 == "" {
 		c.bad("listen", "neither sru nor z3950 is listened to")
 	}
-	if !p.Blocks.On() {
+	if !p.Blocks.wanted() {
 		c.least("shards.count", p.Shards.Count, 1)
 		c.least("shards.cells", p.Shards.Cells, 1)
 		c.least("shards.reach", p.Shards.Reach, 1)
@@ -196,7 +196,7 @@
 		if s.Protocol != SRU && s.Protocol != Z3950 {
 			c.bad(at+".protocol", "server %q: protocol %q is neither sru nor z3950", s.ID, s.Protocol)
 		}
-		if !p.Blocks.On() && (s.Cell < 0 || s.Cell >= p.Shards.Cells) {
+		if !p.Blocks.wanted() && (s.Cell < 0 || s.Cell >= p.Shards.Cells) {
 			c.bad(at+".cell", "server %q: cell %d is not there", s.ID, s.Cell)
 		}
 		if s.Database == "" {
@@ -246,7 +246,7 @@
 		if p.Tenant(d.Tenant) < 0 {
 			c.bad(at+".tenant", "database %s: tenant %q is not there", d.Name, d.Tenant)
 		}
-		if d.Name == "" || len(d.Shards) == 0 && !p.Blocks.On() {
+		if d.Name == "" || len(d.Shards) == 0 && !p.Blocks.wanted() {
 			c.bad(at, "database %q: no name or no shards", d.Name)
 		}
 		if p.Blocks.On() {
--- a/internal/lab/reshape/controller.go
+++ b/internal/lab/reshape/controller.go
@@ -10,7 +10,9 @@
 	"sync"
 	"time"
 
+	"rooktrestle/internal/app/background"
 	"rooktrestle/internal/decide/blocks"
+	"rooktrestle/internal/decide/schedule"
 	"rooktrestle/internal/state/keep"
 )
 
@@ -110,9 +112,12 @@
 	Timing  blocks.Timing
 	Killed  func(at string) bool // if set, asked before each step of its own: true ends it there
 	Log     func(text string)
+	// Copying runs the copies of joining nodes in the background, within its budget.
+	Copying *background.Runner
 
 	mapBox, planBox *keep.Box
 	now             *blocks.Map
+	copies          map[string]schedule.ID
 }
 
 var errKilled = errors.New("killed")
@@ -160,10 +165,31 @@
 	return nil
 }
 
-// Copied and Knows tell of the nodes.
+// Copied says whether a joining node has all of a block. One that has not is copied to in the background.
 func (c *Controller) Copied(block blocks.ID, server string) bool {
 	s := c.Shelves[server]
-	return s != nil && s.Copied(uint64(block))
+	if s == nil {
+		return false
+	}
+	name := fmt.Sprintf("%d %s", block, server)
+	id, copying := c.copies[name]
+	if s.Copied(uint64(block)) {
+		if copying {
+			c.Copying.Remove(id)
+			delete(c.copies, name)
+		}
+		return true
+	}
+	if !copying {
+		if c.copies == nil {
+			c.copies = map[string]schedule.ID{}
+		}
+		c.copies[name] = c.Copying.Add(schedule.Task{Priority: schedule.Idle, Every: time.Millisecond}, 0, func() (schedule.Pace, bool) {
+			s.CopyOn(uint64(block))
+			return schedule.Steady, false
+		})
+	}
+	return false
 }
 
 // Knows is the epoch that a node knows.
--- a/internal/lab/reshape/setup.go
+++ b/internal/lab/reshape/setup.go
@@ -10,10 +10,13 @@
 	"time"
 
 	"rooktrestle/internal/app"
+	"rooktrestle/internal/app/background"
 	"rooktrestle/internal/config"
 	"rooktrestle/internal/decide/blocks"
+	"rooktrestle/internal/decide/schedule"
 	"rooktrestle/internal/lab/install"
 	"rooktrestle/internal/lab/node"
+	"rooktrestle/internal/mixer"
 )
 
 // Options of an archive.
@@ -23,7 +26,7 @@
 	Blocks  int           // at the start; each is held by two nodes
 	Fronts  int           // mixers; each hears of maps by itself
 	Late    time.Duration // the last front hears of maps so late
-	Copy    time.Duration // of a block to a joining node
+	Copies  float64       // a second, of a few records each, all copies together; 0: 2,000
 	Records int
 	Keep    bool // fronts keep the last good map
 	Timing  blocks.Timing
@@ -45,6 +48,8 @@
 	Events     []*install.Events
 	Dir        string
 	late       []*time.Timer
+	copying    *background.Runner
+	stop       chan struct{}
 }
 
 // Start starts an archive.
@@ -70,7 +75,7 @@
 			return a, err
 		}
 		n.Set(node.Faults{Delay: o.Delay, Jitter: o.Delay})
-		s := NewShelf(name, a.Content, o.Copy)
+		s := NewShelf(name, a.Content)
 		n.Put(s)
 		a.Nodes, a.Shelves[name] = append(a.Nodes, n), s
 	}
@@ -81,6 +86,14 @@
 		}
 		a.Sources = append(a.Sources, s)
 	}
+	if o.Copies == 0 {
+		o.Copies = 2000
+	}
+	if a.copying, err = background.New(schedule.Budget{PerSecond: o.Copies, Burst: 2, AtOnce: 2}, o.Seed, mixer.SystemClock{}); err != nil {
+		return a, err
+	}
+	a.stop = make(chan struct{})
+	go a.copying.Run(a.stop)
 	first, err := a.first()
 	if err != nil {
 		return a, err
@@ -116,7 +129,7 @@
 
 // Control makes the controller anew, as after it was killed.
 func (a *Archive) Control(first *blocks.Map, killed func(at string) bool) error {
-	c, err := NewController(a.Dir, first, Controller{Shelves: a.Shelves, Publish: a.publish, Timing: a.Timing, Killed: killed})
+	c, err := NewController(a.Dir, first, Controller{Shelves: a.Shelves, Publish: a.publish, Timing: a.Timing, Killed: killed, Copying: a.copying})
 	a.Controller = c
 	return err
 }
@@ -244,6 +257,9 @@
 // Stop ends all of it.
 func (a *Archive) Stop() {
 	a.Archive.Close()
+	if a.stop != nil {
+		close(a.stop)
+	}
 	for _, t := range a.late {
 		t.Stop()
 	}
--- /dev/null
+++ b/internal/lab/sim/client.go
@@ -0,0 +1,117 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"rooktrestle/internal/mixer"
+)
+
+// want is what a client wants, over all its tries.
+type want struct {
+	class   int
+	parts   []mixer.Spec
+	tries   int
+	number  int
+	mixer   int
+	giveUp  time.Time // the client's own time
+	settled bool
+}
+
+// asked waits for one try's final answer.
+type asked struct {
+	w     *world
+	want  *want
+	id    string
+	began time.Time
+	names []string // of its parts
+}
+
+// arrive makes a new query and the time of the next.
+func (w *world) arrive() {
+	if w.now.After(Start.Add(w.For)) {
+		return
+	}
+	w.in(time.Duration(w.rng.ExpFloat64()/w.rate()*float64(time.Second)), w.arrive)
+	x := w.rng.Float64()
+	q := &want{class: search, mixer: w.rng.IntN(len(w.mixers)), number: w.result.Wanted}
+	n := w.Parts
+	switch {
+	case x < 0.22:
+		q.class = report
+	case x < 0.44:
+		q.class, n = correction, 1
+	}
+	n = min(n, w.Nodes)
+	for _, s := range w.rng.Perm(w.Nodes)[:n] {
+		q.parts = append(q.parts, mixer.Spec{Shard: s, Weight: 1 / float64(n)})
+	}
+	q.giveUp = w.now.Add(classes()[q.class].Deadline)
+	w.result.Wanted++
+	w.try(q)
+}
+
+// rate is that of arrivals by now.
+func (w *world) rate() float64 {
+	r := w.Rate
+	for i := range w.Troubles {
+		if t := &w.Troubles[i]; t.Kind == Burst && t.on(w.now) {
+			r *= t.Size
+		}
+	}
+	return r
+}
+
+// try asks once.
+func (w *world) try(q *want) {
+	q.tries++
+	w.result.Asked++
+	a := &asked{w: w, want: q, id: fmt.Sprintf("q%d-%d", q.number, q.tries), began: w.now}
+	for _, p := range q.parts {
+		a.names = append(a.names, fmt.Sprintf("%s.%d", a.id, p.Shard))
+	}
+	r := &mixer.Request{ID: a.id, Class: q.class, Arrived: w.now, Wait: q.giveUp.Sub(w.now), Retry: q.tries > 1, Parts: q.parts, Front: a}
+	w.check.asked(a, r)
+	w.note("ask", uint64(q.number), uint64(q.tries))
+	w.mixers[q.mixer].put(mixer.Arrive{Request: r})
+	if w.Planted == "lost query" && q.number == 50 {
+		r.Front = nobody{}
+	}
+}
+
+type nobody struct{}
+
+func (nobody) Answer(mixer.Final) {}
+
+// Answer takes a try's final answer. A client whose query was refused or failed may try again, while its time lasts.
+func (a *asked) Answer(f mixer.Final) {
+	w, q := a.w, a.want
+	w.note("answer", uint64(q.number), uint64(f.Kind))
+	if w.Planted == "dishonest whole" && f.Kind == mixer.Served && !f.Whole {
+		f.Whole = true
+	}
+	w.check.answered(a, f)
+	switch f.Kind {
+	case mixer.Served:
+		w.result.Served++
+		w.result.Got++
+		if !f.Whole {
+			w.result.Partial++
+		}
+		w.result.Took = append(w.result.Took, w.now.Sub(a.began))
+		return
+	case mixer.Refused:
+		w.result.Refused++
+	default:
+		w.result.Failed++
+		if q.class == correction {
+			return // it may have run: no client in its senses asks again by itself
+		}
+	}
+	if q.tries <= w.Retries {
+		d := time.Duration((0.5 + 1.5*w.rng.Float64()) * float64(w.RetryAt))
+		if at := w.now.Add(d); at.Before(q.giveUp.Add(-100 * time.Millisecond)) {
+			w.at(at, func() { w.try(q) })
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/sim/mixer.go
@@ -0,0 +1,247 @@
+package sim
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"rooktrestle/balance"
+	"rooktrestle/internal/decide/health"
+	"rooktrestle/internal/mixer"
+)
+
+// Classes of queries.
+const (
+	search = iota
+	report
+	correction
+)
+
+// deadline is the longest of a class.
+const deadline = 4 * time.Second
+
+func classes() []balance.Class {
+	return []balance.Class{
+		{Aim: 1500 * time.Millisecond, Deadline: deadline, Worth: 1, LateWorth: 0.3, Floor: 1, Need: 1},
+		{Aim: 1200 * time.Millisecond, Deadline: 2 * time.Second, Worth: 2, LateWorth: 0.1, Floor: 0.5, Need: 1, Partial: 0.8},
+		{Aim: 1500 * time.Millisecond, Deadline: 3 * time.Second, Worth: 1, LateWorth: 0.3, Floor: 1, Need: 1, Effect: balance.Unsafe},
+	}
+}
+
+// mixerHost drives a real core: it gathers what is ready, hands it over in one turn, and carries out what comes back.
+type mixerHost struct {
+	w      *world
+	index  int
+	core   *mixer.Core
+	set    balance.Settings
+	inbox  []any
+	turned bool // a turn is due now
+	wake   time.Time
+	works  map[mixer.AttemptID]*work
+	order  []*work                       // as sent, of those in works and some that have ended
+	told   map[balance.Replica]time.Time // when it was told that a node drains or is gone
+	states map[balance.Replica]balance.State
+	table  *health.Table
+	ev     map[balance.Replica]balance.Evidence
+}
+
+func newMixer(w *world, i int) (*mixerHost, error) {
+	m := &mixerHost{w: w, index: i, works: map[mixer.AttemptID]*work{}, told: map[balance.Replica]time.Time{}, states: map[balance.Replica]balance.State{},
+		ev: map[balance.Replica]balance.Evidence{}}
+	m.set = balance.Settings{Seed: w.Seed + uint64(i), Instances: w.Mixers, Tick: 5 * time.Millisecond, Cells: w.Nodes, Reach: w.Reach, Shards: w.Nodes,
+		CallParts: 1, MaxAttempts: 4, CanCancel: true, MaxRetryAfter: time.Second, OverShareWorth: 1, Classes: classes(),
+		Tenants: []balance.Tenant{{}}}
+	b, err := balance.New(m.set)
+	if err != nil {
+		return nil, err
+	}
+	m.core = mixer.NewCore(b, m, mixer.Limits{SecondStep: []int{0, 0, 0}, MaxOpen: 20000, ComeBack: time.Second, Ahead: 20 * time.Millisecond}, Start)
+	m.core.Witness = m
+	list := mixer.Members{Kind: balance.ListFull}
+	var nodes []health.Node
+	for _, n := range w.nodes {
+		list.List = append(list.List, m.server(n))
+		hn := health.Node{ID: health.ID(n.id)}
+		for j := range w.Reach {
+			hn.Blocks = append(hn.Blocks, (n.index-j+w.Nodes)%w.Nodes)
+		}
+		nodes = append(nodes, hn)
+	}
+	if w.Evidence {
+		if m.table, err = health.New(health.Defaults(3, 1<<correction), []health.Source{{Name: "check", Fall: 2, Rise: 1, Valid: 4 * time.Second}}, Start); err != nil {
+			return nil, err
+		}
+		m.table.Roster(Start, nodes, true)
+		w.at(Start.Add(time.Duration(w.rng.Float64()*float64(time.Second))), m.checks)
+	}
+	m.put(list)
+	return m, nil
+}
+
+func (m *mixerHost) server(n *node) mixer.Server {
+	return mixer.Server{Evidence: m.ev[n.id], ID: n.id, Addr: string(n.id), Zone: n.index % 2, Cell: n.index, Weight: 1, State: m.states[n.id]}
+}
+
+// put gathers an event for the turn of this moment.
+func (m *mixerHost) put(e any) {
+	m.inbox = append(m.inbox, e)
+	if !m.turned {
+		m.turned = true
+		m.w.at(m.w.now, m.turn)
+	}
+}
+
+func (m *mixerHost) turn() {
+	m.turned = false
+	events := m.inbox
+	m.inbox = nil
+	next := m.core.Turn(m.w.now, events)
+	if m.table != nil {
+		m.settle()
+	}
+	if !next.IsZero() && (m.wake.IsZero() || next.Before(m.wake) || !m.wake.After(m.w.now)) {
+		m.wake = next
+		m.w.at(next, func() {
+			if m.wake.Equal(next) && !m.turned {
+				m.turned = true
+				m.turn()
+			}
+		})
+	}
+}
+
+// listed takes word of the roster.
+func (m *mixerHost) listed(n *node, s balance.State) {
+	m.states[n.id] = s
+	if s == balance.InService {
+		delete(m.told, n.id)
+	} else if _, ok := m.told[n.id]; !ok {
+		m.told[n.id] = m.w.now
+	}
+	if m.w.Planted == "drain ignored" && s == balance.Draining {
+		return
+	}
+	m.put(mixer.Members{Kind: balance.ListDelta, List: []mixer.Server{m.server(n)}})
+}
+
+// Saw takes the end of an attempt as evidence.
+func (m *mixerHost) Saw(now time.Time, a mixer.Attempt) {
+	if m.table == nil {
+		return
+	}
+	r := health.Neutral
+	switch a.Result {
+	case balance.OK:
+		r = health.Good
+	case balance.Failed, balance.Reset, balance.TimedOut:
+		r = health.Bad
+	case balance.ConnectFailed:
+		r = health.Unreached
+	case balance.Canceled:
+		if now.Sub(a.Sent) >= classes()[a.Class].Aim {
+			r = health.Bad
+		}
+	}
+	m.table.Outcome(now, health.ID(a.Server), a.Class, r, a.Sent)
+}
+
+// checks asks every node, each second.
+func (m *mixerHost) checks() {
+	for _, n := range m.w.nodes {
+		r := health.Report{Oper: health.Up, Weight: -1, MaxConn: -1}
+		if !n.says || !n.up || n.cut {
+			r = health.Report{Failed: true, Weight: -1, MaxConn: -1}
+		}
+		m.table.Check(m.w.now, health.ID(n.id), 0, r)
+	}
+	m.settle()
+	m.w.in(time.Second, m.checks)
+}
+
+// settle turns what has changed into word of the list.
+func (m *mixerHost) settle() {
+	changes := m.table.Changes(m.w.now)
+	if len(changes) > 0 {
+		list := mixer.Members{Kind: balance.ListDelta}
+		for _, c := range changes {
+			var index int
+			fmt.Sscanf(string(c.ID), "n%d", &index)
+			n := m.w.nodes[index]
+			m.ev[n.id] = balance.Evidence{Share: c.Share, Most: c.MaxOut, Shun: c.Shun, Trial: c.Trial}
+			s := m.server(n)
+			if c.State != health.InService && s.State == balance.InService {
+				s.State = balance.Draining
+			}
+			list.List = append(list.List, s)
+		}
+		m.put(list)
+	}
+	if at, ok := m.table.Next(); ok && at.After(m.w.now) {
+		m.w.at(at, func() {
+			if len(m.inbox) == 0 {
+				m.settle()
+			}
+		})
+	}
+}
+
+// Send carries attempts to a node.
+func (m *mixerHost) Send(now time.Time, to mixer.Server, calls []mixer.Call) {
+	var n *node
+	for _, o := range m.w.nodes {
+		if o.id == to.ID {
+			n = o
+		}
+	}
+	for _, call := range calls {
+		k := &work{m: m, call: call, node: n}
+		m.works[call.Attempt] = k
+		m.order = append(m.order, k)
+		m.w.note("send", uint64(call.Attempt.Part), uint64(n.index))
+		m.w.check.sent(m, n, k)
+		m.w.in(m.w.delay(), func() { n.take(k) })
+	}
+	if len(m.order) > 2*len(m.works)+64 {
+		m.order = slices.DeleteFunc(m.order, func(k *work) bool { return m.works[k.call.Attempt] != k && !k.node.out[k] })
+	}
+}
+
+// Withdraw gives an attempt up: it ends at once, as the node has been told by then.
+func (m *mixerHost) Withdraw(_ time.Time, id mixer.AttemptID) {
+	k := m.works[id]
+	if k == nil || k.gone {
+		return
+	}
+	k.gone = true
+	if m.w.Planted == "leaked attempt" && id.Part%5 == 0 {
+		return
+	}
+	if m.w.Planted == "second copy" { // it ends before the node has been told
+		m.put(mixer.Ended{Attempt: id, Err: &mixer.AttemptError{Reach: mixer.Written, Withdrawn: true}})
+		return
+	}
+	m.w.at(m.w.now, func() {
+		if m.works[id] == k {
+			m.finish(k, mixer.Ended{Attempt: id, Err: &mixer.AttemptError{Reach: mixer.Written, Withdrawn: true}})
+		}
+	})
+}
+
+// Probe tells nothing.
+func (m *mixerHost) Probe(now time.Time, to mixer.Server) {
+	m.put(mixer.Probed{Server: to.ID, Err: &mixer.AttemptError{Reach: mixer.NotConnected}})
+}
+
+// ended brings the end of an attempt, unless it was given up before.
+func (m *mixerHost) ended(k *work, err error, value string) {
+	if m.works[k.call.Attempt] != k || k.gone {
+		return
+	}
+	m.finish(k, mixer.Ended{Attempt: k.call.Attempt, Err: err, Value: value})
+}
+
+func (m *mixerHost) finish(k *work, e mixer.Ended) {
+	delete(m.works, k.call.Attempt)
+	m.w.check.over(k)
+	m.put(e)
+}
--- /dev/null
+++ b/internal/lab/sim/sim_test.go
@@ -0,0 +1,134 @@
+package sim
+
+import (
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+func play(t *testing.T, s Settings) Result {
+	t.Helper()
+	r, err := Run(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// The same seed gives the same trace, on any number of processors; another seed gives another.
+func TestSameSeedSameTrace(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	for seed := range uint64(4) {
+		s := Draw(seed)
+		one := play(t, s)
+		runtime.GOMAXPROCS(8)
+		two := play(t, s)
+		runtime.GOMAXPROCS(1)
+		if one.Hash != two.Hash || one.Events != two.Events || one.Asked == 0 {
+			t.Errorf("seed %d: %x of %d events, then %x of %d", seed, one.Hash, one.Events, two.Hash, two.Events)
+		}
+		s.Seed += 1000
+		if other := play(t, s); other.Hash == one.Hash {
+			t.Errorf("seeds %d and %d give the same trace", seed, s.Seed)
+		}
+	}
+}
+
+// A calm fleet answers everything; the troubles do what they are for.
+func TestTroublesDoWhatTheyAreFor(t *testing.T) {
+	calm := play(t, Defaults(1))
+	if calm.Goodput() < 0.999 || len(calm.Broken) > 0 || calm.Wanted < 800 {
+		t.Errorf("calm: %+v", calm.Broken)
+	}
+	median := func(r Result) time.Duration {
+		slices.Sort(r.Took)
+		return r.Took[len(r.Took)/2]
+	}
+	for _, k := range Kinds {
+		s := Defaults(1)
+		s.Troubles = []Trouble{{Kind: k, From: 2 * time.Second, For: 6 * time.Second, Nodes: 6, Size: map[Kind]float64{FastErrors: 0.8, Burst: 3, Slow: 8, Gray: 8, Lag: 5}[k]}}
+		r := play(t, s)
+		if len(r.Broken) > 0 {
+			t.Errorf("%s: %v", k, r.Broken)
+		}
+		switch k {
+		case Burst:
+			if r.Wanted < calm.Wanted*2 {
+				t.Errorf("%s: %d queries, %d in calm", k, r.Wanted, calm.Wanted)
+			}
+		case Slow:
+			if median(r) < 2*median(calm) {
+				t.Errorf("%s: %v, %v in calm", k, median(r), median(calm))
+			}
+		case BadChecks, Lag, Deploy: // nothing may come of them by themselves
+			if r.Goodput() < 0.98 {
+				t.Errorf("%s: goodput %.3f", k, r.Goodput())
+			}
+		default:
+			if r.Hash == calm.Hash {
+				t.Errorf("%s: nothing comes of it", k)
+			}
+		}
+	}
+}
+
+// No rule breaks in random runs.
+func TestRulesHold(t *testing.T) {
+	for seed := range uint64(24) {
+		if r := play(t, Draw(seed)); len(r.Broken) > 0 {
+			t.Errorf("seed %d: %d broken, the first %s", seed, len(r.Broken), r.Broken[0])
+		}
+	}
+}
+
+// The checker finds a planted bug of each rule.
+func TestPlantedBugsAreFound(t *testing.T) {
+	for bug, words := range map[string]string{
+		"double correction": "ran 2 times", "lost query": "has no final answer", "drain ignored": "after it was told to drain",
+		"dishonest whole": "marked whole", "leaked attempt": "attempts out", "second copy": "two attempts of",
+	} {
+		s := Defaults(3)
+		s.Planted = bug
+		s.Troubles = []Trouble{{Kind: Deploy, From: time.Second, For: 6 * time.Second, Nodes: 6}, {Kind: Hang, From: 2 * time.Second, For: 5 * time.Second, Nodes: 5, First: 6}}
+		r := play(t, s)
+		if !slices.ContainsFunc(r.Broken, func(b string) bool { return strings.Contains(b, words) }) {
+			t.Errorf("%s: %v", bug, r.Broken)
+		}
+	}
+}
+
+// A schedule that breaks a rule is shrunk to the trouble that it takes.
+func TestShrink(t *testing.T) {
+	s := Draw(5)
+	s.Planted = "drain ignored"
+	s.Troubles = []Trouble{{Kind: Slow, From: time.Second, For: time.Second, Size: 2}, {Kind: Deploy, From: time.Second, For: 5 * time.Second, Nodes: 4},
+		{Kind: Burst, From: time.Second, For: time.Second, Size: 2}}
+	short, runs := Shrink(s, 200)
+	if len(short.Troubles) != 1 || short.Troubles[0].Kind != Deploy || runs < 5 {
+		t.Errorf("%d runs, %+v", runs, short.Troubles)
+	}
+	if r := play(t, short); len(r.Broken) == 0 {
+		t.Error("the shrunk run breaks nothing")
+	}
+}
+
+// Events a second, by the size of the fleet. Run with -bench Fleet.
+func BenchmarkFleet(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(map[int]string{10: "10", 100: "100", 1000: "1000"}[n], func(b *testing.B) {
+			events := uint64(0)
+			for i := range b.N {
+				s := Defaults(uint64(i))
+				s.Nodes, s.Rate, s.For = n, 8*float64(n), 2*time.Second
+				r, err := Run(s)
+				if err != nil || len(r.Broken) > 0 {
+					b.Fatal(err, r.Broken)
+				}
+				events += r.Events
+			}
+			b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
+		})
+	}
+}
