--- a/cmd/rooktrestle/blocks_test.go
+++ b/cmd/rooktrestle/blocks_test.go
@@ -4,7 +4,9 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 )
 
 const mapText = `{"archive":"captions","epoch":7,"next_id":4,"blocks":[
@@ -51,3 +53,45 @@
 	os.WriteFile(forked, []byte(strings.Replace(mapText, `"weight":3`, `"weight":4`, 1)), 0o600)
 	want(1, "the same epoch with other blocks|weight 3 to 4", "diff", now, forked)
 }
+
+// On SIGHUP the map's file is read at once, however rarely it is looked at; a bad one changes nothing.
+func TestMapIsReadOnSIGHUP(t *testing.T) {
+	dir := t.TempDir()
+	file, conf := filepath.Join(dir, "map.json"), filepath.Join(dir, "front.toml")
+	good, err := os.ReadFile("../../deploy/blocks.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := string(good)
+	for _, c := range [][2]string{
+		{`source = "127.0.0.1:8600" `, "file = \"" + file + "\"\nevery = \"1h\" #"}, {`keep = "/tmp/rooktrestle-blocks"`, `#`},
+		{`"127.0.0.1:8210"`, `"127.0.0.1:0"`}, {`"127.0.0.1:2100"`, `"127.0.0.1:0"`}, {`"127.0.0.1:8211"`, `"127.0.0.1:0"`}, {`"127.0.0.1:8212"`, `"127.0.0.1:0"`},
+	} {
+		if !strings.Contains(text, c[0]) {
+			t.Fatalf("%q is not in the example", c[0])
+		}
+		text = strings.Replace(text, c[0], c[1], 1)
+	}
+	os.WriteFile(conf, []byte(text), 0o600)
+	os.WriteFile(file, []byte(mapText), 0o600)
+	p := start(t, 4, nil, "serve", "--front", conf)
+	until := func(part string) {
+		t.Helper()
+		for range 3000 {
+			if _, text := p.get("http://" + p.listen["health"] + "/metrics"); strings.Contains(text, part) {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Fatalf("%q does not come", part)
+	}
+	until("map: epoch 7")
+	os.WriteFile(file, []byte(strings.Replace(mapText, `"epoch":7`, `"epoch":8`, 1)), 0o600)
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	until("map: epoch 8")
+	os.WriteFile(file, []byte(mapText), 0o600)
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	until("older 1")
+	until("map: epoch 8")
+	p.stop()
+}
--- a/internal/app/evidence.go
+++ b/internal/app/evidence.go
@@ -72,26 +72,7 @@
 
 // Saw takes the end of an attempt as evidence.
 func (e *evidence) Saw(now time.Time, a mixer.Attempt) {
-	r := health.Neutral
-	switch a.Result {
-	case balance.OK:
-		r = health.Good
-	case balance.Failed, balance.Reset, balance.TimedOut:
-		r = health.Bad
-	case balance.ConnectFailed:
-		if r = health.Unreached; a.Own {
-			r = health.Neutral // for want of something of ours
-		}
-	case balance.Canceled:
-		// Called off after more than the aim: it was silent. Before that, its client left or another part failed.
-		if now.Sub(a.Sent) >= e.aims[a.Class] {
-			r = health.Bad
-		}
-	}
-	if a.Lie { // it turns away what it holds
-		r = health.Bad
-	}
-	e.table.Outcome(now, health.ID(a.Server), a.Class, r, a.Sent)
+	e.table.Outcome(now, health.ID(a.Server), a.Class, a.Shows(now, e.aims[a.Class]), a.Sent)
 	if !e.asked {
 		e.asked = true
 		e.box.Put(settle{})
--- a/internal/decide/schedule/schedule_test.go
+++ b/internal/decide/schedule/schedule_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -283,9 +284,15 @@
 				if err != nil {
 					b.Fatal(err)
 				}
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
 				for range n {
 					s.Add(origin, Task{Priority: Normal, Every: 2 * time.Second}, 2*time.Second)
 				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				memory := float64(after.HeapAlloc-before.HeapAlloc) / float64(n)
 				now, late := origin, make([]time.Duration, 0, b.N)
 				b.ReportAllocs()
 				b.ResetTimer()
@@ -303,6 +310,7 @@
 				b.StopTimer()
 				slices.Sort(late)
 				b.ReportMetric(float64(late[len(late)*99/100])/1e6, "p99-late-ms")
+				b.ReportMetric(memory, "B/target")
 			})
 		}
 	}
--- a/internal/lab/node/sru.go
+++ b/internal/lab/node/sru.go
@@ -90,19 +90,10 @@
 		record, do = n.archive.search(n, at, base, r.URL.Query().Get("query"), fault)
 	}
 	status := "success"
-	switch do {
-	case "hang":
-		n.wait(r.Context(), true)
-		return
-	case "break":
-		panic(http.ErrAbortHandler)
-	case "error":
-		http.Error(w, "failing", 500)
-		return
-	case "spoil":
-		io.WriteString(w, "<noise")
+	if n.fault(w, r, do) {
 		return
-	case "reject":
+	}
+	if do == "reject" {
 		status = "fail"
 	}
 	if r.Method == "POST" {
@@ -114,6 +105,23 @@
 		`<zs:recordPacking>xml</zs:recordPacking><zs:recordData>%s</zs:recordData></zs:record></zs:records></zs:searchRetrieveResponse>`, record)
 }
 
+// fault does what a part meets in the place of an answer, and says whether it met anything.
+func (n *Node) fault(w http.ResponseWriter, r *http.Request, do string) bool {
+	switch do {
+	case "hang":
+		n.wait(r.Context(), true)
+	case "break":
+		panic(http.ErrAbortHandler)
+	case "error":
+		http.Error(w, "failing", 500)
+	case "spoil":
+		io.WriteString(w, "<noise")
+	default:
+		return false
+	}
+	return true
+}
+
 // shelfSearch answers a search from the node's shelf.
 func (n *Node) shelfSearch(w http.ResponseWriter, r *http.Request, s Shelf, at time.Time, base string) {
 	most, _ := strconv.Atoi(r.URL.Query().Get("maximumRecords"))
@@ -125,17 +133,7 @@
 	}
 	fault := n.take()
 	_, do := n.archive.search(n, at, base, r.URL.Query().Get("query"), fault)
-	switch do {
-	case "hang":
-		n.wait(r.Context(), true)
-		return
-	case "break":
-		panic(http.ErrAbortHandler)
-	case "error":
-		http.Error(w, "failing", 500)
-		return
-	case "spoil":
-		io.WriteString(w, "<noise")
+	if n.fault(w, r, do) {
 		return
 	}
 	fmt.Fprintf(w, `<?xml version="1.0"?><zs:searchRetrieveResponse xmlns:zs="http://www.loc.gov/zing/srw/"><zs:version>1.2</zs:version><zs:numberOfRecords>%d</zs:numberOfRecords><zs:records>`, count)
--- a/internal/mixer/mixer.go
+++ b/internal/mixer/mixer.go
@@ -10,6 +10,7 @@
 
 	"rooktrestle/balance"
 	"rooktrestle/internal/decide/blocks"
+	"rooktrestle/internal/decide/health"
 )
 
 // Reach says how far an attempt had come when it ended.
@@ -125,6 +126,29 @@
 	Lie    bool // it was turned away with a word that the map contradicts
 }
 
+// Shows is what the attempt's end tells of its server's health. aim is its class's.
+func (a Attempt) Shows(now time.Time, aim time.Duration) health.Result {
+	switch a.Result {
+	case balance.OK:
+		return health.Good
+	case balance.Failed, balance.Reset, balance.TimedOut:
+		return health.Bad
+	case balance.ConnectFailed:
+		if !a.Own { // else for want of something of ours
+			return health.Unreached
+		}
+	case balance.Canceled:
+		// Called off after more than the aim: it was silent. Before that, its client left or another part failed.
+		if now.Sub(a.Sent) >= aim {
+			return health.Bad
+		}
+	}
+	if a.Lie { // it turns away what it holds
+		return health.Bad
+	}
+	return health.Neutral
+}
+
 // Spec is one part of a request.
 type Spec struct {
 	Shard  int // or the block's id
