--- /dev/null
+++ b/internal/lab/load/load_test.go
@@ -0,0 +1,45 @@
+package load
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// A server that stalls for a second shows in the latencies of all calls that were meant for that second, not only in
+// that of the one that it answered late: no coordinated omission.
+func TestStallsAreNotOmitted(t *testing.T) {
+	var stalled atomic.Int64 // until, in Unix nanoseconds
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(time.Until(time.Unix(0, stalled.Load())))
+		w.Write([]byte("<numberOfRecords>1</numberOfRecords>"))
+	}))
+	defer s.Close()
+	r, stop := Start(Plan{SRU: strings.TrimPrefix(s.URL, "http://"), Rate: 200, Mix: Mix{Searches: 1}, Seed: 1, Timeout: time.Minute})
+	begin := time.Now()
+	time.Sleep(300 * time.Millisecond)
+	from := time.Now()
+	stalled.Store(from.Add(time.Second).UnixNano())
+	time.Sleep(1200 * time.Millisecond)
+	stop()
+	calls := r.Calls(begin, time.Now())
+	slow := 0
+	for _, c := range calls {
+		if c.Took >= 500*time.Millisecond {
+			slow++
+		}
+		// Whoever asked during the stall waited until its end, at least.
+		if c.Began.After(from.Add(100*time.Millisecond)) && c.Began.Before(from.Add(900*time.Millisecond)) && c.Began.Add(c.Took).Before(from.Add(990*time.Millisecond)) {
+			t.Errorf("a call at %v took %v", c.Began.Sub(from), c.Took)
+		}
+	}
+	if slow < 20 || r.Quantile(99) < 500*time.Millisecond {
+		t.Errorf("%d of %d calls are slow, 99%% within %v", slow, len(calls), r.Quantile(99))
+	}
+	if n := Count(calls); n[0] != len(calls) || WholeShare(calls) != 1 {
+		t.Errorf("%v", n)
+	}
+}
