--- a/internal/decide/timers/timers_test.go
+++ b/internal/decide/timers/timers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -113,3 +114,60 @@
 		}
 	}
 }
+
+type dated struct {
+	at    time.Time
+	seq   uint64
+	place int
+}
+
+func (d *dated) Due() (time.Time, uint64) { return d.at, d.seq }
+func (d *dated) Place() *int              { return &d.place }
+
+// Random steps on a Due and on a plain slice: the same come due, in the same order.
+func FuzzDue(f *testing.F) {
+	f.Add(uint64(1), uint16(500))
+	f.Fuzz(func(t *testing.T, seed uint64, steps uint16) {
+		rng := rand.New(rand.NewPCG(seed, 8))
+		var d Due[*dated]
+		var model []*dated
+		now := origin
+		for i := range steps % 3000 {
+			switch rng.IntN(4) {
+			case 0, 1:
+				x := &dated{at: now.Add(time.Duration(rng.IntN(20)) * time.Millisecond), seq: uint64(i)}
+				d.Put(x)
+				model = append(model, x)
+			case 2:
+				if len(model) > 0 {
+					k := rng.IntN(len(model))
+					d.Remove(model[k])
+					d.Remove(model[k]) // once more does nothing
+					model = slices.Delete(model, k, k+1)
+				}
+			case 3:
+				now = now.Add(time.Duration(rng.IntN(10)) * time.Millisecond)
+				slices.SortFunc(model, func(a, b *dated) int {
+					if c := a.at.Compare(b.at); c != 0 {
+						return c
+					}
+					return int(a.seq) - int(b.seq)
+				})
+				n := 0
+				for n < len(model) && !now.Before(model[n].at) {
+					n++
+				}
+				if next, ok := d.Next(); ok != (len(model) > 0) || ok && !next.Equal(model[0].at) {
+					t.Fatalf("next %v %v", next, ok)
+				}
+				if got := d.Pop(now); !slices.Equal(got, model[:n]) {
+					t.Fatalf("%d come due, not %d", len(got), n)
+				}
+				model = slices.Clone(model[n:])
+			}
+			if d.Len() != len(model) {
+				t.Fatalf("%d held, not %d", d.Len(), len(model))
+			}
+		}
+	})
+}
--- a/internal/mixer/core.go
+++ b/internal/mixer/core.go
@@ -10,6 +10,7 @@
 
 	"rooktrestle/balance"
 	"rooktrestle/internal/decide/blocks"
+	"rooktrestle/internal/decide/timers"
 )
 
 // clockMargin is how long before its start a core's clock begins, so that servers' starts lie after zero.
@@ -30,8 +31,15 @@
 	restarts int
 	anew     bool // it begins anew once nothing of it is out
 	waits    bool // for a newer map
+	place    int  // among the ends
 }
 
+// Due is the end of the client's time.
+func (q *query) Due() (time.Time, uint64) { return q.end, uint64(q.id) }
+
+// Place is where it stands among the ends.
+func (q *query) Place() *int { return &q.place }
+
 type part struct {
 	id    balance.ID
 	q     *query
@@ -51,8 +59,17 @@
 	until   time.Time
 	expired bool // its time is over; waiting for the server to be told
 	asked   bool // withdrawal asked for
+	id      AttemptID
+	seq     uint64 // as sent
+	place   int    // among the time-outs
 }
 
+// Due is when the attempt times out.
+func (a *attempt) Due() (time.Time, uint64) { return a.until, a.seq }
+
+// Place is where it stands among the time-outs.
+func (a *attempt) Place() *int { return &a.place }
+
 // Core holds the open queries and attempts of one mixer.
 type Core struct {
 	Count   Counters
@@ -69,7 +86,9 @@
 	names    map[string]int // ids of open queries, and of those with attempts out: how many hold each
 	parts    map[balance.ID]*part
 	attempts map[AttemptID]*attempt
-	order    []AttemptID // attempts out, as sent: times must not depend on map order
+	sent     uint64               // attempts so far
+	ends     timers.Due[*query]   // of the open queries
+	timeouts timers.Due[*attempt] // of the attempts out that are not over yet
 	servers  map[balance.Replica]Server
 	wakeAt   time.Time
 	now      time.Time // of this turn
@@ -142,16 +161,17 @@
 		told = c.event(now, e, told)
 	}
 	told = c.leave(now, told)
-	for _, id := range c.order {
-		a := c.attempts[id]
-		if a != nil && !a.expired && !now.Before(a.until) {
-			a.expired = true
-			c.withdraw(now, id, a)
-		}
+	expired := c.timeouts.Pop(now)
+	slices.SortFunc(expired, func(a, b *attempt) int { return cmp.Compare(a.seq, b.seq) }) // as they were sent
+	for _, a := range expired {
+		a.expired = true
+		c.withdraw(now, a.id, a)
 	}
 	// One final answer while the client's time lasts, whatever the decisions do. Guards against a query left
 	// open by a turn that came too late for them.
-	for _, q := range c.overdue(now) {
+	overdue := c.ends.Pop(now)
+	slices.SortFunc(overdue, func(q, o *query) int { return cmp.Compare(q.id, o.id) })
+	for _, q := range overdue {
 		told = append(told, balance.Gone{Query: q.id})
 		c.close(q, Final{Kind: Failed, Overdue: true})
 	}
@@ -160,14 +180,9 @@
 		told = append(told, balance.Tick{})
 	}
 	c.act(now, c.decide.Turn(c.clock(now), told))
-	c.order = slices.DeleteFunc(c.order, func(id AttemptID) bool { return c.attempts[id] == nil })
 	return c.due()
 }
 
-func (c *Core) overdue(now time.Time) []*query {
-	return slices.DeleteFunc(c.all(), func(q *query) bool { return now.Before(q.end) })
-}
-
 // all are the open queries in the order of their arrival.
 func (c *Core) all() (open []*query) {
 	for _, q := range c.queries {
@@ -177,6 +192,17 @@
 	return open
 }
 
+// out are the attempts out for which is holds, as they were sent: nothing must depend on a map's order.
+func (c *Core) out(is func(*attempt) bool) (list []*attempt) {
+	for _, a := range c.attempts {
+		if is(a) {
+			list = append(list, a)
+		}
+	}
+	slices.SortFunc(list, func(a, b *attempt) int { return cmp.Compare(a.seq, b.seq) })
+	return list
+}
+
 func (c *Core) due() (next time.Time) {
 	sooner := func(t time.Time) {
 		if !t.IsZero() && (next.IsZero() || t.Before(next)) {
@@ -184,13 +210,11 @@
 		}
 	}
 	sooner(c.wakeAt)
-	for _, id := range c.order {
-		if a := c.attempts[id]; !a.expired {
-			sooner(a.until)
-		}
+	if t, ok := c.timeouts.Next(); ok {
+		sooner(t)
 	}
-	for _, q := range c.queries {
-		sooner(q.end)
+	if t, ok := c.ends.Next(); ok {
+		sooner(t)
 	}
 	if c.Reshape != nil {
 		sooner(c.Reshape.Views.Due())
@@ -256,6 +280,7 @@
 	c.next++
 	q := &query{id: c.next, req: r, end: end}
 	c.queries[q.id], c.byReq[r] = q, q
+	c.ends.Put(q)
 	c.names[r.ID]++
 	specs := r.Parts
 	if r.Layout != nil {
@@ -290,6 +315,7 @@
 		return told // ended before: late word is dropped by attempt, not by part
 	}
 	delete(c.attempts, e.Attempt)
+	c.timeouts.Remove(a)
 	p, q := a.part, a.part.q
 	q.out--
 	c.release(q)
@@ -391,12 +417,14 @@
 	}
 	id := AttemptID{p.id, p.tries}
 	p.tries++
-	c.attempts[id] = &attempt{part: p, server: a.Replica, sent: now, until: until}
+	c.sent++
+	out := &attempt{part: p, server: a.Replica, sent: now, until: until, id: id, seq: c.sent}
+	c.attempts[id] = out
+	c.timeouts.Put(out)
 	q.out++
 	if q.flight != nil {
 		q.flight.Parts[p.at].Out = true
 	}
-	c.order = append(c.order, id)
 	c.names[q.req.ID]++
 	c.Count.Sent++
 	call := Call{
@@ -475,6 +503,7 @@
 func (c *Core) close(q *query, f Final) {
 	delete(c.queries, q.id)
 	delete(c.byReq, q.req)
+	c.ends.Remove(q)
 	c.release(q)
 	c.unpin(q)
 	for _, p := range q.parts {
@@ -534,16 +563,14 @@
 		}
 	}
 	c.calls, c.wakeAt, c.decide = nil, time.Time{}, fresh
-	for _, id := range c.order {
-		if a := c.attempts[id]; a != nil {
-			delete(c.attempts, id)
-			c.release(a.part.q)
-			if !a.asked {
-				c.backend.Withdraw(now, id)
-			}
+	for _, a := range c.out(func(*attempt) bool { return true }) {
+		delete(c.attempts, a.id)
+		c.timeouts.Remove(a)
+		c.release(a.part.q)
+		if !a.asked {
+			c.backend.Withdraw(now, a.id)
 		}
 	}
-	c.order = nil
 	var list []Server
 	for _, s := range c.servers {
 		list = append(list, s)
--- a/internal/mixer/reshape.go
+++ b/internal/mixer/reshape.go
@@ -163,10 +163,8 @@
 		c.Count.Restarts++
 		c.Reshape.Views.Stats.Restarts++
 		// Nothing of it may be out any more: a part's next attempt would be a second copy.
-		for _, id := range c.order {
-			if a := c.attempts[id]; a != nil && a.part.q == q {
-				c.withdraw(now, id, a)
-			}
+		for _, a := range c.out(func(a *attempt) bool { return a.part.q == q }) {
+			c.withdraw(now, a.id, a)
 		}
 		if q.out == 0 {
 			told = c.again(now, q, told)
@@ -193,9 +191,11 @@
 	q.anew = false
 	c.unpin(q)
 	delete(c.queries, q.id)
+	c.ends.Remove(q) // it stands there by its id
 	c.next++
 	q.id = c.next
 	c.queries[q.id] = q
+	c.ends.Put(q)
 	specs := c.pin(q)
 	if !now.Before(q.end) || len(specs) == 0 {
 		c.close(q, Final{Kind: Refused, RetryAfter: c.lim.ComeBack})
