--- a/balance/balance.go
+++ b/balance/balance.go
@@ -650,8 +650,8 @@
 func (b *Balancer) choose(p *part) *server {
 	var can, sound, some []*server
 	all := b.holders(p)
-	// Evidence keeps a class off a server: but for a trial where one is granted, it gets those parts only whose
-	// replicas are all like that.
+	// Evidence keeps a class off a server: but for a trial where one is granted, it gets only those parts
+	// whose replicas are all like that.
 	if slices.ContainsFunc(all, p.shunnedBy) {
 		kept := slices.DeleteFunc(slices.Clone(all), p.shunnedBy)
 		for _, s := range all {
@@ -732,8 +732,8 @@
 	return win
 }
 
-// thinned says whether a server with a share gives this part to others: between two of which one has share w, it
-// gets w parts for each of the other's.
+// thinned says whether a server with a share gives this part to others: between two of which one has share
+// w, it gets w parts for each of the other's.
 func (b *Balancer) thinned(p *part, s *server) bool {
 	w := cmp.Or(s.Share, 1)
 	for _, h := range p.Holders {
