One piece for a server's checks; drop unused fields; test searches across merges, moves and two reshapes

Read once more: the list of a server's checks was made twice, a few fields were never read, and the simulator looked nodes up by a loop. Searches across a merge, a move and two reshapes in a row have tests of their own.

--- a/internal/app/ask.go
+++ b/internal/app/ask.go
@@ -67,30 +67,40 @@
 	}
 }
 
+// sourced is a check, and which source of evidence it is.
+type sourced struct {
+	checks.Check
+	source int
+}
+
+// checksOf are the checks of a server.
+func checksOf(conf *config.Partners, s config.PartnerServer) (list []sourced) {
+	for _, name := range s.Checks {
+		for i := range conf.Profiles {
+			if f := &conf.Profiles[i]; f.Name == name {
+				list = append(list, sourced{checks.Check{Profile: f, Addr: f.AddrOf(s), Bridge: conf.Checks.GRPCBridge, Dial: tcp.Dial}, i})
+			}
+		}
+	}
+	return list
+}
+
 // askAll makes each check of each server, within the file's budget of checks at once.
 func askAll(conf *config.Partners, table *health.Table) {
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	slots := make(chan struct{}, conf.Checks.AtOnce)
 	for _, s := range conf.Servers {
-		for _, name := range s.Checks {
-			source := 0
-			for i := range conf.Profiles {
-				if conf.Profiles[i].Name == name {
-					source = i
-				}
-			}
-			f := &conf.Profiles[source]
-			check := checks.Check{Profile: f, Addr: f.AddrOf(s), Bridge: conf.Checks.GRPCBridge, Dial: tcp.Dial}
+		for _, one := range checksOf(conf, s) {
 			wait.Add(1)
 			slots <- struct{}{}
 			go func() {
 				defer wait.Done()
-				res := check.Run()
+				res := one.Run()
 				<-slots
 				mu.Lock()
 				defer mu.Unlock()
-				table.Check(time.Now(), health.ID(s.ID), source, res.Report)
+				table.Check(time.Now(), health.ID(s.ID), one.source, res.Report)
 			}()
 		}
 	}
--- a/internal/app/partners.go
+++ b/internal/app/partners.go
@@ -15,7 +15,6 @@
 
 	"rooktrestle/balance"
 	"rooktrestle/internal/app/background"
-	"rooktrestle/internal/back/checks"
 	"rooktrestle/internal/back/library"
 	sruback "rooktrestle/internal/back/sru"
 	zback "rooktrestle/internal/back/z3950"
@@ -144,20 +143,13 @@
 // addChecks gives each check of each server to the background.
 func (p *Partners) addChecks(box interface{ Put(any) }) {
 	for _, s := range p.conf.Servers {
-		for _, name := range s.Checks {
-			source := 0
-			for i := range p.conf.Profiles {
-				if p.conf.Profiles[i].Name == name {
-					source = i
-				}
-			}
-			f := &p.conf.Profiles[source]
-			check := checks.Check{Profile: f, Addr: f.AddrOf(s), Bridge: p.conf.Checks.GRPCBridge, Dial: tcp.Dial}
+		for _, one := range checksOf(p.conf, s) {
+			f := one.Profile
 			id, last := health.ID(s.ID), health.Report{}
 			p.runner.Add(schedule.Task{Priority: schedule.Normal, Every: f.Every.Duration, Fast: f.Fast.Duration, FastFor: f.FastFor,
 				Slow: f.Slow.Duration}, f.Every.Duration/4, func() (schedule.Pace, bool) {
-				res := check.Run()
-				box.Put(checked{id, source, res})
+				res := one.Run()
+				box.Put(checked{id, one.source, res})
 				pace := schedule.Steady
 				now := res.Report
 				switch {
--- a/internal/decide/blocks/views.go
+++ b/internal/decide/blocks/views.go
@@ -61,15 +61,14 @@
 
 // Views hold the present map and those that queries are still pinned to. They are owned by one goroutine.
 type Views struct {
-	Stats  ViewStats
-	rules  ViewRules
-	now    *View
-	old    []*View             // pinned, oldest first
-	since  map[Epoch]time.Time // when epochs were adopted from which holders are cold
-	fresh  Epoch               // the highest epoch heard of, by whomever
-	asked  bool                // a newer map is wanted
-	heard  time.Time
-	source time.Time // when the source last answered
+	Stats ViewStats
+	rules ViewRules
+	now   *View
+	old   []*View             // pinned, oldest first
+	since map[Epoch]time.Time // when epochs were adopted from which holders are cold
+	fresh Epoch               // the highest epoch heard of, by whomever
+	asked bool                // a newer map is wanted
+	heard time.Time
 }
 
 // NewViews returns Views without a map.
@@ -91,7 +90,6 @@
 // Offer takes a map that a source has brought. It is adopted if it may follow the present one; an error says why
 // not, and the present one stays. A map that is the present one again is no error.
 func (vs *Views) Offer(now time.Time, m *Map) (adopted bool, err error) {
-	vs.source = now
 	if vs.now != nil {
 		old := vs.now.Map
 		if m.Epoch == old.Epoch && m.Archive == old.Archive && m.same(old) {
@@ -140,7 +138,6 @@
 // Same says that the source has answered and has nothing newer. What servers spoke of is not so, unless that was only
 // just: the source may be late. again: it should be asked again in a while.
 func (vs *Views) Same(now time.Time) (again bool) {
-	vs.source = now
 	if vs.asked && now.Sub(vs.heard) < vs.rules.Patience {
 		return true
 	}
--- a/internal/lab/sim/mixer.go
+++ b/internal/lab/sim/mixer.go
@@ -1,7 +1,6 @@
 package sim
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -151,9 +150,7 @@
 	if len(changes) > 0 {
 		list := mixer.Members{Kind: balance.ListDelta}
 		for _, c := range changes {
-			var index int
-			fmt.Sscanf(string(c.ID), "n%d", &index)
-			n := m.w.nodes[index]
+			n := m.w.byID[balance.Replica(c.ID)]
 			m.ev[n.id] = balance.Evidence{Share: c.Share, Most: c.MaxOut, Shun: c.Shun, Trial: c.Trial}
 			s := m.server(n)
 			if c.State != health.InService && s.State == balance.InService {
@@ -174,12 +171,7 @@
 
 // Send carries attempts to a node.
 func (m *mixerHost) Send(now time.Time, to mixer.Server, calls []mixer.Call) {
-	var n *node
-	for _, o := range m.w.nodes {
-		if o.id == to.ID {
-			n = o
-		}
-	}
+	n := m.w.byID[to.ID]
 	for _, call := range calls {
 		k := &work{m: m, call: call, node: n}
 		m.works[call.Attempt] = k
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"rooktrestle/balance"
 )
 
 // Start of virtual time.
@@ -123,7 +125,6 @@
 	Wanted, Got                             int // first tries, and those that were answered in the end
 	Broken                                  []string
 	Took                                    []time.Duration // of served queries, in order
-	Share                                   map[string]float64
 	Trace                                   []string
 }
 
@@ -142,6 +143,7 @@
 	rng    *rand.Rand
 	mixers []*mixerHost
 	nodes  []*node
+	byID   map[balance.Replica]*node
 	roster *roster
 	check  *checker
 	result Result
@@ -149,11 +151,13 @@
 
 // Run plays a fleet.
 func Run(s Settings) (Result, error) {
-	w := &world{Settings: s, rng: rand.New(rand.NewPCG(s.Seed, 0x51)), check: newChecker()}
+	w := &world{Settings: s, byID: map[balance.Replica]*node{}, rng: rand.New(rand.NewPCG(s.Seed, 0x51)), check: newChecker()}
 	w.clock = clock{now: Start, trace: xxhash.New(), keep: s.Keep}
 	w.check.w = w
 	for i := range s.Nodes {
-		w.nodes = append(w.nodes, newNode(w, i))
+		n := newNode(w, i)
+		w.nodes = append(w.nodes, n)
+		w.byID[n.id] = n
 	}
 	w.roster = &roster{w: w}
 	for i := range s.Mixers {
--- a/internal/mixer/reshape.go
+++ b/internal/mixer/reshape.go
@@ -1,7 +1,6 @@
 package mixer
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -238,11 +237,3 @@
 	c.close(q, f)
 	return told
 }
-
-// String prints a map's epoch for logs.
-func (e MapOffered) String() string {
-	if e.Map == nil {
-		return fmt.Sprintf("nothing newer from %s", e.Source)
-	}
-	return fmt.Sprintf("epoch %d from %s", e.Map.Epoch, e.Source)
-}
--- a/internal/mixer/reshape_test.go
+++ b/internal/mixer/reshape_test.go
@@ -230,6 +230,53 @@
 	}
 }
 
+// The same across a merge, a move of all holders, and two reshapes in a row: every block of one view once, whether the
+// old holders serve still or turn every part away.
+func TestSearchAcrossOtherReshapes(t *testing.T) {
+	split := func(w *mapped) { w.carry(blocks.PlanSplit(w.m, 2, []blocks.Key{"p@2000"}, blocks.Timing{})) }
+	for name, c := range map[string]struct {
+		reshape func(w *mapped)
+		after   []int // blocks of the last view
+	}{
+		"merge": {func(w *mapped) { w.carry(blocks.PlanMerge(w.m, []blocks.ID{1, 2}, blocks.Timing{})) }, []int{3}},
+		"move":  {func(w *mapped) { w.carry(blocks.PlanMove(w.m, 2, moveAll, blocks.Timing{})) }, []int{1, 2}},
+		"two": {func(w *mapped) {
+			split(w)
+			w.carry(blocks.PlanMove(w.m, 4, moveAll, blocks.Timing{}))
+		}, []int{1, 3, 4}},
+	} {
+		for _, served := range []bool{true, false} {
+			w := newMapped(t)
+			w.query("q", 0, "")
+			c.reshape(w)
+			for len(w.calls) > 0 {
+				call, s := w.calls[0], w.server()
+				switch {
+				case slices.Contains(w.withdrawn, call.Attempt):
+					w.end1(s, call.Shard, &AttemptError{Reach: Written, Withdrawn: true})
+				case !served && call.Epoch < w.m.Epoch:
+					w.end1(s, call.Shard, away(blocks.NotMine, w.m.Epoch))
+				default:
+					w.end1(s, call.Shard, nil)
+				}
+			}
+			want := []int{1, 2}
+			if !served {
+				want = c.after
+			}
+			f := w.one("q")
+			var got []int
+			for _, i := range f.Items {
+				got = append(got, i.Shard)
+			}
+			if slices.Sort(got); f.Kind != Served || !f.Whole || !slices.Equal(got, want) || f.Share < 0.999 {
+				t.Errorf("%s, served %v: %+v, want %v", name, served, f, want)
+			}
+			w.empty()
+		}
+	}
+}
+
 // Nothing of a query that begins anew is out when its parts are sent again: one attempt of a part at a time.
 func TestAnewOnlyWhenNothingIsOut(t *testing.T) {
 	w := newMapped(t)
