Let a lying Z39.50 stand-in refuse its checks only, not the parts it is to serve

One test in 30 runs saw a search refused while all checks fail: the stand-in refused every Init, so parts on new connections found none, and the refusal was true.

--- a/internal/lab/node/node.go
+++ b/internal/lab/node/node.go
@@ -26,7 +26,7 @@
 type Health struct {
 	Status   int    // of GET /healthz of an SRU node; 0: 200
 	Degraded bool   // tells so in Envoy's header
-	Refuse   bool   // refuses Init, and explain
+	Refuse   bool   // refuses the Init of a check, and explain
 	Hang     bool   // says nothing
 	Body     string // of /healthz
 }
--- a/internal/lab/node/z3950.go
+++ b/internal/lab/node/z3950.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"strings"
 	"time"
 
 	"rooktrestle/internal/lab/ber"
@@ -76,7 +77,8 @@
 			n.mu.Unlock()
 			time.Sleep(greet)
 			result := "\xff"
-			if h.Refuse {
+			// Only the check's Init: one that refuses its parts does not lie.
+			if h.Refuse && strings.Contains(string(v.Kid(110).Body), "check") {
 				result = "\x00"
 			}
 			io.WriteString(c, ber.Group(21, ber.Leaf(3, "\x05\xe0"), ber.Leaf(4, "\x00\xe0\x00"), ber.Number(5, 30000), ber.Number(6, 30000), ber.Leaf(12, result)))
