--- a/internal/app/platform.go
+++ b/internal/app/platform.go
@@ -62,7 +62,7 @@
 	clock, box := mixer.SystemClock{}, mixer.NewMailbox()
 	pool := leaf.NewPool(leaf.Limits{
 		Streams: d.Streams, Idle: d.ConnIdle, ConnectTimeout: d.ConnectTimeout, Sockets: n.Sockets / 3,
-		Silent: shortestAim(d.Decisions.Classes) / 2,
+		Silent: shortestAim(d.Decisions.Classes) / 2, Spread: leaf.Spread(d.Decisions.Instances),
 	}, box, tcp.Dial)
 	lim := mixer.Limits{MaxOpen: d.MaxOpen, CallParts: d.Decisions.CallParts, ComeBack: d.MaxRetryAfter, Ahead: 4 * d.Decisions.Tick}
 	longest := time.Duration(0)
--- a/internal/back/leaf/pool.go
+++ b/internal/back/leaf/pool.go
@@ -29,6 +29,8 @@
 	// Silent is how long a server may say nothing at all before an attempt that is given up counts against its
 	// connection.
 	Silent time.Duration
+	// Spread is how many connections to one server are opened before parts share them; at least 1.
+	Spread int
 }
 
 const (
@@ -41,8 +43,6 @@
 	givenUpFor = 30 * time.Second
 	// partialFor is how long the rest of a frame may take: servers write each whole.
 	partialFor = 100 * time.Millisecond
-	// spread is how many connections to one server are opened before parts share them.
-	spread = 8
 )
 
 // Stats count what the pool did.
@@ -241,7 +241,7 @@
 		p.write(now, best, g)
 		// Another connection for the next part, while there is room. Guards the parts that share one: it ends
 		// with a spoilt answer to any of them.
-		if h := g.host; idle <= 1 && len(h.conns) < spread && p.total < p.lim.Sockets*3/4 && p.open.Open(h.id) &&
+		if h := g.host; idle <= 1 && len(h.conns) < p.lim.Spread && p.total < p.lim.Sockets*3/4 && p.open.Open(h.id) &&
 			!slices.ContainsFunc(h.conns, func(c *conn) bool { return !c.up }) {
 			p.connect(now, h, addr)
 		}
@@ -724,3 +724,13 @@
 	})
 	return hosts
 }
+
+const (
+	spreadMost  = 8  // connections that one mixer opens to a server before parts share them
+	spreadFleet = 24 // and all mixers together
+)
+
+// Spread is how many connections one of so many mixers opens to a server before its parts share them. Several
+// keep a spoilt answer from ending many parts; but a server accepts only so many from all mixers together, does
+// less the more it holds, and past that turns away whatever comes on the next.
+func Spread(mixers int) int { return max(1, min(spreadMost, spreadFleet/max(1, mixers))) }
--- a/internal/back/leaf/pool_test.go
+++ b/internal/back/leaf/pool_test.go
@@ -65,7 +65,7 @@
 		if idle := l.r.now.Sub(l.c.used); idle > 10*time.Second {
 			l.r.t.Fatalf("%s was sent on a connection idle for %v", name, idle)
 		}
-		if len(l.c.streams) > 2 {
+		if len(l.c.streams) > l.r.p.lim.Streams {
 			l.r.t.Fatalf("%d streams", len(l.c.streams))
 		}
 	case letterGiveUp:
@@ -125,7 +125,7 @@
 
 func newRig(t *testing.T) *rig {
 	r := &rig{t: t, now: time.Unix(1000, 0)}
-	r.p = NewPool(Limits{Streams: 2, Idle: 12 * time.Second, ConnectTimeout: 250 * time.Millisecond, Sockets: 3, Silent: time.Second}, r, nil)
+	r.p = NewPool(Limits{Streams: 2, Idle: 12 * time.Second, ConnectTimeout: 250 * time.Millisecond, Sockets: 3, Silent: time.Second, Spread: 8}, r, nil)
 	r.p.dial = func(c *conn, _ string, _ time.Duration) { r.dials = append(r.dials, c) }
 	r.p.Use(r)
 	return r
@@ -436,6 +436,23 @@
 	}
 }
 
+// Eighty mixers together must not fill the connections of a server: each opens one, and its parts share that.
+func TestOneOfManyMixersOpensOneConnection(t *testing.T) {
+	if few, many := Spread(3), Spread(80); few != 8 || many != 1 {
+		t.Fatalf("3 mixers: %d connections each, 80 mixers: %d", few, many)
+	}
+	r := newRig(t)
+	r.p.lim.Sockets, r.p.lim.Streams, r.p.lim.Spread = 8, 100, Spread(80)
+	r.send()
+	r.dialed(nil)
+	for range 20 {
+		r.send()
+	}
+	if len(r.dials) != 0 || len(r.links) != 1 {
+		t.Fatalf("%d connections are up and %d on their way", len(r.links), len(r.dials))
+	}
+}
+
 // A probe whose connection ends is asked again on another: the server may live.
 func TestProbeOutlivesItsConnection(t *testing.T) {
 	r := newRig(t)
--- a/test.sh
+++ b/test.sh
@@ -25,4 +25,8 @@
 sh -c "$build"
 test -x bin/wirehost
 test -x bin/rooktrestle
+if ! readelf -l bin/rooktrestle | grep -q 'Requesting program interpreter'; then
+	echo "bin/rooktrestle: not linked dynamically against the C library" >&2
+	exit 1
+fi
 echo "balance/balance.go: $lines lines; deploy build done"
