Give cold servers their part of each mixer's own flow; one that just started is empty

Ruled out: the list (told at once), probes (answered), room at the servers. Causes: coldRoom in balance/balance.go gives each of 80 mixers 1/80 of the budget, which most are too quiet to use; averages gave a restarted server the mean queue of the others, so that it ranked as busy as they were. Change: a cold server may also get what a warm one gets of a mixer's own flow, by capacity; together that is the fleet's flow. A new process counts as empty when it starts.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -51,6 +51,8 @@
 	suspectFor  = 4     // deadlines for which its class is suspected then
 	workSpread  = 2.0   // a part's mean work over the least answer times, at most
 	fullSpell   = 0.5   // mean answer times that a full server is kept off
+	flowSpan    = 10    // shortest aims over which the own flow is taken, and
+	coldFlow    = 1.2   // times its part that a cold server gets of it
 	rateSpan    = 2     // shortest aims over which the rate of answers is taken
 	comeBack    = 2.0   // mean answer times after which a refused client may come back; half after a failure
 	answerAhead = 3     // ticks before the aim by which an answer leaves
@@ -93,7 +95,9 @@
 
 // Turn takes the events of one turn and returns the actions, in order. The clock never goes back.
 func (b *Balancer) Turn(now time.Duration, events []Event) []Action {
+	passed := now - b.now
 	b.now, b.actions = now, nil
+	b.credit(passed)
 	for _, e := range events {
 		switch e := e.(type) {
 		case Query:
@@ -205,11 +209,12 @@
 
 // coldRoom says whether a cold server may be sent one more part. Guards rule 4: all gatherers together must
 // stay under TipMultiple x present capacity, so each keeps to 1/n of it, with capacity taken as one core's
-// and work as high. With many gatherers that is one part over a long time, and the first when a part of
-// random size is owed, or all would begin at once. May hurt where most are cold.
+// and work as high; the first goes when a part of random size is owed, or all would begin at once. Or, where
+// gatherers are many and unlike, each may send it what its warm servers get of it, by capacity: together that
+// is the fleet's own flow, and what a quiet gatherer leaves is not lost. May hurt where most are cold.
 func (b *Balancer) coldRoom(s *server) bool {
 	share := b.coldShare(s)
-	if share >= 1 || b.set.Rules.TipMultiple <= 0 {
+	if share >= 1 || b.set.Rules.TipMultiple <= 0 || s.credit >= 1 {
 		return true
 	}
 	rate := b.set.Rules.TipMultiple / b.work() / float64(b.set.Instances) // parts, of a warm core
@@ -222,6 +227,23 @@
 	return float64(len(within(&s.coldSends, b.now-duration(span)))) < parts
 }
 
+// credit gives cold servers their parts of this gatherer's flow: what a warm one gets, by capacity.
+func (b *Balancer) credit(passed time.Duration) {
+	b.flow *= math.Exp(-us(passed) / us(flowSpan*b.shortAim))
+	warm := 0.0
+	for _, s := range b.order {
+		if s.listed && s.well() {
+			warm += b.coldShare(s)
+		}
+	}
+	rate := b.flow / us(flowSpan*b.shortAim) / max(1, warm)
+	for _, s := range b.order {
+		if share := b.coldShare(s); share < 1 && b.set.Instances > ownMost {
+			s.credit = min(1, s.credit+rate*coldFlow*share*us(passed))
+		}
+	}
+}
+
 // work is a high estimate of a part's work: at most the mean answer time, which grows with queues.
 func (b *Balancer) work() float64 {
 	return min(b.mean, workSpread*cmp.Or(b.median, b.mean))
@@ -603,7 +625,7 @@
 	s.out, s.way.out, of.out = append(s.out, a), append(s.way.out, a), append(of.out, a)
 	b.attempts[attemptKey{p.ID, a.n}] = a
 	if b.coldShare(s) < 1 {
-		s.coldSends = append(s.coldSends, b.now)
+		s.coldSends, s.credit = append(s.coldSends, b.now), max(0, s.credit-1)
 	}
 	if !s.way.fit() {
 		s.way.trialAt = b.now + duration(b.late())
@@ -867,6 +889,7 @@
 		s.s += smoothing * (least - s.s)
 	}
 	s.lastOK = b.now
+	b.flow++
 	b.answers = append(within(&b.answers, b.now-rateSpan*b.shortAim), b.now)
 	s.clear()
 	b.learn(took, parts)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1147,6 +1147,33 @@
 	}
 }
 
+// One of many gatherers gives a cold server its part of what it sends itself, whatever 1/n of the budget allows:
+// else the caution of all starves the server, as most gatherers send little.
+func TestColdServerGetsItsPartOfTheFlow(t *testing.T) {
+	set := testSettings()
+	set.Instances, set.SecondCopies = 80, false
+	h := newBench(t, set)
+	h.serve(600, 50*ms)
+	h.turn(Members{Kind: ListDelta, List: []Member{{Replica: "a", Cell: 0, Started: h.now}}})
+	start, sends := h.now, 0
+	for h.now < start+4*time.Second {
+		for _, name := range []Replica{"b", "c"} {
+			s := h.b.servers[name]
+			s.q, s.reported = 3, h.now // the warm are busy
+		}
+		_, ev := h.query(0, 1)
+		s := one[Send](h, h.turn(ev...))
+		if s.Replica == "a" {
+			sends++
+		}
+		h.end(s, 0, OK, 50*ms)
+	}
+	// 20 parts a second, 10 at a warm server; 0.2 to 0.5 of that for 4 s are 14 parts. 1/n alone is one.
+	if sends < 7 || sends > 20 {
+		t.Errorf("%d parts went to the cold server, want about 14", sends)
+	}
+}
+
 // A cold replica that may not be sent a part now is no reason to begin a query.
 func TestColdReplicaWithoutRoomIsNotOpen(t *testing.T) {
 	set := testSettings()
--- a/balance/state.go
+++ b/balance/state.go
@@ -45,6 +45,7 @@
 	reported         time.Duration   // when that was; 0: never
 	full             time.Duration   // full, or down: keep off until then
 	coldSends        []time.Duration // since its start; nil: none yet
+	credit           float64         // parts of the own flow that are owed to it while it is cold; at most 1
 	lot              float64         // drawn at its start: so much of a part is owed before the first goes to it
 	stuck            int             // parts out that are lost there, as of this turn
 	lost             []*query        // that lost a connection to it; it is being asked whether it lives
@@ -121,6 +122,7 @@
 	took        []time.Duration // queries and parts taken within the budget's window
 	further     []time.Duration // further attempts within it
 	answers     []time.Duration // recent answers
+	flow        float64         // their number, falling with age
 	wakeAt      time.Duration
 	askAt       time.Duration // for the list, after a failed call; 0: not due
 	shortAim    time.Duration
@@ -277,9 +279,11 @@
 func (s *server) shunned(class int) bool { return s.Shun>>class&1 == 1 }
 func (s *server) trial(class int) bool   { return s.Trial>>class&1 == 1 }
 
-// restarted forgets what a server's earlier process showed.
+// restarted forgets what a server's earlier process showed. The new one held nothing when it began: taken for as
+// busy as the mean of the others, it would be left alone while these are full.
 func (s *server) restarted(at time.Duration) {
-	s.started, s.heard, s.times, s.doubt, s.reported, s.coldSends = at, false, nil, 0, 0, nil
+	s.started, s.heard, s.times, s.doubt, s.coldSends, s.credit = at, false, nil, 0, nil, 0
+	s.q, s.told, s.reported = 0, -1, at
 	for i := range s.of {
 		s.of[i].doubt, s.of[i].fails, s.of[i].loss = 0, 0, 0
 	}
