--- a/internal/app/platform.go
+++ b/internal/app/platform.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"runtime"
@@ -84,7 +85,7 @@
 		}
 	}
 
-	watch := &discovery.Watch{Addr: n.Discovery, Zones: d.Zones, Put: box.Put, Log: logf}
+	watch := &discovery.Watch{Addr: n.Discovery, Zones: d.Zones, Put: box.Put, Log: logf, Mixers: d.Decisions.Instances, Chance: rand.New(rand.NewPCG(n.Seed, 1)).Float64}
 	if len(n.Known) > 0 {
 		version, known, err := discovery.Parse(n.Known, d.Zones)
 		if err != nil {
--- a/internal/net/discovery/watch.go
+++ b/internal/net/discovery/watch.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"rooktrestle/balance"
+	"rooktrestle/internal/decide/backoff"
 	"rooktrestle/internal/mixer"
 	"rooktrestle/internal/net/tcp"
 	"rooktrestle/internal/protocol/http1"
@@ -20,7 +21,8 @@
 	connectTimeout = time.Second
 	// silence after which a watch is opened anew: a live one says something every 2 s.
 	silence = 5 * time.Second
-	again   = 200 * time.Millisecond // before the next try
+	again   = 200 * time.Millisecond // before the next try, at the least
+	calls   = 40.0                   // a second, of all mixers together, where all try at once
 	maxLine = 4 << 20
 )
 
@@ -91,7 +93,10 @@
 	Version int64 // as last held
 	Put     func(any)
 	Log     func(format string, args ...any)
+	Mixers  int            // that follow the same discovery; 0: one
+	Chance  func() float64 // from 0 to 1, for waits; nil: none
 	heard   func()
+	wait    backoff.Of
 
 	moves chan string // the newest address not yet gone to; made by Run or Move, whichever comes first
 	made  sync.Once
@@ -115,6 +120,7 @@
 // Run follows the list until stop is closed. heard is called after each message.
 func (w *Watch) Run(stop <-chan struct{}, heard func()) {
 	w.heard = heard
+	w.wait = backoff.Fleet(w.Mixers, again, calls)
 	for {
 		err := w.once(stop)
 		if err != nil && err != errMoved {
@@ -128,11 +134,21 @@
 			return
 		case addr := <-w.moved():
 			w.turn(addr)
-		case <-time.After(again):
+		case <-time.After(w.pause()):
 		}
 	}
 }
 
+// pause is the wait before the next try. Guards a discovery short of capacity: calls wait there in turn and fail
+// when they have waited too long, so that mixers that all call again at once keep it overbooked for ever.
+func (w *Watch) pause() time.Duration {
+	chance := 0.5
+	if w.Chance != nil {
+		chance = w.Chance()
+	}
+	return w.wait.Next(chance)
+}
+
 var errMoved = errors.New("moved")
 
 // turn notes the address to go to. Guards against a list that is patched with another discovery's changes:
@@ -202,12 +218,15 @@
 
 	mu    sync.Mutex
 	whole bool // what comes is the whole list
+	good  bool // it brought word
 	left  bool // the watch has gone on: what still comes here is for nobody
 }
 
 func (s *stream) leave() {
 	s.mu.Lock()
-	s.left = true
+	if s.left = true; s.good {
+		s.w.wait.Reset()
+	}
 	s.mu.Unlock()
 }
 
@@ -262,6 +281,7 @@
 	}
 	s.w.Put(m)
 	s.w.Version = version
+	s.good = true
 	s.w.heard()
 	return nil
 }
