--- a/balance/balance.go
+++ b/balance/balance.go
@@ -52,7 +52,7 @@
 	workSpread  = 2.0   // a part's mean work over the least answer times, at most
 	fullSpell   = 0.5   // mean answer times that a full server is kept off
 	flowSpan    = 10    // shortest aims over which the own flow is taken, and
-	coldFlow    = 1.2   // times its part that a cold server gets of it
+	coldFlow    = 1.8   // times its part that a cold server gets of it
 	rateSpan    = 2     // shortest aims over which the rate of answers is taken
 	comeBack    = 2.0   // mean answer times after which a refused client may come back; half after a failure
 	answerAhead = 3     // ticks before the aim by which an answer leaves
--- a/balance/peers.go
+++ b/balance/peers.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// What gatherers tell each other, and what of it is trusted. One of many meets a server so rarely that what it
-// knows of its queue is old, and that it must find out each bad server by parts of its own. So each tells the
-// others what its probes showed, and nothing else. All of it is a hint: a word lost, late, doubled or forged may
-// cost a probe or a choice, and moves no rule.
+// What gatherers tell each other, and what of it is trusted. One of many meets a server so rarely that what
+// it knows of its queue is old, and that it must find out each bad server by parts of its own. So each tells
+// the others what its probes showed, and nothing else. All of it is a hint: a word lost, late, doubled or
+// forged may cost a probe or a choice, and moves no rule.
 
 const (
 	tellGap   = 0.1 // shortest aims between two words of a gatherer
@@ -57,8 +57,8 @@
 	b.tellBytes = min(b.tellBytes+tellShare*WordMost, WordMost*float64(b.set.Instances))
 }
 
-// remarkQueue tells a queue that no part should wait in, and that one so told of is short again. Other queues are
-// not told: where all gatherers know the same, all send to the shortest, which is the longest by the next report.
+// remarkQueue tells a queue that no part should wait in, and that one so told of is short again. Others are
+// not told: where all know the same, all send to the shortest, which is the longest by the next report.
 func (b *Balancer) remarkQueue(s *server, r *Report) {
 	if r == nil || r.Queue < 0 {
 		return
--- a/test.sh
+++ b/test.sh
@@ -17,7 +17,7 @@
 	exit 1
 fi
 if cat balance/balance.go balance/peers.go | expand -t4 | grep -nE '^.{111,}'; then
-	echo "balance/balance.go: lines over 110 columns" >&2
+	echo "balance: lines over 110 columns" >&2
 	exit 1
 fi
 build=$(sed -n 's/^build = "\(.*\)".*/\1/p' deploy/balancer.toml)
