Skip the cold servers' flow where there are none; one type of dialer; tidy the words

Need: read once more. The flow owed to cold servers was reckoned each turn also where none is cold or mixers are few; three packages defined one type of dialer; the mailbox signalled its loop in two copies; hear judged one queue twice. Change: each of these once. Behaviour as before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -217,6 +217,10 @@
 // credit gives cold servers their parts of this gatherer's flow: what a warm one gets, by capacity.
 func (b *Balancer) credit(passed time.Duration) {
 	b.flow *= math.Exp(-us(passed) / us(flowSpan*b.shortAim))
+	isCold := func(s *server) bool { return b.coldShare(s) < 1 }
+	if b.set.Instances <= ownMost || !slices.ContainsFunc(b.order, isCold) {
+		return
+	}
 	warm := 0.0
 	for _, s := range b.order {
 		if s.listed && s.well() {
@@ -225,7 +229,7 @@
 	}
 	rate := b.flow / us(flowSpan*b.shortAim) / max(1, warm)
 	for _, s := range b.order {
-		if share := b.coldShare(s); share < 1 && b.set.Instances > ownMost {
+		if share := b.coldShare(s); share < 1 {
 			s.credit = min(1, s.credit+rate*coldFlow*share*us(passed))
 		}
 	}
--- a/balance/peers.go
+++ b/balance/peers.go
@@ -13,7 +13,6 @@
 const (
 	tellGap   = 0.1 // shortest aims between two words of a gatherer
 	tellShare = 0.4 // bytes delivered to all others, as a share of a full word for each part taken
-
 	longQueue = 0.2 // of the shortest aim: what waits longer than that is told
 	wordFresh = 0.5 // shortest aims after which a word tells nothing any more
 )
@@ -94,10 +93,12 @@
 			continue
 		}
 		s.noReply, s.dark = false, false
-		if queue := float64(r.said); !b.long(queue) && queue > s.q {
+		queue := float64(r.said)
+		long := b.long(queue)
+		if !long && queue > s.q {
 			continue // what is known here is no better
 		}
-		s.long = b.long(float64(r.said))
-		b.report(s, &Report{Queue: float64(r.said), InFlight: -1, Util: -1})
+		s.long = long
+		b.report(s, &Report{Queue: queue, InFlight: -1, Util: -1})
 	}
 }
--- a/internal/back/checks/checks.go
+++ b/internal/back/checks/checks.go
@@ -21,7 +21,7 @@
 )
 
 // Dial opens a connection; tcp.Dial outside tests.
-type Dial func(addr string, timeout time.Duration, handler func(*tcp.Link) tcp.Handler) (*tcp.Link, error)
+type Dial = tcp.Dialer
 
 // Check is one check of one server.
 type Check struct {
--- a/internal/back/leaf/pool.go
+++ b/internal/back/leaf/pool.go
@@ -18,7 +18,7 @@
 }
 
 // Dial opens a connection off the loop. It blocks.
-type Dial func(addr string, timeout time.Duration, handler func(*tcp.Link) tcp.Handler) (*tcp.Link, error)
+type Dial = tcp.Dialer
 
 // Limits of a pool.
 type Limits struct {
--- a/internal/mixer/loop.go
+++ b/internal/mixer/loop.go
@@ -42,6 +42,10 @@
 	m.mu.Lock()
 	m.items = append(m.items, e)
 	m.mu.Unlock()
+	m.signal()
+}
+
+func (m *Mailbox) signal() {
 	select {
 	case m.ready <- struct{}{}:
 	default:
@@ -60,10 +64,7 @@
 	due := m.waiting >= patience
 	m.mu.Unlock()
 	if due {
-		select {
-		case m.ready <- struct{}{}:
-		default:
-		}
+		m.signal()
 	}
 }
 
--- a/internal/net/tcp/tcp.go
+++ b/internal/net/tcp/tcp.go
@@ -237,6 +237,9 @@
 	conn.AddCloseCallback(func(netpoll.Connection) error { l.ended(); return nil })
 }
 
+// Dialer is Dial, or what stands in its place in tests.
+type Dialer func(addr string, timeout time.Duration, handler func(*Link) Handler) (*Link, error)
+
 // Dial opens a connection; it blocks until that comes up or the time is over. handler makes the handler of
 // the link.
 func Dial(addr string, timeout time.Duration, handler func(*Link) Handler) (*Link, error) {
