--- a/balance/balance.go
+++ b/balance/balance.go
@@ -182,6 +182,7 @@
 		if e.Started > s.started {
 			s.restarted(e.Started)
 			s.lot = b.rng.Float64()
+			s.credit = s.lot
 		}
 	}
 	b.order = slices.DeleteFunc(b.order, func(s *server) bool {
@@ -214,7 +215,8 @@
 	return float64(len(within(&s.coldSends, b.now-duration(span)))) < parts
 }
 
-// credit gives cold servers their parts of this gatherer's flow: what a warm one gets, by capacity.
+// credit gives cold servers their parts of this gatherer's flow: what a warm one gets, by capacity. It begins
+// at the lot: from none, one that owes a part in ten seconds would for so long send none, and so would all.
 func (b *Balancer) credit(passed time.Duration) {
 	b.flow *= math.Exp(-us(passed) / us(flowSpan*b.shortAim))
 	isCold := func(s *server) bool { return b.coldShare(s) < 1 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1619,3 +1619,38 @@
 		t.Errorf("a quarter is lost, taken for %v", of.loss)
 	}
 }
+
+// Three hundred gatherers of thin traffic give a cold server their part from its start on, though each owes it one in
+// many seconds, and together they stay under what tips it over. Guards against all beginning with nothing owed: then
+// none sends any for so long, and the last warm holder of its shards gets them all.
+func TestColdServerIsNotStarvedByManyQuietGatherers(t *testing.T) {
+	const gatherers = 300
+	sends, late := 0, 0
+	for i := range gatherers {
+		set := testSettings()
+		set.Instances, set.Seed, set.SecondCopies = gatherers, uint64(i+1), false
+		list := []Member{}
+		for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+			list = append(list, Member{Replica: Replica(name), Cell: len(list) % 3})
+		}
+		h := newBench(t, set, list...)
+		// A part in two seconds, as in the last tens of seconds.
+		h.b.flow = 0.5 * flowSpan * h.b.shortAim.Seconds()
+		list[0].Started = h.now
+		h.turn(Members{Kind: ListDelta, List: list[:1]})
+		for start := h.now; h.now < start+2*time.Second; h.now += 100 * ms {
+			h.turn(Tick{})
+			h.b.flow = 0.5 * flowSpan * h.b.shortAim.Seconds()
+			if s := h.b.servers["a"]; s.credit >= 1 { // a part is sent as soon as it is owed
+				s.credit--
+				if sends++; h.now >= start+time.Second {
+					late++
+				}
+			}
+		}
+	}
+	// A warm one of eight gets 18.75 parts a second of 150; 1.8 times that by 0.2 to 0.36 of its capacity is 19 in 2 s.
+	if sends < 10 || sends > 30 || late == 0 || late == sends {
+		t.Errorf("%d parts in two seconds, %d in the second of them; want about 19, in both", sends, late)
+	}
+}
