--- a/balance/balance.go
+++ b/balance/balance.go
@@ -520,7 +520,8 @@
 		return
 	}
 	s := b.choose(p)
-	if s == nil || p.doubts(s) > 0 || s.silent || s.barely() {
+	// Nor from one that is behind to another: what was waited for is done there all the same.
+	if s == nil || p.doubts(s) > 0 || s.silent || s.barely() || b.behind(s) && !a.srv.barely() {
 		return
 	}
 	if b.hedgeTokens--; b.set.SecondCopies {
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -199,3 +199,28 @@
 		h.now += 100 * ms
 	}
 }
+
+// Nor is a part called off at a server that lives, for another whose queue is long: it would wait there as long, and
+// the first does its work all the same. Guards against two crowded holders that finish only what was called off.
+func TestPartIsNotCalledOffBetweenCrowdedServers(t *testing.T) {
+	for _, c := range []struct {
+		queue float64
+		calls bool
+	}{{15, false}, {0, true}} {
+		h := fleet(t, "a", "b")
+		h.b.hedgeTokens = 10
+		_, ev := h.query(0, 1)
+		h.turn(ev...)
+		called := 0
+		for range 120 {
+			h.now += 5 * ms
+			for _, s := range h.b.servers {
+				s.q, s.reported = c.queue, h.now
+			}
+			called += len(all[Cancel](h.turn(Tick{})))
+		}
+		if called > 0 != c.calls {
+			t.Errorf("queues of %v: %d calls back", c.queue, called)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -456,13 +456,19 @@
 	return quantile(queues, queueHigh) * b.work() / atOnce, len(queues) >= tellersLeast && b.set.Instances > ownMost
 }
 
+// behind says whether a server has a long queue, by what is known of it or else of the others.
+func (b *Balancer) behind(s *server) bool {
+	_, _, q := b.averages(s)
+	return s.long || b.long(q)
+}
+
 // crowded says whether half of a part's holders are out, and all others have long queues.
 func (b *Balancer) crowded(p *part) bool {
 	out, all := 0, b.holders(p)
 	for _, s := range all {
 		if s.barely() {
 			out++
-		} else if !s.long && !b.long(s.q) {
+		} else if !b.behind(s) {
 			return false
 		}
 	}
