--- a/balance/balance.go
+++ b/balance/balance.go
@@ -95,7 +95,7 @@
 	}
 	b.cold = coldstart.Rules{
 		For: set.Rules.ColdFor, From: set.Rules.ColdFrom, TipMultiple: set.Rules.TipMultiple,
-		TipFor: set.Rules.TipFor, Mixers: set.Instances, Flow: coldFlow,
+		TipFor: set.Rules.TipFor, Mixers: set.Instances,
 	}
 	b.shortAim = slices.MinFunc(set.Classes, func(c, d Class) int { return cmp.Compare(c.Aim, d.Aim) }).Aim
 	b.mean, b.dev = us(b.shortAim)*meanGuess, us(b.shortAim)*meanGuess*devGuess // until answers tell
@@ -215,8 +215,9 @@
 			warm += b.coldShare(s)
 		}
 	}
+	parts := coldFlow * b.flow / us(flowSpan*b.shortAim) / max(1, warm) * us(passed)
 	for _, s := range b.order {
-		b.cold.Earn(&s.cold, b.now, b.flow/us(flowSpan*b.shortAim)/max(1, warm)*us(passed))
+		b.cold.Earn(&s.cold, b.now, parts)
 	}
 }
 
@@ -394,13 +395,13 @@
 	limit := left * admitBase * min(admitMost, max(admitLeast, math.Cbrt(worth/parts*b.width/b.worth)))
 	// A query that lacks a shard is not begun. A replica is open unless it is full, cold without room, has
 	// parts in hand and took too long lately, or is too slow and no trial is due.
-	open := 0.0
+	open, guess := 0.0, us(b.shortAim)*meanGuess
 	for _, p := range q.parts {
 		holders := prefer(b.holders(p), func(s *server) bool { return !s.barely() })
 		if slices.ContainsFunc(holders, func(s *server) bool {
 			trial := len(s.out) == 0 && b.now >= s.trialAt
 			quick := s.meanTime(slowTimes) <= limit || !s.slow && len(s.out) < jamParts
-			return b.now >= s.full && b.coldRoom(s) && (quick || trial)
+			return b.now >= s.full && b.coldRoom(s) && (quick || trial) && b.wait(s) <= max(0, limit-guess)
 		}) {
 			open += p.Weight
 		}
@@ -411,7 +412,6 @@
 	// Both must say so: what answers lately took, which lags, and the count in hand, high in a lull.
 	devs := worst(len(q.parts), 1-(min(q.floor(), q.need())+q.need())/2)
 	if wait, told := b.queued(); told {
-		guess := us(b.shortAim) * meanGuess
 		quiet := min(b.mean, guess) + devs*min(b.dev, guess*devGuess)
 		return quiet+wait <= limit
 	}
@@ -756,12 +756,6 @@
 	case QueueFull:
 		// Keep off until some of the queue is worked off; a fast refusal empties os and draws the next part.
 		s.full = b.now + duration(fullSpell*b.mean)
-		// All that are sound are full: attempts spread over the time left meet queues worked off meanwhile.
-		if !slices.ContainsFunc(b.holders(p), func(o *server) bool {
-			return o != s && !o.barely() && o.sound(p.q.Class) && !slices.Contains(p.failed, o)
-		}) {
-			p.notBefore = b.now + max(0, p.q.aim-b.now)/time.Duration(1+b.set.MaxAttempts-p.tries)
-		}
 	case TimedOut, Canceled:
 		p.ran(a)
 		// Late, and nothing came from there since or another attempt was quicker: as good as a failure. Else
@@ -775,6 +769,12 @@
 		}
 	}
 	p.failed = append(p.failed, s)
+	// No other is sound: attempts spread over the time left meet queues worked off meanwhile.
+	if !slices.ContainsFunc(b.holders(p), func(o *server) bool {
+		return !o.barely() && o.sound(p.q.Class) && !slices.Contains(p.failed, o)
+	}) {
+		p.notBefore = b.now + max(0, p.q.aim-b.now)/time.Duration(1+b.set.MaxAttempts-p.tries)
+	}
 }
 
 // lost notes that a query lost a server under one of its parts, and asks that server whether it still runs.
--- a/balance/state.go
+++ b/balance/state.go
@@ -462,6 +462,15 @@
 	return s.long || b.long(q)
 }
 
+// wait is how long a part waits at a server before it is begun, where gatherers tell each other of queues.
+func (b *Balancer) wait(s *server) float64 {
+	if !b.talks() {
+		return 0
+	}
+	_, _, q := b.averages(s)
+	return q * b.work() / atOnce
+}
+
 // crowded says whether half of a part's holders are out, and all others have long queues.
 func (b *Balancer) crowded(p *part) bool {
 	out, all := 0, b.holders(p)
--- a/internal/decide/coldstart/coldstart.go
+++ b/internal/decide/coldstart/coldstart.go
@@ -15,7 +15,6 @@
 	TipMultiple float64       // more than this multiple of its present capacity
 	TipFor      time.Duration // for so long: it falls over
 	Mixers      int           // that may send to it
-	Flow        float64       // times its part that a cold server may get of this mixer's own flow
 }
 
 // Server is what a mixer keeps of one server's start. It is dropped with the server.
@@ -67,10 +66,10 @@
 	return float64(n) < parts
 }
 
-// Earn adds what is owed to a server of parts, which this mixer sent to a warm one meanwhile, by capacity.
+// Earn adds what is owed to a server where a warm one is owed so many parts, by capacity.
 func (r *Rules) Earn(s *Server, now time.Duration, parts float64) {
 	if share := r.Share(s, now); share < 1 {
-		s.Credit = min(1, s.Credit+r.Flow*share*parts)
+		s.Credit = min(1, s.Credit+share*parts)
 	}
 }
 
--- a/internal/decide/coldstart/coldstart_test.go
+++ b/internal/decide/coldstart/coldstart_test.go
@@ -8,7 +8,7 @@
 
 const ms = time.Millisecond
 
-var rules = Rules{For: 10 * time.Second, From: 0.2, TipMultiple: 2, TipFor: 2 * time.Second, Mixers: 10, Flow: 1.8}
+var rules = Rules{For: 10 * time.Second, From: 0.2, TipMultiple: 2, TipFor: 2 * time.Second, Mixers: 10}
 
 // A server's share grows evenly from its start, and a restart begins it anew with what the lot says.
 func TestShare(t *testing.T) {
@@ -74,7 +74,7 @@
 	if rules.Room(&s, now, time.Second) {
 		t.Fatal("room at the start")
 	}
-	rules.Earn(&s, now, 1.5) // by 1.8 times 0.2
+	rules.Earn(&s, now, 2.6) // by 0.2
 	if s.Credit < 1 || !rules.Room(&s, now, time.Second) {
 		t.Fatalf("%v owed, and no room", s.Credit)
 	}
--- a/internal/decide/outlier/outlier.go
+++ b/internal/decide/outlier/outlier.go
@@ -4,8 +4,8 @@
 // others do is an outlier: it keeps a small share of its parts, by which it is tried, and comes back by steps as they
 // are answered.
 //
-// A share weighs a server; it excludes none. Where the other holders of a shard are full, their parts go there all
-// the same. All that is heard is a hint: a word lost, late, doubled or forged moves shares and no rule.
+// One that loses half of its parts and more is tried, and otherwise left while a shard has another holder: each loss
+// takes one of a part's few attempts. One that loses less is weighed. All that is heard is a hint: a word lost, late, doubled or forged moves shares and no rule.
 //
 // A Table does no I/O, reads no clock and starts no goroutine. It is not safe for concurrent use.
 package outlier
@@ -34,9 +34,10 @@
 	tellShare = 0.4 // bytes delivered to all others, as a share of a full word for each part taken
 )
 
-// steps are the shares of its parts that an outlier gets while so many of the last ends there were answers. The first
-// is about one part of all mixers' in a second: a search has some fifty parts and needs each. Above the last it is none.
-var steps = [...]struct{ served, share float64 }{{0.1, 0.005}, {0.5, 0.06}, {0.85, 0.3}}
+// steps are the shares of its parts that an outlier gets while less than so many of the last ends there were answers.
+// The first is about one part of all mixers' in a second: a search has some fifty parts and needs each. Above the last
+// it is none.
+var steps = [...]struct{ served, share float64 }{{0.1, 0.005}, {0.5, 0.01}, {0.85, 0.3}}
 
 // endWeight is the weight of an end in the share of answers at an outlier.
 const endWeight = 0.125
--- a/internal/decide/outlier/outlier_test.go
+++ b/internal/decide/outlier/outlier_test.go
@@ -68,7 +68,7 @@
 			shares = append(shares, s)
 		}
 	}
-	if fmt.Sprint(shares) != "[0.06 0.3 1]" {
+	if fmt.Sprint(shares) != "[0.01 0.3 1]" {
 		t.Errorf("came back by %v", shares)
 	}
 	now += 50 * ms
--- a/internal/mixer/core_test.go
+++ b/internal/mixer/core_test.go
@@ -353,11 +353,9 @@
 	w.c.Peers, w.c.Losses = &told, losses()
 	w.turn(Members{Kind: balance.ListFull, List: []Server{{ID: "a", Addr: "a:1", Cell: 0}, {ID: "b", Addr: "b:1", Cell: 1}}})
 	w.ask("lost", 0, 1)
-	for i := range 3 { // at either of the two
-		w.turn(Ended{Attempt: AttemptID{w.calls[len(w.calls)-1].Attempt.Part, i}, Err: &AttemptError{Reach: Answered}})
-	}
+	w.turn(Ended{Attempt: w.calls[0].Attempt, Err: &AttemptError{Reach: Answered}})
 	at := string(w.to[0].ID)
-	if len(told) == 0 || len(w.to) != 3 || w.c.Count.Tells != uint64(len(told)) {
+	if len(told) != 1 || w.c.Count.Tells != uint64(len(told)) {
 		t.Fatalf("%d words of %d lost attempts, %d counted", len(told), len(w.to), w.c.Count.Tells)
 	}
 	// Another mixer hears it from four, and sends next to nothing there.
