--- a/balance/balance.go
+++ b/balance/balance.go
@@ -57,6 +57,8 @@
 	fullSpell    = 0.5   // mean answer times that a full server is kept off
 	flowSpan     = 10    // shortest aims over which the own flow is taken, and
 	coldFlow     = 1.8   // times its part that a cold server gets of it
+	coldCrowd    = 2     // and by lot, times what its shards are usually asked
+	seenSpan     = 100   // shortest aims over which what is usual is remembered
 	rateSpan     = 2     // shortest aims over which the rate of answers is taken
 	comeBack     = 2.0   // mean answer times after which a refused client may come back; half after a failure
 	answerAhead  = 3     // ticks before the aim by which an answer leaves
@@ -202,25 +204,6 @@
 	b.index()
 }
 
-// credit gives cold servers their parts of this gatherer's flow: what a warm one gets, by capacity.
-func (b *Balancer) credit(passed time.Duration) {
-	b.flow *= math.Exp(-us(passed) / us(flowSpan*b.shortAim))
-	isCold := func(s *server) bool { return b.coldShare(s) < 1 }
-	if b.set.Instances <= ownMost || !slices.ContainsFunc(b.order, isCold) {
-		return
-	}
-	warm := 0.0
-	for _, s := range b.order {
-		if s.listed && s.well() {
-			warm += b.coldShare(s)
-		}
-	}
-	parts := coldFlow * b.flow / us(flowSpan*b.shortAim) / max(1, warm) * us(passed)
-	for _, s := range b.order {
-		b.cold.Earn(&s.cold, b.now, parts)
-	}
-}
-
 // work is a high estimate of a part's work: at most the mean answer time, which grows with queues.
 func (b *Balancer) work() float64 {
 	return min(b.mean, workSpread*cmp.Or(b.median, b.mean))
@@ -255,6 +238,8 @@
 		return
 	}
 	p := &part{Part: e, q: q}
+	b.asked++
+	p.drawn = b.draw(p)
 	q.parts = append(q.parts, p)
 	b.parts[e.ID] = p
 	b.count(&b.took)
@@ -401,7 +386,7 @@
 		if slices.ContainsFunc(holders, func(s *server) bool {
 			trial := len(s.out) == 0 && b.now >= s.trialAt
 			quick := s.meanTime(slowTimes) <= limit || !s.slow && len(s.out) < jamParts
-			return b.now >= s.full && b.coldRoom(s) && (quick || trial) && b.wait(s) <= max(0, limit-guess)
+			return b.now >= s.full && b.coldRoom(p, s) && (quick || trial) && b.wait(s) <= max(0, limit-guess)
 		}) {
 			open += p.Weight
 		}
@@ -617,7 +602,7 @@
 	all = prefer(all, func(s *server) bool { return !s.barely() || !b.thinned(p, s) })
 	for _, s := range all {
 		busy := slices.ContainsFunc(p.out, func(a *attempt) bool { return a.srv == s })
-		if busy || b.now < s.full || !b.coldRoom(s) || s.Most > 0 && len(s.out) >= s.Most {
+		if busy || b.now < s.full || !b.coldRoom(p, s) || s.Most > 0 && len(s.out) >= s.Most {
 			continue
 		}
 		can = append(can, s)
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -224,3 +225,47 @@
 		}
 	}
 }
+
+// Where all holders of a shard are cold, a query that needs sixty such parts is begun: each part may go to a holder
+// drawn by lot, in proportion to what these can do. Not where more is asked than servers were seen to answer.
+func TestColdHoldersAreDrawnByLot(t *testing.T) {
+	cold := func(h *bench) {
+		var list []Member
+		for i, id := range []Replica{"a", "b", "c", "d"} {
+			list = append(list, Member{Replica: id, Cell: i, Started: h.now - time.Duration(4+2*(i%2))*time.Second})
+		}
+		h.turn(Members{Kind: ListDelta, List: list}) // shares of 0.52 and 0.68
+		for _, s := range h.b.servers {
+			s.cold.Credit, s.cold.Lot = 0, 1
+		}
+	}
+	n, parts := map[Replica]int{}, 0
+	for i := range 60 {
+		h := fleet(t)
+		h.b.rng = rand.New(rand.NewPCG(uint64(i), 1))
+		if cold(h); i >= 40 {
+			h.b.asked *= 10
+		}
+		_, ev := h.query(0, 6)
+		sends := all[Send](h.turn(ev...))
+		if i >= 40 {
+			if len(sends) > 0 {
+				t.Fatalf("%d parts sent to cold servers, ten times what they answer is asked", len(sends))
+			}
+			continue
+		}
+		if len(sends) != 6 {
+			t.Fatalf("%d of 6 parts sent", len(sends))
+		}
+		for id, k := range to(sends) {
+			n[id] += k
+			parts += k
+		}
+	}
+	// Of 240 parts 52 for each server at 0.52 and 68 for each at 0.68, with a deviation of 7.
+	for id, want := range map[Replica]int{"a": 52, "b": 68, "c": 52, "d": 68} {
+		if n[id] < want-24 || n[id] > want+24 {
+			t.Errorf("%s got %d of %d parts, want about %d", id, n[id], parts, want)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -74,6 +75,7 @@
 	firstRun  time.Duration // sending of the first attempt that may have run
 	tries     int
 	notBefore time.Duration // earliest next attempt
+	drawn     *server       // may be sent it though cold
 	out       []*attempt
 	failed    []*server // that failed this part
 }
@@ -129,6 +131,8 @@
 	answers     []time.Duration // recent answers
 	cold        coldstart.Rules
 	flow        float64 // their number, falling with age
+	asked       float64 // parts asked for, likewise
+	seen        float64 // the most that flow was, falling slowly
 	wakeAt      time.Duration
 	askAt       time.Duration // for the list, after a failed call; 0: not due
 	shortAim    time.Duration
@@ -439,9 +443,51 @@
 // coldShare is the least share of its capacity that a server has by now.
 func (b *Balancer) coldShare(s *server) float64 { return b.cold.Share(&s.cold, b.now) }
 
-// coldRoom says whether a cold server may be sent one more part.
-func (b *Balancer) coldRoom(s *server) bool {
-	return b.cold.Room(&s.cold, b.now, duration(b.work()))
+// coldRoom says whether a server that may be cold may be sent a part.
+func (b *Balancer) coldRoom(p *part, s *server) bool {
+	return p.drawn == s || b.cold.Room(&s.cold, b.now, duration(b.work()))
+}
+
+// credit gives cold servers their parts of this gatherer's flow: what a warm one gets, by capacity.
+func (b *Balancer) credit(passed time.Duration) {
+	fade := math.Exp(-us(passed) / us(flowSpan*b.shortAim))
+	b.flow, b.asked = b.flow*fade, b.asked*fade
+	b.seen = max(b.flow, b.seen*math.Exp(-us(passed)/us(seenSpan*b.shortAim)))
+	isCold := func(s *server) bool { return b.coldShare(s) < 1 }
+	if b.set.Instances <= ownMost || !slices.ContainsFunc(b.order, isCold) {
+		return
+	}
+	warm := 0.0
+	for _, s := range b.order {
+		if s.listed && s.well() {
+			warm += b.coldShare(s)
+		}
+	}
+	parts := coldFlow * b.flow / us(flowSpan*b.shortAim) / max(1, warm) * us(passed)
+	for _, s := range b.order {
+		b.cold.Earn(&s.cold, b.now, parts)
+	}
+}
+
+// draw gives a part one of its holders by lot, by capacity, to which it may go though that is cold; or none. Where
+// gatherers are many, what each owes a cold server lets it go seldom, and a query of sixty parts whose shards have
+// cold holders only never. By lot all gatherers together send each holder its part of what its shards are asked. That
+// is within rule 4 as long as it is no more than coldCrowd times what warm ones were seen to answer, by capacity.
+func (b *Balancer) draw(p *part) *server {
+	all, sum := b.holders(p), 0.0
+	for _, s := range all {
+		sum += b.coldShare(s)
+	}
+	if b.set.Instances <= ownMost || sum == float64(len(all)) || b.asked*float64(b.set.Reach) > coldCrowd*sum*b.seen {
+		return nil
+	}
+	lot := b.rng.Float64() * sum
+	for _, s := range all {
+		if lot -= b.coldShare(s); lot < 0 {
+			return s
+		}
+	}
+	return nil
 }
 
 // queued is how long a part waits at the servers with long queues, by what probes showed lately; told is false
--- a/internal/decide/coldstart/coldstart.go
+++ b/internal/decide/coldstart/coldstart.go
@@ -21,10 +21,13 @@
 type Server struct {
 	Started time.Duration   // clock time of its last start; 0: long ago
 	Lot     float64         // drawn at its start, 0 to 1: so much of a part is owed before the first goes to it
-	Credit  float64         // parts of the mixer's own flow that are owed to it; at most 1
+	Credit  float64         // parts of the mixer's own flow that are owed to it: at most 1, at least -debtMost
 	sends   []time.Duration // since its start; nil: none yet
 }
 
+// debtMost is how many parts sent before they were owed are made up for.
+const debtMost = 2
+
 // Restart says that the server's process began at at; lot is a random number from 0 to 1. What is owed begins at
 // the lot: from none, a mixer that owes a part in ten seconds would for so long send none, and so would all.
 func (s *Server) Restart(at time.Duration, lot float64) {
@@ -76,6 +79,6 @@
 // Sent counts a part sent to a server.
 func (r *Rules) Sent(s *Server, now time.Duration) {
 	if r.Share(s, now) < 1 {
-		s.sends, s.Credit = append(s.sends, now), max(0, s.Credit-1)
+		s.sends, s.Credit = append(s.sends, now), max(-debtMost, s.Credit-1)
 	}
 }
