--- a/balance/balance.go
+++ b/balance/balance.go
@@ -397,6 +397,7 @@
 	// Both must say so: what answers lately took, which lags, and the count in hand, high in a lull.
 	devs := worst(len(q.parts), 1-(min(q.floor(), q.need())+q.need())/2)
 	if wait, told := b.queued(); told {
+		wait *= max(1, devs/worstDevs/-math.Log(1-queueHigh)) // of the slowest part, with the same tail
 		quiet := min(b.mean, guess) + devs*min(b.dev, guess*devGuess)
 		return quiet+wait <= limit
 	}
--- a/internal/decide/outlier/outlier.go
+++ b/internal/decide/outlier/outlier.go
@@ -37,10 +37,14 @@
 // steps are the shares of its parts that an outlier gets while less than so many of the last ends there were answers.
 // The first is about one part of all mixers' in a second: a search has some fifty parts and needs each. Above the last
 // it is none.
-var steps = [...]struct{ served, share float64 }{{0.1, 0.005}, {0.5, 0.01}, {0.85, 0.3}}
+var steps = [...]struct{ served, share float64 }{{0.1, 0.005}, {0.25, 0.01}, {0.85, 0.3}}
 
-// endWeight is the weight of an end in the share of answers at an outlier.
-const endWeight = 0.125
+// endWeight is the weight of an end in the share of answers at an outlier. That begins as doubtful: what loses parts
+// may as well be behind as gone, and from then on the ends tell, six losses or nine answers.
+const (
+	endWeight = 0.125
+	doubtful  = 0.5
+)
 
 // End is how an attempt ended, as far as it tells of its server.
 type End int
@@ -204,7 +208,7 @@
 	bound := lostLeast + lostTimes*quantile(losses, usual)
 	for _, s := range t.order {
 		if !s.out && s.lost >= bound {
-			s.out, s.ok = true, 0
+			s.out, s.ok = true, doubtful
 		}
 		if s.out && s.ok < steps[0].served && now-s.last > quiet*t.rules.Span {
 			s.ok, s.last = steps[0].served, now // nobody tried it, or words of it were lost
