--- a/balance/balance.go
+++ b/balance/balance.go
@@ -398,7 +398,12 @@
 	devs := worst(len(q.parts), 1-(min(q.floor(), q.need())+q.need())/2)
 	if wait, told := b.queued(); told {
 		wait *= max(1, devs/worstDevs/-math.Log(1-queueHigh)) // of the slowest part, with the same tail
-		quiet := min(b.mean, guess) + devs*min(b.dev, guess*devGuess)
+		// Own answers count while they are as fresh; a few stuck parts say nothing of the others.
+		mean := b.mean
+		if len(b.answers) < tellersLeast {
+			mean = min(mean, guess)
+		}
+		quiet := mean + devs*min(b.dev, mean*devGuess)
 		return quiet+wait <= limit
 	}
 	slowest := b.mean + devs*b.dev
--- a/internal/app/platform.go
+++ b/internal/app/platform.go
@@ -109,8 +109,12 @@
 
 	var front *platform.Front
 	report := func() string {
-		return fmt.Sprintf("%v; leaf connections: dialed %d, refused %d, broken %d, spoilt %d, late answers %d; front: %+v",
+		text := fmt.Sprintf("%v; leaf connections: dialed %d, refused %d, broken %d, spoilt %d, late answers %d; front: %+v",
 			core.Count, pool.Stats.Dials, pool.Stats.DialsFailed, pool.Stats.Broken, pool.Stats.Spoilt, pool.Stats.Late, front.Counters())
+		if core.Losses != nil {
+			text += fmt.Sprintf("; servers that lose parts: %d, remarks on them heard %d", core.Losses.Outliers(), core.Losses.Heard)
+		}
+		return text
 	}
 	front = platform.New(platform.Settings{
 		Classes: d.Classes, Tenants: d.Tenants, Shards: d.Decisions.Shards, MaxWait: 2 * longest,
--- a/internal/decide/outlier/outlier.go
+++ b/internal/decide/outlier/outlier.go
@@ -208,7 +208,7 @@
 	bound := lostLeast + lostTimes*quantile(losses, usual)
 	for _, s := range t.order {
 		if !s.out && s.lost >= bound {
-			s.out, s.ok = true, doubtful
+			s.out, s.ok = true, doubtful*math.Pow(1-endWeight, s.lost-bound)
 		}
 		if s.out && s.ok < steps[0].served && now-s.last > quiet*t.rules.Span {
 			s.ok, s.last = steps[0].served, now // nobody tried it, or words of it were lost
