--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -330,3 +330,30 @@
 		t.Errorf("%v trials of 60", trials)
 	}
 }
+
+// By fresh probes the slowest of many parts waits longer than one does; own answers count while they are as fresh.
+func TestAdmissionReckonsWithTheSlowestPart(t *testing.T) {
+	for _, c := range []struct {
+		mean, queue float64
+		stale       bool
+		sends       int
+	}{
+		{100e3, 4, false, 30},
+		{100e3, 15, false, 0}, // one part would be in time
+		{500e3, 2, false, 0},
+		{500e3, 2, true, 30}, // as the servers were once
+	} {
+		h := fleet(t)
+		h.b.mean, h.b.dev, h.b.worth, h.b.width = c.mean, 20e3, 1, 30
+		if c.stale {
+			h.b.answers = nil
+		}
+		for _, s := range h.b.servers {
+			s.waiting, s.askedAt = c.queue, h.now
+		}
+		_, ev := h.query(0, 30)
+		if n := len(all[Send](h.turn(ev...))); n != c.sends {
+			t.Errorf("%+v: %d parts sent", c, n)
+		}
+	}
+}
