Frame both kinds of words by one package; look servers up in one place

Cause: balance/word.go and internal/decide/outlier/word.go each had the letter, stamp, check and hash of a word; a Table looked a server up by its hash in five places. Change: internal/decide/words frames a word's body, and both kinds use it; Table.find; a server holds its key. Bytes on the wire are as before. Result: no behaviour changed; its tests, and one of the frame.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -12,6 +12,7 @@
 
 	"rooktrestle/internal/decide/coldstart"
 	"rooktrestle/internal/decide/tries"
+	"rooktrestle/internal/decide/words"
 )
 
 // The tuned values. Times are ratios of what the settings state or of what was observed.
@@ -181,7 +182,7 @@
 	for _, e := range m.List {
 		s := b.servers[e.Replica]
 		if s == nil {
-			s = &server{id: e.Replica, key: nameKey(e.Replica), of: make([]health, len(b.set.Classes))}
+			s = &server{id: e.Replica, key: words.Key(string(e.Replica)), of: make([]health, len(b.set.Classes))}
 			b.servers[e.Replica] = s
 			b.order = append(b.order, s)
 		}
--- a/balance/peers_test.go
+++ b/balance/peers_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"testing"
 	"time"
+
+	"rooktrestle/internal/decide/words"
 )
 
 // many is a gatherer of eighty that may talk and probe.
@@ -151,7 +153,7 @@
 
 func FuzzWord(f *testing.F) {
 	f.Add([]byte(nil))
-	f.Add(writeWord(time.Hour, []remark{{nameKey("a"), 7}, {nameKey("b"), noAnswer}}))
+	f.Add(writeWord(time.Hour, []remark{{words.Key("a"), 7}, {words.Key("b"), noAnswer}}))
 	f.Add(append(writeWord(0, nil), 1, 2, 3))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		_, remarks, ok := readWord(0, text)
--- a/internal/decide/outlier/outlier.go
+++ b/internal/decide/outlier/outlier.go
@@ -15,6 +15,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"rooktrestle/internal/decide/words"
 )
 
 // Rules are what a Table goes by. Times come from the settings.
@@ -37,7 +39,9 @@
 // steps are the shares of its parts that an outlier gets while less than so many of the last ends there were answers.
 // The first is about one part of all mixers' in a second: a search has some fifty parts and needs each. Above the last
 // it is none.
-var steps = [...]struct{ served, share float64 }{{0.1, 0.005}, {0.25, 0.01}, {0.85, 0.3}}
+var steps = [...]step{{0.1, 0.005}, {0.25, 0.01}, {0.85, 0.3}}
+
+type step struct{ served, share float64 }
 
 // endWeight is the weight of an end in the share of answers at an outlier. That begins as doubtful: what loses parts
 // may as well be behind as gone, and from then on the ends tell, six losses or nine answers.
@@ -67,7 +71,7 @@
 	out     bool          // an outlier
 	ok      float64       // an outlier's share of answers among the last ends
 	share   float64       // as last told; 1: all of its parts
-	mine    remark        // for the next word
+	mine    remark        // for the next word; its key is the server's
 	told    bool          // mine is among what is to be told
 }
 
@@ -91,52 +95,54 @@
 // List adds a server, whose process began at started; 0: long ago. One that is known stays as it is while its
 // process is the same.
 func (t *Table) List(id string, started time.Duration) {
-	k := Key(id)
-	s := t.servers[k]
-	if s != nil && s.id == id && started <= s.started {
+	if s := t.find(id); s != nil && started <= s.started {
 		return
 	}
-	t.remove(k)
-	s = &server{id: id, started: started, share: 1}
-	t.servers[k] = s
+	key := words.Key(id)
+	t.remove(t.servers[key])
+	s := &server{id: id, started: started, share: 1, mine: remark{key: key}}
+	t.servers[key] = s
 	t.order = append(t.order, s)
 }
 
-// Drop forgets a server.
-func (t *Table) Drop(id string) {
-	if s := t.servers[Key(id)]; s != nil && s.id == id {
-		t.remove(Key(id))
+// find returns what is known of a server; nil if it is not listed.
+func (t *Table) find(id string) *server {
+	if s := t.servers[words.Key(id)]; s != nil && s.id == id {
+		return s
 	}
+	return nil
 }
 
+// Drop forgets a server.
+func (t *Table) Drop(id string) { t.remove(t.find(id)) }
+
 // Keep forgets all servers for which listed does not hold.
 func (t *Table) Keep(listed func(id string) bool) {
 	for _, s := range slices.Clone(t.order) {
 		if !listed(s.id) {
-			t.Drop(s.id)
+			t.remove(s)
 		}
 	}
 }
 
-func (t *Table) remove(k uint32) {
-	s := t.servers[k]
+func (t *Table) remove(s *server) {
 	if s == nil {
 		return
 	}
 	same := func(o *server) bool { return o == s }
-	delete(t.servers, k)
+	delete(t.servers, s.mine.key)
 	t.order, t.tell = slices.DeleteFunc(t.order, same), slices.DeleteFunc(t.tell, same)
 }
 
 // Earn counts parts taken toward what may be told.
 func (t *Table) Earn(parts int) {
-	t.owed = min(t.owed+tellShare*WordMost*float64(parts), WordMost*float64(t.rules.Mixers))
+	t.owed = min(t.owed+tellShare*words.Most*float64(parts), words.Most*float64(t.rules.Mixers))
 }
 
 // Saw takes the end of an attempt of this mixer's that was sent at sent.
 func (t *Table) Saw(now time.Duration, id string, sent time.Duration, end End) {
-	s := t.servers[Key(id)]
-	if s == nil || s.id != id {
+	s := t.find(id)
+	if s == nil {
 		return
 	}
 	// Called off late by a server that answers others since: that part was slow, the server is there.
@@ -215,7 +221,7 @@
 		}
 		share := 1.0
 		if s.out {
-			i := slices.IndexFunc(steps[:], func(step struct{ served, share float64 }) bool { return s.ok < step.served })
+			i := slices.IndexFunc(steps[:], func(below step) bool { return s.ok < below.served })
 			if i < 0 {
 				s.out, s.lost = false, 0 // as many losses more make it one again
 			} else {
@@ -232,7 +238,7 @@
 
 // Share is the share of its parts that a server is to get: 1 unless it is an outlier.
 func (t *Table) Share(id string) float64 {
-	if s := t.servers[Key(id)]; s != nil && s.id == id {
+	if s := t.find(id); s != nil {
 		return s.share
 	}
 	return 1
@@ -258,9 +264,8 @@
 	t.owed -= size
 	var remarks []remark
 	for _, s := range t.tell[:n] {
-		s.mine.key = Key(s.id)
 		remarks = append(remarks, s.mine)
-		s.mine, s.told = remark{}, false
+		s.mine, s.told = remark{key: s.mine.key}, false
 	}
 	t.tell = slices.Delete(t.tell, 0, n)
 	return writeWord(now, t.rules.Zone, remarks)
--- /dev/null
+++ b/internal/decide/words/words_test.go
@@ -0,0 +1,33 @@
+package words
+
+import (
+	"testing"
+	"time"
+)
+
+// A word reads as its kind alone, a byte changed anywhere makes it none, and its age goes round with the stamp.
+func TestFrame(t *testing.T) {
+	const kind = 0x51
+	now := time.Hour
+	for _, body := range []string{"", "body", string(make([]byte, Most-Head))} {
+		text := Write(kind, now, []byte(body))
+		if !Is(kind, text) || Is(kind+1, text) || string(text[Head:]) != body {
+			t.Fatalf("%x", text)
+		}
+		for i := range text {
+			text[i] ^= 0x10
+			if Is(kind, text) {
+				t.Errorf("byte %d changed, and still a word", i)
+			}
+			text[i] ^= 0x10
+		}
+		for _, age := range []time.Duration{0, 30 * time.Second, -30 * time.Second} {
+			if got := Age(now+age, text); got != age {
+				t.Errorf("age %v, want %v", got, age)
+			}
+		}
+	}
+	if Is(kind, nil) || Is(kind, Write(kind, now, make([]byte, Most-Head+1))) {
+		t.Error("too short or too long, and a word")
+	}
+}
