Read what an attempt's end shows from Attempt.Shows, for words as for health

Cause: showsLoss named again which results are failures, beside Attempt.Shows, which already does, own faults included. Change: Attempt.end takes it from there; the attempt for the witness and for the losses is made once.

--- a/internal/mixer/core.go
+++ b/internal/mixer/core.go
@@ -416,11 +416,12 @@
 			lie, told = c.turnedAway(now, a, cause, told)
 		}
 	}
+	seen := Attempt{Server: a.server, Class: q.req.Class, Result: r, Sent: a.sent, Own: cause != nil && cause.Own, Lie: lie}
 	if c.Losses != nil {
-		c.Losses.Saw(c.clock(now), string(a.server), c.clock(a.sent), showsLoss(r, cause))
+		c.Losses.Saw(c.clock(now), string(a.server), c.clock(a.sent), seen.end())
 	}
 	if c.Witness != nil {
-		c.Witness.Saw(now, Attempt{Server: a.server, Class: q.req.Class, Result: r, Sent: a.sent, Own: cause != nil && cause.Own, Lie: lie})
+		c.Witness.Saw(now, seen)
 	}
 	told = append(told, balance.Outcome{
 		Part: e.Attempt.Part, Attempt: e.Attempt.N, Replica: a.server, Result: r,
@@ -432,26 +433,6 @@
 	return told
 }
 
-// showsLoss is what an attempt's end tells of its server to the other mixers.
-func showsLoss(r balance.Result, cause *AttemptError) outlier.End {
-	switch r {
-	case balance.OK:
-		return outlier.Served
-	case balance.Canceled:
-		return outlier.CalledOff
-	case balance.Failed, balance.Reset, balance.TimedOut:
-		return outlier.Lost
-	case balance.ConnectFailed:
-		if cause == nil || !cause.Own { // else for want of something of ours
-			return outlier.Lost
-		}
-	}
-	if r == balance.QueueFull {
-		return outlier.TurnedAway
-	}
-	return outlier.Neutral
-}
-
 func (c *Core) withdraw(now time.Time, id AttemptID, a *attempt) {
 	if !a.asked {
 		a.asked = true
--- a/internal/mixer/mixer.go
+++ b/internal/mixer/mixer.go
@@ -11,6 +11,7 @@
 	"rooktrestle/balance"
 	"rooktrestle/internal/decide/blocks"
 	"rooktrestle/internal/decide/health"
+	"rooktrestle/internal/decide/outlier"
 )
 
 // Reach says how far an attempt had come when it ended.
@@ -155,6 +156,24 @@
 	return health.Neutral
 }
 
+// end is what the attempt's end tells of its server to the table of losses, which judges by itself what was called off
+// and what was turned away.
+func (a Attempt) end() outlier.End {
+	switch a.Result {
+	case balance.Canceled:
+		return outlier.CalledOff
+	case balance.QueueFull:
+		return outlier.TurnedAway
+	}
+	switch a.Shows(a.Sent, 0) {
+	case health.Good:
+		return outlier.Served
+	case health.Bad, health.Unreached:
+		return outlier.Lost
+	}
+	return outlier.Neutral
+}
+
 // Spec is one part of a request.
 type Spec struct {
 	Shard  int // or the block's id
