Drop what was sent to a cold server once no window holds it

Room looked at all of them for each part. Change: Room cuts the list to the longest window, Sent empties it once the server is warm. The count is as before.

--- a/internal/decide/coldstart/coldstart.go
+++ b/internal/decide/coldstart/coldstart.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -22,7 +23,7 @@
 	Started time.Duration   // clock time of its last start; 0: long ago
 	Lot     float64         // drawn at its start, 0 to 1: so much of a part is owed before the first goes to it
 	Credit  float64         // parts of the mixer's own flow that are owed to it: at most 1, at least -debtMost
-	sends   []time.Duration // since its start; nil: none yet
+	sends   []time.Duration // while it is cold, those that a window may still hold; nil: none yet
 }
 
 // debtMost is how many parts sent before they were owed are made up for.
@@ -59,10 +60,11 @@
 		return false
 	}
 	parts := max(1, math.Floor(room))
-	since := now - time.Duration(float64(r.TipFor)*parts/room)
+	window := time.Duration(float64(r.TipFor) * parts / room)
+	s.sends = slices.DeleteFunc(s.sends, func(at time.Duration) bool { return at <= now-max(window, r.TipFor) })
 	n := 0
 	for _, at := range s.sends {
-		if at > since {
+		if at > now-window {
 			n++
 		}
 	}
@@ -76,9 +78,12 @@
 	}
 }
 
-// Sent counts a part sent to a server.
+// Sent counts a part sent to a server. What is counted is dropped once no window reaches back to it, or the server is
+// warm.
 func (r *Rules) Sent(s *Server, now time.Duration) {
-	if r.Share(s, now) < 1 {
-		s.sends, s.Credit = append(s.sends, now), max(-debtMost, s.Credit-1)
+	if r.Share(s, now) >= 1 {
+		s.sends = nil
+		return
 	}
+	s.sends, s.Credit = append(s.sends, now), max(-debtMost, s.Credit-1)
 }
--- a/internal/decide/coldstart/coldstart_test.go
+++ b/internal/decide/coldstart/coldstart_test.go
@@ -85,3 +85,24 @@
 		t.Error("a warm server earns")
 	}
 }
+
+// What was sent to a server is not kept for as long as it runs: two thousand parts in its cold time, and none after it.
+// Guards the memory of a mixer that runs for days.
+func TestSendsAreDropped(t *testing.T) {
+	var s Server
+	start := time.Hour
+	s.Restart(start, 0)
+	most := 0
+	for now := start; now < start+rules.For; now += 5 * ms {
+		rules.Room(&s, now, 5*ms)
+		rules.Sent(&s, now)
+		s.Credit = 0 // what is owed would let every part go without a look at the window
+		most = max(most, len(s.sends))
+	}
+	if window := int(rules.TipFor / (5 * ms)); most > window+1 || len(s.sends) == 0 {
+		t.Errorf("%d parts kept, a window has %d", most, window)
+	}
+	if rules.Sent(&s, start+rules.For); len(s.sends) != 0 {
+		t.Errorf("%d parts kept of a warm server", len(s.sends))
+	}
+}
