Name the time a queue takes and who talks once; gather no holders for nothing

Cause: q x work / atOnce stood in four places, the bound on talking gatherers in balance and again in the platform's composition. Holders were gathered for the lot where gatherers are few, for parts of queries that spare none, and after ends of parts whose query is over. Change: workOff, Settings.Talks; the cheap conditions come first.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -182,7 +182,8 @@
 	for _, e := range m.List {
 		s := b.servers[e.Replica]
 		if s == nil {
-			s = &server{id: e.Replica, key: words.Key(string(e.Replica)), of: make([]health, len(b.set.Classes))}
+			s = &server{id: e.Replica, of: make([]health, len(b.set.Classes))}
+			s.key = words.Key(string(e.Replica))
 			b.servers[e.Replica] = s
 			b.order = append(b.order, s)
 		}
@@ -355,8 +356,11 @@
 // yield leaves out parts that a query can spare where half of a shard's holders are out and the others are
 // crowded. What these can do is for queries that need each of their parts: one lost there wastes all others.
 func (b *Balancer) yield(q *query, reach float64) float64 {
+	if q.floor() >= q.need() {
+		return reach
+	}
 	for _, p := range q.parts {
-		if p.tries == 0 && !p.dead && q.floor() < q.need() && reach-p.Weight >= q.floor() && b.crowded(p) {
+		if p.tries == 0 && !p.dead && reach-p.Weight >= q.floor() && b.crowded(p) {
 			p.dead = true
 			reach -= p.Weight
 		}
@@ -414,7 +418,7 @@
 	expected, told := b.expected(q, slowest)
 	if expected > limit && !told {
 		// Refusing brings no answers, so each refusal forgets some of what made it, until a query goes.
-		b.mean += relax * (min(b.median, us(b.shortAim)*meanGuess) - b.mean)
+		b.mean += relax * (min(b.median, guess) - b.mean)
 		b.dev -= relax * b.dev
 	}
 	return expected <= limit
@@ -762,7 +766,7 @@
 	}
 	p.failed = append(p.failed, s)
 	// No other is sound: attempts spread over the time left meet queues worked off meanwhile.
-	if !slices.ContainsFunc(b.holders(p), func(o *server) bool {
+	if b.parts[p.ID] == p && !slices.ContainsFunc(b.holders(p), func(o *server) bool {
 		return !o.barely() && o.sound(p.q.Class) && !slices.Contains(p.failed, o)
 	}) {
 		p.notBefore = b.now + max(0, p.q.aim-b.now)/time.Duration(1+b.set.MaxAttempts-p.tries)
@@ -857,7 +861,7 @@
 	s.q += qSmoothing * (q - s.q)
 	// Keep off while more than an aim's worth of parts waits. Guards a shard whose replicas are all crowded,
 	// which the fleet's state does not show. May hurt where servers have many cores.
-	s.full = max(s.full, b.now+duration(q*b.work()/atOnce-us(b.shortAim)*admitBase))
+	s.full = max(s.full, b.now+duration(b.workOff(q)-us(b.shortAim)*admitBase))
 	s.reported, s.told = b.now, r.InFlight
 }
 
@@ -921,7 +925,7 @@
 	b.known = known
 	b.median = b.least() // for the rest of the turn: no answer comes in before the next
 	for _, s := range b.order {
-		s.silent = b.mute(&s.health, b.late()/b.coldShare(s)) > 0 || s.dark && b.talks()
+		s.silent = b.mute(&s.health, b.late()/b.coldShare(s)) > 0 || s.dark && b.set.Talks()
 		s.stuck = 0
 		for c := range s.of {
 			stuck := b.mute(&s.of[c], b.late()/b.coldShare(s))
--- a/balance/peers.go
+++ b/balance/peers.go
@@ -17,12 +17,12 @@
 	wordFresh = 0.5 // shortest aims after which a word tells nothing any more
 )
 
-// talks says whether words are exchanged. Few gatherers see enough themselves.
-func (b *Balancer) talks() bool { return b.set.Peers && b.set.Instances > ownMost }
+// Talks says whether words are exchanged. Few gatherers see enough themselves.
+func (set *Settings) Talks() bool { return set.Peers && set.Instances > ownMost }
 
 // remark keeps what a probe showed for the next word; the newest counts.
 func (b *Balancer) remark(s *server, said byte) {
-	if !b.talks() {
+	if !b.set.Talks() {
 		return
 	}
 	for i := range b.remarks {
@@ -70,14 +70,14 @@
 
 // long says whether what waits takes a good share of the shortest aim.
 func (b *Balancer) long(queue float64) bool {
-	return queue*b.work()/atOnce >= longQueue*us(b.shortAim)
+	return b.workOff(queue) >= longQueue*us(b.shortAim)
 }
 
 // hear takes another's word. What was seen here since counts for more: a server that answered this gatherer
 // after the other's probe went out is there.
 func (b *Balancer) hear(w Word) {
 	age, remarks, ok := readWord(b.now, w.Text)
-	if !ok || !b.talks() || time.Duration(math.Abs(float64(age))) > duration(wordFresh*us(b.shortAim)) {
+	if !ok || !b.set.Talks() || time.Duration(math.Abs(float64(age))) > duration(wordFresh*us(b.shortAim)) {
 		return
 	}
 	for _, r := range remarks {
--- a/balance/state.go
+++ b/balance/state.go
@@ -474,11 +474,14 @@
 // cold holders only never. By lot all gatherers together send each holder its part of what its shards are asked. That
 // is within rule 4 as long as it is no more than coldCrowd times what warm ones were seen to answer, by capacity.
 func (b *Balancer) draw(p *part) *server {
+	if b.set.Instances <= ownMost {
+		return nil
+	}
 	all, sum := b.holders(p), 0.0
 	for _, s := range all {
 		sum += b.coldShare(s)
 	}
-	if b.set.Instances <= ownMost || sum == float64(len(all)) || b.asked*float64(b.set.Reach) > coldCrowd*sum*b.seen {
+	if sum == float64(len(all)) || b.asked*float64(b.set.Reach) > coldCrowd*sum*b.seen {
 		return nil
 	}
 	lot := b.rng.Float64() * sum
@@ -490,6 +493,9 @@
 	return nil
 }
 
+// workOff is how long a server takes to work off a queue.
+func (b *Balancer) workOff(queue float64) float64 { return queue * b.work() / atOnce }
+
 // queued is how long a part waits at the servers with long queues, by what probes showed lately; told is false
 // where too few did. It is fresh where answers are old: one of many gatherers has few, and after a jam none.
 func (b *Balancer) queued() (wait float64, told bool) {
@@ -499,7 +505,7 @@
 			queues = append(queues, s.waiting)
 		}
 	}
-	return quantile(queues, queueHigh) * b.work() / atOnce, len(queues) >= tellersLeast && b.set.Instances > ownMost
+	return b.workOff(quantile(queues, queueHigh)), len(queues) >= tellersLeast && b.set.Instances > ownMost
 }
 
 // behind says whether a server has a long queue, by what is known of it or else of the others.
@@ -510,11 +516,11 @@
 
 // wait is how long a part waits at a server before it is begun, where gatherers tell each other of queues.
 func (b *Balancer) wait(s *server) float64 {
-	if !b.talks() {
+	if !b.set.Talks() {
 		return 0
 	}
 	_, _, q := b.averages(s)
-	return q * b.work() / atOnce
+	return b.workOff(q)
 }
 
 // crowded says whether half of a part's holders are out, and all others have long queues.
--- a/internal/app/platform.go
+++ b/internal/app/platform.go
@@ -39,7 +39,6 @@
 	firstRequest = 2200 * time.Millisecond
 	idleClient   = 15 * time.Second // a connection between requests
 	spareClient  = 2 * time.Second  // the same, where many are open
-	fewMixers    = 4                // so many see enough of each server themselves
 	lossSpan     = 4                // shortest aims over which losses told by mixers count
 )
 
@@ -85,8 +84,7 @@
 		} else {
 			defer x.Close()
 			core.Peers = x
-			aim := shortestAim(d.Decisions.Classes)
-			if d.Decisions.Instances > fewMixers {
+			if aim := shortestAim(d.Decisions.Classes); d.Decisions.Talks() {
 				core.Losses = outlier.New(outlier.Rules{Span: lossSpan * aim, Late: aim / 2, Fresh: aim, Zone: d.Decisions.Zone, Mixers: d.Decisions.Instances})
 			}
 		}
