Give the losses' fuzz test a check that can fail; write a test's configuration in one place

Cause: FuzzTable asked that listed servers be in a table that always lists them; the test of many processes repeated the platform's configuration and its wait for readiness. Change: each remark of a word that the other table lists must be heard; configureAs and program.wait serve both tests.

--- a/cmd/rooktrestle/fleet_test.go
+++ b/cmd/rooktrestle/fleet_test.go
@@ -88,20 +88,11 @@
 	settings = strings.Replace(settings, `"limits":{`, `"limits":{"peer_messages":true,`, 1)
 	for i := range r.to {
 		path := filepath.Join(t.TempDir(), "config.json")
-		conf := fmt.Sprintf(`{"name":"n%d","listen":"127.0.0.1:0","discovery":%q,"seed":"%x","peer_listen":%q,"peers":[%s],"peers_all":%q,
-			"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"version":0,"full":true,"servers":[]},"settings":%s}`,
-			i, at, 77+i, r.to[i].String(), strings.Join(peers, ","), r.all[i].LocalAddr().String(),
-			strings.Replace(settings, `"n_instances"`, fmt.Sprintf(`"rank":%d,"n_instances"`, i), 1))
-		if err := os.WriteFile(path, []byte(conf), 0o600); err != nil {
-			t.Fatal(err)
-		}
+		keys := fmt.Sprintf(`"name":"n%d","seed":"%x","peer_listen":%q,"peers":[%s],"peers_all":%q`,
+			i, 77+i, r.to[i].String(), strings.Join(peers, ","), r.all[i].LocalAddr().String())
+		configureAs(t, path, at, strings.Replace(settings, `"n_instances"`, fmt.Sprintf(`"rank":%d,"n_instances"`, i), 1), keys)
 		p := start(t, 1, []string{"NODE_CONFIG=" + path, "NODE_DISCOVERY=" + at})
-		for status := 0; status != 200; { // once it is ready
-			if resp, err := http.Get("http://" + p.listen["http"] + "/healthz"); err == nil {
-				status = resp.StatusCode
-				resp.Body.Close()
-			}
-		}
+		p.wait()
 		tier = append(tier, p)
 	}
 	return tier
--- a/cmd/rooktrestle/program_test.go
+++ b/cmd/rooktrestle/program_test.go
@@ -216,8 +216,13 @@
 
 // configure writes the platform's configuration.
 func configure(t *testing.T, path, discovery string) {
-	conf := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
-		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"version":0,"full":true,"servers":[]},"settings":%s}`, discovery, platformSettings)
+	configureAs(t, path, discovery, platformSettings, `"name":"n0","seed":"8c1f30d27a5be964"`)
+}
+
+// configureAs writes a configuration with these settings and further keys.
+func configureAs(t *testing.T, path, discovery, settings, keys string) {
+	conf := fmt.Sprintf(`{%s,"listen":"127.0.0.1:0","discovery":%q,
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"version":0,"full":true,"servers":[]},"settings":%s}`, keys, discovery, settings)
 	if err := os.WriteFile(path, []byte(conf), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -231,13 +236,18 @@
 	// On the platform the variable names the address of the start for good.
 	p := start(t, 1, []string{"NODE_CONFIG=" + path, "NODE_DISCOVERY=" + at})
 	p.conf = path
-	for status := 0; status != 200; { // once it is ready
+	p.wait()
+	return p
+}
+
+// wait waits until the program is ready.
+func (p *program) wait() {
+	for status := 0; status != 200; {
 		if resp, err := http.Get("http://" + p.listen["http"] + "/healthz"); err == nil {
 			status = resp.StatusCode
 			resp.Body.Close()
 		}
 	}
-	return p
 }
 
 // ask sends a query and returns the status and the body.
--- a/internal/decide/outlier/outlier_test.go
+++ b/internal/decide/outlier/outlier_test.go
@@ -252,18 +252,18 @@
 	f.Add([]byte{0, 1, 2, 3, 4, 5, 6, 7, 8, 9})
 	f.Add([]byte{1, 3, 1, 3, 1, 3, 1, 3, 1, 3, 5, 0, 6, 0, 2, 3, 2, 3})
 	f.Add([]byte{4, 9, 1, 1, 4, 200, 3, 1, 7, 1, 0, 1})
-	f.Fuzz(func(t *testing.T, steps_ []byte) {
+	f.Fuzz(func(t *testing.T, ops []byte) {
 		m, other := table(0), table(0)
 		listed := map[string]bool{}
 		for i := range 20 {
 			listed[fmt.Sprint("s", i)] = true
 		}
 		now := hour
-		for i := 0; i+1 < len(steps_) && i < 400; i += 2 {
-			id := fmt.Sprint("s", steps_[i+1]%24)
-			switch steps_[i] % 8 {
+		for i := 0; i+1 < len(ops) && i < 400; i += 2 {
+			id := fmt.Sprint("s", ops[i+1]%24)
+			switch ops[i] % 8 {
 			case 0:
-				now += time.Duration(steps_[i+1]) * 40 * ms
+				now += time.Duration(ops[i+1]) * 40 * ms
 			case 1:
 				m.Saw(now, id, now-ms, Lost)
 			case 2:
@@ -271,15 +271,18 @@
 			case 3:
 				m.Saw(now, id, now-time.Second, CalledOff)
 			case 4:
-				m.Earn(int(steps_[i+1]))
+				m.Earn(int(ops[i+1]))
 				if text := m.Word(now); text != nil {
-					if other.Hear(now, text); other.Heard == 0 && Reads(text) {
-						for i := range 20 {
-							if listed[fmt.Sprint("s", i)] && other.servers[words.Key(fmt.Sprint("s", i))] == nil {
-								t.Fatal("a word of a listed server was not taken")
-							}
+					_, _, remarks, ok := readWord(now, text)
+					want := other.Heard // and those of them that the other lists: s0 to s19
+					for _, r := range remarks {
+						if other.servers[r.key] != nil {
+							want++
 						}
 					}
+					if other.Hear(now, text); !ok || len(remarks) == 0 || other.Heard != want {
+						t.Fatalf("%d remarks read, %d heard in all, want %d", len(remarks), other.Heard, want)
+					}
 				}
 			case 5:
 				m.Drop(id)
@@ -288,7 +291,7 @@
 				m.List(id, now)
 				listed[id] = true
 			case 7:
-				m.Hear(now, writeWord(now, 0, []remark{{words.Key(id), int(steps_[i+1] % 16), int(steps_[i+1] / 16)}}))
+				m.Hear(now, writeWord(now, 0, []remark{{words.Key(id), int(ops[i+1] % 16), int(ops[i+1] / 16)}}))
 			}
 			m.Changes(now)
 			if len(m.order) != len(listed) || len(m.servers) != len(listed) || len(m.tell) > len(listed) {
