--- a/balance/balance.go
+++ b/balance/balance.go
@@ -819,7 +819,7 @@
 		s.r += smoothing * (took - s.r)
 		s.s += smoothing * (least - s.s)
 	}
-	s.lastOK = b.now
+	s.lastOK, s.noReply, s.dark = b.now, false, false
 	b.flow++
 	b.answers = append(within(&b.answers, b.now-rateSpan*b.shortAim), b.now)
 	s.clear()
@@ -872,11 +872,12 @@
 		return
 	}
 	s.probing = false
+	silent := s.dark
 	s.noReply, s.dark = e.Result != OK, e.Result != OK && e.Result != Failed
 	s.verdict(s.noReply)
 	switch {
 	case e.Result == OK:
-		b.remarkQueue(s, e.Report)
+		b.remarkQueue(s, e.Report, silent)
 		b.report(s, e.Report)
 		if e.Report != nil && e.Report.Queue >= 0 {
 			s.waiting, s.askedAt = e.Report.Queue, b.now
--- a/balance/peers.go
+++ b/balance/peers.go
@@ -47,7 +47,7 @@
 	}
 	b.tellBytes -= size
 	b.tellAt = b.now + duration(tellGap*us(b.shortAim))
-	b.do(Tell{Text: writeWord(b.now, b.remarks)})
+	b.do(Tell{Text: writeWord(b.now, b.set.Zone, b.remarks)})
 	b.remarks = b.remarks[:0]
 }
 
@@ -56,13 +56,14 @@
 	b.tellBytes = min(b.tellBytes+tellShare*WordMost, WordMost*float64(b.set.Instances))
 }
 
-// remarkQueue tells a queue that no part should wait in, and that one so told of is short again. Others are
-// not told: where all know the same, all send to the shortest, which is the longest by the next report.
-func (b *Balancer) remarkQueue(s *server, r *Report) {
+// remarkQueue tells a queue that no part should wait in, and that one so told of is short, or one that was
+// silent is there again, or each had to find it so. Others are not told: where all know the same, all send to
+// the shortest, which is the longest by the next report.
+func (b *Balancer) remarkQueue(s *server, r *Report, silent bool) {
 	if r == nil || r.Queue < 0 {
 		return
 	}
-	if long := b.long(r.Queue); long || s.long {
+	if long := b.long(r.Queue); long || s.long || silent {
 		b.remark(s, queueRemark(r.Queue))
 		s.long = long
 	}
@@ -76,7 +77,7 @@
 // hear takes another's word. What was seen here since counts for more: a server that answered this gatherer
 // after the other's probe went out is there.
 func (b *Balancer) hear(w Word) {
-	age, remarks, ok := readWord(b.now, w.Text)
+	age, zone, remarks, ok := readWord(b.now, w.Text)
 	if !ok || !b.set.Talks() || time.Duration(math.Abs(float64(age))) > duration(wordFresh*us(b.shortAim)) {
 		return
 	}
@@ -87,7 +88,8 @@
 		}
 		s.probed = max(s.probed, b.now-max(0, age))
 		if r.said == noAnswer {
-			if b.now-s.lastOK > max(0, age)+b.set.ProbeWait {
+			// Of the own zone: the others' way there may be cut.
+			if zone == b.set.Zone&0xff && b.now-s.lastOK > max(0, age)+b.set.ProbeWait {
 				s.noReply, s.dark = true, true
 			}
 			continue
--- a/balance/word.go
+++ b/balance/word.go
@@ -10,10 +10,10 @@
 // WordMost is the longest text of a Tell or a Word, in bytes: longer datagrams are not allowed between gatherers.
 const WordMost = words.Most
 
-// A word's body are its remarks: for each a hash of a replica's name (32 bits) and what is said of it (8 bits).
+// A word's body is the sender's zone (8 bits) and its remarks: for each a hash of a replica's name (32 bits) and what is said of it (8 bits).
 const (
-	wordKind   = 0x51 // letter Q, version 1
-	wordHead   = words.Head
+	wordKind   = 0x52 // letter Q, version 2
+	wordHead   = words.Head + 1
 	remarkSize = 5
 	remarkMost = (WordMost - wordHead) / remarkSize
 	noAnswer   = 255 // said of a replica that did not answer a probe; less is its queue
@@ -30,8 +30,8 @@
 func queueRemark(queue float64) byte { return byte(max(0, min(noAnswer-1, queue+0.5))) }
 
 // writeWord words remarks; those beyond what a word holds are left out.
-func writeWord(now time.Duration, remarks []remark) []byte {
-	var body []byte
+func writeWord(now time.Duration, zone int, remarks []remark) []byte {
+	body := []byte{byte(zone)}
 	for _, r := range remarks[:min(len(remarks), remarkMost)] {
 		body = append(binary.BigEndian.AppendUint32(body, r.key), r.said)
 	}
@@ -40,17 +40,17 @@
 
 // ReadsAsWord says whether text is a word at all. One that is not is worth counting, and tells nothing.
 func ReadsAsWord(text []byte) bool {
-	return words.Is(wordKind, text) && (len(text)-wordHead)%remarkSize == 0
+	return words.Is(wordKind, text) && len(text) >= wordHead && (len(text)-wordHead)%remarkSize == 0
 }
 
 // readWord reads a word and how long ago it was sent: negative where the sender's clock is ahead. ok is false
 // for anything else.
-func readWord(now time.Duration, text []byte) (age time.Duration, remarks []remark, ok bool) {
+func readWord(now time.Duration, text []byte) (age time.Duration, zone int, remarks []remark, ok bool) {
 	if !ReadsAsWord(text) {
-		return 0, nil, false
+		return 0, 0, nil, false
 	}
 	for rest := text[wordHead:]; len(rest) > 0; rest = rest[remarkSize:] {
 		remarks = append(remarks, remark{binary.BigEndian.Uint32(rest), rest[4]})
 	}
-	return words.Age(now, text), remarks, true
+	return words.Age(now, text), int(text[words.Head]), remarks, true
 }
