--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -246,6 +246,8 @@
 				s.reported, s.q = h.now, c.others
 				if s.long = c.long; id == at {
 					s.q = c.own
+				} else if c.long {
+					s.reported -= 4 * time.Second
 				}
 			}
 			called += len(all[Cancel](h.turn(Tick{})))
--- a/balance/state.go
+++ b/balance/state.go
@@ -508,11 +508,11 @@
 	return b.workOff(quantile(queues, queueHigh)), len(queues) >= tellersLeast && b.set.Instances > ownMost
 }
 
-// behind says whether a server has a long queue, by what is known of it, or with time of the others: not by the last
-// word of it, which is the last for long where no words come.
+// behind says whether a server has a long queue, by what is known of it, or with time of the others. The last word of
+// a long one counts only for so long: where no words come it would for good.
 func (b *Balancer) behind(s *server) bool {
 	_, _, q := b.averages(s)
-	return b.long(q)
+	return s.long && b.now-s.reported < staleAfter*b.shortAim || b.long(q)
 }
 
 // wait is how long a part waits at a server before it is begun, where gatherers tell each other of queues.
