Hear agents that speak and close at once: checks connect without netpoll's dialing

Seen: TestHealthCommand failed in the test command (1 of 1 as found; 7 of 48 runs, eight at once): the agent's check said nothing. Its error, printed by a probe: 'connection has been closed by peer', from the dial. Ruled out: the check's time (20 s, not hung), the stand-in (it had written), Mute (it only hides the error). To blame: netpoll.DialConnection waits for its poller; a connection that the peer has answered and closed by then is reported as one that never came up. Agents do just that. Change: tcp.Connect connects by the standard library and hands netpoll a descriptor; checks use it. The platform's dialing stays.

--- a/internal/app/ask.go
+++ b/internal/app/ask.go
@@ -78,7 +78,7 @@
 	for _, name := range s.Checks {
 		for i := range conf.Profiles {
 			if f := &conf.Profiles[i]; f.Name == name {
-				list = append(list, sourced{checks.Check{Profile: f, Addr: f.AddrOf(s), Bridge: conf.Checks.GRPCBridge, Dial: tcp.Dial}, i})
+				list = append(list, sourced{checks.Check{Profile: f, Addr: f.AddrOf(s), Bridge: conf.Checks.GRPCBridge, Dial: tcp.Connect}, i})
 			}
 		}
 	}
--- a/internal/back/checks/checks.go
+++ b/internal/back/checks/checks.go
@@ -20,7 +20,7 @@
 	"rooktrestle/internal/protocol/z3950"
 )
 
-// Dial opens a connection; tcp.Dial outside tests.
+// Dial opens a connection; tcp.Connect outside tests, as agents speak first and close.
 type Dial = tcp.Dialer
 
 // Check is one check of one server.
--- a/internal/back/checks/checks_test.go
+++ b/internal/back/checks/checks_test.go
@@ -36,7 +36,7 @@
 	defer a.Close()
 	f := profile(config.CheckAgent, patience)
 	f.Send = "captions\n"
-	run := func() Result { return Check{Profile: f, Addr: a.Addr(), Dial: tcp.Dial}.Run() }
+	run := func() Result { return Check{Profile: f, Addr: a.Addr(), Dial: tcp.Connect}.Run() }
 	if r := run(); r.Failed || r.Weight != 0.5 || r.MaxConn != 9 || r.Oper != health.Up || r.Admin != health.Ready || r.Why != "busy" {
 		t.Errorf("%+v", r)
 	}
@@ -91,7 +91,7 @@
 	}{{config.CheckHTTP, web}, {config.CheckSRU, web}, {config.CheckTCP, web}, {config.CheckZ3950, z}, {config.CheckTCP, z}}
 	for _, k := range kinds {
 		run := func(d time.Duration) Result {
-			return Check{Profile: profile(k.kind, d), Addr: k.n.Addr(), Dial: tcp.Dial}.Run()
+			return Check{Profile: profile(k.kind, d), Addr: k.n.Addr(), Dial: tcp.Connect}.Run()
 		}
 		if r := run(patience); r.Failed {
 			t.Errorf("%s: %+v", k.kind, r)
@@ -110,7 +110,7 @@
 		k.n.Say(node.Health{})
 	}
 	// An SRU server is no target, and the other way round.
-	if r := (Check{Profile: profile(config.CheckZ3950, 100*time.Millisecond), Addr: web.Addr(), Dial: tcp.Dial}).Run(); !r.Failed {
+	if r := (Check{Profile: profile(config.CheckZ3950, 100*time.Millisecond), Addr: web.Addr(), Dial: tcp.Connect}).Run(); !r.Failed {
 		t.Errorf("%+v", r)
 	}
 	for status, want := range map[int]health.Report{
@@ -120,7 +120,7 @@
 		for _, method := range []string{"GET", "HEAD", "OPTIONS"} {
 			f := profile(config.CheckHTTP, patience)
 			f.Method = method
-			if r := (Check{Profile: f, Addr: web.Addr(), Dial: tcp.Dial}).Run(); r.Report != want {
+			if r := (Check{Profile: f, Addr: web.Addr(), Dial: tcp.Connect}).Run(); r.Report != want {
 				t.Errorf("%s %d: %+v", method, status, r)
 			}
 		}
@@ -128,16 +128,16 @@
 	web.Say(node.Health{Body: "all is well"})
 	f := profile(config.CheckHTTP, patience)
 	f.Expectation.Body = "well"
-	if r := (Check{Profile: f, Addr: web.Addr(), Dial: tcp.Dial}).Run(); r.Failed {
+	if r := (Check{Profile: f, Addr: web.Addr(), Dial: tcp.Connect}).Run(); r.Failed {
 		t.Errorf("%+v", r)
 	}
 	f.Expectation.Body = "ill"
-	if r := (Check{Profile: f, Addr: web.Addr(), Dial: tcp.Dial}).Run(); !r.Failed {
+	if r := (Check{Profile: f, Addr: web.Addr(), Dial: tcp.Connect}).Run(); !r.Failed {
 		t.Errorf("%+v", r)
 	}
 	web.Kill()
 	for _, kind := range []string{config.CheckHTTP, config.CheckSRU, config.CheckTCP} {
-		if r := (Check{Profile: profile(kind, patience), Addr: web.Addr(), Dial: tcp.Dial}).Run(); !r.Failed {
+		if r := (Check{Profile: profile(kind, patience), Addr: web.Addr(), Dial: tcp.Connect}).Run(); !r.Failed {
 			t.Errorf("%s at nobody: %+v", kind, r)
 		}
 	}
@@ -156,7 +156,7 @@
 	f := profile(config.CheckGRPC, patience)
 	for service, bad := range map[string]bool{"captions": false, "coverage": true} {
 		f.Service = service
-		r := Check{Profile: f, Addr: "127.0.0.1:7", Bridge: strings.TrimPrefix(bridge.URL, "http://"), Dial: tcp.Dial}.Run()
+		r := Check{Profile: f, Addr: "127.0.0.1:7", Bridge: strings.TrimPrefix(bridge.URL, "http://"), Dial: tcp.Connect}.Run()
 		if r.Failed != bad || bad && !strings.Contains(r.Why, "NOT_SERVING") || !strings.Contains(fmt.Sprint(asked.Load()), "addr=127.0.0.1%3A7") {
 			t.Errorf("%s: %+v, asked %v", service, r, asked.Load())
 		}
@@ -186,7 +186,7 @@
 		}
 		sent <- n
 	}()
-	if r := (Check{Profile: profile(config.CheckAgent, patience), Addr: ln.Addr().String(), Dial: tcp.Dial}).Run(); !r.Failed {
+	if r := (Check{Profile: profile(config.CheckAgent, patience), Addr: ln.Addr().String(), Dial: tcp.Connect}).Run(); !r.Failed {
 		t.Errorf("%+v", r)
 	}
 	if n := <-sent; n >= 256<<20 {
--- a/internal/net/tcp/tcp.go
+++ b/internal/net/tcp/tcp.go
@@ -52,6 +52,7 @@
 // Link is one connection.
 type Link struct {
 	conn    netpoll.Connection
+	peer    net.Addr
 	handler Handler
 	dead    sync.Once
 
@@ -199,7 +200,7 @@
 	// A panic stops at the connection. Its owner closes what was open on it when told that it ended.
 	defer func() {
 		if p := recover(); p != nil {
-			fmt.Fprintf(os.Stderr, "connection %v: panic: %v\n", l.conn.RemoteAddr(), p)
+			fmt.Fprintf(os.Stderr, "connection %v: panic: %v\n", l.peer, p)
 			l.Close(fmt.Errorf("panic: %v", p))
 		}
 	}()
@@ -220,7 +221,7 @@
 		l.mu.Unlock()
 		defer func() {
 			if p := recover(); p != nil {
-				fmt.Fprintf(os.Stderr, "connection %v: panic at its end: %v\n", l.conn.RemoteAddr(), p)
+				fmt.Fprintf(os.Stderr, "connection %v: panic at its end: %v\n", l.peer, p)
 			}
 		}()
 		l.handler.Closed(cause)
@@ -228,11 +229,11 @@
 }
 
 // Peer is the other side's address.
-func (l *Link) Peer() string { return l.conn.RemoteAddr().String() }
+func (l *Link) Peer() string { return l.peer.String() }
 
 // attach makes a connection a link.
-func attach(conn netpoll.Connection, l *Link) {
-	l.conn = conn
+func attach(conn netpoll.Connection, peer net.Addr, l *Link) {
+	l.conn, l.peer = conn, peer
 	conn.SetWriteTimeout(writeTimeout)
 	conn.AddCloseCallback(func(netpoll.Connection) error { l.ended(); return nil })
 }
@@ -247,9 +248,47 @@
 	if err != nil {
 		return nil, err
 	}
+	return dialed(conn, conn.RemoteAddr(), handler)
+}
+
+// Connect is Dial for peers that may speak first and close, as agents do. Guards their word against netpoll's own
+// dialing: a connection that the peer closed before its poller looked counts there as one that never came up.
+func Connect(addr string, timeout time.Duration, handler func(*Link) Handler) (*Link, error) {
+	up, err := net.DialTimeout("tcp", addr, timeout)
+	if err != nil {
+		return nil, err
+	}
+	defer up.Close() // netpoll's connection has a descriptor of its own
+	raw, err := up.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	fd, dupErr := -1, error(nil)
+	if err := raw.Control(func(old uintptr) {
+		syscall.ForkLock.RLock()
+		defer syscall.ForkLock.RUnlock()
+		if fd, dupErr = syscall.Dup(int(old)); dupErr == nil {
+			syscall.CloseOnExec(fd)
+		}
+	}); err != nil {
+		return nil, err
+	}
+	if dupErr != nil {
+		return nil, os.NewSyscallError("dup", dupErr)
+	}
+	conn, err := netpoll.NewFDConnection(fd)
+	if err != nil {
+		syscall.Close(fd)
+		return nil, err
+	}
+	return dialed(conn, up.RemoteAddr(), handler)
+}
+
+// dialed makes a connection that came up a link.
+func dialed(conn netpoll.Connection, peer net.Addr, handler func(*Link) Handler) (*Link, error) {
 	l := &Link{}
 	l.handler = handler(l)
-	attach(conn, l)
+	attach(conn, peer, l)
 	if err := conn.SetOnRequest(func(context.Context, netpoll.Connection) error { l.read(); return nil }); err != nil {
 		conn.Close()
 		return nil, err
@@ -324,9 +363,9 @@
 			if !gate.enter() {
 				return context.Background() // closed by the next step, once it is registered
 			}
-			l := &Link{conn: conn}
+			l := &Link{conn: conn, peer: conn.RemoteAddr()}
 			l.handler = accept(l)
-			attach(conn, l)
+			attach(conn, conn.RemoteAddr(), l)
 			conn.AddCloseCallback(func(netpoll.Connection) error { gate.leave(); return nil })
 			return context.WithValue(context.Background(), linkKey{}, l)
 		}),
