--- a/internal/app/platform.go
+++ b/internal/app/platform.go
@@ -90,7 +90,10 @@
 		}
 	}
 
-	watch := &discovery.Watch{Addr: n.Discovery, Zones: d.Zones, Put: box.Put, Log: logf, Mixers: d.Decisions.Instances, Chance: rand.New(rand.NewPCG(n.Seed, 1)).Float64}
+	watch := &discovery.Watch{Addr: n.Discovery, Zones: d.Zones, Put: box.Put, Log: logf, Chance: rand.New(rand.NewPCG(n.Seed, 1)).Float64}
+	if d.Decisions.OnRequest { // else it is the agent of this machine's own, which answers at once and at no cost
+		watch.Mixers = d.Decisions.Instances
+	}
 	if len(n.Known) > 0 {
 		version, known, err := discovery.Parse(n.Known, d.Zones)
 		if err != nil {
--- a/internal/net/discovery/watch.go
+++ b/internal/net/discovery/watch.go
@@ -19,11 +19,14 @@
 
 const (
 	connectTimeout = time.Second
-	// silence after which a watch is opened anew: a live one says something every 2 s.
-	silence = 5 * time.Second
-	again   = 200 * time.Millisecond // before the next try, at the least
-	calls   = 40.0                   // a second, of all mixers together, where all try at once
-	maxLine = 4 << 20
+	// A live watch says something every 2 s, and what a silent one misses counts as told 6 s after it fell silent.
+	// So one that missed a line is opened anew, each after a time drawn between these two: where all of a fleet's
+	// fall silent at one moment, their calls are spread.
+	silenceLeast = 3 * time.Second
+	silenceMost  = 4500 * time.Millisecond
+	again        = 200 * time.Millisecond // before the next try, at the least
+	calls        = 40.0                   // a second, of all mixers together, where all try at once
+	maxLine      = 4 << 20
 )
 
 // list is a message of discovery's.
@@ -93,8 +96,9 @@
 	Version int64 // as last held
 	Put     func(any)
 	Log     func(format string, args ...any)
-	Mixers  int            // that follow the same discovery; 0: one
-	Chance  func() float64 // from 0 to 1, for waits; nil: none
+	Mixers  int                                  // that follow the same discovery; 0: one
+	Chance  func() float64                       // from 0 to 1, for waits; nil: none
+	After   func(time.Duration) <-chan time.Time // nil: time.After
 	heard   func()
 	wait    backoff.Of
 
@@ -121,12 +125,16 @@
 func (w *Watch) Run(stop <-chan struct{}, heard func()) {
 	w.heard = heard
 	w.wait = backoff.Fleet(w.Mixers, again, calls)
+	if w.After == nil {
+		w.After = time.After
+	}
 	for {
+		began := time.Now()
 		err := w.once(stop)
 		if err != nil && err != errMoved {
 			w.Log("discovery: %v", err)
 		}
-		if err == errMoved {
+		if err == errMoved || err == errSilent {
 			continue
 		}
 		select {
@@ -134,22 +142,35 @@
 			return
 		case addr := <-w.moved():
 			w.turn(addr)
-		case <-time.After(w.pause()):
+		case <-w.After(w.pause(time.Since(began))):
 		}
 	}
 }
 
 // pause is the wait before the next try. Guards a discovery short of capacity: calls wait there in turn and fail
-// when they have waited too long, so that mixers that all call again at once keep it overbooked for ever.
-func (w *Watch) pause() time.Duration {
-	chance := 0.5
-	if w.Chance != nil {
-		chance = w.Chance()
+// when they have waited too long, so that mixers that all call again at once keep it overbooked for ever. Where no
+// others call, what a call lasted is part of its wait: what an agent has counts as told, watched or not.
+func (w *Watch) pause(lasted time.Duration) time.Duration {
+	wait := w.wait.Next(w.chance())
+	if w.Mixers <= 1 {
+		wait -= lasted
 	}
-	return w.wait.Next(chance)
+	return wait
 }
 
-var errMoved = errors.New("moved")
+func (w *Watch) chance() float64 {
+	if w.Chance == nil {
+		return 0.5
+	}
+	return w.Chance()
+}
+
+var (
+	errMoved = errors.New("moved")
+	// errSilent ends a watch that fell silent. It is opened anew at once: it has waited already, and what it goes on
+	// missing counts as told.
+	errSilent = errors.New("the watch fell silent")
+)
 
 // turn notes the address to go to. Guards against a list that is patched with another discovery's changes:
 // its versions need not continue those held.
@@ -175,26 +196,21 @@
 	} else {
 		follow()
 	}
+	patience := silenceLeast + time.Duration(w.chance()*float64(silenceMost-silenceLeast))
 	for {
-		timer := time.NewTimer(silence)
 		select {
 		case <-s.alive:
-			timer.Stop()
 		case <-s.listed:
-			timer.Stop()
 			w.fresh = false
 			follow()
 		case err := <-s.over:
-			timer.Stop()
 			return err
 		case addr := <-w.moved():
-			timer.Stop()
 			w.turn(addr)
 			return errMoved
-		case <-timer.C:
-			return errors.New("nothing said for too long")
+		case <-w.After(patience):
+			return errSilent
 		case <-stop:
-			timer.Stop()
 			return nil
 		}
 	}
--- a/internal/net/discovery/watch_test.go
+++ b/internal/net/discovery/watch_test.go
@@ -103,3 +103,105 @@
 	close(stop)
 	<-over
 }
+
+// events is what a watch does, in order: waits that begin, and what it logs.
+type events chan any
+
+// wait stands in for time: it ends when the test says so.
+type wait struct {
+	d    time.Duration
+	over chan time.Time
+}
+
+func (e events) after(d time.Duration) <-chan time.Time {
+	one := wait{d, make(chan time.Time, 1)}
+	e <- one
+	return one.over
+}
+
+func (e events) log(format string, args ...any) { e <- fmt.Sprintf(format, args...) }
+
+// pass lets waits pass until the watch logs something, and returns them with what that is. A wait that word overtook is
+// followed by another.
+func (e events) pass() (passed []time.Duration, said string) {
+	for {
+		switch one := (<-e).(type) {
+		case wait:
+			passed = append(passed, one.d)
+			one.over <- time.Time{}
+		case string:
+			return passed, one
+		}
+	}
+}
+
+// A watch that falls silent is opened anew at once, and so is one that was never heard, before 6 s have passed: what it
+// misses counts as told by then. Guards the rule on drains on a day on which discovery is down for seconds: 300 mixers
+// whose watches had fallen silent waited up to 11 s more, and sent 1,500 parts to servers that drained.
+func TestASilentWatchIsOpenedAnewInTime(t *testing.T) {
+	for _, mixers := range []int{0, 300} {
+		for says, index := range map[string]string{"{\"version\":9,\"servers\":[]}\n": "9", "": "7"} {
+			asked, listed, does := make(chan string, 10), make(chan any, 10), make(events, 100)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				asked <- r.URL.Query().Get("index")
+				fmt.Fprint(w, says)
+				w.(http.Flusher).Flush()
+				<-r.Context().Done()
+			}))
+			stop, over := make(chan struct{}), make(chan struct{})
+			w := &Watch{Addr: strings.TrimPrefix(server.URL, "http://"), Version: 7, Put: func(e any) { listed <- e }, Log: does.log, Mixers: mixers, After: does.after}
+			go func() { w.Run(stop, func() {}); close(over) }()
+			for call, want := range []string{"7", index, index} {
+				if got := <-asked; got != want {
+					t.Errorf("%d mixers, call %d from %s, want %s", mixers, call, got, want)
+				}
+				if says != "" {
+					<-listed
+				}
+				passed, said := does.pass()
+				if !strings.Contains(said, "silent") || len(passed) == 0 {
+					t.Errorf("%d mixers, call %d: %v, then %s", mixers, call, passed, said)
+				}
+				for _, d := range passed {
+					if d < 3*time.Second || d > 4500*time.Millisecond {
+						t.Errorf("%d mixers, call %d: a wait of %v", mixers, call, d)
+					}
+				}
+			}
+			<-asked // at once: no wait was passed for it
+			close(stop)
+			<-over
+			server.Close()
+		}
+	}
+}
+
+// A refused call waits as the fleet's back-off says, and where nobody else calls next to nothing.
+func TestARefusedCallWaits(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(503) }))
+	defer server.Close()
+	for _, k := range []struct {
+		mixers      int
+		least, most time.Duration
+	}{{0, 0, 200 * time.Millisecond}, {300, 7500 * time.Millisecond, 30 * time.Second}} {
+		does, stop, over := make(events, 100), make(chan struct{}), make(chan struct{})
+		w := &Watch{Addr: strings.TrimPrefix(server.URL, "http://"), Put: func(any) {}, Log: does.log, Mixers: k.mixers, After: does.after}
+		go func() { w.Run(stop, func() {}); close(over) }()
+		for refused := 0; refused < 3; {
+			switch e := (<-does).(type) {
+			case string:
+				if !strings.Contains(e, "503") {
+					t.Errorf("%d mixers: %s", k.mixers, e)
+				}
+				one := (<-does).(wait)
+				if one.d > k.most || one.d < k.least && k.mixers > 0 {
+					t.Errorf("%d mixers: a wait of %v", k.mixers, one.d)
+				}
+				refused++
+				one.over <- time.Time{}
+			}
+		}
+		close(stop)
+		<-over
+	}
+}
