--- a/internal/net/discovery/watch.go
+++ b/internal/net/discovery/watch.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/decide/backoff"
+	"rooktrestle/internal/decide/watch"
 	"rooktrestle/internal/mixer"
 	"rooktrestle/internal/net/tcp"
 	"rooktrestle/internal/protocol/http1"
@@ -19,14 +19,7 @@
 
 const (
 	connectTimeout = time.Second
-	// A live watch says something every 2 s, and what a silent one misses counts as told 6 s after it fell silent.
-	// So one that missed a line is opened anew, each after a time drawn between these two: where all of a fleet's
-	// fall silent at one moment, their calls are spread.
-	silenceLeast = 3 * time.Second
-	silenceMost  = 4500 * time.Millisecond
-	again        = 200 * time.Millisecond // before the next try, at the least
-	calls        = 40.0                   // a second, of all mixers together, where all try at once
-	maxLine      = 4 << 20
+	maxLine        = 4 << 20
 )
 
 // list is a message of discovery's.
@@ -100,7 +93,7 @@
 	Chance  func() float64                       // from 0 to 1, for waits; nil: none
 	After   func(time.Duration) <-chan time.Time // nil: time.After
 	heard   func()
-	wait    backoff.Of
+	calls   *watch.Calls
 
 	moves chan string // the newest address not yet gone to; made by Run or Move, whichever comes first
 	made  sync.Once
@@ -123,13 +116,12 @@
 
 // Run follows the list until stop is closed. heard is called after each message.
 func (w *Watch) Run(stop <-chan struct{}, heard func()) {
-	w.heard = heard
-	w.wait = backoff.Fleet(w.Mixers, again, calls)
+	w.heard, w.calls = heard, watch.New(watch.Platform(w.Mixers))
 	if w.After == nil {
 		w.After = time.After
 	}
 	for {
-		began := time.Now()
+		w.calls.Open(time.Now(), w.chance())
 		err := w.once(stop)
 		if err != nil && err != errMoved {
 			w.Log("discovery: %v", err)
@@ -137,27 +129,17 @@
 		if err == errMoved || err == errSilent {
 			continue
 		}
+		now := time.Now()
 		select {
 		case <-stop:
 			return
 		case addr := <-w.moved():
 			w.turn(addr)
-		case <-w.After(w.pause(time.Since(began))):
+		case <-w.After(w.calls.Ended(now, w.chance()).Sub(now)):
 		}
 	}
 }
 
-// pause is the wait before the next try. Guards a discovery short of capacity: calls wait there in turn and fail
-// when they have waited too long, so that mixers that all call again at once keep it overbooked for ever. Where no
-// others call, what a call lasted is part of its wait: what an agent has counts as told, watched or not.
-func (w *Watch) pause(lasted time.Duration) time.Duration {
-	wait := w.wait.Next(w.chance())
-	if w.Mixers <= 1 {
-		wait -= lasted
-	}
-	return wait
-}
-
 func (w *Watch) chance() float64 {
 	if w.Chance == nil {
 		return 0.5
@@ -166,9 +148,7 @@
 }
 
 var (
-	errMoved = errors.New("moved")
-	// errSilent ends a watch that fell silent. It is opened anew at once: it has waited already, and what it goes on
-	// missing counts as told.
+	errMoved  = errors.New("moved")
 	errSilent = errors.New("the watch fell silent")
 )
 
@@ -196,10 +176,10 @@
 	} else {
 		follow()
 	}
-	patience := silenceLeast + time.Duration(w.chance()*float64(silenceMost-silenceLeast))
 	for {
 		select {
 		case <-s.alive:
+			w.calls.Heard(time.Now())
 		case <-s.listed:
 			w.fresh = false
 			follow()
@@ -208,7 +188,7 @@
 		case addr := <-w.moved():
 			w.turn(addr)
 			return errMoved
-		case <-w.After(patience):
+		case <-w.After(time.Until(w.calls.Broken())):
 			return errSilent
 		case <-stop:
 			return nil
@@ -241,7 +221,7 @@
 func (s *stream) leave() {
 	s.mu.Lock()
 	if s.left = true; s.good {
-		s.w.wait.Reset()
+		s.w.calls.Good()
 	}
 	s.mu.Unlock()
 }
