--- a/cmd/rooklab/main.go
+++ b/cmd/rooklab/main.go
@@ -15,7 +15,7 @@
 func main() {
 	root := &cobra.Command{Use: "rooklab", Short: "Stand-in nodes, load and experiments for rooktrestle, on loopback",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(demo(), health(), reshapeCommand(), hunt(), loadCommand())
+	root.AddCommand(demo(), health(), reshapeCommand(), hunt(), loadCommand(), days())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "rooklab:", err)
 		if errors.Is(err, errNo) {
--- a/internal/lab/sim/check.go
+++ b/internal/lab/sim/check.go
@@ -77,6 +77,12 @@
 	}
 }
 
+// lost: a try whose mixer died has no final answer.
+func (c *checker) lost(a *asked) {
+	delete(c.open, a.id)
+	delete(c.requests, a.id)
+}
+
 // answered: one final answer, in time, with no more than what nodes gave, and whole only if all is in.
 func (c *checker) answered(a *asked, f mixer.Final) {
 	if c.finals[a.id]++; c.finals[a.id] > 1 {
--- a/internal/lab/sim/client.go
+++ b/internal/lab/sim/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"rooktrestle/internal/mixer"
@@ -15,6 +16,7 @@
 	number  int
 	mixer   int
 	giveUp  time.Time // the client's own time
+	inTime  time.Time // an answer by then is in time
 	settled bool
 }
 
@@ -34,7 +36,7 @@
 	}
 	w.in(time.Duration(w.rng.ExpFloat64()/w.rate()*float64(time.Second)), w.arrive)
 	x := w.rng.Float64()
-	q := &want{class: search, mixer: w.rng.IntN(len(w.mixers)), number: w.result.Wanted}
+	q := &want{class: search, mixer: w.pick(), number: w.result.Wanted}
 	n := w.Parts
 	switch {
 	case x < 0.22:
@@ -47,10 +49,22 @@
 		q.parts = append(q.parts, mixer.Spec{Shard: s, Weight: 1 / float64(n)})
 	}
 	q.giveUp = w.now.Add(classes()[q.class].Deadline)
+	q.inTime = w.now.Add(classes()[q.class].Aim)
 	w.result.Wanted++
+	w.result.Classes[q.class].Wanted++
 	w.try(q)
 }
 
+// pick draws a mixer for a client: some get several times what others get.
+func (w *world) pick() int {
+	if w.Skew == 0 {
+		return w.rng.IntN(len(w.mixers))
+	}
+	x := w.rng.Float64() * w.traffic[len(w.traffic)-1]
+	i, _ := slices.BinarySearch(w.traffic, x)
+	return min(i, len(w.traffic)-1)
+}
+
 // rate is that of arrivals by now.
 func (w *world) rate() float64 {
 	r := w.Rate
@@ -73,6 +87,10 @@
 	r := &mixer.Request{ID: a.id, Class: q.class, Arrived: w.now, Wait: q.giveUp.Sub(w.now), Retry: q.tries > 1, Parts: q.parts, Front: a}
 	w.check.asked(a, r)
 	w.note("ask", uint64(q.number), uint64(q.tries))
+	for w.mixers[q.mixer].dead { // its connection is refused: it goes to another
+		q.mixer = w.pick()
+	}
+	w.mixers[q.mixer].open[a] = true
 	w.mixers[q.mixer].put(mixer.Arrive{Request: r})
 	if w.Planted == "lost query" && q.number == 50 {
 		r.Front = nobody{}
@@ -91,10 +109,15 @@
 		f.Whole = true
 	}
 	w.check.answered(a, f)
+	delete(w.mixers[q.mixer].open, a)
 	switch f.Kind {
 	case mixer.Served:
 		w.result.Served++
 		w.result.Got++
+		w.result.Classes[q.class].Got++
+		if !w.now.After(q.inTime) {
+			w.result.Classes[q.class].InTime++
+		}
 		if !f.Whole {
 			w.result.Partial++
 		}
@@ -108,6 +131,23 @@
 			return // it may have run: no client in its senses asks again by itself
 		}
 	}
+	a.again()
+}
+
+// lost ends a try whose mixer died under it: the client sees its connection end.
+func (a *asked) lost() {
+	w, q := a.w, a.want
+	w.note("lost", uint64(q.number), uint64(q.tries))
+	w.check.lost(a)
+	w.result.Lost++
+	if q.class != correction {
+		a.again()
+	}
+}
+
+// again makes another try, if the client is to have one.
+func (a *asked) again() {
+	w, q := a.w, a.want
 	if q.tries <= w.Retries {
 		d := time.Duration((0.5 + 1.5*w.rng.Float64()) * float64(w.RetryAt))
 		if at := w.now.Add(d); at.Before(q.giveUp.Add(-100 * time.Millisecond)) {
--- /dev/null
+++ b/internal/lab/sim/day_test.go
@@ -0,0 +1,57 @@
+package sim
+
+import (
+	"slices"
+	"strings"
+	"testing"
+)
+
+// fleet plays a day of a small fleet; the sizes that the operators name are played by rooklab days.
+func fleet(t *testing.T, kind string, seed uint64, planted string) Result {
+	t.Helper()
+	s, err := Day(kind, seed, 12, 12)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Planted, s.Rate = planted, s.Rate/3
+	return play(t, s)
+}
+
+// No rule breaks on any day, and the day's trouble is there.
+func TestDaysKeepTheRules(t *testing.T) {
+	for _, kind := range Days {
+		r := fleet(t, kind, 1, "")
+		if len(r.Broken) > 0 {
+			t.Errorf("%s: %d broken, the first %s", kind, len(r.Broken), r.Broken[0])
+		}
+		if kind == "calm" && r.Goodput() < 0.95 {
+			t.Errorf("calm: %.3f answered", r.Goodput())
+		}
+		if kind == "herd" && r.Lost == 0 || r.Calls < 12 {
+			t.Errorf("%s: %d tries lost, %d calls of discovery", kind, r.Lost, r.Calls)
+		}
+	}
+}
+
+// The same seed gives the same trace with words, deaths, and lists that are called for.
+func TestDaysAreFixedByTheirSeed(t *testing.T) {
+	if one, two := fleet(t, "herd", 2, ""), fleet(t, "herd", 2, ""); one.Hash != two.Hash || one.Asked == 0 {
+		t.Errorf("%x, then %x", one.Hash, two.Hash)
+	}
+}
+
+// A fleet that waits after its watches fell silent sends to nodes that drain: what was seen at full size, and what the
+// calls of decide/watch are for.
+func TestWaitingInSilenceBreaksTheRuleOnDrains(t *testing.T) {
+	found := false
+	for seed := uint64(1); seed < 6 && !found; seed++ {
+		r := fleet(t, "herd", seed, waitsInSilence)
+		found = slices.ContainsFunc(r.Broken, func(b string) bool { return strings.Contains(b, "after it was told to drain") })
+		if honest := fleet(t, "herd", seed, ""); len(honest.Broken) > 0 {
+			t.Errorf("seed %d: %s", seed, honest.Broken[0])
+		}
+	}
+	if !found {
+		t.Error("no seed broke it")
+	}
+}
--- a/internal/lab/sim/mixer.go
+++ b/internal/lab/sim/mixer.go
@@ -1,11 +1,13 @@
 package sim
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"rooktrestle/balance"
 	"rooktrestle/internal/decide/health"
+	"rooktrestle/internal/decide/outlier"
 	"rooktrestle/internal/mixer"
 )
 
@@ -42,23 +44,63 @@
 	states map[balance.Replica]balance.State
 	table  *health.Table
 	ev     map[balance.Replica]balance.Evidence
+	zone   int
+	life   int // number of its process
+	dead   bool
+	follow *follower // nil: it is told of the list at once
+	open   map[*asked]bool
+	starts map[balance.Replica]time.Time // of nodes, as told
 }
 
 func newMixer(w *world, i int) (*mixerHost, error) {
-	m := &mixerHost{w: w, index: i, works: map[mixer.AttemptID]*work{}, told: map[balance.Replica]time.Time{}, states: map[balance.Replica]balance.State{},
-		ev: map[balance.Replica]balance.Evidence{}}
-	m.set = balance.Settings{Seed: w.Seed + uint64(i), Instances: w.Mixers, Tick: 5 * time.Millisecond, Cells: w.Nodes, Reach: w.Reach, Shards: w.Nodes,
+	m := &mixerHost{w: w, index: i}
+	if w.Zones > 0 {
+		m.zone = i % w.Zones
+	}
+	if w.Discovery.Kind != "" {
+		m.follow = newFollower(w.registry, m)
+	}
+	return m, m.begin()
+}
+
+// begin starts a process of the mixer: it knows what the list was when the last one ended.
+func (m *mixerHost) begin() error {
+	w, known := m.w, m.states
+	m.life++
+	m.dead, m.inbox, m.turned, m.wake = false, nil, false, time.Time{}
+	m.works, m.order, m.open = map[mixer.AttemptID]*work{}, nil, map[*asked]bool{}
+	m.told, m.states, m.starts = map[balance.Replica]time.Time{}, map[balance.Replica]balance.State{}, map[balance.Replica]time.Time{}
+	m.ev = map[balance.Replica]balance.Evidence{}
+	m.set = balance.Settings{Seed: w.Seed + uint64(m.index), Instances: w.Mixers, Tick: 5 * time.Millisecond, Cells: w.Nodes, Reach: w.Reach, Shards: w.Nodes,
 		CallParts: 1, MaxAttempts: 4, CanCancel: true, MaxRetryAfter: time.Second, OverShareWorth: 1, Classes: classes(),
-		Tenants: []balance.Tenant{{}}}
+		Tenants: []balance.Tenant{{}}, Zone: m.zone}
+	if m.life > 1 {
+		m.set.Seed += uint64(m.life) << 32
+	}
+	if w.Cold.For > 0 {
+		m.set.Rules = balance.Rules{ColdFor: w.Cold.For, ColdFrom: w.Cold.From, TipMultiple: w.Cold.Tip, TipFor: w.Cold.TipFor}
+	}
+	if w.Words {
+		m.set.Peers, m.set.CanProbe, m.set.ReportsOnProbe, m.set.ProbeWait = true, true, true, probeWait
+	}
 	b, err := balance.New(m.set)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	m.core = mixer.NewCore(b, m, mixer.Limits{SecondStep: []int{0, 0, 0}, MaxOpen: 20000, ComeBack: time.Second, Ahead: 20 * time.Millisecond}, Start)
 	m.core.Witness = m
+	if w.Words {
+		aim := classes()[report].Aim
+		m.core.Peers = m
+		m.core.Losses = outlier.New(outlier.Rules{Span: lossSpan * aim, Late: aim / 2, Fresh: aim, Zone: m.zone, Mixers: w.Mixers})
+	}
 	list := mixer.Members{Kind: balance.ListFull}
 	var nodes []health.Node
 	for _, n := range w.nodes {
+		if s, ok := known[n.id]; m.life > 1 && (!ok || s != balance.InService) {
+			continue
+		}
+		m.starts[n.id], m.states[n.id] = n.started, balance.InService
 		list.List = append(list.List, m.server(n))
 		hn := health.Node{ID: health.ID(n.id)}
 		for j := range w.Reach {
@@ -68,29 +110,114 @@
 	}
 	if w.Evidence {
 		if m.table, err = health.New(health.Defaults(3, 1<<correction), []health.Source{{Name: "check", Fall: 2, Rise: 1, Valid: 4 * time.Second}}, Start); err != nil {
-			return nil, err
+			return err
 		}
 		m.table.Roster(Start, nodes, true)
 		w.at(Start.Add(time.Duration(w.rng.Float64()*float64(time.Second))), m.checks)
 	}
 	m.put(list)
-	return m, nil
+	if f := m.follow; f != nil {
+		if m.life > 1 { // what its agent has counts as told to a new process
+			f.live, f.deaf = false, false
+			for _, e := range f.r.lines[f.version:] {
+				if w.Discovery.Kind == Agents {
+					f.counts(e)
+				}
+			}
+		}
+		f.open()
+	}
+	return nil
+}
+
+// die ends the mixer's process: clients and nodes see their connections end.
+func (m *mixerHost) die() {
+	m.dead = true
+	for _, k := range m.order {
+		if m.works[k.call.Attempt] == k {
+			k.gone = true
+			m.w.check.over(k)
+		}
+	}
+	clear(m.works)
+	if m.follow != nil {
+		m.follow.gen++
+		m.follow.live = false
+	}
+	var lost []*asked
+	for a := range m.open {
+		lost = append(lost, a)
+	}
+	slices.SortFunc(lost, func(a, o *asked) int { return cmp.Compare(a.id, o.id) })
+	for _, a := range lost {
+		m.w.in(m.w.delay(), a.lost)
+	}
+	clear(m.open)
+}
+
+// hears takes a line of the list that has come.
+func (m *mixerHost) hears(e entry) {
+	m.states[e.n.id] = e.state
+	m.toldOf(e)
+}
+
+// toldOf notes what the mixer answers for from now on.
+func (m *mixerHost) toldOf(e entry) {
+	if e.state == balance.InService {
+		m.starts[e.n.id] = e.started
+		delete(m.told, e.n.id)
+	} else if _, ok := m.told[e.n.id]; !ok {
+		m.told[e.n.id] = m.w.now
+	}
 }
 
+// Tell carries a word to the other mixers: late, or never.
+func (m *mixerHost) Tell(text []byte) {
+	w := m.w
+	for _, o := range w.mixers {
+		if o == m || w.between(m.zone, o.zone) || w.rng.Float64() < wordLost {
+			continue
+		}
+		life := o.life
+		w.in(w.delay(), func() {
+			if o.life == life && !o.dead {
+				o.put(mixer.Word{Text: text})
+			}
+		})
+	}
+}
+
+const (
+	lossSpan  = 4                      // as the platform's composition has it
+	wordLost  = 0.02                   // of the words, on their way to each mixer
+	probeWait = 200 * time.Millisecond // a probe that nobody answers ends after it
+)
+
 func (m *mixerHost) server(n *node) mixer.Server {
-	return mixer.Server{Evidence: m.ev[n.id], ID: n.id, Addr: string(n.id), Zone: n.index % 2, Cell: n.index, Weight: 1, State: m.states[n.id]}
+	return mixer.Server{Evidence: m.ev[n.id], ID: n.id, Addr: string(n.id), Zone: n.zone(), Cell: n.index, Weight: 1, State: m.states[n.id], Started: n.started}
 }
 
 // put gathers an event for the turn of this moment.
 func (m *mixerHost) put(e any) {
+	if m.dead {
+		return
+	}
 	m.inbox = append(m.inbox, e)
 	if !m.turned {
 		m.turned = true
-		m.w.at(m.w.now, m.turn)
+		life := m.life
+		m.w.at(m.w.now, func() {
+			if m.life == life {
+				m.turn()
+			}
+		})
 	}
 }
 
 func (m *mixerHost) turn() {
+	if m.dead {
+		return
+	}
 	m.turned = false
 	events := m.inbox
 	m.inbox = nil
@@ -100,8 +227,9 @@
 	}
 	if !next.IsZero() && (m.wake.IsZero() || next.Before(m.wake) || !m.wake.After(m.w.now)) {
 		m.wake = next
+		life := m.life
 		m.w.at(next, func() {
-			if m.wake.Equal(next) && !m.turned {
+			if m.life == life && m.wake.Equal(next) && !m.turned {
 				m.turned = true
 				m.turn()
 			}
@@ -178,6 +306,9 @@
 		m.order = append(m.order, k)
 		m.w.note("send", uint64(call.Attempt.Part), uint64(n.index))
 		m.w.check.sent(m, n, k)
+		if m.w.between(m.zone, n.zone()) {
+			continue // nobody will hear of it
+		}
 		m.w.in(m.w.delay(), func() { n.take(k) })
 	}
 	if len(m.order) > 2*len(m.works)+64 {
@@ -206,14 +337,36 @@
 	})
 }
 
-// Probe tells nothing.
+// Probe asks a node for its load, where mixers do that, and tells nothing elsewhere.
 func (m *mixerHost) Probe(now time.Time, to mixer.Server) {
-	m.put(mixer.Probed{Server: to.ID, Err: &mixer.AttemptError{Reach: mixer.NotConnected}})
+	nothing := mixer.Probed{Server: to.ID, Err: &mixer.AttemptError{Reach: mixer.NotConnected}}
+	if !m.w.Words {
+		m.put(nothing)
+		return
+	}
+	n, life := m.w.byID[to.ID], m.life
+	after := func(d time.Duration, e mixer.Probed) {
+		m.w.in(d, func() {
+			if m.life == life {
+				e.Took = m.w.now.Sub(now)
+				m.put(e)
+			}
+		})
+	}
+	switch {
+	case n.cut || m.w.between(m.zone, n.zone()):
+		nothing.Err = &mixer.AttemptError{Reach: mixer.Written}
+		after(probeWait, nothing)
+	case !n.up:
+		after(m.w.delay(), nothing)
+	default:
+		after(m.w.delay()+m.w.delay(), mixer.Probed{Server: to.ID, Report: &balance.Report{Queue: float64(len(n.queue)), InFlight: float64(len(n.out)), Util: -1}})
+	}
 }
 
 // ended brings the end of an attempt, unless it was given up before.
 func (m *mixerHost) ended(k *work, err error, value string) {
-	if m.works[k.call.Attempt] != k || k.gone {
+	if m.works[k.call.Attempt] != k || k.gone || m.w.between(m.zone, k.node.zone()) {
 		return
 	}
 	m.finish(k, mixer.Ended{Attempt: k.call.Attempt, Err: err, Value: value})
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"rooktrestle/balance"
@@ -29,6 +31,82 @@
 	busy    int
 	queue   []*work
 	out     map[*work]bool // taken and not ended
+	started time.Time      // of its process; zero: long ago
+	gone    bool           // it is replaced by another
+	recent  []arrival      // within the time in which too many make it fall, while it is cold
+}
+
+// arrival is a part that came, and whether its mixer had been told that the node is cold.
+type arrival struct {
+	at   time.Time
+	told bool
+}
+
+// Cold is what a node can do after its start, and what makes it fall. The zero value: all, and nothing.
+type Cold struct {
+	For    time.Duration // it is warm after it
+	From   float64       // share of its capacity at its start, growing evenly
+	Tip    float64       // so many times what it can do
+	TipFor time.Duration // within so long make it fall
+}
+
+// zone is the node's: its place in the ring tells it.
+func (n *node) zone() int { return n.index % max(2, n.w.Zones) }
+
+// share is what it has of its capacity by now.
+func (n *node) share() float64 {
+	age := n.w.now.Sub(n.started)
+	if c := n.w.Cold; c.For > 0 && !n.started.IsZero() && age < c.For {
+		return c.From + (1-c.From)*float64(age)/float64(c.For)
+	}
+	return 1
+}
+
+// crowded counts a part that came, and says whether the node falls under it. N parts of mean work are what the rule
+// allows within the time; chance may bring three deviations and three more.
+func (n *node) crowded(m *mixerHost) bool {
+	c, share := n.w.Cold, n.share()
+	if share >= 1 || c.Tip <= 0 {
+		n.recent = nil
+		return false
+	}
+	n.recent = append(n.recent, arrival{n.w.now, m.starts[n.id].Equal(n.started)})
+	n.recent = slices.DeleteFunc(n.recent, func(a arrival) bool { return n.w.now.Sub(a.at) > c.TipFor })
+	most := c.Tip * share * float64(n.w.Cores) * float64(c.TipFor) / float64(n.w.Work)
+	if float64(len(n.recent)) <= most+3*math.Sqrt(most)+3 {
+		return false
+	}
+	told := 0
+	for _, a := range n.recent {
+		if a.told {
+			told++
+		}
+	}
+	if 3*told > 2*len(n.recent) {
+		n.w.check.bad("cold %s falls under %d parts, %d of mixers that were told of its start; %.1f are allowed", n.id, len(n.recent), told, most)
+	}
+	n.w.result.Fallen++
+	return true
+}
+
+// fall ends a node that got too much; it is back, cold, after a second.
+func (n *node) fall() {
+	n.die()
+	n.recent = nil
+	n.w.in(time.Second, func() {
+		if !n.gone {
+			n.up = true
+			n.begin()
+		}
+	})
+}
+
+// begin notes a start of the node's process.
+func (n *node) begin() {
+	if n.w.Cold.For > 0 {
+		n.started = n.w.now
+	}
+	n.w.roster.tell(n, balance.InService)
 }
 
 // work is one attempt of a part at a node.
@@ -62,6 +140,11 @@
 		w.in(w.delay(), func() { k.m.ended(k, &mixer.AttemptError{Reach: mixer.Answered, TurnedAway: true}, "") })
 		return
 	}
+	if n.crowded(k.m) {
+		w.in(w.delay(), func() { k.m.ended(k, &mixer.AttemptError{Reach: mixer.Written}, "") })
+		n.fall()
+		return
+	}
 	w.check.ran(n, k)
 	if n.rng.Float64() < n.fails {
 		w.in(w.delay(), func() { k.m.ended(k, &mixer.AttemptError{Reach: mixer.Answered}, "") })
@@ -85,6 +168,9 @@
 		if n.slowFor < 0 || n.slowFor == k.call.Class {
 			d = time.Duration(float64(d) * n.slow)
 		}
+		if share := n.share(); share < 1 {
+			d = time.Duration(float64(d) / share)
+		}
 		n.w.in(d, func() {
 			n.busy--
 			n.done(k)
@@ -129,6 +215,10 @@
 
 // tell tells all mixers of a node.
 func (r *roster) tell(n *node, s balance.State) {
+	if r.w.Discovery.Kind != "" {
+		r.w.registry.change(n, s)
+		return
+	}
 	for _, m := range r.w.mixers {
 		d := r.lag + time.Duration(r.w.rng.Float64()*float64(50*time.Millisecond))
 		r.w.in(d, func() { m.listed(n, s) })
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -7,6 +7,7 @@
 	"container/heap"
 	"encoding/binary"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -93,22 +94,27 @@
 
 // Settings of a fleet.
 type Settings struct {
-	Seed     uint64
-	Mixers   int
-	Nodes    int
-	Reach    int           // nodes that hold a block; blocks are as many as nodes, round the ring
-	Parts    int           // of a search
-	Cores    int           // of a node
-	Work     time.Duration // of a part, on the mean; exponential over a half of it
-	Rate     float64       // queries a second over all mixers
-	Retries  int           // that a client makes of a refused or failed query
-	RetryAt  time.Duration // after so long, and a half to twice of it
-	Network  time.Duration // one way, on the mean
-	For      time.Duration // clients ask for so long
-	Evidence bool          // mixers have decide/health, and checks each second
-	Troubles []Trouble
-	Planted  string // a bug on purpose, for tests of the checker
-	Keep     bool   // keep the trace's text
+	Seed      uint64
+	Mixers    int
+	Nodes     int
+	Reach     int           // nodes that hold a block; blocks are as many as nodes, round the ring
+	Parts     int           // of a search
+	Cores     int           // of a node
+	Work      time.Duration // of a part, on the mean; exponential over a half of it
+	Rate      float64       // queries a second over all mixers
+	Retries   int           // that a client makes of a refused or failed query
+	RetryAt   time.Duration // after so long, and a half to twice of it
+	Network   time.Duration // one way, on the mean
+	For       time.Duration // clients ask for so long
+	Evidence  bool          // mixers have decide/health, and checks each second
+	Zones     int           // of nodes and mixers, in turn; 0: two of nodes, all mixers in the first
+	Skew      float64       // of the mixers' traffic: each gets e to so many normal deviations
+	Words     bool          // mixers probe nodes and tell each other what they see
+	Cold      Cold          // what a node can do after its start
+	Discovery Discovery     // how mixers hear of the list
+	Troubles  []Trouble
+	Planted   string // a bug on purpose, for tests of the checker
+	Keep      bool   // keep the trace's text
 }
 
 // Defaults is a small fleet without trouble.
@@ -123,11 +129,18 @@
 	Events                                  uint64
 	Asked, Served, Partial, Refused, Failed int // queries, a client's repeats among them
 	Wanted, Got                             int // first tries, and those that were answered in the end
+	Lost                                    int // tries whose mixer died under them
+	Fallen                                  int // cold nodes that got too much
+	Calls, CallsFailed                      int // of discovery
+	Classes                                 [3]OfClass
 	Broken                                  []string
 	Took                                    []time.Duration // of served queries, in order
 	Trace                                   []string
 }
 
+// OfClass counts the queries of one class, a client's repeats not among them.
+type OfClass struct{ Wanted, Got, InTime int }
+
 // Goodput is the share of what was wanted that was answered.
 func (r *Result) Goodput() float64 {
 	if r.Wanted == 0 {
@@ -140,15 +153,21 @@
 type world struct {
 	clock
 	Settings
-	rng    *rand.Rand
-	mixers []*mixerHost
-	nodes  []*node
-	byID   map[balance.Replica]*node
-	roster *roster
-	check  *checker
-	result Result
+	rng      *rand.Rand
+	mixers   []*mixerHost
+	nodes    []*node
+	byID     map[balance.Replica]*node
+	roster   *roster
+	registry *registry
+	traffic  []float64 // of the mixers, added up
+	apart    bool      // the zones do not reach each other
+	check    *checker
+	result   Result
 }
 
+// between says whether nothing passes from one zone to the other.
+func (w *world) between(a, b int) bool { return w.apart && a != b }
+
 // Run plays a fleet.
 func Run(s Settings) (Result, error) {
 	w := &world{Settings: s, byID: map[balance.Replica]*node{}, rng: rand.New(rand.NewPCG(s.Seed, 0x51)), check: newChecker()}
@@ -159,7 +178,14 @@
 		w.nodes = append(w.nodes, n)
 		w.byID[n.id] = n
 	}
-	w.roster = &roster{w: w}
+	w.roster, w.registry = &roster{w: w}, &registry{w: w}
+	if s.Skew > 0 {
+		sum := 0.0
+		for range s.Mixers {
+			sum += math.Exp(s.Skew * w.rng.NormFloat64())
+			w.traffic = append(w.traffic, sum)
+		}
+	}
 	for i := range s.Mixers {
 		m, err := newMixer(w, i)
 		if err != nil {
@@ -177,5 +203,6 @@
 	w.check.quiet()
 	w.result.Hash, w.result.Events, w.result.Trace = w.trace.Sum64(), w.count, w.text
 	w.result.Broken = w.check.broken
+	w.result.Calls, w.result.CallsFailed = w.registry.Calls, w.registry.Failed
 	return w.result, nil
 }
--- a/internal/lab/sim/trouble.go
+++ b/internal/lab/sim/trouble.go
@@ -20,9 +20,18 @@
 	Hang       Kind = "hang"        // nodes take parts and never answer
 	BadChecks  Kind = "bad-checks"  // every check fails while nodes serve
 	Lag        Kind = "roster-lag"  // the roster runs so many seconds behind
+
+	// Of whole fleets, where mixers call discovery by themselves.
+	Release Kind = "release" // nodes drain, end, and are replaced by others, cold, evenly over the time
+	Kill    Kind = "kill"    // this share of the mixers dies at once; each is back within the time
+	Hush    Kind = "hush"    // discovery falls silent
+	Apart   Kind = "apart"   // zones do not reach each other, words included
 )
 
-// Kinds are all of them.
+// drainFor is how long a node that is replaced drains.
+const drainFor = 2 * time.Second
+
+// Kinds are all of them but those of whole fleets.
 var Kinds = []Kind{FastErrors, Burst, Slow, Gray, Deploy, Outage, Cut, Hang, BadChecks, Lag}
 
 // Trouble is one thing that goes wrong for a while.
@@ -85,7 +94,7 @@
 				hit = append(hit, w.nodes[i])
 			}
 		}
-		both(func(n *node) { n.die(); w.roster.tell(n, balance.Removed) }, func(n *node) { n.up = true; w.roster.tell(n, balance.InService) })
+		both(func(n *node) { n.die(); w.roster.tell(n, balance.Removed) }, func(n *node) { n.up = true; n.begin() })
 	case Lag:
 		w.at(begin, func() { w.roster.lag = time.Duration(t.Size * float64(time.Second)) })
 		w.at(end, func() { w.roster.lag = 0 })
@@ -94,7 +103,39 @@
 			at := begin.Add(time.Duration(i) * t.For / time.Duration(len(hit)))
 			w.at(at, func() { n.drains = true; w.roster.tell(n, balance.Draining) })
 			w.at(at.Add(t.For/time.Duration(2*len(hit))), func() { n.die(); w.roster.tell(n, balance.Removed) })
-			w.at(at.Add(t.For/time.Duration(len(hit))), func() { n.drains, n.up = false, true; w.roster.tell(n, balance.InService) })
+			w.at(at.Add(t.For/time.Duration(len(hit))), func() { n.drains, n.up = false, true; n.begin() })
 		}
+	case Release:
+		for i, n := range hit {
+			at := begin.Add(time.Duration(i) * t.For / time.Duration(len(hit)))
+			w.at(at, func() { n.drains = true; w.roster.tell(n, balance.Draining) })
+			w.at(at.Add(drainFor), func() {
+				n.die()
+				n.gone = true
+				w.roster.tell(n, balance.Removed)
+				o := newNode(w, len(w.nodes))
+				o.index = n.index
+				w.nodes, w.byID[o.id] = append(w.nodes, o), o
+				o.begin()
+			})
+		}
+	case Kill:
+		w.at(begin, func() {
+			for _, i := range w.rng.Perm(len(w.mixers))[:int(t.Size*float64(len(w.mixers)))] {
+				m := w.mixers[i]
+				m.die()
+				w.in(time.Duration(w.rng.Float64()*float64(t.For)), func() {
+					if err := m.begin(); err != nil {
+						w.check.bad("mixer %d does not start again: %v", m.index, err)
+					}
+				})
+			}
+		})
+	case Hush:
+		w.at(begin, func() { w.registry.hush(true) })
+		w.at(end, func() { w.registry.hush(false) })
+	case Apart:
+		w.at(begin, func() { w.apart = true })
+		w.at(end, func() { w.apart = false })
 	}
 }
