Plant flooded cold nodes in the simulator, and name its troubles by the field's terms

Need: the check on cold nodes that fall had no bug that it must find; a mixer's start was one long function. Change: 'cold ignored' planted; silence and partition in place of hush and apart; begin split in settings, know and the follower's. Result: the honest fleet under the same load breaks nothing, the planted one makes nodes fall and is found.

--- a/internal/lab/sim/day.go
+++ b/internal/lab/sim/day.go
@@ -42,11 +42,11 @@
 	case "herd":
 		s.Troubles = []Trouble{bad, {Kind: Release, From: from, For: 5 * time.Second, First: first + nodes/8, Nodes: nodes / 2},
 			{Kind: Kill, From: from + 2*time.Second, For: 2 * time.Second, Size: 0.7},
-			{Kind: Hush, From: from - time.Second, For: 4 * time.Second}}
+			{Kind: Silence, From: from - time.Second, For: 4 * time.Second}}
 	case "zone":
 		s.Troubles = []Trouble{bad, {Kind: Outage, From: from, For: 5 * time.Second}}
 	case "split":
-		s.Troubles = []Trouble{{Kind: Apart, From: from, For: 6 * time.Second}, {Kind: Hush, From: from, For: 4 * time.Second}}
+		s.Troubles = []Trouble{{Kind: Partition, From: from, For: 6 * time.Second}, {Kind: Silence, From: from, For: 4 * time.Second}}
 	case "join":
 		s.Troubles = []Trouble{bad, {Kind: Release, From: from, For: 7 * time.Second, First: first + nodes/8, Nodes: nodes * 6 / 10}}
 	default:
--- a/internal/lab/sim/day_test.go
+++ b/internal/lab/sim/day_test.go
@@ -8,12 +8,18 @@
 
 // fleet plays a day of a small fleet; the sizes that the operators name are played by rooklab days.
 func fleet(t *testing.T, kind string, seed uint64, planted string) Result {
+	t.Helper()
+	return loaded(t, kind, seed, planted, 1)
+}
+
+// loaded plays it with so many times the load.
+func loaded(t *testing.T, kind string, seed uint64, planted string, load float64) Result {
 	t.Helper()
 	s, err := Day(kind, seed, 12, 12)
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.Planted, s.Rate = planted, s.Rate/3
+	s.Planted, s.Rate = planted, load*s.Rate/3
 	return play(t, s)
 }
 
@@ -33,6 +39,17 @@
 	}
 }
 
+// A fleet that takes cold nodes for warm ones makes them fall, and the checker sees it.
+func TestFloodedColdNodesAreFound(t *testing.T) {
+	if honest := loaded(t, "join", 1, "", 6); len(honest.Broken) > 0 {
+		t.Errorf("%s", honest.Broken[0])
+	}
+	r := loaded(t, "join", 1, coldIgnored, 6)
+	if r.Fallen == 0 || !slices.ContainsFunc(r.Broken, func(b string) bool { return strings.Contains(b, "falls under") }) {
+		t.Errorf("%d fell, broken: %v", r.Fallen, r.Broken)
+	}
+}
+
 // The same seed gives the same trace with words, deaths, and lists that are called for.
 func TestDaysAreFixedByTheirSeed(t *testing.T) {
 	if one, two := fleet(t, "herd", 2, ""), fleet(t, "herd", 2, ""); one.Hash != two.Hash || one.Asked == 0 {
--- a/internal/lab/sim/discovery.go
+++ b/internal/lab/sim/discovery.go
@@ -42,8 +42,8 @@
 	silent  bool    // nothing comes of it, and watches that were open are broken
 	free    time.Time
 	waiting []func() // calls that came while it was silent
-	Calls   int
-	Failed  int // calls that it refused
+	calls   int
+	failed  int // calls that it refused
 }
 
 // change adds a line and passes it on to open watches.
@@ -63,8 +63,8 @@
 	return time.Duration(r.w.rng.Float64() * float64(50*time.Millisecond))
 }
 
-// hush makes discovery silent, or lets it speak again.
-func (r *registry) hush(silent bool) {
+// silence makes discovery silent, or lets it speak again.
+func (r *registry) silence(silent bool) {
 	r.silent = silent
 	if !silent {
 		for _, answer := range r.waiting {
@@ -103,11 +103,22 @@
 // waitsInSilence is a planted bug: a silent watch is opened anew only after the fleet's back-off.
 const waitsInSilence = "waits in silence"
 
+// begin makes the first call of a process. What the agent has counts as told to a new one from its first moment.
+func (f *follower) begin(again bool) {
+	f.live, f.deaf = false, false
+	if again && f.r.w.Discovery.Kind == Agents {
+		for _, e := range f.r.lines[f.version:] {
+			f.counts(e)
+		}
+	}
+	f.open()
+}
+
 // open calls discovery.
 func (f *follower) open() {
 	w := f.r.w
 	f.gen++
-	f.r.Calls++
+	f.r.calls++
 	gen := f.gen
 	f.live, f.deaf = false, f.r.silent
 	f.deafAt = w.now
@@ -139,7 +150,7 @@
 			f.r.free = turn
 		}
 		if f.r.free.Sub(turn) > w.Discovery.Wait {
-			f.r.Failed++
+			f.r.failed++
 			f.failed = true
 			w.in(w.delay(), func() { f.ended(gen) })
 			return
--- a/internal/lab/sim/mixer.go
+++ b/internal/lab/sim/mixer.go
@@ -65,35 +65,53 @@
 
 // begin starts a process of the mixer: it knows what the list was when the last one ended.
 func (m *mixerHost) begin() error {
-	w, known := m.w, m.states
+	known := m.states
 	m.life++
 	m.dead, m.inbox, m.turned, m.wake = false, nil, false, time.Time{}
 	m.works, m.order, m.open = map[mixer.AttemptID]*work{}, nil, map[*asked]bool{}
 	m.told, m.states, m.starts = map[balance.Replica]time.Time{}, map[balance.Replica]balance.State{}, map[balance.Replica]time.Time{}
 	m.ev = map[balance.Replica]balance.Evidence{}
-	m.set = balance.Settings{Seed: w.Seed + uint64(m.index), Instances: w.Mixers, Tick: 5 * time.Millisecond, Cells: w.Nodes, Reach: w.Reach, Shards: w.Nodes,
-		CallParts: 1, MaxAttempts: 4, CanCancel: true, MaxRetryAfter: time.Second, OverShareWorth: 1, Classes: classes(),
-		Tenants: []balance.Tenant{{}}, Zone: m.zone}
-	if m.life > 1 {
-		m.set.Seed += uint64(m.life) << 32
-	}
-	if w.Cold.For > 0 {
-		m.set.Rules = balance.Rules{ColdFor: w.Cold.For, ColdFrom: w.Cold.From, TipMultiple: w.Cold.Tip, TipFor: w.Cold.TipFor}
-	}
-	if w.Words {
-		m.set.Peers, m.set.CanProbe, m.set.ReportsOnProbe, m.set.ProbeWait = true, true, true, probeWait
-	}
+	m.set = m.settings()
 	b, err := balance.New(m.set)
 	if err != nil {
 		return err
 	}
 	m.core = mixer.NewCore(b, m, mixer.Limits{SecondStep: []int{0, 0, 0}, MaxOpen: 20000, ComeBack: time.Second, Ahead: 20 * time.Millisecond}, Start)
 	m.core.Witness = m
-	if w.Words {
+	if m.w.Words {
 		aim := classes()[report].Aim
 		m.core.Peers = m
-		m.core.Losses = outlier.New(outlier.Rules{Span: lossSpan * aim, Late: aim / 2, Fresh: aim, Zone: m.zone, Mixers: w.Mixers})
+		m.core.Losses = outlier.New(outlier.Rules{Span: lossSpan * aim, Late: aim / 2, Fresh: aim, Zone: m.zone, Mixers: m.w.Mixers})
+	}
+	if err := m.know(known); err != nil {
+		return err
+	}
+	if m.follow != nil {
+		m.follow.begin(m.life > 1)
+	}
+	return nil
+}
+
+func (m *mixerHost) settings() balance.Settings {
+	w := m.w
+	set := balance.Settings{Seed: w.Seed + uint64(m.index), Instances: w.Mixers, Tick: 5 * time.Millisecond, Cells: w.Nodes, Reach: w.Reach, Shards: w.Nodes,
+		CallParts: 1, MaxAttempts: 4, CanCancel: true, MaxRetryAfter: time.Second, OverShareWorth: 1, Classes: classes(),
+		Tenants: []balance.Tenant{{}}, Zone: m.zone}
+	if m.life > 1 { // another process draws other chances
+		set.Seed += uint64(m.life) << 32
+	}
+	if w.Cold.For > 0 && w.Planted != coldIgnored {
+		set.Rules = balance.Rules{ColdFor: w.Cold.For, ColdFrom: w.Cold.From, TipMultiple: w.Cold.Tip, TipFor: w.Cold.TipFor}
+	}
+	if w.Words {
+		set.Peers, set.CanProbe, set.ReportsOnProbe, set.ProbeWait = true, true, true, probeWait
 	}
+	return set
+}
+
+// know gives the mixer its first list: that of the nodes that its last process had in service, or all.
+func (m *mixerHost) know(known map[balance.Replica]balance.State) error {
+	w := m.w
 	list := mixer.Members{Kind: balance.ListFull}
 	var nodes []health.Node
 	for _, n := range w.nodes {
@@ -109,6 +127,7 @@
 		nodes = append(nodes, hn)
 	}
 	if w.Evidence {
+		var err error
 		if m.table, err = health.New(health.Defaults(3, 1<<correction), []health.Source{{Name: "check", Fall: 2, Rise: 1, Valid: 4 * time.Second}}, Start); err != nil {
 			return err
 		}
@@ -116,17 +135,6 @@
 		w.at(Start.Add(time.Duration(w.rng.Float64()*float64(time.Second))), m.checks)
 	}
 	m.put(list)
-	if f := m.follow; f != nil {
-		if m.life > 1 { // what its agent has counts as told to a new process
-			f.live, f.deaf = false, false
-			for _, e := range f.r.lines[f.version:] {
-				if w.Discovery.Kind == Agents {
-					f.counts(e)
-				}
-			}
-		}
-		f.open()
-	}
 	return nil
 }
 
@@ -187,6 +195,9 @@
 	}
 }
 
+// coldIgnored is a planted bug: mixers send cold nodes what they send warm ones.
+const coldIgnored = "cold ignored"
+
 const (
 	lossSpan  = 4                      // as the platform's composition has it
 	wordLost  = 0.02                   // of the words, on their way to each mixer
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -160,13 +160,13 @@
 	roster   *roster
 	registry *registry
 	traffic  []float64 // of the mixers, added up
-	apart    bool      // the zones do not reach each other
+	parted   bool      // the zones do not reach each other
 	check    *checker
 	result   Result
 }
 
 // between says whether nothing passes from one zone to the other.
-func (w *world) between(a, b int) bool { return w.apart && a != b }
+func (w *world) between(a, b int) bool { return w.parted && a != b }
 
 // Run plays a fleet.
 func Run(s Settings) (Result, error) {
@@ -203,6 +203,6 @@
 	w.check.quiet()
 	w.result.Hash, w.result.Events, w.result.Trace = w.trace.Sum64(), w.count, w.text
 	w.result.Broken = w.check.broken
-	w.result.Calls, w.result.CallsFailed = w.registry.Calls, w.registry.Failed
+	w.result.Calls, w.result.CallsFailed = w.registry.calls, w.registry.failed
 	return w.result, nil
 }
--- a/internal/lab/sim/trouble.go
+++ b/internal/lab/sim/trouble.go
@@ -22,10 +22,10 @@
 	Lag        Kind = "roster-lag"  // the roster runs so many seconds behind
 
 	// Of whole fleets, where mixers call discovery by themselves.
-	Release Kind = "release" // nodes drain, end, and are replaced by others, cold, evenly over the time
-	Kill    Kind = "kill"    // this share of the mixers dies at once; each is back within the time
-	Hush    Kind = "hush"    // discovery falls silent
-	Apart   Kind = "apart"   // zones do not reach each other, words included
+	Release   Kind = "release"   // nodes drain, end, and are replaced by others, cold, evenly over the time
+	Kill      Kind = "kill"      // this share of the mixers dies at once; each is back within the time
+	Silence   Kind = "silence"   // discovery falls silent
+	Partition Kind = "partition" // zones do not reach each other, words included
 )
 
 // drainFor is how long a node that is replaced drains.
@@ -131,11 +131,11 @@
 				})
 			}
 		})
-	case Hush:
-		w.at(begin, func() { w.registry.hush(true) })
-		w.at(end, func() { w.registry.hush(false) })
-	case Apart:
-		w.at(begin, func() { w.apart = true })
-		w.at(end, func() { w.apart = false })
+	case Silence:
+		w.at(begin, func() { w.registry.silence(true) })
+		w.at(end, func() { w.registry.silence(false) })
+	case Partition:
+		w.at(begin, func() { w.parted = true })
+		w.at(end, func() { w.parted = false })
 	}
 }
