--- a/balance/peers.go
+++ b/balance/peers.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"rooktrestle/internal/decide/words"
 )
 
 // What gatherers tell each other, and what of it is trusted. One of many meets a server so rarely that what
@@ -26,13 +28,13 @@
 		return
 	}
 	for i := range b.remarks {
-		if b.remarks[i].key == s.key {
-			b.remarks[i].said = said
+		if b.remarks[i].Key == s.key {
+			b.remarks[i].Said = said
 			return
 		}
 	}
 	if len(b.remarks) < remarkMost {
-		b.remarks = append(b.remarks, remark{s.key, said})
+		b.remarks = append(b.remarks, remark{Key: s.key, Said: said})
 	}
 }
 
@@ -41,7 +43,7 @@
 	if len(b.remarks) == 0 || b.now < b.tellAt {
 		return
 	}
-	size := float64((wordHead + remarkSize*len(b.remarks)) * (b.set.Instances - 1))
+	size := float64(words.Size(len(b.remarks)) * (b.set.Instances - 1))
 	if b.tellBytes < size {
 		return
 	}
@@ -82,12 +84,12 @@
 		return
 	}
 	for _, r := range remarks {
-		s := b.byKey[r.key]
+		s := b.byKey[r.Key]
 		if s == nil {
 			continue // not listed here: a word brings no server in
 		}
 		s.probed = max(s.probed, b.now-max(0, age))
-		if r.said == noAnswer {
+		if r.Said == noAnswer {
 			// Of the own zone: the others' way there may be cut.
 			if zone == b.set.Zone&0xff && b.now-s.lastOK > max(0, age)+b.set.ProbeWait {
 				s.noReply, s.dark = true, true
@@ -95,7 +97,7 @@
 			continue
 		}
 		s.noReply, s.dark = false, false
-		queue := float64(r.said)
+		queue := float64(r.Said)
 		long := b.long(queue)
 		if !long && queue > s.q {
 			continue // what is known here is no better
--- a/balance/peers_test.go
+++ b/balance/peers_test.go
@@ -63,7 +63,7 @@
 func TestSilenceOfAnotherZonesWay(t *testing.T) {
 	silent := func(h *bench, zone int) bool {
 		h.now += time.Second
-		h.turn(Word{writeWord(h.now, zone, []remark{{words.Key("a"), noAnswer}})})
+		h.turn(Word{writeWord(h.now, zone, []remark{{Key: words.Key("a"), Said: noAnswer}})})
 		return h.b.servers["a"].silent
 	}
 	h := many(t)
@@ -125,7 +125,7 @@
 		"empty":        {bend: func([]byte) []byte { return nil }},
 		"of a stranger": {bend: func(b []byte) []byte {
 			_, _, r, _ := readWord(0, b)
-			r[0].key++
+			r[0].Key++
 			return writeWord(0, 0, r)
 		}},
 	} {
@@ -172,7 +172,7 @@
 	}
 	var remarks []remark
 	for i := range 200 {
-		remarks = append(remarks, remark{uint32(i), byte(i)})
+		remarks = append(remarks, remark{Key: uint32(i), Said: byte(i)})
 	}
 	text := writeWord(0, 0, remarks)
 	if _, _, got, ok := readWord(0, text); !ok || len(text) > WordMost || len(got) != remarkMost {
@@ -182,11 +182,11 @@
 
 func FuzzWord(f *testing.F) {
 	f.Add([]byte(nil))
-	f.Add(writeWord(time.Hour, 0, []remark{{words.Key("a"), 7}, {words.Key("b"), noAnswer}}))
+	f.Add(writeWord(time.Hour, 0, []remark{{Key: words.Key("a"), Said: 7}, {Key: words.Key("b"), Said: noAnswer}}))
 	f.Add(append(writeWord(0, 0, nil), 1, 2, 3))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		_, _, remarks, ok := readWord(0, text)
-		if ok != ReadsAsWord(text) || ok && len(text) != wordHead+remarkSize*len(remarks) {
+		if ok != ReadsAsWord(text) || ok && len(text) != words.Size(len(remarks)) {
 			t.Fatalf("%x: %v, %d remarks", text, ok, len(remarks))
 		}
 		set := testSettings()
--- a/internal/app/platform.go
+++ b/internal/app/platform.go
@@ -39,7 +39,6 @@
 	firstRequest = 2200 * time.Millisecond
 	idleClient   = 15 * time.Second // a connection between requests
 	spareClient  = 2 * time.Second  // the same, where many are open
-	lossSpan     = 4                // shortest aims over which losses told by mixers count
 )
 
 func logf(format string, args ...any) {
@@ -84,8 +83,8 @@
 		} else {
 			defer x.Close()
 			core.Peers = x
-			if aim := shortestAim(d.Decisions.Classes); d.Decisions.Talks() {
-				core.Losses = outlier.New(outlier.Rules{Span: lossSpan * aim, Late: aim / 2, Fresh: aim, Zone: d.Decisions.Zone, Mixers: d.Decisions.Instances})
+			if d.Decisions.Talks() {
+				core.Losses = outlier.New(outlier.Platform(shortestAim(d.Decisions.Classes), d.Decisions.Zone, d.Decisions.Instances))
 			}
 		}
 	}
--- a/internal/decide/outlier/outlier.go
+++ b/internal/decide/outlier/outlier.go
@@ -28,6 +28,11 @@
 	Mixers int
 }
 
+// Platform is the rules for a mixer of so many in a zone, by the settings' shortest aim.
+func Platform(aim time.Duration, zone, mixers int) Rules {
+	return Rules{Span: 4 * aim, Late: aim / 2, Fresh: aim, Zone: zone, Mixers: mixers}
+}
+
 const (
 	lostLeast = 4   // losses within a span that make an outlier where the others lose none
 	lostTimes = 4   // and so many times what is usual beside them
@@ -256,8 +261,8 @@
 
 // Word words what is to be told, if parts taken have earned it; nil if not.
 func (t *Table) Word(now time.Duration) []byte {
-	n := min(len(t.tell), remarkMost)
-	size := float64((wordHead + n*remarkSize) * (t.rules.Mixers - 1))
+	n := min(len(t.tell), words.MostRemarks)
+	size := float64(words.Size(n) * (t.rules.Mixers - 1))
 	if n == 0 || size > t.owed {
 		return nil
 	}
--- a/internal/decide/outlier/word.go
+++ b/internal/decide/outlier/word.go
@@ -1,49 +1,38 @@
 package outlier
 
 import (
-	"encoding/binary"
 	"time"
 
 	"rooktrestle/internal/decide/words"
 )
 
-// A word's body is the sender's zone (8 bits) and its remarks: for each a hash of a server's name (32 bits), how many
-// attempts were lost there (4 bits) and how many answered (4 bits) since the sender's last word.
 const (
-	wordKind   = 0x4c // letter L, version 1
-	wordHead   = words.Head + 1
-	remarkSize = 5
-	remarkMost = (words.Most - wordHead) / remarkSize
-	countMost  = 15
+	wordKind  = 0x4c // letter L, version 1: of a server how many attempts were lost there (4 bits) and how many answered
+	countMost = 15   // (4 bits) since the sender's last word
 )
 
-// remark is what one mixer saw itself of one server. What it heard it does not pass on.
+// remark is what one mixer saw itself of one server.
 type remark struct {
 	key          uint32
 	lost, served int
 }
 
 func writeWord(now time.Duration, zone int, remarks []remark) []byte {
-	body := []byte{byte(zone)}
+	var said []words.Remark
 	for _, r := range remarks {
-		body = binary.BigEndian.AppendUint32(body, r.key)
-		body = append(body, byte(min(r.lost, countMost)<<4|min(r.served, countMost)))
+		said = append(said, words.Remark{Key: r.key, Said: byte(min(r.lost, countMost)<<4 | min(r.served, countMost))})
 	}
-	return words.Write(wordKind, now, body)
+	return words.WriteRemarks(wordKind, now, zone, said)
 }
 
 // Reads says whether text is a word of this kind.
-func Reads(text []byte) bool {
-	return words.Is(wordKind, text) && len(text) >= wordHead && (len(text)-wordHead)%remarkSize == 0
-}
+func Reads(text []byte) bool { return words.HasRemarks(wordKind, text) }
 
 // readWord reads a word and how long ago it was sent: negative where the sender's clock is ahead.
 func readWord(now time.Duration, text []byte) (age time.Duration, zone int, remarks []remark, ok bool) {
-	if !Reads(text) {
-		return 0, 0, nil, false
-	}
-	for rest := text[wordHead:]; len(rest) > 0; rest = rest[remarkSize:] {
-		remarks = append(remarks, remark{binary.BigEndian.Uint32(rest), int(rest[4] >> 4), int(rest[4] & countMost)})
+	age, zone, said, ok := words.ReadRemarks(wordKind, now, text)
+	for _, r := range said {
+		remarks = append(remarks, remark{r.Key, int(r.Said >> 4), int(r.Said & countMost)})
 	}
-	return words.Age(now, text), int(text[words.Head]), remarks, true
+	return age, zone, remarks, ok
 }
--- a/internal/lab/sim/discovery.go
+++ b/internal/lab/sim/discovery.go
@@ -244,18 +244,16 @@
 		at = w.now.Add(askedTold)
 	}
 	m, life, since := f.m, f.m.life, w.now
-	w.at(at, func() {
-		if m.life != life || m.dead {
-			return
+	told := func() {
+		if m.life == life && !m.dead {
+			m.toldOf(e)
 		}
+	}
+	w.at(at, func() {
 		if f.failed { // it asked, and was refused: it may not know for longer
-			w.at(since.Add(failedTold), func() {
-				if m.life == life && !m.dead {
-					m.toldOf(e)
-				}
-			})
+			w.at(since.Add(failedTold), told)
 			return
 		}
-		m.toldOf(e)
+		told()
 	})
 }
--- a/internal/lab/sim/mixer.go
+++ b/internal/lab/sim/mixer.go
@@ -79,9 +79,8 @@
 	m.core = mixer.NewCore(b, m, mixer.Limits{SecondStep: []int{0, 0, 0}, MaxOpen: 20000, ComeBack: time.Second, Ahead: 20 * time.Millisecond}, Start)
 	m.core.Witness = m
 	if m.w.Words {
-		aim := classes()[report].Aim
 		m.core.Peers = m
-		m.core.Losses = outlier.New(outlier.Rules{Span: lossSpan * aim, Late: aim / 2, Fresh: aim, Zone: m.zone, Mixers: m.w.Mixers})
+		m.core.Losses = outlier.New(outlier.Platform(classes()[report].Aim, m.zone, m.w.Mixers))
 	}
 	if err := m.know(known); err != nil {
 		return err
@@ -199,7 +198,6 @@
 const coldIgnored = "cold ignored"
 
 const (
-	lossSpan  = 4                      // as the platform's composition has it
 	wordLost  = 0.02                   // of the words, on their way to each mixer
 	probeWait = 200 * time.Millisecond // a probe that nobody answers ends after it
 )
@@ -250,12 +248,7 @@
 
 // listed takes word of the roster.
 func (m *mixerHost) listed(n *node, s balance.State) {
-	m.states[n.id] = s
-	if s == balance.InService {
-		delete(m.told, n.id)
-	} else if _, ok := m.told[n.id]; !ok {
-		m.told[n.id] = m.w.now
-	}
+	m.hears(entry{n, s, n.started})
 	if m.w.Planted == "drain ignored" && s == balance.Draining {
 		return
 	}
