Set a link's connection and peer where the link is made

Cause: a server's link was given both twice, in its literal and by attach. Change: attach only has the end told.

--- a/internal/net/tcp/tcp.go
+++ b/internal/net/tcp/tcp.go
@@ -231,11 +231,10 @@
 // Peer is the other side's address.
 func (l *Link) Peer() string { return l.peer.String() }
 
-// attach makes a connection a link.
-func attach(conn netpoll.Connection, peer net.Addr, l *Link) {
-	l.conn, l.peer = conn, peer
-	conn.SetWriteTimeout(writeTimeout)
-	conn.AddCloseCallback(func(netpoll.Connection) error { l.ended(); return nil })
+// attach has the connection's end told to the link's handler.
+func (l *Link) attach() {
+	l.conn.SetWriteTimeout(writeTimeout)
+	l.conn.AddCloseCallback(func(netpoll.Connection) error { l.ended(); return nil })
 }
 
 // Dialer is Dial, or what stands in its place in tests.
@@ -286,9 +285,9 @@
 
 // dialed makes a connection that came up a link.
 func dialed(conn netpoll.Connection, peer net.Addr, handler func(*Link) Handler) (*Link, error) {
-	l := &Link{}
+	l := &Link{conn: conn, peer: peer}
 	l.handler = handler(l)
-	attach(conn, peer, l)
+	l.attach()
 	if err := conn.SetOnRequest(func(context.Context, netpoll.Connection) error { l.read(); return nil }); err != nil {
 		conn.Close()
 		return nil, err
@@ -365,7 +364,7 @@
 			}
 			l := &Link{conn: conn, peer: conn.RemoteAddr()}
 			l.handler = accept(l)
-			attach(conn, conn.RemoteAddr(), l)
+			l.attach()
 			conn.AddCloseCallback(func(netpoll.Connection) error { gate.leave(); return nil })
 			return context.WithValue(context.Background(), linkKey{}, l)
 		}),
