--- a/internal/decide/shares/allocator.go
+++ b/internal/decide/shares/allocator.go
@@ -171,7 +171,7 @@
 	}
 }
 
-// Divide shares units out by weighted max-min fairness of equal weights: nobody has more than it wants while another
+// Divide shares units out by max-min fairness: nobody has more than it wants while another
 // has less than it wants and less than that one. What nobody wants is shared out evenly, since what is wanted next is
 // not known. Equal wants may differ by one unit, the first in order before the others.
 func Divide(units int, wants []int) []int {
