Word the leaf servers' list and unhurried settings in one place for the program's tests

Cause: two stand-ins of discovery worded the same list, and two tests of several processes the same long aims. Change: listOf and unhurried serve both; the agent holds the number of the server that drains. Result: cmd/rooktrestle passes with the race detector; no assertion changed.

--- a/cmd/rooktrestle/fleet_test.go
+++ b/cmd/rooktrestle/fleet_test.go
@@ -82,10 +82,7 @@
 	for _, c := range r.from {
 		peers = append(peers, strconv.Quote(c.LocalAddr().String()))
 	}
-	// Aims so long that nothing here depends on how fast the machine is.
-	settings := regexp.MustCompile(`"(aim|deadline)":\d+`).ReplaceAllString(platformSettings, `"$1":60000000`)
-	settings = strings.Replace(settings, `"n_instances":1`, fmt.Sprintf(`"n_instances":%d`, len(r.to)), 1)
-	settings = strings.Replace(settings, `"limits":{`, `"limits":{"peer_messages":true,`, 1)
+	settings := strings.Replace(unhurried(len(r.to)), `"limits":{`, `"limits":{"peer_messages":true,`, 1)
 	for i := range r.to {
 		path := filepath.Join(t.TempDir(), "config.json")
 		keys := fmt.Sprintf(`"name":"n%d","seed":"%x","peer_listen":%q,"peers":[%s],"peers_all":%q`,
--- a/cmd/rooktrestle/program_test.go
+++ b/cmd/rooktrestle/program_test.go
@@ -188,16 +188,28 @@
  "load_info":{"fields":["pending"],"how":"pull"},"n_instances":1,"orgs":[{"name":"tv","quota_per_s":100,"share":1}],
  "rules":{"cold":16000000,"cold_from":0.28,"fall":2000000,"tip_multiple":3},"tick":5000,"zone":0,"zones":["a","b"]}`
 
-// newDiscovery starts a stand-in that lists these leaf servers.
-func newDiscovery(t *testing.T, leaves ...*leafServer) string {
-	list := `{"version":1,"full":true,"servers":[`
+// unhurried is the platform's settings for n mixers, with aims so long that nothing depends on how fast the machine is.
+func unhurried(n int) string {
+	settings := regexp.MustCompile(`"(aim|deadline)":\d+`).ReplaceAllString(platformSettings, `"$1":60000000`)
+	return strings.Replace(settings, `"n_instances":1`, fmt.Sprintf(`"n_instances":%d`, n), 1)
+}
+
+// listOf words the list of these leaf servers, of which the one of that number drains; negative: none.
+func listOf(leaves []*leafServer, drains int) string {
+	var lines []string
 	for i, l := range leaves {
-		if i > 0 {
-			list += ","
+		state := "SERVING"
+		if i == drains {
+			state = "DRAINING"
 		}
-		list += fmt.Sprintf(`{"id":"s-%d","addr":%q,"zone":"a","kind":"m","cell":%d,"state":"SERVING","weight":1,"started_ms":0}`, i, l.addr, i)
+		lines = append(lines, fmt.Sprintf(`{"id":"s-%d","addr":%q,"zone":"a","kind":"m","cell":%d,"state":%q,"weight":1,"started_ms":0}`, i, l.addr, i, state))
 	}
-	list += "]}"
+	return fmt.Sprintf(`{"version":1,"full":true,"servers":[%s]}`, strings.Join(lines, ","))
+}
+
+// newDiscovery starts a stand-in that lists these leaf servers.
+func newDiscovery(t *testing.T, leaves ...*leafServer) string {
+	list := listOf(leaves, -1)
 	disco := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/v1/servers" {
 			w.WriteHeader(404)
--- a/cmd/rooktrestle/silence_test.go
+++ b/cmd/rooktrestle/silence_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
-	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -16,37 +15,25 @@
 // nothing at all, ever.
 type agent struct {
 	addr   string
-	list   func(drained bool) string
 	calls  chan struct{} // those that came while it was silent
-	told   chan struct{} // it has said that the server drains
+	told   chan struct{} // it has said that a server drains
 	mu     sync.Mutex
 	silent bool
-	drain  bool
+	drains int // number of the server that drains; negative: none
 }
 
 func newAgent(t *testing.T, leaves ...*leafServer) *agent {
-	a := &agent{calls: make(chan struct{}, 100), told: make(chan struct{}, 100)}
-	a.list = func(drained bool) string {
-		var lines []string
-		for i, l := range leaves {
-			state := "SERVING"
-			if drained && i == 0 {
-				state = "DRAINING"
-			}
-			lines = append(lines, fmt.Sprintf(`{"id":"s-%d","addr":%q,"zone":"a","kind":"m","cell":%d,"state":%q,"weight":1,"started_ms":0}`, i, l.addr, i, state))
-		}
-		return fmt.Sprintf(`{"version":1,"full":true,"servers":[%s]}`, strings.Join(lines, ","))
-	}
+	a := &agent{calls: make(chan struct{}, 100), told: make(chan struct{}, 100), drains: -1}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		a.mu.Lock()
-		silent, drain := a.silent, a.drain
+		silent, drains := a.silent, a.drains
 		a.mu.Unlock()
 		if silent {
 			a.calls <- struct{}{}
 		} else {
-			fmt.Fprintln(w, a.list(drain))
+			fmt.Fprintln(w, listOf(leaves, drains))
 			w.(http.Flusher).Flush()
-			if drain {
+			if drains >= 0 {
 				a.told <- struct{}{}
 			}
 		}
@@ -57,9 +44,9 @@
 	return a
 }
 
-func (a *agent) set(silent, drain bool) {
+func (a *agent) set(silent bool, drains int) {
 	a.mu.Lock()
-	a.silent, a.drain = silent, drain
+	a.silent, a.drains = silent, drains
 	a.mu.Unlock()
 }
 
@@ -68,9 +55,7 @@
 // goes to the server. Guards against mixers that waited in silence and sent 1,481 parts to servers that drained.
 func TestMixersLearnOfADrainAfterASilence(t *testing.T) {
 	drained, good := newLeaf(t, value), newLeaf(t, value)
-	// Aims so long that nothing here depends on how fast the machine is.
-	settings := regexp.MustCompile(`"(aim|deadline)":\d+`).ReplaceAllString(platformSettings, `"$1":60000000`)
-	settings = strings.Replace(settings, `"n_instances":1`, `"n_instances":300,"registry_mode":"pushed"`, 1)
+	settings := strings.Replace(unhurried(300), `"n_instances"`, `"registry_mode":"pushed","n_instances"`, 1)
 	settings = strings.Replace(settings, `"quota_per_s":100`, `"quota_per_s":100000`, 1)
 	const n, killed, stopped = 5, 0, 1
 	var tier []*program
@@ -107,7 +92,7 @@
 		}
 	}
 	for _, a := range agents {
-		a.set(true, false)
+		a.set(true, -1)
 	}
 	tier[killed].cmd.Process.Kill()
 	<-tier[killed].last
@@ -122,7 +107,7 @@
 		}
 	}
 	for _, a := range agents {
-		a.set(false, true)
+		a.set(false, 0)
 	}
 	tier[stopped].cmd.Process.Signal(syscall.SIGCONT)
 	for i, a := range agents {
