End a given-up attempt when its server is known to know; close by a reset where nothing is heard

To blame: Pool.Withdraw and its told event, which took a frame 2 handed to the system for one that had arrived. Behind a cut neither it nor the call has, and both do when the cut is over.

Now the core says whether a part may be sent again. Where it may, and nothing was heard on the connection since the attempt was written, the connection is reset (what the system holds is thrown away), or, with other parts out on it, a probe behind the frame 2 has to be answered. Found by reading beside it: parts ended when a close was decided, not when it was done (Pool.shut); parts waiting for one address of a server went out to another (Pool.dialed); the window for repeats and a told drain bound the choice and not the write (late connections, a slow peer); the linger of a link could shut down a descriptor that was another connection's by then (Link.shut).

FuzzPool's model now forbids any end before the server knows. TestSilentConnectionIsLeft, TestFrameThatDoesNotEnd and two more expected an end before the close: they check that there is none before, and then that it comes.

--- a/internal/app/platform.go
+++ b/internal/app/platform.go
@@ -66,11 +66,16 @@
 	pool := leaf.NewPool(leaf.Limits{
 		Streams: d.Streams, Idle: d.ConnIdle, ConnectTimeout: d.ConnectTimeout, Sockets: n.Sockets / 3,
 		Silent: shortestAim(d.Decisions.Classes) / 2, Spread: leaf.Spread(d.Decisions.Instances),
-	}, box, tcp.Dial)
+	}, box, leaf.DialTCP)
 	lim := mixer.Limits{MaxOpen: d.MaxOpen, CallParts: d.Decisions.CallParts, ComeBack: d.MaxRetryAfter, Ahead: 4 * d.Decisions.Tick}
 	longest := time.Duration(0)
 	for _, c := range d.Decisions.Classes {
 		lim.SecondStep = append(lim.SecondStep, c.FollowUp)
+		window := time.Duration(0)
+		if c.Effect == balance.Keyed {
+			window = c.Window
+		}
+		lim.Windows = append(lim.Windows, window)
 		longest = max(longest, c.Deadline)
 	}
 	core := mixer.NewCore(decide, pool, lim, clock.Now())
--- a/internal/back/leaf/pool.go
+++ b/internal/back/leaf/pool.go
@@ -14,11 +14,24 @@
 // Link is a connection as the pool uses it.
 type Link interface {
 	Write(b []byte, done func(tcp.Wrote))
+	// WriteWithin writes what is no good any more after so long.
+	WriteWithin(d time.Duration, b []byte, done func(tcp.Wrote))
 	Close(cause error)
+	// Abort closes at once, with what is not sent yet thrown away; done is called when that is so.
+	Abort(cause error, done func())
 }
 
 // Dial opens a connection off the loop. It blocks.
-type Dial = tcp.Dialer
+type Dial func(addr string, timeout time.Duration, handler func(*tcp.Link) tcp.Handler) (Link, error)
+
+// DialTCP is Dial on the network.
+func DialTCP(addr string, timeout time.Duration, handler func(*tcp.Link) tcp.Handler) (Link, error) {
+	l, err := tcp.Dial(addr, timeout, handler)
+	if err != nil {
+		return nil, err
+	}
+	return l, nil
+}
 
 // Limits of a pool.
 type Limits struct {
@@ -41,6 +54,9 @@
 	idleMargin = 2 * time.Second
 	// givenUpFor is how long late word on an attempt that was given up may still come.
 	givenUpFor = 30 * time.Second
+	// writeWithin is how long a call may wait behind what is still to be written on its connection. Well under the 250 ms
+	// in which new work may still go to a server that was told of as leaving.
+	writeWithin = 100 * time.Millisecond
 	// partialFor is how long the rest of a frame may take: servers write each whole.
 	partialFor = 100 * time.Millisecond
 )
@@ -54,7 +70,7 @@
 	lim   Limits
 	box   interface{ Put(any) }
 	dial  func(c *conn, addr string, timeout time.Duration) // starts; posts dialed
-	open  mixer.Directory
+	open  Directory
 	hosts map[balance.Replica]*host
 	calls map[mixer.AttemptID]*attempt
 	total int
@@ -72,6 +88,7 @@
 // group is one call: parts that go in one frame.
 type group struct {
 	host  *host
+	addr  string // where the server was listed then
 	parts []*attempt
 }
 
@@ -90,6 +107,7 @@
 	state     state
 	written   time.Time
 	withdrawn bool
+	unproved  bool // given up, and that its server knows waits for an answer to a probe behind the frame 2
 }
 
 type probe struct {
@@ -99,6 +117,8 @@
 	until time.Time
 	again bool // asked a second time
 	over  bool // ended; its answer, if it still comes, is for nobody
+	// proves, if set, is an attempt that was given up: the answer shows that the server has read so.
+	proves *attempt
 }
 
 type conn struct {
@@ -106,8 +126,9 @@
 	addr    string
 	link    Link
 	up      bool
-	closed  bool
-	groups  int // dialing: groups that will go out on it
+	closed  bool  // nothing more goes out on it
+	over    bool  // and its socket is closed: what was out on it has ended
+	cause   error // closed by this side: why
 	streams map[string]*attempt
 	probes  []*probe
 	givenUp map[string]time.Time
@@ -140,6 +161,9 @@
 		c   *conn
 		err error
 	}
+	aborted struct { // by this side, and its socket is closed now
+		c *conn
+	}
 	wrote struct {
 		c     *conn
 		parts []*attempt
@@ -150,7 +174,7 @@
 	}
 )
 
-// NewPool returns a pool that posts to box. dial is tcp.Dial in the program.
+// NewPool returns a pool that posts to box. dial is DialTCP in the program.
 func NewPool(lim Limits, box interface{ Put(any) }, dial Dial) *Pool {
 	p := &Pool{lim: lim, box: box, hosts: map[balance.Replica]*host{}, calls: map[mixer.AttemptID]*attempt{}}
 	p.dial = func(c *conn, addr string, timeout time.Duration) {
@@ -167,7 +191,14 @@
 }
 
 // Use names the directory that says where new work may go.
-func (p *Pool) Use(d mixer.Directory) { p.open = d }
+func (p *Pool) Use(d Directory) { p.open = d }
+
+// Directory says what is listed of a server by now.
+type Directory interface {
+	mixer.Directory
+	// Addr is where it is listed; empty where it is not.
+	Addr(balance.Replica) string
+}
 
 // reader reads frames off a link and posts them.
 type reader struct {
@@ -214,17 +245,18 @@
 // Send makes one call of these attempts, or several where they are more than a connection has room for.
 func (p *Pool) Send(now time.Time, to mixer.Server, calls []mixer.Call) {
 	h := p.host(to.ID)
-	g := &group{host: h}
+	g := &group{host: h, addr: to.Addr}
 	for _, c := range calls {
 		a := &attempt{call: c, host: h}
 		p.calls[c.Attempt] = a
 		g.parts = append(g.parts, a)
 	}
-	p.place(now, g, to.Addr)
+	p.place(now, g)
 }
 
 // place writes a group on a connection with room, or lets it wait for a new one.
-func (p *Pool) place(now time.Time, g *group, addr string) {
+func (p *Pool) place(now time.Time, g *group) {
+	addr := g.addr
 	var best *conn
 	idle := 0
 	for _, c := range g.host.conns {
@@ -248,13 +280,18 @@
 		return
 	}
 	g.host.waiting = append(g.host.waiting, g)
-	room := 0
+	room, wait := 0, 0
 	for _, c := range g.host.conns {
 		if !c.up && !c.closed && c.addr == addr {
 			room += p.lim.Streams
 		}
 	}
-	if room < len(g.host.waiting) {
+	for _, o := range g.host.waiting {
+		if o.addr == addr {
+			wait++
+		}
+	}
+	if room < wait {
 		p.connect(now, g.host, addr)
 	}
 }
@@ -306,27 +343,45 @@
 	return true
 }
 
+// shut closes a connection. What is out on it ends once its socket is closed, and no sooner. Guards against a second
+// copy: a part sent anew may reach its server before this one's hears of the end.
 func (p *Pool) shut(c *conn, cause error) {
-	if c.link != nil {
+	switch {
+	case c.closed:
+	case c.link == nil:
+		p.gone(c, cause)
+	case len(c.streams) == 0:
 		c.link.Close(cause)
+		p.gone(c, cause)
+	default:
+		p.drop(c)
+		c.cause = cause
+		c.link.Abort(cause, func() { p.box.Put(aborted{c}) })
 	}
-	p.gone(c, cause)
 }
 
 func (p *Pool) write(now time.Time, c *conn, g *group) {
 	calls := make([]mixer.Call, len(g.parts))
+	within := writeWithin
 	for i, a := range g.parts {
 		calls[i] = a.call
+		if !a.call.By.IsZero() {
+			within = min(within, a.call.By.Sub(now))
+		}
 		a.conn, a.state, a.written = c, writing, now
 		c.streams[a.call.Name] = a
 	}
 	c.used = now
 	parts := g.parts
-	c.link.Write(callFrame(now, calls), func(how tcp.Wrote) { p.box.Put(wrote{c, parts, how}) })
+	c.link.WriteWithin(within, callFrame(now, calls), func(how tcp.Wrote) { p.box.Put(wrote{c, parts, how}) })
 }
 
-// Withdraw gives an attempt up; it ends once the frame that says so has left.
-func (p *Pool) Withdraw(now time.Time, id mixer.AttemptID) {
+// Withdraw gives an attempt up; it ends once the server has been told, as far as that can be known. Where the part may be
+// sent again, a frame 2 that was written is not enough on a connection on which nothing was heard since the attempt was
+// written: behind a cut neither frame has arrived, or just the first, or both will when the cut is over. Such a
+// connection is closed, with what it holds thrown away; where other parts are out on it, a probe behind the frame 2
+// shows whether it has to be.
+func (p *Pool) Withdraw(now time.Time, id mixer.AttemptID, again bool) {
 	a := p.calls[id]
 	if a == nil || a.withdrawn {
 		return
@@ -340,8 +395,32 @@
 		p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Withdrawn: true})
 		return
 	}
-	a.conn.used = now
-	a.conn.link.Write(Append(nil, letterGiveUp, []byte(a.call.Name)), func(tcp.Wrote) { p.box.Put(told{a}) })
+	c := a.conn
+	if c.closed { // it ends with its connection
+		return
+	}
+	a.unproved = again && !c.heard.After(a.written)
+	if a.unproved && c.givenUpAll() {
+		p.shut(c, errors.New("given up, and nothing is heard"))
+		return
+	}
+	c.used = now
+	frame := Append(nil, letterGiveUp, []byte(a.call.Name))
+	if a.unproved {
+		c.probes = append(c.probes, &probe{host: a.host, conn: c, sent: now, until: now.Add(p.lim.ConnectTimeout + slack), proves: a})
+		frame = Append(frame, letterProbe, nil)
+	}
+	c.link.Write(frame, func(tcp.Wrote) { p.box.Put(told{a}) })
+}
+
+// givenUpAll says whether all that is out on a connection was given up.
+func (c *conn) givenUpAll() bool {
+	for _, a := range c.streams {
+		if !a.withdrawn {
+			return false
+		}
+	}
+	return true
 }
 
 // Probe asks a server for its load.
@@ -419,25 +498,32 @@
 	case framed:
 		p.read(now, e)
 	case closed:
+		if e.c.closed && !e.c.over {
+			break // aborted says when its socket is closed
+		}
 		if e.c.link != nil && !e.c.closed {
 			p.Stats.Broken++
 			e.c.link.Close(e.err)
 		}
 		p.gone(e.c, e.err)
+	case aborted:
+		p.over(e.c, e.c.cause)
 	case wrote:
 		for _, a := range e.parts {
 			p.wrote(a, e.how)
 		}
+		if e.how == tcp.Unknown { // the link is closing
+			p.shut(e.c, errors.New("the connection broke under a frame"))
+		}
 	case told:
 		// Written, or the connection is gone: either way the server has it given up, or soon will.
-		if p.calls[e.a.call.Attempt] == e.a {
-			if c := e.a.conn; c != nil {
-				c.givenUp[e.a.call.Name] = now
-				// Guards against a machine that vanished: its connections stay open and say nothing, and whatever is
-				// written on them may have run for all one knows. A new one shows whether it is there.
-				c.silent = c.silent || c.heard.Before(e.a.written) && now.Sub(e.a.written) > p.lim.Silent
+		if c := e.a.conn; p.calls[e.a.call.Attempt] == e.a && (!c.closed || c.over) {
+			// Guards against a machine that vanished: its connections stay open and say nothing, and whatever is
+			// written on them may have run for all one knows. A new one shows whether it is there.
+			c.silent = c.silent || c.heard.Before(e.a.written) && now.Sub(e.a.written) > p.lim.Silent
+			if !e.a.unproved || c.over {
+				p.told(now, e.a)
 			}
-			p.end(e.a, &mixer.AttemptError{Reach: mixer.Written, Withdrawn: true})
 		}
 	default:
 		p.busy = false
@@ -446,19 +532,23 @@
 	return p.flush(), true
 }
 
+// told ends an attempt whose server has been told that it is given up.
+func (p *Pool) told(now time.Time, a *attempt) {
+	a.conn.givenUp[a.call.Name] = now
+	p.end(a, &mixer.AttemptError{Reach: mixer.Written, Withdrawn: true})
+}
+
 func (p *Pool) wrote(a *attempt, how tcp.Wrote) {
 	if p.calls[a.call.Attempt] != a || a.state != writing {
 		return
 	}
 	switch {
-	case how == tcp.Nothing:
-		// No byte of it left, so it never ran.
-		p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Cause: errors.New("the connection broke before the frame")})
-	case how == tcp.Unknown:
-		// The end of the frame may have left: it may run.
-		p.end(a, &mixer.AttemptError{Reach: mixer.Written, Cause: errors.New("the connection broke under the frame")})
-	case a.conn.closed:
-		p.end(a, &mixer.AttemptError{Reach: mixer.Written, Spoilt: a.conn.spoilt, Cause: errors.New("the connection broke")})
+	case how == tcp.Nothing: // so it never ran
+		p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Withdrawn: a.withdrawn, Cause: errors.New("the connection broke before the frame")})
+	case how == tcp.Late: // nor did this
+		p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Withdrawn: true, Cause: errors.New("not written in time")})
+	case a.conn.over: // the end of the frame may have left: it may run
+		p.end(a, &mixer.AttemptError{Reach: mixer.Written, Withdrawn: a.withdrawn, Spoilt: a.conn.spoilt, Cause: errors.New("the connection broke under the frame")})
 	default:
 		a.state = out
 	}
@@ -486,13 +576,15 @@
 	waiting, probes := h.waiting, h.probes
 	h.waiting, h.probes = nil, nil
 	for _, g := range waiting {
-		// Checked again before its first byte: the server may drain by now, and the time may be over.
+		// Checked again before its first byte: the server may drain or have moved by now, and the time may be over.
 		ready := g.parts[:0]
 		for _, a := range g.parts {
 			switch {
 			case !p.open.Open(h.id):
 				p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, TurnedAway: true, Cause: errors.New("it drains")})
-			case !now.Before(a.call.Until):
+			case p.open.Addr(h.id) != g.addr:
+				p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Withdrawn: true, Cause: errors.New("it has moved")})
+			case !now.Before(a.call.Until), !a.call.By.IsZero() && !now.Before(a.call.By):
 				p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Withdrawn: true})
 			default:
 				ready = append(ready, a)
@@ -501,7 +593,7 @@
 		if g.parts = ready; len(ready) == 0 {
 			continue
 		}
-		p.place(now, g, c.addr)
+		p.place(now, g)
 	}
 	for _, pr := range probes {
 		if !pr.over {
@@ -532,8 +624,7 @@
 	}
 }
 
-// gone ends all that is out on a connection that broke. What the link has not yet accounted for ends when it
-// does, as only then it is known whether it can have run.
+// gone takes a connection that broke.
 func (p *Pool) gone(c *conn, cause error) {
 	if c.closed {
 		return
@@ -542,6 +633,13 @@
 	if cause == nil {
 		cause = errors.New("the server closed the connection")
 	}
+	p.over(c, cause)
+}
+
+// over ends all that was out on a connection whose socket is closed. What the link has not yet accounted for ends when
+// it does, as only then it is known whether it can have run.
+func (p *Pool) over(c *conn, cause error) {
+	c.over = true
 	var names []string
 	for name, a := range c.streams {
 		if a.state == out {
@@ -550,9 +648,15 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		p.end(c.streams[name], &mixer.AttemptError{Reach: mixer.Written, Spoilt: c.spoilt, Cause: cause})
+		a := c.streams[name]
+		// Closed by this side because nothing is heard: what else was out on it is given up with it.
+		called := a.withdrawn || c.cause != nil && !c.spoilt
+		p.end(a, &mixer.AttemptError{Reach: mixer.Written, Withdrawn: called, Spoilt: c.spoilt && !called, Cause: cause})
 	}
 	for _, pr := range c.probes {
+		if pr.proves != nil {
+			continue
+		}
 		// Asked once more: a connection may end while its server lives, and only a new one shows that.
 		if !pr.over && !pr.again && p.open.Open(pr.host.id) {
 			pr.again = true
@@ -626,6 +730,12 @@
 		}
 		pr := c.probes[0]
 		c.probes = c.probes[1:]
+		if pr.proves != nil {
+			if p.calls[pr.proves.call.Attempt] == pr.proves {
+				p.told(now, pr.proves)
+			}
+			break
+		}
 		var err error
 		if string(f.Rest) == "E" {
 			err = &mixer.AttemptError{Reach: mixer.Answered}
@@ -670,6 +780,10 @@
 			for _, pr := range c.probes {
 				p.late(now, pr, sooner)
 			}
+			if slices.ContainsFunc(c.probes, func(pr *probe) bool { return pr.unanswered(now, p) }) {
+				p.shut(c, errors.New("given up, and nothing is heard"))
+				continue
+			}
 			for name, at := range c.givenUp {
 				if now.Sub(at) > givenUpFor {
 					delete(c.givenUp, name)
@@ -702,8 +816,17 @@
 	return p.flush(), next
 }
 
+// unanswered says whether a probe that was to show that its server knows of a given-up attempt has not done so in time.
+func (pr *probe) unanswered(now time.Time, p *Pool) bool {
+	return pr.proves != nil && p.calls[pr.proves.call.Attempt] == pr.proves && !now.Before(pr.until)
+}
+
 func (p *Pool) late(now time.Time, pr *probe, sooner func(time.Time)) {
 	switch {
+	case pr.proves != nil:
+		if p.calls[pr.proves.call.Attempt] == pr.proves && now.Before(pr.until) {
+			sooner(pr.until)
+		}
 	case pr.over:
 	case !now.Before(pr.until):
 		p.endProbe(now, pr, &mixer.AttemptError{Reach: mixer.Written, Withdrawn: true}, nil)
--- a/internal/back/leaf/pool_test.go
+++ b/internal/back/leaf/pool_test.go
@@ -33,24 +33,45 @@
 	link      *link // its frame was handed to
 	settled   bool
 	how       tcp.Wrote
-	toldOff   bool // a frame 2 was handed on
+	at        time.Time // when that was
+	toldOff   bool      // a frame 2 was handed on
+	proved    bool      // and its server has got the attempt, or has read the frame 2
 	withdrawn bool
+	again     bool // the part may be sent again
 	answer    byte // that came on its connection
 	ended     int
+	err       error
 }
 
 type link struct {
 	r      *rig
 	c      *conn
 	closed bool
+	abort  func() // asked for, and not carried out: what went out on it may still arrive
 	queue  []func(tcp.Wrote)
 	shared []*sent // whose frames wait in queue; nil for others
+	pings  []*sent // whose frames 2 have a probe behind them that is not answered
+	heard  time.Time
+}
+
+func (l *link) WriteWithin(d time.Duration, b []byte, done func(tcp.Wrote)) {
+	if d <= 0 || d > writeWithin {
+		l.r.t.Fatalf("%q may wait for %v", b, d)
+	}
+	l.Write(b, done)
 }
 
 func (l *link) Write(b []byte, done func(tcp.Wrote)) {
+	if n := len(b) - 5; n > 5 && b[4] == letterGiveUp && string(b[n:]) == "\x00\x00\x00\x013" {
+		b = b[:n] // the probe that goes with it
+		l.pings = append(l.pings, l.r.named(string(b[5:])))
+	}
 	if len(b) < 5 || int(binary.BigEndian.Uint32(b)) != len(b)-4 {
 		l.r.t.Fatalf("a frame %q", b)
 	}
+	if l.abort != nil {
+		l.r.t.Fatalf("%q goes out on a connection that closes", b)
+	}
 	f := Frame{b[4], b[5:]}
 	var of *sent
 	switch f.Letter {
@@ -58,7 +79,7 @@
 		line, _, _ := strings.Cut(string(f.Rest), "\n")
 		name, _, _ := strings.Cut(line, " ")
 		of = l.r.named(name)
-		of.link = l
+		of.link, of.at = l, l.r.now
 		if !l.closed && l.r.drained {
 			l.r.t.Fatalf("%s was sent to a server that drains", name)
 		}
@@ -86,6 +107,21 @@
 
 func (l *link) Close(error) { l.end(tcp.Unknown) }
 
+func (l *link) Abort(_ error, done func()) {
+	if l.closed {
+		done()
+		return
+	}
+	l.abort = done
+}
+
+// aborted carries out an Abort: the socket is closed from now on.
+func (l *link) aborted() {
+	if l.abort != nil {
+		l.end(tcp.Unknown)
+	}
+}
+
 // settle accounts for the oldest write.
 func (l *link) settle(how tcp.Wrote) {
 	if len(l.queue) == 0 {
@@ -103,8 +139,12 @@
 	if l.closed {
 		return
 	}
-	l.closed = true
+	done := l.abort
+	l.closed, l.abort = true, nil
 	l.r.box = append(l.r.box, closed{l.c, errors.New("broken")})
+	if done != nil {
+		defer done()
+	}
 	for how := first; len(l.queue) > 0; how = tcp.Nothing {
 		l.settle(how)
 	}
@@ -113,6 +153,8 @@
 func (r *rig) Put(e any)                 { r.box = append(r.box, e) }
 func (r *rig) Open(balance.Replica) bool { return !r.drained }
 
+func (r *rig) Addr(balance.Replica) string { return "x" }
+
 func (r *rig) named(name string) *sent {
 	for _, s := range r.sent {
 		if s.name == name {
@@ -140,9 +182,12 @@
 	return s
 }
 
-func (r *rig) withdraw(s *sent) {
-	s.withdrawn = true
-	r.p.Withdraw(r.now, s.id)
+func (r *rig) withdraw(s *sent, again bool) {
+	if !s.withdrawn {
+		s.proved = s.link != nil && s.link.heard.After(s.at)
+		s.withdrawn, s.again = true, again
+	}
+	r.p.Withdraw(r.now, s.id, again)
 	r.turn()
 }
 
@@ -174,10 +219,21 @@
 const someValue = "5be2a07c19f04d63"
 
 func (r *rig) came(l *link, frames ...Frame) {
+	l.heard = r.now
 	r.Put(framed{c: l.c, frames: frames})
 	r.turn()
 }
 
+// pong answers the oldest probe behind a frame 2.
+func (r *rig) pong(l *link) {
+	if len(l.pings) == 0 {
+		return
+	}
+	l.pings[0].proved = true
+	l.pings = l.pings[1:]
+	r.came(l, Frame{letterProbe, []byte("S")})
+}
+
 // turn lets the pool take what is there and checks each end against the model.
 func (r *rig) turn() {
 	for len(r.box) > 0 {
@@ -200,6 +256,7 @@
 	if s.ended++; s.ended > 1 {
 		r.t.Fatalf("%s ended twice", s.name)
 	}
+	s.err = e.Err
 	var a *mixer.AttemptError
 	if e.Err == nil {
 		if s.answer != 'S' || e.Value != someValue || e.Score != 7 || e.Report == nil || e.Report.Queue != 1 {
@@ -210,16 +267,16 @@
 	if !errors.As(e.Err, &a) {
 		r.t.Fatalf("%s: %v says nothing", s.name, e.Err)
 	}
-	mayRun := s.link != nil && (!s.settled || s.how != tcp.Nothing)
+	mayRun := s.link != nil && (!s.settled || s.how != tcp.Nothing && s.how != tcp.Late)
 	switch {
 	case a.Reach == mixer.Answered && a.TurnedAway != (s.answer == 'B'), a.Reach == mixer.Answered && s.answer == 0:
 		r.t.Fatalf("%s: %v after answer %q", s.name, a, s.answer)
 	case a.Reach < mixer.Written && mayRun:
 		r.t.Fatalf("%s is said not to have run: %v", s.name, a)
-	case a.Withdrawn && !s.withdrawn && r.now.Before(time.Unix(1005, 0)):
+	case a.Withdrawn && !s.withdrawn && s.how != tcp.Late && (s.link == nil || !s.link.closed) && r.now.Before(time.Unix(1005, 0)):
 		r.t.Fatalf("%s was not given up: %v", s.name, a)
-	case a.Withdrawn && mayRun && !s.toldOff && !s.link.closed:
-		r.t.Fatalf("%s was given up before its server was told", s.name)
+	case a.Reach == mixer.Written && mayRun && !s.link.closed && !(a.Withdrawn && s.toldOff && (s.proved || !s.again)):
+		r.t.Fatalf("%s ended while it may still arrive: %v", s.name, a)
 	}
 }
 
@@ -252,6 +309,9 @@
 	f.Add([]byte{0, 2, 4, 6, 8, 8, 8, 8, 8, 8, 0, 0}) // near the idle limit
 	f.Add([]byte{0, 9, 2, 9, 0, 3, 3})                // drains while it connects
 	f.Add([]byte{0, 2, 15, 0, 2, 10, 0, 26, 4, 6})    // broken before the first byte
+	f.Add([]byte{0, 2, 4, 1, 35, 0, 2})               // given up where nothing was heard
+	f.Add([]byte{0, 0, 2, 4, 4, 1, 4, 37, 11, 37, 8}) // the same beside another part, proved and not
+	f.Add([]byte{0, 2, 44, 0, 4, 17, 35})             // written too late; noise
 	f.Fuzz(func(t *testing.T, steps []byte) {
 		r := newRig(t)
 		for _, step := range steps[:min(len(steps), 200)] {
@@ -270,21 +330,31 @@
 					r.send()
 				}
 			case step%10 == 1 && s != nil:
-				r.withdraw(s)
+				r.withdraw(s, pick%3 > 0)
 			case step%10 == 2:
 				r.dialed(nil)
 			case step%10 == 3:
 				r.dialed(errors.New("refused"))
 			case step%10 == 4 && l != nil:
-				l.settle(tcp.All)
+				if pick%5 == 4 && len(l.shared) > 0 && l.shared[0] != nil {
+					l.settle(tcp.Late)
+				} else {
+					l.settle(tcp.All)
+				}
 				r.turn()
 			case step%10 == 5 && l != nil:
-				l.end(tcp.Wrote(pick % 3))
+				if pick%4 == 3 {
+					l.aborted()
+				} else {
+					l.end(tcp.Wrote(pick % 4))
+				}
 				r.turn()
 			case step%10 == 6 && s != nil && s.link != nil && !s.link.closed:
 				r.answer(s.link, s.name, "SEB"[pick%3])
 			case step%10 == 7 && l != nil && !l.closed:
-				switch pick % 3 {
+				switch pick % 4 {
+				case 3:
+					r.pong(l)
 				case 0:
 					r.answer(l, "q.unknown", 'S')
 				case 1:
@@ -315,7 +385,7 @@
 	first := r.send()
 	r.dialed(nil)
 	r.links[0].settle(tcp.All)
-	r.withdraw(first)
+	r.withdraw(first, false)
 	r.links[0].settle(tcp.All)
 	r.turn()
 	again := mixer.Call{Attempt: mixer.AttemptID{Part: 0, N: 1}, Name: first.name, Until: r.now.Add(time.Second)}
@@ -333,7 +403,12 @@
 		r.dialed(nil)
 		r.links[0].settle(tcp.All)
 		r.came(r.links[0], bad)
-		if s.ended != 1 || !r.links[0].closed {
+		if s.ended != 0 || r.links[0].abort == nil {
+			t.Errorf("%q: ended %d times before its connection did", bad.Rest, s.ended)
+		}
+		r.links[0].aborted()
+		r.turn()
+		if s.ended != 1 {
 			t.Errorf("%q: ended %d times", bad.Rest, s.ended)
 		}
 	}
@@ -400,18 +475,18 @@
 	for _, at := range []time.Duration{0, partialFor} {
 		r.now = r.now.Add(at)
 		var events []any
-		events, next = r.p.Sweep(r.now)
-		for _, e := range events {
-			if ended := e.(mixer.Ended); !errors.As(ended.Err, new(*mixer.AttemptError)) || !ended.Err.(*mixer.AttemptError).Spoilt {
-				t.Errorf("%+v", ended)
-			}
-			r.Put(e)
+		if events, next = r.p.Sweep(r.now); len(events) > 0 {
+			t.Errorf("%+v", events)
 		}
-		r.turn()
-		if over := at > 0; s.ended == 1 != over || r.links[0].closed != over || !over && !next.Equal(r.now.Add(partialFor)) {
-			t.Errorf("after %v: ended %d times, closed %v, next look at %v", at, s.ended, r.links[0].closed, next)
+		if over := at > 0; s.ended != 0 || r.links[0].abort != nil != over || !over && !next.Equal(r.now.Add(partialFor)) {
+			t.Errorf("after %v: ended %d times, closing %v, next look at %v", at, s.ended, r.links[0].abort != nil, next)
 		}
 	}
+	r.links[0].aborted()
+	r.turn()
+	if e, ok := s.err.(*mixer.AttemptError); s.ended != 1 || !ok || e.Reach != mixer.Written || !e.Spoilt || e.Withdrawn {
+		t.Errorf("ended %d times: %v", s.ended, s.err)
+	}
 }
 
 // A part has a connection of its own while there is room: one spoilt answer must not end the others' attempts.
@@ -431,6 +506,8 @@
 	}
 	r.Put(framed{c: third.link.c, err: errors.New("noise")})
 	r.turn()
+	third.link.aborted()
+	r.turn()
 	if first.ended+second.ended != 0 || third.ended != 1 {
 		t.Error(first.ended, second.ended, third.ended)
 	}
@@ -554,8 +631,10 @@
 	for _, c := range []struct {
 		after time.Duration
 		heard bool
+		again bool
 		left  bool
-	}{{2 * time.Second, false, true}, {2 * time.Second, true, false}, {100 * time.Millisecond, false, false}} {
+	}{{2 * time.Second, false, false, true}, {2 * time.Second, true, true, false}, {100 * time.Millisecond, false, false, false},
+		{100 * time.Millisecond, false, true, true}} {
 		r := newRig(t)
 		first := r.send()
 		r.dialed(nil)
@@ -566,7 +645,7 @@
 			r.p.Probe(r.now, mixer.Server{ID: "s", Addr: "x"})
 			r.came(l, Frame{letterLoad, []byte("queue=1")})
 		}
-		r.withdraw(first)
+		r.withdraw(first, c.again)
 		l.settle(tcp.All)
 		r.turn()
 		if next := r.send(); (next.link != l) != c.left {
--- a/internal/back/library/issue.go
+++ b/internal/back/library/issue.go
@@ -298,7 +298,7 @@
 
 // Withdraw gives an attempt up. Neither protocol can call off what is under way so that nothing of it comes
 // back, so the connection is closed, and the attempt ends when it is.
-func (p *Pool) Withdraw(now time.Time, id mixer.AttemptID) {
+func (p *Pool) Withdraw(now time.Time, id mixer.AttemptID, _ bool) {
 	a := p.calls[id]
 	if a == nil || a.withdrawn {
 		return
--- a/internal/back/library/issue_test.go
+++ b/internal/back/library/issue_test.go
@@ -215,7 +215,7 @@
 				r.send()
 			case step%10 == 1 && n >= 0:
 				r.sent[n].withdrawn = true
-				r.p.Withdraw(r.now, mixer.AttemptID{Part: balance.ID(n)})
+				r.p.Withdraw(r.now, mixer.AttemptID{Part: balance.ID(n)}, true)
 				r.turn()
 			case step%10 == 2 && n >= 0:
 				r.dialed(n, nil)
--- a/internal/front/health/health.go
+++ b/internal/front/health/health.go
@@ -116,7 +116,7 @@
 	a.done = true
 	a.t.count.agent.Add(1)
 	a.l.Write([]byte(report(a.t.Word(), base).Line()), nil)
-	a.l.Finish(false)
+	a.l.Finish()
 }
 
 // Data takes a name.
--- a/internal/front/z3950/server.go
+++ b/internal/front/z3950/server.go
@@ -54,7 +54,7 @@
 // Link is a connection as the server uses it.
 type Link interface {
 	Write(b []byte, done func(tcp.Wrote))
-	Finish(linger bool)
+	Finish()
 	Drop()
 }
 
@@ -222,7 +222,7 @@
 	a.over = true
 	a.abandon()
 	a.send(z3950.Ctx(z3950.ClosePDU, z3950.Num(211, reason), z3950.Str(3, why)))
-	a.link.Finish(reason == z3950.CloseProtocol || reason == z3950.CloseLimits)
+	a.link.Finish()
 }
 
 func (a *assoc) abandon() {
@@ -372,7 +372,7 @@
 		z3950.Boolean(12, good), z3950.Str(110, "rooktrestle"), z3950.Str(111, "rooktrestle")))
 	if !good {
 		a.over = true
-		a.link.Finish(false)
+		a.link.Finish()
 	}
 }
 
--- a/internal/lab/sim/mixer.go
+++ b/internal/lab/sim/mixer.go
@@ -321,7 +321,7 @@
 }
 
 // Withdraw gives an attempt up: it ends at once, as the node has been told by then.
-func (m *mixerHost) Withdraw(_ time.Time, id mixer.AttemptID) {
+func (m *mixerHost) Withdraw(_ time.Time, id mixer.AttemptID, _ bool) {
 	k := m.works[id]
 	if k == nil || k.gone {
 		return
--- a/internal/mixer/core.go
+++ b/internal/mixer/core.go
@@ -54,6 +54,8 @@
 	score float64
 	value string
 	at    int // in the query's flight
+
+	maybe []time.Time // sending of its attempts that are out, or may have run
 }
 
 type attempt struct {
@@ -109,12 +111,14 @@
 
 // Limits are what a core keeps to beside the decisions.
 type Limits struct {
-	SecondStep []int         // of each class: parts of its second step; 0: one step only
-	Unsafe     []bool        // of each class, where maps of blocks change: no part may run twice
-	MaxOpen    int           // queries and parts held; 0: not limited
-	CallParts  int           // most parts that share one call; 0: one
-	ComeBack   time.Duration // advice to a client turned away because of it
-	Ahead      time.Duration // a query given up so long before its end has run out of time
+	SecondStep []int  // of each class: parts of its second step; 0: one step only
+	Unsafe     []bool // of each class, where maps of blocks change: no part may run twice
+	// Windows are how long after an attempt that may have run a part of each class may be sent again; 0: no such limit.
+	Windows   []time.Duration
+	MaxOpen   int           // queries and parts held; 0: not limited
+	CallParts int           // most parts that share one call; 0: one
+	ComeBack  time.Duration // advice to a client turned away because of it
+	Ahead     time.Duration // a query given up so long before its end has run out of time
 }
 
 // NewCore returns a core that decides by b.
@@ -132,6 +136,9 @@
 	return ok && s.State == balance.InService
 }
 
+// Addr is where a server is listed.
+func (c *Core) Addr(id balance.Replica) string { return c.servers[id].Addr }
+
 // server is what is listed of a server; one that is gone has no address.
 func (c *Core) server(id balance.Replica) Server {
 	s := c.servers[id]
@@ -401,6 +408,11 @@
 		r = balance.TimedOut
 	}
 	c.Count.Outcomes[r]++
+	if r == balance.QueueFull || r == balance.ConnectFailed || r == balance.Ignored { // it never ran
+		if i := slices.Index(p.maybe, a.sent); i >= 0 {
+			p.maybe = slices.Delete(p.maybe, i, i+1)
+		}
+	}
 	if r == balance.OK && !p.in && c.parts[p.id] == p {
 		p.in, p.score, p.value = true, e.Score, e.Value
 	}
@@ -437,7 +449,7 @@
 	if !a.asked {
 		a.asked = true
 		c.Count.Withdrawn++
-		c.backend.Withdraw(now, id)
+		c.backend.Withdraw(now, id, c.parts[a.part.id] == a.part && !a.part.in)
 	}
 }
 
@@ -520,6 +532,11 @@
 	if q.view != nil {
 		call.Epoch = q.view.Map.Epoch
 	}
+	// The decisions keep to the window when they choose; a connection that comes up late, or is slow, may not.
+	if w := c.window(q.req.Class); w > 0 && len(p.maybe) > 0 {
+		call.By = slices.MinFunc(p.maybe, time.Time.Compare).Add(w)
+	}
+	p.maybe = append(p.maybe, now)
 	for _, f := range q.first {
 		call.From = append(call.From, f.spec.Shard)
 	}
@@ -578,6 +595,13 @@
 	}
 }
 
+func (c *Core) window(class int) time.Duration {
+	if class < 0 || class >= len(c.lim.Windows) {
+		return 0
+	}
+	return c.lim.Windows[class]
+}
+
 func (c *Core) secondStep(class int) int {
 	if class < 0 || class >= len(c.lim.SecondStep) {
 		return 0
@@ -654,7 +678,7 @@
 		c.timeouts.Remove(a)
 		c.release(a.part.q)
 		if !a.asked {
-			c.backend.Withdraw(now, a.id)
+			c.backend.Withdraw(now, a.id, false)
 		}
 	}
 	var list []Server
--- a/internal/mixer/core_test.go
+++ b/internal/mixer/core_test.go
@@ -45,8 +45,8 @@
 		w.calls, w.to = append(w.calls, c), append(w.to, to)
 	}
 }
-func (w *world) Withdraw(_ time.Time, a AttemptID) { w.withdrawn = append(w.withdrawn, a) }
-func (w *world) Probe(_ time.Time, to Server)      { w.probes = append(w.probes, to) }
+func (w *world) Withdraw(_ time.Time, a AttemptID, _ bool) { w.withdrawn = append(w.withdrawn, a) }
+func (w *world) Probe(_ time.Time, to Server)              { w.probes = append(w.probes, to) }
 
 func settings() balance.Settings {
 	return balance.Settings{
--- /dev/null
+++ b/internal/mixer/crossings_test.go
@@ -0,0 +1,143 @@
+package mixer
+
+import (
+	"testing"
+	"time"
+
+	"rooktrestle/balance"
+)
+
+// again notes what a core says of each attempt that it gives up.
+type again struct {
+	*world
+	said map[AttemptID]bool
+}
+
+func (a again) Withdraw(now time.Time, id AttemptID, again bool) {
+	a.said[id] = again
+	a.world.Withdraw(now, id, again)
+}
+
+// A part that may have run is to be written again within its class's window, counted from its first attempt that may have
+// run; one that never ran starts none. The decisions look when they choose, and the connection may come up later.
+func TestTheWindowForRepeatsBindsTheWrite(t *testing.T) {
+	const window = 700 * time.Millisecond
+	set := settings()
+	set.Classes[0].Effect, set.Classes[0].Window = balance.Keyed, window
+	b, err := balance.New(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{t: t, now: begin, finals: map[string][]Final{}}
+	w.c = NewCore(b, w, Limits{SecondStep: []int{0, 0, 2}, Windows: []time.Duration{window}, Ahead: 20 * time.Millisecond}, begin)
+	w.turn(Members{Kind: balance.ListFull, List: []Server{{ID: "a", Addr: "a:1", Cell: 0}, {ID: "b", Addr: "b:1", Cell: 1}}})
+	next := func() Call {
+		t.Helper()
+		for i := 0; len(w.calls) == 0; i++ {
+			if i > 1000 {
+				t.Fatal("not sent again")
+			}
+			w.now = w.now.Add(5 * time.Millisecond)
+			w.turn()
+		}
+		c := w.calls[0]
+		w.calls, w.to = nil, nil
+		return c
+	}
+	w.ask("q", 0, 1)
+	c := next()
+	if !c.By.IsZero() {
+		t.Errorf("a first attempt is bound to %v", c.By)
+	}
+	w.turn(Ended{Attempt: c.Attempt, Err: &AttemptError{Reach: Answered, TurnedAway: true}})
+	c = next()
+	if !c.By.IsZero() {
+		t.Errorf("after one that never ran it is bound to %v", c.By)
+	}
+	first := w.now
+	w.turn(Ended{Attempt: c.Attempt, Err: &AttemptError{Reach: Written}})
+	c = next()
+	if !c.By.Equal(first.Add(window)) {
+		t.Errorf("bound to %v, want %v", c.By, first.Add(window))
+	}
+	w.ask("other", 1, 1)
+	if c := next(); !c.By.IsZero() {
+		t.Errorf("a class without a window is bound to %v", c.By)
+	}
+}
+
+// The backend is told whether a part that is given up may be sent again: where its time-out is over and its query goes on,
+// and not where its client has left.
+func TestWhetherAGivenUpPartMayBeSentAgain(t *testing.T) {
+	start := func(set balance.Settings) again {
+		b, err := balance.New(set)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := again{&world{t: t, now: begin, finals: map[string][]Final{}}, map[AttemptID]bool{}}
+		a.c = NewCore(b, a, Limits{SecondStep: []int{0, 0, 2}, Ahead: 20 * time.Millisecond}, begin)
+		a.turn(Members{Kind: balance.ListFull, List: []Server{{ID: "a", Addr: "a:1", Cell: 0}, {ID: "b", Addr: "b:1", Cell: 1}}})
+		return a
+	}
+	set := settings()
+	set.CanCancel = false // attempts have time-outs
+	w := start(set)
+	w.ask("times out", 0, 1)
+	for i := 0; len(w.withdrawn) == 0 && i < 500; i++ {
+		w.now = w.now.Add(5 * time.Millisecond)
+		w.turn()
+	}
+	if again, ok := w.said[w.calls[0].Attempt]; !ok || !again {
+		t.Errorf("timed out: again %v, %v", again, ok)
+	}
+	w = start(settings())
+	r := w.ask("leaves", 0, 1)
+	w.turn(Left{r})
+	if again, ok := w.said[w.calls[0].Attempt]; !ok || again {
+		t.Errorf("its client has left: again %v, %v", again, ok)
+	}
+}
+
+// What a client that has left still waited for is not sent, whatever comes in the same turn: its arrival and its leaving, a
+// part that comes back, and the list.
+func TestADepartureInTheTurnOfTheSend(t *testing.T) {
+	w := newWorld(t)
+	r := &Request{ID: "q", Arrived: w.now, Wait: 3 * time.Second, Text: "text", Front: asker{w, "q"}, Parts: []Spec{{Weight: 1}}}
+	w.turn(Arrive{r}, Left{r})
+	if len(w.calls) != 0 || w.c.Held() != 0 || w.c.Count.Gone != 1 {
+		t.Errorf("sent %d, held %d, %v", len(w.calls), w.c.Held(), w.c.Count)
+	}
+	r = w.ask("back", 0, 1)
+	c := w.calls[0]
+	w.calls = nil
+	w.turn(Ended{Attempt: c.Attempt, Err: &AttemptError{Reach: Answered, TurnedAway: true}}, Left{r})
+	w.now = w.now.Add(time.Second)
+	w.turn()
+	if len(w.calls) != 0 || w.c.Held() != 0 {
+		t.Errorf("sent %d, held %d", len(w.calls), w.c.Held())
+	}
+}
+
+// A drain that comes in one turn with the request, or with the end of its first attempt, binds what that turn sends.
+func TestADrainInTheTurnOfTheSend(t *testing.T) {
+	drain := Members{Kind: balance.ListDelta, List: []Server{{ID: "a", Addr: "a:1", State: balance.Draining}}}
+	for _, drains := range []bool{true, false} {
+		w := newWorld(t)
+		r := &Request{ID: "q", Arrived: w.now, Wait: 3 * time.Second, Text: "text", Front: asker{w, "q"}, Parts: []Spec{{Weight: 1}}}
+		w.turn(Arrive{r}, drain)
+		if len(w.to) != 1 || w.to[0].ID != "b" {
+			t.Fatalf("sent to %+v", w.to)
+		}
+		c := w.calls[0]
+		w.calls, w.to = nil, nil
+		w.turn(Members{Kind: balance.ListDelta, List: []Server{{ID: "a", Addr: "a:1"}}})
+		events := []any{Ended{Attempt: c.Attempt, Err: &AttemptError{Reach: Written}}}
+		if drains {
+			events = append(events, drain)
+		}
+		w.turn(events...)
+		if toA := len(w.to) > 0 && w.to[0].ID == "a"; toA == drains {
+			t.Errorf("drains %v, and it is sent again to %+v", drains, w.to)
+		}
+	}
+}
--- a/internal/mixer/held_test.go
+++ b/internal/mixer/held_test.go
@@ -12,7 +12,7 @@
 type idle struct{ sent []Call }
 
 func (b *idle) Send(_ time.Time, _ Server, calls []Call) { b.sent = append(b.sent, calls...) }
-func (b *idle) Withdraw(time.Time, AttemptID)            {}
+func (b *idle) Withdraw(time.Time, AttemptID, bool)      {}
 func (b *idle) Probe(time.Time, Server)                  {}
 
 type mute struct{}
--- a/internal/mixer/mixer.go
+++ b/internal/mixer/mixer.go
@@ -89,8 +89,8 @@
 	// Send makes one call of these attempts.
 	Send(now time.Time, to Server, calls []Call)
 	// Withdraw gives an attempt up. Its Ended event comes only when the server has been told, or the
-	// connection is closed, so that the part's next attempt is no second copy.
-	Withdraw(now time.Time, a AttemptID)
+	// connection is closed, so that the part's next attempt is no second copy. again says that there may be one.
+	Withdraw(now time.Time, a AttemptID, again bool)
 	Probe(now time.Time, to Server)
 }
 
@@ -241,6 +241,7 @@
 	Class   int
 	Shard   int
 	Until   time.Time // the mixer waits no longer
+	By      time.Time // it is to be written by then or not at all; zero: no such time
 	Text    string
 	Second  bool // part of a second step, which came after From
 	From    []int
--- a/internal/net/httpserve/httpserve.go
+++ b/internal/net/httpserve/httpserve.go
@@ -79,7 +79,7 @@
 // Link is a connection as the server uses it.
 type Link interface {
 	Write(b []byte, done func(tcp.Wrote))
-	Finish(linger bool)
+	Finish()
 	Close(cause error)
 	Drop()
 }
@@ -221,7 +221,7 @@
 		return
 	}
 	c.over = true
-	c.link.Finish(false)
+	c.link.Finish()
 }
 
 func (c *conn) finishIfIdle() {
@@ -229,7 +229,7 @@
 	defer c.mu.Unlock()
 	if c.open == nil && !c.parser.Begun() && !c.over {
 		c.over = true
-		c.link.Finish(false)
+		c.link.Finish()
 	}
 }
 
@@ -322,7 +322,7 @@
 	c.s.counted(&c.s.count.Bad)
 	c.over = true
 	c.link.Write(http1.Response(status, true, []byte(reason+"\n"), "Content-Type", "text/plain"), nil)
-	c.link.Finish(true)
+	c.link.Finish()
 }
 
 // Respond answers. Only the first call counts, and none after the client has left.
@@ -350,7 +350,7 @@
 	c.link.Write(answer, nil)
 	if closing {
 		c.over = true
-		c.link.Finish(false)
+		c.link.Finish()
 		return
 	}
 	if c.parser.Begun() {
--- a/internal/net/httpserve/httpserve_test.go
+++ b/internal/net/httpserve/httpserve_test.go
@@ -17,7 +17,7 @@
 
 func (l *link) Write(b []byte, _ func(tcp.Wrote)) { l.out.Write(b) }
 func (l *link) Drop()                             { l.dropped = true }
-func (l *link) Finish(bool)                       { l.finished = true }
+func (l *link) Finish()                           { l.finished = true }
 func (l *link) Close(error)                       { l.closed = true }
 
 func now() time.Time { return time.Unix(1000, 0) }
--- a/internal/net/tcp/tcp.go
+++ b/internal/net/tcp/tcp.go
@@ -3,6 +3,7 @@
 package tcp
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
@@ -22,6 +23,7 @@
 	All     Wrote = iota // all of it was handed to the network
 	Nothing              // provably no byte of it
 	Unknown              // it broke on the way
+	Late                 // no byte of it: the time by which it was to begin was over
 )
 
 const (
@@ -46,6 +48,7 @@
 
 type item struct {
 	b    []byte
+	by   time.Time // it is no good later; zero: always
 	done func(Wrote)
 }
 
@@ -54,35 +57,47 @@
 	conn    netpoll.Connection
 	peer    net.Addr
 	handler Handler
+	gate    *Gate // that it came in by; nil: none
 	dead    sync.Once
 
+	over chan struct{} // closed at the connection's end
+
 	mu      sync.Mutex
 	queue   []item
 	bytes   int
 	pumping bool
-	closed  bool
+	closed  bool // by this side, or ended
+	ended   bool // its descriptor may be another connection's from now on
 	finish  bool // close once the queue is written
-	linger  bool
 	cause   error
 }
 
 // Write queues bytes. done, which may be nil, is told how far they came, not on the caller's goroutine.
-func (l *Link) Write(b []byte, done func(Wrote)) {
+func (l *Link) Write(b []byte, done func(Wrote)) { l.write(item{b, time.Time{}, done}) }
+
+// WriteWithin is Write for what is no good any more after so long: what has not begun by then never does, and nothing of
+// it has left. Guards what was decided for a moment against a peer that reads slowly: behind other
+// bytes it would wait for seconds.
+func (l *Link) WriteWithin(d time.Duration, b []byte, done func(Wrote)) {
+	l.write(item{b, time.Now().Add(d), done})
+}
+
+func (l *Link) write(i item) {
 	l.mu.Lock()
 	// Guards memory against a peer that asks and does not read.
-	if l.bytes+len(b) > queueMost && !l.closed {
+	if l.bytes+len(i.b) > queueMost && !l.closed {
 		l.closed, l.cause = true, ErrSlow
 		go l.conn.Close()
 	}
 	if l.closed || l.finish {
 		l.mu.Unlock()
-		if done != nil {
-			go done(Nothing)
+		if i.done != nil {
+			go i.done(Nothing)
 		}
 		return
 	}
-	l.queue = append(l.queue, item{b, done})
-	l.bytes += len(b)
+	l.queue = append(l.queue, i)
+	l.bytes += len(i.b)
 	start := !l.pumping
 	l.pumping = true
 	l.mu.Unlock()
@@ -91,15 +106,16 @@
 	}
 }
 
-// Finish closes the link once all that is queued is written. With linger it goes on reading for a while, so
-// that an answer to a message that was not read whole is not lost to the reset that closing then brings.
-func (l *Link) Finish(linger bool) {
+// Finish ends the link gracefully: once all that is queued is written it says that no more will come, reads for a while
+// without hearing, and closes when the peer has closed, too. Guards the last answer against the reset that a close over
+// bytes which were not read brings: it takes with it what the peer has not yet got.
+func (l *Link) Finish() {
 	l.mu.Lock()
-	l.finish, l.linger = true, linger
+	l.finish = true
 	idle := !l.pumping
 	l.mu.Unlock()
 	if idle {
-		go l.shut()
+		go l.halfClose()
 	}
 }
 
@@ -122,9 +138,39 @@
 	l.conn.Close()
 }
 
-func (l *Link) shut() {
-	if c, ok := l.conn.(netpoll.Conn); ok && l.linger && l.conn.IsActive() {
-		syscall.Shutdown(c.Fd(), syscall.SHUT_WR)
+// Abort closes the link at once and throws away what the system has not sent yet; done is called when the socket is
+// closed. Guards against bytes that were written toward a machine behind a cut: they would arrive when it is over, long
+// after what they asked for was given up.
+func (l *Link) Abort(cause error, done func()) {
+	l.mu.Lock()
+	l.closed = true
+	if l.cause == nil {
+		l.cause = cause
+	}
+	if c, ok := l.conn.(netpoll.Conn); ok && !l.ended {
+		// Without it the system goes on sending after the close. Where it refuses, a plain close is what there is.
+		syscall.SetsockoptLinger(c.Fd(), syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+	}
+	l.mu.Unlock()
+	go func() {
+		l.conn.Close()
+		<-l.over // netpoll closes once what reads on the connection is done
+		done()
+	}()
+}
+
+// halfClose says that nothing more will come, and closes later: when the peer has closed, or after a while.
+func (l *Link) halfClose() {
+	l.mu.Lock()
+	half := !l.ended && !l.closed
+	if c, ok := l.conn.(netpoll.Conn); ok && half {
+		half = syscall.Shutdown(c.Fd(), syscall.SHUT_WR) == nil
+	}
+	if half && l.gate != nil {
+		l.gate.linger(l) // under the lock: the end, which takes it off the gate's list, comes after
+	}
+	l.mu.Unlock()
+	if half {
 		time.AfterFunc(lingerFor, func() { l.conn.Close() })
 		return
 	}
@@ -142,13 +188,13 @@
 			finish := l.finish
 			l.mu.Unlock()
 			if finish {
-				l.shut()
+				l.halfClose()
 			}
 			return
 		}
 		l.mu.Unlock()
 		for _, i := range items {
-			wrote := l.write(i.b)
+			wrote := l.flush(i)
 			if i.done != nil {
 				i.done(wrote)
 			}
@@ -156,15 +202,18 @@
 	}
 }
 
-func (l *Link) write(b []byte) Wrote {
+func (l *Link) flush(i item) Wrote {
 	l.mu.Lock()
 	closed := l.closed
 	l.mu.Unlock()
-	if closed || !l.conn.IsActive() {
+	switch {
+	case closed || !l.conn.IsActive():
 		return Nothing
+	case !i.by.IsZero() && time.Now().After(i.by):
+		return Late
 	}
 	w := l.conn.Writer()
-	if _, err := w.WriteBinary(b); err != nil {
+	if _, err := w.WriteBinary(i.b); err != nil {
 		return Nothing
 	}
 	err := w.Flush()
@@ -213,12 +262,17 @@
 	}
 }
 
-func (l *Link) ended() {
+// end tells the owner that the connection has ended. netpoll calls it before it lets go of the descriptor.
+func (l *Link) end() {
 	l.dead.Do(func() {
+		defer close(l.over)
 		l.mu.Lock()
-		l.closed = true
+		l.closed, l.ended = true, true
 		cause := l.cause
 		l.mu.Unlock()
+		if l.gate != nil {
+			l.gate.leave(l)
+		}
 		defer func() {
 			if p := recover(); p != nil {
 				fmt.Fprintf(os.Stderr, "connection %v: panic at its end: %v\n", l.peer, p)
@@ -234,7 +288,7 @@
 // attach has the connection's end told to the link's handler.
 func (l *Link) attach() {
 	l.conn.SetWriteTimeout(writeTimeout)
-	l.conn.AddCloseCallback(func(netpoll.Connection) error { l.ended(); return nil })
+	l.conn.AddCloseCallback(func(netpoll.Connection) error { l.end(); return nil })
 }
 
 // Dialer is Dial, or what stands in its place in tests.
@@ -285,7 +339,7 @@
 
 // dialed makes a connection that came up a link.
 func dialed(conn netpoll.Connection, peer net.Addr, handler func(*Link) Handler) (*Link, error) {
-	l := &Link{conn: conn, peer: peer}
+	l := &Link{conn: conn, peer: peer, over: make(chan struct{})}
 	l.handler = handler(l)
 	l.attach()
 	if err := conn.SetOnRequest(func(context.Context, netpoll.Connection) error { l.read(); return nil }); err != nil {
@@ -311,6 +365,28 @@
 	mu   sync.Mutex
 	Most int
 	now  int
+	rest list.List // of links that only wait for their peers to close, oldest first
+}
+
+// linger notes that a link only waits for its peer to close: it is the first to make room.
+func (g *Gate) linger(l *Link) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rest.PushBack(l)
+}
+
+// dropOne closes the link that has waited longest for its peer to close, and says whether there was one.
+func (g *Gate) dropOne() bool {
+	g.mu.Lock()
+	e := g.rest.Front()
+	if e == nil {
+		g.mu.Unlock()
+		return false
+	}
+	l := g.rest.Remove(e).(*Link)
+	g.mu.Unlock()
+	l.Drop()
+	return true
 }
 
 // Shut lets nobody in any more.
@@ -330,16 +406,22 @@
 		}
 		room := g.Room
 		g.mu.Unlock()
-		if room == nil || tries == gateTries || !room() {
+		if tries == gateTries || !g.dropOne() && (room == nil || !room()) {
 			return false
 		}
 	}
 }
 
-func (g *Gate) leave() {
+func (g *Gate) leave(l *Link) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.now--
-	g.mu.Unlock()
+	for e := g.rest.Front(); e != nil; e = e.Next() {
+		if e.Value == l {
+			g.rest.Remove(e)
+			return
+		}
+	}
 }
 
 type linkKey struct{}
@@ -362,10 +444,9 @@
 			if !gate.enter() {
 				return context.Background() // closed by the next step, once it is registered
 			}
-			l := &Link{conn: conn, peer: conn.RemoteAddr()}
+			l := &Link{conn: conn, peer: conn.RemoteAddr(), gate: gate, over: make(chan struct{})}
 			l.handler = accept(l)
 			l.attach()
-			conn.AddCloseCallback(func(netpoll.Connection) error { gate.leave(); return nil })
 			return context.WithValue(context.Background(), linkKey{}, l)
 		}),
 		netpoll.WithOnConnect(func(ctx context.Context, conn netpoll.Connection) context.Context {
