--- a/internal/app/partners.go
+++ b/internal/app/partners.go
@@ -267,8 +267,8 @@
 func (p *Partners) Stop(late time.Duration) {
 	p.loop.Do(func() { p.word.drain(p.clock.Now()) })
 	time.Sleep(late)
-	p.web.CloseIdle()
-	p.checks.CloseIdle()
+	p.web.Shutdown()
+	p.checks.Shutdown()
 	p.target.Shutdown()
 	for end := time.Now().Add(drainMost); time.Now().Before(end); time.Sleep(flushed) {
 		held := 0
--- a/internal/app/platform.go
+++ b/internal/app/platform.go
@@ -47,9 +47,11 @@
 
 // ServePlatform serves the platform's protocol until it is told to end.
 func ServePlatform() error {
-	// From the start: a SIGHUP that nobody takes ends the program.
-	renewed := make(chan os.Signal, 1)
+	// From the start: a SIGHUP that nobody takes ends the program, and a SIGTERM that comes before it serves ends it the
+	// way any other does.
+	renewed, signals := make(chan os.Signal, 1), make(chan os.Signal, 2)
 	signal.Notify(renewed, syscall.SIGHUP)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	n, err := LoadNode()
 	if err != nil {
 		return err
@@ -151,8 +153,6 @@
 			n = reload(n, watch)
 		}
 	}(n)
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	onRequest := make(chan os.Signal, 1)
 	signal.Notify(onRequest, syscall.SIGUSR1)
 
@@ -169,15 +169,14 @@
 			told = true
 		}
 	}
-	// Late arrivals are served as before; then connections without a request end, and the rest with their
-	// answers.
+	// Late arrivals are served as before; then nothing new is taken, connections without a request end, and the rest with
+	// their answers. Each ends when its client has closed it, too, or after a while: so no answer is lost to the exit.
 	front.SetReady(false)
 	logf("told to end")
 	time.Sleep(lateArrivals)
 	gate.Shut()
-	front.CloseIdle()
-	// Guards the end against clients that connect and say nothing, or ask whether it is ready, all the time.
-	for held := 1; held > 0 || front.Busy() > 0; {
+	front.Shutdown()
+	for held := 1; held > 0 || front.Open() > 0; {
 		loop.Do(func() { held = core.Held() })
 		time.Sleep(flushed)
 	}
--- /dev/null
+++ b/internal/front/platform/crossings_test.go
@@ -0,0 +1,65 @@
+package platform
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/net/httpserve"
+	"rooktrestle/internal/net/tcp"
+)
+
+// closing tells when the end of its connection has been handled.
+type closing struct {
+	tcp.Handler
+	over chan struct{}
+}
+
+func (c closing) Closed(err error) { c.Handler.Closed(err); close(c.over) }
+
+// A client leaves between the parsing of its request and its hand-over to the loop. The request was sent behind another
+// one, so that it is handed over by whoever answers that, beside the connection's own end. Its arrival reaches the loop
+// before its leaving: in the other order the leaving would be forgotten, and the query sent on for nobody.
+func TestAClientLeavesBeforeItsRequestIsHandedOver(t *testing.T) {
+	over := make(chan struct{})
+	var client net.Conn
+	var order []string
+	posted := make(chan any, 10)
+	front := New(Settings{Classes: []string{"a"}, Shards: 4, MaxWait: time.Minute, Timeouts: httpserve.Timeouts{}}, func(e any) {
+		if a, ok := e.(mixer.Arrive); ok && a.Request.ID == "2" {
+			client.Close()
+			<-over // its end has been handled, and the request is not yet handed over
+		}
+		posted <- e
+	}, time.Now, nil)
+	l, err := tcp.Listen("127.0.0.1:0", &tcp.Gate{Most: 10}, func(l *tcp.Link) tcp.Handler { return closing{front.Accept(l), over} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client, err = net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	body := `{"slices":[{"slice":1,"mass":1}],"filter":"f"}`
+	for i := 1; i <= 2; i++ {
+		fmt.Fprintf(client, "POST /a HTTP/1.1\r\nX-Request-Id: %d\r\nX-Deadline: 1\r\nContent-Length: %d\r\n\r\n%s", i, len(body), body)
+	}
+	first := (<-posted).(mixer.Arrive).Request
+	answered := make(chan struct{})
+	go func() { first.Front.Answer(mixer.Final{Kind: mixer.Refused}); close(answered) }()
+	for len(order) < 2 {
+		switch e := (<-posted).(type) {
+		case mixer.Arrive:
+			order = append(order, "arrive "+e.Request.ID)
+		case mixer.Left:
+			order = append(order, "left "+e.Request.ID)
+		}
+	}
+	if order[0] != "arrive 2" || order[1] != "left 2" {
+		t.Errorf("%q", order)
+	}
+	<-answered
+}
--- a/internal/front/platform/front.go
+++ b/internal/front/platform/front.go
@@ -76,8 +76,10 @@
 		return
 	}
 	req.Front = asker{x}
-	if x.OnLeft(func() { f.put(mixer.Left{Request: req}) }) {
-		f.put(mixer.Arrive{Request: req})
+	// In this order: a client that leaves in between would reach the loop before its request, and be forgotten.
+	f.put(mixer.Arrive{Request: req})
+	if !x.OnLeft(func() { f.put(mixer.Left{Request: req}) }) {
+		f.put(mixer.Left{Request: req})
 	}
 }
 
--- a/internal/net/httpserve/httpserve.go
+++ b/internal/net/httpserve/httpserve.go
@@ -23,7 +23,7 @@
 }
 
 // Counters count connections and requests, and how the server itself ended some.
-type Counters struct{ Conns, Requests, Bad, Spared, Panics uint64 }
+type Counters struct{ Conns, Requests, Bad, Spared, Panics, Late uint64 }
 
 // Server holds connections.
 type Server struct {
@@ -36,7 +36,7 @@
 	now    func() time.Time
 
 	mu      sync.Mutex
-	closing bool // every answer ends its connection
+	closing bool // every answer ends its connection, and no request is taken any more
 	conns   map[*conn]bool
 	unused  list.List // of connections without a whole request so far, oldest first
 	idle    list.List // of connections between requests, the one idle longest first
@@ -48,8 +48,10 @@
 	return &Server{handle: handle, times: times, now: now, conns: map[*conn]bool{}}
 }
 
-// CloseIdle ends connections that have no request in hand, and makes every later answer end its connection.
-func (s *Server) CloseIdle() {
+// Shutdown ends the server gracefully: connections without a request in hand end, each later answer ends its connection,
+// and no request is handed on any more. One that has begun to come in, or does so on a connection that was accepted
+// just now, is turned away, which is harmless to ask again. Open tells when all have ended.
+func (s *Server) Shutdown() {
 	s.mu.Lock()
 	s.closing = true
 	var all []*conn
@@ -58,7 +60,7 @@
 	}
 	s.mu.Unlock()
 	for _, c := range all {
-		c.finishIfIdle()
+		c.shutdown()
 	}
 }
 
@@ -143,24 +145,20 @@
 	s.conns[c] = true
 	s.count.Conns++
 	c.enlist(&s.unused)
-	crowded := s.crowded()
+	crowded, closing := s.crowded(), s.closing
 	s.mu.Unlock()
 	if crowded {
 		s.Room(false)
 	}
+	if closing { // it was let in before the shutdown, which did not see it
+		c.shutdown()
+	}
 	return c
 }
 
 // crowded is called with the lock held. Connections that were never used do not count: they are nobody's.
 func (s *Server) crowded() bool { return s.Crowd > 0 && len(s.conns)-s.unused.Len() > s.Crowd }
 
-// Busy is the number of connections with a request in hand, or an answer on its way.
-func (s *Server) Busy() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.conns) - s.unused.Len() - s.idle.Len()
-}
-
 // Exchange is a request and the way to answer it.
 type Exchange struct {
 	*http1.Message
@@ -224,15 +222,29 @@
 	c.link.Finish()
 }
 
-func (c *conn) finishIfIdle() {
+func (c *conn) shutdown() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.open == nil && !c.parser.Begun() && !c.over {
+	switch {
+	case c.open != nil || c.over:
+	case c.parser.Begun():
+		c.turnAway()
+	default:
 		c.over = true
+		c.arm(0)
 		c.link.Finish()
 	}
 }
 
+// turnAway answers a request that comes in under a shutdown, whole or not: nothing was done for it.
+func (c *conn) turnAway() {
+	c.s.counted(&c.s.count.Late)
+	c.over = true
+	c.arm(0)
+	c.link.Write(http1.Response(503, true, nil), nil)
+	c.link.Finish()
+}
+
 // Data reads requests.
 func (c *conn) Data(b []byte) {
 	c.mu.Lock()
@@ -284,14 +296,21 @@
 			return
 		}
 		c.asked, c.used = false, true
+		c.s.mu.Lock()
+		closing := c.s.closing
+		if !closing {
+			c.s.count.Requests++
+			c.unlist()
+		}
+		c.s.mu.Unlock()
+		if closing { // what is read after the shutdown is not handed on
+			c.turnAway()
+			return
+		}
 		x := &Exchange{Message: m, Begun: c.begun, c: c}
 		c.begun = c.heard // of one that was sent right behind it
 		c.open = x
 		c.arm(0)
-		c.s.mu.Lock()
-		c.s.count.Requests++
-		c.unlist()
-		c.s.mu.Unlock()
 		c.mu.Unlock()
 		c.call(x)
 		c.mu.Lock()
--- a/internal/net/httpserve/httpserve_test.go
+++ b/internal/net/httpserve/httpserve_test.go
@@ -73,7 +73,7 @@
 	s.Attach(idle)
 	c := s.Attach(busy)
 	c.Data([]byte("GET / HTTP/1.1\r\n\r\n"))
-	s.CloseIdle()
+	s.Shutdown()
 	if !idle.finished || busy.finished {
 		t.Error("the idle one ends, the busy one after its answer")
 	}
@@ -168,6 +168,13 @@
 	}
 }
 
+// busy is the number of connections with a request in hand, or an answer on its way.
+func busy(s *Server) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns) - s.unused.Len() - s.idle.Len()
+}
+
 // In a crowd an answer ends its connection: clients that ask once and keep theirs would run out of them.
 func TestCrowdEndsWithTheAnswer(t *testing.T) {
 	var open *Exchange
@@ -177,8 +184,8 @@
 	for i := range 4 {
 		l := &link{}
 		s.Attach(l).Data([]byte("GET / HTTP/1.1\r\n\r\n"))
-		if s.Busy() != 1+max(0, i-2) {
-			t.Errorf("%d: %d busy", i, s.Busy())
+		if busy(s) != 1+max(0, i-2) {
+			t.Errorf("%d: %d busy", i, busy(s))
 		}
 		open.Respond(200, nil)
 		if crowd := i >= 2; l.finished != crowd || strings.Contains(l.out.String(), "Connection: close") != crowd {
