--- a/internal/mixer/crossings_test.go
+++ b/internal/mixer/crossings_test.go
@@ -18,6 +18,17 @@
 	a.world.Withdraw(now, id, again)
 }
 
+func start(t *testing.T, set balance.Settings) again {
+	b, err := balance.New(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := again{&world{t: t, now: begin, finals: map[string][]Final{}}, map[AttemptID]bool{}}
+	a.c = NewCore(b, a, Limits{SecondStep: []int{0, 0, 2}, Ahead: 20 * time.Millisecond}, begin)
+	a.turn(Members{Kind: balance.ListFull, List: []Server{{ID: "a", Addr: "a:1", Cell: 0}, {ID: "b", Addr: "b:1", Cell: 1}}})
+	return a
+}
+
 // A part that may have run is to be written again within its class's window, counted from its first attempt that may have
 // run; one that never ran starts none. The decisions look when they choose, and the connection may come up later.
 func TestTheWindowForRepeatsBindsTheWrite(t *testing.T) {
@@ -69,19 +80,9 @@
 // The backend is told whether a part that is given up may be sent again: where its time-out is over and its query goes on,
 // and not where its client has left.
 func TestWhetherAGivenUpPartMayBeSentAgain(t *testing.T) {
-	start := func(set balance.Settings) again {
-		b, err := balance.New(set)
-		if err != nil {
-			t.Fatal(err)
-		}
-		a := again{&world{t: t, now: begin, finals: map[string][]Final{}}, map[AttemptID]bool{}}
-		a.c = NewCore(b, a, Limits{SecondStep: []int{0, 0, 2}, Ahead: 20 * time.Millisecond}, begin)
-		a.turn(Members{Kind: balance.ListFull, List: []Server{{ID: "a", Addr: "a:1", Cell: 0}, {ID: "b", Addr: "b:1", Cell: 1}}})
-		return a
-	}
 	set := settings()
 	set.CanCancel = false // attempts have time-outs
-	w := start(set)
+	w := start(t, set)
 	w.ask("times out", 0, 1)
 	for i := 0; len(w.withdrawn) == 0 && i < 500; i++ {
 		w.now = w.now.Add(5 * time.Millisecond)
@@ -90,7 +91,7 @@
 	if again, ok := w.said[w.calls[0].Attempt]; !ok || !again {
 		t.Errorf("timed out: again %v, %v", again, ok)
 	}
-	w = start(settings())
+	w = start(t, settings())
 	r := w.ask("leaves", 0, 1)
 	w.turn(Left{r})
 	if again, ok := w.said[w.calls[0].Attempt]; !ok || again {
@@ -141,3 +142,49 @@
 		}
 	}
 }
+
+// A time-out is due in the turn that brings the answer: the part is served and nothing is given up. In the turn before, it is
+// being given up, and its answer serves it as long as its server is not known to know.
+func TestATimeOutCrossesItsAnswer(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		set := settings()
+		set.CanCancel = false // attempts have time-outs
+		w := start(t, set)
+		w.ask("q", 0, 1)
+		c := w.calls[0]
+		w.calls, w.to = nil, nil
+		w.now = c.Until
+		if late {
+			w.turn()
+		}
+		w.turn(Ended{Attempt: c.Attempt, Value: "v"})
+		f := w.one("q") // the answer counts while the give-up is under way, too
+		if f.Kind != Served || len(f.Items) != 1 || f.Items[0].Value != "v" {
+			t.Errorf("late %v: %+v", late, f)
+		}
+		if len(w.withdrawn) > 0 != late {
+			t.Errorf("late %v: withdrawn %v", late, w.withdrawn)
+		}
+	}
+}
+
+// The end of the client's time, its departure and the end of the last attempt come in one turn, in each order: the query
+// ends once, and nothing of it is sent again.
+func TestAllEndsAtOnce(t *testing.T) {
+	for i := range 6 {
+		w := newWorld(t)
+		r := w.ask("q", 0, 1)
+		c := w.calls[0]
+		w.calls, w.to = nil, nil
+		w.now = w.now.Add(r.Wait)
+		ended, left := Ended{Attempt: c.Attempt, Err: &AttemptError{Reach: NotConnected}}, Left{r}
+		w.turn([][]any{{ended, left}, {left, ended}, {ended}, {left}, {}, {left, left}}[i]...)
+		w.turn(ended, left)
+		if len(w.calls) != 0 || w.c.Held() != 0 || len(w.finals["q"]) > 1 {
+			t.Errorf("%d: sent %d, held %d, %d answers", i, len(w.calls), w.c.Held(), len(w.finals["q"]))
+		}
+		if n := w.c.Count; n.Taken != 1 || n.Served+n.Refused+n.Failed+n.Gone != 1 {
+			t.Errorf("%d: %v", i, n)
+		}
+	}
+}
