Send nothing to a new process that was meant for its server's earlier one

Found by reading: parts that wait for a connection are asked again about drains, not about a start told meanwhile; what they bring a cold server is counted by no mixer, as its budget begins anew with the start. To blame: Pool.dialed. Forced by TestLateConnections, 'start', which fails without the check. TestClassesOutliveANewConfiguration shows that a SIGHUP moves no index of classes or tenants; it passed at once.

--- /dev/null
+++ b/cmd/rooktrestle/crossings_test.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// The configuration is read again with the names of two classes exchanged and another tenant. Requests go on by what the
+// mixer began with: the unsafe class stays unsafe, and no request takes another's settings by its place in a list.
+func TestClassesOutliveANewConfiguration(t *testing.T) {
+	breaks := func(_ string, c net.Conn) string { c.Close(); return "" }
+	a, b := newLeaf(t, breaks), newLeaf(t, breaks)
+	p := platform(t, a, b)
+	text, err := os.ReadFile(p.conf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := strings.NewReplacer(`"name":"search"`, `"name":"correction"`, `"name":"correction"`, `"name":"search"`,
+		`"name":"tv"`, `"name":"radio"`).Replace(string(text))
+	if changed == string(text) {
+		t.Fatal("nothing changed")
+	}
+	if err := os.WriteFile(p.conf, []byte(changed), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	if line := <-p.lines; !strings.Contains(line, "waits for the next start") {
+		t.Errorf("%q", line)
+	}
+	body := `{"slices":[{"slice":0,"mass":1}],"filter":"x"}`
+	if status, _ := p.ask("unsafe", "correction", body); status != 502 {
+		t.Errorf("%d", status)
+	}
+	if sent := append(a.seen(), b.seen()...); len(sent) != 1 {
+		t.Errorf("a correction was sent as %q", sent)
+	}
+	if status, _ := p.ask("safe", "search", body); status == 400 || status == 404 {
+		t.Errorf("%d", status)
+	}
+	if sent := append(a.seen(), b.seen()...); len(sent) < 3 { // its first attempt and another, with the correction's
+		t.Errorf("a search was sent as %q", sent)
+	}
+	p.stop()
+}
--- a/internal/back/leaf/crossings_test.go
+++ b/internal/back/leaf/crossings_test.go
@@ -20,14 +20,15 @@
 // Crossings on real connections (docs/crossings.md). A bench is the loop of a pool, driven by hand: what sockets post is
 // taken when the test says so, by a clock that the test sets. A stand-in server reads and writes when it says so.
 type bench struct {
-	t     *testing.T
-	p     *Pool
-	now   time.Time
-	box   *mixer.Mailbox
-	open  bool
-	addr  string // where the server is listed
-	ended []mixer.Ended
-	n     int
+	t       *testing.T
+	p       *Pool
+	now     time.Time
+	box     *mixer.Mailbox
+	open    bool
+	addr    string    // where the server is listed
+	started time.Time // and as started when
+	ended   []mixer.Ended
+	n       int
 }
 
 func newBench(t *testing.T, dial Dial) *bench {
@@ -46,14 +47,17 @@
 	return b
 }
 
-func (b *bench) Open(balance.Replica) bool   { return b.open }
-func (b *bench) Addr(balance.Replica) string { return b.addr }
+func (b *bench) Open(balance.Replica) bool { return b.open }
+
+func (b *bench) Server(id balance.Replica) mixer.Server {
+	return mixer.Server{ID: id, Addr: b.addr, Started: b.started}
+}
 
 // send sends a part to where the server is listed and returns its attempt.
 func (b *bench) send(by time.Time) mixer.AttemptID {
 	b.n++
 	id := mixer.AttemptID{Part: balance.ID(b.n)}
-	b.p.Send(b.now, mixer.Server{ID: "s", Addr: b.addr},
+	b.p.Send(b.now, b.Server("s"),
 		[]mixer.Call{{Attempt: id, Name: fmt.Sprintf("q.%d", b.n), Shard: b.n, Until: b.now.Add(5 * time.Second), By: by, Text: "text"}})
 	return id
 }
@@ -383,7 +387,7 @@
 	}
 }
 
-// A drain is told, the class's window for repeats ends, the time of a part ends, or it is given up, while it waits for its
+// A drain or a new start is told, the class's window for repeats ends, the time of a part ends, or it is given up, while it waits for its
 // connection: when that comes up nothing goes out on it, and the part never ran.
 func TestLateConnections(t *testing.T) {
 	window := func(b *bench) time.Time { return b.now.Add(time.Second) }
@@ -393,6 +397,7 @@
 		away bool
 	}{
 		"drain":    {nil, func(b *bench, _ mixer.AttemptID) { b.open = false }, true},
+		"start":    {nil, func(b *bench, _ mixer.AttemptID) { b.started = b.now }, false},
 		"window":   {window, func(b *bench, _ mixer.AttemptID) { b.now = b.now.Add(time.Second) }, false},
 		"time":     {nil, func(b *bench, _ mixer.AttemptID) { b.now = b.now.Add(5 * time.Second) }, false},
 		"given up": {nil, func(b *bench, id mixer.AttemptID) { b.p.Withdraw(b.now, id, true) }, false},
--- a/internal/back/leaf/pool.go
+++ b/internal/back/leaf/pool.go
@@ -87,9 +87,10 @@
 
 // group is one call: parts that go in one frame.
 type group struct {
-	host  *host
-	addr  string // where the server was listed then
-	parts []*attempt
+	host    *host
+	addr    string    // where the server was listed then
+	started time.Time // and its last start
+	parts   []*attempt
 }
 
 type state int
@@ -196,8 +197,8 @@
 // Directory says what is listed of a server by now.
 type Directory interface {
 	mixer.Directory
-	// Addr is where it is listed; empty where it is not.
-	Addr(balance.Replica) string
+	// Server is its entry; without an address where there is none.
+	Server(balance.Replica) mixer.Server
 }
 
 // reader reads frames off a link and posts them.
@@ -245,7 +246,7 @@
 // Send makes one call of these attempts, or several where they are more than a connection has room for.
 func (p *Pool) Send(now time.Time, to mixer.Server, calls []mixer.Call) {
 	h := p.host(to.ID)
-	g := &group{host: h, addr: to.Addr}
+	g := &group{host: h, addr: to.Addr, started: to.Started}
 	for _, c := range calls {
 		a := &attempt{call: c, host: h}
 		p.calls[c.Attempt] = a
@@ -575,15 +576,17 @@
 	h := c.host
 	waiting, probes := h.waiting, h.probes
 	h.waiting, h.probes = nil, nil
+	listed := p.open.Server(h.id)
 	for _, g := range waiting {
-		// Checked again before its first byte: the server may drain or have moved by now, and the time may be over.
+		// Checked again before its first byte: the server may drain, or have moved or started anew by now, and the time may
+		// be over. Parts meant for its earlier process were not counted against what a cold one may be sent.
 		ready := g.parts[:0]
 		for _, a := range g.parts {
 			switch {
 			case !p.open.Open(h.id):
 				p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, TurnedAway: true, Cause: errors.New("it drains")})
-			case p.open.Addr(h.id) != g.addr:
-				p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Withdrawn: true, Cause: errors.New("it has moved")})
+			case listed.Addr != g.addr || !listed.Started.Equal(g.started):
+				p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Withdrawn: true, Cause: errors.New("it has moved, or started anew")})
 			case !now.Before(a.call.Until), !a.call.By.IsZero() && !now.Before(a.call.By):
 				p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Withdrawn: true})
 			default:
--- a/internal/back/leaf/pool_test.go
+++ b/internal/back/leaf/pool_test.go
@@ -153,7 +153,7 @@
 func (r *rig) Put(e any)                 { r.box = append(r.box, e) }
 func (r *rig) Open(balance.Replica) bool { return !r.drained }
 
-func (r *rig) Addr(balance.Replica) string { return "x" }
+func (r *rig) Server(id balance.Replica) mixer.Server { return mixer.Server{ID: id, Addr: "x"} }
 
 func (r *rig) named(name string) *sent {
 	for _, s := range r.sent {
--- a/internal/mixer/core.go
+++ b/internal/mixer/core.go
@@ -136,11 +136,8 @@
 	return ok && s.State == balance.InService
 }
 
-// Addr is where a server is listed.
-func (c *Core) Addr(id balance.Replica) string { return c.servers[id].Addr }
-
-// server is what is listed of a server; one that is gone has no address.
-func (c *Core) server(id balance.Replica) Server {
+// Server is what is listed of a server; one that is gone has no address.
+func (c *Core) Server(id balance.Replica) Server {
 	s := c.servers[id]
 	s.ID = id
 	return s
@@ -481,7 +478,7 @@
 				}
 			case balance.Probe:
 				c.Count.Probes++
-				c.backend.Probe(now, c.server(a.Replica))
+				c.backend.Probe(now, c.Server(a.Replica))
 			case balance.Tell:
 				if c.Peers != nil {
 					c.Count.Tells++
@@ -498,7 +495,7 @@
 		}
 	}
 	for _, o := range c.calls {
-		c.backend.Send(now, c.server(o.to), o.calls)
+		c.backend.Send(now, c.Server(o.to), o.calls)
 	}
 	c.calls = nil
 }
