Say a link's last answer, its place at the gate and the tests' set-ups once

Read again: the pool asked twice whether a closed connection was over; two ways to end a connection with an answer repeated each other; a link's end looked through all that linger at its gate; three tests each set up the same held connection, two the same held close.

--- a/internal/back/leaf/crossings_test.go
+++ b/internal/back/leaf/crossings_test.go
@@ -108,6 +108,8 @@
 func isFramed(e any) bool { _, ok := e.(framed); return ok }
 func isDialed(e any) bool { _, ok := e.(dialed); return ok }
 
+func isAborted(e any) bool { _, ok := e.(aborted); return ok }
+
 // leafServer accepts connections for the test to read and write.
 type leafServer struct {
 	ln net.Listener
@@ -182,20 +184,12 @@
 func TestGiveUpWhereNothingIsHeard(t *testing.T) {
 	s := newLeafServer(t)
 	links := heldLinks{make(chan struct{}), make(chan struct{})}
-	b := newBench(t, links.dial)
-	b.addr = s.addr()
-	id := b.send(time.Time{})
-	b.until(isWrote)
+	b, id := sentOne(t, s, links.dial)
 	c := s.accept()
 	b.now = b.now.Add(300 * time.Millisecond)
 	b.p.Withdraw(b.now, id, true)
 	b.p.Withdraw(b.now, id, true)
-	<-links.asked // to be closed, and held there
-	if len(b.ended) != 0 {
-		t.Fatalf("ended before its connection: %+v", b.ended)
-	}
-	close(links.let)
-	b.until(func(e any) bool { _, ok := e.(aborted); return ok })
+	links.closes(b)
 	if a := b.attemptError(0, id); a.Reach != mixer.Written || !a.Withdrawn {
 		t.Errorf("%+v", a)
 	}
@@ -213,6 +207,26 @@
 	asked, let chan struct{}
 }
 
+// closes says that the pool closes a connection, with nothing ended while it is held there, and lets it be closed.
+func (h heldLinks) closes(b *bench) {
+	b.t.Helper()
+	<-h.asked
+	if len(b.ended) != 0 {
+		b.t.Fatalf("ended before its connection: %+v", b.ended)
+	}
+	close(h.let)
+	b.until(isAborted)
+}
+
+// sentOne is a bench that has written one part to a server.
+func sentOne(t *testing.T, s *leafServer, dial Dial) (*bench, mixer.AttemptID) {
+	b := newBench(t, dial)
+	b.addr = s.addr()
+	id := b.send(time.Time{})
+	b.until(isWrote)
+	return b, id
+}
+
 type heldLink struct {
 	*tcp.Link
 	of heldLinks
@@ -269,7 +283,7 @@
 		}
 		b.now = b.now.Add(250*time.Millisecond + slack)
 		b.sweep()
-		b.until(func(e any) bool { _, ok := e.(aborted); return ok })
+		b.until(isAborted)
 		for n, id := range []mixer.AttemptID{first, second} {
 			if a := b.attemptError(n, id); a.Reach != mixer.Written || !a.Withdrawn {
 				t.Errorf("%+v", a)
@@ -313,20 +327,12 @@
 func TestPartsEndAfterTheirConnectionIsClosed(t *testing.T) {
 	s := newLeafServer(t)
 	links := heldLinks{make(chan struct{}), make(chan struct{})}
-	b := newBench(t, links.dial)
-	b.addr = s.addr()
-	id := b.send(time.Time{})
-	b.until(isWrote)
+	b, id := sentOne(t, s, links.dial)
 	c := s.accept()
 	c.want(letterCall, "q.1 ")
 	c.Write([]byte("\xff\xff"))
 	b.until(isFramed)
-	<-links.asked
-	if len(b.ended) != 0 {
-		t.Fatalf("ended before its connection: %+v", b.ended)
-	}
-	close(links.let)
-	b.until(func(e any) bool { _, ok := e.(aborted); return ok })
+	links.closes(b)
 	if a := b.attemptError(0, id); a.Reach != mixer.Written || !a.Spoilt || a.Withdrawn {
 		t.Errorf("%+v", a)
 	}
--- a/internal/back/leaf/pool.go
+++ b/internal/back/leaf/pool.go
@@ -499,10 +499,10 @@
 	case framed:
 		p.read(now, e)
 	case closed:
-		if e.c.closed && !e.c.over {
-			break // aborted says when its socket is closed
+		if e.c.closed {
+			break // by this side: what was out on it ends with aborted
 		}
-		if e.c.link != nil && !e.c.closed {
+		if e.c.link != nil {
 			p.Stats.Broken++
 			e.c.link.Close(e.err)
 		}
--- a/internal/net/httpserve/crossings_test.go
+++ b/internal/net/httpserve/crossings_test.go
@@ -60,6 +60,36 @@
 	return r
 }
 
+// hold connects a client; what it sends is read off the socket and held until the test lets it through.
+func (r *rig) hold(t *testing.T) (client, *held) {
+	h, accepted := &held{nil, make(chan struct{}), make(chan struct{}), make(chan struct{})}, make(chan struct{})
+	r.accepts(func(l *tcp.Link) tcp.Handler { h.Handler = r.s.Accept(l); close(accepted); return h })
+	c := r.connect(t)
+	<-accepted
+	return c, h
+}
+
+// answersOne answers a first request on a connection that is held.
+func (r *rig) answersOne(c client, h *held) {
+	c.t.Helper()
+	c.ask(1)
+	<-h.came
+	h.let <- struct{}{}
+	(<-r.taken).Respond(200, []byte("one"))
+	c.want(200, "one")
+}
+
+// ends says that a client sees the end of its connection, that nothing more was taken, and that no connection is left.
+func (r *rig) ends(c client, h *held) {
+	c.t.Helper()
+	c.end()
+	c.Close()
+	<-h.over
+	if n := len(r.taken); n > 0 || r.s.Open() != 0 {
+		c.t.Errorf("%d requests taken after the end, %d connections open", n, r.s.Open())
+	}
+}
+
 type client struct {
 	*net.TCPConn
 	in *bufio.Reader
@@ -101,24 +131,13 @@
 // of its connection, without an answer and without a reset, and asks elsewhere.
 func TestARequestCrossesTheShutdown(t *testing.T) {
 	r := serve(t, Timeouts{})
-	h := held{nil, make(chan struct{}), make(chan struct{}), make(chan struct{})}
-	r.accepts(func(l *tcp.Link) tcp.Handler { h.Handler = r.s.Accept(l); return h })
-	c := r.connect(t)
-	c.ask(1)
-	<-h.came
-	h.let <- struct{}{}
-	(<-r.taken).Respond(200, []byte("one"))
-	c.want(200, "one")
+	c, h := r.hold(t)
+	r.answersOne(c, h)
 	c.ask(2)
 	<-h.came // read off the socket, and not taken
 	r.s.Shutdown()
 	h.let <- struct{}{}
-	c.end()
-	c.Close()
-	<-h.over
-	if n := len(r.taken); n > 0 || r.s.Open() != 0 {
-		t.Errorf("%d requests taken after the shutdown, %d connections open", n, r.s.Open())
-	}
+	r.ends(c, h)
 }
 
 // The last answer is on its way when its connection ends over bytes that nobody has read: a close would be a reset, and take
@@ -157,9 +176,7 @@
 // at once, and never handed on.
 func TestHalfRequestsAndNewConnectionsUnderAShutdown(t *testing.T) {
 	r := serve(t, Timeouts{})
-	h := held{nil, make(chan struct{}), make(chan struct{}), make(chan struct{})}
-	r.accepts(func(l *tcp.Link) tcp.Handler { h.Handler = r.s.Accept(l); return h })
-	c := r.connect(t)
+	c, h := r.hold(t)
 	fmt.Fprint(c, "POST /1 HTTP/1.1\r\nContent-Length: 2\r\n\r\na")
 	<-h.came
 	h.let <- struct{}{}
@@ -184,9 +201,7 @@
 // A request in hand at the shutdown is answered, and what was sent behind it is not handed on.
 func TestARequestInHandUnderAShutdown(t *testing.T) {
 	r := serve(t, Timeouts{})
-	h := held{nil, make(chan struct{}), make(chan struct{}), make(chan struct{})}
-	r.accepts(func(l *tcp.Link) tcp.Handler { h.Handler = r.s.Accept(l); return h })
-	c := r.connect(t)
+	c, h := r.hold(t)
 	c.ask(1)
 	<-h.came
 	h.let <- struct{}{}
@@ -200,41 +215,19 @@
 	}
 	x.Respond(200, []byte("one"))
 	c.want(200, "one")
-	c.end()
-	c.Close()
-	<-h.over
-	if n := len(r.taken); n > 0 || r.s.Open() != 0 {
-		t.Errorf("%d requests taken after the shutdown, %d connections open", n, r.s.Open())
-	}
+	r.ends(c, h)
 }
 
 // An idle connection ends in the moment in which a request comes on it: it is not handed on, and its client sees an end.
 func TestARequestCrossesTheIdleTimeout(t *testing.T) {
 	r := serve(t, Timeouts{})
-	h := held{nil, make(chan struct{}), make(chan struct{}), make(chan struct{})}
-	conns := make(chan *conn, 1)
-	r.accepts(func(l *tcp.Link) tcp.Handler {
-		c := r.s.Attach(l)
-		conns <- c.(*conn)
-		h.Handler = c
-		return h
-	})
-	c := r.connect(t)
-	c.ask(1)
-	<-h.came
-	h.let <- struct{}{}
-	(<-r.taken).Respond(200, []byte("one"))
-	c.want(200, "one")
+	c, h := r.hold(t)
+	r.answersOne(c, h)
 	c.ask(2)
 	<-h.came
-	(<-conns).expire()
+	h.Handler.(*conn).expire()
 	h.let <- struct{}{}
-	c.end()
-	c.Close()
-	<-h.over
-	if n := len(r.taken); n > 0 {
-		t.Errorf("%d requests taken after the end", n)
-	}
+	r.ends(c, h)
 }
 
 // A shutdown has begun and has not come to a connection yet when a request comes in on it: it is turned away.
--- a/internal/net/httpserve/httpserve.go
+++ b/internal/net/httpserve/httpserve.go
@@ -239,9 +239,14 @@
 // turnAway answers a request that comes in under a shutdown, whole or not: nothing was done for it.
 func (c *conn) turnAway() {
 	c.s.counted(&c.s.count.Late)
+	c.last(http1.Response(503, true, nil))
+}
+
+// last ends the connection with an answer.
+func (c *conn) last(answer []byte) {
 	c.over = true
 	c.arm(0)
-	c.link.Write(http1.Response(503, true, nil), nil)
+	c.link.Write(answer, nil)
 	c.link.Finish()
 }
 
@@ -339,9 +344,7 @@
 // refuse answers what cannot be read; the framing is lost, so the connection ends.
 func (c *conn) refuse(status int, reason string) {
 	c.s.counted(&c.s.count.Bad)
-	c.over = true
-	c.link.Write(http1.Response(status, true, []byte(reason+"\n"), "Content-Type", "text/plain"), nil)
-	c.link.Finish()
+	c.last(http1.Response(status, true, []byte(reason+"\n"), "Content-Type", "text/plain"))
 }
 
 // Respond answers. Only the first call counts, and none after the client has left.
--- a/internal/net/tcp/tcp.go
+++ b/internal/net/tcp/tcp.go
@@ -61,6 +61,7 @@
 	dead    sync.Once
 
 	over chan struct{} // closed at the connection's end
+	rest *list.Element // its place among those of the gate that linger, under the gate's lock; nil: none
 
 	mu      sync.Mutex
 	queue   []item
@@ -76,8 +77,8 @@
 func (l *Link) Write(b []byte, done func(Wrote)) { l.write(item{b, time.Time{}, done}) }
 
 // WriteWithin is Write for what is no good any more after so long: what has not begun by then never does, and nothing of
-// it has left. Guards what was decided for a moment against a peer that reads slowly: behind other
-// bytes it would wait for seconds.
+// it has left. Guards what was decided for a moment against a peer that reads slowly: behind other bytes it would wait for
+// seconds.
 func (l *Link) WriteWithin(d time.Duration, b []byte, done func(Wrote)) {
 	l.write(item{b, time.Now().Add(d), done})
 }
@@ -376,7 +377,7 @@
 func (g *Gate) linger(l *Link) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.rest.PushBack(l)
+	l.rest = g.rest.PushBack(l)
 }
 
 // dropOne closes the link that has waited longest for its peer to close, and says whether there was one.
@@ -388,6 +389,7 @@
 		return false
 	}
 	l := g.rest.Remove(e).(*Link)
+	l.rest = nil
 	g.mu.Unlock()
 	l.Drop()
 	return true
@@ -420,11 +422,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.now--
-	for e := g.rest.Front(); e != nil; e = e.Next() {
-		if e.Value == l {
-			g.rest.Remove(e)
-			return
-		}
+	if l.rest != nil {
+		g.rest.Remove(l.rest)
+		l.rest = nil
 	}
 }
 
