--- a/balance/balance.go
+++ b/balance/balance.go
@@ -10,9 +10,9 @@
 	"slices"
 	"time"
 
-	"rooktrestle/internal/decide/coldstart"
-	"rooktrestle/internal/decide/tries"
-	"rooktrestle/internal/decide/words"
+	"rooktrestle/internal/control/gossip"
+	"rooktrestle/internal/control/retrydetect"
+	"rooktrestle/internal/control/slowstart"
 )
 
 // The tuned values. Times are ratios of what the settings state or of what was observed.
@@ -92,11 +92,11 @@
 		set: set, rng: rand.New(rand.NewPCG(set.Seed, set.Seed^0x9e3779b97f4a7c15)),
 		servers: map[Replica]*server{}, cells: make([][]*server, set.Cells), ways: map[int]*way{},
 		byID: map[ID]*query{}, byGroup: map[uint64]*query{}, parts: map[ID]*part{},
-		attempts: map[attemptKey]*attempt{}, usual: make([]tries.Usual, len(set.Classes)),
+		attempts: map[attemptKey]*attempt{}, usual: make([]retrydetect.Usual, len(set.Classes)),
 		rootN: math.Sqrt(float64(set.Instances)), deadly: map[string]time.Duration{},
 		quota: make([]float64, len(set.Tenants)), suspect: make([]time.Duration, len(set.Classes)),
 	}
-	b.cold = coldstart.Rules{
+	b.cold = slowstart.Rules{
 		For: set.Rules.ColdFor, From: set.Rules.ColdFrom, TipMultiple: set.Rules.TipMultiple,
 		TipFor: set.Rules.TipFor, Mixers: set.Instances,
 	}
@@ -183,7 +183,7 @@
 		s := b.servers[e.Replica]
 		if s == nil {
 			s = &server{id: e.Replica, of: make([]health, len(b.set.Classes))}
-			s.key = words.Key(string(e.Replica))
+			s.key = gossip.Key(string(e.Replica))
 			b.servers[e.Replica] = s
 			b.order = append(b.order, s)
 		}
--- a/balance/peers.go
+++ b/balance/peers.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"rooktrestle/internal/decide/words"
+	"rooktrestle/internal/control/gossip"
 )
 
 // What gatherers tell each other, and what of it is trusted. One of many meets a server so rarely that what
@@ -43,7 +43,7 @@
 	if len(b.remarks) == 0 || b.now < b.tellAt {
 		return
 	}
-	size := float64(words.Size(len(b.remarks)) * (b.set.Instances - 1))
+	size := float64(gossip.Size(len(b.remarks)) * (b.set.Instances - 1))
 	if b.tellBytes < size {
 		return
 	}
--- a/balance/peers_test.go
+++ b/balance/peers_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"rooktrestle/internal/decide/words"
+	"rooktrestle/internal/control/gossip"
 )
 
 // many is a gatherer of eighty that may talk and probe.
@@ -63,7 +63,7 @@
 func TestSilenceOfAnotherZonesWay(t *testing.T) {
 	silent := func(h *bench, zone int) bool {
 		h.now += time.Second
-		h.turn(Word{writeWord(h.now, zone, []remark{{Key: words.Key("a"), Said: noAnswer}})})
+		h.turn(Word{writeWord(h.now, zone, []remark{{Key: gossip.Key("a"), Said: noAnswer}})})
 		return h.b.servers["a"].silent
 	}
 	h := many(t)
@@ -182,11 +182,11 @@
 
 func FuzzWord(f *testing.F) {
 	f.Add([]byte(nil))
-	f.Add(writeWord(time.Hour, 0, []remark{{Key: words.Key("a"), Said: 7}, {Key: words.Key("b"), Said: noAnswer}}))
+	f.Add(writeWord(time.Hour, 0, []remark{{Key: gossip.Key("a"), Said: 7}, {Key: gossip.Key("b"), Said: noAnswer}}))
 	f.Add(append(writeWord(0, 0, nil), 1, 2, 3))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		_, _, remarks, ok := readWord(0, text)
-		if ok != ReadsAsWord(text) || ok && len(text) != words.Size(len(remarks)) {
+		if ok != ReadsAsWord(text) || ok && len(text) != gossip.Size(len(remarks)) {
 			t.Fatalf("%x: %v, %d remarks", text, ok, len(remarks))
 		}
 		set := testSettings()
--- a/balance/state.go
+++ b/balance/state.go
@@ -8,8 +8,8 @@
 	"slices"
 	"time"
 
-	"rooktrestle/internal/decide/coldstart"
-	"rooktrestle/internal/decide/tries"
+	"rooktrestle/internal/control/retrydetect"
+	"rooktrestle/internal/control/slowstart"
 )
 
 // health is how a server does, or how it does with one class of queries, or the way to a zone.
@@ -50,7 +50,7 @@
 	askedAt          time.Duration // when that was
 	reported         time.Duration // when that was; 0: never
 	full             time.Duration // full, or down: keep off until then
-	cold             coldstart.Server
+	cold             slowstart.Server
 	stuck            int      // parts out that are lost there, as of this turn
 	lost             []*query // that lost a connection to it; it is being asked whether it lives
 	probed           time.Duration
@@ -112,7 +112,7 @@
 	rootN       float64                  // of the number of gatherers
 	mean, dev   float64                  // of answer times over all servers, microseconds
 	median      float64                  // of the servers' least recent times, as of this turn
-	usual       []tries.Usual            // of each class
+	usual       []retrydetect.Usual      // of each class
 	suspect     []time.Duration          // of each class: queries of it may bring servers down until then
 	deadly      map[string]time.Duration // keys of queries under which servers died: not begun until then
 	known       averages                 // means over the heard servers, as of this turn
@@ -129,7 +129,7 @@
 	took        []time.Duration // queries and parts taken within the budget's window
 	further     []time.Duration // further attempts within it
 	answers     []time.Duration // recent answers
-	cold        coldstart.Rules
+	cold        slowstart.Rules
 	flow        float64 // their number, falling with age
 	asked       float64 // parts asked for, likewise
 	seen        float64 // the most that flow was, falling slowly
--- a/balance/word.go
+++ b/balance/word.go
@@ -3,30 +3,30 @@
 import (
 	"time"
 
-	"rooktrestle/internal/decide/words"
+	"rooktrestle/internal/control/gossip"
 )
 
 // WordMost is the longest text of a Tell or a Word, in bytes: longer datagrams are not allowed between gatherers.
-const WordMost = words.Most
+const WordMost = gossip.Most
 
 const (
 	wordKind   = 0x52 // letter Q, version 2: of a replica its queue is said, or noAnswer
-	remarkMost = words.MostRemarks
+	remarkMost = gossip.MostRemarks
 	noAnswer   = 255 // said of a replica that did not answer a probe; less is its queue
 )
 
-type remark = words.Remark
+type remark = gossip.Remark
 
 // queueRemark words a queue: what is longer than a remark can say is said as its most.
 func queueRemark(queue float64) byte { return byte(max(0, min(noAnswer-1, queue+0.5))) }
 
 func writeWord(now time.Duration, zone int, remarks []remark) []byte {
-	return words.WriteRemarks(wordKind, now, zone, remarks)
+	return gossip.WriteRemarks(wordKind, now, zone, remarks)
 }
 
 // ReadsAsWord says whether text is a word at all. One that is not is worth counting, and tells nothing.
-func ReadsAsWord(text []byte) bool { return words.HasRemarks(wordKind, text) }
+func ReadsAsWord(text []byte) bool { return gossip.HasRemarks(wordKind, text) }
 
 func readWord(now time.Duration, text []byte) (age time.Duration, zone int, remarks []remark, ok bool) {
-	return words.ReadRemarks(wordKind, now, text)
+	return gossip.ReadRemarks(wordKind, now, text)
 }
--- a/cmd/rookgrpc/main.go
+++ b/cmd/grpchealth/main.go
@@ -15,15 +15,15 @@
 	"google.golang.org/grpc"
 	healthpb "google.golang.org/grpc/health/grpc_health_v1"
 
-	"rooktrestle/internal/front/grpchealth"
+	"rooktrestle/internal/frontend/grpchealth"
 )
 
 func main() {
 	var listen, mixer, bridge string
 	var every time.Duration
 	c := &cobra.Command{
-		Use: "rookgrpc", Short: "Tell a mixer's health over grpc.health.v1, and ask gRPC servers for it",
-		Example: "  rookgrpc --listen 127.0.0.1:8213 --mixer 127.0.0.1:8211 --bridge 127.0.0.1:8214", Args: cobra.NoArgs,
+		Use: "grpchealth", Short: "Tell a mixer's health over grpc.health.v1, and ask gRPC servers for it",
+		Example: "  grpchealth --listen 127.0.0.1:8213 --mixer 127.0.0.1:8211 --bridge 127.0.0.1:8214", Args: cobra.NoArgs,
 		SilenceUsage: true, SilenceErrors: true,
 		RunE: func(*cobra.Command, []string) error { return run(listen, mixer, bridge, every) },
 	}
@@ -32,7 +32,7 @@
 	c.Flags().StringVar(&bridge, "bridge", "", "where the mixer has gRPC servers asked (checks.grpc_bridge); empty: nowhere")
 	c.Flags().DurationVar(&every, "every", 100*time.Millisecond, "how often the mixer is asked")
 	if err := c.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "rookgrpc:", err)
+		fmt.Fprintln(os.Stderr, "grpchealth:", err)
 		os.Exit(2)
 	}
 }
--- a/cmd/rooktrestle/blocks.go
+++ b/cmd/rooktrestle/blocks.go
@@ -13,7 +13,7 @@
 
 	"github.com/spf13/cobra"
 
-	"rooktrestle/internal/decide/blocks"
+	"rooktrestle/internal/control/shardmap"
 )
 
 // blocksCommand is the noun of maps of blocks.
@@ -23,12 +23,12 @@
 	return c
 }
 
-func readMap(path string) (*blocks.Map, error) {
+func readMap(path string) (*shardmap.Map, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
-	m, err := blocks.Parse(text)
+	m, err := shardmap.Parse(text)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
@@ -75,11 +75,11 @@
 			}
 			out := cmd.OutOrStdout()
 			if key != "" {
-				b := m.At(blocks.KeyOf(key))
-				return printBlocks(out, []*blocks.Block{b}, asJSON)
+				b := m.At(shardmap.KeyOf(key))
+				return printBlocks(out, []*shardmap.Block{b}, asJSON)
 			}
-			var list []*blocks.Block
-			m.Every(func(b *blocks.Block) bool { list = append(list, b); return true })
+			var list []*shardmap.Block
+			m.Every(func(b *shardmap.Block) bool { list = append(list, b); return true })
 			if !asJSON {
 				fmt.Fprintf(out, "%s epoch %d, next id %d, weight %g\n", m.Archive, m.Epoch, m.NextID, m.Weight())
 			}
@@ -91,7 +91,7 @@
 	return c
 }
 
-func printBlocks(out io.Writer, list []*blocks.Block, asJSON bool) error {
+func printBlocks(out io.Writer, list []*shardmap.Block, asJSON bool) error {
 	if asJSON {
 		text, err := json.MarshalIndent(list, "", "  ")
 		if err == nil {
@@ -107,7 +107,7 @@
 	return t.Flush()
 }
 
-func holders(b *blocks.Block) string {
+func holders(b *shardmap.Block) string {
 	var all []string
 	for _, h := range b.Holders {
 		text := h.Server
@@ -135,7 +135,7 @@
 			if err != nil {
 				return err
 			}
-			list := blocks.Diff(old, now)
+			list := shardmap.Diff(old, now)
 			out := cmd.OutOrStdout()
 			if asJSON {
 				text, err := json.MarshalIndent(list, "", "  ")
@@ -159,7 +159,7 @@
 	return c
 }
 
-func difference(d blocks.Difference) string {
+func difference(d shardmap.Difference) string {
 	switch {
 	case d.Was == nil:
 		return fmt.Sprintf("+ block %d %s, %s, held by %s, of %v", d.ID, d.Is.Range(), d.Is.State, holders(d.Is), d.Is.Parents)
@@ -187,13 +187,13 @@
 func blocksPlan() *cobra.Command {
 	c := &cobra.Command{Use: "plan", Short: "Print the succession of epochs that changes blocks safely, with the waits and why"}
 	var file, write string
-	var t blocks.Timing
+	var t shardmap.Timing
 	c.PersistentFlags().StringVar(&file, "map", "", "the present map")
 	c.PersistentFlags().StringVar(&write, "write", "", "write each epoch's map to this path, with %d for the epoch")
 	c.PersistentFlags().DurationVar(&t.Spread, "spread", 10*time.Second, "until every mixer has an epoch")
 	c.PersistentFlags().DurationVar(&t.Query, "query", 8*time.Second, "the longest deadline of a query")
 	c.MarkPersistentFlagRequired("map")
-	verb := func(use, short, example string, least int, plan func(m *blocks.Map, args []string) (*blocks.Plan, error)) {
+	verb := func(use, short, example string, least int, plan func(m *shardmap.Map, args []string) (*shardmap.Plan, error)) {
 		c.AddCommand(&cobra.Command{Use: use, Short: short, Example: example, Args: cobra.MinimumNArgs(least),
 			RunE: func(cmd *cobra.Command, args []string) error {
 				m, err := readMap(file)
@@ -210,40 +210,40 @@
 				return printPlan(cmd.OutOrStdout(), m, p, write)
 			}})
 	}
-	id := func(text string) (blocks.ID, error) {
+	id := func(text string) (shardmap.ID, error) {
 		n, err := strconv.ParseUint(text, 10, 63)
 		if err != nil {
 			return 0, fmt.Errorf("block %q: not a number", text)
 		}
-		return blocks.ID(n), nil
+		return shardmap.ID(n), nil
 	}
 	verb("move BLOCK SERVER...", "Give a block to these servers", "  rooktrestle blocks plan move 7 n2 n5 --map now.json", 2,
-		func(m *blocks.Map, args []string) (*blocks.Plan, error) {
+		func(m *shardmap.Map, args []string) (*shardmap.Plan, error) {
 			b, err := id(args[0])
 			if err != nil {
 				return nil, err
 			}
-			return blocks.PlanMove(m, b, args[1:], t)
+			return shardmap.PlanMove(m, b, args[1:], t)
 		})
 	verb("split BLOCK KEY...", "Cut a block at keys", "  rooktrestle blocks plan split 7 news@2019 --map now.json", 2,
-		func(m *blocks.Map, args []string) (*blocks.Plan, error) {
+		func(m *shardmap.Map, args []string) (*shardmap.Plan, error) {
 			b, err := id(args[0])
 			if err != nil {
 				return nil, err
 			}
-			var keys []blocks.Key
+			var keys []shardmap.Key
 			for _, text := range args[1:] {
-				k, err := blocks.ParseKey(text)
+				k, err := shardmap.ParseKey(text)
 				if err != nil {
 					return nil, err
 				}
 				keys = append(keys, k)
 			}
-			return blocks.PlanSplit(m, b, keys, t)
+			return shardmap.PlanSplit(m, b, keys, t)
 		})
 	verb("merge BLOCK BLOCK...", "Make one of neighbours", "  rooktrestle blocks plan merge 7 8 --map now.json", 2,
-		func(m *blocks.Map, args []string) (*blocks.Plan, error) {
-			var ids []blocks.ID
+		func(m *shardmap.Map, args []string) (*shardmap.Plan, error) {
+			var ids []shardmap.ID
 			for _, text := range args {
 				b, err := id(text)
 				if err != nil {
@@ -251,12 +251,12 @@
 				}
 				ids = append(ids, b)
 			}
-			return blocks.PlanMerge(m, ids, t)
+			return shardmap.PlanMerge(m, ids, t)
 		})
 	return c
 }
 
-func printPlan(out io.Writer, m *blocks.Map, p *blocks.Plan, write string) error {
+func printPlan(out io.Writer, m *shardmap.Map, p *shardmap.Plan, write string) error {
 	if write != "" && strings.Count(write, "%d") != 1 {
 		return fmt.Errorf("--write %q: it needs one %%d, for the epoch", write)
 	}
--- a/cmd/rooktrestle/health_test.go
+++ b/cmd/rooktrestle/health_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"rooktrestle/internal/lab/install"
-	"rooktrestle/internal/lab/node"
+	"rooktrestle/internal/testbed/deployment"
+	"rooktrestle/internal/testbed/replica"
 )
 
 // run runs the program to its end.
@@ -30,7 +30,7 @@
 // The command asks every server once, says what each source says and what follows, and exits by the answer.
 func TestHealthCommand(t *testing.T) {
 	// A check has long to answer: what is asked is what the command says, and not how busy the machine is.
-	in, err := install.Start(install.Options{Nodes: 4, Reach: 2, Seed: 1, Agents: true, Every: 30 * time.Second, Timeout: 20 * time.Second})
+	in, err := deployment.Start(deployment.Options{Nodes: 4, Reach: 2, Seed: 1, Agents: true, Every: 30 * time.Second, Timeout: 20 * time.Second})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -38,8 +38,8 @@
 	if status, out, errs := run(t, "health", in.Config); status != 0 || strings.Count(out, "in service") != 4 || strings.Count(out, "check init") != 2 {
 		t.Errorf("%d %s %s", status, out, errs)
 	}
-	in.Agents[3].Set("up drain #festival", node.Speaks)
-	in.Node("n0").Say(node.Health{Status: 500})
+	in.Agents[3].Set("up drain #festival", replica.Speaks)
+	in.Node("n0").Say(replica.Health{Status: 500})
 	in.Node("n1").Kill() // n0 and n1 hold block 0 together
 	status, out, errs := run(t, "health", in.Config, "--json")
 	if status != 1 || !strings.Contains(errs, "not every server") {
@@ -76,7 +76,7 @@
 
 // With --watch what changes is printed as it changes.
 func TestHealthCommandWatches(t *testing.T) {
-	in, err := install.Start(install.Options{Nodes: 4, Reach: 2, Seed: 1, Agents: true, Every: 50 * time.Millisecond})
+	in, err := deployment.Start(deployment.Options{Nodes: 4, Reach: 2, Seed: 1, Agents: true, Every: 50 * time.Millisecond})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -99,7 +99,7 @@
 			t.Fatal(err)
 		}
 		if seen == 3 { // all four have been told
-			in.Agents[2].Set("maint", node.Speaks)
+			in.Agents[2].Set("maint", replica.Speaks)
 		}
 		if w.Server == "n2" && w.State == "out" {
 			return
--- a/cmd/rooktrestle/partners_test.go
+++ b/cmd/rooktrestle/partners_test.go
@@ -13,14 +13,14 @@
 	"testing"
 	"time"
 
-	"rooktrestle/internal/lab/ber"
-	"rooktrestle/internal/lab/client"
-	"rooktrestle/internal/lab/node"
+	"rooktrestle/internal/testbed/ber"
+	"rooktrestle/internal/testbed/client"
+	"rooktrestle/internal/testbed/replica"
 )
 
 // partners starts the second front with two SRU servers and two Z39.50 targets round the ring: shard 0 is held
 // by a and b, 1 by b and c, 2 by c and d, 3 by d and a.
-func partners(t *testing.T, a *node.Archive, change func(servers map[string]string)) *program {
+func partners(t *testing.T, a *replica.Archive, change func(servers map[string]string)) *program {
 	t.Helper()
 	servers := map[string]string{"a": serve(t, a.SRU, "a"), "b": serve(t, a.Z3950, "b"), "c": serve(t, a.SRU, "c"), "d": serve(t, a.Z3950, "d")}
 	if change != nil {
--- a/cmd/rooktrestle/standin_test.go
+++ b/cmd/rooktrestle/standin_test.go
@@ -4,21 +4,21 @@
 	"testing"
 	"time"
 
-	"rooktrestle/internal/lab/ber"
-	"rooktrestle/internal/lab/client"
-	"rooktrestle/internal/lab/node"
+	"rooktrestle/internal/testbed/ber"
+	"rooktrestle/internal/testbed/client"
+	"rooktrestle/internal/testbed/replica"
 )
 
 // newArchive returns an archive whose nodes tell of corrections begun and of clients that left them.
-func newArchive(t *testing.T) *node.Archive {
-	a := node.NewArchive(4)
+func newArchive(t *testing.T) *replica.Archive {
+	a := replica.NewArchive(4)
 	a.Begun, a.Left = make(chan string, 8), make(chan string, 8)
 	t.Cleanup(a.Close)
 	return a
 }
 
 // serve starts a stand-in and returns its address.
-func serve(t *testing.T, start func(name string, seed uint64) (*node.Node, error), name string) string {
+func serve(t *testing.T, start func(name string, seed uint64) (*replica.Node, error), name string) string {
 	t.Helper()
 	n, err := start(name, 1)
 	if err != nil {
--- a/cmd/wirehost/main.go
+++ b/cmd/simadapter/main.go
@@ -9,19 +9,19 @@
 	"os"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/wire"
+	"rooktrestle/internal/simadapter"
 )
 
 func main() {
 	if err := serve(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "wirehost:", err)
+		fmt.Fprintln(os.Stderr, "simadapter:", err)
 		os.Exit(1)
 	}
 }
 
 // serve answers frames until the input ends. An error is told on the wire before it is returned.
 func serve(in io.Reader, out io.Writer) error {
-	r, w := wire.NewReader(in), wire.NewWriter(out)
+	r, w := simadapter.NewReader(in), simadapter.NewWriter(out)
 	hosted := map[string]*balance.Balancer{}
 	for {
 		f, err := r.Frame()
@@ -42,7 +42,7 @@
 }
 
 // turn hands a frame's events to the gatherers they are for and prints what these do.
-func turn(w *wire.Writer, f *wire.Frame, hosted map[string]*balance.Balancer) error {
+func turn(w *simadapter.Writer, f *simadapter.Frame, hosted map[string]*balance.Balancer) error {
 	var order []string
 	events := map[string][]balance.Event{}
 	for _, e := range f.Events {
@@ -51,13 +51,13 @@
 			events[e.Instance] = nil
 		}
 		switch what := e.What.(type) {
-		case wire.Start:
+		case simadapter.Start:
 			b, err := balance.New(what.Settings)
 			if err != nil {
 				return fmt.Errorf("%s: %w", e.Instance, err)
 			}
 			hosted[e.Instance], events[e.Instance] = b, nil
-		case wire.Stop:
+		case simadapter.Stop:
 			delete(hosted, e.Instance)
 			events[e.Instance] = nil
 		case balance.Event:
--- a/cmd/rooklab/days.go
+++ b/cmd/testbed/days.go
@@ -13,7 +13,7 @@
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
 
-	"rooktrestle/internal/lab/sim"
+	"rooktrestle/internal/testbed/sim"
 )
 
 // span is a mean over seeds with the half width of its 95% interval; under two seeds there is none.
@@ -79,7 +79,7 @@
 		Use: "days [DAY...]", Short: "Play days of whole fleets under virtual time, and print what was answered with its interval over seeds",
 		Long: "Plays days of whole fleets under virtual time: mixers killed at once during a release, a zone lost and back cold,\n" +
 			"zones cut off from each other while discovery is silent, most nodes replaced. Exit status 1: a rule was broken.",
-		Example: "  rooklab days herd split --mixers 300 --nodes 200 --seeds 20\n  rooklab days herd --seed 7 --seeds 1 --json", ValidArgs: sim.Days,
+		Example: "  testbed days herd split --mixers 300 --nodes 200 --seeds 20\n  testbed days herd --seed 7 --seeds 1 --json", ValidArgs: sim.Days,
 		RunE: func(cmd *cobra.Command, named []string) error {
 			if len(named) == 0 {
 				named = sim.Days
--- a/cmd/rooklab/demo.go
+++ b/cmd/testbed/demo.go
@@ -12,11 +12,11 @@
 
 	"github.com/spf13/cobra"
 
-	"rooktrestle/internal/lab/client"
-	"rooktrestle/internal/lab/install"
-	"rooktrestle/internal/lab/load"
-	"rooktrestle/internal/lab/node"
-	"rooktrestle/internal/lab/rules"
+	"rooktrestle/internal/testbed/client"
+	"rooktrestle/internal/testbed/deployment"
+	"rooktrestle/internal/testbed/invariants"
+	"rooktrestle/internal/testbed/load"
+	"rooktrestle/internal/testbed/replica"
 )
 
 func demo() *cobra.Command {
@@ -26,7 +26,7 @@
 	var verbose bool
 	c := &cobra.Command{
 		Use: "demo", Short: "Start nodes of both protocols, the real second front and a few clients, and show what becomes of a drain",
-		Example: "  rooklab demo --for 10s --nodes 6 --seed 7", Args: cobra.NoArgs,
+		Example: "  testbed demo --for 10s --nodes 6 --seed 7", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if nodes < 3 || nodes > 64 {
 				return fmt.Errorf("--nodes %d: 3 to 64", nodes)
@@ -49,13 +49,13 @@
 	if verbose {
 		log = slog.NewTextHandler(os.Stderr, nil)
 	}
-	in, err := install.Start(install.Options{Nodes: nodes, Reach: 2, Seed: seed, Agents: true, Log: log})
+	in, err := deployment.Start(deployment.Options{Nodes: nodes, Reach: 2, Seed: seed, Agents: true, Log: log})
 	if err != nil {
 		return err
 	}
 	defer in.Stop()
 	for _, n := range in.Nodes {
-		n.Set(node.Faults{Delay: 10 * time.Millisecond, Jitter: 20 * time.Millisecond})
+		n.Set(replica.Faults{Delay: 10 * time.Millisecond, Jitter: 20 * time.Millisecond})
 	}
 	fmt.Fprintf(out, "%d archive nodes, half of them SRU, half Z39.50; each block is held by two of them.\n", nodes)
 	fmt.Fprintf(out, "SRU on %s, Z39.50 on %s, health on %s, agent-check on %s; configuration %s\n", in.Front.Addr("sru"),
@@ -83,11 +83,11 @@
 	if pause(drainAt) {
 		phases = append(phases, time.Now())
 		fmt.Fprintf(out, "%5.1fs  the agent of n1 says drain\n", time.Since(begin).Seconds())
-		in.Agents[1].Set("up drain", node.Speaks)
+		in.Agents[1].Set("up drain", replica.Speaks)
 		if pause(backAt) {
 			phases = append(phases, time.Now())
 			fmt.Fprintf(out, "%5.1fs  the agent of n1 says ready\n", time.Since(begin).Seconds())
-			in.Agents[1].Set("up ready 100%", node.Speaks)
+			in.Agents[1].Set("up ready 100%", replica.Speaks)
 			if d > 0 {
 				pause(d)
 			} else {
@@ -101,7 +101,7 @@
 }
 
 // table prints what was asked and what became of it, by phase.
-func table(out io.Writer, in *install.Install, calls *load.Result, phases []time.Time) error {
+func table(out io.Writer, in *deployment.Install, calls *load.Result, phases []time.Time) error {
 	fmt.Fprintln(out)
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "phase\tasked\twhole\tpartial\trefused\tfailed\tbroken\tparts at n1\tof all\t")
@@ -109,7 +109,7 @@
 	for i := 0; i+1 < len(phases); i++ {
 		list := calls.Calls(phases[i], phases[i+1])
 		n := load.Count(list)
-		share, parts := rules.Share(in.Archive, "n1", phases[i], phases[i+1])
+		share, parts := invariants.Share(in.Archive, "n1", phases[i], phases[i+1])
 		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%d\t\n", names[i], len(list), n[client.Whole], n[client.Partial], n[client.Refused],
 			n[client.Failed], n[client.Broken], share*float64(parts), parts)
 	}
@@ -118,11 +118,11 @@
 	if len(phases) > 2 {
 		told := in.Agents[1].Told()
 		if len(phases) == 3 && !told.IsZero() {
-			_, last := rules.After(in.Archive, "n1", told, 0)
+			_, last := invariants.After(in.Archive, "n1", told, 0)
 			fmt.Fprintf(out, "last new part at n1 after its word: %v\n", last.Round(time.Millisecond))
 		}
 	}
-	if twice := rules.Twice(in.Archive); len(twice) > 0 {
+	if twice := invariants.Twice(in.Archive); len(twice) > 0 {
 		return fmt.Errorf("%w: corrections ran twice: %v", errNo, twice)
 	}
 	fmt.Fprintln(out, "no correction ran twice")
--- a/cmd/rooklab/health.go
+++ b/cmd/testbed/health.go
@@ -14,7 +14,7 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 
-	labhealth "rooktrestle/internal/lab/health"
+	labhealth "rooktrestle/internal/testbed/health"
 )
 
 func health() *cobra.Command {
@@ -25,7 +25,7 @@
 	var picture string
 	c := &cobra.Command{
 		Use: "health", Short: "Run the experiments on health evidence over several seeds and print median and worst",
-		Example: "  rooklab health --seeds 20 --only liar-up --plot share.png", Args: cobra.NoArgs,
+		Example: "  testbed health --seeds 20 --only liar-up --plot share.png", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if seeds < 1 || seeds > 1000 {
 				return fmt.Errorf("--seeds %d: 1 to 1000", seeds)
--- a/cmd/rooklab/hunt.go
+++ b/cmd/testbed/hunt.go
@@ -10,7 +10,7 @@
 
 	"github.com/spf13/cobra"
 
-	"rooktrestle/internal/lab/sim"
+	"rooktrestle/internal/testbed/sim"
 )
 
 // hunt searches seeds for broken rules.
@@ -21,7 +21,7 @@
 	var dir, replay string
 	c := &cobra.Command{
 		Use: "hunt", Short: "Play random fleets with random troubles, and shrink each run that breaks a rule to a file that can be replayed",
-		Example: "  rooklab hunt --seeds 1000 --for 5m\n  rooklab hunt --replay broken-17.json", Args: cobra.NoArgs,
+		Example: "  testbed hunt --seeds 1000 --for 5m\n  testbed hunt --replay broken-17.json", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			out := cmd.OutOrStdout()
 			if replay != "" {
--- a/cmd/rooklab/load.go
+++ b/cmd/testbed/load.go
@@ -11,8 +11,8 @@
 
 	"github.com/spf13/cobra"
 
-	"rooktrestle/internal/lab/client"
-	"rooktrestle/internal/lab/load"
+	"rooktrestle/internal/testbed/client"
+	"rooktrestle/internal/testbed/load"
 )
 
 // loadMost bounds a run.
@@ -36,7 +36,7 @@
 	var asJSON bool
 	c := &cobra.Command{
 		Use: "load", Short: "Call a front on loopback open-loop, and print outcomes and latencies from the intended times",
-		Example: "  rooklab load --sru 127.0.0.1:8210 --z3950 127.0.0.1:2100 --rate 50 --for 30s", Args: cobra.NoArgs,
+		Example: "  testbed load --sru 127.0.0.1:8210 --z3950 127.0.0.1:2100 --rate 50 --for 30s", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if p.SRU == "" {
 				return fmt.Errorf("--sru is needed")
--- a/cmd/rooklab/main.go
+++ b/cmd/testbed/main.go
@@ -13,11 +13,11 @@
 var errNo = errors.New("not all claims hold")
 
 func main() {
-	root := &cobra.Command{Use: "rooklab", Short: "Stand-in nodes, load and experiments for rooktrestle, on loopback",
+	root := &cobra.Command{Use: "testbed", Short: "Stand-in nodes, load and experiments for rooktrestle, on loopback",
 		SilenceUsage: true, SilenceErrors: true}
 	root.AddCommand(demo(), health(), reshapeCommand(), hunt(), loadCommand(), days())
 	if err := root.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "rooklab:", err)
+		fmt.Fprintln(os.Stderr, "testbed:", err)
 		if errors.Is(err, errNo) {
 			os.Exit(1)
 		}
--- a/cmd/rooklab/reshape.go
+++ b/cmd/testbed/resharding.go
@@ -10,9 +10,9 @@
 
 	"github.com/spf13/cobra"
 
-	"rooktrestle/internal/decide/blocks"
-	"rooktrestle/internal/lab/client"
-	"rooktrestle/internal/lab/reshape"
+	"rooktrestle/internal/control/shardmap"
+	"rooktrestle/internal/testbed/client"
+	"rooktrestle/internal/testbed/resharding"
 )
 
 // reshapeOptions are those of one experiment.
@@ -28,7 +28,7 @@
 	var o reshapeOptions
 	c := &cobra.Command{
 		Use: "reshape", Short: "Reshape blocks under load, and compare every answer with the archive and with the same load without reshapes",
-		Example: "  rooklab reshape --for 60s --every 2s --rate 60", Args: cobra.NoArgs,
+		Example: "  testbed reshape --for 60s --every 2s --rate 60", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if o.d < time.Second || o.every < 10*time.Millisecond || !(o.rate > 0 && o.rate <= 10000) || o.nodes < 3 || o.nodes > 64 || o.blocks < 1 || o.blocks > 40 {
 				return fmt.Errorf("--for at least 1s, --every at least 10ms, --rate over 0, --nodes 3 to 64, --blocks 1 to 40")
@@ -101,13 +101,13 @@
 }
 
 func oneReshape(o reshapeOptions, moving bool) (r reshapeRun, err error) {
-	a, err := reshape.Start(reshape.Options{Seed: o.seed, Nodes: o.nodes, Blocks: o.blocks, Fronts: 2, Late: o.late, Copies: 50,
-		Records: 120, Delay: 5 * time.Millisecond, Timing: blocks.Timing{Spread: 100 * time.Millisecond, Query: 500 * time.Millisecond}})
+	a, err := resharding.Start(resharding.Options{Seed: o.seed, Nodes: o.nodes, Blocks: o.blocks, Fronts: 2, Late: o.late, Copies: 50,
+		Records: 120, Delay: 5 * time.Millisecond, Timing: shardmap.Timing{Spread: 100 * time.Millisecond, Query: 500 * time.Millisecond}})
 	if err != nil {
 		return r, err
 	}
 	defer a.Stop()
-	calls, end := a.Call(reshape.Load{Rate: o.rate, Seed: o.seed})
+	calls, end := a.Call(resharding.Load{Rate: o.rate, Seed: o.seed})
 	stop, over := make(chan struct{}), make(chan error, 1)
 	go func() {
 		if moving {
@@ -131,7 +131,7 @@
 		r.Front = append(r.Front, f.Report())
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "rooklab:", err)
+		fmt.Fprintln(os.Stderr, "testbed:", err)
 	}
 	return r, err
 }
--- a/internal/mixer/core.go
+++ b/internal/aggregator/core.go
@@ -1,4 +1,4 @@
-package mixer
+package aggregator
 
 import (
 	"cmp"
@@ -9,9 +9,9 @@
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/decide/blocks"
-	"rooktrestle/internal/decide/outlier"
-	"rooktrestle/internal/decide/timers"
+	"rooktrestle/internal/control/outlier"
+	"rooktrestle/internal/control/shardmap"
+	"rooktrestle/internal/control/timers"
 )
 
 // clockMargin is how long before its start a core's clock begins, so that servers' starts lie after zero.
@@ -29,9 +29,9 @@
 	first []*part // parts of the first step that were in
 	whole bool    // the first step was
 
-	out      int          // attempts out
-	view     *blocks.View // that it is pinned to; nil where holders are fixed
-	flight   *blocks.Flight
+	out      int            // attempts out
+	view     *shardmap.View // that it is pinned to; nil where holders are fixed
+	flight   *shardmap.Flight
 	restarts int
 	anew     bool // it begins anew once nothing of it is out
 	waits    bool // for a newer map
@@ -421,7 +421,7 @@
 		f.Out = false // one attempt of a part is out at a time
 		f.In = f.In || p.in
 		f.MayRun = f.MayRun || r == balance.Failed || r == balance.TimedOut || r == balance.Reset || r == balance.Canceled
-		if cause != nil && cause.Word != blocks.NoWord {
+		if cause != nil && cause.Word != shardmap.NoWord {
 			lie, told = c.turnedAway(now, a, cause, told)
 		}
 	}
--- a/internal/mixer/core_test.go
+++ b/internal/aggregator/core_test.go
@@ -1,4 +1,4 @@
-package mixer
+package aggregator
 
 import (
 	"errors"
@@ -9,7 +9,7 @@
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/decide/outlier"
+	"rooktrestle/internal/control/outlier"
 )
 
 var begin = time.Unix(1_700_000_000, 0)
--- a/internal/mixer/loop.go
+++ b/internal/aggregator/loop.go
@@ -1,4 +1,4 @@
-package mixer
+package aggregator
 
 import (
 	"fmt"
--- a/internal/mixer/mixer.go
+++ b/internal/aggregator/ports.go
@@ -1,7 +1,7 @@
 // Package mixer is the core round the decisions: requests, their parts, attempts and outcomes. It does no I/O
 // and reads no clock. A Core takes the events of one turn, hands them to the decisions in one go and carries
 // out what comes back through its ports. It is not safe for concurrent use; Loop drives it.
-package mixer
+package aggregator
 
 import (
 	"errors"
@@ -9,9 +9,9 @@
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/decide/blocks"
-	"rooktrestle/internal/decide/health"
-	"rooktrestle/internal/decide/outlier"
+	"rooktrestle/internal/control/health"
+	"rooktrestle/internal/control/outlier"
+	"rooktrestle/internal/control/shardmap"
 )
 
 // Reach says how far an attempt had come when it ended.
@@ -34,8 +34,8 @@
 	TurnedAway bool // Answered: the server did not take it
 	Withdrawn  bool // this mixer gave it up
 	// TurnedAway because of the map of blocks: what the server said, and the epoch it named.
-	Word  blocks.Word
-	Epoch blocks.Epoch
+	Word  shardmap.Word
+	Epoch shardmap.Epoch
 
 	Spoilt bool // Written: the server lives, and what it said on the connection cannot be read
 	Own    bool // NotConnected: for want of something of this mixer's; tells nothing of the server
@@ -65,7 +65,7 @@
 		return balance.OK
 	case !errors.As(err, &a):
 		return balance.Reset
-	case a.TurnedAway && a.Word != blocks.NoWord:
+	case a.TurnedAway && a.Word != shardmap.NoWord:
 		return balance.Ignored // it tells nothing of the server's load
 	case a.TurnedAway:
 		return balance.QueueFull
@@ -195,7 +195,7 @@
 	Front   Front
 	// Layout, if set, makes the parts from the view that the query is pinned to; each is a block. It is called again
 	// if the query begins anew on another view.
-	Layout func(*blocks.View) []Spec
+	Layout func(*shardmap.View) []Spec
 
 	done bool // it has its final answer, or its client has left
 }
@@ -245,8 +245,8 @@
 	Text    string
 	Second  bool // part of a second step, which came after From
 	From    []int
-	Whole   bool         // the first step was whole
-	Epoch   blocks.Epoch // of the view; 0: there is none
+	Whole   bool           // the first step was whole
+	Epoch   shardmap.Epoch // of the view; 0: there is none
 }
 
 // Events of the core.
@@ -275,7 +275,7 @@
 	// MapOffered is word of a source of maps. Map is nil where it has nothing newer.
 	MapOffered struct {
 		Source string
-		Map    *blocks.Map
+		Map    *shardmap.Map
 		Err    error // why it has none
 	}
 	// Members is word from discovery.
--- a/internal/mixer/reshape.go
+++ b/internal/aggregator/resharding.go
@@ -1,22 +1,22 @@
-package mixer
+package aggregator
 
 import (
 	"slices"
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/decide/blocks"
+	"rooktrestle/internal/control/shardmap"
 )
 
 // Reshape is what a core has to do with maps of blocks that change. It is nil where holders are fixed.
 type Reshape struct {
-	Views *blocks.Views
+	Views *shardmap.Views
 	// Ask has the source asked for a newer map. It is called on the loop and must not block.
 	Ask func()
 	// Again has it asked in a moment: it may be late.
 	Again func()
 	// Adopted is told of each map that is adopted, and what was before (nil at first); Refused of each that is not.
-	Adopted func(old, now *blocks.Map)
+	Adopted func(old, now *shardmap.Map)
 	Refused func(source string, err error)
 }
 
@@ -27,7 +27,7 @@
 		return nil
 	}
 	specs := q.req.Layout(q.view)
-	q.flight = &blocks.Flight{View: q.view, Safe: c.safe(q.req.Class), Restarts: q.restarts}
+	q.flight = &shardmap.Flight{View: q.view, Safe: c.safe(q.req.Class), Restarts: q.restarts}
 	return specs
 }
 
@@ -48,8 +48,8 @@
 	if q.flight == nil {
 		return nil
 	}
-	id := blocks.ID(p.spec.Shard)
-	entry := blocks.Part{Block: id}
+	id := shardmap.ID(p.spec.Shard)
+	entry := shardmap.Part{Block: id}
 	list = []balance.Holder{}
 	if b := q.view.Map.Block(id); b != nil {
 		for _, h := range b.Servers() {
@@ -132,7 +132,7 @@
 		return v.Lie, c.verdict(now, q, v, told)
 	}
 	left := []balance.Holder{}
-	if b := q.view.Map.Block(blocks.ID(p.spec.Shard)); b != nil {
+	if b := q.view.Map.Block(shardmap.ID(p.spec.Shard)); b != nil {
 		for _, h := range b.Servers() {
 			if slices.Contains(q.flight.Parts[p.at].Servers, h.Server) {
 				left = append(left, balance.Holder{Replica: balance.Replica(h.Server), Share: r.Views.Share(now, h)})
@@ -148,7 +148,7 @@
 }
 
 // verdict carries out what was decided on a query: it begins anew, waits for a newer map, or ends.
-func (c *Core) verdict(now time.Time, q *query, v blocks.Verdict, told []balance.Event) []balance.Event {
+func (c *Core) verdict(now time.Time, q *query, v shardmap.Verdict, told []balance.Event) []balance.Event {
 	if !q.anew && !q.waits { // the decisions on it begin anew, too
 		told = append(told, balance.Gone{Query: q.id})
 		for _, p := range q.parts {
--- a/internal/mixer/reshape_test.go
+++ b/internal/aggregator/resharding_test.go
@@ -1,4 +1,4 @@
-package mixer
+package aggregator
 
 import (
 	"errors"
@@ -10,7 +10,7 @@
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/decide/blocks"
+	"rooktrestle/internal/control/shardmap"
 )
 
 // mapped is a world whose blocks change.
@@ -18,7 +18,7 @@
 	*world
 	asked, again int
 	refused      []string
-	m            *blocks.Map
+	m            *shardmap.Map
 }
 
 func newMapped(t *testing.T) *mapped {
@@ -29,22 +29,22 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	views, err := blocks.NewViews(blocks.ViewRules{MostPinned: 2, MostAge: 4 * time.Second, ColdFrom: 1, Patience: 100 * time.Millisecond})
+	views, err := shardmap.NewViews(shardmap.ViewRules{MostPinned: 2, MostAge: 4 * time.Second, ColdFrom: 1, Patience: 100 * time.Millisecond})
 	if err != nil {
 		t.Fatal(err)
 	}
 	w := &mapped{world: &world{t: t, now: begin, finals: map[string][]Final{}}}
 	w.c = NewCore(b, w, Limits{SecondStep: []int{0, 0, 2}, Unsafe: []bool{false, true, false}, MaxOpen: 100, ComeBack: time.Second, Ahead: 20 * time.Millisecond}, begin)
-	w.c.Reshape = &Reshape{Views: views, Ask: func() { w.asked++ }, Again: func() { w.again++ }, Adopted: func(_, _ *blocks.Map) {},
+	w.c.Reshape = &Reshape{Views: views, Ask: func() { w.asked++ }, Again: func() { w.again++ }, Adopted: func(_, _ *shardmap.Map) {},
 		Refused: func(source string, err error) { w.refused = append(w.refused, source+": "+err.Error()) }}
 	var list []Server
 	for _, id := range []balance.Replica{"a", "b", "c", "d"} {
 		list = append(list, Server{ID: id, Addr: string(id) + ":1"})
 	}
 	w.turn(Members{Kind: balance.ListFull, List: list})
-	w.m, err = blocks.New("captions", 1, 3, []*blocks.Block{
-		{ID: 1, To: "m@2000", State: blocks.Serving, Weight: 1, Holders: []blocks.Holder{{Server: "a"}, {Server: "b"}}},
-		{ID: 2, From: "m@2000", State: blocks.Serving, Weight: 3, Holders: []blocks.Holder{{Server: "a"}, {Server: "b"}}},
+	w.m, err = shardmap.New("captions", 1, 3, []*shardmap.Block{
+		{ID: 1, To: "m@2000", State: shardmap.Serving, Weight: 1, Holders: []shardmap.Holder{{Server: "a"}, {Server: "b"}}},
+		{ID: 2, From: "m@2000", State: shardmap.Serving, Weight: 3, Holders: []shardmap.Holder{{Server: "a"}, {Server: "b"}}},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -53,13 +53,13 @@
 	return w
 }
 
-func (w *mapped) offer(m *blocks.Map) {
+func (w *mapped) offer(m *shardmap.Map) {
 	w.m = m
 	w.turn(MapOffered{Source: "test", Map: m})
 }
 
 // carry makes the steps of a plan the map's next epochs, all of them at once or up to a step.
-func (w *mapped) carry(p *blocks.Plan, err error) {
+func (w *mapped) carry(p *shardmap.Plan, err error) {
 	w.t.Helper()
 	for i := range p.Steps {
 		if err == nil {
@@ -74,9 +74,9 @@
 
 func (w *mapped) query(id string, class int, key string) *Request {
 	r := &Request{ID: id, Class: class, Arrived: w.now, Wait: 3 * time.Second, Text: "text", Front: asker{w.world, id}}
-	r.Layout = func(v *blocks.View) (specs []Spec) {
+	r.Layout = func(v *shardmap.View) (specs []Spec) {
 		if key != "" {
-			return []Spec{{Shard: int(v.Map.At(blocks.Key(key)).ID), Weight: 1}}
+			return []Spec{{Shard: int(v.Map.At(shardmap.Key(key)).ID), Weight: 1}}
 		}
 		for _, b := range v.Blocks() {
 			specs = append(specs, Spec{Shard: int(b.ID), Weight: b.Weight / v.Map.Weight()})
@@ -111,7 +111,7 @@
 
 func (w *mapped) server() string { return string(w.to[0].ID) }
 
-func away(word blocks.Word, e blocks.Epoch) error {
+func away(word shardmap.Word, e shardmap.Epoch) error {
 	return &AttemptError{Reach: Answered, TurnedAway: true, Word: word, Epoch: e}
 }
 
@@ -125,12 +125,12 @@
 	w := newMapped(t)
 	w.query("q", 1, "x@2000")
 	first := w.server()
-	w.carry(blocks.PlanMove(w.m, 2, moveAll, blocks.Timing{}))
-	w.end1(first, 2, away(blocks.NotMine, w.m.Epoch))
+	w.carry(shardmap.PlanMove(w.m, 2, moveAll, shardmap.Timing{}))
+	w.end1(first, 2, away(shardmap.NotMine, w.m.Epoch))
 	if w.out() != "2@"+other(first) {
 		t.Fatalf("out: %s", w.out())
 	}
-	w.end1(other(first), 2, away(blocks.NotMine, w.m.Epoch))
+	w.end1(other(first), 2, away(shardmap.NotMine, w.m.Epoch))
 	if now := w.server(); now != "c" && now != "d" {
 		t.Fatalf("out: %s", w.out())
 	}
@@ -154,8 +154,8 @@
 		w := newMapped(t)
 		w.query("q", 1, "x@2000")
 		first := w.server()
-		w.carry(blocks.PlanMove(w.m, 2, moveAll, blocks.Timing{}))
-		w.carry(blocks.PlanSplit(w.m, 2, []blocks.Key{"p@2000"}, blocks.Timing{}))
+		w.carry(shardmap.PlanMove(w.m, 2, moveAll, shardmap.Timing{}))
+		w.carry(shardmap.PlanSplit(w.m, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
 		if name != "silence" {
 			w.end1(first, 2, err)
 		}
@@ -180,7 +180,7 @@
 func TestCorrectionAnsweredAfterTheSwitch(t *testing.T) {
 	w := newMapped(t)
 	w.query("q", 1, "x@2000")
-	w.carry(blocks.PlanMove(w.m, 2, moveAll, blocks.Timing{}))
+	w.carry(shardmap.PlanMove(w.m, 2, moveAll, shardmap.Timing{}))
 	w.end1(w.server(), 2, nil)
 	if f := w.one("q"); f.Kind != Served || w.c.Count.Restarts != 0 {
 		t.Errorf("%+v", f)
@@ -194,7 +194,7 @@
 	for _, served := range []bool{true, false} {
 		w := newMapped(t)
 		w.query("q", 0, "")
-		w.carry(blocks.PlanSplit(w.m, 2, []blocks.Key{"p@2000"}, blocks.Timing{}))
+		w.carry(shardmap.PlanSplit(w.m, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
 		if e, q := w.c.Reshape.Views.Pinned(); e != 1 || q != 1 {
 			t.Errorf("%d epochs pinned by %d queries", e, q)
 		}
@@ -203,8 +203,8 @@
 			i := slices.IndexFunc(w.calls, func(o Call) bool { return o.Attempt == c.Attempt })
 			if c.Shard == 2 && !served {
 				s := string(w.to[i].ID)
-				w.end1(s, 2, away(blocks.NotMine, w.m.Epoch))
-				w.end1(other(s), 2, away(blocks.NotMine, w.m.Epoch))
+				w.end1(s, 2, away(shardmap.NotMine, w.m.Epoch))
+				w.end1(other(s), 2, away(shardmap.NotMine, w.m.Epoch))
 				continue
 			}
 			w.end1(string(w.to[i].ID), c.Shard, nil)
@@ -233,16 +233,16 @@
 // The same across a merge, a move of all holders, and two reshapes in a row: every block of one view once, whether the
 // old holders serve still or turn every part away.
 func TestSearchAcrossOtherReshapes(t *testing.T) {
-	split := func(w *mapped) { w.carry(blocks.PlanSplit(w.m, 2, []blocks.Key{"p@2000"}, blocks.Timing{})) }
+	split := func(w *mapped) { w.carry(shardmap.PlanSplit(w.m, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{})) }
 	for name, c := range map[string]struct {
 		reshape func(w *mapped)
 		after   []int // blocks of the last view
 	}{
-		"merge": {func(w *mapped) { w.carry(blocks.PlanMerge(w.m, []blocks.ID{1, 2}, blocks.Timing{})) }, []int{3}},
-		"move":  {func(w *mapped) { w.carry(blocks.PlanMove(w.m, 2, moveAll, blocks.Timing{})) }, []int{1, 2}},
+		"merge": {func(w *mapped) { w.carry(shardmap.PlanMerge(w.m, []shardmap.ID{1, 2}, shardmap.Timing{})) }, []int{3}},
+		"move":  {func(w *mapped) { w.carry(shardmap.PlanMove(w.m, 2, moveAll, shardmap.Timing{})) }, []int{1, 2}},
 		"two": {func(w *mapped) {
 			split(w)
-			w.carry(blocks.PlanMove(w.m, 4, moveAll, blocks.Timing{}))
+			w.carry(shardmap.PlanMove(w.m, 4, moveAll, shardmap.Timing{}))
 		}, []int{1, 3, 4}},
 	} {
 		for _, served := range []bool{true, false} {
@@ -255,7 +255,7 @@
 				case slices.Contains(w.withdrawn, call.Attempt):
 					w.end1(s, call.Shard, &AttemptError{Reach: Written, Withdrawn: true})
 				case !served && call.Epoch < w.m.Epoch:
-					w.end1(s, call.Shard, away(blocks.NotMine, w.m.Epoch))
+					w.end1(s, call.Shard, away(shardmap.NotMine, w.m.Epoch))
 				default:
 					w.end1(s, call.Shard, nil)
 				}
@@ -281,15 +281,15 @@
 func TestAnewOnlyWhenNothingIsOut(t *testing.T) {
 	w := newMapped(t)
 	w.query("q", 0, "")
-	w.carry(blocks.PlanMove(w.m, 2, moveAll, blocks.Timing{}))
+	w.carry(shardmap.PlanMove(w.m, 2, moveAll, shardmap.Timing{}))
 	var second string
 	for i, c := range w.calls {
 		if c.Shard == 2 {
 			second = string(w.to[i].ID)
 		}
 	}
-	w.end1(second, 2, away(blocks.NotMine, w.m.Epoch))
-	w.end1(other(second), 2, away(blocks.NotMine, w.m.Epoch))
+	w.end1(second, 2, away(shardmap.NotMine, w.m.Epoch))
+	w.end1(other(second), 2, away(shardmap.NotMine, w.m.Epoch))
 	if len(w.calls) != 1 || w.calls[0].Shard != 1 || len(w.withdrawn) != 1 {
 		t.Fatalf("out: %s, withdrawn %d", w.out(), len(w.withdrawn))
 	}
@@ -309,7 +309,7 @@
 	w := newMapped(t)
 	w.query("q", 2, "")
 	old := w.m.Epoch
-	w.carry(blocks.PlanSplit(w.m, 2, []blocks.Key{"p@2000"}, blocks.Timing{}))
+	w.carry(shardmap.PlanSplit(w.m, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
 	w.end(nil)
 	if len(w.calls) != 2 || !w.calls[0].Second || w.calls[0].Epoch != old || w.calls[0].Shard > 2 || w.calls[1].Shard > 2 {
 		t.Fatalf("%+v", w.calls)
@@ -317,8 +317,8 @@
 	// Its holders turn one away: there is no other view for it.
 	s := w.server()
 	b := w.calls[0].Shard
-	w.end1(s, b, away(blocks.NotMine, w.m.Epoch))
-	w.end1(other(s), b, away(blocks.NotMine, w.m.Epoch))
+	w.end1(s, b, away(shardmap.NotMine, w.m.Epoch))
+	w.end1(other(s), b, away(shardmap.NotMine, w.m.Epoch))
 	w.end(nil)
 	if f := w.one("q"); f.Kind == Served && f.Whole || w.c.Count.Restarts != 0 {
 		t.Errorf("%+v", f)
@@ -332,7 +332,7 @@
 	for _, comes := range []bool{true, false} {
 		w := newMapped(t)
 		next := w.m
-		p, err := blocks.PlanMove(w.m, 2, moveAll, blocks.Timing{})
+		p, err := shardmap.PlanMove(w.m, 2, moveAll, shardmap.Timing{})
 		for i := range p.Steps {
 			if next, err = p.Steps[i].Next(next); err != nil {
 				t.Fatal(err)
@@ -340,11 +340,11 @@
 		}
 		w.query("q", 1, "x@2000")
 		s := w.server()
-		w.end1(s, 2, away(blocks.NotMine, 4))
+		w.end1(s, 2, away(shardmap.NotMine, 4))
 		if w.asked != 1 {
 			t.Errorf("the source was asked %d times", w.asked)
 		}
-		w.end1(other(s), 2, away(blocks.NotMine, 4))
+		w.end1(other(s), 2, away(shardmap.NotMine, 4))
 		if len(w.finals["q"]) > 0 || len(w.calls) > 0 {
 			t.Fatalf("%+v, out %s", w.finals, w.out())
 		}
@@ -375,7 +375,7 @@
 	w.query("q", 0, "")
 	w.end1("a", 1, &AttemptError{Reach: NotConnected})
 	w.turn(Members{Kind: balance.ListDelta, List: []Server{{ID: "a", Addr: "a:1", State: balance.Draining}}})
-	w.carry(blocks.PlanSplit(w.m, 2, []blocks.Key{"p@2000"}, blocks.Timing{}))
+	w.carry(shardmap.PlanSplit(w.m, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
 	before := len(w.frames)
 	w.query("late", 0, "")
 	for i := range w.to {
@@ -401,7 +401,7 @@
 	w.c.Witness = saw
 	w.query("q", 1, "x@2000")
 	s := w.server()
-	w.end1(s, 2, away(blocks.NotMine, 1))
+	w.end1(s, 2, away(shardmap.NotMine, 1))
 	if w.asked != 0 || w.c.Reshape.Views.Stats.Lies != 1 || len(saw.list) != 1 || !saw.list[0].Lie {
 		t.Errorf("asked %d, %+v", w.asked, saw.list)
 	}
@@ -421,7 +421,7 @@
 	w := newMapped(t)
 	w.c.lim.SecondStep = nil
 	w.query("q", 2, "")
-	w.carry(blocks.PlanSplit(w.m, 2, []blocks.Key{"p@2000"}, blocks.Timing{}))
+	w.carry(shardmap.PlanSplit(w.m, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
 	for i, c := range w.calls {
 		if c.Shard == 2 {
 			w.end1(string(w.to[i].ID), 2, nil)
@@ -443,7 +443,7 @@
 	w.query("safe", 0, "")
 	w.query("unsafe", 1, "x@2000")
 	for range 3 {
-		next, err := w.m.Change([]*blocks.Block{{ID: 1, To: "m@2000", State: blocks.Serving, Weight: float64(w.m.Epoch) + 1, Holders: w.m.Block(1).Holders}}, nil)
+		next, err := w.m.Change([]*shardmap.Block{{ID: 1, To: "m@2000", State: shardmap.Serving, Weight: float64(w.m.Epoch) + 1, Holders: w.m.Block(1).Holders}}, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -542,7 +542,7 @@
 				case y == 1:
 					err = &AttemptError{Reach: NotConnected}
 				case y < 5:
-					err = away(blocks.Word(1+rng.IntN(2)), w.m.Epoch+blocks.Epoch(rng.IntN(3))-1+1)
+					err = away(shardmap.Word(1+rng.IntN(2)), w.m.Epoch+shardmap.Epoch(rng.IntN(3))-1+1)
 				default:
 					mayRun[id] = true
 				}
@@ -550,19 +550,19 @@
 			case x == 8:
 				w.turn(MapOffered{Source: "test"})
 			default:
-				var ids []blocks.ID
-				w.m.Every(func(b *blocks.Block) bool { ids = append(ids, b.ID); return true })
-				var p *blocks.Plan
+				var ids []shardmap.ID
+				w.m.Every(func(b *shardmap.Block) bool { ids = append(ids, b.ID); return true })
+				var p *shardmap.Plan
 				var err error
 				id := ids[rng.IntN(len(ids))]
 				switch rng.IntN(3) {
 				case 0:
-					p, err = blocks.PlanMove(w.m, id, [][]string{{"a", "b"}, {"c", "d"}, {"b", "c"}}[rng.IntN(3)], blocks.Timing{})
+					p, err = shardmap.PlanMove(w.m, id, [][]string{{"a", "b"}, {"c", "d"}, {"b", "c"}}[rng.IntN(3)], shardmap.Timing{})
 				case 1:
-					p, err = blocks.PlanSplit(w.m, id, []blocks.Key{[]blocks.Key{"d@2000", "p@2000", "t@2000"}[rng.IntN(3)]}, blocks.Timing{})
+					p, err = shardmap.PlanSplit(w.m, id, []shardmap.Key{[]shardmap.Key{"d@2000", "p@2000", "t@2000"}[rng.IntN(3)]}, shardmap.Timing{})
 				default:
 					i := rng.IntN(len(ids))
-					p, err = blocks.PlanMerge(w.m, []blocks.ID{ids[i], ids[(i+1)%len(ids)]}, blocks.Timing{})
+					p, err = shardmap.PlanMerge(w.m, []shardmap.ID{ids[i], ids[(i+1)%len(ids)]}, shardmap.Timing{})
 				}
 				if err == nil {
 					w.carry(p, nil)
--- a/internal/app/background/background.go
+++ b/internal/app/background/background.go
@@ -10,41 +10,41 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"rooktrestle/internal/decide/schedule"
-	"rooktrestle/internal/decide/timers"
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/aggregator"
+	"rooktrestle/internal/control/scheduler"
+	"rooktrestle/internal/control/timers"
 )
 
 // Job is one run of a task. It blocks, and bounds its own time. It returns what the task showed, and whether the run
 // took up all its time.
-type Job func() (pace schedule.Pace, hung bool)
+type Job func() (pace scheduler.Pace, hung bool)
 
 // Runner runs tasks.
 type Runner struct {
-	clock mixer.Clock
+	clock aggregator.Clock
 	mu    sync.Mutex
-	plan  *schedule.Schedule
-	jobs  map[schedule.ID]Job
+	plan  *scheduler.Schedule
+	jobs  map[scheduler.ID]Job
 	late  *hdrhistogram.Histogram // microseconds
 	wake  chan struct{}
 	runs  sync.WaitGroup
 }
 
 // New returns a Runner without tasks. It starts nothing before Run.
-func New(b schedule.Budget, seed uint64, clock mixer.Clock) (*Runner, error) {
+func New(b scheduler.Budget, seed uint64, clock aggregator.Clock) (*Runner, error) {
 	start := clock.Now()
-	plan, err := schedule.New(b, seed, start, timers.NewWheel(start, 5*time.Millisecond))
+	plan, err := scheduler.New(b, seed, start, timers.NewWheel(start, 5*time.Millisecond))
 	if err != nil {
 		return nil, err
 	}
 	return &Runner{
-		clock: clock, plan: plan, jobs: map[schedule.ID]Job{}, late: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 2),
+		clock: clock, plan: plan, jobs: map[scheduler.ID]Job{}, late: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 2),
 		wake: make(chan struct{}, 1),
 	}, nil
 }
 
 // Add adds a task whose first run lies within first.
-func (r *Runner) Add(t schedule.Task, first time.Duration, job Job) schedule.ID {
+func (r *Runner) Add(t scheduler.Task, first time.Duration, job Job) scheduler.ID {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	id := r.plan.Add(r.clock.Now(), t, first)
@@ -54,7 +54,7 @@
 }
 
 // Remove forgets a task; a run in hand ends by itself.
-func (r *Runner) Remove(id schedule.ID) {
+func (r *Runner) Remove(id scheduler.ID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.plan.Remove(id)
@@ -62,7 +62,7 @@
 }
 
 // Hurry makes a task run now.
-func (r *Runner) Hurry(id schedule.ID) {
+func (r *Runner) Hurry(id scheduler.ID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.plan.Hurry(r.clock.Now(), id)
@@ -107,8 +107,8 @@
 }
 
 // one runs a task once. A panic stops at the run: the task goes on at its interval.
-func (r *Runner) one(id schedule.ID, job Job) {
-	pace, hung := schedule.Steady, false
+func (r *Runner) one(id scheduler.ID, job Job) {
+	pace, hung := scheduler.Steady, false
 	defer func() {
 		if p := recover(); p != nil {
 			fmt.Fprintf(os.Stderr, "background: panic: %v\n", p)
@@ -126,7 +126,7 @@
 
 // Stats are the schedule's counts, and how late runs began: the median and the 99th percentile.
 type Stats struct {
-	schedule.Stats
+	scheduler.Stats
 	Tasks, Running int
 	P50, P99       time.Duration
 }
--- a/internal/app/evidence.go
+++ b/internal/app/evidence.go
@@ -7,17 +7,17 @@
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/back/checks"
+	"rooktrestle/internal/aggregator"
+	"rooktrestle/internal/backend/healthcheck"
 	"rooktrestle/internal/config"
-	"rooktrestle/internal/decide/blocks"
-	"rooktrestle/internal/decide/health"
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/control/health"
+	"rooktrestle/internal/control/shardmap"
 )
 
 // evidence brings what checks and parts show of servers to the core's list. It lives on the loop.
 type evidence struct {
 	table   *health.Table
-	servers map[health.ID]mixer.Server
+	servers map[health.ID]aggregator.Server
 	held    map[health.ID]map[int]bool // active blocks, where they come from a map
 	aims    []time.Duration            // of each class
 	log     *slog.Logger
@@ -31,18 +31,18 @@
 type checked struct {
 	server health.ID
 	source int
-	result checks.Result
+	result healthcheck.Result
 }
 
 // settle makes the loop look at what parts have shown.
 type settle struct{}
 
-func newEvidence(conf *config.Partners, list []mixer.Server, now time.Time, box interface{ Put(any) }, log *slog.Logger) (*evidence, error) {
+func newEvidence(conf *config.Partners, list []aggregator.Server, now time.Time, box interface{ Put(any) }, log *slog.Logger) (*evidence, error) {
 	table, err := health.New(conf.Rules(), conf.Sources(), now)
 	if err != nil {
 		return nil, err
 	}
-	e := &evidence{table: table, servers: map[health.ID]mixer.Server{}, held: map[health.ID]map[int]bool{}, log: log, box: box}
+	e := &evidence{table: table, servers: map[health.ID]aggregator.Server{}, held: map[health.ID]map[int]bool{}, log: log, box: box}
 	for _, c := range conf.Classes {
 		e.aims = append(e.aims, c.Aim.Duration)
 	}
@@ -71,7 +71,7 @@
 }
 
 // Saw takes the end of an attempt as evidence.
-func (e *evidence) Saw(now time.Time, a mixer.Attempt) {
+func (e *evidence) Saw(now time.Time, a aggregator.Attempt) {
 	e.table.Outcome(now, health.ID(a.Server), a.Class, a.Shows(now, e.aims[a.Class]), a.Sent)
 	if !e.asked {
 		e.asked = true
@@ -80,9 +80,9 @@
 }
 
 // mapped takes who holds which block from a map. Only servers whose blocks changed are told of.
-func (e *evidence) mapped(now time.Time, old, m *blocks.Map) {
+func (e *evidence) mapped(now time.Time, old, m *shardmap.Map) {
 	touched := map[health.ID]bool{}
-	hold := func(b *blocks.Block, held bool) {
+	hold := func(b *shardmap.Block, held bool) {
 		if b == nil || !b.Active() {
 			return
 		}
@@ -102,9 +102,9 @@
 		}
 	}
 	if old == nil {
-		m.Every(func(b *blocks.Block) bool { hold(b, true); return true })
+		m.Every(func(b *shardmap.Block) bool { hold(b, true); return true })
 	} else {
-		for _, d := range blocks.Diff(old, m) {
+		for _, d := range shardmap.Diff(old, m) {
 			hold(d.Was, false)
 			hold(d.Is, true)
 		}
@@ -151,7 +151,7 @@
 		return nil
 	}
 	e.version++
-	m := mixer.Members{Kind: balance.ListDelta}
+	m := aggregator.Members{Kind: balance.ListDelta}
 	for _, c := range changes {
 		if c.Told {
 			e.changes++
@@ -174,7 +174,7 @@
 }
 
 // adapters are several adapters of one loop.
-type adapters []mixer.Adapter
+type adapters []aggregator.Adapter
 
 // Handle gives an event to the adapter that it is of.
 func (as adapters) Handle(now time.Time, e any) ([]any, bool) {
--- a/internal/app/ask.go
+++ b/internal/app/healthclient.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"rooktrestle/internal/back/checks"
+	"rooktrestle/internal/backend/healthcheck"
 	"rooktrestle/internal/config"
-	"rooktrestle/internal/decide/health"
+	"rooktrestle/internal/control/health"
 	"rooktrestle/internal/net/tcp"
 )
 
@@ -69,7 +69,7 @@
 
 // sourced is a check, and which source of evidence it is.
 type sourced struct {
-	checks.Check
+	healthcheck.Check
 	source int
 }
 
@@ -78,7 +78,7 @@
 	for _, name := range s.Checks {
 		for i := range conf.Profiles {
 			if f := &conf.Profiles[i]; f.Name == name {
-				list = append(list, sourced{checks.Check{Profile: f, Addr: f.AddrOf(s), Bridge: conf.Checks.GRPCBridge, Dial: tcp.Connect}, i})
+				list = append(list, sourced{healthcheck.Check{Profile: f, Addr: f.AddrOf(s), Bridge: conf.Checks.GRPCBridge, Dial: tcp.Connect}, i})
 			}
 		}
 	}
--- a/internal/app/partners.go
+++ b/internal/app/partners.go
@@ -14,21 +14,21 @@
 	"time"
 
 	"rooktrestle/balance"
+	"rooktrestle/internal/aggregator"
 	"rooktrestle/internal/app/background"
-	"rooktrestle/internal/back/library"
-	sruback "rooktrestle/internal/back/sru"
-	zback "rooktrestle/internal/back/z3950"
+	"rooktrestle/internal/backend/serialconn"
+	sruback "rooktrestle/internal/backend/sru"
+	zback "rooktrestle/internal/backend/z3950"
 	"rooktrestle/internal/config"
-	"rooktrestle/internal/decide/blocks"
-	"rooktrestle/internal/decide/health"
-	"rooktrestle/internal/decide/schedule"
-	fronthealth "rooktrestle/internal/front/health"
-	srufront "rooktrestle/internal/front/sru"
-	zfront "rooktrestle/internal/front/z3950"
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/control/health"
+	"rooktrestle/internal/control/scheduler"
+	"rooktrestle/internal/control/shardmap"
+	fronthealth "rooktrestle/internal/frontend/health"
+	srufront "rooktrestle/internal/frontend/sru"
+	zfront "rooktrestle/internal/frontend/z3950"
+	"rooktrestle/internal/gateway"
 	"rooktrestle/internal/net/httpserve"
 	"rooktrestle/internal/net/tcp"
-	"rooktrestle/internal/partner"
 )
 
 const (
@@ -39,10 +39,10 @@
 )
 
 // codecs are the servers' protocols.
-func codecs(conf *config.Partners) func(balance.Replica) library.Codec {
-	all := map[balance.Replica]library.Codec{}
+func codecs(conf *config.Partners) func(balance.Replica) serialconn.Codec {
+	all := map[balance.Replica]serialconn.Codec{}
 	for _, s := range conf.Servers {
-		database := func(shard int, epoch blocks.Epoch) string {
+		database := func(shard int, epoch shardmap.Epoch) string {
 			return strings.NewReplacer("%d", fmt.Sprint(shard), "%e", fmt.Sprint(epoch)).Replace(s.Database)
 		}
 		if s.Protocol == config.SRU {
@@ -51,13 +51,13 @@
 			all[balance.Replica(s.ID)] = &zback.Client{Database: database}
 		}
 	}
-	return func(id balance.Replica) library.Codec { return all[id] }
+	return func(id balance.Replica) serialconn.Codec { return all[id] }
 }
 
 // servers are those listed by the operator.
-func servers(conf *config.Partners) (list []mixer.Server) {
+func servers(conf *config.Partners) (list []aggregator.Server) {
 	for _, s := range conf.Servers {
-		list = append(list, mixer.Server{ID: balance.Replica(s.ID), Addr: s.Addr, Zone: s.Zone, Cell: s.Cell, Weight: 1})
+		list = append(list, aggregator.Server{ID: balance.Replica(s.ID), Addr: s.Addr, Zone: s.Zone, Cell: s.Cell, Weight: 1})
 	}
 	return list
 }
@@ -66,10 +66,10 @@
 type Partners struct {
 	conf     *config.Partners
 	log      *slog.Logger
-	clock    mixer.Clock
-	core     *mixer.Core
-	loop     *mixer.Loop
-	pool     *library.Pool
+	clock    aggregator.Clock
+	core     *aggregator.Core
+	loop     *aggregator.Loop
+	pool     *serialconn.Pool
 	evidence *evidence
 	word     *word
 	teller   *fronthealth.Teller
@@ -93,19 +93,19 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Partners{conf: conf, log: log, clock: mixer.SystemClock{}, stop: make(chan struct{}), over: make(chan struct{}),
+	p := &Partners{conf: conf, log: log, clock: aggregator.SystemClock{}, stop: make(chan struct{}), over: make(chan struct{}),
 		idle: make(chan struct{}), gates: map[string]*tcp.Gate{}, servers: map[string]*tcp.Server{}}
-	box := mixer.NewMailbox()
-	p.pool = library.NewPool(library.Limits{
+	box := aggregator.NewMailbox()
+	p.pool = serialconn.NewPool(serialconn.Limits{
 		Connect: conf.Limits.Connect.Duration, Idle: conf.Limits.Idle.Duration, Sockets: max(1, conf.Limits.Sockets/2-conf.Checks.AtOnce),
 	}, box, tcp.Dial, codecs(conf))
-	lim := mixer.Limits{MaxOpen: conf.Limits.MaxOpen, ComeBack: time.Second, Ahead: 4 * set.Tick}
+	lim := aggregator.Limits{MaxOpen: conf.Limits.MaxOpen, ComeBack: time.Second, Ahead: 4 * set.Tick}
 	for _, c := range conf.Classes {
 		lim.SecondStep = append(lim.SecondStep, c.SecondStep)
 		lim.Unsafe = append(lim.Unsafe, c.Unsafe)
 	}
 	now := p.clock.Now()
-	p.core = mixer.NewCore(decide, p.pool, lim, now)
+	p.core = aggregator.NewCore(decide, p.pool, lim, now)
 	p.pool.Use(p.core)
 	list := servers(conf)
 	if p.evidence, err = newEvidence(conf, list, now, box, log); err != nil {
@@ -118,11 +118,11 @@
 		}
 		p.core.Reshape = p.maps.reshape()
 	}
-	box.Put(mixer.Members{Kind: balance.ListFull, List: list})
+	box.Put(aggregator.Members{Kind: balance.ListFull, List: list})
 	p.teller = &fronthealth.Teller{Now: p.clock.Now, Wait: conf.Listen.AgentWait.Duration, Servers: p.serversJSON, Metrics: p.Report}
 	p.word = newWord(conf, p.core, p.evidence, p.teller)
-	p.loop = &mixer.Loop{Core: p.core, Box: box, Adapter: adapters{p.pool, p.evidence, p.word}, Clock: p.clock, Stop: p.stop, Fresh: fresh}
-	if p.runner, err = background.New(schedule.Budget{
+	p.loop = &aggregator.Loop{Core: p.core, Box: box, Adapter: adapters{p.pool, p.evidence, p.word}, Clock: p.clock, Stop: p.stop, Fresh: fresh}
+	if p.runner, err = background.New(scheduler.Budget{
 		PerSecond: conf.Checks.PerSecond, Burst: max(8, conf.Checks.AtOnce), AtOnce: conf.Checks.AtOnce, Jitter: conf.Checks.Jitter,
 	}, seed, p.clock); err != nil {
 		return nil, err
@@ -146,17 +146,17 @@
 		for _, one := range checksOf(p.conf, s) {
 			f := one.Profile
 			id, last := health.ID(s.ID), health.Report{}
-			p.runner.Add(schedule.Task{Priority: schedule.Normal, Every: f.Every.Duration, Fast: f.Fast.Duration, FastFor: f.FastFor,
-				Slow: f.Slow.Duration}, f.Every.Duration/4, func() (schedule.Pace, bool) {
+			p.runner.Add(scheduler.Task{Priority: scheduler.Normal, Every: f.Every.Duration, Fast: f.Fast.Duration, FastFor: f.FastFor,
+				Slow: f.Slow.Duration}, f.Every.Duration/4, func() (scheduler.Pace, bool) {
 				res := one.Run()
 				box.Put(checked{id, one.source, res})
-				pace := schedule.Steady
+				pace := scheduler.Steady
 				now := res.Report
 				switch {
 				case now.Failed != last.Failed || now.Admin != last.Admin || now.Oper != last.Oper:
-					pace = schedule.Changed
+					pace = scheduler.Changed
 				case now.Failed || now.Oper == health.Down:
-					pace = schedule.Down
+					pace = scheduler.Down
 				}
 				last = now
 				return pace, res.Hung
@@ -167,9 +167,9 @@
 
 // listen opens the listeners. Each has sockets of its own and makes room on its own: whatever one of them suffers,
 // the others go on.
-func (p *Partners) listen(box *mixer.Mailbox) error {
+func (p *Partners) listen(box *aggregator.Mailbox) error {
 	conf := p.conf
-	service := &partner.Service{Conf: conf, Put: box.Put, Now: p.clock.Now}
+	service := &gateway.Service{Conf: conf, Put: box.Put, Now: p.clock.Now}
 	times := httpserve.Timeouts{First: 10 * time.Second, Idle: 2 * time.Minute, Read: 10 * time.Second, Spare: spareClient}
 	p.web = httpserve.New(times, p.clock.Now, (&srufront.Server{Service: service}).Handle)
 	short := httpserve.Timeouts{First: 2 * time.Second, Idle: time.Minute, Read: 2 * time.Second, Spare: spareClient}
@@ -215,7 +215,7 @@
 }
 
 // Count returns the core's counters.
-func (p *Partners) Count() (c mixer.Counters) {
+func (p *Partners) Count() (c aggregator.Counters) {
 	p.loop.Do(func() { c = p.core.Count })
 	return c
 }
--- a/internal/app/platform.go
+++ b/internal/app/platform.go
@@ -14,14 +14,14 @@
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/back/leaf"
+	"rooktrestle/internal/aggregator"
+	"rooktrestle/internal/backend/leaf"
 	"rooktrestle/internal/config"
-	"rooktrestle/internal/decide/outlier"
-	"rooktrestle/internal/front/platform"
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/control/outlier"
+	"rooktrestle/internal/frontend/platform"
 	"rooktrestle/internal/net/discovery"
+	"rooktrestle/internal/net/gossip"
 	"rooktrestle/internal/net/httpserve"
-	"rooktrestle/internal/net/peers"
 	"rooktrestle/internal/net/tcp"
 )
 
@@ -64,12 +64,12 @@
 	if err != nil {
 		return err
 	}
-	clock, box := mixer.SystemClock{}, mixer.NewMailbox()
+	clock, box := aggregator.SystemClock{}, aggregator.NewMailbox()
 	pool := leaf.NewPool(leaf.Limits{
 		Streams: d.Streams, Idle: d.ConnIdle, ConnectTimeout: d.ConnectTimeout, Sockets: n.Sockets / 3,
 		Silent: shortestAim(d.Decisions.Classes) / 2, Spread: leaf.Spread(d.Decisions.Instances),
 	}, box, leaf.DialTCP)
-	lim := mixer.Limits{MaxOpen: d.MaxOpen, CallParts: d.Decisions.CallParts, ComeBack: d.MaxRetryAfter, Ahead: 4 * d.Decisions.Tick}
+	lim := aggregator.Limits{MaxOpen: d.MaxOpen, CallParts: d.Decisions.CallParts, ComeBack: d.MaxRetryAfter, Ahead: 4 * d.Decisions.Tick}
 	longest := time.Duration(0)
 	for _, c := range d.Decisions.Classes {
 		lim.SecondStep = append(lim.SecondStep, c.FollowUp)
@@ -80,11 +80,11 @@
 		lim.Windows = append(lim.Windows, window)
 		longest = max(longest, c.Deadline)
 	}
-	core := mixer.NewCore(decide, pool, lim, clock.Now())
+	core := aggregator.NewCore(decide, pool, lim, clock.Now())
 	pool.Use(core)
 
 	if d.Decisions.Peers && n.PeerListen != "" && n.PeersAll != "" {
-		x, err := peers.Open(n.PeerListen, n.PeersAll, n.Peers, d.Rank, func(text []byte) { box.PutLater(mixer.Word{Text: text}) })
+		x, err := gossip.Open(n.PeerListen, n.PeersAll, n.Peers, d.Rank, func(text []byte) { box.PutLater(aggregator.Word{Text: text}) })
 		if err != nil {
 			logf("no words with other mixers: %v", err) // a mixer serves without them
 		} else {
@@ -110,7 +110,7 @@
 		box.Put(known)
 	}
 	stop := make(chan struct{})
-	loop := &mixer.Loop{Core: core, Box: box, Adapter: pool, Clock: clock, Stop: stop, Fresh: func() (*balance.Balancer, error) {
+	loop := &aggregator.Loop{Core: core, Box: box, Adapter: pool, Clock: clock, Stop: stop, Fresh: func() (*balance.Balancer, error) {
 		return balance.New(d.Decisions)
 	}}
 
--- a/internal/app/word.go
+++ b/internal/app/readiness.go
@@ -4,11 +4,11 @@
 	"runtime/metrics"
 	"time"
 
+	"rooktrestle/internal/aggregator"
 	"rooktrestle/internal/config"
-	"rooktrestle/internal/decide/blocks"
-	"rooktrestle/internal/decide/readiness"
-	fronthealth "rooktrestle/internal/front/health"
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/control/readiness"
+	"rooktrestle/internal/control/shardmap"
+	fronthealth "rooktrestle/internal/frontend/health"
 )
 
 // wordEvery is how often the mixer's own word is made: many times in the second within which it has to be true.
@@ -17,7 +17,7 @@
 // word makes the mixer's own word from the core's facts. It lives on the loop.
 type word struct {
 	conf     *config.Partners
-	core     *mixer.Core
+	core     *aggregator.Core
 	evidence *evidence
 	judge    *readiness.Judge
 	teller   *fronthealth.Teller
@@ -32,7 +32,7 @@
 // lookAnyway is how long the databases' facts stand where no conclusion has changed.
 const lookAnyway = 500 * time.Millisecond
 
-func newWord(conf *config.Partners, core *mixer.Core, e *evidence, teller *fronthealth.Teller) *word {
+func newWord(conf *config.Partners, core *aggregator.Core, e *evidence, teller *fronthealth.Teller) *word {
 	return &word{conf: conf, core: core, evidence: e, judge: readiness.New(readiness.Defaults()), teller: teller,
 		memory: []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}}
 }
@@ -103,7 +103,7 @@
 		b.Blocks, b.Lost, b.Suspect = 1, []int{0}, "there is no map of blocks yet"
 		return b
 	}
-	m.Active(func(k *blocks.Block) bool {
+	m.Active(func(k *shardmap.Block) bool {
 		look(int(k.ID))
 		return true
 	})
--- a/internal/app/maps.go
+++ b/internal/app/shardmaps.go
@@ -8,12 +8,12 @@
 	"sync/atomic"
 	"time"
 
+	"rooktrestle/internal/aggregator"
 	"rooktrestle/internal/config"
-	"rooktrestle/internal/decide/blocks"
-	"rooktrestle/internal/mixer"
-	"rooktrestle/internal/net/mapsource"
+	"rooktrestle/internal/control/shardmap"
+	"rooktrestle/internal/net/shardmapsource"
 	"rooktrestle/internal/net/tcp"
-	"rooktrestle/internal/state/keep"
+	"rooktrestle/internal/state/atomicfile"
 )
 
 // askAgain is how long after an answer without news a source that may be late is asked again.
@@ -22,28 +22,28 @@
 // maps bring maps of blocks to the core, and keep the last good one.
 type maps struct {
 	conf     *config.Partners
-	views    *blocks.Views // on the loop
+	views    *shardmap.Views // on the loop
 	evidence *evidence
 	box      interface{ Put(any) }
 	log      *slog.Logger
 	wake     chan struct{}
 	epoch    atomic.Uint64 // adopted
-	present  atomic.Pointer[blocks.Map]
-	newest   chan *blocks.Map
+	present  atomic.Pointer[shardmap.Map]
+	newest   chan *shardmap.Map
 	kept     atomic.Uint64 // epoch that is kept
 	running  sync.WaitGroup
 }
 
 func newMaps(conf *config.Partners, e *evidence, box interface{ Put(any) }, log *slog.Logger) (*maps, error) {
-	views, err := blocks.NewViews(conf.Blocks.Rules())
+	views, err := shardmap.NewViews(conf.Blocks.Rules())
 	if err != nil {
 		return nil, err
 	}
-	return &maps{conf: conf, views: views, evidence: e, box: box, log: log, wake: make(chan struct{}, 1), newest: make(chan *blocks.Map, 1)}, nil
+	return &maps{conf: conf, views: views, evidence: e, box: box, log: log, wake: make(chan struct{}, 1), newest: make(chan *shardmap.Map, 1)}, nil
 }
 
-func (m *maps) reshape() *mixer.Reshape {
-	return &mixer.Reshape{Views: m.views, Ask: m.ask, Again: func() { time.AfterFunc(askAgain, m.ask) }, Adopted: m.adopted, Refused: func(source string, err error) {
+func (m *maps) reshape() *aggregator.Reshape {
+	return &aggregator.Reshape{Views: m.views, Ask: m.ask, Again: func() { time.AfterFunc(askAgain, m.ask) }, Adopted: m.adopted, Refused: func(source string, err error) {
 		m.log.Warn("map refused, the present one stays", "source", source, "err", err.Error())
 	}}
 }
@@ -57,13 +57,13 @@
 }
 
 // adopted is called on the loop.
-func (m *maps) adopted(old, now *blocks.Map) {
+func (m *maps) adopted(old, now *shardmap.Map) {
 	m.epoch.Store(uint64(now.Epoch))
 	m.present.Store(now)
 	m.evidence.mapped(m.evidence.table.Now(), old, now)
 	m.evidence.version++
 	m.box.Put(settle{})
-	was := blocks.Epoch(0)
+	was := shardmap.Epoch(0)
 	if old != nil {
 		was = old.Epoch
 	}
@@ -82,7 +82,7 @@
 func (m *maps) run(stop <-chan struct{}) {
 	b := m.conf.Blocks
 	if b.Keep != "" {
-		box := keep.New(keep.OS{}, b.Keep)
+		box := atomicfile.New(atomicfile.OS{}, b.Keep)
 		m.load(box)
 		m.running.Add(1)
 		go func() {
@@ -94,21 +94,21 @@
 	go func() {
 		defer m.running.Done()
 		if b.File != "" {
-			(&mapsource.File{Path: b.File, Every: b.Every.Duration, Put: m.take, Wake: m.wake}).Run(stop)
+			(&shardmapsource.File{Path: b.File, Every: b.Every.Duration, Put: m.take, Wake: m.wake}).Run(stop)
 			return
 		}
-		(&mapsource.HTTP{Addr: b.Source, Wait: b.Wait.Duration, Least: 50 * time.Millisecond, Most: 5 * time.Second, Put: m.take, Epoch: m.epoch.Load,
+		(&shardmapsource.HTTP{Addr: b.Source, Wait: b.Wait.Duration, Least: 50 * time.Millisecond, Most: 5 * time.Second, Put: m.take, Epoch: m.epoch.Load,
 			Wake: m.wake, Dial: tcp.Dial}).Run(stop)
 	}()
 }
 
 // take reads what a source told, off the loop.
-func (m *maps) take(t mapsource.Told) {
-	e := mixer.MapOffered{Source: t.Source, Err: t.Err}
+func (m *maps) take(t shardmapsource.Told) {
+	e := aggregator.MapOffered{Source: t.Source, Err: t.Err}
 	if t.Err == nil && t.Text != nil {
-		e.Map, e.Err = blocks.Parse(t.Text)
+		e.Map, e.Err = shardmap.Parse(t.Text)
 		if e.Err == nil && e.Map.Archive != m.conf.Blocks.Archive {
-			e.Map, e.Err = nil, fmt.Errorf("%w: %q, and not %q", blocks.ErrOther, e.Map.Archive, m.conf.Blocks.Archive)
+			e.Map, e.Err = nil, fmt.Errorf("%w: %q, and not %q", shardmap.ErrOther, e.Map.Archive, m.conf.Blocks.Archive)
 		}
 		if e.Err == nil {
 			e.Map = e.Map.Onto(m.present.Load()) // the loop looks at what changes only
@@ -118,21 +118,21 @@
 }
 
 // load offers the map that is kept, before any source has spoken. An older one from a source is refused then.
-func (m *maps) load(box *keep.Box) {
+func (m *maps) load(box *atomicfile.Box) {
 	text, err := box.Load()
-	if errors.Is(err, keep.ErrNone) {
+	if errors.Is(err, atomicfile.ErrNone) {
 		return
 	}
 	if err != nil {
 		m.log.Warn("the kept map is of no use", "err", err.Error())
 		return
 	}
-	m.take(mapsource.Told{Source: "kept " + m.conf.Blocks.Keep, Text: text})
+	m.take(shardmapsource.Told{Source: "kept " + m.conf.Blocks.Keep, Text: text})
 }
 
 // store keeps each map that is adopted, but for those that a newer one overtakes. A disk that is slow or full delays
 // nobody.
-func (m *maps) store(box *keep.Box, stop <-chan struct{}) {
+func (m *maps) store(box *atomicfile.Box, stop <-chan struct{}) {
 	for {
 		select {
 		case <-stop:
--- a/internal/back/checks/checks.go
+++ b/internal/backend/healthcheck/checks.go
@@ -1,7 +1,7 @@
 // Package checks asks servers for their health, by one profile at a time. Each check is a connection of its own,
 // bounded in time and in what it reads, whatever the other side does: hangs, sends a byte a second, a megabyte, or
 // nothing.
-package checks
+package healthcheck
 
 import (
 	"encoding/xml"
@@ -13,7 +13,7 @@
 	"time"
 
 	"rooktrestle/internal/config"
-	"rooktrestle/internal/decide/health"
+	"rooktrestle/internal/control/health"
 	"rooktrestle/internal/net/tcp"
 	"rooktrestle/internal/protocol/agentcheck"
 	"rooktrestle/internal/protocol/http1"
@@ -27,7 +27,7 @@
 type Check struct {
 	Profile *config.Profile
 	Addr    string
-	Bridge  string // of grpc checks: where rookgrpc listens
+	Bridge  string // of grpc checks: where grpchealth listens
 	Dial    Dial
 }
 
--- a/internal/back/checks/checks_test.go
+++ b/internal/backend/healthcheck/checks_test.go
@@ -1,4 +1,4 @@
-package checks
+package healthcheck
 
 import (
 	"fmt"
@@ -11,10 +11,10 @@
 	"time"
 
 	"rooktrestle/internal/config"
-	"rooktrestle/internal/decide/health"
-	"rooktrestle/internal/lab/node"
+	"rooktrestle/internal/control/health"
 	"rooktrestle/internal/net/tcp"
 	"rooktrestle/internal/protocol/httpcheck"
+	"rooktrestle/internal/testbed/replica"
 )
 
 func profile(kind string, timeout time.Duration) *config.Profile {
@@ -29,7 +29,7 @@
 
 // What agents say is read; what they do wrong ends within the time-out and with a reason.
 func TestAgents(t *testing.T) {
-	a, err := node.NewAgent("up ready 50% maxconn:9 #busy")
+	a, err := replica.NewAgent("up ready 50% maxconn:9 #busy")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -43,22 +43,22 @@
 	if h := a.Heard(); len(h) != 1 || h[0] != "captions\n" {
 		t.Errorf("it heard %q", h)
 	}
-	a.Set("maint", node.Speaks)
+	a.Set("maint", replica.Speaks)
 	if r := run(); r.Failed || r.Admin != health.Maint || r.Oper != health.NoOper || r.Weight >= 0 {
 		t.Errorf("%+v", r)
 	}
-	a.Set("stopped", node.Speaks)
+	a.Set("stopped", replica.Speaks)
 	if r := run(); r.Oper != health.Down || r.Why != "stopped" {
 		t.Errorf("%+v", r)
 	}
-	for how, why := range map[node.Manner]string{node.Floods: "over", node.Slams: "closed"} {
+	for how, why := range map[replica.Manner]string{replica.Floods: "over", replica.Slams: "closed"} {
 		a.Set("", how)
 		if r := run(); !r.Failed || r.Hung || !strings.Contains(r.Why, why) {
 			t.Errorf("manner %d: %+v", how, r)
 		}
 	}
 	f.Timeout.Duration = 50 * time.Millisecond
-	for _, how := range []node.Manner{node.Hangs, node.Drips} {
+	for _, how := range []replica.Manner{replica.Hangs, replica.Drips} {
 		a.Set("", how)
 		if r := run(); !r.Failed || !r.Hung || r.Err != errTime {
 			t.Errorf("manner %d: %+v", how, r)
@@ -73,7 +73,7 @@
 
 // The other kinds against both stand-ins: well, refusing, saying nothing, gone.
 func TestKinds(t *testing.T) {
-	archive := node.NewArchive(1)
+	archive := replica.NewArchive(1)
 	defer archive.Close()
 	web, err := archive.SRU("w", 1)
 	if err != nil {
@@ -87,7 +87,7 @@
 	defer z.Kill()
 	kinds := []struct {
 		kind string
-		n    *node.Node
+		n    *replica.Node
 	}{{config.CheckHTTP, web}, {config.CheckSRU, web}, {config.CheckTCP, web}, {config.CheckZ3950, z}, {config.CheckTCP, z}}
 	for _, k := range kinds {
 		run := func(d time.Duration) Result {
@@ -99,15 +99,15 @@
 		if k.kind == config.CheckTCP {
 			continue
 		}
-		k.n.Say(node.Health{Status: 500, Refuse: true})
+		k.n.Say(replica.Health{Status: 500, Refuse: true})
 		if r := run(patience); !r.Failed || r.Hung || r.Why == "" {
 			t.Errorf("%s, refusing: %+v", k.kind, r)
 		}
-		k.n.Say(node.Health{Hang: true})
+		k.n.Say(replica.Health{Hang: true})
 		if r := run(50 * time.Millisecond); !r.Failed || !r.Hung {
 			t.Errorf("%s, silent: %+v", k.kind, r)
 		}
-		k.n.Say(node.Health{})
+		k.n.Say(replica.Health{})
 	}
 	// An SRU server is no target, and the other way round.
 	if r := (Check{Profile: profile(config.CheckZ3950, 100*time.Millisecond), Addr: web.Addr(), Dial: tcp.Connect}).Run(); !r.Failed {
@@ -116,7 +116,7 @@
 	for status, want := range map[int]health.Report{
 		404: {Admin: health.Drain, Weight: -1, MaxConn: -1, Why: "status 404"}, 200: {Admin: health.Ready, Degraded: true, Weight: -1, MaxConn: -1},
 	} {
-		web.Say(node.Health{Status: status, Degraded: status == 200})
+		web.Say(replica.Health{Status: status, Degraded: status == 200})
 		for _, method := range []string{"GET", "HEAD", "OPTIONS"} {
 			f := profile(config.CheckHTTP, patience)
 			f.Method = method
@@ -125,7 +125,7 @@
 			}
 		}
 	}
-	web.Say(node.Health{Body: "all is well"})
+	web.Say(replica.Health{Body: "all is well"})
 	f := profile(config.CheckHTTP, patience)
 	f.Expectation.Body = "well"
 	if r := (Check{Profile: f, Addr: web.Addr(), Dial: tcp.Connect}).Run(); r.Failed {
--- a/internal/back/leaf/crossings_test.go
+++ b/internal/backend/leaf/crossings_test.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/aggregator"
 	"rooktrestle/internal/net/tcp"
 )
 
@@ -23,16 +23,16 @@
 	t       *testing.T
 	p       *Pool
 	now     time.Time
-	box     *mixer.Mailbox
+	box     *aggregator.Mailbox
 	open    bool
 	addr    string    // where the server is listed
 	started time.Time // and as started when
-	ended   []mixer.Ended
+	ended   []aggregator.Ended
 	n       int
 }
 
 func newBench(t *testing.T, dial Dial) *bench {
-	b := &bench{t: t, now: time.Unix(1000, 0), box: mixer.NewMailbox(), open: true}
+	b := &bench{t: t, now: time.Unix(1000, 0), box: aggregator.NewMailbox(), open: true}
 	b.p = NewPool(Limits{Streams: 10, Idle: 12 * time.Second, ConnectTimeout: 250 * time.Millisecond, Sockets: 10, Silent: time.Second, Spread: 1}, b.box, dial)
 	b.p.Use(b)
 	t.Cleanup(func() {
@@ -49,16 +49,16 @@
 
 func (b *bench) Open(balance.Replica) bool { return b.open }
 
-func (b *bench) Server(id balance.Replica) mixer.Server {
-	return mixer.Server{ID: id, Addr: b.addr, Started: b.started}
+func (b *bench) Server(id balance.Replica) aggregator.Server {
+	return aggregator.Server{ID: id, Addr: b.addr, Started: b.started}
 }
 
 // send sends a part to where the server is listed and returns its attempt.
-func (b *bench) send(by time.Time) mixer.AttemptID {
+func (b *bench) send(by time.Time) aggregator.AttemptID {
 	b.n++
-	id := mixer.AttemptID{Part: balance.ID(b.n)}
+	id := aggregator.AttemptID{Part: balance.ID(b.n)}
 	b.p.Send(b.now, b.Server("s"),
-		[]mixer.Call{{Attempt: id, Name: fmt.Sprintf("q.%d", b.n), Shard: b.n, Until: b.now.Add(5 * time.Second), By: by, Text: "text"}})
+		[]aggregator.Call{{Attempt: id, Name: fmt.Sprintf("q.%d", b.n), Shard: b.n, Until: b.now.Add(5 * time.Second), By: by, Text: "text"}})
 	return id
 }
 
@@ -83,7 +83,7 @@
 		events = []any{e}
 	}
 	for _, e := range events {
-		if ended, ok := e.(mixer.Ended); ok {
+		if ended, ok := e.(aggregator.Ended); ok {
 			b.ended = append(b.ended, ended)
 		}
 	}
@@ -165,12 +165,12 @@
 func (c leafConn) say(letter byte, rest string) { c.Write(Append(nil, letter, []byte(rest))) }
 
 // attemptError is how the n-th attempt that ended did, and it must be the attempt given.
-func (b *bench) attemptError(n int, id mixer.AttemptID) *mixer.AttemptError {
+func (b *bench) attemptError(n int, id aggregator.AttemptID) *aggregator.AttemptError {
 	b.t.Helper()
 	if len(b.ended) <= n || b.ended[n].Attempt != id {
 		b.t.Fatalf("ended: %+v; want %v at %d", b.ended, id, n)
 	}
-	var a *mixer.AttemptError
+	var a *aggregator.AttemptError
 	if !errors.As(b.ended[n].Err, &a) {
 		b.t.Fatalf("%v ended with %v", id, b.ended[n].Err)
 	}
@@ -190,7 +190,7 @@
 	b.p.Withdraw(b.now, id, true)
 	b.p.Withdraw(b.now, id, true)
 	links.closes(b)
-	if a := b.attemptError(0, id); a.Reach != mixer.Written || !a.Withdrawn {
+	if a := b.attemptError(0, id); a.Reach != aggregator.Written || !a.Withdrawn {
 		t.Errorf("%+v", a)
 	}
 	c.want(letterCall, "q.1 1 ")
@@ -219,7 +219,7 @@
 }
 
 // sentOne is a bench that has written one part to a server.
-func sentOne(t *testing.T, s *leafServer, dial Dial) (*bench, mixer.AttemptID) {
+func sentOne(t *testing.T, s *leafServer, dial Dial) (*bench, aggregator.AttemptID) {
 	b := newBench(t, dial)
 	b.addr = s.addr()
 	id := b.send(time.Time{})
@@ -269,7 +269,7 @@
 		if answered {
 			c.say(letterProbe, "S")
 			b.until(isFramed)
-			if a := b.attemptError(0, first); a.Reach != mixer.Written || !a.Withdrawn || len(b.ended) != 1 {
+			if a := b.attemptError(0, first); a.Reach != aggregator.Written || !a.Withdrawn || len(b.ended) != 1 {
 				t.Errorf("%+v", b.ended)
 			}
 			b.now = b.now.Add(time.Second)
@@ -284,8 +284,8 @@
 		b.now = b.now.Add(250*time.Millisecond + slack)
 		b.sweep()
 		b.until(isAborted)
-		for n, id := range []mixer.AttemptID{first, second} {
-			if a := b.attemptError(n, id); a.Reach != mixer.Written || !a.Withdrawn {
+		for n, id := range []aggregator.AttemptID{first, second} {
+			if a := b.attemptError(n, id); a.Reach != aggregator.Written || !a.Withdrawn {
 				t.Errorf("%+v", a)
 			}
 		}
@@ -333,7 +333,7 @@
 	c.Write([]byte("\xff\xff"))
 	b.until(isFramed)
 	links.closes(b)
-	if a := b.attemptError(0, id); a.Reach != mixer.Written || !a.Spoilt || a.Withdrawn {
+	if a := b.attemptError(0, id); a.Reach != aggregator.Written || !a.Spoilt || a.Withdrawn {
 		t.Errorf("%+v", a)
 	}
 }
@@ -375,7 +375,7 @@
 			close(c.let)
 			b.until(isDialed)
 		}
-		if a := b.attemptError(0, first); a.Reach != mixer.NotConnected || !a.Withdrawn {
+		if a := b.attemptError(0, first); a.Reach != aggregator.NotConnected || !a.Withdrawn {
 			t.Errorf("%+v", a)
 		}
 		c := moved.accept()
@@ -406,14 +406,14 @@
 	window := func(b *bench) time.Time { return b.now.Add(time.Second) }
 	for name, k := range map[string]struct {
 		by   func(*bench) time.Time
-		do   func(*bench, mixer.AttemptID)
+		do   func(*bench, aggregator.AttemptID)
 		away bool
 	}{
-		"drain":    {nil, func(b *bench, _ mixer.AttemptID) { b.open = false }, true},
-		"start":    {nil, func(b *bench, _ mixer.AttemptID) { b.started = b.now }, false},
-		"window":   {window, func(b *bench, _ mixer.AttemptID) { b.now = b.now.Add(time.Second) }, false},
-		"time":     {nil, func(b *bench, _ mixer.AttemptID) { b.now = b.now.Add(5 * time.Second) }, false},
-		"given up": {nil, func(b *bench, id mixer.AttemptID) { b.p.Withdraw(b.now, id, true) }, false},
+		"drain":    {nil, func(b *bench, _ aggregator.AttemptID) { b.open = false }, true},
+		"start":    {nil, func(b *bench, _ aggregator.AttemptID) { b.started = b.now }, false},
+		"window":   {window, func(b *bench, _ aggregator.AttemptID) { b.now = b.now.Add(time.Second) }, false},
+		"time":     {nil, func(b *bench, _ aggregator.AttemptID) { b.now = b.now.Add(5 * time.Second) }, false},
+		"given up": {nil, func(b *bench, id aggregator.AttemptID) { b.p.Withdraw(b.now, id, true) }, false},
 	} {
 		s := newLeafServer(t)
 		h := heldDial{make(chan heldCall, 1)}
@@ -428,7 +428,7 @@
 		k.do(b, id)
 		close(c.let)
 		b.until(isDialed)
-		if a := b.attemptError(0, id); a.Reach != mixer.NotConnected || a.TurnedAway != k.away || a.Withdrawn == k.away {
+		if a := b.attemptError(0, id); a.Reach != aggregator.NotConnected || a.TurnedAway != k.away || a.Withdrawn == k.away {
 			t.Errorf("%s: %+v", name, a)
 		}
 		// The connection itself is good, and is kept until it has been idle.
@@ -467,7 +467,7 @@
 	b.until(isWrote)
 	close(let)
 	b.until(func(e any) bool { _, ok := e.(closed); return ok })
-	if a := b.attemptError(1, second); a.Withdrawn || a.Reach != mixer.NotConnected {
+	if a := b.attemptError(1, second); a.Withdrawn || a.Reach != aggregator.NotConnected {
 		t.Errorf("%+v", a) // the link knew, so that no byte left
 	}
 	if b.p.total != 0 {
--- a/internal/back/leaf/frame.go
+++ b/internal/backend/leaf/frame.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/mixer"
-	"rooktrestle/internal/wire"
+	"rooktrestle/internal/aggregator"
+	"rooktrestle/internal/settings"
 )
 
 // The letters of frames.
@@ -121,7 +121,7 @@
 }
 
 // callFrame prints the parts of one call.
-func callFrame(now time.Time, calls []mixer.Call) []byte {
+func callFrame(now time.Time, calls []aggregator.Call) []byte {
 	var rest []byte
 	for _, c := range calls {
 		wait := max(1, c.Until.Sub(now).Milliseconds())
@@ -209,7 +209,7 @@
 			continue
 		}
 		// Guards against reports that are read and say nothing: leaf servers use the settings' names.
-		wire.Load(r, name, v)
+		settings.SetLoadValue(r, name, v)
 	}
 	// Guards against a report that cannot be read being taken for an empty queue.
 	if r.Queue < 0 && r.InFlight < 0 && r.Util < 0 {
--- a/internal/back/leaf/pool.go
+++ b/internal/backend/leaf/pool.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/aggregator"
 	"rooktrestle/internal/net/tcp"
 )
 
@@ -72,7 +72,7 @@
 	dial  func(c *conn, addr string, timeout time.Duration) // starts; posts dialed
 	open  Directory
 	hosts map[balance.Replica]*host
-	calls map[mixer.AttemptID]*attempt
+	calls map[aggregator.AttemptID]*attempt
 	total int
 	soon  []any // core events of the socket event in hand
 	busy  bool  // one is in hand
@@ -102,7 +102,7 @@
 )
 
 type attempt struct {
-	call      mixer.Call
+	call      aggregator.Call
 	host      *host
 	conn      *conn
 	state     state
@@ -177,7 +177,7 @@
 
 // NewPool returns a pool that posts to box. dial is DialTCP in the program.
 func NewPool(lim Limits, box interface{ Put(any) }, dial Dial) *Pool {
-	p := &Pool{lim: lim, box: box, hosts: map[balance.Replica]*host{}, calls: map[mixer.AttemptID]*attempt{}}
+	p := &Pool{lim: lim, box: box, hosts: map[balance.Replica]*host{}, calls: map[aggregator.AttemptID]*attempt{}}
 	p.dial = func(c *conn, addr string, timeout time.Duration) {
 		go func() {
 			link, err := dial(addr, timeout, func(*tcp.Link) tcp.Handler { return &reader{c: c, box: box} })
@@ -196,9 +196,9 @@
 
 // Directory says what is listed of a server by now.
 type Directory interface {
-	mixer.Directory
+	aggregator.Directory
 	// Server is its entry; without an address where there is none.
-	Server(balance.Replica) mixer.Server
+	Server(balance.Replica) aggregator.Server
 }
 
 // reader reads frames off a link and posts them.
@@ -244,7 +244,7 @@
 }
 
 // Send makes one call of these attempts, or several where they are more than a connection has room for.
-func (p *Pool) Send(now time.Time, to mixer.Server, calls []mixer.Call) {
+func (p *Pool) Send(now time.Time, to aggregator.Server, calls []aggregator.Call) {
 	h := p.host(to.ID)
 	g := &group{host: h, addr: to.Addr, started: to.Started}
 	for _, c := range calls {
@@ -362,7 +362,7 @@
 }
 
 func (p *Pool) write(now time.Time, c *conn, g *group) {
-	calls := make([]mixer.Call, len(g.parts))
+	calls := make([]aggregator.Call, len(g.parts))
 	within := writeWithin
 	for i, a := range g.parts {
 		calls[i] = a.call
@@ -382,7 +382,7 @@
 // written: behind a cut neither frame has arrived, or just the first, or both will when the cut is over. Such a
 // connection is closed, with what it holds thrown away; where other parts are out on it, a probe behind the frame 2
 // shows whether it has to be.
-func (p *Pool) Withdraw(now time.Time, id mixer.AttemptID, again bool) {
+func (p *Pool) Withdraw(now time.Time, id aggregator.AttemptID, again bool) {
 	a := p.calls[id]
 	if a == nil || a.withdrawn {
 		return
@@ -393,7 +393,7 @@
 			g.parts = slices.DeleteFunc(g.parts, func(o *attempt) bool { return o == a })
 		}
 		a.host.waiting = slices.DeleteFunc(a.host.waiting, func(g *group) bool { return len(g.parts) == 0 })
-		p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Withdrawn: true})
+		p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Withdrawn: true})
 		return
 	}
 	c := a.conn
@@ -425,7 +425,7 @@
 }
 
 // Probe asks a server for its load.
-func (p *Pool) Probe(now time.Time, to mixer.Server) {
+func (p *Pool) Probe(now time.Time, to aggregator.Server) {
 	p.probe(now, &probe{host: p.host(to.ID), sent: now, until: now.Add(p.lim.ConnectTimeout + slack)}, to.Addr)
 }
 
@@ -459,7 +459,7 @@
 }
 
 // end ends an attempt with an error, or with none if it was served; then ended says with what.
-func (p *Pool) end(a *attempt, err error, with ...mixer.Ended) {
+func (p *Pool) end(a *attempt, err error, with ...aggregator.Ended) {
 	if p.calls[a.call.Attempt] != a {
 		return
 	}
@@ -467,7 +467,7 @@
 	if a.conn != nil && a.conn.streams[a.call.Name] == a {
 		delete(a.conn.streams, a.call.Name)
 	}
-	e := mixer.Ended{}
+	e := aggregator.Ended{}
 	if len(with) > 0 {
 		e = with[0]
 	}
@@ -480,7 +480,7 @@
 		return
 	}
 	pr.over = true
-	p.emit(mixer.Probed{Server: pr.host.id, Err: err, Took: now.Sub(pr.sent), Report: r})
+	p.emit(aggregator.Probed{Server: pr.host.id, Err: err, Took: now.Sub(pr.sent), Report: r})
 }
 
 func (p *Pool) flush() []any {
@@ -536,7 +536,7 @@
 // told ends an attempt whose server has been told that it is given up.
 func (p *Pool) told(now time.Time, a *attempt) {
 	a.conn.givenUp[a.call.Name] = now
-	p.end(a, &mixer.AttemptError{Reach: mixer.Written, Withdrawn: true})
+	p.end(a, &aggregator.AttemptError{Reach: aggregator.Written, Withdrawn: true})
 }
 
 func (p *Pool) wrote(a *attempt, how tcp.Wrote) {
@@ -545,11 +545,11 @@
 	}
 	switch {
 	case how == tcp.Nothing: // so it never ran
-		p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Withdrawn: a.withdrawn, Cause: errors.New("the connection broke before the frame")})
+		p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Withdrawn: a.withdrawn, Cause: errors.New("the connection broke before the frame")})
 	case how == tcp.Late: // nor did this
-		p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Withdrawn: true, Cause: errors.New("not written in time")})
+		p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Withdrawn: true, Cause: errors.New("not written in time")})
 	case a.conn.over: // the end of the frame may have left: it may run
-		p.end(a, &mixer.AttemptError{Reach: mixer.Written, Withdrawn: a.withdrawn, Spoilt: a.conn.spoilt, Cause: errors.New("the connection broke under the frame")})
+		p.end(a, &aggregator.AttemptError{Reach: aggregator.Written, Withdrawn: a.withdrawn, Spoilt: a.conn.spoilt, Cause: errors.New("the connection broke under the frame")})
 	default:
 		a.state = out
 	}
@@ -584,11 +584,11 @@
 		for _, a := range g.parts {
 			switch {
 			case !p.open.Open(h.id):
-				p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, TurnedAway: true, Cause: errors.New("it drains")})
+				p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, TurnedAway: true, Cause: errors.New("it drains")})
 			case listed.Addr != g.addr || !listed.Started.Equal(g.started):
-				p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Withdrawn: true, Cause: errors.New("it has moved, or started anew")})
+				p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Withdrawn: true, Cause: errors.New("it has moved, or started anew")})
 			case !now.Before(a.call.Until), !a.call.By.IsZero() && !now.Before(a.call.By):
-				p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Withdrawn: true})
+				p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Withdrawn: true})
 			default:
 				ready = append(ready, a)
 			}
@@ -611,11 +611,11 @@
 	h.waiting, h.probes = nil, nil
 	for _, g := range waiting {
 		for _, a := range g.parts {
-			p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Cause: err})
+			p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Cause: err})
 		}
 	}
 	for _, pr := range probes {
-		p.endProbe(now, pr, &mixer.AttemptError{Reach: mixer.NotConnected, Cause: err}, nil)
+		p.endProbe(now, pr, &aggregator.AttemptError{Reach: aggregator.NotConnected, Cause: err}, nil)
 	}
 }
 
@@ -654,7 +654,7 @@
 		a := c.streams[name]
 		// Closed by this side because nothing is heard: what else was out on it is given up with it.
 		called := a.withdrawn || c.cause != nil && !c.spoilt
-		p.end(a, &mixer.AttemptError{Reach: mixer.Written, Withdrawn: called, Spoilt: c.spoilt && !called, Cause: cause})
+		p.end(a, &aggregator.AttemptError{Reach: aggregator.Written, Withdrawn: called, Spoilt: c.spoilt && !called, Cause: cause})
 	}
 	for _, pr := range c.probes {
 		if pr.proves != nil {
@@ -666,7 +666,7 @@
 			p.probe(pr.sent, pr, c.addr)
 			continue
 		}
-		p.endProbe(pr.sent, pr, &mixer.AttemptError{Reach: mixer.Written, Cause: cause}, nil)
+		p.endProbe(pr.sent, pr, &aggregator.AttemptError{Reach: aggregator.Written, Cause: cause}, nil)
 	}
 }
 
@@ -721,11 +721,11 @@
 		c.last = a.name
 		switch a.end {
 		case 'S':
-			p.end(at, nil, mixer.Ended{Score: a.score, Value: a.value, Report: a.report})
+			p.end(at, nil, aggregator.Ended{Score: a.score, Value: a.value, Report: a.report})
 		case 'E':
-			p.end(at, &mixer.AttemptError{Reach: mixer.Answered}, mixer.Ended{Report: a.report})
+			p.end(at, &aggregator.AttemptError{Reach: aggregator.Answered}, aggregator.Ended{Report: a.report})
 		case 'B':
-			p.end(at, &mixer.AttemptError{Reach: mixer.Answered, TurnedAway: true}, mixer.Ended{Report: a.report})
+			p.end(at, &aggregator.AttemptError{Reach: aggregator.Answered, TurnedAway: true}, aggregator.Ended{Report: a.report})
 		}
 	case letterLoad, letterProbe:
 		if len(c.probes) == 0 {
@@ -741,7 +741,7 @@
 		}
 		var err error
 		if string(f.Rest) == "E" {
-			err = &mixer.AttemptError{Reach: mixer.Answered}
+			err = &aggregator.AttemptError{Reach: aggregator.Answered}
 		}
 		p.endProbe(now, pr, err, parseReport(string(f.Rest)))
 	default:
@@ -756,7 +756,7 @@
 	if _, gaveUp := c.givenUp[name]; gaveUp {
 		p.Stats.Late++
 		delete(c.givenUp, name)
-		p.emit(mixer.Late{Server: c.host.id})
+		p.emit(aggregator.Late{Server: c.host.id})
 		return nil
 	}
 	if name == c.last {
@@ -832,7 +832,7 @@
 		}
 	case pr.over:
 	case !now.Before(pr.until):
-		p.endProbe(now, pr, &mixer.AttemptError{Reach: mixer.Written, Withdrawn: true}, nil)
+		p.endProbe(now, pr, &aggregator.AttemptError{Reach: aggregator.Written, Withdrawn: true}, nil)
 	default:
 		sooner(pr.until)
 	}
--- a/internal/back/leaf/pool_test.go
+++ b/internal/backend/leaf/pool_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/aggregator"
 	"rooktrestle/internal/net/tcp"
 )
 
@@ -28,7 +28,7 @@
 
 // sent is the model of an attempt.
 type sent struct {
-	id        mixer.AttemptID
+	id        aggregator.AttemptID
 	name      string
 	link      *link // its frame was handed to
 	settled   bool
@@ -153,7 +153,9 @@
 func (r *rig) Put(e any)                 { r.box = append(r.box, e) }
 func (r *rig) Open(balance.Replica) bool { return !r.drained }
 
-func (r *rig) Server(id balance.Replica) mixer.Server { return mixer.Server{ID: id, Addr: "x"} }
+func (r *rig) Server(id balance.Replica) aggregator.Server {
+	return aggregator.Server{ID: id, Addr: "x"}
+}
 
 func (r *rig) named(name string) *sent {
 	for _, s := range r.sent {
@@ -175,9 +177,9 @@
 
 func (r *rig) send() *sent {
 	n := len(r.sent)
-	s := &sent{id: mixer.AttemptID{Part: balance.ID(n)}, name: fmt.Sprintf("q.%d", n)}
+	s := &sent{id: aggregator.AttemptID{Part: balance.ID(n)}, name: fmt.Sprintf("q.%d", n)}
 	r.sent = append(r.sent, s)
-	r.p.Send(r.now, mixer.Server{ID: "s", Addr: "x"}, []mixer.Call{{Attempt: s.id, Name: s.name, Until: r.now.Add(5 * time.Second)}})
+	r.p.Send(r.now, aggregator.Server{ID: "s", Addr: "x"}, []aggregator.Call{{Attempt: s.id, Name: s.name, Until: r.now.Add(5 * time.Second)}})
 	r.turn()
 	return s
 }
@@ -244,20 +246,20 @@
 			events = []any{e}
 		}
 		for _, e := range events {
-			if ended, ok := e.(mixer.Ended); ok {
+			if ended, ok := e.(aggregator.Ended); ok {
 				r.check(ended)
 			}
 		}
 	}
 }
 
-func (r *rig) check(e mixer.Ended) {
+func (r *rig) check(e aggregator.Ended) {
 	s := r.sent[e.Attempt.Part]
 	if s.ended++; s.ended > 1 {
 		r.t.Fatalf("%s ended twice", s.name)
 	}
 	s.err = e.Err
-	var a *mixer.AttemptError
+	var a *aggregator.AttemptError
 	if e.Err == nil {
 		if s.answer != 'S' || e.Value != someValue || e.Score != 7 || e.Report == nil || e.Report.Queue != 1 {
 			r.t.Fatalf("%s is served: %+v", s.name, e)
@@ -269,13 +271,13 @@
 	}
 	mayRun := s.link != nil && (!s.settled || s.how != tcp.Nothing && s.how != tcp.Late)
 	switch {
-	case a.Reach == mixer.Answered && a.TurnedAway != (s.answer == 'B'), a.Reach == mixer.Answered && s.answer == 0:
+	case a.Reach == aggregator.Answered && a.TurnedAway != (s.answer == 'B'), a.Reach == aggregator.Answered && s.answer == 0:
 		r.t.Fatalf("%s: %v after answer %q", s.name, a, s.answer)
-	case a.Reach < mixer.Written && mayRun:
+	case a.Reach < aggregator.Written && mayRun:
 		r.t.Fatalf("%s is said not to have run: %v", s.name, a)
 	case a.Withdrawn && !s.withdrawn && s.how != tcp.Late && (s.link == nil || !s.link.closed) && r.now.Before(time.Unix(1005, 0)):
 		r.t.Fatalf("%s was not given up: %v", s.name, a)
-	case a.Reach == mixer.Written && mayRun && !s.link.closed && !(a.Withdrawn && s.toldOff && (s.proved || !s.again)):
+	case a.Reach == aggregator.Written && mayRun && !s.link.closed && !(a.Withdrawn && s.toldOff && (s.proved || !s.again)):
 		r.t.Fatalf("%s ended while it may still arrive: %v", s.name, a)
 	}
 }
@@ -388,8 +390,8 @@
 	r.withdraw(first, false)
 	r.links[0].settle(tcp.All)
 	r.turn()
-	again := mixer.Call{Attempt: mixer.AttemptID{Part: 0, N: 1}, Name: first.name, Until: r.now.Add(time.Second)}
-	r.p.Send(r.now, mixer.Server{ID: "s", Addr: "x"}, []mixer.Call{again})
+	again := aggregator.Call{Attempt: aggregator.AttemptID{Part: 0, N: 1}, Name: first.name, Until: r.now.Add(time.Second)}
+	r.p.Send(r.now, aggregator.Server{ID: "s", Addr: "x"}, []aggregator.Call{again})
 	r.turn()
 	if len(r.dials) != 1 || len(r.links[0].queue) != 0 {
 		t.Error("the part's next attempt went out on the connection of the one that was given up")
@@ -484,7 +486,7 @@
 	}
 	r.links[0].aborted()
 	r.turn()
-	if e, ok := s.err.(*mixer.AttemptError); s.ended != 1 || !ok || e.Reach != mixer.Written || !e.Spoilt || e.Withdrawn {
+	if e, ok := s.err.(*aggregator.AttemptError); s.ended != 1 || !ok || e.Reach != aggregator.Written || !e.Spoilt || e.Withdrawn {
 		t.Errorf("ended %d times: %v", s.ended, s.err)
 	}
 }
@@ -535,7 +537,7 @@
 	r := newRig(t)
 	r.send()
 	r.dialed(nil)
-	r.p.Probe(r.now, mixer.Server{ID: "s", Addr: "x"})
+	r.p.Probe(r.now, aggregator.Server{ID: "s", Addr: "x"})
 	r.links[0].end(tcp.All)
 	r.turn()
 	r.dialed(nil)
@@ -544,17 +546,17 @@
 		got, r.box = append(got, r.box[0]), r.box[1:]
 	}
 	events, _ := r.p.Handle(r.now, framed{c: r.links[len(r.links)-1].c, frames: []Frame{{letterLoad, []byte("queue=2")}}})
-	if len(events) != 1 || events[0].(mixer.Probed).Err != nil {
+	if len(events) != 1 || events[0].(aggregator.Probed).Err != nil {
 		t.Errorf("%+v %+v", got, events)
 	}
 }
 
 func TestProbes(t *testing.T) {
 	r := newRig(t)
-	var got []mixer.Probed
+	var got []aggregator.Probed
 	take := func(events []any) {
 		for _, e := range events {
-			if p, ok := e.(mixer.Probed); ok {
+			if p, ok := e.(aggregator.Probed); ok {
 				got = append(got, p)
 			}
 		}
@@ -562,12 +564,12 @@
 	s := r.send()
 	r.dialed(nil)
 	r.links[0].settle(tcp.All)
-	r.p.Probe(r.now, mixer.Server{ID: "s", Addr: "x"})
-	r.p.Probe(r.now, mixer.Server{ID: "s", Addr: "x"})
+	r.p.Probe(r.now, aggregator.Server{ID: "s", Addr: "x"})
+	r.p.Probe(r.now, aggregator.Server{ID: "s", Addr: "x"})
 	r.now = r.now.Add(time.Second) // both are overdue
 	events, _ := r.p.Sweep(r.now)
 	take(events)
-	r.p.Probe(r.now, mixer.Server{ID: "s", Addr: "x"})
+	r.p.Probe(r.now, aggregator.Server{ID: "s", Addr: "x"})
 	for _, text := range []string{"queue=9", "E", "queue=3,util=0.5,new=x"} { // the first two are late
 		events, _ := r.p.Handle(r.now, framed{c: r.links[0].c, frames: []Frame{{letterLoad, []byte(text)}}})
 		take(events)
@@ -642,7 +644,7 @@
 		l.settle(tcp.All)
 		r.now = r.now.Add(c.after)
 		if c.heard {
-			r.p.Probe(r.now, mixer.Server{ID: "s", Addr: "x"})
+			r.p.Probe(r.now, aggregator.Server{ID: "s", Addr: "x"})
 			r.came(l, Frame{letterLoad, []byte("queue=1")})
 		}
 		r.withdraw(first, c.again)
--- a/internal/back/library/issue.go
+++ b/internal/backend/serialconn/pool.go
@@ -1,6 +1,6 @@
 // Package library carries attempts to servers that speak a protocol with one request at a time on a connection.
 // Pool lives on the mixer's loop and owns every state; sockets only post to it.
-package library
+package serialconn
 
 import (
 	"encoding/json"
@@ -10,7 +10,7 @@
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/aggregator"
 	"rooktrestle/internal/net/tcp"
 	"rooktrestle/internal/query"
 )
@@ -19,7 +19,7 @@
 type Codec interface {
 	// Greeting is what opens a connection; nil if nothing does. Its answer is a Reply with Greeting set.
 	Greeting() []byte
-	Request(c mixer.Call, w query.Work) ([]byte, error)
+	Request(c aggregator.Call, w query.Work) ([]byte, error)
 	Parser() Parser
 }
 
@@ -73,9 +73,9 @@
 	box   interface{ Put(any) }
 	codec func(balance.Replica) Codec
 	start func(c *conn, addr string, codec Codec) // dials off the loop; posts dialed
-	open  mixer.Directory
+	open  aggregator.Directory
 	idle  map[balance.Replica][]*conn
-	calls map[mixer.AttemptID]*attempt
+	calls map[aggregator.AttemptID]*attempt
 	total int
 	soon  []any
 	busy  bool
@@ -83,11 +83,11 @@
 }
 
 type attempt struct {
-	call      mixer.Call
-	server    mixer.Server
+	call      aggregator.Call
+	server    aggregator.Server
 	conn      *conn
-	written   mixer.Reach // as far as is known
-	settled   bool        // the link has accounted for the write
+	written   aggregator.Reach // as far as is known
+	settled   bool             // the link has accounted for the write
 	withdrawn bool
 }
 
@@ -126,7 +126,7 @@
 func NewPool(lim Limits, box interface{ Put(any) }, dial Dial, codec func(balance.Replica) Codec) *Pool {
 	p := &Pool{
 		lim: lim, box: box, codec: codec,
-		idle: map[balance.Replica][]*conn{}, calls: map[mixer.AttemptID]*attempt{}, young: map[*conn]time.Time{},
+		idle: map[balance.Replica][]*conn{}, calls: map[aggregator.AttemptID]*attempt{}, young: map[*conn]time.Time{},
 	}
 	p.start = func(c *conn, addr string, codec Codec) {
 		go func() {
@@ -144,7 +144,7 @@
 }
 
 // Use names the directory that says where new work may go.
-func (p *Pool) Use(d mixer.Directory) { p.open = d }
+func (p *Pool) Use(d aggregator.Directory) { p.open = d }
 
 // reader reads answers off a link and posts them.
 type reader struct {
@@ -178,7 +178,7 @@
 }
 
 // Send starts each attempt on a connection of its own.
-func (p *Pool) Send(now time.Time, to mixer.Server, calls []mixer.Call) {
+func (p *Pool) Send(now time.Time, to aggregator.Server, calls []aggregator.Call) {
 	for _, call := range calls {
 		a := &attempt{call: call, server: to}
 		p.calls[call.Attempt] = a
@@ -191,7 +191,7 @@
 }
 
 // take returns an idle connection that the server surely still holds.
-func (p *Pool) take(now time.Time, to mixer.Server) *conn {
+func (p *Pool) take(now time.Time, to aggregator.Server) *conn {
 	for _, c := range slices.Backward(p.idle[to.ID]) {
 		if c.addr == to.Addr && !p.stale(now, c) {
 			p.drop(c)
@@ -213,7 +213,7 @@
 	}
 }
 
-func (p *Pool) connect(now time.Time, to mixer.Server, a *attempt) {
+func (p *Pool) connect(now time.Time, to aggregator.Server, a *attempt) {
 	c := &conn{server: to.ID, addr: to.Addr, at: a, used: now}
 	a.conn = c
 	if p.total >= p.lim.Sockets {
@@ -221,7 +221,7 @@
 	}
 	codec := p.codec(to.ID)
 	if p.total >= p.lim.Sockets || codec == nil || to.Addr == "" {
-		p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Own: true, Cause: errors.New("no socket left, or a server that is gone")}, nil)
+		p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Own: true, Cause: errors.New("no socket left, or a server that is gone")}, nil)
 		return
 	}
 	p.total++
@@ -259,16 +259,16 @@
 // connection, and the server may drain by now, or the time be over.
 func (p *Pool) write(now time.Time, c *conn, a *attempt) {
 	c.at, a.conn = a, c
-	refuse := func(e *mixer.AttemptError) {
+	refuse := func(e *aggregator.AttemptError) {
 		p.end(a, e, nil)
 		p.rest(now, c)
 	}
 	if !p.open.Open(a.server.ID) {
-		refuse(&mixer.AttemptError{Reach: mixer.NotConnected, TurnedAway: true, Cause: errors.New("it drains")})
+		refuse(&aggregator.AttemptError{Reach: aggregator.NotConnected, TurnedAway: true, Cause: errors.New("it drains")})
 		return
 	}
 	if a.withdrawn || !now.Before(a.call.Until) {
-		refuse(&mixer.AttemptError{Reach: mixer.NotConnected, Withdrawn: true})
+		refuse(&aggregator.AttemptError{Reach: aggregator.NotConnected, Withdrawn: true})
 		return
 	}
 	var w query.Work
@@ -278,10 +278,10 @@
 		frame, err = p.codec(a.server.ID).Request(a.call, w)
 	}
 	if err != nil {
-		refuse(&mixer.AttemptError{Reach: mixer.NotConnected, Cause: err})
+		refuse(&aggregator.AttemptError{Reach: aggregator.NotConnected, Cause: err})
 		return
 	}
-	a.written = mixer.Written // until the link says otherwise
+	a.written = aggregator.Written // until the link says otherwise
 	c.used = now
 	c.link.Write(frame, func(how tcp.Wrote) { p.box.Put(wrote{a, how}) })
 }
@@ -298,14 +298,14 @@
 
 // Withdraw gives an attempt up. Neither protocol can call off what is under way so that nothing of it comes
 // back, so the connection is closed, and the attempt ends when it is.
-func (p *Pool) Withdraw(now time.Time, id mixer.AttemptID, _ bool) {
+func (p *Pool) Withdraw(now time.Time, id aggregator.AttemptID, _ bool) {
 	a := p.calls[id]
 	if a == nil || a.withdrawn {
 		return
 	}
 	a.withdrawn = true
 	if a.conn.link == nil || !a.conn.up { // dialing or greeting: nothing of it was written
-		p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Withdrawn: true}, nil)
+		p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Withdrawn: true}, nil)
 		if a.conn.link != nil {
 			p.shut(a.conn, errors.New("given up"))
 		}
@@ -315,8 +315,8 @@
 }
 
 // Probe tells nothing: these protocols have no probe for load.
-func (p *Pool) Probe(now time.Time, to mixer.Server) {
-	p.emit(mixer.Probed{Server: to.ID, Err: &mixer.AttemptError{Reach: mixer.NotConnected}})
+func (p *Pool) Probe(now time.Time, to aggregator.Server) {
+	p.emit(aggregator.Probed{Server: to.ID, Err: &aggregator.AttemptError{Reach: aggregator.NotConnected}})
 }
 
 func (p *Pool) emit(e any) {
@@ -335,7 +335,7 @@
 	if a.conn != nil && a.conn.at == a {
 		a.conn.at = nil
 	}
-	e := mixer.Ended{Attempt: a.call.Attempt, Err: err}
+	e := aggregator.Ended{Attempt: a.call.Attempt, Err: err}
 	if r != nil {
 		e.Score, e.Value = r.Score, r.Value
 	}
@@ -369,7 +369,7 @@
 		p.Stats.DialsFailed++
 		p.shut(c, nil)
 		if c.at != nil {
-			p.end(c.at, &mixer.AttemptError{Reach: mixer.NotConnected, Cause: e.err}, nil)
+			p.end(c.at, &aggregator.AttemptError{Reach: aggregator.NotConnected, Cause: e.err}, nil)
 		}
 		return
 	}
@@ -394,7 +394,7 @@
 		if r.Err != nil {
 			p.shut(c, r.Err)
 			if a != nil {
-				p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Cause: r.Err}, nil)
+				p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Cause: r.Err}, nil)
 			}
 			return
 		}
@@ -408,7 +408,7 @@
 		cause := errors.New("the server answered before it was asked")
 		p.shut(c, cause)
 		if a != nil {
-			p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Cause: cause}, nil)
+			p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Cause: cause}, nil)
 		}
 		return
 	case a == nil || a.withdrawn || r.Greeting:
@@ -443,17 +443,17 @@
 // lost ends an attempt whose connection is gone, once it is known how far its request had come.
 func (p *Pool) lost(a *attempt, cause error) {
 	switch {
-	case a.written < mixer.Written:
-		p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Withdrawn: a.withdrawn, Cause: cause}, nil)
+	case a.written < aggregator.Written:
+		p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Withdrawn: a.withdrawn, Cause: cause}, nil)
 	case a.settled:
-		p.end(a, &mixer.AttemptError{Reach: mixer.Written, Withdrawn: a.withdrawn, Cause: cause}, nil)
+		p.end(a, &aggregator.AttemptError{Reach: aggregator.Written, Withdrawn: a.withdrawn, Cause: cause}, nil)
 	}
 }
 
 func (p *Pool) wrote(a *attempt, how tcp.Wrote) {
 	a.settled = true
 	if how == tcp.Nothing {
-		a.written = mixer.NotConnected // no byte of it left
+		a.written = aggregator.NotConnected // no byte of it left
 	}
 	if a.conn.closed && p.calls[a.call.Attempt] == a {
 		p.lost(a, fmt.Errorf("the connection broke"))
@@ -484,7 +484,7 @@
 			a := c.at
 			p.shut(c, errNoGreeting)
 			if a != nil {
-				p.end(a, &mixer.AttemptError{Reach: mixer.NotConnected, Cause: errNoGreeting}, nil)
+				p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Cause: errNoGreeting}, nil)
 			}
 		} else if next.IsZero() || due.Before(next) {
 			next = due
--- a/internal/back/library/issue_test.go
+++ b/internal/backend/serialconn/pool_test.go
@@ -1,4 +1,4 @@
-package library
+package serialconn
 
 import (
 	"errors"
@@ -7,7 +7,7 @@
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/aggregator"
 	"rooktrestle/internal/net/tcp"
 	"rooktrestle/internal/query"
 )
@@ -101,8 +101,8 @@
 	}
 	return nil
 }
-func (codec) Request(c mixer.Call, _ query.Work) ([]byte, error) { return []byte(c.Name), nil }
-func (codec) Parser() Parser                                     { return nil }
+func (codec) Request(c aggregator.Call, _ query.Work) ([]byte, error) { return []byte(c.Name), nil }
+func (codec) Parser() Parser                                          { return nil }
 
 // newRig's pool dials nothing: the rig posts what a dial comes to.
 func newRig(t *testing.T) *rig {
@@ -115,15 +115,15 @@
 
 func (r *rig) send() {
 	s := &sent{name: fmt.Sprintf("q.%d", len(r.sent))}
-	id := mixer.AttemptID{Part: balance.ID(len(r.sent))}
+	id := aggregator.AttemptID{Part: balance.ID(len(r.sent))}
 	r.sent = append(r.sent, s)
-	r.p.Send(r.now, mixer.Server{ID: "s", Addr: "x"}, []mixer.Call{{Attempt: id, Name: s.name, Text: "{}", Until: r.now.Add(5 * time.Second)}})
+	r.p.Send(r.now, aggregator.Server{ID: "s", Addr: "x"}, []aggregator.Call{{Attempt: id, Name: s.name, Text: "{}", Until: r.now.Add(5 * time.Second)}})
 	r.turn()
 }
 
 // dialing are the connections that are not up yet.
 func (r *rig) dialed(s int, err error) {
-	if a := r.p.calls[mixer.AttemptID{Part: balance.ID(s)}]; a != nil && a.conn != nil && a.conn.link == nil && !a.conn.closed {
+	if a := r.p.calls[aggregator.AttemptID{Part: balance.ID(s)}]; a != nil && a.conn != nil && a.conn.link == nil && !a.conn.closed {
 		if err != nil {
 			r.Put(dialed{c: a.conn, err: err})
 		} else {
@@ -149,7 +149,7 @@
 
 func (r *rig) check(events []any) {
 	for _, e := range events {
-		e, ok := e.(mixer.Ended)
+		e, ok := e.(aggregator.Ended)
 		if !ok {
 			continue
 		}
@@ -157,7 +157,7 @@
 		if s.ended++; s.ended > 1 {
 			r.t.Fatalf("%s ended twice", s.name)
 		}
-		var a *mixer.AttemptError
+		var a *aggregator.AttemptError
 		if e.Err == nil {
 			if !s.answered {
 				r.t.Fatalf("%s is served without an answer", s.name)
@@ -165,7 +165,7 @@
 			continue
 		}
 		mayRun := s.link != nil && (!s.settled || s.how != tcp.Nothing)
-		if !errors.As(e.Err, &a) || a.Reach < mixer.Written && mayRun {
+		if !errors.As(e.Err, &a) || a.Reach < aggregator.Written && mayRun {
 			r.t.Fatalf("%s is said not to have run: %v", s.name, e.Err)
 		}
 		if a.Withdrawn && mayRun && !s.link.closed {
@@ -215,7 +215,7 @@
 				r.send()
 			case step%10 == 1 && n >= 0:
 				r.sent[n].withdrawn = true
-				r.p.Withdraw(r.now, mixer.AttemptID{Part: balance.ID(n)}, true)
+				r.p.Withdraw(r.now, aggregator.AttemptID{Part: balance.ID(n)}, true)
 				r.turn()
 			case step%10 == 2 && n >= 0:
 				r.dialed(n, nil)
--- a/internal/back/sru/client.go
+++ b/internal/backend/sru/client.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"net/url"
 
-	"rooktrestle/internal/back/library"
-	"rooktrestle/internal/decide/blocks"
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/aggregator"
+	"rooktrestle/internal/backend/serialconn"
+	"rooktrestle/internal/control/shardmap"
 	"rooktrestle/internal/protocol/http1"
 	"rooktrestle/internal/protocol/sru"
 	"rooktrestle/internal/query"
@@ -20,14 +20,14 @@
 // Client words attempts as SRU requests.
 type Client struct {
 	Host     string
-	Database func(shard int, epoch blocks.Epoch) string
+	Database func(shard int, epoch shardmap.Epoch) string
 }
 
 // Greeting is nothing: HTTP needs none.
 func (c *Client) Greeting() []byte { return nil }
 
 // Request words an attempt.
-func (c *Client) Request(call mixer.Call, w query.Work) ([]byte, error) {
+func (c *Client) Request(call aggregator.Call, w query.Work) ([]byte, error) {
 	database := c.Database(call.Shard, call.Epoch)
 	if w.Action == "" {
 		return http1.Request("GET", sru.SearchTarget(database, w.CQL, 1, w.Most), c.Host, nil), nil
@@ -38,13 +38,13 @@
 }
 
 // Parser reads answers.
-func (c *Client) Parser() library.Parser {
+func (c *Client) Parser() serialconn.Parser {
 	return &clientParser{http1.Parser{Responses: true, MaxBody: maxAnswer}}
 }
 
 type clientParser struct{ http http1.Parser }
 
-func (p *clientParser) Feed(b []byte) (replies []library.Reply, err error) {
+func (p *clientParser) Feed(b []byte) (replies []serialconn.Reply, err error) {
 	p.http.Feed(b)
 	for {
 		m, err := p.http.Next()
@@ -55,19 +55,19 @@
 	}
 }
 
-func (p *clientParser) End() []library.Reply {
+func (p *clientParser) End() []serialconn.Reply {
 	if m := p.http.End(); m != nil {
-		return []library.Reply{reply(m)}
+		return []serialconn.Reply{reply(m)}
 	}
 	return nil
 }
 
 // reply judges an answer. What a server says of the query itself is an answer; what it says of itself is an
 // error, and nothing in it proves that the request did not run.
-func reply(m *http1.Message) library.Reply {
-	r := library.Reply{Close: m.Close}
-	failed := func(cause error) library.Reply {
-		r.Err = &mixer.AttemptError{Reach: mixer.Answered, Cause: cause}
+func reply(m *http1.Message) serialconn.Reply {
+	r := serialconn.Reply{Close: m.Close}
+	failed := func(cause error) serialconn.Reply {
+		r.Err = &aggregator.AttemptError{Reach: aggregator.Answered, Cause: cause}
 		return r
 	}
 	if m.Status != 200 {
@@ -82,8 +82,8 @@
 	}
 	// What it does not hold it has not run.
 	if t := a.Trouble; t != nil && t.SRU == sru.Diag+"235" {
-		if w, e, ok := blocks.ParseWord(t.Details); ok {
-			r.Err = &mixer.AttemptError{Reach: mixer.Answered, TurnedAway: true, Word: w, Epoch: e, Cause: errors.New(t.Details)}
+		if w, e, ok := shardmap.ParseWord(t.Details); ok {
+			r.Err = &aggregator.AttemptError{Reach: aggregator.Answered, TurnedAway: true, Word: w, Epoch: e, Cause: errors.New(t.Details)}
 			return r
 		}
 	}
--- a/internal/back/sru/client_test.go
+++ b/internal/backend/sru/client_test.go
@@ -4,7 +4,7 @@
 	"errors"
 	"testing"
 
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/aggregator"
 	"rooktrestle/internal/protocol/http1"
 )
 
@@ -18,8 +18,8 @@
 		"<updateResponse><operationStatus>fail</operationStatus></updateResponse>":               false,
 	} {
 		r := reply(&http1.Message{Status: 200, Body: []byte(text)})
-		var a *mixer.AttemptError
-		if (r.Err != nil) != bad || bad && (!errors.As(r.Err, &a) || a.Reach != mixer.Answered || a.TurnedAway) {
+		var a *aggregator.AttemptError
+		if (r.Err != nil) != bad || bad && (!errors.As(r.Err, &a) || a.Reach != aggregator.Answered || a.TurnedAway) {
 			t.Errorf("%s: %+v", text, r)
 		}
 	}
--- a/internal/back/z3950/client.go
+++ b/internal/backend/z3950/client.go
@@ -5,16 +5,16 @@
 	"errors"
 	"fmt"
 
-	"rooktrestle/internal/back/library"
-	"rooktrestle/internal/decide/blocks"
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/aggregator"
+	"rooktrestle/internal/backend/serialconn"
+	"rooktrestle/internal/control/shardmap"
 	"rooktrestle/internal/protocol/z3950"
 	"rooktrestle/internal/query"
 )
 
 // Client words attempts as an origin's requests.
 type Client struct {
-	Database func(shard int, epoch blocks.Epoch) string
+	Database func(shard int, epoch shardmap.Epoch) string
 }
 
 // Greeting is an Init.
@@ -27,7 +27,7 @@
 const setName = "default"
 
 // Request words an attempt. A search asks for its records along with the count.
-func (c *Client) Request(call mixer.Call, w query.Work) ([]byte, error) {
+func (c *Client) Request(call aggregator.Call, w query.Work) ([]byte, error) {
 	database := c.Database(call.Shard, call.Epoch)
 	if w.Action != "" {
 		return z3950.Update(call.Name, database, w.Action, w.Record).Encode(nil), nil
@@ -45,11 +45,11 @@
 }
 
 // Parser reads a target's responses.
-func (c *Client) Parser() library.Parser { return &clientParser{} }
+func (c *Client) Parser() serialconn.Parser { return &clientParser{} }
 
 type clientParser struct{ buf []byte }
 
-func (p *clientParser) Feed(b []byte) (replies []library.Reply, err error) {
+func (p *clientParser) Feed(b []byte) (replies []serialconn.Reply, err error) {
 	p.buf = append(p.buf, b...)
 	for len(p.buf) > 0 {
 		n, rest, err := z3950.Decode(p.buf)
@@ -69,14 +69,14 @@
 	return replies, nil
 }
 
-func (p *clientParser) End() []library.Reply { return nil }
+func (p *clientParser) End() []serialconn.Reply { return nil }
 
 // ownFaults are diagnostics by which a target speaks of itself, not of the request.
 var ownFaults = map[int]bool{1: true, 2: true, 14: true, 31: true, 32: true, 100: true, 105: true}
 
 // reply judges a response. Nothing in it proves that a request did not run.
-func reply(n *z3950.Node) (library.Reply, error) {
-	var r library.Reply
+func reply(n *z3950.Node) (serialconn.Reply, error) {
+	var r serialconn.Reply
 	if n.Class != z3950.Context {
 		return r, errors.New("z3950: not a unit of this protocol")
 	}
@@ -108,13 +108,13 @@
 	}
 	// What it does not hold it has not run.
 	if t := found.Trouble; t != nil && t.Bib1 == 109 {
-		if w, e, ok := blocks.ParseWord(t.Details); ok {
-			r.Err = &mixer.AttemptError{Reach: mixer.Answered, TurnedAway: true, Word: w, Epoch: e, Cause: errors.New(t.Details)}
+		if w, e, ok := shardmap.ParseWord(t.Details); ok {
+			r.Err = &aggregator.AttemptError{Reach: aggregator.Answered, TurnedAway: true, Word: w, Epoch: e, Cause: errors.New(t.Details)}
 			return r, nil
 		}
 	}
 	if t := found.Trouble; t != nil && ownFaults[t.Bib1] {
-		r.Err = &mixer.AttemptError{Reach: mixer.Answered, Cause: fmt.Errorf("bib-1 %d %s", t.Bib1, t.Details)}
+		r.Err = &aggregator.AttemptError{Reach: aggregator.Answered, Cause: fmt.Errorf("bib-1 %d %s", t.Bib1, t.Details)}
 		return r, nil
 	}
 	r.Value, r.Score = query.Encode(found), float64(found.Count)
--- a/internal/config/blocks.go
+++ b/internal/config/blocks.go
@@ -5,7 +5,7 @@
 	"net"
 	"time"
 
-	"rooktrestle/internal/decide/blocks"
+	"rooktrestle/internal/control/shardmap"
 )
 
 // Blocks says where the map of blocks comes from, in the place of the ring of [shards].
@@ -30,8 +30,8 @@
 func (b *Blocks) wanted() bool { return b.On() || b.Archive != "" || b.Keep != "" }
 
 // Rules are those of views.
-func (b *Blocks) Rules() blocks.ViewRules {
-	return blocks.ViewRules{MostPinned: b.Pinned, MostAge: b.PinnedFor.Duration, ColdFor: b.Cold.Duration, ColdFrom: b.ColdFrom, Patience: b.Patience.Duration}
+func (b *Blocks) Rules() shardmap.ViewRules {
+	return shardmap.ViewRules{MostPinned: b.Pinned, MostAge: b.PinnedFor.Duration, ColdFor: b.Cold.Duration, ColdFrom: b.ColdFrom, Patience: b.Patience.Duration}
 }
 
 func (p *Partners) blockDefaults() {
@@ -86,7 +86,7 @@
 	if b.Every.Duration < 10*time.Millisecond {
 		c.bad("blocks.every", "every must be at least 10ms, not %v", b.Every.Duration)
 	}
-	if _, err := blocks.NewViews(b.Rules()); err != nil {
+	if _, err := shardmap.NewViews(b.Rules()); err != nil {
 		c.bad("blocks", "%v", err)
 	}
 	for i, d := range p.Databases {
--- a/internal/config/checks.go
+++ b/internal/config/checks.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"rooktrestle/internal/decide/health"
+	"rooktrestle/internal/control/health"
 	"rooktrestle/internal/protocol/httpcheck"
 )
 
@@ -33,7 +33,7 @@
 	PerSecond  float64 `toml:"per_second"`  // checks begun a second, at most
 	AtOnce     int     `toml:"at_once"`     // checks in hand
 	Jitter     float64 `toml:"jitter"`      // share of an interval by which a check may be early or late
-	GRPCBridge string  `toml:"grpc_bridge"` // address of rookgrpc's HTTP side
+	GRPCBridge string  `toml:"grpc_bridge"` // address of grpchealth's HTTP side
 }
 
 // Profile is one way to check a server. What is not given is taken from Checks.
@@ -290,7 +290,7 @@
 		c.bad(at+".send", "check %q: only an agent is sent something", f.Name)
 	}
 	if f.Kind == CheckGRPC && p.Checks.GRPCBridge == "" {
-		c.bad(at+".kind", "check %q: a grpc check needs checks.grpc_bridge, where rookgrpc listens", f.Name)
+		c.bad(at+".kind", "check %q: a grpc check needs checks.grpc_bridge, where grpchealth listens", f.Name)
 	}
 	var err error
 	e := &f.Expectation
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -14,7 +14,7 @@
 	"slices"
 	"strconv"
 
-	"rooktrestle/internal/wire"
+	"rooktrestle/internal/settings"
 )
 
 // Node is the platform's configuration of one mixer.
@@ -30,7 +30,7 @@
 	PeerListen string   // where words of other mixers come in; empty: none do
 	Peers      []string // where each mixer of the tier sends from, this one included
 	PeersAll   string   // reaches all of them
-	Deployment wire.Deployment
+	Deployment settings.Deployment
 
 	stated string // the file's word on discovery
 	text   []byte // and on the settings
@@ -115,7 +115,7 @@
 	if err != nil {
 		return n, err
 	}
-	if n.Deployment, err = wire.ParseDeployment(f.Settings); err != nil {
+	if n.Deployment, err = settings.Parse(f.Settings); err != nil {
 		return n, err
 	}
 	if n.Cores <= 0 {
--- a/internal/decide/room/room.go
+++ b/internal/control/eviction/eviction.go
@@ -1,7 +1,7 @@
 // Package room decides which connection goes when a new one needs its place: never one with an operation in hand, nor
 // one whose state was used lately; of the others first those that have asked nothing yet, then those that are idle,
 // and last those that keep state. Of equals the one that has been so longest. It does no I/O and reads no clock.
-package room
+package eviction
 
 import (
 	"container/list"
--- a/internal/decide/room/room_test.go
+++ b/internal/control/eviction/eviction_test.go
@@ -1,4 +1,4 @@
-package room
+package eviction
 
 import (
 	"math/rand/v2"
--- a/internal/decide/words/words.go
+++ b/internal/control/gossip/gossip.go
@@ -1,7 +1,7 @@
 // Package words frames what mixers tell each other in one datagram: a letter and a version that say what kind of word
 // it is (8 bits), when it was sent (milliseconds of the common clock, 16 bits), a check of the rest (16 bits), and the
 // word's body: the sender's zone (8 bits) and its remarks on servers. It does no I/O and reads no clock.
-package words
+package gossip
 
 import (
 	"encoding/binary"
--- a/internal/decide/words/words_test.go
+++ b/internal/control/gossip/gossip_test.go
@@ -1,4 +1,4 @@
-package words
+package gossip
 
 import (
 	"testing"
--- a/internal/decide/health/table.go
+++ b/internal/control/health/table.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"rooktrestle/internal/decide/timers"
+	"rooktrestle/internal/control/timers"
 )
 
 // Table holds the evidence. It is owned by one goroutine. A server's evidence is dropped when the roster lists it
--- a/internal/decide/watch/watch.go
+++ b/internal/control/listwatch/listwatch.go
@@ -1,11 +1,11 @@
 // Package watch decides when a mixer calls discovery for the list of servers: when a watch that says nothing counts as
 // broken, and how long to wait before the next call. It does no I/O, reads no clock and draws no chance of its own.
-package watch
+package listwatch
 
 import (
 	"time"
 
-	"rooktrestle/internal/decide/backoff"
+	"rooktrestle/internal/control/backoff"
 )
 
 // Rules are what a mixer's calls go by. The platform's protocol states that a live watch says something every 2 s, that
--- a/internal/decide/watch/watch_test.go
+++ b/internal/control/listwatch/listwatch_test.go
@@ -1,4 +1,4 @@
-package watch
+package listwatch
 
 import (
 	"testing"
--- a/internal/decide/outlier/outlier.go
+++ b/internal/control/outlier/outlier.go
@@ -16,7 +16,7 @@
 	"slices"
 	"time"
 
-	"rooktrestle/internal/decide/words"
+	"rooktrestle/internal/control/gossip"
 )
 
 // Rules are what a Table goes by. Times come from the settings.
@@ -103,7 +103,7 @@
 	if s := t.find(id); s != nil && started <= s.started {
 		return
 	}
-	key := words.Key(id)
+	key := gossip.Key(id)
 	t.remove(t.servers[key])
 	s := &server{id: id, started: started, share: 1, mine: remark{key: key}}
 	t.servers[key] = s
@@ -112,7 +112,7 @@
 
 // find returns what is known of a server; nil if it is not listed.
 func (t *Table) find(id string) *server {
-	if s := t.servers[words.Key(id)]; s != nil && s.id == id {
+	if s := t.servers[gossip.Key(id)]; s != nil && s.id == id {
 		return s
 	}
 	return nil
@@ -141,7 +141,7 @@
 
 // Earn counts parts taken toward what may be told.
 func (t *Table) Earn(parts int) {
-	t.owed = min(t.owed+tellShare*words.Most*float64(parts), words.Most*float64(t.rules.Mixers))
+	t.owed = min(t.owed+tellShare*gossip.Most*float64(parts), gossip.Most*float64(t.rules.Mixers))
 }
 
 // Saw takes the end of an attempt of this mixer's that was sent at sent.
@@ -261,8 +261,8 @@
 
 // Word words what is to be told, if parts taken have earned it; nil if not.
 func (t *Table) Word(now time.Duration) []byte {
-	n := min(len(t.tell), words.MostRemarks)
-	size := float64(words.Size(n) * (t.rules.Mixers - 1))
+	n := min(len(t.tell), gossip.MostRemarks)
+	size := float64(gossip.Size(n) * (t.rules.Mixers - 1))
 	if n == 0 || size > t.owed {
 		return nil
 	}
--- a/internal/decide/outlier/outlier_test.go
+++ b/internal/control/outlier/outlier_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"rooktrestle/internal/decide/words"
+	"rooktrestle/internal/control/gossip"
 )
 
 const (
@@ -157,7 +157,7 @@
 	for range 50 {
 		m.Saw(hour, "s5", hour-300*ms, CalledOff)
 	}
-	lost := []remark{{words.Key("s6"), 15, 0}, {words.Key("s7"), 15, 0}, {words.Key("stranger"), 15, 0}}
+	lost := []remark{{gossip.Key("s6"), 15, 0}, {gossip.Key("s7"), 15, 0}, {gossip.Key("stranger"), 15, 0}}
 	for i, text := range [][]byte{
 		writeWord(hour, 1, lost),            // another zone's way
 		writeWord(hour-500*ms, 0, lost),     // old
@@ -232,12 +232,12 @@
 		m.Earn(1)
 		if text := m.Word(now); text != nil {
 			_, _, remarks, ok := readWord(now, text)
-			if !ok || len(text) > words.Most {
+			if !ok || len(text) > gossip.Most {
 				t.Fatalf("%d bytes, read %v", len(text), ok)
 			}
 			told, sent = told+len(remarks), sent+len(text)*(rules.Mixers-1)
 		}
-		if most := tellShare * words.Most * float64((now-hour)/ms+1); float64(sent) > most {
+		if most := tellShare * gossip.Most * float64((now-hour)/ms+1); float64(sent) > most {
 			t.Fatalf("%d bytes delivered, %v earned", sent, most)
 		}
 	}
@@ -291,7 +291,7 @@
 				m.List(id, now)
 				listed[id] = true
 			case 7:
-				m.Hear(now, writeWord(now, 0, []remark{{words.Key(id), int(ops[i+1] % 16), int(ops[i+1] / 16)}}))
+				m.Hear(now, writeWord(now, 0, []remark{{gossip.Key(id), int(ops[i+1] % 16), int(ops[i+1] / 16)}}))
 			}
 			m.Changes(now)
 			if len(m.order) != len(listed) || len(m.servers) != len(listed) || len(m.tell) > len(listed) {
--- a/internal/decide/outlier/word.go
+++ b/internal/control/outlier/word.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"rooktrestle/internal/decide/words"
+	"rooktrestle/internal/control/gossip"
 )
 
 const (
@@ -18,19 +18,19 @@
 }
 
 func writeWord(now time.Duration, zone int, remarks []remark) []byte {
-	var said []words.Remark
+	var said []gossip.Remark
 	for _, r := range remarks {
-		said = append(said, words.Remark{Key: r.key, Said: byte(min(r.lost, countMost)<<4 | min(r.served, countMost))})
+		said = append(said, gossip.Remark{Key: r.key, Said: byte(min(r.lost, countMost)<<4 | min(r.served, countMost))})
 	}
-	return words.WriteRemarks(wordKind, now, zone, said)
+	return gossip.WriteRemarks(wordKind, now, zone, said)
 }
 
 // Reads says whether text is a word of this kind.
-func Reads(text []byte) bool { return words.HasRemarks(wordKind, text) }
+func Reads(text []byte) bool { return gossip.HasRemarks(wordKind, text) }
 
 // readWord reads a word and how long ago it was sent: negative where the sender's clock is ahead.
 func readWord(now time.Duration, text []byte) (age time.Duration, zone int, remarks []remark, ok bool) {
-	age, zone, said, ok := words.ReadRemarks(wordKind, now, text)
+	age, zone, said, ok := gossip.ReadRemarks(wordKind, now, text)
 	for _, r := range said {
 		remarks = append(remarks, remark{r.Key, int(r.Said >> 4), int(r.Said & countMost)})
 	}
--- a/internal/decide/ptree/ptree.go
+++ b/internal/control/persistentmap/persistentmap.go
@@ -1,7 +1,7 @@
 // Package ptree is an ordered map that never changes: Set and Delete return a new one that shares all but the path to
 // the change with the old. It is a B+-like tree by path copying, made for maps of which many versions are held at once
 // and each differs little from the last.
-package ptree
+package persistentmap
 
 import (
 	"cmp"
--- a/internal/decide/ptree/ptree_test.go
+++ b/internal/control/persistentmap/persistentmap_test.go
@@ -1,4 +1,4 @@
-package ptree
+package persistentmap
 
 import (
 	"maps"
--- a/internal/decide/shares/allocator.go
+++ b/internal/control/quota/allocator.go
@@ -1,4 +1,4 @@
-package shares
+package quota
 
 import (
 	"slices"
--- a/internal/decide/shares/shares.go
+++ b/internal/control/quota/quota.go
@@ -5,7 +5,7 @@
 //
 // Nothing here does I/O, reads a clock or starts a goroutine; times come from a clock of the caller's that goes on while
 // its process is stopped, and never back. Clocks of two processes need not agree, only run alike: see Rules.Drift.
-package shares
+package quota
 
 import (
 	"errors"
--- a/internal/decide/tries/tries.go
+++ b/internal/control/retrydetect/retrydetect.go
@@ -1,6 +1,6 @@
 // Package tries tells a client's first try of a query from its later ones, where clients do not say which it is. It
 // does no I/O and reads no clock.
-package tries
+package retrydetect
 
 import "time"
 
--- a/internal/decide/tries/tries_test.go
+++ b/internal/control/retrydetect/retrydetect_test.go
@@ -1,4 +1,4 @@
-package tries
+package retrydetect
 
 import (
 	"testing"
--- a/internal/decide/schedule/schedule.go
+++ b/internal/control/scheduler/scheduler.go
@@ -1,7 +1,7 @@
 // Package schedule decides when background work runs: which task next, within a budget of starts a second and at
 // once, by priority, and at a pace that follows what the task last showed. It does no I/O, reads no clock and
 // starts nothing: it is told the time and what has ended, and says what to start.
-package schedule
+package scheduler
 
 import (
 	"errors"
@@ -9,7 +9,7 @@
 	"math/rand/v2"
 	"time"
 
-	"rooktrestle/internal/decide/timers"
+	"rooktrestle/internal/control/timers"
 )
 
 // Priority of a task. Lower comes first; none starves.
--- a/internal/decide/schedule/schedule_test.go
+++ b/internal/control/scheduler/scheduler_test.go
@@ -1,4 +1,4 @@
-package schedule
+package scheduler
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"rooktrestle/internal/decide/timers"
+	"rooktrestle/internal/control/timers"
 )
 
 var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/decide/blocks/file.go
+++ b/internal/control/shardmap/file.go
@@ -1,4 +1,4 @@
-package blocks
+package shardmap
 
 import (
 	"encoding/json"
@@ -6,7 +6,7 @@
 	"fmt"
 	"slices"
 
-	"rooktrestle/internal/decide/ptree"
+	"rooktrestle/internal/control/persistentmap"
 )
 
 // Files of maps are JSON:
@@ -63,7 +63,7 @@
 
 // Diff lists what changed from one map to another, by id.
 func Diff(old, now *Map) (list []Difference) {
-	ptree.Diff(old.all, now.all, func(id ID, inOld, inNow bool, was, b *Block) bool {
+	persistentmap.Diff(old.all, now.all, func(id ID, inOld, inNow bool, was, b *Block) bool {
 		switch {
 		case !inNow:
 			list = append(list, Difference{ID: id, Was: was})
--- a/internal/decide/blocks/follow.go
+++ b/internal/control/shardmap/follow.go
@@ -1,11 +1,11 @@
-package blocks
+package shardmap
 
 import (
 	"errors"
 	"fmt"
 	"slices"
 
-	"rooktrestle/internal/decide/ptree"
+	"rooktrestle/internal/control/persistentmap"
 )
 
 // Refusals that a source has to be told apart.
@@ -30,7 +30,7 @@
 	}
 	gap := m.Epoch > old.Epoch+1
 	var err error
-	ptree.Diff(old.all, m.all, func(id ID, inOld, inNow bool, was, b *Block) bool { // what is shared is passed over
+	persistentmap.Diff(old.all, m.all, func(id ID, inOld, inNow bool, was, b *Block) bool { // what is shared is passed over
 		switch {
 		case !inNow:
 			if !gap && was.Active() {
@@ -59,7 +59,7 @@
 		return false
 	}
 	same := true
-	ptree.Diff(m.all, o.all, func(_ ID, inM, inO bool, b, c *Block) bool {
+	persistentmap.Diff(m.all, o.all, func(_ ID, inM, inO bool, b, c *Block) bool {
 		same = inM && inO && b.equal(c)
 		return same
 	})
@@ -79,7 +79,7 @@
 	}
 	n := &Map{Archive: m.Archive, Epoch: m.Epoch, NextID: m.NextID, cover: old.cover, all: old.all, weight: m.weight}
 	var put, gone []*Block
-	ptree.Diff(old.all, m.all, func(_ ID, inOld, inNow bool, was, b *Block) bool {
+	persistentmap.Diff(old.all, m.all, func(_ ID, inOld, inNow bool, was, b *Block) bool {
 		if inOld && inNow && was.equal(b) {
 			return true
 		}
--- a/internal/decide/blocks/key.go
+++ b/internal/control/shardmap/key.go
@@ -2,7 +2,7 @@
 // each a range of keys with a stable id, their holders and states. Only legal successions are accepted. Views pin an
 // epoch for each query; flight.go says what becomes of parts in flight when the map moves on; plan.go makes the
 // successions that split, merge and move blocks safely. It does no I/O, reads no clock and starts no goroutine.
-package blocks
+package shardmap
 
 import (
 	"fmt"
--- a/internal/decide/blocks/map.go
+++ b/internal/control/shardmap/map.go
@@ -1,4 +1,4 @@
-package blocks
+package shardmap
 
 import (
 	"errors"
@@ -6,7 +6,7 @@
 	"slices"
 	"strings"
 
-	"rooktrestle/internal/decide/ptree"
+	"rooktrestle/internal/control/persistentmap"
 )
 
 // ID of a block. It is given once and never again.
@@ -92,8 +92,8 @@
 	Archive string // maps of different archives never follow one another
 	Epoch   Epoch
 	NextID  ID // ids from here on were never given
-	cover   ptree.Tree[Key, *Block]
-	all     ptree.Tree[ID, *Block]
+	cover   persistentmap.Tree[Key, *Block]
+	all     persistentmap.Tree[ID, *Block]
 	weight  float64 // of the cover
 }
 
@@ -163,7 +163,7 @@
 		keys = append(keys, b.From)
 		m.weight += b.weight()
 	}
-	m.cover, m.all = ptree.Build(keys, active), ptree.Build(ids, byID)
+	m.cover, m.all = persistentmap.Build(keys, active), persistentmap.Build(ids, byID)
 	return m, nil
 }
 
--- a/internal/decide/blocks/search_test.go
+++ b/internal/control/shardmap/search_test.go
@@ -1,4 +1,4 @@
-package blocks
+package shardmap
 
 import (
 	"os"
--- a/internal/decide/coldstart/coldstart.go
+++ b/internal/control/slowstart/slowstart.go
@@ -1,7 +1,7 @@
 // Package coldstart paces what one of many mixers sends to a server that has just started. Such a server does a
 // share of what it will do warm, and falls over if all mixers together send it more than a multiple of that for a
 // while (rule 4). It does no I/O and reads no clock.
-package coldstart
+package slowstart
 
 import (
 	"math"
--- a/internal/decide/coldstart/coldstart_test.go
+++ b/internal/control/slowstart/slowstart_test.go
@@ -1,4 +1,4 @@
-package coldstart
+package slowstart
 
 import (
 	"math"
--- a/internal/front/health/health.go
+++ b/internal/frontend/health/health.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"rooktrestle/internal/decide/readiness"
+	"rooktrestle/internal/control/readiness"
 	"rooktrestle/internal/net/httpserve"
 	"rooktrestle/internal/net/tcp"
 	"rooktrestle/internal/protocol/agentcheck"
--- a/internal/front/platform/front.go
+++ b/internal/frontend/platform/front.go
@@ -13,7 +13,7 @@
 	"time"
 	"unicode/utf8"
 
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/aggregator"
 	"rooktrestle/internal/net/httpserve"
 	"rooktrestle/internal/protocol/http1"
 )
@@ -77,9 +77,9 @@
 	}
 	req.Front = asker{x}
 	// In this order: a client that leaves in between would reach the loop before its request, and be forgotten.
-	f.put(mixer.Arrive{Request: req})
-	if !x.OnLeft(func() { f.put(mixer.Left{Request: req}) }) {
-		f.put(mixer.Left{Request: req})
+	f.put(aggregator.Arrive{Request: req})
+	if !x.OnLeft(func() { f.put(aggregator.Left{Request: req}) }) {
+		f.put(aggregator.Left{Request: req})
 	}
 }
 
@@ -90,7 +90,7 @@
 // asker passes a query's final answer to its client.
 type asker struct{ x *httpserve.Exchange }
 
-func (a asker) Answer(f mixer.Final) {
+func (a asker) Answer(f aggregator.Final) {
 	status, text, fields := Render(f)
 	a.x.Respond(status, text, fields...)
 }
@@ -109,9 +109,9 @@
 // massSlack is by how much the masses of a query may miss 1: they come rounded.
 const massSlack = 1e-3
 
-func (f *Front) parse(m *http1.Message, class int, begun time.Time) (*mixer.Request, error) {
+func (f *Front) parse(m *http1.Message, class int, begun time.Time) (*aggregator.Request, error) {
 	h := m.Header
-	r := &mixer.Request{ID: h.Get("X-Request-Id"), Class: class, Arrived: begun, Retry: h.Get("X-Retry") == "1"}
+	r := &aggregator.Request{ID: h.Get("X-Request-Id"), Class: class, Arrived: begun, Retry: h.Get("X-Retry") == "1"}
 	if !word(r.ID) {
 		return nil, fmt.Errorf("X-Request-Id %q", r.ID)
 	}
@@ -153,7 +153,7 @@
 		}
 		seen[*s.Slice] = true
 		sum += s.Mass
-		r.Parts = append(r.Parts, mixer.Spec{
+		r.Parts = append(r.Parts, aggregator.Spec{
 			Shard: *s.Slice, Weight: s.Mass, Hint: time.Duration(s.Micros * float64(time.Microsecond)),
 		})
 		if r.Key == "" {
@@ -186,9 +186,9 @@
 }
 
 // Render words a final answer.
-func Render(f mixer.Final) (status int, text []byte, fields []string) {
+func Render(f aggregator.Final) (status int, text []byte, fields []string) {
 	switch f.Kind {
-	case mixer.Served:
+	case aggregator.Served:
 		out := struct {
 			Entire bool   `json:"entire"`
 			Items  []item `json:"items"`
@@ -201,7 +201,7 @@
 			return 500, nil, nil
 		}
 		return 200, text, []string{"Content-Type", "application/json"}
-	case mixer.Refused:
+	case aggregator.Refused:
 		if f.RetryAfter > 0 {
 			fields = []string{"Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 3, 64)}
 		}
--- a/internal/front/sru/server.go
+++ b/internal/frontend/sru/server.go
@@ -9,14 +9,14 @@
 	"strings"
 
 	"rooktrestle/internal/config"
+	"rooktrestle/internal/gateway"
 	"rooktrestle/internal/net/httpserve"
-	"rooktrestle/internal/partner"
 	"rooktrestle/internal/protocol/sru"
 	"rooktrestle/internal/query"
 )
 
 // Server is the SRU front.
-type Server struct{ Service *partner.Service }
+type Server struct{ Service *gateway.Service }
 
 // Handle answers one request: /DATABASE with the parameters of SRU, or an update in a POST of XML.
 func (s *Server) Handle(x *httpserve.Exchange) {
@@ -80,14 +80,14 @@
 		return
 	}
 	r.Most = min(r.Most, limit-r.Start+1)
-	answer := func(o partner.Outcome) {
-		if o.Kind != partner.Whole && o.Kind != partner.Partial {
+	answer := func(o gateway.Outcome) {
+		if o.Kind != gateway.Whole && o.Kind != gateway.Partial {
 			status, ds, fields := troubles(o)
 			x.Respond(status, sru.SearchResponse(0, nil, 1, 0, "xml", ds), fields...)
 			return
 		}
 		var ds []query.Diagnostic
-		if o.Kind == partner.Partial {
+		if o.Kind == gateway.Partial {
 			ds = append(ds, sru.NewFault(59, o.Included()).Diagnose())
 		}
 		if r.Start > 1 && r.Start > o.Count {
@@ -100,12 +100,12 @@
 		}
 		x.Respond(200, sru.SearchResponse(o.Count, records, r.Start, next, r.Packing, ds), "Content-Type", sru.XMLType)
 	}
-	cancel, known := s.Service.Search(partner.Caller{}, []string{base.Name}, r.Query, r.Start-1+r.Most, answer)
+	cancel, known := s.Service.Search(gateway.Caller{}, []string{base.Name}, r.Query, r.Start-1+r.Most, answer)
 	wait(x, cancel, known, answer)
 }
 
 // wait leaves a request to its outcome, or gives it up if the client has left.
-func wait(x *httpserve.Exchange, cancel partner.Cancel, known *partner.Outcome, answer func(partner.Outcome)) {
+func wait(x *httpserve.Exchange, cancel gateway.Cancel, known *gateway.Outcome, answer func(gateway.Outcome)) {
 	if known != nil {
 		answer(*known)
 	} else if !x.OnLeft(cancel) {
@@ -114,22 +114,22 @@
 }
 
 // troubles words an outcome that is no answer. Refusals also say so in the status, with when to come back.
-func troubles(o partner.Outcome) (status int, ds []query.Diagnostic, fields []string) {
+func troubles(o gateway.Outcome) (status int, ds []query.Diagnostic, fields []string) {
 	fields = []string{"Content-Type", sru.XMLType}
 	one := func(f *sru.Fault) []query.Diagnostic { return []query.Diagnostic{f.Diagnose()} }
 	switch o.Kind {
-	case partner.Refused:
+	case gateway.Refused:
 		if o.RetryAfter > 0 {
 			fields = append(fields, "Retry-After", strconv.Itoa(int(math.Ceil(o.RetryAfter.Seconds()))))
 		}
 		return 503, one(sru.NewFault(2, fmt.Sprintf("refused; asking again is harmless, after %v", o.RetryAfter))), fields
-	case partner.TimedOut:
+	case gateway.TimedOut:
 		return 200, one(sru.NewFault(1, "timed out")), fields
-	case partner.NoDatabase:
+	case gateway.NoDatabase:
 		return 200, one(sru.NewFault(235, o.Details)), fields
-	case partner.ReadOnly:
+	case gateway.ReadOnly:
 		return 200, one(sru.NewFault(4, "update of "+o.Details)), fields
-	case partner.ServerSaid:
+	case gateway.ServerSaid:
 		d := *o.Said
 		if d.SRU == "" {
 			d.SRU, d.Details = sru.Diag+"1", fmt.Sprintf("bib-1 %d %s", d.Bib1, d.Details)
@@ -145,15 +145,15 @@
 		x.Respond(200, sru.UpdateResponse(false, u.Record.ID, []query.Diagnostic{sru.AsFault(err).Diagnose()}), "Content-Type", sru.XMLType)
 		return
 	}
-	answer := func(o partner.Outcome) {
-		if o.Kind == partner.Whole {
+	answer := func(o gateway.Outcome) {
+		if o.Kind == gateway.Whole {
 			x.Respond(200, sru.UpdateResponse(true, u.Record.ID, nil), "Content-Type", sru.XMLType)
 			return
 		}
 		status, ds, fields := troubles(o)
 		x.Respond(status, sru.UpdateResponse(false, u.Record.ID, ds), fields...)
 	}
-	cancel, known := s.Service.Correct(partner.Caller{}, name, u.Action, u.Record, answer)
+	cancel, known := s.Service.Correct(gateway.Caller{}, name, u.Action, u.Record, answer)
 	wait(x, cancel, known, answer)
 }
 
--- a/internal/front/z3950/server.go
+++ b/internal/frontend/z3950/server.go
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
-	"rooktrestle/internal/decide/room"
+	"rooktrestle/internal/control/eviction"
+	"rooktrestle/internal/gateway"
 	"rooktrestle/internal/net/tcp"
-	"rooktrestle/internal/partner"
 	"rooktrestle/internal/protocol/z3950"
 	"rooktrestle/internal/query"
 )
@@ -33,19 +33,19 @@
 
 // Server is the Z39.50 front: a target.
 type Server struct {
-	Service *partner.Service
+	Service *gateway.Service
 	times   Times
 	now     func() time.Time
 
 	mu    sync.Mutex
 	open  map[*assoc]bool
-	room  *room.Register[*assoc]
+	room  *eviction.Register[*assoc]
 	count Counters
 }
 
 // New returns a target that serves service.
-func New(service *partner.Service, times Times, now func() time.Time) *Server {
-	return &Server{Service: service, times: times, now: now, open: map[*assoc]bool{}, room: room.New[*assoc](times.Recent)}
+func New(service *gateway.Service, times Times, now func() time.Time) *Server {
+	return &Server{Service: service, times: times, now: now, open: map[*assoc]bool{}, room: eviction.New[*assoc](times.Recent)}
 }
 
 // Counters count associations and units.
@@ -76,7 +76,7 @@
 	a.over = a.over || !busy
 	a.mu.Unlock()
 	if busy {
-		a.lies(room.Busy)
+		a.lies(eviction.Busy)
 		return false
 	}
 	a.link.Drop()
@@ -84,7 +84,7 @@
 }
 
 // lies says what an association is to the listener from now on.
-func (a *assoc) lies(c room.Class) {
+func (a *assoc) lies(c eviction.Class) {
 	a.s.mu.Lock()
 	defer a.s.mu.Unlock()
 	if a.s.open[a] {
@@ -97,13 +97,13 @@
 	switch {
 	case a.over:
 	case a.busy != nil:
-		a.lies(room.Busy)
+		a.lies(eviction.Busy)
 	case !a.begun:
 		// As it was: what it sends before Init does not make it newer.
 	case len(a.sets) > 0:
-		a.lies(room.Kept)
+		a.lies(eviction.Kept)
 	default:
-		a.lies(room.Idle)
+		a.lies(eviction.Idle)
 	}
 }
 
@@ -115,7 +115,7 @@
 	a := &assoc{s: s, link: l, sets: map[string]*set{}, size: z3950.MaxPDU}
 	s.mu.Lock()
 	s.open[a] = true
-	s.room.Put(a, room.Fresh, s.now())
+	s.room.Put(a, eviction.Fresh, s.now())
 	s.count.Associations++
 	s.mu.Unlock()
 	a.mu.Lock()
@@ -168,7 +168,7 @@
 type operation struct {
 	ref    *z3950.Node
 	kind   int // tag of the request
-	cancel partner.Cancel
+	cancel gateway.Cancel
 	over   bool
 }
 
@@ -395,10 +395,10 @@
 
 // begin makes a request the operation in hand. done is run with the lock held, once, unless the operation is
 // given up before.
-func (a *assoc) begin(kind int, ref *z3950.Node, start func(func(partner.Outcome)) (partner.Cancel, *partner.Outcome), done func(*operation, partner.Outcome)) {
+func (a *assoc) begin(kind int, ref *z3950.Node, start func(func(gateway.Outcome)) (gateway.Cancel, *gateway.Outcome), done func(*operation, gateway.Outcome)) {
 	op := &operation{ref: ref, kind: kind}
 	a.busy = op
-	cancel, known := start(func(o partner.Outcome) { // on the loop
+	cancel, known := start(func(o gateway.Outcome) { // on the loop
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		if op.over || a.over {
@@ -418,17 +418,17 @@
 }
 
 // trouble is the diagnostic of an outcome that is no answer.
-func trouble(o partner.Outcome) (code int, info string) {
+func trouble(o gateway.Outcome) (code int, info string) {
 	switch o.Kind {
-	case partner.Refused:
+	case gateway.Refused:
 		return 2, fmt.Sprintf("refused; asking again is harmless, after %v", o.RetryAfter)
-	case partner.TimedOut:
+	case gateway.TimedOut:
 		return 31, "timed out"
-	case partner.NoDatabase:
+	case gateway.NoDatabase:
 		return 109, o.Details
-	case partner.ReadOnly:
+	case gateway.ReadOnly:
 		return 236, o.Details
-	case partner.ServerSaid:
+	case gateway.ServerSaid:
 		if o.Said.Bib1 != 0 {
 			return o.Said.Bib1, o.Said.Details
 		}
@@ -497,18 +497,18 @@
 	}
 	small, large, medium := n.Kid(13).IntOr(0), n.Kid(14).IntOr(1), n.Kid(15).IntOr(0)
 	most := min(limit, max(prefetch, small, medium))
-	a.begin(z3950.SearchRequest, ref, func(done func(partner.Outcome)) (partner.Cancel, *partner.Outcome) {
-		return a.s.Service.Search(partner.Caller{User: a.user}, bases, tree, most, done)
-	}, func(op *operation, o partner.Outcome) {
+	a.begin(z3950.SearchRequest, ref, func(done func(gateway.Outcome)) (gateway.Cancel, *gateway.Outcome) {
+		return a.s.Service.Search(gateway.Caller{User: a.user}, bases, tree, most, done)
+	}, func(op *operation, o gateway.Outcome) {
 		delete(a.sets, name)
-		if o.Kind != partner.Whole && o.Kind != partner.Partial {
+		if o.Kind != gateway.Whole && o.Kind != gateway.Partial {
 			code, info := trouble(o)
 			a.fail(op, code, info, -1)
 			return
 		}
 		s := &set{node: tree, databases: bases, count: o.Count, records: o.Records, fetched: most}
 		a.sets[name] = s
-		if o.Kind == partner.Partial { // a valid subset: marked as such, and usable
+		if o.Kind == gateway.Partial { // a valid subset: marked as such, and usable
 			a.send(z3950.Ctx(z3950.SearchResponse, op.ref, z3950.Num(23, o.Count), z3950.Num(24, 0), z3950.Num(25, 1), z3950.Boolean(22, false), z3950.Num(26, 1),
 				z3950.Diagnostic(130, 33, o.Included())))
 			return
@@ -547,7 +547,7 @@
 }
 
 func (s *set) cut(start, number int) []query.Record {
-	o := partner.Outcome{Records: s.records}
+	o := gateway.Outcome{Records: s.records}
 	return o.Cut(start, number)
 }
 
@@ -590,11 +590,11 @@
 		a.presented(op, s, start, number, syntax)
 		return
 	}
-	a.begin(z3950.PresentRequest, ref, func(done func(partner.Outcome)) (partner.Cancel, *partner.Outcome) {
-		return a.s.Service.Search(partner.Caller{User: a.user}, s.databases, s.node, last, done)
-	}, func(op *operation, o partner.Outcome) {
-		if o.Kind != partner.Whole {
-			if o.Kind == partner.Partial {
+	a.begin(z3950.PresentRequest, ref, func(done func(gateway.Outcome)) (gateway.Cancel, *gateway.Outcome) {
+		return a.s.Service.Search(gateway.Caller{User: a.user}, s.databases, s.node, last, done)
+	}, func(op *operation, o gateway.Outcome) {
+		if o.Kind != gateway.Whole {
+			if o.Kind == gateway.Partial {
 				a.fail(op, 14, o.Included(), -1)
 				return
 			}
@@ -645,10 +645,10 @@
 		a.fail(op, code, info, -1)
 		return
 	}
-	a.begin(z3950.EsRequest, ref, func(done func(partner.Outcome)) (partner.Cancel, *partner.Outcome) {
-		return a.s.Service.Correct(partner.Caller{User: a.user}, database, action, record, done)
-	}, func(op *operation, o partner.Outcome) {
-		if o.Kind != partner.Whole {
+	a.begin(z3950.EsRequest, ref, func(done func(gateway.Outcome)) (gateway.Cancel, *gateway.Outcome) {
+		return a.s.Service.Correct(gateway.Caller{User: a.user}, database, action, record, done)
+	}, func(op *operation, o gateway.Outcome) {
+		if o.Kind != gateway.Whole {
 			code, info := trouble(o)
 			a.fail(op, code, info, -1)
 			return
--- a/internal/partner/partner.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,6 @@
 // Package partner stands between the fronts of library protocols and the core: it makes queries of searches
 // and corrections, and one answer of their parts. It does no I/O.
-package partner
+package gateway
 
 import (
 	"encoding/json"
@@ -11,9 +11,9 @@
 	"sync/atomic"
 	"time"
 
+	"rooktrestle/internal/aggregator"
 	"rooktrestle/internal/config"
-	"rooktrestle/internal/decide/blocks"
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/control/shardmap"
 	"rooktrestle/internal/query"
 )
 
@@ -130,28 +130,28 @@
 	}
 	work := query.Work{Action: action, Record: r}
 	if s.Conf.Blocks.On() {
-		key := blocks.KeyOf(r.ID)
-		return s.ask(who, d, d.Correction, nil, work, func(v *blocks.View) []mixer.Spec {
-			return []mixer.Spec{{Shard: int(v.Map.At(key).ID), Weight: 1}}
+		key := shardmap.KeyOf(r.ID)
+		return s.ask(who, d, d.Correction, nil, work, func(v *shardmap.View) []aggregator.Spec {
+			return []aggregator.Spec{{Shard: int(v.Map.At(key).ID), Weight: 1}}
 		}, done)
 	}
 	return s.ask(who, d, d.Correction, []int{Place(d, r.ID)}, work, nil, done)
 }
 
 // everyBlock makes a part of each block of a view, by its share of the weight; nil where there is no map.
-func (s *Service) everyBlock() func(*blocks.View) []mixer.Spec {
+func (s *Service) everyBlock() func(*shardmap.View) []aggregator.Spec {
 	if !s.Conf.Blocks.On() {
 		return nil
 	}
-	return func(v *blocks.View) []mixer.Spec {
+	return func(v *shardmap.View) []aggregator.Spec {
 		list := v.Blocks()
-		specs := make([]mixer.Spec, len(list))
+		specs := make([]aggregator.Spec, len(list))
 		for i, b := range list {
 			w := b.Weight
 			if w <= 0 {
 				w = 1
 			}
-			specs[i] = mixer.Spec{Shard: int(b.ID), Weight: w / v.Map.Weight()}
+			specs[i] = aggregator.Spec{Shard: int(b.ID), Weight: w / v.Map.Weight()}
 		}
 		return specs
 	}
@@ -172,22 +172,22 @@
 	return d.Shards[int(h.Sum32()%uint32(len(d.Shards)))]
 }
 
-func (s *Service) ask(who Caller, d *config.Database, class string, shards []int, work query.Work, layout func(*blocks.View) []mixer.Spec, done func(Outcome)) (Cancel, *Outcome) {
+func (s *Service) ask(who Caller, d *config.Database, class string, shards []int, work query.Work, layout func(*shardmap.View) []aggregator.Spec, done func(Outcome)) (Cancel, *Outcome) {
 	index := s.Conf.Class(class)
 	tenant := s.Conf.Tenant(d.Tenant)
 	if t := s.Tenant(who.User); who.User != "" && t >= 0 {
 		tenant = t
 	}
-	r := &mixer.Request{
+	r := &aggregator.Request{
 		ID: fmt.Sprintf("%s-%d", s.Conf.Name, s.name.Add(1)), Class: index, Tenant: tenant,
 		Arrived: s.Now(), Wait: s.Conf.Classes[index].Deadline.Duration, Text: query.Encode(work), Layout: layout,
 	}
 	for _, shard := range shards {
-		r.Parts = append(r.Parts, mixer.Spec{Shard: shard, Weight: 1 / float64(len(shards))})
+		r.Parts = append(r.Parts, aggregator.Spec{Shard: shard, Weight: 1 / float64(len(shards))})
 	}
 	r.Front = &asked{done: done, byID: layout != nil}
-	s.Put(mixer.Arrive{Request: r})
-	return func() { s.Put(mixer.Left{Request: r}) }, nil
+	s.Put(aggregator.Arrive{Request: r})
+	return func() { s.Put(aggregator.Left{Request: r}) }, nil
 }
 
 // asked waits for a query's final answer.
@@ -198,26 +198,26 @@
 
 // Answer merges the parts: shards in order, each with its records in its own order; or where blocks may change, all
 // records in the order of their identifiers, so that a page is the same before and after.
-func (a *asked) Answer(f mixer.Final) {
+func (a *asked) Answer(f aggregator.Final) {
 	switch {
-	case f.Kind == mixer.Served:
+	case f.Kind == aggregator.Served:
 		a.done(merge(f, a.byID))
 	case f.Overdue:
 		a.done(Outcome{Kind: TimedOut})
-	case f.Kind == mixer.Refused:
+	case f.Kind == aggregator.Refused:
 		a.done(Outcome{Kind: Refused, RetryAfter: f.RetryAfter})
 	default:
 		a.done(Outcome{Kind: Failed})
 	}
 }
 
-func merge(f mixer.Final, byID bool) (o Outcome) {
+func merge(f aggregator.Final, byID bool) (o Outcome) {
 	if !f.Whole {
 		o.Kind = Partial
 	}
 	o.Missing, o.Of, o.Share = f.Missing, f.Of, f.Share
 	items := slices.Clone(f.Items)
-	slices.SortStableFunc(items, func(a, b mixer.Item) int { return a.Shard - b.Shard })
+	slices.SortStableFunc(items, func(a, b aggregator.Item) int { return a.Shard - b.Shard })
 	for _, i := range items {
 		var found query.Found
 		if err := json.Unmarshal([]byte(i.Value), &found); err != nil {
--- a/internal/partner/partner_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,11 +1,11 @@
-package partner
+package gateway
 
 import (
 	"testing"
 	"time"
 
+	"rooktrestle/internal/aggregator"
 	"rooktrestle/internal/config"
-	"rooktrestle/internal/mixer"
 	"rooktrestle/internal/query"
 )
 
@@ -32,19 +32,19 @@
 	two := value(query.Found{Count: 1, Records: []query.Record{{XML: "<c/>"}}})
 	said := value(query.Found{Trouble: &query.Diagnostic{Bib1: 114}})
 	for _, c := range []struct {
-		f     mixer.Final
+		f     aggregator.Final
 		kind  Kind
 		count int
 		first string
 	}{
-		{mixer.Final{Kind: mixer.Served, Whole: true, Items: []mixer.Item{{Shard: 3, Value: two}, {Shard: 1, Value: one}}}, Whole, 3, "<a/>"},
-		{mixer.Final{Kind: mixer.Served, Items: []mixer.Item{{Shard: 3, Value: two}}}, Partial, 1, "<c/>"},
-		{mixer.Final{Kind: mixer.Served, Whole: true, Items: []mixer.Item{{Shard: 3, Value: two}, {Shard: 4, Value: said}}}, ServerSaid, 1, "<c/>"},
-		{mixer.Final{Kind: mixer.Served, Whole: true, Items: []mixer.Item{{Value: "junk"}}}, Failed, 0, ""},
-		{mixer.Final{Kind: mixer.Refused, RetryAfter: time.Second}, Refused, 0, ""},
-		{mixer.Final{Kind: mixer.Refused, Overdue: true}, TimedOut, 0, ""},
-		{mixer.Final{Kind: mixer.Failed, Overdue: true}, TimedOut, 0, ""},
-		{mixer.Final{Kind: mixer.Failed}, Failed, 0, ""},
+		{aggregator.Final{Kind: aggregator.Served, Whole: true, Items: []aggregator.Item{{Shard: 3, Value: two}, {Shard: 1, Value: one}}}, Whole, 3, "<a/>"},
+		{aggregator.Final{Kind: aggregator.Served, Items: []aggregator.Item{{Shard: 3, Value: two}}}, Partial, 1, "<c/>"},
+		{aggregator.Final{Kind: aggregator.Served, Whole: true, Items: []aggregator.Item{{Shard: 3, Value: two}, {Shard: 4, Value: said}}}, ServerSaid, 1, "<c/>"},
+		{aggregator.Final{Kind: aggregator.Served, Whole: true, Items: []aggregator.Item{{Value: "junk"}}}, Failed, 0, ""},
+		{aggregator.Final{Kind: aggregator.Refused, RetryAfter: time.Second}, Refused, 0, ""},
+		{aggregator.Final{Kind: aggregator.Refused, Overdue: true}, TimedOut, 0, ""},
+		{aggregator.Final{Kind: aggregator.Failed, Overdue: true}, TimedOut, 0, ""},
+		{aggregator.Final{Kind: aggregator.Failed}, Failed, 0, ""},
 	} {
 		var got Outcome
 		(&asked{done: func(o Outcome) { got = o }}).Answer(c.f)
--- a/internal/net/discovery/crossings_test.go
+++ b/internal/net/discovery/crossings_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/aggregator"
 	"rooktrestle/internal/net/tcp"
 )
 
@@ -73,9 +73,9 @@
 }
 
 // follow runs a watch until the test ends and returns what it lists.
-func follow(t *testing.T, w *Watch) chan mixer.Members {
-	listed := make(chan mixer.Members, 20)
-	w.Put = func(e any) { listed <- e.(mixer.Members) }
+func follow(t *testing.T, w *Watch) chan aggregator.Members {
+	listed := make(chan aggregator.Members, 20)
+	w.Put = func(e any) { listed <- e.(aggregator.Members) }
 	if w.Log == nil {
 		w.Log = t.Logf
 	}
@@ -85,7 +85,7 @@
 	return listed
 }
 
-func one(t *testing.T, listed chan mixer.Members, kind balance.ListKind, id balance.Replica) {
+func one(t *testing.T, listed chan aggregator.Members, kind balance.ListKind, id balance.Replica) {
 	t.Helper()
 	if m := <-listed; m.Kind != kind || len(m.List) != 1 || m.List[0].ID != id {
 		t.Errorf("%+v, want %s", m, id)
--- a/internal/net/discovery/watch.go
+++ b/internal/net/discovery/watch.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/decide/watch"
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/aggregator"
+	"rooktrestle/internal/control/listwatch"
 	"rooktrestle/internal/net/tcp"
 	"rooktrestle/internal/protocol/http1"
 	"rooktrestle/internal/protocol/jsonstream"
@@ -43,7 +43,7 @@
 
 // Parse reads a list as discovery words it. Entries in a state that is not known count as draining: nothing
 // new goes there.
-func Parse(text []byte, zones []string) (version int64, m mixer.Members, err error) {
+func Parse(text []byte, zones []string) (version int64, m aggregator.Members, err error) {
 	var l list
 	if err := json.Unmarshal(text, &l); err != nil {
 		return 0, m, fmt.Errorf("discovery: %w", err)
@@ -60,7 +60,7 @@
 		if !ok {
 			state = balance.Draining
 		}
-		s := mixer.Server{
+		s := aggregator.Server{
 			ID: balance.Replica(e.ID), Addr: e.Addr, Zone: zone(e.Zone, zones), Cell: e.Cell, Weight: e.Weight, State: state,
 		}
 		if e.Started > 0 {
@@ -93,7 +93,7 @@
 	Chance  func() float64                       // from 0 to 1, for waits; nil: none
 	After   func(time.Duration) <-chan time.Time // nil: time.After
 	heard   func()
-	calls   *watch.Calls
+	calls   *listwatch.Calls
 
 	moves chan string // the newest address not yet gone to; made by Run or Move, whichever comes first
 	made  sync.Once
@@ -118,7 +118,7 @@
 
 // Run follows the list until stop is closed. heard is called after each message.
 func (w *Watch) Run(stop <-chan struct{}, heard func()) {
-	w.heard, w.calls = heard, watch.New(watch.Platform(w.Mixers))
+	w.heard, w.calls = heard, listwatch.New(listwatch.Platform(w.Mixers))
 	if w.After == nil {
 		w.After = time.After
 	}
--- a/internal/net/discovery/watch_test.go
+++ b/internal/net/discovery/watch_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/aggregator"
 )
 
 func TestLists(t *testing.T) {
@@ -58,7 +58,7 @@
 		if index := <-asked; index != want {
 			t.Errorf("watch %d from %s, want %s", i, index, want)
 		}
-		if m := (<-got).(mixer.Members); (m.Kind == balance.ListFull) != (i == 0) {
+		if m := (<-got).(aggregator.Members); (m.Kind == balance.ListFull) != (i == 0) {
 			t.Errorf("watch %d: %+v", i, m)
 		}
 	}
@@ -91,7 +91,7 @@
 		if a := <-asked; a != ask {
 			t.Errorf("asked %q, want %q", a, ask)
 		}
-		if m := (<-got).(mixer.Members); m.Kind != kind || len(m.List) != 1 || m.List[0].ID != id {
+		if m := (<-got).(aggregator.Members); m.Kind != kind || len(m.List) != 1 || m.List[0].ID != id {
 			t.Errorf("%+v", m)
 		}
 	}
--- a/internal/net/peers/peers.go
+++ b/internal/net/gossip/gossip.go
@@ -1,6 +1,6 @@
 // Package peers carries short datagrams between the mixers of one tier. It neither reads nor trusts what they
 // hold: that is for the decisions. Datagrams may be lost, late, doubled or garbled.
-package peers
+package gossip
 
 import (
 	"errors"
--- a/internal/net/peers/peers_test.go
+++ b/internal/net/gossip/gossip_test.go
@@ -1,4 +1,4 @@
-package peers
+package gossip
 
 import (
 	"net"
--- a/internal/net/mapsource/mapsource.go
+++ b/internal/net/shardmapsource/shardmapsource.go
@@ -1,6 +1,6 @@
 // Package mapsource watches where maps of blocks come from: a file, or an HTTP source with long poll. It tells what it
 // reads, good or bad; whether a map may follow the present one is decided elsewhere. It never blocks who is told.
-package mapsource
+package shardmapsource
 
 import (
 	"errors"
--- a/internal/net/mapsource/mapsource_test.go
+++ b/internal/net/shardmapsource/shardmapsource_test.go
@@ -1,4 +1,4 @@
-package mapsource
+package shardmapsource
 
 import (
 	"errors"
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,7 @@
-package wire
+// Package settings reads the settings object that the platform hands to each aggregator, and the simulator to each
+// simulated one. It states classes, tenants, zones, limits and the rules of the platform. The object's keys are the
+// platform's words and stay; the fields here carry the terms of the code.
+package settings
 
 import (
 	"encoding/json"
@@ -9,13 +12,13 @@
 	"rooktrestle/balance"
 )
 
-// micros is a time on the wire.
+// micros is a duration in the settings object, in microseconds.
 type micros int64
 
-func (m micros) time() time.Duration { return time.Duration(m) * time.Microsecond }
+func (m micros) duration() time.Duration { return time.Duration(m) * time.Microsecond }
 
-// env is the settings object as the wire spells it. Other keys are ignored.
-type env struct {
+// document is the settings object as the platform spells it. Other keys are ignored.
+type document struct {
 	Classes []struct {
 		Name       string  `json:"name"`
 		Aim        micros  `json:"aim"`
@@ -99,65 +102,72 @@
 	MaxRetryAfter  time.Duration // the longest advice that clients follow, whether or not the simulator forwards it
 }
 
-// ParseSettings reads what the decisions need. Keys that it does not know are ignored.
-func ParseSettings(text []byte) (balance.Settings, error) {
-	d, err := ParseDeployment(text)
-	return d.Decisions, err
-}
-
-// ParseDeployment reads the settings object whole.
-func ParseDeployment(text []byte) (Deployment, error) {
-	var e env
-	if err := json.Unmarshal(text, &e); err != nil {
+// Parse reads the settings object. Unknown keys are ignored.
+func Parse(text []byte) (Deployment, error) {
+	var doc document
+	if err := json.Unmarshal(text, &doc); err != nil {
 		return Deployment{}, fmt.Errorf("settings: %w", err)
 	}
 	d := Deployment{
-		Zones: e.Zones, ConnIdle: e.Limits.ConnIdle.time(), ConnectTimeout: e.Limits.ConnectTimeout.time(),
-		Rank: e.Rank, MaxOpen: e.Limits.MaxOpen, Streams: max(1, e.Limits.StreamsPerConn),
-		MaxRetryAfter: e.Limits.MaxRetryAfter.time(),
+		Zones: doc.Zones, ConnIdle: doc.Limits.ConnIdle.duration(), ConnectTimeout: doc.Limits.ConnectTimeout.duration(),
+		Rank: doc.Rank, MaxOpen: doc.Limits.MaxOpen, Streams: max(1, doc.Limits.StreamsPerConn),
+		MaxRetryAfter: doc.Limits.MaxRetryAfter.duration(),
 	}
 	set := balance.Settings{
-		Instances: e.Instances, Tick: e.Tick.time(), Zone: e.Zone, OverShareWorth: e.OverShareWorth,
-		ByWork: e.CountedBy == "work",
-		Cells:  e.Extra.Cells, Reach: e.Extra.InARow, Shards: e.Extra.Slices,
-		CallWork: e.Extra.Call.time(), CallParts: e.Extra.PerCall, WarmKeys: e.Extra.WarmKeys,
-		MaxAttempts: e.Limits.SendCap, SecondCopies: e.Limits.SecondCopies,
-		CanCancel: e.Limits.Cancel, CanProbe: e.Limits.Probing,
-		MarksRetry: e.Callers.MarksRetry,
-		Peers:      e.Limits.PeerMessages, ProbeWait: e.Limits.ConnectTimeout.time(),
-		ReportsOnProbe: e.LoadInfo.How == "pull", OnRequest: e.RegistryMode == "on_request",
+		Instances: doc.Instances, Tick: doc.Tick.duration(), Zone: doc.Zone, OverShareWorth: doc.OverShareWorth,
+		ByWork: doc.CountedBy == "work",
+		Cells:  doc.Extra.Cells, Reach: doc.Extra.InARow, Shards: doc.Extra.Slices,
+		CallWork: doc.Extra.Call.duration(), CallParts: doc.Extra.PerCall, WarmKeys: doc.Extra.WarmKeys,
+		MaxAttempts: doc.Limits.SendCap, SecondCopies: doc.Limits.SecondCopies,
+		CanCancel: doc.Limits.Cancel, CanProbe: doc.Limits.Probing,
+		MarksRetry: doc.Callers.MarksRetry,
+		Peers:      doc.Limits.PeerMessages, ProbeWait: doc.Limits.ConnectTimeout.duration(),
+		ReportsOnProbe: doc.LoadInfo.How == "pull", OnRequest: doc.RegistryMode == "on_request",
 		Rules: balance.Rules{
-			ColdFor: e.Rules.Cold.time(), ColdFrom: e.Rules.ColdFrom,
-			TipMultiple: e.Rules.TipMultiple, TipFor: e.Rules.Fall.time(),
-			BudgetWindow: e.Rules.BudgetWindow.time(), BudgetFree: e.Rules.BudgetFree,
-			BudgetRatio: e.Rules.FurtherRatio, MustAskIn: e.Rules.MustAskIn.time(),
+			ColdFor: doc.Rules.Cold.duration(), ColdFrom: doc.Rules.ColdFrom,
+			TipMultiple: doc.Rules.TipMultiple, TipFor: doc.Rules.Fall.duration(),
+			BudgetWindow: doc.Rules.BudgetWindow.duration(), BudgetFree: doc.Rules.BudgetFree,
+			BudgetRatio: doc.Rules.FurtherRatio, MustAskIn: doc.Rules.MustAskIn.duration(),
 		},
 	}
-	if e.Limits.RetryAfter {
-		set.MaxRetryAfter = e.Limits.MaxRetryAfter.time()
+	if doc.Limits.RetryAfter {
+		set.MaxRetryAfter = doc.Limits.MaxRetryAfter.duration()
 	}
-	n := len(e.Classes)
-	x := e.Extra
+	n := len(doc.Classes)
+	x := doc.Extra
 	if len(x.ClassFloor) != n || len(x.NeedByClass) != n || len(x.IncompleteWorth) != n || len(x.FollowUp) != n {
 		return d, errors.New("settings: extra does not state each class once")
 	}
-	for i, c := range e.Classes {
+	for i, c := range doc.Classes {
 		effect, ok := effects[c.Effect]
 		if !ok {
 			return d, fmt.Errorf("settings: class %d: effect %q is not known", i, c.Effect)
 		}
 		d.Classes = append(d.Classes, c.Name)
 		set.Classes = append(set.Classes, balance.Class{
-			Aim: c.Aim.time(), AimStretch: c.AimStretch, Deadline: c.Deadline.time(), Worth: c.Credit,
-			LateWorth: c.LateWorth, Effect: effect, Window: c.MemorySpan.time(),
+			Aim: c.Aim.duration(), AimStretch: c.AimStretch, Deadline: c.Deadline.duration(), Worth: c.Credit,
+			LateWorth: c.LateWorth, Effect: effect, Window: c.MemorySpan.duration(),
 			Floor: x.ClassFloor[i], Need: x.NeedByClass[i], Partial: x.IncompleteWorth[i],
 			FollowUp: x.FollowUp[i],
 		})
 	}
-	for _, o := range e.Orgs {
+	for _, o := range doc.Orgs {
 		d.Tenants = append(d.Tenants, o.Name)
 		set.Tenants = append(set.Tenants, balance.Tenant{Quota: o.Quota})
 	}
 	d.Decisions = set
 	return d, nil
 }
+
+// SetLoadValue stores one value of a load report under its field. Leaf servers name the values as the settings do, or
+// by the words of the protocol's page; unknown names are skipped.
+func SetLoadValue(r *balance.Report, name string, value float64) {
+	switch name {
+	case "pending", "queue":
+		r.Queue = value
+	case "busy_reqs", "inflight":
+		r.InFlight = value
+	case "cpu_share", "util":
+		r.Util = value
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/simadapter/wire.go
@@ -1,6 +1,6 @@
-// Package wire reads and prints the bench's wire: frames of events in, actions
+// Package simadapter reads and prints the bench's wire: frames of events in, actions
 // out. It decides nothing.
-package wire
+package simadapter
 
 import (
 	"bufio"
@@ -14,6 +14,7 @@
 	"time"
 
 	"rooktrestle/balance"
+	"rooktrestle/internal/settings"
 )
 
 // Start is a gatherer's start. It knows nothing yet.
@@ -168,12 +169,13 @@
 func (r *Reader) event(m *message) (any, error) {
 	switch m.name {
 	case "POWER_ON":
-		set, err := ParseSettings([]byte(m.text("env")))
-		set.Seed = m.unsigned("seed")
+		deployment, err := settings.Parse([]byte(m.text("env")))
+		decisions := deployment.Decisions
+		decisions.Seed = m.unsigned("seed")
 		if m.err != nil {
 			return nil, nil
 		}
-		return Start{set}, err
+		return Start{decisions}, err
 	case "RETIRE":
 		return Stop{}, nil
 	case "MEMBERSHIP":
@@ -429,19 +431,6 @@
 	})
 }
 
-// Load puts a value of a load report in its place. Values not known are skipped. Leaf servers name them as the
-// settings do, or in the words of the protocol's page.
-func Load(r *balance.Report, name string, v float64) {
-	switch name {
-	case "pending", "queue":
-		r.Queue = v
-	case "busy_reqs", "inflight":
-		r.InFlight = v
-	case "cpu_share", "util":
-		r.Util = v
-	}
-}
-
 // report reads the load report of a message, nil where there is none. Values not recognised are skipped.
 func (m *message) report(key string) *balance.Report {
 	text := m.textOr(key, "")
@@ -456,7 +445,7 @@
 			m.fail("%s: %q is not name:number", key, pair)
 			return nil
 		}
-		Load(rep, name, v)
+		settings.SetLoadValue(rep, name, v)
 	}
 	return rep
 }
--- a/internal/wire/wire_test.go
+++ b/internal/simadapter/wire_test.go
@@ -1,4 +1,4 @@
-package wire
+package simadapter
 
 import (
 	"io"
@@ -10,7 +10,7 @@
 	"rooktrestle/balance"
 )
 
-const settings = `{"callers":{"marks_retry":true},` +
+const settingsJSON = `{"callers":{"marks_retry":true},` +
 	`"classes":[{"aim":1000,"credit":2,"deadline":3000,"effect":"keyed","late_worth":0.3,` +
 	`"memory_span":500,"unheard_of":1}],"counted_by":"work","extra":{"call":7,"cells":3,"class_floor":[0.5],` +
 	`"follow_up":[2],"in_a_row":2,"incomplete_worth":[0.8],"need_by_class":[1],"per_call":4,"slices":6},` +
@@ -26,7 +26,7 @@
 func TestReadsEveryEvent(t *testing.T) {
 	f, err := read(t,
 		"TARGET_INSTANCE\tgatherer=gatherer_3",
-		"POWER_ON\tseed=9\tenv="+settings,
+		"POWER_ON\tseed=9\tenv="+settingsJSON,
 		"DEFINE_LIST\tlist=2\tmembers=1",
 		"SERVER\tserver=10.0.0.1:80\tarea=1\tset_no=2\tphase=terminating\tsize=1.5\tlast_start=40",
 		"MEMBERSHIP\tlist=2\tform=C\tseq_no=4",
--- a/internal/state/keep/keep.go
+++ b/internal/state/atomicfile/atomicfile.go
@@ -1,7 +1,7 @@
 // Package keep keeps one value in a file so that a crash at any byte leaves the old or the new one: it is written
 // beside, forced to the disk, and put in its place by a rename that is forced, too. Each value carries its length and
 // a checksum, so that a file that was harmed in another way is known as such.
-package keep
+package atomicfile
 
 import (
 	"encoding/binary"
--- a/internal/state/keep/keep_test.go
+++ b/internal/state/atomicfile/atomicfile_test.go
@@ -1,4 +1,4 @@
-package keep
+package atomicfile
 
 import (
 	"bytes"
--- a/internal/lab/client/client.go
+++ b/internal/testbed/client/client.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"rooktrestle/internal/lab/ber"
+	"rooktrestle/internal/testbed/ber"
 )
 
 // Outcome of one call, as its caller sees it.
--- a/internal/lab/install/install.go
+++ b/internal/testbed/deployment/deployment.go
@@ -1,6 +1,6 @@
 // Package install sets up a whole installation for a test, a demonstration or an experiment: stand-in nodes of both
 // protocols, an operator's file written for them, and the real second front started from it in this process.
-package install
+package deployment
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 
 	"rooktrestle/internal/app"
 	"rooktrestle/internal/config"
-	"rooktrestle/internal/lab/node"
+	"rooktrestle/internal/testbed/replica"
 )
 
 // Options of an installation.
@@ -39,9 +39,9 @@
 
 // Install is a running installation.
 type Install struct {
-	Archive *node.Archive
-	Nodes   []*node.Node
-	Agents  []*node.Agent
+	Archive *replica.Archive
+	Nodes   []*replica.Node
+	Agents  []*replica.Agent
 	Front   *app.Partners
 	Config  string // path of the operator's file
 	Events  *Events
@@ -51,7 +51,7 @@
 // Start starts an installation.
 func Start(o Options) (in *Install, err error) {
 	o.Reach = max(1, o.Reach)
-	in = &Install{Archive: node.NewArchive(o.Nodes), Events: &Events{next: o.Log}}
+	in = &Install{Archive: replica.NewArchive(o.Nodes), Events: &Events{next: o.Log}}
 	defer func() {
 		if err != nil {
 			in.Stop()
@@ -70,14 +70,14 @@
 		}
 		in.Nodes = append(in.Nodes, n)
 		if o.Agents {
-			a, err := node.NewAgent("up ready 100%")
+			a, err := replica.NewAgent("up ready 100%")
 			if err != nil {
 				return in, err
 			}
 			in.Agents = append(in.Agents, a)
 		}
 	}
-	if in.dir, err = os.MkdirTemp("", "rooklab"); err != nil {
+	if in.dir, err = os.MkdirTemp("", "testbed"); err != nil {
 		return in, err
 	}
 	in.Config = filepath.Join(in.dir, "partners.toml")
@@ -112,7 +112,7 @@
 		blocks, cells = o.Nodes-o.Reach+1, o.Nodes+o.OtherCount
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, `# Written by rooklab for %d stand-in nodes.
+	fmt.Fprintf(&b, `# Written by testbed for %d stand-in nodes.
 name = "lab"
 [listen]
 sru = "127.0.0.1:0"
@@ -189,7 +189,7 @@
 }
 
 // Node finds a node by its name.
-func (in *Install) Node(name string) *node.Node {
+func (in *Install) Node(name string) *replica.Node {
 	for _, n := range in.Nodes {
 		if n.Name == name {
 			return n
--- a/internal/lab/health/health_test.go
+++ b/internal/testbed/health/health_test.go
@@ -6,20 +6,20 @@
 	"testing"
 	"time"
 
-	"rooktrestle/internal/lab/client"
-	"rooktrestle/internal/lab/install"
-	"rooktrestle/internal/lab/load"
-	"rooktrestle/internal/lab/node"
-	"rooktrestle/internal/lab/rules"
+	"rooktrestle/internal/testbed/client"
+	"rooktrestle/internal/testbed/deployment"
+	"rooktrestle/internal/testbed/invariants"
+	"rooktrestle/internal/testbed/load"
+	"rooktrestle/internal/testbed/replica"
 )
 
 // patience is how long an event is waited for: a failure, not a verdict.
 const patience = 60 * time.Second
 
-func installed(t *testing.T, o install.Options) *install.Install {
+func installed(t *testing.T, o deployment.Options) *deployment.Install {
 	t.Helper()
 	o.Nodes, o.Reach, o.Seed, o.Every = 4, 2, 1, 50*time.Millisecond
-	in, err := install.Start(o)
+	in, err := deployment.Start(o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -28,27 +28,27 @@
 }
 
 // underLoad keeps a load on, so that parts can tell.
-func underLoad(t *testing.T, in *install.Install) (*load.Result, func()) {
+func underLoad(t *testing.T, in *deployment.Install) (*load.Result, func()) {
 	calls, stop := load.Start(load.Plan{SRU: in.Front.Addr("sru"), Z3950: in.Front.Addr("z3950"), Rate: 60, Mix: load.Usual, Seed: 1,
 		Timeout: patience, Origins: 8})
 	t.Cleanup(stop)
 	return calls, stop
 }
 
-func await(t *testing.T, told <-chan install.Event) install.Event {
+func await(t *testing.T, told <-chan deployment.Event) deployment.Event {
 	t.Helper()
 	select {
 	case ev := <-told:
 		return ev
 	case <-time.After(patience):
 		t.Fatal("the event did not come")
-		return install.Event{}
+		return deployment.Event{}
 	}
 }
 
-func keepsRules(t *testing.T, in *install.Install) {
+func keepsRules(t *testing.T, in *deployment.Install) {
 	t.Helper()
-	if twice := rules.Twice(in.Archive); len(twice) > 0 {
+	if twice := invariants.Twice(in.Archive); len(twice) > 0 {
 		t.Errorf("corrections ran twice: %v", twice)
 	}
 	c := in.Front.Count()
@@ -57,7 +57,7 @@
 	}
 }
 
-func held(in *install.Install) int {
+func held(in *deployment.Install) int {
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if c := in.Front.Count(); c.Taken == c.Served+c.Refused+c.Failed+c.Gone {
 			return 0
@@ -69,15 +69,15 @@
 // A node that fails its parts while every check of it is good gets trials only, no correction among them, and is back
 // once it is sound.
 func TestGoodChecksDoNotKeepAFailingNode(t *testing.T) {
-	in := installed(t, install.Options{Agents: true})
+	in := installed(t, deployment.Options{Agents: true})
 	_, stop := underLoad(t, in)
-	left := in.Events.Next(install.Health("n1", "parts fail"))
-	in.Node("n1").Set(node.Faults{Error: 1})
+	left := in.Events.Next(deployment.Health("n1", "parts fail"))
+	in.Node("n1").Set(replica.Faults{Error: 1})
 	await(t, left)
 	time.Sleep(300 * time.Millisecond) // what was under way has come
 	from := time.Now()
 	time.Sleep(3 * time.Second)
-	share, parts := rules.Share(in.Archive, "n1", from, time.Now())
+	share, parts := invariants.Share(in.Archive, "n1", from, time.Now())
 	if share > 0.05 || parts < 100 {
 		t.Errorf("%.1f%% of %d parts", 100*share, parts)
 	}
@@ -86,8 +86,8 @@
 			t.Errorf("correction %s went to the failing node", e.ID)
 		}
 	}
-	back := in.Events.Next(install.Health("n1", "well"))
-	in.Node("n1").Set(node.Faults{})
+	back := in.Events.Next(deployment.Health("n1", "well"))
+	in.Node("n1").Set(replica.Faults{})
 	await(t, back)
 	stop()
 	keepsRules(t, in)
@@ -96,22 +96,22 @@
 // Once a node's word of drain is taken, nothing new reaches it, though it holds blocks that are asked for all the
 // time, and what it had in hand is answered.
 func TestDrainByAgent(t *testing.T) {
-	in := installed(t, install.Options{Agents: true})
+	in := installed(t, deployment.Options{Agents: true})
 	for _, n := range in.Nodes {
-		n.Set(node.Faults{Delay: 100 * time.Millisecond, Greet: 100 * time.Millisecond})
+		n.Set(replica.Faults{Delay: 100 * time.Millisecond, Greet: 100 * time.Millisecond})
 	}
 	calls, stop := underLoad(t, in)
 	for i, name := range []string{"n0", "n1"} {
-		word := in.Events.Next(install.Health(name, "drain"))
-		in.Agents[i].Set("up drain", node.Speaks)
+		word := in.Events.Next(deployment.Health(name, "drain"))
+		in.Agents[i].Set("up drain", replica.Speaks)
 		ev := await(t, word)
 		// What was on its way when the word was taken has long come; how soon it ends is for the recorded runs.
 		time.Sleep(2 * time.Second)
-		if late, last := rules.After(in.Archive, name, ev.At, time.Second); len(late) > 0 {
+		if late, last := invariants.After(in.Archive, name, ev.At, time.Second); len(late) > 0 {
 			t.Errorf("%s: %d new parts, the last %v after its word", name, len(late), last)
 		}
-		well := in.Events.Next(install.Health(name, "well"))
-		in.Agents[i].Set("up ready", node.Speaks)
+		well := in.Events.Next(deployment.Health(name, "well"))
+		in.Agents[i].Set("up ready", replica.Speaks)
 		await(t, well)
 	}
 	stop()
@@ -125,9 +125,9 @@
 
 // A node that says down and serves is left; as the only holder of a block it is used, and the log says why.
 func TestNodeThatSaysDownIsTheLastResort(t *testing.T) {
-	in := installed(t, install.Options{SRUOnly: true})
-	left := in.Events.Next(install.Health("n1", "down (status 500)"))
-	in.Node("n1").Say(node.Health{Status: 500})
+	in := installed(t, deployment.Options{SRUOnly: true})
+	left := in.Events.Next(deployment.Health("n1", "down (status 500)"))
+	in.Node("n1").Say(replica.Health{Status: 500})
 	await(t, left)
 	time.Sleep(300 * time.Millisecond)
 	from := time.Now()
@@ -138,10 +138,10 @@
 			t.Errorf("correction %d: %v", i, out)
 		}
 	}
-	if share, _ := rules.Share(in.Archive, "n1", from, time.Now()); share != 0 {
+	if share, _ := invariants.Share(in.Archive, "n1", from, time.Now()); share != 0 {
 		t.Errorf("%.0f%% of the parts at a node that says down", 100*share)
 	}
-	alone := in.Events.Next(install.Health("n1", "alone"))
+	alone := in.Events.Next(deployment.Health("n1", "alone"))
 	in.Node("n2").Kill()
 	await(t, alone)
 	for i := range 10 {
@@ -154,12 +154,12 @@
 
 // All checks fail while parts succeed: they are doubted, and every search is answered whole.
 func TestBrokenChecksAreDoubted(t *testing.T) {
-	in := installed(t, install.Options{})
+	in := installed(t, deployment.Options{})
 	calls, stop := underLoad(t, in)
 	time.Sleep(500 * time.Millisecond)
-	doubt := in.Events.Next(install.Health("n2", "doubted"))
+	doubt := in.Events.Next(deployment.Health("n2", "doubted"))
 	for _, n := range in.Nodes {
-		n.Say(node.Health{Status: 503, Refuse: true})
+		n.Say(replica.Health{Status: 503, Refuse: true})
 	}
 	await(t, doubt)
 	if line, err := client.Agent(in.Front.Addr("agent"), "", patience); err != nil || !strings.HasPrefix(line, "up ready") {
@@ -183,7 +183,7 @@
 
 // The mixer says which block it cannot answer, in every form, and that it can again.
 func TestOwnWordNamesTheLostBlock(t *testing.T) {
-	in := installed(t, install.Options{SRUOnly: true})
+	in := installed(t, deployment.Options{SRUOnly: true})
 	ready := func(page string) (int, string) {
 		status, head, body, err := client.Get("http://"+in.Front.Addr("health")+page, patience)
 		if err != nil {
--- a/internal/lab/health/witness.go
+++ b/internal/testbed/health/observer.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"rooktrestle/internal/lab/client"
+	"rooktrestle/internal/testbed/client"
 )
 
 // sampleEvery is how often the word is compared with what a client gets.
--- a/internal/lab/health/scenario.go
+++ b/internal/testbed/health/scenario.go
@@ -12,12 +12,12 @@
 	"sync"
 	"time"
 
-	"rooktrestle/internal/lab/ber"
-	"rooktrestle/internal/lab/client"
-	"rooktrestle/internal/lab/install"
-	"rooktrestle/internal/lab/load"
-	"rooktrestle/internal/lab/node"
-	"rooktrestle/internal/lab/rules"
+	"rooktrestle/internal/testbed/ber"
+	"rooktrestle/internal/testbed/client"
+	"rooktrestle/internal/testbed/deployment"
+	"rooktrestle/internal/testbed/invariants"
+	"rooktrestle/internal/testbed/load"
+	"rooktrestle/internal/testbed/replica"
 )
 
 // Result of one run of a scenario.
@@ -43,8 +43,8 @@
 	}
 }
 
-func (r *Result) rules(in *install.Install) {
-	twice := rules.Twice(in.Archive)
+func (r *Result) rules(in *deployment.Install) {
+	twice := invariants.Twice(in.Archive)
 	r.set("corrections-twice", float64(len(twice)))
 	r.claim(len(twice) == 0, "corrections ran twice: %v", twice)
 }
@@ -69,15 +69,15 @@
 // rate is the steady load, in calls a second; a search has a part for each block.
 const rate = 40
 
-func begin(in *install.Install, seed uint64) (*load.Result, func()) {
+func begin(in *deployment.Install, seed uint64) (*load.Result, func()) {
 	return load.Start(load.Plan{SRU: in.Front.Addr("sru"), Z3950: in.Front.Addr("z3950"), Rate: rate, Mix: load.Usual, Seed: seed,
 		Timeout: 5 * time.Second, Origins: 16})
 }
 
 // loaded starts an installation whose nodes answer steadily, with callers. The returned function ends both.
-func loaded(o install.Options, seed uint64) (in *install.Install, calls *load.Result, end func(), err error) {
+func loaded(o deployment.Options, seed uint64) (in *deployment.Install, calls *load.Result, end func(), err error) {
 	o.Seed = seed
-	if in, err = install.Start(o); err != nil {
+	if in, err = deployment.Start(o); err != nil {
 		return nil, nil, nil, err
 	}
 	for _, n := range in.Nodes {
@@ -87,12 +87,12 @@
 	return in, calls, end, nil
 }
 
-func steady() node.Faults {
-	return node.Faults{Delay: 5 * time.Millisecond, Jitter: 10 * time.Millisecond}
+func steady() replica.Faults {
+	return replica.Faults{Delay: 5 * time.Millisecond, Jitter: 10 * time.Millisecond}
 }
 
 // wait waits for an event, for a time at most, and returns how long after since it came.
-func wait(told <-chan install.Event, since time.Time, most time.Duration) (time.Duration, bool) {
+func wait(told <-chan deployment.Event, since time.Time, most time.Duration) (time.Duration, bool) {
 	select {
 	case ev := <-told:
 		return ev.At.Sub(since), true
@@ -104,7 +104,7 @@
 // LiarUp measures how soon a node is left whose checks all say healthy while it fails 80% of its parts, what share
 // it keeps, what its failing costs, and how soon it is back once sound.
 func LiarUp(seed uint64) (r Result, err error) {
-	in, calls, end, err := loaded(install.Options{Nodes: 4, Reach: 2, Agents: true}, seed)
+	in, calls, end, err := loaded(deployment.Options{Nodes: 4, Reach: 2, Agents: true}, seed)
 	if err != nil {
 		return r, err
 	}
@@ -114,9 +114,9 @@
 	time.Sleep(4 * time.Second)
 	bad := steady()
 	bad.Error = 0.8
-	left := in.Events.Next(install.Health("n1", "parts fail"))
+	left := in.Events.Next(deployment.Health("n1", "parts fail"))
 	fault := time.Now()
-	before, _ := rules.Share(in.Archive, "n1", start.Add(time.Second), fault)
+	before, _ := invariants.Share(in.Archive, "n1", start.Add(time.Second), fault)
 	r.set("share-before-%", 100*before)
 	in.Node("n1").Set(bad)
 	detect, ok := wait(left, fault, 3*time.Second)
@@ -126,7 +126,7 @@
 	from := time.Now()
 	time.Sleep(12 * time.Second)
 	to := time.Now()
-	back := in.Events.Next(install.Health("n1", "well"))
+	back := in.Events.Next(deployment.Health("n1", "well"))
 	in.Node("n1").Set(steady())
 	sound := time.Now()
 	recover, ok := wait(back, sound, 10*time.Second)
@@ -137,7 +137,7 @@
 	time.Sleep(4 * time.Second)
 	over := time.Now()
 	end()
-	share, parts := rules.Share(in.Archive, "n1", from, to)
+	share, parts := invariants.Share(in.Archive, "n1", from, to)
 	r.set("share-%", 100*share)
 	r.set("parts", float64(parts))
 	r.claim(share < 0.02, "%.2f%% of the parts after 3 s", 100*share)
@@ -145,11 +145,11 @@
 	r.set("whole-%", 100*whole)
 	r.claim(whole >= 0.995, "%.2f%% whole answers", 100*whole)
 	r.set("whole-at-onset-%", 100*load.WholeShare(calls.Calls(fault, from)))
-	share, _ = rules.Share(in.Archive, "n1", again, over)
+	share, _ = invariants.Share(in.Archive, "n1", again, over)
 	r.set("share-back-%", 100*share)
 	r.claim(share > before/2, "%.1f%% of the parts after its return, %.1f%% before", 100*share, 100*before)
 	for at := start; at.Before(over); at = at.Add(250 * time.Millisecond) {
-		s, _ := rules.Share(in.Archive, "n1", at, at.Add(250*time.Millisecond))
+		s, _ := invariants.Share(in.Archive, "n1", at, at.Add(250*time.Millisecond))
 		r.Series = append(r.Series, Point{at.Sub(fault).Seconds(), 100 * s})
 	}
 	r.rules(in)
@@ -158,7 +158,7 @@
 
 // Drain measures how long after a node's word of drain the last new part reaches it.
 func Drain(seed uint64) (r Result, err error) {
-	others := node.NewArchive(1)
+	others := replica.NewArchive(1)
 	defer others.Close()
 	quick, err := others.SRU("quick", seed)
 	if err != nil {
@@ -170,8 +170,8 @@
 		return r, err
 	}
 	defer slow.Kill()
-	slow.Say(node.Health{Hang: true})
-	in, err := install.Start(install.Options{Nodes: 6, Reach: 3, Seed: seed, Agents: true, Every: 200 * time.Millisecond, Sockets: 4096,
+	slow.Say(replica.Health{Hang: true})
+	in, err := deployment.Start(deployment.Options{Nodes: 6, Reach: 3, Seed: seed, Agents: true, Every: 200 * time.Millisecond, Sockets: 4096,
 		Others: func(i int) string {
 			if i%20 == 0 {
 				return slow.Addr()
@@ -191,18 +191,18 @@
 	defer end()
 	time.Sleep(4 * time.Second)
 	for i, name := range []string{"n1", "n2"} { // one of each protocol
-		word := in.Events.Next(install.Health(name, "drain"))
+		word := in.Events.Next(deployment.Health(name, "drain"))
 		set := time.Now()
-		in.Agents[1+i].Set("up drain", node.Speaks)
+		in.Agents[1+i].Set("up drain", replica.Speaks)
 		_, ok := wait(word, set, 5*time.Second)
 		r.claim(ok, "%s: its word was not heard within 5 s", name)
 		time.Sleep(2 * time.Second)
 		told := in.Agents[1+i].Told()
-		late, last := rules.After(in.Archive, name, told, 300*time.Millisecond)
+		late, last := invariants.After(in.Archive, name, told, 300*time.Millisecond)
 		r.claim(len(late) == 0, "%s: %d new parts later than 300 ms after its word", name, len(late))
 		r.set("last-part-"+name+"-ms", float64(last.Microseconds())/1000)
 		r.set("heard-"+name+"-ms", float64(told.Sub(set).Milliseconds()))
-		in.Agents[1+i].Set("up ready 100%", node.Speaks)
+		in.Agents[1+i].Set("up ready 100%", replica.Speaks)
 		time.Sleep(time.Second)
 	}
 	to := time.Now()
@@ -216,25 +216,25 @@
 
 // LiarDown: a node says down and serves. It is left; once it holds a block alone, parts reach it and the log says why.
 func LiarDown(seed uint64) (r Result, err error) {
-	in, calls, end, err := loaded(install.Options{Nodes: 4, Reach: 2, SRUOnly: true}, seed)
+	in, calls, end, err := loaded(deployment.Options{Nodes: 4, Reach: 2, SRUOnly: true}, seed)
 	if err != nil {
 		return r, err
 	}
 	defer in.Stop()
 	defer end()
 	time.Sleep(2 * time.Second)
-	left := in.Events.Next(install.Health("n1", "down (status 500)"))
+	left := in.Events.Next(deployment.Health("n1", "down (status 500)"))
 	at := time.Now()
-	in.Node("n1").Say(node.Health{Status: 500})
+	in.Node("n1").Say(replica.Health{Status: 500})
 	d, ok := wait(left, at, 3*time.Second)
 	r.claim(ok, "not left")
 	r.set("left-s", d.Seconds())
 	from := time.Now().Add(300 * time.Millisecond)
 	time.Sleep(3 * time.Second)
-	share, _ := rules.Share(in.Archive, "n1", from, time.Now())
+	share, _ := invariants.Share(in.Archive, "n1", from, time.Now())
 	r.set("share-left-%", 100*share)
 	r.claim(share == 0, "%.1f%% of the parts at a node that says down", 100*share)
-	alone := in.Events.Next(install.Health("n1", "alone"))
+	alone := in.Events.Next(deployment.Health("n1", "alone"))
 	in.Node("n2").Kill() // block 1 is held by n1 and n2
 	at = time.Now()
 	d, ok = wait(alone, at, 3*time.Second)
@@ -244,7 +244,7 @@
 	from = time.Now()
 	time.Sleep(4 * time.Second)
 	to := time.Now()
-	share, _ = rules.Share(in.Archive, "n1", from, to)
+	share, _ = invariants.Share(in.Archive, "n1", from, to)
 	r.set("share-alone-%", 100*share)
 	r.claim(share > 0.15, "%.1f%% of the parts at the only holder", 100*share)
 	end()
@@ -257,7 +257,7 @@
 
 // Blind: all checks fail at once while parts succeed. Service goes on.
 func Blind(seed uint64) (r Result, err error) {
-	in, calls, end, err := loaded(install.Options{Nodes: 6, Reach: 2}, seed)
+	in, calls, end, err := loaded(deployment.Options{Nodes: 6, Reach: 2}, seed)
 	if err != nil {
 		return r, err
 	}
@@ -266,7 +266,7 @@
 	time.Sleep(3 * time.Second)
 	from := time.Now()
 	for _, n := range in.Nodes {
-		n.Say(node.Health{Status: 503, Refuse: true})
+		n.Say(replica.Health{Status: 503, Refuse: true})
 	}
 	worst := 0.0
 	for time.Since(from) < 8*time.Second {
@@ -277,7 +277,7 @@
 	}
 	to := time.Now()
 	for _, n := range in.Nodes {
-		n.Say(node.Health{})
+		n.Say(replica.Health{})
 	}
 	time.Sleep(2 * time.Second)
 	end()
@@ -293,7 +293,7 @@
 // Agents: five nodes' agents hang, drip, flood, slam and refuse, the sixth speaks. Time and memory are bounded, and
 // the checks of the others keep their pace.
 func Agents(seed uint64) (r Result, err error) {
-	in, calls, end, err := loaded(install.Options{Nodes: 6, Reach: 2, Agents: true, Every: 100 * time.Millisecond}, seed)
+	in, calls, end, err := loaded(deployment.Options{Nodes: 6, Reach: 2, Agents: true, Every: 100 * time.Millisecond}, seed)
 	if err != nil {
 		return r, err
 	}
@@ -304,14 +304,14 @@
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	from := time.Now()
-	for i, how := range []node.Manner{node.Hangs, node.Drips, node.Floods, node.Slams} {
+	for i, how := range []replica.Manner{replica.Hangs, replica.Drips, replica.Floods, replica.Slams} {
 		in.Agents[i].Set("", how)
 	}
 	in.Agents[4].Close()
 	time.Sleep(6 * time.Second)
-	word := in.Events.Next(install.Health("n5", "drain"))
+	word := in.Events.Next(deployment.Health("n5", "drain"))
 	at := time.Now()
-	in.Agents[5].Set("drain", node.Speaks)
+	in.Agents[5].Set("drain", replica.Speaks)
 	d, ok := wait(word, at, 5*time.Second)
 	r.claim(ok && d < time.Second, "the agent that speaks was heard after %v", d)
 	r.set("heard-s", d.Seconds())
@@ -336,7 +336,7 @@
 // Crowd opens 700 silent or half-begun connections on each listener in turn. Meanwhile callers on every listener, new
 // ones included, and health checks are served, and an association with a result set in use keeps it.
 func Crowd(seed uint64) (r Result, err error) {
-	in, err := install.Start(install.Options{Nodes: 4, Reach: 2, Seed: seed})
+	in, err := deployment.Start(deployment.Options{Nodes: 4, Reach: 2, Seed: seed})
 	if err != nil {
 		return r, err
 	}
@@ -398,9 +398,9 @@
 
 // slowCalls begins a call over each protocol that takes a while, and returns once its parts are in hand. The returned
 // function waits for their outcomes.
-func slowCalls(in *install.Install) func() map[string]client.Outcome {
+func slowCalls(in *deployment.Install) func() map[string]client.Outcome {
 	for _, n := range in.Nodes {
-		n.Set(node.Faults{Delay: 600 * time.Millisecond})
+		n.Set(replica.Faults{Delay: 600 * time.Millisecond})
 	}
 	type named struct {
 		name string
@@ -426,7 +426,7 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	for _, n := range in.Nodes {
-		n.Set(node.Faults{})
+		n.Set(replica.Faults{})
 	}
 	return func() map[string]client.Outcome {
 		all := map[string]client.Outcome{}
@@ -461,7 +461,7 @@
 // Truth compares the mixer's own word with what a client asking at that moment gets, each 50 ms, while a block loses
 // its holders and gets them back, while the mixer is overloaded, and while it drains.
 func Truth(seed uint64) (r Result, err error) {
-	in, err := install.Start(install.Options{Nodes: 4, Reach: 2, Seed: seed, MaxOpen: 200})
+	in, err := deployment.Start(deployment.Options{Nodes: 4, Reach: 2, Seed: seed, MaxOpen: 200})
 	if err != nil {
 		return r, err
 	}
@@ -486,12 +486,12 @@
 	phase("block-back", 5*time.Second, func() { in.Node("n1").Start(); in.Node("n2").Start() })
 	phase("checks-lie-down", 4*time.Second, func() {
 		for _, n := range in.Nodes {
-			n.Say(node.Health{Status: 500, Refuse: true})
+			n.Say(replica.Health{Status: 500, Refuse: true})
 		}
 	})
 	phase("checks-well", 3*time.Second, func() {
 		for _, n := range in.Nodes {
-			n.Say(node.Health{})
+			n.Say(replica.Health{})
 		}
 	})
 	var end func()
--- a/internal/lab/rules/rules.go
+++ b/internal/testbed/invariants/invariants.go
@@ -1,17 +1,17 @@
 // Package rules checks what stand-in nodes saw against the rules that hold whatever is built: no correction runs
 // twice, nothing new goes to a node that drains.
-package rules
+package invariants
 
 import (
 	"fmt"
 	"slices"
 	"time"
 
-	"rooktrestle/internal/lab/node"
+	"rooktrestle/internal/testbed/replica"
 )
 
 // Twice lists the corrections that began more than once.
-func Twice(a *node.Archive) (ids []string) {
+func Twice(a *replica.Archive) (ids []string) {
 	for id, n := range a.Changed() {
 		if n > 1 {
 			ids = append(ids, fmt.Sprintf("%s (%d times)", id, n))
@@ -23,7 +23,7 @@
 
 // After lists the parts whose first byte reached a node later than so long after a moment, and the latest of all
 // parts there after it.
-func After(a *node.Archive, name string, moment time.Time, limit time.Duration) (late []node.Event, last time.Duration) {
+func After(a *replica.Archive, name string, moment time.Time, limit time.Duration) (late []replica.Event, last time.Duration) {
 	for _, e := range a.Events(moment) {
 		if e.Node != name {
 			continue
@@ -38,7 +38,7 @@
 }
 
 // Share is the share of the parts begun between two moments that one node got, and how many there were.
-func Share(a *node.Archive, name string, from, to time.Time) (share float64, all int) {
+func Share(a *replica.Archive, name string, from, to time.Time) (share float64, all int) {
 	mine := 0
 	for _, e := range a.Events(from) {
 		if e.At.Before(to) {
--- a/internal/lab/load/load.go
+++ b/internal/testbed/load/load.go
@@ -10,7 +10,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"rooktrestle/internal/lab/client"
+	"rooktrestle/internal/testbed/client"
 )
 
 // Mix is what is called, by weight.
--- a/internal/lab/node/archive.go
+++ b/internal/testbed/replica/archive.go
@@ -1,7 +1,7 @@
 // Package node has stand-ins of archive nodes, of SRU 1.2 with its record update and of Z39.50, after the public
 // specifications, with faults by plan and with checks that lie in both directions. They share no code with the
 // program.
-package node
+package replica
 
 import (
 	"fmt"
--- a/internal/lab/node/sru.go
+++ b/internal/testbed/replica/sru.go
@@ -1,4 +1,4 @@
-package node
+package replica
 
 import (
 	"context"
--- a/internal/lab/node/z3950.go
+++ b/internal/testbed/replica/z3950.go
@@ -1,4 +1,4 @@
-package node
+package replica
 
 import (
 	"bufio"
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"rooktrestle/internal/lab/ber"
+	"rooktrestle/internal/testbed/ber"
 )
 
 // serveZ serves a Z39.50 target and returns how to end it.
--- a/internal/lab/reshape/check.go
+++ b/internal/testbed/resharding/check.go
@@ -1,4 +1,4 @@
-package reshape
+package resharding
 
 import (
 	"fmt"
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"rooktrestle/internal/lab/client"
+	"rooktrestle/internal/testbed/client"
 )
 
 // Answer is what one search came to, compared with the archive's known content.
--- a/internal/lab/reshape/content.go
+++ b/internal/testbed/resharding/content.go
@@ -1,7 +1,7 @@
 // Package reshape is the laboratory's archive whose blocks split, merge and move: nodes that hold records by range and
 // fence by epoch, a source of maps, a controller that carries plans out and may be killed at any step, and a checker
 // that compares every answer with the archive's known content.
-package reshape
+package resharding
 
 import (
 	"encoding/json"
@@ -11,7 +11,7 @@
 	"strings"
 	"sync"
 
-	"rooktrestle/internal/lab/node"
+	"rooktrestle/internal/testbed/replica"
 )
 
 // Content is all records of the archive, in the order of their identifiers. It does not change: corrections are only
@@ -44,8 +44,8 @@
 	return c.IDs[a:max(a, b)]
 }
 
-func record(id string) node.Record {
-	return node.Record{ID: id, XML: `<dc:dc xmlns:dc="http://purl.org/dc/elements/1.1/"><dc:identifier>` + id + `</dc:identifier></dc:dc>`}
+func record(id string) replica.Record {
+	return replica.Record{ID: id, XML: `<dc:dc xmlns:dc="http://purl.org/dc/elements/1.1/"><dc:identifier>` + id + `</dc:identifier></dc:dc>`}
 }
 
 // holding is what a node knows of one block.
@@ -187,7 +187,7 @@
 }
 
 // Search answers from the records of a block.
-func (s *Shelf) Search(base string, most int) (list []node.Record, count int, word string) {
+func (s *Shelf) Search(base string, most int) (list []replica.Record, count int, word string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h, word := s.find(base)
