--- a/internal/lab/reshape/controller.go
+++ b/internal/testbed/resharding/controller.go
@@ -1,4 +1,4 @@
-package reshape
+package resharding
 
 import (
 	"encoding/json"
@@ -11,9 +11,9 @@
 	"time"
 
 	"rooktrestle/internal/app/background"
-	"rooktrestle/internal/decide/blocks"
-	"rooktrestle/internal/decide/schedule"
-	"rooktrestle/internal/state/keep"
+	"rooktrestle/internal/control/scheduler"
+	"rooktrestle/internal/control/shardmap"
+	"rooktrestle/internal/state/atomicfile"
 )
 
 // Source is a stand-in of an HTTP source of maps with long poll, and faults.
@@ -109,25 +109,25 @@
 type Controller struct {
 	Shelves map[string]*Shelf
 	Publish func(epoch uint64, text []byte)
-	Timing  blocks.Timing
+	Timing  shardmap.Timing
 	Killed  func(at string) bool // if set, asked before each step of its own: true ends it there
 	Log     func(text string)
 	// Copying runs the copies of joining nodes in the background, within its budget.
 	Copying *background.Runner
 
-	mapBox, planBox *keep.Box
-	now             *blocks.Map
-	copies          map[string]schedule.ID
+	mapBox, planBox *atomicfile.Box
+	now             *shardmap.Map
+	copies          map[string]scheduler.ID
 }
 
 var errKilled = errors.New("killed")
 
 // NewController opens the state in a folder; first is the map where none is kept.
-func NewController(dir string, first *blocks.Map, c Controller) (*Controller, error) {
-	c.mapBox, c.planBox = keep.New(keep.OS{}, dir+"/map"), keep.New(keep.OS{}, dir+"/plan")
+func NewController(dir string, first *shardmap.Map, c Controller) (*Controller, error) {
+	c.mapBox, c.planBox = atomicfile.New(atomicfile.OS{}, dir+"/map"), atomicfile.New(atomicfile.OS{}, dir+"/plan")
 	text, err := c.mapBox.Load()
 	switch {
-	case errors.Is(err, keep.ErrNone):
+	case errors.Is(err, atomicfile.ErrNone):
 		c.now = first
 		if err := c.mapBox.Store(first.Print()); err != nil {
 			return nil, err
@@ -135,7 +135,7 @@
 	case err != nil:
 		return nil, err
 	default:
-		if c.now, err = blocks.Parse(text); err != nil {
+		if c.now, err = shardmap.Parse(text); err != nil {
 			return nil, err
 		}
 	}
@@ -143,12 +143,12 @@
 }
 
 // Map is the present map.
-func (c *Controller) Map() *blocks.Map { return c.now }
+func (c *Controller) Map() *shardmap.Map { return c.now }
 
 func (c *Controller) killed(at string) bool { return c.Killed != nil && c.Killed(at) }
 
 // announce tells the nodes of a map, then everybody.
-func (c *Controller) announce(m *blocks.Map) error {
+func (c *Controller) announce(m *shardmap.Map) error {
 	text := m.Print()
 	for name, s := range c.Shelves {
 		if c.killed("telling " + name) {
@@ -166,7 +166,7 @@
 }
 
 // Copied says whether a joining node has all of a block. One that has not is copied to in the background.
-func (c *Controller) Copied(block blocks.ID, server string) bool {
+func (c *Controller) Copied(block shardmap.ID, server string) bool {
 	s := c.Shelves[server]
 	if s == nil {
 		return false
@@ -182,26 +182,26 @@
 	}
 	if !copying {
 		if c.copies == nil {
-			c.copies = map[string]schedule.ID{}
+			c.copies = map[string]scheduler.ID{}
 		}
-		c.copies[name] = c.Copying.Add(schedule.Task{Priority: schedule.Idle, Every: time.Millisecond}, 0, func() (schedule.Pace, bool) {
+		c.copies[name] = c.Copying.Add(scheduler.Task{Priority: scheduler.Idle, Every: time.Millisecond}, 0, func() (scheduler.Pace, bool) {
 			s.CopyOn(uint64(block))
-			return schedule.Steady, false
+			return scheduler.Steady, false
 		})
 	}
 	return false
 }
 
 // Knows is the epoch that a node knows.
-func (c *Controller) Knows(server string) blocks.Epoch {
+func (c *Controller) Knows(server string) shardmap.Epoch {
 	if s := c.Shelves[server]; s != nil {
-		return blocks.Epoch(s.Knows())
+		return shardmap.Epoch(s.Knows())
 	}
 	return 0
 }
 
 // Start keeps a plan, so that it is carried out whatever happens.
-func (c *Controller) Start(p *blocks.Plan) error {
+func (c *Controller) Start(p *shardmap.Plan) error {
 	text, err := json.Marshal(p)
 	if err != nil {
 		return err
@@ -212,17 +212,17 @@
 // Run carries the kept plan out, until it is done, killed, or stop is closed.
 func (c *Controller) Run(stop <-chan struct{}) error {
 	text, err := c.planBox.Load()
-	if errors.Is(err, keep.ErrNone) || err == nil && len(text) == 0 {
+	if errors.Is(err, atomicfile.ErrNone) || err == nil && len(text) == 0 {
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	var p blocks.Plan
+	var p shardmap.Plan
 	if err := json.Unmarshal(text, &p); err != nil {
 		return err
 	}
-	carry := &blocks.Carry{Plan: &p}
+	carry := &shardmap.Carry{Plan: &p}
 	for {
 		move, err := carry.Next(time.Now(), c.now, c)
 		switch {
--- a/internal/lab/reshape/reshape_test.go
+++ b/internal/testbed/resharding/resharding_test.go
@@ -1,4 +1,4 @@
-package reshape
+package resharding
 
 import (
 	"errors"
@@ -11,10 +11,10 @@
 
 	"rooktrestle/internal/app"
 	"rooktrestle/internal/config"
-	"rooktrestle/internal/decide/blocks"
-	"rooktrestle/internal/lab/client"
-	"rooktrestle/internal/lab/install"
-	"rooktrestle/internal/lab/node"
+	"rooktrestle/internal/control/shardmap"
+	"rooktrestle/internal/testbed/client"
+	"rooktrestle/internal/testbed/deployment"
+	"rooktrestle/internal/testbed/replica"
 )
 
 func started(t *testing.T, o Options) *Archive {
@@ -28,8 +28,8 @@
 	if o.Records == 0 {
 		o.Records = 96
 	}
-	if o.Timing == (blocks.Timing{}) {
-		o.Timing = blocks.Timing{Spread: 50 * time.Millisecond, Query: 200 * time.Millisecond}
+	if o.Timing == (shardmap.Timing{}) {
+		o.Timing = shardmap.Timing{Spread: 50 * time.Millisecond, Query: 200 * time.Millisecond}
 	}
 	a, err := Start(o)
 	if err != nil {
@@ -64,7 +64,7 @@
 const patience = 30 * time.Second
 
 // carry carries a plan out.
-func (a *Archive) carry(t *testing.T, p *blocks.Plan, err error) {
+func (a *Archive) carry(t *testing.T, p *shardmap.Plan, err error) {
 	t.Helper()
 	if err == nil {
 		err = a.Controller.Start(p)
@@ -78,7 +78,7 @@
 }
 
 // adopted waits until a front has an epoch.
-func (a *Archive) adopted(t *testing.T, front int, epoch blocks.Epoch) {
+func (a *Archive) adopted(t *testing.T, front int, epoch shardmap.Epoch) {
 	t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		for _, e := range a.Events[front].All() {
@@ -90,7 +90,7 @@
 	t.Fatalf("front %d does not adopt epoch %d", front, epoch)
 }
 
-func (a *Archive) node(name string) *node.Node {
+func (a *Archive) node(name string) *replica.Node {
 	for _, n := range a.Nodes {
 		if n.Name == name {
 			return n
@@ -103,12 +103,12 @@
 // runs once there, and nowhere else; the client is told the truth.
 func TestCorrectionInHandWhileItsBlockMoves(t *testing.T) {
 	for name, c := range map[string]struct {
-		faults node.Faults
+		faults replica.Faults
 		want   client.Outcome
 	}{
-		"answers late": {node.Faults{Delay: 700 * time.Millisecond}, client.Whole},
-		"resets":       {node.Faults{Delay: 300 * time.Millisecond, Reset: 1}, client.Failed},
-		"hangs":        {node.Faults{Hang: 1}, client.Failed},
+		"answers late": {replica.Faults{Delay: 700 * time.Millisecond}, client.Whole},
+		"resets":       {replica.Faults{Delay: 300 * time.Millisecond, Reset: 1}, client.Failed},
+		"hangs":        {replica.Faults{Hang: 1}, client.Failed},
 	} {
 		a := started(t, Options{Seed: 3, Nodes: 6, Blocks: 1})
 		for _, n := range []string{"n0", "n1"} { // the holders at the start
@@ -120,7 +120,7 @@
 		for a.Ran()[id] == 0 {
 			time.Sleep(time.Millisecond)
 		}
-		p, err := blocks.PlanMove(a.Controller.Map(), 1, []string{"n3", "n4"}, blocks.Timing{})
+		p, err := shardmap.PlanMove(a.Controller.Map(), 1, []string{"n3", "n4"}, shardmap.Timing{})
 		a.carry(t, p, err)
 		a.adopted(t, 0, a.Controller.Map().Epoch)
 		if got := <-out; got != c.want {
@@ -141,7 +141,7 @@
 // source, which says nothing either; with the map it goes on. Nothing runs twice.
 func TestFrontThatHearsLate(t *testing.T) {
 	a := started(t, Options{Seed: 4, Nodes: 6, Blocks: 1, Fronts: 2, Late: time.Second})
-	p, err := blocks.PlanMove(a.Controller.Map(), 1, []string{"n3", "n4"}, blocks.Timing{})
+	p, err := shardmap.PlanMove(a.Controller.Map(), 1, []string{"n3", "n4"}, shardmap.Timing{})
 	a.carry(t, p, err)
 	a.adopted(t, 0, 4)
 	id := a.Content.IDs[7] + "-late"
@@ -179,16 +179,16 @@
 	m := a.Controller.Map()
 	b := m.Block(1)
 	in := a.Content.in(string(b.From), string(b.To))
-	p, err := blocks.PlanSplit(m, 1, []blocks.Key{blocks.Key(keyOf(in[len(in)/2]))}, blocks.Timing{})
+	p, err := shardmap.PlanSplit(m, 1, []shardmap.Key{shardmap.Key(keyOf(in[len(in)/2]))}, shardmap.Timing{})
 	a.carry(t, p, err)
 	a.adopted(t, 0, a.Controller.Map().Epoch)
 	page(16)
-	p, err = blocks.PlanMove(a.Controller.Map(), 3, []string{"n2", "n3"}, blocks.Timing{})
+	p, err = shardmap.PlanMove(a.Controller.Map(), 3, []string{"n2", "n3"}, shardmap.Timing{})
 	a.carry(t, p, err)
 	page(31)
-	p, err = blocks.PlanMove(a.Controller.Map(), 4, []string{"n2", "n3"}, blocks.Timing{})
+	p, err = shardmap.PlanMove(a.Controller.Map(), 4, []string{"n2", "n3"}, shardmap.Timing{})
 	a.carry(t, p, err)
-	p, err = blocks.PlanMerge(a.Controller.Map(), []blocks.ID{3, 4}, blocks.Timing{})
+	p, err = shardmap.PlanMerge(a.Controller.Map(), []shardmap.ID{3, 4}, shardmap.Timing{})
 	a.carry(t, p, err)
 	a.adopted(t, 0, a.Controller.Map().Epoch)
 	page(46)
@@ -206,16 +206,16 @@
 			t.Errorf("%s: %+v", what, got)
 		}
 	}
-	refused := func(part string) <-chan install.Event {
-		return a.Events[0].Next(func(e install.Event) bool {
+	refused := func(part string) <-chan deployment.Event {
+		return a.Events[0].Next(func(e deployment.Event) bool {
 			return e.Msg == "map refused, the present one stays" && strings.Contains(e.Attrs["err"], part)
 		})
 	}
 	now := a.Controller.Map()
-	weights := func(w float64) *blocks.Map {
+	weights := func(w float64) *shardmap.Map {
 		b := *now.Block(1)
 		b.Weight = w
-		m, err := now.Change([]*blocks.Block{&b}, nil)
+		m, err := now.Change([]*shardmap.Block{&b}, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -249,7 +249,7 @@
 		b := *later.Block(1)
 		b.Weight++
 		var err error
-		if later, err = later.Change([]*blocks.Block{&b}, nil); err != nil {
+		if later, err = later.Change([]*shardmap.Block{&b}, nil); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -266,15 +266,15 @@
 func TestControllerKilledAtEveryStep(t *testing.T) {
 	a := started(t, Options{Seed: 7, Nodes: 4, Blocks: 2})
 	web := Web(patience)
-	plans := []func(*blocks.Map) (*blocks.Plan, error){
-		func(m *blocks.Map) (*blocks.Plan, error) {
-			return blocks.PlanMove(m, 1, []string{"n2", "n3"}, blocks.Timing{})
+	plans := []func(*shardmap.Map) (*shardmap.Plan, error){
+		func(m *shardmap.Map) (*shardmap.Plan, error) {
+			return shardmap.PlanMove(m, 1, []string{"n2", "n3"}, shardmap.Timing{})
 		},
-		func(m *blocks.Map) (*blocks.Plan, error) {
-			return blocks.PlanSplit(m, 1, []blocks.Key{"p01@2000"}, blocks.Timing{})
+		func(m *shardmap.Map) (*shardmap.Plan, error) {
+			return shardmap.PlanSplit(m, 1, []shardmap.Key{"p01@2000"}, shardmap.Timing{})
 		},
-		func(m *blocks.Map) (*blocks.Plan, error) {
-			return blocks.PlanMerge(m, []blocks.ID{3, 4}, blocks.Timing{})
+		func(m *shardmap.Map) (*shardmap.Plan, error) {
+			return shardmap.PlanMerge(m, []shardmap.ID{3, 4}, shardmap.Timing{})
 		},
 	}
 	kills := 0
@@ -318,7 +318,7 @@
 // The last good map is kept, and serves a start without a source; an older one from the source is refused then.
 func TestStartsFromTheKeptMap(t *testing.T) {
 	a := started(t, Options{Seed: 8, Nodes: 4, Blocks: 2, Keep: true})
-	p, err := blocks.PlanMove(a.Controller.Map(), 1, []string{"n2", "n3"}, blocks.Timing{})
+	p, err := shardmap.PlanMove(a.Controller.Map(), 1, []string{"n2", "n3"}, shardmap.Timing{})
 	a.carry(t, p, err)
 	a.adopted(t, 0, 4)
 	for end := time.Now().Add(patience); !strings.Contains(a.Fronts[0].Report(), "kept 4"); time.Sleep(5 * time.Millisecond) {
@@ -332,7 +332,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a.Events[0] = &install.Events{}
+	a.Events[0] = &deployment.Events{}
 	if a.Fronts[0], err = app.StartPartners(conf, 9, slog.New(a.Events[0])); err != nil {
 		t.Fatal(err)
 	}
@@ -340,7 +340,7 @@
 	if got := a.Search(Web(patience), a.Fronts[0].Addr("sru"), "captions"); got.Outcome != client.Whole || got.Wrong != "" {
 		t.Errorf("%+v", got)
 	}
-	told := a.Events[0].Next(func(e install.Event) bool { return strings.Contains(e.Attrs["err"], "older epoch") })
+	told := a.Events[0].Next(func(e deployment.Event) bool { return strings.Contains(e.Attrs["err"], "older epoch") })
 	first, err := a.first()
 	if err != nil {
 		t.Fatal(err)
@@ -357,7 +357,7 @@
 func TestLyingNode(t *testing.T) {
 	a := started(t, Options{Seed: 9})
 	a.Shelves["n1"].Lie("not mine since epoch 1")
-	left := a.Events[0].Next(install.Health("n1", "parts fail"))
+	left := a.Events[0].Next(deployment.Health("n1", "parts fail"))
 	web := Web(patience)
 	for end := time.Now().Add(patience); time.Now().Before(end); {
 		if got := a.Search(web, a.Fronts[0].Addr("sru"), "captions"); got.Outcome != client.Whole || got.Wrong != "" {
--- a/internal/lab/reshape/run.go
+++ b/internal/testbed/resharding/run.go
@@ -1,4 +1,4 @@
-package reshape
+package resharding
 
 import (
 	"fmt"
@@ -8,9 +8,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"rooktrestle/internal/decide/blocks"
-	"rooktrestle/internal/lab/ber"
-	"rooktrestle/internal/lab/client"
+	"rooktrestle/internal/control/shardmap"
+	"rooktrestle/internal/testbed/ber"
+	"rooktrestle/internal/testbed/client"
 )
 
 // Load is a run of callers.
@@ -200,10 +200,10 @@
 }
 
 // plan makes a random plan for the present map: more blocks are split while there are few, and merged while many.
-func (a *Archive) plan(rng *rand.Rand) (string, *blocks.Plan) {
+func (a *Archive) plan(rng *rand.Rand) (string, *shardmap.Plan) {
 	m := a.Controller.Map()
-	var list []*blocks.Block
-	m.Active(func(b *blocks.Block) bool { list = append(list, b); return true })
+	var list []*shardmap.Block
+	m.Active(func(b *shardmap.Block) bool { list = append(list, b); return true })
 	i := rng.IntN(len(list))
 	b := list[i]
 	switch x := rng.Float64(); {
@@ -212,7 +212,7 @@
 		for _, k := range rng.Perm(len(a.Nodes))[:2] {
 			to = append(to, a.Nodes[k].Name)
 		}
-		p, err := blocks.PlanMove(m, b.ID, to, a.Timing)
+		p, err := shardmap.PlanMove(m, b.ID, to, a.Timing)
 		if err == nil {
 			return "move", p
 		}
@@ -221,8 +221,8 @@
 		if len(in) < 2 {
 			return "", nil
 		}
-		k := blocks.Key(keyOf(in[1+rng.IntN(len(in)-1)]))
-		if p, err := blocks.PlanSplit(m, b.ID, []blocks.Key{k}, a.Timing); err == nil {
+		k := shardmap.Key(keyOf(in[1+rng.IntN(len(in)-1)]))
+		if p, err := shardmap.PlanSplit(m, b.ID, []shardmap.Key{k}, a.Timing); err == nil {
 			return "split", p
 		}
 	default:
@@ -231,7 +231,7 @@
 			if k+1 >= len(list) {
 				continue
 			}
-			if p, err := blocks.PlanMerge(m, []blocks.ID{list[k].ID, list[k+1].ID}, a.Timing); err == nil {
+			if p, err := shardmap.PlanMerge(m, []shardmap.ID{list[k].ID, list[k+1].ID}, a.Timing); err == nil {
 				return "merge", p
 			}
 		}
@@ -240,7 +240,7 @@
 			for _, h := range list[i+1].Servers() {
 				to = append(to, h.Server)
 			}
-			if p, err := blocks.PlanMove(m, b.ID, to, a.Timing); err == nil {
+			if p, err := shardmap.PlanMove(m, b.ID, to, a.Timing); err == nil {
 				return "move", p
 			}
 		}
--- a/internal/lab/reshape/setup.go
+++ b/internal/testbed/resharding/setup.go
@@ -1,4 +1,4 @@
-package reshape
+package resharding
 
 import (
 	"fmt"
@@ -9,14 +9,14 @@
 	"strings"
 	"time"
 
+	"rooktrestle/internal/aggregator"
 	"rooktrestle/internal/app"
 	"rooktrestle/internal/app/background"
 	"rooktrestle/internal/config"
-	"rooktrestle/internal/decide/blocks"
-	"rooktrestle/internal/decide/schedule"
-	"rooktrestle/internal/lab/install"
-	"rooktrestle/internal/lab/node"
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/control/scheduler"
+	"rooktrestle/internal/control/shardmap"
+	"rooktrestle/internal/testbed/deployment"
+	"rooktrestle/internal/testbed/replica"
 )
 
 // Options of an archive.
@@ -29,7 +29,7 @@
 	Copies  float64       // a second, of a few records each, all copies together; 0: 2,000
 	Records int
 	Keep    bool // fronts keep the last good map
-	Timing  blocks.Timing
+	Timing  shardmap.Timing
 	Delay   time.Duration // of an answer
 	Log     slog.Handler
 	Class   string // more keys of the class of searches
@@ -39,13 +39,13 @@
 type Archive struct {
 	Options
 	Content    *Content
-	Archive    *node.Archive
-	Nodes      []*node.Node
+	Archive    *replica.Archive
+	Nodes      []*replica.Node
 	Shelves    map[string]*Shelf
 	Sources    []*Source
 	Controller *Controller
 	Fronts     []*app.Partners
-	Events     []*install.Events
+	Events     []*deployment.Events
 	Dir        string
 	late       []*time.Timer
 	copying    *background.Runner
@@ -54,7 +54,7 @@
 
 // Start starts an archive.
 func Start(o Options) (a *Archive, err error) {
-	a = &Archive{Options: o, Content: NewContent(max(4, o.Records/12), 4, 3), Archive: node.NewArchive(0), Shelves: map[string]*Shelf{}}
+	a = &Archive{Options: o, Content: NewContent(max(4, o.Records/12), 4, 3), Archive: replica.NewArchive(0), Shelves: map[string]*Shelf{}}
 	defer func() {
 		if err != nil {
 			a.Stop()
@@ -74,7 +74,7 @@
 		if err != nil {
 			return a, err
 		}
-		n.Set(node.Faults{Delay: o.Delay, Jitter: o.Delay})
+		n.Set(replica.Faults{Delay: o.Delay, Jitter: o.Delay})
 		s := NewShelf(name, a.Content)
 		n.Put(s)
 		a.Nodes, a.Shelves[name] = append(a.Nodes, n), s
@@ -89,7 +89,7 @@
 	if o.Copies == 0 {
 		o.Copies = 2000
 	}
-	if a.copying, err = background.New(schedule.Budget{PerSecond: o.Copies, Burst: 2, AtOnce: 2}, o.Seed, mixer.SystemClock{}); err != nil {
+	if a.copying, err = background.New(scheduler.Budget{PerSecond: o.Copies, Burst: 2, AtOnce: 2}, o.Seed, aggregator.SystemClock{}); err != nil {
 		return a, err
 	}
 	a.stop = make(chan struct{})
@@ -102,7 +102,7 @@
 		return a, err
 	}
 	for i, s := range a.Sources {
-		ev := &install.Events{}
+		ev := &deployment.Events{}
 		ev.Then(o.Log)
 		path := filepath.Join(a.Dir, fmt.Sprintf("front%d.toml", i))
 		if err = os.WriteFile(path, []byte(a.file(i, s.Addr())), 0o600); err != nil {
@@ -112,7 +112,7 @@
 		if err != nil {
 			return a, err
 		}
-		adopted := ev.Next(func(e install.Event) bool { return e.Msg == "map adopted" })
+		adopted := ev.Next(func(e deployment.Event) bool { return e.Msg == "map adopted" })
 		f, err := app.StartPartners(conf, o.Seed+uint64(i), slog.New(ev))
 		if err != nil {
 			return a, err
@@ -128,7 +128,7 @@
 }
 
 // Control makes the controller anew, as after it was killed.
-func (a *Archive) Control(first *blocks.Map, killed func(at string) bool) error {
+func (a *Archive) Control(first *shardmap.Map, killed func(at string) bool) error {
 	c, err := NewController(a.Dir, first, Controller{Shelves: a.Shelves, Publish: a.publish, Timing: a.Timing, Killed: killed, Copying: a.copying})
 	a.Controller = c
 	return err
@@ -146,7 +146,7 @@
 }
 
 // first cuts the keys into blocks of about the same size.
-func (a *Archive) first() (*blocks.Map, error) {
+func (a *Archive) first() (*shardmap.Map, error) {
 	var keys []string
 	for _, id := range a.Content.IDs {
 		if k := keyOf(id); len(keys) == 0 || keys[len(keys)-1] != k {
@@ -154,20 +154,20 @@
 		}
 	}
 	n := min(a.Blocks, len(keys))
-	var list []*blocks.Block
+	var list []*shardmap.Block
 	for i := range n {
-		b := &blocks.Block{ID: blocks.ID(i + 1), State: blocks.Serving, Holders: []blocks.Holder{
+		b := &shardmap.Block{ID: shardmap.ID(i + 1), State: shardmap.Serving, Holders: []shardmap.Holder{
 			{Server: a.Nodes[i%len(a.Nodes)].Name}, {Server: a.Nodes[(i+1)%len(a.Nodes)].Name}}}
 		if i > 0 {
-			b.From = blocks.Key(keys[i*len(keys)/n])
+			b.From = shardmap.Key(keys[i*len(keys)/n])
 		}
 		if i+1 < n {
-			b.To = blocks.Key(keys[(i+1)*len(keys)/n])
+			b.To = shardmap.Key(keys[(i+1)*len(keys)/n])
 		}
 		b.Weight = float64(len(a.Content.in(string(b.From), string(b.To))))
 		list = append(list, b)
 	}
-	return blocks.New("captions", 1, blocks.ID(n+1), list)
+	return shardmap.New("captions", 1, shardmap.ID(n+1), list)
 }
 
 func (a *Archive) file(i int, source string) string {
--- a/internal/lab/sim/mixer.go
+++ b/internal/testbed/sim/aggregator.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/decide/health"
-	"rooktrestle/internal/decide/outlier"
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/aggregator"
+	"rooktrestle/internal/control/health"
+	"rooktrestle/internal/control/outlier"
 )
 
 // Classes of queries.
@@ -33,12 +33,12 @@
 type mixerHost struct {
 	w      *world
 	index  int
-	core   *mixer.Core
+	core   *aggregator.Core
 	set    balance.Settings
 	inbox  []any
 	turned bool // a turn is due now
 	wake   time.Time
-	works  map[mixer.AttemptID]*work
+	works  map[aggregator.AttemptID]*work
 	order  []*work                       // as sent, of those in works and some that have ended
 	told   map[balance.Replica]time.Time // when it was told that a node drains or is gone
 	states map[balance.Replica]balance.State
@@ -68,7 +68,7 @@
 	known := m.states
 	m.life++
 	m.dead, m.inbox, m.turned, m.wake = false, nil, false, time.Time{}
-	m.works, m.order, m.open = map[mixer.AttemptID]*work{}, nil, map[*asked]bool{}
+	m.works, m.order, m.open = map[aggregator.AttemptID]*work{}, nil, map[*asked]bool{}
 	m.told, m.states, m.starts = map[balance.Replica]time.Time{}, map[balance.Replica]balance.State{}, map[balance.Replica]time.Time{}
 	m.ev = map[balance.Replica]balance.Evidence{}
 	m.set = m.settings()
@@ -76,7 +76,7 @@
 	if err != nil {
 		return err
 	}
-	m.core = mixer.NewCore(b, m, mixer.Limits{SecondStep: []int{0, 0, 0}, MaxOpen: 20000, ComeBack: time.Second, Ahead: 20 * time.Millisecond}, Start)
+	m.core = aggregator.NewCore(b, m, aggregator.Limits{SecondStep: []int{0, 0, 0}, MaxOpen: 20000, ComeBack: time.Second, Ahead: 20 * time.Millisecond}, Start)
 	m.core.Witness = m
 	if m.w.Words {
 		m.core.Peers = m
@@ -111,7 +111,7 @@
 // know gives the mixer its first list: that of the nodes that its last process had in service, or all.
 func (m *mixerHost) know(known map[balance.Replica]balance.State) error {
 	w := m.w
-	list := mixer.Members{Kind: balance.ListFull}
+	list := aggregator.Members{Kind: balance.ListFull}
 	var nodes []health.Node
 	for _, n := range w.nodes {
 		if s, ok := known[n.id]; m.life > 1 && (!ok || s != balance.InService) {
@@ -188,7 +188,7 @@
 		life := o.life
 		w.in(w.delay(), func() {
 			if o.life == life && !o.dead {
-				o.put(mixer.Word{Text: text})
+				o.put(aggregator.Word{Text: text})
 			}
 		})
 	}
@@ -202,8 +202,8 @@
 	probeWait = 200 * time.Millisecond // a probe that nobody answers ends after it
 )
 
-func (m *mixerHost) server(n *node) mixer.Server {
-	return mixer.Server{Evidence: m.ev[n.id], ID: n.id, Addr: string(n.id), Zone: n.zone(), Cell: n.index, Weight: 1, State: m.states[n.id], Started: n.started}
+func (m *mixerHost) server(n *node) aggregator.Server {
+	return aggregator.Server{Evidence: m.ev[n.id], ID: n.id, Addr: string(n.id), Zone: n.zone(), Cell: n.index, Weight: 1, State: m.states[n.id], Started: n.started}
 }
 
 // put gathers an event for the turn of this moment.
@@ -252,11 +252,11 @@
 	if m.w.Planted == "drain ignored" && s == balance.Draining {
 		return
 	}
-	m.put(mixer.Members{Kind: balance.ListDelta, List: []mixer.Server{m.server(n)}})
+	m.put(aggregator.Members{Kind: balance.ListDelta, List: []aggregator.Server{m.server(n)}})
 }
 
 // Saw takes the end of an attempt as evidence.
-func (m *mixerHost) Saw(now time.Time, a mixer.Attempt) {
+func (m *mixerHost) Saw(now time.Time, a aggregator.Attempt) {
 	if m.table == nil {
 		return
 	}
@@ -280,7 +280,7 @@
 func (m *mixerHost) settle() {
 	changes := m.table.Changes(m.w.now)
 	if len(changes) > 0 {
-		list := mixer.Members{Kind: balance.ListDelta}
+		list := aggregator.Members{Kind: balance.ListDelta}
 		for _, c := range changes {
 			n := m.w.byID[balance.Replica(c.ID)]
 			m.ev[n.id] = balance.Evidence{Share: c.Share, Most: c.MaxOut, Shun: c.Shun, Trial: c.Trial}
@@ -302,7 +302,7 @@
 }
 
 // Send carries attempts to a node.
-func (m *mixerHost) Send(now time.Time, to mixer.Server, calls []mixer.Call) {
+func (m *mixerHost) Send(now time.Time, to aggregator.Server, calls []aggregator.Call) {
 	n := m.w.byID[to.ID]
 	for _, call := range calls {
 		k := &work{m: m, call: call, node: n}
@@ -321,7 +321,7 @@
 }
 
 // Withdraw gives an attempt up: it ends at once, as the node has been told by then.
-func (m *mixerHost) Withdraw(_ time.Time, id mixer.AttemptID, _ bool) {
+func (m *mixerHost) Withdraw(_ time.Time, id aggregator.AttemptID, _ bool) {
 	k := m.works[id]
 	if k == nil || k.gone {
 		return
@@ -331,25 +331,25 @@
 		return
 	}
 	if m.w.Planted == "second copy" { // it ends before the node has been told
-		m.put(mixer.Ended{Attempt: id, Err: &mixer.AttemptError{Reach: mixer.Written, Withdrawn: true}})
+		m.put(aggregator.Ended{Attempt: id, Err: &aggregator.AttemptError{Reach: aggregator.Written, Withdrawn: true}})
 		return
 	}
 	m.w.at(m.w.now, func() {
 		if m.works[id] == k {
-			m.finish(k, mixer.Ended{Attempt: id, Err: &mixer.AttemptError{Reach: mixer.Written, Withdrawn: true}})
+			m.finish(k, aggregator.Ended{Attempt: id, Err: &aggregator.AttemptError{Reach: aggregator.Written, Withdrawn: true}})
 		}
 	})
 }
 
 // Probe asks a node for its load, where mixers do that, and tells nothing elsewhere.
-func (m *mixerHost) Probe(now time.Time, to mixer.Server) {
-	nothing := mixer.Probed{Server: to.ID, Err: &mixer.AttemptError{Reach: mixer.NotConnected}}
+func (m *mixerHost) Probe(now time.Time, to aggregator.Server) {
+	nothing := aggregator.Probed{Server: to.ID, Err: &aggregator.AttemptError{Reach: aggregator.NotConnected}}
 	if !m.w.Words {
 		m.put(nothing)
 		return
 	}
 	n, life := m.w.byID[to.ID], m.life
-	after := func(d time.Duration, e mixer.Probed) {
+	after := func(d time.Duration, e aggregator.Probed) {
 		m.w.in(d, func() {
 			if m.life == life {
 				e.Took = m.w.now.Sub(now)
@@ -359,12 +359,12 @@
 	}
 	switch {
 	case n.cut || m.w.between(m.zone, n.zone()):
-		nothing.Err = &mixer.AttemptError{Reach: mixer.Written}
+		nothing.Err = &aggregator.AttemptError{Reach: aggregator.Written}
 		after(probeWait, nothing)
 	case !n.up:
 		after(m.w.delay(), nothing)
 	default:
-		after(m.w.delay()+m.w.delay(), mixer.Probed{Server: to.ID, Report: &balance.Report{Queue: float64(len(n.queue)), InFlight: float64(len(n.out)), Util: -1}})
+		after(m.w.delay()+m.w.delay(), aggregator.Probed{Server: to.ID, Report: &balance.Report{Queue: float64(len(n.queue)), InFlight: float64(len(n.out)), Util: -1}})
 	}
 }
 
@@ -373,10 +373,10 @@
 	if m.works[k.call.Attempt] != k || k.gone || m.w.between(m.zone, k.node.zone()) {
 		return
 	}
-	m.finish(k, mixer.Ended{Attempt: k.call.Attempt, Err: err, Value: value})
+	m.finish(k, aggregator.Ended{Attempt: k.call.Attempt, Err: err, Value: value})
 }
 
-func (m *mixerHost) finish(k *work, e mixer.Ended) {
+func (m *mixerHost) finish(k *work, e aggregator.Ended) {
 	delete(m.works, k.call.Attempt)
 	m.w.check.over(k)
 	m.put(e)
--- a/internal/lab/sim/check.go
+++ b/internal/testbed/sim/check.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/aggregator"
 )
 
 // drainLimit is how long after its word a node may still be sent something new.
@@ -17,14 +17,14 @@
 	w        *world
 	broken   []string
 	open     map[string]*asked
-	requests map[string]*mixer.Request
+	requests map[string]*aggregator.Request
 	finals   map[string]int
 	runs     map[string]int // of corrections, by the client's want
 	out      map[string]int // attempts of a part
 }
 
 func newChecker() *checker {
-	return &checker{open: map[string]*asked{}, requests: map[string]*mixer.Request{}, finals: map[string]int{}, runs: map[string]int{}, out: map[string]int{}}
+	return &checker{open: map[string]*asked{}, requests: map[string]*aggregator.Request{}, finals: map[string]int{}, runs: map[string]int{}, out: map[string]int{}}
 }
 
 // brokenMost bounds what is kept of one run.
@@ -36,7 +36,7 @@
 	}
 }
 
-func (c *checker) asked(a *asked, r *mixer.Request) { c.open[a.id], c.requests[a.id] = a, r }
+func (c *checker) asked(a *asked, r *aggregator.Request) { c.open[a.id], c.requests[a.id] = a, r }
 
 // sent: one attempt of a part at a time, none to who drains or is gone by now, none beyond the attempts allowed.
 func (c *checker) sent(m *mixerHost, n *node, k *work) {
@@ -84,7 +84,7 @@
 }
 
 // answered: one final answer, in time, with no more than what nodes gave, and whole only if all is in.
-func (c *checker) answered(a *asked, f mixer.Final) {
+func (c *checker) answered(a *asked, f aggregator.Final) {
 	if c.finals[a.id]++; c.finals[a.id] > 1 {
 		c.bad("%s has %d final answers", a.id, c.finals[a.id])
 	}
@@ -95,10 +95,10 @@
 		c.bad("%s is answered %v after its time", a.id, late)
 	}
 	id, _, _ := strings.Cut(a.id, "-")
-	if f.Kind == mixer.Refused && a.want.class == correction && c.runs[id] > 0 {
+	if f.Kind == aggregator.Refused && a.want.class == correction && c.runs[id] > 0 {
 		c.bad("correction %s is refused, and has run", a.id)
 	}
-	if f.Kind != mixer.Served {
+	if f.Kind != aggregator.Served {
 		return
 	}
 	in := 0.0
--- a/internal/lab/sim/client.go
+++ b/internal/testbed/sim/client.go
@@ -5,13 +5,13 @@
 	"slices"
 	"time"
 
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/aggregator"
 )
 
 // want is what a client wants, over all its tries.
 type want struct {
 	class   int
-	parts   []mixer.Spec
+	parts   []aggregator.Spec
 	tries   int
 	number  int
 	mixer   int
@@ -46,7 +46,7 @@
 	}
 	n = min(n, w.Nodes)
 	for _, s := range w.rng.Perm(w.Nodes)[:n] {
-		q.parts = append(q.parts, mixer.Spec{Shard: s, Weight: 1 / float64(n)})
+		q.parts = append(q.parts, aggregator.Spec{Shard: s, Weight: 1 / float64(n)})
 	}
 	q.giveUp = w.now.Add(classes()[q.class].Deadline)
 	q.inTime = w.now.Add(classes()[q.class].Aim)
@@ -84,14 +84,14 @@
 	for _, p := range q.parts {
 		a.names = append(a.names, fmt.Sprintf("%s.%d", a.id, p.Shard))
 	}
-	r := &mixer.Request{ID: a.id, Class: q.class, Arrived: w.now, Wait: q.giveUp.Sub(w.now), Retry: q.tries > 1, Parts: q.parts, Front: a}
+	r := &aggregator.Request{ID: a.id, Class: q.class, Arrived: w.now, Wait: q.giveUp.Sub(w.now), Retry: q.tries > 1, Parts: q.parts, Front: a}
 	w.check.asked(a, r)
 	w.note("ask", uint64(q.number), uint64(q.tries))
 	for w.mixers[q.mixer].dead { // its connection is refused: it goes to another
 		q.mixer = w.pick()
 	}
 	w.mixers[q.mixer].open[a] = true
-	w.mixers[q.mixer].put(mixer.Arrive{Request: r})
+	w.mixers[q.mixer].put(aggregator.Arrive{Request: r})
 	if w.Planted == "lost query" && q.number == 50 {
 		r.Front = nobody{}
 	}
@@ -99,19 +99,19 @@
 
 type nobody struct{}
 
-func (nobody) Answer(mixer.Final) {}
+func (nobody) Answer(aggregator.Final) {}
 
 // Answer takes a try's final answer. A client whose query was refused or failed may try again, while its time lasts.
-func (a *asked) Answer(f mixer.Final) {
+func (a *asked) Answer(f aggregator.Final) {
 	w, q := a.w, a.want
 	w.note("answer", uint64(q.number), uint64(f.Kind))
-	if w.Planted == "dishonest whole" && f.Kind == mixer.Served && !f.Whole {
+	if w.Planted == "dishonest whole" && f.Kind == aggregator.Served && !f.Whole {
 		f.Whole = true
 	}
 	w.check.answered(a, f)
 	delete(w.mixers[q.mixer].open, a)
 	switch f.Kind {
-	case mixer.Served:
+	case aggregator.Served:
 		w.result.Served++
 		w.result.Got++
 		w.result.Classes[q.class].Got++
@@ -123,7 +123,7 @@
 		}
 		w.result.Took = append(w.result.Took, w.now.Sub(a.began))
 		return
-	case mixer.Refused:
+	case aggregator.Refused:
 		w.result.Refused++
 	default:
 		w.result.Failed++
--- a/internal/lab/sim/day_test.go
+++ b/internal/testbed/sim/day_test.go
@@ -6,7 +6,7 @@
 	"testing"
 )
 
-// fleet plays a day of a small fleet; the sizes that the operators name are played by rooklab days.
+// fleet plays a day of a small fleet; the sizes that the operators name are played by testbed days.
 func fleet(t *testing.T, kind string, seed uint64, planted string) Result {
 	t.Helper()
 	return loaded(t, kind, seed, planted, 1)
--- a/internal/lab/sim/discovery.go
+++ b/internal/testbed/sim/discovery.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/decide/watch"
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/aggregator"
+	"rooktrestle/internal/control/listwatch"
 )
 
 // Discovery is how mixers hear of the list. The zero value tells each of them at once, with the troubles' lag.
@@ -83,7 +83,7 @@
 type follower struct {
 	r       *registry
 	m       *mixerHost
-	calls   *watch.Calls
+	calls   *listwatch.Calls
 	gen     int // number of the present call
 	live    bool
 	deaf    bool // the present call hears nothing any more
@@ -97,7 +97,7 @@
 	if r.w.Discovery.Kind == Shared || r.w.Planted == waitsInSilence {
 		shared = r.w.Mixers
 	}
-	return &follower{r: r, m: m, calls: watch.New(watch.Platform(shared))}
+	return &follower{r: r, m: m, calls: listwatch.New(listwatch.Platform(shared))}
 }
 
 // waitsInSilence is a planted bug: a silent watch is opened anew only after the fleet's back-off.
@@ -175,7 +175,7 @@
 	f.failed = false
 	f.calls.Heard(f.r.w.now)
 	f.calls.Good()
-	list := mixer.Members{Kind: balance.ListDelta}
+	list := aggregator.Members{Kind: balance.ListDelta}
 	for ; f.version < len(f.r.lines); f.version++ {
 		e := f.r.lines[f.version]
 		f.m.hears(e)
--- a/internal/lab/sim/node.go
+++ b/internal/testbed/sim/replica.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"rooktrestle/balance"
-	"rooktrestle/internal/mixer"
+	"rooktrestle/internal/aggregator"
 )
 
 // queueMost is how many parts a node holds before it turns more away.
@@ -112,7 +112,7 @@
 // work is one attempt of a part at a node.
 type work struct {
 	m    *mixerHost
-	call mixer.Call
+	call aggregator.Call
 	node *node
 	gone bool // the mixer has given it up
 }
@@ -134,20 +134,20 @@
 	case n.cut:
 		return // nobody will hear of it
 	case !n.up:
-		k.m.ended(k, &mixer.AttemptError{Reach: mixer.NotConnected}, "")
+		k.m.ended(k, &aggregator.AttemptError{Reach: aggregator.NotConnected}, "")
 		return
 	case n.drains || len(n.queue) >= queueMost:
-		w.in(w.delay(), func() { k.m.ended(k, &mixer.AttemptError{Reach: mixer.Answered, TurnedAway: true}, "") })
+		w.in(w.delay(), func() { k.m.ended(k, &aggregator.AttemptError{Reach: aggregator.Answered, TurnedAway: true}, "") })
 		return
 	}
 	if n.crowded(k.m) {
-		w.in(w.delay(), func() { k.m.ended(k, &mixer.AttemptError{Reach: mixer.Written}, "") })
+		w.in(w.delay(), func() { k.m.ended(k, &aggregator.AttemptError{Reach: aggregator.Written}, "") })
 		n.fall()
 		return
 	}
 	w.check.ran(n, k)
 	if n.rng.Float64() < n.fails {
-		w.in(w.delay(), func() { k.m.ended(k, &mixer.AttemptError{Reach: mixer.Answered}, "") })
+		w.in(w.delay(), func() { k.m.ended(k, &aggregator.AttemptError{Reach: aggregator.Answered}, "") })
 		return
 	}
 	n.out[k] = true
@@ -203,7 +203,7 @@
 	}
 	clear(n.out)
 	for _, k := range lost {
-		n.w.in(n.w.delay(), func() { k.m.ended(k, &mixer.AttemptError{Reach: mixer.Written}, "") })
+		n.w.in(n.w.delay(), func() { k.m.ended(k, &aggregator.AttemptError{Reach: aggregator.Written}, "") })
 	}
 }
 
--- a/test.sh
+++ b/test.sh
@@ -24,7 +24,7 @@
 build=$(sed -n 's/^build = "\(.*\)".*/\1/p' deploy/balancer.toml)
 [ -n "$build" ]
 sh -c "$build"
-test -x bin/wirehost
+test -x bin/simadapter
 test -x bin/rooktrestle
 if ! readelf -l bin/rooktrestle | grep -q 'Requesting program interpreter'; then
 	echo "bin/rooktrestle: not linked dynamically against the C library" >&2
