--- a/balance/api.go
+++ b/balance/api.go
@@ -11,28 +11,28 @@
 
 import "time"
 
-// Effect says what a repeat of a part does.
-type Effect int
+// Idempotency says what a repeat of a part does.
+type Idempotency int
 
 const (
-	Safe   Effect = iota // may be repeated freely
-	Keyed                // repeats are dropped for Class.Window
-	Unsafe               // must not run twice
+	Idempotent      Idempotency = iota // may be repeated freely
+	KeyedIdempotent                    // repeats are dropped for Class.Window
+	NonIdempotent                      // must not run twice
 )
 
 // Class describes one class of query.
 type Class struct {
-	Aim        time.Duration // answers within it earn the full worth
-	AimStretch float64       // the aim grows by this multiple of the query's own work
-	Deadline   time.Duration // how long a client waits, over all its tries
-	Worth      float64       // of a whole answer
-	LateWorth  float64       // share of the worth left after the aim
-	Effect     Effect
-	Window     time.Duration // Keyed: how long repeats are dropped
-	Floor      float64       // least share of parts for any answer
-	Need       float64       // share of parts for a whole answer
-	Partial    float64       // worth of a partial answer: Partial x share / Need
-	FollowUp   int           // parts of a second step; 0: one step only
+	Objective        time.Duration // answers within it earn the full worth
+	ObjectiveStretch float64       // the aim grows by this multiple of the query's own work
+	Deadline         time.Duration // how long a client waits, over all its tries
+	Weight           float64       // of a whole answer
+	OverdueFraction  float64       // share of the worth left after the aim
+	Idempotency      Idempotency
+	DedupWindow      time.Duration // Keyed: how long repeats are dropped
+	MinFraction      float64       // least share of parts for any answer
+	CompleteFraction float64       // share of parts for a whole answer
+	PartialFraction  float64       // worth of a partial answer: Partial x share / Need
+	FollowUpParts    int           // parts of a second step; 0: one step only
 }
 
 // Tenant is a customer with an agreed rate.
@@ -47,45 +47,45 @@
 	Tick      time.Duration
 	Zone      int // this gatherer's zone
 
-	Classes        []Class
-	Tenants        []Tenant
-	OverShareWorth float64 // worth of a query beyond its tenant's quota
-	ByWork         bool    // worth is counted in proportion to work
+	Classes         []Class
+	Tenants         []Tenant
+	OverQuotaFactor float64 // worth of a query beyond its tenant's quota
+	WeightByWork    bool    // worth is counted in proportion to work
 
 	// Shard s is held by the replicas of cells (s+j) mod Cells, 0 <= j < Reach.
 	Cells, Reach, Shards int
 
-	CallWork  time.Duration // work of a call beside that of its parts
-	CallParts int           // most parts that share one call
-	WarmKeys  bool          // a replica does a key it met lately with less work
-
-	MaxAttempts    int // of one part
-	SecondCopies   bool
-	CanCancel      bool
-	CanProbe       bool
-	MarksRetry     bool          // clients flag their repeats
-	MaxRetryAfter  time.Duration // the longest advice to come back that clients follow; 0: they get none
-	ReportsOnProbe bool          // load reports come with probes only
-	OnRequest      bool          // the list of replicas must be asked for
-	Peers          bool          // short messages between gatherers are allowed
-	ProbeWait      time.Duration // the longest a probe takes to be answered or given up
+	CallWork     time.Duration // work of a call beside that of its parts
+	MaxCallParts int           // most parts that share one call
+	WarmKeys     bool          // a replica does a key it met lately with less work
+
+	MaxAttempts        int // of one part
+	CanHedge           bool
+	CanCancel          bool
+	CanProbe           bool
+	ClientsMarkRetries bool          // clients flag their repeats
+	MaxRetryAfter      time.Duration // the longest advice to come back that clients follow; 0: they get none
+	LoadReportsOnProbe bool          // load reports come with probes only
+	ListOnRequest      bool          // the list of replicas must be asked for
+	PeerMessages       bool          // short messages between gatherers are allowed
+	ProbeTimeout       time.Duration // the longest a probe takes to be answered or given up
 
 	Rules Rules
 }
 
 // Rules are the stated figures of the rules.
 type Rules struct {
-	MustAskIn    time.Duration // OnRequest: an old list counts as told after it
-	ColdFor      time.Duration // a started replica is warm after it
-	ColdFrom     float64       // least share of its capacity at the start
-	TipMultiple  float64       // more than this multiple of its capacity
-	TipFor       time.Duration // for so long: a cold replica falls over
-	BudgetWindow time.Duration // further attempts are counted over it; 0: no budget
-	BudgetFree   float64
-	BudgetRatio  float64
+	MaxListAge        time.Duration // ListOnRequest: an old list counts as told after it
+	WarmupPeriod      time.Duration // a started replica is warm after it
+	WarmupMinCapacity float64       // least share of its capacity at the start
+	OverloadMultiple  float64       // more than this multiple of its capacity
+	OverloadPeriod    time.Duration // for so long: a cold replica falls over
+	RetryBudgetWindow time.Duration // further attempts are counted over it; 0: no budget
+	RetryBudgetBase   float64
+	RetryBudgetRatio  float64
 }
 
-// ID names a query or a part. Replica names a server that holds shards.
+// Part names a query or a part. Replica names a server that holds shards.
 type (
 	ID      uint64
 	Replica string
@@ -102,71 +102,71 @@
 	Class    int
 	Tenant   int
 	Key      string // what it is about; empty: no keys
-	Hint     time.Duration
+	WorkHint time.Duration
 	TimeLeft time.Duration // until the client gives this try up
-	Retry    bool
+	IsRetry  bool
 	Parts    int
 }
 
-// Holder is a replica that may be asked for a part.
-type Holder struct {
-	Replica Replica
-	Share   float64 // of the parts it would get, under 1; 0: all of them
+// Candidate is a replica that may be asked for a part.
+type Candidate struct {
+	Replica         Replica
+	TrafficFraction float64 // of the parts it would get, under 1; 0: all of them
 }
 
 // Part is one part of a query: its share that one shard answers.
 type Part struct {
-	ID      ID
-	Group   uint64
-	Shard   int
-	Weight  float64 // the weights of a step add up to 1
-	Hint    time.Duration
-	Holders []Holder // who may be asked; nil: the replicas of the shard's cells
+	ID         ID
+	Group      uint64
+	Shard      int
+	Weight     float64 // the weights of a step add up to 1
+	WorkHint   time.Duration
+	Candidates []Candidate // who may be asked; nil: the replicas of the shard's cells
 }
 
-// Placed changes who may be asked for a part from now on.
-type Placed struct {
-	ID      ID
-	Holders []Holder
+// CandidatesChanged changes who may be asked for a part from now on.
+type CandidatesChanged struct {
+	Part       ID
+	Candidates []Candidate
 }
 
-// Result says how an attempt or a probe ended.
-type Result int
+// AttemptResult says how an attempt or a probe ended.
+type AttemptResult int
 
 const (
-	OK            Result = iota
-	Failed               // an error came back; it may have run
-	QueueFull            // turned away; did not run
-	TimedOut             // no answer in time; may have run
-	ConnectFailed        // no connection; did not run
-	Reset                // the connection broke; may have run
-	Canceled             // called off; may have run
-	Ignored              // never sent
+	OK            AttemptResult = iota
+	Failed                      // an error came back; it may have run
+	QueueFull                   // turned away; did not run
+	TimedOut                    // no answer in time; may have run
+	ConnectFailed               // no connection; did not run
+	Reset                       // the connection broke; may have run
+	Canceled                    // called off; may have run
+	NotSent                     // never sent
 )
 
-// Report is a replica's word on its load. Fields absent are negative.
-type Report struct {
-	Queue    float64 // parts waiting
-	InFlight float64 // parts in hand
-	Util     float64 // share of its cores busy
+// LoadReport is a replica's word on its load. Fields absent are negative.
+type LoadReport struct {
+	Queue       float64 // parts waiting
+	InFlight    float64 // parts in hand
+	Utilization float64 // share of its cores busy
 }
 
-// Outcome ends one attempt.
-type Outcome struct {
+// AttemptEnded ends one attempt.
+type AttemptEnded struct {
 	Part    ID
 	Attempt int
 	Replica Replica
-	Result  Result
-	Took    time.Duration
-	Report  *Report
+	Result  AttemptResult
+	Elapsed time.Duration
+	Report  *LoadReport
 }
 
-// Probed ends one probe.
-type Probed struct {
+// ProbeEnded ends one probe.
+type ProbeEnded struct {
 	Replica Replica
-	Result  Result
-	Took    time.Duration
-	Report  *Report
+	Result  AttemptResult
+	Elapsed time.Duration
+	Report  *LoadReport
 }
 
 // ListKind says how a list of replicas is to be taken.
@@ -179,59 +179,59 @@
 	ListFailed                 // a call failed; the old list holds
 )
 
-// State of a listed replica.
-type State int
+// EndpointState of a listed replica.
+type EndpointState int
 
 const (
-	InService State = iota
+	InService EndpointState = iota
 	Draining
 	Removed
 )
 
-// Evidence is what others found out about a replica, beside what its answers show here. The zero value tells
+// HealthLimits is what others found out about a replica, beside what its answers show here. The zero value tells
 // nothing.
-type Evidence struct {
-	Share float64 // of the parts it would get, under 1; 0: all of them
-	Most  int     // parts out there at once; 0: not limited
-	Shun  uint64  // bit c: parts of class c go there only where no other replica of theirs is listed
-	Trial uint64  // bit c: but for one part of class c, once
+type HealthLimits struct {
+	TrafficFraction float64 // of the parts it would get, under 1; 0: all of them
+	MaxInFlight     int     // parts out there at once; 0: not limited
+	EjectedClasses  uint64  // bit c: parts of class c go there only where no other replica of theirs is listed
+	HalfOpenClasses uint64  // bit c: but for one part of class c, once
 }
 
-// Member is an entry of the list of replicas.
-type Member struct {
-	Evidence
+// Endpoint is an entry of the list of replicas.
+type Endpoint struct {
+	HealthLimits
 	Replica Replica
 	Zone    int
 	Cell    int
 	Size    float64
-	State   State
+	State   EndpointState
 	Started time.Duration // clock time of its last start; 0: long ago
 }
 
-// Members is word from discovery.
-type Members struct {
-	Kind ListKind
-	List []Member
+// EndpointList is word from discovery.
+type EndpointList struct {
+	Kind      ListKind
+	Endpoints []Endpoint
 }
 
-// Word is a message of another gatherer: what its Tell held, or anything else, as it came.
-type Word struct{ Text []byte }
+// GossipReceived is a message of another gatherer: what its Tell held, or anything else, as it came.
+type GossipReceived struct{ Payload []byte }
 
-// Tick is a Wake come due.
-type Tick struct{}
+// TimerFired is a Wake come due.
+type TimerFired struct{}
 
-// Gone says that a query's client has left.
-type Gone struct{ Query ID }
+// ClientDisconnected says that a query's client has left.
+type ClientDisconnected struct{ Query ID }
 
-func (Query) event()   {}
-func (Part) event()    {}
-func (Placed) event()  {}
-func (Outcome) event() {}
-func (Probed) event()  {}
-func (Members) event() {}
-func (Word) event()    {}
-func (Tick) event()    {}
-func (Gone) event()    {}
+func (Query) event()              {}
+func (Part) event()               {}
+func (CandidatesChanged) event()  {}
+func (AttemptEnded) event()       {}
+func (ProbeEnded) event()         {}
+func (EndpointList) event()       {}
+func (GossipReceived) event()     {}
+func (TimerFired) event()         {}
+func (ClientDisconnected) event() {}
 
 // Action is something for the gatherer to do: Send, Hedge, Cancel, Answer,
 // Refuse, Fail, Probe, Tell, Wake or Watch.
@@ -255,12 +255,12 @@
 
 // Answer ends a query's step with the parts that are in.
 type Answer struct {
-	Query ID
-	Whole bool
+	Query    ID
+	Complete bool
 }
 
-// Refuse turns a query away; asking again is harmless.
-type Refuse struct {
+// Reject turns a query away; asking again is harmless.
+type Reject struct {
 	Query      ID
 	RetryAfter time.Duration // 0: no advice
 }
@@ -271,22 +271,22 @@
 // Probe asks a replica for a load report.
 type Probe struct{ Replica Replica }
 
-// Tell sends a message of at most WordMost bytes to all other gatherers. It may be lost.
-type Tell struct{ Text []byte }
-
-// Wake asks for a Tick after so long.
-type Wake struct{ After time.Duration }
-
-// Watch asks discovery for the list and its changes.
-type Watch struct{}
-
-func (Send) action()   {}
-func (Hedge) action()  {}
-func (Cancel) action() {}
-func (Answer) action() {}
-func (Refuse) action() {}
-func (Fail) action()   {}
-func (Probe) action()  {}
-func (Tell) action()   {}
-func (Wake) action()   {}
-func (Watch) action()  {}
+// SendGossip sends a message of at most MaxGossipBytes bytes to all other gatherers. It may be lost.
+type SendGossip struct{ Payload []byte }
+
+// StartTimer asks for a Tick after so long.
+type StartTimer struct{ After time.Duration }
+
+// WatchEndpoints asks discovery for the list and its changes.
+type WatchEndpoints struct{}
+
+func (Send) action()           {}
+func (Hedge) action()          {}
+func (Cancel) action()         {}
+func (Answer) action()         {}
+func (Reject) action()         {}
+func (Fail) action()           {}
+func (Probe) action()          {}
+func (SendGossip) action()     {}
+func (StartTimer) action()     {}
+func (WatchEndpoints) action() {}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -6,13 +6,10 @@
 import (
 	"cmp"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
 	"rooktrestle/internal/control/gossip"
-	"rooktrestle/internal/control/retrydetect"
-	"rooktrestle/internal/control/slowstart"
 )
 
 // The tuned values. Times are ratios of what the settings state or of what was observed.
@@ -83,28 +80,6 @@
 	sumSlack     = 5e-5  // weights of parts add up to 1 apart from this
 )
 
-// New returns a Balancer for the settings, or an error that names what is wrong with them.
-func New(set Settings) (*Balancer, error) {
-	if err := set.check(); err != nil {
-		return nil, err
-	}
-	b := &Balancer{
-		set: set, rng: rand.New(rand.NewPCG(set.Seed, set.Seed^0x9e3779b97f4a7c15)),
-		servers: map[Replica]*server{}, cells: make([][]*server, set.Cells), ways: map[int]*way{},
-		byID: map[ID]*query{}, byGroup: map[uint64]*query{}, parts: map[ID]*part{},
-		attempts: map[attemptKey]*attempt{}, usual: make([]retrydetect.Usual, len(set.Classes)),
-		rootN: math.Sqrt(float64(set.Instances)), deadly: map[string]time.Duration{},
-		quota: make([]float64, len(set.Tenants)), suspect: make([]time.Duration, len(set.Classes)),
-	}
-	b.cold = slowstart.Rules{
-		For: set.Rules.ColdFor, From: set.Rules.ColdFrom, TipMultiple: set.Rules.TipMultiple,
-		TipFor: set.Rules.TipFor, Mixers: set.Instances,
-	}
-	b.shortAim = slices.MinFunc(set.Classes, func(c, d Class) int { return cmp.Compare(c.Aim, d.Aim) }).Aim
-	b.mean, b.dev = us(b.shortAim)*meanGuess, us(b.shortAim)*meanGuess*devGuess // until answers tell
-	return b, nil
-}
-
 // Turn takes the events of one turn and returns the actions, in order. The clock never goes back.
 func (b *Balancer) Turn(now time.Duration, events []Event) []Action {
 	passed := now - b.now
@@ -116,19 +91,19 @@
 			b.take(e)
 		case Part:
 			b.takePart(e)
-		case Placed:
-			if p := b.parts[e.ID]; p != nil {
-				p.Holders = e.Holders
+		case CandidatesChanged:
+			if p := b.parts[e.Part]; p != nil {
+				p.Candidates = e.Candidates
 			}
-		case Outcome:
+		case AttemptEnded:
 			b.outcome(e)
-		case Probed:
+		case ProbeEnded:
 			b.probeResult(e)
-		case Members:
+		case EndpointList:
 			b.members(e)
-		case Word:
+		case GossipReceived:
 			b.hear(e)
-		case Gone:
+		case ClientDisconnected:
 			if q := b.byID[e.Query]; q != nil {
 				b.drop(q)
 			}
@@ -152,7 +127,7 @@
 func (b *Balancer) wake() {
 	if b.askAt > 0 && b.now >= b.askAt {
 		b.askAt = 0
-		b.do(Watch{})
+		b.do(WatchEndpoints{})
 	}
 	if len(b.queries) == 0 && b.askAt == 0 || b.wakeAt > b.now {
 		return
@@ -160,26 +135,26 @@
 	// Never longer than answers leave ahead of time, or a query could outlive its time between two looks.
 	pace := max(b.set.Tick, min(time.Duration(float64(b.shortAim)*paceOf), answerAhead*b.set.Tick))
 	b.wakeAt = b.now + pace
-	b.do(Wake{After: pace})
+	b.do(StartTimer{After: pace})
 }
 
 // ---- the list of servers
 
-func (b *Balancer) members(m Members) {
+func (b *Balancer) members(m EndpointList) {
 	if m.Kind == ListFailed {
 		// Paced, and by chance: all gatherers ask one discovery, which may be down or short of capacity.
-		b.askAt = b.now + duration(askAgain*(0.5+b.rng.Float64())*us(b.set.Rules.MustAskIn))
+		b.askAt = b.now + duration(askAgain*(0.5+b.rng.Float64())*us(b.set.Rules.MaxListAge))
 		return
 	}
-	if len(b.order) == 0 && b.set.OnRequest {
-		b.do(Watch{})
+	if len(b.order) == 0 && b.set.ListOnRequest {
+		b.do(WatchEndpoints{})
 	}
 	if m.Kind != ListDelta {
 		for _, s := range b.order {
 			s.listed = false
 		}
 	}
-	for _, e := range m.List {
+	for _, e := range m.Endpoints {
 		s := b.servers[e.Replica]
 		if s == nil {
 			s = &server{id: e.Replica, of: make([]health, len(b.set.Classes))}
@@ -191,7 +166,7 @@
 			b.ways[e.Zone] = &way{}
 		}
 		s.zone, s.way, s.cell, s.listed = e.Zone, b.ways[e.Zone], e.Cell, e.State == InService
-		s.take(e.Evidence)
+		s.take(e.HealthLimits)
 		if e.Started > s.cold.Started {
 			s.restarted(e.Started, b.rng.Float64())
 		}
@@ -215,12 +190,13 @@
 
 func (b *Balancer) take(e Query) {
 	if e.Class < 0 || e.Class >= len(b.set.Classes) {
-		b.do(Refuse{Query: e.ID})
+		b.do(Reject{Query: e.ID})
 		return
 	}
 	c := &b.set.Classes[e.Class]
 	q := &query{Query: e, class: c, end: b.now + e.TimeLeft}
-	q.aim = b.now + min(c.Aim+time.Duration(c.AimStretch*float64(e.Hint)), c.Deadline) - b.waited(e)
+	stretch := time.Duration(c.ObjectiveStretch * float64(e.WorkHint))
+	q.aim = b.now + min(c.Objective+stretch, c.Deadline) - b.waited(e)
 	b.queries = append(b.queries, q)
 	b.byID[e.ID], b.byGroup[e.Group] = q, q
 	b.count(&b.took)
@@ -228,7 +204,7 @@
 
 // waited is how long a client has waited in earlier tries; it counts against the aim.
 func (b *Balancer) waited(e Query) time.Duration {
-	if b.usual[e.Class].First(e.TimeLeft, b.set.MarksRetry, e.Retry, sameTry*b.set.Tick) {
+	if b.usual[e.Class].First(e.TimeLeft, b.set.ClientsMarkRetries, e.IsRetry, sameTry*b.set.Tick) {
 		return 0
 	}
 	return max(0, b.set.Classes[e.Class].Deadline-e.TimeLeft)
@@ -249,8 +225,8 @@
 }
 
 func (b *Balancer) answer(q *query, whole bool) {
-	b.do(Answer{Query: q.ID, Whole: whole && (q.step == 0 || q.firstWhole)})
-	if q.step == 0 && q.class.FollowUp > 0 {
+	b.do(Answer{Query: q.ID, Complete: whole && (q.step == 0 || q.firstWhole)})
+	if q.step == 0 && q.class.FollowUpParts > 0 {
 		b.dropParts(q)
 		q.step, q.firstWhole = 1, whole
 		return
@@ -260,9 +236,10 @@
 
 // giveUp ends a query at once. It is refused where asking again is harmless and failed elsewhere.
 func (b *Balancer) giveUp(q *query, wait time.Duration) {
-	harmless := q.class.Effect == Safe || q.step == 0 && !slices.ContainsFunc(q.parts, (*part).maybeRan)
+	harmless := q.class.Idempotency == Idempotent ||
+		q.step == 0 && !slices.ContainsFunc(q.parts, (*part).maybeRan)
 	if harmless {
-		b.do(Refuse{Query: q.ID, RetryAfter: min(wait, b.set.MaxRetryAfter)})
+		b.do(Reject{Query: q.ID, RetryAfter: min(wait, b.set.MaxRetryAfter)})
 	} else {
 		b.do(Fail{Query: q.ID})
 	}
@@ -290,7 +267,7 @@
 	}
 	partial := in > 0 && in >= q.floor()-sumSlack && q.floor() < q.need()
 	switch {
-	case b.now >= q.end-ahead, q.class.LateWorth <= 0 && b.now >= q.aim-ahead,
+	case b.now >= q.end-ahead, q.class.OverdueFraction <= 0 && b.now >= q.aim-ahead,
 		reach < q.need()-sumSlack && (reach < q.floor()-sumSlack || q.floor() >= q.need()):
 		if partial {
 			b.answer(q, false)
@@ -299,7 +276,8 @@
 		}
 		return
 	case partial && (reach < q.need()-sumSlack && in >= reach-sumSlack ||
-		b.now >= b.due(q)-ahead && b.now < q.aim && q.class.Partial*in/q.need() > q.class.LateWorth):
+		b.now >= b.due(q)-ahead && b.now < q.aim &&
+			q.class.PartialFraction*in/q.need() > q.class.OverdueFraction):
 		b.answer(q, false)
 		return
 	}
@@ -371,12 +349,12 @@
 // admit says whether a query's answer may be expected in time. Guards against overload, whatever brings
 // it: work that will be late is refused before it costs, queries of little worth per part first.
 func (b *Balancer) admit(q *query) bool {
-	worth := q.class.Worth
-	if b.set.ByWork {
+	worth := q.class.Weight
+	if b.set.WeightByWork {
 		worth *= float64(max(1, q.Parts))
 	}
 	if q.Tenant < len(b.quota) && b.overQuota(q.Tenant) {
-		worth *= b.set.OverShareWorth
+		worth *= b.set.OverQuotaFactor
 	}
 	parts := float64(max(1, q.Parts))
 	b.worth += densitySm * (worth - b.worth)
@@ -396,7 +374,7 @@
 			open += p.Weight
 		}
 	}
-	if left <= min(b.median, hopeless*us(q.class.Aim)) || open < min(q.floor(), q.need())-sumSlack {
+	if left <= min(b.median, hopeless*us(q.class.Objective)) || open < min(q.floor(), q.need())-sumSlack {
 		return false
 	}
 	// Both must say so: what answers lately took, which lags, and the count in hand, high in a lull.
@@ -412,7 +390,7 @@
 		return quiet+wait <= limit
 	}
 	slowest := b.mean + devs*b.dev
-	if slowest <= us(q.class.Aim)*admitSeen {
+	if slowest <= us(q.class.Objective)*admitSeen {
 		return true
 	}
 	expected, told := b.expected(q, slowest)
@@ -433,10 +411,11 @@
 
 // due is when a query's step has to end for its answer to be in time: a first step leaves time for the next.
 func (b *Balancer) due(q *query) time.Duration {
-	if q.step > 0 || q.class.FollowUp == 0 {
+	if q.step > 0 || q.class.FollowUpParts == 0 {
 		return q.aim
 	}
-	return q.aim - duration(min(b.mean+b.dev*worst(q.class.FollowUp, 0), secondMost*us(q.class.Aim)))
+	second := b.mean + b.dev*worst(q.class.FollowUpParts, 0)
+	return q.aim - duration(min(second, secondMost*us(q.class.Objective)))
 }
 
 // expected is how long a new query may take by Little's law: parts held at sound servers over the rate at
@@ -476,7 +455,8 @@
 	c := p.q.class
 	return !p.in && len(p.out) == 0 && (p.tries >= b.set.MaxAttempts || len(b.holders(p)) == 0 ||
 		p.mayRun &&
-			(c.Effect == Unsafe || c.Effect == Keyed && b.now > p.firstRun+c.Window-b.set.Tick))
+			(c.Idempotency == NonIdempotent ||
+				c.Idempotency == KeyedIdempotent && b.now > p.firstRun+c.DedupWindow-b.set.Tick))
 }
 
 // advancePart sends a part that waits, or backs up one that is late.
@@ -495,12 +475,12 @@
 	}
 	a := p.out[len(p.out)-1]
 	c := p.q.class
-	if len(p.out) > 1 || p.tries >= b.set.MaxAttempts || c.Effect == Unsafe || a.called ||
-		c.Effect == Keyed && b.now+duration(b.mean) > p.out[0].sent+c.Window {
+	if len(p.out) > 1 || p.tries >= b.set.MaxAttempts || c.Idempotency == NonIdempotent || a.called ||
+		c.Idempotency == KeyedIdempotent && b.now+duration(b.mean) > p.out[0].sent+c.DedupWindow {
 		return
 	}
 	age, late := us(b.now-a.sent), b.late()
-	if !b.set.SecondCopies {
+	if !b.set.CanHedge {
 		// Starting over loses the time waited and adds work, and the late parts of a sound server are heavy
 		// ones, late again elsewhere: where the server shows nothing, or so late that the part is lost there.
 		if late *= cancelLate; !a.srv.way.fit() {
@@ -521,7 +501,7 @@
 	if s == nil || p.doubts(s) > 0 || s.silent || s.barely() || held {
 		return
 	}
-	if b.hedgeTokens--; b.set.SecondCopies {
+	if b.hedgeTokens--; b.set.CanHedge {
 		b.send(p, s, true)
 	} else {
 		b.callOff(a)
@@ -533,8 +513,9 @@
 // budget says whether rule 6 lets one more further attempt go out.
 func (b *Balancer) budget() bool {
 	rule := b.set.Rules
-	return rule.BudgetWindow <= 0 || float64(len(within(&b.further, b.now-rule.BudgetWindow-1))+1) <=
-		rule.BudgetFree+rule.BudgetRatio*float64(len(within(&b.took, b.now-rule.BudgetWindow)))
+	return rule.RetryBudgetWindow <= 0 ||
+		float64(len(within(&b.further, b.now-rule.RetryBudgetWindow-1))+1) <=
+			rule.RetryBudgetBase+rule.RetryBudgetRatio*float64(len(within(&b.took, b.now-rule.RetryBudgetWindow)))
 }
 
 func (b *Balancer) send(p *part, s *server, hedge bool) {
@@ -557,7 +538,7 @@
 		s.trialAt = max(s.trialAt, of.trialAt)
 	}
 	act := Send{Part: p.ID, Replica: s.id}
-	if !b.set.CanCancel && !b.set.SecondCopies && p.q.class.Effect != Unsafe {
+	if !b.set.CanCancel && !b.set.CanHedge && p.q.class.Idempotency != NonIdempotent {
 		act.Timeout = duration(b.late())
 	}
 	if hedge {
@@ -601,7 +582,7 @@
 		kept := slices.DeleteFunc(slices.Clone(all), p.shunnedBy)
 		for _, s := range all {
 			if len(kept) > 0 && s.trial(p.q.Class) && p.tries == 0 && !p.q.trial && b.now >= s.full {
-				s.Trial &^= 1 << p.q.Class
+				s.HalfOpenClasses &^= 1 << p.q.Class
 				p.q.trial = true
 				return s
 			}
@@ -614,7 +595,7 @@
 	all = prefer(all, func(s *server) bool { return !s.barely() || !b.thinned(p, s) })
 	for _, s := range all {
 		busy := slices.ContainsFunc(p.out, func(a *attempt) bool { return a.srv == s })
-		if busy || b.now < s.full || !b.coldRoom(p, s) || s.Most > 0 && len(s.out) >= s.Most {
+		if busy || b.now < s.full || !b.coldRoom(p, s) || s.MaxInFlight > 0 && len(s.out) >= s.MaxInFlight {
 			continue
 		}
 		can = append(can, s)
@@ -632,7 +613,7 @@
 	if p.tries == 0 && len(sound) > 0 && !p.q.trial {
 		for _, s := range can {
 			h, wait := s.doubted(p.q.Class), duration(0)
-			if p.q.class.Effect == Unsafe {
+			if p.q.class.Idempotency == NonIdempotent {
 				wait = duration(unsafeTrial * b.late())
 			}
 			if h != nil && !s.noReply && len(h.out) == 0 && !b.thinned(p, s) && b.now >= h.trialAt+wait &&
@@ -682,10 +663,10 @@
 // thinned says whether a server with a share gives this part to others: between two of which one has share
 // w, it gets w parts for each of the other's.
 func (b *Balancer) thinned(p *part, s *server) bool {
-	w := cmp.Or(s.Share, 1)
-	for _, h := range p.Holders {
+	w := cmp.Or(s.TrafficFraction, 1)
+	for _, h := range p.Candidates {
 		if h.Replica == s.id {
-			w = min(w, cmp.Or(h.Share, 1)) // it is cold for the part's block
+			w = min(w, cmp.Or(h.TrafficFraction, 1)) // it is cold for the part's block
 		}
 	}
 	return w < 1 && b.rng.Float64() > 2*w/(1+w)
@@ -704,7 +685,7 @@
 
 // ---- what servers show
 
-func (b *Balancer) outcome(e Outcome) {
+func (b *Balancer) outcome(e AttemptEnded) {
 	key := attemptKey{e.Part, e.Attempt}
 	a := b.attempts[key]
 	if a == nil {
@@ -747,7 +728,7 @@
 		b.blame(s, &health{}, b.now)
 		s.full = b.now + duration(s.doubt*b.late())
 		s.verdict(true)
-		if b.now-s.cold.Started > b.set.Rules.ColdFor {
+		if b.now-s.cold.Started > b.set.Rules.WarmupPeriod {
 			s.times = nil
 		}
 	case QueueFull:
@@ -848,7 +829,7 @@
 	}
 }
 
-func (b *Balancer) report(s *server, r *Report) {
+func (b *Balancer) report(s *server, r *LoadReport) {
 	if r == nil {
 		return
 	}
@@ -866,7 +847,7 @@
 	s.reported, s.told = b.now, r.InFlight
 }
 
-func (b *Balancer) probeResult(e Probed) {
+func (b *Balancer) probeResult(e ProbeEnded) {
 	s := b.servers[e.Replica]
 	if s == nil {
 		return
@@ -882,7 +863,7 @@
 		if e.Report != nil && e.Report.Queue >= 0 {
 			s.waiting, s.askedAt = e.Report.Queue, b.now
 		}
-	case s.dark && b.now-s.lastOK > b.set.ProbeWait:
+	case s.dark && b.now-s.lastOK > b.set.ProbeTimeout:
 		b.remark(s, noAnswer)
 	}
 }
@@ -890,7 +871,7 @@
 // ask asks the replicas of a new query's parts for their load, as far as parts taken have earned it, and says
 // whether to wait for their word. One of many meets a server so rarely that what it last heard is old.
 func (b *Balancer) ask(q *query) bool {
-	if !b.set.CanProbe || !b.set.ReportsOnProbe {
+	if !b.set.CanProbe || !b.set.LoadReportsOnProbe {
 		return false
 	}
 	var holders []*server
@@ -927,7 +908,7 @@
 	b.known = known
 	b.median = b.least() // for the rest of the turn: no answer comes in before the next
 	for _, s := range b.order {
-		s.silent = b.mute(&s.health, b.late()/b.coldShare(s)) > 0 || s.dark && b.set.Talks()
+		s.silent = b.mute(&s.health, b.late()/b.coldShare(s)) > 0 || s.dark && b.set.GossipEnabled()
 		s.stuck = 0
 		for c := range s.of {
 			stuck := b.mute(&s.of[c], b.late()/b.coldShare(s))
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -13,10 +13,10 @@
 func testSettings() Settings {
 	return Settings{
 		Seed: 1, Instances: 2, Tick: 5 * ms,
-		Classes: []Class{{Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, Effect: Safe, Floor: 1, Need: 1}},
-		Cells:   3, Reach: 3, Shards: 6, CallParts: 1,
-		MaxAttempts: 3, SecondCopies: true, CanCancel: true, MaxRetryAfter: time.Second,
-		Rules: Rules{ColdFor: 10 * time.Second, ColdFrom: 0.2, TipMultiple: 2, TipFor: 2 * time.Second},
+		Classes: []Class{{Objective: time.Second, Deadline: 3 * time.Second, Weight: 1, Idempotency: Idempotent, MinFraction: 1, CompleteFraction: 1}},
+		Cells:   3, Reach: 3, Shards: 6, MaxCallParts: 1,
+		MaxAttempts: 3, CanHedge: true, CanCancel: true, MaxRetryAfter: time.Second,
+		Rules: Rules{WarmupPeriod: 10 * time.Second, WarmupMinCapacity: 0.2, OverloadMultiple: 2, OverloadPeriod: 2 * time.Second},
 	}
 }
 
@@ -29,7 +29,7 @@
 	sent map[ID]int
 }
 
-func newBench(t *testing.T, set Settings, list ...Member) *bench {
+func newBench(t *testing.T, set Settings, list ...Endpoint) *bench {
 	t.Helper()
 	b, err := New(set)
 	if err != nil {
@@ -39,12 +39,12 @@
 	if list == nil {
 		list = threeServers()
 	}
-	h.turn(Members{Kind: ListFull, List: list})
+	h.turn(EndpointList{Kind: ListFull, Endpoints: list})
 	return h
 }
 
-func threeServers() []Member {
-	return []Member{{Replica: "a", Cell: 0}, {Replica: "b", Cell: 1}, {Replica: "c", Cell: 2}}
+func threeServers() []Endpoint {
+	return []Endpoint{{Replica: "a", Cell: 0}, {Replica: "b", Cell: 1}, {Replica: "c", Cell: 2}}
 }
 
 func (h *bench) turn(events ...Event) []Action {
@@ -92,10 +92,10 @@
 }
 
 // end reports an attempt's outcome after took.
-func (h *bench) end(s Send, attempt int, r Result, took time.Duration) []Action {
+func (h *bench) end(s Send, attempt int, r AttemptResult, took time.Duration) []Action {
 	h.Helper()
 	h.now += took
-	return h.turn(Outcome{Part: s.Part, Attempt: attempt, Replica: s.Replica, Result: r, Took: took})
+	return h.turn(AttemptEnded{Part: s.Part, Attempt: attempt, Replica: s.Replica, Result: r, Elapsed: took})
 }
 
 // serve runs n one-part queries to their answers, each in took.
@@ -104,7 +104,7 @@
 	for range n {
 		id, ev := h.query(0, 1)
 		s := one[Send](h, h.turn(ev...))
-		if a := one[Answer](h, h.end(s, 0, OK, took)); a.Query != id || !a.Whole {
+		if a := one[Answer](h, h.end(s, 0, OK, took)); a.Query != id || !a.Complete {
 			h.Fatalf("answer %v for query %d", a, id)
 		}
 	}
@@ -146,7 +146,7 @@
 		s := h.b.servers[name]
 		s.heard, s.r, s.s, s.q = true, r, r/2, r/100
 	}
-	h.turn(Tick{})
+	h.turn(TimerFired{})
 	if r, s, q := h.b.averages(h.b.servers["a"]); r != 200 || s != 100 || q != 2 {
 		t.Errorf("R %v S %v q %v, want the means 200, 100 and 2", r, s, q)
 	}
@@ -166,7 +166,7 @@
 
 func TestReportsFeedQ(t *testing.T) {
 	set := testSettings()
-	set.CanProbe, set.ReportsOnProbe = true, true
+	set.CanProbe, set.LoadReportsOnProbe = true, true
 	h := newBench(t, set)
 	_, ev := h.query(0, 12)
 	acts := h.turn(ev...)
@@ -174,7 +174,7 @@
 	if len(p) == 0 {
 		t.Fatalf("no probe for 12 parts: %v", acts)
 	}
-	h.turn(Probed{Replica: p[0].Replica, Result: OK, Report: &Report{Queue: -1, InFlight: 20, Util: -1}})
+	h.turn(ProbeEnded{Replica: p[0].Replica, Result: OK, Report: &LoadReport{Queue: -1, InFlight: 20, Utilization: -1}})
 	if q := h.b.servers[p[0].Replica].q; q < 10 {
 		t.Errorf("q %v after a report of 20", q)
 	}
@@ -185,12 +185,12 @@
 	id, ev := h.query(0, 1)
 	s := one[Send](h, h.turn(ev...))
 	h.now += 100 * ms
-	acts := h.turn(Outcome{Part: s.Part, Replica: s.Replica, Result: OK}, Gone{Query: id})
+	acts := h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: OK}, ClientDisconnected{Query: id})
 	h.none(acts, "action after the client left", len(all[Answer](acts)))
 	_, ev = h.query(0, 1)
 	s = one[Send](h, h.turn(ev...))
 	one[Answer](h, h.end(s, 0, OK, 100*ms))
-	acts = h.turn(Gone{Query: id}, Outcome{Part: s.Part, Replica: s.Replica, Result: OK})
+	acts = h.turn(ClientDisconnected{Query: id}, AttemptEnded{Part: s.Part, Replica: s.Replica, Result: OK})
 	if len(acts) != 0 {
 		t.Errorf("actions for ids no longer held: %v", acts)
 	}
@@ -198,12 +198,12 @@
 
 func TestEndsBeforeTheTimeIsUp(t *testing.T) {
 	set := testSettings()
-	set.Classes[0].LateWorth = 0.3
+	set.Classes[0].OverdueFraction = 0.3
 	h := newBench(t, set)
 	id, ev := h.query(0, 1)
 	one[Send](h, h.turn(ev...))
 	h.now += 3*time.Second - 15*ms
-	if r := one[Refuse](h, h.turn(Tick{})); r.Query != id {
+	if r := one[Reject](h, h.turn(TimerFired{})); r.Query != id {
 		t.Errorf("refused %d, want %d", r.Query, id)
 	}
 }
@@ -211,10 +211,10 @@
 func TestLackingShardRefusesAtOnce(t *testing.T) {
 	set := testSettings()
 	set.Reach = 1
-	h := newBench(t, set, Member{Replica: "a", Cell: 0})
+	h := newBench(t, set, Endpoint{Replica: "a", Cell: 0})
 	id, ev := h.query(0, 2) // shard 1 has no replica
 	acts := h.turn(ev...)
-	if r := one[Refuse](h, acts); r.Query != id || r.RetryAfter <= 0 {
+	if r := one[Reject](h, acts); r.Query != id || r.RetryAfter <= 0 {
 		t.Errorf("%v", r)
 	}
 	h.none(acts, "work for the other shard", len(all[Send](acts)))
@@ -222,8 +222,8 @@
 
 func TestUnsafePartIsNotResent(t *testing.T) {
 	set := testSettings()
-	set.Classes[0].Effect = Unsafe
-	for _, r := range []Result{Failed, Reset, TimedOut, Canceled} {
+	set.Classes[0].Idempotency = NonIdempotent
+	for _, r := range []AttemptResult{Failed, Reset, TimedOut, Canceled} {
 		h := newBench(t, set)
 		_, ev := h.query(0, 1)
 		s := one[Send](h, h.turn(ev...))
@@ -231,7 +231,7 @@
 		one[Fail](h, acts)
 		h.none(acts, "second attempt", len(all[Send](acts)))
 	}
-	for _, r := range []Result{QueueFull, ConnectFailed} {
+	for _, r := range []AttemptResult{QueueFull, ConnectFailed} {
 		h := newBench(t, set)
 		_, ev := h.query(0, 1)
 		s := one[Send](h, h.turn(ev...))
@@ -244,31 +244,31 @@
 func TestUnsafePartIsNotHedged(t *testing.T) {
 	set := testSettings()
 	set.Classes = append(set.Classes, set.Classes[0])
-	set.Classes[1].Effect = Unsafe
+	set.Classes[1].Idempotency = NonIdempotent
 	h := newBench(t, set)
 	h.serve(60, 100*ms)
 	_, ev := h.query(1, 1)
 	one[Send](h, h.turn(ev...))
 	h.now += 900 * ms
-	acts := h.turn(Tick{})
+	acts := h.turn(TimerFired{})
 	h.none(acts, "copy", len(all[Hedge](acts))+len(all[Cancel](acts)))
 }
 
 func TestUnsafeRefusedOnlyUnsent(t *testing.T) {
 	set := testSettings()
-	set.Classes[0].Effect = Unsafe
+	set.Classes[0].Idempotency = NonIdempotent
 	h := newBench(t, set)
 	id, ev := h.query(0, 1)
 	one[Send](h, h.turn(ev...))
 	h.now += time.Second - 10*ms
-	if f := one[Fail](h, h.turn(Tick{})); f.Query != id {
+	if f := one[Fail](h, h.turn(TimerFired{})); f.Query != id {
 		t.Errorf("failed %d, want %d", f.Query, id)
 	}
 }
 
 func TestKeyedPartKeepsItsWindow(t *testing.T) {
 	set := testSettings()
-	set.Classes[0].Effect, set.Classes[0].Window, set.Classes[0].LateWorth = Keyed, 200*ms, 0.5
+	set.Classes[0].Idempotency, set.Classes[0].DedupWindow, set.Classes[0].OverdueFraction = KeyedIdempotent, 200*ms, 0.5
 	h := newBench(t, set)
 	_, ev := h.query(0, 1)
 	s := one[Send](h, h.turn(ev...))
@@ -287,7 +287,7 @@
 	_, ev := h.query(0, 1)
 	s := one[Send](h, h.turn(ev...))
 	h.now += 600 * ms
-	return s, one[Hedge](h, h.turn(Tick{}))
+	return s, one[Hedge](h, h.turn(TimerFired{}))
 }
 
 func TestLateSafePartIsHedgedOnce(t *testing.T) {
@@ -297,7 +297,7 @@
 		t.Errorf("both copies at %s", s.Replica)
 	}
 	h.now += 50 * ms
-	acts := h.turn(Outcome{Part: s.Part, Attempt: 1, Replica: c.Replica, Result: OK})
+	acts := h.turn(AttemptEnded{Part: s.Part, Attempt: 1, Replica: c.Replica, Result: OK})
 	one[Answer](h, acts)
 	if x := one[Cancel](h, acts); x.Attempt != 0 {
 		t.Errorf("called off attempt %d, want 0", x.Attempt)
@@ -306,14 +306,14 @@
 
 func TestNoSecondCopyWhereNoneIsAllowed(t *testing.T) {
 	set := testSettings()
-	set.SecondCopies = false
+	set.CanHedge = false
 	h := newBench(t, set)
 	h.serve(60, 100*ms)
 	_, ev := h.query(0, 1)
 	s := one[Send](h, h.turn(ev...))
 	for range 40 {
 		h.now += 10 * ms
-		acts := h.turn(Tick{})
+		acts := h.turn(TimerFired{})
 		h.none(acts, "attempt beside another", len(all[Send](acts))+len(all[Hedge](acts)))
 		if len(all[Cancel](acts)) > 0 {
 			if n := one[Send](h, h.end(s, 0, Canceled, 5*ms)); n.Replica == s.Replica {
@@ -333,12 +333,12 @@
 	s = one[Send](h, h.end(s, 1, Failed, 5*ms))
 	acts := h.end(s, 2, Failed, 5*ms)
 	h.none(acts, "fourth attempt", len(all[Send](acts)))
-	one[Refuse](h, acts)
+	one[Reject](h, acts)
 }
 
 func TestDrainingServerGetsNothing(t *testing.T) {
 	h := newBench(t, testSettings())
-	h.turn(Members{Kind: ListDelta, List: []Member{
+	h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{
 		{Replica: "a", Cell: 0, State: Draining}, {Replica: "b", Cell: 1, State: Removed}}})
 	for range 10 {
 		_, ev := h.query(0, 1)
@@ -346,7 +346,7 @@
 			t.Fatalf("sent to %s", s.Replica)
 		}
 	}
-	h.turn(Members{Kind: ListFull, List: []Member{{Replica: "a", Cell: 0}}})
+	h.turn(EndpointList{Kind: ListFull, Endpoints: []Endpoint{{Replica: "a", Cell: 0}}})
 	_, ev := h.query(0, 1)
 	if s := one[Send](h, h.turn(ev...)); s.Replica != "a" {
 		t.Errorf("sent to %s, which the full list no longer names", s.Replica)
@@ -355,20 +355,20 @@
 
 func TestFailedListCallKeepsTheListAndAsksAgain(t *testing.T) {
 	set := testSettings()
-	set.OnRequest, set.Rules.MustAskIn = true, 10*time.Second
+	set.ListOnRequest, set.Rules.MaxListAge = true, 10*time.Second
 	var waits []time.Duration
 	for set.Seed = range 2 {
 		h := newBench(t, set)
-		acts := h.turn(Members{Kind: ListFailed})
-		h.none(acts, "call in the turn of the failed one", len(all[Watch](acts)))
+		acts := h.turn(EndpointList{Kind: ListFailed})
+		h.none(acts, "call in the turn of the failed one", len(all[WatchEndpoints](acts)))
 		_, ev := h.query(0, 1)
 		one[Send](h, h.turn(ev...))
 		failed := h.now
-		for len(all[Watch](acts)) == 0 {
-			if h.now += 100 * ms; h.now > failed+set.Rules.MustAskIn {
+		for len(all[WatchEndpoints](acts)) == 0 {
+			if h.now += 100 * ms; h.now > failed+set.Rules.MaxListAge {
 				t.Fatal("the list was not asked for again in the stated time")
 			}
-			acts = h.turn(Tick{})
+			acts = h.turn(TimerFired{})
 		}
 		waits = append(waits, h.now-failed)
 	}
@@ -378,7 +378,7 @@
 }
 
 func TestColdServerKeepsToItsBudget(t *testing.T) {
-	h := newBench(t, testSettings(), Member{Replica: "a", Cell: 0, Started: 100 * time.Second})
+	h := newBench(t, testSettings(), Endpoint{Replica: "a", Cell: 0, Started: 100 * time.Second})
 	sends := 0
 	for range 20 {
 		_, ev := h.query(0, 1)
@@ -399,7 +399,7 @@
 func TestRestartUnderTheSameNameIsCold(t *testing.T) {
 	h := newBench(t, testSettings())
 	h.serve(9, 100*ms)
-	h.turn(Members{Kind: ListDelta, List: []Member{{Replica: "a", Cell: 0, Started: h.now}}})
+	h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", Cell: 0, Started: h.now}}})
 	if s := h.b.servers["a"]; s.heard || h.b.coldShare(s) != 0.2 {
 		t.Errorf("heard %v, share %v after a restart", s.heard, h.b.coldShare(s))
 	}
@@ -435,7 +435,7 @@
 	_, ev := h.query(0, 1)
 	silent := one[Send](h, h.turn(ev...)).Replica
 	h.now += 500 * ms
-	h.turn(Tick{})
+	h.turn(TimerFired{})
 	for range 6 {
 		_, ev := h.query(0, 1)
 		if s := one[Send](h, h.turn(ev...)); s.Replica == silent {
@@ -483,47 +483,47 @@
 
 func TestPartialAnswers(t *testing.T) {
 	set := testSettings()
-	set.Classes[0].Floor, set.Classes[0].Partial, set.Classes[0].LateWorth = 0.6, 0.8, 0.1
+	set.Classes[0].MinFraction, set.Classes[0].PartialFraction, set.Classes[0].OverdueFraction = 0.6, 0.8, 0.1
 	h := newBench(t, set)
 	id, ev := h.query(0, 3)
 	sends := all[Send](h.turn(ev...))
 	h.now += 100 * ms
-	acts := h.turn(Outcome{Part: sends[0].Part, Replica: sends[0].Replica, Result: OK},
-		Outcome{Part: sends[1].Part, Replica: sends[1].Replica, Result: OK})
+	acts := h.turn(AttemptEnded{Part: sends[0].Part, Replica: sends[0].Replica, Result: OK},
+		AttemptEnded{Part: sends[1].Part, Replica: sends[1].Replica, Result: OK})
 	h.none(acts, "early partial answer", len(all[Answer](acts)))
 	h.now += 890 * ms
-	if a := one[Answer](h, h.turn(Tick{})); a.Query != id || a.Whole {
+	if a := one[Answer](h, h.turn(TimerFired{})); a.Query != id || a.Complete {
 		t.Errorf("answer %v, want a partial one of %d", a, id)
 	}
 	id, ev = h.query(0, 3)
 	sends = all[Send](h.turn(ev...))
 	h.now += 100 * ms
-	h.turn(Outcome{Part: sends[0].Part, Replica: sends[0].Replica, Result: OK})
+	h.turn(AttemptEnded{Part: sends[0].Part, Replica: sends[0].Replica, Result: OK})
 	h.now += 3*time.Second - 110*ms
-	acts = h.turn(Tick{})
+	acts = h.turn(TimerFired{})
 	h.none(acts, "answer under the floor", len(all[Answer](acts)))
-	one[Refuse](h, acts)
+	one[Reject](h, acts)
 }
 
 func TestSecondStep(t *testing.T) {
 	set := testSettings()
-	set.Classes[0].FollowUp = 1
+	set.Classes[0].FollowUpParts = 1
 	h := newBench(t, set)
 	id, ev := h.query(0, 1)
 	s := one[Send](h, h.turn(ev...))
-	if a := one[Answer](h, h.end(s, 0, OK, 50*ms)); !a.Whole {
+	if a := one[Answer](h, h.end(s, 0, OK, 50*ms)); !a.Complete {
 		t.Error("first step not whole")
 	}
 	h.now += 5 * ms
 	s = one[Send](h, h.turn(Part{ID: 99, Group: uint64(id), Shard: 0, Weight: 1}))
-	if a := one[Answer](h, h.end(s, 0, OK, 50*ms)); a.Query != id || !a.Whole {
+	if a := one[Answer](h, h.end(s, 0, OK, 50*ms)); a.Query != id || !a.Complete {
 		t.Errorf("second answer %v", a)
 	}
 }
 
 func TestBudgetOfFurtherAttempts(t *testing.T) {
 	set := testSettings()
-	set.Rules.BudgetWindow, set.Rules.BudgetFree, set.Rules.BudgetRatio = 10*time.Second, 1, 0
+	set.Rules.RetryBudgetWindow, set.Rules.RetryBudgetBase, set.Rules.RetryBudgetRatio = 10*time.Second, 1, 0
 	h := newBench(t, set)
 	_, ev := h.query(0, 1)
 	s := one[Send](h, h.turn(ev...))
@@ -539,7 +539,7 @@
 	refused := 0
 	for range 60 {
 		_, ev := h.query(0, 1)
-		for _, r := range all[Refuse](h.turn(ev...)) {
+		for _, r := range all[Reject](h.turn(ev...)) {
 			if refused++; r.RetryAfter <= 0 {
 				t.Error("refused without a time to come back")
 			}
@@ -564,13 +564,13 @@
 	// Classes without late worth: 1.5 s of 3 s are gone, the aim of 1 s with them.
 	acts := h.turn(Query{ID: 900, Group: 900, TimeLeft: 1500 * ms, Parts: 1},
 		Part{ID: 901, Group: 900, Weight: 1})
-	if r := one[Refuse](h, acts); r.Query != 900 || len(all[Send](acts)) > 0 {
+	if r := one[Reject](h, acts); r.Query != 900 || len(all[Send](acts)) > 0 {
 		t.Errorf("actions %v", acts)
 	}
 }
 
 func TestTies(t *testing.T) {
-	h := newBench(t, testSettings(), Member{Replica: "a", Cell: 0, Zone: 1}, Member{Replica: "b", Cell: 1, Zone: 0})
+	h := newBench(t, testSettings(), Endpoint{Replica: "a", Cell: 0, Zone: 1}, Endpoint{Replica: "b", Cell: 1, Zone: 0})
 	for range 20 {
 		_, ev := h.query(0, 1)
 		s := one[Send](h, h.turn(ev...))
@@ -590,7 +590,7 @@
 			acts = append(acts, got...)
 			h.now += 40 * ms
 			for _, s := range all[Send](got) {
-				acts = append(acts, h.turn(Outcome{Part: s.Part, Replica: s.Replica, Result: Result(i % 3)})...)
+				acts = append(acts, h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: AttemptResult(i % 3)})...)
 			}
 		}
 		return acts
@@ -607,10 +607,10 @@
 		"no instances": func(s *Settings) { s.Instances = 0 },
 		"no attempts":  func(s *Settings) { s.MaxAttempts = 0 },
 		"no tick":      func(s *Settings) { s.Tick = 0 },
-		"no aim":       func(s *Settings) { s.Classes[0].Aim = 0 },
-		"need over 1":  func(s *Settings) { s.Classes[0].Need = 2 },
-		"budget under": func(s *Settings) { s.Rules.BudgetRatio = -1 },
-		"asked before": func(s *Settings) { s.Rules.MustAskIn = -time.Second },
+		"no aim":       func(s *Settings) { s.Classes[0].Objective = 0 },
+		"need over 1":  func(s *Settings) { s.Classes[0].CompleteFraction = 2 },
+		"budget under": func(s *Settings) { s.Rules.RetryBudgetRatio = -1 },
+		"asked before": func(s *Settings) { s.Rules.MaxListAge = -time.Second },
 	} {
 		set := testSettings()
 		spoil(&set)
@@ -633,7 +633,7 @@
 	}
 	jam(4)
 	id, ev := h.query(0, 1)
-	if r := one[Refuse](h, h.turn(ev...)); r.Query != id {
+	if r := one[Reject](h, h.turn(ev...)); r.Query != id {
 		t.Errorf("refused %d, want %d", r.Query, id)
 	}
 	jam(0) // the same times with nothing in hand are old news
@@ -701,7 +701,7 @@
 
 func TestDoubtedServerReturnsWithUnsafePartsOnly(t *testing.T) {
 	set := testSettings()
-	set.Classes[0].Effect = Unsafe
+	set.Classes[0].Idempotency = NonIdempotent
 	h := newBench(t, set)
 	h.serve(30, 100*ms)
 	bad := h.b.servers["a"]
@@ -714,10 +714,10 @@
 
 func TestLongAimsAreStillLookedAfter(t *testing.T) {
 	set := testSettings()
-	set.Classes[0].Aim, set.Classes[0].Deadline, set.Classes[0].LateWorth = time.Minute, 2*time.Minute, 0.5
+	set.Classes[0].Objective, set.Classes[0].Deadline, set.Classes[0].OverdueFraction = time.Minute, 2*time.Minute, 0.5
 	h := newBench(t, set)
 	_, ev := h.query(0, 1)
-	if w := one[Wake](h, h.turn(ev...)); w.After > 15*ms {
+	if w := one[StartTimer](h, h.turn(ev...)); w.After > 15*ms {
 		t.Errorf("next look after %v: a query could outlive its time", w.After)
 	}
 }
@@ -771,7 +771,7 @@
 	h.serve(40, 100*ms)
 	h.b.mean, h.b.dev = 2e6, 1e6
 	_, ev := h.query(0, 3)
-	if len(all[Refuse](h.turn(ev...))) != 1 {
+	if len(all[Reject](h.turn(ev...))) != 1 {
 		t.Fatal("a query was begun where answers take twice its aim")
 	}
 	for range 20 {
@@ -787,10 +787,10 @@
 func TestLongerLaterTryDoesNotAgeFirstTries(t *testing.T) {
 	for _, marks := range []bool{true, false} {
 		set := testSettings()
-		set.MarksRetry = marks
+		set.ClientsMarkRetries = marks
 		h := newBench(t, set)
 		first := Query{Group: 1, TimeLeft: 2 * time.Second}
-		again := Query{Group: 2, TimeLeft: 2500 * ms, Retry: marks}
+		again := Query{Group: 2, TimeLeft: 2500 * ms, IsRetry: marks}
 		for range 5 {
 			if w := h.b.waited(first); w != 0 {
 				t.Errorf("marked %v: a first try has waited %v", marks, w)
@@ -808,7 +808,7 @@
 // A new query asks its replicas for a report and waits for it, but not for one that does not come.
 func TestNewQueryAsksItsReplicas(t *testing.T) {
 	set := testSettings()
-	set.CanProbe, set.ReportsOnProbe = true, true
+	set.CanProbe, set.LoadReportsOnProbe = true, true
 	h := newBench(t, set)
 	h.b.probeTokens = 1
 	_, ev := h.query(0, 3)
@@ -819,7 +819,7 @@
 	}
 	h.none(acts, "send before the report", len(all[Send](acts)))
 	h.now += 5 * ms
-	acts = h.turn(Probed{Replica: probes[0].Replica, Result: OK, Report: &Report{Queue: -1, InFlight: 9, Util: -1}})
+	acts = h.turn(ProbeEnded{Replica: probes[0].Replica, Result: OK, Report: &LoadReport{Queue: -1, InFlight: 9, Utilization: -1}})
 	for _, s := range all[Send](acts)[:2] {
 		if s.Replica == probes[0].Replica {
 			t.Error("the replica that reports nine parts in hand was not passed over")
@@ -830,7 +830,7 @@
 	_, ev = h.query(0, 3)
 	h.turn(ev...)
 	h.now += 30 * ms
-	if n := len(all[Send](h.turn(Tick{}))); n == 0 {
+	if n := len(all[Send](h.turn(TimerFired{}))); n == 0 {
 		t.Error("still waiting for a report that does not come")
 	}
 }
@@ -846,16 +846,16 @@
 	sends := all[Send](h.turn(ev...))
 	for i, s := range sends[:2] {
 		h.now += 5 * ms
-		acts := h.turn(Outcome{Part: s.Part, Replica: s.Replica, Result: Reset, Took: 50 * ms})
+		acts := h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: Reset, Elapsed: 50 * ms})
 		if p := one[Probe](h, acts); p.Replica != s.Replica {
 			t.Fatalf("asked %s whether it lives, want %s", p.Replica, s.Replica)
 		}
 		h.none(acts, "part sent again before the server was asked", len(all[Send](acts)))
 		h.now += 5 * ms
-		acts = h.turn(Probed{Replica: s.Replica, Result: ConnectFailed})
-		if over := len(all[Refuse](acts)); over != i {
+		acts = h.turn(ProbeEnded{Replica: s.Replica, Result: ConnectFailed})
+		if over := len(all[Reject](acts)); over != i {
 			t.Fatalf("refused %d times after %d deaths", over, i+1)
-		} else if over == 1 && one[Refuse](h, acts).Query != id {
+		} else if over == 1 && one[Reject](h, acts).Query != id {
 			t.Error("another query was refused")
 		}
 	}
@@ -878,9 +878,9 @@
 	h.serve(10, 100*ms)
 	_, ev := h.query(0, 3)
 	for _, s := range all[Send](h.turn(ev...))[:2] {
-		h.turn(Outcome{Part: s.Part, Replica: s.Replica, Result: Reset, Took: 50 * ms})
-		acts := h.turn(Probed{Replica: s.Replica, Result: OK})
-		if len(all[Refuse](acts)) > 0 || len(all[Send](acts)) != 1 {
+		h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: Reset, Elapsed: 50 * ms})
+		acts := h.turn(ProbeEnded{Replica: s.Replica, Result: OK})
+		if len(all[Reject](acts)) > 0 || len(all[Send](acts)) != 1 {
 			t.Errorf("want the part sent again, got %v", acts)
 		}
 	}
@@ -920,7 +920,7 @@
 	}{{1, 0.2, 2, 2 * time.Second}, {80, 0.2, 2, 2 * time.Second}, {79, 0.17, 3, 2 * time.Second},
 		{73, 0.22, 2, 2 * time.Second}, {68, 0.18, 4, time.Second}} {
 		n, set := c.n, testSettings()
-		set.Rules.ColdFrom, set.Rules.TipMultiple, set.Rules.TipFor = c.from, c.tip, c.window
+		set.Rules.WarmupMinCapacity, set.Rules.OverloadMultiple, set.Rules.OverloadPeriod = c.from, c.tip, c.window
 		set.Instances, set.Cells, set.Reach = n, 1, 1
 		start := 100 * time.Second
 		var all []*Balancer
@@ -931,18 +931,18 @@
 				t.Fatal(err)
 			}
 			b.now = start
-			b.Turn(start, []Event{Members{Kind: ListFull, List: []Member{{Replica: "a", Started: start}}}})
+			b.Turn(start, []Event{EndpointList{Kind: ListFull, Endpoints: []Endpoint{{Replica: "a", Started: start}}}})
 			b.mean, b.dev = us(work), 0
 			all = append(all, b)
 		}
 		var sent []time.Duration
 		id := ID(0)
-		for now := start; now < start+set.Rules.ColdFor; now += work / 2 {
+		for now := start; now < start+set.Rules.WarmupPeriod; now += work / 2 {
 			for _, b := range all {
 				var events []Event
 				for _, a := range b.servers["a"].out {
 					if now-a.sent >= work {
-						events = append(events, Outcome{Part: a.part.ID, Attempt: a.n, Replica: "a", Result: OK, Took: work})
+						events = append(events, AttemptEnded{Part: a.part.ID, Attempt: a.n, Replica: "a", Result: OK, Elapsed: work})
 					}
 				}
 				id += 2
@@ -961,12 +961,12 @@
 		for i, at := range sent {
 			inWindow := 0
 			for _, s := range sent[:i+1] {
-				if s > at-set.Rules.TipFor {
+				if s > at-set.Rules.OverloadPeriod {
 					inWindow++
 				}
 			}
-			share := set.Rules.ColdFrom + (1-set.Rules.ColdFrom)*float64(at-start)/float64(set.Rules.ColdFor)
-			most := set.Rules.TipMultiple * share * us(set.Rules.TipFor) / us(work) * 2 // of two cores
+			share := set.Rules.WarmupMinCapacity + (1-set.Rules.WarmupMinCapacity)*float64(at-start)/float64(set.Rules.WarmupPeriod)
+			most := set.Rules.OverloadMultiple * share * us(set.Rules.OverloadPeriod) / us(work) * 2 // of two cores
 			if float64(inWindow) > most {
 				t.Fatalf("n = %d: %d parts in the window up to %v, at most %.1f", n, inWindow, at-start, most)
 			}
@@ -998,7 +998,7 @@
 	s, c := h.hedged()
 	tokens := h.b.hedgeTokens
 	h.now += 50 * ms
-	h.turn(Outcome{Part: s.Part, Attempt: 1, Replica: c.Replica, Result: OK, Took: 50 * ms})
+	h.turn(AttemptEnded{Part: s.Part, Attempt: 1, Replica: c.Replica, Result: OK, Elapsed: 50 * ms})
 	if h.b.hedgeTokens != tokens+1 {
 		t.Errorf("tokens %v -> %v: a copy that answers first pays for the next", tokens, h.b.hedgeTokens)
 	}
@@ -1022,7 +1022,7 @@
 		floor float64
 		sends int
 	}{{1, 0}, {0.8, 30}} {
-		set.Classes[0].Floor, set.Classes[0].Partial, set.Classes[0].LateWorth = c.floor, 0.9, 0.3
+		set.Classes[0].MinFraction, set.Classes[0].PartialFraction, set.Classes[0].OverdueFraction = c.floor, 0.9, 0.3
 		h := newBench(t, set)
 		h.serve(20, 100*ms)
 		h.b.mean, h.b.dev, h.b.worth, h.b.width = 320e3, 130e3, 1, 30
@@ -1044,17 +1044,17 @@
 		if i == 40 {
 			h.now += 300 * ms
 		}
-		h.turn(Outcome{Part: s.Part, Replica: s.Replica, Result: OK})
+		h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: OK})
 	}
 	if len(sends) != 60 || h.b.mean > 400e3 {
 		t.Errorf("%d parts; mean %.0f us, of many queries of 100 ms and one of 10 to 900 ms", len(sends), h.b.mean)
 	}
 }
 
-func twoZones() []Member {
-	var list []Member
+func twoZones() []Endpoint {
+	var list []Endpoint
 	for i := range 12 {
-		list = append(list, Member{Replica: Replica(rune('a' + i)), Cell: i % 3, Zone: i % 2})
+		list = append(list, Endpoint{Replica: Replica(rune('a' + i)), Cell: i % 3, Zone: i % 2})
 	}
 	return list
 }
@@ -1064,7 +1064,7 @@
 	h := newBench(t, testSettings(), twoZones()...)
 	h.serve(60, 100*ms)
 	h.b.ways[1].least = 1.5e6
-	h.turn(Tick{})
+	h.turn(TimerFired{})
 	if h.b.ways[1].fit() || h.b.median > 200e3 {
 		t.Fatalf("way fit %v, median %v", h.b.ways[1].fit(), h.b.median)
 	}
@@ -1095,13 +1095,13 @@
 	for range 12 {
 		h.b.answered(far, 600e3, 40)
 	}
-	if h.turn(Tick{}); !far.way.fit() {
+	if h.turn(TimerFired{}); !far.way.fit() {
 		t.Error("a few slow parts made the way slow")
 	}
 	for range 40 {
 		h.b.answered(far, 1.5e6, 40)
 	}
-	if h.turn(Tick{}); far.way.fit() {
+	if h.turn(TimerFired{}); far.way.fit() {
 		t.Error("every answer takes long, and the way is still used")
 	}
 }
@@ -1151,10 +1151,10 @@
 // else the caution of all starves the server, as most gatherers send little.
 func TestColdServerGetsItsPartOfTheFlow(t *testing.T) {
 	set := testSettings()
-	set.Instances, set.SecondCopies = 80, false
+	set.Instances, set.CanHedge = 80, false
 	h := newBench(t, set)
 	h.serve(600, 50*ms)
-	h.turn(Members{Kind: ListDelta, List: []Member{{Replica: "a", Cell: 0, Started: h.now}}})
+	h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", Cell: 0, Started: h.now}}})
 	start, sends := h.now, 0
 	for h.now < start+4*time.Second {
 		for _, name := range []Replica{"b", "c"} {
@@ -1178,10 +1178,10 @@
 func TestColdReplicaWithoutRoomIsNotOpen(t *testing.T) {
 	set := testSettings()
 	set.Instances = 80
-	h := newBench(t, set, Member{Replica: "a", Cell: 0, Started: 100 * time.Second})
+	h := newBench(t, set, Endpoint{Replica: "a", Cell: 0, Started: 100 * time.Second})
 	h.b.servers["a"].cold.Lot = 1
 	_, ev := h.query(0, 1)
-	if acts := h.turn(ev...); len(all[Refuse](acts)) != 1 || len(all[Send](acts)) != 0 {
+	if acts := h.turn(ev...); len(all[Reject](acts)) != 1 || len(all[Send](acts)) != 0 {
 		t.Errorf("want a refusal at once, got %v", acts)
 	}
 }
@@ -1189,7 +1189,7 @@
 // Parts that a whole answer does not need wait in reserve, and no further attempt is spent on them.
 func TestPartsNotNeededWaitInReserve(t *testing.T) {
 	set := testSettings()
-	set.Classes[0].Need, set.Classes[0].Floor = 0.6, 0.6
+	set.Classes[0].CompleteFraction, set.Classes[0].MinFraction = 0.6, 0.6
 	h := newBench(t, set)
 	h.serve(60, 100*ms)
 	id, ev := h.query(0, 10)
@@ -1198,17 +1198,17 @@
 		t.Fatalf("%d of 10 parts sent at once, want the 6 that are needed", len(sends))
 	}
 	h.now += 10 * ms
-	acts := h.turn(Outcome{Part: sends[0].Part, Replica: sends[0].Replica, Result: Failed})
+	acts := h.turn(AttemptEnded{Part: sends[0].Part, Replica: sends[0].Replica, Result: Failed})
 	next := one[Send](h, acts)
 	if next.Part == sends[0].Part {
 		t.Error("the failed part was sent again with others unsent")
 	}
 	var events []Event
 	for _, s := range append(sends[1:], next) {
-		events = append(events, Outcome{Part: s.Part, Replica: s.Replica, Result: OK})
+		events = append(events, AttemptEnded{Part: s.Part, Replica: s.Replica, Result: OK})
 	}
 	h.now += 50 * ms
-	if a := one[Answer](h, h.turn(events...)); a.Query != id || !a.Whole {
+	if a := one[Answer](h, h.turn(events...)); a.Query != id || !a.Complete {
 		t.Errorf("answer %v", a)
 	}
 }
@@ -1226,16 +1226,16 @@
 	keyed()
 	var died []Event
 	for _, s := range all[Send](h.turn(ev...)) {
-		died = append(died, Outcome{Part: s.Part, Replica: s.Replica, Result: Reset})
+		died = append(died, AttemptEnded{Part: s.Part, Replica: s.Replica, Result: Reset})
 	}
 	h.now += 50 * ms
-	if r := one[Refuse](h, h.turn(died...)); r.Query != id {
+	if r := one[Reject](h, h.turn(died...)); r.Query != id {
 		t.Fatalf("refused %v", r)
 	}
 	h.now += 500 * ms
 	id, ev = h.query(0, 3)
 	keyed()
-	if acts := h.turn(ev...); one[Refuse](h, acts).Query != id || len(all[Send](acts)) > 0 {
+	if acts := h.turn(ev...); one[Reject](h, acts).Query != id || len(all[Send](acts)) > 0 {
 		t.Errorf("the repeat was begun: %v", acts)
 	}
 	h.now += time.Minute
@@ -1249,20 +1249,20 @@
 // A first step that waits for its last part until the aim leaves the second step none.
 func TestFirstStepLeavesTimeForTheSecond(t *testing.T) {
 	set := testSettings()
-	set.Classes[0].Floor, set.Classes[0].Partial, set.Classes[0].LateWorth, set.Classes[0].FollowUp = 0.5, 0.9, 0.1, 3
-	set.SecondCopies = false
+	set.Classes[0].MinFraction, set.Classes[0].PartialFraction, set.Classes[0].OverdueFraction, set.Classes[0].FollowUpParts = 0.5, 0.9, 0.1, 3
+	set.CanHedge = false
 	h := newBench(t, set)
 	h.serveFirst(60)
 	id, ev := h.query(0, 3)
 	start := h.now
 	sends := all[Send](h.turn(ev...))
 	h.now += 100 * ms
-	h.turn(Outcome{Part: sends[0].Part, Replica: sends[0].Replica, Result: OK},
-		Outcome{Part: sends[1].Part, Replica: sends[1].Replica, Result: OK})
+	h.turn(AttemptEnded{Part: sends[0].Part, Replica: sends[0].Replica, Result: OK},
+		AttemptEnded{Part: sends[1].Part, Replica: sends[1].Replica, Result: OK})
 	for h.now < start+time.Second {
 		h.now += 10 * ms
-		if a := all[Answer](h.turn(Tick{})); len(a) > 0 {
-			if left := start + time.Second - h.now; a[0].Query != id || a[0].Whole || left < 100*ms {
+		if a := all[Answer](h.turn(TimerFired{})); len(a) > 0 {
+			if left := start + time.Second - h.now; a[0].Query != id || a[0].Complete || left < 100*ms {
 				t.Errorf("answer %v with %v left for the second step", a[0], left)
 			}
 			return
@@ -1288,17 +1288,17 @@
 // elsewhere too. Only a server that shows nothing for twice as long loses it.
 func TestHeavyPartIsNotMoved(t *testing.T) {
 	set := testSettings()
-	set.SecondCopies = false
+	set.CanHedge = false
 	h := newBench(t, set)
 	h.serve(60, 100*ms)
 	h.b.mean, h.b.dev = 150e3, 80e3 // late is 390 ms
 	_, ev := h.query(0, 1)
 	s := one[Send](h, h.turn(ev...))
 	h.now += 600 * ms
-	acts := h.turn(Tick{})
+	acts := h.turn(TimerFired{})
 	h.none(acts, "early call-off", len(all[Cancel](acts)))
 	h.now += 200 * ms
-	if c := one[Cancel](h, h.turn(Tick{})); c.Part != s.Part {
+	if c := one[Cancel](h, h.turn(TimerFired{})); c.Part != s.Part {
 		t.Errorf("called off %v", c)
 	}
 }
@@ -1310,12 +1310,12 @@
 		s := h.b.servers[name]
 		s.heard, s.reported, s.averages = true, h.now, averages{100e3, 100e3, float64(9 * i)}
 	}
-	h.turn(Tick{})
+	h.turn(TimerFired{})
 	if _, _, q := h.b.averages(h.b.servers["c"]); q != 18 {
 		t.Errorf("q %v just after a report of 18", q)
 	}
 	h.now += 10 * time.Second
-	h.turn(Tick{})
+	h.turn(TimerFired{})
 	if _, _, q := h.b.averages(h.b.servers["c"]); q < 9 || q > 10 {
 		t.Errorf("q %v ten aims after a report of 18, want the mean of 9", q)
 	}
@@ -1329,7 +1329,7 @@
 		silent bool
 	}{{recentTimes, true}, {3, false}} {
 		set := testSettings()
-		set.SecondCopies = false
+		set.CanHedge = false
 		h := newBench(t, set, twoZones()...)
 		h.serve(60, 100*ms)
 		h.b.mean, h.b.dev, h.b.hedgeTokens = 100e3, 50e3, hedgeMost
@@ -1348,7 +1348,7 @@
 			s.full = 0
 		}
 		h.now += 160 * ms
-		h.turn(Tick{})
+		h.turn(TimerFired{})
 		if h.b.ways[1].fit() == c.silent {
 			t.Errorf("%d parts out, none answered: way fit %v", c.parts, h.b.ways[1].fit())
 		}
@@ -1367,10 +1367,10 @@
 	h := newBench(t, testSettings())
 	h.serve(60, 100*ms)
 	for _, s := range h.b.order {
-		h.b.report(s, &Report{Queue: 40, InFlight: 42})
+		h.b.report(s, &LoadReport{Queue: 40, InFlight: 42})
 	}
 	_, ev := h.query(0, 1)
-	if acts := h.turn(ev...); len(all[Refuse](acts)) != 1 || len(all[Send](acts)) > 0 {
+	if acts := h.turn(ev...); len(all[Reject](acts)) != 1 || len(all[Send](acts)) > 0 {
 		t.Errorf("want a refusal at once, got %v", acts)
 	}
 	h.now += 3 * time.Second
@@ -1382,13 +1382,13 @@
 // ones and the share of queries and parts taken in it, parts of a second step and second copies included.
 func TestBudgetHoldsInEveryWindow(t *testing.T) {
 	set := testSettings()
-	set.Classes[0].FollowUp, set.Classes[0].LateWorth = 2, 0.3
-	set.Rules.BudgetWindow, set.Rules.BudgetFree, set.Rules.BudgetRatio = 2*time.Second, 3, 0.1
+	set.Classes[0].FollowUpParts, set.Classes[0].OverdueFraction = 2, 0.3
+	set.Rules.RetryBudgetWindow, set.Rules.RetryBudgetBase, set.Rules.RetryBudgetRatio = 2*time.Second, 3, 0.1
 	set.MaxAttempts = 4
 	h := newBench(t, set)
 	var took, further []time.Duration
 	tries := map[ID]int{}
-	var pending []Outcome
+	var pending []AttemptEnded
 	second := map[ID]bool{}
 	var next []Event
 	turn := func(events ...Event) {
@@ -1421,16 +1421,16 @@
 				further = append(further, h.now)
 				n, k := 0.0, 0.0
 				for _, at := range further {
-					if at >= h.now-set.Rules.BudgetWindow {
+					if at >= h.now-set.Rules.RetryBudgetWindow {
 						n++
 					}
 				}
 				for _, at := range took {
-					if at > h.now-set.Rules.BudgetWindow {
+					if at > h.now-set.Rules.RetryBudgetWindow {
 						k++
 					}
 				}
-				if n > set.Rules.BudgetFree+set.Rules.BudgetRatio*k {
+				if n > set.Rules.RetryBudgetBase+set.Rules.RetryBudgetRatio*k {
 					t.Fatalf("%v further attempts within a window that took %v", n, k)
 				}
 			}
@@ -1438,7 +1438,7 @@
 			if h.b.rng.Float64() < 0.5 {
 				result = Failed
 			}
-			pending = append(pending, Outcome{Part: s.Part, Attempt: tries[s.Part] - 1, Replica: s.Replica, Result: result})
+			pending = append(pending, AttemptEnded{Part: s.Part, Attempt: tries[s.Part] - 1, Replica: s.Replica, Result: result})
 		}
 	}
 	for i := range 600 {
@@ -1460,18 +1460,18 @@
 }
 
 // twoClasses: class 1 is like class 0, or unsafe.
-func twoClasses(e Effect) Settings {
+func twoClasses(e Idempotency) Settings {
 	set := testSettings()
-	set.SecondCopies = false
+	set.CanHedge = false
 	set.Classes = append(set.Classes, set.Classes[0])
-	set.Classes[1].Effect = e
+	set.Classes[1].Idempotency = e
 	return set
 }
 
 // A server that loses one class of queries and serves the others: a late part of that class is called off though
 // others are answered, and the class goes elsewhere.
 func TestServerThatLosesOneClass(t *testing.T) {
-	h := newBench(t, twoClasses(Safe))
+	h := newBench(t, twoClasses(Idempotent))
 	h.serve(60, 100*ms)
 	h.b.hedgeTokens = 4
 	bad := h.b.servers["a"]
@@ -1501,7 +1501,7 @@
 	if len(calledOff) != 1 || calledOff[0].Part != lost.Part {
 		t.Fatalf("called off %v", calledOff)
 	}
-	h.turn(Outcome{Part: lost.Part, Replica: "a", Result: Canceled})
+	h.turn(AttemptEnded{Part: lost.Part, Replica: "a", Result: Canceled})
 	if bad.sound(0) || !bad.sound(1) {
 		t.Errorf("doubt %v, of each class %+v", bad.doubt, bad.of)
 	}
@@ -1516,7 +1516,7 @@
 
 // What may not run twice does not try a doubted server while other classes can.
 func TestUnsafePartsAreTheLastToTryADoubtedServer(t *testing.T) {
-	h := newBench(t, twoClasses(Unsafe))
+	h := newBench(t, twoClasses(NonIdempotent))
 	h.serve(30, 100*ms)
 	h.b.servers["a"].doubt, h.b.servers["a"].trialAt = 1, h.now
 	for _, class := range []int{1, 0} { // a trial is due
@@ -1529,7 +1529,7 @@
 
 // Where no replica is sound, one that loses the class comes after one that is slow.
 func TestReplicaThatLosesTheClassIsTheLastResort(t *testing.T) {
-	h := newBench(t, twoClasses(Safe))
+	h := newBench(t, twoClasses(Idempotent))
 	h.serve(40, 100*ms)
 	for id, s := range h.b.servers {
 		s.trialAt = h.now + time.Hour
@@ -1552,7 +1552,7 @@
 // what is lost is no load, and a call-off that pays earns the next.
 func TestPartsLostAmongOthers(t *testing.T) {
 	set := testSettings()
-	set.SecondCopies = false
+	set.CanHedge = false
 	h := newBench(t, set)
 	h.serve(60, 100*ms)
 	h.b.hedgeTokens = 1
@@ -1562,7 +1562,7 @@
 	calledAt := time.Duration(0)
 	for sent := h.now; calledAt == 0 && h.now < sent+2*time.Second; h.now += 10 * ms {
 		srv.lastOK, srv.of[0].lastOK = h.now, h.now
-		if len(all[Cancel](h.turn(Tick{}))) > 0 {
+		if len(all[Cancel](h.turn(TimerFired{}))) > 0 {
 			calledAt = h.now - sent
 		}
 	}
@@ -1576,7 +1576,7 @@
 		t.Errorf("rank %v: a lost part counts as load", r)
 	}
 	doubt, tokens := srv.doubt, h.b.hedgeTokens
-	again := one[Send](h, h.turn(Outcome{Part: lost.Part, Replica: lost.Replica, Result: Canceled}))
+	again := one[Send](h, h.turn(AttemptEnded{Part: lost.Part, Replica: lost.Replica, Result: Canceled}))
 	if srv.doubt != doubt || srv.of[0].doubt != 1 || again.Replica == lost.Replica {
 		t.Errorf("doubt %v, with the class %v; again at %s", srv.doubt, srv.of[0].doubt, again.Replica)
 	}
@@ -1592,9 +1592,9 @@
 	for _, c := range []struct {
 		loss   float64
 		busy   int // parts in hand at the sound servers
-		effect Effect
+		effect Idempotency
 		want   bool
-	}{{0.25, 8, Safe, true}, {0.25, 0, Safe, false}, {0.8, 8, Safe, false}, {0.25, 8, Unsafe, false}} {
+	}{{0.25, 8, Idempotent, true}, {0.25, 0, Idempotent, false}, {0.8, 8, Idempotent, false}, {0.25, 8, NonIdempotent, false}} {
 		h := newBench(t, twoClasses(c.effect))
 		h.serve(60, 100*ms)
 		for id, s := range h.b.servers {
@@ -1628,17 +1628,17 @@
 	sends, late := 0, 0
 	for i := range gatherers {
 		set := testSettings()
-		set.Instances, set.Seed, set.SecondCopies = gatherers, uint64(i+1), false
-		list := []Member{}
+		set.Instances, set.Seed, set.CanHedge = gatherers, uint64(i+1), false
+		list := []Endpoint{}
 		for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
-			list = append(list, Member{Replica: Replica(name), Cell: len(list) % 3})
+			list = append(list, Endpoint{Replica: Replica(name), Cell: len(list) % 3})
 		}
 		h := newBench(t, set, list...)
 		list[0].Started = h.now
-		h.turn(Members{Kind: ListDelta, List: list[:1]})
+		h.turn(EndpointList{Kind: ListDelta, Endpoints: list[:1]})
 		for start := h.now; h.now < start+2*time.Second; h.now += 100 * ms {
 			h.b.flow = 0.5 * flowSpan * h.b.shortAim.Seconds() // it sends a part in two seconds
-			h.turn(Tick{})
+			h.turn(TimerFired{})
 			if s := h.b.servers["a"]; s.cold.Credit >= 1 { // a part is sent as soon as it is owed
 				s.cold.Credit--
 				if sends++; h.now >= start+time.Second {
--- a/balance/evidence_test.go
+++ b/balance/evidence_test.go
@@ -18,27 +18,27 @@
 	return got
 }
 
-func withEvidence(e Evidence) []Member {
+func withEvidence(e HealthLimits) []Endpoint {
 	list := threeServers()
-	list[0].Evidence = e
+	list[0].HealthLimits = e
 	return list
 }
 
 // A shunned server gets nothing of that class while another holder is listed, but for one part for each trial that
 // is granted; where all are shunned, parts go there all the same.
 func TestShunnedServerGetsTrialsOnly(t *testing.T) {
-	h := newBench(t, testSettings(), withEvidence(Evidence{Shun: 1})...)
+	h := newBench(t, testSettings(), withEvidence(HealthLimits{EjectedClasses: 1})...)
 	if n := h.counts(50)["a"]; n != 0 {
 		t.Fatalf("%d parts at a shunned server", n)
 	}
-	h.turn(Members{Kind: ListDelta, List: []Member{{Replica: "a", Cell: 0, Evidence: Evidence{Shun: 1, Trial: 1}}}})
+	h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", Cell: 0, HealthLimits: HealthLimits{EjectedClasses: 1, HalfOpenClasses: 1}}}})
 	// Told again for another reason, before it is used: still one.
-	h.turn(Members{Kind: ListDelta, List: []Member{{Replica: "a", Cell: 0, Evidence: Evidence{Shun: 1, Share: 0.5}}}})
+	h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", Cell: 0, HealthLimits: HealthLimits{EjectedClasses: 1, TrafficFraction: 0.5}}}})
 	if n := h.counts(50)["a"]; n != 1 {
 		t.Fatalf("%d parts at a shunned server for one trial", n)
 	}
-	h.turn(Members{Kind: ListDelta, List: []Member{
-		{Replica: "a", Cell: 0, Evidence: Evidence{Shun: 1}}, {Replica: "b", Cell: 1, State: Removed}, {Replica: "c", Cell: 2, Evidence: Evidence{Shun: 3}},
+	h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{
+		{Replica: "a", Cell: 0, HealthLimits: HealthLimits{EjectedClasses: 1}}, {Replica: "b", Cell: 1, State: Removed}, {Replica: "c", Cell: 2, HealthLimits: HealthLimits{EjectedClasses: 3}},
 	}})
 	if got := h.counts(20); got["a"]+got["c"] != 20 {
 		t.Fatalf("%v", got)
@@ -48,8 +48,8 @@
 // What must not run twice waits for a holder that is busy rather than go to one that is shunned.
 func TestShunnedServerIsNoWayAroundABusyOne(t *testing.T) {
 	set := testSettings()
-	set.Classes[0].Effect = Unsafe
-	h := newBench(t, set, Member{Replica: "a", Cell: 0, Evidence: Evidence{Shun: 1}}, Member{Replica: "b", Cell: 1, Evidence: Evidence{Most: 1}})
+	set.Classes[0].Idempotency = NonIdempotent
+	h := newBench(t, set, Endpoint{Replica: "a", Cell: 0, HealthLimits: HealthLimits{EjectedClasses: 1}}, Endpoint{Replica: "b", Cell: 1, HealthLimits: HealthLimits{MaxInFlight: 1}})
 	_, ev := h.query(0, 1)
 	if s := one[Send](h, h.turn(ev...)); s.Replica != "b" {
 		t.Fatalf("sent to %s", s.Replica)
@@ -61,7 +61,7 @@
 
 // A server takes no more parts at once than it says.
 func TestMostPartsAtOnce(t *testing.T) {
-	h := newBench(t, testSettings(), withEvidence(Evidence{Most: 2})...)
+	h := newBench(t, testSettings(), withEvidence(HealthLimits{MaxInFlight: 2})...)
 	out := 0
 	for range 30 {
 		_, ev := h.query(0, 1)
@@ -78,7 +78,7 @@
 
 // A share of a half beside two whole ones: a fifth of the parts, about.
 func TestShareThins(t *testing.T) {
-	h := newBench(t, testSettings(), withEvidence(Evidence{Share: 0.25})...)
+	h := newBench(t, testSettings(), withEvidence(HealthLimits{TrafficFraction: 0.25})...)
 	got := h.counts(2000)
 	if share := float64(got["a"]) / 2000; share < 0.08 || share > 0.2 {
 		t.Errorf("%v", got)
@@ -87,7 +87,7 @@
 
 // Evidence that tells nothing changes nothing: the same choices with the same seed.
 func TestNoEvidenceNoChange(t *testing.T) {
-	trace := func(e Evidence) (got []Replica) {
+	trace := func(e HealthLimits) (got []Replica) {
 		h := newBench(t, testSettings(), withEvidence(e)...)
 		for range 200 {
 			_, ev := h.query(0, 1)
@@ -97,7 +97,7 @@
 		}
 		return got
 	}
-	plain, full := trace(Evidence{}), trace(Evidence{Share: 1})
+	plain, full := trace(HealthLimits{}), trace(HealthLimits{TrafficFraction: 1})
 	for i := range plain {
 		if plain[i] != full[i] {
 			t.Fatalf("choice %d: %s, not %s", i, full[i], plain[i])
@@ -109,16 +109,16 @@
 // the query ends at once, and a holder given instead is asked.
 func TestPartsNameTheirHolders(t *testing.T) {
 	h := newBench(t, testSettings())
-	holders := func(list ...Holder) (ID, []Event) {
+	holders := func(list ...Candidate) (ID, []Event) {
 		id, ev := h.query(0, 1)
 		p := ev[1].(Part)
-		p.Holders = list
+		p.Candidates = list
 		ev[1] = p
 		return id, ev
 	}
 	got := map[Replica]int{}
 	for range 1000 {
-		_, ev := holders(Holder{Replica: "a", Share: 0.25}, Holder{Replica: "b"}, Holder{Replica: "unlisted"})
+		_, ev := holders(Candidate{Replica: "a", TrafficFraction: 0.25}, Candidate{Replica: "b"}, Candidate{Replica: "unlisted"})
 		s := one[Send](h, h.turn(ev...))
 		got[s.Replica]++
 		h.end(s, 0, OK, 50*ms)
@@ -126,14 +126,14 @@
 	if got["c"] != 0 || got["a"] < 50 || got["a"] > 350 || got["a"]+got["b"] != 1000 {
 		t.Errorf("%v", got)
 	}
-	id, ev := holders(Holder{Replica: "a"})
+	id, ev := holders(Candidate{Replica: "a"})
 	s := one[Send](h, h.turn(ev...))
-	if acts := h.turn(Placed{ID: s.Part, Holders: []Holder{}}, Outcome{Part: s.Part, Replica: "a", Result: Ignored}); one[Refuse](h, acts).Query != id {
+	if acts := h.turn(CandidatesChanged{Part: s.Part, Candidates: []Candidate{}}, AttemptEnded{Part: s.Part, Replica: "a", Result: NotSent}); one[Reject](h, acts).Query != id {
 		t.Errorf("%v", acts)
 	}
-	_, ev = holders(Holder{Replica: "a"})
+	_, ev = holders(Candidate{Replica: "a"})
 	s = one[Send](h, h.turn(ev...))
-	if acts := h.turn(Placed{ID: s.Part, Holders: []Holder{{Replica: "c"}}}, Outcome{Part: s.Part, Replica: "a", Result: Ignored}); one[Send](h, acts).Replica != "c" {
+	if acts := h.turn(CandidatesChanged{Part: s.Part, Candidates: []Candidate{{Replica: "c"}}}, AttemptEnded{Part: s.Part, Replica: "a", Result: NotSent}); one[Send](h, acts).Replica != "c" {
 		t.Errorf("%v", acts)
 	}
 }
--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -13,7 +13,7 @@
 		Seed: 7, Instances: 1, Tick: 5 * time.Millisecond,
 		Cells: 1, Reach: 1, Shards: 1, MaxAttempts: 2,
 		Classes: []balance.Class{{
-			Aim: time.Second, Deadline: 2 * time.Second, Worth: 1, Floor: 1, Need: 1,
+			Objective: time.Second, Deadline: 2 * time.Second, Weight: 1, MinFraction: 1, CompleteFraction: 1,
 		}},
 	})
 	if err != nil {
@@ -26,17 +26,17 @@
 			case balance.Send:
 				fmt.Printf("send part %d to %s\n", a.Part, a.Replica)
 			case balance.Answer:
-				fmt.Printf("answer query %d, whole: %v\n", a.Query, a.Whole)
+				fmt.Printf("answer query %d, whole: %v\n", a.Query, a.Complete)
 			}
 		}
 	}
 	show(b.Turn(0, []balance.Event{
-		balance.Members{Kind: balance.ListFull, List: []balance.Member{{Replica: "shelf-1:8080"}}},
+		balance.EndpointList{Kind: balance.ListFull, Endpoints: []balance.Endpoint{{Replica: "shelf-1:8080"}}},
 		balance.Query{ID: 1, Group: 1, TimeLeft: 2 * time.Second, Parts: 1},
 		balance.Part{ID: 2, Group: 1, Weight: 1},
 	}))
 	show(b.Turn(80*time.Millisecond, []balance.Event{
-		balance.Outcome{Part: 2, Replica: "shelf-1:8080", Result: balance.OK, Took: 80 * time.Millisecond},
+		balance.AttemptEnded{Part: 2, Replica: "shelf-1:8080", Result: balance.OK, Elapsed: 80 * time.Millisecond},
 	}))
 	// Output:
 	// send part 2 to shelf-1:8080
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -13,19 +13,19 @@
 // for. Every shard is on the same four servers.
 func fleet(t *testing.T, out ...Replica) *bench {
 	set := testSettings()
-	set.Instances, set.SecondCopies, set.Cells, set.Reach, set.MaxAttempts = 300, false, 4, 4, 4
+	set.Instances, set.CanHedge, set.Cells, set.Reach, set.MaxAttempts = 300, false, 4, 4, 4
 	report := set.Classes[0]
-	report.Floor, report.Partial, report.LateWorth = 0.5, 0.8, 0.1
+	report.MinFraction, report.PartialFraction, report.OverdueFraction = 0.5, 0.8, 0.1
 	set.Classes = append(set.Classes, report)
-	h := newBench(t, set, Member{Replica: "a", Cell: 0}, Member{Replica: "b", Cell: 1}, Member{Replica: "c", Cell: 2}, Member{Replica: "d", Cell: 3})
+	h := newBench(t, set, Endpoint{Replica: "a", Cell: 0}, Endpoint{Replica: "b", Cell: 1}, Endpoint{Replica: "c", Cell: 2}, Endpoint{Replica: "d", Cell: 3})
 	h.serve(60, 100*ms)
-	var list []Member
+	var list []Endpoint
 	for _, id := range out {
-		m := Member{Replica: id, Cell: int(id[0] - 'a')}
-		m.Share = nextToNone
+		m := Endpoint{Replica: id, Cell: int(id[0] - 'a')}
+		m.TrafficFraction = nextToNone
 		list = append(list, m)
 	}
-	h.turn(Members{Kind: ListDelta, List: list})
+	h.turn(EndpointList{Kind: ListDelta, Endpoints: list})
 	return h
 }
 
@@ -71,7 +71,7 @@
 			continue
 		}
 		h.now += 5 * ms
-		acts = h.turn(Tick{})
+		acts = h.turn(TimerFired{})
 	}
 	if len(times) != 3 || times[0] < 200*ms || times[1]-times[0] < 150*ms || times[2]-times[1] < 150*ms {
 		t.Errorf("further attempts at %v of an aim of a second", times)
@@ -91,7 +91,7 @@
 		called := 0
 		for range 160 {
 			h.now += 5 * ms
-			called += len(all[Cancel](h.turn(Tick{})))
+			called += len(all[Cancel](h.turn(TimerFired{})))
 		}
 		if called > 0 == out {
 			t.Errorf("out %v: %d calls back from %s", out, called, s.Replica)
@@ -130,9 +130,9 @@
 		}
 		var acts []Action
 		for _, s := range sends {
-			acts = append(acts, h.turn(Outcome{Part: s.Part, Replica: s.Replica, Result: OK, Took: 10 * ms})...)
+			acts = append(acts, h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: OK, Elapsed: 10 * ms})...)
 		}
-		if a := one[Answer](h, acts); a.Query != id || a.Whole {
+		if a := one[Answer](h, acts); a.Query != id || a.Complete {
 			t.Errorf("answer %+v", a)
 		}
 	}
@@ -195,7 +195,7 @@
 			t.Fatalf("query %d: %d of %d parts sent", i, len(sends), n)
 		}
 		for _, s := range sends {
-			h.turn(Outcome{Part: s.Part, Replica: s.Replica, Result: OK, Took: 10 * ms})
+			h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: OK, Elapsed: 10 * ms})
 		}
 		h.now += 100 * ms
 	}
@@ -218,7 +218,7 @@
 			for _, s := range h.b.servers {
 				s.q, s.reported = c.queue, h.now
 			}
-			called += len(all[Cancel](h.turn(Tick{})))
+			called += len(all[Cancel](h.turn(TimerFired{})))
 		}
 		if called > 0 != c.calls {
 			t.Errorf("queues of %v: %d calls back", c.queue, called)
@@ -250,7 +250,7 @@
 					s.reported -= 4 * time.Second
 				}
 			}
-			called += len(all[Cancel](h.turn(Tick{})))
+			called += len(all[Cancel](h.turn(TimerFired{})))
 		}
 		if called > 0 != c.calls {
 			t.Errorf("%+v: %d calls back", c, called)
@@ -262,11 +262,11 @@
 // drawn by lot, in proportion to what these can do. Not where more is asked than servers were seen to answer.
 func TestColdHoldersAreDrawnByLot(t *testing.T) {
 	cold := func(h *bench) {
-		var list []Member
+		var list []Endpoint
 		for i, id := range []Replica{"a", "b", "c", "d"} {
-			list = append(list, Member{Replica: id, Cell: i, Started: h.now - time.Duration(4+2*(i%2))*time.Second})
+			list = append(list, Endpoint{Replica: id, Cell: i, Started: h.now - time.Duration(4+2*(i%2))*time.Second})
 		}
-		h.turn(Members{Kind: ListDelta, List: list}) // shares of 0.52 and 0.68
+		h.turn(EndpointList{Kind: ListDelta, Endpoints: list}) // shares of 0.52 and 0.68
 		for _, s := range h.b.servers {
 			s.cold.Credit, s.cold.Lot = 0, 1
 		}
@@ -309,14 +309,14 @@
 		sends int
 	}{{3, 10}, {28, 0}} {
 		h := fleet(t)
-		h.b.set.Peers = true
+		h.b.set.PeerMessages = true
 		h.b.worth, h.b.width = 1, 10
 		for _, s := range h.b.servers { // at 28 a part would wait for 0.7 of the aim, and the servers are not full
 			s.q, s.reported = c.queue, h.now
 		}
 		_, ev := h.query(0, 10)
 		acts := h.turn(ev...)
-		if n := len(all[Send](acts)); n != c.sends || c.sends == 0 && len(all[Refuse](acts)) != 1 {
+		if n := len(all[Send](acts)); n != c.sends || c.sends == 0 && len(all[Reject](acts)) != 1 {
 			t.Errorf("queues of %v: %d parts sent", c.queue, n)
 		}
 	}
@@ -333,7 +333,7 @@
 			h.b.servers[id].full = h.now + 100*ms
 		}
 		_, ev := h.query(0, 1)
-		if n := len(all[Refuse](h.turn(ev...))); n == 1 != out {
+		if n := len(all[Reject](h.turn(ev...))); n == 1 != out {
 			t.Errorf("out %v: %d refused", out, n)
 		}
 	}
@@ -344,7 +344,7 @@
 	trials := map[float64]int{}
 	for _, share := range []float64{0, 0.3} {
 		h := fleet(t)
-		h.turn(Members{Kind: ListDelta, List: []Member{{Replica: "a", Evidence: Evidence{Share: share}}}})
+		h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", HealthLimits: HealthLimits{TrafficFraction: share}}}})
 		for range 60 {
 			s := h.b.servers["a"]
 			s.doubt, s.trialAt, s.of[0].trialAt = 1, 0, 0
@@ -353,7 +353,7 @@
 			if s1.Replica == "a" {
 				trials[share]++
 			}
-			h.turn(Outcome{Part: s1.Part, Replica: s1.Replica, Result: OK, Took: 10 * ms})
+			h.turn(AttemptEnded{Part: s1.Part, Replica: s1.Replica, Result: OK, Elapsed: 10 * ms})
 			h.now += 100 * ms
 		}
 	}
--- a/balance/peers.go
+++ b/balance/peers.go
@@ -19,12 +19,12 @@
 	wordFresh = 0.5 // shortest aims after which a word tells nothing any more
 )
 
-// Talks says whether words are exchanged. Few gatherers see enough themselves.
-func (set *Settings) Talks() bool { return set.Peers && set.Instances > ownMost }
+// GossipEnabled says whether words are exchanged. Few gatherers see enough themselves.
+func (set *Settings) GossipEnabled() bool { return set.PeerMessages && set.Instances > ownMost }
 
 // remark keeps what a probe showed for the next word; the newest counts.
 func (b *Balancer) remark(s *server, said byte) {
-	if !b.set.Talks() {
+	if !b.set.GossipEnabled() {
 		return
 	}
 	for i := range b.remarks {
@@ -49,19 +49,19 @@
 	}
 	b.tellBytes -= size
 	b.tellAt = b.now + duration(tellGap*us(b.shortAim))
-	b.do(Tell{Text: writeWord(b.now, b.set.Zone, b.remarks)})
+	b.do(SendGossip{Payload: writeWord(b.now, b.set.Zone, b.remarks)})
 	b.remarks = b.remarks[:0]
 }
 
 // earnWord counts a part taken toward what may be told.
 func (b *Balancer) earnWord() {
-	b.tellBytes = min(b.tellBytes+tellShare*WordMost, WordMost*float64(b.set.Instances))
+	b.tellBytes = min(b.tellBytes+tellShare*MaxGossipBytes, MaxGossipBytes*float64(b.set.Instances))
 }
 
 // remarkQueue tells a queue that no part should wait in, and that one so told of is short, or one that was
 // silent is there again, or each had to find it so. Others are not told: where all know the same, all send to
 // the shortest, which is the longest by the next report.
-func (b *Balancer) remarkQueue(s *server, r *Report, silent bool) {
+func (b *Balancer) remarkQueue(s *server, r *LoadReport, silent bool) {
 	if r == nil || r.Queue < 0 {
 		return
 	}
@@ -78,9 +78,10 @@
 
 // hear takes another's word. What was seen here since counts for more: a server that answered this gatherer
 // after the other's probe went out is there.
-func (b *Balancer) hear(w Word) {
-	age, zone, remarks, ok := readWord(b.now, w.Text)
-	if !ok || !b.set.Talks() || time.Duration(math.Abs(float64(age))) > duration(wordFresh*us(b.shortAim)) {
+func (b *Balancer) hear(w GossipReceived) {
+	age, zone, remarks, ok := readWord(b.now, w.Payload)
+	fresh := time.Duration(math.Abs(float64(age))) <= duration(wordFresh*us(b.shortAim))
+	if !ok || !b.set.GossipEnabled() || !fresh {
 		return
 	}
 	for _, r := range remarks {
@@ -91,7 +92,7 @@
 		s.probed = max(s.probed, b.now-max(0, age))
 		if r.Said == noAnswer {
 			// Of the own zone: the others' way there may be cut.
-			if zone == b.set.Zone&0xff && b.now-s.lastOK > max(0, age)+b.set.ProbeWait {
+			if zone == b.set.Zone&0xff && b.now-s.lastOK > max(0, age)+b.set.ProbeTimeout {
 				s.noReply, s.dark = true, true
 			}
 			continue
@@ -103,6 +104,6 @@
 			continue // what is known here is no better
 		}
 		s.long = long
-		b.report(s, &Report{Queue: queue, InFlight: -1, Util: -1})
+		b.report(s, &LoadReport{Queue: queue, InFlight: -1, Utilization: -1})
 	}
 }
--- a/balance/peers_test.go
+++ b/balance/peers_test.go
@@ -11,31 +11,31 @@
 // many is a gatherer of eighty that may talk and probe.
 func many(t *testing.T) *bench {
 	set := testSettings()
-	set.Instances, set.Peers, set.CanProbe, set.ProbeWait = 80, true, true, 250*ms
+	set.Instances, set.PeerMessages, set.CanProbe, set.ProbeTimeout = 80, true, true, 250*ms
 	h := newBench(t, set)
 	h.serve(100, 100*ms)
 	return h
 }
 
 // learned is what h tells after a probe of server "a" ended so.
-func learned(h *bench, r Result, queue float64) []Tell {
+func learned(h *bench, r AttemptResult, queue float64) []SendGossip {
 	h.now += time.Second // nothing of "a" is known since
-	p := Probed{Replica: "a", Result: r, Took: 250 * ms}
+	p := ProbeEnded{Replica: "a", Result: r, Elapsed: 250 * ms}
 	if r == OK {
-		p.Report = &Report{Queue: queue, InFlight: -1, Util: -1}
+		p.Report = &LoadReport{Queue: queue, InFlight: -1, Utilization: -1}
 	}
-	return all[Tell](h.turn(p))
+	return all[SendGossip](h.turn(p))
 }
 
 // A silent server found by one gatherer is left by the others, before each has lost parts of its own there.
 func TestSilenceFoundByOneIsKnownToAll(t *testing.T) {
 	from, to := many(t), many(t)
 	told := learned(from, Canceled, 0)
-	if len(told) != 1 || len(told[0].Text) > WordMost {
+	if len(told) != 1 || len(told[0].Payload) > MaxGossipBytes {
 		t.Fatalf("told %v", told)
 	}
 	to.now = from.now
-	to.turn(Word{told[0].Text}, Word{told[0].Text}) // doubled
+	to.turn(GossipReceived{told[0].Payload}, GossipReceived{told[0].Payload}) // doubled
 	if s := to.b.servers["a"]; !s.silent {
 		t.Fatal("a silent server is still trusted")
 	}
@@ -50,7 +50,7 @@
 		t.Fatal("that a silent server is there again was not told")
 	}
 	to.now = from.now
-	to.turn(Word{told[0].Text})
+	to.turn(GossipReceived{told[0].Payload})
 	if to.turn(); to.b.servers["a"].silent {
 		t.Error("a server that answers is still left")
 	}
@@ -63,7 +63,7 @@
 func TestSilenceOfAnotherZonesWay(t *testing.T) {
 	silent := func(h *bench, zone int) bool {
 		h.now += time.Second
-		h.turn(Word{writeWord(h.now, zone, []remark{{Key: gossip.Key("a"), Said: noAnswer}})})
+		h.turn(GossipReceived{writeWord(h.now, zone, []remark{{Key: gossip.Key("a"), Said: noAnswer}})})
 		return h.b.servers["a"].silent
 	}
 	h := many(t)
@@ -77,7 +77,7 @@
 	}
 	for _, s := range sends {
 		if s.Replica == "a" {
-			h.turn(Outcome{Part: s.Part, Replica: "a", Result: OK, Took: time.Second})
+			h.turn(AttemptEnded{Part: s.Part, Replica: "a", Result: OK, Elapsed: time.Second})
 		}
 	}
 	if to(sends)["a"] == 0 || h.b.servers["a"].dark {
@@ -92,7 +92,7 @@
 		t.Fatal("a long queue was not told")
 	}
 	to.now = from.now
-	to.turn(Word{told[0].Text})
+	to.turn(GossipReceived{told[0].Payload})
 	if q := to.b.servers["a"].q; q < 20 {
 		t.Fatalf("queue taken as %v", q)
 	}
@@ -101,7 +101,7 @@
 		t.Fatal("the end of a long queue was not told")
 	}
 	to.now = from.now
-	to.turn(Word{told[0].Text})
+	to.turn(GossipReceived{told[0].Payload})
 	if q := to.b.servers["a"].q; q > 15 {
 		t.Fatalf("queue taken as %v after its end", q)
 	}
@@ -130,7 +130,7 @@
 		}},
 	} {
 		from, to := many(t), many(t)
-		text := learned(from, Canceled, 0)[0].Text
+		text := learned(from, Canceled, 0)[0].Payload
 		if c.bend != nil {
 			text = c.bend(text)
 		}
@@ -138,26 +138,26 @@
 		if c.ok {
 			to.b.servers["a"].lastOK = to.now - 10*ms
 		}
-		if to.turn(Word{text}); to.b.servers["a"].silent {
+		if to.turn(GossipReceived{text}); to.b.servers["a"].silent {
 			t.Errorf("%s: the server is left", name)
 		}
 	}
 	// Where words are not allowed, or gatherers are few, none is sent and none counts.
 	for _, few := range []bool{false, true} {
 		h := many(t)
-		word := learned(h, Canceled, 0)[0].Text
+		word := learned(h, Canceled, 0)[0].Payload
 		if h = many(t); few {
 			h.b.set.Instances = ownMost
 		} else {
-			h.b.set.Peers = false
+			h.b.set.PeerMessages = false
 		}
 		if told := learned(h, Canceled, 0); len(told) != 0 {
 			t.Errorf("few %v: told %v", few, told)
 		}
 		h = many(t)
-		h.b.set.Peers = false
+		h.b.set.PeerMessages = false
 		h.now += time.Second
-		if h.turn(Word{word}); h.b.servers["a"].dark {
+		if h.turn(GossipReceived{word}); h.b.servers["a"].dark {
 			t.Error("a word counts where they are not allowed")
 		}
 	}
@@ -175,7 +175,7 @@
 		remarks = append(remarks, remark{Key: uint32(i), Said: byte(i)})
 	}
 	text := writeWord(0, 0, remarks)
-	if _, _, got, ok := readWord(0, text); !ok || len(text) > WordMost || len(got) != remarkMost {
+	if _, _, got, ok := readWord(0, text); !ok || len(text) > MaxGossipBytes || len(got) != remarkMost {
 		t.Errorf("%d bytes, %d remarks, %v", len(text), len(got), ok)
 	}
 }
@@ -186,16 +186,16 @@
 	f.Add(append(writeWord(0, 0, nil), 1, 2, 3))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		_, _, remarks, ok := readWord(0, text)
-		if ok != ReadsAsWord(text) || ok && len(text) != gossip.Size(len(remarks)) {
+		if ok != IsGossip(text) || ok && len(text) != gossip.Size(len(remarks)) {
 			t.Fatalf("%x: %v, %d remarks", text, ok, len(remarks))
 		}
 		set := testSettings()
-		set.Instances, set.Peers = 80, true
+		set.Instances, set.PeerMessages = 80, true
 		b, err := New(set)
 		if err != nil {
 			t.Fatal(err)
 		}
-		b.Turn(time.Second, []Event{Members{Kind: ListFull, List: threeServers()}, Word{Text: text}})
+		b.Turn(time.Second, []Event{EndpointList{Kind: ListFull, Endpoints: threeServers()}, GossipReceived{Payload: text}})
 		if len(b.servers) != 3 {
 			t.Fatal("a word changed the list")
 		}
--- a/balance/state.go
+++ b/balance/state.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -12,6 +13,28 @@
 	"rooktrestle/internal/control/slowstart"
 )
 
+// New returns a Balancer for the settings, or an error that names what is wrong with them.
+func New(set Settings) (*Balancer, error) {
+	if err := set.check(); err != nil {
+		return nil, err
+	}
+	b := &Balancer{
+		set: set, rng: rand.New(rand.NewPCG(set.Seed, set.Seed^0x9e3779b97f4a7c15)),
+		servers: map[Replica]*server{}, cells: make([][]*server, set.Cells), ways: map[int]*way{},
+		byID: map[ID]*query{}, byGroup: map[uint64]*query{}, parts: map[ID]*part{},
+		attempts: map[attemptKey]*attempt{}, usual: make([]retrydetect.Usual, len(set.Classes)),
+		rootN: math.Sqrt(float64(set.Instances)), deadly: map[string]time.Duration{},
+		quota: make([]float64, len(set.Tenants)), suspect: make([]time.Duration, len(set.Classes)),
+	}
+	b.cold = slowstart.Rules{
+		For: set.Rules.WarmupPeriod, From: set.Rules.WarmupMinCapacity, TipMultiple: set.Rules.OverloadMultiple,
+		TipFor: set.Rules.OverloadPeriod, Mixers: set.Instances,
+	}
+	b.shortAim = slices.MinFunc(set.Classes, func(c, d Class) int { return cmp.Compare(c.Objective, d.Objective) }).Objective
+	b.mean, b.dev = us(b.shortAim)*meanGuess, us(b.shortAim)*meanGuess*devGuess // until answers tell
+	return b, nil
+}
+
 // health is how a server does, or how it does with one class of queries, or the way to a zone.
 type health struct {
 	lastOK       time.Duration
@@ -36,7 +59,7 @@
 type server struct {
 	health
 	of []health // with each class: one may be lost there while others are served
-	Evidence
+	HealthLimits
 	id         Replica
 	key        uint32 // that words name it by
 	way        *way   // to its zone
@@ -178,20 +201,20 @@
 		return fmt.Errorf("balance: %d instances: must be at least 1", set.Instances)
 	case set.MaxAttempts < 1:
 		return fmt.Errorf("balance: %d attempts a part: must be at least 1", set.MaxAttempts)
-	case set.Rules.BudgetWindow < 0 || set.Rules.BudgetFree < 0 || set.Rules.BudgetRatio < 0:
+	case set.Rules.RetryBudgetWindow < 0 || set.Rules.RetryBudgetBase < 0 || set.Rules.RetryBudgetRatio < 0:
 		return fmt.Errorf("balance: budget of %v and %v within %v: must not be negative",
-			set.Rules.BudgetFree, set.Rules.BudgetRatio, set.Rules.BudgetWindow)
-	case set.Rules.MustAskIn < 0:
-		return fmt.Errorf("balance: list to be asked for within %v: must not be negative", set.Rules.MustAskIn)
+			set.Rules.RetryBudgetBase, set.Rules.RetryBudgetRatio, set.Rules.RetryBudgetWindow)
+	case set.Rules.MaxListAge < 0:
+		return fmt.Errorf("balance: list to be asked for within %v: must not be negative", set.Rules.MaxListAge)
 	case set.Tick <= 0:
 		return fmt.Errorf("balance: tick %v: must be positive", set.Tick)
 	}
 	for i, c := range set.Classes {
-		if c.Aim <= 0 || c.Deadline < c.Aim {
-			return fmt.Errorf("balance: class %d: aim %v, deadline %v", i, c.Aim, c.Deadline)
+		if c.Objective <= 0 || c.Deadline < c.Objective {
+			return fmt.Errorf("balance: class %d: aim %v, deadline %v", i, c.Objective, c.Deadline)
 		}
-		if c.Need <= 0 || c.Need > 1 || c.Floor < 0 || c.Floor > 1 {
-			return fmt.Errorf("balance: class %d: needs %v of its parts, floor %v", i, c.Need, c.Floor)
+		if c.CompleteFraction <= 0 || c.CompleteFraction > 1 || c.MinFraction < 0 || c.MinFraction > 1 {
+			return fmt.Errorf("balance: class %d: needs %v of its parts, floor %v", i, c.CompleteFraction, c.MinFraction)
 		}
 	}
 	return nil
@@ -251,7 +274,7 @@
 // useful says whether a server that is not sound does most of what a part of this class asks of it. What may not
 // run twice does not go where some is lost.
 func (s *server) useful(p *part) bool {
-	return p.q.class.Effect != Unsafe && !slices.Contains(p.failed, s) && !s.silent && !s.slow && !s.noReply &&
+	return p.q.class.Idempotency != NonIdempotent && !slices.Contains(p.failed, s) && !s.silent && !s.slow && !s.noReply &&
 		s.way.fit() && s.of[p.q.Class].loss < lossMost && s.lastOK > 0
 }
 
@@ -279,18 +302,18 @@
 }
 
 // take takes evidence of others. A trial once granted stays until it is used, or its class is no longer shunned.
-func (s *server) take(e Evidence) {
-	trial := s.Trial | e.Trial
-	s.Evidence = e
-	s.Trial = trial & e.Shun
+func (s *server) take(e HealthLimits) {
+	trial := s.HalfOpenClasses | e.HalfOpenClasses
+	s.HealthLimits = e
+	s.HalfOpenClasses = trial & e.EjectedClasses
 }
 
 // barely says whether a server is to get next to nothing.
-func (s *server) barely() bool { return s.Share > 0 && s.Share <= barelyAny }
+func (s *server) barely() bool { return s.TrafficFraction > 0 && s.TrafficFraction <= barelyAny }
 
 // shunned says whether evidence keeps parts of a class away, and trial whether one of them may go all the same.
-func (s *server) shunned(class int) bool { return s.Shun>>class&1 == 1 }
-func (s *server) trial(class int) bool   { return s.Trial>>class&1 == 1 }
+func (s *server) shunned(class int) bool { return s.EjectedClasses>>class&1 == 1 }
+func (s *server) trial(class int) bool   { return s.HalfOpenClasses>>class&1 == 1 }
 
 // restarted forgets what a server's earlier process showed. The new one held nothing when it began: taken for as
 // busy as the mean of the others, it would be left alone while these are full.
@@ -321,10 +344,10 @@
 
 // holders are the servers in service that may be asked for a part.
 func (b *Balancer) holders(p *part) (all []*server) {
-	if p.Holders == nil {
+	if p.Candidates == nil {
 		return b.replicas(p.Shard)
 	}
-	for _, h := range p.Holders {
+	for _, h := range p.Candidates {
 		if s := b.servers[h.Replica]; s != nil && s.listed {
 			all = append(all, s)
 		}
@@ -388,17 +411,17 @@
 }
 
 func (q *query) floor() float64 {
-	if q.step > 0 && q.class.Floor >= q.class.Need {
+	if q.step > 0 && q.class.MinFraction >= q.class.CompleteFraction {
 		return 1
 	}
-	return min(q.class.Floor, q.need())
+	return min(q.class.MinFraction, q.need())
 }
 
 func (q *query) need() float64 {
 	if q.step > 0 {
 		return 1
 	}
-	return q.class.Need
+	return q.class.CompleteFraction
 }
 
 func (b *Balancer) dropParts(q *query) {
@@ -419,7 +442,7 @@
 }
 
 func (b *Balancer) count(times *[]time.Duration) {
-	*times = append(within(times, b.now-b.set.Rules.BudgetWindow-1), b.now)
+	*times = append(within(times, b.now-b.set.Rules.RetryBudgetWindow-1), b.now)
 }
 
 // index puts the listed servers where parts and words look for them.
@@ -517,7 +540,7 @@
 
 // wait is how long a part waits at a server before it is begun, where gatherers tell each other of queues.
 func (b *Balancer) wait(s *server) float64 {
-	if !b.set.Talks() {
+	if !b.set.GossipEnabled() {
 		return 0
 	}
 	_, _, q := b.averages(s)
--- a/balance/word.go
+++ b/balance/word.go
@@ -6,8 +6,8 @@
 	"rooktrestle/internal/control/gossip"
 )
 
-// WordMost is the longest text of a Tell or a Word, in bytes: longer datagrams are not allowed between gatherers.
-const WordMost = gossip.Most
+// MaxGossipBytes is the longest text of a Tell or a Word, in bytes: longer datagrams are not allowed between gatherers.
+const MaxGossipBytes = gossip.Most
 
 const (
 	wordKind   = 0x52 // letter Q, version 2: of a replica its queue is said, or noAnswer
@@ -24,8 +24,8 @@
 	return gossip.WriteRemarks(wordKind, now, zone, remarks)
 }
 
-// ReadsAsWord says whether text is a word at all. One that is not is worth counting, and tells nothing.
-func ReadsAsWord(text []byte) bool { return gossip.HasRemarks(wordKind, text) }
+// IsGossip says whether text is a word at all. One that is not is worth counting, and tells nothing.
+func IsGossip(text []byte) bool { return gossip.HasRemarks(wordKind, text) }
 
 func readWord(now time.Duration, text []byte) (age time.Duration, zone int, remarks []remark, ok bool) {
 	return gossip.ReadRemarks(wordKind, now, text)
--- a/internal/aggregator/core.go
+++ b/internal/aggregator/core.go
@@ -47,7 +47,7 @@
 type part struct {
 	id    balance.ID
 	q     *query
-	spec  Spec
+	spec  PartSpec
 	name  string
 	tries int
 	in    bool
@@ -78,15 +78,15 @@
 
 // Core holds the open queries and attempts of one mixer.
 type Core struct {
-	Count   Counters
-	Witness Witness        // if set, told of each attempt's end
-	Reshape *Reshape       // nil: holders are fixed
-	Peers   Peers          // nil: no words are sent
-	Losses  *outlier.Table // nil: servers are not weighed by what other mixers lose there; set with Peers
-	decide  *balance.Balancer
-	backend Backend
-	lim     Limits
-	epoch   time.Time
+	Counters   Counters
+	Observer   AttemptObserver // if set, told of each attempt's end
+	Resharding *Resharding     // nil: holders are fixed
+	Gossip     GossipSender    // nil: no words are sent
+	Outliers   *outlier.Table  // nil: servers are not weighed by what other mixers lose there; set with Peers
+	decide     *balance.Balancer
+	backend    Backend
+	lim        Limits
+	epoch      time.Time
 
 	next     balance.ID
 	queries  map[balance.ID]*query
@@ -111,14 +111,14 @@
 
 // Limits are what a core keeps to beside the decisions.
 type Limits struct {
-	SecondStep []int  // of each class: parts of its second step; 0: one step only
-	Unsafe     []bool // of each class, where maps of blocks change: no part may run twice
-	// Windows are how long after an attempt that may have run a part of each class may be sent again; 0: no such limit.
-	Windows   []time.Duration
-	MaxOpen   int           // queries and parts held; 0: not limited
-	CallParts int           // most parts that share one call; 0: one
-	ComeBack  time.Duration // advice to a client turned away because of it
-	Ahead     time.Duration // a query given up so long before its end has run out of time
+	FollowUpParts []int  // of each class: parts of its second step; 0: one step only
+	NonIdempotent []bool // of each class, where maps of blocks change: no part may run twice
+	// DedupWindows are how long after an attempt that may have run a part of each class may be sent again; 0: no such limit.
+	DedupWindows   []time.Duration
+	MaxOpen        int           // queries and parts held; 0: not limited
+	MaxCallParts   int           // most parts that share one call; 0: one
+	RetryAfter     time.Duration // advice to a client turned away because of it
+	DeadlineMargin time.Duration // a query given up so long before its end has run out of time
 }
 
 // NewCore returns a core that decides by b.
@@ -130,8 +130,8 @@
 	}
 }
 
-// Open says whether a server takes new work by the list as last told.
-func (c *Core) Open(id balance.Replica) bool {
+// Available says whether a server takes new work by the list as last told.
+func (c *Core) Available(id balance.Replica) bool {
 	s, ok := c.servers[id]
 	return ok && s.State == balance.InService
 }
@@ -143,17 +143,17 @@
 	return s
 }
 
-// Held is the number of open queries.
-func (c *Core) Held() int { return len(c.queries) }
+// OpenQueries is the number of open queries.
+func (c *Core) OpenQueries() int { return len(c.queries) }
 
 // Load is the number of queries and parts held, as Limits.MaxOpen counts them.
 func (c *Core) Load() int { return len(c.queries) + len(c.parts) }
 
-// Listed is the number of servers in service.
-func (c *Core) Listed() int {
+// InService is the number of servers in service.
+func (c *Core) InService() int {
 	n := 0
 	for id := range c.servers {
-		if c.Open(id) {
+		if c.Available(id) {
 			n++
 		}
 	}
@@ -182,12 +182,12 @@
 	overdue := c.ends.Pop(now)
 	slices.SortFunc(overdue, func(q, o *query) int { return cmp.Compare(q.id, o.id) })
 	for _, q := range overdue {
-		told = append(told, balance.Gone{Query: q.id})
-		c.close(q, Final{Kind: Failed, Overdue: true})
+		told = append(told, balance.ClientDisconnected{Query: q.id})
+		c.close(q, FinalAnswer{Status: StatusFailed, DeadlineExceeded: true})
 	}
 	if !c.wakeAt.IsZero() && !now.Before(c.wakeAt) {
 		c.wakeAt = time.Time{}
-		told = append(told, balance.Tick{})
+		told = append(told, balance.TimerFired{})
 	}
 	c.act(now, c.decide.Turn(c.clock(now), c.weigh(now, told)))
 	c.tellLosses(now)
@@ -197,16 +197,16 @@
 // weigh tells the decisions which servers' shares have changed by what the mixers lose there: before what came in
 // this turn, so that its queries go by it.
 func (c *Core) weigh(now time.Time, told []balance.Event) []balance.Event {
-	if c.Losses == nil {
+	if c.Outliers == nil {
 		return told
 	}
-	m := balance.Members{Kind: balance.ListDelta}
-	for _, id := range c.Losses.Changes(c.clock(now)) {
+	m := balance.EndpointList{Kind: balance.ListDelta}
+	for _, id := range c.Outliers.Changes(c.clock(now)) {
 		if s, ok := c.servers[balance.Replica(id)]; ok {
-			m.List = append(m.List, c.member(s))
+			m.Endpoints = append(m.Endpoints, c.member(s))
 		}
 	}
-	if len(m.List) == 0 {
+	if len(m.Endpoints) == 0 {
 		return told
 	}
 	return append([]balance.Event{m}, told...)
@@ -214,12 +214,12 @@
 
 // tellLosses sends the other mixers what was lost here.
 func (c *Core) tellLosses(now time.Time) {
-	if c.Losses == nil || c.Peers == nil {
+	if c.Outliers == nil || c.Gossip == nil {
 		return
 	}
-	if text := c.Losses.Word(c.clock(now)); text != nil {
-		c.Count.Tells++
-		c.Peers.Tell(text)
+	if text := c.Outliers.Word(c.clock(now)); text != nil {
+		c.Counters.GossipSent++
+		c.Gossip.Broadcast(text)
 	}
 }
 
@@ -256,45 +256,45 @@
 	if t, ok := c.ends.Next(); ok {
 		sooner(t)
 	}
-	if c.Reshape != nil {
-		sooner(c.Reshape.Views.Due())
+	if c.Resharding != nil {
+		sooner(c.Resharding.Views.Due())
 	}
 	return next
 }
 
 func (c *Core) event(now time.Time, e any, told []balance.Event) []balance.Event {
 	switch e := e.(type) {
-	case Arrive:
+	case RequestArrived:
 		return c.arrive(now, e.Request, told)
-	case Left:
+	case ClientDisconnected:
 		if q := c.byReq[e.Request]; q != nil {
-			told = append(told, balance.Gone{Query: q.id})
-			c.close(q, Final{Kind: Gone})
+			told = append(told, balance.ClientDisconnected{Query: q.id})
+			c.close(q, FinalAnswer{Status: StatusDisconnected})
 		}
-	case Ended:
+	case AttemptEnded:
 		return c.ended(now, e, told)
-	case Probed:
-		told = append(told, balance.Probed{
-			Replica: e.Server, Result: result(e.Err), Took: e.Took, Report: e.Report,
+	case ProbeEnded:
+		told = append(told, balance.ProbeEnded{
+			Replica: e.Server, Result: result(e.Err), Elapsed: e.Elapsed, Report: e.Report,
 		})
-	case Late:
-		if c.Losses != nil {
-			c.Losses.Saw(c.clock(now), string(e.Server), c.clock(now), outlier.Served)
+	case LateAnswer:
+		if c.Outliers != nil {
+			c.Outliers.AttemptEnded(c.clock(now), string(e.Server), c.clock(now), outlier.Served)
 		}
-	case Members:
+	case EndpointsChanged:
 		told = append(told, c.members(e))
-	case Word:
-		c.Count.Words++
-		if c.Losses != nil && outlier.Reads(e.Text) {
-			c.Losses.Hear(c.clock(now), e.Text)
+	case GossipReceived:
+		c.Counters.GossipReceived++
+		if c.Outliers != nil && outlier.Reads(e.Payload) {
+			c.Outliers.Hear(c.clock(now), e.Payload)
 			return told
 		}
-		if !balance.ReadsAsWord(e.Text) {
-			c.Count.WordsBad++
+		if !balance.IsGossip(e.Payload) {
+			c.Counters.GossipInvalid++
 			return told
 		}
-		told = append(told, balance.Word{Text: e.Text})
-	case MapOffered:
+		told = append(told, balance.GossipReceived{Payload: e.Payload})
+	case ShardMapOffered:
 		return c.mapped(now, e, told)
 	default:
 		panic(fmt.Sprintf("mixer: no such event: %T", e))
@@ -302,24 +302,24 @@
 	return told
 }
 
-func (c *Core) members(e Members) balance.Event {
+func (c *Core) members(e EndpointsChanged) balance.Event {
 	if e.Kind != balance.ListDelta && e.Kind != balance.ListFailed {
 		clear(c.servers)
 	}
-	m := balance.Members{Kind: e.Kind}
-	for _, s := range e.List {
+	m := balance.EndpointList{Kind: e.Kind}
+	for _, s := range e.Servers {
 		if s.State == balance.Removed {
 			delete(c.servers, s.ID)
 		} else {
 			c.servers[s.ID] = s
-			if c.Losses != nil {
-				c.Losses.List(string(s.ID), c.started(s))
+			if c.Outliers != nil {
+				c.Outliers.List(string(s.ID), c.started(s))
 			}
 		}
-		m.List = append(m.List, c.member(s))
+		m.Endpoints = append(m.Endpoints, c.member(s))
 	}
-	if c.Losses != nil {
-		c.Losses.Keep(func(id string) bool { _, ok := c.servers[balance.Replica(id)]; return ok })
+	if c.Outliers != nil {
+		c.Outliers.Keep(func(id string) bool { _, ok := c.servers[balance.Replica(id)]; return ok })
 	}
 	return m
 }
@@ -333,26 +333,26 @@
 }
 
 // member is a server as the decisions are told of it.
-func (c *Core) member(s Server) balance.Member {
-	entry := balance.Member{
-		Evidence: s.Evidence, Replica: s.ID, Zone: s.Zone, Cell: s.Cell, Size: s.Weight, State: s.State, Started: c.started(s),
+func (c *Core) member(s Server) balance.Endpoint {
+	entry := balance.Endpoint{
+		HealthLimits: s.HealthLimits, Replica: s.ID, Zone: s.Zone, Cell: s.Cell, Size: s.Weight, State: s.State, Started: c.started(s),
 	}
-	if c.Losses != nil {
-		if share := c.Losses.Share(string(s.ID)); share < 1 {
-			entry.Share = min(share, cmp.Or(entry.Share, 1))
+	if c.Outliers != nil {
+		if share := c.Outliers.Share(string(s.ID)); share < 1 {
+			entry.TrafficFraction = min(share, cmp.Or(entry.TrafficFraction, 1))
 		}
 	}
 	return entry
 }
 
 func (c *Core) arrive(now time.Time, r *Request, told []balance.Event) []balance.Event {
-	c.Count.Taken++
-	end := r.Arrived.Add(r.Wait)
+	c.Counters.Received++
+	end := r.Arrived.Add(r.Timeout)
 	// A mixer holds only so many queries and parts. Guards its memory, as the simulator's entrance does.
 	if c.lim.MaxOpen > 0 && len(c.queries)+len(c.parts) >= c.lim.MaxOpen || c.names[r.ID] > 0 || !now.Before(end) {
-		c.Count.Refused++
-		c.Count.Overfull++
-		c.tell(r, Final{Kind: Refused, RetryAfter: c.lim.ComeBack})
+		c.Counters.Rejected++
+		c.Counters.RejectedAtCapacity++
+		c.tell(r, FinalAnswer{Status: StatusRejected, RetryAfter: c.lim.RetryAfter})
 		return told
 	}
 	c.next++
@@ -361,19 +361,19 @@
 	c.ends.Put(q)
 	c.names[r.ID]++
 	specs := r.Parts
-	if c.Losses != nil {
-		c.Losses.Earn(1 + len(specs))
+	if c.Outliers != nil {
+		c.Outliers.Earn(1 + len(specs))
 	}
 	if r.Layout != nil {
 		if specs = c.pin(q); len(specs) == 0 { // no map yet
-			c.close(q, Final{Kind: Refused, RetryAfter: c.lim.ComeBack})
+			c.close(q, FinalAnswer{Status: StatusRejected, RetryAfter: c.lim.RetryAfter})
 			return told
 		}
 	}
 	return c.tellQuery(now, q, specs, told)
 }
 
-func (c *Core) addParts(now time.Time, q *query, specs []Spec, suffix string, told []balance.Event) []balance.Event {
+func (c *Core) addParts(now time.Time, q *query, specs []PartSpec, suffix string, told []balance.Event) []balance.Event {
 	q.parts = nil
 	if q.flight != nil {
 		q.flight.Parts, q.flight.Second = nil, q.step > 0
@@ -384,13 +384,13 @@
 		c.parts[p.id] = p
 		q.parts = append(q.parts, p)
 		told = append(told, balance.Part{
-			ID: p.id, Group: uint64(q.id), Shard: s.Shard, Weight: s.Weight, Hint: s.Hint, Holders: c.place(now, q, p),
+			ID: p.id, Group: uint64(q.id), Shard: s.Shard, Weight: s.Weight, WorkHint: s.WorkHint, Candidates: c.place(now, q, p),
 		})
 	}
 	return told
 }
 
-func (c *Core) ended(now time.Time, e Ended, told []balance.Event) []balance.Event {
+func (c *Core) ended(now time.Time, e AttemptEnded, told []balance.Event) []balance.Event {
 	a := c.attempts[e.Attempt]
 	if a == nil {
 		return told // ended before: late word is dropped by attempt, not by part
@@ -401,11 +401,11 @@
 	q.out--
 	c.release(q)
 	r := result(e.Err)
-	if a.expired && (r == balance.Canceled || r == balance.Ignored) {
+	if a.expired && (r == balance.Canceled || r == balance.NotSent) {
 		r = balance.TimedOut
 	}
-	c.Count.Outcomes[r]++
-	if r == balance.QueueFull || r == balance.ConnectFailed || r == balance.Ignored { // it never ran
+	c.Counters.Results[r]++
+	if r == balance.QueueFull || r == balance.ConnectFailed || r == balance.NotSent { // it never ran
 		if i := slices.Index(p.maybe, a.sent); i >= 0 {
 			p.maybe = slices.Delete(p.maybe, i, i+1)
 		}
@@ -421,20 +421,20 @@
 		f.Out = false // one attempt of a part is out at a time
 		f.In = f.In || p.in
 		f.MayRun = f.MayRun || r == balance.Failed || r == balance.TimedOut || r == balance.Reset || r == balance.Canceled
-		if cause != nil && cause.Word != shardmap.NoWord {
+		if cause != nil && cause.MapStatus != shardmap.NoWord {
 			lie, told = c.turnedAway(now, a, cause, told)
 		}
 	}
-	seen := Attempt{Server: a.server, Class: q.req.Class, Result: r, Sent: a.sent, Own: cause != nil && cause.Own, Lie: lie}
-	if c.Losses != nil {
-		c.Losses.Saw(c.clock(now), string(a.server), c.clock(a.sent), seen.end())
+	seen := AttemptSummary{Server: a.server, Class: q.req.Class, Result: r, Sent: a.sent, LocalCause: cause != nil && cause.LocalCause, FalseRejection: lie}
+	if c.Outliers != nil {
+		c.Outliers.AttemptEnded(c.clock(now), string(a.server), c.clock(a.sent), seen.end())
 	}
-	if c.Witness != nil {
-		c.Witness.Saw(now, seen)
+	if c.Observer != nil {
+		c.Observer.AttemptEnded(now, seen)
 	}
-	told = append(told, balance.Outcome{
-		Part: e.Attempt.Part, Attempt: e.Attempt.N, Replica: a.server, Result: r,
-		Took: now.Sub(a.sent), Report: e.Report,
+	told = append(told, balance.AttemptEnded{
+		Part: e.Attempt.Part, Attempt: e.Attempt.Number, Replica: a.server, Result: r,
+		Elapsed: now.Sub(a.sent), Report: e.Report,
 	})
 	if q.anew && q.out == 0 && c.queries[q.id] == q {
 		told = c.again(now, q, told)
@@ -445,8 +445,8 @@
 func (c *Core) withdraw(now time.Time, id AttemptID, a *attempt) {
 	if !a.asked {
 		a.asked = true
-		c.Count.Withdrawn++
-		c.backend.Withdraw(now, id, c.parts[a.part.id] == a.part && !a.part.in)
+		c.Counters.Canceled++
+		c.backend.Cancel(now, id, c.parts[a.part.id] == a.part && !a.part.in)
 	}
 }
 
@@ -468,25 +468,25 @@
 				}
 			case balance.Answer:
 				told = c.answer(now, a, told)
-			case balance.Refuse:
+			case balance.Reject:
 				if q := c.queries[a.Query]; q != nil {
-					told = c.gaveUp(now, q, Final{Kind: Refused, RetryAfter: a.RetryAfter}, told)
+					told = c.gaveUp(now, q, FinalAnswer{Status: StatusRejected, RetryAfter: a.RetryAfter}, told)
 				}
 			case balance.Fail:
 				if q := c.queries[a.Query]; q != nil {
-					told = c.gaveUp(now, q, Final{Kind: Failed}, told)
+					told = c.gaveUp(now, q, FinalAnswer{Status: StatusFailed}, told)
 				}
 			case balance.Probe:
-				c.Count.Probes++
+				c.Counters.Probes++
 				c.backend.Probe(now, c.Server(a.Replica))
-			case balance.Tell:
-				if c.Peers != nil {
-					c.Count.Tells++
-					c.Peers.Tell(a.Text)
+			case balance.SendGossip:
+				if c.Gossip != nil {
+					c.Counters.GossipSent++
+					c.Gossip.Broadcast(a.Payload)
 				}
-			case balance.Wake:
+			case balance.StartTimer:
 				c.wakeAt = now.Add(a.After)
-			case balance.Watch: // the directory watches all the time
+			case balance.WatchEndpoints: // the directory watches all the time
 			}
 		}
 		actions = nil
@@ -521,25 +521,25 @@
 		q.flight.Parts[p.at].Out = true
 	}
 	c.names[q.req.ID]++
-	c.Count.Sent++
+	c.Counters.Sent++
 	call := Call{
-		Attempt: id, Name: p.name, Class: q.req.Class, Shard: p.spec.Shard, Until: until, Text: q.req.Text,
-		Second: q.step > 0, Whole: q.whole,
+		Attempt: id, Name: p.name, Class: q.req.Class, Shard: p.spec.Shard, Deadline: until, Payload: q.req.Payload,
+		FollowUp: q.step > 0, FirstStepComplete: q.whole,
 	}
 	if q.view != nil {
 		call.Epoch = q.view.Map.Epoch
 	}
 	// The decisions keep to the window when they choose; a connection that comes up late, or is slow, may not.
 	if w := c.window(q.req.Class); w > 0 && len(p.maybe) > 0 {
-		call.By = slices.MinFunc(p.maybe, time.Time.Compare).Add(w)
+		call.WriteBy = slices.MinFunc(p.maybe, time.Time.Compare).Add(w)
 	}
 	p.maybe = append(p.maybe, now)
 	for _, f := range q.first {
-		call.From = append(call.From, f.spec.Shard)
+		call.FirstStepShards = append(call.FirstStepShards, f.spec.Shard)
 	}
 	for i := range c.calls {
 		// Guards the parts of a call that is too long: leaf servers turn all of them away.
-		if c.calls[i].to == a.Replica && len(c.calls[i].calls) < c.lim.CallParts {
+		if c.calls[i].to == a.Replica && len(c.calls[i].calls) < c.lim.MaxCallParts {
 			c.calls[i].calls = append(c.calls[i].calls, call)
 			return
 		}
@@ -555,25 +555,25 @@
 		return told
 	}
 	var in []*part
-	final := Final{Kind: Served, Whole: a.Whole, Of: len(q.parts)}
+	final := FinalAnswer{Status: StatusServed, Complete: a.Complete, TotalParts: len(q.parts)}
 	for _, p := range q.parts {
 		if p.in {
-			final.Share += p.spec.Weight
+			final.AnsweredWeight += p.spec.Weight
 			in = append(in, p)
 			final.Items = append(final.Items, Item{p.spec.Shard, p.value})
 		} else {
-			final.Missing = append(final.Missing, p.spec.Shard)
+			final.MissingShards = append(final.MissingShards, p.spec.Shard)
 		}
 	}
 	if n := c.secondStep(q.req.Class); q.step == 0 && n > 0 && len(in) > 0 {
-		c.Count.SecondSteps++
-		q.step, q.first, q.whole = 1, in, a.Whole
+		c.Counters.FollowUps++
+		q.step, q.first, q.whole = 1, in, a.Complete
 		best := slices.Clone(in)
 		slices.SortStableFunc(best, func(p, o *part) int { return cmp.Compare(o.score, p.score) })
 		best = best[:min(n, len(best))]
-		var specs []Spec
+		var specs []PartSpec
 		for _, p := range best {
-			specs = append(specs, Spec{Shard: p.spec.Shard, Weight: 1 / float64(len(best))})
+			specs = append(specs, PartSpec{Shard: p.spec.Shard, Weight: 1 / float64(len(best))})
 		}
 		for _, p := range q.parts {
 			delete(c.parts, p.id)
@@ -593,21 +593,21 @@
 }
 
 func (c *Core) window(class int) time.Duration {
-	if class < 0 || class >= len(c.lim.Windows) {
+	if class < 0 || class >= len(c.lim.DedupWindows) {
 		return 0
 	}
-	return c.lim.Windows[class]
+	return c.lim.DedupWindows[class]
 }
 
 func (c *Core) secondStep(class int) int {
-	if class < 0 || class >= len(c.lim.SecondStep) {
+	if class < 0 || class >= len(c.lim.FollowUpParts) {
 		return 0
 	}
-	return c.lim.SecondStep[class]
+	return c.lim.FollowUpParts[class]
 }
 
 // close gives a query its one final answer.
-func (c *Core) close(q *query, f Final) {
+func (c *Core) close(q *query, f FinalAnswer) {
 	delete(c.queries, q.id)
 	delete(c.byReq, q.req)
 	c.ends.Remove(q)
@@ -616,22 +616,22 @@
 	for _, p := range q.parts {
 		delete(c.parts, p.id)
 	}
-	f.Overdue = f.Overdue || f.Kind != Served && !c.now.Before(q.end.Add(-c.lim.Ahead))
-	if f.Overdue && f.Kind != Gone {
-		c.Count.Overdue++
+	f.DeadlineExceeded = f.DeadlineExceeded || f.Status != StatusServed && !c.now.Before(q.end.Add(-c.lim.DeadlineMargin))
+	if f.DeadlineExceeded && f.Status != StatusDisconnected {
+		c.Counters.DeadlineExceeded++
 	}
-	switch f.Kind {
-	case Served:
-		c.Count.Served++
-		if !f.Whole {
-			c.Count.Partial++
+	switch f.Status {
+	case StatusServed:
+		c.Counters.Served++
+		if !f.Complete {
+			c.Counters.Partial++
 		}
-	case Refused:
-		c.Count.Refused++
-	case Failed:
-		c.Count.Failed++
-	case Gone:
-		c.Count.Gone++
+	case StatusRejected:
+		c.Counters.Rejected++
+	case StatusFailed:
+		c.Counters.Failed++
+	case StatusDisconnected:
+		c.Counters.Disconnected++
 		q.req.done = true
 		return
 	}
@@ -639,33 +639,33 @@
 }
 
 // tell passes a final answer to its front. A panic there stops at that request.
-func (c *Core) tell(r *Request, f Final) {
+func (c *Core) tell(r *Request, f FinalAnswer) {
 	r.done = true
 	defer func() {
 		if p := recover(); p != nil {
-			c.Count.Panics++
+			c.Counters.Panics++
 			fmt.Fprintf(os.Stderr, "request %s: panic at its answer: %v\n", r.ID, p)
 		}
 	}()
-	r.Front.Answer(f)
+	r.Frontend.Answer(f)
 }
 
 // Restart gives every open query its final answer and goes on with new decisions. Guards the process, and the
 // queries it holds, against a panic in a turn: nothing of them is sent again.
 func (c *Core) Restart(now time.Time, fresh *balance.Balancer, events []any) {
 	c.now = now
-	c.Count.Panics++
+	c.Counters.Panics++
 	for _, q := range c.all() {
-		c.close(q, Final{Kind: Failed})
+		c.close(q, FinalAnswer{Status: StatusFailed})
 	}
 	for _, e := range events { // of the turn that failed, which may not have come to them
 		switch e := e.(type) {
-		case Arrive:
+		case RequestArrived:
 			if !e.Request.done {
-				c.Count.Failed++
-				c.tell(e.Request, Final{Kind: Failed})
+				c.Counters.Failed++
+				c.tell(e.Request, FinalAnswer{Status: StatusFailed})
 			}
-		case Members:
+		case EndpointsChanged:
 			c.members(e)
 		}
 	}
@@ -675,7 +675,7 @@
 		c.timeouts.Remove(a)
 		c.release(a.part.q)
 		if !a.asked {
-			c.backend.Withdraw(now, a.id, false)
+			c.backend.Cancel(now, a.id, false)
 		}
 	}
 	var list []Server
@@ -683,5 +683,5 @@
 		list = append(list, s)
 	}
 	slices.SortFunc(list, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
-	fresh.Turn(c.clock(now), []balance.Event{c.members(Members{Kind: balance.ListFull, List: list})})
+	fresh.Turn(c.clock(now), []balance.Event{c.members(EndpointsChanged{Kind: balance.ListFull, Servers: list})})
 }
--- a/internal/aggregator/core_test.go
+++ b/internal/aggregator/core_test.go
@@ -24,7 +24,7 @@
 	to        []Server
 	withdrawn []AttemptID
 	probes    []Server
-	finals    map[string][]Final
+	finals    map[string][]FinalAnswer
 }
 
 type asker struct {
@@ -32,7 +32,7 @@
 	id string
 }
 
-func (a asker) Answer(f Final) {
+func (a asker) Answer(f FinalAnswer) {
 	a.w.finals[a.id] = append(a.w.finals[a.id], f)
 	if a.id == "panics" {
 		panic("at its answer")
@@ -45,17 +45,17 @@
 		w.calls, w.to = append(w.calls, c), append(w.to, to)
 	}
 }
-func (w *world) Withdraw(_ time.Time, a AttemptID, _ bool) { w.withdrawn = append(w.withdrawn, a) }
-func (w *world) Probe(_ time.Time, to Server)              { w.probes = append(w.probes, to) }
+func (w *world) Cancel(_ time.Time, a AttemptID, _ bool) { w.withdrawn = append(w.withdrawn, a) }
+func (w *world) Probe(_ time.Time, to Server)            { w.probes = append(w.probes, to) }
 
 func settings() balance.Settings {
 	return balance.Settings{
-		Seed: 1, Instances: 1, Tick: 5 * time.Millisecond, Cells: 2, Reach: 2, Shards: 4, CallParts: 1,
+		Seed: 1, Instances: 1, Tick: 5 * time.Millisecond, Cells: 2, Reach: 2, Shards: 4, MaxCallParts: 1,
 		MaxAttempts: 3, CanCancel: true, MaxRetryAfter: time.Second,
 		Classes: []balance.Class{
-			{Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, LateWorth: 0.3, Floor: 1, Need: 1},
-			{Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, LateWorth: 0.3, Floor: 1, Need: 1, Effect: balance.Unsafe},
-			{Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, LateWorth: 0.3, Floor: 0.5, Need: 1, Partial: 0.8, FollowUp: 2},
+			{Objective: time.Second, Deadline: 3 * time.Second, Weight: 1, OverdueFraction: 0.3, MinFraction: 1, CompleteFraction: 1},
+			{Objective: time.Second, Deadline: 3 * time.Second, Weight: 1, OverdueFraction: 0.3, MinFraction: 1, CompleteFraction: 1, Idempotency: balance.NonIdempotent},
+			{Objective: time.Second, Deadline: 3 * time.Second, Weight: 1, OverdueFraction: 0.3, MinFraction: 0.5, CompleteFraction: 1, PartialFraction: 0.8, FollowUpParts: 2},
 		},
 	}
 }
@@ -65,20 +65,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{t: t, now: begin, finals: map[string][]Final{}}
-	w.c = NewCore(b, w, Limits{SecondStep: []int{0, 0, 2}, MaxOpen: 20, ComeBack: time.Second, Ahead: 20 * time.Millisecond}, begin)
-	w.turn(Members{Kind: balance.ListFull, List: []Server{{ID: "a", Addr: "a:1", Cell: 0}, {ID: "b", Addr: "b:1", Cell: 1}}})
+	w := &world{t: t, now: begin, finals: map[string][]FinalAnswer{}}
+	w.c = NewCore(b, w, Limits{FollowUpParts: []int{0, 0, 2}, MaxOpen: 20, RetryAfter: time.Second, DeadlineMargin: 20 * time.Millisecond}, begin)
+	w.turn(EndpointsChanged{Kind: balance.ListFull, Servers: []Server{{ID: "a", Addr: "a:1", Cell: 0}, {ID: "b", Addr: "b:1", Cell: 1}}})
 	return w
 }
 
 func (w *world) turn(events ...any) time.Time { return w.c.Turn(w.now, events) }
 
 func (w *world) ask(id string, class, parts int) *Request {
-	r := &Request{ID: id, Class: class, Arrived: w.now, Wait: 3 * time.Second, Text: "text", Front: asker{w, id}}
+	r := &Request{ID: id, Class: class, Arrived: w.now, Timeout: 3 * time.Second, Payload: "text", Frontend: asker{w, id}}
 	for i := range parts {
-		r.Parts = append(r.Parts, Spec{Shard: i, Weight: 1 / float64(parts)})
+		r.Parts = append(r.Parts, PartSpec{Shard: i, Weight: 1 / float64(parts)})
 	}
-	w.turn(Arrive{r})
+	w.turn(RequestArrived{r})
 	return r
 }
 
@@ -88,12 +88,12 @@
 	w.calls, w.to = nil, nil
 	var events []any
 	for _, c := range calls {
-		events = append(events, Ended{Attempt: c.Attempt, Err: err, Score: float64(c.Shard), Value: c.Name})
+		events = append(events, AttemptEnded{Attempt: c.Attempt, Err: err, Score: float64(c.Shard), Value: c.Name})
 	}
 	w.turn(events...)
 }
 
-func (w *world) one(id string) Final {
+func (w *world) one(id string) FinalAnswer {
 	w.t.Helper()
 	if len(w.finals[id]) != 1 {
 		w.t.Fatalf("%s has %d final answers", id, len(w.finals[id]))
@@ -104,14 +104,14 @@
 func TestServed(t *testing.T) {
 	w := newWorld(t)
 	w.ask("q", 0, 3)
-	if len(w.calls) != 3 || w.calls[1].Name != "q.1" || w.to[0].Addr == "" || !w.calls[0].Until.Equal(begin.Add(3*time.Second)) {
+	if len(w.calls) != 3 || w.calls[1].Name != "q.1" || w.to[0].Addr == "" || !w.calls[0].Deadline.Equal(begin.Add(3*time.Second)) {
 		t.Fatalf("%+v", w.calls)
 	}
 	w.end(nil)
-	if f := w.one("q"); f.Kind != Served || !f.Whole || !slices.Equal(f.Items, []Item{{0, "q.0"}, {1, "q.1"}, {2, "q.2"}}) {
+	if f := w.one("q"); f.Status != StatusServed || !f.Complete || !slices.Equal(f.Items, []Item{{0, "q.0"}, {1, "q.1"}, {2, "q.2"}}) {
 		t.Errorf("%+v", f)
 	}
-	if w.c.Held() != 0 || len(w.c.parts) != 0 || len(w.c.attempts) != 0 {
+	if w.c.OpenQueries() != 0 || len(w.c.parts) != 0 || len(w.c.attempts) != 0 {
 		t.Error("something is left")
 	}
 }
@@ -124,12 +124,12 @@
 		t.Fatalf("%+v %+v", w.finals, w.calls)
 	}
 	for i, c := range w.calls {
-		if want := fmt.Sprintf("q.%d.phase2", 3-i); c.Name != want || !c.Second || !c.Whole || !slices.Equal(c.From, []int{0, 1, 2, 3}) {
+		if want := fmt.Sprintf("q.%d.phase2", 3-i); c.Name != want || !c.FollowUp || !c.FirstStepComplete || !slices.Equal(c.FirstStepShards, []int{0, 1, 2, 3}) {
 			t.Errorf("%+v, want %s", c, want)
 		}
 	}
 	w.end(nil)
-	if f := w.one("q"); !f.Whole || !slices.Equal(f.Items, []Item{{3, "q.3.phase2"}, {2, "q.2.phase2"}}) {
+	if f := w.one("q"); !f.Complete || !slices.Equal(f.Items, []Item{{3, "q.3.phase2"}, {2, "q.2.phase2"}}) {
 		t.Errorf("%+v", f)
 	}
 }
@@ -137,23 +137,23 @@
 func TestErrorsDecideWhetherAPartMayRunAgain(t *testing.T) {
 	for _, c := range []struct {
 		err  error
-		want balance.Result
+		want balance.AttemptResult
 	}{
 		{nil, balance.OK},
-		{&AttemptError{Reach: NotConnected}, balance.ConnectFailed},
-		{&AttemptError{Reach: PartWritten}, balance.ConnectFailed},
-		{&AttemptError{Reach: Written}, balance.Reset},
-		{&AttemptError{Reach: Answered}, balance.Failed},
-		{&AttemptError{Reach: Answered, TurnedAway: true}, balance.QueueFull},
-		{&AttemptError{Reach: Written, Withdrawn: true}, balance.Canceled},
-		{&AttemptError{Reach: NotConnected, Withdrawn: true}, balance.Ignored},
-		{fmt.Errorf("wrapped: %w", &AttemptError{Reach: NotConnected}), balance.ConnectFailed},
+		{&AttemptError{Progress: NotConnected}, balance.ConnectFailed},
+		{&AttemptError{Progress: PartlyWritten}, balance.ConnectFailed},
+		{&AttemptError{Progress: Written}, balance.Reset},
+		{&AttemptError{Progress: Answered}, balance.Failed},
+		{&AttemptError{Progress: Answered, Rejected: true}, balance.QueueFull},
+		{&AttemptError{Progress: Written, Canceled: true}, balance.Canceled},
+		{&AttemptError{Progress: NotConnected, Canceled: true}, balance.NotSent},
+		{fmt.Errorf("wrapped: %w", &AttemptError{Progress: NotConnected}), balance.ConnectFailed},
 		{io.EOF, balance.Reset}, // proves nothing
 	} {
 		if got := result(c.err); got != c.want {
 			t.Errorf("%v: %v, want %v", c.err, got, c.want)
 		}
-		never := c.want == balance.ConnectFailed || c.want == balance.QueueFull || c.want == balance.Ignored
+		never := c.want == balance.ConnectFailed || c.want == balance.QueueFull || c.want == balance.NotSent
 		w := newWorld(t)
 		w.ask("q", 1, 1)
 		if w.end(c.err); never && len(w.calls) == 0 { // the decisions may wait before they try again
@@ -173,18 +173,18 @@
 	w.ask("q", 1, 1)
 	w.now = w.now.Add(4 * time.Second)
 	w.turn()
-	if f := w.one("q"); f.Kind != Failed || !f.Overdue {
+	if f := w.one("q"); f.Status != StatusFailed || !f.DeadlineExceeded {
 		t.Errorf("%+v", f)
 	}
 	if len(w.withdrawn) != 1 {
 		t.Fatal(w.withdrawn)
 	}
-	w.end(&AttemptError{Reach: Written, Withdrawn: true})
-	if w.c.Count.Outcomes[balance.TimedOut] != 1 {
-		t.Error(w.c.Count)
+	w.end(&AttemptError{Progress: Written, Canceled: true})
+	if w.c.Counters.Results[balance.TimedOut] != 1 {
+		t.Error(w.c.Counters)
 	}
-	w.turn(Ended{Attempt: w.withdrawn[0], Value: "late"})
-	if w.one("q"); w.c.Count.Outcomes[balance.OK] != 0 {
+	w.turn(AttemptEnded{Attempt: w.withdrawn[0], Value: "late"})
+	if w.one("q"); w.c.Counters.Results[balance.OK] != 0 {
 		t.Error("a late answer counted")
 	}
 }
@@ -192,13 +192,13 @@
 func TestClientLeaves(t *testing.T) {
 	w := newWorld(t)
 	r := w.ask("q", 1, 1)
-	w.turn(Left{r})
-	w.turn(Left{r})
-	if len(w.withdrawn) != 1 || w.c.Count.Gone != 1 || len(w.finals) != 0 {
-		t.Errorf("%v %v", w.withdrawn, w.c.Count)
+	w.turn(ClientDisconnected{r})
+	w.turn(ClientDisconnected{r})
+	if len(w.withdrawn) != 1 || w.c.Counters.Disconnected != 1 || len(w.finals) != 0 {
+		t.Errorf("%v %v", w.withdrawn, w.c.Counters)
 	}
 	sent := len(w.calls)
-	w.end(&AttemptError{Reach: NotConnected, Withdrawn: true})
+	w.end(&AttemptError{Progress: NotConnected, Canceled: true})
 	if w.now = w.now.Add(time.Second); len(w.calls) > 0 {
 		t.Errorf("sent again after %d", sent)
 	}
@@ -209,12 +209,12 @@
 	for i := range 5 {
 		w.ask(fmt.Sprint(i), 0, 4)
 	}
-	if f := w.one("4"); f.Kind != Refused || f.RetryAfter != time.Second {
+	if f := w.one("4"); f.Status != StatusRejected || f.RetryAfter != time.Second {
 		t.Errorf("%+v", f)
 	}
 	w.ask("0", 0, 1) // an id that is open already
-	if w.c.Count.Overfull != 2 {
-		t.Error(w.c.Count)
+	if w.c.Counters.RejectedAtCapacity != 2 {
+		t.Error(w.c.Counters)
 	}
 }
 
@@ -231,33 +231,33 @@
 
 type toldPeers [][]byte
 
-func (p *toldPeers) Tell(text []byte) { *p = append(*p, text) }
+func (p *toldPeers) Broadcast(text []byte) { *p = append(*p, text) }
 
 // What comes as a word and is none is counted, and the decisions never see it.
 func TestGarbledWordsAreCounted(t *testing.T) {
 	w := newWorld(t)
-	w.turn(Word{Text: []byte("noise")}, Word{}, Word{Text: make([]byte, 300)})
-	if w.c.Count.Words != 3 || w.c.Count.WordsBad != 3 {
-		t.Errorf("%d words, %d bad", w.c.Count.Words, w.c.Count.WordsBad)
+	w.turn(GossipReceived{Payload: []byte("noise")}, GossipReceived{}, GossipReceived{Payload: make([]byte, 300)})
+	if w.c.Counters.GossipReceived != 3 || w.c.Counters.GossipInvalid != 3 {
+		t.Errorf("%d words, %d bad", w.c.Counters.GossipReceived, w.c.Counters.GossipInvalid)
 	}
 	var told toldPeers
-	w.c.act(w.now, []balance.Action{balance.Tell{Text: []byte("x")}}) // nobody to tell
-	w.c.Peers = &told
-	w.c.act(w.now, []balance.Action{balance.Tell{Text: []byte("x")}})
-	if len(told) != 1 || w.c.Count.Tells != 1 {
-		t.Errorf("told %q, counted %d", told, w.c.Count.Tells)
+	w.c.act(w.now, []balance.Action{balance.SendGossip{Payload: []byte("x")}}) // nobody to tell
+	w.c.Gossip = &told
+	w.c.act(w.now, []balance.Action{balance.SendGossip{Payload: []byte("x")}})
+	if len(told) != 1 || w.c.Counters.GossipSent != 1 {
+		t.Errorf("told %q, counted %d", told, w.c.Counters.GossipSent)
 	}
 }
 
 func TestStartsAreOnTheCoresClock(t *testing.T) {
 	w := newWorld(t)
-	m := w.c.members(Members{Kind: balance.ListDelta, List: []Server{
+	m := w.c.members(EndpointsChanged{Kind: balance.ListDelta, Servers: []Server{
 		{ID: "c", Started: begin.Add(-time.Minute)}, {ID: "d"}, {ID: "e", Started: begin.Add(-48 * time.Hour)}, {ID: "a", State: balance.Removed},
-	}}).(balance.Members)
-	if got := m.List[0].Started; got != w.c.clock(begin)-time.Minute || got < clockMargin-time.Minute || m.List[1].Started != 0 || m.List[2].Started != 0 {
-		t.Errorf("%+v", m.List)
+	}}).(balance.EndpointList)
+	if got := m.Endpoints[0].Started; got != w.c.clock(begin)-time.Minute || got < clockMargin-time.Minute || m.Endpoints[1].Started != 0 || m.Endpoints[2].Started != 0 {
+		t.Errorf("%+v", m.Endpoints)
 	}
-	if w.c.Open("a") || !w.c.Open("c") {
+	if w.c.Available("a") || !w.c.Available("c") {
 		t.Error("a is gone and c is there")
 	}
 }
@@ -283,24 +283,24 @@
 func TestPanicsStop(t *testing.T) {
 	w := newWorld(t)
 	box := NewMailbox()
-	l := &Loop{Core: w.c, Box: box, Adapter: stuck{}, Clock: stopped{w}, Fresh: func() (*balance.Balancer, error) { return balance.New(settings()) }}
+	l := &Loop{Core: w.c, Mailbox: box, Adapter: stuck{}, Clock: stopped{w}, NewBalancer: func() (*balance.Balancer, error) { return balance.New(settings()) }}
 	box.Put(func() { panic("an event") })
-	r := &Request{ID: "panics", Class: 99, Arrived: w.now, Wait: time.Second, Front: asker{w, "panics"}}
-	box.Put(Arrive{r})
-	l.Once()
-	if w.one("panics").Kind != Refused || w.c.Count.Panics != 2 {
-		t.Error(w.c.Count)
+	r := &Request{ID: "panics", Class: 99, Arrived: w.now, Timeout: time.Second, Frontend: asker{w, "panics"}}
+	box.Put(RequestArrived{r})
+	l.RunTurn()
+	if w.one("panics").Status != StatusRejected || w.c.Counters.Panics != 2 {
+		t.Error(w.c.Counters)
 	}
 	w.ask("open", 1, 1)
-	late := &Request{ID: "late", Arrived: w.now, Wait: time.Second, Front: asker{w, "late"}}
+	late := &Request{ID: "late", Arrived: w.now, Timeout: time.Second, Frontend: asker{w, "late"}}
 	box.Put(errors.New("an event of no kind"))
-	box.Put(Arrive{late})
-	l.Once()
-	if w.one("open").Kind != Failed || w.one("late").Kind != Failed || w.c.Held() != 0 || len(w.withdrawn) != 1 {
+	box.Put(RequestArrived{late})
+	l.RunTurn()
+	if w.one("open").Status != StatusFailed || w.one("late").Status != StatusFailed || w.c.OpenQueries() != 0 || len(w.withdrawn) != 1 {
 		t.Errorf("%+v", w.finals)
 	}
 	w.ask("next", 0, 1)
-	if w.end(nil); w.one("next").Kind != Served {
+	if w.end(nil); w.one("next").Status != StatusServed {
 		t.Errorf("%+v", w.finals)
 	}
 }
@@ -312,8 +312,8 @@
 		want []int
 	}{{0, []int{1, 1, 1, 1}}, {1, []int{1, 1, 1, 1}}, {3, []int{3, 1}}, {9, []int{4}}} {
 		w := newWorld(t)
-		w.c.lim.CallParts = c.most
-		w.turn(Members{Kind: balance.ListFull, List: []Server{{ID: "a", Addr: "a:1", Cell: 0}}})
+		w.c.lim.MaxCallParts = c.most
+		w.turn(EndpointsChanged{Kind: balance.ListFull, Servers: []Server{{ID: "a", Addr: "a:1", Cell: 0}}})
 		if w.ask("q", 0, 4); !slices.Equal(w.frames, c.want) {
 			t.Errorf("at most %d parts a call: %v, want %v", c.most, w.frames, c.want)
 		}
@@ -325,15 +325,15 @@
 	w := newWorld(t)
 	r := w.ask("q", 0, 2)
 	w.ask("q", 0, 1)
-	if f := w.one("q"); f.Kind != Refused {
+	if f := w.one("q"); f.Status != StatusRejected {
 		t.Errorf("while it is open: %+v", f)
 	}
-	w.turn(Left{r})
+	w.turn(ClientDisconnected{r})
 	w.ask("q", 0, 1)
-	if n := len(w.finals["q"]); n != 2 || w.finals["q"][1].Kind != Refused {
+	if n := len(w.finals["q"]); n != 2 || w.finals["q"][1].Status != StatusRejected {
 		t.Errorf("while its parts are out: %d answers", n)
 	}
-	w.end(&AttemptError{Reach: Written, Withdrawn: true})
+	w.end(&AttemptError{Progress: Written, Canceled: true})
 	if w.ask("q", 0, 1); len(w.calls) != 1 {
 		t.Error("not taken once nothing of it is out")
 	}
@@ -350,29 +350,29 @@
 	}
 	w := newWorld(t)
 	var told toldPeers
-	w.c.Peers, w.c.Losses = &told, losses()
-	w.turn(Members{Kind: balance.ListFull, List: []Server{{ID: "a", Addr: "a:1", Cell: 0}, {ID: "b", Addr: "b:1", Cell: 1}}})
+	w.c.Gossip, w.c.Outliers = &told, losses()
+	w.turn(EndpointsChanged{Kind: balance.ListFull, Servers: []Server{{ID: "a", Addr: "a:1", Cell: 0}, {ID: "b", Addr: "b:1", Cell: 1}}})
 	w.ask("lost", 0, 1)
-	w.turn(Ended{Attempt: w.calls[0].Attempt, Err: &AttemptError{Reach: Answered}})
+	w.turn(AttemptEnded{Attempt: w.calls[0].Attempt, Err: &AttemptError{Progress: Answered}})
 	at := string(w.to[0].ID)
-	if len(told) != 1 || w.c.Count.Tells != uint64(len(told)) {
-		t.Fatalf("%d words of %d lost attempts, %d counted", len(told), len(w.to), w.c.Count.Tells)
+	if len(told) != 1 || w.c.Counters.GossipSent != uint64(len(told)) {
+		t.Fatalf("%d words of %d lost attempts, %d counted", len(told), len(w.to), w.c.Counters.GossipSent)
 	}
 	// Another mixer hears it from thirty, and sends next to nothing there.
 	o := newWorld(t)
-	o.c.Losses = losses()
-	o.turn(Members{Kind: balance.ListFull, List: []Server{{ID: "a", Addr: "a:1", Cell: 0}, {ID: "b", Addr: "b:1", Cell: 1}}})
+	o.c.Outliers = losses()
+	o.turn(EndpointsChanged{Kind: balance.ListFull, Servers: []Server{{ID: "a", Addr: "a:1", Cell: 0}, {ID: "b", Addr: "b:1", Cell: 1}}})
 	var words []any
 	for range 30 {
-		words = append(words, Word{Text: told[0]})
+		words = append(words, GossipReceived{Payload: told[0]})
 	}
 	o.turn(words...)
-	if o.c.Losses.Share(at) >= 0.01 || o.c.Count.WordsBad != 0 {
-		t.Fatalf("share %v, %d bad words", o.c.Losses.Share(at), o.c.Count.WordsBad)
+	if o.c.Outliers.Share(at) >= 0.01 || o.c.Counters.GossipInvalid != 0 {
+		t.Fatalf("share %v, %d bad words", o.c.Outliers.Share(at), o.c.Counters.GossipInvalid)
 	}
 	for i := range 15 {
 		o.ask(fmt.Sprint("q", i), 0, 1)
-		o.turn(Ended{Attempt: o.calls[len(o.calls)-1].Attempt})
+		o.turn(AttemptEnded{Attempt: o.calls[len(o.calls)-1].Attempt})
 	}
 	for _, s := range o.to {
 		if string(s.ID) == at {
@@ -380,13 +380,13 @@
 		}
 	}
 	for range 20 {
-		o.turn(Late{Server: balance.Replica(at)})
+		o.turn(LateAnswer{Server: balance.Replica(at)})
 	}
-	if o.turn(); o.c.Losses.Share(at) != 1 {
-		t.Errorf("share %v of a server that answers late", o.c.Losses.Share(at))
+	if o.turn(); o.c.Outliers.Share(at) != 1 {
+		t.Errorf("share %v of a server that answers late", o.c.Outliers.Share(at))
 	}
-	o.turn(Members{Kind: balance.ListDelta, List: []Server{{ID: balance.Replica(at), State: balance.Removed}}})
-	if o.c.Losses.Share(at) != 1 || len(o.c.servers) != 1 {
+	o.turn(EndpointsChanged{Kind: balance.ListDelta, Servers: []Server{{ID: balance.Replica(at), State: balance.Removed}}})
+	if o.c.Outliers.Share(at) != 1 || len(o.c.servers) != 1 {
 		t.Error("a server that is gone is still known")
 	}
 }
--- a/internal/aggregator/crossings_test.go
+++ b/internal/aggregator/crossings_test.go
@@ -13,9 +13,9 @@
 	said map[AttemptID]bool
 }
 
-func (a again) Withdraw(now time.Time, id AttemptID, again bool) {
+func (a again) Cancel(now time.Time, id AttemptID, again bool) {
 	a.said[id] = again
-	a.world.Withdraw(now, id, again)
+	a.world.Cancel(now, id, again)
 }
 
 func start(t *testing.T, set balance.Settings) again {
@@ -23,9 +23,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := again{&world{t: t, now: begin, finals: map[string][]Final{}}, map[AttemptID]bool{}}
-	a.c = NewCore(b, a, Limits{SecondStep: []int{0, 0, 2}, Ahead: 20 * time.Millisecond}, begin)
-	a.turn(Members{Kind: balance.ListFull, List: []Server{{ID: "a", Addr: "a:1", Cell: 0}, {ID: "b", Addr: "b:1", Cell: 1}}})
+	a := again{&world{t: t, now: begin, finals: map[string][]FinalAnswer{}}, map[AttemptID]bool{}}
+	a.c = NewCore(b, a, Limits{FollowUpParts: []int{0, 0, 2}, DeadlineMargin: 20 * time.Millisecond}, begin)
+	a.turn(EndpointsChanged{Kind: balance.ListFull, Servers: []Server{{ID: "a", Addr: "a:1", Cell: 0}, {ID: "b", Addr: "b:1", Cell: 1}}})
 	return a
 }
 
@@ -34,14 +34,14 @@
 func TestTheWindowForRepeatsBindsTheWrite(t *testing.T) {
 	const window = 700 * time.Millisecond
 	set := settings()
-	set.Classes[0].Effect, set.Classes[0].Window = balance.Keyed, window
+	set.Classes[0].Idempotency, set.Classes[0].DedupWindow = balance.KeyedIdempotent, window
 	b, err := balance.New(set)
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{t: t, now: begin, finals: map[string][]Final{}}
-	w.c = NewCore(b, w, Limits{SecondStep: []int{0, 0, 2}, Windows: []time.Duration{window}, Ahead: 20 * time.Millisecond}, begin)
-	w.turn(Members{Kind: balance.ListFull, List: []Server{{ID: "a", Addr: "a:1", Cell: 0}, {ID: "b", Addr: "b:1", Cell: 1}}})
+	w := &world{t: t, now: begin, finals: map[string][]FinalAnswer{}}
+	w.c = NewCore(b, w, Limits{FollowUpParts: []int{0, 0, 2}, DedupWindows: []time.Duration{window}, DeadlineMargin: 20 * time.Millisecond}, begin)
+	w.turn(EndpointsChanged{Kind: balance.ListFull, Servers: []Server{{ID: "a", Addr: "a:1", Cell: 0}, {ID: "b", Addr: "b:1", Cell: 1}}})
 	next := func() Call {
 		t.Helper()
 		for i := 0; len(w.calls) == 0; i++ {
@@ -57,23 +57,23 @@
 	}
 	w.ask("q", 0, 1)
 	c := next()
-	if !c.By.IsZero() {
-		t.Errorf("a first attempt is bound to %v", c.By)
+	if !c.WriteBy.IsZero() {
+		t.Errorf("a first attempt is bound to %v", c.WriteBy)
 	}
-	w.turn(Ended{Attempt: c.Attempt, Err: &AttemptError{Reach: Answered, TurnedAway: true}})
+	w.turn(AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: Answered, Rejected: true}})
 	c = next()
-	if !c.By.IsZero() {
-		t.Errorf("after one that never ran it is bound to %v", c.By)
+	if !c.WriteBy.IsZero() {
+		t.Errorf("after one that never ran it is bound to %v", c.WriteBy)
 	}
 	first := w.now
-	w.turn(Ended{Attempt: c.Attempt, Err: &AttemptError{Reach: Written}})
+	w.turn(AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: Written}})
 	c = next()
-	if !c.By.Equal(first.Add(window)) {
-		t.Errorf("bound to %v, want %v", c.By, first.Add(window))
+	if !c.WriteBy.Equal(first.Add(window)) {
+		t.Errorf("bound to %v, want %v", c.WriteBy, first.Add(window))
 	}
 	w.ask("other", 1, 1)
-	if c := next(); !c.By.IsZero() {
-		t.Errorf("a class without a window is bound to %v", c.By)
+	if c := next(); !c.WriteBy.IsZero() {
+		t.Errorf("a class without a window is bound to %v", c.WriteBy)
 	}
 }
 
@@ -93,7 +93,7 @@
 	}
 	w = start(t, settings())
 	r := w.ask("leaves", 0, 1)
-	w.turn(Left{r})
+	w.turn(ClientDisconnected{r})
 	if again, ok := w.said[w.calls[0].Attempt]; !ok || again {
 		t.Errorf("its client has left: again %v, %v", again, ok)
 	}
@@ -103,36 +103,36 @@
 // part that comes back, and the list.
 func TestADepartureInTheTurnOfTheSend(t *testing.T) {
 	w := newWorld(t)
-	r := &Request{ID: "q", Arrived: w.now, Wait: 3 * time.Second, Text: "text", Front: asker{w, "q"}, Parts: []Spec{{Weight: 1}}}
-	w.turn(Arrive{r}, Left{r})
-	if len(w.calls) != 0 || w.c.Held() != 0 || w.c.Count.Gone != 1 {
-		t.Errorf("sent %d, held %d, %v", len(w.calls), w.c.Held(), w.c.Count)
+	r := &Request{ID: "q", Arrived: w.now, Timeout: 3 * time.Second, Payload: "text", Frontend: asker{w, "q"}, Parts: []PartSpec{{Weight: 1}}}
+	w.turn(RequestArrived{r}, ClientDisconnected{r})
+	if len(w.calls) != 0 || w.c.OpenQueries() != 0 || w.c.Counters.Disconnected != 1 {
+		t.Errorf("sent %d, held %d, %v", len(w.calls), w.c.OpenQueries(), w.c.Counters)
 	}
 	r = w.ask("back", 0, 1)
 	c := w.calls[0]
 	w.calls = nil
-	w.turn(Ended{Attempt: c.Attempt, Err: &AttemptError{Reach: Answered, TurnedAway: true}}, Left{r})
+	w.turn(AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: Answered, Rejected: true}}, ClientDisconnected{r})
 	w.now = w.now.Add(time.Second)
 	w.turn()
-	if len(w.calls) != 0 || w.c.Held() != 0 {
-		t.Errorf("sent %d, held %d", len(w.calls), w.c.Held())
+	if len(w.calls) != 0 || w.c.OpenQueries() != 0 {
+		t.Errorf("sent %d, held %d", len(w.calls), w.c.OpenQueries())
 	}
 }
 
 // A drain that comes in one turn with the request, or with the end of its first attempt, binds what that turn sends.
 func TestADrainInTheTurnOfTheSend(t *testing.T) {
-	drain := Members{Kind: balance.ListDelta, List: []Server{{ID: "a", Addr: "a:1", State: balance.Draining}}}
+	drain := EndpointsChanged{Kind: balance.ListDelta, Servers: []Server{{ID: "a", Addr: "a:1", State: balance.Draining}}}
 	for _, drains := range []bool{true, false} {
 		w := newWorld(t)
-		r := &Request{ID: "q", Arrived: w.now, Wait: 3 * time.Second, Text: "text", Front: asker{w, "q"}, Parts: []Spec{{Weight: 1}}}
-		w.turn(Arrive{r}, drain)
+		r := &Request{ID: "q", Arrived: w.now, Timeout: 3 * time.Second, Payload: "text", Frontend: asker{w, "q"}, Parts: []PartSpec{{Weight: 1}}}
+		w.turn(RequestArrived{r}, drain)
 		if len(w.to) != 1 || w.to[0].ID != "b" {
 			t.Fatalf("sent to %+v", w.to)
 		}
 		c := w.calls[0]
 		w.calls, w.to = nil, nil
-		w.turn(Members{Kind: balance.ListDelta, List: []Server{{ID: "a", Addr: "a:1"}}})
-		events := []any{Ended{Attempt: c.Attempt, Err: &AttemptError{Reach: Written}}}
+		w.turn(EndpointsChanged{Kind: balance.ListDelta, Servers: []Server{{ID: "a", Addr: "a:1"}}})
+		events := []any{AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: Written}}}
 		if drains {
 			events = append(events, drain)
 		}
@@ -153,13 +153,13 @@
 		w.ask("q", 0, 1)
 		c := w.calls[0]
 		w.calls, w.to = nil, nil
-		w.now = c.Until
+		w.now = c.Deadline
 		if late {
 			w.turn()
 		}
-		w.turn(Ended{Attempt: c.Attempt, Value: "v"})
+		w.turn(AttemptEnded{Attempt: c.Attempt, Value: "v"})
 		f := w.one("q") // the answer counts while the give-up is under way, too
-		if f.Kind != Served || len(f.Items) != 1 || f.Items[0].Value != "v" {
+		if f.Status != StatusServed || len(f.Items) != 1 || f.Items[0].Value != "v" {
 			t.Errorf("late %v: %+v", late, f)
 		}
 		if len(w.withdrawn) > 0 != late {
@@ -176,14 +176,14 @@
 		r := w.ask("q", 0, 1)
 		c := w.calls[0]
 		w.calls, w.to = nil, nil
-		w.now = w.now.Add(r.Wait)
-		ended, left := Ended{Attempt: c.Attempt, Err: &AttemptError{Reach: NotConnected}}, Left{r}
+		w.now = w.now.Add(r.Timeout)
+		ended, left := AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: NotConnected}}, ClientDisconnected{r}
 		w.turn([][]any{{ended, left}, {left, ended}, {ended}, {left}, {}, {left, left}}[i]...)
 		w.turn(ended, left)
-		if len(w.calls) != 0 || w.c.Held() != 0 || len(w.finals["q"]) > 1 {
-			t.Errorf("%d: sent %d, held %d, %d answers", i, len(w.calls), w.c.Held(), len(w.finals["q"]))
+		if len(w.calls) != 0 || w.c.OpenQueries() != 0 || len(w.finals["q"]) > 1 {
+			t.Errorf("%d: sent %d, held %d, %d answers", i, len(w.calls), w.c.OpenQueries(), len(w.finals["q"]))
 		}
-		if n := w.c.Count; n.Taken != 1 || n.Served+n.Refused+n.Failed+n.Gone != 1 {
+		if n := w.c.Counters; n.Received != 1 || n.Served+n.Rejected+n.Failed+n.Disconnected != 1 {
 			t.Errorf("%d: %v", i, n)
 		}
 	}
--- a/internal/aggregator/held_test.go
+++ b/internal/aggregator/held_test.go
@@ -12,12 +12,12 @@
 type idle struct{ sent []Call }
 
 func (b *idle) Send(_ time.Time, _ Server, calls []Call) { b.sent = append(b.sent, calls...) }
-func (b *idle) Withdraw(time.Time, AttemptID, bool)      {}
+func (b *idle) Cancel(time.Time, AttemptID, bool)        {}
 func (b *idle) Probe(time.Time, Server)                  {}
 
 type mute struct{}
 
-func (mute) Answer(Final) {}
+func (mute) Answer(FinalAnswer) {}
 
 // holding is a core that holds so many queries of one part each, all sent and none answered.
 func holding(tb testing.TB, held, nodes int) (*Core, *idle) {
@@ -25,21 +25,21 @@
 	set := settings()
 	set.Cells, set.Shards = nodes, nodes
 	for i := range set.Classes {
-		set.Classes[i].Aim, set.Classes[i].Deadline = time.Hour, 2*time.Hour
+		set.Classes[i].Objective, set.Classes[i].Deadline = time.Hour, 2*time.Hour
 	}
 	b, err := balance.New(set)
 	if err != nil {
 		tb.Fatal(err)
 	}
 	back := &idle{}
-	c := NewCore(b, back, Limits{SecondStep: []int{0, 0, 0}}, begin)
+	c := NewCore(b, back, Limits{FollowUpParts: []int{0, 0, 0}}, begin)
 	var list []Server
 	for i := range nodes {
 		list = append(list, Server{ID: balance.Replica(fmt.Sprint("n", i)), Addr: "x", Cell: i})
 	}
-	events := []any{Members{Kind: balance.ListFull, List: list}}
+	events := []any{EndpointsChanged{Kind: balance.ListFull, Servers: list}}
 	for i := range held {
-		events = append(events, Arrive{&Request{ID: fmt.Sprint("h", i), Class: 1, Arrived: begin, Wait: time.Hour, Front: mute{}, Parts: []Spec{{Shard: i % nodes, Weight: 1}}}})
+		events = append(events, RequestArrived{&Request{ID: fmt.Sprint("h", i), Class: 1, Arrived: begin, Timeout: time.Hour, Frontend: mute{}, Parts: []PartSpec{{Shard: i % nodes, Weight: 1}}}})
 	}
 	c.Turn(begin, events)
 	back.sent = nil
@@ -58,10 +58,10 @@
 				b.ResetTimer()
 				for i := range b.N {
 					now = now.Add(time.Millisecond)
-					c.Turn(now, []any{Arrive{&Request{ID: fmt.Sprint("q", i), Class: 0, Arrived: now, Wait: time.Hour, Front: mute{}, Parts: []Spec{{Shard: i % nodes, Weight: 1}}}}})
+					c.Turn(now, []any{RequestArrived{&Request{ID: fmt.Sprint("q", i), Class: 0, Arrived: now, Timeout: time.Hour, Frontend: mute{}, Parts: []PartSpec{{Shard: i % nodes, Weight: 1}}}}})
 					var ends []any
 					for _, s := range back.sent {
-						ends = append(ends, Ended{Attempt: s.Attempt, Value: "v"})
+						ends = append(ends, AttemptEnded{Attempt: s.Attempt, Value: "v"})
 					}
 					back.sent = back.sent[:0]
 					c.Turn(now, ends)
--- a/internal/aggregator/loop.go
+++ b/internal/aggregator/loop.go
@@ -55,9 +55,9 @@
 // patience is how many events that may wait are gathered before they bring on a turn of their own.
 const patience = 32
 
-// PutLater adds an event that may wait for the next turn, whatever brings that on. Guards the processor's time:
+// PutDeferred adds an event that may wait for the next turn, whatever brings that on. Guards the processor's time:
 // with many mixers one hears a word every other millisecond.
-func (m *Mailbox) PutLater(e any) {
+func (m *Mailbox) PutDeferred(e any) {
 	m.mu.Lock()
 	m.items = append(m.items, e)
 	m.waiting++
@@ -88,30 +88,30 @@
 	Sweep(now time.Time) (events []any, next time.Time)
 }
 
-// OnLoop is run on the loop, between turns.
-type OnLoop func()
+// RunOnLoop is run on the loop, between turns.
+type RunOnLoop func()
 
 // Loop gathers what is ready, hands it to the core in one turn, and waits for more.
 type Loop struct {
-	Core    *Core
-	Box     *Mailbox
-	Adapter Adapter
-	Clock   Clock
-	Fresh   func() (*balance.Balancer, error) // new decisions, should a turn panic
-	Stop    <-chan struct{}
+	Core        *Core
+	Mailbox     *Mailbox
+	Adapter     Adapter
+	Clock       Clock
+	NewBalancer func() (*balance.Balancer, error) // new decisions, should a turn panic
+	Stop        <-chan struct{}
 }
 
 // Run runs until Stop is closed.
 func (l *Loop) Run() {
 	for {
-		next := l.Once()
+		next := l.RunTurn()
 		var due <-chan time.Time
 		stop := func() {}
 		if !next.IsZero() {
 			due, stop = l.Clock.At(next)
 		}
 		select {
-		case <-l.Box.Ready():
+		case <-l.Mailbox.Ready():
 		case <-due:
 		case <-l.Stop:
 			stop()
@@ -121,12 +121,12 @@
 	}
 }
 
-// Once runs one turn of all that is ready and returns when the next is due.
-func (l *Loop) Once() time.Time {
+// RunTurn runs one turn of all that is ready and returns when the next is due.
+func (l *Loop) RunTurn() time.Time {
 	now := l.Clock.Now()
 	events, adapterDue := l.Adapter.Sweep(now)
-	for _, e := range l.Box.Take() {
-		if f, ok := e.(OnLoop); ok {
+	for _, e := range l.Mailbox.Take() {
+		if f, ok := e.(RunOnLoop); ok {
 			f()
 		} else if more, mine := l.handle(now, e); mine {
 			events = append(events, more...)
@@ -145,7 +145,7 @@
 func (l *Loop) handle(now time.Time, e any) (events []any, mine bool) {
 	defer func() {
 		if p := recover(); p != nil {
-			l.Core.Count.Panics++
+			l.Core.Counters.Panics++
 			fmt.Fprintf(os.Stderr, "event %T: panic: %v\n", e, p)
 			events, mine = nil, true
 		}
@@ -159,7 +159,7 @@
 	defer func() {
 		if p := recover(); p != nil {
 			fmt.Fprintf(os.Stderr, "turn: panic: %v\n", p)
-			fresh, err := l.Fresh()
+			fresh, err := l.NewBalancer()
 			if err != nil {
 				panic(err) // the same settings made the decisions at the start
 			}
@@ -173,6 +173,6 @@
 // Do runs f on the loop and waits until it has run.
 func (l *Loop) Do(f func()) {
 	done := make(chan struct{})
-	l.Box.Put(OnLoop(func() { f(); close(done) }))
+	l.Mailbox.Put(RunOnLoop(func() { f(); close(done) }))
 	<-done
 }
--- a/internal/aggregator/mailbox_test.go
+++ b/internal/aggregator/mailbox_test.go
@@ -14,15 +14,15 @@
 	}
 	m := NewMailbox()
 	for range patience - 1 {
-		m.PutLater(1)
+		m.PutDeferred(1)
 	}
 	if ready(m) {
 		t.Error("a turn is due before the patience is over")
 	}
-	if m.PutLater(1); !ready(m) || len(m.Take()) != patience {
+	if m.PutDeferred(1); !ready(m) || len(m.Take()) != patience {
 		t.Error("what waits was not handed over in the end")
 	}
-	if m.PutLater(1); ready(m) {
+	if m.PutDeferred(1); ready(m) {
 		t.Error("the patience was not renewed")
 	}
 	if m.Put(2); !ready(m) || len(m.Take()) != 2 {
--- a/internal/aggregator/ports.go
+++ b/internal/aggregator/ports.go
@@ -14,39 +14,39 @@
 	"rooktrestle/internal/control/shardmap"
 )
 
-// Reach says how far an attempt had come when it ended.
-type Reach int
+// Progress says how far an attempt had come when it ended.
+type Progress int
 
 const (
-	NotConnected Reach = iota // no connection came up, or nothing of it was written
-	PartWritten               // it broke before its last byte was written
-	Written                   // all of it was written, or it cannot be proved that it was not
-	Answered                  // the server gave its word
+	NotConnected  Progress = iota // no connection came up, or nothing of it was written
+	PartlyWritten                 // it broke before its last byte was written
+	Written                       // all of it was written, or it cannot be proved that it was not
+	Answered                      // the server gave its word
 )
 
-func (r Reach) String() string {
+func (r Progress) String() string {
 	return [...]string{"not connected", "not wholly written", "written", "answered"}[r]
 }
 
 // AttemptError says how an attempt failed. Reach and the flags alone decide whether it may have run.
 type AttemptError struct {
-	Reach      Reach
-	TurnedAway bool // Answered: the server did not take it
-	Withdrawn  bool // this mixer gave it up
-	// TurnedAway because of the map of blocks: what the server said, and the epoch it named.
-	Word  shardmap.Word
-	Epoch shardmap.Epoch
-
-	Spoilt bool // Written: the server lives, and what it said on the connection cannot be read
-	Own    bool // NotConnected: for want of something of this mixer's; tells nothing of the server
-	Cause  error
+	Progress Progress
+	Rejected bool // Answered: the server did not take it
+	Canceled bool // this mixer gave it up
+	// Rejected because of the map of blocks: what the server said, and the epoch it named.
+	MapStatus shardmap.Word
+	Epoch     shardmap.Epoch
+
+	CorruptStream bool // Written: the server lives, and what it said on the connection cannot be read
+	LocalCause    bool // NotConnected: for want of something of this mixer's; tells nothing of the server
+	Cause         error
 }
 
 func (e *AttemptError) Error() string {
-	what := e.Reach.String()
-	if e.TurnedAway {
+	what := e.Progress.String()
+	if e.Rejected {
 		what = "turned away"
-	} else if e.Withdrawn {
+	} else if e.Canceled {
 		what = "given up, " + what
 	}
 	if e.Cause != nil {
@@ -58,90 +58,90 @@
 func (e *AttemptError) Unwrap() error { return e.Cause }
 
 // result is the outcome that an attempt's error stands for. An error of another kind proves nothing.
-func result(err error) balance.Result {
+func result(err error) balance.AttemptResult {
 	var a *AttemptError
 	switch {
 	case err == nil:
 		return balance.OK
 	case !errors.As(err, &a):
 		return balance.Reset
-	case a.TurnedAway && a.Word != shardmap.NoWord:
-		return balance.Ignored // it tells nothing of the server's load
-	case a.TurnedAway:
+	case a.Rejected && a.MapStatus != shardmap.NoWord:
+		return balance.NotSent // it tells nothing of the server's load
+	case a.Rejected:
 		return balance.QueueFull
-	case a.Withdrawn && a.Reach < Written:
-		return balance.Ignored
-	case a.Withdrawn:
+	case a.Canceled && a.Progress < Written:
+		return balance.NotSent
+	case a.Canceled:
 		return balance.Canceled
-	case a.Reach < Written:
+	case a.Progress < Written:
 		return balance.ConnectFailed
-	case a.Reach == Answered, a.Spoilt:
+	case a.Progress == Answered, a.CorruptStream:
 		return balance.Failed
 	}
 	return balance.Reset
 }
 
-// Front is where a request came from. Answer is called once for each request whose client has not left.
-type Front interface{ Answer(Final) }
+// Frontend is where a request came from. Answer is called once for each request whose client has not left.
+type Frontend interface{ Answer(FinalAnswer) }
 
 // Backend carries attempts to servers. Each attempt sent ends in one Ended and each probe in one Probed event.
 type Backend interface {
 	// Send makes one call of these attempts.
 	Send(now time.Time, to Server, calls []Call)
-	// Withdraw gives an attempt up. Its Ended event comes only when the server has been told, or the
+	// Cancel gives an attempt up. Its Ended event comes only when the server has been told, or the
 	// connection is closed, so that the part's next attempt is no second copy. again says that there may be one.
-	Withdraw(now time.Time, a AttemptID, again bool)
+	Cancel(now time.Time, a AttemptID, again bool)
 	Probe(now time.Time, to Server)
 }
 
-// Peers carries words to the other mixers of the tier, as far as it can.
-type Peers interface{ Tell(text []byte) }
+// GossipSender carries words to the other mixers of the tier, as far as it can.
+type GossipSender interface{ Broadcast(text []byte) }
 
-// Word is a message from another mixer, as it came.
-type Word struct{ Text []byte }
+// GossipReceived is a message from another mixer, as it came.
+type GossipReceived struct{ Payload []byte }
 
 // Directory says what is known of a server; Core is one.
 type Directory interface {
-	// Open says whether new work may go to a server by now.
-	Open(balance.Replica) bool
+	// Available says whether new work may go to a server by now.
+	Available(balance.Replica) bool
 }
 
 // Server is one server as last listed.
 type Server struct {
-	balance.Evidence
+	balance.HealthLimits
 	ID      balance.Replica
 	Addr    string
 	Zone    int
 	Cell    int
 	Weight  float64
-	State   balance.State
+	State   balance.EndpointState
 	Started time.Time // zero: long ago
 }
 
-// Witness is told how each attempt ended, on the loop, in the order of the ends.
-type Witness interface {
-	Saw(now time.Time, a Attempt)
+// AttemptObserver is told how each attempt ended, on the loop, in the order of the ends.
+type AttemptObserver interface {
+	AttemptEnded(now time.Time, a AttemptSummary)
 }
 
-// Attempt is one that has ended.
-type Attempt struct {
-	Server balance.Replica
-	Class  int
-	Result balance.Result
-	Sent   time.Time
-	Own    bool // it failed for want of something of this mixer's
-	Lie    bool // it was turned away with a word that the map contradicts
+// AttemptSummary is one that has ended.
+type AttemptSummary struct {
+	Server         balance.Replica
+	Class          int
+	Result         balance.AttemptResult
+	Sent           time.Time
+	LocalCause     bool // it failed for want of something of this mixer's
+	FalseRejection bool // it was turned away with a word that the map contradicts
 }
 
-// Shows is what the attempt's end tells of its server's health. aim is its class's.
-func (a Attempt) Shows(now time.Time, aim time.Duration) health.Result {
+// HealthResult is what the attempt's end tells of its server's health. aim is its class's.
+func (a AttemptSummary) HealthResult(now time.Time, aim time.Duration) health.Result {
 	switch a.Result {
 	case balance.OK:
 		return health.Good
 	case balance.Failed, balance.Reset, balance.TimedOut:
 		return health.Bad
 	case balance.ConnectFailed:
-		if !a.Own { // else for want of something of ours
+		if !a.LocalCause { // else for want of something of ours
 			return health.Unreached
 		}
 	case balance.Canceled:
@@ -150,7 +150,7 @@
 			return health.Bad
 		}
 	}
-	if a.Lie { // it turns away what it holds
+	if a.FalseRejection { // it turns away what it holds
 		return health.Bad
 	}
 	return health.Neutral
@@ -158,14 +158,14 @@
 
 // end is what the attempt's end tells of its server to the table of losses, which judges by itself what was called off
 // and what was turned away.
-func (a Attempt) end() outlier.End {
+func (a AttemptSummary) end() outlier.End {
 	switch a.Result {
 	case balance.Canceled:
 		return outlier.CalledOff
 	case balance.QueueFull:
 		return outlier.TurnedAway
 	}
-	switch a.Shows(a.Sent, 0) {
+	switch a.HealthResult(a.Sent, 0) {
 	case health.Good:
 		return outlier.Served
 	case health.Bad, health.Unreached:
@@ -174,52 +174,52 @@
 	return outlier.Neutral
 }
 
-// Spec is one part of a request.
-type Spec struct {
-	Shard  int // or the block's id
-	Weight float64
-	Hint   time.Duration
+// PartSpec is one part of a request.
+type PartSpec struct {
+	Shard    int // or the block's id
+	Weight   float64
+	WorkHint time.Duration
 }
 
 // Request is one query as a front took it.
 type Request struct {
-	ID      string
-	Class   int
-	Tenant  int
-	Key     string
-	Arrived time.Time
-	Wait    time.Duration // the client waits so long from Arrived on
-	Retry   bool
-	Text    string
-	Parts   []Spec
-	Front   Front
+	ID       string
+	Class    int
+	Tenant   int
+	Key      string
+	Arrived  time.Time
+	Timeout  time.Duration // the client waits so long from Arrived on
+	IsRetry  bool
+	Payload  string
+	Parts    []PartSpec
+	Frontend Frontend
 	// Layout, if set, makes the parts from the view that the query is pinned to; each is a block. It is called again
 	// if the query begins anew on another view.
-	Layout func(*shardmap.View) []Spec
+	Layout func(*shardmap.View) []PartSpec
 
 	done bool // it has its final answer, or its client has left
 }
 
-// FinalKind is how a query ended.
-type FinalKind int
+// FinalStatus is how a query ended.
+type FinalStatus int
 
 const (
-	Served FinalKind = iota
-	Refused
-	Failed
-	Gone // the client left: nobody is told
+	StatusServed FinalStatus = iota
+	StatusRejected
+	StatusFailed
+	StatusDisconnected // the client left: nobody is told
 )
 
-// Final is the one final answer of a query.
-type Final struct {
-	Kind       FinalKind
-	Whole      bool
-	Items      []Item
-	RetryAfter time.Duration // Refused: when to come back; 0: no advice
-	Overdue    bool          // not served: its time was over
-	Missing    []int         // Served, not whole: shards that are not in
-	Share      float64       // Served: weight of the parts that are in
-	Of         int           // Served: parts of the step
+// FinalAnswer is the one final answer of a query.
+type FinalAnswer struct {
+	Status           FinalStatus
+	Complete         bool
+	Items            []Item
+	RetryAfter       time.Duration // Refused: when to come back; 0: no advice
+	DeadlineExceeded bool          // not served: its time was over
+	MissingShards    []int         // Served, not whole: shards that are not in
+	AnsweredWeight   float64       // Served: weight of the parts that are in
+	TotalParts       int           // Served: parts of the step
 }
 
 // Item is the value of one part, as a server gave it.
@@ -230,69 +230,69 @@
 
 // AttemptID names an attempt: the part and its number.
 type AttemptID struct {
-	Part balance.ID
-	N    int
+	Part   balance.ID
+	Number int
 }
 
 // Call is one attempt of a part.
 type Call struct {
-	Attempt AttemptID
-	Name    string // of the part, on the wire
-	Class   int
-	Shard   int
-	Until   time.Time // the mixer waits no longer
-	By      time.Time // it is to be written by then or not at all; zero: no such time
-	Text    string
-	Second  bool // part of a second step, which came after From
-	From    []int
-	Whole   bool           // the first step was whole
-	Epoch   shardmap.Epoch // of the view; 0: there is none
+	Attempt           AttemptID
+	Name              string // of the part, on the wire
+	Class             int
+	Shard             int
+	Deadline          time.Time // the mixer waits no longer
+	WriteBy           time.Time // it is to be written by then or not at all; zero: no such time
+	Payload           string
+	FollowUp          bool // part of a second step, which came after From
+	FirstStepShards   []int
+	FirstStepComplete bool           // the first step was whole
+	Epoch             shardmap.Epoch // of the view; 0: there is none
 }
 
 // Events of the core.
 type (
-	// Arrive is a new request.
-	Arrive struct{ Request *Request }
-	// Left says that a request's client has gone away.
-	Left struct{ Request *Request }
-	// Ended ends an attempt.
-	Ended struct {
+	// RequestArrived is a new request.
+	RequestArrived struct{ Request *Request }
+	// ClientDisconnected says that a request's client has gone away.
+	ClientDisconnected struct{ Request *Request }
+	// AttemptEnded ends an attempt.
+	AttemptEnded struct {
 		Attempt AttemptID
 		Err     error // nil: served
 		Score   float64
 		Value   string
-		Report  *balance.Report
+		Report  *balance.LoadReport
 	}
-	// Probed ends a probe.
-	Probed struct {
-		Server balance.Replica
-		Err    error
-		Took   time.Duration
-		Report *balance.Report
+	// ProbeEnded ends a probe.
+	ProbeEnded struct {
+		Server  balance.Replica
+		Err     error
+		Elapsed time.Duration
+		Report  *balance.LoadReport
 	}
-	// Late says that a server answered an attempt after it was given up: it lives, and is behind.
-	Late struct{ Server balance.Replica }
-	// MapOffered is word of a source of maps. Map is nil where it has nothing newer.
-	MapOffered struct {
+	// LateAnswer says that a server answered an attempt after it was given up: it lives, and is behind.
+	LateAnswer struct{ Server balance.Replica }
+	// ShardMapOffered is word of a source of maps. Map is nil where it has nothing newer.
+	ShardMapOffered struct {
 		Source string
 		Map    *shardmap.Map
 		Err    error // why it has none
 	}
-	// Members is word from discovery.
-	Members struct {
-		Kind balance.ListKind
-		List []Server
+	// EndpointsChanged is word from discovery.
+	EndpointsChanged struct {
+		Kind    balance.ListKind
+		Servers []Server
 	}
 )
 
 // Counters count what a mixer took in, sent and answered.
 type Counters struct {
-	Taken, Served, Partial, Refused, Failed, Gone uint64
-	Overfull, Overdue, SecondSteps, Panics        uint64
-	Restarts, Waits                               uint64 // queries begun anew, or held for a newer map
-	Sent, Probes, Withdrawn                       uint64
-	Tells, Words, WordsBad                        uint64 // words sent to and heard from other mixers, and heard that are none
-	Outcomes                                      [balance.Ignored + 1]uint64
+	Received, Served, Partial, Rejected, Failed, Disconnected uint64
+	RejectedAtCapacity, DeadlineExceeded, FollowUps, Panics   uint64
+	Restarts, MapWaits                                        uint64 // queries begun anew, or held for a newer map
+	Sent, Probes, Canceled                                    uint64
+	GossipSent, GossipReceived, GossipInvalid                 uint64 // words sent to and heard from other mixers, and heard that are none
+	Results                                                   [balance.NotSent + 1]uint64
 }
 
 var outcomeNames = [...]string{"served", "error", "turned away", "timed out", "could not connect", "reset", "cancelled", "not sent"}
@@ -300,9 +300,9 @@
 func (c Counters) String() string {
 	text := fmt.Sprintf("taken %d; answered: served %d (partial %d), refused %d (full %d), failed %d, gone %d, out of time %d; "+
 		"second steps %d, begun anew %d; sent %d, withdrawn %d, probes %d; words sent %d, heard %d, bad %d; attempts:",
-		c.Taken, c.Served, c.Partial, c.Refused, c.Overfull, c.Failed, c.Gone, c.Overdue,
-		c.SecondSteps, c.Restarts, c.Sent, c.Withdrawn, c.Probes, c.Tells, c.Words, c.WordsBad)
-	for i, n := range c.Outcomes {
+		c.Received, c.Served, c.Partial, c.Rejected, c.RejectedAtCapacity, c.Failed, c.Disconnected, c.DeadlineExceeded,
+		c.FollowUps, c.Restarts, c.Sent, c.Canceled, c.Probes, c.GossipSent, c.GossipReceived, c.GossipInvalid)
+	for i, n := range c.Results {
 		text += fmt.Sprintf(" %s %d,", outcomeNames[i], n)
 	}
 	return text[:len(text)-1]
--- a/internal/aggregator/resharding.go
+++ b/internal/aggregator/resharding.go
@@ -8,21 +8,21 @@
 	"rooktrestle/internal/control/shardmap"
 )
 
-// Reshape is what a core has to do with maps of blocks that change. It is nil where holders are fixed.
-type Reshape struct {
+// Resharding is what a core has to do with maps of blocks that change. It is nil where holders are fixed.
+type Resharding struct {
 	Views *shardmap.Views
-	// Ask has the source asked for a newer map. It is called on the loop and must not block.
-	Ask func()
-	// Again has it asked in a moment: it may be late.
-	Again func()
+	// RequestMap has the source asked for a newer map. It is called on the loop and must not block.
+	RequestMap func()
+	// RequestMapSoon has it asked in a moment: it may be late.
+	RequestMapSoon func()
 	// Adopted is told of each map that is adopted, and what was before (nil at first); Refused of each that is not.
-	Adopted func(old, now *shardmap.Map)
-	Refused func(source string, err error)
+	Adopted  func(old, now *shardmap.Map)
+	Rejected func(source string, err error)
 }
 
 // pin makes a query's parts from the present view.
-func (c *Core) pin(q *query) []Spec {
-	q.view = c.Reshape.Views.Pin()
+func (c *Core) pin(q *query) []PartSpec {
+	q.view = c.Resharding.Views.Pin()
 	if q.view == nil {
 		return nil
 	}
@@ -32,29 +32,29 @@
 }
 
 func (c *Core) safe(class int) bool {
-	return class >= 0 && class < len(c.lim.Unsafe) && !c.lim.Unsafe[class]
+	return class >= 0 && class < len(c.lim.NonIdempotent) && !c.lim.NonIdempotent[class]
 }
 
 // unpin lets the view go.
 func (c *Core) unpin(q *query) {
 	if q.view != nil {
-		c.Reshape.Views.Release(q.view)
+		c.Resharding.Views.Release(q.view)
 		q.view = nil
 	}
 }
 
 // place notes a part in the flight and says who may be asked for it.
-func (c *Core) place(now time.Time, q *query, p *part) (list []balance.Holder) {
+func (c *Core) place(now time.Time, q *query, p *part) (list []balance.Candidate) {
 	if q.flight == nil {
 		return nil
 	}
 	id := shardmap.ID(p.spec.Shard)
 	entry := shardmap.Part{Block: id}
-	list = []balance.Holder{}
+	list = []balance.Candidate{}
 	if b := q.view.Map.Block(id); b != nil {
 		for _, h := range b.Servers() {
 			entry.Servers = append(entry.Servers, h.Server)
-			list = append(list, balance.Holder{Replica: balance.Replica(h.Server), Share: c.Reshape.Views.Share(now, h)})
+			list = append(list, balance.Candidate{Replica: balance.Replica(h.Server), TrafficFraction: c.Resharding.Views.Share(now, h)})
 		}
 	}
 	p.at = len(q.flight.Parts)
@@ -63,29 +63,29 @@
 }
 
 // mapped takes word of a source of maps.
-func (c *Core) mapped(now time.Time, e MapOffered, told []balance.Event) []balance.Event {
-	r := c.Reshape
+func (c *Core) mapped(now time.Time, e ShardMapOffered, told []balance.Event) []balance.Event {
+	r := c.Resharding
 	if r == nil {
 		return told
 	}
 	switch {
 	case e.Err != nil: // it may have a newer one all the same
-		r.Refused(e.Source, e.Err)
+		r.Rejected(e.Source, e.Err)
 		return told
 	case e.Map == nil:
 		if r.Views.Same(now) {
-			r.Again()
+			r.RequestMapSoon()
 		}
 	default:
 		old := r.Views.Now()
 		adopted, err := r.Views.Offer(now, e.Map)
 		if err != nil {
-			r.Refused(e.Source, err)
+			r.Rejected(e.Source, err)
 		}
 		if adopted {
 			r.Adopted(old, e.Map)
 		} else if err == nil && r.Views.Same(now) {
-			r.Again()
+			r.RequestMapSoon()
 		}
 	}
 	// Those that wait begin anew, or wait no longer.
@@ -99,10 +99,10 @@
 
 // leave makes queries leave views that are held too long.
 func (c *Core) leave(now time.Time, told []balance.Event) []balance.Event {
-	if c.Reshape == nil {
+	if c.Resharding == nil {
 		return told
 	}
-	for _, v := range c.Reshape.Views.Expired(now) {
+	for _, v := range c.Resharding.Views.Expired(now) {
 		for _, q := range c.all() {
 			// What may be running and must not run twice stays until its answer, or its deadline.
 			if q.view == v && !q.anew && (q.flight.Safe || q.out == 0) {
@@ -116,41 +116,41 @@
 // turnedAway takes a server's word that it does not hold the part's block, and never ran it.
 func (c *Core) turnedAway(now time.Time, a *attempt, cause *AttemptError, told []balance.Event) (lie bool, _ []balance.Event) {
 	p, q := a.part, a.part.q
-	r := c.Reshape
+	r := c.Resharding
 	if r == nil || q.flight == nil || c.parts[p.id] != p {
 		return false, told
 	}
 	ask := r.Views.Heard(now, cause.Epoch)
-	v := q.flight.TurnedAway(r.Views, p.at, string(a.server), cause.Word, cause.Epoch, ask)
+	v := q.flight.TurnedAway(r.Views, p.at, string(a.server), cause.MapStatus, cause.Epoch, ask)
 	if v.Lie {
 		r.Views.Stats.Lies++
 	}
 	if v.Ask {
-		r.Ask()
+		r.RequestMap()
 	}
 	if v.Restart || v.Wait {
 		return v.Lie, c.verdict(now, q, v, told)
 	}
-	left := []balance.Holder{}
+	left := []balance.Candidate{}
 	if b := q.view.Map.Block(shardmap.ID(p.spec.Shard)); b != nil {
 		for _, h := range b.Servers() {
 			if slices.Contains(q.flight.Parts[p.at].Servers, h.Server) {
-				left = append(left, balance.Holder{Replica: balance.Replica(h.Server), Share: r.Views.Share(now, h)})
+				left = append(left, balance.Candidate{Replica: balance.Replica(h.Server), TrafficFraction: r.Views.Share(now, h)})
 			}
 		}
 	}
-	return v.Lie, append(told, balance.Placed{ID: p.id, Holders: left})
+	return v.Lie, append(told, balance.CandidatesChanged{Part: p.id, Candidates: left})
 }
 
 // stranded decides on a query whose view is of no more use to it.
 func (c *Core) stranded(now time.Time, q *query, told []balance.Event) []balance.Event {
-	return c.verdict(now, q, q.flight.Stranded(c.Reshape.Views), told)
+	return c.verdict(now, q, q.flight.Stranded(c.Resharding.Views), told)
 }
 
 // verdict carries out what was decided on a query: it begins anew, waits for a newer map, or ends.
 func (c *Core) verdict(now time.Time, q *query, v shardmap.Verdict, told []balance.Event) []balance.Event {
 	if !q.anew && !q.waits { // the decisions on it begin anew, too
-		told = append(told, balance.Gone{Query: q.id})
+		told = append(told, balance.ClientDisconnected{Query: q.id})
 		for _, p := range q.parts {
 			delete(c.parts, p.id)
 		}
@@ -159,8 +159,8 @@
 	case v.Restart:
 		q.anew, q.waits = true, false
 		q.restarts++
-		c.Count.Restarts++
-		c.Reshape.Views.Stats.Restarts++
+		c.Counters.Restarts++
+		c.Resharding.Views.Stats.Restarts++
 		// Nothing of it may be out any more: a part's next attempt would be a second copy.
 		for _, a := range c.out(func(a *attempt) bool { return a.part.q == q }) {
 			c.withdraw(now, a.id, a)
@@ -170,16 +170,16 @@
 		}
 	case v.Wait:
 		if !q.waits {
-			c.Count.Waits++
-			c.Reshape.Views.Stats.Waits++
+			c.Counters.MapWaits++
+			c.Resharding.Views.Stats.Waits++
 		}
 		q.waits = true
 	default:
 		q.waits = false
 		if q.flight.Safe || !q.flight.MayHaveRun() {
-			c.close(q, Final{Kind: Refused, RetryAfter: c.lim.ComeBack})
+			c.close(q, FinalAnswer{Status: StatusRejected, RetryAfter: c.lim.RetryAfter})
 		} else {
-			c.close(q, Final{Kind: Failed})
+			c.close(q, FinalAnswer{Status: StatusFailed})
 		}
 	}
 	return told
@@ -197,18 +197,18 @@
 	c.ends.Put(q)
 	specs := c.pin(q)
 	if !now.Before(q.end) || len(specs) == 0 {
-		c.close(q, Final{Kind: Refused, RetryAfter: c.lim.ComeBack})
+		c.close(q, FinalAnswer{Status: StatusRejected, RetryAfter: c.lim.RetryAfter})
 		return told
 	}
 	return c.tellQuery(now, q, specs, told)
 }
 
 // tellQuery tells the decisions of a query and its parts.
-func (c *Core) tellQuery(now time.Time, q *query, specs []Spec, told []balance.Event) []balance.Event {
+func (c *Core) tellQuery(now time.Time, q *query, specs []PartSpec, told []balance.Event) []balance.Event {
 	r := q.req
 	told = append(told, balance.Query{
 		ID: q.id, Group: uint64(q.id), Class: r.Class, Tenant: r.Tenant, Key: r.Key,
-		TimeLeft: q.end.Sub(now), Retry: r.Retry, Parts: len(specs),
+		TimeLeft: q.end.Sub(now), IsRetry: r.IsRetry, Parts: len(specs),
 	})
 	return c.addParts(now, q, specs, "", told)
 }
@@ -220,7 +220,7 @@
 	}
 	for _, p := range q.parts {
 		f := &q.flight.Parts[p.at]
-		if !f.In && !slices.ContainsFunc(f.Servers, func(s string) bool { return c.Open(balance.Replica(s)) }) {
+		if !f.In && !slices.ContainsFunc(f.Servers, func(s string) bool { return c.Available(balance.Replica(s)) }) {
 			return true
 		}
 	}
@@ -228,9 +228,9 @@
 }
 
 // gaveUp ends a query that the decisions have given up, or begins it anew where its view was the reason.
-func (c *Core) gaveUp(now time.Time, q *query, f Final, told []balance.Event) []balance.Event {
-	if c.Reshape != nil && !q.anew && !q.waits && q.out == 0 && now.Before(q.end.Add(-c.lim.Ahead)) && c.orphaned(q) {
-		if v := q.flight.Stranded(c.Reshape.Views); v.Restart || v.Wait {
+func (c *Core) gaveUp(now time.Time, q *query, f FinalAnswer, told []balance.Event) []balance.Event {
+	if c.Resharding != nil && !q.anew && !q.waits && q.out == 0 && now.Before(q.end.Add(-c.lim.DeadlineMargin)) && c.orphaned(q) {
+		if v := q.flight.Stranded(c.Resharding.Views); v.Restart || v.Wait {
 			return c.verdict(now, q, v, told)
 		}
 	}
--- a/internal/aggregator/resharding_test.go
+++ b/internal/aggregator/resharding_test.go
@@ -33,15 +33,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &mapped{world: &world{t: t, now: begin, finals: map[string][]Final{}}}
-	w.c = NewCore(b, w, Limits{SecondStep: []int{0, 0, 2}, Unsafe: []bool{false, true, false}, MaxOpen: 100, ComeBack: time.Second, Ahead: 20 * time.Millisecond}, begin)
-	w.c.Reshape = &Reshape{Views: views, Ask: func() { w.asked++ }, Again: func() { w.again++ }, Adopted: func(_, _ *shardmap.Map) {},
-		Refused: func(source string, err error) { w.refused = append(w.refused, source+": "+err.Error()) }}
+	w := &mapped{world: &world{t: t, now: begin, finals: map[string][]FinalAnswer{}}}
+	w.c = NewCore(b, w, Limits{FollowUpParts: []int{0, 0, 2}, NonIdempotent: []bool{false, true, false}, MaxOpen: 100, RetryAfter: time.Second, DeadlineMargin: 20 * time.Millisecond}, begin)
+	w.c.Resharding = &Resharding{Views: views, RequestMap: func() { w.asked++ }, RequestMapSoon: func() { w.again++ }, Adopted: func(_, _ *shardmap.Map) {},
+		Rejected: func(source string, err error) { w.refused = append(w.refused, source+": "+err.Error()) }}
 	var list []Server
 	for _, id := range []balance.Replica{"a", "b", "c", "d"} {
 		list = append(list, Server{ID: id, Addr: string(id) + ":1"})
 	}
-	w.turn(Members{Kind: balance.ListFull, List: list})
+	w.turn(EndpointsChanged{Kind: balance.ListFull, Servers: list})
 	w.m, err = shardmap.New("captions", 1, 3, []*shardmap.Block{
 		{ID: 1, To: "m@2000", State: shardmap.Serving, Weight: 1, Holders: []shardmap.Holder{{Server: "a"}, {Server: "b"}}},
 		{ID: 2, From: "m@2000", State: shardmap.Serving, Weight: 3, Holders: []shardmap.Holder{{Server: "a"}, {Server: "b"}}},
@@ -55,7 +55,7 @@
 
 func (w *mapped) offer(m *shardmap.Map) {
 	w.m = m
-	w.turn(MapOffered{Source: "test", Map: m})
+	w.turn(ShardMapOffered{Source: "test", Map: m})
 }
 
 // carry makes the steps of a plan the map's next epochs, all of them at once or up to a step.
@@ -73,17 +73,17 @@
 }
 
 func (w *mapped) query(id string, class int, key string) *Request {
-	r := &Request{ID: id, Class: class, Arrived: w.now, Wait: 3 * time.Second, Text: "text", Front: asker{w.world, id}}
-	r.Layout = func(v *shardmap.View) (specs []Spec) {
+	r := &Request{ID: id, Class: class, Arrived: w.now, Timeout: 3 * time.Second, Payload: "text", Frontend: asker{w.world, id}}
+	r.Layout = func(v *shardmap.View) (specs []PartSpec) {
 		if key != "" {
-			return []Spec{{Shard: int(v.Map.At(shardmap.Key(key)).ID), Weight: 1}}
+			return []PartSpec{{Shard: int(v.Map.At(shardmap.Key(key)).ID), Weight: 1}}
 		}
 		for _, b := range v.Blocks() {
-			specs = append(specs, Spec{Shard: int(b.ID), Weight: b.Weight / v.Map.Weight()})
+			specs = append(specs, PartSpec{Shard: int(b.ID), Weight: b.Weight / v.Map.Weight()})
 		}
 		return specs
 	}
-	w.turn(Arrive{r})
+	w.turn(RequestArrived{r})
 	return r
 }
 
@@ -93,7 +93,7 @@
 	for i, c := range w.calls {
 		if string(w.to[i].ID) == server && c.Shard == block {
 			w.calls, w.to = slices.Delete(w.calls, i, i+1), slices.Delete(w.to, i, i+1)
-			w.turn(Ended{Attempt: c.Attempt, Err: err, Value: fmt.Sprintf("%d at %s", block, server)})
+			w.turn(AttemptEnded{Attempt: c.Attempt, Err: err, Value: fmt.Sprintf("%d at %s", block, server)})
 			return
 		}
 	}
@@ -112,7 +112,7 @@
 func (w *mapped) server() string { return string(w.to[0].ID) }
 
 func away(word shardmap.Word, e shardmap.Epoch) error {
-	return &AttemptError{Reach: Answered, TurnedAway: true, Word: word, Epoch: e}
+	return &AttemptError{Progress: Answered, Rejected: true, MapStatus: word, Epoch: e}
 }
 
 func other(s string) string { return map[string]string{"a": "b", "b": "a", "c": "d", "d": "c"}[s] }
@@ -138,8 +138,8 @@
 		t.Errorf("asked by epoch %d", w.calls[0].Epoch)
 	}
 	w.end1(w.server(), 2, nil)
-	if f := w.one("q"); f.Kind != Served || !f.Whole || w.c.Count.Restarts != 1 {
-		t.Errorf("%+v, begun anew %d times", f, w.c.Count.Restarts)
+	if f := w.one("q"); f.Status != StatusServed || !f.Complete || w.c.Counters.Restarts != 1 {
+		t.Errorf("%+v, begun anew %d times", f, w.c.Counters.Restarts)
 	}
 	w.empty()
 }
@@ -148,8 +148,8 @@
 // a word after that, across any number of epochs.
 func TestCorrectionThatMayHaveRunGoesNowhere(t *testing.T) {
 	for name, err := range map[string]error{
-		"reset": &AttemptError{Reach: Written, Cause: errors.New("reset")}, "error": &AttemptError{Reach: Answered},
-		"spoilt": &AttemptError{Reach: Written, Spoilt: true}, "silence": nil,
+		"reset": &AttemptError{Progress: Written, Cause: errors.New("reset")}, "error": &AttemptError{Progress: Answered},
+		"spoilt": &AttemptError{Progress: Written, CorruptStream: true}, "silence": nil,
 	} {
 		w := newMapped(t)
 		w.query("q", 1, "x@2000")
@@ -163,13 +163,13 @@
 			w.now = w.now.Add(10 * time.Millisecond)
 			w.turn()
 			if name == "silence" && len(w.withdrawn) > 0 && len(w.calls) == 1 { // it is told at the deadline, and says so
-				w.end1(first, 2, &AttemptError{Reach: Written, Withdrawn: true})
+				w.end1(first, 2, &AttemptError{Progress: Written, Canceled: true})
 			}
 		}
 		if len(w.calls) > 0 || len(w.frames) != 1 {
 			t.Errorf("%s: %d sends, out %s", name, len(w.frames), w.out())
 		}
-		if f := w.one("q"); f.Kind != Failed {
+		if f := w.one("q"); f.Status != StatusFailed {
 			t.Errorf("%s: %+v", name, f)
 		}
 		w.empty()
@@ -182,7 +182,7 @@
 	w.query("q", 1, "x@2000")
 	w.carry(shardmap.PlanMove(w.m, 2, moveAll, shardmap.Timing{}))
 	w.end1(w.server(), 2, nil)
-	if f := w.one("q"); f.Kind != Served || w.c.Count.Restarts != 0 {
+	if f := w.one("q"); f.Status != StatusServed || w.c.Counters.Restarts != 0 {
 		t.Errorf("%+v", f)
 	}
 	w.empty()
@@ -195,7 +195,7 @@
 		w := newMapped(t)
 		w.query("q", 0, "")
 		w.carry(shardmap.PlanSplit(w.m, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
-		if e, q := w.c.Reshape.Views.Pinned(); e != 1 || q != 1 {
+		if e, q := w.c.Resharding.Views.Pinned(); e != 1 || q != 1 {
 			t.Errorf("%d epochs pinned by %d queries", e, q)
 		}
 		w.query("next", 0, "")
@@ -222,7 +222,7 @@
 			for _, i := range f.Items {
 				got = append(got, i.Shard)
 			}
-			if slices.Sort(got); f.Kind != Served || !f.Whole || !slices.Equal(got, want) || f.Share < 0.999 || f.Of != len(want) {
+			if slices.Sort(got); f.Status != StatusServed || !f.Complete || !slices.Equal(got, want) || f.AnsweredWeight < 0.999 || f.TotalParts != len(want) {
 				t.Errorf("%s, served %v: %+v", id, served, f)
 			}
 		}
@@ -253,7 +253,7 @@
 				call, s := w.calls[0], w.server()
 				switch {
 				case slices.Contains(w.withdrawn, call.Attempt):
-					w.end1(s, call.Shard, &AttemptError{Reach: Written, Withdrawn: true})
+					w.end1(s, call.Shard, &AttemptError{Progress: Written, Canceled: true})
 				case !served && call.Epoch < w.m.Epoch:
 					w.end1(s, call.Shard, away(shardmap.NotMine, w.m.Epoch))
 				default:
@@ -269,7 +269,7 @@
 			for _, i := range f.Items {
 				got = append(got, i.Shard)
 			}
-			if slices.Sort(got); f.Kind != Served || !f.Whole || !slices.Equal(got, want) || f.Share < 0.999 {
+			if slices.Sort(got); f.Status != StatusServed || !f.Complete || !slices.Equal(got, want) || f.AnsweredWeight < 0.999 {
 				t.Errorf("%s, served %v: %+v, want %v", name, served, f, want)
 			}
 			w.empty()
@@ -293,12 +293,12 @@
 	if len(w.calls) != 1 || w.calls[0].Shard != 1 || len(w.withdrawn) != 1 {
 		t.Fatalf("out: %s, withdrawn %d", w.out(), len(w.withdrawn))
 	}
-	w.end1(w.server(), 1, &AttemptError{Reach: Written, Withdrawn: true})
+	w.end1(w.server(), 1, &AttemptError{Progress: Written, Canceled: true})
 	if len(w.calls) != 2 {
 		t.Fatalf("out: %s", w.out())
 	}
 	w.end(nil)
-	if f := w.one("q"); f.Kind != Served || !f.Whole {
+	if f := w.one("q"); f.Status != StatusServed || !f.Complete {
 		t.Errorf("%+v", f)
 	}
 	w.empty()
@@ -311,7 +311,7 @@
 	old := w.m.Epoch
 	w.carry(shardmap.PlanSplit(w.m, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
 	w.end(nil)
-	if len(w.calls) != 2 || !w.calls[0].Second || w.calls[0].Epoch != old || w.calls[0].Shard > 2 || w.calls[1].Shard > 2 {
+	if len(w.calls) != 2 || !w.calls[0].FollowUp || w.calls[0].Epoch != old || w.calls[0].Shard > 2 || w.calls[1].Shard > 2 {
 		t.Fatalf("%+v", w.calls)
 	}
 	// Its holders turn one away: there is no other view for it.
@@ -320,7 +320,7 @@
 	w.end1(s, b, away(shardmap.NotMine, w.m.Epoch))
 	w.end1(other(s), b, away(shardmap.NotMine, w.m.Epoch))
 	w.end(nil)
-	if f := w.one("q"); f.Kind == Served && f.Whole || w.c.Count.Restarts != 0 {
+	if f := w.one("q"); f.Status == StatusServed && f.Complete || w.c.Counters.Restarts != 0 {
 		t.Errorf("%+v", f)
 	}
 	w.empty()
@@ -348,20 +348,20 @@
 		if len(w.finals["q"]) > 0 || len(w.calls) > 0 {
 			t.Fatalf("%+v, out %s", w.finals, w.out())
 		}
-		w.turn(MapOffered{Source: "test"}) // nothing newer yet: it may be late
+		w.turn(ShardMapOffered{Source: "test"}) // nothing newer yet: it may be late
 		if len(w.finals["q"]) > 0 || w.again != 1 {
 			t.Fatalf("%+v, asked again %d times", w.finals, w.again)
 		}
 		if comes {
 			w.offer(next)
 			w.end1(w.server(), 2, nil)
-			if f := w.one("q"); f.Kind != Served {
+			if f := w.one("q"); f.Status != StatusServed {
 				t.Errorf("%+v", f)
 			}
 		} else {
 			w.now = w.now.Add(150 * time.Millisecond)
-			w.turn(MapOffered{Source: "test"})
-			if f := w.one("q"); f.Kind != Refused || f.RetryAfter == 0 {
+			w.turn(ShardMapOffered{Source: "test"})
+			if f := w.one("q"); f.Status != StatusRejected || f.RetryAfter == 0 {
 				t.Errorf("%+v", f)
 			}
 		}
@@ -373,8 +373,8 @@
 func TestDrainedHoldersOfAnOldView(t *testing.T) {
 	w := newMapped(t)
 	w.query("q", 0, "")
-	w.end1("a", 1, &AttemptError{Reach: NotConnected})
-	w.turn(Members{Kind: balance.ListDelta, List: []Server{{ID: "a", Addr: "a:1", State: balance.Draining}}})
+	w.end1("a", 1, &AttemptError{Progress: NotConnected})
+	w.turn(EndpointsChanged{Kind: balance.ListDelta, Servers: []Server{{ID: "a", Addr: "a:1", State: balance.Draining}}})
 	w.carry(shardmap.PlanSplit(w.m, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
 	before := len(w.frames)
 	w.query("late", 0, "")
@@ -383,13 +383,13 @@
 			t.Errorf("out: %s", w.out())
 		}
 	}
-	w.turn(Members{Kind: balance.ListDelta, List: []Server{{ID: "b", Addr: "b:1", State: balance.Draining}}})
+	w.turn(EndpointsChanged{Kind: balance.ListDelta, Servers: []Server{{ID: "b", Addr: "b:1", State: balance.Draining}}})
 	n := len(w.frames)
 	w.query("none", 1, "x@2000")
 	if len(w.frames) != n {
 		t.Errorf("sent to servers that drain: %s", w.out())
 	}
-	if f := w.one("none"); f.Kind != Refused {
+	if f := w.one("none"); f.Status != StatusRejected {
 		t.Errorf("%+v", f)
 	}
 }
@@ -398,28 +398,28 @@
 func TestLiarIsKnown(t *testing.T) {
 	w := newMapped(t)
 	saw := &witness{}
-	w.c.Witness = saw
+	w.c.Observer = saw
 	w.query("q", 1, "x@2000")
 	s := w.server()
 	w.end1(s, 2, away(shardmap.NotMine, 1))
-	if w.asked != 0 || w.c.Reshape.Views.Stats.Lies != 1 || len(saw.list) != 1 || !saw.list[0].Lie {
+	if w.asked != 0 || w.c.Resharding.Views.Stats.Lies != 1 || len(saw.list) != 1 || !saw.list[0].FalseRejection {
 		t.Errorf("asked %d, %+v", w.asked, saw.list)
 	}
 	w.end1(other(s), 2, nil)
-	if f := w.one("q"); f.Kind != Served {
+	if f := w.one("q"); f.Status != StatusServed {
 		t.Errorf("%+v", f)
 	}
 	w.empty()
 }
 
-type witness struct{ list []Attempt }
+type witness struct{ list []AttemptSummary }
 
-func (s *witness) Saw(_ time.Time, a Attempt) { s.list = append(s.list, a) }
+func (s *witness) AttemptEnded(_ time.Time, a AttemptSummary) { s.list = append(s.list, a) }
 
 // A partial answer states its share by the weights of its view.
 func TestPartialShareByTheView(t *testing.T) {
 	w := newMapped(t)
-	w.c.lim.SecondStep = nil
+	w.c.lim.FollowUpParts = nil
 	w.query("q", 2, "")
 	w.carry(shardmap.PlanSplit(w.m, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
 	for i, c := range w.calls {
@@ -432,7 +432,7 @@
 		w.now = w.now.Add(10 * time.Millisecond)
 		w.turn()
 	}
-	if f := w.one("q"); f.Kind != Served || f.Whole || f.Share != 0.75 || f.Of != 2 || !slices.Equal(f.Missing, []int{1}) {
+	if f := w.one("q"); f.Status != StatusServed || f.Complete || f.AnsweredWeight != 0.75 || f.TotalParts != 2 || !slices.Equal(f.MissingShards, []int{1}) {
 		t.Errorf("%+v", f)
 	}
 }
@@ -450,8 +450,8 @@
 		w.offer(next)
 		w.query(fmt.Sprint("at ", next.Epoch), 0, "")
 	}
-	if len(w.refused) > 0 || w.c.Count.Restarts != 1 { // "safe"
-		t.Errorf("%v, begun anew %d", w.refused, w.c.Count.Restarts)
+	if len(w.refused) > 0 || w.c.Counters.Restarts != 1 { // "safe"
+		t.Errorf("%v, begun anew %d", w.refused, w.c.Counters.Restarts)
 	}
 	for len(w.calls) > 0 || len(w.withdrawn) > 0 {
 		calls := w.calls
@@ -459,14 +459,14 @@
 		for _, c := range calls {
 			var err error
 			if slices.Contains(w.withdrawn, c.Attempt) {
-				err = &AttemptError{Reach: Written, Withdrawn: true}
+				err = &AttemptError{Progress: Written, Canceled: true}
 			}
-			w.turn(Ended{Attempt: c.Attempt, Err: err, Value: "v"})
+			w.turn(AttemptEnded{Attempt: c.Attempt, Err: err, Value: "v"})
 		}
 		w.withdrawn = nil
 	}
 	for _, id := range []string{"safe", "unsafe"} { // a correction that is out is left to its answer
-		if f := w.one(id); f.Kind != Served || !f.Whole {
+		if f := w.one(id); f.Status != StatusServed || !f.Complete {
 			t.Errorf("%s: %+v", id, f)
 		}
 	}
@@ -476,8 +476,8 @@
 // empty checks that nothing is left of any query.
 func (w *mapped) empty() {
 	w.t.Helper()
-	if e, q := w.c.Reshape.Views.Pinned(); e+q > 0 || w.c.Held() != 0 || len(w.c.parts) != 0 || len(w.c.attempts) != 0 || len(w.c.names) != 0 {
-		w.t.Errorf("left: %d epochs pinned by %d queries, %d queries, %d parts, %d attempts, %d names", e, q, w.c.Held(), len(w.c.parts), len(w.c.attempts), len(w.c.names))
+	if e, q := w.c.Resharding.Views.Pinned(); e+q > 0 || w.c.OpenQueries() != 0 || len(w.c.parts) != 0 || len(w.c.attempts) != 0 || len(w.c.names) != 0 {
+		w.t.Errorf("left: %d epochs pinned by %d queries, %d queries, %d parts, %d attempts, %d names", e, q, w.c.OpenQueries(), len(w.c.parts), len(w.c.attempts), len(w.c.names))
 	}
 }
 
@@ -534,21 +534,21 @@
 				var err error
 				switch y := rng.IntN(8); {
 				case slices.Contains(w.withdrawn, c.Attempt):
-					err = &AttemptError{Reach: Written, Withdrawn: true}
+					err = &AttemptError{Progress: Written, Canceled: true}
 					mayRun[id] = true
 				case y == 0:
-					err = &AttemptError{Reach: Written}
+					err = &AttemptError{Progress: Written}
 					mayRun[id] = true
 				case y == 1:
-					err = &AttemptError{Reach: NotConnected}
+					err = &AttemptError{Progress: NotConnected}
 				case y < 5:
 					err = away(shardmap.Word(1+rng.IntN(2)), w.m.Epoch+shardmap.Epoch(rng.IntN(3))-1+1)
 				default:
 					mayRun[id] = true
 				}
-				w.turn(Ended{Attempt: c.Attempt, Err: err, Value: fmt.Sprint(c.Shard)})
+				w.turn(AttemptEnded{Attempt: c.Attempt, Err: err, Value: fmt.Sprint(c.Shard)})
 			case x == 8:
-				w.turn(MapOffered{Source: "test"})
+				w.turn(ShardMapOffered{Source: "test"})
 			default:
 				var ids []shardmap.ID
 				w.m.Every(func(b *shardmap.Block) bool { ids = append(ids, b.ID); return true })
@@ -574,20 +574,20 @@
 		// Whatever is out ends, and time passes.
 		for range 500 {
 			w.now = w.now.Add(20 * time.Millisecond)
-			w.turn(MapOffered{Source: "test"})
+			w.turn(ShardMapOffered{Source: "test"})
 			for len(w.calls) > 0 {
 				c := w.calls[0]
 				w.calls, w.to = w.calls[1:], w.to[1:]
-				w.turn(Ended{Attempt: c.Attempt, Err: &AttemptError{Reach: Written, Withdrawn: true}})
+				w.turn(AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: Written, Canceled: true}})
 			}
 		}
 		for i := range asked {
 			id := fmt.Sprintf("q%d", i+1)
 			fin := w.one(id)
-			if fin.Kind == Served && fin.Whole && fin.Share < 0.999 {
-				t.Fatalf("%s: whole, and %v of the weight", id, fin.Share)
+			if fin.Status == StatusServed && fin.Complete && fin.AnsweredWeight < 0.999 {
+				t.Fatalf("%s: whole, and %v of the weight", id, fin.AnsweredWeight)
 			}
-			if fin.Kind == Refused && classes[id] == 1 && mayRun[id] {
+			if fin.Status == StatusRejected && classes[id] == 1 && mayRun[id] {
 				t.Fatalf("%s is refused, and may have run", id)
 			}
 		}
--- a/internal/app/evidence.go
+++ b/internal/app/evidence.go
@@ -70,9 +70,9 @@
 	return blocks
 }
 
-// Saw takes the end of an attempt as evidence.
-func (e *evidence) Saw(now time.Time, a aggregator.Attempt) {
-	e.table.Outcome(now, health.ID(a.Server), a.Class, a.Shows(now, e.aims[a.Class]), a.Sent)
+// AttemptEnded takes the end of an attempt as evidence.
+func (e *evidence) AttemptEnded(now time.Time, a aggregator.AttemptSummary) {
+	e.table.Outcome(now, health.ID(a.Server), a.Class, a.HealthResult(now, e.aims[a.Class]), a.Sent)
 	if !e.asked {
 		e.asked = true
 		e.box.Put(settle{})
@@ -142,7 +142,7 @@
 	return events, next
 }
 
-var states = map[health.State]balance.State{health.InService: balance.InService, health.Draining: balance.Draining, health.Out: balance.Removed}
+var states = map[health.State]balance.EndpointState{health.InService: balance.InService, health.Draining: balance.Draining, health.Out: balance.Removed}
 
 // settled turns what has changed into word of the list. Each change of a conclusion is logged once, with its cause.
 func (e *evidence) settled(now time.Time) []any {
@@ -151,7 +151,7 @@
 		return nil
 	}
 	e.version++
-	m := aggregator.Members{Kind: balance.ListDelta}
+	m := aggregator.EndpointsChanged{Kind: balance.ListDelta}
 	for _, c := range changes {
 		if c.Told {
 			e.changes++
@@ -167,8 +167,8 @@
 			continue
 		}
 		s.State = states[c.State]
-		s.Evidence = balance.Evidence{Share: c.Share, Most: c.MaxOut, Shun: c.Shun, Trial: c.Trial}
-		m.List = append(m.List, s)
+		s.HealthLimits = balance.HealthLimits{TrafficFraction: c.Share, MaxInFlight: c.MaxOut, EjectedClasses: c.Shun, HalfOpenClasses: c.Trial}
+		m.Servers = append(m.Servers, s)
 	}
 	return []any{m}
 }
--- a/internal/app/partners.go
+++ b/internal/app/partners.go
@@ -99,10 +99,10 @@
 	p.pool = serialconn.NewPool(serialconn.Limits{
 		Connect: conf.Limits.Connect.Duration, Idle: conf.Limits.Idle.Duration, Sockets: max(1, conf.Limits.Sockets/2-conf.Checks.AtOnce),
 	}, box, tcp.Dial, codecs(conf))
-	lim := aggregator.Limits{MaxOpen: conf.Limits.MaxOpen, ComeBack: time.Second, Ahead: 4 * set.Tick}
+	lim := aggregator.Limits{MaxOpen: conf.Limits.MaxOpen, RetryAfter: time.Second, DeadlineMargin: 4 * set.Tick}
 	for _, c := range conf.Classes {
-		lim.SecondStep = append(lim.SecondStep, c.SecondStep)
-		lim.Unsafe = append(lim.Unsafe, c.Unsafe)
+		lim.FollowUpParts = append(lim.FollowUpParts, c.SecondStep)
+		lim.NonIdempotent = append(lim.NonIdempotent, c.Unsafe)
 	}
 	now := p.clock.Now()
 	p.core = aggregator.NewCore(decide, p.pool, lim, now)
@@ -111,17 +111,17 @@
 	if p.evidence, err = newEvidence(conf, list, now, box, log); err != nil {
 		return nil, err
 	}
-	p.core.Witness = p.evidence
+	p.core.Observer = p.evidence
 	if conf.Blocks.On() {
 		if p.maps, err = newMaps(conf, p.evidence, box, log); err != nil {
 			return nil, err
 		}
-		p.core.Reshape = p.maps.reshape()
+		p.core.Resharding = p.maps.reshape()
 	}
-	box.Put(aggregator.Members{Kind: balance.ListFull, List: list})
+	box.Put(aggregator.EndpointsChanged{Kind: balance.ListFull, Servers: list})
 	p.teller = &fronthealth.Teller{Now: p.clock.Now, Wait: conf.Listen.AgentWait.Duration, Servers: p.serversJSON, Metrics: p.Report}
 	p.word = newWord(conf, p.core, p.evidence, p.teller)
-	p.loop = &aggregator.Loop{Core: p.core, Box: box, Adapter: adapters{p.pool, p.evidence, p.word}, Clock: p.clock, Stop: p.stop, Fresh: fresh}
+	p.loop = &aggregator.Loop{Core: p.core, Mailbox: box, Adapter: adapters{p.pool, p.evidence, p.word}, Clock: p.clock, Stop: p.stop, NewBalancer: fresh}
 	if p.runner, err = background.New(scheduler.Budget{
 		PerSecond: conf.Checks.PerSecond, Burst: max(8, conf.Checks.AtOnce), AtOnce: conf.Checks.AtOnce, Jitter: conf.Checks.Jitter,
 	}, seed, p.clock); err != nil {
@@ -216,7 +216,7 @@
 
 // Count returns the core's counters.
 func (p *Partners) Count() (c aggregator.Counters) {
-	p.loop.Do(func() { c = p.core.Count })
+	p.loop.Do(func() { c = p.core.Counters })
 	return c
 }
 
@@ -231,7 +231,7 @@
 	st := p.runner.Stats()
 	return fmt.Sprintf("%v; servers: dialed %d, refused %d, broken %d, late answers %d; sru: %+v; z39.50: %+v; health asked: agent %d, http %d, "+
 		"while late %d; checks: %d targets, %d begun, held back %d, late p50 %v p99 %v; conclusions changed %d%s",
-		p.core.Count, p.pool.Stats.Dials, p.pool.Stats.DialsFailed, p.pool.Stats.Broken, p.pool.Stats.Late, p.web.Counters(), p.target.Counters(),
+		p.core.Counters, p.pool.Stats.Dials, p.pool.Stats.DialsFailed, p.pool.Stats.Broken, p.pool.Stats.Late, p.web.Counters(), p.target.Counters(),
 		agent, web, late, st.Tasks, st.Starts, st.Held, st.P50, st.P99, p.evidence.changes, p.maps.counters())
 }
 
@@ -272,7 +272,7 @@
 	p.target.Shutdown()
 	for end := time.Now().Add(drainMost); time.Now().Before(end); time.Sleep(flushed) {
 		held := 0
-		p.loop.Do(func() { held = p.core.Held() })
+		p.loop.Do(func() { held = p.core.OpenQueries() })
 		if held == 0 && p.web.Open() == 0 && p.target.Open() == 0 {
 			break
 		}
