--- a/internal/app/platform.go
+++ b/internal/app/platform.go
@@ -66,38 +66,38 @@
 	}
 	clock, box := aggregator.SystemClock{}, aggregator.NewMailbox()
 	pool := leaf.NewPool(leaf.Limits{
-		Streams: d.Streams, Idle: d.ConnIdle, ConnectTimeout: d.ConnectTimeout, Sockets: n.Sockets / 3,
+		Streams: d.StreamsPerConn, Idle: d.ConnIdle, ConnectTimeout: d.ConnectTimeout, Sockets: n.Sockets / 3,
 		Silent: shortestAim(d.Decisions.Classes) / 2, Spread: leaf.Spread(d.Decisions.Instances),
 	}, box, leaf.DialTCP)
-	lim := aggregator.Limits{MaxOpen: d.MaxOpen, CallParts: d.Decisions.CallParts, ComeBack: d.MaxRetryAfter, Ahead: 4 * d.Decisions.Tick}
+	lim := aggregator.Limits{MaxOpen: d.MaxOpen, MaxCallParts: d.Decisions.MaxCallParts, RetryAfter: d.MaxRetryAfter, DeadlineMargin: 4 * d.Decisions.Tick}
 	longest := time.Duration(0)
 	for _, c := range d.Decisions.Classes {
-		lim.SecondStep = append(lim.SecondStep, c.FollowUp)
+		lim.FollowUpParts = append(lim.FollowUpParts, c.FollowUpParts)
 		window := time.Duration(0)
-		if c.Effect == balance.Keyed {
-			window = c.Window
+		if c.Idempotency == balance.KeyedIdempotent {
+			window = c.DedupWindow
 		}
-		lim.Windows = append(lim.Windows, window)
+		lim.DedupWindows = append(lim.DedupWindows, window)
 		longest = max(longest, c.Deadline)
 	}
 	core := aggregator.NewCore(decide, pool, lim, clock.Now())
 	pool.Use(core)
 
-	if d.Decisions.Peers && n.PeerListen != "" && n.PeersAll != "" {
-		x, err := gossip.Open(n.PeerListen, n.PeersAll, n.Peers, d.Rank, func(text []byte) { box.PutLater(aggregator.Word{Text: text}) })
+	if d.Decisions.PeerMessages && n.PeerListen != "" && n.PeersAll != "" {
+		x, err := gossip.Open(n.PeerListen, n.PeersAll, n.Peers, d.InstanceIndex, func(text []byte) { box.PutDeferred(aggregator.GossipReceived{Payload: text}) })
 		if err != nil {
 			logf("no words with other mixers: %v", err) // a mixer serves without them
 		} else {
 			defer x.Close()
-			core.Peers = x
-			if d.Decisions.Talks() {
-				core.Losses = outlier.New(outlier.Platform(shortestAim(d.Decisions.Classes), d.Decisions.Zone, d.Decisions.Instances))
+			core.Gossip = x
+			if d.Decisions.GossipEnabled() {
+				core.Outliers = outlier.New(outlier.Platform(shortestAim(d.Decisions.Classes), d.Decisions.Zone, d.Decisions.Instances))
 			}
 		}
 	}
 
 	watch := &discovery.Watch{Addr: n.Discovery, Zones: d.Zones, Put: box.Put, Log: logf, Chance: rand.New(rand.NewPCG(n.Seed, 1)).Float64}
-	if d.Decisions.OnRequest { // else it is the agent of this machine's own, which answers at once and at no cost
+	if d.Decisions.ListOnRequest { // else it is the agent of this machine's own, which answers at once and at no cost
 		watch.Mixers = d.Decisions.Instances
 	}
 	if len(n.Known) > 0 {
@@ -110,16 +110,16 @@
 		box.Put(known)
 	}
 	stop := make(chan struct{})
-	loop := &aggregator.Loop{Core: core, Box: box, Adapter: pool, Clock: clock, Stop: stop, Fresh: func() (*balance.Balancer, error) {
+	loop := &aggregator.Loop{Core: core, Mailbox: box, Adapter: pool, Clock: clock, Stop: stop, NewBalancer: func() (*balance.Balancer, error) {
 		return balance.New(d.Decisions)
 	}}
 
 	var front *platform.Front
 	report := func() string {
 		text := fmt.Sprintf("%v; leaf connections: dialed %d, refused %d, broken %d, spoilt %d, late answers %d; front: %+v",
-			core.Count, pool.Stats.Dials, pool.Stats.DialsFailed, pool.Stats.Broken, pool.Stats.Spoilt, pool.Stats.Late, front.Counters())
-		if core.Losses != nil {
-			text += fmt.Sprintf("; servers that lose parts: %d, remarks on them heard %d", core.Losses.Outliers(), core.Losses.Heard)
+			core.Counters, pool.Stats.Dials, pool.Stats.DialsFailed, pool.Stats.Broken, pool.Stats.Spoilt, pool.Stats.Late, front.Counters())
+		if core.Outliers != nil {
+			text += fmt.Sprintf("; servers that lose parts: %d, remarks on them heard %d", core.Outliers.Outliers(), core.Outliers.Heard)
 		}
 		return text
 	}
@@ -177,7 +177,7 @@
 	gate.Shut()
 	front.Shutdown()
 	for held := 1; held > 0 || front.Open() > 0; {
-		loop.Do(func() { held = core.Held() })
+		loop.Do(func() { held = core.OpenQueries() })
 		time.Sleep(flushed)
 	}
 	server.Close()
@@ -209,5 +209,5 @@
 func memoryLimit(n config.Node) int64 { return int64(n.MemoryMB) << 20 * 3 / 4 }
 
 func shortestAim(classes []balance.Class) time.Duration {
-	return slices.MinFunc(classes, func(c, o balance.Class) int { return cmp.Compare(c.Aim, o.Aim) }).Aim
+	return slices.MinFunc(classes, func(c, o balance.Class) int { return cmp.Compare(c.Objective, o.Objective) }).Objective
 }
--- a/internal/app/readiness.go
+++ b/internal/app/readiness.go
@@ -58,9 +58,9 @@
 
 func (w *word) tell(now time.Time) {
 	metrics.Read(w.memory)
-	c := w.core.Count
+	c := w.core.Counters
 	f := readiness.Facts{
-		Draining: w.draining, Open: w.core.Load(), Most: w.conf.Limits.MaxOpen, Taken: c.Taken, Refused: c.Refused,
+		Draining: w.draining, Open: w.core.Load(), Most: w.conf.Limits.MaxOpen, Taken: c.Received, Refused: c.Rejected,
 		Memory: w.memory[0].Value.Uint64() - w.memory[1].Value.Uint64(), Limit: uint64(w.conf.Limits.MemoryMB) << 20,
 	}
 	if !w.due.IsZero() {
@@ -92,13 +92,13 @@
 			b.Closed = append(b.Closed, block)
 		}
 	}
-	if w.core.Reshape == nil {
+	if w.core.Resharding == nil {
 		for _, s := range d.Shards {
 			look(s)
 		}
 		return b
 	}
-	m := w.core.Reshape.Views.Now()
+	m := w.core.Resharding.Views.Now()
 	if m == nil {
 		b.Blocks, b.Lost, b.Suspect = 1, []int{0}, "there is no map of blocks yet"
 		return b
--- a/internal/app/shardmaps.go
+++ b/internal/app/shardmaps.go
@@ -42,8 +42,8 @@
 	return &maps{conf: conf, views: views, evidence: e, box: box, log: log, wake: make(chan struct{}, 1), newest: make(chan *shardmap.Map, 1)}, nil
 }
 
-func (m *maps) reshape() *aggregator.Reshape {
-	return &aggregator.Reshape{Views: m.views, Ask: m.ask, Again: func() { time.AfterFunc(askAgain, m.ask) }, Adopted: m.adopted, Refused: func(source string, err error) {
+func (m *maps) reshape() *aggregator.Resharding {
+	return &aggregator.Resharding{Views: m.views, RequestMap: m.ask, RequestMapSoon: func() { time.AfterFunc(askAgain, m.ask) }, Adopted: m.adopted, Rejected: func(source string, err error) {
 		m.log.Warn("map refused, the present one stays", "source", source, "err", err.Error())
 	}}
 }
@@ -104,7 +104,7 @@
 
 // take reads what a source told, off the loop.
 func (m *maps) take(t shardmapsource.Told) {
-	e := aggregator.MapOffered{Source: t.Source, Err: t.Err}
+	e := aggregator.ShardMapOffered{Source: t.Source, Err: t.Err}
 	if t.Err == nil && t.Text != nil {
 		e.Map, e.Err = shardmap.Parse(t.Text)
 		if e.Err == nil && e.Map.Archive != m.conf.Blocks.Archive {
--- a/internal/backend/leaf/crossings_test.go
+++ b/internal/backend/leaf/crossings_test.go
@@ -27,7 +27,7 @@
 	open    bool
 	addr    string    // where the server is listed
 	started time.Time // and as started when
-	ended   []aggregator.Ended
+	ended   []aggregator.AttemptEnded
 	n       int
 }
 
@@ -47,7 +47,7 @@
 	return b
 }
 
-func (b *bench) Open(balance.Replica) bool { return b.open }
+func (b *bench) Available(balance.Replica) bool { return b.open }
 
 func (b *bench) Server(id balance.Replica) aggregator.Server {
 	return aggregator.Server{ID: id, Addr: b.addr, Started: b.started}
@@ -58,7 +58,7 @@
 	b.n++
 	id := aggregator.AttemptID{Part: balance.ID(b.n)}
 	b.p.Send(b.now, b.Server("s"),
-		[]aggregator.Call{{Attempt: id, Name: fmt.Sprintf("q.%d", b.n), Shard: b.n, Until: b.now.Add(5 * time.Second), By: by, Text: "text"}})
+		[]aggregator.Call{{Attempt: id, Name: fmt.Sprintf("q.%d", b.n), Shard: b.n, Deadline: b.now.Add(5 * time.Second), WriteBy: by, Payload: "text"}})
 	return id
 }
 
@@ -83,7 +83,7 @@
 		events = []any{e}
 	}
 	for _, e := range events {
-		if ended, ok := e.(aggregator.Ended); ok {
+		if ended, ok := e.(aggregator.AttemptEnded); ok {
 			b.ended = append(b.ended, ended)
 		}
 	}
@@ -187,10 +187,10 @@
 	b, id := sentOne(t, s, links.dial)
 	c := s.accept()
 	b.now = b.now.Add(300 * time.Millisecond)
-	b.p.Withdraw(b.now, id, true)
-	b.p.Withdraw(b.now, id, true)
+	b.p.Cancel(b.now, id, true)
+	b.p.Cancel(b.now, id, true)
 	links.closes(b)
-	if a := b.attemptError(0, id); a.Reach != aggregator.Written || !a.Withdrawn {
+	if a := b.attemptError(0, id); a.Progress != aggregator.Written || !a.Canceled {
 		t.Errorf("%+v", a)
 	}
 	c.want(letterCall, "q.1 1 ")
@@ -259,7 +259,7 @@
 		b.until(isWrote)
 		c.want(letterCall, "q.1 ")
 		c.want(letterCall, "q.2 ")
-		b.p.Withdraw(b.now, first, true)
+		b.p.Cancel(b.now, first, true)
 		b.until(isTold)
 		c.want(letterGiveUp, "q.1")
 		c.want(letterProbe, "")
@@ -269,7 +269,7 @@
 		if answered {
 			c.say(letterProbe, "S")
 			b.until(isFramed)
-			if a := b.attemptError(0, first); a.Reach != aggregator.Written || !a.Withdrawn || len(b.ended) != 1 {
+			if a := b.attemptError(0, first); a.Progress != aggregator.Written || !a.Canceled || len(b.ended) != 1 {
 				t.Errorf("%+v", b.ended)
 			}
 			b.now = b.now.Add(time.Second)
@@ -285,7 +285,7 @@
 		b.sweep()
 		b.until(isAborted)
 		for n, id := range []aggregator.AttemptID{first, second} {
-			if a := b.attemptError(n, id); a.Reach != aggregator.Written || !a.Withdrawn {
+			if a := b.attemptError(n, id); a.Progress != aggregator.Written || !a.Canceled {
 				t.Errorf("%+v", a)
 			}
 		}
@@ -304,7 +304,7 @@
 	b.until(isDialed)
 	c := s.accept()
 	c.want(letterCall, "q.1 ")
-	b.p.Withdraw(b.now, first, true)
+	b.p.Cancel(b.now, first, true)
 	c.say(letterAnswer, "q.1 S 1 -\n"+someValue)
 	c.say(letterProbe, "S")
 	for len(b.ended) == 0 {
@@ -333,7 +333,7 @@
 	c.Write([]byte("\xff\xff"))
 	b.until(isFramed)
 	links.closes(b)
-	if a := b.attemptError(0, id); a.Reach != aggregator.Written || !a.Spoilt || a.Withdrawn {
+	if a := b.attemptError(0, id); a.Progress != aggregator.Written || !a.CorruptStream || a.Canceled {
 		t.Errorf("%+v", a)
 	}
 }
@@ -375,7 +375,7 @@
 			close(c.let)
 			b.until(isDialed)
 		}
-		if a := b.attemptError(0, first); a.Reach != aggregator.NotConnected || !a.Withdrawn {
+		if a := b.attemptError(0, first); a.Progress != aggregator.NotConnected || !a.Canceled {
 			t.Errorf("%+v", a)
 		}
 		c := moved.accept()
@@ -413,7 +413,7 @@
 		"start":    {nil, func(b *bench, _ aggregator.AttemptID) { b.started = b.now }, false},
 		"window":   {window, func(b *bench, _ aggregator.AttemptID) { b.now = b.now.Add(time.Second) }, false},
 		"time":     {nil, func(b *bench, _ aggregator.AttemptID) { b.now = b.now.Add(5 * time.Second) }, false},
-		"given up": {nil, func(b *bench, id aggregator.AttemptID) { b.p.Withdraw(b.now, id, true) }, false},
+		"given up": {nil, func(b *bench, id aggregator.AttemptID) { b.p.Cancel(b.now, id, true) }, false},
 	} {
 		s := newLeafServer(t)
 		h := heldDial{make(chan heldCall, 1)}
@@ -428,7 +428,7 @@
 		k.do(b, id)
 		close(c.let)
 		b.until(isDialed)
-		if a := b.attemptError(0, id); a.Reach != aggregator.NotConnected || a.TurnedAway != k.away || a.Withdrawn == k.away {
+		if a := b.attemptError(0, id); a.Progress != aggregator.NotConnected || a.Rejected != k.away || a.Canceled == k.away {
 			t.Errorf("%s: %+v", name, a)
 		}
 		// The connection itself is good, and is kept until it has been idle.
@@ -467,7 +467,7 @@
 	b.until(isWrote)
 	close(let)
 	b.until(func(e any) bool { _, ok := e.(closed); return ok })
-	if a := b.attemptError(1, second); a.Withdrawn || a.Reach != aggregator.NotConnected {
+	if a := b.attemptError(1, second); a.Canceled || a.Progress != aggregator.NotConnected {
 		t.Errorf("%+v", a) // the link knew, so that no byte left
 	}
 	if b.p.total != 0 {
--- a/internal/backend/leaf/frame.go
+++ b/internal/backend/leaf/frame.go
@@ -124,21 +124,21 @@
 func callFrame(now time.Time, calls []aggregator.Call) []byte {
 	var rest []byte
 	for _, c := range calls {
-		wait := max(1, c.Until.Sub(now).Milliseconds())
+		wait := max(1, c.Deadline.Sub(now).Milliseconds())
 		list := fmt.Sprintf("d=%d", wait)
-		if c.Second {
-			from := make([]string, len(c.From))
-			for i, s := range c.From {
+		if c.FollowUp {
+			from := make([]string, len(c.FirstStepShards))
+			for i, s := range c.FirstStepShards {
 				from[i] = strconv.Itoa(s)
 			}
 			whole := 0
-			if c.Whole {
+			if c.FirstStepComplete {
 				whole = 1
 			}
 			list += fmt.Sprintf(",from=%s,whole=%d", strings.Join(from, "+"), whole)
 		}
-		rest = fmt.Appendf(rest, "%s %d %s %d\n", c.Name, c.Shard, list, len(c.Text))
-		rest = append(rest, c.Text...)
+		rest = fmt.Appendf(rest, "%s %d %s %d\n", c.Name, c.Shard, list, len(c.Payload))
+		rest = append(rest, c.Payload...)
 	}
 	return Append(nil, letterCall, rest)
 }
@@ -148,7 +148,7 @@
 	name   string
 	end    byte
 	score  float64
-	report *balance.Report
+	report *balance.LoadReport
 	value  string
 }
 
@@ -197,11 +197,11 @@
 const mostLoad = 1e5
 
 // parseReport reads a load report; nil where there is none that can be read. Values not known are skipped.
-func parseReport(text string) *balance.Report {
+func parseReport(text string) *balance.LoadReport {
 	if text == "-" || text == "" || text == "E" {
 		return nil
 	}
-	r := &balance.Report{Queue: -1, InFlight: -1, Util: -1}
+	r := &balance.LoadReport{Queue: -1, InFlight: -1, Utilization: -1}
 	for _, pair := range strings.Split(text, ",") {
 		name, value, _ := strings.Cut(pair, "=")
 		v, err := strconv.ParseFloat(value, 64)
@@ -212,7 +212,7 @@
 		settings.SetLoadValue(r, name, v)
 	}
 	// Guards against a report that cannot be read being taken for an empty queue.
-	if r.Queue < 0 && r.InFlight < 0 && r.Util < 0 {
+	if r.Queue < 0 && r.InFlight < 0 && r.Utilization < 0 {
 		return nil
 	}
 	return r
--- a/internal/backend/leaf/pool.go
+++ b/internal/backend/leaf/pool.go
@@ -274,7 +274,7 @@
 		p.write(now, best, g)
 		// Another connection for the next part, while there is room. Guards the parts that share one: it ends
 		// with a spoilt answer to any of them.
-		if h := g.host; idle <= 1 && len(h.conns) < p.lim.Spread && p.total < p.lim.Sockets*3/4 && p.open.Open(h.id) &&
+		if h := g.host; idle <= 1 && len(h.conns) < p.lim.Spread && p.total < p.lim.Sockets*3/4 && p.open.Available(h.id) &&
 			!slices.ContainsFunc(h.conns, func(c *conn) bool { return !c.up }) {
 			p.connect(now, h, addr)
 		}
@@ -366,8 +366,8 @@
 	within := writeWithin
 	for i, a := range g.parts {
 		calls[i] = a.call
-		if !a.call.By.IsZero() {
-			within = min(within, a.call.By.Sub(now))
+		if !a.call.WriteBy.IsZero() {
+			within = min(within, a.call.WriteBy.Sub(now))
 		}
 		a.conn, a.state, a.written = c, writing, now
 		c.streams[a.call.Name] = a
@@ -377,12 +377,12 @@
 	c.link.WriteWithin(within, callFrame(now, calls), func(how tcp.Wrote) { p.box.Put(wrote{c, parts, how}) })
 }
 
-// Withdraw gives an attempt up; it ends once the server has been told, as far as that can be known. Where the part may be
+// Cancel gives an attempt up; it ends once the server has been told, as far as that can be known. Where the part may be
 // sent again, a frame 2 that was written is not enough on a connection on which nothing was heard since the attempt was
 // written: behind a cut neither frame has arrived, or just the first, or both will when the cut is over. Such a
 // connection is closed, with what it holds thrown away; where other parts are out on it, a probe behind the frame 2
 // shows whether it has to be.
-func (p *Pool) Withdraw(now time.Time, id aggregator.AttemptID, again bool) {
+func (p *Pool) Cancel(now time.Time, id aggregator.AttemptID, again bool) {
 	a := p.calls[id]
 	if a == nil || a.withdrawn {
 		return
@@ -393,7 +393,7 @@
 			g.parts = slices.DeleteFunc(g.parts, func(o *attempt) bool { return o == a })
 		}
 		a.host.waiting = slices.DeleteFunc(a.host.waiting, func(g *group) bool { return len(g.parts) == 0 })
-		p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Withdrawn: true})
+		p.end(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true})
 		return
 	}
 	c := a.conn
@@ -459,7 +459,7 @@
 }
 
 // end ends an attempt with an error, or with none if it was served; then ended says with what.
-func (p *Pool) end(a *attempt, err error, with ...aggregator.Ended) {
+func (p *Pool) end(a *attempt, err error, with ...aggregator.AttemptEnded) {
 	if p.calls[a.call.Attempt] != a {
 		return
 	}
@@ -467,7 +467,7 @@
 	if a.conn != nil && a.conn.streams[a.call.Name] == a {
 		delete(a.conn.streams, a.call.Name)
 	}
-	e := aggregator.Ended{}
+	e := aggregator.AttemptEnded{}
 	if len(with) > 0 {
 		e = with[0]
 	}
@@ -475,12 +475,12 @@
 	p.emit(e)
 }
 
-func (p *Pool) endProbe(now time.Time, pr *probe, err error, r *balance.Report) {
+func (p *Pool) endProbe(now time.Time, pr *probe, err error, r *balance.LoadReport) {
 	if pr.over {
 		return
 	}
 	pr.over = true
-	p.emit(aggregator.Probed{Server: pr.host.id, Err: err, Took: now.Sub(pr.sent), Report: r})
+	p.emit(aggregator.ProbeEnded{Server: pr.host.id, Err: err, Elapsed: now.Sub(pr.sent), Report: r})
 }
 
 func (p *Pool) flush() []any {
@@ -536,7 +536,7 @@
 // told ends an attempt whose server has been told that it is given up.
 func (p *Pool) told(now time.Time, a *attempt) {
 	a.conn.givenUp[a.call.Name] = now
-	p.end(a, &aggregator.AttemptError{Reach: aggregator.Written, Withdrawn: true})
+	p.end(a, &aggregator.AttemptError{Progress: aggregator.Written, Canceled: true})
 }
 
 func (p *Pool) wrote(a *attempt, how tcp.Wrote) {
@@ -545,11 +545,11 @@
 	}
 	switch {
 	case how == tcp.Nothing: // so it never ran
-		p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Withdrawn: a.withdrawn, Cause: errors.New("the connection broke before the frame")})
+		p.end(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: a.withdrawn, Cause: errors.New("the connection broke before the frame")})
 	case how == tcp.Late: // nor did this
-		p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Withdrawn: true, Cause: errors.New("not written in time")})
+		p.end(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true, Cause: errors.New("not written in time")})
 	case a.conn.over: // the end of the frame may have left: it may run
-		p.end(a, &aggregator.AttemptError{Reach: aggregator.Written, Withdrawn: a.withdrawn, Spoilt: a.conn.spoilt, Cause: errors.New("the connection broke under the frame")})
+		p.end(a, &aggregator.AttemptError{Progress: aggregator.Written, Canceled: a.withdrawn, CorruptStream: a.conn.spoilt, Cause: errors.New("the connection broke under the frame")})
 	default:
 		a.state = out
 	}
@@ -583,12 +583,12 @@
 		ready := g.parts[:0]
 		for _, a := range g.parts {
 			switch {
-			case !p.open.Open(h.id):
-				p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, TurnedAway: true, Cause: errors.New("it drains")})
+			case !p.open.Available(h.id):
+				p.end(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Rejected: true, Cause: errors.New("it drains")})
 			case listed.Addr != g.addr || !listed.Started.Equal(g.started):
-				p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Withdrawn: true, Cause: errors.New("it has moved, or started anew")})
-			case !now.Before(a.call.Until), !a.call.By.IsZero() && !now.Before(a.call.By):
-				p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Withdrawn: true})
+				p.end(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true, Cause: errors.New("it has moved, or started anew")})
+			case !now.Before(a.call.Deadline), !a.call.WriteBy.IsZero() && !now.Before(a.call.WriteBy):
+				p.end(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true})
 			default:
 				ready = append(ready, a)
 			}
@@ -611,11 +611,11 @@
 	h.waiting, h.probes = nil, nil
 	for _, g := range waiting {
 		for _, a := range g.parts {
-			p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Cause: err})
+			p.end(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Cause: err})
 		}
 	}
 	for _, pr := range probes {
-		p.endProbe(now, pr, &aggregator.AttemptError{Reach: aggregator.NotConnected, Cause: err}, nil)
+		p.endProbe(now, pr, &aggregator.AttemptError{Progress: aggregator.NotConnected, Cause: err}, nil)
 	}
 }
 
@@ -654,19 +654,19 @@
 		a := c.streams[name]
 		// Closed by this side because nothing is heard: what else was out on it is given up with it.
 		called := a.withdrawn || c.cause != nil && !c.spoilt
-		p.end(a, &aggregator.AttemptError{Reach: aggregator.Written, Withdrawn: called, Spoilt: c.spoilt && !called, Cause: cause})
+		p.end(a, &aggregator.AttemptError{Progress: aggregator.Written, Canceled: called, CorruptStream: c.spoilt && !called, Cause: cause})
 	}
 	for _, pr := range c.probes {
 		if pr.proves != nil {
 			continue
 		}
 		// Asked once more: a connection may end while its server lives, and only a new one shows that.
-		if !pr.over && !pr.again && p.open.Open(pr.host.id) {
+		if !pr.over && !pr.again && p.open.Available(pr.host.id) {
 			pr.again = true
 			p.probe(pr.sent, pr, c.addr)
 			continue
 		}
-		p.endProbe(pr.sent, pr, &aggregator.AttemptError{Reach: aggregator.Written, Cause: cause}, nil)
+		p.endProbe(pr.sent, pr, &aggregator.AttemptError{Progress: aggregator.Written, Cause: cause}, nil)
 	}
 }
 
@@ -721,11 +721,11 @@
 		c.last = a.name
 		switch a.end {
 		case 'S':
-			p.end(at, nil, aggregator.Ended{Score: a.score, Value: a.value, Report: a.report})
+			p.end(at, nil, aggregator.AttemptEnded{Score: a.score, Value: a.value, Report: a.report})
 		case 'E':
-			p.end(at, &aggregator.AttemptError{Reach: aggregator.Answered}, aggregator.Ended{Report: a.report})
+			p.end(at, &aggregator.AttemptError{Progress: aggregator.Answered}, aggregator.AttemptEnded{Report: a.report})
 		case 'B':
-			p.end(at, &aggregator.AttemptError{Reach: aggregator.Answered, TurnedAway: true}, aggregator.Ended{Report: a.report})
+			p.end(at, &aggregator.AttemptError{Progress: aggregator.Answered, Rejected: true}, aggregator.AttemptEnded{Report: a.report})
 		}
 	case letterLoad, letterProbe:
 		if len(c.probes) == 0 {
@@ -741,7 +741,7 @@
 		}
 		var err error
 		if string(f.Rest) == "E" {
-			err = &aggregator.AttemptError{Reach: aggregator.Answered}
+			err = &aggregator.AttemptError{Progress: aggregator.Answered}
 		}
 		p.endProbe(now, pr, err, parseReport(string(f.Rest)))
 	default:
@@ -756,7 +756,7 @@
 	if _, gaveUp := c.givenUp[name]; gaveUp {
 		p.Stats.Late++
 		delete(c.givenUp, name)
-		p.emit(aggregator.Late{Server: c.host.id})
+		p.emit(aggregator.LateAnswer{Server: c.host.id})
 		return nil
 	}
 	if name == c.last {
@@ -832,7 +832,7 @@
 		}
 	case pr.over:
 	case !now.Before(pr.until):
-		p.endProbe(now, pr, &aggregator.AttemptError{Reach: aggregator.Written, Withdrawn: true}, nil)
+		p.endProbe(now, pr, &aggregator.AttemptError{Progress: aggregator.Written, Canceled: true}, nil)
 	default:
 		sooner(pr.until)
 	}
--- a/internal/backend/leaf/pool_test.go
+++ b/internal/backend/leaf/pool_test.go
@@ -150,8 +150,8 @@
 	}
 }
 
-func (r *rig) Put(e any)                 { r.box = append(r.box, e) }
-func (r *rig) Open(balance.Replica) bool { return !r.drained }
+func (r *rig) Put(e any)                      { r.box = append(r.box, e) }
+func (r *rig) Available(balance.Replica) bool { return !r.drained }
 
 func (r *rig) Server(id balance.Replica) aggregator.Server {
 	return aggregator.Server{ID: id, Addr: "x"}
@@ -179,7 +179,7 @@
 	n := len(r.sent)
 	s := &sent{id: aggregator.AttemptID{Part: balance.ID(n)}, name: fmt.Sprintf("q.%d", n)}
 	r.sent = append(r.sent, s)
-	r.p.Send(r.now, aggregator.Server{ID: "s", Addr: "x"}, []aggregator.Call{{Attempt: s.id, Name: s.name, Until: r.now.Add(5 * time.Second)}})
+	r.p.Send(r.now, aggregator.Server{ID: "s", Addr: "x"}, []aggregator.Call{{Attempt: s.id, Name: s.name, Deadline: r.now.Add(5 * time.Second)}})
 	r.turn()
 	return s
 }
@@ -189,7 +189,7 @@
 		s.proved = s.link != nil && s.link.heard.After(s.at)
 		s.withdrawn, s.again = true, again
 	}
-	r.p.Withdraw(r.now, s.id, again)
+	r.p.Cancel(r.now, s.id, again)
 	r.turn()
 }
 
@@ -246,14 +246,14 @@
 			events = []any{e}
 		}
 		for _, e := range events {
-			if ended, ok := e.(aggregator.Ended); ok {
+			if ended, ok := e.(aggregator.AttemptEnded); ok {
 				r.check(ended)
 			}
 		}
 	}
 }
 
-func (r *rig) check(e aggregator.Ended) {
+func (r *rig) check(e aggregator.AttemptEnded) {
 	s := r.sent[e.Attempt.Part]
 	if s.ended++; s.ended > 1 {
 		r.t.Fatalf("%s ended twice", s.name)
@@ -271,13 +271,13 @@
 	}
 	mayRun := s.link != nil && (!s.settled || s.how != tcp.Nothing && s.how != tcp.Late)
 	switch {
-	case a.Reach == aggregator.Answered && a.TurnedAway != (s.answer == 'B'), a.Reach == aggregator.Answered && s.answer == 0:
+	case a.Progress == aggregator.Answered && a.Rejected != (s.answer == 'B'), a.Progress == aggregator.Answered && s.answer == 0:
 		r.t.Fatalf("%s: %v after answer %q", s.name, a, s.answer)
-	case a.Reach < aggregator.Written && mayRun:
+	case a.Progress < aggregator.Written && mayRun:
 		r.t.Fatalf("%s is said not to have run: %v", s.name, a)
-	case a.Withdrawn && !s.withdrawn && s.how != tcp.Late && (s.link == nil || !s.link.closed) && r.now.Before(time.Unix(1005, 0)):
+	case a.Canceled && !s.withdrawn && s.how != tcp.Late && (s.link == nil || !s.link.closed) && r.now.Before(time.Unix(1005, 0)):
 		r.t.Fatalf("%s was not given up: %v", s.name, a)
-	case a.Reach == aggregator.Written && mayRun && !s.link.closed && !(a.Withdrawn && s.toldOff && (s.proved || !s.again)):
+	case a.Progress == aggregator.Written && mayRun && !s.link.closed && !(a.Canceled && s.toldOff && (s.proved || !s.again)):
 		r.t.Fatalf("%s ended while it may still arrive: %v", s.name, a)
 	}
 }
@@ -390,7 +390,7 @@
 	r.withdraw(first, false)
 	r.links[0].settle(tcp.All)
 	r.turn()
-	again := aggregator.Call{Attempt: aggregator.AttemptID{Part: 0, N: 1}, Name: first.name, Until: r.now.Add(time.Second)}
+	again := aggregator.Call{Attempt: aggregator.AttemptID{Part: 0, Number: 1}, Name: first.name, Deadline: r.now.Add(time.Second)}
 	r.p.Send(r.now, aggregator.Server{ID: "s", Addr: "x"}, []aggregator.Call{again})
 	r.turn()
 	if len(r.dials) != 1 || len(r.links[0].queue) != 0 {
@@ -486,7 +486,7 @@
 	}
 	r.links[0].aborted()
 	r.turn()
-	if e, ok := s.err.(*aggregator.AttemptError); s.ended != 1 || !ok || e.Reach != aggregator.Written || !e.Spoilt || e.Withdrawn {
+	if e, ok := s.err.(*aggregator.AttemptError); s.ended != 1 || !ok || e.Progress != aggregator.Written || !e.CorruptStream || e.Canceled {
 		t.Errorf("ended %d times: %v", s.ended, s.err)
 	}
 }
@@ -546,17 +546,17 @@
 		got, r.box = append(got, r.box[0]), r.box[1:]
 	}
 	events, _ := r.p.Handle(r.now, framed{c: r.links[len(r.links)-1].c, frames: []Frame{{letterLoad, []byte("queue=2")}}})
-	if len(events) != 1 || events[0].(aggregator.Probed).Err != nil {
+	if len(events) != 1 || events[0].(aggregator.ProbeEnded).Err != nil {
 		t.Errorf("%+v %+v", got, events)
 	}
 }
 
 func TestProbes(t *testing.T) {
 	r := newRig(t)
-	var got []aggregator.Probed
+	var got []aggregator.ProbeEnded
 	take := func(events []any) {
 		for _, e := range events {
-			if p, ok := e.(aggregator.Probed); ok {
+			if p, ok := e.(aggregator.ProbeEnded); ok {
 				got = append(got, p)
 			}
 		}
@@ -574,7 +574,7 @@
 		events, _ := r.p.Handle(r.now, framed{c: r.links[0].c, frames: []Frame{{letterLoad, []byte(text)}}})
 		take(events)
 	}
-	if len(got) != 3 || got[0].Err == nil || got[1].Err == nil || got[2].Err != nil || got[2].Report == nil || got[2].Report.Queue != 3 || got[2].Report.Util != 0.5 {
+	if len(got) != 3 || got[0].Err == nil || got[1].Err == nil || got[2].Err != nil || got[2].Report == nil || got[2].Report.Queue != 3 || got[2].Report.Utilization != 0.5 {
 		t.Errorf("%+v", got)
 	}
 	if s.ended != 0 {
@@ -617,7 +617,7 @@
 // Reports name their values as the settings do, or as the protocol's page does; both must reach the decisions.
 func TestReportsInEitherNames(t *testing.T) {
 	for _, text := range []string{"pending=2.5,busy_reqs=7,cpu_share=0.61", "queue=2.5,inflight=7,util=0.61,else=1"} {
-		if r := parseReport(text); r == nil || *r != (balance.Report{Queue: 2.5, InFlight: 7, Util: 0.61}) {
+		if r := parseReport(text); r == nil || *r != (balance.LoadReport{Queue: 2.5, InFlight: 7, Utilization: 0.61}) {
 			t.Errorf("%s: %+v", text, r)
 		}
 	}
--- a/internal/backend/serialconn/pool.go
+++ b/internal/backend/serialconn/pool.go
@@ -86,8 +86,8 @@
 	call      aggregator.Call
 	server    aggregator.Server
 	conn      *conn
-	written   aggregator.Reach // as far as is known
-	settled   bool             // the link has accounted for the write
+	written   aggregator.Progress // as far as is known
+	settled   bool                // the link has accounted for the write
 	withdrawn bool
 }
 
@@ -221,7 +221,7 @@
 	}
 	codec := p.codec(to.ID)
 	if p.total >= p.lim.Sockets || codec == nil || to.Addr == "" {
-		p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Own: true, Cause: errors.New("no socket left, or a server that is gone")}, nil)
+		p.end(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, LocalCause: true, Cause: errors.New("no socket left, or a server that is gone")}, nil)
 		return
 	}
 	p.total++
@@ -263,22 +263,22 @@
 		p.end(a, e, nil)
 		p.rest(now, c)
 	}
-	if !p.open.Open(a.server.ID) {
-		refuse(&aggregator.AttemptError{Reach: aggregator.NotConnected, TurnedAway: true, Cause: errors.New("it drains")})
+	if !p.open.Available(a.server.ID) {
+		refuse(&aggregator.AttemptError{Progress: aggregator.NotConnected, Rejected: true, Cause: errors.New("it drains")})
 		return
 	}
-	if a.withdrawn || !now.Before(a.call.Until) {
-		refuse(&aggregator.AttemptError{Reach: aggregator.NotConnected, Withdrawn: true})
+	if a.withdrawn || !now.Before(a.call.Deadline) {
+		refuse(&aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true})
 		return
 	}
 	var w query.Work
-	err := json.Unmarshal([]byte(a.call.Text), &w)
+	err := json.Unmarshal([]byte(a.call.Payload), &w)
 	var frame []byte
 	if err == nil {
 		frame, err = p.codec(a.server.ID).Request(a.call, w)
 	}
 	if err != nil {
-		refuse(&aggregator.AttemptError{Reach: aggregator.NotConnected, Cause: err})
+		refuse(&aggregator.AttemptError{Progress: aggregator.NotConnected, Cause: err})
 		return
 	}
 	a.written = aggregator.Written // until the link says otherwise
@@ -296,16 +296,16 @@
 	p.idle[c.server] = append(p.idle[c.server], c)
 }
 
-// Withdraw gives an attempt up. Neither protocol can call off what is under way so that nothing of it comes
+// Cancel gives an attempt up. Neither protocol can call off what is under way so that nothing of it comes
 // back, so the connection is closed, and the attempt ends when it is.
-func (p *Pool) Withdraw(now time.Time, id aggregator.AttemptID, _ bool) {
+func (p *Pool) Cancel(now time.Time, id aggregator.AttemptID, _ bool) {
 	a := p.calls[id]
 	if a == nil || a.withdrawn {
 		return
 	}
 	a.withdrawn = true
 	if a.conn.link == nil || !a.conn.up { // dialing or greeting: nothing of it was written
-		p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Withdrawn: true}, nil)
+		p.end(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true}, nil)
 		if a.conn.link != nil {
 			p.shut(a.conn, errors.New("given up"))
 		}
@@ -316,7 +316,7 @@
 
 // Probe tells nothing: these protocols have no probe for load.
 func (p *Pool) Probe(now time.Time, to aggregator.Server) {
-	p.emit(aggregator.Probed{Server: to.ID, Err: &aggregator.AttemptError{Reach: aggregator.NotConnected}})
+	p.emit(aggregator.ProbeEnded{Server: to.ID, Err: &aggregator.AttemptError{Progress: aggregator.NotConnected}})
 }
 
 func (p *Pool) emit(e any) {
@@ -335,7 +335,7 @@
 	if a.conn != nil && a.conn.at == a {
 		a.conn.at = nil
 	}
-	e := aggregator.Ended{Attempt: a.call.Attempt, Err: err}
+	e := aggregator.AttemptEnded{Attempt: a.call.Attempt, Err: err}
 	if r != nil {
 		e.Score, e.Value = r.Score, r.Value
 	}
@@ -369,7 +369,7 @@
 		p.Stats.DialsFailed++
 		p.shut(c, nil)
 		if c.at != nil {
-			p.end(c.at, &aggregator.AttemptError{Reach: aggregator.NotConnected, Cause: e.err}, nil)
+			p.end(c.at, &aggregator.AttemptError{Progress: aggregator.NotConnected, Cause: e.err}, nil)
 		}
 		return
 	}
@@ -394,7 +394,7 @@
 		if r.Err != nil {
 			p.shut(c, r.Err)
 			if a != nil {
-				p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Cause: r.Err}, nil)
+				p.end(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Cause: r.Err}, nil)
 			}
 			return
 		}
@@ -408,7 +408,7 @@
 		cause := errors.New("the server answered before it was asked")
 		p.shut(c, cause)
 		if a != nil {
-			p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Cause: cause}, nil)
+			p.end(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Cause: cause}, nil)
 		}
 		return
 	case a == nil || a.withdrawn || r.Greeting:
@@ -444,9 +444,9 @@
 func (p *Pool) lost(a *attempt, cause error) {
 	switch {
 	case a.written < aggregator.Written:
-		p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Withdrawn: a.withdrawn, Cause: cause}, nil)
+		p.end(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: a.withdrawn, Cause: cause}, nil)
 	case a.settled:
-		p.end(a, &aggregator.AttemptError{Reach: aggregator.Written, Withdrawn: a.withdrawn, Cause: cause}, nil)
+		p.end(a, &aggregator.AttemptError{Progress: aggregator.Written, Canceled: a.withdrawn, Cause: cause}, nil)
 	}
 }
 
@@ -484,7 +484,7 @@
 			a := c.at
 			p.shut(c, errNoGreeting)
 			if a != nil {
-				p.end(a, &aggregator.AttemptError{Reach: aggregator.NotConnected, Cause: errNoGreeting}, nil)
+				p.end(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Cause: errNoGreeting}, nil)
 			}
 		} else if next.IsZero() || due.Before(next) {
 			next = due
--- a/internal/backend/serialconn/pool_test.go
+++ b/internal/backend/serialconn/pool_test.go
@@ -89,8 +89,8 @@
 	}
 }
 
-func (r *rig) Put(e any)                 { r.box = append(r.box, e) }
-func (r *rig) Open(balance.Replica) bool { return !r.drained }
+func (r *rig) Put(e any)                      { r.box = append(r.box, e) }
+func (r *rig) Available(balance.Replica) bool { return !r.drained }
 
 // codec words an attempt as its name.
 type codec struct{ r *rig }
@@ -117,7 +117,7 @@
 	s := &sent{name: fmt.Sprintf("q.%d", len(r.sent))}
 	id := aggregator.AttemptID{Part: balance.ID(len(r.sent))}
 	r.sent = append(r.sent, s)
-	r.p.Send(r.now, aggregator.Server{ID: "s", Addr: "x"}, []aggregator.Call{{Attempt: id, Name: s.name, Text: "{}", Until: r.now.Add(5 * time.Second)}})
+	r.p.Send(r.now, aggregator.Server{ID: "s", Addr: "x"}, []aggregator.Call{{Attempt: id, Name: s.name, Payload: "{}", Deadline: r.now.Add(5 * time.Second)}})
 	r.turn()
 }
 
@@ -149,7 +149,7 @@
 
 func (r *rig) check(events []any) {
 	for _, e := range events {
-		e, ok := e.(aggregator.Ended)
+		e, ok := e.(aggregator.AttemptEnded)
 		if !ok {
 			continue
 		}
@@ -165,10 +165,10 @@
 			continue
 		}
 		mayRun := s.link != nil && (!s.settled || s.how != tcp.Nothing)
-		if !errors.As(e.Err, &a) || a.Reach < aggregator.Written && mayRun {
+		if !errors.As(e.Err, &a) || a.Progress < aggregator.Written && mayRun {
 			r.t.Fatalf("%s is said not to have run: %v", s.name, e.Err)
 		}
-		if a.Withdrawn && mayRun && !s.link.closed {
+		if a.Canceled && mayRun && !s.link.closed {
 			r.t.Fatalf("%s was given up and its connection goes on", s.name)
 		}
 	}
@@ -215,7 +215,7 @@
 				r.send()
 			case step%10 == 1 && n >= 0:
 				r.sent[n].withdrawn = true
-				r.p.Withdraw(r.now, aggregator.AttemptID{Part: balance.ID(n)}, true)
+				r.p.Cancel(r.now, aggregator.AttemptID{Part: balance.ID(n)}, true)
 				r.turn()
 			case step%10 == 2 && n >= 0:
 				r.dialed(n, nil)
--- a/internal/backend/sru/client.go
+++ b/internal/backend/sru/client.go
@@ -67,7 +67,7 @@
 func reply(m *http1.Message) serialconn.Reply {
 	r := serialconn.Reply{Close: m.Close}
 	failed := func(cause error) serialconn.Reply {
-		r.Err = &aggregator.AttemptError{Reach: aggregator.Answered, Cause: cause}
+		r.Err = &aggregator.AttemptError{Progress: aggregator.Answered, Cause: cause}
 		return r
 	}
 	if m.Status != 200 {
@@ -83,7 +83,7 @@
 	// What it does not hold it has not run.
 	if t := a.Trouble; t != nil && t.SRU == sru.Diag+"235" {
 		if w, e, ok := shardmap.ParseWord(t.Details); ok {
-			r.Err = &aggregator.AttemptError{Reach: aggregator.Answered, TurnedAway: true, Word: w, Epoch: e, Cause: errors.New(t.Details)}
+			r.Err = &aggregator.AttemptError{Progress: aggregator.Answered, Rejected: true, MapStatus: w, Epoch: e, Cause: errors.New(t.Details)}
 			return r
 		}
 	}
--- a/internal/backend/sru/client_test.go
+++ b/internal/backend/sru/client_test.go
@@ -19,7 +19,7 @@
 	} {
 		r := reply(&http1.Message{Status: 200, Body: []byte(text)})
 		var a *aggregator.AttemptError
-		if (r.Err != nil) != bad || bad && (!errors.As(r.Err, &a) || a.Reach != aggregator.Answered || a.TurnedAway) {
+		if (r.Err != nil) != bad || bad && (!errors.As(r.Err, &a) || a.Progress != aggregator.Answered || a.Rejected) {
 			t.Errorf("%s: %+v", text, r)
 		}
 	}
--- a/internal/backend/z3950/client.go
+++ b/internal/backend/z3950/client.go
@@ -109,12 +109,12 @@
 	// What it does not hold it has not run.
 	if t := found.Trouble; t != nil && t.Bib1 == 109 {
 		if w, e, ok := shardmap.ParseWord(t.Details); ok {
-			r.Err = &aggregator.AttemptError{Reach: aggregator.Answered, TurnedAway: true, Word: w, Epoch: e, Cause: errors.New(t.Details)}
+			r.Err = &aggregator.AttemptError{Progress: aggregator.Answered, Rejected: true, MapStatus: w, Epoch: e, Cause: errors.New(t.Details)}
 			return r, nil
 		}
 	}
 	if t := found.Trouble; t != nil && ownFaults[t.Bib1] {
-		r.Err = &aggregator.AttemptError{Reach: aggregator.Answered, Cause: fmt.Errorf("bib-1 %d %s", t.Bib1, t.Details)}
+		r.Err = &aggregator.AttemptError{Progress: aggregator.Answered, Cause: fmt.Errorf("bib-1 %d %s", t.Bib1, t.Details)}
 		return r, nil
 	}
 	r.Value, r.Score = query.Encode(found), float64(found.Count)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -22,7 +22,7 @@
 		t.Error(err)
 	}
 	c := set.Classes[p.Class("line-correction")]
-	if c.Effect != balance.Unsafe || c.Deadline != 3*time.Second || set.Tenants[p.Tenant("national-tv")].Quota != 9 {
+	if c.Idempotency != balance.NonIdempotent || c.Deadline != 3*time.Second || set.Tenants[p.Tenant("national-tv")].Quota != 9 {
 		t.Errorf("%+v", set)
 	}
 }
@@ -196,7 +196,7 @@
 	}
 	d := n.Deployment
 	if n.Seed != 0x8c1f30d27a5be964 || d.Decisions.Seed != n.Seed || n.MemoryMB != 100 || d.Classes[0] != "a" || d.Tenants[0] != "tv" ||
-		d.ConnIdle != 15*time.Second || d.Decisions.CallParts != 3 {
+		d.ConnIdle != 15*time.Second || d.Decisions.MaxCallParts != 3 {
 		t.Errorf("%+v", n)
 	}
 	// Clients are told when to come back though the simulator would not forward it.
--- a/internal/config/partners.go
+++ b/internal/config/partners.go
@@ -274,20 +274,20 @@
 func (p *Partners) Decisions(seed uint64) balance.Settings {
 	set := balance.Settings{
 		Seed: seed, Instances: p.Mixers, Tick: 5 * time.Millisecond, Zone: p.Zone,
-		Cells: p.Shards.Cells, Reach: p.Shards.Reach, Shards: p.Shards.Count, CallParts: 1,
-		MaxAttempts: p.Limits.Attempts, CanCancel: true, MaxRetryAfter: 5 * time.Second, OverShareWorth: 1,
+		Cells: p.Shards.Cells, Reach: p.Shards.Reach, Shards: p.Shards.Count, MaxCallParts: 1,
+		MaxAttempts: p.Limits.Attempts, CanCancel: true, MaxRetryAfter: 5 * time.Second, OverQuotaFactor: 1,
 	}
 	if p.Blocks.On() { // each part says who holds it
 		set.Cells, set.Reach, set.Shards = 1, 1, 1
 	}
 	for _, c := range p.Classes {
-		effect := balance.Safe
+		effect := balance.Idempotent
 		if c.Unsafe {
-			effect = balance.Unsafe
+			effect = balance.NonIdempotent
 		}
 		set.Classes = append(set.Classes, balance.Class{
-			Aim: c.Aim.Duration, Deadline: c.Deadline.Duration, Worth: c.Worth, LateWorth: c.LateWorth, Effect: effect,
-			Floor: c.Floor, Need: 1, Partial: c.Partial, FollowUp: c.SecondStep,
+			Objective: c.Aim.Duration, Deadline: c.Deadline.Duration, Weight: c.Worth, OverdueFraction: c.LateWorth, Idempotency: effect,
+			MinFraction: c.Floor, CompleteFraction: 1, PartialFraction: c.Partial, FollowUpParts: c.SecondStep,
 		})
 	}
 	for _, t := range p.Tenants {
--- a/internal/control/health/types.go
+++ b/internal/control/health/types.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// ID names a server.
+// Part names a server.
 type ID string
 
 // Admin is an administrative word: what somebody wants done with a server, whatever its state.
--- a/internal/control/outlier/outlier.go
+++ b/internal/control/outlier/outlier.go
@@ -144,8 +144,8 @@
 	t.owed = min(t.owed+tellShare*gossip.Most*float64(parts), gossip.Most*float64(t.rules.Mixers))
 }
 
-// Saw takes the end of an attempt of this mixer's that was sent at sent.
-func (t *Table) Saw(now time.Duration, id string, sent time.Duration, end End) {
+// AttemptEnded takes the end of an attempt of this mixer's that was sent at sent.
+func (t *Table) AttemptEnded(now time.Duration, id string, sent time.Duration, end End) {
 	s := t.find(id)
 	if s == nil {
 		return
--- a/internal/control/outlier/outlier_test.go
+++ b/internal/control/outlier/outlier_test.go
@@ -51,7 +51,7 @@
 	for _, m := range all[:4] {
 		m.Earn(100)
 		for range 6 {
-			m.Saw(now, "s3", now-250*ms, CalledOff)
+			m.AttemptEnded(now, "s3", now-250*ms, CalledOff)
 		}
 	}
 	if words := spread(now, all); words != 4 {
@@ -66,7 +66,7 @@
 	for range 40 {
 		now += 50 * ms
 		all[5].Earn(100)
-		all[5].Saw(now, "s3", now-50*ms, Served)
+		all[5].AttemptEnded(now, "s3", now-50*ms, Served)
 		spread(now, all)
 		if s := all[0].Share("s3"); len(shares) == 0 || shares[len(shares)-1] != s {
 			shares = append(shares, s)
@@ -76,7 +76,7 @@
 		t.Errorf("came back by %v", shares)
 	}
 	now += 50 * ms
-	all[5].Saw(now, "s3", now-50*ms, Served)
+	all[5].AttemptEnded(now, "s3", now-50*ms, Served)
 	if all[5].Word(now) != nil {
 		t.Error("an ordinary answer was told")
 	}
@@ -86,13 +86,13 @@
 func TestServerThatIsBehindIsNotTakenForGone(t *testing.T) {
 	m := table(0)
 	for range lostLeast {
-		m.Saw(hour, "s3", hour-300*ms, CalledOff)
+		m.AttemptEnded(hour, "s3", hour-300*ms, CalledOff)
 	}
 	if m.Changes(hour); m.Share("s3") != steps[2].share {
 		t.Fatalf("share %v", m.Share("s3"))
 	}
 	for range 10 {
-		m.Saw(hour, "s3", hour, Served)
+		m.AttemptEnded(hour, "s3", hour, Served)
 	}
 	if m.Changes(hour); m.Share("s3") != 1 {
 		t.Errorf("share %v after ten answers", m.Share("s3"))
@@ -107,7 +107,7 @@
 		if i%2 == 1 {
 			end = Served
 		}
-		m.Saw(hour+time.Duration(i)*10*ms, "s3", hour, end)
+		m.AttemptEnded(hour+time.Duration(i)*10*ms, "s3", hour, end)
 		m.Changes(hour + time.Duration(i)*10*ms)
 	}
 	if s := m.Share("s3"); s <= steps[0].share || s >= 1 {
@@ -120,14 +120,14 @@
 	m := table(0)
 	for i := range 20 {
 		for range 8 {
-			m.Saw(hour, fmt.Sprint("s", i), hour-300*ms, CalledOff)
+			m.AttemptEnded(hour, fmt.Sprint("s", i), hour-300*ms, CalledOff)
 		}
 	}
 	if m.Changes(hour); m.Outliers() != 0 {
 		t.Fatalf("%d outliers among equals", m.Outliers())
 	}
 	for range 40 {
-		m.Saw(hour, "s3", hour-300*ms, CalledOff)
+		m.AttemptEnded(hour, "s3", hour-300*ms, CalledOff)
 	}
 	if m.Changes(hour); m.Outliers() != 1 {
 		t.Errorf("%d outliers, one server lost six times as much", m.Outliers())
@@ -136,7 +136,7 @@
 	m = table(0)
 	for i := range 10 {
 		for range 20 {
-			m.Saw(hour, fmt.Sprint("s", i), hour, Lost)
+			m.AttemptEnded(hour, fmt.Sprint("s", i), hour, Lost)
 		}
 	}
 	if m.Changes(hour); m.Outliers() != 10 {
@@ -148,14 +148,14 @@
 func TestWhatTellsNothing(t *testing.T) {
 	m := table(0)
 	for range 50 {
-		m.Saw(hour, "s1", hour-100*ms, CalledOff) // too soon: its query was over
-		m.Saw(hour, "s2", hour, TurnedAway)       // full
-		m.Saw(hour, "s4", hour, Neutral)
-		m.Saw(hour, "gone", hour, Lost) // not listed
+		m.AttemptEnded(hour, "s1", hour-100*ms, CalledOff) // too soon: its query was over
+		m.AttemptEnded(hour, "s2", hour, TurnedAway)       // full
+		m.AttemptEnded(hour, "s4", hour, Neutral)
+		m.AttemptEnded(hour, "gone", hour, Lost) // not listed
 	}
-	m.Saw(hour-200*ms, "s5", hour-250*ms, Served) // it answers others since
+	m.AttemptEnded(hour-200*ms, "s5", hour-250*ms, Served) // it answers others since
 	for range 50 {
-		m.Saw(hour, "s5", hour-300*ms, CalledOff)
+		m.AttemptEnded(hour, "s5", hour-300*ms, CalledOff)
 	}
 	lost := []remark{{gossip.Key("s6"), 15, 0}, {gossip.Key("s7"), 15, 0}, {gossip.Key("stranger"), 15, 0}}
 	for i, text := range [][]byte{
@@ -184,7 +184,7 @@
 	lose := func() *Table {
 		m := table(0)
 		for range 30 {
-			m.Saw(hour, "s3", hour, Lost)
+			m.AttemptEnded(hour, "s3", hour, Lost)
 		}
 		if m.Changes(hour); m.Share("s3") != steps[0].share {
 			t.Fatal(m.Share("s3"))
@@ -211,7 +211,7 @@
 	if changed := m.Changes(hour + 13*time.Second); len(changed) != 1 || m.Share("s3") != steps[1].share {
 		t.Errorf("%v, share %v", changed, m.Share("s3"))
 	}
-	m.Saw(hour+14*time.Second, "s3", hour+13*time.Second, Lost)
+	m.AttemptEnded(hour+14*time.Second, "s3", hour+13*time.Second, Lost)
 	if m.Changes(hour + 14*time.Second); m.Share("s3") != steps[0].share {
 		t.Errorf("share %v", m.Share("s3"))
 	}
@@ -222,7 +222,7 @@
 	m := New(rules)
 	for i := range 120 {
 		m.List(fmt.Sprint("s", i), 0)
-		m.Saw(hour, fmt.Sprint("s", i), hour, Lost)
+		m.AttemptEnded(hour, fmt.Sprint("s", i), hour, Lost)
 	}
 	if m.Word(hour) != nil {
 		t.Fatal("a word that nothing earned")
@@ -265,11 +265,11 @@
 			case 0:
 				now += time.Duration(ops[i+1]) * 40 * ms
 			case 1:
-				m.Saw(now, id, now-ms, Lost)
+				m.AttemptEnded(now, id, now-ms, Lost)
 			case 2:
-				m.Saw(now, id, now-ms, Served)
+				m.AttemptEnded(now, id, now-ms, Served)
 			case 3:
-				m.Saw(now, id, now-time.Second, CalledOff)
+				m.AttemptEnded(now, id, now-time.Second, CalledOff)
 			case 4:
 				m.Earn(int(ops[i+1]))
 				if text := m.Word(now); text != nil {
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -66,7 +66,7 @@
 	return nil
 }
 
-// ID names a task.
+// Part names a task.
 type ID int
 
 // Stats count what the schedule did.
--- a/internal/control/shardmap/flight.go
+++ b/internal/control/shardmap/flight.go
@@ -47,7 +47,7 @@
 	Wait    bool // for a newer map, which may be on its way
 }
 
-// TurnedAway takes a server's word on a part. epoch is what the word names.
+// Rejected takes a server's word on a part. epoch is what the word names.
 func (f *Flight) TurnedAway(vs *Views, part int, server string, w Word, epoch Epoch, ask bool) Verdict {
 	v := Verdict{Ask: ask}
 	p := &f.Parts[part]
--- a/internal/control/shardmap/map.go
+++ b/internal/control/shardmap/map.go
@@ -9,7 +9,7 @@
 	"rooktrestle/internal/control/persistentmap"
 )
 
-// ID of a block. It is given once and never again.
+// Part of a block. It is given once and never again.
 type ID uint64
 
 // Epoch numbers maps.
--- a/internal/control/slowstart/slowstart.go
+++ b/internal/control/slowstart/slowstart.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// Rules are the stated figures. A zero For or TipMultiple states none.
+// Rules are the stated figures. A zero For or OverloadMultiple states none.
 type Rules struct {
 	For         time.Duration // a started server is warm after it
 	From        float64       // least share of its capacity at the start
@@ -45,7 +45,7 @@
 }
 
 // Room says whether a server may be sent one more part, which takes work. All mixers together must stay under
-// TipMultiple x present capacity, so each keeps to 1/Mixers of it, with capacity taken as one core's and work as
+// OverloadMultiple x present capacity, so each keeps to 1/Mixers of it, with capacity taken as one core's and work as
 // high; the first goes when a part of random size is owed, or all would begin at once. Or, where mixers are many
 // and unlike, each may send it what is owed of its own flow: together that is the fleet's, and what a quiet one
 // leaves is not lost. May hurt where most servers are cold.
--- a/internal/frontend/platform/crossings_test.go
+++ b/internal/frontend/platform/crossings_test.go
@@ -30,7 +30,7 @@
 	var order []string
 	posted := make(chan any, 10)
 	front := New(Settings{Classes: []string{"a"}, Shards: 4, MaxWait: time.Minute, Timeouts: httpserve.Timeouts{}}, func(e any) {
-		if a, ok := e.(aggregator.Arrive); ok && a.Request.ID == "2" {
+		if a, ok := e.(aggregator.RequestArrived); ok && a.Request.ID == "2" {
 			client.Close()
 			<-over // its end has been handled, and the request is not yet handed over
 		}
@@ -49,14 +49,17 @@
 	ask(&both, 1)
 	ask(&both, 2)
 	io.WriteString(client, both.String())
-	first := (<-posted).(aggregator.Arrive).Request
+	first := (<-posted).(aggregator.RequestArrived).Request
 	answered := make(chan struct{})
-	go func() { first.Front.Answer(aggregator.Final{Kind: aggregator.Refused}); close(answered) }()
+	go func() {
+		first.Frontend.Answer(aggregator.FinalAnswer{Status: aggregator.StatusRejected})
+		close(answered)
+	}()
 	for len(order) < 2 {
 		switch e := (<-posted).(type) {
-		case aggregator.Arrive:
+		case aggregator.RequestArrived:
 			order = append(order, "arrive "+e.Request.ID)
-		case aggregator.Left:
+		case aggregator.ClientDisconnected:
 			order = append(order, "left "+e.Request.ID)
 		}
 	}
@@ -86,18 +89,18 @@
 			t.Fatal(err)
 		}
 		ask(c, 1)
-		first := (<-posted).(aggregator.Arrive).Request
+		first := (<-posted).(aggregator.RequestArrived).Request
 		ask(c, 2)
 		if half {
 			c.(*net.TCPConn).CloseWrite()
 		} else {
 			c.Close()
 		}
-		if e, ok := (<-posted).(aggregator.Left); !ok || e.Request != first {
+		if e, ok := (<-posted).(aggregator.ClientDisconnected); !ok || e.Request != first {
 			t.Errorf("half %v: %+v", half, e)
 		}
 		<-over
-		first.Front.Answer(aggregator.Final{Kind: aggregator.Refused})
+		first.Frontend.Answer(aggregator.FinalAnswer{Status: aggregator.StatusRejected})
 		if n := len(posted); n > 0 || front.Open() > 0 {
 			t.Errorf("half %v: %d more events, %d connections", half, n, front.Open())
 		}
--- a/internal/frontend/platform/front.go
+++ b/internal/frontend/platform/front.go
@@ -75,11 +75,11 @@
 		bad(x, 400, err.Error())
 		return
 	}
-	req.Front = asker{x}
+	req.Frontend = asker{x}
 	// In this order: a client that leaves in between would reach the loop before its request, and be forgotten.
-	f.put(aggregator.Arrive{Request: req})
-	if !x.OnLeft(func() { f.put(aggregator.Left{Request: req}) }) {
-		f.put(aggregator.Left{Request: req})
+	f.put(aggregator.RequestArrived{Request: req})
+	if !x.OnLeft(func() { f.put(aggregator.ClientDisconnected{Request: req}) }) {
+		f.put(aggregator.ClientDisconnected{Request: req})
 	}
 }
 
@@ -90,7 +90,7 @@
 // asker passes a query's final answer to its client.
 type asker struct{ x *httpserve.Exchange }
 
-func (a asker) Answer(f aggregator.Final) {
+func (a asker) Answer(f aggregator.FinalAnswer) {
 	status, text, fields := Render(f)
 	a.x.Respond(status, text, fields...)
 }
@@ -111,7 +111,7 @@
 
 func (f *Front) parse(m *http1.Message, class int, begun time.Time) (*aggregator.Request, error) {
 	h := m.Header
-	r := &aggregator.Request{ID: h.Get("X-Request-Id"), Class: class, Arrived: begun, Retry: h.Get("X-Retry") == "1"}
+	r := &aggregator.Request{ID: h.Get("X-Request-Id"), Class: class, Arrived: begun, IsRetry: h.Get("X-Retry") == "1"}
 	if !word(r.ID) {
 		return nil, fmt.Errorf("X-Request-Id %q", r.ID)
 	}
@@ -128,7 +128,7 @@
 	if err != nil || strings.Trim(h.Get("X-Deadline"), "0123456789.") != "" || !(wait > 0) || wait > 1e6 {
 		return nil, fmt.Errorf("X-Deadline %q", h.Get("X-Deadline"))
 	}
-	r.Wait = min(time.Duration(wait*float64(time.Second)), f.set.MaxWait)
+	r.Timeout = min(time.Duration(wait*float64(time.Second)), f.set.MaxWait)
 	var b body
 	if !utf8.Valid(m.Body) { // it would reach the leaf servers changed
 		return nil, errors.New("body: not UTF-8")
@@ -139,7 +139,7 @@
 	if len(b.Slices) == 0 || b.Filter == nil || *b.Filter == "" {
 		return nil, errors.New("body: no slices, or no filter")
 	}
-	r.Text = *b.Filter
+	r.Payload = *b.Filter
 	seen, sum := map[int]bool{}, 0.0
 	for _, s := range b.Slices {
 		if s.Slice == nil || *s.Slice < 0 || *s.Slice >= f.set.Shards || seen[*s.Slice] {
@@ -153,8 +153,8 @@
 		}
 		seen[*s.Slice] = true
 		sum += s.Mass
-		r.Parts = append(r.Parts, aggregator.Spec{
-			Shard: *s.Slice, Weight: s.Mass, Hint: time.Duration(s.Micros * float64(time.Microsecond)),
+		r.Parts = append(r.Parts, aggregator.PartSpec{
+			Shard: *s.Slice, Weight: s.Mass, WorkHint: time.Duration(s.Micros * float64(time.Microsecond)),
 		})
 		if r.Key == "" {
 			r.Key = s.Term
@@ -186,13 +186,13 @@
 }
 
 // Render words a final answer.
-func Render(f aggregator.Final) (status int, text []byte, fields []string) {
-	switch f.Kind {
-	case aggregator.Served:
+func Render(f aggregator.FinalAnswer) (status int, text []byte, fields []string) {
+	switch f.Status {
+	case aggregator.StatusServed:
 		out := struct {
 			Entire bool   `json:"entire"`
 			Items  []item `json:"items"`
-		}{f.Whole, []item{}}
+		}{f.Complete, []item{}}
 		for _, i := range f.Items {
 			out.Items = append(out.Items, item{i.Shard, i.Value})
 		}
@@ -201,13 +201,13 @@
 			return 500, nil, nil
 		}
 		return 200, text, []string{"Content-Type", "application/json"}
-	case aggregator.Refused:
+	case aggregator.StatusRejected:
 		if f.RetryAfter > 0 {
 			fields = []string{"Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 3, 64)}
 		}
 		return 503, nil, fields
 	}
-	if f.Overdue {
+	if f.DeadlineExceeded {
 		return 504, nil, nil
 	}
 	return 502, nil, nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -131,27 +131,27 @@
 	work := query.Work{Action: action, Record: r}
 	if s.Conf.Blocks.On() {
 		key := shardmap.KeyOf(r.ID)
-		return s.ask(who, d, d.Correction, nil, work, func(v *shardmap.View) []aggregator.Spec {
-			return []aggregator.Spec{{Shard: int(v.Map.At(key).ID), Weight: 1}}
+		return s.ask(who, d, d.Correction, nil, work, func(v *shardmap.View) []aggregator.PartSpec {
+			return []aggregator.PartSpec{{Shard: int(v.Map.At(key).ID), Weight: 1}}
 		}, done)
 	}
 	return s.ask(who, d, d.Correction, []int{Place(d, r.ID)}, work, nil, done)
 }
 
 // everyBlock makes a part of each block of a view, by its share of the weight; nil where there is no map.
-func (s *Service) everyBlock() func(*shardmap.View) []aggregator.Spec {
+func (s *Service) everyBlock() func(*shardmap.View) []aggregator.PartSpec {
 	if !s.Conf.Blocks.On() {
 		return nil
 	}
-	return func(v *shardmap.View) []aggregator.Spec {
+	return func(v *shardmap.View) []aggregator.PartSpec {
 		list := v.Blocks()
-		specs := make([]aggregator.Spec, len(list))
+		specs := make([]aggregator.PartSpec, len(list))
 		for i, b := range list {
 			w := b.Weight
 			if w <= 0 {
 				w = 1
 			}
-			specs[i] = aggregator.Spec{Shard: int(b.ID), Weight: w / v.Map.Weight()}
+			specs[i] = aggregator.PartSpec{Shard: int(b.ID), Weight: w / v.Map.Weight()}
 		}
 		return specs
 	}
@@ -172,7 +172,7 @@
 	return d.Shards[int(h.Sum32()%uint32(len(d.Shards)))]
 }
 
-func (s *Service) ask(who Caller, d *config.Database, class string, shards []int, work query.Work, layout func(*shardmap.View) []aggregator.Spec, done func(Outcome)) (Cancel, *Outcome) {
+func (s *Service) ask(who Caller, d *config.Database, class string, shards []int, work query.Work, layout func(*shardmap.View) []aggregator.PartSpec, done func(Outcome)) (Cancel, *Outcome) {
 	index := s.Conf.Class(class)
 	tenant := s.Conf.Tenant(d.Tenant)
 	if t := s.Tenant(who.User); who.User != "" && t >= 0 {
@@ -180,14 +180,14 @@
 	}
 	r := &aggregator.Request{
 		ID: fmt.Sprintf("%s-%d", s.Conf.Name, s.name.Add(1)), Class: index, Tenant: tenant,
-		Arrived: s.Now(), Wait: s.Conf.Classes[index].Deadline.Duration, Text: query.Encode(work), Layout: layout,
+		Arrived: s.Now(), Timeout: s.Conf.Classes[index].Deadline.Duration, Payload: query.Encode(work), Layout: layout,
 	}
 	for _, shard := range shards {
-		r.Parts = append(r.Parts, aggregator.Spec{Shard: shard, Weight: 1 / float64(len(shards))})
+		r.Parts = append(r.Parts, aggregator.PartSpec{Shard: shard, Weight: 1 / float64(len(shards))})
 	}
-	r.Front = &asked{done: done, byID: layout != nil}
-	s.Put(aggregator.Arrive{Request: r})
-	return func() { s.Put(aggregator.Left{Request: r}) }, nil
+	r.Frontend = &asked{done: done, byID: layout != nil}
+	s.Put(aggregator.RequestArrived{Request: r})
+	return func() { s.Put(aggregator.ClientDisconnected{Request: r}) }, nil
 }
 
 // asked waits for a query's final answer.
@@ -198,24 +198,24 @@
 
 // Answer merges the parts: shards in order, each with its records in its own order; or where blocks may change, all
 // records in the order of their identifiers, so that a page is the same before and after.
-func (a *asked) Answer(f aggregator.Final) {
+func (a *asked) Answer(f aggregator.FinalAnswer) {
 	switch {
-	case f.Kind == aggregator.Served:
+	case f.Status == aggregator.StatusServed:
 		a.done(merge(f, a.byID))
-	case f.Overdue:
+	case f.DeadlineExceeded:
 		a.done(Outcome{Kind: TimedOut})
-	case f.Kind == aggregator.Refused:
+	case f.Status == aggregator.StatusRejected:
 		a.done(Outcome{Kind: Refused, RetryAfter: f.RetryAfter})
 	default:
 		a.done(Outcome{Kind: Failed})
 	}
 }
 
-func merge(f aggregator.Final, byID bool) (o Outcome) {
-	if !f.Whole {
+func merge(f aggregator.FinalAnswer, byID bool) (o Outcome) {
+	if !f.Complete {
 		o.Kind = Partial
 	}
-	o.Missing, o.Of, o.Share = f.Missing, f.Of, f.Share
+	o.Missing, o.Of, o.Share = f.MissingShards, f.TotalParts, f.AnsweredWeight
 	items := slices.Clone(f.Items)
 	slices.SortStableFunc(items, func(a, b aggregator.Item) int { return a.Shard - b.Shard })
 	for _, i := range items {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -32,19 +32,19 @@
 	two := value(query.Found{Count: 1, Records: []query.Record{{XML: "<c/>"}}})
 	said := value(query.Found{Trouble: &query.Diagnostic{Bib1: 114}})
 	for _, c := range []struct {
-		f     aggregator.Final
+		f     aggregator.FinalAnswer
 		kind  Kind
 		count int
 		first string
 	}{
-		{aggregator.Final{Kind: aggregator.Served, Whole: true, Items: []aggregator.Item{{Shard: 3, Value: two}, {Shard: 1, Value: one}}}, Whole, 3, "<a/>"},
-		{aggregator.Final{Kind: aggregator.Served, Items: []aggregator.Item{{Shard: 3, Value: two}}}, Partial, 1, "<c/>"},
-		{aggregator.Final{Kind: aggregator.Served, Whole: true, Items: []aggregator.Item{{Shard: 3, Value: two}, {Shard: 4, Value: said}}}, ServerSaid, 1, "<c/>"},
-		{aggregator.Final{Kind: aggregator.Served, Whole: true, Items: []aggregator.Item{{Value: "junk"}}}, Failed, 0, ""},
-		{aggregator.Final{Kind: aggregator.Refused, RetryAfter: time.Second}, Refused, 0, ""},
-		{aggregator.Final{Kind: aggregator.Refused, Overdue: true}, TimedOut, 0, ""},
-		{aggregator.Final{Kind: aggregator.Failed, Overdue: true}, TimedOut, 0, ""},
-		{aggregator.Final{Kind: aggregator.Failed}, Failed, 0, ""},
+		{aggregator.FinalAnswer{Status: aggregator.StatusServed, Complete: true, Items: []aggregator.Item{{Shard: 3, Value: two}, {Shard: 1, Value: one}}}, Whole, 3, "<a/>"},
+		{aggregator.FinalAnswer{Status: aggregator.StatusServed, Items: []aggregator.Item{{Shard: 3, Value: two}}}, Partial, 1, "<c/>"},
+		{aggregator.FinalAnswer{Status: aggregator.StatusServed, Complete: true, Items: []aggregator.Item{{Shard: 3, Value: two}, {Shard: 4, Value: said}}}, ServerSaid, 1, "<c/>"},
+		{aggregator.FinalAnswer{Status: aggregator.StatusServed, Complete: true, Items: []aggregator.Item{{Value: "junk"}}}, Failed, 0, ""},
+		{aggregator.FinalAnswer{Status: aggregator.StatusRejected, RetryAfter: time.Second}, Refused, 0, ""},
+		{aggregator.FinalAnswer{Status: aggregator.StatusRejected, DeadlineExceeded: true}, TimedOut, 0, ""},
+		{aggregator.FinalAnswer{Status: aggregator.StatusFailed, DeadlineExceeded: true}, TimedOut, 0, ""},
+		{aggregator.FinalAnswer{Status: aggregator.StatusFailed}, Failed, 0, ""},
 	} {
 		var got Outcome
 		(&asked{done: func(o Outcome) { got = o }}).Answer(c.f)
--- a/internal/net/discovery/crossings_test.go
+++ b/internal/net/discovery/crossings_test.go
@@ -73,9 +73,9 @@
 }
 
 // follow runs a watch until the test ends and returns what it lists.
-func follow(t *testing.T, w *Watch) chan aggregator.Members {
-	listed := make(chan aggregator.Members, 20)
-	w.Put = func(e any) { listed <- e.(aggregator.Members) }
+func follow(t *testing.T, w *Watch) chan aggregator.EndpointsChanged {
+	listed := make(chan aggregator.EndpointsChanged, 20)
+	w.Put = func(e any) { listed <- e.(aggregator.EndpointsChanged) }
 	if w.Log == nil {
 		w.Log = t.Logf
 	}
@@ -85,9 +85,9 @@
 	return listed
 }
 
-func one(t *testing.T, listed chan aggregator.Members, kind balance.ListKind, id balance.Replica) {
+func one(t *testing.T, listed chan aggregator.EndpointsChanged, kind balance.ListKind, id balance.Replica) {
 	t.Helper()
-	if m := <-listed; m.Kind != kind || len(m.List) != 1 || m.List[0].ID != id {
+	if m := <-listed; m.Kind != kind || len(m.Servers) != 1 || m.Servers[0].ID != id {
 		t.Errorf("%+v, want %s", m, id)
 	}
 }
--- a/internal/net/discovery/watch.go
+++ b/internal/net/discovery/watch.go
@@ -37,13 +37,13 @@
 	} `json:"servers"`
 }
 
-var states = map[string]balance.State{
+var states = map[string]balance.EndpointState{
 	"SERVING": balance.InService, "DRAINING": balance.Draining, "DELETED": balance.Removed,
 }
 
 // Parse reads a list as discovery words it. Entries in a state that is not known count as draining: nothing
 // new goes there.
-func Parse(text []byte, zones []string) (version int64, m aggregator.Members, err error) {
+func Parse(text []byte, zones []string) (version int64, m aggregator.EndpointsChanged, err error) {
 	var l list
 	if err := json.Unmarshal(text, &l); err != nil {
 		return 0, m, fmt.Errorf("discovery: %w", err)
@@ -66,7 +66,7 @@
 		if e.Started > 0 {
 			s.Started = time.UnixMilli(e.Started)
 		}
-		m.List = append(m.List, s)
+		m.Servers = append(m.Servers, s)
 	}
 	return l.Version, m, nil
 }
--- a/internal/net/discovery/watch_test.go
+++ b/internal/net/discovery/watch_test.go
@@ -16,19 +16,19 @@
 	version, m, err := Parse([]byte(`{"version":41,"full":true,"servers":[
 		{"id":"s","addr":"a:1","zone":"east","cell":3,"state":"SERVING","weight":1.5,"started_ms":1700000000123},
 		{"id":"d","zone":"b","state":"DRAINING"},{"id":"g","state":"DELETED"},{"id":"n","zone":"south","state":"NEW"}]}`), []string{"west", "east"})
-	if err != nil || version != 41 || m.Kind != balance.ListFull || len(m.List) != 4 {
+	if err != nil || version != 41 || m.Kind != balance.ListFull || len(m.Servers) != 4 {
 		t.Fatal(version, m, err)
 	}
-	if s := m.List[0]; s.Zone != 1 || s.Cell != 3 || s.Weight != 1.5 || !s.Started.Equal(time.UnixMilli(1700000000123)) {
+	if s := m.Servers[0]; s.Zone != 1 || s.Cell != 3 || s.Weight != 1.5 || !s.Started.Equal(time.UnixMilli(1700000000123)) {
 		t.Errorf("%+v", s)
 	}
-	for i, want := range []balance.State{balance.InService, balance.Draining, balance.Removed, balance.Draining} {
-		if m.List[i].State != want {
-			t.Errorf("%d: %v, want %v", i, m.List[i].State, want)
+	for i, want := range []balance.EndpointState{balance.InService, balance.Draining, balance.Removed, balance.Draining} {
+		if m.Servers[i].State != want {
+			t.Errorf("%d: %v, want %v", i, m.Servers[i].State, want)
 		}
 	}
-	if !m.List[1].Started.IsZero() || m.List[1].Zone != 1 || m.List[3].Zone != 2 {
-		t.Errorf("%+v", m.List)
+	if !m.Servers[1].Started.IsZero() || m.Servers[1].Zone != 1 || m.Servers[3].Zone != 2 {
+		t.Errorf("%+v", m.Servers)
 	}
 	for _, bad := range []string{"", "[]", `{"servers":[{"addr":"x"}]}`} {
 		if _, _, err := Parse([]byte(bad), nil); err == nil {
@@ -58,7 +58,7 @@
 		if index := <-asked; index != want {
 			t.Errorf("watch %d from %s, want %s", i, index, want)
 		}
-		if m := (<-got).(aggregator.Members); (m.Kind == balance.ListFull) != (i == 0) {
+		if m := (<-got).(aggregator.EndpointsChanged); (m.Kind == balance.ListFull) != (i == 0) {
 			t.Errorf("watch %d: %+v", i, m)
 		}
 	}
@@ -91,7 +91,7 @@
 		if a := <-asked; a != ask {
 			t.Errorf("asked %q, want %q", a, ask)
 		}
-		if m := (<-got).(aggregator.Members); m.Kind != kind || len(m.List) != 1 || m.List[0].ID != id {
+		if m := (<-got).(aggregator.EndpointsChanged); m.Kind != kind || len(m.Servers) != 1 || m.Servers[0].ID != id {
 			t.Errorf("%+v", m)
 		}
 	}
--- a/internal/net/gossip/gossip.go
+++ b/internal/net/gossip/gossip.go
@@ -53,9 +53,9 @@
 // Addr is where the exchange listens.
 func (x *Exchange) Addr() netip.AddrPort { return x.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
 
-// Tell sends text to all peers. One longer than is allowed is never sent.
-func (x *Exchange) Tell(text []byte) {
-	if len(text) > balance.WordMost {
+// Broadcast sends text to all peers. One longer than is allowed is never sent.
+func (x *Exchange) Broadcast(text []byte) {
+	if len(text) > balance.MaxGossipBytes {
 		x.Stats.TooLong.Add(1)
 		return
 	}
@@ -72,7 +72,7 @@
 // read passes on what comes until the exchange is closed. An error of one datagram, as when a peer's port is
 // closed, is not the end of the others.
 func (x *Exchange) read(put func([]byte)) {
-	buf := make([]byte, balance.WordMost+1) // one byte more shows what is too long
+	buf := make([]byte, balance.MaxGossipBytes+1) // one byte more shows what is too long
 	for {
 		n, from, err := x.conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
@@ -86,7 +86,7 @@
 		switch {
 		case !listed:
 			x.Stats.Strangers.Add(1)
-		case n > balance.WordMost:
+		case n > balance.MaxGossipBytes:
 			x.Stats.TooLong.Add(1)
 		case known:
 			x.Stats.Received.Add(1)
--- a/internal/net/gossip/gossip_test.go
+++ b/internal/net/gossip/gossip_test.go
@@ -36,7 +36,7 @@
 	}
 	send(stranger, "from a stranger")
 	send(own, "from itself")
-	send(peer, string(make([]byte, balance.WordMost+1)))
+	send(peer, string(make([]byte, balance.MaxGossipBytes+1)))
 	send(peer, string(make([]byte, 4096)))
 	send(peer, "first")
 	send(peer, "")
@@ -49,8 +49,8 @@
 	if s, l, r := x.Stats.Strangers.Load(), x.Stats.TooLong.Load(), x.Stats.Received.Load(); s != 1 || l != 2 || r != 3 {
 		t.Errorf("%d strangers, %d too long, %d received", s, l, r)
 	}
-	x.Tell(make([]byte, balance.WordMost+1))
-	x.Tell([]byte("word"))
+	x.Broadcast(make([]byte, balance.MaxGossipBytes+1))
+	x.Broadcast([]byte("word"))
 	buf := make([]byte, 512)
 	n, from, err := peer.ReadFromUDPAddrPort(buf)
 	if err != nil || string(buf[:n]) != "word" || netip.AddrPortFrom(from.Addr().Unmap(), from.Port()) != x.Addr() {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -84,8 +84,8 @@
 	Zones []string `json:"zones"`
 }
 
-var effects = map[string]balance.Effect{
-	"safe": balance.Safe, "keyed": balance.Keyed, "unsafe": balance.Unsafe,
+var effects = map[string]balance.Idempotency{
+	"safe": balance.Idempotent, "keyed": balance.KeyedIdempotent, "unsafe": balance.NonIdempotent,
 }
 
 // Deployment is all that the settings state: what the decisions need, and what a mixer on sockets needs beside it.
@@ -96,9 +96,9 @@
 	Zones          []string
 	ConnIdle       time.Duration // a connection left idle for so long is closed by the server
 	ConnectTimeout time.Duration
-	Rank           int           // this mixer's number among its peers, from 0
+	InstanceIndex  int           // this mixer's number among its peers, from 0
 	MaxOpen        int           // queries and parts held; 0: not limited
-	Streams        int           // calls at once on one connection
+	StreamsPerConn int           // calls at once on one connection
 	MaxRetryAfter  time.Duration // the longest advice that clients follow, whether or not the simulator forwards it
 }
 
@@ -110,24 +110,24 @@
 	}
 	d := Deployment{
 		Zones: doc.Zones, ConnIdle: doc.Limits.ConnIdle.duration(), ConnectTimeout: doc.Limits.ConnectTimeout.duration(),
-		Rank: doc.Rank, MaxOpen: doc.Limits.MaxOpen, Streams: max(1, doc.Limits.StreamsPerConn),
+		InstanceIndex: doc.Rank, MaxOpen: doc.Limits.MaxOpen, StreamsPerConn: max(1, doc.Limits.StreamsPerConn),
 		MaxRetryAfter: doc.Limits.MaxRetryAfter.duration(),
 	}
 	set := balance.Settings{
-		Instances: doc.Instances, Tick: doc.Tick.duration(), Zone: doc.Zone, OverShareWorth: doc.OverShareWorth,
-		ByWork: doc.CountedBy == "work",
-		Cells:  doc.Extra.Cells, Reach: doc.Extra.InARow, Shards: doc.Extra.Slices,
-		CallWork: doc.Extra.Call.duration(), CallParts: doc.Extra.PerCall, WarmKeys: doc.Extra.WarmKeys,
-		MaxAttempts: doc.Limits.SendCap, SecondCopies: doc.Limits.SecondCopies,
+		Instances: doc.Instances, Tick: doc.Tick.duration(), Zone: doc.Zone, OverQuotaFactor: doc.OverShareWorth,
+		WeightByWork: doc.CountedBy == "work",
+		Cells:        doc.Extra.Cells, Reach: doc.Extra.InARow, Shards: doc.Extra.Slices,
+		CallWork: doc.Extra.Call.duration(), MaxCallParts: doc.Extra.PerCall, WarmKeys: doc.Extra.WarmKeys,
+		MaxAttempts: doc.Limits.SendCap, CanHedge: doc.Limits.SecondCopies,
 		CanCancel: doc.Limits.Cancel, CanProbe: doc.Limits.Probing,
-		MarksRetry: doc.Callers.MarksRetry,
-		Peers:      doc.Limits.PeerMessages, ProbeWait: doc.Limits.ConnectTimeout.duration(),
-		ReportsOnProbe: doc.LoadInfo.How == "pull", OnRequest: doc.RegistryMode == "on_request",
+		ClientsMarkRetries: doc.Callers.MarksRetry,
+		PeerMessages:       doc.Limits.PeerMessages, ProbeTimeout: doc.Limits.ConnectTimeout.duration(),
+		LoadReportsOnProbe: doc.LoadInfo.How == "pull", ListOnRequest: doc.RegistryMode == "on_request",
 		Rules: balance.Rules{
-			ColdFor: doc.Rules.Cold.duration(), ColdFrom: doc.Rules.ColdFrom,
-			TipMultiple: doc.Rules.TipMultiple, TipFor: doc.Rules.Fall.duration(),
-			BudgetWindow: doc.Rules.BudgetWindow.duration(), BudgetFree: doc.Rules.BudgetFree,
-			BudgetRatio: doc.Rules.FurtherRatio, MustAskIn: doc.Rules.MustAskIn.duration(),
+			WarmupPeriod: doc.Rules.Cold.duration(), WarmupMinCapacity: doc.Rules.ColdFrom,
+			OverloadMultiple: doc.Rules.TipMultiple, OverloadPeriod: doc.Rules.Fall.duration(),
+			RetryBudgetWindow: doc.Rules.BudgetWindow.duration(), RetryBudgetBase: doc.Rules.BudgetFree,
+			RetryBudgetRatio: doc.Rules.FurtherRatio, MaxListAge: doc.Rules.MustAskIn.duration(),
 		},
 	}
 	if doc.Limits.RetryAfter {
@@ -145,10 +145,10 @@
 		}
 		d.Classes = append(d.Classes, c.Name)
 		set.Classes = append(set.Classes, balance.Class{
-			Aim: c.Aim.duration(), AimStretch: c.AimStretch, Deadline: c.Deadline.duration(), Worth: c.Credit,
-			LateWorth: c.LateWorth, Effect: effect, Window: c.MemorySpan.duration(),
-			Floor: x.ClassFloor[i], Need: x.NeedByClass[i], Partial: x.IncompleteWorth[i],
-			FollowUp: x.FollowUp[i],
+			Objective: c.Aim.duration(), ObjectiveStretch: c.AimStretch, Deadline: c.Deadline.duration(), Weight: c.Credit,
+			OverdueFraction: c.LateWorth, Idempotency: effect, DedupWindow: c.MemorySpan.duration(),
+			MinFraction: x.ClassFloor[i], CompleteFraction: x.NeedByClass[i], PartialFraction: x.IncompleteWorth[i],
+			FollowUpParts: x.FollowUp[i],
 		})
 	}
 	for _, o := range doc.Orgs {
@@ -161,13 +161,13 @@
 
 // SetLoadValue stores one value of a load report under its field. Leaf servers name the values as the settings do, or
 // by the words of the protocol's page; unknown names are skipped.
-func SetLoadValue(r *balance.Report, name string, value float64) {
+func SetLoadValue(r *balance.LoadReport, name string, value float64) {
 	switch name {
 	case "pending", "queue":
 		r.Queue = value
 	case "busy_reqs", "inflight":
 		r.InFlight = value
 	case "cpu_share", "util":
-		r.Util = value
+		r.Utilization = value
 	}
 }
--- a/internal/simadapter/wire.go
+++ b/internal/simadapter/wire.go
@@ -39,12 +39,12 @@
 type Reader struct {
 	in    *bufio.Reader
 	line  int
-	lists map[int][]balance.Member
+	lists map[int][]balance.Endpoint
 }
 
 // NewReader returns a Reader of r.
 func NewReader(r io.Reader) *Reader {
-	return &Reader{in: bufio.NewReaderSize(r, 1<<20), lists: map[int][]balance.Member{}}
+	return &Reader{in: bufio.NewReaderSize(r, 1<<20), lists: map[int][]balance.Endpoint{}}
 }
 
 // next reads one line as a message; io.EOF at the end of the input.
@@ -123,7 +123,7 @@
 	if m.err != nil {
 		return nil
 	}
-	var list []balance.Member
+	var list []balance.Endpoint
 	for range count {
 		e, err := r.next()
 		if err == io.EOF {
@@ -135,7 +135,7 @@
 		if e.name != "SERVER" {
 			return fmt.Errorf("%s inside a list of %d entries", e.name, count)
 		}
-		list = append(list, balance.Member{
+		list = append(list, balance.Endpoint{
 			Replica: balance.Replica(e.text("server")),
 			Zone:    e.wholeOr("area", 0),
 			Cell:    e.wholeOr("set_no", 0),
@@ -152,16 +152,16 @@
 }
 
 var (
-	phases = map[string]balance.State{
+	phases = map[string]balance.EndpointState{
 		"in_service": balance.InService, "terminating": balance.Draining, "terminated": balance.Removed,
 	}
 	forms = map[string]balance.ListKind{
 		"F": balance.ListFull, "C": balance.ListStale, "D": balance.ListDelta, "X": balance.ListFailed,
 	}
-	results = map[string]balance.Result{
+	results = map[string]balance.AttemptResult{
 		"Ok": balance.OK, "Failed": balance.Failed, "QueueFull": balance.QueueFull,
 		"TimedOut": balance.TimedOut, "ConnectError": balance.ConnectFailed, "ResetByPeer": balance.Reset,
-		"Canceled": balance.Canceled, "Ignored": balance.Ignored,
+		"Canceled": balance.Canceled, "Ignored": balance.NotSent,
 	}
 )
 
@@ -181,48 +181,48 @@
 	case "MEMBERSHIP":
 		kind := oneOf(m, "form", forms)
 		if m.err != nil || kind == balance.ListFailed {
-			return balance.Members{Kind: kind}, nil
+			return balance.EndpointList{Kind: kind}, nil
 		}
 		number := m.whole("list", 0, 15)
 		list, ok := r.lists[number]
 		if !ok && m.err == nil {
 			m.fail("list %d is not defined", number)
 		}
-		return balance.Members{Kind: kind, List: list}, nil
+		return balance.EndpointList{Kind: kind, Endpoints: list}, nil
 	case "WORK_ITEM":
 		id, group, shard := balance.ID(m.unsigned("handle")), m.unsigned("group_no"), m.integer("segment_no")
 		hint := m.timeOr("hint", 0)
 		if shard >= 0 {
-			return balance.Part{ID: id, Group: group, Shard: shard, Weight: m.number("heft"), Hint: hint}, nil
+			return balance.Part{ID: id, Group: group, Shard: shard, Weight: m.number("heft"), WorkHint: hint}, nil
 		}
 		return balance.Query{
 			ID: id, Group: group, Class: m.whole("class", 0, math.MaxInt32), Tenant: m.wholeOr("billing", 0),
-			Key: m.textOr("resource", ""), Hint: hint, TimeLeft: m.time("grace"),
-			Retry: m.wholeOr("is_retry", 0) != 0, Parts: int(m.number("heft")),
+			Key: m.textOr("resource", ""), WorkHint: hint, TimeLeft: m.time("grace"),
+			IsRetry: m.wholeOr("is_retry", 0) != 0, Parts: int(m.number("heft")),
 		}, nil
 	case "RESULT":
-		return balance.Outcome{
+		return balance.AttemptEnded{
 			Part: balance.ID(m.unsigned("handle")), Attempt: m.whole("shot", 0, math.MaxInt32),
 			Replica: balance.Replica(m.text("server")), Result: oneOf(m, "outcome", results),
-			Took: m.time("lag"), Report: m.report("metrics"),
+			Elapsed: m.time("lag"), Report: m.report("metrics"),
 		}, nil
 	case "HEALTH":
-		return balance.Probed{
+		return balance.ProbeEnded{
 			Replica: balance.Replica(m.text("server")), Result: oneOf(m, "outcome", results),
-			Took: m.time("lag"), Report: m.report("metrics"),
+			Elapsed: m.time("lag"), Report: m.report("metrics"),
 		}, nil
 	case "ALARM":
 		m.unsigned("handle")
-		return balance.Tick{}, nil
+		return balance.TimerFired{}, nil
 	case "VANISHED":
-		return balance.Gone{Query: balance.ID(m.unsigned("handle"))}, nil
+		return balance.ClientDisconnected{Query: balance.ID(m.unsigned("handle"))}, nil
 	case "NEIGHBOUR_SAYS":
 		// Whatever came is passed on: what cannot be read is the decisions' to drop.
 		text, err := hex.DecodeString(strings.TrimPrefix(m.textOr("msg", ""), "-"))
 		if err != nil {
 			text = nil
 		}
-		return balance.Word{Text: text}, nil
+		return balance.GossipReceived{Payload: text}, nil
 	case "STREAMING":
 		return nil, nil
 	}
@@ -256,11 +256,11 @@
 		fmt.Fprintf(w.out, "STOP_ATTEMPT\thandle=%d\tshot=%d\n", a.Part, a.Attempt)
 	case balance.Answer:
 		entire := 0
-		if a.Whole {
+		if a.Complete {
 			entire = 1
 		}
 		fmt.Fprintf(w.out, "REPLY_NOW\thandle=%d\tentire=%d\n", a.Query, entire)
-	case balance.Refuse:
+	case balance.Reject:
 		fmt.Fprintf(w.out, "OVERLOAD_REPLY\thandle=%d", a.Query)
 		if a.RetryAfter > 0 {
 			fmt.Fprintf(w.out, "\twait=%d", a.RetryAfter.Microseconds())
@@ -270,11 +270,11 @@
 		fmt.Fprintf(w.out, "RESPOND_ERROR\thandle=%d\n", a.Query)
 	case balance.Probe:
 		fmt.Fprintf(w.out, "ASK_LOAD\tserver=%s\n", a.Replica)
-	case balance.Tell:
-		fmt.Fprintf(w.out, "MEMO_TO\tto=*\tmsg=%x\n", a.Text)
-	case balance.Wake:
+	case balance.SendGossip:
+		fmt.Fprintf(w.out, "MEMO_TO\tto=*\tmsg=%x\n", a.Payload)
+	case balance.StartTimer:
 		fmt.Fprintf(w.out, "DEFER\tsleep_for=%d\thandle=0\n", a.After.Microseconds())
-	case balance.Watch:
+	case balance.WatchEndpoints:
 		w.out.WriteString("TRACK\tentire=1\n")
 	default:
 		panic(fmt.Sprintf("wire: no line for %T", a))
@@ -432,12 +432,12 @@
 }
 
 // report reads the load report of a message, nil where there is none. Values not recognised are skipped.
-func (m *message) report(key string) *balance.Report {
+func (m *message) report(key string) *balance.LoadReport {
 	text := m.textOr(key, "")
 	if text == "" {
 		return nil
 	}
-	rep := &balance.Report{Queue: -1, InFlight: -1, Util: -1}
+	rep := &balance.LoadReport{Queue: -1, InFlight: -1, Utilization: -1}
 	for _, pair := range strings.Split(text, ",") {
 		name, value, ok := strings.Cut(pair, ":")
 		v, err := parseNumber(value)
--- a/internal/simadapter/wire_test.go
+++ b/internal/simadapter/wire_test.go
@@ -45,17 +45,17 @@
 	}
 	us := time.Microsecond
 	want := []any{
-		balance.Members{Kind: balance.ListStale, List: []balance.Member{{Replica: "10.0.0.1:80", Zone: 1, Cell: 2,
+		balance.EndpointList{Kind: balance.ListStale, Endpoints: []balance.Endpoint{{Replica: "10.0.0.1:80", Zone: 1, Cell: 2,
 			State: balance.Draining, Size: 1.5, Started: 40 * us}}},
-		balance.Members{Kind: balance.ListFailed},
-		balance.Query{ID: 7, Group: 1, Tenant: 1, Key: "k", TimeLeft: 900 * us, Retry: true, Parts: 2},
-		balance.Part{ID: 8, Group: 1, Shard: 5, Weight: 0.5, Hint: 20 * us},
-		balance.Outcome{Part: 8, Attempt: 2, Replica: "s", Result: balance.QueueFull, Took: 30 * us,
-			Report: &balance.Report{Queue: 2, InFlight: -1, Util: 0.5}},
-		balance.Probed{Replica: "s", Took: 3 * us, Report: &balance.Report{Queue: -1, InFlight: 4, Util: -1}},
-		balance.Tick{},
-		balance.Gone{Query: 7},
-		balance.Word{Text: []byte("hi")},
+		balance.EndpointList{Kind: balance.ListFailed},
+		balance.Query{ID: 7, Group: 1, Tenant: 1, Key: "k", TimeLeft: 900 * us, IsRetry: true, Parts: 2},
+		balance.Part{ID: 8, Group: 1, Shard: 5, Weight: 0.5, WorkHint: 20 * us},
+		balance.AttemptEnded{Part: 8, Attempt: 2, Replica: "s", Result: balance.QueueFull, Elapsed: 30 * us,
+			Report: &balance.LoadReport{Queue: 2, InFlight: -1, Utilization: 0.5}},
+		balance.ProbeEnded{Replica: "s", Elapsed: 3 * us, Report: &balance.LoadReport{Queue: -1, InFlight: 4, Utilization: -1}},
+		balance.TimerFired{},
+		balance.ClientDisconnected{Query: 7},
+		balance.GossipReceived{Payload: []byte("hi")},
 		Stop{},
 	}
 	if f.Now != 50*us || len(f.Events) != len(want)+1 {
@@ -68,11 +68,11 @@
 	}
 	set := f.Events[0].What.(Start).Settings
 	c := set.Classes[0]
-	if set.Seed != 9 || set.Cells != 3 || set.Reach != 2 || set.CallWork != 7*us || !set.ByWork || !set.ReportsOnProbe ||
-		set.MaxAttempts != 3 || set.Zone != 1 || set.Rules.TipMultiple != 2.5 || set.Rules.MustAskIn != 700*us || set.Tenants[0].Quota != 5 || !set.MarksRetry {
+	if set.Seed != 9 || set.Cells != 3 || set.Reach != 2 || set.CallWork != 7*us || !set.WeightByWork || !set.LoadReportsOnProbe ||
+		set.MaxAttempts != 3 || set.Zone != 1 || set.Rules.OverloadMultiple != 2.5 || set.Rules.MaxListAge != 700*us || set.Tenants[0].Quota != 5 || !set.ClientsMarkRetries {
 		t.Errorf("settings %+v", set)
 	}
-	if c.Effect != balance.Keyed || c.Window != 500*us || c.Floor != 0.5 || c.FollowUp != 2 || c.Partial != 0.8 {
+	if c.Idempotency != balance.KeyedIdempotent || c.DedupWindow != 500*us || c.MinFraction != 0.5 || c.FollowUpParts != 2 || c.PartialFraction != 0.8 {
 		t.Errorf("class %+v", c)
 	}
 }
@@ -84,8 +84,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	first, second := f.Events[0].What.(balance.Members), f.Events[1].What.(balance.Members)
-	if len(first.List) != 1 || len(second.List) != 0 {
+	first, second := f.Events[0].What.(balance.EndpointList), f.Events[1].What.(balance.EndpointList)
+	if len(first.Endpoints) != 1 || len(second.Endpoints) != 0 {
 		t.Errorf("%v, then %v", first, second)
 	}
 }
@@ -133,9 +133,9 @@
 	w.Actions("gatherer_3", []balance.Action{
 		balance.Send{Part: 1, Replica: "s"}, balance.Send{Part: 1, Replica: "s", Timeout: 80 * ms},
 		balance.Hedge{Part: 1, Replica: "t"}, balance.Cancel{Part: 1, Attempt: 2},
-		balance.Answer{Query: 3, Whole: true}, balance.Answer{Query: 3}, balance.Refuse{Query: 3},
-		balance.Refuse{Query: 3, RetryAfter: 5 * ms}, balance.Fail{Query: 3}, balance.Probe{Replica: "s"},
-		balance.Wake{After: 10 * ms}, balance.Watch{},
+		balance.Answer{Query: 3, Complete: true}, balance.Answer{Query: 3}, balance.Reject{Query: 3},
+		balance.Reject{Query: 3, RetryAfter: 5 * ms}, balance.Fail{Query: 3}, balance.Probe{Replica: "s"},
+		balance.StartTimer{After: 10 * ms}, balance.WatchEndpoints{},
 	})
 	w.Actions("gatherer_4", nil)
 	w.Fault("it\nbroke")
--- a/internal/testbed/health/health_test.go
+++ b/internal/testbed/health/health_test.go
@@ -52,14 +52,14 @@
 		t.Errorf("corrections ran twice: %v", twice)
 	}
 	c := in.Front.Count()
-	if c.Taken != c.Served+c.Refused+c.Failed+c.Gone+uint64(held(in)) {
+	if c.Received != c.Served+c.Rejected+c.Failed+c.Disconnected+uint64(held(in)) {
 		t.Errorf("not every query was closed once: %v", c)
 	}
 }
 
 func held(in *deployment.Install) int {
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if c := in.Front.Count(); c.Taken == c.Served+c.Refused+c.Failed+c.Gone {
+		if c := in.Front.Count(); c.Received == c.Served+c.Rejected+c.Failed+c.Disconnected {
 			return 0
 		}
 	}
--- a/internal/testbed/resharding/content.go
+++ b/internal/testbed/resharding/content.go
@@ -164,7 +164,7 @@
 	return s.away
 }
 
-// find looks for a block by its name, block-ID@EPOCH. With a word there is none to answer from.
+// find looks for a block by its name, block-Part@EPOCH. With a word there is none to answer from.
 func (s *Shelf) find(base string) (*holding, string) {
 	text, _, _ := strings.Cut(strings.TrimPrefix(base, "block-"), "@")
 	id, _ := strconv.ParseUint(text, 10, 64)
--- a/internal/testbed/sim/aggregator.go
+++ b/internal/testbed/sim/aggregator.go
@@ -23,9 +23,9 @@
 
 func classes() []balance.Class {
 	return []balance.Class{
-		{Aim: 1500 * time.Millisecond, Deadline: deadline, Worth: 1, LateWorth: 0.3, Floor: 1, Need: 1},
-		{Aim: 1200 * time.Millisecond, Deadline: 2 * time.Second, Worth: 2, LateWorth: 0.1, Floor: 0.5, Need: 1, Partial: 0.8},
-		{Aim: 1500 * time.Millisecond, Deadline: 3 * time.Second, Worth: 1, LateWorth: 0.3, Floor: 1, Need: 1, Effect: balance.Unsafe},
+		{Objective: 1500 * time.Millisecond, Deadline: deadline, Weight: 1, OverdueFraction: 0.3, MinFraction: 1, CompleteFraction: 1},
+		{Objective: 1200 * time.Millisecond, Deadline: 2 * time.Second, Weight: 2, OverdueFraction: 0.1, MinFraction: 0.5, CompleteFraction: 1, PartialFraction: 0.8},
+		{Objective: 1500 * time.Millisecond, Deadline: 3 * time.Second, Weight: 1, OverdueFraction: 0.3, MinFraction: 1, CompleteFraction: 1, Idempotency: balance.NonIdempotent},
 	}
 }
 
@@ -41,9 +41,9 @@
 	works  map[aggregator.AttemptID]*work
 	order  []*work                       // as sent, of those in works and some that have ended
 	told   map[balance.Replica]time.Time // when it was told that a node drains or is gone
-	states map[balance.Replica]balance.State
+	states map[balance.Replica]balance.EndpointState
 	table  *health.Table
-	ev     map[balance.Replica]balance.Evidence
+	ev     map[balance.Replica]balance.HealthLimits
 	zone   int
 	life   int // number of its process
 	dead   bool
@@ -69,18 +69,18 @@
 	m.life++
 	m.dead, m.inbox, m.turned, m.wake = false, nil, false, time.Time{}
 	m.works, m.order, m.open = map[aggregator.AttemptID]*work{}, nil, map[*asked]bool{}
-	m.told, m.states, m.starts = map[balance.Replica]time.Time{}, map[balance.Replica]balance.State{}, map[balance.Replica]time.Time{}
-	m.ev = map[balance.Replica]balance.Evidence{}
+	m.told, m.states, m.starts = map[balance.Replica]time.Time{}, map[balance.Replica]balance.EndpointState{}, map[balance.Replica]time.Time{}
+	m.ev = map[balance.Replica]balance.HealthLimits{}
 	m.set = m.settings()
 	b, err := balance.New(m.set)
 	if err != nil {
 		return err
 	}
-	m.core = aggregator.NewCore(b, m, aggregator.Limits{SecondStep: []int{0, 0, 0}, MaxOpen: 20000, ComeBack: time.Second, Ahead: 20 * time.Millisecond}, Start)
-	m.core.Witness = m
+	m.core = aggregator.NewCore(b, m, aggregator.Limits{FollowUpParts: []int{0, 0, 0}, MaxOpen: 20000, RetryAfter: time.Second, DeadlineMargin: 20 * time.Millisecond}, Start)
+	m.core.Observer = m
 	if m.w.Words {
-		m.core.Peers = m
-		m.core.Losses = outlier.New(outlier.Platform(classes()[report].Aim, m.zone, m.w.Mixers))
+		m.core.Gossip = m
+		m.core.Outliers = outlier.New(outlier.Platform(classes()[report].Objective, m.zone, m.w.Mixers))
 	}
 	if err := m.know(known); err != nil {
 		return err
@@ -94,31 +94,31 @@
 func (m *mixerHost) settings() balance.Settings {
 	w := m.w
 	set := balance.Settings{Seed: w.Seed + uint64(m.index), Instances: w.Mixers, Tick: 5 * time.Millisecond, Cells: w.Nodes, Reach: w.Reach, Shards: w.Nodes,
-		CallParts: 1, MaxAttempts: 4, CanCancel: true, MaxRetryAfter: time.Second, OverShareWorth: 1, Classes: classes(),
+		MaxCallParts: 1, MaxAttempts: 4, CanCancel: true, MaxRetryAfter: time.Second, OverQuotaFactor: 1, Classes: classes(),
 		Tenants: []balance.Tenant{{}}, Zone: m.zone}
 	if m.life > 1 { // another process draws other chances
 		set.Seed += uint64(m.life) << 32
 	}
 	if w.Cold.For > 0 && w.Planted != coldIgnored {
-		set.Rules = balance.Rules{ColdFor: w.Cold.For, ColdFrom: w.Cold.From, TipMultiple: w.Cold.Tip, TipFor: w.Cold.TipFor}
+		set.Rules = balance.Rules{WarmupPeriod: w.Cold.For, WarmupMinCapacity: w.Cold.From, OverloadMultiple: w.Cold.Tip, OverloadPeriod: w.Cold.TipFor}
 	}
 	if w.Words {
-		set.Peers, set.CanProbe, set.ReportsOnProbe, set.ProbeWait = true, true, true, probeWait
+		set.PeerMessages, set.CanProbe, set.LoadReportsOnProbe, set.ProbeTimeout = true, true, true, probeWait
 	}
 	return set
 }
 
 // know gives the mixer its first list: that of the nodes that its last process had in service, or all.
-func (m *mixerHost) know(known map[balance.Replica]balance.State) error {
+func (m *mixerHost) know(known map[balance.Replica]balance.EndpointState) error {
 	w := m.w
-	list := aggregator.Members{Kind: balance.ListFull}
+	list := aggregator.EndpointsChanged{Kind: balance.ListFull}
 	var nodes []health.Node
 	for _, n := range w.nodes {
 		if s, ok := known[n.id]; m.life > 1 && (!ok || s != balance.InService) {
 			continue
 		}
 		m.starts[n.id], m.states[n.id] = n.started, balance.InService
-		list.List = append(list.List, m.server(n))
+		list.Servers = append(list.Servers, m.server(n))
 		hn := health.Node{ID: health.ID(n.id)}
 		for j := range w.Reach {
 			hn.Blocks = append(hn.Blocks, (n.index-j+w.Nodes)%w.Nodes)
@@ -178,8 +178,8 @@
 	}
 }
 
-// Tell carries a word to the other mixers: late, or never.
-func (m *mixerHost) Tell(text []byte) {
+// Broadcast carries a word to the other mixers: late, or never.
+func (m *mixerHost) Broadcast(text []byte) {
 	w := m.w
 	for _, o := range w.mixers {
 		if o == m || w.between(m.zone, o.zone) || w.rng.Float64() < wordLost {
@@ -188,7 +188,7 @@
 		life := o.life
 		w.in(w.delay(), func() {
 			if o.life == life && !o.dead {
-				o.put(aggregator.Word{Text: text})
+				o.put(aggregator.GossipReceived{Payload: text})
 			}
 		})
 	}
@@ -203,7 +203,7 @@
 )
 
 func (m *mixerHost) server(n *node) aggregator.Server {
-	return aggregator.Server{Evidence: m.ev[n.id], ID: n.id, Addr: string(n.id), Zone: n.zone(), Cell: n.index, Weight: 1, State: m.states[n.id], Started: n.started}
+	return aggregator.Server{HealthLimits: m.ev[n.id], ID: n.id, Addr: string(n.id), Zone: n.zone(), Cell: n.index, Weight: 1, State: m.states[n.id], Started: n.started}
 }
 
 // put gathers an event for the turn of this moment.
@@ -247,20 +247,20 @@
 }
 
 // listed takes word of the roster.
-func (m *mixerHost) listed(n *node, s balance.State) {
+func (m *mixerHost) listed(n *node, s balance.EndpointState) {
 	m.hears(entry{n, s, n.started})
 	if m.w.Planted == "drain ignored" && s == balance.Draining {
 		return
 	}
-	m.put(aggregator.Members{Kind: balance.ListDelta, List: []aggregator.Server{m.server(n)}})
+	m.put(aggregator.EndpointsChanged{Kind: balance.ListDelta, Servers: []aggregator.Server{m.server(n)}})
 }
 
-// Saw takes the end of an attempt as evidence.
-func (m *mixerHost) Saw(now time.Time, a aggregator.Attempt) {
+// AttemptEnded takes the end of an attempt as evidence.
+func (m *mixerHost) AttemptEnded(now time.Time, a aggregator.AttemptSummary) {
 	if m.table == nil {
 		return
 	}
-	m.table.Outcome(now, health.ID(a.Server), a.Class, a.Shows(now, classes()[a.Class].Aim), a.Sent)
+	m.table.Outcome(now, health.ID(a.Server), a.Class, a.HealthResult(now, classes()[a.Class].Objective), a.Sent)
 }
 
 // checks asks every node, each second.
@@ -280,15 +280,15 @@
 func (m *mixerHost) settle() {
 	changes := m.table.Changes(m.w.now)
 	if len(changes) > 0 {
-		list := aggregator.Members{Kind: balance.ListDelta}
+		list := aggregator.EndpointsChanged{Kind: balance.ListDelta}
 		for _, c := range changes {
 			n := m.w.byID[balance.Replica(c.ID)]
-			m.ev[n.id] = balance.Evidence{Share: c.Share, Most: c.MaxOut, Shun: c.Shun, Trial: c.Trial}
+			m.ev[n.id] = balance.HealthLimits{TrafficFraction: c.Share, MaxInFlight: c.MaxOut, EjectedClasses: c.Shun, HalfOpenClasses: c.Trial}
 			s := m.server(n)
 			if c.State != health.InService && s.State == balance.InService {
 				s.State = balance.Draining
 			}
-			list.List = append(list.List, s)
+			list.Servers = append(list.Servers, s)
 		}
 		m.put(list)
 	}
@@ -320,8 +320,8 @@
 	}
 }
 
-// Withdraw gives an attempt up: it ends at once, as the node has been told by then.
-func (m *mixerHost) Withdraw(_ time.Time, id aggregator.AttemptID, _ bool) {
+// Cancel gives an attempt up: it ends at once, as the node has been told by then.
+func (m *mixerHost) Cancel(_ time.Time, id aggregator.AttemptID, _ bool) {
 	k := m.works[id]
 	if k == nil || k.gone {
 		return
@@ -331,40 +331,40 @@
 		return
 	}
 	if m.w.Planted == "second copy" { // it ends before the node has been told
-		m.put(aggregator.Ended{Attempt: id, Err: &aggregator.AttemptError{Reach: aggregator.Written, Withdrawn: true}})
+		m.put(aggregator.AttemptEnded{Attempt: id, Err: &aggregator.AttemptError{Progress: aggregator.Written, Canceled: true}})
 		return
 	}
 	m.w.at(m.w.now, func() {
 		if m.works[id] == k {
-			m.finish(k, aggregator.Ended{Attempt: id, Err: &aggregator.AttemptError{Reach: aggregator.Written, Withdrawn: true}})
+			m.finish(k, aggregator.AttemptEnded{Attempt: id, Err: &aggregator.AttemptError{Progress: aggregator.Written, Canceled: true}})
 		}
 	})
 }
 
 // Probe asks a node for its load, where mixers do that, and tells nothing elsewhere.
 func (m *mixerHost) Probe(now time.Time, to aggregator.Server) {
-	nothing := aggregator.Probed{Server: to.ID, Err: &aggregator.AttemptError{Reach: aggregator.NotConnected}}
+	nothing := aggregator.ProbeEnded{Server: to.ID, Err: &aggregator.AttemptError{Progress: aggregator.NotConnected}}
 	if !m.w.Words {
 		m.put(nothing)
 		return
 	}
 	n, life := m.w.byID[to.ID], m.life
-	after := func(d time.Duration, e aggregator.Probed) {
+	after := func(d time.Duration, e aggregator.ProbeEnded) {
 		m.w.in(d, func() {
 			if m.life == life {
-				e.Took = m.w.now.Sub(now)
+				e.Elapsed = m.w.now.Sub(now)
 				m.put(e)
 			}
 		})
 	}
 	switch {
 	case n.cut || m.w.between(m.zone, n.zone()):
-		nothing.Err = &aggregator.AttemptError{Reach: aggregator.Written}
+		nothing.Err = &aggregator.AttemptError{Progress: aggregator.Written}
 		after(probeWait, nothing)
 	case !n.up:
 		after(m.w.delay(), nothing)
 	default:
-		after(m.w.delay()+m.w.delay(), aggregator.Probed{Server: to.ID, Report: &balance.Report{Queue: float64(len(n.queue)), InFlight: float64(len(n.out)), Util: -1}})
+		after(m.w.delay()+m.w.delay(), aggregator.ProbeEnded{Server: to.ID, Report: &balance.LoadReport{Queue: float64(len(n.queue)), InFlight: float64(len(n.out)), Utilization: -1}})
 	}
 }
 
@@ -373,10 +373,10 @@
 	if m.works[k.call.Attempt] != k || k.gone || m.w.between(m.zone, k.node.zone()) {
 		return
 	}
-	m.finish(k, aggregator.Ended{Attempt: k.call.Attempt, Err: err, Value: value})
+	m.finish(k, aggregator.AttemptEnded{Attempt: k.call.Attempt, Err: err, Value: value})
 }
 
-func (m *mixerHost) finish(k *work, e aggregator.Ended) {
+func (m *mixerHost) finish(k *work, e aggregator.AttemptEnded) {
 	delete(m.works, k.call.Attempt)
 	m.w.check.over(k)
 	m.put(e)
--- a/internal/testbed/sim/check.go
+++ b/internal/testbed/sim/check.go
@@ -47,8 +47,8 @@
 	if at, told := m.told[n.id]; told && c.w.now.Sub(at) > drainLimit {
 		c.bad("%s goes to %s, %v after it was told to drain or gone", k.call.Name, n.id, c.w.now.Sub(at))
 	}
-	if k.call.Attempt.N >= m.set.MaxAttempts {
-		c.bad("attempt %d of %s", k.call.Attempt.N+1, k.call.Name)
+	if k.call.Attempt.Number >= m.set.MaxAttempts {
+		c.bad("attempt %d of %s", k.call.Attempt.Number+1, k.call.Name)
 	}
 	if id, _, _ := strings.Cut(k.call.Name, "."); c.open[id] == nil {
 		c.bad("%s is sent, and its query is over", k.call.Name)
@@ -84,21 +84,21 @@
 }
 
 // answered: one final answer, in time, with no more than what nodes gave, and whole only if all is in.
-func (c *checker) answered(a *asked, f aggregator.Final) {
+func (c *checker) answered(a *asked, f aggregator.FinalAnswer) {
 	if c.finals[a.id]++; c.finals[a.id] > 1 {
 		c.bad("%s has %d final answers", a.id, c.finals[a.id])
 	}
 	delete(c.open, a.id)
 	r := c.requests[a.id]
 	delete(c.requests, a.id)
-	if late := c.w.now.Sub(r.Arrived.Add(r.Wait)); late > 20*time.Millisecond {
+	if late := c.w.now.Sub(r.Arrived.Add(r.Timeout)); late > 20*time.Millisecond {
 		c.bad("%s is answered %v after its time", a.id, late)
 	}
 	id, _, _ := strings.Cut(a.id, "-")
-	if f.Kind == aggregator.Refused && a.want.class == correction && c.runs[id] > 0 {
+	if f.Status == aggregator.StatusRejected && a.want.class == correction && c.runs[id] > 0 {
 		c.bad("correction %s is refused, and has run", a.id)
 	}
-	if f.Kind != aggregator.Served {
+	if f.Status != aggregator.StatusServed {
 		return
 	}
 	in := 0.0
@@ -110,11 +110,11 @@
 		in += 1 / float64(len(a.names))
 	}
 	class := classes()[a.want.class]
-	if f.Whole && len(f.Items) != len(a.names) {
+	if f.Complete && len(f.Items) != len(a.names) {
 		c.bad("%s is marked whole with %d of %d parts", a.id, len(f.Items), len(a.names))
 	}
-	if in < class.Floor-1e-9 {
-		c.bad("%s is served with %.2f of its weight, under its floor %.2f", a.id, in, class.Floor)
+	if in < class.MinFraction-1e-9 {
+		c.bad("%s is served with %.2f of its weight, under its floor %.2f", a.id, in, class.MinFraction)
 	}
 }
 
@@ -125,7 +125,7 @@
 	}
 	slices.Sort(c.broken)
 	for _, m := range c.w.mixers {
-		if n := m.core.Held(); n > 0 || m.core.Load() > 0 {
+		if n := m.core.OpenQueries(); n > 0 || m.core.Load() > 0 {
 			c.bad("mixer %d holds %d queries, %d of load", m.index, n, m.core.Load())
 		}
 		if len(m.works) > 0 {
--- a/internal/testbed/sim/client.go
+++ b/internal/testbed/sim/client.go
@@ -11,7 +11,7 @@
 // want is what a client wants, over all its tries.
 type want struct {
 	class   int
-	parts   []aggregator.Spec
+	parts   []aggregator.PartSpec
 	tries   int
 	number  int
 	mixer   int
@@ -46,10 +46,10 @@
 	}
 	n = min(n, w.Nodes)
 	for _, s := range w.rng.Perm(w.Nodes)[:n] {
-		q.parts = append(q.parts, aggregator.Spec{Shard: s, Weight: 1 / float64(n)})
+		q.parts = append(q.parts, aggregator.PartSpec{Shard: s, Weight: 1 / float64(n)})
 	}
 	q.giveUp = w.now.Add(classes()[q.class].Deadline)
-	q.inTime = w.now.Add(classes()[q.class].Aim)
+	q.inTime = w.now.Add(classes()[q.class].Objective)
 	w.result.Wanted++
 	w.result.Classes[q.class].Wanted++
 	w.try(q)
@@ -84,46 +84,46 @@
 	for _, p := range q.parts {
 		a.names = append(a.names, fmt.Sprintf("%s.%d", a.id, p.Shard))
 	}
-	r := &aggregator.Request{ID: a.id, Class: q.class, Arrived: w.now, Wait: q.giveUp.Sub(w.now), Retry: q.tries > 1, Parts: q.parts, Front: a}
+	r := &aggregator.Request{ID: a.id, Class: q.class, Arrived: w.now, Timeout: q.giveUp.Sub(w.now), IsRetry: q.tries > 1, Parts: q.parts, Frontend: a}
 	w.check.asked(a, r)
 	w.note("ask", uint64(q.number), uint64(q.tries))
 	for w.mixers[q.mixer].dead { // its connection is refused: it goes to another
 		q.mixer = w.pick()
 	}
 	w.mixers[q.mixer].open[a] = true
-	w.mixers[q.mixer].put(aggregator.Arrive{Request: r})
+	w.mixers[q.mixer].put(aggregator.RequestArrived{Request: r})
 	if w.Planted == "lost query" && q.number == 50 {
-		r.Front = nobody{}
+		r.Frontend = nobody{}
 	}
 }
 
 type nobody struct{}
 
-func (nobody) Answer(aggregator.Final) {}
+func (nobody) Answer(aggregator.FinalAnswer) {}
 
 // Answer takes a try's final answer. A client whose query was refused or failed may try again, while its time lasts.
-func (a *asked) Answer(f aggregator.Final) {
+func (a *asked) Answer(f aggregator.FinalAnswer) {
 	w, q := a.w, a.want
-	w.note("answer", uint64(q.number), uint64(f.Kind))
-	if w.Planted == "dishonest whole" && f.Kind == aggregator.Served && !f.Whole {
-		f.Whole = true
+	w.note("answer", uint64(q.number), uint64(f.Status))
+	if w.Planted == "dishonest whole" && f.Status == aggregator.StatusServed && !f.Complete {
+		f.Complete = true
 	}
 	w.check.answered(a, f)
 	delete(w.mixers[q.mixer].open, a)
-	switch f.Kind {
-	case aggregator.Served:
+	switch f.Status {
+	case aggregator.StatusServed:
 		w.result.Served++
 		w.result.Got++
 		w.result.Classes[q.class].Got++
 		if !w.now.After(q.inTime) {
 			w.result.Classes[q.class].InTime++
 		}
-		if !f.Whole {
+		if !f.Complete {
 			w.result.Partial++
 		}
 		w.result.Took = append(w.result.Took, w.now.Sub(a.began))
 		return
-	case aggregator.Refused:
+	case aggregator.StatusRejected:
 		w.result.Refused++
 	default:
 		w.result.Failed++
--- a/internal/testbed/sim/discovery.go
+++ b/internal/testbed/sim/discovery.go
@@ -31,7 +31,7 @@
 // entry is a line of the list.
 type entry struct {
 	n       *node
-	state   balance.State
+	state   balance.EndpointState
 	started time.Time
 }
 
@@ -47,7 +47,7 @@
 }
 
 // change adds a line and passes it on to open watches.
-func (r *registry) change(n *node, s balance.State) {
+func (r *registry) change(n *node, s balance.EndpointState) {
 	r.lines = append(r.lines, entry{n, s, n.started})
 	for _, m := range r.w.mixers {
 		if m.follow != nil {
@@ -175,13 +175,13 @@
 	f.failed = false
 	f.calls.Heard(f.r.w.now)
 	f.calls.Good()
-	list := aggregator.Members{Kind: balance.ListDelta}
+	list := aggregator.EndpointsChanged{Kind: balance.ListDelta}
 	for ; f.version < len(f.r.lines); f.version++ {
 		e := f.r.lines[f.version]
 		f.m.hears(e)
 		s := f.m.server(e.n)
 		s.State, s.Started = e.state, e.started
-		list.List = append(list.List, s)
+		list.Servers = append(list.Servers, s)
 	}
 	f.m.put(list)
 }
--- a/internal/testbed/sim/replica.go
+++ b/internal/testbed/sim/replica.go
@@ -134,20 +134,20 @@
 	case n.cut:
 		return // nobody will hear of it
 	case !n.up:
-		k.m.ended(k, &aggregator.AttemptError{Reach: aggregator.NotConnected}, "")
+		k.m.ended(k, &aggregator.AttemptError{Progress: aggregator.NotConnected}, "")
 		return
 	case n.drains || len(n.queue) >= queueMost:
-		w.in(w.delay(), func() { k.m.ended(k, &aggregator.AttemptError{Reach: aggregator.Answered, TurnedAway: true}, "") })
+		w.in(w.delay(), func() { k.m.ended(k, &aggregator.AttemptError{Progress: aggregator.Answered, Rejected: true}, "") })
 		return
 	}
 	if n.crowded(k.m) {
-		w.in(w.delay(), func() { k.m.ended(k, &aggregator.AttemptError{Reach: aggregator.Written}, "") })
+		w.in(w.delay(), func() { k.m.ended(k, &aggregator.AttemptError{Progress: aggregator.Written}, "") })
 		n.fall()
 		return
 	}
 	w.check.ran(n, k)
 	if n.rng.Float64() < n.fails {
-		w.in(w.delay(), func() { k.m.ended(k, &aggregator.AttemptError{Reach: aggregator.Answered}, "") })
+		w.in(w.delay(), func() { k.m.ended(k, &aggregator.AttemptError{Progress: aggregator.Answered}, "") })
 		return
 	}
 	n.out[k] = true
@@ -203,7 +203,7 @@
 	}
 	clear(n.out)
 	for _, k := range lost {
-		n.w.in(n.w.delay(), func() { k.m.ended(k, &aggregator.AttemptError{Reach: aggregator.Written}, "") })
+		n.w.in(n.w.delay(), func() { k.m.ended(k, &aggregator.AttemptError{Progress: aggregator.Written}, "") })
 	}
 }
 
@@ -214,7 +214,7 @@
 }
 
 // tell tells all mixers of a node.
-func (r *roster) tell(n *node, s balance.State) {
+func (r *roster) tell(n *node, s balance.EndpointState) {
 	if r.w.Discovery.Kind != "" {
 		r.w.registry.change(n, s)
 		return
