Seal the messages of the loop: Message, Event and AdapterMessage in place of any

A Message is now an event of the core, a function for the loop or an adapter's own; the compiler finds what no one handles. TestPanicsStop posted an error as an event of no kind: it now posts an event that the core has no case for, with the same expectations. Mailbox has a file of its own.

--- a/internal/aggregator/core.go
+++ b/internal/aggregator/core.go
@@ -164,7 +164,7 @@
 
 // Turn takes events, lets the decisions act on them, and returns when the next turn is due at the latest;
 // zero if nothing is.
-func (c *Core) Turn(now time.Time, events []any) (next time.Time) {
+func (c *Core) Turn(now time.Time, events []Event) (next time.Time) {
 	c.now = now
 	var told []balance.Event
 	for _, e := range events {
@@ -262,7 +262,7 @@
 	return next
 }
 
-func (c *Core) event(now time.Time, e any, told []balance.Event) []balance.Event {
+func (c *Core) event(now time.Time, e Event, told []balance.Event) []balance.Event {
 	switch e := e.(type) {
 	case RequestArrived:
 		return c.arrive(now, e.Request, told)
@@ -652,7 +652,7 @@
 
 // Restart gives every open query its final answer and goes on with new decisions. Guards the process, and the
 // queries it holds, against a panic in a turn: nothing of them is sent again.
-func (c *Core) Restart(now time.Time, fresh *balance.Balancer, events []any) {
+func (c *Core) Restart(now time.Time, fresh *balance.Balancer, events []Event) {
 	c.now = now
 	c.Counters.Panics++
 	for _, q := range c.all() {
--- a/internal/aggregator/core_test.go
+++ b/internal/aggregator/core_test.go
@@ -1,7 +1,6 @@
 package aggregator
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -71,7 +70,7 @@
 	return w
 }
 
-func (w *world) turn(events ...any) time.Time { return w.c.Turn(w.now, events) }
+func (w *world) turn(events ...Event) time.Time { return w.c.Turn(w.now, events) }
 
 func (w *world) ask(id string, class, parts int) *Request {
 	r := &Request{ID: id, Class: class, Arrived: w.now, Timeout: 3 * time.Second, Payload: "text", Frontend: asker{w, id}}
@@ -86,7 +85,7 @@
 func (w *world) end(err error) {
 	calls := w.calls
 	w.calls, w.to = nil, nil
-	var events []any
+	var events []Event
 	for _, c := range calls {
 		events = append(events, AttemptEnded{Attempt: c.Attempt, Err: err, Score: float64(c.Shard), Value: c.Name})
 	}
@@ -262,17 +261,26 @@
 	}
 }
 
-// stuck is an adapter whose events are functions.
+// stuck is an adapter whose messages are functions that it calls.
 type stuck struct{}
 
-func (stuck) Handle(_ time.Time, e any) ([]any, bool) {
-	if f, ok := e.(func()); ok {
+type callFunc func()
+
+func (callFunc) message() {}
+
+// unknownEvent is an event that the core has no case for.
+type unknownEvent struct{ AdapterMessage }
+
+func (unknownEvent) event() {}
+
+func (stuck) Handle(_ time.Time, e Message) ([]Event, bool) {
+	if f, ok := e.(callFunc); ok {
 		f()
 		return nil, true
 	}
 	return nil, false
 }
-func (stuck) Sweep(time.Time) ([]any, time.Time) { return nil, time.Time{} }
+func (stuck) Sweep(time.Time) ([]Event, time.Time) { return nil, time.Time{} }
 
 type stopped struct{ w *world }
 
@@ -284,7 +292,7 @@
 	w := newWorld(t)
 	box := NewMailbox()
 	l := &Loop{Core: w.c, Mailbox: box, Adapter: stuck{}, Clock: stopped{w}, NewBalancer: func() (*balance.Balancer, error) { return balance.New(settings()) }}
-	box.Put(func() { panic("an event") })
+	box.Put(callFunc(func() { panic("an event") }))
 	r := &Request{ID: "panics", Class: 99, Arrived: w.now, Timeout: time.Second, Frontend: asker{w, "panics"}}
 	box.Put(RequestArrived{r})
 	l.RunTurn()
@@ -293,7 +301,7 @@
 	}
 	w.ask("open", 1, 1)
 	late := &Request{ID: "late", Arrived: w.now, Timeout: time.Second, Frontend: asker{w, "late"}}
-	box.Put(errors.New("an event of no kind"))
+	box.Put(unknownEvent{})
 	box.Put(RequestArrived{late})
 	l.RunTurn()
 	if w.one("open").Status != StatusFailed || w.one("late").Status != StatusFailed || w.c.OpenQueries() != 0 || len(w.withdrawn) != 1 {
@@ -362,7 +370,7 @@
 	o := newWorld(t)
 	o.c.Outliers = losses()
 	o.turn(EndpointsChanged{Kind: balance.ListFull, Servers: []Server{{ID: "a", Addr: "a:1", Cell: 0}, {ID: "b", Addr: "b:1", Cell: 1}}})
-	var words []any
+	var words []Event
 	for range 30 {
 		words = append(words, GossipReceived{Payload: told[0]})
 	}
--- a/internal/aggregator/crossings_test.go
+++ b/internal/aggregator/crossings_test.go
@@ -132,7 +132,7 @@
 		c := w.calls[0]
 		w.calls, w.to = nil, nil
 		w.turn(EndpointsChanged{Kind: balance.ListDelta, Servers: []Server{{ID: "a", Addr: "a:1"}}})
-		events := []any{AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: Written}}}
+		events := []Event{AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: Written}}}
 		if drains {
 			events = append(events, drain)
 		}
@@ -178,7 +178,7 @@
 		w.calls, w.to = nil, nil
 		w.now = w.now.Add(r.Timeout)
 		ended, left := AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: NotConnected}}, ClientDisconnected{r}
-		w.turn([][]any{{ended, left}, {left, ended}, {ended}, {left}, {}, {left, left}}[i]...)
+		w.turn([][]Event{{ended, left}, {left, ended}, {ended}, {left}, {}, {left, left}}[i]...)
 		w.turn(ended, left)
 		if len(w.calls) != 0 || w.c.OpenQueries() != 0 || len(w.finals["q"]) > 1 {
 			t.Errorf("%d: sent %d, held %d, %d answers", i, len(w.calls), w.c.OpenQueries(), len(w.finals["q"]))
--- a/internal/aggregator/held_test.go
+++ b/internal/aggregator/held_test.go
@@ -37,7 +37,7 @@
 	for i := range nodes {
 		list = append(list, Server{ID: balance.Replica(fmt.Sprint("n", i)), Addr: "x", Cell: i})
 	}
-	events := []any{EndpointsChanged{Kind: balance.ListFull, Servers: list}}
+	events := []Event{EndpointsChanged{Kind: balance.ListFull, Servers: list}}
 	for i := range held {
 		events = append(events, RequestArrived{&Request{ID: fmt.Sprint("h", i), Class: 1, Arrived: begin, Timeout: time.Hour, Frontend: mute{}, Parts: []PartSpec{{Shard: i % nodes, Weight: 1}}}})
 	}
@@ -58,8 +58,8 @@
 				b.ResetTimer()
 				for i := range b.N {
 					now = now.Add(time.Millisecond)
-					c.Turn(now, []any{RequestArrived{&Request{ID: fmt.Sprint("q", i), Class: 0, Arrived: now, Timeout: time.Hour, Frontend: mute{}, Parts: []PartSpec{{Shard: i % nodes, Weight: 1}}}}})
-					var ends []any
+					c.Turn(now, []Event{RequestArrived{&Request{ID: fmt.Sprint("q", i), Class: 0, Arrived: now, Timeout: time.Hour, Frontend: mute{}, Parts: []PartSpec{{Shard: i % nodes, Weight: 1}}}}})
+					var ends []Event
 					for _, s := range back.sent {
 						ends = append(ends, AttemptEnded{Attempt: s.Attempt, Value: "v"})
 					}
--- a/internal/aggregator/loop.go
+++ b/internal/aggregator/loop.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"sync"
 	"time"
 
 	"rooktrestle/balance"
@@ -26,69 +25,16 @@
 	return timer.C, func() { timer.Stop() }
 }
 
-// Mailbox gathers what happens until a loop takes it. Put never blocks.
-type Mailbox struct {
-	mu      sync.Mutex
-	items   []any
-	waiting int // of them that brought on no turn
-	ready   chan struct{}
-}
-
-// NewMailbox returns an empty Mailbox.
-func NewMailbox() *Mailbox { return &Mailbox{ready: make(chan struct{}, 1)} }
-
-// Put adds an event.
-func (m *Mailbox) Put(e any) {
-	m.mu.Lock()
-	m.items = append(m.items, e)
-	m.mu.Unlock()
-	m.signal()
-}
-
-func (m *Mailbox) signal() {
-	select {
-	case m.ready <- struct{}{}:
-	default:
-	}
-}
-
-// patience is how many events that may wait are gathered before they bring on a turn of their own.
-const patience = 32
-
-// PutDeferred adds an event that may wait for the next turn, whatever brings that on. Guards the processor's time:
-// with many mixers one hears a word every other millisecond.
-func (m *Mailbox) PutDeferred(e any) {
-	m.mu.Lock()
-	m.items = append(m.items, e)
-	m.waiting++
-	due := m.waiting >= patience
-	m.mu.Unlock()
-	if due {
-		m.signal()
-	}
-}
-
-// Take removes all that is there.
-func (m *Mailbox) Take() []any {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	items := m.items
-	m.items, m.waiting = nil, 0
-	return items
-}
-
-// Ready delivers when there may be something to take.
-func (m *Mailbox) Ready() <-chan struct{} { return m.ready }
-
-// Adapter is an adapter's state that lives on the loop.
+// Adapter is the state of a backend or another neighbour of the core that lives on the loop. Its methods are called by
+// the loop only.
 type Adapter interface {
-	// Handle takes an event of the adapter's own and says whether it was one; it returns core events.
-	Handle(now time.Time, e any) (events []any, mine bool)
-	// Sweep does what is due and returns when more is; zero if nothing is.
-	Sweep(now time.Time) (events []any, next time.Time)
+	// Handle takes a message and reports whether it was one of the adapter's own; it returns events for the core.
+	Handle(now time.Time, message Message) (events []Event, mine bool)
+	// Sweep does what is due and returns when it is to be called again; zero if nothing is due.
+	Sweep(now time.Time) (events []Event, next time.Time)
 }
 
-// RunOnLoop is run on the loop, between turns.
+// RunOnLoop is a function that the loop runs between turns.
 type RunOnLoop func()
 
 // Loop gathers what is ready, hands it to the core in one turn, and waits for more.
@@ -125,13 +71,16 @@
 func (l *Loop) RunTurn() time.Time {
 	now := l.Clock.Now()
 	events, adapterDue := l.Adapter.Sweep(now)
-	for _, e := range l.Mailbox.Take() {
-		if f, ok := e.(RunOnLoop); ok {
-			f()
-		} else if more, mine := l.handle(now, e); mine {
+	for _, message := range l.Mailbox.Take() {
+		if run, ok := message.(RunOnLoop); ok {
+			run()
+		} else if more, mine := l.handle(now, message); mine {
 			events = append(events, more...)
+		} else if event, ok := message.(Event); ok {
+			events = append(events, event)
 		} else {
-			events = append(events, e)
+			l.Core.Counters.Panics++ // a mistake in the program: the message is dropped
+			fmt.Fprintf(os.Stderr, "message %T: no adapter takes it\n", message)
 		}
 	}
 	next := l.turn(now, events)
@@ -142,20 +91,20 @@
 }
 
 // handle stops a panic at the event: what hung on it ends by its deadline.
-func (l *Loop) handle(now time.Time, e any) (events []any, mine bool) {
+func (l *Loop) handle(now time.Time, message Message) (events []Event, mine bool) {
 	defer func() {
 		if p := recover(); p != nil {
 			l.Core.Counters.Panics++
-			fmt.Fprintf(os.Stderr, "event %T: panic: %v\n", e, p)
+			fmt.Fprintf(os.Stderr, "event %T: panic: %v\n", message, p)
 			events, mine = nil, true
 		}
 	}()
-	return l.Adapter.Handle(now, e)
+	return l.Adapter.Handle(now, message)
 }
 
 // turn stops a panic in the core or the decisions: open queries get their final answer, and new ones are
 // decided anew.
-func (l *Loop) turn(now time.Time, events []any) (next time.Time) {
+func (l *Loop) turn(now time.Time, events []Event) (next time.Time) {
 	defer func() {
 		if p := recover(); p != nil {
 			fmt.Fprintf(os.Stderr, "turn: panic: %v\n", p)
--- a/internal/aggregator/mailbox_test.go
+++ b/internal/aggregator/mailbox_test.go
@@ -2,8 +2,8 @@
 
 import "testing"
 
-// Words of many peers must not bring on a turn each; but they do not wait for ever either.
-func TestWhatMayWaitBringsOnNoTurn(t *testing.T) {
+// Gossip of many peers must not cost a turn each; but it does not wait for ever either.
+func TestMailbox_DeferredMessagesWakeTheLoopTogether(t *testing.T) {
 	ready := func(m *Mailbox) bool {
 		select {
 		case <-m.Ready():
@@ -13,19 +13,19 @@
 		}
 	}
 	m := NewMailbox()
-	for range patience - 1 {
-		m.PutDeferred(1)
+	for range maxDeferred - 1 {
+		m.PutDeferred(GossipReceived{})
 	}
 	if ready(m) {
-		t.Error("a turn is due before the patience is over")
+		t.Error("the loop is woken before enough messages are deferred")
 	}
-	if m.PutDeferred(1); !ready(m) || len(m.Take()) != patience {
-		t.Error("what waits was not handed over in the end")
+	if m.PutDeferred(GossipReceived{}); !ready(m) || len(m.Take()) != maxDeferred {
+		t.Error("deferred messages were not handed over in the end")
 	}
-	if m.PutDeferred(1); ready(m) {
-		t.Error("the patience was not renewed")
+	if m.PutDeferred(GossipReceived{}); ready(m) {
+		t.Error("the count of deferred messages did not begin anew")
 	}
-	if m.Put(2); !ready(m) || len(m.Take()) != 2 {
-		t.Error("an event takes along what waits")
+	if m.Put(RequestArrived{}); !ready(m) || len(m.Take()) != 2 {
+		t.Error("a message does not take the deferred ones along")
 	}
 }
--- a/internal/aggregator/ports.go
+++ b/internal/aggregator/ports.go
@@ -97,9 +97,6 @@
 // GossipSender carries words to the other mixers of the tier, as far as it can.
 type GossipSender interface{ Broadcast(text []byte) }
 
-// GossipReceived is a message from another mixer, as it came.
-type GossipReceived struct{ Payload []byte }
-
 // Directory says what is known of a server; Core is one.
 type Directory interface {
 	// Available says whether new work may go to a server by now.
@@ -249,42 +246,6 @@
 	Epoch             shardmap.Epoch // of the view; 0: there is none
 }
 
-// Events of the core.
-type (
-	// RequestArrived is a new request.
-	RequestArrived struct{ Request *Request }
-	// ClientDisconnected says that a request's client has gone away.
-	ClientDisconnected struct{ Request *Request }
-	// AttemptEnded ends an attempt.
-	AttemptEnded struct {
-		Attempt AttemptID
-		Err     error // nil: served
-		Score   float64
-		Value   string
-		Report  *balance.LoadReport
-	}
-	// ProbeEnded ends a probe.
-	ProbeEnded struct {
-		Server  balance.Replica
-		Err     error
-		Elapsed time.Duration
-		Report  *balance.LoadReport
-	}
-	// LateAnswer says that a server answered an attempt after it was given up: it lives, and is behind.
-	LateAnswer struct{ Server balance.Replica }
-	// ShardMapOffered is word of a source of maps. Map is nil where it has nothing newer.
-	ShardMapOffered struct {
-		Source string
-		Map    *shardmap.Map
-		Err    error // why it has none
-	}
-	// EndpointsChanged is word from discovery.
-	EndpointsChanged struct {
-		Kind    balance.ListKind
-		Servers []Server
-	}
-)
-
 // Counters count what a mixer took in, sent and answered.
 type Counters struct {
 	Received, Served, Partial, Rejected, Failed, Disconnected uint64
--- a/internal/app/evidence.go
+++ b/internal/app/evidence.go
@@ -21,7 +21,7 @@
 	held    map[health.ID]map[int]bool // active blocks, where they come from a map
 	aims    []time.Duration            // of each class
 	log     *slog.Logger
-	box     interface{ Put(any) }
+	box     aggregator.Poster
 	asked   bool // a settle event is under way
 	changes uint64
 	version uint64 // counts whatever changes what is usable
@@ -29,15 +29,16 @@
 
 // checked is the result of one check, posted to the loop.
 type checked struct {
+	aggregator.AdapterMessage
 	server health.ID
 	source int
 	result healthcheck.Result
 }
 
 // settle makes the loop look at what parts have shown.
-type settle struct{}
+type settle struct{ aggregator.AdapterMessage }
 
-func newEvidence(conf *config.Partners, list []aggregator.Server, now time.Time, box interface{ Put(any) }, log *slog.Logger) (*evidence, error) {
+func newEvidence(conf *config.Partners, list []aggregator.Server, now time.Time, box aggregator.Poster, log *slog.Logger) (*evidence, error) {
 	table, err := health.New(conf.Rules(), conf.Sources(), now)
 	if err != nil {
 		return nil, err
@@ -123,8 +124,8 @@
 }
 
 // Handle takes results of checks.
-func (e *evidence) Handle(now time.Time, ev any) ([]any, bool) {
-	switch ev := ev.(type) {
+func (e *evidence) Handle(now time.Time, message aggregator.Message) ([]aggregator.Event, bool) {
+	switch ev := message.(type) {
 	case checked:
 		e.table.Check(now, ev.server, ev.source, ev.result.Report)
 	case settle:
@@ -136,7 +137,7 @@
 }
 
 // Sweep does what is due.
-func (e *evidence) Sweep(now time.Time) ([]any, time.Time) {
+func (e *evidence) Sweep(now time.Time) ([]aggregator.Event, time.Time) {
 	events := e.settled(now)
 	next, _ := e.table.Next()
 	return events, next
@@ -145,7 +146,7 @@
 var states = map[health.State]balance.EndpointState{health.InService: balance.InService, health.Draining: balance.Draining, health.Out: balance.Removed}
 
 // settled turns what has changed into word of the list. Each change of a conclusion is logged once, with its cause.
-func (e *evidence) settled(now time.Time) []any {
+func (e *evidence) settled(now time.Time) []aggregator.Event {
 	changes := e.table.Changes(now)
 	if len(changes) == 0 {
 		return nil
@@ -170,16 +171,16 @@
 		s.HealthLimits = balance.HealthLimits{TrafficFraction: c.Share, MaxInFlight: c.MaxOut, EjectedClasses: c.Shun, HalfOpenClasses: c.Trial}
 		m.Servers = append(m.Servers, s)
 	}
-	return []any{m}
+	return []aggregator.Event{m}
 }
 
 // adapters are several adapters of one loop.
 type adapters []aggregator.Adapter
 
 // Handle gives an event to the adapter that it is of.
-func (as adapters) Handle(now time.Time, e any) ([]any, bool) {
+func (as adapters) Handle(now time.Time, message aggregator.Message) ([]aggregator.Event, bool) {
 	for _, a := range as {
-		if events, mine := a.Handle(now, e); mine {
+		if events, mine := a.Handle(now, message); mine {
 			return events, true
 		}
 	}
@@ -187,7 +188,7 @@
 }
 
 // Sweep lets each do what is due.
-func (as adapters) Sweep(now time.Time) (events []any, next time.Time) {
+func (as adapters) Sweep(now time.Time) (events []aggregator.Event, next time.Time) {
 	for _, a := range as {
 		more, due := a.Sweep(now)
 		events = append(events, more...)
--- a/internal/app/partners.go
+++ b/internal/app/partners.go
@@ -141,7 +141,7 @@
 }
 
 // addChecks gives each check of each server to the background.
-func (p *Partners) addChecks(box interface{ Put(any) }) {
+func (p *Partners) addChecks(box aggregator.Poster) {
 	for _, s := range p.conf.Servers {
 		for _, one := range checksOf(p.conf, s) {
 			f := one.Profile
@@ -149,7 +149,7 @@
 			p.runner.Add(scheduler.Task{Priority: scheduler.Normal, Every: f.Every.Duration, Fast: f.Fast.Duration, FastFor: f.FastFor,
 				Slow: f.Slow.Duration}, f.Every.Duration/4, func() (scheduler.Pace, bool) {
 				res := one.Run()
-				box.Put(checked{id, one.source, res})
+				box.Put(checked{server: id, source: one.source, result: res})
 				pace := scheduler.Steady
 				now := res.Report
 				switch {
--- a/internal/app/readiness.go
+++ b/internal/app/readiness.go
@@ -38,10 +38,10 @@
 }
 
 // Handle takes nothing.
-func (*word) Handle(time.Time, any) ([]any, bool) { return nil, false }
+func (*word) Handle(time.Time, aggregator.Message) ([]aggregator.Event, bool) { return nil, false }
 
 // Sweep makes the word when it is due.
-func (w *word) Sweep(now time.Time) ([]any, time.Time) {
+func (w *word) Sweep(now time.Time) ([]aggregator.Event, time.Time) {
 	if now.Before(w.due) {
 		return nil, w.due
 	}
--- a/internal/app/shardmaps.go
+++ b/internal/app/shardmaps.go
@@ -24,7 +24,7 @@
 	conf     *config.Partners
 	views    *shardmap.Views // on the loop
 	evidence *evidence
-	box      interface{ Put(any) }
+	box      aggregator.Poster
 	log      *slog.Logger
 	wake     chan struct{}
 	epoch    atomic.Uint64 // adopted
@@ -34,7 +34,7 @@
 	running  sync.WaitGroup
 }
 
-func newMaps(conf *config.Partners, e *evidence, box interface{ Put(any) }, log *slog.Logger) (*maps, error) {
+func newMaps(conf *config.Partners, e *evidence, box aggregator.Poster, log *slog.Logger) (*maps, error) {
 	views, err := shardmap.NewViews(conf.Blocks.Rules())
 	if err != nil {
 		return nil, err
--- a/internal/backend/leaf/crossings_test.go
+++ b/internal/backend/leaf/crossings_test.go
@@ -63,7 +63,7 @@
 }
 
 // until takes what is posted until one event of it is as wanted.
-func (b *bench) until(is func(e any) bool) {
+func (b *bench) until(is func(e aggregator.Message) bool) {
 	b.t.Helper()
 	for found := false; !found; {
 		events := b.box.Take()
@@ -77,10 +77,10 @@
 	}
 }
 
-func (b *bench) handle(e any) {
+func (b *bench) handle(e aggregator.Message) {
 	events, mine := b.p.Handle(b.now, e)
 	if !mine {
-		events = []any{e}
+		events = []aggregator.Event{e.(aggregator.Event)}
 	}
 	for _, e := range events {
 		if ended, ok := e.(aggregator.AttemptEnded); ok {
@@ -103,12 +103,12 @@
 	return l, err
 }
 
-func isWrote(e any) bool  { _, ok := e.(wrote); return ok }
-func isTold(e any) bool   { _, ok := e.(told); return ok }
-func isFramed(e any) bool { _, ok := e.(framed); return ok }
-func isDialed(e any) bool { _, ok := e.(dialed); return ok }
+func isWrote(e aggregator.Message) bool  { _, ok := e.(wrote); return ok }
+func isTold(e aggregator.Message) bool   { _, ok := e.(told); return ok }
+func isFramed(e aggregator.Message) bool { _, ok := e.(framed); return ok }
+func isDialed(e aggregator.Message) bool { _, ok := e.(dialed); return ok }
 
-func isAborted(e any) bool { _, ok := e.(aborted); return ok }
+func isAborted(e aggregator.Message) bool { _, ok := e.(aborted); return ok }
 
 // leafServer accepts connections for the test to read and write.
 type leafServer struct {
@@ -466,7 +466,7 @@
 	second := b.send(time.Time{})
 	b.until(isWrote)
 	close(let)
-	b.until(func(e any) bool { _, ok := e.(closed); return ok })
+	b.until(func(e aggregator.Message) bool { _, ok := e.(closed); return ok })
 	if a := b.attemptError(1, second); a.Canceled || a.Progress != aggregator.NotConnected {
 		t.Errorf("%+v", a) // the link knew, so that no byte left
 	}
--- a/internal/backend/leaf/pool.go
+++ b/internal/backend/leaf/pool.go
@@ -68,14 +68,14 @@
 type Pool struct {
 	Stats Stats
 	lim   Limits
-	box   interface{ Put(any) }
+	box   aggregator.Poster
 	dial  func(c *conn, addr string, timeout time.Duration) // starts; posts dialed
 	open  Directory
 	hosts map[balance.Replica]*host
 	calls map[aggregator.AttemptID]*attempt
 	total int
-	soon  []any // core events of the socket event in hand
-	busy  bool  // one is in hand
+	soon  []aggregator.Event // core events of the socket event in hand
+	busy  bool               // one is in hand
 }
 
 type host struct {
@@ -146,6 +146,7 @@
 // events of the sockets
 type (
 	dialed struct {
+		aggregator.AdapterMessage
 		c    *conn
 		link Link
 		err  error
@@ -153,30 +154,35 @@
 	// framed is what came at once: whole frames, and then perhaps the beginning of another, or what cannot be
 	// read. It is one event, so that nothing is sent on the connection between an answer and the noise behind it.
 	framed struct {
+		aggregator.AdapterMessage
 		c       *conn
 		frames  []Frame
 		partial bool
 		err     error
 	}
 	closed struct {
+		aggregator.AdapterMessage
 		c   *conn
 		err error
 	}
 	aborted struct { // by this side, and its socket is closed now
+		aggregator.AdapterMessage
 		c *conn
 	}
 	wrote struct {
+		aggregator.AdapterMessage
 		c     *conn
 		parts []*attempt
 		how   tcp.Wrote
 	}
 	told struct { // a frame 2 left, or its connection broke
+		aggregator.AdapterMessage
 		a *attempt
 	}
 )
 
 // NewPool returns a pool that posts to box. dial is DialTCP in the program.
-func NewPool(lim Limits, box interface{ Put(any) }, dial Dial) *Pool {
+func NewPool(lim Limits, box aggregator.Poster, dial Dial) *Pool {
 	p := &Pool{lim: lim, box: box, hosts: map[balance.Replica]*host{}, calls: map[aggregator.AttemptID]*attempt{}}
 	p.dial = func(c *conn, addr string, timeout time.Duration) {
 		go func() {
@@ -204,7 +210,7 @@
 // reader reads frames off a link and posts them.
 type reader struct {
 	c       *conn
-	box     interface{ Put(any) }
+	box     aggregator.Poster
 	parser  Parser
 	partial bool // as last posted
 	bad     bool
@@ -232,7 +238,7 @@
 	r.partial = e.partial
 }
 
-func (r *reader) Closed(err error) { r.box.Put(closed{r.c, err}) }
+func (r *reader) Closed(err error) { r.box.Put(closed{c: r.c, err: err}) }
 
 func (p *Pool) host(id balance.Replica) *host {
 	h := p.hosts[id]
@@ -357,7 +363,7 @@
 	default:
 		p.drop(c)
 		c.cause = cause
-		c.link.Abort(cause, func() { p.box.Put(aborted{c}) })
+		c.link.Abort(cause, func() { p.box.Put(aborted{c: c}) })
 	}
 }
 
@@ -374,7 +380,7 @@
 	}
 	c.used = now
 	parts := g.parts
-	c.link.WriteWithin(within, callFrame(now, calls), func(how tcp.Wrote) { p.box.Put(wrote{c, parts, how}) })
+	c.link.WriteWithin(within, callFrame(now, calls), func(how tcp.Wrote) { p.box.Put(wrote{c: c, parts: parts, how: how}) })
 }
 
 // Cancel gives an attempt up; it ends once the server has been told, as far as that can be known. Where the part may be
@@ -411,7 +417,7 @@
 		c.probes = append(c.probes, &probe{host: a.host, conn: c, sent: now, until: now.Add(p.lim.ConnectTimeout + slack), proves: a})
 		frame = Append(frame, letterProbe, nil)
 	}
-	c.link.Write(frame, func(tcp.Wrote) { p.box.Put(told{a}) })
+	c.link.Write(frame, func(tcp.Wrote) { p.box.Put(told{a: a}) })
 }
 
 // givenUpAll says whether all that is out on a connection was given up.
@@ -450,7 +456,7 @@
 }
 
 // emit passes a core event on: with the socket event in hand, or to a later turn if the core called.
-func (p *Pool) emit(e any) {
+func (p *Pool) emit(e aggregator.Event) {
 	if p.busy {
 		p.soon = append(p.soon, e)
 	} else {
@@ -483,7 +489,7 @@
 	p.emit(aggregator.ProbeEnded{Server: pr.host.id, Err: err, Elapsed: now.Sub(pr.sent), Report: r})
 }
 
-func (p *Pool) flush() []any {
+func (p *Pool) flush() []aggregator.Event {
 	p.busy = false
 	events := p.soon
 	p.soon = nil
@@ -491,9 +497,9 @@
 }
 
 // Handle takes what a socket posted.
-func (p *Pool) Handle(now time.Time, e any) ([]any, bool) {
+func (p *Pool) Handle(now time.Time, message aggregator.Message) ([]aggregator.Event, bool) {
 	p.busy = true
-	switch e := e.(type) {
+	switch e := message.(type) {
 	case dialed:
 		p.dialed(now, e)
 	case framed:
@@ -767,7 +773,7 @@
 }
 
 // Sweep ends probes that are overdue and closes connections before their idle limit.
-func (p *Pool) Sweep(now time.Time) ([]any, time.Time) {
+func (p *Pool) Sweep(now time.Time) ([]aggregator.Event, time.Time) {
 	p.busy = true
 	var next time.Time
 	sooner := func(t time.Time) {
--- a/internal/backend/leaf/pool_test.go
+++ b/internal/backend/leaf/pool_test.go
@@ -19,7 +19,7 @@
 	t       *testing.T
 	p       *Pool
 	now     time.Time
-	box     []any
+	box     []aggregator.Message
 	dials   []*conn
 	links   []*link
 	drained bool
@@ -141,7 +141,7 @@
 	}
 	done := l.abort
 	l.closed, l.abort = true, nil
-	l.r.box = append(l.r.box, closed{l.c, errors.New("broken")})
+	l.r.box = append(l.r.box, closed{c: l.c, err: errors.New("broken")})
 	if done != nil {
 		defer done()
 	}
@@ -150,7 +150,7 @@
 	}
 }
 
-func (r *rig) Put(e any)                      { r.box = append(r.box, e) }
+func (r *rig) Put(e aggregator.Message)       { r.box = append(r.box, e) }
 func (r *rig) Available(balance.Replica) bool { return !r.drained }
 
 func (r *rig) Server(id balance.Replica) aggregator.Server {
@@ -243,7 +243,7 @@
 		r.box = r.box[1:]
 		events, mine := r.p.Handle(r.now, e)
 		if !mine {
-			events = []any{e}
+			events = []aggregator.Event{e.(aggregator.Event)}
 		}
 		for _, e := range events {
 			if ended, ok := e.(aggregator.AttemptEnded); ok {
@@ -476,7 +476,7 @@
 	var next time.Time
 	for _, at := range []time.Duration{0, partialFor} {
 		r.now = r.now.Add(at)
-		var events []any
+		var events []aggregator.Event
 		if events, next = r.p.Sweep(r.now); len(events) > 0 {
 			t.Errorf("%+v", events)
 		}
@@ -541,7 +541,7 @@
 	r.links[0].end(tcp.All)
 	r.turn()
 	r.dialed(nil)
-	var got []any
+	var got []aggregator.Message
 	for len(r.box) > 0 {
 		got, r.box = append(got, r.box[0]), r.box[1:]
 	}
@@ -554,7 +554,7 @@
 func TestProbes(t *testing.T) {
 	r := newRig(t)
 	var got []aggregator.ProbeEnded
-	take := func(events []any) {
+	take := func(events []aggregator.Event) {
 		for _, e := range events {
 			if p, ok := e.(aggregator.ProbeEnded); ok {
 				got = append(got, p)
--- a/internal/backend/serialconn/pool.go
+++ b/internal/backend/serialconn/pool.go
@@ -70,14 +70,14 @@
 type Pool struct {
 	Stats Stats
 	lim   Limits
-	box   interface{ Put(any) }
+	box   aggregator.Poster
 	codec func(balance.Replica) Codec
 	start func(c *conn, addr string, codec Codec) // dials off the loop; posts dialed
 	open  aggregator.Directory
 	idle  map[balance.Replica][]*conn
 	calls map[aggregator.AttemptID]*attempt
 	total int
-	soon  []any
+	soon  []aggregator.Event
 	busy  bool
 	young map[*conn]time.Time // greeting since
 }
@@ -104,26 +104,30 @@
 // events of the sockets
 type (
 	dialed struct {
+		aggregator.AdapterMessage
 		c    *conn
 		link Link
 		err  error
 	}
 	replied struct {
+		aggregator.AdapterMessage
 		c *conn
 		r Reply
 	}
 	closed struct {
+		aggregator.AdapterMessage
 		c   *conn
 		err error
 	}
 	wrote struct {
+		aggregator.AdapterMessage
 		a   *attempt
 		how tcp.Wrote
 	}
 )
 
 // NewPool returns a pool that posts to box.
-func NewPool(lim Limits, box interface{ Put(any) }, dial Dial, codec func(balance.Replica) Codec) *Pool {
+func NewPool(lim Limits, box aggregator.Poster, dial Dial, codec func(balance.Replica) Codec) *Pool {
 	p := &Pool{
 		lim: lim, box: box, codec: codec,
 		idle: map[balance.Replica][]*conn{}, calls: map[aggregator.AttemptID]*attempt{}, young: map[*conn]time.Time{},
@@ -149,7 +153,7 @@
 // reader reads answers off a link and posts them.
 type reader struct {
 	c      *conn
-	box    interface{ Put(any) }
+	box    aggregator.Poster
 	parser Parser
 	bad    bool
 }
@@ -160,21 +164,21 @@
 	}
 	replies, err := r.parser.Feed(b)
 	for _, one := range replies {
-		r.box.Put(replied{r.c, one})
+		r.box.Put(replied{c: r.c, r: one})
 	}
 	if err != nil { // an answer that cannot be read ends the connection
 		r.bad = true
-		r.box.Put(closed{r.c, err})
+		r.box.Put(closed{c: r.c, err: err})
 	}
 }
 
 func (r *reader) Closed(err error) {
 	if !r.bad {
 		for _, one := range r.parser.End() {
-			r.box.Put(replied{r.c, one})
+			r.box.Put(replied{c: r.c, r: one})
 		}
 	}
-	r.box.Put(closed{r.c, err})
+	r.box.Put(closed{c: r.c, err: err})
 }
 
 // Send starts each attempt on a connection of its own.
@@ -283,7 +287,7 @@
 	}
 	a.written = aggregator.Written // until the link says otherwise
 	c.used = now
-	c.link.Write(frame, func(how tcp.Wrote) { p.box.Put(wrote{a, how}) })
+	c.link.Write(frame, func(how tcp.Wrote) { p.box.Put(wrote{a: a, how: how}) })
 }
 
 // rest makes a connection idle.
@@ -319,7 +323,7 @@
 	p.emit(aggregator.ProbeEnded{Server: to.ID, Err: &aggregator.AttemptError{Progress: aggregator.NotConnected}})
 }
 
-func (p *Pool) emit(e any) {
+func (p *Pool) emit(e aggregator.Event) {
 	if p.busy {
 		p.soon = append(p.soon, e)
 	} else {
@@ -343,10 +347,10 @@
 }
 
 // Handle takes what a socket posted.
-func (p *Pool) Handle(now time.Time, e any) ([]any, bool) {
+func (p *Pool) Handle(now time.Time, message aggregator.Message) ([]aggregator.Event, bool) {
 	p.busy = true
 	defer func() { p.busy = false }()
-	switch e := e.(type) {
+	switch e := message.(type) {
 	case dialed:
 		p.dialed(now, e)
 	case replied:
@@ -461,7 +465,7 @@
 }
 
 // Sweep closes connections before their idle limit.
-func (p *Pool) Sweep(now time.Time) ([]any, time.Time) {
+func (p *Pool) Sweep(now time.Time) ([]aggregator.Event, time.Time) {
 	var next time.Time
 	for _, list := range p.idle {
 		for _, c := range slices.Clone(list) {
--- a/internal/backend/serialconn/pool_test.go
+++ b/internal/backend/serialconn/pool_test.go
@@ -17,7 +17,7 @@
 	t       *testing.T
 	p       *Pool
 	now     time.Time
-	box     []any
+	box     []aggregator.Message
 	links   []*link
 	drained bool
 	greets  bool
@@ -83,13 +83,13 @@
 		return
 	}
 	l.closed = true
-	l.r.Put(closed{l.c, errors.New("broken")})
+	l.r.Put(closed{c: l.c, err: errors.New("broken")})
 	for how := first; len(l.queue) > 0; how = tcp.Nothing {
 		l.settle(how)
 	}
 }
 
-func (r *rig) Put(e any)                      { r.box = append(r.box, e) }
+func (r *rig) Put(e aggregator.Message)       { r.box = append(r.box, e) }
 func (r *rig) Available(balance.Replica) bool { return !r.drained }
 
 // codec words an attempt as its name.
@@ -141,13 +141,13 @@
 		r.box = r.box[1:]
 		events, mine := r.p.Handle(r.now, e)
 		if !mine {
-			events = []any{e}
+			events = []aggregator.Event{e.(aggregator.Event)}
 		}
 		r.check(events)
 	}
 }
 
-func (r *rig) check(events []any) {
+func (r *rig) check(events []aggregator.Event) {
 	for _, e := range events {
 		e, ok := e.(aggregator.AttemptEnded)
 		if !ok {
@@ -233,7 +233,7 @@
 						s.answered = true
 					}
 				}
-				r.Put(replied{l.c, Reply{Value: "v", Close: pick%2 == 1}})
+				r.Put(replied{c: l.c, r: Reply{Value: "v", Close: pick%2 == 1}})
 				r.turn()
 			case step%10 == 7:
 				r.drained = !r.drained
@@ -243,7 +243,7 @@
 				r.check(events)
 				r.turn()
 			case step%10 == 9 && l != nil && !l.closed:
-				r.Put(replied{l.c, Reply{Greeting: true}})
+				r.Put(replied{c: l.c, r: Reply{Greeting: true}})
 				r.turn()
 			}
 		}
--- a/internal/frontend/platform/crossings_test.go
+++ b/internal/frontend/platform/crossings_test.go
@@ -28,8 +28,8 @@
 	over := make(chan struct{})
 	var client net.Conn
 	var order []string
-	posted := make(chan any, 10)
-	front := New(Settings{Classes: []string{"a"}, Shards: 4, MaxWait: time.Minute, Timeouts: httpserve.Timeouts{}}, func(e any) {
+	posted := make(chan aggregator.Message, 10)
+	front := New(Settings{Classes: []string{"a"}, Shards: 4, MaxWait: time.Minute, Timeouts: httpserve.Timeouts{}}, func(e aggregator.Message) {
 		if a, ok := e.(aggregator.RequestArrived); ok && a.Request.ID == "2" {
 			client.Close()
 			<-over // its end has been handled, and the request is not yet handed over
@@ -78,8 +78,8 @@
 // have been left, the second never reaches the loop.
 func TestAClientLeavesWithARequestBehind(t *testing.T) {
 	for _, half := range []bool{false, true} {
-		over, posted := make(chan struct{}), make(chan any, 10)
-		front := New(Settings{Classes: []string{"a"}, Shards: 4, MaxWait: time.Minute}, func(e any) { posted <- e }, time.Now, nil)
+		over, posted := make(chan struct{}), make(chan aggregator.Message, 10)
+		front := New(Settings{Classes: []string{"a"}, Shards: 4, MaxWait: time.Minute}, func(e aggregator.Message) { posted <- e }, time.Now, nil)
 		l, err := tcp.Listen("127.0.0.1:0", &tcp.Gate{Most: 10}, func(l *tcp.Link) tcp.Handler { return closing{front.Accept(l), over} })
 		if err != nil {
 			t.Fatal(err)
--- a/internal/frontend/platform/front.go
+++ b/internal/frontend/platform/front.go
@@ -30,13 +30,13 @@
 type Front struct {
 	*httpserve.Server
 	set   Settings
-	put   func(any)
+	put   func(aggregator.Message)
 	stats func() string
 	ready atomic.Bool
 }
 
 // New returns a front that posts to put; stats words the counters.
-func New(set Settings, put func(any), now func() time.Time, stats func() string) *Front {
+func New(set Settings, put func(aggregator.Message), now func() time.Time, stats func() string) *Front {
 	f := &Front{set: set, put: put, stats: stats}
 	f.Server = httpserve.New(set.Timeouts, now, f.handle)
 	return f
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,7 +63,7 @@
 // Service makes queries.
 type Service struct {
 	Conf *config.Partners
-	Put  func(any) // to the loop
+	Put  func(aggregator.Message) // to the loop
 	Now  func() time.Time
 	name atomic.Uint64
 }
--- a/internal/net/discovery/crossings_test.go
+++ b/internal/net/discovery/crossings_test.go
@@ -75,7 +75,7 @@
 // follow runs a watch until the test ends and returns what it lists.
 func follow(t *testing.T, w *Watch) chan aggregator.EndpointsChanged {
 	listed := make(chan aggregator.EndpointsChanged, 20)
-	w.Put = func(e any) { listed <- e.(aggregator.EndpointsChanged) }
+	w.Put = func(e aggregator.Message) { listed <- e.(aggregator.EndpointsChanged) }
 	if w.Log == nil {
 		w.Log = t.Logf
 	}
@@ -159,7 +159,7 @@
 
 // Bytes of a list that does not end are no word: the clock for silence goes on under them.
 func TestAListThatDoesNotEndIsNoWord(t *testing.T) {
-	w := &Watch{Put: func(any) {}, heard: func() {}, Version: 7}
+	w := &Watch{Put: func(aggregator.Message) {}, heard: func() {}, Version: 7}
 	s := &stream{w: w, alive: make(chan struct{}, 1), over: make(chan error, 1), ready: make(chan struct{}, 1)}
 	s.framer.Most = 1 << 10
 	s.parser.Responses, s.parser.Stream, s.parser.Head = true, s.body, s.head
@@ -225,7 +225,7 @@
 
 	silent, over := make(chan struct{}), make(chan struct{})
 	stop, reached := make(chan struct{}), make(chan struct{})
-	end := &Watch{Addr: "127.0.0.1:1", Put: func(any) {}, Log: t.Logf,
+	end := &Watch{Addr: "127.0.0.1:1", Put: func(aggregator.Message) {}, Log: t.Logf,
 		Dial: func(string, time.Duration, func(*tcp.Link) tcp.Handler) (*tcp.Link, error) {
 			close(reached)
 			<-silent
--- a/internal/net/discovery/watch.go
+++ b/internal/net/discovery/watch.go
@@ -87,7 +87,7 @@
 	Addr    string
 	Zones   []string
 	Version int64 // as last held
-	Put     func(any)
+	Put     func(aggregator.Message)
 	Log     func(format string, args ...any)
 	Mixers  int                                  // that follow the same discovery; 0: one
 	Chance  func() float64                       // from 0 to 1, for waits; nil: none
--- a/internal/net/discovery/watch_test.go
+++ b/internal/net/discovery/watch_test.go
@@ -51,8 +51,8 @@
 		}
 	}))
 	defer server.Close()
-	got, stop, over := make(chan any, 10), make(chan struct{}), make(chan struct{})
-	w := &Watch{Addr: strings.TrimPrefix(server.URL, "http://"), Version: 7, Put: func(e any) { got <- e }, Log: t.Logf}
+	got, stop, over := make(chan aggregator.Message, 10), make(chan struct{}), make(chan struct{})
+	w := &Watch{Addr: strings.TrimPrefix(server.URL, "http://"), Version: 7, Put: func(e aggregator.Message) { got <- e }, Log: t.Logf}
 	go func() { w.Run(stop, func() {}); close(over) }()
 	for i, want := range []string{"7", "10", "20"} {
 		if index := <-asked; index != want {
@@ -83,8 +83,8 @@
 		t.Cleanup(server.CloseClientConnections)
 		return strings.TrimPrefix(server.URL, "http://")
 	}
-	got, stop, over := make(chan any, 10), make(chan struct{}), make(chan struct{})
-	w := &Watch{Addr: serve("old"), Version: 2, Put: func(e any) { got <- e }, Log: t.Logf}
+	got, stop, over := make(chan aggregator.Message, 10), make(chan struct{}), make(chan struct{})
+	w := &Watch{Addr: serve("old"), Version: 2, Put: func(e aggregator.Message) { got <- e }, Log: t.Logf}
 	go func() { w.Run(stop, func() {}); close(over) }()
 	expect := func(ask string, kind balance.ListKind, id balance.Replica) {
 		t.Helper()
@@ -141,7 +141,7 @@
 func TestASilentWatchIsOpenedAnewInTime(t *testing.T) {
 	for _, mixers := range []int{0, 300} {
 		for says, index := range map[string]string{"{\"version\":9,\"servers\":[]}\n": "9", "": "7"} {
-			asked, listed, does := make(chan string, 10), make(chan any, 10), make(events, 100)
+			asked, listed, does := make(chan string, 10), make(chan aggregator.Message, 10), make(events, 100)
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				asked <- r.URL.Query().Get("index")
 				fmt.Fprint(w, says)
@@ -149,7 +149,7 @@
 				<-r.Context().Done()
 			}))
 			stop, over := make(chan struct{}), make(chan struct{})
-			w := &Watch{Addr: strings.TrimPrefix(server.URL, "http://"), Version: 7, Put: func(e any) { listed <- e }, Log: does.log, Mixers: mixers, After: does.after}
+			w := &Watch{Addr: strings.TrimPrefix(server.URL, "http://"), Version: 7, Put: func(e aggregator.Message) { listed <- e }, Log: does.log, Mixers: mixers, After: does.after}
 			go func() { w.Run(stop, func() {}); close(over) }()
 			for call, want := range []string{"7", index, index} {
 				if got := <-asked; got != want {
@@ -185,7 +185,7 @@
 		least, most time.Duration
 	}{{0, 0, 200 * time.Millisecond}, {300, 7500 * time.Millisecond, 30 * time.Second}} {
 		does, stop, over := make(events, 100), make(chan struct{}), make(chan struct{})
-		w := &Watch{Addr: strings.TrimPrefix(server.URL, "http://"), Put: func(any) {}, Log: does.log, Mixers: k.mixers, After: does.after}
+		w := &Watch{Addr: strings.TrimPrefix(server.URL, "http://"), Put: func(aggregator.Message) {}, Log: does.log, Mixers: k.mixers, After: does.after}
 		go func() { w.Run(stop, func() {}); close(over) }()
 		for refused := 0; refused < 3; {
 			switch e := (<-does).(type) {
--- a/internal/testbed/sim/aggregator.go
+++ b/internal/testbed/sim/aggregator.go
@@ -35,7 +35,7 @@
 	index  int
 	core   *aggregator.Core
 	set    balance.Settings
-	inbox  []any
+	inbox  []aggregator.Event
 	turned bool // a turn is due now
 	wake   time.Time
 	works  map[aggregator.AttemptID]*work
@@ -207,7 +207,7 @@
 }
 
 // put gathers an event for the turn of this moment.
-func (m *mixerHost) put(e any) {
+func (m *mixerHost) put(e aggregator.Event) {
 	if m.dead {
 		return
 	}
