--- a/balance/balance.go
+++ b/balance/balance.go
@@ -158,7 +158,7 @@
 		s := b.servers[e.Replica]
 		if s == nil {
 			s = &server{id: e.Replica, of: make([]health, len(b.set.Classes))}
-			s.key = gossip.Key(string(e.Replica))
+			s.key = gossip.ServerKey(string(e.Replica))
 			b.servers[e.Replica] = s
 			b.order = append(b.order, s)
 		}
@@ -513,9 +513,12 @@
 // budget says whether rule 6 lets one more further attempt go out.
 func (b *Balancer) budget() bool {
 	rule := b.set.Rules
-	return rule.RetryBudgetWindow <= 0 ||
-		float64(len(within(&b.further, b.now-rule.RetryBudgetWindow-1))+1) <=
-			rule.RetryBudgetBase+rule.RetryBudgetRatio*float64(len(within(&b.took, b.now-rule.RetryBudgetWindow)))
+	if rule.RetryBudgetWindow <= 0 {
+		return true
+	}
+	retries := float64(len(within(&b.further, b.now-rule.RetryBudgetWindow-1)) + 1)
+	taken := float64(len(within(&b.took, b.now-rule.RetryBudgetWindow)))
+	return retries <= rule.RetryBudgetBase+rule.RetryBudgetRatio*taken
 }
 
 func (b *Balancer) send(p *part, s *server, hedge bool) {
--- a/balance/peers.go
+++ b/balance/peers.go
@@ -29,12 +29,12 @@
 	}
 	for i := range b.remarks {
 		if b.remarks[i].Key == s.key {
-			b.remarks[i].Said = said
+			b.remarks[i].Value = said
 			return
 		}
 	}
 	if len(b.remarks) < remarkMost {
-		b.remarks = append(b.remarks, remark{Key: s.key, Said: said})
+		b.remarks = append(b.remarks, remark{Key: s.key, Value: said})
 	}
 }
 
@@ -43,7 +43,7 @@
 	if len(b.remarks) == 0 || b.now < b.tellAt {
 		return
 	}
-	size := float64(gossip.Size(len(b.remarks)) * (b.set.Instances - 1))
+	size := float64(gossip.EncodedSize(len(b.remarks)) * (b.set.Instances - 1))
 	if b.tellBytes < size {
 		return
 	}
@@ -90,7 +90,7 @@
 			continue // not listed here: a word brings no server in
 		}
 		s.probed = max(s.probed, b.now-max(0, age))
-		if r.Said == noAnswer {
+		if r.Value == noAnswer {
 			// Of the own zone: the others' way there may be cut.
 			if zone == b.set.Zone&0xff && b.now-s.lastOK > max(0, age)+b.set.ProbeTimeout {
 				s.noReply, s.dark = true, true
@@ -98,7 +98,7 @@
 			continue
 		}
 		s.noReply, s.dark = false, false
-		queue := float64(r.Said)
+		queue := float64(r.Value)
 		long := b.long(queue)
 		if !long && queue > s.q {
 			continue // what is known here is no better
--- a/balance/peers_test.go
+++ b/balance/peers_test.go
@@ -63,7 +63,7 @@
 func TestSilenceOfAnotherZonesWay(t *testing.T) {
 	silent := func(h *bench, zone int) bool {
 		h.now += time.Second
-		h.turn(GossipReceived{writeWord(h.now, zone, []remark{{Key: gossip.Key("a"), Said: noAnswer}})})
+		h.turn(GossipReceived{writeWord(h.now, zone, []remark{{Key: gossip.ServerKey("a"), Value: noAnswer}})})
 		return h.b.servers["a"].silent
 	}
 	h := many(t)
@@ -172,7 +172,7 @@
 	}
 	var remarks []remark
 	for i := range 200 {
-		remarks = append(remarks, remark{Key: uint32(i), Said: byte(i)})
+		remarks = append(remarks, remark{Key: uint32(i), Value: byte(i)})
 	}
 	text := writeWord(0, 0, remarks)
 	if _, _, got, ok := readWord(0, text); !ok || len(text) > MaxGossipBytes || len(got) != remarkMost {
@@ -182,11 +182,11 @@
 
 func FuzzWord(f *testing.F) {
 	f.Add([]byte(nil))
-	f.Add(writeWord(time.Hour, 0, []remark{{Key: gossip.Key("a"), Said: 7}, {Key: gossip.Key("b"), Said: noAnswer}}))
+	f.Add(writeWord(time.Hour, 0, []remark{{Key: gossip.ServerKey("a"), Value: 7}, {Key: gossip.ServerKey("b"), Value: noAnswer}}))
 	f.Add(append(writeWord(0, 0, nil), 1, 2, 3))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		_, _, remarks, ok := readWord(0, text)
-		if ok != IsGossip(text) || ok && len(text) != gossip.Size(len(remarks)) {
+		if ok != IsGossip(text) || ok && len(text) != gossip.EncodedSize(len(remarks)) {
 			t.Fatalf("%x: %v, %d remarks", text, ok, len(remarks))
 		}
 		set := testSettings()
--- a/cmd/rooktrestle/blocks.go
+++ b/cmd/rooktrestle/blocks.go
@@ -50,11 +50,11 @@
 				if err != nil {
 					return err
 				}
-				if err := m.Follows(old); err != nil {
+				if err := m.ValidateSuccession(old); err != nil {
 					return fmt.Errorf("%w: %s after %s: %w", errNo, args[0], after, err)
 				}
 			}
-			fmt.Fprintf(cmd.OutOrStdout(), "%s epoch %d: %d blocks, %d listed: good\n", m.Archive, m.Epoch, m.Len(), m.Listed())
+			fmt.Fprintf(cmd.OutOrStdout(), "%s epoch %d: %d blocks, %d listed: good\n", m.Archive, m.Epoch, m.ActiveCount(), m.TotalCount())
 			return nil
 		},
 	}
@@ -75,11 +75,11 @@
 			}
 			out := cmd.OutOrStdout()
 			if key != "" {
-				b := m.At(shardmap.KeyOf(key))
-				return printBlocks(out, []*shardmap.Block{b}, asJSON)
+				b := m.Lookup(shardmap.KeyOf(key))
+				return printBlocks(out, []*shardmap.Shard{b}, asJSON)
 			}
-			var list []*shardmap.Block
-			m.Every(func(b *shardmap.Block) bool { list = append(list, b); return true })
+			var list []*shardmap.Shard
+			m.All(func(b *shardmap.Shard) bool { list = append(list, b); return true })
 			if !asJSON {
 				fmt.Fprintf(out, "%s epoch %d, next id %d, weight %g\n", m.Archive, m.Epoch, m.NextID, m.Weight())
 			}
@@ -91,7 +91,7 @@
 	return c
 }
 
-func printBlocks(out io.Writer, list []*shardmap.Block, asJSON bool) error {
+func printBlocks(out io.Writer, list []*shardmap.Shard, asJSON bool) error {
 	if asJSON {
 		text, err := json.MarshalIndent(list, "", "  ")
 		if err == nil {
@@ -107,14 +107,14 @@
 	return t.Flush()
 }
 
-func holders(b *shardmap.Block) string {
+func holders(b *shardmap.Shard) string {
 	var all []string
-	for _, h := range b.Holders {
+	for _, h := range b.Replicas {
 		text := h.Server
 		if h.Joining {
 			text += " (joins)"
-		} else if h.Since > 0 {
-			text += fmt.Sprintf(" (since %d)", h.Since)
+		} else if h.ServingSince > 0 {
+			text += fmt.Sprintf(" (since %d)", h.ServingSince)
 		}
 		all = append(all, text)
 	}
@@ -149,7 +149,7 @@
 					fmt.Fprintln(out, difference(d))
 				}
 			}
-			if err := now.Follows(old); err != nil {
+			if err := now.ValidateSuccession(old); err != nil {
 				return fmt.Errorf("%w: %w", errNo, err)
 			}
 			return nil
@@ -159,7 +159,7 @@
 	return c
 }
 
-func difference(d shardmap.Difference) string {
+func difference(d shardmap.ShardChange) string {
 	switch {
 	case d.Was == nil:
 		return fmt.Sprintf("+ block %d %s, %s, held by %s, of %v", d.ID, d.Is.Range(), d.Is.State, holders(d.Is), d.Is.Parents)
@@ -190,8 +190,8 @@
 	var t shardmap.Timing
 	c.PersistentFlags().StringVar(&file, "map", "", "the present map")
 	c.PersistentFlags().StringVar(&write, "write", "", "write each epoch's map to this path, with %d for the epoch")
-	c.PersistentFlags().DurationVar(&t.Spread, "spread", 10*time.Second, "until every mixer has an epoch")
-	c.PersistentFlags().DurationVar(&t.Query, "query", 8*time.Second, "the longest deadline of a query")
+	c.PersistentFlags().DurationVar(&t.MapPropagation, "spread", 10*time.Second, "until every mixer has an epoch")
+	c.PersistentFlags().DurationVar(&t.MaxQueryTime, "query", 8*time.Second, "the longest deadline of a query")
 	c.MarkPersistentFlagRequired("map")
 	verb := func(use, short, example string, least int, plan func(m *shardmap.Map, args []string) (*shardmap.Plan, error)) {
 		c.AddCommand(&cobra.Command{Use: use, Short: short, Example: example, Args: cobra.MinimumNArgs(least),
@@ -200,7 +200,7 @@
 				if err != nil {
 					return err
 				}
-				if t.Spread < 0 || t.Query < 0 {
+				if t.MapPropagation < 0 || t.MaxQueryTime < 0 {
 					return errors.New("--spread and --query must not be negative")
 				}
 				p, err := plan(m, args)
@@ -223,7 +223,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return shardmap.PlanMove(m, b, args[1:], t)
+			return shardmap.PlanMigration(m, b, args[1:], t)
 		})
 	verb("split BLOCK KEY...", "Cut a block at keys", "  rooktrestle blocks plan split 7 news@2019 --map now.json", 2,
 		func(m *shardmap.Map, args []string) (*shardmap.Plan, error) {
@@ -277,12 +277,12 @@
 			fmt.Fprintf(out, "  %s: %s\n", strings.Join(before, ", "), s.Why)
 		}
 		var err error
-		if m, err = s.Next(m); err != nil {
+		if m, err = s.Apply(m); err != nil {
 			return err
 		}
 		fmt.Fprintf(out, "epoch %d: %s\n", m.Epoch, s.What)
 		if write != "" {
-			if err := os.WriteFile(strings.Replace(write, "%d", fmt.Sprint(m.Epoch), 1), m.Print(), 0o600); err != nil {
+			if err := os.WriteFile(strings.Replace(write, "%d", fmt.Sprint(m.Epoch), 1), m.Encode(), 0o600); err != nil {
 				return err
 			}
 		}
--- a/cmd/rooktrestle/health_test.go
+++ b/cmd/rooktrestle/health_test.go
@@ -30,18 +30,18 @@
 // The command asks every server once, says what each source says and what follows, and exits by the answer.
 func TestHealthCommand(t *testing.T) {
 	// A check has long to answer: what is asked is what the command says, and not how busy the machine is.
-	in, err := deployment.Start(deployment.Options{Nodes: 4, Reach: 2, Seed: 1, Agents: true, Every: 30 * time.Second, Timeout: 20 * time.Second})
+	in, err := deployment.Start(deployment.Options{Replicas: 4, Reach: 2, Seed: 1, Agents: true, CheckInterval: 30 * time.Second, CheckTimeout: 20 * time.Second})
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer in.Stop()
-	if status, out, errs := run(t, "health", in.Config); status != 0 || strings.Count(out, "in service") != 4 || strings.Count(out, "check init") != 2 {
+	if status, out, errs := run(t, "health", in.ConfigPath); status != 0 || strings.Count(out, "in service") != 4 || strings.Count(out, "check init") != 2 {
 		t.Errorf("%d %s %s", status, out, errs)
 	}
-	in.Agents[3].Set("up drain #festival", replica.Speaks)
-	in.Node("n0").Say(replica.Health{Status: 500})
-	in.Node("n1").Kill() // n0 and n1 hold block 0 together
-	status, out, errs := run(t, "health", in.Config, "--json")
+	in.Agents[3].Set("up drain #festival", replica.Respond)
+	in.Replica("n0").SetHealth(replica.Health{Status: 500})
+	in.Replica("n1").Kill() // n0 and n1 hold block 0 together
+	status, out, errs := run(t, "health", in.ConfigPath, "--json")
 	if status != 1 || !strings.Contains(errs, "not every server") {
 		t.Errorf("%d %s", status, errs)
 	}
@@ -76,12 +76,12 @@
 
 // With --watch what changes is printed as it changes.
 func TestHealthCommandWatches(t *testing.T) {
-	in, err := deployment.Start(deployment.Options{Nodes: 4, Reach: 2, Seed: 1, Agents: true, Every: 50 * time.Millisecond})
+	in, err := deployment.Start(deployment.Options{Replicas: 4, Reach: 2, Seed: 1, Agents: true, CheckInterval: 50 * time.Millisecond})
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer in.Stop()
-	cmd := exec.Command(os.Args[0], "health", in.Config, "--watch", "--json")
+	cmd := exec.Command(os.Args[0], "health", in.ConfigPath, "--watch", "--json")
 	cmd.Env = append(os.Environ(), "ROOKTRESTLE_PROGRAM=1")
 	pipe, err := cmd.StdoutPipe()
 	if err != nil {
@@ -99,7 +99,7 @@
 			t.Fatal(err)
 		}
 		if seen == 3 { // all four have been told
-			in.Agents[2].Set("maint", replica.Speaks)
+			in.Agents[2].Set("maint", replica.Respond)
 		}
 		if w.Server == "n2" && w.State == "out" {
 			return
--- a/cmd/rooktrestle/main.go
+++ b/cmd/rooktrestle/main.go
@@ -92,7 +92,7 @@
 			stop, told := make(chan struct{}), make(chan os.Signal, 1)
 			signal.Notify(told, os.Interrupt, syscall.SIGTERM)
 			go func() { <-told; close(stop) }()
-			good, err := app.AskHealth(args[0], watch, asJSON, cmd.OutOrStdout(), stop)
+			good, err := app.CheckServers(args[0], watch, asJSON, cmd.OutOrStdout(), stop)
 			if err == nil && !good {
 				err = fmt.Errorf("%w: not every server may be used", errNo)
 			}
--- a/cmd/rooktrestle/partners_test.go
+++ b/cmd/rooktrestle/partners_test.go
@@ -172,10 +172,10 @@
 	a := newArchive(t)
 	p := partners(t, a, nil)
 	o := dialZ(t, p.listen["z3950"], "editor")
-	if r := o.ask(ber.SearchUnit("one", "captions", ber.Term(4, "budget"))); r.Kid(23).Num() != 4 || ber.Condition(r) != 0 || string(r.Kid(2).Body) != "r-one" {
+	if r := o.ask(ber.SearchAPDU("one", "captions", ber.TermOperand(4, "budget"))); r.Child(23).Int() != 4 || ber.DiagnosticCode(r) != 0 || string(r.Child(2).Body) != "r-one" {
 		t.Fatalf("%+v", r)
 	}
-	if r := o.ask(ber.SearchUnit("two", "captions", ber.Both(2, ber.SetOf("one"), ber.Term(1003, "rai")))); r.Kid(23).Num() != 4 || ber.Condition(r) != 0 {
+	if r := o.ask(ber.SearchAPDU("two", "captions", ber.CombineOperands(2, ber.ResultSetOperand("one"), ber.TermOperand(1003, "rai")))); r.Child(23).Int() != 4 || ber.DiagnosticCode(r) != 0 {
 		t.Fatalf("%+v", r)
 	}
 	both := 0
@@ -188,40 +188,40 @@
 		t.Errorf("the second search stood for %q", a.Queries())
 	}
 	for _, set := range []string{"one", "two"} {
-		r := o.ask(ber.PresentUnit(set, 2, 3))
-		if r.Tag != 25 || r.Kid(24).Num() != 3 || ber.Condition(r) != 0 || !strings.Contains(string(r.Body), "line of block-1") || strings.Contains(string(r.Body), "block-0") {
+		r := o.ask(ber.PresentAPDU(set, 2, 3))
+		if r.Tag != 25 || r.Child(24).Int() != 3 || ber.DiagnosticCode(r) != 0 || !strings.Contains(string(r.Body), "line of block-1") || strings.Contains(string(r.Body), "block-0") {
 			t.Errorf("%s: %+v", set, r)
 		}
 	}
 	for want, unit := range map[int]string{
-		13: ber.PresentUnit("one", 4, 2), 30: ber.PresentUnit("three", 1, 1), 112: ber.SearchUnit("three", "captions", ber.Term(4, "x")),
-		109: ber.SearchUnit("one", "nowhere", ber.Term(4, "x")), 114: ber.SearchUnit("two", "captions", ber.Term(9999, "x")),
-		239: ber.Group(24, ber.Leaf(31, "one"), ber.Number(30, 1), ber.Number(29, 1), ber.Leaf(104, ber.MARC)),
+		13: ber.PresentAPDU("one", 4, 2), 30: ber.PresentAPDU("three", 1, 1), 112: ber.SearchAPDU("three", "captions", ber.TermOperand(4, "x")),
+		109: ber.SearchAPDU("one", "nowhere", ber.TermOperand(4, "x")), 114: ber.SearchAPDU("two", "captions", ber.TermOperand(9999, "x")),
+		239: ber.Constructed(24, ber.Primitive(31, "one"), ber.Integer(30, 1), ber.Integer(29, 1), ber.Primitive(104, ber.OIDMARC)),
 	} {
 		if want == 109 {
 			continue
 		}
-		if r := o.ask(unit); ber.Condition(r) != want {
-			t.Errorf("diagnostic %d, want %d: %+v", ber.Condition(r), want, r)
+		if r := o.ask(unit); ber.DiagnosticCode(r) != want {
+			t.Errorf("diagnostic %d, want %d: %+v", ber.DiagnosticCode(r), want, r)
 		}
 	}
 	other := dialZ(t, p.listen["z3950"], "")
-	if r := other.ask(ber.PresentUnit("one", 1, 1)); ber.Condition(r) != 30 {
+	if r := other.ask(ber.PresentAPDU("one", 1, 1)); ber.DiagnosticCode(r) != 30 {
 		t.Errorf("another association sees the set: %+v", r)
 	}
-	if r := o.ask(ber.Group(26, ber.Number(32, 0), ber.Group(-16, ber.Leaf(31, "one")))); r.Tag != 27 || r.Kid(0).Num() != 0 {
+	if r := o.ask(ber.Constructed(26, ber.Integer(32, 0), ber.Constructed(-16, ber.Primitive(31, "one")))); r.Tag != 27 || r.Child(0).Int() != 0 {
 		t.Errorf("%+v", r)
 	}
-	if r := o.ask(ber.PresentUnit("one", 1, 1)); ber.Condition(r) != 30 {
+	if r := o.ask(ber.PresentAPDU("one", 1, 1)); ber.DiagnosticCode(r) != 30 {
 		t.Errorf("%+v", r)
 	}
-	if r := o.ask(ber.SearchUnit("x", "nowhere", ber.Term(4, "x"))); ber.Condition(r) != 109 {
+	if r := o.ask(ber.SearchAPDU("x", "nowhere", ber.TermOperand(4, "x"))); ber.DiagnosticCode(r) != 109 {
 		t.Errorf("%+v", r)
 	}
-	if r := o.ask(ber.UpdateUnit("2:line")); r.Tag != 47 || r.Kid(3).Num() != 1 || a.Changed()["2:line"] != 1 {
+	if r := o.ask(ber.UpdateAPDU("2:line")); r.Tag != 47 || r.Child(3).Int() != 1 || a.CorrectionCounts()["2:line"] != 1 {
 		t.Errorf("%+v", r)
 	}
-	if r := o.ask(ber.Group(48, ber.Number(211, 0))); r.Tag != 48 {
+	if r := o.ask(ber.Constructed(48, ber.Integer(211, 0))); r.Tag != 48 {
 		t.Errorf("%+v", r)
 	}
 	if n := p.stop(); n != [5]int{3, 3, 0, 0, 0} {
@@ -233,7 +233,7 @@
 // query is closed once.
 func TestSRUCorrectionCancelledHalfWay(t *testing.T) {
 	a := newArchive(t)
-	a.Act = func(string, string) string { return "hang" }
+	a.OnCorrection = func(string, string) string { return "hang" }
 	p := partners(t, a, nil)
 	for _, id := range []string{"0:x", "1:x", "2:x", "3:x"} {
 		c, err := net.Dial("tcp", p.listen["sru"])
@@ -242,16 +242,16 @@
 		}
 		body := client.UpdateXML(id)
 		fmt.Fprintf(c, "POST /captions HTTP/1.1\r\nHost: x\r\nContent-Type: text/xml\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-		server := <-a.Begun
+		server := <-a.CorrectionBegun
 		c.Close()
-		if left := <-a.Left; left != server {
+		if left := <-a.ClientLeft; left != server {
 			t.Errorf("%s was let go, not %s", left, server)
 		}
 	}
 	if n := p.stop(); n != [5]int{4, 0, 0, 0, 4} {
 		t.Error(n)
 	}
-	for id, n := range a.Changed() {
+	for id, n := range a.CorrectionCounts() {
 		if n != 1 {
 			t.Errorf("%s ran %d times", id, n)
 		}
@@ -261,30 +261,30 @@
 // The same over Z39.50: by a cancel, by a Close, and by leaving.
 func TestZ3950CorrectionCancelledHalfWay(t *testing.T) {
 	a := newArchive(t)
-	a.Act = func(string, string) string { return "hang" }
+	a.OnCorrection = func(string, string) string { return "hang" }
 	p := partners(t, a, nil)
 	o := dialZ(t, p.listen["z3950"], "")
-	o.Tell(ber.UpdateUnit("0:z"))
-	<-a.Begun
-	if r := o.ask(ber.Group(32, ber.Number(46, 3))); r.Tag != 47 || r.Kid(3).Num() != 3 || ber.Condition(r) != 105 {
+	o.Send(ber.UpdateAPDU("0:z"))
+	<-a.CorrectionBegun
+	if r := o.ask(ber.Constructed(32, ber.Integer(46, 3))); r.Tag != 47 || r.Child(3).Int() != 3 || ber.DiagnosticCode(r) != 105 {
 		t.Errorf("%+v", r)
 	}
-	<-a.Left
-	o.Tell(ber.UpdateUnit("1:z"))
-	<-a.Begun
-	if r := o.ask(ber.Group(48, ber.Number(211, 0))); r.Tag != 48 {
+	<-a.ClientLeft
+	o.Send(ber.UpdateAPDU("1:z"))
+	<-a.CorrectionBegun
+	if r := o.ask(ber.Constructed(48, ber.Integer(211, 0))); r.Tag != 48 {
 		t.Errorf("%+v", r)
 	}
-	<-a.Left
+	<-a.ClientLeft
 	o = dialZ(t, p.listen["z3950"], "")
-	o.Tell(ber.UpdateUnit("2:z"))
-	<-a.Begun
+	o.Send(ber.UpdateAPDU("2:z"))
+	<-a.CorrectionBegun
 	o.Close()
-	<-a.Left
+	<-a.ClientLeft
 	if n := p.stop(); n != [5]int{3, 0, 0, 0, 3} {
 		t.Error(n)
 	}
-	for id, n := range a.Changed() {
+	for id, n := range a.CorrectionCounts() {
 		if n != 1 {
 			t.Errorf("%s ran %d times", id, n)
 		}
@@ -294,7 +294,7 @@
 // A correction that may have run fails and is not sent again, whether its server breaks off or stays silent.
 func TestCorrectionsThatMayHaveRun(t *testing.T) {
 	a := newArchive(t)
-	a.Act = func(_, id string) string { return map[byte]string{'b': "break", 'h': "hang", 'r': "reject"}[id[2]] }
+	a.OnCorrection = func(_, id string) string { return map[byte]string{'b': "break", 'h': "hang", 'r': "reject"}[id[2]] }
 	p := partners(t, a, nil)
 	for _, id := range []string{"0:break", "1:break", "2:break", "3:break"} {
 		contains(t, p.correct(id), "<operationStatus>fail<", "diagnostic/1/1<", "failed")
@@ -303,10 +303,10 @@
 	contains(t, p.correct("1:reject"), "<operationStatus>fail<")
 	contains(t, p.correct("2:good"), "<operationStatus>success<")
 	p.stop()
-	if len(a.Changed()) != 7 {
-		t.Error(a.Changed())
+	if len(a.CorrectionCounts()) != 7 {
+		t.Error(a.CorrectionCounts())
 	}
-	for id, n := range a.Changed() {
+	for id, n := range a.CorrectionCounts() {
 		if n != 1 {
 			t.Errorf("%s ran %d times", id, n)
 		}
@@ -317,20 +317,20 @@
 func TestDeadlinesAndPartialAnswers(t *testing.T) {
 	a := newArchive(t)
 	// One shard only, or by the choice of replicas less than half of the parts might be in.
-	a.Find = func(base string) string { return map[string]string{"block-0": "hang"}[base] }
+	a.OnSearch = func(base string) string { return map[string]string{"block-0": "hang"}[base] }
 	p := partners(t, a, nil)
 	_, text := p.sru("coverage", "x")
 	contains(t, text, "diagnostic/1/59<", "line of block-2")
 	if strings.Contains(text, "line of block-0") {
 		t.Error(text)
 	}
-	a.SetFind(func(string) string { return "hang" })
+	a.SetOnSearch(func(string) string { return "hang" })
 	status, text := p.sru("coverage", "x")
 	if contains(t, text, "<diagnostic ", "<numberOfRecords>0<"); status != 200 && status != 503 {
 		t.Error(status)
 	}
 	o := dialZ(t, p.listen["z3950"], "")
-	if r := o.ask(ber.SearchUnit("s", "coverage", ber.Term(4, "x"))); ber.Condition(r) == 0 || r.Kid(22).Num() != 0 {
+	if r := o.ask(ber.SearchAPDU("s", "coverage", ber.TermOperand(4, "x"))); ber.DiagnosticCode(r) == 0 || r.Child(22).Int() != 0 {
 		t.Errorf("%+v", r)
 	}
 	if n := p.stop(); n[0] != 3 || n[1] != 1 {
@@ -349,11 +349,11 @@
 		}
 	})
 	for _, id := range []string{"1:dead", "2:dead", "3:dead"} { // each has one sound holder at least
-		if contains(t, p.correct(id), "<operationStatus>success<"); a.Changed()[id] != 1 {
-			t.Errorf("%s ran %d times", id, a.Changed()[id])
+		if contains(t, p.correct(id), "<operationStatus>success<"); a.CorrectionCounts()[id] != 1 {
+			t.Errorf("%s ran %d times", id, a.CorrectionCounts()[id])
 		}
 	}
-	if text := p.correct("0:dead"); !strings.Contains(text, "<operationStatus>fail<") || a.Changed()["0:dead"] != 0 {
+	if text := p.correct("0:dead"); !strings.Contains(text, "<operationStatus>fail<") || a.CorrectionCounts()["0:dead"] != 0 {
 		t.Error(text)
 	}
 	p.stop()
@@ -364,12 +364,12 @@
 	p := partners(t, newArchive(t), nil)
 	good := dialZ(t, p.listen["z3950"], "")
 	for name, unit := range map[string]string{
-		"garbage": "GET / HTTP/1.1\r\n\r\n", "no init": ber.SearchUnit("x", "captions", ber.Term(4, "x")), "too long": "\xb6\x84\x7f\xff\xff\xff",
-		"deep": strings.Repeat("\xb6\x80", 100), "twice": "", "unknown": ber.Group(99),
+		"garbage": "GET / HTTP/1.1\r\n\r\n", "no init": ber.SearchAPDU("x", "captions", ber.TermOperand(4, "x")), "too long": "\xb6\x84\x7f\xff\xff\xff",
+		"deep": strings.Repeat("\xb6\x80", 100), "twice": "", "unknown": ber.Constructed(99),
 	} {
 		var o *origin
 		if name == "garbage" || name == "no init" {
-			raw, err := client.Raw(p.listen["z3950"], 20*time.Second)
+			raw, err := client.DialWithoutInit(p.listen["z3950"], 20*time.Second)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -378,20 +378,20 @@
 			o = dialZ(t, p.listen["z3950"], "")
 		}
 		if name == "twice" {
-			unit = ber.Group(20, ber.Leaf(3, "\x05\xe0"))
+			unit = ber.Constructed(20, ber.Primitive(3, "\x05\xe0"))
 		}
-		if r := o.ask(unit); r.Tag != 48 || r.Kid(211).Num() != 6 {
+		if r := o.ask(unit); r.Tag != 48 || r.Child(211).Int() != 6 {
 			t.Errorf("%s: %+v", name, r)
 		}
-		if _, err := o.Ask(""); err == nil {
+		if _, err := o.RoundTrip(""); err == nil {
 			t.Errorf("%s: the association goes on", name)
 		}
 		o.Close()
 	}
-	if r := good.ask(ber.SearchUnit("x", "captions", ber.Group(0, ber.Leaf(77, "")))); ber.Condition(r) != 108 {
+	if r := good.ask(ber.SearchAPDU("x", "captions", ber.Constructed(0, ber.Primitive(77, "")))); ber.DiagnosticCode(r) != 108 {
 		t.Errorf("%+v", r)
 	}
-	if r := good.ask(ber.SearchUnit("x", "captions", ber.Term(4, "x"))); r.Kid(23).Num() != 4 {
+	if r := good.ask(ber.SearchAPDU("x", "captions", ber.TermOperand(4, "x"))); r.Child(23).Int() != 4 {
 		t.Errorf("%+v", r)
 	}
 	p.stop()
@@ -429,7 +429,7 @@
 	}
 	for i := range 6 {
 		contains(t, p.correct(fmt.Sprintf("1:line%d", i)), "<operationStatus>success<")
-		if server := <-a.Begun; server != "c" {
+		if server := <-a.CorrectionBegun; server != "c" {
 			t.Errorf("%s was sent a correction while it drains", server)
 		}
 	}
--- a/cmd/rooktrestle/standin_test.go
+++ b/cmd/rooktrestle/standin_test.go
@@ -12,13 +12,13 @@
 // newArchive returns an archive whose nodes tell of corrections begun and of clients that left them.
 func newArchive(t *testing.T) *replica.Archive {
 	a := replica.NewArchive(4)
-	a.Begun, a.Left = make(chan string, 8), make(chan string, 8)
+	a.CorrectionBegun, a.ClientLeft = make(chan string, 8), make(chan string, 8)
 	t.Cleanup(a.Close)
 	return a
 }
 
 // serve starts a stand-in and returns its address.
-func serve(t *testing.T, start func(name string, seed uint64) (*replica.Node, error), name string) string {
+func serve(t *testing.T, start func(name string, seed uint64) (*replica.Server, error), name string) string {
 	t.Helper()
 	n, err := start(name, 1)
 	if err != nil {
@@ -46,7 +46,7 @@
 
 func (o *origin) ask(unit string) ber.TLV {
 	o.t.Helper()
-	v, err := o.Ask(unit)
+	v, err := o.RoundTrip(unit)
 	if err != nil {
 		o.t.Fatal(err)
 	}
--- a/cmd/testbed/demo.go
+++ b/cmd/testbed/demo.go
@@ -49,23 +49,23 @@
 	if verbose {
 		log = slog.NewTextHandler(os.Stderr, nil)
 	}
-	in, err := deployment.Start(deployment.Options{Nodes: nodes, Reach: 2, Seed: seed, Agents: true, Log: log})
+	in, err := deployment.Start(deployment.Options{Replicas: nodes, Reach: 2, Seed: seed, Agents: true, Log: log})
 	if err != nil {
 		return err
 	}
 	defer in.Stop()
-	for _, n := range in.Nodes {
-		n.Set(replica.Faults{Delay: 10 * time.Millisecond, Jitter: 20 * time.Millisecond})
+	for _, n := range in.Replicas {
+		n.SetFaults(replica.Faults{Delay: 10 * time.Millisecond, Jitter: 20 * time.Millisecond})
 	}
 	fmt.Fprintf(out, "%d archive nodes, half of them SRU, half Z39.50; each block is held by two of them.\n", nodes)
-	fmt.Fprintf(out, "SRU on %s, Z39.50 on %s, health on %s, agent-check on %s; configuration %s\n", in.Front.Addr("sru"),
-		in.Front.Addr("z3950"), in.Front.Addr("health"), in.Front.Addr("agent"), in.Config)
-	web := client.NewSRU(in.Front.Addr("sru"), 5*time.Second)
-	fmt.Fprintf(out, "\n  curl '%s'\n  curl 'http://%s/readyz?verbose'\n\n", web.SearchURL("captions", "budget"), in.Front.Addr("health"))
+	fmt.Fprintf(out, "SRU on %s, Z39.50 on %s, health on %s, agent-check on %s; configuration %s\n", in.Frontend.Addr("sru"),
+		in.Frontend.Addr("z3950"), in.Frontend.Addr("health"), in.Frontend.Addr("agent"), in.ConfigPath)
+	web := client.NewSRU(in.Frontend.Addr("sru"), 5*time.Second)
+	fmt.Fprintf(out, "\n  curl '%s'\n  curl 'http://%s/readyz?verbose'\n\n", web.SearchURL("captions", "budget"), in.Frontend.Addr("health"))
 	end := make(chan os.Signal, 1)
 	signal.Notify(end, os.Interrupt, syscall.SIGTERM)
 	begin := time.Now()
-	calls, stop := load.Start(load.Plan{SRU: in.Front.Addr("sru"), Z3950: in.Front.Addr("z3950"), Rate: 30, Mix: load.Usual, Seed: seed,
+	calls, stop := load.Start(load.Plan{SRU: in.Frontend.Addr("sru"), Z3950: in.Frontend.Addr("z3950"), Rate: 30, Mix: load.DefaultMix, Seed: seed,
 		Timeout: 5 * time.Second, Origins: 8})
 	drainAt, backAt := 4*time.Second, 8*time.Second
 	if d > 0 {
@@ -83,11 +83,11 @@
 	if pause(drainAt) {
 		phases = append(phases, time.Now())
 		fmt.Fprintf(out, "%5.1fs  the agent of n1 says drain\n", time.Since(begin).Seconds())
-		in.Agents[1].Set("up drain", replica.Speaks)
+		in.Agents[1].Set("up drain", replica.Respond)
 		if pause(backAt) {
 			phases = append(phases, time.Now())
 			fmt.Fprintf(out, "%5.1fs  the agent of n1 says ready\n", time.Since(begin).Seconds())
-			in.Agents[1].Set("up ready 100%", replica.Speaks)
+			in.Agents[1].Set("up ready 100%", replica.Respond)
 			if d > 0 {
 				pause(d)
 			} else {
@@ -101,28 +101,28 @@
 }
 
 // table prints what was asked and what became of it, by phase.
-func table(out io.Writer, in *deployment.Install, calls *load.Result, phases []time.Time) error {
+func table(out io.Writer, in *deployment.Deployment, calls *load.Result, phases []time.Time) error {
 	fmt.Fprintln(out)
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "phase\tasked\twhole\tpartial\trefused\tfailed\tbroken\tparts at n1\tof all\t")
 	names := []string{"before", "n1 drains", "n1 is back"}
 	for i := 0; i+1 < len(phases); i++ {
 		list := calls.Calls(phases[i], phases[i+1])
-		n := load.Count(list)
-		share, parts := invariants.Share(in.Archive, "n1", phases[i], phases[i+1])
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%d\t\n", names[i], len(list), n[client.Whole], n[client.Partial], n[client.Refused],
-			n[client.Failed], n[client.Broken], share*float64(parts), parts)
+		n := load.CountOutcomes(list)
+		share, parts := invariants.TrafficShare(in.Archive, "n1", phases[i], phases[i+1])
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%d\t\n", names[i], len(list), n[client.Complete], n[client.Partial], n[client.Rejected],
+			n[client.Failed], n[client.Disconnected], share*float64(parts), parts)
 	}
 	t.Flush()
 	fmt.Fprintf(out, "\nlatency from the intended time: median %v, 99%% %v\n", calls.Quantile(50).Round(time.Millisecond), calls.Quantile(99).Round(time.Millisecond))
 	if len(phases) > 2 {
-		told := in.Agents[1].Told()
+		told := in.Agents[1].AnnouncedAt()
 		if len(phases) == 3 && !told.IsZero() {
-			_, last := invariants.After(in.Archive, "n1", told, 0)
+			_, last := invariants.PartsAfter(in.Archive, "n1", told, 0)
 			fmt.Fprintf(out, "last new part at n1 after its word: %v\n", last.Round(time.Millisecond))
 		}
 	}
-	if twice := invariants.Twice(in.Archive); len(twice) > 0 {
+	if twice := invariants.DuplicateCorrections(in.Archive); len(twice) > 0 {
 		return fmt.Errorf("%w: corrections ran twice: %v", errNo, twice)
 	}
 	fmt.Fprintln(out, "no correction ran twice")
--- a/cmd/testbed/health.go
+++ b/cmd/testbed/health.go
@@ -33,7 +33,7 @@
 			out := cmd.OutOrStdout()
 			report := map[string]any{}
 			broken := 0
-			for _, sc := range labhealth.All {
+			for _, sc := range labhealth.Scenarios {
 				if len(only) > 0 && !slices.Contains(only, sc.Name) {
 					continue
 				}
@@ -48,14 +48,14 @@
 					for k, v := range r.Values {
 						values[k] = append(values[k], v)
 					}
-					for _, b := range r.Broken {
+					for _, b := range r.Violations {
 						claims = append(claims, fmt.Sprintf("seed %d: %s", seed, b))
 					}
 					if len(r.Series) > 0 {
 						series = append(series, r.Series)
 					}
 					if !asJSON {
-						fmt.Fprintf(cmd.ErrOrStderr(), "%s, seed %d: %v, broken: %q\n", sc.Name, seed, time.Since(began).Round(time.Second), r.Broken)
+						fmt.Fprintf(cmd.ErrOrStderr(), "%s, seed %d: %v, broken: %q\n", sc.Name, seed, time.Since(began).Round(time.Second), r.Violations)
 					}
 				}
 				broken += len(claims)
--- a/cmd/testbed/load.go
+++ b/cmd/testbed/load.go
@@ -52,7 +52,7 @@
 			if !(p.Rate > 0 && p.Rate <= 20000) || d < time.Second || d > loadMost || p.Timeout <= 0 || p.Origins < 1 || p.Origins > 1000 {
 				return fmt.Errorf("--rate over 0 to 20000, --for 1s to %v, --timeout over 0, --origins 1 to 1000", loadMost)
 			}
-			p.Mix = load.Usual
+			p.Mix = load.DefaultMix
 			stopped := make(chan os.Signal, 1)
 			signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
 			begin := time.Now()
@@ -67,24 +67,24 @@
 				case <-stopped:
 					over = true
 				case <-tick.C:
-					n := load.Count(calls.Calls(begin, time.Now()))
+					n := load.CountOutcomes(calls.Calls(begin, time.Now()))
 					fmt.Fprintf(cmd.ErrOrStderr(), "%4.0fs  whole %d, partial %d, refused %d, failed %d, broken %d; 99%% within %v\n", time.Since(begin).Seconds(),
-						n[client.Whole], n[client.Partial], n[client.Refused], n[client.Failed], n[client.Broken], calls.Quantile(99).Round(100*time.Microsecond))
+						n[client.Complete], n[client.Partial], n[client.Rejected], n[client.Failed], n[client.Disconnected], calls.Quantile(99).Round(100*time.Microsecond))
 				}
 			}
 			stop()
 			all := calls.Calls(begin, time.Now())
-			n := load.Count(all)
+			n := load.CountOutcomes(all)
 			out := cmd.OutOrStdout()
 			if asJSON {
-				text, err := json.MarshalIndent(map[string]any{"asked": len(all), "whole": n[client.Whole], "partial": n[client.Partial], "refused": n[client.Refused],
-					"failed": n[client.Failed], "broken": n[client.Broken], "p50_ms": ms(calls.Quantile(50)), "p99_ms": ms(calls.Quantile(99)), "p999_ms": ms(calls.Quantile(99.9))}, "", "  ")
+				text, err := json.MarshalIndent(map[string]any{"asked": len(all), "whole": n[client.Complete], "partial": n[client.Partial], "refused": n[client.Rejected],
+					"failed": n[client.Failed], "broken": n[client.Disconnected], "p50_ms": ms(calls.Quantile(50)), "p99_ms": ms(calls.Quantile(99)), "p999_ms": ms(calls.Quantile(99.9))}, "", "  ")
 				if err == nil {
 					fmt.Fprintf(out, "%s\n", text)
 				}
 				return err
 			}
-			fmt.Fprintf(out, "asked %d: whole %d, partial %d, refused %d, failed %d, broken %d\n", len(all), n[client.Whole], n[client.Partial], n[client.Refused], n[client.Failed], n[client.Broken])
+			fmt.Fprintf(out, "asked %d: whole %d, partial %d, refused %d, failed %d, broken %d\n", len(all), n[client.Complete], n[client.Partial], n[client.Rejected], n[client.Failed], n[client.Disconnected])
 			fmt.Fprintf(out, "latency from the intended time: median %v, 99%% %v, 99.9%% %v\n", calls.Quantile(50), calls.Quantile(99), calls.Quantile(99.9))
 			return nil
 		},
--- a/cmd/testbed/resharding.go
+++ b/cmd/testbed/resharding.go
@@ -101,18 +101,18 @@
 }
 
 func oneReshape(o reshapeOptions, moving bool) (r reshapeRun, err error) {
-	a, err := resharding.Start(resharding.Options{Seed: o.seed, Nodes: o.nodes, Blocks: o.blocks, Fronts: 2, Late: o.late, Copies: 50,
-		Records: 120, Delay: 5 * time.Millisecond, Timing: shardmap.Timing{Spread: 100 * time.Millisecond, Query: 500 * time.Millisecond}})
+	a, err := resharding.Start(resharding.Options{Seed: o.seed, ReplicaCount: o.nodes, Blocks: o.blocks, FrontendCount: 2, LastFrontendDelay: o.late, CopiesPerSecond: 50,
+		Records: 120, Delay: 5 * time.Millisecond, Timing: shardmap.Timing{MapPropagation: 100 * time.Millisecond, MaxQueryTime: 500 * time.Millisecond}})
 	if err != nil {
 		return r, err
 	}
 	defer a.Stop()
-	calls, end := a.Call(resharding.Load{Rate: o.rate, Seed: o.seed})
+	calls, end := a.StartLoad(resharding.Load{Rate: o.rate, Seed: o.seed})
 	stop, over := make(chan struct{}), make(chan error, 1)
 	go func() {
 		if moving {
 			var err error
-			r.Reshapes, err = a.Reshape(stop, o.every, 0, o.seed)
+			r.Reshapes, err = a.Reshard(stop, o.every, 0, o.seed)
 			over <- err
 			return
 		}
@@ -124,11 +124,11 @@
 	err = <-over
 	end()
 	n := calls.Count()
-	r.Asked, r.Whole, r.Partial, r.Refused, r.Failed, r.Broken = calls.Asked, n[client.Whole], n[client.Partial], n[client.Refused], n[client.Failed], n[client.Broken]
-	r.Answered, r.P50, r.P99, r.Wrong, r.Twice = calls.Answered(), calls.Quantile(50), calls.Quantile(99), calls.Wrong, a.Twice()
+	r.Asked, r.Whole, r.Partial, r.Refused, r.Failed, r.Broken = calls.Asked, n[client.Complete], n[client.Partial], n[client.Rejected], n[client.Failed], n[client.Disconnected]
+	r.Answered, r.P50, r.P99, r.Wrong, r.Twice = calls.Answered(), calls.Quantile(50), calls.Quantile(99), calls.Violations, a.DuplicateCorrections()
 	r.Epoch = uint64(a.Controller.Map().Epoch)
-	for _, f := range a.Fronts {
-		r.Front = append(r.Front, f.Report())
+	for _, f := range a.Frontends {
+		r.Front = append(r.Front, f.CountersText())
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "testbed:", err)
--- a/internal/aggregator/core.go
+++ b/internal/aggregator/core.go
@@ -31,18 +31,18 @@
 
 	out      int            // attempts out
 	view     *shardmap.View // that it is pinned to; nil where holders are fixed
-	flight   *shardmap.Flight
+	flight   *shardmap.QueryPlacement
 	restarts int
 	anew     bool // it begins anew once nothing of it is out
 	waits    bool // for a newer map
 	place    int  // among the ends
 }
 
-// Due is the end of the client's time.
-func (q *query) Due() (time.Time, uint64) { return q.end, uint64(q.id) }
+// Deadline is the end of the client's time.
+func (q *query) Deadline() (time.Time, uint64) { return q.end, uint64(q.id) }
 
-// Place is where it stands among the ends.
-func (q *query) Place() *int { return &q.place }
+// QueueIndex is where it stands among the ends.
+func (q *query) QueueIndex() *int { return &q.place }
 
 type part struct {
 	id    balance.ID
@@ -70,11 +70,11 @@
 	place   int    // among the time-outs
 }
 
-// Due is when the attempt times out.
-func (a *attempt) Due() (time.Time, uint64) { return a.until, a.seq }
+// Deadline is when the attempt times out.
+func (a *attempt) Deadline() (time.Time, uint64) { return a.until, a.seq }
 
-// Place is where it stands among the time-outs.
-func (a *attempt) Place() *int { return &a.place }
+// QueueIndex is where it stands among the time-outs.
+func (a *attempt) QueueIndex() *int { return &a.place }
 
 // Core holds the open queries and attempts of one mixer.
 type Core struct {
@@ -94,9 +94,9 @@
 	names    map[string]int // ids of open queries, and of those with attempts out: how many hold each
 	parts    map[balance.ID]*part
 	attempts map[AttemptID]*attempt
-	sent     uint64               // attempts so far
-	ends     timers.Due[*query]   // of the open queries
-	timeouts timers.Due[*attempt] // of the attempts out that are not over yet
+	sent     uint64                         // attempts so far
+	ends     timers.DeadlineQueue[*query]   // of the open queries
+	timeouts timers.DeadlineQueue[*attempt] // of the attempts out that are not over yet
 	servers  map[balance.Replica]Server
 	wakeAt   time.Time
 	now      time.Time // of this turn
@@ -201,7 +201,7 @@
 		return told
 	}
 	m := balance.EndpointList{Kind: balance.ListDelta}
-	for _, id := range c.Outliers.Changes(c.clock(now)) {
+	for _, id := range c.Outliers.Update(c.clock(now)) {
 		if s, ok := c.servers[balance.Replica(id)]; ok {
 			m.Endpoints = append(m.Endpoints, c.member(s))
 		}
@@ -217,7 +217,7 @@
 	if c.Outliers == nil || c.Gossip == nil {
 		return
 	}
-	if text := c.Outliers.Word(c.clock(now)); text != nil {
+	if text := c.Outliers.NextMessage(c.clock(now)); text != nil {
 		c.Counters.GossipSent++
 		c.Gossip.Broadcast(text)
 	}
@@ -257,7 +257,7 @@
 		sooner(t)
 	}
 	if c.Resharding != nil {
-		sooner(c.Resharding.Views.Due())
+		sooner(c.Resharding.Views.NextExpiry())
 	}
 	return next
 }
@@ -279,14 +279,14 @@
 		})
 	case LateAnswer:
 		if c.Outliers != nil {
-			c.Outliers.AttemptEnded(c.clock(now), string(e.Server), c.clock(now), outlier.Served)
+			c.Outliers.AttemptEnded(c.clock(now), string(e.Server), c.clock(now), outlier.Answered)
 		}
 	case EndpointsChanged:
 		told = append(told, c.members(e))
 	case GossipReceived:
 		c.Counters.GossipReceived++
-		if c.Outliers != nil && outlier.Reads(e.Payload) {
-			c.Outliers.Hear(c.clock(now), e.Payload)
+		if c.Outliers != nil && outlier.IsMessage(e.Payload) {
+			c.Outliers.Receive(c.clock(now), e.Payload)
 			return told
 		}
 		if !balance.IsGossip(e.Payload) {
@@ -313,13 +313,13 @@
 		} else {
 			c.servers[s.ID] = s
 			if c.Outliers != nil {
-				c.Outliers.List(string(s.ID), c.started(s))
+				c.Outliers.Add(string(s.ID), c.started(s))
 			}
 		}
 		m.Endpoints = append(m.Endpoints, c.member(s))
 	}
 	if c.Outliers != nil {
-		c.Outliers.Keep(func(id string) bool { _, ok := c.servers[balance.Replica(id)]; return ok })
+		c.Outliers.Retain(func(id string) bool { _, ok := c.servers[balance.Replica(id)]; return ok })
 	}
 	return m
 }
@@ -338,7 +338,7 @@
 		HealthLimits: s.HealthLimits, Replica: s.ID, Zone: s.Zone, Cell: s.Cell, Size: s.Weight, State: s.State, Started: c.started(s),
 	}
 	if c.Outliers != nil {
-		if share := c.Outliers.Share(string(s.ID)); share < 1 {
+		if share := c.Outliers.TrafficShare(string(s.ID)); share < 1 {
 			entry.TrafficFraction = min(share, cmp.Or(entry.TrafficFraction, 1))
 		}
 	}
@@ -358,11 +358,11 @@
 	c.next++
 	q := &query{id: c.next, req: r, end: end}
 	c.queries[q.id], c.byReq[r] = q, q
-	c.ends.Put(q)
+	c.ends.Push(q)
 	c.names[r.ID]++
 	specs := r.Parts
 	if c.Outliers != nil {
-		c.Outliers.Earn(1 + len(specs))
+		c.Outliers.AccrueBudget(1 + len(specs))
 	}
 	if r.Layout != nil {
 		if specs = c.pin(q); len(specs) == 0 { // no map yet
@@ -376,7 +376,7 @@
 func (c *Core) addParts(now time.Time, q *query, specs []PartSpec, suffix string, told []balance.Event) []balance.Event {
 	q.parts = nil
 	if q.flight != nil {
-		q.flight.Parts, q.flight.Second = nil, q.step > 0
+		q.flight.Parts, q.flight.SecondStep = nil, q.step > 0
 	}
 	for _, s := range specs {
 		c.next++
@@ -418,10 +418,10 @@
 	lie := false
 	if q.flight != nil && c.parts[p.id] == p {
 		f := &q.flight.Parts[p.at]
-		f.Out = false // one attempt of a part is out at a time
-		f.In = f.In || p.in
-		f.MayRun = f.MayRun || r == balance.Failed || r == balance.TimedOut || r == balance.Reset || r == balance.Canceled
-		if cause != nil && cause.MapStatus != shardmap.NoWord {
+		f.InFlight = false // one attempt of a part is out at a time
+		f.Answered = f.Answered || p.in
+		f.MayHaveRun = f.MayHaveRun || r == balance.Failed || r == balance.TimedOut || r == balance.Reset || r == balance.Canceled
+		if cause != nil && cause.MapStatus != shardmap.NoMismatch {
 			lie, told = c.turnedAway(now, a, cause, told)
 		}
 	}
@@ -515,10 +515,10 @@
 	c.sent++
 	out := &attempt{part: p, server: a.Replica, sent: now, until: until, id: id, seq: c.sent}
 	c.attempts[id] = out
-	c.timeouts.Put(out)
+	c.timeouts.Push(out)
 	q.out++
 	if q.flight != nil {
-		q.flight.Parts[p.at].Out = true
+		q.flight.Parts[p.at].InFlight = true
 	}
 	c.names[q.req.ID]++
 	c.Counters.Sent++
--- a/internal/aggregator/core_test.go
+++ b/internal/aggregator/core_test.go
@@ -354,7 +354,7 @@
 // answer that comes after its attempt was given up shows that the server lives.
 func TestLossesToldAreWeighed(t *testing.T) {
 	losses := func() *outlier.Table {
-		return outlier.New(outlier.Rules{Span: time.Second, Late: 100 * time.Millisecond, Fresh: time.Second, Mixers: 10})
+		return outlier.New(outlier.Config{DecayTime: time.Second, OverdueAfter: 100 * time.Millisecond, MaxMessageAge: time.Second, Aggregators: 10})
 	}
 	w := newWorld(t)
 	var told toldPeers
@@ -375,8 +375,8 @@
 		words = append(words, GossipReceived{Payload: told[0]})
 	}
 	o.turn(words...)
-	if o.c.Outliers.Share(at) >= 0.01 || o.c.Counters.GossipInvalid != 0 {
-		t.Fatalf("share %v, %d bad words", o.c.Outliers.Share(at), o.c.Counters.GossipInvalid)
+	if o.c.Outliers.TrafficShare(at) >= 0.01 || o.c.Counters.GossipInvalid != 0 {
+		t.Fatalf("share %v, %d bad words", o.c.Outliers.TrafficShare(at), o.c.Counters.GossipInvalid)
 	}
 	for i := range 15 {
 		o.ask(fmt.Sprint("q", i), 0, 1)
@@ -390,11 +390,11 @@
 	for range 20 {
 		o.turn(LateAnswer{Server: balance.Replica(at)})
 	}
-	if o.turn(); o.c.Outliers.Share(at) != 1 {
-		t.Errorf("share %v of a server that answers late", o.c.Outliers.Share(at))
+	if o.turn(); o.c.Outliers.TrafficShare(at) != 1 {
+		t.Errorf("share %v of a server that answers late", o.c.Outliers.TrafficShare(at))
 	}
 	o.turn(EndpointsChanged{Kind: balance.ListDelta, Servers: []Server{{ID: balance.Replica(at), State: balance.Removed}}})
-	if o.c.Outliers.Share(at) != 1 || len(o.c.servers) != 1 {
+	if o.c.Outliers.TrafficShare(at) != 1 || len(o.c.servers) != 1 {
 		t.Error("a server that is gone is still known")
 	}
 }
--- a/internal/aggregator/ports.go
+++ b/internal/aggregator/ports.go
@@ -34,7 +34,7 @@
 	Rejected bool // Answered: the server did not take it
 	Canceled bool // this mixer gave it up
 	// Rejected because of the map of blocks: what the server said, and the epoch it named.
-	MapStatus shardmap.Word
+	MapStatus shardmap.Mismatch
 	Epoch     shardmap.Epoch
 
 	CorruptStream bool // Written: the server lives, and what it said on the connection cannot be read
@@ -65,7 +65,7 @@
 		return balance.OK
 	case !errors.As(err, &a):
 		return balance.Reset
-	case a.Rejected && a.MapStatus != shardmap.NoWord:
+	case a.Rejected && a.MapStatus != shardmap.NoMismatch:
 		return balance.NotSent // it tells nothing of the server's load
 	case a.Rejected:
 		return balance.QueueFull
@@ -131,44 +131,44 @@
 }
 
 // HealthResult is what the attempt's end tells of its server's health. aim is its class's.
-func (a AttemptSummary) HealthResult(now time.Time, aim time.Duration) health.Result {
+func (a AttemptSummary) HealthResult(now time.Time, aim time.Duration) health.Outcome {
 	switch a.Result {
 	case balance.OK:
-		return health.Good
+		return health.Success
 	case balance.Failed, balance.Reset, balance.TimedOut:
-		return health.Bad
+		return health.Failure
 	case balance.ConnectFailed:
 		if !a.LocalCause { // else for want of something of ours
-			return health.Unreached
+			return health.ConnectFailure
 		}
 	case balance.Canceled:
 		// Called off after more than the aim: it was silent. Before that, its client left or another part failed.
 		if now.Sub(a.Sent) >= aim {
-			return health.Bad
+			return health.Failure
 		}
 	}
 	if a.FalseRejection { // it turns away what it holds
-		return health.Bad
+		return health.Failure
 	}
 	return health.Neutral
 }
 
 // end is what the attempt's end tells of its server to the table of losses, which judges by itself what was called off
 // and what was turned away.
-func (a AttemptSummary) end() outlier.End {
+func (a AttemptSummary) end() outlier.Outcome {
 	switch a.Result {
 	case balance.Canceled:
-		return outlier.CalledOff
+		return outlier.Canceled
 	case balance.QueueFull:
-		return outlier.TurnedAway
+		return outlier.Rejected
 	}
 	switch a.HealthResult(a.Sent, 0) {
-	case health.Good:
-		return outlier.Served
-	case health.Bad, health.Unreached:
-		return outlier.Lost
+	case health.Success:
+		return outlier.Answered
+	case health.Failure, health.ConnectFailure:
+		return outlier.Failed
 	}
-	return outlier.Neutral
+	return outlier.NotSent
 }
 
 // PartSpec is one part of a request.
--- a/internal/aggregator/resharding.go
+++ b/internal/aggregator/resharding.go
@@ -27,7 +27,7 @@
 		return nil
 	}
 	specs := q.req.Layout(q.view)
-	q.flight = &shardmap.Flight{View: q.view, Safe: c.safe(q.req.Class), Restarts: q.restarts}
+	q.flight = &shardmap.QueryPlacement{View: q.view, Idempotent: c.safe(q.req.Class), Restarts: q.restarts}
 	return specs
 }
 
@@ -49,12 +49,12 @@
 		return nil
 	}
 	id := shardmap.ID(p.spec.Shard)
-	entry := shardmap.Part{Block: id}
+	entry := shardmap.Part{Shard: id}
 	list = []balance.Candidate{}
-	if b := q.view.Map.Block(id); b != nil {
-		for _, h := range b.Servers() {
+	if b := q.view.Map.Shard(id); b != nil {
+		for _, h := range b.ServingReplicas() {
 			entry.Servers = append(entry.Servers, h.Server)
-			list = append(list, balance.Candidate{Replica: balance.Replica(h.Server), TrafficFraction: c.Resharding.Views.Share(now, h)})
+			list = append(list, balance.Candidate{Replica: balance.Replica(h.Server), TrafficFraction: c.Resharding.Views.TrafficFraction(now, h)})
 		}
 	}
 	p.at = len(q.flight.Parts)
@@ -73,18 +73,18 @@
 		r.Rejected(e.Source, e.Err)
 		return told
 	case e.Map == nil:
-		if r.Views.Same(now) {
+		if r.Views.SourceUnchanged(now) {
 			r.RequestMapSoon()
 		}
 	default:
-		old := r.Views.Now()
+		old := r.Views.Current()
 		adopted, err := r.Views.Offer(now, e.Map)
 		if err != nil {
 			r.Rejected(e.Source, err)
 		}
 		if adopted {
 			r.Adopted(old, e.Map)
-		} else if err == nil && r.Views.Same(now) {
+		} else if err == nil && r.Views.SourceUnchanged(now) {
 			r.RequestMapSoon()
 		}
 	}
@@ -105,7 +105,7 @@
 	for _, v := range c.Resharding.Views.Expired(now) {
 		for _, q := range c.all() {
 			// What may be running and must not run twice stays until its answer, or its deadline.
-			if q.view == v && !q.anew && (q.flight.Safe || q.out == 0) {
+			if q.view == v && !q.anew && (q.flight.Idempotent || q.out == 0) {
 				told = c.stranded(now, q, told)
 			}
 		}
@@ -120,35 +120,35 @@
 	if r == nil || q.flight == nil || c.parts[p.id] != p {
 		return false, told
 	}
-	ask := r.Views.Heard(now, cause.Epoch)
-	v := q.flight.TurnedAway(r.Views, p.at, string(a.server), cause.MapStatus, cause.Epoch, ask)
-	if v.Lie {
-		r.Views.Stats.Lies++
+	ask := r.Views.ObserveEpoch(now, cause.Epoch)
+	v := q.flight.Rejected(r.Views, p.at, string(a.server), cause.MapStatus, cause.Epoch, ask)
+	if v.FalseRejection {
+		r.Views.Stats.FalseRejections++
 	}
-	if v.Ask {
+	if v.RequestMap {
 		r.RequestMap()
 	}
-	if v.Restart || v.Wait {
-		return v.Lie, c.verdict(now, q, v, told)
+	if v.Restart || v.AwaitMap {
+		return v.FalseRejection, c.verdict(now, q, v, told)
 	}
 	left := []balance.Candidate{}
-	if b := q.view.Map.Block(shardmap.ID(p.spec.Shard)); b != nil {
-		for _, h := range b.Servers() {
+	if b := q.view.Map.Shard(shardmap.ID(p.spec.Shard)); b != nil {
+		for _, h := range b.ServingReplicas() {
 			if slices.Contains(q.flight.Parts[p.at].Servers, h.Server) {
-				left = append(left, balance.Candidate{Replica: balance.Replica(h.Server), TrafficFraction: r.Views.Share(now, h)})
+				left = append(left, balance.Candidate{Replica: balance.Replica(h.Server), TrafficFraction: r.Views.TrafficFraction(now, h)})
 			}
 		}
 	}
-	return v.Lie, append(told, balance.CandidatesChanged{Part: p.id, Candidates: left})
+	return v.FalseRejection, append(told, balance.CandidatesChanged{Part: p.id, Candidates: left})
 }
 
 // stranded decides on a query whose view is of no more use to it.
 func (c *Core) stranded(now time.Time, q *query, told []balance.Event) []balance.Event {
-	return c.verdict(now, q, q.flight.Stranded(c.Resharding.Views), told)
+	return c.verdict(now, q, q.flight.ViewUnusable(c.Resharding.Views), told)
 }
 
 // verdict carries out what was decided on a query: it begins anew, waits for a newer map, or ends.
-func (c *Core) verdict(now time.Time, q *query, v shardmap.Verdict, told []balance.Event) []balance.Event {
+func (c *Core) verdict(now time.Time, q *query, v shardmap.Decision, told []balance.Event) []balance.Event {
 	if !q.anew && !q.waits { // the decisions on it begin anew, too
 		told = append(told, balance.ClientDisconnected{Query: q.id})
 		for _, p := range q.parts {
@@ -168,7 +168,7 @@
 		if q.out == 0 {
 			told = c.again(now, q, told)
 		}
-	case v.Wait:
+	case v.AwaitMap:
 		if !q.waits {
 			c.Counters.MapWaits++
 			c.Resharding.Views.Stats.Waits++
@@ -176,7 +176,7 @@
 		q.waits = true
 	default:
 		q.waits = false
-		if q.flight.Safe || !q.flight.MayHaveRun() {
+		if q.flight.Idempotent || !q.flight.MayHaveRun() {
 			c.close(q, FinalAnswer{Status: StatusRejected, RetryAfter: c.lim.RetryAfter})
 		} else {
 			c.close(q, FinalAnswer{Status: StatusFailed})
@@ -194,7 +194,7 @@
 	c.next++
 	q.id = c.next
 	c.queries[q.id] = q
-	c.ends.Put(q)
+	c.ends.Push(q)
 	specs := c.pin(q)
 	if !now.Before(q.end) || len(specs) == 0 {
 		c.close(q, FinalAnswer{Status: StatusRejected, RetryAfter: c.lim.RetryAfter})
@@ -220,7 +220,7 @@
 	}
 	for _, p := range q.parts {
 		f := &q.flight.Parts[p.at]
-		if !f.In && !slices.ContainsFunc(f.Servers, func(s string) bool { return c.Available(balance.Replica(s)) }) {
+		if !f.Answered && !slices.ContainsFunc(f.Servers, func(s string) bool { return c.Available(balance.Replica(s)) }) {
 			return true
 		}
 	}
@@ -230,7 +230,7 @@
 // gaveUp ends a query that the decisions have given up, or begins it anew where its view was the reason.
 func (c *Core) gaveUp(now time.Time, q *query, f FinalAnswer, told []balance.Event) []balance.Event {
 	if c.Resharding != nil && !q.anew && !q.waits && q.out == 0 && now.Before(q.end.Add(-c.lim.DeadlineMargin)) && c.orphaned(q) {
-		if v := q.flight.Stranded(c.Resharding.Views); v.Restart || v.Wait {
+		if v := q.flight.ViewUnusable(c.Resharding.Views); v.Restart || v.AwaitMap {
 			return c.verdict(now, q, v, told)
 		}
 	}
--- a/internal/aggregator/resharding_test.go
+++ b/internal/aggregator/resharding_test.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	views, err := shardmap.NewViews(shardmap.ViewRules{MostPinned: 2, MostAge: 4 * time.Second, ColdFrom: 1, Patience: 100 * time.Millisecond})
+	views, err := shardmap.NewViews(shardmap.ViewOptions{MaxPinnedEpochs: 2, MaxPinnedAge: 4 * time.Second, WarmupMinFraction: 1, MaxSourceLag: 100 * time.Millisecond})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,9 +42,9 @@
 		list = append(list, Server{ID: id, Addr: string(id) + ":1"})
 	}
 	w.turn(EndpointsChanged{Kind: balance.ListFull, Servers: list})
-	w.m, err = shardmap.New("captions", 1, 3, []*shardmap.Block{
-		{ID: 1, To: "m@2000", State: shardmap.Serving, Weight: 1, Holders: []shardmap.Holder{{Server: "a"}, {Server: "b"}}},
-		{ID: 2, From: "m@2000", State: shardmap.Serving, Weight: 3, Holders: []shardmap.Holder{{Server: "a"}, {Server: "b"}}},
+	w.m, err = shardmap.New("captions", 1, 3, []*shardmap.Shard{
+		{ID: 1, To: "m@2000", State: shardmap.Serving, Weight: 1, Replicas: []shardmap.Replica{{Server: "a"}, {Server: "b"}}},
+		{ID: 2, From: "m@2000", State: shardmap.Serving, Weight: 3, Replicas: []shardmap.Replica{{Server: "a"}, {Server: "b"}}},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -63,7 +63,7 @@
 	w.t.Helper()
 	for i := range p.Steps {
 		if err == nil {
-			w.m, err = p.Steps[i].Next(w.m)
+			w.m, err = p.Steps[i].Apply(w.m)
 		}
 		if err != nil {
 			w.t.Fatal(err)
@@ -76,9 +76,9 @@
 	r := &Request{ID: id, Class: class, Arrived: w.now, Timeout: 3 * time.Second, Payload: "text", Frontend: asker{w.world, id}}
 	r.Layout = func(v *shardmap.View) (specs []PartSpec) {
 		if key != "" {
-			return []PartSpec{{Shard: int(v.Map.At(shardmap.Key(key)).ID), Weight: 1}}
+			return []PartSpec{{Shard: int(v.Map.Lookup(shardmap.Key(key)).ID), Weight: 1}}
 		}
-		for _, b := range v.Blocks() {
+		for _, b := range v.Shards() {
 			specs = append(specs, PartSpec{Shard: int(b.ID), Weight: b.Weight / v.Map.Weight()})
 		}
 		return specs
@@ -111,7 +111,7 @@
 
 func (w *mapped) server() string { return string(w.to[0].ID) }
 
-func away(word shardmap.Word, e shardmap.Epoch) error {
+func away(word shardmap.Mismatch, e shardmap.Epoch) error {
 	return &AttemptError{Progress: Answered, Rejected: true, MapStatus: word, Epoch: e}
 }
 
@@ -125,12 +125,12 @@
 	w := newMapped(t)
 	w.query("q", 1, "x@2000")
 	first := w.server()
-	w.carry(shardmap.PlanMove(w.m, 2, moveAll, shardmap.Timing{}))
-	w.end1(first, 2, away(shardmap.NotMine, w.m.Epoch))
+	w.carry(shardmap.PlanMigration(w.m, 2, moveAll, shardmap.Timing{}))
+	w.end1(first, 2, away(shardmap.NotHeld, w.m.Epoch))
 	if w.out() != "2@"+other(first) {
 		t.Fatalf("out: %s", w.out())
 	}
-	w.end1(other(first), 2, away(shardmap.NotMine, w.m.Epoch))
+	w.end1(other(first), 2, away(shardmap.NotHeld, w.m.Epoch))
 	if now := w.server(); now != "c" && now != "d" {
 		t.Fatalf("out: %s", w.out())
 	}
@@ -154,7 +154,7 @@
 		w := newMapped(t)
 		w.query("q", 1, "x@2000")
 		first := w.server()
-		w.carry(shardmap.PlanMove(w.m, 2, moveAll, shardmap.Timing{}))
+		w.carry(shardmap.PlanMigration(w.m, 2, moveAll, shardmap.Timing{}))
 		w.carry(shardmap.PlanSplit(w.m, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
 		if name != "silence" {
 			w.end1(first, 2, err)
@@ -180,7 +180,7 @@
 func TestCorrectionAnsweredAfterTheSwitch(t *testing.T) {
 	w := newMapped(t)
 	w.query("q", 1, "x@2000")
-	w.carry(shardmap.PlanMove(w.m, 2, moveAll, shardmap.Timing{}))
+	w.carry(shardmap.PlanMigration(w.m, 2, moveAll, shardmap.Timing{}))
 	w.end1(w.server(), 2, nil)
 	if f := w.one("q"); f.Status != StatusServed || w.c.Counters.Restarts != 0 {
 		t.Errorf("%+v", f)
@@ -203,8 +203,8 @@
 			i := slices.IndexFunc(w.calls, func(o Call) bool { return o.Attempt == c.Attempt })
 			if c.Shard == 2 && !served {
 				s := string(w.to[i].ID)
-				w.end1(s, 2, away(shardmap.NotMine, w.m.Epoch))
-				w.end1(other(s), 2, away(shardmap.NotMine, w.m.Epoch))
+				w.end1(s, 2, away(shardmap.NotHeld, w.m.Epoch))
+				w.end1(other(s), 2, away(shardmap.NotHeld, w.m.Epoch))
 				continue
 			}
 			w.end1(string(w.to[i].ID), c.Shard, nil)
@@ -239,10 +239,10 @@
 		after   []int // blocks of the last view
 	}{
 		"merge": {func(w *mapped) { w.carry(shardmap.PlanMerge(w.m, []shardmap.ID{1, 2}, shardmap.Timing{})) }, []int{3}},
-		"move":  {func(w *mapped) { w.carry(shardmap.PlanMove(w.m, 2, moveAll, shardmap.Timing{})) }, []int{1, 2}},
+		"move":  {func(w *mapped) { w.carry(shardmap.PlanMigration(w.m, 2, moveAll, shardmap.Timing{})) }, []int{1, 2}},
 		"two": {func(w *mapped) {
 			split(w)
-			w.carry(shardmap.PlanMove(w.m, 4, moveAll, shardmap.Timing{}))
+			w.carry(shardmap.PlanMigration(w.m, 4, moveAll, shardmap.Timing{}))
 		}, []int{1, 3, 4}},
 	} {
 		for _, served := range []bool{true, false} {
@@ -255,7 +255,7 @@
 				case slices.Contains(w.withdrawn, call.Attempt):
 					w.end1(s, call.Shard, &AttemptError{Progress: Written, Canceled: true})
 				case !served && call.Epoch < w.m.Epoch:
-					w.end1(s, call.Shard, away(shardmap.NotMine, w.m.Epoch))
+					w.end1(s, call.Shard, away(shardmap.NotHeld, w.m.Epoch))
 				default:
 					w.end1(s, call.Shard, nil)
 				}
@@ -281,15 +281,15 @@
 func TestAnewOnlyWhenNothingIsOut(t *testing.T) {
 	w := newMapped(t)
 	w.query("q", 0, "")
-	w.carry(shardmap.PlanMove(w.m, 2, moveAll, shardmap.Timing{}))
+	w.carry(shardmap.PlanMigration(w.m, 2, moveAll, shardmap.Timing{}))
 	var second string
 	for i, c := range w.calls {
 		if c.Shard == 2 {
 			second = string(w.to[i].ID)
 		}
 	}
-	w.end1(second, 2, away(shardmap.NotMine, w.m.Epoch))
-	w.end1(other(second), 2, away(shardmap.NotMine, w.m.Epoch))
+	w.end1(second, 2, away(shardmap.NotHeld, w.m.Epoch))
+	w.end1(other(second), 2, away(shardmap.NotHeld, w.m.Epoch))
 	if len(w.calls) != 1 || w.calls[0].Shard != 1 || len(w.withdrawn) != 1 {
 		t.Fatalf("out: %s, withdrawn %d", w.out(), len(w.withdrawn))
 	}
@@ -317,8 +317,8 @@
 	// Its holders turn one away: there is no other view for it.
 	s := w.server()
 	b := w.calls[0].Shard
-	w.end1(s, b, away(shardmap.NotMine, w.m.Epoch))
-	w.end1(other(s), b, away(shardmap.NotMine, w.m.Epoch))
+	w.end1(s, b, away(shardmap.NotHeld, w.m.Epoch))
+	w.end1(other(s), b, away(shardmap.NotHeld, w.m.Epoch))
 	w.end(nil)
 	if f := w.one("q"); f.Status == StatusServed && f.Complete || w.c.Counters.Restarts != 0 {
 		t.Errorf("%+v", f)
@@ -332,19 +332,19 @@
 	for _, comes := range []bool{true, false} {
 		w := newMapped(t)
 		next := w.m
-		p, err := shardmap.PlanMove(w.m, 2, moveAll, shardmap.Timing{})
+		p, err := shardmap.PlanMigration(w.m, 2, moveAll, shardmap.Timing{})
 		for i := range p.Steps {
-			if next, err = p.Steps[i].Next(next); err != nil {
+			if next, err = p.Steps[i].Apply(next); err != nil {
 				t.Fatal(err)
 			}
 		}
 		w.query("q", 1, "x@2000")
 		s := w.server()
-		w.end1(s, 2, away(shardmap.NotMine, 4))
+		w.end1(s, 2, away(shardmap.NotHeld, 4))
 		if w.asked != 1 {
 			t.Errorf("the source was asked %d times", w.asked)
 		}
-		w.end1(other(s), 2, away(shardmap.NotMine, 4))
+		w.end1(other(s), 2, away(shardmap.NotHeld, 4))
 		if len(w.finals["q"]) > 0 || len(w.calls) > 0 {
 			t.Fatalf("%+v, out %s", w.finals, w.out())
 		}
@@ -401,8 +401,8 @@
 	w.c.Observer = saw
 	w.query("q", 1, "x@2000")
 	s := w.server()
-	w.end1(s, 2, away(shardmap.NotMine, 1))
-	if w.asked != 0 || w.c.Resharding.Views.Stats.Lies != 1 || len(saw.list) != 1 || !saw.list[0].FalseRejection {
+	w.end1(s, 2, away(shardmap.NotHeld, 1))
+	if w.asked != 0 || w.c.Resharding.Views.Stats.FalseRejections != 1 || len(saw.list) != 1 || !saw.list[0].FalseRejection {
 		t.Errorf("asked %d, %+v", w.asked, saw.list)
 	}
 	w.end1(other(s), 2, nil)
@@ -443,7 +443,7 @@
 	w.query("safe", 0, "")
 	w.query("unsafe", 1, "x@2000")
 	for range 3 {
-		next, err := w.m.Change([]*shardmap.Block{{ID: 1, To: "m@2000", State: shardmap.Serving, Weight: float64(w.m.Epoch) + 1, Holders: w.m.Block(1).Holders}}, nil)
+		next, err := w.m.Change([]*shardmap.Shard{{ID: 1, To: "m@2000", State: shardmap.Serving, Weight: float64(w.m.Epoch) + 1, Replicas: w.m.Shard(1).Replicas}}, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -542,7 +542,7 @@
 				case y == 1:
 					err = &AttemptError{Progress: NotConnected}
 				case y < 5:
-					err = away(shardmap.Word(1+rng.IntN(2)), w.m.Epoch+shardmap.Epoch(rng.IntN(3))-1+1)
+					err = away(shardmap.Mismatch(1+rng.IntN(2)), w.m.Epoch+shardmap.Epoch(rng.IntN(3))-1+1)
 				default:
 					mayRun[id] = true
 				}
@@ -551,13 +551,13 @@
 				w.turn(ShardMapOffered{Source: "test"})
 			default:
 				var ids []shardmap.ID
-				w.m.Every(func(b *shardmap.Block) bool { ids = append(ids, b.ID); return true })
+				w.m.All(func(b *shardmap.Shard) bool { ids = append(ids, b.ID); return true })
 				var p *shardmap.Plan
 				var err error
 				id := ids[rng.IntN(len(ids))]
 				switch rng.IntN(3) {
 				case 0:
-					p, err = shardmap.PlanMove(w.m, id, [][]string{{"a", "b"}, {"c", "d"}, {"b", "c"}}[rng.IntN(3)], shardmap.Timing{})
+					p, err = shardmap.PlanMigration(w.m, id, [][]string{{"a", "b"}, {"c", "d"}, {"b", "c"}}[rng.IntN(3)], shardmap.Timing{})
 				case 1:
 					p, err = shardmap.PlanSplit(w.m, id, []shardmap.Key{[]shardmap.Key{"d@2000", "p@2000", "t@2000"}[rng.IntN(3)]}, shardmap.Timing{})
 				default:
--- a/internal/app/background/background.go
+++ b/internal/app/background/background.go
@@ -17,14 +17,14 @@
 
 // Job is one run of a task. It blocks, and bounds its own time. It returns what the task showed, and whether the run
 // took up all its time.
-type Job func() (pace scheduler.Pace, hung bool)
+type Job func() (pace scheduler.Result, hung bool)
 
 // Runner runs tasks.
 type Runner struct {
 	clock aggregator.Clock
 	mu    sync.Mutex
-	plan  *scheduler.Schedule
-	jobs  map[scheduler.ID]Job
+	plan  *scheduler.Scheduler
+	jobs  map[scheduler.TaskID]Job
 	late  *hdrhistogram.Histogram // microseconds
 	wake  chan struct{}
 	runs  sync.WaitGroup
@@ -38,13 +38,13 @@
 		return nil, err
 	}
 	return &Runner{
-		clock: clock, plan: plan, jobs: map[scheduler.ID]Job{}, late: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 2),
+		clock: clock, plan: plan, jobs: map[scheduler.TaskID]Job{}, late: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 2),
 		wake: make(chan struct{}, 1),
 	}, nil
 }
 
 // Add adds a task whose first run lies within first.
-func (r *Runner) Add(t scheduler.Task, first time.Duration, job Job) scheduler.ID {
+func (r *Runner) Add(t scheduler.Task, first time.Duration, job Job) scheduler.TaskID {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	id := r.plan.Add(r.clock.Now(), t, first)
@@ -54,18 +54,18 @@
 }
 
 // Remove forgets a task; a run in hand ends by itself.
-func (r *Runner) Remove(id scheduler.ID) {
+func (r *Runner) Remove(id scheduler.TaskID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.plan.Remove(id)
 	delete(r.jobs, id)
 }
 
-// Hurry makes a task run now.
-func (r *Runner) Hurry(id scheduler.ID) {
+// RunNow makes a task run now.
+func (r *Runner) RunNow(id scheduler.TaskID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.plan.Hurry(r.clock.Now(), id)
+	r.plan.RunNow(r.clock.Now(), id)
 	r.nudge()
 }
 
@@ -107,7 +107,7 @@
 }
 
 // one runs a task once. A panic stops at the run: the task goes on at its interval.
-func (r *Runner) one(id scheduler.ID, job Job) {
+func (r *Runner) one(id scheduler.TaskID, job Job) {
 	pace, hung := scheduler.Steady, false
 	defer func() {
 		if p := recover(); p != nil {
@@ -127,8 +127,8 @@
 // Stats are the schedule's counts, and how late runs began: the median and the 99th percentile.
 type Stats struct {
 	scheduler.Stats
-	Tasks, Running int
-	P50, P99       time.Duration
+	Tasks, Running               int
+	StartDelayP50, StartDelayP99 time.Duration
 }
 
 // Stats returns the counts so far.
@@ -136,5 +136,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	at := func(q float64) time.Duration { return time.Duration(r.late.ValueAtQuantile(q)) * time.Microsecond }
-	return Stats{Stats: r.plan.Stats, Tasks: r.plan.Held(), Running: r.plan.Running(), P50: at(50), P99: at(99)}
+	return Stats{Stats: r.plan.Stats, Tasks: r.plan.Len(), Running: r.plan.Running(), StartDelayP50: at(50), StartDelayP99: at(99)}
 }
--- a/internal/app/evidence.go
+++ b/internal/app/evidence.go
@@ -39,24 +39,24 @@
 type settle struct{ aggregator.AdapterMessage }
 
 func newEvidence(conf *config.Partners, list []aggregator.Server, now time.Time, box aggregator.Poster, log *slog.Logger) (*evidence, error) {
-	table, err := health.New(conf.Rules(), conf.Sources(), now)
+	table, err := health.New(conf.HealthRules(), conf.HealthSources(), now)
 	if err != nil {
 		return nil, err
 	}
 	e := &evidence{table: table, servers: map[health.ID]aggregator.Server{}, held: map[health.ID]map[int]bool{}, log: log, box: box}
 	for _, c := range conf.Classes {
-		e.aims = append(e.aims, c.Aim.Duration)
+		e.aims = append(e.aims, c.Objective.Duration)
 	}
-	var nodes []health.Node
+	var nodes []health.Server
 	for _, s := range list {
 		e.servers[health.ID(s.ID)] = s
-		n := health.Node{ID: health.ID(s.ID)}
-		if !conf.Blocks.On() {
-			n.Blocks = blocksOf(conf, s.Cell)
+		n := health.Server{ID: health.ID(s.ID)}
+		if !conf.ShardMap.Enabled() {
+			n.Shards = blocksOf(conf, s.Cell)
 		}
 		nodes = append(nodes, n)
 	}
-	table.Roster(now, nodes, true)
+	table.UpdateEndpoints(now, nodes, true)
 	e.settled(now)
 	return e, nil
 }
@@ -73,7 +73,7 @@
 
 // AttemptEnded takes the end of an attempt as evidence.
 func (e *evidence) AttemptEnded(now time.Time, a aggregator.AttemptSummary) {
-	e.table.Outcome(now, health.ID(a.Server), a.Class, a.HealthResult(now, e.aims[a.Class]), a.Sent)
+	e.table.RecordOutcome(now, health.ID(a.Server), a.Class, a.HealthResult(now, e.aims[a.Class]), a.Sent)
 	if !e.asked {
 		e.asked = true
 		e.box.Put(settle{})
@@ -83,11 +83,11 @@
 // mapped takes who holds which block from a map. Only servers whose blocks changed are told of.
 func (e *evidence) mapped(now time.Time, old, m *shardmap.Map) {
 	touched := map[health.ID]bool{}
-	hold := func(b *shardmap.Block, held bool) {
+	hold := func(b *shardmap.Shard, held bool) {
 		if b == nil || !b.Active() {
 			return
 		}
-		for _, h := range b.Servers() {
+		for _, h := range b.ServingReplicas() {
 			id := health.ID(h.Server)
 			if _, listed := e.servers[id]; !listed {
 				continue
@@ -103,31 +103,31 @@
 		}
 	}
 	if old == nil {
-		m.Every(func(b *shardmap.Block) bool { hold(b, true); return true })
+		m.All(func(b *shardmap.Shard) bool { hold(b, true); return true })
 	} else {
 		for _, d := range shardmap.Diff(old, m) {
 			hold(d.Was, false)
 			hold(d.Is, true)
 		}
 	}
-	var nodes []health.Node
+	var nodes []health.Server
 	for id := range touched {
-		n := health.Node{ID: id}
+		n := health.Server{ID: id}
 		for b := range e.held[id] {
-			n.Blocks = append(n.Blocks, b)
+			n.Shards = append(n.Shards, b)
 		}
-		slices.Sort(n.Blocks)
+		slices.Sort(n.Shards)
 		nodes = append(nodes, n)
 	}
-	slices.SortFunc(nodes, func(a, b health.Node) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	e.table.Roster(now, nodes, false)
+	slices.SortFunc(nodes, func(a, b health.Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	e.table.UpdateEndpoints(now, nodes, false)
 }
 
 // Handle takes results of checks.
 func (e *evidence) Handle(now time.Time, message aggregator.Message) ([]aggregator.Event, bool) {
 	switch ev := message.(type) {
 	case checked:
-		e.table.Check(now, ev.server, ev.source, ev.result.Report)
+		e.table.RecordCheck(now, ev.server, ev.source, ev.result.CheckResult)
 	case settle:
 		e.asked = false
 	default:
@@ -139,11 +139,11 @@
 // Sweep does what is due.
 func (e *evidence) Sweep(now time.Time) ([]aggregator.Event, time.Time) {
 	events := e.settled(now)
-	next, _ := e.table.Next()
+	next, _ := e.table.NextDeadline()
 	return events, next
 }
 
-var states = map[health.State]balance.EndpointState{health.InService: balance.InService, health.Draining: balance.Draining, health.Out: balance.Removed}
+var states = map[health.State]balance.EndpointState{health.InService: balance.InService, health.Draining: balance.Draining, health.OutOfService: balance.Removed}
 
 // settled turns what has changed into word of the list. Each change of a conclusion is logged once, with its cause.
 func (e *evidence) settled(now time.Time) []aggregator.Event {
@@ -154,21 +154,21 @@
 	e.version++
 	m := aggregator.EndpointsChanged{Kind: balance.ListDelta}
 	for _, c := range changes {
-		if c.Told {
+		if c.Notable {
 			e.changes++
 			cause := c.Cause
 			if cause == "" {
 				cause = "well"
 			}
-			e.log.Info("health", "server", string(c.ID), "state", c.State.String(), "shunned", c.Shun == health.Everything, "usable", c.Usable,
-				"dubious", c.Dubious, "cause", cause)
+			e.log.Info("health", "server", string(c.ID), "state", c.State.String(), "shunned", c.EjectedClasses == health.AllClasses, "usable", c.Usable,
+				"dubious", c.Contradictory, "cause", cause)
 		}
 		s, ok := e.servers[c.ID]
 		if !ok {
 			continue
 		}
 		s.State = states[c.State]
-		s.HealthLimits = balance.HealthLimits{TrafficFraction: c.Share, MaxInFlight: c.MaxOut, EjectedClasses: c.Shun, HalfOpenClasses: c.Trial}
+		s.HealthLimits = balance.HealthLimits{TrafficFraction: c.TrafficFraction, MaxInFlight: c.MaxInFlight, EjectedClasses: c.EjectedClasses, HalfOpenClasses: c.HalfOpenClasses}
 		m.Servers = append(m.Servers, s)
 	}
 	return []aggregator.Event{m}
--- a/internal/app/healthclient.go
+++ b/internal/app/healthclient.go
@@ -14,39 +14,39 @@
 	"rooktrestle/internal/net/tcp"
 )
 
-// AskHealth asks the servers of an operator's file by every check they have, once, or with watch again and again
+// CheckServers asks the servers of an operator's file by every check they have, once, or with watch again and again
 // until stop is closed, and prints what each source says and what follows. It says whether all may be used. What only
 // a running mixer knows, how real parts end, is not part of it: that is at /servers of the mixer's health listener.
-func AskHealth(path string, watch, asJSON bool, out io.Writer, stop <-chan struct{}) (good bool, err error) {
+func CheckServers(path string, watch, asJSON bool, out io.Writer, stop <-chan struct{}) (good bool, err error) {
 	conf, err := config.LoadPartners(path)
 	if err != nil {
 		return false, err
 	}
-	sources := conf.Sources()
+	sources := conf.HealthSources()
 	if !watch { // one word is all there will be
 		for i := range sources {
 			sources[i].Fall, sources[i].Rise = 1, 1
 		}
 	}
-	table, err := health.New(conf.Rules(), sources, time.Now())
+	table, err := health.New(conf.HealthRules(), sources, time.Now())
 	if err != nil {
 		return false, err
 	}
-	var nodes []health.Node
+	var nodes []health.Server
 	for _, s := range conf.Servers {
-		nodes = append(nodes, health.Node{ID: health.ID(s.ID), Blocks: blocksOf(conf, s.Cell)})
+		nodes = append(nodes, health.Server{ID: health.ID(s.ID), Shards: blocksOf(conf, s.Cell)})
 	}
-	table.Roster(time.Now(), nodes, true)
+	table.UpdateEndpoints(time.Now(), nodes, true)
 	last := map[string]string{}
 	for {
 		askAll(conf, table)
 		now := time.Now()
 		table.Changes(now)
-		var words []ServerWord
+		var words []ServerHealth
 		good = true
 		for _, s := range conf.Servers {
 			w := wordOn(table, now, s.ID)
-			good = good && w.State == health.InService.String() && w.Usable && w.Shunned == 0
+			good = good && w.State == health.InService.String() && w.Usable && w.EjectedClasses == 0
 			said := w.State + w.Cause
 			if before, ok := last[s.ID]; !ok || before != said {
 				words = append(words, w)
@@ -62,7 +62,7 @@
 		select {
 		case <-stop:
 			return good, nil
-		case <-time.After(conf.Checks.Every.Duration):
+		case <-time.After(conf.Checks.Interval.Duration):
 		}
 	}
 }
@@ -74,11 +74,11 @@
 }
 
 // checksOf are the checks of a server.
-func checksOf(conf *config.Partners, s config.PartnerServer) (list []sourced) {
+func checksOf(conf *config.Partners, s config.Server) (list []sourced) {
 	for _, name := range s.Checks {
-		for i := range conf.Profiles {
-			if f := &conf.Profiles[i]; f.Name == name {
-				list = append(list, sourced{healthcheck.Check{Profile: f, Addr: f.AddrOf(s), Bridge: conf.Checks.GRPCBridge, Dial: tcp.Connect}, i})
+		for i := range conf.CheckProfiles {
+			if f := &conf.CheckProfiles[i]; f.Name == name {
+				list = append(list, sourced{healthcheck.Check{Profile: f, Addr: f.AddrFor(s), Bridge: conf.Checks.GRPCBridge, Dial: tcp.DialServerFirst}, i})
 			}
 		}
 	}
@@ -89,7 +89,7 @@
 func askAll(conf *config.Partners, table *health.Table) {
 	var wait sync.WaitGroup
 	var mu sync.Mutex
-	slots := make(chan struct{}, conf.Checks.AtOnce)
+	slots := make(chan struct{}, conf.Checks.MaxConcurrent)
 	for _, s := range conf.Servers {
 		for _, one := range checksOf(conf, s) {
 			wait.Add(1)
@@ -100,14 +100,14 @@
 				<-slots
 				mu.Lock()
 				defer mu.Unlock()
-				table.Check(time.Now(), health.ID(s.ID), one.source, res.Report)
+				table.RecordCheck(time.Now(), health.ID(s.ID), one.source, res.CheckResult)
 			}()
 		}
 	}
 	wait.Wait()
 }
 
-func printWords(out io.Writer, words []ServerWord, asJSON, lines bool) error {
+func printWords(out io.Writer, words []ServerHealth, asJSON, lines bool) error {
 	if asJSON {
 		if !lines {
 			text, err := json.MarshalIndent(words, "", "  ")
@@ -130,14 +130,14 @@
 	}
 	for _, w := range words {
 		how := w.State
-		if w.State == health.InService.String() && w.Shunned != 0 {
+		if w.State == health.InService.String() && w.EjectedClasses != 0 {
 			how += ", as a last resort"
 		}
-		if w.Share < 1 {
-			how += fmt.Sprintf(", share %.0f%%", 100*w.Share)
+		if w.TrafficFraction < 1 {
+			how += fmt.Sprintf(", share %.0f%%", 100*w.TrafficFraction)
 		}
-		if w.Most > 0 {
-			how += fmt.Sprintf(", at most %d parts at once", w.Most)
+		if w.MaxInFlight > 0 {
+			how += fmt.Sprintf(", at most %d parts at once", w.MaxInFlight)
 		}
 		if w.Cause != "" {
 			how += ": " + w.Cause
--- a/internal/app/partners.go
+++ b/internal/app/partners.go
@@ -62,8 +62,8 @@
 	return list
 }
 
-// Partners is a running installation of the second front.
-type Partners struct {
+// PartnersDeployment is a running installation of the second front.
+type PartnersDeployment struct {
 	conf     *config.Partners
 	log      *slog.Logger
 	clock    aggregator.Clock
@@ -78,7 +78,7 @@
 	web      *httpserve.Server
 	checks   *httpserve.Server
 	target   *zfront.Server
-	gates    map[string]*tcp.Gate
+	gates    map[string]*tcp.ConnLimiter
 	servers  map[string]*tcp.Server
 	stop     chan struct{}
 	over     chan struct{} // the loop has ended
@@ -86,44 +86,44 @@
 }
 
 // StartPartners builds an installation from a checked configuration and starts it. seed is that of its chance.
-func StartPartners(conf *config.Partners, seed uint64, log *slog.Logger) (*Partners, error) {
+func StartPartners(conf *config.Partners, seed uint64, log *slog.Logger) (*PartnersDeployment, error) {
 	set := conf.Decisions(seed)
 	fresh := func() (*balance.Balancer, error) { return balance.New(set) }
 	decide, err := fresh()
 	if err != nil {
 		return nil, err
 	}
-	p := &Partners{conf: conf, log: log, clock: aggregator.SystemClock{}, stop: make(chan struct{}), over: make(chan struct{}),
-		idle: make(chan struct{}), gates: map[string]*tcp.Gate{}, servers: map[string]*tcp.Server{}}
+	p := &PartnersDeployment{conf: conf, log: log, clock: aggregator.SystemClock{}, stop: make(chan struct{}), over: make(chan struct{}),
+		idle: make(chan struct{}), gates: map[string]*tcp.ConnLimiter{}, servers: map[string]*tcp.Server{}}
 	box := aggregator.NewMailbox()
 	p.pool = serialconn.NewPool(serialconn.Limits{
-		Connect: conf.Limits.Connect.Duration, Idle: conf.Limits.Idle.Duration, Sockets: max(1, conf.Limits.Sockets/2-conf.Checks.AtOnce),
+		ConnectTimeout: conf.Limits.Connect.Duration, IdleTimeout: conf.Limits.Idle.Duration, MaxConnections: max(1, conf.Limits.Sockets/2-conf.Checks.MaxConcurrent),
 	}, box, tcp.Dial, codecs(conf))
 	lim := aggregator.Limits{MaxOpen: conf.Limits.MaxOpen, RetryAfter: time.Second, DeadlineMargin: 4 * set.Tick}
 	for _, c := range conf.Classes {
-		lim.FollowUpParts = append(lim.FollowUpParts, c.SecondStep)
-		lim.NonIdempotent = append(lim.NonIdempotent, c.Unsafe)
+		lim.FollowUpParts = append(lim.FollowUpParts, c.FollowUpParts)
+		lim.NonIdempotent = append(lim.NonIdempotent, c.NonIdempotent)
 	}
 	now := p.clock.Now()
 	p.core = aggregator.NewCore(decide, p.pool, lim, now)
-	p.pool.Use(p.core)
+	p.pool.SetDirectory(p.core)
 	list := servers(conf)
 	if p.evidence, err = newEvidence(conf, list, now, box, log); err != nil {
 		return nil, err
 	}
 	p.core.Observer = p.evidence
-	if conf.Blocks.On() {
+	if conf.ShardMap.Enabled() {
 		if p.maps, err = newMaps(conf, p.evidence, box, log); err != nil {
 			return nil, err
 		}
 		p.core.Resharding = p.maps.reshape()
 	}
 	box.Put(aggregator.EndpointsChanged{Kind: balance.ListFull, Servers: list})
-	p.teller = &fronthealth.Teller{Now: p.clock.Now, Wait: conf.Listen.AgentWait.Duration, Servers: p.serversJSON, Metrics: p.Report}
+	p.teller = &fronthealth.Teller{Now: p.clock.Now, Wait: conf.Listen.AgentWait.Duration, Servers: p.serversJSON, Metrics: p.CountersText}
 	p.word = newWord(conf, p.core, p.evidence, p.teller)
 	p.loop = &aggregator.Loop{Core: p.core, Mailbox: box, Adapter: adapters{p.pool, p.evidence, p.word}, Clock: p.clock, Stop: p.stop, NewBalancer: fresh}
 	if p.runner, err = background.New(scheduler.Budget{
-		PerSecond: conf.Checks.PerSecond, Burst: max(8, conf.Checks.AtOnce), AtOnce: conf.Checks.AtOnce, Jitter: conf.Checks.Jitter,
+		StartsPerSecond: conf.Checks.MaxStartsPerSecond, Burst: max(8, conf.Checks.MaxConcurrent), MaxRunning: conf.Checks.MaxConcurrent, Jitter: conf.Checks.Jitter,
 	}, seed, p.clock); err != nil {
 		return nil, err
 	}
@@ -141,17 +141,17 @@
 }
 
 // addChecks gives each check of each server to the background.
-func (p *Partners) addChecks(box aggregator.Poster) {
+func (p *PartnersDeployment) addChecks(box aggregator.Poster) {
 	for _, s := range p.conf.Servers {
 		for _, one := range checksOf(p.conf, s) {
 			f := one.Profile
-			id, last := health.ID(s.ID), health.Report{}
-			p.runner.Add(scheduler.Task{Priority: scheduler.Normal, Every: f.Every.Duration, Fast: f.Fast.Duration, FastFor: f.FastFor,
-				Slow: f.Slow.Duration}, f.Every.Duration/4, func() (scheduler.Pace, bool) {
+			id, last := health.ID(s.ID), health.CheckResult{}
+			p.runner.Add(scheduler.Task{Priority: scheduler.Normal, Interval: f.Interval.Duration, FastInterval: f.FastInterval.Duration, FastRuns: f.FastChecks,
+				SlowInterval: f.DownInterval.Duration}, f.Interval.Duration/4, func() (scheduler.Result, bool) {
 				res := one.Run()
 				box.Put(checked{server: id, source: one.source, result: res})
 				pace := scheduler.Steady
-				now := res.Report
+				now := res.CheckResult
 				switch {
 				case now.Failed != last.Failed || now.Admin != last.Admin || now.Oper != last.Oper:
 					pace = scheduler.Changed
@@ -159,7 +159,7 @@
 					pace = scheduler.Down
 				}
 				last = now
-				return pace, res.Hung
+				return pace, res.TimedOut
 			})
 		}
 	}
@@ -167,29 +167,29 @@
 
 // listen opens the listeners. Each has sockets of its own and makes room on its own: whatever one of them suffers,
 // the others go on.
-func (p *Partners) listen(box *aggregator.Mailbox) error {
+func (p *PartnersDeployment) listen(box *aggregator.Mailbox) error {
 	conf := p.conf
-	service := &gateway.Service{Conf: conf, Put: box.Put, Now: p.clock.Now}
-	times := httpserve.Timeouts{First: 10 * time.Second, Idle: 2 * time.Minute, Read: 10 * time.Second, Spare: spareClient}
+	service := &gateway.Service{Config: conf, Post: box.Put, Now: p.clock.Now}
+	times := httpserve.Timeouts{FirstRequest: 10 * time.Second, Idle: 2 * time.Minute, ReadRequest: 10 * time.Second, EvictableAfter: spareClient}
 	p.web = httpserve.New(times, p.clock.Now, (&srufront.Server{Service: service}).Handle)
-	short := httpserve.Timeouts{First: 2 * time.Second, Idle: time.Minute, Read: 2 * time.Second, Spare: spareClient}
+	short := httpserve.Timeouts{FirstRequest: 2 * time.Second, Idle: time.Minute, ReadRequest: 2 * time.Second, EvictableAfter: spareClient}
 	p.checks = httpserve.New(short, p.clock.Now, p.teller.HTTP)
 	p.target = zfront.New(service, zfront.Times{Init: associationInit, Idle: associationIdle, Recent: setsRecent}, p.clock.Now)
 	for _, l := range []struct {
 		what, addr string
 		share      int
 		room       func() bool
-		accept     func(*tcp.Link) tcp.Handler
+		accept     func(*tcp.Conn) tcp.Handler
 	}{
-		{"sru", conf.Listen.SRU, conf.Listen.Share.SRU, func() bool { return p.web.Room(true) }, p.web.Accept},
+		{"sru", conf.Listen.SRU, conf.Listen.Share.SRU, func() bool { return p.web.EvictIdle(true) }, p.web.Accept},
 		{"z3950", conf.Listen.Z3950, conf.Listen.Share.Z3950, p.target.Room, p.target.Accept},
-		{"health", conf.Listen.Health, conf.Listen.Share.Health, func() bool { return p.checks.Room(true) }, p.checks.Accept},
+		{"health", conf.Listen.HealthConfig, conf.Listen.Share.Health, func() bool { return p.checks.EvictIdle(true) }, p.checks.Accept},
 		{"agent", conf.Listen.Agent, conf.Listen.Share.Agent, nil, p.teller.Agent},
 	} {
 		if l.addr == "" {
 			continue
 		}
-		gate := &tcp.Gate{Most: l.share, Room: l.room}
+		gate := &tcp.ConnLimiter{Max: l.share, Evict: l.room}
 		server, err := tcp.Listen(l.addr, gate, l.accept)
 		if err != nil {
 			return fmt.Errorf("%s: %w", l.what, err)
@@ -200,60 +200,60 @@
 	return nil
 }
 
-func (p *Partners) closeListeners() {
+func (p *PartnersDeployment) closeListeners() {
 	for _, s := range p.servers {
 		s.Close()
 	}
 }
 
 // Addr is where a front listens: sru, z3950, health or agent.
-func (p *Partners) Addr(what string) string {
+func (p *PartnersDeployment) Addr(what string) string {
 	if s := p.servers[what]; s != nil {
 		return s.Addr()
 	}
 	return ""
 }
 
-// Count returns the core's counters.
-func (p *Partners) Count() (c aggregator.Counters) {
+// Counters returns the core's counters.
+func (p *PartnersDeployment) Counters() (c aggregator.Counters) {
 	p.loop.Do(func() { c = p.core.Counters })
 	return c
 }
 
-// Report is the counters as text.
-func (p *Partners) Report() (text string) {
+// CountersText is the counters as text.
+func (p *PartnersDeployment) CountersText() (text string) {
 	p.loop.Do(func() { text = p.counters() })
 	return text
 }
 
-func (p *Partners) counters() string {
+func (p *PartnersDeployment) counters() string {
 	agent, web, late := p.teller.Counters()
 	st := p.runner.Stats()
 	return fmt.Sprintf("%v; servers: dialed %d, refused %d, broken %d, late answers %d; sru: %+v; z39.50: %+v; health asked: agent %d, http %d, "+
 		"while late %d; checks: %d targets, %d begun, held back %d, late p50 %v p99 %v; conclusions changed %d%s",
-		p.core.Counters, p.pool.Stats.Dials, p.pool.Stats.DialsFailed, p.pool.Stats.Broken, p.pool.Stats.Late, p.web.Counters(), p.target.Counters(),
-		agent, web, late, st.Tasks, st.Starts, st.Held, st.P50, st.P99, p.evidence.changes, p.maps.counters())
+		p.core.Counters, p.pool.Stats.Dials, p.pool.Stats.DialsFailed, p.pool.Stats.Broken, p.pool.Stats.LateAnswers, p.web.Counters(), p.target.Counters(),
+		agent, web, late, st.Tasks, st.Starts, st.Delayed, st.StartDelayP50, st.StartDelayP99, p.evidence.changes, p.maps.counters())
 }
 
-// ServerWord is what is known of one server.
-type ServerWord struct {
-	ID      string        `json:"server"`
-	State   string        `json:"state"`
-	Usable  bool          `json:"usable"`
-	Shunned uint64        `json:"shunned_classes,omitempty"`
-	Share   float64       `json:"share"`
-	Most    int           `json:"most,omitempty"`
-	Cause   string        `json:"cause,omitempty"`
-	Facts   []health.Fact `json:"facts"`
+// ServerHealth is what is known of one server.
+type ServerHealth struct {
+	ID              string        `json:"server"`
+	State           string        `json:"state"`
+	Usable          bool          `json:"usable"`
+	EjectedClasses  uint64        `json:"shunned_classes,omitempty"`
+	TrafficFraction float64       `json:"share"`
+	MaxInFlight     int           `json:"most,omitempty"`
+	Cause           string        `json:"cause,omitempty"`
+	Facts           []health.Fact `json:"facts"`
 }
 
-func wordOn(t *health.Table, now time.Time, id string) ServerWord {
-	c, _ := t.Conclusion(health.ID(id))
-	return ServerWord{id, c.State.String(), c.Usable, c.Shun, c.Share, c.MaxOut, c.Cause, t.Facts(now, health.ID(id))}
+func wordOn(t *health.Table, now time.Time, id string) ServerHealth {
+	c, _ := t.Decision(health.ID(id))
+	return ServerHealth{id, c.State.String(), c.Usable, c.EjectedClasses, c.TrafficFraction, c.MaxInFlight, c.Cause, t.Facts(now, health.ID(id))}
 }
 
-func (p *Partners) serversJSON() (text []byte) {
-	var all []ServerWord
+func (p *PartnersDeployment) serversJSON() (text []byte) {
+	var all []ServerHealth
 	p.loop.Do(func() {
 		for _, s := range p.conf.Servers {
 			all = append(all, wordOn(p.evidence.table, p.clock.Now(), s.ID))
@@ -264,7 +264,7 @@
 }
 
 // Stop ends the installation: late arrivals are served, then what is held, then clients' connections end.
-func (p *Partners) Stop(late time.Duration) {
+func (p *PartnersDeployment) Stop(late time.Duration) {
 	p.loop.Do(func() { p.word.drain(p.clock.Now()) })
 	time.Sleep(late)
 	p.web.Shutdown()
@@ -273,7 +273,7 @@
 	for end := time.Now().Add(drainMost); time.Now().Before(end); time.Sleep(flushed) {
 		held := 0
 		p.loop.Do(func() { held = p.core.OpenQueries() })
-		if held == 0 && p.web.Open() == 0 && p.target.Open() == 0 {
+		if held == 0 && p.web.OpenConns() == 0 && p.target.Open() == 0 {
 			break
 		}
 	}
@@ -314,7 +314,7 @@
 				log.Info("the new configuration is good and waits for the next start")
 			}
 		case <-onRequest:
-			log.Info("counters", "report", p.Report())
+			log.Info("counters", "report", p.CountersText())
 		case <-signals:
 			told = true
 		}
--- a/internal/app/platform.go
+++ b/internal/app/platform.go
@@ -66,8 +66,8 @@
 	}
 	clock, box := aggregator.SystemClock{}, aggregator.NewMailbox()
 	pool := leaf.NewPool(leaf.Limits{
-		Streams: d.StreamsPerConn, Idle: d.ConnIdle, ConnectTimeout: d.ConnectTimeout, Sockets: n.Sockets / 3,
-		Silent: shortestAim(d.Decisions.Classes) / 2, Spread: leaf.Spread(d.Decisions.Instances),
+		MaxStreams: d.StreamsPerConn, IdleTimeout: d.ConnIdle, ConnectTimeout: d.ConnectTimeout, MaxConnections: n.Sockets / 3,
+		UnresponsiveAfter: shortestAim(d.Decisions.Classes) / 2, ConnsPerServer: leaf.ConnsPerServer(d.Decisions.Instances),
 	}, box, leaf.DialTCP)
 	lim := aggregator.Limits{MaxOpen: d.MaxOpen, MaxCallParts: d.Decisions.MaxCallParts, RetryAfter: d.MaxRetryAfter, DeadlineMargin: 4 * d.Decisions.Tick}
 	longest := time.Duration(0)
@@ -81,27 +81,27 @@
 		longest = max(longest, c.Deadline)
 	}
 	core := aggregator.NewCore(decide, pool, lim, clock.Now())
-	pool.Use(core)
+	pool.SetDirectory(core)
 
-	if d.Decisions.PeerMessages && n.PeerListen != "" && n.PeersAll != "" {
-		x, err := gossip.Open(n.PeerListen, n.PeersAll, n.Peers, d.InstanceIndex, func(text []byte) { box.PutDeferred(aggregator.GossipReceived{Payload: text}) })
+	if d.Decisions.PeerMessages && n.PeerListen != "" && n.PeerBroadcast != "" {
+		x, err := gossip.Open(n.PeerListen, n.PeerBroadcast, n.Peers, d.InstanceIndex, func(text []byte) { box.PutDeferred(aggregator.GossipReceived{Payload: text}) })
 		if err != nil {
 			logf("no words with other mixers: %v", err) // a mixer serves without them
 		} else {
 			defer x.Close()
 			core.Gossip = x
 			if d.Decisions.GossipEnabled() {
-				core.Outliers = outlier.New(outlier.Platform(shortestAim(d.Decisions.Classes), d.Decisions.Zone, d.Decisions.Instances))
+				core.Outliers = outlier.New(outlier.PlatformConfig(shortestAim(d.Decisions.Classes), d.Decisions.Zone, d.Decisions.Instances))
 			}
 		}
 	}
 
-	watch := &discovery.Watch{Addr: n.Discovery, Zones: d.Zones, Put: box.Put, Log: logf, Chance: rand.New(rand.NewPCG(n.Seed, 1)).Float64}
+	watch := &discovery.Watcher{Addr: n.Discovery, Zones: d.Zones, Put: box.Put, Log: logf, Random: rand.New(rand.NewPCG(n.Seed, 1)).Float64}
 	if d.Decisions.ListOnRequest { // else it is the agent of this machine's own, which answers at once and at no cost
-		watch.Mixers = d.Decisions.Instances
+		watch.FleetSize = d.Decisions.Instances
 	}
-	if len(n.Known) > 0 {
-		version, known, err := discovery.Parse(n.Known, d.Zones)
+	if len(n.InitialEndpoints) > 0 {
+		version, known, err := discovery.Parse(n.InitialEndpoints, d.Zones)
 		if err != nil {
 			return fmt.Errorf("known: %w", err)
 		}
@@ -114,25 +114,25 @@
 		return balance.New(d.Decisions)
 	}}
 
-	var front *platform.Front
+	var front *platform.Frontend
 	report := func() string {
 		text := fmt.Sprintf("%v; leaf connections: dialed %d, refused %d, broken %d, spoilt %d, late answers %d; front: %+v",
-			core.Counters, pool.Stats.Dials, pool.Stats.DialsFailed, pool.Stats.Broken, pool.Stats.Spoilt, pool.Stats.Late, front.Counters())
+			core.Counters, pool.Stats.Dials, pool.Stats.DialsFailed, pool.Stats.Broken, pool.Stats.Corrupt, pool.Stats.LateAnswers, front.Counters())
 		if core.Outliers != nil {
-			text += fmt.Sprintf("; servers that lose parts: %d, remarks on them heard %d", core.Outliers.Outliers(), core.Outliers.Heard)
+			text += fmt.Sprintf("; servers that lose parts: %d, remarks on them heard %d", core.Outliers.EjectedCount(), core.Outliers.ObservationsReceived)
 		}
 		return text
 	}
-	front = platform.New(platform.Settings{
-		Classes: d.Classes, Tenants: d.Tenants, Shards: d.Decisions.Shards, MaxWait: 2 * longest,
-		Timeouts: httpserve.Timeouts{First: firstRequest, Idle: idleClient, Read: firstRequest, Spare: spareClient},
+	front = platform.New(platform.Options{
+		Classes: d.Classes, Tenants: d.Tenants, Shards: d.Decisions.Shards, MaxTimeout: 2 * longest,
+		Timeouts: httpserve.Timeouts{FirstRequest: firstRequest, Idle: idleClient, ReadRequest: firstRequest, EvictableAfter: spareClient},
 	}, box.Put, clock.Now, func() (text string) {
 		loop.Do(func() { text = report() })
 		return text
 	})
 	most := n.Sockets - n.Sockets/3 - otherSockets
-	front.Crowd = n.Sockets / clientShare
-	gate := &tcp.Gate{Most: most, Room: func() bool { return front.Room(true) }}
+	front.MaxKeepAlive = n.Sockets / clientShare
+	gate := &tcp.ConnLimiter{Max: most, Evict: func() bool { return front.EvictIdle(true) }}
 	server, err := tcp.Listen(n.Listen, gate, front.Accept)
 	if err != nil {
 		return err
@@ -174,9 +174,9 @@
 	front.SetReady(false)
 	logf("told to end")
 	time.Sleep(lateArrivals)
-	gate.Shut()
+	gate.StopAdmitting()
 	front.Shutdown()
-	for held := 1; held > 0 || front.Open() > 0; {
+	for held := 1; held > 0 || front.OpenConns() > 0; {
 		loop.Do(func() { held = core.OpenQueries() })
 		time.Sleep(flushed)
 	}
@@ -188,7 +188,7 @@
 }
 
 // reload reads the configuration again, off the loop. A bad one leaves all as it was.
-func reload(n config.Node, watch *discovery.Watch) config.Node {
+func reload(n config.Node, watch *discovery.Watcher) config.Node {
 	next, rest, err := n.Reload(os.Getenv)
 	if err != nil {
 		logf("the new configuration is bad, the old one stays: %v", err)
@@ -196,7 +196,7 @@
 	}
 	debug.SetMemoryLimit(memoryLimit(next))
 	if next.Discovery != n.Discovery {
-		watch.Move(next.Discovery)
+		watch.SwitchTo(next.Discovery)
 	}
 	if rest {
 		logf("configuration read again: what changed beside discovery and memory waits for the next start")
--- a/internal/app/readiness.go
+++ b/internal/app/readiness.go
@@ -19,12 +19,12 @@
 	conf     *config.Partners
 	core     *aggregator.Core
 	evidence *evidence
-	judge    *readiness.Judge
+	judge    *readiness.Evaluator
 	teller   *fronthealth.Teller
 	draining bool
 	due      time.Time
 	memory   []metrics.Sample
-	bases    []readiness.BaseFacts
+	bases    []readiness.DatabaseSnapshot
 	seen     uint64 // version of the evidence that they are of
 	looked   time.Time
 }
@@ -33,7 +33,7 @@
 const lookAnyway = 500 * time.Millisecond
 
 func newWord(conf *config.Partners, core *aggregator.Core, e *evidence, teller *fronthealth.Teller) *word {
-	return &word{conf: conf, core: core, evidence: e, judge: readiness.New(readiness.Defaults()), teller: teller,
+	return &word{conf: conf, core: core, evidence: e, judge: readiness.New(readiness.DefaultConfig()), teller: teller,
 		memory: []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}}
 }
 
@@ -59,12 +59,12 @@
 func (w *word) tell(now time.Time) {
 	metrics.Read(w.memory)
 	c := w.core.Counters
-	f := readiness.Facts{
-		Draining: w.draining, Open: w.core.Load(), Most: w.conf.Limits.MaxOpen, Taken: c.Received, Refused: c.Rejected,
-		Memory: w.memory[0].Value.Uint64() - w.memory[1].Value.Uint64(), Limit: uint64(w.conf.Limits.MemoryMB) << 20,
+	f := readiness.Snapshot{
+		Draining: w.draining, InFlight: w.core.Load(), MaxInFlight: w.conf.Limits.MaxOpen, Received: c.Received, Rejected: c.Rejected,
+		MemoryUsed: w.memory[0].Value.Uint64() - w.memory[1].Value.Uint64(), MemoryLimit: uint64(w.conf.Limits.MemoryMB) << 20,
 	}
 	if !w.due.IsZero() {
-		f.Lag = max(0, now.Sub(w.due))
+		f.LoopLag = max(0, now.Sub(w.due))
 	}
 	// To look at every block costs more than the rest: it is done when something changed, and now and then.
 	if w.bases == nil || w.seen != w.evidence.version || now.Sub(w.looked) >= lookAnyway {
@@ -73,23 +73,23 @@
 			w.bases = append(w.bases, w.base(d))
 		}
 	}
-	f.Bases = w.bases
-	w.teller.Set(w.judge.Judge(now, f))
+	f.Databases = w.bases
+	w.teller.Set(w.judge.Evaluate(now, f))
 }
 
-func (w *word) base(d config.Database) readiness.BaseFacts {
-	search, correction := w.conf.Class(d.Search), w.conf.Class(d.Correction)
-	b := readiness.BaseFacts{Name: d.Name, Floor: w.conf.Classes[search].Floor}
-	if w.evidence.table.Doubted() {
-		b.Suspect = "checks are doubted"
+func (w *word) base(d config.Database) readiness.DatabaseSnapshot {
+	search, correction := w.conf.ClassIndex(d.SearchClass), w.conf.ClassIndex(d.CorrectionClass)
+	b := readiness.DatabaseSnapshot{Name: d.Name, MinCoverage: w.conf.Classes[search].MinFraction}
+	if w.evidence.table.ChecksSuspect() {
+		b.Caveat = "checks are doubted"
 	}
 	look := func(block int) {
-		b.Blocks++
-		if w.evidence.table.Usable(block, search) == 0 {
-			b.Lost = append(b.Lost, block)
+		b.Shards++
+		if w.evidence.table.UsableReplicas(block, search) == 0 {
+			b.SearchUnavailable = append(b.SearchUnavailable, block)
 		}
-		if correction >= 0 && w.evidence.table.Usable(block, correction) == 0 {
-			b.Closed = append(b.Closed, block)
+		if correction >= 0 && w.evidence.table.UsableReplicas(block, correction) == 0 {
+			b.CorrectionUnavailable = append(b.CorrectionUnavailable, block)
 		}
 	}
 	if w.core.Resharding == nil {
@@ -98,12 +98,12 @@
 		}
 		return b
 	}
-	m := w.core.Resharding.Views.Now()
+	m := w.core.Resharding.Views.Current()
 	if m == nil {
-		b.Blocks, b.Lost, b.Suspect = 1, []int{0}, "there is no map of blocks yet"
+		b.Shards, b.SearchUnavailable, b.Caveat = 1, []int{0}, "there is no map of blocks yet"
 		return b
 	}
-	m.Active(func(k *shardmap.Block) bool {
+	m.Active(func(k *shardmap.Shard) bool {
 		look(int(k.ID))
 		return true
 	})
--- a/internal/app/shardmaps.go
+++ b/internal/app/shardmaps.go
@@ -35,7 +35,7 @@
 }
 
 func newMaps(conf *config.Partners, e *evidence, box aggregator.Poster, log *slog.Logger) (*maps, error) {
-	views, err := shardmap.NewViews(conf.Blocks.Rules())
+	views, err := shardmap.NewViews(conf.ShardMap.Rules())
 	if err != nil {
 		return nil, err
 	}
@@ -67,8 +67,8 @@
 	if old != nil {
 		was = old.Epoch
 	}
-	m.log.Info("map adopted", "epoch", uint64(now.Epoch), "was", uint64(was), "blocks", now.Len(), "listed", now.Listed())
-	if m.conf.Blocks.Keep == "" {
+	m.log.Info("map adopted", "epoch", uint64(now.Epoch), "was", uint64(was), "blocks", now.ActiveCount(), "listed", now.TotalCount())
+	if m.conf.ShardMap.CachePath == "" {
 		return
 	}
 	select { // only the newest is kept
@@ -80,9 +80,9 @@
 
 // run starts what brings maps and what keeps them.
 func (m *maps) run(stop <-chan struct{}) {
-	b := m.conf.Blocks
-	if b.Keep != "" {
-		box := atomicfile.New(atomicfile.OS{}, b.Keep)
+	b := m.conf.ShardMap
+	if b.CachePath != "" {
+		box := atomicfile.New(atomicfile.OS{}, b.CachePath)
 		m.load(box)
 		m.running.Add(1)
 		go func() {
@@ -94,51 +94,51 @@
 	go func() {
 		defer m.running.Done()
 		if b.File != "" {
-			(&shardmapsource.File{Path: b.File, Every: b.Every.Duration, Put: m.take, Wake: m.wake}).Run(stop)
+			(&shardmapsource.File{Path: b.File, Interval: b.PollInterval.Duration, Put: m.take, Wake: m.wake}).Run(stop)
 			return
 		}
-		(&shardmapsource.HTTP{Addr: b.Source, Wait: b.Wait.Duration, Least: 50 * time.Millisecond, Most: 5 * time.Second, Put: m.take, Epoch: m.epoch.Load,
+		(&shardmapsource.HTTP{Addr: b.Source, Wait: b.LongPollTimeout.Duration, MinInterval: 50 * time.Millisecond, MaxInterval: 5 * time.Second, Put: m.take, CurrentEpoch: m.epoch.Load,
 			Wake: m.wake, Dial: tcp.Dial}).Run(stop)
 	}()
 }
 
 // take reads what a source told, off the loop.
-func (m *maps) take(t shardmapsource.Told) {
+func (m *maps) take(t shardmapsource.Update) {
 	e := aggregator.ShardMapOffered{Source: t.Source, Err: t.Err}
 	if t.Err == nil && t.Text != nil {
 		e.Map, e.Err = shardmap.Parse(t.Text)
-		if e.Err == nil && e.Map.Archive != m.conf.Blocks.Archive {
-			e.Map, e.Err = nil, fmt.Errorf("%w: %q, and not %q", shardmap.ErrOther, e.Map.Archive, m.conf.Blocks.Archive)
+		if e.Err == nil && e.Map.Archive != m.conf.ShardMap.Archive {
+			e.Map, e.Err = nil, fmt.Errorf("%w: %q, and not %q", shardmap.ErrOtherArchive, e.Map.Archive, m.conf.ShardMap.Archive)
 		}
 		if e.Err == nil {
-			e.Map = e.Map.Onto(m.present.Load()) // the loop looks at what changes only
+			e.Map = e.Map.ShareWith(m.present.Load()) // the loop looks at what changes only
 		}
 	}
 	m.box.Put(e)
 }
 
 // load offers the map that is kept, before any source has spoken. An older one from a source is refused then.
-func (m *maps) load(box *atomicfile.Box) {
+func (m *maps) load(box *atomicfile.ValueFile) {
 	text, err := box.Load()
-	if errors.Is(err, atomicfile.ErrNone) {
+	if errors.Is(err, atomicfile.ErrNotExist) {
 		return
 	}
 	if err != nil {
 		m.log.Warn("the kept map is of no use", "err", err.Error())
 		return
 	}
-	m.take(shardmapsource.Told{Source: "kept " + m.conf.Blocks.Keep, Text: text})
+	m.take(shardmapsource.Update{Source: "kept " + m.conf.ShardMap.CachePath, Text: text})
 }
 
 // store keeps each map that is adopted, but for those that a newer one overtakes. A disk that is slow or full delays
 // nobody.
-func (m *maps) store(box *atomicfile.Box, stop <-chan struct{}) {
+func (m *maps) store(box *atomicfile.ValueFile, stop <-chan struct{}) {
 	for {
 		select {
 		case <-stop:
 			return
 		case now := <-m.newest:
-			if err := box.Store(now.Print()); err != nil {
+			if err := box.Store(now.Encode()); err != nil {
 				m.log.Warn("the map is not kept", "epoch", uint64(now.Epoch), "err", err.Error())
 				continue
 			}
@@ -155,6 +155,6 @@
 	epochs, queries := m.views.Pinned()
 	s := m.views.Stats
 	return fmt.Sprintf("; map: epoch %d, kept %d, adopted %d, over gaps %d, older %d, refused %d, pinned epochs %d by %d queries (most %d), left %d, "+
-		"queries begun anew %d, held %d, lies %d", m.epoch.Load(), m.kept.Load(), s.Accepted, s.Gaps, s.Older, s.Refused, epochs, queries, s.MostPinned, s.Expired,
-		s.Restarts, s.Waits, s.Lies)
+		"queries begun anew %d, held %d, lies %d", m.epoch.Load(), m.kept.Load(), s.Accepted, s.Gaps, s.Stale, s.Rejected, epochs, queries, s.MaxPinnedEpochs, s.Expired,
+		s.Restarts, s.Waits, s.FalseRejections)
 }
--- a/internal/backend/healthcheck/checks.go
+++ b/internal/backend/healthcheck/checks.go
@@ -25,7 +25,7 @@
 
 // Check is one check of one server.
 type Check struct {
-	Profile *config.Profile
+	Profile *config.CheckProfile
 	Addr    string
 	Bridge  string // of grpc checks: where grpchealth listens
 	Dial    Dial
@@ -33,19 +33,19 @@
 
 // Result is what a check found, and whether it took all its time.
 type Result struct {
-	health.Report
-	Hung bool
-	Err  error // why it came to nothing; nil where something was said, good or bad
+	health.CheckResult
+	TimedOut bool
+	Err      error // why it came to nothing; nil where something was said, good or bad
 }
 
 var errTime = errors.New("no answer in time")
 
 func failed(err error) Result {
-	return Result{Report: health.Report{Failed: true, Weight: -1, MaxConn: -1, Why: err.Error()}, Err: err}
+	return Result{CheckResult: health.CheckResult{Failed: true, Weight: -1, MaxConn: -1, Reason: err.Error()}, Err: err}
 }
 
 func good(why string) Result {
-	return Result{Report: health.Report{Weight: -1, MaxConn: -1, Why: why}}
+	return Result{CheckResult: health.CheckResult{Weight: -1, MaxConn: -1, Reason: why}}
 }
 
 // Run makes the check. It blocks for the profile's timeout at most.
@@ -61,11 +61,11 @@
 	case config.CheckHTTP:
 		r.feed, r.end = answer(f.Method, func(m *http1.Message) Result {
 			v := f.Expectation.Judge(m.Status, m.Header.Get, m.Body)
-			out := Result{Report: health.Report{Failed: !v.Good, AtOnce: v.AtOnce, Degraded: v.Degraded, Weight: -1, MaxConn: -1, Why: v.Why}}
+			out := Result{CheckResult: health.CheckResult{Failed: !v.Good, Immediate: v.AtOnce, Degraded: v.Degraded, Weight: -1, MaxConn: -1, Reason: v.Why}}
 			if out.Admin = health.Ready; v.Drain {
 				out.Admin = health.Drain
 			} else if !v.Good {
-				out.Admin = health.NoAdmin
+				out.Admin = health.AdminUnset
 			}
 			return out
 		})
@@ -88,10 +88,10 @@
 		r.ask = http1.Request("GET", "/check?"+q.Encode(), c.Bridge, nil, "Connection", "close")
 		addr = c.Bridge
 	}
-	link, err := c.Dial(addr, f.Timeout.Duration, func(*tcp.Link) tcp.Handler { return r })
+	link, err := c.Dial(addr, f.Timeout.Duration, func(*tcp.Conn) tcp.Handler { return r })
 	if err != nil {
 		out := failed(plain(err))
-		out.Hung = !time.Now().Before(end)
+		out.TimedOut = !time.Now().Before(end)
 		return out
 	}
 	defer link.Close(nil)
@@ -108,7 +108,7 @@
 		return r.result
 	case <-timer.C:
 		out := failed(errTime)
-		out.Hung = true
+		out.TimedOut = true
 		return out
 	}
 }
@@ -177,13 +177,13 @@
 		if err != nil {
 			return failed(err)
 		}
-		out := Result{Report: health.Report{Weight: rep.Weight, MaxConn: rep.MaxConn, Why: rep.Why}}
-		out.Admin = map[agentcheck.Admin]health.Admin{agentcheck.Ready: health.Ready, agentcheck.Drain: health.Drain, agentcheck.Maint: health.Maint}[rep.Admin]
+		out := Result{CheckResult: health.CheckResult{Weight: rep.Weight, MaxConn: rep.MaxConn, Reason: rep.Why}}
+		out.Admin = map[agentcheck.Admin]health.AdminState{agentcheck.Ready: health.Ready, agentcheck.Drain: health.Drain, agentcheck.Maint: health.Maintenance}[rep.Admin]
 		if rep.State != "" {
 			if out.Oper = health.Down; rep.State.Well() {
 				out.Oper = health.Up
-			} else if out.Why == "" {
-				out.Why = string(rep.State)
+			} else if out.Reason == "" {
+				out.Reason = string(rep.State)
 			}
 		}
 		return out
--- a/internal/backend/healthcheck/checks_test.go
+++ b/internal/backend/healthcheck/checks_test.go
@@ -17,8 +17,8 @@
 	"rooktrestle/internal/testbed/replica"
 )
 
-func profile(kind string, timeout time.Duration) *config.Profile {
-	f := &config.Profile{Name: kind, Kind: kind, Method: "GET", Path: "/healthz", Timeout: config.Span{Duration: timeout}}
+func profile(kind string, timeout time.Duration) *config.CheckProfile {
+	f := &config.CheckProfile{Name: kind, Kind: kind, Method: "GET", Path: "/healthz", Timeout: config.Duration{Duration: timeout}}
 	f.Expectation.Status, _ = httpcheck.ParseRanges("200-399")
 	f.Expectation.Drain, _ = httpcheck.ParseRanges("404")
 	return f
@@ -36,37 +36,37 @@
 	defer a.Close()
 	f := profile(config.CheckAgent, patience)
 	f.Send = "captions\n"
-	run := func() Result { return Check{Profile: f, Addr: a.Addr(), Dial: tcp.Connect}.Run() }
-	if r := run(); r.Failed || r.Weight != 0.5 || r.MaxConn != 9 || r.Oper != health.Up || r.Admin != health.Ready || r.Why != "busy" {
+	run := func() Result { return Check{Profile: f, Addr: a.Addr(), Dial: tcp.DialServerFirst}.Run() }
+	if r := run(); r.Failed || r.Weight != 0.5 || r.MaxConn != 9 || r.Oper != health.Up || r.Admin != health.Ready || r.Reason != "busy" {
 		t.Errorf("%+v", r)
 	}
-	if h := a.Heard(); len(h) != 1 || h[0] != "captions\n" {
+	if h := a.Received(); len(h) != 1 || h[0] != "captions\n" {
 		t.Errorf("it heard %q", h)
 	}
-	a.Set("maint", replica.Speaks)
-	if r := run(); r.Failed || r.Admin != health.Maint || r.Oper != health.NoOper || r.Weight >= 0 {
+	a.Set("maint", replica.Respond)
+	if r := run(); r.Failed || r.Admin != health.Maintenance || r.Oper != health.OperUnset || r.Weight >= 0 {
 		t.Errorf("%+v", r)
 	}
-	a.Set("stopped", replica.Speaks)
-	if r := run(); r.Oper != health.Down || r.Why != "stopped" {
+	a.Set("stopped", replica.Respond)
+	if r := run(); r.Oper != health.Down || r.Reason != "stopped" {
 		t.Errorf("%+v", r)
 	}
-	for how, why := range map[replica.Manner]string{replica.Floods: "over", replica.Slams: "closed"} {
+	for how, why := range map[replica.AgentBehavior]string{replica.Flood: "over", replica.CloseAtOnce: "closed"} {
 		a.Set("", how)
-		if r := run(); !r.Failed || r.Hung || !strings.Contains(r.Why, why) {
+		if r := run(); !r.Failed || r.TimedOut || !strings.Contains(r.Reason, why) {
 			t.Errorf("manner %d: %+v", how, r)
 		}
 	}
 	f.Timeout.Duration = 50 * time.Millisecond
-	for _, how := range []replica.Manner{replica.Hangs, replica.Drips} {
+	for _, how := range []replica.AgentBehavior{replica.Hang, replica.Drip} {
 		a.Set("", how)
-		if r := run(); !r.Failed || !r.Hung || r.Err != errTime {
+		if r := run(); !r.Failed || !r.TimedOut || r.Err != errTime {
 			t.Errorf("manner %d: %+v", how, r)
 		}
 	}
 	a.Close()
 	f.Timeout.Duration = patience
-	if r := run(); !r.Failed || r.Hung {
+	if r := run(); !r.Failed || r.TimedOut {
 		t.Errorf("refused: %+v", r)
 	}
 }
@@ -87,11 +87,11 @@
 	defer z.Kill()
 	kinds := []struct {
 		kind string
-		n    *replica.Node
+		n    *replica.Server
 	}{{config.CheckHTTP, web}, {config.CheckSRU, web}, {config.CheckTCP, web}, {config.CheckZ3950, z}, {config.CheckTCP, z}}
 	for _, k := range kinds {
 		run := func(d time.Duration) Result {
-			return Check{Profile: profile(k.kind, d), Addr: k.n.Addr(), Dial: tcp.Connect}.Run()
+			return Check{Profile: profile(k.kind, d), Addr: k.n.Addr(), Dial: tcp.DialServerFirst}.Run()
 		}
 		if r := run(patience); r.Failed {
 			t.Errorf("%s: %+v", k.kind, r)
@@ -99,45 +99,45 @@
 		if k.kind == config.CheckTCP {
 			continue
 		}
-		k.n.Say(replica.Health{Status: 500, Refuse: true})
-		if r := run(patience); !r.Failed || r.Hung || r.Why == "" {
+		k.n.SetHealth(replica.Health{Status: 500, RejectChecks: true})
+		if r := run(patience); !r.Failed || r.TimedOut || r.Reason == "" {
 			t.Errorf("%s, refusing: %+v", k.kind, r)
 		}
-		k.n.Say(replica.Health{Hang: true})
-		if r := run(50 * time.Millisecond); !r.Failed || !r.Hung {
+		k.n.SetHealth(replica.Health{Hang: true})
+		if r := run(50 * time.Millisecond); !r.Failed || !r.TimedOut {
 			t.Errorf("%s, silent: %+v", k.kind, r)
 		}
-		k.n.Say(replica.Health{})
+		k.n.SetHealth(replica.Health{})
 	}
 	// An SRU server is no target, and the other way round.
-	if r := (Check{Profile: profile(config.CheckZ3950, 100*time.Millisecond), Addr: web.Addr(), Dial: tcp.Connect}).Run(); !r.Failed {
+	if r := (Check{Profile: profile(config.CheckZ3950, 100*time.Millisecond), Addr: web.Addr(), Dial: tcp.DialServerFirst}).Run(); !r.Failed {
 		t.Errorf("%+v", r)
 	}
-	for status, want := range map[int]health.Report{
-		404: {Admin: health.Drain, Weight: -1, MaxConn: -1, Why: "status 404"}, 200: {Admin: health.Ready, Degraded: true, Weight: -1, MaxConn: -1},
+	for status, want := range map[int]health.CheckResult{
+		404: {Admin: health.Drain, Weight: -1, MaxConn: -1, Reason: "status 404"}, 200: {Admin: health.Ready, Degraded: true, Weight: -1, MaxConn: -1},
 	} {
-		web.Say(replica.Health{Status: status, Degraded: status == 200})
+		web.SetHealth(replica.Health{Status: status, Degraded: status == 200})
 		for _, method := range []string{"GET", "HEAD", "OPTIONS"} {
 			f := profile(config.CheckHTTP, patience)
 			f.Method = method
-			if r := (Check{Profile: f, Addr: web.Addr(), Dial: tcp.Connect}).Run(); r.Report != want {
+			if r := (Check{Profile: f, Addr: web.Addr(), Dial: tcp.DialServerFirst}).Run(); r.CheckResult != want {
 				t.Errorf("%s %d: %+v", method, status, r)
 			}
 		}
 	}
-	web.Say(replica.Health{Body: "all is well"})
+	web.SetHealth(replica.Health{Body: "all is well"})
 	f := profile(config.CheckHTTP, patience)
 	f.Expectation.Body = "well"
-	if r := (Check{Profile: f, Addr: web.Addr(), Dial: tcp.Connect}).Run(); r.Failed {
+	if r := (Check{Profile: f, Addr: web.Addr(), Dial: tcp.DialServerFirst}).Run(); r.Failed {
 		t.Errorf("%+v", r)
 	}
 	f.Expectation.Body = "ill"
-	if r := (Check{Profile: f, Addr: web.Addr(), Dial: tcp.Connect}).Run(); !r.Failed {
+	if r := (Check{Profile: f, Addr: web.Addr(), Dial: tcp.DialServerFirst}).Run(); !r.Failed {
 		t.Errorf("%+v", r)
 	}
 	web.Kill()
 	for _, kind := range []string{config.CheckHTTP, config.CheckSRU, config.CheckTCP} {
-		if r := (Check{Profile: profile(kind, patience), Addr: web.Addr(), Dial: tcp.Connect}).Run(); !r.Failed {
+		if r := (Check{Profile: profile(kind, patience), Addr: web.Addr(), Dial: tcp.DialServerFirst}).Run(); !r.Failed {
 			t.Errorf("%s at nobody: %+v", kind, r)
 		}
 	}
@@ -156,8 +156,8 @@
 	f := profile(config.CheckGRPC, patience)
 	for service, bad := range map[string]bool{"captions": false, "coverage": true} {
 		f.Service = service
-		r := Check{Profile: f, Addr: "127.0.0.1:7", Bridge: strings.TrimPrefix(bridge.URL, "http://"), Dial: tcp.Connect}.Run()
-		if r.Failed != bad || bad && !strings.Contains(r.Why, "NOT_SERVING") || !strings.Contains(fmt.Sprint(asked.Load()), "addr=127.0.0.1%3A7") {
+		r := Check{Profile: f, Addr: "127.0.0.1:7", Bridge: strings.TrimPrefix(bridge.URL, "http://"), Dial: tcp.DialServerFirst}.Run()
+		if r.Failed != bad || bad && !strings.Contains(r.Reason, "NOT_SERVING") || !strings.Contains(fmt.Sprint(asked.Load()), "addr=127.0.0.1%3A7") {
 			t.Errorf("%s: %+v, asked %v", service, r, asked.Load())
 		}
 	}
@@ -186,7 +186,7 @@
 		}
 		sent <- n
 	}()
-	if r := (Check{Profile: profile(config.CheckAgent, patience), Addr: ln.Addr().String(), Dial: tcp.Connect}).Run(); !r.Failed {
+	if r := (Check{Profile: profile(config.CheckAgent, patience), Addr: ln.Addr().String(), Dial: tcp.DialServerFirst}).Run(); !r.Failed {
 		t.Errorf("%+v", r)
 	}
 	if n := <-sent; n >= 256<<20 {
--- a/internal/backend/leaf/crossings_test.go
+++ b/internal/backend/leaf/crossings_test.go
@@ -31,10 +31,10 @@
 	n       int
 }
 
-func newBench(t *testing.T, dial Dial) *bench {
+func newBench(t *testing.T, dial DialFunc) *bench {
 	b := &bench{t: t, now: time.Unix(1000, 0), box: aggregator.NewMailbox(), open: true}
-	b.p = NewPool(Limits{Streams: 10, Idle: 12 * time.Second, ConnectTimeout: 250 * time.Millisecond, Sockets: 10, Silent: time.Second, Spread: 1}, b.box, dial)
-	b.p.Use(b)
+	b.p = NewPool(Limits{MaxStreams: 10, IdleTimeout: 12 * time.Second, ConnectTimeout: 250 * time.Millisecond, MaxConnections: 10, UnresponsiveAfter: time.Second, ConnsPerServer: 1}, b.box, dial)
+	b.p.SetDirectory(b)
 	t.Cleanup(func() {
 		for _, h := range b.p.hosts {
 			for _, c := range h.conns {
@@ -98,8 +98,8 @@
 
 // dialTCP is DialTCP by the system's own dialing: netpoll's says of one connection in some thousands that its peer has
 // closed it, when nobody has, and a test has no other server to go to.
-func dialTCP(addr string, timeout time.Duration, handler func(*tcp.Link) tcp.Handler) (Link, error) {
-	l, err := tcp.Connect(addr, timeout, handler)
+func dialTCP(addr string, timeout time.Duration, handler func(*tcp.Conn) tcp.Handler) (Link, error) {
+	l, err := tcp.DialServerFirst(addr, timeout, handler)
 	return l, err
 }
 
@@ -162,7 +162,7 @@
 	}
 }
 
-func (c leafConn) say(letter byte, rest string) { c.Write(Append(nil, letter, []byte(rest))) }
+func (c leafConn) say(letter byte, rest string) { c.Write(AppendFrame(nil, letter, []byte(rest))) }
 
 // attemptError is how the n-th attempt that ended did, and it must be the attempt given.
 func (b *bench) attemptError(n int, id aggregator.AttemptID) *aggregator.AttemptError {
@@ -219,7 +219,7 @@
 }
 
 // sentOne is a bench that has written one part to a server.
-func sentOne(t *testing.T, s *leafServer, dial Dial) (*bench, aggregator.AttemptID) {
+func sentOne(t *testing.T, s *leafServer, dial DialFunc) (*bench, aggregator.AttemptID) {
 	b := newBench(t, dial)
 	b.addr = s.addr()
 	id := b.send(time.Time{})
@@ -228,12 +228,12 @@
 }
 
 type heldLink struct {
-	*tcp.Link
+	*tcp.Conn
 	of heldLinks
 }
 
-func (h heldLinks) dial(addr string, timeout time.Duration, handler func(*tcp.Link) tcp.Handler) (Link, error) {
-	l, err := tcp.Connect(addr, timeout, handler)
+func (h heldLinks) dial(addr string, timeout time.Duration, handler func(*tcp.Conn) tcp.Handler) (Link, error) {
+	l, err := tcp.DialServerFirst(addr, timeout, handler)
 	return heldLink{l, h}, err
 }
 
@@ -241,7 +241,7 @@
 	go func() {
 		close(l.of.asked)
 		<-l.of.let
-		l.Link.Abort(cause, done)
+		l.Conn.Abort(cause, done)
 	}()
 }
 
@@ -348,11 +348,11 @@
 	let  chan struct{}
 }
 
-func (h heldDial) dial(addr string, timeout time.Duration, handler func(*tcp.Link) tcp.Handler) (Link, error) {
+func (h heldDial) dial(addr string, timeout time.Duration, handler func(*tcp.Conn) tcp.Handler) (Link, error) {
 	c := heldCall{addr, make(chan struct{})}
 	h.dials <- c
 	<-c.let
-	return tcp.Connect(addr, timeout, handler)
+	return tcp.DialServerFirst(addr, timeout, handler)
 }
 
 // An id moves to another address while parts wait for a connection to it. What was meant for the one address never goes to
@@ -449,8 +449,8 @@
 func TestReuseCrossesTheServersClose(t *testing.T) {
 	s := newLeafServer(t)
 	let, came := make(chan struct{}), make(chan struct{})
-	b := newBench(t, func(addr string, timeout time.Duration, handler func(*tcp.Link) tcp.Handler) (Link, error) {
-		return tcp.Connect(addr, timeout, func(l *tcp.Link) tcp.Handler { return heldEnd{handler(l), came, let} })
+	b := newBench(t, func(addr string, timeout time.Duration, handler func(*tcp.Conn) tcp.Handler) (Link, error) {
+		return tcp.DialServerFirst(addr, timeout, func(l *tcp.Conn) tcp.Handler { return heldEnd{handler(l), came, let} })
 	})
 	b.addr = s.addr()
 	b.send(time.Time{})
--- a/internal/backend/leaf/frame.go
+++ b/internal/backend/leaf/frame.go
@@ -36,12 +36,12 @@
 
 // Frame is a letter and the rest.
 type Frame struct {
-	Letter byte
-	Rest   []byte
+	Type    byte
+	Payload []byte
 }
 
-// Append prints a frame.
-func Append(b []byte, letter byte, rest []byte) []byte {
+// AppendFrame prints a frame.
+func AppendFrame(b []byte, letter byte, rest []byte) []byte {
 	b = binary.BigEndian.AppendUint32(b, uint32(len(rest)+1))
 	return append(append(b, letter), rest...)
 }
@@ -140,7 +140,7 @@
 		rest = fmt.Appendf(rest, "%s %d %s %d\n", c.Name, c.Shard, list, len(c.Payload))
 		rest = append(rest, c.Payload...)
 	}
-	return Append(nil, letterCall, rest)
+	return AppendFrame(nil, letterCall, rest)
 }
 
 // answer is what a frame 5 says.
--- a/internal/backend/leaf/pool.go
+++ b/internal/backend/leaf/pool.go
@@ -13,19 +13,19 @@
 
 // Link is a connection as the pool uses it.
 type Link interface {
-	Write(b []byte, done func(tcp.Wrote))
+	Write(b []byte, done func(tcp.WriteResult))
 	// WriteWithin writes what is no good any more after so long.
-	WriteWithin(d time.Duration, b []byte, done func(tcp.Wrote))
+	WriteWithin(d time.Duration, b []byte, done func(tcp.WriteResult))
 	Close(cause error)
 	// Abort closes at once, with what is not sent yet thrown away; done is called when that is so.
 	Abort(cause error, done func())
 }
 
-// Dial opens a connection off the loop. It blocks.
-type Dial func(addr string, timeout time.Duration, handler func(*tcp.Link) tcp.Handler) (Link, error)
+// DialFunc opens a connection off the loop. It blocks.
+type DialFunc func(addr string, timeout time.Duration, handler func(*tcp.Conn) tcp.Handler) (Link, error)
 
 // DialTCP is Dial on the network.
-func DialTCP(addr string, timeout time.Duration, handler func(*tcp.Link) tcp.Handler) (Link, error) {
+func DialTCP(addr string, timeout time.Duration, handler func(*tcp.Conn) tcp.Handler) (Link, error) {
 	l, err := tcp.Dial(addr, timeout, handler)
 	if err != nil {
 		return nil, err
@@ -35,15 +35,15 @@
 
 // Limits of a pool.
 type Limits struct {
-	Streams        int           // calls at once on one connection
-	Idle           time.Duration // the server closes a connection left idle for so long
+	MaxStreams     int           // calls at once on one connection
+	IdleTimeout    time.Duration // the server closes a connection left idle for so long
 	ConnectTimeout time.Duration
-	Sockets        int // connections together
-	// Silent is how long a server may say nothing at all before an attempt that is given up counts against its
+	MaxConnections int // connections together
+	// UnresponsiveAfter is how long a server may say nothing at all before an attempt that is given up counts against its
 	// connection.
-	Silent time.Duration
-	// Spread is how many connections to one server are opened before parts share them; at least 1.
-	Spread int
+	UnresponsiveAfter time.Duration
+	// ConnsPerServer is how many connections to one server are opened before parts share them; at least 1.
+	ConnsPerServer int
 }
 
 const (
@@ -62,7 +62,7 @@
 )
 
 // Stats count what the pool did.
-type Stats struct{ Dials, DialsFailed, Broken, Spoilt, Late uint64 }
+type Stats struct{ Dials, DialsFailed, Broken, Corrupt, LateAnswers uint64 }
 
 // Pool holds the connections to all leaf servers. It lives on the loop.
 type Pool struct {
@@ -173,7 +173,7 @@
 		aggregator.AdapterMessage
 		c     *conn
 		parts []*attempt
-		how   tcp.Wrote
+		how   tcp.WriteResult
 	}
 	told struct { // a frame 2 left, or its connection broke
 		aggregator.AdapterMessage
@@ -182,11 +182,11 @@
 )
 
 // NewPool returns a pool that posts to box. dial is DialTCP in the program.
-func NewPool(lim Limits, box aggregator.Poster, dial Dial) *Pool {
+func NewPool(lim Limits, box aggregator.Poster, dial DialFunc) *Pool {
 	p := &Pool{lim: lim, box: box, hosts: map[balance.Replica]*host{}, calls: map[aggregator.AttemptID]*attempt{}}
 	p.dial = func(c *conn, addr string, timeout time.Duration) {
 		go func() {
-			link, err := dial(addr, timeout, func(*tcp.Link) tcp.Handler { return &reader{c: c, box: box} })
+			link, err := dial(addr, timeout, func(*tcp.Conn) tcp.Handler { return &reader{c: c, box: box} })
 			if err != nil {
 				box.Put(dialed{c: c, err: err})
 				return
@@ -197,8 +197,8 @@
 	return p
 }
 
-// Use names the directory that says where new work may go.
-func (p *Pool) Use(d Directory) { p.open = d }
+// SetDirectory names the directory that says where new work may go.
+func (p *Pool) SetDirectory(d Directory) { p.open = d }
 
 // Directory says what is listed of a server by now.
 type Directory interface {
@@ -280,7 +280,7 @@
 		p.write(now, best, g)
 		// Another connection for the next part, while there is room. Guards the parts that share one: it ends
 		// with a spoilt answer to any of them.
-		if h := g.host; idle <= 1 && len(h.conns) < p.lim.Spread && p.total < p.lim.Sockets*3/4 && p.open.Available(h.id) &&
+		if h := g.host; idle <= 1 && len(h.conns) < p.lim.ConnsPerServer && p.total < p.lim.MaxConnections*3/4 && p.open.Available(h.id) &&
 			!slices.ContainsFunc(h.conns, func(c *conn) bool { return !c.up }) {
 			p.connect(now, h, addr)
 		}
@@ -290,7 +290,7 @@
 	room, wait := 0, 0
 	for _, c := range g.host.conns {
 		if !c.up && !c.closed && c.addr == addr {
-			room += p.lim.Streams
+			room += p.lim.MaxStreams
 		}
 	}
 	for _, o := range g.host.waiting {
@@ -304,7 +304,7 @@
 }
 
 func (p *Pool) fit(now time.Time, c *conn, g *group, addr string) bool {
-	if c.closed || c.silent || c.retired || !c.partial.IsZero() || c.addr != addr || len(c.streams)+len(g.parts) > max(p.lim.Streams, len(g.parts)) || p.stale(now, c) {
+	if c.closed || c.silent || c.retired || !c.partial.IsZero() || c.addr != addr || len(c.streams)+len(g.parts) > max(p.lim.MaxStreams, len(g.parts)) || p.stale(now, c) {
 		return false
 	}
 	for _, a := range g.parts {
@@ -318,12 +318,12 @@
 
 // stale says whether the server may close a connection for idleness by the time a frame arrives.
 func (p *Pool) stale(now time.Time, c *conn) bool {
-	return len(c.streams) == 0 && p.lim.Idle > 0 && now.Sub(c.used) > max(p.lim.Idle/2, p.lim.Idle-idleMargin)
+	return len(c.streams) == 0 && p.lim.IdleTimeout > 0 && now.Sub(c.used) > max(p.lim.IdleTimeout/2, p.lim.IdleTimeout-idleMargin)
 }
 
 func (p *Pool) connect(now time.Time, h *host, addr string) {
 	c := &conn{host: h, addr: addr, since: now, used: now, streams: map[string]*attempt{}, givenUp: map[string]time.Time{}}
-	if addr == "" || p.total >= p.lim.Sockets && !p.spare() {
+	if addr == "" || p.total >= p.lim.MaxConnections && !p.spare() {
 		p.box.Put(dialed{c: c, err: errors.New("no address, or no socket left")})
 	} else {
 		p.Stats.Dials++
@@ -380,7 +380,7 @@
 	}
 	c.used = now
 	parts := g.parts
-	c.link.WriteWithin(within, callFrame(now, calls), func(how tcp.Wrote) { p.box.Put(wrote{c: c, parts: parts, how: how}) })
+	c.link.WriteWithin(within, callFrame(now, calls), func(how tcp.WriteResult) { p.box.Put(wrote{c: c, parts: parts, how: how}) })
 }
 
 // Cancel gives an attempt up; it ends once the server has been told, as far as that can be known. Where the part may be
@@ -412,12 +412,12 @@
 		return
 	}
 	c.used = now
-	frame := Append(nil, letterGiveUp, []byte(a.call.Name))
+	frame := AppendFrame(nil, letterGiveUp, []byte(a.call.Name))
 	if a.unproved {
 		c.probes = append(c.probes, &probe{host: a.host, conn: c, sent: now, until: now.Add(p.lim.ConnectTimeout + slack), proves: a})
-		frame = Append(frame, letterProbe, nil)
+		frame = AppendFrame(frame, letterProbe, nil)
 	}
-	c.link.Write(frame, func(tcp.Wrote) { p.box.Put(told{a: a}) })
+	c.link.Write(frame, func(tcp.WriteResult) { p.box.Put(told{a: a}) })
 }
 
 // givenUpAll says whether all that is out on a connection was given up.
@@ -452,7 +452,7 @@
 func (p *Pool) ask(c *conn, pr *probe) {
 	pr.conn = c
 	c.probes = append(c.probes, pr)
-	c.link.Write(Append(nil, letterLoad, nil), nil)
+	c.link.Write(AppendFrame(nil, letterLoad, nil), nil)
 }
 
 // emit passes a core event on: with the socket event in hand, or to a later turn if the core called.
@@ -519,7 +519,7 @@
 		for _, a := range e.parts {
 			p.wrote(a, e.how)
 		}
-		if e.how == tcp.Unknown { // the link is closing
+		if e.how == tcp.WriteUncertain { // the link is closing
 			p.shut(e.c, errors.New("the connection broke under a frame"))
 		}
 	case told:
@@ -527,7 +527,7 @@
 		if c := e.a.conn; p.calls[e.a.call.Attempt] == e.a && (!c.closed || c.over) {
 			// Guards against a machine that vanished: its connections stay open and say nothing, and whatever is
 			// written on them may have run for all one knows. A new one shows whether it is there.
-			c.silent = c.silent || c.heard.Before(e.a.written) && now.Sub(e.a.written) > p.lim.Silent
+			c.silent = c.silent || c.heard.Before(e.a.written) && now.Sub(e.a.written) > p.lim.UnresponsiveAfter
 			if !e.a.unproved || c.over {
 				p.told(now, e.a)
 			}
@@ -545,14 +545,14 @@
 	p.end(a, &aggregator.AttemptError{Progress: aggregator.Written, Canceled: true})
 }
 
-func (p *Pool) wrote(a *attempt, how tcp.Wrote) {
+func (p *Pool) wrote(a *attempt, how tcp.WriteResult) {
 	if p.calls[a.call.Attempt] != a || a.state != writing {
 		return
 	}
 	switch {
-	case how == tcp.Nothing: // so it never ran
+	case how == tcp.WriteNone: // so it never ran
 		p.end(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: a.withdrawn, Cause: errors.New("the connection broke before the frame")})
-	case how == tcp.Late: // nor did this
+	case how == tcp.WriteExpired: // nor did this
 		p.end(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true, Cause: errors.New("not written in time")})
 	case a.conn.over: // the end of the frame may have left: it may run
 		p.end(a, &aggregator.AttemptError{Progress: aggregator.Written, Canceled: a.withdrawn, CorruptStream: a.conn.spoilt, Cause: errors.New("the connection broke under the frame")})
@@ -707,15 +707,15 @@
 	if c.closed {
 		return
 	}
-	p.Stats.Spoilt++
+	p.Stats.Corrupt++
 	c.spoilt = true
 	p.shut(c, cause)
 }
 
 func (p *Pool) framed(now time.Time, c *conn, f Frame) error {
-	switch f.Letter {
+	switch f.Type {
 	case letterAnswer:
-		a, err := parseAnswer(f.Rest)
+		a, err := parseAnswer(f.Payload)
 		if err != nil {
 			return err
 		}
@@ -746,12 +746,12 @@
 			break
 		}
 		var err error
-		if string(f.Rest) == "E" {
+		if string(f.Payload) == "E" {
 			err = &aggregator.AttemptError{Progress: aggregator.Answered}
 		}
-		p.endProbe(now, pr, err, parseReport(string(f.Rest)))
+		p.endProbe(now, pr, err, parseReport(string(f.Payload)))
 	default:
-		return fmt.Errorf("the server could not use a frame: %.80q", f.Rest)
+		return fmt.Errorf("the server could not use a frame: %.80q", f.Payload)
 	}
 	return nil
 }
@@ -760,7 +760,7 @@
 // copy does no harm, but the connection is not used further. Any other is for a part that never gets its own.
 func (p *Pool) stray(c *conn, name string) error {
 	if _, gaveUp := c.givenUp[name]; gaveUp {
-		p.Stats.Late++
+		p.Stats.LateAnswers++
 		delete(c.givenUp, name)
 		p.emit(aggregator.LateAnswer{Server: c.host.id})
 		return nil
@@ -810,12 +810,12 @@
 				p.shut(c, errors.New("not used further"))
 				continue
 			}
-			if c.up && len(c.streams) == 0 && p.lim.Idle > 0 {
+			if c.up && len(c.streams) == 0 && p.lim.IdleTimeout > 0 {
 				if p.stale(now, c) {
 					p.shut(c, errors.New("idle"))
 					continue
 				}
-				sooner(c.used.Add(max(p.lim.Idle/2, p.lim.Idle-idleMargin) + time.Millisecond))
+				sooner(c.used.Add(max(p.lim.IdleTimeout/2, p.lim.IdleTimeout-idleMargin) + time.Millisecond))
 			}
 		}
 		if len(h.conns) == 0 && len(h.waiting) == 0 && len(h.probes) == 0 {
@@ -863,7 +863,7 @@
 	spreadFleet = 24 // and all mixers together
 )
 
-// Spread is how many connections one of so many mixers opens to a server before its parts share them. Several
+// ConnsPerServer is how many connections one of so many mixers opens to a server before its parts share them. Several
 // keep a spoilt answer from ending many parts; but a server accepts only so many from all mixers together, does
 // less the more it holds, and past that turns away whatever comes on the next.
-func Spread(mixers int) int { return max(1, min(spreadMost, spreadFleet/max(1, mixers))) }
+func ConnsPerServer(mixers int) int { return max(1, min(spreadMost, spreadFleet/max(1, mixers))) }
--- a/internal/backend/leaf/pool_test.go
+++ b/internal/backend/leaf/pool_test.go
@@ -32,7 +32,7 @@
 	name      string
 	link      *link // its frame was handed to
 	settled   bool
-	how       tcp.Wrote
+	how       tcp.WriteResult
 	at        time.Time // when that was
 	toldOff   bool      // a frame 2 was handed on
 	proved    bool      // and its server has got the attempt, or has read the frame 2
@@ -48,20 +48,20 @@
 	c      *conn
 	closed bool
 	abort  func() // asked for, and not carried out: what went out on it may still arrive
-	queue  []func(tcp.Wrote)
+	queue  []func(tcp.WriteResult)
 	shared []*sent // whose frames wait in queue; nil for others
 	pings  []*sent // whose frames 2 have a probe behind them that is not answered
 	heard  time.Time
 }
 
-func (l *link) WriteWithin(d time.Duration, b []byte, done func(tcp.Wrote)) {
+func (l *link) WriteWithin(d time.Duration, b []byte, done func(tcp.WriteResult)) {
 	if d <= 0 || d > writeWithin {
 		l.r.t.Fatalf("%q may wait for %v", b, d)
 	}
 	l.Write(b, done)
 }
 
-func (l *link) Write(b []byte, done func(tcp.Wrote)) {
+func (l *link) Write(b []byte, done func(tcp.WriteResult)) {
 	if n := len(b) - 5; n > 5 && b[4] == letterGiveUp && string(b[n:]) == "\x00\x00\x00\x013" {
 		b = b[:n] // the probe that goes with it
 		l.pings = append(l.pings, l.r.named(string(b[5:])))
@@ -74,9 +74,9 @@
 	}
 	f := Frame{b[4], b[5:]}
 	var of *sent
-	switch f.Letter {
+	switch f.Type {
 	case letterCall:
-		line, _, _ := strings.Cut(string(f.Rest), "\n")
+		line, _, _ := strings.Cut(string(f.Payload), "\n")
 		name, _, _ := strings.Cut(line, " ")
 		of = l.r.named(name)
 		of.link, of.at = l, l.r.now
@@ -86,26 +86,26 @@
 		if idle := l.r.now.Sub(l.c.used); idle > 10*time.Second {
 			l.r.t.Fatalf("%s was sent on a connection idle for %v", name, idle)
 		}
-		if len(l.c.streams) > l.r.p.lim.Streams {
+		if len(l.c.streams) > l.r.p.lim.MaxStreams {
 			l.r.t.Fatalf("%d streams", len(l.c.streams))
 		}
 	case letterGiveUp:
-		l.r.named(string(f.Rest)).toldOff = true
+		l.r.named(string(f.Payload)).toldOff = true
 	}
 	if done == nil {
-		done = func(tcp.Wrote) {}
+		done = func(tcp.WriteResult) {}
 	}
 	if l.closed {
 		if of != nil {
-			of.settled, of.how = true, tcp.Nothing
+			of.settled, of.how = true, tcp.WriteNone
 		}
-		done(tcp.Nothing)
+		done(tcp.WriteNone)
 		return
 	}
 	l.queue, l.shared = append(l.queue, done), append(l.shared, of)
 }
 
-func (l *link) Close(error) { l.end(tcp.Unknown) }
+func (l *link) Close(error) { l.end(tcp.WriteUncertain) }
 
 func (l *link) Abort(_ error, done func()) {
 	if l.closed {
@@ -118,12 +118,12 @@
 // aborted carries out an Abort: the socket is closed from now on.
 func (l *link) aborted() {
 	if l.abort != nil {
-		l.end(tcp.Unknown)
+		l.end(tcp.WriteUncertain)
 	}
 }
 
 // settle accounts for the oldest write.
-func (l *link) settle(how tcp.Wrote) {
+func (l *link) settle(how tcp.WriteResult) {
 	if len(l.queue) == 0 {
 		return
 	}
@@ -135,7 +135,7 @@
 	done(how)
 }
 
-func (l *link) end(first tcp.Wrote) {
+func (l *link) end(first tcp.WriteResult) {
 	if l.closed {
 		return
 	}
@@ -145,7 +145,7 @@
 	if done != nil {
 		defer done()
 	}
-	for how := first; len(l.queue) > 0; how = tcp.Nothing {
+	for how := first; len(l.queue) > 0; how = tcp.WriteNone {
 		l.settle(how)
 	}
 }
@@ -169,9 +169,9 @@
 
 func newRig(t *testing.T) *rig {
 	r := &rig{t: t, now: time.Unix(1000, 0)}
-	r.p = NewPool(Limits{Streams: 2, Idle: 12 * time.Second, ConnectTimeout: 250 * time.Millisecond, Sockets: 3, Silent: time.Second, Spread: 8}, r, nil)
+	r.p = NewPool(Limits{MaxStreams: 2, IdleTimeout: 12 * time.Second, ConnectTimeout: 250 * time.Millisecond, MaxConnections: 3, UnresponsiveAfter: time.Second, ConnsPerServer: 8}, r, nil)
 	r.p.dial = func(c *conn, _ string, _ time.Duration) { r.dials = append(r.dials, c) }
-	r.p.Use(r)
+	r.p.SetDirectory(r)
 	return r
 }
 
@@ -269,13 +269,13 @@
 	if !errors.As(e.Err, &a) {
 		r.t.Fatalf("%s: %v says nothing", s.name, e.Err)
 	}
-	mayRun := s.link != nil && (!s.settled || s.how != tcp.Nothing && s.how != tcp.Late)
+	mayRun := s.link != nil && (!s.settled || s.how != tcp.WriteNone && s.how != tcp.WriteExpired)
 	switch {
 	case a.Progress == aggregator.Answered && a.Rejected != (s.answer == 'B'), a.Progress == aggregator.Answered && s.answer == 0:
 		r.t.Fatalf("%s: %v after answer %q", s.name, a, s.answer)
 	case a.Progress < aggregator.Written && mayRun:
 		r.t.Fatalf("%s is said not to have run: %v", s.name, a)
-	case a.Canceled && !s.withdrawn && s.how != tcp.Late && (s.link == nil || !s.link.closed) && r.now.Before(time.Unix(1005, 0)):
+	case a.Canceled && !s.withdrawn && s.how != tcp.WriteExpired && (s.link == nil || !s.link.closed) && r.now.Before(time.Unix(1005, 0)):
 		r.t.Fatalf("%s was not given up: %v", s.name, a)
 	case a.Progress == aggregator.Written && mayRun && !s.link.closed && !(a.Canceled && s.toldOff && (s.proved || !s.again)):
 		r.t.Fatalf("%s ended while it may still arrive: %v", s.name, a)
@@ -288,7 +288,7 @@
 		r.dialed(errors.New("refused"))
 	}
 	for _, l := range r.links {
-		l.end(tcp.Nothing)
+		l.end(tcp.WriteNone)
 	}
 	r.turn()
 	for len(r.dials) > 0 {
@@ -339,16 +339,16 @@
 				r.dialed(errors.New("refused"))
 			case step%10 == 4 && l != nil:
 				if pick%5 == 4 && len(l.shared) > 0 && l.shared[0] != nil {
-					l.settle(tcp.Late)
+					l.settle(tcp.WriteExpired)
 				} else {
-					l.settle(tcp.All)
+					l.settle(tcp.WriteComplete)
 				}
 				r.turn()
 			case step%10 == 5 && l != nil:
 				if pick%4 == 3 {
 					l.aborted()
 				} else {
-					l.end(tcp.Wrote(pick % 4))
+					l.end(tcp.WriteResult(pick % 4))
 				}
 				r.turn()
 			case step%10 == 6 && s != nil && s.link != nil && !s.link.closed:
@@ -386,9 +386,9 @@
 	r := newRig(t)
 	first := r.send()
 	r.dialed(nil)
-	r.links[0].settle(tcp.All)
+	r.links[0].settle(tcp.WriteComplete)
 	r.withdraw(first, false)
-	r.links[0].settle(tcp.All)
+	r.links[0].settle(tcp.WriteComplete)
 	r.turn()
 	again := aggregator.Call{Attempt: aggregator.AttemptID{Part: 0, Number: 1}, Name: first.name, Deadline: r.now.Add(time.Second)}
 	r.p.Send(r.now, aggregator.Server{ID: "s", Addr: "x"}, []aggregator.Call{again})
@@ -403,15 +403,15 @@
 		r := newRig(t)
 		s := r.send()
 		r.dialed(nil)
-		r.links[0].settle(tcp.All)
+		r.links[0].settle(tcp.WriteComplete)
 		r.came(r.links[0], bad)
 		if s.ended != 0 || r.links[0].abort == nil {
-			t.Errorf("%q: ended %d times before its connection did", bad.Rest, s.ended)
+			t.Errorf("%q: ended %d times before its connection did", bad.Payload, s.ended)
 		}
 		r.links[0].aborted()
 		r.turn()
 		if s.ended != 1 {
-			t.Errorf("%q: ended %d times", bad.Rest, s.ended)
+			t.Errorf("%q: ended %d times", bad.Payload, s.ended)
 		}
 	}
 	// Each as soon as its bytes show it, without waiting for the rest.
@@ -452,7 +452,7 @@
 		s := r.send()
 		r.dialed(nil)
 		s.answer = 'S'
-		r.links[0].settle(tcp.All)
+		r.links[0].settle(tcp.WriteComplete)
 		e.c = r.links[0].c
 		r.Put(e)
 		r.turn()
@@ -470,7 +470,7 @@
 	r := newRig(t)
 	s := r.send()
 	r.dialed(nil)
-	r.links[0].settle(tcp.All)
+	r.links[0].settle(tcp.WriteComplete)
 	r.Put(framed{c: r.links[0].c, partial: true})
 	r.turn()
 	var next time.Time
@@ -494,7 +494,7 @@
 // A part has a connection of its own while there is room: one spoilt answer must not end the others' attempts.
 func TestPartsSpreadOverConnections(t *testing.T) {
 	r := newRig(t)
-	r.p.lim.Sockets = 8
+	r.p.lim.MaxConnections = 8
 	first := r.send()
 	r.dialed(nil)
 	second := r.send() // shares the connection, and another is opened
@@ -504,7 +504,7 @@
 		t.Fatal("the third part shares a connection with the others")
 	}
 	for _, l := range r.links {
-		l.settle(tcp.All)
+		l.settle(tcp.WriteComplete)
 	}
 	r.Put(framed{c: third.link.c, err: errors.New("noise")})
 	r.turn()
@@ -517,11 +517,11 @@
 
 // Eighty mixers together must not fill the connections of a server: each opens one, and its parts share that.
 func TestOneOfManyMixersOpensOneConnection(t *testing.T) {
-	if few, many := Spread(3), Spread(80); few != 8 || many != 1 {
+	if few, many := ConnsPerServer(3), ConnsPerServer(80); few != 8 || many != 1 {
 		t.Fatalf("3 mixers: %d connections each, 80 mixers: %d", few, many)
 	}
 	r := newRig(t)
-	r.p.lim.Sockets, r.p.lim.Streams, r.p.lim.Spread = 8, 100, Spread(80)
+	r.p.lim.MaxConnections, r.p.lim.MaxStreams, r.p.lim.ConnsPerServer = 8, 100, ConnsPerServer(80)
 	r.send()
 	r.dialed(nil)
 	for range 20 {
@@ -538,7 +538,7 @@
 	r.send()
 	r.dialed(nil)
 	r.p.Probe(r.now, aggregator.Server{ID: "s", Addr: "x"})
-	r.links[0].end(tcp.All)
+	r.links[0].end(tcp.WriteComplete)
 	r.turn()
 	r.dialed(nil)
 	var got []aggregator.Message
@@ -563,7 +563,7 @@
 	}
 	s := r.send()
 	r.dialed(nil)
-	r.links[0].settle(tcp.All)
+	r.links[0].settle(tcp.WriteComplete)
 	r.p.Probe(r.now, aggregator.Server{ID: "s", Addr: "x"})
 	r.p.Probe(r.now, aggregator.Server{ID: "s", Addr: "x"})
 	r.now = r.now.Add(time.Second) // both are overdue
@@ -584,7 +584,7 @@
 
 // However a stream is cut up, the same frames come of it.
 func FuzzParser(f *testing.F) {
-	f.Add(Append(Append(nil, '5', []byte("q.1 S 1 -\nx")), '4', []byte("-")), 3, 9)
+	f.Add(AppendFrame(AppendFrame(nil, '5', []byte("q.1 S 1 -\nx")), '4', []byte("-")), 3, 9)
 	f.Add([]byte("\x00\x00\x00\x01\x35\xff\xff\xff\xff"), 1, 6)
 	f.Fuzz(func(t *testing.T, b []byte, x, y int) {
 		read := func(cuts ...int) string {
@@ -603,7 +603,7 @@
 					if !ok {
 						break
 					}
-					out += fmt.Sprintf("%c%q ", f.Letter, f.Rest)
+					out += fmt.Sprintf("%c%q ", f.Type, f.Payload)
 				}
 			}
 			return out
@@ -641,14 +641,14 @@
 		first := r.send()
 		r.dialed(nil)
 		l := r.links[0]
-		l.settle(tcp.All)
+		l.settle(tcp.WriteComplete)
 		r.now = r.now.Add(c.after)
 		if c.heard {
 			r.p.Probe(r.now, aggregator.Server{ID: "s", Addr: "x"})
 			r.came(l, Frame{letterLoad, []byte("queue=1")})
 		}
 		r.withdraw(first, c.again)
-		l.settle(tcp.All)
+		l.settle(tcp.WriteComplete)
 		r.turn()
 		if next := r.send(); (next.link != l) != c.left {
 			t.Errorf("%+v: sent on %v", c, next.link)
--- a/internal/backend/serialconn/pool.go
+++ b/internal/backend/serialconn/pool.go
@@ -40,7 +40,7 @@
 
 // Link is a connection as the pool uses it.
 type Link interface {
-	Write(b []byte, done func(tcp.Wrote))
+	Write(b []byte, done func(tcp.WriteResult))
 	Close(cause error)
 }
 
@@ -49,9 +49,9 @@
 
 // Limits of a pool.
 type Limits struct {
-	Connect time.Duration
-	Idle    time.Duration // a server closes a connection left idle for so long
-	Sockets int
+	ConnectTimeout time.Duration
+	IdleTimeout    time.Duration // a server closes a connection left idle for so long
+	MaxConnections int
 }
 
 // idleMargin keeps writes off a connection that the server may be about to close: a correction written to it
@@ -64,7 +64,7 @@
 var errNoGreeting = errors.New("the server does not answer the greeting")
 
 // Stats count what the pool did.
-type Stats struct{ Dials, DialsFailed, Broken, Late uint64 }
+type Stats struct{ Dials, DialsFailed, Broken, LateAnswers uint64 }
 
 // Pool holds the connections to all servers.
 type Pool struct {
@@ -122,7 +122,7 @@
 	wrote struct {
 		aggregator.AdapterMessage
 		a   *attempt
-		how tcp.Wrote
+		how tcp.WriteResult
 	}
 )
 
@@ -134,7 +134,7 @@
 	}
 	p.start = func(c *conn, addr string, codec Codec) {
 		go func() {
-			link, err := dial(addr, lim.Connect, func(*tcp.Link) tcp.Handler {
+			link, err := dial(addr, lim.ConnectTimeout, func(*tcp.Conn) tcp.Handler {
 				return &reader{c: c, box: box, parser: codec.Parser()}
 			})
 			if err != nil {
@@ -147,8 +147,8 @@
 	return p
 }
 
-// Use names the directory that says where new work may go.
-func (p *Pool) Use(d aggregator.Directory) { p.open = d }
+// SetDirectory names the directory that says where new work may go.
+func (p *Pool) SetDirectory(d aggregator.Directory) { p.open = d }
 
 // reader reads answers off a link and posts them.
 type reader struct {
@@ -206,7 +206,7 @@
 }
 
 func (p *Pool) stale(now time.Time, c *conn) bool {
-	return now.Sub(c.used) > max(p.lim.Idle/2, p.lim.Idle-idleMargin)
+	return now.Sub(c.used) > max(p.lim.IdleTimeout/2, p.lim.IdleTimeout-idleMargin)
 }
 
 // drop takes a connection out of the idle ones.
@@ -220,11 +220,11 @@
 func (p *Pool) connect(now time.Time, to aggregator.Server, a *attempt) {
 	c := &conn{server: to.ID, addr: to.Addr, at: a, used: now}
 	a.conn = c
-	if p.total >= p.lim.Sockets {
+	if p.total >= p.lim.MaxConnections {
 		p.shutOldest()
 	}
 	codec := p.codec(to.ID)
-	if p.total >= p.lim.Sockets || codec == nil || to.Addr == "" {
+	if p.total >= p.lim.MaxConnections || codec == nil || to.Addr == "" {
 		p.end(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, LocalCause: true, Cause: errors.New("no socket left, or a server that is gone")}, nil)
 		return
 	}
@@ -287,7 +287,7 @@
 	}
 	a.written = aggregator.Written // until the link says otherwise
 	c.used = now
-	c.link.Write(frame, func(how tcp.Wrote) { p.box.Put(wrote{a: a, how: how}) })
+	c.link.Write(frame, func(how tcp.WriteResult) { p.box.Put(wrote{a: a, how: how}) })
 }
 
 // rest makes a connection idle.
@@ -416,7 +416,7 @@
 		}
 		return
 	case a == nil || a.withdrawn || r.Greeting:
-		p.Stats.Late++ // nobody waits for it; whatever follows on this connection cannot be told apart
+		p.Stats.LateAnswers++ // nobody waits for it; whatever follows on this connection cannot be told apart
 		p.shut(c, errors.New("an answer that nobody waits for"))
 		if a != nil {
 			p.lost(a, errors.New("given up"))
@@ -454,9 +454,9 @@
 	}
 }
 
-func (p *Pool) wrote(a *attempt, how tcp.Wrote) {
+func (p *Pool) wrote(a *attempt, how tcp.WriteResult) {
 	a.settled = true
-	if how == tcp.Nothing {
+	if how == tcp.WriteNone {
 		a.written = aggregator.NotConnected // no byte of it left
 	}
 	if a.conn.closed && p.calls[a.call.Attempt] == a {
@@ -473,7 +473,7 @@
 				p.shut(c, errors.New("idle"))
 				continue
 			}
-			if due := c.used.Add(max(p.lim.Idle/2, p.lim.Idle-idleMargin) + time.Millisecond); next.IsZero() || due.Before(next) {
+			if due := c.used.Add(max(p.lim.IdleTimeout/2, p.lim.IdleTimeout-idleMargin) + time.Millisecond); next.IsZero() || due.Before(next) {
 				next = due
 			}
 		}
--- a/internal/backend/serialconn/pool_test.go
+++ b/internal/backend/serialconn/pool_test.go
@@ -28,7 +28,7 @@
 	name      string
 	link      *link // its request was handed to
 	settled   bool
-	how       tcp.Wrote
+	how       tcp.WriteResult
 	withdrawn bool
 	answered  bool
 	ended     int
@@ -38,11 +38,11 @@
 	r      *rig
 	c      *conn
 	closed bool
-	queue  []func(tcp.Wrote)
+	queue  []func(tcp.WriteResult)
 	of     []*sent
 }
 
-func (l *link) Write(b []byte, done func(tcp.Wrote)) {
+func (l *link) Write(b []byte, done func(tcp.WriteResult)) {
 	var of *sent
 	for _, s := range l.r.sent {
 		if s.name == string(b) {
@@ -56,15 +56,15 @@
 		}
 	}
 	if done == nil {
-		done = func(tcp.Wrote) {}
+		done = func(tcp.WriteResult) {}
 	}
 	l.queue, l.of = append(l.queue, done), append(l.of, of)
 	if l.closed {
-		l.settle(tcp.Nothing)
+		l.settle(tcp.WriteNone)
 	}
 }
 
-func (l *link) settle(how tcp.Wrote) {
+func (l *link) settle(how tcp.WriteResult) {
 	if len(l.queue) == 0 {
 		return
 	}
@@ -76,15 +76,15 @@
 	done(how)
 }
 
-func (l *link) Close(error) { l.end(tcp.Unknown) }
+func (l *link) Close(error) { l.end(tcp.WriteUncertain) }
 
-func (l *link) end(first tcp.Wrote) {
+func (l *link) end(first tcp.WriteResult) {
 	if l.closed {
 		return
 	}
 	l.closed = true
 	l.r.Put(closed{c: l.c, err: errors.New("broken")})
-	for how := first; len(l.queue) > 0; how = tcp.Nothing {
+	for how := first; len(l.queue) > 0; how = tcp.WriteNone {
 		l.settle(how)
 	}
 }
@@ -107,9 +107,9 @@
 // newRig's pool dials nothing: the rig posts what a dial comes to.
 func newRig(t *testing.T) *rig {
 	r := &rig{t: t, now: time.Unix(1000, 0)}
-	r.p = NewPool(Limits{Connect: time.Second, Idle: 12 * time.Second, Sockets: 4}, r, nil, func(balance.Replica) Codec { return codec{r} })
+	r.p = NewPool(Limits{ConnectTimeout: time.Second, IdleTimeout: 12 * time.Second, MaxConnections: 4}, r, nil, func(balance.Replica) Codec { return codec{r} })
 	r.p.start = func(*conn, string, Codec) {}
-	r.p.Use(r)
+	r.p.SetDirectory(r)
 	return r
 }
 
@@ -164,7 +164,7 @@
 			}
 			continue
 		}
-		mayRun := s.link != nil && (!s.settled || s.how != tcp.Nothing)
+		mayRun := s.link != nil && (!s.settled || s.how != tcp.WriteNone)
 		if !errors.As(e.Err, &a) || a.Progress < aggregator.Written && mayRun {
 			r.t.Fatalf("%s is said not to have run: %v", s.name, e.Err)
 		}
@@ -180,7 +180,7 @@
 		r.dialed(i, errors.New("refused"))
 	}
 	for _, l := range r.links {
-		l.end(tcp.Nothing)
+		l.end(tcp.WriteNone)
 	}
 	r.turn()
 	for _, s := range r.sent {
@@ -222,10 +222,10 @@
 			case step%10 == 3 && n >= 0:
 				r.dialed(n, errors.New("refused"))
 			case step%10 == 4 && l != nil:
-				l.settle(tcp.All)
+				l.settle(tcp.WriteComplete)
 				r.turn()
 			case step%10 == 5 && l != nil:
-				l.end(tcp.Wrote(pick % 3))
+				l.end(tcp.WriteResult(pick % 3))
 				r.turn()
 			case step%10 == 6 && l != nil && !l.closed:
 				for _, s := range r.sent {
--- a/internal/backend/sru/client.go
+++ b/internal/backend/sru/client.go
@@ -30,7 +30,7 @@
 func (c *Client) Request(call aggregator.Call, w query.Work) ([]byte, error) {
 	database := c.Database(call.Shard, call.Epoch)
 	if w.Action == "" {
-		return http1.Request("GET", sru.SearchTarget(database, w.CQL, 1, w.Most), c.Host, nil), nil
+		return http1.Request("GET", sru.SearchTarget(database, w.CQL, 1, w.MaxRecords), c.Host, nil), nil
 	}
 	body := sru.UpdateRequest(sru.Update{Action: w.Action, Record: w.Record})
 	return http1.Request("POST", "/"+url.PathEscape(database), c.Host, body,
@@ -77,22 +77,22 @@
 	if err != nil {
 		return failed(err)
 	}
-	if t := a.Trouble; t != nil && (t.SRU == sru.Diag+"1" || t.SRU == sru.Diag+"2" || t.SRU == sru.Diag+"3") {
+	if t := a.Diagnostic; t != nil && (t.SRU == sru.Diag+"1" || t.SRU == sru.Diag+"2" || t.SRU == sru.Diag+"3") {
 		return failed(errors.New(t.SRU + " " + t.Details))
 	}
 	// What it does not hold it has not run.
-	if t := a.Trouble; t != nil && t.SRU == sru.Diag+"235" {
-		if w, e, ok := shardmap.ParseWord(t.Details); ok {
+	if t := a.Diagnostic; t != nil && t.SRU == sru.Diag+"235" {
+		if w, e, ok := shardmap.ParseMismatch(t.Details); ok {
 			r.Err = &aggregator.AttemptError{Progress: aggregator.Answered, Rejected: true, MapStatus: w, Epoch: e, Cause: errors.New(t.Details)}
 			return r
 		}
 	}
-	if a.Update && !a.Good && a.Trouble == nil {
-		a.Trouble = &query.Diagnostic{SRU: sru.Diag + "1", Details: "the server failed the update"}
+	if a.Update && !a.Good && a.Diagnostic == nil {
+		a.Diagnostic = &query.Diagnostic{SRU: sru.Diag + "1", Details: "the server failed the update"}
 	}
-	if a.Trouble != nil && a.Trouble.SRU == sru.Diag+"59" {
-		a.Trouble = nil // a valid part of it all the same
+	if a.Diagnostic != nil && a.Diagnostic.SRU == sru.Diag+"59" {
+		a.Diagnostic = nil // a valid part of it all the same
 	}
-	r.Value, r.Score = query.Encode(a.Found), float64(a.Count)
+	r.Value, r.Score = query.Encode(a.PartResult), float64(a.Count)
 	return r
 }
--- a/internal/backend/z3950/client.go
+++ b/internal/backend/z3950/client.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return z3950.Ctx(z3950.SearchRequest, z3950.Str(2, call.Name), z3950.Num(13, w.Most), z3950.Num(14, 1<<30), z3950.Num(15, w.Most), z3950.Boolean(16, true),
+	return z3950.Ctx(z3950.SearchRequest, z3950.Str(2, call.Name), z3950.Num(13, w.MaxRecords), z3950.Num(14, 1<<30), z3950.Num(15, w.MaxRecords), z3950.Boolean(16, true),
 		z3950.Str(17, setName), z3950.Ctx(18, z3950.Str(105, database)), z3950.Oid(z3950.Context, 104, z3950.OidXML), z3950.Ctx(21, q)).Encode(nil), nil
 }
 
@@ -80,7 +80,7 @@
 	if n.Class != z3950.Context {
 		return r, errors.New("z3950: not a unit of this protocol")
 	}
-	var found query.Found
+	var found query.PartResult
 	switch n.Tag {
 	case z3950.InitResponse:
 		r.Greeting = true
@@ -90,16 +90,16 @@
 		return r, nil
 	case z3950.SearchResponse:
 		found.Count = max(0, n.Kid(23).IntOr(0))
-		found.Records, found.Trouble = z3950.ParseRecords(n)
-		if !n.Kid(22).Truth() && found.Trouble == nil {
-			found.Trouble = &query.Diagnostic{Bib1: 100, Details: "the search failed"}
+		found.Records, found.Diagnostic = z3950.ParseRecords(n)
+		if !n.Kid(22).Truth() && found.Diagnostic == nil {
+			found.Diagnostic = &query.Diagnostic{Bib1: 100, Details: "the search failed"}
 		}
 	case z3950.EsResponse:
 		if list := n.Kid(4); list != nil && len(list.Kids) > 0 {
-			found.Trouble = z3950.ParseDiagnostic(list.Kids[0])
+			found.Diagnostic = z3950.ParseDiagnostic(list.Kids[0])
 		}
-		if n.Kid(3).IntOr(3) == 3 && found.Trouble == nil {
-			found.Trouble = &query.Diagnostic{Bib1: 100, Details: "the update failed"}
+		if n.Kid(3).IntOr(3) == 3 && found.Diagnostic == nil {
+			found.Diagnostic = &query.Diagnostic{Bib1: 100, Details: "the update failed"}
 		}
 	case z3950.ClosePDU:
 		return r, fmt.Errorf("z3950: the target closed: reason %d %s", n.Kid(211).IntOr(9), n.Kid(3).Text())
@@ -107,13 +107,13 @@
 		return r, fmt.Errorf("z3950: unit %d", n.Tag)
 	}
 	// What it does not hold it has not run.
-	if t := found.Trouble; t != nil && t.Bib1 == 109 {
-		if w, e, ok := shardmap.ParseWord(t.Details); ok {
+	if t := found.Diagnostic; t != nil && t.Bib1 == 109 {
+		if w, e, ok := shardmap.ParseMismatch(t.Details); ok {
 			r.Err = &aggregator.AttemptError{Progress: aggregator.Answered, Rejected: true, MapStatus: w, Epoch: e, Cause: errors.New(t.Details)}
 			return r, nil
 		}
 	}
-	if t := found.Trouble; t != nil && ownFaults[t.Bib1] {
+	if t := found.Diagnostic; t != nil && ownFaults[t.Bib1] {
 		r.Err = &aggregator.AttemptError{Progress: aggregator.Answered, Cause: fmt.Errorf("bib-1 %d %s", t.Bib1, t.Details)}
 		return r, nil
 	}
--- a/internal/backend/z3950/client_test.go
+++ b/internal/backend/z3950/client_test.go
@@ -10,7 +10,7 @@
 // No input panics in what reads a target's answers, and what it keeps is bounded.
 func FuzzAnswers(f *testing.F) {
 	f.Add(z3950.Ctx(z3950.SearchResponse, z3950.Num(23, 1), z3950.Boolean(22, true)).Encode(nil))
-	f.Add(z3950.Update("r", "d", query.Delete, query.Record{ID: "1"}).Encode(nil))
+	f.Add(z3950.Update("r", "d", query.ActionDelete, query.Record{ID: "1"}).Encode(nil))
 	f.Add([]byte("\xb6\x80\xbf\x69\x80\x04\x01a\x00\x00\x00\x00"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		p := &clientParser{}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -21,8 +21,8 @@
 	if _, err := balance.New(set); err != nil {
 		t.Error(err)
 	}
-	c := set.Classes[p.Class("line-correction")]
-	if c.Idempotency != balance.NonIdempotent || c.Deadline != 3*time.Second || set.Tenants[p.Tenant("national-tv")].Quota != 9 {
+	c := set.Classes[p.ClassIndex("line-correction")]
+	if c.Idempotency != balance.NonIdempotent || c.Deadline != 3*time.Second || set.Tenants[p.TenantIndex("national-tv")].Quota != 9 {
 		t.Errorf("%+v", set)
 	}
 }
@@ -108,7 +108,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if p, err := LoadPartners("../../deploy/blocks.toml"); err != nil || !p.Blocks.On() || p.Decisions(1).Cells != 1 {
+	if p, err := LoadPartners("../../deploy/blocks.toml"); err != nil || !p.ShardMap.Enabled() || p.Decisions(1).Cells != 1 {
 		t.Fatal(err)
 	}
 	for _, c := range []struct{ old, new, want string }{
@@ -166,7 +166,7 @@
 		for _, s := range p.Servers {
 			if s.ID == id {
 				for _, name := range s.Checks {
-					all = append(all, p.Profile(name).Kind+" "+p.Profile(name).AddrOf(s))
+					all = append(all, p.CheckProfile(name).Kind+" "+p.CheckProfile(name).AddrFor(s))
 				}
 			}
 		}
@@ -180,7 +180,7 @@
 			t.Errorf("%s: %s, want %s", id, got, want)
 		}
 	}
-	if f := p.Profile("agent 127.0.0.1:9014"); f.Silence != "ignore" || f.Fall != 1 {
+	if f := p.CheckProfile("agent 127.0.0.1:9014"); f.NoResult != "ignore" || f.Fall != 1 {
 		t.Errorf("%+v", f)
 	}
 }
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -19,18 +19,18 @@
 
 // Node is the platform's configuration of one mixer.
 type Node struct {
-	Name       string
-	Listen     string
-	Discovery  string
-	Seed       uint64
-	Cores      float64
-	MemoryMB   int
-	Sockets    int
-	Known      json.RawMessage
-	PeerListen string   // where words of other mixers come in; empty: none do
-	Peers      []string // where each mixer of the tier sends from, this one included
-	PeersAll   string   // reaches all of them
-	Deployment settings.Deployment
+	Name             string
+	Listen           string
+	Discovery        string
+	Seed             uint64
+	Cores            float64
+	MemoryMB         int
+	Sockets          int
+	InitialEndpoints json.RawMessage
+	PeerListen       string   // where words of other mixers come in; empty: none do
+	Peers            []string // where each mixer of the tier sends from, this one included
+	PeerBroadcast    string   // reaches all of them
+	Deployment       settings.Deployment
 
 	stated string // the file's word on discovery
 	text   []byte // and on the settings
@@ -106,9 +106,9 @@
 		return Node{}, errors.New("no settings")
 	}
 	n := Node{
-		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Known: f.Known,
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, InitialEndpoints: f.Known,
 		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Seed: seed(f.Seed),
-		PeerListen: f.PeerListen, Peers: f.Peers, PeersAll: f.PeersAll,
+		PeerListen: f.PeerListen, Peers: f.Peers, PeerBroadcast: f.PeersAll,
 		stated: f.Discovery, text: f.Settings,
 	}
 	err := n.checkPeers()
@@ -136,7 +136,7 @@
 
 // checkPeers says which address of the mixers' own cannot be read.
 func (n Node) checkPeers() error {
-	addrs := map[string]string{"peer_listen": n.PeerListen, "peers_all": n.PeersAll}
+	addrs := map[string]string{"peer_listen": n.PeerListen, "peers_all": n.PeerBroadcast}
 	for i, p := range n.Peers {
 		addrs[fmt.Sprintf("peers: entry %d", i)] = p
 	}
--- a/internal/config/partners.go
+++ b/internal/config/partners.go
@@ -11,11 +11,11 @@
 	"rooktrestle/balance"
 )
 
-// Span is a time in the operator's file, as "1.5s".
-type Span struct{ time.Duration }
+// Duration is a time in the operator's file, as "1.5s".
+type Duration struct{ time.Duration }
 
 // UnmarshalText reads a Span.
-func (s *Span) UnmarshalText(text []byte) (err error) {
+func (s *Duration) UnmarshalText(text []byte) (err error) {
 	if s.Duration, err = time.ParseDuration(string(text)); err == nil && s.Duration < 0 {
 		err = errors.New("a time must not be negative")
 	}
@@ -32,24 +32,24 @@
 type Partners struct {
 	Name   string `toml:"name"`
 	Listen struct {
-		SRU    string `toml:"sru"`
-		Z3950  string `toml:"z3950"`
-		Health string `toml:"health"` // HTTP
-		Agent  string `toml:"agent"`  // agent-check
+		SRU          string `toml:"sru"`
+		Z3950        string `toml:"z3950"`
+		HealthConfig string `toml:"health"` // HTTP
+		Agent        string `toml:"agent"`  // agent-check
 		// AgentWait is how long an agent-check may take to name a database (agent-send) before it is answered for
 		// the mixer as a whole; 0: none does.
-		AgentWait Span   `toml:"agent_wait"`
-		Share     Shares `toml:"share"`
+		AgentWait Duration     `toml:"agent_wait"`
+		Share     SocketShares `toml:"share"`
 	} `toml:"listen"`
 	Limits struct {
-		MemoryMB   int  `toml:"memory_mb"`
-		Sockets    int  `toml:"sockets"`
-		MaxOpen    int  `toml:"max_open"`    // queries and parts held
-		MaxRecords int  `toml:"max_records"` // of one part, and of one answer
-		ResultSets int  `toml:"result_sets"` // of one association
-		Attempts   int  `toml:"attempts"`    // of one part
-		Connect    Span `toml:"connect"`
-		Idle       Span `toml:"idle"` // servers close a connection left idle for so long
+		MemoryMB   int      `toml:"memory_mb"`
+		Sockets    int      `toml:"sockets"`
+		MaxOpen    int      `toml:"max_open"`    // queries and parts held
+		MaxRecords int      `toml:"max_records"` // of one part, and of one answer
+		ResultSets int      `toml:"result_sets"` // of one association
+		Attempts   int      `toml:"attempts"`    // of one part
+		Connect    Duration `toml:"connect"`
+		Idle       Duration `toml:"idle"` // servers close a connection left idle for so long
 	} `toml:"limits"`
 	Zone   int `toml:"zone"`
 	Shards struct {
@@ -57,32 +57,32 @@
 		Cells int `toml:"cells"`
 		Reach int `toml:"reach"` // cells in a row that hold a shard
 	} `toml:"shards"`
-	Mixers    int             `toml:"mixers"`
-	Classes   []PartnerClass  `toml:"class"`
-	Tenants   []PartnerTenant `toml:"tenant"`
-	Databases []Database      `toml:"database"`
-	Servers   []PartnerServer `toml:"server"`
-	Blocks    Blocks          `toml:"blocks"`
-	Checks    Checks          `toml:"checks"`
-	Profiles  []Profile       `toml:"check"`
-	Health    Health          `toml:"health"`
+	Instances     int            `toml:"mixers"`
+	Classes       []Class        `toml:"class"`
+	Tenants       []Tenant       `toml:"tenant"`
+	Databases     []Database     `toml:"database"`
+	Servers       []Server       `toml:"server"`
+	ShardMap      ShardMapSource `toml:"blocks"`
+	Checks        Checks         `toml:"checks"`
+	CheckProfiles []CheckProfile `toml:"check"`
+	HealthConfig  HealthRules    `toml:"health"`
 }
 
-// PartnerClass is a class of query.
-type PartnerClass struct {
-	Name       string  `toml:"name"`
-	Aim        Span    `toml:"aim"`
-	Deadline   Span    `toml:"deadline"`
-	Worth      float64 `toml:"worth"`
-	LateWorth  float64 `toml:"late_worth"`
-	Unsafe     bool    `toml:"unsafe"` // no part may run twice
-	Floor      float64 `toml:"floor"`
-	Partial    float64 `toml:"partial"`
-	SecondStep int     `toml:"second_step"`
+// Class is a class of query.
+type Class struct {
+	Name            string   `toml:"name"`
+	Objective       Duration `toml:"aim"`
+	Deadline        Duration `toml:"deadline"`
+	Weight          float64  `toml:"worth"`
+	OverdueFraction float64  `toml:"late_worth"`
+	NonIdempotent   bool     `toml:"unsafe"` // no part may run twice
+	MinFraction     float64  `toml:"floor"`
+	PartialFraction float64  `toml:"partial"`
+	FollowUpParts   int      `toml:"second_step"`
 }
 
-// PartnerTenant is a customer, known by the users that sign on or by the addresses they come from.
-type PartnerTenant struct {
+// Tenant is a customer, known by the users that sign on or by the addresses they come from.
+type Tenant struct {
 	Name  string   `toml:"name"`
 	Quota float64  `toml:"quota"`
 	Users []string `toml:"users"`
@@ -90,16 +90,16 @@
 
 // Database is what partners ask for by name.
 type Database struct {
-	Name       string `toml:"name"`
-	Title      string `toml:"title"`
-	Shards     []int  `toml:"shards"`
-	Search     string `toml:"search"`     // class
-	Correction string `toml:"correction"` // class; empty: none are taken
-	Tenant     string `toml:"tenant"`     // of those who do not say who they are
+	Name            string `toml:"name"`
+	Title           string `toml:"title"`
+	Shards          []int  `toml:"shards"`
+	SearchClass     string `toml:"search"`     // class
+	CorrectionClass string `toml:"correction"` // class; empty: none are taken
+	Tenant          string `toml:"tenant"`     // of those who do not say who they are
 }
 
-// PartnerServer is a replica.
-type PartnerServer struct {
+// Server is a replica.
+type Server struct {
 	ID       string   `toml:"id"`
 	Protocol string   `toml:"protocol"`
 	Addr     string   `toml:"addr"`
@@ -145,12 +145,12 @@
 	or(&p.Limits.MaxRecords, 100)
 	or(&p.Limits.ResultSets, 16)
 	or(&p.Limits.Attempts, 4)
-	or(&p.Mixers, 1)
+	or(&p.Instances, 1)
 	or(&p.Limits.Connect.Duration, 250*time.Millisecond)
 	or(&p.Limits.Idle.Duration, 15*time.Second)
 	for i := range p.Classes {
-		or(&p.Classes[i].Worth, 1)
-		or(&p.Classes[i].Floor, 1)
+		or(&p.Classes[i].Weight, 1)
+		or(&p.Classes[i].MinFraction, 1)
 	}
 	p.shareDefaults()
 	p.checkDefaults()
@@ -161,7 +161,7 @@
 	if p.Listen.SRU == "" && p.Listen.Z3950 == "" {
 		c.bad("listen", "neither sru nor z3950 is listened to")
 	}
-	if !p.Blocks.wanted() {
+	if !p.ShardMap.wanted() {
 		c.least("shards.count", p.Shards.Count, 1)
 		c.least("shards.cells", p.Shards.Cells, 1)
 		c.least("shards.reach", p.Shards.Reach, 1)
@@ -172,7 +172,7 @@
 	}
 	for path, n := range map[string]int{"limits.max_open": p.Limits.MaxOpen, "limits.max_records": p.Limits.MaxRecords,
 		"limits.sockets": p.Limits.Sockets, "limits.memory_mb": p.Limits.MemoryMB, "limits.attempts": p.Limits.Attempts,
-		"limits.result_sets": p.Limits.ResultSets, "mixers": p.Mixers} {
+		"limits.result_sets": p.Limits.ResultSets, "mixers": p.Instances} {
 		c.least(path, n, 1)
 	}
 	p.checkClasses(c)
@@ -196,7 +196,7 @@
 		if s.Protocol != SRU && s.Protocol != Z3950 {
 			c.bad(at+".protocol", "server %q: protocol %q is neither sru nor z3950", s.ID, s.Protocol)
 		}
-		if !p.Blocks.wanted() && (s.Cell < 0 || s.Cell >= p.Shards.Cells) {
+		if !p.ShardMap.wanted() && (s.Cell < 0 || s.Cell >= p.Shards.Cells) {
 			c.bad(at+".cell", "server %q: cell %d is not there", s.ID, s.Cell)
 		}
 		if s.Database == "" {
@@ -216,14 +216,14 @@
 			c.bad(at, "class %q has no name, or stands twice", k.Name)
 		}
 		names[k.Name] = true
-		if k.Aim.Duration <= 0 {
+		if k.Objective.Duration <= 0 {
 			c.bad(at+".aim", "class %q: aim must be over 0", k.Name)
 		}
-		if k.Deadline.Duration < k.Aim.Duration {
-			c.bad(at+".deadline", "class %q: deadline %v is before aim %v", k.Name, k.Deadline.Duration, k.Aim.Duration)
+		if k.Deadline.Duration < k.Objective.Duration {
+			c.bad(at+".deadline", "class %q: deadline %v is before aim %v", k.Name, k.Deadline.Duration, k.Objective.Duration)
 		}
-		if !(k.Floor > 0 && k.Floor <= 1) {
-			c.bad(at+".floor", "class %q: floor must be over 0 and at most 1, not %v", k.Name, k.Floor)
+		if !(k.MinFraction > 0 && k.MinFraction <= 1) {
+			c.bad(at+".floor", "class %q: floor must be over 0 and at most 1, not %v", k.Name, k.MinFraction)
 		}
 	}
 	if len(p.Classes) == 0 || len(p.Classes) > 63 {
@@ -234,22 +234,22 @@
 func (p *Partners) checkDatabases(c *checker) {
 	for i, d := range p.Databases {
 		at := fmt.Sprintf("database.%d", i)
-		if k := p.Class(d.Search); k < 0 {
-			c.bad(at+".search", "database %s: class %q is not there", d.Name, d.Search)
+		if k := p.ClassIndex(d.SearchClass); k < 0 {
+			c.bad(at+".search", "database %s: class %q is not there", d.Name, d.SearchClass)
 		}
-		if d.Correction != "" {
+		if d.CorrectionClass != "" {
 			// A correction of another kind could be sent again after it may have run.
-			if k := p.Class(d.Correction); k < 0 || !p.Classes[k].Unsafe {
-				c.bad(at+".correction", "database %s: class %q of corrections is not there, or not unsafe", d.Name, d.Correction)
+			if k := p.ClassIndex(d.CorrectionClass); k < 0 || !p.Classes[k].NonIdempotent {
+				c.bad(at+".correction", "database %s: class %q of corrections is not there, or not unsafe", d.Name, d.CorrectionClass)
 			}
 		}
-		if p.Tenant(d.Tenant) < 0 {
+		if p.TenantIndex(d.Tenant) < 0 {
 			c.bad(at+".tenant", "database %s: tenant %q is not there", d.Name, d.Tenant)
 		}
-		if d.Name == "" || len(d.Shards) == 0 && !p.Blocks.wanted() {
+		if d.Name == "" || len(d.Shards) == 0 && !p.ShardMap.wanted() {
 			c.bad(at, "database %q: no name or no shards", d.Name)
 		}
-		if p.Blocks.On() {
+		if p.ShardMap.Enabled() {
 			continue
 		}
 		for k, s := range d.Shards {
@@ -260,34 +260,34 @@
 	}
 }
 
-// Class is the index of a class by its name, or -1.
-func (p *Partners) Class(name string) int {
-	return slices.IndexFunc(p.Classes, func(c PartnerClass) bool { return c.Name == name })
+// ClassIndex is the index of a class by its name, or -1.
+func (p *Partners) ClassIndex(name string) int {
+	return slices.IndexFunc(p.Classes, func(c Class) bool { return c.Name == name })
 }
 
-// Tenant is the index of a tenant by its name, or -1.
-func (p *Partners) Tenant(name string) int {
-	return slices.IndexFunc(p.Tenants, func(t PartnerTenant) bool { return t.Name == name })
+// TenantIndex is the index of a tenant by its name, or -1.
+func (p *Partners) TenantIndex(name string) int {
+	return slices.IndexFunc(p.Tenants, func(t Tenant) bool { return t.Name == name })
 }
 
 // Decisions are the settings that the file stands for.
 func (p *Partners) Decisions(seed uint64) balance.Settings {
 	set := balance.Settings{
-		Seed: seed, Instances: p.Mixers, Tick: 5 * time.Millisecond, Zone: p.Zone,
+		Seed: seed, Instances: p.Instances, Tick: 5 * time.Millisecond, Zone: p.Zone,
 		Cells: p.Shards.Cells, Reach: p.Shards.Reach, Shards: p.Shards.Count, MaxCallParts: 1,
 		MaxAttempts: p.Limits.Attempts, CanCancel: true, MaxRetryAfter: 5 * time.Second, OverQuotaFactor: 1,
 	}
-	if p.Blocks.On() { // each part says who holds it
+	if p.ShardMap.Enabled() { // each part says who holds it
 		set.Cells, set.Reach, set.Shards = 1, 1, 1
 	}
 	for _, c := range p.Classes {
 		effect := balance.Idempotent
-		if c.Unsafe {
+		if c.NonIdempotent {
 			effect = balance.NonIdempotent
 		}
 		set.Classes = append(set.Classes, balance.Class{
-			Objective: c.Aim.Duration, Deadline: c.Deadline.Duration, Weight: c.Worth, OverdueFraction: c.LateWorth, Idempotency: effect,
-			MinFraction: c.Floor, CompleteFraction: 1, PartialFraction: c.Partial, FollowUpParts: c.SecondStep,
+			Objective: c.Objective.Duration, Deadline: c.Deadline.Duration, Weight: c.Weight, OverdueFraction: c.OverdueFraction, Idempotency: effect,
+			MinFraction: c.MinFraction, CompleteFraction: 1, PartialFraction: c.PartialFraction, FollowUpParts: c.FollowUpParts,
 		})
 	}
 	for _, t := range p.Tenants {
--- a/internal/control/backoff/backoff_test.go
+++ b/internal/control/backoff/backoff_test.go
@@ -11,11 +11,11 @@
 func TestManyCallersThatFailTogetherAllGetThrough(t *testing.T) {
 	const capacity, n = 30, 80
 	for name, c := range map[string]struct {
-		of Of
+		of Backoff
 		ok bool
-	}{"by fleet": {Fleet(n, 200*time.Millisecond, 40), true}, "fixed": {Of{First: 200 * time.Millisecond, Most: 200 * time.Millisecond}, false}} {
+	}{"by fleet": {ForFleet(n, 200*time.Millisecond, 40), true}, "fixed": {Backoff{Initial: 200 * time.Millisecond, Max: 200 * time.Millisecond}, false}} {
 		rng := rand.New(rand.NewPCG(1, 2))
-		next, of, through := make([]time.Duration, n), make([]Of, n), 0
+		next, of, through := make([]time.Duration, n), make([]Backoff, n), 0
 		for i := range of {
 			of[i] = c.of
 			next[i] = of[i].Next(rng.Float64())
@@ -45,11 +45,11 @@
 }
 
 func TestWaits(t *testing.T) {
-	few := Fleet(3, 200*time.Millisecond, 40)
+	few := ForFleet(3, 200*time.Millisecond, 40)
 	if a, b := few.Next(0.5), few.Next(0.5); a != 200*time.Millisecond || b != a {
 		t.Errorf("one of three waits %v, then %v", a, b)
 	}
-	many := Fleet(80, 200*time.Millisecond, 40)
+	many := ForFleet(80, 200*time.Millisecond, 40)
 	var waits []time.Duration
 	for range 40 {
 		waits = append(waits, many.Next(0.5))
--- a/internal/control/eviction/eviction.go
+++ b/internal/control/eviction/eviction.go
@@ -12,16 +12,16 @@
 type Class int
 
 const (
-	Fresh  Class = iota // nothing whole has come on it
-	Idle                // nothing is in hand, nothing kept
-	Kept                // nothing is in hand, but state is kept for it, such as result sets
-	Busy                // an operation is in hand
-	Served              // it is gone for the register: being closed
+	Unused   Class = iota // nothing whole has come on it
+	Idle                  // nothing is in hand, nothing kept
+	Stateful              // nothing is in hand, but state is kept for it, such as result sets
+	Busy                  // an operation is in hand
+	Evicted               // it is gone for the register: being closed
 	classes
 )
 
-// Register holds connections by class, each in the order in which they came to be so. A key is dropped by Remove.
-type Register[K comparable] struct {
+// Registry holds connections by class, each in the order in which they came to be so. A key is dropped by Remove.
+type Registry[K comparable] struct {
 	recent time.Duration // state used since does not go
 	lists  [classes]list.List
 	at     map[K]*list.Element
@@ -34,40 +34,40 @@
 }
 
 // New returns an empty register. State that was used within recent is safe.
-func New[K comparable](recent time.Duration) *Register[K] {
-	return &Register[K]{recent: recent, at: map[K]*list.Element{}}
+func New[K comparable](recent time.Duration) *Registry[K] {
+	return &Registry[K]{recent: recent, at: map[K]*list.Element{}}
 }
 
-// Put says what a connection is from now on. To be put into the same class again counts as use.
-func (r *Register[K]) Put(k K, c Class, now time.Time) {
+// Set says what a connection is from now on. To be put into the same class again counts as use.
+func (r *Registry[K]) Set(k K, c Class, now time.Time) {
 	r.Remove(k)
 	r.at[k] = r.lists[c].PushBack(&entry[K]{k, c, now})
 }
 
 // Remove forgets a connection.
-func (r *Register[K]) Remove(k K) {
+func (r *Registry[K]) Remove(k K) {
 	if e := r.at[k]; e != nil {
 		r.lists[e.Value.(*entry[K]).class].Remove(e)
 		delete(r.at, k)
 	}
 }
 
-// Pick returns the connection that is to go, if any may, and takes it for closed from then on.
-func (r *Register[K]) Pick(now time.Time) (k K, ok bool) {
-	for c := Fresh; c <= Kept; c++ {
+// Evict returns the connection that is to go, if any may, and takes it for closed from then on.
+func (r *Registry[K]) Evict(now time.Time) (k K, ok bool) {
+	for c := Unused; c <= Stateful; c++ {
 		e := r.lists[c].Front()
 		if e == nil {
 			continue
 		}
 		en := e.Value.(*entry[K])
-		if c == Kept && now.Sub(en.since) < r.recent {
+		if c == Stateful && now.Sub(en.since) < r.recent {
 			continue
 		}
-		r.Put(en.key, Served, now)
+		r.Set(en.key, Evicted, now)
 		return en.key, true
 	}
 	return k, false
 }
 
 // Len is the number of connections of a class.
-func (r *Register[K]) Len(c Class) int { return r.lists[c].Len() }
+func (r *Registry[K]) Len(c Class) int { return r.lists[c].Len() }
--- a/internal/control/eviction/eviction_test.go
+++ b/internal/control/eviction/eviction_test.go
@@ -13,23 +13,23 @@
 	for _, c := range []struct {
 		k string
 		c Class
-	}{{"busy", Busy}, {"kept", Kept}, {"idle1", Idle}, {"idle2", Idle}, {"fresh1", Fresh}, {"fresh2", Fresh}} {
-		r.Put(c.k, c.c, now)
+	}{{"busy", Busy}, {"kept", Stateful}, {"idle1", Idle}, {"idle2", Idle}, {"fresh1", Unused}, {"fresh2", Unused}} {
+		r.Set(c.k, c.c, now)
 		now = now.Add(time.Second)
 	}
-	r.Put("idle1", Idle, now) // used again
+	r.Set("idle1", Idle, now) // used again
 	for _, want := range []string{"fresh1", "fresh2", "idle2", "idle1"} {
-		if k, ok := r.Pick(now); !ok || k != want {
+		if k, ok := r.Evict(now); !ok || k != want {
 			t.Fatalf("%s goes, not %s", k, want)
 		}
 	}
-	if k, ok := r.Pick(now); ok {
+	if k, ok := r.Evict(now); ok {
 		t.Fatalf("%s goes, and its state was used lately", k)
 	}
-	if k, ok := r.Pick(now.Add(time.Minute)); !ok || k != "kept" {
+	if k, ok := r.Evict(now.Add(time.Minute)); !ok || k != "kept" {
 		t.Fatalf("%s goes, not kept", k)
 	}
-	if k, ok := r.Pick(now.Add(time.Hour)); ok {
+	if k, ok := r.Evict(now.Add(time.Hour)); ok {
 		t.Fatalf("%s goes, and is busy", k)
 	}
 }
@@ -54,23 +54,23 @@
 				delete(model, k)
 			case 1, 2:
 				c := Class(rng.IntN(4))
-				r.Put(k, c, now)
+				r.Set(k, c, now)
 				model[k] = is{c, now}
 			case 3:
 				want, found := 0, false
 				for k, m := range model {
-					if m.c > Kept || m.c == Kept && now.Sub(m.at) < time.Second {
+					if m.c > Stateful || m.c == Stateful && now.Sub(m.at) < time.Second {
 						continue
 					}
 					if b := model[want]; !found || m.c < b.c || m.c == b.c && m.at.Before(b.at) {
 						want, found = k, true
 					}
 				}
-				if k, ok := r.Pick(now); ok != found || ok && k != want {
+				if k, ok := r.Evict(now); ok != found || ok && k != want {
 					t.Fatalf("%d %v goes, not %d %v", k, ok, want, found)
 				}
 				if found {
-					model[want] = is{Served, now}
+					model[want] = is{Evicted, now}
 				}
 			}
 		}
--- a/internal/control/gossip/gossip.go
+++ b/internal/control/gossip/gossip.go
@@ -10,12 +10,12 @@
 )
 
 const (
-	Most = 256 // bytes of a word: longer datagrams are not allowed between mixers (PROTOCOL)
-	Head = 5   // bytes before the body
+	MaxMessageBytes = 256 // bytes of a word: longer datagrams are not allowed between mixers (PROTOCOL)
+	HeaderBytes     = 5   // bytes before the body
 )
 
-// Key is the hash by which words name a server: FNV-1a of 32 bits.
-func Key(id string) uint32 {
+// ServerKey is the hash by which words name a server: FNV-1a of 32 bits.
+func ServerKey(id string) uint32 {
 	h := fnv.New32a()
 	h.Write([]byte(id))
 	return h.Sum32()
@@ -24,24 +24,24 @@
 func check(text []byte) uint16 {
 	h := fnv.New32a()
 	h.Write(text[:3])
-	h.Write(text[Head:])
+	h.Write(text[HeaderBytes:])
 	sum := h.Sum32()
 	return uint16(sum) ^ uint16(sum>>16)
 }
 
 func stamp(now time.Duration) uint16 { return uint16(now / time.Millisecond) }
 
-// Write frames a body.
-func Write(kind byte, now time.Duration, body []byte) []byte {
+// Encode frames a body.
+func Encode(kind byte, now time.Duration, body []byte) []byte {
 	text := binary.BigEndian.AppendUint16([]byte{kind}, stamp(now))
 	text = append(append(text, 0, 0), body...)
 	binary.BigEndian.PutUint16(text[3:], check(text))
 	return text
 }
 
-// Is says whether text is a word of that kind, whatever its body.
-func Is(kind byte, text []byte) bool {
-	return len(text) >= Head && len(text) <= Most && text[0] == kind && binary.BigEndian.Uint16(text[3:]) == check(text)
+// IsKind says whether text is a word of that kind, whatever its body.
+func IsKind(kind byte, text []byte) bool {
+	return len(text) >= HeaderBytes && len(text) <= MaxMessageBytes && text[0] == kind && binary.BigEndian.Uint16(text[3:]) == check(text)
 }
 
 // Age is how long ago a word was sent: negative where the sender's clock is ahead. It tells ages of half a minute apart.
@@ -49,44 +49,44 @@
 	return time.Duration(int16(stamp(now)-binary.BigEndian.Uint16(text[1:]))) * time.Millisecond
 }
 
-// Remark is what a mixer saw itself of one server. What it heard of others it does not pass on, so that no rumour
+// Observation is what a mixer saw itself of one server. What it heard of others it does not pass on, so that no rumour
 // outlives what it came from.
-type Remark struct {
-	Key  uint32 // of the server
-	Said byte   // as the word's kind has it
+type Observation struct {
+	Key   uint32 // of the server
+	Value byte   // as the word's kind has it
 }
 
 const (
-	remarkSize  = 5
-	remarksHead = Head + 1                          // with the sender's zone
-	MostRemarks = (Most - remarksHead) / remarkSize // in one word
+	remarkSize      = 5
+	remarksHead     = HeaderBytes + 1                              // with the sender's zone
+	MaxObservations = (MaxMessageBytes - remarksHead) / remarkSize // in one word
 )
 
-// Size is the length of a word with so many remarks, in bytes.
-func Size(remarks int) int { return remarksHead + remarks*remarkSize }
+// EncodedSize is the length of a word with so many remarks, in bytes.
+func EncodedSize(remarks int) int { return remarksHead + remarks*remarkSize }
 
-// WriteRemarks words remarks; those beyond MostRemarks are left out.
-func WriteRemarks(kind byte, now time.Duration, zone int, remarks []Remark) []byte {
+// EncodeObservations words remarks; those beyond MaxObservations are left out.
+func EncodeObservations(kind byte, now time.Duration, zone int, remarks []Observation) []byte {
 	body := []byte{byte(zone)}
-	for _, r := range remarks[:min(len(remarks), MostRemarks)] {
-		body = append(binary.BigEndian.AppendUint32(body, r.Key), r.Said)
+	for _, r := range remarks[:min(len(remarks), MaxObservations)] {
+		body = append(binary.BigEndian.AppendUint32(body, r.Key), r.Value)
 	}
-	return Write(kind, now, body)
+	return Encode(kind, now, body)
 }
 
-// HasRemarks says whether text is a word of that kind whose body is remarks.
-func HasRemarks(kind byte, text []byte) bool {
-	return Is(kind, text) && len(text) >= remarksHead && (len(text)-remarksHead)%remarkSize == 0
+// IsObservations says whether text is a word of that kind whose body is remarks.
+func IsObservations(kind byte, text []byte) bool {
+	return IsKind(kind, text) && len(text) >= remarksHead && (len(text)-remarksHead)%remarkSize == 0
 }
 
-// ReadRemarks reads a word and how long ago it was sent: negative where the sender's clock is ahead. ok is false for
+// DecodeObservations reads a word and how long ago it was sent: negative where the sender's clock is ahead. ok is false for
 // anything else.
-func ReadRemarks(kind byte, now time.Duration, text []byte) (age time.Duration, zone int, remarks []Remark, ok bool) {
-	if !HasRemarks(kind, text) {
+func DecodeObservations(kind byte, now time.Duration, text []byte) (age time.Duration, zone int, remarks []Observation, ok bool) {
+	if !IsObservations(kind, text) {
 		return 0, 0, nil, false
 	}
 	for rest := text[remarksHead:]; len(rest) > 0; rest = rest[remarkSize:] {
-		remarks = append(remarks, Remark{binary.BigEndian.Uint32(rest), rest[4]})
+		remarks = append(remarks, Observation{binary.BigEndian.Uint32(rest), rest[4]})
 	}
-	return Age(now, text), int(text[Head]), remarks, true
+	return Age(now, text), int(text[HeaderBytes]), remarks, true
 }
--- a/internal/control/gossip/gossip_test.go
+++ b/internal/control/gossip/gossip_test.go
@@ -9,14 +9,14 @@
 func TestFrame(t *testing.T) {
 	const kind = 0x51
 	now := time.Hour
-	for _, body := range []string{"", "body", string(make([]byte, Most-Head))} {
-		text := Write(kind, now, []byte(body))
-		if !Is(kind, text) || Is(kind+1, text) || string(text[Head:]) != body {
+	for _, body := range []string{"", "body", string(make([]byte, MaxMessageBytes-HeaderBytes))} {
+		text := Encode(kind, now, []byte(body))
+		if !IsKind(kind, text) || IsKind(kind+1, text) || string(text[HeaderBytes:]) != body {
 			t.Fatalf("%x", text)
 		}
 		for i := range text {
 			text[i] ^= 0x10
-			if Is(kind, text) {
+			if IsKind(kind, text) {
 				t.Errorf("byte %d changed, and still a word", i)
 			}
 			text[i] ^= 0x10
@@ -27,7 +27,7 @@
 			}
 		}
 	}
-	if Is(kind, nil) || Is(kind, Write(kind, now, make([]byte, Most-Head+1))) {
+	if IsKind(kind, nil) || IsKind(kind, Encode(kind, now, make([]byte, MaxMessageBytes-HeaderBytes+1))) {
 		t.Error("too short or too long, and a word")
 	}
 }
--- a/internal/control/health/eject.go
+++ b/internal/control/health/eject.go
@@ -28,7 +28,7 @@
 	// What must not run twice is not risked where other classes fail, though it has done well so far: it is rare, and
 	// would take long to show that it fails, too.
 	for k := range n.classes {
-		if t.rules.Unsafe>>k&1 == 1 && !n.classes[k].ejected && t.mayEject(i, k) {
+		if t.rules.NonIdempotent>>k&1 == 1 && !n.classes[k].ejected && t.mayEject(i, k) {
 			t.ejected(i, k)
 		}
 	}
@@ -36,12 +36,12 @@
 
 func (t *Table) ejected(i, of int) {
 	c := &t.nodes[i].classes[of]
-	if c.back.IsZero() || t.now.Sub(c.back) > soonAfter*t.rules.TrialMost {
+	if c.back.IsZero() || t.now.Sub(c.back) > soonAfter*t.rules.MaxHalfOpenDelay {
 		c.times = 0
 	}
-	wait := min(t.rules.TrialFirst<<min(c.times, 10), t.rules.TrialMost)
-	if t.rules.Unsafe>>of&1 == 1 {
-		wait = t.rules.TrialSafe << min(c.times, 4)
+	wait := min(t.rules.HalfOpenDelay<<min(c.times, 10), t.rules.MaxHalfOpenDelay)
+	if t.rules.NonIdempotent>>of&1 == 1 {
+		wait = t.rules.NonIdempotentDelay << min(c.times, 4)
 	}
 	c.times++
 	c.ejected, c.since, c.run, c.granted = true, t.now, 0, false
@@ -51,11 +51,11 @@
 
 // mayEject says whether each block of a server keeps enough holders for a class without it.
 func (t *Table) mayEject(i, of int) bool {
-	for _, b := range t.nodes[i].Blocks {
+	for _, b := range t.nodes[i].Shards {
 		all, left := 0, 0
 		for _, o := range t.holders[b] {
 			m := t.nodes[o]
-			if m.Drain {
+			if m.Draining {
 				continue
 			}
 			all++
@@ -63,7 +63,7 @@
 				left++
 			}
 		}
-		if left < 1 || float64(left) < float64(all)*(1-t.rules.EjectMost) {
+		if left < 1 || float64(left) < float64(all)*(1-t.rules.MaxEjectedFraction) {
 			return false
 		}
 	}
@@ -71,25 +71,25 @@
 }
 
 // trialEnded takes what a part showed that was sent after the ejection.
-func (t *Table) trialEnded(i, of int, r Result) {
+func (t *Table) trialEnded(i, of int, r Outcome) {
 	n := t.nodes[i]
 	c := &n.classes[of]
 	c.granted = false
 	t.touch(i)
 	switch r {
-	case Good:
+	case Success:
 		c.run++
-		c.next = t.now.Add(t.rules.TrialGap)
-		if c.run >= t.rules.Return || t.rules.Unsafe>>of&1 == 1 && c.run >= 2 {
+		c.next = t.now.Add(t.rules.HalfOpenInterval)
+		if c.run >= t.rules.ReturnSuccesses || t.rules.NonIdempotent>>of&1 == 1 && c.run >= 2 {
 			t.returned(i, of)
 		}
 	case Neutral:
-		c.next = t.now.Add(t.rules.TrialGap)
+		c.next = t.now.Add(t.rules.HalfOpenInterval)
 	default:
 		c.run, c.badAt, c.mark = 0, t.now, t.parts[of]
-		c.next = t.now.Add(t.rules.TrialGap)
-		if t.rules.Unsafe>>of&1 == 1 {
-			c.next = t.now.Add(t.rules.TrialSafe << min(c.times, 4))
+		c.next = t.now.Add(t.rules.HalfOpenInterval)
+		if t.rules.NonIdempotent>>of&1 == 1 {
+			c.next = t.now.Add(t.rules.NonIdempotentDelay << min(c.times, 4))
 		}
 	}
 }
@@ -100,12 +100,12 @@
 	n := t.nodes[i]
 	for k := range n.classes {
 		c := &n.classes[k]
-		if k != of && !(c.ejected && t.rules.Unsafe>>k&1 == 1 && t.rules.Unsafe>>of&1 == 0) {
+		if k != of && !(c.ejected && t.rules.NonIdempotent>>k&1 == 1 && t.rules.NonIdempotent>>of&1 == 0) {
 			continue
 		}
 		c.ejected, c.back = false, t.now
-		t.fleet[k].fade(t.now, t.rules.Half)
-		c.fade(t.now, t.rules.Half)
+		t.fleet[k].fade(t.now, t.rules.OutcomeHalfLife)
+		c.fade(t.now, t.rules.OutcomeHalfLife)
 		t.fleet[k].good, t.fleet[k].bad = max(0, t.fleet[k].good-c.good), max(0, t.fleet[k].bad-c.bad)
 		c.good, c.bad = 0, 0
 	}
@@ -115,25 +115,25 @@
 
 // trials grants what is due: one part of a shunned class. A bad trial makes the next wait until so many parts of
 // the class have ended elsewhere, or for the longest wait: trials must stay a small share of all parts.
-func (t *Table) trials(n *node, c Conclusion) (grant uint64) {
-	if c.State != InService || c.Shun == 0 {
+func (t *Table) trials(n *node, c Decision) (grant uint64) {
+	if c.State != InService || c.EjectedClasses == 0 {
 		return 0
 	}
 	for k := range n.classes {
 		cl := &n.classes[k]
-		unsafe := t.rules.Unsafe>>k&1 == 1
+		unsafe := t.rules.NonIdempotent>>k&1 == 1
 		switch {
 		// A grant that nobody came back from, for whatever reason, is given again.
-		case cl.granted && t.now.Sub(cl.grantAt) < soonAfter*t.rules.TrialMost || t.now.Before(cl.next):
+		case cl.granted && t.now.Sub(cl.grantAt) < soonAfter*t.rules.MaxHalfOpenDelay || t.now.Before(cl.next):
 		case cl.ejected:
-			wait := cl.run == 0 && t.parts[k]-cl.mark < t.rules.TrialParts && t.now.Sub(cl.badAt) < t.rules.TrialMost
+			wait := cl.run == 0 && t.parts[k]-cl.mark < t.rules.HalfOpenTraffic && t.now.Sub(cl.badAt) < t.rules.MaxHalfOpenDelay
 			// Another class can tell: it is tried, and this one comes back with it.
 			if unsafe && t.othersEjected(n) || !unsafe && wait {
 				continue
 			}
 			cl.granted, cl.grantAt = true, t.now
 			grant |= 1 << k
-		case c.Shun == Everything && !n.deadAt.IsZero() && !unsafe:
+		case c.EjectedClasses == AllClasses && !n.deadAt.IsZero() && !unsafe:
 			cl.granted, cl.grantAt = true, t.now
 			grant |= 1 << k
 		}
@@ -144,7 +144,7 @@
 // othersEjected says whether a class that may be tried is ejected, too.
 func (t *Table) othersEjected(n *node) bool {
 	for k := range n.classes {
-		if n.classes[k].ejected && t.rules.Unsafe>>k&1 == 0 {
+		if n.classes[k].ejected && t.rules.NonIdempotent>>k&1 == 0 {
 			return true
 		}
 	}
@@ -169,14 +169,14 @@
 	}
 	n := t.nodes[i]
 	roster := "listed"
-	if n.Drain {
+	if n.Draining {
 		roster = "drains"
 	}
 	facts = append(facts, Fact{Source: "roster", Says: roster, Age: -1, Counts: true})
 	for k := range n.checks {
 		c := &n.checks[k]
 		src := t.sources[c.source]
-		f := Fact{Source: "check " + src.Name, Age: t.now.Sub(c.heard), Valid: src.Valid, Counts: t.valid(c)}
+		f := Fact{Source: "check " + src.Name, Age: t.now.Sub(c.heard), Valid: src.Validity, Counts: t.valid(c)}
 		switch {
 		case c.heard.IsZero():
 			f.Says, f.Age = "nothing yet", -1
@@ -187,7 +187,7 @@
 		default:
 			f.Says = "up"
 		}
-		if c.admin != NoAdmin {
+		if c.admin != AdminUnset {
 			f.Says += " " + c.admin.String()
 			f.Counts = f.Counts || c.admin != Ready
 		}
@@ -204,7 +204,7 @@
 	}
 	for k := range n.classes {
 		c := &n.classes[k]
-		c.fade(t.now, t.rules.Half)
+		c.fade(t.now, t.rules.OutcomeHalfLife)
 		if c.good+c.bad < 0.5 && !c.ejected {
 			continue
 		}
@@ -212,7 +212,7 @@
 		if c.ejected {
 			says += ", ejected"
 		}
-		facts = append(facts, Fact{Source: fmt.Sprintf("parts of class %d", k), Says: says, Age: t.now.Sub(c.at), Valid: t.rules.Half, Counts: true})
+		facts = append(facts, Fact{Source: fmt.Sprintf("parts of class %d", k), Says: says, Age: t.now.Sub(c.at), Valid: t.rules.OutcomeHalfLife, Counts: true})
 	}
 	if n.unreached > 0 {
 		facts = append(facts, Fact{Source: "connections", Says: "none found, lately", Age: t.now.Sub(n.deadAt), Counts: !n.deadAt.IsZero()})
