--- a/internal/control/health/health_test.go
+++ b/internal/control/health/health_test.go
@@ -22,26 +22,26 @@
 	rng    *rand.Rand
 	nodes  []ID
 	reach  int
-	fails  map[ID]float64 // share of parts that fail
-	dead   map[ID]bool    // connections refused
-	trial  map[ID]uint64  // grants in hand
-	sent   map[ID]int     // since the last reset
-	failed map[ID]int     // of these
-	log    []string       // conclusions told
-	checks map[ID]Report  // what the check of each finds, every 200 ms
-	silent map[ID]bool    // no check is made
-	state  map[ID]Conclusion
+	fails  map[ID]float64     // share of parts that fail
+	dead   map[ID]bool        // connections refused
+	trial  map[ID]uint64      // grants in hand
+	sent   map[ID]int         // since the last reset
+	failed map[ID]int         // of these
+	log    []string           // conclusions told
+	checks map[ID]CheckResult // what the check of each finds, every 200 ms
+	silent map[ID]bool        // no check is made
+	state  map[ID]Decision
 }
 
 func newWorld(t *testing.T, nodes, reach int) *world {
 	t.Helper()
-	tab, err := New(Defaults(2, 1<<correction), []Source{{Name: "http", Fall: 2, Rise: 1, Valid: 2 * time.Second}}, origin)
+	tab, err := New(Defaults(2, 1<<correction), []CheckConfig{{Name: "http", Fall: 2, Rise: 1, Validity: 2 * time.Second}}, origin)
 	if err != nil {
 		t.Fatal(err)
 	}
 	w := &world{t: t, tab: tab, now: origin, rng: rand.New(rand.NewPCG(5, 6)), reach: reach, fails: map[ID]float64{}, dead: map[ID]bool{},
-		trial: map[ID]uint64{}, sent: map[ID]int{}, failed: map[ID]int{}, checks: map[ID]Report{}, silent: map[ID]bool{}, state: map[ID]Conclusion{}}
-	var list []Node
+		trial: map[ID]uint64{}, sent: map[ID]int{}, failed: map[ID]int{}, checks: map[ID]CheckResult{}, silent: map[ID]bool{}, state: map[ID]Decision{}}
+	var list []Server
 	for i := range nodes {
 		id := ID(fmt.Sprintf("n%d", i))
 		w.nodes = append(w.nodes, id)
@@ -49,20 +49,20 @@
 		for j := range reach {
 			blocks = append(blocks, (i-j+nodes)%nodes)
 		}
-		list = append(list, Node{ID: id, Blocks: blocks})
-		w.checks[id] = Report{Oper: Up, Weight: -1, MaxConn: -1}
+		list = append(list, Server{ID: id, Shards: blocks})
+		w.checks[id] = CheckResult{Oper: Up, Weight: -1, MaxConn: -1}
 	}
-	tab.Roster(w.now, list, true)
+	tab.UpdateEndpoints(w.now, list, true)
 	w.take()
 	return w
 }
 
 func (w *world) take() {
 	for _, c := range w.tab.Changes(w.now) {
-		w.state[c.ID] = c.Conclusion
-		w.trial[c.ID] |= c.Trial
-		w.trial[c.ID] &= c.Shun
-		if c.Told {
+		w.state[c.ID] = c.Decision
+		w.trial[c.ID] |= c.HalfOpenClasses
+		w.trial[c.ID] &= c.EjectedClasses
+		if c.Notable {
 			w.log = append(w.log, fmt.Sprintf("%v %s %v %s", w.now.Sub(origin), c.ID, c.State, c.Cause))
 		}
 	}
@@ -77,7 +77,7 @@
 		c := w.state[id]
 		switch {
 		case c.State != InService:
-		case c.Shun>>of&1 == 1:
+		case c.EjectedClasses>>of&1 == 1:
 			if w.trial[id]>>of&1 == 1 {
 				w.trial[id] &^= 1 << of
 				return w.send(id, of)
@@ -98,17 +98,17 @@
 
 func (w *world) send(id ID, of int) ID {
 	w.sent[id]++
-	r := Good
+	r := Success
 	switch {
 	case w.dead[id]:
-		r = Unreached
+		r = ConnectFailure
 	case w.rng.Float64() < w.fails[id]:
-		r = Bad
+		r = Failure
 	}
-	if r != Good {
+	if r != Success {
 		w.failed[id]++
 	}
-	w.tab.Outcome(w.now, id, of, r, w.now)
+	w.tab.RecordOutcome(w.now, id, of, r, w.now)
 	return id
 }
 
@@ -119,7 +119,7 @@
 		if w.now.Sub(origin)%(200*time.Millisecond) == 0 {
 			for _, id := range w.nodes {
 				if !w.silent[id] {
-					w.tab.Check(w.now, id, 0, w.checks[id])
+					w.tab.RecordCheck(w.now, id, 0, w.checks[id])
 				}
 			}
 		}
@@ -158,12 +158,12 @@
 		if s := w.share("n1"); s > 0.02 {
 			t.Errorf("rate %v: the failing server has %.1f%% of the parts", rate, 100*s)
 		}
-		if w.state["n1"].Shun&(1<<search|1<<correction) != 1<<search|1<<correction || !strings.Contains(w.state["n1"].Cause, "parts fail") {
+		if w.state["n1"].EjectedClasses&(1<<search|1<<correction) != 1<<search|1<<correction || !strings.Contains(w.state["n1"].Cause, "parts fail") {
 			t.Errorf("rate %v: %+v", rate, w.state["n1"])
 		}
 		w.fails["n1"] = 0
 		begin := w.now
-		for w.state["n1"].Shun != 0 && w.now.Sub(begin) < 10*time.Second {
+		for w.state["n1"].EjectedClasses != 0 && w.now.Sub(begin) < 10*time.Second {
 			w.run(100*time.Millisecond, rate)
 		}
 		if took := w.now.Sub(begin); took >= 10*time.Second {
@@ -199,14 +199,14 @@
 func TestRareCorrectionsLeaveWithTheOthers(t *testing.T) {
 	w := newWorld(t, 4, 2)
 	w.run(20*time.Second, 40)
-	if n := w.tab.nodes[1].classes[correction]; n.good < w.tab.rules.Volume || n.bad > 0 {
+	if n := w.tab.nodes[1].classes[correction]; n.good < w.tab.rules.MinOutcomes || n.bad > 0 {
 		t.Fatalf("no good record before: %+v", n)
 	}
 	w.fails["n1"] = 0.8
-	for w.state["n1"].Shun&(1<<search) == 0 {
+	for w.state["n1"].EjectedClasses&(1<<search) == 0 {
 		w.run(10*time.Millisecond, 40)
 	}
-	if w.state["n1"].Shun&(1<<correction) == 0 {
+	if w.state["n1"].EjectedClasses&(1<<correction) == 0 {
 		t.Errorf("%+v", w.state["n1"])
 	}
 }
@@ -219,10 +219,10 @@
 	w.run(5*time.Second, 50)
 	out := 0
 	for _, id := range []ID{"n0", "n1"} {
-		if w.state[id].Shun&1 == 1 {
+		if w.state[id].EjectedClasses&1 == 1 {
 			out++
-		} else if !strings.Contains(w.state[id].Cause, "no others") || w.tab.Usable(0, search) != 0 {
-			t.Errorf("%s: %+v, %d usable", id, w.state[id], w.tab.Usable(0, search))
+		} else if !strings.Contains(w.state[id].Cause, "no others") || w.tab.UsableReplicas(0, search) != 0 {
+			t.Errorf("%s: %+v, %d usable", id, w.state[id], w.tab.UsableReplicas(0, search))
 		}
 	}
 	if out != 1 {
@@ -235,7 +235,7 @@
 	}
 	w.run(10*time.Second, 50)
 	for _, id := range w.nodes {
-		if w.state[id].Shun != 0 {
+		if w.state[id].EjectedClasses != 0 {
 			t.Errorf("%s was ejected while all fail alike", id)
 		}
 	}
@@ -245,30 +245,30 @@
 // that find no connection take it out after all.
 func TestBadChecksLeaveTheLastHolder(t *testing.T) {
 	w := newWorld(t, 4, 2)
-	w.checks["n1"] = Report{Failed: true, Why: "status 500"}
+	w.checks["n1"] = CheckResult{Failed: true, Reason: "status 500"}
 	w.run(time.Second, 20)
-	if w.state["n1"].State != Out || !strings.Contains(w.state["n1"].Cause, "status 500") {
+	if w.state["n1"].State != OutOfService || !strings.Contains(w.state["n1"].Cause, "status 500") {
 		t.Errorf("%+v", w.state["n1"])
 	}
-	w.checks["n2"] = Report{Failed: true, Why: "refused"} // block 1 is held by n1 and n2
+	w.checks["n2"] = CheckResult{Failed: true, Reason: "refused"} // block 1 is held by n1 and n2
 	w.run(time.Second, 20)
 	for _, id := range []ID{"n1", "n2"} {
-		if c := w.state[id]; c.State != InService || c.Shun != Everything || !strings.Contains(c.Cause, "alone") {
+		if c := w.state[id]; c.State != InService || c.EjectedClasses != AllClasses || !strings.Contains(c.Cause, "alone") {
 			t.Errorf("%s: %+v", id, c)
 		}
 	}
-	if w.tab.Usable(1, search) == 0 {
+	if w.tab.UsableReplicas(1, search) == 0 {
 		t.Error("parts are answered there, and nothing is usable")
 	}
 	w.dead["n1"], w.dead["n2"] = true, true
 	w.run(2*time.Second, 20)
-	if w.state["n1"].State != Out || w.state["n2"].State != Out || w.tab.Usable(1, search) != 0 {
+	if w.state["n1"].State != OutOfService || w.state["n2"].State != OutOfService || w.tab.UsableReplicas(1, search) != 0 {
 		t.Errorf("%+v %+v", w.state["n1"], w.state["n2"])
 	}
 	w.dead["n1"] = false
-	w.checks["n1"] = Report{Oper: Up, Weight: -1, MaxConn: -1}
+	w.checks["n1"] = CheckResult{Oper: Up, Weight: -1, MaxConn: -1}
 	w.run(time.Second, 0) // nothing is sent: the check alone brings it back
-	if w.state["n1"].State != InService || w.tab.Usable(1, search) != 1 {
+	if w.state["n1"].State != InService || w.tab.UsableReplicas(1, search) != 1 {
 		t.Errorf("%+v", w.state["n1"])
 	}
 }
@@ -278,17 +278,17 @@
 	w := newWorld(t, 8, 2)
 	w.run(2*time.Second, 20)
 	for _, id := range w.nodes {
-		w.checks[id] = Report{Failed: true, Why: "no answer"}
+		w.checks[id] = CheckResult{Failed: true, Reason: "no answer"}
 	}
 	for range 1000 {
 		w.run(10*time.Millisecond, 20)
 		for b := range w.nodes {
-			if w.tab.Usable(b, search) == 0 {
+			if w.tab.UsableReplicas(b, search) == 0 {
 				t.Fatalf("%v: block %d has nobody left", w.now.Sub(origin), b)
 			}
 		}
 	}
-	if !w.tab.Doubted() {
+	if !w.tab.ChecksSuspect() {
 		t.Error("the checks are believed")
 	}
 	w.run(10*time.Second, 0) // a lull is no reason to believe them
@@ -298,10 +298,10 @@
 		}
 	}
 	for _, id := range w.nodes {
-		w.checks[id] = Report{Oper: Up, Weight: -1, MaxConn: -1}
+		w.checks[id] = CheckResult{Oper: Up, Weight: -1, MaxConn: -1}
 	}
 	w.run(time.Second, 20)
-	if w.tab.Doubted() {
+	if w.tab.ChecksSuspect() {
 		t.Error("the checks are well and still doubted")
 	}
 }
@@ -309,38 +309,38 @@
 // What drains by any source gets nothing from the very call on that takes the word, whatever else says up, and
 // though it holds a block alone. The word stays when it is no longer repeated.
 func TestDrainsHold(t *testing.T) {
-	for name, r := range map[string]Report{
-		"drain": {Admin: Drain, Weight: -1, MaxConn: -1}, "maint": {Admin: Maint, Oper: Up, Weight: -1, MaxConn: -1},
+	for name, r := range map[string]CheckResult{
+		"drain": {Admin: Drain, Weight: -1, MaxConn: -1}, "maint": {Admin: Maintenance, Oper: Up, Weight: -1, MaxConn: -1},
 		"404": {Admin: Drain, Oper: Up, Weight: -1, MaxConn: -1}, "weight 0": {Oper: Up, Weight: 0, MaxConn: -1},
 	} {
 		w := newWorld(t, 4, 2)
-		w.checks["n0"] = Report{Failed: true}
+		w.checks["n0"] = CheckResult{Failed: true}
 		w.run(2*time.Second, 20)
 		w.silent["n1"] = true
-		w.tab.Check(w.now, "n1", 0, r)
+		w.tab.RecordCheck(w.now, "n1", 0, r)
 		w.take()
 		w.reset()
 		if name != "weight 0" { // a weight ages as any other word
 			w.run(20*time.Second, 20)
 		}
 		w.run(time.Second, 20)
-		if w.sent["n1"] != 0 || w.state["n1"].State == InService || w.tab.Usable(1, search) != 1 {
+		if w.sent["n1"] != 0 || w.state["n1"].State == InService || w.tab.UsableReplicas(1, search) != 1 {
 			t.Errorf("%s: %d parts, %+v", name, w.sent["n1"], w.state["n1"])
 		}
 		w.silent["n1"] = false
-		w.checks["n1"] = Report{Admin: Ready, Oper: Up, Weight: 1, MaxConn: -1}
+		w.checks["n1"] = CheckResult{Admin: Ready, Oper: Up, Weight: 1, MaxConn: -1}
 		if w.run(time.Second, 20); w.state["n1"].State != InService {
 			t.Errorf("%s: ready and not back: %+v", name, w.state["n1"])
 		}
 	}
 	w := newWorld(t, 4, 2)
-	w.tab.Roster(w.now, []Node{{ID: "n3", Drain: true, Blocks: []int{3, 2}}}, false)
+	w.tab.UpdateEndpoints(w.now, []Server{{ID: "n3", Draining: true, Shards: []int{3, 2}}}, false)
 	w.run(time.Second, 20)
 	if w.sent["n3"] != 0 {
 		t.Error("parts at a server that the roster drains")
 	}
-	w.tab.Roster(w.now, []Node{{ID: "n3", Gone: true}}, false)
-	if w.take(); w.state["n3"].State != Out || w.tab.Len() != 3 {
+	w.tab.UpdateEndpoints(w.now, []Server{{ID: "n3", Removed: true}}, false)
+	if w.take(); w.state["n3"].State != OutOfService || w.tab.Len() != 3 {
 		t.Errorf("%+v", w.state["n3"])
 	}
 }
@@ -351,7 +351,7 @@
 	w.run(time.Second, 20)
 	w.reset()
 	for i := range 60 {
-		w.checks["n1"] = Report{Oper: Oper(1 + i%2), Weight: -1, MaxConn: -1}
+		w.checks["n1"] = CheckResult{Oper: OperState(1 + i%2), Weight: -1, MaxConn: -1}
 		w.run(500*time.Millisecond, 20)
 	}
 	told := 0
@@ -360,10 +360,10 @@
 			told++
 		}
 	}
-	if told > 14 || w.state["n1"].State != Out {
+	if told > 14 || w.state["n1"].State != OutOfService {
 		t.Errorf("told %d times in 30 s: %v", told, w.state["n1"])
 	}
-	w.checks["n1"] = Report{Oper: Up, Weight: -1, MaxConn: -1}
+	w.checks["n1"] = CheckResult{Oper: Up, Weight: -1, MaxConn: -1}
 	if w.run(50*time.Second, 20); w.state["n1"].State != InService {
 		t.Errorf("quiet and still out: %+v", w.state["n1"])
 	}
@@ -373,24 +373,24 @@
 func TestWeightsMoveSlowly(t *testing.T) {
 	w := newWorld(t, 4, 2)
 	w.run(time.Second, 20)
-	w.checks["n1"] = Report{Oper: Up, Weight: 0.25, MaxConn: 7}
+	w.checks["n1"] = CheckResult{Oper: Up, Weight: 0.25, MaxConn: 7}
 	w.run(200*time.Millisecond, 20)
-	if c := w.state["n1"]; c.Share < 0.7 || c.MaxOut != 7 {
+	if c := w.state["n1"]; c.TrafficFraction < 0.7 || c.MaxInFlight != 7 {
 		t.Errorf("%+v", c)
 	}
-	if w.run(2*time.Second, 20); w.state["n1"].Share != 0.25 {
-		t.Errorf("share %v", w.state["n1"].Share)
+	if w.run(2*time.Second, 20); w.state["n1"].TrafficFraction != 0.25 {
+		t.Errorf("share %v", w.state["n1"].TrafficFraction)
 	}
-	w.checks["n1"] = Report{Oper: Up, Weight: 1, MaxConn: -1}
-	if w.run(2*time.Second, 20); w.state["n1"].Share > 0.75 || w.state["n1"].Share < 0.5 {
-		t.Errorf("share %v after 2 s", w.state["n1"].Share)
+	w.checks["n1"] = CheckResult{Oper: Up, Weight: 1, MaxConn: -1}
+	if w.run(2*time.Second, 20); w.state["n1"].TrafficFraction > 0.75 || w.state["n1"].TrafficFraction < 0.5 {
+		t.Errorf("share %v after 2 s", w.state["n1"].TrafficFraction)
 	}
-	w.checks["n1"] = Report{Oper: Up, Weight: 1, MaxConn: -1, Degraded: true}
-	if w.run(3*time.Second, 20); math.Abs(w.state["n1"].Share-degradedShare) > 0.01 {
-		t.Errorf("share %v of a degraded server", w.state["n1"].Share)
+	w.checks["n1"] = CheckResult{Oper: Up, Weight: 1, MaxConn: -1, Degraded: true}
+	if w.run(3*time.Second, 20); math.Abs(w.state["n1"].TrafficFraction-degradedShare) > 0.01 {
+		t.Errorf("share %v of a degraded server", w.state["n1"].TrafficFraction)
 	}
 	w.silent["n1"] = true
-	if w.run(10*time.Second, 20); w.state["n1"].Share < 0.999 || w.state["n1"].MaxOut != 0 {
+	if w.run(10*time.Second, 20); w.state["n1"].TrafficFraction < 0.999 || w.state["n1"].MaxInFlight != 0 {
 		t.Errorf("%+v", w.state["n1"])
 	}
 }
@@ -406,11 +406,11 @@
 	w.run(2*time.Second, 50)
 	w.reset()
 	w.run(20*time.Second, 50)
-	if c := w.state["n1"]; c.Shun != Everything || c.Usable || w.share("n1") > 0.02 {
+	if c := w.state["n1"]; c.EjectedClasses != AllClasses || c.Usable || w.share("n1") > 0.02 {
 		t.Errorf("%+v, %.1f%% of the parts", c, 100*w.share("n1"))
 	}
 	w.dead["n1"] = false
-	if w.run(2*time.Second, 50); w.state["n1"].Shun != 0 || !w.state["n1"].Usable {
+	if w.run(2*time.Second, 50); w.state["n1"].EjectedClasses != 0 || !w.state["n1"].Usable {
 		t.Errorf("%+v", w.state["n1"])
 	}
 }
@@ -418,7 +418,7 @@
 // Facts name every source with its age.
 func TestFacts(t *testing.T) {
 	w := newWorld(t, 4, 2)
-	w.checks["n1"] = Report{Failed: true, Why: "status 500"}
+	w.checks["n1"] = CheckResult{Failed: true, Reason: "status 500"}
 	w.run(time.Second, 50)
 	text := fmt.Sprintf("%+v", w.tab.Facts(w.now, "n1"))
 	for _, part := range []string{"roster", "check http", "down (status 500)", "parts of class 0"} {
@@ -430,9 +430,9 @@
 
 func TestBadRules(t *testing.T) {
 	for i, change := range []func(*Rules){
-		func(r *Rules) { r.Classes = 0 }, func(r *Rules) { r.Half = 0 }, func(r *Rules) { r.EjectMost = 1 }, func(r *Rules) { r.Share = 0 },
-		func(r *Rules) { r.Panic = 0 }, func(r *Rules) { r.TrialMost = 1 }, func(r *Rules) { r.FlapBack = 9 }, func(r *Rules) { r.Return = 0 },
-		func(r *Rules) { r.WeightStep = 0 }, func(r *Rules) { r.Volume = 0 }, func(r *Rules) { r.Ratio = 0 },
+		func(r *Rules) { r.Classes = 0 }, func(r *Rules) { r.OutcomeHalfLife = 0 }, func(r *Rules) { r.MaxEjectedFraction = 1 }, func(r *Rules) { r.EjectFailureRate = 0 },
+		func(r *Rules) { r.PanicThreshold = 0 }, func(r *Rules) { r.MaxHalfOpenDelay = 1 }, func(r *Rules) { r.FlapReuse = 9 }, func(r *Rules) { r.ReturnSuccesses = 0 },
+		func(r *Rules) { r.WeightRiseTime = 0 }, func(r *Rules) { r.MinOutcomes = 0 }, func(r *Rules) { r.EjectPeerRatio = 0 },
 	} {
 		r := Defaults(2, 0)
 		change(&r)
@@ -440,7 +440,7 @@
 			t.Errorf("%d: %+v was taken", i, r)
 		}
 	}
-	if _, err := New(Defaults(2, 0), []Source{{Name: "x", Fall: 1, Rise: 0, Valid: 1}}, origin); err == nil {
+	if _, err := New(Defaults(2, 0), []CheckConfig{{Name: "x", Fall: 1, Rise: 0, Validity: 1}}, origin); err == nil {
 		t.Error("a source without rise was taken")
 	}
 }
@@ -452,7 +452,7 @@
 	f.Add(uint64(77), uint16(1500))
 	f.Fuzz(func(t *testing.T, seed uint64, steps uint16) {
 		rng := rand.New(rand.NewPCG(seed, 2))
-		sources := []Source{{Name: "a", Fall: 1, Rise: 1, Valid: time.Second, Mute: true}, {Name: "h", Fall: 2, Rise: 2, Valid: 3 * time.Second}}
+		sources := []CheckConfig{{Name: "a", Fall: 1, Rise: 1, Validity: time.Second, IgnoreFailures: true}, {Name: "h", Fall: 2, Rise: 2, Validity: 3 * time.Second}}
 		tab, err := New(Defaults(2, 1<<correction), sources, origin)
 		if err != nil {
 			t.Fatal(err)
@@ -461,43 +461,43 @@
 		id := func(i int) ID { return ID(rune('a' + i)) }
 		now, drained := origin, map[ID]bool{}
 		for i := range n {
-			tab.Roster(now, []Node{{ID: id(i), Blocks: []int{i, (i + 1) % n, (i + 2) % n}}}, false)
+			tab.UpdateEndpoints(now, []Server{{ID: id(i), Shards: []int{i, (i + 1) % n, (i + 2) % n}}}, false)
 		}
 		for range steps % 3000 {
 			now = now.Add(time.Duration(rng.IntN(300)) * time.Millisecond)
 			who := rng.IntN(n)
 			switch rng.IntN(6) {
 			case 0, 1:
-				r := Report{Failed: rng.IntN(3) == 0, Oper: Oper(rng.IntN(3)), Weight: -1, MaxConn: rng.IntN(4) - 1}
+				r := CheckResult{Failed: rng.IntN(3) == 0, Oper: OperState(rng.IntN(3)), Weight: -1, MaxConn: rng.IntN(4) - 1}
 				if rng.IntN(4) == 0 {
 					r.Weight = float64(1+rng.IntN(4)) / 4
 				}
 				source := rng.IntN(2)
 				if source == 0 && !r.Failed && rng.IntN(6) == 0 {
-					r.Admin = Admin(1 + rng.IntN(3))
+					r.Admin = AdminState(1 + rng.IntN(3))
 					drained[id(who)] = r.Admin != Ready
 				}
-				tab.Check(now, id(who), source, r)
+				tab.RecordCheck(now, id(who), source, r)
 			case 2:
 				drain := rng.IntN(8) == 0
-				tab.Roster(now, []Node{{ID: id(who), Drain: drain, Blocks: []int{who, (who + 1) % n, (who + 2) % n}}}, false)
+				tab.UpdateEndpoints(now, []Server{{ID: id(who), Draining: drain, Shards: []int{who, (who + 1) % n, (who + 2) % n}}}, false)
 			default:
 				for range 5 {
-					tab.Outcome(now, id(who), rng.IntN(2), Result(rng.IntN(4)), now.Add(-time.Duration(rng.IntN(400))*time.Millisecond))
+					tab.RecordOutcome(now, id(who), rng.IntN(2), Outcome(rng.IntN(4)), now.Add(-time.Duration(rng.IntN(400))*time.Millisecond))
 				}
 			}
 			for _, c := range tab.Changes(now) {
 				switch {
-				case c.Share < 0.05 || c.Share > 1:
-					t.Fatalf("share %v", c.Share)
-				case c.Trial&^c.Shun != 0, c.Trial != 0 && c.State != InService:
+				case c.TrafficFraction < 0.05 || c.TrafficFraction > 1:
+					t.Fatalf("share %v", c.TrafficFraction)
+				case c.HalfOpenClasses&^c.EjectedClasses != 0, c.HalfOpenClasses != 0 && c.State != InService:
 					t.Fatalf("a trial of what is not shunned: %+v", c)
 				case c.State != InService && c.Usable:
 					t.Fatalf("%+v", c)
 				}
 			}
 			for i := range n {
-				c, ok := tab.Conclusion(id(i))
+				c, ok := tab.Decision(id(i))
 				if !ok {
 					t.Fatalf("%s is not listed", id(i))
 				}
@@ -512,7 +512,7 @@
 						}
 					}
 				}
-				if c.State == InService && c.Shun != 0 && c.Shun != Everything && kept == 0 && fit == len(tab.holders[i]) {
+				if c.State == InService && c.EjectedClasses != 0 && c.EjectedClasses != AllClasses && kept == 0 && fit == len(tab.holders[i]) {
 					t.Fatalf("block %d lost all its holders to ejections", i)
 				}
 			}
@@ -524,28 +524,28 @@
 // second cost. Run with -bench Outcomes -benchmem.
 func BenchmarkOutcomes(b *testing.B) {
 	const n = 10_000
-	tab, err := New(Defaults(3, 4), []Source{{Name: "h", Fall: 2, Rise: 1, Valid: 10 * time.Second}}, origin)
+	tab, err := New(Defaults(3, 4), []CheckConfig{{Name: "h", Fall: 2, Rise: 1, Validity: 10 * time.Second}}, origin)
 	if err != nil {
 		b.Fatal(err)
 	}
 	ids := make([]ID, n)
-	list := make([]Node, n)
+	list := make([]Server, n)
 	for i := range n {
 		ids[i] = ID(fmt.Sprintf("server-%05d", i))
-		list[i] = Node{ID: ids[i], Blocks: []int{i, (i + 1) % n, (i + 2) % n, (i + 3) % n}}
+		list[i] = Server{ID: ids[i], Shards: []int{i, (i + 1) % n, (i + 2) % n, (i + 3) % n}}
 	}
-	tab.Roster(origin, list, true)
+	tab.UpdateEndpoints(origin, list, true)
 	tab.Changes(origin)
 	now := origin
 	b.ReportAllocs()
 	b.ResetTimer()
 	for i := range b.N {
-		r := Good
+		r := Success
 		if i%100 == 0 {
-			r = Bad
+			r = Failure
 		}
 		now = now.Add(10 * time.Microsecond)
-		tab.Outcome(now, ids[(i*7919)%n], i%3, r, now)
+		tab.RecordOutcome(now, ids[(i*7919)%n], i%3, r, now)
 		if i%1000 == 999 {
 			tab.Changes(now)
 		}
@@ -555,21 +555,21 @@
 // The same servers, one check each in turn: a result, settled.
 func BenchmarkChecks(b *testing.B) {
 	const n = 10_000
-	tab, _ := New(Defaults(3, 4), []Source{{Name: "h", Fall: 2, Rise: 1, Valid: time.Hour}}, origin)
+	tab, _ := New(Defaults(3, 4), []CheckConfig{{Name: "h", Fall: 2, Rise: 1, Validity: time.Hour}}, origin)
 	ids := make([]ID, n)
-	list := make([]Node, n)
+	list := make([]Server, n)
 	for i := range n {
 		ids[i] = ID(fmt.Sprintf("server-%05d", i))
-		list[i] = Node{ID: ids[i], Blocks: []int{i, (i + 1) % n, (i + 2) % n, (i + 3) % n}}
+		list[i] = Server{ID: ids[i], Shards: []int{i, (i + 1) % n, (i + 2) % n, (i + 3) % n}}
 	}
-	tab.Roster(origin, list, true)
+	tab.UpdateEndpoints(origin, list, true)
 	tab.Changes(origin)
 	b.ReportAllocs()
 	b.ResetTimer()
 	now := origin
 	for i := range b.N {
 		now = now.Add(200 * time.Microsecond)
-		tab.Check(now, ids[i%n], 0, Report{Oper: Up, Weight: -1, MaxConn: -1})
+		tab.RecordCheck(now, ids[i%n], 0, CheckResult{Oper: Up, Weight: -1, MaxConn: -1})
 		if i%10 == 9 {
 			tab.Changes(now)
 		}
--- a/internal/control/health/merge.go
+++ b/internal/control/health/merge.go
@@ -36,11 +36,11 @@
 	down, why := t.byChecks(n)
 	down = t.flaps(n, down, &why)
 	admin, adminBy := t.admin(n)
-	adminOut := n.Drain || admin != NoAdmin
+	adminOut := n.Draining || admin != AdminUnset
 	t.count(n, t.hasCheck(n) && !adminOut, down && !adminOut)
 	doubted := down && t.doubted
 	dead := !n.deadAt.IsZero()
-	if dead && t.now.Sub(n.deadAt) > t.rules.TrialMost && down {
+	if dead && t.now.Sub(n.deadAt) > t.rules.MaxHalfOpenDelay && down {
 		dead = false // old news: it may be tried again where it is the last
 	}
 	if fit := !adminOut && !(down && !doubted) && !dead; fit != n.fit {
@@ -50,39 +50,39 @@
 	for of := range n.classes {
 		t.eject(i, of, adminOut || down && !doubted)
 	}
-	c := Conclusion{Share: 1, Usable: true}
-	served := !n.lastGood.IsZero() && t.now.Sub(n.lastGood) <= t.rules.Fresh && !dead
+	c := Decision{TrafficFraction: 1, Usable: true}
+	served := !n.lastGood.IsZero() && t.now.Sub(n.lastGood) <= t.rules.AnswerValidity && !dead
 	switch {
-	case n.Drain:
+	case n.Draining:
 		c.State, c.Cause = Draining, "the roster: it drains"
-	case admin == Maint:
-		c.State, c.Cause = Out, adminBy
+	case admin == Maintenance:
+		c.State, c.Cause = OutOfService, adminBy
 	case admin == Drain:
 		c.State, c.Cause = Draining, adminBy
 	case down && dead && !doubted:
-		c.State, c.Cause = Out, why+"; and parts find no connection"
+		c.State, c.Cause = OutOfService, why+"; and parts find no connection"
 	case down && !doubted && t.alone(i) >= 0:
-		c.Shun, c.Dubious, c.Usable = Everything, served, served
+		c.EjectedClasses, c.Contradictory, c.Usable = AllClasses, served, served
 		c.Cause = fmt.Sprintf("%s; but it holds block %d alone", why, t.alone(i))
 	case down && !doubted:
-		c.State, c.Cause, c.Dubious = Out, why, served
+		c.State, c.Cause, c.Contradictory = OutOfService, why, served
 	case dead:
-		c.Shun, c.Usable, c.Cause = Everything, false, "parts find no connection"
+		c.EjectedClasses, c.Usable, c.Cause = AllClasses, false, "parts find no connection"
 	default:
 		var of []string
 		for k := range n.classes {
 			if n.classes[k].ejected {
-				c.Shun |= 1 << k
+				c.EjectedClasses |= 1 << k
 				of = append(of, fmt.Sprint(k))
 			} else if n.classes[k].limited {
-				c.Cause, c.Dubious = fmt.Sprintf("parts of class %d fail, but its blocks have no others", k), true
+				c.Cause, c.Contradictory = fmt.Sprintf("parts of class %d fail, but its blocks have no others", k), true
 			}
 		}
-		if c.Shun != 0 {
-			c.Cause, c.Dubious = "parts fail, of class "+strings.Join(of, ", "), t.hasCheck(n) && !down
+		if c.EjectedClasses != 0 {
+			c.Cause, c.Contradictory = "parts fail, of class "+strings.Join(of, ", "), t.hasCheck(n) && !down
 		}
 		if doubted {
-			c.Cause, c.Dubious = strings.TrimPrefix(c.Cause+"; ", "; ")+why+"; but checks are doubted", true
+			c.Cause, c.Contradictory = strings.TrimPrefix(c.Cause+"; ", "; ")+why+"; but checks are doubted", true
 			c.Usable = n.lastGood.After(n.lastDead)
 		}
 	}
@@ -92,10 +92,10 @@
 			n.classes[k].granted = false
 		}
 	}
-	c.Share = max(1, math.Round(t.shareOf(n)*shareSteps)) / shareSteps
+	c.TrafficFraction = max(1, math.Round(t.shareOf(n)*shareSteps)) / shareSteps
 	for k := range n.checks {
-		if m := n.checks[k].maxConn; m > 0 && t.valid(&n.checks[k]) && (c.MaxOut == 0 || m < c.MaxOut) {
-			c.MaxOut = m
+		if m := n.checks[k].maxConn; m > 0 && t.valid(&n.checks[k]) && (c.MaxInFlight == 0 || m < c.MaxInFlight) {
+			c.MaxInFlight = m
 		}
 	}
 	t.tell(i, c, t.trials(n, c))
@@ -103,12 +103,12 @@
 }
 
 // tell notes a conclusion and passes on what is new of it.
-func (t *Table) tell(i int, c Conclusion, trial uint64) {
+func (t *Table) tell(i int, c Decision, trial uint64) {
 	n := t.nodes[i]
 	old := n.said
-	told := !n.saidOnce || old.State != c.State || old.Shun != c.Shun || old.Cause != c.Cause || old.MaxOut != c.MaxOut
-	if told || trial != 0 || old.Share != c.Share || old.Usable != c.Usable {
-		t.changes = append(t.changes, Change{ID: n.ID, Conclusion: c, Trial: trial, Told: told && (n.saidOnce || c.Cause != ""), Was: old.State})
+	told := !n.saidOnce || old.State != c.State || old.EjectedClasses != c.EjectedClasses || old.Cause != c.Cause || old.MaxInFlight != c.MaxInFlight
+	if told || trial != 0 || old.TrafficFraction != c.TrafficFraction || old.Usable != c.Usable {
+		t.changes = append(t.changes, Change{ID: n.ID, Decision: c, HalfOpenClasses: trial, Notable: told && (n.saidOnce || c.Cause != ""), PreviousState: old.State})
 		n.said, n.saidOnce = c, true
 		return
 	}
@@ -117,7 +117,7 @@
 
 // valid says whether what a check said still counts.
 func (t *Table) valid(c *check) bool {
-	return !c.heard.IsZero() && t.now.Sub(c.heard) <= t.sources[c.source].Valid
+	return !c.heard.IsZero() && t.now.Sub(c.heard) <= t.sources[c.source].Validity
 }
 
 func (t *Table) hasCheck(n *node) bool {
@@ -143,24 +143,24 @@
 	return false, ""
 }
 
-// flaps damps: each change of the checks' verdict adds to a penalty that fades. Beyond FlapMost the server stays
-// down until it has faded to FlapBack. Guards against a list that changes with every check.
+// flaps damps: each change of the checks' verdict adds to a penalty that fades. Beyond FlapSuppress the server stays
+// down until it has faded to FlapReuse. Guards against a list that changes with every check.
 func (t *Table) flaps(n *node, down bool, why *string) bool {
 	if d := t.now.Sub(n.flapAt); d > 0 {
-		n.penalty *= math.Exp2(-float64(d) / float64(t.rules.FlapHalf))
+		n.penalty *= math.Exp2(-float64(d) / float64(t.rules.FlapHalfLife))
 	}
 	n.flapAt = t.now
 	if down != n.wasDown {
 		n.wasDown = down
-		n.penalty = min(n.penalty+1, 2*t.rules.FlapMost)
+		n.penalty = min(n.penalty+1, 2*t.rules.FlapSuppress)
 		if !down {
 			n.ramp = t.now
 		}
 	}
 	switch {
-	case n.penalty >= t.rules.FlapMost:
+	case n.penalty >= t.rules.FlapSuppress:
 		n.held = true
-	case n.penalty <= t.rules.FlapBack:
+	case n.penalty <= t.rules.FlapReuse:
 		n.held = false
 	}
 	if n.held { // whatever they say just now: it is told once
@@ -171,14 +171,14 @@
 
 // admin is the strongest administrative word on a server, and whose it is. These do not age: a drain that is no
 // longer repeated is a drain still, until its source says ready.
-func (t *Table) admin(n *node) (word Admin, by string) {
+func (t *Table) admin(n *node) (word AdminState, by string) {
 	for k := range n.checks {
 		c := &n.checks[k]
 		w := c.admin
-		if w != Maint && c.weight == 0 && t.valid(c) {
+		if w != Maintenance && c.weight == 0 && t.valid(c) {
 			w = Drain
 		}
-		if (w == Drain || w == Maint) && w > word {
+		if (w == Drain || w == Maintenance) && w > word {
 			word, by = w, "check "+t.sources[c.source].Name+": "+w.String()
 			if c.weight == 0 && c.admin != w {
 				by = "check " + t.sources[c.source].Name + ": weight 0"
@@ -202,7 +202,7 @@
 		n.failing = failing
 		t.failing += map[bool]int{true: 1, false: -1}[failing]
 	}
-	if float64(t.failing) > t.rules.Panic*float64(t.checked) || t.doubted {
+	if float64(t.failing) > t.rules.PanicThreshold*float64(t.checked) || t.doubted {
 		if t.doubtAt.IsZero() {
 			t.doubtAt = t.now
 		}
@@ -220,7 +220,7 @@
 		return
 	}
 	t.doubtAt = time.Time{}
-	most := float64(t.failing) > t.rules.Panic*float64(t.checked)
+	most := float64(t.failing) > t.rules.PanicThreshold*float64(t.checked)
 	if !most && !t.doubted {
 		return
 	}
@@ -232,7 +232,7 @@
 			case n == nil || !n.failing:
 			case n.lastDead.After(n.lastGood):
 				ill++
-			case t.now.Sub(n.lastGood) <= t.rules.Fresh:
+			case t.now.Sub(n.lastGood) <= t.rules.AnswerValidity:
 				well++
 			}
 		}
@@ -251,7 +251,7 @@
 
 // alone returns a block of which no other holder is fit, or -1.
 func (t *Table) alone(i int) int {
-	for _, b := range t.nodes[i].Blocks {
+	for _, b := range t.nodes[i].Shards {
 		others := false
 		for _, o := range t.holders[b] {
 			others = others || o != i && t.nodes[o].fit
@@ -267,7 +267,7 @@
 func (t *Table) shareOf(n *node) float64 {
 	aim := t.aimOf(n)
 	if !n.ramp.IsZero() {
-		d := float64(t.now.Sub(n.ramp)) / float64(t.rules.Ramp)
+		d := float64(t.now.Sub(n.ramp)) / float64(t.rules.RecoveryRamp)
 		if d >= 1 {
 			n.ramp = time.Time{}
 		} else if was := rampFrom + (1-rampFrom)*max(0, d); aim > was {
@@ -275,7 +275,7 @@
 			return was
 		}
 	}
-	step := float64(t.now.Sub(n.shareAt)) / float64(t.rules.WeightStep)
+	step := float64(t.now.Sub(n.shareAt)) / float64(t.rules.WeightRiseTime)
 	n.shareAt = t.now
 	if aim > n.share {
 		n.share = min(aim, n.share+step)
@@ -286,7 +286,7 @@
 }
 
 // arm sets the time of the next look at a server: what ends by itself then.
-func (t *Table) arm(i int, c Conclusion) {
+func (t *Table) arm(i int, c Decision) {
 	n := t.nodes[i]
 	var next time.Time
 	by := func(at time.Time) {
@@ -296,32 +296,32 @@
 	}
 	for k := range n.checks {
 		if ch := &n.checks[k]; t.valid(ch) && (ch.down || ch.degraded || ch.weight >= 0 || ch.maxConn >= 0) {
-			by(ch.heard.Add(t.sources[ch.source].Valid + time.Millisecond))
+			by(ch.heard.Add(t.sources[ch.source].Validity + time.Millisecond))
 		}
 	}
 	if n.held {
-		by(t.now.Add(time.Duration(float64(t.rules.FlapHalf)*math.Log2(max(1, n.penalty/t.rules.FlapBack))) + 10*time.Millisecond))
+		by(t.now.Add(time.Duration(float64(t.rules.FlapHalfLife)*math.Log2(max(1, n.penalty/t.rules.FlapReuse))) + 10*time.Millisecond))
 	}
 	if !n.ramp.IsZero() || math.Abs(n.share-t.aimOf(n)) > 1e-9 {
 		by(t.now.Add(100 * time.Millisecond))
 	}
-	if c.Shun != 0 && c.State == InService {
+	if c.EjectedClasses != 0 && c.State == InService {
 		for k := range n.classes {
-			if cl := &n.classes[k]; !cl.granted && (cl.ejected || c.Shun == Everything && t.rules.Unsafe>>k&1 == 0) {
+			if cl := &n.classes[k]; !cl.granted && (cl.ejected || c.EjectedClasses == AllClasses && t.rules.NonIdempotent>>k&1 == 0) {
 				by(maxTime(cl.next, t.now.Add(trialLook)))
 			}
 		}
 	}
 	if !n.deadAt.IsZero() {
-		by(maxTime(n.deadAt.Add(t.rules.TrialMost+time.Millisecond), t.now.Add(trialLook)))
+		by(maxTime(n.deadAt.Add(t.rules.MaxHalfOpenDelay+time.Millisecond), t.now.Add(trialLook)))
 	}
 	// The end of its last answer's time may change what it is taken for.
-	if c.Dubious && c.State == InService && t.now.Sub(n.lastGood) <= t.rules.Fresh {
-		by(n.lastGood.Add(t.rules.Fresh + time.Millisecond))
+	if c.Contradictory && c.State == InService && t.now.Sub(n.lastGood) <= t.rules.AnswerValidity {
+		by(n.lastGood.Add(t.rules.AnswerValidity + time.Millisecond))
 	}
 	for k := range n.classes {
 		if n.classes[k].limited {
-			by(t.now.Add(t.rules.Half / 4))
+			by(t.now.Add(t.rules.OutcomeHalfLife / 4))
 		}
 	}
 	if next.IsZero() {
--- a/internal/control/health/table.go
+++ b/internal/control/health/table.go
@@ -13,7 +13,7 @@
 // no longer.
 type Table struct {
 	rules   Rules
-	sources []Source
+	sources []CheckConfig
 	nodes   []*node // by index; nil: free
 	index   map[ID]int
 	free    []int
@@ -49,8 +49,8 @@
 	heard     time.Time // last result that counts; zero: none
 	good, bad int
 	down      bool
-	said      Oper
-	admin     Admin
+	said      OperState
+	admin     AdminState
 	weight    float64
 	maxConn   int
 	degraded  bool
@@ -73,7 +73,7 @@
 }
 
 type node struct {
-	Node
+	Server
 	checks    []check
 	classes   []class
 	unreached int
@@ -92,12 +92,12 @@
 	counted   bool      // in checked
 	failing   bool      // in failing
 	queued    bool
-	said      Conclusion
+	said      Decision
 	saidOnce  bool
 }
 
 // New returns an empty table.
-func New(rules Rules, sources []Source, start time.Time) (*Table, error) {
+func New(rules Rules, sources []CheckConfig, start time.Time) (*Table, error) {
 	if err := rules.check(); err != nil {
 		return nil, fmt.Errorf("health: %w", err)
 	}
@@ -112,14 +112,14 @@
 	}, nil
 }
 
-// Roster takes word of the list: all servers there are, or with full false only those named.
-func (t *Table) Roster(now time.Time, list []Node, full bool) {
+// UpdateEndpoints takes word of the list: all servers there are, or with full false only those named.
+func (t *Table) UpdateEndpoints(now time.Time, list []Server, full bool) {
 	t.at(now)
 	named := map[ID]bool{}
 	for _, m := range list {
 		named[m.ID] = true
 		i, ok := t.index[m.ID]
-		if m.Gone {
+		if m.Removed {
 			if ok {
 				t.remove(i)
 			}
@@ -129,12 +129,12 @@
 			i = t.add(m)
 		}
 		n := t.nodes[i]
-		if !slices.Equal(n.Blocks, m.Blocks) {
+		if !slices.Equal(n.Shards, m.Shards) {
 			t.unlist(i)
-			n.Blocks = m.Blocks
+			n.Shards = m.Shards
 			t.list(i)
 		}
-		n.Drain = m.Drain
+		n.Draining = m.Draining
 		t.touch(i)
 	}
 	if full {
@@ -146,8 +146,8 @@
 	}
 }
 
-func (t *Table) add(m Node) int {
-	n := &node{Node: m, classes: make([]class, t.rules.Classes), share: 1, shareAt: t.now}
+func (t *Table) add(m Server) int {
+	n := &node{Server: m, classes: make([]class, t.rules.Classes), share: 1, shareAt: t.now}
 	i := len(t.nodes)
 	if k := len(t.free); k > 0 {
 		i, t.free = t.free[k-1], t.free[:k-1]
@@ -162,7 +162,7 @@
 
 func (t *Table) list(i int) {
 	n := t.nodes[i]
-	for _, b := range n.Blocks {
+	for _, b := range n.Shards {
 		t.holders[b] = append(t.holders[b], i)
 	}
 	t.touchNeighbours(i)
@@ -170,7 +170,7 @@
 
 func (t *Table) unlist(i int) {
 	t.touchNeighbours(i)
-	for _, b := range t.nodes[i].Blocks {
+	for _, b := range t.nodes[i].Shards {
 		if t.holders[b] = slices.DeleteFunc(t.holders[b], func(o int) bool { return o == i }); len(t.holders[b]) == 0 {
 			delete(t.holders, b)
 		}
@@ -185,7 +185,7 @@
 	delete(t.index, n.ID)
 	t.nodes[i] = nil
 	t.free = append(t.free, i)
-	t.changes = append(t.changes, Change{ID: n.ID, Conclusion: Conclusion{State: Out, Share: 1, Cause: "the roster: gone"}, Told: true, Was: n.said.State})
+	t.changes = append(t.changes, Change{ID: n.ID, Decision: Decision{State: OutOfService, TrafficFraction: 1, Cause: "the roster: gone"}, Notable: true, PreviousState: n.said.State})
 }
 
 func (t *Table) at(now time.Time) {
@@ -203,15 +203,15 @@
 
 // touchNeighbours looks again at those who hold a block together with a server.
 func (t *Table) touchNeighbours(i int) {
-	for _, b := range t.nodes[i].Blocks {
+	for _, b := range t.nodes[i].Shards {
 		for _, o := range t.holders[b] {
 			t.touch(o)
 		}
 	}
 }
 
-// Check takes the result of one check of a server by a source.
-func (t *Table) Check(now time.Time, id ID, source int, r Report) {
+// RecordCheck takes the result of one check of a server by a source.
+func (t *Table) RecordCheck(now time.Time, id ID, source int, r CheckResult) {
 	t.at(now)
 	i, ok := t.index[id]
 	if !ok || source < 0 || source >= len(t.sources) {
@@ -224,14 +224,14 @@
 		n.checks = append(n.checks, check{source: source, weight: -1, maxConn: -1})
 	}
 	c := &n.checks[k]
-	if r.Failed && src.Mute {
+	if r.Failed && src.IgnoreFailures {
 		return // no word is no word: what was said ends with its validity
 	}
 	c.heard = t.now
-	if r.Why != "" || !r.Failed {
-		c.why = r.Why
+	if r.Reason != "" || !r.Failed {
+		c.why = r.Reason
 	}
-	if r.Admin != NoAdmin {
+	if r.Admin != AdminUnset {
 		c.admin = r.Admin
 	}
 	if !r.Failed {
@@ -245,7 +245,7 @@
 	}
 	switch {
 	case r.Failed:
-		if c.good, c.bad = 0, c.bad+1; c.bad >= src.Fall || r.AtOnce {
+		if c.good, c.bad = 0, c.bad+1; c.bad >= src.Fall || r.Immediate {
 			c.down = true
 		}
 	case r.Oper == Down:
@@ -261,10 +261,10 @@
 	}
 	// A check that got through later than any part says that there is somebody again. Guards a server to which
 	// nothing is sent any more, because it was dead, against staying so for good. Each time it has to wait longer.
-	if !c.down && !src.Mute && !r.Failed && !n.deadAt.IsZero() &&
-		t.now.Sub(n.deadAt) >= min(t.rules.TrialFirst<<min(n.deadTimes, 10), t.rules.TrialMost) {
+	if !c.down && !src.IgnoreFailures && !r.Failed && !n.deadAt.IsZero() &&
+		t.now.Sub(n.deadAt) >= min(t.rules.HalfOpenDelay<<min(n.deadTimes, 10), t.rules.MaxHalfOpenDelay) {
 		n.deadTimes++
-		n.unreached = t.rules.Unreached - 1
+		n.unreached = t.rules.MaxConnectFailures - 1
 		t.undead(i)
 	}
 	t.touch(i)
@@ -280,8 +280,8 @@
 	t.touch(i)
 }
 
-// Outcome takes the end of an attempt of a real part: of which class, how it ended, and when it was sent.
-func (t *Table) Outcome(now time.Time, id ID, of int, r Result, sent time.Time) {
+// RecordOutcome takes the end of an attempt of a real part: of which class, how it ended, and when it was sent.
+func (t *Table) RecordOutcome(now time.Time, id ID, of int, r Outcome, sent time.Time) {
 	t.at(now)
 	i, ok := t.index[id]
 	if !ok || of < 0 || of >= len(t.fleet) {
@@ -291,27 +291,27 @@
 	c, all := &n.classes[of], &t.fleet[of]
 	t.parts[of]++
 	switch r {
-	case Good:
-		c.fade(t.now, t.rules.Half)
-		all.fade(t.now, t.rules.Half)
+	case Success:
+		c.fade(t.now, t.rules.OutcomeHalfLife)
+		all.fade(t.now, t.rules.OutcomeHalfLife)
 		c.good, all.good = c.good+1, all.good+1
 		if n.unreached, n.deadTimes = 0, 0; !n.deadAt.IsZero() {
 			t.undead(i)
 		}
-		if t.now.Sub(n.lastGood) > t.rules.Fresh/2 { // to be usable may hang on it
+		if t.now.Sub(n.lastGood) > t.rules.AnswerValidity/2 { // to be usable may hang on it
 			t.touch(i)
 		}
 		n.lastGood = t.now
-	case Bad:
-		c.fade(t.now, t.rules.Half)
-		all.fade(t.now, t.rules.Half)
+	case Failure:
+		c.fade(t.now, t.rules.OutcomeHalfLife)
+		all.fade(t.now, t.rules.OutcomeHalfLife)
 		c.bad, all.bad = c.bad+1, all.bad+1
 		n.unreached = 0
 		if !c.ejected && t.fails(n, of) {
 			t.touch(i)
 		}
-	case Unreached:
-		if n.unreached++; n.unreached >= t.rules.Unreached {
+	case ConnectFailure:
+		if n.unreached++; n.unreached >= t.rules.MaxConnectFailures {
 			if n.deadAt.IsZero() {
 				t.touch(i)
 			}
@@ -320,8 +320,8 @@
 	}
 	if c.ejected && !sent.Before(c.since) {
 		t.trialEnded(i, of, r)
-	} else if !n.deadAt.IsZero() && c.granted && r != Good {
-		c.granted, c.next = false, t.now.Add(t.rules.TrialFirst)
+	} else if !n.deadAt.IsZero() && c.granted && r != Success {
+		c.granted, c.next = false, t.now.Add(t.rules.HalfOpenDelay)
 		t.touch(i)
 	}
 }
@@ -330,10 +330,10 @@
 // few unlucky parts do not count, and against the others', so that what all suffer ejects nobody.
 func (t *Table) fails(n *node, of int) bool {
 	c := &n.classes[of]
-	c.fade(t.now, t.rules.Half)
+	c.fade(t.now, t.rules.OutcomeHalfLife)
 	all := &t.fleet[of]
-	all.fade(t.now, t.rules.Half)
-	if c.good+c.bad < t.rules.Volume {
+	all.fade(t.now, t.rules.OutcomeHalfLife)
+	if c.good+c.bad < t.rules.MinOutcomes {
 		return false
 	}
 	low := wilson(c.bad, c.good+c.bad)
@@ -342,7 +342,7 @@
 	if good+bad >= 1 {
 		others = bad / (good + bad)
 	}
-	return low >= t.rules.Share && low >= min(t.rules.Ratio*others, 1-1e-9)
+	return low >= t.rules.EjectFailureRate && low >= min(t.rules.EjectPeerRatio*others, 1-1e-9)
 }
 
 // wilson is the lower end of the Wilson score interval of bad out of n, one-sided at 95% (Wilson 1927).
@@ -373,8 +373,8 @@
 	return out
 }
 
-// Next is when Changes should be called next if nothing comes in; ok is false if never.
-func (t *Table) Next() (time.Time, bool) {
+// NextDeadline is when Changes should be called next if nothing comes in; ok is false if never.
+func (t *Table) NextDeadline() (time.Time, bool) {
 	at, ok := t.timers.Next()
 	if !t.doubtAt.IsZero() && (!ok || t.doubtAt.Before(at)) {
 		return t.doubtAt, true
@@ -382,17 +382,17 @@
 	return at, ok
 }
 
-// Conclusion is what was last concluded on a server.
-func (t *Table) Conclusion(id ID) (Conclusion, bool) {
+// Decision is what was last concluded on a server.
+func (t *Table) Decision(id ID) (Decision, bool) {
 	i, ok := t.index[id]
 	if !ok {
-		return Conclusion{State: Out, Cause: "not listed"}, false
+		return Decision{State: OutOfService, Cause: "not listed"}, false
 	}
 	return t.nodes[i].said, true
 }
 
-// Usable counts the holders of a block that may be expected to answer parts of a class.
-func (t *Table) Usable(block, of int) (n int) {
+// UsableReplicas counts the holders of a block that may be expected to answer parts of a class.
+func (t *Table) UsableReplicas(block, of int) (n int) {
 	for _, i := range t.holders[block] {
 		if t.nodes[i].usable(of) {
 			n++
@@ -411,5 +411,5 @@
 // Len is the number of servers listed.
 func (t *Table) Len() int { return len(t.index) }
 
-// Doubted says whether checks are doubted: so many fail while parts are answered that they must be wrong.
-func (t *Table) Doubted() bool { return t.doubted }
+// ChecksSuspect says whether checks are doubted: so many fail while parts are answered that they must be wrong.
+func (t *Table) ChecksSuspect() bool { return t.doubted }
--- a/internal/control/listwatch/listwatch_test.go
+++ b/internal/control/listwatch/listwatch_test.go
@@ -10,15 +10,15 @@
 // An agent's watch that ends after a while is opened anew at once, and a failing agent is not called in a hot loop.
 func TestAnAgentIsCalledAgainAtOnce(t *testing.T) {
 	for _, chance := range []float64{0, 0.5, 1} {
-		c := New(Platform(0))
-		c.Open(start, chance)
+		c := New(PlatformConfig(0))
+		c.Opened(start, chance)
 		if next := c.Ended(start.Add(time.Second), chance); !next.Equal(start.Add(time.Second)) {
 			t.Errorf("chance %v: %v after a watch that lasted", chance, next.Sub(start))
 		}
 		now := start.Add(time.Minute)
 		for range 50 {
-			c.Open(now, chance)
-			c.Good()
+			c.Opened(now, chance)
+			c.Succeeded()
 			next := c.Ended(now, chance)
 			if d := next.Sub(now); d < 100*time.Millisecond || d > 300*time.Millisecond {
 				t.Errorf("chance %v: %v after a call that failed at once", chance, d)
@@ -32,8 +32,8 @@
 func TestASharedDiscoveryIsCalledBySpread(t *testing.T) {
 	early := 0
 	for i := range 300 {
-		c := New(Platform(300))
-		c.Open(start, 0.5)
+		c := New(PlatformConfig(300))
+		c.Opened(start, 0.5)
 		if next := c.Ended(start, float64(i)/299); next.Sub(start) < 4750*time.Millisecond {
 			early++
 		}
@@ -50,29 +50,29 @@
 	f.Add(uint16(300), []byte{3, 3, 3, 0, 9, 2, 2, 1})
 	f.Add(uint16(1), []byte{2, 2, 2, 2})
 	f.Fuzz(func(t *testing.T, shared uint16, steps []byte) {
-		rules := Platform(int(shared))
+		rules := PlatformConfig(int(shared))
 		c, now, failed := New(rules), start, 0
 		chance := func(b byte) float64 { return float64(b>>3) / 31 }
-		c.Open(now, 0.5)
+		c.Opened(now, 0.5)
 		for _, b := range steps {
-			if silent := c.Broken().Sub(c.heard); silent > rules.SilentMost || silent < rules.SilentLeast && (c.answered || shared > 1 || silent != rules.FirstWord) {
+			if silent := c.SilenceDeadline().Sub(c.heard); silent > rules.MaxSilence || silent < rules.MinSilence && (c.answered || shared > 1 || silent != rules.FirstEventTimeout) {
 				t.Fatalf("broken after %v", silent)
 			}
 			switch b & 3 {
 			case 0: // a line in time
 				now = now.Add(2 * time.Second)
-				c.Heard(now)
-				c.Good()
+				c.Received(now)
+				c.Succeeded()
 				failed = 0
-				if !c.Broken().After(now.Add(2 * time.Second)) {
+				if !c.SilenceDeadline().After(now.Add(2 * time.Second)) {
 					t.Fatal("broken before its next line is due")
 				}
 			case 1: // silence: opened anew, so that what is missed comes in 6 s
-				if c.Broken().After(c.heard.Add(5 * time.Second)) {
-					t.Fatalf("silent for %v", c.Broken().Sub(c.heard))
+				if c.SilenceDeadline().After(c.heard.Add(5 * time.Second)) {
+					t.Fatalf("silent for %v", c.SilenceDeadline().Sub(c.heard))
 				}
-				now = c.Broken()
-				c.Open(now, chance(b))
+				now = c.SilenceDeadline()
+				c.Opened(now, chance(b))
 			default: // it ends
 				next := c.Ended(now, chance(b))
 				failed++
@@ -83,7 +83,7 @@
 					t.Fatalf("%d mixers: called again after %v", shared, next.Sub(now))
 				}
 				now = next
-				c.Open(now, chance(b))
+				c.Opened(now, chance(b))
 			}
 		}
 	})
--- a/internal/control/outlier/outlier.go
+++ b/internal/control/outlier/outlier.go
@@ -19,18 +19,18 @@
 	"rooktrestle/internal/control/gossip"
 )
 
-// Rules are what a Table goes by. Times come from the settings.
-type Rules struct {
-	Span   time.Duration // over which losses count: after it 1/e of one is left
-	Late   time.Duration // an attempt called off counts as lost if it was out for so long
-	Fresh  time.Duration // a word older than that, or from further ahead, tells nothing
-	Zone   int           // this mixer's: words of other zones went other ways, which may be cut
-	Mixers int
+// Config are what a Table goes by. Times come from the settings.
+type Config struct {
+	DecayTime     time.Duration // over which losses count: after it 1/e of one is left
+	OverdueAfter  time.Duration // an attempt called off counts as lost if it was out for so long
+	MaxMessageAge time.Duration // a word older than that, or from further ahead, tells nothing
+	Zone          int           // this mixer's: words of other zones went other ways, which may be cut
+	Aggregators   int
 }
 
-// Platform is the rules for a mixer of so many in a zone, by the settings' shortest aim.
-func Platform(aim time.Duration, zone, mixers int) Rules {
-	return Rules{Span: 4 * aim, Late: aim / 2, Fresh: aim, Zone: zone, Mixers: mixers}
+// PlatformConfig is the rules for a mixer of so many in a zone, by the settings' shortest aim.
+func PlatformConfig(aim time.Duration, zone, mixers int) Config {
+	return Config{DecayTime: 4 * aim, OverdueAfter: aim / 2, MaxMessageAge: aim, Zone: zone, Aggregators: mixers}
 }
 
 const (
@@ -55,15 +55,15 @@
 	doubtful  = 0.5
 )
 
-// End is how an attempt ended, as far as it tells of its server.
-type End int
+// Outcome is how an attempt ended, as far as it tells of its server.
+type Outcome int
 
 const (
-	Served End = iota
-	Lost       // an error, a reset, no connection, or no answer in time
-	CalledOff
-	TurnedAway // tells of its load only, unless it is an outlier: what answers nothing is full
-	Neutral    // never sent
+	Answered Outcome = iota
+	Failed           // an error, a reset, no connection, or no answer in time
+	Canceled
+	Rejected // tells of its load only, unless it is an outlier: what answers nothing is full
+	NotSent  // never sent
 )
 
 type server struct {
@@ -82,28 +82,28 @@
 
 // Table holds what is known of each listed server; it is dropped with Drop or Keep.
 type Table struct {
-	rules   Rules
-	servers map[uint32]*server
-	order   []*server // as first listed
-	tell    []*server
-	owed    float64 // bytes that words may take
-	dirty   bool    // something was lost, or answered at an outlier, since the last look
-	look    time.Duration
-	Heard   uint64 // remarks taken
+	rules                Config
+	servers              map[uint32]*server
+	order                []*server // as first listed
+	tell                 []*server
+	owed                 float64 // bytes that words may take
+	dirty                bool    // something was lost, or answered at an outlier, since the last look
+	look                 time.Duration
+	ObservationsReceived uint64 // remarks taken
 }
 
 // New returns an empty Table.
-func New(rules Rules) *Table {
+func New(rules Config) *Table {
 	return &Table{rules: rules, servers: map[uint32]*server{}}
 }
 
-// List adds a server, whose process began at started; 0: long ago. One that is known stays as it is while its
+// Add adds a server, whose process began at started; 0: long ago. One that is known stays as it is while its
 // process is the same.
-func (t *Table) List(id string, started time.Duration) {
+func (t *Table) Add(id string, started time.Duration) {
 	if s := t.find(id); s != nil && started <= s.started {
 		return
 	}
-	key := gossip.Key(id)
+	key := gossip.ServerKey(id)
 	t.remove(t.servers[key])
 	s := &server{id: id, started: started, share: 1, mine: remark{key: key}}
 	t.servers[key] = s
@@ -112,17 +112,17 @@
 
 // find returns what is known of a server; nil if it is not listed.
 func (t *Table) find(id string) *server {
-	if s := t.servers[gossip.Key(id)]; s != nil && s.id == id {
+	if s := t.servers[gossip.ServerKey(id)]; s != nil && s.id == id {
 		return s
 	}
 	return nil
 }
 
-// Drop forgets a server.
-func (t *Table) Drop(id string) { t.remove(t.find(id)) }
+// Remove forgets a server.
+func (t *Table) Remove(id string) { t.remove(t.find(id)) }
 
-// Keep forgets all servers for which listed does not hold.
-func (t *Table) Keep(listed func(id string) bool) {
+// Retain forgets all servers for which listed does not hold.
+func (t *Table) Retain(listed func(id string) bool) {
 	for _, s := range slices.Clone(t.order) {
 		if !listed(s.id) {
 			t.remove(s)
@@ -139,26 +139,26 @@
 	t.order, t.tell = slices.DeleteFunc(t.order, same), slices.DeleteFunc(t.tell, same)
 }
 
-// Earn counts parts taken toward what may be told.
-func (t *Table) Earn(parts int) {
-	t.owed = min(t.owed+tellShare*gossip.Most*float64(parts), gossip.Most*float64(t.rules.Mixers))
+// AccrueBudget counts parts taken toward what may be told.
+func (t *Table) AccrueBudget(parts int) {
+	t.owed = min(t.owed+tellShare*gossip.MaxMessageBytes*float64(parts), gossip.MaxMessageBytes*float64(t.rules.Aggregators))
 }
 
 // AttemptEnded takes the end of an attempt of this mixer's that was sent at sent.
-func (t *Table) AttemptEnded(now time.Duration, id string, sent time.Duration, end End) {
+func (t *Table) AttemptEnded(now time.Duration, id string, sent time.Duration, end Outcome) {
 	s := t.find(id)
 	if s == nil {
 		return
 	}
 	// Called off late by a server that answers others since: that part was slow, the server is there.
-	if end == CalledOff && now-sent >= t.rules.Late && s.served <= sent || end == TurnedAway && s.out {
-		end = Lost
+	if end == Canceled && now-sent >= t.rules.OverdueAfter && s.served <= sent || end == Rejected && s.out {
+		end = Failed
 	}
 	switch end {
-	case Lost:
+	case Failed:
 		t.count(s, now, 1, 0)
 		s.mine.lost++
-	case Served:
+	case Answered:
 		s.served = now
 		if !s.out {
 			return
@@ -174,15 +174,15 @@
 	}
 }
 
-// Hear takes another mixer's word.
-func (t *Table) Hear(now time.Duration, text []byte) {
+// Receive takes another mixer's word.
+func (t *Table) Receive(now time.Duration, text []byte) {
 	age, zone, remarks, ok := readWord(now, text)
-	if !ok || zone != t.rules.Zone&0xff || age > t.rules.Fresh || age < -t.rules.Fresh {
+	if !ok || zone != t.rules.Zone&0xff || age > t.rules.MaxMessageAge || age < -t.rules.MaxMessageAge {
 		return
 	}
 	for _, r := range remarks {
 		if s := t.servers[r.key]; s != nil { // a word brings no server in
-			t.Heard++
+			t.ObservationsReceived++
 			t.count(s, now, r.lost, r.served)
 		}
 	}
@@ -201,16 +201,16 @@
 }
 
 func (t *Table) fade(s *server, now time.Duration) {
-	s.lost *= math.Exp(-float64(now-s.at) / float64(t.rules.Span))
+	s.lost *= math.Exp(-float64(now-s.at) / float64(t.rules.DecayTime))
 	s.at = now
 }
 
-// Changes looks at what came since the last look and returns the servers whose share is another by now.
-func (t *Table) Changes(now time.Duration) (changed []string) {
+// Update looks at what came since the last look and returns the servers whose share is another by now.
+func (t *Table) Update(now time.Duration) (changed []string) {
 	if !t.dirty && now < t.look {
 		return nil
 	}
-	t.dirty, t.look = false, now+t.rules.Span
+	t.dirty, t.look = false, now+t.rules.DecayTime
 	var losses []float64
 	for _, s := range t.order {
 		t.fade(s, now)
@@ -221,7 +221,7 @@
 		if !s.out && s.lost >= bound {
 			s.out, s.ok = true, doubtful*math.Pow(1-endWeight, s.lost-bound)
 		}
-		if s.out && s.ok < steps[0].served && now-s.last > quiet*t.rules.Span {
+		if s.out && s.ok < steps[0].served && now-s.last > quiet*t.rules.DecayTime {
 			s.ok, s.last = steps[0].served, now // nobody tried it, or words of it were lost
 		}
 		share := 1.0
@@ -241,16 +241,16 @@
 	return changed
 }
 
-// Share is the share of its parts that a server is to get: 1 unless it is an outlier.
-func (t *Table) Share(id string) float64 {
+// TrafficShare is the share of its parts that a server is to get: 1 unless it is an outlier.
+func (t *Table) TrafficShare(id string) float64 {
 	if s := t.find(id); s != nil {
 		return s.share
 	}
 	return 1
 }
 
-// Outliers is how many there are.
-func (t *Table) Outliers() (n int) {
+// EjectedCount is how many there are.
+func (t *Table) EjectedCount() (n int) {
 	for _, s := range t.order {
 		if s.out {
 			n++
@@ -259,10 +259,10 @@
 	return n
 }
 
-// Word words what is to be told, if parts taken have earned it; nil if not.
-func (t *Table) Word(now time.Duration) []byte {
-	n := min(len(t.tell), gossip.MostRemarks)
-	size := float64(gossip.Size(n) * (t.rules.Mixers - 1))
+// NextMessage words what is to be told, if parts taken have earned it; nil if not.
+func (t *Table) NextMessage(now time.Duration) []byte {
+	n := min(len(t.tell), gossip.MaxObservations)
+	size := float64(gossip.EncodedSize(n) * (t.rules.Aggregators - 1))
 	if n == 0 || size > t.owed {
 		return nil
 	}
--- a/internal/control/outlier/outlier_test.go
+++ b/internal/control/outlier/outlier_test.go
@@ -13,14 +13,14 @@
 	hour = time.Hour
 )
 
-var rules = Rules{Span: 1500 * ms, Late: 190 * ms, Fresh: 380 * ms, Mixers: 300}
+var rules = Config{DecayTime: 1500 * ms, OverdueAfter: 190 * ms, MaxMessageAge: 380 * ms, Aggregators: 300}
 
 func table(zone int) *Table {
 	r := rules
 	r.Zone = zone
 	t := New(r)
 	for i := range 20 {
-		t.List(fmt.Sprint("s", i), 0)
+		t.Add(fmt.Sprint("s", i), 0)
 	}
 	return t
 }
@@ -28,17 +28,17 @@
 // spread hands every mixer the words of all others.
 func spread(now time.Duration, all []*Table) (words int) {
 	for _, from := range all {
-		if text := from.Word(now); text != nil {
+		if text := from.NextMessage(now); text != nil {
 			words++
 			for _, to := range all {
 				if to != from {
-					to.Hear(now, text)
+					to.Receive(now, text)
 				}
 			}
 		}
 	}
 	for _, t := range all {
-		t.Changes(now)
+		t.Update(now)
 	}
 	return words
 }
@@ -49,26 +49,26 @@
 	all := []*Table{table(0), table(0), table(0), table(0), table(0), table(0)}
 	now := hour
 	for _, m := range all[:4] {
-		m.Earn(100)
+		m.AccrueBudget(100)
 		for range 6 {
-			m.AttemptEnded(now, "s3", now-250*ms, CalledOff)
+			m.AttemptEnded(now, "s3", now-250*ms, Canceled)
 		}
 	}
 	if words := spread(now, all); words != 4 {
 		t.Fatalf("%d words", words)
 	}
 	for i, m := range all {
-		if m.Share("s3") != steps[0].share || m.Share("s4") != 1 || m.Outliers() != 1 {
-			t.Fatalf("mixer %d: share %v of the server, %v of another", i, m.Share("s3"), m.Share("s4"))
+		if m.TrafficShare("s3") != steps[0].share || m.TrafficShare("s4") != 1 || m.EjectedCount() != 1 {
+			t.Fatalf("mixer %d: share %v of the server, %v of another", i, m.TrafficShare("s3"), m.TrafficShare("s4"))
 		}
 	}
 	shares := []float64{}
 	for range 40 {
 		now += 50 * ms
-		all[5].Earn(100)
-		all[5].AttemptEnded(now, "s3", now-50*ms, Served)
+		all[5].AccrueBudget(100)
+		all[5].AttemptEnded(now, "s3", now-50*ms, Answered)
 		spread(now, all)
-		if s := all[0].Share("s3"); len(shares) == 0 || shares[len(shares)-1] != s {
+		if s := all[0].TrafficShare("s3"); len(shares) == 0 || shares[len(shares)-1] != s {
 			shares = append(shares, s)
 		}
 	}
@@ -76,8 +76,8 @@
 		t.Errorf("came back by %v", shares)
 	}
 	now += 50 * ms
-	all[5].AttemptEnded(now, "s3", now-50*ms, Served)
-	if all[5].Word(now) != nil {
+	all[5].AttemptEnded(now, "s3", now-50*ms, Answered)
+	if all[5].NextMessage(now) != nil {
 		t.Error("an ordinary answer was told")
 	}
 }
@@ -86,16 +86,16 @@
 func TestServerThatIsBehindIsNotTakenForGone(t *testing.T) {
 	m := table(0)
 	for range lostLeast {
-		m.AttemptEnded(hour, "s3", hour-300*ms, CalledOff)
+		m.AttemptEnded(hour, "s3", hour-300*ms, Canceled)
 	}
-	if m.Changes(hour); m.Share("s3") != steps[2].share {
-		t.Fatalf("share %v", m.Share("s3"))
+	if m.Update(hour); m.TrafficShare("s3") != steps[2].share {
+		t.Fatalf("share %v", m.TrafficShare("s3"))
 	}
 	for range 10 {
-		m.AttemptEnded(hour, "s3", hour, Served)
+		m.AttemptEnded(hour, "s3", hour, Answered)
 	}
-	if m.Changes(hour); m.Share("s3") != 1 {
-		t.Errorf("share %v after ten answers", m.Share("s3"))
+	if m.Update(hour); m.TrafficShare("s3") != 1 {
+		t.Errorf("share %v after ten answers", m.TrafficShare("s3"))
 	}
 }
 
@@ -103,14 +103,14 @@
 func TestServerThatFailsSomeIsWeighed(t *testing.T) {
 	m := table(0)
 	for i := range 100 {
-		end := Lost
+		end := Failed
 		if i%2 == 1 {
-			end = Served
+			end = Answered
 		}
 		m.AttemptEnded(hour+time.Duration(i)*10*ms, "s3", hour, end)
-		m.Changes(hour + time.Duration(i)*10*ms)
+		m.Update(hour + time.Duration(i)*10*ms)
 	}
-	if s := m.Share("s3"); s <= steps[0].share || s >= 1 {
+	if s := m.TrafficShare("s3"); s <= steps[0].share || s >= 1 {
 		t.Errorf("share %v", s)
 	}
 }
@@ -120,27 +120,27 @@
 	m := table(0)
 	for i := range 20 {
 		for range 8 {
-			m.AttemptEnded(hour, fmt.Sprint("s", i), hour-300*ms, CalledOff)
+			m.AttemptEnded(hour, fmt.Sprint("s", i), hour-300*ms, Canceled)
 		}
 	}
-	if m.Changes(hour); m.Outliers() != 0 {
-		t.Fatalf("%d outliers among equals", m.Outliers())
+	if m.Update(hour); m.EjectedCount() != 0 {
+		t.Fatalf("%d outliers among equals", m.EjectedCount())
 	}
 	for range 40 {
-		m.AttemptEnded(hour, "s3", hour-300*ms, CalledOff)
+		m.AttemptEnded(hour, "s3", hour-300*ms, Canceled)
 	}
-	if m.Changes(hour); m.Outliers() != 1 {
-		t.Errorf("%d outliers, one server lost six times as much", m.Outliers())
+	if m.Update(hour); m.EjectedCount() != 1 {
+		t.Errorf("%d outliers, one server lost six times as much", m.EjectedCount())
 	}
 	// Half of the servers gone with a zone: these are out, the others are not.
 	m = table(0)
 	for i := range 10 {
 		for range 20 {
-			m.AttemptEnded(hour, fmt.Sprint("s", i), hour, Lost)
+			m.AttemptEnded(hour, fmt.Sprint("s", i), hour, Failed)
 		}
 	}
-	if m.Changes(hour); m.Outliers() != 10 {
-		t.Errorf("%d outliers, half of 20 are gone", m.Outliers())
+	if m.Update(hour); m.EjectedCount() != 10 {
+		t.Errorf("%d outliers, half of 20 are gone", m.EjectedCount())
 	}
 }
 
@@ -148,16 +148,16 @@
 func TestWhatTellsNothing(t *testing.T) {
 	m := table(0)
 	for range 50 {
-		m.AttemptEnded(hour, "s1", hour-100*ms, CalledOff) // too soon: its query was over
-		m.AttemptEnded(hour, "s2", hour, TurnedAway)       // full
-		m.AttemptEnded(hour, "s4", hour, Neutral)
-		m.AttemptEnded(hour, "gone", hour, Lost) // not listed
+		m.AttemptEnded(hour, "s1", hour-100*ms, Canceled) // too soon: its query was over
+		m.AttemptEnded(hour, "s2", hour, Rejected)        // full
+		m.AttemptEnded(hour, "s4", hour, NotSent)
+		m.AttemptEnded(hour, "gone", hour, Failed) // not listed
 	}
-	m.AttemptEnded(hour-200*ms, "s5", hour-250*ms, Served) // it answers others since
+	m.AttemptEnded(hour-200*ms, "s5", hour-250*ms, Answered) // it answers others since
 	for range 50 {
-		m.AttemptEnded(hour, "s5", hour-300*ms, CalledOff)
+		m.AttemptEnded(hour, "s5", hour-300*ms, Canceled)
 	}
-	lost := []remark{{gossip.Key("s6"), 15, 0}, {gossip.Key("s7"), 15, 0}, {gossip.Key("stranger"), 15, 0}}
+	lost := []remark{{gossip.ServerKey("s6"), 15, 0}, {gossip.ServerKey("s7"), 15, 0}, {gossip.ServerKey("stranger"), 15, 0}}
 	for i, text := range [][]byte{
 		writeWord(hour, 1, lost),            // another zone's way
 		writeWord(hour-500*ms, 0, lost),     // old
@@ -166,16 +166,16 @@
 		append([]byte{wordKind + 1}, writeWord(hour, 0, lost)[1:]...),
 		nil,
 	} {
-		if m.Hear(hour, text); m.Heard != 0 {
+		if m.Receive(hour, text); m.ObservationsReceived != 0 {
 			t.Errorf("word %d was taken", i)
 		}
 	}
-	if changed := m.Changes(hour); len(changed) != 0 {
+	if changed := m.Update(hour); len(changed) != 0 {
 		t.Errorf("changed: %v", changed)
 	}
-	m.Hear(hour, writeWord(hour, 0, lost))
-	if m.Changes(hour); m.Heard != 2 || m.Outliers() != 2 {
-		t.Errorf("%d remarks heard, %d outliers", m.Heard, m.Outliers())
+	m.Receive(hour, writeWord(hour, 0, lost))
+	if m.Update(hour); m.ObservationsReceived != 2 || m.EjectedCount() != 2 {
+		t.Errorf("%d remarks heard, %d outliers", m.ObservationsReceived, m.EjectedCount())
 	}
 }
 
@@ -184,36 +184,36 @@
 	lose := func() *Table {
 		m := table(0)
 		for range 30 {
-			m.AttemptEnded(hour, "s3", hour, Lost)
+			m.AttemptEnded(hour, "s3", hour, Failed)
 		}
-		if m.Changes(hour); m.Share("s3") != steps[0].share {
-			t.Fatal(m.Share("s3"))
+		if m.Update(hour); m.TrafficShare("s3") != steps[0].share {
+			t.Fatal(m.TrafficShare("s3"))
 		}
 		return m
 	}
 	m := lose()
-	if m.List("s3", 0); m.Share("s3") == 1 {
+	if m.Add("s3", 0); m.TrafficShare("s3") == 1 {
 		t.Error("listed again, and forgotten")
 	}
-	if m.List("s3", hour); m.Share("s3") != 1 {
+	if m.Add("s3", hour); m.TrafficShare("s3") != 1 {
 		t.Error("a new process has the share of the old")
 	}
 	m = lose()
-	if m.Drop("s3"); m.Share("s3") != 1 || len(m.tell) != 0 {
+	if m.Remove("s3"); m.TrafficShare("s3") != 1 || len(m.tell) != 0 {
 		t.Error("dropped, and known")
 	}
 	m = lose()
-	if m.Keep(func(id string) bool { return id == "s4" }); len(m.order) != 1 || len(m.servers) != 1 {
+	if m.Retain(func(id string) bool { return id == "s4" }); len(m.order) != 1 || len(m.servers) != 1 {
 		t.Errorf("%d kept", len(m.order))
 	}
 	// Nobody tries it: it is let in a little, and left again by one loss.
 	m = lose()
-	if changed := m.Changes(hour + 13*time.Second); len(changed) != 1 || m.Share("s3") != steps[1].share {
-		t.Errorf("%v, share %v", changed, m.Share("s3"))
+	if changed := m.Update(hour + 13*time.Second); len(changed) != 1 || m.TrafficShare("s3") != steps[1].share {
+		t.Errorf("%v, share %v", changed, m.TrafficShare("s3"))
 	}
-	m.AttemptEnded(hour+14*time.Second, "s3", hour+13*time.Second, Lost)
-	if m.Changes(hour + 14*time.Second); m.Share("s3") != steps[0].share {
-		t.Errorf("share %v", m.Share("s3"))
+	m.AttemptEnded(hour+14*time.Second, "s3", hour+13*time.Second, Failed)
+	if m.Update(hour + 14*time.Second); m.TrafficShare("s3") != steps[0].share {
+		t.Errorf("share %v", m.TrafficShare("s3"))
 	}
 }
 
@@ -221,23 +221,23 @@
 func TestWordsKeepToTheirBudget(t *testing.T) {
 	m := New(rules)
 	for i := range 120 {
-		m.List(fmt.Sprint("s", i), 0)
-		m.AttemptEnded(hour, fmt.Sprint("s", i), hour, Lost)
+		m.Add(fmt.Sprint("s", i), 0)
+		m.AttemptEnded(hour, fmt.Sprint("s", i), hour, Failed)
 	}
-	if m.Word(hour) != nil {
+	if m.NextMessage(hour) != nil {
 		t.Fatal("a word that nothing earned")
 	}
 	told, sent := 0, 0
 	for now := hour; told < 120; now += ms {
-		m.Earn(1)
-		if text := m.Word(now); text != nil {
+		m.AccrueBudget(1)
+		if text := m.NextMessage(now); text != nil {
 			_, _, remarks, ok := readWord(now, text)
-			if !ok || len(text) > gossip.Most {
+			if !ok || len(text) > gossip.MaxMessageBytes {
 				t.Fatalf("%d bytes, read %v", len(text), ok)
 			}
-			told, sent = told+len(remarks), sent+len(text)*(rules.Mixers-1)
+			told, sent = told+len(remarks), sent+len(text)*(rules.Aggregators-1)
 		}
-		if most := tellShare * gossip.Most * float64((now-hour)/ms+1); float64(sent) > most {
+		if most := tellShare * gossip.MaxMessageBytes * float64((now-hour)/ms+1); float64(sent) > most {
 			t.Fatalf("%d bytes delivered, %v earned", sent, most)
 		}
 	}
@@ -265,41 +265,41 @@
 			case 0:
 				now += time.Duration(ops[i+1]) * 40 * ms
 			case 1:
-				m.AttemptEnded(now, id, now-ms, Lost)
+				m.AttemptEnded(now, id, now-ms, Failed)
 			case 2:
-				m.AttemptEnded(now, id, now-ms, Served)
+				m.AttemptEnded(now, id, now-ms, Answered)
 			case 3:
-				m.AttemptEnded(now, id, now-time.Second, CalledOff)
+				m.AttemptEnded(now, id, now-time.Second, Canceled)
 			case 4:
-				m.Earn(int(ops[i+1]))
-				if text := m.Word(now); text != nil {
+				m.AccrueBudget(int(ops[i+1]))
+				if text := m.NextMessage(now); text != nil {
 					_, _, remarks, ok := readWord(now, text)
-					want := other.Heard // and those of them that the other lists: s0 to s19
+					want := other.ObservationsReceived // and those of them that the other lists: s0 to s19
 					for _, r := range remarks {
 						if other.servers[r.key] != nil {
 							want++
 						}
 					}
-					if other.Hear(now, text); !ok || len(remarks) == 0 || other.Heard != want {
-						t.Fatalf("%d remarks read, %d heard in all, want %d", len(remarks), other.Heard, want)
+					if other.Receive(now, text); !ok || len(remarks) == 0 || other.ObservationsReceived != want {
+						t.Fatalf("%d remarks read, %d heard in all, want %d", len(remarks), other.ObservationsReceived, want)
 					}
 				}
 			case 5:
-				m.Drop(id)
+				m.Remove(id)
 				delete(listed, id)
 			case 6:
-				m.List(id, now)
+				m.Add(id, now)
 				listed[id] = true
 			case 7:
-				m.Hear(now, writeWord(now, 0, []remark{{gossip.Key(id), int(ops[i+1] % 16), int(ops[i+1] / 16)}}))
+				m.Receive(now, writeWord(now, 0, []remark{{gossip.ServerKey(id), int(ops[i+1] % 16), int(ops[i+1] / 16)}}))
 			}
-			m.Changes(now)
+			m.Update(now)
 			if len(m.order) != len(listed) || len(m.servers) != len(listed) || len(m.tell) > len(listed) {
 				t.Fatalf("%d listed, %d and %d known, %d to tell", len(listed), len(m.order), len(m.servers), len(m.tell))
 			}
 			for i := range 24 {
 				id, ok := fmt.Sprint("s", i), false
-				share := m.Share(id)
+				share := m.TrafficShare(id)
 				for _, s := range steps {
 					ok = ok || share == s.share
 				}
@@ -317,7 +317,7 @@
 	f.Add([]byte("L noise"))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		age, zone, remarks, ok := readWord(hour, text)
-		if ok != Reads(text) {
+		if ok != IsMessage(text) {
 			t.Fatal("read, and not a word")
 		}
 		if ok && string(writeWord(hour-age, zone, remarks)) != string(text) {
--- a/internal/control/outlier/word.go
+++ b/internal/control/outlier/word.go
@@ -18,21 +18,21 @@
 }
 
 func writeWord(now time.Duration, zone int, remarks []remark) []byte {
-	var said []gossip.Remark
+	var said []gossip.Observation
 	for _, r := range remarks {
-		said = append(said, gossip.Remark{Key: r.key, Said: byte(min(r.lost, countMost)<<4 | min(r.served, countMost))})
+		said = append(said, gossip.Observation{Key: r.key, Value: byte(min(r.lost, countMost)<<4 | min(r.served, countMost))})
 	}
-	return gossip.WriteRemarks(wordKind, now, zone, said)
+	return gossip.EncodeObservations(wordKind, now, zone, said)
 }
 
-// Reads says whether text is a word of this kind.
-func Reads(text []byte) bool { return gossip.HasRemarks(wordKind, text) }
+// IsMessage says whether text is a word of this kind.
+func IsMessage(text []byte) bool { return gossip.IsObservations(wordKind, text) }
 
 // readWord reads a word and how long ago it was sent: negative where the sender's clock is ahead.
 func readWord(now time.Duration, text []byte) (age time.Duration, zone int, remarks []remark, ok bool) {
-	age, zone, said, ok := gossip.ReadRemarks(wordKind, now, text)
+	age, zone, said, ok := gossip.DecodeObservations(wordKind, now, text)
 	for _, r := range said {
-		remarks = append(remarks, remark{r.Key, int(r.Said >> 4), int(r.Said & countMost)})
+		remarks = append(remarks, remark{r.Key, int(r.Value >> 4), int(r.Value & countMost)})
 	}
 	return age, zone, remarks, ok
 }
--- a/internal/control/readiness/readiness.go
+++ b/internal/control/readiness/readiness.go
@@ -24,71 +24,71 @@
 
 func (s State) String() string { return [...]string{"up", "degraded", "down"}[s] }
 
-// BaseFacts are how one database stands: which of its blocks have a holder that may be expected to answer.
-type BaseFacts struct {
-	Name    string
-	Blocks  int
-	Lost    []int   // blocks without a usable holder for searches
-	Closed  []int   // blocks without one for corrections; only where the database takes any
-	Floor   float64 // least share of blocks for an answer
-	Suspect string  // what the servers' state rests on, if that is doubtful
+// DatabaseSnapshot are how one database stands: which of its blocks have a holder that may be expected to answer.
+type DatabaseSnapshot struct {
+	Name                  string
+	Shards                int
+	SearchUnavailable     []int   // blocks without a usable holder for searches
+	CorrectionUnavailable []int   // blocks without one for corrections; only where the database takes any
+	MinCoverage           float64 // least share of blocks for an answer
+	Caveat                string  // what the servers' state rests on, if that is doubtful
 }
 
-// Facts are those of one moment.
-type Facts struct {
-	Draining       bool // told to end
-	Open, Most     int  // queries and parts held, and the most there may be; Most 0: not limited
-	Taken, Refused uint64
-	Lag            time.Duration // by which the loop is late
-	Memory, Limit  uint64        // bytes; Limit 0: not limited
-	Bases          []BaseFacts
+// Snapshot are those of one moment.
+type Snapshot struct {
+	Draining                bool // told to end
+	InFlight, MaxInFlight   int  // queries and parts held, and the most there may be; Most 0: not limited
+	Received, Rejected      uint64
+	LoopLag                 time.Duration // by which the loop is late
+	MemoryUsed, MemoryLimit uint64        // bytes; Limit 0: not limited
+	Databases               []DatabaseSnapshot
 }
 
-// Base is the word on one database.
-type Base struct {
-	Name   string `json:"database"`
-	State  State  `json:"-"`
-	Said   string `json:"state"`
-	Reason string `json:"reason,omitempty"`
+// DatabaseReport is the word on one database.
+type DatabaseReport struct {
+	Name      string `json:"database"`
+	State     State  `json:"-"`
+	StateText string `json:"state"`
+	Reason    string `json:"reason,omitempty"`
 }
 
-// Word is what the mixer says of itself.
-type Word struct {
-	At      time.Time `json:"at"`
-	State   State     `json:"-"`
-	Said    string    `json:"state"`
-	Drain   bool      `json:"drain"`
-	Weight  int       `json:"weight"` // percent, 1 to 100
-	Reasons []string  `json:"reasons,omitempty"`
-	Bases   []Base    `json:"databases"`
+// Report is what the mixer says of itself.
+type Report struct {
+	At        time.Time        `json:"at"`
+	State     State            `json:"-"`
+	StateText string           `json:"state"`
+	Draining  bool             `json:"drain"`
+	Weight    int              `json:"weight"` // percent, 1 to 100
+	Reasons   []string         `json:"reasons,omitempty"`
+	Databases []DatabaseReport `json:"databases"`
 }
 
-// Base finds the word on a database by its name, in any case of letters.
-func (w *Word) Base(name string) *Base {
-	for i := range w.Bases {
-		if strings.EqualFold(w.Bases[i].Name, name) {
-			return &w.Bases[i]
+// Database finds the word on a database by its name, in any case of letters.
+func (w *Report) Database(name string) *DatabaseReport {
+	for i := range w.Databases {
+		if strings.EqualFold(w.Databases[i].Name, name) {
+			return &w.Databases[i]
 		}
 	}
 	return nil
 }
 
-// Rules are the figures of the word.
-type Rules struct {
-	Worse  time.Duration // how long a cause stands before the word gets worse
-	Better time.Duration // and before it gets better
-	Free   float64       // share of Most that may be held before the weight falls
-	Lag    time.Duration // of the loop, at which the weight is a half
-	Window time.Duration // over which refusals count
-	Rise   float64       // of the weight, a second
-	Step   float64       // weights are told in steps of it
+// Config are the figures of the word.
+type Config struct {
+	DegradeDelay        time.Duration // how long a cause stands before the word gets worse
+	RecoverDelay        time.Duration // and before it gets better
+	FreeShare           float64       // share of Most that may be held before the weight falls
+	HalfWeightLag       time.Duration // of the loop, at which the weight is a half
+	RejectionWindow     time.Duration // over which refusals count
+	WeightRisePerSecond float64       // of the weight, a second
+	WeightStep          float64       // weights are told in steps of it
 }
 
-// Defaults are the usual rules.
-func Defaults() Rules {
-	return Rules{
-		Worse: 100 * time.Millisecond, Better: 300 * time.Millisecond, Free: 0.5, Lag: 100 * time.Millisecond,
-		Window: time.Second, Rise: 0.5, Step: 0.05,
+// DefaultConfig are the usual rules.
+func DefaultConfig() Config {
+	return Config{
+		DegradeDelay: 100 * time.Millisecond, RecoverDelay: 300 * time.Millisecond, FreeShare: 0.5, HalfWeightLag: 100 * time.Millisecond,
+		RejectionWindow: time.Second, WeightRisePerSecond: 0.5, WeightStep: 0.05,
 	}
 }
 
@@ -101,7 +101,7 @@
 }
 
 // step takes what a moment shows and returns what is to be said.
-func (d *damped) step(at time.Time, s State, reason string, r Rules) {
+func (d *damped) step(at time.Time, s State, reason string, r Config) {
 	if !d.begun {
 		d.begun, d.now, d.reason = true, s, reason
 	}
@@ -112,9 +112,9 @@
 	if s != d.want {
 		d.want, d.since = s, at
 	}
-	wait := r.Better
+	wait := r.RecoverDelay
 	if s > d.now {
-		wait = r.Worse
+		wait = r.DegradeDelay
 	}
 	if at.Sub(d.since) >= wait {
 		d.now, d.reason = s, reason
@@ -127,9 +127,9 @@
 	taken, refused uint64
 }
 
-// Judge makes words of facts. It is owned by one goroutine.
-type Judge struct {
-	rules   Rules
+// Evaluator makes words of facts. It is owned by one goroutine.
+type Evaluator struct {
+	rules   Config
 	whole   damped
 	bases   map[string]*damped
 	samples []sample
@@ -138,14 +138,14 @@
 }
 
 // New returns a Judge that has said nothing yet.
-func New(r Rules) *Judge { return &Judge{rules: r, bases: map[string]*damped{}, weight: 1} }
+func New(r Config) *Evaluator { return &Evaluator{rules: r, bases: map[string]*damped{}, weight: 1} }
 
-// Judge takes the facts of a moment and returns the word. Moments come in order, at least every Worse.
-func (j *Judge) Judge(now time.Time, f Facts) Word {
-	w := Word{At: now, Drain: f.Draining}
+// Evaluate takes the facts of a moment and returns the word. Moments come in order, at least every Worse.
+func (j *Evaluator) Evaluate(now time.Time, f Snapshot) Report {
+	w := Report{At: now, Draining: f.Draining}
 	named := map[string]bool{}
 	states := [3]int{}
-	for _, b := range f.Bases {
+	for _, b := range f.Databases {
 		d := j.bases[b.Name]
 		if d == nil {
 			d = &damped{}
@@ -154,7 +154,7 @@
 		named[b.Name] = true
 		s, reason := judgeBase(b)
 		d.step(now, s, reason, j.rules)
-		w.Bases = append(w.Bases, Base{b.Name, d.now, d.now.String(), d.reason})
+		w.Databases = append(w.Databases, DatabaseReport{b.Name, d.now, d.now.String(), d.reason})
 		states[d.now]++
 		if d.reason != "" {
 			w.Reasons = append(w.Reasons, b.Name+": "+d.reason)
@@ -167,38 +167,38 @@
 	}
 	// The databases are damped each; the whole follows them at once.
 	switch {
-	case len(f.Bases) > 0 && states[Down] == len(f.Bases):
+	case len(f.Databases) > 0 && states[Down] == len(f.Databases):
 		w.State = Down
 	case states[Down]+states[Degraded] > 0:
 		w.State = Degraded
 	}
 	load, why := j.headroom(now, f)
-	w.Weight = max(1, int(math.Round(load/j.rules.Step)*j.rules.Step*100+0.5))
+	w.Weight = max(1, int(math.Round(load/j.rules.WeightStep)*j.rules.WeightStep*100+0.5))
 	w.Reasons = append(w.Reasons, why...)
 	if f.Draining {
 		w.Reasons = append(w.Reasons, "shutting down")
 	}
-	w.Said = w.State.String()
+	w.StateText = w.State.String()
 	return w
 }
 
-func judgeBase(b BaseFacts) (State, string) {
+func judgeBase(b DatabaseSnapshot) (State, string) {
 	share := 1.0
-	if b.Blocks > 0 {
-		share = 1 - float64(len(b.Lost))/float64(b.Blocks)
+	if b.Shards > 0 {
+		share = 1 - float64(len(b.SearchUnavailable))/float64(b.Shards)
 	}
 	reason := ""
 	switch {
-	case len(b.Lost) > 0:
-		reason = "no usable holder of block " + list(b.Lost)
-	case len(b.Closed) > 0:
-		reason = "no usable holder for corrections of block " + list(b.Closed)
+	case len(b.SearchUnavailable) > 0:
+		reason = "no usable holder of block " + list(b.SearchUnavailable)
+	case len(b.CorrectionUnavailable) > 0:
+		reason = "no usable holder for corrections of block " + list(b.CorrectionUnavailable)
 	}
-	if reason != "" && b.Suspect != "" {
-		reason += " (" + b.Suspect + ")"
+	if reason != "" && b.Caveat != "" {
+		reason += " (" + b.Caveat + ")"
 	}
 	switch {
-	case share < b.Floor-1e-9 || share <= 0:
+	case share < b.MinCoverage-1e-9 || share <= 0:
 		return Down, reason
 	case reason != "":
 		return Degraded, reason
@@ -223,7 +223,7 @@
 }
 
 // headroom is how much more can be taken, 0 to 1: it falls at once and rises slowly.
-func (j *Judge) headroom(now time.Time, f Facts) (float64, []string) {
+func (j *Evaluator) headroom(now time.Time, f Snapshot) (float64, []string) {
 	room, why := 1.0, []string(nil)
 	least := func(v float64, reason string) {
 		v = min(1, max(0, v))
@@ -232,24 +232,24 @@
 		}
 		room = min(room, v)
 	}
-	if f.Most > 0 {
-		held := float64(f.Open) / float64(f.Most)
-		least((1-held)/(1-j.rules.Free), fmt.Sprintf("%d of %d queries and parts held", f.Open, f.Most))
+	if f.MaxInFlight > 0 {
+		held := float64(f.InFlight) / float64(f.MaxInFlight)
+		least((1-held)/(1-j.rules.FreeShare), fmt.Sprintf("%d of %d queries and parts held", f.InFlight, f.MaxInFlight))
 	}
-	least(1/(1+float64(f.Lag)/float64(j.rules.Lag)), fmt.Sprintf("the loop is %v late", f.Lag.Round(time.Millisecond)))
-	if f.Limit > 0 {
-		least(4*(1-float64(f.Memory)/float64(f.Limit)), fmt.Sprintf("%d of %d MB used", f.Memory>>20, f.Limit>>20))
+	least(1/(1+float64(f.LoopLag)/float64(j.rules.HalfWeightLag)), fmt.Sprintf("the loop is %v late", f.LoopLag.Round(time.Millisecond)))
+	if f.MemoryLimit > 0 {
+		least(4*(1-float64(f.MemoryUsed)/float64(f.MemoryLimit)), fmt.Sprintf("%d of %d MB used", f.MemoryUsed>>20, f.MemoryLimit>>20))
 	}
-	j.samples = append(j.samples, sample{now, f.Taken, f.Refused})
-	for len(j.samples) > 2 && now.Sub(j.samples[1].at) >= j.rules.Window {
+	j.samples = append(j.samples, sample{now, f.Received, f.Rejected})
+	for len(j.samples) > 2 && now.Sub(j.samples[1].at) >= j.rules.RejectionWindow {
 		j.samples = j.samples[1:]
 	}
 	first := j.samples[0]
-	if taken, refused := f.Taken-first.taken, f.Refused-first.refused; taken >= 4 && refused > 0 {
+	if taken, refused := f.Received-first.taken, f.Rejected-first.refused; taken >= 4 && refused > 0 {
 		least(1-float64(refused)/float64(taken), fmt.Sprintf("%d of the last %d queries refused", refused, taken))
 	}
 	if !j.at.IsZero() {
-		room = min(room, j.weight+j.rules.Rise*max(0, now.Sub(j.at).Seconds()))
+		room = min(room, j.weight+j.rules.WeightRisePerSecond*max(0, now.Sub(j.at).Seconds()))
 	}
 	j.weight, j.at = room, now
 	return room, why
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -26,39 +26,39 @@
 // starving, however long the higher have work.
 var turns = [priorities]int{8, 4, 1}
 
-// Pace is what a task last showed.
-type Pace int
+// Result is what a task last showed.
+type Result int
 
 const (
-	Steady  Pace = iota // as before: the usual interval
-	Changed             // something changed: the fast one for a while
-	Down                // still down: the slow one
+	Steady  Result = iota // as before: the usual interval
+	Changed               // something changed: the fast one for a while
+	Down                  // still down: the slow one
 )
 
 // Task is one piece of work that recurs.
 type Task struct {
-	Priority Priority
-	Every    time.Duration // usual interval, from one start to the next
-	Fast     time.Duration // after a change; 0: Every
-	Slow     time.Duration // while down; 0: Every
-	FastFor  int           // runs at the fast interval after a change
+	Priority     Priority
+	Interval     time.Duration // usual interval, from one start to the next
+	FastInterval time.Duration // after a change; 0: Every
+	SlowInterval time.Duration // while down; 0: Every
+	FastRuns     int           // runs at the fast interval after a change
 }
 
 // Budget bounds what runs.
 type Budget struct {
-	PerSecond float64 // starts a second, on the mean
-	Burst     int     // starts at once after a lull
-	AtOnce    int     // runs at once
-	Jitter    float64 // share of an interval by which a start may be early or late, 0 to 0.5
+	StartsPerSecond float64 // starts a second, on the mean
+	Burst           int     // starts at once after a lull
+	MaxRunning      int     // runs at once
+	Jitter          float64 // share of an interval by which a start may be early or late, 0 to 0.5
 }
 
 func (b Budget) check() error {
 	switch {
-	case !(b.PerSecond > 0):
-		return fmt.Errorf("%v starts a second: must be more than 0", b.PerSecond)
+	case !(b.StartsPerSecond > 0):
+		return fmt.Errorf("%v starts a second: must be more than 0", b.StartsPerSecond)
 	case b.Burst < 1:
 		return errors.New("a burst must be at least 1")
-	case b.AtOnce < 2:
+	case b.MaxRunning < 2:
 		return errors.New("at least 2 runs at once: work that hangs may take half of them")
 	case !(b.Jitter >= 0 && b.Jitter <= 0.5):
 		return fmt.Errorf("jitter %v: 0 to 0.5", b.Jitter)
@@ -67,13 +67,13 @@
 }
 
 // Part names a task.
-type ID int
+type TaskID int
 
 // Stats count what the schedule did.
 type Stats struct {
-	Starts, Held uint64        // Held: starts that had to wait for budget or room
-	Late         time.Duration // of the last start
-	LateMost     time.Duration
+	Starts, Delayed uint64        // Held: starts that had to wait for budget or room
+	LastDelay       time.Duration // of the last start
+	MaxDelay        time.Duration
 }
 
 type state int8
@@ -97,20 +97,20 @@
 	gen    uint32
 }
 
-// Schedule holds tasks. It is owned by one goroutine.
-type Schedule struct {
+// Scheduler holds tasks. It is owned by one goroutine.
+type Scheduler struct {
 	budget Budget
 	rng    *rand.Rand
 	timers timers.Timers
 	tasks  []task
-	free   []ID
+	free   []TaskID
 	queues [priorities][2]queue // of what is ready; [1]: slow ones
 	taken  [priorities]int      // starts in a row
 	tokens float64
 	now    time.Time
 	run    int // running
 	hung   int // of these, slow
-	starts []ID
+	starts []TaskID
 	Stats  Stats
 }
 
@@ -121,7 +121,7 @@
 }
 
 type entry struct {
-	id  ID
+	id  TaskID
 	gen uint32
 }
 
@@ -138,23 +138,23 @@
 }
 
 // New returns an empty schedule. Its chance comes from seed alone. t must be empty.
-func New(b Budget, seed uint64, start time.Time, t timers.Timers) (*Schedule, error) {
+func New(b Budget, seed uint64, start time.Time, t timers.Timers) (*Scheduler, error) {
 	if err := b.check(); err != nil {
 		return nil, fmt.Errorf("schedule: %w", err)
 	}
-	return &Schedule{
+	return &Scheduler{
 		budget: b, rng: rand.New(rand.NewPCG(seed, seed^0x5851f42d4c957f2d)), timers: t, tokens: float64(b.Burst), now: start,
 	}, nil
 }
 
 // Add takes a task. Its first run lies anywhere within first, so that tasks added together do not run together.
-func (s *Schedule) Add(now time.Time, t Task, first time.Duration) ID {
+func (s *Scheduler) Add(now time.Time, t Task, first time.Duration) TaskID {
 	s.advance(now)
-	var id ID
+	var id TaskID
 	if n := len(s.free); n > 0 {
 		id, s.free = s.free[n-1], s.free[:n-1]
 	} else {
-		id = ID(len(s.tasks))
+		id = TaskID(len(s.tasks))
 		s.tasks = append(s.tasks, task{})
 	}
 	k := &s.tasks[id]
@@ -164,13 +164,13 @@
 }
 
 // Remove forgets a task. One that runs is forgotten once it is done.
-func (s *Schedule) Remove(id ID) {
+func (s *Scheduler) Remove(id TaskID) {
 	k := &s.tasks[id]
 	switch k.state {
 	case gone:
 		return
 	case running:
-		k.again, k.Every = false, -1 // Done lets it go
+		k.again, k.Interval = false, -1 // Done lets it go
 		return
 	case waiting:
 		s.timers.Cancel(int(id))
@@ -178,14 +178,14 @@
 	s.forget(id)
 }
 
-func (s *Schedule) forget(id ID) {
+func (s *Scheduler) forget(id TaskID) {
 	s.tasks[id].state = gone
 	s.tasks[id].gen++
 	s.free = append(s.free, id)
 }
 
-// Hurry makes a task due now, before others of its priority if it is urgent. One that runs runs once more.
-func (s *Schedule) Hurry(now time.Time, id ID) {
+// RunNow makes a task due now, before others of its priority if it is urgent. One that runs runs once more.
+func (s *Scheduler) RunNow(now time.Time, id TaskID) {
 	s.advance(now)
 	switch k := &s.tasks[id]; k.state {
 	case running:
@@ -199,7 +199,7 @@
 
 // Done says that a run has ended, and what the task showed. hung: it took up its whole time, so that the next run
 // of it may only take a share of the room.
-func (s *Schedule) Done(now time.Time, id ID, pace Pace, hung bool) {
+func (s *Scheduler) Done(now time.Time, id TaskID, pace Result, hung bool) {
 	s.advance(now)
 	k := &s.tasks[id]
 	if k.state != running {
@@ -210,20 +210,20 @@
 		s.hung--
 	}
 	k.slow = hung
-	if k.Every < 0 {
+	if k.Interval < 0 {
 		s.forget(id)
 		return
 	}
 	if pace == Changed {
-		k.fast = k.FastFor
+		k.fast = k.FastRuns
 	}
-	every := k.Every
+	every := k.Interval
 	switch {
-	case k.fast > 0 && k.Fast > 0:
+	case k.fast > 0 && k.FastInterval > 0:
 		k.fast--
-		every = k.Fast
-	case pace == Down && k.Slow > 0:
-		every = k.Slow
+		every = k.FastInterval
+	case pace == Down && k.SlowInterval > 0:
+		every = k.SlowInterval
 	}
 	// From the start of this run, but never less than half an interval from its end. Guards against work that
 	// takes as long as its interval and would run all the time.
@@ -239,18 +239,18 @@
 	s.timers.Set(int(id), next)
 }
 
-func (s *Schedule) spread(d time.Duration) time.Duration {
+func (s *Scheduler) spread(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 + s.budget.Jitter*(2*s.rng.Float64()-1)))
 }
 
-func (s *Schedule) advance(now time.Time) {
+func (s *Scheduler) advance(now time.Time) {
 	if d := now.Sub(s.now); d > 0 {
-		s.tokens = min(float64(s.budget.Burst), s.tokens+s.budget.PerSecond*d.Seconds())
+		s.tokens = min(float64(s.budget.Burst), s.tokens+s.budget.StartsPerSecond*d.Seconds())
 		s.now = now
 	}
 }
 
-func (s *Schedule) enqueue(id ID) {
+func (s *Scheduler) enqueue(id TaskID) {
 	k := &s.tasks[id]
 	k.state = ready
 	p, lane := k.Priority, 0
@@ -265,14 +265,14 @@
 
 // room says whether a lane may start one more. Guards sound targets against those that hang: these may take half
 // of the room at most.
-func (s *Schedule) room(lane int) bool {
-	return s.run < s.budget.AtOnce && (lane == 0 || s.hung < s.budget.AtOnce/2)
+func (s *Scheduler) room(lane int) bool {
+	return s.run < s.budget.MaxRunning && (lane == 0 || s.hung < s.budget.MaxRunning/2)
 }
 
 // Advance returns what is to be started now, in order. The slice is good until the next call.
-func (s *Schedule) Advance(now time.Time) []ID {
+func (s *Scheduler) Advance(now time.Time) []TaskID {
 	s.advance(now)
-	s.timers.Pop(now, func(id int) { s.enqueue(ID(id)) })
+	s.timers.Pop(now, func(id int) { s.enqueue(TaskID(id)) })
 	s.starts = s.starts[:0]
 	for s.tokens >= 1 {
 		id, ok := s.pick()
@@ -288,17 +288,17 @@
 		k.state, k.begun = running, now
 		late := max(0, now.Sub(k.due))
 		s.Stats.Starts++
-		s.Stats.Late, s.Stats.LateMost = late, max(s.Stats.LateMost, late)
+		s.Stats.LastDelay, s.Stats.MaxDelay = late, max(s.Stats.MaxDelay, late)
 		s.starts = append(s.starts, id)
 	}
 	if s.waits() {
-		s.Stats.Held++
+		s.Stats.Delayed++
 	}
 	return s.starts
 }
 
 // pick takes the next ready task that has room: the highest priority, but for those whose turns are used up.
-func (s *Schedule) pick() (ID, bool) {
+func (s *Scheduler) pick() (TaskID, bool) {
 	for pass := range 2 {
 		for p := range priorities {
 			if pass == 0 && s.taken[p] >= turns[p] {
@@ -322,7 +322,7 @@
 }
 
 // waits says whether something ready could start but for tokens.
-func (s *Schedule) waits() bool {
+func (s *Scheduler) waits() bool {
 	for p := range priorities {
 		for lane := range 2 {
 			if !s.queues[p][lane].empty() && s.room(lane) {
@@ -334,10 +334,10 @@
 }
 
 // Next is when Advance should be called next if nothing else happens; ok is false if nothing is to come.
-func (s *Schedule) Next() (time.Time, bool) {
+func (s *Scheduler) Next() (time.Time, bool) {
 	t, ok := s.timers.Next()
 	if s.waits() { // for a token
-		at := s.now.Add(time.Duration((1 - s.tokens) / s.budget.PerSecond * float64(time.Second)))
+		at := s.now.Add(time.Duration((1 - s.tokens) / s.budget.StartsPerSecond * float64(time.Second)))
 		if at.Before(s.now) {
 			at = s.now
 		}
@@ -349,10 +349,10 @@
 }
 
 // Due is when a task was due to run last, or is due next.
-func (s *Schedule) Due(id ID) time.Time { return s.tasks[id].due }
+func (s *Scheduler) Due(id TaskID) time.Time { return s.tasks[id].due }
 
 // Running is the number of runs in hand.
-func (s *Schedule) Running() int { return s.run }
+func (s *Scheduler) Running() int { return s.run }
 
-// Held is the number of tasks.
-func (s *Schedule) Held() int { return len(s.tasks) - len(s.free) }
+// Len is the number of tasks.
+func (s *Scheduler) Len() int { return len(s.tasks) - len(s.free) }
--- a/internal/control/scheduler/scheduler_test.go
+++ b/internal/control/scheduler/scheduler_test.go
@@ -13,7 +13,7 @@
 
 var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func fresh(t testing.TB, b Budget) *Schedule {
+func fresh(t testing.TB, b Budget) *Scheduler {
 	t.Helper()
 	s, err := New(b, 7, origin, timers.NewWheel(origin, time.Millisecond))
 	if err != nil {
@@ -24,18 +24,18 @@
 
 // rig runs tasks in virtual time: each run takes what takes says, and ends as it says.
 type rig struct {
-	s     *Schedule
+	s     *Scheduler
 	now   time.Time
 	ends  []ending
-	log   map[ID][]time.Time
+	log   map[TaskID][]time.Time
 	most  int // runs at once
-	takes func(ID) (time.Duration, Pace, bool)
+	takes func(TaskID) (time.Duration, Result, bool)
 }
 
 type ending struct {
 	at   time.Time
-	id   ID
-	pace Pace
+	id   TaskID
+	pace Result
 	hung bool
 }
 
@@ -74,18 +74,18 @@
 	}
 }
 
-func quick(ID) (time.Duration, Pace, bool) { return time.Millisecond, Steady, false }
+func quick(TaskID) (time.Duration, Result, bool) { return time.Millisecond, Steady, false }
 
-func newRig(s *Schedule) *rig {
-	return &rig{s: s, now: origin, log: map[ID][]time.Time{}, takes: quick}
+func newRig(s *Scheduler) *rig {
+	return &rig{s: s, now: origin, log: map[TaskID][]time.Time{}, takes: quick}
 }
 
 // Tasks that were added together do not beat together, and each keeps its interval.
 func TestStartsAreSpread(t *testing.T) {
-	s := fresh(t, Budget{PerSecond: 10000, Burst: 1000, AtOnce: 1000, Jitter: 0.1})
+	s := fresh(t, Budget{StartsPerSecond: 10000, Burst: 1000, MaxRunning: 1000, Jitter: 0.1})
 	r := newRig(s)
 	for range 1000 {
-		s.Add(origin, Task{Priority: Normal, Every: 2 * time.Second}, 2*time.Second)
+		s.Add(origin, Task{Priority: Normal, Interval: 2 * time.Second}, 2*time.Second)
 	}
 	r.until(origin.Add(60 * time.Second))
 	at := map[int64]int{}
@@ -110,22 +110,22 @@
 
 // Targets that hang take half of the room at most: the sound ones among 1,000 keep their interval.
 func TestTargetsThatHangDelayNoOther(t *testing.T) {
-	s := fresh(t, Budget{PerSecond: 2000, Burst: 64, AtOnce: 64, Jitter: 0.1})
+	s := fresh(t, Budget{StartsPerSecond: 2000, Burst: 64, MaxRunning: 64, Jitter: 0.1})
 	r := newRig(s)
-	r.takes = func(id ID) (time.Duration, Pace, bool) {
+	r.takes = func(id TaskID) (time.Duration, Result, bool) {
 		if id < 900 {
 			return time.Second, Down, true
 		}
 		return 2 * time.Millisecond, Steady, false
 	}
 	for range 1000 {
-		s.Add(origin, Task{Priority: Normal, Every: 2 * time.Second}, 2*time.Second)
+		s.Add(origin, Task{Priority: Normal, Interval: 2 * time.Second}, 2*time.Second)
 	}
 	r.until(origin.Add(60 * time.Second))
 	if r.most > 64 {
 		t.Errorf("%d runs at once", r.most)
 	}
-	for id := ID(900); id < 1000; id++ {
+	for id := TaskID(900); id < 1000; id++ {
 		// All are taken for sound until their first run has hung: from then on the interval holds.
 		for i := 1; i < len(r.log[id]); i++ {
 			if gap := r.log[id][i].Sub(r.log[id][i-1]); r.log[id][i].Sub(origin) > 40*time.Second && gap > 2300*time.Millisecond {
@@ -133,7 +133,7 @@
 			}
 		}
 	}
-	for id := ID(0); id < 900; id++ { // and none of those that hang is forgotten
+	for id := TaskID(0); id < 900; id++ { // and none of those that hang is forgotten
 		if len(r.log[id]) < 2 {
 			t.Fatalf("task %d ran %d times", id, len(r.log[id]))
 		}
@@ -142,12 +142,12 @@
 
 // More work than the budget: no pile-up, the budget holds, priorities count and none starves.
 func TestBackPressure(t *testing.T) {
-	s := fresh(t, Budget{PerSecond: 100, Burst: 10, AtOnce: 50, Jitter: 0.1})
+	s := fresh(t, Budget{StartsPerSecond: 100, Burst: 10, MaxRunning: 50, Jitter: 0.1})
 	r := newRig(s)
-	kinds := map[ID]Priority{}
+	kinds := map[TaskID]Priority{}
 	for i := range 300 {
 		p := Priority(i % 3)
-		kinds[s.Add(origin, Task{Priority: p, Every: time.Second}, time.Second)] = p
+		kinds[s.Add(origin, Task{Priority: p, Interval: time.Second}, time.Second)] = p
 	}
 	r.until(origin.Add(20 * time.Second))
 	var runs [priorities]int
@@ -162,7 +162,7 @@
 	if !(runs[Urgent] > runs[Normal] && runs[Normal] > runs[Idle] && runs[Idle] >= 100) {
 		t.Errorf("runs by priority: %v", runs)
 	}
-	if s.Stats.Held == 0 {
+	if s.Stats.Delayed == 0 {
 		t.Error("nothing was held back")
 	}
 	for p := range priorities {
@@ -176,11 +176,11 @@
 
 // Fast after a change, slow while down, at once when hurried, gone when removed.
 func TestPaces(t *testing.T) {
-	s := fresh(t, Budget{PerSecond: 1000, Burst: 10, AtOnce: 4})
+	s := fresh(t, Budget{StartsPerSecond: 1000, Burst: 10, MaxRunning: 4})
 	r := newRig(s)
 	pace := Steady
-	r.takes = func(ID) (time.Duration, Pace, bool) { p := pace; return time.Millisecond, p, false }
-	id := s.Add(origin, Task{Every: time.Second, Fast: 100 * time.Millisecond, Slow: 5 * time.Second, FastFor: 3}, 0)
+	r.takes = func(TaskID) (time.Duration, Result, bool) { p := pace; return time.Millisecond, p, false }
+	id := s.Add(origin, Task{Interval: time.Second, FastInterval: 100 * time.Millisecond, SlowInterval: 5 * time.Second, FastRuns: 3}, 0)
 	count := func(d time.Duration) int {
 		before := len(r.log[id])
 		r.until(r.now.Add(d))
@@ -201,13 +201,13 @@
 		t.Errorf("%d slow runs", n)
 	}
 	before := len(r.log[id])
-	s.Hurry(r.now, id)
+	s.RunNow(r.now, id)
 	if r.until(r.now.Add(5 * time.Millisecond)); len(r.log[id]) != before+1 {
 		t.Error("a hurried task did not run")
 	}
 	s.Remove(id)
-	if n := count(time.Minute); n != 0 || s.Held() != 0 || s.Running() != 0 {
-		t.Errorf("%d runs of a removed task; %d held", n, s.Held())
+	if n := count(time.Minute); n != 0 || s.Len() != 0 || s.Running() != 0 {
+		t.Errorf("%d runs of a removed task; %d held", n, s.Len())
 	}
 	if _, ok := s.Next(); ok {
 		t.Error("something is to come of nothing")
@@ -219,14 +219,14 @@
 	f.Add(uint64(1), uint16(300))
 	f.Fuzz(func(t *testing.T, seed uint64, steps uint16) {
 		rng := rand.New(rand.NewPCG(seed, 9))
-		s := fresh(t, Budget{PerSecond: 50, Burst: 5, AtOnce: 6, Jitter: 0.3})
-		now, live, runs := origin, map[ID]bool{}, map[ID]bool{}
+		s := fresh(t, Budget{StartsPerSecond: 50, Burst: 5, MaxRunning: 6, Jitter: 0.3})
+		now, live, runs := origin, map[TaskID]bool{}, map[TaskID]bool{}
 		for range steps % 2000 {
 			now = now.Add(time.Duration(rng.IntN(200)) * time.Millisecond)
 			switch rng.IntN(4) {
 			case 0:
 				if len(live) < 40 {
-					id := s.Add(now, Task{Priority: Priority(rng.IntN(3)), Every: time.Second, Fast: 50 * time.Millisecond, FastFor: 2}, time.Second)
+					id := s.Add(now, Task{Priority: Priority(rng.IntN(3)), Interval: time.Second, FastInterval: 50 * time.Millisecond, FastRuns: 2}, time.Second)
 					if live[id] || runs[id] {
 						t.Fatalf("id %d is given twice", id)
 					}
@@ -235,7 +235,7 @@
 			case 1:
 				for id := range live {
 					if rng.IntN(2) == 0 {
-						s.Hurry(now, id)
+						s.RunNow(now, id)
 					} else {
 						s.Remove(id)
 						delete(live, id)
@@ -244,7 +244,7 @@
 				}
 			case 2:
 				for id := range runs {
-					s.Done(now, id, Pace(rng.IntN(3)), rng.IntN(2) == 0)
+					s.Done(now, id, Result(rng.IntN(3)), rng.IntN(2) == 0)
 					delete(runs, id)
 					break
 				}
@@ -263,7 +263,7 @@
 }
 
 func TestBadBudgets(t *testing.T) {
-	for _, b := range []Budget{{}, {PerSecond: 1, Burst: 1, AtOnce: 1}, {PerSecond: 1, AtOnce: 2}, {PerSecond: 1, Burst: 1, AtOnce: 2, Jitter: 2}} {
+	for _, b := range []Budget{{}, {StartsPerSecond: 1, Burst: 1, MaxRunning: 1}, {StartsPerSecond: 1, MaxRunning: 2}, {StartsPerSecond: 1, Burst: 1, MaxRunning: 2, Jitter: 2}} {
 		if s, err := New(b, 1, origin, timers.NewHeap()); err == nil {
 			t.Errorf("%+v was taken: %v", b, s)
 		}
@@ -280,7 +280,7 @@
 				if kind == "wheel" {
 					t = timers.NewWheel(origin, 5*time.Millisecond)
 				}
-				s, err := New(Budget{PerSecond: float64(n), Burst: max(10, n/20), AtOnce: max(10, n/20), Jitter: 0.1}, 7, origin, t)
+				s, err := New(Budget{StartsPerSecond: float64(n), Burst: max(10, n/20), MaxRunning: max(10, n/20), Jitter: 0.1}, 7, origin, t)
 				if err != nil {
 					b.Fatal(err)
 				}
@@ -288,7 +288,7 @@
 				runtime.GC()
 				runtime.ReadMemStats(&before)
 				for range n {
-					s.Add(origin, Task{Priority: Normal, Every: 2 * time.Second}, 2*time.Second)
+					s.Add(origin, Task{Priority: Normal, Interval: 2 * time.Second}, 2*time.Second)
 				}
 				runtime.GC()
 				runtime.ReadMemStats(&after)
--- a/internal/control/shardmap/bench_test.go
+++ b/internal/control/shardmap/bench_test.go
@@ -10,9 +10,9 @@
 )
 
 func large(n int) *Map {
-	list := make([]*Block, n)
+	list := make([]*Shard, n)
 	for i := range n {
-		b := &Block{ID: ID(i + 1), State: Serving, Holders: []Holder{{Server: fmt.Sprintf("n%d", i%1000)}, {Server: fmt.Sprintf("n%d", (i+1)%1000)}}}
+		b := &Shard{ID: ID(i + 1), State: Serving, Replicas: []Replica{{Server: fmt.Sprintf("n%d", i%1000)}, {Server: fmt.Sprintf("n%d", (i+1)%1000)}}}
 		if i > 0 {
 			b.From = Key(fmt.Sprintf("p%07d@2000", i))
 		}
@@ -29,10 +29,10 @@
 }
 
 // plain is a sorted slice: the plain structure to measure against.
-type plain []*Block
+type plain []*Shard
 
-func (p plain) at(k Key) *Block {
-	i, found := slices.BinarySearchFunc(p, k, func(b *Block, k Key) int { return compareKeys(b.From, k) })
+func (p plain) at(k Key) *Shard {
+	i, found := slices.BinarySearchFunc(p, k, func(b *Shard, k Key) int { return compareKeys(b.From, k) })
 	if !found {
 		i--
 	}
@@ -40,21 +40,21 @@
 }
 
 // split returns a slice with one block in two halves: all of it is copied.
-func (p plain) split(i int, left, right *Block) plain {
+func (p plain) split(i int, left, right *Shard) plain {
 	out := make(plain, 0, len(p)+1)
 	out = append(append(out, p[:i]...), left, right)
 	return append(out, p[i+1:]...)
 }
 
-var sink *Block
+var sink *Shard
 
 // Look-ups by key in the tree and in a sorted slice, and by id in the tree and in a map. Run with -bench . -benchmem.
 func BenchmarkLookup(b *testing.B) {
 	for _, n := range []int{100, 10_000, 1_000_000} {
 		m := large(n)
 		var flat plain
-		m.Active(func(b *Block) bool { flat = append(flat, b); return true })
-		byID := map[ID]*Block{}
+		m.Active(func(b *Shard) bool { flat = append(flat, b); return true })
+		byID := map[ID]*Shard{}
 		for _, k := range flat {
 			byID[k.ID] = k
 		}
@@ -64,9 +64,9 @@
 			keys[i] = Key(fmt.Sprintf("p%07d@2000:x", rng.IntN(n)))
 		}
 		for name, f := range map[string]func(i int){
-			"tree":    func(i int) { sink = m.At(keys[i%len(keys)]) },
+			"tree":    func(i int) { sink = m.Lookup(keys[i%len(keys)]) },
 			"slice":   func(i int) { sink = flat.at(keys[i%len(keys)]) },
-			"tree-id": func(i int) { sink = m.Block(ID(1 + i*7919%n)) },
+			"tree-id": func(i int) { sink = m.Shard(ID(1 + i*7919%n)) },
 			"map-id":  func(i int) { sink = byID[ID(1+i*7919%n)] },
 		} {
 			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
@@ -83,14 +83,14 @@
 	for _, n := range []int{100, 10_000, 1_000_000} {
 		m := large(n)
 		var flat plain
-		byID := map[ID]*Block{}
-		m.Active(func(b *Block) bool { flat = append(flat, b); byID[b.ID] = b; return true })
+		byID := map[ID]*Shard{}
+		m.Active(func(b *Shard) bool { flat = append(flat, b); byID[b.ID] = b; return true })
 		b.Run(fmt.Sprintf("tree/%d", n), func(b *testing.B) {
 			b.ReportAllocs()
 			for i := range b.N {
-				c := *m.Block(ID(1 + i*7919%n))
+				c := *m.Shard(ID(1 + i*7919%n))
 				c.Weight = 2
-				if _, err := m.Change([]*Block{&c}, nil); err != nil {
+				if _, err := m.Change([]*Shard{&c}, nil); err != nil {
 					b.Fatal(err)
 				}
 			}
@@ -102,7 +102,7 @@
 				c := *flat[k]
 				next := slices.Clone(flat)
 				next[k] = &c
-				ids := make(map[ID]*Block, n)
+				ids := make(map[ID]*Shard, n)
 				for id, b := range byID {
 					ids[id] = b
 				}
@@ -116,13 +116,13 @@
 // What pinning an epoch costs a query.
 func BenchmarkPin(b *testing.B) {
 	for _, n := range []int{1, 100, 10_000} {
-		vs, _ := NewViews(ViewRules{MostPinned: 8, MostAge: time.Minute, ColdFrom: 1})
+		vs, _ := NewViews(ViewOptions{MaxPinnedEpochs: 8, MaxPinnedAge: time.Minute, WarmupMinFraction: 1})
 		vs.Offer(origin, large(n))
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			b.ReportAllocs()
 			for range b.N {
 				v := vs.Pin()
-				sink = v.Blocks()[0]
+				sink = v.Shards()[0]
 				vs.Release(v)
 			}
 		})
@@ -142,14 +142,14 @@
 		runtime.ReadMemStats(&s)
 		return float64(s.HeapAlloc) / (1 << 20)
 	}
-	text := large(1_000_000).Print()
+	text := large(1_000_000).Encode()
 	before, at := heap(), time.Now()
 	m, err := Parse(text)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Logf("%.0f MB of text read in %v; %.0f MB of heap", float64(len(text))/(1<<20), time.Since(at), heap()-before)
-	vs, _ := NewViews(ViewRules{MostPinned: 200, MostAge: time.Hour, ColdFrom: 1})
+	vs, _ := NewViews(ViewOptions{MaxPinnedEpochs: 200, MaxPinnedAge: time.Hour, WarmupMinFraction: 1})
 	vs.Offer(origin, m)
 	loaded := heap()
 	var pins []*View
@@ -157,9 +157,9 @@
 	var offers time.Duration
 	for i := range 100 {
 		pins = append(pins, vs.Pin())
-		b := *m.Block(ID(1 + i*7919))
+		b := *m.Shard(ID(1 + i*7919))
 		b.Weight = 2
-		if m, err = m.Change([]*Block{&b}, nil); err != nil {
+		if m, err = m.Change([]*Shard{&b}, nil); err != nil {
 			t.Fatal(err)
 		}
 		begin := time.Now()
@@ -181,16 +181,16 @@
 	list := Diff(again, m)
 	t.Logf("%d differences found in %v", len(list), time.Since(at))
 	at = time.Now()
-	if err := m.Follows(again); err != nil {
+	if err := m.ValidateSuccession(again); err != nil {
 		t.Fatal(err)
 	}
 	t.Logf("followed over a gap, checked in %v", time.Since(at))
-	read, err := Parse(m.Print())
+	read, err := Parse(m.Encode())
 	if err != nil {
 		t.Fatal(err)
 	}
 	at = time.Now()
-	on := read.Onto(m)
+	on := read.ShareWith(m)
 	t.Logf("brought onto the present one in %v", time.Since(at))
 	at = time.Now()
 	if adopted, err := vs.Offer(origin, on); adopted || err != nil {
--- a/internal/control/shardmap/blocks_test.go
+++ b/internal/control/shardmap/blocks_test.go
@@ -12,9 +12,9 @@
 
 var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func held(by ...string) (list []Holder) {
+func held(by ...string) (list []Replica) {
 	for _, s := range by {
-		list = append(list, Holder{Server: s})
+		list = append(list, Replica{Server: s})
 	}
 	return list
 }
@@ -22,10 +22,10 @@
 // three blocks: up to g@2000, up to p@2000, and the rest.
 func three(t testing.TB) *Map {
 	t.Helper()
-	m, err := New("captions", 1, 4, []*Block{
-		{ID: 1, To: "g@2000", State: Serving, Holders: held("a", "b")},
-		{ID: 2, From: "g@2000", To: "p@2000", State: Serving, Weight: 3, Holders: held("a", "b")},
-		{ID: 3, From: "p@2000", State: Serving, Holders: held("b", "c")},
+	m, err := New("captions", 1, 4, []*Shard{
+		{ID: 1, To: "g@2000", State: Serving, Replicas: held("a", "b")},
+		{ID: 2, From: "g@2000", To: "p@2000", State: Serving, Weight: 3, Replicas: held("a", "b")},
+		{ID: 3, From: "p@2000", State: Serving, Replicas: held("b", "c")},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -46,7 +46,7 @@
 	}
 	m := three(t)
 	for k, want := range map[Key]ID{"": 1, "f@2000": 1, "g@1999": 1, "g@2000": 2, "p@1999": 2, "p@2000": 3, "z@9999": 3} {
-		if b := m.At(k); b.ID != want {
+		if b := m.Lookup(k); b.ID != want {
 			t.Errorf("%q is in block %d", k, b.ID)
 		}
 	}
@@ -54,34 +54,34 @@
 
 // What is no map in itself is refused, with the reason.
 func TestBadMaps(t *testing.T) {
-	good := func() []*Block {
-		return []*Block{
-			{ID: 1, To: "m@2000", State: Serving, Holders: held("a")}, {ID: 2, From: "m@2000", State: Serving, Holders: held("a")},
-			{ID: 3, From: "a@2000", To: "b@2000", State: Retiring, Holders: held("a")},
+	good := func() []*Shard {
+		return []*Shard{
+			{ID: 1, To: "m@2000", State: Serving, Replicas: held("a")}, {ID: 2, From: "m@2000", State: Serving, Replicas: held("a")},
+			{ID: 3, From: "a@2000", To: "b@2000", State: Retiring, Replicas: held("a")},
 		}
 	}
 	for i, c := range []struct {
-		change func([]*Block)
+		change func([]*Shard)
 		want   string
 	}{
-		{func(l []*Block) { l[0].To = "l@2000" }, "are in no block"},
-		{func(l []*Block) { l[0].To = "n@2000" }, "overlap"},
-		{func(l []*Block) { l[0].To = "" }, "overlap"},
-		{func(l []*Block) { l[0].From = "a@2000" }, "before"},
-		{func(l []*Block) { l[1].To = "z@2000" }, "on are in no block"},
-		{func(l []*Block) { l[1].ID = 1 }, "twice"},
-		{func(l []*Block) { l[1].ID = 9 }, "next_id"},
-		{func(l []*Block) { l[1].ID = 0 }, "over 0"},
-		{func(l []*Block) { l[1].Holders = nil }, "no holder"},
-		{func(l []*Block) { l[1].Holders = []Holder{{Server: "a", Joining: true}}; l[1].State = Moving }, "no holder"},
-		{func(l []*Block) { l[1].Holders = []Holder{{Server: "a"}, {Server: "b", Joining: true}} }, "not moving"},
-		{func(l []*Block) { l[1].Holders = held("a", "a") }, "twice"},
-		{func(l []*Block) { l[1].Holders = held("") }, "without a name"},
-		{func(l []*Block) { l[1].Holders = []Holder{{Server: "a", Since: 9}} }, "to come"},
-		{func(l []*Block) { l[1].State = "asleep" }, "asleep"},
-		{func(l []*Block) { l[1].Weight = -1 }, "weight"},
-		{func(l []*Block) { l[0].State, l[1].State = Retiring, Retiring }, "no block is active"},
-		{func(l []*Block) { l[2].To = "a@2000" }, "empty"},
+		{func(l []*Shard) { l[0].To = "l@2000" }, "are in no block"},
+		{func(l []*Shard) { l[0].To = "n@2000" }, "overlap"},
+		{func(l []*Shard) { l[0].To = "" }, "overlap"},
+		{func(l []*Shard) { l[0].From = "a@2000" }, "before"},
+		{func(l []*Shard) { l[1].To = "z@2000" }, "on are in no block"},
+		{func(l []*Shard) { l[1].ID = 1 }, "twice"},
+		{func(l []*Shard) { l[1].ID = 9 }, "next_id"},
+		{func(l []*Shard) { l[1].ID = 0 }, "over 0"},
+		{func(l []*Shard) { l[1].Replicas = nil }, "no holder"},
+		{func(l []*Shard) { l[1].Replicas = []Replica{{Server: "a", Joining: true}}; l[1].State = Migrating }, "no holder"},
+		{func(l []*Shard) { l[1].Replicas = []Replica{{Server: "a"}, {Server: "b", Joining: true}} }, "not moving"},
+		{func(l []*Shard) { l[1].Replicas = held("a", "a") }, "twice"},
+		{func(l []*Shard) { l[1].Replicas = held("") }, "without a name"},
+		{func(l []*Shard) { l[1].Replicas = []Replica{{Server: "a", ServingSince: 9}} }, "to come"},
+		{func(l []*Shard) { l[1].State = "asleep" }, "asleep"},
+		{func(l []*Shard) { l[1].Weight = -1 }, "weight"},
+		{func(l []*Shard) { l[0].State, l[1].State = Retiring, Retiring }, "no block is active"},
+		{func(l []*Shard) { l[2].To = "a@2000" }, "empty"},
 	} {
 		l := good()
 		if i == 0 {
@@ -97,17 +97,17 @@
 }
 
 // change makes the next epoch by hand, past all checks of Change.
-func change(t *testing.T, m *Map, epochs Epoch, f func(map[ID]*Block)) *Map {
+func change(t *testing.T, m *Map, epochs Epoch, f func(map[ID]*Shard)) *Map {
 	t.Helper()
-	all := map[ID]*Block{}
-	m.Every(func(b *Block) bool {
+	all := map[ID]*Shard{}
+	m.All(func(b *Shard) bool {
 		c := *b
-		c.Holders = slices.Clone(b.Holders)
+		c.Replicas = slices.Clone(b.Replicas)
 		all[b.ID] = &c
 		return true
 	})
 	f(all)
-	var list []*Block
+	var list []*Shard
 	next := m.NextID
 	for _, b := range all {
 		list = append(list, b)
@@ -123,31 +123,31 @@
 // Only legal successions are accepted; each other one is refused with its reason, and the old epoch stays.
 func TestSuccessions(t *testing.T) {
 	splitting := func(t *testing.T) *Map {
-		return change(t, three(t), 1, func(b map[ID]*Block) { b[2].State = Splitting })
+		return change(t, three(t), 1, func(b map[ID]*Shard) { b[2].State = Splitting })
 	}
 	moving := func(t *testing.T) *Map {
-		return change(t, three(t), 1, func(b map[ID]*Block) {
-			b[2].State, b[2].Holders = Moving, append(b[2].Holders, Holder{Server: "c", Joining: true})
+		return change(t, three(t), 1, func(b map[ID]*Shard) {
+			b[2].State, b[2].Replicas = Migrating, append(b[2].Replicas, Replica{Server: "c", Joining: true})
 		})
 	}
-	cut := func(b map[ID]*Block) {
+	cut := func(b map[ID]*Shard) {
 		b[2].State = Retiring
-		b[4] = &Block{ID: 4, From: "g@2000", To: "k@2000", State: Serving, Holders: held("a", "b"), Parents: []ID{2}}
-		b[5] = &Block{ID: 5, From: "k@2000", To: "p@2000", State: Serving, Holders: held("a", "b"), Parents: []ID{2}}
+		b[4] = &Shard{ID: 4, From: "g@2000", To: "k@2000", State: Serving, Replicas: held("a", "b"), Parents: []ID{2}}
+		b[5] = &Shard{ID: 5, From: "k@2000", To: "p@2000", State: Serving, Replicas: held("a", "b"), Parents: []ID{2}}
 	}
 	for name, c := range map[string]struct {
 		from   func(*testing.T) *Map
 		epochs Epoch
-		change func(map[ID]*Block)
+		change func(map[ID]*Shard)
 		want   string // empty: legal
 	}{
-		"weights":              {func(t *testing.T) *Map { return three(t) }, 1, func(b map[ID]*Block) { b[1].Weight = 9 }, ""},
+		"weights":              {func(t *testing.T) *Map { return three(t) }, 1, func(b map[ID]*Shard) { b[1].Weight = 9 }, ""},
 		"split":                {splitting, 1, cut, ""},
 		"split, not announced": {func(t *testing.T) *Map { return three(t) }, 1, cut, "from serving to retiring"},
-		"split, one half gone": {splitting, 1, func(b map[ID]*Block) { cut(b); b[5].Parents = nil }, "without parents"},
-		"split to strangers":   {splitting, 1, func(b map[ID]*Block) { cut(b); b[5].Holders = held("c") }, "did not serve its parent"},
-		"split called off":     {splitting, 1, func(b map[ID]*Block) { b[2].State = Serving }, ""},
-		"an id again": {splitting, 1, func(b map[ID]*Block) {
+		"split, one half gone": {splitting, 1, func(b map[ID]*Shard) { cut(b); b[5].Parents = nil }, "without parents"},
+		"split to strangers":   {splitting, 1, func(b map[ID]*Shard) { cut(b); b[5].Replicas = held("c") }, "did not serve its parent"},
+		"split called off":     {splitting, 1, func(b map[ID]*Shard) { b[2].State = Serving }, ""},
+		"an id again": {splitting, 1, func(b map[ID]*Shard) {
 			cut(b)
 			b[4].ID = 3
 			delete(b, 3)
@@ -155,23 +155,23 @@
 			delete(b, 4)
 			b[5].To = ""
 		}, ""},
-		"range changed": {func(t *testing.T) *Map { return three(t) }, 1, func(b map[ID]*Block) { b[1].To, b[2].From = "h@2000", "h@2000" }, "takes a new id"},
-		"gone at once":  {splitting, 1, func(b map[ID]*Block) { cut(b); delete(b, 2) }, "it has to retire first"},
-		"join": {func(t *testing.T) *Map { return three(t) }, 1, func(b map[ID]*Block) {
-			b[2].State, b[2].Holders = Moving, append(b[2].Holders, Holder{Server: "c", Joining: true})
+		"range changed": {func(t *testing.T) *Map { return three(t) }, 1, func(b map[ID]*Shard) { b[1].To, b[2].From = "h@2000", "h@2000" }, "takes a new id"},
+		"gone at once":  {splitting, 1, func(b map[ID]*Shard) { cut(b); delete(b, 2) }, "it has to retire first"},
+		"join": {func(t *testing.T) *Map { return three(t) }, 1, func(b map[ID]*Shard) {
+			b[2].State, b[2].Replicas = Migrating, append(b[2].Replicas, Replica{Server: "c", Joining: true})
 		}, ""},
-		"serve, unjoined":     {func(t *testing.T) *Map { return three(t) }, 1, func(b map[ID]*Block) { b[2].State, b[2].Holders = Moving, held("a", "b", "c") }, "without having joined"},
-		"joined serves":       {moving, 1, func(b map[ID]*Block) { b[2].Holders = append(held("a", "b"), Holder{Server: "c", Since: 3}) }, ""},
-		"serves since before": {moving, 1, func(b map[ID]*Block) { b[2].Holders = append(held("a", "b"), Holder{Server: "c", Since: 2}) }, "since epoch 3"},
-		"all old ones leave":  {moving, 1, func(b map[ID]*Block) { b[2].State, b[2].Holders = Serving, []Holder{{Server: "c", Since: 3}} }, "none of its holders held it before"},
-		"one old one leaves": {moving, 1, func(b map[ID]*Block) {
-			b[2].State, b[2].Holders = Serving, append(held("b"), Holder{Server: "c", Since: 3})
+		"serve, unjoined":     {func(t *testing.T) *Map { return three(t) }, 1, func(b map[ID]*Shard) { b[2].State, b[2].Replicas = Migrating, held("a", "b", "c") }, "without having joined"},
+		"joined serves":       {moving, 1, func(b map[ID]*Shard) { b[2].Replicas = append(held("a", "b"), Replica{Server: "c", ServingSince: 3}) }, ""},
+		"serves since before": {moving, 1, func(b map[ID]*Shard) { b[2].Replicas = append(held("a", "b"), Replica{Server: "c", ServingSince: 2}) }, "since epoch 3"},
+		"all old ones leave":  {moving, 1, func(b map[ID]*Shard) { b[2].State, b[2].Replicas = Serving, []Replica{{Server: "c", ServingSince: 3}} }, "none of its holders held it before"},
+		"one old one leaves": {moving, 1, func(b map[ID]*Shard) {
+			b[2].State, b[2].Replicas = Serving, append(held("b"), Replica{Server: "c", ServingSince: 3})
 		}, ""},
-		"leaves, not moving": {func(t *testing.T) *Map { return three(t) }, 1, func(b map[ID]*Block) { b[2].Holders = held("a") }, "a holder leaves"},
-		"joins again":        {moving, 1, func(b map[ID]*Block) { b[2].Holders[0].Joining = true }, "joins again"},
-		"moving, split":      {moving, 1, func(b map[ID]*Block) { b[2].State, b[2].Holders = Splitting, held("a", "b") }, "from moving to splitting"},
-		"gap":                {func(t *testing.T) *Map { return three(t) }, 5, func(b map[ID]*Block) { cut(b); delete(b, 2) }, ""},
-		"gap, range changed": {func(t *testing.T) *Map { return three(t) }, 5, func(b map[ID]*Block) { b[1].To, b[2].From = "h@2000", "h@2000" }, "takes a new id"},
+		"leaves, not moving": {func(t *testing.T) *Map { return three(t) }, 1, func(b map[ID]*Shard) { b[2].Replicas = held("a") }, "a holder leaves"},
+		"joins again":        {moving, 1, func(b map[ID]*Shard) { b[2].Replicas[0].Joining = true }, "joins again"},
+		"moving, split":      {moving, 1, func(b map[ID]*Shard) { b[2].State, b[2].Replicas = Splitting, held("a", "b") }, "from moving to splitting"},
+		"gap":                {func(t *testing.T) *Map { return three(t) }, 5, func(b map[ID]*Shard) { cut(b); delete(b, 2) }, ""},
+		"gap, range changed": {func(t *testing.T) *Map { return three(t) }, 5, func(b map[ID]*Shard) { b[1].To, b[2].From = "h@2000", "h@2000" }, "takes a new id"},
 	} {
 		old := c.from(t)
 		var now *Map
@@ -179,52 +179,52 @@
 			continue
 		}
 		now = change(t, old, c.epochs, c.change)
-		vs, _ := NewViews(ViewRules{MostPinned: 2, MostAge: time.Minute, ColdFrom: 1})
+		vs, _ := NewViews(ViewOptions{MaxPinnedEpochs: 2, MaxPinnedAge: time.Minute, WarmupMinFraction: 1})
 		if _, err := vs.Offer(origin, old); err != nil {
 			t.Fatal(name, err)
 		}
 		adopted, err := vs.Offer(origin, now)
-		if c.want == "" && (err != nil || !adopted) || c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want) || vs.Now() != old) {
+		if c.want == "" && (err != nil || !adopted) || c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want) || vs.Current() != old) {
 			t.Errorf("%s: %v, want %q", name, err, c.want)
 		}
 	}
 	// An id that was given before stays given, though its block is gone.
 	m := splitting(t)
 	m = change(t, m, 1, cut)
-	m = change(t, m, 1, func(b map[ID]*Block) { delete(b, 2) })
-	again := change(t, m, 1, func(b map[ID]*Block) {
-		b[2] = &Block{ID: 2, From: "g@2000", To: "k@2000", State: Serving, Holders: held("a", "b"), Parents: []ID{4}}
+	m = change(t, m, 1, func(b map[ID]*Shard) { delete(b, 2) })
+	again := change(t, m, 1, func(b map[ID]*Shard) {
+		b[2] = &Shard{ID: 2, From: "g@2000", To: "k@2000", State: Serving, Replicas: held("a", "b"), Parents: []ID{4}}
 		b[4].State = Retiring
 	})
-	if err := again.Follows(m); err == nil || !strings.Contains(err.Error(), "given before") {
+	if err := again.ValidateSuccession(m); err == nil || !strings.Contains(err.Error(), "given before") {
 		t.Error(err)
 	}
 }
 
 // Sources that go back, repeat, fork or bring another archive's map change nothing.
 func TestOffers(t *testing.T) {
-	vs, err := NewViews(ViewRules{MostPinned: 2, MostAge: time.Minute, ColdFrom: 1})
+	vs, err := NewViews(ViewOptions{MaxPinnedEpochs: 2, MaxPinnedAge: time.Minute, WarmupMinFraction: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
 	m1 := three(t)
-	m2 := change(t, m1, 1, func(b map[ID]*Block) { b[1].Weight = 2 })
-	fork := change(t, m1, 1, func(b map[ID]*Block) { b[1].Weight = 5 })
-	other := change(t, m2, 1, func(map[ID]*Block) {})
+	m2 := change(t, m1, 1, func(b map[ID]*Shard) { b[1].Weight = 2 })
+	fork := change(t, m1, 1, func(b map[ID]*Shard) { b[1].Weight = 5 })
+	other := change(t, m2, 1, func(map[ID]*Shard) {})
 	other.Archive = "other"
 	for i, c := range []struct {
 		m       *Map
 		adopted bool
 		want    error
-	}{{m1, true, nil}, {m2, true, nil}, {m2, false, nil}, {m1, false, ErrOlder}, {fork, false, ErrForked}, {other, false, ErrOther}} {
+	}{{m1, true, nil}, {m2, true, nil}, {m2, false, nil}, {m1, false, ErrStaleEpoch}, {fork, false, ErrForked}, {other, false, ErrOtherArchive}} {
 		if adopted, err := vs.Offer(origin, c.m); adopted != c.adopted || !errors.Is(err, c.want) {
 			t.Errorf("%d: %v %v", i, adopted, err)
 		}
 	}
-	if vs.Now() != m2 || vs.Stats.Older != 1 || vs.Stats.Refused != 2 || vs.Stats.Accepted != 2 {
+	if vs.Current() != m2 || vs.Stats.Stale != 1 || vs.Stats.Rejected != 2 || vs.Stats.Accepted != 2 {
 		t.Errorf("%+v", vs.Stats)
 	}
-	again, err := Parse(m2.Print())
+	again, err := Parse(m2.Encode())
 	if err != nil || !again.same(m2) || again.Epoch != 2 {
 		t.Error(err)
 	}
@@ -232,13 +232,13 @@
 
 // An epoch is let go with its last query; those held too long, or beyond the number, are to be left, each once.
 func TestPins(t *testing.T) {
-	vs, _ := NewViews(ViewRules{MostPinned: 2, MostAge: 10 * time.Second, ColdFrom: 1})
+	vs, _ := NewViews(ViewOptions{MaxPinnedEpochs: 2, MaxPinnedAge: 10 * time.Second, WarmupMinFraction: 1})
 	m, now := three(t), origin
 	vs.Offer(now, m)
 	var pins []*View
 	for range 4 {
 		pins = append(pins, vs.Pin())
-		m = change(t, m, 1, func(b map[ID]*Block) { b[1].Weight++ })
+		m = change(t, m, 1, func(b map[ID]*Shard) { b[1].Weight++ })
 		now = now.Add(time.Second)
 		if _, err := vs.Offer(now, m); err != nil {
 			t.Fatal(err)
@@ -253,7 +253,7 @@
 	if list := vs.Expired(now); len(list) != 0 {
 		t.Errorf("told again: %v", list)
 	}
-	if due := vs.Due(); !due.Equal(origin.Add(13 * time.Second)) {
+	if due := vs.NextExpiry(); !due.Equal(origin.Add(13 * time.Second)) {
 		t.Error(due)
 	}
 	if list := vs.Expired(origin.Add(13 * time.Second)); len(list) != 1 || list[0] != pins[2] {
@@ -269,15 +269,15 @@
 
 // Holders that are new to a block are cold for it, others are not.
 func TestNewHoldersAreCold(t *testing.T) {
-	vs, _ := NewViews(ViewRules{MostPinned: 2, MostAge: time.Minute, ColdFor: 16 * time.Second, ColdFrom: 0.25})
+	vs, _ := NewViews(ViewOptions{MaxPinnedEpochs: 2, MaxPinnedAge: time.Minute, WarmupPeriod: 16 * time.Second, WarmupMinFraction: 0.25})
 	m := three(t)
 	vs.Offer(origin, m)
-	p, err := PlanMove(m, 2, []string{"b", "c"}, Timing{})
+	p, err := PlanMigration(m, 2, []string{"b", "c"}, Timing{})
 	if err != nil {
 		t.Fatal(err)
 	}
 	for i := range p.Steps[:2] {
-		if m, err = p.Steps[i].Next(m); err != nil {
+		if m, err = p.Steps[i].Apply(m); err != nil {
 			t.Fatal(err)
 		}
 		if _, err := vs.Offer(origin, m); err != nil {
@@ -285,12 +285,12 @@
 		}
 	}
 	for server, want := range map[string]float64{"a": 1, "b": 1, "c": 0.25} {
-		for _, h := range m.Block(2).Servers() {
-			if h.Server == server && vs.Share(origin, h) != want {
-				t.Errorf("%s: %v", server, vs.Share(origin, h))
+		for _, h := range m.Shard(2).ServingReplicas() {
+			if h.Server == server && vs.TrafficFraction(origin, h) != want {
+				t.Errorf("%s: %v", server, vs.TrafficFraction(origin, h))
 			}
-			if h.Server == "c" && (vs.Share(origin.Add(8*time.Second), h) != 0.625 || vs.Share(origin.Add(16*time.Second), h) != 1) {
-				t.Error(vs.Share(origin.Add(8*time.Second), h))
+			if h.Server == "c" && (vs.TrafficFraction(origin.Add(8*time.Second), h) != 0.625 || vs.TrafficFraction(origin.Add(16*time.Second), h) != 1) {
+				t.Error(vs.TrafficFraction(origin.Add(8*time.Second), h))
 			}
 		}
 	}
@@ -309,30 +309,30 @@
 			n int
 		}
 		var plans []*running
-		vs, _ := NewViews(ViewRules{MostPinned: 3, MostAge: time.Minute, ColdFrom: 1})
+		vs, _ := NewViews(ViewOptions{MaxPinnedEpochs: 3, MaxPinnedAge: time.Minute, WarmupMinFraction: 1})
 		vs.Offer(origin, m)
 		for range steps % 400 {
 			var ids []ID
-			m.Active(func(b *Block) bool { ids = append(ids, b.ID); return true })
+			m.Active(func(b *Shard) bool { ids = append(ids, b.ID); return true })
 			i := rng.IntN(len(ids))
-			b := m.Block(ids[i])
+			b := m.Shard(ids[i])
 			var p *Plan
 			var err error
 			switch rng.IntN(6) {
 			case 0:
 				to := slices.Clone(servers)
 				rng.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
-				p, err = PlanMove(m, b.ID, to[:1+rng.IntN(3)], Timing{Spread: 1, Query: 1})
+				p, err = PlanMigration(m, b.ID, to[:1+rng.IntN(3)], Timing{MapPropagation: 1, MaxQueryTime: 1})
 			case 1:
 				var at []Key
 				for range 1 + rng.IntN(2) {
 					k, _ := MakeKey(string(rune('a'+rng.IntN(26))), rng.IntN(9999))
 					at = append(at, k)
 				}
-				p, err = PlanSplit(m, b.ID, at, Timing{Spread: 1, Query: 1})
+				p, err = PlanSplit(m, b.ID, at, Timing{MapPropagation: 1, MaxQueryTime: 1})
 			case 2:
 				if i+1 < len(ids) {
-					p, err = PlanMerge(m, ids[i:i+2], Timing{Spread: 1, Query: 1})
+					p, err = PlanMerge(m, ids[i:i+2], Timing{MapPropagation: 1, MaxQueryTime: 1})
 				}
 			default:
 				if len(plans) == 0 {
@@ -340,7 +340,7 @@
 				}
 				k := rng.IntN(len(plans))
 				r := plans[k]
-				next, err := r.p.Steps[r.n].Next(m)
+				next, err := r.p.Steps[r.n].Apply(m)
 				if err != nil {
 					if !strings.Contains(err.Error(), "given since") {
 						t.Fatalf("%s, step %d: %v", r.p.What, r.n, err)
@@ -351,17 +351,17 @@
 				if _, err := vs.Offer(origin, next); err != nil {
 					t.Fatalf("%s, step %d: %v", r.p.What, r.n, err)
 				}
-				whole, err := Parse(next.Print()) // made whole, it is as it was made by changes
-				if err != nil || !whole.same(next) || whole.Len() != next.Len() || fmt.Sprint(whole.weight) == "NaN" {
+				whole, err := Parse(next.Encode()) // made whole, it is as it was made by changes
+				if err != nil || !whole.same(next) || whole.ActiveCount() != next.ActiveCount() || fmt.Sprint(whole.weight) == "NaN" {
 					t.Fatalf("%s, step %d: %v", r.p.What, r.n, err)
 				}
-				on := whole.Onto(m) // as a source brings it
-				if !on.same(next) || !next.same(on) || on.Len() != next.Len() || on.Follows(m) != nil || !slices.EqualFunc((&View{Map: on}).Blocks(), (&View{Map: next}).Blocks(), (*Block).equal) {
+				on := whole.ShareWith(m) // as a source brings it
+				if !on.same(next) || !next.same(on) || on.ActiveCount() != next.ActiveCount() || on.ValidateSuccession(m) != nil || !slices.EqualFunc((&View{Map: on}).Shards(), (&View{Map: next}).Shards(), (*Shard).equal) {
 					t.Fatalf("%s, step %d: shared, it is another", r.p.What, r.n)
 				}
 				m = next
-				if r.n++; r.p.Done(m) != r.n {
-					t.Fatalf("%s: %d steps are done, and %d are found", r.p.What, r.n, r.p.Done(m))
+				if r.n++; r.p.StepsDone(m) != r.n {
+					t.Fatalf("%s: %d steps are done, and %d are found", r.p.What, r.n, r.p.StepsDone(m))
 				}
 				if r.n == len(r.p.Steps) {
 					plans = slices.Delete(plans, k, k+1)
@@ -369,7 +369,7 @@
 			}
 			if err == nil && p != nil {
 				// Two plans for one block, or one that does nothing, would stand in each other's way.
-				next, err := p.Steps[0].Next(m)
+				next, err := p.Steps[0].Apply(m)
 				if err != nil {
 					t.Fatalf("%s: %v", p.What, err)
 				}
@@ -385,13 +385,13 @@
 
 func TestPlansRefuse(t *testing.T) {
 	m := three(t)
-	busy := change(t, m, 1, func(b map[ID]*Block) { b[2].State = Splitting })
+	busy := change(t, m, 1, func(b map[ID]*Shard) { b[2].State = Splitting })
 	for name, err := range map[string]error{
-		"not there":    second(PlanMove(m, 9, []string{"a"}, Timing{})),
-		"no holder":    second(PlanMove(m, 2, nil, Timing{})),
-		"twice":        second(PlanMove(m, 2, []string{"c", "c"}, Timing{})),
-		"already":      second(PlanMove(m, 2, []string{"b", "a"}, Timing{})),
-		"under way":    second(PlanMove(busy, 2, []string{"c"}, Timing{})),
+		"not there":    second(PlanMigration(m, 9, []string{"a"}, Timing{})),
+		"no holder":    second(PlanMigration(m, 2, nil, Timing{})),
+		"twice":        second(PlanMigration(m, 2, []string{"c", "c"}, Timing{})),
+		"already":      second(PlanMigration(m, 2, []string{"b", "a"}, Timing{})),
+		"under way":    second(PlanMigration(busy, 2, []string{"c"}, Timing{})),
 		"no key":       second(PlanSplit(m, 2, nil, Timing{})),
 		"does not":     second(PlanSplit(m, 2, []Key{"z@2000"}, Timing{})),
 		"order":        second(PlanSplit(m, 2, []Key{"k@2000", "h@2000"}, Timing{})),
@@ -410,53 +410,53 @@
 
 // Words of servers: each has its outcome.
 func TestTurnedAway(t *testing.T) {
-	vs, _ := NewViews(ViewRules{MostPinned: 2, MostAge: time.Minute, ColdFrom: 1})
+	vs, _ := NewViews(ViewOptions{MaxPinnedEpochs: 2, MaxPinnedAge: time.Minute, WarmupMinFraction: 1})
 	m1 := three(t)
 	vs.Offer(origin, m1)
-	flight := func(safe bool, servers ...string) *Flight {
-		return &Flight{View: vs.now, Safe: safe, Parts: []Part{{Block: 2, Servers: servers}}}
+	flight := func(safe bool, servers ...string) *QueryPlacement {
+		return &QueryPlacement{View: vs.now, Idempotent: safe, Parts: []Part{{Shard: 2, Servers: servers}}}
 	}
 	// Another holder is left: it is asked, and the source, too.
 	f := flight(false, "a", "b")
-	if v := f.TurnedAway(vs, 0, "a", NotMine, 2, vs.Heard(origin, 2)); v != (Verdict{Drop: true, Ask: true}) || !slices.Equal(f.Parts[0].Servers, []string{"b"}) {
+	if v := f.Rejected(vs, 0, "a", NotHeld, 2, vs.ObserveEpoch(origin, 2)); v != (Decision{DropServer: true, RequestMap: true}) || !slices.Equal(f.Parts[0].Servers, []string{"b"}) {
 		t.Errorf("%+v %v", v, f.Parts)
 	}
 	// Nobody is left: a newer map may be on its way.
-	if v := f.TurnedAway(vs, 0, "b", NotMine, 2, vs.Heard(origin, 2)); v != (Verdict{Drop: true, Wait: true}) {
+	if v := f.Rejected(vs, 0, "b", NotHeld, 2, vs.ObserveEpoch(origin, 2)); v != (Decision{DropServer: true, AwaitMap: true}) {
 		t.Errorf("%+v", v)
 	}
 	// The source knows of none: no wait.
-	vs.Same(origin)
-	if v := f.Stranded(vs); v != (Verdict{}) {
+	vs.SourceUnchanged(origin)
+	if v := f.ViewUnusable(vs); v != (Decision{}) {
 		t.Errorf("%+v", v)
 	}
 	// It serves the block by the map that both know: a lie.
 	f = flight(true, "a", "b")
-	if v := f.TurnedAway(vs, 0, "a", NotMine, 1, vs.Heard(origin, 1)); !v.Lie || v.Ask {
+	if v := f.Rejected(vs, 0, "a", NotHeld, 1, vs.ObserveEpoch(origin, 1)); !v.FalseRejection || v.RequestMap {
 		t.Errorf("%+v", v)
 	}
 	// A newer map is there: the query begins anew, unless something of it may have run, or it is in its second step,
 	// or has begun anew too often.
-	m2 := change(t, m1, 1, func(b map[ID]*Block) { b[1].Weight = 2 })
+	m2 := change(t, m1, 1, func(b map[ID]*Shard) { b[1].Weight = 2 })
 	old := vs.Pin()
 	vs.Offer(origin, m2)
 	for name, c := range map[string]struct {
-		f    Flight
+		f    QueryPlacement
 		want bool
 	}{
-		"safe":           {Flight{Safe: true, Parts: []Part{{Block: 2, MayRun: true}}}, true},
-		"never ran":      {Flight{Parts: []Part{{Block: 2}}}, true},
-		"may have run":   {Flight{Parts: []Part{{Block: 2, MayRun: true}}}, false},
-		"another has":    {Flight{Parts: []Part{{Block: 2}, {Block: 3, In: true}}}, false},
-		"second step":    {Flight{Safe: true, Second: true, Parts: []Part{{Block: 2}}}, false},
-		"too often":      {Flight{Safe: true, Restarts: MostRestarts, Parts: []Part{{Block: 2}}}, false},
-		"turned away":    {Flight{Parts: []Part{{Block: 2, Servers: []string{"a"}}}}, true},
-		"others to ask":  {Flight{Safe: true, Parts: []Part{{Block: 2, Servers: []string{"a", "b"}}}}, false},
-		"ran, and away":  {Flight{Parts: []Part{{Block: 2, MayRun: true, Servers: []string{"a"}}}}, false},
-		"is in, and low": {Flight{Safe: true, Parts: []Part{{Block: 2, In: true, Servers: []string{"a"}}}}, false},
+		"safe":           {QueryPlacement{Idempotent: true, Parts: []Part{{Shard: 2, MayHaveRun: true}}}, true},
+		"never ran":      {QueryPlacement{Parts: []Part{{Shard: 2}}}, true},
+		"may have run":   {QueryPlacement{Parts: []Part{{Shard: 2, MayHaveRun: true}}}, false},
+		"another has":    {QueryPlacement{Parts: []Part{{Shard: 2}, {Shard: 3, Answered: true}}}, false},
+		"second step":    {QueryPlacement{Idempotent: true, SecondStep: true, Parts: []Part{{Shard: 2}}}, false},
+		"too often":      {QueryPlacement{Idempotent: true, Restarts: MaxRestarts, Parts: []Part{{Shard: 2}}}, false},
+		"turned away":    {QueryPlacement{Parts: []Part{{Shard: 2, Servers: []string{"a"}}}}, true},
+		"others to ask":  {QueryPlacement{Idempotent: true, Parts: []Part{{Shard: 2, Servers: []string{"a", "b"}}}}, false},
+		"ran, and away":  {QueryPlacement{Parts: []Part{{Shard: 2, MayHaveRun: true, Servers: []string{"a"}}}}, false},
+		"is in, and low": {QueryPlacement{Idempotent: true, Parts: []Part{{Shard: 2, Answered: true, Servers: []string{"a"}}}}, false},
 	} {
 		c.f.View = old
-		if v := c.f.TurnedAway(vs, 0, "a", NotMine, 2, false); v.Restart != c.want || v.Wait {
+		if v := c.f.Rejected(vs, 0, "a", NotHeld, 2, false); v.Restart != c.want || v.AwaitMap {
 			t.Errorf("%s: %+v", name, v)
 		}
 	}
--- a/internal/control/shardmap/file.go
+++ b/internal/control/shardmap/file.go
@@ -18,7 +18,7 @@
 	Archive string   `json:"archive"`
 	Epoch   Epoch    `json:"epoch"`
 	NextID  ID       `json:"next_id"`
-	Blocks  []*Block `json:"blocks"`
+	Blocks  []*Shard `json:"blocks"`
 }
 
 // maxFile is the longest text of a map that is read, in bytes.
@@ -41,10 +41,10 @@
 	return New(f.Archive, f.Epoch, f.NextID, f.Blocks)
 }
 
-// Print words a map as Parse reads it. Equal maps have equal text.
-func (m *Map) Print() []byte {
+// Encode words a map as Parse reads it. Equal maps have equal text.
+func (m *Map) Encode() []byte {
 	f := file{Archive: m.Archive, Epoch: m.Epoch, NextID: m.NextID}
-	m.Every(func(b *Block) bool {
+	m.All(func(b *Shard) bool {
 		f.Blocks = append(f.Blocks, b)
 		return true
 	})
@@ -52,21 +52,21 @@
 	return append(text, '\n')
 }
 
-// Difference is what changed of one block between two maps.
-type Difference struct {
+// ShardChange is what changed of one block between two maps.
+type ShardChange struct {
 	ID       ID
-	Was, Is  *Block // nil: not there
+	Was, Is  *Shard // nil: not there
 	Joined   []string
 	Left     []string
 	Promoted []string // served not, and do now
 }
 
 // Diff lists what changed from one map to another, by id.
-func Diff(old, now *Map) (list []Difference) {
-	persistentmap.Diff(old.all, now.all, func(id ID, inOld, inNow bool, was, b *Block) bool {
+func Diff(old, now *Map) (list []ShardChange) {
+	persistentmap.Diff(old.all, now.all, func(id ID, inOld, inNow bool, was, b *Shard) bool {
 		switch {
 		case !inNow:
-			list = append(list, Difference{ID: id, Was: was})
+			list = append(list, ShardChange{ID: id, Was: was})
 		case !inOld:
 			list = append(list, difference(nil, b))
 		case !was.equal(b):
@@ -77,13 +77,13 @@
 	return list
 }
 
-func difference(was, b *Block) Difference {
-	d := Difference{ID: b.ID, Was: was, Is: b}
-	for _, h := range b.Holders {
+func difference(was, b *Shard) ShardChange {
+	d := ShardChange{ID: b.ID, Was: was, Is: b}
+	for _, h := range b.Replicas {
 		had, served := false, false
 		if was != nil {
-			had = slices.ContainsFunc(was.Holders, func(o Holder) bool { return o.Server == h.Server })
-			served = was.Serves(h.Server)
+			had = slices.ContainsFunc(was.Replicas, func(o Replica) bool { return o.Server == h.Server })
+			served = was.ServedBy(h.Server)
 		}
 		switch {
 		case !had:
@@ -93,8 +93,8 @@
 		}
 	}
 	if was != nil {
-		for _, o := range was.Holders {
-			if !slices.ContainsFunc(b.Holders, func(h Holder) bool { return h.Server == o.Server }) {
+		for _, o := range was.Replicas {
+			if !slices.ContainsFunc(b.Replicas, func(h Replica) bool { return h.Server == o.Server }) {
 				d.Left = append(d.Left, o.Server)
 			}
 		}
--- a/internal/control/shardmap/plan.go
+++ b/internal/control/shardmap/plan.go
@@ -8,7 +8,7 @@
 
 // Step is one epoch of a plan: what it changes, and what has to hold before it is published.
 type Step struct {
-	Put    []*Block
+	Put    []*Shard
 	Remove []ID
 	What   string        // for people
 	Wait   time.Duration // at least, after the epoch before
@@ -19,8 +19,8 @@
 
 // Timing is what plans wait for.
 type Timing struct {
-	Spread time.Duration // until every mixer has an epoch
-	Query  time.Duration // the longest deadline of a query: after it nobody is pinned to an older epoch
+	MapPropagation time.Duration // until every mixer has an epoch
+	MaxQueryTime   time.Duration // the longest deadline of a query: after it nobody is pinned to an older epoch
 }
 
 // Plan is a reshape as a succession of epochs.
@@ -31,8 +31,8 @@
 	What    string
 }
 
-// PlanMove makes a plan that gives a block to other servers.
-func PlanMove(m *Map, id ID, to []string, t Timing) (*Plan, error) {
+// PlanMigration makes a plan that gives a block to other servers.
+func PlanMigration(m *Map, id ID, to []string, t Timing) (*Plan, error) {
 	b, err := ready(m, id)
 	if err != nil {
 		return nil, err
@@ -40,44 +40,44 @@
 	if len(to) == 0 {
 		return nil, fmt.Errorf("block %d: it would have no holder", id)
 	}
-	var joining []Holder
+	var joining []Replica
 	for i, s := range to {
 		if s == "" || slices.Contains(to[:i], s) {
 			return nil, fmt.Errorf("block %d: holder %q has no name, or stands twice", id, s)
 		}
-		if !b.Serves(s) {
-			joining = append(joining, Holder{Server: s, Joining: true})
+		if !b.ServedBy(s) {
+			joining = append(joining, Replica{Server: s, Joining: true})
 		}
 	}
 	p := &Plan{Archive: m.Archive, From: m.Epoch, What: fmt.Sprintf("move block %d %s to %v", id, b.Range(), to)}
-	stay := slices.ContainsFunc(b.Holders, func(h Holder) bool { return slices.Contains(to, h.Server) })
-	if len(joining) == 0 && len(to) == len(b.Holders) {
+	stay := slices.ContainsFunc(b.Replicas, func(h Replica) bool { return slices.Contains(to, h.Server) })
+	if len(joining) == 0 && len(to) == len(b.Replicas) {
 		return nil, fmt.Errorf("block %d: it is held by these already", id)
 	}
 	at := m.Epoch + 1
 	moving := *b
-	moving.State, moving.Holders = Moving, slices.Concat(b.Holders, joining)
-	p.Steps = append(p.Steps, Step{Put: []*Block{&moving}, What: fmt.Sprintf("block %d is moving; %s join and copy", id, names(joining))})
+	moving.State, moving.Replicas = Migrating, slices.Concat(b.Replicas, joining)
+	p.Steps = append(p.Steps, Step{Put: []*Shard{&moving}, What: fmt.Sprintf("block %d is moving; %s join and copy", id, names(joining))})
 	both := moving
 	if len(joining) > 0 {
 		at++
-		both.Holders = slices.Clone(moving.Holders)
-		for i := range both.Holders {
-			if both.Holders[i].Joining {
-				both.Holders[i] = Holder{Server: both.Holders[i].Server, Since: at}
+		both.Replicas = slices.Clone(moving.Replicas)
+		for i := range both.Replicas {
+			if both.Replicas[i].Joining {
+				both.Replicas[i] = Replica{Server: both.Replicas[i].Server, ServingSince: at}
 			}
 		}
-		p.Steps = append(p.Steps, Step{Put: []*Block{&both}, What: fmt.Sprintf("%s serve, too", names(joining)), Copied: true,
+		p.Steps = append(p.Steps, Step{Put: []*Shard{&both}, What: fmt.Sprintf("%s serve, too", names(joining)), Copied: true,
 			Why: "whoever serves has to have all of the block"})
 	}
 	done := both
-	done.State, done.Holders = Serving, nil
-	for _, h := range both.Holders {
+	done.State, done.Replicas = Serving, nil
+	for _, h := range both.Replicas {
 		if slices.Contains(to, h.Server) {
-			done.Holders = append(done.Holders, h)
+			done.Replicas = append(done.Replicas, h)
 		}
 	}
-	last := Step{Put: []*Block{&done}, What: fmt.Sprintf("block %d is held by %v", id, to), Heard: true, Wait: t.Spread,
+	last := Step{Put: []*Shard{&done}, What: fmt.Sprintf("block %d is held by %v", id, to), Heard: true, Wait: t.MapPropagation,
 		Why: "every mixer has to know the new holders before the old ones turn parts away"}
 	if !stay {
 		last.Why += "; none of the old ones stays"
@@ -98,25 +98,25 @@
 	p := &Plan{Archive: m.Archive, From: m.Epoch, What: fmt.Sprintf("split block %d %s at %q", id, b.Range(), at)}
 	splitting := *b
 	splitting.State = Splitting
-	p.Steps = append(p.Steps, Step{Put: []*Block{&splitting}, What: fmt.Sprintf("block %d is about to be split", id)})
-	put := []*Block{retired(&splitting)}
+	p.Steps = append(p.Steps, Step{Put: []*Shard{&splitting}, What: fmt.Sprintf("block %d is about to be split", id)})
+	put := []*Shard{retired(&splitting)}
 	from, next := b.From, m.NextID
 	for i := range len(at) + 1 {
 		to := b.To
 		if i < len(at) {
 			to = at[i]
 		}
-		if to != "" && to <= from || i < len(at) && (!b.Has(to) || to == b.From) {
+		if to != "" && to <= from || i < len(at) && (!b.Contains(to) || to == b.From) {
 			return nil, fmt.Errorf("block %d: %q does not cut %s, or is out of order", id, to, b.Range())
 		}
-		put = append(put, &Block{ID: next, From: from, To: to, State: Serving, Weight: b.weight() / float64(len(at)+1), Holders: slices.Clone(b.Holders), Parents: []ID{id}})
+		put = append(put, &Shard{ID: next, From: from, To: to, State: Serving, Weight: b.weight() / float64(len(at)+1), Replicas: slices.Clone(b.Replicas), Parents: []ID{id}})
 		next++
 		from = to
 	}
 	p.Steps = append(p.Steps,
-		Step{Put: put, What: fmt.Sprintf("blocks %d to %d take its place; it retires", m.NextID, next-1), Heard: true, Wait: t.Spread,
+		Step{Put: put, What: fmt.Sprintf("blocks %d to %d take its place; it retires", m.NextID, next-1), Heard: true, Wait: t.MapPropagation,
 			Why: "every node has to know of the split before anybody asks for a half"},
-		Step{Remove: []ID{id}, What: fmt.Sprintf("block %d is gone", id), Wait: t.Spread + t.Query,
+		Step{Remove: []ID{id}, What: fmt.Sprintf("block %d is gone", id), Wait: t.MapPropagation + t.MaxQueryTime,
 			Why: "queries that are pinned to it have ended by then"})
 	return p, nil
 }
@@ -126,7 +126,7 @@
 	if len(ids) < 2 {
 		return nil, fmt.Errorf("a merge takes two blocks or more")
 	}
-	var list []*Block
+	var list []*Shard
 	for i, id := range ids {
 		b, err := ready(m, id)
 		if err != nil {
@@ -137,15 +137,15 @@
 		}
 		list = append(list, b)
 	}
-	slices.SortFunc(list, func(a, b *Block) int {
+	slices.SortFunc(list, func(a, b *Shard) int {
 		if a.From < b.From {
 			return -1
 		}
 		return 1
 	})
 	p := &Plan{Archive: m.Archive, From: m.Epoch, What: fmt.Sprintf("merge blocks %v", ids)}
-	one := &Block{ID: m.NextID, From: list[0].From, To: list[len(list)-1].To, State: Serving, Holders: slices.Clone(list[0].Holders)}
-	var first, second []*Block
+	one := &Shard{ID: m.NextID, From: list[0].From, To: list[len(list)-1].To, State: Serving, Replicas: slices.Clone(list[0].Replicas)}
+	var first, second []*Shard
 	var gone []ID
 	for i, b := range list {
 		if i > 0 && list[i-1].To != b.From {
@@ -163,16 +163,16 @@
 	second = append(second, one)
 	p.Steps = []Step{
 		{Put: first, What: fmt.Sprintf("blocks %v are about to be merged", gone)},
-		{Put: second, What: fmt.Sprintf("block %d takes their place; they retire", one.ID), Heard: true, Wait: t.Spread,
+		{Put: second, What: fmt.Sprintf("block %d takes their place; they retire", one.ID), Heard: true, Wait: t.MapPropagation,
 			Why: "every node has to know of the merge before anybody asks for the whole"},
-		{Remove: gone, What: fmt.Sprintf("blocks %v are gone", gone), Wait: t.Spread + t.Query,
+		{Remove: gone, What: fmt.Sprintf("blocks %v are gone", gone), Wait: t.MapPropagation + t.MaxQueryTime,
 			Why: "queries that are pinned to them have ended by then"},
 	}
 	return p, nil
 }
 
-func ready(m *Map, id ID) (*Block, error) {
-	b := m.Block(id)
+func ready(m *Map, id ID) (*Shard, error) {
+	b := m.Shard(id)
 	switch {
 	case b == nil:
 		return nil, fmt.Errorf("block %d is not there", id)
@@ -182,25 +182,25 @@
 	return b, nil
 }
 
-func retired(b *Block) *Block {
+func retired(b *Shard) *Shard {
 	r := *b
 	r.State = Retiring
 	return &r
 }
 
-func sameServers(a, b *Block) bool {
-	if len(a.Holders) != len(b.Holders) {
+func sameServers(a, b *Shard) bool {
+	if len(a.Replicas) != len(b.Replicas) {
 		return false
 	}
-	for _, h := range a.Holders {
-		if !b.Serves(h.Server) {
+	for _, h := range a.Replicas {
+		if !b.ServedBy(h.Server) {
 			return false
 		}
 	}
 	return true
 }
 
-func names(list []Holder) string {
+func names(list []Replica) string {
 	text := ""
 	for i, h := range list {
 		if i > 0 {
@@ -214,24 +214,24 @@
 	return text
 }
 
-// Next is the map after a step, from the map before it. Other plans may have been carried out since this one was made,
+// Apply is the map after a step, from the map before it. Other plans may have been carried out since this one was made,
 // so that holders serve since the epoch that really is the next; a plan whose new ids have been given is refused.
-func (s *Step) Next(m *Map) (*Map, error) {
-	var put []*Block
+func (s *Step) Apply(m *Map) (*Map, error) {
+	var put []*Shard
 	for _, b := range s.Put {
-		was := m.Block(b.ID)
+		was := m.Shard(b.ID)
 		if was == nil && b.ID < m.NextID || was != nil && (was.From != b.From || was.To != b.To) {
 			return nil, fmt.Errorf("block %d: the id has been given since the plan was made", b.ID)
 		}
 		c := *b
-		c.Holders = slices.Clone(b.Holders)
-		for i, h := range c.Holders {
+		c.Replicas = slices.Clone(b.Replicas)
+		for i, h := range c.Replicas {
 			if was == nil {
 				continue
 			}
-			if k := slices.IndexFunc(was.Holders, func(o Holder) bool { return o.Server == h.Server }); k >= 0 && !h.Joining {
-				if c.Holders[i].Since = was.Holders[k].Since; was.Holders[k].Joining {
-					c.Holders[i].Since = m.Epoch + 1
+			if k := slices.IndexFunc(was.Replicas, func(o Replica) bool { return o.Server == h.Server }); k >= 0 && !h.Joining {
+				if c.Replicas[i].ServingSince = was.Replicas[k].ServingSince; was.Replicas[k].Joining {
+					c.Replicas[i].ServingSince = m.Epoch + 1
 				}
 			}
 		}
@@ -241,12 +241,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return n, n.Follows(m)
+	return n, n.ValidateSuccession(m)
 }
 
-// Done is how many steps of a plan a map has behind it: by what the steps made of their blocks, not by its epoch, as
+// StepsDone is how many steps of a plan a map has behind it: by what the steps made of their blocks, not by its epoch, as
 // other plans may have been carried out beside. -1: the map is not one of the plan's.
-func (p *Plan) Done(m *Map) int {
+func (p *Plan) StepsDone(m *Map) int {
 	if m.Archive != p.Archive || m.Epoch < p.From {
 		return -1
 	}
@@ -261,18 +261,18 @@
 // holds says whether a map has what a step made.
 func (s *Step) holds(m *Map) bool {
 	for _, b := range s.Put {
-		is := m.Block(b.ID)
-		if is == nil || is.State != b.State || len(is.Holders) != len(b.Holders) {
+		is := m.Shard(b.ID)
+		if is == nil || is.State != b.State || len(is.Replicas) != len(b.Replicas) {
 			return false
 		}
-		for _, h := range b.Holders {
-			if !slices.ContainsFunc(is.Holders, func(o Holder) bool { return o.Server == h.Server && o.Joining == h.Joining }) {
+		for _, h := range b.Replicas {
+			if !slices.ContainsFunc(is.Replicas, func(o Replica) bool { return o.Server == h.Server && o.Joining == h.Joining }) {
 				return false
 			}
 		}
 	}
 	for _, id := range s.Remove {
-		if m.Block(id) != nil {
+		if m.Shard(id) != nil {
 			return false
 		}
 	}
--- a/internal/control/shardmap/search_test.go
+++ b/internal/control/shardmap/search_test.go
@@ -85,7 +85,7 @@
 // holds says what a node, by the map that it knows, does with a part of a block: serves it, or says since when not.
 func (x *explorer) holds(w *worldState, server int, b ID) (bool, Epoch) {
 	m := x.maps[w.told[server]]
-	if blk := m.Block(b); blk != nil && blk.Serves(x.servers[server]) {
+	if blk := m.Shard(b); blk != nil && blk.ServedBy(x.servers[server]) {
 		return true, 0
 	}
 	return false, m.Epoch
@@ -95,26 +95,26 @@
 func (x *explorer) pin(w *worldState, f *flightState, correction bool) {
 	f.begun, f.view, f.parts = true, w.mix, nil
 	m := x.maps[w.mix]
-	add := func(b *Block) {
+	add := func(b *Shard) {
 		p := partState{block: b.ID, at: -1}
-		for _, h := range b.Servers() {
+		for _, h := range b.ServingReplicas() {
 			p.left |= 1 << x.bit(h.Server)
 		}
 		f.parts = append(f.parts, p)
 	}
 	if correction {
-		add(m.At(x.key))
+		add(m.Lookup(x.key))
 		return
 	}
-	m.Active(func(b *Block) bool { add(b); return true })
+	m.Active(func(b *Shard) bool { add(b); return true })
 }
 
 // decide asks the real Flight what becomes of a word.
-func (x *explorer) decide(w *worldState, f *flightState, part, server int, epoch Epoch, safe bool) Verdict {
-	vs := &Views{rules: ViewRules{MostPinned: 9, MostAge: 1, ColdFrom: 1}, now: &View{Map: x.maps[w.mix]}}
-	fl := &Flight{View: &View{Map: x.maps[f.view]}, Safe: safe, Restarts: f.restarts}
+func (x *explorer) decide(w *worldState, f *flightState, part, server int, epoch Epoch, safe bool) Decision {
+	vs := &Views{rules: ViewOptions{MaxPinnedEpochs: 9, MaxPinnedAge: 1, WarmupMinFraction: 1}, now: &View{Map: x.maps[w.mix]}}
+	fl := &QueryPlacement{View: &View{Map: x.maps[f.view]}, Idempotent: safe, Restarts: f.restarts}
 	for _, p := range f.parts {
-		one := Part{Block: p.block, MayRun: p.mayRun, In: p.in}
+		one := Part{Shard: p.block, MayHaveRun: p.mayRun, Answered: p.in}
 		for i, s := range x.servers {
 			if p.left>>i&1 == 1 {
 				one.Servers = append(one.Servers, s)
@@ -122,8 +122,8 @@
 		}
 		fl.Parts = append(fl.Parts, one)
 	}
-	ask := vs.Heard(origin, epoch)
-	return fl.TurnedAway(vs, part, x.servers[server], NotMine, epoch, ask)
+	ask := vs.ObserveEpoch(origin, epoch)
+	return fl.Rejected(vs, part, x.servers[server], NotHeld, epoch, ask)
 }
 
 // next calls f with each state that may follow.
@@ -219,7 +219,7 @@
 			_, epoch := x.holds(&n, server, q.block)
 			q.at = -1
 			v := x.decide(&n, g, i, server, epoch, !correction)
-			if v.Drop {
+			if v.DropServer {
 				q.left &^= 1 << server
 			}
 			if v.Restart {
@@ -270,12 +270,12 @@
 	}
 	// Every key in exactly one of the blocks that answered, and all of one view.
 	m := x.maps[w.query.view]
-	var list []*Block
+	var list []*Shard
 	for _, p := range w.query.parts {
-		list = append(list, m.Block(p.block))
+		list = append(list, m.Shard(p.block))
 	}
-	slices.SortFunc(list, func(a, b *Block) int { return compareKeys(a.From, b.From) })
-	if err := covers(list); err != nil || len(list) != m.Len() {
+	slices.SortFunc(list, func(a, b *Shard) int { return compareKeys(a.From, b.From) })
+	if err := covers(list); err != nil || len(list) != m.ActiveCount() {
 		x.t.Fatalf("a whole answer of blocks that do not cover the archive once: %v: %+v", err, *w)
 	}
 }
@@ -315,14 +315,14 @@
 // of the search has two attempts, else one.
 func TestAllInterleavings(t *testing.T) {
 	base := func() *Map {
-		m, err := New("captions", 1, 2, []*Block{{ID: 1, State: Serving, Holders: held("a", "b")}})
+		m, err := New("captions", 1, 2, []*Shard{{ID: 1, State: Serving, Replicas: held("a", "b")}})
 		if err != nil {
 			t.Fatal(err)
 		}
 		return m
 	}
 	two := func() *Map {
-		m, err := New("captions", 1, 3, []*Block{{ID: 1, To: "m@2000", State: Serving, Holders: held("a", "b")}, {ID: 2, From: "m@2000", State: Serving, Holders: held("a", "b")}})
+		m, err := New("captions", 1, 3, []*Shard{{ID: 1, To: "m@2000", State: Serving, Replicas: held("a", "b")}, {ID: 2, From: "m@2000", State: Serving, Replicas: held("a", "b")}})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -336,8 +336,8 @@
 		m    *Map
 		plan func(*Map) (*Plan, error)
 	}{
-		"move all":  {base(), func(m *Map) (*Plan, error) { return PlanMove(m, 1, []string{"c", "d"}, Timing{}) }},
-		"move half": {base(), func(m *Map) (*Plan, error) { return PlanMove(m, 1, []string{"b", "c"}, Timing{}) }},
+		"move all":  {base(), func(m *Map) (*Plan, error) { return PlanMigration(m, 1, []string{"c", "d"}, Timing{}) }},
+		"move half": {base(), func(m *Map) (*Plan, error) { return PlanMigration(m, 1, []string{"b", "c"}, Timing{}) }},
 		"split":     {base(), func(m *Map) (*Plan, error) { return PlanSplit(m, 1, []Key{"m@2000"}, Timing{}) }},
 		"merge":     {two(), func(m *Map) (*Plan, error) { return PlanMerge(m, []ID{1, 2}, Timing{}) }},
 	} {
@@ -351,7 +351,7 @@
 		}
 		m := c.m
 		for i := range p.Steps {
-			if m, err = p.Steps[i].Next(m); err != nil {
+			if m, err = p.Steps[i].Apply(m); err != nil {
 				t.Fatal(err)
 			}
 			x.maps = append(x.maps, m)
--- a/internal/control/shardmap/views.go
+++ b/internal/control/shardmap/views.go
@@ -6,24 +6,24 @@
 	"time"
 )
 
-// ViewRules bound what is held for queries of earlier epochs, and pace holders that are new to a block.
-type ViewRules struct {
-	MostPinned int           // epochs held beside the present one, at least 1
-	MostAge    time.Duration // of a pinned epoch since it was replaced
-	ColdFor    time.Duration // a new holder of a block is warm after it; 0: at once
-	ColdFrom   float64       // share of its parts with which it begins, over 0 to 1
-	Patience   time.Duration // a source may be as late as this behind an epoch that a server spoke of
+// ViewOptions bound what is held for queries of earlier epochs, and pace holders that are new to a block.
+type ViewOptions struct {
+	MaxPinnedEpochs   int           // epochs held beside the present one, at least 1
+	MaxPinnedAge      time.Duration // of a pinned epoch since it was replaced
+	WarmupPeriod      time.Duration // a new holder of a block is warm after it; 0: at once
+	WarmupMinFraction float64       // share of its parts with which it begins, over 0 to 1
+	MaxSourceLag      time.Duration // a source may be as late as this behind an epoch that a server spoke of
 }
 
-func (r ViewRules) check() error {
+func (r ViewOptions) check() error {
 	switch {
-	case r.MostPinned < 1:
+	case r.MaxPinnedEpochs < 1:
 		return errors.New("most_pinned must be at least 1")
-	case r.MostAge <= 0:
+	case r.MaxPinnedAge <= 0:
 		return errors.New("pinned_for must be over 0")
-	case r.Patience < 0:
+	case r.MaxSourceLag < 0:
 		return errors.New("patience must not be negative")
-	case r.ColdFor < 0 || !(r.ColdFrom > 0 && r.ColdFrom <= 1):
+	case r.WarmupPeriod < 0 || !(r.WarmupMinFraction > 0 && r.WarmupMinFraction <= 1):
 		return errors.New("cold must not be negative, and cold_from over 0 to 1")
 	}
 	return nil
@@ -35,14 +35,14 @@
 	pins     int
 	replaced time.Time // by a newer epoch; zero: it is the present one
 	expired  bool      // told as to be left
-	active   []*Block  // of the map, in the order of their ranges
+	active   []*Shard  // of the map, in the order of their ranges
 }
 
-// Blocks are the active blocks in the order of their ranges. They are made once an epoch, when first asked for.
-func (v *View) Blocks() []*Block {
+// Shards are the active blocks in the order of their ranges. They are made once an epoch, when first asked for.
+func (v *View) Shards() []*Shard {
 	if v.active == nil {
-		v.active = make([]*Block, 0, v.Map.Len())
-		v.Map.Active(func(b *Block) bool {
+		v.active = make([]*Shard, 0, v.Map.ActiveCount())
+		v.Map.Active(func(b *Shard) bool {
 			v.active = append(v.active, b)
 			return true
 		})
@@ -52,17 +52,17 @@
 
 // ViewStats count what happened to maps and views.
 type ViewStats struct {
-	Accepted, Gaps, Older, Refused uint64 // maps offered; Gaps: accepted with epochs left out
-	Expired                        uint64 // epochs that queries were made to leave
-	MostPinned                     int
-	Restarts, Waits                uint64 // of queries
-	Lies                           uint64 // words of servers that the map contradicts
+	Accepted, Gaps, Stale, Rejected uint64 // maps offered; Gaps: accepted with epochs left out
+	Expired                         uint64 // epochs that queries were made to leave
+	MaxPinnedEpochs                 int
+	Restarts, Waits                 uint64 // of queries
+	FalseRejections                 uint64 // words of servers that the map contradicts
 }
 
 // Views hold the present map and those that queries are still pinned to. They are owned by one goroutine.
 type Views struct {
 	Stats ViewStats
-	rules ViewRules
+	rules ViewOptions
 	now   *View
 	old   []*View             // pinned, oldest first
 	since map[Epoch]time.Time // when epochs were adopted from which holders are cold
@@ -72,15 +72,15 @@
 }
 
 // NewViews returns Views without a map.
-func NewViews(r ViewRules) (*Views, error) {
+func NewViews(r ViewOptions) (*Views, error) {
 	if err := r.check(); err != nil {
 		return nil, fmt.Errorf("blocks: %w", err)
 	}
 	return &Views{rules: r, since: map[Epoch]time.Time{}}, nil
 }
 
-// Now is the present map; nil if there is none yet.
-func (vs *Views) Now() *Map {
+// Current is the present map; nil if there is none yet.
+func (vs *Views) Current() *Map {
 	if vs.now == nil {
 		return nil
 	}
@@ -96,11 +96,11 @@
 			vs.answered()
 			return false, nil
 		}
-		if err := m.Follows(old); err != nil {
-			if errors.Is(err, ErrOlder) {
-				vs.Stats.Older++
+		if err := m.ValidateSuccession(old); err != nil {
+			if errors.Is(err, ErrStaleEpoch) {
+				vs.Stats.Stale++
 			} else {
-				vs.Stats.Refused++
+				vs.Stats.Rejected++
 			}
 			return false, err
 		}
@@ -110,7 +110,7 @@
 		vs.now.replaced = now
 		if vs.now.pins > 0 {
 			vs.old = append(vs.old, vs.now)
-			vs.Stats.MostPinned = max(vs.Stats.MostPinned, len(vs.old))
+			vs.Stats.MaxPinnedEpochs = max(vs.Stats.MaxPinnedEpochs, len(vs.old))
 		}
 	}
 	first := vs.now == nil
@@ -120,7 +120,7 @@
 		vs.since[m.Epoch] = now
 	}
 	for e, at := range vs.since {
-		if now.Sub(at) >= vs.rules.ColdFor && e != m.Epoch {
+		if now.Sub(at) >= vs.rules.WarmupPeriod && e != m.Epoch {
 			delete(vs.since, e)
 		}
 	}
@@ -135,10 +135,10 @@
 	}
 }
 
-// Same says that the source has answered and has nothing newer. What servers spoke of is not so, unless that was only
+// SourceUnchanged says that the source has answered and has nothing newer. What servers spoke of is not so, unless that was only
 // just: the source may be late. again: it should be asked again in a while.
-func (vs *Views) Same(now time.Time) (again bool) {
-	if vs.asked && now.Sub(vs.heard) < vs.rules.Patience {
+func (vs *Views) SourceUnchanged(now time.Time) (again bool) {
+	if vs.asked && now.Sub(vs.heard) < vs.rules.MaxSourceLag {
 		return true
 	}
 	vs.asked = false
@@ -148,8 +148,8 @@
 	return false
 }
 
-// Heard takes an epoch that a server spoke of. It is no map; it says whether the source should be asked.
-func (vs *Views) Heard(now time.Time, e Epoch) (ask bool) {
+// ObserveEpoch takes an epoch that a server spoke of. It is no map; it says whether the source should be asked.
+func (vs *Views) ObserveEpoch(now time.Time, e Epoch) (ask bool) {
 	if vs.now != nil && e <= vs.now.Map.Epoch || e <= vs.fresh && vs.asked {
 		return false
 	}
@@ -160,8 +160,8 @@
 	return true
 }
 
-// Awaits says whether a newer map may be on its way.
-func (vs *Views) Awaits() bool { return vs.asked }
+// AwaitingMap says whether a newer map may be on its way.
+func (vs *Views) AwaitingMap() bool { return vs.asked }
 
 // Pin holds the present epoch for a query; nil if there is no map.
 func (vs *Views) Pin() *View {
@@ -192,7 +192,7 @@
 // held, and those held too long. Guards memory, and holders that serve a retiring block, against queries that stay.
 func (vs *Views) Expired(now time.Time) (list []*View) {
 	for i, v := range vs.old {
-		if !v.expired && (len(vs.old)-i > vs.rules.MostPinned || now.Sub(v.replaced) >= vs.rules.MostAge) {
+		if !v.expired && (len(vs.old)-i > vs.rules.MaxPinnedEpochs || now.Sub(v.replaced) >= vs.rules.MaxPinnedAge) {
 			v.expired = true
 			vs.Stats.Expired++
 			list = append(list, v)
@@ -201,10 +201,10 @@
 	return list
 }
 
-// Due is when Expired has something by age; zero if nothing is pinned.
-func (vs *Views) Due() (t time.Time) {
+// NextExpiry is when Expired has something by age; zero if nothing is pinned.
+func (vs *Views) NextExpiry() (t time.Time) {
 	for _, v := range vs.old {
-		if at := v.replaced.Add(vs.rules.MostAge); !v.expired && (t.IsZero() || at.Before(t)) {
+		if at := v.replaced.Add(vs.rules.MaxPinnedAge); !v.expired && (t.IsZero() || at.Before(t)) {
 			t = at
 		}
 	}
@@ -219,18 +219,18 @@
 	return len(vs.old), queries
 }
 
-// Share is how much of its parts a holder of a block should get by now, over 0 to 1: one that is new to it is cold.
-func (vs *Views) Share(now time.Time, h Holder) float64 {
-	if h.Since == 0 || vs.rules.ColdFor <= 0 {
+// TrafficFraction is how much of its parts a holder of a block should get by now, over 0 to 1: one that is new to it is cold.
+func (vs *Views) TrafficFraction(now time.Time, h Replica) float64 {
+	if h.ServingSince == 0 || vs.rules.WarmupPeriod <= 0 {
 		return 1
 	}
-	at, ok := vs.since[h.Since]
+	at, ok := vs.since[h.ServingSince]
 	if !ok {
 		return 1
 	}
-	age := float64(now.Sub(at)) / float64(vs.rules.ColdFor)
+	age := float64(now.Sub(at)) / float64(vs.rules.WarmupPeriod)
 	if age >= 1 {
 		return 1
 	}
-	return vs.rules.ColdFrom + (1-vs.rules.ColdFrom)*max(0, age)
+	return vs.rules.WarmupMinFraction + (1-vs.rules.WarmupMinFraction)*max(0, age)
 }
--- a/internal/control/shardmap/word.go
+++ b/internal/control/shardmap/word.go
@@ -14,29 +14,29 @@
 	onWord  = " on"
 )
 
-// Print words what a server says.
-func (w Word) Print(e Epoch) string {
+// Diagnostic words what a server says.
+func (w Mismatch) Diagnostic(e Epoch) string {
 	switch w {
-	case NotMine:
+	case NotHeld:
 		return notMine + strconv.FormatUint(uint64(e), 10)
-	case NotYet:
+	case NotHeldYet:
 		return notYet + strconv.FormatUint(uint64(e), 10) + onWord
 	}
 	return ""
 }
 
-// ParseWord reads it. Only the exact form counts: what is worded in another way proves nothing.
-func ParseWord(text string) (Word, Epoch, bool) {
-	w, rest, ok := NotMine, "", false
+// ParseMismatch reads it. Only the exact form counts: what is worded in another way proves nothing.
+func ParseMismatch(text string) (Mismatch, Epoch, bool) {
+	w, rest, ok := NotHeld, "", false
 	if rest, ok = strings.CutPrefix(text, notMine); !ok {
-		w = NotYet
+		w = NotHeldYet
 		if rest, ok = strings.CutPrefix(text, notYet); ok {
 			rest, ok = strings.CutSuffix(rest, onWord)
 		}
 	}
 	e, err := strconv.ParseUint(rest, 10, 63)
 	if !ok || err != nil || e == 0 || rest != strconv.FormatUint(e, 10) {
-		return NoWord, 0, false
+		return NoMismatch, 0, false
 	}
 	return w, Epoch(e), true
 }
--- a/internal/control/timers/timers_test.go
+++ b/internal/control/timers/timers_test.go
@@ -121,22 +121,22 @@
 	place int
 }
 
-func (d *dated) Due() (time.Time, uint64) { return d.at, d.seq }
-func (d *dated) Place() *int              { return &d.place }
+func (d *dated) Deadline() (time.Time, uint64) { return d.at, d.seq }
+func (d *dated) QueueIndex() *int              { return &d.place }
 
 // Random steps on a Due and on a plain slice: the same come due, in the same order.
 func FuzzDue(f *testing.F) {
 	f.Add(uint64(1), uint16(500))
 	f.Fuzz(func(t *testing.T, seed uint64, steps uint16) {
 		rng := rand.New(rand.NewPCG(seed, 8))
-		var d Due[*dated]
+		var d DeadlineQueue[*dated]
 		var model []*dated
 		now := origin
 		for i := range steps % 3000 {
 			switch rng.IntN(4) {
 			case 0, 1:
 				x := &dated{at: now.Add(time.Duration(rng.IntN(20)) * time.Millisecond), seq: uint64(i)}
-				d.Put(x)
+				d.Push(x)
 				model = append(model, x)
 			case 2:
 				if len(model) > 0 {
--- a/internal/frontend/health/health.go
+++ b/internal/frontend/health/health.go
@@ -33,22 +33,22 @@
 	// Metrics, if set, writes the counters as text.
 	Metrics func() string
 
-	word  atomic.Pointer[readiness.Word]
+	word  atomic.Pointer[readiness.Report]
 	count struct{ agent, http, late atomic.Uint64 }
 }
 
 // Set changes the word.
-func (t *Teller) Set(w readiness.Word) { t.word.Store(&w) }
+func (t *Teller) Set(w readiness.Report) { t.word.Store(&w) }
 
 // Word is the word as it stands; one that is old is a word on the loop.
-func (t *Teller) Word() readiness.Word {
+func (t *Teller) Word() readiness.Report {
 	w := t.word.Load()
 	if w == nil {
-		return readiness.Word{State: readiness.Down, Said: "down", Reasons: []string{"starting"}, Weight: 1}
+		return readiness.Report{State: readiness.Down, StateText: "down", Reasons: []string{"starting"}, Weight: 1}
 	}
 	if age := t.Now().Sub(w.At); age > oldAfter {
 		t.count.late.Add(1)
-		return readiness.Word{At: w.At, State: readiness.Down, Said: "down", Weight: 1, Drain: w.Drain,
+		return readiness.Report{At: w.At, State: readiness.Down, StateText: "down", Weight: 1, Draining: w.Draining,
 			Reasons: []string{fmt.Sprintf("the loop stands still since %v", age.Round(100*time.Millisecond))}}
 	}
 	return *w
@@ -60,18 +60,18 @@
 }
 
 // report words the state for an agent-check, of the mixer or of one database.
-func report(w readiness.Word, base string) agentcheck.Report {
+func report(w readiness.Report, base string) agentcheck.Report {
 	r := agentcheck.Report{State: agentcheck.Up, Admin: agentcheck.Ready, Weight: float64(w.Weight) / 100, MaxConn: -1}
 	state, why := w.State, strings.Join(w.Reasons, "; ")
 	if base != "" {
-		b := w.Base(base)
+		b := w.Database(base)
 		if b == nil {
 			return agentcheck.Report{State: agentcheck.Down, Weight: -1, MaxConn: -1, Why: "no such database"}
 		}
 		state, why = b.State, b.Reason
 	}
 	switch {
-	case w.Drain:
+	case w.Draining:
 		r.Admin, r.Weight = agentcheck.Drain, -1
 	case state == readiness.Down:
 		r.State, r.Admin, r.Weight = agentcheck.Down, "", -1
@@ -81,12 +81,12 @@
 }
 
 // Agent answers an agent-check: a line, then the connection ends.
-func (t *Teller) Agent(l *tcp.Link) tcp.Handler { return &asked{t: t, l: l} }
+func (t *Teller) Agent(l *tcp.Conn) tcp.Handler { return &asked{t: t, l: l} }
 
 // asked is one agent-check. Whoever names a database first (agent-send) is told of that one.
 type asked struct {
 	t     *Teller
-	l     *tcp.Link
+	l     *tcp.Conn
 	mu    sync.Mutex
 	name  []byte
 	done  bool
@@ -116,7 +116,7 @@
 	a.done = true
 	a.t.count.agent.Add(1)
 	a.l.Write([]byte(report(a.t.Word(), base).Line()), nil)
-	a.l.Finish()
+	a.l.CloseGracefully()
 }
 
 // Data takes a name.
@@ -190,10 +190,10 @@
 
 var textType = []string{"Content-Type", "text/plain; charset=utf-8"}
 
-func (t *Teller) ready(x *httpserve.Exchange, w readiness.Word, base, query string) {
+func (t *Teller) ready(x *httpserve.Exchange, w readiness.Report, base, query string) {
 	state := w.State
 	if base != "" {
-		b := w.Base(base)
+		b := w.Database(base)
 		if b == nil {
 			x.Respond(400, []byte("no such database\n"), textType...)
 			return
@@ -204,7 +204,7 @@
 	switch {
 	case state == readiness.Down:
 		status = 503
-	case w.Drain:
+	case w.Draining:
 		status = 404
 		fields = append(fields, httpcheck.ImmediateHeader, "true")
 	case state == readiness.Degraded:
@@ -220,9 +220,9 @@
 		}
 		body, fields[1] = string(text)+"\n", "application/json"
 	case strings.Contains(query, "verbose"):
-		for _, b := range w.Bases {
+		for _, b := range w.Databases {
 			mark := map[readiness.State]string{readiness.Up: "+", readiness.Degraded: "~", readiness.Down: "-"}[b.State]
-			body += fmt.Sprintf("[%s] %s %s", mark, b.Name, b.Said)
+			body += fmt.Sprintf("[%s] %s %s", mark, b.Name, b.StateText)
 			if b.Reason != "" {
 				body += ": " + b.Reason
 			}
--- a/internal/frontend/platform/crossings_test.go
+++ b/internal/frontend/platform/crossings_test.go
@@ -29,14 +29,14 @@
 	var client net.Conn
 	var order []string
 	posted := make(chan aggregator.Message, 10)
-	front := New(Settings{Classes: []string{"a"}, Shards: 4, MaxWait: time.Minute, Timeouts: httpserve.Timeouts{}}, func(e aggregator.Message) {
+	front := New(Options{Classes: []string{"a"}, Shards: 4, MaxTimeout: time.Minute, Timeouts: httpserve.Timeouts{}}, func(e aggregator.Message) {
 		if a, ok := e.(aggregator.RequestArrived); ok && a.Request.ID == "2" {
 			client.Close()
 			<-over // its end has been handled, and the request is not yet handed over
 		}
 		posted <- e
 	}, time.Now, nil)
-	l, err := tcp.Listen("127.0.0.1:0", &tcp.Gate{Most: 10}, func(l *tcp.Link) tcp.Handler { return closing{front.Accept(l), over} })
+	l, err := tcp.Listen("127.0.0.1:0", &tcp.ConnLimiter{Max: 10}, func(l *tcp.Conn) tcp.Handler { return closing{front.Accept(l), over} })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -79,8 +79,8 @@
 func TestAClientLeavesWithARequestBehind(t *testing.T) {
 	for _, half := range []bool{false, true} {
 		over, posted := make(chan struct{}), make(chan aggregator.Message, 10)
-		front := New(Settings{Classes: []string{"a"}, Shards: 4, MaxWait: time.Minute}, func(e aggregator.Message) { posted <- e }, time.Now, nil)
-		l, err := tcp.Listen("127.0.0.1:0", &tcp.Gate{Most: 10}, func(l *tcp.Link) tcp.Handler { return closing{front.Accept(l), over} })
+		front := New(Options{Classes: []string{"a"}, Shards: 4, MaxTimeout: time.Minute}, func(e aggregator.Message) { posted <- e }, time.Now, nil)
+		l, err := tcp.Listen("127.0.0.1:0", &tcp.ConnLimiter{Max: 10}, func(l *tcp.Conn) tcp.Handler { return closing{front.Accept(l), over} })
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -101,8 +101,8 @@
 		}
 		<-over
 		first.Frontend.Answer(aggregator.FinalAnswer{Status: aggregator.StatusRejected})
-		if n := len(posted); n > 0 || front.Open() > 0 {
-			t.Errorf("half %v: %d more events, %d connections", half, n, front.Open())
+		if n := len(posted); n > 0 || front.OpenConns() > 0 {
+			t.Errorf("half %v: %d more events, %d connections", half, n, front.OpenConns())
 		}
 		c.Close()
 		l.Close()
--- a/internal/frontend/platform/front.go
+++ b/internal/frontend/platform/front.go
@@ -18,34 +18,34 @@
 	"rooktrestle/internal/protocol/http1"
 )
 
-// Settings are what the front needs to know.
-type Settings struct {
+// Options are what the front needs to know.
+type Options struct {
 	Classes, Tenants []string
 	Shards           int
-	MaxWait          time.Duration // longest time that a client may state
+	MaxTimeout       time.Duration // longest time that a client may state
 	Timeouts         httpserve.Timeouts
 }
 
-// Front takes requests from connections and posts them to the loop.
-type Front struct {
+// Frontend takes requests from connections and posts them to the loop.
+type Frontend struct {
 	*httpserve.Server
-	set   Settings
+	set   Options
 	put   func(aggregator.Message)
 	stats func() string
 	ready atomic.Bool
 }
 
 // New returns a front that posts to put; stats words the counters.
-func New(set Settings, put func(aggregator.Message), now func() time.Time, stats func() string) *Front {
-	f := &Front{set: set, put: put, stats: stats}
+func New(set Options, put func(aggregator.Message), now func() time.Time, stats func() string) *Frontend {
+	f := &Frontend{set: set, put: put, stats: stats}
 	f.Server = httpserve.New(set.Timeouts, now, f.handle)
 	return f
 }
 
 // SetReady says whether /healthz answers 200.
-func (f *Front) SetReady(ready bool) { f.ready.Store(ready) }
+func (f *Frontend) SetReady(ready bool) { f.ready.Store(ready) }
 
-func (f *Front) handle(x *httpserve.Exchange) {
+func (f *Frontend) handle(x *httpserve.Exchange) {
 	path, _, _ := strings.Cut(x.Target, "?")
 	if path == "/healthz" || path == "/counters" {
 		switch {
@@ -70,7 +70,7 @@
 		bad(x, 405, "only POST", "Allow", "POST")
 		return
 	}
-	req, err := f.parse(x.Message, class, x.Begun)
+	req, err := f.parse(x.Message, class, x.FirstByteAt)
 	if err != nil {
 		bad(x, 400, err.Error())
 		return
@@ -78,7 +78,7 @@
 	req.Frontend = asker{x}
 	// In this order: a client that leaves in between would reach the loop before its request, and be forgotten.
 	f.put(aggregator.RequestArrived{Request: req})
-	if !x.OnLeft(func() { f.put(aggregator.ClientDisconnected{Request: req}) }) {
+	if !x.OnDisconnect(func() { f.put(aggregator.ClientDisconnected{Request: req}) }) {
 		f.put(aggregator.ClientDisconnected{Request: req})
 	}
 }
@@ -109,7 +109,7 @@
 // massSlack is by how much the masses of a query may miss 1: they come rounded.
 const massSlack = 1e-3
 
-func (f *Front) parse(m *http1.Message, class int, begun time.Time) (*aggregator.Request, error) {
+func (f *Frontend) parse(m *http1.Message, class int, begun time.Time) (*aggregator.Request, error) {
 	h := m.Header
 	r := &aggregator.Request{ID: h.Get("X-Request-Id"), Class: class, Arrived: begun, IsRetry: h.Get("X-Retry") == "1"}
 	if !word(r.ID) {
@@ -128,7 +128,7 @@
 	if err != nil || strings.Trim(h.Get("X-Deadline"), "0123456789.") != "" || !(wait > 0) || wait > 1e6 {
 		return nil, fmt.Errorf("X-Deadline %q", h.Get("X-Deadline"))
 	}
-	r.Timeout = min(time.Duration(wait*float64(time.Second)), f.set.MaxWait)
+	r.Timeout = min(time.Duration(wait*float64(time.Second)), f.set.MaxTimeout)
 	var b body
 	if !utf8.Valid(m.Body) { // it would reach the leaf servers changed
 		return nil, errors.New("body: not UTF-8")
--- a/internal/frontend/sru/server.go
+++ b/internal/frontend/sru/server.go
@@ -18,7 +18,7 @@
 // Server is the SRU front.
 type Server struct{ Service *gateway.Service }
 
-// Handle answers one request: /DATABASE with the parameters of SRU, or an update in a POST of XML.
+// Handle answers one request: /DATABASE with the parameters of SRU, or an update in a POST of OIDXML.
 func (s *Server) Handle(x *httpserve.Exchange) {
 	path, text, _ := strings.Cut(x.Target, "?")
 	name, err := url.PathUnescape(strings.Trim(path, "/"))
@@ -27,7 +27,7 @@
 		return
 	}
 	if name == "" {
-		name = s.Service.Conf.Databases[0].Name
+		name = s.Service.Config.Databases[0].Name
 	}
 	base := s.Service.Database(name)
 	kind, _, _ := strings.Cut(x.Header.Get("Content-Type"), ";")
@@ -67,7 +67,7 @@
 }
 
 func (s *Server) search(x *httpserve.Exchange, base *config.Database, r sru.Request) {
-	limit := s.Service.Conf.Limits.MaxRecords
+	limit := s.Service.Config.Limits.MaxRecords
 	if r.Most < 0 {
 		r.Most = min(10, limit)
 	}
@@ -81,19 +81,19 @@
 	}
 	r.Most = min(r.Most, limit-r.Start+1)
 	answer := func(o gateway.Outcome) {
-		if o.Kind != gateway.Whole && o.Kind != gateway.Partial {
+		if o.Kind != gateway.Complete && o.Kind != gateway.Partial {
 			status, ds, fields := troubles(o)
 			x.Respond(status, sru.SearchResponse(0, nil, 1, 0, "xml", ds), fields...)
 			return
 		}
 		var ds []query.Diagnostic
 		if o.Kind == gateway.Partial {
-			ds = append(ds, sru.NewFault(59, o.Included()).Diagnose())
+			ds = append(ds, sru.NewFault(59, o.Coverage()).Diagnose())
 		}
 		if r.Start > 1 && r.Start > o.Count {
 			ds = append(ds, sru.NewFault(61, strconv.Itoa(r.Start)).Diagnose())
 		}
-		records := o.Cut(r.Start, r.Most)
+		records := o.Page(r.Start, r.Most)
 		next := 0
 		if end := r.Start + len(records); len(records) > 0 && end <= o.Count {
 			next = end
@@ -108,7 +108,7 @@
 func wait(x *httpserve.Exchange, cancel gateway.Cancel, known *gateway.Outcome, answer func(gateway.Outcome)) {
 	if known != nil {
 		answer(*known)
-	} else if !x.OnLeft(cancel) {
+	} else if !x.OnDisconnect(cancel) {
 		cancel() // answered already, or the client is gone: nothing of it is left to give up, or all of it
 	}
 }
@@ -118,19 +118,19 @@
 	fields = []string{"Content-Type", sru.XMLType}
 	one := func(f *sru.Fault) []query.Diagnostic { return []query.Diagnostic{f.Diagnose()} }
 	switch o.Kind {
-	case gateway.Refused:
+	case gateway.Rejected:
 		if o.RetryAfter > 0 {
 			fields = append(fields, "Retry-After", strconv.Itoa(int(math.Ceil(o.RetryAfter.Seconds()))))
 		}
 		return 503, one(sru.NewFault(2, fmt.Sprintf("refused; asking again is harmless, after %v", o.RetryAfter))), fields
 	case gateway.TimedOut:
 		return 200, one(sru.NewFault(1, "timed out")), fields
-	case gateway.NoDatabase:
+	case gateway.UnknownDatabase:
 		return 200, one(sru.NewFault(235, o.Details)), fields
 	case gateway.ReadOnly:
 		return 200, one(sru.NewFault(4, "update of "+o.Details)), fields
-	case gateway.ServerSaid:
-		d := *o.Said
+	case gateway.ServerDiagnostic:
+		d := *o.Diagnostic
 		if d.SRU == "" {
 			d.SRU, d.Details = sru.Diag+"1", fmt.Sprintf("bib-1 %d %s", d.Bib1, d.Details)
 		}
@@ -146,7 +146,7 @@
 		return
 	}
 	answer := func(o gateway.Outcome) {
-		if o.Kind == gateway.Whole {
+		if o.Kind == gateway.Complete {
 			x.Respond(200, sru.UpdateResponse(true, u.Record.ID, nil), "Content-Type", sru.XMLType)
 			return
 		}
@@ -158,13 +158,13 @@
 }
 
 func (s *Server) explain(d *config.Database) []byte {
-	host, port, _ := strings.Cut(s.Service.Conf.Listen.SRU, ":")
+	host, port, _ := strings.Cut(s.Service.Config.Listen.SRU, ":")
 	title := d.Title
 	if title == "" {
 		title = d.Name
 	}
 	var idx strings.Builder
-	for _, name := range query.Indexes() {
+	for _, name := range query.IndexNames() {
 		set, short, _ := strings.Cut(name, ".")
 		fmt.Fprintf(&idx, `<index search="true" scan="false" sort="false"><title>%s</title><map><name set="%s">%s</name></map></index>`,
 			sru.Esc(name), sru.Esc(set), sru.Esc(short))
@@ -176,5 +176,5 @@
 		`<indexInfo>%s</indexInfo><schemaInfo><schema identifier="%s" name="dc"><title>Dublin Core</title></schema></schemaInfo>`+
 		`<configInfo><default type="numberOfRecords">10</default><setting type="maximumRecords">%d</setting></configInfo>`+
 		`</explain></recordData></record></explainResponse>`+"\n",
-		sru.NsSRW, sru.Esc(host), sru.Esc(port), sru.Esc(d.Name), sru.Esc(title), idx.String(), sru.DefaultSchema, s.Service.Conf.Limits.MaxRecords)
+		sru.NsSRW, sru.Esc(host), sru.Esc(port), sru.Esc(d.Name), sru.Esc(title), idx.String(), sru.DefaultSchema, s.Service.Config.Limits.MaxRecords)
 }
--- a/internal/frontend/z3950/server.go
+++ b/internal/frontend/z3950/server.go
@@ -39,7 +39,7 @@
 
 	mu    sync.Mutex
 	open  map[*assoc]bool
-	room  *eviction.Register[*assoc]
+	room  *eviction.Registry[*assoc]
 	count Counters
 }
 
@@ -53,9 +53,9 @@
 
 // Link is a connection as the server uses it.
 type Link interface {
-	Write(b []byte, done func(tcp.Wrote))
-	Finish()
-	Drop()
+	Write(b []byte, done func(tcp.WriteResult))
+	CloseGracefully()
+	CloseAndWait()
 }
 
 // Room closes the association that is in nobody's way, before it returns, and says whether there was one. Guards
@@ -63,7 +63,7 @@
 // operation in hand, or with result sets in recent use, stays.
 func (s *Server) Room() bool {
 	s.mu.Lock()
-	a, ok := s.room.Pick(s.now())
+	a, ok := s.room.Evict(s.now())
 	if ok {
 		s.count.Spared++
 	}
@@ -79,7 +79,7 @@
 		a.lies(eviction.Busy)
 		return false
 	}
-	a.link.Drop()
+	a.link.CloseAndWait()
 	return true
 }
 
@@ -88,7 +88,7 @@
 	a.s.mu.Lock()
 	defer a.s.mu.Unlock()
 	if a.s.open[a] {
-		a.s.room.Put(a, c, a.s.now())
+		a.s.room.Set(a, c, a.s.now())
 	}
 }
 
@@ -101,21 +101,21 @@
 	case !a.begun:
 		// As it was: what it sends before Init does not make it newer.
 	case len(a.sets) > 0:
-		a.lies(eviction.Kept)
+		a.lies(eviction.Stateful)
 	default:
 		a.lies(eviction.Idle)
 	}
 }
 
 // Accept makes the handler of a new connection.
-func (s *Server) Accept(l *tcp.Link) tcp.Handler { return s.Attach(l) }
+func (s *Server) Accept(l *tcp.Conn) tcp.Handler { return s.Attach(l) }
 
 // Attach makes the handler of a connection.
 func (s *Server) Attach(l Link) tcp.Handler {
 	a := &assoc{s: s, link: l, sets: map[string]*set{}, size: z3950.MaxPDU}
 	s.mu.Lock()
 	s.open[a] = true
-	s.room.Put(a, eviction.Fresh, s.now())
+	s.room.Set(a, eviction.Unused, s.now())
 	s.count.Associations++
 	s.mu.Unlock()
 	a.mu.Lock()
@@ -222,7 +222,7 @@
 	a.over = true
 	a.abandon()
 	a.send(z3950.Ctx(z3950.ClosePDU, z3950.Num(211, reason), z3950.Str(3, why)))
-	a.link.Finish()
+	a.link.CloseGracefully()
 }
 
 func (a *assoc) abandon() {
@@ -372,7 +372,7 @@
 		z3950.Boolean(12, good), z3950.Str(110, "rooktrestle"), z3950.Str(111, "rooktrestle")))
 	if !good {
 		a.over = true
-		a.link.Finish()
+		a.link.CloseGracefully()
 	}
 }
 
@@ -420,19 +420,19 @@
 // trouble is the diagnostic of an outcome that is no answer.
 func trouble(o gateway.Outcome) (code int, info string) {
 	switch o.Kind {
-	case gateway.Refused:
+	case gateway.Rejected:
 		return 2, fmt.Sprintf("refused; asking again is harmless, after %v", o.RetryAfter)
 	case gateway.TimedOut:
 		return 31, "timed out"
-	case gateway.NoDatabase:
+	case gateway.UnknownDatabase:
 		return 109, o.Details
 	case gateway.ReadOnly:
 		return 236, o.Details
-	case gateway.ServerSaid:
-		if o.Said.Bib1 != 0 {
-			return o.Said.Bib1, o.Said.Details
+	case gateway.ServerDiagnostic:
+		if o.Diagnostic.Bib1 != 0 {
+			return o.Diagnostic.Bib1, o.Diagnostic.Details
 		}
-		return 100, strings.TrimSpace(o.Said.SRU + " " + o.Said.Details)
+		return 100, strings.TrimSpace(o.Diagnostic.SRU + " " + o.Diagnostic.Details)
 	}
 	return 100, strings.TrimSpace("failed " + o.Details)
 }
@@ -462,7 +462,7 @@
 		}
 	}
 	old := a.sets[name]
-	limit := a.s.Service.Conf.Limits.MaxRecords
+	limit := a.s.Service.Config.Limits.MaxRecords
 	syntax, known := syntaxOf(n)
 	switch {
 	case name == "":
@@ -471,7 +471,7 @@
 	case old != nil && !n.Kid(16).Truth():
 		a.fail(op, 21, name, -1)
 		return
-	case old == nil && len(a.sets) >= a.s.Service.Conf.Limits.ResultSets:
+	case old == nil && len(a.sets) >= a.s.Service.Config.Limits.ResultSets:
 		a.fail(op, 112, strconv.Itoa(len(a.sets)), -1)
 		return
 	case len(bases) > 16:
@@ -480,7 +480,7 @@
 	}
 	tree, err := z3950.ParseRPN(n.Kid(21))
 	if err == nil {
-		tree, err = query.Replace(tree, func(set string) (query.Node, error) {
+		tree, err = query.ResolveResultSets(tree, func(set string) (query.Node, error) {
 			if s := a.sets[set]; s != nil {
 				return s.node, nil
 			}
@@ -488,7 +488,7 @@
 		})
 	}
 	if err == nil {
-		err = query.Check(tree) // sets of sets of sets could grow beyond measure
+		err = query.CheckLimits(tree) // sets of sets of sets could grow beyond measure
 	}
 	if err != nil {
 		code, info := codeOf(err)
@@ -501,7 +501,7 @@
 		return a.s.Service.Search(gateway.Caller{User: a.user}, bases, tree, most, done)
 	}, func(op *operation, o gateway.Outcome) {
 		delete(a.sets, name)
-		if o.Kind != gateway.Whole && o.Kind != gateway.Partial {
+		if o.Kind != gateway.Complete && o.Kind != gateway.Partial {
 			code, info := trouble(o)
 			a.fail(op, code, info, -1)
 			return
@@ -510,7 +510,7 @@
 		a.sets[name] = s
 		if o.Kind == gateway.Partial { // a valid subset: marked as such, and usable
 			a.send(z3950.Ctx(z3950.SearchResponse, op.ref, z3950.Num(23, o.Count), z3950.Num(24, 0), z3950.Num(25, 1), z3950.Boolean(22, false), z3950.Num(26, 1),
-				z3950.Diagnostic(130, 33, o.Included())))
+				z3950.Diagnostic(130, 33, o.Coverage())))
 			return
 		}
 		want := 0
@@ -548,7 +548,7 @@
 
 func (s *set) cut(start, number int) []query.Record {
 	o := gateway.Outcome{Records: s.records}
-	return o.Cut(start, number)
+	return o.Page(start, number)
 }
 
 // fit cuts records down to what a message may hold.
@@ -582,8 +582,8 @@
 		return
 	}
 	last := start + number - 1
-	if last > a.s.Service.Conf.Limits.MaxRecords {
-		a.fail(op, 31, fmt.Sprintf("records beyond %d are not kept", a.s.Service.Conf.Limits.MaxRecords), -1)
+	if last > a.s.Service.Config.Limits.MaxRecords {
+		a.fail(op, 31, fmt.Sprintf("records beyond %d are not kept", a.s.Service.Config.Limits.MaxRecords), -1)
 		return
 	}
 	if last <= s.fetched {
@@ -593,9 +593,9 @@
 	a.begin(z3950.PresentRequest, ref, func(done func(gateway.Outcome)) (gateway.Cancel, *gateway.Outcome) {
 		return a.s.Service.Search(gateway.Caller{User: a.user}, s.databases, s.node, last, done)
 	}, func(op *operation, o gateway.Outcome) {
-		if o.Kind != gateway.Whole {
+		if o.Kind != gateway.Complete {
 			if o.Kind == gateway.Partial {
-				a.fail(op, 14, o.Included(), -1)
+				a.fail(op, 14, o.Coverage(), -1)
 				return
 			}
 			code, info := trouble(o)
@@ -648,7 +648,7 @@
 	a.begin(z3950.EsRequest, ref, func(done func(gateway.Outcome)) (gateway.Cancel, *gateway.Outcome) {
 		return a.s.Service.Correct(gateway.Caller{User: a.user}, database, action, record, done)
 	}, func(op *operation, o gateway.Outcome) {
-		if o.Kind != gateway.Whole {
+		if o.Kind != gateway.Complete {
 			code, info := trouble(o)
 			a.fail(op, code, info, -1)
 			return
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -11,13 +11,13 @@
 
 func TestCorrectionsGoToOneShard(t *testing.T) {
 	d := &config.Database{Shards: []int{2, 5, 7}}
-	if Place(d, "5:x") != 5 || Place(d, "7:x") != 7 {
+	if ShardOf(d, "5:x") != 5 || ShardOf(d, "7:x") != 7 {
 		t.Error("the number before the colon names the shard")
 	}
 	seen := map[int]bool{}
 	for _, id := range []string{"9:x", "a", "b", "c", "d", "e", "f", ":"} {
-		at := Place(d, id)
-		if seen[at] = true; at != Place(d, id) || at != 2 && at != 5 && at != 7 {
+		at := ShardOf(d, id)
+		if seen[at] = true; at != ShardOf(d, id) || at != 2 && at != 5 && at != 7 {
 			t.Errorf("%s goes to %d", id, at)
 		}
 	}
@@ -27,21 +27,21 @@
 }
 
 func TestOutcomes(t *testing.T) {
-	value := func(f query.Found) string { return query.Encode(f) }
-	one := value(query.Found{Count: 2, Records: []query.Record{{XML: "<a/>"}, {XML: "<b/>"}}})
-	two := value(query.Found{Count: 1, Records: []query.Record{{XML: "<c/>"}}})
-	said := value(query.Found{Trouble: &query.Diagnostic{Bib1: 114}})
+	value := func(f query.PartResult) string { return query.Encode(f) }
+	one := value(query.PartResult{Count: 2, Records: []query.Record{{XML: "<a/>"}, {XML: "<b/>"}}})
+	two := value(query.PartResult{Count: 1, Records: []query.Record{{XML: "<c/>"}}})
+	said := value(query.PartResult{Diagnostic: &query.Diagnostic{Bib1: 114}})
 	for _, c := range []struct {
 		f     aggregator.FinalAnswer
 		kind  Kind
 		count int
 		first string
 	}{
-		{aggregator.FinalAnswer{Status: aggregator.StatusServed, Complete: true, Items: []aggregator.Item{{Shard: 3, Value: two}, {Shard: 1, Value: one}}}, Whole, 3, "<a/>"},
+		{aggregator.FinalAnswer{Status: aggregator.StatusServed, Complete: true, Items: []aggregator.Item{{Shard: 3, Value: two}, {Shard: 1, Value: one}}}, Complete, 3, "<a/>"},
 		{aggregator.FinalAnswer{Status: aggregator.StatusServed, Items: []aggregator.Item{{Shard: 3, Value: two}}}, Partial, 1, "<c/>"},
-		{aggregator.FinalAnswer{Status: aggregator.StatusServed, Complete: true, Items: []aggregator.Item{{Shard: 3, Value: two}, {Shard: 4, Value: said}}}, ServerSaid, 1, "<c/>"},
+		{aggregator.FinalAnswer{Status: aggregator.StatusServed, Complete: true, Items: []aggregator.Item{{Shard: 3, Value: two}, {Shard: 4, Value: said}}}, ServerDiagnostic, 1, "<c/>"},
 		{aggregator.FinalAnswer{Status: aggregator.StatusServed, Complete: true, Items: []aggregator.Item{{Value: "junk"}}}, Failed, 0, ""},
-		{aggregator.FinalAnswer{Status: aggregator.StatusRejected, RetryAfter: time.Second}, Refused, 0, ""},
+		{aggregator.FinalAnswer{Status: aggregator.StatusRejected, RetryAfter: time.Second}, Rejected, 0, ""},
 		{aggregator.FinalAnswer{Status: aggregator.StatusRejected, DeadlineExceeded: true}, TimedOut, 0, ""},
 		{aggregator.FinalAnswer{Status: aggregator.StatusFailed, DeadlineExceeded: true}, TimedOut, 0, ""},
 		{aggregator.FinalAnswer{Status: aggregator.StatusFailed}, Failed, 0, ""},
@@ -53,7 +53,7 @@
 		}
 	}
 	o := Outcome{Records: make([]query.Record, 5)}
-	if len(o.Cut(2, 2)) != 2 || len(o.Cut(5, 9)) != 1 || o.Cut(6, 1) != nil || o.Cut(0, 1) != nil {
+	if len(o.Page(2, 2)) != 2 || len(o.Page(5, 9)) != 1 || o.Page(6, 1) != nil || o.Page(0, 1) != nil {
 		t.Error("cut")
 	}
 }
--- a/internal/net/discovery/crossings_test.go
+++ b/internal/net/discovery/crossings_test.go
@@ -73,7 +73,7 @@
 }
 
 // follow runs a watch until the test ends and returns what it lists.
-func follow(t *testing.T, w *Watch) chan aggregator.EndpointsChanged {
+func follow(t *testing.T, w *Watcher) chan aggregator.EndpointsChanged {
 	listed := make(chan aggregator.EndpointsChanged, 20)
 	w.Put = func(e aggregator.Message) { listed <- e.(aggregator.EndpointsChanged) }
 	if w.Log == nil {
@@ -100,7 +100,7 @@
 // line is a broken list, and a watch of an agent that indents never brings anything.
 func TestListsMayComeIndented(t *testing.T) {
 	a, moved := newAgent(t), newAgent(t)
-	w := &Watch{Addr: a.addr, Version: 7}
+	w := &Watcher{Addr: a.addr, Version: 7}
 	listed := follow(t, w)
 	c := a.next(t, "?stream=1&index=7")
 	c.say(chunkedHead + chunk("\n"))
@@ -111,7 +111,7 @@
 	c.say(chunk(listing(9, false, "b") + "\n" + listing(10, false, "c")))
 	one(t, listed, balance.ListDelta, "b")
 	one(t, listed, balance.ListDelta, "c")
-	w.Move(moved.addr)
+	w.SwitchTo(moved.addr)
 	whole := listing(3, true, "d")
 	moved.next(t, "").say(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(whole), whole))
 	one(t, listed, balance.ListFull, "d")
@@ -123,7 +123,7 @@
 func TestAWatchResetWithinAListResumes(t *testing.T) {
 	a := newAgent(t)
 	does := make(events, 100)
-	listed := follow(t, &Watch{Addr: a.addr, Version: 7, Log: does.log, After: does.after})
+	listed := follow(t, &Watcher{Addr: a.addr, Version: 7, Log: does.log, After: does.after})
 	c := a.next(t, "?stream=1&index=7")
 	c.say(chunkedHead + chunk(listing(8, false, "a")))
 	one(t, listed, balance.ListDelta, "a")
@@ -146,7 +146,7 @@
 func TestSilenceWithinAList(t *testing.T) {
 	a := newAgent(t)
 	does := make(events, 100)
-	listed := follow(t, &Watch{Addr: a.addr, Version: 7, Log: does.log, After: does.after})
+	listed := follow(t, &Watcher{Addr: a.addr, Version: 7, Log: does.log, After: does.after})
 	c := a.next(t, "?stream=1&index=7")
 	half := listing(9, false, "b")
 	c.say(chunkedHead + chunk(listing(8, false, "a")+half[:len(half)/2]))
@@ -159,7 +159,7 @@
 
 // Bytes of a list that does not end are no word: the clock for silence goes on under them.
 func TestAListThatDoesNotEndIsNoWord(t *testing.T) {
-	w := &Watch{Put: func(aggregator.Message) {}, heard: func() {}, Version: 7}
+	w := &Watcher{Put: func(aggregator.Message) {}, heard: func() {}, Version: 7}
 	s := &stream{w: w, alive: make(chan struct{}, 1), over: make(chan error, 1), ready: make(chan struct{}, 1)}
 	s.framer.Most = 1 << 10
 	s.parser.Responses, s.parser.Stream, s.parser.Head = true, s.body, s.head
@@ -203,17 +203,17 @@
 func TestAWatchThatConnectsIsNotDeaf(t *testing.T) {
 	old, new := newAgent(t), newAgent(t)
 	dialing, comesUp, closed := make(chan struct{}), make(chan struct{}), make(chan error, 1)
-	w := &Watch{Addr: old.addr, Dial: func(addr string, timeout time.Duration, handler func(*tcp.Link) tcp.Handler) (*tcp.Link, error) {
+	w := &Watcher{Addr: old.addr, Dial: func(addr string, timeout time.Duration, handler func(*tcp.Conn) tcp.Handler) (*tcp.Conn, error) {
 		if addr == old.addr {
 			close(dialing)
 			<-comesUp
-			return tcp.Dial(addr, timeout, func(l *tcp.Link) tcp.Handler { return closing{handler(l), closed} })
+			return tcp.Dial(addr, timeout, func(l *tcp.Conn) tcp.Handler { return closing{handler(l), closed} })
 		}
 		return tcp.Dial(addr, timeout, handler)
 	}}
 	follow(t, w)
 	<-dialing
-	w.Move(new.addr)
+	w.SwitchTo(new.addr)
 	new.next(t, "") // while the old one still connects
 	close(comesUp)
 	<-closed
@@ -225,8 +225,8 @@
 
 	silent, over := make(chan struct{}), make(chan struct{})
 	stop, reached := make(chan struct{}), make(chan struct{})
-	end := &Watch{Addr: "127.0.0.1:1", Put: func(aggregator.Message) {}, Log: t.Logf,
-		Dial: func(string, time.Duration, func(*tcp.Link) tcp.Handler) (*tcp.Link, error) {
+	end := &Watcher{Addr: "127.0.0.1:1", Put: func(aggregator.Message) {}, Log: t.Logf,
+		Dial: func(string, time.Duration, func(*tcp.Conn) tcp.Handler) (*tcp.Conn, error) {
 			close(reached)
 			<-silent
 			return nil, errors.New("never")
@@ -258,8 +258,8 @@
 func TestTheOldDiscoverySpeaksAfterTheMove(t *testing.T) {
 	old, new := newAgent(t), newAgent(t)
 	came, let, closed := make(chan struct{}, 1), make(chan struct{}), make(chan error, 1)
-	w := &Watch{Addr: old.addr, Version: 7, Dial: func(addr string, timeout time.Duration, handler func(*tcp.Link) tcp.Handler) (*tcp.Link, error) {
-		return tcp.Dial(addr, timeout, func(l *tcp.Link) tcp.Handler {
+	w := &Watcher{Addr: old.addr, Version: 7, Dial: func(addr string, timeout time.Duration, handler func(*tcp.Conn) tcp.Handler) (*tcp.Conn, error) {
+		return tcp.Dial(addr, timeout, func(l *tcp.Conn) tcp.Handler {
 			if addr == old.addr {
 				return closing{held{handler(l), came, let}, closed}
 			}
@@ -269,7 +269,7 @@
 	listed := follow(t, w)
 	old.next(t, "?stream=1&index=7").say(chunkedHead + chunk(listing(8, false, "old")))
 	<-came // read off the socket, not yet taken
-	w.Move(new.addr)
+	w.SwitchTo(new.addr)
 	c := new.next(t, "")
 	whole := listing(3, true, "new")
 	c.say(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(whole), whole))
@@ -284,7 +284,7 @@
 // Changes of an older version than the list held bring nobody back: the whole list is taken, and counts as it is.
 func TestVersionsThatGoBack(t *testing.T) {
 	a := newAgent(t)
-	listed := follow(t, &Watch{Addr: a.addr, Version: 7})
+	listed := follow(t, &Watcher{Addr: a.addr, Version: 7})
 	a.next(t, "?stream=1&index=7").say(chunkedHead + chunk(listing(6, false, "drained long ago")))
 	whole := listing(5, true, "a")
 	a.next(t, "").say(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(whole), whole))
@@ -296,10 +296,10 @@
 // list brought none, and is asked for again.
 func TestAWholeListOfNoStatedLength(t *testing.T) {
 	old, new := newAgent(t), newAgent(t)
-	w := &Watch{Addr: old.addr, Version: 7}
+	w := &Watcher{Addr: old.addr, Version: 7}
 	listed := follow(t, w)
 	old.next(t, "?stream=1&index=7")
-	w.Move(new.addr)
+	w.SwitchTo(new.addr)
 	reset := func(c call, text string) {
 		c.say("HTTP/1.1 200 OK\r\n\r\n" + text)
 		c.Conn.(*net.TCPConn).CloseWrite() // all of it arrives, and then the end: a reset might overtake it
@@ -314,7 +314,7 @@
 // What is no list is refused by its status, whatever its body looks like.
 func TestARefusalsBodyIsNoList(t *testing.T) {
 	a := newAgent(t)
-	listed := follow(t, &Watch{Addr: a.addr, Version: 7})
+	listed := follow(t, &Watcher{Addr: a.addr, Version: 7})
 	text := listing(8, true, "nobody")
 	a.next(t, "?stream=1&index=7").say(fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nContent-Length: %d\r\n\r\n%s", len(text), text))
 	a.next(t, "?stream=1&index=7").say(chunkedHead + chunk(listing(8, false, "a")))
--- a/internal/net/discovery/watch.go
+++ b/internal/net/discovery/watch.go
@@ -82,18 +82,18 @@
 	return len(zones)
 }
 
-// Watch follows the list and posts each change, reconnecting and resuming for ever.
-type Watch struct {
-	Addr    string
-	Zones   []string
-	Version int64 // as last held
-	Put     func(aggregator.Message)
-	Log     func(format string, args ...any)
-	Mixers  int                                  // that follow the same discovery; 0: one
-	Chance  func() float64                       // from 0 to 1, for waits; nil: none
-	After   func(time.Duration) <-chan time.Time // nil: time.After
-	heard   func()
-	calls   *listwatch.Calls
+// Watcher follows the list and posts each change, reconnecting and resuming for ever.
+type Watcher struct {
+	Addr      string
+	Zones     []string
+	Version   int64 // as last held
+	Put       func(aggregator.Message)
+	Log       func(format string, args ...any)
+	FleetSize int                                  // that follow the same discovery; 0: one
+	Random    func() float64                       // from 0 to 1, for waits; nil: none
+	After     func(time.Duration) <-chan time.Time // nil: time.After
+	heard     func()
+	calls     *listwatch.Reconnector
 
 	moves chan string // the newest address not yet gone to; made by Run or Move, whichever comes first
 	made  sync.Once
@@ -102,13 +102,13 @@
 	Dial tcp.Dialer // nil: tcp.Dial
 }
 
-func (w *Watch) moved() chan string {
+func (w *Watcher) moved() chan string {
 	w.made.Do(func() { w.moves = make(chan string, 1) })
 	return w.moves
 }
 
-// Move turns the watch to another address at once. It may be called at any time, by one goroutine.
-func (w *Watch) Move(addr string) {
+// SwitchTo turns the watch to another address at once. It may be called at any time, by one goroutine.
+func (w *Watcher) SwitchTo(addr string) {
 	select {
 	case <-w.moved(): // not gone to yet, and out of date
 	default:
@@ -117,8 +117,8 @@
 }
 
 // Run follows the list until stop is closed. heard is called after each message.
-func (w *Watch) Run(stop <-chan struct{}, heard func()) {
-	w.heard, w.calls = heard, listwatch.New(listwatch.Platform(w.Mixers))
+func (w *Watcher) Run(stop <-chan struct{}, heard func()) {
+	w.heard, w.calls = heard, listwatch.New(listwatch.PlatformConfig(w.FleetSize))
 	if w.After == nil {
 		w.After = time.After
 	}
@@ -126,7 +126,7 @@
 		w.Dial = tcp.Dial
 	}
 	for {
-		w.calls.Open(time.Now(), w.chance())
+		w.calls.Opened(time.Now(), w.chance())
 		err := w.once(stop)
 		if err != nil && err != errMoved {
 			w.Log("discovery: %v", err)
@@ -145,11 +145,11 @@
 	}
 }
 
-func (w *Watch) chance() float64 {
-	if w.Chance == nil {
+func (w *Watcher) chance() float64 {
+	if w.Random == nil {
 		return 0.5
 	}
-	return w.Chance()
+	return w.Random()
 }
 
 var (
@@ -160,19 +160,19 @@
 
 // turn notes the address to go to. Guards against a list that is patched with another discovery's changes:
 // its versions need not continue those held.
-func (w *Watch) turn(addr string) {
+func (w *Watcher) turn(addr string) {
 	w.Addr, w.fresh = addr, true
 	w.Log("discovery: moved to %s", addr)
 }
 
-func (w *Watch) once(stop <-chan struct{}) error {
+func (w *Watcher) once(stop <-chan struct{}) error {
 	s := &stream{w: w, whole: w.fresh, alive: make(chan struct{}, 1), over: make(chan error, 1), ready: make(chan struct{}, 1)}
 	s.framer.Most = maxList
 	s.parser = http1.Parser{Responses: true, Stream: s.body, Head: s.head}
 	addr, err := w.follow(s, stop)
 	// From here on what still comes on the connection is for nobody, so that the next call may begin.
 	if s.leave(); s.good {
-		w.calls.Good()
+		w.calls.Succeeded()
 	}
 	switch {
 	case err == errMoved:
@@ -186,15 +186,15 @@
 }
 
 // follow makes one call and takes what comes until it ends, for whatever reason. Where that is a move, addr is where to.
-func (w *Watch) follow(s *stream, stop <-chan struct{}) (addr string, err error) {
+func (w *Watcher) follow(s *stream, stop <-chan struct{}) (addr string, err error) {
 	type dialed struct {
-		link *tcp.Link
+		link *tcp.Conn
 		err  error
 	}
 	up := make(chan dialed, 1)
 	// Off this goroutine: guards a move and the end against waiting for a connection that never comes up.
 	go func(addr string) {
-		link, err := w.Dial(addr, connectTimeout, func(*tcp.Link) tcp.Handler { return s })
+		link, err := w.Dial(addr, connectTimeout, func(*tcp.Conn) tcp.Handler { return s })
 		up <- dialed{link, err}
 	}(w.Addr)
 	drop := func() {
@@ -202,7 +202,7 @@
 			d.link.Close(nil)
 		}
 	}
-	var link *tcp.Link
+	var link *tcp.Conn
 	select {
 	case d := <-up:
 		if d.err != nil {
@@ -228,14 +228,14 @@
 	for {
 		select {
 		case <-s.alive:
-			w.calls.Heard(time.Now())
+			w.calls.Received(time.Now())
 		case <-s.ready:
 			changes()
 		case err := <-s.over:
 			return "", err
 		case addr := <-w.moved():
 			return addr, errMoved
-		case <-w.After(time.Until(w.calls.Broken())):
+		case <-w.After(time.Until(w.calls.SilenceDeadline())):
 			return "", errSilent
 		case <-stop:
 			return "", nil
@@ -243,7 +243,7 @@
 	}
 }
 
-func (w *Watch) version(s *stream) int64 {
+func (w *Watcher) version(s *stream) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return w.Version
@@ -252,7 +252,7 @@
 // stream reads one call's answers: the whole list, where it has to come first, and then the changes. It runs on its
 // connection.
 type stream struct {
-	w      *Watch
+	w      *Watcher
 	parser http1.Parser
 	framer jsonstream.Framer
 	alive  chan struct{}
