--- a/internal/net/discovery/watch_test.go
+++ b/internal/net/discovery/watch_test.go
@@ -52,7 +52,7 @@
 	}))
 	defer server.Close()
 	got, stop, over := make(chan aggregator.Message, 10), make(chan struct{}), make(chan struct{})
-	w := &Watch{Addr: strings.TrimPrefix(server.URL, "http://"), Version: 7, Put: func(e aggregator.Message) { got <- e }, Log: t.Logf}
+	w := &Watcher{Addr: strings.TrimPrefix(server.URL, "http://"), Version: 7, Put: func(e aggregator.Message) { got <- e }, Log: t.Logf}
 	go func() { w.Run(stop, func() {}); close(over) }()
 	for i, want := range []string{"7", "10", "20"} {
 		if index := <-asked; index != want {
@@ -84,7 +84,7 @@
 		return strings.TrimPrefix(server.URL, "http://")
 	}
 	got, stop, over := make(chan aggregator.Message, 10), make(chan struct{}), make(chan struct{})
-	w := &Watch{Addr: serve("old"), Version: 2, Put: func(e aggregator.Message) { got <- e }, Log: t.Logf}
+	w := &Watcher{Addr: serve("old"), Version: 2, Put: func(e aggregator.Message) { got <- e }, Log: t.Logf}
 	go func() { w.Run(stop, func() {}); close(over) }()
 	expect := func(ask string, kind balance.ListKind, id balance.Replica) {
 		t.Helper()
@@ -96,8 +96,8 @@
 		}
 	}
 	expect("old stream=1&index=2", balance.ListDelta, "old")
-	w.Move("127.0.0.1:1") // overtaken by the next
-	w.Move(serve("new"))
+	w.SwitchTo("127.0.0.1:1") // overtaken by the next
+	w.SwitchTo(serve("new"))
 	expect("new ", balance.ListFull, "new")
 	expect("new stream=1&index=3", balance.ListDelta, "new")
 	close(stop)
@@ -149,7 +149,7 @@
 				<-r.Context().Done()
 			}))
 			stop, over := make(chan struct{}), make(chan struct{})
-			w := &Watch{Addr: strings.TrimPrefix(server.URL, "http://"), Version: 7, Put: func(e aggregator.Message) { listed <- e }, Log: does.log, Mixers: mixers, After: does.after}
+			w := &Watcher{Addr: strings.TrimPrefix(server.URL, "http://"), Version: 7, Put: func(e aggregator.Message) { listed <- e }, Log: does.log, FleetSize: mixers, After: does.after}
 			go func() { w.Run(stop, func() {}); close(over) }()
 			for call, want := range []string{"7", index, index} {
 				if got := <-asked; got != want {
@@ -185,7 +185,7 @@
 		least, most time.Duration
 	}{{0, 0, 200 * time.Millisecond}, {300, 7500 * time.Millisecond, 30 * time.Second}} {
 		does, stop, over := make(events, 100), make(chan struct{}), make(chan struct{})
-		w := &Watch{Addr: strings.TrimPrefix(server.URL, "http://"), Put: func(aggregator.Message) {}, Log: does.log, Mixers: k.mixers, After: does.after}
+		w := &Watcher{Addr: strings.TrimPrefix(server.URL, "http://"), Put: func(aggregator.Message) {}, Log: does.log, FleetSize: k.mixers, After: does.after}
 		go func() { w.Run(stop, func() {}); close(over) }()
 		for refused := 0; refused < 3; {
 			switch e := (<-does).(type) {
--- a/internal/net/gossip/gossip.go
+++ b/internal/net/gossip/gossip.go
@@ -14,10 +14,10 @@
 
 // Stats count datagrams: sent, not taken by the system, received, and dropped unread because they were too long
 // or came from no peer.
-type Stats struct{ Sent, Failed, Received, TooLong, Strangers atomic.Uint64 }
+type Stats struct{ Sent, Failed, Received, TooLong, UnknownSender atomic.Uint64 }
 
-// Exchange sends to all peers and receives from each. Tell and Close may be called by any goroutine.
-type Exchange struct {
+// Transport sends to all peers and receives from each. Tell and Close may be called by any goroutine.
+type Transport struct {
 	Stats Stats
 	conn  *net.UDPConn
 	all   netip.AddrPort
@@ -27,12 +27,12 @@
 // Open listens at listen and sends to all, which reaches every mixer of the tier. Datagrams from peers other
 // than own are passed to put, each in memory of its own; put must not block. An address that cannot be read or
 // used is an error.
-func Open(listen, all string, peers []string, own int, put func([]byte)) (*Exchange, error) {
+func Open(listen, all string, peers []string, own int, put func([]byte)) (*Transport, error) {
 	at, err := netip.ParseAddrPort(listen)
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	x := &Exchange{peers: map[netip.AddrPort]bool{}}
+	x := &Transport{peers: map[netip.AddrPort]bool{}}
 	if x.all, err = netip.ParseAddrPort(all); err != nil {
 		return nil, fmt.Errorf("peers_all: %w", err)
 	}
@@ -51,10 +51,10 @@
 }
 
 // Addr is where the exchange listens.
-func (x *Exchange) Addr() netip.AddrPort { return x.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+func (x *Transport) Addr() netip.AddrPort { return x.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
 
 // Broadcast sends text to all peers. One longer than is allowed is never sent.
-func (x *Exchange) Broadcast(text []byte) {
+func (x *Transport) Broadcast(text []byte) {
 	if len(text) > balance.MaxGossipBytes {
 		x.Stats.TooLong.Add(1)
 		return
@@ -67,11 +67,11 @@
 }
 
 // Close ends the exchange.
-func (x *Exchange) Close() { x.conn.Close() }
+func (x *Transport) Close() { x.conn.Close() }
 
 // read passes on what comes until the exchange is closed. An error of one datagram, as when a peer's port is
 // closed, is not the end of the others.
-func (x *Exchange) read(put func([]byte)) {
+func (x *Transport) read(put func([]byte)) {
 	buf := make([]byte, balance.MaxGossipBytes+1) // one byte more shows what is too long
 	for {
 		n, from, err := x.conn.ReadFromUDPAddrPort(buf)
@@ -85,7 +85,7 @@
 		known, listed := x.peers[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
 		switch {
 		case !listed:
-			x.Stats.Strangers.Add(1)
+			x.Stats.UnknownSender.Add(1)
 		case n > balance.MaxGossipBytes:
 			x.Stats.TooLong.Add(1)
 		case known:
--- a/internal/net/gossip/gossip_test.go
+++ b/internal/net/gossip/gossip_test.go
@@ -46,7 +46,7 @@
 			t.Fatalf("got %q, want %q", text, want)
 		}
 	}
-	if s, l, r := x.Stats.Strangers.Load(), x.Stats.TooLong.Load(), x.Stats.Received.Load(); s != 1 || l != 2 || r != 3 {
+	if s, l, r := x.Stats.UnknownSender.Load(), x.Stats.TooLong.Load(), x.Stats.Received.Load(); s != 1 || l != 2 || r != 3 {
 		t.Errorf("%d strangers, %d too long, %d received", s, l, r)
 	}
 	x.Broadcast(make([]byte, balance.MaxGossipBytes+1))
--- a/internal/net/httpserve/crossings_test.go
+++ b/internal/net/httpserve/crossings_test.go
@@ -16,19 +16,19 @@
 
 // Crossings of requests and closes on real connections (docs/crossings.md).
 
-// held stands between a connection and its handler: what came is passed on when the test says so.
-type held struct {
+// heldHandler stands between a connection and its handler: what came is passed on when the test says so.
+type heldHandler struct {
 	tcp.Handler
 	came, let, over chan struct{}
 }
 
-func (h held) Data(b []byte) {
+func (h heldHandler) Data(b []byte) {
 	h.came <- struct{}{}
 	<-h.let
 	h.Handler.Data(b)
 }
 
-func (h held) Closed(err error) {
+func (h heldHandler) Closed(err error) {
 	h.Handler.Closed(err)
 	close(h.over)
 }
@@ -37,16 +37,16 @@
 	s      *Server
 	addr   string
 	taken  chan *Exchange
-	accept atomic.Pointer[func(*tcp.Link) tcp.Handler] // nil: the server's own
+	accept atomic.Pointer[func(*tcp.Conn) tcp.Handler] // nil: the server's own
 }
 
 // accepts says what makes the handlers of later connections.
-func (r *rig) accepts(f func(*tcp.Link) tcp.Handler) { r.accept.Store(&f) }
+func (r *rig) accepts(f func(*tcp.Conn) tcp.Handler) { r.accept.Store(&f) }
 
 func serve(t *testing.T, times Timeouts) *rig {
 	r := &rig{taken: make(chan *Exchange, 10)}
 	r.s = New(times, time.Now, func(x *Exchange) { r.taken <- x })
-	l, err := tcp.Listen("127.0.0.1:0", &tcp.Gate{Most: 100}, func(l *tcp.Link) tcp.Handler {
+	l, err := tcp.Listen("127.0.0.1:0", &tcp.ConnLimiter{Max: 100}, func(l *tcp.Conn) tcp.Handler {
 		if f := r.accept.Load(); f != nil {
 			return (*f)(l)
 		}
@@ -61,16 +61,16 @@
 }
 
 // hold connects a client; what it sends is read off the socket and held until the test lets it through.
-func (r *rig) hold(t *testing.T) (client, *held) {
-	h, accepted := &held{nil, make(chan struct{}), make(chan struct{}), make(chan struct{})}, make(chan struct{})
-	r.accepts(func(l *tcp.Link) tcp.Handler { h.Handler = r.s.Accept(l); close(accepted); return h })
+func (r *rig) hold(t *testing.T) (client, *heldHandler) {
+	h, accepted := &heldHandler{nil, make(chan struct{}), make(chan struct{}), make(chan struct{})}, make(chan struct{})
+	r.accepts(func(l *tcp.Conn) tcp.Handler { h.Handler = r.s.Accept(l); close(accepted); return h })
 	c := r.connect(t)
 	<-accepted
 	return c, h
 }
 
 // answersOne answers a first request on a connection that is held.
-func (r *rig) answersOne(c client, h *held) {
+func (r *rig) answersOne(c client, h *heldHandler) {
 	c.t.Helper()
 	c.ask(1)
 	<-h.came
@@ -80,13 +80,13 @@
 }
 
 // ends says that a client sees the end of its connection, that nothing more was taken, and that no connection is left.
-func (r *rig) ends(c client, h *held) {
+func (r *rig) ends(c client, h *heldHandler) {
 	c.t.Helper()
 	c.end()
 	c.Close()
 	<-h.over
-	if n := len(r.taken); n > 0 || r.s.Open() != 0 {
-		c.t.Errorf("%d requests taken after the end, %d connections open", n, r.s.Open())
+	if n := len(r.taken); n > 0 || r.s.OpenConns() != 0 {
+		c.t.Errorf("%d requests taken after the end, %d connections open", n, r.s.OpenConns())
 	}
 }
 
@@ -146,7 +146,7 @@
 	r := serve(t, Timeouts{})
 	accepting, let := make(chan struct{}), make(chan struct{})
 	first := true
-	r.accepts(func(l *tcp.Link) tcp.Handler {
+	r.accepts(func(l *tcp.Conn) tcp.Handler {
 		if !first { // on the poller
 			close(accepting)
 			<-let
@@ -181,7 +181,7 @@
 	<-h.came
 	h.let <- struct{}{}
 	accepting, let := make(chan struct{}), make(chan struct{})
-	r.accepts(func(l *tcp.Link) tcp.Handler {
+	r.accepts(func(l *tcp.Conn) tcp.Handler {
 		close(accepting)
 		<-let
 		return r.s.Accept(l)
@@ -210,7 +210,7 @@
 	<-h.came
 	h.let <- struct{}{}
 	r.s.Shutdown()
-	if r.s.Open() != 1 {
+	if r.s.OpenConns() != 1 {
 		t.Fatal("the shutdown does not wait for it")
 	}
 	x.Respond(200, []byte("one"))
@@ -225,7 +225,7 @@
 	r.answersOne(c, h)
 	c.ask(2)
 	<-h.came
-	h.Handler.(*conn).expire()
+	h.Handler.(*serverConn).expire()
 	h.let <- struct{}{}
 	r.ends(c, h)
 }
--- a/internal/net/httpserve/httpserve.go
+++ b/internal/net/httpserve/httpserve.go
@@ -16,10 +16,10 @@
 
 // Timeouts of a connection.
 type Timeouts struct {
-	First time.Duration // for the first request, from the start; 0: as Idle and Read say
-	Idle  time.Duration // between requests
-	Read  time.Duration // for the rest of a request that has begun
-	Spare time.Duration // idle for so long, a connection may make room for another
+	FirstRequest   time.Duration // for the first request, from the start; 0: as Idle and Read say
+	Idle           time.Duration // between requests
+	ReadRequest    time.Duration // for the rest of a request that has begun
+	EvictableAfter time.Duration // idle for so long, a connection may make room for another
 }
 
 // Counters count connections and requests, and how the server itself ended some.
@@ -27,17 +27,17 @@
 
 // Server holds connections.
 type Server struct {
-	// Crowd is how many connections may be kept between requests. With more, an answer ends its connection, and
+	// MaxKeepAlive is how many connections may be kept between requests. With more, an answer ends its connection, and
 	// those idle for Spare make room. Guards clients that ask once and keep their connection against running out
 	// of them, and the limit on sockets. 0: no limit.
-	Crowd  int
-	handle func(*Exchange)
-	times  Timeouts
-	now    func() time.Time
+	MaxKeepAlive int
+	handle       func(*Exchange)
+	times        Timeouts
+	now          func() time.Time
 
 	mu      sync.Mutex
 	closing bool // every answer ends its connection, and no request is taken any more
-	conns   map[*conn]bool
+	conns   map[*serverConn]bool
 	unused  list.List // of connections without a whole request so far, oldest first
 	idle    list.List // of connections between requests, the one idle longest first
 	count   Counters
@@ -45,7 +45,7 @@
 
 // New returns a Server that hands each request to handle, which answers it then or later.
 func New(times Timeouts, now func() time.Time, handle func(*Exchange)) *Server {
-	return &Server{handle: handle, times: times, now: now, conns: map[*conn]bool{}}
+	return &Server{handle: handle, times: times, now: now, conns: map[*serverConn]bool{}}
 }
 
 // Shutdown ends the server gracefully: connections without a request in hand end, each later answer ends its connection,
@@ -54,7 +54,7 @@
 func (s *Server) Shutdown() {
 	s.mu.Lock()
 	s.closing = true
-	var all []*conn
+	var all []*serverConn
 	for c := range s.conns {
 		all = append(all, c)
 	}
@@ -64,8 +64,8 @@
 	}
 }
 
-// Open is the number of connections.
-func (s *Server) Open() int {
+// OpenConns is the number of connections.
+func (s *Server) OpenConns() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.conns)
@@ -78,26 +78,26 @@
 	return s.count
 }
 
-// Link is a connection as the server uses it.
-type Link interface {
-	Write(b []byte, done func(tcp.Wrote))
-	Finish()
+// Conn is a connection as the server uses it.
+type Conn interface {
+	Write(b []byte, done func(tcp.WriteResult))
+	CloseGracefully()
 	Close(cause error)
-	Drop()
+	CloseAndWait()
 }
 
-// Room closes a connection that is in nobody's way, before it returns, and says whether there was one. Guards
+// EvictIdle closes a connection that is in nobody's way, before it returns, and says whether there was one. Guards
 // the limit on sockets: against clients that connect and say nothing, and against those that ask once and
 // keep their connection. With force any that has no request in hand goes; else one that was idle for Spare.
-func (s *Server) Room(force bool) bool {
+func (s *Server) EvictIdle(force bool) bool {
 	s.mu.Lock()
-	var c *conn
-	if e := s.idle.Front(); e != nil && s.now().Sub(e.Value.(*conn).since) >= s.times.Spare {
-		c = e.Value.(*conn)
+	var c *serverConn
+	if e := s.idle.Front(); e != nil && s.now().Sub(e.Value.(*serverConn).since) >= s.times.EvictableAfter {
+		c = e.Value.(*serverConn)
 	} else if e := s.unused.Front(); e != nil && force {
-		c = e.Value.(*conn)
+		c = e.Value.(*serverConn)
 	} else if e := s.idle.Front(); e != nil && force {
-		c = e.Value.(*conn)
+		c = e.Value.(*serverConn)
 	}
 	if c == nil {
 		s.mu.Unlock()
@@ -111,13 +111,13 @@
 	c.over = c.over || !open
 	c.mu.Unlock()
 	if !open {
-		c.link.Drop()
+		c.link.CloseAndWait()
 	}
 	return !open
 }
 
 // enlist and unlist keep what list a connection is on. They are called with the server's lock held.
-func (c *conn) enlist(l *list.List) {
+func (c *serverConn) enlist(l *list.List) {
 	c.unlist()
 	if c.s.conns[c] {
 		c.since, c.on = c.s.now(), l
@@ -125,7 +125,7 @@
 	}
 }
 
-func (c *conn) unlist() {
+func (c *serverConn) unlist() {
 	if c.on != nil {
 		c.on.Remove(c.place)
 		c.on, c.place = nil, nil
@@ -133,13 +133,13 @@
 }
 
 // Accept makes the handler of a new connection.
-func (s *Server) Accept(l *tcp.Link) tcp.Handler { return s.Attach(l) }
+func (s *Server) Accept(l *tcp.Conn) tcp.Handler { return s.Attach(l) }
 
 // Attach makes the handler of a connection.
-func (s *Server) Attach(l Link) tcp.Handler {
-	c := &conn{s: s, link: l}
+func (s *Server) Attach(l Conn) tcp.Handler {
+	c := &serverConn{s: s, link: l}
 	c.mu.Lock()
-	c.arm(cmp.Or(s.times.First, s.times.Idle))
+	c.arm(cmp.Or(s.times.FirstRequest, s.times.Idle))
 	c.mu.Unlock()
 	s.mu.Lock()
 	s.conns[c] = true
@@ -148,7 +148,7 @@
 	crowded, closing := s.crowded(), s.closing
 	s.mu.Unlock()
 	if crowded {
-		s.Room(false)
+		s.EvictIdle(false)
 	}
 	if closing { // it was let in before the shutdown, which did not see it
 		c.shutdown()
@@ -157,29 +157,31 @@
 }
 
 // crowded is called with the lock held. Connections that were never used do not count: they are nobody's.
-func (s *Server) crowded() bool { return s.Crowd > 0 && len(s.conns)-s.unused.Len() > s.Crowd }
+func (s *Server) crowded() bool {
+	return s.MaxKeepAlive > 0 && len(s.conns)-s.unused.Len() > s.MaxKeepAlive
+}
 
 // Exchange is a request and the way to answer it.
 type Exchange struct {
 	*http1.Message
-	Begun time.Time // when its first byte came
-	c     *conn
-	left  func()
+	FirstByteAt time.Time // when its first byte came
+	c           *serverConn
+	left        func()
 }
 
-// OnLeft sets what is called if the client goes away before it is answered. It returns false if that has
+// OnDisconnect sets what is called if the client goes away before it is answered. It returns false if that has
 // happened already.
-func (x *Exchange) OnLeft(f func()) bool {
+func (x *Exchange) OnDisconnect(f func()) bool {
 	x.c.mu.Lock()
 	defer x.c.mu.Unlock()
 	x.left = f
 	return x.c.open == x
 }
 
-// conn is one client's connection. What is sent behind a request that is not answered yet waits.
-type conn struct {
+// serverConn is one client's connection. What is sent behind a request that is not answered yet waits.
+type serverConn struct {
 	s    *Server
-	link Link
+	link Conn
 
 	mu     sync.Mutex
 	parser http1.Parser
@@ -199,7 +201,7 @@
 }
 
 // arm sets the time by which the next whole request must be in.
-func (c *conn) arm(d time.Duration) {
+func (c *serverConn) arm(d time.Duration) {
 	if c.timer != nil {
 		c.timer.Stop()
 	}
@@ -208,7 +210,7 @@
 	}
 }
 
-func (c *conn) expire() {
+func (c *serverConn) expire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.open != nil || c.over {
@@ -219,10 +221,10 @@
 		return
 	}
 	c.over = true
-	c.link.Finish()
+	c.link.CloseGracefully()
 }
 
-func (c *conn) shutdown() {
+func (c *serverConn) shutdown() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -232,26 +234,26 @@
 	default:
 		c.over = true
 		c.arm(0)
-		c.link.Finish()
+		c.link.CloseGracefully()
 	}
 }
 
 // turnAway answers a request that comes in under a shutdown, whole or not: nothing was done for it.
-func (c *conn) turnAway() {
+func (c *serverConn) turnAway() {
 	c.s.counted(&c.s.count.Late)
 	c.last(http1.Response(503, true, nil))
 }
 
 // last ends the connection with an answer.
-func (c *conn) last(answer []byte) {
+func (c *serverConn) last(answer []byte) {
 	c.over = true
 	c.arm(0)
 	c.link.Write(answer, nil)
-	c.link.Finish()
+	c.link.CloseGracefully()
 }
 
 // Data reads requests.
-func (c *conn) Data(b []byte) {
+func (c *serverConn) Data(b []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.over {
@@ -261,8 +263,8 @@
 	if !c.parser.Begun() {
 		c.begun = c.heard
 		// The first request has its time from the start. Guards against clients that begin and never end.
-		if c.open == nil && (c.used || c.s.times.First == 0) {
-			c.arm(c.s.times.Read)
+		if c.open == nil && (c.used || c.s.times.FirstRequest == 0) {
+			c.arm(c.s.times.ReadRequest)
 		}
 	}
 	c.parser.Feed(b)
@@ -277,7 +279,7 @@
 
 // advance hands on whole requests, one at a time. It is called with the lock held and lets go of it while
 // the request is handled, as that may answer at once.
-func (c *conn) advance() {
+func (c *serverConn) advance() {
 	if c.inside {
 		return
 	}
@@ -312,7 +314,7 @@
 			c.turnAway()
 			return
 		}
-		x := &Exchange{Message: m, Begun: c.begun, c: c}
+		x := &Exchange{Message: m, FirstByteAt: c.begun, c: c}
 		c.begun = c.heard // of one that was sent right behind it
 		c.open = x
 		c.arm(0)
@@ -323,7 +325,7 @@
 }
 
 // call stops a panic at its request: the client gets an answer, the connection ends.
-func (c *conn) call(x *Exchange) {
+func (c *serverConn) call(x *Exchange) {
 	defer func() {
 		if p := recover(); p != nil {
 			fmt.Fprintf(os.Stderr, "request %s %s: panic: %v\n", x.Method, x.Target, p)
@@ -342,7 +344,7 @@
 }
 
 // refuse answers what cannot be read; the framing is lost, so the connection ends.
-func (c *conn) refuse(status int, reason string) {
+func (c *serverConn) refuse(status int, reason string) {
 	c.s.counted(&c.s.count.Bad)
 	c.last(http1.Response(status, true, []byte(reason+"\n"), "Content-Type", "text/plain"))
 }
@@ -372,11 +374,11 @@
 	c.link.Write(answer, nil)
 	if closing {
 		c.over = true
-		c.link.Finish()
+		c.link.CloseGracefully()
 		return
 	}
 	if c.parser.Begun() {
-		c.arm(c.s.times.Read)
+		c.arm(c.s.times.ReadRequest)
 	} else {
 		c.arm(c.s.times.Idle)
 	}
@@ -389,7 +391,7 @@
 }
 
 // Closed tells the owner of the request in hand that its client has gone away.
-func (c *conn) Closed(error) {
+func (c *serverConn) Closed(error) {
 	c.mu.Lock()
 	c.over = true
 	c.arm(0)
--- a/internal/net/httpserve/httpserve_test.go
+++ b/internal/net/httpserve/httpserve_test.go
@@ -8,24 +8,24 @@
 	"rooktrestle/internal/net/tcp"
 )
 
-// link notes what is written on a connection.
-type link struct {
+// fakeConn notes what is written on a connection.
+type fakeConn struct {
 	out              strings.Builder
 	finished, closed bool
 	dropped          bool
 }
 
-func (l *link) Write(b []byte, _ func(tcp.Wrote)) { l.out.Write(b) }
-func (l *link) Drop()                             { l.dropped = true }
-func (l *link) Finish()                           { l.finished = true }
-func (l *link) Close(error)                       { l.closed = true }
+func (l *fakeConn) Write(b []byte, _ func(tcp.WriteResult)) { l.out.Write(b) }
+func (l *fakeConn) CloseAndWait()                           { l.dropped = true }
+func (l *fakeConn) CloseGracefully()                        { l.finished = true }
+func (l *fakeConn) Close(error)                             { l.closed = true }
 
 func now() time.Time { return time.Unix(1000, 0) }
 
 func TestOneRequestAtATimeInOrder(t *testing.T) {
 	var open []*Exchange
 	s := New(Timeouts{}, now, func(x *Exchange) { open = append(open, x) })
-	l := &link{}
+	l := &fakeConn{}
 	c := s.Attach(l)
 	c.Data([]byte("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET"))
 	if len(open) != 1 {
@@ -45,21 +45,21 @@
 func TestClientLeaves(t *testing.T) {
 	left := 0
 	var open *Exchange
-	s := New(Timeouts{}, now, func(x *Exchange) { open = x; x.OnLeft(func() { left++ }) })
-	l := &link{}
+	s := New(Timeouts{}, now, func(x *Exchange) { open = x; x.OnDisconnect(func() { left++ }) })
+	l := &fakeConn{}
 	c := s.Attach(l)
 	c.Data([]byte("GET / HTTP/1.1\r\n\r\n"))
 	c.Closed(nil)
 	open.Respond(200, nil)
-	if left != 1 || l.out.Len() != 0 || s.Open() != 0 || open.OnLeft(func() {}) {
-		t.Errorf("left %d times, wrote %q, %d open", left, l.out.String(), s.Open())
+	if left != 1 || l.out.Len() != 0 || s.OpenConns() != 0 || open.OnDisconnect(func() {}) {
+		t.Errorf("left %d times, wrote %q, %d open", left, l.out.String(), s.OpenConns())
 	}
 }
 
 // A panic stops at its connection, whose client still gets an answer.
 func TestPanicStopsAtTheConnection(t *testing.T) {
 	s := New(Timeouts{}, now, func(*Exchange) { panic("in a handler") })
-	l := &link{}
+	l := &fakeConn{}
 	s.Attach(l).Data([]byte("GET / HTTP/1.1\r\n\r\n"))
 	if !strings.HasPrefix(l.out.String(), "HTTP/1.1 500 ") || !l.finished || s.Counters().Panics != 1 {
 		t.Errorf("%q %+v", l.out.String(), s.Counters())
@@ -69,7 +69,7 @@
 func TestClosingAndFlooding(t *testing.T) {
 	var open *Exchange
 	s := New(Timeouts{}, now, func(x *Exchange) { open = x })
-	idle, busy, flood := &link{}, &link{}, &link{}
+	idle, busy, flood := &fakeConn{}, &fakeConn{}, &fakeConn{}
 	s.Attach(idle)
 	c := s.Attach(busy)
 	c.Data([]byte("GET / HTTP/1.1\r\n\r\n"))
@@ -95,9 +95,9 @@
 func TestRoom(t *testing.T) {
 	at := now()
 	var open *Exchange
-	s := New(Timeouts{Spare: 2 * time.Second}, func() time.Time { return at }, func(x *Exchange) { open = x })
-	attach := func(say string, answer bool) *link {
-		l := &link{}
+	s := New(Timeouts{EvictableAfter: 2 * time.Second}, func() time.Time { return at }, func(x *Exchange) { open = x })
+	attach := func(say string, answer bool) *fakeConn {
+		l := &fakeConn{}
 		c := s.Attach(l)
 		if c.Data([]byte(say)); answer {
 			open.Respond(200, nil)
@@ -109,23 +109,23 @@
 	half := attach("GET", false)
 	busy := attach("GET / HTTP/1.1\r\n\r\n", false)
 	fresh := attach("GET / HTTP/1.1\r\n\r\n", true)
-	if s.Room(false) {
+	if s.EvictIdle(false) {
 		t.Error("a connection went that was not idle for long")
 	}
 	at = at.Add(1500 * time.Millisecond)
-	if !s.Room(true) || !silent.dropped {
+	if !s.EvictIdle(true) || !silent.dropped {
 		t.Error("the silent one stayed")
 	}
 	at = at.Add(time.Second)
-	s.Crowd = 1
+	s.MaxKeepAlive = 1
 	attach("", false) // one more makes a crowd
 	if !kept.dropped && !fresh.dropped {
 		t.Error("the crowd stayed")
 	}
 	for range 4 {
-		s.Room(true)
+		s.EvictIdle(true)
 	}
-	if !kept.dropped || !fresh.dropped || !half.dropped || busy.dropped || s.Room(true) {
+	if !kept.dropped || !fresh.dropped || !half.dropped || busy.dropped || s.EvictIdle(true) {
 		t.Errorf("kept %v, fresh %v, half %v, busy %v", kept.dropped, fresh.dropped, half.dropped, busy.dropped)
 	}
 	if n := s.Counters().Spared; n != 5 {
@@ -135,10 +135,10 @@
 
 // The first request has its time from the start of the connection: what trickles in does not prolong it.
 func TestTimeForTheFirstRequest(t *testing.T) {
-	s := New(Timeouts{First: time.Hour, Idle: time.Hour, Read: time.Hour}, now, func(x *Exchange) { x.Respond(200, nil) })
+	s := New(Timeouts{FirstRequest: time.Hour, Idle: time.Hour, ReadRequest: time.Hour}, now, func(x *Exchange) { x.Respond(200, nil) })
 	for say, want := range map[string]string{"": "", "GET / HT": "HTTP/1.1 408 "} {
-		l := &link{}
-		c := s.Attach(l).(*conn)
+		l := &fakeConn{}
+		c := s.Attach(l).(*serverConn)
 		timer := c.timer
 		if c.Data([]byte(say)); c.timer != timer {
 			t.Errorf("%q: the time was set anew", say)
@@ -147,7 +147,7 @@
 			t.Errorf("%q: %q", say, l.out.String())
 		}
 	}
-	c := s.Attach(&link{}).(*conn)
+	c := s.Attach(&fakeConn{}).(*serverConn)
 	c.Data([]byte("GET / HTTP/1.1\r\n\r\n"))
 	timer := c.timer
 	if c.Data([]byte("GET")); c.timer == timer {
@@ -160,11 +160,11 @@
 	at := now()
 	var open *Exchange
 	s := New(Timeouts{}, func() time.Time { return at }, func(x *Exchange) { open = x })
-	c := s.Attach(&link{})
+	c := s.Attach(&fakeConn{})
 	c.Data([]byte("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n"))
 	at = at.Add(time.Second)
-	if open.Respond(200, nil); open.Target != "/2" || !open.Begun.Equal(now()) {
-		t.Errorf("%s begun %v", open.Target, open.Begun)
+	if open.Respond(200, nil); open.Target != "/2" || !open.FirstByteAt.Equal(now()) {
+		t.Errorf("%s begun %v", open.Target, open.FirstByteAt)
 	}
 }
 
@@ -178,11 +178,11 @@
 // In a crowd an answer ends its connection: clients that ask once and keep theirs would run out of them.
 func TestCrowdEndsWithTheAnswer(t *testing.T) {
 	var open *Exchange
-	s := New(Timeouts{Spare: time.Hour}, now, func(x *Exchange) { open = x })
-	s.Crowd = 2
-	s.Attach(&link{}) // said nothing: does not count
+	s := New(Timeouts{EvictableAfter: time.Hour}, now, func(x *Exchange) { open = x })
+	s.MaxKeepAlive = 2
+	s.Attach(&fakeConn{}) // said nothing: does not count
 	for i := range 4 {
-		l := &link{}
+		l := &fakeConn{}
 		s.Attach(l).Data([]byte("GET / HTTP/1.1\r\n\r\n"))
 		if busy(s) != 1+max(0, i-2) {
 			t.Errorf("%d: %d busy", i, busy(s))
--- a/internal/net/shardmapsource/shardmapsource.go
+++ b/internal/net/shardmapsource/shardmapsource.go
@@ -14,8 +14,8 @@
 	"rooktrestle/internal/protocol/http1"
 )
 
-// Told is what a source has to say: the text of a map, that there is nothing newer, or an error.
-type Told struct {
+// Update is what a source has to say: the text of a map, that there is nothing newer, or an error.
+type Update struct {
 	Source string
 	Text   []byte // nil: nothing newer than was asked for
 	Err    error
@@ -26,17 +26,17 @@
 
 // File watches a file by its size, its time and what stands behind its name.
 type File struct {
-	Path  string
-	Every time.Duration
-	Put   func(Told)
-	Wake  <-chan struct{} // read now, whatever the file looks like
+	Path     string
+	Interval time.Duration
+	Put      func(Update)
+	Wake     <-chan struct{} // read now, whatever the file looks like
 }
 
 // Run reads until stop is closed. The first reading is told in any case.
 func (f *File) Run(stop <-chan struct{}) {
 	var last os.FileInfo
 	failed := false
-	tick := time.NewTicker(f.Every)
+	tick := time.NewTicker(f.Interval)
 	defer tick.Stop()
 	for wanted := true; ; {
 		now, err := os.Stat(f.Path)
@@ -44,12 +44,12 @@
 		switch {
 		case err != nil:
 			if wanted || !failed {
-				f.Put(Told{Source: f.Path, Err: err})
+				f.Put(Update{Source: f.Path, Err: err})
 			}
 			failed = true
 		case wanted || !same || failed:
 			text, err := os.ReadFile(f.Path)
-			f.Put(Told{Source: f.Path, Text: text, Err: err})
+			f.Put(Update{Source: f.Path, Text: text, Err: err})
 			last, failed = now, err != nil
 		}
 		wanted = false
@@ -66,21 +66,21 @@
 // HTTP asks a source by long poll: GET /v1/blocks?after=EPOCH&wait=10s answers 200 with a map newer than EPOCH as soon
 // as there is one, or 304 when the wait is over.
 type HTTP struct {
-	Addr  string
-	Wait  time.Duration
-	Least time.Duration // between two questions, and after the first failure; doubles up to Most
-	Most  time.Duration
-	Put   func(Told)
-	Epoch func() uint64   // the epoch that is had; called off the loop
-	Wake  <-chan struct{} // ask now, without waiting
-	Dial  func(addr string, timeout time.Duration, handler func(*tcp.Link) tcp.Handler) (*tcp.Link, error)
+	Addr         string
+	Wait         time.Duration
+	MinInterval  time.Duration // between two questions, and after the first failure; doubles up to Most
+	MaxInterval  time.Duration
+	Put          func(Update)
+	CurrentEpoch func() uint64   // the epoch that is had; called off the loop
+	Wake         <-chan struct{} // ask now, without waiting
+	Dial         func(addr string, timeout time.Duration, handler func(*tcp.Conn) tcp.Handler) (*tcp.Conn, error)
 }
 
 // Run asks until stop is closed.
 func (h *HTTP) Run(stop <-chan struct{}) {
-	pause, wait := h.Least, time.Duration(0) // the first question is answered at once
+	pause, wait := h.MinInterval, time.Duration(0) // the first question is answered at once
 	for {
-		asked := h.Epoch()
+		asked := h.CurrentEpoch()
 		told, woken := h.ask(stop, asked, wait)
 		if told != nil {
 			h.Put(*told)
@@ -88,14 +88,14 @@
 		switch {
 		case woken:
 			wait = 0
-			pause = h.Least
+			pause = h.MinInterval
 			continue
 		case told == nil: // stopped
 			return
 		case told.Err != nil:
-			pause = min(2*pause, h.Most)
+			pause = min(2*pause, h.MaxInterval)
 		default:
-			pause, wait = h.Least, h.Wait
+			pause, wait = h.MinInterval, h.Wait
 		}
 		// By chance, or all mixers would come back to a source together.
 		rest := time.NewTimer(pause/2 + rand.N(pause))
@@ -152,10 +152,10 @@
 }
 
 // ask asks once. woken: somebody wants to know at once.
-func (h *HTTP) ask(stop <-chan struct{}, after uint64, wait time.Duration) (told *Told, woken bool) {
-	fail := func(err error) *Told { return &Told{Source: h.Addr, Err: err} }
+func (h *HTTP) ask(stop <-chan struct{}, after uint64, wait time.Duration) (told *Update, woken bool) {
+	fail := func(err error) *Update { return &Update{Source: h.Addr, Err: err} }
 	a := &answer{parser: http1.Parser{Responses: true, MaxBody: maxMap}, got: make(chan *http1.Message, 1), err: make(chan error, 1)}
-	link, err := h.Dial(h.Addr, time.Second, func(*tcp.Link) tcp.Handler { return a })
+	link, err := h.Dial(h.Addr, time.Second, func(*tcp.Conn) tcp.Handler { return a })
 	if err != nil {
 		return fail(err), false
 	}
@@ -179,9 +179,9 @@
 	case m := <-a.got:
 		switch m.Status {
 		case 200:
-			return &Told{Source: h.Addr, Text: m.Body}, false
+			return &Update{Source: h.Addr, Text: m.Body}, false
 		case 304:
-			return &Told{Source: h.Addr}, false
+			return &Update{Source: h.Addr}, false
 		}
 		return fail(fmt.Errorf("status %d", m.Status)), false
 	}
--- a/internal/net/shardmapsource/shardmapsource_test.go
+++ b/internal/net/shardmapsource/shardmapsource_test.go
@@ -19,14 +19,14 @@
 // patience is how long something is waited for: a failure, not a verdict.
 const patience = 30 * time.Second
 
-func next(t *testing.T, told <-chan Told) Told {
+func next(t *testing.T, told <-chan Update) Update {
 	t.Helper()
 	select {
 	case one := <-told:
 		return one
 	case <-time.After(patience):
 		t.Fatal("nothing is told")
-		return Told{}
+		return Update{}
 	}
 }
 
@@ -43,8 +43,8 @@
 			t.Fatal(err)
 		}
 	}
-	told, wake, stop, over := make(chan Told, 10), make(chan struct{}, 1), make(chan struct{}), make(chan struct{})
-	f := &File{Path: path, Every: 5 * time.Millisecond, Put: func(one Told) { told <- one }, Wake: wake}
+	told, wake, stop, over := make(chan Update, 10), make(chan struct{}, 1), make(chan struct{}), make(chan struct{})
+	f := &File{Path: path, Interval: 5 * time.Millisecond, Put: func(one Update) { told <- one }, Wake: wake}
 	go func() { f.Run(stop); close(over) }()
 	if one := next(t, told); !errors.Is(one.Err, fs.ErrNotExist) {
 		t.Errorf("%+v", one)
@@ -112,10 +112,10 @@
 		}
 	}))
 	defer web.Close()
-	told, wake, stop, over := make(chan Told, 1000), make(chan struct{}, 1), make(chan struct{}), make(chan struct{})
-	h := &HTTP{Addr: strings.TrimPrefix(web.URL, "http://"), Wait: time.Hour, Least: 5 * time.Millisecond, Most: 20 * time.Millisecond,
-		Put: func(one Told) { told <- one }, Epoch: had.Load, Wake: wake,
-		Dial: func(addr string, timeout time.Duration, handler func(*tcp.Link) tcp.Handler) (*tcp.Link, error) {
+	told, wake, stop, over := make(chan Update, 1000), make(chan struct{}, 1), make(chan struct{}), make(chan struct{})
+	h := &HTTP{Addr: strings.TrimPrefix(web.URL, "http://"), Wait: time.Hour, MinInterval: 5 * time.Millisecond, MaxInterval: 20 * time.Millisecond,
+		Put: func(one Update) { told <- one }, CurrentEpoch: had.Load, Wake: wake,
+		Dial: func(addr string, timeout time.Duration, handler func(*tcp.Conn) tcp.Handler) (*tcp.Conn, error) {
 			dialed.Add(1)
 			return tcp.Dial(addr, timeout, handler)
 		}}
--- a/internal/net/tcp/crossings_test.go
+++ b/internal/net/tcp/crossings_test.go
@@ -16,16 +16,16 @@
 // Crossings of writes and closes on real connections (docs/crossings.md).
 
 // pair is a link and its peer. in, if set, is called with what the link reads, before its handler.
-func pair(t *testing.T, in func()) (*Link, *net.TCPConn, *heard) {
+func pair(t *testing.T, in func()) (*Conn, *net.TCPConn, *recordingHandler) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	h := &heard{over: make(chan struct{})}
+	h := &recordingHandler{over: make(chan struct{})}
 	// Not by Dial: among connections that end at the same time netpoll's dialing says of one in some thousands that its
 	// peer has closed it, when nobody has.
-	l, err := Connect(ln.Addr().String(), time.Minute, func(*Link) Handler { return before{h, in} })
+	l, err := DialServerFirst(ln.Addr().String(), time.Minute, func(*Conn) Handler { return before{h, in} })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -53,16 +53,16 @@
 // that was decided for now against being sent seconds later, to a server that drains by then.
 func TestAWriteWhoseTimeIsOver(t *testing.T) {
 	l, peer, _ := pair(t, nil)
-	held, let, how := make(chan struct{}), make(chan struct{}), make(chan Wrote, 2)
-	l.Write([]byte("first "), func(Wrote) { close(held); <-let }) // whatever is queued now waits behind it
+	held, let, how := make(chan struct{}), make(chan struct{}), make(chan WriteResult, 2)
+	l.Write([]byte("first "), func(WriteResult) { close(held); <-let }) // whatever is queued now waits behind it
 	<-held
-	l.WriteWithin(1, []byte("late "), func(w Wrote) { how <- w })
-	l.WriteWithin(time.Hour, []byte("good"), func(w Wrote) { how <- w })
+	l.WriteWithin(1, []byte("late "), func(w WriteResult) { how <- w })
+	l.WriteWithin(time.Hour, []byte("good"), func(w WriteResult) { how <- w })
 	close(let)
-	if late, good := <-how, <-how; late != Late || good != All {
+	if late, good := <-how, <-how; late != WriteExpired || good != WriteComplete {
 		t.Errorf("late: %v, good: %v", late, good)
 	}
-	l.Finish()
+	l.CloseGracefully()
 	if text, err := io.ReadAll(peer); string(text) != "first good" || err != nil {
 		t.Errorf("%q, %v", text, err)
 	}
@@ -78,9 +78,9 @@
 	peer.Write([]byte("x"))
 	<-reading
 	l.Abort(errors.New("given up"), func() { note("done"); close(done) })
-	wrote := make(chan Wrote)
-	l.Write([]byte("for nobody"), func(w Wrote) { wrote <- w })
-	if w := <-wrote; w != Nothing {
+	wrote := make(chan WriteResult)
+	l.Write([]byte("for nobody"), func(w WriteResult) { wrote <- w })
+	if w := <-wrote; w != WriteNone {
 		t.Errorf("written after the abort: %v", w)
 	}
 	select { // nothing hangs on how long this is: a good link passes whatever it is
@@ -113,10 +113,10 @@
 
 // Links that only wait for their peers to close are the first to make room: they hold up nobody.
 func TestRoomIsMadeOfWhatLingers(t *testing.T) {
-	accepted := make(chan *Link, 10)
-	s, err := Listen("127.0.0.1:0", &Gate{Most: 1}, func(l *Link) Handler {
+	accepted := make(chan *Conn, 10)
+	s, err := Listen("127.0.0.1:0", &ConnLimiter{Max: 1}, func(l *Conn) Handler {
 		accepted <- l
-		return &heard{over: make(chan struct{})}
+		return &recordingHandler{over: make(chan struct{})}
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -131,7 +131,7 @@
 		defer c.Close()
 		l := <-accepted
 		l.Write([]byte("answer"), nil)
-		l.Finish()
+		l.CloseGracefully()
 		if text, err := io.ReadAll(c); string(text) != "answer" || err != nil {
 			t.Fatalf("%q, %v", text, err)
 		}
@@ -165,9 +165,9 @@
 	}
 	addr := fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
 	try := func() bool {
-		l, err := Dial(addr, 50*time.Millisecond, func(*Link) Handler { return &heard{over: make(chan struct{})} })
+		l, err := Dial(addr, 50*time.Millisecond, func(*Conn) Handler { return &recordingHandler{over: make(chan struct{})} })
 		if err == nil {
-			t.Cleanup(l.Drop)
+			t.Cleanup(l.CloseAndWait)
 		}
 		return err == nil
 	}
--- a/internal/net/tcp/tcp.go
+++ b/internal/net/tcp/tcp.go
@@ -16,14 +16,14 @@
 	"github.com/cloudwego/netpoll"
 )
 
-// Wrote says how far a write had come.
-type Wrote int
+// WriteResult says how far a write had come.
+type WriteResult int
 
 const (
-	All     Wrote = iota // all of it was handed to the network
-	Nothing              // provably no byte of it
-	Unknown              // it broke on the way
-	Late                 // no byte of it: the time by which it was to begin was over
+	WriteComplete  WriteResult = iota // all of it was handed to the network
+	WriteNone                         // provably no byte of it
+	WriteUncertain                    // it broke on the way
+	WriteExpired                      // no byte of it: the time by which it was to begin was over
 )
 
 const (
@@ -33,8 +33,8 @@
 	gateTries    = 4 // connections that may be closed for one that comes
 )
 
-// ErrSlow ends a link whose peer does not read what is sent to it.
-var ErrSlow = errors.New("the peer does not read")
+// ErrSlowReader ends a link whose peer does not read what is sent to it.
+var ErrSlowReader = errors.New("the peer does not read")
 
 // Handler is what a link's owner does with it. Data and Closed are called one at a time, in order, off the
 // loop; Closed is called once and last. A panic in them ends the link only.
@@ -49,15 +49,15 @@
 type item struct {
 	b    []byte
 	by   time.Time // it is no good later; zero: always
-	done func(Wrote)
+	done func(WriteResult)
 }
 
-// Link is one connection.
-type Link struct {
+// Conn is one connection.
+type Conn struct {
 	conn    netpoll.Connection
 	peer    net.Addr
 	handler Handler
-	gate    *Gate // that it came in by; nil: none
+	gate    *ConnLimiter // that it came in by; nil: none
 	dead    sync.Once
 
 	over chan struct{} // closed at the connection's end
@@ -74,26 +74,26 @@
 }
 
 // Write queues bytes. done, which may be nil, is told how far they came, not on the caller's goroutine.
-func (l *Link) Write(b []byte, done func(Wrote)) { l.write(item{b, time.Time{}, done}) }
+func (l *Conn) Write(b []byte, done func(WriteResult)) { l.write(item{b, time.Time{}, done}) }
 
 // WriteWithin is Write for what is no good any more after so long: what has not begun by then never does, and nothing of
 // it has left. Guards what was decided for a moment against a peer that reads slowly: behind other bytes it would wait for
 // seconds.
-func (l *Link) WriteWithin(d time.Duration, b []byte, done func(Wrote)) {
+func (l *Conn) WriteWithin(d time.Duration, b []byte, done func(WriteResult)) {
 	l.write(item{b, time.Now().Add(d), done})
 }
 
-func (l *Link) write(i item) {
+func (l *Conn) write(i item) {
 	l.mu.Lock()
 	// Guards memory against a peer that asks and does not read.
 	if l.bytes+len(i.b) > queueMost && !l.closed {
-		l.closed, l.cause = true, ErrSlow
+		l.closed, l.cause = true, ErrSlowReader
 		go l.conn.Close()
 	}
 	if l.closed || l.finish {
 		l.mu.Unlock()
 		if i.done != nil {
-			go i.done(Nothing)
+			go i.done(WriteNone)
 		}
 		return
 	}
@@ -107,10 +107,10 @@
 	}
 }
 
-// Finish ends the link gracefully: once all that is queued is written it says that no more will come, reads for a while
+// CloseGracefully ends the link gracefully: once all that is queued is written it says that no more will come, reads for a while
 // without hearing, and closes when the peer has closed, too. Guards the last answer against the reset that a close over
 // bytes which were not read brings: it takes with it what the peer has not yet got.
-func (l *Link) Finish() {
+func (l *Conn) CloseGracefully() {
 	l.mu.Lock()
 	l.finish = true
 	idle := !l.pumping
@@ -121,7 +121,7 @@
 }
 
 // Close closes the link at once.
-func (l *Link) Close(cause error) {
+func (l *Conn) Close(cause error) {
 	l.mu.Lock()
 	l.closed = true
 	if l.cause == nil {
@@ -131,9 +131,9 @@
 	go l.conn.Close() // it may call Closed at once, and the caller may hold what that needs
 }
 
-// Drop closes the link before it returns: its place is free then. The caller holds nothing that Closed needs, and is not
+// CloseAndWait closes the link before it returns: its place is free then. The caller holds nothing that Closed needs, and is not
 // the link's own handler: netpoll closes once what reads on the connection is done.
-func (l *Link) Drop() {
+func (l *Conn) CloseAndWait() {
 	l.mu.Lock()
 	l.closed = true
 	l.mu.Unlock()
@@ -144,7 +144,7 @@
 // Abort closes the link at once and throws away what the system has not sent yet; done is called when the socket is
 // closed. Guards against bytes that were written toward a machine behind a cut: they would arrive when it is over, long
 // after what they asked for was given up.
-func (l *Link) Abort(cause error, done func()) {
+func (l *Conn) Abort(cause error, done func()) {
 	l.mu.Lock()
 	l.closed = true
 	if l.cause == nil {
@@ -163,7 +163,7 @@
 }
 
 // halfClose says that nothing more will come, and closes later: when the peer has closed, or after a while.
-func (l *Link) halfClose() {
+func (l *Conn) halfClose() {
 	l.mu.Lock()
 	half := !l.ended && !l.closed
 	if half && l.gate != nil {
@@ -183,7 +183,7 @@
 }
 
 // pump writes what is queued, and ends when there is no more.
-func (l *Link) pump() {
+func (l *Conn) pump() {
 	for {
 		l.mu.Lock()
 		items := l.queue
@@ -207,34 +207,34 @@
 	}
 }
 
-func (l *Link) flush(i item) Wrote {
+func (l *Conn) flush(i item) WriteResult {
 	l.mu.Lock()
 	closed := l.closed
 	l.mu.Unlock()
 	switch {
 	case closed || !l.conn.IsActive():
-		return Nothing
+		return WriteNone
 	case !i.by.IsZero() && time.Now().After(i.by):
-		return Late
+		return WriteExpired
 	}
 	w := l.conn.Writer()
 	if _, err := w.WriteBinary(i.b); err != nil {
-		return Nothing
+		return WriteNone
 	}
 	err := w.Flush()
 	if err == nil {
-		return All
+		return WriteComplete
 	}
 	l.Close(fmt.Errorf("write: %w", err))
 	// Only the first call to the system fails with these, and then it has taken nothing. Whatever else comes,
 	// part of it or all of it may be under way.
 	if errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
-		return Nothing
+		return WriteNone
 	}
-	return Unknown
+	return WriteUncertain
 }
 
-func (l *Link) read() {
+func (l *Conn) read() {
 	r := l.conn.Reader()
 	n := r.Len()
 	if n == 0 {
@@ -261,14 +261,14 @@
 	l.handler.Data(b)
 }
 
-func (l *Link) opened() {
+func (l *Conn) opened() {
 	if o, ok := l.handler.(Opener); ok {
 		o.Opened()
 	}
 }
 
 // end tells the owner that the connection has ended. netpoll calls it before it lets go of the descriptor.
-func (l *Link) end() {
+func (l *Conn) end() {
 	l.dead.Do(func() {
 		defer close(l.over)
 		l.mu.Lock()
@@ -288,20 +288,20 @@
 }
 
 // Peer is the other side's address.
-func (l *Link) Peer() string { return l.peer.String() }
+func (l *Conn) Peer() string { return l.peer.String() }
 
 // attach has the connection's end told to the link's handler.
-func (l *Link) attach() {
+func (l *Conn) attach() {
 	l.conn.SetWriteTimeout(writeTimeout)
 	l.conn.AddCloseCallback(func(netpoll.Connection) error { l.end(); return nil })
 }
 
 // Dialer is Dial, or what stands in its place in tests.
-type Dialer func(addr string, timeout time.Duration, handler func(*Link) Handler) (*Link, error)
+type Dialer func(addr string, timeout time.Duration, handler func(*Conn) Handler) (*Conn, error)
 
 // Dial opens a connection; it blocks until that comes up or the time is over. handler makes the handler of
 // the link.
-func Dial(addr string, timeout time.Duration, handler func(*Link) Handler) (*Link, error) {
+func Dial(addr string, timeout time.Duration, handler func(*Conn) Handler) (*Conn, error) {
 	conn, err := netpoll.DialConnection("tcp", addr, timeout)
 	if err != nil {
 		return nil, err
@@ -309,9 +309,9 @@
 	return dialed(conn, conn.RemoteAddr(), handler)
 }
 
-// Connect is Dial for peers that may speak first and close, as agents do. Guards their word against netpoll's own
+// DialServerFirst is Dial for peers that may speak first and close, as agents do. Guards their word against netpoll's own
 // dialing: a connection that the peer closed before its poller looked counts there as one that never came up.
-func Connect(addr string, timeout time.Duration, handler func(*Link) Handler) (*Link, error) {
+func DialServerFirst(addr string, timeout time.Duration, handler func(*Conn) Handler) (*Conn, error) {
 	up, err := net.DialTimeout("tcp", addr, timeout)
 	if err != nil {
 		return nil, err
@@ -343,8 +343,8 @@
 }
 
 // dialed makes a connection that came up a link.
-func dialed(conn netpoll.Connection, peer net.Addr, handler func(*Link) Handler) (*Link, error) {
-	l := &Link{conn: conn, peer: peer, over: make(chan struct{})}
+func dialed(conn netpoll.Connection, peer net.Addr, handler func(*Conn) Handler) (*Conn, error) {
+	l := &Conn{conn: conn, peer: peer, over: make(chan struct{})}
 	l.handler = handler(l)
 	l.attach()
 	if err := conn.SetOnRequest(func(context.Context, netpoll.Connection) error { l.read(); return nil }); err != nil {
@@ -361,56 +361,56 @@
 type Server struct {
 	ln   net.Listener
 	loop netpoll.EventLoop
-	gate *Gate
+	gate *ConnLimiter
 }
 
-// Gate caps the connections that servers hold together. Guards the limit on sockets.
-type Gate struct {
-	Room func() bool // if set, closes some connection to make room, before it returns; false: none may go
-	mu   sync.Mutex
-	Most int
-	now  int
-	rest list.List // of links that only wait for their peers to close, oldest first
+// ConnLimiter caps the connections that servers hold together. Guards the limit on sockets.
+type ConnLimiter struct {
+	Evict func() bool // if set, closes some connection to make room, before it returns; false: none may go
+	mu    sync.Mutex
+	Max   int
+	now   int
+	rest  list.List // of links that only wait for their peers to close, oldest first
 }
 
 // linger notes that a link only waits for its peer to close: it is the first to make room.
-func (g *Gate) linger(l *Link) {
+func (g *ConnLimiter) linger(l *Conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	l.rest = g.rest.PushBack(l)
 }
 
 // dropOne closes the link that has waited longest for its peer to close, and says whether there was one.
-func (g *Gate) dropOne() bool {
+func (g *ConnLimiter) dropOne() bool {
 	g.mu.Lock()
 	e := g.rest.Front()
 	if e == nil {
 		g.mu.Unlock()
 		return false
 	}
-	l := g.rest.Remove(e).(*Link)
+	l := g.rest.Remove(e).(*Conn)
 	l.rest = nil
 	g.mu.Unlock()
-	l.Drop()
+	l.CloseAndWait()
 	return true
 }
 
-// Shut lets nobody in any more.
-func (g *Gate) Shut() {
+// StopAdmitting lets nobody in any more.
+func (g *ConnLimiter) StopAdmitting() {
 	g.mu.Lock()
-	g.Most, g.Room = 0, nil
+	g.Max, g.Evict = 0, nil
 	g.mu.Unlock()
 }
 
-func (g *Gate) enter() bool {
+func (g *ConnLimiter) enter() bool {
 	for tries := 0; ; tries++ {
 		g.mu.Lock()
-		if g.now < g.Most {
+		if g.now < g.Max {
 			g.now++
 			g.mu.Unlock()
 			return true
 		}
-		room := g.Room
+		room := g.Evict
 		g.mu.Unlock()
 		if tries == gateTries || !g.dropOne() && (room == nil || !room()) {
 			return false
@@ -418,7 +418,7 @@
 	}
 }
 
-func (g *Gate) leave(l *Link) {
+func (g *ConnLimiter) leave(l *Conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.now--
@@ -431,7 +431,7 @@
 type linkKey struct{}
 
 // Listen listens on an address and serves each connection with the handler that accept makes of it.
-func Listen(addr string, gate *Gate, accept func(*Link) Handler) (*Server, error) {
+func Listen(addr string, gate *ConnLimiter, accept func(*Conn) Handler) (*Server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
@@ -439,7 +439,7 @@
 	s := &Server{ln: ln, gate: gate}
 	s.loop, err = netpoll.NewEventLoop(
 		func(ctx context.Context, conn netpoll.Connection) error {
-			if l, ok := ctx.Value(linkKey{}).(*Link); ok {
+			if l, ok := ctx.Value(linkKey{}).(*Conn); ok {
 				l.read()
 			}
 			return nil
@@ -448,13 +448,13 @@
 			if !gate.enter() {
 				return context.Background() // closed by the next step, once it is registered
 			}
-			l := &Link{conn: conn, peer: conn.RemoteAddr(), gate: gate, over: make(chan struct{})}
+			l := &Conn{conn: conn, peer: conn.RemoteAddr(), gate: gate, over: make(chan struct{})}
 			l.handler = accept(l)
 			l.attach()
 			return context.WithValue(context.Background(), linkKey{}, l)
 		}),
 		netpoll.WithOnConnect(func(ctx context.Context, conn netpoll.Connection) context.Context {
-			if l, ok := ctx.Value(linkKey{}).(*Link); ok {
+			if l, ok := ctx.Value(linkKey{}).(*Conn); ok {
 				l.opened()
 			} else {
 				conn.Close()
--- a/internal/net/tcp/tcp_test.go
+++ b/internal/net/tcp/tcp_test.go
@@ -8,14 +8,14 @@
 	"time"
 )
 
-// heard is a handler that keeps what came and closes over at the end.
-type heard struct {
+// recordingHandler is a handler that keeps what came and closes over at the end.
+type recordingHandler struct {
 	text []byte
 	over chan struct{}
 }
 
-func (h *heard) Data(b []byte)    { h.text = append(h.text, b...) }
-func (h *heard) Closed(err error) { close(h.over) }
+func (h *recordingHandler) Data(b []byte)    { h.text = append(h.text, b...) }
+func (h *recordingHandler) Closed(err error) { close(h.over) }
 
 // A peer that speaks first and closes at once is heard, however late this side looks. Guards checks of agents against
 // netpoll's dialing, to which a connection that is closed already when its poller looks never came up.
@@ -41,8 +41,8 @@
 		go func() {
 			defer all.Done()
 			for range 100 {
-				h := &heard{over: make(chan struct{})}
-				link, err := Connect(ln.Addr().String(), time.Minute, func(*Link) Handler { return h })
+				h := &recordingHandler{over: make(chan struct{})}
+				link, err := DialServerFirst(ln.Addr().String(), time.Minute, func(*Conn) Handler { return h })
 				if err != nil {
 					t.Error(err)
 					return
@@ -67,7 +67,7 @@
 	addr := ln.Addr().String()
 	ln.Close()
 	for _, a := range []string{addr, "127.0.0.1:none"} {
-		if l, err := Connect(a, time.Minute, func(*Link) Handler { return &heard{over: make(chan struct{})} }); err == nil {
+		if l, err := DialServerFirst(a, time.Minute, func(*Conn) Handler { return &recordingHandler{over: make(chan struct{})} }); err == nil {
 			t.Errorf("%s: %v", a, l.Peer())
 		}
 	}
--- a/internal/protocol/sru/sru.go
+++ b/internal/protocol/sru/sru.go
@@ -138,7 +138,7 @@
 	if err != nil {
 		return r, AsFault(err)
 	}
-	if _, err := query.Replace(n, func(string) (query.Node, error) { return nil, NewFault(50, "cql.resultSetId") }); err != nil {
+	if _, err := query.ResolveResultSets(n, func(string) (query.Node, error) { return nil, NewFault(50, "cql.resultSetId") }); err != nil {
 		return r, err
 	}
 	r.Query = n
@@ -163,7 +163,7 @@
 	Record query.Record
 }
 
-// element is any XML element.
+// element is any OIDXML element.
 type element struct {
 	XMLName  xml.Name
 	Attrs    []xml.Attr `xml:",any,attr"`
@@ -270,7 +270,7 @@
 	}
 	what := e.text("action")
 	u.Action = query.Action(strings.TrimPrefix(what, action))
-	if u.Action != query.Create && u.Action != query.Change && u.Action != query.Delete {
+	if u.Action != query.ActionCreate && u.Action != query.ActionReplace && u.Action != query.ActionDelete {
 		return u, NewFault(6, "action "+what)
 	}
 	u.Record.ID = e.text("recordIdentifier")
@@ -285,7 +285,7 @@
 	if u.Record.ID == "" {
 		return u, NewFault(7, "recordIdentifier")
 	}
-	if u.Record.XML == "" && u.Action != query.Delete {
+	if u.Record.XML == "" && u.Action != query.ActionDelete {
 		return u, NewFault(7, "record")
 	}
 	return u, nil
@@ -328,7 +328,7 @@
 		b.WriteString("<records>")
 		for i, r := range records {
 			data, packing := r.XML, packing
-			// Guards the whole answer against a record that a server gave in a form that is not XML.
+			// Guards the whole answer against a record that a server gave in a form that is not OIDXML.
 			if _, err := parseXML([]byte(data)); err != nil {
 				packing = "string"
 			}
@@ -393,7 +393,7 @@
 
 // Response is what a server answered, to a search or an update.
 type Response struct {
-	query.Found
+	query.PartResult
 	Update bool
 	Good   bool // update: it succeeded
 	ID     string
@@ -432,7 +432,7 @@
 	}
 	if ds := e.child("diagnostics"); ds != nil && len(ds.Children) > 0 {
 		d := &ds.Children[0]
-		r.Trouble = &query.Diagnostic{SRU: d.text("uri"), Details: d.text("details")}
+		r.Diagnostic = &query.Diagnostic{SRU: d.text("uri"), Details: d.text("details")}
 	}
 	return r, nil
 }
--- a/internal/protocol/sru/sru_test.go
+++ b/internal/protocol/sru/sru_test.go
@@ -42,8 +42,8 @@
 
 func TestUpdatesSurvive(t *testing.T) {
 	for _, u := range []Update{
-		{query.Change, query.Record{ID: `3:<&"`, Schema: DefaultSchema, XML: `<a x="1"><b/></a>`}},
-		{query.Delete, query.Record{ID: "1:x"}},
+		{query.ActionReplace, query.Record{ID: `3:<&"`, Schema: DefaultSchema, XML: `<a x="1"><b/></a>`}},
+		{query.ActionDelete, query.Record{ID: "1:x"}},
 	} {
 		if got, err := ParseUpdate(UpdateRequest(u)); err != nil || got != u {
 			t.Errorf("%+v came back as %+v, %v", u, got, err)
@@ -65,7 +65,7 @@
 	}
 }
 
-// A record keeps the names that were declared around it, and one that is not XML does not break the answer.
+// A record keeps the names that were declared around it, and one that is not OIDXML does not break the answer.
 func TestRecordsKeepTheirNames(t *testing.T) {
 	in := `<z:searchRetrieveResponse xmlns:z="http://www.loc.gov/zing/srw/" xmlns:dc="http://purl.org/dc/elements/1.1/">` +
 		`<z:numberOfRecords>1</z:numberOfRecords><z:records><z:record><z:recordPacking>xml</z:recordPacking>` +
--- a/internal/protocol/z3950/ber_test.go
+++ b/internal/protocol/z3950/ber_test.go
@@ -65,11 +65,11 @@
 		}
 	}
 	want := query.Record{ID: "3:9", XML: "<line/>"}
-	n, _, err := Decode(Update("r", "block-3", query.Change, want).Encode(nil))
+	n, _, err := Decode(Update("r", "block-3", query.ActionReplace, want).Encode(nil))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if base, action, got, code, info := ParseUpdate(n); base != "block-3" || action != query.Change || got != want || code != 0 {
+	if base, action, got, code, info := ParseUpdate(n); base != "block-3" || action != query.ActionReplace || got != want || code != 0 {
 		t.Error(base, action, got, code, info)
 	}
 }
@@ -77,7 +77,7 @@
 // What decodes encodes to what decodes to the same; no input panics, here or in what reads the units.
 func FuzzDecode(f *testing.F) {
 	f.Add(Ctx(SearchRequest, Str(17, "x"), Ctx(18, Str(105, "d")), Ctx(21, Ctx(1))).Encode(nil))
-	f.Add(Update("r", "d", query.Delete, query.Record{ID: "1"}).Encode(nil))
+	f.Add(Update("r", "d", query.ActionDelete, query.Record{ID: "1"}).Encode(nil))
 	f.Add([]byte("\xb6\x80\xbf\x69\x80\x04\x01a\x00\x00\x00\x00"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		n, _, err := Decode(b)
--- a/internal/protocol/z3950/pdu.go
+++ b/internal/protocol/z3950/pdu.go
@@ -71,7 +71,7 @@
 
 // rpn words a query as an RPNQuery.
 func Rpn(n query.Node) (*Node, error) {
-	s, err := rpnStructure(query.Plain(n))
+	s, err := rpnStructure(query.ExpandAny(n))
 	if err != nil {
 		return nil, err
 	}
@@ -80,7 +80,7 @@
 
 func rpnStructure(n query.Node) (*Node, error) {
 	switch n := n.(type) {
-	case *query.Bool:
+	case *query.Boolean:
 		l, err := rpnStructure(n.Left)
 		if err != nil {
 			return nil, err
@@ -89,9 +89,9 @@
 		if err != nil {
 			return nil, err
 		}
-		op := map[query.Op]int{query.And: 0, query.Or: 1, query.Not: 2}[n.Op]
+		op := map[query.Operator]int{query.And: 0, query.Or: 1, query.Not: 2}[n.Operator]
 		return Ctx(1, l, r, Ctx(46, prim(Context, op, nil))), nil
-	case *query.Set:
+	case *query.ResultSet:
 		return Ctx(0, Str(31, n.Name)), nil
 	case *query.Clause:
 		attrs, term, err := query.Attributes(n)
@@ -128,7 +128,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return n, query.Check(n)
+	return n, query.CheckLimits(n)
 }
 
 func parseStructure(s *Node, depth int) (query.Node, error) {
@@ -151,11 +151,11 @@
 		if !s.Kids[2].is(46) || op == nil || op.Class != Context {
 			return nil, malformed("operator")
 		}
-		ops := []query.Op{query.And, query.Or, query.Not}
+		ops := []query.Operator{query.And, query.Or, query.Not}
 		if op.Tag >= len(ops) {
 			return nil, &query.Error{SRU: 37, Bib1: 110, Details: "prox"}
 		}
-		return &query.Bool{Op: ops[op.Tag], Left: l, Right: r}, nil
+		return &query.Boolean{Operator: ops[op.Tag], Left: l, Right: r}, nil
 	}
 	return nil, malformed("rpn structure")
 }
@@ -165,7 +165,7 @@
 		return nil, malformed("operand")
 	}
 	if o.is(31) {
-		return &query.Set{Name: o.Text()}, nil
+		return &query.ResultSet{Name: o.Text()}, nil
 	}
 	if !o.is(102) || len(o.Kids) != 2 || !o.Kids[0].is(44) {
 		return nil, malformed("operand")
@@ -186,7 +186,7 @@
 	if !term.is(45) && !term.is(216) {
 		return nil, &query.Error{SRU: 24, Bib1: 229, Details: "term"}
 	}
-	return query.FromAttributes(attrs, strings.ToValidUTF8(term.Text(), "\uFFFD"))
+	return query.ClauseFromAttributes(attrs, strings.ToValidUTF8(term.Text(), "\uFFFD"))
 }
 
 // diagnostic is a DefaultDiagFormat under a context tag, or a sequence with tag -1.
@@ -283,7 +283,7 @@
 	return list, d
 }
 
-var actions = map[int]query.Action{1: query.Create, 2: query.Change, 3: query.Delete}
+var actions = map[int]query.Action{1: query.ActionCreate, 2: query.ActionReplace, 3: query.ActionDelete}
 
 // update words a database update as an extended services request.
 func Update(ref, database string, a query.Action, r query.Record) *Node {
@@ -356,7 +356,7 @@
 	if _, text := parseExternal(one.Kid(4).Only()); text != "" {
 		r.XML = text
 	}
-	if r.ID == "" || r.XML == "" && a != query.Delete {
+	if r.ID == "" || r.XML == "" && a != query.ActionDelete {
 		return database, a, r, 228, "no record id, or no record"
 	}
 	return database, a, r, 0, ""
--- a/internal/query/bib1.go
+++ b/internal/query/bib1.go
@@ -33,7 +33,7 @@
 	return m
 }()
 
-var relationValues = map[Relation]int{Less: 1, LessEq: 2, Equal: 3, MoreEq: 4, More: 5, Unequal: 6}
+var relationValues = map[Relation]int{Less: 1, LessOrEqual: 2, Equal: 3, GreaterOrEqual: 4, Greater: 5, NotEqual: 6}
 
 // Attributes returns the attributes and the bare term that stand for a clause. Any has none: see Plain.
 func Attributes(c *Clause) ([]Attribute, string, error) {
@@ -80,11 +80,11 @@
 	return attrs, unmask(term), nil
 }
 
-// Plain turns each clause with Any into clauses joined by Or, as a Type-1 query cannot say it otherwise.
-func Plain(n Node) Node {
+// ExpandAny turns each clause with Any into clauses joined by Or, as a Type-1 query cannot say it otherwise.
+func ExpandAny(n Node) Node {
 	switch n := n.(type) {
-	case *Bool:
-		return &Bool{n.Op, Plain(n.Left), Plain(n.Right)}
+	case *Boolean:
+		return &Boolean{n.Operator, ExpandAny(n.Left), ExpandAny(n.Right)}
 	case *Clause:
 		words := strings.Fields(n.Term)
 		if n.Relation != Any || len(words) == 0 {
@@ -96,7 +96,7 @@
 			if all == nil {
 				all = one
 			} else {
-				all = &Bool{Or, all, one}
+				all = &Boolean{Or, all, one}
 			}
 		}
 		return all
@@ -104,8 +104,8 @@
 	return n
 }
 
-// FromAttributes returns the clause that attributes and a term stand for.
-func FromAttributes(attrs []Attribute, term string) (*Clause, error) {
+// ClauseFromAttributes returns the clause that attributes and a term stand for.
+func ClauseFromAttributes(attrs []Attribute, term string) (*Clause, error) {
 	c := &Clause{Relation: Equal}
 	structure, trunc, complete := 0, 0, 0
 	for _, a := range attrs {
@@ -166,8 +166,8 @@
 	return c, nil
 }
 
-// Indexes returns the names of all indexes, sorted.
-func Indexes() (names []string) {
+// IndexNames returns the names of all indexes, sorted.
+func IndexNames() (names []string) {
 	for name := range uses {
 		if name != "" {
 			names = append(names, name)
--- a/internal/query/cql.go
+++ b/internal/query/cql.go
@@ -15,8 +15,8 @@
 
 // Parse reads CQL 1.2 without sorting, proximity and prefix assignments.
 func Parse(text string) (Node, error) {
-	if len(text) > MaxText {
-		return nil, wrong(12, 3, "over %d characters", MaxText)
+	if len(text) > MaxTextBytes {
+		return nil, wrong(12, 3, "over %d characters", MaxTextBytes)
 	}
 	in, err := scan(text)
 	if err != nil {
@@ -33,7 +33,7 @@
 		}
 		return nil, wrong(10, 108, "%q is left over", p.in[p.at].text)
 	}
-	return n, Check(n)
+	return n, CheckLimits(n)
 }
 
 func scan(text string) (out []token, err error) {
@@ -96,7 +96,7 @@
 	defer func() { p.depth-- }()
 	left, err := p.operand()
 	for ops := 0; err == nil; ops++ {
-		var op Op
+		var op Operator
 		switch {
 		case p.is("and"):
 			op = And
@@ -109,22 +109,22 @@
 		default:
 			return left, nil
 		}
-		if ops >= MaxOps {
-			return nil, wrong(38, 11, "over %d boolean operators", MaxOps)
+		if ops >= MaxOperators {
+			return nil, wrong(38, 11, "over %d boolean operators", MaxOperators)
 		}
 		if p.at++; p.is("/") {
 			return nil, wrong(46, 110, "boolean modifiers are not supported")
 		}
 		var right Node
 		right, err = p.operand()
-		left = &Bool{op, left, right}
+		left = &Boolean{op, left, right}
 	}
 	return nil, err
 }
 
 var relations = map[string]Relation{
-	"=": Equal, "scr": Equal, "==": Exact, "exact": Exact, "all": All, "any": Any, "<": Less, "<=": LessEq, ">": More,
-	">=": MoreEq, "<>": Unequal,
+	"=": Equal, "scr": Equal, "==": Exact, "exact": Exact, "all": All, "any": Any, "<": Less, "<=": LessOrEqual, ">": Greater,
+	">=": GreaterOrEqual, "<>": NotEqual,
 }
 
 func (p *parser) operand() (Node, error) {
@@ -171,7 +171,7 @@
 func clause(index string, rel Relation, term string) (Node, error) {
 	index = strings.ToLower(index)
 	if index == "cql.resultsetid" {
-		return &Set{term}, nil
+		return &ResultSet{term}, nil
 	}
 	if index == "cql.serverchoice" {
 		index = ""
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -9,26 +9,26 @@
 
 // Limits on a query. They guard the recursion and the servers behind.
 const (
-	MaxText  = 4 << 10
-	MaxDepth = 24
-	MaxOps   = 40
+	MaxTextBytes = 4 << 10
+	MaxDepth     = 24
+	MaxOperators = 40
 )
 
 // Node is *Bool, *Clause or *Set.
 type Node interface{ node() }
 
-// Op joins two queries.
-type Op string
+// Operator joins two queries.
+type Operator string
 
 const (
-	And Op = "and"
-	Or  Op = "or"
-	Not Op = "not" // and-not
+	And Operator = "and"
+	Or  Operator = "or"
+	Not Operator = "not" // and-not
 )
 
-// Bool joins two queries.
-type Bool struct {
-	Op          Op
+// Boolean joins two queries.
+type Boolean struct {
+	Operator    Operator
 	Left, Right Node
 }
 
@@ -36,15 +36,15 @@
 type Relation string
 
 const (
-	Equal   Relation = "="
-	Exact   Relation = "=="
-	All     Relation = "all"
-	Any     Relation = "any"
-	Less    Relation = "<"
-	LessEq  Relation = "<="
-	More    Relation = ">"
-	MoreEq  Relation = ">="
-	Unequal Relation = "<>"
+	Equal          Relation = "="
+	Exact          Relation = "=="
+	All            Relation = "all"
+	Any            Relation = "any"
+	Less           Relation = "<"
+	LessOrEqual    Relation = "<="
+	Greater        Relation = ">"
+	GreaterOrEqual Relation = ">="
+	NotEqual       Relation = "<>"
 )
 
 // Clause asks for a term. The term may begin and end with * for truncation.
@@ -54,12 +54,12 @@
 	Term     string
 }
 
-// Set is an earlier result set by its name.
-type Set struct{ Name string }
+// ResultSet is an earlier result set by its name.
+type ResultSet struct{ Name string }
 
-func (*Bool) node()   {}
-func (*Clause) node() {}
-func (*Set) node()    {}
+func (*Boolean) node()   {}
+func (*Clause) node()    {}
+func (*ResultSet) node() {}
 
 // Error says what is wrong with a query, with the code for either protocol.
 type Error struct {
@@ -76,20 +76,20 @@
 	return &Error{sru, bib1, fmt.Sprintf(format, args...)}
 }
 
-// Check says whether a tree keeps to the limits.
-func Check(n Node) error {
+// CheckLimits says whether a tree keeps to the limits.
+func CheckLimits(n Node) error {
 	ops := 0
 	var walk func(n Node, depth int) error
 	walk = func(n Node, depth int) error {
 		if depth > MaxDepth {
 			return wrong(13, 3, "nested over %d deep", MaxDepth)
 		}
-		b, ok := n.(*Bool)
+		b, ok := n.(*Boolean)
 		if !ok {
 			return nil
 		}
-		if ops++; ops > MaxOps {
-			return wrong(38, 11, "over %d boolean operators", MaxOps)
+		if ops++; ops > MaxOperators {
+			return wrong(38, 11, "over %d boolean operators", MaxOperators)
 		}
 		if err := walk(b.Left, depth+1); err != nil {
 			return err
@@ -99,21 +99,21 @@
 	return walk(n, 1)
 }
 
-// Replace puts the queries of result sets in the place of their names.
-func Replace(n Node, find func(name string) (Node, error)) (Node, error) {
+// ResolveResultSets puts the queries of result sets in the place of their names.
+func ResolveResultSets(n Node, find func(name string) (Node, error)) (Node, error) {
 	switch n := n.(type) {
-	case *Set:
+	case *ResultSet:
 		return find(n.Name)
-	case *Bool:
-		l, err := Replace(n.Left, find)
+	case *Boolean:
+		l, err := ResolveResultSets(n.Left, find)
 		if err != nil {
 			return nil, err
 		}
-		r, err := Replace(n.Right, find)
+		r, err := ResolveResultSets(n.Right, find)
 		if err != nil {
 			return nil, err
 		}
-		return &Bool{n.Op, l, r}, nil
+		return &Boolean{n.Operator, l, r}, nil
 	}
 	return n, nil
 }
@@ -127,9 +127,9 @@
 
 func write(b *strings.Builder, n Node) {
 	switch n := n.(type) {
-	case *Bool:
+	case *Boolean:
 		side := func(s Node) {
-			if _, nested := s.(*Bool); nested {
+			if _, nested := s.(*Boolean); nested {
 				b.WriteByte('(')
 				write(b, s)
 				b.WriteByte(')')
@@ -138,7 +138,7 @@
 			write(b, s)
 		}
 		side(n.Left)
-		b.WriteString(" " + string(n.Op) + " ")
+		b.WriteString(" " + string(n.Operator) + " ")
 		side(n.Right)
 	case *Clause:
 		if n.Index != "" {
@@ -147,7 +147,7 @@
 			b.WriteString("cql.serverChoice " + string(n.Relation) + " ")
 		}
 		b.WriteString(quote(n.Term))
-	case *Set:
+	case *ResultSet:
 		b.WriteString("cql.resultSetId = " + quote(n.Name))
 	}
 }
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -62,17 +62,17 @@
 		if err != nil {
 			t.Fatal(in, err)
 		}
-		back, err := FromAttributes(attrs, term)
+		back, err := ClauseFromAttributes(attrs, term)
 		if err != nil || !reflect.DeepEqual(back, n) {
 			t.Errorf("%s: %v %q came back as %+v, %v", in, attrs, term, back, err)
 		}
 	}
 	any, _ := Parse(`dc.title any "a b c"`)
-	if got := CQL(Plain(any)); got != `(dc.title = a or dc.title = b) or dc.title = c` {
+	if got := CQL(ExpandAny(any)); got != `(dc.title = a or dc.title = b) or dc.title = c` {
 		t.Error(got)
 	}
 	for _, a := range []Attribute{{1, 9999}, {2, 100}, {3, 9}, {4, 99}, {5, 50}, {6, 9}, {7, 1}} {
-		if _, err := FromAttributes([]Attribute{a}, "x"); err == nil {
+		if _, err := ClauseFromAttributes([]Attribute{a}, "x"); err == nil {
 			t.Errorf("%v was taken", a)
 		}
 	}
@@ -81,7 +81,7 @@
 func TestSetsAreReplaced(t *testing.T) {
 	n, _ := Parse(`cql.resultSetId = one not b`)
 	one, _ := Parse(`x or y`)
-	got, err := Replace(n, func(name string) (Node, error) {
+	got, err := ResolveResultSets(n, func(name string) (Node, error) {
 		if name != "one" {
 			t.Errorf("asked for %q", name)
 		}
@@ -103,7 +103,7 @@
 			return
 		}
 		again, err := Parse(CQL(n))
-		if len(CQL(n)) <= MaxText && (err != nil || !reflect.DeepEqual(n, again)) {
+		if len(CQL(n)) <= MaxTextBytes && (err != nil || !reflect.DeepEqual(n, again)) {
 			t.Fatalf("%q: printed %q, read back %v", text, CQL(n), err)
 		}
 		if c, ok := n.(*Clause); ok && c.Relation != Any {
@@ -111,7 +111,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if _, err := FromAttributes(attrs, term); err != nil {
+			if _, err := ClauseFromAttributes(attrs, term); err != nil {
 				t.Fatalf("%q: %v", text, err)
 			}
 		}
--- a/internal/query/work.go
+++ b/internal/query/work.go
@@ -8,19 +8,19 @@
 
 // Work is what each part of a query has to carry: a search, or a record to be changed.
 type Work struct {
-	CQL    string `json:"cql,omitempty"`
-	Most   int    `json:"most,omitempty"` // records wanted
-	Action Action `json:"action,omitempty"`
-	Record Record `json:"record,omitzero"`
+	CQL        string `json:"cql,omitempty"`
+	MaxRecords int    `json:"most,omitempty"` // records wanted
+	Action     Action `json:"action,omitempty"`
+	Record     Record `json:"record,omitzero"`
 }
 
 // Action is what a correction does to a record.
 type Action string
 
 const (
-	Create Action = "create"
-	Change Action = "replace"
-	Delete Action = "delete"
+	ActionCreate  Action = "create"
+	ActionReplace Action = "replace"
+	ActionDelete  Action = "delete"
 )
 
 // Record is one record.
@@ -51,11 +51,11 @@
 	}
 }
 
-// Found is the value of a part.
-type Found struct {
-	Count   int         `json:"count"`
-	Records []Record    `json:"records,omitempty"`
-	Trouble *Diagnostic `json:"trouble,omitempty"` // the server's word on the query itself
+// PartResult is the value of a part.
+type PartResult struct {
+	Count      int         `json:"count"`
+	Records    []Record    `json:"records,omitempty"`
+	Diagnostic *Diagnostic `json:"trouble,omitempty"` // the server's word on the query itself
 }
 
 // Diagnostic is a server's word on what is wrong with a request.
--- a/internal/state/atomicfile/atomicfile.go
+++ b/internal/state/atomicfile/atomicfile.go
@@ -17,15 +17,15 @@
 
 // FS is what is needed of a file system. OS is the real one; tests crash their own at every step.
 type FS interface {
-	Create(name string) (File, error)
+	Create(name string) (WritableFile, error)
 	Rename(old, now string) error
 	SyncDir(dir string) error
 	ReadFile(name string) ([]byte, error)
 	Remove(name string) error
 }
 
-// File is one being written.
-type File interface {
+// WritableFile is one being written.
+type WritableFile interface {
 	io.Writer
 	Sync() error
 	Close() error
@@ -33,9 +33,9 @@
 
 // Errors of Load.
 var (
-	ErrNone   = errors.New("nothing is kept")
-	ErrHarmed = errors.New("what is kept is harmed")
-	ErrOther  = errors.New("what is kept is of another kind, or of a newer version")
+	ErrNotExist    = errors.New("nothing is kept")
+	ErrCorrupt     = errors.New("what is kept is harmed")
+	ErrUnsupported = errors.New("what is kept is of another kind, or of a newer version")
 )
 
 const (
@@ -45,18 +45,18 @@
 	most    = 1 << 30
 )
 
-// Box keeps one value at a path.
-type Box struct {
+// ValueFile keeps one value at a path.
+type ValueFile struct {
 	fs   FS
 	path string
 }
 
 // New returns a box at a path. The file need not be there, its folder has to.
-func New(f FS, path string) *Box { return &Box{f, path} }
+func New(f FS, path string) *ValueFile { return &ValueFile{f, path} }
 
 // Store puts a value in the place of the old one. After an error the old one is kept, or the new one; never anything
 // else.
-func (b *Box) Store(value []byte) error {
+func (b *ValueFile) Store(value []byte) error {
 	if len(value) > most {
 		return fmt.Errorf("%s: a value over %d bytes", b.path, most)
 	}
@@ -89,24 +89,24 @@
 }
 
 // Load returns the value that is kept.
-func (b *Box) Load() ([]byte, error) {
+func (b *ValueFile) Load() ([]byte, error) {
 	text, err := b.fs.ReadFile(b.path)
 	switch {
 	case errors.Is(err, fs.ErrNotExist):
-		return nil, ErrNone
+		return nil, ErrNotExist
 	case err != nil:
 		return nil, err
 	case len(text) < head:
-		return nil, fmt.Errorf("%s: %w: %d bytes", b.path, ErrHarmed, len(text))
+		return nil, fmt.Errorf("%s: %w: %d bytes", b.path, ErrCorrupt, len(text))
 	case string(text[:len(magic)]) != magic:
-		return nil, fmt.Errorf("%s: %w", b.path, ErrOther)
+		return nil, fmt.Errorf("%s: %w", b.path, ErrUnsupported)
 	case text[len(magic)] != version:
-		return nil, fmt.Errorf("%s: %w: version %d", b.path, ErrOther, text[len(magic)])
+		return nil, fmt.Errorf("%s: %w: version %d", b.path, ErrUnsupported, text[len(magic)])
 	}
 	rest := text[len(magic)+1:]
 	length, sum, value := binary.BigEndian.Uint64(rest), binary.BigEndian.Uint64(rest[8:]), rest[16:]
 	if length != uint64(len(value)) || xxhash.Sum64(value) != sum {
-		return nil, fmt.Errorf("%s: %w: %d of %d bytes, or a wrong checksum", b.path, ErrHarmed, len(value), length)
+		return nil, fmt.Errorf("%s: %w: %d of %d bytes, or a wrong checksum", b.path, ErrCorrupt, len(value), length)
 	}
 	return value, nil
 }
@@ -115,7 +115,7 @@
 type OS struct{}
 
 // Create creates a file, or empties one.
-func (OS) Create(name string) (File, error) {
+func (OS) Create(name string) (WritableFile, error) {
 	return os.OpenFile(name, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
 }
 
--- a/internal/state/atomicfile/atomicfile_test.go
+++ b/internal/state/atomicfile/atomicfile_test.go
@@ -43,7 +43,7 @@
 	n *inode
 }
 
-func (d *disk) Create(name string) (File, error) {
+func (d *disk) Create(name string) (WritableFile, error) {
 	if err := d.step(); err != nil {
 		return nil, err
 	}
@@ -167,7 +167,7 @@
 func TestHarmIsKnown(t *testing.T) {
 	d := newDisk()
 	b := New(d, "x")
-	if _, err := b.Load(); !errors.Is(err, ErrNone) {
+	if _, err := b.Load(); !errors.Is(err, ErrNotExist) {
 		t.Error(err)
 	}
 	b.Store([]byte("some value"))
@@ -195,7 +195,7 @@
 	newer := bytes.Clone(good)
 	newer[len(magic)] = 9
 	d.files["x"].data = newer
-	if _, err := b.Load(); !errors.Is(err, ErrOther) || !strings.Contains(err.Error(), "version 9") {
+	if _, err := b.Load(); !errors.Is(err, ErrUnsupported) || !strings.Contains(err.Error(), "version 9") {
 		t.Error(err)
 	}
 }
--- a/internal/testbed/ber/ber.go
+++ b/internal/testbed/ber/ber.go
@@ -13,18 +13,18 @@
 
 // TLV is a value. Class 2 is context-specific.
 type TLV struct {
-	Class, Tag int
-	Cons       bool
-	Body       []byte
-	Kids       []TLV
+	Class, Tag  int
+	Constructed bool
+	Body        []byte
+	Children    []TLV
 }
 
 // maxLength of a value that is read.
 const maxLength = 1 << 20
 
-// Kid is the first context-specific kid of a tag; its Tag is -1 if there is none.
-func (v TLV) Kid(tag int) TLV {
-	for _, k := range v.Kids {
+// Child is the first context-specific kid of a tag; its Tag is -1 if there is none.
+func (v TLV) Child(tag int) TLV {
+	for _, k := range v.Children {
 		if k.Class == 2 && k.Tag == tag {
 			return k
 		}
@@ -32,8 +32,8 @@
 	return TLV{Tag: -1}
 }
 
-// Num reads the body as a number.
-func (v TLV) Num() (n int) {
+// Int reads the body as a number.
+func (v TLV) Int() (n int) {
 	for _, b := range v.Body {
 		n = n<<8 | int(b)
 	}
@@ -46,7 +46,7 @@
 	if err != nil {
 		return v, err
 	}
-	v.Class, v.Cons, v.Tag = int(first>>6), first&0x20 != 0, int(first&0x1f)
+	v.Class, v.Constructed, v.Tag = int(first>>6), first&0x20 != 0, int(first&0x1f)
 	if v.Tag == 0x1f {
 		v.Tag = 0
 		for b := byte(0x80); b&0x80 != 0; {
@@ -75,7 +75,7 @@
 		return v, errors.New("ber: too long")
 	}
 	v.Body = make([]byte, n)
-	if _, err = io.ReadFull(r, v.Body); err != nil || !v.Cons {
+	if _, err = io.ReadFull(r, v.Body); err != nil || !v.Constructed {
 		return v, err
 	}
 	for in := bufio.NewReader(strings.NewReader(string(v.Body))); ; {
@@ -86,7 +86,7 @@
 		if err != nil {
 			return v, err
 		}
-		v.Kids = append(v.Kids, k)
+		v.Children = append(v.Children, k)
 	}
 }
 
@@ -114,85 +114,87 @@
 	return out + string([]byte{0x82, byte(len(body) >> 8), byte(len(body))}) + body
 }
 
-// Group words a constructed value, Leaf a primitive one, Number a number of 15 bits.
-func Group(tag int, parts ...string) string { return put(tag, true, strings.Join(parts, "")) }
+// Constructed words a constructed value, Leaf a primitive one, Number a number of 15 bits.
+func Constructed(tag int, parts ...string) string { return put(tag, true, strings.Join(parts, "")) }
 
-// Leaf words a primitive value.
-func Leaf(tag int, body string) string { return put(tag, false, body) }
+// Primitive words a primitive value.
+func Primitive(tag int, body string) string { return put(tag, false, body) }
 
-// Number words a number of 15 bits.
-func Number(tag, n int) string { return put(tag, false, string([]byte{byte(n >> 8 & 0x7f), byte(n)})) }
+// Integer words a number of 15 bits.
+func Integer(tag, n int) string { return put(tag, false, string([]byte{byte(n >> 8 & 0x7f), byte(n)})) }
 
 // Object identifiers, as their bytes.
 const (
-	Bib1   = "\x2a\x86\x48\xce\x13\x03\x01"         // 1.2.840.10003.3.1
-	Diag   = "\x2a\x86\x48\xce\x13\x04\x01"         // 1.2.840.10003.4.1
-	XML    = "\x2a\x86\x48\xce\x13\x05\x6d\x0a"     // 1.2.840.10003.5.109.10
-	Update = "\x2a\x86\x48\xce\x13\x09\x05\x01\x01" // 1.2.840.10003.9.5.1.1
-	MARC   = "\x2a\x86\x48\xce\x13\x05\x0a"         // 1.2.840.10003.5.10
+	OIDBib1        = "\x2a\x86\x48\xce\x13\x03\x01"         // 1.2.840.10003.3.1
+	OIDDiagnostics = "\x2a\x86\x48\xce\x13\x04\x01"         // 1.2.840.10003.4.1
+	OIDXML         = "\x2a\x86\x48\xce\x13\x05\x6d\x0a"     // 1.2.840.10003.5.109.10
+	OIDUpdate      = "\x2a\x86\x48\xce\x13\x09\x05\x01\x01" // 1.2.840.10003.9.5.1.1
+	OIDMARC        = "\x2a\x86\x48\xce\x13\x05\x0a"         // 1.2.840.10003.5.10
 )
 
-// Words of a Type-1 query, in prefix notation.
-func Words(v TLV) string {
+// FormatQuery of a Type-1 query, in prefix notation.
+func FormatQuery(v TLV) string {
 	switch {
-	case v.Tag == 0 && v.Kids[0].Tag == 31:
-		return "set:" + string(v.Kids[0].Body)
+	case v.Tag == 0 && v.Children[0].Tag == 31:
+		return "set:" + string(v.Children[0].Body)
 	case v.Tag == 0:
 		text := ""
-		for _, a := range v.Kids[0].Kid(44).Kids {
-			text += fmt.Sprintf("@%d=%d ", a.Kid(120).Num(), a.Kid(121).Num())
+		for _, a := range v.Children[0].Child(44).Children {
+			text += fmt.Sprintf("@%d=%d ", a.Child(120).Int(), a.Child(121).Int())
 		}
-		return text + string(v.Kids[0].Kid(45).Body)
+		return text + string(v.Children[0].Child(45).Body)
 	}
-	return fmt.Sprintf("(%s %s %s)", []string{"and", "or", "not"}[v.Kids[2].Kids[0].Tag], Words(v.Kids[0]), Words(v.Kids[1]))
+	return fmt.Sprintf("(%s %s %s)", []string{"and", "or", "not"}[v.Children[2].Children[0].Tag], FormatQuery(v.Children[0]), FormatQuery(v.Children[1]))
 }
 
-// InitUnit is an Init request of version 3, signed on as user if that is not empty.
-func InitUnit(user string) string {
+// InitAPDU is an Init request of version 3, signed on as user if that is not empty.
+func InitAPDU(user string) string {
 	auth := ""
 	if user != "" {
-		auth = Group(7, Leaf(-26, user))
+		auth = Constructed(7, Primitive(-26, user))
 	}
-	return Group(20, Leaf(3, "\x05\xe0"), Leaf(4, "\x00\xe2\x06"), Number(5, 30000), Number(6, 30000), auth)
+	return Constructed(20, Primitive(3, "\x05\xe0"), Primitive(4, "\x00\xe2\x06"), Integer(5, 30000), Integer(6, 30000), auth)
 }
 
-// Term is an operand of a query, by a Bib-1 use attribute.
-func Term(use int, text string) string {
-	return Group(0, Group(102, Group(44, Group(-16, Number(120, 1), Number(121, use))), Leaf(45, text)))
+// TermOperand is an operand of a query, by a Bib-1 use attribute.
+func TermOperand(use int, text string) string {
+	return Constructed(0, Constructed(102, Constructed(44, Constructed(-16, Integer(120, 1), Integer(121, use))), Primitive(45, text)))
 }
 
-// SetOf is a result set as an operand.
-func SetOf(name string) string { return Group(0, Leaf(31, name)) }
+// ResultSetOperand is a result set as an operand.
+func ResultSetOperand(name string) string { return Constructed(0, Primitive(31, name)) }
 
-// Both joins two operands: 0 and, 1 or, 2 not.
-func Both(op int, l, r string) string { return Group(1, l, r, Group(46, Leaf(op, ""))) }
+// CombineOperands joins two operands: 0 and, 1 or, 2 not.
+func CombineOperands(op int, l, r string) string {
+	return Constructed(1, l, r, Constructed(46, Primitive(op, "")))
+}
 
-// SearchUnit is a search of a database into a result set.
-func SearchUnit(set, base, rpn string) string {
-	return Group(22, Leaf(2, "r-"+set), Number(13, 0), Number(14, 1), Number(15, 0), Leaf(16, "\xff"), Leaf(17, set),
-		Group(18, Leaf(105, base)), Group(21, Group(1, Leaf(-6, Bib1), rpn)))
+// SearchAPDU is a search of a database into a result set.
+func SearchAPDU(set, base, rpn string) string {
+	return Constructed(22, Primitive(2, "r-"+set), Integer(13, 0), Integer(14, 1), Integer(15, 0), Primitive(16, "\xff"), Primitive(17, set),
+		Constructed(18, Primitive(105, base)), Constructed(21, Constructed(1, Primitive(-6, OIDBib1), rpn)))
 }
 
-// PresentUnit asks for n records of a set from start on.
-func PresentUnit(set string, start, n int) string {
-	return Group(24, Leaf(31, set), Number(30, start), Number(29, n), Leaf(104, XML))
+// PresentAPDU asks for n records of a set from start on.
+func PresentAPDU(set string, start, n int) string {
+	return Constructed(24, Primitive(31, set), Integer(30, start), Integer(29, n), Primitive(104, OIDXML))
 }
 
-// UpdateUnit changes a record of the database captions.
-func UpdateUnit(id string) string {
-	record := Group(4, Group(-8, Leaf(-6, XML), Leaf(1, "<line/>")))
-	es := Group(1, Group(1, Number(1, 2), Leaf(2, "captions")), Group(2, Group(-16, Group(1, Leaf(2, id)), record)))
-	return Group(46, Leaf(2, "u"), Number(3, 1), Leaf(4, Update), Group(10, Leaf(-6, Update), Group(0, es)), Number(11, 1))
+// UpdateAPDU changes a record of the database captions.
+func UpdateAPDU(id string) string {
+	record := Constructed(4, Constructed(-8, Primitive(-6, OIDXML), Primitive(1, "<line/>")))
+	es := Constructed(1, Constructed(1, Integer(1, 2), Primitive(2, "captions")), Constructed(2, Constructed(-16, Constructed(1, Primitive(2, id)), record)))
+	return Constructed(46, Primitive(2, "u"), Integer(3, 1), Primitive(4, OIDUpdate), Constructed(10, Primitive(-6, OIDUpdate), Constructed(0, es)), Integer(11, 1))
 }
 
-// Condition is the diagnostic of a response; 0 if it has none.
-func Condition(v TLV) int {
-	for _, d := range []TLV{v.Kid(130), {Kids: v.Kid(4).Kids}} {
+// DiagnosticCode is the diagnostic of a response; 0 if it has none.
+func DiagnosticCode(v TLV) int {
+	for _, d := range []TLV{v.Child(130), {Children: v.Child(4).Children}} {
 		if d.Tag == 130 {
-			return d.Kids[1].Num()
+			return d.Children[1].Int()
 		}
-		if len(d.Kids) > 0 && len(d.Kids[0].Kids) > 1 {
-			return d.Kids[0].Kids[1].Num()
+		if len(d.Children) > 0 && len(d.Children[0].Children) > 1 {
+			return d.Children[0].Children[1].Int()
 		}
 	}
 	return 0
--- a/internal/testbed/client/client.go
+++ b/internal/testbed/client/client.go
@@ -20,11 +20,11 @@
 type Outcome int
 
 const (
-	Whole   Outcome = iota
-	Partial         // an answer that says that it is not whole
-	Refused         // asking again is harmless
-	Failed          // no answer, or one that says so
-	Broken          // no word at all: the connection ended, or the time was over
+	Complete     Outcome = iota
+	Partial              // an answer that says that it is not whole
+	Rejected             // asking again is harmless
+	Failed               // no answer, or one that says so
+	Disconnected         // no word at all: the connection ended, or the time was over
 )
 
 func (o Outcome) String() string {
@@ -65,15 +65,15 @@
 
 func judge(resp *http.Response, err error, good string) Outcome {
 	if err != nil {
-		return Broken
+		return Disconnected
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	switch {
 	case err != nil:
-		return Broken
+		return Disconnected
 	case resp.StatusCode == 503 || resp.StatusCode == 429:
-		return Refused
+		return Rejected
 	case resp.StatusCode != 200:
 		return Failed
 	case strings.Contains(string(text), "diagnostic/1/59<"):
@@ -81,7 +81,7 @@
 	case strings.Contains(string(text), "<diagnostic "), !strings.Contains(string(text), good):
 		return Failed
 	}
-	return Whole
+	return Complete
 }
 
 // UpdateXML is the body of a record update.
@@ -99,12 +99,12 @@
 
 // Dial opens an association; user may be empty.
 func Dial(addr, user string, timeout time.Duration) (*Origin, error) {
-	o, err := Raw(addr, timeout)
+	o, err := DialWithoutInit(addr, timeout)
 	if err != nil {
 		return nil, err
 	}
-	v, err := o.Ask(ber.InitUnit(user))
-	if err == nil && (v.Tag != 21 || len(v.Kid(12).Body) != 1 || v.Kid(12).Body[0] == 0) {
+	v, err := o.RoundTrip(ber.InitAPDU(user))
+	if err == nil && (v.Tag != 21 || len(v.Child(12).Body) != 1 || v.Child(12).Body[0] == 0) {
 		err = fmt.Errorf("init: refused, unit %d", v.Tag)
 	}
 	if err != nil {
@@ -114,8 +114,8 @@
 	return o, nil
 }
 
-// Raw opens a connection without Init.
-func Raw(addr string, timeout time.Duration) (*Origin, error) {
+// DialWithoutInit opens a connection without Init.
+func DialWithoutInit(addr string, timeout time.Duration) (*Origin, error) {
 	c, err := net.DialTimeout("tcp", addr, timeout)
 	if err != nil {
 		return nil, err
@@ -123,8 +123,8 @@
 	return &Origin{c, bufio.NewReader(c), timeout}, nil
 }
 
-// Tell sends a unit and reads nothing.
-func (o *Origin) Tell(unit string) error {
+// Send sends a unit and reads nothing.
+func (o *Origin) Send(unit string) error {
 	_, err := io.WriteString(o.c, unit)
 	return err
 }
@@ -132,8 +132,8 @@
 // Close ends the association without a word.
 func (o *Origin) Close() { o.c.Close() }
 
-// Ask sends a unit and reads one.
-func (o *Origin) Ask(unit string) (ber.TLV, error) {
+// RoundTrip sends a unit and reads one.
+func (o *Origin) RoundTrip(unit string) (ber.TLV, error) {
 	o.c.SetDeadline(time.Now().Add(o.timeout))
 	if _, err := io.WriteString(o.c, unit); err != nil {
 		return ber.TLV{}, err
@@ -143,36 +143,36 @@
 
 // Search looks for something in a database.
 func (o *Origin) Search(set, base, text string) Outcome {
-	v, err := o.Ask(ber.SearchUnit(set, base, ber.Term(4, text)))
-	switch code := ber.Condition(v); {
+	v, err := o.RoundTrip(ber.SearchAPDU(set, base, ber.TermOperand(4, text)))
+	switch code := ber.DiagnosticCode(v); {
 	case err != nil || v.Tag != 23:
-		return Broken
+		return Disconnected
 	case code == 33:
 		return Partial
 	case code == 2:
-		return Refused
+		return Rejected
 	case code != 0:
 		return Failed
 	}
-	return Whole
+	return Complete
 }
 
 // Correct changes a record of the database captions.
 func (o *Origin) Correct(id string) Outcome {
-	v, err := o.Ask(ber.UpdateUnit(id))
-	switch code := ber.Condition(v); {
+	v, err := o.RoundTrip(ber.UpdateAPDU(id))
+	switch code := ber.DiagnosticCode(v); {
 	case err != nil || v.Tag != 47:
-		return Broken
+		return Disconnected
 	case code == 2:
-		return Refused
-	case code != 0 || v.Kid(3).Num() != 1:
+		return Rejected
+	case code != 0 || v.Child(3).Int() != 1:
 		return Failed
 	}
-	return Whole
+	return Complete
 }
 
-// Agent asks an agent-check and returns its line. send, if not empty, is sent first.
-func Agent(addr, send string, timeout time.Duration) (string, error) {
+// AgentCheck asks an agent-check and returns its line. send, if not empty, is sent first.
+func AgentCheck(addr, send string, timeout time.Duration) (string, error) {
 	c, err := net.DialTimeout("tcp", addr, timeout)
 	if err != nil {
 		return "", err
--- a/internal/testbed/deployment/deployment.go
+++ b/internal/testbed/deployment/deployment.go
@@ -19,46 +19,46 @@
 
 // Options of an installation.
 type Options struct {
-	Nodes   int // round the ring; every second one speaks Z39.50
-	Reach   int // holders of a block
-	SRUOnly bool
-	Seed    uint64
-	Every   time.Duration // between checks
-	Timeout time.Duration // of a check; 0: half a second
-	Sockets int
-	MaxOpen int
-	Agents  bool               // each node has an agent, and a check of it
-	Extra   string             // more of the operator's file, before the servers
-	Checks  func(i int) string // more keys of server i
-	// Others are further servers that hold no block that is asked for and are only checked: so many, each at an
+	Replicas      int // round the ring; every second one speaks Z39.50
+	Reach         int // holders of a block
+	SRUOnly       bool
+	Seed          uint64
+	CheckInterval time.Duration // between checks
+	CheckTimeout  time.Duration // of a check; 0: half a second
+	MaxSockets    int
+	MaxOpen       int
+	Agents        bool               // each node has an agent, and a check of it
+	ExtraConfig   string             // more of the operator's file, before the servers
+	ServerConfig  func(i int) string // more keys of server i
+	// CheckedOnlyAddr are further servers that hold no block that is asked for and are only checked: so many, each at an
 	// address. With them the last block has one holder less, and the databases leave it out.
-	Others     func(i int) string
-	OtherCount int
-	Log        slog.Handler // where the front logs, beside Events; nil: nowhere
+	CheckedOnlyAddr  func(i int) string
+	CheckedOnlyCount int
+	Log              slog.Handler // where the front logs, beside Events; nil: nowhere
 }
 
-// Install is a running installation.
-type Install struct {
-	Archive *replica.Archive
-	Nodes   []*replica.Node
-	Agents  []*replica.Agent
-	Front   *app.Partners
-	Config  string // path of the operator's file
-	Events  *Events
-	dir     string
+// Deployment is a running installation.
+type Deployment struct {
+	Archive    *replica.Archive
+	Replicas   []*replica.Server
+	Agents     []*replica.Agent
+	Frontend   *app.PartnersDeployment
+	ConfigPath string // path of the operator's file
+	Events     *Events
+	dir        string
 }
 
 // Start starts an installation.
-func Start(o Options) (in *Install, err error) {
+func Start(o Options) (in *Deployment, err error) {
 	o.Reach = max(1, o.Reach)
-	in = &Install{Archive: replica.NewArchive(o.Nodes), Events: &Events{next: o.Log}}
+	in = &Deployment{Archive: replica.NewArchive(o.Replicas), Events: &Events{next: o.Log}}
 	defer func() {
 		if err != nil {
 			in.Stop()
 			in = nil
 		}
 	}()
-	for i := range o.Nodes {
+	for i := range o.Replicas {
 		name := fmt.Sprintf("n%d", i)
 		start := in.Archive.SRU
 		if i%2 == 1 && !o.SRUOnly {
@@ -68,7 +68,7 @@
 		if err != nil {
 			return in, err
 		}
-		in.Nodes = append(in.Nodes, n)
+		in.Replicas = append(in.Replicas, n)
 		if o.Agents {
 			a, err := replica.NewAgent("up ready 100%")
 			if err != nil {
@@ -80,36 +80,36 @@
 	if in.dir, err = os.MkdirTemp("", "testbed"); err != nil {
 		return in, err
 	}
-	in.Config = filepath.Join(in.dir, "partners.toml")
-	if err = os.WriteFile(in.Config, []byte(in.file(o)), 0o600); err != nil {
+	in.ConfigPath = filepath.Join(in.dir, "partners.toml")
+	if err = os.WriteFile(in.ConfigPath, []byte(in.file(o)), 0o600); err != nil {
 		return in, err
 	}
-	conf, err := config.LoadPartners(in.Config)
+	conf, err := config.LoadPartners(in.ConfigPath)
 	if err != nil {
 		return in, err
 	}
-	in.Front, err = app.StartPartners(conf, o.Seed, slog.New(in.Events))
+	in.Frontend, err = app.StartPartners(conf, o.Seed, slog.New(in.Events))
 	return in, err
 }
 
 // file writes the operator's file.
-func (in *Install) file(o Options) string {
-	if o.Every == 0 {
-		o.Every = 200 * time.Millisecond
+func (in *Deployment) file(o Options) string {
+	if o.CheckInterval == 0 {
+		o.CheckInterval = 200 * time.Millisecond
 	}
-	if o.Sockets == 0 {
-		o.Sockets = 1024
+	if o.MaxSockets == 0 {
+		o.MaxSockets = 1024
 	}
-	if o.Timeout == 0 {
-		o.Timeout = 500 * time.Millisecond
+	if o.CheckTimeout == 0 {
+		o.CheckTimeout = 500 * time.Millisecond
 	}
-	perSecond := 100 + int(4*float64(o.Nodes+o.OtherCount)/o.Every.Seconds())
+	perSecond := 100 + int(4*float64(o.Replicas+o.CheckedOnlyCount)/o.CheckInterval.Seconds())
 	if o.MaxOpen == 0 {
 		o.MaxOpen = 400
 	}
-	blocks, cells := o.Nodes, o.Nodes
-	if o.OtherCount > 0 {
-		blocks, cells = o.Nodes-o.Reach+1, o.Nodes+o.OtherCount
+	blocks, cells := o.Replicas, o.Replicas
+	if o.CheckedOnlyCount > 0 {
+		blocks, cells = o.Replicas-o.Reach+1, o.Replicas+o.CheckedOnlyCount
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, `# Written by testbed for %d stand-in nodes.
@@ -133,7 +133,7 @@
 count = %d
 cells = %d
 reach = %d
-`, o.Nodes, o.Sockets, o.MaxOpen, o.Every, perSecond, min(o.Sockets/4, 64+o.OtherCount/4), o.Timeout, blocks, cells, o.Reach)
+`, o.Replicas, o.MaxSockets, o.MaxOpen, o.CheckInterval, perSecond, min(o.MaxSockets/4, 64+o.CheckedOnlyCount/4), o.CheckTimeout, blocks, cells, o.Reach)
 	for _, c := range []string{
 		"name = \"line-search\"\naim = \"1.5s\"\ndeadline = \"4s\"\nlate_worth = 0.3",
 		"name = \"coverage-report\"\naim = \"1.2s\"\ndeadline = \"2s\"\nlate_worth = 0.1\nfloor = 0.5\npartial = 0.8",
@@ -169,28 +169,28 @@
 name = "init"
 kind = "z3950"
 `, all, all)
-	b.WriteString(o.Extra)
-	for i, n := range in.Nodes {
+	b.WriteString(o.ExtraConfig)
+	for i, n := range in.Replicas {
 		check := map[string]string{"sru": "healthz", "z3950": "init"}[n.Protocol]
 		fmt.Fprintf(&b, "[[server]]\nid = %q\nprotocol = %q\naddr = %q\ncell = %d\nzone = %d\ndatabase = \"block-%%d\"\nchecks = [%q]\n",
 			n.Name, n.Protocol, n.Addr(), i, i%2, check)
 		if o.Agents {
 			fmt.Fprintf(&b, "agent = %q\n", in.Agents[i].Addr())
 		}
-		if o.Checks != nil {
-			b.WriteString(o.Checks(i))
+		if o.ServerConfig != nil {
+			b.WriteString(o.ServerConfig(i))
 		}
 	}
-	for i := range o.OtherCount {
+	for i := range o.CheckedOnlyCount {
 		fmt.Fprintf(&b, "[[server]]\nid = \"other-%d\"\nprotocol = \"sru\"\naddr = %q\ncell = %d\ndatabase = \"block-%%d\"\nchecks = [\"healthz\"]\n",
-			i, o.Others(i), o.Nodes+i)
+			i, o.CheckedOnlyAddr(i), o.Replicas+i)
 	}
 	return b.String()
 }
 
-// Node finds a node by its name.
-func (in *Install) Node(name string) *replica.Node {
-	for _, n := range in.Nodes {
+// Replica finds a node by its name.
+func (in *Deployment) Replica(name string) *replica.Server {
+	for _, n := range in.Replicas {
 		if n.Name == name {
 			return n
 		}
@@ -199,13 +199,13 @@
 }
 
 // Stop ends all of it.
-func (in *Install) Stop() {
+func (in *Deployment) Stop() {
 	in.Archive.Close()
-	if in.Front != nil {
-		in.Front.Stop(0)
-		in.Front = nil
+	if in.Frontend != nil {
+		in.Frontend.Stop(0)
+		in.Frontend = nil
 	}
-	for _, n := range in.Nodes {
+	for _, n := range in.Replicas {
 		n.Kill()
 	}
 	for _, a := range in.Agents {
@@ -271,8 +271,8 @@
 	return nil
 }
 
-// Then hands each event on to another handler, too; nil: to none.
-func (e *Events) Then(next slog.Handler) {
+// ForwardTo hands each event on to another handler, too; nil: to none.
+func (e *Events) ForwardTo(next slog.Handler) {
 	e.mu.Lock()
 	e.next = next
 	e.mu.Unlock()
@@ -294,8 +294,8 @@
 	return told
 }
 
-// Health is an event on a server whose cause has a part of text in it.
-func Health(server, cause string) func(Event) bool {
+// HealthChanged is an event on a server whose cause has a part of text in it.
+func HealthChanged(server, cause string) func(Event) bool {
 	return func(ev Event) bool {
 		return ev.Msg == "health" && ev.Attrs["server"] == server && strings.Contains(ev.Attrs["cause"], cause)
 	}
--- a/internal/testbed/health/health_test.go
+++ b/internal/testbed/health/health_test.go
@@ -16,9 +16,9 @@
 // patience is how long an event is waited for: a failure, not a verdict.
 const patience = 60 * time.Second
 
-func installed(t *testing.T, o deployment.Options) *deployment.Install {
+func installed(t *testing.T, o deployment.Options) *deployment.Deployment {
 	t.Helper()
-	o.Nodes, o.Reach, o.Seed, o.Every = 4, 2, 1, 50*time.Millisecond
+	o.Replicas, o.Reach, o.Seed, o.CheckInterval = 4, 2, 1, 50*time.Millisecond
 	in, err := deployment.Start(o)
 	if err != nil {
 		t.Fatal(err)
@@ -28,8 +28,8 @@
 }
 
 // underLoad keeps a load on, so that parts can tell.
-func underLoad(t *testing.T, in *deployment.Install) (*load.Result, func()) {
-	calls, stop := load.Start(load.Plan{SRU: in.Front.Addr("sru"), Z3950: in.Front.Addr("z3950"), Rate: 60, Mix: load.Usual, Seed: 1,
+func underLoad(t *testing.T, in *deployment.Deployment) (*load.Result, func()) {
+	calls, stop := load.Start(load.Plan{SRU: in.Frontend.Addr("sru"), Z3950: in.Frontend.Addr("z3950"), Rate: 60, Mix: load.DefaultMix, Seed: 1,
 		Timeout: patience, Origins: 8})
 	t.Cleanup(stop)
 	return calls, stop
@@ -46,20 +46,20 @@
 	}
 }
 
-func keepsRules(t *testing.T, in *deployment.Install) {
+func keepsRules(t *testing.T, in *deployment.Deployment) {
 	t.Helper()
-	if twice := invariants.Twice(in.Archive); len(twice) > 0 {
+	if twice := invariants.DuplicateCorrections(in.Archive); len(twice) > 0 {
 		t.Errorf("corrections ran twice: %v", twice)
 	}
-	c := in.Front.Count()
+	c := in.Frontend.Counters()
 	if c.Received != c.Served+c.Rejected+c.Failed+c.Disconnected+uint64(held(in)) {
 		t.Errorf("not every query was closed once: %v", c)
 	}
 }
 
-func held(in *deployment.Install) int {
+func held(in *deployment.Deployment) int {
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if c := in.Front.Count(); c.Received == c.Served+c.Rejected+c.Failed+c.Disconnected {
+		if c := in.Frontend.Counters(); c.Received == c.Served+c.Rejected+c.Failed+c.Disconnected {
 			return 0
 		}
 	}
@@ -71,23 +71,23 @@
 func TestGoodChecksDoNotKeepAFailingNode(t *testing.T) {
 	in := installed(t, deployment.Options{Agents: true})
 	_, stop := underLoad(t, in)
-	left := in.Events.Next(deployment.Health("n1", "parts fail"))
-	in.Node("n1").Set(replica.Faults{Error: 1})
+	left := in.Events.Next(deployment.HealthChanged("n1", "parts fail"))
+	in.Replica("n1").SetFaults(replica.Faults{ErrorRate: 1})
 	await(t, left)
 	time.Sleep(300 * time.Millisecond) // what was under way has come
 	from := time.Now()
 	time.Sleep(3 * time.Second)
-	share, parts := invariants.Share(in.Archive, "n1", from, time.Now())
+	share, parts := invariants.TrafficShare(in.Archive, "n1", from, time.Now())
 	if share > 0.05 || parts < 100 {
 		t.Errorf("%.1f%% of %d parts", 100*share, parts)
 	}
 	for _, e := range in.Archive.Events(from) {
-		if e.Node == "n1" && e.Correct {
-			t.Errorf("correction %s went to the failing node", e.ID)
+		if e.Replica == "n1" && e.IsCorrection {
+			t.Errorf("correction %s went to the failing node", e.RecordID)
 		}
 	}
-	back := in.Events.Next(deployment.Health("n1", "well"))
-	in.Node("n1").Set(replica.Faults{})
+	back := in.Events.Next(deployment.HealthChanged("n1", "well"))
+	in.Replica("n1").SetFaults(replica.Faults{})
 	await(t, back)
 	stop()
 	keepsRules(t, in)
@@ -97,26 +97,26 @@
 // time, and what it had in hand is answered.
 func TestDrainByAgent(t *testing.T) {
 	in := installed(t, deployment.Options{Agents: true})
-	for _, n := range in.Nodes {
-		n.Set(replica.Faults{Delay: 100 * time.Millisecond, Greet: 100 * time.Millisecond})
+	for _, n := range in.Replicas {
+		n.SetFaults(replica.Faults{Delay: 100 * time.Millisecond, InitDelay: 100 * time.Millisecond})
 	}
 	calls, stop := underLoad(t, in)
 	for i, name := range []string{"n0", "n1"} {
-		word := in.Events.Next(deployment.Health(name, "drain"))
-		in.Agents[i].Set("up drain", replica.Speaks)
+		word := in.Events.Next(deployment.HealthChanged(name, "drain"))
+		in.Agents[i].Set("up drain", replica.Respond)
 		ev := await(t, word)
 		// What was on its way when the word was taken has long come; how soon it ends is for the recorded runs.
 		time.Sleep(2 * time.Second)
-		if late, last := invariants.After(in.Archive, name, ev.At, time.Second); len(late) > 0 {
+		if late, last := invariants.PartsAfter(in.Archive, name, ev.At, time.Second); len(late) > 0 {
 			t.Errorf("%s: %d new parts, the last %v after its word", name, len(late), last)
 		}
-		well := in.Events.Next(deployment.Health(name, "well"))
-		in.Agents[i].Set("up ready", replica.Speaks)
+		well := in.Events.Next(deployment.HealthChanged(name, "well"))
+		in.Agents[i].Set("up ready", replica.Respond)
 		await(t, well)
 	}
 	stop()
 	for _, c := range calls.Calls(time.Time{}, time.Now()) {
-		if c.Outcome == client.Failed || c.Outcome == client.Broken {
+		if c.Outcome == client.Failed || c.Outcome == client.Disconnected {
 			t.Errorf("%s %s: %v", c.Kind, c.ID, c.Outcome)
 		}
 	}
@@ -126,26 +126,26 @@
 // A node that says down and serves is left; as the only holder of a block it is used, and the log says why.
 func TestNodeThatSaysDownIsTheLastResort(t *testing.T) {
 	in := installed(t, deployment.Options{SRUOnly: true})
-	left := in.Events.Next(deployment.Health("n1", "down (status 500)"))
-	in.Node("n1").Say(replica.Health{Status: 500})
+	left := in.Events.Next(deployment.HealthChanged("n1", "down (status 500)"))
+	in.Replica("n1").SetHealth(replica.Health{Status: 500})
 	await(t, left)
 	time.Sleep(300 * time.Millisecond)
 	from := time.Now()
-	web := client.NewSRU(in.Front.Addr("sru"), patience)
+	web := client.NewSRU(in.Frontend.Addr("sru"), patience)
 	defer web.Close()
 	for i := range 30 {
-		if out := web.Correct("captions", fmt.Sprintf("1:left-%d", i)); out != client.Whole {
+		if out := web.Correct("captions", fmt.Sprintf("1:left-%d", i)); out != client.Complete {
 			t.Errorf("correction %d: %v", i, out)
 		}
 	}
-	if share, _ := invariants.Share(in.Archive, "n1", from, time.Now()); share != 0 {
+	if share, _ := invariants.TrafficShare(in.Archive, "n1", from, time.Now()); share != 0 {
 		t.Errorf("%.0f%% of the parts at a node that says down", 100*share)
 	}
-	alone := in.Events.Next(deployment.Health("n1", "alone"))
-	in.Node("n2").Kill()
+	alone := in.Events.Next(deployment.HealthChanged("n1", "alone"))
+	in.Replica("n2").Kill()
 	await(t, alone)
 	for i := range 10 {
-		if out := web.Correct("captions", fmt.Sprintf("1:alone-%d", i)); out != client.Whole {
+		if out := web.Correct("captions", fmt.Sprintf("1:alone-%d", i)); out != client.Complete {
 			t.Errorf("correction %d at the only holder: %v", i, out)
 		}
 	}
@@ -157,17 +157,17 @@
 	in := installed(t, deployment.Options{})
 	calls, stop := underLoad(t, in)
 	time.Sleep(500 * time.Millisecond)
-	doubt := in.Events.Next(deployment.Health("n2", "doubted"))
-	for _, n := range in.Nodes {
-		n.Say(replica.Health{Status: 503, Refuse: true})
+	doubt := in.Events.Next(deployment.HealthChanged("n2", "doubted"))
+	for _, n := range in.Replicas {
+		n.SetHealth(replica.Health{Status: 503, RejectChecks: true})
 	}
 	await(t, doubt)
-	if line, err := client.Agent(in.Front.Addr("agent"), "", patience); err != nil || !strings.HasPrefix(line, "up ready") {
+	if line, err := client.AgentCheck(in.Frontend.Addr("agent"), "", patience); err != nil || !strings.HasPrefix(line, "up ready") {
 		t.Errorf("%q, %v", line, err)
 	}
 	time.Sleep(time.Second)
 	stop()
-	if n := load.Count(calls.Calls(time.Time{}, time.Now())); n[client.Failed]+n[client.Broken]+n[client.Refused] > 0 {
+	if n := load.CountOutcomes(calls.Calls(time.Time{}, time.Now())); n[client.Failed]+n[client.Disconnected]+n[client.Rejected] > 0 {
 		t.Errorf("whole, partial, refused, failed, broken: %v", n)
 	}
 	keepsRules(t, in)
@@ -175,8 +175,8 @@
 
 // Crowds of silent connections on any listener lock out nobody, on that one or another.
 func TestCrowdsLockOutNobody(t *testing.T) {
-	r, err := Crowd(1)
-	if err != nil || len(r.Broken) > 0 || r.Values["asked"] < 1000 {
+	r, err := IdleConnections(1)
+	if err != nil || len(r.Violations) > 0 || r.Values["asked"] < 1000 {
 		t.Errorf("%v %+v", err, r)
 	}
 }
@@ -185,7 +185,7 @@
 func TestOwnWordNamesTheLostBlock(t *testing.T) {
 	in := installed(t, deployment.Options{SRUOnly: true})
 	ready := func(page string) (int, string) {
-		status, head, body, err := client.Get("http://"+in.Front.Addr("health")+page, patience)
+		status, head, body, err := client.Get("http://"+in.Frontend.Addr("health")+page, patience)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -202,8 +202,8 @@
 		return ""
 	}
 	until("/readyz/captions", 200)
-	in.Node("n1").Kill()
-	in.Node("n2").Kill()
+	in.Replica("n1").Kill()
+	in.Replica("n2").Kill()
 	if body := until("/readyz/captions", 503); !strings.Contains(body, "no usable holder of block 1") {
 		t.Errorf("%q", body)
 	}
@@ -226,7 +226,7 @@
 			t.Errorf("%s: %d", page, status)
 		}
 	}
-	if err := in.Node("n1").Start(); err != nil {
+	if err := in.Replica("n1").Start(); err != nil {
 		t.Fatal(err)
 	}
 	until("/readyz/captions", 200)
--- a/internal/testbed/health/observer.go
+++ b/internal/testbed/health/observer.go
@@ -60,7 +60,7 @@
 			}()
 			go func() {
 				defer w.over.Done()
-				line, err := client.Agent(agent, "", time.Second)
+				line, err := client.AgentCheck(agent, "", time.Second)
 				if err != nil {
 					line = ""
 				}
@@ -104,7 +104,7 @@
 	for _, s := range w.samples {
 		if s.answered && !s.at.Before(from) && s.at.Before(to) {
 			n++
-			if s.outcome == client.Refused {
+			if s.outcome == client.Rejected {
 				refused++
 			}
 			weights = append(weights, float64(s.weight()))
@@ -137,11 +137,11 @@
 		return ""
 	case s.drain:
 		return "" // served or not, a balancer was told to go elsewhere
-	case s.outcome == client.Whole && s.status != 200:
+	case s.outcome == client.Complete && s.status != 200:
 		return "answered, and not ready"
-	case s.outcome == client.Refused && s.weight() > 50 && s.status == 200:
+	case s.outcome == client.Rejected && s.weight() > 50 && s.status == 200:
 		return "refused, and a high weight"
-	case (s.outcome == client.Failed || s.outcome == client.Broken) && s.status == 200:
+	case (s.outcome == client.Failed || s.outcome == client.Disconnected) && s.status == 200:
 		return "not answered, and ready"
 	}
 	return ""
--- a/internal/testbed/health/scenario.go
+++ b/internal/testbed/health/scenario.go
@@ -22,9 +22,9 @@
 
 // Result of one run of a scenario.
 type Result struct {
-	Values map[string]float64 // measured; names end in their unit
-	Broken []string           // claims that did not hold
-	Series []Point            // of the node's share, where the scenario has one
+	Values     map[string]float64 // measured; names end in their unit
+	Violations []string           // claims that did not hold
+	Series     []Point            // of the node's share, where the scenario has one
 }
 
 // Point of a series.
@@ -39,12 +39,12 @@
 
 func (r *Result) claim(holds bool, format string, args ...any) {
 	if !holds {
-		r.Broken = append(r.Broken, fmt.Sprintf(format, args...))
+		r.Violations = append(r.Violations, fmt.Sprintf(format, args...))
 	}
 }
 
-func (r *Result) rules(in *deployment.Install) {
-	twice := invariants.Twice(in.Archive)
+func (r *Result) rules(in *deployment.Deployment) {
+	twice := invariants.DuplicateCorrections(in.Archive)
 	r.set("corrections-twice", float64(len(twice)))
 	r.claim(len(twice) == 0, "corrections ran twice: %v", twice)
 }
@@ -55,33 +55,33 @@
 	Run        func(seed uint64) (Result, error)
 }
 
-// All are the scenarios, in the order of the page that asks for them.
-var All = []Scenario{
-	{"liar-up", "every check says healthy, 80% of the parts fail at once", LiarUp},
+// Scenarios are the scenarios, in the order of the page that asks for them.
+var Scenarios = []Scenario{
+	{"liar-up", "every check says healthy, 80% of the parts fail at once", FailingWithGoodChecks},
 	{"drain", "a node says drain, with 1,000 other targets, slow checks and greetings in the way", Drain},
-	{"liar-down", "a node says down and serves; then it holds a block alone", LiarDown},
-	{"blind", "all checks fail at once while parts succeed", Blind},
-	{"agents", "agents that hang, drip, flood, slam and refuse", Agents},
-	{"crowd", "700 silent or half-begun connections on each listener in turn", Crowd},
-	{"truth", "our own word against what a client gets, each 50 ms", Truth},
+	{"liar-down", "a node says down and serves; then it holds a block alone", ServingWithBadChecks},
+	{"blind", "all checks fail at once while parts succeed", AllChecksFail},
+	{"agents", "agents that hang, drip, flood, slam and refuse", MisbehavingAgents},
+	{"crowd", "700 silent or half-begun connections on each listener in turn", IdleConnections},
+	{"truth", "our own word against what a client gets, each 50 ms", ReadinessAccuracy},
 }
 
 // rate is the steady load, in calls a second; a search has a part for each block.
 const rate = 40
 
-func begin(in *deployment.Install, seed uint64) (*load.Result, func()) {
-	return load.Start(load.Plan{SRU: in.Front.Addr("sru"), Z3950: in.Front.Addr("z3950"), Rate: rate, Mix: load.Usual, Seed: seed,
+func begin(in *deployment.Deployment, seed uint64) (*load.Result, func()) {
+	return load.Start(load.Plan{SRU: in.Frontend.Addr("sru"), Z3950: in.Frontend.Addr("z3950"), Rate: rate, Mix: load.DefaultMix, Seed: seed,
 		Timeout: 5 * time.Second, Origins: 16})
 }
 
 // loaded starts an installation whose nodes answer steadily, with callers. The returned function ends both.
-func loaded(o deployment.Options, seed uint64) (in *deployment.Install, calls *load.Result, end func(), err error) {
+func loaded(o deployment.Options, seed uint64) (in *deployment.Deployment, calls *load.Result, end func(), err error) {
 	o.Seed = seed
 	if in, err = deployment.Start(o); err != nil {
 		return nil, nil, nil, err
 	}
-	for _, n := range in.Nodes {
-		n.Set(steady())
+	for _, n := range in.Replicas {
+		n.SetFaults(steady())
 	}
 	calls, end = begin(in, seed)
 	return in, calls, end, nil
@@ -101,10 +101,10 @@
 	}
 }
 
-// LiarUp measures how soon a node is left whose checks all say healthy while it fails 80% of its parts, what share
+// FailingWithGoodChecks measures how soon a node is left whose checks all say healthy while it fails 80% of its parts, what share
 // it keeps, what its failing costs, and how soon it is back once sound.
-func LiarUp(seed uint64) (r Result, err error) {
-	in, calls, end, err := loaded(deployment.Options{Nodes: 4, Reach: 2, Agents: true}, seed)
+func FailingWithGoodChecks(seed uint64) (r Result, err error) {
+	in, calls, end, err := loaded(deployment.Options{Replicas: 4, Reach: 2, Agents: true}, seed)
 	if err != nil {
 		return r, err
 	}
@@ -113,12 +113,12 @@
 	start := time.Now()
 	time.Sleep(4 * time.Second)
 	bad := steady()
-	bad.Error = 0.8
-	left := in.Events.Next(deployment.Health("n1", "parts fail"))
+	bad.ErrorRate = 0.8
+	left := in.Events.Next(deployment.HealthChanged("n1", "parts fail"))
 	fault := time.Now()
-	before, _ := invariants.Share(in.Archive, "n1", start.Add(time.Second), fault)
+	before, _ := invariants.TrafficShare(in.Archive, "n1", start.Add(time.Second), fault)
 	r.set("share-before-%", 100*before)
-	in.Node("n1").Set(bad)
+	in.Replica("n1").SetFaults(bad)
 	detect, ok := wait(left, fault, 3*time.Second)
 	r.claim(ok, "not left within 3 s")
 	r.set("detect-s", detect.Seconds())
@@ -126,8 +126,8 @@
 	from := time.Now()
 	time.Sleep(12 * time.Second)
 	to := time.Now()
-	back := in.Events.Next(deployment.Health("n1", "well"))
-	in.Node("n1").Set(steady())
+	back := in.Events.Next(deployment.HealthChanged("n1", "well"))
+	in.Replica("n1").SetFaults(steady())
 	sound := time.Now()
 	recover, ok := wait(back, sound, 10*time.Second)
 	r.claim(ok, "not back within 10 s")
@@ -137,19 +137,19 @@
 	time.Sleep(4 * time.Second)
 	over := time.Now()
 	end()
-	share, parts := invariants.Share(in.Archive, "n1", from, to)
+	share, parts := invariants.TrafficShare(in.Archive, "n1", from, to)
 	r.set("share-%", 100*share)
 	r.set("parts", float64(parts))
 	r.claim(share < 0.02, "%.2f%% of the parts after 3 s", 100*share)
-	whole := load.WholeShare(calls.Calls(from, to.Add(-time.Second)))
+	whole := load.CompleteFraction(calls.Calls(from, to.Add(-time.Second)))
 	r.set("whole-%", 100*whole)
 	r.claim(whole >= 0.995, "%.2f%% whole answers", 100*whole)
-	r.set("whole-at-onset-%", 100*load.WholeShare(calls.Calls(fault, from)))
-	share, _ = invariants.Share(in.Archive, "n1", again, over)
+	r.set("whole-at-onset-%", 100*load.CompleteFraction(calls.Calls(fault, from)))
+	share, _ = invariants.TrafficShare(in.Archive, "n1", again, over)
 	r.set("share-back-%", 100*share)
 	r.claim(share > before/2, "%.1f%% of the parts after its return, %.1f%% before", 100*share, 100*before)
 	for at := start; at.Before(over); at = at.Add(250 * time.Millisecond) {
-		s, _ := invariants.Share(in.Archive, "n1", at, at.Add(250*time.Millisecond))
+		s, _ := invariants.TrafficShare(in.Archive, "n1", at, at.Add(250*time.Millisecond))
 		r.Series = append(r.Series, Point{at.Sub(fault).Seconds(), 100 * s})
 	}
 	r.rules(in)
@@ -170,72 +170,72 @@
 		return r, err
 	}
 	defer slow.Kill()
-	slow.Say(replica.Health{Hang: true})
-	in, err := deployment.Start(deployment.Options{Nodes: 6, Reach: 3, Seed: seed, Agents: true, Every: 200 * time.Millisecond, Sockets: 4096,
-		Others: func(i int) string {
+	slow.SetHealth(replica.Health{Hang: true})
+	in, err := deployment.Start(deployment.Options{Replicas: 6, Reach: 3, Seed: seed, Agents: true, CheckInterval: 200 * time.Millisecond, MaxSockets: 4096,
+		CheckedOnlyAddr: func(i int) string {
 			if i%20 == 0 {
 				return slow.Addr()
 			}
 			return quick.Addr()
-		}, OtherCount: 1000, Extra: ""})
+		}, CheckedOnlyCount: 1000, ExtraConfig: ""})
 	if err != nil {
 		return r, err
 	}
 	defer in.Stop()
-	for _, n := range in.Nodes {
+	for _, n := range in.Replicas {
 		f := steady()
-		f.Delay, f.Greet = 60*time.Millisecond, 150*time.Millisecond
-		n.Set(f)
+		f.Delay, f.InitDelay = 60*time.Millisecond, 150*time.Millisecond
+		n.SetFaults(f)
 	}
 	calls, end := begin(in, seed)
 	defer end()
 	time.Sleep(4 * time.Second)
 	for i, name := range []string{"n1", "n2"} { // one of each protocol
-		word := in.Events.Next(deployment.Health(name, "drain"))
+		word := in.Events.Next(deployment.HealthChanged(name, "drain"))
 		set := time.Now()
-		in.Agents[1+i].Set("up drain", replica.Speaks)
+		in.Agents[1+i].Set("up drain", replica.Respond)
 		_, ok := wait(word, set, 5*time.Second)
 		r.claim(ok, "%s: its word was not heard within 5 s", name)
 		time.Sleep(2 * time.Second)
-		told := in.Agents[1+i].Told()
-		late, last := invariants.After(in.Archive, name, told, 300*time.Millisecond)
+		told := in.Agents[1+i].AnnouncedAt()
+		late, last := invariants.PartsAfter(in.Archive, name, told, 300*time.Millisecond)
 		r.claim(len(late) == 0, "%s: %d new parts later than 300 ms after its word", name, len(late))
 		r.set("last-part-"+name+"-ms", float64(last.Microseconds())/1000)
 		r.set("heard-"+name+"-ms", float64(told.Sub(set).Milliseconds()))
-		in.Agents[1+i].Set("up ready 100%", replica.Speaks)
+		in.Agents[1+i].Set("up ready 100%", replica.Respond)
 		time.Sleep(time.Second)
 	}
 	to := time.Now()
 	end()
-	whole := load.WholeShare(calls.Calls(to.Add(-6*time.Second), to.Add(-time.Second)))
+	whole := load.CompleteFraction(calls.Calls(to.Add(-6*time.Second), to.Add(-time.Second)))
 	r.set("whole-%", 100*whole)
 	r.claim(whole >= 0.995, "%.2f%% whole answers: what was in hand did not finish", 100*whole)
 	r.rules(in)
 	return r, nil
 }
 
-// LiarDown: a node says down and serves. It is left; once it holds a block alone, parts reach it and the log says why.
-func LiarDown(seed uint64) (r Result, err error) {
-	in, calls, end, err := loaded(deployment.Options{Nodes: 4, Reach: 2, SRUOnly: true}, seed)
+// ServingWithBadChecks: a node says down and serves. It is left; once it holds a block alone, parts reach it and the log says why.
+func ServingWithBadChecks(seed uint64) (r Result, err error) {
+	in, calls, end, err := loaded(deployment.Options{Replicas: 4, Reach: 2, SRUOnly: true}, seed)
 	if err != nil {
 		return r, err
 	}
 	defer in.Stop()
 	defer end()
 	time.Sleep(2 * time.Second)
-	left := in.Events.Next(deployment.Health("n1", "down (status 500)"))
+	left := in.Events.Next(deployment.HealthChanged("n1", "down (status 500)"))
 	at := time.Now()
-	in.Node("n1").Say(replica.Health{Status: 500})
+	in.Replica("n1").SetHealth(replica.Health{Status: 500})
 	d, ok := wait(left, at, 3*time.Second)
 	r.claim(ok, "not left")
 	r.set("left-s", d.Seconds())
 	from := time.Now().Add(300 * time.Millisecond)
 	time.Sleep(3 * time.Second)
-	share, _ := invariants.Share(in.Archive, "n1", from, time.Now())
+	share, _ := invariants.TrafficShare(in.Archive, "n1", from, time.Now())
 	r.set("share-left-%", 100*share)
 	r.claim(share == 0, "%.1f%% of the parts at a node that says down", 100*share)
-	alone := in.Events.Next(deployment.Health("n1", "alone"))
-	in.Node("n2").Kill() // block 1 is held by n1 and n2
+	alone := in.Events.Next(deployment.HealthChanged("n1", "alone"))
+	in.Replica("n2").Kill() // block 1 is held by n1 and n2
 	at = time.Now()
 	d, ok = wait(alone, at, 3*time.Second)
 	r.claim(ok, "the log does not say that it holds a block alone")
@@ -244,11 +244,11 @@
 	from = time.Now()
 	time.Sleep(4 * time.Second)
 	to := time.Now()
-	share, _ = invariants.Share(in.Archive, "n1", from, to)
+	share, _ = invariants.TrafficShare(in.Archive, "n1", from, to)
 	r.set("share-alone-%", 100*share)
 	r.claim(share > 0.15, "%.1f%% of the parts at the only holder", 100*share)
 	end()
-	whole := load.WholeShare(calls.Calls(from, to.Add(-time.Second)))
+	whole := load.CompleteFraction(calls.Calls(from, to.Add(-time.Second)))
 	r.set("whole-%", 100*whole)
 	r.claim(whole >= 0.995, "%.2f%% whole answers", 100*whole)
 	r.rules(in)
@@ -256,8 +256,8 @@
 }
 
 // Blind: all checks fail at once while parts succeed. Service goes on.
-func Blind(seed uint64) (r Result, err error) {
-	in, calls, end, err := loaded(deployment.Options{Nodes: 6, Reach: 2}, seed)
+func AllChecksFail(seed uint64) (r Result, err error) {
+	in, calls, end, err := loaded(deployment.Options{Replicas: 6, Reach: 2}, seed)
 	if err != nil {
 		return r, err
 	}
@@ -265,23 +265,23 @@
 	defer end()
 	time.Sleep(3 * time.Second)
 	from := time.Now()
-	for _, n := range in.Nodes {
-		n.Say(replica.Health{Status: 503, Refuse: true})
+	for _, n := range in.Replicas {
+		n.SetHealth(replica.Health{Status: 503, RejectChecks: true})
 	}
 	worst := 0.0
 	for time.Since(from) < 8*time.Second {
-		if line, err := client.Agent(in.Front.Addr("agent"), "", time.Second); err != nil || strings.HasPrefix(line, "down") {
+		if line, err := client.AgentCheck(in.Frontend.Addr("agent"), "", time.Second); err != nil || strings.HasPrefix(line, "down") {
 			worst++
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
 	to := time.Now()
-	for _, n := range in.Nodes {
-		n.Say(replica.Health{})
+	for _, n := range in.Replicas {
+		n.SetHealth(replica.Health{})
 	}
 	time.Sleep(2 * time.Second)
 	end()
-	whole := load.WholeShare(calls.Calls(from, to))
+	whole := load.CompleteFraction(calls.Calls(from, to))
 	r.set("whole-%", 100*whole)
 	r.claim(whole >= 0.995, "%.2f%% whole answers while all checks fail", 100*whole)
 	r.set("own-word-down-samples", worst)
@@ -292,8 +292,8 @@
 
 // Agents: five nodes' agents hang, drip, flood, slam and refuse, the sixth speaks. Time and memory are bounded, and
 // the checks of the others keep their pace.
-func Agents(seed uint64) (r Result, err error) {
-	in, calls, end, err := loaded(deployment.Options{Nodes: 6, Reach: 2, Agents: true, Every: 100 * time.Millisecond}, seed)
+func MisbehavingAgents(seed uint64) (r Result, err error) {
+	in, calls, end, err := loaded(deployment.Options{Replicas: 6, Reach: 2, Agents: true, CheckInterval: 100 * time.Millisecond}, seed)
 	if err != nil {
 		return r, err
 	}
@@ -304,14 +304,14 @@
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	from := time.Now()
-	for i, how := range []replica.Manner{replica.Hangs, replica.Drips, replica.Floods, replica.Slams} {
+	for i, how := range []replica.AgentBehavior{replica.Hang, replica.Drip, replica.Flood, replica.CloseAtOnce} {
 		in.Agents[i].Set("", how)
 	}
 	in.Agents[4].Close()
 	time.Sleep(6 * time.Second)
-	word := in.Events.Next(deployment.Health("n5", "drain"))
+	word := in.Events.Next(deployment.HealthChanged("n5", "drain"))
 	at := time.Now()
-	in.Agents[5].Set("drain", replica.Speaks)
+	in.Agents[5].Set("drain", replica.Respond)
 	d, ok := wait(word, at, 5*time.Second)
 	r.claim(ok && d < time.Second, "the agent that speaks was heard after %v", d)
 	r.set("heard-s", d.Seconds())
@@ -323,7 +323,7 @@
 	grown := float64(int64(after.HeapAlloc)-int64(before.HeapAlloc)) / (1 << 20)
 	r.set("heap-grown-MB", grown)
 	r.claim(grown < 16, "the heap grew by %.1f MB", grown)
-	whole := load.WholeShare(calls.Calls(from, to.Add(-time.Second)))
+	whole := load.CompleteFraction(calls.Calls(from, to.Add(-time.Second)))
 	r.set("whole-%", 100*whole)
 	r.claim(whole >= 0.995, "%.2f%% whole answers", 100*whole)
 	r.rules(in)
@@ -333,20 +333,20 @@
 // crowdSize is how many connections a crowd opens.
 const crowdSize = 700
 
-// Crowd opens 700 silent or half-begun connections on each listener in turn. Meanwhile callers on every listener, new
+// IdleConnections opens 700 silent or half-begun connections on each listener in turn. Meanwhile callers on every listener, new
 // ones included, and health checks are served, and an association with a result set in use keeps it.
-func Crowd(seed uint64) (r Result, err error) {
-	in, err := deployment.Start(deployment.Options{Nodes: 4, Reach: 2, Seed: seed})
+func IdleConnections(seed uint64) (r Result, err error) {
+	in, err := deployment.Start(deployment.Options{Replicas: 4, Reach: 2, Seed: seed})
 	if err != nil {
 		return r, err
 	}
 	defer in.Stop()
-	keeper, err := client.Dial(in.Front.Addr("z3950"), "editor", 10*time.Second)
+	keeper, err := client.Dial(in.Frontend.Addr("z3950"), "editor", 10*time.Second)
 	if err != nil {
 		return r, err
 	}
 	defer keeper.Close()
-	if out := keeper.Search("kept", "captions", "budget"); out != client.Whole {
+	if out := keeper.Search("kept", "captions", "budget"); out != client.Complete {
 		return r, fmt.Errorf("the search before: %v", out)
 	}
 	asked, failed := 0, 0
@@ -359,33 +359,33 @@
 		}
 	}
 	for _, l := range []string{"z3950", "sru", "health", "agent"} {
-		for _, half := range []string{"", "G", "\xb4\x20", ber.InitUnit("")} {
+		for _, half := range []string{"", "G", "\xb4\x20", ber.InitAPDU("")} {
 			if l != "z3950" && len(half) > 2 {
 				half = "GET / HTTP/1.1\r\nHost: x\r\n"
 			}
 			slow := slowCalls(in)
-			crowd := openCrowd(in.Front.Addr(l), half)
+			crowd := openCrowd(in.Frontend.Addr(l), half)
 			what := fmt.Sprintf("%s crowd of %d (%q)", l, crowdSize, half)
 			for i := range 10 {
-				web := client.NewSRU(in.Front.Addr("sru"), 10*time.Second)
-				check(what+": sru search", web.Search("captions", "budget") == client.Whole)
-				check(what+": sru correction", web.Correct("captions", fmt.Sprintf("%d:%s-%d-%d", i%4, l, len(half), i)) == client.Whole)
+				web := client.NewSRU(in.Frontend.Addr("sru"), 10*time.Second)
+				check(what+": sru search", web.Search("captions", "budget") == client.Complete)
+				check(what+": sru correction", web.Correct("captions", fmt.Sprintf("%d:%s-%d-%d", i%4, l, len(half), i)) == client.Complete)
 				web.Close()
-				o, err := client.Dial(in.Front.Addr("z3950"), "", 10*time.Second)
+				o, err := client.Dial(in.Frontend.Addr("z3950"), "", 10*time.Second)
 				check(what+": z39.50 init", err == nil)
 				if err == nil {
-					check(what+": z39.50 search", o.Search("s", "captions", "budget") == client.Whole)
+					check(what+": z39.50 search", o.Search("s", "captions", "budget") == client.Complete)
 					o.Close()
 				}
-				line, err := client.Agent(in.Front.Addr("agent"), "", 10*time.Second)
+				line, err := client.AgentCheck(in.Frontend.Addr("agent"), "", 10*time.Second)
 				check(what+": agent-check", err == nil && strings.HasPrefix(line, "up"))
-				status, _, _, err := client.Get("http://"+in.Front.Addr("health")+"/healthz", 10*time.Second)
+				status, _, _, err := client.Get("http://"+in.Frontend.Addr("health")+"/healthz", 10*time.Second)
 				check(what+": health check", err == nil && status == 200)
-				v, err := keeper.Ask(ber.PresentUnit("kept", 1, 2))
-				check(what+": a kept result set", err == nil && v.Tag == 25 && ber.Condition(v) == 0)
+				v, err := keeper.RoundTrip(ber.PresentAPDU("kept", 1, 2))
+				check(what+": a kept result set", err == nil && v.Tag == 25 && ber.DiagnosticCode(v) == 0)
 			}
 			for name, out := range slow() {
-				check(what+": "+name+" begun before", out == client.Whole)
+				check(what+": "+name+" begun before", out == client.Complete)
 			}
 			crowd()
 		}
@@ -398,9 +398,9 @@
 
 // slowCalls begins a call over each protocol that takes a while, and returns once its parts are in hand. The returned
 // function waits for their outcomes.
-func slowCalls(in *deployment.Install) func() map[string]client.Outcome {
-	for _, n := range in.Nodes {
-		n.Set(replica.Faults{Delay: 600 * time.Millisecond})
+func slowCalls(in *deployment.Deployment) func() map[string]client.Outcome {
+	for _, n := range in.Replicas {
+		n.SetFaults(replica.Faults{Delay: 600 * time.Millisecond})
 	}
 	type named struct {
 		name string
@@ -408,25 +408,25 @@
 	}
 	outs := make(chan named, 2)
 	go func() {
-		web := client.NewSRU(in.Front.Addr("sru"), 20*time.Second)
+		web := client.NewSRU(in.Frontend.Addr("sru"), 20*time.Second)
 		defer web.Close()
 		outs <- named{"a search over SRU", web.Search("captions", "budget")}
 	}()
 	go func() {
-		o, err := client.Dial(in.Front.Addr("z3950"), "", 10*time.Second)
+		o, err := client.Dial(in.Frontend.Addr("z3950"), "", 10*time.Second)
 		if err != nil {
-			outs <- named{"a search over Z39.50", client.Broken}
+			outs <- named{"a search over Z39.50", client.Disconnected}
 			return
 		}
 		defer o.Close()
 		outs <- named{"a search over Z39.50", o.Search("s", "captions", "budget")}
 	}()
 	began := time.Now()
-	for len(in.Archive.Events(began)) < 2*len(in.Nodes) && time.Since(began) < 250*time.Millisecond {
+	for len(in.Archive.Events(began)) < 2*len(in.Replicas) && time.Since(began) < 250*time.Millisecond {
 		time.Sleep(5 * time.Millisecond)
 	}
-	for _, n := range in.Nodes {
-		n.Set(replica.Faults{})
+	for _, n := range in.Replicas {
+		n.SetFaults(replica.Faults{})
 	}
 	return func() map[string]client.Outcome {
 		all := map[string]client.Outcome{}
@@ -458,19 +458,19 @@
 	}
 }
 
-// Truth compares the mixer's own word with what a client asking at that moment gets, each 50 ms, while a block loses
+// ReadinessAccuracy compares the mixer's own word with what a client asking at that moment gets, each 50 ms, while a block loses
 // its holders and gets them back, while the mixer is overloaded, and while it drains.
-func Truth(seed uint64) (r Result, err error) {
-	in, err := deployment.Start(deployment.Options{Nodes: 4, Reach: 2, Seed: seed, MaxOpen: 200})
+func ReadinessAccuracy(seed uint64) (r Result, err error) {
+	in, err := deployment.Start(deployment.Options{Replicas: 4, Reach: 2, Seed: seed, MaxOpen: 200})
 	if err != nil {
 		return r, err
 	}
 	defer in.Stop()
-	for _, n := range in.Nodes {
-		n.Set(steady())
+	for _, n := range in.Replicas {
+		n.SetFaults(steady())
 	}
 	time.Sleep(time.Second)
-	w := newWitness(in.Front.Addr("agent"), in.Front.Addr("health"), in.Front.Addr("sru"))
+	w := newWitness(in.Frontend.Addr("agent"), in.Frontend.Addr("health"), in.Frontend.Addr("sru"))
 	defer w.stop()
 	phase := func(name string, d time.Duration, do func()) time.Time {
 		at := time.Now()
@@ -482,47 +482,47 @@
 		return at
 	}
 	phase("calm", 2*time.Second, func() {})
-	phase("block-lost", 4*time.Second, func() { in.Node("n1").Kill(); in.Node("n2").Kill() })
-	phase("block-back", 5*time.Second, func() { in.Node("n1").Start(); in.Node("n2").Start() })
+	phase("block-lost", 4*time.Second, func() { in.Replica("n1").Kill(); in.Replica("n2").Kill() })
+	phase("block-back", 5*time.Second, func() { in.Replica("n1").Start(); in.Replica("n2").Start() })
 	phase("checks-lie-down", 4*time.Second, func() {
-		for _, n := range in.Nodes {
-			n.Say(replica.Health{Status: 500, Refuse: true})
+		for _, n := range in.Replicas {
+			n.SetHealth(replica.Health{Status: 500, RejectChecks: true})
 		}
 	})
 	phase("checks-well", 3*time.Second, func() {
-		for _, n := range in.Nodes {
-			n.Say(replica.Health{})
+		for _, n := range in.Replicas {
+			n.SetHealth(replica.Health{})
 		}
 	})
 	var end func()
 	at := phase("overload", 5*time.Second, func() {
-		for _, n := range in.Nodes {
+		for _, n := range in.Replicas {
 			f := steady()
 			f.Delay, f.Cores = 60*time.Millisecond, 2
-			n.Set(f)
+			n.SetFaults(f)
 		}
-		_, end = load.Start(load.Plan{SRU: in.Front.Addr("sru"), Rate: 150, Mix: load.Mix{Searches: 1}, Seed: seed, Timeout: 5 * time.Second})
+		_, end = load.Start(load.Plan{SRU: in.Frontend.Addr("sru"), Rate: 150, Mix: load.Mix{Searches: 1}, Seed: seed, Timeout: 5 * time.Second})
 	})
 	refused, weight := w.pressed(at.Add(time.Second), time.Now())
 	r.set("overload-refused-%", 100*refused)
 	r.set("overload-weight-median-%", weight)
 	r.claim(refused > 0.2 && weight <= 50, "no overload to speak of: %.0f%% refused, weight %v", 100*refused, weight)
 	phase("overload-over", 5*time.Second, func() {
-		for _, n := range in.Nodes {
-			n.Set(steady())
+		for _, n := range in.Replicas {
+			n.SetFaults(steady())
 		}
 		go end()
 	})
 	var once sync.WaitGroup
 	once.Add(1)
 	at = phase("drain", 2*time.Second, func() {
-		go func() { in.Front.Stop(3 * time.Second); once.Done() }()
+		go func() { in.Frontend.Stop(3 * time.Second); once.Done() }()
 	})
 	w.stop()
 	told := w.drained(at)
 	r.set("drain-told-ms", float64(told.Milliseconds()))
 	r.claim(told > 0 && told < time.Second, "the drain was told after %v", told)
 	once.Wait()
-	in.Front = nil
+	in.Frontend = nil
 	return r, nil
 }
--- a/internal/testbed/invariants/invariants.go
+++ b/internal/testbed/invariants/invariants.go
@@ -10,9 +10,9 @@
 	"rooktrestle/internal/testbed/replica"
 )
 
-// Twice lists the corrections that began more than once.
-func Twice(a *replica.Archive) (ids []string) {
-	for id, n := range a.Changed() {
+// DuplicateCorrections lists the corrections that began more than once.
+func DuplicateCorrections(a *replica.Archive) (ids []string) {
+	for id, n := range a.CorrectionCounts() {
 		if n > 1 {
 			ids = append(ids, fmt.Sprintf("%s (%d times)", id, n))
 		}
@@ -21,11 +21,11 @@
 	return ids
 }
 
-// After lists the parts whose first byte reached a node later than so long after a moment, and the latest of all
+// PartsAfter lists the parts whose first byte reached a node later than so long after a moment, and the latest of all
 // parts there after it.
-func After(a *replica.Archive, name string, moment time.Time, limit time.Duration) (late []replica.Event, last time.Duration) {
+func PartsAfter(a *replica.Archive, name string, moment time.Time, limit time.Duration) (late []replica.Event, last time.Duration) {
 	for _, e := range a.Events(moment) {
-		if e.Node != name {
+		if e.Replica != name {
 			continue
 		}
 		d := e.At.Sub(moment)
@@ -37,13 +37,13 @@
 	return late, last
 }
 
-// Share is the share of the parts begun between two moments that one node got, and how many there were.
-func Share(a *replica.Archive, name string, from, to time.Time) (share float64, all int) {
+// TrafficShare is the share of the parts begun between two moments that one node got, and how many there were.
+func TrafficShare(a *replica.Archive, name string, from, to time.Time) (share float64, all int) {
 	mine := 0
 	for _, e := range a.Events(from) {
 		if e.At.Before(to) {
 			all++
-			if e.Node == name {
+			if e.Replica == name {
 				mine++
 			}
 		}
--- a/internal/testbed/load/load.go
+++ b/internal/testbed/load/load.go
@@ -18,8 +18,8 @@
 	Searches, ZSearches, Reports, Corrections, ZCorrections float64
 }
 
-// Usual is the archive's mix of classes, over both protocols.
-var Usual = Mix{Searches: 0.4, ZSearches: 0.15, Reports: 0.23, Corrections: 0.15, ZCorrections: 0.07}
+// DefaultMix is the archive's mix of classes, over both protocols.
+var DefaultMix = Mix{Searches: 0.4, ZSearches: 0.15, Reports: 0.23, Corrections: 0.15, ZCorrections: 0.07}
 
 // Plan is a run.
 type Plan struct {
@@ -36,7 +36,7 @@
 	Kind    string // search, report, correct; with z- in front over Z39.50
 	ID      string // of corrections
 	Began   time.Time
-	Took    time.Duration // from the intended time
+	Latency time.Duration // from the intended time
 	Outcome client.Outcome
 }
 
@@ -66,26 +66,26 @@
 	return time.Duration(r.took.ValueAtQuantile(q)) * time.Microsecond
 }
 
-// Count counts calls by outcome.
-func Count(calls []Call) (n [client.Broken + 1]int) {
+// CountOutcomes counts calls by outcome.
+func CountOutcomes(calls []Call) (n [client.Disconnected + 1]int) {
 	for _, c := range calls {
 		n[c.Outcome]++
 	}
 	return n
 }
 
-// WholeShare is the share of calls answered whole; 1 of none.
-func WholeShare(calls []Call) float64 {
+// CompleteFraction is the share of calls answered whole; 1 of none.
+func CompleteFraction(calls []Call) float64 {
 	if len(calls) == 0 {
 		return 1
 	}
-	return float64(Count(calls)[client.Whole]) / float64(len(calls))
+	return float64(CountOutcomes(calls)[client.Complete]) / float64(len(calls))
 }
 
 func (r *Result) add(c Call) {
 	r.mu.Lock()
 	r.calls = append(r.calls, c)
-	r.took.RecordValue(max(1, int64(c.Took/time.Microsecond)))
+	r.took.RecordValue(max(1, int64(c.Latency/time.Microsecond)))
 	r.mu.Unlock()
 }
 
@@ -125,7 +125,7 @@
 				defer calls.Done()
 				began := time.Now()
 				out := p.call(kind, id, web, origins)
-				r.add(Call{Kind: kind, ID: id, Began: began, Took: time.Since(due), Outcome: out})
+				r.add(Call{Kind: kind, ID: id, Began: began, Latency: time.Since(due), Outcome: out})
 			}(due)
 		}
 	}()
@@ -165,16 +165,16 @@
 		var err error
 		if o, err = client.Dial(p.Z3950, "", p.Timeout); err != nil {
 			origins <- nil
-			return client.Broken
+			return client.Disconnected
 		}
 	}
-	out := client.Broken
+	out := client.Disconnected
 	if kind == "z-search" {
 		out = o.Search("default", "captions", "budget")
 	} else {
 		out = o.Correct(id)
 	}
-	if out == client.Broken {
+	if out == client.Disconnected {
 		o.Close()
 		o = nil
 	}
--- a/internal/testbed/load/load_test.go
+++ b/internal/testbed/load/load_test.go
@@ -28,18 +28,18 @@
 	calls := r.Calls(begin, time.Now())
 	slow := 0
 	for _, c := range calls {
-		if c.Took >= 500*time.Millisecond {
+		if c.Latency >= 500*time.Millisecond {
 			slow++
 		}
 		// Whoever asked during the stall waited until its end, at least.
-		if c.Began.After(from.Add(100*time.Millisecond)) && c.Began.Before(from.Add(900*time.Millisecond)) && c.Began.Add(c.Took).Before(from.Add(990*time.Millisecond)) {
-			t.Errorf("a call at %v took %v", c.Began.Sub(from), c.Took)
+		if c.Began.After(from.Add(100*time.Millisecond)) && c.Began.Before(from.Add(900*time.Millisecond)) && c.Began.Add(c.Latency).Before(from.Add(990*time.Millisecond)) {
+			t.Errorf("a call at %v took %v", c.Began.Sub(from), c.Latency)
 		}
 	}
 	if slow < 20 || r.Quantile(99) < 500*time.Millisecond {
 		t.Errorf("%d of %d calls are slow, 99%% within %v", slow, len(calls), r.Quantile(99))
 	}
-	if n := Count(calls); n[0] != len(calls) || WholeShare(calls) != 1 {
+	if n := CountOutcomes(calls); n[0] != len(calls) || CompleteFraction(calls) != 1 {
 		t.Errorf("%v", n)
 	}
 }
--- a/internal/testbed/replica/agent.go
+++ b/internal/testbed/replica/agent.go
@@ -8,15 +8,15 @@
 	"time"
 )
 
-// Manner is how an agent behaves.
-type Manner int
+// AgentBehavior is how an agent behaves.
+type AgentBehavior int
 
 const (
-	Speaks Manner = iota // its line, then it closes
-	Hangs                // accepts and says nothing
-	Drips                // a byte a second, and never the end of a line
-	Floods               // a megabyte without the end of a line
-	Slams                // closes at once
+	Respond     AgentBehavior = iota // its line, then it closes
+	Hang                             // accepts and says nothing
+	Drip                             // a byte a second, and never the end of a line
+	Flood                            // a megabyte without the end of a line
+	CloseAtOnce                      // closes at once
 )
 
 // Agent is a stand-in of an agent-check's other side.
@@ -24,7 +24,7 @@
 	ln    net.Listener
 	mu    sync.Mutex
 	line  string
-	how   Manner
+	how   AgentBehavior
 	asked chan struct{}
 	heard []string // what was sent to it
 	told  time.Time
@@ -63,21 +63,21 @@
 }
 
 // Set changes what it says and how.
-func (a *Agent) Set(line string, how Manner) {
+func (a *Agent) Set(line string, how AgentBehavior) {
 	a.mu.Lock()
 	a.line, a.how, a.told = line, how, time.Time{}
 	a.mu.Unlock()
 }
 
-// Told is when the present line was first said; zero if it was not.
-func (a *Agent) Told() time.Time {
+// AnnouncedAt is when the present line was first said; zero if it was not.
+func (a *Agent) AnnouncedAt() time.Time {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.told
 }
 
-// Heard is what was sent to it before it spoke.
-func (a *Agent) Heard() []string {
+// Received is what was sent to it before it spoke.
+func (a *Agent) Received() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return append([]string(nil), a.heard...)
@@ -89,9 +89,9 @@
 	line, how := a.line, a.how
 	a.mu.Unlock()
 	switch how {
-	case Hangs:
+	case Hang:
 		a.wait(c)
-	case Drips:
+	case Drip:
 		for range 600 {
 			if _, err := io.WriteString(c, "u"); err != nil {
 				return
@@ -102,10 +102,10 @@
 				return
 			}
 		}
-	case Floods:
+	case Flood:
 		io.WriteString(c, strings.Repeat("up ", 350_000))
 		a.wait(c)
-	case Slams:
+	case CloseAtOnce:
 	default:
 		c.SetReadDeadline(time.Now().Add(2 * time.Millisecond))
 		sent := make([]byte, 256)
--- a/internal/testbed/replica/archive.go
+++ b/internal/testbed/replica/archive.go
@@ -11,22 +11,22 @@
 
 // Event is one part as a node saw it.
 type Event struct {
-	At      time.Time // its first byte, or the end of its head where only that is known
-	Node    string
-	Correct bool
-	Base    string // of searches
-	ID      string // of corrections
-	Done    string // how it ended: "" served, else the fault
+	At           time.Time // its first byte, or the end of its head where only that is known
+	Replica      string
+	IsCorrection bool
+	Database     string // of searches
+	RecordID     string // of corrections
+	Fault        string // how it ended: "" served, else the fault
 }
 
 // Archive is what the nodes of one test hold, and all that they saw.
 type Archive struct {
 	// Act, if set, says what a node does with a correction, and Find with a search of a database: "" serves it, "hang"
 	// says nothing until the client leaves, "break" breaks the connection, "reject" fails it.
-	Act  func(node, id string) string
-	Find func(base string) string
-	// Begun and Left, if set, are told of each correction begun, and of each client that left a hanging node.
-	Begun, Left chan string
+	OnCorrection func(node, id string) string
+	OnSearch     func(base string) string
+	// CorrectionBegun and Left, if set, are told of each correction begun, and of each client that left a hanging node.
+	CorrectionBegun, ClientLeft chan string
 
 	mu      sync.Mutex
 	changed map[string]int
@@ -50,8 +50,8 @@
 // Close lets hanging nodes go on.
 func (a *Archive) Close() { a.once.Do(func() { close(a.release) }) }
 
-// Changed is how often each correction was begun, by its record.
-func (a *Archive) Changed() map[string]int {
+// CorrectionCounts is how often each correction was begun, by its record.
+func (a *Archive) CorrectionCounts() map[string]int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	all := map[string]int{}
@@ -87,44 +87,44 @@
 }
 
 // correct notes that a correction has begun and says what is to be done with it.
-func (a *Archive) correct(n *Node, at time.Time, id, fault string) string {
+func (a *Archive) correct(n *Server, at time.Time, id, fault string) string {
 	a.mu.Lock()
 	a.changed[id]++
-	act := a.Act
+	act := a.OnCorrection
 	a.mu.Unlock()
-	if a.Begun != nil {
-		a.Begun <- n.Name
+	if a.CorrectionBegun != nil {
+		a.CorrectionBegun <- n.Name
 	}
 	do := fault
 	if act != nil && do == "" {
 		do = act(n.Name, id)
 	}
-	a.saw(Event{At: at, Node: n.Name, Correct: true, ID: id, Done: do})
+	a.saw(Event{At: at, Replica: n.Name, IsCorrection: true, RecordID: id, Fault: do})
 	return do
 }
 
-func (a *Archive) search(n *Node, at time.Time, base, query, fault string) (record, do string) {
+func (a *Archive) search(n *Server, at time.Time, base, query, fault string) (record, do string) {
 	a.mu.Lock()
 	a.queries = append(a.queries, n.Name+" "+query)
-	record, find := a.hits[base], a.Find
+	record, find := a.hits[base], a.OnSearch
 	a.mu.Unlock()
 	do = fault
 	if find != nil && do == "" {
 		do = find(base)
 	}
-	a.saw(Event{At: at, Node: n.Name, Base: base, Done: do})
+	a.saw(Event{At: at, Replica: n.Name, Database: base, Fault: do})
 	return record, do
 }
 
-// SetFind changes Find while nodes run.
-func (a *Archive) SetFind(f func(base string) string) {
+// SetOnSearch changes Find while nodes run.
+func (a *Archive) SetOnSearch(f func(base string) string) {
 	a.mu.Lock()
-	a.Find = f
+	a.OnSearch = f
 	a.mu.Unlock()
 }
 
 func (a *Archive) left(name string) {
-	if a.Left != nil {
-		a.Left <- name
+	if a.ClientLeft != nil {
+		a.ClientLeft <- name
 	}
 }
--- a/internal/testbed/replica/sru.go
+++ b/internal/testbed/replica/sru.go
@@ -13,14 +13,14 @@
 )
 
 // serveSRU serves an SRU node and returns how to end it.
-func (n *Node) serveSRU(ln net.Listener) func() {
+func (n *Server) serveSRU(ln net.Listener) func() {
 	s := &http.Server{Handler: http.HandlerFunc(n.sru)}
 	go s.Serve(ln)
 	return func() { s.Close() }
 }
 
 // wait says nothing until the client leaves, or the test ends.
-func (n *Node) wait(ctx context.Context, part bool) {
+func (n *Server) wait(ctx context.Context, part bool) {
 	select {
 	case <-ctx.Done():
 		if part {
@@ -30,7 +30,7 @@
 	}
 }
 
-func (n *Node) sru(w http.ResponseWriter, r *http.Request) {
+func (n *Server) sru(w http.ResponseWriter, r *http.Request) {
 	at := time.Now()
 	h := n.says()
 	if r.URL.Path == "/healthz" {
@@ -52,7 +52,7 @@
 			n.wait(r.Context(), false)
 			return
 		}
-		if h.Refuse {
+		if h.RejectChecks {
 			http.Error(w, "no", 500)
 			return
 		}
@@ -106,7 +106,7 @@
 }
 
 // fault does what a part meets in the place of an answer, and says whether it met anything.
-func (n *Node) fault(w http.ResponseWriter, r *http.Request, do string) bool {
+func (n *Server) fault(w http.ResponseWriter, r *http.Request, do string) bool {
 	switch do {
 	case "hang":
 		n.wait(r.Context(), true)
@@ -123,7 +123,7 @@
 }
 
 // shelfSearch answers a search from the node's shelf.
-func (n *Node) shelfSearch(w http.ResponseWriter, r *http.Request, s Shelf, at time.Time, base string) {
+func (n *Server) shelfSearch(w http.ResponseWriter, r *http.Request, s Store, at time.Time, base string) {
 	most, _ := strconv.Atoi(r.URL.Query().Get("maximumRecords"))
 	records, count, word := s.Search(base, most)
 	if word != "" {
--- a/internal/testbed/replica/z3950.go
+++ b/internal/testbed/replica/z3950.go
@@ -11,7 +11,7 @@
 )
 
 // serveZ serves a Z39.50 target and returns how to end it.
-func (n *Node) serveZ(ln net.Listener) func() {
+func (n *Server) serveZ(ln net.Listener) func() {
 	conns := map[net.Conn]bool{}
 	n.conns = conns
 	go func() {
@@ -44,7 +44,7 @@
 	}
 }
 
-func (n *Node) target(c net.Conn) {
+func (n *Server) target(c net.Conn) {
 	defer c.Close()
 	a := n.archive
 	in := bufio.NewReader(c)
@@ -63,7 +63,7 @@
 		if err != nil {
 			return
 		}
-		ref := ber.Leaf(2, string(v.Kid(2).Body))
+		ref := ber.Primitive(2, string(v.Child(2).Body))
 		do := ""
 		switch v.Tag {
 		case 20:
@@ -73,18 +73,18 @@
 				return
 			}
 			n.mu.Lock()
-			greet := n.faults.Greet
+			greet := n.faults.InitDelay
 			n.mu.Unlock()
 			time.Sleep(greet)
 			result := "\xff"
 			// Only the check's Init: one that refuses its parts does not lie.
-			if h.Refuse && strings.Contains(string(v.Kid(110).Body), "check") {
+			if h.RejectChecks && strings.Contains(string(v.Child(110).Body), "check") {
 				result = "\x00"
 			}
-			io.WriteString(c, ber.Group(21, ber.Leaf(3, "\x05\xe0"), ber.Leaf(4, "\x00\xe0\x00"), ber.Number(5, 30000), ber.Number(6, 30000), ber.Leaf(12, result)))
+			io.WriteString(c, ber.Constructed(21, ber.Primitive(3, "\x05\xe0"), ber.Primitive(4, "\x00\xe0\x00"), ber.Integer(5, 30000), ber.Integer(6, 30000), ber.Primitive(12, result)))
 			continue
 		case 22:
-			base := string(v.Kid(18).Kids[0].Body)
+			base := string(v.Child(18).Children[0].Body)
 			if s := n.shelved(); s != nil {
 				if do = n.shelfAnswer(c, s, v, at, base, ref); do == "" {
 					continue
@@ -92,44 +92,44 @@
 				break
 			}
 			fault := n.take()
-			record, what := a.search(n, at, base, ber.Words(v.Kid(21).Kids[0].Kids[1]), fault)
+			record, what := a.search(n, at, base, ber.FormatQuery(v.Child(21).Children[0].Children[1]), fault)
 			do = what
 			if do == "" {
-				one := ber.Group(-16, ber.Leaf(0, base), ber.Group(1, ber.Group(1, ber.Group(-8, ber.Leaf(-6, ber.XML), ber.Leaf(1, record)))))
-				io.WriteString(c, ber.Group(23, ref, ber.Number(23, 1), ber.Number(24, 1), ber.Number(25, 0), ber.Leaf(22, "\xff"), ber.Number(27, 0), ber.Group(28, one)))
+				one := ber.Constructed(-16, ber.Primitive(0, base), ber.Constructed(1, ber.Constructed(1, ber.Constructed(-8, ber.Primitive(-6, ber.OIDXML), ber.Primitive(1, record)))))
+				io.WriteString(c, ber.Constructed(23, ref, ber.Integer(23, 1), ber.Integer(24, 1), ber.Integer(25, 0), ber.Primitive(22, "\xff"), ber.Integer(27, 0), ber.Constructed(28, one)))
 				continue
 			}
 			if do == "error" {
-				io.WriteString(c, ber.Group(23, ref, ber.Number(23, 0), ber.Number(24, 0), ber.Number(25, 0), ber.Leaf(22, "\x00"), ber.Number(26, 3),
-					ber.Group(130, ber.Leaf(-6, ber.Diag), ber.Leaf(-2, "\x02"), ber.Leaf(-27, "failing"))))
+				io.WriteString(c, ber.Constructed(23, ref, ber.Integer(23, 0), ber.Integer(24, 0), ber.Integer(25, 0), ber.Primitive(22, "\x00"), ber.Integer(26, 3),
+					ber.Constructed(130, ber.Primitive(-6, ber.OIDDiagnostics), ber.Primitive(-2, "\x02"), ber.Primitive(-27, "failing"))))
 				continue
 			}
 		case 46:
-			es := v.Kid(10).Kid(0).Kids[0] // esRequest
-			id := string(es.Kid(2).Kids[0].Kids[0].Kid(1).Kids[0].Body)
+			es := v.Child(10).Child(0).Children[0] // esRequest
+			id := string(es.Child(2).Children[0].Children[0].Child(1).Children[0].Body)
 			if s := n.shelved(); s != nil {
-				keep := es.Kid(1)
-				if len(keep.Kids) == 1 && keep.Kids[0].Class == 0 { // a sequence inside
-					keep = keep.Kids[0]
+				keep := es.Child(1)
+				if len(keep.Children) == 1 && keep.Children[0].Class == 0 { // a sequence inside
+					keep = keep.Children[0]
 				}
-				if word := s.Correct(string(keep.Kid(2).Body), id); word != "" {
-					diag := ber.Group(-16, ber.Leaf(-6, ber.Diag), ber.Leaf(-2, "\x6d"), ber.Leaf(-26, word))
-					io.WriteString(c, ber.Group(47, ref, ber.Number(3, 3), ber.Group(4, diag)))
+				if word := s.Correct(string(keep.Child(2).Body), id); word != "" {
+					diag := ber.Constructed(-16, ber.Primitive(-6, ber.OIDDiagnostics), ber.Primitive(-2, "\x6d"), ber.Primitive(-26, word))
+					io.WriteString(c, ber.Constructed(47, ref, ber.Integer(3, 3), ber.Constructed(4, diag)))
 					continue
 				}
 			}
 			fault := n.take()
 			switch do = a.correct(n, at, id, fault); do {
 			case "":
-				io.WriteString(c, ber.Group(47, ref, ber.Number(3, 1)))
+				io.WriteString(c, ber.Constructed(47, ref, ber.Integer(3, 1)))
 				continue
 			case "reject":
-				diag := ber.Group(-16, ber.Leaf(-6, ber.Diag), ber.Leaf(-2, "\x00\xe0"), ber.Leaf(-27, "no"))
-				io.WriteString(c, ber.Group(47, ref, ber.Number(3, 3), ber.Group(4, diag)))
+				diag := ber.Constructed(-16, ber.Primitive(-6, ber.OIDDiagnostics), ber.Primitive(-2, "\x00\xe0"), ber.Primitive(-27, "no"))
+				io.WriteString(c, ber.Constructed(47, ref, ber.Integer(3, 3), ber.Constructed(4, diag)))
 				continue
 			case "error":
-				diag := ber.Group(-16, ber.Leaf(-6, ber.Diag), ber.Leaf(-2, "\x02"), ber.Leaf(-27, "failing"))
-				io.WriteString(c, ber.Group(47, ref, ber.Number(3, 3), ber.Group(4, diag)))
+				diag := ber.Constructed(-16, ber.Primitive(-6, ber.OIDDiagnostics), ber.Primitive(-2, "\x02"), ber.Primitive(-27, "failing"))
+				io.WriteString(c, ber.Constructed(47, ref, ber.Integer(3, 3), ber.Constructed(4, diag)))
 				continue
 			}
 		default:
@@ -147,18 +147,18 @@
 }
 
 // shelfAnswer answers a search from the node's shelf, and returns the fault that it met instead.
-func (n *Node) shelfAnswer(c net.Conn, s Shelf, v ber.TLV, at time.Time, base, ref string) (do string) {
-	records, count, word := s.Search(base, v.Kid(15).Num())
+func (n *Server) shelfAnswer(c net.Conn, s Store, v ber.TLV, at time.Time, base, ref string) (do string) {
+	records, count, word := s.Search(base, v.Child(15).Int())
 	failed := func(code, text string) {
-		io.WriteString(c, ber.Group(23, ref, ber.Number(23, 0), ber.Number(24, 0), ber.Number(25, 0), ber.Leaf(22, "\x00"), ber.Number(26, 3),
-			ber.Group(130, ber.Leaf(-6, ber.Diag), ber.Leaf(-2, code), ber.Leaf(-26, text))))
+		io.WriteString(c, ber.Constructed(23, ref, ber.Integer(23, 0), ber.Integer(24, 0), ber.Integer(25, 0), ber.Primitive(22, "\x00"), ber.Integer(26, 3),
+			ber.Constructed(130, ber.Primitive(-6, ber.OIDDiagnostics), ber.Primitive(-2, code), ber.Primitive(-26, text))))
 	}
 	if word != "" {
 		failed("\x6d", word) // 109
 		return ""
 	}
 	fault := n.take()
-	if _, do = n.archive.search(n, at, base, ber.Words(v.Kid(21).Kids[0].Kids[1]), fault); do == "error" {
+	if _, do = n.archive.search(n, at, base, ber.FormatQuery(v.Child(21).Children[0].Children[1]), fault); do == "error" {
 		failed("\x02", "failing")
 		return ""
 	}
@@ -167,8 +167,8 @@
 	}
 	var list []string
 	for _, rec := range records {
-		list = append(list, ber.Group(-16, ber.Leaf(0, base), ber.Group(1, ber.Group(1, ber.Group(-8, ber.Leaf(-6, ber.XML), ber.Leaf(1, rec.XML))))))
+		list = append(list, ber.Constructed(-16, ber.Primitive(0, base), ber.Constructed(1, ber.Constructed(1, ber.Constructed(-8, ber.Primitive(-6, ber.OIDXML), ber.Primitive(1, rec.XML))))))
 	}
-	io.WriteString(c, ber.Group(23, ref, ber.Number(23, count), ber.Number(24, len(list)), ber.Number(25, 0), ber.Leaf(22, "\xff"), ber.Number(27, 0), ber.Group(28, list...)))
+	io.WriteString(c, ber.Constructed(23, ref, ber.Integer(23, count), ber.Integer(24, len(list)), ber.Integer(25, 0), ber.Primitive(22, "\xff"), ber.Integer(27, 0), ber.Constructed(28, list...)))
 	return ""
 }
--- a/internal/testbed/resharding/check.go
+++ b/internal/testbed/resharding/check.go
@@ -16,9 +16,9 @@
 
 // Answer is what one search came to, compared with the archive's known content.
 type Answer struct {
-	Outcome client.Outcome
-	Wrong   string // what is not as it should be; empty: nothing
-	Share   float64
+	Outcome          client.Outcome
+	Violation        string // what is not as it should be; empty: nothing
+	CompleteFraction float64
 }
 
 var (
@@ -32,16 +32,16 @@
 	v := url.Values{"operation": {"searchRetrieve"}, "version": {"1.2"}, "query": {"line"}, "maximumRecords": {"2000"}}
 	resp, err := web.Get("http://" + addr + "/" + base + "?" + v.Encode())
 	if err != nil {
-		return Answer{Outcome: client.Broken}
+		return Answer{Outcome: client.Disconnected}
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(resp.Body)
 	text := string(raw)
 	switch {
 	case err != nil:
-		return Answer{Outcome: client.Broken}
+		return Answer{Outcome: client.Disconnected}
 	case resp.StatusCode == 503:
-		return Answer{Outcome: client.Refused}
+		return Answer{Outcome: client.Rejected}
 	case resp.StatusCode != 200:
 		return Answer{Outcome: client.Failed}
 	case strings.Contains(text, "diagnostic/1/59<"):
@@ -49,7 +49,7 @@
 	case strings.Contains(text, "<diagnostic "):
 		return Answer{Outcome: client.Failed}
 	}
-	return Answer{Outcome: client.Whole, Wrong: a.compare(text, true), Share: 1}
+	return Answer{Outcome: client.Complete, Violation: a.compare(text, true), CompleteFraction: 1}
 }
 
 // ids are the records of an answer, and how many it says there are.
@@ -90,17 +90,17 @@
 // partial checks an answer that says that it is not whole: blocks are in as a whole, and the share of the weight that
 // it tells is that of its records, as blocks weigh what they hold at the start and halves of it after a split.
 func (a *Archive) partial(text string) Answer {
-	out := Answer{Outcome: client.Partial, Wrong: a.compare(text, false)}
+	out := Answer{Outcome: client.Partial, Violation: a.compare(text, false)}
 	m := included.FindStringSubmatch(text)
 	if m == nil {
-		out.Wrong = "partial, and how much of it is not told"
+		out.Violation = "partial, and how much of it is not told"
 		return out
 	}
 	in, _ := strconv.Atoi(m[1])
 	of, _ := strconv.Atoi(m[2])
 	share, _ := strconv.ParseFloat(m[3], 64)
-	if out.Share = share / 100; in >= of || share > 99.95 || share < 50 {
-		out.Wrong = "partial: " + m[0]
+	if out.CompleteFraction = share / 100; in >= of || share > 99.95 || share < 50 {
+		out.Violation = "partial: " + m[0]
 	}
 	return out
 }
@@ -109,22 +109,22 @@
 func (a *Archive) Correct(web *http.Client, addr, id string) client.Outcome {
 	resp, err := web.Post("http://"+addr+"/captions", "text/xml", strings.NewReader(client.UpdateXML(id)))
 	if err != nil {
-		return client.Broken
+		return client.Disconnected
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	switch {
 	case err != nil:
-		return client.Broken
+		return client.Disconnected
 	case resp.StatusCode == 503:
-		return client.Refused
+		return client.Rejected
 	case strings.Contains(string(text), "<operationStatus>success<"):
-		return client.Whole
+		return client.Complete
 	}
 	return client.Failed
 }
 
-// Web is a caller's HTTP, which gives up after a time.
-func Web(timeout time.Duration) *http.Client {
+// NewHTTPClient is a caller's HTTP, which gives up after a time.
+func NewHTTPClient(timeout time.Duration) *http.Client {
 	return &http.Client{Timeout: timeout, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 }
--- a/internal/testbed/resharding/content.go
+++ b/internal/testbed/resharding/content.go
@@ -59,8 +59,8 @@
 // chunk is how many records are copied at a time.
 const chunk = 4
 
-// Shelf is a node's part of the archive. It reads maps with code of its own.
-type Shelf struct {
+// Store is a node's part of the archive. It reads maps with code of its own.
+type Store struct {
 	Name    string
 	Content *Content
 
@@ -72,13 +72,13 @@
 	runs  map[string]int // corrections run here
 }
 
-// NewShelf returns an empty shelf.
-func NewShelf(name string, c *Content) *Shelf {
-	return &Shelf{Name: name, Content: c, held: map[uint64]*holding{}, runs: map[string]int{}}
+// NewStore returns an empty shelf.
+func NewStore(name string, c *Content) *Store {
+	return &Store{Name: name, Content: c, held: map[uint64]*holding{}, runs: map[string]int{}}
 }
 
-// Learn tells the node a map. An older one than it knows changes nothing.
-func (s *Shelf) Learn(text []byte) error {
+// ApplyMap tells the node a map. An older one than it knows changes nothing.
+func (s *Store) ApplyMap(text []byte) error {
 	var m struct {
 		Epoch  uint64 `json:"epoch"`
 		Blocks []struct {
@@ -123,23 +123,23 @@
 	return nil
 }
 
-// Lie makes the node say something in the place of any answer; empty ends it.
-func (s *Shelf) Lie(word string) {
+// SetRejection makes the node say something in the place of any answer; empty ends it.
+func (s *Store) SetRejection(word string) {
 	s.mu.Lock()
 	s.lie = word
 	s.mu.Unlock()
 }
 
-// Copied says whether a joining node has all of a block.
-func (s *Shelf) Copied(block uint64) bool {
+// HasCopied says whether a joining node has all of a block.
+func (s *Store) HasCopied(block uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := s.held[block]
 	return h != nil && (!h.joining || h.left <= 0)
 }
 
-// CopyOn copies a few records of a block that the node joins, and says whether there are more.
-func (s *Shelf) CopyOn(block uint64) bool {
+// CopyChunk copies a few records of a block that the node joins, and says whether there are more.
+func (s *Store) CopyChunk(block uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := s.held[block]
@@ -150,22 +150,22 @@
 	return h.left > 0
 }
 
-// Knows is the epoch that the node knows.
-func (s *Shelf) Knows() uint64 {
+// Epoch is the epoch that the node knows.
+func (s *Store) Epoch() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.epoch
 }
 
-// Away is how many parts it turned away.
-func (s *Shelf) Away() int {
+// RejectedParts is how many parts it turned away.
+func (s *Store) RejectedParts() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.away
 }
 
 // find looks for a block by its name, block-Part@EPOCH. With a word there is none to answer from.
-func (s *Shelf) find(base string) (*holding, string) {
+func (s *Store) find(base string) (*holding, string) {
 	text, _, _ := strings.Cut(strings.TrimPrefix(base, "block-"), "@")
 	id, _ := strconv.ParseUint(text, 10, 64)
 	h := s.held[id]
@@ -187,7 +187,7 @@
 }
 
 // Search answers from the records of a block.
-func (s *Shelf) Search(base string, most int) (list []replica.Record, count int, word string) {
+func (s *Store) Search(base string, most int) (list []replica.Record, count int, word string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h, word := s.find(base)
@@ -202,7 +202,7 @@
 }
 
 // Correct runs a correction.
-func (s *Shelf) Correct(base, id string) string {
+func (s *Store) Correct(base, id string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h, word := s.find(base)
@@ -215,8 +215,8 @@
 	return word
 }
 
-// Runs are the corrections that ran here.
-func (s *Shelf) Runs() map[string]int {
+// CorrectionRuns are the corrections that ran here.
+func (s *Store) CorrectionRuns() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	all := map[string]int{}
--- a/internal/testbed/resharding/controller.go
+++ b/internal/testbed/resharding/controller.go
@@ -16,8 +16,8 @@
 	"rooktrestle/internal/state/atomicfile"
 )
 
-// Source is a stand-in of an HTTP source of maps with long poll, and faults.
-type Source struct {
+// MapSource is a stand-in of an HTTP source of maps with long poll, and faults.
+type MapSource struct {
 	ln    net.Listener
 	web   *http.Server
 	mu    sync.Mutex
@@ -28,26 +28,26 @@
 	asked int
 }
 
-// NewSource starts a source without a map.
-func NewSource() (*Source, error) {
+// NewMapSource starts a source without a map.
+func NewMapSource() (*MapSource, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &Source{ln: ln, next: make(chan struct{})}
+	s := &MapSource{ln: ln, next: make(chan struct{})}
 	s.web = &http.Server{Handler: s}
 	go s.web.Serve(ln)
 	return s, nil
 }
 
 // Addr is where it listens.
-func (s *Source) Addr() string { return s.ln.Addr().String() }
+func (s *MapSource) Addr() string { return s.ln.Addr().String() }
 
 // Close ends it.
-func (s *Source) Close() { s.web.Close() }
+func (s *MapSource) Close() { s.web.Close() }
 
 // Publish makes a text the present map.
-func (s *Source) Publish(epoch uint64, text []byte) {
+func (s *MapSource) Publish(epoch uint64, text []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.text, s.epoch = text, epoch
@@ -55,8 +55,8 @@
 	s.next = make(chan struct{})
 }
 
-// Fail makes the source answer in another way; nil ends it.
-func (s *Source) Fail(f func() (status int, body []byte)) {
+// SetFault makes the source answer in another way; nil ends it.
+func (s *MapSource) SetFault(f func() (status int, body []byte)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fault = f
@@ -64,15 +64,15 @@
 	s.next = make(chan struct{})
 }
 
-// Asked is how often it was asked.
-func (s *Source) Asked() int {
+// Polls is how often it was asked.
+func (s *MapSource) Polls() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.asked
 }
 
 // ServeHTTP answers a long poll.
-func (s *Source) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *MapSource) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
 	end := time.After(wait)
@@ -107,17 +107,17 @@
 // Controller carries plans out: it keeps the map and the plan on disk, tells the nodes, then publishes. It may be killed
 // between any two of its steps; a new one goes on from what is kept.
 type Controller struct {
-	Shelves map[string]*Shelf
-	Publish func(epoch uint64, text []byte)
-	Timing  shardmap.Timing
-	Killed  func(at string) bool // if set, asked before each step of its own: true ends it there
-	Log     func(text string)
-	// Copying runs the copies of joining nodes in the background, within its budget.
-	Copying *background.Runner
+	Stores     map[string]*Store
+	Publish    func(epoch uint64, text []byte)
+	Timing     shardmap.Timing
+	KillBefore func(at string) bool // if set, asked before each step of its own: true ends it there
+	Log        func(text string)
+	// Copier runs the copies of joining nodes in the background, within its budget.
+	Copier *background.Runner
 
-	mapBox, planBox *atomicfile.Box
+	mapBox, planBox *atomicfile.ValueFile
 	now             *shardmap.Map
-	copies          map[string]scheduler.ID
+	copies          map[string]scheduler.TaskID
 }
 
 var errKilled = errors.New("killed")
@@ -127,9 +127,9 @@
 	c.mapBox, c.planBox = atomicfile.New(atomicfile.OS{}, dir+"/map"), atomicfile.New(atomicfile.OS{}, dir+"/plan")
 	text, err := c.mapBox.Load()
 	switch {
-	case errors.Is(err, atomicfile.ErrNone):
+	case errors.Is(err, atomicfile.ErrNotExist):
 		c.now = first
-		if err := c.mapBox.Store(first.Print()); err != nil {
+		if err := c.mapBox.Store(first.Encode()); err != nil {
 			return nil, err
 		}
 	case err != nil:
@@ -145,16 +145,16 @@
 // Map is the present map.
 func (c *Controller) Map() *shardmap.Map { return c.now }
 
-func (c *Controller) killed(at string) bool { return c.Killed != nil && c.Killed(at) }
+func (c *Controller) killed(at string) bool { return c.KillBefore != nil && c.KillBefore(at) }
 
 // announce tells the nodes of a map, then everybody.
 func (c *Controller) announce(m *shardmap.Map) error {
-	text := m.Print()
-	for name, s := range c.Shelves {
+	text := m.Encode()
+	for name, s := range c.Stores {
 		if c.killed("telling " + name) {
 			return errKilled
 		}
-		if err := s.Learn(text); err != nil {
+		if err := s.ApplyMap(text); err != nil {
 			return err
 		}
 	}
@@ -165,37 +165,37 @@
 	return nil
 }
 
-// Copied says whether a joining node has all of a block. One that has not is copied to in the background.
-func (c *Controller) Copied(block shardmap.ID, server string) bool {
-	s := c.Shelves[server]
+// HasCopied says whether a joining node has all of a block. One that has not is copied to in the background.
+func (c *Controller) HasCopied(block shardmap.ID, server string) bool {
+	s := c.Stores[server]
 	if s == nil {
 		return false
 	}
 	name := fmt.Sprintf("%d %s", block, server)
 	id, copying := c.copies[name]
-	if s.Copied(uint64(block)) {
+	if s.HasCopied(uint64(block)) {
 		if copying {
-			c.Copying.Remove(id)
+			c.Copier.Remove(id)
 			delete(c.copies, name)
 		}
 		return true
 	}
 	if !copying {
 		if c.copies == nil {
-			c.copies = map[string]scheduler.ID{}
+			c.copies = map[string]scheduler.TaskID{}
 		}
-		c.copies[name] = c.Copying.Add(scheduler.Task{Priority: scheduler.Idle, Every: time.Millisecond}, 0, func() (scheduler.Pace, bool) {
-			s.CopyOn(uint64(block))
+		c.copies[name] = c.Copier.Add(scheduler.Task{Priority: scheduler.Idle, Interval: time.Millisecond}, 0, func() (scheduler.Result, bool) {
+			s.CopyChunk(uint64(block))
 			return scheduler.Steady, false
 		})
 	}
 	return false
 }
 
-// Knows is the epoch that a node knows.
-func (c *Controller) Knows(server string) shardmap.Epoch {
-	if s := c.Shelves[server]; s != nil {
-		return shardmap.Epoch(s.Knows())
+// KnownEpoch is the epoch that a node knows.
+func (c *Controller) KnownEpoch(server string) shardmap.Epoch {
+	if s := c.Stores[server]; s != nil {
+		return shardmap.Epoch(s.Epoch())
 	}
 	return 0
 }
@@ -212,7 +212,7 @@
 // Run carries the kept plan out, until it is done, killed, or stop is closed.
 func (c *Controller) Run(stop <-chan struct{}) error {
 	text, err := c.planBox.Load()
-	if errors.Is(err, atomicfile.ErrNone) || err == nil && len(text) == 0 {
+	if errors.Is(err, atomicfile.ErrNotExist) || err == nil && len(text) == 0 {
 		return nil
 	}
 	if err != nil {
@@ -222,7 +222,7 @@
 	if err := json.Unmarshal(text, &p); err != nil {
 		return err
 	}
-	carry := &shardmap.Carry{Plan: &p}
+	carry := &shardmap.Rollout{Plan: &p}
 	for {
 		move, err := carry.Next(time.Now(), c.now, c)
 		switch {
@@ -237,7 +237,7 @@
 			if c.killed("keeping the map") {
 				return errKilled
 			}
-			if err := c.mapBox.Store(move.Publish.Print()); err != nil {
+			if err := c.mapBox.Store(move.Publish.Encode()); err != nil {
 				return err
 			}
 			if c.killed("after keeping the map") {
@@ -251,7 +251,7 @@
 			select {
 			case <-stop:
 				return nil
-			case <-time.After(time.Until(move.Wait)):
+			case <-time.After(time.Until(move.CheckAt)):
 			}
 		}
 	}
--- a/internal/testbed/resharding/resharding_test.go
+++ b/internal/testbed/resharding/resharding_test.go
@@ -19,8 +19,8 @@
 
 func started(t *testing.T, o Options) *Archive {
 	t.Helper()
-	if o.Nodes == 0 {
-		o.Nodes = 5
+	if o.ReplicaCount == 0 {
+		o.ReplicaCount = 5
 	}
 	if o.Blocks == 0 {
 		o.Blocks = 4
@@ -29,7 +29,7 @@
 		o.Records = 96
 	}
 	if o.Timing == (shardmap.Timing{}) {
-		o.Timing = shardmap.Timing{Spread: 50 * time.Millisecond, Query: 200 * time.Millisecond}
+		o.Timing = shardmap.Timing{MapPropagation: 50 * time.Millisecond, MaxQueryTime: 200 * time.Millisecond}
 	}
 	a, err := Start(o)
 	if err != nil {
@@ -42,15 +42,15 @@
 // Blocks that split, merge and move all the time under load over two fronts, one of which hears late: no correction
 // runs twice, every whole answer is exact, what is told of corrections is true.
 func TestReshapesUnderLoad(t *testing.T) {
-	a := started(t, Options{Seed: 1, Fronts: 2, Late: 100 * time.Millisecond, Copies: 400, Delay: 5 * time.Millisecond})
-	r, end := a.Call(Load{Rate: 60, Seed: 1})
-	done, err := a.Reshape(nil, 50*time.Millisecond, 24, 1)
+	a := started(t, Options{Seed: 1, FrontendCount: 2, LastFrontendDelay: 100 * time.Millisecond, CopiesPerSecond: 400, Delay: 5 * time.Millisecond})
+	r, end := a.StartLoad(Load{Rate: 60, Seed: 1})
+	done, err := a.Reshard(nil, 50*time.Millisecond, 24, 1)
 	if err != nil {
 		t.Error(err)
 	}
 	end()
-	t.Logf("%v, %v, %d of it wrong; %s", done, r.Outcomes, len(r.Wrong), a.Fronts[0].Report())
-	for _, w := range r.Wrong {
+	t.Logf("%v, %v, %d of it wrong; %s", done, r.Outcomes, len(r.Violations), a.Frontends[0].CountersText())
+	for _, w := range r.Violations {
 		t.Error(w)
 	}
 	if done["move"] < 2 || done["split"] < 2 {
@@ -90,8 +90,8 @@
 	t.Fatalf("front %d does not adopt epoch %d", front, epoch)
 }
 
-func (a *Archive) node(name string) *replica.Node {
-	for _, n := range a.Nodes {
+func (a *Archive) node(name string) *replica.Server {
+	for _, n := range a.Replicas {
 		if n.Name == name {
 			return n
 		}
@@ -106,33 +106,33 @@
 		faults replica.Faults
 		want   client.Outcome
 	}{
-		"answers late": {replica.Faults{Delay: 700 * time.Millisecond}, client.Whole},
-		"resets":       {replica.Faults{Delay: 300 * time.Millisecond, Reset: 1}, client.Failed},
-		"hangs":        {replica.Faults{Hang: 1}, client.Failed},
+		"answers late": {replica.Faults{Delay: 700 * time.Millisecond}, client.Complete},
+		"resets":       {replica.Faults{Delay: 300 * time.Millisecond, ResetRate: 1}, client.Failed},
+		"hangs":        {replica.Faults{HangRate: 1}, client.Failed},
 	} {
-		a := started(t, Options{Seed: 3, Nodes: 6, Blocks: 1})
+		a := started(t, Options{Seed: 3, ReplicaCount: 6, Blocks: 1})
 		for _, n := range []string{"n0", "n1"} { // the holders at the start
-			a.node(n).Set(c.faults)
+			a.node(n).SetFaults(c.faults)
 		}
 		id := a.Content.IDs[5] + "-moved"
 		out := make(chan client.Outcome, 1)
-		go func() { out <- a.Correct(Web(patience), a.Fronts[0].Addr("sru"), id) }()
-		for a.Ran()[id] == 0 {
+		go func() { out <- a.Correct(NewHTTPClient(patience), a.Frontends[0].Addr("sru"), id) }()
+		for a.CorrectionRuns()[id] == 0 {
 			time.Sleep(time.Millisecond)
 		}
-		p, err := shardmap.PlanMove(a.Controller.Map(), 1, []string{"n3", "n4"}, shardmap.Timing{})
+		p, err := shardmap.PlanMigration(a.Controller.Map(), 1, []string{"n3", "n4"}, shardmap.Timing{})
 		a.carry(t, p, err)
 		a.adopted(t, 0, a.Controller.Map().Epoch)
 		if got := <-out; got != c.want {
 			t.Errorf("%s: the client is told %v, not %v", name, got, c.want)
 		}
-		if n := a.Ran()[id]; n != 1 {
+		if n := a.CorrectionRuns()[id]; n != 1 {
 			t.Errorf("%s: it ran %d times", name, n)
 		}
 		// The next one runs at a new holder.
 		next := a.Content.IDs[5] + "-next"
-		if got := a.Correct(Web(patience), a.Fronts[0].Addr("sru"), next); got != client.Whole || a.Ran()[next] != 1 || a.Shelves["n3"].Runs()[next]+a.Shelves["n4"].Runs()[next] != 1 {
-			t.Errorf("%s: the next one: %v, ran %v", name, got, a.Ran()[next])
+		if got := a.Correct(NewHTTPClient(patience), a.Frontends[0].Addr("sru"), next); got != client.Complete || a.CorrectionRuns()[next] != 1 || a.Stores["n3"].CorrectionRuns()[next]+a.Stores["n4"].CorrectionRuns()[next] != 1 {
+			t.Errorf("%s: the next one: %v, ran %v", name, got, a.CorrectionRuns()[next])
 		}
 	}
 }
@@ -140,53 +140,53 @@
 // A front that hears of nothing, while its blocks move to other holders: the old ones turn its parts away, it asks the
 // source, which says nothing either; with the map it goes on. Nothing runs twice.
 func TestFrontThatHearsLate(t *testing.T) {
-	a := started(t, Options{Seed: 4, Nodes: 6, Blocks: 1, Fronts: 2, Late: time.Second})
-	p, err := shardmap.PlanMove(a.Controller.Map(), 1, []string{"n3", "n4"}, shardmap.Timing{})
+	a := started(t, Options{Seed: 4, ReplicaCount: 6, Blocks: 1, FrontendCount: 2, LastFrontendDelay: time.Second})
+	p, err := shardmap.PlanMigration(a.Controller.Map(), 1, []string{"n3", "n4"}, shardmap.Timing{})
 	a.carry(t, p, err)
 	a.adopted(t, 0, 4)
 	id := a.Content.IDs[7] + "-late"
-	got := a.Correct(Web(patience), a.Fronts[1].Addr("sru"), id)
-	if got != client.Whole && got != client.Refused || a.Ran()[id] != map[client.Outcome]int{client.Whole: 1}[got] {
-		t.Errorf("%v, ran %d times", got, a.Ran()[id])
+	got := a.Correct(NewHTTPClient(patience), a.Frontends[1].Addr("sru"), id)
+	if got != client.Complete && got != client.Rejected || a.CorrectionRuns()[id] != map[client.Outcome]int{client.Complete: 1}[got] {
+		t.Errorf("%v, ran %d times", got, a.CorrectionRuns()[id])
 	}
-	if a.Shelves["n0"].Away()+a.Shelves["n1"].Away() == 0 {
+	if a.Stores["n0"].RejectedParts()+a.Stores["n1"].RejectedParts() == 0 {
 		t.Error("the old holders turned nothing away")
 	}
 	a.adopted(t, 1, 4)
-	if got := a.Search(Web(patience), a.Fronts[1].Addr("sru"), "captions"); got.Outcome != client.Whole || got.Wrong != "" {
+	if got := a.Search(NewHTTPClient(patience), a.Frontends[1].Addr("sru"), "captions"); got.Outcome != client.Complete || got.Violation != "" {
 		t.Errorf("%+v", got)
 	}
 }
 
 // A Z39.50 result set made before a split, a move and a merge is paged after each: the same records, in order.
 func TestResultSetAcrossReshapes(t *testing.T) {
-	a := started(t, Options{Seed: 5, Nodes: 4, Blocks: 2})
-	o, err := client.Dial(a.Fronts[0].Addr("z3950"), "editor", patience)
+	a := started(t, Options{Seed: 5, ReplicaCount: 4, Blocks: 2})
+	o, err := client.Dial(a.Frontends[0].Addr("z3950"), "editor", patience)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer o.Close()
-	if out := o.Search("s", "captions", "line"); out != client.Whole {
+	if out := o.Search("s", "captions", "line"); out != client.Complete {
 		t.Fatal(out)
 	}
 	page := func(start int) {
 		t.Helper()
-		if out, wrong := a.page(o, "s", start, 15); out != client.Whole || wrong != "" {
+		if out, wrong := a.page(o, "s", start, 15); out != client.Complete || wrong != "" {
 			t.Errorf("records from %d: %v %s", start, out, wrong)
 		}
 	}
 	page(1)
 	m := a.Controller.Map()
-	b := m.Block(1)
+	b := m.Shard(1)
 	in := a.Content.in(string(b.From), string(b.To))
 	p, err := shardmap.PlanSplit(m, 1, []shardmap.Key{shardmap.Key(keyOf(in[len(in)/2]))}, shardmap.Timing{})
 	a.carry(t, p, err)
 	a.adopted(t, 0, a.Controller.Map().Epoch)
 	page(16)
-	p, err = shardmap.PlanMove(a.Controller.Map(), 3, []string{"n2", "n3"}, shardmap.Timing{})
+	p, err = shardmap.PlanMigration(a.Controller.Map(), 3, []string{"n2", "n3"}, shardmap.Timing{})
 	a.carry(t, p, err)
 	page(31)
-	p, err = shardmap.PlanMove(a.Controller.Map(), 4, []string{"n2", "n3"}, shardmap.Timing{})
+	p, err = shardmap.PlanMigration(a.Controller.Map(), 4, []string{"n2", "n3"}, shardmap.Timing{})
 	a.carry(t, p, err)
 	p, err = shardmap.PlanMerge(a.Controller.Map(), []shardmap.ID{3, 4}, shardmap.Timing{})
 	a.carry(t, p, err)
@@ -199,10 +199,10 @@
 // one is taken, over a gap.
 func TestBadSources(t *testing.T) {
 	a := started(t, Options{Seed: 6})
-	web := Web(patience)
+	web := NewHTTPClient(patience)
 	whole := func(what string) {
 		t.Helper()
-		if got := a.Search(web, a.Fronts[0].Addr("sru"), "captions"); got.Outcome != client.Whole || got.Wrong != "" {
+		if got := a.Search(web, a.Frontends[0].Addr("sru"), "captions"); got.Outcome != client.Complete || got.Violation != "" {
 			t.Errorf("%s: %+v", what, got)
 		}
 	}
@@ -213,20 +213,20 @@
 	}
 	now := a.Controller.Map()
 	weights := func(w float64) *shardmap.Map {
-		b := *now.Block(1)
+		b := *now.Shard(1)
 		b.Weight = w
-		m, err := now.Change([]*shardmap.Block{&b}, nil)
+		m, err := now.Change([]*shardmap.Shard{&b}, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
 		return m
 	}
 	good := weights(2)
-	a.Sources[0].Publish(2, good.Print())
+	a.Sources[0].Publish(2, good.Encode())
 	a.adopted(t, 0, 2)
 	for part, body := range map[string]string{
-		"not a map": "<html>", "older epoch": string(now.Print()), "the same epoch": string(weights(9).Print()),
-		"another archive": strings.Replace(string(good.Print()), `"captions"`, `"other"`, 1),
+		"not a map": "<html>", "older epoch": string(now.Encode()), "the same epoch": string(weights(9).Encode()),
+		"another archive": strings.Replace(string(good.Encode()), `"captions"`, `"other"`, 1),
 		"in no block":     `{"archive":"captions","epoch":9,"next_id":9,"blocks":[{"id":1,"from":"","to":"m@2000","state":"serving","holders":[{"server":"n0"}]}]}`,
 		"status 500":      "",
 	} {
@@ -235,7 +235,7 @@
 		if part == "status 500" {
 			status = 500
 		}
-		a.Sources[0].Fail(func() (int, []byte) { return status, []byte(body) })
+		a.Sources[0].SetFault(func() (int, []byte) { return status, []byte(body) })
 		select {
 		case <-told:
 		case <-time.After(patience):
@@ -243,20 +243,20 @@
 		}
 		whole(part)
 	}
-	a.Sources[0].Fail(nil)
+	a.Sources[0].SetFault(nil)
 	later := good
 	for range 3 {
-		b := *later.Block(1)
+		b := *later.Shard(1)
 		b.Weight++
 		var err error
-		if later, err = later.Change([]*shardmap.Block{&b}, nil); err != nil {
+		if later, err = later.Change([]*shardmap.Shard{&b}, nil); err != nil {
 			t.Fatal(err)
 		}
 	}
-	a.Sources[0].Publish(5, later.Print())
+	a.Sources[0].Publish(5, later.Encode())
 	a.adopted(t, 0, 5)
 	whole("after all")
-	if text := a.Fronts[0].Report(); !strings.Contains(text, "epoch 5") || !strings.Contains(text, "over gaps 1") {
+	if text := a.Frontends[0].CountersText(); !strings.Contains(text, "epoch 5") || !strings.Contains(text, "over gaps 1") {
 		t.Error(text)
 	}
 }
@@ -264,11 +264,11 @@
 // The controller is killed before each of its steps in turn; the next one goes on from what was kept. Every answer in
 // between is exact, and the plan ends where it should.
 func TestControllerKilledAtEveryStep(t *testing.T) {
-	a := started(t, Options{Seed: 7, Nodes: 4, Blocks: 2})
-	web := Web(patience)
+	a := started(t, Options{Seed: 7, ReplicaCount: 4, Blocks: 2})
+	web := NewHTTPClient(patience)
 	plans := []func(*shardmap.Map) (*shardmap.Plan, error){
 		func(m *shardmap.Map) (*shardmap.Plan, error) {
-			return shardmap.PlanMove(m, 1, []string{"n2", "n3"}, shardmap.Timing{})
+			return shardmap.PlanMigration(m, 1, []string{"n2", "n3"}, shardmap.Timing{})
 		},
 		func(m *shardmap.Map) (*shardmap.Plan, error) {
 			return shardmap.PlanSplit(m, 1, []shardmap.Key{"p01@2000"}, shardmap.Timing{})
@@ -292,7 +292,7 @@
 				left--
 				return left < 0
 			}
-			err := a.Control(nil, killed)
+			err := a.StartController(nil, killed)
 			if err == nil {
 				err = a.Controller.Run(nil)
 			}
@@ -302,12 +302,12 @@
 				}
 				kills++
 			}
-			if got := a.Search(web, a.Fronts[0].Addr("sru"), "captions"); got.Outcome != client.Whole || got.Wrong != "" {
+			if got := a.Search(web, a.Frontends[0].Addr("sru"), "captions"); got.Outcome != client.Complete || got.Violation != "" {
 				t.Errorf("plan %d, killed at step %d: %+v", i, n, got)
 			}
 		}
-		if p.Done(a.Controller.Map()) != len(p.Steps) {
-			t.Errorf("plan %d: %d of %d steps", i, p.Done(a.Controller.Map()), len(p.Steps))
+		if p.StepsDone(a.Controller.Map()) != len(p.Steps) {
+			t.Errorf("plan %d: %d of %d steps", i, p.StepsDone(a.Controller.Map()), len(p.Steps))
 		}
 	}
 	if kills < 20 {
@@ -317,27 +317,27 @@
 
 // The last good map is kept, and serves a start without a source; an older one from the source is refused then.
 func TestStartsFromTheKeptMap(t *testing.T) {
-	a := started(t, Options{Seed: 8, Nodes: 4, Blocks: 2, Keep: true})
-	p, err := shardmap.PlanMove(a.Controller.Map(), 1, []string{"n2", "n3"}, shardmap.Timing{})
+	a := started(t, Options{Seed: 8, ReplicaCount: 4, Blocks: 2, PersistMaps: true})
+	p, err := shardmap.PlanMigration(a.Controller.Map(), 1, []string{"n2", "n3"}, shardmap.Timing{})
 	a.carry(t, p, err)
 	a.adopted(t, 0, 4)
-	for end := time.Now().Add(patience); !strings.Contains(a.Fronts[0].Report(), "kept 4"); time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(patience); !strings.Contains(a.Frontends[0].CountersText(), "kept 4"); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatal(a.Fronts[0].Report())
+			t.Fatal(a.Frontends[0].CountersText())
 		}
 	}
-	a.Sources[0].Fail(func() (int, []byte) { return 503, nil })
-	a.Fronts[0].Stop(0)
+	a.Sources[0].SetFault(func() (int, []byte) { return 503, nil })
+	a.Frontends[0].Stop(0)
 	conf, err := config.LoadPartners(filepath.Join(a.Dir, "front0.toml"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	a.Events[0] = &deployment.Events{}
-	if a.Fronts[0], err = app.StartPartners(conf, 9, slog.New(a.Events[0])); err != nil {
+	if a.Frontends[0], err = app.StartPartners(conf, 9, slog.New(a.Events[0])); err != nil {
 		t.Fatal(err)
 	}
 	a.adopted(t, 0, 4)
-	if got := a.Search(Web(patience), a.Fronts[0].Addr("sru"), "captions"); got.Outcome != client.Whole || got.Wrong != "" {
+	if got := a.Search(NewHTTPClient(patience), a.Frontends[0].Addr("sru"), "captions"); got.Outcome != client.Complete || got.Violation != "" {
 		t.Errorf("%+v", got)
 	}
 	told := a.Events[0].Next(func(e deployment.Event) bool { return strings.Contains(e.Attrs["err"], "older epoch") })
@@ -345,7 +345,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a.Sources[0].Fail(func() (int, []byte) { return 200, first.Print() })
+	a.Sources[0].SetFault(func() (int, []byte) { return 200, first.Encode() })
 	select {
 	case <-told:
 	case <-time.After(patience):
@@ -356,11 +356,11 @@
 // A node that turns away what it holds is known as a liar, and loses its parts; searches stay whole.
 func TestLyingNode(t *testing.T) {
 	a := started(t, Options{Seed: 9})
-	a.Shelves["n1"].Lie("not mine since epoch 1")
-	left := a.Events[0].Next(deployment.Health("n1", "parts fail"))
-	web := Web(patience)
+	a.Stores["n1"].SetRejection("not mine since epoch 1")
+	left := a.Events[0].Next(deployment.HealthChanged("n1", "parts fail"))
+	web := NewHTTPClient(patience)
 	for end := time.Now().Add(patience); time.Now().Before(end); {
-		if got := a.Search(web, a.Fronts[0].Addr("sru"), "captions"); got.Outcome != client.Whole || got.Wrong != "" {
+		if got := a.Search(web, a.Frontends[0].Addr("sru"), "captions"); got.Outcome != client.Complete || got.Violation != "" {
 			t.Fatalf("%+v", got)
 		}
 		select {
--- a/internal/testbed/resharding/run.go
+++ b/internal/testbed/resharding/run.go
@@ -21,16 +21,16 @@
 
 // Report is what callers got.
 type Report struct {
-	mu       sync.Mutex
-	Outcomes map[string][client.Broken + 1]int // by kind of call
-	Wrong    []string
-	Asked    int
-	took     *hdrhistogram.Histogram   // microseconds from the intended time
-	told     map[string]client.Outcome // corrections, as told
+	mu         sync.Mutex
+	Outcomes   map[string][client.Disconnected + 1]int // by kind of call
+	Violations []string
+	Asked      int
+	took       *hdrhistogram.Histogram   // microseconds from the intended time
+	told       map[string]client.Outcome // corrections, as told
 }
 
 // Count adds up the outcomes of all kinds.
-func (r *Report) Count() (n [client.Broken + 1]int) {
+func (r *Report) Count() (n [client.Disconnected + 1]int) {
 	for _, o := range r.Outcomes {
 		for i, k := range o {
 			n[i] += k
@@ -42,7 +42,7 @@
 // Answered is the share of calls that were answered, whole or in part.
 func (r *Report) Answered() float64 {
 	n := r.Count()
-	return float64(n[client.Whole]+n[client.Partial]) / float64(max(1, r.Asked))
+	return float64(n[client.Complete]+n[client.Partial]) / float64(max(1, r.Asked))
 }
 
 // Quantile is a latency of the calls.
@@ -58,16 +58,16 @@
 	r.Outcomes[kind] = o
 	r.Asked++
 	r.took.RecordValue(max(1, int64(took/time.Microsecond)))
-	if wrong != "" && len(r.Wrong) < 100 {
-		r.Wrong = append(r.Wrong, kind+": "+wrong)
+	if wrong != "" && len(r.Violations) < 100 {
+		r.Violations = append(r.Violations, kind+": "+wrong)
 	}
 }
 
-// Call keeps callers asking until the returned function is called, which waits for the calls in hand.
-func (a *Archive) Call(l Load) (*Report, func()) {
-	r := &Report{Outcomes: map[string][client.Broken + 1]int{}, took: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3), told: map[string]client.Outcome{}}
+// StartLoad keeps callers asking until the returned function is called, which waits for the calls in hand.
+func (a *Archive) StartLoad(l Load) (*Report, func()) {
+	r := &Report{Outcomes: map[string][client.Disconnected + 1]int{}, took: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3), told: map[string]client.Outcome{}}
 	stop, over := make(chan struct{}), make(chan struct{})
-	web := Web(10 * time.Second)
+	web := NewHTTPClient(10 * time.Second)
 	go func() {
 		defer close(over)
 		rng := rand.New(rand.NewPCG(l.Seed, 21))
@@ -82,7 +82,7 @@
 				return
 			case <-time.After(time.Until(due)):
 			}
-			front := a.Fronts[rng.IntN(len(a.Fronts))]
+			front := a.Frontends[rng.IntN(len(a.Frontends))]
 			x, k := rng.Float64(), rng.IntN(len(a.Content.IDs))
 			id := fmt.Sprintf("%s-%d-%d", a.Content.IDs[k], l.Seed, n)
 			calls.Add(1)
@@ -92,13 +92,13 @@
 				switch {
 				case x < 0.45:
 					got := a.Search(web, front.Addr("sru"), "captions")
-					r.add("search", took(), got.Outcome, got.Wrong)
+					r.add("search", took(), got.Outcome, got.Violation)
 				case x < 0.6:
 					out, wrong := a.zSearch(front.Addr("z3950"))
 					r.add("z-search", took(), out, wrong)
 				case x < 0.75:
 					got := a.Search(web, front.Addr("sru"), "coverage")
-					r.add("report", took(), got.Outcome, got.Wrong)
+					r.add("report", took(), got.Outcome, got.Violation)
 				default:
 					out := a.Correct(web, front.Addr("sru"), id)
 					r.add("correct", took(), out, "")
@@ -120,15 +120,15 @@
 // settle compares what callers were told of corrections with what ran: one that was told as done ran once, one that
 // was refused never.
 func (r *Report) settle(a *Archive) {
-	ran := a.Ran()
+	ran := a.CorrectionRuns()
 	for id, out := range r.told {
 		switch n := ran[id]; {
 		case n > 1:
-			r.Wrong = append(r.Wrong, fmt.Sprintf("correct: %s ran %d times", id, n))
-		case out == client.Whole && n != 1:
-			r.Wrong = append(r.Wrong, fmt.Sprintf("correct: %s is told as done, and ran %d times", id, n))
-		case out == client.Refused && n != 0:
-			r.Wrong = append(r.Wrong, fmt.Sprintf("correct: %s is told as refused, and ran", id))
+			r.Violations = append(r.Violations, fmt.Sprintf("correct: %s ran %d times", id, n))
+		case out == client.Complete && n != 1:
+			r.Violations = append(r.Violations, fmt.Sprintf("correct: %s is told as done, and ran %d times", id, n))
+		case out == client.Rejected && n != 0:
+			r.Violations = append(r.Violations, fmt.Sprintf("correct: %s is told as refused, and ran", id))
 		}
 	}
 }
@@ -137,10 +137,10 @@
 func (a *Archive) zSearch(addr string) (client.Outcome, string) {
 	o, err := client.Dial(addr, "", 10*time.Second)
 	if err != nil {
-		return client.Broken, ""
+		return client.Disconnected, ""
 	}
 	defer o.Close()
-	if out := o.Search("s", "captions", "line"); out != client.Whole {
+	if out := o.Search("s", "captions", "line"); out != client.Complete {
 		return out, ""
 	}
 	return a.page(o, "s", 1, 8)
@@ -148,31 +148,31 @@
 
 // page presents records of a result set and compares them.
 func (a *Archive) page(o *client.Origin, set string, start, n int) (client.Outcome, string) {
-	v, err := o.Ask(ber.PresentUnit(set, start, n))
+	v, err := o.RoundTrip(ber.PresentAPDU(set, start, n))
 	if err != nil {
-		return client.Broken, ""
+		return client.Disconnected, ""
 	}
-	if code := ber.Condition(v); code != 0 {
+	if code := ber.DiagnosticCode(v); code != 0 {
 		if code == 2 {
-			return client.Refused, ""
+			return client.Rejected, ""
 		}
 		return client.Failed, ""
 	}
 	list, _ := ids(string(v.Body))
 	if len(list) != n {
-		return client.Whole, fmt.Sprintf("%d records of %d", len(list), n)
+		return client.Complete, fmt.Sprintf("%d records of %d", len(list), n)
 	}
 	for i, id := range list {
 		if want := a.Content.IDs[start-1+i]; id != want {
-			return client.Whole, fmt.Sprintf("record %d is %s, not %s", start+i, id, want)
+			return client.Complete, fmt.Sprintf("record %d is %s, not %s", start+i, id, want)
 		}
 	}
-	return client.Whole, ""
+	return client.Complete, ""
 }
 
-// Reshape carries out random plans, one after the other, each begun so long after the last, until stop is closed or so
+// Reshard carries out random plans, one after the other, each begun so long after the last, until stop is closed or so
 // many are done (0: no end). It returns how many of each kind were.
-func (a *Archive) Reshape(stop <-chan struct{}, every time.Duration, most int, seed uint64) (done map[string]int, err error) {
+func (a *Archive) Reshard(stop <-chan struct{}, every time.Duration, most int, seed uint64) (done map[string]int, err error) {
 	rng := rand.New(rand.NewPCG(seed, 31))
 	done = map[string]int{}
 	next := time.Now()
@@ -202,17 +202,17 @@
 // plan makes a random plan for the present map: more blocks are split while there are few, and merged while many.
 func (a *Archive) plan(rng *rand.Rand) (string, *shardmap.Plan) {
 	m := a.Controller.Map()
-	var list []*shardmap.Block
-	m.Active(func(b *shardmap.Block) bool { list = append(list, b); return true })
+	var list []*shardmap.Shard
+	m.Active(func(b *shardmap.Shard) bool { list = append(list, b); return true })
 	i := rng.IntN(len(list))
 	b := list[i]
 	switch x := rng.Float64(); {
 	case x < 0.4:
 		var to []string
-		for _, k := range rng.Perm(len(a.Nodes))[:2] {
-			to = append(to, a.Nodes[k].Name)
+		for _, k := range rng.Perm(len(a.Replicas))[:2] {
+			to = append(to, a.Replicas[k].Name)
 		}
-		p, err := shardmap.PlanMove(m, b.ID, to, a.Timing)
+		p, err := shardmap.PlanMigration(m, b.ID, to, a.Timing)
 		if err == nil {
 			return "move", p
 		}
@@ -237,10 +237,10 @@
 		}
 		if i+1 < len(list) {
 			var to []string
-			for _, h := range list[i+1].Servers() {
+			for _, h := range list[i+1].ServingReplicas() {
 				to = append(to, h.Server)
 			}
-			if p, err := shardmap.PlanMove(m, b.ID, to, a.Timing); err == nil {
+			if p, err := shardmap.PlanMigration(m, b.ID, to, a.Timing); err == nil {
 				return "move", p
 			}
 		}
--- a/internal/testbed/resharding/setup.go
+++ b/internal/testbed/resharding/setup.go
@@ -21,18 +21,18 @@
 
 // Options of an archive.
 type Options struct {
-	Seed    uint64
-	Nodes   int           // every second one speaks Z39.50
-	Blocks  int           // at the start; each is held by two nodes
-	Fronts  int           // mixers; each hears of maps by itself
-	Late    time.Duration // the last front hears of maps so late
-	Copies  float64       // a second, of a few records each, all copies together; 0: 2,000
-	Records int
-	Keep    bool // fronts keep the last good map
-	Timing  shardmap.Timing
-	Delay   time.Duration // of an answer
-	Log     slog.Handler
-	Class   string // more keys of the class of searches
+	Seed              uint64
+	ReplicaCount      int           // every second one speaks Z39.50
+	Blocks            int           // at the start; each is held by two nodes
+	FrontendCount     int           // mixers; each hears of maps by itself
+	LastFrontendDelay time.Duration // the last front hears of maps so late
+	CopiesPerSecond   float64       // a second, of a few records each, all copies together; 0: 2,000
+	Records           int
+	PersistMaps       bool // fronts keep the last good map
+	Timing            shardmap.Timing
+	Delay             time.Duration // of an answer
+	Log               slog.Handler
+	ExtraClassConfig  string // more keys of the class of searches
 }
 
 // Archive is a running archive whose blocks change.
@@ -40,11 +40,11 @@
 	Options
 	Content    *Content
 	Archive    *replica.Archive
-	Nodes      []*replica.Node
-	Shelves    map[string]*Shelf
-	Sources    []*Source
+	Replicas   []*replica.Server
+	Stores     map[string]*Store
+	Sources    []*MapSource
 	Controller *Controller
-	Fronts     []*app.Partners
+	Frontends  []*app.PartnersDeployment
 	Events     []*deployment.Events
 	Dir        string
 	late       []*time.Timer
@@ -54,7 +54,7 @@
 
 // Start starts an archive.
 func Start(o Options) (a *Archive, err error) {
-	a = &Archive{Options: o, Content: NewContent(max(4, o.Records/12), 4, 3), Archive: replica.NewArchive(0), Shelves: map[string]*Shelf{}}
+	a = &Archive{Options: o, Content: NewContent(max(4, o.Records/12), 4, 3), Archive: replica.NewArchive(0), Stores: map[string]*Store{}}
 	defer func() {
 		if err != nil {
 			a.Stop()
@@ -64,7 +64,7 @@
 	if a.Dir, err = os.MkdirTemp("", "reshape"); err != nil {
 		return a, err
 	}
-	for i := range o.Nodes {
+	for i := range o.ReplicaCount {
 		name := fmt.Sprintf("n%d", i)
 		start := a.Archive.SRU
 		if i%2 == 1 {
@@ -74,22 +74,22 @@
 		if err != nil {
 			return a, err
 		}
-		n.Set(replica.Faults{Delay: o.Delay, Jitter: o.Delay})
-		s := NewShelf(name, a.Content)
-		n.Put(s)
-		a.Nodes, a.Shelves[name] = append(a.Nodes, n), s
+		n.SetFaults(replica.Faults{Delay: o.Delay, Jitter: o.Delay})
+		s := NewStore(name, a.Content)
+		n.SetStore(s)
+		a.Replicas, a.Stores[name] = append(a.Replicas, n), s
 	}
-	for range max(1, o.Fronts) {
-		s, err := NewSource()
+	for range max(1, o.FrontendCount) {
+		s, err := NewMapSource()
 		if err != nil {
 			return a, err
 		}
 		a.Sources = append(a.Sources, s)
 	}
-	if o.Copies == 0 {
-		o.Copies = 2000
+	if o.CopiesPerSecond == 0 {
+		o.CopiesPerSecond = 2000
 	}
-	if a.copying, err = background.New(scheduler.Budget{PerSecond: o.Copies, Burst: 2, AtOnce: 2}, o.Seed, aggregator.SystemClock{}); err != nil {
+	if a.copying, err = background.New(scheduler.Budget{StartsPerSecond: o.CopiesPerSecond, Burst: 2, MaxRunning: 2}, o.Seed, aggregator.SystemClock{}); err != nil {
 		return a, err
 	}
 	a.stop = make(chan struct{})
@@ -98,12 +98,12 @@
 	if err != nil {
 		return a, err
 	}
-	if err = a.Control(first, nil); err != nil {
+	if err = a.StartController(first, nil); err != nil {
 		return a, err
 	}
 	for i, s := range a.Sources {
 		ev := &deployment.Events{}
-		ev.Then(o.Log)
+		ev.ForwardTo(o.Log)
 		path := filepath.Join(a.Dir, fmt.Sprintf("front%d.toml", i))
 		if err = os.WriteFile(path, []byte(a.file(i, s.Addr())), 0o600); err != nil {
 			return a, err
@@ -117,7 +117,7 @@
 		if err != nil {
 			return a, err
 		}
-		a.Fronts, a.Events = append(a.Fronts, f), append(a.Events, ev)
+		a.Frontends, a.Events = append(a.Frontends, f), append(a.Events, ev)
 		select {
 		case <-adopted:
 		case <-time.After(30 * time.Second):
@@ -127,9 +127,9 @@
 	return a, nil
 }
 
-// Control makes the controller anew, as after it was killed.
-func (a *Archive) Control(first *shardmap.Map, killed func(at string) bool) error {
-	c, err := NewController(a.Dir, first, Controller{Shelves: a.Shelves, Publish: a.publish, Timing: a.Timing, Killed: killed, Copying: a.copying})
+// StartController makes the controller anew, as after it was killed.
+func (a *Archive) StartController(first *shardmap.Map, killed func(at string) bool) error {
+	c, err := NewController(a.Dir, first, Controller{Stores: a.Stores, Publish: a.publish, Timing: a.Timing, KillBefore: killed, Copier: a.copying})
 	a.Controller = c
 	return err
 }
@@ -137,8 +137,8 @@
 // publish tells every source; the last one late.
 func (a *Archive) publish(epoch uint64, text []byte) {
 	for i, s := range a.Sources {
-		if i > 0 && i == len(a.Sources)-1 && a.Late > 0 && epoch > 1 {
-			a.late = append(a.late, time.AfterFunc(a.Late, func() { s.Publish(epoch, text) }))
+		if i > 0 && i == len(a.Sources)-1 && a.LastFrontendDelay > 0 && epoch > 1 {
+			a.late = append(a.late, time.AfterFunc(a.LastFrontendDelay, func() { s.Publish(epoch, text) }))
 			continue
 		}
 		s.Publish(epoch, text)
@@ -154,10 +154,10 @@
 		}
 	}
 	n := min(a.Blocks, len(keys))
-	var list []*shardmap.Block
+	var list []*shardmap.Shard
 	for i := range n {
-		b := &shardmap.Block{ID: shardmap.ID(i + 1), State: shardmap.Serving, Holders: []shardmap.Holder{
-			{Server: a.Nodes[i%len(a.Nodes)].Name}, {Server: a.Nodes[(i+1)%len(a.Nodes)].Name}}}
+		b := &shardmap.Shard{ID: shardmap.ID(i + 1), State: shardmap.Serving, Replicas: []shardmap.Replica{
+			{Server: a.Replicas[i%len(a.Replicas)].Name}, {Server: a.Replicas[(i+1)%len(a.Replicas)].Name}}}
 		if i > 0 {
 			b.From = shardmap.Key(keys[i*len(keys)/n])
 		}
@@ -190,7 +190,7 @@
 wait = "2s"
 cold = "2s"
 `, i, source)
-	if a.Keep {
+	if a.PersistMaps {
 		fmt.Fprintf(&b, "keep = %q\n", filepath.Join(a.Dir, fmt.Sprintf("kept%d", i)))
 	}
 	fmt.Fprintf(&b, `[[class]]
@@ -225,27 +225,27 @@
 name = "coverage"
 search = "coverage-report"
 tenant = "tv"
-`, a.Class)
-	for _, n := range a.Nodes {
+`, a.ExtraClassConfig)
+	for _, n := range a.Replicas {
 		fmt.Fprintf(&b, "[[server]]\nid = %q\nprotocol = %q\naddr = %q\ndatabase = \"block-%%d@%%e\"\n", n.Name, n.Protocol, n.Addr())
 	}
 	return b.String()
 }
 
-// Ran is how often each correction ran, on all nodes together.
-func (a *Archive) Ran() map[string]int {
+// CorrectionRuns is how often each correction ran, on all nodes together.
+func (a *Archive) CorrectionRuns() map[string]int {
 	all := map[string]int{}
-	for _, s := range a.Shelves {
-		for id, n := range s.Runs() {
+	for _, s := range a.Stores {
+		for id, n := range s.CorrectionRuns() {
 			all[id] += n
 		}
 	}
 	return all
 }
 
-// Twice lists the corrections that ran more than once.
-func (a *Archive) Twice() (ids []string) {
-	for id, n := range a.Ran() {
+// DuplicateCorrections lists the corrections that ran more than once.
+func (a *Archive) DuplicateCorrections() (ids []string) {
+	for id, n := range a.CorrectionRuns() {
 		if n > 1 {
 			ids = append(ids, fmt.Sprintf("%s (%d times)", id, n))
 		}
@@ -263,13 +263,13 @@
 	for _, t := range a.late {
 		t.Stop()
 	}
-	for _, f := range a.Fronts {
+	for _, f := range a.Frontends {
 		f.Stop(0)
 	}
 	for _, s := range a.Sources {
 		s.Close()
 	}
-	for _, n := range a.Nodes {
+	for _, n := range a.Replicas {
 		n.Kill()
 	}
 	if a.Dir != "" {
