--- a/internal/testbed/sim/aggregator.go
+++ b/internal/testbed/sim/aggregator.go
@@ -80,7 +80,7 @@
 	m.core.Observer = m
 	if m.w.Words {
 		m.core.Gossip = m
-		m.core.Outliers = outlier.New(outlier.Platform(classes()[report].Objective, m.zone, m.w.Mixers))
+		m.core.Outliers = outlier.New(outlier.PlatformConfig(classes()[report].Objective, m.zone, m.w.Mixers))
 	}
 	if err := m.know(known); err != nil {
 		return err
@@ -112,25 +112,25 @@
 func (m *mixerHost) know(known map[balance.Replica]balance.EndpointState) error {
 	w := m.w
 	list := aggregator.EndpointsChanged{Kind: balance.ListFull}
-	var nodes []health.Node
+	var nodes []health.Server
 	for _, n := range w.nodes {
 		if s, ok := known[n.id]; m.life > 1 && (!ok || s != balance.InService) {
 			continue
 		}
 		m.starts[n.id], m.states[n.id] = n.started, balance.InService
 		list.Servers = append(list.Servers, m.server(n))
-		hn := health.Node{ID: health.ID(n.id)}
+		hn := health.Server{ID: health.ID(n.id)}
 		for j := range w.Reach {
-			hn.Blocks = append(hn.Blocks, (n.index-j+w.Nodes)%w.Nodes)
+			hn.Shards = append(hn.Shards, (n.index-j+w.Nodes)%w.Nodes)
 		}
 		nodes = append(nodes, hn)
 	}
 	if w.Evidence {
 		var err error
-		if m.table, err = health.New(health.Defaults(3, 1<<correction), []health.Source{{Name: "check", Fall: 2, Rise: 1, Valid: 4 * time.Second}}, Start); err != nil {
+		if m.table, err = health.New(health.Defaults(3, 1<<correction), []health.CheckConfig{{Name: "check", Fall: 2, Rise: 1, Validity: 4 * time.Second}}, Start); err != nil {
 			return err
 		}
-		m.table.Roster(Start, nodes, true)
+		m.table.UpdateEndpoints(Start, nodes, true)
 		w.at(Start.Add(time.Duration(w.rng.Float64()*float64(time.Second))), m.checks)
 	}
 	m.put(list)
@@ -260,17 +260,17 @@
 	if m.table == nil {
 		return
 	}
-	m.table.Outcome(now, health.ID(a.Server), a.Class, a.HealthResult(now, classes()[a.Class].Objective), a.Sent)
+	m.table.RecordOutcome(now, health.ID(a.Server), a.Class, a.HealthResult(now, classes()[a.Class].Objective), a.Sent)
 }
 
 // checks asks every node, each second.
 func (m *mixerHost) checks() {
 	for _, n := range m.w.nodes {
-		r := health.Report{Oper: health.Up, Weight: -1, MaxConn: -1}
+		r := health.CheckResult{Oper: health.Up, Weight: -1, MaxConn: -1}
 		if !n.says || !n.up || n.cut {
-			r = health.Report{Failed: true, Weight: -1, MaxConn: -1}
+			r = health.CheckResult{Failed: true, Weight: -1, MaxConn: -1}
 		}
-		m.table.Check(m.w.now, health.ID(n.id), 0, r)
+		m.table.RecordCheck(m.w.now, health.ID(n.id), 0, r)
 	}
 	m.settle()
 	m.w.in(time.Second, m.checks)
@@ -283,7 +283,7 @@
 		list := aggregator.EndpointsChanged{Kind: balance.ListDelta}
 		for _, c := range changes {
 			n := m.w.byID[balance.Replica(c.ID)]
-			m.ev[n.id] = balance.HealthLimits{TrafficFraction: c.Share, MaxInFlight: c.MaxOut, EjectedClasses: c.Shun, HalfOpenClasses: c.Trial}
+			m.ev[n.id] = balance.HealthLimits{TrafficFraction: c.TrafficFraction, MaxInFlight: c.MaxInFlight, EjectedClasses: c.EjectedClasses, HalfOpenClasses: c.HalfOpenClasses}
 			s := m.server(n)
 			if c.State != health.InService && s.State == balance.InService {
 				s.State = balance.Draining
@@ -292,7 +292,7 @@
 		}
 		m.put(list)
 	}
-	if at, ok := m.table.Next(); ok && at.After(m.w.now) {
+	if at, ok := m.table.NextDeadline(); ok && at.After(m.w.now) {
 		m.w.at(at, func() {
 			if len(m.inbox) == 0 {
 				m.settle()
--- a/internal/testbed/sim/discovery.go
+++ b/internal/testbed/sim/discovery.go
@@ -83,7 +83,7 @@
 type follower struct {
 	r       *registry
 	m       *mixerHost
-	calls   *listwatch.Calls
+	calls   *listwatch.Reconnector
 	gen     int // number of the present call
 	live    bool
 	deaf    bool // the present call hears nothing any more
@@ -97,7 +97,7 @@
 	if r.w.Discovery.Kind == Shared || r.w.Planted == waitsInSilence {
 		shared = r.w.Mixers
 	}
-	return &follower{r: r, m: m, calls: listwatch.New(listwatch.Platform(shared))}
+	return &follower{r: r, m: m, calls: listwatch.New(listwatch.PlatformConfig(shared))}
 }
 
 // waitsInSilence is a planted bug: a silent watch is opened anew only after the fleet's back-off.
@@ -122,7 +122,7 @@
 	gen := f.gen
 	f.live, f.deaf = false, f.r.silent
 	f.deafAt = w.now
-	f.calls.Open(w.now, w.rng.Float64())
+	f.calls.Opened(w.now, w.rng.Float64())
 	f.look(gen)
 	if f.deaf {
 		for _, e := range f.r.lines[f.version:] {
@@ -173,8 +173,8 @@
 		return
 	}
 	f.failed = false
-	f.calls.Heard(f.r.w.now)
-	f.calls.Good()
+	f.calls.Received(f.r.w.now)
+	f.calls.Succeeded()
 	list := aggregator.EndpointsChanged{Kind: balance.ListDelta}
 	for ; f.version < len(f.r.lines); f.version++ {
 		e := f.r.lines[f.version]
@@ -189,7 +189,7 @@
 func (f *follower) beats(gen int) {
 	f.r.w.in(beat, func() {
 		if f.gen == gen && !f.deaf {
-			f.calls.Heard(f.r.w.now)
+			f.calls.Received(f.r.w.now)
 			f.beats(gen)
 		}
 	})
@@ -197,11 +197,11 @@
 
 // look opens the watch anew once it is broken.
 func (f *follower) look(gen int) {
-	at := f.calls.Broken()
+	at := f.calls.SilenceDeadline()
 	f.r.w.at(at, func() {
 		switch {
 		case f.gen != gen:
-		case f.calls.Broken().After(f.r.w.now):
+		case f.calls.SilenceDeadline().After(f.r.w.now):
 			f.look(gen)
 		case f.r.w.Planted == waitsInSilence:
 			f.ended(gen)
