--- /dev/null
+++ b/internal/archtest/imports_test.go
@@ -0,0 +1,145 @@
+// Package archtest checks the table of docs/architecture.md: which package may import which.
+package archtest
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+const module = "rooktrestle/"
+
+// layer is a set of packages, given by the beginning of their paths, and what they may import of this module. A layer
+// may always import itself.
+type layer struct {
+	prefix string
+	allows []string
+}
+
+// layers are matched in this order: the first whose prefix fits is a package's layer.
+var layers = []layer{
+	{"balance", []string{"internal/control"}},
+	{"internal/control", nil},
+	{"internal/query", nil},
+	{"internal/protocol", []string{"internal/query"}},
+	{"internal/settings", []string{"balance"}},
+	{"internal/config", []string{"balance", "internal/control", "internal/protocol", "internal/settings"}},
+	{"internal/state", nil},
+	{"internal/aggregator", []string{"balance", "internal/control"}},
+	{"internal/net", []string{"balance", "internal/aggregator", "internal/control", "internal/protocol"}},
+	{"internal/gateway", []string{"internal/aggregator", "internal/config", "internal/control", "internal/query"}},
+	{"internal/backend", []string{"balance", "internal/aggregator", "internal/config", "internal/control", "internal/net",
+		"internal/protocol", "internal/query", "internal/settings"}},
+	{"internal/frontend", []string{"internal/aggregator", "internal/config", "internal/control", "internal/gateway",
+		"internal/net", "internal/protocol", "internal/query"}},
+	{"internal/app", []string{"balance", "internal/aggregator", "internal/backend", "internal/config", "internal/control",
+		"internal/frontend", "internal/gateway", "internal/net", "internal/protocol", "internal/query",
+		"internal/settings", "internal/state"}},
+	{"internal/simadapter", []string{"balance", "internal/settings"}},
+	{"internal/testbed", []string{"balance", "internal/aggregator", "internal/app", "internal/backend", "internal/config",
+		"internal/control", "internal/frontend", "internal/gateway", "internal/net", "internal/protocol",
+		"internal/query", "internal/settings", "internal/state"}},
+	{"cmd/rooktrestle", []string{"internal/app", "internal/config", "internal/control"}},
+	{"cmd/grpchealth", []string{"internal/app", "internal/frontend/grpchealth"}},
+	{"cmd/rookgrpc", []string{"internal/app", "internal/frontend/grpchealth"}},
+	{"cmd/simadapter", []string{"balance", "internal/simadapter"}},
+	{"cmd/testbed", []string{"internal/control", "internal/testbed"}},
+}
+
+func within(path, prefix string) bool { return path == prefix || strings.HasPrefix(path, prefix+"/") }
+
+func layerOf(path string) *layer {
+	for i := range layers {
+		if within(path, layers[i].prefix) {
+			return &layers[i]
+		}
+	}
+	return nil
+}
+
+func (l *layer) mayImport(path string) bool {
+	if within(path, l.prefix) {
+		return true
+	}
+	for _, allowed := range l.allows {
+		if within(path, allowed) {
+			return true
+		}
+	}
+	return false
+}
+
+// importsOf calls visit with each import of this module's packages by a file of the module that is no test, and returns
+// how many there were.
+func importsOf(t *testing.T, root string, visit func(from, to string)) (found int) {
+	t.Helper()
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() && path != root && (strings.HasPrefix(entry.Name(), ".") || entry.Name() == "tools" || entry.Name() == "testdata") {
+			return filepath.SkipDir
+		}
+		if entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+		if err != nil {
+			return err
+		}
+		relative, err := filepath.Rel(root, filepath.Dir(path))
+		if err != nil {
+			return err
+		}
+		for _, spec := range file.Imports {
+			to, err := strconv.Unquote(spec.Path.Value)
+			if err != nil {
+				return err
+			}
+			if to, ours := strings.CutPrefix(to, module); ours {
+				found++
+				visit(filepath.ToSlash(relative), to)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return found
+}
+
+func TestImports_FollowTheLayers(t *testing.T) {
+	found := importsOf(t, filepath.Join("..", ".."), func(from, to string) {
+		l := layerOf(from)
+		if l == nil {
+			t.Errorf("%s is in no layer: add it to docs/architecture.md and to this test", from)
+		} else if !l.mayImport(to) {
+			t.Errorf("%s imports %s, which its layer (%s) may not", from, to, l.prefix)
+		}
+	})
+	if found < 100 {
+		t.Errorf("only %d imports were looked at: the module's files were not found", found)
+	}
+}
+
+func TestLayers_ForbidWhatTheyDoNotName(t *testing.T) {
+	for _, c := range []struct{ from, to string }{
+		{"balance", "internal/aggregator"},
+		{"internal/control/health", "balance"},
+		{"internal/control/quota", "internal/net/tcp"},
+		{"internal/protocol/http1", "internal/net/tcp"},
+		{"internal/aggregator", "internal/backend/leaf"},
+		{"internal/app", "internal/testbed/sim"},
+		{"cmd/rooktrestle", "internal/testbed/replica"},
+		{"internal/controller", "balance"}, // a prefix of a name is no layer
+	} {
+		if l := layerOf(c.from); l != nil && l.mayImport(c.to) {
+			t.Errorf("%s may import %s", c.from, c.to)
+		}
+	}
+}
