Give internal/control/outlier the terms of outlier detection

The package was written in words of its own: what is told, remarks, words, out, ok. A newcomer had to translate them into failures, observations, messages, ejection and answer rate before the algorithm could be read.

Table.Update and AttemptEnded are split into steps (threshold, share, effective outcome), decodeMessage returns a typed message in place of four values, and the constants say their units. No bytes, constants or order of arithmetic change.

--- a/internal/control/outlier/outlier.go
+++ b/internal/control/outlier/outlier.go
@@ -1,11 +1,14 @@
-// Package outlier finds servers that lose parts by what all mixers of a zone lose there. Where mixers are many and
-// their traffic is thin, each meets a server once in seconds: one that hangs or fails would be found by each of them
-// with parts of its own. So each tells the others which servers lost its parts, and one that loses far more than the
-// others do is an outlier: it keeps a small share of its parts, by which it is tried, and comes back by steps as they
-// are answered.
+// Package outlier implements outlier detection shared by all aggregators of a zone. Where there are many aggregators with
+// little traffic each, every one of them sends a part to a given server only once in seconds, so each would have to lose
+// parts of its own before it noticed that a server hangs or fails. The aggregators therefore tell each other, in gossip
+// messages, at which servers attempts failed. A server at which far more of them fail than at the other servers is an
+// outlier: it is ejected, keeps a small share of its traffic as health checks, and gets its traffic back in steps while
+// these are answered.
 //
-// One that loses half of its parts and more is tried, and otherwise left while a shard has another holder: each loss
-// takes one of a part's few attempts. One that loses less is weighed. All that is heard is a hint: a word lost, late, doubled or forged moves shares and no rule.
+// A server that fails half of its attempts or more gets that small share only, as long as the shard has another replica:
+// every failure uses up one of the few attempts of a part. A server that fails fewer gets a larger share. Observations of
+// other aggregators are hints: one that is lost, delayed, duplicated or forged changes a traffic share and breaks no
+// invariant.
 //
 // A Table does no I/O, reads no clock and starts no goroutine. It is not safe for concurrent use.
 package outlier
@@ -19,98 +22,110 @@
 	"rooktrestle/internal/control/gossip"
 )
 
-// Config are what a Table goes by. Times come from the settings.
+// Config holds the parameters of a Table. PlatformConfig derives them from the settings.
 type Config struct {
-	DecayTime     time.Duration // over which losses count: after it 1/e of one is left
-	OverdueAfter  time.Duration // an attempt called off counts as lost if it was out for so long
-	MaxMessageAge time.Duration // a word older than that, or from further ahead, tells nothing
-	Zone          int           // this mixer's: words of other zones went other ways, which may be cut
-	Aggregators   int
+	DecayTime     time.Duration // time constant of the failure counts: after it 1/e of a failure still counts
+	OverdueAfter  time.Duration // a canceled attempt counts as failed if it was in flight for that long
+	MaxMessageAge time.Duration // gossip messages older than that, or from further in the future, are ignored
+	Zone          int           // of this aggregator; messages of other zones are ignored: their network path may be cut
+	Aggregators   int           // in the zone, this one included
 }
 
-// PlatformConfig is the rules for a mixer of so many in a zone, by the settings' shortest aim.
-func PlatformConfig(aim time.Duration, zone, mixers int) Config {
-	return Config{DecayTime: 4 * aim, OverdueAfter: aim / 2, MaxMessageAge: aim, Zone: zone, Aggregators: mixers}
+// PlatformConfig returns the configuration for one of so many aggregators in a zone. latencyObjective is the shortest one
+// of the settings' classes.
+func PlatformConfig(latencyObjective time.Duration, zone, aggregators int) Config {
+	return Config{
+		DecayTime:     4 * latencyObjective,
+		OverdueAfter:  latencyObjective / 2,
+		MaxMessageAge: latencyObjective,
+		Zone:          zone,
+		Aggregators:   aggregators,
+	}
 }
 
 const (
-	lostLeast = 4   // losses within a span that make an outlier where the others lose none
-	lostTimes = 4   // and so many times what is usual beside them
-	usual     = 0.4 // quantile of the servers' losses that is usual: half of them may be lost with a zone
-	quiet     = 8   // spans without word of a loss after which an outlier is taken one step back
-	tellShare = 0.4 // bytes delivered to all others, as a share of a full word for each part taken
+	minFailures      = 4   // decayed failures that make an outlier where the other servers have none
+	baselineFactor   = 4   // and how many times the baseline are needed on top of them
+	baselineQuantile = 0.4 // of the servers' failure counts: up to half of the servers may fail together with a zone
+	quietDecayTimes  = 8   // decay times without a failure after which an outlier moves up to the first step
+	budgetPerPart    = 0.4 // bytes delivered to all other aggregators, as a share of a full message, for each part accepted
 )
 
-// steps are the shares of its parts that an outlier gets while less than so many of the last ends there were answers.
-// The first is about one part of all mixers' in a second: a search has some fifty parts and needs each. Above the last
-// it is none.
-var steps = [...]step{{0.1, 0.005}, {0.25, 0.01}, {0.85, 0.3}}
+// A recoveryStep is the traffic share of an ejected server whose answer rate is below a limit.
+type recoveryStep struct{ belowAnswerRate, share float64 }
 
-type step struct{ served, share float64 }
+// recoverySteps are in ascending order; a server whose answer rate is not below the last limit is no outlier any more. The
+// first share amounts to about one part per second of all aggregators together: a search has some fifty parts and needs
+// each of them.
+var recoverySteps = [...]recoveryStep{{0.1, 0.005}, {0.25, 0.01}, {0.85, 0.3}}
 
-// endWeight is the weight of an end in the share of answers at an outlier. That begins as doubtful: what loses parts
-// may as well be behind as gone, and from then on the ends tell, six losses or nine answers.
+// The answer rate of an ejected server is an exponentially weighted moving average of its outcomes. It starts in the
+// middle, because a server with many failures may be slow as well as down: six failures or nine answers from there decide.
 const (
-	endWeight = 0.125
-	doubtful  = 0.5
+	outcomeWeight     = 0.125
+	initialAnswerRate = 0.5
 )
 
-// Outcome is how an attempt ended, as far as it tells of its server.
+// Outcome is how an attempt ended, as far as that says something about its server.
 type Outcome int
 
+// Outcomes of an attempt.
 const (
 	Answered Outcome = iota
-	Failed           // an error, a reset, no connection, or no answer in time
-	Canceled
-	Rejected // tells of its load only, unless it is an outlier: what answers nothing is full
-	NotSent  // never sent
+	Failed           // an error, a connection reset, no connection, or no answer before the timeout
+	Canceled         // by the aggregator; counts as failed if the attempt was overdue
+	Rejected         // load was shed; counts as failed if the server is ejected, because a hanging server fills up
+	NotSent          // says nothing about the server
 )
 
 type server struct {
-	id      string
-	started time.Duration // of its process
-	lost    float64       // within the span, as of at
-	at      time.Duration // when lost was last reckoned
-	last    time.Duration // last loss
-	served  time.Duration // last answer to this mixer
-	out     bool          // an outlier
-	ok      float64       // an outlier's share of answers among the last ends
-	share   float64       // as last told; 1: all of its parts
-	mine    remark        // for the next word; its key is the server's
-	told    bool          // mine is among what is to be told
+	id          string
+	started     time.Duration // when its process started
+	failures    float64       // decayed count, as of decayedAt
+	decayedAt   time.Duration
+	lastFailure time.Duration
+	lastAnswer  time.Duration // to this aggregator
+	ejected     bool
+	answerRate  float64     // of an ejected server
+	share       float64     // of its traffic, as of the last Update; 1: all of it
+	pending     observation // by this aggregator, for its next message; the key is always set
+	queued      bool        // pending is in Table.pending
 }
 
-// Table holds what is known of each listed server; it is dropped with Drop or Keep.
+// Table holds what is known of each server since its Add; Remove and Retain delete servers.
 type Table struct {
-	rules                Config
-	servers              map[uint32]*server
-	order                []*server // as first listed
-	tell                 []*server
-	owed                 float64 // bytes that words may take
-	dirty                bool    // something was lost, or answered at an outlier, since the last look
-	look                 time.Duration
-	ObservationsReceived uint64 // remarks taken
+	config  Config
+	servers map[uint32]*server // by gossip key
+	order   []*server          // in the order of Add
+	pending []*server          // with observations that are not sent yet, oldest first
+	budget  float64            // bytes that messages may take, summed over the receivers
+	changed bool               // a failure, or an answer of an ejected server, came since the last Update
+	// nextUpdate is when Update has something to do even if nothing changed: failure counts decay.
+	nextUpdate time.Duration
+
+	// ObservationsReceived counts the observations on servers of the table that other aggregators sent.
+	ObservationsReceived uint64
 }
 
-// New returns an empty Table.
-func New(rules Config) *Table {
-	return &Table{rules: rules, servers: map[uint32]*server{}}
+// New returns a Table without servers.
+func New(config Config) *Table {
+	return &Table{config: config, servers: map[uint32]*server{}}
 }
 
-// Add adds a server, whose process began at started; 0: long ago. One that is known stays as it is while its
-// process is the same.
+// Add adds a server whose process started at started; 0 stands for an unknown time long ago. A server that is in the table
+// stays as it is, unless started is later than before: then its process is a new one, and what was known is deleted.
 func (t *Table) Add(id string, started time.Duration) {
 	if s := t.find(id); s != nil && started <= s.started {
 		return
 	}
 	key := gossip.ServerKey(id)
-	t.remove(t.servers[key])
-	s := &server{id: id, started: started, share: 1, mine: remark{key: key}}
+	t.delete(t.servers[key])
+	s := &server{id: id, started: started, share: 1, pending: observation{key: key}}
 	t.servers[key] = s
 	t.order = append(t.order, s)
 }
 
-// find returns what is known of a server; nil if it is not listed.
+// find returns the server with that id, or nil.
 func (t *Table) find(id string) *server {
 	if s := t.servers[gossip.ServerKey(id)]; s != nil && s.id == id {
 		return s
@@ -118,122 +133,128 @@
 	return nil
 }
 
-// Remove forgets a server.
-func (t *Table) Remove(id string) { t.remove(t.find(id)) }
+// Remove deletes a server, if it is in the table.
+func (t *Table) Remove(id string) { t.delete(t.find(id)) }
 
-// Retain forgets all servers for which listed does not hold.
+// Retain deletes all servers for which listed returns false.
 func (t *Table) Retain(listed func(id string) bool) {
 	for _, s := range slices.Clone(t.order) {
 		if !listed(s.id) {
-			t.remove(s)
+			t.delete(s)
 		}
 	}
 }
 
-func (t *Table) remove(s *server) {
+// delete deletes a server; nil is none.
+func (t *Table) delete(s *server) {
 	if s == nil {
 		return
 	}
-	same := func(o *server) bool { return o == s }
-	delete(t.servers, s.mine.key)
-	t.order, t.tell = slices.DeleteFunc(t.order, same), slices.DeleteFunc(t.tell, same)
+	isSame := func(other *server) bool { return other == s }
+	delete(t.servers, s.pending.key)
+	t.order = slices.DeleteFunc(t.order, isSame)
+	t.pending = slices.DeleteFunc(t.pending, isSame)
 }
 
-// AccrueBudget counts parts taken toward what may be told.
+// AccrueBudget allows messages in proportion to the parts that this aggregator accepted since the last call.
 func (t *Table) AccrueBudget(parts int) {
-	t.owed = min(t.owed+tellShare*gossip.MaxMessageBytes*float64(parts), gossip.MaxMessageBytes*float64(t.rules.Aggregators))
+	maxBudget := gossip.MaxMessageBytes * float64(t.config.Aggregators)
+	t.budget = min(t.budget+budgetPerPart*gossip.MaxMessageBytes*float64(parts), maxBudget)
 }
 
-// AttemptEnded takes the end of an attempt of this mixer's that was sent at sent.
-func (t *Table) AttemptEnded(now time.Duration, id string, sent time.Duration, end Outcome) {
+// AttemptEnded records the outcome of an attempt that this aggregator sent at sent. Servers that are not in the table are
+// ignored.
+func (t *Table) AttemptEnded(now time.Duration, id string, sent time.Duration, outcome Outcome) {
 	s := t.find(id)
 	if s == nil {
 		return
 	}
-	// Called off late by a server that answers others since: that part was slow, the server is there.
-	if end == Canceled && now-sent >= t.rules.OverdueAfter && s.served <= sent || end == Rejected && s.out {
-		end = Failed
-	}
-	switch end {
+	switch t.effectiveOutcome(s, now, sent, outcome) {
 	case Failed:
-		t.count(s, now, 1, 0)
-		s.mine.lost++
+		t.record(s, now, 1, 0)
+		s.pending.failed++
 	case Answered:
-		s.served = now
-		if !s.out {
+		s.lastAnswer = now
+		if !s.ejected {
 			return
 		}
-		t.count(s, now, 0, 1)
-		s.mine.served++
+		t.record(s, now, 0, 1)
+		s.pending.answered++
 	default:
 		return
 	}
-	if !s.told {
-		s.told = true
-		t.tell = append(t.tell, s)
+	if !s.queued {
+		s.queued = true
+		t.pending = append(t.pending, s)
+	}
+}
+
+// effectiveOutcome turns the outcomes that stand for a failure into Failed.
+func (t *Table) effectiveOutcome(s *server, now, sent time.Duration, outcome Outcome) Outcome {
+	switch outcome {
+	case Canceled:
+		// A server that answered other attempts since then is up: only that part was slow.
+		overdue := now-sent >= t.config.OverdueAfter
+		if overdue && s.lastAnswer <= sent {
+			return Failed
+		}
+	case Rejected:
+		if s.ejected {
+			return Failed
+		}
 	}
+	return outcome
 }
 
-// Receive takes another mixer's word.
-func (t *Table) Receive(now time.Duration, text []byte) {
-	age, zone, remarks, ok := readWord(now, text)
-	if !ok || zone != t.rules.Zone&0xff || age > t.rules.MaxMessageAge || age < -t.rules.MaxMessageAge {
+// Receive records the observations in another aggregator's message. A message that is malformed, too old or from another
+// zone is ignored, and so are observations on servers that are not in the table: gossip adds no server.
+func (t *Table) Receive(now time.Duration, datagram []byte) {
+	m, ok := decodeMessage(now, datagram)
+	if !ok || m.zone != t.config.Zone&0xff || m.age > t.config.MaxMessageAge || m.age < -t.config.MaxMessageAge {
 		return
 	}
-	for _, r := range remarks {
-		if s := t.servers[r.key]; s != nil { // a word brings no server in
+	for _, o := range m.observations {
+		if s := t.servers[o.key]; s != nil {
 			t.ObservationsReceived++
-			t.count(s, now, r.lost, r.served)
+			t.record(s, now, o.failed, o.answered)
 		}
 	}
 }
 
-func (t *Table) count(s *server, now time.Duration, lost, served int) {
-	t.dirty = true
-	t.fade(s, now)
-	s.lost += float64(lost)
-	for range lost {
-		s.last, s.ok = now, s.ok-endWeight*s.ok
+// record adds outcomes at a server to its failure count and its answer rate.
+func (t *Table) record(s *server, now time.Duration, failed, answered int) {
+	t.changed = true
+	t.decay(s, now)
+	s.failures += float64(failed)
+	for range failed {
+		s.lastFailure = now
+		s.answerRate -= outcomeWeight * s.answerRate
 	}
-	for range served {
-		s.ok += endWeight * (1 - s.ok)
+	for range answered {
+		s.answerRate += outcomeWeight * (1 - s.answerRate)
 	}
 }
 
-func (t *Table) fade(s *server, now time.Duration) {
-	s.lost *= math.Exp(-float64(now-s.at) / float64(t.rules.DecayTime))
-	s.at = now
+// decay brings a server's failure count up to now.
+func (t *Table) decay(s *server, now time.Duration) {
+	s.failures *= math.Exp(-float64(now-s.decayedAt) / float64(t.config.DecayTime))
+	s.decayedAt = now
 }
 
-// Update looks at what came since the last look and returns the servers whose share is another by now.
+// Update ejects and restores servers by what was recorded since the last call, and returns the ids of those whose
+// TrafficShare changed, in the order of Add. It is cheap where nothing was recorded.
 func (t *Table) Update(now time.Duration) (changed []string) {
-	if !t.dirty && now < t.look {
+	if !t.changed && now < t.nextUpdate {
 		return nil
 	}
-	t.dirty, t.look = false, now+t.rules.DecayTime
-	var losses []float64
-	for _, s := range t.order {
-		t.fade(s, now)
-		losses = append(losses, s.lost)
-	}
-	bound := lostLeast + lostTimes*quantile(losses, usual)
+	t.changed, t.nextUpdate = false, now+t.config.DecayTime
+	threshold := t.ejectionThreshold(now)
 	for _, s := range t.order {
-		if !s.out && s.lost >= bound {
-			s.out, s.ok = true, doubtful*math.Pow(1-endWeight, s.lost-bound)
-		}
-		if s.out && s.ok < steps[0].served && now-s.last > quiet*t.rules.DecayTime {
-			s.ok, s.last = steps[0].served, now // nobody tried it, or words of it were lost
-		}
-		share := 1.0
-		if s.out {
-			i := slices.IndexFunc(steps[:], func(below step) bool { return s.ok < below.served })
-			if i < 0 {
-				s.out, s.lost = false, 0 // as many losses more make it one again
-			} else {
-				share = steps[i].share
-			}
+		if !s.ejected && s.failures >= threshold {
+			s.ejected = true
+			s.answerRate = initialAnswerRate * math.Pow(1-outcomeWeight, s.failures-threshold)
 		}
-		if share != s.share {
+		if share := t.updateShare(s, now); share != s.share {
 			s.share = share
 			changed = append(changed, s.id)
 		}
@@ -241,7 +262,36 @@
 	return changed
 }
 
-// TrafficShare is the share of its parts that a server is to get: 1 unless it is an outlier.
+// ejectionThreshold brings all failure counts up to now and returns the one from which on a server is an outlier.
+func (t *Table) ejectionThreshold(now time.Duration) float64 {
+	var failures []float64
+	for _, s := range t.order {
+		t.decay(s, now)
+		failures = append(failures, s.failures)
+	}
+	return minFailures + baselineFactor*quantile(failures, baselineQuantile)
+}
+
+// updateShare restores a server that recovered and returns the traffic share that it is to get.
+func (t *Table) updateShare(s *server, now time.Duration) float64 {
+	if !s.ejected {
+		return 1
+	}
+	// Nothing was sent to it, or the messages with its answers were lost: it gets a few more attempts.
+	if s.answerRate < recoverySteps[0].belowAnswerRate && now-s.lastFailure > quietDecayTimes*t.config.DecayTime {
+		s.answerRate, s.lastFailure = recoverySteps[0].belowAnswerRate, now
+	}
+	for _, step := range recoverySteps {
+		if s.answerRate < step.belowAnswerRate {
+			return step.share
+		}
+	}
+	s.ejected, s.failures = false, 0 // it takes as many failures again to eject it
+	return 1
+}
+
+// TrafficShare returns the share of its usual traffic that a server is to get, from 0 to 1: 1 unless it is ejected. Servers
+// that are not in the table get all of it.
 func (t *Table) TrafficShare(id string) float64 {
 	if s := t.find(id); s != nil {
 		return s.share
@@ -249,33 +299,36 @@
 	return 1
 }
 
-// EjectedCount is how many there are.
-func (t *Table) EjectedCount() (n int) {
+// EjectedCount returns the number of servers that are ejected.
+func (t *Table) EjectedCount() (count int) {
 	for _, s := range t.order {
-		if s.out {
-			n++
+		if s.ejected {
+			count++
 		}
 	}
-	return n
+	return count
 }
 
-// NextMessage words what is to be told, if parts taken have earned it; nil if not.
+// NextMessage returns a message with the oldest pending observations, to be sent to all other aggregators, and takes it from
+// the budget. It returns nil if nothing is pending or the budget is too small.
 func (t *Table) NextMessage(now time.Duration) []byte {
-	n := min(len(t.tell), gossip.MaxObservations)
-	size := float64(gossip.EncodedSize(n) * (t.rules.Aggregators - 1))
-	if n == 0 || size > t.owed {
+	count := min(len(t.pending), gossip.MaxObservations)
+	size := float64(gossip.EncodedSize(count) * (t.config.Aggregators - 1))
+	if count == 0 || size > t.budget {
 		return nil
 	}
-	t.owed -= size
-	var remarks []remark
-	for _, s := range t.tell[:n] {
-		remarks = append(remarks, s.mine)
-		s.mine, s.told = remark{key: s.mine.key}, false
+	t.budget -= size
+	var observations []observation
+	for _, s := range t.pending[:count] {
+		observations = append(observations, s.pending)
+		s.pending = observation{key: s.pending.key}
+		s.queued = false
 	}
-	t.tell = slices.Delete(t.tell, 0, n)
-	return writeWord(now, t.rules.Zone, remarks)
+	t.pending = slices.Delete(t.pending, 0, count)
+	return encodeMessage(now, t.config.Zone, observations)
 }
 
+// quantile returns the q-quantile of values, which it sorts; 0 if there are none.
 func quantile(values []float64, q float64) float64 {
 	if len(values) == 0 {
 		return 0
--- a/internal/control/outlier/outlier_test.go
+++ b/internal/control/outlier/outlier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -9,319 +10,354 @@
 )
 
 const (
-	ms   = time.Millisecond
-	hour = time.Hour
+	ms = time.Millisecond
+	// start is when most tests begin: late enough that nothing is close to the process's start.
+	start = time.Hour
 )
 
-var rules = Config{DecayTime: 1500 * ms, OverdueAfter: 190 * ms, MaxMessageAge: 380 * ms, Aggregators: 300}
+var testConfig = Config{DecayTime: 1500 * ms, OverdueAfter: 190 * ms, MaxMessageAge: 380 * ms, Aggregators: 300}
 
-func table(zone int) *Table {
-	r := rules
-	r.Zone = zone
-	t := New(r)
+// newTable returns the table of an aggregator of zone 0 with the servers s0 to s19.
+func newTable() *Table {
+	table := New(testConfig)
 	for i := range 20 {
-		t.Add(fmt.Sprint("s", i), 0)
+		table.Add(serverID(i), 0)
 	}
-	return t
+	return table
 }
 
-// spread hands every mixer the words of all others.
-func spread(now time.Duration, all []*Table) (words int) {
-	for _, from := range all {
-		if text := from.NextMessage(now); text != nil {
-			words++
-			for _, to := range all {
-				if to != from {
-					to.Receive(now, text)
-				}
-			}
-		}
-	}
-	for _, t := range all {
-		t.Update(now)
+func serverID(i int) string { return fmt.Sprint("s", i) }
+
+// endAttempts records a number of attempts that took a time and ended at start with the same outcome.
+func endAttempts(table *Table, count int, id string, took time.Duration, outcome Outcome) {
+	for range count {
+		table.AttemptEnded(start, id, start-took, outcome)
 	}
-	return words
 }
 
-// Mixers of which each loses one part at a server find it together, and those that lost none there know it as well.
-// Once it answers the parts by which it is tried, all take it back by steps.
-func TestServerThatHangsIsFoundTogetherAndComesBack(t *testing.T) {
-	all := []*Table{table(0), table(0), table(0), table(0), table(0), table(0)}
-	now := hour
-	for _, m := range all[:4] {
-		m.AccrueBudget(100)
-		for range 6 {
-			m.AttemptEnded(now, "s3", now-250*ms, Canceled)
+// exchangeMessages delivers every aggregator's next message to all others and returns how many messages there were.
+func exchangeMessages(now time.Duration, tables []*Table) (messages int) {
+	for _, sender := range tables {
+		datagram := sender.NextMessage(now)
+		if datagram == nil {
+			continue
+		}
+		messages++
+		for _, receiver := range tables {
+			if receiver != sender {
+				receiver.Receive(now, datagram)
+			}
 		}
 	}
-	if words := spread(now, all); words != 4 {
-		t.Fatalf("%d words", words)
+	for _, table := range tables {
+		table.Update(now)
 	}
-	for i, m := range all {
-		if m.TrafficShare("s3") != steps[0].share || m.TrafficShare("s4") != 1 || m.EjectedCount() != 1 {
-			t.Fatalf("mixer %d: share %v of the server, %v of another", i, m.TrafficShare("s3"), m.TrafficShare("s4"))
+	return messages
+}
+
+// Aggregators of which each loses a few parts at a server eject it together, and so do those that lost none there. Once it
+// answers the attempts of its remaining share, all of them restore it in steps.
+func TestTable_HangingServerIsEjectedByAllAndRestoredInSteps(t *testing.T) {
+	tables := []*Table{newTable(), newTable(), newTable(), newTable(), newTable(), newTable()}
+	now := start
+	for _, table := range tables[:4] {
+		table.AccrueBudget(100)
+		endAttempts(table, 6, "s3", 250*ms, Canceled)
+	}
+	if messages := exchangeMessages(now, tables); messages != 4 {
+		t.Fatalf("%d messages, want 4", messages)
+	}
+	for i, table := range tables {
+		if table.TrafficShare("s3") != recoverySteps[0].share || table.TrafficShare("s4") != 1 || table.EjectedCount() != 1 {
+			t.Fatalf("aggregator %d: share %v of the hanging server, %v of another", i, table.TrafficShare("s3"), table.TrafficShare("s4"))
 		}
 	}
 	shares := []float64{}
+	answering := tables[5]
 	for range 40 {
 		now += 50 * ms
-		all[5].AccrueBudget(100)
-		all[5].AttemptEnded(now, "s3", now-50*ms, Answered)
-		spread(now, all)
-		if s := all[0].TrafficShare("s3"); len(shares) == 0 || shares[len(shares)-1] != s {
-			shares = append(shares, s)
+		answering.AccrueBudget(100)
+		answering.AttemptEnded(now, "s3", now-50*ms, Answered)
+		exchangeMessages(now, tables)
+		if share := tables[0].TrafficShare("s3"); len(shares) == 0 || shares[len(shares)-1] != share {
+			shares = append(shares, share)
 		}
 	}
-	if fmt.Sprint(shares) != "[0.01 0.3 1]" {
-		t.Errorf("came back by %v", shares)
+	if want := []float64{0.01, 0.3, 1}; !slices.Equal(shares, want) {
+		t.Errorf("restored by shares %v, want %v", shares, want)
 	}
 	now += 50 * ms
-	all[5].AttemptEnded(now, "s3", now-50*ms, Answered)
-	if all[5].NextMessage(now) != nil {
-		t.Error("an ordinary answer was told")
+	answering.AttemptEnded(now, "s3", now-50*ms, Answered)
+	if answering.NextMessage(now) != nil {
+		t.Error("an answer of a server that is not ejected was sent")
 	}
 }
 
-// One that loses no more than the bound may be behind: it keeps a good share until its ends tell.
-func TestServerThatIsBehindIsNotTakenForGone(t *testing.T) {
-	m := table(0)
-	for range lostLeast {
-		m.AttemptEnded(hour, "s3", hour-300*ms, Canceled)
-	}
-	if m.Update(hour); m.TrafficShare("s3") != steps[2].share {
-		t.Fatalf("share %v", m.TrafficShare("s3"))
-	}
-	for range 10 {
-		m.AttemptEnded(hour, "s3", hour, Answered)
+// A server whose failures just reach the threshold may be slow only: it keeps a good share until its outcomes decide.
+func TestTable_SlowServerKeepsMostOfItsShare(t *testing.T) {
+	table := newTable()
+	endAttempts(table, minFailures, "s3", 300*ms, Canceled)
+	if table.Update(start); table.TrafficShare("s3") != recoverySteps[2].share {
+		t.Fatalf("share %v", table.TrafficShare("s3"))
 	}
-	if m.Update(hour); m.TrafficShare("s3") != 1 {
-		t.Errorf("share %v after ten answers", m.TrafficShare("s3"))
+	endAttempts(table, 10, "s3", 0, Answered)
+	if table.Update(start); table.TrafficShare("s3") != 1 {
+		t.Errorf("share %v after ten answers", table.TrafficShare("s3"))
 	}
 }
 
-// A server that fails every second part goes on with a share of them, not with next to none.
-func TestServerThatFailsSomeIsWeighed(t *testing.T) {
-	m := table(0)
+func TestTable_ServerThatFailsEverySecondAttemptKeepsAMediumShare(t *testing.T) {
+	table := newTable()
 	for i := range 100 {
-		end := Failed
+		outcome := Failed
 		if i%2 == 1 {
-			end = Answered
+			outcome = Answered
 		}
-		m.AttemptEnded(hour+time.Duration(i)*10*ms, "s3", hour, end)
-		m.Update(hour + time.Duration(i)*10*ms)
+		now := start + time.Duration(i)*10*ms
+		table.AttemptEnded(now, "s3", start, outcome)
+		table.Update(now)
 	}
-	if s := m.TrafficShare("s3"); s <= steps[0].share || s >= 1 {
-		t.Errorf("share %v", s)
+	if share := table.TrafficShare("s3"); share <= recoverySteps[0].share || share >= 1 {
+		t.Errorf("share %v", share)
 	}
 }
 
-// What all servers lose alike makes none an outlier: in a burst all answers are late.
-func TestWhatAllLoseMakesNoOutlier(t *testing.T) {
-	m := table(0)
+// Failures that all servers have alike make none an outlier: in a burst of load all answers are late.
+func TestTable_FailuresOfAllServersEjectNone(t *testing.T) {
+	table := newTable()
 	for i := range 20 {
-		for range 8 {
-			m.AttemptEnded(hour, fmt.Sprint("s", i), hour-300*ms, Canceled)
-		}
-	}
-	if m.Update(hour); m.EjectedCount() != 0 {
-		t.Fatalf("%d outliers among equals", m.EjectedCount())
+		endAttempts(table, 8, serverID(i), 300*ms, Canceled)
 	}
-	for range 40 {
-		m.AttemptEnded(hour, "s3", hour-300*ms, Canceled)
+	if table.Update(start); table.EjectedCount() != 0 {
+		t.Fatalf("%d servers ejected among equals", table.EjectedCount())
 	}
-	if m.Update(hour); m.EjectedCount() != 1 {
-		t.Errorf("%d outliers, one server lost six times as much", m.EjectedCount())
+	endAttempts(table, 40, "s3", 300*ms, Canceled)
+	if table.Update(start); table.EjectedCount() != 1 {
+		t.Errorf("%d servers ejected, one has six times the failures of the others", table.EjectedCount())
 	}
-	// Half of the servers gone with a zone: these are out, the others are not.
-	m = table(0)
+	// Half of the servers fail with a zone: these are ejected, the others are not.
+	table = newTable()
 	for i := range 10 {
-		for range 20 {
-			m.AttemptEnded(hour, fmt.Sprint("s", i), hour, Failed)
-		}
+		endAttempts(table, 20, serverID(i), 0, Failed)
 	}
-	if m.Update(hour); m.EjectedCount() != 10 {
-		t.Errorf("%d outliers, half of 20 are gone", m.EjectedCount())
+	if table.Update(start); table.EjectedCount() != 10 {
+		t.Errorf("%d servers ejected, 10 of 20 fail", table.EjectedCount())
 	}
 }
 
-// What tells nothing of a server, and what nobody may tell, moves no share.
-func TestWhatTellsNothing(t *testing.T) {
-	m := table(0)
-	for range 50 {
-		m.AttemptEnded(hour, "s1", hour-100*ms, Canceled) // too soon: its query was over
-		m.AttemptEnded(hour, "s2", hour, Rejected)        // full
-		m.AttemptEnded(hour, "s4", hour, NotSent)
-		m.AttemptEnded(hour, "gone", hour, Failed) // not listed
-	}
-	m.AttemptEnded(hour-200*ms, "s5", hour-250*ms, Answered) // it answers others since
-	for range 50 {
-		m.AttemptEnded(hour, "s5", hour-300*ms, Canceled)
-	}
-	lost := []remark{{gossip.ServerKey("s6"), 15, 0}, {gossip.ServerKey("s7"), 15, 0}, {gossip.ServerKey("stranger"), 15, 0}}
-	for i, text := range [][]byte{
-		writeWord(hour, 1, lost),            // another zone's way
-		writeWord(hour-500*ms, 0, lost),     // old
-		writeWord(hour+500*ms, 0, lost),     // from ahead
-		append(writeWord(hour, 0, lost), 1), // too long
-		append([]byte{wordKind + 1}, writeWord(hour, 0, lost)[1:]...),
-		nil,
+// Outcomes that say nothing about a server, and messages that must be ignored, change no share.
+func TestTable_IrrelevantOutcomesAndMessagesAreIgnored(t *testing.T) {
+	table := newTable()
+	endAttempts(table, 50, "s1", 100*ms, Canceled) // not overdue: its query was over
+	endAttempts(table, 50, "s2", 0, Rejected)      // overloaded
+	endAttempts(table, 50, "s4", 0, NotSent)       // never reached the server
+	endAttempts(table, 50, "not in the table", 0, Failed)
+	table.AttemptEnded(start-200*ms, "s5", start-250*ms, Answered) // it answers other attempts
+	endAttempts(table, 50, "s5", 300*ms, Canceled)
+
+	failures := []observation{
+		{key: gossip.ServerKey("s6"), failed: 15},
+		{key: gossip.ServerKey("s7"), failed: 15},
+		{key: gossip.ServerKey("not in the table"), failed: 15},
+	}
+	for name, datagram := range map[string][]byte{
+		"from another zone": encodeMessage(start, 1, failures),
+		"too old":           encodeMessage(start-500*ms, 0, failures),
+		"from the future":   encodeMessage(start+500*ms, 0, failures),
+		"one byte too long": append(encodeMessage(start, 0, failures), 1),
+		"of another kind":   append([]byte{messageKind + 1}, encodeMessage(start, 0, failures)[1:]...),
+		"empty":             nil,
 	} {
-		if m.Receive(hour, text); m.ObservationsReceived != 0 {
-			t.Errorf("word %d was taken", i)
+		if table.Receive(start, datagram); table.ObservationsReceived != 0 {
+			t.Errorf("a message %s was accepted", name)
 		}
 	}
-	if changed := m.Update(hour); len(changed) != 0 {
-		t.Errorf("changed: %v", changed)
+	if changed := table.Update(start); len(changed) != 0 {
+		t.Errorf("shares changed: %v", changed)
 	}
-	m.Receive(hour, writeWord(hour, 0, lost))
-	if m.Update(hour); m.ObservationsReceived != 2 || m.EjectedCount() != 2 {
-		t.Errorf("%d remarks heard, %d outliers", m.ObservationsReceived, m.EjectedCount())
+	table.Receive(start, encodeMessage(start, 0, failures))
+	if table.Update(start); table.ObservationsReceived != 2 || table.EjectedCount() != 2 {
+		t.Errorf("%d observations received, %d servers ejected", table.ObservationsReceived, table.EjectedCount())
 	}
 }
 
-// What is known of a server ends with it, with its process, and with time.
-func TestWhatIsKnownEnds(t *testing.T) {
-	lose := func() *Table {
-		m := table(0)
-		for range 30 {
-			m.AttemptEnded(hour, "s3", hour, Failed)
-		}
-		if m.Update(hour); m.TrafficShare("s3") != steps[0].share {
-			t.Fatal(m.TrafficShare("s3"))
-		}
-		return m
-	}
-	m := lose()
-	if m.Add("s3", 0); m.TrafficShare("s3") == 1 {
-		t.Error("listed again, and forgotten")
+// newTableWithEjected returns a table in which s3 is ejected.
+func newTableWithEjected(t *testing.T) *Table {
+	t.Helper()
+	table := newTable()
+	endAttempts(table, 30, "s3", 0, Failed)
+	if table.Update(start); table.TrafficShare("s3") != recoverySteps[0].share {
+		t.Fatalf("share %v after 30 failures", table.TrafficShare("s3"))
+	}
+	return table
+}
+
+// An ejection ends with the server's entry, with its process, and with time.
+func TestTable_EjectionEnds(t *testing.T) {
+	table := newTableWithEjected(t)
+	if table.Add("s3", 0); table.TrafficShare("s3") == 1 {
+		t.Error("adding a server of the same process restored it")
 	}
-	if m.Add("s3", hour); m.TrafficShare("s3") != 1 {
-		t.Error("a new process has the share of the old")
+	if table.Add("s3", start); table.TrafficShare("s3") != 1 {
+		t.Error("a new process has the share of the old one")
 	}
-	m = lose()
-	if m.Remove("s3"); m.TrafficShare("s3") != 1 || len(m.tell) != 0 {
-		t.Error("dropped, and known")
+	table = newTableWithEjected(t)
+	if table.Remove("s3"); table.TrafficShare("s3") != 1 || len(table.pending) != 0 {
+		t.Error("a removed server has a share or pending observations")
 	}
-	m = lose()
-	if m.Retain(func(id string) bool { return id == "s4" }); len(m.order) != 1 || len(m.servers) != 1 {
-		t.Errorf("%d kept", len(m.order))
+	table = newTableWithEjected(t)
+	if table.Retain(func(id string) bool { return id == "s4" }); len(table.order) != 1 || len(table.servers) != 1 {
+		t.Errorf("%d servers retained, want one", len(table.order))
 	}
-	// Nobody tries it: it is let in a little, and left again by one loss.
-	m = lose()
-	if changed := m.Update(hour + 13*time.Second); len(changed) != 1 || m.TrafficShare("s3") != steps[1].share {
-		t.Errorf("%v, share %v", changed, m.TrafficShare("s3"))
+	// Nothing is sent to it: it gets a few attempts, and one failure ends that.
+	table = newTableWithEjected(t)
+	if changed := table.Update(start + 13*time.Second); len(changed) != 1 || table.TrafficShare("s3") != recoverySteps[1].share {
+		t.Errorf("changed %v, share %v after a quiet time", changed, table.TrafficShare("s3"))
 	}
-	m.AttemptEnded(hour+14*time.Second, "s3", hour+13*time.Second, Failed)
-	if m.Update(hour + 14*time.Second); m.TrafficShare("s3") != steps[0].share {
-		t.Errorf("share %v", m.TrafficShare("s3"))
+	table.AttemptEnded(start+14*time.Second, "s3", start+13*time.Second, Failed)
+	if table.Update(start + 14*time.Second); table.TrafficShare("s3") != recoverySteps[0].share {
+		t.Errorf("share %v after one more failure", table.TrafficShare("s3"))
 	}
 }
 
-// Words keep to what parts taken have earned, and to their length; what does not fit is told later.
-func TestWordsKeepToTheirBudget(t *testing.T) {
-	m := New(rules)
-	for i := range 120 {
-		m.Add(fmt.Sprint("s", i), 0)
-		m.AttemptEnded(hour, fmt.Sprint("s", i), hour, Failed)
-	}
-	if m.NextMessage(hour) != nil {
-		t.Fatal("a word that nothing earned")
-	}
-	told, sent := 0, 0
-	for now := hour; told < 120; now += ms {
-		m.AccrueBudget(1)
-		if text := m.NextMessage(now); text != nil {
-			_, _, remarks, ok := readWord(now, text)
-			if !ok || len(text) > gossip.MaxMessageBytes {
-				t.Fatalf("%d bytes, read %v", len(text), ok)
+// Messages stay within the budget and the maximum length; observations that do not fit are sent later.
+func TestTable_MessagesStayWithinBudget(t *testing.T) {
+	const servers = 120
+	table := New(testConfig)
+	for i := range servers {
+		table.Add(serverID(i), 0)
+		table.AttemptEnded(start, serverID(i), start, Failed)
+	}
+	if table.NextMessage(start) != nil {
+		t.Fatal("a message without a budget")
+	}
+	observations, deliveredBytes := 0, 0
+	for now := start; observations < servers; now += ms {
+		table.AccrueBudget(1)
+		if datagram := table.NextMessage(now); datagram != nil {
+			m, ok := decodeMessage(now, datagram)
+			if !ok || len(datagram) > gossip.MaxMessageBytes {
+				t.Fatalf("message of %d bytes, decoded: %v", len(datagram), ok)
 			}
-			told, sent = told+len(remarks), sent+len(text)*(rules.Aggregators-1)
+			observations += len(m.observations)
+			deliveredBytes += len(datagram) * (testConfig.Aggregators - 1)
+		}
+		accrued := budgetPerPart * gossip.MaxMessageBytes * float64((now-start)/ms+1)
+		if float64(deliveredBytes) > accrued {
+			t.Fatalf("%d bytes delivered, budget %v", deliveredBytes, accrued)
 		}
-		if most := tellShare * gossip.MaxMessageBytes * float64((now-hour)/ms+1); float64(sent) > most {
-			t.Fatalf("%d bytes delivered, %v earned", sent, most)
+	}
+	if observations != servers {
+		t.Errorf("%d observations sent, want %d", observations, servers)
+	}
+}
+
+// Operations of FuzzTable: the first byte of a pair modulo the number of them. The values are part of the seeds.
+const (
+	opAdvance = iota
+	opFail
+	opAnswer
+	opCancel
+	opSend
+	opRemove
+	opAdd
+	opReceive
+	opCount
+)
+
+// tableModel runs random operations on a Table and knows which servers are in it.
+type tableModel struct {
+	table, receiver *Table
+	listed          map[string]bool
+	now             time.Duration
+}
+
+const fuzzServers = 24 // of which the tables have the first 20 at first
+
+func newTableModel() *tableModel {
+	m := &tableModel{table: newTable(), receiver: newTable(), listed: map[string]bool{}, now: start}
+	for i := range 20 {
+		m.listed[serverID(i)] = true
+	}
+	return m
+}
+
+func (m *tableModel) apply(t *testing.T, op, argument byte) {
+	t.Helper()
+	id := serverID(int(argument) % fuzzServers)
+	switch op % opCount {
+	case opAdvance:
+		m.now += time.Duration(argument) * 40 * ms
+	case opFail:
+		m.table.AttemptEnded(m.now, id, m.now-ms, Failed)
+	case opAnswer:
+		m.table.AttemptEnded(m.now, id, m.now-ms, Answered)
+	case opCancel:
+		m.table.AttemptEnded(m.now, id, m.now-time.Second, Canceled)
+	case opSend:
+		m.send(t, int(argument))
+	case opRemove:
+		m.table.Remove(id)
+		delete(m.listed, id)
+	case opAdd:
+		m.table.Add(id, m.now)
+		m.listed[id] = true
+	case opReceive:
+		o := observation{gossip.ServerKey(id), int(argument % 16), int(argument / 16)}
+		m.table.Receive(m.now, encodeMessage(m.now, 0, []observation{o}))
+	}
+	m.table.Update(m.now)
+}
+
+// send delivers the next message, which must be read as it was written.
+func (m *tableModel) send(t *testing.T, parts int) {
+	t.Helper()
+	m.table.AccrueBudget(parts)
+	datagram := m.table.NextMessage(m.now)
+	if datagram == nil {
+		return
+	}
+	decoded, ok := decodeMessage(m.now, datagram)
+	want := m.receiver.ObservationsReceived // and the observations on servers of the receiver: s0 to s19
+	for _, o := range decoded.observations {
+		if m.receiver.servers[o.key] != nil {
+			want++
 		}
 	}
-	if told != 120 {
-		t.Errorf("%d remarks", told)
+	if m.receiver.Receive(m.now, datagram); !ok || len(decoded.observations) == 0 || m.receiver.ObservationsReceived != want {
+		t.Fatalf("%d observations decoded, %d received in all, want %d",
+			len(decoded.observations), m.receiver.ObservationsReceived, want)
 	}
 }
 
-// Random steps against what must always hold: shares are steps or whole, only listed servers have any, and a word is
-// read as it was written.
+func (m *tableModel) check(t *testing.T) {
+	t.Helper()
+	want := len(m.listed)
+	if len(m.table.order) != want || len(m.table.servers) != want || len(m.table.pending) > want {
+		t.Fatalf("%d servers listed, %d and %d in the table, %d pending",
+			want, len(m.table.order), len(m.table.servers), len(m.table.pending))
+	}
+	for i := range fuzzServers {
+		id := serverID(i)
+		share := m.table.TrafficShare(id)
+		isStep := slices.ContainsFunc(recoverySteps[:], func(s recoveryStep) bool { return s.share == share })
+		if share != 1 && (!isStep || !m.listed[id]) {
+			t.Fatalf("%s has share %v, listed: %v", id, share, m.listed[id])
+		}
+	}
+}
+
+// FuzzTable checks after random operations that shares are 1 or one of the steps, that only servers of the table have a
+// share below 1, and that a message is read as it was written.
 func FuzzTable(f *testing.F) {
 	f.Add([]byte{0, 1, 2, 3, 4, 5, 6, 7, 8, 9})
 	f.Add([]byte{1, 3, 1, 3, 1, 3, 1, 3, 1, 3, 5, 0, 6, 0, 2, 3, 2, 3})
 	f.Add([]byte{4, 9, 1, 1, 4, 200, 3, 1, 7, 1, 0, 1})
 	f.Fuzz(func(t *testing.T, ops []byte) {
-		m, other := table(0), table(0)
-		listed := map[string]bool{}
-		for i := range 20 {
-			listed[fmt.Sprint("s", i)] = true
-		}
-		now := hour
+		model := newTableModel()
 		for i := 0; i+1 < len(ops) && i < 400; i += 2 {
-			id := fmt.Sprint("s", ops[i+1]%24)
-			switch ops[i] % 8 {
-			case 0:
-				now += time.Duration(ops[i+1]) * 40 * ms
-			case 1:
-				m.AttemptEnded(now, id, now-ms, Failed)
-			case 2:
-				m.AttemptEnded(now, id, now-ms, Answered)
-			case 3:
-				m.AttemptEnded(now, id, now-time.Second, Canceled)
-			case 4:
-				m.AccrueBudget(int(ops[i+1]))
-				if text := m.NextMessage(now); text != nil {
-					_, _, remarks, ok := readWord(now, text)
-					want := other.ObservationsReceived // and those of them that the other lists: s0 to s19
-					for _, r := range remarks {
-						if other.servers[r.key] != nil {
-							want++
-						}
-					}
-					if other.Receive(now, text); !ok || len(remarks) == 0 || other.ObservationsReceived != want {
-						t.Fatalf("%d remarks read, %d heard in all, want %d", len(remarks), other.ObservationsReceived, want)
-					}
-				}
-			case 5:
-				m.Remove(id)
-				delete(listed, id)
-			case 6:
-				m.Add(id, now)
-				listed[id] = true
-			case 7:
-				m.Receive(now, writeWord(now, 0, []remark{{gossip.ServerKey(id), int(ops[i+1] % 16), int(ops[i+1] / 16)}}))
-			}
-			m.Update(now)
-			if len(m.order) != len(listed) || len(m.servers) != len(listed) || len(m.tell) > len(listed) {
-				t.Fatalf("%d listed, %d and %d known, %d to tell", len(listed), len(m.order), len(m.servers), len(m.tell))
-			}
-			for i := range 24 {
-				id, ok := fmt.Sprint("s", i), false
-				share := m.TrafficShare(id)
-				for _, s := range steps {
-					ok = ok || share == s.share
-				}
-				if share != 1 && (!ok || !listed[id]) {
-					t.Fatalf("%s has share %v, listed %v", id, share, listed[id])
-				}
-			}
-		}
-	})
-}
-
-// Nothing that comes from the network is taken for a word by chance, or breaks anything.
-func FuzzWord(f *testing.F) {
-	f.Add(writeWord(hour, 1, []remark{{7, 3, 2}}))
-	f.Add([]byte("L noise"))
-	f.Fuzz(func(t *testing.T, text []byte) {
-		age, zone, remarks, ok := readWord(hour, text)
-		if ok != IsMessage(text) {
-			t.Fatal("read, and not a word")
-		}
-		if ok && string(writeWord(hour-age, zone, remarks)) != string(text) {
-			t.Errorf("%x reads as %v %v %v", text, age, zone, remarks)
+			model.apply(t, ops[i], ops[i+1])
+			model.check(t)
 		}
 	})
 }
