Give listwatch and readiness the terms of watches and health reports

internal/control/listwatch spoke of calls that are broken and good, of words and chances; internal/control/readiness of a Judge that says words about bases. Reasons, JSON keys and constants are unchanged.

--- a/internal/control/listwatch/listwatch.go
+++ b/internal/control/listwatch/listwatch.go
@@ -1,5 +1,6 @@
-// Package watch decides when a mixer calls discovery for the list of servers: when a watch that says nothing counts as
-// broken, and how long to wait before the next call. It does no I/O, reads no clock and draws no chance of its own.
+// Package listwatch decides when an aggregator calls service discovery for the endpoint list: when a watch that sends nothing
+// counts as broken, and how long to wait before the next call. It does no I/O, reads no clock and draws no random numbers
+// of its own.
 package listwatch
 
 import (
@@ -8,68 +9,82 @@
 	"rooktrestle/internal/control/backoff"
 )
 
-// Config are what a mixer's calls go by. The platform's protocol states that a live watch says something every 2 s, that
-// what a silent one misses counts as told 6 s after it fell silent, and that what an agent of the mixer's own machine
-// has counts as told at once.
+// Config holds the timing of an aggregator's calls. The platform's protocol states that a live watch sends something every
+// 2 s, that the changes a client misses through a silent watch count as delivered 6 s after it fell silent, and that
+// changes known to an agent on the aggregator's own machine count as delivered at once.
 type Config struct {
-	Clients           int           // mixers that call the same discovery; under two: an agent that nobody else calls
-	RetryInterval     time.Duration // between the begins of two calls to an agent, and the least wait after a failed one
-	CallsPerSecond    float64       // calls of all mixers together, where all of them call at once
-	MinSilence        time.Duration // a watch is broken after a silence drawn between this
-	MaxSilence        time.Duration // and this: a fleet whose watches fall silent at one moment calls over a span of time
-	FirstEventTimeout time.Duration // an agent answers at once: a call that said nothing for so long is broken
+	Clients           int           // aggregators that call the same discovery; less than two: an agent that nobody else calls
+	RetryInterval     time.Duration // between the starts of two calls to an agent, and the minimum wait after a failed one
+	CallsPerSecond    float64       // of all clients together, where all of them call at once
+	MinSilence        time.Duration // a watch is broken after a silence sampled between MinSilence
+	MaxSilence        time.Duration // and MaxSilence: clients whose watches fall silent at one moment call over a span of time
+	FirstEventTimeout time.Duration // an agent answers at once: a call without an event for that long is broken
 }
 
-// PlatformConfig is the rules of the platform's protocol for a discovery that so many mixers share.
-func PlatformConfig(shared int) Config {
-	return Config{Clients: shared, RetryInterval: 200 * time.Millisecond, CallsPerSecond: 40, MinSilence: 3 * time.Second, MaxSilence: 4500 * time.Millisecond,
-		FirstEventTimeout: time.Second}
+// PlatformConfig returns the timing that the platform's protocol needs for a discovery that so many clients share.
+func PlatformConfig(clients int) Config {
+	return Config{
+		Clients:           clients,
+		RetryInterval:     200 * time.Millisecond,
+		CallsPerSecond:    40,
+		MinSilence:        3 * time.Second,
+		MaxSilence:        4500 * time.Millisecond,
+		FirstEventTimeout: time.Second,
+	}
 }
 
-// Reconnector are the calls of one mixer, one at a time. It belongs to who makes them and ends with it. Times never go back;
-// chances are from 0 to 1.
+// hasOwnAgent reports whether discovery is an agent that no other client calls.
+func (c Config) hasOwnAgent() bool { return c.Clients <= 1 }
+
+// Reconnector times the calls of one client, which makes one call at a time: Opened, any number of Received and Succeeded,
+// then Ended, or Opened again once SilenceDeadline has passed. It belongs to that client and is not safe for concurrent
+// use. Times must not go back; random numbers are from 0 to 1.
 type Reconnector struct {
-	rules    Config
-	wait     backoff.Backoff
-	opened   time.Time     // begin of the present call
-	heard    time.Time     // last word of it, or its begin
-	answered bool          // it said something
-	patience time.Duration // with it
+	config       Config
+	backoff      backoff.Backoff
+	opened       time.Time     // start of the present call
+	lastReceived time.Time     // last event of the present call, or its start
+	hasReceived  bool          // an event of the present call
+	maxSilence   time.Duration // of the present call, after which it is broken
 }
 
-// New returns the calls of a mixer that has made none.
-func New(rules Config) *Reconnector {
-	return &Reconnector{rules: rules, wait: backoff.ForFleet(rules.Clients, rules.RetryInterval, rules.CallsPerSecond)}
+// New returns the Reconnector of a client that has made no call.
+func New(config Config) *Reconnector {
+	return &Reconnector{
+		config:  config,
+		backoff: backoff.ForFleet(config.Clients, config.RetryInterval, config.CallsPerSecond),
+	}
 }
 
-// Opened says that a call begins.
-func (c *Reconnector) Opened(now time.Time, chance float64) {
-	c.opened, c.heard, c.answered = now, now, false
-	c.patience = c.rules.MinSilence + time.Duration(chance*float64(c.rules.MaxSilence-c.rules.MinSilence))
+// Opened notes that a call starts. random decides how long a silence it is allowed.
+func (r *Reconnector) Opened(now time.Time, random float64) {
+	r.opened, r.lastReceived, r.hasReceived = now, now, false
+	r.maxSilence = r.config.MinSilence + time.Duration(random*float64(r.config.MaxSilence-r.config.MinSilence))
 }
 
-// Received says that the call brought something, whatever it is.
-func (c *Reconnector) Received(now time.Time) { c.heard, c.answered = now, true }
+// Received notes that an event came, whatever it is.
+func (r *Reconnector) Received(now time.Time) { r.lastReceived, r.hasReceived = now, true }
 
-// SilenceDeadline is when the watch counts as broken, if nothing is heard of it until then. It is to be opened anew at once: it
-// has waited already, and what it goes on missing counts as told.
-func (c *Reconnector) SilenceDeadline() time.Time {
-	if !c.answered && c.rules.Clients <= 1 {
-		return c.heard.Add(min(c.patience, c.rules.FirstEventTimeout))
+// SilenceDeadline returns when the watch counts as broken if nothing is received until then. It is to be opened again at
+// once, without a backoff: it has waited already, and what it goes on missing counts as delivered.
+func (r *Reconnector) SilenceDeadline() time.Time {
+	if !r.hasReceived && r.config.hasOwnAgent() {
+		return r.lastReceived.Add(min(r.maxSilence, r.config.FirstEventTimeout))
 	}
-	return c.heard.Add(c.patience)
+	return r.lastReceived.Add(r.maxSilence)
 }
 
-// Succeeded says that the call brought word of the list: the next that fails is the first again.
-func (c *Reconnector) Succeeded() { c.wait.Reset() }
+// Succeeded notes that the call brought the endpoint list or a change of it: the backoff starts over.
+func (r *Reconnector) Succeeded() { r.backoff.Reset() }
 
-// Ended says that the call failed or the watch ended, and returns when to call again. Guards a discovery short of
-// capacity: calls wait there in turn and fail when they have waited too long, so that mixers that all call again at
-// once keep it overbooked for ever. An agent is called again as soon as its last call lies Again back or so.
-func (c *Reconnector) Ended(now time.Time, chance float64) time.Time {
-	wait := c.wait.Next(chance)
-	if c.rules.Clients <= 1 {
-		return later(now, c.opened.Add(wait))
+// Ended notes that the call failed or the watch ended, and returns when to call again. This protects a shared discovery that
+// is short of capacity: calls queue there and fail if they wait for too long, so clients that all called again at once
+// would keep it overloaded for ever. A client's own agent is called again as soon as the last call started about
+// RetryInterval ago.
+func (r *Reconnector) Ended(now time.Time, random float64) time.Time {
+	wait := r.backoff.Next(random)
+	if r.config.hasOwnAgent() {
+		return later(now, r.opened.Add(wait))
 	}
 	return now.Add(wait)
 }
--- a/internal/control/listwatch/listwatch_test.go
+++ b/internal/control/listwatch/listwatch_test.go
@@ -7,84 +7,128 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// An agent's watch that ends after a while is opened anew at once, and a failing agent is not called in a hot loop.
-func TestAnAgentIsCalledAgainAtOnce(t *testing.T) {
-	for _, chance := range []float64{0, 0.5, 1} {
-		c := New(PlatformConfig(0))
-		c.Opened(start, chance)
-		if next := c.Ended(start.Add(time.Second), chance); !next.Equal(start.Add(time.Second)) {
-			t.Errorf("chance %v: %v after a watch that lasted", chance, next.Sub(start))
+// An agent's watch that ends after a while is opened again at once, and a failing agent is not called in a busy loop.
+func TestReconnector_OwnAgentIsCalledAgainAtOnce(t *testing.T) {
+	for _, random := range []float64{0, 0.5, 1} {
+		r := New(PlatformConfig(0))
+		r.Opened(start, random)
+		if next := r.Ended(start.Add(time.Second), random); !next.Equal(start.Add(time.Second)) {
+			t.Errorf("random %v: next call at %v, the watch ended after 1s", random, next.Sub(start))
 		}
 		now := start.Add(time.Minute)
 		for range 50 {
-			c.Opened(now, chance)
-			c.Succeeded()
-			next := c.Ended(now, chance)
-			if d := next.Sub(now); d < 100*time.Millisecond || d > 300*time.Millisecond {
-				t.Errorf("chance %v: %v after a call that failed at once", chance, d)
+			r.Opened(now, random)
+			r.Succeeded()
+			next := r.Ended(now, random)
+			if wait := next.Sub(now); wait < 100*time.Millisecond || wait > 300*time.Millisecond {
+				t.Errorf("random %v: wait of %v after a call that ended at once", random, wait)
 			}
 			now = next
 		}
 	}
 }
 
-// Mixers that share a discovery and fail at one moment call it again over the time that their number takes.
-func TestASharedDiscoveryIsCalledBySpread(t *testing.T) {
-	early := 0
-	for i := range 300 {
-		c := New(PlatformConfig(300))
-		c.Opened(start, 0.5)
-		if next := c.Ended(start, float64(i)/299); next.Sub(start) < 4750*time.Millisecond {
-			early++
+// Clients that share a discovery and fail at one moment call it again over the time that their number needs.
+func TestReconnector_CallsToASharedDiscoveryAreSpread(t *testing.T) {
+	const clients, maxInFirstSecond = 300, 45 // of 300 calls over 7.5 s, 40 are due in the first second
+	inFirstSecond := 0
+	for i := range clients {
+		r := New(PlatformConfig(clients))
+		r.Opened(start, 0.5)
+		if next := r.Ended(start, float64(i)/(clients-1)); next.Sub(start) < 4750*time.Millisecond {
+			inFirstSecond++
 		}
 	}
-	if early > 45 { // of 300 calls over 7.5 s, 40 in the first second
-		t.Errorf("%d calls in the first second", early)
+	if inFirstSecond > maxInFirstSecond {
+		t.Errorf("%d calls in the first second, want at most %d", inFirstSecond, maxInFirstSecond)
 	}
 }
 
-// FuzzCalls plays a discovery that answers, says lines, falls silent, refuses and ends watches, and holds the calls to
-// what must always be so.
-func FuzzCalls(f *testing.F) {
+// FuzzReconnector plays a discovery that answers, sends events, falls silent, rejects calls and ends watches, and checks
+// the bounds of every wait.
+func FuzzReconnector(f *testing.F) {
 	f.Add(uint16(0), []byte{0, 1, 2, 3, 4, 200, 255, 7})
 	f.Add(uint16(300), []byte{3, 3, 3, 0, 9, 2, 2, 1})
 	f.Add(uint16(1), []byte{2, 2, 2, 2})
-	f.Fuzz(func(t *testing.T, shared uint16, steps []byte) {
-		rules := PlatformConfig(int(shared))
-		c, now, failed := New(rules), start, 0
-		chance := func(b byte) float64 { return float64(b>>3) / 31 }
-		c.Opened(now, 0.5)
-		for _, b := range steps {
-			if silent := c.SilenceDeadline().Sub(c.heard); silent > rules.MaxSilence || silent < rules.MinSilence && (c.answered || shared > 1 || silent != rules.FirstEventTimeout) {
-				t.Fatalf("broken after %v", silent)
-			}
-			switch b & 3 {
-			case 0: // a line in time
-				now = now.Add(2 * time.Second)
-				c.Received(now)
-				c.Succeeded()
-				failed = 0
-				if !c.SilenceDeadline().After(now.Add(2 * time.Second)) {
-					t.Fatal("broken before its next line is due")
-				}
-			case 1: // silence: opened anew, so that what is missed comes in 6 s
-				if c.SilenceDeadline().After(c.heard.Add(5 * time.Second)) {
-					t.Fatalf("silent for %v", c.SilenceDeadline().Sub(c.heard))
-				}
-				now = c.SilenceDeadline()
-				c.Opened(now, chance(b))
-			default: // it ends
-				next := c.Ended(now, chance(b))
-				failed++
-				if next.Before(now) || next.Sub(now) > max(300*time.Millisecond, 6*time.Duration(shared)*time.Second/40) {
-					t.Fatalf("%d mixers, %d failed: called again after %v", shared, failed, next.Sub(now))
-				}
-				if shared > 60 && next.Sub(now) < time.Duration(shared)*time.Second/80-time.Millisecond {
-					t.Fatalf("%d mixers: called again after %v", shared, next.Sub(now))
-				}
-				now = next
-				c.Opened(now, chance(b))
+	f.Fuzz(func(t *testing.T, clients uint16, steps []byte) {
+		m := newModel(int(clients))
+		for _, step := range steps {
+			m.checkSilence(t)
+			random := float64(step>>3) / 31
+			switch step & 3 {
+			case 0:
+				m.receiveInTime(t)
+			case 1:
+				m.fallSilent(t, random)
+			default:
+				m.end(t, random)
 			}
 		}
 	})
 }
+
+// model is a client and its discovery in virtual time.
+type model struct {
+	clients  int
+	config   Config
+	r        *Reconnector
+	now      time.Time
+	failures int // since the last event
+}
+
+func newModel(clients int) *model {
+	m := &model{clients: clients, config: PlatformConfig(clients), now: start}
+	m.r = New(m.config)
+	m.r.Opened(m.now, 0.5)
+	return m
+}
+
+func (m *model) checkSilence(t *testing.T) {
+	t.Helper()
+	silence := m.r.SilenceDeadline().Sub(m.r.lastReceived)
+	isFirstEventTimeout := !m.r.hasReceived && m.clients <= 1 && silence == m.config.FirstEventTimeout
+	if silence > m.config.MaxSilence || silence < m.config.MinSilence && !isFirstEventTimeout {
+		t.Fatalf("broken after a silence of %v", silence)
+	}
+}
+
+// receiveInTime sends an event as late as a live watch may.
+func (m *model) receiveInTime(t *testing.T) {
+	t.Helper()
+	const eventInterval = 2 * time.Second
+	m.now = m.now.Add(eventInterval)
+	m.r.Received(m.now)
+	m.r.Succeeded()
+	m.failures = 0
+	if !m.r.SilenceDeadline().After(m.now.Add(eventInterval)) {
+		t.Fatal("broken before the next event is due")
+	}
+}
+
+// fallSilent lets the watch break, which must be early enough to get what is missed within 6 s.
+func (m *model) fallSilent(t *testing.T, random float64) {
+	t.Helper()
+	deadline := m.r.SilenceDeadline()
+	if deadline.After(m.r.lastReceived.Add(5 * time.Second)) {
+		t.Fatalf("a silence of %v is allowed", deadline.Sub(m.r.lastReceived))
+	}
+	m.now = deadline
+	m.r.Opened(m.now, random)
+}
+
+// end ends the watch and calls again when the client may.
+func (m *model) end(t *testing.T, random float64) {
+	t.Helper()
+	next := m.r.Ended(m.now, random)
+	m.failures++
+	wait := next.Sub(m.now)
+	maxWait := max(300*time.Millisecond, 6*time.Duration(m.clients)*time.Second/40)
+	if wait < 0 || wait > maxWait {
+		t.Fatalf("%d clients, %d failures: wait of %v", m.clients, m.failures, wait)
+	}
+	if minWait := time.Duration(m.clients)*time.Second/80 - time.Millisecond; m.clients > 60 && wait < minWait {
+		t.Fatalf("%d clients: wait of %v, want at least %v", m.clients, wait, minWait)
+	}
+	m.now = next
+	m.r.Opened(m.now, random)
+}
--- a/internal/control/readiness/readiness.go
+++ b/internal/control/readiness/readiness.go
@@ -1,8 +1,8 @@
-// Package readiness decides what the mixer says of itself to those who ask for its health: whether queries can be
-// answered, database by database, and how much more it can take. It does no I/O and reads no clock.
+// Package readiness decides what an aggregator reports of its own health: whether queries can be answered, database by
+// database, and how much more load it can take. It does no I/O and reads no clock.
 //
-// A word gets worse once its cause has stood for a moment, and better once that has stood for longer, so that it does
-// not flap; both are well under the second within which it has to be true.
+// A state gets worse once its cause has lasted for a moment, and better once the cause has been gone for longer, so that
+// it does not flap. Both delays are well under the second within which the report has to be true.
 package readiness
 
 import (
@@ -13,192 +13,200 @@
 	"time"
 )
 
-// State of the mixer, or of one database.
+// State of the aggregator, or of one database. A greater one is worse.
 type State int8
 
+// States from best to worst.
 const (
 	Up       State = iota
-	Degraded       // partial answers only, or no corrections of some blocks
+	Degraded       // partial answers only, or no corrections of some shards
 	Down           // no answer can be given
+	stateCount
 )
 
+// String returns the state's name, as it stands in reports.
 func (s State) String() string { return [...]string{"up", "degraded", "down"}[s] }
 
-// DatabaseSnapshot are how one database stands: which of its blocks have a holder that may be expected to answer.
+// DatabaseSnapshot is what is known of one database: which of its shards have a server that may be expected to answer.
 type DatabaseSnapshot struct {
 	Name                  string
-	Shards                int
-	SearchUnavailable     []int   // blocks without a usable holder for searches
-	CorrectionUnavailable []int   // blocks without one for corrections; only where the database takes any
-	MinCoverage           float64 // least share of blocks for an answer
-	Caveat                string  // what the servers' state rests on, if that is doubtful
+	Shards                int     // number of shards
+	SearchUnavailable     []int   // shards without a usable server for searches
+	CorrectionUnavailable []int   // shards without one for corrections; empty if the database takes none
+	MinCoverage           float64 // minimum share of shards for an answer, 0 to 1
+	Caveat                string  // why the servers' states may be wrong; "" if there is no doubt
 }
 
-// Snapshot are those of one moment.
+// Snapshot is the state of the aggregator at one moment.
 type Snapshot struct {
-	Draining                bool // told to end
-	InFlight, MaxInFlight   int  // queries and parts held, and the most there may be; Most 0: not limited
-	Received, Rejected      uint64
-	LoopLag                 time.Duration // by which the loop is late
-	MemoryUsed, MemoryLimit uint64        // bytes; Limit 0: not limited
-	Databases               []DatabaseSnapshot
+	Draining    bool          // shutting down: queries should go elsewhere
+	InFlight    int           // queries and their parts
+	MaxInFlight int           // 0: not limited
+	Received    uint64        // queries, since the start of the process
+	Rejected    uint64        // of these
+	LoopLag     time.Duration // by which the event loop is behind
+	MemoryUsed  uint64        // bytes
+	MemoryLimit uint64        // bytes; 0: not limited
+	Databases   []DatabaseSnapshot
 }
 
-// DatabaseReport is the word on one database.
+// DatabaseReport is the reported health of one database.
 type DatabaseReport struct {
 	Name      string `json:"database"`
 	State     State  `json:"-"`
 	StateText string `json:"state"`
-	Reason    string `json:"reason,omitempty"`
+	Reason    string `json:"reason,omitempty"` // of a state that is not Up
 }
 
-// Report is what the mixer says of itself.
+// Report is the health that the aggregator reports of itself.
 type Report struct {
 	At        time.Time        `json:"at"`
 	State     State            `json:"-"`
 	StateText string           `json:"state"`
 	Draining  bool             `json:"drain"`
-	Weight    int              `json:"weight"` // percent, 1 to 100
+	Weight    int              `json:"weight"` // of the aggregator for load balancers: percent, 1 to 100
 	Reasons   []string         `json:"reasons,omitempty"`
 	Databases []DatabaseReport `json:"databases"`
 }
 
-// Database finds the word on a database by its name, in any case of letters.
-func (w *Report) Database(name string) *DatabaseReport {
-	for i := range w.Databases {
-		if strings.EqualFold(w.Databases[i].Name, name) {
-			return &w.Databases[i]
+// Database returns the report on a database, whose name is compared without regard to case; nil if there is none. The
+// result points into r.
+func (r *Report) Database(name string) *DatabaseReport {
+	for i := range r.Databases {
+		if strings.EqualFold(r.Databases[i].Name, name) {
+			return &r.Databases[i]
 		}
 	}
 	return nil
 }
 
-// Config are the figures of the word.
+// Config holds the parameters of an Evaluator. DefaultConfig returns the usual ones.
 type Config struct {
-	DegradeDelay        time.Duration // how long a cause stands before the word gets worse
-	RecoverDelay        time.Duration // and before it gets better
-	FreeShare           float64       // share of Most that may be held before the weight falls
-	HalfWeightLag       time.Duration // of the loop, at which the weight is a half
-	RejectionWindow     time.Duration // over which refusals count
-	WeightRisePerSecond float64       // of the weight, a second
-	WeightStep          float64       // weights are told in steps of it
+	DegradeDelay        time.Duration // how long a cause lasts before a state gets worse
+	RecoverDelay        time.Duration // how long it is gone before the state gets better
+	FreeShare           float64       // share of MaxInFlight that may be in flight before the weight falls
+	HalfWeightLag       time.Duration // lag of the event loop at which the weight is a half
+	RejectionWindow     time.Duration // over which rejected queries count
+	WeightRisePerSecond float64       // by which the weight may rise, where 1 is the full weight
+	WeightStep          float64       // the reported weight is a multiple of it
 }
 
-// DefaultConfig are the usual rules.
+// DefaultConfig returns the usual parameters.
 func DefaultConfig() Config {
 	return Config{
-		DegradeDelay: 100 * time.Millisecond, RecoverDelay: 300 * time.Millisecond, FreeShare: 0.5, HalfWeightLag: 100 * time.Millisecond,
-		RejectionWindow: time.Second, WeightRisePerSecond: 0.5, WeightStep: 0.05,
+		DegradeDelay:        100 * time.Millisecond,
+		RecoverDelay:        300 * time.Millisecond,
+		FreeShare:           0.5,
+		HalfWeightLag:       100 * time.Millisecond,
+		RejectionWindow:     time.Second,
+		WeightRisePerSecond: 0.5,
+		WeightStep:          0.05,
 	}
 }
 
-// damped is a state with the state that wants to take its place.
-type damped struct {
-	now, want State
-	since     time.Time
-	reason    string
-	begun     bool
+// Evaluator turns snapshots into reports. It is owned by one goroutine.
+type Evaluator struct {
+	config    Config
+	databases map[string]*dampedState // by name
+	headroom  headroom
+}
+
+// New returns an Evaluator that has reported nothing yet.
+func New(config Config) *Evaluator {
+	return &Evaluator{config: config, databases: map[string]*dampedState{}, headroom: newHeadroom(config)}
 }
 
-// step takes what a moment shows and returns what is to be said.
-func (d *damped) step(at time.Time, s State, reason string, r Config) {
-	if !d.begun {
-		d.begun, d.now, d.reason = true, s, reason
+// Evaluate returns the report for a snapshot. Snapshots come in the order of time, at least every DegradeDelay.
+func (e *Evaluator) Evaluate(now time.Time, snapshot Snapshot) Report {
+	report := Report{At: now, Draining: snapshot.Draining}
+	e.forgetRemovedDatabases(snapshot.Databases)
+	for _, database := range snapshot.Databases {
+		report.Databases = append(report.Databases, e.evaluateDatabase(now, database))
 	}
-	if s == d.now {
-		d.want, d.reason = s, reason
-		return
+	for _, database := range report.Databases {
+		if database.Reason != "" {
+			report.Reasons = append(report.Reasons, database.Name+": "+database.Reason)
+		}
 	}
-	if s != d.want {
-		d.want, d.since = s, at
+	report.State = combinedState(report.Databases)
+	report.StateText = report.State.String()
+	weight, reasons := e.headroom.update(now, snapshot)
+	report.Weight = e.weightPercent(weight)
+	report.Reasons = append(report.Reasons, reasons...)
+	if snapshot.Draining {
+		report.Reasons = append(report.Reasons, "shutting down")
 	}
-	wait := r.RecoverDelay
-	if s > d.now {
-		wait = r.DegradeDelay
+	return report
+}
+
+func (e *Evaluator) forgetRemovedDatabases(databases []DatabaseSnapshot) {
+	present := map[string]bool{}
+	for _, database := range databases {
+		present[database.Name] = true
 	}
-	if at.Sub(d.since) >= wait {
-		d.now, d.reason = s, reason
+	for name := range e.databases {
+		if !present[name] {
+			delete(e.databases, name)
+		}
 	}
 }
 
-// sample is what had been taken and refused by a moment.
-type sample struct {
-	at             time.Time
-	taken, refused uint64
+func (e *Evaluator) evaluateDatabase(now time.Time, database DatabaseSnapshot) DatabaseReport {
+	damped := e.databases[database.Name]
+	if damped == nil {
+		damped = &dampedState{}
+		e.databases[database.Name] = damped
+	}
+	state, reason := databaseState(database)
+	damped.update(now, state, reason, e.config)
+	return DatabaseReport{
+		Name:      database.Name,
+		State:     damped.current,
+		StateText: damped.current.String(),
+		Reason:    damped.reason,
+	}
 }
 
-// Evaluator makes words of facts. It is owned by one goroutine.
-type Evaluator struct {
-	rules   Config
-	whole   damped
-	bases   map[string]*damped
-	samples []sample
-	weight  float64
-	at      time.Time
+// weightPercent rounds a weight from 0 to 1 to the step in which it is reported.
+func (e *Evaluator) weightPercent(weight float64) int {
+	step := e.config.WeightStep
+	return max(1, int(math.Round(weight/step)*step*100+0.5))
 }
 
-// New returns a Judge that has said nothing yet.
-func New(r Config) *Evaluator { return &Evaluator{rules: r, bases: map[string]*damped{}, weight: 1} }
-
-// Evaluate takes the facts of a moment and returns the word. Moments come in order, at least every Worse.
-func (j *Evaluator) Evaluate(now time.Time, f Snapshot) Report {
-	w := Report{At: now, Draining: f.Draining}
-	named := map[string]bool{}
-	states := [3]int{}
-	for _, b := range f.Databases {
-		d := j.bases[b.Name]
-		if d == nil {
-			d = &damped{}
-			j.bases[b.Name] = d
-		}
-		named[b.Name] = true
-		s, reason := judgeBase(b)
-		d.step(now, s, reason, j.rules)
-		w.Databases = append(w.Databases, DatabaseReport{b.Name, d.now, d.now.String(), d.reason})
-		states[d.now]++
-		if d.reason != "" {
-			w.Reasons = append(w.Reasons, b.Name+": "+d.reason)
-		}
+// combinedState is the state of the aggregator. It follows the databases' states at once, which are damped already.
+func combinedState(databases []DatabaseReport) State {
+	counts := [stateCount]int{}
+	for _, database := range databases {
+		counts[database.State]++
 	}
-	for name := range j.bases { // a database that is no longer there
-		if !named[name] {
-			delete(j.bases, name)
-		}
-	}
-	// The databases are damped each; the whole follows them at once.
 	switch {
-	case len(f.Databases) > 0 && states[Down] == len(f.Databases):
-		w.State = Down
-	case states[Down]+states[Degraded] > 0:
-		w.State = Degraded
-	}
-	load, why := j.headroom(now, f)
-	w.Weight = max(1, int(math.Round(load/j.rules.WeightStep)*j.rules.WeightStep*100+0.5))
-	w.Reasons = append(w.Reasons, why...)
-	if f.Draining {
-		w.Reasons = append(w.Reasons, "shutting down")
+	case len(databases) > 0 && counts[Down] == len(databases):
+		return Down
+	case counts[Down]+counts[Degraded] > 0:
+		return Degraded
 	}
-	w.StateText = w.State.String()
-	return w
+	return Up
 }
 
-func judgeBase(b DatabaseSnapshot) (State, string) {
-	share := 1.0
-	if b.Shards > 0 {
-		share = 1 - float64(len(b.SearchUnavailable))/float64(b.Shards)
+// databaseState is the state of a database by a snapshot alone, and the reason unless that is Up.
+func databaseState(database DatabaseSnapshot) (State, string) {
+	coverage := 1.0
+	if database.Shards > 0 {
+		coverage = 1 - float64(len(database.SearchUnavailable))/float64(database.Shards)
 	}
 	reason := ""
 	switch {
-	case len(b.SearchUnavailable) > 0:
-		reason = "no usable holder of block " + list(b.SearchUnavailable)
-	case len(b.CorrectionUnavailable) > 0:
-		reason = "no usable holder for corrections of block " + list(b.CorrectionUnavailable)
+	case len(database.SearchUnavailable) > 0:
+		reason = "no usable holder of block " + formatShards(database.SearchUnavailable)
+	case len(database.CorrectionUnavailable) > 0:
+		reason = "no usable holder for corrections of block " + formatShards(database.CorrectionUnavailable)
 	}
-	if reason != "" && b.Caveat != "" {
-		reason += " (" + b.Caveat + ")"
+	if reason != "" && database.Caveat != "" {
+		reason += " (" + database.Caveat + ")"
 	}
+	const roundingError = 1e-9 // of coverage
 	switch {
-	case share < b.MinCoverage-1e-9 || share <= 0:
+	case coverage < database.MinCoverage-roundingError || coverage <= 0:
 		return Down, reason
 	case reason != "":
 		return Degraded, reason
@@ -206,51 +214,18 @@
 	return Up, ""
 }
 
-// listMost is how many blocks a reason names.
-const listMost = 8
+// maxShardsListed is how many shards a reason names.
+const maxShardsListed = 8
 
-func list(blocks []int) string {
-	sorted := slices.Clone(blocks)
+func formatShards(shards []int) string {
+	sorted := slices.Clone(shards)
 	slices.Sort(sorted)
-	var text []string
-	for _, b := range sorted[:min(len(sorted), listMost)] {
-		text = append(text, fmt.Sprint(b))
-	}
-	if more := len(sorted) - listMost; more > 0 {
-		text = append(text, fmt.Sprintf("and %d more", more))
-	}
-	return strings.Join(text, ", ")
-}
-
-// headroom is how much more can be taken, 0 to 1: it falls at once and rises slowly.
-func (j *Evaluator) headroom(now time.Time, f Snapshot) (float64, []string) {
-	room, why := 1.0, []string(nil)
-	least := func(v float64, reason string) {
-		v = min(1, max(0, v))
-		if v < 0.95 {
-			why = append(why, reason)
-		}
-		room = min(room, v)
-	}
-	if f.MaxInFlight > 0 {
-		held := float64(f.InFlight) / float64(f.MaxInFlight)
-		least((1-held)/(1-j.rules.FreeShare), fmt.Sprintf("%d of %d queries and parts held", f.InFlight, f.MaxInFlight))
-	}
-	least(1/(1+float64(f.LoopLag)/float64(j.rules.HalfWeightLag)), fmt.Sprintf("the loop is %v late", f.LoopLag.Round(time.Millisecond)))
-	if f.MemoryLimit > 0 {
-		least(4*(1-float64(f.MemoryUsed)/float64(f.MemoryLimit)), fmt.Sprintf("%d of %d MB used", f.MemoryUsed>>20, f.MemoryLimit>>20))
-	}
-	j.samples = append(j.samples, sample{now, f.Received, f.Rejected})
-	for len(j.samples) > 2 && now.Sub(j.samples[1].at) >= j.rules.RejectionWindow {
-		j.samples = j.samples[1:]
-	}
-	first := j.samples[0]
-	if taken, refused := f.Received-first.taken, f.Rejected-first.refused; taken >= 4 && refused > 0 {
-		least(1-float64(refused)/float64(taken), fmt.Sprintf("%d of the last %d queries refused", refused, taken))
+	var names []string
+	for _, shard := range sorted[:min(len(sorted), maxShardsListed)] {
+		names = append(names, fmt.Sprint(shard))
 	}
-	if !j.at.IsZero() {
-		room = min(room, j.weight+j.rules.WeightRisePerSecond*max(0, now.Sub(j.at).Seconds()))
+	if more := len(sorted) - maxShardsListed; more > 0 {
+		names = append(names, fmt.Sprintf("and %d more", more))
 	}
-	j.weight, j.at = room, now
-	return room, why
+	return strings.Join(names, ", ")
 }
--- a/internal/control/readiness/readiness_test.go
+++ b/internal/control/readiness/readiness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -9,158 +10,189 @@
 
 var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-const pace = 50 * time.Millisecond
+// interval between two snapshots, as in the program.
+const interval = 50 * time.Millisecond
 
-// say lets facts stand for a time and returns the last word.
-func say(j *Evaluator, now *time.Time, d time.Duration, f Snapshot) (w Report) {
+// evaluateFor evaluates the same snapshot for a duration, advances now by it, and returns the last report.
+func evaluateFor(e *Evaluator, now *time.Time, d time.Duration, s Snapshot) (report Report) {
 	for end := now.Add(d); now.Before(end); {
-		*now = now.Add(pace)
-		w = j.Evaluate(*now, f)
+		*now = now.Add(interval)
+		report = e.Evaluate(*now, s)
 	}
-	return w
+	return report
 }
 
-func captions(lost, closed []int) DatabaseSnapshot {
-	return DatabaseSnapshot{Name: "captions", Shards: 4, MinCoverage: 1, SearchUnavailable: lost, CorrectionUnavailable: closed}
+// captions is a database that takes corrections and answers only with all of its four shards.
+func captions(searchUnavailable, correctionUnavailable []int) DatabaseSnapshot {
+	return DatabaseSnapshot{
+		Name: "captions", Shards: 4, MinCoverage: 1,
+		SearchUnavailable: searchUnavailable, CorrectionUnavailable: correctionUnavailable,
+	}
 }
 
-func coverage(lost []int) DatabaseSnapshot {
-	return DatabaseSnapshot{Name: "coverage", Shards: 4, MinCoverage: 0.5, SearchUnavailable: lost}
+// coverage is a database that answers with half of its four shards.
+func coverage(searchUnavailable []int) DatabaseSnapshot {
+	return DatabaseSnapshot{Name: "coverage", Shards: 4, MinCoverage: 0.5, SearchUnavailable: searchUnavailable}
 }
 
-func TestDatabasesAndTheWhole(t *testing.T) {
+func TestEvaluator_StatesOfDatabasesAndAggregator(t *testing.T) {
 	for _, c := range []struct {
-		lost, closed    []int
-		cap, cov, whole State
-		reason          string
+		name                         string
+		searchUnavailable            []int
+		correctionUnavailable        []int
+		captions, coverage, combined State
+		reason                       string
 	}{
-		{nil, nil, Up, Up, Up, ""},
-		{[]int{2}, []int{2}, Down, Degraded, Degraded, "captions: no usable holder of block 2"},
-		{nil, []int{1}, Degraded, Up, Degraded, "corrections of block 1"},
-		{[]int{0, 1, 2}, nil, Down, Down, Down, "coverage: no usable holder of block 0, 1, 2"},
+		{"all shards available", nil, nil, Up, Up, Up, ""},
+		{"one shard without a server", []int{2}, []int{2}, Down, Degraded, Degraded, "captions: no usable holder of block 2"},
+		{"one shard without corrections", nil, []int{1}, Degraded, Up, Degraded, "corrections of block 1"},
+		{"three of four shards without a server", []int{0, 1, 2}, nil, Down, Down, Down,
+			"coverage: no usable holder of block 0, 1, 2"},
 	} {
-		j, now := New(DefaultConfig()), origin
-		say(j, &now, time.Second, Snapshot{Databases: []DatabaseSnapshot{captions(nil, nil), coverage(nil)}})
-		w := say(j, &now, time.Second, Snapshot{Databases: []DatabaseSnapshot{captions(c.lost, c.closed), coverage(c.lost)}})
-		if w.Database("CAPTIONS").State != c.cap || w.Database("coverage").State != c.cov || w.State != c.whole || !strings.Contains(strings.Join(w.Reasons, "; "), c.reason) {
-			t.Errorf("%v %v: %+v", c.lost, c.closed, w)
-		}
-		if w = say(j, &now, time.Second, Snapshot{Databases: []DatabaseSnapshot{captions(nil, nil), coverage(nil)}}); w.State != Up || len(w.Reasons) > 0 {
-			t.Errorf("not well again: %+v", w)
-		}
+		t.Run(c.name, func(t *testing.T) {
+			e, now := New(DefaultConfig()), origin
+			healthy := Snapshot{Databases: []DatabaseSnapshot{captions(nil, nil), coverage(nil)}}
+			faulty := Snapshot{Databases: []DatabaseSnapshot{
+				captions(c.searchUnavailable, c.correctionUnavailable), coverage(c.searchUnavailable),
+			}}
+			evaluateFor(e, &now, time.Second, healthy)
+			r := evaluateFor(e, &now, time.Second, faulty)
+			if r.Database("CAPTIONS").State != c.captions || r.Database("coverage").State != c.coverage || r.State != c.combined ||
+				!strings.Contains(strings.Join(r.Reasons, "; "), c.reason) {
+				t.Errorf("with the fault: %+v", r)
+			}
+			if r = evaluateFor(e, &now, time.Second, healthy); r.State != Up || len(r.Reasons) > 0 {
+				t.Errorf("after the fault: %+v", r)
+			}
+		})
 	}
 }
 
-// A cause that comes and goes faster than it can be told is not told; one that stands is, within a second.
-func TestWordsDoNotFlap(t *testing.T) {
-	j, now := New(DefaultConfig()), origin
-	good, bad := Snapshot{Databases: []DatabaseSnapshot{captions(nil, nil)}}, Snapshot{Databases: []DatabaseSnapshot{captions([]int{1}, nil)}}
-	say(j, &now, time.Second, good)
+// A fault that comes and goes faster than the delays is not reported; one that lasts is, within a second.
+func TestEvaluator_StatesDoNotFlap(t *testing.T) {
+	e, now := New(DefaultConfig()), origin
+	healthy := Snapshot{Databases: []DatabaseSnapshot{captions(nil, nil)}}
+	faulty := Snapshot{Databases: []DatabaseSnapshot{captions([]int{1}, nil)}}
+	evaluateFor(e, &now, time.Second, healthy)
 	changes, last := 0, Up
 	for range 100 {
-		for _, f := range []Snapshot{bad, good} {
-			now = now.Add(pace)
-			if w := j.Evaluate(now, f); w.State != last {
-				changes, last = changes+1, w.State
+		for _, s := range []Snapshot{faulty, healthy} {
+			now = now.Add(interval)
+			if r := e.Evaluate(now, s); r.State != last {
+				changes, last = changes+1, r.State
 			}
 		}
 	}
 	if changes > 0 {
-		t.Errorf("%d changes of the word", changes)
+		t.Errorf("%d changes of the reported state", changes)
 	}
-	begin := now
-	for j.Evaluate(now, bad).State != Down {
-		now = now.Add(pace)
-	}
-	if d := now.Sub(begin); d > 300*time.Millisecond {
-		t.Errorf("down is told after %v", d)
+	timeUntil := func(want State, s Snapshot) time.Duration {
+		begin := now
+		for e.Evaluate(now, s).State != want {
+			now = now.Add(interval)
+		}
+		return now.Sub(begin)
 	}
-	begin = now
-	for j.Evaluate(now, good).State != Up {
-		now = now.Add(pace)
+	if d := timeUntil(Down, faulty); d > 300*time.Millisecond {
+		t.Errorf("down is reported after %v", d)
 	}
-	if d := now.Sub(begin); d > 600*time.Millisecond || d < 250*time.Millisecond {
-		t.Errorf("up is told after %v", d)
+	if d := timeUntil(Up, healthy); d > 600*time.Millisecond || d < 250*time.Millisecond {
+		t.Errorf("up is reported after %v", d)
 	}
 }
 
-func TestWeightFollowsHeadroom(t *testing.T) {
+func TestEvaluator_WeightFollowsHeadroom(t *testing.T) {
 	for name, c := range map[string]struct {
-		f        Snapshot
-		from, to int
+		snapshot             Snapshot
+		minWeight, maxWeight int
 	}{
-		"idle":     {Snapshot{MaxInFlight: 100, MemoryLimit: 100 << 20, MemoryUsed: 10 << 20}, 100, 100},
-		"half":     {Snapshot{MaxInFlight: 100, InFlight: 50}, 100, 100},
-		"fuller":   {Snapshot{MaxInFlight: 100, InFlight: 75}, 50, 50},
-		"full":     {Snapshot{MaxInFlight: 100, InFlight: 100}, 1, 1},
-		"late":     {Snapshot{LoopLag: 300 * time.Millisecond}, 25, 25},
-		"memory":   {Snapshot{MemoryLimit: 100 << 20, MemoryUsed: 95 << 20}, 15, 25},
-		"draining": {Snapshot{Draining: true}, 100, 100},
+		"idle":                  {Snapshot{MaxInFlight: 100, MemoryLimit: 100 << 20, MemoryUsed: 10 << 20}, 100, 100},
+		"half of the limit":     {Snapshot{MaxInFlight: 100, InFlight: 50}, 100, 100},
+		"three quarters of it":  {Snapshot{MaxInFlight: 100, InFlight: 75}, 50, 50},
+		"at the limit":          {Snapshot{MaxInFlight: 100, InFlight: 100}, 1, 1},
+		"event loop lags":       {Snapshot{LoopLag: 300 * time.Millisecond}, 25, 25},
+		"memory almost used up": {Snapshot{MemoryLimit: 100 << 20, MemoryUsed: 95 << 20}, 15, 25},
+		"draining":              {Snapshot{Draining: true}, 100, 100},
 	} {
-		j, now := New(DefaultConfig()), origin
-		w := say(j, &now, time.Second, c.f)
-		if w.Weight < c.from || w.Weight > c.to || (w.Weight < 95) != (len(w.Reasons) > 0 && !c.f.Draining) || w.Draining != c.f.Draining {
-			t.Errorf("%s: %+v", name, w)
-		}
+		t.Run(name, func(t *testing.T) {
+			e, now := New(DefaultConfig()), origin
+			r := evaluateFor(e, &now, time.Second, c.snapshot)
+			if r.Weight < c.minWeight || r.Weight > c.maxWeight {
+				t.Errorf("weight out of range: %+v", r)
+			}
+			hasReason := len(r.Reasons) > 0 && !c.snapshot.Draining
+			if (r.Weight < 95) != hasReason || r.Draining != c.snapshot.Draining {
+				t.Errorf("reasons or draining: %+v", r)
+			}
+		})
 	}
-	j, now := New(DefaultConfig()), origin
-	f := Snapshot{}
-	var w Report
+}
+
+func TestEvaluator_WeightAfterRejectionsRisesSlowly(t *testing.T) {
+	e, now := New(DefaultConfig()), origin
+	var s Snapshot
+	var r Report
 	for range 20 {
-		f.Received, f.Rejected = f.Received+10, f.Rejected+9
-		w = say(j, &now, pace, f)
+		s.Received, s.Rejected = s.Received+10, s.Rejected+9
+		r = evaluateFor(e, &now, interval, s)
 	}
-	if w.Weight > 15 {
-		t.Errorf("nine in ten refused: %+v", w)
+	if r.Weight > 15 {
+		t.Errorf("nine of ten queries rejected: %+v", r)
 	}
-	// It rises slowly, and no further than the facts allow.
-	if w = say(j, &now, 1200*time.Millisecond, f); w.Weight < 20 || w.Weight > 80 {
-		t.Errorf("just after: %+v", w)
+	// It rises slowly, and no further than the snapshots allow.
+	if r = evaluateFor(e, &now, 1200*time.Millisecond, s); r.Weight < 20 || r.Weight > 80 {
+		t.Errorf("1.2 s after the last rejection: %+v", r)
 	}
-	if w = say(j, &now, 3*time.Second, f); w.Weight != 100 {
-		t.Errorf("long after: %+v", w)
+	if r = evaluateFor(e, &now, 3*time.Second, s); r.Weight != 100 {
+		t.Errorf("4.2 s after the last rejection: %+v", r)
 	}
 }
 
-// Whatever the facts: the word is never worse or better than anything seen within its waits, and stays in bounds.
-func FuzzJudge(f *testing.F) {
+// observedState is a database's state by one snapshot alone.
+type observedState struct {
+	at    time.Time
+	state State
+}
+
+// FuzzEvaluator checks for random snapshots that a reported state was observed within the last second, and the bounds of
+// the weight.
+func FuzzEvaluator(f *testing.F) {
 	f.Add(uint64(3), uint16(300))
 	f.Fuzz(func(t *testing.T, seed uint64, steps uint16) {
-		rng := rand.New(rand.NewPCG(seed, 5))
-		j, now := New(DefaultConfig()), origin
-		var facts Snapshot
-		type seen struct {
-			at time.Time
-			s  State
-		}
-		var history []seen
+		random := rand.New(rand.NewPCG(seed, 5))
+		e, now := New(DefaultConfig()), origin
+		var snapshot Snapshot
+		var observed []observedState
 		for range steps % 1000 {
-			now = now.Add(time.Duration(1+rng.IntN(100)) * time.Millisecond)
-			if rng.IntN(5) == 0 {
-				facts.Databases = []DatabaseSnapshot{captions([]int{0, 1, 2, 3}[:rng.IntN(3)], nil), coverage([]int{0, 1, 2, 3}[:rng.IntN(5)])}
+			now = now.Add(time.Duration(1+random.IntN(100)) * time.Millisecond)
+			changeRandomly(&snapshot, random)
+			r := e.Evaluate(now, snapshot)
+			if r.Weight < 1 || r.Weight > 100 || len(r.Databases) != len(snapshot.Databases) {
+				t.Fatalf("%+v", r)
 			}
-			facts.InFlight, facts.MaxInFlight, facts.LoopLag = rng.IntN(200), 100, time.Duration(rng.IntN(2000))*time.Millisecond
-			facts.Received += uint64(rng.IntN(10))
-			facts.Rejected = min(facts.Received, facts.Rejected+uint64(rng.IntN(10)))
-			w := j.Evaluate(now, facts)
-			if w.Weight < 1 || w.Weight > 100 || len(w.Databases) != len(facts.Databases) {
-				t.Fatalf("%+v", w)
-			}
-			if len(facts.Databases) == 0 {
+			if len(snapshot.Databases) == 0 {
 				continue
 			}
-			s, _ := judgeBase(facts.Databases[0])
-			history = append(history, seen{now, s})
-			for len(history) > 1 && now.Sub(history[1].at) > time.Second {
-				history = history[1:]
-			}
-			ok := false
-			for _, h := range history {
-				ok = ok || h.s == w.Databases[0].State
+			state, _ := databaseState(snapshot.Databases[0])
+			observed = append(observed, observedState{now, state})
+			for len(observed) > 1 && now.Sub(observed[1].at) > time.Second {
+				observed = observed[1:]
 			}
-			if !ok {
-				t.Fatalf("%v is said, and was not seen within a second: %v", w.Databases[0], history)
+			reported := r.Databases[0]
+			if !slices.ContainsFunc(observed, func(o observedState) bool { return o.state == reported.State }) {
+				t.Fatalf("%v is reported, and was not observed within a second: %v", reported, observed)
 			}
 		}
 	})
 }
+
+func changeRandomly(s *Snapshot, random *rand.Rand) {
+	shards := []int{0, 1, 2, 3}
+	if random.IntN(5) == 0 {
+		s.Databases = []DatabaseSnapshot{captions(shards[:random.IntN(3)], nil), coverage(shards[:random.IntN(5)])}
+	}
+	s.InFlight, s.MaxInFlight = random.IntN(200), 100
+	s.LoopLag = time.Duration(random.IntN(2000)) * time.Millisecond
+	s.Received += uint64(random.IntN(10))
+	s.Rejected = min(s.Received, s.Rejected+uint64(random.IntN(10)))
+}
