--- a/internal/control/backoff/backoff.go
+++ b/internal/control/backoff/backoff.go
@@ -1,33 +1,36 @@
-// Package backoff decides how long one of many callers waits before it calls a shared service again. It has no
-// clock and no chance of its own.
+// Package backoff decides how long one of many clients waits before it calls a shared service again: exponential backoff
+// with jitter. It reads no clock and draws no random numbers of its own.
 package backoff
 
 import "time"
 
-// Backoff grows the waits of one caller: each is drawn evenly between half and one and a half times a span that starts
-// at First and doubles with each failure, up to Most. The zero value of the rest is a caller that has not failed.
+// maxDoublings bounds the shift of Initial, which must not overflow.
+const maxDoublings = 16
+
+// Backoff grows the waits of one client: each is sampled evenly between half and one and a half times a span that starts at
+// Initial and doubles with each failure, up to Max. Both are set before use; a client starts with no failures.
 type Backoff struct {
 	Initial, Max time.Duration
-	fails        int
+	failures     int // since the last success
 }
 
-// ForFleet returns the back-off of one of n callers that may all fail at one moment, as when the service restarts:
-// together they call about share times a second at first, and a quarter as often in the end. A few callers wait
-// least each time.
-func ForFleet(n int, least time.Duration, share float64) Backoff {
-	first := max(least, time.Duration(float64(n)/share*float64(time.Second)))
-	if first == least {
-		return Backoff{Initial: least, Max: least}
+// ForFleet returns the backoff of one of so many clients that may all fail at one moment, as when the service restarts:
+// together they make about callsPerSecond calls at first, and a quarter as many in the end. A few clients, which could not
+// make that many calls, wait minWait each time.
+func ForFleet(clients int, minWait time.Duration, callsPerSecond float64) Backoff {
+	initial := max(minWait, time.Duration(float64(clients)/callsPerSecond*float64(time.Second)))
+	if initial == minWait {
+		return Backoff{Initial: minWait, Max: minWait}
 	}
-	return Backoff{Initial: first, Max: 4 * first}
+	return Backoff{Initial: initial, Max: 4 * initial}
 }
 
-// Next is the wait after one more failure; chance is from 0 to 1.
-func (b *Backoff) Next(chance float64) time.Duration {
-	span := min(b.Max, b.Initial<<min(b.fails, 16))
-	b.fails++
-	return time.Duration((0.5 + chance) * float64(span))
+// Next returns the wait after one more failure; random is from 0 to 1.
+func (b *Backoff) Next(random float64) time.Duration {
+	span := min(b.Max, b.Initial<<min(b.failures, maxDoublings))
+	b.failures++
+	return time.Duration((0.5 + random) * float64(span))
 }
 
 // Reset notes a call that succeeded.
-func (b *Backoff) Reset() { b.fails = 0 }
+func (b *Backoff) Reset() { b.failures = 0 }
--- a/internal/control/backoff/backoff_test.go
+++ b/internal/control/backoff/backoff_test.go
@@ -6,48 +6,66 @@
 	"time"
 )
 
-// A service that takes 30 calls a second and loses all callers at one moment must get them all back: eighty that
-// call every 200 ms keep it overbooked for ever.
-func TestManyCallersThatFailTogetherAllGetThrough(t *testing.T) {
-	const capacity, n = 30, 80
-	for name, c := range map[string]struct {
-		of Backoff
-		ok bool
-	}{"by fleet": {ForFleet(n, 200*time.Millisecond, 40), true}, "fixed": {Backoff{Initial: 200 * time.Millisecond, Max: 200 * time.Millisecond}, false}} {
-		rng := rand.New(rand.NewPCG(1, 2))
-		next, of, through := make([]time.Duration, n), make([]Backoff, n), 0
-		for i := range of {
-			of[i] = c.of
-			next[i] = of[i].Next(rng.Float64())
-		}
-		for now := time.Duration(0); now < 20*time.Second; now += time.Second {
-			var calls []int
-			for i := range next {
-				for next[i] >= 0 && next[i] < now+time.Second {
-					calls = append(calls, i)
-					next[i] += of[i].Next(rng.Float64())
-				}
-			}
-			if len(calls) > capacity {
-				continue // overbooked: all have waited too long
-			}
-			for _, i := range calls {
-				if next[i] >= 0 {
-					next[i] = -1
-					through++
-				}
+// overloadedService accepts up to a number of calls in a second; if there are more, all of them wait for too long and fail.
+type overloadedService struct {
+	callsPerSecond int
+	random         *rand.Rand
+}
+
+// connected returns how many of so many clients, which all lost the service at one moment, are connected after 20 s.
+func (s overloadedService) connected(clients int, initial Backoff) (connected int) {
+	const done = -1 // in place of the time of the next call
+	nextCall, backoffs := make([]time.Duration, clients), make([]Backoff, clients)
+	for i := range backoffs {
+		backoffs[i] = initial
+		nextCall[i] = backoffs[i].Next(s.random.Float64())
+	}
+	for second := time.Duration(0); second < 20*time.Second; second += time.Second {
+		var callers []int // with repetitions
+		for i := range nextCall {
+			for nextCall[i] != done && nextCall[i] < second+time.Second {
+				callers = append(callers, i)
+				nextCall[i] += backoffs[i].Next(s.random.Float64())
 			}
 		}
-		if got := through == n; got != c.ok {
-			t.Errorf("%s: %d of %d got through", name, through, n)
+		if len(callers) > s.callsPerSecond {
+			continue
 		}
+		for _, i := range callers {
+			if nextCall[i] != done {
+				nextCall[i] = done
+				connected++
+			}
+		}
+	}
+	return connected
+}
+
+// A service that accepts 30 calls per second and loses 80 clients at one moment gets them all back by ForFleet; clients that
+// call every 200 ms keep it overloaded for ever.
+func TestForFleet_AllClientsReconnect(t *testing.T) {
+	const capacity, clients, minWait = 30, 80, 200 * time.Millisecond
+	for name, c := range map[string]struct {
+		backoff      Backoff
+		allReconnect bool
+	}{
+		"backoff for the fleet": {ForFleet(clients, minWait, 40), true},
+		"fixed interval":        {Backoff{Initial: minWait, Max: minWait}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			service := overloadedService{callsPerSecond: capacity, random: rand.New(rand.NewPCG(1, 2))}
+			connected := service.connected(clients, c.backoff)
+			if got := connected == clients; got != c.allReconnect {
+				t.Errorf("%d of %d clients reconnected", connected, clients)
+			}
+		})
 	}
 }
 
-func TestWaits(t *testing.T) {
+func TestBackoff_Next(t *testing.T) {
 	few := ForFleet(3, 200*time.Millisecond, 40)
-	if a, b := few.Next(0.5), few.Next(0.5); a != 200*time.Millisecond || b != a {
-		t.Errorf("one of three waits %v, then %v", a, b)
+	if first, second := few.Next(0.5), few.Next(0.5); first != 200*time.Millisecond || second != first {
+		t.Errorf("one of three clients waits %v, then %v", first, second)
 	}
 	many := ForFleet(80, 200*time.Millisecond, 40)
 	var waits []time.Duration
@@ -55,10 +73,10 @@
 		waits = append(waits, many.Next(0.5))
 	}
 	if waits[0] != 2*time.Second || waits[1] != 4*time.Second || waits[39] != 8*time.Second {
-		t.Errorf("%v", waits)
+		t.Errorf("one of 80 clients waits %v", waits)
 	}
 	many.Reset()
-	if w := many.Next(0); w != time.Second {
-		t.Errorf("%v after a success", w)
+	if wait := many.Next(0); wait != time.Second {
+		t.Errorf("one of 80 clients waits %v after a success", wait)
 	}
 }
--- a/internal/control/eviction/eviction.go
+++ b/internal/control/eviction/eviction.go
@@ -1,6 +1,7 @@
-// Package room decides which connection goes when a new one needs its place: never one with an operation in hand, nor
-// one whose state was used lately; of the others first those that have asked nothing yet, then those that are idle,
-// and last those that keep state. Of equals the one that has been so longest. It does no I/O and reads no clock.
+// Package eviction decides which connection is closed when a new one needs its place: never one with an operation in
+// flight, nor one whose state was used recently. Of the others, first those that have made no request yet, then those that
+// are idle, and last those for which state is stored. Within a class, the connection that has been in it for longest goes
+// first. The package does no I/O and reads no clock.
 package eviction
 
 import (
@@ -8,23 +9,25 @@
 	"time"
 )
 
-// Class is what a connection is to its listener. Lower ones go first.
+// Class is the activity of a connection. Connections of a lower class are evicted first.
 type Class int
 
+// Classes from the first evicted to those that are never evicted.
 const (
-	Unused   Class = iota // nothing whole has come on it
-	Idle                  // nothing is in hand, nothing kept
-	Stateful              // nothing is in hand, but state is kept for it, such as result sets
-	Busy                  // an operation is in hand
-	Evicted               // it is gone for the register: being closed
-	classes
+	Unused   Class = iota // no complete request has come on it
+	Idle                  // nothing is in flight, and no state is stored
+	Stateful              // nothing is in flight, but state is stored for it, such as result sets
+	Busy                  // an operation is in flight
+	Evicted               // it is being closed
+	classCount
 )
 
-// Registry holds connections by class, each in the order in which they came to be so. A key is dropped by Remove.
+// Registry holds connections by class, each class in the order in which the connections came into it. It is not safe for
+// concurrent use. A key stays until Remove, also after its eviction.
 type Registry[K comparable] struct {
-	recent time.Duration // state used since does not go
-	lists  [classes]list.List
-	at     map[K]*list.Element
+	recent   time.Duration
+	classes  [classCount]list.List // of *entry[K], front: oldest
+	elements map[K]*list.Element   // in classes
 }
 
 type entry[K comparable] struct {
@@ -33,41 +36,44 @@
 	since time.Time
 }
 
-// New returns an empty register. State that was used within recent is safe.
+// New returns an empty registry. A Stateful connection that was set within recent is not evicted.
 func New[K comparable](recent time.Duration) *Registry[K] {
-	return &Registry[K]{recent: recent, at: map[K]*list.Element{}}
+	return &Registry[K]{recent: recent, elements: map[K]*list.Element{}}
 }
 
-// Set says what a connection is from now on. To be put into the same class again counts as use.
-func (r *Registry[K]) Set(k K, c Class, now time.Time) {
-	r.Remove(k)
-	r.at[k] = r.lists[c].PushBack(&entry[K]{k, c, now})
+// Set puts a connection into a class, as its newest. Setting the same class again counts as use.
+func (r *Registry[K]) Set(key K, class Class, now time.Time) {
+	r.Remove(key)
+	r.elements[key] = r.classes[class].PushBack(&entry[K]{key, class, now})
 }
 
-// Remove forgets a connection.
-func (r *Registry[K]) Remove(k K) {
-	if e := r.at[k]; e != nil {
-		r.lists[e.Value.(*entry[K]).class].Remove(e)
-		delete(r.at, k)
+// Remove forgets a connection, if it is in the registry.
+func (r *Registry[K]) Remove(key K) {
+	if element := r.elements[key]; element != nil {
+		r.classes[entryOf[K](element).class].Remove(element)
+		delete(r.elements, key)
 	}
 }
 
-// Evict returns the connection that is to go, if any may, and takes it for closed from then on.
-func (r *Registry[K]) Evict(now time.Time) (k K, ok bool) {
-	for c := Unused; c <= Stateful; c++ {
-		e := r.lists[c].Front()
-		if e == nil {
+// Evict chooses the connection that is to be closed and puts it into the class Evicted; ok is false if none may be closed.
+func (r *Registry[K]) Evict(now time.Time) (key K, ok bool) {
+	for class := Unused; class <= Stateful; class++ {
+		front := r.classes[class].Front()
+		if front == nil {
 			continue
 		}
-		en := e.Value.(*entry[K])
-		if c == Stateful && now.Sub(en.since) < r.recent {
+		oldest := entryOf[K](front)
+		if class == Stateful && now.Sub(oldest.since) < r.recent {
 			continue
 		}
-		r.Set(en.key, Evicted, now)
-		return en.key, true
+		r.Set(oldest.key, Evicted, now)
+		return oldest.key, true
 	}
-	return k, false
+	return key, false
 }
 
-// Len is the number of connections of a class.
-func (r *Registry[K]) Len(c Class) int { return r.lists[c].Len() }
+// Len returns the number of connections of a class.
+func (r *Registry[K]) Len(class Class) int { return r.classes[class].Len() }
+
+// entryOf returns the value of an element, which Set put there.
+func entryOf[K comparable](element *list.Element) *entry[K] { return element.Value.(*entry[K]) }
--- a/internal/control/eviction/eviction_test.go
+++ b/internal/control/eviction/eviction_test.go
@@ -8,69 +8,92 @@
 
 var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func TestWhoGoesFirst(t *testing.T) {
-	r, now := New[string](time.Minute), origin
+func TestRegistry_EvictsByClassThenByAge(t *testing.T) {
+	registry, now := New[string](time.Minute), origin
 	for _, c := range []struct {
-		k string
-		c Class
-	}{{"busy", Busy}, {"kept", Stateful}, {"idle1", Idle}, {"idle2", Idle}, {"fresh1", Unused}, {"fresh2", Unused}} {
-		r.Set(c.k, c.c, now)
+		key   string
+		class Class
+	}{
+		{"busy", Busy}, {"stateful", Stateful}, {"idle1", Idle}, {"idle2", Idle}, {"unused1", Unused}, {"unused2", Unused},
+	} {
+		registry.Set(c.key, c.class, now)
 		now = now.Add(time.Second)
 	}
-	r.Set("idle1", Idle, now) // used again
-	for _, want := range []string{"fresh1", "fresh2", "idle2", "idle1"} {
-		if k, ok := r.Evict(now); !ok || k != want {
-			t.Fatalf("%s goes, not %s", k, want)
+	registry.Set("idle1", Idle, now) // used again
+	for _, want := range []string{"unused1", "unused2", "idle2", "idle1"} {
+		if key, ok := registry.Evict(now); !ok || key != want {
+			t.Fatalf("%q is evicted, want %s", key, want)
 		}
 	}
-	if k, ok := r.Evict(now); ok {
-		t.Fatalf("%s goes, and its state was used lately", k)
+	if key, ok := registry.Evict(now); ok {
+		t.Fatalf("%s is evicted, and its state was used recently", key)
 	}
-	if k, ok := r.Evict(now.Add(time.Minute)); !ok || k != "kept" {
-		t.Fatalf("%s goes, not kept", k)
+	if key, ok := registry.Evict(now.Add(time.Minute)); !ok || key != "stateful" {
+		t.Fatalf("%q is evicted, want stateful", key)
 	}
-	if k, ok := r.Evict(now.Add(time.Hour)); ok {
-		t.Fatalf("%s goes, and is busy", k)
+	if key, ok := registry.Evict(now.Add(time.Hour)); ok {
+		t.Fatalf("%s is evicted, and is busy", key)
 	}
 }
 
-// Against a plain model: no busy one ever goes, none twice, and who goes has the lowest class there is.
-func FuzzRegister(f *testing.F) {
+const testRecent = time.Second
+
+// modelEntry is a connection of the plain model.
+type modelEntry struct {
+	class Class
+	since time.Time
+}
+
+func (e modelEntry) isEvictable(now time.Time) bool {
+	switch e.class {
+	case Unused, Idle:
+		return true
+	case Stateful:
+		return now.Sub(e.since) >= testRecent
+	}
+	return false
+}
+
+// firstEvicted returns the connection of the model that is to be evicted first.
+func firstEvicted(model map[int]modelEntry, now time.Time) (first int, found bool) {
+	for key, e := range model {
+		if !e.isEvictable(now) {
+			continue
+		}
+		best := model[first]
+		if !found || e.class < best.class || e.class == best.class && e.since.Before(best.since) {
+			first, found = key, true
+		}
+	}
+	return first, found
+}
+
+// FuzzRegistry compares a Registry with a plain model: no busy connection is evicted, none twice, and the evicted one is
+// the oldest of the lowest class.
+func FuzzRegistry(f *testing.F) {
 	f.Add(uint64(1), uint16(500))
 	f.Fuzz(func(t *testing.T, seed uint64, steps uint16) {
-		rng := rand.New(rand.NewPCG(seed, 3))
-		r, now := New[int](time.Second), origin
-		type is struct {
-			c  Class
-			at time.Time
-		}
-		model := map[int]is{}
+		random := rand.New(rand.NewPCG(seed, 3))
+		registry, now := New[int](testRecent), origin
+		model := map[int]modelEntry{}
 		for range steps % 2000 {
-			now = now.Add(time.Duration(1+rng.IntN(300)) * time.Millisecond)
-			k := rng.IntN(20)
-			switch rng.IntN(4) {
+			now = now.Add(time.Duration(1+random.IntN(300)) * time.Millisecond)
+			key := random.IntN(20)
+			switch random.IntN(4) {
 			case 0:
-				r.Remove(k)
-				delete(model, k)
+				registry.Remove(key)
+				delete(model, key)
 			case 1, 2:
-				c := Class(rng.IntN(4))
-				r.Set(k, c, now)
-				model[k] = is{c, now}
+				class := Class(random.IntN(4))
+				registry.Set(key, class, now)
+				model[key] = modelEntry{class, now}
 			case 3:
-				want, found := 0, false
-				for k, m := range model {
-					if m.c > Stateful || m.c == Stateful && now.Sub(m.at) < time.Second {
-						continue
-					}
-					if b := model[want]; !found || m.c < b.c || m.c == b.c && m.at.Before(b.at) {
-						want, found = k, true
-					}
-				}
-				if k, ok := r.Evict(now); ok != found || ok && k != want {
-					t.Fatalf("%d %v goes, not %d %v", k, ok, want, found)
+				want, found := firstEvicted(model, now)
+				if got, ok := registry.Evict(now); ok != found || ok && got != want {
+					t.Fatalf("%d %v is evicted, want %d %v", got, ok, want, found)
 				}
 				if found {
-					model[want] = is{Evicted, now}
+					model[want] = modelEntry{Evicted, now}
 				}
 			}
 		}
--- /dev/null
+++ b/internal/control/scheduler/queue.go
@@ -0,0 +1,33 @@
+package scheduler
+
+// compactAfter is how many consumed entries a queue keeps before it moves the others to the front.
+const compactAfter = 1024
+
+// readyQueue is a FIFO queue that reuses its memory.
+type readyQueue struct {
+	entries []readyEntry
+	head    int // index of the first entry that has not been popped
+}
+
+// readyEntry is stale if the task's generation has changed since.
+type readyEntry struct {
+	id         TaskID
+	generation uint32
+}
+
+func (q *readyQueue) push(e readyEntry) { q.entries = append(q.entries, e) }
+
+func (q *readyQueue) isEmpty() bool { return q.head == len(q.entries) }
+
+// pop removes the first entry; the queue must not be empty.
+func (q *readyQueue) pop() readyEntry {
+	e := q.entries[q.head]
+	q.head++
+	switch {
+	case q.isEmpty():
+		q.entries, q.head = q.entries[:0], 0
+	case q.head > compactAfter && q.head > len(q.entries)/2:
+		q.entries, q.head = append(q.entries[:0], q.entries[q.head:]...), 0
+	}
+	return e
+}
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -1,6 +1,6 @@
-// Package schedule decides when background work runs: which task next, within a budget of starts a second and at
-// once, by priority, and at a pace that follows what the task last showed. It does no I/O, reads no clock and
-// starts nothing: it is told the time and what has ended, and says what to start.
+// Package scheduler decides when background work runs: which task next, within a budget of starts per second and of
+// concurrent runs, by priority, and at an interval that depends on the result of the task's last run. It does no I/O, reads
+// no clock and starts no goroutine: its owner passes in the time and the ends of runs, and starts the runs that it returns.
 package scheduler
 
 import (
@@ -12,320 +12,274 @@
 	"rooktrestle/internal/control/timers"
 )
 
-// Priority of a task. Lower comes first; none starves.
-type Priority int
-
-const (
-	Urgent Priority = iota // whose answer somebody waits for
-	Normal                 // health checks
-	Idle                   // whatever has time
-	priorities
-)
-
-// turns is how many starts in a row a priority may take while a lower one waits. Guards the lower ones against
-// starving, however long the higher have work.
-var turns = [priorities]int{8, 4, 1}
-
-// Result is what a task last showed.
-type Result int
-
-const (
-	Steady  Result = iota // as before: the usual interval
-	Changed               // something changed: the fast one for a while
-	Down                  // still down: the slow one
-)
-
-// Task is one piece of work that recurs.
-type Task struct {
-	Priority     Priority
-	Interval     time.Duration // usual interval, from one start to the next
-	FastInterval time.Duration // after a change; 0: Every
-	SlowInterval time.Duration // while down; 0: Every
-	FastRuns     int           // runs at the fast interval after a change
-}
-
-// Budget bounds what runs.
+// Budget limits what a Scheduler starts.
 type Budget struct {
-	StartsPerSecond float64 // starts a second, on the mean
-	Burst           int     // starts at once after a lull
-	MaxRunning      int     // runs at once
+	StartsPerSecond float64 // on average; more than 0
+	Burst           int     // starts at once after a quiet time; at least 1
+	MaxRunning      int     // concurrent runs; at least 2
 	Jitter          float64 // share of an interval by which a start may be early or late, 0 to 0.5
 }
 
-func (b Budget) check() error {
+// maxJitter is the largest Budget.Jitter.
+const maxJitter = 0.5
+
+func (b Budget) validate() error {
 	switch {
-	case !(b.StartsPerSecond > 0):
+	case !(b.StartsPerSecond > 0): // or not a number
 		return fmt.Errorf("%v starts a second: must be more than 0", b.StartsPerSecond)
 	case b.Burst < 1:
 		return errors.New("a burst must be at least 1")
 	case b.MaxRunning < 2:
 		return errors.New("at least 2 runs at once: work that hangs may take half of them")
-	case !(b.Jitter >= 0 && b.Jitter <= 0.5):
-		return fmt.Errorf("jitter %v: 0 to 0.5", b.Jitter)
+	case !(b.Jitter >= 0 && b.Jitter <= maxJitter): // or not a number
+		return fmt.Errorf("jitter %v: 0 to %v", b.Jitter, maxJitter)
 	}
 	return nil
 }
 
-// Part names a task.
-type TaskID int
-
-// Stats count what the schedule did.
+// Stats counts what a Scheduler did.
 type Stats struct {
-	Starts, Delayed uint64        // Held: starts that had to wait for budget or room
-	LastDelay       time.Duration // of the last start
-	MaxDelay        time.Duration
+	Starts    uint64
+	Delayed   uint64        // calls of Advance that left a ready task waiting for the budget of starts
+	LastDelay time.Duration // of the last start, after its due time
+	MaxDelay  time.Duration // of any start
 }
 
-type state int8
-
-const (
-	gone state = iota
-	waiting
-	ready
-	running
-)
-
-type task struct {
-	Task
-	state  state
-	slow   bool // its last run hung or failed: it may only take a share of the room
-	due    time.Time
-	begun  time.Time
-	fast   int // runs left at the fast interval
-	urgent bool
-	again  bool // asked for while running
-	gen    uint32
-}
-
-// Scheduler holds tasks. It is owned by one goroutine.
+// Scheduler holds tasks. It is owned by one goroutine, and times must not go back.
 type Scheduler struct {
-	budget Budget
-	rng    *rand.Rand
-	timers timers.Timers
-	tasks  []task
-	free   []TaskID
-	queues [priorities][2]queue // of what is ready; [1]: slow ones
-	taken  [priorities]int      // starts in a row
-	tokens float64
-	now    time.Time
-	run    int // running
-	hung   int // of these, slow
-	starts []TaskID
-	Stats  Stats
-}
-
-// queue is a FIFO of ids that keeps its memory.
-type queue struct {
-	ids  []entry
-	head int
-}
-
-type entry struct {
-	id  TaskID
-	gen uint32
-}
-
-func (q *queue) push(e entry) { q.ids = append(q.ids, e) }
-func (q *queue) empty() bool  { return q.head == len(q.ids) }
-func (q *queue) pop() entry {
-	e := q.ids[q.head]
-	if q.head++; q.head == len(q.ids) {
-		q.ids, q.head = q.ids[:0], 0
-	} else if q.head > 1024 && q.head > len(q.ids)/2 {
-		q.ids, q.head = append(q.ids[:0], q.ids[q.head:]...), 0
-	}
-	return e
+	// Stats is read by the owner only.
+	Stats Stats
+
+	budget      Budget
+	random      *rand.Rand
+	timers      timers.Timers // of the tasks in stateWaiting
+	tasks       []task        // by id
+	freeIDs     []TaskID
+	ready       [priorityCount][laneCount]readyQueue
+	consecutive [priorityCount]int // starts since all priorities had their turn
+	tokens      float64            // starts that the budget allows now
+	now         time.Time          // when tokens was computed
+	running     int
+	runningHung int // of these, tasks of hungLane
+	starts      []TaskID
 }
 
-// New returns an empty schedule. Its chance comes from seed alone. t must be empty.
-func New(b Budget, seed uint64, start time.Time, t timers.Timers) (*Scheduler, error) {
-	if err := b.check(); err != nil {
-		return nil, fmt.Errorf("schedule: %w", err)
+// New returns a Scheduler without tasks, which takes ownership of the empty t. All random numbers come from seed. An error
+// says what is wrong with the budget.
+func New(budget Budget, seed uint64, start time.Time, t timers.Timers) (*Scheduler, error) {
+	if err := budget.validate(); err != nil {
+		return nil, fmt.Errorf("scheduler: check budget: %w", err)
 	}
+	const streamSelector = 0x5851f42d4c957f2d // arbitrary, fixed: equal seeds give equal schedules
 	return &Scheduler{
-		budget: b, rng: rand.New(rand.NewPCG(seed, seed^0x5851f42d4c957f2d)), timers: t, tokens: float64(b.Burst), now: start,
+		budget: budget,
+		random: rand.New(rand.NewPCG(seed, seed^streamSelector)),
+		timers: t,
+		tokens: float64(budget.Burst),
+		now:    start,
 	}, nil
 }
 
-// Add takes a task. Its first run lies anywhere within first, so that tasks added together do not run together.
-func (s *Scheduler) Add(now time.Time, t Task, first time.Duration) TaskID {
-	s.advance(now)
-	var id TaskID
-	if n := len(s.free); n > 0 {
-		id, s.free = s.free[n-1], s.free[:n-1]
-	} else {
-		id = TaskID(len(s.tasks))
-		s.tasks = append(s.tasks, task{})
-	}
-	k := &s.tasks[id]
-	*k = task{Task: t, state: waiting, due: now.Add(time.Duration(s.rng.Float64() * float64(first))), gen: k.gen + 1}
-	s.timers.Set(int(id), k.due)
+// Add adds a task. Its first run is at a random time within firstWithin, so that tasks added together do not run together.
+func (s *Scheduler) Add(now time.Time, t Task, firstWithin time.Duration) TaskID {
+	s.refill(now)
+	id := s.newID()
+	due := now.Add(time.Duration(s.random.Float64() * float64(firstWithin)))
+	s.tasks[id] = task{Task: t, state: stateWaiting, due: due, generation: s.tasks[id].generation + 1}
+	s.timers.Set(int(id), due)
 	return id
 }
 
-// Remove forgets a task. One that runs is forgotten once it is done.
+// newID returns an id that no task has.
+func (s *Scheduler) newID() TaskID {
+	if n := len(s.freeIDs); n > 0 {
+		id := s.freeIDs[n-1]
+		s.freeIDs = s.freeIDs[:n-1]
+		return id
+	}
+	s.tasks = append(s.tasks, task{})
+	return TaskID(len(s.tasks) - 1)
+}
+
+// Remove removes a task. One that is running is removed once it is Done.
 func (s *Scheduler) Remove(id TaskID) {
-	k := &s.tasks[id]
-	switch k.state {
-	case gone:
+	t := &s.tasks[id]
+	switch t.state {
+	case stateUnused:
 		return
-	case running:
-		k.again, k.Interval = false, -1 // Done lets it go
+	case stateRunning:
+		t.runAgain = false
+		t.Interval = removedAfterRun
 		return
-	case waiting:
+	case stateWaiting:
 		s.timers.Cancel(int(id))
 	}
-	s.forget(id)
+	s.release(id)
 }
 
-func (s *Scheduler) forget(id TaskID) {
-	s.tasks[id].state = gone
-	s.tasks[id].gen++
-	s.free = append(s.free, id)
+// release frees the id of a removed task.
+func (s *Scheduler) release(id TaskID) {
+	s.tasks[id].state = stateUnused
+	s.tasks[id].generation++
+	s.freeIDs = append(s.freeIDs, id)
 }
 
-// RunNow makes a task due now, before others of its priority if it is urgent. One that runs runs once more.
+// RunNow makes a waiting task due now and urgent. One that is running runs once more after that.
 func (s *Scheduler) RunNow(now time.Time, id TaskID) {
-	s.advance(now)
-	switch k := &s.tasks[id]; k.state {
-	case running:
-		k.again = true
-	case waiting:
+	s.refill(now)
+	switch t := &s.tasks[id]; t.state {
+	case stateRunning:
+		t.runAgain = true
+	case stateWaiting:
 		s.timers.Cancel(int(id))
-		k.urgent, k.due = true, now
+		t.urgent, t.due = true, now
 		s.enqueue(id)
 	}
 }
 
-// Done says that a run has ended, and what the task showed. hung: it took up its whole time, so that the next run
-// of it may only take a share of the room.
-func (s *Scheduler) Done(now time.Time, id TaskID, pace Result, hung bool) {
-	s.advance(now)
-	k := &s.tasks[id]
-	if k.state != running {
+// Done notes that a run has ended, and its result. hung says that it took up all the time it had, so that the task's next
+// run gets a part of the capacity only. A task that is not running is left as it is.
+func (s *Scheduler) Done(now time.Time, id TaskID, result Result, hung bool) {
+	s.refill(now)
+	t := &s.tasks[id]
+	if t.state != stateRunning {
 		return
 	}
-	s.run--
-	if k.slow {
-		s.hung--
-	}
-	k.slow = hung
-	if k.Interval < 0 {
-		s.forget(id)
-		return
+	s.running--
+	if t.lane == hungLane {
+		s.runningHung--
 	}
-	if pace == Changed {
-		k.fast = k.FastRuns
+	t.lane = soundLane
+	if hung {
+		t.lane = hungLane
 	}
-	every := k.Interval
-	switch {
-	case k.fast > 0 && k.FastInterval > 0:
-		k.fast--
-		every = k.FastInterval
-	case pace == Down && k.SlowInterval > 0:
-		every = k.SlowInterval
+	if t.Interval < 0 {
+		s.release(id)
+		return
 	}
-	// From the start of this run, but never less than half an interval from its end. Guards against work that
-	// takes as long as its interval and would run all the time.
-	next := k.begun.Add(s.spread(every))
-	if rest := now.Add(every / 2); next.Before(rest) {
-		next = rest
+	s.reschedule(now, id, t.nextInterval(result))
+}
+
+// reschedule sets the due time of a task whose run has ended.
+func (s *Scheduler) reschedule(now time.Time, id TaskID, interval time.Duration) {
+	t := &s.tasks[id]
+	// The interval counts from the start of the last run, but at least half of it from the end: work that takes as long as
+	// its interval must not run all the time.
+	due := t.started.Add(s.jitter(interval))
+	if earliest := now.Add(interval / 2); due.Before(earliest) {
+		due = earliest
 	}
-	k.urgent = false
-	if k.again {
-		k.again, k.urgent, next = false, true, now
+	t.urgent = t.runAgain
+	if t.runAgain {
+		t.runAgain, due = false, now
 	}
-	k.due, k.state = next, waiting
-	s.timers.Set(int(id), next)
+	t.due, t.state = due, stateWaiting
+	s.timers.Set(int(id), due)
 }
 
-func (s *Scheduler) spread(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (1 + s.budget.Jitter*(2*s.rng.Float64()-1)))
+func (s *Scheduler) jitter(interval time.Duration) time.Duration {
+	return time.Duration(float64(interval) * (1 + s.budget.Jitter*(2*s.random.Float64()-1)))
 }
 
-func (s *Scheduler) advance(now time.Time) {
-	if d := now.Sub(s.now); d > 0 {
-		s.tokens = min(float64(s.budget.Burst), s.tokens+s.budget.StartsPerSecond*d.Seconds())
+// refill adds the tokens for the time since the last call.
+func (s *Scheduler) refill(now time.Time) {
+	if elapsed := now.Sub(s.now); elapsed > 0 {
+		s.tokens = min(float64(s.budget.Burst), s.tokens+s.budget.StartsPerSecond*elapsed.Seconds())
 		s.now = now
 	}
 }
 
+// enqueue puts a task that is due into its ready queue.
 func (s *Scheduler) enqueue(id TaskID) {
-	k := &s.tasks[id]
-	k.state = ready
-	p, lane := k.Priority, 0
-	if k.urgent {
-		p = Urgent
-	}
-	if k.slow {
-		lane = 1
+	t := &s.tasks[id]
+	t.state = stateReady
+	priority := t.Priority
+	if t.urgent {
+		priority = Urgent
 	}
-	s.queues[p][lane].push(entry{id, k.gen})
+	s.ready[priority][t.lane].push(readyEntry{id, t.generation})
 }
 
-// room says whether a lane may start one more. Guards sound targets against those that hang: these may take half
-// of the room at most.
-func (s *Scheduler) room(lane int) bool {
-	return s.run < s.budget.MaxRunning && (lane == 0 || s.hung < s.budget.MaxRunning/2)
+// hasCapacity reports whether one more task of a lane may run. Tasks that hang get half of the runs at most, so that they
+// do not delay the sound ones.
+func (s *Scheduler) hasCapacity(l lane) bool {
+	if s.running >= s.budget.MaxRunning {
+		return false
+	}
+	return l == soundLane || s.runningHung < s.budget.MaxRunning/2
 }
 
-// Advance returns what is to be started now, in order. The slice is good until the next call.
+// Advance returns the tasks that the owner is to start now, in order; each counts as running until it is Done. The slice is
+// valid until the next call.
 func (s *Scheduler) Advance(now time.Time) []TaskID {
-	s.advance(now)
+	s.refill(now)
 	s.timers.Pop(now, func(id int) { s.enqueue(TaskID(id)) })
 	s.starts = s.starts[:0]
 	for s.tokens >= 1 {
-		id, ok := s.pick()
+		id, ok := s.popReady()
 		if !ok {
 			break
 		}
-		k := &s.tasks[id]
-		s.tokens--
-		s.run++
-		if k.slow {
-			s.hung++
-		}
-		k.state, k.begun = running, now
-		late := max(0, now.Sub(k.due))
-		s.Stats.Starts++
-		s.Stats.LastDelay, s.Stats.MaxDelay = late, max(s.Stats.MaxDelay, late)
-		s.starts = append(s.starts, id)
+		s.start(now, id)
 	}
-	if s.waits() {
+	if s.waitsForToken() {
 		s.Stats.Delayed++
 	}
 	return s.starts
 }
 
-// pick takes the next ready task that has room: the highest priority, but for those whose turns are used up.
-func (s *Scheduler) pick() (TaskID, bool) {
-	for pass := range 2 {
-		for p := range priorities {
-			if pass == 0 && s.taken[p] >= turns[p] {
+func (s *Scheduler) start(now time.Time, id TaskID) {
+	t := &s.tasks[id]
+	s.tokens--
+	s.running++
+	if t.lane == hungLane {
+		s.runningHung++
+	}
+	t.state, t.started = stateRunning, now
+	delay := max(0, now.Sub(t.due))
+	s.Stats.Starts++
+	s.Stats.LastDelay = delay
+	s.Stats.MaxDelay = max(s.Stats.MaxDelay, delay)
+	s.starts = append(s.starts, id)
+}
+
+// popReady removes the next ready task for which there is capacity: of the highest priority that has starts in a row left,
+// or if none has, of the highest priority.
+func (s *Scheduler) popReady() (TaskID, bool) {
+	for _, respectTurns := range []bool{true, false} {
+		for priority := range priorityCount {
+			if respectTurns && s.consecutive[priority] >= maxConsecutive[priority] {
 				continue
 			}
-			for lane := range 2 {
-				q := &s.queues[p][lane]
-				for !q.empty() && s.room(lane) {
-					e := q.pop()
-					if k := &s.tasks[e.id]; k.gen != e.gen || k.state != ready {
-						continue
-					}
-					s.taken[p]++
-					return e.id, true
-				}
+			if id, ok := s.popPriority(priority); ok {
+				s.consecutive[priority]++
+				return id, true
+			}
+		}
+		clear(s.consecutive[:])
+	}
+	return 0, false
+}
+
+// popPriority removes the next ready task of a priority for which there is capacity.
+func (s *Scheduler) popPriority(priority Priority) (TaskID, bool) {
+	for l := range laneCount {
+		queue := &s.ready[priority][l]
+		for !queue.isEmpty() && s.hasCapacity(l) {
+			entry := queue.pop()
+			if t := &s.tasks[entry.id]; t.generation == entry.generation && t.state == stateReady {
+				return entry.id, true
 			}
 		}
-		clear(s.taken[:])
 	}
 	return 0, false
 }
 
-// waits says whether something ready could start but for tokens.
-func (s *Scheduler) waits() bool {
-	for p := range priorities {
-		for lane := range 2 {
-			if !s.queues[p][lane].empty() && s.room(lane) {
+// waitsForToken reports whether a ready task could start but for the budget of starts.
+func (s *Scheduler) waitsForToken() bool {
+	for priority := range priorityCount {
+		for l := range laneCount {
+			if !s.ready[priority][l].isEmpty() && s.hasCapacity(l) {
 				return true
 			}
 		}
@@ -333,26 +287,27 @@
 	return false
 }
 
-// Next is when Advance should be called next if nothing else happens; ok is false if nothing is to come.
-func (s *Scheduler) Next() (time.Time, bool) {
-	t, ok := s.timers.Next()
-	if s.waits() { // for a token
-		at := s.now.Add(time.Duration((1 - s.tokens) / s.budget.StartsPerSecond * float64(time.Second)))
-		if at.Before(s.now) {
-			at = s.now
-		}
-		if !ok || at.Before(t) {
-			return at, true
-		}
+// Next returns when Advance should be called next if nothing else happens; ok is false if nothing is due.
+func (s *Scheduler) Next() (t time.Time, ok bool) {
+	t, ok = s.timers.Next()
+	if !s.waitsForToken() {
+		return t, ok
+	}
+	tokenAt := s.now.Add(time.Duration((1 - s.tokens) / s.budget.StartsPerSecond * float64(time.Second)))
+	if tokenAt.Before(s.now) {
+		tokenAt = s.now
+	}
+	if !ok || tokenAt.Before(t) {
+		return tokenAt, true
 	}
 	return t, ok
 }
 
-// Due is when a task was due to run last, or is due next.
+// Due returns when a task was due to run last, or is due next.
 func (s *Scheduler) Due(id TaskID) time.Time { return s.tasks[id].due }
 
-// Running is the number of runs in hand.
-func (s *Scheduler) Running() int { return s.run }
+// Running returns the number of tasks that are running.
+func (s *Scheduler) Running() int { return s.running }
 
-// Len is the number of tasks.
-func (s *Scheduler) Len() int { return len(s.tasks) - len(s.free) }
+// Len returns the number of tasks, those included that are removed once they are Done.
+func (s *Scheduler) Len() int { return len(s.tasks) - len(s.freeIDs) }
--- a/internal/control/scheduler/scheduler_test.go
+++ b/internal/control/scheduler/scheduler_test.go
@@ -1,9 +1,7 @@
 package scheduler
 
 import (
-	"fmt"
 	"math/rand/v2"
-	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -13,305 +11,333 @@
 
 var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func fresh(t testing.TB, b Budget) *Scheduler {
+func newScheduler(t testing.TB, budget Budget) *Scheduler {
 	t.Helper()
-	s, err := New(b, 7, origin, timers.NewWheel(origin, time.Millisecond))
+	s, err := New(budget, 7, origin, timers.NewWheel(origin, time.Millisecond))
 	if err != nil {
 		t.Fatal(err)
 	}
 	return s
 }
 
-// rig runs tasks in virtual time: each run takes what takes says, and ends as it says.
-type rig struct {
-	s     *Scheduler
-	now   time.Time
-	ends  []ending
-	log   map[TaskID][]time.Time
-	most  int // runs at once
-	takes func(TaskID) (time.Duration, Result, bool)
+// simulation runs a scheduler's tasks in virtual time.
+type simulation struct {
+	s          *Scheduler
+	now        time.Time
+	ends       []runEnd
+	starts     map[TaskID][]time.Time
+	maxRunning int
+	run        func(TaskID) run // decides what a run does
 }
 
-type ending struct {
-	at   time.Time
-	id   TaskID
-	pace Result
-	hung bool
+// run is what a run of a task does.
+type run struct {
+	duration time.Duration
+	result   Result
+	hung     bool
 }
 
-func (r *rig) until(end time.Time) {
+type runEnd struct {
+	at time.Time
+	id TaskID
+	run
+}
+
+func newSimulation(s *Scheduler) *simulation {
+	return &simulation{
+		s:      s,
+		now:    origin,
+		starts: map[TaskID][]time.Time{},
+		run:    func(TaskID) run { return run{duration: time.Millisecond} },
+	}
+}
+
+// advanceTo starts and ends runs until a time.
+func (m *simulation) advanceTo(end time.Time) {
 	for {
-		for _, id := range r.s.Advance(r.now) {
-			r.log[id] = append(r.log[id], r.now)
-			d, p, hung := r.takes(id)
-			r.ends = append(r.ends, ending{r.now.Add(d), id, p, hung})
-		}
-		r.most = max(r.most, r.s.Running())
-		next := end
-		if t, ok := r.s.Next(); ok && t.Before(next) {
-			next = t
-		}
-		for _, e := range r.ends {
-			if e.at.Before(next) {
-				next = e.at
-			}
-		}
-		if !next.After(r.now) {
-			next = r.now.Add(time.Millisecond)
+		m.startRuns()
+		next := m.nextEvent(end)
+		if !next.After(m.now) {
+			next = m.now.Add(time.Millisecond)
 		}
 		if !next.Before(end) {
-			r.now = end
+			m.now = end
 			return
 		}
-		r.now = next
-		r.ends = slices.DeleteFunc(r.ends, func(e ending) bool {
-			if e.at.After(r.now) {
-				return false
-			}
-			r.s.Done(r.now, e.id, e.pace, e.hung)
-			return true
-		})
+		m.now = next
+		m.endRuns()
 	}
 }
 
-func quick(TaskID) (time.Duration, Result, bool) { return time.Millisecond, Steady, false }
+func (m *simulation) startRuns() {
+	for _, id := range m.s.Advance(m.now) {
+		m.starts[id] = append(m.starts[id], m.now)
+		r := m.run(id)
+		m.ends = append(m.ends, runEnd{m.now.Add(r.duration), id, r})
+	}
+	m.maxRunning = max(m.maxRunning, m.s.Running())
+}
 
-func newRig(s *Scheduler) *rig {
-	return &rig{s: s, now: origin, log: map[TaskID][]time.Time{}, takes: quick}
+// nextEvent returns when the scheduler or a run has something to do, at the latest end.
+func (m *simulation) nextEvent(end time.Time) time.Time {
+	next := end
+	if t, ok := m.s.Next(); ok && t.Before(next) {
+		next = t
+	}
+	for _, e := range m.ends {
+		if e.at.Before(next) {
+			next = e.at
+		}
+	}
+	return next
+}
+
+func (m *simulation) endRuns() {
+	m.ends = slices.DeleteFunc(m.ends, func(e runEnd) bool {
+		if e.at.After(m.now) {
+			return false
+		}
+		m.s.Done(m.now, e.id, e.result, e.hung)
+		return true
+	})
+}
+
+// startsWithin advances by a duration and returns how often a task started in it.
+func (m *simulation) startsWithin(d time.Duration, id TaskID) int {
+	before := len(m.starts[id])
+	m.advanceTo(m.now.Add(d))
+	return len(m.starts[id]) - before
 }
 
-// Tasks that were added together do not beat together, and each keeps its interval.
-func TestStartsAreSpread(t *testing.T) {
-	s := fresh(t, Budget{StartsPerSecond: 10000, Burst: 1000, MaxRunning: 1000, Jitter: 0.1})
-	r := newRig(s)
+// Tasks that were added together do not start together, and each keeps its interval.
+func TestScheduler_StartsAreSpread(t *testing.T) {
+	s := newScheduler(t, Budget{StartsPerSecond: 10000, Burst: 1000, MaxRunning: 1000, Jitter: 0.1})
+	m := newSimulation(s)
 	for range 1000 {
 		s.Add(origin, Task{Priority: Normal, Interval: 2 * time.Second}, 2*time.Second)
 	}
-	r.until(origin.Add(60 * time.Second))
-	at := map[int64]int{}
-	for id, runs := range r.log {
-		if len(runs) < 28 || len(runs) > 33 {
-			t.Errorf("task %d ran %d times in a minute", id, len(runs))
+	m.advanceTo(origin.Add(60 * time.Second))
+	startsBySlot := map[int64]int{} // of 10 ms
+	for id, starts := range m.starts {
+		if len(starts) < 28 || len(starts) > 33 {
+			t.Errorf("task %d ran %d times in a minute", id, len(starts))
 		}
-		for i, when := range runs {
-			if at[when.Sub(origin).Milliseconds()/10]++; i > 0 {
-				if gap := when.Sub(runs[i-1]); gap < 1790*time.Millisecond || gap > 2210*time.Millisecond {
-					t.Fatalf("task %d: %v between two runs", id, gap)
-				}
+		for i, at := range starts {
+			startsBySlot[at.Sub(origin).Milliseconds()/10]++
+			if i == 0 {
+				continue
+			}
+			if interval := at.Sub(starts[i-1]); interval < 1790*time.Millisecond || interval > 2210*time.Millisecond {
+				t.Fatalf("task %d: %v between two starts", id, interval)
 			}
 		}
 	}
-	for slot, n := range at { // 5 on the mean in 10 ms; all of them if they beat together
+	for slot, n := range startsBySlot { // 5 on average; all of them if they start together
 		if n > 25 {
 			t.Errorf("%d starts in the 10 ms from %d on", n, slot*10)
 		}
 	}
 }
 
-// Targets that hang take half of the room at most: the sound ones among 1,000 keep their interval.
-func TestTargetsThatHangDelayNoOther(t *testing.T) {
-	s := fresh(t, Budget{StartsPerSecond: 2000, Burst: 64, MaxRunning: 64, Jitter: 0.1})
-	r := newRig(s)
-	r.takes = func(id TaskID) (time.Duration, Result, bool) {
-		if id < 900 {
-			return time.Second, Down, true
+// Targets that hang take half of the capacity at most: the sound ones among 1,000 keep their interval.
+func TestScheduler_HangingTargetsDelayNoOthers(t *testing.T) {
+	s := newScheduler(t, Budget{StartsPerSecond: 2000, Burst: 64, MaxRunning: 64, Jitter: 0.1})
+	m := newSimulation(s)
+	const hanging, all = 900, 1000
+	m.run = func(id TaskID) run {
+		if id < hanging {
+			return run{time.Second, Down, true}
 		}
-		return 2 * time.Millisecond, Steady, false
+		return run{2 * time.Millisecond, Steady, false}
 	}
-	for range 1000 {
+	for range all {
 		s.Add(origin, Task{Priority: Normal, Interval: 2 * time.Second}, 2*time.Second)
 	}
-	r.until(origin.Add(60 * time.Second))
-	if r.most > 64 {
-		t.Errorf("%d runs at once", r.most)
+	m.advanceTo(origin.Add(60 * time.Second))
+	if m.maxRunning > 64 {
+		t.Errorf("%d runs at once", m.maxRunning)
 	}
-	for id := TaskID(900); id < 1000; id++ {
-		// All are taken for sound until their first run has hung: from then on the interval holds.
-		for i := 1; i < len(r.log[id]); i++ {
-			if gap := r.log[id][i].Sub(r.log[id][i-1]); r.log[id][i].Sub(origin) > 40*time.Second && gap > 2300*time.Millisecond {
-				t.Fatalf("sound task %d waited %v", id, gap)
+	// All targets count as sound until their first run has hung; after that the interval holds.
+	settled := origin.Add(40 * time.Second)
+	for id := TaskID(hanging); id < all; id++ {
+		starts := m.starts[id]
+		for i := 1; i < len(starts); i++ {
+			if interval := starts[i].Sub(starts[i-1]); starts[i].After(settled) && interval > 2300*time.Millisecond {
+				t.Fatalf("sound task %d waited %v", id, interval)
 			}
 		}
 	}
-	for id := TaskID(0); id < 900; id++ { // and none of those that hang is forgotten
-		if len(r.log[id]) < 2 {
-			t.Fatalf("task %d ran %d times", id, len(r.log[id]))
+	for id := TaskID(0); id < hanging; id++ {
+		if len(m.starts[id]) < 2 {
+			t.Fatalf("hanging task %d ran %d times", id, len(m.starts[id]))
 		}
 	}
 }
 
-// More work than the budget: no pile-up, the budget holds, priorities count and none starves.
-func TestBackPressure(t *testing.T) {
-	s := fresh(t, Budget{StartsPerSecond: 100, Burst: 10, MaxRunning: 50, Jitter: 0.1})
-	r := newRig(s)
-	kinds := map[TaskID]Priority{}
+// With more work than the budget allows nothing piles up, the budget holds, and priorities count but none starves.
+func TestScheduler_MoreWorkThanTheBudget(t *testing.T) {
+	s := newScheduler(t, Budget{StartsPerSecond: 100, Burst: 10, MaxRunning: 50, Jitter: 0.1})
+	m := newSimulation(s)
+	priorities := map[TaskID]Priority{}
 	for i := range 300 {
 		p := Priority(i % 3)
-		kinds[s.Add(origin, Task{Priority: p, Interval: time.Second}, time.Second)] = p
+		priorities[s.Add(origin, Task{Priority: p, Interval: time.Second}, time.Second)] = p
 	}
-	r.until(origin.Add(20 * time.Second))
-	var runs [priorities]int
-	all := 0
-	for id, l := range r.log {
-		runs[kinds[id]] += len(l)
-		all += len(l)
+	m.advanceTo(origin.Add(20 * time.Second))
+	var startsBy [priorityCount]int
+	total := 0
+	for id, starts := range m.starts {
+		startsBy[priorities[id]] += len(starts)
+		total += len(starts)
 	}
-	if all > 100*20+10 || all < 1900 {
-		t.Errorf("%d starts in 20 s at 100 a second", all)
+	if total > 100*20+10 || total < 1900 {
+		t.Errorf("%d starts in 20 s at 100 per second", total)
 	}
-	if !(runs[Urgent] > runs[Normal] && runs[Normal] > runs[Idle] && runs[Idle] >= 100) {
-		t.Errorf("runs by priority: %v", runs)
+	if startsBy[Urgent] <= startsBy[Normal] || startsBy[Normal] <= startsBy[Idle] || startsBy[Idle] < 100 {
+		t.Errorf("starts by priority: %v", startsBy)
 	}
 	if s.Stats.Delayed == 0 {
-		t.Error("nothing was held back")
+		t.Error("nothing was delayed")
 	}
-	for p := range priorities {
-		for lane := range 2 {
-			if n := len(s.queues[p][lane].ids); n > 2500 {
-				t.Errorf("a queue of %d for 300 tasks", n)
+	for p := range priorityCount {
+		for l := range laneCount {
+			if n := len(s.ready[p][l].entries); n > 2500 {
+				t.Errorf("a queue of %d entries for 300 tasks", n)
 			}
 		}
 	}
 }
 
-// Fast after a change, slow while down, at once when hurried, gone when removed.
-func TestPaces(t *testing.T) {
-	s := fresh(t, Budget{StartsPerSecond: 1000, Burst: 10, MaxRunning: 4})
-	r := newRig(s)
-	pace := Steady
-	r.takes = func(TaskID) (time.Duration, Result, bool) { p := pace; return time.Millisecond, p, false }
-	id := s.Add(origin, Task{Interval: time.Second, FastInterval: 100 * time.Millisecond, SlowInterval: 5 * time.Second, FastRuns: 3}, 0)
-	count := func(d time.Duration) int {
-		before := len(r.log[id])
-		r.until(r.now.Add(d))
-		return len(r.log[id]) - before
-	}
-	if n := count(5500 * time.Millisecond); n != 6 {
-		t.Errorf("%d steady runs", n)
-	}
-	pace = Changed
-	count(600 * time.Millisecond) // the run at 6 s shows the change
-	pace = Steady
-	if n := count(400 * time.Millisecond); n < 3 {
-		t.Errorf("%d fast runs", n)
-	}
-	pace = Down
-	count(2 * time.Second)
-	if n := count(20 * time.Second); n < 3 || n > 5 {
-		t.Errorf("%d slow runs", n)
-	}
-	before := len(r.log[id])
-	s.RunNow(r.now, id)
-	if r.until(r.now.Add(5 * time.Millisecond)); len(r.log[id]) != before+1 {
-		t.Error("a hurried task did not run")
+// A task runs at its fast interval after a change, at the slow one while down, at once by RunNow, and never after Remove.
+func TestScheduler_IntervalsOfOneTask(t *testing.T) {
+	s := newScheduler(t, Budget{StartsPerSecond: 1000, Burst: 10, MaxRunning: 4})
+	m := newSimulation(s)
+	result := Steady
+	m.run = func(TaskID) run { return run{duration: time.Millisecond, result: result} }
+	id := s.Add(origin, Task{
+		Interval: time.Second, FastInterval: 100 * time.Millisecond, SlowInterval: 5 * time.Second, FastRuns: 3,
+	}, 0)
+	if n := m.startsWithin(5500*time.Millisecond, id); n != 6 {
+		t.Errorf("%d runs while steady", n)
+	}
+	result = Changed
+	m.startsWithin(600*time.Millisecond, id) // the run at 6 s has the changed result
+	result = Steady
+	if n := m.startsWithin(400*time.Millisecond, id); n < 3 {
+		t.Errorf("%d runs after a change", n)
+	}
+	result = Down
+	m.startsWithin(2*time.Second, id)
+	if n := m.startsWithin(20*time.Second, id); n < 3 || n > 5 {
+		t.Errorf("%d runs while down", n)
+	}
+	s.RunNow(m.now, id)
+	if n := m.startsWithin(5*time.Millisecond, id); n != 1 {
+		t.Errorf("%d runs after RunNow", n)
 	}
 	s.Remove(id)
-	if n := count(time.Minute); n != 0 || s.Len() != 0 || s.Running() != 0 {
-		t.Errorf("%d runs of a removed task; %d held", n, s.Len())
+	if n := m.startsWithin(time.Minute, id); n != 0 || s.Len() != 0 || s.Running() != 0 {
+		t.Errorf("%d runs of a removed task; %d tasks left", n, s.Len())
 	}
-	if _, ok := s.Next(); ok {
-		t.Error("something is to come of nothing")
+	if next, ok := s.Next(); ok {
+		t.Errorf("without tasks, something is due at %v", next)
 	}
 }
 
-// Random steps: the budget at once holds, every task that is there runs again, ids are not mixed up.
-func FuzzSchedule(f *testing.F) {
-	f.Add(uint64(1), uint16(300))
-	f.Fuzz(func(t *testing.T, seed uint64, steps uint16) {
-		rng := rand.New(rand.NewPCG(seed, 9))
-		s := fresh(t, Budget{StartsPerSecond: 50, Burst: 5, MaxRunning: 6, Jitter: 0.3})
-		now, live, runs := origin, map[TaskID]bool{}, map[TaskID]bool{}
-		for range steps % 2000 {
-			now = now.Add(time.Duration(rng.IntN(200)) * time.Millisecond)
-			switch rng.IntN(4) {
-			case 0:
-				if len(live) < 40 {
-					id := s.Add(now, Task{Priority: Priority(rng.IntN(3)), Interval: time.Second, FastInterval: 50 * time.Millisecond, FastRuns: 2}, time.Second)
-					if live[id] || runs[id] {
-						t.Fatalf("id %d is given twice", id)
-					}
-					live[id] = true
-				}
-			case 1:
-				for id := range live {
-					if rng.IntN(2) == 0 {
-						s.RunNow(now, id)
-					} else {
-						s.Remove(id)
-						delete(live, id)
-					}
-					break
-				}
-			case 2:
-				for id := range runs {
-					s.Done(now, id, Result(rng.IntN(3)), rng.IntN(2) == 0)
-					delete(runs, id)
-					break
-				}
-			}
-			for _, id := range s.Advance(now) {
-				if !live[id] || runs[id] {
-					t.Fatalf("%d was started: live %v, running %v", id, live[id], runs[id])
-				}
-				runs[id] = true
-			}
-			if len(runs) != s.Running() || len(runs) > 6 || s.hung > 3 {
-				t.Fatalf("%d runs, %d counted, %d hung", len(runs), s.Running(), s.hung)
-			}
+// schedulerModel runs random operations on a Scheduler and knows which tasks exist and which run.
+type schedulerModel struct {
+	s       *Scheduler
+	random  *rand.Rand
+	now     time.Time
+	live    map[TaskID]bool
+	running map[TaskID]bool
+}
+
+func (m *schedulerModel) step(t *testing.T) {
+	t.Helper()
+	m.now = m.now.Add(time.Duration(m.random.IntN(200)) * time.Millisecond)
+	switch m.random.IntN(4) {
+	case 0:
+		m.add(t)
+	case 1:
+		m.runNowOrRemove()
+	case 2:
+		m.endOne()
+	}
+	for _, id := range m.s.Advance(m.now) {
+		if !m.live[id] || m.running[id] {
+			t.Fatalf("%d was started: live %v, running %v", id, m.live[id], m.running[id])
 		}
-	})
+		m.running[id] = true
+	}
+	if len(m.running) != m.s.Running() || len(m.running) > 6 || m.s.runningHung > 3 {
+		t.Fatalf("%d runs, %d counted, %d hung", len(m.running), m.s.Running(), m.s.runningHung)
+	}
+}
+
+func (m *schedulerModel) add(t *testing.T) {
+	t.Helper()
+	if len(m.live) >= 40 {
+		return
+	}
+	id := m.s.Add(m.now, Task{
+		Priority: Priority(m.random.IntN(3)), Interval: time.Second, FastInterval: 50 * time.Millisecond, FastRuns: 2,
+	}, time.Second)
+	if m.live[id] || m.running[id] {
+		t.Fatalf("id %d is given twice", id)
+	}
+	m.live[id] = true
 }
 
-func TestBadBudgets(t *testing.T) {
-	for _, b := range []Budget{{}, {StartsPerSecond: 1, Burst: 1, MaxRunning: 1}, {StartsPerSecond: 1, MaxRunning: 2}, {StartsPerSecond: 1, Burst: 1, MaxRunning: 2, Jitter: 2}} {
-		if s, err := New(b, 1, origin, timers.NewHeap()); err == nil {
-			t.Errorf("%+v was taken: %v", b, s)
+func (m *schedulerModel) runNowOrRemove() {
+	for id := range m.live {
+		if m.random.IntN(2) == 0 {
+			m.s.RunNow(m.now, id)
+		} else {
+			m.s.Remove(id)
+			delete(m.live, id)
 		}
+		return
 	}
 }
 
-// One check from due to done, at sizes. Lateness is counted in virtual time, at the 99th percentile, and memory by
-// the allocations of setting up. Run with -bench Schedule -benchmem.
-func BenchmarkSchedule(b *testing.B) {
-	for _, n := range []int{100, 10_000, 100_000} {
-		for _, kind := range []string{"wheel", "heap"} {
-			b.Run(fmt.Sprintf("%s/%d", kind, n), func(b *testing.B) {
-				var t timers.Timers = timers.NewHeap()
-				if kind == "wheel" {
-					t = timers.NewWheel(origin, 5*time.Millisecond)
-				}
-				s, err := New(Budget{StartsPerSecond: float64(n), Burst: max(10, n/20), MaxRunning: max(10, n/20), Jitter: 0.1}, 7, origin, t)
-				if err != nil {
-					b.Fatal(err)
-				}
-				var before, after runtime.MemStats
-				runtime.GC()
-				runtime.ReadMemStats(&before)
-				for range n {
-					s.Add(origin, Task{Priority: Normal, Interval: 2 * time.Second}, 2*time.Second)
-				}
-				runtime.GC()
-				runtime.ReadMemStats(&after)
-				memory := float64(after.HeapAlloc-before.HeapAlloc) / float64(n)
-				now, late := origin, make([]time.Duration, 0, b.N)
-				b.ReportAllocs()
-				b.ResetTimer()
-				for len(late) < b.N {
-					next, _ := s.Next()
-					if !next.After(now) {
-						next = now.Add(time.Millisecond)
-					}
-					now = next
-					for _, id := range s.Advance(now) {
-						late = append(late, now.Sub(s.Due(id)))
-						s.Done(now, id, Steady, false)
-					}
-				}
-				b.StopTimer()
-				slices.Sort(late)
-				b.ReportMetric(float64(late[len(late)*99/100])/1e6, "p99-late-ms")
-				b.ReportMetric(memory, "B/target")
-			})
+func (m *schedulerModel) endOne() {
+	for id := range m.running {
+		m.s.Done(m.now, id, Result(m.random.IntN(3)), m.random.IntN(2) == 0)
+		delete(m.running, id)
+		return
+	}
+}
+
+// FuzzScheduler checks after random operations that the limits of concurrent runs hold, that only tasks that exist and do
+// not run are started, and that no two tasks have the same id.
+func FuzzScheduler(f *testing.F) {
+	f.Add(uint64(1), uint16(300))
+	f.Fuzz(func(t *testing.T, seed uint64, steps uint16) {
+		m := &schedulerModel{
+			s:       newScheduler(t, Budget{StartsPerSecond: 50, Burst: 5, MaxRunning: 6, Jitter: 0.3}),
+			random:  rand.New(rand.NewPCG(seed, 9)),
+			now:     origin,
+			live:    map[TaskID]bool{},
+			running: map[TaskID]bool{},
 		}
+		for range steps % 2000 {
+			m.step(t)
+		}
+	})
+}
+
+func TestNew_RejectsInvalidBudgets(t *testing.T) {
+	for name, budget := range map[string]Budget{
+		"no starts per second":         {},
+		"only one run at once":         {StartsPerSecond: 1, Burst: 1, MaxRunning: 1},
+		"no burst":                     {StartsPerSecond: 1, MaxRunning: 2},
+		"jitter over half an interval": {StartsPerSecond: 1, Burst: 1, MaxRunning: 2, Jitter: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if s, err := New(budget, 1, origin, timers.NewHeap()); err == nil {
+				t.Errorf("%+v was accepted: %v", budget, s)
+			}
+		})
 	}
 }
--- a/internal/control/timers/deadlinequeue.go
+++ b/internal/control/timers/deadlinequeue.go
@@ -2,107 +2,109 @@
 
 import "time"
 
-// DeadlineItem is what a Due holds: it has a time, an order among those of one time, and keeps its own place.
+// DeadlineItem is what a DeadlineQueue holds. Implementations are pointers to structs that carry their queue index.
 type DeadlineItem interface {
 	comparable
-	// Deadline is the time and the order. They do not change while it is held.
-	Deadline() (time.Time, uint64)
-	// QueueIndex is where Due notes its place: 0 while it is not held.
+	// Deadline returns the item's time, and its order among the items of the same time. Neither changes while the item
+	// is in the queue.
+	Deadline() (t time.Time, order uint64)
+	// QueueIndex returns where the queue stores the item's position, counted from 1: 0 while the item is in no queue.
 	QueueIndex() *int
 }
 
-// DeadlineQueue is a heap of exact times from which anything can be taken out. Other than the wheel it is never late; to set and
-// to take out cost the logarithm of what is held.
+// DeadlineQueue is a binary heap of exact deadlines from which any item can be removed. Unlike Wheel it does not round
+// times; Push and Remove cost the logarithm of the number of items. The zero value is an empty queue. It is owned by one
+// goroutine.
 type DeadlineQueue[T DeadlineItem] struct{ items []T }
 
-// Len is the number held.
-func (d *DeadlineQueue[T]) Len() int { return len(d.items) }
+// Len returns the number of items.
+func (q *DeadlineQueue[T]) Len() int { return len(q.items) }
 
-func before[T DeadlineItem](a, b T) bool {
-	at, i := a.Deadline()
-	bt, j := b.Deadline()
-	if !at.Equal(bt) {
-		return at.Before(bt)
-	}
-	return i < j
-}
-
-// Push holds x, which is not held yet.
-func (d *DeadlineQueue[T]) Push(x T) {
-	d.items = append(d.items, x)
-	*x.QueueIndex() = len(d.items)
-	d.up(len(d.items) - 1)
+// Push adds an item that is not in the queue.
+func (q *DeadlineQueue[T]) Push(item T) {
+	q.items = append(q.items, item)
+	*item.QueueIndex() = len(q.items)
+	q.siftUp(len(q.items) - 1)
 }
 
-// Remove lets x go, if it is held.
-func (d *DeadlineQueue[T]) Remove(x T) {
-	i := *x.QueueIndex() - 1
+// Remove removes an item, if it is in the queue.
+func (q *DeadlineQueue[T]) Remove(item T) {
+	i := *item.QueueIndex() - 1
 	if i < 0 {
 		return
 	}
-	last := len(d.items) - 1
-	d.swap(i, last)
-	var none T
-	d.items[last] = none
-	d.items = d.items[:last]
-	*x.QueueIndex() = 0
+	last := len(q.items) - 1
+	q.swap(i, last)
+	var zero T
+	q.items[last] = zero
+	q.items = q.items[:last]
+	*item.QueueIndex() = 0
 	if i < last {
-		d.up(i)
-		d.down(i)
+		q.siftUp(i)
+		q.siftDown(i)
 	}
 }
 
-// Next is the earliest time held; ok is false if nothing is.
-func (d *DeadlineQueue[T]) Next() (t time.Time, ok bool) {
-	if len(d.items) == 0 {
+// Next returns the earliest deadline; ok is false if the queue is empty.
+func (q *DeadlineQueue[T]) Next() (t time.Time, ok bool) {
+	if len(q.items) == 0 {
 		return t, false
 	}
-	t, _ = d.items[0].Deadline()
+	t, _ = q.items[0].Deadline()
 	return t, true
 }
 
-// Pop takes out what is due by now, in the order of time.
-func (d *DeadlineQueue[T]) Pop(now time.Time) (list []T) {
-	for len(d.items) > 0 {
-		x := d.items[0]
-		if t, _ := x.Deadline(); now.Before(t) {
+// Pop removes the items whose deadline has come by now and returns them, earliest first.
+func (q *DeadlineQueue[T]) Pop(now time.Time) (expired []T) {
+	for len(q.items) > 0 {
+		first := q.items[0]
+		if t, _ := first.Deadline(); now.Before(t) {
 			break
 		}
-		d.Remove(x)
-		list = append(list, x)
+		q.Remove(first)
+		expired = append(expired, first)
 	}
-	return list
+	return expired
 }
 
-func (d *DeadlineQueue[T]) swap(i, j int) {
-	d.items[i], d.items[j] = d.items[j], d.items[i]
-	*d.items[i].QueueIndex(), *d.items[j].QueueIndex() = i+1, j+1
+func (q *DeadlineQueue[T]) swap(i, j int) {
+	q.items[i], q.items[j] = q.items[j], q.items[i]
+	*q.items[i].QueueIndex(), *q.items[j].QueueIndex() = i+1, j+1
 }
 
-func (d *DeadlineQueue[T]) up(i int) {
+func (q *DeadlineQueue[T]) siftUp(i int) {
 	for i > 0 {
-		p := (i - 1) / 2
-		if !before(d.items[i], d.items[p]) {
+		parent := (i - 1) / 2
+		if !isBefore(q.items[i], q.items[parent]) {
 			return
 		}
-		d.swap(i, p)
-		i = p
+		q.swap(i, parent)
+		i = parent
 	}
 }
 
-func (d *DeadlineQueue[T]) down(i int) {
+func (q *DeadlineQueue[T]) siftDown(i int) {
 	for {
-		k := 2*i + 1
-		if k >= len(d.items) {
+		child := 2*i + 1
+		if child >= len(q.items) {
 			return
 		}
-		if k+1 < len(d.items) && before(d.items[k+1], d.items[k]) {
-			k++
+		if right := child + 1; right < len(q.items) && isBefore(q.items[right], q.items[child]) {
+			child = right
 		}
-		if !before(d.items[k], d.items[i]) {
+		if !isBefore(q.items[child], q.items[i]) {
 			return
 		}
-		d.swap(i, k)
-		i = k
+		q.swap(i, child)
+		i = child
+	}
+}
+
+func isBefore[T DeadlineItem](a, b T) bool {
+	aTime, aOrder := a.Deadline()
+	bTime, bOrder := b.Deadline()
+	if !aTime.Equal(bTime) {
+		return aTime.Before(bTime)
 	}
+	return aOrder < bOrder
 }
--- /dev/null
+++ b/internal/control/timers/wheel.go
@@ -0,0 +1,231 @@
+package timers
+
+import (
+	"math/bits"
+	"time"
+)
+
+const (
+	slotBits      = 6 // of a tick number, for each level
+	slotsPerLevel = 1 << slotBits
+	slotMask      = slotsPerLevel - 1
+	levels        = 4
+	expiredLevel  = levels    // its slot 0 lists what is due already
+	endOfList     = int32(-1) // in place of an id
+
+	notInWheel = -1 // in place of a level: there is no due time
+	popping    = -2 // in place of a level: taken from the wheel by the Pop in progress
+)
+
+// Wheel is a hierarchical timing wheel of four levels of 64 slots, after Varghese and Lauck, "Hashed and hierarchical timing
+// wheels" (1987): Set and Cancel cost the same whatever the number of due times. Times are rounded up to the tick, so no
+// id expires early. With a tick of 5 ms the wheel reaches 23 hours; what is due later waits in the last slot and is placed
+// again.
+type Wheel struct {
+	origin  time.Time
+	tick    time.Duration
+	now     int64                            // ticks that have been popped
+	heads   [levels + 1][slotsPerLevel]int32 // first id of each slot's list
+	used    [levels + 1]uint64               // one bit for each slot whose list is not empty
+	items   []wheelItem                      // by id
+	expired []int32                          // reused by Pop
+	count   int                              // of due times
+}
+
+// wheelItem is an id's place in a slot's doubly linked list.
+type wheelItem struct {
+	due         int64 // ticks
+	next, prev  int32 // ids, or endOfList
+	level, slot int8
+}
+
+// NewWheel returns an empty wheel that begins at origin.
+func NewWheel(origin time.Time, tick time.Duration) *Wheel {
+	w := &Wheel{origin: origin, tick: tick}
+	for level := range w.heads {
+		for slot := range w.heads[level] {
+			w.heads[level][slot] = endOfList
+		}
+	}
+	return w
+}
+
+// Len returns the number of due times.
+func (w *Wheel) Len() int { return w.count }
+
+// Set makes id due at t.
+func (w *Wheel) Set(id int, t time.Time) {
+	for id >= len(w.items) {
+		w.items = append(w.items, wheelItem{level: notInWheel})
+	}
+	w.Cancel(id)
+	w.items[id].due = w.ticksRoundedUp(t)
+	w.link(int32(id))
+	w.count++
+}
+
+func (w *Wheel) ticksRoundedUp(t time.Time) int64 {
+	sinceOrigin := t.Sub(w.origin)
+	ticks := int64(sinceOrigin / w.tick)
+	if sinceOrigin%w.tick > 0 {
+		ticks++
+	}
+	return ticks
+}
+
+// Cancel removes id's due time.
+func (w *Wheel) Cancel(id int) {
+	switch {
+	case id >= len(w.items) || w.items[id].level == notInWheel:
+		return
+	case w.items[id].level == popping:
+		w.items[id].level = notInWheel
+	default:
+		w.unlink(int32(id))
+	}
+	w.count--
+}
+
+// link puts an id into the slot of its due time.
+func (w *Wheel) link(id int32) {
+	item := &w.items[id]
+	level, slot := w.slotOf(item.due)
+	head := w.heads[level][slot]
+	item.level, item.slot = int8(level), int8(slot)
+	item.prev, item.next = endOfList, head
+	if head != endOfList {
+		w.items[head].prev = id
+	}
+	w.heads[level][slot] = id
+	w.used[level] |= 1 << slot
+}
+
+// slotOf returns the slot for a due time, in the lowest level that reaches it.
+func (w *Wheel) slotOf(due int64) (level, slot int) {
+	delta := due - w.now
+	if delta <= 0 {
+		return expiredLevel, 0
+	}
+	for level < levels-1 && delta >= 1<<(slotBits*(level+1)) {
+		level++
+	}
+	lastTick := w.now + 1<<(slotBits*levels) - 1 // that the wheel reaches
+	return level, int(min(due, lastTick)>>(slotBits*level)) & slotMask
+}
+
+// unlink takes an id out of its slot.
+func (w *Wheel) unlink(id int32) {
+	item := &w.items[id]
+	level, slot := item.level, item.slot
+	if item.prev != endOfList {
+		w.items[item.prev].next = item.next
+	} else {
+		w.heads[level][slot] = item.next
+	}
+	if item.next != endOfList {
+		w.items[item.next].prev = item.prev
+	}
+	if w.heads[level][slot] == endOfList {
+		w.used[level] &^= 1 << slot
+	}
+	item.level = notInWheel
+}
+
+// slotsAhead returns how many slots after current the next used one lies, 1 to 64; 0 if none is used.
+func slotsAhead(used uint64, current int) int {
+	if used == 0 {
+		return 0
+	}
+	return 1 + bits.TrailingZeros64(bits.RotateLeft64(used, -(current+1)))
+}
+
+// nextTick returns a lower bound of the earliest tick at which an id is due or has to be moved to a lower level; ok is
+// false if there are no due times.
+func (w *Wheel) nextTick() (tick int64, ok bool) {
+	if w.used[expiredLevel] != 0 {
+		return w.now, true
+	}
+	for level := range levels {
+		position := w.now >> (slotBits * level)
+		ahead := slotsAhead(w.used[level], int(position&slotMask))
+		if ahead == 0 {
+			continue
+		}
+		begin := (position + int64(ahead)) << (slotBits * level)
+		if !ok || begin < tick {
+			tick, ok = begin, true
+		}
+	}
+	return tick, ok
+}
+
+// Next returns when Pop should be called next.
+func (w *Wheel) Next() (time.Time, bool) {
+	tick, ok := w.nextTick()
+	return w.origin.Add(time.Duration(tick) * w.tick), ok
+}
+
+// Pop calls expired for what is due by now. What expired sets for a time that has come is due with the next Pop.
+func (w *Wheel) Pop(now time.Time, expired func(id int)) {
+	target := int64(now.Sub(w.origin) / w.tick)
+	for {
+		tick, ok := w.nextTick()
+		if !ok || tick > target {
+			break
+		}
+		if tick > w.now {
+			w.advanceTo(tick)
+		}
+		if w.used[expiredLevel] == 0 {
+			continue
+		}
+		w.popExpired(expired)
+		if w.used[expiredLevel] != 0 {
+			break
+		}
+	}
+	w.now = max(w.now, target)
+}
+
+// advanceTo moves the wheel on to a tick, whose slots are emptied into lower levels or the list of what is due.
+func (w *Wheel) advanceTo(tick int64) {
+	w.now = tick
+	for level := levels - 1; level > 0; level-- {
+		begins := tick&(1<<(slotBits*level)-1) == 0
+		if begins { // a slot of this level
+			w.relinkSlot(level, int(tick>>(slotBits*level))&slotMask)
+		}
+	}
+	w.relinkSlot(0, int(tick)&slotMask)
+}
+
+// relinkSlot links the ids of a slot anew: to a lower level, or as due.
+func (w *Wheel) relinkSlot(level, slot int) {
+	id := w.heads[level][slot]
+	w.heads[level][slot] = endOfList
+	w.used[level] &^= 1 << slot
+	for id != endOfList {
+		next := w.items[id].next
+		w.link(id)
+		id = next
+	}
+}
+
+// popExpired calls expired for the list of what is due. The list is emptied first, so that what expired sets for a time that
+// has come waits for the next Pop.
+func (w *Wheel) popExpired(expired func(id int)) {
+	w.expired = w.expired[:0]
+	for id := w.heads[expiredLevel][0]; id != endOfList; id = w.items[id].next {
+		w.expired = append(w.expired, id)
+		w.items[id].level = popping
+	}
+	w.heads[expiredLevel][0], w.used[expiredLevel] = endOfList, 0
+	for _, id := range w.expired {
+		if w.items[id].level != popping {
+			continue // expired has cancelled it, or set it again
+		}
+		w.items[id].level = notInWheel
+		w.count--
+		expired(int(id))
+	}
+}
