--- a/internal/state/atomicfile/atomicfile.go
+++ b/internal/state/atomicfile/atomicfile.go
@@ -1,139 +1,138 @@
-// Package keep keeps one value in a file so that a crash at any byte leaves the old or the new one: it is written
-// beside, forced to the disk, and put in its place by a rename that is forced, too. Each value carries its length and
-// a checksum, so that a file that was harmed in another way is known as such.
+// Package atomicfile stores one value in a file so that a crash at any byte leaves the old value or the new one: the value
+// is written to a second file, synced, and renamed into place, and the directory is synced as well. Each value carries its
+// length and a checksum, so that a file that was corrupted in another way is recognized as such.
 package atomicfile
 
 import (
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"io"
 	"io/fs"
-	"os"
 	"path/filepath"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// FS is what is needed of a file system. OS is the real one; tests crash their own at every step.
-type FS interface {
-	Create(name string) (WritableFile, error)
-	Rename(old, now string) error
-	SyncDir(dir string) error
-	ReadFile(name string) ([]byte, error)
-	Remove(name string) error
-}
-
-// WritableFile is one being written.
-type WritableFile interface {
-	io.Writer
-	Sync() error
-	Close() error
-}
-
-// Errors of Load.
+// Errors of Load. The returned errors wrap them and name the file.
 var (
-	ErrNotExist    = errors.New("nothing is kept")
-	ErrCorrupt     = errors.New("what is kept is harmed")
-	ErrUnsupported = errors.New("what is kept is of another kind, or of a newer version")
+	ErrNotExist    = errors.New("no value is stored")
+	ErrCorrupt     = errors.New("the stored value is corrupt")
+	ErrUnsupported = errors.New("the stored value has another format, or a newer version of this one")
 )
 
+// The file begins with a header: magic, version (one byte), length of the value and its xxHash64 (big-endian, eight bytes
+// each). The value follows.
 const (
-	magic   = "rkeep"
-	version = 1
-	head    = len(magic) + 1 + 8 + 8 // version, length, checksum
-	most    = 1 << 30
+	magic          = "rkeep"
+	version        = 1
+	versionOffset  = len(magic)
+	lengthOffset   = versionOffset + 1
+	checksumOffset = lengthOffset + 8
+	headerBytes    = checksumOffset + 8
+
+	maxValueBytes   = 1 << 30
+	temporarySuffix = ".new" // of the file that is renamed into place
 )
 
-// ValueFile keeps one value at a path.
+// ValueFile stores one value at a path. Store and Load must not be called concurrently; no two ValueFiles may share a
+// path.
 type ValueFile struct {
 	fs   FS
 	path string
 }
 
-// New returns a box at a path. The file need not be there, its folder has to.
+// New returns the ValueFile at a path. The file need not exist, its directory must.
 func New(f FS, path string) *ValueFile { return &ValueFile{f, path} }
 
-// Store puts a value in the place of the old one. After an error the old one is kept, or the new one; never anything
-// else.
-func (b *ValueFile) Store(value []byte) error {
-	if len(value) > most {
-		return fmt.Errorf("%s: a value over %d bytes", b.path, most)
+// Store replaces the stored value. After an error the file holds the old value or the new one, never anything else.
+func (v *ValueFile) Store(value []byte) error {
+	if len(value) > maxValueBytes {
+		return fmt.Errorf("store %s: value has %d bytes, more than %d", v.path, len(value), maxValueBytes)
 	}
-	text := make([]byte, 0, head+len(value))
-	text = append(text, magic...)
-	text = append(text, version)
-	text = binary.BigEndian.AppendUint64(text, uint64(len(value)))
-	text = binary.BigEndian.AppendUint64(text, xxhash.Sum64(value))
-	text = append(text, value...)
-	beside := b.path + ".new"
-	f, err := b.fs.Create(beside)
+	if err := v.replace(encode(value)); err != nil {
+		return fmt.Errorf("store %s: %w", v.path, err)
+	}
+	if err := v.fs.SyncDir(filepath.Dir(v.path)); err != nil {
+		return fmt.Errorf("store %s: sync directory: %w", v.path, err)
+	}
+	return nil
+}
+
+// replace writes a synced file and renames it into place.
+func (v *ValueFile) replace(content []byte) error {
+	temporary := v.path + temporarySuffix
+	f, err := v.fs.Create(temporary)
 	if err != nil {
 		return err
 	}
-	_, err = f.Write(text)
+	err = writeSynced(f, content)
 	if err == nil {
-		err = f.Sync()
+		err = v.fs.Rename(temporary, v.path)
 	}
-	if e := f.Close(); err == nil {
-		err = e
+	if err != nil {
+		_ = v.fs.Remove(temporary) // err says what failed; the next Store overwrites the file
+		return err
 	}
+	return nil
+}
+
+// writeSynced writes the content and closes the file; no error means that the content is on the disk.
+func writeSynced(f WritableFile, content []byte) error {
+	_, err := f.Write(content)
 	if err == nil {
-		err = b.fs.Rename(beside, b.path)
+		err = f.Sync()
 	}
-	if err != nil {
-		b.fs.Remove(beside)
-		return err
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
 	}
-	return b.fs.SyncDir(filepath.Dir(b.path))
+	return err
 }
 
-// Load returns the value that is kept.
-func (b *ValueFile) Load() ([]byte, error) {
-	text, err := b.fs.ReadFile(b.path)
-	switch {
-	case errors.Is(err, fs.ErrNotExist):
-		return nil, ErrNotExist
-	case err != nil:
-		return nil, err
-	case len(text) < head:
-		return nil, fmt.Errorf("%s: %w: %d bytes", b.path, ErrCorrupt, len(text))
-	case string(text[:len(magic)]) != magic:
-		return nil, fmt.Errorf("%s: %w", b.path, ErrUnsupported)
-	case text[len(magic)] != version:
-		return nil, fmt.Errorf("%s: %w: version %d", b.path, ErrUnsupported, text[len(magic)])
+// Load returns the stored value. ErrNotExist, ErrCorrupt and ErrUnsupported tell why there is none; other errors are those of
+// reading the file.
+func (v *ValueFile) Load() ([]byte, error) {
+	content, err := v.fs.ReadFile(v.path)
+	if errors.Is(err, fs.ErrNotExist) {
+		err = ErrNotExist
+	}
+	if err != nil {
+		return nil, fmt.Errorf("load %s: %w", v.path, err)
 	}
-	rest := text[len(magic)+1:]
-	length, sum, value := binary.BigEndian.Uint64(rest), binary.BigEndian.Uint64(rest[8:]), rest[16:]
-	if length != uint64(len(value)) || xxhash.Sum64(value) != sum {
-		return nil, fmt.Errorf("%s: %w: %d of %d bytes, or a wrong checksum", b.path, ErrCorrupt, len(value), length)
+	value, err := decode(content)
+	if err != nil {
+		return nil, fmt.Errorf("load %s: %w", v.path, err)
 	}
 	return value, nil
 }
 
-// OS is the operating system's file system.
-type OS struct{}
-
-// Create creates a file, or empties one.
-func (OS) Create(name string) (WritableFile, error) {
-	return os.OpenFile(name, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+// encode returns the content of the file that stores a value.
+func encode(value []byte) []byte {
+	content := make([]byte, 0, headerBytes+len(value))
+	content = append(content, magic...)
+	content = append(content, version)
+	content = binary.BigEndian.AppendUint64(content, uint64(len(value)))
+	content = binary.BigEndian.AppendUint64(content, xxhash.Sum64(value))
+	return append(content, value...)
 }
 
-// Rename puts a file in the place of another.
-func (OS) Rename(old, now string) error { return os.Rename(old, now) }
-
-// Remove removes a file.
-func (OS) Remove(name string) error { return os.Remove(name) }
-
-// ReadFile reads a file.
-func (OS) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
-
-// SyncDir forces a folder's entries to the disk.
-func (OS) SyncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return err
+// decode returns the value that a file's content stores.
+func decode(content []byte) ([]byte, error) {
+	switch {
+	case len(content) < headerBytes:
+		return nil, fmt.Errorf("%w: %d bytes", ErrCorrupt, len(content))
+	case string(content[:versionOffset]) != magic:
+		return nil, ErrUnsupported
+	case content[versionOffset] != version:
+		return nil, fmt.Errorf("%w: version %d", ErrUnsupported, content[versionOffset])
 	}
-	defer d.Close()
-	return d.Sync()
+	length := binary.BigEndian.Uint64(content[lengthOffset:])
+	checksum := binary.BigEndian.Uint64(content[checksumOffset:])
+	value := content[headerBytes:]
+	if length != uint64(len(value)) {
+		return nil, fmt.Errorf("%w: %d of %d bytes", ErrCorrupt, len(value), length)
+	}
+	if xxhash.Sum64(value) != checksum {
+		return nil, fmt.Errorf("%w: wrong checksum", ErrCorrupt)
+	}
+	return value, nil
 }
--- /dev/null
+++ b/internal/state/atomicfile/crashingdisk_test.go
@@ -0,0 +1,146 @@
+package atomicfile
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io/fs"
+)
+
+var errCrash = errors.New("crashed")
+
+// crashingDisk is a file system that crashes at a given step. What was not synced before the crash may be there or not
+// after it: statesAfterCrash returns the cases.
+type crashingDisk struct {
+	stepsUntilCrash int                  // negative: it never crashes
+	files           map[string]*diskFile // as the program sees them
+	syncedEntries   map[string]*diskFile // directory entries as of the last SyncDir
+}
+
+type diskFile struct {
+	data   []byte
+	synced []byte
+}
+
+func newCrashingDisk() *crashingDisk {
+	return &crashingDisk{stepsUntilCrash: -1, files: map[string]*diskFile{}, syncedEntries: map[string]*diskFile{}}
+}
+
+func (d *crashingDisk) step() error {
+	if d.stepsUntilCrash == 0 {
+		return errCrash
+	}
+	if d.stepsUntilCrash > 0 {
+		d.stepsUntilCrash--
+	}
+	return nil
+}
+
+func (d *crashingDisk) Create(name string) (WritableFile, error) {
+	if err := d.step(); err != nil {
+		return nil, err
+	}
+	file := &diskFile{}
+	d.files[name] = file
+	return &diskHandle{d, file}, nil
+}
+
+func (d *crashingDisk) Rename(oldName, newName string) error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	d.files[newName] = d.files[oldName]
+	delete(d.files, oldName)
+	return nil
+}
+
+func (d *crashingDisk) Remove(name string) error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	delete(d.files, name)
+	return nil
+}
+
+func (d *crashingDisk) SyncDir(string) error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	d.syncedEntries = map[string]*diskFile{}
+	for name, file := range d.files {
+		d.syncedEntries[name] = file
+	}
+	return nil
+}
+
+func (d *crashingDisk) ReadFile(name string) ([]byte, error) {
+	file := d.files[name]
+	if file == nil {
+		return nil, fs.ErrNotExist
+	}
+	return file.data, nil
+}
+
+// diskHandle is a file that is being written.
+type diskHandle struct {
+	disk *crashingDisk
+	file *diskFile
+}
+
+// Write takes a step for each byte, so that a crash comes at every one.
+func (h *diskHandle) Write(data []byte) (int, error) {
+	for i, b := range data {
+		if err := h.disk.step(); err != nil {
+			return i, err
+		}
+		h.file.data = append(h.file.data, b)
+	}
+	return len(data), nil
+}
+
+func (h *diskHandle) Sync() error {
+	if err := h.disk.step(); err != nil {
+		return err
+	}
+	h.file.synced = bytes.Clone(h.file.data)
+	return nil
+}
+
+func (h *diskHandle) Close() error { return h.disk.step() }
+
+// diskState is a disk as it may be found after a crash.
+type diskState struct {
+	name string
+	disk *crashingDisk
+}
+
+// statesAfterCrash returns the disk without and with the directory entries that were not synced, each with none, half and
+// all of the bytes that were not synced.
+func (d *crashingDisk) statesAfterCrash() (states []diskState) {
+	for _, entries := range []struct {
+		name  string
+		files map[string]*diskFile
+	}{{"synced entries", d.syncedEntries}, {"all entries", d.files}} {
+		for _, share := range []float64{0, 0.5, 1} {
+			states = append(states, diskState{
+				name: fmt.Sprintf("%s, %v of the unsynced bytes", entries.name, share),
+				disk: diskAfterCrash(entries.files, share),
+			})
+		}
+	}
+	return states
+}
+
+func diskAfterCrash(files map[string]*diskFile, unsyncedShare float64) *crashingDisk {
+	found := newCrashingDisk()
+	for name, file := range files {
+		kept := len(file.synced)
+		if unsynced := len(file.data) - kept; unsynced > 0 {
+			kept += int(float64(unsynced) * unsyncedShare)
+		}
+		content := append(bytes.Clone(file.synced), file.data[len(file.synced):kept]...)
+		found.files[name] = &diskFile{content, content}
+		found.syncedEntries[name] = &diskFile{content, content}
+	}
+	return found
+}
