Rename the last plain words in scheduler and timers

ahead, runAgain and fastRunsLeft read as sentences of the former style: slotDistance, rerun, remainingFastRuns.

--- a/internal/control/outlier/outlier_test.go
+++ b/internal/control/outlier/outlier_test.go
@@ -69,7 +69,8 @@
 	}
 	for i, table := range tables {
 		if table.TrafficShare("s3") != recoverySteps[0].share || table.TrafficShare("s4") != 1 || table.EjectedCount() != 1 {
-			t.Fatalf("aggregator %d: share %v of the hanging server, %v of another", i, table.TrafficShare("s3"), table.TrafficShare("s4"))
+			t.Fatalf("aggregator %d: share %v of the hanging server, %v of another",
+				i, table.TrafficShare("s3"), table.TrafficShare("s4"))
 		}
 	}
 	shares := []float64{}
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -108,7 +108,7 @@
 	case stateUnused:
 		return
 	case stateRunning:
-		t.runAgain = false
+		t.rerun = false
 		t.Interval = removedAfterRun
 		return
 	case stateWaiting:
@@ -129,7 +129,7 @@
 	s.refill(now)
 	switch t := &s.tasks[id]; t.state {
 	case stateRunning:
-		t.runAgain = true
+		t.rerun = true
 	case stateWaiting:
 		s.timers.Cancel(int(id))
 		t.urgent, t.due = true, now
@@ -169,9 +169,9 @@
 	if earliest := now.Add(interval / 2); due.Before(earliest) {
 		due = earliest
 	}
-	t.urgent = t.runAgain
-	if t.runAgain {
-		t.runAgain, due = false, now
+	t.urgent = t.rerun
+	if t.rerun {
+		t.rerun, due = false, now
 	}
 	t.due, t.state = due, stateWaiting
 	s.timers.Set(int(id), due)
--- a/internal/control/scheduler/task.go
+++ b/internal/control/scheduler/task.go
@@ -62,24 +62,24 @@
 
 type task struct {
 	Task
-	state        taskState
-	lane         lane
-	due          time.Time // when it was due to run last, or is due next
-	started      time.Time // start of its last run
-	fastRunsLeft int
-	urgent       bool   // its next run was asked for by RunNow
-	runAgain     bool   // RunNow was called while it ran
-	generation   uint32 // changes with the task that has this id
+	state             taskState
+	lane              lane
+	due               time.Time // when it was due to run last, or is due next
+	started           time.Time // start of its last run
+	remainingFastRuns int
+	urgent            bool   // its next run was asked for by RunNow
+	rerun             bool   // RunNow was called while it ran
+	generation        uint32 // changes with the task that has this id
 }
 
 // nextInterval returns the interval from the last run to the next one, and counts the runs at the fast interval.
 func (t *task) nextInterval(result Result) time.Duration {
 	if result == Changed {
-		t.fastRunsLeft = t.FastRuns
+		t.remainingFastRuns = t.FastRuns
 	}
 	switch {
-	case t.fastRunsLeft > 0 && t.FastInterval > 0:
-		t.fastRunsLeft--
+	case t.remainingFastRuns > 0 && t.FastInterval > 0:
+		t.remainingFastRuns--
 		return t.FastInterval
 	case result == Down && t.SlowInterval > 0:
 		return t.SlowInterval
--- a/internal/control/timers/wheel.go
+++ b/internal/control/timers/wheel.go
@@ -131,8 +131,8 @@
 	item.level = notInWheel
 }
 
-// slotsAhead returns how many slots after current the next used one lies, 1 to 64; 0 if none is used.
-func slotsAhead(used uint64, current int) int {
+// slotDistance returns how many slots after current the next used one lies, 1 to 64; 0 if none is used.
+func slotDistance(used uint64, current int) int {
 	if used == 0 {
 		return 0
 	}
@@ -147,11 +147,11 @@
 	}
 	for level := range levels {
 		position := w.now >> (slotBits * level)
-		ahead := slotsAhead(w.used[level], int(position&slotMask))
-		if ahead == 0 {
+		distance := slotDistance(w.used[level], int(position&slotMask))
+		if distance == 0 {
 			continue
 		}
-		begin := (position + int64(ahead)) << (slotBits * level)
+		begin := (position + int64(distance)) << (slotBits * level)
 		if !ok || begin < tick {
 			tick, ok = begin, true
 		}
