Split the discovery watcher by concern and name it in the field's terms

Cause: one file held the parser, the watch, its connection and the stream of events; its state was seven loose flags, and its log and comments spoke of silence, word and moves.

Change: endpoints.go (Parse), watcher.go (Watcher: Run, SwitchTo, reconnecting), connection.go (one watch), stream.go (the connection's handler, whose state is a struct with a phase). Typed or sentinel errors, wrapped with what was being done; the hooks Put, Log, Random, After and Dial say who calls them, when, and what they may do; each goroutine's comment says what ends it. Requests on the wire are as before.

--- /dev/null
+++ b/internal/net/discovery/watcher_test.go
@@ -0,0 +1,158 @@
+package discovery
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"rooktrestle/balance"
+	"rooktrestle/internal/aggregator"
+)
+
+// serve starts an HTTP server for the test and returns its address.
+func serve(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// A watch that ends is reopened from the version that was received last.
+func TestWatcher_ResumesFromLastVersion(t *testing.T) {
+	indices := make(chan string, 10)
+	requests := 0
+	addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		indices <- r.URL.Query().Get("index")
+		requests++
+		_, _ = fmt.Fprintf(w, "\n{\"version\":%d,\"full\":%v,\"servers\":[]}\n", 10*requests, requests == 1) // the client may be gone
+		w.(http.Flusher).Flush()
+		if requests == 3 {
+			<-r.Context().Done()
+		}
+	})
+	delivered := start(t, &Watcher{Addr: addr, Version: 7})
+	for i, want := range []string{"7", "10", "20"} {
+		if index := <-indices; index != want {
+			t.Errorf("watch %d from %s, want %s", i, index, want)
+		}
+		if change := <-delivered; (change.Kind == balance.ListFull) != (i == 0) {
+			t.Errorf("watch %d: %+v", i, change)
+		}
+	}
+}
+
+// A watcher that is switched to another address fetches the complete list there before its changes: versions may not
+// continue.
+func TestWatcher_SwitchTo_FetchesFullListFirst(t *testing.T) {
+	requests := make(chan string, 10)
+	serveList := func(name string) string {
+		return serve(t, func(w http.ResponseWriter, r *http.Request) {
+			requests <- name + " " + r.URL.RawQuery
+			if r.URL.RawQuery == "" {
+				_, _ = fmt.Fprintf(w, "{\"version\":3,\"full\":true,\n\"servers\":[{\"id\":%q}]}\n", name) // the client may be gone
+				return
+			}
+			_, _ = fmt.Fprintf(w, "{\"version\":4,\"full\":false,\"servers\":[{\"id\":%q}]}\n", name) // the same
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		})
+	}
+	w := &Watcher{Addr: serveList("old"), Version: 2}
+	delivered := start(t, w)
+	expect := func(request string, kind balance.ListKind, id balance.Replica) {
+		t.Helper()
+		if got := <-requests; got != request {
+			t.Errorf("requested %q, want %q", got, request)
+		}
+		expectServer(t, delivered, kind, id)
+	}
+	expect("old stream=1&index=2", balance.ListDelta, "old")
+	w.SwitchTo("127.0.0.1:1") // replaced by the next
+	w.SwitchTo(serveList("new"))
+	expect("new ", balance.ListFull, "new")
+	expect("new stream=1&index=3", balance.ListDelta, "new")
+}
+
+// An unresponsive watch is reopened at once, and so is one that never sent anything, before 6 s have passed: what it
+// misses counts as notified by then. Guards the rule on draining servers on a day on which discovery is down for seconds:
+// 300 aggregators whose watches had become unresponsive waited up to 11 s more, and sent 1,500 parts to draining servers.
+func TestWatcher_Unresponsive_ReconnectsInTime(t *testing.T) {
+	for name, fleetSize := range map[string]int{"an agent of this machine": 0, "shared by 300 aggregators": 300} {
+		t.Run(name+", after a change", func(t *testing.T) {
+			testUnresponsive(t, fleetSize, "{\"version\":9,\"servers\":[]}\n", "9")
+		})
+		t.Run(name+", before anything was sent", func(t *testing.T) {
+			testUnresponsive(t, fleetSize, "", "7")
+		})
+	}
+}
+
+// testUnresponsive opens watches that end with silence after event, which leaves the version that is held at index.
+func testUnresponsive(t *testing.T, fleetSize int, event, index string) {
+	t.Helper()
+	indices, did := make(chan string, 10), make(actions, 100)
+	addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		indices <- r.URL.Query().Get("index")
+		_, _ = fmt.Fprint(w, event) // the client may be gone
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	delivered := start(t, &Watcher{Addr: addr, Version: 7, Log: did.log, FleetSize: fleetSize, After: did.after})
+	for attempt, want := range []string{"7", index, index} {
+		if got := <-indices; got != want {
+			t.Errorf("watch %d from %s, want %s", attempt, got, want)
+		}
+		if event != "" {
+			<-delivered
+		}
+		waits, logged := did.endWaits()
+		if !strings.Contains(logged, "unresponsive") || len(waits) == 0 {
+			t.Errorf("watch %d: %v, then %s", attempt, waits, logged)
+		}
+		for _, d := range waits { // an agent that has not answered yet is given a second
+			if (d < 3*time.Second || d > 4500*time.Millisecond) && (fleetSize > 1 || d > time.Second) {
+				t.Errorf("watch %d: a wait of %v", attempt, d)
+			}
+		}
+	}
+	<-indices // at once: no wait was ended for it
+}
+
+// A rejected call backs off as the fleet's size demands, and where nobody else calls for next to nothing.
+func TestWatcher_RejectedCall_BacksOff(t *testing.T) {
+	addr := serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+	for _, c := range []struct {
+		name      string
+		fleetSize int
+		min, max  time.Duration
+	}{
+		{"an agent of this machine", 0, 0, 200 * time.Millisecond},
+		{"shared by 300 aggregators", 300, 7500 * time.Millisecond, 30 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			did := make(actions, 100)
+			start(t, &Watcher{Addr: addr, Put: func(aggregator.Message) {}, Log: did.log, FleetSize: c.fleetSize, After: did.after})
+			for rejected := 0; rejected < 3; {
+				logged, ok := (<-did).(string)
+				if !ok {
+					continue // the wait for a response
+				}
+				if !strings.Contains(logged, "503") {
+					t.Error(logged)
+				}
+				backoff := (<-did).(wait)
+				if backoff.duration > c.max || backoff.duration < c.min && c.fleetSize > 0 {
+					t.Errorf("a wait of %v", backoff.duration)
+				}
+				rejected++
+				backoff.end()
+			}
+		})
+	}
+}
