Split httpserve by concern; eviction and shutdown in the field's terms

Cause: one file held server, connection, exchange and eviction, in names such as crowd, room, spare, over, inside; the counters' field names were at the same time the text of GET /counters.

Change: server.go, conn.go, exchange.go, evict.go. Counters has plain field names and a String with the text that scripts read (tested). A malformed request is recognised with errors.As; the lock order is stated. The close of a connection that floods is called directly: tcp's Close does not block and was made for callers that hold a lock.

--- /dev/null
+++ b/internal/net/httpserve/conn.go
@@ -0,0 +1,225 @@
+package httpserve
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"rooktrestle/internal/protocol/http1"
+)
+
+// maxPipelinedBytes may wait behind a request that is in flight.
+const maxPipelinedBytes = http1.MaxBody + http1.MaxHead
+
+// errPipelinedTooMuch ends the connection of a client that goes on sending behind a request that is in flight.
+var errPipelinedTooMuch = fmt.Errorf("more than %d bytes sent behind a request in flight", maxPipelinedBytes)
+
+const continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
+
+// serverConn is one client's connection, and its handler. What is sent behind a request in flight waits for the response.
+// A serverConn's lock is never acquired with the server's lock held.
+type serverConn struct {
+	server *Server
+	conn   Conn
+
+	mu           sync.Mutex
+	parser       http1.Parser
+	firstByteAt  time.Time // of the next request
+	lastReadAt   time.Time
+	current      *Exchange // the request in flight: passed on, and not responded to
+	closed       bool      // by this side, or ended: nothing is read or written any more
+	timer        *time.Timer
+	sentContinue bool // for the next request
+	advancing    bool // advance is on the stack, further up
+	used         bool // a complete request has come
+
+	listing // under the server's lock
+}
+
+// startTimer limits the time until the next request is complete; 0: no limit.
+func (c *serverConn) startTimer(d time.Duration) {
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+	if d > 0 {
+		c.timer = time.AfterFunc(d, c.expire)
+	}
+}
+
+func (c *serverConn) stopTimer() { c.startTimer(0) }
+
+// expire ends the connection as no request was completed in time.
+func (c *serverConn) expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current != nil || c.closed {
+		return
+	}
+	if c.parser.Begun() {
+		c.rejectBad(http.StatusRequestTimeout, "the request did not come in time")
+		return
+	}
+	c.closed = true
+	c.conn.CloseGracefully()
+}
+
+// shutdown ends the connection unless a request is in flight.
+func (c *serverConn) shutdown() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.current != nil || c.closed:
+	case c.parser.Begun():
+		c.rejectAtShutdown()
+	default:
+		c.closed = true
+		c.stopTimer()
+		c.conn.CloseGracefully()
+	}
+}
+
+// rejectAtShutdown responds to a request that comes in during a shutdown, complete or not: nothing was done for it.
+func (c *serverConn) rejectAtShutdown() {
+	c.server.count(&c.server.counters.RejectedAtShutdown)
+	c.writeLast(http1.Response(http.StatusServiceUnavailable, true, nil))
+}
+
+// rejectBad responds to what cannot be read. The framing is lost, so the connection ends.
+func (c *serverConn) rejectBad(status int, reason string) {
+	c.server.count(&c.server.counters.BadRequests)
+	c.writeLast(http1.Response(status, true, []byte(reason+"\n"), "Content-Type", "text/plain"))
+}
+
+// writeLast ends the connection with a response.
+func (c *serverConn) writeLast(response []byte) {
+	c.closed = true
+	c.stopTimer()
+	c.conn.Write(response, nil)
+	c.conn.CloseGracefully()
+}
+
+// Data reads requests. It implements tcp.Handler.
+func (c *serverConn) Data(b []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.lastReadAt = c.server.now()
+	if !c.parser.Begun() {
+		c.firstByteAt = c.lastReadAt
+		// The time-out of the first request runs from the connection's start. Guards against clients that begin a request and
+		// never complete it.
+		if c.current == nil && (c.used || c.server.timeouts.FirstRequest == 0) {
+			c.startTimer(c.server.timeouts.ReadRequest)
+		}
+	}
+	c.parser.Feed(b)
+	// Guards memory against a client that goes on sending behind a request in flight.
+	if c.current != nil && c.parser.Buffered() > maxPipelinedBytes {
+		c.closed = true
+		c.conn.Close(errPipelinedTooMuch)
+		return
+	}
+	c.advance()
+}
+
+// advance passes on complete requests, one at a time. It is called with the lock held and releases it while the handler
+// runs, which may respond at once.
+func (c *serverConn) advance() {
+	if c.advancing {
+		return
+	}
+	c.advancing = true
+	defer func() { c.advancing = false }()
+	for c.current == nil && !c.closed {
+		request, err := c.parser.Next()
+		if err != nil {
+			c.rejectMalformed(err)
+			return
+		}
+		if request == nil {
+			c.continueIfWanted()
+			return
+		}
+		c.sentContinue, c.used = false, true
+		if !c.beginRequest() {
+			c.rejectAtShutdown()
+			return
+		}
+		x := &Exchange{Message: request, FirstByteAt: c.firstByteAt, conn: c}
+		c.firstByteAt = c.lastReadAt // of a request that was sent right behind it
+		c.current = x
+		c.stopTimer()
+		c.mu.Unlock()
+		c.handle(x)
+		c.mu.Lock()
+	}
+}
+
+func (c *serverConn) rejectMalformed(err error) {
+	status := http.StatusBadRequest
+	var malformed *http1.Error
+	if errors.As(err, &malformed) {
+		status = malformed.Status
+	}
+	c.rejectBad(status, err.Error())
+}
+
+// continueIfWanted sends 100 Continue, once, to a client that waits for it before it sends its request's body.
+func (c *serverConn) continueIfWanted() {
+	if c.parser.WantsContinue() && !c.sentContinue {
+		c.sentContinue = true
+		c.conn.Write([]byte(continueResponse), nil)
+	}
+}
+
+// beginRequest counts a request that is to be passed on. It returns false where the server is shutting down: what is read
+// after that is not passed on.
+func (c *serverConn) beginRequest() bool {
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return false
+	}
+	s.counters.Requests++
+	c.unlist()
+	return true
+}
+
+// handle passes a request on. A panic stops there: the client gets a response, and the connection ends.
+func (c *serverConn) handle(x *Exchange) {
+	defer func() {
+		if p := recover(); p != nil {
+			fmt.Fprintf(os.Stderr, "request %s %s: panic: %v\n", x.Method, x.Target, p)
+			c.server.count(&c.server.counters.Panics)
+			x.Close = true
+			x.Respond(http.StatusInternalServerError, nil)
+		}
+	}()
+	c.server.handle(x)
+}
+
+// Closed notifies the owner of the request in flight that its client has gone away. It implements tcp.Handler.
+func (c *serverConn) Closed(error) {
+	c.mu.Lock()
+	c.closed = true
+	c.stopTimer()
+	var onDisconnect func()
+	if c.current != nil {
+		onDisconnect = c.current.onDisconnect
+	}
+	c.current = nil
+	c.mu.Unlock()
+	c.server.mu.Lock()
+	delete(c.server.conns, c)
+	c.unlist()
+	c.server.mu.Unlock()
+	if onDisconnect != nil {
+		onDisconnect()
+	}
+}
--- /dev/null
+++ b/internal/net/httpserve/helpers_test.go
@@ -0,0 +1,173 @@
+package httpserve
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"rooktrestle/internal/net/tcp"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction(netpollPoller))
+}
+
+// netpollPoller runs for as long as the process: netpoll starts its pollers once and never ends them.
+const netpollPoller = "github.com/cloudwego/netpoll.(*defaultPoll).Wait"
+
+// fakeConn records what is done with a connection.
+type fakeConn struct {
+	written                 strings.Builder
+	closedGracefully        bool
+	closed, closedAndWaited bool
+}
+
+func (c *fakeConn) Write(b []byte, _ func(tcp.WriteResult)) { c.written.Write(b) }
+func (c *fakeConn) CloseAndWait()                           { c.closedAndWaited = true }
+func (c *fakeConn) CloseGracefully()                        { c.closedGracefully = true }
+func (c *fakeConn) Close(error)                             { c.closed = true }
+
+// startTime is what the clock of most tests shows.
+func startTime() time.Time { return time.Unix(1000, 0) }
+
+// heldHandler stands between a connection and its handler: what was read is passed on when the test releases it.
+type heldHandler struct {
+	tcp.Handler
+	arrived, release, closed chan struct{}
+}
+
+func (h heldHandler) Data(b []byte) {
+	h.arrived <- struct{}{}
+	<-h.release
+	h.Handler.Data(b)
+}
+
+func (h heldHandler) Closed(err error) {
+	h.Handler.Closed(err)
+	close(h.closed)
+}
+
+// passOne lets through what arrives next.
+func (h heldHandler) passOne() {
+	<-h.arrived
+	h.release <- struct{}{}
+}
+
+// testServer is a Server on a real listener, whose requests go to the test.
+type testServer struct {
+	*Server
+	addr     string
+	requests chan *Exchange
+	accept   atomic.Pointer[func(*tcp.Conn) tcp.Handler] // nil: the server's own
+}
+
+// acceptWith sets what makes the handlers of later connections.
+func (s *testServer) acceptWith(accept func(*tcp.Conn) tcp.Handler) { s.accept.Store(&accept) }
+
+func newTestServer(t *testing.T) *testServer {
+	t.Helper()
+	s := &testServer{requests: make(chan *Exchange, 10)}
+	s.Server = New(Timeouts{}, time.Now, func(x *Exchange) { s.requests <- x })
+	listener, err := tcp.Listen("127.0.0.1:0", &tcp.ConnLimiter{Max: 100}, func(conn *tcp.Conn) tcp.Handler {
+		if accept := s.accept.Load(); accept != nil {
+			return (*accept)(conn)
+		}
+		return s.Accept(conn)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(listener.Close)
+	s.addr = listener.Addr()
+	return s
+}
+
+// connectHeld connects a client; what it sends is read off the socket and held until the test releases it.
+func (s *testServer) connectHeld(t *testing.T) (client, *heldHandler) {
+	t.Helper()
+	h, accepted := &heldHandler{nil, make(chan struct{}), make(chan struct{}), make(chan struct{})}, make(chan struct{})
+	s.acceptWith(func(conn *tcp.Conn) tcp.Handler { h.Handler = s.Accept(conn); close(accepted); return h })
+	c := s.connect(t)
+	<-accepted
+	return c, h
+}
+
+// serveFirst responds to a first request on a connection that is held.
+func (s *testServer) serveFirst(c client, h *heldHandler) {
+	c.t.Helper()
+	c.send(1)
+	h.passOne()
+	(<-s.requests).Respond(http.StatusOK, []byte("one"))
+	c.expect(http.StatusOK, "one")
+}
+
+// expectEnd checks that a client sees the end of its connection, that no further request was passed on, and that no
+// connection is left.
+func (s *testServer) expectEnd(c client, h *heldHandler) {
+	c.t.Helper()
+	c.expectEOF()
+	_ = c.Close() // everything was read
+	<-h.closed
+	if n := len(s.requests); n > 0 || s.OpenConns() != 0 {
+		c.t.Errorf("%d requests passed on after the end, %d connections open", n, s.OpenConns())
+	}
+}
+
+// client is a connection to a testServer.
+type client struct {
+	*net.TCPConn
+	in *bufio.Reader
+	t  *testing.T
+}
+
+func (s *testServer) connect(t *testing.T) client {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() }) // the test may have closed it
+	return client{conn.(*net.TCPConn), bufio.NewReader(conn), t}
+}
+
+// send sends request number n, complete.
+func (c client) send(n int) {
+	c.t.Helper()
+	c.sendText(fmt.Sprintf("POST /%d HTTP/1.1\r\nContent-Length: 2\r\n\r\nab", n))
+}
+
+func (c client) sendText(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		c.t.Errorf("send a request: %v", err)
+	}
+}
+
+// expect reads the next response.
+func (c client) expect(status int, body string) {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		c.t.Fatalf("%v; want %d", err, status)
+	}
+	text, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != status || string(text) != body {
+		c.t.Fatalf("%d %q, %v; want %d %q", resp.StatusCode, text, err, status, body)
+	}
+}
+
+// expectEOF checks that nothing more comes, and that the end is no reset.
+func (c client) expectEOF() {
+	c.t.Helper()
+	if b, err := io.ReadAll(c.in); err != nil || len(b) > 0 {
+		c.t.Errorf("%q, %v; want the end", b, err)
+	}
+}
--- /dev/null
+++ b/internal/net/httpserve/server_test.go
@@ -0,0 +1,198 @@
+package httpserve
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+const getRequest = "GET / HTTP/1.1\r\n\r\n"
+
+func TestServer_OneRequestAtATimeInOrder(t *testing.T) {
+	var passed []*Exchange
+	s := New(Timeouts{}, startTime, func(x *Exchange) { passed = append(passed, x) })
+	conn := &fakeConn{}
+	c := s.Attach(conn)
+	c.Data([]byte("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET"))
+	if len(passed) != 1 {
+		t.Fatalf("%d requests in flight", len(passed))
+	}
+	passed[0].Respond(http.StatusOK, []byte("one"))
+	passed[0].Respond(http.StatusOK, []byte("again")) // only the first counts
+	if len(passed) != 2 || passed[1].Target != "/2" {
+		t.Fatalf("%d requests", len(passed))
+	}
+	passed[1].Respond(http.StatusOK, []byte("two"))
+	text := conn.written.String()
+	if strings.Count(text, "HTTP/1.1 200") != 2 || strings.Index(text, "one") > strings.Index(text, "two") || conn.closedGracefully {
+		t.Errorf("%q", text)
+	}
+}
+
+func TestExchange_ClientDisconnects(t *testing.T) {
+	disconnects := 0
+	var x *Exchange
+	s := New(Timeouts{}, startTime, func(passed *Exchange) { x = passed; x.OnDisconnect(func() { disconnects++ }) })
+	conn := &fakeConn{}
+	c := s.Attach(conn)
+	c.Data([]byte(getRequest))
+	c.Closed(nil)
+	x.Respond(http.StatusOK, nil)
+	if disconnects != 1 || conn.written.Len() != 0 || s.OpenConns() != 0 || x.OnDisconnect(func() {}) {
+		t.Errorf("%d disconnects, wrote %q, %d open", disconnects, conn.written.String(), s.OpenConns())
+	}
+}
+
+// A panic stops at its connection, whose client still gets a response.
+func TestServer_PanicOfHandler(t *testing.T) {
+	s := New(Timeouts{}, startTime, func(*Exchange) { panic("in a handler") })
+	conn := &fakeConn{}
+	s.Attach(conn).Data([]byte(getRequest))
+	if !strings.HasPrefix(conn.written.String(), "HTTP/1.1 500 ") || !conn.closedGracefully || s.Counters().Panics != 1 {
+		t.Errorf("%q %+v", conn.written.String(), s.Counters())
+	}
+}
+
+func TestServer_ShutdownAndFlood(t *testing.T) {
+	var x *Exchange
+	s := New(Timeouts{}, startTime, func(passed *Exchange) { x = passed })
+	idle, busy, flooding := &fakeConn{}, &fakeConn{}, &fakeConn{}
+	s.Attach(idle)
+	s.Attach(busy).Data([]byte(getRequest))
+	s.Shutdown()
+	if !idle.closedGracefully || busy.closedGracefully {
+		t.Error("the idle one ends, the busy one after its response")
+	}
+	x.Respond(http.StatusOK, nil)
+	if !busy.closedGracefully || !strings.Contains(busy.written.String(), "Connection: close") {
+		t.Errorf("%q", busy.written.String())
+	}
+	f := s.Attach(flooding)
+	f.Data([]byte(getRequest))
+	f.Data([]byte(strings.Repeat("x", 90<<10)))
+	x.Respond(http.StatusOK, nil)
+	if flooding.written.Len() != 0 {
+		t.Error("a client that floods was responded to")
+	}
+}
+
+// Idle connections are evicted in favour of others: those kept alive after a response once they were idle for a while,
+// then those that sent nothing, oldest first, then any without a request in flight. A busy one stays.
+func TestServer_EvictIdle(t *testing.T) {
+	now := startTime()
+	var x *Exchange
+	s := New(Timeouts{EvictableAfter: 2 * time.Second}, func() time.Time { return now }, func(passed *Exchange) { x = passed })
+	attach := func(sent string, respond bool) *fakeConn {
+		conn := &fakeConn{}
+		c := s.Attach(conn)
+		if c.Data([]byte(sent)); respond {
+			x.Respond(http.StatusOK, nil)
+		}
+		return conn
+	}
+	keptAlive := attach(getRequest, true)
+	silent := attach("", false)
+	half := attach("GET", false)
+	busy := attach(getRequest, false)
+	fresh := attach(getRequest, true)
+	if s.EvictIdle(false) {
+		t.Error("a connection was evicted that was not idle for long")
+	}
+	now = now.Add(1500 * time.Millisecond)
+	if !s.EvictIdle(true) || !silent.closedAndWaited {
+		t.Error("the silent one stayed")
+	}
+	now = now.Add(time.Second)
+	s.MaxKeepAlive = 1
+	attach("", false) // one more than may be kept alive
+	if !keptAlive.closedAndWaited && !fresh.closedAndWaited {
+		t.Error("more are kept alive than may be")
+	}
+	for range 4 {
+		s.EvictIdle(true)
+	}
+	if !keptAlive.closedAndWaited || !fresh.closedAndWaited || !half.closedAndWaited || busy.closedAndWaited || s.EvictIdle(true) {
+		t.Errorf("evicted: kept alive %v, fresh %v, half %v, busy %v", keptAlive.closedAndWaited, fresh.closedAndWaited, half.closedAndWaited, busy.closedAndWaited)
+	}
+	if n := s.Counters().Evicted; n != 5 {
+		t.Errorf("%d evicted", n)
+	}
+}
+
+// The time-out of the first request runs from the start of the connection: what trickles in does not prolong it.
+func TestTimeouts_FirstRequest(t *testing.T) {
+	s := New(Timeouts{FirstRequest: time.Hour, Idle: time.Hour, ReadRequest: time.Hour}, startTime, func(x *Exchange) { x.Respond(http.StatusOK, nil) })
+	for _, c := range []struct{ name, sent, want string }{
+		{"nothing was sent", "", ""},
+		{"a part of a request was sent", "GET / HT", "HTTP/1.1 408 "},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			conn := &fakeConn{}
+			sc := s.Attach(conn).(*serverConn)
+			timer := sc.timer
+			if sc.Data([]byte(c.sent)); sc.timer != timer {
+				t.Error("the timer was started again")
+			}
+			if sc.expire(); !conn.closedGracefully || !strings.HasPrefix(conn.written.String(), c.want) || c.want == "" && conn.written.Len() > 0 {
+				t.Errorf("%q", conn.written.String())
+			}
+		})
+	}
+	sc := s.Attach(&fakeConn{}).(*serverConn)
+	sc.Data([]byte(getRequest))
+	timer := sc.timer
+	if sc.Data([]byte("GET")); sc.timer == timer {
+		t.Error("a later request has no time-out of its own")
+	}
+}
+
+// A request that was sent behind another counts from when it came, not from the response to the other.
+func TestExchange_FirstByteAt_BehindAnother(t *testing.T) {
+	now := startTime()
+	var x *Exchange
+	s := New(Timeouts{}, func() time.Time { return now }, func(passed *Exchange) { x = passed })
+	s.Attach(&fakeConn{}).Data([]byte("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n"))
+	now = now.Add(time.Second)
+	if x.Respond(http.StatusOK, nil); x.Target != "/2" || !x.FirstByteAt.Equal(startTime()) {
+		t.Errorf("%s began at %v", x.Target, x.FirstByteAt)
+	}
+}
+
+// busyConns is the number of connections with a request in flight, or a response on its way.
+func busyConns(s *Server) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns) - s.unused.Len() - s.idle.Len()
+}
+
+// Under overload a response ends its connection: clients that send one request and keep theirs would run out of them.
+func TestServer_MaxKeepAlive_EndsWithTheResponse(t *testing.T) {
+	var x *Exchange
+	s := New(Timeouts{EvictableAfter: time.Hour}, startTime, func(passed *Exchange) { x = passed })
+	s.MaxKeepAlive = 2
+	s.Attach(&fakeConn{}) // sent nothing: does not count
+	for i := range 4 {
+		conn := &fakeConn{}
+		s.Attach(conn).Data([]byte(getRequest))
+		if busyConns(s) != 1+max(0, i-2) {
+			t.Errorf("%d: %d busy", i, busyConns(s))
+		}
+		x.Respond(http.StatusOK, nil)
+		if overload := i >= 2; conn.closedGracefully != overload || strings.Contains(conn.written.String(), "Connection: close") != overload {
+			t.Errorf("%d: closed %v, %q", i, conn.closedGracefully, conn.written.String())
+		}
+	}
+}
+
+// GET /counters shows the counters under the names that scripts read.
+func TestCounters_String(t *testing.T) {
+	c := Counters{Connections: 1, Requests: 2, BadRequests: 3, Evicted: 4, Panics: 5, RejectedAtShutdown: 6}
+	const want = "{Conns:1 Requests:2 Bad:3 Spared:4 Panics:5 Late:6}"
+	for _, format := range []string{"%v", "%+v"} {
+		if got := fmt.Sprintf(format, c); got != want {
+			t.Errorf("%s: %s, want %s", format, got, want)
+		}
+	}
+}
