Split the platform's frontend into handling, parsing and answers

Cause: one function parsed a query in 65 lines of complexity over 15, beside the handler and the answers.

--- /dev/null
+++ b/internal/frontend/platform/frontend.go
@@ -0,0 +1,105 @@
+// Package platform is the platform's frontend: queries over HTTP/1.1.
+//
+// POST /CLASS with a JSON body starts a query; its headers state the request's id, tenant and deadline. GET /healthz
+// answers whether the aggregator is ready, GET /counters with its counters.
+package platform
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"rooktrestle/internal/aggregator"
+	"rooktrestle/internal/net/httpserve"
+)
+
+const (
+	healthPath   = "/healthz"
+	countersPath = "/counters"
+)
+
+// Options are what a Frontend needs to know.
+type Options struct {
+	Classes    []string // names of the request classes, in the order of their indices
+	Tenants    []string // names of the tenants, in the order of their indices; empty: requests state none
+	Shards     int      // a query's slices are numbered from 0 to Shards-1
+	MaxTimeout time.Duration
+	Timeouts   httpserve.Timeouts
+}
+
+// Frontend reads requests from connections and posts them to the aggregator's loop. Its methods may be called by any
+// goroutine.
+type Frontend struct {
+	*httpserve.Server
+	options  Options
+	put      func(aggregator.Message)
+	counters func() string
+	ready    atomic.Bool
+}
+
+// New returns a Frontend that posts to put, which must not block. counters returns the text that GET /counters shows; it
+// is called on a goroutine of its own and may wait for the loop.
+func New(options Options, put func(aggregator.Message), now func() time.Time, counters func() string) *Frontend {
+	f := &Frontend{options: options, put: put, counters: counters}
+	f.Server = httpserve.New(options.Timeouts, now, f.handle)
+	return f
+}
+
+// SetReady sets whether GET /healthz answers 200.
+func (f *Frontend) SetReady(ready bool) { f.ready.Store(ready) }
+
+func (f *Frontend) handle(x *httpserve.Exchange) {
+	path, _, _ := strings.Cut(x.Target, "?")
+	if path == healthPath || path == countersPath {
+		f.handleStatus(x, path)
+		return
+	}
+	f.handleQuery(x, path)
+}
+
+// handleStatus answers requests for the aggregator's own state.
+func (f *Frontend) handleStatus(x *httpserve.Exchange, path string) {
+	switch {
+	case x.Method != http.MethodGet && x.Method != http.MethodHead:
+		rejectBad(x, http.StatusMethodNotAllowed, "only GET", "Allow", "GET, HEAD")
+	case path == countersPath:
+		// The loop may be busy. Nobody waits for the goroutine, which ends with the loop's answer.
+		go func() { x.Respond(http.StatusOK, []byte(f.counters()+"\n"), "Content-Type", "text/plain") }()
+	case f.ready.Load():
+		x.Respond(http.StatusOK, []byte("ok\n"))
+	default:
+		x.Respond(http.StatusServiceUnavailable, []byte("not ready\n"))
+	}
+}
+
+// handleQuery posts a query to the loop, or rejects it where it is malformed.
+func (f *Frontend) handleQuery(x *httpserve.Exchange, path string) {
+	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	class := slices.Index(f.options.Classes, name)
+	if class < 0 {
+		rejectBad(x, http.StatusNotFound, "no such class")
+		return
+	}
+	if x.Method != http.MethodPost {
+		rejectBad(x, http.StatusMethodNotAllowed, "only POST", "Allow", "POST")
+		return
+	}
+	request, err := f.parseRequest(x.Message, class, x.FirstByteAt)
+	if err != nil {
+		rejectBad(x, http.StatusBadRequest, err.Error())
+		return
+	}
+	request.Frontend = responder{x}
+	disconnected := func() { f.put(aggregator.ClientDisconnected{Request: request}) }
+	// In this order: a disconnect in between would reach the loop before its request, and be forgotten.
+	f.put(aggregator.RequestArrived{Request: request})
+	if !x.OnDisconnect(disconnected) {
+		disconnected()
+	}
+}
+
+func rejectBad(x *httpserve.Exchange, status int, reason string, fields ...string) {
+	x.Respond(status, []byte(reason+"\n"), append(fields, "Content-Type", "text/plain")...)
+}
--- /dev/null
+++ b/internal/frontend/platform/parse_test.go
@@ -0,0 +1,85 @@
+package platform
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"rooktrestle/internal/protocol/http1"
+)
+
+const goodBody = `{"slices":[{"slice":1,"mass":0.25,"micros":1500},{"slice":3,"mass":0.75,"term":"00112233aabbccdd"}],"filter":"f"}`
+
+// goodHeader is the header of a request that is accepted, with one field changed.
+func goodHeader(field, value string) http1.Header {
+	h := http1.Header{"x-request-id": "q1", "x-deadline": "0.5", "x-tenant": "two", "x-class": "a", "x-retry": "1"}
+	if field != "" {
+		h[field] = value
+	}
+	return h
+}
+
+func message(h http1.Header, body string) (*http1.Message, *Frontend) {
+	f := New(Options{Classes: []string{"a", "b"}, Tenants: []string{"one", "two"}, Shards: 4, MaxTimeout: time.Second}, nil, time.Now, nil)
+	return &http1.Message{Header: h, Body: []byte(body)}, f
+}
+
+func TestParseRequest(t *testing.T) {
+	arrived := time.Unix(1000, 0)
+	m, f := message(goodHeader("", ""), goodBody)
+	r, err := f.parseRequest(m, 0, arrived)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.ID != "q1" || r.Class != 0 || r.Tenant != 1 || !r.IsRetry || !r.Arrived.Equal(arrived) || r.Timeout != 500*time.Millisecond {
+		t.Errorf("header: %+v", r)
+	}
+	if r.Payload != "f" || r.Key != "00112233aabbccdd" || len(r.Parts) != 2 {
+		t.Fatalf("body: %+v", r)
+	}
+	if first, second := r.Parts[0], r.Parts[1]; first.Shard != 1 || first.WorkHint != 1500*time.Microsecond || second.Shard != 3 ||
+		math.Abs(first.Weight-0.25) > 1e-12 || math.Abs(second.Weight-0.75) > 1e-12 {
+		t.Errorf("parts: %+v", r.Parts)
+	}
+	m, f = message(goodHeader("x-deadline", "7"), goodBody)
+	if r, err := f.parseRequest(m, 0, arrived); err != nil || r.Timeout != time.Second {
+		t.Errorf("a deadline over the longest that is allowed: %+v, %v", r, err)
+	}
+}
+
+// Each malformed request is rejected with the reason that its client reads.
+func TestParseRequest_Rejects(t *testing.T) {
+	for name, c := range map[string]struct {
+		field, value, body string
+		want               string
+	}{
+		"no id":                    {"x-request-id", "", goodBody, `X-Request-Id ""`},
+		"an id with a space":       {"x-request-id", "a b", goodBody, `X-Request-Id "a b"`},
+		"an id given twice":        {"x-request-id", "a,b", goodBody, `X-Request-Id "a,b"`},
+		"another class":            {"x-class", "b", goodBody, `X-Class "b" does not go with the path`},
+		"an unknown tenant":        {"x-tenant", "three", goodBody, `X-Tenant "three"`},
+		"no tenant":                {"x-tenant", "", goodBody, `X-Tenant ""`},
+		"no deadline":              {"x-deadline", "", goodBody, `X-Deadline ""`},
+		"a deadline of 0":          {"x-deadline", "0", goodBody, `X-Deadline "0"`},
+		"a deadline with a sign":   {"x-deadline", "+1", goodBody, `X-Deadline "+1"`},
+		"a deadline beyond limits": {"x-deadline", "1000001", goodBody, `X-Deadline "1000001"`},
+		"a body that is not UTF-8": {"", "", "{\"filter\":\"\xff\"}", "body: not UTF-8"},
+		"a body that is no JSON":   {"", "", "{", "body: unexpected end of JSON input"},
+		"no slices":                {"", "", `{"slices":[],"filter":"f"}`, "body: no slices, or no filter"},
+		"no filter":                {"", "", `{"slices":[{"slice":1,"mass":1}]}`, "body: no slices, or no filter"},
+		"a slice without a number": {"", "", `{"slices":[{"mass":1}],"filter":"f"}`, "body: a slice that is missing, twice there or not within 0 to 3"},
+		"a slice twice":            {"", "", `{"slices":[{"slice":1,"mass":0.5},{"slice":1,"mass":0.5}],"filter":"f"}`, "body: a slice that is missing, twice there or not within 0 to 3"},
+		"a slice out of range":     {"", "", `{"slices":[{"slice":4,"mass":1}],"filter":"f"}`, "body: a slice that is missing, twice there or not within 0 to 3"},
+		"a weight over 1":          {"", "", `{"slices":[{"slice":1,"mass":2}],"filter":"f"}`, "body: slice 1: mass 2, micros 0"},
+		"a negative work hint":     {"", "", `{"slices":[{"slice":1,"mass":1,"micros":-1}],"filter":"f"}`, "body: slice 1: mass 1, micros -1"},
+		"a term of no hex digits":  {"", "", `{"slices":[{"slice":1,"mass":1,"term":"zz"}],"filter":"f"}`, `body: slice 1: term "zz"`},
+		"weights that miss 1":      {"", "", `{"slices":[{"slice":1,"mass":0.5}],"filter":"f"}`, "body: masses add up to 0.5"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m, f := message(goodHeader(c.field, c.value), c.body)
+			if r, err := f.parseRequest(m, 0, time.Unix(1000, 0)); err == nil || err.Error() != c.want {
+				t.Errorf("%+v, %v; want %s", r, err, c.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/frontend/platform/races_test.go
@@ -0,0 +1,134 @@
+package platform
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"rooktrestle/internal/aggregator"
+	"rooktrestle/internal/net/tcp"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction(netpollPoller))
+}
+
+// netpollPoller runs for as long as the process: netpoll starts its pollers once and never ends them.
+const netpollPoller = "github.com/cloudwego/netpoll.(*defaultPoll).Wait"
+
+// Disconnects of clients in forced orders, on real connections (docs/crossings.md).
+
+// closeNotifier closes closed once the end of its connection has been handled.
+type closeNotifier struct {
+	tcp.Handler
+	closed chan struct{}
+}
+
+func (c closeNotifier) Closed(err error) { c.Handler.Closed(err); close(c.closed) }
+
+// serve listens until the test ends and returns a client's connection, and a channel that is closed once the end of that
+// connection has been handled.
+func serve(t *testing.T, f *Frontend) (net.Conn, <-chan struct{}) {
+	t.Helper()
+	closed := make(chan struct{})
+	server, err := tcp.Listen("127.0.0.1:0", &tcp.ConnLimiter{Max: 10}, func(conn *tcp.Conn) tcp.Handler {
+		return closeNotifier{f.Accept(conn), closed}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	client, err := net.Dial("tcp", server.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = client.Close() }) // the test may have closed it
+	return client, closed
+}
+
+func newFrontend(put func(aggregator.Message)) *Frontend {
+	return New(Options{Classes: []string{"a"}, Shards: 4, MaxTimeout: time.Minute}, put, time.Now, nil)
+}
+
+// query returns query number n as a client sends it.
+func query(n int) string {
+	body := `{"slices":[{"slice":1,"mass":1}],"filter":"f"}`
+	return fmt.Sprintf("POST /a HTTP/1.1\r\nX-Request-Id: %d\r\nX-Deadline: 1\r\nContent-Length: %d\r\n\r\n%s", n, len(body), body)
+}
+
+func send(t *testing.T, client net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(client, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A client disconnects between the parsing of its request and its hand-over to the loop. The request was sent behind
+// another one, so that it is handed over by whoever answers that, beside the connection's own end. Its arrival reaches the
+// loop before the disconnect: in the other order the disconnect would be forgotten, and the query forwarded for nobody.
+func TestFrontend_DisconnectBeforeHandOver(t *testing.T) {
+	var client net.Conn
+	var closed <-chan struct{}
+	posted := make(chan aggregator.Message, 10)
+	f := newFrontend(func(m aggregator.Message) {
+		if arrived, ok := m.(aggregator.RequestArrived); ok && arrived.Request.ID == "2" {
+			_ = client.Close() // nothing was read from it
+			<-closed           // its end has been handled, and the request is not yet handed over
+		}
+		posted <- m
+	})
+	client, closed = serve(t, f)
+	send(t, client, query(1)+query(2)) // in one piece: the second is there when the first is answered
+	first := (<-posted).(aggregator.RequestArrived).Request
+	answered := make(chan struct{})
+	go func() {
+		first.Frontend.Answer(aggregator.FinalAnswer{Status: aggregator.StatusRejected})
+		close(answered)
+	}()
+	var order []string
+	for len(order) < 2 {
+		switch m := (<-posted).(type) {
+		case aggregator.RequestArrived:
+			order = append(order, "arrived "+m.Request.ID)
+		case aggregator.ClientDisconnected:
+			order = append(order, "disconnected "+m.Request.ID)
+		}
+	}
+	if order[0] != "arrived 2" || order[1] != "disconnected 2" {
+		t.Errorf("%q", order)
+	}
+	<-answered
+}
+
+// A client disconnects, or closes its side of the connection, with a request in flight and another behind it: the loop is
+// notified for the first, and the second never reaches it.
+func TestFrontend_DisconnectWithRequestBehind(t *testing.T) {
+	for name, disconnect := range map[string]func(*net.TCPConn) error{
+		"closes":      (*net.TCPConn).Close,
+		"half-closes": (*net.TCPConn).CloseWrite,
+	} {
+		t.Run(name, func(t *testing.T) {
+			posted := make(chan aggregator.Message, 10)
+			f := newFrontend(func(m aggregator.Message) { posted <- m })
+			client, closed := serve(t, f)
+			send(t, client, query(1))
+			first := (<-posted).(aggregator.RequestArrived).Request
+			send(t, client, query(2))
+			if err := disconnect(client.(*net.TCPConn)); err != nil {
+				t.Error(err)
+			}
+			if m, ok := (<-posted).(aggregator.ClientDisconnected); !ok || m.Request != first {
+				t.Errorf("posted %+v, want the disconnect of the first", m)
+			}
+			<-closed
+			first.Frontend.Answer(aggregator.FinalAnswer{Status: aggregator.StatusRejected})
+			if n := len(posted); n > 0 || f.OpenConns() > 0 {
+				t.Errorf("%d more events, %d connections", n, f.OpenConns())
+			}
+		})
+	}
+}
