--- a/internal/frontend/platform/parse_test.go
+++ b/internal/frontend/platform/parse_test.go
@@ -1,10 +1,11 @@
 package platform
 
 import (
-	"math"
+	"reflect"
 	"testing"
 	"time"
 
+	"rooktrestle/internal/aggregator"
 	"rooktrestle/internal/protocol/http1"
 )
 
@@ -26,24 +27,24 @@
 
 func TestParseRequest(t *testing.T) {
 	arrived := time.Unix(1000, 0)
-	m, f := message(goodHeader("", ""), goodBody)
-	r, err := f.parseRequest(m, 0, arrived)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if r.ID != "q1" || r.Class != 0 || r.Tenant != 1 || !r.IsRetry || !r.Arrived.Equal(arrived) || r.Timeout != 500*time.Millisecond {
-		t.Errorf("header: %+v", r)
-	}
-	if r.Payload != "f" || r.Key != "00112233aabbccdd" || len(r.Parts) != 2 {
-		t.Fatalf("body: %+v", r)
+	want := &aggregator.Request{
+		ID: "q1", Class: 0, Tenant: 1, IsRetry: true, Arrived: arrived, Timeout: 500 * time.Millisecond,
+		Payload: "f", Key: "00112233aabbccdd",
+		Parts: []aggregator.PartSpec{
+			{Shard: 1, Weight: 0.25, WorkHint: 1500 * time.Microsecond},
+			{Shard: 3, Weight: 0.75},
+		},
 	}
-	if first, second := r.Parts[0], r.Parts[1]; first.Shard != 1 || first.WorkHint != 1500*time.Microsecond || second.Shard != 3 ||
-		math.Abs(first.Weight-0.25) > 1e-12 || math.Abs(second.Weight-0.75) > 1e-12 {
-		t.Errorf("parts: %+v", r.Parts)
+	m, f := message(goodHeader("", ""), goodBody)
+	if r, err := f.parseRequest(m, 0, arrived); err != nil || !reflect.DeepEqual(r, want) {
+		t.Errorf("%+v, %v; want %+v", r, err, want)
 	}
-	m, f = message(goodHeader("x-deadline", "7"), goodBody)
-	if r, err := f.parseRequest(m, 0, arrived); err != nil || r.Timeout != time.Second {
-		t.Errorf("a deadline over the longest that is allowed: %+v, %v", r, err)
+}
+
+func TestParseRequest_CapsTheDeadline(t *testing.T) {
+	m, f := message(goodHeader("x-deadline", "7"), goodBody)
+	if r, err := f.parseRequest(m, 0, time.Unix(1000, 0)); err != nil || r.Timeout != time.Second {
+		t.Errorf("%+v, %v", r, err)
 	}
 }
 
--- a/internal/net/gossip/gossip.go
+++ b/internal/net/gossip/gossip.go
@@ -1,5 +1,5 @@
-// Package peers carries short datagrams between the mixers of one tier. It neither reads nor trusts what they
-// hold: that is for the decisions. Datagrams may be lost, late, doubled or garbled.
+// Package gossip carries short datagrams between the aggregators of one tier. It neither reads nor trusts what they hold:
+// that is for the decisions. Datagrams may be lost, late, duplicated or corrupt.
 package gossip
 
 import (
@@ -12,84 +12,94 @@
 	"rooktrestle/balance"
 )
 
-// Stats count datagrams: sent, not taken by the system, received, and dropped unread because they were too long
-// or came from no peer.
-type Stats struct{ Sent, Failed, Received, TooLong, UnknownSender atomic.Uint64 }
+// Stats count datagrams. They may be read by any goroutine.
+type Stats struct {
+	Sent          atomic.Uint64
+	Failed        atomic.Uint64 // sends and receives that the system failed
+	Received      atomic.Uint64 // and passed on
+	TooLong       atomic.Uint64 // not sent, or received and dropped
+	UnknownSender atomic.Uint64 // received from no peer and dropped
+}
 
-// Transport sends to all peers and receives from each. Tell and Close may be called by any goroutine.
+// Transport sends datagrams to all peers and receives from each. Its methods may be called by any goroutine.
 type Transport struct {
 	Stats Stats
-	conn  *net.UDPConn
-	all   netip.AddrPort
-	peers map[netip.AddrPort]bool
+
+	conn      *net.UDPConn
+	broadcast netip.AddrPort          // reaches every aggregator of the tier
+	peers     map[netip.AddrPort]bool // true: a peer, false: this aggregator itself
 }
 
-// Open listens at listen and sends to all, which reaches every mixer of the tier. Datagrams from peers other
-// than own are passed to put, each in memory of its own; put must not block. An address that cannot be read or
-// used is an error.
+// Open listens at listen and sends to all, which reaches every aggregator of the tier; both are IP:port. Datagrams from
+// peers are passed to put on a goroutine of the transport's, each in memory of its own; put must not block. peers[own] is
+// this aggregator: its own datagrams are dropped. An address that cannot be parsed or used is an error, which names the
+// setting that it stands in. The caller closes the transport.
 func Open(listen, all string, peers []string, own int, put func([]byte)) (*Transport, error) {
-	at, err := netip.ParseAddrPort(listen)
+	listenAddr, err := netip.ParseAddrPort(listen)
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	x := &Transport{peers: map[netip.AddrPort]bool{}}
-	if x.all, err = netip.ParseAddrPort(all); err != nil {
+	t := &Transport{peers: map[netip.AddrPort]bool{}}
+	if t.broadcast, err = netip.ParseAddrPort(all); err != nil {
 		return nil, fmt.Errorf("peers_all: %w", err)
 	}
-	for i, p := range peers {
-		a, err := netip.ParseAddrPort(p)
+	for i, peer := range peers {
+		addr, err := netip.ParseAddrPort(peer)
 		if err != nil {
 			return nil, fmt.Errorf("peers: entry %d: %w", i, err)
 		}
-		x.peers[a] = i != own // one's own word tells nothing new
+		t.peers[addr] = i != own
 	}
-	if x.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at)); err != nil {
+	if t.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(listenAddr)); err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	go x.read(put)
-	return x, nil
+	go t.receive(put) // until Close
+	return t, nil
 }
 
-// Addr is where the exchange listens.
-func (x *Transport) Addr() netip.AddrPort { return x.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+// Addr returns the address that the transport listens on.
+func (t *Transport) Addr() netip.AddrPort { return t.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
 
-// Broadcast sends text to all peers. One longer than is allowed is never sent.
-func (x *Transport) Broadcast(text []byte) {
-	if len(text) > balance.MaxGossipBytes {
-		x.Stats.TooLong.Add(1)
+// Broadcast sends a datagram to all peers. One longer than balance.MaxGossipBytes is counted and not sent; one that the
+// system does not take is counted and lost.
+func (t *Transport) Broadcast(datagram []byte) {
+	if len(datagram) > balance.MaxGossipBytes {
+		t.Stats.TooLong.Add(1)
 		return
 	}
-	if _, err := x.conn.WriteToUDPAddrPort(text, x.all); err != nil {
-		x.Stats.Failed.Add(1)
+	if _, err := t.conn.WriteToUDPAddrPort(datagram, t.broadcast); err != nil {
+		t.Stats.Failed.Add(1)
 		return
 	}
-	x.Stats.Sent.Add(1)
+	t.Stats.Sent.Add(1)
 }
 
-// Close ends the exchange.
-func (x *Transport) Close() { x.conn.Close() }
+// Close ends the transport, and with it the goroutine that receives.
+func (t *Transport) Close() {
+	_ = t.conn.Close() // what was sent is on its way; there is nothing to flush
+}
 
-// read passes on what comes until the exchange is closed. An error of one datagram, as when a peer's port is
-// closed, is not the end of the others.
-func (x *Transport) read(put func([]byte)) {
+// receive passes on datagrams until the transport is closed. An error of one datagram, as when a peer's port is closed, is
+// not the end of the others.
+func (t *Transport) receive(put func([]byte)) {
 	buf := make([]byte, balance.MaxGossipBytes+1) // one byte more shows what is too long
 	for {
-		n, from, err := x.conn.ReadFromUDPAddrPort(buf)
+		n, from, err := t.conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
-			x.Stats.Failed.Add(1)
+			t.Stats.Failed.Add(1)
 			continue
 		}
-		known, listed := x.peers[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
+		isPeer, listed := t.peers[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
 		switch {
 		case !listed:
-			x.Stats.UnknownSender.Add(1)
+			t.Stats.UnknownSender.Add(1)
 		case n > balance.MaxGossipBytes:
-			x.Stats.TooLong.Add(1)
-		case known:
-			x.Stats.Received.Add(1)
+			t.Stats.TooLong.Add(1)
+		case isPeer:
+			t.Stats.Received.Add(1)
 			put(append([]byte(nil), buf[:n]...))
 		}
 	}
--- a/internal/net/gossip/gossip_test.go
+++ b/internal/net/gossip/gossip_test.go
@@ -5,36 +5,42 @@
 	"net/netip"
 	"testing"
 
+	"go.uber.org/goleak"
+
 	"rooktrestle/balance"
 )
 
-func socket(t *testing.T) (*net.UDPConn, string) {
-	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func listenUDP(t *testing.T) (*net.UDPConn, string) {
+	t.Helper()
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { c.Close() })
-	return c, c.LocalAddr().String()
+	t.Cleanup(func() { _ = conn.Close() }) // nothing is read or written any more
+	return conn, conn.LocalAddr().String()
 }
 
-// Only what a peer sent, and no longer than is allowed, is passed on; all else is counted. A datagram that
-// fails is not the end of the next.
-func TestExchange(t *testing.T) {
-	peer, peerAddr := socket(t)
-	own, ownAddr := socket(t)
-	stranger, _ := socket(t)
-	got := make(chan string, 10)
-	x, err := Open("127.0.0.1:0", peerAddr, []string{ownAddr, peerAddr}, 0, func(b []byte) { got <- string(b) })
+// Only what a peer sent, and no longer than is allowed, is passed on; all else is counted. A datagram that fails is not
+// the end of the next.
+func TestTransport_FiltersAndCounts(t *testing.T) {
+	peer, peerAddr := listenUDP(t)
+	own, ownAddr := listenUDP(t)
+	unknown, _ := listenUDP(t)
+	received := make(chan string, 10)
+	transport, err := Open("127.0.0.1:0", peerAddr, []string{ownAddr, peerAddr}, 0, func(b []byte) { received <- string(b) })
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer x.Close()
+	defer transport.Close()
 	send := func(from *net.UDPConn, text string) {
-		if _, err := from.WriteToUDPAddrPort([]byte(text), x.Addr()); err != nil {
+		t.Helper()
+		if _, err := from.WriteToUDPAddrPort([]byte(text), transport.Addr()); err != nil {
 			t.Fatal(err)
 		}
 	}
-	send(stranger, "from a stranger")
+	send(unknown, "from an unknown sender")
 	send(own, "from itself")
 	send(peer, string(make([]byte, balance.MaxGossipBytes+1)))
 	send(peer, string(make([]byte, 4096)))
@@ -42,27 +48,34 @@
 	send(peer, "")
 	send(peer, "second")
 	for _, want := range []string{"first", "", "second"} {
-		if text := <-got; text != want {
-			t.Fatalf("got %q, want %q", text, want)
+		if text := <-received; text != want {
+			t.Fatalf("received %q, want %q", text, want)
 		}
 	}
-	if s, l, r := x.Stats.UnknownSender.Load(), x.Stats.TooLong.Load(), x.Stats.Received.Load(); s != 1 || l != 2 || r != 3 {
-		t.Errorf("%d strangers, %d too long, %d received", s, l, r)
+	stats := &transport.Stats
+	if u, l, r := stats.UnknownSender.Load(), stats.TooLong.Load(), stats.Received.Load(); u != 1 || l != 2 || r != 3 {
+		t.Errorf("%d of unknown senders, %d too long, %d received", u, l, r)
 	}
-	x.Broadcast(make([]byte, balance.MaxGossipBytes+1))
-	x.Broadcast([]byte("word"))
+	transport.Broadcast(make([]byte, balance.MaxGossipBytes+1))
+	transport.Broadcast([]byte("word"))
 	buf := make([]byte, 512)
 	n, from, err := peer.ReadFromUDPAddrPort(buf)
-	if err != nil || string(buf[:n]) != "word" || netip.AddrPortFrom(from.Addr().Unmap(), from.Port()) != x.Addr() {
+	if err != nil || string(buf[:n]) != "word" || netip.AddrPortFrom(from.Addr().Unmap(), from.Port()) != transport.Addr() {
 		t.Errorf("%q from %v: %v", buf[:n], from, err)
 	}
 }
 
-func TestBadAddresses(t *testing.T) {
-	for _, c := range [][3]string{{"x", "127.0.0.1:1", "127.0.0.1:1"}, {"127.0.0.1:0", "x", "127.0.0.1:1"}, {"127.0.0.1:0", "127.0.0.1:1", "x"}} {
-		if x, err := Open(c[0], c[1], []string{c[2]}, 0, func([]byte) {}); err == nil {
-			x.Close()
-			t.Errorf("%v opened", c)
-		}
+func TestOpen_BadAddresses(t *testing.T) {
+	for _, c := range []struct{ name, listen, all, peer string }{
+		{"of the listener", "x", "127.0.0.1:1", "127.0.0.1:1"},
+		{"of all peers", "127.0.0.1:0", "x", "127.0.0.1:1"},
+		{"of one peer", "127.0.0.1:0", "127.0.0.1:1", "x"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if transport, err := Open(c.listen, c.all, []string{c.peer}, 0, func([]byte) {}); err == nil {
+				transport.Close()
+				t.Error("opened")
+			}
+		})
 	}
 }
