--- a/internal/frontend/platform/frontend.go
+++ b/internal/frontend/platform/frontend.go
@@ -50,56 +50,56 @@
 // SetReady sets whether GET /healthz answers 200.
 func (f *Frontend) SetReady(ready bool) { f.ready.Store(ready) }
 
-func (f *Frontend) handle(x *httpserve.Exchange) {
-	path, _, _ := strings.Cut(x.Target, "?")
+func (f *Frontend) handle(exchange *httpserve.Exchange) {
+	path, _, _ := strings.Cut(exchange.Target, "?")
 	if path == healthPath || path == countersPath {
-		f.handleStatus(x, path)
+		f.handleStatus(exchange, path)
 		return
 	}
-	f.handleQuery(x, path)
+	f.handleQuery(exchange, path)
 }
 
 // handleStatus answers requests for the aggregator's own state.
-func (f *Frontend) handleStatus(x *httpserve.Exchange, path string) {
+func (f *Frontend) handleStatus(exchange *httpserve.Exchange, path string) {
 	switch {
-	case x.Method != http.MethodGet && x.Method != http.MethodHead:
-		rejectBad(x, http.StatusMethodNotAllowed, "only GET", "Allow", "GET, HEAD")
+	case exchange.Method != http.MethodGet && exchange.Method != http.MethodHead:
+		rejectBad(exchange, http.StatusMethodNotAllowed, "only GET", "Allow", "GET, HEAD")
 	case path == countersPath:
 		// The loop may be busy. Nobody waits for the goroutine, which ends with the loop's answer.
-		go func() { x.Respond(http.StatusOK, []byte(f.counters()+"\n"), "Content-Type", "text/plain") }()
+		go func() { exchange.Respond(http.StatusOK, []byte(f.counters()+"\n"), "Content-Type", "text/plain") }()
 	case f.ready.Load():
-		x.Respond(http.StatusOK, []byte("ok\n"))
+		exchange.Respond(http.StatusOK, []byte("ok\n"))
 	default:
-		x.Respond(http.StatusServiceUnavailable, []byte("not ready\n"))
+		exchange.Respond(http.StatusServiceUnavailable, []byte("not ready\n"))
 	}
 }
 
 // handleQuery posts a query to the loop, or rejects it where it is malformed.
-func (f *Frontend) handleQuery(x *httpserve.Exchange, path string) {
+func (f *Frontend) handleQuery(exchange *httpserve.Exchange, path string) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	class := slices.Index(f.options.Classes, name)
 	if class < 0 {
-		rejectBad(x, http.StatusNotFound, "no such class")
+		rejectBad(exchange, http.StatusNotFound, "no such class")
 		return
 	}
-	if x.Method != http.MethodPost {
-		rejectBad(x, http.StatusMethodNotAllowed, "only POST", "Allow", "POST")
+	if exchange.Method != http.MethodPost {
+		rejectBad(exchange, http.StatusMethodNotAllowed, "only POST", "Allow", "POST")
 		return
 	}
-	request, err := f.parseRequest(x.Message, class, x.FirstByteAt)
+	request, err := f.parseRequest(exchange.Message, class, exchange.FirstByteAt)
 	if err != nil {
-		rejectBad(x, http.StatusBadRequest, err.Error())
+		rejectBad(exchange, http.StatusBadRequest, err.Error())
 		return
 	}
-	request.Frontend = responder{x}
+	request.Frontend = responder{exchange}
 	disconnected := func() { f.put(aggregator.ClientDisconnected{Request: request}) }
 	// In this order: a disconnect in between would reach the loop before its request, and be forgotten.
 	f.put(aggregator.RequestArrived{Request: request})
-	if !x.OnDisconnect(disconnected) {
+	if !exchange.OnDisconnect(disconnected) {
 		disconnected()
 	}
 }
 
-func rejectBad(x *httpserve.Exchange, status int, reason string, fields ...string) {
-	x.Respond(status, []byte(reason+"\n"), append(fields, "Content-Type", "text/plain")...)
+func rejectBad(exchange *httpserve.Exchange, status int, reason string, fields ...string) {
+	exchange.Respond(status, []byte(reason+"\n"), append(fields, "Content-Type", "text/plain")...)
 }
--- a/internal/frontend/platform/parse.go
+++ b/internal/frontend/platform/parse.go
@@ -45,40 +45,40 @@
 
 // parseRequest decodes a query. arrived is when its first byte came. An error is meant for the client.
 func (f *Frontend) parseRequest(m *http1.Message, class int, arrived time.Time) (*aggregator.Request, error) {
-	r := &aggregator.Request{Class: class, Arrived: arrived}
-	if err := f.parseHeader(m.Header, r); err != nil {
+	request := &aggregator.Request{Class: class, Arrived: arrived}
+	if err := f.parseHeader(m.Header, request); err != nil {
 		return nil, err
 	}
 	body, err := decodeBody(m.Body)
 	if err != nil {
 		return nil, err
 	}
-	r.Payload = *body.Filter
-	if err := f.addParts(body.Slices, r); err != nil {
+	request.Payload = *body.Filter
+	if err := f.addParts(body.Slices, request); err != nil {
 		return nil, err
 	}
-	return r, nil
+	return request, nil
 }
 
 // parseHeader reads what the header states of a request.
-func (f *Frontend) parseHeader(h http1.Header, r *aggregator.Request) error {
-	r.ID, r.IsRetry = h.Get("X-Request-Id"), h.Get("X-Retry") == "1"
-	if !validID(r.ID) {
-		return fmt.Errorf("X-Request-Id %q", r.ID)
+func (f *Frontend) parseHeader(header http1.Header, request *aggregator.Request) error {
+	request.ID, request.IsRetry = header.Get("X-Request-Id"), header.Get("X-Retry") == "1"
+	if !validID(request.ID) {
+		return fmt.Errorf("X-Request-Id %q", request.ID)
 	}
-	if stated := h.Get("X-Class"); stated != "" && stated != f.options.Classes[r.Class] {
+	if stated := header.Get("X-Class"); stated != "" && stated != f.options.Classes[request.Class] {
 		return fmt.Errorf("X-Class %q does not go with the path", stated)
 	}
-	if name := h.Get("X-Tenant"); name != "" || len(f.options.Tenants) > 0 {
-		if r.Tenant = slices.Index(f.options.Tenants, name); r.Tenant < 0 {
+	if name := header.Get("X-Tenant"); name != "" || len(f.options.Tenants) > 0 {
+		if request.Tenant = slices.Index(f.options.Tenants, name); request.Tenant < 0 {
 			return fmt.Errorf("X-Tenant %q", name)
 		}
 	}
-	deadline, err := parseDeadline(h.Get("X-Deadline"))
+	deadline, err := parseDeadline(header.Get("X-Deadline"))
 	if err != nil {
 		return err
 	}
-	r.Timeout = min(deadline, f.options.MaxTimeout)
+	request.Timeout = min(deadline, f.options.MaxTimeout)
 	return nil
 }
 
@@ -107,7 +107,7 @@
 }
 
 // addParts adds a query's parts and its key, which is the first term that is stated.
-func (f *Frontend) addParts(parts []querySlice, r *aggregator.Request) error {
+func (f *Frontend) addParts(parts []querySlice, request *aggregator.Request) error {
 	seen, sum := map[int]bool{}, 0.0
 	for _, part := range parts {
 		if part.Shard == nil || *part.Shard < 0 || *part.Shard >= f.options.Shards || seen[*part.Shard] {
@@ -118,21 +118,21 @@
 		}
 		seen[*part.Shard] = true
 		sum += part.Weight
-		r.Parts = append(r.Parts, aggregator.PartSpec{
+		request.Parts = append(request.Parts, aggregator.PartSpec{
 			Shard:    *part.Shard,
 			Weight:   part.Weight,
 			WorkHint: time.Duration(part.WorkHint * float64(time.Microsecond)),
 		})
-		if r.Key == "" {
-			r.Key = part.Term
+		if request.Key == "" {
+			request.Key = part.Term
 		}
 	}
 	// Guards against weights that put a complete answer out of reach, or make one of a part.
 	if math.Abs(sum-1) > weightTolerance {
 		return fmt.Errorf("body: masses add up to %v", sum)
 	}
-	for i := range r.Parts { // what rounding took would be missing from a complete answer
-		r.Parts[i].Weight /= sum
+	for i := range request.Parts { // what rounding took would be missing from a complete answer
+		request.Parts[i].Weight /= sum
 	}
 	return nil
 }
--- a/internal/net/discovery/connection.go
+++ b/internal/net/discovery/connection.go
@@ -80,7 +80,7 @@
 
 // requestChanges opens the watch, from the version that is held.
 func (w *Watcher) requestChanges(conn *tcp.Conn, stream *eventStream) {
-	w.send(conn, fmt.Sprintf(watchPathFormat, stream.heldVersion()))
+	w.send(conn, fmt.Sprintf(watchPathFormat, stream.currentVersion()))
 }
 
 // send requests a path. That it cannot be written shows as the end of the connection.
--- a/internal/net/discovery/stream.go
+++ b/internal/net/discovery/stream.go
@@ -77,8 +77,8 @@
 	return s
 }
 
-// heldVersion returns the version of the list that is held.
-func (s *eventStream) heldVersion() int64 {
+// currentVersion returns the version of the list that is held.
+func (s *eventStream) currentVersion() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.watcher.Version
--- a/internal/net/httpserve/evict.go
+++ b/internal/net/httpserve/evict.go
@@ -53,7 +53,7 @@
 
 // listing is a connection's place on one of the server's lists, under the server's lock.
 type listing struct {
-	on       *list.List // nil: it is on none
+	list     *list.List // nil: it is on none
 	element  *list.Element
 	listedAt time.Time
 }
@@ -63,16 +63,16 @@
 func (c *serverConn) enlist(conns *list.List) {
 	c.unlist()
 	if c.server.conns[c] {
-		c.listedAt, c.on = c.server.now(), conns
+		c.listedAt, c.list = c.server.now(), conns
 		c.element = conns.PushBack(c)
 	}
 }
 
 // unlist takes a connection off its list. It is called with the server's lock held.
 func (c *serverConn) unlist() {
-	if c.on != nil {
-		c.on.Remove(c.element)
-		c.on, c.element = nil, nil
+	if c.list != nil {
+		c.list.Remove(c.element)
+		c.list, c.element = nil, nil
 	}
 }
 
--- a/internal/net/tcp/close.go
+++ b/internal/net/tcp/close.go
@@ -70,7 +70,7 @@
 	_ = c.socket.Close() // it reports nothing: a connection that has ended is closed already
 }
 
-// halfClose tells the peer that nothing more will come, and closes later: when the peer has closed, or after a while.
+// halfClose ends the direction toward the peer, and closes later: when the peer has closed, or after lingerTimeout.
 func (c *Conn) halfClose() {
 	if c.shutdownWrite() {
 		time.AfterFunc(lingerTimeout, c.closeSocket)
--- a/internal/net/tcp/write.go
+++ b/internal/net/tcp/write.go
@@ -38,22 +38,22 @@
 	c.enqueue(pendingWrite{data: b, deadline: time.Now().Add(d), done: done})
 }
 
-func (c *Conn) enqueue(w pendingWrite) {
+func (c *Conn) enqueue(pending pendingWrite) {
 	c.mu.Lock()
 	// Guards memory against a peer that sends requests and does not read.
-	if c.queued+len(w.data) > maxQueuedBytes && !c.closed {
+	if c.queued+len(pending.data) > maxQueuedBytes && !c.closed {
 		c.closed, c.cause = true, ErrSlowReader
 		go c.closeSocket()
 	}
 	if c.closed || c.closing {
 		c.mu.Unlock()
-		if w.done != nil {
-			go w.done(WriteNone)
+		if pending.done != nil {
+			go pending.done(WriteNone)
 		}
 		return
 	}
-	c.queue = append(c.queue, w)
-	c.queued += len(w.data)
+	c.queue = append(c.queue, pending)
+	c.queued += len(pending.data)
 	start := !c.writing
 	c.writing = true
 	c.mu.Unlock()
@@ -98,18 +98,18 @@
 	return nil
 }
 
-func (c *Conn) write(w pendingWrite) WriteResult {
+func (c *Conn) write(pending pendingWrite) WriteResult {
 	c.mu.Lock()
 	closed := c.closed
 	c.mu.Unlock()
 	switch {
 	case closed || !c.socket.IsActive():
 		return WriteNone
-	case !w.deadline.IsZero() && time.Now().After(w.deadline):
+	case !pending.deadline.IsZero() && time.Now().After(pending.deadline):
 		return WriteExpired
 	}
 	writer := c.socket.Writer()
-	if _, err := writer.WriteBinary(w.data); err != nil {
+	if _, err := writer.WriteBinary(pending.data); err != nil {
 		return WriteNone
 	}
 	err := writer.Flush()
