--- /dev/null
+++ b/internal/aggregator/answer.go
@@ -0,0 +1,113 @@
+package aggregator
+
+import (
+	"cmp"
+	"fmt"
+	"os"
+	"slices"
+
+	"rooktrestle/balance"
+)
+
+// followUpSuffix ends the names of the parts of a second step.
+const followUpSuffix = ".phase2"
+
+// answer ends a step of a query with the parts that have answered. A class with a second step goes on to it.
+func (c *Core) answer(action balance.Answer) {
+	q := c.queries[action.Query]
+	if q == nil {
+		return
+	}
+	answered := q.answeredParts()
+	if n := classValue(c.limits.FollowUpParts, q.request.Class); !q.followUp && n > 0 && len(answered) > 0 {
+		c.startFollowUp(q, answered, action.Complete, n)
+		return
+	}
+	c.close(q, q.servedAnswer(action.Complete))
+}
+
+func (q *query) answeredParts() (answered []*part) {
+	for _, p := range q.parts {
+		if p.answered {
+			answered = append(answered, p)
+		}
+	}
+	return answered
+}
+
+// servedAnswer is the final answer that the answered parts make up.
+func (q *query) servedAnswer(complete bool) FinalAnswer {
+	final := FinalAnswer{Status: StatusServed, Complete: complete, TotalParts: len(q.parts)}
+	for _, p := range q.parts {
+		if p.answered {
+			final.AnsweredWeight += p.spec.Weight
+			final.Items = append(final.Items, Item{p.spec.Shard, p.value})
+		} else {
+			final.MissingShards = append(final.MissingShards, p.spec.Shard)
+		}
+	}
+	return final
+}
+
+// startFollowUp begins a query's second step: n parts of equal weight at those of the answered shards that scored
+// highest.
+func (c *Core) startFollowUp(q *query, answered []*part, complete bool, n int) {
+	c.Counters.FollowUps++
+	q.followUp, q.firstStep, q.firstStepCompleted = true, answered, complete
+	best := slices.Clone(answered)
+	slices.SortStableFunc(best, func(a, b *part) int { return cmp.Compare(b.score, a.score) })
+	best = best[:min(n, len(best))]
+	var specs []PartSpec
+	for _, p := range best {
+		specs = append(specs, PartSpec{Shard: p.spec.Shard, Weight: 1 / float64(len(best))})
+	}
+	c.dropParts(q)
+	c.submitParts(q, specs, followUpSuffix)
+}
+
+// abandon ends a query that the balancer rejects or fails. Where its outdated view was the reason it is restarted, or
+// waits for a newer map.
+func (c *Core) abandon(id balance.ID, final FinalAnswer) {
+	q := c.queries[id]
+	if q == nil {
+		return
+	}
+	if c.mayReroute(q) {
+		if v := q.flight.ViewUnusable(c.Resharding.Views); v.Restart || v.AwaitMap {
+			c.applyDecision(q, v)
+			return
+		}
+	}
+	c.close(q, final)
+}
+
+// close gives a query its one final answer. Attempts of it that are in flight stay so until they end.
+func (c *Core) close(q *query, final FinalAnswer) {
+	delete(c.queries, q.id)
+	delete(c.byRequest, q.request)
+	c.deadlines.Remove(q)
+	c.releaseRequestID(q)
+	c.unpinView(q)
+	c.dropParts(q)
+	if final.Status != StatusServed && !c.now.Before(q.deadline.Add(-c.limits.DeadlineMargin)) {
+		final.DeadlineExceeded = true
+	}
+	c.Counters.countFinal(final)
+	if final.Status == StatusDisconnected {
+		q.request.done = true // nobody is left to take the answer
+		return
+	}
+	c.deliver(q.request, final)
+}
+
+// deliver hands a final answer to the request's frontend. A panic there ends at that request.
+func (c *Core) deliver(request *Request, final FinalAnswer) {
+	request.done = true
+	defer func() {
+		if p := recover(); p != nil {
+			c.Counters.Panics++
+			fmt.Fprintf(os.Stderr, "request %s: panic in its frontend: %v\n", request.ID, p)
+		}
+	}()
+	request.Frontend.Answer(final)
+}
--- /dev/null
+++ b/internal/aggregator/attempt.go
@@ -0,0 +1,185 @@
+package aggregator
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"time"
+
+	"rooktrestle/balance"
+	"rooktrestle/internal/control/shardmap"
+)
+
+// attempt is one sending of a part to one server. It is held until its AttemptEnded event, which may come long after the
+// query has its final answer.
+type attempt struct {
+	id       AttemptID
+	part     *part
+	server   balance.Replica
+	sequence uint64 // number among all attempts of the core
+	sent     time.Time
+	deadline time.Time
+	index    int // in Core.timeouts
+
+	timedOut        bool // the deadline is over; the backend has yet to end it
+	cancelRequested bool
+}
+
+// Deadline is when the attempt times out; attempts of one time come in the order of their sending.
+func (a *attempt) Deadline() (time.Time, uint64) { return a.deadline, a.sequence }
+
+// QueueIndex is where the queue of time-outs keeps the attempt's index.
+func (a *attempt) QueueIndex() *int { return &a.index }
+
+// startAttempt notes a new attempt of a part as in flight.
+func (c *Core) startAttempt(p *part, server balance.Replica, deadline time.Time) *attempt {
+	q := p.query
+	c.attemptsSent++
+	a := &attempt{
+		id: AttemptID{p.id, p.attempts}, part: p, server: server, sequence: c.attemptsSent, sent: c.now, deadline: deadline,
+	}
+	p.attempts++
+	c.attempts[a.id] = a
+	c.timeouts.Push(a)
+	c.requestIDs[q.request.ID]++
+	q.inFlight++
+	if q.flight != nil {
+		q.flight.Parts[p.flightIndex].InFlight = true
+	}
+	c.Counters.Sent++
+	return a
+}
+
+// cancelTimedOutAttempts cancels the attempts whose deadline is over, in the order of their sending.
+func (c *Core) cancelTimedOutAttempts() {
+	expired := c.timeouts.Pop(c.now)
+	slices.SortFunc(expired, bySequence)
+	for _, a := range expired {
+		a.timedOut = true
+		c.cancel(a)
+	}
+}
+
+// cancel asks the backend to give an attempt up. It stays in flight until the backend reports its end.
+func (c *Core) cancel(a *attempt) {
+	if a.cancelRequested {
+		return
+	}
+	a.cancelRequested = true
+	c.Counters.Canceled++
+	c.backend.Cancel(c.now, a.id, c.isOpen(a.part) && !a.part.answered)
+}
+
+// attemptEnded takes the end of an attempt. A second end of one attempt is dropped.
+func (c *Core) attemptEnded(e AttemptEnded) {
+	a := c.attempts[e.Attempt]
+	if a == nil {
+		return
+	}
+	q := a.part.query
+	c.removeAttempt(a)
+	result := a.result(e.Err)
+	c.Counters.Results[result]++
+	if neverRan(result) {
+		a.part.forgetSend(a.sent)
+	}
+	if result == balance.OK && c.isOpen(a.part) {
+		a.part.setAnswer(e.Score, e.Value)
+	}
+	var failure *AttemptError
+	errors.As(e.Err, &failure)
+	falseRejection := c.updateFlight(a, result, failure)
+	c.observe(AttemptSummary{
+		Server: a.server, Class: q.request.Class, Result: result, Sent: a.sent,
+		LocalCause: failure != nil && failure.LocalCause, FalseRejection: falseRejection,
+	})
+	c.notify(balance.AttemptEnded{
+		Part: e.Attempt.Part, Attempt: e.Attempt.Number, Replica: a.server, Result: result,
+		Elapsed: c.now.Sub(a.sent), Report: e.Report,
+	})
+	if q.restarting && q.inFlight == 0 && c.queries[q.id] == q {
+		c.restartQuery(q)
+	}
+}
+
+// removeAttempt notes that an attempt is in flight no longer.
+func (c *Core) removeAttempt(a *attempt) {
+	delete(c.attempts, a.id)
+	c.timeouts.Remove(a)
+	a.part.query.inFlight--
+	c.releaseRequestID(a.part.query)
+}
+
+// result is the result that the balancer learns: one that was canceled because of its time-out has timed out.
+func (a *attempt) result(err error) balance.AttemptResult {
+	result := attemptResult(err)
+	if a.timedOut && (result == balance.Canceled || result == balance.NotSent) {
+		return balance.TimedOut
+	}
+	return result
+}
+
+// neverRan says that the server did not begin to execute an attempt of that result.
+func neverRan(result balance.AttemptResult) bool {
+	return result == balance.QueueFull || result == balance.ConnectFailed || result == balance.NotSent
+}
+
+// mayRunUnanswered says that an attempt of that result may have been executed, or may be still.
+func mayRunUnanswered(result balance.AttemptResult) bool {
+	return result == balance.Failed || result == balance.TimedOut || result == balance.Reset || result == balance.Canceled
+}
+
+// forgetSend removes the send time of an attempt that did not run.
+func (p *part) forgetSend(sent time.Time) {
+	if i := slices.Index(p.mayHaveRun, sent); i >= 0 {
+		p.mayHaveRun = slices.Delete(p.mayHaveRun, i, i+1)
+	}
+}
+
+// setAnswer keeps the first answer of a part.
+func (p *part) setAnswer(score float64, value string) {
+	if !p.answered {
+		p.answered, p.score, p.value = true, score, value
+	}
+}
+
+// updateFlight notes the end of an attempt for the resharding rules, and reports whether its server rejected it with a
+// claim that the shard map contradicts. failure may be nil.
+func (c *Core) updateFlight(a *attempt, result balance.AttemptResult, failure *AttemptError) (falseRejection bool) {
+	p, q := a.part, a.part.query
+	if q.flight == nil || !c.isOpen(p) {
+		return false
+	}
+	f := &q.flight.Parts[p.flightIndex]
+	f.InFlight = false // a part has one attempt in flight at a time
+	f.Answered = f.Answered || p.answered
+	f.MayHaveRun = f.MayHaveRun || mayRunUnanswered(result)
+	if failure != nil && failure.MapStatus != shardmap.NoMismatch {
+		return c.shardNotHeld(a, failure)
+	}
+	return false
+}
+
+// observe hands the summary of an ended attempt to those who judge its server.
+func (c *Core) observe(summary AttemptSummary) {
+	if c.Outliers != nil {
+		c.Outliers.AttemptEnded(c.clock(c.now), string(summary.Server), c.clock(summary.Sent), summary.outlierEnd())
+	}
+	if c.Observer != nil {
+		c.Observer.AttemptEnded(c.now, summary)
+	}
+}
+
+// attemptsInFlight are the attempts in flight that satisfy a condition, in the order of their sending: nothing may depend
+// on the order of a map.
+func (c *Core) attemptsInFlight(condition func(*attempt) bool) (list []*attempt) {
+	for _, a := range c.attempts {
+		if condition(a) {
+			list = append(list, a)
+		}
+	}
+	slices.SortFunc(list, bySequence)
+	return list
+}
+
+func bySequence(a, b *attempt) int { return cmp.Compare(a.sequence, b.sequence) }
--- /dev/null
+++ b/internal/aggregator/counters.go
@@ -0,0 +1,78 @@
+package aggregator
+
+import (
+	"fmt"
+	"strings"
+
+	"rooktrestle/balance"
+)
+
+// Counters count what an aggregator received, sent and answered since its start.
+type Counters struct {
+	Received           uint64 // requests
+	Served             uint64 // answers, complete ones and partial ones
+	Partial            uint64 // of those served
+	Rejected           uint64
+	RejectedAtCapacity uint64 // of those rejected: on arrival, before the balancer had them
+	Failed             uint64
+	Disconnected       uint64 // clients that left before their answer
+	DeadlineExceeded   uint64 // of those not served: the client's time was over
+	FollowUps          uint64 // second steps
+
+	Restarts uint64 // queries restarted on a newer shard map
+	MapWaits uint64 // queries that waited for a newer shard map
+
+	Sent     uint64 // attempts
+	Canceled uint64 // attempts that the backend was asked to give up
+	Probes   uint64
+	Results  [balance.NotSent + 1]uint64 // ends of attempts, by balance.AttemptResult
+
+	GossipSent     uint64 // messages to other aggregators
+	GossipReceived uint64 // datagrams from other aggregators, invalid ones included
+	GossipInvalid  uint64
+
+	Panics uint64 // recovered
+}
+
+// countFinal counts the end of a query.
+func (c *Counters) countFinal(final FinalAnswer) {
+	if final.DeadlineExceeded && final.Status != StatusDisconnected {
+		c.DeadlineExceeded++
+	}
+	switch final.Status {
+	case StatusServed:
+		c.Served++
+		if !final.Complete {
+			c.Partial++
+		}
+	case StatusRejected:
+		c.Rejected++
+	case StatusFailed:
+		c.Failed++
+	case StatusDisconnected:
+		c.Disconnected++
+	}
+}
+
+// resultNames are the names of balance.AttemptResult in String.
+var resultNames = [...]string{
+	"served", "error", "turned away", "timed out", "could not connect", "reset", "cancelled", "not sent",
+}
+
+// String is the text of GET /counters and of the log at exit. Scripts read it: its words stay as they are.
+func (c Counters) String() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "taken %d; answered: served %d (partial %d), refused %d (full %d), failed %d, gone %d, out of time %d; ",
+		c.Received, c.Served, c.Partial, c.Rejected, c.RejectedAtCapacity, c.Failed, c.Disconnected, c.DeadlineExceeded)
+	fmt.Fprintf(&text, "second steps %d, begun anew %d; ", c.FollowUps, c.Restarts)
+	fmt.Fprintf(&text, "sent %d, withdrawn %d, probes %d; ", c.Sent, c.Canceled, c.Probes)
+	fmt.Fprintf(&text, "words sent %d, heard %d, bad %d; ", c.GossipSent, c.GossipReceived, c.GossipInvalid)
+	text.WriteString("attempts:")
+	for i, n := range c.Results {
+		if i > 0 {
+			text.WriteByte(',')
+		}
+		fmt.Fprintf(&text, " %s %d", resultNames[i], n)
+	}
+	return text.String()
+}
--- a/internal/aggregator/crossings_test.go
+++ b/internal/aggregator/crossings_test.go
@@ -7,183 +7,181 @@
 	"rooktrestle/balance"
 )
 
-// again notes what a core says of each attempt that it gives up.
-type again struct {
-	*world
-	said map[AttemptID]bool
+// cancelRecorder notes what a core says of each attempt that it gives up.
+type cancelRecorder struct {
+	*harness
+	mayRetry map[AttemptID]bool
 }
 
-func (a again) Cancel(now time.Time, id AttemptID, again bool) {
-	a.said[id] = again
-	a.world.Cancel(now, id, again)
+func (a cancelRecorder) Cancel(now time.Time, id AttemptID, mayRetry bool) {
+	a.mayRetry[id] = mayRetry
+	a.harness.Cancel(now, id, mayRetry)
 }
 
-func start(t *testing.T, set balance.Settings) again {
-	b, err := balance.New(set)
+func newCancelRecorder(t *testing.T, settings balance.Settings) cancelRecorder {
+	t.Helper()
+	b, err := balance.New(settings)
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := again{&world{t: t, now: begin, finals: map[string][]FinalAnswer{}}, map[AttemptID]bool{}}
-	a.c = NewCore(b, a, Limits{FollowUpParts: []int{0, 0, 2}, DeadlineMargin: 20 * time.Millisecond}, begin)
-	a.turn(EndpointsChanged{Kind: balance.ListFull, Servers: []Server{{ID: "a", Addr: "a:1", Cell: 0}, {ID: "b", Addr: "b:1", Cell: 1}}})
+	a := cancelRecorder{&harness{t: t, now: startTime, answers: map[string][]FinalAnswer{}}, map[AttemptID]bool{}}
+	a.core = NewCore(b, a, Limits{FollowUpParts: []int{0, 0, 2}, DeadlineMargin: 20 * time.Millisecond}, startTime)
+	a.turn(twoServers)
 	return a
 }
 
-// A part that may have run is to be written again within its class's window, counted from its first attempt that may have
-// run; one that never ran starts none. The decisions look when they choose, and the connection may come up later.
-func TestTheWindowForRepeatsBindsTheWrite(t *testing.T) {
+// A part that may have run is to be written again within its class's dedup window, counted from its first attempt that may
+// have run; one that never ran starts none. The balancer looks when it chooses, and the connection may come up later.
+func TestCore_DedupWindowBindsTheWrite(t *testing.T) {
 	const window = 700 * time.Millisecond
-	set := settings()
+	set := balancerSettings()
 	set.Classes[0].Idempotency, set.Classes[0].DedupWindow = balance.KeyedIdempotent, window
 	b, err := balance.New(set)
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{t: t, now: begin, finals: map[string][]FinalAnswer{}}
-	w.c = NewCore(b, w, Limits{FollowUpParts: []int{0, 0, 2}, DedupWindows: []time.Duration{window}, DeadlineMargin: 20 * time.Millisecond}, begin)
-	w.turn(EndpointsChanged{Kind: balance.ListFull, Servers: []Server{{ID: "a", Addr: "a:1", Cell: 0}, {ID: "b", Addr: "b:1", Cell: 1}}})
+	h := &harness{t: t, now: startTime, answers: map[string][]FinalAnswer{}}
+	h.core = NewCore(b, h, Limits{FollowUpParts: []int{0, 0, 2}, DedupWindows: []time.Duration{window}, DeadlineMargin: 20 * time.Millisecond}, startTime)
+	h.turn(twoServers)
 	next := func() Call {
 		t.Helper()
-		for i := 0; len(w.calls) == 0; i++ {
+		for i := 0; len(h.calls) == 0; i++ {
 			if i > 1000 {
 				t.Fatal("not sent again")
 			}
-			w.now = w.now.Add(5 * time.Millisecond)
-			w.turn()
+			h.advance(5 * time.Millisecond)
 		}
-		c := w.calls[0]
-		w.calls, w.to = nil, nil
+		c := h.calls[0]
+		h.calls, h.servers = nil, nil
 		return c
 	}
-	w.ask("q", 0, 1)
+	h.request("q", 0, 1)
 	c := next()
 	if !c.WriteBy.IsZero() {
 		t.Errorf("a first attempt is bound to %v", c.WriteBy)
 	}
-	w.turn(AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: Answered, Rejected: true}})
+	h.turn(AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: Answered, Rejected: true}})
 	c = next()
 	if !c.WriteBy.IsZero() {
 		t.Errorf("after one that never ran it is bound to %v", c.WriteBy)
 	}
-	first := w.now
-	w.turn(AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: Written}})
+	first := h.now
+	h.turn(AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: Written}})
 	c = next()
 	if !c.WriteBy.Equal(first.Add(window)) {
 		t.Errorf("bound to %v, want %v", c.WriteBy, first.Add(window))
 	}
-	w.ask("other", 1, 1)
+	h.request("other", 1, 1)
 	if c := next(); !c.WriteBy.IsZero() {
 		t.Errorf("a class without a window is bound to %v", c.WriteBy)
 	}
 }
 
-// The backend is told whether a part that is given up may be sent again: where its time-out is over and its query goes on,
-// and not where its client has left.
-func TestWhetherAGivenUpPartMayBeSentAgain(t *testing.T) {
-	set := settings()
+// A canceled part may be retried where its attempt has timed out and its query goes on, and not where its client has
+// disconnected.
+func TestCore_CancelSaysWhetherThePartMayBeRetried(t *testing.T) {
+	set := balancerSettings()
 	set.CanCancel = false // attempts have time-outs
-	w := start(t, set)
-	w.ask("times out", 0, 1)
-	for i := 0; len(w.withdrawn) == 0 && i < 500; i++ {
-		w.now = w.now.Add(5 * time.Millisecond)
-		w.turn()
+	h := newCancelRecorder(t, set)
+	h.request("times out", 0, 1)
+	for i := 0; len(h.canceled) == 0 && i < 500; i++ {
+		h.advance(5 * time.Millisecond)
 	}
-	if again, ok := w.said[w.calls[0].Attempt]; !ok || !again {
-		t.Errorf("timed out: again %v, %v", again, ok)
+	if mayRetry, ok := h.mayRetry[h.calls[0].Attempt]; !ok || !mayRetry {
+		t.Errorf("timed out: may be retried %v, canceled %v", mayRetry, ok)
 	}
-	w = start(t, settings())
-	r := w.ask("leaves", 0, 1)
-	w.turn(ClientDisconnected{r})
-	if again, ok := w.said[w.calls[0].Attempt]; !ok || again {
-		t.Errorf("its client has left: again %v, %v", again, ok)
+	h = newCancelRecorder(t, balancerSettings())
+	r := h.request("leaves", 0, 1)
+	h.turn(ClientDisconnected{r})
+	if mayRetry, ok := h.mayRetry[h.calls[0].Attempt]; !ok || mayRetry {
+		t.Errorf("its client has disconnected: may be retried %v, canceled %v", mayRetry, ok)
 	}
 }
 
-// What a client that has left still waited for is not sent, whatever comes in the same turn: its arrival and its leaving, a
-// part that comes back, and the list.
-func TestADepartureInTheTurnOfTheSend(t *testing.T) {
-	w := newWorld(t)
-	r := &Request{ID: "q", Arrived: w.now, Timeout: 3 * time.Second, Payload: "text", Frontend: asker{w, "q"}, Parts: []PartSpec{{Weight: 1}}}
-	w.turn(RequestArrived{r}, ClientDisconnected{r})
-	if len(w.calls) != 0 || w.c.OpenQueries() != 0 || w.c.Counters.Disconnected != 1 {
-		t.Errorf("sent %d, held %d, %v", len(w.calls), w.c.OpenQueries(), w.c.Counters)
+// Nothing is sent for a client that disconnects in the same turn, whether its request arrives in that turn or a part of it
+// is rejected.
+func TestCore_ClientDisconnectsInTheTurnOfTheSend(t *testing.T) {
+	h := newHarness(t)
+	r := &Request{ID: "q", Arrived: h.now, Timeout: 3 * time.Second, Payload: "text", Frontend: client{h, "q"}, Parts: []PartSpec{{Weight: 1}}}
+	h.turn(RequestArrived{r}, ClientDisconnected{r})
+	if len(h.calls) != 0 || h.core.OpenQueries() != 0 || h.core.Counters.Disconnected != 1 {
+		t.Errorf("sent %d, held %d, %v", len(h.calls), h.core.OpenQueries(), h.core.Counters)
 	}
-	r = w.ask("back", 0, 1)
-	c := w.calls[0]
-	w.calls = nil
-	w.turn(AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: Answered, Rejected: true}}, ClientDisconnected{r})
-	w.now = w.now.Add(time.Second)
-	w.turn()
-	if len(w.calls) != 0 || w.c.OpenQueries() != 0 {
-		t.Errorf("sent %d, held %d", len(w.calls), w.c.OpenQueries())
+	r = h.request("back", 0, 1)
+	c := h.calls[0]
+	h.calls = nil
+	h.turn(AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: Answered, Rejected: true}}, ClientDisconnected{r})
+	h.advance(time.Second)
+	if len(h.calls) != 0 || h.core.OpenQueries() != 0 {
+		t.Errorf("sent %d, held %d", len(h.calls), h.core.OpenQueries())
 	}
 }
 
-// A drain that comes in one turn with the request, or with the end of its first attempt, binds what that turn sends.
-func TestADrainInTheTurnOfTheSend(t *testing.T) {
+// A server that begins to drain in the turn of a request, or of the end of its first attempt, gets nothing in that turn.
+func TestCore_ServerDrainsInTheTurnOfTheSend(t *testing.T) {
 	drain := EndpointsChanged{Kind: balance.ListDelta, Servers: []Server{{ID: "a", Addr: "a:1", State: balance.Draining}}}
 	for _, drains := range []bool{true, false} {
-		w := newWorld(t)
-		r := &Request{ID: "q", Arrived: w.now, Timeout: 3 * time.Second, Payload: "text", Frontend: asker{w, "q"}, Parts: []PartSpec{{Weight: 1}}}
-		w.turn(RequestArrived{r}, drain)
-		if len(w.to) != 1 || w.to[0].ID != "b" {
-			t.Fatalf("sent to %+v", w.to)
+		h := newHarness(t)
+		r := &Request{ID: "q", Arrived: h.now, Timeout: 3 * time.Second, Payload: "text", Frontend: client{h, "q"}, Parts: []PartSpec{{Weight: 1}}}
+		h.turn(RequestArrived{r}, drain)
+		if len(h.servers) != 1 || h.servers[0].ID != "b" {
+			t.Fatalf("sent to %+v", h.servers)
 		}
-		c := w.calls[0]
-		w.calls, w.to = nil, nil
-		w.turn(EndpointsChanged{Kind: balance.ListDelta, Servers: []Server{{ID: "a", Addr: "a:1"}}})
+		c := h.calls[0]
+		h.calls, h.servers = nil, nil
+		h.turn(EndpointsChanged{Kind: balance.ListDelta, Servers: []Server{{ID: "a", Addr: "a:1"}}})
 		events := []Event{AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: Written}}}
 		if drains {
 			events = append(events, drain)
 		}
-		w.turn(events...)
-		if toA := len(w.to) > 0 && w.to[0].ID == "a"; toA == drains {
-			t.Errorf("drains %v, and it is sent again to %+v", drains, w.to)
+		h.turn(events...)
+		if toA := len(h.servers) > 0 && h.servers[0].ID == "a"; toA == drains {
+			t.Errorf("drains %v, and it is sent again to %+v", drains, h.servers)
 		}
 	}
 }
 
-// A time-out is due in the turn that brings the answer: the part is served and nothing is given up. In the turn before, it is
-// being given up, and its answer serves it as long as its server is not known to know.
-func TestATimeOutCrossesItsAnswer(t *testing.T) {
+// A time-out is due in the turn that brings the answer: the part is served and nothing is canceled. In the turn before, the
+// attempt is canceled, and its answer counts as long as the backend has not ended it.
+func TestCore_TimeoutCrossesTheAnswer(t *testing.T) {
 	for _, late := range []bool{false, true} {
-		set := settings()
+		set := balancerSettings()
 		set.CanCancel = false // attempts have time-outs
-		w := start(t, set)
-		w.ask("q", 0, 1)
-		c := w.calls[0]
-		w.calls, w.to = nil, nil
-		w.now = c.Deadline
+		h := newCancelRecorder(t, set)
+		h.request("q", 0, 1)
+		c := h.calls[0]
+		h.calls, h.servers = nil, nil
+		h.now = c.Deadline
 		if late {
-			w.turn()
+			h.turn()
 		}
-		w.turn(AttemptEnded{Attempt: c.Attempt, Value: "v"})
-		f := w.one("q") // the answer counts while the give-up is under way, too
+		h.turn(AttemptEnded{Attempt: c.Attempt, Value: "v"})
+		f := h.answer("q") // the answer counts while the cancellation is under way, too
 		if f.Status != StatusServed || len(f.Items) != 1 || f.Items[0].Value != "v" {
 			t.Errorf("late %v: %+v", late, f)
 		}
-		if len(w.withdrawn) > 0 != late {
-			t.Errorf("late %v: withdrawn %v", late, w.withdrawn)
+		if len(h.canceled) > 0 != late {
+			t.Errorf("late %v: canceled %v", late, h.canceled)
 		}
 	}
 }
 
-// The end of the client's time, its departure and the end of the last attempt come in one turn, in each order: the query
-// ends once, and nothing of it is sent again.
-func TestAllEndsAtOnce(t *testing.T) {
+// The client's deadline, its disconnecting and the end of the last attempt come in one turn, in each order: the query ends
+// once, and nothing of it is retried.
+func TestCore_DeadlineDisconnectAndAttemptEndInOneTurn(t *testing.T) {
 	for i := range 6 {
-		w := newWorld(t)
-		r := w.ask("q", 0, 1)
-		c := w.calls[0]
-		w.calls, w.to = nil, nil
-		w.now = w.now.Add(r.Timeout)
+		h := newHarness(t)
+		r := h.request("q", 0, 1)
+		c := h.calls[0]
+		h.calls, h.servers = nil, nil
+		h.now = h.now.Add(r.Timeout)
 		ended, left := AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: NotConnected}}, ClientDisconnected{r}
-		w.turn([][]Event{{ended, left}, {left, ended}, {ended}, {left}, {}, {left, left}}[i]...)
-		w.turn(ended, left)
-		if len(w.calls) != 0 || w.c.OpenQueries() != 0 || len(w.finals["q"]) > 1 {
-			t.Errorf("%d: sent %d, held %d, %d answers", i, len(w.calls), w.c.OpenQueries(), len(w.finals["q"]))
+		h.turn([][]Event{{ended, left}, {left, ended}, {ended}, {left}, {}, {left, left}}[i]...)
+		h.turn(ended, left)
+		if len(h.calls) != 0 || h.core.OpenQueries() != 0 || len(h.answers["q"]) > 1 {
+			t.Errorf("%d: sent %d, held %d, %d answers", i, len(h.calls), h.core.OpenQueries(), len(h.answers["q"]))
 		}
-		if n := w.c.Counters; n.Received != 1 || n.Served+n.Rejected+n.Failed+n.Disconnected != 1 {
+		if n := h.core.Counters; n.Received != 1 || n.Served+n.Rejected+n.Failed+n.Disconnected != 1 {
 			t.Errorf("%d: %v", i, n)
 		}
 	}
--- /dev/null
+++ b/internal/aggregator/endpoints.go
@@ -0,0 +1,93 @@
+package aggregator
+
+import (
+	"cmp"
+	"time"
+
+	"rooktrestle/balance"
+)
+
+// Server is one server as last listed by discovery.
+type Server struct {
+	balance.HealthLimits
+	ID      balance.Replica
+	Addr    string
+	Zone    int
+	Cell    int
+	Weight  float64
+	State   balance.EndpointState
+	Started time.Time // start of its process; zero: long ago
+}
+
+// Available says whether a server takes new work by the endpoint list as last received.
+func (c *Core) Available(id balance.Replica) bool {
+	s, ok := c.servers[id]
+	return ok && s.State == balance.InService
+}
+
+// Server is what the endpoint list says of a server; one that is not listed has an RecordID and no address.
+func (c *Core) Server(id balance.Replica) Server {
+	s := c.servers[id]
+	s.ID = id
+	return s
+}
+
+// InService is the number of servers that take new work.
+func (c *Core) InService() int {
+	n := 0
+	for id := range c.servers {
+		if c.Available(id) {
+			n++
+		}
+	}
+	return n
+}
+
+// updateServers takes a list of servers, or changes of one, and returns it as the balancer gets it.
+func (c *Core) updateServers(e EndpointsChanged) balance.EndpointList {
+	if e.Kind != balance.ListDelta && e.Kind != balance.ListFailed {
+		clear(c.servers)
+	}
+	list := balance.EndpointList{Kind: e.Kind}
+	for _, s := range e.Servers {
+		c.updateServer(s)
+		list.Endpoints = append(list.Endpoints, c.endpoint(s))
+	}
+	if c.Outliers != nil {
+		c.Outliers.Retain(func(id string) bool { _, listed := c.servers[balance.Replica(id)]; return listed })
+	}
+	return list
+}
+
+func (c *Core) updateServer(s Server) {
+	if s.State == balance.Removed {
+		delete(c.servers, s.ID)
+		return
+	}
+	c.servers[s.ID] = s
+	if c.Outliers != nil {
+		c.Outliers.Add(string(s.ID), c.startedAt(s))
+	}
+}
+
+// endpoint is a server as the balancer gets it. An outlier has a reduced fraction of its traffic.
+func (c *Core) endpoint(s Server) balance.Endpoint {
+	e := balance.Endpoint{
+		HealthLimits: s.HealthLimits, Replica: s.ID, Zone: s.Zone, Cell: s.Cell, Size: s.Weight, State: s.State,
+		Started: c.startedAt(s),
+	}
+	if c.Outliers != nil {
+		if fraction := c.Outliers.TrafficShare(string(s.ID)); fraction < 1 {
+			e.TrafficFraction = min(fraction, cmp.Or(e.TrafficFraction, 1))
+		}
+	}
+	return e
+}
+
+// startedAt is when a server's process started, by the balancer's clock; 0: long ago.
+func (c *Core) startedAt(s Server) time.Duration {
+	if s.Started.IsZero() {
+		return 0
+	}
+	return max(0, c.clock(s.Started))
+}
--- /dev/null
+++ b/internal/aggregator/harness_test.go
@@ -0,0 +1,122 @@
+package aggregator
+
+import (
+	"testing"
+	"time"
+
+	"rooktrestle/balance"
+)
+
+var startTime = time.Unix(1_700_000_000, 0)
+
+// twoServers is the endpoint list of most tests.
+var twoServers = EndpointsChanged{
+	Kind: balance.ListFull, Servers: []Server{{ID: "a", Addr: "a:1", Cell: 0}, {ID: "b", Addr: "b:1", Cell: 1}},
+}
+
+// harness is a core with a backend that only records its calls, and clients that record their answers. Its clock stands
+// still unless the test moves it.
+type harness struct {
+	t         *testing.T
+	core      *Core
+	now       time.Time
+	calls     []Call   // in flight, in the order of sending
+	callSizes []int    // parts of each call
+	servers   []Server // that the calls were sent to
+	canceled  []AttemptID
+	probes    []Server
+	answers   map[string][]FinalAnswer
+}
+
+// client records its answer, and panics if its id is "panics".
+type client struct {
+	harness *harness
+	id      string
+}
+
+func (c client) Answer(final FinalAnswer) {
+	c.harness.answers[c.id] = append(c.harness.answers[c.id], final)
+	if c.id == "panics" {
+		panic("at its answer")
+	}
+}
+
+func (h *harness) Send(_ time.Time, to Server, calls []Call) {
+	h.callSizes = append(h.callSizes, len(calls))
+	for _, c := range calls {
+		h.calls, h.servers = append(h.calls, c), append(h.servers, to)
+	}
+}
+
+func (h *harness) Cancel(_ time.Time, a AttemptID, _ bool) { h.canceled = append(h.canceled, a) }
+
+func (h *harness) Probe(_ time.Time, to Server) { h.probes = append(h.probes, to) }
+
+// balancerSettings has three classes: idempotent, not idempotent, and with a second step.
+func balancerSettings() balance.Settings {
+	return balance.Settings{
+		Seed: 1, Instances: 1, Tick: 5 * time.Millisecond, Cells: 2, Reach: 2, Shards: 4, MaxCallParts: 1,
+		MaxAttempts: 3, CanCancel: true, MaxRetryAfter: time.Second,
+		Classes: []balance.Class{
+			{Objective: time.Second, Deadline: 3 * time.Second, Weight: 1, OverdueFraction: 0.3, MinFraction: 1, CompleteFraction: 1},
+			{Objective: time.Second, Deadline: 3 * time.Second, Weight: 1, OverdueFraction: 0.3, MinFraction: 1, CompleteFraction: 1, Idempotency: balance.NonIdempotent},
+			{Objective: time.Second, Deadline: 3 * time.Second, Weight: 1, OverdueFraction: 0.3, MinFraction: 0.5, CompleteFraction: 1, PartialFraction: 0.8, FollowUpParts: 2},
+		},
+	}
+}
+
+// newHarness has two servers, "a" and "b".
+func newHarness(t *testing.T) *harness {
+	t.Helper()
+	b, err := balance.New(balancerSettings())
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &harness{t: t, now: startTime, answers: map[string][]FinalAnswer{}}
+	h.core = NewCore(b, h, Limits{FollowUpParts: []int{0, 0, 2}, MaxOpen: 20, RetryAfter: time.Second, DeadlineMargin: 20 * time.Millisecond}, startTime)
+	h.turn(twoServers)
+	return h
+}
+
+func (h *harness) turn(events ...Event) { h.core.Turn(h.now, events) }
+
+// advance moves the clock and runs a turn.
+func (h *harness) advance(d time.Duration) {
+	h.now = h.now.Add(d)
+	h.turn()
+}
+
+// request sends a request of so many parts of equal weight.
+func (h *harness) request(id string, class, parts int) *Request {
+	r := &Request{ID: id, Class: class, Arrived: h.now, Timeout: 3 * time.Second, Payload: "text", Frontend: client{h, id}}
+	for i := range parts {
+		r.Parts = append(r.Parts, PartSpec{Shard: i, Weight: 1 / float64(parts)})
+	}
+	h.turn(RequestArrived{r})
+	return r
+}
+
+// endAll ends the calls in flight, each with an error or, if that is nil, with its name as value.
+func (h *harness) endAll(err error) {
+	ended := h.calls
+	h.calls, h.servers = nil, nil
+	var events []Event
+	for _, c := range ended {
+		events = append(events, AttemptEnded{Attempt: c.Attempt, Err: err, Score: float64(c.Shard), Value: c.Name})
+	}
+	h.turn(events...)
+}
+
+// answer is the one final answer of a request.
+func (h *harness) answer(id string) FinalAnswer {
+	h.t.Helper()
+	if len(h.answers[id]) != 1 {
+		h.t.Fatalf("%s has %d final answers", id, len(h.answers[id]))
+	}
+	return h.answers[id][0]
+}
+
+// gossipRecorder records what is sent to the other aggregators.
+type gossipRecorder [][]byte
+
+func (r *gossipRecorder) Broadcast(payload []byte) { *r = append(*r, payload) }
--- /dev/null
+++ b/internal/aggregator/loop_test.go
@@ -0,0 +1,61 @@
+package aggregator
+
+import (
+	"testing"
+	"time"
+
+	"rooktrestle/balance"
+)
+
+// funcAdapter is an adapter that calls its messages.
+type funcAdapter struct{}
+
+type funcMessage func()
+
+func (funcMessage) message() {}
+
+// unknownEvent is an event that the core has no handler for.
+type unknownEvent struct{ AdapterMessage }
+
+func (unknownEvent) event() {}
+
+func (funcAdapter) Handle(_ time.Time, message Message) ([]Event, bool) {
+	if f, ok := message.(funcMessage); ok {
+		f()
+		return nil, true
+	}
+	return nil, false
+}
+
+func (funcAdapter) Sweep(time.Time) ([]Event, time.Time) { return nil, time.Time{} }
+
+type fixedClock struct{ harness *harness }
+
+func (s fixedClock) Now() time.Time                          { return s.harness.now }
+func (s fixedClock) At(time.Time) (<-chan time.Time, func()) { return nil, func() {} }
+
+// A panic ends at its message, its answer or its turn, and every query still gets one final answer.
+func TestLoop_RecoversFromPanics(t *testing.T) {
+	h := newHarness(t)
+	mailbox := NewMailbox()
+	l := &Loop{Core: h.core, Mailbox: mailbox, Adapter: funcAdapter{}, Clock: fixedClock{h}, NewBalancer: func() (*balance.Balancer, error) { return balance.New(balancerSettings()) }}
+	mailbox.Put(funcMessage(func() { panic("an event") }))
+	r := &Request{ID: "panics", Class: 99, Arrived: h.now, Timeout: time.Second, Frontend: client{h, "panics"}}
+	mailbox.Put(RequestArrived{r})
+	l.RunTurn()
+	if h.answer("panics").Status != StatusRejected || h.core.Counters.Panics != 2 {
+		t.Error(h.core.Counters)
+	}
+	h.request("open", 1, 1)
+	late := &Request{ID: "late", Arrived: h.now, Timeout: time.Second, Frontend: client{h, "late"}}
+	mailbox.Put(unknownEvent{})
+	mailbox.Put(RequestArrived{late})
+	l.RunTurn()
+	if h.answer("open").Status != StatusFailed || h.answer("late").Status != StatusFailed || h.core.OpenQueries() != 0 || len(h.canceled) != 1 {
+		t.Errorf("%+v", h.answers)
+	}
+	h.request("next", 0, 1)
+	if h.endAll(nil); h.answer("next").Status != StatusServed {
+		t.Errorf("%+v", h.answers)
+	}
+}
--- a/internal/aggregator/messages.go
+++ b/internal/aggregator/messages.go
@@ -11,14 +11,14 @@
 // sealed; adapters embed AdapterMessage in theirs.
 type Message interface{ message() }
 
-// Event is a Message that the core takes: a request, the end of an attempt or a probe, news of endpoints or maps, or
-// gossip. Core.Turn handles each of them.
+// Event is a Message that the core handles: a request, the end of an attempt or a probe, a change of endpoints or shard
+// maps, or gossip. Core.Turn handles each of them.
 type Event interface {
 	Message
 	event()
 }
 
-// AdapterMessage makes a struct that embeds it a Message. The adapter that posted it takes it in Handle.
+// AdapterMessage makes a struct that embeds it a Message. The adapter that posted it handles it in Adapter.Handle.
 type AdapterMessage struct{}
 
 func (AdapterMessage) message() {}
@@ -27,32 +27,32 @@
 type (
 	// RequestArrived is a new request.
 	RequestArrived struct{ Request *Request }
-	// ClientDisconnected says that a request's client has gone away.
+	// ClientDisconnected says that the client of a request has disconnected. It gets no answer any more.
 	ClientDisconnected struct{ Request *Request }
-	// AttemptEnded ends an attempt.
+	// AttemptEnded ends an attempt. A second one of the same attempt is ignored.
 	AttemptEnded struct {
 		Attempt AttemptID
-		Err     error // nil: served
-		Score   float64
-		Value   string
-		Report  *balance.LoadReport
+		Err     error               // nil: the part has its answer; an error that is no *AttemptError does not say whether it ran
+		Score   float64             // by which the second step chooses its shards
+		Value   string              // of the answer
+		Report  *balance.LoadReport // of the server; nil: none
 	}
 	// ProbeEnded ends a probe.
 	ProbeEnded struct {
 		Server  balance.Replica
-		Err     error
+		Err     error // as in AttemptEnded
 		Elapsed time.Duration
-		Report  *balance.LoadReport
+		Report  *balance.LoadReport // nil: none
 	}
-	// LateAnswer says that a server answered an attempt after it was given up: it lives, and is behind.
+	// LateAnswer says that a server answered an attempt after it was given up: it is alive, and overdue.
 	LateAnswer struct{ Server balance.Replica }
-	// ShardMapOffered is word of a source of maps. Map is nil where it has nothing newer.
+	// ShardMapOffered is what a source of shard maps responded. Map is nil where it has nothing newer.
 	ShardMapOffered struct {
 		Source string
 		Map    *shardmap.Map
 		Err    error // why it has none
 	}
-	// GossipReceived is a datagram from another aggregator, as it came.
+	// GossipReceived is a datagram from another aggregator, not validated.
 	GossipReceived struct{ Payload []byte }
 	// EndpointsChanged is a list of servers, or changes of one, from discovery.
 	EndpointsChanged struct {
--- /dev/null
+++ b/internal/aggregator/query.go
@@ -0,0 +1,163 @@
+package aggregator
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"rooktrestle/balance"
+	"rooktrestle/internal/control/shardmap"
+)
+
+// query is an open request: it is held until its one final answer, or until its client has disconnected.
+type query struct {
+	id       balance.ID
+	request  *Request
+	deadline time.Time
+	parts    []*part // of the present step
+	inFlight int     // attempts, of all its steps
+	index    int     // in Core.deadlines
+
+	followUp           bool    // it is in its second step
+	firstStep          []*part // answered parts of the first step, once the second has begun
+	firstStepCompleted bool
+
+	// Where shard maps change.
+	view       *shardmap.View           // that it is pinned to; nil where the servers of a shard are fixed
+	flight     *shardmap.QueryPlacement // its parts as the resharding rules see them
+	restarts   int
+	restarting bool // it is restarted once none of its attempts is in flight
+	waiting    bool // for a newer map
+}
+
+// Deadline is when the client stops waiting; queries of one deadline come in the order of their ids.
+func (q *query) Deadline() (time.Time, uint64) { return q.deadline, uint64(q.id) }
+
+// QueueIndex is where the deadline queue keeps the query's index.
+func (q *query) QueueIndex() *int { return &q.index }
+
+// part is what one shard contributes to a step of a query.
+type part struct {
+	id          balance.ID
+	query       *query
+	spec        PartSpec
+	name        string // on the wire
+	attempts    int    // sent so far
+	flightIndex int    // in the query's flight
+
+	answered bool
+	score    float64
+	value    string
+
+	// mayHaveRun are the send times of its attempts that are in flight or may have run.
+	mayHaveRun []time.Time
+}
+
+// requestArrived opens a query for a request, or rejects it at once.
+func (c *Core) requestArrived(request *Request) {
+	c.Counters.Received++
+	deadline := request.Arrived.Add(request.Timeout)
+	if c.atCapacity() || c.requestIDs[request.ID] > 0 || !c.now.Before(deadline) {
+		c.Counters.Rejected++
+		c.Counters.RejectedAtCapacity++
+		c.deliver(request, c.rejection())
+		return
+	}
+	q := c.open(request, deadline)
+	specs := request.Parts
+	if c.Outliers != nil {
+		c.Outliers.AccrueBudget(1 + len(specs))
+	}
+	if request.Layout != nil {
+		if specs = c.pinView(q); len(specs) == 0 { // there is no map yet
+			c.close(q, c.rejection())
+			return
+		}
+	}
+	c.submit(q, specs)
+}
+
+// atCapacity says that no more queries may be held. It guards the process's memory.
+func (c *Core) atCapacity() bool { return c.limits.MaxOpen > 0 && c.Load() >= c.limits.MaxOpen }
+
+// rejection is the answer to a request that the core rejects by itself.
+func (c *Core) rejection() FinalAnswer {
+	return FinalAnswer{Status: StatusRejected, RetryAfter: c.limits.RetryAfter}
+}
+
+func (c *Core) open(request *Request, deadline time.Time) *query {
+	q := &query{id: c.nextID(), request: request, deadline: deadline}
+	c.queries[q.id], c.byRequest[request] = q, q
+	c.deadlines.Push(q)
+	c.requestIDs[request.ID]++
+	return q
+}
+
+func (c *Core) nextID() balance.ID {
+	c.lastID++
+	return c.lastID
+}
+
+// submit hands a query and its parts to the balancer.
+func (c *Core) submit(q *query, specs []PartSpec) {
+	r := q.request
+	c.notify(balance.Query{
+		ID: q.id, Group: uint64(q.id), Class: r.Class, Tenant: r.Tenant, Key: r.Key,
+		TimeLeft: q.deadline.Sub(c.now), IsRetry: r.IsRetry, Parts: len(specs),
+	})
+	c.submitParts(q, specs, "")
+}
+
+// submitParts makes the parts of a query's step and hands them to the balancer. The suffix ends their names.
+func (c *Core) submitParts(q *query, specs []PartSpec, suffix string) {
+	q.parts = nil
+	if q.flight != nil {
+		q.flight.Parts, q.flight.SecondStep = nil, q.followUp
+	}
+	for _, spec := range specs {
+		p := &part{
+			id: c.nextID(), query: q, spec: spec, name: fmt.Sprintf("%s.%d%s", q.request.ID, spec.Shard, suffix),
+		}
+		c.parts[p.id] = p
+		q.parts = append(q.parts, p)
+		c.notify(balance.Part{
+			ID: p.id, Group: uint64(q.id), Shard: spec.Shard, Weight: spec.Weight, WorkHint: spec.WorkHint,
+			Candidates: c.addToFlight(q, p),
+		})
+	}
+}
+
+// dropParts forgets the parts of the present step: ends of their attempts count no longer.
+func (c *Core) dropParts(q *query) {
+	for _, p := range q.parts {
+		delete(c.parts, p.id)
+	}
+}
+
+// isOpen says that a part belongs to the present step of an open query.
+func (c *Core) isOpen(p *part) bool { return c.parts[p.id] == p }
+
+// releaseRequestID gives up one use of a query's request id. While one is left no other query may have the id: its parts
+// would have the names of parts that are in flight, and servers would take them for repetitions.
+func (c *Core) releaseRequestID(q *query) {
+	if c.requestIDs[q.request.ID]--; c.requestIDs[q.request.ID] <= 0 {
+		delete(c.requestIDs, q.request.ID)
+	}
+}
+
+func (c *Core) clientDisconnected(request *Request) {
+	if q := c.byRequest[request]; q != nil {
+		c.notify(balance.ClientDisconnected{Query: q.id})
+		c.close(q, FinalAnswer{Status: StatusDisconnected})
+	}
+}
+
+// openQueries are the open queries in the order of their ids: nothing may depend on the order of a map.
+func (c *Core) openQueries() (open []*query) {
+	for _, q := range c.queries {
+		open = append(open, q)
+	}
+	slices.SortFunc(open, func(a, b *query) int { return cmp.Compare(a.id, b.id) })
+	return open
+}
--- a/internal/aggregator/resharding.go
+++ b/internal/aggregator/resharding.go
@@ -8,120 +8,137 @@
 	"rooktrestle/internal/control/shardmap"
 )
 
-// Resharding is what a core has to do with maps of blocks that change. It is nil where holders are fixed.
+// Resharding is what a core needs where the shard map changes. All fields are set; the functions are called on the loop
+// and must not block.
 type Resharding struct {
 	Views *shardmap.Views
-	// RequestMap has the source asked for a newer map. It is called on the loop and must not block.
+	// RequestMap requests a newer map from the map source.
 	RequestMap func()
-	// RequestMapSoon has it asked in a moment: it may be late.
+	// RequestMapSoon does so after a short while: the source may be behind.
 	RequestMapSoon func()
-	// Adopted is told of each map that is adopted, and what was before (nil at first); Refused of each that is not.
-	Adopted  func(old, now *shardmap.Map)
+	// Adopted is called with each map that is adopted, and the one before it (nil at first).
+	Adopted func(old, now *shardmap.Map)
+	// Rejected is called with each offer that is not adopted because of an error.
 	Rejected func(source string, err error)
 }
 
-// pin makes a query's parts from the present view.
-func (c *Core) pin(q *query) []PartSpec {
+// pinView pins a query to the present view and makes its parts; none if there is no view yet.
+func (c *Core) pinView(q *query) []PartSpec {
 	q.view = c.Resharding.Views.Pin()
 	if q.view == nil {
 		return nil
 	}
-	specs := q.req.Layout(q.view)
-	q.flight = &shardmap.QueryPlacement{View: q.view, Idempotent: c.safe(q.req.Class), Restarts: q.restarts}
+	specs := q.request.Layout(q.view)
+	q.flight = &shardmap.QueryPlacement{View: q.view, Idempotent: c.isIdempotent(q.request.Class), Restarts: q.restarts}
 	return specs
 }
 
-func (c *Core) safe(class int) bool {
-	return class >= 0 && class < len(c.lim.NonIdempotent) && !c.lim.NonIdempotent[class]
-}
-
-// unpin lets the view go.
-func (c *Core) unpin(q *query) {
+func (c *Core) unpinView(q *query) {
 	if q.view != nil {
 		c.Resharding.Views.Release(q.view)
 		q.view = nil
 	}
 }
 
-// place notes a part in the flight and says who may be asked for it.
-func (c *Core) place(now time.Time, q *query, p *part) (list []balance.Candidate) {
+func (c *Core) isIdempotent(class int) bool {
+	return class >= 0 && class < len(c.limits.NonIdempotent) && !c.limits.NonIdempotent[class]
+}
+
+// addToFlight adds a part to its query's flight and returns the servers it may be sent to; nil where those are fixed.
+func (c *Core) addToFlight(q *query, p *part) []balance.Candidate {
 	if q.flight == nil {
 		return nil
 	}
-	id := shardmap.ID(p.spec.Shard)
-	entry := shardmap.Part{Shard: id}
-	list = []balance.Candidate{}
-	if b := q.view.Map.Shard(id); b != nil {
-		for _, h := range b.ServingReplicas() {
-			entry.Servers = append(entry.Servers, h.Server)
-			list = append(list, balance.Candidate{Replica: balance.Replica(h.Server), TrafficFraction: c.Resharding.Views.TrafficFraction(now, h)})
-		}
+	entry := shardmap.Part{Shard: shardmap.ID(p.spec.Shard)}
+	candidates := []balance.Candidate{}
+	for _, holder := range q.holders(p) {
+		entry.Servers = append(entry.Servers, holder.Server)
+		candidates = append(candidates, c.candidate(holder))
 	}
-	p.at = len(q.flight.Parts)
+	p.flightIndex = len(q.flight.Parts)
 	q.flight.Parts = append(q.flight.Parts, entry)
-	return list
+	return candidates
 }
 
-// mapped takes word of a source of maps.
-func (c *Core) mapped(now time.Time, e ShardMapOffered, told []balance.Event) []balance.Event {
+// holders are the servers of a part's block by the query's view.
+func (q *query) holders(p *part) []shardmap.Replica {
+	block := q.view.Map.Shard(shardmap.ID(p.spec.Shard))
+	if block == nil {
+		return nil
+	}
+	return block.ServingReplicas()
+}
+
+func (c *Core) candidate(holder shardmap.Replica) balance.Candidate {
+	return balance.Candidate{
+		Replica: balance.Replica(holder.Server), TrafficFraction: c.Resharding.Views.TrafficFraction(c.now, holder),
+	}
+}
+
+// shardMapOffered takes a map, or the lack of a newer one, from a map source.
+func (c *Core) shardMapOffered(e ShardMapOffered) {
 	r := c.Resharding
 	if r == nil {
-		return told
+		return
 	}
 	switch {
-	case e.Err != nil: // it may have a newer one all the same
+	case e.Err != nil: // the source may have a newer map all the same
 		r.Rejected(e.Source, e.Err)
-		return told
+		return
 	case e.Map == nil:
-		if r.Views.SourceUnchanged(now) {
-			r.RequestMapSoon()
-		}
+		r.noNewerMap(c.now)
 	default:
-		old := r.Views.Current()
-		adopted, err := r.Views.Offer(now, e.Map)
-		if err != nil {
-			r.Rejected(e.Source, err)
-		}
-		if adopted {
-			r.Adopted(old, e.Map)
-		} else if err == nil && r.Views.SourceUnchanged(now) {
-			r.RequestMapSoon()
-		}
+		r.offer(c.now, e)
 	}
-	// Those that wait begin anew, or wait no longer.
-	for _, q := range c.all() {
-		if q.waits {
-			told = c.stranded(now, q, told)
+	for _, q := range c.openQueries() {
+		if q.waiting {
+			c.reroute(q)
 		}
 	}
-	return told
 }
 
-// leave makes queries leave views that are held too long.
-func (c *Core) leave(now time.Time, told []balance.Event) []balance.Event {
+// offer adopts the map of an event, if it may follow the present one.
+func (r *Resharding) offer(now time.Time, e ShardMapOffered) {
+	old := r.Views.Current()
+	adopted, err := r.Views.Offer(now, e.Map)
+	switch {
+	case err != nil:
+		r.Rejected(e.Source, err)
+	case adopted:
+		r.Adopted(old, e.Map)
+	default:
+		r.noNewerMap(now)
+	}
+}
+
+// noNewerMap notes that the source has nothing newer, and requests a map again if it may be behind.
+func (r *Resharding) noNewerMap(now time.Time) {
+	if r.Views.SourceUnchanged(now) {
+		r.RequestMapSoon()
+	}
+}
+
+// leaveExpiredViews reroutes the queries of views that are held for too long. A query stays whose part may be running and
+// must not run twice: until its answer or its deadline.
+func (c *Core) leaveExpiredViews() {
 	if c.Resharding == nil {
-		return told
+		return
 	}
-	for _, v := range c.Resharding.Views.Expired(now) {
-		for _, q := range c.all() {
-			// What may be running and must not run twice stays until its answer, or its deadline.
-			if q.view == v && !q.anew && (q.flight.Idempotent || q.out == 0) {
-				told = c.stranded(now, q, told)
+	for _, view := range c.Resharding.Views.Expired(c.now) {
+		for _, q := range c.openQueries() {
+			if q.view == view && !q.restarting && (q.flight.Idempotent || q.inFlight == 0) {
+				c.reroute(q)
 			}
 		}
 	}
-	return told
 }
 
-// turnedAway takes a server's word that it does not hold the part's block, and never ran it.
-func (c *Core) turnedAway(now time.Time, a *attempt, cause *AttemptError, told []balance.Event) (lie bool, _ []balance.Event) {
-	p, q := a.part, a.part.q
-	r := c.Resharding
-	if r == nil || q.flight == nil || c.parts[p.id] != p {
-		return false, told
-	}
-	ask := r.Views.ObserveEpoch(now, cause.Epoch)
-	v := q.flight.Rejected(r.Views, p.at, string(a.server), cause.MapStatus, cause.Epoch, ask)
+// shardNotHeld takes a server's rejection of an open part whose block it does not hold. It reports whether the shard map
+// contradicts the server.
+func (c *Core) shardNotHeld(a *attempt, failure *AttemptError) (falseRejection bool) {
+	p, q, r := a.part, a.part.query, c.Resharding
+	newer := r.Views.ObserveEpoch(c.now, failure.Epoch)
+	v := q.flight.Rejected(r.Views, p.flightIndex, string(a.server), failure.MapStatus, failure.Epoch, newer)
 	if v.FalseRejection {
 		r.Views.Stats.FalseRejections++
 	}
@@ -129,111 +146,115 @@
 		r.RequestMap()
 	}
 	if v.Restart || v.AwaitMap {
-		return v.FalseRejection, c.verdict(now, q, v, told)
+		c.applyDecision(q, v)
+	} else {
+		c.notify(balance.CandidatesChanged{Part: p.id, Candidates: c.remainingCandidates(q, p)})
 	}
-	left := []balance.Candidate{}
-	if b := q.view.Map.Shard(shardmap.ID(p.spec.Shard)); b != nil {
-		for _, h := range b.ServingReplicas() {
-			if slices.Contains(q.flight.Parts[p.at].Servers, h.Server) {
-				left = append(left, balance.Candidate{Replica: balance.Replica(h.Server), TrafficFraction: r.Views.TrafficFraction(now, h)})
-			}
+	return v.FalseRejection
+}
+
+// remainingCandidates are the servers that a part may still be sent to.
+func (c *Core) remainingCandidates(q *query, p *part) []balance.Candidate {
+	candidates := []balance.Candidate{}
+	for _, holder := range q.holders(p) {
+		if slices.Contains(q.flight.Parts[p.flightIndex].Servers, holder.Server) {
+			candidates = append(candidates, c.candidate(holder))
 		}
 	}
-	return v.FalseRejection, append(told, balance.CandidatesChanged{Part: p.id, Candidates: left})
+	return candidates
 }
 
-// stranded decides on a query whose view is of no more use to it.
-func (c *Core) stranded(now time.Time, q *query, told []balance.Event) []balance.Event {
-	return c.verdict(now, q, q.flight.ViewUnusable(c.Resharding.Views), told)
-}
+// reroute decides on a query whose view is of no more use to it.
+func (c *Core) reroute(q *query) { c.applyDecision(q, q.flight.ViewUnusable(c.Resharding.Views)) }
 
-// verdict carries out what was decided on a query: it begins anew, waits for a newer map, or ends.
-func (c *Core) verdict(now time.Time, q *query, v shardmap.Decision, told []balance.Event) []balance.Event {
-	if !q.anew && !q.waits { // the decisions on it begin anew, too
-		told = append(told, balance.ClientDisconnected{Query: q.id})
-		for _, p := range q.parts {
-			delete(c.parts, p.id)
-		}
+// applyDecision restarts a query, lets it wait for a newer map, or ends it.
+func (c *Core) applyDecision(q *query, v shardmap.Decision) {
+	if !q.restarting && !q.waiting { // the balancer still has it
+		c.notify(balance.ClientDisconnected{Query: q.id})
+		c.dropParts(q)
 	}
 	switch {
 	case v.Restart:
-		q.anew, q.waits = true, false
-		q.restarts++
-		c.Counters.Restarts++
-		c.Resharding.Views.Stats.Restarts++
-		// Nothing of it may be out any more: a part's next attempt would be a second copy.
-		for _, a := range c.out(func(a *attempt) bool { return a.part.q == q }) {
-			c.withdraw(now, a.id, a)
-		}
-		if q.out == 0 {
-			told = c.again(now, q, told)
-		}
+		c.prepareRestart(q)
 	case v.AwaitMap:
-		if !q.waits {
-			c.Counters.MapWaits++
-			c.Resharding.Views.Stats.Waits++
-		}
-		q.waits = true
+		c.waitForMap(q)
 	default:
-		q.waits = false
-		if q.flight.Idempotent || !q.flight.MayHaveRun() {
-			c.close(q, FinalAnswer{Status: StatusRejected, RetryAfter: c.lim.RetryAfter})
-		} else {
-			c.close(q, FinalAnswer{Status: StatusFailed})
-		}
+		q.waiting = false
+		c.closeUnroutable(q)
+	}
+}
+
+// prepareRestart cancels the attempts of a query and restarts it once none is in flight: a part's next attempt must not
+// run beside the one before it.
+func (c *Core) prepareRestart(q *query) {
+	q.restarting, q.waiting = true, false
+	q.restarts++
+	c.Counters.Restarts++
+	c.Resharding.Views.Stats.Restarts++
+	for _, a := range c.attemptsInFlight(func(a *attempt) bool { return a.part.query == q }) {
+		c.cancel(a)
+	}
+	if q.inFlight == 0 {
+		c.restartQuery(q)
+	}
+}
+
+func (c *Core) waitForMap(q *query) {
+	if !q.waiting {
+		c.Counters.MapWaits++
+		c.Resharding.Views.Stats.Waits++
 	}
-	return told
+	q.waiting = true
 }
 
-// again begins a query anew on the present view.
-func (c *Core) again(now time.Time, q *query, told []balance.Event) []balance.Event {
-	q.anew = false
-	c.unpin(q)
+// closeUnroutable ends a query that no view is left for.
+func (c *Core) closeUnroutable(q *query) {
+	if q.flight.Idempotent || !q.flight.MayHaveRun() {
+		c.close(q, c.rejection())
+	} else {
+		c.close(q, FinalAnswer{Status: StatusFailed})
+	}
+}
+
+// restartQuery submits a query to the balancer again, on the present view and under a new id.
+func (c *Core) restartQuery(q *query) {
+	q.restarting = false
+	c.unpinView(q)
+	c.changeID(q)
+	specs := c.pinView(q)
+	if !c.now.Before(q.deadline) || len(specs) == 0 {
+		c.close(q, c.rejection())
+		return
+	}
+	c.submit(q, specs)
+}
+
+// changeID gives a query a new id, by which the queue of deadlines orders it.
+func (c *Core) changeID(q *query) {
 	delete(c.queries, q.id)
-	c.ends.Remove(q) // it stands there by its id
-	c.next++
-	q.id = c.next
+	c.deadlines.Remove(q)
+	q.id = c.nextID()
 	c.queries[q.id] = q
-	c.ends.Push(q)
-	specs := c.pin(q)
-	if !now.Before(q.end) || len(specs) == 0 {
-		c.close(q, FinalAnswer{Status: StatusRejected, RetryAfter: c.lim.RetryAfter})
-		return told
-	}
-	return c.tellQuery(now, q, specs, told)
+	c.deadlines.Push(q)
 }
 
-// tellQuery tells the decisions of a query and its parts.
-func (c *Core) tellQuery(now time.Time, q *query, specs []PartSpec, told []balance.Event) []balance.Event {
-	r := q.req
-	told = append(told, balance.Query{
-		ID: q.id, Group: uint64(q.id), Class: r.Class, Tenant: r.Tenant, Key: r.Key,
-		TimeLeft: q.end.Sub(now), IsRetry: r.IsRetry, Parts: len(specs),
-	})
-	return c.addParts(now, q, specs, "", told)
+// mayReroute says that a query which the balancer gave up may have been given up because of its outdated view.
+func (c *Core) mayReroute(q *query) bool {
+	return c.Resharding != nil && !q.restarting && !q.waiting && q.inFlight == 0 &&
+		c.now.Before(q.deadline.Add(-c.limits.DeadlineMargin)) && c.hasUnservablePart(q)
 }
 
-// orphaned says whether a query that the decisions gave up has a part that nobody in service may be asked for.
-func (c *Core) orphaned(q *query) bool {
-	if q.flight == nil || q.step > 0 {
+// hasUnservablePart says whether a part of a query's first step lacks an answer and has no server in service.
+func (c *Core) hasUnservablePart(q *query) bool {
+	if q.flight == nil || q.followUp {
 		return false
 	}
+	available := func(server string) bool { return c.Available(balance.Replica(server)) }
 	for _, p := range q.parts {
-		f := &q.flight.Parts[p.at]
-		if !f.Answered && !slices.ContainsFunc(f.Servers, func(s string) bool { return c.Available(balance.Replica(s)) }) {
+		f := &q.flight.Parts[p.flightIndex]
+		if !f.Answered && !slices.ContainsFunc(f.Servers, available) {
 			return true
 		}
 	}
 	return false
 }
-
-// gaveUp ends a query that the decisions have given up, or begins it anew where its view was the reason.
-func (c *Core) gaveUp(now time.Time, q *query, f FinalAnswer, told []balance.Event) []balance.Event {
-	if c.Resharding != nil && !q.anew && !q.waits && q.out == 0 && now.Before(q.end.Add(-c.lim.DeadlineMargin)) && c.orphaned(q) {
-		if v := q.flight.ViewUnusable(c.Resharding.Views); v.Restart || v.AwaitMap {
-			return c.verdict(now, q, v, told)
-		}
-	}
-	c.close(q, f)
-	return told
-}
--- /dev/null
+++ b/internal/aggregator/resharding_fuzz_test.go
@@ -0,0 +1,166 @@
+package aggregator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"rooktrestle/internal/control/shardmap"
+)
+
+// correction is the class of the harness whose requests must not run twice.
+const correction = 1
+
+// FuzzResharding takes random steps: maps that change, servers that answer, fail, reject, contradict the map or stay
+// unresponsive. Each request has one final answer; a correction that may have run is never sent again; a part has one
+// attempt in flight at a time; a complete answer covers its view; nothing is held at the end.
+func FuzzResharding(f *testing.F) {
+	f.Add(uint64(1), uint16(300))
+	f.Add(uint64(9), uint16(1500))
+	f.Fuzz(func(t *testing.T, seed uint64, steps uint16) {
+		z := &reshardingFuzz{
+			reshardingHarness: newReshardingHarness(t), rng: rand.New(rand.NewPCG(seed, 6)),
+			mayHaveRun: map[string]bool{}, classes: map[string]int{}, seen: map[AttemptID]bool{},
+		}
+		for range steps % 2500 {
+			z.step()
+			z.checkCalls()
+		}
+		z.endEverything()
+		z.checkAnswers()
+		z.assertNothingHeld()
+	})
+}
+
+type reshardingFuzz struct {
+	*reshardingHarness
+	rng        *rand.Rand
+	requests   int             // so far
+	classes    map[string]int  // of the requests, by id
+	mayHaveRun map[string]bool // requests of which a part may have run, by id
+	seen       map[AttemptID]bool
+}
+
+// requestID is the id of the request that a call is for.
+func requestID(c Call) string { return strings.SplitN(c.Name, ".", 2)[0] }
+
+func (z *reshardingFuzz) step() {
+	z.now = z.now.Add(time.Duration(z.rng.IntN(40)) * time.Millisecond)
+	switch x := z.rng.IntN(12); {
+	case x < 3:
+		z.newRequest()
+	case x < 8 && len(z.calls) > 0:
+		z.endOne()
+	case x == 8:
+		z.turn(ShardMapOffered{Source: "test"})
+	default:
+		z.reshard()
+	}
+	z.turn()
+}
+
+func (z *reshardingFuzz) newRequest() {
+	z.requests++
+	id := fmt.Sprintf("q%d", z.requests)
+	z.classes[id] = z.rng.IntN(2)
+	key := ""
+	if z.classes[id] == correction {
+		key = []string{"c@2000", "o@2000", "x@2000"}[z.rng.IntN(3)]
+	}
+	z.requestBlocks(id, z.classes[id], key)
+}
+
+// endOne ends one of the calls in flight.
+func (z *reshardingFuzz) endOne() {
+	i := z.rng.IntN(len(z.calls))
+	c := z.calls[i]
+	z.calls, z.servers = slices.Delete(z.calls, i, i+1), slices.Delete(z.servers, i, i+1)
+	z.turn(AttemptEnded{Attempt: c.Attempt, Err: z.randomEnd(c), Value: fmt.Sprint(c.Shard)})
+}
+
+func (z *reshardingFuzz) randomEnd(c Call) error {
+	switch y := z.rng.IntN(8); {
+	case slices.Contains(z.canceled, c.Attempt):
+		z.mayHaveRun[requestID(c)] = true
+		return &AttemptError{Progress: Written, Canceled: true}
+	case y == 0:
+		z.mayHaveRun[requestID(c)] = true
+		return &AttemptError{Progress: Written}
+	case y == 1:
+		return &AttemptError{Progress: NotConnected}
+	case y < 5:
+		return notHeld(shardmap.Mismatch(1+z.rng.IntN(2)), z.shardMap.Epoch+shardmap.Epoch(z.rng.IntN(3)))
+	}
+	z.mayHaveRun[requestID(c)] = true
+	return nil
+}
+
+// reshard moves, splits or merges blocks, where the planner allows it.
+func (z *reshardingFuzz) reshard() {
+	var ids []shardmap.ID
+	z.shardMap.All(func(b *shardmap.Shard) bool { ids = append(ids, b.ID); return true })
+	var plan *shardmap.Plan
+	var err error
+	id := ids[z.rng.IntN(len(ids))]
+	switch z.rng.IntN(3) {
+	case 0:
+		holders := [][]string{{"a", "b"}, {"c", "d"}, {"b", "c"}}[z.rng.IntN(3)]
+		plan, err = shardmap.PlanMigration(z.shardMap, id, holders, shardmap.Timing{})
+	case 1:
+		at := []shardmap.Key{"d@2000", "p@2000", "t@2000"}[z.rng.IntN(3)]
+		plan, err = shardmap.PlanSplit(z.shardMap, id, []shardmap.Key{at}, shardmap.Timing{})
+	default:
+		i := z.rng.IntN(len(ids))
+		plan, err = shardmap.PlanMerge(z.shardMap, []shardmap.ID{ids[i], ids[(i+1)%len(ids)]}, shardmap.Timing{})
+	}
+	if err == nil {
+		z.applyPlan(plan, nil)
+	}
+}
+
+// checkCalls checks what is in flight.
+func (z *reshardingFuzz) checkCalls() {
+	z.t.Helper()
+	inFlight := map[string]bool{}
+	for _, c := range z.calls {
+		if id := requestID(c); !z.seen[c.Attempt] && z.classes[id] == correction && z.mayHaveRun[id] {
+			z.t.Fatalf("correction %s is sent again after it may have run", id)
+		}
+		z.seen[c.Attempt] = true
+		if inFlight[c.Name] {
+			z.t.Fatalf("two attempts of %s are in flight", c.Name)
+		}
+		inFlight[c.Name] = true
+	}
+}
+
+// endEverything ends whatever is in flight, and lets all deadlines pass.
+func (z *reshardingFuzz) endEverything() {
+	for range 500 {
+		z.now = z.now.Add(20 * time.Millisecond)
+		z.turn(ShardMapOffered{Source: "test"})
+		for len(z.calls) > 0 {
+			c := z.calls[0]
+			z.calls, z.servers = z.calls[1:], z.servers[1:]
+			z.turn(AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: Written, Canceled: true}})
+		}
+	}
+}
+
+// checkAnswers checks that each request has one final answer, and that it is right.
+func (z *reshardingFuzz) checkAnswers() {
+	z.t.Helper()
+	for i := range z.requests {
+		id := fmt.Sprintf("q%d", i+1)
+		final := z.answer(id)
+		if final.Status == StatusServed && final.Complete && final.AnsweredWeight < 0.999 {
+			z.t.Fatalf("%s: complete, with %v of the weight", id, final.AnsweredWeight)
+		}
+		if final.Status == StatusRejected && z.classes[id] == correction && z.mayHaveRun[id] {
+			z.t.Fatalf("%s is rejected, and may have run", id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/aggregator/restart.go
@@ -0,0 +1,61 @@
+package aggregator
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"rooktrestle/balance"
+)
+
+// Restart gives every open query its final answer and goes on with a new balancer. It is called after a panic in a turn:
+// it guards the process, and the queries it holds. Nothing of them is sent again. events are those of the turn that
+// panicked, which may not have been handled.
+func (c *Core) Restart(now time.Time, fresh *balance.Balancer, events []Event) {
+	c.now = now
+	c.Counters.Panics++
+	for _, q := range c.openQueries() {
+		c.close(q, FinalAnswer{Status: StatusFailed})
+	}
+	c.recoverEvents(events)
+	c.pending, c.calls, c.timerAt, c.balancer = nil, nil, time.Time{}, fresh
+	c.dropAttempts()
+	list := EndpointsChanged{Kind: balance.ListFull, Servers: c.listedServers()}
+	fresh.Turn(c.clock(now), []balance.Event{c.updateServers(list)})
+}
+
+// recoverEvents fails the requests among the events that have no answer yet, and keeps the news of servers.
+func (c *Core) recoverEvents(events []Event) {
+	for _, e := range events {
+		switch e := e.(type) {
+		case RequestArrived:
+			if !e.Request.done {
+				c.Counters.Failed++
+				c.deliver(e.Request, FinalAnswer{Status: StatusFailed})
+			}
+		case EndpointsChanged:
+			c.updateServers(e)
+		}
+	}
+}
+
+// dropAttempts forgets the attempts in flight, after it has asked the backend to give them up.
+func (c *Core) dropAttempts() {
+	for _, a := range c.attemptsInFlight(func(*attempt) bool { return true }) {
+		delete(c.attempts, a.id)
+		c.timeouts.Remove(a)
+		c.releaseRequestID(a.part.query)
+		if !a.cancelRequested {
+			c.backend.Cancel(c.now, a.id, false)
+		}
+	}
+}
+
+// listedServers are the servers as last listed, in the order of their ids.
+func (c *Core) listedServers() (list []Server) {
+	for _, s := range c.servers {
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
