Split simadapter and settings by concern; events of a frame are a sealed Input

Change: frame, reader, events (a table of decoders), message and writer as files; Input is a Start, a Stop or a BalancerEvent. settings: the platform's document apart from what is made of it. The test of the settings that a POWER_ON brings compares all fields in place of some (stricter: two checks stay two); settings has tests of its own.

--- a/cmd/simadapter/main.go
+++ b/cmd/simadapter/main.go
@@ -1,5 +1,5 @@
-// Wirehost hosts gatherers' decisions on the bench's wire: events on standard
-// input, actions on standard output. The gatherers share nothing.
+// Simadapter runs the balancers of aggregators under the simulator: it reads frames of events from standard input and
+// writes actions to standard output. The aggregators share nothing.
 package main
 
 import (
@@ -19,57 +19,61 @@
 	}
 }
 
-// serve answers frames until the input ends. An error is told on the wire before it is returned.
+// balancers are those of the running instances, by the instance's name.
+type balancers map[string]*balance.Balancer
+
+// serve answers frames until the input ends. It reports an error to the simulator before it returns it.
 func serve(in io.Reader, out io.Writer) error {
-	r, w := simadapter.NewReader(in), simadapter.NewWriter(out)
-	hosted := map[string]*balance.Balancer{}
+	reader, writer := simadapter.NewReader(in), simadapter.NewWriter(out)
+	running := balancers{}
 	for {
-		f, err := r.Frame()
+		frame, err := reader.Frame()
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err == nil {
-			err = turn(w, f, hosted)
+			err = running.turn(writer, frame)
 		}
 		if err != nil {
-			w.Fault(err.Error())
-			return errors.Join(err, w.End())
+			writer.Fault(err.Error())
+			return errors.Join(err, writer.End())
 		}
-		if err := w.End(); err != nil {
+		if err := writer.End(); err != nil {
 			return err
 		}
 	}
 }
 
-// turn hands a frame's events to the gatherers they are for and prints what these do.
-func turn(w *simadapter.Writer, f *simadapter.Frame, hosted map[string]*balance.Balancer) error {
+// turn hands a frame's events to their instances, in the order in which the frame first names these, and writes what the
+// balancers do.
+func (b balancers) turn(writer *simadapter.Writer, frame *simadapter.Frame) error {
 	var order []string
 	events := map[string][]balance.Event{}
-	for _, e := range f.Events {
+	for _, e := range frame.Events {
 		if _, seen := events[e.Instance]; !seen {
 			order = append(order, e.Instance)
 			events[e.Instance] = nil
 		}
-		switch what := e.What.(type) {
+		switch input := e.Input.(type) {
 		case simadapter.Start:
-			b, err := balance.New(what.Settings)
+			fresh, err := balance.New(input.Settings)
 			if err != nil {
 				return fmt.Errorf("%s: %w", e.Instance, err)
 			}
-			hosted[e.Instance], events[e.Instance] = b, nil
+			b[e.Instance], events[e.Instance] = fresh, nil
 		case simadapter.Stop:
-			delete(hosted, e.Instance)
+			delete(b, e.Instance)
 			events[e.Instance] = nil
-		case balance.Event:
-			if hosted[e.Instance] == nil {
+		case simadapter.BalancerEvent:
+			if b[e.Instance] == nil {
 				return fmt.Errorf("%s has an event but was not started", e.Instance)
 			}
-			events[e.Instance] = append(events[e.Instance], what)
+			events[e.Instance] = append(events[e.Instance], input.Event)
 		}
 	}
-	for _, name := range order {
-		if b := hosted[name]; b != nil {
-			w.Actions(name, b.Turn(f.Now, events[name]))
+	for _, instance := range order {
+		if balancer := b[instance]; balancer != nil {
+			writer.Actions(instance, balancer.Turn(frame.Now, events[instance]))
 		}
 	}
 	return nil
--- a/cmd/simadapter/main_test.go
+++ b/cmd/simadapter/main_test.go
@@ -5,23 +5,23 @@
 	"testing"
 )
 
-const start = `POWER_ON	seed=1	env={"classes":[{"aim":1000000,"credit":1,"deadline":2000000,"effect":"safe"}],` +
+const powerOn = `POWER_ON	seed=1	env={"classes":[{"aim":1000000,"credit":1,"deadline":2000000,"effect":"safe"}],` +
 	`"extra":{"cells":1,"class_floor":[1],"follow_up":[0],"in_a_row":1,"incomplete_worth":[1],"need_by_class":[1],` +
 	`"per_call":1,"slices":1},"limits":{"cancel":true,"send_cap":2},"n_instances":1,"tick":5000}`
 
-const list = "DEFINE_LIST\tlist=0\tmembers=1\nSERVER\tserver=s:1\tphase=in_service\nTARGET_INSTANCE\tgatherer=gatherer_0\n" +
+const endpointList = "DEFINE_LIST\tlist=0\tmembers=1\nSERVER\tserver=s:1\tphase=in_service\nTARGET_INSTANCE\tgatherer=gatherer_0\n" +
 	"MEMBERSHIP\tlist=0\tform=C\tseq_no=1\n"
 
-func query(id string) string {
+func workItems(id string) string {
 	return "WORK_ITEM\thandle=" + id + "\tgroup_no=" + id + "\tsegment_no=-1\tclass=0\theft=1\tgrace=2000000\n" +
 		"WORK_ITEM\thandle=1" + id + "\tgroup_no=" + id + "\tsegment_no=0\tclass=0\theft=1\tgrace=2000000\n"
 }
 
-func TestServesGatherersApart(t *testing.T) {
+func TestServe_InstancesShareNothing(t *testing.T) {
 	in := "FRAME\tsim_time=0\nFLUSH\n" +
-		"FRAME\tsim_time=10\nTARGET_INSTANCE\tgatherer=gatherer_0\n" + start + "\n" + list +
-		"TARGET_INSTANCE\tgatherer=gatherer_1\n" + start + "\nMEMBERSHIP\tlist=0\tform=C\tseq_no=1\nFLUSH\n" +
-		"FRAME\tsim_time=20\nTARGET_INSTANCE\tgatherer=gatherer_1\n" + query("5") + "FLUSH\n"
+		"FRAME\tsim_time=10\nTARGET_INSTANCE\tgatherer=gatherer_0\n" + powerOn + "\n" + endpointList +
+		"TARGET_INSTANCE\tgatherer=gatherer_1\n" + powerOn + "\nMEMBERSHIP\tlist=0\tform=C\tseq_no=1\nFLUSH\n" +
+		"FRAME\tsim_time=20\nTARGET_INSTANCE\tgatherer=gatherer_1\n" + workItems("5") + "FLUSH\n"
 	var out strings.Builder
 	if err := serve(strings.NewReader(in), &out); err != nil {
 		t.Fatal(err)
@@ -33,9 +33,9 @@
 	}
 }
 
-func TestKilledGathererForgets(t *testing.T) {
-	in := "FRAME\tsim_time=10\nTARGET_INSTANCE\tgatherer=gatherer_0\n" + start + "\n" + list + query("5") +
-		"RETIRE\n" + start + "\nMEMBERSHIP\tlist=0\tform=C\tseq_no=1\nFLUSH\n"
+func TestServe_KilledInstanceForgets(t *testing.T) {
+	in := "FRAME\tsim_time=10\nTARGET_INSTANCE\tgatherer=gatherer_0\n" + powerOn + "\n" + endpointList + workItems("5") +
+		"RETIRE\n" + powerOn + "\nMEMBERSHIP\tlist=0\tform=C\tseq_no=1\nFLUSH\n"
 	var out strings.Builder
 	if err := serve(strings.NewReader(in), &out); err != nil {
 		t.Fatal(err)
@@ -45,12 +45,12 @@
 	}
 }
 
-func TestBadInputEndsWithAFault(t *testing.T) {
+func TestServe_InvalidInputEndsWithAFault(t *testing.T) {
 	for in, want := range map[string]string{
 		"FRAME\tsim_time=1\nODD\nFLUSH\n": "line 2",
 		"FRAME\tsim_time=1\nTARGET_INSTANCE\tgatherer=gatherer_9\nALARM\thandle=0\nFLUSH\n": "was not started",
 		"FRAME\tsim_time=1\nTARGET_INSTANCE\tgatherer=g\n" +
-			strings.Replace(start, `"n_instances":1`, `"n_instances":0`, 1) + "\nFLUSH\n": "0 instances",
+			strings.Replace(powerOn, `"n_instances":1`, `"n_instances":0`, 1) + "\nFLUSH\n": "0 instances",
 	} {
 		var out strings.Builder
 		err := serve(strings.NewReader(in), &out)
--- /dev/null
+++ b/internal/simadapter/events.go
@@ -0,0 +1,130 @@
+package simadapter
+
+import (
+	"encoding/hex"
+	"math"
+	"strings"
+
+	"rooktrestle/balance"
+	"rooktrestle/internal/settings"
+)
+
+// decoders read the events of a frame, by the name of their message. A decoder returns nil for one that the balancer has
+// no use for. Errors of single fields are kept in the message; what is returned beside one is not used.
+var decoders = map[string]func(*Reader, *message) (Input, error){
+	"POWER_ON":       decodeStart,
+	"RETIRE":         decodeStop,
+	"MEMBERSHIP":     decodeEndpointList,
+	"WORK_ITEM":      decodeWork,
+	"RESULT":         decodeAttemptEnded,
+	"HEALTH":         decodeProbeEnded,
+	"ALARM":          decodeTimerFired,
+	"VANISHED":       decodeClientDisconnected,
+	"NEIGHBOUR_SAYS": decodeGossip,
+	"STREAMING":      ignore,
+}
+
+// The protocol's words for values.
+var (
+	endpointStates = map[string]balance.EndpointState{
+		"in_service": balance.InService, "terminating": balance.Draining, "terminated": balance.Removed,
+	}
+	listKinds = map[string]balance.ListKind{
+		"F": balance.ListFull, "C": balance.ListStale, "D": balance.ListDelta, "X": balance.ListFailed,
+	}
+	attemptResults = map[string]balance.AttemptResult{
+		"Ok": balance.OK, "Failed": balance.Failed, "QueueFull": balance.QueueFull,
+		"TimedOut": balance.TimedOut, "ConnectError": balance.ConnectFailed, "ResetByPeer": balance.Reset,
+		"Canceled": balance.Canceled, "Ignored": balance.NotSent,
+	}
+)
+
+func decodeStart(_ *Reader, m *message) (Input, error) {
+	deployment, err := settings.Parse([]byte(m.text("env")))
+	start := Start{deployment.Decisions}
+	start.Settings.Seed = m.unsigned("seed")
+	if m.err != nil {
+		return nil, nil
+	}
+	return start, err
+}
+
+func decodeStop(*Reader, *message) (Input, error) { return Stop{}, nil }
+
+func decodeEndpointList(r *Reader, m *message) (Input, error) {
+	list := balance.EndpointList{Kind: oneOf(m, "form", listKinds)}
+	if m.err != nil || list.Kind == balance.ListFailed {
+		return BalancerEvent{list}, nil
+	}
+	number := m.whole("list", maxList)
+	endpoints, defined := r.lists[number]
+	if !defined && m.err == nil {
+		m.fail("list %d is not defined", number)
+	}
+	list.Endpoints = endpoints
+	return BalancerEvent{list}, nil
+}
+
+// decodeWork reads a query, or one of its parts: those have a segment.
+func decodeWork(_ *Reader, m *message) (Input, error) {
+	id, group, shard := balance.ID(m.unsigned("handle")), m.unsigned("group_no"), m.integer("segment_no")
+	hint := m.timeOr("hint", 0)
+	if shard >= 0 {
+		return BalancerEvent{balance.Part{
+			ID: id, Group: group, Shard: shard, Weight: m.number("heft"), WorkHint: hint,
+		}}, nil
+	}
+	return BalancerEvent{balance.Query{
+		ID: id, Group: group, Class: m.whole("class", math.MaxInt32), Tenant: m.wholeOrZero("billing"),
+		Key: m.textOr("resource", ""), WorkHint: hint, TimeLeft: m.time("grace"),
+		IsRetry: m.wholeOrZero("is_retry") != 0, Parts: int(m.number("heft")),
+	}}, nil
+}
+
+func decodeAttemptEnded(_ *Reader, m *message) (Input, error) {
+	return BalancerEvent{balance.AttemptEnded{
+		Part: balance.ID(m.unsigned("handle")), Attempt: m.whole("shot", math.MaxInt32),
+		Replica: balance.Replica(m.text("server")), Result: oneOf(m, "outcome", attemptResults),
+		Elapsed: m.time("lag"), Report: m.report("metrics"),
+	}}, nil
+}
+
+func decodeProbeEnded(_ *Reader, m *message) (Input, error) {
+	return BalancerEvent{balance.ProbeEnded{
+		Replica: balance.Replica(m.text("server")), Result: oneOf(m, "outcome", attemptResults),
+		Elapsed: m.time("lag"), Report: m.report("metrics"),
+	}}, nil
+}
+
+func decodeTimerFired(_ *Reader, m *message) (Input, error) {
+	m.unsigned("handle") // required, though one timer is all there is
+	return BalancerEvent{balance.TimerFired{}}, nil
+}
+
+func decodeClientDisconnected(_ *Reader, m *message) (Input, error) {
+	return BalancerEvent{balance.ClientDisconnected{Query: balance.ID(m.unsigned("handle"))}}, nil
+}
+
+// decodeGossip reads a message of another instance. A garbled one is passed on as empty: to drop it is the balancer's
+// task.
+func decodeGossip(_ *Reader, m *message) (Input, error) {
+	payload, err := hex.DecodeString(strings.TrimPrefix(m.textOr("msg", ""), "-"))
+	if err != nil {
+		payload = nil
+	}
+	return BalancerEvent{balance.GossipReceived{Payload: payload}}, nil
+}
+
+func ignore(*Reader, *message) (Input, error) { return nil, nil }
+
+// endpoint reads a SERVER, an entry of an endpoint list.
+func (m *message) endpoint() balance.Endpoint {
+	return balance.Endpoint{
+		Replica: balance.Replica(m.text("server")),
+		Zone:    m.wholeOrZero("area"),
+		Cell:    m.wholeOrZero("set_no"),
+		Size:    m.numberOr("size", 1),
+		State:   oneOf(m, "phase", endpointStates),
+		Started: m.timeOr("last_start", 0),
+	}
+}
--- /dev/null
+++ b/internal/simadapter/reader.go
@@ -0,0 +1,148 @@
+package simadapter
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strings"
+
+	"rooktrestle/balance"
+)
+
+// readBuffer is the size of the input buffer in bytes. Settings come in one long line.
+const readBuffer = 1 << 20
+
+// maxList is the highest number of an endpoint list.
+const maxList = 15
+
+// Reader reads frames. The endpoint lists that the input defines by number live as long as the Reader does. It is not
+// safe for concurrent use.
+type Reader struct {
+	in    *bufio.Reader
+	line  int // number of the last line read
+	lists map[int][]balance.Endpoint
+}
+
+// NewReader returns a Reader of r.
+func NewReader(r io.Reader) *Reader {
+	return &Reader{in: bufio.NewReaderSize(r, readBuffer), lists: map[int][]balance.Endpoint{}}
+}
+
+// Frame reads the next frame. It returns io.EOF where the input ends between frames; other errors state the line. After
+// an error the Reader cannot go on.
+func (r *Reader) Frame() (*Frame, error) {
+	m, err := r.next()
+	if err != nil {
+		return nil, err
+	}
+	if m.name != "FRAME" {
+		return nil, r.wrap(fmt.Errorf("%s outside a frame", m.name))
+	}
+	f := &Frame{Now: m.time("sim_time")}
+	if m.err != nil {
+		return nil, r.wrap(m.err)
+	}
+	instance := ""
+	for {
+		m, err := r.next()
+		if errors.Is(err, io.EOF) {
+			return nil, fmt.Errorf("line %d: the input ends inside a frame", r.line)
+		}
+		if err != nil {
+			return nil, err
+		}
+		switch m.name {
+		case "FLUSH":
+			return f, nil
+		case "TARGET_INSTANCE":
+			instance = m.instance()
+		case "DEFINE_LIST":
+			err = r.defineList(m)
+		default:
+			err = r.appendEvent(f, instance, m)
+		}
+		if err = errors.Join(m.err, err); err != nil {
+			return nil, r.wrap(err)
+		}
+	}
+}
+
+// next reads one line as a message; io.EOF at the end of the input. Empty lines are skipped.
+func (r *Reader) next() (*message, error) {
+	for {
+		text, err := r.in.ReadString('\n')
+		if err != nil && (!errors.Is(err, io.EOF) || text == "") {
+			return nil, err
+		}
+		r.line++
+		text = strings.TrimRight(text, "\r\n")
+		if text == "" {
+			continue
+		}
+		m, err := parseMessage(text)
+		if err != nil {
+			return nil, r.wrap(err)
+		}
+		return m, nil
+	}
+}
+
+// wrap adds the line to an error.
+func (r *Reader) wrap(err error) error { return fmt.Errorf("line %d: %w", r.line, err) }
+
+// instance reads a TARGET_INSTANCE: the events that follow are for it.
+func (m *message) instance() string {
+	name := m.text("gatherer")
+	if m.err == nil && name == "" {
+		m.fail("gatherer: empty")
+	}
+	return name
+}
+
+// defineList reads the entries of a DEFINE_LIST.
+func (r *Reader) defineList(m *message) error {
+	number, count := m.whole("list", maxList), m.whole("members", math.MaxInt32)
+	if m.err != nil {
+		return nil // the caller reports m.err
+	}
+	var list []balance.Endpoint
+	for range count {
+		entry, err := r.next()
+		if errors.Is(err, io.EOF) {
+			return errors.New("the input ends inside a list")
+		}
+		if err != nil {
+			return err
+		}
+		if entry.name != "SERVER" {
+			return fmt.Errorf("%s inside a list of %d entries", entry.name, count)
+		}
+		list = append(list, entry.endpoint())
+		if entry.err != nil {
+			return entry.err
+		}
+	}
+	r.lists[number] = list
+	return nil
+}
+
+// appendEvent reads a message that is an event for an instance, and appends it to a frame.
+func (r *Reader) appendEvent(f *Frame, instance string, m *message) error {
+	decode, known := decoders[m.name]
+	if !known {
+		return fmt.Errorf("unknown message %q", m.name)
+	}
+	input, err := decode(r, m)
+	if err != nil {
+		return err
+	}
+	if instance == "" {
+		return fmt.Errorf("%s before any TARGET_INSTANCE", m.name)
+	}
+	if input != nil {
+		f.Events = append(f.Events, Event{instance, input})
+	}
+	return nil
+}
--- a/internal/simadapter/reader_test.go
+++ b/internal/simadapter/reader_test.go
@@ -1,6 +1,7 @@
 package simadapter
 
 import (
+	"errors"
 	"io"
 	"reflect"
 	"strings"
@@ -10,6 +11,7 @@
 	"rooktrestle/balance"
 )
 
+// settingsJSON is a settings object, with keys that are not known.
 const settingsJSON = `{"callers":{"marks_retry":true},` +
 	`"classes":[{"aim":1000,"credit":2,"deadline":3000,"effect":"keyed","late_worth":0.3,` +
 	`"memory_span":500,"unheard_of":1}],"counted_by":"work","extra":{"call":7,"cells":3,"class_floor":[0.5],` +
@@ -17,14 +19,15 @@
 	`"limits":{"cancel":true,"send_cap":3},"load_info":{"how":"pull"},"n_instances":2,` +
 	`"orgs":[{"quota_per_s":5,"share":0.5}],"rules":{"cold":9000,"must_ask_in":700,"tip_multiple":2.5},"tick":10,"zone":1,"x":[]}`
 
-func read(t *testing.T, lines ...string) (*Frame, error) {
+// readFrame reads a frame of these lines.
+func readFrame(t *testing.T, lines ...string) (*Frame, error) {
 	t.Helper()
 	text := strings.Join(append(append([]string{"FRAME\tsim_time=50"}, lines...), "FLUSH"), "\n") + "\n"
 	return NewReader(strings.NewReader(text)).Frame()
 }
 
-func TestReadsEveryEvent(t *testing.T) {
-	f, err := read(t,
+func TestReader_ReadsEveryEvent(t *testing.T) {
+	f, err := readFrame(t,
 		"TARGET_INSTANCE\tgatherer=gatherer_3",
 		"POWER_ON\tseed=9\tenv="+settingsJSON,
 		"DEFINE_LIST\tlist=2\tmembers=1",
@@ -44,53 +47,68 @@
 		t.Fatal(err)
 	}
 	us := time.Microsecond
-	want := []any{
-		balance.EndpointList{Kind: balance.ListStale, Endpoints: []balance.Endpoint{{Replica: "10.0.0.1:80", Zone: 1, Cell: 2,
-			State: balance.Draining, Size: 1.5, Started: 40 * us}}},
-		balance.EndpointList{Kind: balance.ListFailed},
-		balance.Query{ID: 7, Group: 1, Tenant: 1, Key: "k", TimeLeft: 900 * us, IsRetry: true, Parts: 2},
-		balance.Part{ID: 8, Group: 1, Shard: 5, Weight: 0.5, WorkHint: 20 * us},
-		balance.AttemptEnded{Part: 8, Attempt: 2, Replica: "s", Result: balance.QueueFull, Elapsed: 30 * us,
-			Report: &balance.LoadReport{Queue: 2, InFlight: -1, Utilization: 0.5}},
-		balance.ProbeEnded{Replica: "s", Elapsed: 3 * us, Report: &balance.LoadReport{Queue: -1, InFlight: 4, Utilization: -1}},
-		balance.TimerFired{},
-		balance.ClientDisconnected{Query: 7},
-		balance.GossipReceived{Payload: []byte("hi")},
+	want := []Input{
+		BalancerEvent{balance.EndpointList{Kind: balance.ListStale, Endpoints: []balance.Endpoint{{Replica: "10.0.0.1:80", Zone: 1, Cell: 2,
+			State: balance.Draining, Size: 1.5, Started: 40 * us}}}},
+		BalancerEvent{balance.EndpointList{Kind: balance.ListFailed}},
+		BalancerEvent{balance.Query{ID: 7, Group: 1, Tenant: 1, Key: "k", TimeLeft: 900 * us, IsRetry: true, Parts: 2}},
+		BalancerEvent{balance.Part{ID: 8, Group: 1, Shard: 5, Weight: 0.5, WorkHint: 20 * us}},
+		BalancerEvent{balance.AttemptEnded{Part: 8, Attempt: 2, Replica: "s", Result: balance.QueueFull, Elapsed: 30 * us,
+			Report: &balance.LoadReport{Queue: 2, InFlight: -1, Utilization: 0.5}}},
+		BalancerEvent{balance.ProbeEnded{Replica: "s", Elapsed: 3 * us, Report: &balance.LoadReport{Queue: -1, InFlight: 4, Utilization: -1}}},
+		BalancerEvent{balance.TimerFired{}},
+		BalancerEvent{balance.ClientDisconnected{Query: 7}},
+		BalancerEvent{balance.GossipReceived{Payload: []byte("hi")}},
 		Stop{},
 	}
 	if f.Now != 50*us || len(f.Events) != len(want)+1 {
 		t.Fatalf("now %v, %d events", f.Now, len(f.Events))
 	}
 	for i, w := range want {
-		if got := f.Events[i+1]; !equal(got.What, w) || got.Instance != "gatherer_3" {
+		if got := f.Events[i+1]; !reflect.DeepEqual(got.Input, w) || got.Instance != "gatherer_3" {
 			t.Errorf("event %d: %+v, want %+v", i+1, got, w)
 		}
 	}
-	set := f.Events[0].What.(Start).Settings
-	c := set.Classes[0]
-	if set.Seed != 9 || set.Cells != 3 || set.Reach != 2 || set.CallWork != 7*us || !set.WeightByWork || !set.LoadReportsOnProbe ||
-		set.MaxAttempts != 3 || set.Zone != 1 || set.Rules.OverloadMultiple != 2.5 || set.Rules.MaxListAge != 700*us || set.Tenants[0].Quota != 5 || !set.ClientsMarkRetries {
-		t.Errorf("settings %+v", set)
+	checkSettings(t, f.Events[0].Input.(Start).Settings)
+}
+
+// checkSettings checks that the settings are those of settingsJSON.
+func checkSettings(t *testing.T, got balance.Settings) {
+	t.Helper()
+	us := time.Microsecond
+	want := balance.Settings{
+		Seed: 9, Instances: 2, Tick: 10 * us, Zone: 1, Tenants: []balance.Tenant{{Quota: 5}}, WeightByWork: true,
+		Cells: 3, Reach: 2, Shards: 6, CallWork: 7 * us, MaxCallParts: 4, MaxAttempts: 3, CanCancel: true,
+		ClientsMarkRetries: true, LoadReportsOnProbe: true,
+		Rules: balance.Rules{MaxListAge: 700 * us, WarmupPeriod: 9000 * us, OverloadMultiple: 2.5},
+	}
+	classes := []balance.Class{{
+		Objective: 1000 * us, Deadline: 3000 * us, Weight: 2, OverdueFraction: 0.3,
+		Idempotency: balance.KeyedIdempotent, DedupWindow: 500 * us,
+		MinFraction: 0.5, CompleteFraction: 1, PartialFraction: 0.8, FollowUpParts: 2,
+	}}
+	if !reflect.DeepEqual(got.Classes, classes) {
+		t.Errorf("classes %+v, want %+v", got.Classes, classes)
 	}
-	if c.Idempotency != balance.KeyedIdempotent || c.DedupWindow != 500*us || c.MinFraction != 0.5 || c.FollowUpParts != 2 || c.PartialFraction != 0.8 {
-		t.Errorf("class %+v", c)
+	if got.Classes = nil; !reflect.DeepEqual(got, want) {
+		t.Errorf("settings %+v, want %+v", got, want)
 	}
 }
 
-func TestListsAreReplacedInOrder(t *testing.T) {
-	f, err := read(t, "TARGET_INSTANCE\tgatherer=g",
+func TestReader_ListsAreReplacedInOrder(t *testing.T) {
+	f, err := readFrame(t, "TARGET_INSTANCE\tgatherer=g",
 		"DEFINE_LIST\tlist=0\tmembers=1", "SERVER\tserver=a\tphase=in_service", "MEMBERSHIP\tlist=0\tform=F",
 		"DEFINE_LIST\tlist=0\tmembers=0", "MEMBERSHIP\tlist=0\tform=D")
 	if err != nil {
 		t.Fatal(err)
 	}
-	first, second := f.Events[0].What.(balance.EndpointList), f.Events[1].What.(balance.EndpointList)
+	first, second := endpointList(t, f.Events[0]), endpointList(t, f.Events[1])
 	if len(first.Endpoints) != 1 || len(second.Endpoints) != 0 {
 		t.Errorf("%v, then %v", first, second)
 	}
 }
 
-func TestBadInputIsNamed(t *testing.T) {
+func TestReader_NamesTheLineOfInvalidInput(t *testing.T) {
 	for line, want := range map[string]string{
 		"NONSENSE\ta=1":               "unknown message",
 		"ALARM":                       "no handle",
@@ -108,16 +126,16 @@
 		`POWER_ON	seed=1	env={"classes":[{"effect":"odd"}]}`:      "each class once",
 		"DEFINE_LIST\tlist=0\tmembers=1\nALARM\thandle=1":         "inside a list",
 	} {
-		_, err := read(t, "TARGET_INSTANCE\tgatherer=g", line)
+		_, err := readFrame(t, "TARGET_INSTANCE\tgatherer=g", line)
 		if err == nil || !strings.Contains(err.Error(), want) || !strings.HasPrefix(err.Error(), "line ") {
 			t.Errorf("%q: error %v, want a line and %q", line, err, want)
 		}
 	}
-	if _, err := read(t, "ALARM\thandle=1"); err == nil || !strings.Contains(err.Error(), "before any") {
+	if _, err := readFrame(t, "ALARM\thandle=1"); err == nil || !strings.Contains(err.Error(), "before any") {
 		t.Errorf("event for nobody: %v", err)
 	}
 	for _, text := range []string{"FRAME\tsim_time=1\n", "FRAME\tsim_time=1\nALARM"} {
-		if _, err := NewReader(strings.NewReader(text)).Frame(); err == nil || err == io.EOF {
+		if _, err := NewReader(strings.NewReader(text)).Frame(); err == nil || errors.Is(err, io.EOF) {
 			t.Errorf("%q: error %v, want one that says the input ends", text, err)
 		}
 	}
@@ -126,31 +144,12 @@
 	}
 }
 
-func TestPrintsEveryAction(t *testing.T) {
-	var out strings.Builder
-	w := NewWriter(&out)
-	ms := time.Millisecond
-	w.Actions("gatherer_3", []balance.Action{
-		balance.Send{Part: 1, Replica: "s"}, balance.Send{Part: 1, Replica: "s", Timeout: 80 * ms},
-		balance.Hedge{Part: 1, Replica: "t"}, balance.Cancel{Part: 1, Attempt: 2},
-		balance.Answer{Query: 3, Complete: true}, balance.Answer{Query: 3}, balance.Reject{Query: 3},
-		balance.Reject{Query: 3, RetryAfter: 5 * ms}, balance.Fail{Query: 3}, balance.Probe{Replica: "s"},
-		balance.StartTimer{After: 10 * ms}, balance.WatchEndpoints{},
-	})
-	w.Actions("gatherer_4", nil)
-	w.Fault("it\nbroke")
-	if err := w.End(); err != nil {
-		t.Fatal(err)
-	}
-	want := strings.Join([]string{"SPEAKING\tgatherer=gatherer_3",
-		"SUBMIT_TO\thandle=1\tserver=s", "SUBMIT_TO\thandle=1\tserver=s\tlimit=80000",
-		"SUBMIT_TO\thandle=1\tserver=t", "STOP_ATTEMPT\thandle=1\tshot=2",
-		"REPLY_NOW\thandle=3\tentire=1", "REPLY_NOW\thandle=3\tentire=0", "OVERLOAD_REPLY\thandle=3",
-		"OVERLOAD_REPLY\thandle=3\twait=5000", "RESPOND_ERROR\thandle=3", "ASK_LOAD\tserver=s",
-		"DEFER\tsleep_for=10000\thandle=0", "TRACK\tentire=1", "BAIL_OUT\tnote_text=it broke", "YIELD", ""}, "\n")
-	if out.String() != want {
-		t.Errorf("got\n%s\nwant\n%s", out.String(), want)
+// endpointList is the endpoint list that an event brings.
+func endpointList(t *testing.T, e Event) balance.EndpointList {
+	t.Helper()
+	event, ok := e.Input.(BalancerEvent)
+	if !ok {
+		t.Fatalf("%+v is no event for the balancer", e)
 	}
+	return event.Event.(balance.EndpointList)
 }
-
-func equal(a, b any) bool { return reflect.DeepEqual(a, b) }
