Speak of shards and replicas in the aggregator; test that a loop ends when it is stopped

Cause: the shard map's types have become shards and replicas; the aggregator spoke of blocks and holders.

--- a/internal/aggregator/answer.go
+++ b/internal/aggregator/answer.go
@@ -73,8 +73,8 @@
 		return
 	}
 	if c.mayReroute(q) {
-		if v := q.flight.ViewUnusable(c.Resharding.Views); v.Restart || v.AwaitMap {
-			c.applyDecision(q, v)
+		if decision := q.flight.ViewUnusable(c.Resharding.Views); decision.Restart || decision.AwaitMap {
+			c.applyDecision(q, decision)
 			return
 		}
 	}
--- a/internal/aggregator/attempt.go
+++ b/internal/aggregator/attempt.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// cancel asks the backend to give an attempt up. It stays in flight until the backend reports its end.
+// cancel lets the backend give an attempt up. The attempt is in flight until the backend reports its end.
 func (c *Core) cancel(a *attempt) {
 	if a.cancelRequested {
 		return
--- a/internal/aggregator/attempt_error.go
+++ b/internal/aggregator/attempt_error.go
@@ -15,7 +15,7 @@
 const (
 	NotConnected  Progress = iota // no connection came up, or nothing of the request was written
 	PartlyWritten                 // the connection broke before the request's last byte was written
-	Written                       // the whole request was written, or it cannot be proved that it was not
+	Written                       // all of the request was written, or it cannot be proved that it was not
 	Answered                      // the server answered
 )
 
--- a/internal/aggregator/counters.go
+++ b/internal/aggregator/counters.go
@@ -23,7 +23,7 @@
 	MapWaits uint64 // queries that waited for a newer shard map
 
 	Sent     uint64 // attempts
-	Canceled uint64 // attempts that the backend was asked to give up
+	Canceled uint64 // attempts that the backend was to give up
 	Probes   uint64
 	Results  [balance.NotSent + 1]uint64 // ends of attempts, by balance.AttemptResult
 
@@ -59,7 +59,7 @@
 	"served", "error", "turned away", "timed out", "could not connect", "reset", "cancelled", "not sent",
 }
 
-// String is the text of GET /counters and of the log at exit. Scripts read it: its words stay as they are.
+// String is the text of GET /counters and of the log at exit. Operators' scripts read it: it must not change.
 func (c Counters) String() string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "taken %d; answered: served %d (partial %d), refused %d (full %d), failed %d, gone %d, out of time %d; ",
--- a/internal/aggregator/loop_test.go
+++ b/internal/aggregator/loop_test.go
@@ -59,3 +59,24 @@
 		t.Errorf("%+v", h.answers)
 	}
 }
+
+func TestLoop_RunEndsWhenItIsStopped(t *testing.T) {
+	h := newHarness(t)
+	stop, ended := make(chan struct{}), make(chan struct{})
+	l := &Loop{Core: h.core, Mailbox: NewMailbox(), Adapter: funcAdapter{}, Clock: SystemClock{}, Stop: stop}
+	go func() {
+		defer close(ended)
+		l.Run()
+	}()
+	available := false
+	l.Do(func() { available = h.core.Available("a") })
+	if !available {
+		t.Error("the function did not run on the loop")
+	}
+	close(stop)
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Error("Run goes on after Stop was closed")
+	}
+}
--- a/internal/aggregator/mailbox_test.go
+++ b/internal/aggregator/mailbox_test.go
@@ -2,7 +2,7 @@
 
 import "testing"
 
-// Gossip of many peers must not cost a turn each; but it does not wait for ever either.
+// Gossip of many peers must not cost a turn each, nor wait for ever.
 func TestMailbox_DeferredMessagesWakeTheLoopTogether(t *testing.T) {
 	ready := func(m *Mailbox) bool {
 		select {
@@ -23,7 +23,7 @@
 		t.Error("deferred messages were not handed over in the end")
 	}
 	if m.PutDeferred(GossipReceived{}); ready(m) {
-		t.Error("the count of deferred messages did not begin anew")
+		t.Error("the count of deferred messages was not reset")
 	}
 	if m.Put(RequestArrived{}); !ready(m) || len(m.Take()) != 2 {
 		t.Error("a message does not take the deferred ones along")
--- a/internal/aggregator/ports.go
+++ b/internal/aggregator/ports.go
@@ -20,7 +20,7 @@
 	// Cancel gives an attempt up. Its AttemptEnded event comes only when the server has been notified, or the connection
 	// is closed, so that the part's next attempt cannot run beside it. mayRetry says that there may be a next one.
 	Cancel(now time.Time, attempt AttemptID, mayRetry bool)
-	// Probe asks a server for a load report.
+	// Probe requests a load report from a server.
 	Probe(now time.Time, to Server)
 }
 
--- a/internal/aggregator/request.go
+++ b/internal/aggregator/request.go
@@ -9,7 +9,7 @@
 
 // PartSpec is one part of a request.
 type PartSpec struct {
-	Shard    int     // or the block's id, where shard maps change
+	Shard    int     // its number, or its shardmap.ID where shard maps change
 	Weight   float64 // fraction of the answer that the part contributes
 	WorkHint time.Duration
 }
@@ -26,7 +26,7 @@
 	Payload  string
 	Parts    []PartSpec
 	Frontend Frontend
-	// Layout, if set, makes the parts from the view of the shard map that the query is pinned to; each is a block. It is
+	// Layout, if set, makes the parts from the view of the shard map that the query is pinned to; each is a shard. It is
 	// called again if the query is restarted on another view.
 	Layout func(*shardmap.View) []PartSpec
 
--- a/internal/aggregator/resharding.go
+++ b/internal/aggregator/resharding.go
@@ -51,27 +51,27 @@
 	}
 	entry := shardmap.Part{Shard: shardmap.ID(p.spec.Shard)}
 	candidates := []balance.Candidate{}
-	for _, holder := range q.holders(p) {
-		entry.Servers = append(entry.Servers, holder.Server)
-		candidates = append(candidates, c.candidate(holder))
+	for _, replica := range q.servingReplicas(p) {
+		entry.Servers = append(entry.Servers, replica.Server)
+		candidates = append(candidates, c.candidate(replica))
 	}
 	p.flightIndex = len(q.flight.Parts)
 	q.flight.Parts = append(q.flight.Parts, entry)
 	return candidates
 }
 
-// holders are the servers of a part's block by the query's view.
-func (q *query) holders(p *part) []shardmap.Replica {
-	block := q.view.Map.Shard(shardmap.ID(p.spec.Shard))
-	if block == nil {
+// servingReplicas are the servers of a part's shard by the query's view.
+func (q *query) servingReplicas(p *part) []shardmap.Replica {
+	shard := q.view.Map.Shard(shardmap.ID(p.spec.Shard))
+	if shard == nil {
 		return nil
 	}
-	return block.ServingReplicas()
+	return shard.ServingReplicas()
 }
 
-func (c *Core) candidate(holder shardmap.Replica) balance.Candidate {
+func (c *Core) candidate(replica shardmap.Replica) balance.Candidate {
 	return balance.Candidate{
-		Replica: balance.Replica(holder.Server), TrafficFraction: c.Resharding.Views.TrafficFraction(c.now, holder),
+		Replica: balance.Replica(replica.Server), TrafficFraction: c.Resharding.Views.TrafficFraction(c.now, replica),
 	}
 }
 
@@ -118,8 +118,8 @@
 	}
 }
 
-// leaveExpiredViews reroutes the queries of views that are held for too long. A query stays whose part may be running and
-// must not run twice: until its answer or its deadline.
+// leaveExpiredViews reroutes the queries of views that are held for too long. A query whose part may be
+// running and must not run twice keeps its view until its answer or its deadline.
 func (c *Core) leaveExpiredViews() {
 	if c.Resharding == nil {
 		return
@@ -133,32 +133,32 @@
 	}
 }
 
-// shardNotHeld takes a server's rejection of an open part whose block it does not hold. It reports whether the shard map
+// shardNotHeld takes a server's rejection of an open part whose shard it does not hold. It reports whether the shard map
 // contradicts the server.
 func (c *Core) shardNotHeld(a *attempt, failure *AttemptError) (falseRejection bool) {
 	p, q, r := a.part, a.part.query, c.Resharding
 	newer := r.Views.ObserveEpoch(c.now, failure.Epoch)
-	v := q.flight.Rejected(r.Views, p.flightIndex, string(a.server), failure.MapStatus, failure.Epoch, newer)
-	if v.FalseRejection {
+	decision := q.flight.Rejected(r.Views, p.flightIndex, string(a.server), failure.MapStatus, failure.Epoch, newer)
+	if decision.FalseRejection {
 		r.Views.Stats.FalseRejections++
 	}
-	if v.RequestMap {
+	if decision.RequestMap {
 		r.RequestMap()
 	}
-	if v.Restart || v.AwaitMap {
-		c.applyDecision(q, v)
+	if decision.Restart || decision.AwaitMap {
+		c.applyDecision(q, decision)
 	} else {
 		c.notify(balance.CandidatesChanged{Part: p.id, Candidates: c.remainingCandidates(q, p)})
 	}
-	return v.FalseRejection
+	return decision.FalseRejection
 }
 
 // remainingCandidates are the servers that a part may still be sent to.
 func (c *Core) remainingCandidates(q *query, p *part) []balance.Candidate {
 	candidates := []balance.Candidate{}
-	for _, holder := range q.holders(p) {
-		if slices.Contains(q.flight.Parts[p.flightIndex].Servers, holder.Server) {
-			candidates = append(candidates, c.candidate(holder))
+	for _, replica := range q.servingReplicas(p) {
+		if slices.Contains(q.flight.Parts[p.flightIndex].Servers, replica.Server) {
+			candidates = append(candidates, c.candidate(replica))
 		}
 	}
 	return candidates
@@ -168,15 +168,15 @@
 func (c *Core) reroute(q *query) { c.applyDecision(q, q.flight.ViewUnusable(c.Resharding.Views)) }
 
 // applyDecision restarts a query, lets it wait for a newer map, or ends it.
-func (c *Core) applyDecision(q *query, v shardmap.Decision) {
+func (c *Core) applyDecision(q *query, decision shardmap.Decision) {
 	if !q.restarting && !q.waiting { // the balancer still has it
 		c.notify(balance.ClientDisconnected{Query: q.id})
 		c.dropParts(q)
 	}
 	switch {
-	case v.Restart:
+	case decision.Restart:
 		c.prepareRestart(q)
-	case v.AwaitMap:
+	case decision.AwaitMap:
 		c.waitForMap(q)
 	default:
 		q.waiting = false
--- a/internal/aggregator/resharding_fuzz_test.go
+++ b/internal/aggregator/resharding_fuzz_test.go
@@ -70,7 +70,7 @@
 	if z.classes[id] == correction {
 		key = []string{"c@2000", "o@2000", "x@2000"}[z.rng.IntN(3)]
 	}
-	z.requestBlocks(id, z.classes[id], key)
+	z.requestShards(id, z.classes[id], key)
 }
 
 // endOne ends one of the calls in flight.
@@ -98,7 +98,7 @@
 	return nil
 }
 
-// reshard moves, splits or merges blocks, where the planner allows it.
+// reshard moves, splits or merges shards, where the planner allows it.
 func (z *reshardingFuzz) reshard() {
 	var ids []shardmap.ID
 	z.shardMap.All(func(b *shardmap.Shard) bool { ids = append(ids, b.ID); return true })
@@ -107,8 +107,8 @@
 	id := ids[z.rng.IntN(len(ids))]
 	switch z.rng.IntN(3) {
 	case 0:
-		holders := [][]string{{"a", "b"}, {"c", "d"}, {"b", "c"}}[z.rng.IntN(3)]
-		plan, err = shardmap.PlanMigration(z.shardMap, id, holders, shardmap.Timing{})
+		servers := [][]string{{"a", "b"}, {"c", "d"}, {"b", "c"}}[z.rng.IntN(3)]
+		plan, err = shardmap.PlanMigration(z.shardMap, id, servers, shardmap.Timing{})
 	case 1:
 		at := []shardmap.Key{"d@2000", "p@2000", "t@2000"}[z.rng.IntN(3)]
 		plan, err = shardmap.PlanSplit(z.shardMap, id, []shardmap.Key{at}, shardmap.Timing{})
--- a/internal/aggregator/resharding_harness_test.go
+++ b/internal/aggregator/resharding_harness_test.go
@@ -11,7 +11,7 @@
 	"rooktrestle/internal/control/shardmap"
 )
 
-// reshardingHarness is a harness with four servers, "a" to "d", and a shard map of two blocks that "a" and "b" hold.
+// reshardingHarness is a harness with four servers, "a" to "d", and a shard map of two shards that "a" and "b" hold.
 type reshardingHarness struct {
 	*harness
 	mapRequests, mapRequestsSoon int
@@ -74,8 +74,8 @@
 	}
 }
 
-// requestBlocks sends a request for the block of a key, or for all blocks if the key is empty.
-func (h *reshardingHarness) requestBlocks(id string, class int, key string) {
+// requestShards sends a request for the shard of a key, or for all shards if the key is empty.
+func (h *reshardingHarness) requestShards(id string, class int, key string) {
 	r := &Request{ID: id, Class: class, Arrived: h.now, Timeout: 3 * time.Second, Payload: "text", Frontend: client{h.harness, id}}
 	r.Layout = func(v *shardmap.View) (specs []PartSpec) {
 		if key != "" {
@@ -89,20 +89,20 @@
 	h.turn(RequestArrived{r})
 }
 
-// endAt ends the call in flight at a server for a block.
-func (h *reshardingHarness) endAt(server string, block int, err error) {
+// endAt ends the call in flight at a server for a shard.
+func (h *reshardingHarness) endAt(server string, shard int, err error) {
 	h.t.Helper()
 	for i, c := range h.calls {
-		if string(h.servers[i].ID) == server && c.Shard == block {
+		if string(h.servers[i].ID) == server && c.Shard == shard {
 			h.calls, h.servers = slices.Delete(h.calls, i, i+1), slices.Delete(h.servers, i, i+1)
-			h.turn(AttemptEnded{Attempt: c.Attempt, Err: err, Value: fmt.Sprintf("%d at %s", block, server)})
+			h.turn(AttemptEnded{Attempt: c.Attempt, Err: err, Value: fmt.Sprintf("%d at %s", shard, server)})
 			return
 		}
 	}
-	h.t.Fatalf("nothing of block %d is in flight at %s: %s", block, server, h.inFlight())
+	h.t.Fatalf("nothing of shard %d is in flight at %s: %s", shard, server, h.inFlight())
 }
 
-// inFlight says what is in flight, as "block@server" in the order of sending.
+// inFlight says what is in flight, as "shard@server" in the order of sending.
 func (h *reshardingHarness) inFlight() string {
 	var all []string
 	for i, c := range h.calls {
@@ -119,7 +119,7 @@
 	return &AttemptError{Progress: Answered, Rejected: true, MapStatus: status, Epoch: epoch}
 }
 
-// otherHolder is the server that holds the same blocks.
+// otherHolder is the server that holds the same shards.
 func otherHolder(server string) string {
 	return map[string]string{"a": "b", "b": "a", "c": "d", "d": "c"}[server]
 }
--- a/internal/aggregator/resharding_test.go
+++ b/internal/aggregator/resharding_test.go
@@ -15,7 +15,7 @@
 // restarted on the newer map, and runs once.
 func TestResharding_RejectedCorrectionRunsAtTheNewHolder(t *testing.T) {
 	h := newReshardingHarness(t)
-	h.requestBlocks("q", 1, "x@2000")
+	h.requestShards("q", 1, "x@2000")
 	first := h.firstServer()
 	h.applyPlan(shardmap.PlanMigration(h.shardMap, 2, newHolders, shardmap.Timing{}))
 	h.endAt(first, 2, notHeld(shardmap.NotHeld, h.shardMap.Epoch))
@@ -44,7 +44,7 @@
 		"corrupt stream": &AttemptError{Progress: Written, CorruptStream: true}, "no answer": nil,
 	} {
 		h := newReshardingHarness(t)
-		h.requestBlocks("q", 1, "x@2000")
+		h.requestShards("q", 1, "x@2000")
 		first := h.firstServer()
 		h.applyPlan(shardmap.PlanMigration(h.shardMap, 2, newHolders, shardmap.Timing{}))
 		h.applyPlan(shardmap.PlanSplit(h.shardMap, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
@@ -70,7 +70,7 @@
 // An answer of the old holder after the switch counts: it ran there.
 func TestResharding_AnswerOfTheOldHolderCountsAfterTheSwitch(t *testing.T) {
 	h := newReshardingHarness(t)
-	h.requestBlocks("q", 1, "x@2000")
+	h.requestShards("q", 1, "x@2000")
 	h.applyPlan(shardmap.PlanMigration(h.shardMap, 2, newHolders, shardmap.Timing{}))
 	h.endAt(h.firstServer(), 2, nil)
 	if f := h.answer("q"); f.Status != StatusServed || h.core.Counters.Restarts != 0 {
@@ -80,16 +80,16 @@
 }
 
 // A search in flight across a split is answered from its own view: by the parent, and neither half; the next one has both
-// halves. Where the old holders serve the parent no longer, all of it is restarted, each block once.
+// halves. Where the old holders serve the parent no longer, all of it is restarted, each shard once.
 func TestResharding_SearchAcrossASplit(t *testing.T) {
 	for _, served := range []bool{true, false} {
 		h := newReshardingHarness(t)
-		h.requestBlocks("q", 0, "")
+		h.requestShards("q", 0, "")
 		h.applyPlan(shardmap.PlanSplit(h.shardMap, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
 		if e, q := h.core.Resharding.Views.Pinned(); e != 1 || q != 1 {
 			t.Errorf("%d epochs pinned by %d queries", e, q)
 		}
-		h.requestBlocks("next", 0, "")
+		h.requestShards("next", 0, "")
 		for _, c := range slices.Clone(h.calls) {
 			i := slices.IndexFunc(h.calls, func(o Call) bool { return o.Attempt == c.Attempt })
 			if c.Shard == 2 && !served {
@@ -117,7 +117,7 @@
 	}
 }
 
-// The same across a merge, a move to other holders, and two changes in a row: every block of one view once, whether the
+// The same across a merge, a move to other holders, and two changes in a row: every shard of one view once, whether the
 // old holders serve still or reject every part.
 func TestResharding_SearchAcrossMergeMoveAndTwoChanges(t *testing.T) {
 	split := func(h *reshardingHarness) {
@@ -125,7 +125,7 @@
 	}
 	for name, c := range map[string]struct {
 		reshard func(h *reshardingHarness)
-		after   []int // blocks of the last view
+		after   []int // shards of the last view
 	}{
 		"merge": {func(h *reshardingHarness) {
 			h.applyPlan(shardmap.PlanMerge(h.shardMap, []shardmap.ID{1, 2}, shardmap.Timing{}))
@@ -140,7 +140,7 @@
 	} {
 		for _, served := range []bool{true, false} {
 			h := newReshardingHarness(t)
-			h.requestBlocks("q", 0, "")
+			h.requestShards("q", 0, "")
 			c.reshard(h)
 			for len(h.calls) > 0 {
 				call, s := h.calls[0], h.firstServer()
@@ -169,7 +169,7 @@
 // Nothing of a query is in flight when it is restarted: one attempt of a part at a time.
 func TestResharding_RestartsOnlyWhenNothingIsInFlight(t *testing.T) {
 	h := newReshardingHarness(t)
-	h.requestBlocks("q", 0, "")
+	h.requestShards("q", 0, "")
 	h.applyPlan(shardmap.PlanMigration(h.shardMap, 2, newHolders, shardmap.Timing{}))
 	var second string
 	for i, c := range h.calls {
@@ -196,7 +196,7 @@
 // A second step stays on the view of the first, though the map has moved on.
 func TestResharding_SecondStepStaysOnItsView(t *testing.T) {
 	h := newReshardingHarness(t)
-	h.requestBlocks("q", 2, "")
+	h.requestShards("q", 2, "")
 	old := h.shardMap.Epoch
 	h.applyPlan(shardmap.PlanSplit(h.shardMap, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
 	h.endAll(nil)
@@ -230,7 +230,7 @@
 				t.Fatal(err)
 			}
 		}
-		h.requestBlocks("q", 1, "x@2000")
+		h.requestShards("q", 1, "x@2000")
 		s := h.firstServer()
 		h.endAt(s, 2, notHeld(shardmap.NotHeld, 4))
 		if h.mapRequests != 1 {
@@ -264,12 +264,12 @@
 // Holders that drain get nothing, by whatever view; the others of the view do.
 func TestResharding_DrainingHoldersOfAnOldViewGetNothing(t *testing.T) {
 	h := newReshardingHarness(t)
-	h.requestBlocks("q", 0, "")
+	h.requestShards("q", 0, "")
 	h.endAt("a", 1, &AttemptError{Progress: NotConnected})
 	h.turn(EndpointsChanged{Kind: balance.ListDelta, Servers: []Server{{ID: "a", Addr: "a:1", State: balance.Draining}}})
 	h.applyPlan(shardmap.PlanSplit(h.shardMap, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
 	before := len(h.callSizes)
-	h.requestBlocks("late", 0, "")
+	h.requestShards("late", 0, "")
 	for i := range h.servers {
 		if i >= before && h.servers[i].ID == "a" {
 			t.Errorf("in flight: %s", h.inFlight())
@@ -277,7 +277,7 @@
 	}
 	h.turn(EndpointsChanged{Kind: balance.ListDelta, Servers: []Server{{ID: "b", Addr: "b:1", State: balance.Draining}}})
 	n := len(h.callSizes)
-	h.requestBlocks("none", 1, "x@2000")
+	h.requestShards("none", 1, "x@2000")
 	if len(h.callSizes) != n {
 		t.Errorf("sent to draining servers: %s", h.inFlight())
 	}
@@ -291,7 +291,7 @@
 	h := newReshardingHarness(t)
 	recorder := &summaryRecorder{}
 	h.core.Observer = recorder
-	h.requestBlocks("q", 1, "x@2000")
+	h.requestShards("q", 1, "x@2000")
 	s := h.firstServer()
 	h.endAt(s, 2, notHeld(shardmap.NotHeld, 1))
 	if h.mapRequests != 0 || h.core.Resharding.Views.Stats.FalseRejections != 1 || len(recorder.summaries) != 1 || !recorder.summaries[0].FalseRejection {
@@ -308,7 +308,7 @@
 func TestResharding_PartialAnswerIsWeighedByItsView(t *testing.T) {
 	h := newReshardingHarness(t)
 	h.core.limits.FollowUpParts = nil
-	h.requestBlocks("q", 2, "")
+	h.requestShards("q", 2, "")
 	h.applyPlan(shardmap.PlanSplit(h.shardMap, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
 	for i, c := range h.calls {
 		if c.Shard == 2 {
@@ -327,15 +327,15 @@
 // Queries leave views beyond the number that is held: restarted where they may be, else left to their answer.
 func TestResharding_QueriesLeaveExpiredViews(t *testing.T) {
 	h := newReshardingHarness(t)
-	h.requestBlocks("idempotent", 0, "")
-	h.requestBlocks("not idempotent", 1, "x@2000")
+	h.requestShards("idempotent", 0, "")
+	h.requestShards("not idempotent", 1, "x@2000")
 	for range 3 {
 		next, err := h.shardMap.Change([]*shardmap.Shard{{ID: 1, To: "m@2000", State: shardmap.Serving, Weight: float64(h.shardMap.Epoch) + 1, Replicas: h.shardMap.Shard(1).Replicas}}, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
 		h.offer(next)
-		h.requestBlocks(fmt.Sprint("at ", next.Epoch), 0, "")
+		h.requestShards(fmt.Sprint("at ", next.Epoch), 0, "")
 	}
 	if len(h.rejected) > 0 || h.core.Counters.Restarts != 1 { // "idempotent"
 		t.Errorf("%v, restarted %d", h.rejected, h.core.Counters.Restarts)
--- a/internal/aggregator/restart.go
+++ b/internal/aggregator/restart.go
@@ -24,7 +24,7 @@
 	fresh.Turn(c.clock(now), []balance.Event{c.updateServers(list)})
 }
 
-// recoverEvents fails the requests among the events that have no answer yet, and keeps the news of servers.
+// recoverEvents fails the requests among the events that have no answer yet, and keeps the changes of endpoints.
 func (c *Core) recoverEvents(events []Event) {
 	for _, e := range events {
 		switch e := e.(type) {
@@ -39,7 +39,7 @@
 	}
 }
 
-// dropAttempts forgets the attempts in flight, after it has asked the backend to give them up.
+// dropAttempts forgets the attempts in flight, and lets the backend give them up.
 func (c *Core) dropAttempts() {
 	for _, a := range c.attemptsInFlight(func(*attempt) bool { return true }) {
 		delete(c.attempts, a.id)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,6 +1,6 @@
 // Package settings reads the settings object that the platform hands to each aggregator, and the simulator to each
 // simulated one. It states classes, tenants, zones, limits and the rules of the platform. The object's keys are the
-// platform's words and stay; the fields here carry the terms of the code.
+// platform's; the fields here carry the terms of the code.
 package settings
 
 import (
--- a/internal/simadapter/events.go
+++ b/internal/simadapter/events.go
@@ -56,7 +56,7 @@
 	if m.err != nil || list.Kind == balance.ListFailed {
 		return BalancerEvent{list}, nil
 	}
-	number := m.whole("list", maxList)
+	number := m.wholeNumber("list", maxList)
 	endpoints, defined := r.lists[number]
 	if !defined && m.err == nil {
 		m.fail("list %d is not defined", number)
@@ -75,15 +75,15 @@
 		}}, nil
 	}
 	return BalancerEvent{balance.Query{
-		ID: id, Group: group, Class: m.whole("class", math.MaxInt32), Tenant: m.wholeOrZero("billing"),
+		ID: id, Group: group, Class: m.wholeNumber("class", math.MaxInt32), Tenant: m.wholeNumberOrZero("billing"),
 		Key: m.textOr("resource", ""), WorkHint: hint, TimeLeft: m.time("grace"),
-		IsRetry: m.wholeOrZero("is_retry") != 0, Parts: int(m.number("heft")),
+		IsRetry: m.wholeNumberOrZero("is_retry") != 0, Parts: int(m.number("heft")),
 	}}, nil
 }
 
 func decodeAttemptEnded(_ *Reader, m *message) (Input, error) {
 	return BalancerEvent{balance.AttemptEnded{
-		Part: balance.ID(m.unsigned("handle")), Attempt: m.whole("shot", math.MaxInt32),
+		Part: balance.ID(m.unsigned("handle")), Attempt: m.wholeNumber("shot", math.MaxInt32),
 		Replica: balance.Replica(m.text("server")), Result: oneOf(m, "outcome", attemptResults),
 		Elapsed: m.time("lag"), Report: m.report("metrics"),
 	}}, nil
@@ -121,8 +121,8 @@
 func (m *message) endpoint() balance.Endpoint {
 	return balance.Endpoint{
 		Replica: balance.Replica(m.text("server")),
-		Zone:    m.wholeOrZero("area"),
-		Cell:    m.wholeOrZero("set_no"),
+		Zone:    m.wholeNumberOrZero("area"),
+		Cell:    m.wholeNumberOrZero("set_no"),
 		Size:    m.numberOr("size", 1),
 		State:   oneOf(m, "phase", endpointStates),
 		Started: m.timeOr("last_start", 0),
--- a/internal/simadapter/message.go
+++ b/internal/simadapter/message.go
@@ -26,7 +26,7 @@
 	m := &message{name: name, fields: map[string]string{}}
 	for remainder != "" {
 		if env, ok := strings.CutPrefix(remainder, "env="); ok {
-			m.fields["env"] = env // takes the rest of the line
+			m.fields["env"] = env // takes all that follows on the line
 			break
 		}
 		var field string
@@ -87,8 +87,8 @@
 
 func (m *message) integer(key string) int { return parse(m, key, "a whole number", strconv.Atoi) }
 
-// whole reads a whole number from 0 to a highest one.
-func (m *message) whole(key string, highest int) int {
+// wholeNumber reads a whole number from 0 to a highest one.
+func (m *message) wholeNumber(key string, highest int) int {
 	n := m.integer(key)
 	if m.err == nil && (n < 0 || n > highest) {
 		m.fail("%s: %d is not within 0 to %d", key, n, highest)
@@ -96,12 +96,12 @@
 	return n
 }
 
-// wholeOrZero is 0 where the field is missing.
-func (m *message) wholeOrZero(key string) int {
+// wholeNumberOrZero is 0 where the field is missing.
+func (m *message) wholeNumberOrZero(key string) int {
 	if !m.has(key) {
 		return 0
 	}
-	return m.whole(key, math.MaxInt32)
+	return m.wholeNumber(key, math.MaxInt32)
 }
 
 // number reads a finite number.
--- a/internal/simadapter/reader.go
+++ b/internal/simadapter/reader.go
@@ -103,7 +103,7 @@
 
 // defineList reads the entries of a DEFINE_LIST.
 func (r *Reader) defineList(m *message) error {
-	number, count := m.whole("list", maxList), m.whole("members", math.MaxInt32)
+	number, count := m.wholeNumber("list", maxList), m.wholeNumber("members", math.MaxInt32)
 	if m.err != nil {
 		return nil // the caller reports m.err
 	}
