Call a query's parts under a shard map its placement in the aggregator, too

Cause: shardmap's Flight has become QueryPlacement; the aggregator's fields kept the old name. Change: names; the comment on Limits says what NonIdempotent means beyond its length.

--- a/internal/aggregator/answer.go
+++ b/internal/aggregator/answer.go
@@ -73,7 +73,7 @@
 		return
 	}
 	if c.mayReroute(q) {
-		if decision := q.flight.ViewUnusable(c.Resharding.Views); decision.Restart || decision.AwaitMap {
+		if decision := q.placement.ViewUnusable(c.Resharding.Views); decision.Restart || decision.AwaitMap {
 			c.applyDecision(q, decision)
 			return
 		}
--- a/internal/aggregator/attempt.go
+++ b/internal/aggregator/attempt.go
@@ -43,8 +43,8 @@
 	c.timeouts.Push(a)
 	c.requestIDs[q.request.ID]++
 	q.inFlight++
-	if q.flight != nil {
-		q.flight.Parts[p.flightIndex].InFlight = true
+	if q.placement != nil {
+		q.placement.Parts[p.placementIndex].InFlight = true
 	}
 	c.Counters.Sent++
 	return a
@@ -88,7 +88,7 @@
 	}
 	var failure *AttemptError
 	errors.As(e.Err, &failure)
-	falseRejection := c.updateFlight(a, result, failure)
+	falseRejection := c.updatePlacement(a, result, failure)
 	c.observe(AttemptSummary{
 		Server: a.server, Class: q.request.Class, Result: result, Sent: a.sent,
 		LocalCause: failure != nil && failure.LocalCause, FalseRejection: falseRejection,
@@ -143,14 +143,14 @@
 	}
 }
 
-// updateFlight notes the end of an attempt for the resharding rules, and reports whether its server rejected it with a
+// updatePlacement notes the end of an attempt for the resharding rules, and reports whether its server rejected it with a
 // claim that the shard map contradicts. failure may be nil.
-func (c *Core) updateFlight(a *attempt, result balance.AttemptResult, failure *AttemptError) (falseRejection bool) {
+func (c *Core) updatePlacement(a *attempt, result balance.AttemptResult, failure *AttemptError) (falseRejection bool) {
 	p, q := a.part, a.part.query
-	if q.flight == nil || !c.isOpen(p) {
+	if q.placement == nil || !c.isOpen(p) {
 		return false
 	}
-	f := &q.flight.Parts[p.flightIndex]
+	f := &q.placement.Parts[p.placementIndex]
 	f.InFlight = false // a part has one attempt in flight at a time
 	f.Answered = f.Answered || p.answered
 	f.MayHaveRun = f.MayHaveRun || mayRunUnanswered(result)
--- a/internal/aggregator/core.go
+++ b/internal/aggregator/core.go
@@ -22,7 +22,7 @@
 const clockStep = 1 << 16 * time.Millisecond
 
 // Limits are what a core keeps to beside the balancer's decisions. A class that a slice does not reach has its zero
-// value.
+// value; in NonIdempotent it counts as not idempotent.
 type Limits struct {
 	FollowUpParts []int // of each class: number of parts of its second step; 0: one step only
 	// NonIdempotent says of each class, where shard maps change, that no part of it may run twice.
@@ -70,7 +70,8 @@
 	calls   []pendingCall   // to be sent at the end of the turn
 }
 
-// NewCore returns a core whose decisions b makes. The core owns b from now on.
+// NewCore returns a core whose decisions b makes, without servers or queries. The core owns b from now on. start is the
+// present time.
 func NewCore(b *balance.Balancer, backend Backend, limits Limits, start time.Time) *Core {
 	return &Core{
 		balancer: b, backend: backend, limits: limits,
--- a/internal/aggregator/query.go
+++ b/internal/aggregator/query.go
@@ -25,7 +25,7 @@
 
 	// Where shard maps change.
 	view       *shardmap.View           // that it is pinned to; nil where the servers of a shard are fixed
-	flight     *shardmap.QueryPlacement // its parts as the resharding rules see them
+	placement  *shardmap.QueryPlacement // its parts as the resharding rules see them
 	restarts   int
 	restarting bool // it is restarted once none of its attempts is in flight
 	waiting    bool // for a newer map
@@ -39,12 +39,12 @@
 
 // part is what one shard contributes to a step of a query.
 type part struct {
-	id          balance.ID
-	query       *query
-	spec        PartSpec
-	name        string // on the wire
-	attempts    int    // sent so far
-	flightIndex int    // in the query's flight
+	id             balance.ID
+	query          *query
+	spec           PartSpec
+	name           string // on the wire
+	attempts       int    // sent so far
+	placementIndex int    // in the query's placement
 
 	answered bool
 	score    float64
@@ -112,8 +112,8 @@
 // submitParts makes the parts of a query's step and hands them to the balancer. The suffix ends their names.
 func (c *Core) submitParts(q *query, specs []PartSpec, suffix string) {
 	q.parts = nil
-	if q.flight != nil {
-		q.flight.Parts, q.flight.SecondStep = nil, q.followUp
+	if q.placement != nil {
+		q.placement.Parts, q.placement.SecondStep = nil, q.followUp
 	}
 	for _, spec := range specs {
 		p := &part{
@@ -123,7 +123,7 @@
 		q.parts = append(q.parts, p)
 		c.notify(balance.Part{
 			ID: p.id, Group: uint64(q.id), Shard: spec.Shard, Weight: spec.Weight, WorkHint: spec.WorkHint,
-			Candidates: c.addToFlight(q, p),
+			Candidates: c.addToPlacement(q, p),
 		})
 	}
 }
--- a/internal/aggregator/resharding.go
+++ b/internal/aggregator/resharding.go
@@ -29,7 +29,7 @@
 		return nil
 	}
 	specs := q.request.Layout(q.view)
-	q.flight = &shardmap.QueryPlacement{View: q.view, Idempotent: c.isIdempotent(q.request.Class), Restarts: q.restarts}
+	q.placement = &shardmap.QueryPlacement{View: q.view, Idempotent: c.isIdempotent(q.request.Class), Restarts: q.restarts}
 	return specs
 }
 
@@ -44,9 +44,9 @@
 	return class >= 0 && class < len(c.limits.NonIdempotent) && !c.limits.NonIdempotent[class]
 }
 
-// addToFlight adds a part to its query's flight and returns the servers it may be sent to; nil where those are fixed.
-func (c *Core) addToFlight(q *query, p *part) []balance.Candidate {
-	if q.flight == nil {
+// addToPlacement adds a part to its query's placement and returns the servers it may be sent to; nil where those are fixed.
+func (c *Core) addToPlacement(q *query, p *part) []balance.Candidate {
+	if q.placement == nil {
 		return nil
 	}
 	entry := shardmap.Part{Shard: shardmap.ID(p.spec.Shard)}
@@ -55,8 +55,8 @@
 		entry.Servers = append(entry.Servers, replica.Server)
 		candidates = append(candidates, c.candidate(replica))
 	}
-	p.flightIndex = len(q.flight.Parts)
-	q.flight.Parts = append(q.flight.Parts, entry)
+	p.placementIndex = len(q.placement.Parts)
+	q.placement.Parts = append(q.placement.Parts, entry)
 	return candidates
 }
 
@@ -126,7 +126,7 @@
 	}
 	for _, view := range c.Resharding.Views.Expired(c.now) {
 		for _, q := range c.openQueries() {
-			if q.view == view && !q.restarting && (q.flight.Idempotent || q.inFlight == 0) {
+			if q.view == view && !q.restarting && (q.placement.Idempotent || q.inFlight == 0) {
 				c.reroute(q)
 			}
 		}
@@ -138,7 +138,7 @@
 func (c *Core) shardNotHeld(a *attempt, failure *AttemptError) (falseRejection bool) {
 	p, q, r := a.part, a.part.query, c.Resharding
 	newer := r.Views.ObserveEpoch(c.now, failure.Epoch)
-	decision := q.flight.Rejected(r.Views, p.flightIndex, string(a.server), failure.MapStatus, failure.Epoch, newer)
+	decision := q.placement.Rejected(r.Views, p.placementIndex, string(a.server), failure.MapStatus, failure.Epoch, newer)
 	if decision.FalseRejection {
 		r.Views.Stats.FalseRejections++
 	}
@@ -157,7 +157,7 @@
 func (c *Core) remainingCandidates(q *query, p *part) []balance.Candidate {
 	candidates := []balance.Candidate{}
 	for _, replica := range q.servingReplicas(p) {
-		if slices.Contains(q.flight.Parts[p.flightIndex].Servers, replica.Server) {
+		if slices.Contains(q.placement.Parts[p.placementIndex].Servers, replica.Server) {
 			candidates = append(candidates, c.candidate(replica))
 		}
 	}
@@ -165,7 +165,7 @@
 }
 
 // reroute decides on a query whose view is of no more use to it.
-func (c *Core) reroute(q *query) { c.applyDecision(q, q.flight.ViewUnusable(c.Resharding.Views)) }
+func (c *Core) reroute(q *query) { c.applyDecision(q, q.placement.ViewUnusable(c.Resharding.Views)) }
 
 // applyDecision restarts a query, lets it wait for a newer map, or ends it.
 func (c *Core) applyDecision(q *query, decision shardmap.Decision) {
@@ -209,7 +209,7 @@
 
 // closeUnroutable ends a query that no view is left for.
 func (c *Core) closeUnroutable(q *query) {
-	if q.flight.Idempotent || !q.flight.MayHaveRun() {
+	if q.placement.Idempotent || !q.placement.MayHaveRun() {
 		c.close(q, c.rejection())
 	} else {
 		c.close(q, FinalAnswer{Status: StatusFailed})
@@ -246,12 +246,12 @@
 
 // hasUnservablePart says whether a part of a query's first step lacks an answer and has no server in service.
 func (c *Core) hasUnservablePart(q *query) bool {
-	if q.flight == nil || q.followUp {
+	if q.placement == nil || q.followUp {
 		return false
 	}
 	available := func(server string) bool { return c.Available(balance.Replica(server)) }
 	for _, p := range q.parts {
-		f := &q.flight.Parts[p.flightIndex]
+		f := &q.placement.Parts[p.placementIndex]
 		if !f.Answered && !slices.ContainsFunc(f.Servers, available) {
 			return true
 		}
