Split backend/leaf by concern and give it the field's terms

A connection's state replaces the three flags up, closed and over, which only ever went forward. Tests are split the same way: harness (fake transports), loopback (real connections), crossings, pool, frame; FuzzPool's steps are named, its input means what it did.

Names of crossings' tests changed (list kept for docs/crossings.md).

--- /dev/null
+++ b/internal/backend/leaf/answer.go
@@ -0,0 +1,108 @@
+package leaf
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"rooktrestle/balance"
+	"rooktrestle/internal/settings"
+)
+
+// answerStatus is how a server says that an attempt ended.
+type answerStatus byte
+
+// The statuses of an answer, as they stand in a frame.
+const (
+	statusServed answerStatus = 'S'
+	statusError  answerStatus = 'E'
+	statusBusy   answerStatus = 'B' // rejected, its queue being full
+)
+
+func (s answerStatus) valid() bool {
+	return s == statusServed || s == statusError || s == statusBusy
+}
+
+// probeFailed is the payload of a probe's answer by which a server says that it cannot serve.
+const probeFailed = "E"
+
+// answer is the payload of an answer frame: a line and, if the attempt was served, a value.
+type answer struct {
+	name   string // of the part
+	status answerStatus
+	score  float64             // of a served part
+	report *balance.LoadReport // nil: none
+	value  string
+}
+
+func parseAnswer(payload []byte) (answer, error) {
+	line, value, ok := strings.Cut(string(payload), "\n")
+	if !ok {
+		return answer{}, fmt.Errorf("answer %.80q", line)
+	}
+	a, err := parseAnswerLine(line)
+	if a.value = value; err == nil && a.status == statusServed && !isValue(value) {
+		err = fmt.Errorf("value %.80q", value)
+	}
+	return a, err
+}
+
+// parseAnswerLine parses an answer's first line: name, status, score and load report. The report is optional: an answer
+// whose report is missing or cannot be parsed is valid.
+func parseAnswerLine(line string) (a answer, err error) {
+	fields := strings.SplitN(line, " ", 4)
+	if len(fields) < 3 || fields[0] == "" || len(fields[1]) != 1 {
+		return a, fmt.Errorf("answer %.80q", line)
+	}
+	status := answerStatus(fields[1][0])
+	if !status.valid() {
+		return a, fmt.Errorf("answer %.80q", line)
+	}
+	a = answer{name: fields[0], status: status}
+	a.score, err = strconv.ParseFloat(fields[2], 64)
+	if a.status == statusServed && (err != nil || math.IsNaN(a.score) || math.IsInf(a.score, 0)) {
+		return a, fmt.Errorf("score %.80q", fields[2])
+	}
+	if len(fields) == 4 {
+		a.report = parseReport(fields[3])
+	}
+	return a, nil
+}
+
+// isValue reports whether a value has the form of one. Guards against serving what no leaf server made: a corrupt length
+// cuts a value short, or adds to it.
+func isValue(value string) bool {
+	for i := range len(value) {
+		if c := value[i]; (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return len(value) == valueLen
+}
+
+// maxLoadValue is the highest value taken from a load report; a higher one is an error of the server's.
+const maxLoadValue = 1e5
+
+// parseReport parses a load report: "name=value" pairs with commas between them. It returns nil where there is none, or
+// none that can be parsed. Names that are not known are skipped.
+func parseReport(text string) *balance.LoadReport {
+	if text == "-" || text == "" || text == probeFailed {
+		return nil
+	}
+	report := &balance.LoadReport{Queue: -1, InFlight: -1, Utilization: -1}
+	for _, pair := range strings.Split(text, ",") {
+		name, valueText, _ := strings.Cut(pair, "=")
+		value, err := strconv.ParseFloat(valueText, 64)
+		if err != nil || !(value >= 0) || value > maxLoadValue { // a NaN is not >= 0
+			continue
+		}
+		// Leaf servers use the names of the settings, or those of the protocol's page.
+		settings.SetLoadValue(report, name, value)
+	}
+	// Guards against a report that cannot be parsed being taken for an empty queue.
+	if report.Queue < 0 && report.InFlight < 0 && report.Utilization < 0 {
+		return nil
+	}
+	return report
+}
--- a/internal/backend/serialconn/pool_test.go
+++ b/internal/backend/serialconn/pool_test.go
@@ -104,7 +104,7 @@
 func (codec) Request(c aggregator.Call, _ query.Work) ([]byte, error) { return []byte(c.Name), nil }
 func (codec) Parser() Parser                                          { return nil }
 
-// newRig's pool dials nothing: the rig posts what a dial comes to.
+// newHarness's pool dials nothing: the rig posts what a dial comes to.
 func newRig(t *testing.T) *rig {
 	r := &rig{t: t, now: time.Unix(1000, 0)}
 	r.p = NewPool(Limits{ConnectTimeout: time.Second, IdleTimeout: 12 * time.Second, MaxConnections: 4}, r, nil, func(balance.Replica) Codec { return codec{r} })
