Give backend/healthcheck's answers decoders, one a protocol

Cause: Run built the request, the reader's closures and the judgement of five kinds of check in one switch of 63 lines; names were the earlier house style's (ask, say, over, or, plain, errTime), and the package comment named another package.

Reasons shown to operators keep their texts.

--- /dev/null
+++ b/internal/backend/healthcheck/check.go
@@ -0,0 +1,152 @@
+// Package healthcheck makes active health checks of servers. Each check is a connection of its own, bounded in time and in
+// what it reads, whatever the server does: hangs, sends a byte a second, a megabyte, or nothing.
+package healthcheck
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"time"
+
+	"rooktrestle/internal/config"
+	"rooktrestle/internal/control/health"
+	"rooktrestle/internal/net/tcp"
+	"rooktrestle/internal/protocol/http1"
+	"rooktrestle/internal/protocol/z3950"
+)
+
+// userAgent names the program to the servers that it checks.
+const userAgent = "rooktrestle-check"
+
+// Check is one check of one server. Run may be called several times, and by several goroutines at once.
+type Check struct {
+	Profile *config.CheckProfile
+	Addr    string     // of the server's check port
+	Bridge  string     // of gRPC checks: the address of grpchealth
+	Dial    tcp.Dialer // tcp.DialServerFirst outside tests: agents speak first and close
+}
+
+// Result is what a check found.
+type Result struct {
+	health.CheckResult
+	TimedOut bool  // it took all its time
+	Err      error // why no answer could be used; nil if there was one, good or bad
+}
+
+var (
+	errTimeout      = errors.New("no answer in time")
+	errNoAnswer     = errors.New("closed without an answer")
+	errNotXML       = errors.New("explain: not XML")
+	errInitRejected = errors.New("init: the association is refused")
+)
+
+// failed is the result of a check that found no usable answer.
+func failed(err error) Result {
+	return Result{CheckResult: health.CheckResult{Failed: true, Weight: -1, MaxConn: -1, Reason: err.Error()}, Err: err}
+}
+
+// passed is the result of a check whose answer says nothing beyond that.
+func passed() Result {
+	return Result{CheckResult: health.CheckResult{Weight: -1, MaxConn: -1}}
+}
+
+// exchange is what a kind of check sends, where to, and how it reads the answer.
+type exchange struct {
+	addr    string
+	request []byte  // empty: the server speaks first, or nothing is said
+	decoder decoder // nil: no answer is read
+}
+
+// Run makes the check. It blocks for the profile's timeout at most.
+func (c Check) Run() Result {
+	timeout := c.Profile.Timeout.Duration
+	deadline := time.Now().Add(timeout)
+	x := c.exchange()
+	r := &answerReader{decoder: x.decoder, done: make(chan struct{})}
+	conn, err := c.Dial(x.addr, timeout, func(*tcp.Conn) tcp.Handler { return r })
+	if err != nil {
+		result := failed(dialCause(err))
+		result.TimedOut = !time.Now().Before(deadline)
+		return result
+	}
+	defer conn.Close(nil)
+	if c.Profile.Kind == config.CheckTCP {
+		return passed()
+	}
+	if len(x.request) > 0 {
+		conn.Write(x.request, nil)
+	}
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-r.done:
+		return r.result
+	case <-timer.C:
+		result := failed(errTimeout)
+		result.TimedOut = true
+		return result
+	}
+}
+
+func (c Check) exchange() exchange {
+	f := c.Profile
+	switch f.Kind {
+	case config.CheckAgent:
+		return exchange{c.Addr, []byte(f.Send), &agentDecoder{}}
+	case config.CheckHTTP:
+		request := http1.Request(f.Method, f.Path, cmp.Or(f.Host, c.Addr), nil, "Connection", "close", "User-Agent", userAgent)
+		return exchange{c.Addr, request, newHTTPDecoder(f.Method, c.judgeHTTP)}
+	case config.CheckSRU:
+		target := "/" + url.PathEscape(f.Database) + "?operation=explain&version=1.2"
+		request := http1.Request("GET", target, cmp.Or(f.Host, c.Addr), nil, "Connection", "close")
+		return exchange{c.Addr, request, newHTTPDecoder("GET", judgeExplain)}
+	case config.CheckZ3950:
+		return exchange{c.Addr, initRequest(), &initDecoder{}}
+	case config.CheckGRPC:
+		query := url.Values{"addr": {c.Addr}, "service": {f.Service}, "timeout": {f.Timeout.String()}}
+		request := http1.Request("GET", "/check?"+query.Encode(), c.Bridge, nil, "Connection", "close")
+		return exchange{c.Bridge, request, newHTTPDecoder("GET", judgeBridge)}
+	}
+	return exchange{addr: c.Addr}
+}
+
+// judgeHTTP judges an HTTP answer by the profile's expectation.
+func (c Check) judgeHTTP(m *http1.Message) Result {
+	verdict := c.Profile.Expectation.Judge(m.Status, m.Header.Get, m.Body)
+	result := Result{CheckResult: health.CheckResult{
+		Failed: !verdict.Good, Immediate: verdict.AtOnce, Degraded: verdict.Degraded, Weight: -1, MaxConn: -1, Reason: verdict.Why,
+	}}
+	switch {
+	case verdict.Drain:
+		result.Admin = health.Drain
+	case verdict.Good:
+		result.Admin = health.Ready
+	default:
+		result.Admin = health.AdminUnset
+	}
+	return result
+}
+
+// judgeBridge judges the answer of grpchealth, which makes gRPC checks for this program.
+func judgeBridge(m *http1.Message) Result {
+	if m.Status == 200 {
+		return passed()
+	}
+	return failed(fmt.Errorf("%.100s", m.Body))
+}
+
+func initRequest() []byte {
+	return z3950.Ctx(z3950.InitRequest, z3950.Bits(3, 0, 1, 2), z3950.Bits(4, z3950.OptSearch, z3950.OptPresent),
+		z3950.Num(5, z3950.MaxPDU), z3950.Num(6, z3950.MaxPDU), z3950.Str(110, userAgent)).Encode(nil)
+}
+
+// dialCause is what is wrong with a dial without its address, which stands beside it anyway.
+func dialCause(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Err != nil {
+		return op.Err
+	}
+	return err
+}
--- /dev/null
+++ b/internal/backend/healthcheck/check_test.go
@@ -0,0 +1,270 @@
+package healthcheck
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"rooktrestle/internal/config"
+	"rooktrestle/internal/control/health"
+	"rooktrestle/internal/net/tcp"
+	"rooktrestle/internal/protocol/httpcheck"
+	"rooktrestle/internal/testbed/replica"
+)
+
+const (
+	longTimeout  = 30 * time.Second // no test reaches it
+	shortTimeout = 50 * time.Millisecond
+)
+
+func newProfile(t *testing.T, kind string, timeout time.Duration) *config.CheckProfile {
+	t.Helper()
+	profile := &config.CheckProfile{Name: kind, Kind: kind, Method: "GET", Path: "/healthz", Timeout: config.Duration{Duration: timeout}}
+	profile.Expectation.Status = parseRanges(t, "200-399")
+	profile.Expectation.Drain = parseRanges(t, "404")
+	return profile
+}
+
+func parseRanges(t *testing.T, text string) []httpcheck.Range {
+	t.Helper()
+	ranges, err := httpcheck.ParseRanges(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ranges
+}
+
+func run(profile *config.CheckProfile, addr string) Result {
+	return Check{Profile: profile, Addr: addr, Dial: tcp.DialServerFirst}.Run()
+}
+
+func newAgent(t *testing.T, line string) *replica.Agent {
+	t.Helper()
+	agent, err := replica.NewAgent(line)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(agent.Close)
+	return agent
+}
+
+func newSRUServer(t *testing.T) *replica.Server {
+	t.Helper()
+	archive := replica.NewArchive(1)
+	t.Cleanup(archive.Close)
+	server, err := archive.SRU("w", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Kill)
+	return server
+}
+
+func newZ3950Server(t *testing.T) *replica.Server {
+	t.Helper()
+	archive := replica.NewArchive(1)
+	t.Cleanup(archive.Close)
+	server, err := archive.Z3950("z", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Kill)
+	return server
+}
+
+func TestCheck_AgentReports(t *testing.T) {
+	agent := newAgent(t, "up ready 50% maxconn:9 #busy")
+	profile := newProfile(t, config.CheckAgent, longTimeout)
+	profile.Send = "captions\n"
+	want := health.CheckResult{Weight: 0.5, MaxConn: 9, Oper: health.Up, Admin: health.Ready, Reason: "busy"}
+	if r := run(profile, agent.Addr()); r.CheckResult != want {
+		t.Errorf("%+v", r)
+	}
+	if received := agent.Received(); len(received) != 1 || received[0] != "captions\n" {
+		t.Errorf("it received %q", received)
+	}
+	agent.Set("maint", replica.Respond)
+	if r := run(profile, agent.Addr()); r.Failed || r.Admin != health.Maintenance || r.Oper != health.OperUnset || r.Weight >= 0 {
+		t.Errorf("%+v", r)
+	}
+	agent.Set("stopped", replica.Respond)
+	if r := run(profile, agent.Addr()); r.Oper != health.Down || r.Reason != "stopped" {
+		t.Errorf("%+v", r)
+	}
+}
+
+// What agents do wrong ends within the timeout and with a reason.
+func TestCheck_AgentFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		behavior replica.AgentBehavior
+		timeout  time.Duration
+		timedOut bool
+		reason   string
+	}{
+		"floods":           {replica.Flood, longTimeout, false, "over"},
+		"closes at once":   {replica.CloseAtOnce, longTimeout, false, "closed"},
+		"hangs":            {replica.Hang, shortTimeout, true, errTimeout.Error()},
+		"a byte at a time": {replica.Drip, shortTimeout, true, errTimeout.Error()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			agent := newAgent(t, "")
+			agent.Set("", c.behavior)
+			r := run(newProfile(t, config.CheckAgent, c.timeout), agent.Addr())
+			if !r.Failed || r.TimedOut != c.timedOut || !strings.Contains(r.Reason, c.reason) {
+				t.Errorf("%+v", r)
+			}
+			if errors.Is(r.Err, errTimeout) != c.timedOut {
+				t.Errorf("error %v", r.Err)
+			}
+		})
+	}
+	t.Run("is gone", func(t *testing.T) {
+		agent := newAgent(t, "")
+		agent.Close()
+		if r := run(newProfile(t, config.CheckAgent, longTimeout), agent.Addr()); !r.Failed || r.TimedOut {
+			t.Errorf("%+v", r)
+		}
+	})
+}
+
+// Each kind against a server that is well, rejects the check, hangs, and is gone.
+func TestCheck_Kinds(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind      string
+		newServer func(*testing.T) *replica.Server
+	}{
+		"HTTP":                    {config.CheckHTTP, newSRUServer},
+		"SRU":                     {config.CheckSRU, newSRUServer},
+		"Z39.50":                  {config.CheckZ3950, newZ3950Server},
+		"TCP, of an SRU server":   {config.CheckTCP, newSRUServer},
+		"TCP, of a Z39.50 server": {config.CheckTCP, newZ3950Server},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := c.newServer(t)
+			if r := run(newProfile(t, c.kind, longTimeout), server.Addr()); r.Failed {
+				t.Errorf("%+v", r)
+			}
+			if c.kind != config.CheckTCP {
+				checkFaults(t, c.kind, server)
+			}
+			server.Kill()
+			if r := run(newProfile(t, c.kind, longTimeout), server.Addr()); !r.Failed {
+				t.Errorf("of nobody: %+v", r)
+			}
+		})
+	}
+}
+
+func checkFaults(t *testing.T, kind string, server *replica.Server) {
+	t.Helper()
+	server.SetHealth(replica.Health{Status: 500, RejectChecks: true})
+	if r := run(newProfile(t, kind, longTimeout), server.Addr()); !r.Failed || r.TimedOut || r.Reason == "" {
+		t.Errorf("rejecting: %+v", r)
+	}
+	server.SetHealth(replica.Health{Hang: true})
+	if r := run(newProfile(t, kind, shortTimeout), server.Addr()); !r.Failed || !r.TimedOut {
+		t.Errorf("hanging: %+v", r)
+	}
+}
+
+func TestCheck_Z3950OfAnSRUServerFails(t *testing.T) {
+	if r := run(newProfile(t, config.CheckZ3950, 100*time.Millisecond), newSRUServer(t).Addr()); !r.Failed {
+		t.Errorf("%+v", r)
+	}
+}
+
+func TestCheck_HTTPStatus(t *testing.T) {
+	server := newSRUServer(t)
+	for status, want := range map[int]health.CheckResult{
+		404: {Admin: health.Drain, Weight: -1, MaxConn: -1, Reason: "status 404"},
+		200: {Admin: health.Ready, Degraded: true, Weight: -1, MaxConn: -1},
+	} {
+		server.SetHealth(replica.Health{Status: status, Degraded: status == 200})
+		for _, method := range []string{"GET", "HEAD", "OPTIONS"} {
+			profile := newProfile(t, config.CheckHTTP, longTimeout)
+			profile.Method = method
+			if r := run(profile, server.Addr()); r.CheckResult != want {
+				t.Errorf("%s %d: %+v", method, status, r)
+			}
+		}
+	}
+}
+
+func TestCheck_HTTPBody(t *testing.T) {
+	server := newSRUServer(t)
+	server.SetHealth(replica.Health{Body: "all is well"})
+	profile := newProfile(t, config.CheckHTTP, longTimeout)
+	profile.Expectation.Body = "well"
+	if r := run(profile, server.Addr()); r.Failed {
+		t.Errorf("%+v", r)
+	}
+	profile.Expectation.Body = "ill"
+	if r := run(profile, server.Addr()); !r.Failed {
+		t.Errorf("%+v", r)
+	}
+}
+
+// A gRPC check goes through the bridge, which is given the server's own address.
+func TestCheck_GRPCGoesThroughBridge(t *testing.T) {
+	var requested atomic.Value // the URL, as the bridge received it
+	bridge := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requested.Store(r.URL.String())
+		if r.URL.Query().Get("service") != "captions" {
+			http.Error(w, "NOT_SERVING", http.StatusServiceUnavailable)
+		}
+	}))
+	defer bridge.Close()
+	profile := newProfile(t, config.CheckGRPC, longTimeout)
+	check := Check{Profile: profile, Addr: "127.0.0.1:7", Bridge: strings.TrimPrefix(bridge.URL, "http://"), Dial: tcp.DialServerFirst}
+	for service, failed := range map[string]bool{"captions": false, "coverage": true} {
+		profile.Service = service
+		r := check.Run()
+		if r.Failed != failed || failed && !strings.Contains(r.Reason, "NOT_SERVING") {
+			t.Errorf("%s: %+v", service, r)
+		}
+		if !strings.Contains(fmt.Sprint(requested.Load()), "addr=127.0.0.1%3A7") {
+			t.Errorf("%s: requested %v", service, requested.Load())
+		}
+	}
+}
+
+// A server that sends on after its answer was judged costs nothing more.
+func TestCheck_ReadsNoMoreThanItJudges(t *testing.T) {
+	const endless = 256 << 20
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }() // the test is over
+	sent := make(chan int, 1)
+	go func() { sent <- sendZeros(listener, endless) }()
+	if r := run(newProfile(t, config.CheckAgent, longTimeout), listener.Addr().String()); !r.Failed {
+		t.Errorf("%+v", r)
+	}
+	if n := <-sent; n >= endless {
+		t.Errorf("%d bytes were taken", n)
+	}
+}
+
+// sendZeros accepts a connection, sends so many bytes on it, or as many as it takes, and returns how many those were.
+func sendZeros(listener net.Listener, count int) (sent int) {
+	c, err := listener.Accept()
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = c.Close() }() // whatever was written counts as sent
+	for b := make([]byte, 64<<10); sent < count; {
+		n, err := c.Write(b)
+		sent += n
+		if err != nil {
+			break
+		}
+	}
+	return sent
+}
