Name the tags, diagnostics and steps of backend/sru and backend/z3950

Change: tags and diagnostics are constants by the standards' names; judging an answer, reading a result and telling a server's own error from the query's are functions of their own. ErrMore is compared with errors.Is (Decode returns it unwrapped). sru's test cases are named.

--- a/internal/backend/sru/client.go
+++ b/internal/backend/sru/client.go
@@ -1,9 +1,10 @@
-// Package sru words attempts as SRU requests and judges the answers.
+// Package sru encodes attempts as SRU requests over HTTP and judges the answers.
 package sru
 
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"net/url"
 
 	"rooktrestle/internal/aggregator"
@@ -14,36 +15,47 @@
 	"rooktrestle/internal/query"
 )
 
-// maxAnswer is the longest answer taken from a server.
-const maxAnswer = 1 << 20
+// maxAnswerLen is the longest body of an answer that is taken from a server.
+const maxAnswerLen = 1 << 20
 
-// Client words attempts as SRU requests.
+// Diagnostics of SRU that say something of the server, or of the outcome.
+const (
+	diagSystemError      = sru.Diag + "1"
+	diagUnavailable      = sru.Diag + "2"
+	diagAuthentication   = sru.Diag + "3"
+	diagPartialResult    = sru.Diag + "59" // a result of which a part is valid
+	diagDatabaseNotFound = sru.Diag + "235"
+)
+
+// Client is the serialconn.Codec of one SRU server.
 type Client struct {
-	Host     string
+	Host string // as in the requests' Host field
+	// Database returns the name of a shard's database; epoch is that of the map of shards by which the attempt was sent.
 	Database func(shard int, epoch shardmap.Epoch) string
 }
 
-// Greeting is nothing: HTTP needs none.
+// Greeting returns nil: HTTP has no greeting.
 func (c *Client) Greeting() []byte { return nil }
 
-// Request words an attempt.
-func (c *Client) Request(call aggregator.Call, w query.Work) ([]byte, error) {
+// Request returns the request of an attempt: a search or, if the work has an action, an update.
+func (c *Client) Request(call aggregator.Call, work query.Work) ([]byte, error) {
 	database := c.Database(call.Shard, call.Epoch)
-	if w.Action == "" {
-		return http1.Request("GET", sru.SearchTarget(database, w.CQL, 1, w.MaxRecords), c.Host, nil), nil
+	if work.Action == "" {
+		return http1.Request("GET", sru.SearchTarget(database, work.CQL, 1, work.MaxRecords), c.Host, nil), nil
 	}
-	body := sru.UpdateRequest(sru.Update{Action: w.Action, Record: w.Record})
+	body := sru.UpdateRequest(sru.Update{Action: work.Action, Record: work.Record})
 	return http1.Request("POST", "/"+url.PathEscape(database), c.Host, body,
 		"Content-Type", sru.XMLType, "SOAPAction", `""`), nil
 }
 
-// Parser reads answers.
+// Parser returns a parser for one connection.
 func (c *Client) Parser() serialconn.Parser {
-	return &clientParser{http1.Parser{Responses: true, MaxBody: maxAnswer}}
+	return &clientParser{http1.Parser{Responses: true, MaxBody: maxAnswerLen}}
 }
 
 type clientParser struct{ http http1.Parser }
 
+// Feed takes bytes and returns the answers that are complete with them.
 func (p *clientParser) Feed(b []byte) (replies []serialconn.Reply, err error) {
 	p.http.Feed(b)
 	for {
@@ -51,48 +63,70 @@
 		if err != nil || m == nil {
 			return replies, err
 		}
-		replies = append(replies, reply(m))
+		replies = append(replies, judge(m))
 	}
 }
 
+// End returns an answer without a stated length, which lasts until the stream ends.
 func (p *clientParser) End() []serialconn.Reply {
 	if m := p.http.End(); m != nil {
-		return []serialconn.Reply{reply(m)}
+		return []serialconn.Reply{judge(m)}
 	}
 	return nil
 }
 
-// reply judges an answer. What a server says of the query itself is an answer; what it says of itself is an
-// error, and nothing in it proves that the request did not run.
-func reply(m *http1.Message) serialconn.Reply {
-	r := serialconn.Reply{Close: m.Close}
-	failed := func(cause error) serialconn.Reply {
-		r.Err = &aggregator.AttemptError{Progress: aggregator.Answered, Cause: cause}
-		return r
+// judge turns an HTTP answer into a reply. What a server says of the query itself is an answer; what it says of itself is an
+// error, and proves nothing of whether the request ran.
+func judge(m *http1.Message) serialconn.Reply {
+	reply := serialconn.Reply{Close: m.Close}
+	result, err := parseResult(m)
+	if err != nil {
+		reply.Err = err
+		return reply
 	}
-	if m.Status != 200 {
-		return failed(fmt.Errorf("status %d", m.Status))
+	reply.Value, reply.Score = query.Encode(result), float64(result.Count)
+	return reply
+}
+
+// parseResult returns what an answer says of the request, or an AttemptError.
+func parseResult(m *http1.Message) (query.PartResult, error) {
+	if m.Status != http.StatusOK {
+		return query.PartResult{}, failed(fmt.Errorf("status %d", m.Status))
 	}
-	a, err := sru.ParseResponse(m.Body)
+	response, err := sru.ParseResponse(m.Body)
 	if err != nil {
-		return failed(err)
-	}
-	if t := a.Diagnostic; t != nil && (t.SRU == sru.Diag+"1" || t.SRU == sru.Diag+"2" || t.SRU == sru.Diag+"3") {
-		return failed(errors.New(t.SRU + " " + t.Details))
+		return query.PartResult{}, failed(err)
 	}
-	// What it does not hold it has not run.
-	if t := a.Diagnostic; t != nil && t.SRU == sru.Diag+"235" {
-		if w, e, ok := shardmap.ParseMismatch(t.Details); ok {
-			r.Err = &aggregator.AttemptError{Progress: aggregator.Answered, Rejected: true, MapStatus: w, Epoch: e, Cause: errors.New(t.Details)}
-			return r
+	if response.Diagnostic != nil {
+		if err := serverError(response.Diagnostic); err != nil {
+			return query.PartResult{}, err
 		}
 	}
-	if a.Update && !a.Good && a.Diagnostic == nil {
-		a.Diagnostic = &query.Diagnostic{SRU: sru.Diag + "1", Details: "the server failed the update"}
+	switch {
+	case response.Diagnostic == nil && response.Update && !response.Good:
+		response.Diagnostic = &query.Diagnostic{SRU: diagSystemError, Details: "the server failed the update"}
+	case response.Diagnostic != nil && response.Diagnostic.SRU == diagPartialResult:
+		response.Diagnostic = nil
 	}
-	if a.Diagnostic != nil && a.Diagnostic.SRU == sru.Diag+"59" {
-		a.Diagnostic = nil // a valid part of it all the same
+	return response.PartResult, nil
+}
+
+// serverError returns the AttemptError of a diagnostic by which the server speaks of itself; nil if it is of the request.
+func serverError(d *query.Diagnostic) error {
+	switch d.SRU {
+	case diagSystemError, diagUnavailable, diagAuthentication:
+		return failed(errors.New(d.SRU + " " + d.Details))
+	case diagDatabaseNotFound:
+		// A request for a shard that the server does not hold did not run.
+		if mismatch, epoch, ok := shardmap.ParseMismatch(d.Details); ok {
+			return &aggregator.AttemptError{
+				Progress: aggregator.Answered, Rejected: true, MapStatus: mismatch, Epoch: epoch, Cause: errors.New(d.Details),
+			}
+		}
 	}
-	r.Value, r.Score = query.Encode(a.PartResult), float64(a.Count)
-	return r
+	return nil
+}
+
+func failed(cause error) error {
+	return &aggregator.AttemptError{Progress: aggregator.Answered, Cause: cause}
 }
--- a/internal/backend/sru/client_test.go
+++ b/internal/backend/sru/client_test.go
@@ -2,28 +2,42 @@
 
 import (
 	"errors"
+	"net/http"
 	"testing"
 
 	"rooktrestle/internal/aggregator"
 	"rooktrestle/internal/protocol/http1"
 )
 
-func TestAnswersAreJudged(t *testing.T) {
+func TestJudge(t *testing.T) {
 	diagnosed := func(code string) string {
 		return `<searchRetrieveResponse><numberOfRecords>0</numberOfRecords><diagnostics><diagnostic><uri>info:srw/diagnostic/1/` + code + `</uri></diagnostic></diagnostics></searchRetrieveResponse>`
 	}
-	for text, bad := range map[string]bool{
-		diagnosed("1"): true, diagnosed("2"): true, diagnosed("16"): false, diagnosed("59"): false, "junk": true, "<html/>": true,
-		"<searchRetrieveResponse><numberOfRecords>-4</numberOfRecords></searchRetrieveResponse>": true,
-		"<updateResponse><operationStatus>fail</operationStatus></updateResponse>":               false,
+	for name, c := range map[string]struct {
+		body   string
+		failed bool
+	}{
+		"system error":       {diagnosed("1"), true},
+		"system unavailable": {diagnosed("2"), true},
+		"unsupported index":  {diagnosed("16"), false},
+		"partial result":     {diagnosed("59"), false},
+		"not XML":            {"junk", true},
+		"another document":   {"<html/>", true},
+		"negative count":     {"<searchRetrieveResponse><numberOfRecords>-4</numberOfRecords></searchRetrieveResponse>", true},
+		"update that failed": {"<updateResponse><operationStatus>fail</operationStatus></updateResponse>", false},
 	} {
-		r := reply(&http1.Message{Status: 200, Body: []byte(text)})
-		var a *aggregator.AttemptError
-		if (r.Err != nil) != bad || bad && (!errors.As(r.Err, &a) || a.Progress != aggregator.Answered || a.Rejected) {
-			t.Errorf("%s: %+v", text, r)
-		}
+		t.Run(name, func(t *testing.T) {
+			reply := judge(&http1.Message{Status: http.StatusOK, Body: []byte(c.body)})
+			if (reply.Err != nil) != c.failed {
+				t.Fatalf("%s: %+v", c.body, reply)
+			}
+			var e *aggregator.AttemptError
+			if c.failed && (!errors.As(reply.Err, &e) || e.Progress != aggregator.Answered || e.Rejected) {
+				t.Errorf("%s: %+v", c.body, reply)
+			}
+		})
 	}
-	if r := reply(&http1.Message{Status: 503}); r.Err == nil {
+	if reply := judge(&http1.Message{Status: http.StatusServiceUnavailable}); reply.Err == nil {
 		t.Error("a status 503 is an answer")
 	}
 }
--- a/internal/backend/z3950/client.go
+++ b/internal/backend/z3950/client.go
@@ -1,4 +1,4 @@
-// Package z3950 words attempts as an origin's requests and judges the answers.
+// Package z3950 encodes attempts as the requests of a Z39.50 origin and judges the target's responses.
 package z3950
 
 import (
@@ -12,111 +12,218 @@
 	"rooktrestle/internal/query"
 )
 
-// Client words attempts as an origin's requests.
+const (
+	// implementation names the program to the target.
+	implementation = "rooktrestle"
+	// resultSetName is the result set of every search: each replaces the last.
+	resultSetName = "default"
+	// maxPartialLen bounds what is kept of a response that is not complete: the largest, and its header.
+	maxPartialLen = z3950.MaxPDU + 64
+)
+
+// Tags of Z39.50's elements (ANSI/NISO Z39.50-2003, section 4.1).
+const (
+	tagReferenceID     = 2
+	tagProtocolVersion = 3
+	tagOptions         = 4
+	tagMessageSize     = 5 // preferredMessageSize
+	tagRecordSize      = 6 // exceptionalRecordSize
+	tagInitResult      = 12
+	tagImplID          = 110
+	tagImplName        = 111
+
+	tagSmallSetUpperBound     = 13
+	tagLargeSetLowerBound     = 14
+	tagMediumSetPresentNumber = 15
+	tagReplaceIndicator       = 16
+	tagResultSetName          = 17
+	tagDatabaseNames          = 18
+	tagDatabaseName           = 105
+	tagRecordSyntax           = 104 // preferredRecordSyntax
+	tagQuery                  = 21
+	tagSearchStatus           = 22
+	tagResultCount            = 23
+
+	tagOperationStatus = 3 // of an extended service's response
+	tagDiagnostics     = 4
+
+	tagCloseReason      = 211
+	tagCloseDiagnostics = 3
+)
+
+const (
+	// noLargeSet is a bound that no result set reaches: records come with the answer to any search.
+	noLargeSet = 1 << 30
+	// operationFailed is the status of an extended service that failed.
+	operationFailed = 3
+	// reasonUnspecified is the reason for a Close that names none.
+	reasonUnspecified = 9
+)
+
+// Diagnostics of bib-1.
+const (
+	bib1Unspecified         = 100
+	bib1DatabaseUnavailable = 109
+)
+
+// serverDiagnostics are the diagnostics of bib-1 by which a target speaks of itself, not of the request.
+var serverDiagnostics = map[int]bool{
+	1:               true, // permanent system error
+	2:               true, // temporary system error
+	14:              true, // system error in presenting records
+	31:              true, // resources exhausted, no results available
+	32:              true, // resources exhausted, partial results available
+	bib1Unspecified: true,
+	105:             true, // terminated by negative continue response
+}
+
+var (
+	errNotContext   = errors.New("z3950: not a unit of this protocol")
+	errInitRejected = errors.New("the target refused the association")
+)
+
+// Client is the serialconn.Codec of one Z39.50 target.
 type Client struct {
+	// Database returns the name of a shard's database; epoch is that of the map of shards by which the attempt was sent.
 	Database func(shard int, epoch shardmap.Epoch) string
 }
 
-// Greeting is an Init.
+// Greeting returns an Init request.
 func (c *Client) Greeting() []byte {
-	return z3950.Ctx(z3950.InitRequest, z3950.Bits(3, 0, 1, 2), z3950.Bits(4, z3950.OptSearch, z3950.OptPresent, z3950.OptDelete, z3950.OptES, z3950.OptNamed),
-		z3950.Num(5, z3950.MaxPDU), z3950.Num(6, z3950.MaxPDU), z3950.Str(110, "rooktrestle"), z3950.Str(111, "rooktrestle")).Encode(nil)
+	return z3950.Ctx(z3950.InitRequest,
+		z3950.Bits(tagProtocolVersion, 0, 1, 2),
+		z3950.Bits(tagOptions, z3950.OptSearch, z3950.OptPresent, z3950.OptDelete, z3950.OptES, z3950.OptNamed),
+		z3950.Num(tagMessageSize, z3950.MaxPDU),
+		z3950.Num(tagRecordSize, z3950.MaxPDU),
+		z3950.Str(tagImplID, implementation),
+		z3950.Str(tagImplName, implementation),
+	).Encode(nil)
 }
 
-// setName is the result set of every search: each replaces the last.
-const setName = "default"
-
-// Request words an attempt. A search asks for its records along with the count.
-func (c *Client) Request(call aggregator.Call, w query.Work) ([]byte, error) {
+// Request returns the request of an attempt: a search, which asks for its records along with the count, or, if the work has
+// an action, an update. An error says that the query cannot be expressed.
+func (c *Client) Request(call aggregator.Call, work query.Work) ([]byte, error) {
 	database := c.Database(call.Shard, call.Epoch)
-	if w.Action != "" {
-		return z3950.Update(call.Name, database, w.Action, w.Record).Encode(nil), nil
+	if work.Action != "" {
+		return z3950.Update(call.Name, database, work.Action, work.Record).Encode(nil), nil
 	}
-	tree, err := query.Parse(w.CQL)
+	tree, err := query.Parse(work.CQL)
 	if err != nil {
 		return nil, err
 	}
-	q, err := z3950.Rpn(tree)
+	rpn, err := z3950.Rpn(tree)
 	if err != nil {
 		return nil, err
 	}
-	return z3950.Ctx(z3950.SearchRequest, z3950.Str(2, call.Name), z3950.Num(13, w.MaxRecords), z3950.Num(14, 1<<30), z3950.Num(15, w.MaxRecords), z3950.Boolean(16, true),
-		z3950.Str(17, setName), z3950.Ctx(18, z3950.Str(105, database)), z3950.Oid(z3950.Context, 104, z3950.OidXML), z3950.Ctx(21, q)).Encode(nil), nil
+	return z3950.Ctx(z3950.SearchRequest,
+		z3950.Str(tagReferenceID, call.Name),
+		z3950.Num(tagSmallSetUpperBound, work.MaxRecords),
+		z3950.Num(tagLargeSetLowerBound, noLargeSet),
+		z3950.Num(tagMediumSetPresentNumber, work.MaxRecords),
+		z3950.Boolean(tagReplaceIndicator, true),
+		z3950.Str(tagResultSetName, resultSetName),
+		z3950.Ctx(tagDatabaseNames, z3950.Str(tagDatabaseName, database)),
+		z3950.Oid(z3950.Context, tagRecordSyntax, z3950.OidXML),
+		z3950.Ctx(tagQuery, rpn),
+	).Encode(nil), nil
 }
 
-// Parser reads a target's responses.
+// Parser returns a parser for one connection.
 func (c *Client) Parser() serialconn.Parser { return &clientParser{} }
 
 type clientParser struct{ buf []byte }
 
+// Feed takes bytes and returns the responses that are complete with them.
 func (p *clientParser) Feed(b []byte) (replies []serialconn.Reply, err error) {
 	p.buf = append(p.buf, b...)
 	for len(p.buf) > 0 {
-		n, rest, err := z3950.Decode(p.buf)
-		if err == z3950.ErrMore && len(p.buf) <= z3950.MaxPDU+64 {
+		node, rest, err := z3950.Decode(p.buf)
+		if errors.Is(err, z3950.ErrMore) && len(p.buf) <= maxPartialLen {
 			return replies, nil
 		}
 		if err != nil {
 			return replies, err
 		}
 		p.buf = append([]byte(nil), rest...)
-		r, err := reply(n)
+		reply, err := judge(node)
 		if err != nil {
 			return replies, err
 		}
-		replies = append(replies, r)
+		replies = append(replies, reply)
 	}
 	return replies, nil
 }
 
+// End returns nothing: a response says itself where it ends.
 func (p *clientParser) End() []serialconn.Reply { return nil }
 
-// ownFaults are diagnostics by which a target speaks of itself, not of the request.
-var ownFaults = map[int]bool{1: true, 2: true, 14: true, 31: true, 32: true, 100: true, 105: true}
-
-// reply judges a response. Nothing in it proves that a request did not run.
-func reply(n *z3950.Node) (serialconn.Reply, error) {
-	var r serialconn.Reply
-	if n.Class != z3950.Context {
-		return r, errors.New("z3950: not a unit of this protocol")
+// judge turns a response into a reply. An error says that the association cannot be used any more.
+func judge(node *z3950.Node) (serialconn.Reply, error) {
+	if node.Class != z3950.Context {
+		return serialconn.Reply{}, errNotContext
 	}
-	var found query.PartResult
-	switch n.Tag {
+	switch node.Tag {
 	case z3950.InitResponse:
-		r.Greeting = true
-		if !n.Kid(12).Truth() {
-			r.Err = errors.New("the target refused the association")
+		reply := serialconn.Reply{Greeting: true}
+		if !node.Kid(tagInitResult).Truth() {
+			reply.Err = errInitRejected
 		}
-		return r, nil
+		return reply, nil
 	case z3950.SearchResponse:
-		found.Count = max(0, n.Kid(23).IntOr(0))
-		found.Records, found.Diagnostic = z3950.ParseRecords(n)
-		if !n.Kid(22).Truth() && found.Diagnostic == nil {
-			found.Diagnostic = &query.Diagnostic{Bib1: 100, Details: "the search failed"}
-		}
+		return judgeResult(searchResult(node)), nil
 	case z3950.EsResponse:
-		if list := n.Kid(4); list != nil && len(list.Kids) > 0 {
-			found.Diagnostic = z3950.ParseDiagnostic(list.Kids[0])
-		}
-		if n.Kid(3).IntOr(3) == 3 && found.Diagnostic == nil {
-			found.Diagnostic = &query.Diagnostic{Bib1: 100, Details: "the update failed"}
-		}
+		return judgeResult(updateResult(node)), nil
 	case z3950.ClosePDU:
-		return r, fmt.Errorf("z3950: the target closed: reason %d %s", n.Kid(211).IntOr(9), n.Kid(3).Text())
+		reason := node.Kid(tagCloseReason).IntOr(reasonUnspecified)
+		return serialconn.Reply{}, fmt.Errorf("z3950: the target closed: reason %d %s", reason, node.Kid(tagCloseDiagnostics).Text())
 	default:
-		return r, fmt.Errorf("z3950: unit %d", n.Tag)
+		return serialconn.Reply{}, fmt.Errorf("z3950: unit %d", node.Tag)
+	}
+}
+
+func searchResult(node *z3950.Node) (result query.PartResult) {
+	result.Count = max(0, node.Kid(tagResultCount).IntOr(0))
+	result.Records, result.Diagnostic = z3950.ParseRecords(node)
+	if !node.Kid(tagSearchStatus).Truth() && result.Diagnostic == nil {
+		result.Diagnostic = &query.Diagnostic{Bib1: bib1Unspecified, Details: "the search failed"}
+	}
+	return result
+}
+
+func updateResult(node *z3950.Node) (result query.PartResult) {
+	if list := node.Kid(tagDiagnostics); list != nil && len(list.Kids) > 0 {
+		result.Diagnostic = z3950.ParseDiagnostic(list.Kids[0])
+	}
+	failed := node.Kid(tagOperationStatus).IntOr(operationFailed) == operationFailed
+	if failed && result.Diagnostic == nil {
+		result.Diagnostic = &query.Diagnostic{Bib1: bib1Unspecified, Details: "the update failed"}
+	}
+	return result
+}
+
+// judgeResult turns a result into a reply. What a target says of the query itself is an answer; what it says of itself is an
+// error, and proves nothing of whether the request ran.
+func judgeResult(result query.PartResult) serialconn.Reply {
+	if result.Diagnostic != nil {
+		if err := targetError(result.Diagnostic); err != nil {
+			return serialconn.Reply{Err: err}
+		}
 	}
-	// What it does not hold it has not run.
-	if t := found.Diagnostic; t != nil && t.Bib1 == 109 {
-		if w, e, ok := shardmap.ParseMismatch(t.Details); ok {
-			r.Err = &aggregator.AttemptError{Progress: aggregator.Answered, Rejected: true, MapStatus: w, Epoch: e, Cause: errors.New(t.Details)}
-			return r, nil
+	return serialconn.Reply{Value: query.Encode(result), Score: float64(result.Count)}
+}
+
+// targetError returns the AttemptError of a diagnostic by which the target speaks of itself; nil if it is of the request.
+func targetError(d *query.Diagnostic) error {
+	if d.Bib1 == bib1DatabaseUnavailable {
+		// A request for a shard that the target does not hold did not run.
+		if mismatch, epoch, ok := shardmap.ParseMismatch(d.Details); ok {
+			return &aggregator.AttemptError{
+				Progress: aggregator.Answered, Rejected: true, MapStatus: mismatch, Epoch: epoch, Cause: errors.New(d.Details),
+			}
 		}
 	}
-	if t := found.Diagnostic; t != nil && ownFaults[t.Bib1] {
-		r.Err = &aggregator.AttemptError{Progress: aggregator.Answered, Cause: fmt.Errorf("bib-1 %d %s", t.Bib1, t.Details)}
-		return r, nil
+	if serverDiagnostics[d.Bib1] {
+		return &aggregator.AttemptError{Progress: aggregator.Answered, Cause: fmt.Errorf("bib-1 %d %s", d.Bib1, d.Details)}
 	}
-	r.Value, r.Score = query.Encode(found), float64(found.Count)
-	return r, nil
+	return nil
 }
--- a/internal/backend/z3950/client_test.go
+++ b/internal/backend/z3950/client_test.go
@@ -7,7 +7,7 @@
 	"rooktrestle/internal/query"
 )
 
-// No input panics in what reads a target's answers, and what it keeps is bounded.
+// No input makes the parser of a target's responses panic, and what it keeps is bounded.
 func FuzzAnswers(f *testing.F) {
 	f.Add(z3950.Ctx(z3950.SearchResponse, z3950.Num(23, 1), z3950.Boolean(22, true)).Encode(nil))
 	f.Add(z3950.Update("r", "d", query.ActionDelete, query.Record{ID: "1"}).Encode(nil))
@@ -15,7 +15,7 @@
 	f.Fuzz(func(t *testing.T, b []byte) {
 		p := &clientParser{}
 		replies, err := p.Feed(b)
-		if err == nil && len(p.buf) > z3950.MaxPDU+64 {
+		if err == nil && len(p.buf) > maxPartialLen {
 			t.Fatalf("%d replies, and %d bytes kept", len(replies), len(p.buf))
 		}
 	})
