Name the tags of the Z39.50 health check's Init

Cause: the check's Init request and its judgement held bare tags, and a few comments in backend kept the earlier house style.

Change: constants by the standard's names; wakeup's field and comments reworded.

--- a/internal/backend/healthcheck/check.go
+++ b/internal/backend/healthcheck/check.go
@@ -20,6 +20,16 @@
 // userAgent names the program to the servers that it checks.
 const userAgent = "rooktrestle-check"
 
+// Tags of the elements of Z39.50's Init (ANSI/NISO Z39.50-2003, section 4.1).
+const (
+	tagProtocolVersion = 3
+	tagOptions         = 4
+	tagMessageSize     = 5   // preferredMessageSize
+	tagRecordSize      = 6   // exceptionalRecordSize
+	tagInitResult      = 12  // whether the association is accepted
+	tagImplID          = 110 // implementationId
+)
+
 // Check is one check of one server. Run may be called several times, and by several goroutines at once.
 type Check struct {
 	Profile *config.CheckProfile
@@ -114,14 +124,14 @@
 
 // judgeHTTP judges an HTTP answer by the profile's expectation.
 func (c Check) judgeHTTP(m *http1.Message) Result {
-	verdict := c.Profile.Expectation.Judge(m.Status, m.Header.Get, m.Body)
+	judged := c.Profile.Expectation.Judge(m.Status, m.Header.Get, m.Body)
 	result := Result{CheckResult: health.CheckResult{
-		Failed: !verdict.Good, Immediate: verdict.AtOnce, Degraded: verdict.Degraded, Weight: -1, MaxConn: -1, Reason: verdict.Why,
+		Failed: !judged.Good, Immediate: judged.AtOnce, Degraded: judged.Degraded, Weight: -1, MaxConn: -1, Reason: judged.Why,
 	}}
 	switch {
-	case verdict.Drain:
+	case judged.Drain:
 		result.Admin = health.Drain
-	case verdict.Good:
+	case judged.Good:
 		result.Admin = health.Ready
 	default:
 		result.Admin = health.AdminUnset
@@ -137,9 +147,15 @@
 	return failed(fmt.Errorf("%.100s", m.Body))
 }
 
+// initRequest returns a Z39.50 Init request.
 func initRequest() []byte {
-	return z3950.Ctx(z3950.InitRequest, z3950.Bits(3, 0, 1, 2), z3950.Bits(4, z3950.OptSearch, z3950.OptPresent),
-		z3950.Num(5, z3950.MaxPDU), z3950.Num(6, z3950.MaxPDU), z3950.Str(110, userAgent)).Encode(nil)
+	return z3950.Ctx(z3950.InitRequest,
+		z3950.Bits(tagProtocolVersion, 0, 1, 2),
+		z3950.Bits(tagOptions, z3950.OptSearch, z3950.OptPresent),
+		z3950.Num(tagMessageSize, z3950.MaxPDU),
+		z3950.Num(tagRecordSize, z3950.MaxPDU),
+		z3950.Str(tagImplID, userAgent),
+	).Encode(nil)
 }
 
 // dialCause is what is wrong with a dial without its address, which stands beside it anyway.
--- a/internal/backend/healthcheck/decoder.go
+++ b/internal/backend/healthcheck/decoder.go
@@ -166,6 +166,3 @@
 }
 
 func (d *initDecoder) end() (Result, bool) { return Result{}, false }
-
-// tagInitResult is the element of an InitResponse that says whether the association is accepted.
-const tagInitResult = 12
--- a/internal/backend/leaf/attempt.go
+++ b/internal/backend/leaf/attempt.go
@@ -235,7 +235,7 @@
 }
 
 // handleCancelWritten ends a canceled attempt, unless a probe has yet to confirm that its server knows. The cancel frame was
-// written, or the connection is closed: either way the server has given it up, or soon will.
+// written, or the connection is closed: either way the server has canceled it, or soon will.
 func (p *Pool) handleCancelWritten(now time.Time, a *attempt) {
 	c := a.conn
 	if p.attempts[a.call.Attempt] != a || c.state == connClosing {
--- a/internal/backend/leaf/frame.go
+++ b/internal/backend/leaf/frame.go
@@ -14,7 +14,7 @@
 // The types of frames.
 const (
 	frameCall    = '1' // to a server: one or more parts
-	frameCancel  = '2' // to a server: the name of a part that is given up
+	frameCancel  = '2' // to a server: the name of a part whose attempt is canceled
 	frameProbe   = '3' // either direction: a probe, and its answer
 	frameLoad    = '4' // either direction: a probe for the server's load, and its answer
 	frameAnswer  = '5' // from a server: the answer to one part
--- a/internal/backend/leaf/sweep.go
+++ b/internal/backend/leaf/sweep.go
@@ -8,11 +8,11 @@
 )
 
 // wakeup is the earliest of some times; zero if there is none.
-type wakeup struct{ at time.Time }
+type wakeup struct{ earliest time.Time }
 
 func (w *wakeup) notLaterThan(t time.Time) {
-	if w.at.IsZero() || t.Before(w.at) {
-		w.at = t
+	if w.earliest.IsZero() || t.Before(w.earliest) {
+		w.earliest = t
 	}
 }
 
@@ -33,7 +33,7 @@
 			delete(p.hosts, h.id)
 		}
 	}
-	return p.takeEvents(), next.at
+	return p.takeEvents(), next.earliest
 }
 
 func (p *Pool) sweepProbe(now time.Time, pr *probe, next *wakeup) {
--- a/internal/backend/serialconn/conn.go
+++ b/internal/backend/serialconn/conn.go
@@ -115,7 +115,7 @@
 		p.closeUnwritten(c, errEarlyAnswer)
 		return
 	case a == nil || a.canceled || reply.Greeting:
-		p.Stats.LateAnswers++ // and whatever follows on this connection cannot be told apart
+		p.Stats.LateAnswers++ // what follows on this connection could not be matched to its request
 		p.closeConn(c, errUnexpectedReply)
 		if a != nil {
 			p.failLost(a, errCanceled)
