--- a/balance/balance.go
+++ b/balance/balance.go
@@ -14,314 +14,314 @@
 
 // The tuned values. Times are ratios of what the settings state or of what was observed.
 const (
-	rankPower   = 3    // b of the C3 rank
-	smoothing   = 0.3  // weight of a new response or service time
-	qSmoothing  = 0.7  // of a reported queue: reports are scarce, so each counts for more
-	meanGuess   = 0.25 // of the shortest aim: a mean answer time until answers tell
-	devGuess    = 0.25 // of that: a mean deviation
-	fleetSmooth = 0.05 // of an answer time in the mean over all servers, and at most
-	querySmooth = 0.5  // of those of a whole query: the last of many parts are its slowest
-	staleAfter  = 3    // shortest aims in which a reported queue goes two thirds of the way to the mean
-	recentTimes = 8    // answers of which the least is a server's service time
-	nearTie     = 1.5  // ranks within this factor are a tie
-	lotSpread   = 0.1  // chance in a rank, so that equal servers take turns and gatherers do not herd
-
-	lateDevs     = 3.0   // an attempt is late beyond the mean answer time and so many mean deviations
-	cancelLate   = 2.0   // late times after which a part is called off and sent anew; no copies
-	lostLate     = 3.0   // and so many, though the server has answered others since
-	lossWeight   = 0.1   // of an attempt in the share lost of a class; what loses more is called off sooner
-	lossMost     = 0.4   // of them: what loses no more is of use while the sound are busy
-	barelyAny    = 0.01  // a share so small that parts rather wait
-	lossRank     = 27    // times worse it ranks then, as with two parts more in hand
-	doubtMost    = 3.0   // failed attempts that count against a server: bounds how long recovery takes
-	wayOut       = 2.0   // and against the way to a zone, if so many times what is still out there
-	wayRise      = 0.01  // weight of answer times over a way's least: wide queries end with slow ones
-	doubtKeep    = 0.6   // share of its doubt that a server keeps after an answer
-	doubtClear   = 0.25  // below it a server is trusted again
-	slowRatio    = 2.5   // least recent time over the fleet's median that counts as slow
-	slowTimes    = 4     // of its last answers
-	unsafeTrial  = 20    // late times that a trial by what may not run twice waits beyond that
-	trialMost    = 8     // times longer it is at most, after failures with a class
-	trialGap     = 1.2   // late times between two trials of a doubted server, times the root of n: all try
-	probeRate    = 0.15  // probes earned by a part taken
-	probeMost    = 2     // and the most kept for later, for each part of a query
-	probeWait    = 0.02  // of the shortest aim: the longest that a query waits for probes
-	probeGap     = 0.125 // of the shortest aim: least time between two probes of a server
-	hedgeRate    = 0.02  // second copies a part sent earns, times root n: each finds a hung server anew
-	hedgeMost    = 16    // and the most kept for later
-	deathsMost   = 2     // servers that may die under a query before it ends
-	suspectFor   = 4     // deadlines for which its class is suspected then
-	workSpread   = 2.0   // a part's mean work over the least answer times, at most
-	fullSpell    = 0.5   // mean answer times that a full server is kept off
-	flowSpan     = 10    // shortest aims over which the own flow is taken, and
-	coldFlow     = 1.8   // times its part that a cold server gets of it
-	coldCrowd    = 2     // and by lot, times what its shards are usually asked
-	seenSpan     = 100   // shortest aims over which what is usual is remembered
-	rateSpan     = 2     // shortest aims over which the rate of answers is taken
-	comeBack     = 2.0   // mean answer times after which a refused client may come back; half after a failure
-	answerAhead  = 3     // ticks before the aim by which an answer leaves
-	paceOf       = 0.01  // of the shortest aim: time between looks for late attempts
-	admitBase    = 0.8   // share of the time left that a usual query may be expected to take
-	admitSeen    = 0.5   // of the aim, what recent answers must have taken for a refusal
-	ownMost      = 4     // gatherers that own parts may stand for: one of many knows little
-	queueHigh    = 0.75  // quantile of the queues lately told that a wide query meets
-	tellersLeast = 4     // servers whose queues tell of the others'
-	atOnce       = 4     // parts that a server is taken to serve at once: many, as reports may be late
-	askAgain     = 0.5   // of the time in which a list must be asked for: mean wait after a failed call
-	jamParts     = 2     // own parts in hand from which a server's recent times count against new ones
-	hopeless     = 0.25  // of the aim: only with less left than this may service times alone refuse
-	admitLeast   = 0.5   // least that the worth per part makes of it
-	admitMost    = 1.2   // and most
-	worstDevs    = 1.2   // mean deviations by which the slowest part is late, times ln of the parts
-	secondMost   = 0.5   // of the aim: the most time kept for a second step
-	densitySm    = 0.02  // weight of a query in the mean worth per part
-	sameTry      = 2     // ticks by which the time left of first tries may differ
-	relax        = 0.3   // share of the excess in recent answer times that a refusal forgets
-	sumSlack     = 5e-5  // weights of parts add up to 1 apart from this
+	rankExponent          = 3    // b of the C3 rank
+	latencySmoothing      = 0.3  // weight of a new response or service time
+	queueSmoothing        = 0.7  // of a reported queue: reports are scarce, so each counts for more
+	initialMeanRatio      = 0.25 // of the shortest aim: a mean answer time until answers tell
+	initialDeviationRatio = 0.25 // of that: a mean deviation
+	maxFleetSmoothing     = 0.05 // of an answer time in the mean over all servers, and at most
+	querySmoothing        = 0.5  // of those of a whole query: the last of many parts are its slowest
+	reportLifetime        = 3    // shortest aims in which a reported queue goes two thirds of the way to the mean
+	recentSize            = 8    // answers of which the least is a server's service time
+	zoneTolerance         = 1.5  // ranks within this factor are a tie
+	rankJitter            = 0.1  // chance in a rank, so that equal servers take turns and gatherers do not herd
+
+	overdueDeviations       = 3.0   // an attempt is late beyond the mean answer time and so many mean deviations
+	cancelOverdue           = 2.0   // late times after which a part is called off and sent anew; no copies
+	lostOverdue             = 3.0   // and so many, though the server has answered others since
+	lossSmoothing           = 0.1   // of an attempt in the share lost of a class; what loses more is called off sooner
+	maxUsableLoss           = 0.4   // of them: what loses no more is of use while the sound are busy
+	minTrafficFraction      = 0.01  // a share so small that parts rather wait
+	unhealthyRankFactor     = 27    // times worse it ranks then, as with two parts more in hand
+	maxPenalty              = 3.0   // failed attempts that count against a server: bounds how long recovery takes
+	pathFailuresPerInFlight = 2.0   // and against the way to a zone, if so many times what is still out there
+	minLatencyRise          = 0.01  // weight of answer times over a way's least: wide queries end with slow ones
+	penaltyDecay            = 0.6   // share of its doubt that a server keeps after an answer
+	minPenalty              = 0.25  // below it a server is trusted again
+	slowFactor              = 2.5   // least recent time over the fleet's median that counts as slow
+	slowSamples             = 4     // of its last answers
+	unsafeHalfOpenDelay     = 20    // late times that a trial by what may not run twice waits beyond that
+	maxBackoffFactor        = 8     // times longer it is at most, after failures with a class
+	halfOpenInterval        = 1.2   // late times between two trials of a doubted server, times the root of n: all try
+	probesPerPart           = 0.15  // probes earned by a part taken
+	maxProbesPerPart        = 2     // and the most kept for later, for each part of a query
+	maxProbeWait            = 0.02  // of the shortest aim: the longest that a query waits for probes
+	minProbeInterval        = 0.125 // of the shortest aim: least time between two probes of a server
+	hedgesPerPart           = 0.02  // second copies a part sent earns, times root n: each finds a hung server anew
+	maxHedgeTokens          = 16    // and the most kept for later
+	maxCrashes              = 2     // servers that may die under a query before it ends
+	suspectDeadlines        = 4     // deadlines for which its class is suspected then
+	maxWorkSpread           = 2.0   // a part's mean work over the least answer times, at most
+	queueFullBackoff        = 0.5   // mean answer times that a full server is kept off
+	demandPeriod            = 10    // shortest aims over which the own flow is taken, and
+	warmupFlowFactor        = 1.8   // times its part that a cold server gets of it
+	maxWarmupDemand         = 2     // and by lot, times what its shards are usually asked
+	peakMemory              = 100   // shortest aims over which what is usual is remembered
+	answerRatePeriod        = 2     // shortest aims over which the rate of answers is taken
+	retryAfterFactor        = 2.0   // mean answer times after which a refused client may come back; half after a failure
+	answerMarginTicks       = 3     // ticks before the aim by which an answer leaves
+	timerInterval           = 0.01  // of the shortest aim: time between looks for late attempts
+	admissionShare          = 0.8   // share of the time left that a usual query may be expected to take
+	minObservedLatency      = 0.5   // of the aim, what recent answers must have taken for a refusal
+	maxExtrapolated         = 4     // gatherers that own parts may stand for: one of many knows little
+	longQueueQuantile       = 0.75  // quantile of the queues lately told that a wide query meets
+	minReports              = 4     // servers whose queues tell of the others'
+	assumedConcurrency      = 4     // parts that a server is taken to serve at once: many, as reports may be late
+	listRetryInterval       = 0.5   // of the time in which a list must be asked for: mean wait after a failed call
+	minInFlightToJudge      = 2     // own parts in hand from which a server's recent times count against new ones
+	hopelessTimeLeft        = 0.25  // of the aim: only with less left than this may service times alone refuse
+	minAdmissionFactor      = 0.5   // least that the worth per part makes of it
+	maxAdmissionFactor      = 1.2   // and most
+	tailDeviations          = 1.2   // mean deviations by which the slowest part is late, times ln of the parts
+	maxFollowUpReserve      = 0.5   // of the aim: the most time kept for a second step
+	weightSmoothing         = 0.02  // weight of a query in the mean worth per part
+	timeLeftToleranceTicks  = 2     // ticks by which the time left of first tries may differ
+	rejectionForgetting     = 0.3   // share of the excess in recent answer times that a refusal forgets
+	weightTolerance         = 5e-5  // weights of parts add up to 1 apart from this
 )
 
 // Turn takes the events of one turn and returns the actions, in order. The clock never goes back.
 func (b *Balancer) Turn(now time.Duration, events []Event) []Action {
 	passed := now - b.now
 	b.now, b.actions = now, nil
-	b.credit(passed)
+	b.earnSlowStart(passed)
 	for _, e := range events {
 		switch e := e.(type) {
 		case Query:
-			b.take(e)
+			b.startQuery(e)
 		case Part:
-			b.takePart(e)
+			b.addPart(e)
 		case CandidatesChanged:
 			if p := b.parts[e.Part]; p != nil {
 				p.Candidates = e.Candidates
 			}
 		case AttemptEnded:
-			b.outcome(e)
+			b.endAttempt(e)
 		case ProbeEnded:
-			b.probeResult(e)
+			b.endProbe(e)
 		case EndpointList:
-			b.members(e)
+			b.updateEndpoints(e)
 		case GossipReceived:
-			b.hear(e)
+			b.receiveGossip(e)
 		case ClientDisconnected:
 			if q := b.byID[e.Query]; q != nil {
-				b.drop(q)
+				b.endQuery(q)
 			}
 		}
 	}
-	b.judge()
+	b.assessServers()
 	for _, q := range b.queries {
 		if !q.done {
 			b.advance(q)
 		}
 	}
 	b.queries = slices.DeleteFunc(b.queries, func(q *query) bool { return q.done })
-	b.tell()
-	b.wake()
+	b.sendGossip()
+	b.scheduleTimer()
 	return b.actions
 }
 
-func (b *Balancer) do(a Action) { b.actions = append(b.actions, a) }
+func (b *Balancer) emit(a Action) { b.actions = append(b.actions, a) }
 
-// wake keeps one timer ahead while there is work, so that lateness is seen without an event.
-func (b *Balancer) wake() {
-	if b.askAt > 0 && b.now >= b.askAt {
-		b.askAt = 0
-		b.do(WatchEndpoints{})
+// scheduleTimer keeps one timer ahead while there is work, so that lateness is seen without an event.
+func (b *Balancer) scheduleTimer() {
+	if b.pollAt > 0 && b.now >= b.pollAt {
+		b.pollAt = 0
+		b.emit(WatchEndpoints{})
 	}
-	if len(b.queries) == 0 && b.askAt == 0 || b.wakeAt > b.now {
+	if len(b.queries) == 0 && b.pollAt == 0 || b.timerAt > b.now {
 		return
 	}
 	// Never longer than answers leave ahead of time, or a query could outlive its time between two looks.
-	pace := max(b.set.Tick, min(time.Duration(float64(b.shortAim)*paceOf), answerAhead*b.set.Tick))
-	b.wakeAt = b.now + pace
-	b.do(StartTimer{After: pace})
+	pace := max(b.settings.Tick, min(time.Duration(float64(b.minObjective)*timerInterval), answerMarginTicks*b.settings.Tick))
+	b.timerAt = b.now + pace
+	b.emit(StartTimer{After: pace})
 }
 
 // ---- the list of servers
 
-func (b *Balancer) members(m EndpointList) {
+func (b *Balancer) updateEndpoints(m EndpointList) {
 	if m.Kind == ListFailed {
 		// Paced, and by chance: all gatherers ask one discovery, which may be down or short of capacity.
-		b.askAt = b.now + duration(askAgain*(0.5+b.rng.Float64())*us(b.set.Rules.MaxListAge))
+		b.pollAt = b.now + duration(listRetryInterval*(0.5+b.rng.Float64())*micros(b.settings.Rules.MaxListAge))
 		return
 	}
-	if len(b.order) == 0 && b.set.ListOnRequest {
-		b.do(WatchEndpoints{})
+	if len(b.endpoints) == 0 && b.settings.ListOnRequest {
+		b.emit(WatchEndpoints{})
 	}
 	if m.Kind != ListDelta {
-		for _, s := range b.order {
+		for _, s := range b.endpoints {
 			s.listed = false
 		}
 	}
 	for _, e := range m.Endpoints {
 		s := b.servers[e.Replica]
 		if s == nil {
-			s = &server{id: e.Replica, of: make([]health, len(b.set.Classes))}
-			s.key = gossip.ServerKey(string(e.Replica))
+			s = &server{id: e.Replica, perClass: make([]record, len(b.settings.Classes))}
+			s.gossipKey = gossip.ServerKey(string(e.Replica))
 			b.servers[e.Replica] = s
-			b.order = append(b.order, s)
+			b.endpoints = append(b.endpoints, s)
 		}
-		if b.ways[e.Zone] == nil {
-			b.ways[e.Zone] = &way{}
+		if b.paths[e.Zone] == nil {
+			b.paths[e.Zone] = &networkPath{}
 		}
-		s.zone, s.way, s.cell, s.listed = e.Zone, b.ways[e.Zone], e.Cell, e.State == InService
-		s.take(e.HealthLimits)
-		if e.Started > s.cold.Started {
-			s.restarted(e.Started, b.rng.Float64())
+		s.zone, s.path, s.cell, s.listed = e.Zone, b.paths[e.Zone], e.Cell, e.State == InService
+		s.applyLimits(e.HealthLimits)
+		if e.Started > s.slowStart.Started {
+			s.reset(e.Started, b.rng.Float64())
 		}
 	}
-	b.order = slices.DeleteFunc(b.order, func(s *server) bool {
-		gone := !s.listed && len(s.out) == 0 && !s.probing
+	b.endpoints = slices.DeleteFunc(b.endpoints, func(s *server) bool {
+		gone := !s.listed && len(s.InFlight) == 0 && !s.probing
 		if gone {
 			delete(b.servers, s.id)
 		}
 		return gone
 	})
-	b.index()
+	b.indexEndpoints()
 }
 
-// work is a high estimate of a part's work: at most the mean answer time, which grows with queues.
-func (b *Balancer) work() float64 {
-	return min(b.mean, workSpread*cmp.Or(b.median, b.mean))
+// partWork is a high estimate of a part's work: at most the mean answer time, which grows with queues.
+func (b *Balancer) partWork() float64 {
+	return min(b.latencyMean, maxWorkSpread*cmp.Or(b.medianServiceTime, b.latencyMean))
 }
 
 // ---- queries and parts
 
-func (b *Balancer) take(e Query) {
-	if e.Class < 0 || e.Class >= len(b.set.Classes) {
-		b.do(Reject{Query: e.ID})
+func (b *Balancer) startQuery(e Query) {
+	if e.Class < 0 || e.Class >= len(b.settings.Classes) {
+		b.emit(Reject{Query: e.ID})
 		return
 	}
-	c := &b.set.Classes[e.Class]
-	q := &query{Query: e, class: c, end: b.now + e.TimeLeft}
+	c := &b.settings.Classes[e.Class]
+	q := &query{Query: e, class: c, deadline: b.now + e.TimeLeft}
 	stretch := time.Duration(c.ObjectiveStretch * float64(e.WorkHint))
-	q.aim = b.now + min(c.Objective+stretch, c.Deadline) - b.waited(e)
+	q.objective = b.now + min(c.Objective+stretch, c.Deadline) - b.timeSpent(e)
 	b.queries = append(b.queries, q)
 	b.byID[e.ID], b.byGroup[e.Group] = q, q
-	b.count(&b.took)
+	b.count(&b.requests)
 }
 
-// waited is how long a client has waited in earlier tries; it counts against the aim.
-func (b *Balancer) waited(e Query) time.Duration {
-	if b.usual[e.Class].First(e.TimeLeft, b.set.ClientsMarkRetries, e.IsRetry, sameTry*b.set.Tick) {
+// timeSpent is how long a client has waited in earlier tries; it counts against the aim.
+func (b *Balancer) timeSpent(e Query) time.Duration {
+	if b.firstAttempts[e.Class].IsFirstAttempt(e.TimeLeft, b.settings.ClientsMarkRetries, e.IsRetry, timeLeftToleranceTicks*b.settings.Tick) {
 		return 0
 	}
-	return max(0, b.set.Classes[e.Class].Deadline-e.TimeLeft)
+	return max(0, b.settings.Classes[e.Class].Deadline-e.TimeLeft)
 }
 
-func (b *Balancer) takePart(e Part) {
+func (b *Balancer) addPart(e Part) {
 	q := b.byGroup[e.Group]
 	if q == nil || q.done {
 		return
 	}
-	p := &part{Part: e, q: q}
-	b.asked++
-	p.drawn = b.draw(p)
+	p := &part{Part: e, query: q}
+	b.demandOffered++
+	p.warmupTarget = b.sampleWarming(p)
 	q.parts = append(q.parts, p)
 	b.parts[e.ID] = p
-	b.count(&b.took)
-	b.earnWord()
+	b.count(&b.requests)
+	b.earnGossip()
 }
 
 func (b *Balancer) answer(q *query, whole bool) {
-	b.do(Answer{Query: q.ID, Complete: whole && (q.step == 0 || q.firstWhole)})
+	b.emit(Answer{Query: q.ID, Complete: whole && (q.step == 0 || q.firstStepComplete)})
 	if q.step == 0 && q.class.FollowUpParts > 0 {
 		b.dropParts(q)
-		q.step, q.firstWhole = 1, whole
+		q.step, q.firstStepComplete = 1, whole
 		return
 	}
-	b.drop(q)
+	b.endQuery(q)
 }
 
-// giveUp ends a query at once. It is refused where asking again is harmless and failed elsewhere.
-func (b *Balancer) giveUp(q *query, wait time.Duration) {
+// abandon ends a query at once. It is refused where asking again is harmless and failed elsewhere.
+func (b *Balancer) abandon(q *query, wait time.Duration) {
 	harmless := q.class.Idempotency == Idempotent ||
-		q.step == 0 && !slices.ContainsFunc(q.parts, (*part).maybeRan)
+		q.step == 0 && !slices.ContainsFunc(q.parts, (*part).mightHaveRun)
 	if harmless {
-		b.do(Reject{Query: q.ID, RetryAfter: min(wait, b.set.MaxRetryAfter)})
+		b.emit(Reject{Query: q.ID, RetryAfter: min(wait, b.settings.MaxRetryAfter)})
 	} else {
-		b.do(Fail{Query: q.ID})
+		b.emit(Fail{Query: q.ID})
 	}
-	b.drop(q)
+	b.endQuery(q)
 }
 
 // advance takes a query one step on: end it, or send what should be sent.
 func (b *Balancer) advance(q *query) {
-	ahead := answerAhead * b.set.Tick
+	ahead := answerMarginTicks * b.settings.Tick
 	if q.step > 0 && len(q.parts) == 0 {
-		if b.now >= q.end-ahead {
-			b.giveUp(q, 0)
+		if b.now >= q.deadline-ahead {
+			b.abandon(q, 0)
 		}
 		return
 	}
 	for _, p := range q.parts {
-		p.dead = p.dead || b.spent(p)
+		p.abandoned = p.abandoned || b.exhausted(p)
 	}
 	in, reach, answered := q.weights()
-	reach = b.yield(q, reach)
-	whole := in >= q.need()-sumSlack && (q.step == 0 || answered == len(q.parts))
+	reach = b.shedOptionalParts(q, reach)
+	whole := in >= q.neededWeight()-weightTolerance && (q.step == 0 || answered == len(q.parts))
 	if whole {
 		b.answer(q, true)
 		return
 	}
-	partial := in > 0 && in >= q.floor()-sumSlack && q.floor() < q.need()
+	partial := in > 0 && in >= q.minWeight()-weightTolerance && q.minWeight() < q.neededWeight()
 	switch {
-	case b.now >= q.end-ahead, q.class.OverdueFraction <= 0 && b.now >= q.aim-ahead,
-		reach < q.need()-sumSlack && (reach < q.floor()-sumSlack || q.floor() >= q.need()):
+	case b.now >= q.deadline-ahead, q.class.OverdueFraction <= 0 && b.now >= q.objective-ahead,
+		reach < q.neededWeight()-weightTolerance && (reach < q.minWeight()-weightTolerance || q.minWeight() >= q.neededWeight()):
 		if partial {
 			b.answer(q, false)
 		} else {
-			b.giveUp(q, duration(comeBack*b.mean/2))
+			b.abandon(q, duration(retryAfterFactor*b.latencyMean/2))
 		}
 		return
-	case partial && (reach < q.need()-sumSlack && in >= reach-sumSlack ||
-		b.now >= b.due(q)-ahead && b.now < q.aim &&
-			q.class.PartialFraction*in/q.need() > q.class.OverdueFraction):
+	case partial && (reach < q.neededWeight()-weightTolerance && in >= reach-weightTolerance ||
+		b.now >= b.stepDue(q)-ahead && b.now < q.objective &&
+			q.class.PartialFraction*in/q.neededWeight() > q.class.OverdueFraction):
 		b.answer(q, false)
 		return
 	}
 	if !q.admitted {
-		if b.now < b.deadly[q.Key] {
-			b.giveUp(q, b.set.MaxRetryAfter)
+		if b.now < b.crashingKeys[q.Key] {
+			b.abandon(q, b.settings.MaxRetryAfter)
 			return
 		}
-		if b.ask(q) {
+		if b.probeReplicas(q) {
 			return
 		}
 		if !b.admit(q) {
-			b.giveUp(q, duration(comeBack*b.mean))
+			b.abandon(q, duration(retryAfterFactor*b.latencyMean))
 			return
 		}
 		q.admitted = true
 	}
 	// A query under which servers die ends, and for some time its class sends one part ahead of the others,
 	// as repeats will come. Innocent queries pay with the time of that part.
-	suspect := b.now < b.suspect[q.Class]
-	if q.deaths > answered && (q.deaths >= deathsMost || suspect) {
-		b.suspect[q.Class] = b.now + suspectFor*q.class.Deadline
+	suspect := b.now < b.suspectUntil[q.Class]
+	if q.crashes > answered && (q.crashes >= maxCrashes || suspect) {
+		b.suspectUntil[q.Class] = b.now + suspectDeadlines*q.class.Deadline
 		if q.Key != "" { // a repeat comes with the same key
-			b.deadly[q.Key] = b.suspect[q.Class]
+			b.crashingKeys[q.Key] = b.suspectUntil[q.Class]
 		}
-		b.giveUp(q, b.set.MaxRetryAfter)
+		b.abandon(q, b.settings.MaxRetryAfter)
 		return
 	}
 	// Where part of the parts makes a whole answer the rest is held in reserve: parts not needed cost work,
 	// and further tries of them the budget of those that are. A late part brings on another.
 	hope := in
 	for _, p := range q.parts {
-		if len(p.out) > 0 && !p.in && us(b.now-p.out[len(p.out)-1].sent) <= b.mean+b.dev {
+		if len(p.inFlight) > 0 && !p.answered && micros(b.now-p.inFlight[len(p.inFlight)-1].sent) <= b.latencyMean+b.latencyDeviation {
 			hope += p.Weight
 		}
 	}
-	want := q.need() - sumSlack
+	want := q.neededWeight() - weightTolerance
 	for pass := range 3 { // unsent parts with a sound replica, other unsent ones, further attempts
 		for _, p := range q.parts {
-			if p.in || p.dead || hope >= want && q.need() < 1 || (p.tries > 0) != (pass == 2) ||
-				pass == 0 && !slices.ContainsFunc(b.holders(p), p.soundAt) {
+			if p.answered || p.abandoned || hope >= want && q.neededWeight() < 1 || (p.attempts > 0) != (pass == 2) ||
+				pass == 0 && !slices.ContainsFunc(b.candidates(p), p.healthyAt) {
 				continue
 			}
-			if b.advancePart(p); len(p.out) > 0 {
+			if b.advancePart(p); len(p.inFlight) > 0 {
 				hope += p.Weight
 			}
 			if suspect && answered == 0 {
@@ -331,15 +331,15 @@
 	}
 }
 
-// yield leaves out parts that a query can spare where half of a shard's holders are out and the others are
+// shedOptionalParts leaves out parts that a query can spare where half of a shard's holders are out and the others are
 // crowded. What these can do is for queries that need each of their parts: one lost there wastes all others.
-func (b *Balancer) yield(q *query, reach float64) float64 {
-	if q.floor() >= q.need() {
+func (b *Balancer) shedOptionalParts(q *query, reach float64) float64 {
+	if q.minWeight() >= q.neededWeight() {
 		return reach
 	}
 	for _, p := range q.parts {
-		if p.tries == 0 && !p.dead && reach-p.Weight >= q.floor() && b.crowded(p) {
-			p.dead = true
+		if p.attempts == 0 && !p.abandoned && reach-p.Weight >= q.minWeight() && b.mostlyExcluded(p) {
+			p.abandoned = true
 			reach -= p.Weight
 		}
 	}
@@ -350,91 +350,91 @@
 // it: work that will be late is refused before it costs, queries of little worth per part first.
 func (b *Balancer) admit(q *query) bool {
 	worth := q.class.Weight
-	if b.set.WeightByWork {
+	if b.settings.WeightByWork {
 		worth *= float64(max(1, q.Parts))
 	}
-	if q.Tenant < len(b.quota) && b.overQuota(q.Tenant) {
-		worth *= b.set.OverQuotaFactor
+	if q.Tenant < len(b.tenantTokens) && b.overQuota(q.Tenant) {
+		worth *= b.settings.OverQuotaFactor
 	}
 	parts := float64(max(1, q.Parts))
-	b.worth += densitySm * (worth - b.worth)
-	b.width += densitySm * (parts - b.width)
-	left := us(b.due(q) - b.now)
-	limit := left * admitBase * min(admitMost, max(admitLeast, math.Cbrt(worth/parts*b.width/b.worth)))
+	b.meanWeight += weightSmoothing * (worth - b.meanWeight)
+	b.meanParts += weightSmoothing * (parts - b.meanParts)
+	left := micros(b.stepDue(q) - b.now)
+	limit := left * admissionShare * min(maxAdmissionFactor, max(minAdmissionFactor, math.Cbrt(worth/parts*b.meanParts/b.meanWeight)))
 	// A query that lacks a shard is not begun. A replica is open unless it is full, cold without room, has
 	// parts in hand and took too long lately, or is too slow and no trial is due.
-	open, guess := 0.0, us(b.shortAim)*meanGuess
+	open, guess := 0.0, micros(b.minObjective)*initialMeanRatio
 	for _, p := range q.parts {
-		holders := prefer(b.holders(p), func(s *server) bool { return !s.barely() })
+		holders := prefer(b.candidates(p), func(s *server) bool { return !s.nearlyExcluded() })
 		if slices.ContainsFunc(holders, func(s *server) bool {
-			trial := len(s.out) == 0 && b.now >= s.trialAt
-			quick := s.meanTime(slowTimes) <= limit || !s.slow && len(s.out) < jamParts
-			return b.now >= s.full && b.coldRoom(p, s) && (quick || trial) && b.wait(s) <= max(0, limit-guess)
+			trial := len(s.InFlight) == 0 && b.now >= s.NextTrial
+			quick := s.meanRecent(slowSamples) <= limit || !s.Slow && len(s.InFlight) < minInFlightToJudge
+			return b.now >= s.avoidUntil && b.slowStartAllows(p, s) && (quick || trial) && b.queueDelay(s) <= max(0, limit-guess)
 		}) {
 			open += p.Weight
 		}
 	}
-	if left <= min(b.median, hopeless*us(q.class.Objective)) || open < min(q.floor(), q.need())-sumSlack {
+	if left <= min(b.medianServiceTime, hopelessTimeLeft*micros(q.class.Objective)) || open < min(q.minWeight(), q.neededWeight())-weightTolerance {
 		return false
 	}
 	// Both must say so: what answers lately took, which lags, and the count in hand, high in a lull.
-	devs := worst(len(q.parts), 1-(min(q.floor(), q.need())+q.need())/2)
-	if wait, told := b.queued(); told {
-		wait *= max(1, devs/worstDevs/-math.Log(1-queueHigh)) // of the slowest part, with the same tail
+	devs := slowestDeviations(len(q.parts), 1-(min(q.minWeight(), q.neededWeight())+q.neededWeight())/2)
+	if wait, told := b.observedQueueDelay(); told {
+		wait *= max(1, devs/tailDeviations/-math.Log(1-longQueueQuantile)) // of the slowest part, with the same tail
 		// Own answers count while they are as fresh; a few stuck parts say nothing of the others.
-		mean := b.mean
-		if len(b.answers) < tellersLeast {
+		mean := b.latencyMean
+		if len(b.recentAnswers) < minReports {
 			mean = min(mean, guess)
 		}
-		quiet := mean + devs*min(b.dev, mean*devGuess)
+		quiet := mean + devs*min(b.latencyDeviation, mean*initialDeviationRatio)
 		return quiet+wait <= limit
 	}
-	slowest := b.mean + devs*b.dev
-	if slowest <= us(q.class.Objective)*admitSeen {
+	slowest := b.latencyMean + devs*b.latencyDeviation
+	if slowest <= micros(q.class.Objective)*minObservedLatency {
 		return true
 	}
-	expected, told := b.expected(q, slowest)
+	expected, told := b.expectedLatency(q, slowest)
 	if expected > limit && !told {
 		// Refusing brings no answers, so each refusal forgets some of what made it, until a query goes.
-		b.mean += relax * (min(b.median, guess) - b.mean)
-		b.dev -= relax * b.dev
+		b.latencyMean += rejectionForgetting * (min(b.medianServiceTime, guess) - b.latencyMean)
+		b.latencyDeviation -= rejectionForgetting * b.latencyDeviation
 	}
 	return expected <= limit
 }
 
-// worst is by how many deviations the slowest of a query's parts is beyond the mean, but for a share to
+// slowestDeviations is by how many deviations the slowest of a query's parts is beyond the mean, but for a share to
 // spare: of m times with an exponential tail the one with k beyond it lies about ln m/(k+1) of them out.
-func worst(parts int, spare float64) float64 {
+func slowestDeviations(parts int, spare float64) float64 {
 	m := float64(max(1, parts))
-	return worstDevs * math.Log(m/(1+math.Floor(m*spare)))
+	return tailDeviations * math.Log(m/(1+math.Floor(m*spare)))
 }
 
-// due is when a query's step has to end for its answer to be in time: a first step leaves time for the next.
-func (b *Balancer) due(q *query) time.Duration {
+// stepDue is when a query's step has to end for its answer to be in time: a first step leaves time for the next.
+func (b *Balancer) stepDue(q *query) time.Duration {
 	if q.step > 0 || q.class.FollowUpParts == 0 {
-		return q.aim
+		return q.objective
 	}
-	second := b.mean + b.dev*worst(q.class.FollowUpParts, 0)
-	return q.aim - duration(min(second, secondMost*us(q.class.Objective)))
+	second := b.latencyMean + b.latencyDeviation*slowestDeviations(q.class.FollowUpParts, 0)
+	return q.objective - duration(min(second, maxFollowUpReserve*micros(q.class.Objective)))
 }
 
-// expected is how long a new query may take by Little's law: parts held at sound servers over the rate at
+// expectedLatency is how long a new query may take by Little's law: parts held at sound servers over the rate at
 // which these answer. What is held falls as soon as less is sent, so refusing cannot feed on itself. Fresh
 // reports (their median: a few servers may hold most) and the parts sent since tell it, or own parts where
 // gatherers are few; else recent answer times must do. Each sound server is worth one core at least.
-func (b *Balancer) expected(q *query, slowest float64) (took float64, told bool) {
-	n := float64(b.set.Instances)
+func (b *Balancer) expectedLatency(q *query, slowest float64) (took float64, told bool) {
+	n := float64(b.settings.Instances)
 	own, sound, tellers := 0.0, 0.0, []float64(nil)
-	for _, s := range b.order {
-		if !s.listed || !s.sound(q.Class) {
+	for _, s := range b.endpoints {
+		if !s.listed || !s.healthyFor(q.Class) {
 			continue
 		}
-		sound += b.coldShare(s)
-		own += float64(len(s.out) - s.stuck)
-		if s.told >= 0 && s.reported > 0 && b.now-s.reported < rateSpan*b.shortAim {
-			parts := s.told
-			for _, a := range s.out {
-				if a.sent > s.reported {
+		sound += b.capacity(s)
+		own += float64(len(s.InFlight) - s.stalled)
+		if s.reportedInFlight >= 0 && s.reportedAt > 0 && b.now-s.reportedAt < answerRatePeriod*b.minObjective {
+			parts := s.reportedInFlight
+			for _, a := range s.InFlight {
+				if a.sent > s.reportedAt {
 					parts++
 				}
 			}
@@ -442,112 +442,114 @@
 		}
 	}
 	sound = max(sound, 1)
-	rate := n * float64(len(b.answers)) / us(rateSpan*b.shortAim) / sound
-	if rate = max(rate, 1/cmp.Or(b.median, b.mean)); tellers == nil && n > ownMost {
+	rate := n * float64(len(b.recentAnswers)) / micros(answerRatePeriod*b.minObjective) / sound
+	if rate = max(rate, 1/cmp.Or(b.medianServiceTime, b.latencyMean)); tellers == nil && n > maxExtrapolated {
 		return slowest, false
 	}
-	held := max(min(n, ownMost)*own/sound, median(tellers))
-	return (held + float64(len(q.parts))/sound) / rate * slowest / b.mean, true
+	held := max(min(n, maxExtrapolated)*own/sound, median(tellers))
+	return (held + float64(len(q.parts))/sound) / rate * slowest / b.latencyMean, true
 }
 
-// spent says whether a part that has no answer may not be sent again: rule 2, the cap, no replica.
-func (b *Balancer) spent(p *part) bool {
-	c := p.q.class
-	return !p.in && len(p.out) == 0 && (p.tries >= b.set.MaxAttempts || len(b.holders(p)) == 0 ||
-		p.mayRun &&
+// exhausted says whether a part that has no answer may not be sent again: rule 2, the cap, no replica.
+func (b *Balancer) exhausted(p *part) bool {
+	c := p.query.class
+	return !p.answered && len(p.inFlight) == 0 && (p.attempts >= b.settings.MaxAttempts || len(b.candidates(p)) == 0 ||
+		p.mayHaveRun &&
 			(c.Idempotency == NonIdempotent ||
-				c.Idempotency == KeyedIdempotent && b.now > p.firstRun+c.DedupWindow-b.set.Tick))
+				c.Idempotency == KeyedIdempotent && b.now > p.firstMayHaveRun+c.DedupWindow-b.settings.Tick))
 }
 
 // advancePart sends a part that waits, or backs up one that is late.
 func (b *Balancer) advancePart(p *part) {
-	if len(p.out) == 0 {
+	if len(p.inFlight) == 0 {
 		if b.now < p.notBefore {
 			return
 		}
-		asked := slices.ContainsFunc(p.failed, func(s *server) bool { return len(s.lost) > 0 })
-		if p.tries == 0 || b.budget() && !asked {
+		asked := slices.ContainsFunc(p.failedOn, func(s *server) bool { return len(s.resetQueries) > 0 })
+		if p.attempts == 0 || b.retryAllowed() && !asked {
 			if s := b.choose(p); s != nil {
 				b.send(p, s, false)
 			}
 		}
 		return
 	}
-	a := p.out[len(p.out)-1]
-	c := p.q.class
-	if len(p.out) > 1 || p.tries >= b.set.MaxAttempts || c.Idempotency == NonIdempotent || a.called ||
-		c.Idempotency == KeyedIdempotent && b.now+duration(b.mean) > p.out[0].sent+c.DedupWindow {
+	a := p.inFlight[len(p.inFlight)-1]
+	c := p.query.class
+	if len(p.inFlight) > 1 || p.attempts >= b.settings.MaxAttempts || c.Idempotency == NonIdempotent || a.canceled ||
+		c.Idempotency == KeyedIdempotent && b.now+duration(b.latencyMean) > p.inFlight[0].sent+c.DedupWindow {
 		return
 	}
-	age, late := us(b.now-a.sent), b.late()
-	if !b.set.CanHedge {
+	age, late := micros(b.now-a.sent), b.overdueAfter()
+	if !b.settings.CanHedge {
 		// Starting over loses the time waited and adds work, and the late parts of a sound server are heavy
 		// ones, late again elsewhere: where the server shows nothing, or so late that the part is lost there.
-		if late *= cancelLate; !a.srv.way.fit() {
-			late = b.mean + b.dev
+		if late *= cancelOverdue; !a.server.path.Usable() {
+			late = b.latencyMean + b.latencyDeviation
 		}
-		if of := a.srv.of[p.q.Class]; a.srv.listed && of.lastOK > a.sent && of.loss < lossWeight {
-			late = lostLate * b.late()
+		if of := a.server.perClass[p.query.Class]; a.server.listed && of.LastSuccess > a.sent && of.LossRate < lossSmoothing {
+			late = lostOverdue * b.overdueAfter()
 		}
-	} else if !a.srv.sound(p.q.Class) || !a.srv.listed {
-		late = b.mean + b.dev
+	} else if !a.server.healthyFor(p.query.Class) || !a.server.listed {
+		late = b.latencyMean + b.latencyDeviation
 	}
-	if age <= late || b.hedgeTokens < 1 || !b.budget() {
+	if age <= late || b.hedgeTokens < 1 || !b.retryAllowed() {
 		return
 	}
 	s := b.choose(p)
 	// Nor from one that is behind, which says why it is late, to another: it is done there all the same.
-	held := b.behind(a.srv) && a.srv.way.fit() && !a.srv.barely() && s != nil && b.behind(s)
-	if s == nil || p.doubts(s) > 0 || s.silent || s.barely() || held {
+	held := b.backlogged(a.server) && a.server.path.Usable() && !a.server.nearlyExcluded() && s != nil && b.backlogged(s)
+	if s == nil || p.penaltyOf(s) > 0 || s.Unresponsive || s.nearlyExcluded() || held {
 		return
 	}
-	if b.hedgeTokens--; b.set.CanHedge {
+	if b.hedgeTokens--; b.settings.CanHedge {
 		b.send(p, s, true)
 	} else {
-		b.callOff(a)
+		b.cancel(a)
 	}
 }
 
-func (b *Balancer) late() float64 { return b.mean + lateDevs*b.dev } // beyond it an attempt is late
+func (b *Balancer) overdueAfter() float64 {
+	return b.latencyMean + overdueDeviations*b.latencyDeviation
+} // beyond it an attempt is late
 
-// budget says whether rule 6 lets one more further attempt go out.
-func (b *Balancer) budget() bool {
-	rule := b.set.Rules
+// retryAllowed says whether rule 6 lets one more further attempt go out.
+func (b *Balancer) retryAllowed() bool {
+	rule := b.settings.Rules
 	if rule.RetryBudgetWindow <= 0 {
 		return true
 	}
-	retries := float64(len(within(&b.further, b.now-rule.RetryBudgetWindow-1)) + 1)
-	taken := float64(len(within(&b.took, b.now-rule.RetryBudgetWindow)))
+	retries := float64(len(within(&b.retries, b.now-rule.RetryBudgetWindow-1)) + 1)
+	taken := float64(len(within(&b.requests, b.now-rule.RetryBudgetWindow)))
 	return retries <= rule.RetryBudgetBase+rule.RetryBudgetRatio*taken
 }
 
 func (b *Balancer) send(p *part, s *server, hedge bool) {
-	a := &attempt{part: p, srv: s, n: p.tries, sent: b.now}
-	if p.tries > 0 {
-		b.count(&b.further)
+	a := &attempt{part: p, server: s, number: p.attempts, sent: b.now}
+	if p.attempts > 0 {
+		b.count(&b.retries)
 	} else {
-		b.hedgeTokens = min(hedgeMost, b.hedgeTokens+hedgeRate*b.rootN)
-	}
-	p.tries++
-	p.out = append(p.out, a)
-	of := &s.of[p.q.Class]
-	s.out, s.way.out, of.out = append(s.out, a), append(s.way.out, a), append(of.out, a)
-	b.attempts[attemptKey{p.ID, a.n}] = a
-	b.cold.Sent(&s.cold, b.now)
-	if !s.way.fit() {
-		s.way.trialAt = b.now + duration(b.late())
-	} else if !s.sound(p.q.Class) {
-		of.trialAt = b.now + duration(trialGap*b.rootN*max(b.late(), slices.Max(append(s.times, 0))))
-		s.trialAt = max(s.trialAt, of.trialAt)
+		b.hedgeTokens = min(maxHedgeTokens, b.hedgeTokens+hedgesPerPart*b.sqrtInstances)
+	}
+	p.attempts++
+	p.inFlight = append(p.inFlight, a)
+	of := &s.perClass[p.query.Class]
+	s.InFlight, s.path.InFlight, of.InFlight = append(s.InFlight, a), append(s.path.InFlight, a), append(of.InFlight, a)
+	b.attempts[attemptKey{p.ID, a.number}] = a
+	b.slowStart.RecordSend(&s.slowStart, b.now)
+	if !s.path.Usable() {
+		s.path.NextTrial = b.now + duration(b.overdueAfter())
+	} else if !s.healthyFor(p.query.Class) {
+		of.NextTrial = b.now + duration(halfOpenInterval*b.sqrtInstances*max(b.overdueAfter(), slices.Max(append(s.recent, 0))))
+		s.NextTrial = max(s.NextTrial, of.NextTrial)
 	}
 	act := Send{Part: p.ID, Replica: s.id}
-	if !b.set.CanCancel && !b.set.CanHedge && p.q.class.Idempotency != NonIdempotent {
-		act.Timeout = duration(b.late())
+	if !b.settings.CanCancel && !b.settings.CanHedge && p.query.class.Idempotency != NonIdempotent {
+		act.Timeout = duration(b.overdueAfter())
 	}
 	if hedge {
-		b.do(Hedge(act))
+		b.emit(Hedge(act))
 	} else {
-		b.do(act)
+		b.emit(act)
 	}
 }
 
@@ -556,21 +558,21 @@
 // rank is C3's: R - S + (1 + os n + q)^b S. A cold server's S is stretched by the share of its capacity
 // that it has, so that it ranks by what it can do now.
 func (b *Balancer) rank(s *server) float64 {
-	r, sv, q := b.averages(s)
-	share := b.coldShare(s)
-	qHat := 1 + float64(len(s.out)-s.stuck)*min(ownMost, float64(b.set.Instances)) + q
-	return r - sv + math.Pow(qHat, rankPower)*sv/share
+	r, sv, q := b.averagesOf(s)
+	share := b.capacity(s)
+	qHat := 1 + float64(len(s.InFlight)-s.stalled)*min(maxExtrapolated, float64(b.settings.Instances)) + q
+	return r - sv + math.Pow(qHat, rankExponent)*sv/share
 }
 
-// averages are a server's R, S and q: its own, or while it is unheard the mean of the known ones. A reported
+// averagesOf are a server's R, S and q: its own, or while it is unheard the mean of the known ones. A reported
 // queue goes toward that mean with its age: one gatherer of many may have heard it many queues ago.
-func (b *Balancer) averages(s *server) (r, sv, q float64) {
-	r, sv, q = b.known.r, b.known.s, b.known.q
-	if s.heard {
-		r, sv = s.r, s.s
+func (b *Balancer) averagesOf(s *server) (r, sv, q float64) {
+	r, sv, q = b.fleetAverages.latency, b.fleetAverages.serviceTime, b.fleetAverages.queue
+	if s.measured {
+		r, sv = s.latency, s.serviceTime
 	}
-	if s.reported > 0 {
-		q += (s.q - q) * math.Exp(-us(b.now-s.reported)/(staleAfter*us(b.shortAim)))
+	if s.reportedAt > 0 {
+		q += (s.queue - q) * math.Exp(-micros(b.now-s.reportedAt)/(reportLifetime*micros(b.minObjective)))
 	}
 	return r, sv, q
 }
@@ -578,15 +580,15 @@
 // choose picks the replica for a part's next attempt: the lowest C3 rank among the candidates; or nil.
 func (b *Balancer) choose(p *part) *server {
 	var can, sound, some []*server
-	all := b.holders(p)
+	all := b.candidates(p)
 	// Evidence keeps a class off a server: but for a trial where one is granted, it gets only those parts
 	// whose replicas are all like that.
-	if slices.ContainsFunc(all, p.shunnedBy) {
-		kept := slices.DeleteFunc(slices.Clone(all), p.shunnedBy)
+	if slices.ContainsFunc(all, p.ejectedAt) {
+		kept := slices.DeleteFunc(slices.Clone(all), p.ejectedAt)
 		for _, s := range all {
-			if len(kept) > 0 && s.trial(p.q.Class) && p.tries == 0 && !p.q.trial && b.now >= s.full {
-				s.HalfOpenClasses &^= 1 << p.q.Class
-				p.q.trial = true
+			if len(kept) > 0 && s.halfOpenFor(p.query.Class) && p.attempts == 0 && !p.query.halfOpenUsed && b.now >= s.avoidUntil {
+				s.HalfOpenClasses &^= 1 << p.query.Class
+				p.query.halfOpenUsed = true
 				return s
 			}
 		}
@@ -595,16 +597,16 @@
 		}
 	}
 	// One with next to no share is not to get what only waits for another holder to be free.
-	all = prefer(all, func(s *server) bool { return !s.barely() || !b.thinned(p, s) })
+	all = prefer(all, func(s *server) bool { return !s.nearlyExcluded() || !b.skipsByFraction(p, s) })
 	for _, s := range all {
-		busy := slices.ContainsFunc(p.out, func(a *attempt) bool { return a.srv == s })
-		if busy || b.now < s.full || !b.coldRoom(p, s) || s.MaxInFlight > 0 && len(s.out) >= s.MaxInFlight {
+		busy := slices.ContainsFunc(p.inFlight, func(a *attempt) bool { return a.server == s })
+		if busy || b.now < s.avoidUntil || !b.slowStartAllows(p, s) || s.MaxInFlight > 0 && len(s.InFlight) >= s.MaxInFlight {
 			continue
 		}
 		can = append(can, s)
-		if s.sound(p.q.Class) && !slices.Contains(p.failed, s) {
+		if s.healthyFor(p.query.Class) && !slices.Contains(p.failedOn, s) {
 			sound = append(sound, s)
-		} else if s.useful(p) {
+		} else if s.usableFor(p) {
 			some = append(some, s)
 		}
 	}
@@ -613,15 +615,15 @@
 	}
 	// A doubted server comes back by one trial at a time, and a query carries one: with many gatherers a wide
 	// query finds a trial due at every doubted server. What may not run twice is the last to try one.
-	if p.tries == 0 && len(sound) > 0 && !p.q.trial {
+	if p.attempts == 0 && len(sound) > 0 && !p.query.halfOpenUsed {
 		for _, s := range can {
-			h, wait := s.doubted(p.q.Class), duration(0)
-			if p.q.class.Idempotency == NonIdempotent {
-				wait = duration(unsafeTrial * b.late())
+			h, wait := s.fault(p.query.Class), duration(0)
+			if p.query.class.Idempotency == NonIdempotent {
+				wait = duration(unsafeHalfOpenDelay * b.overdueAfter())
 			}
-			if h != nil && !s.noReply && len(h.out) == 0 && !b.thinned(p, s) && b.now >= h.trialAt+wait &&
-				(s.way.fit() || len(s.way.out) == 0 && b.now >= s.way.trialAt) {
-				p.q.trial = true
+			if h != nil && !s.probeFailed && len(h.InFlight) == 0 && !b.skipsByFraction(p, s) && b.now >= h.NextTrial+wait &&
+				(s.path.Usable() || len(s.path.InFlight) == 0 && b.now >= s.path.NextTrial) {
+				p.query.halfOpenUsed = true
 				return s
 			}
 		}
@@ -631,41 +633,41 @@
 	if len(sound) == 0 {
 		// None is sound: a good way, then no failure of this part, then none of its class, then the quick,
 		// then the least doubted.
-		from = prefer(can, func(s *server) bool { return s.way.fit() })
-		from = prefer(from, func(s *server) bool { return !slices.Contains(p.failed, s) })
-		from = prefer(from, func(s *server) bool { return s.of[p.q.Class].doubt == 0 })
-		from = prefer(from, func(s *server) bool { return !s.slow })
-		least := slices.MinFunc(from, func(s, o *server) int { return cmp.Compare(p.doubts(s), p.doubts(o)) })
-		from = prefer(from, func(s *server) bool { return p.doubts(s) == p.doubts(least) })
+		from = prefer(can, func(s *server) bool { return s.path.Usable() })
+		from = prefer(from, func(s *server) bool { return !slices.Contains(p.failedOn, s) })
+		from = prefer(from, func(s *server) bool { return s.perClass[p.query.Class].Penalty == 0 })
+		from = prefer(from, func(s *server) bool { return !s.Slow })
+		least := slices.MinFunc(from, func(s, o *server) int { return cmp.Compare(p.penaltyOf(s), p.penaltyOf(o)) })
+		from = prefer(from, func(s *server) bool { return p.penaltyOf(s) == p.penaltyOf(least) })
 	}
 	// Near ties go to the own zone.
 	ranks, best := make([]float64, len(from)), math.Inf(1)
 	for i, s := range from {
-		ranks[i] = b.rank(s) * (1 + b.rng.Float64()*lotSpread)
-		if len(sound) > 0 && i >= len(sound) || b.thinned(p, s) {
-			ranks[i] *= lossRank
+		ranks[i] = b.rank(s) * (1 + b.rng.Float64()*rankJitter)
+		if len(sound) > 0 && i >= len(sound) || b.skipsByFraction(p, s) {
+			ranks[i] *= unhealthyRankFactor
 		}
 		best = min(best, ranks[i])
 	}
 	win, winHome, winRank := (*server)(nil), false, 0.0
 	for i, s := range from {
-		home := s.zone == b.set.Zone
-		if ranks[i] > best && (!home || ranks[i] > best*nearTie) {
+		home := s.zone == b.settings.Zone
+		if ranks[i] > best && (!home || ranks[i] > best*zoneTolerance) {
 			continue
 		}
 		if win == nil || home && !winHome || home == winHome && ranks[i] < winRank {
 			win, winHome, winRank = s, home, ranks[i]
 		}
 	}
-	if p.tries == 0 {
-		b.pull(win, from[:cmp.Or(len(sound), len(from))])
+	if p.attempts == 0 {
+		b.pullBack(win, from[:cmp.Or(len(sound), len(from))])
 	}
 	return win
 }
 
-// thinned says whether a server with a share gives this part to others: between two of which one has share
+// skipsByFraction says whether a server with a share gives this part to others: between two of which one has share
 // w, it gets w parts for each of the other's.
-func (b *Balancer) thinned(p *part, s *server) bool {
+func (b *Balancer) skipsByFraction(p *part, s *server) bool {
 	w := cmp.Or(s.TrafficFraction, 1)
 	for _, h := range p.Candidates {
 		if h.Replica == s.id {
@@ -675,164 +677,164 @@
 	return w < 1 && b.rng.Float64() > 2*w/(1+w)
 }
 
-// pull moves the losers' averages half way to the winner's. Only candidates: a server that answers nothing
+// pullBack moves the losers' averages half way to the winner's. Only candidates: a server that answers nothing
 // must not come to look like one that does.
-func (b *Balancer) pull(win *server, from []*server) {
-	r, sv, q := b.averages(win)
+func (b *Balancer) pullBack(win *server, from []*server) {
+	r, sv, q := b.averagesOf(win)
 	for _, s := range from {
-		if s != win && s.heard {
-			s.r, s.s, s.q = (s.r+r)/2, (s.s+sv)/2, (s.q+q)/2
+		if s != win && s.measured {
+			s.latency, s.serviceTime, s.queue = (s.latency+r)/2, (s.serviceTime+sv)/2, (s.queue+q)/2
 		}
 	}
 }
 
 // ---- what servers show
 
-func (b *Balancer) outcome(e AttemptEnded) {
+func (b *Balancer) endAttempt(e AttemptEnded) {
 	key := attemptKey{e.Part, e.Attempt}
 	a := b.attempts[key]
 	if a == nil {
 		return
 	}
 	delete(b.attempts, key)
-	p, s := a.part, a.srv
+	p, s := a.part, a.server
 	same := func(o *attempt) bool { return o == a }
-	p.out = slices.DeleteFunc(p.out, same)
-	s.out, s.way.out = slices.DeleteFunc(s.out, same), slices.DeleteFunc(s.way.out, same)
-	of := &s.of[p.q.Class]
-	of.out = slices.DeleteFunc(of.out, same)
-	b.report(s, e.Report)
-	took := us(b.now - a.sent)
-	of.lose(e.Result != OK && e.Result != QueueFull && (e.Result < Canceled || took > b.late()))
+	p.inFlight = slices.DeleteFunc(p.inFlight, same)
+	s.InFlight, s.path.InFlight = slices.DeleteFunc(s.InFlight, same), slices.DeleteFunc(s.path.InFlight, same)
+	of := &s.perClass[p.query.Class]
+	of.InFlight = slices.DeleteFunc(of.InFlight, same)
+	b.recordLoad(s, e.Report)
+	took := micros(b.now - a.sent)
+	of.RecordOutcome(e.Result != OK && e.Result != QueueFull && (e.Result < Canceled || took > b.overdueAfter()))
 	switch e.Result {
 	case OK:
-		of.lastOK = b.now
-		of.clear()
-		b.answered(s, took, len(p.q.parts))
-		if b.parts[p.ID] == p && !p.in {
-			p.in = true
-			if a.n > 0 && (len(p.out) > 0 || took <= b.late()) {
-				b.hedgeTokens = min(hedgeMost, b.hedgeTokens+1) // it paid
+		of.LastSuccess = b.now
+		of.RecordSuccess()
+		b.recordAnswer(s, took, len(p.query.parts))
+		if b.parts[p.ID] == p && !p.answered {
+			p.answered = true
+			if a.number > 0 && (len(p.inFlight) > 0 || took <= b.overdueAfter()) {
+				b.hedgeTokens = min(maxHedgeTokens, b.hedgeTokens+1) // it paid
 			}
-			for _, o := range p.out {
-				b.callOff(o)
+			for _, o := range p.inFlight {
+				b.cancel(o)
 			}
 		}
 		return
 	case Failed, Reset:
-		p.ran(a)
-		if b.blame(s, of, b.now); e.Result == Reset {
-			b.lost(s, p.q)
+		p.recordMayHaveRun(a)
+		if b.recordFailure(s, of, b.now); e.Result == Reset {
+			b.connectionLost(s, p.query)
 		} else {
-			s.way.doubt = 0 // its word came through
+			s.path.Penalty = 0 // its word came through
 		}
 	case ConnectFailed:
 		// It is down: nothing is gained by asking again at once. Longer each time.
-		b.blame(s, &health{}, b.now)
-		s.full = b.now + duration(s.doubt*b.late())
-		s.verdict(true)
-		if b.now-s.cold.Started > b.set.Rules.WarmupPeriod {
-			s.times = nil
+		b.recordFailure(s, &record{}, b.now)
+		s.avoidUntil = b.now + duration(s.Penalty*b.overdueAfter())
+		s.resolveResets(true)
+		if b.now-s.slowStart.Started > b.settings.Rules.WarmupPeriod {
+			s.recent = nil
 		}
 	case QueueFull:
 		// Keep off until some of the queue is worked off; a fast refusal empties os and draws the next part.
-		s.full = b.now + duration(fullSpell*b.mean)
+		s.avoidUntil = b.now + duration(queueFullBackoff*b.latencyMean)
 	case TimedOut, Canceled:
-		p.ran(a)
+		p.recordMayHaveRun(a)
 		// Late, and nothing came from there since or another attempt was quicker: as good as a failure. Else
 		// a server that answers nothing, or not everything, would be as new once its parts are called off.
-		lost := of.lastOK <= a.sent || took > lostLate*b.late()
-		if e.Result == TimedOut || took > b.late() && (p.in || lost) {
-			b.blame(s, of, a.sent)
+		lost := of.LastSuccess <= a.sent || took > lostOverdue*b.overdueAfter()
+		if e.Result == TimedOut || took > b.overdueAfter() && (p.answered || lost) {
+			b.recordFailure(s, of, a.sent)
 		}
-		if s.lastOK <= a.sent { // else the part was lost, and its time says nothing of the others'
-			b.censored(s, took, len(p.q.parts))
+		if s.LastSuccess <= a.sent { // else the part was lost, and its time says nothing of the others'
+			b.recordUnanswered(s, took, len(p.query.parts))
 		}
 	}
-	p.failed = append(p.failed, s)
+	p.failedOn = append(p.failedOn, s)
 	// No other is sound: attempts spread over the time left meet queues worked off meanwhile.
-	if b.parts[p.ID] == p && !slices.ContainsFunc(b.holders(p), func(o *server) bool {
-		return !o.barely() && o.sound(p.q.Class) && !slices.Contains(p.failed, o)
+	if b.parts[p.ID] == p && !slices.ContainsFunc(b.candidates(p), func(o *server) bool {
+		return !o.nearlyExcluded() && o.healthyFor(p.query.Class) && !slices.Contains(p.failedOn, o)
 	}) {
-		p.notBefore = b.now + max(0, p.q.aim-b.now)/time.Duration(1+b.set.MaxAttempts-p.tries)
+		p.notBefore = b.now + max(0, p.query.objective-b.now)/time.Duration(1+b.settings.MaxAttempts-p.attempts)
 	}
 }
 
-// lost notes that a query lost a server under one of its parts, and asks that server whether it still runs.
+// connectionLost notes that a query lost a server under one of its parts, and asks that server whether it still runs.
 // Guards against queries that bring down whatever begins them: the servers are innocent, and a part sent
 // again brings down the next. Also catches mass crashes, where the rest of a wide query is hopeless.
-func (b *Balancer) lost(s *server, q *query) {
-	if !slices.Contains(s.lost, q) {
-		s.lost = append(s.lost, q)
+func (b *Balancer) connectionLost(s *server, q *query) {
+	if !slices.Contains(s.resetQueries, q) {
+		s.resetQueries = append(s.resetQueries, q)
 	}
 	switch {
-	case !b.set.CanProbe:
-		s.verdict(true)
+	case !b.settings.CanProbe:
+		s.resolveResets(true)
 	case !s.probing:
 		s.probing = true
-		b.do(Probe{Replica: s.id})
+		b.emit(Probe{Replica: s.id})
 	}
 }
 
-// blame holds a failure against how a server does with a class of queries, and unless it has answered others
+// recordFailure holds a failure against how a server does with a class of queries, and unless it has answered others
 // since then, against the server.
-func (b *Balancer) blame(s *server, of *health, since time.Duration) {
+func (b *Balancer) recordFailure(s *server, of *record, since time.Duration) {
 	// Longer each time: a server may lose most of a class, and each trial costs a query its late time.
-	of.fails++
-	trial := b.now + duration(trialGap*b.rootN*b.late()*min(trialMost, of.fails))
-	of.doubt, of.trialAt = min(doubtMost, of.doubt+1), trial
-	if s.lastOK > since {
+	of.Failures++
+	trial := b.now + duration(halfOpenInterval*b.sqrtInstances*b.overdueAfter()*min(maxBackoffFactor, of.Failures))
+	of.Penalty, of.NextTrial = min(maxPenalty, of.Penalty+1), trial
+	if s.LastSuccess > since {
 		return
 	}
-	if s.zone != b.set.Zone {
-		s.way.doubt++
+	if s.zone != b.settings.Zone {
+		s.path.Penalty++
 	}
-	s.doubt, s.trialAt = min(doubtMost, s.doubt+1), b.now+duration(trialGap*b.rootN*b.late())
+	s.Penalty, s.NextTrial = min(maxPenalty, s.Penalty+1), b.now+duration(halfOpenInterval*b.sqrtInstances*b.overdueAfter())
 }
 
-// answered takes an answer time into the averages.
-func (b *Balancer) answered(s *server, took float64, parts int) {
-	s.way.doubt, s.way.lastOK = 0, b.now
-	s.way.least = min(took, (1-wayRise)*cmp.Or(s.way.least, took)+wayRise*took)
+// recordAnswer takes an answer time into the averages.
+func (b *Balancer) recordAnswer(s *server, took float64, parts int) {
+	s.path.Penalty, s.path.LastSuccess = 0, b.now
+	s.path.MinLatency = min(took, (1-minLatencyRise)*cmp.Or(s.path.MinLatency, took)+minLatencyRise*took)
 	s.note(took)
-	least := slices.Min(s.times)
-	if !s.heard {
-		_, _, q := b.averages(s)
-		s.r, s.s, s.q, s.heard = took, least, q, true
+	least := slices.Min(s.recent)
+	if !s.measured {
+		_, _, q := b.averagesOf(s)
+		s.latency, s.serviceTime, s.queue, s.measured = took, least, q, true
 	} else {
-		s.r += smoothing * (took - s.r)
-		s.s += smoothing * (least - s.s)
+		s.latency += latencySmoothing * (took - s.latency)
+		s.serviceTime += latencySmoothing * (least - s.serviceTime)
 	}
-	s.lastOK, s.noReply, s.dark = b.now, false, false
-	b.flow++
-	b.answers = append(within(&b.answers, b.now-rateSpan*b.shortAim), b.now)
-	s.clear()
-	b.learn(took, parts)
+	s.LastSuccess, s.probeFailed, s.probeUnanswered = b.now, false, false
+	b.demandAnswered++
+	b.recentAnswers = append(within(&b.recentAnswers, b.now-answerRatePeriod*b.minObjective), b.now)
+	s.RecordSuccess()
+	b.learnLatency(took, parts)
 }
 
-// learn takes the answer time of one of so many parts into the mean over all servers. Each query counts about
+// learnLatency takes the answer time of one of so many parts into the mean over all servers. Each query counts about
 // the same: its parts come in by their times, and the last of a wide one, its slowest, would stand for all.
-func (b *Balancer) learn(took float64, parts int) {
-	weight := min(fleetSmooth, querySmooth/float64(max(1, parts)))
-	b.dev += weight * (math.Abs(took-b.mean) - b.dev)
-	b.mean += weight * (took - b.mean)
+func (b *Balancer) learnLatency(took float64, parts int) {
+	weight := min(maxFleetSmoothing, querySmoothing/float64(max(1, parts)))
+	b.latencyDeviation += weight * (math.Abs(took-b.latencyMean) - b.latencyDeviation)
+	b.latencyMean += weight * (took - b.latencyMean)
 }
 
-// censored takes the time of an attempt that was not answered: its answer would have taken longer, so
+// recordUnanswered takes the time of an attempt that was not answered: its answer would have taken longer, so
 // the average may only rise.
-func (b *Balancer) censored(s *server, took float64, parts int) {
-	if s.heard && took > s.r {
-		s.r += smoothing * (took - s.r)
+func (b *Balancer) recordUnanswered(s *server, took float64, parts int) {
+	if s.measured && took > s.latency {
+		s.latency += latencySmoothing * (took - s.latency)
 	}
-	if took > b.mean && s.well() {
-		b.learn(took, parts)
+	if took > b.latencyMean && s.healthy() {
+		b.learnLatency(took, parts)
 	}
-	if took > slowRatio*b.least() {
+	if took > slowFactor*b.serviceTimeMedian() {
 		s.note(took) // or a server so slow that none of its answers is waited for never shows it
 	}
 }
 
-func (b *Balancer) report(s *server, r *LoadReport) {
+func (b *Balancer) recordLoad(s *server, r *LoadReport) {
 	if r == nil {
 		return
 	}
@@ -840,93 +842,93 @@
 	if r.Queue < 0 {
 		q = max(0, r.InFlight)
 	}
-	if s.reported == 0 {
-		s.q = q
+	if s.reportedAt == 0 {
+		s.queue = q
 	}
-	s.q += qSmoothing * (q - s.q)
+	s.queue += queueSmoothing * (q - s.queue)
 	// Keep off while more than an aim's worth of parts waits. Guards a shard whose replicas are all crowded,
 	// which the fleet's state does not show. May hurt where servers have many cores.
-	s.full = max(s.full, b.now+duration(b.workOff(q)-us(b.shortAim)*admitBase))
-	s.reported, s.told = b.now, r.InFlight
+	s.avoidUntil = max(s.avoidUntil, b.now+duration(b.drainTime(q)-micros(b.minObjective)*admissionShare))
+	s.reportedAt, s.reportedInFlight = b.now, r.InFlight
 }
 
-func (b *Balancer) probeResult(e ProbeEnded) {
+func (b *Balancer) endProbe(e ProbeEnded) {
 	s := b.servers[e.Replica]
 	if s == nil {
 		return
 	}
 	s.probing = false
-	silent := s.dark
-	s.noReply, s.dark = e.Result != OK, e.Result != OK && e.Result != Failed
-	s.verdict(s.noReply)
+	silent := s.probeUnanswered
+	s.probeFailed, s.probeUnanswered = e.Result != OK, e.Result != OK && e.Result != Failed
+	s.resolveResets(s.probeFailed)
 	switch {
 	case e.Result == OK:
-		b.remarkQueue(s, e.Report, silent)
-		b.report(s, e.Report)
+		b.observeQueue(s, e.Report, silent)
+		b.recordLoad(s, e.Report)
 		if e.Report != nil && e.Report.Queue >= 0 {
-			s.waiting, s.askedAt = e.Report.Queue, b.now
+			s.probedQueue, s.probedQueueAt = e.Report.Queue, b.now
 		}
-	case s.dark && b.now-s.lastOK > b.set.ProbeTimeout:
-		b.remark(s, noAnswer)
+	case s.probeUnanswered && b.now-s.LastSuccess > b.settings.ProbeTimeout:
+		b.observe(s, unresponsiveValue)
 	}
 }
 
-// ask asks the replicas of a new query's parts for their load, as far as parts taken have earned it, and says
+// probeReplicas asks the replicas of a new query's parts for their load, as far as parts taken have earned it, and says
 // whether to wait for their word. One of many meets a server so rarely that what it last heard is old.
-func (b *Balancer) ask(q *query) bool {
-	if !b.set.CanProbe || !b.set.LoadReportsOnProbe {
+func (b *Balancer) probeReplicas(q *query) bool {
+	if !b.settings.CanProbe || !b.settings.LoadReportsOnProbe {
 		return false
 	}
 	var holders []*server
 	for _, p := range q.parts {
-		holders = append(holders, b.holders(p)...)
+		holders = append(holders, b.candidates(p)...)
 	}
-	if q.askedAt == 0 {
-		q.askedAt = b.now
-		b.probeTokens = min(probeMost*float64(len(q.parts)), b.probeTokens) + probeRate*float64(len(q.parts))
+	if q.probedAt == 0 {
+		q.probedAt = b.now
+		b.probeTokens = min(maxProbesPerPart*float64(len(q.parts)), b.probeTokens) + probesPerPart*float64(len(q.parts))
 		oldest := slices.Clone(holders)
-		slices.SortStableFunc(oldest, func(s, o *server) int { return cmp.Compare(s.probed, o.probed) })
+		slices.SortStableFunc(oldest, func(s, o *server) int { return cmp.Compare(s.probedAt, o.probedAt) })
 		for _, s := range oldest {
-			if b.probeTokens >= 1 && !s.probing && us(b.now-s.probed) >= us(b.shortAim)*probeGap {
+			if b.probeTokens >= 1 && !s.probing && micros(b.now-s.probedAt) >= micros(b.minObjective)*minProbeInterval {
 				b.probeTokens--
-				s.probing, s.probed = true, b.now
-				b.do(Probe{Replica: s.id})
+				s.probing, s.probedAt = true, b.now
+				b.emit(Probe{Replica: s.id})
 			}
 		}
 	}
-	return us(b.now-q.askedAt) < us(b.shortAim)*probeWait &&
+	return micros(b.now-q.probedAt) < micros(b.minObjective)*maxProbeWait &&
 		slices.ContainsFunc(holders, func(s *server) bool { return s.probing })
 }
 
-// judge looks for servers that are silent or slow, whatever makes them so.
-func (b *Balancer) judge() {
-	within(&b.answers, b.now-rateSpan*b.shortAim)
-	n, known := 0.0, averages{r: us(b.shortAim), s: us(b.shortAim)}
-	for _, s := range b.order {
-		if s.heard && s.listed {
+// assessServers looks for servers that are silent or slow, whatever makes them so.
+func (b *Balancer) assessServers() {
+	within(&b.recentAnswers, b.now-answerRatePeriod*b.minObjective)
+	n, known := 0.0, averages{latency: micros(b.minObjective), serviceTime: micros(b.minObjective)}
+	for _, s := range b.endpoints {
+		if s.measured && s.listed {
 			n++
-			known = averages{known.r + (s.r-known.r)/n, known.s + (s.s-known.s)/n, known.q + (s.q-known.q)/n}
+			known = averages{known.latency + (s.latency-known.latency)/n, known.serviceTime + (s.serviceTime-known.serviceTime)/n, known.queue + (s.queue-known.queue)/n}
 		}
 	}
-	b.known = known
-	b.median = b.least() // for the rest of the turn: no answer comes in before the next
-	for _, s := range b.order {
-		s.silent = b.mute(&s.health, b.late()/b.coldShare(s)) > 0 || s.dark && b.set.GossipEnabled()
-		s.stuck = 0
-		for c := range s.of {
-			stuck := b.mute(&s.of[c], b.late()/b.coldShare(s))
-			s.of[c].silent, s.stuck = stuck > 0, s.stuck+stuck
+	b.fleetAverages = known
+	b.medianServiceTime = b.serviceTimeMedian() // for the rest of the turn: no answer comes in before the next
+	for _, s := range b.endpoints {
+		s.Unresponsive = b.countStalled(&s.record, b.overdueAfter()/b.capacity(s)) > 0 || s.probeUnanswered && b.settings.GossipEnabled()
+		s.stalled = 0
+		for c := range s.perClass {
+			stuck := b.countStalled(&s.perClass[c], b.overdueAfter()/b.capacity(s))
+			s.perClass[c].Unresponsive, s.stalled = stuck > 0, s.stalled+stuck
 		}
-		s.slow = b.coldShare(s) == 1 && len(s.times) >= slowTimes-1 &&
-			slices.Min(s.times[max(0, len(s.times)-slowTimes):]) > slowRatio*b.median
+		s.Slow = b.capacity(s) == 1 && len(s.recent) >= slowSamples-1 &&
+			slices.Min(s.recent[max(0, len(s.recent)-slowSamples):]) > slowFactor*b.medianServiceTime
 	}
 	// What is bad with a whole other zone is bad with the way there, whatever it is: cut, slow, or all lost.
 	// Its servers are left together and one part at a time tries the way. May hurt where they are the better.
-	for zone, w := range b.ways {
-		if zone != b.set.Zone {
-			w.silent = b.mute(&w.health, b.late()) >= doubtMost ||
-				b.mute(&w.health, b.mean+b.dev) >= recentTimes
-			w.slow = b.median > 0 && w.least > slowRatio*b.median
+	for zone, w := range b.paths {
+		if zone != b.settings.Zone {
+			w.Unresponsive = b.countStalled(&w.record, b.overdueAfter()) >= maxPenalty ||
+				b.countStalled(&w.record, b.latencyMean+b.latencyDeviation) >= recentSize
+			w.Slow = b.medianServiceTime > 0 && w.MinLatency > slowFactor*b.medianServiceTime
 		}
 	}
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -56,7 +56,7 @@
 // query returns the events of a query of class c with n parts. Its id comes first, those of its parts follow.
 func (h *bench) query(c, n int) (ID, []Event) {
 	id := h.next
-	left := h.b.set.Classes[c].Deadline
+	left := h.b.settings.Classes[c].Deadline
 	events := []Event{Query{ID: id, Group: uint64(id), Class: c, TimeLeft: left, Parts: n}}
 	for i := range n {
 		events = append(events, Part{ID: id + 1 + ID(i), Group: uint64(id), Shard: i, Weight: 1 / float64(n)})
@@ -114,14 +114,14 @@
 	h := newBench(t, testSettings())
 	for i, name := range []Replica{"a", "b", "c"} {
 		s := h.b.servers[name]
-		s.heard, s.reported, s.averages = true, h.now, averages{100e3, 100e3, float64(3 - i)}
+		s.measured, s.reportedAt, s.averages = true, h.now, averages{100e3, 100e3, float64(3 - i)}
 	}
 	_, ev := h.query(0, 1)
 	if s := one[Send](h, h.turn(ev...)); s.Replica != "c" {
 		t.Errorf("sent to %s, want c with the shortest queue", s.Replica)
 	}
 	// R 100, S 100: losers move half way to the winner's q of 1, the winner stays.
-	if a, b := h.b.servers["a"].q, h.b.servers["b"].q; a != 2 || b != 1.5 {
+	if a, b := h.b.servers["a"].queue, h.b.servers["b"].queue; a != 2 || b != 1.5 {
 		t.Errorf("losers' q %v and %v, want 2 and 1.5", a, b)
 	}
 }
@@ -129,8 +129,8 @@
 func TestRankIsC3(t *testing.T) {
 	h := newBench(t, testSettings())
 	s := h.b.servers["a"]
-	s.heard, s.reported, s.averages = true, h.now, averages{300, 100, 2}
-	s.out = []*attempt{{}}
+	s.measured, s.reportedAt, s.averages = true, h.now, averages{300, 100, 2}
+	s.InFlight = []*attempt{{}}
 	// n = 2: q̂ = 1 + 1x2 + 2 = 5; 300 - 100 + 125 x 100
 	if got := h.b.rank(s); got != 12700 {
 		t.Errorf("rank %v, want 12700", got)
@@ -139,15 +139,15 @@
 
 func TestUnheardServerTakesTheMean(t *testing.T) {
 	h := newBench(t, testSettings())
-	if r, s, q := h.b.averages(h.b.servers["a"]); r != 1e6 || s != 1e6 || q != 0 {
+	if r, s, q := h.b.averagesOf(h.b.servers["a"]); r != 1e6 || s != 1e6 || q != 0 {
 		t.Errorf("before any answer R %v S %v q %v, want the aim, the aim and 0", r, s, q)
 	}
 	for name, r := range map[Replica]float64{"b": 100, "c": 300} {
 		s := h.b.servers[name]
-		s.heard, s.r, s.s, s.q = true, r, r/2, r/100
+		s.measured, s.latency, s.serviceTime, s.queue = true, r, r/2, r/100
 	}
 	h.turn(TimerFired{})
-	if r, s, q := h.b.averages(h.b.servers["a"]); r != 200 || s != 100 || q != 2 {
+	if r, s, q := h.b.averagesOf(h.b.servers["a"]); r != 200 || s != 100 || q != 2 {
 		t.Errorf("R %v S %v q %v, want the means 200, 100 and 2", r, s, q)
 	}
 }
@@ -175,7 +175,7 @@
 		t.Fatalf("no probe for 12 parts: %v", acts)
 	}
 	h.turn(ProbeEnded{Replica: p[0].Replica, Result: OK, Report: &LoadReport{Queue: -1, InFlight: 20, Utilization: -1}})
-	if q := h.b.servers[p[0].Replica].q; q < 10 {
+	if q := h.b.servers[p[0].Replica].queue; q < 10 {
 		t.Errorf("q %v after a report of 20", q)
 	}
 }
@@ -400,8 +400,8 @@
 	h := newBench(t, testSettings())
 	h.serve(9, 100*ms)
 	h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", Cell: 0, Started: h.now}}})
-	if s := h.b.servers["a"]; s.heard || h.b.coldShare(s) != 0.2 {
-		t.Errorf("heard %v, share %v after a restart", s.heard, h.b.coldShare(s))
+	if s := h.b.servers["a"]; s.measured || h.b.capacity(s) != 0.2 {
+		t.Errorf("heard %v, share %v after a restart", s.measured, h.b.capacity(s))
 	}
 }
 
@@ -424,8 +424,8 @@
 		}
 		one[Answer](h, h.end(s, 0, OK, 100*ms))
 	}
-	if trials == 0 || h.b.servers[bad].doubt > 0 {
-		t.Errorf("%d trials, doubt %v: it must come back", trials, h.b.servers[bad].doubt)
+	if trials == 0 || h.b.servers[bad].Penalty > 0 {
+		t.Errorf("%d trials, doubt %v: it must come back", trials, h.b.servers[bad].Penalty)
 	}
 }
 
@@ -448,10 +448,10 @@
 	h := newBench(t, testSettings())
 	h.serve(60, 100*ms)
 	s := h.b.servers["a"]
-	s.r, s.doubt, s.trialAt = 5e6, 1, h.now+time.Hour
+	s.latency, s.Penalty, s.NextTrial = 5e6, 1, h.now+time.Hour
 	h.serve(5, 100*ms)
-	if s.r != 5e6 {
-		t.Errorf("R %v of an ejected server was pulled toward the winner", s.r)
+	if s.latency != 5e6 {
+		t.Errorf("R %v of an ejected server was pulled toward the winner", s.latency)
 	}
 }
 
@@ -459,7 +459,7 @@
 	h := newBench(t, testSettings())
 	h.serve(30, 100*ms)
 	for _, s := range h.b.servers {
-		s.doubt, s.trialAt = 2, h.now+time.Hour
+		s.Penalty, s.NextTrial = 2, h.now+time.Hour
 	}
 	_, ev := h.query(0, 3)
 	if n := len(all[Send](h.turn(ev...))); n != 3 {
@@ -535,7 +535,7 @@
 func TestOverloadIsRefusedAtOnceAndEnds(t *testing.T) {
 	h := newBench(t, testSettings())
 	h.serve(20, 100*ms)
-	h.b.mean, h.b.dev = 900e3, 200e3 // a jam
+	h.b.latencyMean, h.b.latencyDeviation = 900e3, 200e3 // a jam
 	refused := 0
 	for range 60 {
 		_, ev := h.query(0, 1)
@@ -550,7 +550,7 @@
 	}
 	// Once nothing is in hand, queries are taken again, though no answer has lowered the mean.
 	for _, s := range h.b.servers {
-		s.out, s.lastOK = nil, h.now
+		s.InFlight, s.LastSuccess = nil, h.now
 	}
 	h.b.queries = nil
 	_, ev := h.query(0, 1)
@@ -625,9 +625,9 @@
 	h.serve(20, 100*ms)
 	jam := func(parts int) {
 		for _, s := range h.b.servers {
-			s.times, s.out = []float64{2e6, 2e6}, make([]*attempt, parts)
-			for i := range s.out {
-				s.out[i] = &attempt{srv: s, sent: h.now}
+			s.recent, s.InFlight = []float64{2e6, 2e6}, make([]*attempt, parts)
+			for i := range s.InFlight {
+				s.InFlight[i] = &attempt{server: s, sent: h.now}
 			}
 		}
 	}
@@ -645,15 +645,15 @@
 	h := newBench(t, testSettings())
 	h.serve(40, 100*ms)
 	slow := h.b.servers["a"]
-	slow.times = []float64{900e3, 900e3, 900e3, 900e3}
-	slow.trialAt = h.now + time.Hour
+	slow.recent = []float64{900e3, 900e3, 900e3, 900e3}
+	slow.NextTrial = h.now + time.Hour
 	for range 9 {
 		_, ev := h.query(0, 1)
 		if s := one[Send](h, h.turn(ev...)); s.Replica == "a" {
 			t.Fatal("a part went to a slow server")
 		}
 	}
-	slow.trialAt = 0
+	slow.NextTrial = 0
 	_, ev := h.query(0, 1)
 	if s := one[Send](h, h.turn(ev...)); s.Replica != "a" {
 		t.Error("a slow server is never tried again")
@@ -664,11 +664,11 @@
 	h := newBench(t, testSettings())
 	h.serve(40, 100*ms)
 	slow := h.b.servers["a"]
-	slow.times = []float64{900e3, 900e3, 900e3, 900e3}
+	slow.recent = []float64{900e3, 900e3, 900e3, 900e3}
 	for _, s := range h.b.servers {
-		s.trialAt = h.now + time.Hour
+		s.NextTrial = h.now + time.Hour
 		if s != slow {
-			s.doubt = 2
+			s.Penalty = 2
 		}
 	}
 	_, ev := h.query(0, 3)
@@ -685,16 +685,16 @@
 	_, ev := h.query(0, 1)
 	s := one[Send](h, h.turn(ev...))
 	srv := h.b.servers[s.Replica]
-	r := srv.r
+	r := srv.latency
 	h.end(s, 0, Canceled, 800*ms)
-	if last := srv.times[len(srv.times)-1]; last != 800e3 || srv.r <= r {
-		t.Errorf("last time %v, R %v after %v: a censored time counts", last, srv.r, r)
+	if last := srv.recent[len(srv.recent)-1]; last != 800e3 || srv.latency <= r {
+		t.Errorf("last time %v, R %v after %v: a censored time counts", last, srv.latency, r)
 	}
 	_, ev = h.query(0, 1)
 	s = one[Send](h, h.turn(ev...))
-	before := len(h.b.servers[s.Replica].times)
+	before := len(h.b.servers[s.Replica].recent)
 	h.end(s, 0, Canceled, 20*ms)
-	if srv := h.b.servers[s.Replica]; len(srv.times) != before || slices.Contains(srv.times, 20e3) {
+	if srv := h.b.servers[s.Replica]; len(srv.recent) != before || slices.Contains(srv.recent, 20e3) {
 		t.Error("a short attempt called off counts as a quick answer")
 	}
 }
@@ -705,9 +705,9 @@
 	h := newBench(t, set)
 	h.serve(30, 100*ms)
 	bad := h.b.servers["a"]
-	bad.doubt = 1
+	bad.Penalty = 1
 	h.serve(400, 100*ms)
-	if bad.doubt > 0 {
+	if bad.Penalty > 0 {
 		t.Error("with unsafe classes only, a doubted server never came back")
 	}
 }
@@ -725,7 +725,7 @@
 func TestAnswersRememberedAreBounded(t *testing.T) {
 	h := newBench(t, testSettings())
 	h.serve(200, 100*ms)
-	if n := len(h.b.answers); n > 21 {
+	if n := len(h.b.recentAnswers); n > 21 {
 		t.Errorf("%d answers remembered after a calm stretch, 2 s hold 20", n)
 	}
 }
@@ -737,9 +737,9 @@
 		set.Instances = n
 		h := newBench(t, set)
 		h.serve(40, 100*ms)
-		h.b.mean, h.b.dev = 400e3, 200e3 // crowded a while ago
+		h.b.latencyMean, h.b.latencyDeviation = 400e3, 200e3 // crowded a while ago
 		for _, s := range h.b.servers {
-			s.reported, s.told = h.now, 1
+			s.reportedAt, s.reportedInFlight = h.now, 1
 		}
 		_, ev := h.query(0, 3)
 		if got := len(all[Send](h.turn(ev...))); got != 3 {
@@ -755,9 +755,9 @@
 	h := newBench(t, set)
 	a, b := h.b.servers["a"], h.b.servers["b"]
 	for _, s := range []*server{a, b} {
-		s.heard, s.reported, s.r, s.s = true, h.now, 100e3, 100e3
+		s.measured, s.reportedAt, s.latency, s.serviceTime = true, h.now, 100e3, 100e3
 	}
-	a.out, b.q = []*attempt{{}}, 20
+	a.InFlight, b.queue = []*attempt{{}}, 20
 	if h.b.rank(a) >= h.b.rank(b) {
 		t.Error("one own part outranks a queue of twenty")
 	}
@@ -769,7 +769,7 @@
 	set.Instances = 80
 	h := newBench(t, set)
 	h.serve(40, 100*ms)
-	h.b.mean, h.b.dev = 2e6, 1e6
+	h.b.latencyMean, h.b.latencyDeviation = 2e6, 1e6
 	_, ev := h.query(0, 3)
 	if len(all[Reject](h.turn(ev...))) != 1 {
 		t.Fatal("a query was begun where answers take twice its aim")
@@ -792,14 +792,14 @@
 		first := Query{Group: 1, TimeLeft: 2 * time.Second}
 		again := Query{Group: 2, TimeLeft: 2500 * ms, IsRetry: marks}
 		for range 5 {
-			if w := h.b.waited(first); w != 0 {
+			if w := h.b.timeSpent(first); w != 0 {
 				t.Errorf("marked %v: a first try has waited %v", marks, w)
 			}
 		}
-		if w := h.b.waited(again); w != 500*ms {
+		if w := h.b.timeSpent(again); w != 500*ms {
 			t.Errorf("marked %v: a try with 2.5 of 3 s left has waited %v, want 0.5 s", marks, w)
 		}
-		if w := h.b.waited(first); w != 0 {
+		if w := h.b.timeSpent(first); w != 0 {
 			t.Errorf("marked %v: a first try has waited %v after a longer one", marks, w)
 		}
 	}
@@ -892,17 +892,17 @@
 	h.serve(30, 100*ms)
 	down := h.b.servers["a"]
 	for _, s := range h.b.servers {
-		s.full = h.now + time.Hour
+		s.avoidUntil = h.now + time.Hour
 	}
-	down.full = h.now
+	down.avoidUntil = h.now
 	var spells []time.Duration
 	_, ev := h.query(0, 1)
 	for try := range 2 {
 		s := one[Send](h, h.turn(ev...))
 		acts := h.end(s, try, ConnectFailed, 5*ms)
 		h.none(acts, "send to a server just found down", len(all[Send](acts)))
-		spells = append(spells, down.full-h.now)
-		down.full, ev = 0, nil
+		spells = append(spells, down.avoidUntil-h.now)
+		down.avoidUntil, ev = 0, nil
 	}
 	if spells[0] <= 0 || spells[1] <= spells[0] {
 		t.Errorf("kept off for %v, want a spell that grows", spells)
@@ -932,7 +932,7 @@
 			}
 			b.now = start
 			b.Turn(start, []Event{EndpointList{Kind: ListFull, Endpoints: []Endpoint{{Replica: "a", Started: start}}}})
-			b.mean, b.dev = us(work), 0
+			b.latencyMean, b.latencyDeviation = micros(work), 0
 			all = append(all, b)
 		}
 		var sent []time.Duration
@@ -940,9 +940,9 @@
 		for now := start; now < start+set.Rules.WarmupPeriod; now += work / 2 {
 			for _, b := range all {
 				var events []Event
-				for _, a := range b.servers["a"].out {
+				for _, a := range b.servers["a"].InFlight {
 					if now-a.sent >= work {
-						events = append(events, AttemptEnded{Part: a.part.ID, Attempt: a.n, Replica: "a", Result: OK, Elapsed: work})
+						events = append(events, AttemptEnded{Part: a.part.ID, Attempt: a.number, Replica: "a", Result: OK, Elapsed: work})
 					}
 				}
 				id += 2
@@ -966,7 +966,7 @@
 				}
 			}
 			share := set.Rules.WarmupMinCapacity + (1-set.Rules.WarmupMinCapacity)*float64(at-start)/float64(set.Rules.WarmupPeriod)
-			most := set.Rules.OverloadMultiple * share * us(set.Rules.OverloadPeriod) / us(work) * 2 // of two cores
+			most := set.Rules.OverloadMultiple * share * micros(set.Rules.OverloadPeriod) / micros(work) * 2 // of two cores
 			if float64(inWindow) > most {
 				t.Fatalf("n = %d: %d parts in the window up to %v, at most %.1f", n, inWindow, at-start, most)
 			}
@@ -985,7 +985,7 @@
 		_, ev := h.query(0, 1)
 		s := one[Send](h, h.turn(ev...))
 		h.end(s, 0, Failed, 2*ms)
-		gaps = append(gaps, h.b.servers[s.Replica].trialAt-h.now)
+		gaps = append(gaps, h.b.servers[s.Replica].NextTrial-h.now)
 	}
 	if gaps[0] <= 0 || gaps[1] < 4*gaps[0] {
 		t.Errorf("trials after %v: at n = 80 each must wait over four times as long as at 2", gaps)
@@ -1003,13 +1003,13 @@
 		t.Errorf("tokens %v -> %v: a copy that answers first pays for the next", tokens, h.b.hedgeTokens)
 	}
 	h.end(s, 0, Canceled, 5*ms)
-	if d := h.b.servers[s.Replica].doubt; d < 1 {
+	if d := h.b.servers[s.Replica].Penalty; d < 1 {
 		t.Errorf("doubt %v in a server that lost a part", d)
 	}
 	_, ev := h.query(0, 1)
 	s = one[Send](h, h.turn(ev...))
 	h.end(s, 0, Canceled, 20*ms)
-	if d := h.b.servers[s.Replica].doubt; d != 0 {
+	if d := h.b.servers[s.Replica].Penalty; d != 0 {
 		t.Errorf("doubt %v after an early call-off", d)
 	}
 }
@@ -1025,7 +1025,7 @@
 		set.Classes[0].MinFraction, set.Classes[0].PartialFraction, set.Classes[0].OverdueFraction = c.floor, 0.9, 0.3
 		h := newBench(t, set)
 		h.serve(20, 100*ms)
-		h.b.mean, h.b.dev, h.b.worth, h.b.width = 320e3, 130e3, 1, 30
+		h.b.latencyMean, h.b.latencyDeviation, h.b.meanWeight, h.b.meanParts = 320e3, 130e3, 1, 30
 		_, ev := h.query(0, 30)
 		if n := len(all[Send](h.turn(ev...))); n != c.sends {
 			t.Errorf("floor %v: %d parts sent, want %d", c.floor, n, c.sends)
@@ -1046,8 +1046,8 @@
 		}
 		h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: OK})
 	}
-	if len(sends) != 60 || h.b.mean > 400e3 {
-		t.Errorf("%d parts; mean %.0f us, of many queries of 100 ms and one of 10 to 900 ms", len(sends), h.b.mean)
+	if len(sends) != 60 || h.b.latencyMean > 400e3 {
+		t.Errorf("%d parts; mean %.0f us, of many queries of 100 ms and one of 10 to 900 ms", len(sends), h.b.latencyMean)
 	}
 }
 
@@ -1063,12 +1063,12 @@
 func TestSlowWayIsLeftAsAWhole(t *testing.T) {
 	h := newBench(t, testSettings(), twoZones()...)
 	h.serve(60, 100*ms)
-	h.b.ways[1].least = 1.5e6
+	h.b.paths[1].MinLatency = 1.5e6
 	h.turn(TimerFired{})
-	if h.b.ways[1].fit() || h.b.median > 200e3 {
-		t.Fatalf("way fit %v, median %v", h.b.ways[1].fit(), h.b.median)
+	if h.b.paths[1].Usable() || h.b.medianServiceTime > 200e3 {
+		t.Fatalf("way fit %v, median %v", h.b.paths[1].Usable(), h.b.medianServiceTime)
 	}
-	h.b.ways[1].trialAt = h.now + time.Hour
+	h.b.paths[1].NextTrial = h.now + time.Hour
 	_, ev := h.query(0, 6)
 	far := func() (n int) {
 		for _, s := range all[Send](h.turn(ev...)) {
@@ -1079,7 +1079,7 @@
 	if n := far(); n != 0 {
 		t.Errorf("%d parts over a slow way", n)
 	}
-	h.b.ways[1].trialAt = 0
+	h.b.paths[1].NextTrial = 0
 	_, ev = h.query(0, 6)
 	if n := far(); n != 1 {
 		t.Errorf("%d parts try the way, want 1", n)
@@ -1091,17 +1091,17 @@
 	h := newBench(t, testSettings(), twoZones()...)
 	h.serve(60, 100*ms)
 	far := h.b.servers["b"]
-	h.b.answered(far, 100e3, 40)
+	h.b.recordAnswer(far, 100e3, 40)
 	for range 12 {
-		h.b.answered(far, 600e3, 40)
+		h.b.recordAnswer(far, 600e3, 40)
 	}
-	if h.turn(TimerFired{}); !far.way.fit() {
+	if h.turn(TimerFired{}); !far.path.Usable() {
 		t.Error("a few slow parts made the way slow")
 	}
 	for range 40 {
-		h.b.answered(far, 1.5e6, 40)
+		h.b.recordAnswer(far, 1.5e6, 40)
 	}
-	if h.turn(TimerFired{}); far.way.fit() {
+	if h.turn(TimerFired{}); far.path.Usable() {
 		t.Error("every answer takes long, and the way is still used")
 	}
 }
@@ -1109,19 +1109,19 @@
 // Failures count against a way only while they outnumber what is still out there; any word from there clears it.
 func TestFewFastFailuresDoNotCloseAWay(t *testing.T) {
 	h := newBench(t, testSettings(), twoZones()...)
-	way, s := h.b.ways[1], h.b.servers["b"]
-	way.out = make([]*attempt, 20)
+	way, s := h.b.paths[1], h.b.servers["b"]
+	way.InFlight = make([]*attempt, 20)
 	for range 4 {
-		h.b.blame(s, &s.of[0], h.now)
+		h.b.recordFailure(s, &s.perClass[0], h.now)
 	}
-	if !way.fit() {
+	if !way.Usable() {
 		t.Error("four failures with twenty parts out closed the way")
 	}
-	if way.out = nil; way.fit() {
+	if way.InFlight = nil; way.Usable() {
 		t.Error("four failures and nothing out: the way must be left")
 	}
-	h.b.answered(s, 100e3, 1)
-	if !way.fit() {
+	h.b.recordAnswer(s, 100e3, 1)
+	if !way.Usable() {
 		t.Error("an answer must open the way")
 	}
 }
@@ -1130,15 +1130,15 @@
 func TestQueryCarriesOneTrial(t *testing.T) {
 	h := newBench(t, testSettings(), twoZones()...)
 	h.serve(60, 100*ms)
-	for i, s := range h.b.order {
+	for i, s := range h.b.endpoints {
 		if i < 6 {
-			s.doubt, s.trialAt = 1, 0
+			s.Penalty, s.NextTrial = 1, 0
 		}
 	}
 	_, ev := h.query(0, 6)
 	trials := 0
 	for _, s := range all[Send](h.turn(ev...)) {
-		if h.b.servers[s.Replica].doubt > 0 {
+		if h.b.servers[s.Replica].Penalty > 0 {
 			trials++
 		}
 	}
@@ -1159,7 +1159,7 @@
 	for h.now < start+4*time.Second {
 		for _, name := range []Replica{"b", "c"} {
 			s := h.b.servers[name]
-			s.q, s.reported = 3, h.now // the warm are busy
+			s.queue, s.reportedAt = 3, h.now // the warm are busy
 		}
 		_, ev := h.query(0, 1)
 		s := one[Send](h, h.turn(ev...))
@@ -1179,7 +1179,7 @@
 	set := testSettings()
 	set.Instances = 80
 	h := newBench(t, set, Endpoint{Replica: "a", Cell: 0, Started: 100 * time.Second})
-	h.b.servers["a"].cold.Lot = 1
+	h.b.servers["a"].slowStart.FirstSendThreshold = 1
 	_, ev := h.query(0, 1)
 	if acts := h.turn(ev...); len(all[Reject](acts)) != 1 || len(all[Send](acts)) != 0 {
 		t.Errorf("want a refusal at once, got %v", acts)
@@ -1291,7 +1291,7 @@
 	set.CanHedge = false
 	h := newBench(t, set)
 	h.serve(60, 100*ms)
-	h.b.mean, h.b.dev = 150e3, 80e3 // late is 390 ms
+	h.b.latencyMean, h.b.latencyDeviation = 150e3, 80e3 // late is 390 ms
 	_, ev := h.query(0, 1)
 	s := one[Send](h, h.turn(ev...))
 	h.now += 600 * ms
@@ -1308,15 +1308,15 @@
 	h := newBench(t, testSettings())
 	for i, name := range []Replica{"a", "b", "c"} {
 		s := h.b.servers[name]
-		s.heard, s.reported, s.averages = true, h.now, averages{100e3, 100e3, float64(9 * i)}
+		s.measured, s.reportedAt, s.averages = true, h.now, averages{100e3, 100e3, float64(9 * i)}
 	}
 	h.turn(TimerFired{})
-	if _, _, q := h.b.averages(h.b.servers["c"]); q != 18 {
+	if _, _, q := h.b.averagesOf(h.b.servers["c"]); q != 18 {
 		t.Errorf("q %v just after a report of 18", q)
 	}
 	h.now += 10 * time.Second
 	h.turn(TimerFired{})
-	if _, _, q := h.b.averages(h.b.servers["c"]); q < 9 || q > 10 {
+	if _, _, q := h.b.averagesOf(h.b.servers["c"]); q < 9 || q > 10 {
 		t.Errorf("q %v ten aims after a report of 18, want the mean of 9", q)
 	}
 }
@@ -1327,34 +1327,34 @@
 	for _, c := range []struct {
 		parts  int
 		silent bool
-	}{{recentTimes, true}, {3, false}} {
+	}{{recentSize, true}, {3, false}} {
 		set := testSettings()
 		set.CanHedge = false
 		h := newBench(t, set, twoZones()...)
 		h.serve(60, 100*ms)
-		h.b.mean, h.b.dev, h.b.hedgeTokens = 100e3, 50e3, hedgeMost
+		h.b.latencyMean, h.b.latencyDeviation, h.b.hedgeTokens = 100e3, 50e3, maxHedgeTokens
 		h.now += time.Millisecond
-		for _, s := range h.b.order {
-			s.full = h.now // all may be sent to
+		for _, s := range h.b.endpoints {
+			s.avoidUntil = h.now // all may be sent to
 			if s.zone == 0 {
-				s.full = h.now + time.Hour
+				s.avoidUntil = h.now + time.Hour
 			}
 		}
 		_, ev := h.query(0, c.parts)
 		if n := len(all[Send](h.turn(ev...))); n != c.parts {
 			t.Fatalf("%d of %d parts sent", n, c.parts)
 		}
-		for _, s := range h.b.order {
-			s.full = 0
+		for _, s := range h.b.endpoints {
+			s.avoidUntil = 0
 		}
 		h.now += 160 * ms
 		h.turn(TimerFired{})
-		if h.b.ways[1].fit() == c.silent {
-			t.Errorf("%d parts out, none answered: way fit %v", c.parts, h.b.ways[1].fit())
+		if h.b.paths[1].Usable() == c.silent {
+			t.Errorf("%d parts out, none answered: way fit %v", c.parts, h.b.paths[1].Usable())
 		}
 		h.now += 10 * ms
-		if n := len(h.b.attempts); c.silent && !slices.ContainsFunc(h.b.order, func(s *server) bool {
-			return slices.ContainsFunc(s.out, func(a *attempt) bool { return a.called })
+		if n := len(h.b.attempts); c.silent && !slices.ContainsFunc(h.b.endpoints, func(s *server) bool {
+			return slices.ContainsFunc(s.InFlight, func(a *attempt) bool { return a.canceled })
 		}) {
 			t.Errorf("none of %d parts is moved", n)
 		}
@@ -1366,8 +1366,8 @@
 func TestCrowdedShardIsClosedForAWhile(t *testing.T) {
 	h := newBench(t, testSettings())
 	h.serve(60, 100*ms)
-	for _, s := range h.b.order {
-		h.b.report(s, &LoadReport{Queue: 40, InFlight: 42})
+	for _, s := range h.b.endpoints {
+		h.b.recordLoad(s, &LoadReport{Queue: 40, InFlight: 42})
 	}
 	_, ev := h.query(0, 1)
 	if acts := h.turn(ev...); len(all[Reject](acts)) != 1 || len(all[Send](acts)) > 0 {
@@ -1492,7 +1492,7 @@
 	}
 	var calledOff []Cancel
 	for i := 0; len(calledOff) == 0 && i < 20; i++ {
-		bad.lastOK = h.now // it answers the other class all the time
+		bad.LastSuccess = h.now // it answers the other class all the time
 		_, ev := h.query(1, 1)
 		acts := h.turn(ev...)
 		acts = append(acts, h.end(all[Send](acts)[0], 0, OK, 100*ms)...)
@@ -1502,8 +1502,8 @@
 		t.Fatalf("called off %v", calledOff)
 	}
 	h.turn(AttemptEnded{Part: lost.Part, Replica: "a", Result: Canceled})
-	if bad.sound(0) || !bad.sound(1) {
-		t.Errorf("doubt %v, of each class %+v", bad.doubt, bad.of)
+	if bad.healthyFor(0) || !bad.healthyFor(1) {
+		t.Errorf("doubt %v, of each class %+v", bad.Penalty, bad.perClass)
 	}
 	found := false
 	for range 20 {
@@ -1518,7 +1518,7 @@
 func TestUnsafePartsAreTheLastToTryADoubtedServer(t *testing.T) {
 	h := newBench(t, twoClasses(NonIdempotent))
 	h.serve(30, 100*ms)
-	h.b.servers["a"].doubt, h.b.servers["a"].trialAt = 1, h.now
+	h.b.servers["a"].Penalty, h.b.servers["a"].NextTrial = 1, h.now
 	for _, class := range []int{1, 0} { // a trial is due
 		_, ev := h.query(class, 1)
 		if s := one[Send](h, h.turn(ev...)); (s.Replica == "a") != (class == 0) {
@@ -1532,12 +1532,12 @@
 	h := newBench(t, twoClasses(Idempotent))
 	h.serve(40, 100*ms)
 	for id, s := range h.b.servers {
-		s.trialAt = h.now + time.Hour
-		s.of[0].trialAt = s.trialAt
+		s.NextTrial = h.now + time.Hour
+		s.perClass[0].NextTrial = s.NextTrial
 		if id == "a" {
-			s.times = []float64{900e3, 900e3, 900e3, 900e3}
+			s.recent = []float64{900e3, 900e3, 900e3, 900e3}
 		} else {
-			s.of[0].doubt = 1
+			s.perClass[0].Penalty = 1
 		}
 	}
 	for class, want := range []bool{true, false} {
@@ -1561,24 +1561,24 @@
 	srv := h.b.servers[lost.Replica]
 	calledAt := time.Duration(0)
 	for sent := h.now; calledAt == 0 && h.now < sent+2*time.Second; h.now += 10 * ms {
-		srv.lastOK, srv.of[0].lastOK = h.now, h.now
+		srv.LastSuccess, srv.perClass[0].LastSuccess = h.now, h.now
 		if len(all[Cancel](h.turn(TimerFired{}))) > 0 {
 			calledAt = h.now - sent
 		}
 	}
-	if late := h.b.late(); us(calledAt) < lostLate*late || us(calledAt) > lostLate*late+20e3 {
+	if late := h.b.overdueAfter(); micros(calledAt) < lostOverdue*late || micros(calledAt) > lostOverdue*late+20e3 {
 		t.Errorf("called off after %v, late is %v", calledAt, duration(late))
 	}
-	if srv.stuck != 1 || srv.sound(0) {
-		t.Errorf("%d parts are lost there, sound: %v", srv.stuck, srv.sound(0))
+	if srv.stalled != 1 || srv.healthyFor(0) {
+		t.Errorf("%d parts are lost there, sound: %v", srv.stalled, srv.healthyFor(0))
 	}
-	if r := h.b.rank(srv); r > 10*us(100*ms) {
+	if r := h.b.rank(srv); r > 10*micros(100*ms) {
 		t.Errorf("rank %v: a lost part counts as load", r)
 	}
-	doubt, tokens := srv.doubt, h.b.hedgeTokens
+	doubt, tokens := srv.Penalty, h.b.hedgeTokens
 	again := one[Send](h, h.turn(AttemptEnded{Part: lost.Part, Replica: lost.Replica, Result: Canceled}))
-	if srv.doubt != doubt || srv.of[0].doubt != 1 || again.Replica == lost.Replica {
-		t.Errorf("doubt %v, with the class %v; again at %s", srv.doubt, srv.of[0].doubt, again.Replica)
+	if srv.Penalty != doubt || srv.perClass[0].Penalty != 1 || again.Replica == lost.Replica {
+		t.Errorf("doubt %v, with the class %v; again at %s", srv.Penalty, srv.perClass[0].Penalty, again.Replica)
 	}
 	h.end(again, 1, OK, 100*ms)
 	if h.b.hedgeTokens < tokens+1 {
@@ -1599,11 +1599,11 @@
 		h.serve(60, 100*ms)
 		for id, s := range h.b.servers {
 			if id == "a" {
-				s.of[1].doubt, s.of[1].loss, s.of[1].trialAt = 1, c.loss, h.now+time.Hour
+				s.perClass[1].Penalty, s.perClass[1].LossRate, s.perClass[1].NextTrial = 1, c.loss, h.now+time.Hour
 				continue
 			}
 			for range c.busy {
-				s.out = append(s.out, &attempt{part: &part{q: &query{}}, srv: s, sent: h.now})
+				s.InFlight = append(s.InFlight, &attempt{part: &part{query: &query{}}, server: s, sent: h.now})
 			}
 		}
 		_, ev := h.query(1, 1)
@@ -1611,12 +1611,12 @@
 			t.Errorf("%+v: went to %s", c, s.Replica)
 		}
 	}
-	var of health
+	var of record
 	for i := range 200 {
-		of.lose(i%4 == 0)
+		of.RecordOutcome(i%4 == 0)
 	}
-	if of.loss < 0.15 || of.loss > 0.35 {
-		t.Errorf("a quarter is lost, taken for %v", of.loss)
+	if of.LossRate < 0.15 || of.LossRate > 0.35 {
+		t.Errorf("a quarter is lost, taken for %v", of.LossRate)
 	}
 }
 
@@ -1637,10 +1637,10 @@
 		list[0].Started = h.now
 		h.turn(EndpointList{Kind: ListDelta, Endpoints: list[:1]})
 		for start := h.now; h.now < start+2*time.Second; h.now += 100 * ms {
-			h.b.flow = 0.5 * flowSpan * h.b.shortAim.Seconds() // it sends a part in two seconds
+			h.b.demandAnswered = 0.5 * demandPeriod * h.b.minObjective.Seconds() // it sends a part in two seconds
 			h.turn(TimerFired{})
-			if s := h.b.servers["a"]; s.cold.Credit >= 1 { // a part is sent as soon as it is owed
-				s.cold.Credit--
+			if s := h.b.servers["a"]; s.slowStart.Credit >= 1 { // a part is sent as soon as it is owed
+				s.slowStart.Credit--
 				if sends++; h.now >= start+time.Second {
 					late++
 				}
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -48,7 +48,7 @@
 		}
 	}
 	h = fleet(t, "a", "b", "c")
-	h.b.servers["d"].full = h.now + 100*ms
+	h.b.servers["d"].avoidUntil = h.now + 100*ms
 	_, ev := h.query(0, 1)
 	if acts := h.turn(ev...); len(all[Send](acts)) != 0 {
 		t.Fatalf("sent while the one sound holder is full: %v", acts)
@@ -104,7 +104,7 @@
 func TestReportYieldsCrowdedShards(t *testing.T) {
 	crowd := func(h *bench, queue float64) {
 		for _, id := range []Replica{"c", "d"} {
-			h.b.servers[id].q, h.b.servers[id].reported = queue, h.now
+			h.b.servers[id].queue, h.b.servers[id].reportedAt = queue, h.now
 		}
 	}
 	for _, c := range []struct {
@@ -143,9 +143,9 @@
 func TestJamIsUnlearned(t *testing.T) {
 	h := fleet(t)
 	jam := func() { // long ago, and nothing since
-		h.b.mean, h.b.dev, h.b.worth, h.b.width, h.b.answers = 800e3, 300e3, 1, 30, nil
+		h.b.latencyMean, h.b.latencyDeviation, h.b.meanWeight, h.b.meanParts, h.b.recentAnswers = 800e3, 300e3, 1, 30, nil
 		for _, s := range h.b.servers {
-			s.times = []float64{700e3, 700e3, 700e3, 700e3}
+			s.recent = []float64{700e3, 700e3, 700e3, 700e3}
 		}
 	}
 	jam()
@@ -166,10 +166,10 @@
 	}{{0, 30}, {40, 0}} {
 		h = fleet(t)
 		if jam(); c.queue > 0 {
-			h.b.mean, h.b.dev = 100e3, 20e3
+			h.b.latencyMean, h.b.latencyDeviation = 100e3, 20e3
 		}
 		for _, s := range h.b.servers {
-			s.waiting, s.askedAt = c.queue, h.now
+			s.probedQueue, s.probedQueueAt = c.queue, h.now
 		}
 		_, ev := h.query(0, 30)
 		if n := len(all[Send](h.turn(ev...))); n != c.sends {
@@ -182,14 +182,14 @@
 // one part it would count as worth nothing, and be refused in a lull.
 func TestWideQueriesAreNotRefusedBesideNarrowOnes(t *testing.T) {
 	h := fleet(t)
-	h.b.worth, h.b.width = 1, 15.5 // as the queries below have on average
+	h.b.meanWeight, h.b.meanParts = 1, 15.5 // as the queries below have on average
 	for i := range 200 {
 		n := 1
 		if i%2 == 0 {
 			n = 30
 		}
 		_, ev := h.query(0, n)
-		h.b.mean, h.b.dev = 200e3, 100e3 // 1.2 ln 30 deviations: 0.61 of the aim
+		h.b.latencyMean, h.b.latencyDeviation = 200e3, 100e3 // 1.2 ln 30 deviations: 0.61 of the aim
 		sends := all[Send](h.turn(ev...))
 		if len(sends) != n {
 			t.Fatalf("query %d: %d of %d parts sent", i, len(sends), n)
@@ -216,7 +216,7 @@
 		for range 120 {
 			h.now += 5 * ms
 			for _, s := range h.b.servers {
-				s.q, s.reported = c.queue, h.now
+				s.queue, s.reportedAt = c.queue, h.now
 			}
 			called += len(all[Cancel](h.turn(TimerFired{})))
 		}
@@ -243,11 +243,11 @@
 		for range 120 {
 			h.now += 5 * ms
 			for id, s := range h.b.servers {
-				s.reported, s.q = h.now, c.others
-				if s.long = c.long; id == at {
-					s.q = c.own
+				s.reportedAt, s.queue = h.now, c.others
+				if s.queueWasLong = c.long; id == at {
+					s.queue = c.own
 				} else if c.long {
-					s.reported -= 4 * time.Second
+					s.reportedAt -= 4 * time.Second
 				}
 			}
 			called += len(all[Cancel](h.turn(TimerFired{})))
@@ -268,7 +268,7 @@
 		}
 		h.turn(EndpointList{Kind: ListDelta, Endpoints: list}) // shares of 0.52 and 0.68
 		for _, s := range h.b.servers {
-			s.cold.Credit, s.cold.Lot = 0, 1
+			s.slowStart.Credit, s.slowStart.FirstSendThreshold = 0, 1
 		}
 	}
 	n, parts := map[Replica]int{}, 0
@@ -276,7 +276,7 @@
 		h := fleet(t)
 		h.b.rng = rand.New(rand.NewPCG(uint64(i), 1))
 		if cold(h); i >= 40 {
-			h.b.asked *= 10
+			h.b.demandOffered *= 10
 		}
 		_, ev := h.query(0, 6)
 		sends := all[Send](h.turn(ev...))
@@ -309,10 +309,10 @@
 		sends int
 	}{{3, 10}, {28, 0}} {
 		h := fleet(t)
-		h.b.set.PeerMessages = true
-		h.b.worth, h.b.width = 1, 10
+		h.b.settings.PeerMessages = true
+		h.b.meanWeight, h.b.meanParts = 1, 10
 		for _, s := range h.b.servers { // at 28 a part would wait for 0.7 of the aim, and the servers are not full
-			s.q, s.reported = c.queue, h.now
+			s.queue, s.reportedAt = c.queue, h.now
 		}
 		_, ev := h.query(0, 10)
 		acts := h.turn(ev...)
@@ -330,7 +330,7 @@
 			h = fleet(t, "a")
 		}
 		for _, id := range []Replica{"b", "c", "d"} {
-			h.b.servers[id].full = h.now + 100*ms
+			h.b.servers[id].avoidUntil = h.now + 100*ms
 		}
 		_, ev := h.query(0, 1)
 		if n := len(all[Reject](h.turn(ev...))); n == 1 != out {
@@ -347,7 +347,7 @@
 		h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", HealthLimits: HealthLimits{TrafficFraction: share}}}})
 		for range 60 {
 			s := h.b.servers["a"]
-			s.doubt, s.trialAt, s.of[0].trialAt = 1, 0, 0
+			s.Penalty, s.NextTrial, s.perClass[0].NextTrial = 1, 0, 0
 			_, ev := h.query(0, 1)
 			s1 := one[Send](h, h.turn(ev...))
 			if s1.Replica == "a" {
@@ -376,12 +376,12 @@
 		{500e3, 2, true, 30}, // as the servers were once
 	} {
 		h := fleet(t)
-		h.b.mean, h.b.dev, h.b.worth, h.b.width = c.mean, 20e3, 1, 30
+		h.b.latencyMean, h.b.latencyDeviation, h.b.meanWeight, h.b.meanParts = c.mean, 20e3, 1, 30
 		if c.stale {
-			h.b.answers = nil
+			h.b.recentAnswers = nil
 		}
 		for _, s := range h.b.servers {
-			s.waiting, s.askedAt = c.queue, h.now
+			s.probedQueue, s.probedQueueAt = c.queue, h.now
 		}
 		_, ev := h.query(0, 30)
 		if n := len(all[Send](h.turn(ev...))); n != c.sends {
--- a/balance/peers.go
+++ b/balance/peers.go
@@ -13,97 +13,97 @@
 // forged may cost a probe or a choice, and moves no rule.
 
 const (
-	tellGap   = 0.1 // shortest aims between two words of a gatherer
-	tellShare = 0.4 // bytes delivered to all others, as a share of a full word for each part taken
-	longQueue = 0.2 // of the shortest aim: what waits longer than that is told
-	wordFresh = 0.5 // shortest aims after which a word tells nothing any more
+	gossipInterval     = 0.1 // shortest aims between two words of a gatherer
+	gossipBytesPerPart = 0.4 // bytes delivered to all others, as a share of a full word for each part taken
+	longQueueDelay     = 0.2 // of the shortest aim: what waits longer than that is told
+	gossipLifetime     = 0.5 // shortest aims after which a word tells nothing any more
 )
 
 // GossipEnabled says whether words are exchanged. Few gatherers see enough themselves.
-func (set *Settings) GossipEnabled() bool { return set.PeerMessages && set.Instances > ownMost }
+func (set *Settings) GossipEnabled() bool { return set.PeerMessages && set.Instances > maxExtrapolated }
 
-// remark keeps what a probe showed for the next word; the newest counts.
-func (b *Balancer) remark(s *server, said byte) {
-	if !b.set.GossipEnabled() {
+// observe keeps what a probe showed for the next word; the newest counts.
+func (b *Balancer) observe(s *server, said byte) {
+	if !b.settings.GossipEnabled() {
 		return
 	}
-	for i := range b.remarks {
-		if b.remarks[i].Key == s.key {
-			b.remarks[i].Value = said
+	for i := range b.pendingGossip {
+		if b.pendingGossip[i].Key == s.gossipKey {
+			b.pendingGossip[i].Value = said
 			return
 		}
 	}
-	if len(b.remarks) < remarkMost {
-		b.remarks = append(b.remarks, remark{Key: s.key, Value: said})
+	if len(b.pendingGossip) < maxObservations {
+		b.pendingGossip = append(b.pendingGossip, observation{Key: s.gossipKey, Value: said})
 	}
 }
 
-// tell sends what there is to tell, as far as parts taken have earned it.
-func (b *Balancer) tell() {
-	if len(b.remarks) == 0 || b.now < b.tellAt {
+// sendGossip sends what there is to tell, as far as parts taken have earned it.
+func (b *Balancer) sendGossip() {
+	if len(b.pendingGossip) == 0 || b.now < b.nextGossip {
 		return
 	}
-	size := float64(gossip.EncodedSize(len(b.remarks)) * (b.set.Instances - 1))
-	if b.tellBytes < size {
+	size := float64(gossip.EncodedSize(len(b.pendingGossip)) * (b.settings.Instances - 1))
+	if b.gossipBytes < size {
 		return
 	}
-	b.tellBytes -= size
-	b.tellAt = b.now + duration(tellGap*us(b.shortAim))
-	b.do(SendGossip{Payload: writeWord(b.now, b.set.Zone, b.remarks)})
-	b.remarks = b.remarks[:0]
+	b.gossipBytes -= size
+	b.nextGossip = b.now + duration(gossipInterval*micros(b.minObjective))
+	b.emit(SendGossip{Payload: encodeGossip(b.now, b.settings.Zone, b.pendingGossip)})
+	b.pendingGossip = b.pendingGossip[:0]
 }
 
-// earnWord counts a part taken toward what may be told.
-func (b *Balancer) earnWord() {
-	b.tellBytes = min(b.tellBytes+tellShare*MaxGossipBytes, MaxGossipBytes*float64(b.set.Instances))
+// earnGossip counts a part taken toward what may be told.
+func (b *Balancer) earnGossip() {
+	b.gossipBytes = min(b.gossipBytes+gossipBytesPerPart*MaxGossipBytes, MaxGossipBytes*float64(b.settings.Instances))
 }
 
-// remarkQueue tells a queue that no part should wait in, and that one so told of is short, or one that was
+// observeQueue tells a queue that no part should wait in, and that one so told of is short, or one that was
 // silent is there again, or each had to find it so. Others are not told: where all know the same, all send to
 // the shortest, which is the longest by the next report.
-func (b *Balancer) remarkQueue(s *server, r *LoadReport, silent bool) {
+func (b *Balancer) observeQueue(s *server, r *LoadReport, silent bool) {
 	if r == nil || r.Queue < 0 {
 		return
 	}
-	if long := b.long(r.Queue); long || s.long || silent {
-		b.remark(s, queueRemark(r.Queue))
-		s.long = long
+	if long := b.isLongQueue(r.Queue); long || s.queueWasLong || silent {
+		b.observe(s, encodeQueue(r.Queue))
+		s.queueWasLong = long
 	}
 }
 
-// long says whether what waits takes a good share of the shortest aim.
-func (b *Balancer) long(queue float64) bool {
-	return b.workOff(queue) >= longQueue*us(b.shortAim)
+// isLongQueue says whether what waits takes a good share of the shortest aim.
+func (b *Balancer) isLongQueue(queue float64) bool {
+	return b.drainTime(queue) >= longQueueDelay*micros(b.minObjective)
 }
 
-// hear takes another's word. What was seen here since counts for more: a server that answered this gatherer
+// receiveGossip takes another's word. What was seen here since counts for more: a server that answered this gatherer
 // after the other's probe went out is there.
-func (b *Balancer) hear(w GossipReceived) {
-	age, zone, remarks, ok := readWord(b.now, w.Payload)
-	fresh := time.Duration(math.Abs(float64(age))) <= duration(wordFresh*us(b.shortAim))
-	if !ok || !b.set.GossipEnabled() || !fresh {
+func (b *Balancer) receiveGossip(w GossipReceived) {
+	age, zone, remarks, ok := decodeGossip(b.now, w.Payload)
+	fresh := time.Duration(math.Abs(float64(age))) <= duration(gossipLifetime*micros(b.minObjective))
+	if !ok || !b.settings.GossipEnabled() || !fresh {
 		return
 	}
 	for _, r := range remarks {
-		s := b.byKey[r.Key]
+		s := b.byGossipKey[r.Key]
 		if s == nil {
 			continue // not listed here: a word brings no server in
 		}
-		s.probed = max(s.probed, b.now-max(0, age))
-		if r.Value == noAnswer {
+		s.probedAt = max(s.probedAt, b.now-max(0, age))
+		if r.Value == unresponsiveValue {
 			// Of the own zone: the others' way there may be cut.
-			if zone == b.set.Zone&0xff && b.now-s.lastOK > max(0, age)+b.set.ProbeTimeout {
-				s.noReply, s.dark = true, true
+			if zone == b.settings.Zone&0xff && b.now-s.LastSuccess > max(0, age)+b.settings.ProbeTimeout {
+				s.probeFailed, s.probeUnanswered = true, true
 			}
 			continue
 		}
-		s.noReply, s.dark = false, false
+		s.probeFailed, s.probeUnanswered = false, false
 		queue := float64(r.Value)
-		long := b.long(queue)
-		if !long && queue > s.q {
+		long := b.isLongQueue(queue)
+		if !long && queue > s.queue {
 			continue // what is known here is no better
 		}
-		s.long = long
-		b.report(s, &LoadReport{Queue: queue, InFlight: -1, Utilization: -1})
+		s.queueWasLong = long
+		b.recordLoad(s, &LoadReport{Queue: queue, InFlight: -1, Utilization: -1})
 	}
 }
--- a/balance/peers_test.go
+++ b/balance/peers_test.go
@@ -36,7 +36,7 @@
 	}
 	to.now = from.now
 	to.turn(GossipReceived{told[0].Payload}, GossipReceived{told[0].Payload}) // doubled
-	if s := to.b.servers["a"]; !s.silent {
+	if s := to.b.servers["a"]; !s.Unresponsive {
 		t.Fatal("a silent server is still trusted")
 	}
 	for range 20 {
@@ -51,7 +51,7 @@
 	}
 	to.now = from.now
 	to.turn(GossipReceived{told[0].Payload})
-	if to.turn(); to.b.servers["a"].silent {
+	if to.turn(); to.b.servers["a"].Unresponsive {
 		t.Error("a server that answers is still left")
 	}
 	if told = learned(from, OK, 1); len(told) != 0 {
@@ -63,8 +63,8 @@
 func TestSilenceOfAnotherZonesWay(t *testing.T) {
 	silent := func(h *bench, zone int) bool {
 		h.now += time.Second
-		h.turn(GossipReceived{writeWord(h.now, zone, []remark{{Key: gossip.ServerKey("a"), Value: noAnswer}})})
-		return h.b.servers["a"].silent
+		h.turn(GossipReceived{encodeGossip(h.now, zone, []observation{{Key: gossip.ServerKey("a"), Value: unresponsiveValue}})})
+		return h.b.servers["a"].Unresponsive
 	}
 	h := many(t)
 	if silent(h, 1) {
@@ -80,7 +80,7 @@
 			h.turn(AttemptEnded{Part: s.Part, Replica: "a", Result: OK, Elapsed: time.Second})
 		}
 	}
-	if to(sends)["a"] == 0 || h.b.servers["a"].dark {
+	if to(sends)["a"] == 0 || h.b.servers["a"].probeUnanswered {
 		t.Errorf("%d parts answered, and it is taken for silent", to(sends)["a"])
 	}
 }
@@ -93,7 +93,7 @@
 	}
 	to.now = from.now
 	to.turn(GossipReceived{told[0].Payload})
-	if q := to.b.servers["a"].q; q < 20 {
+	if q := to.b.servers["a"].queue; q < 20 {
 		t.Fatalf("queue taken as %v", q)
 	}
 	told = learned(from, OK, 0)
@@ -102,7 +102,7 @@
 	}
 	to.now = from.now
 	to.turn(GossipReceived{told[0].Payload})
-	if q := to.b.servers["a"].q; q > 15 {
+	if q := to.b.servers["a"].queue; q > 15 {
 		t.Fatalf("queue taken as %v after its end", q)
 	}
 	if told = learned(from, OK, 0); len(told) != 0 {
@@ -124,9 +124,9 @@
 		"too long":     {bend: func(b []byte) []byte { return append(bytes.Clone(b), make([]byte, 300)...) }},
 		"empty":        {bend: func([]byte) []byte { return nil }},
 		"of a stranger": {bend: func(b []byte) []byte {
-			_, _, r, _ := readWord(0, b)
+			_, _, r, _ := decodeGossip(0, b)
 			r[0].Key++
-			return writeWord(0, 0, r)
+			return encodeGossip(0, 0, r)
 		}},
 	} {
 		from, to := many(t), many(t)
@@ -136,9 +136,9 @@
 		}
 		to.now = from.now + c.late
 		if c.ok {
-			to.b.servers["a"].lastOK = to.now - 10*ms
+			to.b.servers["a"].LastSuccess = to.now - 10*ms
 		}
-		if to.turn(GossipReceived{text}); to.b.servers["a"].silent {
+		if to.turn(GossipReceived{text}); to.b.servers["a"].Unresponsive {
 			t.Errorf("%s: the server is left", name)
 		}
 	}
@@ -147,17 +147,17 @@
 		h := many(t)
 		word := learned(h, Canceled, 0)[0].Payload
 		if h = many(t); few {
-			h.b.set.Instances = ownMost
+			h.b.settings.Instances = maxExtrapolated
 		} else {
-			h.b.set.PeerMessages = false
+			h.b.settings.PeerMessages = false
 		}
 		if told := learned(h, Canceled, 0); len(told) != 0 {
 			t.Errorf("few %v: told %v", few, told)
 		}
 		h = many(t)
-		h.b.set.PeerMessages = false
+		h.b.settings.PeerMessages = false
 		h.now += time.Second
-		if h.turn(GossipReceived{word}); h.b.servers["a"].dark {
+		if h.turn(GossipReceived{word}); h.b.servers["a"].probeUnanswered {
 			t.Error("a word counts where they are not allowed")
 		}
 	}
@@ -166,26 +166,26 @@
 // What is told is earned by parts taken, and never longer than is allowed.
 func TestWordsAreRationed(t *testing.T) {
 	h := many(t)
-	h.b.tellBytes = 0
+	h.b.gossipBytes = 0
 	if told := learned(h, Canceled, 0); len(told) != 0 {
 		t.Errorf("told %v with nothing earned", told)
 	}
-	var remarks []remark
+	var remarks []observation
 	for i := range 200 {
-		remarks = append(remarks, remark{Key: uint32(i), Value: byte(i)})
+		remarks = append(remarks, observation{Key: uint32(i), Value: byte(i)})
 	}
-	text := writeWord(0, 0, remarks)
-	if _, _, got, ok := readWord(0, text); !ok || len(text) > MaxGossipBytes || len(got) != remarkMost {
+	text := encodeGossip(0, 0, remarks)
+	if _, _, got, ok := decodeGossip(0, text); !ok || len(text) > MaxGossipBytes || len(got) != maxObservations {
 		t.Errorf("%d bytes, %d remarks, %v", len(text), len(got), ok)
 	}
 }
 
 func FuzzWord(f *testing.F) {
 	f.Add([]byte(nil))
-	f.Add(writeWord(time.Hour, 0, []remark{{Key: gossip.ServerKey("a"), Value: 7}, {Key: gossip.ServerKey("b"), Value: noAnswer}}))
-	f.Add(append(writeWord(0, 0, nil), 1, 2, 3))
+	f.Add(encodeGossip(time.Hour, 0, []observation{{Key: gossip.ServerKey("a"), Value: 7}, {Key: gossip.ServerKey("b"), Value: unresponsiveValue}}))
+	f.Add(append(encodeGossip(0, 0, nil), 1, 2, 3))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		_, _, remarks, ok := readWord(0, text)
+		_, _, remarks, ok := decodeGossip(0, text)
 		if ok != IsGossip(text) || ok && len(text) != gossip.EncodedSize(len(remarks)) {
 			t.Fatalf("%x: %v, %d remarks", text, ok, len(remarks))
 		}
--- a/balance/word.go
+++ b/balance/word.go
@@ -10,23 +10,23 @@
 const MaxGossipBytes = gossip.MaxMessageBytes
 
 const (
-	wordKind   = 0x52 // letter Q, version 2: of a replica its queue is said, or noAnswer
-	remarkMost = gossip.MaxObservations
-	noAnswer   = 255 // said of a replica that did not answer a probe; less is its queue
+	loadMessageKind   = 0x52 // letter Q, version 2: of a replica its queue is said, or unresponsiveValue
+	maxObservations   = gossip.MaxObservations
+	unresponsiveValue = 255 // said of a replica that did not answer a probe; less is its queue
 )
 
-type remark = gossip.Observation
+type observation = gossip.Observation
 
-// queueRemark words a queue: what is longer than a remark can say is said as its most.
-func queueRemark(queue float64) byte { return byte(max(0, min(noAnswer-1, queue+0.5))) }
+// encodeQueue words a queue: what is longer than a remark can say is said as its most.
+func encodeQueue(queue float64) byte { return byte(max(0, min(unresponsiveValue-1, queue+0.5))) }
 
-func writeWord(now time.Duration, zone int, remarks []remark) []byte {
-	return gossip.EncodeObservations(wordKind, now, zone, remarks)
+func encodeGossip(now time.Duration, zone int, remarks []observation) []byte {
+	return gossip.EncodeObservations(loadMessageKind, now, zone, remarks)
 }
 
 // IsGossip says whether text is a word at all. One that is not is worth counting, and tells nothing.
-func IsGossip(text []byte) bool { return gossip.IsObservations(wordKind, text) }
+func IsGossip(text []byte) bool { return gossip.IsObservations(loadMessageKind, text) }
 
-func readWord(now time.Duration, text []byte) (age time.Duration, zone int, remarks []remark, ok bool) {
-	return gossip.DecodeObservations(wordKind, now, text)
+func decodeGossip(now time.Duration, text []byte) (age time.Duration, zone int, remarks []observation, ok bool) {
+	return gossip.DecodeObservations(loadMessageKind, now, text)
 }
--- a/internal/app/shardmaps.go
+++ b/internal/app/shardmaps.go
@@ -16,7 +16,7 @@
 	"rooktrestle/internal/state/atomicfile"
 )
 
-// askAgain is how long after an answer without news a source that may be late is asked again.
+// listRetryInterval is how long after an answer without news a source that may be late is asked again.
 const askAgain = 50 * time.Millisecond
 
 // maps bring maps of blocks to the core, and keep the last good one.
--- a/internal/control/outlier/word.go
+++ b/internal/control/outlier/word.go
@@ -28,7 +28,7 @@
 // IsMessage says whether text is a word of this kind.
 func IsMessage(text []byte) bool { return gossip.IsObservations(wordKind, text) }
 
-// readWord reads a word and how long ago it was sent: negative where the sender's clock is ahead.
+// decodeGossip reads a word and how long ago it was sent: negative where the sender's clock is ahead.
 func readWord(now time.Duration, text []byte) (age time.Duration, zone int, remarks []remark, ok bool) {
 	age, zone, said, ok := gossip.DecodeObservations(wordKind, now, text)
 	for _, r := range said {
--- a/internal/control/retrydetect/retrydetect.go
+++ b/internal/control/retrydetect/retrydetect.go
@@ -4,30 +4,30 @@
 
 import "time"
 
-// votesMost is by how many queries one length of first tries may lead over others: bounds unlearning.
-const votesMost = 20
+// maxVotes is by how many queries one length of first tries may lead over others: bounds unlearning.
+const maxVotes = 20
 
-// Usual is the time left that first tries of a class have, with its lead over other lengths. First tries of a class
+// Detector is the time left that first tries of a class have, with its lead over other lengths. First tries of a class
 // all have the same time left, later ones what remains of the deadline, which may be more; so what most queries have
 // is that of first tries.
-type Usual struct {
-	left  time.Duration
-	votes int
+type Detector struct {
+	timeLeft time.Duration
+	votes    int
 }
 
-// First says whether a query with so much time left is a first try. marked: clients flag their repeats, and retry is
+// IsFirstAttempt says whether a query with so much time left is a first try. marked: clients flag their repeats, and retry is
 // the flag. Times that differ by no more than same count as equal.
-func (u *Usual) First(left time.Duration, marked, retry bool, same time.Duration) bool {
+func (u *Detector) IsFirstAttempt(left time.Duration, marked, retry bool, same time.Duration) bool {
 	switch {
 	case marked && !retry:
-		u.left = left
+		u.timeLeft = left
 		return true
-	case max(left-u.left, u.left-left) <= same:
-		u.votes = min(u.votes+1, votesMost)
+	case max(left-u.timeLeft, u.timeLeft-left) <= same:
+		u.votes = min(u.votes+1, maxVotes)
 		return true
 	case !marked:
 		if u.votes--; u.votes < 0 {
-			u.left, u.votes = left, 0
+			u.timeLeft, u.votes = left, 0
 			return true
 		}
 	}
--- a/internal/control/retrydetect/retrydetect_test.go
+++ b/internal/control/retrydetect/retrydetect_test.go
@@ -9,23 +9,23 @@
 // of first tries, and a change of it is learned.
 func TestFirst(t *testing.T) {
 	const s, tick = time.Second, 10 * time.Millisecond
-	var u Usual
-	if !u.First(2*s, true, false, tick) || u.First(s, true, true, tick) || !u.First(2*s+tick, true, true, tick) {
+	var u Detector
+	if !u.IsFirstAttempt(2*s, true, false, tick) || u.IsFirstAttempt(s, true, true, tick) || !u.IsFirstAttempt(2*s+tick, true, true, tick) {
 		t.Error("flagged tries")
 	}
-	u = Usual{}
+	u = Detector{}
 	for i := range 30 {
-		if !u.First(2*s, false, false, tick) && i > 0 {
+		if !u.IsFirstAttempt(2*s, false, false, tick) && i > 0 {
 			t.Fatal("a first try taken for a later one")
 		}
 	}
 	firsts := 0
-	for range votesMost {
-		if u.First(s, false, false, tick) {
+	for range maxVotes {
+		if u.IsFirstAttempt(s, false, false, tick) {
 			firsts++
 		}
 	}
-	if firsts != 0 || !u.First(s, false, false, tick) || !u.First(s, false, false, tick) {
-		t.Errorf("%d of the first %d tries with another time left taken for first ones", firsts, votesMost)
+	if firsts != 0 || !u.IsFirstAttempt(s, false, false, tick) || !u.IsFirstAttempt(s, false, false, tick) {
+		t.Errorf("%d of the first %d tries with another time left taken for first ones", firsts, maxVotes)
 	}
 }
--- a/internal/control/slowstart/slowstart_test.go
+++ b/internal/control/slowstart/slowstart_test.go
@@ -8,13 +8,13 @@
 
 const ms = time.Millisecond
 
-var rules = Rules{For: 10 * time.Second, From: 0.2, TipMultiple: 2, TipFor: 2 * time.Second, Mixers: 10}
+var rules = Limits{WarmupPeriod: 10 * time.Second, MinCapacity: 0.2, OverloadMultiple: 2, OverloadPeriod: 2 * time.Second, Senders: 10}
 
 // A server's share grows evenly from its start, and a restart begins it anew with what the lot says.
 func TestShare(t *testing.T) {
 	var s Server
 	now := time.Hour
-	if rules.Share(&s, now) != 1 || !rules.Room(&s, now, 100*ms) {
+	if rules.Capacity(&s, now) != 1 || !rules.Allows(&s, now, 100*ms) {
 		t.Error("a server that runs long is not warm")
 	}
 	s.Restart(now, 0.4)
@@ -22,14 +22,14 @@
 		age   time.Duration
 		share float64
 	}{{0, 0.2}, {5 * time.Second, 0.6}, {10 * time.Second, 1}, {20 * time.Second, 1}} {
-		if got := rules.Share(&s, now+c.age); got < c.share-1e-9 || got > c.share+1e-9 {
+		if got := rules.Capacity(&s, now+c.age); got < c.share-1e-9 || got > c.share+1e-9 {
 			t.Errorf("after %v share %v, want %v", c.age, got, c.share)
 		}
 	}
-	if s.Credit != 0.4 || s.Lot != 0.4 {
+	if s.Credit != 0.4 || s.FirstSendThreshold != 0.4 {
 		t.Errorf("%+v", s)
 	}
-	if none := (&Rules{}); none.Share(&s, now) != 1 || !none.Room(&s, now, 100*ms) {
+	if none := (&Limits{}); none.Capacity(&s, now) != 1 || !none.Allows(&s, now, 100*ms) {
 		t.Error("cold, though no rule is stated")
 	}
 }
@@ -42,17 +42,17 @@
 		s.Restart(start, 0.7)
 		s.Credit = 0
 		var sent []time.Duration
-		for now := start; now < start+rules.For; now += ms {
-			if !rules.Room(&s, now, work) {
+		for now := start; now < start+rules.WarmupPeriod; now += ms {
+			if !rules.Allows(&s, now, work) {
 				continue
 			}
-			rules.Sent(&s, now)
+			rules.RecordSend(&s, now)
 			sent = append(sent, now)
-			room := rules.TipMultiple / float64(work) / float64(rules.Mixers) * rules.Share(&s, now) * float64(rules.TipFor)
+			room := rules.OverloadMultiple / float64(work) / float64(rules.Senders) * rules.Capacity(&s, now) * float64(rules.OverloadPeriod)
 			most := max(1, math.Floor(room))
 			in := 0.0
 			for _, at := range sent { // the window is shortened to whole parts
-				if at > now-time.Duration(float64(rules.TipFor)*most/room) {
+				if at > now-time.Duration(float64(rules.OverloadPeriod)*most/room) {
 					in++
 				}
 			}
@@ -71,17 +71,17 @@
 	var s Server
 	now := time.Hour
 	s.Restart(now, 0.5)
-	if rules.Room(&s, now, time.Second) {
+	if rules.Allows(&s, now, time.Second) {
 		t.Fatal("room at the start")
 	}
-	rules.Earn(&s, now, 2.6) // by 0.2
-	if s.Credit < 1 || !rules.Room(&s, now, time.Second) {
+	rules.AddCredit(&s, now, 2.6) // by 0.2
+	if s.Credit < 1 || !rules.Allows(&s, now, time.Second) {
 		t.Fatalf("%v owed, and no room", s.Credit)
 	}
-	if rules.Sent(&s, now); s.Credit > 0.1 || rules.Room(&s, now, time.Second) {
+	if rules.RecordSend(&s, now); s.Credit > 0.1 || rules.Allows(&s, now, time.Second) {
 		t.Errorf("%v owed after it was sent", s.Credit)
 	}
-	if rules.Earn(&s, now+rules.For, 100); s.Credit > 0.1 {
+	if rules.AddCredit(&s, now+rules.WarmupPeriod, 100); s.Credit > 0.1 {
 		t.Error("a warm server earns")
 	}
 }
@@ -93,16 +93,16 @@
 	start := time.Hour
 	s.Restart(start, 0)
 	most := 0
-	for now := start; now < start+rules.For; now += 5 * ms {
-		rules.Room(&s, now, 5*ms)
-		rules.Sent(&s, now)
+	for now := start; now < start+rules.WarmupPeriod; now += 5 * ms {
+		rules.Allows(&s, now, 5*ms)
+		rules.RecordSend(&s, now)
 		s.Credit = 0 // what is owed would let every part go without a look at the window
-		most = max(most, len(s.sends))
+		most = max(most, len(s.recentSends))
 	}
-	if window := int(rules.TipFor / (5 * ms)); most > window+1 || len(s.sends) == 0 {
+	if window := int(rules.OverloadPeriod / (5 * ms)); most > window+1 || len(s.recentSends) == 0 {
 		t.Errorf("%d parts kept, a window has %d", most, window)
 	}
-	if rules.Sent(&s, start+rules.For); len(s.sends) != 0 {
-		t.Errorf("%d parts kept of a warm server", len(s.sends))
+	if rules.RecordSend(&s, start+rules.WarmupPeriod); len(s.recentSends) != 0 {
+		t.Errorf("%d parts kept of a warm server", len(s.recentSends))
 	}
 }
