Split the decisions by concern and move the estimators to pure packages

Change: one file a concern; typed values for averages and progress; moving averages, samples, suspicion, network paths, retry budget, tenants' rates, demand and the gossip outbox are packages under internal/control.

--- /dev/null
+++ b/balance/admission.go
@@ -0,0 +1,186 @@
+package balance
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"rooktrestle/internal/control/estimate"
+)
+
+// When new queries are rejected.
+const (
+	admissionShare     = 0.8  // of the time left: what a query of mean weight may be expected to take
+	minAdmissionFactor = 0.5  // least that a query's weight per part makes of that share
+	maxAdmissionFactor = 1.2  // and most
+	weightSmoothing    = 0.02 // weight of one query in the mean weight and number of parts
+	minObservedLatency = 0.5  // of the objective: what recent responses must have taken for a rejection
+	hopelessTimeLeft   = 0.25 // of the objective: only with less left may service times alone reject
+	minInFlightToJudge = 2    // own requests in flight from which a server's recent latency closes it
+	answerRatePeriod   = 2    // shortest objectives over which the rate of answers is taken
+	longQueueQuantile  = 0.75 // quantile of the queues lately reported that a wide query meets
+	minReports         = 4    // servers whose queues stand for the others'
+	maxExtrapolated    = 4    // balancers that own requests may stand for: one of many knows little
+	assumedConcurrency = 4    // parts that a server is taken to serve at once: many, as reports may be late
+	maxWorkSpread      = 2.0  // a part's mean work over the median service time, at most
+	minTrafficFraction = 0.01 // a traffic fraction so small that parts rather wait for another replica
+	longQueueDelay     = 0.2  // of the shortest objective: a queue with a longer delay is long
+)
+
+// admit reports whether a query's answer may be expected in time. Guards against overload, whatever brings it: work
+// that will be late is rejected before it costs anything, queries of little weight per part first.
+func (b *Balancer) admit(q *query) bool {
+	factor := b.admissionFactor(q)
+	left := micros(b.stepDue(q) - b.now)
+	limit := left * admissionShare * factor
+	least, needed := min(q.minWeight(), q.neededWeight()), q.neededWeight()
+	open := b.openWeight(q, limit)
+	hopeless := min(b.medianServiceTime, hopelessTimeLeft*micros(q.class.Objective))
+	if left <= hopeless || open < least-weightTolerance {
+		return false
+	}
+	// Both must say so: what responses took lately, which lags, and the number in flight, high in a lull.
+	deviations := estimate.TailDeviations(len(q.parts), 1-(least+needed)/2)
+	if delay, measured := b.observedQueueDelay(); measured {
+		return b.quietLatency(deviations)+delay*tailFactor(deviations) <= limit
+	}
+	slowest := b.latency.Mean + deviations*b.latency.Deviation
+	if slowest <= micros(q.class.Objective)*minObservedLatency {
+		return true
+	}
+	expected, measured := b.expectedLatency(q, slowest)
+	if expected > limit && !measured {
+		// A rejection brings no responses, so each forgets some of what made it, until a query goes out.
+		b.latency.Forget(min(b.medianServiceTime, b.initialLatency()))
+	}
+	return expected <= limit
+}
+
+// tailFactor is by how much the slowest part waits longer than the quantile observed, with the same tail.
+func tailFactor(deviations float64) float64 {
+	return max(1, deviations/estimate.TailFactor/-math.Log(1-longQueueQuantile))
+}
+
+// quietLatency is what the slowest part takes without a queue, by own responses while they are as fresh as the queues
+// observed; a few stuck parts say nothing of the others.
+func (b *Balancer) quietLatency(deviations float64) float64 {
+	mean := b.latency.Mean
+	if len(b.recentAnswers) < minReports {
+		mean = min(mean, b.initialLatency())
+	}
+	return mean + deviations*min(b.latency.Deviation, mean*estimate.InitialDeviation)
+}
+
+func (b *Balancer) initialLatency() float64 { return micros(b.minObjective) * estimate.InitialMean }
+
+// admissionFactor weighs a query's weight per part against the mean, and takes it into that mean.
+func (b *Balancer) admissionFactor(q *query) float64 {
+	weight, parts := q.class.Weight, float64(max(1, q.Parts))
+	if b.settings.WeightByWork {
+		weight *= parts
+	}
+	if !b.tenantRates.Take(q.Tenant, b.now) {
+		weight *= b.settings.OverQuotaFactor
+	}
+	b.meanWeight += weightSmoothing * (weight - b.meanWeight)
+	b.meanParts += weightSmoothing * (parts - b.meanParts)
+	factor := math.Cbrt(weight / parts * b.meanParts / b.meanWeight)
+	return min(maxAdmissionFactor, max(minAdmissionFactor, factor))
+}
+
+// openWeight is the weight of the parts that have an open replica. A query that lacks a shard is not begun.
+func (b *Balancer) openWeight(q *query, limit float64) (open float64) {
+	for _, p := range q.parts {
+		candidates := prefer(b.candidates(p), func(s *server) bool { return !s.nearlyExcluded() })
+		if slices.ContainsFunc(candidates, func(s *server) bool { return b.isOpen(p, s, limit) }) {
+			open += p.Weight
+		}
+	}
+	return open
+}
+
+// isOpen reports whether a replica may answer a part within limit microseconds. It is open unless it is full, warming
+// up without capacity, has requests in flight and took too long lately, or is too slow and no half-open request is due.
+func (b *Balancer) isOpen(p *part, s *server, limit float64) bool {
+	halfOpen := len(s.InFlight) == 0 && b.now >= s.NextTrial
+	quick := s.recent.Mean(slowSamples) <= limit || !s.Slow && len(s.InFlight) < minInFlightToJudge
+	return b.now >= s.avoidUntil && b.slowStartAllows(p, s) && (quick || halfOpen) &&
+		b.queueDelay(s) <= max(0, limit-b.initialLatency())
+}
+
+// expectedLatency is how long a new query may take by Little's law: requests in flight at healthy servers over the rate
+// at which these answer. What is in flight falls as soon as less is sent, so rejections cannot feed on themselves.
+// Fresh load reports (their median: a few servers may hold most) and the parts sent since tell it, or own requests
+// where balancers are few; else measured is false and recent response times must do. Each healthy server is worth one
+// core at least.
+func (b *Balancer) expectedLatency(q *query, slowest float64) (took float64, measured bool) {
+	instances := float64(b.settings.Instances)
+	own, capacity, reports := 0.0, 0.0, []float64(nil)
+	for _, s := range b.endpoints {
+		if !s.listed || !s.healthyFor(q.Class) {
+			continue
+		}
+		capacity += b.capacity(s)
+		own += float64(len(s.InFlight) - s.stalled)
+		if inFlight, fresh := b.inFlightReported(s); fresh {
+			reports = append(reports, inFlight)
+		}
+	}
+	capacity = max(capacity, 1)
+	rate := instances * float64(len(b.recentAnswers)) / micros(answerRatePeriod*b.minObjective) / capacity
+	rate = max(rate, 1/cmp.Or(b.medianServiceTime, b.latency.Mean))
+	if reports == nil && instances > maxExtrapolated {
+		return slowest, false
+	}
+	inFlight := max(min(instances, maxExtrapolated)*own/capacity, estimate.Median(reports))
+	return (inFlight + float64(len(q.parts))/capacity) / rate * slowest / b.latency.Mean, true
+}
+
+// inFlightReported is how many requests a server has in flight by its last load report and what was sent since.
+func (b *Balancer) inFlightReported(s *server) (inFlight float64, fresh bool) {
+	if s.reportedInFlight < 0 || s.reportedAt <= 0 || b.now-s.reportedAt >= answerRatePeriod*b.minObjective {
+		return 0, false
+	}
+	inFlight = s.reportedInFlight
+	for _, sent := range s.InFlight {
+		if sent > s.reportedAt {
+			inFlight++
+		}
+	}
+	return inFlight, true
+}
+
+// shedOptionalParts leaves out parts that a query can do without where half of a shard's replicas are excluded and the
+// others have long queues. What these can do is for queries that need each of their parts: one lost there wastes all
+// others. It returns the weight that can still be reached.
+func (b *Balancer) shedOptionalParts(q *query, reachable float64) float64 {
+	if q.minWeight() >= q.neededWeight() {
+		return reachable
+	}
+	for _, p := range q.parts {
+		optional := p.attempts == 0 && !p.abandoned && reachable-p.Weight >= q.minWeight()
+		if optional && b.mostlyExcluded(p) {
+			p.abandoned = true
+			reachable -= p.Weight
+		}
+	}
+	return reachable
+}
+
+// mostlyExcluded reports whether half of a part's replicas are excluded, and all others have long queues.
+func (b *Balancer) mostlyExcluded(p *part) bool {
+	excluded, candidates := 0, b.candidates(p)
+	for _, s := range candidates {
+		if s.nearlyExcluded() {
+			excluded++
+		} else if !b.backlogged(s) {
+			return false
+		}
+	}
+	return 2*excluded >= len(candidates)
+}
+
+// nearlyExcluded reports whether a server is to get next to nothing.
+func (s *server) nearlyExcluded() bool {
+	return s.TrafficFraction > 0 && s.TrafficFraction <= minTrafficFraction
+}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1,10 +1,15 @@
 package balance
 
 import (
+	"cmp"
+	"maps"
 	"reflect"
 	"slices"
 	"testing"
 	"time"
+
+	"rooktrestle/internal/control/slowstart"
+	"rooktrestle/internal/control/suspicion"
 )
 
 const ms = time.Millisecond
@@ -130,7 +135,7 @@
 	h := newBench(t, testSettings())
 	s := h.b.servers["a"]
 	s.measured, s.reportedAt, s.averages = true, h.now, averages{300, 100, 2}
-	s.InFlight = []*attempt{{}}
+	s.InFlight = []time.Duration{0}
 	// n = 2: q̂ = 1 + 1x2 + 2 = 5; 300 - 100 + 125 x 100
 	if got := h.b.rank(s); got != 12700 {
 		t.Errorf("rank %v, want 12700", got)
@@ -139,16 +144,16 @@
 
 func TestUnheardServerTakesTheMean(t *testing.T) {
 	h := newBench(t, testSettings())
-	if r, s, q := h.b.averagesOf(h.b.servers["a"]); r != 1e6 || s != 1e6 || q != 0 {
-		t.Errorf("before any answer R %v S %v q %v, want the aim, the aim and 0", r, s, q)
+	if got := h.b.averagesOf(h.b.servers["a"]); got != (averages{1e6, 1e6, 0}) {
+		t.Errorf("before any answer %+v, want the objective, the objective and 0", got)
 	}
 	for name, r := range map[Replica]float64{"b": 100, "c": 300} {
 		s := h.b.servers[name]
 		s.measured, s.latency, s.serviceTime, s.queue = true, r, r/2, r/100
 	}
 	h.turn(TimerFired{})
-	if r, s, q := h.b.averagesOf(h.b.servers["a"]); r != 200 || s != 100 || q != 2 {
-		t.Errorf("R %v S %v q %v, want the means 200, 100 and 2", r, s, q)
+	if got := h.b.averagesOf(h.b.servers["a"]); got != (averages{200, 100, 2}) {
+		t.Errorf("%+v, want the means 200, 100 and 2", got)
 	}
 }
 
@@ -535,7 +540,7 @@
 func TestOverloadIsRefusedAtOnceAndEnds(t *testing.T) {
 	h := newBench(t, testSettings())
 	h.serve(20, 100*ms)
-	h.b.latencyMean, h.b.latencyDeviation = 900e3, 200e3 // a jam
+	h.b.latency.Mean, h.b.latency.Deviation = 900e3, 200e3 // a jam
 	refused := 0
 	for range 60 {
 		_, ev := h.query(0, 1)
@@ -625,9 +630,9 @@
 	h.serve(20, 100*ms)
 	jam := func(parts int) {
 		for _, s := range h.b.servers {
-			s.recent, s.InFlight = []float64{2e6, 2e6}, make([]*attempt, parts)
+			s.recent, s.InFlight = []float64{2e6, 2e6}, make([]time.Duration, parts)
 			for i := range s.InFlight {
-				s.InFlight[i] = &attempt{server: s, sent: h.now}
+				s.InFlight[i] = h.now
 			}
 		}
 	}
@@ -737,7 +742,7 @@
 		set.Instances = n
 		h := newBench(t, set)
 		h.serve(40, 100*ms)
-		h.b.latencyMean, h.b.latencyDeviation = 400e3, 200e3 // crowded a while ago
+		h.b.latency.Mean, h.b.latency.Deviation = 400e3, 200e3 // crowded a while ago
 		for _, s := range h.b.servers {
 			s.reportedAt, s.reportedInFlight = h.now, 1
 		}
@@ -757,7 +762,7 @@
 	for _, s := range []*server{a, b} {
 		s.measured, s.reportedAt, s.latency, s.serviceTime = true, h.now, 100e3, 100e3
 	}
-	a.InFlight, b.queue = []*attempt{{}}, 20
+	a.InFlight, b.queue = []time.Duration{0}, 20
 	if h.b.rank(a) >= h.b.rank(b) {
 		t.Error("one own part outranks a queue of twenty")
 	}
@@ -769,7 +774,7 @@
 	set.Instances = 80
 	h := newBench(t, set)
 	h.serve(40, 100*ms)
-	h.b.latencyMean, h.b.latencyDeviation = 2e6, 1e6
+	h.b.latency.Mean, h.b.latency.Deviation = 2e6, 1e6
 	_, ev := h.query(0, 3)
 	if len(all[Reject](h.turn(ev...))) != 1 {
 		t.Fatal("a query was begun where answers take twice its aim")
@@ -909,6 +914,13 @@
 	}
 }
 
+// attemptsInOrder returns the attempts in flight in the order in which they were sent.
+func attemptsInOrder(b *Balancer) []*attempt {
+	return slices.SortedFunc(maps.Values(b.attempts), func(x, y *attempt) int {
+		return cmp.Or(cmp.Compare(x.sent, y.sent), cmp.Compare(x.part.ID, y.part.ID))
+	})
+}
+
 // Rule 4: however many gatherers there are, together they keep to the stated multiple of a cold server's
 // capacity in every window, and do not starve it.
 func TestManyGatherersDoNotPushOverAColdServer(t *testing.T) {
@@ -932,7 +944,7 @@
 			}
 			b.now = start
 			b.Turn(start, []Event{EndpointList{Kind: ListFull, Endpoints: []Endpoint{{Replica: "a", Started: start}}}})
-			b.latencyMean, b.latencyDeviation = micros(work), 0
+			b.latency.Mean, b.latency.Deviation = micros(work), 0
 			all = append(all, b)
 		}
 		var sent []time.Duration
@@ -940,7 +952,7 @@
 		for now := start; now < start+set.Rules.WarmupPeriod; now += work / 2 {
 			for _, b := range all {
 				var events []Event
-				for _, a := range b.servers["a"].InFlight {
+				for _, a := range attemptsInOrder(b) {
 					if now-a.sent >= work {
 						events = append(events, AttemptEnded{Part: a.part.ID, Attempt: a.number, Replica: "a", Result: OK, Elapsed: work})
 					}
@@ -1025,7 +1037,7 @@
 		set.Classes[0].MinFraction, set.Classes[0].PartialFraction, set.Classes[0].OverdueFraction = c.floor, 0.9, 0.3
 		h := newBench(t, set)
 		h.serve(20, 100*ms)
-		h.b.latencyMean, h.b.latencyDeviation, h.b.meanWeight, h.b.meanParts = 320e3, 130e3, 1, 30
+		h.b.latency.Mean, h.b.latency.Deviation, h.b.meanWeight, h.b.meanParts = 320e3, 130e3, 1, 30
 		_, ev := h.query(0, 30)
 		if n := len(all[Send](h.turn(ev...))); n != c.sends {
 			t.Errorf("floor %v: %d parts sent, want %d", c.floor, n, c.sends)
@@ -1046,8 +1058,8 @@
 		}
 		h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: OK})
 	}
-	if len(sends) != 60 || h.b.latencyMean > 400e3 {
-		t.Errorf("%d parts; mean %.0f us, of many queries of 100 ms and one of 10 to 900 ms", len(sends), h.b.latencyMean)
+	if len(sends) != 60 || h.b.latency.Mean > 400e3 {
+		t.Errorf("%d parts; mean %.0f us, of many queries of 100 ms and one of 10 to 900 ms", len(sends), h.b.latency.Mean)
 	}
 }
 
@@ -1110,7 +1122,7 @@
 func TestFewFastFailuresDoNotCloseAWay(t *testing.T) {
 	h := newBench(t, testSettings(), twoZones()...)
 	way, s := h.b.paths[1], h.b.servers["b"]
-	way.InFlight = make([]*attempt, 20)
+	way.InFlight = make([]time.Duration, 20)
 	for range 4 {
 		h.b.recordFailure(s, &s.perClass[0], h.now)
 	}
@@ -1291,7 +1303,7 @@
 	set.CanHedge = false
 	h := newBench(t, set)
 	h.serve(60, 100*ms)
-	h.b.latencyMean, h.b.latencyDeviation = 150e3, 80e3 // late is 390 ms
+	h.b.latency.Mean, h.b.latency.Deviation = 150e3, 80e3 // late is 390 ms
 	_, ev := h.query(0, 1)
 	s := one[Send](h, h.turn(ev...))
 	h.now += 600 * ms
@@ -1311,12 +1323,12 @@
 		s.measured, s.reportedAt, s.averages = true, h.now, averages{100e3, 100e3, float64(9 * i)}
 	}
 	h.turn(TimerFired{})
-	if _, _, q := h.b.averagesOf(h.b.servers["c"]); q != 18 {
+	if q := h.b.averagesOf(h.b.servers["c"]).queue; q != 18 {
 		t.Errorf("q %v just after a report of 18", q)
 	}
 	h.now += 10 * time.Second
 	h.turn(TimerFired{})
-	if _, _, q := h.b.averagesOf(h.b.servers["c"]); q < 9 || q > 10 {
+	if q := h.b.averagesOf(h.b.servers["c"]).queue; q < 9 || q > 10 {
 		t.Errorf("q %v ten aims after a report of 18, want the mean of 9", q)
 	}
 }
@@ -1327,12 +1339,12 @@
 	for _, c := range []struct {
 		parts  int
 		silent bool
-	}{{recentSize, true}, {3, false}} {
+	}{{suspicion.MaxTypicalOverdue, true}, {3, false}} {
 		set := testSettings()
 		set.CanHedge = false
 		h := newBench(t, set, twoZones()...)
 		h.serve(60, 100*ms)
-		h.b.latencyMean, h.b.latencyDeviation, h.b.hedgeTokens = 100e3, 50e3, maxHedgeTokens
+		h.b.latency.Mean, h.b.latency.Deviation, h.b.hedgeTokens = 100e3, 50e3, maxHedgeTokens
 		h.now += time.Millisecond
 		for _, s := range h.b.endpoints {
 			s.avoidUntil = h.now // all may be sent to
@@ -1353,9 +1365,7 @@
 			t.Errorf("%d parts out, none answered: way fit %v", c.parts, h.b.paths[1].Usable())
 		}
 		h.now += 10 * ms
-		if n := len(h.b.attempts); c.silent && !slices.ContainsFunc(h.b.endpoints, func(s *server) bool {
-			return slices.ContainsFunc(s.InFlight, func(a *attempt) bool { return a.canceled })
-		}) {
+		if n := len(h.b.attempts); c.silent && !slices.ContainsFunc(attemptsInOrder(h.b), func(a *attempt) bool { return a.canceled }) {
 			t.Errorf("none of %d parts is moved", n)
 		}
 	}
@@ -1566,7 +1576,7 @@
 			calledAt = h.now - sent
 		}
 	}
-	if late := h.b.overdueAfter(); micros(calledAt) < lostOverdue*late || micros(calledAt) > lostOverdue*late+20e3 {
+	if late := h.b.latency.Overdue(); micros(calledAt) < suspicion.LostFactor*late || micros(calledAt) > suspicion.LostFactor*late+20e3 {
 		t.Errorf("called off after %v, late is %v", calledAt, duration(late))
 	}
 	if srv.stalled != 1 || srv.healthyFor(0) {
@@ -1603,7 +1613,7 @@
 				continue
 			}
 			for range c.busy {
-				s.InFlight = append(s.InFlight, &attempt{part: &part{query: &query{}}, server: s, sent: h.now})
+				s.InFlight = append(s.InFlight, h.now)
 			}
 		}
 		_, ev := h.query(1, 1)
@@ -1611,9 +1621,9 @@
 			t.Errorf("%+v: went to %s", c, s.Replica)
 		}
 	}
-	var of record
+	var of suspicion.Record
 	for i := range 200 {
-		of.RecordOutcome(i%4 == 0)
+		of.RecordLoss(i%4 == 0)
 	}
 	if of.LossRate < 0.15 || of.LossRate > 0.35 {
 		t.Errorf("a quarter is lost, taken for %v", of.LossRate)
@@ -1637,7 +1647,7 @@
 		list[0].Started = h.now
 		h.turn(EndpointList{Kind: ListDelta, Endpoints: list[:1]})
 		for start := h.now; h.now < start+2*time.Second; h.now += 100 * ms {
-			h.b.demandAnswered = 0.5 * demandPeriod * h.b.minObjective.Seconds() // it sends a part in two seconds
+			h.b.demand.Answered = 0.5 * slowstart.DemandPeriods * h.b.minObjective.Seconds() // it sends a part in two seconds
 			h.turn(TimerFired{})
 			if s := h.b.servers["a"]; s.slowStart.Credit >= 1 { // a part is sent as soon as it is owed
 				s.slowStart.Credit--
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -143,7 +143,7 @@
 func TestJamIsUnlearned(t *testing.T) {
 	h := fleet(t)
 	jam := func() { // long ago, and nothing since
-		h.b.latencyMean, h.b.latencyDeviation, h.b.meanWeight, h.b.meanParts, h.b.recentAnswers = 800e3, 300e3, 1, 30, nil
+		h.b.latency.Mean, h.b.latency.Deviation, h.b.meanWeight, h.b.meanParts, h.b.recentAnswers = 800e3, 300e3, 1, 30, nil
 		for _, s := range h.b.servers {
 			s.recent = []float64{700e3, 700e3, 700e3, 700e3}
 		}
@@ -166,7 +166,7 @@
 	}{{0, 30}, {40, 0}} {
 		h = fleet(t)
 		if jam(); c.queue > 0 {
-			h.b.latencyMean, h.b.latencyDeviation = 100e3, 20e3
+			h.b.latency.Mean, h.b.latency.Deviation = 100e3, 20e3
 		}
 		for _, s := range h.b.servers {
 			s.probedQueue, s.probedQueueAt = c.queue, h.now
@@ -189,7 +189,7 @@
 			n = 30
 		}
 		_, ev := h.query(0, n)
-		h.b.latencyMean, h.b.latencyDeviation = 200e3, 100e3 // 1.2 ln 30 deviations: 0.61 of the aim
+		h.b.latency.Mean, h.b.latency.Deviation = 200e3, 100e3 // 1.2 ln 30 deviations: 0.61 of the aim
 		sends := all[Send](h.turn(ev...))
 		if len(sends) != n {
 			t.Fatalf("query %d: %d of %d parts sent", i, len(sends), n)
@@ -276,7 +276,7 @@
 		h := fleet(t)
 		h.b.rng = rand.New(rand.NewPCG(uint64(i), 1))
 		if cold(h); i >= 40 {
-			h.b.demandOffered *= 10
+			h.b.demand.Offered *= 10
 		}
 		_, ev := h.query(0, 6)
 		sends := all[Send](h.turn(ev...))
@@ -376,7 +376,7 @@
 		{500e3, 2, true, 30}, // as the servers were once
 	} {
 		h := fleet(t)
-		h.b.latencyMean, h.b.latencyDeviation, h.b.meanWeight, h.b.meanParts = c.mean, 20e3, 1, 30
+		h.b.latency.Mean, h.b.latency.Deviation, h.b.meanWeight, h.b.meanParts = c.mean, 20e3, 1, 30
 		if c.stale {
 			h.b.recentAnswers = nil
 		}
--- /dev/null
+++ b/balance/gossip.go
@@ -0,0 +1,86 @@
+package balance
+
+import (
+	"math"
+	"time"
+
+	"rooktrestle/internal/control/gossip"
+)
+
+// Gossip: one balancer of many meets a server so rarely that what it knows of its queue is old, and that it must find
+// out each bad server by parts of its own. So each shares with the others what its probes showed, and nothing else. All
+// of it is a hint: a message lost, late, duplicated or forged may cost a probe or a choice, and breaks no rule.
+const (
+	gossipInterval = 0.1 // shortest objectives between two messages of a balancer
+	gossipLifetime = 0.5 // shortest objectives after which a message is ignored
+)
+
+// GossipEnabled reports whether balancers exchange gossip messages. Where they are few, each sees enough itself.
+func (set *Settings) GossipEnabled() bool { return set.PeerMessages && set.Instances > maxExtrapolated }
+
+// observe keeps what a probe showed for the next message.
+func (b *Balancer) observe(s *server, value byte) {
+	if b.settings.GossipEnabled() {
+		b.outbox.Add(s.gossipKey, value)
+	}
+}
+
+// observeQueue shares a queue that no part should wait in, and that one so shared is short again, or that a server that
+// was unresponsive is back, or each balancer had to find that out itself. Others are not shared: where all know the
+// same, all send to the shortest queue, which is the longest by the next report.
+func (b *Balancer) observeQueue(s *server, report *LoadReport, wasUnanswered bool) {
+	if report == nil || report.Queue < 0 {
+		return
+	}
+	if long := b.isLongQueue(report.Queue); long || s.queueWasLong || wasUnanswered {
+		b.observe(s, gossip.QueueValue(report.Queue))
+		s.queueWasLong = long
+	}
+}
+
+// sendGossip sends what is to be shared, as far as parts have earned it.
+func (b *Balancer) sendGossip() {
+	interval := duration(gossipInterval * micros(b.minObjective))
+	if message := b.outbox.Flush(b.now, interval, b.settings.Zone); message != nil {
+		b.emit(SendGossip{Payload: message})
+	}
+}
+
+// receiveGossip takes in another balancer's message. What was seen here since counts for more: a server that answered
+// this balancer after the other's probe went out is up. A message brings no server into the list.
+func (b *Balancer) receiveGossip(e GossipReceived) {
+	load, ok := gossip.DecodeLoad(b.now, e.Payload)
+	fresh := time.Duration(math.Abs(float64(load.Age))) <= duration(gossipLifetime*micros(b.minObjective))
+	if !ok || !b.settings.GossipEnabled() || !fresh {
+		return
+	}
+	age := max(0, load.Age)
+	sameZone := load.Zone == b.settings.Zone&0xff
+	for _, observation := range load.Observations {
+		s := b.byGossipKey[observation.Key]
+		if s == nil {
+			continue
+		}
+		s.probedAt = max(s.probedAt, b.now-age)
+		if observation.Value != gossip.Unresponsive {
+			b.receiveQueue(s, float64(observation.Value))
+			continue
+		}
+		// Only from the own zone: another zone's path there may be cut.
+		if sameZone && b.now-s.LastSuccess > age+b.settings.ProbeTimeout {
+			s.probeFailed, s.probeUnanswered = true, true
+		}
+	}
+}
+
+// receiveQueue takes in a server's queue as another balancer saw it, unless it is short and what is known here is no
+// better.
+func (b *Balancer) receiveQueue(s *server, queue float64) {
+	s.probeFailed, s.probeUnanswered = false, false
+	long := b.isLongQueue(queue)
+	if !long && queue > s.queue {
+		return
+	}
+	s.queueWasLong = long
+	b.recordLoad(s, &LoadReport{Queue: queue, InFlight: -1, Utilization: -1})
+}
--- /dev/null
+++ b/balance/hedging.go
@@ -0,0 +1,68 @@
+package balance
+
+import "rooktrestle/internal/control/suspicion"
+
+// When a request is hedged, or canceled to be retried elsewhere.
+const (
+	hedgesPerPart  = 0.02 // hedged requests that a part earns, times root n: each instance finds a hung server anew
+	maxHedgeTokens = 16   // the most kept for later
+	cancelOverdue  = 2.0  // overdue times after which a part is canceled and retried, where hedging is not allowed
+)
+
+// hedge sends a second request for a part whose attempt is overdue, or cancels it where hedging is not allowed.
+func (b *Balancer) hedge(p *part) {
+	a := p.lastAttempt()
+	if !b.hedgeable(p, a) || micros(b.now-a.sent) <= b.hedgeAfter(p, a) ||
+		b.hedgeTokens < 1 || !b.retryBudget.Allows(b.now) {
+		return
+	}
+	s := b.choose(p)
+	if s == nil || p.penaltyOf(s) > 0 || s.Unresponsive || s.nearlyExcluded() {
+		return
+	}
+	// Nor from a server with a backlog, which says why it is late, to another: it is done there all the same.
+	if b.backlogged(a.server) && a.server.path.Usable() && !a.server.nearlyExcluded() && b.backlogged(s) {
+		return
+	}
+	b.hedgeTokens--
+	if b.settings.CanHedge {
+		b.send(p, s, true)
+	} else {
+		b.cancel(a)
+	}
+}
+
+// hedgeable reports whether a part may have a second request beside attempt a.
+func (b *Balancer) hedgeable(p *part, a *attempt) bool {
+	if len(p.inFlight) > 1 || p.attempts >= b.settings.MaxAttempts || a.canceled {
+		return false
+	}
+	switch p.query.class.Idempotency {
+	case NonIdempotent:
+		return false
+	case KeyedIdempotent:
+		return b.now+duration(b.latency.Mean) <= p.inFlight[0].sent+p.query.class.DedupWindow
+	}
+	return true
+}
+
+// hedgeAfter is the age in microseconds beyond which an attempt is hedged or canceled.
+func (b *Balancer) hedgeAfter(p *part, a *attempt) float64 {
+	s := a.server
+	if b.settings.CanHedge {
+		if !s.healthyFor(p.query.Class) || !s.listed {
+			return b.latency.Typical()
+		}
+		return b.latency.Overdue()
+	}
+	// To start over loses the time waited and adds work, and the overdue parts of a healthy server are heavy ones,
+	// overdue again elsewhere: only where the server answers nothing, or so late that the part is lost there.
+	class := &s.perClass[p.query.Class]
+	if s.listed && class.LastSuccess > a.sent && class.LossRate < suspicion.LossSmoothing {
+		return suspicion.LostFactor * b.latency.Overdue()
+	}
+	if !s.path.Usable() {
+		return b.latency.Typical()
+	}
+	return cancelOverdue * b.latency.Overdue()
+}
--- a/balance/peers_test.go
+++ b/balance/peers_test.go
@@ -63,7 +63,7 @@
 func TestSilenceOfAnotherZonesWay(t *testing.T) {
 	silent := func(h *bench, zone int) bool {
 		h.now += time.Second
-		h.turn(GossipReceived{encodeGossip(h.now, zone, []observation{{Key: gossip.ServerKey("a"), Value: unresponsiveValue}})})
+		h.turn(GossipReceived{gossip.EncodeLoad(h.now, zone, []gossip.Observation{{Key: gossip.ServerKey("a"), Value: gossip.Unresponsive}})})
 		return h.b.servers["a"].Unresponsive
 	}
 	h := many(t)
@@ -124,9 +124,9 @@
 		"too long":     {bend: func(b []byte) []byte { return append(bytes.Clone(b), make([]byte, 300)...) }},
 		"empty":        {bend: func([]byte) []byte { return nil }},
 		"of a stranger": {bend: func(b []byte) []byte {
-			_, _, r, _ := decodeGossip(0, b)
-			r[0].Key++
-			return encodeGossip(0, 0, r)
+			load, _ := gossip.DecodeLoad(0, b)
+			load.Observations[0].Key++
+			return gossip.EncodeLoad(0, 0, load.Observations)
 		}},
 	} {
 		from, to := many(t), many(t)
@@ -166,28 +166,28 @@
 // What is told is earned by parts taken, and never longer than is allowed.
 func TestWordsAreRationed(t *testing.T) {
 	h := many(t)
-	h.b.gossipBytes = 0
+	h.b.outbox.Allowance = 0
 	if told := learned(h, Canceled, 0); len(told) != 0 {
 		t.Errorf("told %v with nothing earned", told)
 	}
-	var remarks []observation
+	var remarks []gossip.Observation
 	for i := range 200 {
-		remarks = append(remarks, observation{Key: uint32(i), Value: byte(i)})
+		remarks = append(remarks, gossip.Observation{Key: uint32(i), Value: byte(i)})
 	}
-	text := encodeGossip(0, 0, remarks)
-	if _, _, got, ok := decodeGossip(0, text); !ok || len(text) > MaxGossipBytes || len(got) != maxObservations {
-		t.Errorf("%d bytes, %d remarks, %v", len(text), len(got), ok)
+	text := gossip.EncodeLoad(0, 0, remarks)
+	if got, ok := gossip.DecodeLoad(0, text); !ok || len(text) > MaxGossipBytes || len(got.Observations) != gossip.MaxObservations {
+		t.Errorf("%d bytes, %d observations, %v", len(text), len(got.Observations), ok)
 	}
 }
 
 func FuzzWord(f *testing.F) {
 	f.Add([]byte(nil))
-	f.Add(encodeGossip(time.Hour, 0, []observation{{Key: gossip.ServerKey("a"), Value: 7}, {Key: gossip.ServerKey("b"), Value: unresponsiveValue}}))
-	f.Add(append(encodeGossip(0, 0, nil), 1, 2, 3))
+	f.Add(gossip.EncodeLoad(time.Hour, 0, []gossip.Observation{{Key: gossip.ServerKey("a"), Value: 7}, {Key: gossip.ServerKey("b"), Value: gossip.Unresponsive}}))
+	f.Add(append(gossip.EncodeLoad(0, 0, nil), 1, 2, 3))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		_, _, remarks, ok := decodeGossip(0, text)
-		if ok != IsGossip(text) || ok && len(text) != gossip.EncodedSize(len(remarks)) {
-			t.Fatalf("%x: %v, %d remarks", text, ok, len(remarks))
+		load, ok := gossip.DecodeLoad(0, text)
+		if ok != IsGossip(text) || ok && len(text) != gossip.EncodedSize(len(load.Observations)) {
+			t.Fatalf("%x: %v, %d remarks", text, ok, len(load.Observations))
 		}
 		set := testSettings()
 		set.Instances, set.PeerMessages = 80, true
--- /dev/null
+++ b/balance/query.go
@@ -0,0 +1,243 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"rooktrestle/internal/control/estimate"
+)
+
+// When queries begin, end and send their parts.
+const (
+	weightTolerance        = 5e-5 // weights of parts add up to 1 apart from this
+	timeLeftToleranceTicks = 2    // ticks by which the time left of first attempts may differ
+	retryAfterFactor       = 2.0  // mean latencies until a rejected client may retry; half after a failure
+	maxFollowUpReserve     = 0.5  // of the objective: the most time kept for a second step
+	maxCrashes             = 2    // servers that may crash under a query before it ends
+	suspectDeadlines       = 4    // deadlines for which its class is then suspected of crashing servers
+)
+
+func (b *Balancer) startQuery(e Query) {
+	if e.Class < 0 || e.Class >= len(b.settings.Classes) {
+		b.emit(Reject{Query: e.ID})
+		return
+	}
+	class := &b.settings.Classes[e.Class]
+	q := &query{Query: e, class: class, deadline: b.now + e.TimeLeft}
+	stretch := time.Duration(class.ObjectiveStretch * float64(e.WorkHint))
+	q.objective = b.now + min(class.Objective+stretch, class.Deadline) - b.timeSpent(e)
+	b.queries = append(b.queries, q)
+	b.byID[e.ID], b.byGroup[e.Group] = q, q
+	b.retryBudget.RecordRequest(b.now)
+}
+
+// timeSpent is how long a client has waited in earlier attempts of a query; it counts against the objective.
+func (b *Balancer) timeSpent(e Query) time.Duration {
+	tolerance := timeLeftToleranceTicks * b.settings.Tick
+	if b.firstAttempts[e.Class].IsFirstAttempt(e.TimeLeft, b.settings.ClientsMarkRetries, e.IsRetry, tolerance) {
+		return 0
+	}
+	return max(0, b.settings.Classes[e.Class].Deadline-e.TimeLeft)
+}
+
+func (b *Balancer) addPart(e Part) {
+	q := b.byGroup[e.Group]
+	if q == nil || q.done {
+		return
+	}
+	p := &part{Part: e, query: q}
+	b.demand.Offered++
+	p.warmupTarget = b.sampleWarming(p)
+	q.parts = append(q.parts, p)
+	b.parts[e.ID] = p
+	b.retryBudget.RecordRequest(b.now)
+	b.outbox.Earn()
+}
+
+// advance takes a query one step on: it ends the query, or sends what should be sent.
+func (b *Balancer) advance(q *query) {
+	if q.step > 0 && len(q.parts) == 0 { // the parts of the second step have yet to come
+		if b.now >= q.deadline-b.answerMargin() {
+			b.rejectOrFail(q, 0)
+		}
+		return
+	}
+	for _, p := range q.parts {
+		p.abandoned = p.abandoned || b.exhausted(p)
+	}
+	done := q.progress()
+	done.reachable = b.shedOptionalParts(q, done.reachable)
+	if b.finish(q, done) || !q.admitted && !b.begin(q) || b.stopCrashing(q, done.answered) {
+		return
+	}
+	b.sendParts(q, done)
+}
+
+// finish ends a query's step that is complete, that is out of time, or whose partial answer is worth more now than a
+// complete one later, and reports whether it did.
+func (b *Balancer) finish(q *query, done progress) bool {
+	needed, least, margin := q.neededWeight(), q.minWeight(), b.answerMargin()
+	if done.weight >= needed-weightTolerance && (q.step == 0 || done.answered == len(q.parts)) {
+		b.answer(q, true)
+		return true
+	}
+	partial := done.weight > 0 && done.weight >= least-weightTolerance && least < needed
+	incompletable := done.reachable < needed-weightTolerance
+	unanswerable := incompletable && (done.reachable < least-weightTolerance || least >= needed)
+	worthless := q.class.OverdueFraction <= 0 && b.now >= q.objective-margin
+	switch {
+	case b.now >= q.deadline-margin || worthless || unanswerable:
+		if partial {
+			b.answer(q, false)
+		} else {
+			b.rejectOrFail(q, duration(retryAfterFactor*b.latency.Mean/2))
+		}
+	case partial && (incompletable && done.weight >= done.reachable-weightTolerance ||
+		b.now >= b.stepDue(q)-margin && b.now < q.objective &&
+			q.class.PartialFraction*done.weight/needed > q.class.OverdueFraction):
+		b.answer(q, false)
+	default:
+		return false
+	}
+	return true
+}
+
+func (b *Balancer) answer(q *query, complete bool) {
+	b.emit(Answer{Query: q.ID, Complete: complete && (q.step == 0 || q.firstStepComplete)})
+	if q.step == 0 && q.class.FollowUpParts > 0 {
+		b.dropParts(q)
+		q.step, q.firstStepComplete = 1, complete
+		return
+	}
+	b.endQuery(q)
+}
+
+// rejectOrFail ends a query at once. It is rejected where a retry is harmless and fails elsewhere.
+func (b *Balancer) rejectOrFail(q *query, retryAfter time.Duration) {
+	harmless := q.class.Idempotency == Idempotent ||
+		q.step == 0 && !slices.ContainsFunc(q.parts, (*part).mightHaveRun)
+	if harmless {
+		b.emit(Reject{Query: q.ID, RetryAfter: min(retryAfter, b.settings.MaxRetryAfter)})
+	} else {
+		b.emit(Fail{Query: q.ID})
+	}
+	b.endQuery(q)
+}
+
+// begin admits a query or ends it, and reports whether its parts may be sent now.
+func (b *Balancer) begin(q *query) bool {
+	if b.now < b.crashingKeys[q.Key] {
+		b.rejectOrFail(q, b.settings.MaxRetryAfter)
+		return false
+	}
+	if b.probeReplicas(q) {
+		return false
+	}
+	if !b.admit(q) {
+		b.rejectOrFail(q, duration(retryAfterFactor*b.latency.Mean))
+		return false
+	}
+	q.admitted = true
+	return true
+}
+
+// stopCrashing ends a query under which servers crash, and reports whether it did. For some time the query's class then
+// sends one part ahead of the others, as retries will come. Innocent queries pay with the time of that part.
+func (b *Balancer) stopCrashing(q *query, answered int) bool {
+	suspect := b.now < b.suspectUntil[q.Class]
+	if q.crashes <= answered || q.crashes < maxCrashes && !suspect {
+		return false
+	}
+	b.suspectUntil[q.Class] = b.now + suspectDeadlines*q.class.Deadline
+	if q.Key != "" { // a retry comes with the same key
+		b.crashingKeys[q.Key] = b.suspectUntil[q.Class]
+	}
+	b.rejectOrFail(q, b.settings.MaxRetryAfter)
+	return true
+}
+
+// sendParts sends the parts of a query that are due, as far as they are needed. Where some of the parts make a complete
+// answer the others are held in reserve: parts not needed cost work, and their retries the budget of those that are.
+// A part that is late brings on another.
+func (b *Balancer) sendParts(q *query, done progress) {
+	expected, wanted := b.expectedWeight(q, done.weight), q.neededWeight()-weightTolerance
+	suspect := b.now < b.suspectUntil[q.Class]
+	for pass := range sendPasses {
+		for _, p := range q.parts {
+			enough := expected >= wanted && q.neededWeight() < 1
+			if p.answered || p.abandoned || enough || !b.inPass(p, pass) {
+				continue
+			}
+			if b.advancePart(p); len(p.inFlight) > 0 {
+				expected += p.Weight
+			}
+			if suspect && done.answered == 0 {
+				return
+			}
+		}
+	}
+}
+
+// expectedWeight adds to weight that of the parts in flight that are not late yet.
+func (b *Balancer) expectedWeight(q *query, weight float64) float64 {
+	for _, p := range q.parts {
+		if len(p.inFlight) > 0 && !p.answered && micros(b.now-p.lastAttempt().sent) <= b.latency.Typical() {
+			weight += p.Weight
+		}
+	}
+	return weight
+}
+
+// The passes in which a query's parts are sent.
+const (
+	firstAttemptsHealthy = iota // unsent parts with a healthy replica
+	firstAttempts               // all unsent parts
+	furtherAttempts             // retries and hedged requests
+	sendPasses
+)
+
+func (b *Balancer) inPass(p *part, pass int) bool {
+	switch pass {
+	case firstAttemptsHealthy:
+		return p.attempts == 0 && slices.ContainsFunc(b.candidates(p), p.healthyAt)
+	case firstAttempts:
+		return p.attempts == 0
+	}
+	return p.attempts > 0
+}
+
+// stepDue is when a query's step has to end for its answer to be in time: a first step leaves time for the second.
+func (b *Balancer) stepDue(q *query) time.Duration {
+	if q.step > 0 || q.class.FollowUpParts == 0 {
+		return q.objective
+	}
+	second := b.latency.Mean + b.latency.Deviation*estimate.TailDeviations(q.class.FollowUpParts, 0)
+	return q.objective - duration(min(second, maxFollowUpReserve*micros(q.class.Objective)))
+}
+
+// endQuery forgets a query that is over and cancels what is still in flight.
+func (b *Balancer) endQuery(q *query) {
+	q.done = true
+	delete(b.byID, q.ID)
+	if b.byGroup[q.Group] == q {
+		delete(b.byGroup, q.Group)
+	}
+	b.dropParts(q)
+}
+
+func (b *Balancer) dropParts(q *query) {
+	for _, p := range q.parts {
+		delete(b.parts, p.ID)
+		for _, a := range p.inFlight {
+			b.cancel(a)
+		}
+	}
+	q.parts = nil
+}
+
+func (b *Balancer) cancel(a *attempt) {
+	if b.settings.CanCancel && !a.canceled {
+		a.canceled = true
+		b.emit(Cancel{Part: a.part.ID, Attempt: a.number})
+	}
+}
--- /dev/null
+++ b/balance/turn.go
@@ -0,0 +1,75 @@
+package balance
+
+import (
+	"slices"
+	"time"
+)
+
+// The timer of the turns, and when queries end by it.
+const (
+	timerInterval     = 0.01 // of the shortest objective: time between two looks for overdue attempts
+	answerMarginTicks = 3    // ticks before its deadline by which an answer leaves
+)
+
+// Turn takes the events of one turn and returns the actions, in order. The clock never goes back.
+func (b *Balancer) Turn(now time.Duration, events []Event) []Action {
+	passed := now - b.now
+	b.now, b.actions = now, nil
+	b.earnSlowStart(passed)
+	for _, event := range events {
+		b.handle(event)
+	}
+	b.assessServers()
+	for _, q := range b.queries {
+		if !q.done {
+			b.advance(q)
+		}
+	}
+	b.queries = slices.DeleteFunc(b.queries, func(q *query) bool { return q.done })
+	b.sendGossip()
+	b.scheduleTimer()
+	return b.actions
+}
+
+func (b *Balancer) handle(event Event) {
+	switch e := event.(type) {
+	case Query:
+		b.startQuery(e)
+	case Part:
+		b.addPart(e)
+	case CandidatesChanged:
+		if p := b.parts[e.Part]; p != nil {
+			p.Candidates = e.Candidates
+		}
+	case AttemptEnded:
+		b.endAttempt(e)
+	case ProbeEnded:
+		b.endProbe(e)
+	case EndpointList:
+		b.updateEndpoints(e)
+	case GossipReceived:
+		b.receiveGossip(e)
+	case ClientDisconnected:
+		if q := b.byID[e.Query]; q != nil {
+			b.endQuery(q)
+		}
+	}
+}
+
+// scheduleTimer keeps one timer ahead while there is work, so that overdue attempts are seen without an event.
+func (b *Balancer) scheduleTimer() {
+	if b.pollAt > 0 && b.now >= b.pollAt {
+		b.pollAt = 0
+		b.emit(WatchEndpoints{})
+	}
+	if len(b.queries) == 0 && b.pollAt == 0 || b.timerAt > b.now {
+		return
+	}
+	// Never longer than the answer margin, or a query could outlive its deadline between two turns.
+	interval := min(time.Duration(float64(b.minObjective)*timerInterval), b.answerMargin())
+	interval = max(b.settings.Tick, interval)
+	b.timerAt = b.now + interval
+	b.emit(StartTimer{After: interval})
+}
+
+func (b *Balancer) answerMargin() time.Duration { return answerMarginTicks * b.settings.Tick }
--- a/internal/control/slowstart/slowstart.go
+++ b/internal/control/slowstart/slowstart.go
@@ -1,6 +1,6 @@
-// Package coldstart paces what one of many mixers sends to a server that has just started. Such a server does a
-// share of what it will do warm, and falls over if all mixers together send it more than a multiple of that for a
-// while (rule 4). It does no I/O and reads no clock.
+// Package slowstart paces what one of many senders sends to a server that has just started. While such a server warms
+// up it has only a fraction of its capacity, and it falls over if all senders together send it more than a multiple of
+// that for a while (rule 4). It does no I/O and reads no clock.
 package slowstart
 
 import (
@@ -9,79 +9,81 @@
 	"time"
 )
 
-// Limits are the stated figures. A zero For or OverloadMultiple states none.
+// Limits are the stated figures of a warm-up. A zero WarmupPeriod or OverloadMultiple states none.
 type Limits struct {
 	WarmupPeriod     time.Duration // a started server is warm after it
-	MinCapacity      float64       // least share of its capacity at the start
-	OverloadMultiple float64       // more than this multiple of its present capacity
-	OverloadPeriod   time.Duration // for so long: it falls over
-	Senders          int           // that may send to it
+	MinCapacity      float64       // least fraction of its capacity at the start
+	OverloadMultiple float64       // a server that gets more than this multiple of its present capacity
+	OverloadPeriod   time.Duration // for so long falls over
+	Senders          int           // how many may send to it; at least 1
 }
 
-// Server is what a mixer keeps of one server's start. It is dropped with the server.
+// Server is what one sender keeps of one server's start. The zero value is a warm server.
 type Server struct {
 	Started            time.Duration   // clock time of its last start; 0: long ago
-	FirstSendThreshold float64         // drawn at its start, 0 to 1: so much of a part is owed before the first goes to it
-	Credit             float64         // parts of the mixer's own flow that are owed to it: at most 1, at least -maxDebt
-	recentSends        []time.Duration // while it is cold, those that a window may still hold; nil: none yet
+	FirstSendThreshold float64         // random, 0 to 1: how much of a part is owed before the first is sent
+	Credit             float64         // parts of the sender's own flow owed to it: at most 1, at least -maxDebt
+	recentSends        []time.Duration // while it warms up, those that a window may still hold; nil: none yet
 }
 
 // maxDebt is how many parts sent before they were owed are made up for.
 const maxDebt = 2
 
-// Restart says that the server's process began at at; lot is a random number from 0 to 1. What is owed begins at
-// the lot: from none, a mixer that owes a part in ten seconds would for so long send none, and so would all.
-func (s *Server) Restart(at time.Duration, lot float64) {
-	*s = Server{Started: at, FirstSendThreshold: lot, Credit: lot}
+// Restart notes that the server's process began at started; random is a random number from 0 to 1. The credit begins
+// there: from none, a sender that owes a part in ten seconds would for so long send none, and so would all the others.
+func (s *Server) Restart(started time.Duration, random float64) {
+	*s = Server{Started: started, FirstSendThreshold: random, Credit: random}
 }
 
-// Capacity is the least share of its capacity that a server has by now: it grows at least evenly.
-func (r *Limits) Capacity(s *Server, now time.Duration) float64 {
+// Capacity is the least fraction of its capacity that a server has at now, 0 to 1: it grows at least evenly.
+func (l *Limits) Capacity(s *Server, now time.Duration) float64 {
 	age := now - s.Started
-	if s.Started <= 0 || r.WarmupPeriod <= 0 || age >= r.WarmupPeriod {
+	if s.Started <= 0 || l.WarmupPeriod <= 0 || age >= l.WarmupPeriod {
 		return 1
 	}
-	return r.MinCapacity + (1-r.MinCapacity)*max(0, float64(age)/float64(r.WarmupPeriod))
+	return l.MinCapacity + (1-l.MinCapacity)*max(0, float64(age)/float64(l.WarmupPeriod))
 }
 
-// Allows says whether a server may be sent one more part, which takes work. All mixers together must stay under
-// OverloadMultiple x present capacity, so each keeps to 1/Mixers of it, with capacity taken as one core's and work as
-// high; the first goes when a part of random size is owed, or all would begin at once. Or, where mixers are many
-// and unlike, each may send it what is owed of its own flow: together that is the fleet's, and what a quiet one
-// leaves is not lost. May hurt where most servers are cold.
-func (r *Limits) Allows(s *Server, now time.Duration, work time.Duration) bool {
-	share := r.Capacity(s, now)
-	if share >= 1 || r.OverloadMultiple <= 0 || s.Credit >= 1 {
+// Allows reports whether a server may be sent one more part, which takes so much work. All senders together must stay
+// under OverloadMultiple x present capacity, so each keeps to 1/Senders of it, with capacity taken as one core's and
+// work as high; the first part goes when one of random size is owed, or all senders would begin at once. Or, where
+// senders are many and unlike, each may send what is owed of its own flow: together that is the fleet's, and what a
+// quiet sender leaves is not lost. May hurt where most servers are warming up.
+func (l *Limits) Allows(s *Server, now time.Duration, work time.Duration) bool {
+	capacity := l.Capacity(s, now)
+	if capacity >= 1 || l.OverloadMultiple <= 0 || s.Credit >= 1 {
 		return true
 	}
-	rate := r.OverloadMultiple / float64(work) / float64(r.Senders) // parts a nanosecond, of a warm core
-	room := rate * share * float64(r.OverloadPeriod)
-	if s.recentSends == nil && rate*(r.MinCapacity+share)/2*float64(now-s.Started) < s.FirstSendThreshold {
+	rate := l.OverloadMultiple / float64(work) / float64(l.Senders) // parts a nanosecond, of a warm core
+	allowed := rate * capacity * float64(l.OverloadPeriod)
+	if s.recentSends == nil && rate*(l.MinCapacity+capacity)/2*float64(now-s.Started) < s.FirstSendThreshold {
 		return false
 	}
-	parts := max(1, math.Floor(room))
-	window := time.Duration(float64(r.OverloadPeriod) * parts / room)
-	s.recentSends = slices.DeleteFunc(s.recentSends, func(at time.Duration) bool { return at <= now-max(window, r.OverloadPeriod) })
-	n := 0
+	// The window is shortened to one that allows whole parts, or lengthened to one that allows a single part.
+	parts := max(1, math.Floor(allowed))
+	window := time.Duration(float64(l.OverloadPeriod) * parts / allowed)
+	oldest := now - max(window, l.OverloadPeriod)
+	s.recentSends = slices.DeleteFunc(s.recentSends, func(at time.Duration) bool { return at <= oldest })
+	sent := 0
 	for _, at := range s.recentSends {
 		if at > now-window {
-			n++
+			sent++
 		}
 	}
-	return float64(n) < parts
+	return float64(sent) < parts
 }
 
 // AddCredit adds what is owed to a server where a warm one is owed so many parts, by capacity.
-func (r *Limits) AddCredit(s *Server, now time.Duration, parts float64) {
-	if share := r.Capacity(s, now); share < 1 {
-		s.Credit = min(1, s.Credit+share*parts)
+func (l *Limits) AddCredit(s *Server, now time.Duration, parts float64) {
+	if capacity := l.Capacity(s, now); capacity < 1 {
+		s.Credit = min(1, s.Credit+capacity*parts)
 	}
 }
 
-// RecordSend counts a part sent to a server. What is counted is dropped once no window reaches back to it, or the server is
-// warm.
-func (r *Limits) RecordSend(s *Server, now time.Duration) {
-	if r.Capacity(s, now) >= 1 {
+// RecordSend counts a part sent to a server. What is counted is dropped once no window reaches back to it, or the
+// server is warm.
+func (l *Limits) RecordSend(s *Server, now time.Duration) {
+	if l.Capacity(s, now) >= 1 {
 		s.recentSends = nil
 		return
 	}
