--- a/balance/admission.go
+++ b/balance/admission.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"cmp"
 	"math"
 	"slices"
 
@@ -17,62 +16,38 @@
 	minObservedLatency = 0.5  // of the objective: what recent responses must have taken for a rejection
 	hopelessTimeLeft   = 0.25 // of the objective: only with less left may service times alone reject
 	minInFlightToJudge = 2    // own requests in flight from which a server's recent latency closes it
-	answerRatePeriod   = 2    // shortest objectives over which the rate of answers is taken
-	longQueueQuantile  = 0.75 // quantile of the queues lately reported that a wide query meets
-	minReports         = 4    // servers whose queues stand for the others'
 	maxExtrapolated    = 4    // balancers that own requests may stand for: one of many knows little
-	assumedConcurrency = 4    // parts that a server is taken to serve at once: many, as reports may be late
-	maxWorkSpread      = 2.0  // a part's mean work over the median service time, at most
 	minTrafficFraction = 0.01 // a traffic fraction so small that parts rather wait for another replica
-	longQueueDelay     = 0.2  // of the shortest objective: a queue with a longer delay is long
 )
 
-// admit reports whether a query's answer may be expected in time. Guards against overload, whatever brings it: work
-// that will be late is rejected before it costs anything, queries of little weight per part first.
+// admit reports whether a query's answer may be expected in time. Guards against overload, whatever brings it:
+// work that will be late is rejected before it costs anything, queries of little weight per part first.
 func (b *Balancer) admit(q *query) bool {
 	factor := b.admissionFactor(q)
 	left := micros(b.stepDue(q) - b.now)
 	limit := left * admissionShare * factor
 	least, needed := min(q.minWeight(), q.neededWeight()), q.neededWeight()
 	open := b.openWeight(q, limit)
-	hopeless := min(b.medianServiceTime, hopelessTimeLeft*micros(q.class.Objective))
+	hopeless := min(b.fleet.MedianServiceTime, hopelessTimeLeft*micros(q.class.Objective))
 	if left <= hopeless || open < least-weightTolerance {
 		return false
 	}
 	// Both must say so: what responses took lately, which lags, and the number in flight, high in a lull.
 	deviations := estimate.TailDeviations(len(q.parts), 1-(least+needed)/2)
 	if delay, measured := b.observedQueueDelay(); measured {
-		return b.quietLatency(deviations)+delay*tailFactor(deviations) <= limit
+		return b.fleet.SlowestWithQueue(deviations, delay) <= limit
 	}
-	slowest := b.latency.Mean + deviations*b.latency.Deviation
+	slowest := b.fleet.Slowest(deviations)
 	if slowest <= micros(q.class.Objective)*minObservedLatency {
 		return true
 	}
 	expected, measured := b.expectedLatency(q, slowest)
 	if expected > limit && !measured {
-		// A rejection brings no responses, so each forgets some of what made it, until a query goes out.
-		b.latency.Forget(min(b.medianServiceTime, b.initialLatency()))
+		b.fleet.ForgetExcess() // a rejection brings no answers, so each forgets some of what made it
 	}
 	return expected <= limit
 }
 
-// tailFactor is by how much the slowest part waits longer than the quantile observed, with the same tail.
-func tailFactor(deviations float64) float64 {
-	return max(1, deviations/estimate.TailFactor/-math.Log(1-longQueueQuantile))
-}
-
-// quietLatency is what the slowest part takes without a queue, by own responses while they are as fresh as the queues
-// observed; a few stuck parts say nothing of the others.
-func (b *Balancer) quietLatency(deviations float64) float64 {
-	mean := b.latency.Mean
-	if len(b.recentAnswers) < minReports {
-		mean = min(mean, b.initialLatency())
-	}
-	return mean + deviations*min(b.latency.Deviation, mean*estimate.InitialDeviation)
-}
-
-func (b *Balancer) initialLatency() float64 { return micros(b.minObjective) * estimate.InitialMean }
-
 // admissionFactor weighs a query's weight per part against the mean, and takes it into that mean.
 func (b *Balancer) admissionFactor(q *query) float64 {
 	weight, parts := q.class.Weight, float64(max(1, q.Parts))
@@ -99,55 +74,62 @@
 	return open
 }
 
-// isOpen reports whether a replica may answer a part within limit microseconds. It is open unless it is full, warming
-// up without capacity, has requests in flight and took too long lately, or is too slow and no half-open request is due.
+// isOpen reports whether a replica may answer a part within limit microseconds. It is open unless it is full,
+// warming up without capacity, has requests in flight and took too long lately, or is too slow and no half-open
+// request is due.
 func (b *Balancer) isOpen(p *part, s *server, limit float64) bool {
 	halfOpen := len(s.InFlight) == 0 && b.now >= s.NextTrial
-	quick := s.recent.Mean(slowSamples) <= limit || !s.Slow && len(s.InFlight) < minInFlightToJudge
+	quick := s.RecentMean() <= limit || !s.Slow && len(s.InFlight) < minInFlightToJudge
 	return b.now >= s.avoidUntil && b.slowStartAllows(p, s) && (quick || halfOpen) &&
-		b.queueDelay(s) <= max(0, limit-b.initialLatency())
+		b.queueDelay(s) <= max(0, limit-b.fleet.InitialMean())
 }
 
-// expectedLatency is how long a new query may take by Little's law: requests in flight at healthy servers over the rate
-// at which these answer. What is in flight falls as soon as less is sent, so rejections cannot feed on themselves.
-// Fresh load reports (their median: a few servers may hold most) and the parts sent since tell it, or own requests
-// where balancers are few; else measured is false and recent response times must do. Each healthy server is worth one
-// core at least.
+// expectedLatency is how long a new query may take by Little's law: requests in flight at healthy servers over the
+// rate at which these answer. What is in flight falls as soon as less is sent, so rejections cannot feed on
+// themselves. Fresh load reports (their median: a few servers may hold most) and the parts sent since tell it, or
+// own requests where balancers are few; else measured is false and recent response times must do.
 func (b *Balancer) expectedLatency(q *query, slowest float64) (took float64, measured bool) {
 	instances := float64(b.settings.Instances)
 	own, capacity, reports := 0.0, 0.0, []float64(nil)
 	for _, s := range b.endpoints {
-		if !s.listed || !s.healthyFor(q.Class) {
+		if !s.listed || !s.HealthyFor(q.Class) {
 			continue
 		}
 		capacity += b.capacity(s)
-		own += float64(len(s.InFlight) - s.stalled)
-		if inFlight, fresh := b.inFlightReported(s); fresh {
+		own += float64(len(s.InFlight) - s.Lost)
+		if inFlight, known := s.inFlightSince(b.now - b.fleet.AnswerPeriod()); known {
 			reports = append(reports, inFlight)
 		}
 	}
-	capacity = max(capacity, 1)
-	rate := instances * float64(len(b.recentAnswers)) / micros(answerRatePeriod*b.minObjective) / capacity
-	rate = max(rate, 1/cmp.Or(b.medianServiceTime, b.latency.Mean))
 	if reports == nil && instances > maxExtrapolated {
 		return slowest, false
 	}
+	capacity = max(capacity, 1)
 	inFlight := max(min(instances, maxExtrapolated)*own/capacity, estimate.Median(reports))
-	return (inFlight + float64(len(q.parts))/capacity) / rate * slowest / b.latency.Mean, true
+	return b.fleet.Expected(len(q.parts), inFlight, capacity, instances, slowest), true
 }
 
-// inFlightReported is how many requests a server has in flight by its last load report and what was sent since.
-func (b *Balancer) inFlightReported(s *server) (inFlight float64, fresh bool) {
-	if s.reportedInFlight < 0 || s.reportedAt <= 0 || b.now-s.reportedAt >= answerRatePeriod*b.minObjective {
-		return 0, false
-	}
-	inFlight = s.reportedInFlight
-	for _, sent := range s.InFlight {
-		if sent > s.reportedAt {
-			inFlight++
-		}
+// backlogged reports whether a server has a long queue, by what is known of it, or with time of the others. The last
+// report of a long one counts only for so long: where no reports come it would for good.
+func (b *Balancer) backlogged(s *server) bool {
+	reported := s.queueWasLong && b.now-s.reportedAt < reportLifetime*b.minObjective
+	return reported || b.fleet.IsLongQueue(b.averagesOf(s).Queue)
+}
+
+// queueDelay is how long a part waits at a server before it is begun, where queues are shared by gossip.
+func (b *Balancer) queueDelay(s *server) float64 {
+	if !b.settings.GossipEnabled() {
+		return 0
 	}
-	return inFlight, true
+	return b.fleet.DrainTime(b.averagesOf(s).Queue)
+}
+
+// observedQueueDelay is how long a part waits at the servers with long queues, by what probes showed lately; measured
+// is false where too few did. It is fresh where responses are old: one of many balancers has few, and after a jam none.
+func (b *Balancer) observedQueueDelay() (delay float64, measured bool) {
+	queues := b.probedQueues(b.now - b.fleet.AnswerPeriod())
+	measured = len(queues) >= estimate.MinReports && b.settings.Instances > maxExtrapolated
+	return b.fleet.DrainTime(estimate.Quantile(queues, estimate.LongQueueQuantile)), measured
 }
 
 // shedOptionalParts leaves out parts that a query can do without where half of a shard's replicas are excluded and the
--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -50,17 +50,15 @@
 	}
 	p.attempts++
 	p.inFlight = append(p.inFlight, a)
-	class := &s.perClass[p.query.Class]
-	s.Sent(b.now)
-	s.path.Sent(b.now)
-	class.Sent(b.now)
+	class := &s.PerClass[p.query.Class]
+	s.Sent(p.query.Class, b.now)
 	b.attempts[attemptKey{p.ID, a.number}] = a
 	b.slowStart.RecordSend(&s.slowStart, b.now)
-	overdue := b.latency.Overdue()
-	if !s.path.Usable() {
-		s.path.NextTrial = b.now + duration(overdue)
-	} else if !s.healthyFor(p.query.Class) {
-		class.NextTrial = b.now + duration(halfOpenInterval*b.sqrtInstances*max(overdue, s.recent.Max()))
+	overdue := b.fleet.Overdue()
+	if !s.Path.Usable() {
+		s.Path.NextTrial = b.now + duration(overdue)
+	} else if !s.HealthyFor(p.query.Class) {
+		class.NextTrial = b.now + duration(halfOpenInterval*b.sqrtInstances*max(overdue, s.Recent.Max()))
 		s.NextTrial = max(s.NextTrial, class.NextTrial)
 	}
 	action := Send{Part: p.ID, Replica: s.id}
@@ -80,10 +78,10 @@
 		return
 	}
 	p, s := a.part, a.server
-	class := &s.perClass[p.query.Class]
+	class := &s.PerClass[p.query.Class]
 	b.recordLoad(s, e.Report)
 	took := micros(b.now - a.sent)
-	unusable := e.Result < Canceled || took > b.latency.Overdue()
+	unusable := e.Result < Canceled || took > b.fleet.Overdue()
 	class.RecordLoss(e.Result != OK && e.Result != QueueFull && unusable)
 	switch e.Result {
 	case OK:
@@ -91,17 +89,17 @@
 		return
 	case Failed:
 		p.recordMayHaveRun(a)
-		b.recordFailure(s, class, b.now)
-		s.path.RecordReachable()
+		s.RecordClassFailure(p.query.Class, b.now, b.now, b.trialInterval())
+		s.Path.RecordReachable()
 	case Reset:
 		p.recordMayHaveRun(a)
-		b.recordFailure(s, class, b.now)
+		s.RecordClassFailure(p.query.Class, b.now, b.now, b.trialInterval())
 		b.connectionLost(s, p.query)
 	case ConnectFailed:
 		b.recordDown(s)
 	case QueueFull:
 		// Avoid it until some of the queue is worked off; a fast rejection leaves few in flight and draws the next part.
-		s.avoidUntil = b.now + duration(queueFullBackoff*b.latency.Mean)
+		s.avoidUntil = b.now + duration(queueFullBackoff*b.fleet.Mean)
 	case TimedOut, Canceled:
 		p.recordMayHaveRun(a)
 		b.recordTimeout(a, class, e.Result, took)
@@ -120,7 +118,7 @@
 		return
 	}
 	p.answered = true
-	if a.number > 0 && (len(p.inFlight) > 0 || took <= b.latency.Overdue()) {
+	if a.number > 0 && (len(p.inFlight) > 0 || took <= b.fleet.Overdue()) {
 		b.hedgeTokens = min(maxHedgeTokens, b.hedgeTokens+1) // the hedged request paid
 	}
 	for _, other := range p.inFlight {
@@ -130,11 +128,11 @@
 
 // recordDown notes that a server refuses connections: nothing is gained by another attempt at once, and less each time.
 func (b *Balancer) recordDown(s *server) {
-	b.recordServerFailure(s)
-	s.avoidUntil = b.now + duration(s.Penalty*b.latency.Overdue())
+	s.RecordServerFailure(b.now, b.trialInterval())
+	s.avoidUntil = b.now + duration(s.Penalty*b.fleet.Overdue())
 	s.resolveResets(true)
 	if b.now-s.slowStart.Started > b.settings.Rules.WarmupPeriod {
-		s.recent = nil
+		s.Recent = nil
 	}
 }
 
@@ -142,10 +140,10 @@
 // was quicker: it is as good as a failure. Else a server that answers nothing, or not everything, would be as new once
 // its requests are canceled.
 func (b *Balancer) recordTimeout(a *attempt, class *suspicion.Record, result AttemptResult, took float64) {
-	p, s, overdue := a.part, a.server, b.latency.Overdue()
+	p, s, overdue := a.part, a.server, b.fleet.Overdue()
 	lost := class.LastSuccess <= a.sent || took > suspicion.LostFactor*overdue
 	if result == TimedOut || took > overdue && (p.answered || lost) {
-		b.recordFailure(s, class, a.sent)
+		s.RecordClassFailure(p.query.Class, b.now, a.sent, b.trialInterval())
 	}
 	if s.LastSuccess <= a.sent { // else the part was lost, and its time says nothing of the others'
 		b.recordUnanswered(s, took, len(p.query.parts))
@@ -156,7 +154,7 @@
 // worked off meanwhile.
 func (b *Balancer) delayRetry(p *part) {
 	if b.parts[p.ID] != p || slices.ContainsFunc(b.candidates(p), func(s *server) bool {
-		return !s.nearlyExcluded() && s.healthyFor(p.query.Class) && !slices.Contains(p.failedOn, s)
+		return !s.nearlyExcluded() && s.HealthyFor(p.query.Class) && !slices.Contains(p.failedOn, s)
 	}) {
 		return
 	}
@@ -190,19 +188,7 @@
 	s.resetQueries = nil
 }
 
-// recordFailure holds a failure against how a server does with a class of queries, and unless it has answered others
-// since then, against the server. Half-open requests are further apart each time: a server may lose most of a class,
-// and each costs a query its overdue time.
-func (b *Balancer) recordFailure(s *server, class *suspicion.Record, since time.Duration) {
-	class.RecordFailure(b.now, halfOpenInterval*b.sqrtInstances*b.latency.Overdue())
-	if s.LastSuccess <= since {
-		b.recordServerFailure(s)
-	}
-}
-
-func (b *Balancer) recordServerFailure(s *server) {
-	if s.zone != b.settings.Zone {
-		s.path.RecordFailure()
-	}
-	s.Penalize(b.now, halfOpenInterval*b.sqrtInstances*b.latency.Overdue())
+// trialInterval is the least time between two half-open requests to a server or class, in microseconds.
+func (b *Balancer) trialInterval() float64 {
+	return halfOpenInterval * b.sqrtInstances * b.fleet.Overdue()
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"rooktrestle/internal/control/estimate"
 	"rooktrestle/internal/control/slowstart"
 	"rooktrestle/internal/control/suspicion"
 )
@@ -119,14 +120,14 @@
 	h := newBench(t, testSettings())
 	for i, name := range []Replica{"a", "b", "c"} {
 		s := h.b.servers[name]
-		s.measured, s.reportedAt, s.averages = true, h.now, averages{100e3, 100e3, float64(3 - i)}
+		s.measured, s.reportedAt, s.Averages = true, h.now, estimate.Averages{Latency: 100e3, ServiceTime: 100e3, Queue: float64(3 - i)}
 	}
 	_, ev := h.query(0, 1)
 	if s := one[Send](h, h.turn(ev...)); s.Replica != "c" {
 		t.Errorf("sent to %s, want c with the shortest queue", s.Replica)
 	}
 	// R 100, S 100: losers move half way to the winner's q of 1, the winner stays.
-	if a, b := h.b.servers["a"].queue, h.b.servers["b"].queue; a != 2 || b != 1.5 {
+	if a, b := h.b.servers["a"].Queue, h.b.servers["b"].Queue; a != 2 || b != 1.5 {
 		t.Errorf("losers' q %v and %v, want 2 and 1.5", a, b)
 	}
 }
@@ -134,7 +135,7 @@
 func TestRankIsC3(t *testing.T) {
 	h := newBench(t, testSettings())
 	s := h.b.servers["a"]
-	s.measured, s.reportedAt, s.averages = true, h.now, averages{300, 100, 2}
+	s.measured, s.reportedAt, s.Averages = true, h.now, estimate.Averages{Latency: 300, ServiceTime: 100, Queue: 2}
 	s.InFlight = []time.Duration{0}
 	// n = 2: q̂ = 1 + 1x2 + 2 = 5; 300 - 100 + 125 x 100
 	if got := h.b.rank(s); got != 12700 {
@@ -144,15 +145,15 @@
 
 func TestUnheardServerTakesTheMean(t *testing.T) {
 	h := newBench(t, testSettings())
-	if got := h.b.averagesOf(h.b.servers["a"]); got != (averages{1e6, 1e6, 0}) {
+	if got := h.b.averagesOf(h.b.servers["a"]); got != (estimate.Averages{Latency: 1e6, ServiceTime: 1e6, Queue: 0}) {
 		t.Errorf("before any answer %+v, want the objective, the objective and 0", got)
 	}
 	for name, r := range map[Replica]float64{"b": 100, "c": 300} {
 		s := h.b.servers[name]
-		s.measured, s.latency, s.serviceTime, s.queue = true, r, r/2, r/100
+		s.measured, s.Latency, s.ServiceTime, s.Queue = true, r, r/2, r/100
 	}
 	h.turn(TimerFired{})
-	if got := h.b.averagesOf(h.b.servers["a"]); got != (averages{200, 100, 2}) {
+	if got := h.b.averagesOf(h.b.servers["a"]); got != (estimate.Averages{Latency: 200, ServiceTime: 100, Queue: 2}) {
 		t.Errorf("%+v, want the means 200, 100 and 2", got)
 	}
 }
@@ -180,7 +181,7 @@
 		t.Fatalf("no probe for 12 parts: %v", acts)
 	}
 	h.turn(ProbeEnded{Replica: p[0].Replica, Result: OK, Report: &LoadReport{Queue: -1, InFlight: 20, Utilization: -1}})
-	if q := h.b.servers[p[0].Replica].queue; q < 10 {
+	if q := h.b.servers[p[0].Replica].Queue; q < 10 {
 		t.Errorf("q %v after a report of 20", q)
 	}
 }
@@ -453,10 +454,10 @@
 	h := newBench(t, testSettings())
 	h.serve(60, 100*ms)
 	s := h.b.servers["a"]
-	s.latency, s.Penalty, s.NextTrial = 5e6, 1, h.now+time.Hour
+	s.Latency, s.Penalty, s.NextTrial = 5e6, 1, h.now+time.Hour
 	h.serve(5, 100*ms)
-	if s.latency != 5e6 {
-		t.Errorf("R %v of an ejected server was pulled toward the winner", s.latency)
+	if s.Latency != 5e6 {
+		t.Errorf("R %v of an ejected server was pulled toward the winner", s.Latency)
 	}
 }
 
@@ -540,7 +541,7 @@
 func TestOverloadIsRefusedAtOnceAndEnds(t *testing.T) {
 	h := newBench(t, testSettings())
 	h.serve(20, 100*ms)
-	h.b.latency.Mean, h.b.latency.Deviation = 900e3, 200e3 // a jam
+	h.b.fleet.Mean, h.b.fleet.Deviation = 900e3, 200e3 // a jam
 	refused := 0
 	for range 60 {
 		_, ev := h.query(0, 1)
@@ -630,7 +631,7 @@
 	h.serve(20, 100*ms)
 	jam := func(parts int) {
 		for _, s := range h.b.servers {
-			s.recent, s.InFlight = []float64{2e6, 2e6}, make([]time.Duration, parts)
+			s.Recent, s.InFlight = []float64{2e6, 2e6}, make([]time.Duration, parts)
 			for i := range s.InFlight {
 				s.InFlight[i] = h.now
 			}
@@ -650,7 +651,7 @@
 	h := newBench(t, testSettings())
 	h.serve(40, 100*ms)
 	slow := h.b.servers["a"]
-	slow.recent = []float64{900e3, 900e3, 900e3, 900e3}
+	slow.Recent = []float64{900e3, 900e3, 900e3, 900e3}
 	slow.NextTrial = h.now + time.Hour
 	for range 9 {
 		_, ev := h.query(0, 1)
@@ -669,7 +670,7 @@
 	h := newBench(t, testSettings())
 	h.serve(40, 100*ms)
 	slow := h.b.servers["a"]
-	slow.recent = []float64{900e3, 900e3, 900e3, 900e3}
+	slow.Recent = []float64{900e3, 900e3, 900e3, 900e3}
 	for _, s := range h.b.servers {
 		s.NextTrial = h.now + time.Hour
 		if s != slow {
@@ -690,16 +691,16 @@
 	_, ev := h.query(0, 1)
 	s := one[Send](h, h.turn(ev...))
 	srv := h.b.servers[s.Replica]
-	r := srv.latency
+	r := srv.Latency
 	h.end(s, 0, Canceled, 800*ms)
-	if last := srv.recent[len(srv.recent)-1]; last != 800e3 || srv.latency <= r {
-		t.Errorf("last time %v, R %v after %v: a censored time counts", last, srv.latency, r)
+	if last := srv.Recent[len(srv.Recent)-1]; last != 800e3 || srv.Latency <= r {
+		t.Errorf("last time %v, R %v after %v: a censored time counts", last, srv.Latency, r)
 	}
 	_, ev = h.query(0, 1)
 	s = one[Send](h, h.turn(ev...))
-	before := len(h.b.servers[s.Replica].recent)
+	before := len(h.b.servers[s.Replica].Recent)
 	h.end(s, 0, Canceled, 20*ms)
-	if srv := h.b.servers[s.Replica]; len(srv.recent) != before || slices.Contains(srv.recent, 20e3) {
+	if srv := h.b.servers[s.Replica]; len(srv.Recent) != before || slices.Contains(srv.Recent, 20e3) {
 		t.Error("a short attempt called off counts as a quick answer")
 	}
 }
@@ -730,7 +731,7 @@
 func TestAnswersRememberedAreBounded(t *testing.T) {
 	h := newBench(t, testSettings())
 	h.serve(200, 100*ms)
-	if n := len(h.b.recentAnswers); n > 21 {
+	if n := len(h.b.fleet.RecentAnswers); n > 21 {
 		t.Errorf("%d answers remembered after a calm stretch, 2 s hold 20", n)
 	}
 }
@@ -742,7 +743,7 @@
 		set.Instances = n
 		h := newBench(t, set)
 		h.serve(40, 100*ms)
-		h.b.latency.Mean, h.b.latency.Deviation = 400e3, 200e3 // crowded a while ago
+		h.b.fleet.Mean, h.b.fleet.Deviation = 400e3, 200e3 // crowded a while ago
 		for _, s := range h.b.servers {
 			s.reportedAt, s.reportedInFlight = h.now, 1
 		}
@@ -760,9 +761,9 @@
 	h := newBench(t, set)
 	a, b := h.b.servers["a"], h.b.servers["b"]
 	for _, s := range []*server{a, b} {
-		s.measured, s.reportedAt, s.latency, s.serviceTime = true, h.now, 100e3, 100e3
+		s.measured, s.reportedAt, s.Latency, s.ServiceTime = true, h.now, 100e3, 100e3
 	}
-	a.InFlight, b.queue = []time.Duration{0}, 20
+	a.InFlight, b.Queue = []time.Duration{0}, 20
 	if h.b.rank(a) >= h.b.rank(b) {
 		t.Error("one own part outranks a queue of twenty")
 	}
@@ -774,7 +775,7 @@
 	set.Instances = 80
 	h := newBench(t, set)
 	h.serve(40, 100*ms)
-	h.b.latency.Mean, h.b.latency.Deviation = 2e6, 1e6
+	h.b.fleet.Mean, h.b.fleet.Deviation = 2e6, 1e6
 	_, ev := h.query(0, 3)
 	if len(all[Reject](h.turn(ev...))) != 1 {
 		t.Fatal("a query was begun where answers take twice its aim")
@@ -944,7 +945,7 @@
 			}
 			b.now = start
 			b.Turn(start, []Event{EndpointList{Kind: ListFull, Endpoints: []Endpoint{{Replica: "a", Started: start}}}})
-			b.latency.Mean, b.latency.Deviation = micros(work), 0
+			b.fleet.Mean, b.fleet.Deviation = micros(work), 0
 			all = append(all, b)
 		}
 		var sent []time.Duration
@@ -1037,7 +1038,7 @@
 		set.Classes[0].MinFraction, set.Classes[0].PartialFraction, set.Classes[0].OverdueFraction = c.floor, 0.9, 0.3
 		h := newBench(t, set)
 		h.serve(20, 100*ms)
-		h.b.latency.Mean, h.b.latency.Deviation, h.b.meanWeight, h.b.meanParts = 320e3, 130e3, 1, 30
+		h.b.fleet.Mean, h.b.fleet.Deviation, h.b.meanWeight, h.b.meanParts = 320e3, 130e3, 1, 30
 		_, ev := h.query(0, 30)
 		if n := len(all[Send](h.turn(ev...))); n != c.sends {
 			t.Errorf("floor %v: %d parts sent, want %d", c.floor, n, c.sends)
@@ -1058,8 +1059,8 @@
 		}
 		h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: OK})
 	}
-	if len(sends) != 60 || h.b.latency.Mean > 400e3 {
-		t.Errorf("%d parts; mean %.0f us, of many queries of 100 ms and one of 10 to 900 ms", len(sends), h.b.latency.Mean)
+	if len(sends) != 60 || h.b.fleet.Mean > 400e3 {
+		t.Errorf("%d parts; mean %.0f us, of many queries of 100 ms and one of 10 to 900 ms", len(sends), h.b.fleet.Mean)
 	}
 }
 
@@ -1077,8 +1078,8 @@
 	h.serve(60, 100*ms)
 	h.b.paths[1].MinLatency = 1.5e6
 	h.turn(TimerFired{})
-	if h.b.paths[1].Usable() || h.b.medianServiceTime > 200e3 {
-		t.Fatalf("way fit %v, median %v", h.b.paths[1].Usable(), h.b.medianServiceTime)
+	if h.b.paths[1].Usable() || h.b.fleet.MedianServiceTime > 200e3 {
+		t.Fatalf("way fit %v, median %v", h.b.paths[1].Usable(), h.b.fleet.MedianServiceTime)
 	}
 	h.b.paths[1].NextTrial = h.now + time.Hour
 	_, ev := h.query(0, 6)
@@ -1107,13 +1108,13 @@
 	for range 12 {
 		h.b.recordAnswer(far, 600e3, 40)
 	}
-	if h.turn(TimerFired{}); !far.path.Usable() {
+	if h.turn(TimerFired{}); !far.Path.Usable() {
 		t.Error("a few slow parts made the way slow")
 	}
 	for range 40 {
 		h.b.recordAnswer(far, 1.5e6, 40)
 	}
-	if h.turn(TimerFired{}); far.path.Usable() {
+	if h.turn(TimerFired{}); far.Path.Usable() {
 		t.Error("every answer takes long, and the way is still used")
 	}
 }
@@ -1124,7 +1125,7 @@
 	way, s := h.b.paths[1], h.b.servers["b"]
 	way.InFlight = make([]time.Duration, 20)
 	for range 4 {
-		h.b.recordFailure(s, &s.perClass[0], h.now)
+		s.RecordClassFailure(0, h.now, h.now, h.b.trialInterval())
 	}
 	if !way.Usable() {
 		t.Error("four failures with twenty parts out closed the way")
@@ -1171,7 +1172,7 @@
 	for h.now < start+4*time.Second {
 		for _, name := range []Replica{"b", "c"} {
 			s := h.b.servers[name]
-			s.queue, s.reportedAt = 3, h.now // the warm are busy
+			s.Queue, s.reportedAt = 3, h.now // the warm are busy
 		}
 		_, ev := h.query(0, 1)
 		s := one[Send](h, h.turn(ev...))
@@ -1303,7 +1304,7 @@
 	set.CanHedge = false
 	h := newBench(t, set)
 	h.serve(60, 100*ms)
-	h.b.latency.Mean, h.b.latency.Deviation = 150e3, 80e3 // late is 390 ms
+	h.b.fleet.Mean, h.b.fleet.Deviation = 150e3, 80e3 // late is 390 ms
 	_, ev := h.query(0, 1)
 	s := one[Send](h, h.turn(ev...))
 	h.now += 600 * ms
@@ -1320,15 +1321,15 @@
 	h := newBench(t, testSettings())
 	for i, name := range []Replica{"a", "b", "c"} {
 		s := h.b.servers[name]
-		s.measured, s.reportedAt, s.averages = true, h.now, averages{100e3, 100e3, float64(9 * i)}
+		s.measured, s.reportedAt, s.Averages = true, h.now, estimate.Averages{Latency: 100e3, ServiceTime: 100e3, Queue: float64(9 * i)}
 	}
 	h.turn(TimerFired{})
-	if q := h.b.averagesOf(h.b.servers["c"]).queue; q != 18 {
+	if q := h.b.averagesOf(h.b.servers["c"]).Queue; q != 18 {
 		t.Errorf("q %v just after a report of 18", q)
 	}
 	h.now += 10 * time.Second
 	h.turn(TimerFired{})
-	if q := h.b.averagesOf(h.b.servers["c"]).queue; q < 9 || q > 10 {
+	if q := h.b.averagesOf(h.b.servers["c"]).Queue; q < 9 || q > 10 {
 		t.Errorf("q %v ten aims after a report of 18, want the mean of 9", q)
 	}
 }
@@ -1344,7 +1345,7 @@
 		set.CanHedge = false
 		h := newBench(t, set, twoZones()...)
 		h.serve(60, 100*ms)
-		h.b.latency.Mean, h.b.latency.Deviation, h.b.hedgeTokens = 100e3, 50e3, maxHedgeTokens
+		h.b.fleet.Mean, h.b.fleet.Deviation, h.b.hedgeTokens = 100e3, 50e3, maxHedgeTokens
 		h.now += time.Millisecond
 		for _, s := range h.b.endpoints {
 			s.avoidUntil = h.now // all may be sent to
@@ -1512,8 +1513,8 @@
 		t.Fatalf("called off %v", calledOff)
 	}
 	h.turn(AttemptEnded{Part: lost.Part, Replica: "a", Result: Canceled})
-	if bad.healthyFor(0) || !bad.healthyFor(1) {
-		t.Errorf("doubt %v, of each class %+v", bad.Penalty, bad.perClass)
+	if bad.HealthyFor(0) || !bad.HealthyFor(1) {
+		t.Errorf("doubt %v, of each class %+v", bad.Penalty, bad.PerClass)
 	}
 	found := false
 	for range 20 {
@@ -1543,11 +1544,11 @@
 	h.serve(40, 100*ms)
 	for id, s := range h.b.servers {
 		s.NextTrial = h.now + time.Hour
-		s.perClass[0].NextTrial = s.NextTrial
+		s.PerClass[0].NextTrial = s.NextTrial
 		if id == "a" {
-			s.recent = []float64{900e3, 900e3, 900e3, 900e3}
+			s.Recent = []float64{900e3, 900e3, 900e3, 900e3}
 		} else {
-			s.perClass[0].Penalty = 1
+			s.PerClass[0].Penalty = 1
 		}
 	}
 	for class, want := range []bool{true, false} {
@@ -1571,24 +1572,24 @@
 	srv := h.b.servers[lost.Replica]
 	calledAt := time.Duration(0)
 	for sent := h.now; calledAt == 0 && h.now < sent+2*time.Second; h.now += 10 * ms {
-		srv.LastSuccess, srv.perClass[0].LastSuccess = h.now, h.now
+		srv.LastSuccess, srv.PerClass[0].LastSuccess = h.now, h.now
 		if len(all[Cancel](h.turn(TimerFired{}))) > 0 {
 			calledAt = h.now - sent
 		}
 	}
-	if late := h.b.latency.Overdue(); micros(calledAt) < suspicion.LostFactor*late || micros(calledAt) > suspicion.LostFactor*late+20e3 {
+	if late := h.b.fleet.Overdue(); micros(calledAt) < suspicion.LostFactor*late || micros(calledAt) > suspicion.LostFactor*late+20e3 {
 		t.Errorf("called off after %v, late is %v", calledAt, duration(late))
 	}
-	if srv.stalled != 1 || srv.healthyFor(0) {
-		t.Errorf("%d parts are lost there, sound: %v", srv.stalled, srv.healthyFor(0))
+	if srv.Lost != 1 || srv.HealthyFor(0) {
+		t.Errorf("%d parts are lost there, sound: %v", srv.Lost, srv.HealthyFor(0))
 	}
 	if r := h.b.rank(srv); r > 10*micros(100*ms) {
 		t.Errorf("rank %v: a lost part counts as load", r)
 	}
 	doubt, tokens := srv.Penalty, h.b.hedgeTokens
 	again := one[Send](h, h.turn(AttemptEnded{Part: lost.Part, Replica: lost.Replica, Result: Canceled}))
-	if srv.Penalty != doubt || srv.perClass[0].Penalty != 1 || again.Replica == lost.Replica {
-		t.Errorf("doubt %v, with the class %v; again at %s", srv.Penalty, srv.perClass[0].Penalty, again.Replica)
+	if srv.Penalty != doubt || srv.PerClass[0].Penalty != 1 || again.Replica == lost.Replica {
+		t.Errorf("doubt %v, with the class %v; again at %s", srv.Penalty, srv.PerClass[0].Penalty, again.Replica)
 	}
 	h.end(again, 1, OK, 100*ms)
 	if h.b.hedgeTokens < tokens+1 {
@@ -1609,7 +1610,7 @@
 		h.serve(60, 100*ms)
 		for id, s := range h.b.servers {
 			if id == "a" {
-				s.perClass[1].Penalty, s.perClass[1].LossRate, s.perClass[1].NextTrial = 1, c.loss, h.now+time.Hour
+				s.PerClass[1].Penalty, s.PerClass[1].LossRate, s.PerClass[1].NextTrial = 1, c.loss, h.now+time.Hour
 				continue
 			}
 			for range c.busy {
--- a/balance/endpoints.go
+++ b/balance/endpoints.go
@@ -1,5 +1,7 @@
 package balance
 
+// This file decides nothing: it takes over the list of replicas as discovery gives it.
+
 import (
 	"slices"
 	"time"
@@ -8,20 +10,8 @@
 	"rooktrestle/internal/control/suspicion"
 )
 
-// listRetryInterval is the mean wait after a failed call for the list, as a share of the age within which it must be
-// renewed.
-const listRetryInterval = 0.5
-
+// updateEndpoints takes in a list of the replicas, or changes to it.
 func (b *Balancer) updateEndpoints(list EndpointList) {
-	if list.Kind == ListFailed {
-		// Paced, and at random: all balancers poll one discovery service, which may be down or short of capacity.
-		maxAge := micros(b.settings.Rules.MaxListAge)
-		b.pollAt = b.now + duration(listRetryInterval*(0.5+b.rng.Float64())*maxAge)
-		return
-	}
-	if len(b.endpoints) == 0 && b.settings.ListOnRequest {
-		b.emit(WatchEndpoints{})
-	}
 	if list.Kind != ListDelta {
 		for _, s := range b.endpoints {
 			s.listed = false
@@ -43,7 +33,8 @@
 func (b *Balancer) updateEndpoint(e Endpoint) {
 	s := b.servers[e.Replica]
 	if s == nil {
-		s = &server{id: e.Replica, perClass: make([]suspicion.Record, len(b.settings.Classes))}
+		s = &server{id: e.Replica}
+		s.PerClass = make([]suspicion.Record, len(b.settings.Classes))
 		s.gossipKey = gossip.ServerKey(string(e.Replica))
 		b.servers[e.Replica] = s
 		b.endpoints = append(b.endpoints, s)
@@ -51,7 +42,8 @@
 	if b.paths[e.Zone] == nil {
 		b.paths[e.Zone] = &suspicion.Path{}
 	}
-	s.zone, s.path, s.cell, s.listed = e.Zone, b.paths[e.Zone], e.Cell, e.State == InService
+	s.zone, s.cell, s.listed = e.Zone, e.Cell, e.State == InService
+	s.Path, s.Remote = b.paths[e.Zone], e.Zone != b.settings.Zone
 	s.applyLimits(e.HealthLimits)
 	if e.Started > s.slowStart.Started {
 		s.reset(e.Started, b.rng.Float64())
@@ -70,9 +62,7 @@
 // it began: taken for as busy as the mean of the others, it would be avoided while these are full.
 func (s *server) reset(started time.Duration, random float64) {
 	s.slowStart.Restart(started, random)
-	s.measured, s.recent, s.Penalty = false, nil, 0
-	s.queue, s.reportedInFlight, s.reportedAt = 0, -1, started
-	for i := range s.perClass {
-		s.perClass[i].Forget()
-	}
+	s.Restart()
+	s.measured = false
+	s.Queue, s.reportedInFlight, s.reportedAt = 0, -1, started
 }
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -104,7 +104,7 @@
 func TestReportYieldsCrowdedShards(t *testing.T) {
 	crowd := func(h *bench, queue float64) {
 		for _, id := range []Replica{"c", "d"} {
-			h.b.servers[id].queue, h.b.servers[id].reportedAt = queue, h.now
+			h.b.servers[id].Queue, h.b.servers[id].reportedAt = queue, h.now
 		}
 	}
 	for _, c := range []struct {
@@ -143,9 +143,9 @@
 func TestJamIsUnlearned(t *testing.T) {
 	h := fleet(t)
 	jam := func() { // long ago, and nothing since
-		h.b.latency.Mean, h.b.latency.Deviation, h.b.meanWeight, h.b.meanParts, h.b.recentAnswers = 800e3, 300e3, 1, 30, nil
+		h.b.fleet.Mean, h.b.fleet.Deviation, h.b.meanWeight, h.b.meanParts, h.b.fleet.RecentAnswers = 800e3, 300e3, 1, 30, nil
 		for _, s := range h.b.servers {
-			s.recent = []float64{700e3, 700e3, 700e3, 700e3}
+			s.Recent = []float64{700e3, 700e3, 700e3, 700e3}
 		}
 	}
 	jam()
@@ -166,7 +166,7 @@
 	}{{0, 30}, {40, 0}} {
 		h = fleet(t)
 		if jam(); c.queue > 0 {
-			h.b.latency.Mean, h.b.latency.Deviation = 100e3, 20e3
+			h.b.fleet.Mean, h.b.fleet.Deviation = 100e3, 20e3
 		}
 		for _, s := range h.b.servers {
 			s.probedQueue, s.probedQueueAt = c.queue, h.now
@@ -189,7 +189,7 @@
 			n = 30
 		}
 		_, ev := h.query(0, n)
-		h.b.latency.Mean, h.b.latency.Deviation = 200e3, 100e3 // 1.2 ln 30 deviations: 0.61 of the aim
+		h.b.fleet.Mean, h.b.fleet.Deviation = 200e3, 100e3 // 1.2 ln 30 deviations: 0.61 of the aim
 		sends := all[Send](h.turn(ev...))
 		if len(sends) != n {
 			t.Fatalf("query %d: %d of %d parts sent", i, len(sends), n)
@@ -216,7 +216,7 @@
 		for range 120 {
 			h.now += 5 * ms
 			for _, s := range h.b.servers {
-				s.queue, s.reportedAt = c.queue, h.now
+				s.Queue, s.reportedAt = c.queue, h.now
 			}
 			called += len(all[Cancel](h.turn(TimerFired{})))
 		}
@@ -243,9 +243,9 @@
 		for range 120 {
 			h.now += 5 * ms
 			for id, s := range h.b.servers {
-				s.reportedAt, s.queue = h.now, c.others
+				s.reportedAt, s.Queue = h.now, c.others
 				if s.queueWasLong = c.long; id == at {
-					s.queue = c.own
+					s.Queue = c.own
 				} else if c.long {
 					s.reportedAt -= 4 * time.Second
 				}
@@ -312,7 +312,7 @@
 		h.b.settings.PeerMessages = true
 		h.b.meanWeight, h.b.meanParts = 1, 10
 		for _, s := range h.b.servers { // at 28 a part would wait for 0.7 of the aim, and the servers are not full
-			s.queue, s.reportedAt = c.queue, h.now
+			s.Queue, s.reportedAt = c.queue, h.now
 		}
 		_, ev := h.query(0, 10)
 		acts := h.turn(ev...)
@@ -347,7 +347,7 @@
 		h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", HealthLimits: HealthLimits{TrafficFraction: share}}}})
 		for range 60 {
 			s := h.b.servers["a"]
-			s.Penalty, s.NextTrial, s.perClass[0].NextTrial = 1, 0, 0
+			s.Penalty, s.NextTrial, s.PerClass[0].NextTrial = 1, 0, 0
 			_, ev := h.query(0, 1)
 			s1 := one[Send](h, h.turn(ev...))
 			if s1.Replica == "a" {
@@ -376,9 +376,9 @@
 		{500e3, 2, true, 30}, // as the servers were once
 	} {
 		h := fleet(t)
-		h.b.latency.Mean, h.b.latency.Deviation, h.b.meanWeight, h.b.meanParts = c.mean, 20e3, 1, 30
+		h.b.fleet.Mean, h.b.fleet.Deviation, h.b.meanWeight, h.b.meanParts = c.mean, 20e3, 1, 30
 		if c.stale {
-			h.b.recentAnswers = nil
+			h.b.fleet.RecentAnswers = nil
 		}
 		for _, s := range h.b.servers {
 			s.probedQueue, s.probedQueueAt = c.queue, h.now
--- a/balance/gossip.go
+++ b/balance/gossip.go
@@ -32,7 +32,7 @@
 	if report == nil || report.Queue < 0 {
 		return
 	}
-	if long := b.isLongQueue(report.Queue); long || s.queueWasLong || wasUnanswered {
+	if long := b.fleet.IsLongQueue(report.Queue); long || s.queueWasLong || wasUnanswered {
 		b.observe(s, gossip.QueueValue(report.Queue))
 		s.queueWasLong = long
 	}
@@ -68,7 +68,7 @@
 		}
 		// Only from the own zone: another zone's path there may be cut.
 		if sameZone && b.now-s.LastSuccess > age+b.settings.ProbeTimeout {
-			s.probeFailed, s.probeUnanswered = true, true
+			s.ProbeFailed, s.ProbeUnanswered = true, true
 		}
 	}
 }
@@ -76,9 +76,9 @@
 // receiveQueue takes in a server's queue as another balancer saw it, unless it is short and what is known here is no
 // better.
 func (b *Balancer) receiveQueue(s *server, queue float64) {
-	s.probeFailed, s.probeUnanswered = false, false
-	long := b.isLongQueue(queue)
-	if !long && queue > s.queue {
+	s.ProbeFailed, s.ProbeUnanswered = false, false
+	long := b.fleet.IsLongQueue(queue)
+	if !long && queue > s.Queue {
 		return
 	}
 	s.queueWasLong = long
--- a/balance/hedging.go
+++ b/balance/hedging.go
@@ -17,11 +17,11 @@
 		return
 	}
 	s := b.choose(p)
-	if s == nil || p.penaltyOf(s) > 0 || s.Unresponsive || s.nearlyExcluded() {
+	if s == nil || s.PenaltyFor(p.query.Class) > 0 || s.Unresponsive || s.nearlyExcluded() {
 		return
 	}
 	// Nor from a server with a backlog, which says why it is late, to another: it is done there all the same.
-	if b.backlogged(a.server) && a.server.path.Usable() && !a.server.nearlyExcluded() && b.backlogged(s) {
+	if b.backlogged(a.server) && a.server.Path.Usable() && !a.server.nearlyExcluded() && b.backlogged(s) {
 		return
 	}
 	b.hedgeTokens--
@@ -41,7 +41,7 @@
 	case NonIdempotent:
 		return false
 	case KeyedIdempotent:
-		return b.now+duration(b.latency.Mean) <= p.inFlight[0].sent+p.query.class.DedupWindow
+		return b.now+duration(b.fleet.Mean) <= p.inFlight[0].sent+p.query.class.DedupWindow
 	}
 	return true
 }
@@ -50,19 +50,19 @@
 func (b *Balancer) hedgeAfter(p *part, a *attempt) float64 {
 	s := a.server
 	if b.settings.CanHedge {
-		if !s.healthyFor(p.query.Class) || !s.listed {
-			return b.latency.Typical()
+		if !s.HealthyFor(p.query.Class) || !s.listed {
+			return b.fleet.Typical()
 		}
-		return b.latency.Overdue()
+		return b.fleet.Overdue()
 	}
 	// To start over loses the time waited and adds work, and the overdue parts of a healthy server are heavy ones,
 	// overdue again elsewhere: only where the server answers nothing, or so late that the part is lost there.
-	class := &s.perClass[p.query.Class]
+	class := &s.PerClass[p.query.Class]
 	if s.listed && class.LastSuccess > a.sent && class.LossRate < suspicion.LossSmoothing {
-		return suspicion.LostFactor * b.latency.Overdue()
+		return suspicion.LostFactor * b.fleet.Overdue()
 	}
-	if !s.path.Usable() {
-		return b.latency.Typical()
+	if !s.Path.Usable() {
+		return b.fleet.Typical()
 	}
-	return cancelOverdue * b.latency.Overdue()
+	return cancelOverdue * b.fleet.Overdue()
 }
--- /dev/null
+++ b/balance/lookup.go
@@ -0,0 +1,206 @@
+package balance
+
+// This file decides nothing: it looks up what a Balancer remembers, and adds and removes it.
+
+import (
+	"slices"
+	"time"
+
+	"rooktrestle/internal/control/estimate"
+)
+
+// replicas are the servers in service that hold a shard.
+func (b *Balancer) replicas(shard int) []*server {
+	var all []*server
+	for j := range min(b.settings.Reach, b.settings.Cells) {
+		all = append(all, b.cells[(shard+j)%b.settings.Cells]...)
+	}
+	return all
+}
+
+// candidates are the servers in service that may be asked for a part.
+func (b *Balancer) candidates(p *part) (all []*server) {
+	if p.Candidates == nil {
+		return b.replicas(p.Shard)
+	}
+	for _, c := range p.Candidates {
+		if s := b.servers[c.Replica]; s != nil && s.listed {
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
+// indexEndpoints puts the listed servers where parts and gossip messages look for them.
+func (b *Balancer) indexEndpoints() {
+	for i := range b.cells {
+		b.cells[i] = b.cells[i][:0]
+	}
+	b.byGossipKey = map[uint32]*server{}
+	for _, s := range b.endpoints {
+		if _, twice := b.byGossipKey[s.gossipKey]; twice || !s.listed {
+			b.byGossipKey[s.gossipKey] = nil
+		} else {
+			b.byGossipKey[s.gossipKey] = s
+		}
+		if s.listed && s.cell >= 0 && s.cell < len(b.cells) {
+			b.cells[s.cell] = append(b.cells[s.cell], s)
+		}
+	}
+}
+
+// removeAttempt takes an attempt that ended from all that are in flight; it returns nil if there is none.
+func (b *Balancer) removeAttempt(key attemptKey) *attempt {
+	a := b.attempts[key]
+	if a == nil {
+		return nil
+	}
+	delete(b.attempts, key)
+	a.part.inFlight = slices.DeleteFunc(a.part.inFlight, func(other *attempt) bool { return other == a })
+	a.server.Ended(a.part.query.Class, a.sent)
+	return a
+}
+
+// progress sums up the parts of a query's step.
+func (q *query) progress() (done progress) {
+	for _, p := range q.parts {
+		if p.answered {
+			done.weight += p.Weight
+			done.answered++
+		}
+		if !p.abandoned {
+			done.reachable += p.Weight
+		}
+	}
+	return done
+}
+
+// neededWeight is the weight of the parts that make an answer complete, and minWeight the least for any answer.
+func (q *query) neededWeight() float64 {
+	if q.step > 0 {
+		return 1
+	}
+	return q.class.CompleteFraction
+}
+
+func (q *query) minWeight() float64 {
+	if q.step > 0 && q.class.MinFraction >= q.class.CompleteFraction {
+		return 1
+	}
+	return min(q.class.MinFraction, q.neededWeight())
+}
+
+// lastAttempt is the latest attempt in flight. There must be one.
+func (p *part) lastAttempt() *attempt { return p.inFlight[len(p.inFlight)-1] }
+
+func (p *part) mightHaveRun() bool { return p.mayHaveRun || p.answered || len(p.inFlight) > 0 }
+
+// recordMayHaveRun notes that an attempt that ended may have run.
+func (p *part) recordMayHaveRun(a *attempt) {
+	if !p.mayHaveRun || a.sent < p.firstMayHaveRun {
+		p.mayHaveRun, p.firstMayHaveRun = true, a.sent
+	}
+}
+
+// prefer narrows servers down, in place, to those for which holds is true. If there are none it returns all.
+func prefer(servers []*server, holds func(*server) bool) []*server {
+	n := 0
+	for i, s := range servers {
+		if holds(s) {
+			servers[i], servers[n] = servers[n], s
+			n++
+		}
+	}
+	if n == 0 {
+		return servers
+	}
+	return servers[:n]
+}
+
+func (b *Balancer) addPart(e Part) {
+	q := b.byGroup[e.Group]
+	if q == nil || q.done {
+		return
+	}
+	p := &part{Part: e, query: q}
+	b.demand.Offered++
+	p.warmupTarget = b.sampleWarming(p)
+	q.parts = append(q.parts, p)
+	b.parts[e.ID] = p
+	b.retryBudget.RecordRequest(b.now)
+	b.outbox.Earn()
+}
+
+// endQuery forgets a query that is over and cancels what is still in flight.
+func (b *Balancer) endQuery(q *query) {
+	q.done = true
+	delete(b.byID, q.ID)
+	if b.byGroup[q.Group] == q {
+		delete(b.byGroup, q.Group)
+	}
+	b.dropParts(q)
+}
+
+func (b *Balancer) dropParts(q *query) {
+	for _, p := range q.parts {
+		delete(b.parts, p.ID)
+		for _, a := range p.inFlight {
+			b.cancel(a)
+		}
+	}
+	q.parts = nil
+}
+
+func (b *Balancer) cancel(a *attempt) {
+	if b.settings.CanCancel && !a.canceled {
+		a.canceled = true
+		b.emit(Cancel{Part: a.part.ID, Attempt: a.number})
+	}
+}
+
+// serviceTimes are those of the listed servers that can be reached, microseconds.
+func (b *Balancer) serviceTimes() (times []float64) {
+	for _, s := range b.endpoints {
+		if s.listed && len(s.Recent) > 0 && s.Path.Usable() {
+			times = append(times, s.Recent.Min())
+		}
+	}
+	return times
+}
+
+// probedQueues are the queues of the listed servers that probes showed after since.
+func (b *Balancer) probedQueues(since time.Duration) (queues []float64) {
+	for _, s := range b.endpoints {
+		if s.listed && s.probedQueueAt > since {
+			queues = append(queues, s.probedQueue)
+		}
+	}
+	return queues
+}
+
+// meanAverages are those over the measured servers; before any was measured, the shortest objective.
+func (b *Balancer) meanAverages() estimate.Mean {
+	objective := micros(b.minObjective)
+	mean := estimate.Mean{Averages: estimate.Averages{Latency: objective, ServiceTime: objective}}
+	for _, s := range b.endpoints {
+		if s.measured && s.listed {
+			mean.Add(s.Averages)
+		}
+	}
+	return mean
+}
+
+// inFlightSince is a server's number of requests in flight by its last load report, and those sent since then. known is
+// false if it reported none after since.
+func (s *server) inFlightSince(since time.Duration) (inFlight float64, known bool) {
+	if s.reportedInFlight < 0 || s.reportedAt <= 0 || s.reportedAt <= since {
+		return 0, false
+	}
+	inFlight = s.reportedInFlight
+	for _, sent := range s.InFlight {
+		if sent > s.reportedAt {
+			inFlight++
+		}
+	}
+	return inFlight, true
+}
--- a/balance/peers_test.go
+++ b/balance/peers_test.go
@@ -80,7 +80,7 @@
 			h.turn(AttemptEnded{Part: s.Part, Replica: "a", Result: OK, Elapsed: time.Second})
 		}
 	}
-	if to(sends)["a"] == 0 || h.b.servers["a"].probeUnanswered {
+	if to(sends)["a"] == 0 || h.b.servers["a"].ProbeUnanswered {
 		t.Errorf("%d parts answered, and it is taken for silent", to(sends)["a"])
 	}
 }
@@ -93,7 +93,7 @@
 	}
 	to.now = from.now
 	to.turn(GossipReceived{told[0].Payload})
-	if q := to.b.servers["a"].queue; q < 20 {
+	if q := to.b.servers["a"].Queue; q < 20 {
 		t.Fatalf("queue taken as %v", q)
 	}
 	told = learned(from, OK, 0)
@@ -102,7 +102,7 @@
 	}
 	to.now = from.now
 	to.turn(GossipReceived{told[0].Payload})
-	if q := to.b.servers["a"].queue; q > 15 {
+	if q := to.b.servers["a"].Queue; q > 15 {
 		t.Fatalf("queue taken as %v after its end", q)
 	}
 	if told = learned(from, OK, 0); len(told) != 0 {
@@ -157,7 +157,7 @@
 		h = many(t)
 		h.b.settings.PeerMessages = false
 		h.now += time.Second
-		if h.turn(GossipReceived{word}); h.b.servers["a"].probeUnanswered {
+		if h.turn(GossipReceived{word}); h.b.servers["a"].ProbeUnanswered {
 			t.Error("a word counts where they are not allowed")
 		}
 	}
--- a/balance/probing.go
+++ b/balance/probing.go
@@ -55,10 +55,10 @@
 		return
 	}
 	s.probing = false
-	wasUnanswered := s.probeUnanswered
-	s.probeFailed = e.Result != OK
-	s.probeUnanswered = e.Result != OK && e.Result != Failed
-	s.resolveResets(s.probeFailed)
+	wasUnanswered := s.ProbeUnanswered
+	s.ProbeFailed = e.Result != OK
+	s.ProbeUnanswered = e.Result != OK && e.Result != Failed
+	s.resolveResets(s.ProbeFailed)
 	switch {
 	case e.Result == OK:
 		b.observeQueue(s, e.Report, wasUnanswered)
@@ -66,7 +66,7 @@
 		if e.Report != nil && e.Report.Queue >= 0 {
 			s.probedQueue, s.probedQueueAt = e.Report.Queue, b.now
 		}
-	case s.probeUnanswered && b.now-s.LastSuccess > b.settings.ProbeTimeout:
+	case s.ProbeUnanswered && b.now-s.LastSuccess > b.settings.ProbeTimeout:
 		b.observe(s, gossip.Unresponsive)
 	}
 }
--- a/balance/query.go
+++ b/balance/query.go
@@ -40,20 +40,6 @@
 	return max(0, b.settings.Classes[e.Class].Deadline-e.TimeLeft)
 }
 
-func (b *Balancer) addPart(e Part) {
-	q := b.byGroup[e.Group]
-	if q == nil || q.done {
-		return
-	}
-	p := &part{Part: e, query: q}
-	b.demand.Offered++
-	p.warmupTarget = b.sampleWarming(p)
-	q.parts = append(q.parts, p)
-	b.parts[e.ID] = p
-	b.retryBudget.RecordRequest(b.now)
-	b.outbox.Earn()
-}
-
 // advance takes a query one step on: it ends the query, or sends what should be sent.
 func (b *Balancer) advance(q *query) {
 	if q.step > 0 && len(q.parts) == 0 { // the parts of the second step have yet to come
@@ -90,7 +76,7 @@
 		if partial {
 			b.answer(q, false)
 		} else {
-			b.rejectOrFail(q, duration(retryAfterFactor*b.latency.Mean/2))
+			b.rejectOrFail(q, duration(retryAfterFactor*b.fleet.Mean/2))
 		}
 	case partial && (incompletable && done.weight >= done.reachable-weightTolerance ||
 		b.now >= b.stepDue(q)-margin && b.now < q.objective &&
@@ -134,7 +120,7 @@
 		return false
 	}
 	if !b.admit(q) {
-		b.rejectOrFail(q, duration(retryAfterFactor*b.latency.Mean))
+		b.rejectOrFail(q, duration(retryAfterFactor*b.fleet.Mean))
 		return false
 	}
 	q.admitted = true
@@ -181,7 +167,7 @@
 // expectedWeight adds to weight that of the parts in flight that are not late yet.
 func (b *Balancer) expectedWeight(q *query, weight float64) float64 {
 	for _, p := range q.parts {
-		if len(p.inFlight) > 0 && !p.answered && micros(b.now-p.lastAttempt().sent) <= b.latency.Typical() {
+		if len(p.inFlight) > 0 && !p.answered && micros(b.now-p.lastAttempt().sent) <= b.fleet.Typical() {
 			weight += p.Weight
 		}
 	}
@@ -211,33 +197,6 @@
 	if q.step > 0 || q.class.FollowUpParts == 0 {
 		return q.objective
 	}
-	second := b.latency.Mean + b.latency.Deviation*estimate.TailDeviations(q.class.FollowUpParts, 0)
+	second := b.fleet.Slowest(estimate.TailDeviations(q.class.FollowUpParts, 0))
 	return q.objective - duration(min(second, maxFollowUpReserve*micros(q.class.Objective)))
 }
-
-// endQuery forgets a query that is over and cancels what is still in flight.
-func (b *Balancer) endQuery(q *query) {
-	q.done = true
-	delete(b.byID, q.ID)
-	if b.byGroup[q.Group] == q {
-		delete(b.byGroup, q.Group)
-	}
-	b.dropParts(q)
-}
-
-func (b *Balancer) dropParts(q *query) {
-	for _, p := range q.parts {
-		delete(b.parts, p.ID)
-		for _, a := range p.inFlight {
-			b.cancel(a)
-		}
-	}
-	q.parts = nil
-}
-
-func (b *Balancer) cancel(a *attempt) {
-	if b.settings.CanCancel && !a.canceled {
-		a.canceled = true
-		b.emit(Cancel{Part: a.part.ID, Attempt: a.number})
-	}
-}
--- a/balance/selection.go
+++ b/balance/selection.go
@@ -78,7 +78,7 @@
 			continue
 		}
 		available = append(available, s)
-		if s.healthyFor(p.query.Class) && !slices.Contains(p.failedOn, s) {
+		if s.HealthyFor(p.query.Class) && !slices.Contains(p.failedOn, s) {
 			healthy = append(healthy, s)
 		} else if s.usableFor(p) {
 			usable = append(usable, s)
@@ -96,12 +96,12 @@
 	}
 	delay := duration(0)
 	if p.query.class.Idempotency == NonIdempotent {
-		delay = duration(unsafeHalfOpenDelay * b.latency.Overdue())
+		delay = duration(unsafeHalfOpenDelay * b.fleet.Overdue())
 	}
 	for _, s := range available {
-		fault := s.fault(p.query.Class)
-		if fault != nil && !s.probeFailed && len(fault.InFlight) == 0 && !b.skipsByFraction(p, s) &&
-			b.now >= fault.NextTrial+delay && b.pathAllowsTrial(s.path) {
+		fault := s.Fault(p.query.Class)
+		if fault != nil && !s.ProbeFailed && len(fault.InFlight) == 0 && !b.skipsByFraction(p, s) &&
+			b.now >= fault.NextTrial+delay && b.pathAllowsTrial(s.Path) {
 			p.query.halfOpenUsed = true
 			return s
 		}
@@ -116,12 +116,12 @@
 // leastSuspect narrows down servers none of which is healthy: to a usable path, then to those that did not fail this
 // part, then none of its class, then to the quick, then to the least penalty.
 func (p *part) leastSuspect(servers []*server) []*server {
-	servers = prefer(servers, func(s *server) bool { return s.path.Usable() })
+	servers = prefer(servers, func(s *server) bool { return s.Path.Usable() })
 	servers = prefer(servers, func(s *server) bool { return !slices.Contains(p.failedOn, s) })
-	servers = prefer(servers, func(s *server) bool { return s.perClass[p.query.Class].Penalty == 0 })
+	servers = prefer(servers, func(s *server) bool { return s.PerClass[p.query.Class].Penalty == 0 })
 	servers = prefer(servers, func(s *server) bool { return !s.Slow })
-	least := slices.MinFunc(servers, func(s, t *server) int { return cmp.Compare(p.penaltyOf(s), p.penaltyOf(t)) })
-	return prefer(servers, func(s *server) bool { return p.penaltyOf(s) == p.penaltyOf(least) })
+	least := slices.MinFunc(servers, func(s, t *server) int { return cmp.Compare(s.PenaltyFor(p.query.Class), t.PenaltyFor(p.query.Class)) })
+	return prefer(servers, func(s *server) bool { return s.PenaltyFor(p.query.Class) == least.PenaltyFor(p.query.Class) })
 }
 
 // lowestRank returns the server with the lowest rank, where near ties go to the own zone. Those from index unhealthyFrom
@@ -160,40 +160,17 @@
 	return fraction < 1 && b.rng.Float64() > 2*fraction/(1+fraction)
 }
 
-// healthy reports whether a server may be trusted, and healthyFor whether it may with a class of queries.
-func (s *server) healthy() bool {
-	return s.Penalty == 0 && !s.Unresponsive && !s.Slow && s.path.Usable()
-}
-
-func (s *server) healthyFor(class int) bool {
-	return s.healthy() && s.perClass[class].Penalty == 0 && !s.perClass[class].Unresponsive
-}
-
-// fault is the record that makes a server unhealthy for a class, or nil if it is healthy.
-func (s *server) fault(class int) *suspicion.Record {
-	switch {
-	case !s.healthy():
-		return &s.Record
-	case !s.healthyFor(class):
-		return &s.perClass[class]
-	}
-	return nil
-}
-
 // usableFor reports whether a server that is not healthy does most of what a part of this class asks of it. What must
 // not run twice does not go where some is lost.
 func (s *server) usableFor(p *part) bool {
-	trusted := !s.Unresponsive && !s.Slow && !s.probeFailed && s.path.Usable() && s.LastSuccess > 0
+	trusted := !s.Unresponsive && !s.Slow && !s.ProbeFailed && s.Path.Usable() && s.LastSuccess > 0
 	return trusted && p.query.class.Idempotency != NonIdempotent && !slices.Contains(p.failedOn, s) &&
-		s.perClass[p.query.Class].LossRate < maxUsableLoss
+		s.PerClass[p.query.Class].LossRate < maxUsableLoss
 }
 
-// penaltyOf is that of a server, and of how it does with the part's class.
-func (p *part) penaltyOf(s *server) float64 { return s.Penalty + s.perClass[p.query.Class].Penalty }
-
 func (p *part) ejectedAt(s *server) bool { return s.ejectedFor(p.query.Class) }
 
-func (p *part) healthyAt(s *server) bool { return s.healthyFor(p.query.Class) }
+func (p *part) healthyAt(s *server) bool { return s.HealthyFor(p.query.Class) }
 
 // ejectedFor reports whether outlier detection keeps parts of a class away, and halfOpenFor whether one of them may go
 // all the same.
--- a/balance/turn.go
+++ b/balance/turn.go
@@ -3,10 +3,13 @@
 import (
 	"slices"
 	"time"
+
+	"rooktrestle/internal/control/estimate"
 )
 
-// The timer of the turns, and when queries end by it.
+// When the next turn comes, and when queries end by it.
 const (
+	listRetryInterval = 0.5  // of the age within which the list must be renewed: mean wait after a failed call
 	timerInterval     = 0.01 // of the shortest objective: time between two looks for overdue attempts
 	answerMarginTicks = 3    // ticks before its deadline by which an answer leaves
 )
@@ -46,7 +49,7 @@
 	case ProbeEnded:
 		b.endProbe(e)
 	case EndpointList:
-		b.updateEndpoints(e)
+		b.receiveList(e)
 	case GossipReceived:
 		b.receiveGossip(e)
 	case ClientDisconnected:
@@ -73,3 +76,35 @@
 }
 
 func (b *Balancer) answerMargin() time.Duration { return answerMarginTicks * b.settings.Tick }
+
+// receiveList takes in the endpoint list, and polls for it again after a failed call: paced, and at random, as all
+// balancers poll one discovery service, which may be down or short of capacity.
+func (b *Balancer) receiveList(list EndpointList) {
+	if list.Kind == ListFailed {
+		maxAge := micros(b.settings.Rules.MaxListAge)
+		b.pollAt = b.now + duration(listRetryInterval*(0.5+b.rng.Float64())*maxAge)
+		return
+	}
+	if len(b.endpoints) == 0 && b.settings.ListOnRequest {
+		b.emit(WatchEndpoints{})
+	}
+	b.updateEndpoints(list)
+}
+
+// assessServers looks for servers and paths that are unresponsive or slow, whatever makes them so.
+func (b *Balancer) assessServers() {
+	b.fleet.RecentAnswers.Since(b.now - b.fleet.AnswerPeriod())
+	b.fleetAverages = b.meanAverages()
+	b.fleet.MedianServiceTime = estimate.Median(b.serviceTimes()) // for this turn: no answer comes in before the next
+	for _, s := range b.endpoints {
+		capacity, shared := b.capacity(s), b.settings.GossipEnabled()
+		s.Assess(b.now, b.fleet.Overdue()/capacity, b.fleet.MedianServiceTime, capacity == 1, shared)
+	}
+	// What is bad with a whole other zone is bad with the path there, whatever it is: cut, slow, or all lost. Its
+	// servers are avoided together and one part at a time tests the path.
+	for zone, path := range b.paths {
+		if zone != b.settings.Zone {
+			path.Assess(b.now, &b.fleet.Latency, b.fleet.MedianServiceTime)
+		}
+	}
+}
--- a/balance/warmup.go
+++ b/balance/warmup.go
@@ -10,7 +10,7 @@
 
 // slowStartAllows reports whether a server that may be warming up may be sent a part.
 func (b *Balancer) slowStartAllows(p *part, s *server) bool {
-	return p.warmupTarget == s || b.slowStart.Allows(&s.slowStart, b.now, duration(b.partWork()))
+	return p.warmupTarget == s || b.slowStart.Allows(&s.slowStart, b.now, duration(b.fleet.PartWork()))
 }
 
 // earnSlowStart gives servers that warm up their parts of this balancer's flow: what a warm one gets, by capacity.
@@ -22,7 +22,7 @@
 	}
 	warm := 0.0
 	for _, s := range b.endpoints {
-		if s.listed && s.healthy() {
+		if s.listed && s.Healthy() {
 			warm += b.capacity(s)
 		}
 	}
--- /dev/null
+++ b/internal/control/suspicion/server.go
@@ -0,0 +1,115 @@
+package suspicion
+
+import (
+	"slices"
+	"time"
+
+	"rooktrestle/internal/control/estimate"
+)
+
+// slowSamples is how many of its last responses must be slow for a server to count as slow; one may be missing.
+const slowSamples = 4
+
+// Server is how requests to one server end: all of them, those of each class, and those over the path to its zone. One
+// class may be lost at a server that answers the others.
+type Server struct {
+	Record
+	PerClass []Record
+	Path     *Path
+	Remote   bool             // in another zone: failures count against the path too
+	Recent   estimate.Samples // response times as measured, microseconds
+	Lost     int              // requests in flight taken for lost, as of the last Assess
+
+	ProbeFailed     bool // the last probe brought an error or nothing
+	ProbeUnanswered bool // the last probe brought nothing
+}
+
+// Sent adds a request of a class, sent at now.
+func (s *Server) Sent(class int, now time.Duration) {
+	s.Record.Sent(now)
+	s.Path.Sent(now)
+	s.PerClass[class].Sent(now)
+}
+
+// Ended takes the request of a class that was sent at sent from those in flight.
+func (s *Server) Ended(class int, sent time.Duration) {
+	s.Record.Ended(sent)
+	s.Path.Ended(sent)
+	s.PerClass[class].Ended(sent)
+}
+
+// Healthy reports whether the server may be trusted.
+func (s *Server) Healthy() bool {
+	return s.Penalty == 0 && !s.Unresponsive && !s.Slow && s.Path.Usable()
+}
+
+// HealthyFor reports whether the server may be trusted with a class of requests.
+func (s *Server) HealthyFor(class int) bool {
+	return s.Healthy() && s.PerClass[class].Penalty == 0 && !s.PerClass[class].Unresponsive
+}
+
+// Fault is the record that makes the server unhealthy for a class, or nil if it is healthy.
+func (s *Server) Fault(class int) *Record {
+	switch {
+	case !s.Healthy():
+		return &s.Record
+	case !s.HealthyFor(class):
+		return &s.PerClass[class]
+	}
+	return nil
+}
+
+// PenaltyFor is the penalty of the server and of a class there.
+func (s *Server) PenaltyFor(class int) float64 { return s.Penalty + s.PerClass[class].Penalty }
+
+// RecordAnswer notes an answer that took so many microseconds.
+func (s *Server) RecordAnswer(now time.Duration, took float64) {
+	s.Path.RecordAnswer(now, took)
+	s.Recent.Add(took)
+	s.LastSuccess, s.ProbeFailed, s.ProbeUnanswered = now, false, false
+	s.RecordSuccess()
+}
+
+// RecordClassFailure holds a failure against a class, and unless the server has answered others since then, against the
+// server. Half-open requests of the class are interval microseconds apart, and further each time: a server may lose
+// most of a class, and each half-open request costs its overdue time.
+func (s *Server) RecordClassFailure(class int, now, since time.Duration, interval float64) {
+	s.PerClass[class].RecordFailure(now, interval)
+	if s.LastSuccess <= since {
+		s.RecordServerFailure(now, interval)
+	}
+}
+
+// RecordServerFailure holds a failure against the server, and against the path to another zone.
+func (s *Server) RecordServerFailure(now time.Duration, interval float64) {
+	if s.Remote {
+		s.Path.RecordFailure()
+	}
+	s.Penalize(now, interval)
+}
+
+// Assess decides whether the server and its classes are unresponsive or slow. overdue is the response time beyond which
+// a request is overdue there, in microseconds. Only a warm server may count as slow, and an unanswered probe counts
+// only where probes of several clients are shared.
+func (s *Server) Assess(now time.Duration, overdue, medianServiceTime float64, warm, probesShared bool) {
+	s.Unresponsive = s.Stalled(now, overdue) > 0 || s.ProbeUnanswered && probesShared
+	s.Lost = 0
+	for i := range s.PerClass {
+		class := &s.PerClass[i]
+		stalled := class.Stalled(now, overdue)
+		class.Unresponsive, s.Lost = stalled > 0, s.Lost+stalled
+	}
+	s.Slow = warm && len(s.Recent) >= slowSamples-1 &&
+		slices.Min(s.Recent.Last(slowSamples)) > SlowFactor*medianServiceTime
+}
+
+// RecentMean is the mean of the last responses by which a server counts as slow, in microseconds; 0: none.
+func (s *Server) RecentMean() float64 { return s.Recent.Mean(slowSamples) }
+
+// Restart forgets what an earlier process of the server showed.
+func (s *Server) Restart() {
+	s.Recent, s.Penalty = nil, 0
+	for i := range s.PerClass {
+		s.PerClass[i].Forget()
+	}
+}
