Name a query's endings and its progress; keep deciding files to 110 columns

Cause: one function of complexity 20 decided how a step ends; comments ran over the policy's width. Change: typed endings, progress with predicates, class settings checked apart.

--- a/balance/actions.go
+++ b/balance/actions.go
@@ -45,14 +45,15 @@
 // Probe asks a replica for a load report.
 type Probe struct{ Replica Replica }
 
-// MaxGossipBytes is the longest payload of a SendGossip or a GossipReceived, in bytes: longer datagrams are not allowed
-// between balancers.
+// MaxGossipBytes is the longest payload of a SendGossip or a GossipReceived, in bytes: longer datagrams are
+// not allowed between balancers.
 const MaxGossipBytes = gossip.MaxMessageBytes
 
 // SendGossip sends a message of at most MaxGossipBytes bytes to all other balancers. It may be lost.
 type SendGossip struct{ Payload []byte }
 
-// IsGossip reports whether payload is an intact gossip message. Turn ignores any other, but it is worth counting.
+// IsGossip reports whether payload is an intact gossip message. Turn ignores any other, but it is worth
+// counting.
 func IsGossip(payload []byte) bool { return gossip.IsLoad(payload) }
 
 // StartTimer asks for a TimerFired after so long.
--- a/balance/admission.go
+++ b/balance/admission.go
@@ -19,8 +19,8 @@
 	minTrafficFraction = 0.01 // a traffic fraction so small that parts rather wait for another replica
 )
 
-// admit reports whether a query's answer may be expected in time. Guards against overload, whatever brings it:
-// work that will be late is rejected before it costs anything, queries of little weight per part first.
+// admit reports whether a query's answer may be expected in time. Guards against overload, whatever brings
+// it: work that will be late is rejected before it costs anything, queries of little weight per part first.
 func (b *Balancer) admit(q *query) bool {
 	factor := b.admissionFactor(q)
 	left := micros(b.stepDue(q) - b.now)
@@ -74,8 +74,8 @@
 }
 
 // isOpen reports whether a replica may answer a part within limit microseconds. It is open unless it is full,
-// warming up without capacity, has requests in flight and took too long lately, or is too slow and no half-open
-// request is due.
+// warming up without capacity, has requests in flight and took too long lately, or is too slow and no
+// half-open request is due.
 func (b *Balancer) isOpen(p *part, s *server, limit float64) bool {
 	halfOpen := len(s.InFlight) == 0 && b.now >= s.NextTrial
 	quick := s.RecentMean() <= limit || !s.Slow && len(s.InFlight) < minInFlightToJudge
@@ -83,9 +83,9 @@
 		b.fleet.QueueDelay(&s.Server, b.now) <= max(0, limit-b.fleet.InitialMean())
 }
 
-// shedOptionalParts leaves out parts that a query can do without where half of a shard's replicas are excluded and the
-// others have long queues. What these can do is for queries that need each of their parts: one lost there wastes all
-// others. It returns the weight that can still be reached.
+// shedOptionalParts leaves out parts that a query can do without where half of a shard's replicas are
+// excluded and the others have long queues. What these can do is for queries that need each of their parts:
+// one lost there wastes all others. It returns the weight that can still be reached.
 func (b *Balancer) shedOptionalParts(q *query, reachable float64) float64 {
 	if q.minWeight() >= q.neededWeight() {
 		return reachable
--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -9,7 +9,7 @@
 
 // What the ends of attempts say of servers, and when half-open requests and retries follow.
 const (
-	halfOpenInterval = 1.2 // overdue times between half-open requests to a server, times the root of n: all send them
+	halfOpenInterval = 1.2 // overdue times between half-open requests to a server, times root Instances
 	queueFullBackoff = 0.5 // mean latencies for which a full server is avoided
 )
 
@@ -97,7 +97,8 @@
 	case ConnectFailed:
 		b.recordDown(s)
 	case QueueFull:
-		// Avoid it until some of the queue is worked off; a fast rejection leaves few in flight and draws the next part.
+		// Avoid it until some of the queue is worked off; a fast rejection leaves few in flight and draws the
+		// next part.
 		s.avoidUntil = b.now + duration(queueFullBackoff*b.fleet.Mean)
 	case TimedOut, Canceled:
 		p.recordMayHaveRun(a)
@@ -125,7 +126,8 @@
 	}
 }
 
-// recordDown notes that a server refuses connections: nothing is gained by another attempt at once, and less each time.
+// recordDown notes that a server refuses connections: nothing is gained by another attempt at once, and less
+// each time.
 func (b *Balancer) recordDown(s *server) {
 	s.RecordServerFailure(b.now, b.trialInterval())
 	s.avoidUntil = b.now + duration(s.Penalty*b.fleet.Overdue())
@@ -135,9 +137,9 @@
 	}
 }
 
-// recordTimeout holds an overdue attempt against its server where nothing came from there since, or another attempt
-// was quicker: it is as good as a failure. Else a server that answers nothing, or not everything, would be as new once
-// its requests are canceled.
+// recordTimeout holds an overdue attempt against its server where nothing came from there since, or another
+// attempt was quicker: it is as good as a failure. Else a server that answers nothing, or not everything,
+// would be as new once its requests are canceled.
 func (b *Balancer) recordTimeout(a *attempt, class *suspicion.Record, result AttemptResult, took float64) {
 	p, s, overdue := a.part, a.server, b.fleet.Overdue()
 	lost := class.LastSuccess <= a.sent || took > suspicion.LostFactor*overdue
@@ -149,8 +151,8 @@
 	}
 }
 
-// delayRetry spreads the attempts of a part over the time left where no other replica is healthy: they meet queues
-// worked off meanwhile.
+// delayRetry spreads the attempts of a part over the time left where no other replica is healthy: they meet
+// queues worked off meanwhile.
 func (b *Balancer) delayRetry(p *part) {
 	if b.parts[p.ID] != p || slices.ContainsFunc(b.candidates(p), func(s *server) bool {
 		return !s.nearlyExcluded() && s.HealthyFor(p.query.Class) && !slices.Contains(p.failedOn, s)
@@ -161,9 +163,9 @@
 	p.notBefore = b.now + left/time.Duration(1+b.settings.MaxAttempts-p.attempts)
 }
 
-// connectionLost notes that a query lost a server under one of its parts, and probes whether that server still runs.
-// Guards against queries that crash whatever begins them: the servers are innocent, and a retry crashes the next. Also
-// catches mass crashes, where the other parts of a wide query are hopeless.
+// connectionLost notes that a query lost a server under one of its parts, and probes whether that server
+// still runs. Guards against queries that crash whatever begins them: the servers are innocent, and a retry
+// crashes the next. Also catches mass crashes, where the other parts of a wide query are hopeless.
 func (b *Balancer) connectionLost(s *server, q *query) {
 	if !slices.Contains(s.resetQueries, q) {
 		s.resetQueries = append(s.resetQueries, q)
--- a/balance/endpoints.go
+++ b/balance/endpoints.go
@@ -52,8 +52,8 @@
 	}
 }
 
-// applyLimits takes what others found out about a server. A half-open request once granted stays granted until it is
-// used, or its class is no longer ejected.
+// applyLimits takes what others found out about a server. A half-open request once granted stays granted
+// until it is used, or its class is no longer ejected.
 func (s *server) applyLimits(limits HealthLimits) {
 	halfOpen := s.HalfOpenClasses | limits.HalfOpenClasses
 	s.HealthLimits = limits
--- a/balance/events.go
+++ b/balance/events.go
@@ -109,8 +109,8 @@
 	Removed
 )
 
-// HealthLimits is what others found out about a replica, beside what its answers show here. The zero value limits
-// nothing.
+// HealthLimits is what others found out about a replica, beside what its answers show here. The zero value
+// limits nothing.
 type HealthLimits struct {
 	TrafficFraction float64 // of the parts it would get, under 1; 0: all of them
 	MaxInFlight     int     // requests in flight there at once; 0: not limited
@@ -118,7 +118,8 @@
 	HalfOpenClasses uint64  // bit c: but for one part of class c, once
 }
 
-// ejected reports whether parts of a class are kept away, and halfOpen whether one of them may go all the same.
+// ejected reports whether parts of a class are kept away, and halfOpen whether one of them may go all the
+// same.
 func (l *HealthLimits) ejected(class int) bool  { return l.EjectedClasses>>class&1 == 1 }
 func (l *HealthLimits) halfOpen(class int) bool { return l.HalfOpenClasses>>class&1 == 1 }
 
@@ -139,7 +140,8 @@
 	Endpoints []Endpoint
 }
 
-// GossipReceived is a message of another balancer: the payload of its SendGossip, or anything else, as it came.
+// GossipReceived is a message of another balancer: the payload of its SendGossip, or anything else, as it
+// came.
 type GossipReceived struct{ Payload []byte }
 
 // TimerFired says that the time of a StartTimer is over.
--- a/balance/gossip.go
+++ b/balance/gossip.go
@@ -8,15 +8,17 @@
 	"rooktrestle/internal/control/gossip"
 )
 
-// Gossip: one balancer of many meets a server so rarely that what it knows of its queue is old, and that it must find
-// out each bad server by parts of its own. So each shares with the others what its probes showed, and nothing else. All
-// of it is a hint: a message lost, late, duplicated or forged may cost a probe or a choice, and breaks no rule.
+// Gossip: one balancer of many meets a server so rarely that what it knows of its queue is old, and that it
+// must find out each bad server by parts of its own. So each shares with the others what its probes showed,
+// and nothing else. All of it is a hint: a message lost, late, duplicated or forged may cost a probe or a
+// choice, and breaks no rule.
 const (
 	gossipInterval = 0.1 // shortest objectives between two messages of a balancer
 	gossipLifetime = 0.5 // shortest objectives after which a message is ignored
 )
 
-// GossipEnabled reports whether balancers exchange gossip messages. Where they are few, each sees enough itself.
+// GossipEnabled reports whether balancers exchange gossip messages. Where they are few, each sees enough
+// itself.
 func (set *Settings) GossipEnabled() bool {
 	return set.PeerMessages && set.Instances > fleet.MaxExtrapolated
 }
@@ -28,9 +30,9 @@
 	}
 }
 
-// observeQueue shares a queue that no part should wait in, and that one so shared is short again, or that a server that
-// was unresponsive is back, or each balancer had to find that out itself. Others are not shared: where all know the
-// same, all send to the shortest queue, which is the longest by the next report.
+// observeQueue shares a queue that no part should wait in, and that one so shared is short again, or that a
+// server that was unresponsive is back, or each balancer had to find that out itself. Others are not shared:
+// where all know the same, all send to the shortest queue, which is the longest by the next report.
 func (b *Balancer) observeQueue(s *server, report *LoadReport, wasUnanswered bool) {
 	if report == nil || report.Queue < 0 {
 		return
@@ -49,8 +51,8 @@
 	}
 }
 
-// receiveGossip takes in another balancer's message. What was seen here since counts for more: a server that answered
-// this balancer after the other's probe went out is up. A message brings no server into the list.
+// receiveGossip takes in another balancer's message. What was seen here since counts for more: a server that
+// answered this balancer after the other's probe went out is up. A message brings no server into the list.
 func (b *Balancer) receiveGossip(e GossipReceived) {
 	load, ok := gossip.DecodeLoad(b.now, e.Payload)
 	fresh := time.Duration(math.Abs(float64(load.Age))) <= duration(gossipLifetime*micros(b.minObjective))
@@ -76,8 +78,8 @@
 	}
 }
 
-// receiveQueue takes in a server's queue as another balancer saw it, unless it is short and what is known here is no
-// better.
+// receiveQueue takes in a server's queue as another balancer saw it, unless it is short and what is known
+// here is no better.
 func (b *Balancer) receiveQueue(s *server, queue float64) {
 	s.ProbeFailed, s.ProbeUnanswered = false, false
 	long := b.fleet.IsLongQueue(queue)
--- a/balance/hedging.go
+++ b/balance/hedging.go
@@ -4,12 +4,13 @@
 
 // When a request is hedged, or canceled to be retried elsewhere.
 const (
-	hedgesPerPart  = 0.02 // hedged requests that a part earns, times root n: each instance finds a hung server anew
+	hedgesPerPart  = 0.02 // hedged requests that a part earns, times the root of Instances
 	maxHedgeTokens = 16   // the most kept for later
-	cancelOverdue  = 2.0  // overdue times after which a part is canceled and retried, where hedging is not allowed
+	cancelOverdue  = 2.0  // overdue times after which a part is canceled and retried, without hedging
 )
 
-// hedge sends a second request for a part whose attempt is overdue, or cancels it where hedging is not allowed.
+// hedge sends a second request for a part whose attempt is overdue, or cancels it where hedging is not
+// allowed.
 func (b *Balancer) hedge(p *part) {
 	a := p.lastAttempt()
 	if !b.hedgeable(p, a) || micros(b.now-a.sent) <= b.hedgeAfter(p, a) ||
@@ -20,8 +21,10 @@
 	if s == nil || s.PenaltyFor(p.query.Class) > 0 || s.Unresponsive || s.nearlyExcluded() {
 		return
 	}
-	// Nor from a server with a backlog, which says why it is late, to another: it is done there all the same.
-	if b.fleet.Backlogged(&a.server.Server, b.now) && a.server.Path.Usable() && !a.server.nearlyExcluded() && b.fleet.Backlogged(&s.Server, b.now) {
+	// A backlog says why the attempt is late: it is done there all the same, and no sooner behind another backlog.
+	present := a.server
+	explained := b.fleet.Backlogged(&present.Server, b.now) && present.Path.Usable() && !present.nearlyExcluded()
+	if explained && b.fleet.Backlogged(&s.Server, b.now) {
 		return
 	}
 	b.hedgeTokens--
@@ -55,8 +58,9 @@
 		}
 		return b.fleet.Overdue()
 	}
-	// To start over loses the time waited and adds work, and the overdue parts of a healthy server are heavy ones,
-	// overdue again elsewhere: only where the server answers nothing, or so late that the part is lost there.
+	// To start over loses the time waited and adds work, and the overdue parts of a healthy server are heavy
+	// ones, overdue again elsewhere: only where the server answers nothing, or so late that the part is lost
+	// there.
 	class := &s.PerClass[p.query.Class]
 	if s.Listed && class.LastSuccess > a.sent && class.LossRate < suspicion.LossSmoothing {
 		return suspicion.LostFactor * b.fleet.Overdue()
--- a/balance/probing.go
+++ b/balance/probing.go
@@ -15,8 +15,9 @@
 	minProbeInterval = 0.125 // of the shortest objective: least time between two probes of a server
 )
 
-// probeReplicas probes the replicas of a new query's parts, as far as the parts have earned it, and reports whether to
-// wait for the results. One balancer of many meets a server so rarely that its last load report is old.
+// probeReplicas probes the replicas of a new query's parts, as far as the parts have earned it, and reports
+// whether to wait for the results. One balancer of many meets a server so rarely that its last load report is
+// old.
 func (b *Balancer) probeReplicas(q *query) (wait bool) {
 	if !b.settings.CanProbe || !b.settings.LoadReportsOnProbe {
 		return false
--- a/balance/progress.go
+++ b/balance/progress.go
@@ -9,19 +9,40 @@
 )
 
 const (
-	timeLeftToleranceTicks = 2   // ticks by which the time left of first attempts may differ
-	maxFollowUpReserve     = 0.5 // of the objective: the most time kept for a second step
+	weightTolerance        = 5e-5 // weights of parts add up to 1 apart from this
+	timeLeftToleranceTicks = 2    // ticks by which the time left of first attempts may differ
+	maxFollowUpReserve     = 0.5  // of the objective: the most time kept for a second step
 )
 
 // progress is how far a query's step has come.
 type progress struct {
 	weight    float64 // of the parts answered
 	reachable float64 // what that may still come to
+	needed    float64 // of a complete answer
+	least     float64 // of any answer
 	answered  int     // number of parts
+	waiting   bool    // a second step waits for all of its parts
+}
+
+// complete reports whether an answer is complete.
+func (p progress) complete() bool { return p.weight >= p.needed-weightTolerance && !p.waiting }
+
+// partial reports whether there is enough for an answer that is not complete.
+func (p progress) partial() bool {
+	return p.weight > 0 && p.weight >= p.least-weightTolerance && p.least < p.needed
+}
+
+// completable reports whether an answer may still become complete.
+func (p progress) completable() bool { return p.reachable >= p.needed-weightTolerance }
+
+// answerable reports whether there may still be enough for an answer.
+func (p progress) answerable() bool {
+	return p.completable() || p.reachable >= p.least-weightTolerance && p.least < p.needed
 }
 
 // progress sums up the parts of a query's step.
-func (q *query) progress() (done progress) {
+func (q *query) progress() progress {
+	done := progress{needed: q.neededWeight(), least: q.minWeight()}
 	for _, p := range q.parts {
 		if p.answered {
 			done.weight += p.Weight
@@ -31,10 +52,12 @@
 			done.reachable += p.Weight
 		}
 	}
+	done.waiting = q.step > 0 && done.answered < len(q.parts)
 	return done
 }
 
-// neededWeight is the weight of the parts that make an answer complete, and minWeight the least for any answer.
+// neededWeight is the weight of the parts that make an answer complete, and minWeight the least for any
+// answer.
 func (q *query) neededWeight() float64 {
 	if q.step > 0 {
 		return 1
@@ -68,7 +91,8 @@
 	return max(0, b.settings.Classes[e.Class].Deadline-e.TimeLeft)
 }
 
-// stepDue is when a query's step has to end for its answer to be in time: a first step leaves time for the second.
+// stepDue is when a query's step has to end for its answer to be in time: a first step leaves time for the
+// second.
 func (b *Balancer) stepDue(q *query) time.Duration {
 	if q.step > 0 || q.class.FollowUpParts == 0 {
 		return q.objective
--- a/balance/query.go
+++ b/balance/query.go
@@ -7,10 +7,9 @@
 
 // When queries begin, end and send their parts.
 const (
-	weightTolerance  = 5e-5 // weights of parts add up to 1 apart from this
-	retryAfterFactor = 2.0  // mean latencies until a rejected client may retry; half after a failure
-	maxCrashes       = 2    // servers that may crash under a query before it ends
-	suspectDeadlines = 4    // deadlines for which its class is then suspected of crashing servers
+	retryAfterFactor = 2.0 // mean latencies until a rejected client may retry; half after a failure
+	maxCrashes       = 2   // servers that may crash under a query before it ends
+	suspectDeadlines = 4   // deadlines for which its class is then suspected of crashing servers
 )
 
 func (b *Balancer) startQuery(e Query) {
@@ -46,35 +45,52 @@
 	b.sendParts(q, done)
 }
 
-// finish ends a query's step that is complete, that is out of time, or whose partial answer is worth more now than a
-// complete one later, and reports whether it did.
+// ending is what becomes of a query's step.
+type ending int
+
+const (
+	continues ending = iota
+	answeredComplete
+	answeredPartly
+	givenUp
+)
+
+// finish ends a query's step if it is over, and reports whether it did.
 func (b *Balancer) finish(q *query, done progress) bool {
-	needed, least, margin := q.neededWeight(), q.minWeight(), b.answerMargin()
-	if done.weight >= needed-weightTolerance && (q.step == 0 || done.answered == len(q.parts)) {
+	switch b.ending(q, done) {
+	case answeredComplete:
 		b.answer(q, true)
-		return true
-	}
-	partial := done.weight > 0 && done.weight >= least-weightTolerance && least < needed
-	incompletable := done.reachable < needed-weightTolerance
-	unanswerable := incompletable && (done.reachable < least-weightTolerance || least >= needed)
-	worthless := q.class.OverdueFraction <= 0 && b.now >= q.objective-margin
-	switch {
-	case b.now >= q.deadline-margin || worthless || unanswerable:
-		if partial {
-			b.answer(q, false)
-		} else {
-			b.rejectOrFail(q, duration(retryAfterFactor*b.fleet.Mean/2))
-		}
-	case partial && (incompletable && done.weight >= done.reachable-weightTolerance ||
-		b.now >= b.stepDue(q)-margin && b.now < q.objective &&
-			q.class.PartialFraction*done.weight/needed > q.class.OverdueFraction):
+	case answeredPartly:
 		b.answer(q, false)
+	case givenUp:
+		b.rejectOrFail(q, duration(retryAfterFactor*b.fleet.Mean/2))
 	default:
 		return false
 	}
 	return true
 }
 
+// ending decides whether a query's step is complete, out of time, or answered in part because that is worth more
+// now than a complete answer later.
+func (b *Balancer) ending(q *query, done progress) ending {
+	if done.complete() {
+		return answeredComplete
+	}
+	margin := b.answerMargin()
+	worthless := q.class.OverdueFraction <= 0 && b.now >= q.objective-margin
+	over := b.now >= q.deadline-margin || worthless || !done.answerable()
+	if over && !done.partial() {
+		return givenUp
+	}
+	nothingToCome := !done.completable() && done.weight >= done.reachable-weightTolerance
+	due := b.now >= b.stepDue(q)-margin && b.now < q.objective
+	worthMore := q.class.PartialFraction*done.weight/done.needed > q.class.OverdueFraction
+	if over || done.partial() && (nothingToCome || due && worthMore) {
+		return answeredPartly
+	}
+	return continues
+}
+
 func (b *Balancer) answer(q *query, complete bool) {
 	b.emit(Answer{Query: q.ID, Complete: complete && (q.step == 0 || q.firstStepComplete)})
 	if q.step == 0 && q.class.FollowUpParts > 0 {
@@ -114,8 +130,9 @@
 	return true
 }
 
-// stopCrashing ends a query under which servers crash, and reports whether it did. For some time the query's class then
-// sends one part ahead of the others, as retries will come. Innocent queries pay with the time of that part.
+// stopCrashing ends a query under which servers crash, and reports whether it did. For some time the query's
+// class then sends one part ahead of the others, as retries will come. Innocent queries pay with the time of
+// that part.
 func (b *Balancer) stopCrashing(q *query, answered int) bool {
 	suspect := b.now < b.suspectUntil[q.Class]
 	if q.crashes <= answered || q.crashes < maxCrashes && !suspect {
@@ -129,15 +146,15 @@
 	return true
 }
 
-// sendParts sends the parts of a query that are due, as far as they are needed. Where some of the parts make a complete
-// answer the others are held in reserve: parts not needed cost work, and their retries the budget of those that are.
-// A part that is late brings on another.
+// sendParts sends the parts of a query that are due, as far as they are needed. Where some of the parts make
+// a complete answer the others are held in reserve: parts not needed cost work, and their retries the budget
+// of those that are. A part that is late brings on another.
 func (b *Balancer) sendParts(q *query, done progress) {
-	expected, wanted := b.expectedWeight(q, done.weight), q.neededWeight()-weightTolerance
+	expected, wanted := b.expectedWeight(q, done.weight), done.needed-weightTolerance
 	suspect := b.now < b.suspectUntil[q.Class]
 	for pass := range sendPasses {
 		for _, p := range q.parts {
-			enough := expected >= wanted && q.neededWeight() < 1
+			enough := expected >= wanted && done.needed < 1
 			if p.answered || p.abandoned || enough || !b.inPass(p, pass) {
 				continue
 			}
--- a/balance/ranking.go
+++ b/balance/ranking.go
@@ -11,8 +11,8 @@
 	rankExponent = 3 // b of the rank
 )
 
-// rank is C3's: R - S + (1 + os n + q)^b S. The S of a server that warms up is stretched by the fraction of its
-// capacity that it has, so that it ranks by what it can do now.
+// rank is C3's: R - S + (1 + os n + q)^b S. The S of a server that warms up is stretched by the fraction of
+// its capacity that it has, so that it ranks by what it can do now.
 func (b *Balancer) rank(s *server) float64 {
 	mean := b.fleet.AveragesOf(&s.Server, b.now)
 	capacity := b.fleet.Capacity(&s.Server, b.now)
@@ -21,8 +21,8 @@
 	return mean.Latency - mean.ServiceTime + math.Pow(queue, rankExponent)*mean.ServiceTime/capacity
 }
 
-// pullBack moves the losers' averages half way to the winner's. Only candidates: a server that answers nothing must
-// not come to look like one that does.
+// pullBack moves the losers' averages half way to the winner's. Only candidates: a server that answers
+// nothing must not come to look like one that does.
 func (b *Balancer) pullBack(winner *server, candidates []*server) {
 	mean := b.fleet.AveragesOf(&winner.Server, b.now)
 	for _, s := range candidates {
@@ -43,8 +43,8 @@
 	if report.Queue < 0 {
 		queue = max(0, report.InFlight)
 	}
-	// Keep off while more than an objective's worth of parts waits. Guards a shard whose replicas are all crowded,
-	// which the fleet's state does not show. May hurt where servers have many cores.
+	// Keep off while more than an objective's worth of parts waits. Guards a shard whose replicas are all
+	// crowded, which the fleet's state does not show. May hurt where servers have many cores.
 	excess := b.fleet.DrainTime(queue) - micros(b.minObjective)*admissionShare
 	s.avoidUntil = max(s.avoidUntil, b.now+duration(excess))
 	s.RecordQueue(b.now, queue, report.InFlight)
--- a/balance/selection.go
+++ b/balance/selection.go
@@ -11,7 +11,7 @@
 	zoneTolerance       = 1.5 // ranks within this factor of the best go to the own zone
 	rankJitter          = 0.1 // random share in a rank: equal servers take turns, and balancers do not herd
 	unhealthyRankFactor = 27  // times worse an unhealthy server ranks, as with two parts more in flight
-	maxUsableLoss       = 0.4 // share lost of a class: a server that loses less is of use while the healthy are busy
+	maxUsableLoss       = 0.4 // loss rate of a class below which a server helps while the healthy are busy
 	unsafeHalfOpenDelay = 20  // overdue times that a half-open request waits longer if it must not run twice
 )
 
@@ -22,7 +22,9 @@
 		return halfOpen
 	}
 	// One with next to no traffic is not to get what only waits for another replica to be free.
-	candidates = prefer(candidates, func(s *server) bool { return !s.nearlyExcluded() || !b.skipsByFraction(p, s) })
+	candidates = prefer(candidates, func(s *server) bool {
+		return !s.nearlyExcluded() || !b.skipsByFraction(p, s)
+	})
 	available, healthy, usable := b.available(p, candidates)
 	if len(available) == 0 {
 		return nil
@@ -37,7 +39,7 @@
 	if len(healthy) == 0 {
 		pool = p.leastSuspect(available)
 	}
-	unhealthyFrom := cmp.Or(len(healthy), len(pool)) // where none is healthy, all of the pool compete as equals
+	unhealthyFrom := cmp.Or(len(healthy), len(pool)) // where none is healthy, all compete as equals
 	winner := b.lowestRank(p, pool, unhealthyFrom)
 	if p.attempts == 0 {
 		b.pullBack(winner, pool[:unhealthyFrom])
@@ -45,8 +47,9 @@
 	return winner
 }
 
-// withoutEjected returns the candidates that are not ejected for a part's class, or all if there are none: an ejected
-// server gets only parts whose replicas are all ejected. If a half-open request to one is granted, it returns that.
+// withoutEjected returns the candidates that are not ejected for a part's class, or all if there are none: an
+// ejected server gets only parts whose replicas are all ejected. If a half-open request to one is granted, it
+// returns that.
 func (b *Balancer) withoutEjected(p *part) (candidates []*server, halfOpen *server) {
 	candidates = b.candidates(p)
 	if !slices.ContainsFunc(candidates, p.ejectedAt) {
@@ -66,8 +69,8 @@
 	return remaining, nil
 }
 
-// available returns the candidates that may be sent a part now, and of them those that are healthy, and those that are
-// not but do most of what they are sent.
+// available returns the candidates that may be sent a part now, and of them those that are healthy, and those
+// that are not but do most of what they are sent.
 func (b *Balancer) available(p *part, candidates []*server) (available, healthy, usable []*server) {
 	for _, s := range candidates {
 		busy := slices.ContainsFunc(p.inFlight, func(a *attempt) bool { return a.server == s })
@@ -85,9 +88,9 @@
 	return available, healthy, usable
 }
 
-// halfOpen returns an unhealthy server to which this part is sent as a half-open request, or nil. Such a server recovers
-// by one request at a time, and a query carries one: with many balancers a wide query finds one due at every unhealthy
-// server. What must not run twice is the last to go there.
+// halfOpen returns an unhealthy server to which this part is sent as a half-open request, or nil. Such a
+// server recovers by one request at a time, and a query carries one: with many balancers a wide query finds
+// one due at every unhealthy server. What must not run twice is the last to go there.
 func (b *Balancer) halfOpen(p *part, available []*server) *server {
 	if p.attempts > 0 || p.query.halfOpenUsed {
 		return nil
@@ -107,19 +110,22 @@
 	return nil
 }
 
-// leastSuspect narrows down servers none of which is healthy: to a usable path, then to those that did not fail this
-// part, then none of its class, then to the quick, then to the least penalty.
+// leastSuspect narrows down servers none of which is healthy: to a usable path, then to those that did not
+// fail this part, then none of its class, then to the quick, then to the least penalty.
 func (p *part) leastSuspect(servers []*server) []*server {
 	servers = prefer(servers, func(s *server) bool { return s.Path.Usable() })
 	servers = prefer(servers, func(s *server) bool { return !slices.Contains(p.failedOn, s) })
 	servers = prefer(servers, func(s *server) bool { return s.PerClass[p.query.Class].Penalty == 0 })
 	servers = prefer(servers, func(s *server) bool { return !s.Slow })
-	least := slices.MinFunc(servers, func(s, t *server) int { return cmp.Compare(s.PenaltyFor(p.query.Class), t.PenaltyFor(p.query.Class)) })
-	return prefer(servers, func(s *server) bool { return s.PenaltyFor(p.query.Class) == least.PenaltyFor(p.query.Class) })
+	least := math.Inf(1)
+	for _, s := range servers {
+		least = min(least, s.PenaltyFor(p.query.Class))
+	}
+	return prefer(servers, func(s *server) bool { return s.PenaltyFor(p.query.Class) == least })
 }
 
-// lowestRank returns the server with the lowest rank, where near ties go to the own zone. Those from index unhealthyFrom
-// on rank worse, as do those that give this part to others.
+// lowestRank returns the server with the lowest rank, where near ties go to the own zone. Those from index
+// unhealthyFrom on rank worse, as do those that give this part to others.
 func (b *Balancer) lowestRank(p *part, pool []*server, unhealthyFrom int) *server {
 	ranks, best := make([]float64, len(pool)), math.Inf(1)
 	for i, s := range pool {
@@ -142,22 +148,23 @@
 	return winner
 }
 
-// skipsByFraction reports, at random, whether a server with a traffic fraction gives this part to others: between two
-// servers of which one has fraction w, it gets w parts for each of the other's.
+// skipsByFraction reports, at random, whether a server with a traffic fraction gives this part to others:
+// between two servers of which one has fraction w, it gets w parts for each of the other's.
 func (b *Balancer) skipsByFraction(p *part, s *server) bool {
 	fraction := cmp.Or(s.TrafficFraction, 1)
 	for _, c := range p.Candidates {
 		if c.Replica == s.id {
-			fraction = min(fraction, cmp.Or(c.TrafficFraction, 1)) // its copy of the part's shard is warming up
+			fraction = min(fraction, cmp.Or(c.TrafficFraction, 1)) // its copy of the shard is warming up
 		}
 	}
 	return fraction < 1 && b.rng.Float64() > 2*fraction/(1+fraction)
 }
 
-// sampleWarming picks one of a part's replicas at random, by capacity, to which it may go though that is warming up; or
-// none. Where balancers are many, what each owes a server that warms up lets it go seldom, and a query of sixty parts
-// whose shards have only such replicas never. Picked at random, all balancers together send each replica its part of
-// what its shards are asked. That is within rule 4 as long as demand is near what warm servers were seen to answer.
+// sampleWarming picks one of a part's replicas at random, by capacity, to which it may go though that is
+// warming up; or none. Where balancers are many, what each owes a server that warms up lets it go seldom, and
+// a query of sixty parts whose shards have only such replicas never. Picked at random, all balancers together
+// send each replica its part of what its shards are asked. That is within rule 4 as long as demand is near
+// what warm servers were seen to answer.
 func (b *Balancer) sampleWarming(p *part) *server {
 	if b.fleet.Extrapolates() {
 		return nil
@@ -183,8 +190,8 @@
 	return p.warmupTarget == s || b.fleet.SlowStartAllows(&s.Server, b.now)
 }
 
-// usableFor reports whether a server that is not healthy does most of what a part of this class asks of it. What must
-// not run twice does not go where some is lost.
+// usableFor reports whether a server that is not healthy does most of what a part of this class asks of it.
+// What must not run twice does not go where some is lost.
 func (s *server) usableFor(p *part) bool {
 	trusted := !s.Unresponsive && !s.Slow && !s.ProbeFailed && s.Path.Usable() && s.LastSuccess > 0
 	return trusted && p.query.class.Idempotency != NonIdempotent && !slices.Contains(p.failedOn, s) &&
--- a/balance/settings.go
+++ b/balance/settings.go
@@ -38,7 +38,8 @@
 	Quota float64 // queries a second over all balancers; 0: no limit
 }
 
-// Settings are what a Balancer is given at its start. It keeps the slices, so they must not change afterwards.
+// Settings are what a Balancer is given at its start. It keeps the slices, so they must not change
+// afterwards.
 type Settings struct {
 	Seed      uint64        // of its random numbers
 	Instances int           // balancers of this kind, this one included; at least 1
@@ -99,17 +100,26 @@
 		return fmt.Errorf("balance: budget of %v and %v within %v: must not be negative",
 			set.Rules.RetryBudgetBase, set.Rules.RetryBudgetRatio, set.Rules.RetryBudgetWindow)
 	case set.Rules.MaxListAge < 0:
-		return fmt.Errorf("balance: list to be asked for within %v: must not be negative", set.Rules.MaxListAge)
+		return fmt.Errorf("balance: endpoint list stale after %v: must not be negative",
+			set.Rules.MaxListAge)
 	case set.Tick <= 0:
 		return fmt.Errorf("balance: tick %v: must be positive", set.Tick)
 	}
-	for i, c := range set.Classes {
-		if c.Objective <= 0 || c.Deadline < c.Objective {
-			return fmt.Errorf("balance: class %d: aim %v, deadline %v", i, c.Objective, c.Deadline)
-		}
-		if c.CompleteFraction <= 0 || c.CompleteFraction > 1 || c.MinFraction < 0 || c.MinFraction > 1 {
-			return fmt.Errorf("balance: class %d: needs %v of its parts, floor %v", i, c.CompleteFraction, c.MinFraction)
+	for i := range set.Classes {
+		if err := set.Classes[i].check(); err != nil {
+			return fmt.Errorf("balance: class %d: %w", i, err)
 		}
 	}
 	return nil
 }
+
+func (c *Class) check() error {
+	if c.Objective <= 0 || c.Deadline < c.Objective {
+		return fmt.Errorf("objective %v, deadline %v: the objective must be positive and within the deadline",
+			c.Objective, c.Deadline)
+	}
+	if c.CompleteFraction <= 0 || c.CompleteFraction > 1 || c.MinFraction < 0 || c.MinFraction > 1 {
+		return fmt.Errorf("complete with %v of the parts, least %v: must be fractions", c.CompleteFraction, c.MinFraction)
+	}
+	return nil
+}
--- a/balance/turn.go
+++ b/balance/turn.go
@@ -7,7 +7,7 @@
 
 // When the next turn comes, and when queries end by it.
 const (
-	listRetryInterval = 0.5  // of the age within which the list must be renewed: mean wait after a failed call
+	listRetryInterval = 0.5  // of the age at which the list is stale: mean wait after a failed call
 	timerInterval     = 0.01 // of the shortest objective: time between two looks for overdue attempts
 	answerMarginTicks = 3    // ticks before its deadline by which an answer leaves
 )
@@ -57,7 +57,8 @@
 	}
 }
 
-// scheduleTimer keeps one timer ahead while there is work, so that overdue attempts are seen without an event.
+// scheduleTimer keeps one timer ahead while there is work, so that overdue attempts are seen without an
+// event.
 func (b *Balancer) scheduleTimer() {
 	if b.pollAt > 0 && b.now >= b.pollAt {
 		b.pollAt = 0
@@ -75,8 +76,8 @@
 
 func (b *Balancer) answerMargin() time.Duration { return answerMarginTicks * b.settings.Tick }
 
-// receiveList takes in the endpoint list, and polls for it again after a failed call: paced, and at random, as all
-// balancers poll one discovery service, which may be down or short of capacity.
+// receiveList takes in the endpoint list, and polls for it again after a failed call: paced, and at random,
+// as all balancers poll one discovery service, which may be down or short of capacity.
 func (b *Balancer) receiveList(list EndpointList) {
 	if list.Kind == ListFailed {
 		maxAge := micros(b.settings.Rules.MaxListAge)
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -36,11 +36,11 @@
 
 // Fleet is what one client knows of the servers. Make it with New; it is not safe for concurrent use.
 type Fleet struct {
-	estimate.Latency           // of all servers
-	Servers          []*Server // the owner keeps it up to date, in an order that does not depend on chance
-	Averages         estimate.Mean
-	RecentAnswers    estimate.Window
-	Demand           slowstart.Demand
+	estimate.Latency            // of all servers
+	Servers           []*Server // the owner keeps it up to date, in an order that does not depend on chance
+	Averages          estimate.Mean
+	RecentAnswers     estimate.Window
+	Demand            slowstart.Demand
 	MedianServiceTime float64 // of the servers, as of the last Assess; 0: not known
 	Options           Options
 	RemotePaths       []*suspicion.Path // to the other zones
