--- a/balance/hedging.go
+++ b/balance/hedging.go
@@ -4,7 +4,7 @@
 
 // When a request is hedged, or canceled to be retried elsewhere.
 const (
-	hedgesPerPart  = 0.02 // hedged requests that a part earns, times the root of Instances
+	hedgesPerPart  = 0.02 // hedged requests that a part earns, times root Instances
 	maxHedgeTokens = 16   // the most kept for later
 	cancelOverdue  = 2.0  // overdue times after which a part is canceled and retried, without hedging
 )
@@ -21,10 +21,10 @@
 	if s == nil || s.PenaltyFor(p.query.Class) > 0 || s.Unresponsive || s.nearlyExcluded() {
 		return
 	}
-	// A backlog says why the attempt is late: it is done there all the same, and no sooner behind another backlog.
-	present := a.server
-	explained := b.fleet.Backlogged(&present.Server, b.now) && present.Path.Usable() && !present.nearlyExcluded()
-	if explained && b.fleet.Backlogged(&s.Server, b.now) {
+	// A backlog says why the attempt is late: it is done there all the same, and no sooner behind another.
+	current := a.server
+	backlogged := b.fleet.Backlogged(&current.Server, b.now) && current.Path.Usable()
+	if backlogged && !current.nearlyExcluded() && b.fleet.Backlogged(&s.Server, b.now) {
 		return
 	}
 	b.hedgeTokens--
--- a/balance/query.go
+++ b/balance/query.go
@@ -12,6 +12,7 @@
 	suspectDeadlines = 4   // deadlines for which its class is then suspected of crashing servers
 )
 
+// startQuery takes in a query; its parts follow as events of their own.
 func (b *Balancer) startQuery(e Query) {
 	if e.Class < 0 || e.Class >= len(b.settings.Classes) {
 		b.emit(Reject{Query: e.ID})
@@ -70,8 +71,8 @@
 	return true
 }
 
-// ending decides whether a query's step is complete, out of time, or answered in part because that is worth more
-// now than a complete answer later.
+// ending decides whether a query's step is complete, out of time, or answered in part because that is worth
+// more now than a complete answer later.
 func (b *Balancer) ending(q *query, done progress) ending {
 	if done.complete() {
 		return answeredComplete
@@ -91,6 +92,7 @@
 	return continues
 }
 
+// answer answers a query's step, and goes on to the second if there is one.
 func (b *Balancer) answer(q *query, complete bool) {
 	b.emit(Answer{Query: q.ID, Complete: complete && (q.step == 0 || q.firstStepComplete)})
 	if q.step == 0 && q.class.FollowUpParts > 0 {
