Give the assessment of a server named conditions

Cause: five bare arguments, two of them flags; methods that hid those of an embedded type. Change: suspicion.Conditions; RecordSend, RecordEnd and RecordLoad in place of names that stood twice.

--- a/balance/lookup.go
+++ b/balance/lookup.go
@@ -54,7 +54,7 @@
 	}
 	delete(b.attempts, key)
 	a.part.inFlight = slices.DeleteFunc(a.part.inFlight, func(other *attempt) bool { return other == a })
-	a.server.Ended(a.part.query.Class, a.sent)
+	a.server.RecordEnd(a.part.query.Class, a.sent)
 	return a
 }
 
--- a/balance/ranking.go
+++ b/balance/ranking.go
@@ -47,5 +47,5 @@
 	// crowded, which the fleet's state does not show. May hurt where servers have many cores.
 	excess := b.fleet.DrainTime(queue) - micros(b.minObjective)*admissionShare
 	s.avoidUntil = max(s.avoidUntil, b.now+duration(excess))
-	s.RecordQueue(b.now, queue, report.InFlight)
+	s.RecordLoad(b.now, queue, report.InFlight)
 }
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -61,7 +61,10 @@
 	f.MedianServiceTime = f.serviceTime()
 	for _, s := range f.Servers {
 		capacity := f.Capacity(s, now)
-		s.Assess(now, f.Overdue()/capacity, f.MedianServiceTime, capacity == 1, f.Options.ProbesShared)
+		s.Assess(now, suspicion.Conditions{
+			Overdue: f.Overdue() / capacity, MedianServiceTime: f.MedianServiceTime,
+			Warm: capacity == 1, ProbesShared: f.Options.ProbesShared,
+		})
 	}
 	// What is bad with a whole other zone is bad with the path there, whatever it is: cut, slow, or all lost. Its
 	// servers are avoided together and one part at a time tests the path.
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -48,7 +48,7 @@
 func TestFleet_ReportedQueueAges(t *testing.T) {
 	f := newFleet(2, 2)
 	now := time.Hour
-	f.Servers[0].RecordQueue(now, 20, 5)
+	f.Servers[0].RecordLoad(now, 20, 5)
 	if got := f.AveragesOf(f.Servers[0], now).Queue; got != 20 {
 		t.Errorf("queue %v just after a report of 20", got)
 	}
@@ -82,15 +82,15 @@
 	if took, measured := many.Expected(now, 0, 1, 1e6); measured || took != 1e6 {
 		t.Errorf("%v, %v: one of many without load reports must go by recent responses", took, measured)
 	}
-	many.Servers[0].RecordQueue(now-time.Second, 3, 6)
-	many.Servers[0].Sent(0, now)
+	many.Servers[0].RecordLoad(now-time.Second, 3, 6)
+	many.Servers[0].RecordSend(0, now)
 	idle, _ := many.Expected(now, 0, 1, 1e6)
-	many.Servers[0].RecordQueue(now-time.Second, 30, 60)
+	many.Servers[0].RecordLoad(now-time.Second, 30, 60)
 	busy, measured := many.Expected(now, 0, 1, 1e6)
 	if !measured || busy <= idle {
 		t.Errorf("%v with 61 in flight, %v with 7", busy, idle)
 	}
-	many.Servers[0].RecordQueue(now-10*time.Second, 30, 60)
+	many.Servers[0].RecordLoad(now-10*time.Second, 30, 60)
 	if _, measured := many.Expected(now, 0, 1, 1e6); measured {
 		t.Error("an old load report counts")
 	}
@@ -117,7 +117,7 @@
 		t.Errorf("8 parts drain in %v us, 1 in %v", f.DrainTime(8), f.DrainTime(1))
 	}
 	s := f.Servers[0]
-	s.RecordQueue(now, 8, 8)
+	s.RecordLoad(now, 8, 8)
 	if !f.Backlogged(s, now) || f.QueueDelay(s, now) != f.DrainTime(8) {
 		t.Errorf("delay %v", f.QueueDelay(s, now))
 	}
--- a/internal/control/fleet/server.go
+++ b/internal/control/fleet/server.go
@@ -23,8 +23,8 @@
 	QueueWasLong     bool // by the last gossip sent or received
 }
 
-// RecordQueue takes in a load report of a queue and a number of requests in flight, which may be negative: none.
-func (s *Server) RecordQueue(now time.Duration, queue, inFlight float64) {
+// RecordLoad takes in a load report of a queue and a number of requests in flight, which may be negative: none.
+func (s *Server) RecordLoad(now time.Duration, queue, inFlight float64) {
 	s.Averages.RecordQueue(queue, s.ReportedAt == 0)
 	s.ReportedAt, s.ReportedInFlight = now, inFlight
 }
--- a/internal/control/fleet/warmup.go
+++ b/internal/control/fleet/warmup.go
@@ -19,7 +19,7 @@
 
 // RecordSend counts a request of a class sent to a server.
 func (f *Fleet) RecordSend(s *Server, class int, now time.Duration) {
-	s.Sent(class, now)
+	s.RecordSend(class, now)
 	f.Options.SlowStart.RecordSend(&s.SlowStart, now)
 }
 
--- a/internal/control/suspicion/server.go
+++ b/internal/control/suspicion/server.go
@@ -24,15 +24,15 @@
 	ProbeUnanswered bool // the last probe brought nothing
 }
 
-// Sent adds a request of a class, sent at now.
-func (s *Server) Sent(class int, now time.Duration) {
+// RecordSend adds a request of a class, sent at now.
+func (s *Server) RecordSend(class int, now time.Duration) {
 	s.Record.Sent(now)
 	s.Path.Sent(now)
 	s.PerClass[class].Sent(now)
 }
 
-// Ended takes the request of a class that was sent at sent from those in flight.
-func (s *Server) Ended(class int, sent time.Duration) {
+// RecordEnd takes the request of a class that was sent at sent from those in flight.
+func (s *Server) RecordEnd(class int, sent time.Duration) {
 	s.Record.Ended(sent)
 	s.Path.Ended(sent)
 	s.PerClass[class].Ended(sent)
@@ -88,19 +88,25 @@
 	s.Penalize(now, interval)
 }
 
-// Assess decides whether the server and its classes are unresponsive or slow. overdue is the response time beyond which
-// a request is overdue there, in microseconds. Only a warm server may count as slow, and an unanswered probe counts
-// only where probes of several clients are shared.
-func (s *Server) Assess(now time.Duration, overdue, medianServiceTime float64, warm, probesShared bool) {
-	s.Unresponsive = s.Stalled(now, overdue) > 0 || s.ProbeUnanswered && probesShared
+// Conditions are those under which a server is assessed.
+type Conditions struct {
+	Overdue           float64 // response time beyond which a request is overdue there, microseconds
+	MedianServiceTime float64 // of all servers, microseconds
+	Warm              bool    // only a warm server may count as slow
+	ProbesShared      bool    // clients share what their probes show: only then an unanswered probe counts
+}
+
+// Assess decides whether the server and its classes are unresponsive or slow.
+func (s *Server) Assess(now time.Duration, c Conditions) {
+	s.Unresponsive = s.Stalled(now, c.Overdue) > 0 || s.ProbeUnanswered && c.ProbesShared
 	s.Lost = 0
 	for i := range s.PerClass {
 		class := &s.PerClass[i]
-		stalled := class.Stalled(now, overdue)
+		stalled := class.Stalled(now, c.Overdue)
 		class.Unresponsive, s.Lost = stalled > 0, s.Lost+stalled
 	}
-	s.Slow = warm && len(s.Recent) >= slowSamples-1 &&
-		slices.Min(s.Recent.Last(slowSamples)) > SlowFactor*medianServiceTime
+	s.Slow = c.Warm && len(s.Recent) >= slowSamples-1 &&
+		slices.Min(s.Recent.Last(slowSamples)) > SlowFactor*c.MedianServiceTime
 }
 
 // RecentMean is the mean of the last responses by which a server counts as slow, in microseconds; 0: none.
--- a/internal/control/suspicion/suspicion_test.go
+++ b/internal/control/suspicion/suspicion_test.go
@@ -166,24 +166,24 @@
 	for range slowSamples - 1 {
 		s.RecordAnswer(time.Second, 300e3)
 	}
-	if s.Assess(time.Second, 1e6, 100e3, false, false); s.Slow {
+	if s.Assess(time.Second, Conditions{Overdue: 1e6, MedianServiceTime: 100e3, Warm: false, ProbesShared: false}); s.Slow {
 		t.Error("a server that warms up counts as slow")
 	}
-	if s.Assess(time.Second, 1e6, 100e3, true, false); !s.Slow || s.RecentMean() != 300e3 {
+	if s.Assess(time.Second, Conditions{Overdue: 1e6, MedianServiceTime: 100e3, Warm: true, ProbesShared: false}); !s.Slow || s.RecentMean() != 300e3 {
 		t.Errorf("slow %v, recent mean %v", s.Slow, s.RecentMean())
 	}
 	s.ProbeUnanswered = true
-	if s.Assess(time.Second, 1e6, 100e3, true, false); s.Unresponsive {
+	if s.Assess(time.Second, Conditions{Overdue: 1e6, MedianServiceTime: 100e3, Warm: true, ProbesShared: false}); s.Unresponsive {
 		t.Error("an unanswered probe counts though probes are not shared")
 	}
-	if s.Assess(time.Second, 1e6, 100e3, true, true); !s.Unresponsive {
+	if s.Assess(time.Second, Conditions{Overdue: 1e6, MedianServiceTime: 100e3, Warm: true, ProbesShared: true}); !s.Unresponsive {
 		t.Error("an unanswered probe does not count")
 	}
-	s.Sent(1, time.Second)
-	if s.Assess(2*time.Second, 100e3, 100e3, true, false); !s.PerClass[1].Unresponsive || s.PerClass[0].Unresponsive || s.Lost != 1 {
+	s.RecordSend(1, time.Second)
+	if s.Assess(2*time.Second, Conditions{Overdue: 100e3, MedianServiceTime: 100e3, Warm: true, ProbesShared: false}); !s.PerClass[1].Unresponsive || s.PerClass[0].Unresponsive || s.Lost != 1 {
 		t.Errorf("%+v, %d lost", s.PerClass, s.Lost)
 	}
-	s.Ended(1, time.Second)
+	s.RecordEnd(1, time.Second)
 	if len(s.InFlight)+len(s.Path.InFlight)+len(s.PerClass[1].InFlight) != 0 {
 		t.Error("a request that ended is still in flight")
 	}
