--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -168,3 +168,31 @@
 		t.Error("few and many clients alike")
 	}
 }
+
+func TestFleet_ExpectedCountsListedHealthyServersWithAReport(t *testing.T) {
+	now := time.Hour
+	for _, c := range []struct {
+		name   string
+		change func(*Server)
+		want   bool
+	}{
+		{"a fresh load report counts", func(*Server) {}, true},
+		{"not that of an unlisted server", func(s *Server) { s.Listed = false }, false},
+		{"not that of an unhealthy server", func(s *Server) { s.Penalty = 1 }, false},
+		{"not one without requests in flight", func(s *Server) { s.RecordLoad(now, 3, -1) }, false},
+		{"not what a server began with after a restart", func(s *Server) { s.Restart(now, 0) }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(80, 2)
+			f.Servers[0].RecordLoad(now, 3, 6)
+			c.change(f.Servers[0])
+			if _, measured := f.Expected(now, 0, 1, 1e6); measured != c.want {
+				t.Errorf("measured %v, want %v", measured, c.want)
+			}
+		})
+	}
+	early := newFleet(80, 1) // the clock begins at 0, and no report came
+	if _, measured := early.Expected(time.Second, 0, 1, 1e6); measured {
+		t.Error("a server that never reported counts as idle")
+	}
+}
