--- a/internal/control/estimate/averages.go
+++ b/internal/control/estimate/averages.go
@@ -26,7 +26,7 @@
 	}
 }
 
-// RecordLoad takes in a reported queue; first says that none was reported before.
+// RecordQueue takes in a reported queue; first says that none was reported before.
 func (a *Averages) RecordQueue(queue float64, first bool) {
 	if first {
 		a.Queue = queue
--- a/internal/control/fleet/server.go
+++ b/internal/control/fleet/server.go
@@ -25,7 +25,7 @@
 
 // RecordLoad takes in a load report of a queue and a number of requests in flight, which may be negative: none.
 func (s *Server) RecordLoad(now time.Duration, queue, inFlight float64) {
-	s.Averages.RecordQueue(queue, s.ReportedAt == 0)
+	s.RecordQueue(queue, s.ReportedAt == 0)
 	s.ReportedAt, s.ReportedInFlight = now, inFlight
 }
 
--- a/internal/control/suspicion/server.go
+++ b/internal/control/suspicion/server.go
@@ -26,14 +26,14 @@
 
 // RecordSend adds a request of a class, sent at now.
 func (s *Server) RecordSend(class int, now time.Duration) {
-	s.Record.Sent(now)
+	s.Sent(now)
 	s.Path.Sent(now)
 	s.PerClass[class].Sent(now)
 }
 
 // RecordEnd takes the request of a class that was sent at sent from those in flight.
 func (s *Server) RecordEnd(class int, sent time.Duration) {
-	s.Record.Ended(sent)
+	s.Ended(sent)
 	s.Path.Ended(sent)
 	s.PerClass[class].Ended(sent)
 }
