--- a/cmd/rooktrestle/blocks.go
+++ b/cmd/rooktrestle/blocks.go
@@ -51,7 +51,7 @@
 					return err
 				}
 				if err := m.ValidateSuccession(old); err != nil {
-					return fmt.Errorf("%w: %s after %s: %w", errNo, args[0], after, err)
+					return fmt.Errorf("%w: %s after %s: %w", errNegative, args[0], after, err)
 				}
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%s epoch %d: %d blocks, %d listed: good\n", m.Archive, m.Epoch, m.ActiveCount(), m.TotalCount())
@@ -150,7 +150,7 @@
 				}
 			}
 			if err := now.ValidateSuccession(old); err != nil {
-				return fmt.Errorf("%w: %w", errNo, err)
+				return fmt.Errorf("%w: %w", errNegative, err)
 			}
 			return nil
 		},
@@ -205,7 +205,7 @@
 				}
 				p, err := plan(m, args)
 				if err != nil {
-					return fmt.Errorf("%w: %w", errNo, err)
+					return fmt.Errorf("%w: %w", errNegative, err)
 				}
 				return printPlan(cmd.OutOrStdout(), m, p, write)
 			}})
--- /dev/null
+++ b/cmd/rooktrestle/health.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"rooktrestle/internal/app"
+)
+
+// healthCommand checks the servers of an operator's file. Its answer is no if one of them may not be used.
+func healthCommand() *cobra.Command {
+	var options app.HealthOptions
+	c := &cobra.Command{
+		Use: "health FILE", Short: "Ask the servers of the operator's FILE for their health, and say what follows and why",
+		Example: "  rooktrestle health deploy/partners.toml --watch", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			options.Stop = stopOnSignal()
+			healthy, err := app.CheckServers(args[0], cmd.OutOrStdout(), options)
+			if err == nil && !healthy {
+				err = fmt.Errorf("%w: not every server may be used", errNegative)
+			}
+			return err
+		},
+	}
+	c.Flags().BoolVar(&options.Watch, "watch", false, "go on asking, and print what changes")
+	c.Flags().BoolVar(&options.JSON, "json", false, "for scripts; with --watch one object a line")
+	return c
+}
+
+// stopOnSignal returns a channel that SIGINT or SIGTERM closes. Its goroutine ends with the process.
+func stopOnSignal() <-chan struct{} {
+	stop, signals := make(chan struct{}), make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		close(stop)
+	}()
+	return stop
+}
--- a/cmd/rooktrestle/main.go
+++ b/cmd/rooktrestle/main.go
@@ -1,15 +1,14 @@
-// Rooktrestle is a mixer: it takes a query, sends each part to a replica of its shard, and gives one final
-// answer.
+// Rooktrestle aggregates queries over replicated shards: it takes a query, sends each part to a replica of its shard,
+// and gives one final answer.
 package main
 
 import (
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -17,10 +16,50 @@
 	"rooktrestle/internal/config"
 )
 
+// Exit statuses.
+const (
+	exitNegative = 1 // the command's answer is no
+	exitFailure  = 2
+)
+
+// errNegative is wrapped by the error of a command whose answer is no.
+var errNegative = errors.New("no")
+
 func main() {
+	if err := rootCommand().Execute(); err != nil {
+		printError(os.Stderr, err)
+		os.Exit(exitStatus(err))
+	}
+}
+
+func exitStatus(err error) int {
+	if errors.Is(err, errNegative) {
+		return exitNegative
+	}
+	return exitFailure
+}
+
+// printError prints an error on one line; the problems of a file on a line each.
+func printError(out io.Writer, err error) {
+	var problems config.Problems
+	if !errors.As(err, &problems) || len(problems) <= 1 {
+		printf(out, "rooktrestle: %v\n", err)
+		return
+	}
+	for _, problem := range problems {
+		printf(out, "rooktrestle: %v\n", problem)
+	}
+}
+
+// printf writes text for people. The answer of a command is its exit status, so that an error is ignored.
+func printf(out io.Writer, format string, args ...any) {
+	_, _ = fmt.Fprintf(out, format, args...)
+}
+
+func rootCommand() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "rooktrestle",
-		Short:         "A mixer of queries over replicated shards",
+		Short:         "An aggregator of queries over replicated shards",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		// The platform starts the program without arguments.
@@ -35,75 +74,52 @@
 		logger, err = app.Logger(os.Stderr, format, level)
 		return err
 	}
+	root.AddCommand(serveCommand(&logger), checkConfigCommand(), healthCommand(), blocksCommand(), versionCommand())
+	return root
+}
+
+// serveCommand serves. The logger is set by the time that it runs.
+func serveCommand(logger **slog.Logger) *cobra.Command {
 	var front string
-	serve := &cobra.Command{
+	c := &cobra.Command{
 		Use: "serve", Short: "Serve by the platform's configuration (NODE_CONFIG), or the operator's second front", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			if front != "" {
-				return app.ServePartners(front, logger)
+				return app.ServePartners(front, *logger)
 			}
 			return app.ServePlatform()
 		},
 	}
-	serve.Flags().StringVar(&front, "front", "", "the operator's file of the second front (SRU and Z39.50)")
-	root.AddCommand(serve, &cobra.Command{
+	c.Flags().StringVar(&front, "front", "", "the operator's file of the second front (SRU and Z39.50)")
+	return c
+}
+
+func checkConfigCommand() *cobra.Command {
+	return &cobra.Command{
 		Use: "check-config [FILE]", Short: "Read the platform's configuration, or the operator's FILE, and say whether it can be served",
 		Args: cobra.MaximumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if len(args) == 1 {
 				return app.CheckPartners(cmd.OutOrStdout(), args[0])
 			}
-			n, err := app.LoadNode()
+			node, err := app.LoadNode()
 			if err == nil {
-				fmt.Fprintf(cmd.OutOrStdout(), "%s: %d classes, %d tenants, %d shards: good\n", n.Name,
-					len(n.Deployment.Classes), len(n.Deployment.Tenants), n.Deployment.Decisions.Shards)
+				printf(cmd.OutOrStdout(), "%s: %d classes, %d tenants, %d shards: good\n", node.Name,
+					len(node.Deployment.Classes), len(node.Deployment.Tenants), node.Deployment.Decisions.Shards)
 			}
 			return err
 		},
-	}, health(), blocksCommand(), &cobra.Command{
-		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
-		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), version()) },
-	})
-	if err := root.Execute(); err != nil {
-		var all config.Problems
-		if errors.As(err, &all) && len(all) > 1 { // a line each
-			for _, one := range all {
-				fmt.Fprintln(os.Stderr, "rooktrestle:", one)
-			}
-		} else {
-			fmt.Fprintln(os.Stderr, "rooktrestle:", err)
-		}
-		if errors.Is(err, errNo) {
-			os.Exit(1)
-		}
-		os.Exit(2)
 	}
 }
 
-// errNo is an answer "no": exit status 1.
-var errNo = errors.New("no")
-
-func health() *cobra.Command {
-	var watch, asJSON bool
-	c := &cobra.Command{
-		Use: "health FILE", Short: "Ask the servers of the operator's FILE for their health, and say what follows and why",
-		Example: "  rooktrestle health deploy/partners.toml --watch", Args: cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			stop, told := make(chan struct{}), make(chan os.Signal, 1)
-			signal.Notify(told, os.Interrupt, syscall.SIGTERM)
-			go func() { <-told; close(stop) }()
-			good, err := app.CheckServers(args[0], watch, asJSON, cmd.OutOrStdout(), stop)
-			if err == nil && !good {
-				err = fmt.Errorf("%w: not every server may be used", errNo)
-			}
-			return err
-		},
+func versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) { printf(cmd.OutOrStdout(), "%s\n", version()) },
 	}
-	c.Flags().BoolVar(&watch, "watch", false, "go on asking, and print what changes")
-	c.Flags().BoolVar(&asJSON, "json", false, "for scripts; with --watch one object a line")
-	return c
 }
 
+// version is the program's name, its module's version and Go's, as far as the build has recorded them.
 func version() string {
 	text := "rooktrestle"
 	if info, ok := debug.ReadBuildInfo(); ok {
--- a/cmd/rooktrestle/partners_test.go
+++ b/cmd/rooktrestle/partners_test.go
@@ -450,7 +450,7 @@
 func TestPartnersReadTheirFileAgain(t *testing.T) {
 	a := newArchive(t)
 	p := partners(t, a, nil)
-	for _, want := range []string{"is good", "is bad"} {
+	for _, want := range []string{"configuration is valid", "configuration is invalid"} {
 		p.cmd.Process.Signal(syscall.SIGHUP)
 		if line := <-p.lines; !strings.Contains(line, want) {
 			t.Errorf("%q, want %q", line, want)
--- a/cmd/rooktrestle/program_test.go
+++ b/cmd/rooktrestle/program_test.go
@@ -461,13 +461,13 @@
 		}
 	}
 	os.WriteFile(p.conf, []byte("{"), 0o600)
-	again("the new configuration is bad")
+	again("configuration reload failed")
 	body := `{"slices":[{"slice":0,"mass":1}],"filter":"x"}`
 	if status, text := p.ask("q6", "search", body); status != 200 {
 		t.Errorf("%d %s", status, text)
 	}
 	configure(t, p.conf, newDiscovery(t, b))
-	again("configuration read again")
+	again("configuration reloaded")
 	for i := 0; len(b.seen()) == 0; i++ { // once the new list is in, only b is listed
 		p.ask(fmt.Sprintf("r%d", i), "search", body)
 	}
--- a/internal/app/background/background.go
+++ b/internal/app/background/background.go
@@ -1,5 +1,5 @@
-// Package background runs recurring work off the loop as a schedule decides: each run on a goroutine of its own,
-// the schedule on one.
+// Package background runs recurring tasks off the loop, at the times that a scheduler decides: each run on a goroutine
+// of its own, the scheduler on one.
 package background
 
 import (
@@ -15,84 +15,82 @@
 	"rooktrestle/internal/control/timers"
 )
 
-// Job is one run of a task. It blocks, and bounds its own time. It returns what the task showed, and whether the run
-// took up all its time.
-type Job func() (pace scheduler.Result, hung bool)
+const (
+	timerResolution = 5 * time.Millisecond
+	// maxStartDelay is the longest delay of a run that the histogram records; it records in microseconds, to two digits.
+	maxStartDelay    = time.Minute
+	startDelayDigits = 2
+)
+
+// Job is one run of a task. It blocks, and must bound its own time. It returns the result from which the scheduler takes
+// the next interval, and whether the run timed out.
+type Job func() (result scheduler.Result, timedOut bool)
 
-// Runner runs tasks.
+// Runner runs tasks. Its methods may be called from any goroutine.
 type Runner struct {
-	clock aggregator.Clock
-	mu    sync.Mutex
-	plan  *scheduler.Scheduler
-	jobs  map[scheduler.TaskID]Job
-	late  *hdrhistogram.Histogram // microseconds
-	wake  chan struct{}
-	runs  sync.WaitGroup
+	clock      aggregator.Clock
+	mu         sync.Mutex // guards schedule, jobs and startDelay
+	schedule   *scheduler.Scheduler
+	jobs       map[scheduler.TaskID]Job
+	startDelay *hdrhistogram.Histogram // microseconds
+	wake       chan struct{}           // the schedule has changed
+	running    sync.WaitGroup
 }
 
-// New returns a Runner without tasks. It starts nothing before Run.
-func New(b scheduler.Budget, seed uint64, clock aggregator.Clock) (*Runner, error) {
+// New returns a Runner without tasks. No task runs before Run is called.
+func New(budget scheduler.Budget, seed uint64, clock aggregator.Clock) (*Runner, error) {
 	start := clock.Now()
-	plan, err := scheduler.New(b, seed, start, timers.NewWheel(start, 5*time.Millisecond))
+	schedule, err := scheduler.New(budget, seed, start, timers.NewWheel(start, timerResolution))
 	if err != nil {
 		return nil, err
 	}
 	return &Runner{
-		clock: clock, plan: plan, jobs: map[scheduler.TaskID]Job{}, late: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 2),
-		wake: make(chan struct{}, 1),
+		clock: clock, schedule: schedule, jobs: map[scheduler.TaskID]Job{},
+		startDelay: hdrhistogram.New(1, int64(maxStartDelay/time.Microsecond), startDelayDigits), wake: make(chan struct{}, 1),
 	}, nil
 }
 
-// Add adds a task whose first run lies within first.
-func (r *Runner) Add(t scheduler.Task, first time.Duration, job Job) scheduler.TaskID {
+// Add adds a task whose first run starts within first. A task has at most one run at a time.
+func (r *Runner) Add(task scheduler.Task, first time.Duration, job Job) scheduler.TaskID {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	id := r.plan.Add(r.clock.Now(), t, first)
+	id := r.schedule.Add(r.clock.Now(), task, first)
 	r.jobs[id] = job
-	r.nudge()
+	r.wakeUp()
 	return id
 }
 
-// Remove forgets a task; a run in hand ends by itself.
+// Remove removes a task. A run that has started is not interrupted.
 func (r *Runner) Remove(id scheduler.TaskID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.plan.Remove(id)
+	r.schedule.Remove(id)
 	delete(r.jobs, id)
 }
 
-// RunNow makes a task run now.
+// RunNow makes a task due at once.
 func (r *Runner) RunNow(id scheduler.TaskID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.plan.RunNow(r.clock.Now(), id)
-	r.nudge()
+	r.schedule.RunNow(r.clock.Now(), id)
+	r.wakeUp()
 }
 
-func (r *Runner) nudge() {
+func (r *Runner) wakeUp() {
 	select {
 	case r.wake <- struct{}{}:
 	default:
 	}
 }
 
-// Run runs tasks until stop is closed, and waits for those in hand.
+// Run runs tasks until stop is closed, and then waits for the runs that have started.
 func (r *Runner) Run(stop <-chan struct{}) {
-	defer r.runs.Wait()
+	defer r.running.Wait()
 	for {
-		r.mu.Lock()
-		now := r.clock.Now()
-		for _, id := range r.plan.Advance(now) {
-			r.late.RecordValue(int64(max(0, now.Sub(r.plan.Due(id))) / time.Microsecond))
-			job := r.jobs[id]
-			r.runs.Add(1)
-			go r.one(id, job)
-		}
-		next, ok := r.plan.Next()
-		r.mu.Unlock()
+		next, scheduled := r.startDue()
 		var due <-chan time.Time
 		cancel := func() {}
-		if ok {
+		if scheduled {
 			due, cancel = r.clock.At(next)
 		}
 		select {
@@ -106,35 +104,58 @@
 	}
 }
 
-// one runs a task once. A panic stops at the run: the task goes on at its interval.
-func (r *Runner) one(id scheduler.TaskID, job Job) {
-	pace, hung := scheduler.Steady, false
+// startDue starts the runs that are due, and returns when the next one is; false: none is scheduled.
+func (r *Runner) startDue() (next time.Time, scheduled bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	for _, id := range r.schedule.Advance(now) {
+		delay := max(0, now.Sub(r.schedule.Due(id)))
+		_ = r.startDelay.RecordValue(int64(delay / time.Microsecond)) // beyond maxStartDelay: not recorded
+		job := r.jobs[id]
+		r.running.Add(1)
+		go r.runJob(id, job)
+	}
+	return r.schedule.Next()
+}
+
+// runJob runs a task once. A panic ends this run only: the task is scheduled again at its interval.
+func (r *Runner) runJob(id scheduler.TaskID, job Job) {
+	result, timedOut := scheduler.Steady, false
 	defer func() {
 		if p := recover(); p != nil {
 			fmt.Fprintf(os.Stderr, "background: panic: %v\n", p)
 		}
 		r.mu.Lock()
-		r.plan.Done(r.clock.Now(), id, pace, hung)
-		r.nudge()
+		r.schedule.Done(r.clock.Now(), id, result, timedOut)
+		r.wakeUp()
 		r.mu.Unlock()
-		r.runs.Done()
+		r.running.Done()
 	}()
 	if job != nil {
-		pace, hung = job()
+		result, timedOut = job()
 	}
 }
 
-// Stats are the schedule's counts, and how late runs began: the median and the 99th percentile.
+// Stats are the schedule's counters, the tasks and runs at present, and the quantiles of how long after their due time
+// runs started.
 type Stats struct {
 	scheduler.Stats
 	Tasks, Running               int
 	StartDelayP50, StartDelayP99 time.Duration
 }
 
-// Stats returns the counts so far.
+// Stats returns the counters so far.
 func (r *Runner) Stats() Stats {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	at := func(q float64) time.Duration { return time.Duration(r.late.ValueAtQuantile(q)) * time.Microsecond }
-	return Stats{Stats: r.plan.Stats, Tasks: r.plan.Len(), Running: r.plan.Running(), StartDelayP50: at(50), StartDelayP99: at(99)}
+	return Stats{
+		Stats: r.schedule.Stats, Tasks: r.schedule.Len(), Running: r.schedule.Running(),
+		StartDelayP50: r.quantile(50), StartDelayP99: r.quantile(99),
+	}
+}
+
+// quantile returns a percentile of the start delays. r.mu is held.
+func (r *Runner) quantile(percent float64) time.Duration {
+	return time.Duration(r.startDelay.ValueAtQuantile(percent)) * time.Microsecond
 }
--- a/internal/app/healthclient.go
+++ b/internal/app/healthclient.go
@@ -14,154 +14,223 @@
 	"rooktrestle/internal/net/tcp"
 )
 
-// CheckServers asks the servers of an operator's file by every check they have, once, or with watch again and again
-// until stop is closed, and prints what each source says and what follows. It says whether all may be used. What only
-// a running mixer knows, how real parts end, is not part of it: that is at /servers of the mixer's health listener.
-func CheckServers(path string, watch, asJSON bool, out io.Writer, stop <-chan struct{}) (good bool, err error) {
+// ServerHealth is what is known of one server, as the health command and GET /servers print it.
+type ServerHealth struct {
+	ID              string        `json:"server"`
+	State           string        `json:"state"`
+	Usable          bool          `json:"usable"`
+	EjectedClasses  uint64        `json:"shunned_classes,omitempty"` // bit c: only a last resort for class c
+	TrafficFraction float64       `json:"share"`                     // over 0 to 1
+	MaxInFlight     int           `json:"most,omitempty"`            // 0: not limited
+	Cause           string        `json:"cause,omitempty"`
+	Facts           []health.Fact `json:"facts"`
+}
+
+func newServerHealth(table *health.Table, now time.Time, id string) ServerHealth {
+	decision, _ := table.Decision(health.ID(id)) // an unknown server has the zero decision
+	return ServerHealth{
+		ID: id, State: decision.State.String(), Usable: decision.Usable, EjectedClasses: decision.EjectedClasses,
+		TrafficFraction: decision.TrafficFraction, MaxInFlight: decision.MaxInFlight, Cause: decision.Cause,
+		Facts: table.Facts(now, health.ID(id)),
+	}
+}
+
+// healthy says whether the server may be used by all classes.
+func (s *ServerHealth) healthy() bool {
+	return s.State == health.InService.String() && s.Usable && s.EjectedClasses == 0
+}
+
+// HealthOptions are the options of CheckServers.
+type HealthOptions struct {
+	Watch bool // check again and again, and print what changes, until Stop is closed
+	JSON  bool // print JSON: one document, or with Watch one object per line
+	Stop  <-chan struct{}
+}
+
+// CheckServers runs all checks of all servers in an operator's file, and prints for each server what every check says and
+// the state that follows. It returns whether all servers may be used. What only a running aggregator knows, the outcomes
+// of real requests, is not included: GET /servers of its health listener has it.
+func CheckServers(path string, out io.Writer, options HealthOptions) (healthy bool, err error) {
 	conf, err := config.LoadPartners(path)
 	if err != nil {
 		return false, err
 	}
+	table, err := newHealthTable(conf, options.Watch)
+	if err != nil {
+		return false, err
+	}
+	printed := map[string]string{} // state and cause of each server at its last report
+	for {
+		runAllChecks(conf, table)
+		var reports []ServerHealth
+		reports, healthy = changedReports(conf, table, printed)
+		if err := printReports(out, reports, options); err != nil {
+			return healthy, err
+		}
+		if !options.Watch {
+			return healthy, nil
+		}
+		select {
+		case <-options.Stop:
+			return healthy, nil
+		case <-time.After(conf.Checks.Interval.Duration):
+		}
+	}
+}
+
+// newHealthTable returns a table of the file's servers. Without watch each check runs once, so that its single result
+// has to count.
+func newHealthTable(conf *config.Partners, watch bool) (*health.Table, error) {
 	sources := conf.HealthSources()
-	if !watch { // one word is all there will be
+	if !watch {
 		for i := range sources {
 			sources[i].Fall, sources[i].Rise = 1, 1
 		}
 	}
 	table, err := health.New(conf.HealthRules(), sources, time.Now())
 	if err != nil {
-		return false, err
+		return nil, err
 	}
-	var nodes []health.Server
-	for _, s := range conf.Servers {
-		nodes = append(nodes, health.Server{ID: health.ID(s.ID), Shards: blocksOf(conf, s.Cell)})
+	var servers []health.Server
+	for _, server := range conf.Servers {
+		servers = append(servers, health.Server{ID: health.ID(server.ID), Shards: shardsOfCell(conf, server.Cell)})
 	}
-	table.UpdateEndpoints(time.Now(), nodes, true)
-	last := map[string]string{}
-	for {
-		askAll(conf, table)
-		now := time.Now()
-		table.Changes(now)
-		var words []ServerHealth
-		good = true
-		for _, s := range conf.Servers {
-			w := wordOn(table, now, s.ID)
-			good = good && w.State == health.InService.String() && w.Usable && w.EjectedClasses == 0
-			said := w.State + w.Cause
-			if before, ok := last[s.ID]; !ok || before != said {
-				words = append(words, w)
-			}
-			last[s.ID] = said
-		}
-		if err := printWords(out, words, asJSON, watch); err != nil {
-			return good, err
-		}
-		if !watch {
-			return good, nil
-		}
-		select {
-		case <-stop:
-			return good, nil
-		case <-time.After(conf.Checks.Interval.Duration):
+	table.UpdateEndpoints(time.Now(), servers, true)
+	return table, nil
+}
+
+// changedReports returns the reports of the servers whose state or cause differs from printed, which it updates, and
+// whether all servers are healthy.
+func changedReports(conf *config.Partners, table *health.Table, printed map[string]string) (reports []ServerHealth, healthy bool) {
+	now := time.Now()
+	table.Changes(now)
+	healthy = true
+	for _, server := range conf.Servers {
+		report := newServerHealth(table, now, server.ID)
+		healthy = healthy && report.healthy()
+		summary := report.State + report.Cause
+		if before, ok := printed[server.ID]; !ok || before != summary {
+			reports = append(reports, report)
 		}
+		printed[server.ID] = summary
 	}
+	return reports, healthy
 }
 
-// sourced is a check, and which source of evidence it is.
-type sourced struct {
+// serverCheck is a health check of one server, and the index of its profile.
+type serverCheck struct {
 	healthcheck.Check
 	source int
 }
 
 // checksOf are the checks of a server.
-func checksOf(conf *config.Partners, s config.Server) (list []sourced) {
-	for _, name := range s.Checks {
+func checksOf(conf *config.Partners, server config.Server) (checks []serverCheck) {
+	for _, name := range server.Checks {
 		for i := range conf.CheckProfiles {
-			if f := &conf.CheckProfiles[i]; f.Name == name {
-				list = append(list, sourced{healthcheck.Check{Profile: f, Addr: f.AddrFor(s), Bridge: conf.Checks.GRPCBridge, Dial: tcp.DialServerFirst}, i})
+			profile := &conf.CheckProfiles[i]
+			if profile.Name != name {
+				continue
 			}
+			check := healthcheck.Check{Profile: profile, Addr: profile.AddrFor(server), Bridge: conf.Checks.GRPCBridge, Dial: tcp.DialServerFirst}
+			checks = append(checks, serverCheck{check, i})
 		}
 	}
-	return list
+	return checks
 }
 
-// askAll makes each check of each server, within the file's budget of checks at once.
-func askAll(conf *config.Partners, table *health.Table) {
-	var wait sync.WaitGroup
-	var mu sync.Mutex
+// runAllChecks runs each check of each server once, with at most the file's number of checks at a time, and waits for
+// all of them.
+func runAllChecks(conf *config.Partners, table *health.Table) {
+	var running sync.WaitGroup
+	var tableMu sync.Mutex
 	slots := make(chan struct{}, conf.Checks.MaxConcurrent)
-	for _, s := range conf.Servers {
-		for _, one := range checksOf(conf, s) {
-			wait.Add(1)
+	for _, server := range conf.Servers {
+		for _, check := range checksOf(conf, server) {
 			slots <- struct{}{}
-			go func() {
-				defer wait.Done()
-				res := one.Run()
+			running.Go(func() {
+				result := check.Run()
 				<-slots
-				mu.Lock()
-				defer mu.Unlock()
-				table.RecordCheck(time.Now(), health.ID(s.ID), one.source, res.CheckResult)
-			}()
+				tableMu.Lock()
+				defer tableMu.Unlock()
+				table.RecordCheck(time.Now(), health.ID(server.ID), check.source, result.CheckResult)
+			})
 		}
 	}
-	wait.Wait()
+	running.Wait()
 }
 
-func printWords(out io.Writer, words []ServerHealth, asJSON, lines bool) error {
-	if asJSON {
-		if !lines {
-			text, err := json.MarshalIndent(words, "", "  ")
-			if err != nil {
-				return err
-			}
-			_, err = fmt.Fprintf(out, "%s\n", text)
+func printReports(out io.Writer, reports []ServerHealth, options HealthOptions) error {
+	switch {
+	case options.JSON && options.Watch:
+		return printJSONLines(out, reports)
+	case options.JSON:
+		text, err := json.MarshalIndent(reports, "", "  ")
+		if err != nil {
 			return err
 		}
-		for _, w := range words {
-			text, err := json.Marshal(w)
-			if err != nil {
-				return err
-			}
-			if _, err := fmt.Fprintf(out, "%s\n", text); err != nil {
-				return err
-			}
-		}
-		return nil
+		_, err = fmt.Fprintf(out, "%s\n", text)
+		return err
 	}
-	for _, w := range words {
-		how := w.State
-		if w.State == health.InService.String() && w.EjectedClasses != 0 {
-			how += ", as a last resort"
-		}
-		if w.TrafficFraction < 1 {
-			how += fmt.Sprintf(", share %.0f%%", 100*w.TrafficFraction)
-		}
-		if w.MaxInFlight > 0 {
-			how += fmt.Sprintf(", at most %d parts at once", w.MaxInFlight)
-		}
-		if w.Cause != "" {
-			how += ": " + w.Cause
+	for _, report := range reports {
+		if _, err := io.WriteString(out, report.text()); err != nil {
+			return err
 		}
-		if _, err := fmt.Fprintf(out, "%s  %s\n", w.ID, how); err != nil {
+	}
+	return nil
+}
+
+func printJSONLines(out io.Writer, reports []ServerHealth) error {
+	for _, report := range reports {
+		text, err := json.Marshal(report)
+		if err != nil {
 			return err
 		}
-		for _, f := range w.Facts {
-			age := ""
-			if f.Age >= 0 {
-				age = ", " + f.Age.Round(time.Millisecond).String() + " ago"
-			}
-			if !f.Counts {
-				age += ", does not count"
-			}
-			fmt.Fprintf(out, "  %s %s%s\n", pad(f.Source, 24), f.Says, age)
+		if _, err := fmt.Fprintf(out, "%s\n", text); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
-func pad(s string, n int) string {
-	if len(s) >= n {
-		return s
+// sourceWidth is the width of the column of check names in a report's text.
+const sourceWidth = 24
+
+// text is a report for people: a line for the server, and one for each of its facts.
+func (s *ServerHealth) text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s  %s\n", s.ID, s.summary())
+	for _, fact := range s.Facts {
+		age := ""
+		if fact.Age >= 0 {
+			age = ", " + fact.Age.Round(time.Millisecond).String() + " ago"
+		}
+		if !fact.Counts {
+			age += ", does not count"
+		}
+		fmt.Fprintf(&b, "  %s %s%s\n", padRight(fact.Source, sourceWidth), fact.Says, age)
+	}
+	return b.String()
+}
+
+// summary is the state of a server and its cause in one line.
+func (s *ServerHealth) summary() string {
+	text := s.State
+	if s.State == health.InService.String() && s.EjectedClasses != 0 {
+		text += ", as a last resort"
+	}
+	if s.TrafficFraction < 1 {
+		text += fmt.Sprintf(", share %.0f%%", 100*s.TrafficFraction)
+	}
+	if s.MaxInFlight > 0 {
+		text += fmt.Sprintf(", at most %d parts at once", s.MaxInFlight)
 	}
-	return s + strings.Repeat(" ", n-len(s))
+	if s.Cause != "" {
+		text += ": " + s.Cause
+	}
+	return text
+}
+
+// padRight pads a text with spaces to a width in bytes.
+func padRight(text string, width int) string {
+	return text + strings.Repeat(" ", max(0, width-len(text)))
 }
--- a/internal/app/log.go
+++ b/internal/app/log.go
@@ -6,18 +6,19 @@
 	"log/slog"
 )
 
-// Logger returns a logger of one event a line, as text or json, from a level on.
+// Logger returns a logger that writes one event per line to w. format is text or json; events below level (debug, info,
+// warn or error) are dropped.
 func Logger(w io.Writer, format, level string) (*slog.Logger, error) {
-	var l slog.Level
-	if err := l.UnmarshalText([]byte(level)); err != nil {
+	var minLevel slog.Level
+	if err := minLevel.UnmarshalText([]byte(level)); err != nil {
 		return nil, fmt.Errorf("log level %q: debug, info, warn or error", level)
 	}
-	opt := &slog.HandlerOptions{Level: l}
+	options := &slog.HandlerOptions{Level: minLevel}
 	switch format {
 	case "text":
-		return slog.New(slog.NewTextHandler(w, opt)), nil
+		return slog.New(slog.NewTextHandler(w, options)), nil
 	case "json":
-		return slog.New(slog.NewJSONHandler(w, opt)), nil
+		return slog.New(slog.NewJSONHandler(w, options)), nil
 	}
 	return nil, fmt.Errorf("log format %q: text or json", format)
 }
--- /dev/null
+++ b/internal/app/partnercounters.go
@@ -0,0 +1,46 @@
+package app
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"rooktrestle/internal/aggregator"
+)
+
+// Counters returns the core's counters. It waits for the loop.
+func (p *PartnersDeployment) Counters() (counters aggregator.Counters) {
+	p.loop.Do(func() { counters = p.core.Counters })
+	return counters
+}
+
+// CountersText returns all counters as the text of GET /metrics. It waits for the loop.
+func (p *PartnersDeployment) CountersText() (text string) {
+	p.loop.Do(func() { text = p.countersText() })
+	return text
+}
+
+// countersText runs on the loop, or after its end.
+func (p *PartnersDeployment) countersText() string {
+	agentChecks, httpChecks, whileStalled := p.reporter.Counters()
+	checks := p.checks.Stats()
+	return fmt.Sprintf("%v; servers: dialed %d, refused %d, broken %d, late answers %d; sru: %+v; z39.50: %+v; health asked: agent %d, http %d, "+
+		"while late %d; checks: %d targets, %d begun, held back %d, late p50 %v p99 %v; conclusions changed %d%s",
+		p.core.Counters, p.pool.Stats.Dials, p.pool.Stats.DialsFailed, p.pool.Stats.Broken, p.pool.Stats.LateAnswers, p.sru.Counters(), p.z3950.Counters(),
+		agentChecks, httpChecks, whileStalled, checks.Tasks, checks.Starts, checks.Delayed, checks.StartDelayP50, checks.StartDelayP99,
+		p.healthTracker.changes, p.shardMaps.counters())
+}
+
+// serversJSON is the body of GET /servers. It waits for the loop.
+func (p *PartnersDeployment) serversJSON() []byte {
+	var reports []ServerHealth
+	p.loop.Do(func() {
+		for _, server := range p.conf.Servers {
+			reports = append(reports, newServerHealth(p.healthTracker.table, p.clock.Now(), server.ID))
+		}
+	})
+	text, err := json.MarshalIndent(reports, "", "  ")
+	if err != nil {
+		p.log.Error("servers not encoded", "err", err.Error()) // cannot happen: finite numbers and text only
+	}
+	return append(text, '\n')
+}
--- /dev/null
+++ b/internal/app/partnerlisteners.go
@@ -0,0 +1,81 @@
+package app
+
+import (
+	"fmt"
+	"time"
+
+	srufront "rooktrestle/internal/frontend/sru"
+	zfront "rooktrestle/internal/frontend/z3950"
+	"rooktrestle/internal/gateway"
+	"rooktrestle/internal/net/httpserve"
+	"rooktrestle/internal/net/tcp"
+)
+
+// Timeouts of Z39.50 associations.
+const (
+	associationInitTimeout = 10 * time.Second // from the connection to the Init request
+	associationIdleTimeout = 5 * time.Minute
+	resultSetsRecent       = time.Minute // an association that used its result sets since is not evicted for a new one
+)
+
+// sruTimeouts are those of SRU's HTTP connections.
+var sruTimeouts = httpserve.Timeouts{
+	FirstRequest: 10 * time.Second, Idle: 2 * time.Minute, ReadRequest: 10 * time.Second, EvictableAfter: evictableAfter,
+}
+
+// healthTimeouts are those of the health listener's HTTP connections.
+var healthTimeouts = httpserve.Timeouts{
+	FirstRequest: 2 * time.Second, Idle: time.Minute, ReadRequest: 2 * time.Second, EvictableAfter: evictableAfter,
+}
+
+// partnerListener is one listener of a deployment.
+type partnerListener struct {
+	protocol   string
+	addr       string // empty: not listened to
+	maxSockets int
+	evict      func() bool // closes a connection in favour of a new one; nil: never
+	accept     func(*tcp.Conn) tcp.Handler
+}
+
+// listen builds the frontends and opens their listeners. Each listener has sockets of its own and evicts connections of
+// its own, so that an overload of one of them does not affect the others.
+func (p *PartnersDeployment) listen() error {
+	service := &gateway.Service{Config: p.conf, Post: p.mailbox.Put, Now: p.clock.Now}
+	p.sru = httpserve.New(sruTimeouts, p.clock.Now, (&srufront.Server{Service: service}).Handle)
+	p.health = httpserve.New(healthTimeouts, p.clock.Now, p.reporter.HTTP)
+	associationTimes := zfront.Times{Init: associationInitTimeout, Idle: associationIdleTimeout, Recent: resultSetsRecent}
+	p.z3950 = zfront.New(service, associationTimes, p.clock.Now)
+	addrs, sockets := p.conf.Listen, p.conf.Listen.Share
+	for _, listener := range []partnerListener{
+		{"sru", addrs.SRU, sockets.SRU, func() bool { return p.sru.EvictIdle(true) }, p.sru.Accept},
+		{"z3950", addrs.Z3950, sockets.Z3950, p.z3950.Room, p.z3950.Accept},
+		{"health", addrs.Health, sockets.Health, func() bool { return p.health.EvictIdle(true) }, p.health.Accept},
+		{"agent", addrs.Agent, sockets.Agent, nil, p.reporter.Agent},
+	} {
+		if listener.addr == "" {
+			continue
+		}
+		limiter := &tcp.ConnLimiter{Max: listener.maxSockets, Evict: listener.evict}
+		server, err := tcp.Listen(listener.addr, limiter, listener.accept)
+		if err != nil {
+			return fmt.Errorf("%s: %w", listener.protocol, err)
+		}
+		p.log.Info("listen", "what", listener.protocol, "addr", server.Addr(), "sockets", listener.maxSockets)
+		p.listeners[listener.protocol] = server
+	}
+	return nil
+}
+
+func (p *PartnersDeployment) closeListeners() {
+	for _, listener := range p.listeners {
+		listener.Close()
+	}
+}
+
+// Addr is the address on which a protocol is served (sru, z3950, health or agent); empty: none.
+func (p *PartnersDeployment) Addr(protocol string) string {
+	if listener := p.listeners[protocol]; listener != nil {
+		return listener.Addr()
+	}
+	return ""
+}
--- a/internal/app/platform.go
+++ b/internal/app/platform.go
@@ -26,188 +26,309 @@
 )
 
 const (
-	// lateArrivals is how long clients may go on asking after SIGTERM.
-	lateArrivals = 700 * time.Millisecond
-	// readyAnyway is how long a start waits for discovery before it serves by the list it was given.
-	readyAnyway = 3 * time.Second
-	// otherSockets are kept for the listener, discovery, pollers and standard streams.
-	otherSockets = 32
-	// clientShare: clients hold a third of the sockets for requests at most. Half of that may be kept idle.
-	clientShare = 6
-	flushed     = 50 * time.Millisecond
-	// firstRequest is the time for a request: a client that begins and does not end is owed an error or a close.
-	firstRequest = 2200 * time.Millisecond
-	idleClient   = 15 * time.Second // a connection between requests
-	spareClient  = 2 * time.Second  // the same, where many are open
+	// shutdownGrace is how long requests are still accepted after SIGTERM, so that callers can take the process out of
+	// their lists first.
+	shutdownGrace = 700 * time.Millisecond
+	// drainPollInterval is the time between two looks at whether a shutdown has drained.
+	drainPollInterval = 50 * time.Millisecond
+	// discoveryTimeout is how long a start waits for discovery before it serves from its initial endpoint list.
+	discoveryTimeout = 3 * time.Second
+	// reservedSockets are set aside for the listener, discovery, pollers and standard streams.
+	reservedSockets = 32
+	// keepAliveDivisor: clients use at most a third of the sockets for requests, and half of that third may be idle
+	// keep-alive connections.
+	keepAliveDivisor = 6
+	// requestReadTimeout is the time to read a request. A client that starts one and does not finish it gets an error
+	// or a close.
+	requestReadTimeout = 2200 * time.Millisecond
+	// keepAliveTimeout is how long a connection may be idle between requests.
+	keepAliveTimeout = 15 * time.Second
+	// evictableAfter is the idle time from which a connection may be closed in favour of a new one.
+	evictableAfter = 2 * time.Second
 )
 
+// logf writes one timestamped log line of the platform's program to standard error.
 func logf(format string, args ...any) {
 	fmt.Fprintf(os.Stderr, time.Now().UTC().Format("15:04:05.000")+" "+format+"\n", args...)
 }
 
-// ServePlatform serves the platform's protocol until it is told to end.
+// ServePlatform serves the platform's protocol until SIGTERM or SIGINT. SIGHUP reloads the configuration and SIGUSR1
+// logs the counters.
 func ServePlatform() error {
-	// From the start: a SIGHUP that nobody takes ends the program, and a SIGTERM that comes before it serves ends it the
-	// way any other does.
-	renewed, signals := make(chan os.Signal, 1), make(chan os.Signal, 2)
-	signal.Notify(renewed, syscall.SIGHUP)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	n, err := LoadNode()
+	// Signals are handled from the start: an unhandled SIGHUP would end the program, and a SIGTERM that arrives before
+	// the program serves must end it in the same orderly fashion as any other.
+	reloads, terminations := make(chan os.Signal, 1), make(chan os.Signal, 2)
+	signal.Notify(reloads, syscall.SIGHUP)
+	signal.Notify(terminations, syscall.SIGTERM, syscall.SIGINT)
+	node, err := LoadNode()
 	if err != nil {
 		return err
 	}
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(n.Cores))))
-	debug.SetMemoryLimit(memoryLimit(n))
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(node.Cores))))
+	debug.SetMemoryLimit(memoryLimit(node))
 
-	d := n.Deployment
-	decide, err := balance.New(d.Decisions)
+	server, err := newPlatformServer(node)
 	if err != nil {
 		return err
 	}
-	clock, box := aggregator.SystemClock{}, aggregator.NewMailbox()
-	pool := leaf.NewPool(leaf.Limits{
-		MaxStreams: d.StreamsPerConn, IdleTimeout: d.ConnIdle, ConnectTimeout: d.ConnectTimeout, MaxConnections: n.Sockets / 3,
-		UnresponsiveAfter: shortestAim(d.Decisions.Classes) / 2, ConnsPerServer: leaf.ConnsPerServer(d.Decisions.Instances),
-	}, box, leaf.DialTCP)
-	lim := aggregator.Limits{MaxOpen: d.MaxOpen, MaxCallParts: d.Decisions.MaxCallParts, RetryAfter: d.MaxRetryAfter, DeadlineMargin: 4 * d.Decisions.Tick}
-	longest := time.Duration(0)
-	for _, c := range d.Decisions.Classes {
-		lim.FollowUpParts = append(lim.FollowUpParts, c.FollowUpParts)
+	defer server.closeGossip()
+	if err := server.start(); err != nil {
+		return err
+	}
+	server.serve(reloads, terminations)
+	server.shutdown()
+	return nil
+}
+
+// platformServer is the aggregator behind the platform's protocol.
+type platformServer struct {
+	node     config.Node
+	clock    aggregator.SystemClock
+	mailbox  *aggregator.Mailbox
+	pool     *leaf.Pool
+	core     *aggregator.Core
+	gossip   *gossip.Transport // nil: the other instances are not reachable, or gossip is off
+	watcher  *discovery.Watcher
+	loop     *aggregator.Loop
+	frontend *platform.Frontend
+	limiter  *tcp.ConnLimiter
+	listener *tcp.Server
+	stop     chan struct{} // closed to end the loop and the watcher
+	loopDone chan struct{}
+}
+
+// newPlatformServer builds the server. It opens the gossip socket, which the caller closes, and nothing else.
+func newPlatformServer(node config.Node) (*platformServer, error) {
+	settings := node.Deployment.Decisions
+	decisions, err := balance.New(settings)
+	if err != nil {
+		return nil, err
+	}
+	s := &platformServer{
+		node: node, mailbox: aggregator.NewMailbox(), stop: make(chan struct{}), loopDone: make(chan struct{}),
+	}
+	s.pool = leaf.NewPool(leaf.Limits{
+		MaxStreams:        node.Deployment.StreamsPerConn,
+		IdleTimeout:       node.Deployment.ConnIdle,
+		ConnectTimeout:    node.Deployment.ConnectTimeout,
+		MaxConnections:    node.Sockets / 3,
+		UnresponsiveAfter: shortestObjective(settings.Classes) / 2,
+		ConnsPerServer:    leaf.ConnsPerServer(settings.Instances),
+	}, s.mailbox, leaf.DialTCP)
+	s.core = aggregator.NewCore(decisions, s.pool, platformLimits(node), s.clock.Now())
+	s.pool.SetDirectory(s.core)
+	s.openGossip()
+	if err := s.newWatcher(); err != nil {
+		s.closeGossip()
+		return nil, err
+	}
+	s.loop = &aggregator.Loop{
+		Core: s.core, Mailbox: s.mailbox, Adapter: s.pool, Clock: s.clock, Stop: s.stop,
+		NewBalancer: func() (*balance.Balancer, error) { return balance.New(settings) },
+	}
+	s.newFrontend()
+	return s, nil
+}
+
+// platformLimits are the core's limits in the platform's configuration.
+func platformLimits(node config.Node) aggregator.Limits {
+	deployment := node.Deployment
+	limits := aggregator.Limits{
+		MaxOpen: deployment.MaxOpen, MaxCallParts: deployment.Decisions.MaxCallParts, RetryAfter: deployment.MaxRetryAfter,
+		DeadlineMargin: 4 * deployment.Decisions.Tick,
+	}
+	for _, class := range deployment.Decisions.Classes {
+		limits.FollowUpParts = append(limits.FollowUpParts, class.FollowUpParts)
 		window := time.Duration(0)
-		if c.Idempotency == balance.KeyedIdempotent {
-			window = c.DedupWindow
-		}
-		lim.DedupWindows = append(lim.DedupWindows, window)
-		longest = max(longest, c.Deadline)
-	}
-	core := aggregator.NewCore(decide, pool, lim, clock.Now())
-	pool.SetDirectory(core)
-
-	if d.Decisions.PeerMessages && n.PeerListen != "" && n.PeerBroadcast != "" {
-		x, err := gossip.Open(n.PeerListen, n.PeerBroadcast, n.Peers, d.InstanceIndex, func(text []byte) { box.PutDeferred(aggregator.GossipReceived{Payload: text}) })
-		if err != nil {
-			logf("no words with other mixers: %v", err) // a mixer serves without them
-		} else {
-			defer x.Close()
-			core.Gossip = x
-			if d.Decisions.GossipEnabled() {
-				core.Outliers = outlier.New(outlier.PlatformConfig(shortestAim(d.Decisions.Classes), d.Decisions.Zone, d.Decisions.Instances))
-			}
+		if class.Idempotency == balance.KeyedIdempotent {
+			window = class.DedupWindow
 		}
+		limits.DedupWindows = append(limits.DedupWindows, window)
 	}
+	return limits
+}
 
-	watch := &discovery.Watcher{Addr: n.Discovery, Zones: d.Zones, Put: box.Put, Log: logf, Random: rand.New(rand.NewPCG(n.Seed, 1)).Float64}
-	if d.Decisions.ListOnRequest { // else it is the agent of this machine's own, which answers at once and at no cost
-		watch.FleetSize = d.Decisions.Instances
+// openGossip connects the core to the other instances, where the configuration has them. An instance serves without
+// gossip, too: a failure is logged only.
+func (s *platformServer) openGossip() {
+	settings := s.node.Deployment.Decisions
+	if !settings.PeerMessages || s.node.PeerListen == "" || s.node.PeerBroadcast == "" {
+		return
 	}
-	if len(n.InitialEndpoints) > 0 {
-		version, known, err := discovery.Parse(n.InitialEndpoints, d.Zones)
-		if err != nil {
-			return fmt.Errorf("known: %w", err)
-		}
-		known.Kind = balance.ListStale
-		watch.Version = version
-		box.Put(known)
-	}
-	stop := make(chan struct{})
-	loop := &aggregator.Loop{Core: core, Mailbox: box, Adapter: pool, Clock: clock, Stop: stop, NewBalancer: func() (*balance.Balancer, error) {
-		return balance.New(d.Decisions)
-	}}
-
-	var front *platform.Frontend
-	report := func() string {
-		text := fmt.Sprintf("%v; leaf connections: dialed %d, refused %d, broken %d, spoilt %d, late answers %d; front: %+v",
-			core.Counters, pool.Stats.Dials, pool.Stats.DialsFailed, pool.Stats.Broken, pool.Stats.Corrupt, pool.Stats.LateAnswers, front.Counters())
-		if core.Outliers != nil {
-			text += fmt.Sprintf("; servers that lose parts: %d, remarks on them heard %d", core.Outliers.EjectedCount(), core.Outliers.ObservationsReceived)
-		}
-		return text
+	received := func(payload []byte) { s.mailbox.PutDeferred(aggregator.GossipReceived{Payload: payload}) }
+	transport, err := gossip.Open(s.node.PeerListen, s.node.PeerBroadcast, s.node.Peers, s.node.Deployment.InstanceIndex, received)
+	if err != nil {
+		logf("gossip disabled: %v", err)
+		return
+	}
+	s.gossip, s.core.Gossip = transport, transport
+	if settings.GossipEnabled() {
+		s.core.Outliers = outlier.New(outlier.PlatformConfig(shortestObjective(settings.Classes), settings.Zone, settings.Instances))
+	}
+}
+
+func (s *platformServer) closeGossip() {
+	if s.gossip != nil {
+		s.gossip.Close()
+	}
+}
+
+// newWatcher makes the discovery watcher and hands the initial endpoint list to the core.
+func (s *platformServer) newWatcher() error {
+	deployment := s.node.Deployment
+	s.watcher = &discovery.Watcher{
+		Addr: s.node.Discovery, Zones: deployment.Zones, Put: s.mailbox.Put, Log: logf,
+		Random: rand.New(rand.NewPCG(s.node.Seed, 1)).Float64,
+	}
+	// Otherwise discovery is an agent on this machine, which answers at once and need not be spared.
+	if deployment.Decisions.ListOnRequest {
+		s.watcher.FleetSize = deployment.Decisions.Instances
+	}
+	if len(s.node.InitialEndpoints) == 0 {
+		return nil
 	}
-	front = platform.New(platform.Options{
-		Classes: d.Classes, Tenants: d.Tenants, Shards: d.Decisions.Shards, MaxTimeout: 2 * longest,
-		Timeouts: httpserve.Timeouts{FirstRequest: firstRequest, Idle: idleClient, ReadRequest: firstRequest, EvictableAfter: spareClient},
-	}, box.Put, clock.Now, func() (text string) {
-		loop.Do(func() { text = report() })
+	version, endpoints, err := discovery.Parse(s.node.InitialEndpoints, deployment.Zones)
+	if err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	endpoints.Kind = balance.ListStale
+	s.watcher.Version = version
+	s.mailbox.Put(endpoints)
+	return nil
+}
+
+// newFrontend makes the HTTP frontend and the limiter of its connections.
+func (s *platformServer) newFrontend() {
+	deployment := s.node.Deployment
+	longestDeadline := time.Duration(0)
+	for _, class := range deployment.Decisions.Classes {
+		longestDeadline = max(longestDeadline, class.Deadline)
+	}
+	s.frontend = platform.New(platform.Options{
+		Classes: deployment.Classes, Tenants: deployment.Tenants, Shards: deployment.Decisions.Shards, MaxTimeout: 2 * longestDeadline,
+		Timeouts: httpserve.Timeouts{
+			FirstRequest: requestReadTimeout, Idle: keepAliveTimeout, ReadRequest: requestReadTimeout, EvictableAfter: evictableAfter,
+		},
+	}, s.mailbox.Put, s.clock.Now, func() (text string) {
+		s.loop.Do(func() { text = s.countersText() })
 		return text
 	})
-	most := n.Sockets - n.Sockets/3 - otherSockets
-	front.MaxKeepAlive = n.Sockets / clientShare
-	gate := &tcp.ConnLimiter{Max: most, Evict: func() bool { return front.EvictIdle(true) }}
-	server, err := tcp.Listen(n.Listen, gate, front.Accept)
-	if err != nil {
+	s.frontend.MaxKeepAlive = s.node.Sockets / keepAliveDivisor
+	s.limiter = &tcp.ConnLimiter{
+		Max:   s.node.Sockets - s.node.Sockets/3 - reservedSockets,
+		Evict: func() bool { return s.frontend.EvictIdle(true) },
+	}
+}
+
+// countersText is the text of GET /counters, and of the counters at exit. It runs on the loop.
+func (s *platformServer) countersText() string {
+	stats := s.pool.Stats
+	text := fmt.Sprintf("%v; leaf connections: dialed %d, refused %d, broken %d, spoilt %d, late answers %d; front: %+v",
+		s.core.Counters, stats.Dials, stats.DialsFailed, stats.Broken, stats.Corrupt, stats.LateAnswers, s.frontend.Counters())
+	if s.core.Outliers != nil {
+		text += fmt.Sprintf("; servers that lose parts: %d, remarks on them heard %d", s.core.Outliers.EjectedCount(), s.core.Outliers.ObservationsReceived)
+	}
+	return text
+}
+
+// start listens and starts the loop. shutdown ends it.
+func (s *platformServer) start() (err error) {
+	if s.listener, err = tcp.Listen(s.node.Listen, s.limiter, s.frontend.Accept); err != nil {
 		return err
 	}
-	logf("listen http %s", server.Addr())
-	loopOver := make(chan struct{})
-	go func() { loop.Run(); close(loopOver) }()
+	logf("listen http %s", s.listener.Addr())
+	go func() {
+		defer close(s.loopDone)
+		s.loop.Run()
+	}()
+	return nil
+}
 
-	heard := make(chan struct{}, 1)
-	go watch.Run(stop, func() {
+// serve serves until a termination signal. The frontend is ready once discovery has answered, or after discoveryTimeout.
+func (s *platformServer) serve(reloads, terminations <-chan os.Signal) {
+	discovered := make(chan struct{}, 1)
+	// Ends when stop is closed; the process does not wait for a call to discovery.
+	go s.watcher.Run(s.stop, func() {
 		select {
-		case heard <- struct{}{}:
+		case discovered <- struct{}{}:
 		default:
 		}
 	})
-	go func(n config.Node) {
-		for range renewed {
-			n = reload(n, watch)
+	// Not waited for either: a reload may block on reading the file, and must not delay a shutdown.
+	go s.handleReloads(reloads)
+	counterRequests := make(chan os.Signal, 1)
+	signal.Notify(counterRequests, syscall.SIGUSR1)
+	timeout := time.After(discoveryTimeout)
+	for {
+		select {
+		case <-discovered:
+			s.frontend.SetReady(true)
+		case <-timeout:
+			s.frontend.SetReady(true)
+		case <-counterRequests:
+			s.loop.Do(func() { logf("%s", s.countersText()) })
+		case <-terminations:
+			return
 		}
-	}(n)
-	onRequest := make(chan os.Signal, 1)
-	signal.Notify(onRequest, syscall.SIGUSR1)
+	}
+}
+
+// shutdown drains the server. Requests are served as before for shutdownGrace; then no connection is accepted, idle ones
+// end, and the others end after their answers. Each connection ends when its client has closed it, too, or after a
+// timeout, so that no answer is lost to the exit.
+func (s *platformServer) shutdown() {
+	s.frontend.SetReady(false)
+	logf("shutting down")
+	time.Sleep(shutdownGrace)
+	s.limiter.StopAdmitting()
+	s.frontend.Shutdown()
+	for openQueries := 1; openQueries > 0 || s.frontend.OpenConns() > 0; {
+		s.loop.Do(func() { openQueries = s.core.OpenQueries() })
+		time.Sleep(drainPollInterval)
+	}
+	s.listener.Close()
+	close(s.stop)
+	<-s.loopDone
+	logf("%s", s.countersText())
+}
 
-	ready := time.After(readyAnyway)
-	for told := false; !told; {
+// handleReloads reloads the configuration on each signal, until stop is closed. It runs off the loop.
+func (s *platformServer) handleReloads(reloads <-chan os.Signal) {
+	node := s.node
+	for {
 		select {
-		case <-heard:
-			front.SetReady(true)
-		case <-ready:
-			front.SetReady(true)
-		case <-onRequest:
-			loop.Do(func() { logf("%s", report()) })
-		case <-signals:
-			told = true
+		case <-reloads:
+			node = reload(node, s.watcher)
+		case <-s.stop:
+			return
 		}
 	}
-	// Late arrivals are served as before; then nothing new is taken, connections without a request end, and the rest with
-	// their answers. Each ends when its client has closed it, too, or after a while: so no answer is lost to the exit.
-	front.SetReady(false)
-	logf("told to end")
-	time.Sleep(lateArrivals)
-	gate.StopAdmitting()
-	front.Shutdown()
-	for held := 1; held > 0 || front.OpenConns() > 0; {
-		loop.Do(func() { held = core.OpenQueries() })
-		time.Sleep(flushed)
-	}
-	server.Close()
-	close(stop)
-	<-loopOver
-	logf("%s", report())
-	return nil
 }
 
-// reload reads the configuration again, off the loop. A bad one leaves all as it was.
-func reload(n config.Node, watch *discovery.Watcher) config.Node {
-	next, rest, err := n.Reload(os.Getenv)
+// reload reads the configuration again and applies what can change in a running process. After an error the former
+// configuration stays in force.
+func reload(node config.Node, watcher *discovery.Watcher) config.Node {
+	next, restartNeeded, err := node.Reload(os.Getenv)
 	if err != nil {
-		logf("the new configuration is bad, the old one stays: %v", err)
-		return n
+		logf("configuration reload failed, keeping the former one: %v", err)
+		return node
 	}
 	debug.SetMemoryLimit(memoryLimit(next))
-	if next.Discovery != n.Discovery {
-		watch.SwitchTo(next.Discovery)
+	if next.Discovery != node.Discovery {
+		watcher.SwitchTo(next.Discovery)
 	}
-	if rest {
-		logf("configuration read again: what changed beside discovery and memory waits for the next start")
+	if restartNeeded {
+		logf("configuration reloaded: what changed beside discovery and memory waits for the next start")
 	} else {
-		logf("configuration read again")
+		logf("configuration reloaded")
 	}
 	return next
 }
 
-func memoryLimit(n config.Node) int64 { return int64(n.MemoryMB) << 20 * 3 / 4 }
+// memoryLimit is the runtime's soft limit in bytes: three quarters of the process's memory.
+func memoryLimit(node config.Node) int64 { return int64(node.MemoryMB) << 20 * 3 / 4 }
 
-func shortestAim(classes []balance.Class) time.Duration {
-	return slices.MinFunc(classes, func(c, o balance.Class) int { return cmp.Compare(c.Objective, o.Objective) }).Objective
+// shortestObjective is the shortest latency objective of the classes.
+func shortestObjective(classes []balance.Class) time.Duration {
+	return slices.MinFunc(classes, func(a, b balance.Class) int { return cmp.Compare(a.Objective, b.Objective) }).Objective
 }
--- a/internal/app/readiness.go
+++ b/internal/app/readiness.go
@@ -11,101 +11,117 @@
 	fronthealth "rooktrestle/internal/frontend/health"
 )
 
-// wordEvery is how often the mixer's own word is made: many times in the second within which it has to be true.
-const wordEvery = 50 * time.Millisecond
+const (
+	// readinessInterval is the time between two evaluations of the process's own readiness. It is short so that the
+	// report stays true within a second, as docs/health.md promises.
+	readinessInterval = 50 * time.Millisecond
+	// databaseRefreshInterval is how long the databases' snapshots are reused while no server's health changes.
+	databaseRefreshInterval = 500 * time.Millisecond
+)
 
-// word makes the mixer's own word from the core's facts. It lives on the loop.
-type word struct {
-	conf     *config.Partners
-	core     *aggregator.Core
-	evidence *evidence
-	judge    *readiness.Evaluator
-	teller   *fronthealth.Teller
-	draining bool
-	due      time.Time
-	memory   []metrics.Sample
-	bases    []readiness.DatabaseSnapshot
-	seen     uint64 // version of the evidence that they are of
-	looked   time.Time
-}
+// readinessPublisher evaluates the readiness of the aggregator itself and publishes it to the health listeners. It is
+// used on the loop only, as one of its adapters.
+type readinessPublisher struct {
+	conf      *config.Partners
+	core      *aggregator.Core
+	health    *healthTracker
+	evaluator *readiness.Evaluator
+	publisher *fronthealth.Teller
+	draining  bool
+	due       time.Time        // of the next evaluation
+	memory    []metrics.Sample // total and released bytes
 
-// lookAnyway is how long the databases' facts stand where no conclusion has changed.
-const lookAnyway = 500 * time.Millisecond
+	databases        []readiness.DatabaseSnapshot // reused between refreshes
+	databasesOf      uint64                       // version of the server health that they show
+	databasesTakenAt time.Time
+}
 
-func newWord(conf *config.Partners, core *aggregator.Core, e *evidence, teller *fronthealth.Teller) *word {
-	return &word{conf: conf, core: core, evidence: e, judge: readiness.New(readiness.DefaultConfig()), teller: teller,
-		memory: []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}}
+func newReadinessPublisher(conf *config.Partners, core *aggregator.Core, tracker *healthTracker, publisher *fronthealth.Teller) *readinessPublisher {
+	return &readinessPublisher{
+		conf: conf, core: core, health: tracker, evaluator: readiness.New(readiness.DefaultConfig()), publisher: publisher,
+		memory: []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}},
+	}
 }
 
-// Handle takes nothing.
-func (*word) Handle(time.Time, aggregator.Message) ([]aggregator.Event, bool) { return nil, false }
+// Handle accepts no message: readiness has a timer only.
+func (*readinessPublisher) Handle(time.Time, aggregator.Message) ([]aggregator.Event, bool) {
+	return nil, false
+}
 
-// Sweep makes the word when it is due.
-func (w *word) Sweep(now time.Time) ([]aggregator.Event, time.Time) {
-	if now.Before(w.due) {
-		return nil, w.due
+// Sweep publishes the readiness when it is due.
+func (p *readinessPublisher) Sweep(now time.Time) ([]aggregator.Event, time.Time) {
+	if now.Before(p.due) {
+		return nil, p.due
 	}
-	w.tell(now)
-	w.due = now.Add(wordEvery)
-	return nil, w.due
+	p.publish(now)
+	p.due = now.Add(readinessInterval)
+	return nil, p.due
 }
 
-// drain says from now on that queries should go elsewhere.
-func (w *word) drain(now time.Time) {
-	w.draining = true
-	w.tell(now)
+// startDraining publishes at once, and from now on, that queries should go to other instances.
+func (p *readinessPublisher) startDraining(now time.Time) {
+	p.draining = true
+	p.publish(now)
 }
 
-func (w *word) tell(now time.Time) {
-	metrics.Read(w.memory)
-	c := w.core.Counters
-	f := readiness.Snapshot{
-		Draining: w.draining, InFlight: w.core.Load(), MaxInFlight: w.conf.Limits.MaxOpen, Received: c.Received, Rejected: c.Rejected,
-		MemoryUsed: w.memory[0].Value.Uint64() - w.memory[1].Value.Uint64(), MemoryLimit: uint64(w.conf.Limits.MemoryMB) << 20,
+func (p *readinessPublisher) publish(now time.Time) {
+	metrics.Read(p.memory)
+	counters := p.core.Counters
+	snapshot := readiness.Snapshot{
+		Draining: p.draining, InFlight: p.core.Load(), MaxInFlight: p.conf.Limits.MaxOpen, Received: counters.Received, Rejected: counters.Rejected,
+		MemoryUsed: p.memory[0].Value.Uint64() - p.memory[1].Value.Uint64(), MemoryLimit: uint64(p.conf.Limits.MemoryMB) << 20,
 	}
-	if !w.due.IsZero() {
-		f.LoopLag = max(0, now.Sub(w.due))
+	if !p.due.IsZero() {
+		snapshot.LoopLag = max(0, now.Sub(p.due))
 	}
-	// To look at every block costs more than the rest: it is done when something changed, and now and then.
-	if w.bases == nil || w.seen != w.evidence.version || now.Sub(w.looked) >= lookAnyway {
-		w.bases, w.seen, w.looked = nil, w.evidence.version, now
-		for _, d := range w.conf.Databases {
-			w.bases = append(w.bases, w.base(d))
-		}
+	p.refreshDatabases(now)
+	snapshot.Databases = p.databases
+	p.publisher.Set(p.evaluator.Evaluate(now, snapshot))
+}
+
+// refreshDatabases takes the databases' snapshots anew after a change, and now and then: walking all shards costs more
+// than everything else in an evaluation.
+func (p *readinessPublisher) refreshDatabases(now time.Time) {
+	unchanged := p.databases != nil && p.databasesOf == p.health.version
+	if unchanged && now.Sub(p.databasesTakenAt) < databaseRefreshInterval {
+		return
+	}
+	p.databases, p.databasesOf, p.databasesTakenAt = nil, p.health.version, now
+	for _, database := range p.conf.Databases {
+		p.databases = append(p.databases, p.snapshotOf(database))
 	}
-	f.Databases = w.bases
-	w.teller.Set(w.judge.Evaluate(now, f))
 }
 
-func (w *word) base(d config.Database) readiness.DatabaseSnapshot {
-	search, correction := w.conf.ClassIndex(d.SearchClass), w.conf.ClassIndex(d.CorrectionClass)
-	b := readiness.DatabaseSnapshot{Name: d.Name, MinCoverage: w.conf.Classes[search].MinFraction}
-	if w.evidence.table.ChecksSuspect() {
-		b.Caveat = "checks are doubted"
+// snapshotOf counts the shards of a database and lists those without a usable replica.
+func (p *readinessPublisher) snapshotOf(database config.Database) readiness.DatabaseSnapshot {
+	search, correction := p.conf.ClassIndex(database.SearchClass), p.conf.ClassIndex(database.CorrectionClass)
+	snapshot := readiness.DatabaseSnapshot{Name: database.Name, MinCoverage: p.conf.Classes[search].MinFraction}
+	if p.health.table.ChecksSuspect() {
+		snapshot.Caveat = "checks are doubted"
 	}
-	look := func(block int) {
-		b.Shards++
-		if w.evidence.table.UsableReplicas(block, search) == 0 {
-			b.SearchUnavailable = append(b.SearchUnavailable, block)
+	add := func(shard int) {
+		snapshot.Shards++
+		if p.health.table.UsableReplicas(shard, search) == 0 {
+			snapshot.SearchUnavailable = append(snapshot.SearchUnavailable, shard)
 		}
-		if correction >= 0 && w.evidence.table.UsableReplicas(block, correction) == 0 {
-			b.CorrectionUnavailable = append(b.CorrectionUnavailable, block)
+		if correction >= 0 && p.health.table.UsableReplicas(shard, correction) == 0 {
+			snapshot.CorrectionUnavailable = append(snapshot.CorrectionUnavailable, shard)
 		}
 	}
-	if w.core.Resharding == nil {
-		for _, s := range d.Shards {
-			look(s)
+	if p.core.Resharding == nil {
+		for _, shard := range database.Shards {
+			add(shard)
 		}
-		return b
+		return snapshot
 	}
-	m := w.core.Resharding.Views.Current()
-	if m == nil {
-		b.Shards, b.SearchUnavailable, b.Caveat = 1, []int{0}, "there is no map of blocks yet"
-		return b
+	current := p.core.Resharding.Views.Current()
+	if current == nil {
+		snapshot.Shards, snapshot.SearchUnavailable, snapshot.Caveat = 1, []int{0}, "there is no map of blocks yet"
+		return snapshot
 	}
-	m.Active(func(k *shardmap.Shard) bool {
-		look(int(k.ID))
+	current.Active(func(shard *shardmap.Shard) bool {
+		add(int(shard.ID))
 		return true
 	})
-	return b
+	return snapshot
 }
--- /dev/null
+++ b/internal/app/servepartners.go
@@ -0,0 +1,58 @@
+package app
+
+import (
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"rooktrestle/internal/config"
+)
+
+// ServePartners serves an operator's file over SRU and Z39.50 until SIGTERM or SIGINT. SIGUSR1 logs the counters. SIGHUP
+// polls the shard map's source and checks the file, whose changes wait for the next start.
+func ServePartners(path string, log *slog.Logger) error {
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP) // from the start: an unhandled SIGHUP would end the program
+	conf, err := config.LoadPartners(path)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(conf.Limits.MemoryMB) << 20 * 3 / 4)
+	terminations, counterRequests := make(chan os.Signal, 2), make(chan os.Signal, 1)
+	signal.Notify(terminations, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(counterRequests, syscall.SIGUSR1)
+	deployment, err := StartPartners(conf, rand.Uint64(), log)
+	if err != nil {
+		return err
+	}
+	for running := true; running; {
+		select {
+		case <-reloads:
+			deployment.reload(path)
+		case <-counterRequests:
+			log.Info("counters", "report", deployment.CountersText())
+		case <-terminations:
+			running = false
+		}
+	}
+	log.Info("shutting down")
+	deployment.Stop(shutdownGrace)
+	log.Info("counters", "report", deployment.countersText()) // the loop has ended
+	return nil
+}
+
+// reload polls the shard map's source and reports whether the operator's file could be served.
+func (p *PartnersDeployment) reload(path string) {
+	if p.shardMaps != nil {
+		p.shardMaps.requestPoll()
+	}
+	if err := CheckPartners(io.Discard, path); err != nil {
+		p.log.Error("new configuration is invalid, keeping the former one", "err", err.Error())
+		return
+	}
+	p.log.Info("new configuration is valid, waits for the next start")
+}
--- a/internal/app/shardmaps.go
+++ b/internal/app/shardmaps.go
@@ -16,145 +16,174 @@
 	"rooktrestle/internal/state/atomicfile"
 )
 
-// askAgain is how long after an answer without news a source that may be late is asked again.
-const askAgain = 50 * time.Millisecond
-
-// maps bring maps of blocks to the core, and keep the last good one.
-type maps struct {
-	conf     *config.Partners
-	views    *shardmap.Views // on the loop
-	evidence *evidence
-	box      aggregator.Poster
-	log      *slog.Logger
-	wake     chan struct{}
-	epoch    atomic.Uint64 // adopted
-	present  atomic.Pointer[shardmap.Map]
-	newest   chan *shardmap.Map
-	kept     atomic.Uint64 // epoch that is kept
-	running  sync.WaitGroup
+const (
+	// mapRetryDelay is the time from an answer without a newer map to the next request, where the source may be behind.
+	mapRetryDelay = 50 * time.Millisecond
+	// mapMinInterval and mapMaxInterval bound the backoff between requests to an HTTP source.
+	mapMinInterval = 50 * time.Millisecond
+	mapMaxInterval = 5 * time.Second
+)
+
+// shardMaps brings shard maps from their source to the core, and persists the last adopted one. Its goroutines run from
+// start until the stop channel is closed; wait waits for them.
+type shardMaps struct {
+	conf    *config.Partners
+	views   *shardmap.Views // on the loop
+	health  *healthTracker  // on the loop
+	mailbox aggregator.Poster
+	log     *slog.Logger
+
+	poll           chan struct{} // has the source polled at once
+	adoptedEpoch   atomic.Uint64
+	current        atomic.Pointer[shardmap.Map] // the adopted map
+	toPersist      chan *shardmap.Map           // holds the newest map that is not persisted yet
+	persistedEpoch atomic.Uint64
+	running        sync.WaitGroup
 }
 
-func newMaps(conf *config.Partners, e *evidence, box aggregator.Poster, log *slog.Logger) (*maps, error) {
+func newShardMaps(conf *config.Partners, tracker *healthTracker, mailbox aggregator.Poster, log *slog.Logger) (*shardMaps, error) {
 	views, err := shardmap.NewViews(conf.ShardMap.Rules())
 	if err != nil {
 		return nil, err
 	}
-	return &maps{conf: conf, views: views, evidence: e, box: box, log: log, wake: make(chan struct{}, 1), newest: make(chan *shardmap.Map, 1)}, nil
+	return &shardMaps{
+		conf: conf, views: views, health: tracker, mailbox: mailbox, log: log,
+		poll: make(chan struct{}, 1), toPersist: make(chan *shardmap.Map, 1),
+	}, nil
 }
 
-func (m *maps) reshape() *aggregator.Resharding {
-	return &aggregator.Resharding{Views: m.views, RequestMap: m.ask, RequestMapSoon: func() { time.AfterFunc(askAgain, m.ask) }, Adopted: m.adopted, Rejected: func(source string, err error) {
-		m.log.Warn("map refused, the present one stays", "source", source, "err", err.Error())
-	}}
+// resharding is the core's side of the maps. Its functions are called on the loop and do not block.
+func (m *shardMaps) resharding() *aggregator.Resharding {
+	return &aggregator.Resharding{
+		Views:          m.views,
+		RequestMap:     m.requestPoll,
+		RequestMapSoon: func() { time.AfterFunc(mapRetryDelay, m.requestPoll) },
+		Adopted:        m.adopted,
+		Rejected: func(source string, err error) {
+			m.log.Warn("map refused, the present one stays", "source", source, "err", err.Error())
+		},
+	}
 }
 
-// ask has the source asked now.
-func (m *maps) ask() {
+// requestPoll has the source polled at once. It does not block.
+func (m *shardMaps) requestPoll() {
 	select {
-	case m.wake <- struct{}{}:
+	case m.poll <- struct{}{}:
 	default:
 	}
 }
 
-// adopted is called on the loop.
-func (m *maps) adopted(old, now *shardmap.Map) {
-	m.epoch.Store(uint64(now.Epoch))
-	m.present.Store(now)
-	m.evidence.mapped(m.evidence.table.Now(), old, now)
-	m.evidence.version++
-	m.box.Put(settle{})
-	was := shardmap.Epoch(0)
+// adopted takes a map that the core has adopted; old is nil for the first one. It runs on the loop.
+func (m *shardMaps) adopted(old, adopted *shardmap.Map) {
+	m.adoptedEpoch.Store(uint64(adopted.Epoch))
+	m.current.Store(adopted)
+	m.health.shardMapAdopted(m.health.table.Now(), old, adopted)
+	m.health.version++
+	m.mailbox.Put(evaluateHealth{})
+	previous := shardmap.Epoch(0)
 	if old != nil {
-		was = old.Epoch
+		previous = old.Epoch
 	}
-	m.log.Info("map adopted", "epoch", uint64(now.Epoch), "was", uint64(was), "blocks", now.ActiveCount(), "listed", now.TotalCount())
+	m.log.Info("map adopted", "epoch", uint64(adopted.Epoch), "previous", uint64(previous),
+		"shards", adopted.ActiveCount(), "listed", adopted.TotalCount())
 	if m.conf.ShardMap.CachePath == "" {
 		return
 	}
-	select { // only the newest is kept
-	case <-m.newest:
+	select { // replace a map that has not been persisted yet
+	case <-m.toPersist:
 	default:
 	}
-	m.newest <- now
+	m.toPersist <- adopted
 }
 
-// run starts what brings maps and what keeps them.
-func (m *maps) run(stop <-chan struct{}) {
-	b := m.conf.ShardMap
-	if b.CachePath != "" {
-		box := atomicfile.New(atomicfile.OS{}, b.CachePath)
-		m.load(box)
-		m.running.Add(1)
-		go func() {
-			defer m.running.Done()
-			m.store(box, stop)
-		}()
-	}
-	m.running.Add(1)
-	go func() {
-		defer m.running.Done()
-		if b.File != "" {
-			(&shardmapsource.File{Path: b.File, Interval: b.PollInterval.Duration, Put: m.take, Wake: m.wake}).Run(stop)
-			return
-		}
-		(&shardmapsource.HTTP{Addr: b.Source, Wait: b.LongPollTimeout.Duration, MinInterval: 50 * time.Millisecond, MaxInterval: 5 * time.Second, Put: m.take, CurrentEpoch: m.epoch.Load,
-			Wake: m.wake, Dial: tcp.Dial}).Run(stop)
-	}()
+// start offers the persisted map and starts the goroutines that poll the source and persist maps.
+func (m *shardMaps) start(stop <-chan struct{}) {
+	if path := m.conf.ShardMap.CachePath; path != "" {
+		file := atomicfile.New(atomicfile.OS{}, path)
+		m.offerPersisted(file)
+		m.running.Go(func() { m.persist(file, stop) })
+	}
+	m.running.Go(func() { m.pollSource(stop) })
 }
 
-// take reads what a source told, off the loop.
-func (m *maps) take(t shardmapsource.Update) {
-	e := aggregator.ShardMapOffered{Source: t.Source, Err: t.Err}
-	if t.Err == nil && t.Text != nil {
-		e.Map, e.Err = shardmap.Parse(t.Text)
-		if e.Err == nil && e.Map.Archive != m.conf.ShardMap.Archive {
-			e.Map, e.Err = nil, fmt.Errorf("%w: %q, and not %q", shardmap.ErrOtherArchive, e.Map.Archive, m.conf.ShardMap.Archive)
-		}
-		if e.Err == nil {
-			e.Map = e.Map.ShareWith(m.present.Load()) // the loop looks at what changes only
-		}
+// wait waits until the goroutines have ended.
+func (m *shardMaps) wait() { m.running.Wait() }
+
+// pollSource polls the source until stop is closed.
+func (m *shardMaps) pollSource(stop <-chan struct{}) {
+	settings := m.conf.ShardMap
+	if settings.File != "" {
+		source := &shardmapsource.File{Path: settings.File, Interval: settings.PollInterval.Duration, Put: m.offer, Wake: m.poll}
+		source.Run(stop)
+		return
+	}
+	source := &shardmapsource.HTTP{
+		Addr: settings.Source, Wait: settings.LongPollTimeout.Duration, MinInterval: mapMinInterval, MaxInterval: mapMaxInterval,
+		Put: m.offer, CurrentEpoch: m.adoptedEpoch.Load, Wake: m.poll, Dial: tcp.Dial,
+	}
+	source.Run(stop)
+}
+
+// offer parses what a source has sent, off the loop, and posts it to the core, which adopts or rejects it.
+func (m *shardMaps) offer(update shardmapsource.Update) {
+	offered := aggregator.ShardMapOffered{Source: update.Source, Err: update.Err}
+	if update.Err == nil && update.Text != nil {
+		offered.Map, offered.Err = m.parse(update.Text)
+	}
+	m.mailbox.Put(offered)
+}
+
+// parse reads a map of the configured archive. The result shares its unchanged shards with the current map, so that the
+// loop looks at changes only.
+func (m *shardMaps) parse(text []byte) (*shardmap.Map, error) {
+	parsed, err := shardmap.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	if parsed.Archive != m.conf.ShardMap.Archive {
+		return nil, fmt.Errorf("%w: %q, and not %q", shardmap.ErrOtherArchive, parsed.Archive, m.conf.ShardMap.Archive)
 	}
-	m.box.Put(e)
+	return parsed.ShareWith(m.current.Load()), nil
 }
 
-// load offers the map that is kept, before any source has spoken. An older one from a source is refused then.
-func (m *maps) load(box *atomicfile.ValueFile) {
-	text, err := box.Load()
+// offerPersisted offers the persisted map before any source has answered. An older map from a source is rejected then.
+func (m *shardMaps) offerPersisted(file *atomicfile.ValueFile) {
+	text, err := file.Load()
 	if errors.Is(err, atomicfile.ErrNotExist) {
 		return
 	}
 	if err != nil {
-		m.log.Warn("the kept map is of no use", "err", err.Error())
+		m.log.Warn("persisted map is unusable", "err", err.Error())
 		return
 	}
-	m.take(shardmapsource.Update{Source: "kept " + m.conf.ShardMap.CachePath, Text: text})
+	m.offer(shardmapsource.Update{Source: "kept " + m.conf.ShardMap.CachePath, Text: text})
 }
 
-// store keeps each map that is adopted, but for those that a newer one overtakes. A disk that is slow or full delays
-// nobody.
-func (m *maps) store(box *atomicfile.ValueFile, stop <-chan struct{}) {
+// persist stores adopted maps until stop is closed; one that a newer map has replaced in the meantime is skipped. A slow
+// or full disk delays nothing else.
+func (m *shardMaps) persist(file *atomicfile.ValueFile, stop <-chan struct{}) {
 	for {
 		select {
 		case <-stop:
 			return
-		case now := <-m.newest:
-			if err := box.Store(now.Encode()); err != nil {
-				m.log.Warn("the map is not kept", "epoch", uint64(now.Epoch), "err", err.Error())
+		case adopted := <-m.toPersist:
+			if err := file.Store(adopted.Encode()); err != nil {
+				m.log.Warn("map not persisted", "epoch", uint64(adopted.Epoch), "err", err.Error())
 				continue
 			}
-			m.kept.Store(uint64(now.Epoch))
+			m.persistedEpoch.Store(uint64(adopted.Epoch))
 		}
 	}
 }
 
-// counters are told on the loop; of no maps they are nothing.
-func (m *maps) counters() string {
+// counters is the maps' part of the counters' text, empty without maps (nil). It runs on the loop, or after its end.
+func (m *shardMaps) counters() string {
 	if m == nil {
 		return ""
 	}
 	epochs, queries := m.views.Pinned()
-	s := m.views.Stats
+	stats := m.views.Stats
 	return fmt.Sprintf("; map: epoch %d, kept %d, adopted %d, over gaps %d, older %d, refused %d, pinned epochs %d by %d queries (most %d), left %d, "+
-		"queries begun anew %d, held %d, lies %d", m.epoch.Load(), m.kept.Load(), s.Accepted, s.Gaps, s.Stale, s.Rejected, epochs, queries, s.MaxPinnedEpochs, s.Expired,
-		s.Restarts, s.Waits, s.FalseRejections)
+		"queries begun anew %d, held %d, lies %d", m.adoptedEpoch.Load(), m.persistedEpoch.Load(), stats.Accepted, stats.Gaps, stats.Stale,
+		stats.Rejected, epochs, queries, stats.MaxPinnedEpochs, stats.Expired, stats.Restarts, stats.Waits, stats.FalseRejections)
 }
--- a/internal/config/checks.go
+++ b/internal/config/checks.go
@@ -120,7 +120,7 @@
 		name, addr string
 		n          int
 	}{{"sru", p.Listen.SRU, p.Listen.Share.SRU}, {"z3950", p.Listen.Z3950, p.Listen.Share.Z3950},
-		{"health", p.Listen.HealthConfig, p.Listen.Share.Health}, {"agent", p.Listen.Agent, p.Listen.Share.Agent}} {
+		{"health", p.Listen.Health, p.Listen.Share.Health}, {"agent", p.Listen.Agent, p.Listen.Share.Agent}} {
 		if l.addr == "" {
 			continue
 		}
--- a/internal/config/partners.go
+++ b/internal/config/partners.go
@@ -32,10 +32,10 @@
 type Partners struct {
 	Name   string `toml:"name"`
 	Listen struct {
-		SRU          string `toml:"sru"`
-		Z3950        string `toml:"z3950"`
-		HealthConfig string `toml:"health"` // HTTP
-		Agent        string `toml:"agent"`  // agent-check
+		SRU    string `toml:"sru"`
+		Z3950  string `toml:"z3950"`
+		Health string `toml:"health"` // HTTP
+		Agent  string `toml:"agent"`  // agent-check
 		// AgentWait is how long an agent-check may take to name a database (agent-send) before it is answered for
 		// the mixer as a whole; 0: none does.
 		AgentWait Duration     `toml:"agent_wait"`
