Split the configuration by concern: sockets, health checks, health rules, shard map, validation

Each concern has a file now, with its defaults and its validation; Problem carries the key beside file, line and reason; the JSON of the platform's configuration is a type. Error texts, keys, defaults and the order of checks are as before.

--- a/internal/app/shardmaps.go
+++ b/internal/app/shardmaps.go
@@ -42,7 +42,7 @@
 }
 
 func newShardMaps(conf *config.Partners, tracker *healthTracker, mailbox aggregator.Poster, log *slog.Logger) (*shardMaps, error) {
-	views, err := shardmap.NewViews(conf.ShardMap.Rules())
+	views, err := shardmap.NewViews(conf.ShardMap.ViewOptions())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -12,7 +12,8 @@
 	"rooktrestle/balance"
 )
 
-func TestTheExampleCanBeServed(t *testing.T) {
+// The example of the deploy directory is valid, and so are the settings that follow from it.
+func TestLoadPartners_Example(t *testing.T) {
 	p, err := LoadPartners("../../deploy/partners.toml")
 	if err != nil {
 		t.Fatal(err)
@@ -27,120 +28,136 @@
 	}
 }
 
-// Each bad file is refused with its line and the reason, in one line of text for each thing that is wrong.
-func TestBadFilesAreNamed(t *testing.T) {
-	good, err := os.ReadFile("../../deploy/partners.toml")
+// writeFile writes a file of the test's own directory and returns its path.
+func writeFile(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "f.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// An invalidEdit makes a valid file invalid.
+type invalidEdit struct {
+	old, new string
+	want     string // in the error
+	// The problem's line, relative to that of the edit; or of some line of the file, where the edited key is missing
+	// then, or where several keys contradict each other.
+	lineOffset int
+	someLine   bool
+}
+
+// Each invalid file is rejected with the line and the reason, all on one line of text.
+func TestLoadPartners_InvalidFile_NamesLineAndReason(t *testing.T) {
+	valid, err := os.ReadFile("../../deploy/partners.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, c := range []struct{ old, new, want string }{
-		{`unsafe = true`, ``, "not unsafe"}, // a correction must not be of a class that may run twice
-		{`shards = [0, 1, 2, 3]`, `shards = [0, 9]`, "shard 9"},
-		{`shards = [0, 1, 2, 3]`, `shards = [0, 0]`, "shard 0"},
-		{`search = "line-search"`, `search = "nothing"`, `"nothing"`},
-		{`tenant = "national-tv"`, `tenant = "nobody"`, `"nobody"`},
-		{`protocol = "sru"`, `protocol = "gopher"`, `"node-a"`},
-		{`id = "node-b"`, `id = "node-a"`, `"node-a"`},
-		{`reach = 2`, `reach = 9`, "reach"},
-		{`zone = 0  `, `zoom = 0  `, "zoom"},
-		{`aim = "2.5s"`, `aim = "soon"`, "soon"},
-		{`aim = "2.5s"`, `aim = "9s"`, "before aim"},
-		{`deadline = "7.5s"`, `deadline = "-1s"`, "negative"},
-		{`max_open = 115`, `max_open = -1`, "max_open"},
-		{`max_open = 115`, `max_open = "many"`, "max_open"},
-		{`floor = 0.5`, `floor = 1.5`, "floor"},
-		{`sru = "127.0.0.1:8210"`, `sru = "8210"`, "host:port"},
-		{`addr = "127.0.0.1:9001"`, `addr = "nowhere"`, "host:port"},
-		{`sru = 200`, `sru = 2000`, "shares come to"},
-		{`agent_wait = "50ms"`, `agent_wait = "5s"`, "at most 1s"},
-		{`at_once = 64`, `at_once = 1`, "checks.at_once must be at least 2"},
-		{`at_once = 64`, `at_once = 600`, "a quarter"},
-		{`per_second = 200`, `per_second = 1`, "come to"},
-		{`jitter = 0.1`, `jitter = 0.9`, "jitter"},
-		{`kind = "http"`, `kind = "gopher"`, `kind "gopher"`},
-		{`path = "/healthz"`, `path = "healthz"`, "begin with /"},
-		{`expect = "200-299"`, `expect = "299-200"`, "299-200"},
-		{`drain = "404"`, `drain = "all"`, "drain"},
-		{`match = "^(up|ok)"`, `match = "("`, "match"},
-		{`slow = "5s"`, `slow = "1s"`, "shorter than every"},
-		{`fast = "250ms"`, `fast = "1h"`, "longer than every"},
-		{`timeout = "500ms"`, `timeout = "2m"`, "at most 1m"},
-		{`valid = "15s"`, `valid = "1s"`, "would end before the next"},
-		{`silence = "ignore"`, `silence = "loud"`, "ignore or down"},
-		{`kind = "z3950"`, `kind = "grpc"`, "grpc_bridge"},
-		{`checks = ["init"]`, `checks = ["inti"]`, `"inti" is not there`},
-		{`checks = ["init"]`, `checks = ["init", "init"]`, "stands twice"},
-		{`name = "init"`, `name = "http-node"`, "stands twice"},
-		{`panic = 0.5`, `panic = 1.5`, "panic"},
-		{`eject_most = 0.5`, `eject_most = 1.0`, "a block keeps a holder"},
+	for _, edit := range []invalidEdit{
+		{old: `unsafe = true`, new: ``, want: "not unsafe", someLine: true}, // a correction must not be of a class that may run twice
+		{old: `shards = [0, 1, 2, 3]`, new: `shards = [0, 9]`, want: "shard 9"},
+		{old: `shards = [0, 1, 2, 3]`, new: `shards = [0, 0]`, want: "shard 0"},
+		{old: `search = "line-search"`, new: `search = "nothing"`, want: `"nothing"`},
+		{old: `tenant = "national-tv"`, new: `tenant = "nobody"`, want: `"nobody"`},
+		{old: `protocol = "sru"`, new: `protocol = "gopher"`, want: `"node-a"`},
+		{old: `id = "node-b"`, new: `id = "node-a"`, want: `"node-a"`},
+		{old: `reach = 2`, new: `reach = 9`, want: "reach"},
+		{old: `zone = 0  `, new: `zoom = 0  `, want: "zoom"},
+		{old: `aim = "2.5s"`, new: `aim = "soon"`, want: "soon"},
+		{old: `aim = "2.5s"`, new: `aim = "9s"`, want: "before aim", lineOffset: 1},
+		{old: `deadline = "7.5s"`, new: `deadline = "-1s"`, want: "negative"},
+		{old: `max_open = 115`, new: `max_open = -1`, want: "max_open"},
+		{old: `max_open = 115`, new: `max_open = "many"`, want: "max_open"},
+		{old: `floor = 0.5`, new: `floor = 1.5`, want: "floor"},
+		{old: `sru = "127.0.0.1:8210"`, new: `sru = "8210"`, want: "host:port"},
+		{old: `addr = "127.0.0.1:9001"`, new: `addr = "nowhere"`, want: "host:port"},
+		{old: `sru = 200`, new: `sru = 2000`, want: "shares come to", someLine: true},
+		{old: `agent_wait = "50ms"`, new: `agent_wait = "5s"`, want: "at most 1s"},
+		{old: `at_once = 64`, new: `at_once = 1`, want: "checks.at_once must be at least 2"},
+		{old: `at_once = 64`, new: `at_once = 600`, want: "a quarter"},
+		{old: `per_second = 200`, new: `per_second = 1`, want: "come to"},
+		{old: `jitter = 0.1`, new: `jitter = 0.9`, want: "jitter"},
+		{old: `kind = "http"`, new: `kind = "gopher"`, want: `kind "gopher"`},
+		{old: `path = "/healthz"`, new: `path = "healthz"`, want: "begin with /"},
+		{old: `expect = "200-299"`, new: `expect = "299-200"`, want: "299-200"},
+		{old: `drain = "404"`, new: `drain = "all"`, want: "drain"},
+		{old: `match = "^(up|ok)"`, new: `match = "("`, want: "match"},
+		{old: `slow = "5s"`, new: `slow = "1s"`, want: "shorter than every"},
+		{old: `fast = "250ms"`, new: `fast = "1h"`, want: "longer than every"},
+		{old: `timeout = "500ms"`, new: `timeout = "2m"`, want: "at most 1m"},
+		{old: `valid = "15s"`, new: `valid = "1s"`, want: "would end before the next"},
+		{old: `silence = "ignore"`, new: `silence = "loud"`, want: "ignore or down"},
+		{old: `kind = "z3950"`, new: `kind = "grpc"`, want: "grpc_bridge"},
+		{old: `checks = ["init"]`, new: `checks = ["inti"]`, want: `"inti" is not there`},
+		{old: `checks = ["init"]`, new: `checks = ["init", "init"]`, want: "stands twice", someLine: true},
+		{old: `name = "init"`, new: `name = "http-node"`, want: "stands twice", someLine: true},
+		{old: `panic = 0.5`, new: `panic = 1.5`, want: "panic", lineOffset: -1},
+		{old: `eject_most = 0.5`, new: `eject_most = 1.0`, want: "a block keeps a holder", someLine: true},
 	} {
-		if !strings.Contains(string(good), c.old) {
-			t.Errorf("%q is not in the example", c.old)
-			continue
-		}
-		path := filepath.Join(t.TempDir(), "f.toml")
-		bad := strings.Replace(string(good), c.old, c.new, 1)
-		os.WriteFile(path, []byte(bad), 0o600)
-		_, err := LoadPartners(path)
-		var ps Problems
-		if !errors.As(err, &ps) || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
-			t.Errorf("%s: %v, want %s", c.new, err, c.want)
-			continue
-		}
-		// The line is that of the change, or of the table from which something is gone, or which it no longer fits.
-		line := 1 + strings.Count(string(good)[:strings.Index(string(good), c.old)], "\n")
-		named := false
-		for _, p := range ps {
-			named = named || p.File == path && (p.Line == line || c.new == "" || strings.Contains(p.Reason, "stands twice") && p.Line > 0 ||
-				strings.Contains(p.Reason, "shares come to") && p.Line > 0 || strings.Contains(p.Reason, "no name, or") && p.Line > 0 ||
-				strings.Contains(p.Reason, "before aim") && p.Line == line+1 || strings.Contains(p.Reason, "a quarter") && p.Line == line ||
-				c.want == "panic" && p.Line == line-1 || strings.Contains(c.want, "a holder") && p.Line > 0)
-		}
-		if !named {
-			t.Errorf("%s: %v, want line %d", c.new, err, line)
+		t.Run(edit.old+" becomes "+edit.new, func(t *testing.T) { checkInvalidEdit(t, string(valid), edit) })
+	}
+}
+
+func checkInvalidEdit(t *testing.T, valid string, edit invalidEdit) {
+	t.Helper()
+	before, _, found := strings.Cut(valid, edit.old)
+	if !found {
+		t.Fatalf("%q is not in the example", edit.old)
+	}
+	path := writeFile(t, strings.Replace(valid, edit.old, edit.new, 1))
+	_, err := LoadPartners(path)
+	var problems Problems
+	if !errors.As(err, &problems) || !strings.Contains(err.Error(), edit.want) || strings.Contains(err.Error(), "\n") {
+		t.Fatalf("%v, want %s", err, edit.want)
+	}
+	line := 1 + strings.Count(before, "\n") + edit.lineOffset
+	for _, problem := range problems {
+		if problem.File == path && (problem.Line == line || edit.someLine && problem.Line > 0) {
+			return
 		}
 	}
+	t.Errorf("%v, want line %d", err, line)
 }
 
-// The same for a file whose blocks come from a map.
-func TestBadBlocksAreNamed(t *testing.T) {
-	good, err := os.ReadFile("../../deploy/blocks.toml")
+// The same for a file with a shard map.
+func TestLoadPartners_InvalidShardMapSource_NamesLineAndReason(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/blocks.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
 	if p, err := LoadPartners("../../deploy/blocks.toml"); err != nil || !p.ShardMap.Enabled() || p.Decisions(1).Cells != 1 {
 		t.Fatal(err)
 	}
-	for _, c := range []struct{ old, new, want string }{
-		{`archive = "captions" `, `#`, "archive"},
-		{`source = "127.0.0.1:8600" `, `source = "nowhere" #`, "host:port"},
-		{`source = "127.0.0.1:8600" `, `source = "127.0.0.1:8600"` + "\nfile = \"x\" #", "not both"},
-		{`source = "127.0.0.1:8600" `, `#`, "neither file nor source"},
-		{`pinned = 8 `, `pinned = -1 #`, "most_pinned"},
-		{`pinned_for = "9.5s" `, `pinned_for = "2s" #`, "shorter than the longest deadline"},
-		{`wait = "10s" `, `wait = "10m" #`, "at most 1m"},
-		{`cold_from = 0.28 `, `cold_from = 1.5 #`, "cold_from"},
-		{`name = "captions" `, `name = "captions"` + "\nshards = [0] #", "names no shards"},
-		{`[blocks]`, "[shards]\ncount = 1\ncells = 1\nreach = 1\n[blocks]", "only one of them"},
+	valid := string(text)
+	for _, edit := range []invalidEdit{
+		{old: `archive = "captions" `, new: `#`, want: "archive"},
+		{old: `source = "127.0.0.1:8600" `, new: `source = "nowhere" #`, want: "host:port"},
+		{old: `source = "127.0.0.1:8600" `, new: `source = "127.0.0.1:8600"` + "\nfile = \"x\" #", want: "not both"},
+		{old: `source = "127.0.0.1:8600" `, new: `#`, want: "neither file nor source"},
+		{old: `pinned = 8 `, new: `pinned = -1 #`, want: "most_pinned"},
+		{old: `pinned_for = "9.5s" `, new: `pinned_for = "2s" #`, want: "shorter than the longest deadline"},
+		{old: `wait = "10s" `, new: `wait = "10m" #`, want: "at most 1m"},
+		{old: `cold_from = 0.28 `, new: `cold_from = 1.5 #`, want: "cold_from"},
+		{old: `name = "captions" `, new: `name = "captions"` + "\nshards = [0] #", want: "names no shards"},
+		{old: `[blocks]`, new: "[shards]\ncount = 1\ncells = 1\nreach = 1\n[blocks]", want: "only one of them"},
 	} {
-		if !strings.Contains(string(good), c.old) {
-			t.Errorf("%q is not in the example", c.old)
-			continue
-		}
-		path := filepath.Join(t.TempDir(), "f.toml")
-		os.WriteFile(path, []byte(strings.Replace(string(good), c.old, c.new, 1)), 0o600)
-		_, err := LoadPartners(path)
-		var ps Problems
-		if !errors.As(err, &ps) || ps[0].Line == 0 || !strings.Contains(err.Error(), c.want) {
-			t.Errorf("%s: %v, want %s", c.new, err, c.want)
-		}
+		t.Run(edit.old+" becomes "+edit.new, func(t *testing.T) {
+			if !strings.Contains(valid, edit.old) {
+				t.Fatalf("%q is not in the example", edit.old)
+			}
+			_, err := LoadPartners(writeFile(t, strings.Replace(valid, edit.old, edit.new, 1)))
+			var problems Problems
+			if !errors.As(err, &problems) || problems[0].Line == 0 || !strings.Contains(err.Error(), edit.want) {
+				t.Errorf("%v, want %s", err, edit.want)
+			}
+		})
 	}
 }
 
-// A file with several faults names them all, in the order of its lines.
-func TestAllFaultsAreNamed(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "f.toml")
-	os.WriteFile(path, []byte("[listen]\nsru = \"x\"\n[shards]\ncount = 0\ncells = 1\nreach = 1\n[[server]]\nid = \"a\"\n"), 0o600)
+// The problems of a file are all reported, in the order of its lines.
+func TestLoadPartners_SeveralProblems_InOrderOfLines(t *testing.T) {
+	path := writeFile(t, "[listen]\nsru = \"x\"\n[shards]\ncount = 0\ncells = 1\nreach = 1\n[[server]]\nid = \"a\"\n")
 	_, err := LoadPartners(path)
 	var ps Problems
 	if !errors.As(err, &ps) || len(ps) < 6 {
@@ -156,8 +173,8 @@
 	}
 }
 
-// What a server's own keys stand for, and what is added where nothing asks whether it is there.
-func TestImpliedChecks(t *testing.T) {
+// A server's own keys imply checks; a server without a check of its reachability gets one of the connection.
+func TestLoadPartners_ImpliedChecks(t *testing.T) {
 	p, err := LoadPartners("../../deploy/partners.toml")
 	if err != nil {
 		t.Fatal(err)
@@ -185,7 +202,7 @@
 	}
 }
 
-func TestNode(t *testing.T) {
+func TestParseNode(t *testing.T) {
 	text := `{"name":"n3","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964","limits":{"cores":1.5,"memory_mb":100,"sockets":50},
 		"settings":{"classes":[{"name":"a","aim":1000000,"credit":1,"deadline":2000000,"effect":"safe"}],
 		"extra":{"cells":1,"class_floor":[1],"follow_up":[0],"in_a_row":1,"incomplete_worth":[1],"need_by_class":[1],"per_call":3,"slices":1},
@@ -199,17 +216,16 @@
 		d.ConnIdle != 15*time.Second || d.Decisions.MaxCallParts != 3 {
 		t.Errorf("%+v", n)
 	}
-	// Clients are told when to come back though the simulator would not forward it.
+	// Clients get Retry-After though the simulator would not forward it.
 	if d.Decisions.MaxRetryAfter != time.Second {
-		t.Errorf("advice of %v at most", d.Decisions.MaxRetryAfter)
+		t.Errorf("Retry-After of at most %v", d.Decisions.MaxRetryAfter)
 	}
 	for _, bad := range []string{"", "{}", `{"settings":{"classes":[{"effect":"odd"}],"extra":{"class_floor":[1],"follow_up":[0],"incomplete_worth":[1],"need_by_class":[1]}}}`} {
 		if _, err := ParseNode([]byte(bad)); err == nil {
-			t.Errorf("%q was taken", bad)
+			t.Errorf("%q was accepted", bad)
 		}
 	}
-	path := filepath.Join(t.TempDir(), "c.json")
-	os.WriteFile(path, []byte(text), 0o600)
+	path := writeFile(t, text)
 	env := map[string]string{"NODE_CONFIG": path, "NODE_LISTEN": "127.0.0.1:9"}
 	if n, err := LoadNode(func(k string) string { return env[k] }); err != nil || n.Listen != "127.0.0.1:9" || n.Discovery != "127.0.0.1:2" {
 		t.Error(n, err)
--- /dev/null
+++ b/internal/config/healthrules.go
@@ -0,0 +1,79 @@
+package config
+
+import (
+	"time"
+
+	"rooktrestle/internal/control/health"
+)
+
+// HealthRules are the parameters by which evidence on servers is merged, as docs/health.md explains them. Zero: the
+// default of health.Rules.
+type HealthRules struct {
+	PanicThreshold     float64  `toml:"panic"`
+	MaxEjectedFraction float64  `toml:"eject_most"`
+	EjectFailureRate   float64  `toml:"eject_share"`
+	MinOutcomes        float64  `toml:"eject_from"`
+	OutcomeHalfLife    Duration `toml:"half_life"`
+	AnswerValidity     Duration `toml:"fresh"`
+	HalfOpenDelay      Duration `toml:"trial_first"`
+	MaxHalfOpenDelay   Duration `toml:"trial_most"`
+	ReturnSuccesses    int      `toml:"return"`
+	RecoveryRamp       Duration `toml:"ramp"`
+	FlapSuppress       float64  `toml:"flap_most"`
+	WeightRiseTime     Duration `toml:"weight_step"`
+}
+
+// maxClasses is the number of classes that fit into the bit sets of health rules.
+const maxClasses = 63
+
+// HealthRules are the rules of the health table: the defaults, with what the file sets.
+func (p *Partners) HealthRules() health.Rules {
+	nonIdempotent := uint64(0)
+	for i, class := range p.Classes {
+		if class.NonIdempotent {
+			nonIdempotent |= 1 << i
+		}
+	}
+	rules, configured := health.Defaults(len(p.Classes), nonIdempotent), p.HealthConfig
+	override(&rules.PanicThreshold, configured.PanicThreshold)
+	override(&rules.MaxEjectedFraction, configured.MaxEjectedFraction)
+	override(&rules.EjectFailureRate, configured.EjectFailureRate)
+	override(&rules.MinOutcomes, configured.MinOutcomes)
+	override(&rules.FlapSuppress, configured.FlapSuppress)
+	override(&rules.OutcomeHalfLife, configured.OutcomeHalfLife.Duration)
+	override(&rules.AnswerValidity, configured.AnswerValidity.Duration)
+	override(&rules.HalfOpenDelay, configured.HalfOpenDelay.Duration)
+	override(&rules.MaxHalfOpenDelay, configured.MaxHalfOpenDelay.Duration)
+	override(&rules.RecoveryRamp, configured.RecoveryRamp.Duration)
+	override(&rules.WeightRiseTime, configured.WeightRiseTime.Duration)
+	override(&rules.ReturnSuccesses, configured.ReturnSuccesses)
+	return rules
+}
+
+// override sets a value to a configured one, unless that is zero.
+func override[T comparable](value *T, configured T) {
+	var zero T
+	if configured != zero {
+		*value = configured
+	}
+}
+
+func (p *Partners) validateHealthRules(v *validator) {
+	if len(p.Classes) == 0 || len(p.Classes) > maxClasses {
+		return // a problem of its own
+	}
+	if _, err := health.New(p.HealthRules(), nil, time.Unix(0, 0)); err != nil {
+		v.addf("health", "%v", err)
+	}
+}
+
+// HealthSources are the check profiles as the health table's sources of evidence, by their index.
+func (p *Partners) HealthSources() (sources []health.CheckConfig) {
+	for _, profile := range p.CheckProfiles {
+		sources = append(sources, health.CheckConfig{
+			Name: profile.Name, Fall: profile.Fall, Rise: profile.Rise, Validity: profile.ResultTTL.Duration,
+			IgnoreFailures: profile.NoResult == noResultIgnored,
+		})
+	}
+	return sources
+}
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -1,5 +1,5 @@
-// Package config reads what a mixer is told, at its start and again: the platform's configuration, and the operator's
-// file of the second front.
+// Package config reads the aggregator's configuration: the platform's (Node), and an operator's file for SRU and Z39.50
+// (Partners).
 package config
 
 import (
@@ -17,26 +17,34 @@
 	"rooktrestle/internal/settings"
 )
 
-// Node is the platform's configuration of one mixer.
+// Defaults of the platform's limits.
+const (
+	defaultCores    = 1
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+)
+
+// Node is the platform's configuration of one aggregator. It is a value; its slices are not changed.
 type Node struct {
 	Name             string
-	Listen           string
-	Discovery        string
-	Seed             uint64
+	Listen           string // host:port
+	Discovery        string // host:port
+	Seed             uint64 // of all random draws
 	Cores            float64
 	MemoryMB         int
 	Sockets          int
-	InitialEndpoints json.RawMessage
-	PeerListen       string   // where words of other mixers come in; empty: none do
-	Peers            []string // where each mixer of the tier sends from, this one included
-	PeerBroadcast    string   // reaches all of them
+	InitialEndpoints json.RawMessage // endpoint list to serve from before discovery answers; empty: none
+	PeerListen       string          // where gossip of the other instances arrives; empty: none does
+	Peers            []string        // from where each instance of the fleet sends, this one included
+	PeerBroadcast    string          // reaches all instances
 	Deployment       settings.Deployment
 
-	stated string // the file's word on discovery
-	text   []byte // and on the settings
+	fileDiscovery string // discovery as the file has it
+	fileSettings  []byte // and the settings
 }
 
-// LoadNode reads the file that NODE_CONFIG names; the other variables win over it.
+// LoadNode reads the file that NODE_CONFIG names. NODE_NAME, NODE_LISTEN and NODE_DISCOVERY override it. env is
+// os.Getenv, or a test's.
 func LoadNode(env func(string) string) (Node, error) {
 	path := env("NODE_CONFIG")
 	if path == "" {
@@ -46,120 +54,127 @@
 	if err != nil {
 		return Node{}, fmt.Errorf("NODE_CONFIG: %w", err)
 	}
-	n, err := ParseNode(text)
+	node, err := ParseNode(text)
 	if err != nil {
-		return n, fmt.Errorf("%s: %w", path, err)
+		return node, fmt.Errorf("%s: %w", path, err)
 	}
-	for name, field := range map[string]*string{"NODE_NAME": &n.Name, "NODE_LISTEN": &n.Listen, "NODE_DISCOVERY": &n.Discovery} {
-		if v := env(name); v != "" {
-			*field = v
+	for name, field := range map[string]*string{"NODE_NAME": &node.Name, "NODE_LISTEN": &node.Listen, "NODE_DISCOVERY": &node.Discovery} {
+		if value := env(name); value != "" {
+			*field = value
 		}
 	}
-	if n.Listen == "" || n.Discovery == "" {
-		return n, errors.New("the configuration names no address to listen on, or no discovery")
+	if node.Listen == "" || node.Discovery == "" {
+		return node, errors.New("the configuration names no address to listen on, or no discovery")
 	}
-	return n, nil
+	return node, nil
 }
 
-// Reload reads the file that NODE_CONFIG names once more and returns what a running mixer goes on with: a new
-// address of discovery and a new limit on memory. The file wins over NODE_DISCOVERY once it names another
-// address than before, as the variables of a running program cannot change. rest says whether there are
-// changes that only a start takes up.
-func (n Node) Reload(env func(string) string) (next Node, rest bool, err error) {
-	at, err := LoadNode(env)
+// Reload reads the file that NODE_CONFIG names once more, and returns the configuration with what can change in a running
+// process: the address of discovery, and the memory limit. The file overrides NODE_DISCOVERY once it names another
+// address than before, as the environment of a running process cannot change. restartNeeded says whether the file has
+// changes that only a start applies.
+func (n Node) Reload(env func(string) string) (next Node, restartNeeded bool, err error) {
+	loaded, err := LoadNode(env)
 	if err != nil {
 		return n, false, err
 	}
 	next = n
-	next.MemoryMB = at.MemoryMB
-	if at.stated != n.stated {
-		if next.stated = at.stated; at.stated != "" {
-			next.Discovery = at.stated
+	next.MemoryMB = loaded.MemoryMB
+	if loaded.fileDiscovery != n.fileDiscovery {
+		next.fileDiscovery = loaded.fileDiscovery
+		if loaded.fileDiscovery != "" {
+			next.Discovery = loaded.fileDiscovery
 		}
 	}
-	rest = at.Listen != n.Listen || at.Cores != n.Cores || at.Sockets != n.Sockets || !bytes.Equal(at.text, n.text)
-	return next, rest, nil
+	restartNeeded = loaded.Listen != n.Listen || loaded.Cores != n.Cores || loaded.Sockets != n.Sockets ||
+		!bytes.Equal(loaded.fileSettings, n.fileSettings)
+	return next, restartNeeded, nil
+}
+
+// nodeFile is the JSON of the configuration.
+type nodeFile struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	Seed      json.RawMessage `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	InitialEndpoints json.RawMessage `json:"known"`
+	PeerListen       string          `json:"peer_listen"`
+	Peers            []string        `json:"peers"`
+	PeerBroadcast    string          `json:"peers_all"`
+	Settings         json.RawMessage `json:"settings"`
 }
 
-// ParseNode reads the configuration's text.
+// ParseNode parses the configuration's JSON and sets its defaults.
 func ParseNode(text []byte) (Node, error) {
-	var f struct {
-		Name      string          `json:"name"`
-		Listen    string          `json:"listen"`
-		Discovery string          `json:"discovery"`
-		Seed      json.RawMessage `json:"seed"`
-		Limits    struct {
-			Cores    float64 `json:"cores"`
-			MemoryMB int     `json:"memory_mb"`
-			Sockets  int     `json:"sockets"`
-		} `json:"limits"`
-		Known      json.RawMessage `json:"known"`
-		PeerListen string          `json:"peer_listen"`
-		Peers      []string        `json:"peers"`
-		PeersAll   string          `json:"peers_all"`
-		Settings   json.RawMessage `json:"settings"`
-	}
-	if err := json.Unmarshal(text, &f); err != nil {
+	var file nodeFile
+	if err := json.Unmarshal(text, &file); err != nil {
 		return Node{}, err
 	}
-	if len(f.Settings) == 0 {
+	if len(file.Settings) == 0 {
 		return Node{}, errors.New("no settings")
 	}
-	n := Node{
-		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, InitialEndpoints: f.Known,
-		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Seed: seed(f.Seed),
-		PeerListen: f.PeerListen, Peers: f.Peers, PeerBroadcast: f.PeersAll,
-		stated: f.Discovery, text: f.Settings,
+	node := Node{
+		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, InitialEndpoints: file.InitialEndpoints,
+		Cores: file.Limits.Cores, MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets, Seed: parseSeed(file.Seed),
+		PeerListen: file.PeerListen, Peers: file.Peers, PeerBroadcast: file.PeerBroadcast,
+		fileDiscovery: file.Discovery, fileSettings: file.Settings,
 	}
-	err := n.checkPeers()
-	if err != nil {
-		return n, err
+	if err := node.validatePeers(); err != nil {
+		return node, err
 	}
-	if n.Deployment, err = settings.Parse(f.Settings); err != nil {
-		return n, err
+	var err error
+	if node.Deployment, err = settings.Parse(file.Settings); err != nil {
+		return node, err
 	}
-	if n.Cores <= 0 {
-		n.Cores = 1
+	if node.Cores <= 0 {
+		node.Cores = defaultCores
 	}
-	if n.MemoryMB <= 0 {
-		n.MemoryMB = 192
+	if node.MemoryMB <= 0 {
+		node.MemoryMB = defaultMemoryMB
 	}
-	if n.Sockets <= 0 {
-		n.Sockets = 1024
+	if node.Sockets <= 0 {
+		node.Sockets = defaultSockets
 	}
-	n.Deployment.Decisions.Seed = n.Seed
-	// Clients of a real mixer read Retry-After whatever the simulator forwards: a query given up on is
-	// answered at once, and the client is told when to come back instead of being held.
-	n.Deployment.Decisions.MaxRetryAfter = n.Deployment.MaxRetryAfter
-	return n, nil
+	node.Deployment.Decisions.Seed = node.Seed
+	// Clients of the real platform honour Retry-After whatever the simulator forwards: a query that is given up is
+	// answered at once, and its client is told when to retry, where the simulator would hold the query.
+	node.Deployment.Decisions.MaxRetryAfter = node.Deployment.MaxRetryAfter
+	return node, nil
 }
 
-// checkPeers says which address of the mixers' own cannot be read.
-func (n Node) checkPeers() error {
+// validatePeers checks the addresses of gossip. The error begins with the key.
+func (n Node) validatePeers() error {
 	addrs := map[string]string{"peer_listen": n.PeerListen, "peers_all": n.PeerBroadcast}
-	for i, p := range n.Peers {
-		addrs[fmt.Sprintf("peers: entry %d", i)] = p
+	for i, peer := range n.Peers {
+		addrs[fmt.Sprintf("peers: entry %d", i)] = peer
 	}
 	for _, key := range slices.Sorted(maps.Keys(addrs)) {
-		if a := addrs[key]; a != "" {
-			if _, err := netip.ParseAddrPort(a); err != nil {
-				return fmt.Errorf("%s: %w", key, err)
-			}
+		if addrs[key] == "" {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(addrs[key]); err != nil {
+			return fmt.Errorf("%s: %w", key, err)
 		}
 	}
 	return nil
 }
 
-// seed reads a seed: hexadecimal text as a rule, a number, or any other text.
-func seed(raw json.RawMessage) uint64 {
+// parseSeed reads a seed: hexadecimal text as a rule. Any other text, and the JSON of any other value, is hashed, unless
+// it happens to be hexadecimal.
+func parseSeed(raw json.RawMessage) uint64 {
 	var text string
 	if json.Unmarshal(raw, &text) != nil {
 		text = string(raw)
 	}
-	if v, err := strconv.ParseUint(text, 16, 64); err == nil {
-		return v
+	if seed, err := strconv.ParseUint(text, 16, 64); err == nil {
+		return seed
 	}
-	h := fnv.New64a()
-	h.Write([]byte(text))
-	return h.Sum64()
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(text)) // a hash's Write returns no error
+	return hash.Sum64()
 }
--- /dev/null
+++ b/internal/config/sockets.go
@@ -0,0 +1,73 @@
+package config
+
+import (
+	"net"
+	"time"
+)
+
+// SocketShares are the sockets that each listener may use.
+type SocketShares struct {
+	SRU    int `toml:"sru"`
+	Z3950  int `toml:"z3950"`
+	Health int `toml:"health"`
+	Agent  int `toml:"agent"`
+}
+
+const (
+	// reservedSockets are set aside for listeners, pollers, standard streams and files.
+	reservedSockets = 32
+	// maxAgentWait is the longest wait of an agent-check: load balancers time out soon after.
+	maxAgentWait = time.Second
+)
+
+// frontendSockets are what the listeners share: half of all sockets, as servers and health checks have the other half.
+func (p *Partners) frontendSockets() int { return p.Limits.Sockets/2 - reservedSockets }
+
+// setSocketDefaults divides the frontends' sockets: a tenth for health, a twentieth for agent-checks, and of the
+// remaining ones three fifths for SRU and two fifths for Z39.50.
+func (p *Partners) setSocketDefaults() {
+	total := max(8, p.frontendSockets())
+	shares := &p.Listen.Share
+	setDefault(&shares.Health, max(2, total/10))
+	setDefault(&shares.Agent, max(2, total/20))
+	remaining := max(2, total-shares.Health-shares.Agent)
+	switch {
+	case p.Listen.SRU == "":
+		setDefault(&shares.Z3950, remaining)
+	case p.Listen.Z3950 == "":
+		setDefault(&shares.SRU, remaining)
+	case shares.SRU == 0 && shares.Z3950 == 0:
+		shares.SRU, shares.Z3950 = remaining-remaining*2/5, remaining*2/5
+	default:
+		setDefault(&shares.SRU, max(1, remaining-shares.Z3950))
+		setDefault(&shares.Z3950, max(1, remaining-shares.SRU))
+	}
+}
+
+func (p *Partners) validateListeners(v *validator) {
+	sum := 0
+	for _, listener := range []struct {
+		name, addr string
+		sockets    int
+	}{
+		{"sru", p.Listen.SRU, p.Listen.Share.SRU},
+		{"z3950", p.Listen.Z3950, p.Listen.Share.Z3950},
+		{"health", p.Listen.Health, p.Listen.Share.Health},
+		{"agent", p.Listen.Agent, p.Listen.Share.Agent},
+	} {
+		if listener.addr == "" {
+			continue
+		}
+		v.atLeast("listen.share."+listener.name, listener.sockets, 1)
+		sum += listener.sockets
+		if _, _, err := net.SplitHostPort(listener.addr); err != nil {
+			v.addf("listen."+listener.name, "listen: %s = %q is not host:port", listener.name, listener.addr)
+		}
+	}
+	if available := p.frontendSockets(); sum > available {
+		v.addf("listen.share", "the listeners' shares come to %d sockets, and %d of limits.sockets %d are theirs", sum, max(0, available), p.Limits.Sockets)
+	}
+	if p.Listen.AgentWait.Duration > maxAgentWait {
+		v.addf("listen.agent_wait", "agent_wait must be at most 1s: balancers wait no longer")
+	}
+}
