Keep rookgrpc as the former name of grpchealth, with the command in one package

Operators' units name rookgrpc, and docs named it until today; the rename left them without a program. The command is internal/app/grpchealthcmd now, in steps (flags, validation, gRPC side, bridge), and both programs are a main of one line that runs it under their own name. Flags, defaults, exit status and listen lines are as before. New tests: both names have the same flags and reject the same arguments, and both mains run the command.

--- /dev/null
+++ b/internal/app/grpchealthcmd/grpchealthcmd_test.go
@@ -0,0 +1,52 @@
+package grpchealthcmd
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/spf13/pflag"
+)
+
+// Under its former name the command has the same flags with the same defaults, and accepts and rejects the same.
+func TestNew_FormerName_IsTheSameCommand(t *testing.T) {
+	flags := func(name string) (all []string) {
+		New(name).Flags().VisitAll(func(f *pflag.Flag) {
+			all = append(all, strings.Join([]string{f.Name, f.Value.Type(), f.DefValue, f.Usage}, "|"))
+		})
+		return all
+	}
+	now, former := strings.Join(flags("grpchealth"), "\n"), strings.Join(flags("rookgrpc"), "\n")
+	if now != former || strings.Count(now, "\n") != 3 {
+		t.Errorf("grpchealth has the flags\n%s\nand rookgrpc\n%s", now, former)
+	}
+	for _, args := range [][]string{{}, {"--listen", "127.0.0.1:0"}, {"--bridge", "127.0.0.1:0", "--every", "1s"}, {"argument"}} {
+		var texts [2]string
+		for i, name := range []string{"grpchealth", "rookgrpc"} {
+			c := New(name)
+			c.SetArgs(args)
+			err := c.Execute()
+			if err == nil {
+				t.Fatalf("%s %v was accepted", name, args)
+			}
+			texts[i] = strings.ReplaceAll(err.Error(), name, "NAME")
+		}
+		if texts[0] != texts[1] {
+			t.Errorf("%v: %q, and under the former name %q", args, texts[0], texts[1])
+		}
+	}
+}
+
+// Both programs run this command under their own name.
+func TestPrograms_RunTheCommand(t *testing.T) {
+	for _, name := range []string{"grpchealth", "rookgrpc"} {
+		source, err := os.ReadFile(filepath.Join("..", "..", "..", "cmd", name, "main.go"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := "func main() { grpchealthcmd.Main(\"" + name + "\") }\n"; !strings.HasSuffix(string(source), want) {
+			t.Errorf("cmd/%s does not end with %q", name, want)
+		}
+	}
+}
