Split the gateway into the service, the outcome and the merge of parts

ask took six arguments with a bare function type and three meanings of nil; a submission names them, and layout is a type. Search and Correct are steps (resolve the databases, lay out the parts, submit). The package comment named a package of an earlier time.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,9 +1,8 @@
-// Package partner stands between the fronts of library protocols and the core: it makes queries of searches
-// and corrections, and one answer of their parts. It does no I/O.
+// Package gateway translates between the frontends of library protocols and the core: it turns searches and corrections
+// into queries, and the parts of an answer into one outcome. It does no I/O.
 package gateway
 
 import (
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"slices"
@@ -17,64 +16,25 @@
 	"rooktrestle/internal/query"
 )
 
-// Kind says why there is no whole answer.
-type Kind int
-
-const (
-	Complete         Kind = iota
-	Partial               // some of the databases' shards are not in
-	Rejected              // asking again is harmless
-	Failed                // given up without a promise
-	TimedOut              // its time was over
-	UnknownDatabase       // asked for what is not there
-	ReadOnly              // the database takes no corrections
-	ServerDiagnostic      // a server had something to say about the request itself
-)
-
-// Outcome is the one answer to a search or a correction.
-type Outcome struct {
-	Kind           Kind
-	Count          int
-	Records        []query.Record
-	RetryAfter     time.Duration
-	Diagnostic     *query.Diagnostic
-	Details        string
-	MissingShards  []int   // Partial: shards or blocks that are not in
-	TotalParts     int     // parts of the query
-	AnsweredWeight float64 // weight of what is in
-}
-
-// Coverage says in words how much of the whole an outcome holds.
-func (o *Outcome) Coverage() string {
-	var missing []string
-	for _, m := range o.MissingShards[:min(len(o.MissingShards), 8)] {
-		missing = append(missing, fmt.Sprint(m))
-	}
-	text := fmt.Sprintf("%d of %d blocks are in, %.1f%% of the weight", o.TotalParts-len(o.MissingShards), o.TotalParts, 100*o.AnsweredWeight)
-	if len(missing) > 0 {
-		text += "; not in: " + strings.Join(missing, ", ")
-		if more := len(o.MissingShards) - len(missing); more > 0 {
-			text += fmt.Sprintf(" and %d more", more)
-		}
-	}
-	return text
-}
-
-// Service makes queries.
+// Service makes queries. Its fields are set before use and not changed; its methods may be called from any goroutine.
 type Service struct {
 	Config *config.Partners
 	Post   func(aggregator.Message) // to the loop
 	Now    func() time.Time
-	name   atomic.Uint64
+
+	lastID atomic.Uint64 // of the queries
 }
 
-// Caller says who asks: a user's name if one signed on.
-type Caller struct{ User string }
+// Caller identifies a client.
+type Caller struct {
+	User string // empty: the client has not signed on
+}
 
-// Cancel gives a search or correction up: no part is sent from then on, and its Outcome never comes.
+// Cancel cancels a search or correction: no further part is sent, and no outcome is reported. It may be called at any
+// time, also after the outcome.
 type Cancel func()
 
-// Database finds a database by its name.
+// Database finds a database by its name, in any case; nil: there is none. The database belongs to the configuration.
 func (s *Service) Database(name string) *config.Database {
 	for i := range s.Config.Databases {
 		if strings.EqualFold(s.Config.Databases[i].Name, name) {
@@ -84,173 +44,141 @@
 	return nil
 }
 
-// Tenant finds the tenant of a user; -1 if nobody by that name may come in.
+// Tenant is the index of the tenant of a user, or -1 for a user who may not sign on.
 func (s *Service) Tenant(user string) int {
 	return slices.IndexFunc(s.Config.Tenants, func(t config.Tenant) bool { return slices.Contains(t.Users, user) })
 }
 
-// Search looks for a query in databases and asks each shard for most records. An outcome that is known at once
-// is returned; any other is told to done, once, on the loop.
-func (s *Service) Search(who Caller, databases []string, n query.Node, most int, done func(Outcome)) (Cancel, *Outcome) {
-	if len(databases) == 0 {
-		return nil, &Outcome{Kind: UnknownDatabase}
+// Search searches databases of one class and requests up to maxRecords records of each shard. An outcome that is known
+// at once is returned; any other is passed to done, once, on the loop, unless the search is cancelled.
+func (s *Service) Search(caller Caller, databases []string, search query.Node, maxRecords int, done func(Outcome)) (Cancel, *Outcome) {
+	first, shards, unknown := s.resolve(databases)
+	if unknown != nil {
+		return nil, unknown
+	}
+	work := query.Work{CQL: query.CQL(search), MaxRecords: maxRecords}
+	return s.submit(caller, submission{database: first, class: first.SearchClass, shards: shards, work: work, layout: s.allShards()}, done)
+}
+
+// resolve finds the first of the databases, whose tenant and class count, and the shards of all. All must be of one
+// class; if not, or if one is not there, it returns the outcome.
+func (s *Service) resolve(names []string) (first *config.Database, shards []int, unknown *Outcome) {
+	if len(names) == 0 {
+		return nil, nil, &Outcome{Kind: UnknownDatabase}
 	}
-	var shards []int
-	var first *config.Database
-	for _, name := range databases {
-		d := s.Database(name)
-		if d == nil || first != nil && d.SearchClass != first.SearchClass {
-			return nil, &Outcome{Kind: UnknownDatabase, Details: name}
+	for _, name := range names {
+		database := s.Database(name)
+		if database == nil || first != nil && database.SearchClass != first.SearchClass {
+			return nil, nil, &Outcome{Kind: UnknownDatabase, Details: name}
 		}
 		if first == nil {
-			first = d
+			first = database
 		}
-		for _, shard := range d.Shards {
+		for _, shard := range database.Shards {
 			if !slices.Contains(shards, shard) {
 				shards = append(shards, shard)
 			}
 		}
 	}
-	if first == nil {
-		return nil, &Outcome{Kind: UnknownDatabase}
-	}
-	work := query.Work{CQL: query.CQL(n), MaxRecords: most}
-	return s.ask(who, first, first.SearchClass, shards, work, s.everyBlock(), done)
+	return first, shards, nil
 }
 
-// Correct changes a record. It goes to one shard and never runs twice.
-func (s *Service) Correct(who Caller, database string, action query.Action, r query.Record, done func(Outcome)) (Cancel, *Outcome) {
-	d := s.Database(database)
-	if d == nil || d.CorrectionClass == "" {
-		kind := UnknownDatabase
-		if d != nil {
-			kind = ReadOnly
-		}
-		return nil, &Outcome{Kind: kind, Details: database}
+// Correct creates, replaces or deletes a record. The correction is sent to one shard, and never runs twice. Outcomes are
+// reported as those of Search.
+func (s *Service) Correct(caller Caller, database string, action query.Action, record query.Record, done func(Outcome)) (Cancel, *Outcome) {
+	target := s.Database(database)
+	if target == nil {
+		return nil, &Outcome{Kind: UnknownDatabase, Details: database}
 	}
-	work := query.Work{Action: action, Record: r}
+	if target.CorrectionClass == "" {
+		return nil, &Outcome{Kind: ReadOnly, Details: database}
+	}
+	correction := submission{database: target, class: target.CorrectionClass, work: query.Work{Action: action, Record: record}}
 	if s.Config.ShardMap.Enabled() {
-		key := shardmap.KeyOf(r.ID)
-		return s.ask(who, d, d.CorrectionClass, nil, work, func(v *shardmap.View) []aggregator.PartSpec {
-			return []aggregator.PartSpec{{Shard: int(v.Map.Lookup(key).ID), Weight: 1}}
-		}, done)
+		correction.layout = shardOfKey(shardmap.KeyOf(record.ID))
+	} else {
+		correction.shards = []int{ShardOf(target, record.ID)}
 	}
-	return s.ask(who, d, d.CorrectionClass, []int{ShardOf(d, r.ID)}, work, nil, done)
+	return s.submit(caller, correction, done)
 }
 
-// everyBlock makes a part of each block of a view, by its share of the weight; nil where there is no map.
-func (s *Service) everyBlock() func(*shardmap.View) []aggregator.PartSpec {
+// layout makes the parts of a query from the view of the shard map that it is pinned to.
+type layout func(*shardmap.View) []aggregator.PartSpec
+
+// allShards makes a part of each shard of a view, by its fraction of the weight; nil where there is no shard map.
+func (s *Service) allShards() layout {
 	if !s.Config.ShardMap.Enabled() {
 		return nil
 	}
-	return func(v *shardmap.View) []aggregator.PartSpec {
-		list := v.Shards()
-		specs := make([]aggregator.PartSpec, len(list))
-		for i, b := range list {
-			w := b.Weight
-			if w <= 0 {
-				w = 1
+	return func(view *shardmap.View) []aggregator.PartSpec {
+		shards := view.Shards()
+		specs := make([]aggregator.PartSpec, len(shards))
+		for i, shard := range shards {
+			weight := shard.Weight
+			if weight <= 0 {
+				weight = 1
 			}
-			specs[i] = aggregator.PartSpec{Shard: int(b.ID), Weight: w / v.Map.Weight()}
+			specs[i] = aggregator.PartSpec{Shard: int(shard.ID), Weight: weight / view.Map.Weight()}
 		}
 		return specs
 	}
 }
 
-// ShardOf is the shard that holds a record: the number before the first colon of its identifier, if that is one
-// of the database's, else one chosen by a hash of the identifier.
-func ShardOf(d *config.Database, id string) int {
-	if number, _, ok := strings.Cut(id, ":"); ok {
-		for _, s := range d.Shards {
-			if number == fmt.Sprint(s) {
-				return s
-			}
-		}
+// shardOfKey makes one part, of the shard that holds a key.
+func shardOfKey(key shardmap.Key) layout {
+	return func(view *shardmap.View) []aggregator.PartSpec {
+		return []aggregator.PartSpec{{Shard: int(view.Map.Lookup(key).ID), Weight: 1}}
 	}
-	h := fnv.New32a()
-	h.Write([]byte(id))
-	return d.Shards[int(h.Sum32()%uint32(len(d.Shards)))]
 }
 
-func (s *Service) ask(who Caller, d *config.Database, class string, shards []int, work query.Work, layout func(*shardmap.View) []aggregator.PartSpec, done func(Outcome)) (Cancel, *Outcome) {
-	index := s.Config.ClassIndex(class)
-	tenant := s.Config.TenantIndex(d.Tenant)
-	if t := s.Tenant(who.User); who.User != "" && t >= 0 {
-		tenant = t
-	}
-	r := &aggregator.Request{
-		ID: fmt.Sprintf("%s-%d", s.Config.Name, s.name.Add(1)), Class: index, Tenant: tenant,
-		Arrived: s.Now(), Timeout: s.Config.Classes[index].Deadline.Duration, Payload: query.Encode(work), Layout: layout,
-	}
-	for _, shard := range shards {
-		r.Parts = append(r.Parts, aggregator.PartSpec{Shard: shard, Weight: 1 / float64(len(shards))})
+// ShardOf is the shard of a database that holds a record, where shards are fixed: the number before the first colon of
+// its identifier, if that is a shard of the database; else one chosen by a hash of the identifier.
+func ShardOf(database *config.Database, id string) int {
+	if number, _, found := strings.Cut(id, ":"); found {
+		for _, shard := range database.Shards {
+			if number == fmt.Sprint(shard) {
+				return shard
+			}
+		}
 	}
-	r.Frontend = &asked{done: done, byID: layout != nil}
-	s.Post(aggregator.RequestArrived{Request: r})
-	return func() { s.Post(aggregator.ClientDisconnected{Request: r}) }, nil
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(id)) // a hash's Write returns no error
+	return database.Shards[int(hash.Sum32()%uint32(len(database.Shards)))]
 }
 
-// asked waits for a query's final answer.
-type asked struct {
-	done func(Outcome)
-	byID bool // records are in the order of their identifiers, whatever block they came from
+// submission is a search or correction on its way to the core.
+type submission struct {
+	database *config.Database // whose tenant counts, for a caller who has not signed on
+	class    string
+	shards   []int // each gets a part; or
+	layout   layout
+	work     query.Work
 }
 
-// Answer merges the parts: shards in order, each with its records in its own order; or where blocks may change, all
-// records in the order of their identifiers, so that a page is the same before and after.
-func (a *asked) Answer(f aggregator.FinalAnswer) {
-	switch {
-	case f.Status == aggregator.StatusServed:
-		a.done(merge(f, a.byID))
-	case f.DeadlineExceeded:
-		a.done(Outcome{Kind: TimedOut})
-	case f.Status == aggregator.StatusRejected:
-		a.done(Outcome{Kind: Rejected, RetryAfter: f.RetryAfter})
-	default:
-		a.done(Outcome{Kind: Failed})
-	}
+// submit posts a query to the core.
+func (s *Service) submit(caller Caller, sub submission, done func(Outcome)) (Cancel, *Outcome) {
+	class := s.Config.ClassIndex(sub.class)
+	request := &aggregator.Request{
+		ID:       fmt.Sprintf("%s-%d", s.Config.Name, s.lastID.Add(1)),
+		Class:    class,
+		Tenant:   s.tenantOf(caller, sub.database),
+		Arrived:  s.Now(),
+		Timeout:  s.Config.Classes[class].Deadline.Duration,
+		Payload:  query.Encode(sub.work),
+		Layout:   sub.layout,
+		Frontend: &pendingAnswer{done: done, sortByID: sub.layout != nil},
+	}
+	for _, shard := range sub.shards {
+		request.Parts = append(request.Parts, aggregator.PartSpec{Shard: shard, Weight: 1 / float64(len(sub.shards))})
+	}
+	s.Post(aggregator.RequestArrived{Request: request})
+	return func() { s.Post(aggregator.ClientDisconnected{Request: request}) }, nil
 }
 
-func merge(f aggregator.FinalAnswer, byID bool) (o Outcome) {
-	if !f.Complete {
-		o.Kind = Partial
-	}
-	o.MissingShards, o.TotalParts, o.AnsweredWeight = f.MissingShards, f.TotalParts, f.AnsweredWeight
-	items := slices.Clone(f.Items)
-	slices.SortStableFunc(items, func(a, b aggregator.Item) int { return a.Shard - b.Shard })
-	for _, i := range items {
-		var found query.PartResult
-		if err := json.Unmarshal([]byte(i.Value), &found); err != nil {
-			return Outcome{Kind: Failed, Details: "a part's value cannot be read"}
-		}
-		if found.Diagnostic != nil && o.Diagnostic == nil {
-			o.Kind, o.Diagnostic = ServerDiagnostic, found.Diagnostic
-		}
-		o.Count += found.Count
-		o.Records = append(o.Records, found.Records...)
-	}
-	if byID {
-		ids := make(map[string]string, len(o.Records)) // by text, as finding one may mean to read it
-		for _, r := range o.Records {
-			if r.ID == "" {
-				ids[r.XML] = r.Identifier()
-			}
-		}
-		id := func(r query.Record) string {
-			if r.ID != "" {
-				return r.ID
-			}
-			return ids[r.XML]
-		}
-		slices.SortStableFunc(o.Records, func(a, b query.Record) int { return strings.Compare(id(a), id(b)) })
-	}
-	return o
-}
-
-// Page returns the records from start, counted from 1, of an outcome that fetched most records of each shard.
-func (o *Outcome) Page(start, number int) []query.Record {
-	if start < 1 || start > len(o.Records) {
-		return nil
+// tenantOf is the index of the tenant of a user who has signed on, else that of the database.
+func (s *Service) tenantOf(caller Caller, database *config.Database) int {
+	if tenant := s.Tenant(caller.User); caller.User != "" && tenant >= 0 {
+		return tenant
 	}
-	return o.Records[start-1 : min(len(o.Records), start-1+number)]
+	return s.Config.TenantIndex(database.Tenant)
 }
