--- a/internal/query/bib1.go
+++ b/internal/query/bib1.go
@@ -18,69 +18,115 @@
 	CompletenessAttr = 6
 )
 
-// uses are the indexes with their Use attributes.
-var uses = map[string]int{
+// Values of Bib-1 attributes.
+const (
+	positionFirstInField = 1
+	positionAny          = 3
+
+	structurePhrase   = 1
+	structureWord     = 2
+	structureYear     = 4
+	structureDate     = 5
+	structureWordList = 6
+
+	truncationRight = 1
+	truncationLeft  = 2
+	truncationBoth  = 3
+	truncationNone  = 100
+
+	completenessSubfield = 1 // incomplete subfield
+	completenessField    = 3 // complete field
+)
+
+// useAttributes are the values of the Use attribute by the names of indexes; empty: the server's choice.
+var useAttributes = map[string]int{
 	"": 1016, "cql.anywhere": 1035, "dc.title": 4, "dc.creator": 1003, "dc.subject": 21, "dc.date": 30,
 	"dc.identifier": 12, "rec.identifier": 1007, "dc.language": 54, "dc.description": 62, "dc.publisher": 1018,
 	"caption.text": 1010,
 }
 
-var indexes = func() map[int]string {
-	m := map[int]string{}
-	for name, use := range uses {
-		m[use] = name
+// relationAttributes are the values of the Relation attribute. All, Any and Exact have none of their own.
+var relationAttributes = map[Relation]int{Less: 1, LessOrEqual: 2, Equal: 3, GreaterOrEqual: 4, Greater: 5, NotEqual: 6}
+
+var (
+	indexesByUse         = inverse(useAttributes)
+	relationsByAttribute = inverse(relationAttributes)
+)
+
+// inverse returns a map from values to keys. The values differ.
+func inverse[K comparable](m map[K]int) map[int]K {
+	inverted := make(map[int]K, len(m))
+	for key, value := range m {
+		inverted[value] = key
 	}
-	return m
-}()
+	return inverted
+}
 
-var relationValues = map[Relation]int{Less: 1, LessOrEqual: 2, Equal: 3, GreaterOrEqual: 4, Greater: 5, NotEqual: 6}
+// IndexNames returns the names of all indexes, sorted.
+func IndexNames() (names []string) {
+	for name := range useAttributes {
+		if name != "" {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
 
-// Attributes returns the attributes and the bare term that stand for a clause. Any has none: see Plain.
+// Attributes returns the Bib-1 attributes of a clause, and its term as plain text without truncation. The relation Any
+// has no attributes: see ExpandAny. The error is an *Error.
 func Attributes(c *Clause) ([]Attribute, string, error) {
-	use, ok := uses[c.Index]
+	use, ok := useAttributes[c.Index]
 	if !ok {
-		return nil, "", wrong(16, 114, "%s", c.Index)
+		return nil, "", unsupportedIndex.errorf("%s", c.Index)
 	}
-	attrs := []Attribute{{UseAttr, use}}
-	rel, structure, complete := c.Relation, 0, 0
+	relation, structure, completeness := c.Relation, 0, 0
 	switch c.Relation {
 	case All:
-		rel, structure = Equal, 6 // word list
+		relation, structure = Equal, structureWordList
 	case Exact:
-		rel, structure, complete = Equal, 1, 3
+		relation, structure, completeness = Equal, structurePhrase, completenessField
 	case Any:
-		return nil, "", wrong(19, 117, "any")
+		return nil, "", unsupportedRelation.errorf("any")
 	case Equal:
-		if structure = 2; strings.ContainsAny(c.Term, " \t") {
-			structure = 1 // phrase
+		structure = structureWord
+		if strings.ContainsAny(c.Term, " \t") {
+			structure = structurePhrase
 		}
 	}
-	attrs = append(attrs, Attribute{RelationAttr, relationValues[rel]})
-	if structure != 0 {
-		attrs = append(attrs, Attribute{StructureAttr, structure})
+	term, truncation := cutTruncation(c.Term)
+	attributes := []Attribute{{UseAttr, use}, {RelationAttr, relationAttributes[relation]}}
+	for _, optional := range []Attribute{{StructureAttr, structure}, {TruncationAttr, truncation}, {CompletenessAttr, completeness}} {
+		if optional.Value != 0 {
+			attributes = append(attributes, optional)
+		}
 	}
-	term, left, right := c.Term, false, false
+	return attributes, unescape(term), nil
+}
+
+// cutTruncation removes the unescaped * at the start and end of a term, and returns the value of the Truncation attribute
+// that stands for them; 0: there is none.
+func cutTruncation(term string) (rest string, truncation int) {
+	left, right := false, false
 	if len(term) > 1 && strings.HasPrefix(term, "*") {
 		term, left = term[1:], true
 	}
-	if len(term) > 1 && strings.HasSuffix(term, "*") && !masked(term) {
+	if len(term) > 1 && strings.HasSuffix(term, "*") && !endsEscaped(term) {
 		term, right = term[:len(term)-1], true
 	}
 	switch {
 	case left && right:
-		attrs = append(attrs, Attribute{TruncationAttr, 3})
+		truncation = truncationBoth
 	case left:
-		attrs = append(attrs, Attribute{TruncationAttr, 2})
+		truncation = truncationLeft
 	case right:
-		attrs = append(attrs, Attribute{TruncationAttr, 1})
+		truncation = truncationRight
 	}
-	if complete != 0 {
-		attrs = append(attrs, Attribute{CompletenessAttr, complete})
-	}
-	return attrs, unmask(term), nil
+	return term, truncation
 }
 
-// ExpandAny turns each clause with Any into clauses joined by Or, as a Type-1 query cannot say it otherwise.
+// ExpandAny turns each clause with the relation Any into clauses of its words, joined by Or: a Type-1 query has no
+// relation for it.
 func ExpandAny(n Node) Node {
 	switch n := n.(type) {
 	case *Boolean:
@@ -90,89 +136,102 @@
 		if n.Relation != Any || len(words) == 0 {
 			return n
 		}
-		var all Node
-		for _, w := range words {
-			one := &Clause{n.Index, Equal, w}
-			if all == nil {
-				all = one
-			} else {
-				all = &Boolean{Or, all, one}
-			}
+		var expanded Node = &Clause{n.Index, Equal, words[0]}
+		for _, word := range words[1:] {
+			expanded = &Boolean{Or, expanded, &Clause{n.Index, Equal, word}}
 		}
-		return all
+		return expanded
 	}
 	return n
 }
 
-// ClauseFromAttributes returns the clause that attributes and a term stand for.
-func ClauseFromAttributes(attrs []Attribute, term string) (*Clause, error) {
-	c := &Clause{Relation: Equal}
-	structure, trunc, complete := 0, 0, 0
-	for _, a := range attrs {
-		switch a.Type {
-		case UseAttr:
-			index, ok := indexes[a.Value]
-			if !ok {
-				return nil, wrong(16, 114, "%d", a.Value)
-			}
-			c.Index = index
-		case RelationAttr:
-			found := false
-			for rel, v := range relationValues {
-				if v == a.Value {
-					c.Relation, found = rel, true
-				}
-			}
-			if !found {
-				return nil, wrong(19, 117, "%d", a.Value)
-			}
-		case PositionAttr:
-			if a.Value != 3 && a.Value != 1 {
-				return nil, wrong(19, 119, "%d", a.Value)
-			}
-		case StructureAttr:
-			if structure = a.Value; a.Value != 1 && a.Value != 2 && a.Value != 6 && a.Value != 4 && a.Value != 5 {
-				return nil, wrong(24, 118, "%d", a.Value)
-			}
-		case TruncationAttr:
-			if trunc = a.Value; trunc != 100 && (trunc < 1 || trunc > 3) {
-				return nil, wrong(28, 120, "%d", a.Value)
-			}
-		case CompletenessAttr:
-			if complete = a.Value; complete < 1 || complete > 3 {
-				return nil, wrong(24, 122, "%d", a.Value)
-			}
-		default:
-			return nil, wrong(24, 113, "%d", a.Type)
+// ClauseFromAttributes returns the clause that Bib-1 attributes and a plain term stand for. The error is an *Error.
+func ClauseFromAttributes(attributes []Attribute, term string) (*Clause, error) {
+	d := attributeDecoder{clause: Clause{Relation: Equal}}
+	for _, attribute := range attributes {
+		if err := d.add(attribute); err != nil {
+			return nil, err
 		}
 	}
 	if strings.TrimSpace(term) == "" {
-		return nil, wrong(27, 125, "an empty term")
+		return nil, emptyTerm.errorf("an empty term")
+	}
+	return d.finish(term), nil
+}
+
+// attributeDecoder collects the attributes of a clause.
+type attributeDecoder struct {
+	clause                              Clause
+	structure, truncation, completeness int // 0: not given
+}
+
+func (d *attributeDecoder) add(a Attribute) error {
+	switch a.Type {
+	case UseAttr:
+		index, ok := indexesByUse[a.Value]
+		if !ok {
+			return unsupportedIndex.errorf("%d", a.Value)
+		}
+		d.clause.Index = index
+	case RelationAttr:
+		relation, ok := relationsByAttribute[a.Value]
+		if !ok {
+			return unsupportedRelation.errorf("%d", a.Value)
+		}
+		d.clause.Relation = relation
+	case PositionAttr:
+		if a.Value != positionAny && a.Value != positionFirstInField {
+			return unsupportedPosition.errorf("%d", a.Value)
+		}
+	case StructureAttr:
+		d.structure = a.Value
+		return checkStructure(a.Value)
+	case TruncationAttr:
+		d.truncation = a.Value
+		return checkTruncation(a.Value)
+	case CompletenessAttr:
+		d.completeness = a.Value
+		if a.Value < completenessSubfield || a.Value > completenessField {
+			return unsupportedCompleteness.errorf("%d", a.Value)
+		}
+	default:
+		return unsupportedAttribute.errorf("%d", a.Type)
+	}
+	return nil
+}
+
+func checkTruncation(value int) error {
+	if value != truncationNone && (value < truncationRight || value > truncationBoth) {
+		return unsupportedTruncation.errorf("%d", value)
+	}
+	return nil
+}
+
+func checkStructure(value int) error {
+	switch value {
+	case structurePhrase, structureWord, structureYear, structureDate, structureWordList:
+		return nil
 	}
+	return unsupportedStructure.errorf("%d", value)
+}
+
+// finish returns the clause with its term. A word list or a complete field is a relation in CQL, truncation a part of the
+// term.
+func (d *attributeDecoder) finish(term string) *Clause {
+	c := d.clause
 	if c.Relation == Equal {
-		if structure == 6 {
+		if d.structure == structureWordList {
 			c.Relation = All
-		} else if complete == 3 {
+		} else if d.completeness == completenessField {
 			c.Relation = Exact
 		}
 	}
-	c.Term = mask(term)
-	if trunc == 1 || trunc == 3 {
+	c.Term = escape(term)
+	if d.truncation == truncationRight || d.truncation == truncationBoth {
 		c.Term += "*"
 	}
-	if trunc == 2 || trunc == 3 {
+	if d.truncation == truncationLeft || d.truncation == truncationBoth {
 		c.Term = "*" + c.Term
 	}
-	return c, nil
-}
-
-// IndexNames returns the names of all indexes, sorted.
-func IndexNames() (names []string) {
-	for name := range uses {
-		if name != "" {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	return names
+	return &c
 }
--- /dev/null
+++ b/internal/query/escape.go
@@ -0,0 +1,29 @@
+package query
+
+import "strings"
+
+var termEscaper = strings.NewReplacer(`\`, `\\`, `*`, `\*`, `?`, `\?`, `^`, `\^`)
+
+// escape makes a CQL term of plain text: a backslash escapes each character that has a meaning in a term.
+func escape(text string) string { return termEscaper.Replace(text) }
+
+// unescape makes plain text of a CQL term.
+func unescape(term string) string {
+	var b strings.Builder
+	for i := 0; i < len(term); i++ {
+		if term[i] == '\\' && i+1 < len(term) {
+			i++
+		}
+		b.WriteByte(term[i])
+	}
+	return b.String()
+}
+
+// endsEscaped says whether the last character of a term is escaped by an odd number of backslashes before it.
+func endsEscaped(term string) bool {
+	backslashes := 0
+	for i := len(term) - 2; i >= 0 && term[i] == '\\'; i-- {
+		backslashes++
+	}
+	return backslashes%2 == 1
+}
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -6,7 +6,8 @@
 	"testing"
 )
 
-func TestParseAndPrint(t *testing.T) {
+// A query prints as the CQL that it was parsed from, in a canonical form.
+func TestParse_PrintsCanonicalCQL(t *testing.T) {
 	for in, want := range map[string]string{
 		`cat`:                                   `cat`,
 		`dc.title = "budget speech"`:            `dc.title = "budget speech"`,
@@ -32,7 +33,8 @@
 	}
 }
 
-func TestBadQueriesNameTheirDiagnostics(t *testing.T) {
+// An invalid query has the SRU diagnostic of its error, and one of Bib-1.
+func TestParse_InvalidQuery_Diagnostic(t *testing.T) {
 	deep := ""
 	for range MaxDepth + 1 {
 		deep += "("
@@ -49,7 +51,8 @@
 	}
 }
 
-func TestClausesSurviveBib1(t *testing.T) {
+// A clause is the same after a translation to Bib-1 and back.
+func TestAttributes_RoundTrip(t *testing.T) {
 	for _, in := range []string{
 		`cat`, `dc.title = "two words"`, `dc.title all "two words"`, `dc.creator == "Rai, B"`, `dc.date <= 2026`,
 		`cat*`, `"*cat*"`, `"\*cat"`, `"a\\*"`, `dc.language <> ne`,
@@ -67,23 +70,26 @@
 			t.Errorf("%s: %v %q came back as %+v, %v", in, attrs, term, back, err)
 		}
 	}
-	any, _ := Parse(`dc.title any "a b c"`)
-	if got := CQL(ExpandAny(any)); got != `(dc.title = a or dc.title = b) or dc.title = c` {
+	anyOf, err := Parse(`dc.title any "a b c"`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := CQL(ExpandAny(anyOf)); got != `(dc.title = a or dc.title = b) or dc.title = c` {
 		t.Error(got)
 	}
 	for _, a := range []Attribute{{1, 9999}, {2, 100}, {3, 9}, {4, 99}, {5, 50}, {6, 9}, {7, 1}} {
 		if _, err := ClauseFromAttributes([]Attribute{a}, "x"); err == nil {
-			t.Errorf("%v was taken", a)
+			t.Errorf("%v was accepted", a)
 		}
 	}
 }
 
-func TestSetsAreReplaced(t *testing.T) {
+func TestResolveResultSets(t *testing.T) {
 	n, _ := Parse(`cql.resultSetId = one not b`)
 	one, _ := Parse(`x or y`)
 	got, err := ResolveResultSets(n, func(name string) (Node, error) {
 		if name != "one" {
-			t.Errorf("asked for %q", name)
+			t.Errorf("result set %q was requested", name)
 		}
 		return one, nil
 	})
--- a/internal/query/work.go
+++ b/internal/query/work.go
@@ -6,17 +6,19 @@
 	"strings"
 )
 
-// Work is what each part of a query has to carry: a search, or a record to be changed.
+// Work is what each part of a query carries to a server: a search (CQL and MaxRecords), or a correction (Action and
+// Record).
 type Work struct {
 	CQL        string `json:"cql,omitempty"`
-	MaxRecords int    `json:"most,omitempty"` // records wanted
+	MaxRecords int    `json:"most,omitempty"` // records requested
 	Action     Action `json:"action,omitempty"`
 	Record     Record `json:"record,omitzero"`
 }
 
-// Action is what a correction does to a record.
+// Action is what a correction does to a record; empty: the work is a search.
 type Action string
 
+// Actions, as SRU's record update names them.
 const (
 	ActionCreate  Action = "create"
 	ActionReplace Action = "replace"
@@ -30,20 +32,21 @@
 	XML    string `json:"xml,omitempty"`
 }
 
-// Identifier is the record's own: as it came with it, or as it stands in its Dublin Core; empty if neither says.
+// Identifier is the record's ID, or without one the first identifier element of its XML (Dublin Core); empty: there is
+// neither.
 func (r Record) Identifier() string {
 	if r.ID != "" {
 		return r.ID
 	}
-	d := xml.NewDecoder(strings.NewReader(r.XML))
+	decoder := xml.NewDecoder(strings.NewReader(r.XML))
 	for {
-		t, err := d.Token()
+		next, err := decoder.Token()
 		if err != nil {
 			return ""
 		}
-		if e, ok := t.(xml.StartElement); ok && e.Name.Local == "identifier" {
+		if element, ok := next.(xml.StartElement); ok && element.Name.Local == "identifier" {
 			var text string
-			if d.DecodeElement(&text, &e) != nil {
+			if decoder.DecodeElement(&text, &element) != nil {
 				return ""
 			}
 			return strings.TrimSpace(text)
@@ -51,25 +54,25 @@
 	}
 }
 
-// PartResult is the value of a part.
+// PartResult is a server's answer to a part.
 type PartResult struct {
-	Count      int         `json:"count"`
+	Count      int         `json:"count"` // records found, which may be more than Records
 	Records    []Record    `json:"records,omitempty"`
-	Diagnostic *Diagnostic `json:"trouble,omitempty"` // the server's word on the query itself
+	Diagnostic *Diagnostic `json:"trouble,omitempty"` // the server has rejected the request itself
 }
 
-// Diagnostic is a server's word on what is wrong with a request.
+// Diagnostic is a server's diagnostic of a request.
 type Diagnostic struct {
-	SRU     string `json:"sru,omitempty"` // whole URI
+	SRU     string `json:"sru,omitempty"` // URI
 	Bib1    int    `json:"bib1,omitempty"`
 	Details string `json:"details,omitempty"`
 }
 
-// Encode prints a value that always can be.
-func Encode(v any) string {
-	text, err := json.Marshal(v)
+// Encode returns the JSON of a part's work or result.
+func Encode[T Work | PartResult](value T) string {
+	text, err := json.Marshal(value)
 	if err != nil {
-		panic(err) // plain strings and numbers: cannot fail
+		panic(err) // text and numbers only: cannot fail
 	}
 	return string(text)
 }
