--- a/cmd/rooktrestle/blocks_test.go
+++ b/cmd/rooktrestle/blocks_test.go
@@ -18,7 +18,7 @@
 func TestBlocksCommand(t *testing.T) {
 	dir := t.TempDir()
 	now := filepath.Join(dir, "7.json")
-	os.WriteFile(now, []byte(mapText), 0o600)
+	writeFile(t, now, mapText)
 	want := func(status int, parts string, args ...string) {
 		t.Helper()
 		got, out, errs := run(t, append([]string{"blocks"}, args...)...)
@@ -46,11 +46,11 @@
 	want(1, "other holders", "plan", "merge", "2", "3", "--map", now)
 	want(1, "does not cut", "plan", "split", "2", "z@2000", "--map", now)
 	bad := filepath.Join(dir, "bad.json")
-	os.WriteFile(bad, []byte(strings.Replace(mapText, `"to":"g@2000"`, `"to":"f@2000"`, 1)), 0o600)
+	writeFile(t, bad, strings.Replace(mapText, `"to":"g@2000"`, `"to":"f@2000"`, 1))
 	want(2, `keys from "f@2000" to "g@2000" are in no block`, "check", bad)
 	want(2, "not a map", "show", os.Args[0])
 	forked := filepath.Join(dir, "forked.json")
-	os.WriteFile(forked, []byte(strings.Replace(mapText, `"weight":3`, `"weight":4`, 1)), 0o600)
+	writeFile(t, forked, strings.Replace(mapText, `"weight":3`, `"weight":4`, 1))
 	want(1, "the same epoch with other blocks|weight 3 to 4", "diff", now, forked)
 }
 
@@ -63,17 +63,17 @@
 		t.Fatal(err)
 	}
 	text := string(good)
-	for _, c := range [][2]string{
+	for _, c := range []struct{ old, new string }{
 		{`source = "127.0.0.1:8600" `, "file = \"" + file + "\"\nevery = \"1h\" #"}, {`keep = "/tmp/rooktrestle-blocks"`, `#`},
 		{`"127.0.0.1:8210"`, `"127.0.0.1:0"`}, {`"127.0.0.1:2100"`, `"127.0.0.1:0"`}, {`"127.0.0.1:8211"`, `"127.0.0.1:0"`}, {`"127.0.0.1:8212"`, `"127.0.0.1:0"`},
 	} {
-		if !strings.Contains(text, c[0]) {
-			t.Fatalf("%q is not in the example", c[0])
+		if !strings.Contains(text, c.old) {
+			t.Fatalf("%q is not in the example", c.old)
 		}
-		text = strings.Replace(text, c[0], c[1], 1)
+		text = strings.Replace(text, c.old, c.new, 1)
 	}
-	os.WriteFile(conf, []byte(text), 0o600)
-	os.WriteFile(file, []byte(mapText), 0o600)
+	writeFile(t, conf, text)
+	writeFile(t, file, mapText)
 	p := start(t, 4, nil, "serve", "--front", conf)
 	until := func(part string) {
 		t.Helper()
@@ -86,11 +86,11 @@
 		t.Fatalf("%q does not come", part)
 	}
 	until("map: epoch 7")
-	os.WriteFile(file, []byte(strings.Replace(mapText, `"epoch":7`, `"epoch":8`, 1)), 0o600)
-	p.cmd.Process.Signal(syscall.SIGHUP)
+	writeFile(t, file, strings.Replace(mapText, `"epoch":7`, `"epoch":8`, 1))
+	p.signal(syscall.SIGHUP)
 	until("map: epoch 8")
-	os.WriteFile(file, []byte(mapText), 0o600)
-	p.cmd.Process.Signal(syscall.SIGHUP)
+	writeFile(t, file, mapText)
+	p.signal(syscall.SIGHUP)
 	until("older 1")
 	until("map: epoch 8")
 	p.stop()
--- a/cmd/rooktrestle/crossings_test.go
+++ b/cmd/rooktrestle/crossings_test.go
@@ -11,7 +11,7 @@
 // The configuration is read again with the names of two classes exchanged and another tenant. Requests go on by what the
 // mixer began with: the unsafe class stays unsafe, and no request takes another's settings by its place in a list.
 func TestClassesOutliveANewConfiguration(t *testing.T) {
-	breaks := func(_ string, c net.Conn) string { c.Close(); return "" }
+	breaks := func(_ string, c net.Conn) string { closeQuietly(c); return "" }
 	a, b := newLeaf(t, breaks), newLeaf(t, breaks)
 	p := platform(t, a, b)
 	text, err := os.ReadFile(p.conf)
@@ -23,10 +23,8 @@
 	if changed == string(text) {
 		t.Fatal("nothing changed")
 	}
-	if err := os.WriteFile(p.conf, []byte(changed), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	p.cmd.Process.Signal(syscall.SIGHUP)
+	writeFile(t, p.conf, changed)
+	p.signal(syscall.SIGHUP)
 	if line := <-p.lines; !strings.Contains(line, "waits for the next start") {
 		t.Errorf("%q", line)
 	}
--- a/cmd/rooktrestle/fleet_test.go
+++ b/cmd/rooktrestle/fleet_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -16,18 +14,18 @@
 	"testing"
 )
 
-// relay carries words between mixers: each sends to a socket of its own, and comes to the others from another. What it
-// does to a word on its way is seeded.
+// relay carries gossip between instances: each sends to a socket of its own, and its datagrams come to the others from
+// another. What it does to a datagram is seeded.
 type relay struct {
 	mu   sync.Mutex
 	rng  *rand.Rand
-	cut  map[int]bool   // mixers to which nothing comes
-	all  []*net.UDPConn // where mixer i sends what is for all
-	from []*net.UDPConn // where mixer i comes from
-	to   []*net.UDPAddr // where mixer i listens
+	cut  map[int]bool   // instances to which nothing is forwarded
+	all  []*net.UDPConn // where instance i sends its broadcasts
+	from []*net.UDPConn // the source of instance i's datagrams
+	to   []*net.UDPAddr // where instance i listens
 }
 
-// newRelay is for n mixers. Each has an address of the loopback range to itself, so that its port is known before it
+// newRelay returns the relay of n instances. Each has an address of the loopback range to itself, so that its port is known before it
 // starts and nothing else has it.
 func newRelay(t *testing.T, n int, seed uint64) *relay {
 	r := &relay{rng: rand.New(rand.NewPCG(seed, 0)), cut: map[int]bool{}}
@@ -36,7 +34,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		t.Cleanup(func() { c.Close() })
+		t.Cleanup(func() { closeQuietly(c) })
 		return c
 	}
 	pid := os.Getpid()
@@ -45,13 +43,14 @@
 		r.to = append(r.to, &net.UDPAddr{IP: net.IPv4(127, byte(64+pid>>14&63), byte(pid>>7), byte(pid<<1&0xe0|i+1)), Port: 7946})
 	}
 	for i := range n {
-		go r.carry(i)
+		go r.forward(i)
 	}
 	return r
 }
 
-// carry passes on what mixer i says: to each other mixer a garbled copy first, the word, and often the word again.
-func (r *relay) carry(i int) {
+// forward forwards the broadcasts of instance i: to each other one a corrupt copy first, the datagram, and often the
+// datagram again.
+func (r *relay) forward(i int) {
 	buf := make([]byte, 512)
 	for {
 		n, _, err := r.all[i].ReadFromUDP(buf)
@@ -65,17 +64,20 @@
 			}
 			bad := append([]byte(nil), buf[:n]...)
 			bad[r.rng.IntN(n)] ^= byte(1 + r.rng.IntN(255))
-			r.from[i].WriteToUDP(bad, r.to[j])
+			r.sendTo(i, j, bad)
 			for range 1 + r.rng.IntN(2) {
-				r.from[i].WriteToUDP(buf[:n], r.to[j])
+				r.sendTo(i, j, buf[:n])
 			}
 		}
 		r.mu.Unlock()
 	}
 }
 
-// mixers starts n mixers of one tier.
-func mixers(t *testing.T, r *relay, leaves ...*leafServer) (tier []*program) {
+// sendTo sends a datagram from instance i to instance j. An error is a lost datagram, which gossip survives.
+func (r *relay) sendTo(i, j int, datagram []byte) { _, _ = r.from[i].WriteToUDP(datagram, r.to[j]) }
+
+// startFleet starts n instances of one fleet.
+func startFleet(t *testing.T, r *relay, leaves ...*leafServer) (fleet []*program) {
 	t.Helper()
 	at := newDiscovery(t, leaves...)
 	var peers []string
@@ -90,102 +92,119 @@
 		configureAs(t, path, at, strings.Replace(settings, `"n_instances"`, fmt.Sprintf(`"rank":%d,"n_instances"`, i), 1), keys)
 		p := start(t, 1, []string{"NODE_CONFIG=" + path, "NODE_DISCOVERY=" + at})
 		p.wait()
-		tier = append(tier, p)
+		fleet = append(fleet, p)
 	}
-	return tier
+	return fleet
 }
 
-var told = regexp.MustCompile(`words sent (\d+), heard (\d+), bad (\d+);.*servers that lose parts: (\d+), remarks on them heard (\d+)`)
+var gossipText = regexp.MustCompile(`words sent \d+, heard (\d+), bad (\d+);.*servers that lose parts: (\d+), remarks on them heard (\d+)`)
+
+// gossipCounters are an instance's counters of gossip and of outliers.
+type gossipCounters struct{ received, corrupt, outliers, observations int }
 
-// told are a mixer's counters of words, once the words that it was sent by then are among them.
-func (p *program) told() (sent, heard, bad, out, remarks int) {
+// gossip returns the counters of gossip. They include all datagrams that the instance had received by then.
+func (p *program) gossip() (c gossipCounters) {
 	p.t.Helper()
-	resp, err := http.Get("http://" + p.listen["http"] + "/counters")
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	text, _ := io.ReadAll(resp.Body)
-	m := told.FindStringSubmatch(string(text))
+	_, text := p.get("http://" + p.listen["http"] + "/counters")
+	m := gossipText.FindStringSubmatch(text)
 	if m == nil {
 		p.t.Fatalf("counters: %s", text)
 	}
-	var n [5]int
-	for i := range n {
-		n[i], _ = strconv.Atoi(m[i+1])
+	for i, counter := range []*int{&c.received, &c.corrupt, &c.outliers, &c.observations} {
+		*counter, _ = strconv.Atoi(m[i+1]) // digits, by the expression
+	}
+	return c
+}
+
+// lossyFleet is a fleet of instances with a sound leaf server and one that loses every part.
+type lossyFleet struct {
+	t         *testing.T
+	instances []*program
+	lossy     *leafServer
+	queries   []int // of each instance
+}
+
+// query sends a query of one part to instance i.
+func (f *lossyFleet) query(i int) {
+	f.t.Helper()
+	f.queries[i]++
+	id := fmt.Sprintf("q%d.%d", i, f.queries[i])
+	if status, text := f.instances[i].ask(id, "search", `{"slices":[{"slice":0,"mass":1}],"filter":"x"}`); status != 200 {
+		f.t.Fatalf("instance %d: %d %s", i, status, text)
+	}
+}
+
+// partsLost are the parts that instance i has sent to the lossy server.
+func (f *lossyFleet) partsLost(i int) (parts int) {
+	for _, line := range f.lossy.seen() {
+		if strings.HasPrefix(line, fmt.Sprintf("q%d.", i)) {
+			parts++
+		}
+	}
+	return parts
+}
+
+// loseOnePart sends queries until each of the instances from, ..., to-1 has lost a part.
+func (f *lossyFleet) loseOnePart(from, to int) {
+	f.t.Helper()
+	for i := from; i < to; i++ {
+		for f.partsLost(i) == 0 {
+			f.query(i)
+		}
+	}
+}
+
+// expectIsolated fails if instance i has received gossip, or takes a server for an outlier.
+func (f *lossyFleet) expectIsolated(i int) {
+	f.t.Helper()
+	if c := f.instances[i].gossip(); c.received != 0 || c.outliers != 0 {
+		f.t.Errorf("the isolated instance has received %d datagrams, and knows %d outliers", c.received, c.outliers)
 	}
-	return n[0], n[1], n[2], n[3], n[4]
 }
 
-// Mixers that each lose one part at a server find it together: one that lost none there leaves it, one that is cut off
-// from the words meets the server by itself. Garbled words change nothing and are counted, doubled ones do no harm. A
-// mixer that is killed takes nothing along. Every query is closed once.
+// Instances that each lose one part at a server find it together: one that lost none there avoids it, one that is isolated
+// from gossip meets the server by itself. Corrupt datagrams change nothing and are counted, duplicates do no harm. An
+// instance that is killed takes nothing along. Every query is closed once.
 func TestMixersFindALossyServerTogether(t *testing.T) {
-	good := newLeaf(t, value)
+	sound := newLeaf(t, value)
 	lossy := newLeaf(t, func(string, net.Conn) string { return "E 0 -\n" })
 	const n = 16
+	const observer, isolated = n - 1, n - 2
 	r := newRelay(t, n, 1)
-	quiet, apart := n-1, n-2
 	r.mu.Lock()
-	for i := range quiet { // each of the others is to lose a part, and would not once it heard of the server
+	for i := range observer { // each of the others is to lose a part, and would not once it heard of the server
 		r.cut[i] = true
 	}
 	r.mu.Unlock()
-	tier := mixers(t, r, good, lossy)
-	asked := make([]int, n)
-	ask := func(i int) {
-		asked[i]++
-		if status, text := tier[i].ask(fmt.Sprintf("q%d.%d", i, asked[i]), "search", `{"slices":[{"slice":0,"mass":1}],"filter":"x"}`); status != 200 {
-			t.Fatalf("mixer %d: %d %s", i, status, text)
-		}
-	}
-	at := func(i int) (parts int) { // parts of mixer i at the lossy server
-		for _, line := range lossy.seen() {
-			if strings.HasPrefix(line, fmt.Sprintf("q%d.", i)) {
-				parts++
-			}
-		}
-		return parts
-	}
-	lose := func(from, to int) {
-		for i := from; i < to; i++ {
-			for at(i) == 0 {
-				ask(i)
-			}
-		}
-	}
-	lose(0, 3)
-	tier[0].cmd.Process.Kill()
-	lose(3, apart)
+	f := &lossyFleet{t: t, instances: startFleet(t, r, sound, lossy), lossy: lossy, queries: make([]int, n)}
+	f.loseOnePart(0, 3)
+	f.instances[0].kill()
+	f.loseOnePart(3, isolated)
 	for {
-		_, _, bad, out, remarks := tier[quiet].told()
-		if out == 1 && bad > 0 && remarks >= apart {
+		c := f.instances[observer].gossip()
+		if c.outliers == 1 && c.corrupt > 0 && c.observations >= isolated {
 			break
 		}
-		if out > 1 {
-			t.Fatalf("%d servers taken for lossy", out)
+		if c.outliers > 1 {
+			t.Fatalf("%d servers taken for lossy", c.outliers)
 		}
 	}
-	if _, heard, _, out, _ := tier[apart].told(); heard != 0 || out != 0 {
-		t.Errorf("the mixer that is cut off heard %d words, and knows of %d servers", heard, out)
-	}
+	f.expectIsolated(isolated)
 	for range 60 {
-		ask(quiet)
-	}
-	if k := at(quiet); k > 5 { // one in a hundred may go there, to try it
-		t.Errorf("%d of 60 parts went to a server that others lost parts at", k)
+		f.query(observer)
 	}
-	// The one that is cut off meets the server by itself, as all would without words; one loss makes none an outlier.
-	lose(apart, apart+1)
-	if _, heard, _, out, _ := tier[apart].told(); heard != 0 || out != 0 {
-		t.Errorf("the mixer that is cut off heard %d words, and knows of %d servers", heard, out)
+	if lost := f.partsLost(observer); lost > 5 { // one in a hundred may go there, as a half-open request
+		t.Errorf("%d of 60 parts went to a server that others lost parts at", lost)
 	}
-	for _, p := range tier[1:] { // all at once: each goes on for a while
-		p.cmd.Process.Signal(syscall.SIGTERM)
+	// The isolated instance meets the server by itself, as all would without gossip; one loss makes no outlier.
+	f.loseOnePart(isolated, isolated+1)
+	f.expectIsolated(isolated)
+	for _, p := range f.instances[1:] { // all at once: each goes on for a while
+		p.signal(syscall.SIGTERM)
 	}
-	for i, p := range tier[1:] {
-		if c := p.stop(); c[0] != asked[i+1] || c[1] != asked[i+1] {
-			t.Errorf("mixer %d: %v of %d queries", i+1, c, asked[i+1])
+	for i, p := range f.instances[1:] {
+		if c := p.stop(); c.received != f.queries[i+1] || c.served != f.queries[i+1] {
+			t.Errorf("instance %d: %v of %d queries", i+1, c, f.queries[i+1])
 		}
 	}
 }
--- a/cmd/rooktrestle/health_test.go
+++ b/cmd/rooktrestle/health_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -21,15 +22,16 @@
 	var o, e strings.Builder
 	cmd.Stdout, cmd.Stderr = &o, &e
 	err := cmd.Run()
-	if _, ok := err.(*exec.ExitError); err != nil && !ok {
+	var exited *exec.ExitError
+	if err != nil && !errors.As(err, &exited) {
 		t.Fatal(err)
 	}
 	return cmd.ProcessState.ExitCode(), o.String(), e.String()
 }
 
-// The command asks every server once, says what each source says and what follows, and exits by the answer.
+// The command checks every server once, prints what each source says and the state that follows, and exits by the answer.
 func TestHealthCommand(t *testing.T) {
-	// A check has long to answer: what is asked is what the command says, and not how busy the machine is.
+	// Checks have a long timeout: the test is of what the command prints, and not of how busy the machine is.
 	in, err := deployment.Start(deployment.Options{Replicas: 4, Reach: 2, Seed: 1, Agents: true, CheckInterval: 30 * time.Second, CheckTimeout: 20 * time.Second})
 	if err != nil {
 		t.Fatal(err)
@@ -45,23 +47,27 @@
 	if status != 1 || !strings.Contains(errs, "not every server") {
 		t.Errorf("%d %s", status, errs)
 	}
-	var words []struct {
+	var reports []struct {
 		Server, State, Cause string
 		Usable               bool
 		Facts                []struct{ Source, Says string }
 	}
-	if err := json.Unmarshal([]byte(out), &words); err != nil || len(words) != 4 {
+	if err := json.Unmarshal([]byte(out), &reports); err != nil || len(reports) != 4 {
 		t.Fatal(err, out)
 	}
 	for i, want := range []struct{ state, cause string }{
 		{"in service", "status 500); but it holds block 0 alone"}, {"in service", "holds block 0 alone"}, {"in service", ""}, {"draining", "drain (festival)"},
 	} {
-		if w := words[i]; w.State != want.state || !strings.Contains(w.Cause, want.cause) || len(w.Facts) < 3 || w.Usable != (i == 2) {
-			t.Errorf("%+v, want %v", w, want)
+		if r := reports[i]; r.State != want.state || !strings.Contains(r.Cause, want.cause) || len(r.Facts) < 3 || r.Usable != (i == 2) {
+			t.Errorf("%+v, want %v", r, want)
 		}
 	}
+}
+
+// Each problem of an invalid file is a line, with its own line number.
+func TestCommands_InvalidFile_LineForEachProblem(t *testing.T) {
 	bad := filepath.Join(t.TempDir(), "bad.toml")
-	os.WriteFile(bad, []byte("[listen]\nsru = \"x\"\n"), 0o600)
+	writeFile(t, bad, "[listen]\nsru = \"x\"\n")
 	for _, args := range [][]string{{"health", bad}, {"check-config", bad}, {"serve", "--front", bad}} {
 		status, _, errs := run(t, args...)
 		lines := strings.Split(strings.TrimSpace(errs), "\n")
@@ -90,15 +96,14 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	defer cmd.Wait()
-	defer cmd.Process.Kill()
+	defer func() { _, _ = cmd.Process.Kill(), cmd.Wait() }() // it goes on for ever
 	d := json.NewDecoder(pipe)
 	for seen := 0; ; seen++ {
 		var w struct{ Server, State string }
 		if err := d.Decode(&w); err != nil {
 			t.Fatal(err)
 		}
-		if seen == 3 { // all four have been told
+		if seen == 3 { // all four have been printed
 			in.Agents[2].Set("maint", replica.Respond)
 		}
 		if w.Server == "n2" && w.State == "out" {
--- a/cmd/rooktrestle/standin_test.go
+++ b/cmd/rooktrestle/partners_standins_test.go
@@ -36,7 +36,7 @@
 
 func dialZ(t *testing.T, addr, user string) *origin {
 	t.Helper()
-	o, err := client.Dial(addr, user, 20*time.Second) // a failure, not a verdict: answers come long before
+	o, err := client.Dial(addr, user, 20*time.Second) // answers come long before
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -44,6 +44,15 @@
 	return &origin{o, t}
 }
 
+// send sends a unit without waiting for its answer.
+func (o *origin) send(unit string) {
+	o.t.Helper()
+	if err := o.Send(unit); err != nil {
+		o.t.Fatal(err)
+	}
+}
+
+// ask sends a unit and returns its answer.
 func (o *origin) ask(unit string) ber.TLV {
 	o.t.Helper()
 	v, err := o.RoundTrip(unit)
--- a/cmd/rooktrestle/partners_test.go
+++ b/cmd/rooktrestle/partners_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"os"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -18,15 +17,8 @@
 	"rooktrestle/internal/testbed/replica"
 )
 
-// partners starts the second front with two SRU servers and two Z39.50 targets round the ring: shard 0 is held
-// by a and b, 1 by b and c, 2 by c and d, 3 by d and a.
-func partners(t *testing.T, a *replica.Archive, change func(servers map[string]string)) *program {
-	t.Helper()
-	servers := map[string]string{"a": serve(t, a.SRU, "a"), "b": serve(t, a.Z3950, "b"), "c": serve(t, a.SRU, "c"), "d": serve(t, a.Z3950, "d")}
-	if change != nil {
-		change(servers)
-	}
-	conf := `name = "p"
+// partnersConf is the operator's file of partners, without the servers.
+const partnersConf = `name = "p"
 [listen]
 sru = "127.0.0.1:0"
 z3950 = "127.0.0.1:0"
@@ -74,15 +66,23 @@
 search = "coverage-report"
 tenant = "tv"
 `
+
+// partners starts a partners' deployment with two SRU servers and two Z39.50 targets on the ring: shard 0 is held by a
+// and b, 1 by b and c, 2 by c and d, 3 by d and a.
+func partners(t *testing.T, a *replica.Archive, change func(servers map[string]string)) *program {
+	t.Helper()
+	servers := map[string]string{"a": serve(t, a.SRU, "a"), "b": serve(t, a.Z3950, "b"), "c": serve(t, a.SRU, "c"), "d": serve(t, a.Z3950, "d")}
+	if change != nil {
+		change(servers)
+	}
+	conf := partnersConf
 	for i, id := range []string{"a", "b", "c", "d"} {
 		protocol := []string{"sru", "z3950"}[i%2]
 		check := servers[id+"-check"]
 		conf += fmt.Sprintf("[[server]]\nid = %q\nprotocol = %q\naddr = %q\ncell = %d\ndatabase = \"block-%%d\"\n%s\n", id, protocol, servers[id], i, check)
 	}
 	path := filepath.Join(t.TempDir(), "partners.toml")
-	if err := os.WriteFile(path, []byte(conf), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	writeFile(t, path, conf)
 	p := start(t, 4, nil, "serve", "--front", path)
 	p.conf = path
 	return p
@@ -103,9 +103,8 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	defer resp.Body.Close()
-	text, _ := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(text)
+	text := readBody(p.t, resp)
+	return resp.StatusCode, text
 }
 
 func (p *program) correct(id string) string {
@@ -114,9 +113,8 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	defer resp.Body.Close()
-	text, _ := io.ReadAll(resp.Body)
-	return string(text)
+	text := readBody(p.t, resp)
+	return text
 }
 
 func contains(t *testing.T, text string, parts ...string) {
@@ -159,10 +157,10 @@
 			want = `(and @1=4 @2=3 @4=1 budget speech @1=54 @2=3 @4=2 ne)`
 		}
 		if query != want {
-			t.Errorf("%s was asked %s", server, query)
+			t.Errorf("%s received the query %s", server, query)
 		}
 	}
-	if n := p.stop(); n != [5]int{2, 2, 0, 0, 0} {
+	if n := p.stop(); n != (queryCounts{received: 2, served: 2}) {
 		t.Error(n)
 	}
 }
@@ -172,6 +170,37 @@
 	a := newArchive(t)
 	p := partners(t, a, nil)
 	o := dialZ(t, p.listen["z3950"], "editor")
+	searchTwice(t, a, o)
+	presentRecords2To4(t, o, "one")
+	presentRecords2To4(t, o, "two")
+	expectDiagnostics(t, o)
+	other := dialZ(t, p.listen["z3950"], "")
+	if r := other.ask(ber.PresentAPDU("one", 1, 1)); ber.DiagnosticCode(r) != 30 {
+		t.Errorf("another association sees the set: %+v", r)
+	}
+	if r := o.ask(ber.Constructed(26, ber.Integer(32, 0), ber.Constructed(-16, ber.Primitive(31, "one")))); r.Tag != 27 || r.Child(0).Int() != 0 {
+		t.Errorf("%+v", r)
+	}
+	if r := o.ask(ber.PresentAPDU("one", 1, 1)); ber.DiagnosticCode(r) != 30 {
+		t.Errorf("%+v", r)
+	}
+	if r := o.ask(ber.SearchAPDU("x", "nowhere", ber.TermOperand(4, "x"))); ber.DiagnosticCode(r) != 109 {
+		t.Errorf("%+v", r)
+	}
+	if r := o.ask(ber.UpdateAPDU("2:line")); r.Tag != 47 || r.Child(3).Int() != 1 || a.CorrectionCounts()["2:line"] != 1 {
+		t.Errorf("%+v", r)
+	}
+	if r := o.ask(ber.Constructed(48, ber.Integer(211, 0))); r.Tag != 48 {
+		t.Errorf("%+v", r)
+	}
+	if n := p.stop(); n != (queryCounts{received: 3, served: 3}) {
+		t.Error(n)
+	}
+}
+
+// searchTwice makes the result set "one" by a search, and "two" by a search within it.
+func searchTwice(t *testing.T, a *replica.Archive, o *origin) {
+	t.Helper()
 	if r := o.ask(ber.SearchAPDU("one", "captions", ber.TermOperand(4, "budget"))); r.Child(23).Int() != 4 || ber.DiagnosticCode(r) != 0 || string(r.Child(2).Body) != "r-one" {
 		t.Fatalf("%+v", r)
 	}
@@ -187,46 +216,30 @@
 	if both != 4 {
 		t.Errorf("the second search stood for %q", a.Queries())
 	}
-	for _, set := range []string{"one", "two"} {
-		r := o.ask(ber.PresentAPDU(set, 2, 3))
-		if r.Tag != 25 || r.Child(24).Int() != 3 || ber.DiagnosticCode(r) != 0 || !strings.Contains(string(r.Body), "line of block-1") || strings.Contains(string(r.Body), "block-0") {
-			t.Errorf("%s: %+v", set, r)
-		}
+}
+
+// presentRecords2To4 presents three records of a result set, from the second on.
+func presentRecords2To4(t *testing.T, o *origin, set string) {
+	t.Helper()
+	r := o.ask(ber.PresentAPDU(set, 2, 3))
+	text := string(r.Body)
+	if r.Tag != 25 || r.Child(24).Int() != 3 || ber.DiagnosticCode(r) != 0 || !strings.Contains(text, "line of block-1") || strings.Contains(text, "block-0") {
+		t.Errorf("%s: %+v", set, r)
 	}
+}
+
+// expectDiagnostics checks the Bib-1 diagnostics of bad requests, in the presence of the sets "one" and "two".
+func expectDiagnostics(t *testing.T, o *origin) {
+	t.Helper()
 	for want, unit := range map[int]string{
 		13: ber.PresentAPDU("one", 4, 2), 30: ber.PresentAPDU("three", 1, 1), 112: ber.SearchAPDU("three", "captions", ber.TermOperand(4, "x")),
-		109: ber.SearchAPDU("one", "nowhere", ber.TermOperand(4, "x")), 114: ber.SearchAPDU("two", "captions", ber.TermOperand(9999, "x")),
+		114: ber.SearchAPDU("two", "captions", ber.TermOperand(9999, "x")),
 		239: ber.Constructed(24, ber.Primitive(31, "one"), ber.Integer(30, 1), ber.Integer(29, 1), ber.Primitive(104, ber.OIDMARC)),
 	} {
-		if want == 109 {
-			continue
-		}
 		if r := o.ask(unit); ber.DiagnosticCode(r) != want {
 			t.Errorf("diagnostic %d, want %d: %+v", ber.DiagnosticCode(r), want, r)
 		}
 	}
-	other := dialZ(t, p.listen["z3950"], "")
-	if r := other.ask(ber.PresentAPDU("one", 1, 1)); ber.DiagnosticCode(r) != 30 {
-		t.Errorf("another association sees the set: %+v", r)
-	}
-	if r := o.ask(ber.Constructed(26, ber.Integer(32, 0), ber.Constructed(-16, ber.Primitive(31, "one")))); r.Tag != 27 || r.Child(0).Int() != 0 {
-		t.Errorf("%+v", r)
-	}
-	if r := o.ask(ber.PresentAPDU("one", 1, 1)); ber.DiagnosticCode(r) != 30 {
-		t.Errorf("%+v", r)
-	}
-	if r := o.ask(ber.SearchAPDU("x", "nowhere", ber.TermOperand(4, "x"))); ber.DiagnosticCode(r) != 109 {
-		t.Errorf("%+v", r)
-	}
-	if r := o.ask(ber.UpdateAPDU("2:line")); r.Tag != 47 || r.Child(3).Int() != 1 || a.CorrectionCounts()["2:line"] != 1 {
-		t.Errorf("%+v", r)
-	}
-	if r := o.ask(ber.Constructed(48, ber.Integer(211, 0))); r.Tag != 48 {
-		t.Errorf("%+v", r)
-	}
-	if n := p.stop(); n != [5]int{3, 3, 0, 0, 0} {
-		t.Error(n)
-	}
 }
 
 // A client that leaves half way through a correction: the server is let go, nothing is sent again, and the
@@ -241,14 +254,14 @@
 			t.Fatal(err)
 		}
 		body := client.UpdateXML(id)
-		fmt.Fprintf(c, "POST /captions HTTP/1.1\r\nHost: x\r\nContent-Type: text/xml\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		send(c, fmt.Sprintf("POST /captions HTTP/1.1\r\nHost: x\r\nContent-Type: text/xml\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
 		server := <-a.CorrectionBegun
-		c.Close()
+		closeQuietly(c)
 		if left := <-a.ClientLeft; left != server {
 			t.Errorf("%s was let go, not %s", left, server)
 		}
 	}
-	if n := p.stop(); n != [5]int{4, 0, 0, 0, 4} {
+	if n := p.stop(); n != (queryCounts{received: 4, disconnected: 4}) {
 		t.Error(n)
 	}
 	for id, n := range a.CorrectionCounts() {
@@ -264,24 +277,24 @@
 	a.OnCorrection = func(string, string) string { return "hang" }
 	p := partners(t, a, nil)
 	o := dialZ(t, p.listen["z3950"], "")
-	o.Send(ber.UpdateAPDU("0:z"))
+	o.send(ber.UpdateAPDU("0:z"))
 	<-a.CorrectionBegun
 	if r := o.ask(ber.Constructed(32, ber.Integer(46, 3))); r.Tag != 47 || r.Child(3).Int() != 3 || ber.DiagnosticCode(r) != 105 {
 		t.Errorf("%+v", r)
 	}
 	<-a.ClientLeft
-	o.Send(ber.UpdateAPDU("1:z"))
+	o.send(ber.UpdateAPDU("1:z"))
 	<-a.CorrectionBegun
 	if r := o.ask(ber.Constructed(48, ber.Integer(211, 0))); r.Tag != 48 {
 		t.Errorf("%+v", r)
 	}
 	<-a.ClientLeft
 	o = dialZ(t, p.listen["z3950"], "")
-	o.Send(ber.UpdateAPDU("2:z"))
+	o.send(ber.UpdateAPDU("2:z"))
 	<-a.CorrectionBegun
 	o.Close()
 	<-a.ClientLeft
-	if n := p.stop(); n != [5]int{3, 0, 0, 0, 3} {
+	if n := p.stop(); n != (queryCounts{received: 3, disconnected: 3}) {
 		t.Error(n)
 	}
 	for id, n := range a.CorrectionCounts() {
@@ -333,7 +346,7 @@
 	if r := o.ask(ber.SearchAPDU("s", "coverage", ber.TermOperand(4, "x"))); ber.DiagnosticCode(r) == 0 || r.Child(22).Int() != 0 {
 		t.Errorf("%+v", r)
 	}
-	if n := p.stop(); n[0] != 3 || n[1] != 1 {
+	if n := p.stop(); n.received != 3 || n.served != 1 {
 		t.Error(n)
 	}
 }
@@ -343,9 +356,12 @@
 	a := newArchive(t)
 	p := partners(t, a, func(servers map[string]string) {
 		for _, id := range []string{"a", "b"} {
-			ln, _ := net.Listen("tcp", "127.0.0.1:0")
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
 			servers[id] = ln.Addr().String()
-			ln.Close()
+			closeQuietly(ln)
 		}
 	})
 	for _, id := range []string{"1:dead", "2:dead", "3:dead"} { // each has one sound holder at least
@@ -404,7 +420,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer agent.Close()
+	defer closeQuietly(agent)
 	asked := make(chan struct{}, 100)
 	go func() {
 		for {
@@ -412,8 +428,8 @@
 			if err != nil {
 				return
 			}
-			io.WriteString(c, "up drain 50%\n")
-			c.Close()
+			send(c, "up drain 50%\n")
+			closeQuietly(c)
 			select {
 			case asked <- struct{}{}:
 			default:
@@ -440,8 +456,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if text, _ := io.ReadAll(c); string(text) != "up ready 100%\n" {
-		t.Errorf("%q", text)
+	if text, err := io.ReadAll(c); err != nil || string(text) != "up ready 100%\n" {
+		t.Errorf("%q, %v", text, err)
 	}
 	p.stop()
 }
@@ -451,11 +467,11 @@
 	a := newArchive(t)
 	p := partners(t, a, nil)
 	for _, want := range []string{"configuration is valid", "configuration is invalid"} {
-		p.cmd.Process.Signal(syscall.SIGHUP)
+		p.signal(syscall.SIGHUP)
 		if line := <-p.lines; !strings.Contains(line, want) {
 			t.Errorf("%q, want %q", line, want)
 		}
-		os.WriteFile(p.conf, []byte("name ="), 0o600)
+		writeFile(t, p.conf, "name =")
 	}
 	if _, text := p.sru("captions", "x"); !strings.Contains(text, "line of block-0") {
 		t.Error(text)
--- a/cmd/rooktrestle/program_test.go
+++ b/cmd/rooktrestle/program_test.go
@@ -4,289 +4,17 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
-	"hash/fnv"
-	"io"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 )
 
-// The test binary is the program, too: it starts itself.
-func TestMain(m *testing.M) {
-	if os.Getenv("ROOKTRESTLE_PROGRAM") != "" {
-		main()
-		os.Exit(0)
-	}
-	os.Exit(m.Run())
-}
-
-// program is a running mixer.
-type program struct {
-	t      *testing.T
-	cmd    *exec.Cmd
-	listen map[string]string // what listens where
-	last   chan string       // the last line, once it has ended
-	lines  chan string       // lines on the configuration
-	conf   string            // the configuration's file
-}
-
-// start starts the program and waits until it has named so many listeners.
-func start(t *testing.T, listeners int, env []string, args ...string) *program {
-	t.Helper()
-	p := &program{t: t, cmd: exec.Command(os.Args[0], args...), listen: map[string]string{}, last: make(chan string, 1),
-		lines: make(chan string, 8)}
-	p.cmd.Env = append(append(os.Environ(), "ROOKTRESTLE_PROGRAM=1"), env...)
-	out, err := p.cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := p.cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	ready := make(chan struct{})
-	go func() {
-		lines, last := bufio.NewScanner(out), ""
-		for lines.Scan() {
-			last = lines.Text()
-			if f := listening.FindStringSubmatch(last); f != nil && len(p.listen) < listeners {
-				if p.listen[f[1]+f[3]] = f[2] + f[4]; len(p.listen) == listeners {
-					close(ready)
-				}
-			}
-			if strings.Contains(last, "configuration") {
-				p.lines <- last
-			}
-			if strings.Contains(last, "panic") || strings.Contains(last, "DATA RACE") {
-				t.Errorf("the program says: %s", last)
-			}
-		}
-		if len(p.listen) < listeners {
-			close(ready)
-		}
-		p.last <- last
-	}()
-	t.Cleanup(func() { p.cmd.Process.Kill(); p.cmd.Wait() })
-	if <-ready; len(p.listen) < listeners {
-		t.Fatalf("the program ended: %s", <-p.last)
-	}
-	return p
-}
-
-// A listener's line, plain on the platform and structured on the second front.
-var listening = regexp.MustCompile(`^\S+ listen (\S+) (\S+)$|msg=listen what=(\S+) addr=(\S+)`)
-
-var numbers = regexp.MustCompile(`taken (\d+); answered: served (\d+) \(partial \d+\), refused (\d+) \(full \d+\), failed (\d+), gone (\d+)`)
-
-// stop ends the program and returns its counts: taken, served, refused, failed, gone. Each query must have
-// been closed once.
-func (p *program) stop() [5]int {
-	p.t.Helper()
-	p.cmd.Process.Signal(syscall.SIGTERM)
-	last := <-p.last
-	if err := p.cmd.Wait(); err != nil {
-		p.t.Fatalf("the program ended with %v: %s", err, last)
-	}
-	m := numbers.FindStringSubmatch(last)
-	if m == nil {
-		p.t.Fatalf("no counters at exit: %s", last)
-	}
-	var n [5]int
-	for i := range n {
-		n[i], _ = strconv.Atoi(m[i+1])
-	}
-	if n[0] != n[1]+n[2]+n[3]+n[4] {
-		p.t.Errorf("not every query was closed once: %s", last)
-	}
-	return n
-}
-
-// leafServer is a stand-in: it answers parts as told.
-type leafServer struct {
-	addr  string
-	mu    sync.Mutex
-	parts []string // lines of the parts that came
-	act   func(name string, conn net.Conn) (answer string)
-}
-
-func newLeaf(t *testing.T, act func(name string, conn net.Conn) string) *leafServer {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	l := &leafServer{addr: ln.Addr().String(), act: act}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go l.serve(c)
-		}
-	}()
-	return l
-}
-
-func writeFrame(w io.Writer, letter byte, rest string) {
-	n := len(rest) + 1
-	w.Write(append([]byte{byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n), letter}, rest...))
-}
-
-func (l *leafServer) serve(c net.Conn) {
-	defer c.Close()
-	in := bufio.NewReader(c)
-	for {
-		var head [5]byte
-		if _, err := io.ReadFull(in, head[:]); err != nil {
-			return
-		}
-		rest := make([]byte, int(head[0])<<24|int(head[1])<<16|int(head[2])<<8|int(head[3])-1)
-		if _, err := io.ReadFull(in, rest); err != nil {
-			return
-		}
-		switch head[4] {
-		case '4':
-			writeFrame(c, '4', "queue=0")
-		case '1':
-			for text := string(rest); text != ""; {
-				line, after, _ := strings.Cut(text, "\n")
-				f := strings.Split(line, " ")
-				size, _ := strconv.Atoi(f[len(f)-1])
-				l.mu.Lock()
-				l.parts = append(l.parts, line+" "+after[:size])
-				l.mu.Unlock()
-				text = after[size:]
-				if answer := l.act(f[0], c); answer != "" {
-					writeFrame(c, '5', f[0]+" "+answer)
-				}
-			}
-		}
-	}
-}
-
-func (l *leafServer) seen() []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return append([]string(nil), l.parts...)
-}
-
-const platformSettings = `{"classes":[
- {"name":"report","aim":2500000,"credit":2,"deadline":7500000,"effect":"safe","late_worth":0.1},
- {"name":"search","aim":1500000,"credit":1,"deadline":4000000,"effect":"safe","late_worth":0.3},
- {"name":"correction","aim":1500000,"credit":1,"deadline":3000000,"effect":"unsafe","late_worth":0.3}],
- "extra":{"cells":2,"class_floor":[0.5,1,1],"follow_up":[2,0,0],"in_a_row":2,"incomplete_worth":[0.8,0.9,0.9],"need_by_class":[1,1,1],"per_call":1,"slices":4},
- "limits":{"cancel":true,"conn_idle":15000000,"connect_timeout":250000,"max_open":100,"max_retry_after":1000000,"probing":true,"send_cap":4,"streams_per_conn":100},
- "load_info":{"fields":["pending"],"how":"pull"},"n_instances":1,"orgs":[{"name":"tv","quota_per_s":100,"share":1}],
- "rules":{"cold":16000000,"cold_from":0.28,"fall":2000000,"tip_multiple":3},"tick":5000,"zone":0,"zones":["a","b"]}`
-
-// unhurried is the platform's settings for n mixers, with aims so long that nothing depends on how fast the machine is.
-func unhurried(n int) string {
-	settings := regexp.MustCompile(`"(aim|deadline)":\d+`).ReplaceAllString(platformSettings, `"$1":60000000`)
-	return strings.Replace(settings, `"n_instances":1`, fmt.Sprintf(`"n_instances":%d`, n), 1)
-}
-
-// listOf words the list of these leaf servers, of which the one of that number drains; negative: none.
-func listOf(leaves []*leafServer, drains int) string {
-	var lines []string
-	for i, l := range leaves {
-		state := "SERVING"
-		if i == drains {
-			state = "DRAINING"
-		}
-		lines = append(lines, fmt.Sprintf(`{"id":"s-%d","addr":%q,"zone":"a","kind":"m","cell":%d,"state":%q,"weight":1,"started_ms":0}`, i, l.addr, i, state))
-	}
-	return fmt.Sprintf(`{"version":1,"full":true,"servers":[%s]}`, strings.Join(lines, ","))
-}
-
-// newDiscovery starts a stand-in that lists these leaf servers.
-func newDiscovery(t *testing.T, leaves ...*leafServer) string {
-	list := listOf(leaves, -1)
-	disco := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != "/v1/servers" {
-			w.WriteHeader(404)
-			return
-		}
-		fmt.Fprintln(w, list)
-		if r.URL.Query().Get("stream") != "1" {
-			return
-		}
-		w.(http.Flusher).Flush()
-		<-r.Context().Done()
-	}))
-	t.Cleanup(disco.CloseClientConnections)
-	return strings.TrimPrefix(disco.URL, "http://")
-}
-
-// configure writes the platform's configuration.
-func configure(t *testing.T, path, discovery string) {
-	configureAs(t, path, discovery, platformSettings, `"name":"n0","seed":"8c1f30d27a5be964"`)
-}
-
-// configureAs writes a configuration with these settings and further keys.
-func configureAs(t *testing.T, path, discovery, settings, keys string) {
-	conf := fmt.Sprintf(`{%s,"listen":"127.0.0.1:0","discovery":%q,
-		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"version":0,"full":true,"servers":[]},"settings":%s}`, keys, discovery, settings)
-	if err := os.WriteFile(path, []byte(conf), 0o600); err != nil {
-		t.Fatal(err)
-	}
-}
-
-// platform starts the program with a stand-in of discovery that lists these leaf servers.
-func platform(t *testing.T, leaves ...*leafServer) *program {
-	t.Helper()
-	path, at := filepath.Join(t.TempDir(), "config.json"), newDiscovery(t, leaves...)
-	configure(t, path, at)
-	// On the platform the variable names the address of the start for good.
-	p := start(t, 1, []string{"NODE_CONFIG=" + path, "NODE_DISCOVERY=" + at})
-	p.conf = path
-	p.wait()
-	return p
-}
-
-// wait waits until the program is ready.
-func (p *program) wait() {
-	for status := 0; status != 200; {
-		if resp, err := http.Get("http://" + p.listen["http"] + "/healthz"); err == nil {
-			status = resp.StatusCode
-			resp.Body.Close()
-		}
-	}
-}
-
-// ask sends a query and returns the status and the body.
-func (p *program) ask(id, class, body string) (int, string) {
-	p.t.Helper()
-	r, _ := http.NewRequest("POST", "http://"+p.listen["http"]+"/"+class, strings.NewReader(body))
-	for k, v := range map[string]string{"X-Request-Id": id, "X-Class": class, "X-Tenant": "tv", "X-Deadline": "3.0"} {
-		r.Header.Set(k, v)
-	}
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	text, _ := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(text)
-}
-
-// valueOf is the value that stand-ins make for a part.
-func valueOf(name string) string {
-	h := fnv.New64a()
-	io.WriteString(h, name)
-	return fmt.Sprintf("%016x", h.Sum64())
-}
-
-func value(name string, _ net.Conn) string { return "S 7 -\n" + valueOf(name) }
-
 func TestPlatformServes(t *testing.T) {
 	a, b := newLeaf(t, value), newLeaf(t, value)
 	p := platform(t, a, b)
@@ -306,7 +34,7 @@
 			t.Errorf("part %q", line)
 		}
 	}
-	if n := p.stop(); n != [5]int{1, 1, 0, 0, 0} {
+	if n := p.stop(); n != (queryCounts{received: 1, served: 1}) {
 		t.Error(n)
 	}
 }
@@ -337,7 +65,7 @@
 
 // A correction whose connection breaks after it was written may have run: it fails, and is never sent again.
 func TestPlatformCorrectionIsNotSentTwice(t *testing.T) {
-	breaks := func(_ string, c net.Conn) string { c.Close(); return "" }
+	breaks := func(_ string, c net.Conn) string { closeQuietly(c); return "" }
 	a, b := newLeaf(t, breaks), newLeaf(t, breaks)
 	p := platform(t, a, b)
 	if status, _ := p.ask("q3", "correction", `{"slices":[{"slice":1,"mass":1}],"filter":"x"}`); status != 502 {
@@ -346,7 +74,7 @@
 	if sent := append(a.seen(), b.seen()...); len(sent) != 1 {
 		t.Errorf("sent %q", sent)
 	}
-	if n := p.stop(); n != [5]int{1, 0, 0, 1, 0} {
+	if n := p.stop(); n != (queryCounts{received: 1, failed: 1}) {
 		t.Error(n)
 	}
 }
@@ -360,7 +88,7 @@
 		defer mu.Unlock()
 		if bad {
 			bad = false
-			c.Write([]byte{0xff, 0xff, 0xff, 0xff, '5'})
+			send(c, "\xff\xff\xff\xff5")
 			return ""
 		}
 		return value(name, c)
@@ -403,12 +131,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		io.WriteString(c, request)
+		send(c, request)
 		line, err := bufio.NewReader(c).ReadString('\n')
 		if f := strings.Fields(line); err != nil || len(f) < 2 || f[1] != want {
 			t.Errorf("%.60q: %q, %v; want %s", request, line, err, want)
 		}
-		c.Close()
+		closeQuietly(c)
 	}
 	p.stop()
 }
@@ -427,7 +155,7 @@
 		done <- fmt.Sprint(status, text)
 	}()
 	<-asked
-	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.signal(syscall.SIGTERM)
 	close(told)
 	if got := <-done; !strings.HasPrefix(got, "200") || !strings.Contains(got, valueOf("q5.1")) {
 		t.Error(got)
@@ -437,7 +165,7 @@
 
 func TestBadConfigurationIsOneLine(t *testing.T) {
 	bad := filepath.Join(t.TempDir(), "c")
-	os.WriteFile(bad, []byte(`{"settings":{"classes":[]}}`), 0o600)
+	writeFile(t, bad, `{"settings":{"classes":[]}}`)
 	for _, args := range [][]string{{"serve"}, {"serve", "--front", bad}, {"check-config", "/nowhere"}, {"check-config"}} {
 		cmd := exec.Command(os.Args[0], args...)
 		cmd.Env = append(os.Environ(), "ROOKTRESTLE_PROGRAM=1", "NODE_CONFIG="+bad, "NODE_LISTEN=127.0.0.1:0", "NODE_DISCOVERY=127.0.0.1:1")
@@ -455,12 +183,12 @@
 	p := platform(t, a)
 	again := func(want string) {
 		t.Helper()
-		p.cmd.Process.Signal(syscall.SIGHUP)
+		p.signal(syscall.SIGHUP)
 		if line := <-p.lines; !strings.Contains(line, want) {
 			t.Errorf("%q, want %q", line, want)
 		}
 	}
-	os.WriteFile(p.conf, []byte("{"), 0o600)
+	writeFile(t, p.conf, "{")
 	again("configuration reload failed")
 	body := `{"slices":[{"slice":0,"mass":1}],"filter":"x"}`
 	if status, text := p.ask("q6", "search", body); status != 200 {
--- a/cmd/rooktrestle/shutdown_test.go
+++ b/cmd/rooktrestle/shutdown_test.go
@@ -16,31 +16,40 @@
 
 // Shutdowns of the program and what crosses them (docs/crossings.md).
 
-// asker is one connection of a client's.
-type asker struct {
+// httpClient is one connection of a client.
+type httpClient struct {
 	net.Conn
 	in *bufio.Reader
 }
 
-func (p *program) connect() asker {
+func (p *program) connect() httpClient {
 	p.t.Helper()
 	c, err := net.Dial("tcp", p.listen["http"])
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	p.t.Cleanup(func() { c.Close() })
-	return asker{c, bufio.NewReader(c)}
+	p.t.Cleanup(func() { closeQuietly(c) })
+	return httpClient{c, bufio.NewReader(c)}
 }
 
-func (c asker) send(id, wait string) error {
+// send sends a query of one part, with its deadline in seconds.
+func (c httpClient) send(id, wait string) error {
 	body := `{"slices":[{"slice":1,"mass":1}],"filter":"x"}`
 	_, err := fmt.Fprintf(c, "POST /search HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nX-Class: search\r\nX-Tenant: tv\r\nX-Deadline: %s\r\nContent-Length: %d\r\n\r\n%s",
 		id, wait, len(body), body)
 	return err
 }
 
-// answer is the next answer whole.
-func (c asker) answer() (status int, text string, err error) {
+// mustSend sends a query, which must not fail.
+func (c httpClient) mustSend(t *testing.T, id, wait string) {
+	t.Helper()
+	if err := c.send(id, wait); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// answer reads the next answer to its end.
+func (c httpClient) answer() (status int, text string, err error) {
 	if _, err := c.in.Peek(1); err != nil {
 		return 0, "", err
 	}
@@ -52,15 +61,15 @@
 	return resp.StatusCode, string(b), err
 }
 
-// A client goes on asking on one connection until the mixer ends it. Each request is answered whole or, where it crosses the
-// end, not taken at all: its client sees the end, and may ask elsewhere.
+// A client sends requests on one connection until the program ends it. Each request is answered completely or, where it
+// crosses the end, not accepted at all: its client sees the end, and may retry elsewhere.
 func TestAClientAsksUntilItsConnectionEnds(t *testing.T) {
 	p := platform(t, newLeaf(t, value))
 	c := p.connect()
 	answered := 0
 	for i := 0; ; i++ {
 		if i == 3 {
-			p.cmd.Process.Signal(syscall.SIGTERM)
+			p.signal(syscall.SIGTERM)
 		}
 		err := c.send(fmt.Sprint("q", i), "3.0")
 		if err == nil {
@@ -75,14 +84,14 @@
 				continue
 			}
 		}
-		if err != io.EOF && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, syscall.ECONNRESET) {
+		if !errors.Is(err, io.EOF) && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, syscall.ECONNRESET) {
 			t.Fatal(err)
 		}
 		break
 	}
-	c.Close()
-	if n := p.stop(); n[0] != answered || answered < 3 || n[1] != answered {
-		t.Errorf("taken %d, served %d; the client has %d answers", n[0], n[1], answered)
+	closeQuietly(c)
+	if n := p.stop(); n.received != answered || answered < 3 || n.served != answered {
+		t.Errorf("received %d, served %d; the client has %d answers", n.received, n.served, answered)
 	}
 }
 
@@ -96,18 +105,18 @@
 		return value(name, c)
 	}))
 	resting, c := p.connect(), p.connect()
-	c.send("q", "3.0")
+	c.mustSend(t, "q", "3.0")
 	<-asked
-	p.cmd.Process.Signal(syscall.SIGTERM)
-	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.signal(syscall.SIGTERM)
+	p.signal(syscall.SIGTERM)
 	close(told)
-	if n := p.stop(); n[0] != 1 || n[1] != 1 {
+	if n := p.stop(); n.received != 1 || n.served != 1 {
 		t.Errorf("%v", n)
 	}
 	if status, text, err := c.answer(); status != 200 || !strings.Contains(text, valueOf("q.1")) || err != nil {
 		t.Errorf("%d %q, %v", status, text, err)
 	}
-	for _, c := range []asker{c, resting} {
+	for _, c := range []httpClient{c, resting} {
 		if b, err := io.ReadAll(c.in); len(b) > 0 || err != nil {
 			t.Errorf("%q, %v; want the end", b, err)
 		}
@@ -125,28 +134,28 @@
 		return ""
 	}))
 	first, late := p.connect(), p.connect()
-	first.send("first", "0.3")
+	first.mustSend(t, "first", "0.3")
 	<-asked
-	p.cmd.Process.Signal(syscall.SIGTERM)
-	late.send("late", "0.3")
-	for _, c := range []asker{first, late} {
+	p.signal(syscall.SIGTERM)
+	late.mustSend(t, "late", "0.3")
+	for _, c := range []httpClient{first, late} {
 		if status, _, err := c.answer(); status < 500 || err != nil {
 			t.Errorf("%d, %v", status, err)
 		}
-		c.Close()
+		closeQuietly(c)
 	}
-	if n := p.stop(); n[0] != 2 || n[1] != 0 {
+	if n := p.stop(); n.received != 2 || n.served != 0 {
 		t.Errorf("%v", n)
 	}
 }
 
-// Told to end before it is ready, while discovery says nothing: it ends.
+// A SIGTERM before the program is ready, while discovery is unresponsive, ends it.
 func TestToldToEndBeforeItIsReady(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
+	defer closeQuietly(ln)
 	path := filepath.Join(t.TempDir(), "config.json")
 	configure(t, path, ln.Addr().String())
 	p := start(t, 1, []string{"NODE_CONFIG=" + path, "NODE_DISCOVERY=" + ln.Addr().String()})
@@ -154,18 +163,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
+	defer closeQuietly(c)
 	if resp, err := http.Get("http://" + p.listen["http"] + "/healthz"); err != nil || resp.StatusCode != 503 {
 		t.Errorf("%v, %v", resp, err)
 	} else {
-		resp.Body.Close()
+		closeQuietly(resp.Body)
 	}
-	if n := p.stop(); n[0] != 0 {
+	if n := p.stop(); n.received != 0 {
 		t.Errorf("%v", n)
 	}
 }
 
-// Told to end while it reads its configuration again, which does not come: it ends.
+// A SIGTERM while a reload blocks on reading the configuration ends the program.
 func TestToldToEndWhileItReadsItsConfiguration(t *testing.T) {
 	p := platform(t, newLeaf(t, value))
 	if err := os.Remove(p.conf); err != nil {
@@ -174,13 +183,13 @@
 	if err := syscall.Mkfifo(p.conf, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.signal(syscall.SIGHUP)
 	f, err := os.OpenFile(p.conf, os.O_WRONLY, 0) // opens when the program reads, which it then goes on doing
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer f.Close()
-	if n := p.stop(); n[0] != 0 {
+	defer closeQuietly(f)
+	if n := p.stop(); n.received != 0 {
 		t.Errorf("%v", n)
 	}
 }
--- a/cmd/rooktrestle/silence_test.go
+++ b/cmd/rooktrestle/silence_test.go
@@ -11,30 +11,30 @@
 	"testing"
 )
 
-// agent stands in for a mixer's agent of discovery. While it is silent, open watches hear nothing more, and new calls
-// nothing at all, ever.
+// agent is a stand-in of an instance's discovery agent. While it is unresponsive, open watches receive no more events, and
+// new calls no answer at all, ever.
 type agent struct {
-	addr   string
-	calls  chan struct{} // those that came while it was silent
-	told   chan struct{} // it has said that a server drains
-	mu     sync.Mutex
-	silent bool
-	drains int // number of the server that drains; negative: none
+	addr         string
+	calls        chan struct{} // received while it was unresponsive
+	drainSent    chan struct{} // a list with a draining server has been sent
+	mu           sync.Mutex
+	unresponsive bool
+	drains       int // number of the server that drains; negative: none
 }
 
 func newAgent(t *testing.T, leaves ...*leafServer) *agent {
-	a := &agent{calls: make(chan struct{}, 100), told: make(chan struct{}, 100), drains: -1}
+	a := &agent{calls: make(chan struct{}, 100), drainSent: make(chan struct{}, 100), drains: -1}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		a.mu.Lock()
-		silent, drains := a.silent, a.drains
+		unresponsive, drains := a.unresponsive, a.drains
 		a.mu.Unlock()
-		if silent {
+		if unresponsive {
 			a.calls <- struct{}{}
 		} else {
-			fmt.Fprintln(w, listOf(leaves, drains))
+			send(w, listOf(leaves, drains)+"\n")
 			w.(http.Flusher).Flush()
 			if drains >= 0 {
-				a.told <- struct{}{}
+				a.drainSent <- struct{}{}
 			}
 		}
 		<-r.Context().Done()
@@ -44,94 +44,119 @@
 	return a
 }
 
-func (a *agent) set(silent bool, drains int) {
+func (a *agent) set(unresponsive bool, drains int) {
 	a.mu.Lock()
-	a.silent, a.drains = silent, drains
+	a.unresponsive, a.drains = unresponsive, drains
 	a.mu.Unlock()
 }
 
-// Mixers whose agents all fall silent call them anew, and go on doing so: each learns of a drain that began meanwhile,
-// also one that was stopped all the while, and one that was killed and began in the silence. From then on nothing new
-// goes to the server. Guards against mixers that waited in silence and sent 1,481 parts to servers that drained.
-func TestMixersLearnOfADrainAfterASilence(t *testing.T) {
-	drained, good := newLeaf(t, value), newLeaf(t, value)
-	settings := strings.Replace(unhurried(300), `"n_instances"`, `"registry_mode":"pushed","n_instances"`, 1)
-	settings = strings.Replace(settings, `"quota_per_s":100`, `"quota_per_s":100000`, 1)
-	const n, killed, stopped = 5, 0, 1
-	var tier []*program
-	var agents []*agent
-	begin := func(i int) *program {
-		path := filepath.Join(t.TempDir(), "config.json")
-		configureAs(t, path, agents[i].addr, settings, fmt.Sprintf(`"name":"n%d","seed":"%x"`, i, 7+i))
-		return start(t, 1, []string{"NODE_CONFIG=" + path, "NODE_DISCOVERY=" + agents[i].addr})
+// watchingFleet is a fleet of instances that each watch a discovery agent of their own.
+type watchingFleet struct {
+	t         *testing.T
+	settings  string
+	agents    []*agent
+	instances []*program
+	draining  *leafServer // the server that is to drain
+	queries   []int       // of each instance
+}
+
+// start starts instance i.
+func (f *watchingFleet) start(i int) *program {
+	f.t.Helper()
+	path := filepath.Join(f.t.TempDir(), "config.json")
+	configureAs(f.t, path, f.agents[i].addr, f.settings, fmt.Sprintf(`"name":"n%d","seed":"%x"`, i, 7+i))
+	return start(f.t, 1, []string{"NODE_CONFIG=" + path, "NODE_DISCOVERY=" + f.agents[i].addr})
+}
+
+// query sends a query of one part, which both servers hold, to instance i.
+func (f *watchingFleet) query(i int) {
+	f.t.Helper()
+	f.queries[i]++
+	id := fmt.Sprintf("q%d.%d", i, f.queries[i])
+	if status, text := f.instances[i].ask(id, "search", `{"slices":[{"slice":0,"mass":1}],"filter":"x"}`); status != 200 {
+		f.t.Fatalf("%s: %d %s", id, status, text)
 	}
-	asked := make([]int, n)
-	ask := func(i int) { // one part; both servers hold it
-		asked[i]++
-		id := fmt.Sprintf("q%d.%d", i, asked[i])
-		if status, text := tier[i].ask(id, "search", `{"slices":[{"slice":0,"mass":1}],"filter":"x"}`); status != 200 {
-			t.Fatalf("%s: %d %s", id, status, text)
+}
+
+// partsAtDraining are the parts that instance i has sent to the server that is to drain.
+func (f *watchingFleet) partsAtDraining(i int) (parts int) {
+	for _, line := range f.draining.seen() {
+		if strings.HasPrefix(line, fmt.Sprintf("q%d.", i)) {
+			parts++
 		}
 	}
-	at := func(i int) (parts int) {
-		for _, line := range drained.seen() {
-			if strings.HasPrefix(line, fmt.Sprintf("q%d.", i)) {
-				parts++
-			}
+	return parts
+}
+
+// queryUntilAvoided sends queries to instance i until ten in a row have avoided the draining server: the instance has
+// applied the list then.
+func (f *watchingFleet) queryUntilAvoided(i int) {
+	f.t.Helper()
+	for avoided, before := 0, f.partsAtDraining(i); avoided < 10; {
+		f.query(i)
+		if f.partsAtDraining(i) == before {
+			avoided++
+		} else {
+			avoided, before = 0, f.partsAtDraining(i)
 		}
-		return parts
 	}
+}
+
+// Instances whose discovery agents are all unresponsive call them again, and go on doing so: each learns of a drain that
+// began meanwhile, also one that was stopped all the time, and one that was killed and restarted meanwhile. From then on
+// nothing new goes to the server. Guards against instances that waited in silence and sent 1,481 parts to servers that
+// drained.
+func TestMixersLearnOfADrainAfterASilence(t *testing.T) {
+	draining, sound := newLeaf(t, value), newLeaf(t, value)
+	settings := strings.Replace(unhurried(300), `"n_instances"`, `"registry_mode":"pushed","n_instances"`, 1)
+	settings = strings.Replace(settings, `"quota_per_s":100`, `"quota_per_s":100000`, 1)
+	const n, killed, stopped = 5, 0, 1
+	f := &watchingFleet{t: t, settings: settings, draining: draining, queries: make([]int, n)}
 	for i := range n {
-		agents = append(agents, newAgent(t, drained, good))
-		tier = append(tier, begin(i))
-		tier[i].wait()
+		f.agents = append(f.agents, newAgent(t, draining, sound))
+		f.instances = append(f.instances, f.start(i))
+		f.instances[i].wait()
 	}
 	for i := range n {
-		for at(i) == 0 {
-			ask(i)
+		for f.partsAtDraining(i) == 0 {
+			f.query(i)
 		}
 	}
-	for _, a := range agents {
+	for _, a := range f.agents {
 		a.set(true, -1)
 	}
-	tier[killed].cmd.Process.Kill()
-	<-tier[killed].last
-	asked[killed] = 0
-	tier[killed] = begin(killed)
-	tier[stopped].cmd.Process.Signal(syscall.SIGSTOP)
-	for i, a := range agents {
+	f.instances[killed].kill()
+	<-f.instances[killed].last
+	f.queries[killed] = 0
+	f.instances[killed] = f.start(killed)
+	f.instances[stopped].signal(syscall.SIGSTOP)
+	for i, a := range f.agents {
 		for range 3 { // the first by its silence, the others as nothing came of the one before
 			if i != stopped {
 				<-a.calls
 			}
 		}
 	}
-	for _, a := range agents {
+	for _, a := range f.agents {
 		a.set(false, 0)
 	}
-	tier[stopped].cmd.Process.Signal(syscall.SIGCONT)
-	for i, a := range agents {
-		<-a.told
-		tier[i].wait()
-		for spared, before := 0, at(i); spared < 10; { // until it has taken what it was told
-			if ask(i); at(i) == before {
-				spared++
-			} else {
-				spared, before = 0, at(i)
-			}
-		}
-		before := at(i)
+	f.instances[stopped].signal(syscall.SIGCONT)
+	for i, a := range f.agents {
+		<-a.drainSent
+		f.instances[i].wait()
+		f.queryUntilAvoided(i)
+		before := f.partsAtDraining(i)
 		for range 30 {
-			ask(i)
+			f.query(i)
 		}
-		if k := at(i) - before; k > 0 {
-			t.Errorf("mixer %d: %d of 30 parts went to a server that drains", i, k)
+		if parts := f.partsAtDraining(i) - before; parts > 0 {
+			t.Errorf("instance %d: %d of 30 parts went to a server that drains", i, parts)
 		}
 	}
-	for i, p := range tier {
-		p.cmd.Process.Signal(syscall.SIGTERM)
-		if c := p.stop(); c[0] != asked[i] || c[1] != asked[i] {
-			t.Errorf("mixer %d: %v of %d queries", i, c, asked[i])
+	for i, p := range f.instances {
+		p.signal(syscall.SIGTERM)
+		if c := p.stop(); c.received != f.queries[i] || c.served != f.queries[i] {
+			t.Errorf("instance %d: %v of %d queries", i, c, f.queries[i])
 		}
 	}
 }
--- a/internal/app/partnerlisteners.go
+++ b/internal/app/partnerlisteners.go
@@ -60,7 +60,7 @@
 		if err != nil {
 			return fmt.Errorf("%s: %w", listener.protocol, err)
 		}
-		p.log.Info("listen", "what", listener.protocol, "addr", server.Addr(), "sockets", listener.maxSockets)
+		p.log.Info("listening", "protocol", listener.protocol, "addr", server.Addr(), "sockets", listener.maxSockets)
 		p.listeners[listener.protocol] = server
 	}
 	return nil
--- a/internal/app/readiness.go
+++ b/internal/app/readiness.go
@@ -31,9 +31,9 @@
 	due       time.Time        // of the next evaluation
 	memory    []metrics.Sample // total and released bytes
 
-	databases        []readiness.DatabaseSnapshot // reused between refreshes
-	databasesOf      uint64                       // version of the server health that they show
-	databasesTakenAt time.Time
+	databases   []readiness.DatabaseSnapshot // reused between refreshes
+	databasesOf uint64                       // version of the server health that they show
+	databasesAt time.Time
 }
 
 func newReadinessPublisher(conf *config.Partners, core *aggregator.Core, tracker *healthTracker, publisher *fronthealth.Teller) *readinessPublisher {
@@ -83,10 +83,10 @@
 // than everything else in an evaluation.
 func (p *readinessPublisher) refreshDatabases(now time.Time) {
 	unchanged := p.databases != nil && p.databasesOf == p.health.version
-	if unchanged && now.Sub(p.databasesTakenAt) < databaseRefreshInterval {
+	if unchanged && now.Sub(p.databasesAt) < databaseRefreshInterval {
 		return
 	}
-	p.databases, p.databasesOf, p.databasesTakenAt = nil, p.health.version, now
+	p.databases, p.databasesOf, p.databasesAt = nil, p.health.version, now
 	for _, database := range p.conf.Databases {
 		p.databases = append(p.databases, p.snapshotOf(database))
 	}
--- a/internal/config/partners.go
+++ b/internal/config/partners.go
@@ -29,33 +29,11 @@
 // Partners is the operator's file of the second front: an aggregator behind SRU and Z39.50. LoadPartners returns it
 // validated and with all defaults; it is not changed after that.
 type Partners struct {
-	Name   string `toml:"name"`
-	Listen struct {
-		SRU    string `toml:"sru"`
-		Z3950  string `toml:"z3950"`
-		Health string `toml:"health"` // HTTP
-		Agent  string `toml:"agent"`  // agent-check
-		// AgentWait is how long an agent-check may take to name a database (agent-send) before it is answered for
-		// the aggregator as a whole; 0: no agent-check names one.
-		AgentWait Duration     `toml:"agent_wait"`
-		Share     SocketShares `toml:"share"`
-	} `toml:"listen"`
-	Limits struct {
-		MemoryMB   int      `toml:"memory_mb"`
-		Sockets    int      `toml:"sockets"`
-		MaxOpen    int      `toml:"max_open"`    // open queries, and parts in flight
-		MaxRecords int      `toml:"max_records"` // of one part, and of one answer
-		ResultSets int      `toml:"result_sets"` // of one Z39.50 association
-		Attempts   int      `toml:"attempts"`    // of one part
-		Connect    Duration `toml:"connect"`     // timeout of a connection to a server
-		Idle       Duration `toml:"idle"`        // servers close a connection that has been idle for so long
-	} `toml:"limits"`
-	Zone   int `toml:"zone"` // of the aggregator itself
-	Shards struct {
-		Count int `toml:"count"`
-		Cells int `toml:"cells"`
-		Reach int `toml:"reach"` // consecutive cells that hold a shard
-	} `toml:"shards"`
+	Name          string         `toml:"name"`
+	Listen        Listen         `toml:"listen"`
+	Limits        Limits         `toml:"limits"`
+	Zone          int            `toml:"zone"` // of the aggregator itself
+	Shards        Ring           `toml:"shards"`
 	Instances     int            `toml:"mixers"` // aggregators that share the tenants' quotas
 	Classes       []Class        `toml:"class"`
 	Tenants       []Tenant       `toml:"tenant"`
@@ -67,6 +45,38 @@
 	HealthConfig  HealthRules    `toml:"health"`
 }
 
+// Listen has the addresses of the listeners (host:port; empty: not listened to) and what each of them may use.
+type Listen struct {
+	SRU    string `toml:"sru"`
+	Z3950  string `toml:"z3950"`
+	Health string `toml:"health"` // HTTP
+	Agent  string `toml:"agent"`  // agent-check
+	// AgentWait is how long an agent-check may take to name a database (agent-send) before it is answered for the
+	// aggregator as a whole; 0: no agent-check names one.
+	AgentWait Duration     `toml:"agent_wait"`
+	Share     SocketShares `toml:"share"`
+}
+
+// Limits are the limits of an aggregator.
+type Limits struct {
+	MemoryMB   int      `toml:"memory_mb"`
+	Sockets    int      `toml:"sockets"`
+	MaxOpen    int      `toml:"max_open"`    // open queries, and parts in flight
+	MaxRecords int      `toml:"max_records"` // of one part, and of one answer
+	ResultSets int      `toml:"result_sets"` // of one Z39.50 association
+	Attempts   int      `toml:"attempts"`    // of one part
+	Connect    Duration `toml:"connect"`     // timeout of a connection to a server
+	Idle       Duration `toml:"idle"`        // servers close a connection that has been idle for so long
+}
+
+// Ring says which servers hold which shard where there is no shard map: shard s is held by the cells s to s+Reach-1, modulo
+// Cells.
+type Ring struct {
+	Count int `toml:"count"` // shards
+	Cells int `toml:"cells"`
+	Reach int `toml:"reach"` // consecutive cells that hold a shard
+}
+
 // Class is a class of queries.
 type Class struct {
 	Name            string   `toml:"name"`
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -28,7 +28,7 @@
 }
 
 func TestPendingAnswer_Answer(t *testing.T) {
-	value := func(f query.PartResult) string { return query.Encode(f) }
+	value := query.Encode[query.PartResult]
 	one := value(query.PartResult{Count: 2, Records: []query.Record{{XML: "<a/>"}, {XML: "<b/>"}}})
 	two := value(query.PartResult{Count: 1, Records: []query.Record{{XML: "<c/>"}}})
 	diagnostic := value(query.PartResult{Diagnostic: &query.Diagnostic{Bib1: 114}})
