Put the commands' help into the field's terms

Words of the earlier house style (mixer, asked, cut, make one of neighbours) leave the help of rooktrestle and grpchealth.

--- a/cmd/rooktrestle/blocks.go
+++ b/cmd/rooktrestle/blocks.go
@@ -15,7 +15,7 @@
 
 // blocksCommand has the commands on shard maps, which operators know as maps of blocks.
 func blocksCommand() *cobra.Command {
-	c := &cobra.Command{Use: "blocks", Short: "Look at maps of blocks, and plan how they change"}
+	c := &cobra.Command{Use: "blocks", Short: "Inspect shard maps (maps of blocks), and plan their changes"}
 	c.AddCommand(blocksCheckCommand(), blocksShowCommand(), blocksDiffCommand(), blocksPlanCommand())
 	return c
 }
@@ -36,7 +36,7 @@
 func blocksCheckCommand() *cobra.Command {
 	var after string
 	c := &cobra.Command{
-		Use: "check FILE", Short: "Read a map and say whether it is one; with --after, whether it may follow another", Args: cobra.ExactArgs(1),
+		Use: "check FILE", Short: "Validate a map; with --after, also as the successor of another", Args: cobra.ExactArgs(1),
 		Example: "  rooktrestle blocks check new.json --after now.json",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			m, err := readMap(args[0])
@@ -56,7 +56,7 @@
 			return nil
 		},
 	}
-	c.Flags().StringVar(&after, "after", "", "the map that it is to follow")
+	c.Flags().StringVar(&after, "after", "", "the map that it is to succeed")
 	return c
 }
 
@@ -130,7 +130,7 @@
 func blocksDiffCommand() *cobra.Command {
 	var asJSON bool
 	c := &cobra.Command{
-		Use: "diff OLD NEW", Short: "Print what changes from one map to another, and whether it is legal", Args: cobra.ExactArgs(2),
+		Use: "diff OLD NEW", Short: "Print the differences of two maps, and whether the second may succeed the first", Args: cobra.ExactArgs(2),
 		Example: "  rooktrestle blocks diff now.json new.json",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			before, err := readMap(args[0])
--- a/cmd/rooktrestle/blocksplan.go
+++ b/cmd/rooktrestle/blocksplan.go
@@ -32,19 +32,19 @@
 
 func blocksPlanCommand() *cobra.Command {
 	var o planOptions
-	c := &cobra.Command{Use: "plan", Short: "Print the succession of epochs that changes blocks safely, with the waits and why"}
+	c := &cobra.Command{Use: "plan", Short: "Print the epochs that change blocks safely, with the waits between them and the reasons"}
 	flags := c.PersistentFlags()
-	flags.StringVar(&o.mapPath, "map", "", "the present map")
+	flags.StringVar(&o.mapPath, "map", "", "the current map")
 	flags.StringVar(&o.writePath, "write", "", "write each epoch's map to this path, with %d for the epoch")
-	flags.DurationVar(&o.timing.MapPropagation, "spread", defaultMapPropagation, "until every mixer has an epoch")
+	flags.DurationVar(&o.timing.MapPropagation, "spread", defaultMapPropagation, "time until every aggregator has an epoch")
 	flags.DurationVar(&o.timing.MaxQueryTime, "query", defaultMaxQueryTime, "the longest deadline of a query")
 	if err := c.MarkPersistentFlagRequired("map"); err != nil {
 		panic(err) // the flag is defined above
 	}
 	c.AddCommand(
-		o.command("move BLOCK SERVER...", "Give a block to these servers", "  rooktrestle blocks plan move 7 n2 n5 --map now.json", planMove),
-		o.command("split BLOCK KEY...", "Cut a block at keys", "  rooktrestle blocks plan split 7 news@2019 --map now.json", planSplit),
-		o.command("merge BLOCK BLOCK...", "Make one of neighbours", "  rooktrestle blocks plan merge 7 8 --map now.json", planMerge),
+		o.command("move BLOCK SERVER...", "Migrate a block to these servers", "  rooktrestle blocks plan move 7 n2 n5 --map now.json", planMove),
+		o.command("split BLOCK KEY...", "Split a block at keys", "  rooktrestle blocks plan split 7 news@2019 --map now.json", planSplit),
+		o.command("merge BLOCK BLOCK...", "Merge adjacent blocks", "  rooktrestle blocks plan merge 7 8 --map now.json", planMerge),
 	)
 	return c
 }
--- a/cmd/rooktrestle/health.go
+++ b/cmd/rooktrestle/health.go
@@ -15,7 +15,7 @@
 func healthCommand() *cobra.Command {
 	var options app.HealthOptions
 	c := &cobra.Command{
-		Use: "health FILE", Short: "Ask the servers of the operator's FILE for their health, and say what follows and why",
+		Use: "health FILE", Short: "Check the servers of the operator's FILE, and print their states and the causes",
 		Example: "  rooktrestle health deploy/partners.toml --watch", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			options.Stop = stopOnSignal()
@@ -26,8 +26,8 @@
 			return err
 		},
 	}
-	c.Flags().BoolVar(&options.Watch, "watch", false, "go on asking, and print what changes")
-	c.Flags().BoolVar(&options.JSON, "json", false, "for scripts; with --watch one object a line")
+	c.Flags().BoolVar(&options.Watch, "watch", false, "check again and again, and print what changes")
+	c.Flags().BoolVar(&options.JSON, "json", false, "for scripts; with --watch one object per line")
 	return c
 }
 
--- a/cmd/rooktrestle/main.go
+++ b/cmd/rooktrestle/main.go
@@ -82,7 +82,7 @@
 func serveCommand(logger **slog.Logger) *cobra.Command {
 	var front string
 	c := &cobra.Command{
-		Use: "serve", Short: "Serve by the platform's configuration (NODE_CONFIG), or the operator's second front", Args: cobra.NoArgs,
+		Use: "serve", Short: "Serve the platform's configuration (NODE_CONFIG), or the operator's file of SRU and Z39.50", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			if front != "" {
 				return app.ServePartners(front, *logger)
@@ -90,13 +90,13 @@
 			return app.ServePlatform()
 		},
 	}
-	c.Flags().StringVar(&front, "front", "", "the operator's file of the second front (SRU and Z39.50)")
+	c.Flags().StringVar(&front, "front", "", "the operator's file of SRU and Z39.50")
 	return c
 }
 
 func checkConfigCommand() *cobra.Command {
 	return &cobra.Command{
-		Use: "check-config [FILE]", Short: "Read the platform's configuration, or the operator's FILE, and say whether it can be served",
+		Use: "check-config [FILE]", Short: "Read the platform's configuration, or the operator's FILE, and report whether it can be served",
 		Args: cobra.MaximumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if len(args) == 1 {
--- a/internal/app/grpchealthcmd/grpchealthcmd.go
+++ b/internal/app/grpchealthcmd/grpchealthcmd.go
@@ -54,7 +54,7 @@
 func New(name string) *cobra.Command {
 	var o options
 	c := &cobra.Command{
-		Use: name, Short: "Tell a mixer's health over grpc.health.v1, and ask gRPC servers for it",
+		Use: name, Short: "Serve an aggregator's health over grpc.health.v1, and check gRPC servers for it",
 		Example: "  " + name + " --listen 127.0.0.1:8213 --mixer 127.0.0.1:8211 --bridge 127.0.0.1:8214", Args: cobra.NoArgs,
 		SilenceUsage: true, SilenceErrors: true,
 		RunE: func(*cobra.Command, []string) error {
@@ -64,10 +64,10 @@
 			return o.run()
 		},
 	}
-	c.Flags().StringVar(&o.listen, "listen", "", "where gRPC callers ask; empty: nowhere")
-	c.Flags().StringVar(&o.aggregator, "mixer", "", "the mixer's health listener; needed with --listen")
-	c.Flags().StringVar(&o.bridge, "bridge", "", "where the mixer has gRPC servers asked (checks.grpc_bridge); empty: nowhere")
-	c.Flags().DurationVar(&o.interval, "every", defaultInterval, "how often the mixer is asked")
+	c.Flags().StringVar(&o.listen, "listen", "", "address for gRPC clients; empty: none")
+	c.Flags().StringVar(&o.aggregator, "mixer", "", "address of the aggregator's health listener; needed with --listen")
+	c.Flags().StringVar(&o.bridge, "bridge", "", "address at which the aggregator has gRPC servers checked (checks.grpc_bridge); empty: none")
+	c.Flags().DurationVar(&o.interval, "every", defaultInterval, "interval between requests to the aggregator")
 	return c
 }
 
