Name the program's tests by what is tested

Names and comments of tests in cmd/rooktrestle that no page of docs names take the field's terms; those that docs/crossings.md named keep theirs.

--- a/cmd/rooktrestle/blocks_test.go
+++ b/cmd/rooktrestle/blocks_test.go
@@ -55,7 +55,7 @@
 }
 
 // On SIGHUP the map's file is read at once, however rarely it is looked at; a bad one changes nothing.
-func TestMapIsReadOnSIGHUP(t *testing.T) {
+func TestPartners_SIGHUP_ReadsTheShardMap(t *testing.T) {
 	dir := t.TempDir()
 	file, conf := filepath.Join(dir, "map.json"), filepath.Join(dir, "front.toml")
 	good, err := os.ReadFile("../../deploy/blocks.toml")
--- a/cmd/rooktrestle/crossings_test.go
+++ b/cmd/rooktrestle/crossings_test.go
@@ -8,8 +8,8 @@
 	"testing"
 )
 
-// The configuration is read again with the names of two classes exchanged and another tenant. Requests go on by what the
-// mixer began with: the unsafe class stays unsafe, and no request takes another's settings by its place in a list.
+// The configuration is reloaded with the names of two classes exchanged and another tenant. Requests are served by what
+// the program started with: the unsafe class stays unsafe, and no request takes another's settings by its place in a list.
 func TestClassesOutliveANewConfiguration(t *testing.T) {
 	breaks := func(_ string, c net.Conn) string { closeQuietly(c); return "" }
 	a, b := newLeaf(t, breaks), newLeaf(t, breaks)
--- a/cmd/rooktrestle/fleet_test.go
+++ b/cmd/rooktrestle/fleet_test.go
@@ -165,7 +165,7 @@
 // Instances that each lose one part at a server find it together: one that lost none there avoids it, one that is isolated
 // from gossip meets the server by itself. Corrupt datagrams change nothing and are counted, duplicates do no harm. An
 // instance that is killed takes nothing along. Every query is closed once.
-func TestMixersFindALossyServerTogether(t *testing.T) {
+func TestGossip_InstancesFindALossyServerTogether(t *testing.T) {
 	sound := newLeaf(t, value)
 	lossy := newLeaf(t, func(string, net.Conn) string { return "E 0 -\n" })
 	const n = 16
--- a/cmd/rooktrestle/health_test.go
+++ b/cmd/rooktrestle/health_test.go
@@ -81,7 +81,7 @@
 }
 
 // With --watch what changes is printed as it changes.
-func TestHealthCommandWatches(t *testing.T) {
+func TestHealthCommand_Watch(t *testing.T) {
 	in, err := deployment.Start(deployment.Options{Replicas: 4, Reach: 2, Seed: 1, Agents: true, CheckInterval: 50 * time.Millisecond})
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/rooktrestle/partners_test.go
+++ b/cmd/rooktrestle/partners_test.go
@@ -413,15 +413,15 @@
 	p.stop()
 }
 
-// Servers tell their state by agent-check; the mixer tells its own by both protocols.
-func TestStatesAreToldAndHeard(t *testing.T) {
+// Servers report their states by agent-check, and the program reports its own by agent-check and by HTTP.
+func TestAgentChecks_OfServersAndOfTheProgram(t *testing.T) {
 	a := newArchive(t)
 	agent, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer closeQuietly(agent)
-	asked := make(chan struct{}, 100)
+	checked := make(chan struct{}, 100)
 	go func() {
 		for {
 			c, err := agent.Accept()
@@ -431,7 +431,7 @@
 			send(c, "up drain 50%\n")
 			closeQuietly(c)
 			select {
-			case asked <- struct{}{}:
+			case checked <- struct{}{}:
 			default:
 			}
 		}
@@ -440,8 +440,8 @@
 		servers["b-check"] = fmt.Sprintf("agent = %q", agent.Addr())
 		servers["c-check"] = `health = "/healthz"`
 	})
-	for range 3 { // the first answer has been taken in before the third question
-		<-asked
+	for range 3 { // the first result has been applied before the third check
+		<-checked
 	}
 	for i := range 6 {
 		contains(t, p.correct(fmt.Sprintf("1:line%d", i)), "<operationStatus>success<")
@@ -462,8 +462,8 @@
 	p.stop()
 }
 
-// SIGHUP does not end the second front; it says whether the file could be served.
-func TestPartnersReadTheirFileAgain(t *testing.T) {
+// SIGHUP does not end the program; it logs whether the file could be served.
+func TestPartners_SIGHUP_ValidatesTheFile(t *testing.T) {
 	a := newArchive(t)
 	p := partners(t, a, nil)
 	for _, want := range []string{"configuration is valid", "configuration is invalid"} {
--- a/cmd/rooktrestle/platform_standins_test.go
+++ b/cmd/rooktrestle/platform_standins_test.go
@@ -101,7 +101,7 @@
 	return strings.Replace(settings, `"n_instances":1`, fmt.Sprintf(`"n_instances":%d`, n), 1)
 }
 
-// listOf words the list of these leaf servers, of which the one of that number drains; negative: none.
+// listOf is discovery's list of leaf servers, of which the one with an index drains; negative: none.
 func listOf(leaves []*leafServer, drains int) string {
 	var lines []string
 	for i, l := range leaves {
--- a/cmd/rooktrestle/program_test.go
+++ b/cmd/rooktrestle/program_test.go
@@ -39,7 +39,7 @@
 	}
 }
 
-func TestPlatformSecondStep(t *testing.T) {
+func TestPlatform_FollowUpParts(t *testing.T) {
 	score := func(name string, _ net.Conn) string {
 		return map[byte]string{'0': "S 5", '1': "S 9", '2': "S 1", '3': "S 8"}[name[3]] + " -\n" + valueOf(name)
 	}
@@ -143,10 +143,10 @@
 
 // A request on a connection that was open when SIGTERM came is still answered.
 func TestPlatformAnswersLateArrivals(t *testing.T) {
-	asked, told := make(chan struct{}), make(chan struct{})
+	received, release := make(chan struct{}), make(chan struct{})
 	p := platform(t, newLeaf(t, func(name string, c net.Conn) string {
-		close(asked)
-		<-told
+		close(received)
+		<-release
 		return value(name, c)
 	}))
 	done := make(chan string)
@@ -154,16 +154,16 @@
 		status, text := p.ask("q5", "search", `{"slices":[{"slice":1,"mass":1}],"filter":"x"}`)
 		done <- fmt.Sprint(status, text)
 	}()
-	<-asked
+	<-received
 	p.signal(syscall.SIGTERM)
-	close(told)
+	close(release)
 	if got := <-done; !strings.HasPrefix(got, "200") || !strings.Contains(got, valueOf("q5.1")) {
 		t.Error(got)
 	}
 	p.stop()
 }
 
-func TestBadConfigurationIsOneLine(t *testing.T) {
+func TestInvalidConfiguration_IsReportedOnOneLine(t *testing.T) {
 	bad := filepath.Join(t.TempDir(), "c")
 	writeFile(t, bad, `{"settings":{"classes":[]}}`)
 	for _, args := range [][]string{{"serve"}, {"serve", "--front", bad}, {"check-config", "/nowhere"}, {"check-config"}} {
@@ -176,9 +176,9 @@
 	}
 }
 
-// SIGHUP turns the mixer to the discovery that the file names now; a bad file leaves all as it was. Neither
+// SIGHUP switches to the discovery that the file names now; an invalid file changes nothing. Neither
 // ends it.
-func TestPlatformReadsItsConfigurationAgain(t *testing.T) {
+func TestPlatform_SIGHUP_ReloadsTheConfiguration(t *testing.T) {
 	a, b := newLeaf(t, value), newLeaf(t, value)
 	p := platform(t, a)
 	again := func(want string) {
--- a/cmd/rooktrestle/shutdown_test.go
+++ b/cmd/rooktrestle/shutdown_test.go
@@ -95,21 +95,21 @@
 	}
 }
 
-// The last answer is there for a client that reads it after the program has ended, and no reset comes in its place. A
-// connection that rests ends in the same way, told twice to end or not.
+// The last answer is there for a client that reads it after the program has ended, and no reset comes in its place. An
+// idle connection ends in the same way, after one SIGTERM or two.
 func TestTheLastAnswerOutlivesTheProgram(t *testing.T) {
-	asked, told := make(chan struct{}), make(chan struct{})
+	received, release := make(chan struct{}), make(chan struct{})
 	p := platform(t, newLeaf(t, func(name string, c net.Conn) string {
-		close(asked)
-		<-told
+		close(received)
+		<-release
 		return value(name, c)
 	}))
 	resting, c := p.connect(), p.connect()
 	c.mustSend(t, "q", "3.0")
-	<-asked
+	<-received
 	p.signal(syscall.SIGTERM)
 	p.signal(syscall.SIGTERM)
-	close(told)
+	close(release)
 	if n := p.stop(); n.received != 1 || n.served != 1 {
 		t.Errorf("%v", n)
 	}
@@ -126,16 +126,16 @@
 // Leaf servers hang to the end: the query is answered when its time is over, and the program ends then. Its deadline is
 // shorter than the pause for late arrivals, and so is the one of a request that comes within that pause.
 func TestShutdownUnderLeafServersThatHang(t *testing.T) {
-	asked, never := make(chan struct{}, 10), make(chan struct{})
+	received, never := make(chan struct{}, 10), make(chan struct{})
 	t.Cleanup(func() { close(never) })
 	p := platform(t, newLeaf(t, func(string, net.Conn) string {
-		asked <- struct{}{}
+		received <- struct{}{}
 		<-never
 		return ""
 	}))
 	first, late := p.connect(), p.connect()
 	first.mustSend(t, "first", "0.3")
-	<-asked
+	<-received
 	p.signal(syscall.SIGTERM)
 	late.mustSend(t, "late", "0.3")
 	for _, c := range []httpClient{first, late} {
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -142,7 +142,7 @@
 	}
 	node.Deployment.Decisions.Seed = node.Seed
 	// Clients of the real platform honour Retry-After whatever the simulator forwards: a query that is given up is
-	// answered at once, and its client is told when to retry, where the simulator would hold the query.
+	// answered at once with the time to retry after, where the simulator would hold the query.
 	node.Deployment.Decisions.MaxRetryAfter = node.Deployment.MaxRetryAfter
 	return node, nil
 }
