--- a/internal/control/quota/allocator.go
+++ b/internal/control/quota/allocator.go
@@ -5,198 +5,185 @@
 	"time"
 )
 
-// Allocator divides while its process is in office. It lives for one office: who is elected makes a new one on the table
-// that voters agreed on. It proposes entries and replies to asks; what it proposed counts once it was applied, and no
-// reply leaves before the office was confirmed after its ask came.
+// Allocator divides the budgets while its process is the leader. It lives for one term: whoever is elected makes a new
+// one on the replicated table. It proposes entries and answers requests. A proposal takes effect only once it has been
+// committed and applied to the table, and no grant leaves before leadership was confirmed after its request arrived. It
+// is not safe for concurrent use.
 type Allocator struct {
-	rules  *Rules
-	office uint64
-	table  *Table
-	known  map[Name]*holding
-	round  uint64 // of confirmation, that asks heard now have to wait for
+	rules     *Rules
+	term      uint64
+	table     *Table
+	holders   map[HolderID]*holderState
+	nextRound uint64 // of confirmation: requests that arrive now have to wait for it
 }
 
-// holding is what this office knows of a holder beside the table. It is dropped when the holder is gone.
-type holding struct {
-	end      time.Duration // of what it was given, by the clock here
-	demand   []int
-	ask      uint64 // the newest, to be replied to; 0: none
-	kept     uint64 // epoch that it says it keeps to
-	round    uint64 // of confirmation, that its reply waits for
-	waits    bool
-	leaving  bool          // proposed to be gone: it is renewed no more
-	proposed uint64        // epoch of its record when a plan was last proposed: one at a time
-	retry    time.Duration // when to propose it anew, if it was not agreed on
+// holderState is what this term knows of a holder beside the table. It is dropped when the holder has been removed.
+type holderState struct {
+	leaseEnd        time.Duration // of its last grant, by the clock of this process; 0: none sent yet
+	demand          []int         // units of each budget
+	sequence        uint64        // of the newest request; 0: none
+	confirmedEpoch  uint64        // epoch whose plan the holder says it is within
+	afterRound      uint64        // round of confirmation that its grant waits for
+	grantDue        bool          // its newest request is not answered yet
+	removalProposed bool          // its lease is not renewed any more
+	proposedEpoch   uint64        // epoch of its record when a plan was last proposed: one proposal at a time
+	retryAt         time.Duration // when to propose that plan again if it was not committed
 }
 
-// Elect begins an office at now. Whatever the table says to be out may have been renewed by the office before until this
-// moment, so all of it counts for a whole lease more; the rest is divided at once.
-func Elect(rules *Rules, office uint64, table *Table, now time.Duration) (*Allocator, Entry) {
-	a := &Allocator{rules: rules, office: office, table: table, known: map[Name]*holding{}}
+// StartTerm begins a term at now and returns the entry that announces it, which has to be committed first. The leader
+// before may have renewed every lease in the table until this moment, so all of them count for one more lease; only what
+// is left is divided at once. The table stays the caller's, who applies committed entries to it.
+func StartTerm(rules *Rules, term uint64, table *Table, now time.Duration) (*Allocator, Entry) {
+	a := &Allocator{rules: rules, term: term, table: table, holders: map[HolderID]*holderState{}}
 	for _, r := range table.records {
-		a.known[r.name] = &holding{end: now + rules.longest(), demand: slices.Clone(r.plan)}
+		a.holders[r.holder] = &holderState{leaseEnd: now + rules.maxLeaseAtAllocator(), demand: slices.Clone(r.plan)}
 	}
-	return a, Entry{Office: office, Kind: Office}
+	return a, Entry{Term: term, Kind: TermStarted}
 }
 
-// Hear takes an ask. It is replied to after the next confirmation.
-func (a *Allocator) Hear(ask Ask) {
-	if len(ask.Demand) != len(a.rules.Budgets) {
+// HandleRequest takes a holder's request. It is answered by Confirm, after the next round of confirmation.
+func (a *Allocator) HandleRequest(request Request) {
+	if len(request.Demand) != len(a.rules.Budgets) {
 		return
 	}
-	h := a.known[ask.From]
-	if h == nil {
-		h = &holding{}
-		a.known[ask.From] = h
+	state := a.holders[request.From]
+	if state == nil {
+		state = &holderState{}
+		a.holders[request.From] = state
 	}
-	if ask.Number <= h.ask { // overtaken by a newer one
+	if request.Sequence <= state.sequence { // overtaken by a newer one
 		return
 	}
-	h.ask, h.waits, h.round, h.demand, h.kept = ask.Number, true, a.round, slices.Clone(ask.Demand), max(h.kept, ask.Holds)
+	state.sequence = request.Sequence
+	state.grantDue = true
+	state.afterRound = a.nextRound
+	state.demand = slices.Clone(request.Demand)
+	state.confirmedEpoch = max(state.confirmedEpoch, request.ConfirmedEpoch)
 }
 
-// Round begins to ask a quorum whether this process is still in office, and returns the round's number.
-func (a *Allocator) Round() uint64 {
-	a.round++
-	return a.round - 1
+// BeginConfirmation starts a round in which the caller confirms with a quorum that this process is still the leader, and
+// returns the round's number.
+func (a *Allocator) BeginConfirmation() uint64 {
+	a.nextRound++
+	return a.nextRound - 1
 }
 
-// Confirmed says that a quorum took this process to be in office after a round had begun, and returns the replies to
-// what was heard before it. Guards the shares against an office that is over and does not know it, as after its process
-// was stopped: whoever is elected next counts a lease from then on, and no reply of this one to a later ask may go out.
-func (a *Allocator) Confirmed(now time.Duration, round uint64) (replies []Reply) {
-	if a.table.office != a.office {
-		return nil // its first entry is not agreed on yet
+// Confirm says that a quorum took this process for the leader after the round had begun, and returns the grants for
+// requests that arrived before it. This protects the budgets from a leader that was replaced without noticing, for
+// example because its process was paused: its successor counts all leases from its election on, so no grant of the
+// replaced one may answer a later request.
+func (a *Allocator) Confirm(now time.Duration, round uint64) (grants []Grant) {
+	if a.table.term != a.term {
+		return nil // the entry of its term is not committed yet
 	}
 	for _, r := range a.table.records {
-		h := a.known[r.name]
-		if h == nil || !h.waits || h.leaving || h.round > round {
+		state := a.holders[r.holder]
+		if state == nil || !state.grantDue || state.removalProposed || state.afterRound > round {
 			continue
 		}
-		h.waits, h.end = false, now+a.rules.longest()
-		replies = append(replies, Reply{To: r.name, Number: h.ask, Epoch: r.epoch, Amounts: slices.Clone(r.plan)})
+		state.grantDue, state.leaseEnd = false, now+a.rules.maxLeaseAtAllocator()
+		grants = append(grants, Grant{To: r.holder, Sequence: state.sequence, Epoch: r.epoch, Units: slices.Clone(r.plan)})
 	}
-	return replies
+	return grants
 }
 
-// Propose returns what should change by now. Entries are applied in their order, if at all.
+// Propose returns the entries that should be committed by now. They are to be applied in their order, if at all.
 func (a *Allocator) Propose(now time.Duration) (entries []Entry) {
-	if a.table.office != a.office {
+	if a.table.term != a.term {
 		return nil
 	}
 	for _, r := range a.table.records {
-		h := a.known[r.name]
-		if h.kept >= r.epoch && !slices.Equal(r.may, r.plan) {
-			entries = append(entries, Entry{Office: a.office, Kind: Kept, Name: r.name, Epoch: r.epoch})
+		state := a.holders[r.holder]
+		if state.confirmedEpoch >= r.epoch && !slices.Equal(r.maxSpend, r.plan) {
+			entries = append(entries, Entry{Term: a.term, Kind: PlanConfirmed, Holder: r.holder, Epoch: r.epoch})
 		}
-		if h.end == 0 { // agreed on, and not told yet
-			h.end = now + a.rules.longest()
+		if state.leaseEnd == 0 { // its plan is committed, and no grant was sent yet
+			state.leaseEnd = now + a.rules.maxLeaseAtAllocator()
 		}
-		if now >= h.end+a.rules.hold() {
-			h.leaving = true
-			entries = append(entries, Entry{Office: a.office, Kind: Gone, Name: r.name, Epoch: r.epoch})
+		if now >= state.leaseEnd+a.rules.longestSlotHold() {
+			state.removalProposed = true
+			entries = append(entries, Entry{Term: a.term, Kind: HolderRemoved, Holder: r.holder, Epoch: r.epoch})
 		}
 	}
-	return append(entries, a.divide(now)...)
+	return append(entries, a.proposePlans(now)...)
 }
 
-// Forget drops what is known of holders that are gone. It is called after entries were applied.
-func (a *Allocator) Forget() {
-	for name, h := range a.known {
-		if _, r := a.table.find(name); r == nil && (h.leaving || !h.waits) {
-			delete(a.known, name)
+// ForgetRemoved drops what is known of removed holders. It should be called after entries were applied.
+func (a *Allocator) ForgetRemoved() {
+	for id, state := range a.holders {
+		if a.table.lookup(id) == nil && (state.removalProposed || !state.grantDue) {
+			delete(a.holders, id)
 		}
 	}
 }
 
-// divide plans the holders' shares by what they could use. What a holder gives up is another's only once it said that it
-// keeps to less, so that a move takes two rounds.
-func (a *Allocator) divide(now time.Duration) (entries []Entry) {
-	var names []Name
-	for name, h := range a.known {
-		if _, r := a.table.find(name); !h.leaving && (r != nil || h.waits) {
-			names = append(names, name)
-		}
-	}
-	slices.SortFunc(names, Name.compare)
-	plans := make([][]int, len(names))
-	for i := range names {
+// proposePlans plans the holders' quotas by their demand, and returns entries for those that change. Units that a holder
+// gives up are another's only once it has confirmed the lower plan, so a transfer takes two rounds.
+func (a *Allocator) proposePlans(now time.Duration) (entries []Entry) {
+	ids := a.plannedHolders()
+	plans := make([][]int, len(ids))
+	for i := range ids {
 		plans[i] = make([]int, len(a.rules.Budgets))
 	}
-	for b := range a.rules.Budgets {
-		a.divideOne(b, names, plans)
+	for budget := range a.rules.Budgets {
+		a.planBudget(budget, ids, plans)
 	}
-	for i, name := range names {
-		h, epoch := a.known[name], uint64(0)
-		if _, r := a.table.find(name); r != nil {
-			if epoch = r.epoch; slices.Equal(r.plan, plans[i]) {
+	for i, id := range ids {
+		state, epoch := a.holders[id], uint64(0)
+		if r := a.table.lookup(id); r != nil {
+			epoch = r.epoch
+			if slices.Equal(r.plan, plans[i]) {
 				continue
 			}
 		}
-		if h.proposed == epoch && now < h.retry {
-			continue // on its way
+		if state.proposedEpoch == epoch && now < state.retryAt {
+			continue // a proposal is under way
 		}
-		h.proposed, h.retry = epoch, now+a.rules.Lease
-		entries = append(entries, Entry{Office: a.office, Kind: Planned, Name: name, Plan: plans[i]})
+		state.proposedEpoch, state.retryAt = epoch, now+a.rules.LeaseDuration
+		entries = append(entries, Entry{Term: a.term, Kind: PlanSet, Holder: id, Plan: plans[i]})
 	}
 	return entries
 }
 
-func (a *Allocator) divideOne(b int, names []Name, plans [][]int) {
-	budget := &a.rules.Budgets[b]
-	wants := make([]int, len(names))
-	for i, name := range names {
-		wants[i] = a.known[name].demand[b]
-	}
-	targets := Divide(a.rules.leased(budget)-budget.Reserve, wants)
-	free := a.rules.leased(budget) - a.table.out[b]
-	for i, name := range names {
-		_, r := a.table.find(name)
-		had, may := 0, 0
-		if r != nil {
-			had, may = r.plan[b], r.may[b]
+// plannedHolders returns the holders that are to have a quota, in the order of their ids.
+func (a *Allocator) plannedHolders() (ids []HolderID) {
+	for id, state := range a.holders {
+		if !state.removalProposed && (a.table.lookup(id) != nil || state.grantDue) {
+			ids = append(ids, id)
 		}
-		target := targets[i]
-		if d := target - had; r != nil && target > 0 && d <= a.rules.Step && -d <= a.rules.Step {
-			target = had
-		}
-		// Beyond what it may be spending by now only what nobody may. The reserve is for those who just came.
-		room := free
-		if r != nil {
-			room = max(0, free-budget.Reserve)
-		}
-		give := min(target, may+room)
-		free -= max(0, give-may)
-		plans[i][b] = give
 	}
+	slices.SortFunc(ids, HolderID.compare)
+	return ids
 }
 
-// Divide shares units out by max-min fairness: nobody has more than it wants while another
-// has less than it wants and less than that one. What nobody wants is shared out evenly, since what is wanted next is
-// not known. Equal wants may differ by one unit, the first in order before the others.
-func Divide(units int, wants []int) []int {
-	shares := make([]int, len(wants))
-	order := make([]int, len(wants))
-	for i := range order {
-		order[i] = i
-	}
-	slices.SortStableFunc(order, func(i, j int) int { return wants[i] - wants[j] })
-	left := units
-	for k, i := range order { // the least wants first: each gets its even part of what is left, or all it wants
-		even := left / (len(order) - k)
-		shares[i] = max(0, min(wants[i], even))
-		left -= shares[i]
-	}
-	for _, i := range order { // units that even parts left over
-		if left > 0 && shares[i] < wants[i] {
-			shares[i]++
-			left--
+// planBudget fills in the plans of one budget, given by its index.
+func (a *Allocator) planBudget(budget int, ids []HolderID, plans [][]int) {
+	rules := &a.rules.Budgets[budget]
+	demand := make([]int, len(ids))
+	for i, id := range ids {
+		demand[i] = a.holders[id].demand[budget]
+	}
+	targets := DivideMaxMin(a.rules.leasableUnits(rules)-rules.Reserve, demand)
+	free := a.rules.leasableUnits(rules) - a.table.committed[budget]
+	for i, id := range ids {
+		target, maxSpend := targets[i], 0
+		available := free // the reserve is for holders that have just joined
+		if r := a.table.lookup(id); r != nil {
+			maxSpend = r.maxSpend[budget]
+			available = max(0, free-rules.Reserve)
+			if a.isSmallTransfer(target, r.plan[budget]) {
+				target = r.plan[budget]
+			}
 		}
+		// A holder gets more than it may be spending already only from units that nobody may be spending.
+		planned := min(target, maxSpend+available)
+		free -= max(0, planned-maxSpend)
+		plans[i][budget] = planned
 	}
-	for k, i := range order {
-		even := left / (len(order) - k)
-		shares[i] += even
-		left -= even
-	}
-	return shares
+}
+
+// isSmallTransfer reports whether a quota is so near its target that it is left as it is.
+func (a *Allocator) isSmallTransfer(target, current int) bool {
+	difference := target - current
+	return target > 0 && difference <= a.rules.MinTransfer && -difference <= a.rules.MinTransfer
 }
--- a/internal/control/quota/fleet_test.go
+++ b/internal/control/quota/fleet_test.go
@@ -8,389 +8,410 @@
 	"time"
 )
 
-// world is a fleet in one process of real time: clocks that run unlike, messages that are late, lost and doubled,
-// processes that stop and come back, and offices that end without knowing it. It counts what all spend, by real time.
-type world struct {
-	t        *testing.T
-	rng      *rand.Rand
-	rules    *Rules // of the holders
-	theirs   *Rules // of who divides; others only where a bug is planted
-	bug      string
-	now      time.Duration
-	mail     []mail
-	log      []Entry // agreed on
-	dividers []*divider
-	leader   int // who is in office in truth
-	office   uint64
-	holders  []*proc
-	ghosts   []*proc   // dead, with slots that are still taken
-	tokens   []float64 // of the whole, for rates
-	at       time.Duration
-	out      []int // slots taken, dead processes' too
-	spent    []int
-	refused  []int
-	broken   []string
+// fleet simulates a fleet in one process: clocks with different rates, messages that are late, lost and duplicated,
+// processes that pause, crash and restart, and leaders that are replaced without noticing. It counts what all of them
+// spend, by real time.
+type fleet struct {
+	t              *testing.T
+	rng            *rand.Rand
+	rules          *Rules // of the holders
+	allocatorRules *Rules // the same, unless a bug is planted
+	plantedBug     bug
+	now            time.Duration // real time
+	messages       []message
+	log            []Entry // committed
+	allocators     []*allocatorNode
+	leader         int // index of the real leader; -1: none
+	term           uint64
+	holders        []*holderProcess
+	deadProcesses  []*holderProcess // whose slots may still be in use
+	tokens         []float64        // of the whole fleet, for rates
+	slotsInUse     []int            // by budget, those of dead processes too
+	spent          []int
+	rejected       []int
+	violations     []string
 }
 
-type mail struct {
-	at time.Duration
-	do func()
+type message struct {
+	deliverAt time.Duration
+	deliver   func()
 }
 
-// clock is a process's own.
+// bug is an error that a test plants, to see that the simulation detects it.
+type bug string
+
+const (
+	noBug                 bug = ""
+	unitsReturnedEarly    bug = "units returned early"
+	leaseCountedFromGrant bug = "lease counted from the grant"
+	leaseNeverEnds        bug = "lease never ends"
+	leadershipUnconfirmed bug = "leadership not confirmed"
+	baseAtOnce            bug = "base at once"
+)
+
+// clock is the monotonic clock of one process.
 type clock struct {
 	offset time.Duration
 	rate   float64
 }
 
-func (c clock) read(real time.Duration) time.Duration {
-	return c.offset + time.Duration(float64(real)*c.rate)
+func (c clock) read(realTime time.Duration) time.Duration {
+	return c.offset + time.Duration(float64(realTime)*c.rate)
 }
 
-type divider struct {
+// allocatorNode is a process that may be elected leader.
+type allocatorNode struct {
 	clock
-	table   *Table
-	applied int
-	a       *Allocator    // nil: it takes itself to be out of office
-	awake   time.Duration // it is stopped until then
-	cut     time.Duration // it hears nothing of what is agreed on until then
+	table         *Table
+	applied       int        // entries of the log
+	allocator     *Allocator // nil: it does not take itself for the leader
+	pausedUntil   time.Duration
+	isolatedUntil time.Duration // it does not receive committed entries until then
 }
 
-type proc struct {
-	side *divider // it reaches this one only, while that is cut off
+func (d *allocatorNode) applyLog(log []Entry) {
+	for ; d.applied < len(log); d.applied++ {
+		d.table.Apply(log[d.applied])
+	}
+}
+
+// holderProcess is one process of an aggregator.
+type holderProcess struct {
 	clock
-	h     *Holder
-	name  Name
-	awake time.Duration // it is stopped until then
-	wants float64       // units a second
-	dead  bool
+	onlyAllocator *allocatorNode // the only one it reaches while that is isolated; nil: it reaches all others
+	holder        *LeaseHolder
+	id            HolderID
+	pausedUntil   time.Duration
+	demand        float64 // units per second
+	dead          bool
 }
 
-func newWorld(t *testing.T, seed uint64, bug string) *world {
-	rules := &Rules{Lease: 2 * time.Second, Drift: 0.05, Members: mixers, Step: 1, Budgets: []Budget{
+func newFleet(t *testing.T, seed uint64, planted bug) *fleet {
+	rules := &Rules{LeaseDuration: 2 * time.Second, MaxClockDrift: 0.05, MaxMembers: fleetSize, MinTransfer: 1, Budgets: []Budget{
 		{Key: "parts/s", Kind: Rate, Units: 40, Refill: time.Second, Base: 1, Reserve: 2},
-		{Key: "parts at once", Kind: Slots, Units: 30, Hold: 500 * time.Millisecond, Base: 1},
+		{Key: "parts at once", Kind: Slots, Units: 30, MaxHold: 500 * time.Millisecond, Base: 1},
 		{Key: "list calls/s", Kind: Rate, Units: 6, Refill: 3 * time.Second},
 	}}
-	if err := rules.Check(); err != nil {
+	if err := rules.Validate(); err != nil {
 		t.Fatal(err)
 	}
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 0x5a)), rules: rules, theirs: rules, bug: bug, leader: -1}
-	if bug == "returned early" {
+	f := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 0x5a)), rules: rules, allocatorRules: rules, plantedBug: planted, leader: -1}
+	if planted == unitsReturnedEarly {
 		early := *rules
-		early.Lease, early.Budgets = rules.Lease/2, slices.Clone(rules.Budgets)
-		early.Budgets[1].Hold = time.Millisecond
-		w.theirs = &early
+		early.LeaseDuration, early.Budgets = rules.LeaseDuration/2, slices.Clone(rules.Budgets)
+		early.Budgets[1].MaxHold = time.Millisecond
+		f.allocatorRules = &early
 	}
 	for _, b := range rules.Budgets {
-		w.tokens = append(w.tokens, float64(b.Units))
+		f.tokens = append(f.tokens, float64(b.Units))
 	}
 	n := len(rules.Budgets)
-	w.out, w.spent, w.refused = make([]int, n), make([]int, n), make([]int, n)
+	f.slotsInUse, f.spent, f.rejected = make([]int, n), make([]int, n), make([]int, n)
 	for range 3 {
-		w.dividers = append(w.dividers, &divider{clock: w.clock(), table: NewTable(w.theirs)})
+		f.allocators = append(f.allocators, &allocatorNode{clock: f.newClock(), table: NewTable(f.allocatorRules)})
 	}
-	for i := range mixers {
-		w.begin(fmt.Sprintf("m%d", i))
+	for i := range fleetSize {
+		f.startProcess(fmt.Sprintf("m%d", i))
 	}
-	return w
+	return f
 }
 
-func (w *world) clock() clock {
-	return clock{time.Duration(w.rng.Int64N(int64(time.Hour))), 1 + w.rules.Drift*(2*w.rng.Float64()-1)}
+func (f *fleet) newClock() clock {
+	return clock{time.Duration(f.rng.Int64N(int64(time.Hour))), 1 + f.rules.MaxClockDrift*(2*f.rng.Float64()-1)}
 }
 
-func (w *world) begin(mixer string) {
-	p := &proc{clock: w.clock(), name: Name{mixer, w.rng.Uint64()}, wants: w.rng.ExpFloat64() * 12}
-	p.h = NewHolder(w.rules, p.name, p.read(w.now))
-	if w.bug == "base at once" {
-		p.h.born -= time.Hour
+func (f *fleet) startProcess(aggregator string) {
+	p := &holderProcess{clock: f.newClock(), id: HolderID{aggregator, f.rng.Uint64()}, demand: f.rng.ExpFloat64() * 12}
+	p.holder = NewLeaseHolder(f.rules, p.id, p.read(f.now))
+	if f.plantedBug == baseAtOnce {
+		p.holder.startedAt -= time.Hour
 	}
-	w.holders = append(w.holders, p)
+	f.holders = append(f.holders, p)
 }
 
-// send delivers a message: at once, late by up to three leases, twice, or never.
-func (w *world) send(do func()) {
-	for range 1 + w.rng.IntN(8)/7 {
-		d := time.Duration(w.rng.Int64N(int64(50 * time.Millisecond)))
-		switch x := w.rng.Float64(); {
+// send delivers a message: soon, late by up to three leases, twice, or never.
+func (f *fleet) send(deliver func()) {
+	for range 1 + f.rng.IntN(8)/7 {
+		latency := time.Duration(f.rng.Int64N(int64(50 * time.Millisecond)))
+		switch x := f.rng.Float64(); {
 		case x < 0.15:
 			continue
 		case x < 0.4:
-			d = time.Duration(w.rng.Int64N(int64(3 * w.rules.Lease)))
+			latency = time.Duration(f.rng.Int64N(int64(3 * f.rules.LeaseDuration)))
 		}
-		w.mail = append(w.mail, mail{w.now + d, do})
+		f.messages = append(f.messages, message{f.now + latency, deliver})
 	}
 }
 
-// spend is one unit spent in truth.
-func (w *world) spend(p *proc, b int) {
-	budget := &w.rules.Budgets[b]
-	w.spent[b]++
+// spendUnit counts one unit that a holder spent, and notes a violation if that was more than the budget.
+func (f *fleet) spendUnit(p *holderProcess, b int) {
+	budget := &f.rules.Budgets[b]
+	f.spent[b]++
 	if budget.Kind == Slots {
-		if w.out[b]++; w.out[b] > budget.Units {
-			w.broken = append(w.broken, fmt.Sprintf("%v: %d of %d %s are taken", w.now, w.out[b], budget.Units, budget.Key))
+		if f.slotsInUse[b]++; f.slotsInUse[b] > budget.Units {
+			f.violations = append(f.violations, fmt.Sprintf("%v: %d of %d %s are in use", f.now, f.slotsInUse[b], budget.Units, budget.Key))
 		}
-		took := time.Duration(w.rng.Int64N(int64(budget.Hold)))
-		w.mail = append(w.mail, mail{w.now + took, func() {
-			w.out[b]--
-			p.h.Done(b, 1)
+		held := time.Duration(f.rng.Int64N(int64(budget.MaxHold)))
+		f.messages = append(f.messages, message{f.now + held, func() {
+			f.slotsInUse[b]--
+			p.holder.Release(b, 1)
 		}})
 		return
 	}
-	if w.tokens[b]--; w.tokens[b] < -1e-6 {
-		w.broken = append(w.broken, fmt.Sprintf("%v: %s are over by %.3f", w.now, budget.Key, -w.tokens[b]))
+	if f.tokens[b]--; f.tokens[b] < -1e-6 {
+		f.violations = append(f.violations, fmt.Sprintf("%v: %s are overspent by %.3f", f.now, budget.Key, -f.tokens[b]))
 	}
 }
 
-// mixers of the fleet: as many as it may have, so that no spare base hides a share given twice.
-const mixers = 8
+// fleetSize is the largest that the rules allow, so that no unused base hides a quota that was granted twice.
+const fleetSize = 8
 
-// rights are how many units of a budget all processes may spend by now, each by its own clock, awake or not, and what
-// they have taken beyond that. Shares given twice show here though nobody spends them at once.
-func (w *world) rights(b int) (units int) {
-	budget := &w.rules.Budgets[b]
-	for _, p := range w.holders {
-		now, n := p.read(w.now), 0
-		if now < p.h.end {
-			n = p.h.purses[b].amount
+// allowedUnits is how many units of a budget all processes may spend now, each by its own clock, paused or not, and what
+// they use beyond that. Quotas granted twice show here even if they are not spent at the same time.
+func (f *fleet) allowedUnits(b int) (units int) {
+	budget := &f.rules.Budgets[b]
+	for _, p := range f.holders {
+		now, n := p.read(f.now), 0
+		if now < p.holder.leaseEnd {
+			n = p.holder.accounts[b].leased
 		}
-		if budget.Kind == Rate || now-p.h.born >= w.rules.held(budget) {
+		if budget.Kind == Rate || now-p.holder.startedAt >= f.rules.maxSlotHold(budget) {
 			n += budget.Base
 		}
-		units += max(n, p.h.purses[b].taken)
+		units += max(n, p.holder.accounts[b].inUse)
 	}
-	for _, p := range w.ghosts {
-		units += p.h.purses[b].taken
+	for _, p := range f.deadProcesses {
+		units += p.holder.accounts[b].inUse
 	}
 	return units
 }
 
 const tick = 10 * time.Millisecond
 
-func (w *world) step() {
-	w.now += tick
-	for b := range w.tokens {
-		if budget := &w.rules.Budgets[b]; budget.Kind == Rate {
-			w.tokens[b] = min(float64(budget.Units), w.tokens[b]+float64(budget.Units)*float64(tick)/float64(budget.Refill))
+func (f *fleet) step() {
+	f.now += tick
+	for b := range f.tokens {
+		if budget := &f.rules.Budgets[b]; budget.Kind == Rate {
+			f.tokens[b] = min(float64(budget.Units), f.tokens[b]+float64(budget.Units)*float64(tick)/float64(budget.Refill))
 		}
 	}
-	due := w.mail
-	w.mail = nil
+	due := f.messages
+	f.messages = nil
 	for _, m := range due {
-		if m.at > w.now {
-			w.mail = append(w.mail, m)
+		if m.deliverAt > f.now {
+			f.messages = append(f.messages, m)
 		} else {
-			m.do()
+			m.deliver()
 		}
 	}
-	for _, p := range w.holders {
-		w.act(p)
+	for _, p := range f.holders {
+		f.runHolder(p)
 	}
-	for i, d := range w.dividers {
-		w.divide(i, d)
+	for i, d := range f.allocators {
+		f.runAllocator(i, d)
 	}
-	w.trouble()
-	w.ghosts = slices.DeleteFunc(w.ghosts, func(p *proc) bool {
-		return !slices.ContainsFunc(p.h.purses, func(p purse) bool { return p.taken > 0 })
+	f.injectFaults()
+	f.deadProcesses = slices.DeleteFunc(f.deadProcesses, func(p *holderProcess) bool {
+		return !slices.ContainsFunc(p.holder.accounts, func(p account) bool { return p.inUse > 0 })
 	})
-	for b := range w.rules.Budgets {
-		if n := w.rights(b); n > w.rules.Budgets[b].Units {
-			w.broken = append(w.broken, fmt.Sprintf("%v: all together may spend %d of %d %s", w.now, n, w.rules.Budgets[b].Units, w.rules.Budgets[b].Key))
+	for b := range f.rules.Budgets {
+		if n := f.allowedUnits(b); n > f.rules.Budgets[b].Units {
+			f.violations = append(f.violations, fmt.Sprintf("%v: all together may spend %d of %d %s", f.now, n, f.rules.Budgets[b].Units, f.rules.Budgets[b].Key))
 		}
 	}
 }
 
-// act lets a mixer ask now and then, and spend what it may.
-func (w *world) act(p *proc) {
-	if p.dead || w.now < p.awake {
+// runHolder lets an aggregator send a request now and then, and spend what it may.
+func (f *fleet) runHolder(p *holderProcess) {
+	if p.dead || f.now < p.pausedUntil {
 		return
 	}
-	now := p.read(w.now)
-	if w.rng.Float64() < tick.Seconds()/0.3 {
-		ask := p.h.Ask(now)
-		for _, d := range w.dividers {
-			w.send(func() {
-				if d.a != nil && w.now >= d.awake && w.reach(p, d) {
-					d.a.Hear(ask)
+	now := p.read(f.now)
+	if f.rng.Float64() < tick.Seconds()/0.3 {
+		request := p.holder.NextRequest(now)
+		for _, d := range f.allocators {
+			f.send(func() {
+				if d.allocator != nil && f.now >= d.pausedUntil && f.reachable(p, d) {
+					d.allocator.HandleRequest(request)
 				}
 			})
 		}
 	}
-	for n := p.wants * tick.Seconds(); n > 0; n-- {
-		if w.rng.Float64() > n {
+	for n := p.demand * tick.Seconds(); n > 0; n-- {
+		if f.rng.Float64() > n {
 			continue
 		}
-		for b := range w.rules.Budgets {
-			if p.h.Spend(now, b, 1) {
-				w.spend(p, b)
+		for b := range f.rules.Budgets {
+			if p.holder.Spend(now, b, 1) {
+				f.spendUnit(p, b)
 			} else {
-				w.refused[b]++
+				f.rejected[b]++
 			}
 		}
 	}
 }
 
-// divide lets a divider apply what was agreed on and, if it takes itself to be in office, do what that does.
-func (w *world) divide(i int, d *divider) {
-	if w.now < d.awake {
+// runAllocator lets a node apply the committed entries and, if it takes itself for the leader, act as it.
+func (f *fleet) runAllocator(i int, d *allocatorNode) {
+	if f.now < d.pausedUntil {
 		return
 	}
-	if i == w.leader || w.now >= d.cut && w.rng.IntN(4) == 0 {
-		for ; d.applied < len(w.log); d.applied++ {
-			d.table.Apply(w.log[d.applied])
-		}
+	if i == f.leader || f.now >= d.isolatedUntil && f.rng.IntN(4) == 0 {
+		d.applyLog(f.log)
 	}
-	if d.a == nil {
+	if d.allocator == nil {
 		return
 	}
-	d.a.Forget()
-	if w.rng.IntN(5) > 0 {
+	d.allocator.ForgetRemoved()
+	if f.rng.IntN(5) > 0 {
 		return
 	}
-	for _, e := range d.a.Propose(d.read(w.now)) {
-		if i == w.leader && w.rng.IntN(20) > 0 { // others' are not agreed on; some are lost
-			w.log = append(w.log, e)
+	for _, e := range d.allocator.Propose(d.read(f.now)) {
+		if i == f.leader && f.rng.IntN(20) > 0 { // only the real leader's are committed, and some are lost
+			f.log = append(f.log, e)
 		}
 	}
-	round, honest := d.a.Round(), i == w.leader || w.bug == "office not confirmed"
-	if !honest {
+	round := d.allocator.BeginConfirmation()
+	if i != f.leader && f.plantedBug != leadershipUnconfirmed {
 		return
 	}
-	w.mail = append(w.mail, mail{w.now + time.Duration(w.rng.Int64N(int64(100*time.Millisecond))), func() {
-		if d.a == nil || w.now < d.awake {
-			return
-		}
-		for _, r := range d.a.Confirmed(d.read(w.now), round) {
-			for _, p := range w.holders {
-				w.send(func() {
-					if !p.dead && w.now >= p.awake && w.reach(p, d) {
-						w.hear(p, r)
-					}
-				})
-			}
+	latency := time.Duration(f.rng.Int64N(int64(100 * time.Millisecond)))
+	f.messages = append(f.messages, message{f.now + latency, func() { f.sendGrants(d, round) }})
+}
+
+// sendGrants confirms a node's leadership and sends its grants.
+func (f *fleet) sendGrants(d *allocatorNode, round uint64) {
+	if d.allocator == nil || f.now < d.pausedUntil {
+		return
+	}
+	for _, grant := range d.allocator.Confirm(d.read(f.now), round) {
+		for _, p := range f.holders {
+			f.send(func() {
+				if !p.dead && f.now >= p.pausedUntil && f.reachable(p, d) {
+					f.deliverGrant(p, grant)
+				}
+			})
 		}
-	}})
+	}
 }
 
-// reach says whether messages pass between a mixer and a divider.
-func (w *world) reach(p *proc, d *divider) bool {
-	if p.side != nil && w.now < p.side.cut {
-		return p.side == d
+// reachable reports whether messages pass between a holder and an allocator.
+func (f *fleet) reachable(p *holderProcess, d *allocatorNode) bool {
+	if p.onlyAllocator != nil && f.now < p.onlyAllocator.isolatedUntil {
+		return p.onlyAllocator == d
 	}
-	return w.now >= d.cut
+	return f.now >= d.isolatedUntil
 }
 
-func (w *world) hear(p *proc, r Reply) {
-	now, before := p.read(w.now), p.h.heard
-	if w.bug == "counted from the reply" {
-		for i := range p.h.asks { // its asks seem to have been sent just now
-			p.h.asks[i].at = now
+func (f *fleet) deliverGrant(p *holderProcess, r Grant) {
+	now, before := p.read(f.now), p.holder.answered
+	if f.plantedBug == leaseCountedFromGrant {
+		for i := range p.holder.recentRequests { // its requests seem to have been sent just now
+			p.holder.recentRequests[i].sentAt = now
 		}
 	}
-	p.h.Hear(now, r)
-	if w.bug == "lease never ends" && p.h.heard > before {
-		p.h.end = now + time.Hour
+	p.holder.HandleGrant(now, r)
+	if f.plantedBug == leaseNeverEnds && p.holder.answered > before {
+		p.holder.leaseEnd = now + time.Hour
 	}
 }
 
-// trouble elects, stops, kills and starts.
-func (w *world) trouble() {
-	chance := func(every time.Duration) bool { return w.rng.Float64() < tick.Seconds()/every.Seconds() }
-	if w.leader < 0 && chance(300*time.Millisecond) {
-		w.leader = w.rng.IntN(len(w.dividers))
-		d := w.dividers[w.leader]
-		d.awake, d.cut = w.now, w.now
-		for ; d.applied < len(w.log); d.applied++ { // what was agreed on before an office is known to it
-			d.table.Apply(w.log[d.applied])
-		}
-		w.office++
+// injectFaults elects and deposes leaders, and pauses, kills and starts processes.
+func (f *fleet) injectFaults() {
+	happens := func(every time.Duration) bool { return f.rng.Float64() < tick.Seconds()/every.Seconds() }
+	if f.leader < 0 && happens(300*time.Millisecond) {
+		f.leader = f.rng.IntN(len(f.allocators))
+		d := f.allocators[f.leader]
+		d.pausedUntil, d.isolatedUntil = f.now, f.now
+		d.applyLog(f.log) // a new leader knows everything that was committed before its term
+		f.term++
 		var e Entry
-		d.a, e = Elect(w.theirs, w.office, d.table, d.read(w.now))
-		w.log = append(w.log, e)
+		d.allocator, e = StartTerm(f.allocatorRules, f.term, d.table, d.read(f.now))
+		f.log = append(f.log, e)
 	}
-	if w.leader >= 0 && chance(7*time.Second) { // it is out of office: told, stopped, or cut off and not told
-		d := w.dividers[w.leader]
-		switch w.rng.IntN(3) {
+	if f.leader >= 0 && happens(7*time.Second) { // it is deposed: and knows it, or is paused, or is isolated
+		d := f.allocators[f.leader]
+		switch f.rng.IntN(3) {
 		case 0:
-			d.a = nil
+			d.allocator = nil
 		case 1:
-			d.awake = w.now + 2*w.rules.Lease
+			d.pausedUntil = f.now + 2*f.rules.LeaseDuration
 		case 2:
-			d.cut = w.now + 3*w.rules.Lease
-			for _, p := range w.holders {
-				if p.side = nil; w.rng.IntN(2) == 0 {
-					p.side = d
+			d.isolatedUntil = f.now + 3*f.rules.LeaseDuration
+			for _, p := range f.holders {
+				if p.onlyAllocator = nil; f.rng.IntN(2) == 0 {
+					p.onlyAllocator = d
 				}
 			}
 		}
-		w.leader = -1
+		f.leader = -1
 	}
-	if chance(2 * time.Second) {
-		p := w.holders[w.rng.IntN(len(w.holders))]
-		p.awake = w.now + time.Duration(w.rng.Int64N(int64(2*w.rules.Lease)))
+	if happens(2 * time.Second) {
+		p := f.holders[f.rng.IntN(len(f.holders))]
+		p.pausedUntil = f.now + time.Duration(f.rng.Int64N(int64(2*f.rules.LeaseDuration)))
 	}
-	if chance(3 * time.Second) { // a process dies, and another begins under its name
-		w.die(w.rng.IntN(len(w.holders)))
+	if happens(3 * time.Second) { // a process crashes and is restarted
+		f.kill(f.rng.IntN(len(f.holders)))
 	}
-	if chance(20 * time.Second) { // all at once
-		for i := range w.holders {
-			w.die(i)
+	if happens(20 * time.Second) { // all at once
+		for i := range f.holders {
+			f.kill(i)
 		}
 	}
 }
 
-func (w *world) die(i int) {
-	p := w.holders[i]
+func (f *fleet) kill(i int) {
+	p := f.holders[i]
 	p.dead = true
-	w.ghosts = append(w.ghosts, p)
-	w.begin(p.name.Mixer)
-	w.holders[i] = w.holders[len(w.holders)-1]
-	w.holders = w.holders[:len(w.holders)-1]
+	f.deadProcesses = append(f.deadProcesses, p)
+	f.startProcess(p.id.Aggregator)
+	f.holders[i] = f.holders[len(f.holders)-1]
+	f.holders = f.holders[:len(f.holders)-1]
 }
 
-func play(t *testing.T, seed uint64, bug string, d time.Duration) *world {
-	w := newWorld(t, seed, bug)
-	for w.now < d && len(w.broken) == 0 {
-		w.step()
+// runFleet simulates a fleet until a violation, or for a time.
+func runFleet(t *testing.T, seed uint64, planted bug, d time.Duration) *fleet {
+	f := newFleet(t, seed, planted)
+	for f.now < d && len(f.violations) == 0 {
+		f.step()
 	}
-	return w
+	return f
 }
 
-// Nothing is ever spent beyond the whole, and most of what is wanted is spent.
-func TestAFleetNeverSpendsMoreThanTheWhole(t *testing.T) {
+// Every budget is both spent from and exhausted, so that the limits are tried.
+func TestFleet_NeverSpendsMoreThanTheBudget(t *testing.T) {
 	for seed := range uint64(15) {
-		w := play(t, seed, "", 40*time.Second)
-		if len(w.broken) > 0 {
-			t.Errorf("seed %d: %s", seed, w.broken[0])
+		f := runFleet(t, seed, noBug, 40*time.Second)
+		if len(f.violations) > 0 {
+			t.Errorf("seed %d: %s", seed, f.violations[0])
 		}
-		for b, n := range w.spent {
-			if n == 0 || w.refused[b] == 0 {
-				t.Errorf("seed %d: %s: %d spent, %d refused: it was not tried", seed, w.rules.Budgets[b].Key, n, w.refused[b])
+		for b, n := range f.spent {
+			if n == 0 || f.rejected[b] == 0 {
+				t.Errorf("seed %d: %s: %d spent, %d rejected: the limit was not reached", seed, f.rules.Budgets[b].Key, n, f.rejected[b])
 			}
 		}
 	}
 }
 
-// The count above finds each planted bug.
-func TestPlantedBugsAreFound(t *testing.T) {
-	for _, bug := range []string{"returned early", "counted from the reply", "lease never ends", "office not confirmed", "base at once"} {
+// The invariants of the simulation detect each planted bug.
+func TestFleet_PlantedBugsAreFound(t *testing.T) {
+	for _, planted := range []bug{unitsReturnedEarly, leaseCountedFromGrant, leaseNeverEnds, leadershipUnconfirmed, baseAtOnce} {
 		found := 0
 		for seed := uint64(0); seed < 40 && found == 0; seed++ {
-			found += len(play(t, seed, bug, 60*time.Second).broken)
+			found += len(runFleet(t, seed, planted, 60*time.Second).violations)
 		}
 		if found == 0 {
-			t.Errorf("%s: not found", bug)
+			t.Errorf("%s: not found", planted)
 		}
 	}
 }
 
-// FuzzFleet looks for a fleet that spends more than the whole. Each seed is another fleet with other faults.
-func FuzzFleet(f *testing.F) {
-	f.Add(uint64(1000))
-	f.Fuzz(func(t *testing.T, seed uint64) {
-		if w := play(t, seed, "", 20*time.Second); len(w.broken) > 0 {
-			t.Fatal(w.broken[0])
+// FuzzFleet looks for a fleet that spends more than a budget. Each seed is another fleet with other faults.
+func FuzzFleet(fuzz *testing.F) {
+	fuzz.Add(uint64(1000))
+	fuzz.Fuzz(func(t *testing.T, seed uint64) {
+		if f := runFleet(t, seed, noBug, 20*time.Second); len(f.violations) > 0 {
+			t.Fatal(f.violations[0])
 		}
 	})
 }
--- a/internal/control/quota/holder.go
+++ b/internal/control/quota/holder.go
@@ -5,194 +5,216 @@
 	"time"
 )
 
-// Mode is what a holder goes by.
+// Mode is what a holder spends by.
 type Mode int
 
 const (
-	ByBase  Mode = iota // it has no lease that is good: it spends its part of what is set aside
-	ByLease             // it has one, beside that
+	// BaseOnly holders have no valid lease: they spend their part of what is set aside.
+	BaseOnly Mode = iota
+	// Leased holders have a valid lease, beside the base.
+	Leased
 )
 
+// String returns the name of the mode as logs print it.
 func (m Mode) String() string { return [...]string{"base", "lease"}[m] }
 
-// purse is what a holder has of one budget.
-type purse struct {
-	amount int     // units leased; none of it counts once the lease is over
-	tokens float64 // Rate: of the lease, that may be spent now
-	spare  float64 // Rate: of the base
-	taken  int     // Slots: units that are out
-	wanted int     // Rate: units asked for since the last ask, given or not; Slots: the most at once
-	usual  float64 // Rate: units wanted within a refill, smoothed over some leases; Slots: at once, falling slowly
-}
-
-// Holder is a mixer's side. It belongs to one process and ends with it; a new process makes a new one, under a Name of
-// its own. It is not safe for concurrent use. Spend and Done do not allocate.
-type Holder struct {
-	rules  *Rules
-	name   Name
-	purses []purse
-	born   time.Duration
-	at     time.Duration // when the purses were last filled
-	end    time.Duration // of the lease, by this process's clock; 0: none yet
-	epoch  uint64        // of its amounts
-	good   uint64        // epoch that the holder's purses are within by now
-	number uint64        // of the last ask
-	heard  uint64        // ask that the last reply taken answers
-	asks   [asksKept]sent
-	since  time.Duration // of the last ask, for demand
-}
-
-type sent struct {
-	number uint64
-	at     time.Duration
-}
-
-// asksKept is how many asks a reply may still answer. Older ones end sooner than what came since.
-const asksKept = 8
-
-// NewHolder returns the holder of a process that began at now. It has spent nothing: its base of rates begins empty, and
-// its base of slots counts once what an earlier process under its name may have out has ended.
-func NewHolder(rules *Rules, name Name, now time.Duration) *Holder {
-	return &Holder{rules: rules, name: name, purses: make([]purse, len(rules.Budgets)), born: now, at: now, since: now}
-}
-
-// fill lets time pass in the purses: those of the lease fill until it is over, and are empty from then on.
-func (h *Holder) fill(now time.Duration) {
-	if now <= h.at {
+// account is what a holder has of one budget.
+type account struct {
+	leased         int     // units leased; none once the lease is over
+	leasedTokens   float64 // Rate: tokens of the lease that may be spent now
+	unleasedTokens float64 // Rate: tokens of the base that may be spent now
+	inUse          int     // Slots: units taken and not released
+	recentDemand   int     // Rate: units wanted since the last request, admitted or not; Slots: the most at once
+	smoothedDemand float64 // Rate: units wanted within a refill, smoothed over some leases; Slots: at once, decaying slowly
+}
+
+// LeaseHolder is the side of an aggregator. It belongs to one process and ends with it; a new process makes a new one
+// with a HolderID of its own. It is not safe for concurrent use. Spend and Release do not allocate.
+type LeaseHolder struct {
+	rules          *Rules
+	id             HolderID
+	accounts       []account // by budget
+	startedAt      time.Duration
+	refilledAt     time.Duration // when the accounts were last brought up to date
+	leaseEnd       time.Duration // by this process's clock; 0: no lease yet
+	epoch          uint64        // of the last grant
+	confirmedEpoch uint64        // the accounts are within this epoch's plan
+	sequence       uint64        // of the last request
+	answered       uint64        // sequence of the request that the last accepted grant answers
+	recentRequests [maxRecentRequests]sentRequest
+	demandSince    time.Duration // when recentDemand began to be counted
+}
+
+type sentRequest struct {
+	sequence uint64
+	sentAt   time.Duration
+}
+
+// maxRecentRequests is how many requests a grant may still answer. Leases of older ones would end sooner than those of
+// the requests since.
+const maxRecentRequests = 8
+
+// NewLeaseHolder returns the holder of a process that started at now. It has spent nothing: its base of rates begins
+// empty, and its base of slots counts once what an earlier process of this aggregator may have in use has ended.
+func NewLeaseHolder(rules *Rules, id HolderID, now time.Duration) *LeaseHolder {
+	return &LeaseHolder{
+		rules: rules, id: id, accounts: make([]account, len(rules.Budgets)), startedAt: now, refilledAt: now, demandSince: now,
+	}
+}
+
+// advance refills the accounts up to now. Leased tokens fill until the lease is over and are dropped then.
+func (h *LeaseHolder) advance(now time.Duration) {
+	if now <= h.refilledAt {
 		return
 	}
-	leased := max(0, min(now, h.end)-h.at)
-	for i := range h.purses {
-		p, b := &h.purses[i], &h.rules.Budgets[i]
+	sinceRefill := now - h.refilledAt
+	leasedTime := max(0, min(now, h.leaseEnd)-h.refilledAt)
+	for i := range h.accounts {
+		a, b := &h.accounts[i], &h.rules.Budgets[i]
 		if b.Kind == Rate {
-			span := stretch(b.Refill, 1+h.rules.Drift) // no sooner by any clock
-			p.spare = refill(p.spare, b.Base, now-h.at, span)
-			p.tokens = refill(p.tokens, p.amount, leased, span)
+			period := scale(b.Refill, 1+h.rules.MaxClockDrift) // no sooner by any clock of the fleet
+			a.unleasedTokens = refill(a.unleasedTokens, b.Base, sinceRefill, period)
+			a.leasedTokens = refill(a.leasedTokens, a.leased, leasedTime, period)
 		}
-		if now >= h.end {
-			p.amount, p.tokens = 0, 0
+		if now >= h.leaseEnd {
+			a.leased, a.leasedTokens = 0, 0
 		}
 	}
-	h.at = now
+	h.refilledAt = now
 }
 
-// refill is what tokens have become of, with room for so many units that each come back in one span.
-func refill(tokens float64, units int, passed, span time.Duration) float64 {
-	return min(float64(units), tokens+float64(units)*float64(passed)/float64(span))
+// refill returns the tokens of a bucket of the given capacity, which fills once in each period, after elapsed time.
+func refill(tokens float64, capacity int, elapsed, period time.Duration) float64 {
+	return min(float64(capacity), tokens+float64(capacity)*float64(elapsed)/float64(period))
 }
 
-// Mode says what the holder goes by.
-func (h *Holder) Mode(now time.Duration) Mode {
-	if now < h.end {
-		return ByLease
+// Mode returns what the holder spends by.
+func (h *LeaseHolder) Mode(now time.Duration) Mode {
+	if now < h.leaseEnd {
+		return Leased
 	}
-	return ByBase
+	return BaseOnly
 }
 
-// Spend takes so many units of a budget, or says that it may not. It is called at the moment of spending: the lease is
-// judged by now.
-func (h *Holder) Spend(now time.Duration, budget, units int) bool {
-	h.fill(now)
-	p, b := &h.purses[budget], &h.rules.Budgets[budget]
+// Spend takes units of a budget, given by its index in Rules.Budgets, and reports whether it was allowed to: it takes
+// all or none. It must be called at the moment of spending, since the lease is judged by now.
+func (h *LeaseHolder) Spend(now time.Duration, budget, units int) bool {
+	h.advance(now)
+	a, b := &h.accounts[budget], &h.rules.Budgets[budget]
 	if b.Kind == Slots {
-		p.wanted = max(p.wanted, p.taken+units)
-		if p.taken+units > h.slots(p, b) {
+		a.recentDemand = max(a.recentDemand, a.inUse+units)
+		if a.inUse+units > h.slotLimit(a, b) {
 			return false
 		}
-		p.taken += units
+		a.inUse += units
 		return true
 	}
-	p.wanted += units
-	if whole(p.tokens)+whole(p.spare) < units {
+	a.recentDemand += units
+	if wholeUnits(a.leasedTokens)+wholeUnits(a.unleasedTokens) < units {
 		return false
 	}
-	lease := min(whole(p.tokens), units)
-	p.tokens = max(0, p.tokens-float64(lease))
-	p.spare = max(0, p.spare-float64(units-lease))
+	fromLease := min(wholeUnits(a.leasedTokens), units)
+	a.leasedTokens = max(0, a.leasedTokens-float64(fromLease))
+	a.unleasedTokens = max(0, a.unleasedTokens-float64(units-fromLease))
 	return true
 }
 
-// whole is how many units tokens are, apart from rounding of their sums.
-func whole(tokens float64) int { return int(tokens + 1e-9) }
+// wholeUnits rounds tokens down, and allows for the rounding errors of their sums.
+func wholeUnits(tokens float64) int { return int(tokens + 1e-9) }
 
-// slots is how many units may be out at once.
-func (h *Holder) slots(p *purse, b *Budget) int {
-	if h.at-h.born < h.rules.held(b) {
-		return p.amount
+// slotLimit is how many units may be in use at once.
+func (h *LeaseHolder) slotLimit(a *account, b *Budget) int {
+	if h.refilledAt-h.startedAt < h.rules.maxSlotHold(b) {
+		return a.leased
 	}
-	return p.amount + b.Base
+	return a.leased + b.Base
 }
 
-// Done gives units of slots back: what they were taken for has ended.
-func (h *Holder) Done(budget, units int) {
-	p := &h.purses[budget]
-	p.taken = max(0, p.taken-units)
+// Release gives units of a Slots budget back once the work that they were taken for has ended.
+func (h *LeaseHolder) Release(budget, units int) {
+	a := &h.accounts[budget]
+	a.inUse = max(0, a.inUse-units)
 }
 
-// May is how many units of a budget the holder goes by.
-func (h *Holder) May(now time.Duration, budget int) int {
-	h.fill(now)
-	p, b := &h.purses[budget], &h.rules.Budgets[budget]
+// Allowance returns the units of a budget that the holder may spend: at once for Slots, within a refill for Rate.
+func (h *LeaseHolder) Allowance(now time.Duration, budget int) int {
+	h.advance(now)
+	a, b := &h.accounts[budget], &h.rules.Budgets[budget]
 	if b.Kind == Slots {
-		return h.slots(p, b)
+		return h.slotLimit(a, b)
 	}
-	return p.amount + b.Base
-}
-
-// Ask makes the next message. It is to be called several times in a lease; a message may be lost.
-func (h *Holder) Ask(now time.Duration) Ask {
-	h.fill(now)
-	h.number++
-	h.asks[h.number%asksKept] = sent{h.number, now}
-	h.within()
-	a := Ask{From: h.name, Number: h.number, Holds: h.good, Demand: make([]int, len(h.purses))}
-	passed := max(now-h.since, 0)
-	for i := range h.purses {
-		p, b := &h.purses[i], &h.rules.Budgets[i]
-		weight := 1 - math.Exp(-float64(passed)/float64(max(h.rules.Lease, b.Refill)))
-		if b.Kind == Slots {
-			p.usual = max(float64(p.wanted), p.usual-weight*(p.usual-float64(p.wanted)))
-		} else if passed > 0 {
-			p.usual += weight * (float64(p.wanted)*float64(b.Refill)/float64(passed) - p.usual)
-		}
-		if a.Demand[i] = int(math.Ceil(p.usual - 0.1)); p.wanted > 0 { // one at least, where one was wanted now
-			a.Demand[i] = max(a.Demand[i], 1)
-		}
-		p.wanted = p.taken
+	return a.leased + b.Base
+}
+
+// NextRequest returns the next message to the allocator. It should be called several times in a lease, since messages
+// may be lost.
+func (h *LeaseHolder) NextRequest(now time.Duration) Request {
+	h.advance(now)
+	h.sequence++
+	h.recentRequests[h.sequence%maxRecentRequests] = sentRequest{h.sequence, now}
+	h.confirmEpoch()
+	request := Request{From: h.id, Sequence: h.sequence, ConfirmedEpoch: h.confirmedEpoch, Demand: make([]int, len(h.accounts))}
+	elapsed := max(now-h.demandSince, 0)
+	for i := range h.accounts {
+		request.Demand[i] = h.accounts[i].takeDemand(&h.rules.Budgets[i], elapsed, h.rules.LeaseDuration)
+	}
+	h.demandSince = now
+	return request
+}
+
+// takeDemand returns the units to request, from the demand of the elapsed time and the smoothed demand before it, and
+// begins to count anew.
+func (a *account) takeDemand(b *Budget, elapsed, lease time.Duration) int {
+	weight := 1 - math.Exp(-float64(elapsed)/float64(max(lease, b.Refill)))
+	if b.Kind == Slots {
+		a.smoothedDemand = max(float64(a.recentDemand), a.smoothedDemand-weight*(a.smoothedDemand-float64(a.recentDemand)))
+	} else if elapsed > 0 {
+		a.smoothedDemand += weight * (float64(a.recentDemand)*float64(b.Refill)/float64(elapsed) - a.smoothedDemand)
+	}
+	demand := int(math.Ceil(a.smoothedDemand - 0.1))
+	if a.recentDemand > 0 { // at least one, where one was wanted just now
+		demand = max(demand, 1)
 	}
-	h.since = now
-	return a
+	a.recentDemand = a.inUse
+	return demand
 }
 
-// within notes the epoch that the purses keep to. Slots that are out beyond a lower amount keep it back: what they take
-// is not anybody else's yet.
-func (h *Holder) within() {
-	for i := range h.purses {
-		p, b := &h.purses[i], &h.rules.Budgets[i]
-		if b.Kind == Slots && p.taken > h.slots(p, b) {
+// confirmEpoch notes the epoch whose plan the accounts are within. Slots in use beyond a lowered quota delay it: they
+// must not be granted to another holder yet.
+func (h *LeaseHolder) confirmEpoch() {
+	for i := range h.accounts {
+		a, b := &h.accounts[i], &h.rules.Budgets[i]
+		if b.Kind == Slots && a.inUse > h.slotLimit(a, b) {
 			return
 		}
 	}
-	h.good = h.epoch
+	h.confirmedEpoch = h.epoch
 }
 
-// Hear takes a reply. One that is late, doubled, another process's or older than what was taken already tells nothing:
-// the lease counts from before its ask was sent, whenever the reply comes.
-func (h *Holder) Hear(now time.Duration, r Reply) {
-	h.fill(now)
-	ask := h.asks[r.Number%asksKept]
-	if r.To != h.name || r.Number <= h.heard || ask.number != r.Number || len(r.Amounts) != len(h.purses) || r.Epoch < h.epoch {
+// HandleGrant takes a grant. One that is late, duplicated, meant for another process or older than one taken already is
+// ignored: the lease counts from before its request was sent, whenever the grant arrives.
+func (h *LeaseHolder) HandleGrant(now time.Duration, grant Grant) {
+	h.advance(now)
+	if !h.acceptable(&grant) {
 		return
 	}
-	end := ask.at + h.rules.shortest()
-	if now >= end {
+	leaseEnd := h.recentRequests[grant.Sequence%maxRecentRequests].sentAt + h.rules.minLeaseAtHolder()
+	if now >= leaseEnd {
 		return
 	}
-	h.heard, h.epoch, h.end = r.Number, r.Epoch, end
-	for i := range h.purses {
-		p := &h.purses[i]
-		p.amount = max(0, r.Amounts[i])
-		p.tokens = min(p.tokens, float64(p.amount)) // a higher amount fills as it would: nothing comes at once
+	h.answered, h.epoch, h.leaseEnd = grant.Sequence, grant.Epoch, leaseEnd
+	for i := range h.accounts {
+		a := &h.accounts[i]
+		a.leased = max(0, grant.Units[i])
+		// A raised quota fills at its rate: its previous owner may have spent its tokens just now.
+		a.leasedTokens = min(a.leasedTokens, float64(a.leased))
 	}
-	h.within()
+	h.confirmEpoch()
+}
+
+// acceptable reports whether a grant answers a recent request of this process and is newer than the last one taken.
+func (h *LeaseHolder) acceptable(grant *Grant) bool {
+	request := h.recentRequests[grant.Sequence%maxRecentRequests]
+	return grant.To == h.id && grant.Sequence > h.answered && request.sequence == grant.Sequence &&
+		len(grant.Units) == len(h.accounts) && grant.Epoch >= h.epoch
 }
--- a/internal/control/quota/quota.go
+++ b/internal/control/quota/quota.go
@@ -1,135 +1,155 @@
-// Package shares divides budgets of a whole fleet among its mixers, so that all of them together never spend more than
-// the whole, however many there are, come and go, stop, or are cut off. A Holder is a mixer's side: it asks, holds a
-// lease and spends by it. An Allocator is the side of whoever divides: it keeps a Table of what each holder may spend,
-// which voters replicate, and gives only what the table can spare. docs/fleet-budgets-design.md has the argument.
+// Package quota divides budgets of a whole fleet among its aggregators by leases, so that all of them together never
+// spend more than the budget, however many there are, join, leave, pause or are partitioned. A LeaseHolder is the side of
+// an aggregator: it requests a lease and spends by it. An Allocator is the side of the elected leader: it keeps a Table
+// of what each holder may spend, which a quorum replicates, and grants only what the table has left.
+// docs/fleet-budgets-design.md has the argument.
 //
-// Nothing here does I/O, reads a clock or starts a goroutine; times come from a clock of the caller's that goes on while
-// its process is stopped, and never back. Clocks of two processes need not agree, only run alike: see Rules.Drift.
+// Nothing here does I/O, reads a clock or starts a goroutine. Times are readings of the caller's monotonic clock, which
+// goes on while its process is paused. Clocks of two processes may be apart by any offset, but their rates may differ
+// only within Rules.MaxClockDrift.
 package quota
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
 	"time"
 )
 
-// Key names a budget, as "parts/s at archive-7".
+// Key names a budget, for example "parts/s at archive-7".
 type Key string
 
 // Kind is what a budget counts.
 type Kind int
 
 const (
-	Rate  Kind = iota // units in a second, with a burst
-	Slots             // units at once: taken by Spend and given back by Done
+	// Rate counts units per time, with a burst.
+	Rate Kind = iota
+	// Slots counts units in use at once: Spend takes them and Release gives them back.
+	Slots
 )
 
+// String returns the name of the kind as logs print it.
 func (k Kind) String() string { return [...]string{"rate", "slots"}[k] }
 
-// Budget is one limit on the whole fleet, in whole units: what is under one unit cannot be spent, so shares are never
-// parts of one.
+// Budget is one limit of the whole fleet, in whole units: less than one unit cannot be spent, so quotas are never
+// fractions.
 type Budget struct {
 	Key  Key
 	Kind Kind
-	// Units are what is divided. Slots: that may be taken at once. Rate: tokens, each of which may be spent at any time
-	// and comes back after Refill; so of n units n may be spent together, and n in each Refill after that.
+	// Units are what is divided. For Slots: units that may be in use at once. For Rate: tokens, each of which may be
+	// spent at any time and is back after Refill; so of n units n may be spent together, and n in each Refill after that.
 	Units   int
-	Refill  time.Duration // Rate
-	Hold    time.Duration // Slots: how long one may stay taken after its lease or its process has ended
-	Base    int           // units that each member may have without a lease; set aside for as many as may be
-	Reserve int           // units of the others that are kept for holders that have just come
+	Refill  time.Duration // Rate only
+	MaxHold time.Duration // Slots only: how long one may stay in use after its lease or its process has ended
+	Base    int           // units that each member may have without a lease; set aside for Rules.MaxMembers
+	Reserve int           // leasable units that are kept for holders that have just joined
 }
 
-// Rules are the same at all processes of a fleet.
+// Rules must be the same at all processes of a fleet.
 type Rules struct {
-	Lease   time.Duration // how long a lease lasts
-	Drift   float64       // by this share, at most, a process's clock runs fast or slow
-	Members int           // the most that the fleet may have
-	Step    int           // units that a share has to be off by before it is moved
-	Budgets []Budget
+	LeaseDuration time.Duration
+	MaxClockDrift float64 // largest relative error of the rate of a process's clock, at least 0 and under 0.5
+	MaxMembers    int     // the most aggregators that the fleet may have
+	MinTransfer   int     // a quota that is off its target by no more than this many units is left as it is
+	Budgets       []Budget
 }
 
-// Check says what is wrong with rules.
-func (r *Rules) Check() error {
+// Validate returns an error that names the first invalid value.
+func (r *Rules) Validate() error {
 	switch {
-	case r.Lease <= 0:
-		return fmt.Errorf("shares: a lease of %v: must be positive", r.Lease)
-	case r.Drift < 0 || r.Drift >= 0.5:
-		return fmt.Errorf("shares: a drift of %v: must be at least 0 and under 0.5", r.Drift)
-	case r.Members < 1:
-		return fmt.Errorf("shares: %d members: must be at least 1", r.Members)
-	case r.Step < 0:
-		return fmt.Errorf("shares: a step of %d: must not be negative", r.Step)
+	case r.LeaseDuration <= 0:
+		return fmt.Errorf("quota: a lease of %v: must be positive", r.LeaseDuration)
+	case r.MaxClockDrift < 0 || r.MaxClockDrift >= 0.5:
+		return fmt.Errorf("quota: a drift of %v: must be at least 0 and under 0.5", r.MaxClockDrift)
+	case r.MaxMembers < 1:
+		return fmt.Errorf("quota: %d members: must be at least 1", r.MaxMembers)
+	case r.MinTransfer < 0:
+		return fmt.Errorf("quota: a step of %d: must not be negative", r.MinTransfer)
 	case len(r.Budgets) == 0:
-		return errors.New("shares: no budgets")
+		return errors.New("quota: no budgets")
 	}
 	seen := map[Key]bool{}
-	for _, b := range r.Budgets {
-		switch {
-		case b.Key == "" || seen[b.Key]:
-			return fmt.Errorf("shares: budget %q: each needs a key of its own", b.Key)
-		case b.Kind == Rate && (b.Refill <= 0 || b.Hold != 0):
-			return fmt.Errorf("shares: budget %q: a rate needs a refill, and has no hold", b.Key)
-		case b.Kind == Slots && (b.Hold <= 0 || b.Refill != 0):
-			return fmt.Errorf("shares: budget %q: slots need a hold, the longest that one stays taken, and have no refill", b.Key)
-		case b.Kind != Rate && b.Kind != Slots:
-			return fmt.Errorf("shares: budget %q: kind %d", b.Key, b.Kind)
-		case b.Units < 1 || b.Base < 0 || b.Reserve < 0:
-			return fmt.Errorf("shares: budget %q: %d units, base %d, reserve %d", b.Key, b.Units, b.Base, b.Reserve)
-		case b.Base*r.Members+b.Reserve > b.Units:
-			return fmt.Errorf("shares: budget %q: a base of %d for each of %d members and a reserve of %d are more than its %d units",
-				b.Key, b.Base, r.Members, b.Reserve, b.Units)
+	for i := range r.Budgets {
+		b := &r.Budgets[i]
+		if b.Key == "" || seen[b.Key] {
+			return fmt.Errorf("quota: budget %q: each needs a key of its own", b.Key)
 		}
 		seen[b.Key] = true
+		if err := b.validate(r.MaxMembers); err != nil {
+			return fmt.Errorf("quota: budget %q: %w", b.Key, err)
+		}
+	}
+	return nil
+}
+
+func (b *Budget) validate(maxMembers int) error {
+	switch {
+	case b.Kind == Rate && (b.Refill <= 0 || b.MaxHold != 0):
+		return errors.New("a rate needs a refill, and has no hold")
+	case b.Kind == Slots && (b.MaxHold <= 0 || b.Refill != 0):
+		return errors.New("slots need a hold, the longest that one stays in use, and have no refill")
+	case b.Kind != Rate && b.Kind != Slots:
+		return fmt.Errorf("kind %d", b.Kind)
+	case b.Units < 1 || b.Base < 0 || b.Reserve < 0:
+		return fmt.Errorf("%d units, base %d, reserve %d", b.Units, b.Base, b.Reserve)
+	case b.Base*maxMembers+b.Reserve > b.Units:
+		return fmt.Errorf("a base of %d for each of %d members and a reserve of %d are more than its %d units",
+			b.Base, maxMembers, b.Reserve, b.Units)
 	}
 	return nil
 }
 
-// leased is how many of a budget's units are divided by leases.
-func (r *Rules) leased(b *Budget) int { return b.Units - b.Base*r.Members }
+// leasableUnits is how many of a budget's units are divided by leases.
+func (r *Rules) leasableUnits(b *Budget) int { return b.Units - b.Base*r.MaxMembers }
 
-// longest is how long what a holder was given may be spent, by the clock of who gave it: the holder's own clock ends it
-// after Lease less the drift, counted from before it asked.
-func (r *Rules) longest() time.Duration { return stretch(r.Lease, 1+r.Drift) }
+// maxLeaseAtAllocator is how long a grant may be spent, by the clock of the allocator that sent it.
+func (r *Rules) maxLeaseAtAllocator() time.Duration { return scale(r.LeaseDuration, 1+r.MaxClockDrift) }
 
-// shortest is the same by the holder's clock.
-func (r *Rules) shortest() time.Duration { return stretch(r.Lease, 1-r.Drift) }
+// minLeaseAtHolder is how long a grant may be spent by the holder's clock, counted from before its request was sent.
+func (r *Rules) minLeaseAtHolder() time.Duration { return scale(r.LeaseDuration, 1-r.MaxClockDrift) }
 
-// held is how long slots may stay taken after that, by any clock of the fleet.
-func (r *Rules) held(b *Budget) time.Duration { return stretch(b.Hold, (1+r.Drift)/(1-r.Drift)) }
+// maxSlotHold is how long slots may stay in use after their lease has ended, by any clock of the fleet.
+func (r *Rules) maxSlotHold(b *Budget) time.Duration {
+	return scale(b.MaxHold, (1+r.MaxClockDrift)/(1-r.MaxClockDrift))
+}
 
-// hold is the longest of them.
-func (r *Rules) hold() (most time.Duration) {
+// longestSlotHold is the largest maxSlotHold of all budgets.
+func (r *Rules) longestSlotHold() (longest time.Duration) {
 	for i := range r.Budgets {
-		most = max(most, r.held(&r.Budgets[i]))
+		longest = max(longest, r.maxSlotHold(&r.Budgets[i]))
 	}
-	return most
+	return longest
+}
+
+func scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(math.Ceil(float64(d) * factor))
 }
 
-func stretch(d time.Duration, by float64) time.Duration {
-	return time.Duration(math.Ceil(float64(d) * by))
+// HolderID identifies one process of an aggregator. Two processes of one aggregator are two holders: neither spends
+// what the other was granted.
+type HolderID struct {
+	Aggregator  string
+	Incarnation uint64 // no other process of that aggregator has had it
 }
 
-// Name is one process of a mixer: its name, and a number that no other process under that name has had. Two processes
-// under one name are two holders; neither spends what the other was given.
-type Name struct {
-	Mixer   string
-	Process uint64
+func (id HolderID) compare(other HolderID) int {
+	return cmp.Or(cmp.Compare(id.Aggregator, other.Aggregator), cmp.Compare(id.Incarnation, other.Incarnation))
 }
 
-// Ask is a holder's message: it asks for a lease on what it needs, or to renew the one it has.
-type Ask struct {
-	From   Name
-	Number uint64 // of this message, from 1
-	Holds  uint64 // the epoch by which it spends, and below which it has stopped spending
-	Demand []int  // units of each budget that it could use
+// Request is a holder's message by which it acquires or renews its lease.
+type Request struct {
+	From           HolderID
+	Sequence       uint64 // of this message, from 1
+	ConfirmedEpoch uint64 // the holder spends within this epoch's plan and no longer within any before
+	Demand         []int  // units of each budget that it could use
 }
 
-// Reply answers an Ask.
-type Reply struct {
-	To      Name
-	Number  uint64 // of the ask
-	Epoch   uint64 // of the amounts
-	Amounts []int  // units of each budget, that it may spend by for Rules.Lease from before it asked
+// Grant answers a Request.
+type Grant struct {
+	To       HolderID
+	Sequence uint64 // of the request
+	Epoch    uint64 // of the plan that the units come from
+	Units    []int  // units of each budget, to be spent within Rules.LeaseDuration from before the request was sent
 }
--- a/internal/control/quota/table.go
+++ b/internal/control/quota/table.go
@@ -1,132 +1,147 @@
 package quota
 
-import (
-	"cmp"
-	"slices"
-)
+import "slices"
 
-// Entry is a change of the Table, as voters agree on it. Office is the number of who divides: what one proposed that is
-// not in office any more changes nothing.
+// Entry is a change of the Table, as a quorum commits it. An entry of a leader whose term is over changes nothing.
 type Entry struct {
-	Office uint64
+	Term   uint64 // of the leader that proposed it
 	Kind   EntryKind
-	Name   Name
-	Epoch  uint64 // Kept, Gone: of the record that is meant
-	Plan   []int  // Planned: units of each budget
+	Holder HolderID // all but TermStarted
+	Epoch  uint64   // PlanConfirmed, HolderRemoved: of the record that is meant
+	Plan   []int    // PlanSet: units of each budget
 }
 
 // EntryKind says what an entry does.
 type EntryKind int
 
 const (
-	Office  EntryKind = iota // somebody begins to divide
-	Planned                  // a holder is to have so much from now on
-	Kept                     // it says that it keeps to its plan: what it had beyond that is free
-	Gone                     // nothing that it was given can be spent any more
+	// TermStarted begins a leader's term.
+	TermStarted EntryKind = iota
+	// PlanSet gives a holder a new quota of each budget.
+	PlanSet
+	// PlanConfirmed notes that a holder spends within its plan: units that it had beyond it are free.
+	PlanConfirmed
+	// HolderRemoved notes that nothing that a holder was granted can be spent any more.
+	HolderRemoved
 )
 
 // record is what is known of one holder.
 type record struct {
-	name  Name
-	epoch uint64
-	plan  []int // what it is told
-	may   []int // what it may be spending: at least the plan
+	holder   HolderID
+	epoch    uint64 // of the entry that set the plan
+	plan     []int  // units of each budget that it is granted
+	maxSpend []int  // units that it may be spending by this or an earlier plan: at least the plan
 }
 
-// Table is what each holder may spend. Voters apply the same entries in the same order and have the same table. It is
-// never over the whole: an entry that would bring it there changes nothing.
+// Table is what each holder may spend. All replicas apply the same entries in the same order and have the same table. It
+// never exceeds a budget: an entry that would do so changes nothing. It is not safe for concurrent use.
 type Table struct {
-	rules   *Rules
-	office  uint64
-	epoch   uint64 // entries applied
-	records []*record
-	out     []int // units of each budget that somebody may be spending
+	rules     *Rules
+	term      uint64
+	epoch     uint64    // number of entries applied
+	records   []*record // in the order of their holders' ids
+	committed []int     // units of each budget that some holder may be spending
 }
 
-// NewTable returns the table of a fleet in which nobody has anything.
-func NewTable(rules *Rules) *Table { return &Table{rules: rules, out: make([]int, len(rules.Budgets))} }
+// NewTable returns the table of a fleet without holders.
+func NewTable(rules *Rules) *Table {
+	return &Table{rules: rules, committed: make([]int, len(rules.Budgets))}
+}
 
-// Out is how many units of a budget somebody may be spending by leases.
-func (t *Table) Out(budget int) int { return t.out[budget] }
+// Committed returns the units of a budget, given by its index, that holders may be spending by leases.
+func (t *Table) Committed(budget int) int { return t.committed[budget] }
 
-// Members are the holders, by name.
-func (t *Table) Members() (names []Name) {
+// Holders returns the holders in the order of their ids.
+func (t *Table) Holders() (ids []HolderID) {
 	for _, r := range t.records {
-		names = append(names, r.name)
+		ids = append(ids, r.holder)
 	}
-	return names
+	return ids
 }
 
-func (n Name) compare(o Name) int {
-	return cmp.Or(cmp.Compare(n.Mixer, o.Mixer), cmp.Compare(n.Process, o.Process))
+// find returns a holder's position in the records, or where it would be inserted.
+func (t *Table) find(id HolderID) (position int, found bool) {
+	return slices.BinarySearchFunc(t.records, id, func(r *record, id HolderID) int { return r.holder.compare(id) })
 }
 
-func (t *Table) find(n Name) (int, *record) {
-	i, ok := slices.BinarySearchFunc(t.records, n, func(r *record, n Name) int { return r.name.compare(n) })
-	if !ok {
-		return i, nil
+// lookup returns a holder's record, or nil if it has none.
+func (t *Table) lookup(id HolderID) *record {
+	if position, found := t.find(id); found {
+		return t.records[position]
 	}
-	return i, t.records[i]
+	return nil
 }
 
-// Apply takes an entry that voters agreed on, and says whether it changed anything.
+// Apply takes a committed entry and reports whether it changed anything. Entries that change nothing advance the epoch,
+// too: epochs are positions in the replicated log.
 func (t *Table) Apply(e Entry) bool {
-	t.epoch++ // also for those that change nothing: epochs are those of the log
-	if e.Kind == Office {
-		t.office = e.Office
+	t.epoch++
+	if e.Kind == TermStarted {
+		t.term = e.Term
 		return true
 	}
-	if e.Office != t.office {
+	if e.Term != t.term {
 		return false
 	}
-	i, r := t.find(e.Name)
 	switch e.Kind {
-	case Planned:
-		return t.plan(i, r, e)
-	case Kept:
-		if r == nil || r.epoch != e.Epoch || slices.Equal(r.may, r.plan) {
-			return false
-		}
-		for b := range r.may {
-			t.out[b] -= r.may[b] - r.plan[b]
-		}
-		r.may = r.plan
-		return true
-	case Gone:
-		if r == nil || r.epoch != e.Epoch {
-			return false
-		}
-		for b, n := range r.may {
-			t.out[b] -= n
-		}
-		t.records = slices.Delete(t.records, i, i+1)
-		return true
+	case PlanSet:
+		return t.setPlan(e.Holder, e.Plan)
+	case PlanConfirmed:
+		return t.confirmPlan(e.Holder, e.Epoch)
+	case HolderRemoved:
+		return t.removeHolder(e.Holder, e.Epoch)
 	}
 	return false
 }
 
-func (t *Table) plan(i int, r *record, e Entry) bool {
-	if len(e.Plan) != len(t.out) {
+func (t *Table) setPlan(id HolderID, plan []int) bool {
+	if len(plan) != len(t.committed) {
 		return false
 	}
-	may := slices.Clone(e.Plan)
-	for b := range may {
-		had := 0
-		if r != nil {
-			had = r.may[b]
-		}
-		may[b] = max(may[b], had)
-		if e.Plan[b] < 0 || t.out[b]+may[b]-had > t.rules.leased(&t.rules.Budgets[b]) {
+	r := t.lookup(id)
+	current := make([]int, len(plan))
+	if r != nil {
+		current = r.maxSpend
+	}
+	maxSpend := slices.Clone(plan)
+	for b := range maxSpend {
+		maxSpend[b] = max(maxSpend[b], current[b])
+		if plan[b] < 0 || t.committed[b]+maxSpend[b]-current[b] > t.rules.leasableUnits(&t.rules.Budgets[b]) {
 			return false
 		}
 	}
+	for b := range maxSpend {
+		t.committed[b] += maxSpend[b] - current[b]
+	}
 	if r == nil {
-		r = &record{name: e.Name, may: make([]int, len(may))}
-		t.records = slices.Insert(t.records, i, r)
+		r = &record{holder: id}
+		position, _ := t.find(id)
+		t.records = slices.Insert(t.records, position, r)
+	}
+	r.epoch, r.plan, r.maxSpend = t.epoch, slices.Clone(plan), maxSpend
+	return true
+}
+
+func (t *Table) confirmPlan(id HolderID, epoch uint64) bool {
+	r := t.lookup(id)
+	if r == nil || r.epoch != epoch || slices.Equal(r.maxSpend, r.plan) {
+		return false
+	}
+	for b := range r.maxSpend {
+		t.committed[b] -= r.maxSpend[b] - r.plan[b]
+	}
+	r.maxSpend = r.plan
+	return true
+}
+
+func (t *Table) removeHolder(id HolderID, epoch uint64) bool {
+	position, found := t.find(id)
+	if !found || t.records[position].epoch != epoch {
+		return false
 	}
-	for b := range may {
-		t.out[b] += may[b] - r.may[b]
+	for b, units := range t.records[position].maxSpend {
+		t.committed[b] -= units
 	}
-	r.epoch, r.plan, r.may = t.epoch, slices.Clone(e.Plan), may
+	t.records = slices.Delete(t.records, position, position+1)
 	return true
 }
