health: one file a concern, decisions and ejections in named steps

Cause: table.go, merge.go and eject.go held checks, outcomes, traffic limits and schedules together, under one- and two-letter names and in the house's words. Change: rules, checks, outcomes, ejection, decision, limits, schedule and facts are files of their own; a decision is assess, decide, publish and schedule; constants have names; doc comments give units, owners and what zero means.

--- /dev/null
+++ b/internal/control/health/ejection.go
@@ -0,0 +1,178 @@
+package health
+
+import "time"
+
+// classState is how a server does with one class of parts.
+type classState struct {
+	outcomeWindow
+	ejected         bool
+	ejectionBlocked bool // it would be ejected if its shards had enough other replicas
+	ejectedAt       time.Time
+	ejections       int       // repeated, each soon after the last return
+	readmittedAt    time.Time // last return
+
+	halfOpen       bool // a half-open request is granted, and may be in flight
+	halfOpenAt     time.Time
+	nextHalfOpen   time.Time // not before
+	setbackAt      time.Time // of the last failed half-open request, or the ejection
+	partsAtSetback float64   // Table.partsEnded of the class by then
+	successRun     int       // successful half-open requests in a row
+}
+
+const (
+	// halfOpenPollInterval is how often a server is looked at while its half-open requests wait for parts elsewhere.
+	halfOpenPollInterval = 50 * time.Millisecond
+	// repeatEjectionFactor times MaxHalfOpenDelay after a return, another ejection still counts as repeated.
+	repeatEjectionFactor = 10
+	// Shifts by more would make the delays of repeated ejections longer than any limit, or overflow them.
+	maxDelayDoublings              = 10
+	maxNonIdempotentDelayDoublings = 4
+	// nonIdempotentReturnSuccesses are enough to readmit a non-idempotent class, since its requests are rare.
+	nonIdempotentReturnSuccesses = 2
+)
+
+// updateEjection ejects a server from a class if it fails too often. With outOfUse the server gets no requests for
+// another reason, and its outcomes say nothing more.
+func (t *Table) updateEjection(i, class int, outOfUse bool) {
+	s := t.servers[i]
+	c := &s.classes[class]
+	c.ejectionBlocked = false
+	if outOfUse || c.ejected || !t.failsTooOften(s, class) {
+		return
+	}
+	if !t.mayEject(i, class) {
+		c.ejectionBlocked = true
+		return
+	}
+	t.ejectClass(i, class)
+	// Requests that must not run twice are not risked where other classes fail, even if they have succeeded so far: they
+	// are rare, and it would take long until they show that they fail, too.
+	for other := range s.classes {
+		if t.rules.nonIdempotent(other) && !s.classes[other].ejected && t.mayEject(i, other) {
+			t.ejectClass(i, other)
+		}
+	}
+}
+
+func (t *Table) ejectClass(i, class int) {
+	c := &t.servers[i].classes[class]
+	if c.readmittedAt.IsZero() || t.now.Sub(c.readmittedAt) > repeatEjectionFactor*t.rules.MaxHalfOpenDelay {
+		c.ejections = 0
+	}
+	delay := min(t.rules.HalfOpenDelay<<min(c.ejections, maxDelayDoublings), t.rules.MaxHalfOpenDelay)
+	if t.rules.nonIdempotent(class) {
+		delay = t.nonIdempotentDelay(c)
+	}
+	c.ejections++
+	c.ejected, c.ejectedAt, c.successRun, c.halfOpen = true, t.now, 0, false
+	c.nextHalfOpen, c.setbackAt, c.partsAtSetback = t.now.Add(delay), t.now, t.partsEnded[class]
+	t.markNeighboursDirty(i)
+}
+
+func (t *Table) nonIdempotentDelay(c *classState) time.Duration {
+	return t.rules.NonIdempotentDelay << min(c.ejections, maxNonIdempotentDelayDoublings)
+}
+
+// mayEject reports whether each shard of a server keeps enough replicas for a class without it.
+func (t *Table) mayEject(i, class int) bool {
+	for _, shard := range t.servers[i].Shards {
+		all, remaining := 0, 0
+		for _, other := range t.replicas[shard] {
+			s := t.servers[other]
+			if s.Draining {
+				continue
+			}
+			all++
+			if other != i && s.fit && !s.classes[class].ejected {
+				remaining++
+			}
+		}
+		if remaining < 1 || float64(remaining) < float64(all)*(1-t.rules.MaxEjectedFraction) {
+			return false
+		}
+	}
+	return true
+}
+
+// halfOpenEnded takes the outcome of a part that was sent after the ejection.
+func (t *Table) halfOpenEnded(i, class int, outcome Outcome) {
+	c := &t.servers[i].classes[class]
+	nonIdempotent := t.rules.nonIdempotent(class)
+	c.halfOpen = false
+	c.nextHalfOpen = t.now.Add(t.rules.HalfOpenInterval)
+	t.markDirty(i)
+	switch outcome {
+	case Success:
+		c.successRun++
+		if c.successRun >= t.rules.ReturnSuccesses || nonIdempotent && c.successRun >= nonIdempotentReturnSuccesses {
+			t.readmit(i, class)
+		}
+	case Neutral:
+	default:
+		c.successRun, c.setbackAt, c.partsAtSetback = 0, t.now, t.partsEnded[class]
+		if nonIdempotent {
+			c.nextHalfOpen = t.now.Add(t.nonIdempotentDelay(c))
+		}
+	}
+}
+
+// readmit ends a server's ejection from a class. It begins without failures and with a small fraction of its traffic.
+// Non-idempotent classes, which get no half-open requests while another class can tell, are readmitted with that one.
+func (t *Table) readmit(i, class int) {
+	s := t.servers[i]
+	for other := range s.classes {
+		c := &s.classes[other]
+		withIt := c.ejected && t.rules.nonIdempotent(other) && !t.rules.nonIdempotent(class)
+		if other != class && !withIt {
+			continue
+		}
+		c.ejected, c.readmittedAt = false, t.now
+		own, fleet := t.windows(s, other)
+		fleet.successes, fleet.failures = max(0, fleet.successes-own.successes), max(0, fleet.failures-own.failures)
+		own.successes, own.failures = 0, 0
+	}
+	s.recoveryStart = t.now
+	t.markNeighboursDirty(i)
+}
+
+// grantHalfOpen grants the half-open requests that are due by a decision: one part of each such class (bit c: class c).
+func (t *Table) grantHalfOpen(s *server, d Decision) (granted uint64) {
+	if d.State != InService || d.EjectedClasses == 0 {
+		return 0
+	}
+	lastResort := d.EjectedClasses == AllClasses && !s.unreachableAt.IsZero()
+	for class := range s.classes {
+		c := &s.classes[class]
+		// A grant that was not used, for whatever reason, is repeated in the end.
+		pending := c.halfOpen && t.now.Sub(c.halfOpenAt) < repeatEjectionFactor*t.rules.MaxHalfOpenDelay
+		if pending || t.now.Before(c.nextHalfOpen) {
+			continue
+		}
+		if c.ejected && t.mayHalfOpen(s, class) || !c.ejected && lastResort && !t.rules.nonIdempotent(class) {
+			c.halfOpen, c.halfOpenAt = true, t.now
+			granted |= 1 << class
+		}
+	}
+	return granted
+}
+
+// mayHalfOpen reports whether an ejected class may have a half-open request. A non-idempotent class may not while another
+// ejected class can tell: it returns with that one. After a failed one the next waits until enough parts of the class
+// have ended elsewhere, or for the longest delay: they must stay a small fraction of all parts.
+func (t *Table) mayHalfOpen(s *server, class int) bool {
+	if t.rules.nonIdempotent(class) {
+		return !t.idempotentClassEjected(s)
+	}
+	c := &s.classes[class]
+	return c.successRun > 0 || t.partsEnded[class]-c.partsAtSetback >= t.rules.HalfOpenTraffic ||
+		t.now.Sub(c.setbackAt) >= t.rules.MaxHalfOpenDelay
+}
+
+func (t *Table) idempotentClassEjected(s *server) bool {
+	for class := range s.classes {
+		if s.classes[class].ejected && !t.rules.nonIdempotent(class) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/control/health/health_test.go
+++ b/internal/control/health/health_test.go
@@ -13,38 +13,38 @@
 
 const search, correction = 0, 1
 
-// world is a fleet in virtual time: parts are placed by the conclusions, as the decisions on a query would, and
+// fleet is a fleet in virtual time: parts are placed by the conclusions, as the decisions on a query would, and
 // end as the servers do. Four blocks round a ring, two holders each, unless told otherwise.
-type world struct {
-	t      *testing.T
-	tab    *Table
-	now    time.Time
-	rng    *rand.Rand
-	nodes  []ID
-	reach  int
-	fails  map[ID]float64     // share of parts that fail
-	dead   map[ID]bool        // connections refused
-	trial  map[ID]uint64      // grants in hand
-	sent   map[ID]int         // since the last reset
-	failed map[ID]int         // of these
-	log    []string           // conclusions told
-	checks map[ID]CheckResult // what the check of each finds, every 200 ms
-	silent map[ID]bool        // no check is made
-	state  map[ID]Decision
+type fleet struct {
+	t           *testing.T
+	table       *Table
+	now         time.Time
+	rng         *rand.Rand
+	ids         []ID
+	replicas    int
+	failureRate map[ID]float64     // share of parts that fail
+	unreachable map[ID]bool        // connections refused
+	halfOpen    map[ID]uint64      // grants in hand
+	sent        map[ID]int         // since the last reset
+	failed      map[ID]int         // of these
+	notable     []string           // conclusions told
+	checks      map[ID]CheckResult // what the check of each finds, every 200 ms
+	unchecked   map[ID]bool        // no check is made
+	decisions   map[ID]Decision
 }
 
-func newWorld(t *testing.T, nodes, reach int) *world {
+func newFleet(t *testing.T, nodes, reach int) *fleet {
 	t.Helper()
 	tab, err := New(Defaults(2, 1<<correction), []CheckConfig{{Name: "http", Fall: 2, Rise: 1, Validity: 2 * time.Second}}, origin)
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{t: t, tab: tab, now: origin, rng: rand.New(rand.NewPCG(5, 6)), reach: reach, fails: map[ID]float64{}, dead: map[ID]bool{},
-		trial: map[ID]uint64{}, sent: map[ID]int{}, failed: map[ID]int{}, checks: map[ID]CheckResult{}, silent: map[ID]bool{}, state: map[ID]Decision{}}
+	w := &fleet{t: t, table: tab, now: origin, rng: rand.New(rand.NewPCG(5, 6)), replicas: reach, failureRate: map[ID]float64{}, unreachable: map[ID]bool{},
+		halfOpen: map[ID]uint64{}, sent: map[ID]int{}, failed: map[ID]int{}, checks: map[ID]CheckResult{}, unchecked: map[ID]bool{}, decisions: map[ID]Decision{}}
 	var list []Server
 	for i := range nodes {
 		id := ID(fmt.Sprintf("n%d", i))
-		w.nodes = append(w.nodes, id)
+		w.ids = append(w.ids, id)
 		var blocks []int
 		for j := range reach {
 			blocks = append(blocks, (i-j+nodes)%nodes)
@@ -53,34 +53,34 @@
 		w.checks[id] = CheckResult{Oper: Up, Weight: -1, MaxConn: -1}
 	}
 	tab.UpdateEndpoints(w.now, list, true)
-	w.take()
+	w.takeChanges()
 	return w
 }
 
-func (w *world) take() {
-	for _, c := range w.tab.Changes(w.now) {
-		w.state[c.ID] = c.Decision
-		w.trial[c.ID] |= c.HalfOpenClasses
-		w.trial[c.ID] &= c.EjectedClasses
+func (w *fleet) takeChanges() {
+	for _, c := range w.table.Changes(w.now) {
+		w.decisions[c.ID] = c.Decision
+		w.halfOpen[c.ID] |= c.HalfOpenClasses
+		w.halfOpen[c.ID] &= c.EjectedClasses
 		if c.Notable {
-			w.log = append(w.log, fmt.Sprintf("%v %s %v %s", w.now.Sub(origin), c.ID, c.State, c.Cause))
+			w.notable = append(w.notable, fmt.Sprintf("%v %s %v %s", w.now.Sub(origin), c.ID, c.State, c.Cause))
 		}
 	}
 }
 
-// part sends one part of a class to a holder of a block, by the rules of the choice: who is not shunned, else who
+// sendPart sends one part of a class to a holder of a block, by the rules of the choice: who is not shunned, else who
 // is; trials first. It says where it went; "" for nowhere.
-func (w *world) part(block, of int) ID {
+func (w *fleet) sendPart(block, of int) ID {
 	var sound, last []ID
-	for j := range w.reach {
-		id := w.nodes[(block+j)%len(w.nodes)]
-		c := w.state[id]
+	for j := range w.replicas {
+		id := w.ids[(block+j)%len(w.ids)]
+		c := w.decisions[id]
 		switch {
 		case c.State != InService:
 		case c.EjectedClasses>>of&1 == 1:
-			if w.trial[id]>>of&1 == 1 {
-				w.trial[id] &^= 1 << of
-				return w.send(id, of)
+			if w.halfOpen[id]>>of&1 == 1 {
+				w.halfOpen[id] &^= 1 << of
+				return w.sendTo(id, of)
 			}
 			last = append(last, id)
 		default:
@@ -93,51 +93,51 @@
 	if len(sound) == 0 {
 		return ""
 	}
-	return w.send(sound[w.rng.IntN(len(sound))], of)
+	return w.sendTo(sound[w.rng.IntN(len(sound))], of)
 }
 
-func (w *world) send(id ID, of int) ID {
+func (w *fleet) sendTo(id ID, of int) ID {
 	w.sent[id]++
 	r := Success
 	switch {
-	case w.dead[id]:
+	case w.unreachable[id]:
 		r = ConnectFailure
-	case w.rng.Float64() < w.fails[id]:
+	case w.rng.Float64() < w.failureRate[id]:
 		r = Failure
 	}
 	if r != Success {
 		w.failed[id]++
 	}
-	w.tab.RecordOutcome(w.now, id, of, r, w.now)
+	w.table.RecordOutcome(w.now, id, of, r, w.now)
 	return id
 }
 
 // run lets time pass in steps of 10 ms, with so many searches' parts a second on each block, and a correction for
 // each four of them.
-func (w *world) run(d time.Duration, rate float64) {
+func (w *fleet) run(d time.Duration, rate float64) {
 	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(10 * time.Millisecond) {
 		if w.now.Sub(origin)%(200*time.Millisecond) == 0 {
-			for _, id := range w.nodes {
-				if !w.silent[id] {
-					w.tab.RecordCheck(w.now, id, 0, w.checks[id])
+			for _, id := range w.ids {
+				if !w.unchecked[id] {
+					w.table.RecordCheck(w.now, id, 0, w.checks[id])
 				}
 			}
 		}
-		for b := range w.nodes {
+		for b := range w.ids {
 			if w.rng.Float64() < rate/100 {
-				w.part(b, search)
+				w.sendPart(b, search)
 			}
 			if w.rng.Float64() < rate/400 {
-				w.part(b, correction)
+				w.sendPart(b, correction)
 			}
 		}
-		w.take()
+		w.takeChanges()
 	}
 }
 
-func (w *world) reset() { w.sent, w.failed, w.log = map[ID]int{}, map[ID]int{}, nil }
+func (w *fleet) resetCounts() { w.sent, w.failed, w.notable = map[ID]int{}, map[ID]int{}, nil }
 
-func (w *world) share(id ID) float64 {
+func (w *fleet) trafficShare(id ID) float64 {
 	all := 0
 	for _, n := range w.sent {
 		all += n
@@ -149,47 +149,47 @@
 // there are trials by what may run twice, and it is back within 10 s of being sound.
 func TestGoodChecksDoNotOutweighFailingParts(t *testing.T) {
 	for _, rate := range []float64{10, 40, 200} {
-		w := newWorld(t, 4, 2)
+		w := newFleet(t, 4, 2)
 		w.run(5*time.Second, rate)
-		w.fails["n1"] = 0.8
+		w.failureRate["n1"] = 0.8
 		w.run(3*time.Second, rate)
-		w.reset()
+		w.resetCounts()
 		w.run(60*time.Second, rate)
-		if s := w.share("n1"); s > 0.02 {
+		if s := w.trafficShare("n1"); s > 0.02 {
 			t.Errorf("rate %v: the failing server has %.1f%% of the parts", rate, 100*s)
 		}
-		if w.state["n1"].EjectedClasses&(1<<search|1<<correction) != 1<<search|1<<correction || !strings.Contains(w.state["n1"].Cause, "parts fail") {
-			t.Errorf("rate %v: %+v", rate, w.state["n1"])
+		if w.decisions["n1"].EjectedClasses&(1<<search|1<<correction) != 1<<search|1<<correction || !strings.Contains(w.decisions["n1"].Cause, "parts fail") {
+			t.Errorf("rate %v: %+v", rate, w.decisions["n1"])
 		}
-		w.fails["n1"] = 0
+		w.failureRate["n1"] = 0
 		begin := w.now
-		for w.state["n1"].EjectedClasses != 0 && w.now.Sub(begin) < 10*time.Second {
+		for w.decisions["n1"].EjectedClasses != 0 && w.now.Sub(begin) < 10*time.Second {
 			w.run(100*time.Millisecond, rate)
 		}
 		if took := w.now.Sub(begin); took >= 10*time.Second {
 			t.Errorf("rate %v: still out %v after it is sound", rate, took)
 		}
 		w.run(5*time.Second, rate)
-		w.reset()
-		if w.run(10*time.Second, rate); w.share("n1") < 0.15 {
-			t.Errorf("rate %v: back with %.1f%% of the parts", rate, 100*w.share("n1"))
+		w.resetCounts()
+		if w.run(10*time.Second, rate); w.trafficShare("n1") < 0.15 {
+			t.Errorf("rate %v: back with %.1f%% of the parts", rate, 100*w.trafficShare("n1"))
 		}
 	}
 }
 
 // No correction is a trial while a class that may run twice can tell.
 func TestTrialsAreNotOfWhatMustNotRunTwice(t *testing.T) {
-	w := newWorld(t, 4, 2)
+	w := newFleet(t, 4, 2)
 	w.run(3*time.Second, 50)
-	w.fails["n2"] = 1
+	w.failureRate["n2"] = 1
 	w.run(3*time.Second, 50)
 	for range 3000 {
 		w.run(10*time.Millisecond, 50)
-		if w.trial["n2"]>>correction&1 == 1 {
+		if w.halfOpen["n2"]>>correction&1 == 1 {
 			t.Fatal("a correction may be risked")
 		}
 	}
-	if w.trial["n2"] == 0 && w.sent["n2"] == 0 {
+	if w.halfOpen["n2"] == 0 && w.sent["n2"] == 0 {
 		t.Error("no trial at all")
 	}
 }
@@ -197,45 +197,45 @@
 // Corrections are rare: those that did well until the fault keep nobody from leaving the server with the first class
 // that shows it.
 func TestRareCorrectionsLeaveWithTheOthers(t *testing.T) {
-	w := newWorld(t, 4, 2)
+	w := newFleet(t, 4, 2)
 	w.run(20*time.Second, 40)
-	if n := w.tab.nodes[1].classes[correction]; n.good < w.tab.rules.MinOutcomes || n.bad > 0 {
+	if n := w.table.servers[1].classes[correction]; n.successes < w.table.rules.MinOutcomes || n.failures > 0 {
 		t.Fatalf("no good record before: %+v", n)
 	}
-	w.fails["n1"] = 0.8
-	for w.state["n1"].EjectedClasses&(1<<search) == 0 {
+	w.failureRate["n1"] = 0.8
+	for w.decisions["n1"].EjectedClasses&(1<<search) == 0 {
 		w.run(10*time.Millisecond, 40)
 	}
-	if w.state["n1"].EjectedClasses&(1<<correction) == 0 {
-		t.Errorf("%+v", w.state["n1"])
+	if w.decisions["n1"].EjectedClasses&(1<<correction) == 0 {
+		t.Errorf("%+v", w.decisions["n1"])
 	}
 }
 
 // Ejections stop where a block would keep too few holders, and failures that all share eject nobody.
 func TestEjectionsAreLimited(t *testing.T) {
-	w := newWorld(t, 4, 2)
+	w := newFleet(t, 4, 2)
 	w.run(3*time.Second, 50)
-	w.fails["n0"], w.fails["n1"] = 0.9, 0.9 // together they hold a block
+	w.failureRate["n0"], w.failureRate["n1"] = 0.9, 0.9 // together they hold a block
 	w.run(5*time.Second, 50)
 	out := 0
 	for _, id := range []ID{"n0", "n1"} {
-		if w.state[id].EjectedClasses&1 == 1 {
+		if w.decisions[id].EjectedClasses&1 == 1 {
 			out++
-		} else if !strings.Contains(w.state[id].Cause, "no others") || w.tab.UsableReplicas(0, search) != 0 {
-			t.Errorf("%s: %+v, %d usable", id, w.state[id], w.tab.UsableReplicas(0, search))
+		} else if !strings.Contains(w.decisions[id].Cause, "no others") || w.table.UsableReplicas(0, search) != 0 {
+			t.Errorf("%s: %+v, %d usable", id, w.decisions[id], w.table.UsableReplicas(0, search))
 		}
 	}
 	if out != 1 {
 		t.Errorf("%d of two holders of a block were ejected", out)
 	}
-	w = newWorld(t, 6, 3)
+	w = newFleet(t, 6, 3)
 	w.run(3*time.Second, 50)
-	for _, id := range w.nodes {
-		w.fails[id] = 0.6
+	for _, id := range w.ids {
+		w.failureRate[id] = 0.6
 	}
 	w.run(10*time.Second, 50)
-	for _, id := range w.nodes {
-		if w.state[id].EjectedClasses != 0 {
+	for _, id := range w.ids {
+		if w.decisions[id].EjectedClasses != 0 {
 			t.Errorf("%s was ejected while all fail alike", id)
 		}
 	}
@@ -244,64 +244,64 @@
 // A bad check takes a server out, but not the last holder of a block; that one is named with the reason, and parts
 // that find no connection take it out after all.
 func TestBadChecksLeaveTheLastHolder(t *testing.T) {
-	w := newWorld(t, 4, 2)
+	w := newFleet(t, 4, 2)
 	w.checks["n1"] = CheckResult{Failed: true, Reason: "status 500"}
 	w.run(time.Second, 20)
-	if w.state["n1"].State != OutOfService || !strings.Contains(w.state["n1"].Cause, "status 500") {
-		t.Errorf("%+v", w.state["n1"])
+	if w.decisions["n1"].State != OutOfService || !strings.Contains(w.decisions["n1"].Cause, "status 500") {
+		t.Errorf("%+v", w.decisions["n1"])
 	}
 	w.checks["n2"] = CheckResult{Failed: true, Reason: "refused"} // block 1 is held by n1 and n2
 	w.run(time.Second, 20)
 	for _, id := range []ID{"n1", "n2"} {
-		if c := w.state[id]; c.State != InService || c.EjectedClasses != AllClasses || !strings.Contains(c.Cause, "alone") {
+		if c := w.decisions[id]; c.State != InService || c.EjectedClasses != AllClasses || !strings.Contains(c.Cause, "alone") {
 			t.Errorf("%s: %+v", id, c)
 		}
 	}
-	if w.tab.UsableReplicas(1, search) == 0 {
+	if w.table.UsableReplicas(1, search) == 0 {
 		t.Error("parts are answered there, and nothing is usable")
 	}
-	w.dead["n1"], w.dead["n2"] = true, true
+	w.unreachable["n1"], w.unreachable["n2"] = true, true
 	w.run(2*time.Second, 20)
-	if w.state["n1"].State != OutOfService || w.state["n2"].State != OutOfService || w.tab.UsableReplicas(1, search) != 0 {
-		t.Errorf("%+v %+v", w.state["n1"], w.state["n2"])
+	if w.decisions["n1"].State != OutOfService || w.decisions["n2"].State != OutOfService || w.table.UsableReplicas(1, search) != 0 {
+		t.Errorf("%+v %+v", w.decisions["n1"], w.decisions["n2"])
 	}
-	w.dead["n1"] = false
+	w.unreachable["n1"] = false
 	w.checks["n1"] = CheckResult{Oper: Up, Weight: -1, MaxConn: -1}
 	w.run(time.Second, 0) // nothing is sent: the check alone brings it back
-	if w.state["n1"].State != InService || w.tab.UsableReplicas(1, search) != 1 {
-		t.Errorf("%+v", w.state["n1"])
+	if w.decisions["n1"].State != InService || w.table.UsableReplicas(1, search) != 1 {
+		t.Errorf("%+v", w.decisions["n1"])
 	}
 }
 
 // All checks fail at once while parts are answered: service goes on, at every moment.
 func TestBrokenChecksDoNotEmptyTheFleet(t *testing.T) {
-	w := newWorld(t, 8, 2)
+	w := newFleet(t, 8, 2)
 	w.run(2*time.Second, 20)
-	for _, id := range w.nodes {
+	for _, id := range w.ids {
 		w.checks[id] = CheckResult{Failed: true, Reason: "no answer"}
 	}
 	for range 1000 {
 		w.run(10*time.Millisecond, 20)
-		for b := range w.nodes {
-			if w.tab.UsableReplicas(b, search) == 0 {
+		for b := range w.ids {
+			if w.table.UsableReplicas(b, search) == 0 {
 				t.Fatalf("%v: block %d has nobody left", w.now.Sub(origin), b)
 			}
 		}
 	}
-	if !w.tab.ChecksSuspect() {
+	if !w.table.ChecksSuspect() {
 		t.Error("the checks are believed")
 	}
 	w.run(10*time.Second, 0) // a lull is no reason to believe them
-	for _, id := range w.nodes {
-		if c := w.state[id]; c.State != InService || !strings.Contains(c.Cause, "doubted") {
+	for _, id := range w.ids {
+		if c := w.decisions[id]; c.State != InService || !strings.Contains(c.Cause, "doubted") {
 			t.Fatalf("%s: %+v", id, c)
 		}
 	}
-	for _, id := range w.nodes {
+	for _, id := range w.ids {
 		w.checks[id] = CheckResult{Oper: Up, Weight: -1, MaxConn: -1}
 	}
 	w.run(time.Second, 20)
-	if w.tab.ChecksSuspect() {
+	if w.table.ChecksSuspect() {
 		t.Error("the checks are well and still doubted")
 	}
 }
@@ -313,114 +313,114 @@
 		"drain": {Admin: Drain, Weight: -1, MaxConn: -1}, "maint": {Admin: Maintenance, Oper: Up, Weight: -1, MaxConn: -1},
 		"404": {Admin: Drain, Oper: Up, Weight: -1, MaxConn: -1}, "weight 0": {Oper: Up, Weight: 0, MaxConn: -1},
 	} {
-		w := newWorld(t, 4, 2)
+		w := newFleet(t, 4, 2)
 		w.checks["n0"] = CheckResult{Failed: true}
 		w.run(2*time.Second, 20)
-		w.silent["n1"] = true
-		w.tab.RecordCheck(w.now, "n1", 0, r)
-		w.take()
-		w.reset()
+		w.unchecked["n1"] = true
+		w.table.RecordCheck(w.now, "n1", 0, r)
+		w.takeChanges()
+		w.resetCounts()
 		if name != "weight 0" { // a weight ages as any other word
 			w.run(20*time.Second, 20)
 		}
 		w.run(time.Second, 20)
-		if w.sent["n1"] != 0 || w.state["n1"].State == InService || w.tab.UsableReplicas(1, search) != 1 {
-			t.Errorf("%s: %d parts, %+v", name, w.sent["n1"], w.state["n1"])
+		if w.sent["n1"] != 0 || w.decisions["n1"].State == InService || w.table.UsableReplicas(1, search) != 1 {
+			t.Errorf("%s: %d parts, %+v", name, w.sent["n1"], w.decisions["n1"])
 		}
-		w.silent["n1"] = false
+		w.unchecked["n1"] = false
 		w.checks["n1"] = CheckResult{Admin: Ready, Oper: Up, Weight: 1, MaxConn: -1}
-		if w.run(time.Second, 20); w.state["n1"].State != InService {
-			t.Errorf("%s: ready and not back: %+v", name, w.state["n1"])
+		if w.run(time.Second, 20); w.decisions["n1"].State != InService {
+			t.Errorf("%s: ready and not back: %+v", name, w.decisions["n1"])
 		}
 	}
-	w := newWorld(t, 4, 2)
-	w.tab.UpdateEndpoints(w.now, []Server{{ID: "n3", Draining: true, Shards: []int{3, 2}}}, false)
+	w := newFleet(t, 4, 2)
+	w.table.UpdateEndpoints(w.now, []Server{{ID: "n3", Draining: true, Shards: []int{3, 2}}}, false)
 	w.run(time.Second, 20)
 	if w.sent["n3"] != 0 {
 		t.Error("parts at a server that the roster drains")
 	}
-	w.tab.UpdateEndpoints(w.now, []Server{{ID: "n3", Removed: true}}, false)
-	if w.take(); w.state["n3"].State != OutOfService || w.tab.Len() != 3 {
-		t.Errorf("%+v", w.state["n3"])
+	w.table.UpdateEndpoints(w.now, []Server{{ID: "n3", Removed: true}}, false)
+	if w.takeChanges(); w.decisions["n3"].State != OutOfService || w.table.Len() != 3 {
+		t.Errorf("%+v", w.decisions["n3"])
 	}
 }
 
 // A check that changes its mind all the time takes the server out until it is quiet, and is not told each time.
 func TestFlappingIsDamped(t *testing.T) {
-	w := newWorld(t, 4, 2)
+	w := newFleet(t, 4, 2)
 	w.run(time.Second, 20)
-	w.reset()
+	w.resetCounts()
 	for i := range 60 {
 		w.checks["n1"] = CheckResult{Oper: OperState(1 + i%2), Weight: -1, MaxConn: -1}
 		w.run(500*time.Millisecond, 20)
 	}
 	told := 0
-	for _, line := range w.log {
+	for _, line := range w.notable {
 		if strings.Contains(line, " n1 ") {
 			told++
 		}
 	}
-	if told > 14 || w.state["n1"].State != OutOfService {
-		t.Errorf("told %d times in 30 s: %v", told, w.state["n1"])
+	if told > 14 || w.decisions["n1"].State != OutOfService {
+		t.Errorf("told %d times in 30 s: %v", told, w.decisions["n1"])
 	}
 	w.checks["n1"] = CheckResult{Oper: Up, Weight: -1, MaxConn: -1}
-	if w.run(50*time.Second, 20); w.state["n1"].State != InService {
-		t.Errorf("quiet and still out: %+v", w.state["n1"])
+	if w.run(50*time.Second, 20); w.decisions["n1"].State != InService {
+		t.Errorf("quiet and still out: %+v", w.decisions["n1"])
 	}
 }
 
 // A weight takes its time; what is told of it stays rare; maxconn counts while it is valid.
 func TestWeightsMoveSlowly(t *testing.T) {
-	w := newWorld(t, 4, 2)
+	w := newFleet(t, 4, 2)
 	w.run(time.Second, 20)
 	w.checks["n1"] = CheckResult{Oper: Up, Weight: 0.25, MaxConn: 7}
 	w.run(200*time.Millisecond, 20)
-	if c := w.state["n1"]; c.TrafficFraction < 0.7 || c.MaxInFlight != 7 {
+	if c := w.decisions["n1"]; c.TrafficFraction < 0.7 || c.MaxInFlight != 7 {
 		t.Errorf("%+v", c)
 	}
-	if w.run(2*time.Second, 20); w.state["n1"].TrafficFraction != 0.25 {
-		t.Errorf("share %v", w.state["n1"].TrafficFraction)
+	if w.run(2*time.Second, 20); w.decisions["n1"].TrafficFraction != 0.25 {
+		t.Errorf("share %v", w.decisions["n1"].TrafficFraction)
 	}
 	w.checks["n1"] = CheckResult{Oper: Up, Weight: 1, MaxConn: -1}
-	if w.run(2*time.Second, 20); w.state["n1"].TrafficFraction > 0.75 || w.state["n1"].TrafficFraction < 0.5 {
-		t.Errorf("share %v after 2 s", w.state["n1"].TrafficFraction)
+	if w.run(2*time.Second, 20); w.decisions["n1"].TrafficFraction > 0.75 || w.decisions["n1"].TrafficFraction < 0.5 {
+		t.Errorf("share %v after 2 s", w.decisions["n1"].TrafficFraction)
 	}
 	w.checks["n1"] = CheckResult{Oper: Up, Weight: 1, MaxConn: -1, Degraded: true}
-	if w.run(3*time.Second, 20); math.Abs(w.state["n1"].TrafficFraction-degradedShare) > 0.01 {
-		t.Errorf("share %v of a degraded server", w.state["n1"].TrafficFraction)
+	if w.run(3*time.Second, 20); math.Abs(w.decisions["n1"].TrafficFraction-degradedFraction) > 0.01 {
+		t.Errorf("share %v of a degraded server", w.decisions["n1"].TrafficFraction)
 	}
-	w.silent["n1"] = true
-	if w.run(10*time.Second, 20); w.state["n1"].TrafficFraction < 0.999 || w.state["n1"].MaxInFlight != 0 {
-		t.Errorf("%+v", w.state["n1"])
+	w.unchecked["n1"] = true
+	if w.run(10*time.Second, 20); w.decisions["n1"].TrafficFraction < 0.999 || w.decisions["n1"].MaxInFlight != 0 {
+		t.Errorf("%+v", w.decisions["n1"])
 	}
 }
 
 // A server that is dead for parts comes back by a trial, though no check speaks of it.
 func TestDeadServersComeBack(t *testing.T) {
-	w := newWorld(t, 4, 2)
-	for _, id := range w.nodes {
-		w.silent[id] = true
+	w := newFleet(t, 4, 2)
+	for _, id := range w.ids {
+		w.unchecked[id] = true
 	}
 	w.run(time.Second, 50)
-	w.dead["n1"] = true
+	w.unreachable["n1"] = true
 	w.run(2*time.Second, 50)
-	w.reset()
+	w.resetCounts()
 	w.run(20*time.Second, 50)
-	if c := w.state["n1"]; c.EjectedClasses != AllClasses || c.Usable || w.share("n1") > 0.02 {
-		t.Errorf("%+v, %.1f%% of the parts", c, 100*w.share("n1"))
+	if c := w.decisions["n1"]; c.EjectedClasses != AllClasses || c.Usable || w.trafficShare("n1") > 0.02 {
+		t.Errorf("%+v, %.1f%% of the parts", c, 100*w.trafficShare("n1"))
 	}
-	w.dead["n1"] = false
-	if w.run(2*time.Second, 50); w.state["n1"].EjectedClasses != 0 || !w.state["n1"].Usable {
-		t.Errorf("%+v", w.state["n1"])
+	w.unreachable["n1"] = false
+	if w.run(2*time.Second, 50); w.decisions["n1"].EjectedClasses != 0 || !w.decisions["n1"].Usable {
+		t.Errorf("%+v", w.decisions["n1"])
 	}
 }
 
 // Facts name every source with its age.
 func TestFacts(t *testing.T) {
-	w := newWorld(t, 4, 2)
+	w := newFleet(t, 4, 2)
 	w.checks["n1"] = CheckResult{Failed: true, Reason: "status 500"}
 	w.run(time.Second, 50)
-	text := fmt.Sprintf("%+v", w.tab.Facts(w.now, "n1"))
+	text := fmt.Sprintf("%+v", w.table.Facts(w.now, "n1"))
 	for _, part := range []string{"roster", "check http", "down (status 500)", "parts of class 0"} {
 		if !strings.Contains(text, part) {
 			t.Errorf("%q is not in %s", part, text)
@@ -505,14 +505,14 @@
 					t.Fatalf("%s drains and is in service: %+v", id(i), c)
 				}
 				fit, kept := 0, 0
-				for _, o := range tab.holders[i] {
-					if m := tab.nodes[o]; m.fit {
+				for _, o := range tab.replicas[i] {
+					if m := tab.servers[o]; m.fit {
 						if fit++; !m.classes[search].ejected {
 							kept++
 						}
 					}
 				}
-				if c.State == InService && c.EjectedClasses != 0 && c.EjectedClasses != AllClasses && kept == 0 && fit == len(tab.holders[i]) {
+				if c.State == InService && c.EjectedClasses != 0 && c.EjectedClasses != AllClasses && kept == 0 && fit == len(tab.replicas[i]) {
 					t.Fatalf("block %d lost all its holders to ejections", i)
 				}
 			}
--- /dev/null
+++ b/internal/control/health/limits.go
@@ -0,0 +1,64 @@
+package health
+
+import "time"
+
+const (
+	// recoveryMinFraction is the fraction of its traffic with which a server begins after its return.
+	recoveryMinFraction = 0.25
+	// degradedFraction is that of a server that calls itself degraded. Envoy would not use it where others have capacity.
+	degradedFraction = 0.25
+	// fallSpeed is how many times faster than it rises a fraction falls.
+	fallSpeed = 3
+)
+
+// nextFraction moves a server's traffic fraction towards its target, and after a return up from recoveryMinFraction.
+func (t *Table) nextFraction(s *server) float64 {
+	target := t.targetFraction(s)
+	if !s.recoveryStart.IsZero() {
+		progress := float64(t.now.Sub(s.recoveryStart)) / float64(t.rules.RecoveryRamp)
+		ramp := recoveryMinFraction + (1-recoveryMinFraction)*max(0, progress)
+		if progress >= 1 {
+			s.recoveryStart = time.Time{}
+		} else if target > ramp {
+			s.fraction, s.fractionAt = ramp, t.now
+			return ramp
+		}
+	}
+	step := float64(t.now.Sub(s.fractionAt)) / float64(t.rules.WeightRiseTime)
+	s.fractionAt = t.now
+	if target > s.fraction {
+		s.fraction = min(target, s.fraction+step)
+	} else {
+		s.fraction = max(target, s.fraction-fallSpeed*step)
+	}
+	return s.fraction
+}
+
+// targetFraction returns the smallest traffic fraction that a server's valid checks give it.
+func (t *Table) targetFraction(s *server) float64 {
+	target := 1.0
+	for i := range s.checks {
+		c := &s.checks[i]
+		if !t.valid(c) {
+			continue
+		}
+		if c.weight > 0 {
+			target = min(target, c.weight)
+		}
+		if c.degraded {
+			target = min(target, degradedFraction)
+		}
+	}
+	return target
+}
+
+// maxInFlight returns the smallest limit of parts in flight that a server's valid checks give it; 0: none.
+func (t *Table) maxInFlight(s *server) (limit int) {
+	for i := range s.checks {
+		c := &s.checks[i]
+		if c.maxConn > 0 && t.valid(c) && (limit == 0 || c.maxConn < limit) {
+			limit = c.maxConn
+		}
+	}
+	return limit
+}
--- /dev/null
+++ b/internal/control/health/outcomes.go
@@ -0,0 +1,132 @@
+package health
+
+import (
+	"math"
+	"time"
+)
+
+// outcomeWindow is a failure rate over a time window with exponential decay.
+type outcomeWindow struct {
+	successes, failures float64 // decayed counts
+	updatedAt           time.Time
+}
+
+func (w *outcomeWindow) decay(now time.Time, halfLife time.Duration) {
+	if elapsed := now.Sub(w.updatedAt); elapsed > 0 {
+		factor := math.Exp2(-float64(elapsed) / float64(halfLife))
+		w.successes, w.failures, w.updatedAt = w.successes*factor, w.failures*factor, now
+	}
+}
+
+func (w *outcomeWindow) total() float64 { return w.successes + w.failures }
+
+// RecordOutcome takes the end of an attempt of a real part of a class, which was sent at a time. A server that is not
+// listed, or an unknown class, is ignored.
+func (t *Table) RecordOutcome(now time.Time, id ID, class int, outcome Outcome, sent time.Time) {
+	t.advance(now)
+	i, ok := t.index[id]
+	if !ok || class < 0 || class >= len(t.fleet) {
+		return
+	}
+	t.partsEnded[class]++
+	switch outcome {
+	case Success:
+		t.recordSuccess(i, class)
+	case Failure:
+		t.recordFailure(i, class)
+	case ConnectFailure:
+		t.recordConnectFailure(i)
+	}
+	s := t.servers[i]
+	c := &s.classes[class]
+	if c.ejected && !sent.Before(c.ejectedAt) {
+		t.halfOpenEnded(i, class, outcome)
+	} else if !s.unreachableAt.IsZero() && c.halfOpen && outcome != Success {
+		c.halfOpen, c.nextHalfOpen = false, t.now.Add(t.rules.HalfOpenDelay)
+		t.markDirty(i)
+	}
+}
+
+// windows returns the outcomes of a class at a server and at all servers, decayed to now.
+func (t *Table) windows(s *server, class int) (own, fleet *outcomeWindow) {
+	own, fleet = &s.classes[class].outcomeWindow, &t.fleet[class]
+	own.decay(t.now, t.rules.OutcomeHalfLife)
+	fleet.decay(t.now, t.rules.OutcomeHalfLife)
+	return own, fleet
+}
+
+func (t *Table) recordSuccess(i, class int) {
+	s := t.servers[i]
+	own, fleet := t.windows(s, class)
+	own.successes++
+	fleet.successes++
+	s.connectFailures, s.revivals = 0, 0
+	if !s.unreachableAt.IsZero() {
+		t.revive(i)
+	}
+	if t.now.Sub(s.lastSuccess) > t.rules.AnswerValidity/2 { // whether it is usable may depend on it
+		t.markDirty(i)
+	}
+	s.lastSuccess = t.now
+}
+
+func (t *Table) recordFailure(i, class int) {
+	s := t.servers[i]
+	own, fleet := t.windows(s, class)
+	own.failures++
+	fleet.failures++
+	s.connectFailures = 0
+	if !s.classes[class].ejected && t.failsTooOften(s, class) {
+		t.markDirty(i)
+	}
+}
+
+func (t *Table) recordConnectFailure(i int) {
+	s := t.servers[i]
+	s.connectFailures++
+	if s.connectFailures < t.rules.MaxConnectFailures {
+		return
+	}
+	if s.unreachableAt.IsZero() {
+		t.markDirty(i)
+	}
+	s.unreachableAt, s.lastUnreachable = t.now, t.now
+}
+
+// revive ends that a server counts as unreachable.
+func (t *Table) revive(i int) {
+	s := t.servers[i]
+	s.unreachableAt, s.recoveryStart = time.Time{}, t.now
+	for class := range s.classes {
+		c := &s.classes[class]
+		c.halfOpen = c.halfOpen && c.ejected
+	}
+	t.markDirty(i)
+}
+
+// failsTooOften reports whether a server's failure rate of a class ejects it: by its lower confidence bound, so that a
+// few unlucky parts do not count, and compared with the other servers, so that a fault that all suffer ejects none.
+func (t *Table) failsTooOften(s *server, class int) bool {
+	own, fleet := t.windows(s, class)
+	if own.total() < t.rules.MinOutcomes {
+		return false
+	}
+	rate := wilsonLowerBound(own.failures, own.total())
+	otherSuccesses, otherFailures := max(0, fleet.successes-own.successes), max(0, fleet.failures-own.failures)
+	otherRate := 0.0
+	if otherSuccesses+otherFailures >= 1 {
+		otherRate = otherFailures / (otherSuccesses + otherFailures)
+	}
+	return rate >= t.rules.EjectFailureRate && rate >= min(t.rules.EjectPeerRatio*otherRate, 1-1e-9)
+}
+
+// wilsonLowerBound returns the lower end of the Wilson score interval of failures out of n, one-sided at 95%
+// (Wilson 1927).
+func wilsonLowerBound(failures, n float64) float64 {
+	const z = 1.645
+	if n <= 0 {
+		return 0
+	}
+	p := failures / n
+	return (p + z*z/(2*n) - z*math.Sqrt(max(0, p*(1-p)/n+z*z/(4*n*n)))) / (1 + z*z/n)
+}
--- /dev/null
+++ b/internal/control/health/schedule.go
@@ -0,0 +1,81 @@
+package health
+
+import (
+	"math"
+	"time"
+)
+
+// fractionInterval is how often a traffic fraction that is on its way to its target is updated.
+const fractionInterval = 100 * time.Millisecond
+
+// earliest is the earliest of some times; zero: none.
+type earliest struct{ time.Time }
+
+func (e *earliest) add(at time.Time) {
+	if e.IsZero() || at.Before(e.Time) {
+		e.Time = at
+	}
+}
+
+// scheduleUpdate sets the timer for when a server has to be decided on again though no evidence comes in: something
+// expires, or proceeds with time, by then.
+func (t *Table) scheduleUpdate(i int, d Decision) {
+	s := t.servers[i]
+	var next earliest
+	t.scheduleChecks(s, &next)
+	t.scheduleHalfOpen(s, d, &next)
+	if !s.recoveryStart.IsZero() || math.Abs(s.fraction-t.targetFraction(s)) > 1e-9 {
+		next.add(t.now.Add(fractionInterval))
+	}
+	if d.Contradictory && d.State == InService && t.now.Sub(s.lastSuccess) <= t.rules.AnswerValidity {
+		next.add(s.lastSuccess.Add(t.rules.AnswerValidity + time.Millisecond))
+	}
+	for class := range s.classes {
+		if s.classes[class].ejectionBlocked {
+			next.add(t.now.Add(t.rules.OutcomeHalfLife / 4))
+		}
+	}
+	if next.IsZero() {
+		t.timers.Cancel(i)
+	} else {
+		t.timers.Set(i, next.Time)
+	}
+}
+
+// scheduleChecks adds when a result that matters loses its validity, and when suppression for flapping ends.
+func (t *Table) scheduleChecks(s *server, next *earliest) {
+	for i := range s.checks {
+		c := &s.checks[i]
+		if t.valid(c) && (c.down || c.degraded || c.weight >= 0 || c.maxConn >= 0) {
+			next.add(c.resultAt.Add(t.checks[c.config].Validity + time.Millisecond))
+		}
+	}
+	if s.suppressed {
+		halfLives := math.Log2(max(1, s.flapPenalty/t.rules.FlapReuse))
+		next.add(t.now.Add(time.Duration(float64(t.rules.FlapHalfLife)*halfLives) + 10*time.Millisecond))
+	}
+}
+
+// scheduleHalfOpen adds when a half-open request may be due.
+func (t *Table) scheduleHalfOpen(s *server, d Decision, next *earliest) {
+	soon := t.now.Add(halfOpenPollInterval)
+	if d.EjectedClasses != 0 && d.State == InService {
+		for class := range s.classes {
+			c := &s.classes[class]
+			lastResort := d.EjectedClasses == AllClasses && !t.rules.nonIdempotent(class)
+			if !c.halfOpen && (c.ejected || lastResort) {
+				next.add(later(c.nextHalfOpen, soon))
+			}
+		}
+	}
+	if !s.unreachableAt.IsZero() {
+		next.add(later(s.unreachableAt.Add(t.rules.MaxHalfOpenDelay+time.Millisecond), soon))
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
