health: tests by concern, with a typed fleet simulation

Change: the simulated fleet, ejection, checks, table and benchmarks have files of their own; tests are named by what they show; two that tested two things became four; the benchmarks share their table.

--- /dev/null
+++ b/internal/control/health/checks_test.go
@@ -0,0 +1,167 @@
+package health
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Failing checks take a server out of service, but not the last replica of a shard. Connection failures take that one
+// out, too.
+func TestChecks_LastReplicaStaysInService(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	f.checks["n1"] = CheckResult{Failed: true, Reason: "status 500"}
+	f.run(time.Second, 20)
+	if f.decisions["n1"].State != OutOfService || !strings.Contains(f.decisions["n1"].Cause, "status 500") {
+		t.Errorf("%+v", f.decisions["n1"])
+	}
+	f.checks["n2"] = CheckResult{Failed: true, Reason: "refused"} // shard 1 has its replicas on n1 and n2
+	f.run(time.Second, 20)
+	for _, id := range []ID{"n1", "n2"} {
+		if c := f.decisions[id]; c.State != InService || c.EjectedClasses != AllClasses || !strings.Contains(c.Cause, "alone") {
+			t.Errorf("%s: %+v", id, c)
+		}
+	}
+	if f.table.UsableReplicas(1, search) == 0 {
+		t.Error("parts are answered there, and no replica is usable")
+	}
+	f.unreachable["n1"], f.unreachable["n2"] = true, true
+	f.run(2*time.Second, 20)
+	if f.decisions["n1"].State != OutOfService || f.decisions["n2"].State != OutOfService || f.table.UsableReplicas(1, search) != 0 {
+		t.Errorf("%+v %+v", f.decisions["n1"], f.decisions["n2"])
+	}
+	f.unreachable["n1"] = false
+	f.checks["n1"] = upResult
+	f.run(time.Second, 0) // no parts are sent: the check alone revives it
+	if f.decisions["n1"].State != InService || f.table.UsableReplicas(1, search) != 1 {
+		t.Errorf("%+v", f.decisions["n1"])
+	}
+}
+
+// All checks fail at once while parts are answered: every shard stays usable at every moment.
+func TestChecks_AllFailingDoNotEmptyTheFleet(t *testing.T) {
+	f := newFleet(t, 8, 2)
+	f.run(2*time.Second, 20)
+	for _, id := range f.ids {
+		f.checks[id] = CheckResult{Failed: true, Reason: "no answer"}
+	}
+	for range 1000 {
+		f.run(10*time.Millisecond, 20)
+		for shard := range f.ids {
+			if f.table.UsableReplicas(shard, search) == 0 {
+				t.Fatalf("%v: shard %d has no usable replica", f.now.Sub(origin), shard)
+			}
+		}
+	}
+	if !f.table.ChecksSuspect() {
+		t.Error("the checks are not suspect")
+	}
+	f.run(10*time.Second, 0) // a time without parts does not restore trust in them
+	for _, id := range f.ids {
+		if c := f.decisions[id]; c.State != InService || !strings.Contains(c.Cause, "doubted") {
+			t.Fatalf("%s: %+v", id, c)
+		}
+	}
+	for _, id := range f.ids {
+		f.checks[id] = upResult
+	}
+	f.run(time.Second, 20)
+	if f.table.ChecksSuspect() {
+		t.Error("the checks succeed and are still suspect")
+	}
+}
+
+// A server that a check drains gets nothing from that call on, whatever else says up, even as the last replica of a
+// shard. The drain stays when it is no longer repeated.
+func TestDrain_ByCheckStaysUntilReady(t *testing.T) {
+	for name, result := range map[string]CheckResult{
+		"drain":    {Admin: Drain, Weight: -1, MaxConn: -1},
+		"maint":    {Admin: Maintenance, Oper: Up, Weight: -1, MaxConn: -1},
+		"404":      {Admin: Drain, Oper: Up, Weight: -1, MaxConn: -1},
+		"weight 0": {Oper: Up, Weight: 0, MaxConn: -1},
+	} {
+		f := newFleet(t, 4, 2)
+		f.checks["n0"] = CheckResult{Failed: true}
+		f.run(2*time.Second, 20)
+		f.unchecked["n1"] = true
+		f.table.RecordCheck(f.now, "n1", 0, result)
+		f.takeChanges()
+		f.resetCounts()
+		if name != "weight 0" { // a weight loses its validity
+			f.run(20*time.Second, 20)
+		}
+		f.run(time.Second, 20)
+		if f.sent["n1"] != 0 || f.decisions["n1"].State == InService || f.table.UsableReplicas(1, search) != 1 {
+			t.Errorf("%s: %d parts were sent, %+v", name, f.sent["n1"], f.decisions["n1"])
+		}
+		f.unchecked["n1"] = false
+		f.checks["n1"] = CheckResult{Admin: Ready, Oper: Up, Weight: 1, MaxConn: -1}
+		if f.run(time.Second, 20); f.decisions["n1"].State != InService {
+			t.Errorf("%s: ready and not in service: %+v", name, f.decisions["n1"])
+		}
+	}
+}
+
+func TestDrain_ByEndpointList(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	f.table.UpdateEndpoints(f.now, []Server{{ID: "n3", Draining: true, Shards: []int{3, 2}}}, false)
+	f.run(time.Second, 20)
+	if f.sent["n3"] != 0 {
+		t.Error("parts were sent to a server that the endpoint list drains")
+	}
+	f.table.UpdateEndpoints(f.now, []Server{{ID: "n3", Removed: true}}, false)
+	if f.takeChanges(); f.decisions["n3"].State != OutOfService || f.table.Len() != 3 {
+		t.Errorf("%+v", f.decisions["n3"])
+	}
+}
+
+// A check whose result changes all the time takes the server out until it is steady, and not every change is notable.
+func TestChecks_FlappingIsSuppressed(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	f.run(time.Second, 20)
+	f.resetCounts()
+	for i := range 60 {
+		f.checks["n1"] = CheckResult{Oper: OperState(1 + i%2), Weight: -1, MaxConn: -1}
+		f.run(500*time.Millisecond, 20)
+	}
+	notable := 0
+	for _, line := range f.notable {
+		if strings.Contains(line, " n1 ") {
+			notable++
+		}
+	}
+	if notable > 14 || f.decisions["n1"].State != OutOfService {
+		t.Errorf("%d notable changes in 30 s: %v", notable, f.decisions["n1"])
+	}
+	f.checks["n1"] = upResult
+	if f.run(50*time.Second, 20); f.decisions["n1"].State != InService {
+		t.Errorf("steady and still out: %+v", f.decisions["n1"])
+	}
+}
+
+// A traffic fraction moves slowly to the weight that a check gives, and a limit of connections counts while it is valid.
+func TestTrafficFraction_MovesToTheWeight(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	f.run(time.Second, 20)
+	f.checks["n1"] = CheckResult{Oper: Up, Weight: 0.25, MaxConn: 7}
+	f.run(200*time.Millisecond, 20)
+	if c := f.decisions["n1"]; c.TrafficFraction < 0.7 || c.MaxInFlight != 7 {
+		t.Errorf("%+v", c)
+	}
+	if f.run(2*time.Second, 20); f.decisions["n1"].TrafficFraction != 0.25 {
+		t.Errorf("fraction %v", f.decisions["n1"].TrafficFraction)
+	}
+	f.checks["n1"] = CheckResult{Oper: Up, Weight: 1, MaxConn: -1}
+	if f.run(2*time.Second, 20); f.decisions["n1"].TrafficFraction > 0.75 || f.decisions["n1"].TrafficFraction < 0.5 {
+		t.Errorf("fraction %v after 2 s", f.decisions["n1"].TrafficFraction)
+	}
+	f.checks["n1"] = CheckResult{Oper: Up, Weight: 1, MaxConn: -1, Degraded: true}
+	if f.run(3*time.Second, 20); math.Abs(f.decisions["n1"].TrafficFraction-degradedFraction) > 0.01 {
+		t.Errorf("fraction %v of a degraded server", f.decisions["n1"].TrafficFraction)
+	}
+	f.unchecked["n1"] = true
+	if f.run(10*time.Second, 20); f.decisions["n1"].TrafficFraction < 0.999 || f.decisions["n1"].MaxInFlight != 0 {
+		t.Errorf("%+v", f.decisions["n1"])
+	}
+}
--- a/internal/control/health/decision.go
+++ b/internal/control/health/decision.go
@@ -39,17 +39,17 @@
 }
 
 // update decides on a server anew.
-func (t *Table) update(i int) {
-	s := t.servers[i]
+func (t *Table) update(index int) {
+	s := t.servers[index]
 	a := t.assess(s)
 	if fit := !a.adminOut && !a.believedDown && !a.unreachable; fit != s.fit {
 		s.fit = fit
-		t.markNeighboursDirty(i)
+		t.markNeighboursDirty(index)
 	}
 	for class := range s.classes {
-		t.updateEjection(i, class, a.adminOut || a.believedDown)
+		t.updateEjection(index, class, a.adminOut || a.believedDown)
 	}
-	d := t.decide(i, &a)
+	d := t.decide(index, &a)
 	if d.State != InService {
 		d.Usable = false
 		for class := range s.classes { // the caller has dropped its grants with the server
@@ -59,7 +59,7 @@
 	d.TrafficFraction = max(1, math.Round(t.nextFraction(s)*fractionSteps)) / fractionSteps
 	d.MaxInFlight = t.maxInFlight(s)
 	t.publish(s, d, t.grantHalfOpen(s, d))
-	t.scheduleUpdate(i, d)
+	t.scheduleUpdate(index, d)
 }
 
 // assess collects the evidence on a server, and counts its checks.
@@ -81,31 +81,31 @@
 }
 
 // decide applies the table above, apart from traffic limits.
-func (t *Table) decide(i int, a *assessment) Decision {
-	s := t.servers[i]
+func (t *Table) decide(index int, assessed *assessment) Decision {
+	s := t.servers[index]
 	switch {
 	case s.Draining:
 		return Decision{State: Draining, Cause: "the roster: it drains"}
-	case a.admin == Maintenance:
-		return Decision{State: OutOfService, Cause: a.adminReason}
-	case a.admin == Drain:
-		return Decision{State: Draining, Cause: a.adminReason}
-	case a.believedDown && a.unreachable:
-		return Decision{State: OutOfService, Cause: a.downReason + "; and parts find no connection"}
-	case a.believedDown:
-		if shard := t.soleShard(i); shard >= 0 {
-			return Decision{EjectedClasses: AllClasses, Contradictory: a.answeredLately, Usable: a.answeredLately,
-				Cause: fmt.Sprintf("%s; but it holds block %d alone", a.downReason, shard)}
+	case assessed.admin == Maintenance:
+		return Decision{State: OutOfService, Cause: assessed.adminReason}
+	case assessed.admin == Drain:
+		return Decision{State: Draining, Cause: assessed.adminReason}
+	case assessed.believedDown && assessed.unreachable:
+		return Decision{State: OutOfService, Cause: assessed.downReason + "; and parts find no connection"}
+	case assessed.believedDown:
+		if shard := t.soleShard(index); shard >= 0 {
+			return Decision{EjectedClasses: AllClasses, Contradictory: assessed.answeredLately, Usable: assessed.answeredLately,
+				Cause: fmt.Sprintf("%s; but it holds block %d alone", assessed.downReason, shard)}
 		}
-		return Decision{State: OutOfService, Cause: a.downReason, Contradictory: a.answeredLately}
-	case a.unreachable:
+		return Decision{State: OutOfService, Cause: assessed.downReason, Contradictory: assessed.answeredLately}
+	case assessed.unreachable:
 		return Decision{EjectedClasses: AllClasses, Cause: "parts find no connection"}
 	}
-	return t.decideByOutcomes(s, a)
+	return t.decideByOutcomes(s, assessed)
 }
 
 // decideByOutcomes decides on a server that is not out of use for another reason.
-func (t *Table) decideByOutcomes(s *server, a *assessment) Decision {
+func (t *Table) decideByOutcomes(s *server, assessed *assessment) Decision {
 	d := Decision{Usable: true}
 	var ejected []string
 	for class := range s.classes {
@@ -119,10 +119,10 @@
 	}
 	if d.EjectedClasses != 0 {
 		d.Cause = "parts fail, of class " + strings.Join(ejected, ", ")
-		d.Contradictory = t.hasValidCheck(s) && !a.down
+		d.Contradictory = t.hasValidCheck(s) && !assessed.down
 	}
-	if a.down { // and the checks are suspect
-		d.Cause = strings.TrimPrefix(d.Cause+"; ", "; ") + a.downReason + "; but checks are doubted"
+	if assessed.down { // and the checks are suspect
+		d.Cause = strings.TrimPrefix(d.Cause+"; ", "; ") + assessed.downReason + "; but checks are doubted"
 		d.Contradictory = true
 		d.Usable = s.lastSuccess.After(s.lastUnreachable)
 	}
--- a/internal/control/health/ejection.go
+++ b/internal/control/health/ejection.go
@@ -33,29 +33,29 @@
 
 // updateEjection ejects a server from a class if it fails too often. With outOfUse the server gets no requests for
 // another reason, and its outcomes say nothing more.
-func (t *Table) updateEjection(i, class int, outOfUse bool) {
-	s := t.servers[i]
+func (t *Table) updateEjection(index, class int, outOfUse bool) {
+	s := t.servers[index]
 	c := &s.classes[class]
 	c.ejectionBlocked = false
 	if outOfUse || c.ejected || !t.failsTooOften(s, class) {
 		return
 	}
-	if !t.mayEject(i, class) {
+	if !t.mayEject(index, class) {
 		c.ejectionBlocked = true
 		return
 	}
-	t.ejectClass(i, class)
+	t.ejectClass(index, class)
 	// Requests that must not run twice are not risked where other classes fail, even if they have succeeded so far: they
 	// are rare, and it would take long until they show that they fail, too.
 	for other := range s.classes {
-		if t.rules.nonIdempotent(other) && !s.classes[other].ejected && t.mayEject(i, other) {
-			t.ejectClass(i, other)
+		if t.rules.nonIdempotent(other) && !s.classes[other].ejected && t.mayEject(index, other) {
+			t.ejectClass(index, other)
 		}
 	}
 }
 
-func (t *Table) ejectClass(i, class int) {
-	c := &t.servers[i].classes[class]
+func (t *Table) ejectClass(index, class int) {
+	c := &t.servers[index].classes[class]
 	if c.readmittedAt.IsZero() || t.now.Sub(c.readmittedAt) > repeatEjectionFactor*t.rules.MaxHalfOpenDelay {
 		c.ejections = 0
 	}
@@ -66,7 +66,7 @@
 	c.ejections++
 	c.ejected, c.ejectedAt, c.successRun, c.halfOpen = true, t.now, 0, false
 	c.nextHalfOpen, c.setbackAt, c.partsAtSetback = t.now.Add(delay), t.now, t.partsEnded[class]
-	t.markNeighboursDirty(i)
+	t.markNeighboursDirty(index)
 }
 
 func (t *Table) nonIdempotentDelay(c *classState) time.Duration {
@@ -74,8 +74,8 @@
 }
 
 // mayEject reports whether each shard of a server keeps enough replicas for a class without it.
-func (t *Table) mayEject(i, class int) bool {
-	for _, shard := range t.servers[i].Shards {
+func (t *Table) mayEject(index, class int) bool {
+	for _, shard := range t.servers[index].Shards {
 		all, remaining := 0, 0
 		for _, other := range t.replicas[shard] {
 			s := t.servers[other]
@@ -83,7 +83,7 @@
 				continue
 			}
 			all++
-			if other != i && s.fit && !s.classes[class].ejected {
+			if other != index && s.fit && !s.classes[class].ejected {
 				remaining++
 			}
 		}
@@ -95,17 +95,17 @@
 }
 
 // halfOpenEnded takes the outcome of a part that was sent after the ejection.
-func (t *Table) halfOpenEnded(i, class int, outcome Outcome) {
-	c := &t.servers[i].classes[class]
+func (t *Table) halfOpenEnded(index, class int, outcome Outcome) {
+	c := &t.servers[index].classes[class]
 	nonIdempotent := t.rules.nonIdempotent(class)
 	c.halfOpen = false
 	c.nextHalfOpen = t.now.Add(t.rules.HalfOpenInterval)
-	t.markDirty(i)
+	t.markDirty(index)
 	switch outcome {
 	case Success:
 		c.successRun++
 		if c.successRun >= t.rules.ReturnSuccesses || nonIdempotent && c.successRun >= nonIdempotentReturnSuccesses {
-			t.readmit(i, class)
+			t.readmit(index, class)
 		}
 	case Neutral:
 	default:
@@ -118,8 +118,8 @@
 
 // readmit ends a server's ejection from a class. It begins without failures and with a small fraction of its traffic.
 // Non-idempotent classes, which get no half-open requests while another class can tell, are readmitted with that one.
-func (t *Table) readmit(i, class int) {
-	s := t.servers[i]
+func (t *Table) readmit(index, class int) {
+	s := t.servers[index]
 	for other := range s.classes {
 		c := &s.classes[other]
 		withIt := c.ejected && t.rules.nonIdempotent(other) && !t.rules.nonIdempotent(class)
@@ -132,15 +132,15 @@
 		own.successes, own.failures = 0, 0
 	}
 	s.recoveryStart = t.now
-	t.markNeighboursDirty(i)
+	t.markNeighboursDirty(index)
 }
 
 // grantHalfOpen grants the half-open requests that are due by a decision: one part of each such class (bit c: class c).
-func (t *Table) grantHalfOpen(s *server, d Decision) (granted uint64) {
-	if d.State != InService || d.EjectedClasses == 0 {
+func (t *Table) grantHalfOpen(s *server, decision Decision) (granted uint64) {
+	if decision.State != InService || decision.EjectedClasses == 0 {
 		return 0
 	}
-	lastResort := d.EjectedClasses == AllClasses && !s.unreachableAt.IsZero()
+	lastResort := decision.EjectedClasses == AllClasses && !s.unreachableAt.IsZero()
 	for class := range s.classes {
 		c := &s.classes[class]
 		// A grant that was not used, for whatever reason, is repeated in the end.
--- /dev/null
+++ b/internal/control/health/fleet_test.go
@@ -0,0 +1,154 @@
+package health
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// The request classes of the tests. Corrections must not run twice.
+const search, correction = 0, 1
+
+// upResult is the result of a successful check that limits nothing.
+var upResult = CheckResult{Oper: Up, Weight: -1, MaxConn: -1}
+
+// fleet simulates servers in virtual time: parts are placed by the decisions, as the balancer would, and end as the
+// servers are set to. There are as many shards as servers, each with a number of replicas on consecutive servers.
+type fleet struct {
+	t           *testing.T
+	table       *Table
+	now         time.Time
+	rng         *rand.Rand
+	ids         []ID
+	replicas    int                // of each shard
+	failureRate map[ID]float64     // of parts
+	unreachable map[ID]bool        // connections fail
+	halfOpen    map[ID]uint64      // grants that were not used yet
+	sent        map[ID]int         // parts, since resetCounts
+	notable     []string           // notable changes, since resetCounts
+	checks      map[ID]CheckResult // what the check of each server finds, every checkInterval
+	unchecked   map[ID]bool        // no check is made
+	decisions   map[ID]Decision
+}
+
+const (
+	tick          = 10 * time.Millisecond
+	checkInterval = 200 * time.Millisecond
+)
+
+func newFleet(t *testing.T, servers, replicas int) *fleet {
+	t.Helper()
+	table, err := New(Defaults(2, 1<<correction), []CheckConfig{{Name: "http", Fall: 2, Rise: 1, Validity: 2 * time.Second}}, origin)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{
+		t: t, table: table, now: origin, rng: rand.New(rand.NewPCG(5, 6)), replicas: replicas,
+		failureRate: map[ID]float64{}, unreachable: map[ID]bool{}, halfOpen: map[ID]uint64{}, sent: map[ID]int{},
+		checks: map[ID]CheckResult{}, unchecked: map[ID]bool{}, decisions: map[ID]Decision{},
+	}
+	var list []Server
+	for i := range servers {
+		id := ID(fmt.Sprintf("n%d", i))
+		f.ids = append(f.ids, id)
+		var shards []int
+		for j := range replicas {
+			shards = append(shards, (i-j+servers)%servers)
+		}
+		list = append(list, Server{ID: id, Shards: shards})
+		f.checks[id] = upResult
+	}
+	table.UpdateEndpoints(f.now, list, true)
+	f.takeChanges()
+	return f
+}
+
+func (f *fleet) takeChanges() {
+	for _, c := range f.table.Changes(f.now) {
+		f.decisions[c.ID] = c.Decision
+		f.halfOpen[c.ID] |= c.HalfOpenClasses
+		f.halfOpen[c.ID] &= c.EjectedClasses
+		if c.Notable {
+			f.notable = append(f.notable, fmt.Sprintf("%v %s %v %s", f.now.Sub(origin), c.ID, c.State, c.Cause))
+		}
+	}
+}
+
+// sendPart sends one part of a class to a replica of a shard, as the balancer does: a half-open request first, else to a
+// server that is not ejected, else to one that is.
+func (f *fleet) sendPart(shard, class int) {
+	var candidates, lastResorts []ID
+	for j := range f.replicas {
+		id := f.ids[(shard+j)%len(f.ids)]
+		d := f.decisions[id]
+		switch {
+		case d.State != InService:
+		case d.EjectedClasses>>class&1 == 0:
+			candidates = append(candidates, id)
+		case f.halfOpen[id]>>class&1 == 1:
+			f.halfOpen[id] &^= 1 << class
+			f.sendTo(id, class)
+			return
+		default:
+			lastResorts = append(lastResorts, id)
+		}
+	}
+	if len(candidates) == 0 {
+		candidates = lastResorts
+	}
+	if len(candidates) > 0 {
+		f.sendTo(candidates[f.rng.IntN(len(candidates))], class)
+	}
+}
+
+func (f *fleet) sendTo(id ID, class int) {
+	f.sent[id]++
+	outcome := Success
+	switch {
+	case f.unreachable[id]:
+		outcome = ConnectFailure
+	case f.rng.Float64() < f.failureRate[id]:
+		outcome = Failure
+	}
+	f.table.RecordOutcome(f.now, id, class, outcome, f.now)
+}
+
+// run lets time pass, with a rate of searches' parts per second on each shard, and a quarter of that of corrections.
+func (f *fleet) run(d time.Duration, rate float64) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(tick) {
+		if f.now.Sub(origin)%checkInterval == 0 {
+			f.runChecks()
+		}
+		for shard := range f.ids {
+			if f.rng.Float64() < rate*tick.Seconds() {
+				f.sendPart(shard, search)
+			}
+			if f.rng.Float64() < rate/4*tick.Seconds() {
+				f.sendPart(shard, correction)
+			}
+		}
+		f.takeChanges()
+	}
+}
+
+func (f *fleet) runChecks() {
+	for _, id := range f.ids {
+		if !f.unchecked[id] {
+			f.table.RecordCheck(f.now, id, 0, f.checks[id])
+		}
+	}
+}
+
+func (f *fleet) resetCounts() { f.sent, f.notable = map[ID]int{}, nil }
+
+// trafficShare returns a server's share of all parts since resetCounts.
+func (f *fleet) trafficShare(id ID) float64 {
+	all := 0
+	for _, n := range f.sent {
+		all += n
+	}
+	return float64(f.sent[id]) / float64(max(1, all))
+}
--- a/internal/control/health/schedule.go
+++ b/internal/control/health/schedule.go
@@ -19,15 +19,15 @@
 
 // scheduleUpdate sets the timer for when a server has to be decided on again though no evidence comes in: something
 // expires, or proceeds with time, by then.
-func (t *Table) scheduleUpdate(i int, d Decision) {
-	s := t.servers[i]
+func (t *Table) scheduleUpdate(index int, decision Decision) {
+	s := t.servers[index]
 	var next earliest
 	t.scheduleChecks(s, &next)
-	t.scheduleHalfOpen(s, d, &next)
+	t.scheduleHalfOpen(s, decision, &next)
 	if !s.recoveryStart.IsZero() || math.Abs(s.fraction-t.targetFraction(s)) > 1e-9 {
 		next.add(t.now.Add(fractionInterval))
 	}
-	if d.Contradictory && d.State == InService && t.now.Sub(s.lastSuccess) <= t.rules.AnswerValidity {
+	if decision.Contradictory && decision.State == InService && t.now.Sub(s.lastSuccess) <= t.rules.AnswerValidity {
 		next.add(s.lastSuccess.Add(t.rules.AnswerValidity + time.Millisecond))
 	}
 	for class := range s.classes {
@@ -36,9 +36,9 @@
 		}
 	}
 	if next.IsZero() {
-		t.timers.Cancel(i)
+		t.timers.Cancel(index)
 	} else {
-		t.timers.Set(i, next.Time)
+		t.timers.Set(index, next.Time)
 	}
 }
 
@@ -57,12 +57,12 @@
 }
 
 // scheduleHalfOpen adds when a half-open request may be due.
-func (t *Table) scheduleHalfOpen(s *server, d Decision, next *earliest) {
+func (t *Table) scheduleHalfOpen(s *server, decision Decision, next *earliest) {
 	soon := t.now.Add(halfOpenPollInterval)
-	if d.EjectedClasses != 0 && d.State == InService {
+	if decision.EjectedClasses != 0 && decision.State == InService {
 		for class := range s.classes {
 			c := &s.classes[class]
-			lastResort := d.EjectedClasses == AllClasses && !t.rules.nonIdempotent(class)
+			lastResort := decision.EjectedClasses == AllClasses && !t.rules.nonIdempotent(class)
 			if !c.halfOpen && (c.ejected || lastResort) {
 				next.add(later(c.nextHalfOpen, soon))
 			}
--- /dev/null
+++ b/internal/control/health/table_test.go
@@ -0,0 +1,157 @@
+package health
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestTable_Facts_NameEverySource(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	f.checks["n1"] = CheckResult{Failed: true, Reason: "status 500"}
+	f.run(time.Second, 50)
+	text := fmt.Sprintf("%+v", f.table.Facts(f.now, "n1"))
+	for _, part := range []string{"roster", "check http", "down (status 500)", "parts of class 0"} {
+		if !strings.Contains(text, part) {
+			t.Errorf("%q is not in %s", part, text)
+		}
+	}
+}
+
+func TestNew_RejectsInvalidRules(t *testing.T) {
+	for i, invalidate := range []func(*Rules){
+		func(r *Rules) { r.Classes = 0 }, func(r *Rules) { r.OutcomeHalfLife = 0 }, func(r *Rules) { r.MaxEjectedFraction = 1 }, func(r *Rules) { r.EjectFailureRate = 0 },
+		func(r *Rules) { r.PanicThreshold = 0 }, func(r *Rules) { r.MaxHalfOpenDelay = 1 }, func(r *Rules) { r.FlapReuse = 9 }, func(r *Rules) { r.ReturnSuccesses = 0 },
+		func(r *Rules) { r.WeightRiseTime = 0 }, func(r *Rules) { r.MinOutcomes = 0 }, func(r *Rules) { r.EjectPeerRatio = 0 },
+	} {
+		r := Defaults(2, 0)
+		invalidate(&r)
+		if _, err := New(r, nil, origin); err == nil {
+			t.Errorf("case %d was accepted: %+v", i, r)
+		}
+	}
+	if _, err := New(Defaults(2, 0), []CheckConfig{{Name: "x", Fall: 1, Rise: 0, Validity: 1}}, origin); err == nil {
+		t.Error("a check without rise was accepted")
+	}
+}
+
+// checkedTable takes random evidence and checks the table's decisions after each step.
+type checkedTable struct {
+	t       *testing.T
+	rng     *rand.Rand
+	table   *Table
+	now     time.Time
+	ids     []ID
+	drained map[ID]bool // by a check
+}
+
+// The checks of a checkedTable, by index.
+const agentCheck, httpCheck = 0, 1
+
+// Random evidence: drained servers are never in service, traffic fractions are within bounds, no shard loses all its
+// replicas to ejections, and half-open requests are granted only of ejected classes.
+func FuzzTable(f *testing.F) {
+	f.Add(uint64(1), uint16(400))
+	f.Add(uint64(77), uint16(1500))
+	f.Fuzz(func(t *testing.T, seed uint64, steps uint16) {
+		checks := []CheckConfig{
+			agentCheck: {Name: "a", Fall: 1, Rise: 1, Validity: time.Second, IgnoreFailures: true},
+			httpCheck:  {Name: "h", Fall: 2, Rise: 2, Validity: 3 * time.Second},
+		}
+		table, err := New(Defaults(2, 1<<correction), checks, origin)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := &checkedTable{t: t, rng: rand.New(rand.NewPCG(seed, 2)), table: table, now: origin,
+			ids: []ID{"a", "b", "c", "d", "e", "f"}, drained: map[ID]bool{}}
+		for i := range c.ids {
+			c.updateEndpoint(i, false)
+		}
+		for range steps % 3000 {
+			c.step()
+		}
+	})
+}
+
+// step gives the table one piece of evidence, or a few outcomes.
+func (c *checkedTable) step() {
+	c.now = c.now.Add(time.Duration(c.rng.IntN(300)) * time.Millisecond)
+	i := c.rng.IntN(len(c.ids))
+	switch c.rng.IntN(6) {
+	case 0, 1:
+		c.recordCheck(c.ids[i])
+	case 2:
+		c.updateEndpoint(i, c.rng.IntN(8) == 0)
+	default:
+		for range 5 {
+			class, outcome := c.rng.IntN(2), Outcome(c.rng.IntN(4))
+			sent := c.now.Add(-time.Duration(c.rng.IntN(400)) * time.Millisecond)
+			c.table.RecordOutcome(c.now, c.ids[i], class, outcome, sent)
+		}
+	}
+	for _, change := range c.table.Changes(c.now) {
+		c.checkChange(change)
+	}
+	for i, id := range c.ids {
+		c.checkDecision(i, id)
+	}
+}
+
+func (c *checkedTable) updateEndpoint(i int, draining bool) {
+	n := len(c.ids)
+	c.table.UpdateEndpoints(c.now, []Server{{ID: c.ids[i], Draining: draining, Shards: []int{i, (i + 1) % n, (i + 2) % n}}}, false)
+}
+
+func (c *checkedTable) recordCheck(id ID) {
+	r := CheckResult{Failed: c.rng.IntN(3) == 0, Oper: OperState(c.rng.IntN(3)), Weight: -1, MaxConn: c.rng.IntN(4) - 1}
+	if c.rng.IntN(4) == 0 {
+		r.Weight = float64(1+c.rng.IntN(4)) / 4
+	}
+	check := c.rng.IntN(2)
+	if check == agentCheck && !r.Failed && c.rng.IntN(6) == 0 {
+		r.Admin = AdminState(1 + c.rng.IntN(3))
+		c.drained[id] = r.Admin != Ready
+	}
+	c.table.RecordCheck(c.now, id, check, r)
+}
+
+func (c *checkedTable) checkChange(change Change) {
+	c.t.Helper()
+	switch {
+	case change.TrafficFraction < 0.05 || change.TrafficFraction > 1:
+		c.t.Fatalf("traffic fraction %v", change.TrafficFraction)
+	case change.HalfOpenClasses&^change.EjectedClasses != 0, change.HalfOpenClasses != 0 && change.State != InService:
+		c.t.Fatalf("a half-open request of a class that is not ejected: %+v", change)
+	case change.State != InService && change.Usable:
+		c.t.Fatalf("usable and not in service: %+v", change)
+	}
+}
+
+// checkDecision checks the decision on a server, and the replicas of the shard with the same index.
+func (c *checkedTable) checkDecision(i int, id ID) {
+	c.t.Helper()
+	d, ok := c.table.Decision(id)
+	if !ok {
+		c.t.Fatalf("%s is not listed", id)
+	}
+	if c.drained[id] && d.State == InService {
+		c.t.Fatalf("%s is drained and in service: %+v", id, d)
+	}
+	fit, remaining := 0, 0
+	for _, other := range c.table.replicas[i] {
+		s := c.table.servers[other]
+		if !s.fit {
+			continue
+		}
+		fit++
+		if !s.classes[search].ejected {
+			remaining++
+		}
+	}
+	ejected := d.State == InService && d.EjectedClasses != 0 && d.EjectedClasses != AllClasses
+	if ejected && remaining == 0 && fit == len(c.table.replicas[i]) {
+		c.t.Fatalf("shard %d lost all its replicas to ejections", i)
+	}
+}
