persistentmap: Map, typed differences, and nodes in a file of their own

Cause: the type was called a tree, Diff passed five bare values, and the package comment had the package's former name. Change: Map; Difference in place of the values; node.go has the nodes; the fuzz test is split into what it checks.

--- a/internal/control/persistentmap/diff.go
+++ b/internal/control/persistentmap/diff.go
@@ -2,46 +2,100 @@
 
 import "cmp"
 
-// cursor stands before an entry of a tree. What is on its stack was entered at its first entry or later.
+// Difference is a key whose values differ between two maps.
+type Difference[K cmp.Ordered, V comparable] struct {
+	Key      K
+	InBefore bool
+	Before   V // zero unless InBefore
+	InAfter  bool
+	After    V // zero unless InAfter
+}
+
+// Diff calls yield for each key whose value is not the same in two maps, in order, until it returns false. Nodes that the
+// maps share are skipped, so the cost is that of what they do not share.
+func Diff[K cmp.Ordered, V comparable](before, after Map[K, V], yield func(Difference[K, V]) bool) {
+	var a, b cursor[K, V]
+	a.enter(before.root)
+	b.enter(after.root)
+	for !a.done() || !b.done() {
+		if !a.done() && !b.done() && skipShared(&a, &b) {
+			continue
+		}
+		d := nextDifference(&a, &b)
+		if d.Before == d.After && d.InBefore == d.InAfter {
+			continue
+		}
+		if !yield(d) {
+			return
+		}
+	}
+}
+
+// nextDifference compares the entries with the smaller key at two cursors, of which one may be done, and steps past them.
+func nextDifference[K cmp.Ordered, V comparable](a, b *cursor[K, V]) (d Difference[K, V]) {
+	order := 0
+	switch {
+	case b.done():
+		order = -1
+	case a.done():
+		order = 1
+	default:
+		order = cmp.Compare(a.key(), b.key())
+	}
+	if order <= 0 {
+		d.Key, d.Before, d.InBefore = a.key(), a.value(), true
+		a.step()
+	}
+	if order >= 0 {
+		d.Key, d.After, d.InAfter = b.key(), b.value(), true
+		b.step()
+	}
+	return d
+}
+
+// cursor stands before an entry of a map. Nodes on its path were entered at their first entries.
 type cursor[K cmp.Ordered, V any] struct {
-	path []frame[K, V]
+	path []frame[K, V] // from the root to a leaf; empty: all entries are behind the cursor
 }
 
 type frame[K cmp.Ordered, V any] struct {
-	n *node[K, V]
-	i int
+	node     *node[K, V]
+	position int
 }
 
+// enter descends to the first entry of a node.
 func (c *cursor[K, V]) enter(n *node[K, V]) {
 	for n != nil {
 		c.path = append(c.path, frame[K, V]{n, 0})
-		if n.kids == nil {
+		if n.isLeaf() {
 			return
 		}
-		n = n.kids[0]
+		n = n.children[0]
 	}
 }
 
 func (c *cursor[K, V]) done() bool { return len(c.path) == 0 }
 
-func (c *cursor[K, V]) at() (K, V) {
-	f := c.path[len(c.path)-1]
-	return f.n.keys[f.i], f.n.vals[f.i]
+func (c *cursor[K, V]) last() *frame[K, V] { return &c.path[len(c.path)-1] }
+
+func (c *cursor[K, V]) key() K {
+	f := c.last()
+	return f.node.keys[f.position]
 }
 
-// skip goes past the node at a depth of the path, which the cursor stands at the beginning of.
-func (c *cursor[K, V]) skip(depth int) {
-	c.path = c.path[:depth]
-	c.step()
+func (c *cursor[K, V]) value() V {
+	f := c.last()
+	return f.node.values[f.position]
 }
 
-// step goes to what comes behind the last frame's present entry or kid.
+// step goes past the current entry or child of the last node on the path.
 func (c *cursor[K, V]) step() {
 	for len(c.path) > 0 {
-		f := &c.path[len(c.path)-1]
-		if f.i++; f.i < len(f.n.keys) {
-			if f.n.kids != nil {
-				c.enter(f.n.kids[f.i])
+		f := c.last()
+		f.position++
+		if f.position < len(f.node.keys) {
+			if !f.node.isLeaf() {
+				c.enter(f.node.children[f.position])
 			}
 			return
 		}
@@ -49,73 +103,28 @@
 	}
 }
 
-// begins is the least depth of which the cursor stands at the node's beginning.
-func (c *cursor[K, V]) begins() int {
-	d := len(c.path)
-	for d > 0 && c.path[d-1].i == 0 {
-		d--
-	}
-	return d
+// skip goes past the node at a depth of the path. The cursor has to be at the node's beginning.
+func (c *cursor[K, V]) skip(depth int) {
+	c.path = c.path[:depth]
+	c.step()
 }
 
-// Diff calls f for each key whose value is not the same in two trees, in order, until f returns false. What the trees
-// share is passed over: the cost is that of what they do not.
-func Diff[K cmp.Ordered, V comparable](a, b Tree[K, V], f func(k K, inA, inB bool, va, vb V) bool) {
-	var ca, cb cursor[K, V]
-	ca.enter(a.root)
-	cb.enter(b.root)
-	var none V
-	for !ca.done() || !cb.done() {
-		if !ca.done() && !cb.done() {
-			if passed := pass(&ca, &cb); passed {
-				continue
-			}
-		}
-		switch {
-		case cb.done():
-			k, v := ca.at()
-			if !f(k, true, false, v, none) {
-				return
-			}
-			ca.step()
-		case ca.done():
-			k, v := cb.at()
-			if !f(k, false, true, none, v) {
-				return
-			}
-			cb.step()
-		default:
-			ka, va := ca.at()
-			kb, vb := cb.at()
-			switch {
-			case ka < kb:
-				if !f(ka, true, false, va, none) {
-					return
-				}
-				ca.step()
-			case kb < ka:
-				if !f(kb, false, true, none, vb) {
-					return
-				}
-				cb.step()
-			default:
-				if va != vb && !f(ka, true, true, va, vb) {
-					return
-				}
-				ca.step()
-				cb.step()
-			}
-		}
+// firstAtBeginning returns the smallest depth of the path from which on the cursor is at the beginnings of the nodes.
+func (c *cursor[K, V]) firstAtBeginning() int {
+	depth := len(c.path)
+	for depth > 0 && c.path[depth-1].position == 0 {
+		depth--
 	}
+	return depth
 }
 
-// pass goes past the largest node that both cursors stand at the beginning of.
-func pass[K cmp.Ordered, V any](a, b *cursor[K, V]) bool {
-	for da := a.begins(); da < len(a.path); da++ {
-		for db := b.begins(); db < len(b.path); db++ {
-			if a.path[da].n == b.path[db].n {
-				a.skip(da)
-				b.skip(db)
+// skipShared goes past the largest node at whose beginning both cursors are, if there is one.
+func skipShared[K cmp.Ordered, V any](a, b *cursor[K, V]) bool {
+	for depthA := a.firstAtBeginning(); depthA < len(a.path); depthA++ {
+		for depthB := b.firstAtBeginning(); depthB < len(b.path); depthB++ {
+			if a.path[depthA].node == b.path[depthB].node {
+				a.skip(depthA)
+				b.skip(depthB)
 				return true
 			}
 		}
--- /dev/null
+++ b/internal/control/persistentmap/node.go
@@ -0,0 +1,153 @@
+package persistentmap
+
+import (
+	"cmp"
+	"slices"
+)
+
+// maxEntries is the most entries of a node: enough that a look-up visits few nodes, and few enough that copying a path is
+// cheap.
+const maxEntries = 32
+
+// node is either a leaf, with values, or has children; then keys[i] is the smallest key below children[i]. A node is never
+// changed once it is in a map.
+type node[K cmp.Ordered, V any] struct {
+	keys     []K
+	values   []V
+	children []*node[K, V]
+}
+
+func (n *node[K, V]) isLeaf() bool { return n.children == nil }
+
+// floor returns the position of the greatest key that is not above the given one; -1 if there is none.
+func (n *node[K, V]) floor(key K) int {
+	i, found := slices.BinarySearch(n.keys, key)
+	if found {
+		return i
+	}
+	return i - 1
+}
+
+// ascend calls yield for each entry from a key on, and reports whether it never returned false.
+func (n *node[K, V]) ascend(from K, yield func(K, V) bool) bool {
+	for i := max(0, n.floor(from)); i < len(n.keys); i++ {
+		if !n.isLeaf() {
+			if !n.children[i].ascend(from, yield) {
+				return false
+			}
+		} else if n.keys[i] >= from && !yield(n.keys[i], n.values[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// set returns a copy of the node in which a key has a value, in two halves if it has too many entries; right is nil if
+// not. added says that the key is new.
+func (n *node[K, V]) set(key K, value V) (left, right *node[K, V], added bool) {
+	i := n.floor(key)
+	if n.isLeaf() {
+		if i >= 0 && n.keys[i] == key {
+			replaced := &node[K, V]{keys: n.keys, values: slices.Clone(n.values)}
+			replaced.values[i] = value
+			return replaced, nil, false
+		}
+		grown := &node[K, V]{keys: withInserted(n.keys, i+1, key), values: withInserted(n.values, i+1, value)}
+		left, right = grown.split()
+		return left, right, true
+	}
+	i = max(i, 0)
+	childLeft, childRight, added := n.children[i].set(key, value)
+	c := &node[K, V]{keys: slices.Clone(n.keys), children: slices.Clone(n.children)}
+	c.keys[i], c.children[i] = childLeft.keys[0], childLeft
+	if childRight != nil {
+		c.keys = withInserted(c.keys, i+1, childRight.keys[0])
+		c.children = withInserted(c.children, i+1, childRight)
+	}
+	left, right = c.split()
+	return left, right, added
+}
+
+// split returns the node, or two halves of it if it has too many entries.
+func (n *node[K, V]) split() (left, right *node[K, V]) {
+	if len(n.keys) <= maxEntries {
+		return n, nil
+	}
+	middle := len(n.keys) / 2
+	left, right = &node[K, V]{keys: slices.Clone(n.keys[:middle])}, &node[K, V]{keys: slices.Clone(n.keys[middle:])}
+	if n.isLeaf() {
+		left.values, right.values = slices.Clone(n.values[:middle]), slices.Clone(n.values[middle:])
+	} else {
+		left.children, right.children = slices.Clone(n.children[:middle]), slices.Clone(n.children[middle:])
+	}
+	return left, right
+}
+
+// remove returns a copy of the node without a key, nil if nothing is left of it, and whether it had the key.
+func (n *node[K, V]) remove(key K) (remaining *node[K, V], removed bool) {
+	i := n.floor(key)
+	if i < 0 {
+		return n, false
+	}
+	if n.isLeaf() {
+		if n.keys[i] != key {
+			return n, false
+		}
+		if len(n.keys) == 1 {
+			return nil, true
+		}
+		return &node[K, V]{keys: without(n.keys, i), values: without(n.values, i)}, true
+	}
+	child, removed := n.children[i].remove(key)
+	if !removed {
+		return n, false
+	}
+	if child == nil {
+		if len(n.keys) == 1 {
+			return nil, true
+		}
+		return &node[K, V]{keys: without(n.keys, i), children: without(n.children, i)}, true
+	}
+	c := &node[K, V]{keys: slices.Clone(n.keys), children: slices.Clone(n.children)}
+	c.keys[i], c.children[i] = child.keys[0], child
+	c.mergeChild(i)
+	return c, true
+}
+
+// mergeChild merges a child with a neighbour if both together fill at most half a node: look-ups stay short, and a key
+// that is set right after does not split them again. It is used on a node that is not in a map yet.
+func (n *node[K, V]) mergeChild(i int) {
+	if i+1 >= len(n.children) {
+		i--
+	}
+	if i < 0 {
+		return
+	}
+	a, b := n.children[i], n.children[i+1]
+	if len(a.keys)+len(b.keys) > maxEntries/2 {
+		return
+	}
+	merged := &node[K, V]{keys: slices.Concat(a.keys, b.keys)}
+	if a.isLeaf() {
+		merged.values = slices.Concat(a.values, b.values)
+	} else {
+		merged.children = slices.Concat(a.children, b.children)
+	}
+	n.children[i] = merged
+	n.keys, n.children = without(n.keys, i+1), without(n.children, i+1)
+}
+
+// withInserted returns a copy of a slice with an element inserted.
+func withInserted[T any](s []T, i int, element T) []T {
+	out := make([]T, len(s)+1)
+	copy(out, s[:i])
+	out[i] = element
+	copy(out[i+1:], s[i:])
+	return out
+}
+
+// without returns a copy of a slice without an element.
+func without[T any](s []T, i int) []T {
+	out := make([]T, 0, len(s)-1)
+	return append(append(out, s[:i]...), s[i+1:]...)
+}
--- a/internal/control/persistentmap/persistentmap.go
+++ b/internal/control/persistentmap/persistentmap.go
@@ -1,6 +1,6 @@
-// Package ptree is an ordered map that never changes: Set and Delete return a new one that shares all but the path to
-// the change with the old. It is a B+-like tree by path copying, made for maps of which many versions are held at once
-// and each differs little from the last.
+// Package persistentmap is an ordered map that never changes: Set and Delete return a new map, which shares all but the
+// path to the change with the old one. It is a tree like a B+-tree with path copying, made for keeping many versions of a
+// map of which each differs little from the last.
 package persistentmap
 
 import (
@@ -8,277 +8,141 @@
 	"slices"
 )
 
-// width is the most entries of a node: wide enough that a look-up meets few, narrow enough that a copied path is small.
-const width = 32
-
-// Tree is an ordered map. The zero value is empty. Any number of goroutines may read one.
-type Tree[K cmp.Ordered, V any] struct {
+// Map is an ordered map. The zero value is empty. Any number of goroutines may read one.
+type Map[K cmp.Ordered, V any] struct {
 	root *node[K, V]
 	size int
 }
 
-// node is a leaf, with values, or has kids; keys[i] is then the least key below kids[i].
-type node[K cmp.Ordered, V any] struct {
-	keys []K
-	vals []V
-	kids []*node[K, V]
-}
-
-// Len is the number of entries.
-func (t Tree[K, V]) Len() int { return t.size }
-
-// floor is the position of the greatest key that is not over k; -1 if there is none.
-func (n *node[K, V]) floor(k K) int {
-	i, found := slices.BinarySearch(n.keys, k)
-	if found {
-		return i
-	}
-	return i - 1
-}
+// Len returns the number of entries.
+func (m Map[K, V]) Len() int { return m.size }
 
 // Get returns the value of a key.
-func (t Tree[K, V]) Get(k K) (v V, ok bool) {
-	at, v, ok := t.Floor(k)
-	if !ok || at != k {
+func (m Map[K, V]) Get(key K) (value V, ok bool) {
+	found, value, ok := m.Floor(key)
+	if !ok || found != key {
 		var zero V
 		return zero, false
 	}
-	return v, true
+	return value, true
 }
 
-// Floor returns the entry with the greatest key that is not over k.
-func (t Tree[K, V]) Floor(k K) (at K, v V, ok bool) {
-	n := t.root
+// Floor returns the entry with the greatest key that is not above the given one.
+func (m Map[K, V]) Floor(key K) (found K, value V, ok bool) {
+	n := m.root
 	if n == nil {
-		return at, v, false
+		return found, value, false
 	}
 	for {
-		i := n.floor(k)
+		i := n.floor(key)
 		if i < 0 {
-			return at, v, false // only at the root: below it the least key is that of the path
+			return found, value, false // only at the root: further down the smallest key is that of the parent's entry
 		}
-		if n.kids == nil {
-			return n.keys[i], n.vals[i], true
+		if n.isLeaf() {
+			return n.keys[i], n.values[i], true
 		}
-		n = n.kids[i]
+		n = n.children[i]
 	}
 }
 
-// Below returns the entry with the greatest key under k.
-func (t Tree[K, V]) Below(k K) (at K, v V, ok bool) {
-	n := t.root
+// Below returns the entry with the greatest key that is below the given one.
+func (m Map[K, V]) Below(key K) (found K, value V, ok bool) {
+	n := m.root
 	for n != nil {
-		i, _ := slices.BinarySearch(n.keys, k)
+		i, _ := slices.BinarySearch(n.keys, key)
 		if i--; i < 0 {
 			break
 		}
-		if n.kids == nil {
-			return n.keys[i], n.vals[i], true
+		if n.isLeaf() {
+			return n.keys[i], n.values[i], true
 		}
-		n = n.kids[i]
+		n = n.children[i]
 	}
-	return at, v, false
+	return found, value, false
 }
 
 // Last returns the entry with the greatest key.
-func (t Tree[K, V]) Last() (at K, v V, ok bool) {
-	n := t.root
-	for n != nil && n.kids != nil {
-		n = n.kids[len(n.kids)-1]
+func (m Map[K, V]) Last() (key K, value V, ok bool) {
+	n := m.root
+	for n != nil && !n.isLeaf() {
+		n = n.children[len(n.children)-1]
 	}
 	if n == nil {
-		return at, v, false
+		return key, value, false
 	}
-	return n.keys[len(n.keys)-1], n.vals[len(n.vals)-1], true
+	return n.keys[len(n.keys)-1], n.values[len(n.values)-1], true
 }
 
-// Ascend calls f for each entry from a key on, in order, until f returns false.
-func (t Tree[K, V]) Ascend(from K, f func(K, V) bool) {
-	if t.root != nil {
-		t.root.ascend(from, f)
+// Ascend calls yield for each entry from a key on, in order, until it returns false.
+func (m Map[K, V]) Ascend(from K, yield func(K, V) bool) {
+	if m.root != nil {
+		m.root.ascend(from, yield)
 	}
 }
 
-// All calls f for each entry in order, until f returns false.
-func (t Tree[K, V]) All(f func(K, V) bool) {
-	if t.root != nil && len(t.root.keys) > 0 {
-		t.root.ascend(t.root.keys[0], f)
+// All calls yield for each entry in order, until it returns false.
+func (m Map[K, V]) All(yield func(K, V) bool) {
+	if m.root != nil && len(m.root.keys) > 0 {
+		m.root.ascend(m.root.keys[0], yield)
 	}
 }
 
-func (n *node[K, V]) ascend(from K, f func(K, V) bool) bool {
-	for i := max(0, n.floor(from)); i < len(n.keys); i++ {
-		if n.kids != nil {
-			if !n.kids[i].ascend(from, f) {
-				return false
-			}
-		} else if n.keys[i] >= from && !f(n.keys[i], n.vals[i]) {
-			return false
-		}
+// Set returns a map in which a key has a value, and all else is as in m.
+func (m Map[K, V]) Set(key K, value V) Map[K, V] {
+	if m.root == nil {
+		return Map[K, V]{&node[K, V]{keys: []K{key}, values: []V{value}}, 1}
 	}
-	return true
-}
-
-// Set returns a tree in which a key has a value.
-func (t Tree[K, V]) Set(k K, v V) Tree[K, V] {
-	if t.root == nil {
-		return Tree[K, V]{&node[K, V]{keys: []K{k}, vals: []V{v}}, 1}
-	}
-	left, right, added := t.root.set(k, v)
+	left, right, added := m.root.set(key, value)
 	if added {
-		t.size++
+		m.size++
 	}
-	t.root = left
+	m.root = left
 	if right != nil {
-		t.root = &node[K, V]{keys: []K{left.keys[0], right.keys[0]}, kids: []*node[K, V]{left, right}}
-	}
-	return t
-}
-
-// set returns the node with a value set, in two halves where it has become too wide.
-func (n *node[K, V]) set(k K, v V) (left, right *node[K, V], added bool) {
-	i := n.floor(k)
-	if n.kids == nil {
-		if i >= 0 && n.keys[i] == k {
-			c := &node[K, V]{keys: n.keys, vals: slices.Clone(n.vals)}
-			c.vals[i] = v
-			return c, nil, false
-		}
-		c := &node[K, V]{keys: insert(n.keys, i+1, k), vals: insert(n.vals, i+1, v)}
-		left, right = c.split()
-		return left, right, true
-	}
-	i = max(i, 0)
-	l, r, added := n.kids[i].set(k, v)
-	c := &node[K, V]{keys: slices.Clone(n.keys), kids: slices.Clone(n.kids)}
-	c.keys[i], c.kids[i] = l.keys[0], l
-	if r != nil {
-		c.keys, c.kids = insert(c.keys, i+1, r.keys[0]), insert(c.kids, i+1, r)
-	}
-	left, right = c.split()
-	return left, right, added
-}
-
-// insert returns a new slice.
-func insert[T any](s []T, i int, v T) []T {
-	out := make([]T, len(s)+1)
-	copy(out, s[:i])
-	out[i] = v
-	copy(out[i+1:], s[i:])
-	return out
-}
-
-func (n *node[K, V]) split() (left, right *node[K, V]) {
-	if len(n.keys) <= width {
-		return n, nil
-	}
-	m := len(n.keys) / 2
-	left, right = &node[K, V]{keys: slices.Clone(n.keys[:m])}, &node[K, V]{keys: slices.Clone(n.keys[m:])}
-	if n.kids == nil {
-		left.vals, right.vals = slices.Clone(n.vals[:m]), slices.Clone(n.vals[m:])
-	} else {
-		left.kids, right.kids = slices.Clone(n.kids[:m]), slices.Clone(n.kids[m:])
+		m.root = &node[K, V]{keys: []K{left.keys[0], right.keys[0]}, children: []*node[K, V]{left, right}}
 	}
-	return left, right
+	return m
 }
 
-// Delete returns a tree without a key.
-func (t Tree[K, V]) Delete(k K) Tree[K, V] {
-	if t.root == nil {
-		return t
+// Delete returns a map without a key, and m itself if it does not have the key.
+func (m Map[K, V]) Delete(key K) Map[K, V] {
+	if m.root == nil {
+		return m
 	}
-	root, gone := t.root.remove(k)
-	if !gone {
-		return t
+	root, removed := m.root.remove(key)
+	if !removed {
+		return m
 	}
-	for root != nil && len(root.kids) == 1 {
-		root = root.kids[0]
+	for root != nil && len(root.children) == 1 {
+		root = root.children[0]
 	}
-	return Tree[K, V]{root, t.size - 1}
+	return Map[K, V]{root, m.size - 1}
 }
 
-// remove returns the node without a key; nil where nothing is left of it.
-func (n *node[K, V]) remove(k K) (*node[K, V], bool) {
-	i := n.floor(k)
-	if i < 0 {
-		return n, false
-	}
-	if n.kids == nil {
-		if n.keys[i] != k {
-			return n, false
-		}
-		if len(n.keys) == 1 {
-			return nil, true
-		}
-		return &node[K, V]{keys: without(n.keys, i), vals: without(n.vals, i)}, true
-	}
-	kid, gone := n.kids[i].remove(k)
-	if !gone {
-		return n, false
-	}
-	if kid == nil {
-		if len(n.keys) == 1 {
-			return nil, true
-		}
-		return &node[K, V]{keys: without(n.keys, i), kids: without(n.kids, i)}, true
-	}
-	c := &node[K, V]{keys: slices.Clone(n.keys), kids: slices.Clone(n.kids)}
-	c.keys[i], c.kids[i] = kid.keys[0], kid
-	c.join(i)
-	return c, true
-}
-
-func without[T any](s []T, i int) []T {
-	out := make([]T, 0, len(s)-1)
-	return append(append(out, s[:i]...), s[i+1:]...)
-}
-
-// join puts a kid together with its neighbour where both fit into half a node: look-ups stay short, and a set right
-// after does not split them again.
-func (n *node[K, V]) join(i int) {
-	if i+1 >= len(n.kids) {
-		i--
-	}
-	if i < 0 {
-		return
-	}
-	a, b := n.kids[i], n.kids[i+1]
-	if len(a.keys)+len(b.keys) > width/2 {
-		return
-	}
-	m := &node[K, V]{keys: slices.Concat(a.keys, b.keys)}
-	if a.kids == nil {
-		m.vals = slices.Concat(a.vals, b.vals)
-	} else {
-		m.kids = slices.Concat(a.kids, b.kids)
-	}
-	n.kids[i] = m
-	n.keys, n.kids = without(n.keys, i+1), without(n.kids, i+1)
-}
+// buildEntries is how many entries Build gives a node, so that some can be set later without a split.
+const buildEntries = maxEntries * 3 / 4
 
-// Build returns a tree of entries, which stand in the order of their keys, without repeats. It costs less than to set
-// them one by one.
-func Build[K cmp.Ordered, V any](keys []K, vals []V) Tree[K, V] {
+// Build returns a map of entries, whose keys have to be in order and without duplicates. It costs less than setting them
+// one by one.
+func Build[K cmp.Ordered, V any](keys []K, values []V) Map[K, V] {
 	if len(keys) == 0 {
-		return Tree[K, V]{}
+		return Map[K, V]{}
 	}
-	const fill = width * 3 / 4 // room for what is set later
 	var level []*node[K, V]
-	for i := 0; i < len(keys); i += fill {
-		end := min(i+fill, len(keys))
-		level = append(level, &node[K, V]{keys: slices.Clone(keys[i:end]), vals: slices.Clone(vals[i:end])})
+	for i := 0; i < len(keys); i += buildEntries {
+		end := min(i+buildEntries, len(keys))
+		level = append(level, &node[K, V]{keys: slices.Clone(keys[i:end]), values: slices.Clone(values[i:end])})
 	}
 	for len(level) > 1 {
-		var up []*node[K, V]
-		for i := 0; i < len(level); i += fill {
-			end := min(i+fill, len(level))
-			n := &node[K, V]{kids: slices.Clone(level[i:end])}
-			for _, k := range n.kids {
-				n.keys = append(n.keys, k.keys[0])
+		var parents []*node[K, V]
+		for i := 0; i < len(level); i += buildEntries {
+			end := min(i+buildEntries, len(level))
+			parent := &node[K, V]{children: slices.Clone(level[i:end])}
+			for _, child := range parent.children {
+				parent.keys = append(parent.keys, child.keys[0])
 			}
-			up = append(up, n)
+			parents = append(parents, parent)
 		}
-		level = up
+		level = parents
 	}
-	return Tree[K, V]{level[0], len(keys)}
+	return Map[K, V]{level[0], len(keys)}
 }
--- a/internal/control/persistentmap/persistentmap_test.go
+++ b/internal/control/persistentmap/persistentmap_test.go
@@ -7,100 +7,127 @@
 	"testing"
 )
 
-func list[V any](t Tree[int, V]) (keys []int) {
-	t.All(func(k int, _ V) bool {
-		keys = append(keys, k)
-		return true
-	})
-	return keys
+const maxKey = 900
+
+// version is a map with a Go map of the same entries.
+type version struct {
+	m     Map[int, int]
+	model map[int]int
 }
 
-// Random steps against plain maps, of which old versions are kept: no version ever changes, look-ups agree.
+// Random changes are compared with a Go map, and some versions are kept: no version ever changes, and look-ups and
+// differences agree with the model.
 func FuzzTree(f *testing.F) {
 	f.Add(uint64(1), uint16(500))
 	f.Add(uint64(2), uint16(4000))
 	f.Fuzz(func(t *testing.T, seed uint64, steps uint16) {
 		rng := rand.New(rand.NewPCG(seed, 1))
-		var tree Tree[int, int]
-		model := map[int]int{}
-		if seed%2 == 0 {
-			var keys, vals []int
-			for i := range rng.IntN(300) {
-				keys, vals = append(keys, 3*i), append(vals, i)
-				model[3*i] = i
+		versions := randomVersions(rng, seed%2 == 0, int(steps%6000))
+		for range 20 {
+			checkDiff(t, versions[rng.IntN(len(versions))], versions[rng.IntN(len(versions))])
+		}
+		for _, v := range versions {
+			checkEntries(t, v)
+			for range 50 {
+				checkLookUps(t, v, rng.IntN(maxKey))
 			}
-			tree = Build(keys, vals)
 		}
-		type version struct {
-			t Tree[int, int]
-			m map[int]int
+	})
+}
+
+// randomVersions makes a number of changes to a map, which was built of entries or is empty at first, and returns some
+// versions and the last.
+func randomVersions(rng *rand.Rand, built bool, steps int) (versions []version) {
+	var m Map[int, int]
+	model := map[int]int{}
+	if built {
+		var keys, values []int
+		for i := range rng.IntN(300) {
+			keys, values = append(keys, 3*i), append(values, i)
+			model[3*i] = i
 		}
-		var old []version
-		for i := range steps % 6000 {
-			k := rng.IntN(900)
-			if rng.IntN(3) == 0 {
-				tree = tree.Delete(k)
-				delete(model, k)
-			} else {
-				tree = tree.Set(k, int(i))
-				model[k] = int(i)
-			}
-			if rng.IntN(100) == 0 {
-				old = append(old, version{tree, maps.Clone(model)})
-			}
+		m = Build(keys, values)
+	}
+	for i := range steps {
+		key := rng.IntN(maxKey)
+		if rng.IntN(3) == 0 {
+			m = m.Delete(key)
+			delete(model, key)
+		} else {
+			m = m.Set(key, i)
+			model[key] = i
 		}
-		all := append(old, version{tree, model})
-		for range 20 { // differences between any two versions
-			a, b := all[rng.IntN(len(all))], all[rng.IntN(len(all))]
-			got, last := map[int]bool{}, -1
-			Diff(a.t, b.t, func(k int, inA, inB bool, va, vb int) bool {
-				wa, okA := a.m[k]
-				wb, okB := b.m[k]
-				if k <= last || okA != inA || okB != inB || inA && va != wa || inB && vb != wb || inA && inB && va == vb {
-					t.Fatalf("difference at %d: %v %v %d %d", k, inA, inB, va, vb)
-				}
-				got[k], last = true, k
-				return true
-			})
-			for k := range 900 {
-				wa, okA := a.m[k]
-				wb, okB := b.m[k]
-				if (okA != okB || wa != wb) != got[k] {
-					t.Fatalf("difference at %d: %v", k, got[k])
-				}
-			}
+		if rng.IntN(100) == 0 {
+			versions = append(versions, version{m, maps.Clone(model)})
 		}
-		for _, v := range all {
-			want := slices.Sorted(maps.Keys(v.m))
-			if got := list(v.t); !slices.Equal(got, want) || v.t.Len() != len(want) {
-				t.Fatalf("%v, want %v", got, want)
-			}
-			for range 50 {
-				k := rng.IntN(900)
-				i, found := slices.BinarySearch(want, k)
-				if got, ok := v.t.Get(k); ok != found || got != v.m[k] {
-					t.Fatalf("get %d: %v %v, want %v", k, got, ok, v.m[k])
-				}
-				if !found {
-					i--
-				}
-				if at, got, ok := v.t.Floor(k); ok != (i >= 0) || ok && (at != want[i] || got != v.m[at]) {
-					t.Fatalf("floor %d: %v %v", k, at, ok)
-				}
-				below, _ := slices.BinarySearch(want, k)
-				if at, _, ok := v.t.Below(k); ok != (below > 0) || ok && at != want[below-1] {
-					t.Fatalf("below %d: %v %v", k, at, ok)
-				}
-				if at, _, ok := v.t.Last(); ok != (len(want) > 0) || ok && at != want[len(want)-1] {
-					t.Fatalf("last: %v %v", at, ok)
-				}
-				var rest []int
-				v.t.Ascend(k, func(k, _ int) bool { rest = append(rest, k); return len(rest) < 5 })
-				from, _ := slices.BinarySearch(want, k)
-				if !slices.Equal(rest, want[from:min(from+5, len(want))]) {
-					t.Fatalf("ascend %d: %v", k, rest)
-				}
-			}
+	}
+	return append(versions, version{m, model})
+}
+
+func checkDiff(t *testing.T, before, after version) {
+	t.Helper()
+	differs, last := map[int]bool{}, -1
+	Diff(before.m, after.m, func(d Difference[int, int]) bool {
+		wantBefore, inBefore := before.model[d.Key]
+		wantAfter, inAfter := after.model[d.Key]
+		switch {
+		case d.Key <= last:
+			t.Fatalf("key %d after %d", d.Key, last)
+		case inBefore != d.InBefore || inAfter != d.InAfter, d.Before != wantBefore || d.After != wantAfter:
+			t.Fatalf("want %d %v and %d %v, got %+v", wantBefore, inBefore, wantAfter, inAfter, d)
+		case inBefore && inAfter && d.Before == d.After:
+			t.Fatalf("no difference: %+v", d)
 		}
+		differs[d.Key], last = true, d.Key
+		return true
+	})
+	for key := range maxKey {
+		valueBefore, inBefore := before.model[key]
+		valueAfter, inAfter := after.model[key]
+		if (inBefore != inAfter || valueBefore != valueAfter) != differs[key] {
+			t.Fatalf("key %d: found to differ: %v", key, differs[key])
+		}
+	}
+}
+
+func checkEntries(t *testing.T, v version) {
+	t.Helper()
+	want := slices.Sorted(maps.Keys(v.model))
+	var keys []int
+	for key := range v.m.All {
+		keys = append(keys, key)
+	}
+	if !slices.Equal(keys, want) || v.m.Len() != len(want) {
+		t.Fatalf("%d entries %v, want %v", v.m.Len(), keys, want)
+	}
+}
+
+func checkLookUps(t *testing.T, v version, key int) {
+	t.Helper()
+	keys := slices.Sorted(maps.Keys(v.model))
+	from, found := slices.BinarySearch(keys, key) // from is the position of the first key not below
+	if value, ok := v.m.Get(key); ok != found || value != v.model[key] {
+		t.Fatalf("get %d: %v %v, want %v", key, value, ok, v.model[key])
+	}
+	floor := from
+	if !found {
+		floor--
+	}
+	if at, value, ok := v.m.Floor(key); ok != (floor >= 0) || ok && (at != keys[floor] || value != v.model[at]) {
+		t.Fatalf("floor %d: %v %v", key, at, ok)
+	}
+	if at, _, ok := v.m.Below(key); ok != (from > 0) || ok && at != keys[from-1] {
+		t.Fatalf("below %d: %v %v", key, at, ok)
+	}
+	if at, _, ok := v.m.Last(); ok != (len(keys) > 0) || ok && at != keys[len(keys)-1] {
+		t.Fatalf("last: %v %v", at, ok)
+	}
+	var ascending []int
+	v.m.Ascend(key, func(key, _ int) bool {
+		ascending = append(ascending, key)
+		return len(ascending) < 5
 	})
+	if !slices.Equal(ascending, keys[from:min(from+5, len(keys))]) {
+		t.Fatalf("ascend from %d: %v", key, ascending)
+	}
 }
--- a/internal/control/shardmap/diff.go
+++ b/internal/control/shardmap/diff.go
@@ -14,14 +14,12 @@
 
 // Diff returns what changed from one map to another, in the order of the shards' ids.
 func Diff(before, after *Map) (changes []ShardChange) {
-	persistentmap.Diff(before.all, after.all, func(id ID, inBefore, inAfter bool, was, is *Shard) bool {
+	persistentmap.Diff(before.all, after.all, func(d persistentmap.Difference[ID, *Shard]) bool {
 		switch {
-		case !inAfter:
-			changes = append(changes, ShardChange{ID: id, Was: was})
-		case !inBefore:
-			changes = append(changes, changeOf(nil, is))
-		case !was.equal(is):
-			changes = append(changes, changeOf(was, is))
+		case !d.InAfter:
+			changes = append(changes, ShardChange{ID: d.Key, Was: d.Before})
+		case !d.InBefore || !d.Before.equal(d.After):
+			changes = append(changes, changeOf(d.Before, d.After))
 		}
 		return true
 	})
--- a/internal/control/shardmap/map.go
+++ b/internal/control/shardmap/map.go
@@ -16,9 +16,9 @@
 	Epoch   Epoch
 	NextID  ID // ids from here on were never given out
 
-	cover  persistentmap.Tree[Key, *Shard] // active shards, by the beginnings of their ranges
-	all    persistentmap.Tree[ID, *Shard]  // all shards, retiring ones included
-	weight float64                         // of the cover
+	cover  persistentmap.Map[Key, *Shard] // active shards, by the beginnings of their ranges
+	all    persistentmap.Map[ID, *Shard]  // all shards, retiring ones included
+	weight float64                        // of the cover
 }
 
 // ActiveCount returns the number of active shards.
--- a/internal/control/shardmap/sharing.go
+++ b/internal/control/shardmap/sharing.go
@@ -33,15 +33,15 @@
 // removed from it, and whether they are few enough for sharing to be worthwhile.
 func (m *Map) differences(old *Map) (put, removed []*Shard, worthwhile bool) {
 	limit := m.all.Len() / 4
-	persistentmap.Diff(old.all, m.all, func(_ ID, inOld, inNew bool, was, is *Shard) bool {
-		if inOld && inNew && was.equal(is) {
+	persistentmap.Diff(old.all, m.all, func(d persistentmap.Difference[ID, *Shard]) bool {
+		if d.InBefore && d.InAfter && d.Before.equal(d.After) {
 			return true
 		}
-		if inOld {
-			removed = append(removed, was)
+		if d.InBefore {
+			removed = append(removed, d.Before)
 		}
-		if inNew {
-			put = append(put, is)
+		if d.InAfter {
+			put = append(put, d.After)
 		}
 		return len(put)+len(removed) <= limit
 	})
--- a/internal/control/shardmap/succession.go
+++ b/internal/control/shardmap/succession.go
@@ -37,8 +37,8 @@
 		validate = m.validateLaterEpoch
 	}
 	var err error
-	persistentmap.Diff(old.all, m.all, func(_ ID, _, _ bool, was, is *Shard) bool { // shared shards are skipped
-		err = validate(old, was, is)
+	persistentmap.Diff(old.all, m.all, func(d persistentmap.Difference[ID, *Shard]) bool { // shared shards are skipped
+		err = validate(old, d.Before, d.After)
 		return err == nil
 	})
 	return err
@@ -90,8 +90,8 @@
 		return false
 	}
 	same := true
-	persistentmap.Diff(m.all, other.all, func(_ ID, inM, inOther bool, a, b *Shard) bool {
-		same = inM && inOther && a.equal(b)
+	persistentmap.Diff(m.all, other.all, func(d persistentmap.Difference[ID, *Shard]) bool {
+		same = d.InBefore && d.InAfter && d.Before.equal(d.After)
 		return same
 	})
 	return same
