--- a/internal/control/health/decision.go
+++ b/internal/control/health/decision.go
@@ -58,8 +58,8 @@
 	}
 	d.TrafficFraction = max(1, math.Round(t.nextFraction(s)*fractionSteps)) / fractionSteps
 	d.MaxInFlight = t.maxInFlight(s)
-	t.publish(s, d, t.grantHalfOpen(s, d))
-	t.scheduleUpdate(index, d)
+	t.publish(s, &d, t.grantHalfOpen(s, &d))
+	t.scheduleUpdate(index, &d)
 }
 
 // assess collects the evidence on a server, and counts its checks.
@@ -144,14 +144,14 @@
 }
 
 // publish notes a decision, and adds a change if it differs or a half-open request is granted.
-func (t *Table) publish(s *server, d Decision, granted uint64) {
-	old := s.decision
+func (t *Table) publish(s *server, d *Decision, granted uint64) {
+	old := &s.decision
 	notable := !s.decided || old.State != d.State || old.EjectedClasses != d.EjectedClasses || old.Cause != d.Cause ||
 		old.MaxInFlight != d.MaxInFlight
 	if notable || granted != 0 || old.TrafficFraction != d.TrafficFraction || old.Usable != d.Usable {
 		t.changes = append(t.changes, Change{
-			ID: s.ID, Decision: d, HalfOpenClasses: granted, Notable: notable && (s.decided || d.Cause != ""), PreviousState: old.State,
+			ID: s.ID, Decision: *d, HalfOpenClasses: granted, Notable: notable && (s.decided || d.Cause != ""), PreviousState: old.State,
 		})
 	}
-	s.decision, s.decided = d, true
+	s.decision, s.decided = *d, true
 }
--- a/internal/control/health/ejection.go
+++ b/internal/control/health/ejection.go
@@ -136,7 +136,7 @@
 }
 
 // grantHalfOpen grants the half-open requests that are due by a decision: one part of each such class (bit c: class c).
-func (t *Table) grantHalfOpen(s *server, decision Decision) (granted uint64) {
+func (t *Table) grantHalfOpen(s *server, decision *Decision) (granted uint64) {
 	if decision.State != InService || decision.EjectedClasses == 0 {
 		return 0
 	}
--- a/internal/control/health/schedule.go
+++ b/internal/control/health/schedule.go
@@ -19,7 +19,7 @@
 
 // scheduleUpdate sets the timer for when a server has to be decided on again though no evidence comes in: something
 // expires, or proceeds with time, by then.
-func (t *Table) scheduleUpdate(index int, decision Decision) {
+func (t *Table) scheduleUpdate(index int, decision *Decision) {
 	s := t.servers[index]
 	var next earliest
 	t.scheduleChecks(s, &next)
@@ -57,7 +57,7 @@
 }
 
 // scheduleHalfOpen adds when a half-open request may be due.
-func (t *Table) scheduleHalfOpen(s *server, decision Decision, next *earliest) {
+func (t *Table) scheduleHalfOpen(s *server, decision *Decision, next *earliest) {
 	soon := t.now.Add(halfOpenPollInterval)
 	if decision.EjectedClasses != 0 && decision.State == InService {
 		for class := range s.classes {
