Give the simulator's types and fields the field's terms

Cause: names of the earlier house style (mixerHost, trouble, told, word). Change: renamed by meaning; the keys of replay files are pinned by tags.

--- a/cmd/testbed/days.go
+++ b/cmd/testbed/days.go
@@ -51,15 +51,15 @@
 var classNames = [...]string{"search", "report", "correction"}
 
 func (d *dayWord) take(seed uint64, r sim.Result) {
-	d.goodput, d.calls = append(d.goodput, r.Goodput()), append(d.calls, float64(r.Calls))
+	d.goodput, d.calls = append(d.goodput, r.Goodput()), append(d.calls, float64(r.DiscoveryPolls))
 	for i, c := range r.Classes {
-		if c.Wanted > 0 {
-			d.classes[classNames[i]] = append(d.classes[classNames[i]], float64(c.InTime)/float64(c.Wanted))
+		if c.Queries > 0 {
+			d.classes[classNames[i]] = append(d.classes[classNames[i]], float64(c.WithinObjective)/float64(c.Queries))
 		}
 	}
-	d.Fallen += r.Fallen
-	if len(r.Broken) > 0 {
-		d.Broken[seed] = r.Broken[0]
+	d.Fallen += r.ReplicasOverloaded
+	if len(r.Violations) > 0 {
+		d.Broken[seed] = r.Violations[0]
 	}
 }
 
@@ -79,10 +79,10 @@
 		Use: "days [DAY...]", Short: "Play days of whole fleets under virtual time, and print what was answered with its interval over seeds",
 		Long: "Plays days of whole fleets under virtual time: mixers killed at once during a release, a zone lost and back cold,\n" +
 			"zones cut off from each other while discovery is silent, most nodes replaced. Exit status 1: a rule was broken.",
-		Example: "  testbed days herd split --mixers 300 --nodes 200 --seeds 20\n  testbed days herd --seed 7 --seeds 1 --json", ValidArgs: sim.Days,
+		Example: "  testbed days herd split --mixers 300 --nodes 200 --seeds 20\n  testbed days herd --seed 7 --seeds 1 --json", ValidArgs: sim.DayNames,
 		RunE: func(cmd *cobra.Command, named []string) error {
 			if len(named) == 0 {
-				named = sim.Days
+				named = sim.DayNames
 			}
 			if seeds < 1 {
 				return fmt.Errorf("--seeds at least 1")
@@ -133,7 +133,7 @@
 		all.Go(func() {
 			defer func() { <-slots }()
 			var s sim.Settings
-			if s, errs[i] = sim.Day(d.Day, first+uint64(i), mixers, nodes); errs[i] == nil {
+			if s, errs[i] = sim.DaySettings(d.Day, first+uint64(i), mixers, nodes); errs[i] == nil {
 				results[i], errs[i] = sim.Run(s)
 			}
 		})
--- a/cmd/testbed/hunt.go
+++ b/cmd/testbed/hunt.go
@@ -37,11 +37,11 @@
 				if err != nil {
 					return err
 				}
-				fmt.Fprintf(out, "trace %016x, %d events, %d queries\n", r.Hash, r.Events, r.Asked)
-				for _, b := range r.Broken {
+				fmt.Fprintf(out, "trace %016x, %d events, %d queries\n", r.Hash, r.Events, r.Requests)
+				for _, b := range r.Violations {
 					fmt.Fprintln(out, b)
 				}
-				if len(r.Broken) > 0 {
+				if len(r.Violations) > 0 {
 					return errNo
 				}
 				return nil
@@ -66,7 +66,7 @@
 						if over {
 							return
 						}
-						s := sim.Draw(seed)
+						s := sim.RandomSettings(seed)
 						r, err := sim.Run(s)
 						mu.Lock()
 						played++
@@ -75,7 +75,7 @@
 							failed = err
 						}
 						mu.Unlock()
-						if len(r.Broken) == 0 {
+						if len(r.Violations) == 0 {
 							continue
 						}
 						short, runs := sim.Shrink(s, 100)
@@ -83,7 +83,7 @@
 						text, _ := json.MarshalIndent(short, "", "  ")
 						mu.Lock()
 						broken++
-						fmt.Fprintf(out, "seed %d: %s (%d in all); shrunk in %d runs to %d troubles: %s\n", seed, r.Broken[0], len(r.Broken), runs, len(short.Troubles), file)
+						fmt.Fprintf(out, "seed %d: %s (%d in all); shrunk in %d runs to %d troubles: %s\n", seed, r.Violations[0], len(r.Violations), runs, len(short.Faults), file)
 						if err := os.WriteFile(file, append(text, '\n'), 0o600); err != nil {
 							failed = err
 						}
--- a/internal/testbed/sim/check.go
+++ b/internal/testbed/sim/check.go
@@ -9,94 +9,96 @@
 	"rooktrestle/internal/aggregator"
 )
 
-// drainLimit is how long after its word a node may still be sent something new.
-const drainLimit = 250 * time.Millisecond
+// drainGrace is how long after its word a node may still be sent something new.
+const drainGrace = 250 * time.Millisecond
 
 // checker holds every step against the rules.
 type checker struct {
-	w        *world
-	broken   []string
-	open     map[string]*asked
-	requests map[string]*aggregator.Request
-	finals   map[string]int
-	runs     map[string]int // of corrections, by the client's want
-	out      map[string]int // attempts of a part
+	world            *world
+	violations       []string
+	openRequests     map[string]*clientRequest
+	requests         map[string]*aggregator.Request
+	finalAnswers     map[string]int
+	correctionRuns   map[string]int // of corrections, by the client's want
+	attemptsInFlight map[string]int // attempts of a part
 }
 
 func newChecker() *checker {
-	return &checker{open: map[string]*asked{}, requests: map[string]*aggregator.Request{}, finals: map[string]int{}, runs: map[string]int{}, out: map[string]int{}}
+	return &checker{openRequests: map[string]*clientRequest{}, requests: map[string]*aggregator.Request{}, finalAnswers: map[string]int{}, correctionRuns: map[string]int{}, attemptsInFlight: map[string]int{}}
 }
 
-// brokenMost bounds what is kept of one run.
-const brokenMost = 50
+// maxViolations bounds what is kept of one run.
+const maxViolations = 50
 
-func (c *checker) bad(format string, args ...any) {
-	if len(c.broken) < brokenMost {
-		c.broken = append(c.broken, fmt.Sprintf("%v: ", c.w.now.Sub(Start))+fmt.Sprintf(format, args...))
+func (c *checker) violate(format string, args ...any) {
+	if len(c.violations) < maxViolations {
+		c.violations = append(c.violations, fmt.Sprintf("%v: ", c.world.now.Sub(Start))+fmt.Sprintf(format, args...))
 	}
 }
 
-func (c *checker) asked(a *asked, r *aggregator.Request) { c.open[a.id], c.requests[a.id] = a, r }
+func (c *checker) requestSent(a *clientRequest, r *aggregator.Request) {
+	c.openRequests[a.id], c.requests[a.id] = a, r
+}
 
 // sent: one attempt of a part at a time, none to who drains or is gone by now, none beyond the attempts allowed.
-func (c *checker) sent(m *mixerHost, n *node, k *work) {
-	name := fmt.Sprintf("%d %s", m.index, k.call.Name)
-	if c.out[name]++; c.out[name] > 1 {
-		c.bad("two attempts of %s are out", k.call.Name)
+func (c *checker) attemptSent(host *aggregatorHost, r *replica, k *attempt) {
+	name := fmt.Sprintf("%d %s", host.index, k.call.Name)
+	if c.attemptsInFlight[name]++; c.attemptsInFlight[name] > 1 {
+		c.violate("two attempts of %s are out", k.call.Name)
 	}
-	if at, told := m.told[n.id]; told && c.w.now.Sub(at) > drainLimit {
-		c.bad("%s goes to %s, %v after it was told to drain or gone", k.call.Name, n.id, c.w.now.Sub(at))
+	if at, told := host.removalKnownAt[r.id]; told && c.world.now.Sub(at) > drainGrace {
+		c.violate("%s goes to %s, %v after it was told to drain or gone", k.call.Name, r.id, c.world.now.Sub(at))
 	}
-	if k.call.Attempt.Number >= m.set.MaxAttempts {
-		c.bad("attempt %d of %s", k.call.Attempt.Number+1, k.call.Name)
+	if k.call.Attempt.Number >= host.balancerSettings.MaxAttempts {
+		c.violate("attempt %d of %s", k.call.Attempt.Number+1, k.call.Name)
 	}
-	if id, _, _ := strings.Cut(k.call.Name, "."); c.open[id] == nil {
-		c.bad("%s is sent, and its query is over", k.call.Name)
+	if id, _, _ := strings.Cut(k.call.Name, "."); c.openRequests[id] == nil {
+		c.violate("%s is sent, and its query is over", k.call.Name)
 	}
 }
 
-func (c *checker) over(k *work) {
-	name := fmt.Sprintf("%d %s", k.m.index, k.call.Name)
-	if c.out[name]--; c.out[name] <= 0 {
-		delete(c.out, name)
+func (c *checker) attemptEnded(k *attempt) {
+	name := fmt.Sprintf("%d %s", k.host.index, k.call.Name)
+	if c.attemptsInFlight[name]--; c.attemptsInFlight[name] <= 0 {
+		delete(c.attemptsInFlight, name)
 	}
 }
 
 // ran: no part of a correction twice, over all tries that the client made after a refusal.
-func (c *checker) ran(n *node, k *work) {
+func (c *checker) correctionRan(r *replica, k *attempt) {
 	if k.call.Class != correction {
 		return
 	}
 	id, _, _ := strings.Cut(k.call.Name, ".")
 	id, _, _ = strings.Cut(id, "-") // of the want
-	if c.runs[id]++; c.runs[id] > 1 {
-		c.bad("correction %s ran %d times, now at %s", k.call.Name, c.runs[id], n.id)
+	if c.correctionRuns[id]++; c.correctionRuns[id] > 1 {
+		c.violate("correction %s ran %d times, now at %s", k.call.Name, c.correctionRuns[id], r.id)
 	}
-	if c.w.Planted == "double correction" && c.runs[id] == 1 && strings.HasPrefix(id, "q7") {
-		c.w.in(time.Millisecond, func() { c.ran(n, k) })
+	if c.world.PlantedBug == "double correction" && c.correctionRuns[id] == 1 && strings.HasPrefix(id, "q7") {
+		c.world.after(time.Millisecond, func() { c.correctionRan(r, k) })
 	}
 }
 
 // lost: a try whose mixer died has no final answer.
-func (c *checker) lost(a *asked) {
-	delete(c.open, a.id)
+func (c *checker) requestLost(a *clientRequest) {
+	delete(c.openRequests, a.id)
 	delete(c.requests, a.id)
 }
 
 // answered: one final answer, in time, with no more than what nodes gave, and whole only if all is in.
-func (c *checker) answered(a *asked, f aggregator.FinalAnswer) {
-	if c.finals[a.id]++; c.finals[a.id] > 1 {
-		c.bad("%s has %d final answers", a.id, c.finals[a.id])
+func (c *checker) requestAnswered(a *clientRequest, f aggregator.FinalAnswer) {
+	if c.finalAnswers[a.id]++; c.finalAnswers[a.id] > 1 {
+		c.violate("%s has %d final answers", a.id, c.finalAnswers[a.id])
 	}
-	delete(c.open, a.id)
+	delete(c.openRequests, a.id)
 	r := c.requests[a.id]
 	delete(c.requests, a.id)
-	if late := c.w.now.Sub(r.Arrived.Add(r.Timeout)); late > 20*time.Millisecond {
-		c.bad("%s is answered %v after its time", a.id, late)
+	if late := c.world.now.Sub(r.Arrived.Add(r.Timeout)); late > 20*time.Millisecond {
+		c.violate("%s is answered %v after its time", a.id, late)
 	}
 	id, _, _ := strings.Cut(a.id, "-")
-	if f.Status == aggregator.StatusRejected && a.want.class == correction && c.runs[id] > 0 {
-		c.bad("correction %s is refused, and has run", a.id)
+	if f.Status == aggregator.StatusRejected && a.query.class == correction && c.correctionRuns[id] > 0 {
+		c.violate("correction %s is refused, and has run", a.id)
 	}
 	if f.Status != aggregator.StatusServed {
 		return
@@ -104,32 +106,32 @@
 	in := 0.0
 	for _, i := range f.Items {
 		name := fmt.Sprintf("%s.%d", a.id, i.Shard)
-		if !slices.Contains(a.names, name) || !strings.HasPrefix(i.Value, name+" by ") {
-			c.bad("%s: the value %q for shard %d", a.id, i.Value, i.Shard)
+		if !slices.Contains(a.partNames, name) || !strings.HasPrefix(i.Value, name+" by ") {
+			c.violate("%s: the value %q for shard %d", a.id, i.Value, i.Shard)
 		}
-		in += 1 / float64(len(a.names))
+		in += 1 / float64(len(a.partNames))
 	}
-	class := classes()[a.want.class]
-	if f.Complete && len(f.Items) != len(a.names) {
-		c.bad("%s is marked whole with %d of %d parts", a.id, len(f.Items), len(a.names))
+	class := classes()[a.query.class]
+	if f.Complete && len(f.Items) != len(a.partNames) {
+		c.violate("%s is marked whole with %d of %d parts", a.id, len(f.Items), len(a.partNames))
 	}
 	if in < class.MinFraction-1e-9 {
-		c.bad("%s is served with %.2f of its weight, under its floor %.2f", a.id, in, class.MinFraction)
+		c.violate("%s is served with %.2f of its weight, under its floor %.2f", a.id, in, class.MinFraction)
 	}
 }
 
 // quiet: nothing is left when nobody asks any more.
-func (c *checker) quiet() {
-	for id := range c.open {
-		c.bad("%s has no final answer", id)
-	}
-	slices.Sort(c.broken)
-	for _, m := range c.w.mixers {
-		if n := m.core.OpenQueries(); n > 0 || m.core.Load() > 0 {
-			c.bad("mixer %d holds %d queries, %d of load", m.index, n, m.core.Load())
+func (c *checker) checkQuiescence() {
+	for id := range c.openRequests {
+		c.violate("%s has no final answer", id)
+	}
+	slices.Sort(c.violations)
+	for _, host := range c.world.aggregators {
+		if r := host.core.OpenQueries(); r > 0 || host.core.Load() > 0 {
+			c.violate("mixer %d holds %d queries, %d of load", host.index, r, host.core.Load())
 		}
-		if len(m.works) > 0 {
-			c.bad("mixer %d has %d attempts out", m.index, len(m.works))
+		if len(host.attempts) > 0 {
+			c.violate("mixer %d has %d attempts out", host.index, len(host.attempts))
 		}
 	}
 }
--- a/internal/testbed/sim/client.go
+++ b/internal/testbed/sim/client.go
@@ -8,150 +8,150 @@
 	"rooktrestle/internal/aggregator"
 )
 
-// want is what a client wants, over all its tries.
-type want struct {
-	class   int
-	parts   []aggregator.PartSpec
-	tries   int
-	number  int
-	mixer   int
-	giveUp  time.Time // the client's own time
-	inTime  time.Time // an answer by then is in time
-	settled bool
+// query is what a client wants, over all its tries.
+type query struct {
+	class      int
+	parts      []aggregator.PartSpec
+	attempts   int
+	number     int
+	aggregator int
+	deadline   time.Time // the client's own time
+	objective  time.Time // an answer by then is in time
+	settled    bool
 }
 
-// asked waits for one try's final answer.
-type asked struct {
-	w     *world
-	want  *want
-	id    string
-	began time.Time
-	names []string // of its parts
+// clientRequest waits for one try's final answer.
+type clientRequest struct {
+	world     *world
+	query     *query
+	id        string
+	started   time.Time
+	partNames []string // of its parts
 }
 
-// arrive makes a new query and the time of the next.
-func (w *world) arrive() {
-	if w.now.After(Start.Add(w.For)) {
+// queryArrives makes a new query and the time of the next.
+func (w *world) queryArrives() {
+	if w.now.After(Start.Add(w.Duration)) {
 		return
 	}
-	w.in(time.Duration(w.rng.ExpFloat64()/w.rate()*float64(time.Second)), w.arrive)
+	w.after(time.Duration(w.rng.ExpFloat64()/w.arrivalRate()*float64(time.Second)), w.queryArrives)
 	x := w.rng.Float64()
-	q := &want{class: search, mixer: w.pick(), number: w.result.Wanted}
-	n := w.Parts
+	q := &query{class: search, aggregator: w.pickAggregator(), number: w.result.Queries}
+	n := w.SearchParts
 	switch {
 	case x < 0.22:
 		q.class = report
 	case x < 0.44:
 		q.class, n = correction, 1
 	}
-	n = min(n, w.Nodes)
-	for _, s := range w.rng.Perm(w.Nodes)[:n] {
+	n = min(n, w.Replicas)
+	for _, s := range w.rng.Perm(w.Replicas)[:n] {
 		q.parts = append(q.parts, aggregator.PartSpec{Shard: s, Weight: 1 / float64(n)})
 	}
-	q.giveUp = w.now.Add(classes()[q.class].Deadline)
-	q.inTime = w.now.Add(classes()[q.class].Objective)
-	w.result.Wanted++
-	w.result.Classes[q.class].Wanted++
-	w.try(q)
+	q.deadline = w.now.Add(classes()[q.class].Deadline)
+	q.objective = w.now.Add(classes()[q.class].Objective)
+	w.result.Queries++
+	w.result.Classes[q.class].Queries++
+	w.sendRequest(q)
 }
 
-// pick draws a mixer for a client: some get several times what others get.
-func (w *world) pick() int {
-	if w.Skew == 0 {
-		return w.rng.IntN(len(w.mixers))
+// pickAggregator draws a mixer for a client: some get several times what others get.
+func (w *world) pickAggregator() int {
+	if w.TrafficSkew == 0 {
+		return w.rng.IntN(len(w.aggregators))
 	}
-	x := w.rng.Float64() * w.traffic[len(w.traffic)-1]
-	i, _ := slices.BinarySearch(w.traffic, x)
-	return min(i, len(w.traffic)-1)
+	x := w.rng.Float64() * w.cumulativeTraffic[len(w.cumulativeTraffic)-1]
+	i, _ := slices.BinarySearch(w.cumulativeTraffic, x)
+	return min(i, len(w.cumulativeTraffic)-1)
 }
 
-// rate is that of arrivals by now.
-func (w *world) rate() float64 {
+// arrivalRate is that of arrivals by now.
+func (w *world) arrivalRate() float64 {
 	r := w.Rate
-	for i := range w.Troubles {
-		if t := &w.Troubles[i]; t.Kind == Burst && t.on(w.now) {
-			r *= t.Size
+	for i := range w.Faults {
+		if t := &w.Faults[i]; t.Kind == Burst && t.activeAt(w.now) {
+			r *= t.Magnitude
 		}
 	}
 	return r
 }
 
-// try asks once.
-func (w *world) try(q *want) {
-	q.tries++
-	w.result.Asked++
-	a := &asked{w: w, want: q, id: fmt.Sprintf("q%d-%d", q.number, q.tries), began: w.now}
+// sendRequest asks once.
+func (w *world) sendRequest(q *query) {
+	q.attempts++
+	w.result.Requests++
+	a := &clientRequest{world: w, query: q, id: fmt.Sprintf("q%d-%d", q.number, q.attempts), started: w.now}
 	for _, p := range q.parts {
-		a.names = append(a.names, fmt.Sprintf("%s.%d", a.id, p.Shard))
+		a.partNames = append(a.partNames, fmt.Sprintf("%s.%d", a.id, p.Shard))
 	}
-	r := &aggregator.Request{ID: a.id, Class: q.class, Arrived: w.now, Timeout: q.giveUp.Sub(w.now), IsRetry: q.tries > 1, Parts: q.parts, Frontend: a}
-	w.check.asked(a, r)
-	w.note("ask", uint64(q.number), uint64(q.tries))
-	for w.mixers[q.mixer].dead { // its connection is refused: it goes to another
-		q.mixer = w.pick()
+	r := &aggregator.Request{ID: a.id, Class: q.class, Arrived: w.now, Timeout: q.deadline.Sub(w.now), IsRetry: q.attempts > 1, Parts: q.parts, Frontend: a}
+	w.checker.requestSent(a, r)
+	w.record("ask", uint64(q.number), uint64(q.attempts))
+	for w.aggregators[q.aggregator].crashed { // its connection is refused: it goes to another
+		q.aggregator = w.pickAggregator()
 	}
-	w.mixers[q.mixer].open[a] = true
-	w.mixers[q.mixer].put(aggregator.RequestArrived{Request: r})
-	if w.Planted == "lost query" && q.number == 50 {
-		r.Frontend = nobody{}
+	w.aggregators[q.aggregator].openRequests[a] = true
+	w.aggregators[q.aggregator].post(aggregator.RequestArrived{Request: r})
+	if w.PlantedBug == "lost query" && q.number == 50 {
+		r.Frontend = discardAnswer{}
 	}
 }
 
-type nobody struct{}
+type discardAnswer struct{}
 
-func (nobody) Answer(aggregator.FinalAnswer) {}
+func (discardAnswer) Answer(aggregator.FinalAnswer) {}
 
 // Answer takes a try's final answer. A client whose query was refused or failed may try again, while its time lasts.
-func (a *asked) Answer(f aggregator.FinalAnswer) {
-	w, q := a.w, a.want
-	w.note("answer", uint64(q.number), uint64(f.Status))
-	if w.Planted == "dishonest whole" && f.Status == aggregator.StatusServed && !f.Complete {
+func (a *clientRequest) Answer(f aggregator.FinalAnswer) {
+	w, q := a.world, a.query
+	w.record("answer", uint64(q.number), uint64(f.Status))
+	if w.PlantedBug == "dishonest whole" && f.Status == aggregator.StatusServed && !f.Complete {
 		f.Complete = true
 	}
-	w.check.answered(a, f)
-	delete(w.mixers[q.mixer].open, a)
+	w.checker.requestAnswered(a, f)
+	delete(w.aggregators[q.aggregator].openRequests, a)
 	switch f.Status {
 	case aggregator.StatusServed:
 		w.result.Served++
-		w.result.Got++
-		w.result.Classes[q.class].Got++
-		if !w.now.After(q.inTime) {
-			w.result.Classes[q.class].InTime++
+		w.result.Answered++
+		w.result.Classes[q.class].Answered++
+		if !w.now.After(q.objective) {
+			w.result.Classes[q.class].WithinObjective++
 		}
 		if !f.Complete {
 			w.result.Partial++
 		}
-		w.result.Took = append(w.result.Took, w.now.Sub(a.began))
+		w.result.Latencies = append(w.result.Latencies, w.now.Sub(a.started))
 		return
 	case aggregator.StatusRejected:
-		w.result.Refused++
+		w.result.Rejected++
 	default:
 		w.result.Failed++
 		if q.class == correction {
 			return // it may have run: no client in its senses asks again by itself
 		}
 	}
-	a.again()
+	a.retry()
 }
 
-// lost ends a try whose mixer died under it: the client sees its connection end.
-func (a *asked) lost() {
-	w, q := a.w, a.want
-	w.note("lost", uint64(q.number), uint64(q.tries))
-	w.check.lost(a)
-	w.result.Lost++
+// connectionLost ends a try whose mixer died under it: the client sees its connection end.
+func (a *clientRequest) connectionLost() {
+	w, q := a.world, a.query
+	w.record("lost", uint64(q.number), uint64(q.attempts))
+	w.checker.requestLost(a)
+	w.result.ConnectionsLost++
 	if q.class != correction {
-		a.again()
+		a.retry()
 	}
 }
 
-// again makes another try, if the client is to have one.
-func (a *asked) again() {
-	w, q := a.w, a.want
-	if q.tries <= w.Retries {
-		d := time.Duration((0.5 + 1.5*w.rng.Float64()) * float64(w.RetryAt))
-		if at := w.now.Add(d); at.Before(q.giveUp.Add(-100 * time.Millisecond)) {
-			w.at(at, func() { w.try(q) })
+// retry makes another try, if the client is to have one.
+func (a *clientRequest) retry() {
+	w, q := a.world, a.query
+	if q.attempts <= w.Retries {
+		d := time.Duration((0.5 + 1.5*w.rng.Float64()) * float64(w.RetryDelay))
+		if at := w.now.Add(d); at.Before(q.deadline.Add(-100 * time.Millisecond)) {
+			w.at(at, func() { w.sendRequest(q) })
 		}
 	}
 }
--- a/internal/testbed/sim/replica.go
+++ b/internal/testbed/sim/replica.go
@@ -11,216 +11,218 @@
 	"rooktrestle/internal/aggregator"
 )
 
-// queueMost is how many parts a node holds before it turns more away.
-const queueMost = 200
-
-// node is an archive node: cores, a queue, and what is wrong with it.
-type node struct {
-	w       *world
-	id      balance.Replica
-	index   int
-	rng     *rand.Rand
-	up      bool
-	cut     bool // nothing reaches it, and nothing comes from it
-	drains  bool
-	fails   float64 // share of parts that fail at once
-	slow    float64 // work takes so many times as long
-	slowFor int     // of this class only; negative: of all
-	hangs   bool    // takes parts and never answers
-	says    bool    // its checks say well, whatever is
-	busy    int
-	queue   []*work
-	out     map[*work]bool // taken and not ended
-	started time.Time      // of its process; zero: long ago
-	gone    bool           // it is replaced by another
-	recent  []arrival      // within the time in which too many make it fall, while it is cold
+// maxQueue is how many parts a node holds before it turns more away.
+const maxQueue = 200
+
+// replica is an archive node: cores, a queue, and what is wrong with it.
+type replica struct {
+	world          *world
+	id             balance.Replica
+	index          int
+	rng            *rand.Rand
+	up             bool
+	unreachable    bool // nothing reaches it, and nothing comes from it
+	draining       bool
+	errorRate      float64 // share of parts that fail at once
+	slowdown       float64 // work takes so many times as long
+	slowClass      int     // of this class only; negative: of all
+	unresponsive   bool    // takes parts and never answers
+	checksPass     bool    // its checks say well, whatever is
+	busyCores      int
+	queue          []*attempt
+	inFlight       map[*attempt]bool // taken and not ended
+	started        time.Time         // of its process; zero: long ago
+	replaced       bool              // it is replaced by another
+	recentArrivals []arrival         // within the time in which too many make it fall, while it is cold
 }
 
 // arrival is a part that came, and whether its mixer had been told that the node is cold.
 type arrival struct {
-	at   time.Time
-	told bool
+	at         time.Time
+	startKnown bool
 }
 
-// Cold is what a node can do after its start, and what makes it fall. The zero value: all, and nothing.
-type Cold struct {
-	For    time.Duration // it is warm after it
-	From   float64       // share of its capacity at its start, growing evenly
-	Tip    float64       // so many times what it can do
-	TipFor time.Duration // within so long make it fall
+// Warmup is what a node can do after its start, and what makes it fall. The zero value: all, and nothing.
+type Warmup struct {
+	Period           time.Duration `json:"For"`    // it is warm after it
+	MinCapacity      float64       `json:"From"`   // share of its capacity at its start, growing evenly
+	OverloadMultiple float64       `json:"Tip"`    // so many times what it can do
+	OverloadPeriod   time.Duration `json:"TipFor"` // within so long make it fall
 }
 
 // zone is the node's: its place in the ring tells it.
-func (n *node) zone() int { return n.index % max(2, n.w.Zones) }
+func (n *replica) zone() int { return n.index % max(2, n.world.Zones) }
 
-// share is what it has of its capacity by now.
-func (n *node) share() float64 {
-	age := n.w.now.Sub(n.started)
-	if c := n.w.Cold; c.For > 0 && !n.started.IsZero() && age < c.For {
-		return c.From + (1-c.From)*float64(age)/float64(c.For)
+// capacityFraction is what it has of its capacity by now.
+func (n *replica) capacityFraction() float64 {
+	age := n.world.now.Sub(n.started)
+	if c := n.world.Warmup; c.Period > 0 && !n.started.IsZero() && age < c.Period {
+		return c.MinCapacity + (1-c.MinCapacity)*float64(age)/float64(c.Period)
 	}
 	return 1
 }
 
-// crowded counts a part that came, and says whether the node falls under it. N parts of mean work are what the rule
+// arrivalOverloads counts a part that came, and says whether the node falls under it. N parts of mean work are what the rule
 // allows within the time; chance may bring three deviations and three more.
-func (n *node) crowded(m *mixerHost) bool {
-	c, share := n.w.Cold, n.share()
-	if share >= 1 || c.Tip <= 0 {
-		n.recent = nil
+func (n *replica) arrivalOverloads(host *aggregatorHost) bool {
+	c, share := n.world.Warmup, n.capacityFraction()
+	if share >= 1 || c.OverloadMultiple <= 0 {
+		n.recentArrivals = nil
 		return false
 	}
-	n.recent = append(n.recent, arrival{n.w.now, m.starts[n.id].Equal(n.started)})
-	n.recent = slices.DeleteFunc(n.recent, func(a arrival) bool { return n.w.now.Sub(a.at) > c.TipFor })
-	most := c.Tip * share * float64(n.w.Cores) * float64(c.TipFor) / float64(n.w.Work)
-	if float64(len(n.recent)) <= most+3*math.Sqrt(most)+3 {
+	n.recentArrivals = append(n.recentArrivals, arrival{n.world.now, host.knownStarts[n.id].Equal(n.started)})
+	n.recentArrivals = slices.DeleteFunc(n.recentArrivals, func(a arrival) bool { return n.world.now.Sub(a.at) > c.OverloadPeriod })
+	most := c.OverloadMultiple * share * float64(n.world.Cores) * float64(c.OverloadPeriod) / float64(n.world.MeanServiceTime)
+	if float64(len(n.recentArrivals)) <= most+3*math.Sqrt(most)+3 {
 		return false
 	}
 	told := 0
-	for _, a := range n.recent {
-		if a.told {
+	for _, a := range n.recentArrivals {
+		if a.startKnown {
 			told++
 		}
 	}
-	if 3*told > 2*len(n.recent) {
-		n.w.check.bad("cold %s falls under %d parts, %d of mixers that were told of its start; %.1f are allowed", n.id, len(n.recent), told, most)
+	if 3*told > 2*len(n.recentArrivals) {
+		n.world.checker.violate("cold %s falls under %d parts, %d of mixers that were told of its start; %.1f are allowed", n.id, len(n.recentArrivals), told, most)
 	}
-	n.w.result.Fallen++
+	n.world.result.ReplicasOverloaded++
 	return true
 }
 
-// fall ends a node that got too much; it is back, cold, after a second.
-func (n *node) fall() {
-	n.die()
-	n.recent = nil
-	n.w.in(time.Second, func() {
-		if !n.gone {
+// collapse ends a node that got too much; it is back, cold, after a second.
+func (n *replica) collapse() {
+	n.crash()
+	n.recentArrivals = nil
+	n.world.after(time.Second, func() {
+		if !n.replaced {
 			n.up = true
-			n.begin()
+			n.start()
 		}
 	})
 }
 
-// begin notes a start of the node's process.
-func (n *node) begin() {
-	if n.w.Cold.For > 0 {
-		n.started = n.w.now
+// start notes a start of the node's process.
+func (n *replica) start() {
+	if n.world.Warmup.Period > 0 {
+		n.started = n.world.now
 	}
-	n.w.roster.tell(n, balance.InService)
+	n.world.feed.publish(n, balance.InService)
 }
 
-// work is one attempt of a part at a node.
-type work struct {
-	m    *mixerHost
-	call aggregator.Call
-	node *node
-	gone bool // the mixer has given it up
+// attempt is one attempt of a part at a node.
+type attempt struct {
+	host      *aggregatorHost
+	call      aggregator.Call
+	replica   *replica
+	abandoned bool // the mixer has given it up
 }
 
-func newNode(w *world, i int) *node {
-	return &node{w: w, id: balance.Replica(fmt.Sprintf("n%d", i)), index: i, rng: rand.New(rand.NewPCG(w.Seed, uint64(1000+i))), up: true,
-		slow: 1, slowFor: -1, says: true, out: map[*work]bool{}}
+func newReplica(w *world, i int) *replica {
+	return &replica{world: w, id: balance.Replica(fmt.Sprintf("n%d", i)), index: i, rng: rand.New(rand.NewPCG(w.Seed, uint64(1000+i))), up: true,
+		slowdown: 1, slowClass: -1, checksPass: true, inFlight: map[*attempt]bool{}}
 }
 
-// delay is the network's, one way.
-func (w *world) delay() time.Duration {
-	return w.Network/2 + time.Duration(w.rng.ExpFloat64()*float64(w.Network)/2)
+// networkDelay is the network's, one way.
+func (w *world) networkDelay() time.Duration {
+	return w.NetworkDelay/2 + time.Duration(w.rng.ExpFloat64()*float64(w.NetworkDelay)/2)
 }
 
-// take takes a part that has arrived.
-func (n *node) take(k *work) {
-	w := n.w
+// receive takes a part that has arrived.
+func (n *replica) receive(k *attempt) {
+	w := n.world
 	switch {
-	case n.cut:
+	case n.unreachable:
 		return // nobody will hear of it
 	case !n.up:
-		k.m.ended(k, &aggregator.AttemptError{Progress: aggregator.NotConnected}, "")
+		k.host.deliverResult(k, &aggregator.AttemptError{Progress: aggregator.NotConnected}, "")
 		return
-	case n.drains || len(n.queue) >= queueMost:
-		w.in(w.delay(), func() { k.m.ended(k, &aggregator.AttemptError{Progress: aggregator.Answered, Rejected: true}, "") })
+	case n.draining || len(n.queue) >= maxQueue:
+		w.after(w.networkDelay(), func() {
+			k.host.deliverResult(k, &aggregator.AttemptError{Progress: aggregator.Answered, Rejected: true}, "")
+		})
 		return
 	}
-	if n.crowded(k.m) {
-		w.in(w.delay(), func() { k.m.ended(k, &aggregator.AttemptError{Progress: aggregator.Written}, "") })
-		n.fall()
+	if n.arrivalOverloads(k.host) {
+		w.after(w.networkDelay(), func() { k.host.deliverResult(k, &aggregator.AttemptError{Progress: aggregator.Written}, "") })
+		n.collapse()
 		return
 	}
-	w.check.ran(n, k)
-	if n.rng.Float64() < n.fails {
-		w.in(w.delay(), func() { k.m.ended(k, &aggregator.AttemptError{Progress: aggregator.Answered}, "") })
+	w.checker.correctionRan(n, k)
+	if n.rng.Float64() < n.errorRate {
+		w.after(w.networkDelay(), func() { k.host.deliverResult(k, &aggregator.AttemptError{Progress: aggregator.Answered}, "") })
 		return
 	}
-	n.out[k] = true
-	if n.hangs {
+	n.inFlight[k] = true
+	if n.unresponsive {
 		return
 	}
 	n.queue = append(n.queue, k)
-	n.start()
+	n.dispatch()
 }
 
-// start gives free cores something to do.
-func (n *node) start() {
-	for n.busy < n.w.Cores && len(n.queue) > 0 {
+// dispatch gives free cores something to do.
+func (n *replica) dispatch() {
+	for n.busyCores < n.world.Cores && len(n.queue) > 0 {
 		k := n.queue[0]
 		n.queue = n.queue[1:]
-		n.busy++
-		d := time.Duration((0.5 + 0.5*n.rng.ExpFloat64()) * float64(n.w.Work))
-		if n.slowFor < 0 || n.slowFor == k.call.Class {
-			d = time.Duration(float64(d) * n.slow)
+		n.busyCores++
+		d := time.Duration((0.5 + 0.5*n.rng.ExpFloat64()) * float64(n.world.MeanServiceTime))
+		if n.slowClass < 0 || n.slowClass == k.call.Class {
+			d = time.Duration(float64(d) * n.slowdown)
 		}
-		if share := n.share(); share < 1 {
+		if share := n.capacityFraction(); share < 1 {
 			d = time.Duration(float64(d) / share)
 		}
-		n.w.in(d, func() {
-			n.busy--
-			n.done(k)
-			n.start()
+		n.world.after(d, func() {
+			n.busyCores--
+			n.complete(k)
+			n.dispatch()
 		})
 	}
 }
 
-func (n *node) done(k *work) {
-	if !n.out[k] { // it died meanwhile
+func (n *replica) complete(k *attempt) {
+	if !n.inFlight[k] { // it died meanwhile
 		return
 	}
-	delete(n.out, k)
-	if n.cut {
+	delete(n.inFlight, k)
+	if n.unreachable {
 		return
 	}
-	n.w.in(n.w.delay(), func() { k.m.ended(k, nil, fmt.Sprintf("%s by %s", k.call.Name, n.id)) })
+	n.world.after(n.world.networkDelay(), func() { k.host.deliverResult(k, nil, fmt.Sprintf("%s by %s", k.call.Name, n.id)) })
 }
 
-// die ends the node's process: what is on it ends as a reset.
-func (n *node) die() {
-	n.up, n.queue, n.busy = false, nil, 0
-	var lost []*work
-	for _, m := range n.w.mixers { // in an order that does not hang on a map's
-		for _, k := range m.order {
-			if n.out[k] {
+// crash ends the node's process: what is on it ends as a reset.
+func (n *replica) crash() {
+	n.up, n.queue, n.busyCores = false, nil, 0
+	var lost []*attempt
+	for _, host := range n.world.aggregators { // in an order that does not hang on a map's
+		for _, k := range host.sendOrder {
+			if n.inFlight[k] {
 				lost = append(lost, k)
 			}
 		}
 	}
-	clear(n.out)
+	clear(n.inFlight)
 	for _, k := range lost {
-		n.w.in(n.w.delay(), func() { k.m.ended(k, &aggregator.AttemptError{Progress: aggregator.Written}, "") })
+		n.world.after(n.world.networkDelay(), func() { k.host.deliverResult(k, &aggregator.AttemptError{Progress: aggregator.Written}, "") })
 	}
 }
 
-// roster is the list of servers; each mixer hears of a change some time later.
-type roster struct {
-	w   *world
-	lag time.Duration
+// endpointFeed is the list of servers; each mixer hears of a change some time later.
+type endpointFeed struct {
+	world *world
+	lag   time.Duration
 }
 
-// tell tells all mixers of a node.
-func (r *roster) tell(n *node, s balance.EndpointState) {
-	if r.w.Discovery.Kind != "" {
-		r.w.registry.change(n, s)
+// publish tells all mixers of a node.
+func (r *endpointFeed) publish(n *replica, s balance.EndpointState) {
+	if r.world.Discovery.Kind != "" {
+		r.world.discovery.append(n, s)
 		return
 	}
-	for _, m := range r.w.mixers {
-		d := r.lag + time.Duration(r.w.rng.Float64()*float64(50*time.Millisecond))
-		r.w.in(d, func() { m.listed(n, s) })
+	for _, host := range r.world.aggregators {
+		d := r.lag + time.Duration(r.world.rng.Float64()*float64(50*time.Millisecond))
+		r.world.after(d, func() { host.endpointPublished(n, s) })
 	}
 }
--- a/internal/testbed/sim/sim.go
+++ b/internal/testbed/sim/sim.go
@@ -20,9 +20,9 @@
 var Start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 type event struct {
-	at  time.Time
-	seq uint64 // events of one moment happen in the order in which they were made
-	do  func()
+	at     time.Time
+	seq    uint64 // events of one moment happen in the order in which they were made
+	action func()
 }
 
 type events []event
@@ -46,14 +46,14 @@
 
 // clock is virtual time with what is to happen in it, and the trace of what has.
 type clock struct {
-	now    time.Time
-	queue  events
-	seq    uint64
-	count  uint64
-	trace  *xxhash.Digest
-	keep   bool // keep the trace's text
-	text   []string
-	buffer [8]byte
+	now        time.Time
+	queue      events
+	seq        uint64
+	eventCount uint64
+	trace      *xxhash.Digest
+	keepText   bool // keep the trace's text
+	traceText  []string
+	buffer     [8]byte
 }
 
 // at makes something happen.
@@ -65,10 +65,10 @@
 	heap.Push(&c.queue, event{t, c.seq, do})
 }
 
-func (c *clock) in(d time.Duration, do func()) { c.at(c.now.Add(d), do) }
+func (c *clock) after(d time.Duration, do func()) { c.at(c.now.Add(d), do) }
 
-// note adds to the trace.
-func (c *clock) note(what string, a, b uint64) {
+// record adds to the trace.
+func (c *clock) record(what string, a, b uint64) {
 	binary.LittleEndian.PutUint64(c.buffer[:], uint64(c.now.Sub(Start)))
 	c.trace.Write(c.buffer[:])
 	c.trace.WriteString(what)
@@ -76,8 +76,8 @@
 	c.trace.Write(c.buffer[:])
 	binary.LittleEndian.PutUint64(c.buffer[:], b)
 	c.trace.Write(c.buffer[:])
-	if c.keep {
-		c.text = append(c.text, fmt.Sprintf("%v %s %d %d", c.now.Sub(Start), what, a, b))
+	if c.keepText {
+		c.traceText = append(c.traceText, fmt.Sprintf("%v %s %d %d", c.now.Sub(Start), what, a, b))
 	}
 }
 
@@ -86,123 +86,123 @@
 	for len(c.queue) > 0 && !c.queue[0].at.After(end) {
 		e := heap.Pop(&c.queue).(event)
 		c.now = e.at
-		c.count++
-		e.do()
+		c.eventCount++
+		e.action()
 	}
 	c.now = end
 }
 
 // Settings of a fleet.
 type Settings struct {
-	Seed      uint64
-	Mixers    int
-	Nodes     int
-	Reach     int           // nodes that hold a block; blocks are as many as nodes, round the ring
-	Parts     int           // of a search
-	Cores     int           // of a node
-	Work      time.Duration // of a part, on the mean; exponential over a half of it
-	Rate      float64       // queries a second over all mixers
-	Retries   int           // that a client makes of a refused or failed query
-	RetryAt   time.Duration // after so long, and a half to twice of it
-	Network   time.Duration // one way, on the mean
-	For       time.Duration // clients ask for so long
-	Evidence  bool          // mixers have decide/health, and checks each second
-	Zones     int           // of nodes and mixers, in turn; 0: two of nodes, all mixers in the first
-	Skew      float64       // of the mixers' traffic: each gets e to so many normal deviations
-	Words     bool          // mixers probe nodes and tell each other what they see
-	Cold      Cold          // what a node can do after its start
-	Discovery Discovery     // how mixers hear of the list
-	Troubles  []Trouble
-	Planted   string // a bug on purpose, for tests of the checker
-	Keep      bool   // keep the trace's text
+	Seed            uint64        `json:"Seed"`
+	Aggregators     int           `json:"Mixers"`
+	Replicas        int           `json:"Nodes"`
+	Reach           int           `json:"Reach"`     // nodes that hold a block; blocks are as many as nodes, round the ring
+	SearchParts     int           `json:"Parts"`     // of a search
+	Cores           int           `json:"Cores"`     // of a node
+	MeanServiceTime time.Duration `json:"Work"`      // of a part, on the mean; exponential over a half of it
+	Rate            float64       `json:"Rate"`      // queries a second over all mixers
+	Retries         int           `json:"Retries"`   // that a client makes of a refused or failed query
+	RetryDelay      time.Duration `json:"RetryAt"`   // after so long, and a half to twice of it
+	NetworkDelay    time.Duration `json:"Network"`   // one way, on the mean
+	Duration        time.Duration `json:"For"`       // clients ask for so long
+	HealthEvidence  bool          `json:"Evidence"`  // mixers have decide/health, and checks each second
+	Zones           int           `json:"Zones"`     // of nodes and mixers, in turn; 0: two of nodes, all mixers in the first
+	TrafficSkew     float64       `json:"Skew"`      // of the mixers' traffic: each gets e to so many normal deviations
+	Gossip          bool          `json:"Words"`     // mixers probe nodes and tell each other what they see
+	Warmup          Warmup        `json:"Cold"`      // what a node can do after its start
+	Discovery       Discovery     `json:"Discovery"` // how mixers hear of the list
+	Faults          []Fault       `json:"Troubles"`
+	PlantedBug      string        `json:"Planted"` // a bug on purpose, for tests of the checker
+	KeepTrace       bool          `json:"Keep"`    // keep the trace's text
 }
 
 // Defaults is a small fleet without trouble.
 func Defaults(seed uint64) Settings {
-	return Settings{Seed: seed, Mixers: 2, Nodes: 12, Reach: 4, Parts: 4, Cores: 2, Work: 20 * time.Millisecond, Rate: 100, Retries: 1,
-		RetryAt: 300 * time.Millisecond, Network: 500 * time.Microsecond, For: 10 * time.Second}
+	return Settings{Seed: seed, Aggregators: 2, Replicas: 12, Reach: 4, SearchParts: 4, Cores: 2, MeanServiceTime: 20 * time.Millisecond, Rate: 100, Retries: 1,
+		RetryDelay: 300 * time.Millisecond, NetworkDelay: 500 * time.Microsecond, Duration: 10 * time.Second}
 }
 
 // Result of a run.
 type Result struct {
-	Hash                                    uint64 // of the trace
-	Events                                  uint64
-	Asked, Served, Partial, Refused, Failed int // queries, a client's repeats among them
-	Wanted, Got                             int // first tries, and those that were answered in the end
-	Lost                                    int // tries whose mixer died under them
-	Fallen                                  int // cold nodes that got too much
-	Calls, CallsFailed                      int // of discovery
-	Classes                                 [3]OfClass
-	Broken                                  []string
-	Took                                    []time.Duration // of served queries, in order
-	Trace                                   []string
+	Hash                                        uint64 // of the trace
+	Events                                      uint64
+	Requests, Served, Partial, Rejected, Failed int // queries, a client's repeats among them
+	Queries, Answered                           int // first tries, and those that were answered in the end
+	ConnectionsLost                             int // tries whose mixer died under them
+	ReplicasOverloaded                          int // cold nodes that got too much
+	DiscoveryPolls, DiscoveryPollsRejected      int // of discovery
+	Classes                                     [3]ClassCounts
+	Violations                                  []string
+	Latencies                                   []time.Duration // of served queries, in order
+	Trace                                       []string
 }
 
-// OfClass counts the queries of one class, a client's repeats not among them.
-type OfClass struct{ Wanted, Got, InTime int }
+// ClassCounts counts the queries of one class, a client's repeats not among them.
+type ClassCounts struct{ Queries, Answered, WithinObjective int }
 
 // Goodput is the share of what was wanted that was answered.
 func (r *Result) Goodput() float64 {
-	if r.Wanted == 0 {
+	if r.Queries == 0 {
 		return 1
 	}
-	return float64(r.Got) / float64(r.Wanted)
+	return float64(r.Answered) / float64(r.Queries)
 }
 
 // world is one run.
 type world struct {
 	clock
 	Settings
-	rng      *rand.Rand
-	mixers   []*mixerHost
-	nodes    []*node
-	byID     map[balance.Replica]*node
-	roster   *roster
-	registry *registry
-	traffic  []float64 // of the mixers, added up
-	parted   bool      // the zones do not reach each other
-	check    *checker
-	result   Result
+	rng               *rand.Rand
+	aggregators       []*aggregatorHost
+	replicas          []*replica
+	replicaByID       map[balance.Replica]*replica
+	feed              *endpointFeed
+	discovery         *discoveryService
+	cumulativeTraffic []float64 // of the mixers, added up
+	partitioned       bool      // the zones do not reach each other
+	checker           *checker
+	result            Result
 }
 
-// between says whether nothing passes from one zone to the other.
-func (w *world) between(a, b int) bool { return w.parted && a != b }
+// separated says whether nothing passes from one zone to the other.
+func (w *world) separated(a, b int) bool { return w.partitioned && a != b }
 
 // Run plays a fleet.
 func Run(s Settings) (Result, error) {
-	w := &world{Settings: s, byID: map[balance.Replica]*node{}, rng: rand.New(rand.NewPCG(s.Seed, 0x51)), check: newChecker()}
-	w.clock = clock{now: Start, trace: xxhash.New(), keep: s.Keep}
-	w.check.w = w
-	for i := range s.Nodes {
-		n := newNode(w, i)
-		w.nodes = append(w.nodes, n)
-		w.byID[n.id] = n
+	w := &world{Settings: s, replicaByID: map[balance.Replica]*replica{}, rng: rand.New(rand.NewPCG(s.Seed, 0x51)), checker: newChecker()}
+	w.clock = clock{now: Start, trace: xxhash.New(), keepText: s.KeepTrace}
+	w.checker.world = w
+	for i := range s.Replicas {
+		n := newReplica(w, i)
+		w.replicas = append(w.replicas, n)
+		w.replicaByID[n.id] = n
 	}
-	w.roster, w.registry = &roster{w: w}, &registry{w: w}
-	if s.Skew > 0 {
+	w.feed, w.discovery = &endpointFeed{world: w}, &discoveryService{world: w}
+	if s.TrafficSkew > 0 {
 		sum := 0.0
-		for range s.Mixers {
-			sum += math.Exp(s.Skew * w.rng.NormFloat64())
-			w.traffic = append(w.traffic, sum)
+		for range s.Aggregators {
+			sum += math.Exp(s.TrafficSkew * w.rng.NormFloat64())
+			w.cumulativeTraffic = append(w.cumulativeTraffic, sum)
 		}
 	}
-	for i := range s.Mixers {
-		m, err := newMixer(w, i)
+	for i := range s.Aggregators {
+		m, err := newAggregatorHost(w, i)
 		if err != nil {
 			return Result{}, err
 		}
-		w.mixers = append(w.mixers, m)
+		w.aggregators = append(w.aggregators, m)
 	}
-	for i := range s.Troubles {
-		s.Troubles[i].plan(w)
+	for i := range s.Faults {
+		s.Faults[i].schedule(w)
 	}
-	w.at(Start.Add(100*time.Millisecond), w.arrive)
-	w.run(Start.Add(s.For))
+	w.at(Start.Add(100*time.Millisecond), w.queryArrives)
+	w.run(Start.Add(s.Duration))
 	// Quiet: what is open ends, and nothing may be left.
-	w.run(Start.Add(s.For + deadline + 5*time.Second))
-	w.check.quiet()
-	w.result.Hash, w.result.Events, w.result.Trace = w.trace.Sum64(), w.count, w.text
-	w.result.Broken = w.check.broken
-	w.result.Calls, w.result.CallsFailed = w.registry.calls, w.registry.failed
+	w.run(Start.Add(s.Duration + maxDeadline + 5*time.Second))
+	w.checker.checkQuiescence()
+	w.result.Hash, w.result.Events, w.result.Trace = w.trace.Sum64(), w.eventCount, w.traceText
+	w.result.Violations = w.checker.violations
+	w.result.DiscoveryPolls, w.result.DiscoveryPollsRejected = w.discovery.polls, w.discovery.rejectedPolls
 	return w.result, nil
 }
--- a/internal/testbed/sim/sim_test.go
+++ b/internal/testbed/sim/sim_test.go
@@ -21,12 +21,12 @@
 func TestSameSeedSameTrace(t *testing.T) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	for seed := range uint64(2) {
-		s := Draw(seed)
+		s := RandomSettings(seed)
 		one := play(t, s)
 		runtime.GOMAXPROCS(8)
 		two := play(t, s)
 		runtime.GOMAXPROCS(1)
-		if one.Hash != two.Hash || one.Events != two.Events || one.Asked == 0 {
+		if one.Hash != two.Hash || one.Events != two.Events || one.Requests == 0 {
 			t.Errorf("seed %d: %x of %d events, then %x of %d", seed, one.Hash, one.Events, two.Hash, two.Events)
 		}
 		s.Seed += 1000
@@ -44,30 +44,30 @@
 		return s
 	}
 	calm := play(t, quiet())
-	if calm.Goodput() < 0.999 || len(calm.Broken) > 0 || calm.Wanted < 300 {
-		t.Errorf("calm: %+v", calm.Broken)
+	if calm.Goodput() < 0.999 || len(calm.Violations) > 0 || calm.Queries < 300 {
+		t.Errorf("calm: %+v", calm.Violations)
 	}
 	median := func(r Result) time.Duration {
-		slices.Sort(r.Took)
-		return r.Took[len(r.Took)/2]
+		slices.Sort(r.Latencies)
+		return r.Latencies[len(r.Latencies)/2]
 	}
-	for _, k := range Kinds {
+	for _, k := range FaultKinds {
 		s := quiet()
-		s.Troubles = []Trouble{{Kind: k, From: 2 * time.Second, For: 6 * time.Second, Nodes: 6, Size: map[Kind]float64{FastErrors: 0.8, Burst: 3, Slow: 8, Gray: 8, Lag: 5}[k]}}
+		s.Faults = []Fault{{Kind: k, From: 2 * time.Second, Duration: 6 * time.Second, Replicas: 6, Magnitude: map[FaultKind]float64{FastErrors: 0.8, Burst: 3, SlowReplicas: 8, Gray: 8, EndpointLag: 5}[k]}}
 		r := play(t, s)
-		if len(r.Broken) > 0 {
-			t.Errorf("%s: %v", k, r.Broken)
+		if len(r.Violations) > 0 {
+			t.Errorf("%s: %v", k, r.Violations)
 		}
 		switch k {
 		case Burst:
-			if r.Wanted < calm.Wanted*2 {
-				t.Errorf("%s: %d queries, %d in calm", k, r.Wanted, calm.Wanted)
+			if r.Queries < calm.Queries*2 {
+				t.Errorf("%s: %d queries, %d in calm", k, r.Queries, calm.Queries)
 			}
-		case Slow:
+		case SlowReplicas:
 			if median(r) < 2*median(calm) {
 				t.Errorf("%s: %v, %v in calm", k, median(r), median(calm))
 			}
-		case BadChecks, Lag, Deploy: // nothing may come of them by themselves
+		case BadChecks, EndpointLag, Deploy: // nothing may come of them by themselves
 			if r.Goodput() < 0.98 {
 				t.Errorf("%s: goodput %.3f", k, r.Goodput())
 			}
@@ -82,8 +82,8 @@
 // No rule breaks in random runs.
 func TestRulesHold(t *testing.T) {
 	for seed := range uint64(5) {
-		if r := play(t, Draw(seed)); len(r.Broken) > 0 {
-			t.Errorf("seed %d: %d broken, the first %s", seed, len(r.Broken), r.Broken[0])
+		if r := play(t, RandomSettings(seed)); len(r.Violations) > 0 {
+			t.Errorf("seed %d: %d broken, the first %s", seed, len(r.Violations), r.Violations[0])
 		}
 	}
 }
@@ -95,26 +95,26 @@
 		"dishonest whole": "marked whole", "leaked attempt": "attempts out", "second copy": "two attempts of",
 	} {
 		s := Defaults(3)
-		s.Planted = bug
-		s.Troubles = []Trouble{{Kind: Deploy, From: time.Second, For: 6 * time.Second, Nodes: 6}, {Kind: Hang, From: 2 * time.Second, For: 5 * time.Second, Nodes: 5, First: 6}}
+		s.PlantedBug = bug
+		s.Faults = []Fault{{Kind: Deploy, From: time.Second, Duration: 6 * time.Second, Replicas: 6}, {Kind: Hang, From: 2 * time.Second, Duration: 5 * time.Second, Replicas: 5, First: 6}}
 		r := play(t, s)
-		if !slices.ContainsFunc(r.Broken, func(b string) bool { return strings.Contains(b, words) }) {
-			t.Errorf("%s: %v", bug, r.Broken)
+		if !slices.ContainsFunc(r.Violations, func(b string) bool { return strings.Contains(b, words) }) {
+			t.Errorf("%s: %v", bug, r.Violations)
 		}
 	}
 }
 
 // A schedule that breaks a rule is shrunk to the trouble that it takes.
 func TestShrink(t *testing.T) {
-	s := Draw(5)
-	s.Planted = "drain ignored"
-	s.Troubles = []Trouble{{Kind: Slow, From: time.Second, For: time.Second, Size: 2}, {Kind: Deploy, From: time.Second, For: 5 * time.Second, Nodes: 4},
-		{Kind: Burst, From: time.Second, For: time.Second, Size: 2}}
+	s := RandomSettings(5)
+	s.PlantedBug = "drain ignored"
+	s.Faults = []Fault{{Kind: SlowReplicas, From: time.Second, Duration: time.Second, Magnitude: 2}, {Kind: Deploy, From: time.Second, Duration: 5 * time.Second, Replicas: 4},
+		{Kind: Burst, From: time.Second, Duration: time.Second, Magnitude: 2}}
 	short, runs := Shrink(s, 200)
-	if len(short.Troubles) != 1 || short.Troubles[0].Kind != Deploy || runs < 5 {
-		t.Errorf("%d runs, %+v", runs, short.Troubles)
+	if len(short.Faults) != 1 || short.Faults[0].Kind != Deploy || runs < 5 {
+		t.Errorf("%d runs, %+v", runs, short.Faults)
 	}
-	if r := play(t, short); len(r.Broken) == 0 {
+	if r := play(t, short); len(r.Violations) == 0 {
 		t.Error("the shrunk run breaks nothing")
 	}
 }
@@ -126,10 +126,10 @@
 			events := uint64(0)
 			for i := range b.N {
 				s := Defaults(uint64(i))
-				s.Nodes, s.Rate, s.For = n, 8*float64(n), 2*time.Second
+				s.Replicas, s.Rate, s.Duration = n, 8*float64(n), 2*time.Second
 				r, err := Run(s)
-				if err != nil || len(r.Broken) > 0 {
-					b.Fatal(err, r.Broken)
+				if err != nil || len(r.Violations) > 0 {
+					b.Fatal(err, r.Violations)
 				}
 				events += r.Events
 			}
