--- a/cmd/testbed/days.go
+++ b/cmd/testbed/days.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"maps"
 	"math"
@@ -16,146 +15,168 @@
 	"rooktrestle/internal/testbed/sim"
 )
 
-// span is a mean over seeds with the half width of its 95% interval; under two seeds there is none.
-type span struct {
+// confidence is that of the intervals over seeds.
+const confidence = 0.95
+
+// interval is a mean over seeds with the half width of its confidence interval; under two seeds there is none.
+type interval struct {
 	Mean float64 `json:"mean"`
 	Half float64 `json:"half"`
 }
 
-func spanOf(values []float64) span {
+func intervalOf(values []float64) interval {
 	if len(values) < 2 {
-		return span{Mean: stat.Mean(values, nil)}
+		return interval{Mean: stat.Mean(values, nil)}
 	}
-	mean, dev := stat.MeanStdDev(values, nil)
+	mean, deviation := stat.MeanStdDev(values, nil)
 	n := float64(len(values))
-	t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 1}.Quantile(0.975)
-	return span{mean, t * dev / math.Sqrt(n)}
+	t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 1}.Quantile(1 - (1-confidence)/2)
+	return interval{mean, t * deviation / math.Sqrt(n)}
+}
+
+func (i interval) String() string { return fmt.Sprintf("%.3f ± %.3f", i.Mean, i.Half) }
+
+// daySummary is what the seeds of one day came to, in fractions of the clients' queries.
+type daySummary struct {
+	Day                string              `json:"day"`
+	Seeds              int                 `json:"seeds"`
+	Answered           interval            `json:"answered"`
+	WithinObjective    map[string]interval `json:"in_time"` // by class
+	DiscoveryPolls     interval            `json:"list_calls"`
+	ReplicasOverloaded int                 `json:"nodes_fallen"`
+	Violations         map[uint64]string   `json:"broken"` // the first of each seed that has one
+
+	// Of each seed, in the order of the seeds.
+	goodput         []float64
+	withinObjective map[string][]float64
+	polls           []float64
 }
 
-func (s span) String() string { return fmt.Sprintf("%.3f ± %.3f", s.Mean, s.Half) }
-
-// dayWord is what the seeds of one day came to. Shares are of the queries that clients wanted.
-type dayWord struct {
-	Day      string            `json:"day"`
-	Seeds    int               `json:"seeds"`
-	Answered span              `json:"answered"`
-	InTime   map[string]span   `json:"in_time"` // of each class
-	Calls    span              `json:"list_calls"`
-	Fallen   int               `json:"nodes_fallen"`
-	Broken   map[uint64]string `json:"broken"` // the first broken rule of a seed
-	goodput  []float64         // of each seed
-	classes  map[string][]float64
-	calls    []float64
+func newDaySummary(day string, seeds int) *daySummary {
+	return &daySummary{Day: day, Seeds: seeds, WithinObjective: map[string]interval{}, Violations: map[uint64]string{}, withinObjective: map[string][]float64{}}
 }
 
+// classNames are those of the simulator's classes, by index.
 var classNames = [...]string{"search", "report", "correction"}
 
-func (d *dayWord) take(seed uint64, r sim.Result) {
-	d.goodput, d.calls = append(d.goodput, r.Goodput()), append(d.calls, float64(r.DiscoveryPolls))
+// add adds the result of the next seed.
+func (d *daySummary) add(seed uint64, r sim.Result) {
+	d.goodput, d.polls = append(d.goodput, r.Goodput()), append(d.polls, float64(r.DiscoveryPolls))
 	for i, c := range r.Classes {
 		if c.Queries > 0 {
-			d.classes[classNames[i]] = append(d.classes[classNames[i]], float64(c.WithinObjective)/float64(c.Queries))
+			d.withinObjective[classNames[i]] = append(d.withinObjective[classNames[i]], float64(c.WithinObjective)/float64(c.Queries))
 		}
 	}
-	d.Fallen += r.ReplicasOverloaded
+	d.ReplicasOverloaded += r.ReplicasOverloaded
 	if len(r.Violations) > 0 {
-		d.Broken[seed] = r.Violations[0]
+		d.Violations[seed] = r.Violations[0]
 	}
 }
 
-func (d *dayWord) sum() {
-	d.Answered, d.Calls = spanOf(d.goodput), spanOf(d.calls)
-	for name, shares := range d.classes {
-		d.InTime[name] = spanOf(shares)
+// summarize computes the intervals once every seed is added.
+func (d *daySummary) summarize() {
+	d.Answered, d.DiscoveryPolls = intervalOf(d.goodput), intervalOf(d.polls)
+	for name, fractions := range d.withinObjective {
+		d.WithinObjective[name] = intervalOf(fractions)
 	}
 }
 
-// days plays days of whole fleets.
-func days() *cobra.Command {
-	var seeds, mixers, nodes int
-	var first uint64
-	var asJSON bool
+// daysOptions are those of the days command.
+type daysOptions struct {
+	seeds                 int
+	firstSeed             uint64
+	aggregators, replicas int
+	asJSON                bool
+}
+
+// daysCommand plays days of whole fleets.
+func daysCommand() *cobra.Command {
+	var o daysOptions
 	c := &cobra.Command{
 		Use: "days [DAY...]", Short: "Play days of whole fleets under virtual time, and print what was answered with its interval over seeds",
-		Long: "Plays days of whole fleets under virtual time: mixers killed at once during a release, a zone lost and back cold,\n" +
-			"zones cut off from each other while discovery is silent, most nodes replaced. Exit status 1: a rule was broken.",
+		Long: "Plays days of whole fleets under virtual time: aggregators killed at once during a release, a zone lost and back warming up,\n" +
+			"zones cut off from each other while discovery is unresponsive, most replicas replaced. Exit status 1: a rule was broken.",
 		Example: "  testbed days herd split --mixers 300 --nodes 200 --seeds 20\n  testbed days herd --seed 7 --seeds 1 --json", ValidArgs: sim.DayNames,
-		RunE: func(cmd *cobra.Command, named []string) error {
-			if len(named) == 0 {
-				named = sim.DayNames
+		RunE: func(cmd *cobra.Command, names []string) error {
+			if len(names) == 0 {
+				names = sim.DayNames
 			}
-			if seeds < 1 {
+			if o.seeds < 1 {
 				return fmt.Errorf("--seeds at least 1")
 			}
-			broken := false
-			var words []*dayWord
-			for _, day := range named {
-				d := &dayWord{Day: day, Seeds: seeds, InTime: map[string]span{}, Broken: map[uint64]string{}, classes: map[string][]float64{}}
-				if err := playDay(d, first, mixers, nodes); err != nil {
-					return err
-				}
-				d.sum()
-				words = append(words, d)
-				broken = broken || len(d.Broken) > 0
-				if !asJSON {
-					d.print(cmd)
-				}
-			}
-			if asJSON {
-				e := json.NewEncoder(cmd.OutOrStdout())
-				e.SetIndent("", "  ")
-				if err := e.Encode(words); err != nil {
-					return err
-				}
-			}
-			if broken {
-				return errNo
-			}
-			return nil
+			return runDays(&output{w: cmd.OutOrStdout()}, names, o)
 		},
 	}
-	c.Flags().IntVar(&seeds, "seeds", 4, "how many of each day")
-	c.Flags().Uint64Var(&first, "seed", 1, "the first")
-	c.Flags().IntVar(&mixers, "mixers", 60, "of the fleet")
-	c.Flags().IntVar(&nodes, "nodes", 40, "of the archive")
-	c.Flags().BoolVar(&asJSON, "json", false, "for scripts")
+	c.Flags().IntVar(&o.seeds, "seeds", 4, "how many of each day")
+	c.Flags().Uint64Var(&o.firstSeed, "seed", 1, "the first")
+	c.Flags().IntVar(&o.aggregators, "mixers", 60, "aggregators of the fleet")
+	c.Flags().IntVar(&o.replicas, "nodes", 40, "replicas of the archive")
+	c.Flags().BoolVar(&o.asJSON, "json", false, "for scripts")
 	return c
 }
 
-// playDay plays the seeds of a day beside each other, and takes them in their order: sums must not hang on which is over
-// first.
-func playDay(d *dayWord, first uint64, mixers, nodes int) error {
+func runDays(out *output, names []string, o daysOptions) error {
+	violated := false
+	var summaries []*daySummary
+	for _, name := range names {
+		d := newDaySummary(name, o.seeds)
+		if err := d.play(o); err != nil {
+			return err
+		}
+		d.summarize()
+		summaries = append(summaries, d)
+		violated = violated || len(d.Violations) > 0
+		if !o.asJSON {
+			d.print(out)
+		}
+	}
+	if o.asJSON {
+		out.printJSON(summaries)
+	}
+	if out.err == nil && violated {
+		return errClaimsFailed
+	}
+	return out.err
+}
+
+// play plays the seeds of a day concurrently, and adds them in their order: sums of floats depend on it.
+func (d *daySummary) play(o daysOptions) error {
 	results, errs := make([]sim.Result, d.Seeds), make([]error, d.Seeds)
 	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
-	var all sync.WaitGroup
+	var players sync.WaitGroup
 	for i := range d.Seeds {
 		slots <- struct{}{}
-		all.Go(func() {
+		players.Go(func() {
 			defer func() { <-slots }()
-			var s sim.Settings
-			if s, errs[i] = sim.DaySettings(d.Day, first+uint64(i), mixers, nodes); errs[i] == nil {
-				results[i], errs[i] = sim.Run(s)
-			}
+			results[i], errs[i] = playSeed(d.Day, o.firstSeed+uint64(i), o)
 		})
 	}
-	all.Wait()
+	players.Wait()
 	for i, r := range results {
 		if errs[i] != nil {
 			return errs[i]
 		}
-		d.take(first+uint64(i), r)
+		d.add(o.firstSeed+uint64(i), r)
 	}
 	return nil
 }
 
-func (d *dayWord) print(cmd *cobra.Command) {
-	out := cmd.OutOrStdout()
-	fmt.Fprintf(out, "%-6s answered %v; in time:", d.Day, d.Answered)
+func playSeed(day string, seed uint64, o daysOptions) (sim.Result, error) {
+	s, err := sim.DaySettings(day, seed, o.aggregators, o.replicas)
+	if err != nil {
+		return sim.Result{}, err
+	}
+	return sim.Run(s)
+}
+
+func (d *daySummary) print(out *output) {
+	out.printf("%-6s answered %v; in time:", d.Day, d.Answered)
 	for _, name := range classNames {
-		fmt.Fprintf(out, " %s %v,", name, d.InTime[name])
+		out.printf(" %s %v,", name, d.WithinObjective[name])
 	}
-	fmt.Fprintf(out, " list calls %.0f ± %.0f, %d cold nodes fell, %d of %d seeds broke a rule\n", d.Calls.Mean, d.Calls.Half, d.Fallen, len(d.Broken), d.Seeds)
-	for _, seed := range slices.Sorted(maps.Keys(d.Broken)) {
-		fmt.Fprintf(out, "  seed %d: %s\n", seed, d.Broken[seed])
+	out.printf(" discovery polls %.0f ± %.0f, %d warming replicas overloaded, %d of %d seeds broke a rule\n",
+		d.DiscoveryPolls.Mean, d.DiscoveryPolls.Half, d.ReplicasOverloaded, len(d.Violations), d.Seeds)
+	for _, seed := range slices.Sorted(maps.Keys(d.Violations)) {
+		out.printf("  seed %d: %s\n", seed, d.Violations[seed])
 	}
 }
--- a/cmd/testbed/demo.go
+++ b/cmd/testbed/demo.go
@@ -123,7 +123,7 @@
 		}
 	}
 	if twice := invariants.DuplicateCorrections(in.Archive); len(twice) > 0 {
-		return fmt.Errorf("%w: corrections ran twice: %v", errNo, twice)
+		return fmt.Errorf("%w: corrections ran twice: %v", errClaimsFailed, twice)
 	}
 	fmt.Fprintln(out, "no correction ran twice")
 	return nil
--- a/cmd/testbed/health.go
+++ b/cmd/testbed/health.go
@@ -92,7 +92,7 @@
 				fmt.Fprintln(out, string(text))
 			}
 			if broken > 0 {
-				return fmt.Errorf("%w: %d broken", errNo, broken)
+				return fmt.Errorf("%w: %d broken", errClaimsFailed, broken)
 			}
 			return nil
 		},
--- a/cmd/testbed/main.go
+++ b/cmd/testbed/main.go
@@ -9,16 +9,16 @@
 	"github.com/spf13/cobra"
 )
 
-// errNo is an answer "no": exit status 1.
-var errNo = errors.New("not all claims hold")
+// errClaimsFailed is an answer "no": exit status 1.
+var errClaimsFailed = errors.New("not all claims hold")
 
 func main() {
 	root := &cobra.Command{Use: "testbed", Short: "Stand-in nodes, load and experiments for rooktrestle, on loopback",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(demo(), health(), reshapeCommand(), hunt(), loadCommand(), days())
+	root.AddCommand(demo(), health(), reshapeCommand(), huntCommand(), loadCommand(), daysCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "testbed:", err)
-		if errors.Is(err, errNo) {
+		if errors.Is(err, errClaimsFailed) {
 			os.Exit(1)
 		}
 		os.Exit(2)
--- /dev/null
+++ b/cmd/testbed/output.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// output writes a command's report and keeps the first error, which the command returns at its end: the report of a long
+// run need not check each line.
+type output struct {
+	w   io.Writer
+	err error
+}
+
+func (o *output) printf(format string, args ...any) {
+	if o.err == nil {
+		_, o.err = fmt.Fprintf(o.w, format, args...)
+	}
+}
+
+func (o *output) println(args ...any) {
+	if o.err == nil {
+		_, o.err = fmt.Fprintln(o.w, args...)
+	}
+}
+
+// printJSON writes a value as indented JSON.
+func (o *output) printJSON(v any) {
+	text, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		if o.err == nil {
+			o.err = err
+		}
+		return
+	}
+	o.printf("%s\n", text)
+}
+
+// table writes rows of cells that rows separates by tabs, aligned to the right.
+func (o *output) table(rows func(t *output)) {
+	if o.err != nil {
+		return
+	}
+	aligned := tabwriter.NewWriter(o.w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	t := &output{w: aligned}
+	rows(t)
+	o.err = t.err
+	if err := aligned.Flush(); o.err == nil {
+		o.err = err
+	}
+}
--- a/cmd/testbed/resharding.go
+++ b/cmd/testbed/resharding.go
@@ -93,9 +93,9 @@
 	}
 	switch {
 	case len(still.Wrong)+len(moved.Wrong)+len(still.Twice)+len(moved.Twice) > 0:
-		return fmt.Errorf("%w: wrong answers, or corrections that ran twice", errNo)
+		return fmt.Errorf("%w: wrong answers, or corrections that ran twice", errClaimsFailed)
 	case moved.Answered < still.Answered-0.01:
-		return fmt.Errorf("%w: %.2f%% answered while blocks are reshaped, %.2f%% without", errNo, 100*moved.Answered, 100*still.Answered)
+		return fmt.Errorf("%w: %.2f%% answered while blocks are reshaped, %.2f%% without", errClaimsFailed, 100*moved.Answered, 100*still.Answered)
 	}
 	return nil
 }
--- a/internal/testbed/sim/aggregator.go
+++ b/internal/testbed/sim/aggregator.go
@@ -16,9 +16,13 @@
 	search = iota
 	report
 	correction
+	classCount
 )
 
-// maxDeadline is the longest of a class.
+// allClasses stands for every class.
+const allClasses = -1
+
+// maxDeadline is the longest deadline of a class.
 const maxDeadline = 4 * time.Second
 
 func classes() []balance.Class {
@@ -29,7 +33,8 @@
 	}
 }
 
-// aggregatorHost drives a real core: it gathers what is ready, hands it over in one turn, and carries out what comes back.
+// aggregatorHost drives a real core: it collects the events of a moment, hands them over in one turn, and carries out the
+// core's commands.
 type aggregatorHost struct {
 	world            *world
 	index            int
@@ -39,17 +44,17 @@
 	turnScheduled    bool // a turn is due now
 	nextWake         time.Time
 	attempts         map[aggregator.AttemptID]*attempt
-	sendOrder        []*attempt                    // as sent, of those in works and some that have ended
-	removalKnownAt   map[balance.Replica]time.Time // when it was told that a node drains or is gone
+	sendOrder        []*attempt                    // those in attempts and some that have ended, as they were sent
+	removalKnownAt   map[balance.Replica]time.Time // since when it has known that a replica drains or is removed
 	endpointStates   map[balance.Replica]balance.EndpointState
 	healthTable      *health.Table
 	healthLimits     map[balance.Replica]balance.HealthLimits
 	zone             int
-	incarnation      int // number of its process
+	incarnation      int // of its process; the first is 1
 	crashed          bool
-	watcher          *watcher // nil: it is told of the list at once
+	watcher          *watcher // nil: endpointFeed tells it of the list
 	openRequests     map[*clientRequest]bool
-	knownStarts      map[balance.Replica]time.Time // of nodes, as told
+	knownStarts      map[balance.Replica]time.Time // of replicas, as far as it knows
 }
 
 func newAggregatorHost(w *world, i int) (*aggregatorHost, error) {
@@ -63,7 +68,7 @@
 	return h, h.start()
 }
 
-// start starts a process of the mixer: it knows what the list was when the last one ended.
+// start begins a new process of the aggregator. It starts from the endpoint list that the previous one had at its end.
 func (h *aggregatorHost) start() error {
 	known := h.endpointStates
 	h.incarnation++
@@ -93,51 +98,51 @@
 
 func (h *aggregatorHost) newBalancerSettings() balance.Settings {
 	w := h.world
-	set := balance.Settings{Seed: w.Seed + uint64(h.index), Instances: w.Aggregators, Tick: 5 * time.Millisecond, Cells: w.Replicas, Reach: w.Reach, Shards: w.Replicas,
+	settings := balance.Settings{Seed: w.Seed + uint64(h.index), Instances: w.Aggregators, Tick: 5 * time.Millisecond, Cells: w.Replicas, Reach: w.Reach, Shards: w.Replicas,
 		MaxCallParts: 1, MaxAttempts: 4, CanCancel: true, MaxRetryAfter: time.Second, OverQuotaFactor: 1, Classes: classes(),
 		Tenants: []balance.Tenant{{}}, Zone: h.zone}
-	if h.incarnation > 1 { // another process draws other chances
-		set.Seed += uint64(h.incarnation) << 32
+	if h.incarnation > 1 { // a new process has random samples of its own
+		settings.Seed += uint64(h.incarnation) << 32
 	}
-	if w.Warmup.Period > 0 && w.PlantedBug != bugIgnoreWarmup {
-		set.Rules = balance.Rules{WarmupPeriod: w.Warmup.Period, WarmupMinCapacity: w.Warmup.MinCapacity, OverloadMultiple: w.Warmup.OverloadMultiple, OverloadPeriod: w.Warmup.OverloadPeriod}
+	if w.Warmup.Period > 0 && w.PlantedBug != BugWarmupIgnored {
+		settings.Rules = balance.Rules{WarmupPeriod: w.Warmup.Period, WarmupMinCapacity: w.Warmup.MinCapacity, OverloadMultiple: w.Warmup.OverloadMultiple, OverloadPeriod: w.Warmup.OverloadPeriod}
 	}
 	if w.Gossip {
-		set.PeerMessages, set.CanProbe, set.LoadReportsOnProbe, set.ProbeTimeout = true, true, true, probeTimeout
+		settings.PeerMessages, settings.CanProbe, settings.LoadReportsOnProbe, settings.ProbeTimeout = true, true, true, probeTimeout
 	}
-	return set
+	return settings
 }
 
-// applyInitialList gives the mixer its first list: that of the nodes that its last process had in service, or all.
+// applyInitialList gives the aggregator its first list: the replicas that its previous process had in service, or all.
 func (h *aggregatorHost) applyInitialList(known map[balance.Replica]balance.EndpointState) error {
 	w := h.world
 	list := aggregator.EndpointsChanged{Kind: balance.ListFull}
-	var nodes []health.Server
-	for _, n := range w.replicas {
-		if s, ok := known[n.id]; h.incarnation > 1 && (!ok || s != balance.InService) {
+	var checked []health.Server
+	for _, r := range w.replicas {
+		if s, ok := known[r.id]; h.incarnation > 1 && (!ok || s != balance.InService) {
 			continue
 		}
-		h.knownStarts[n.id], h.endpointStates[n.id] = n.started, balance.InService
-		list.Servers = append(list.Servers, h.endpoint(n))
-		hn := health.Server{ID: health.ID(n.id)}
+		h.knownStarts[r.id], h.endpointStates[r.id] = r.started, balance.InService
+		list.Servers = append(list.Servers, h.endpoint(r))
+		server := health.Server{ID: health.ID(r.id)}
 		for j := range w.Reach {
-			hn.Shards = append(hn.Shards, (n.index-j+w.Replicas)%w.Replicas)
+			server.Shards = append(server.Shards, (r.index-j+w.Replicas)%w.Replicas)
 		}
-		nodes = append(nodes, hn)
+		checked = append(checked, server)
 	}
 	if w.HealthEvidence {
 		var err error
 		if h.healthTable, err = health.New(health.Defaults(3, 1<<correction), []health.CheckConfig{{Name: "check", Fall: 2, Rise: 1, Validity: 4 * time.Second}}, Start); err != nil {
 			return err
 		}
-		h.healthTable.UpdateEndpoints(Start, nodes, true)
+		h.healthTable.UpdateEndpoints(Start, checked, true)
 		w.at(Start.Add(time.Duration(w.rng.Float64()*float64(time.Second))), h.runHealthChecks)
 	}
 	h.post(list)
 	return nil
 }
 
-// crash ends the mixer's process: clients and nodes see their connections end.
+// crash ends the aggregator's process: clients and replicas see their connections end.
 func (h *aggregatorHost) crash() {
 	h.crashed = true
 	for _, a := range h.sendOrder {
@@ -162,13 +167,13 @@
 	clear(h.openRequests)
 }
 
-// applyEndpoint takes a line of the list that has come.
+// applyEndpoint takes an entry of the endpoint list that has arrived.
 func (h *aggregatorHost) applyEndpoint(e endpointEntry) {
 	h.endpointStates[e.replica.id] = e.state
 	h.recordKnown(e)
 }
 
-// recordKnown notes what the mixer answers for from now on.
+// recordKnown notes an entry that the aggregator is accountable for from now on.
 func (h *aggregatorHost) recordKnown(e endpointEntry) {
 	if e.state == balance.InService {
 		h.knownStarts[e.replica.id] = e.started
@@ -178,35 +183,32 @@
 	}
 }
 
-// Broadcast carries a word to the other mixers: late, or never.
+// Broadcast carries a gossip message to the other aggregators; some are lost.
 func (h *aggregatorHost) Broadcast(text []byte) {
 	w := h.world
 	for _, other := range w.aggregators {
 		if other == h || w.separated(h.zone, other.zone) || w.rng.Float64() < gossipLossProbability {
 			continue
 		}
-		life := other.incarnation
+		incarnation := other.incarnation
 		w.after(w.networkDelay(), func() {
-			if other.incarnation == life && !other.crashed {
+			if other.incarnation == incarnation && !other.crashed {
 				other.post(aggregator.GossipReceived{Payload: text})
 			}
 		})
 	}
 }
 
-// bugIgnoreWarmup is a planted bug: mixers send cold nodes what they send warm ones.
-const bugIgnoreWarmup = "cold ignored"
-
 const (
-	gossipLossProbability = 0.02                   // of the words, on their way to each mixer
-	probeTimeout          = 200 * time.Millisecond // a probe that nobody answers ends after it
+	gossipLossProbability = 0.02                   // of a gossip message, to each aggregator
+	probeTimeout          = 200 * time.Millisecond // of a load probe
 )
 
-func (h *aggregatorHost) endpoint(n *replica) aggregator.Server {
-	return aggregator.Server{HealthLimits: h.healthLimits[n.id], ID: n.id, Addr: string(n.id), Zone: n.zone(), Cell: n.index, Weight: 1, State: h.endpointStates[n.id], Started: n.started}
+func (h *aggregatorHost) endpoint(r *replica) aggregator.Server {
+	return aggregator.Server{HealthLimits: h.healthLimits[r.id], ID: r.id, Addr: string(r.id), Zone: r.zone(), Cell: r.index, Weight: 1, State: h.endpointStates[r.id], Started: r.started}
 }
 
-// post gathers an event for the turn of this moment.
+// post puts an event into the inbox for the turn of this moment.
 func (h *aggregatorHost) post(e aggregator.Event) {
 	if h.crashed {
 		return
@@ -214,9 +216,9 @@
 	h.inbox = append(h.inbox, e)
 	if !h.turnScheduled {
 		h.turnScheduled = true
-		life := h.incarnation
+		incarnation := h.incarnation
 		h.world.at(h.world.now, func() {
-			if h.incarnation == life {
+			if h.incarnation == incarnation {
 				h.runTurn()
 			}
 		})
@@ -236,9 +238,9 @@
 	}
 	if !next.IsZero() && (h.nextWake.IsZero() || next.Before(h.nextWake) || !h.nextWake.After(h.world.now)) {
 		h.nextWake = next
-		life := h.incarnation
+		incarnation := h.incarnation
 		h.world.at(next, func() {
-			if h.incarnation == life && h.nextWake.Equal(next) && !h.turnScheduled {
+			if h.incarnation == incarnation && h.nextWake.Equal(next) && !h.turnScheduled {
 				h.turnScheduled = true
 				h.runTurn()
 			}
@@ -246,16 +248,16 @@
 	}
 }
 
-// endpointPublished takes word of the roster.
-func (h *aggregatorHost) endpointPublished(n *replica, s balance.EndpointState) {
-	h.applyEndpoint(endpointEntry{n, s, n.started})
-	if h.world.PlantedBug == "drain ignored" && s == balance.Draining {
+// endpointPublished takes a change from endpointFeed.
+func (h *aggregatorHost) endpointPublished(r *replica, s balance.EndpointState) {
+	h.applyEndpoint(endpointEntry{r, s, r.started})
+	if h.world.PlantedBug == BugDrainIgnored && s == balance.Draining {
 		return
 	}
-	h.post(aggregator.EndpointsChanged{Kind: balance.ListDelta, Servers: []aggregator.Server{h.endpoint(n)}})
+	h.post(aggregator.EndpointsChanged{Kind: balance.ListDelta, Servers: []aggregator.Server{h.endpoint(r)}})
 }
 
-// AttemptEnded takes the end of an attempt as evidence.
+// AttemptEnded takes the end of an attempt as health evidence.
 func (h *aggregatorHost) AttemptEnded(now time.Time, a aggregator.AttemptSummary) {
 	if h.healthTable == nil {
 		return
@@ -263,28 +265,31 @@
 	h.healthTable.RecordOutcome(now, health.ID(a.Server), a.Class, a.HealthResult(now, classes()[a.Class].Objective), a.Sent)
 }
 
-// runHealthChecks asks every node, each second.
+// healthCheckInterval is the time between two checks of a replica.
+const healthCheckInterval = time.Second
+
+// runHealthChecks checks every replica, and again after healthCheckInterval.
 func (h *aggregatorHost) runHealthChecks() {
-	for _, n := range h.world.replicas {
-		r := health.CheckResult{Oper: health.Up, Weight: -1, MaxConn: -1}
-		if !n.checksPass || !n.up || n.unreachable {
-			r = health.CheckResult{Failed: true, Weight: -1, MaxConn: -1}
+	for _, r := range h.world.replicas {
+		result := health.CheckResult{Oper: health.Up, Weight: -1, MaxConn: -1}
+		if !r.checksPass || !r.up || r.unreachable {
+			result = health.CheckResult{Failed: true, Weight: -1, MaxConn: -1}
 		}
-		h.healthTable.RecordCheck(h.world.now, health.ID(n.id), 0, r)
+		h.healthTable.RecordCheck(h.world.now, health.ID(r.id), 0, result)
 	}
 	h.publishHealthChanges()
-	h.world.after(time.Second, h.runHealthChecks)
+	h.world.after(healthCheckInterval, h.runHealthChecks)
 }
 
-// publishHealthChanges turns what has changed into word of the list.
+// publishHealthChanges passes changes of the health table to the core as changes of endpoints.
 func (h *aggregatorHost) publishHealthChanges() {
 	changes := h.healthTable.Changes(h.world.now)
 	if len(changes) > 0 {
 		list := aggregator.EndpointsChanged{Kind: balance.ListDelta}
 		for _, c := range changes {
-			n := h.world.replicaByID[balance.Replica(c.ID)]
-			h.healthLimits[n.id] = balance.HealthLimits{TrafficFraction: c.TrafficFraction, MaxInFlight: c.MaxInFlight, EjectedClasses: c.EjectedClasses, HalfOpenClasses: c.HalfOpenClasses}
-			s := h.endpoint(n)
+			r := h.world.replicaByID[balance.Replica(c.ID)]
+			h.healthLimits[r.id] = balance.HealthLimits{TrafficFraction: c.TrafficFraction, MaxInFlight: c.MaxInFlight, EjectedClasses: c.EjectedClasses, HalfOpenClasses: c.HalfOpenClasses}
+			s := h.endpoint(r)
 			if c.State != health.InService && s.State == balance.InService {
 				s.State = balance.Draining
 			}
@@ -301,36 +306,36 @@
 	}
 }
 
-// Send carries attempts to a node.
+// Send carries attempts to a replica.
 func (h *aggregatorHost) Send(now time.Time, to aggregator.Server, calls []aggregator.Call) {
-	n := h.world.replicaByID[to.ID]
+	target := h.world.replicaByID[to.ID]
 	for _, call := range calls {
-		a := &attempt{host: h, call: call, replica: n}
+		a := &attempt{host: h, call: call, replica: target}
 		h.attempts[call.Attempt] = a
 		h.sendOrder = append(h.sendOrder, a)
-		h.world.record("send", uint64(call.Attempt.Part), uint64(n.index))
-		h.world.checker.attemptSent(h, n, a)
-		if h.world.separated(h.zone, n.zone()) {
-			continue // nobody will hear of it
+		h.world.record("send", uint64(call.Attempt.Part), uint64(target.index))
+		h.world.checker.attemptSent(h, target, a)
+		if h.world.separated(h.zone, target.zone()) {
+			continue // lost on the network
 		}
-		h.world.after(h.world.networkDelay(), func() { n.receive(a) })
+		h.world.after(h.world.networkDelay(), func() { target.receive(a) })
 	}
 	if len(h.sendOrder) > 2*len(h.attempts)+64 {
 		h.sendOrder = slices.DeleteFunc(h.sendOrder, func(a *attempt) bool { return h.attempts[a.call.Attempt] != a && !a.replica.inFlight[a] })
 	}
 }
 
-// Cancel gives an attempt up: it ends at once, as the node has been told by then.
+// Cancel ends an attempt at this moment: the replica is notified by then.
 func (h *aggregatorHost) Cancel(_ time.Time, id aggregator.AttemptID, _ bool) {
 	a := h.attempts[id]
 	if a == nil || a.abandoned {
 		return
 	}
 	a.abandoned = true
-	if h.world.PlantedBug == "leaked attempt" && id.Part%5 == 0 {
+	if h.world.PlantedBug == BugLeakedAttempt && id.Part%5 == 0 {
 		return
 	}
-	if h.world.PlantedBug == "second copy" { // it ends before the node has been told
+	if h.world.PlantedBug == BugConcurrentAttempts { // it ends before the replica is notified
 		h.post(aggregator.AttemptEnded{Attempt: id, Err: &aggregator.AttemptError{Progress: aggregator.Written, Canceled: true}})
 		return
 	}
@@ -341,34 +346,34 @@
 	})
 }
 
-// Probe asks a node for its load, where mixers do that, and tells nothing elsewhere.
+// Probe polls a replica's load where aggregators gossip; elsewhere it ends without a report.
 func (h *aggregatorHost) Probe(now time.Time, to aggregator.Server) {
-	nothing := aggregator.ProbeEnded{Server: to.ID, Err: &aggregator.AttemptError{Progress: aggregator.NotConnected}}
+	failed := aggregator.ProbeEnded{Server: to.ID, Err: &aggregator.AttemptError{Progress: aggregator.NotConnected}}
 	if !h.world.Gossip {
-		h.post(nothing)
+		h.post(failed)
 		return
 	}
-	n, life := h.world.replicaByID[to.ID], h.incarnation
+	target, incarnation := h.world.replicaByID[to.ID], h.incarnation
 	after := func(d time.Duration, e aggregator.ProbeEnded) {
 		h.world.after(d, func() {
-			if h.incarnation == life {
+			if h.incarnation == incarnation {
 				e.Elapsed = h.world.now.Sub(now)
 				h.post(e)
 			}
 		})
 	}
 	switch {
-	case n.unreachable || h.world.separated(h.zone, n.zone()):
-		nothing.Err = &aggregator.AttemptError{Progress: aggregator.Written}
-		after(probeTimeout, nothing)
-	case !n.up:
-		after(h.world.networkDelay(), nothing)
+	case target.unreachable || h.world.separated(h.zone, target.zone()):
+		failed.Err = &aggregator.AttemptError{Progress: aggregator.Written}
+		after(probeTimeout, failed)
+	case !target.up:
+		after(h.world.networkDelay(), failed)
 	default:
-		after(h.world.networkDelay()+h.world.networkDelay(), aggregator.ProbeEnded{Server: to.ID, Report: &balance.LoadReport{Queue: float64(len(n.queue)), InFlight: float64(len(n.inFlight)), Utilization: -1}})
+		after(h.world.networkDelay()+h.world.networkDelay(), aggregator.ProbeEnded{Server: to.ID, Report: &balance.LoadReport{Queue: float64(len(target.queue)), InFlight: float64(len(target.inFlight)), Utilization: -1}})
 	}
 }
 
-// deliverResult brings the end of an attempt, unless it was given up before.
+// deliverResult reports the end of an attempt, unless it was canceled before.
 func (h *aggregatorHost) deliverResult(a *attempt, err error, value string) {
 	if h.attempts[a.call.Attempt] != a || a.abandoned || h.world.separated(h.zone, a.replica.zone()) {
 		return
--- a/internal/testbed/sim/check.go
+++ b/internal/testbed/sim/check.go
@@ -9,25 +9,25 @@
 	"rooktrestle/internal/aggregator"
 )
 
-// drainGrace is how long after its word a node may still be sent something new.
+// drainGrace is how long after an aggregator knows that a replica drains it may still send a new attempt there.
 const drainGrace = 250 * time.Millisecond
 
-// checker holds every step against the rules.
+// checker compares every step of a run with the rules.
 type checker struct {
 	world            *world
 	violations       []string
 	openRequests     map[string]*clientRequest
 	requests         map[string]*aggregator.Request
 	finalAnswers     map[string]int
-	correctionRuns   map[string]int // of corrections, by the client's want
-	attemptsInFlight map[string]int // attempts of a part
+	correctionRuns   map[string]int // of corrections, by the query
+	attemptsInFlight map[string]int // by aggregator and part
 }
 
-func newChecker() *checker {
-	return &checker{openRequests: map[string]*clientRequest{}, requests: map[string]*aggregator.Request{}, finalAnswers: map[string]int{}, correctionRuns: map[string]int{}, attemptsInFlight: map[string]int{}}
+func newChecker(w *world) *checker {
+	return &checker{world: w, openRequests: map[string]*clientRequest{}, requests: map[string]*aggregator.Request{}, finalAnswers: map[string]int{}, correctionRuns: map[string]int{}, attemptsInFlight: map[string]int{}}
 }
 
-// maxViolations bounds what is kept of one run.
+// maxViolations bounds the violations that are kept of one run.
 const maxViolations = 50
 
 func (c *checker) violate(format string, args ...any) {
@@ -36,91 +36,93 @@
 	}
 }
 
-func (c *checker) requestSent(a *clientRequest, r *aggregator.Request) {
-	c.openRequests[a.id], c.requests[a.id] = a, r
+func (c *checker) requestSent(request *clientRequest, r *aggregator.Request) {
+	c.openRequests[request.id], c.requests[request.id] = request, r
 }
 
-// sent: one attempt of a part at a time, none to who drains or is gone by now, none beyond the attempts allowed.
-func (c *checker) attemptSent(host *aggregatorHost, r *replica, k *attempt) {
-	name := fmt.Sprintf("%d %s", host.index, k.call.Name)
+// attemptSent checks that a part has one attempt at a time, none to a replica that is known to drain or to be removed, and
+// no more than MaxAttempts.
+func (c *checker) attemptSent(host *aggregatorHost, r *replica, a *attempt) {
+	name := fmt.Sprintf("%d %s", host.index, a.call.Name)
 	if c.attemptsInFlight[name]++; c.attemptsInFlight[name] > 1 {
-		c.violate("two attempts of %s are out", k.call.Name)
+		c.violate("two attempts of %s are in flight", a.call.Name)
 	}
-	if at, told := host.removalKnownAt[r.id]; told && c.world.now.Sub(at) > drainGrace {
-		c.violate("%s goes to %s, %v after it was told to drain or gone", k.call.Name, r.id, c.world.now.Sub(at))
+	if at, known := host.removalKnownAt[r.id]; known && c.world.now.Sub(at) > drainGrace {
+		c.violate("%s goes to %s, %v after its drain or removal was known", a.call.Name, r.id, c.world.now.Sub(at))
 	}
-	if k.call.Attempt.Number >= host.balancerSettings.MaxAttempts {
-		c.violate("attempt %d of %s", k.call.Attempt.Number+1, k.call.Name)
+	if a.call.Attempt.Number >= host.balancerSettings.MaxAttempts {
+		c.violate("attempt %d of %s", a.call.Attempt.Number+1, a.call.Name)
 	}
-	if id, _, _ := strings.Cut(k.call.Name, "."); c.openRequests[id] == nil {
-		c.violate("%s is sent, and its query is over", k.call.Name)
+	if id, _, _ := strings.Cut(a.call.Name, "."); c.openRequests[id] == nil {
+		c.violate("%s is sent, and its request has ended", a.call.Name)
 	}
 }
 
-func (c *checker) attemptEnded(k *attempt) {
-	name := fmt.Sprintf("%d %s", k.host.index, k.call.Name)
+func (c *checker) attemptEnded(a *attempt) {
+	name := fmt.Sprintf("%d %s", a.host.index, a.call.Name)
 	if c.attemptsInFlight[name]--; c.attemptsInFlight[name] <= 0 {
 		delete(c.attemptsInFlight, name)
 	}
 }
 
-// ran: no part of a correction twice, over all tries that the client made after a refusal.
-func (c *checker) correctionRan(r *replica, k *attempt) {
-	if k.call.Class != correction {
+// correctionRan checks that no correction runs twice, over all retries of its client.
+func (c *checker) correctionRan(r *replica, a *attempt) {
+	if a.call.Class != correction {
 		return
 	}
-	id, _, _ := strings.Cut(k.call.Name, ".")
-	id, _, _ = strings.Cut(id, "-") // of the want
+	id, _, _ := strings.Cut(a.call.Name, ".")
+	id, _, _ = strings.Cut(id, "-") // of the query
 	if c.correctionRuns[id]++; c.correctionRuns[id] > 1 {
-		c.violate("correction %s ran %d times, now at %s", k.call.Name, c.correctionRuns[id], r.id)
+		c.violate("correction %s ran %d times, now at %s", a.call.Name, c.correctionRuns[id], r.id)
 	}
-	if c.world.PlantedBug == "double correction" && c.correctionRuns[id] == 1 && strings.HasPrefix(id, "q7") {
-		c.world.after(time.Millisecond, func() { c.correctionRan(r, k) })
+	if c.world.PlantedBug == BugDoubleCorrection && c.correctionRuns[id] == 1 && strings.HasPrefix(id, "q7") {
+		c.world.after(time.Millisecond, func() { c.correctionRan(r, a) })
 	}
 }
 
-// lost: a try whose mixer died has no final answer.
-func (c *checker) requestLost(a *clientRequest) {
-	delete(c.openRequests, a.id)
-	delete(c.requests, a.id)
+// requestLost forgets a request whose aggregator crashed: it has no final answer.
+func (c *checker) requestLost(request *clientRequest) {
+	delete(c.openRequests, request.id)
+	delete(c.requests, request.id)
 }
 
-// answered: one final answer, in time, with no more than what nodes gave, and whole only if all is in.
-func (c *checker) requestAnswered(a *clientRequest, f aggregator.FinalAnswer) {
-	if c.finalAnswers[a.id]++; c.finalAnswers[a.id] > 1 {
-		c.violate("%s has %d final answers", a.id, c.finalAnswers[a.id])
-	}
-	delete(c.openRequests, a.id)
-	r := c.requests[a.id]
-	delete(c.requests, a.id)
-	if late := c.world.now.Sub(r.Arrived.Add(r.Timeout)); late > 20*time.Millisecond {
-		c.violate("%s is answered %v after its time", a.id, late)
-	}
-	id, _, _ := strings.Cut(a.id, "-")
-	if f.Status == aggregator.StatusRejected && a.query.class == correction && c.correctionRuns[id] > 0 {
-		c.violate("correction %s is refused, and has run", a.id)
-	}
-	if f.Status != aggregator.StatusServed {
+// requestAnswered checks that a request has one final answer, in time, with the values of replicas only, marked complete
+// only if every part is in.
+func (c *checker) requestAnswered(request *clientRequest, answer aggregator.FinalAnswer) {
+	if c.finalAnswers[request.id]++; c.finalAnswers[request.id] > 1 {
+		c.violate("%s has %d final answers", request.id, c.finalAnswers[request.id])
+	}
+	delete(c.openRequests, request.id)
+	r := c.requests[request.id]
+	delete(c.requests, request.id)
+	if overdue := c.world.now.Sub(r.Arrived.Add(r.Timeout)); overdue > 20*time.Millisecond {
+		c.violate("%s is answered %v after its deadline", request.id, overdue)
+	}
+	id, _, _ := strings.Cut(request.id, "-")
+	if answer.Status == aggregator.StatusRejected && request.query.class == correction && c.correctionRuns[id] > 0 {
+		c.violate("correction %s is rejected, and has run", request.id)
+	}
+	if answer.Status != aggregator.StatusServed {
 		return
 	}
-	in := 0.0
-	for _, i := range f.Items {
-		name := fmt.Sprintf("%s.%d", a.id, i.Shard)
-		if !slices.Contains(a.partNames, name) || !strings.HasPrefix(i.Value, name+" by ") {
-			c.violate("%s: the value %q for shard %d", a.id, i.Value, i.Shard)
+	fraction := 0.0
+	for _, i := range answer.Items {
+		name := fmt.Sprintf("%s.%d", request.id, i.Shard)
+		if !slices.Contains(request.partNames, name) || !strings.HasPrefix(i.Value, name+" by ") {
+			c.violate("%s: the value %q for shard %d", request.id, i.Value, i.Shard)
 		}
-		in += 1 / float64(len(a.partNames))
+		fraction += 1 / float64(len(request.partNames))
 	}
-	class := classes()[a.query.class]
-	if f.Complete && len(f.Items) != len(a.partNames) {
-		c.violate("%s is marked whole with %d of %d parts", a.id, len(f.Items), len(a.partNames))
+	class := classes()[request.query.class]
+	if answer.Complete && len(answer.Items) != len(request.partNames) {
+		c.violate("%s is marked complete with %d of %d parts", request.id, len(answer.Items), len(request.partNames))
 	}
-	if in < class.MinFraction-1e-9 {
-		c.violate("%s is served with %.2f of its weight, under its floor %.2f", a.id, in, class.MinFraction)
+	if fraction < class.MinFraction-1e-9 {
+		c.violate("%s is served with %.2f of its weight, under its floor %.2f", request.id, fraction, class.MinFraction)
 	}
 }
 
-// quiet: nothing is left when nobody asks any more.
+// checkQuiescence checks that nothing is left once the clients have ended.
 func (c *checker) checkQuiescence() {
 	for id := range c.openRequests {
 		c.violate("%s has no final answer", id)
@@ -128,10 +130,10 @@
 	slices.Sort(c.violations)
 	for _, host := range c.world.aggregators {
 		if r := host.core.OpenQueries(); r > 0 || host.core.Load() > 0 {
-			c.violate("mixer %d holds %d queries, %d of load", host.index, r, host.core.Load())
+			c.violate("aggregator %d holds %d queries, %d of load", host.index, r, host.core.Load())
 		}
 		if len(host.attempts) > 0 {
-			c.violate("mixer %d has %d attempts out", host.index, len(host.attempts))
+			c.violate("aggregator %d has %d attempts in flight", host.index, len(host.attempts))
 		}
 	}
 }
--- a/internal/testbed/sim/client.go
+++ b/internal/testbed/sim/client.go
@@ -8,19 +8,18 @@
 	"rooktrestle/internal/aggregator"
 )
 
-// query is what a client wants, over all its tries.
+// query is what a client wants, over its first request and all retries.
 type query struct {
 	class      int
 	parts      []aggregator.PartSpec
-	attempts   int
+	attempts   int // requests so far
 	number     int
 	aggregator int
-	deadline   time.Time // the client's own time
-	objective  time.Time // an answer by then is in time
-	settled    bool
+	deadline   time.Time // by which the client gives up
+	objective  time.Time // an answer by then is within the objective
 }
 
-// clientRequest waits for one try's final answer.
+// clientRequest is one request; it waits for the final answer.
 type clientRequest struct {
 	world     *world
 	query     *query
@@ -29,7 +28,13 @@
 	partNames []string // of its parts
 }
 
-// queryArrives makes a new query and the time of the next.
+// Fractions of the queries; searches are the rest.
+const (
+	reportFraction     = 0.22
+	correctionFraction = 0.22
+)
+
+// queryArrives draws a new query and schedules the next.
 func (w *world) queryArrives() {
 	if w.now.After(Start.Add(w.Duration)) {
 		return
@@ -39,9 +44,9 @@
 	q := &query{class: search, aggregator: w.pickAggregator(), number: w.result.Queries}
 	n := w.SearchParts
 	switch {
-	case x < 0.22:
+	case x < reportFraction:
 		q.class = report
-	case x < 0.44:
+	case x < reportFraction+correctionFraction:
 		q.class, n = correction, 1
 	}
 	n = min(n, w.Replicas)
@@ -55,7 +60,7 @@
 	w.sendRequest(q)
 }
 
-// pickAggregator draws a mixer for a client: some get several times what others get.
+// pickAggregator draws an aggregator for a client, by its weight.
 func (w *world) pickAggregator() int {
 	if w.TrafficSkew == 0 {
 		return w.rng.IntN(len(w.aggregators))
@@ -65,7 +70,7 @@
 	return min(i, len(w.cumulativeTraffic)-1)
 }
 
-// arrivalRate is that of arrivals by now.
+// arrivalRate is the present rate of queries, bursts included.
 func (w *world) arrivalRate() float64 {
 	r := w.Rate
 	for i := range w.Faults {
@@ -76,23 +81,23 @@
 	return r
 }
 
-// sendRequest asks once.
+// sendRequest sends the query's next request.
 func (w *world) sendRequest(q *query) {
 	q.attempts++
 	w.result.Requests++
-	a := &clientRequest{world: w, query: q, id: fmt.Sprintf("q%d-%d", q.number, q.attempts), started: w.now}
+	c := &clientRequest{world: w, query: q, id: fmt.Sprintf("q%d-%d", q.number, q.attempts), started: w.now}
 	for _, p := range q.parts {
-		a.partNames = append(a.partNames, fmt.Sprintf("%s.%d", a.id, p.Shard))
+		c.partNames = append(c.partNames, fmt.Sprintf("%s.%d", c.id, p.Shard))
 	}
-	r := &aggregator.Request{ID: a.id, Class: q.class, Arrived: w.now, Timeout: q.deadline.Sub(w.now), IsRetry: q.attempts > 1, Parts: q.parts, Frontend: a}
-	w.checker.requestSent(a, r)
+	r := &aggregator.Request{ID: c.id, Class: q.class, Arrived: w.now, Timeout: q.deadline.Sub(w.now), IsRetry: q.attempts > 1, Parts: q.parts, Frontend: c}
+	w.checker.requestSent(c, r)
 	w.record("ask", uint64(q.number), uint64(q.attempts))
-	for w.aggregators[q.aggregator].crashed { // its connection is refused: it goes to another
+	for w.aggregators[q.aggregator].crashed { // the connection is refused: the client goes to another
 		q.aggregator = w.pickAggregator()
 	}
-	w.aggregators[q.aggregator].openRequests[a] = true
+	w.aggregators[q.aggregator].openRequests[c] = true
 	w.aggregators[q.aggregator].post(aggregator.RequestArrived{Request: r})
-	if w.PlantedBug == "lost query" && q.number == 50 {
+	if w.PlantedBug == BugLostQuery && q.number == 50 {
 		r.Frontend = discardAnswer{}
 	}
 }
@@ -101,15 +106,15 @@
 
 func (discardAnswer) Answer(aggregator.FinalAnswer) {}
 
-// Answer takes a try's final answer. A client whose query was refused or failed may try again, while its time lasts.
-func (a *clientRequest) Answer(f aggregator.FinalAnswer) {
-	w, q := a.world, a.query
+// Answer takes the final answer. A client whose request was rejected or failed may retry before the query's deadline.
+func (c *clientRequest) Answer(f aggregator.FinalAnswer) {
+	w, q := c.world, c.query
 	w.record("answer", uint64(q.number), uint64(f.Status))
-	if w.PlantedBug == "dishonest whole" && f.Status == aggregator.StatusServed && !f.Complete {
+	if w.PlantedBug == BugDishonestComplete && f.Status == aggregator.StatusServed && !f.Complete {
 		f.Complete = true
 	}
-	w.checker.requestAnswered(a, f)
-	delete(w.aggregators[q.aggregator].openRequests, a)
+	w.checker.requestAnswered(c, f)
+	delete(w.aggregators[q.aggregator].openRequests, c)
 	switch f.Status {
 	case aggregator.StatusServed:
 		w.result.Served++
@@ -121,33 +126,33 @@
 		if !f.Complete {
 			w.result.Partial++
 		}
-		w.result.Latencies = append(w.result.Latencies, w.now.Sub(a.started))
+		w.result.Latencies = append(w.result.Latencies, w.now.Sub(c.started))
 		return
 	case aggregator.StatusRejected:
 		w.result.Rejected++
 	default:
 		w.result.Failed++
 		if q.class == correction {
-			return // it may have run: no client in its senses asks again by itself
+			return // it may have run, and is not idempotent
 		}
 	}
-	a.retry()
+	c.retry()
 }
 
-// connectionLost ends a try whose mixer died under it: the client sees its connection end.
-func (a *clientRequest) connectionLost() {
-	w, q := a.world, a.query
+// connectionLost ends a request whose aggregator crashed: the client sees its connection end.
+func (c *clientRequest) connectionLost() {
+	w, q := c.world, c.query
 	w.record("lost", uint64(q.number), uint64(q.attempts))
-	w.checker.requestLost(a)
+	w.checker.requestLost(c)
 	w.result.ConnectionsLost++
 	if q.class != correction {
-		a.retry()
+		c.retry()
 	}
 }
 
-// retry makes another try, if the client is to have one.
-func (a *clientRequest) retry() {
-	w, q := a.world, a.query
+// retry schedules another request, if the client has retries and time left.
+func (c *clientRequest) retry() {
+	w, q := c.world, c.query
 	if q.attempts <= w.Retries {
 		d := time.Duration((0.5 + 1.5*w.rng.Float64()) * float64(w.RetryDelay))
 		if at := w.now.Add(d); at.Before(q.deadline.Add(-100 * time.Millisecond)) {
--- /dev/null
+++ b/internal/testbed/sim/clock.go
@@ -0,0 +1,99 @@
+package sim
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Start is the first moment of virtual time.
+var Start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// event is an action that is due at a moment of virtual time.
+type event struct {
+	at     time.Time
+	seq    uint64 // events of one moment run in the order in which they were scheduled
+	action func()
+}
+
+// events is a heap by time, then by sequence number.
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	if !e[i].at.Equal(e[j].at) {
+		return e[i].at.Before(e[j].at)
+	}
+	return e[i].seq < e[j].seq
+}
+
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*e = old[:len(old)-1]
+	return last
+}
+
+// clock is virtual time: the queue of scheduled events, and the trace of what has happened.
+type clock struct {
+	now        time.Time
+	queue      events
+	seq        uint64
+	eventCount uint64
+	trace      *xxhash.Digest
+	keepText   bool
+	traceText  []string
+	buffer     [8]byte
+}
+
+func newClock(keepText bool) clock {
+	return clock{now: Start, trace: xxhash.New(), keepText: keepText}
+}
+
+// at schedules an action; a moment that has passed counts as now.
+func (c *clock) at(t time.Time, action func()) {
+	if t.Before(c.now) {
+		t = c.now
+	}
+	c.seq++
+	heap.Push(&c.queue, event{t, c.seq, action})
+}
+
+// after schedules an action in d from now.
+func (c *clock) after(d time.Duration, action func()) { c.at(c.now.Add(d), action) }
+
+// record adds an entry to the trace. The texts are part of the trace's hash, which tests and recorded runs compare.
+func (c *clock) record(what string, a, b uint64) {
+	c.hashNumber(uint64(c.now.Sub(Start)))
+	_, _ = c.trace.WriteString(what) // a hash does not fail
+	c.hashNumber(a)
+	c.hashNumber(b)
+	if c.keepText {
+		c.traceText = append(c.traceText, fmt.Sprintf("%v %s %d %d", c.now.Sub(Start), what, a, b))
+	}
+}
+
+func (c *clock) hashNumber(n uint64) {
+	binary.LittleEndian.PutUint64(c.buffer[:], n)
+	_, _ = c.trace.Write(c.buffer[:]) // a hash does not fail
+}
+
+// run executes the events up to and including end.
+func (c *clock) run(end time.Time) {
+	for len(c.queue) > 0 && !c.queue[0].at.After(end) {
+		e := heap.Pop(&c.queue).(event)
+		c.now = e.at
+		c.eventCount++
+		e.action()
+	}
+	c.now = end
+}
--- a/internal/testbed/sim/day.go
+++ b/internal/testbed/sim/days.go
@@ -7,10 +7,19 @@
 	"time"
 )
 
-// DayNames are fleets of many mixers in the troubles that the operators name. Their sizes are the caller's.
-var DayNames = []string{"calm", "herd", "zone", "split", "join"}
+// Days of whole fleets: many aggregators under the faults that operators know.
+const (
+	dayCalm  = "calm"  // a burst only
+	dayHerd  = "herd"  // aggregators crash at once during a release, while discovery is unresponsive
+	dayZone  = "zone"  // a zone is lost and comes back warming up
+	daySplit = "split" // the zones do not reach each other
+	dayJoin  = "join"  // most replicas are replaced
+)
+
+// DayNames are the days that DaySettings draws.
+var DayNames = []string{dayCalm, dayHerd, dayZone, daySplit, dayJoin}
 
-// minSearchParts of a search: as in the operators' archive, where a search asks a third of the shards.
+// minSearchParts is the least number of parts of a search: in the operators' archive a search reads a third of the shards.
 const minSearchParts = 4
 
 // DaySettings draws a day: so many mixers whose traffic is thin and uneven, with words between them, nodes that are cold after
@@ -20,14 +29,14 @@
 		return Settings{}, fmt.Errorf("day %q: there are %v", kind, DayNames)
 	}
 	if mixers < 2 || nodes < 2*minSearchParts {
-		return Settings{}, fmt.Errorf("%d mixers, %d nodes: at least 2 and %d", mixers, nodes, 2*minSearchParts)
+		return Settings{}, fmt.Errorf("%d aggregators, %d replicas: at least 2 and %d", mixers, nodes, 2*minSearchParts)
 	}
-	rng := rand.New(rand.NewPCG(seed, 0xda))
+	rng := rand.New(rand.NewPCG(seed, dayStream))
 	s := Defaults(seed)
 	s.Aggregators, s.Replicas, s.SearchParts = mixers, nodes, max(minSearchParts, nodes/4)
 	s.Zones, s.TrafficSkew, s.Gossip, s.Duration = 2, 0.8, true, 15*time.Second
 	s.Warmup = Warmup{Period: 6 * time.Second, MinCapacity: 0.3, OverloadMultiple: 3, OverloadPeriod: 400 * time.Millisecond}
-	// Three to five tenths of what all cores do: a search is 0.56 of the queries, a report 0.22.
+	// Three to five tenths of the capacity of all cores. A correction has one part, every other query SearchParts.
 	load := 0.3 + 0.2*rng.Float64()
 	s.Rate = load * float64(nodes*s.Cores) / s.MeanServiceTime.Seconds() / (0.78*float64(s.SearchParts) + 0.22)
 	s.Retries = 1 + rng.IntN(2)
@@ -39,15 +48,15 @@
 	first := rng.IntN(nodes)
 	bad := Fault{Kind: []FaultKind{Hang, FastErrors}[rng.IntN(2)], From: from - time.Second, Duration: 8 * time.Second, First: first, Replicas: nodes / 8, Magnitude: 0.6}
 	switch kind {
-	case "herd":
+	case dayHerd:
 		s.Faults = []Fault{bad, {Kind: Release, From: from, Duration: 5 * time.Second, First: first + nodes/8, Replicas: nodes / 2},
 			{Kind: KillAggregators, From: from + 2*time.Second, Duration: 2 * time.Second, Magnitude: 0.7},
 			{Kind: DiscoverySilence, From: from - time.Second, Duration: 4 * time.Second}}
-	case "zone":
+	case dayZone:
 		s.Faults = []Fault{bad, {Kind: Outage, From: from, Duration: 5 * time.Second}}
-	case "split":
+	case daySplit:
 		s.Faults = []Fault{{Kind: Partition, From: from, Duration: 6 * time.Second}, {Kind: DiscoverySilence, From: from, Duration: 4 * time.Second}}
-	case "join":
+	case dayJoin:
 		s.Faults = []Fault{bad, {Kind: Release, From: from, Duration: 7 * time.Second, First: first + nodes/8, Replicas: nodes * 6 / 10}}
 	default:
 		s.Faults = []Fault{{Kind: Burst, From: from, Duration: 3 * time.Second, Magnitude: 1.5}}
--- a/internal/testbed/sim/day_test.go
+++ b/internal/testbed/sim/days_test.go
@@ -6,14 +6,14 @@
 	"testing"
 )
 
-// fleet plays a day of a small fleet; the sizes that the operators name are played by testbed days.
-func fleet(t *testing.T, kind string, seed uint64, planted string) Result {
+// fleet plays a day of a small fleet; testbed days plays the sizes that operators have.
+func fleet(t *testing.T, kind string, seed uint64, planted Bug) Result {
 	t.Helper()
 	return loaded(t, kind, seed, planted, 1)
 }
 
-// loaded plays it with so many times the load.
-func loaded(t *testing.T, kind string, seed uint64, planted string, load float64) Result {
+// loaded plays a day of a small fleet with a multiple of its load.
+func loaded(t *testing.T, kind string, seed uint64, planted Bug, load float64) Result {
 	t.Helper()
 	s, err := DaySettings(kind, seed, 12, 12)
 	if err != nil {
@@ -23,8 +23,8 @@
 	return play(t, s)
 }
 
-// No rule breaks on any day, and the day's trouble is there.
-func TestDaysKeepTheRules(t *testing.T) {
+// No day violates a rule, and each has its faults.
+func TestDays_ViolateNoRule(t *testing.T) {
 	for _, kind := range DayNames {
 		r := fleet(t, kind, 1, "")
 		if len(r.Violations) > 0 {
@@ -34,41 +34,41 @@
 			t.Errorf("calm: %.3f answered", r.Goodput())
 		}
 		if kind == "herd" && r.ConnectionsLost == 0 || r.DiscoveryPolls < 12 {
-			t.Errorf("%s: %d tries lost, %d calls of discovery", kind, r.ConnectionsLost, r.DiscoveryPolls)
+			t.Errorf("%s: %d connections lost, %d polls of discovery", kind, r.ConnectionsLost, r.DiscoveryPolls)
 		}
 	}
 }
 
-// A fleet that takes cold nodes for warm ones makes them fall, and the checker sees it.
-func TestFloodedColdNodesAreFound(t *testing.T) {
+// Aggregators that ignore the warm-up make replicas collapse, and the checker finds it.
+func TestChecker_FindsOverloadedWarmingReplicas(t *testing.T) {
 	if honest := loaded(t, "join", 1, "", 6); len(honest.Violations) > 0 {
 		t.Errorf("%s", honest.Violations[0])
 	}
-	r := loaded(t, "join", 1, bugIgnoreWarmup, 6)
-	if r.ReplicasOverloaded == 0 || !slices.ContainsFunc(r.Violations, func(b string) bool { return strings.Contains(b, "falls under") }) {
+	r := loaded(t, "join", 1, BugWarmupIgnored, 6)
+	if r.ReplicasOverloaded == 0 || !slices.ContainsFunc(r.Violations, func(b string) bool { return strings.Contains(b, "collapses under") }) {
 		t.Errorf("%d fell, broken: %v", r.ReplicasOverloaded, r.Violations)
 	}
 }
 
-// The same seed gives the same trace with words, deaths, and lists that are called for.
-func TestDaysAreFixedByTheirSeed(t *testing.T) {
+// The same seed gives the same trace with gossip, crashes, and polled endpoint lists.
+func TestDays_TraceDependsOnSeedOnly(t *testing.T) {
 	if one, two := fleet(t, "herd", 2, ""), fleet(t, "herd", 2, ""); one.Hash != two.Hash || one.Requests == 0 {
 		t.Errorf("%x, then %x", one.Hash, two.Hash)
 	}
 }
 
-// A fleet that waits after its watches fell silent sends to nodes that drain: what was seen at full size, and what the
-// calls of decide/watch are for.
-func TestWaitingInSilenceBreaksTheRuleOnDrains(t *testing.T) {
+// Aggregators that wait after their watches became unresponsive send to replicas that drain. It was seen at full size, and
+// is what control/listwatch guards against.
+func TestChecker_FindsSendsToDrainingReplicas(t *testing.T) {
 	found := false
 	for seed := uint64(1); seed < 6 && !found; seed++ {
-		r := fleet(t, "herd", seed, bugWaitInSilence)
-		found = slices.ContainsFunc(r.Violations, func(b string) bool { return strings.Contains(b, "after it was told to drain") })
+		r := fleet(t, "herd", seed, BugWaitInSilence)
+		found = slices.ContainsFunc(r.Violations, func(b string) bool { return strings.Contains(b, "drain or removal was known") })
 		if honest := fleet(t, "herd", seed, ""); len(honest.Violations) > 0 {
 			t.Errorf("seed %d: %s", seed, honest.Violations[0])
 		}
 	}
 	if !found {
-		t.Error("no seed broke it")
+		t.Error("no seed violates it")
 	}
 }
--- a/internal/testbed/sim/discovery.go
+++ b/internal/testbed/sim/discovery.go
@@ -8,252 +8,251 @@
 	"rooktrestle/internal/control/listwatch"
 )
 
-// Discovery is how mixers hear of the list. The zero value tells each of them at once, with the troubles' lag.
+// Discovery says how aggregators learn of the endpoint list. With the zero value endpointFeed tells each of them.
 type Discovery struct {
-	Kind      string        `json:"Kind"`      // Agents or Shared; empty: told at once
-	PerSecond float64       `json:"PerSecond"` // Shared: calls that it answers
-	MaxWait   time.Duration `json:"Wait"`      // Shared: a call that would wait longer for its turn is refused
+	Kind      string        `json:"Kind"`      // LocalAgents or SharedService; empty: endpointFeed
+	PerSecond float64       `json:"PerSecond"` // SharedService: polls that it answers a second
+	MaxWait   time.Duration `json:"Wait"`      // SharedService: a poll that would queue for longer is rejected
 }
 
-// Kinds of discovery, as the platform has them.
+// Kinds of discovery, as the platform has them. The values stand in replay files.
 const (
-	LocalAgents   = "agents" // an agent on each mixer's machine: what that has counts as told
-	SharedService = "shared" // one service that all mixers call
+	LocalAgents   = "agents" // an agent on each aggregator's machine: what that has counts as known
+	SharedService = "shared" // one service that all aggregators poll
 )
 
 const (
-	heartbeatInterval = 2 * time.Second  // between the lines of a live watch
-	silentWatchKnown  = 6 * time.Second  // after it fell silent what a watch misses counts as told
-	pollKnown         = 10 * time.Second // what a mixer without a watch may not know, Shared
-	rejectedPollKnown = 40 * time.Second // the same, after a failed call
+	heartbeatInterval = 2 * time.Second // of a live watch
+
+	// After these times a change counts as known to an aggregator, whether or not it has arrived.
+	silentWatchKnown  = 6 * time.Second  // since its watch became unresponsive
+	pollKnown         = 10 * time.Second // without a watch, with SharedService
+	rejectedPollKnown = 40 * time.Second // after a rejected poll
+	liveWatchKnown    = 50 * time.Millisecond
 )
 
-// endpointEntry is a line of the list.
+// endpointEntry is one change of the endpoint list.
 type endpointEntry struct {
 	replica *replica
 	state   balance.EndpointState
 	started time.Time
 }
 
-// discoveryService is the list in versions, which mixers follow by calls of their own.
+// discoveryService keeps the endpoint list in versions, which aggregators watch.
 type discoveryService struct {
 	world         *world
-	log           []endpointEntry // line i made version i + 1
-	silent        bool            // nothing comes of it, and watches that were open are broken
+	log           []endpointEntry // entry i made version i + 1
+	silent        bool            // unresponsive; watches that were open are broken
 	nextFree      time.Time
-	pending       []func() // calls that came while it was silent
+	pending       []func() // answers to polls that came while it was silent
 	polls         int
 	rejectedPolls int // calls that it refused
 }
 
-// append adds a line and passes it on to open watches.
-func (r *discoveryService) append(n *replica, s balance.EndpointState) {
-	r.log = append(r.log, endpointEntry{n, s, n.started})
-	for _, host := range r.world.aggregators {
+// append adds a change and sends it to open watches.
+func (d *discoveryService) append(n *replica, s balance.EndpointState) {
+	d.log = append(d.log, endpointEntry{n, s, n.started})
+	for _, host := range d.world.aggregators {
 		if host.watcher != nil {
-			host.watcher.scheduleKnown(r.log[len(r.log)-1])
-			if f, gen := host.watcher, host.watcher.callNumber; f.live && !f.silent {
-				r.world.after(r.propagationDelay(), func() { f.deliver(gen) })
+			host.watcher.scheduleKnown(d.log[len(d.log)-1])
+			if w, call := host.watcher, host.watcher.callNumber; w.live && !w.silent {
+				d.world.after(d.propagationDelay(), func() { w.deliver(call) })
 			}
 		}
 	}
 }
 
-func (r *discoveryService) propagationDelay() time.Duration {
-	return time.Duration(r.world.rng.Float64() * float64(50*time.Millisecond))
+func (d *discoveryService) propagationDelay() time.Duration {
+	return time.Duration(d.world.rng.Float64() * float64(maxPropagation))
 }
 
-// setSilent makes discovery silent, or lets it speak again.
-func (r *discoveryService) setSilent(silent bool) {
-	r.silent = silent
+// setSilent makes discovery unresponsive, or ends that.
+func (d *discoveryService) setSilent(silent bool) {
+	d.silent = silent
 	if !silent {
-		for _, answer := range r.pending {
+		for _, answer := range d.pending {
 			answer()
 		}
-		r.pending = nil
+		d.pending = nil
 	}
-	for _, host := range r.world.aggregators {
-		if f := host.watcher; silent && f != nil && !f.silent {
-			f.silent, f.silentSince = true, r.world.now
+	for _, host := range d.world.aggregators {
+		if w := host.watcher; silent && w != nil && !w.silent {
+			w.silent, w.silentSince = true, d.world.now
 		}
 	}
 }
 
-// watcher is a mixer's calls of discovery: the decisions of decide/watch, with the call and the word simulated.
+// watcher is an aggregator's watch of discovery: the decisions of control/listwatch, with the network simulated.
 type watcher struct {
 	service          *discoveryService
 	host             *aggregatorHost
 	schedule         *listwatch.Reconnector
-	callNumber       int // number of the present call
+	callNumber       int // of the present call; answers to earlier ones are dropped
 	live             bool
-	silent           bool // the present call hears nothing any more
+	silent           bool // the present call is unresponsive
 	silentSince      time.Time
 	lastPollRejected bool
 	version          int
 }
 
-func newWatcher(r *discoveryService, host *aggregatorHost) *watcher {
+func newWatcher(d *discoveryService, host *aggregatorHost) *watcher {
 	shared := 0
-	if r.world.Discovery.Kind == SharedService || r.world.PlantedBug == bugWaitInSilence {
-		shared = r.world.Aggregators
+	if d.world.Discovery.Kind == SharedService || d.world.PlantedBug == BugWaitInSilence {
+		shared = d.world.Aggregators
 	}
-	return &watcher{service: r, host: host, schedule: listwatch.New(listwatch.PlatformConfig(shared))}
+	return &watcher{service: d, host: host, schedule: listwatch.New(listwatch.PlatformConfig(shared))}
 }
 
-// bugWaitInSilence is a planted bug: a silent watch is opened anew only after the fleet's back-off.
-const bugWaitInSilence = "waits in silence"
-
-// start makes the first call of a process. What the agent has counts as told to a new one from its first moment.
-func (f *watcher) start(again bool) {
-	f.live, f.silent = false, false
-	if again && f.service.world.Discovery.Kind == LocalAgents {
-		for _, e := range f.service.log[f.version:] {
-			f.scheduleKnown(e)
+// start makes the first call of a process. What the local agent has counts as known to it from its first moment.
+func (w *watcher) start(again bool) {
+	w.live, w.silent = false, false
+	if again && w.service.world.Discovery.Kind == LocalAgents {
+		for _, e := range w.service.log[w.version:] {
+			w.scheduleKnown(e)
 		}
 	}
-	f.open()
+	w.open()
 }
 
-// open calls discovery.
-func (f *watcher) open() {
-	w := f.service.world
-	f.callNumber++
-	f.service.polls++
-	gen := f.callNumber
-	f.live, f.silent = false, f.service.silent
-	f.silentSince = w.now
-	f.schedule.Opened(w.now, w.rng.Float64())
-	f.scheduleReopen(gen)
-	if f.silent {
-		for _, e := range f.service.log[f.version:] {
-			f.scheduleKnown(e)
+// open makes a call of discovery.
+func (w *watcher) open() {
+	world := w.service.world
+	w.callNumber++
+	w.service.polls++
+	call := w.callNumber
+	w.live, w.silent = false, w.service.silent
+	w.silentSince = world.now
+	w.schedule.Opened(world.now, world.rng.Float64())
+	w.scheduleReopen(call)
+	if w.silent {
+		for _, e := range w.service.log[w.version:] {
+			w.scheduleKnown(e)
 		}
-		if w.Discovery.Kind == SharedService {
-			f.service.pending = append(f.service.pending, func() { f.answer(gen) })
+		if world.Discovery.Kind == SharedService {
+			w.service.pending = append(w.service.pending, func() { w.answer(call) })
 		}
 		return
 	}
-	f.answer(gen)
+	w.answer(call)
 }
 
-// answer is discovery's to a call, in its turn: a service answers those that waited while it was silent when it speaks
-// again, and an agent does not.
-func (f *watcher) answer(gen int) {
-	w := f.service.world
-	if f.callNumber != gen {
+// answer is discovery's answer to a call. A shared service has a capacity: it answers in turn, or rejects.
+func (w *watcher) answer(call int) {
+	world := w.service.world
+	if w.callNumber != call {
 		return
 	}
-	f.silent = false
-	turn := w.now
-	if w.Discovery.Kind == SharedService {
-		if f.service.nextFree.Before(turn) {
-			f.service.nextFree = turn
+	w.silent = false
+	turn := world.now
+	if world.Discovery.Kind == SharedService {
+		if w.service.nextFree.Before(turn) {
+			w.service.nextFree = turn
 		}
-		if f.service.nextFree.Sub(turn) > w.Discovery.MaxWait {
-			f.service.rejectedPolls++
-			f.lastPollRejected = true
-			w.after(w.networkDelay(), func() { f.callEnded(gen) })
+		if w.service.nextFree.Sub(turn) > world.Discovery.MaxWait {
+			w.service.rejectedPolls++
+			w.lastPollRejected = true
+			world.after(world.networkDelay(), func() { w.callEnded(call) })
 			return
 		}
-		turn = f.service.nextFree
-		f.service.nextFree = f.service.nextFree.Add(time.Duration(float64(time.Second) / w.Discovery.PerSecond))
+		turn = w.service.nextFree
+		w.service.nextFree = w.service.nextFree.Add(time.Duration(float64(time.Second) / world.Discovery.PerSecond))
 	}
-	w.at(turn.Add(w.networkDelay()), func() {
-		if f.callNumber == gen && !f.silent {
-			f.live = true
-			f.deliver(gen)
-			f.heartbeat(gen)
+	world.at(turn.Add(world.networkDelay()), func() {
+		if w.callNumber == call && !w.silent {
+			w.live = true
+			w.deliver(call)
+			w.heartbeat(call)
 		}
 	})
 }
 
-// deliver brings the lines that the mixer does not have.
-func (f *watcher) deliver(gen int) {
-	if f.callNumber != gen || f.silent {
+// deliver passes the changes that the aggregator does not have to its core.
+func (w *watcher) deliver(call int) {
+	if w.callNumber != call || w.silent {
 		return
 	}
-	f.lastPollRejected = false
-	f.schedule.Received(f.service.world.now)
-	f.schedule.Succeeded()
+	w.lastPollRejected = false
+	w.schedule.Received(w.service.world.now)
+	w.schedule.Succeeded()
 	list := aggregator.EndpointsChanged{Kind: balance.ListDelta}
-	for ; f.version < len(f.service.log); f.version++ {
-		e := f.service.log[f.version]
-		f.host.applyEndpoint(e)
-		s := f.host.endpoint(e.replica)
+	for ; w.version < len(w.service.log); w.version++ {
+		e := w.service.log[w.version]
+		w.host.applyEndpoint(e)
+		s := w.host.endpoint(e.replica)
 		s.State, s.Started = e.state, e.started
 		list.Servers = append(list.Servers, s)
 	}
-	f.host.post(list)
+	w.host.post(list)
 }
 
-func (f *watcher) heartbeat(gen int) {
-	f.service.world.after(heartbeatInterval, func() {
-		if f.callNumber == gen && !f.silent {
-			f.schedule.Received(f.service.world.now)
-			f.heartbeat(gen)
+func (w *watcher) heartbeat(call int) {
+	w.service.world.after(heartbeatInterval, func() {
+		if w.callNumber == call && !w.silent {
+			w.schedule.Received(w.service.world.now)
+			w.heartbeat(call)
 		}
 	})
 }
 
-// scheduleReopen opens the watch anew once it is broken.
-func (f *watcher) scheduleReopen(gen int) {
-	at := f.schedule.SilenceDeadline()
-	f.service.world.at(at, func() {
+// scheduleReopen reopens the watch once it counts as broken.
+func (w *watcher) scheduleReopen(call int) {
+	at := w.schedule.SilenceDeadline()
+	w.service.world.at(at, func() {
 		switch {
-		case f.callNumber != gen:
-		case f.schedule.SilenceDeadline().After(f.service.world.now):
-			f.scheduleReopen(gen)
-		case f.service.world.PlantedBug == bugWaitInSilence:
-			f.callEnded(gen)
+		case w.callNumber != call:
+		case w.schedule.SilenceDeadline().After(w.service.world.now):
+			w.scheduleReopen(call)
+		case w.service.world.PlantedBug == BugWaitInSilence:
+			w.callEnded(call)
 		default:
-			f.open()
+			w.open()
 		}
 	})
 }
 
-func (f *watcher) callEnded(gen int) {
-	if f.callNumber != gen {
+func (w *watcher) callEnded(call int) {
+	if w.callNumber != call {
 		return
 	}
-	f.callNumber, f.live = f.callNumber+1, false
-	closed := f.callNumber
-	f.service.world.at(f.schedule.Ended(f.service.world.now, f.service.world.rng.Float64()), func() {
-		if f.callNumber == closed {
-			f.open()
+	w.callNumber, w.live = w.callNumber+1, false
+	closed := w.callNumber
+	w.service.world.at(w.schedule.Ended(w.service.world.now, w.service.world.rng.Float64()), func() {
+		if w.callNumber == closed {
+			w.open()
 		}
 	})
 }
 
-// scheduleKnown says when a line counts as told, whether or not it comes: by then the mixer answers for what it does.
-func (f *watcher) scheduleKnown(e endpointEntry) {
-	w := f.service.world
-	at := w.now.Add(50 * time.Millisecond)
+// scheduleKnown schedules the moment from which the aggregator is accountable for a change, whether or not it arrives.
+func (w *watcher) scheduleKnown(e endpointEntry) {
+	world := w.service.world
+	at := world.now.Add(liveWatchKnown)
 	switch {
-	case f.silent:
-		if by := f.silentSince.Add(silentWatchKnown); by.After(at) {
+	case w.silent:
+		if by := w.silentSince.Add(silentWatchKnown); by.After(at) {
 			at = by
 		}
-	case f.live:
-	case w.Discovery.Kind == LocalAgents:
-		if f.service.silent { // it does not have it
+	case w.live:
+	case world.Discovery.Kind == LocalAgents:
+		if w.service.silent { // the agent does not have it
 			return
 		}
-	case f.lastPollRejected:
-		at = w.now.Add(rejectedPollKnown)
+	case w.lastPollRejected:
+		at = world.now.Add(rejectedPollKnown)
 	default:
-		at = w.now.Add(pollKnown)
+		at = world.now.Add(pollKnown)
 	}
-	host, life, since := f.host, f.host.incarnation, w.now
-	told := func() {
-		if host.incarnation == life && !host.crashed {
+	host, incarnation, since := w.host, w.host.incarnation, world.now
+	known := func() {
+		if host.incarnation == incarnation && !host.crashed {
 			host.recordKnown(e)
 		}
 	}
-	w.at(at, func() {
-		if f.lastPollRejected { // it asked, and was refused: it may not know for longer
-			w.at(since.Add(rejectedPollKnown), told)
+	world.at(at, func() {
+		if w.lastPollRejected { // its poll was rejected: it may not know for longer
+			world.at(since.Add(rejectedPollKnown), known)
 			return
 		}
-		told()
+		known()
 	})
 }
--- a/internal/testbed/sim/hunt.go
+++ b/internal/testbed/sim/hunt.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// RandomSettings makes the settings of a random run: a fleet and a schedule of troubles.
+// RandomSettings draws the settings of a run: a small fleet and its faults.
 func RandomSettings(seed uint64) Settings {
-	rng := rand.New(rand.NewPCG(seed, 0x77))
+	rng := rand.New(rand.NewPCG(seed, settingsStream))
 	s := Defaults(seed)
 	s.Aggregators = 1 + rng.IntN(3)
 	s.Replicas = 6 + rng.IntN(18)
@@ -34,46 +34,82 @@
 	return s
 }
 
-// Shrink makes a run that breaks a rule shorter, as long as it breaks one: fewer troubles, fewer nodes, less load, less
-// time. It returns the shortest that was found and how many runs that took.
-func Shrink(s Settings, most int) (Settings, int) {
-	runs := 0
-	breaks := func(c Settings) bool {
-		if runs >= most {
-			return false
+// Shrink simplifies the settings of a run that violates a rule for as long as a run violates one: fewer faults and
+// replicas, less load, less time. It plays at most maxRuns runs, and returns the simplest settings that it found and how
+// many runs it played.
+func Shrink(s Settings, maxRuns int) (Settings, int) {
+	search := shrinker{best: s, maxRuns: maxRuns}
+	for progress := true; progress && search.runs < search.maxRuns; {
+		withoutFault := search.removeFault()
+		simpler := search.simplify()
+		progress = withoutFault || simpler
+	}
+	return search.best, search.runs
+}
+
+// shrinker searches for the simplest settings that violate a rule.
+type shrinker struct {
+	best          Settings
+	runs, maxRuns int
+}
+
+// accept plays a candidate and takes it for the best if it violates a rule.
+func (s *shrinker) accept(candidate Settings) bool {
+	if s.runs >= s.maxRuns {
+		return false
+	}
+	s.runs++
+	r, err := Run(candidate)
+	if err != nil || len(r.Violations) == 0 {
+		return false
+	}
+	s.best = candidate
+	return true
+}
+
+// removeFault leaves one fault out.
+func (s *shrinker) removeFault() bool {
+	for i := range s.best.Faults {
+		candidate := s.best
+		candidate.Faults = append(append([]Fault{}, s.best.Faults[:i]...), s.best.Faults[i+1:]...)
+		if s.accept(candidate) {
+			return true
 		}
-		runs++
-		r, err := Run(c)
-		return err == nil && len(r.Violations) > 0
 	}
-	for again := true; again && runs < most; {
-		again = false
-		for i := range s.Faults {
-			c := s
-			c.Faults = append(append([]Fault{}, s.Faults[:i]...), s.Faults[i+1:]...)
-			if breaks(c) {
-				s, again = c, true
-				break
-			}
+	return false
+}
+
+// simplifications make settings smaller; one that changes nothing is not played.
+var simplifications = []func(*Settings){
+	func(c *Settings) { c.Aggregators = 1 },
+	func(c *Settings) { c.Retries = 0 },
+	func(c *Settings) { c.HealthEvidence = false },
+	func(c *Settings) { c.Replicas = max(c.Reach, c.Replicas/2) },
+	func(c *Settings) { c.Rate /= 2 },
+	func(c *Settings) { c.Duration = max(time.Second, c.Duration/2) },
+	func(c *Settings) { c.SearchParts = max(1, c.SearchParts/2) },
+}
+
+// minRate bounds the simplification of the load, in queries a second.
+const minRate = 1
+
+// simplify tries each simplification once.
+func (s *shrinker) simplify() bool {
+	progress := false
+	for _, change := range simplifications {
+		candidate := s.best
+		change(&candidate)
+		if candidate.Rate < minRate || sameSize(candidate, s.best) {
+			continue
 		}
-		for _, change := range []func(*Settings){
-			func(c *Settings) { c.Aggregators = 1 },
-			func(c *Settings) { c.Retries = 0 },
-			func(c *Settings) { c.HealthEvidence = false },
-			func(c *Settings) { c.Replicas = max(c.Reach, c.Replicas/2) },
-			func(c *Settings) { c.Rate /= 2 },
-			func(c *Settings) { c.Duration = max(time.Second, c.Duration/2) },
-			func(c *Settings) { c.SearchParts = max(1, c.SearchParts/2) },
-		} {
-			c := s
-			change(&c)
-			if c.Aggregators == s.Aggregators && c.Retries == s.Retries && c.HealthEvidence == s.HealthEvidence && c.Replicas == s.Replicas && c.Rate == s.Rate && c.Duration == s.Duration && c.SearchParts == s.SearchParts || c.Rate < 1 {
-				continue
-			}
-			if breaks(c) {
-				s, again = c, true
-			}
+		if s.accept(candidate) {
+			progress = true
 		}
 	}
-	return s, runs
+	return progress
+}
+
+func sameSize(a, b Settings) bool {
+	return a.Aggregators == b.Aggregators && a.Retries == b.Retries && a.HealthEvidence == b.HealthEvidence &&
+		a.Replicas == b.Replicas && a.Rate == b.Rate && a.Duration == b.Duration && a.SearchParts == b.SearchParts
 }
--- a/internal/testbed/sim/replica.go
+++ b/internal/testbed/sim/replica.go
@@ -11,10 +11,10 @@
 	"rooktrestle/internal/aggregator"
 )
 
-// maxQueue is how many parts a node holds before it turns more away.
+// maxQueue is how many parts a replica queues before it rejects more.
 const maxQueue = 200
 
-// replica is an archive node: cores, a queue, and what is wrong with it.
+// replica is a simulated archive server: cores, a queue, and the faults that it has.
 type replica struct {
 	world          *world
 	id             balance.Replica
@@ -23,206 +23,209 @@
 	up             bool
 	unreachable    bool // nothing reaches it, and nothing comes from it
 	draining       bool
-	errorRate      float64 // share of parts that fail at once
-	slowdown       float64 // work takes so many times as long
-	slowClass      int     // of this class only; negative: of all
+	errorRate      float64 // fraction of the parts that fails at once
+	slowdown       float64 // factor of the service time
+	slowClass      int     // that slowdown applies to, or allClasses
 	unresponsive   bool    // takes parts and never answers
-	checksPass     bool    // its checks say well, whatever is
+	checksPass     bool    // its health checks, whatever its state
 	busyCores      int
 	queue          []*attempt
-	inFlight       map[*attempt]bool // taken and not ended
+	inFlight       map[*attempt]bool // received and not ended
 	started        time.Time         // of its process; zero: long ago
-	replaced       bool              // it is replaced by another
-	recentArrivals []arrival         // within the time in which too many make it fall, while it is cold
+	replaced       bool              // by another: it does not start again
+	recentArrivals []arrival         // within Warmup.OverloadPeriod, while it warms up
 }
 
-// arrival is a part that came, and whether its mixer had been told that the node is cold.
+// arrival is a part that came, and whether its aggregator knew when the replica had started.
 type arrival struct {
 	at         time.Time
 	startKnown bool
 }
 
-// Warmup is what a node can do after its start, and what makes it fall. The zero value: all, and nothing.
+// Warmup says what a replica can do after its start, and what makes it collapse. With the zero value it has its full
+// capacity at once and never collapses.
 type Warmup struct {
-	Period           time.Duration `json:"For"`    // it is warm after it
-	MinCapacity      float64       `json:"From"`   // share of its capacity at its start, growing evenly
-	OverloadMultiple float64       `json:"Tip"`    // so many times what it can do
-	OverloadPeriod   time.Duration `json:"TipFor"` // within so long make it fall
+	Period           time.Duration `json:"For"`    // after which it has its full capacity
+	MinCapacity      float64       `json:"From"`   // fraction of the capacity at its start, growing evenly
+	OverloadMultiple float64       `json:"Tip"`    // of its present capacity
+	OverloadPeriod   time.Duration `json:"TipFor"` // over which arrivals count
 }
 
-// zone is the node's: its place in the ring tells it.
-func (n *replica) zone() int { return n.index % max(2, n.world.Zones) }
+// zone follows from the replica's place in the ring.
+func (r *replica) zone() int { return r.index % max(2, r.world.Zones) }
 
-// capacityFraction is what it has of its capacity by now.
-func (n *replica) capacityFraction() float64 {
-	age := n.world.now.Sub(n.started)
-	if c := n.world.Warmup; c.Period > 0 && !n.started.IsZero() && age < c.Period {
+// capacityFraction is the fraction of the full capacity that it has now.
+func (r *replica) capacityFraction() float64 {
+	age := r.world.now.Sub(r.started)
+	if c := r.world.Warmup; c.Period > 0 && !r.started.IsZero() && age < c.Period {
 		return c.MinCapacity + (1-c.MinCapacity)*float64(age)/float64(c.Period)
 	}
 	return 1
 }
 
-// arrivalOverloads counts a part that came, and says whether the node falls under it. N parts of mean work are what the rule
-// allows within the time; chance may bring three deviations and three more.
-func (n *replica) arrivalOverloads(host *aggregatorHost) bool {
-	c, share := n.world.Warmup, n.capacityFraction()
+// arrivalOverloads counts an arriving part, and says whether the replica collapses under it. The rule allows as many
+// parts of mean service time as OverloadMultiple says; chance may add three standard deviations and three parts.
+func (r *replica) arrivalOverloads(host *aggregatorHost) bool {
+	c, share := r.world.Warmup, r.capacityFraction()
 	if share >= 1 || c.OverloadMultiple <= 0 {
-		n.recentArrivals = nil
+		r.recentArrivals = nil
 		return false
 	}
-	n.recentArrivals = append(n.recentArrivals, arrival{n.world.now, host.knownStarts[n.id].Equal(n.started)})
-	n.recentArrivals = slices.DeleteFunc(n.recentArrivals, func(a arrival) bool { return n.world.now.Sub(a.at) > c.OverloadPeriod })
-	most := c.OverloadMultiple * share * float64(n.world.Cores) * float64(c.OverloadPeriod) / float64(n.world.MeanServiceTime)
-	if float64(len(n.recentArrivals)) <= most+3*math.Sqrt(most)+3 {
+	r.recentArrivals = append(r.recentArrivals, arrival{r.world.now, host.knownStarts[r.id].Equal(r.started)})
+	r.recentArrivals = slices.DeleteFunc(r.recentArrivals, func(a arrival) bool { return r.world.now.Sub(a.at) > c.OverloadPeriod })
+	most := c.OverloadMultiple * share * float64(r.world.Cores) * float64(c.OverloadPeriod) / float64(r.world.MeanServiceTime)
+	if float64(len(r.recentArrivals)) <= most+3*math.Sqrt(most)+3 {
 		return false
 	}
-	told := 0
-	for _, a := range n.recentArrivals {
+	knowing := 0
+	for _, a := range r.recentArrivals {
 		if a.startKnown {
-			told++
+			knowing++
 		}
 	}
-	if 3*told > 2*len(n.recentArrivals) {
-		n.world.checker.violate("cold %s falls under %d parts, %d of mixers that were told of its start; %.1f are allowed", n.id, len(n.recentArrivals), told, most)
+	if 3*knowing > 2*len(r.recentArrivals) {
+		r.world.checker.violate("warming %s collapses under %d parts, %d of aggregators that knew its start; %.1f are allowed", r.id, len(r.recentArrivals), knowing, most)
 	}
-	n.world.result.ReplicasOverloaded++
+	r.world.result.ReplicasOverloaded++
 	return true
 }
 
-// collapse ends a node that got too much; it is back, cold, after a second.
-func (n *replica) collapse() {
-	n.crash()
-	n.recentArrivals = nil
-	n.world.after(time.Second, func() {
-		if !n.replaced {
-			n.up = true
-			n.start()
+// restartDelay is how long a replica that collapsed is down.
+const restartDelay = time.Second
+
+// collapse ends an overloaded replica; it starts again after restartDelay.
+func (r *replica) collapse() {
+	r.crash()
+	r.recentArrivals = nil
+	r.world.after(restartDelay, func() {
+		if !r.replaced {
+			r.up = true
+			r.start()
 		}
 	})
 }
 
-// start notes a start of the node's process.
-func (n *replica) start() {
-	if n.world.Warmup.Period > 0 {
-		n.started = n.world.now
+// start begins a new process of the replica and publishes it.
+func (r *replica) start() {
+	if r.world.Warmup.Period > 0 {
+		r.started = r.world.now
 	}
-	n.world.feed.publish(n, balance.InService)
+	r.world.feed.publish(r, balance.InService)
 }
 
-// attempt is one attempt of a part at a node.
+// attempt is one attempt of a part at a replica.
 type attempt struct {
 	host      *aggregatorHost
 	call      aggregator.Call
 	replica   *replica
-	abandoned bool // the mixer has given it up
+	abandoned bool // the aggregator has canceled it or has crashed
 }
 
 func newReplica(w *world, i int) *replica {
-	return &replica{world: w, id: balance.Replica(fmt.Sprintf("n%d", i)), index: i, rng: rand.New(rand.NewPCG(w.Seed, uint64(1000+i))), up: true,
-		slowdown: 1, slowClass: -1, checksPass: true, inFlight: map[*attempt]bool{}}
-}
-
-// networkDelay is the network's, one way.
-func (w *world) networkDelay() time.Duration {
-	return w.NetworkDelay/2 + time.Duration(w.rng.ExpFloat64()*float64(w.NetworkDelay)/2)
+	return &replica{world: w, id: balance.Replica(fmt.Sprintf("n%d", i)), index: i, rng: rand.New(rand.NewPCG(w.Seed, uint64(firstReplicaStream+i))), up: true,
+		slowdown: 1, slowClass: allClasses, checksPass: true, inFlight: map[*attempt]bool{}}
 }
 
-// receive takes a part that has arrived.
-func (n *replica) receive(k *attempt) {
-	w := n.world
+// receive handles a part that has arrived.
+func (r *replica) receive(a *attempt) {
+	w := r.world
 	switch {
-	case n.unreachable:
-		return // nobody will hear of it
-	case !n.up:
-		k.host.deliverResult(k, &aggregator.AttemptError{Progress: aggregator.NotConnected}, "")
+	case r.unreachable:
+		return // lost on the network
+	case !r.up:
+		a.host.deliverResult(a, &aggregator.AttemptError{Progress: aggregator.NotConnected}, "")
 		return
-	case n.draining || len(n.queue) >= maxQueue:
+	case r.draining || len(r.queue) >= maxQueue:
 		w.after(w.networkDelay(), func() {
-			k.host.deliverResult(k, &aggregator.AttemptError{Progress: aggregator.Answered, Rejected: true}, "")
+			a.host.deliverResult(a, &aggregator.AttemptError{Progress: aggregator.Answered, Rejected: true}, "")
 		})
 		return
 	}
-	if n.arrivalOverloads(k.host) {
-		w.after(w.networkDelay(), func() { k.host.deliverResult(k, &aggregator.AttemptError{Progress: aggregator.Written}, "") })
-		n.collapse()
+	if r.arrivalOverloads(a.host) {
+		w.after(w.networkDelay(), func() { a.host.deliverResult(a, &aggregator.AttemptError{Progress: aggregator.Written}, "") })
+		r.collapse()
 		return
 	}
-	w.checker.correctionRan(n, k)
-	if n.rng.Float64() < n.errorRate {
-		w.after(w.networkDelay(), func() { k.host.deliverResult(k, &aggregator.AttemptError{Progress: aggregator.Answered}, "") })
+	w.checker.correctionRan(r, a)
+	if r.rng.Float64() < r.errorRate {
+		w.after(w.networkDelay(), func() { a.host.deliverResult(a, &aggregator.AttemptError{Progress: aggregator.Answered}, "") })
 		return
 	}
-	n.inFlight[k] = true
-	if n.unresponsive {
+	r.inFlight[a] = true
+	if r.unresponsive {
 		return
 	}
-	n.queue = append(n.queue, k)
-	n.dispatch()
+	r.queue = append(r.queue, a)
+	r.dispatch()
 }
 
-// dispatch gives free cores something to do.
-func (n *replica) dispatch() {
-	for n.busyCores < n.world.Cores && len(n.queue) > 0 {
-		k := n.queue[0]
-		n.queue = n.queue[1:]
-		n.busyCores++
-		d := time.Duration((0.5 + 0.5*n.rng.ExpFloat64()) * float64(n.world.MeanServiceTime))
-		if n.slowClass < 0 || n.slowClass == k.call.Class {
-			d = time.Duration(float64(d) * n.slowdown)
+// dispatch gives queued parts to free cores.
+func (r *replica) dispatch() {
+	for r.busyCores < r.world.Cores && len(r.queue) > 0 {
+		a := r.queue[0]
+		r.queue = r.queue[1:]
+		r.busyCores++
+		d := time.Duration((0.5 + 0.5*r.rng.ExpFloat64()) * float64(r.world.MeanServiceTime))
+		if r.slowClass == allClasses || r.slowClass == a.call.Class {
+			d = time.Duration(float64(d) * r.slowdown)
 		}
-		if share := n.capacityFraction(); share < 1 {
+		if share := r.capacityFraction(); share < 1 {
 			d = time.Duration(float64(d) / share)
 		}
-		n.world.after(d, func() {
-			n.busyCores--
-			n.complete(k)
-			n.dispatch()
+		r.world.after(d, func() {
+			r.busyCores--
+			r.complete(a)
+			r.dispatch()
 		})
 	}
 }
 
-func (n *replica) complete(k *attempt) {
-	if !n.inFlight[k] { // it died meanwhile
+func (r *replica) complete(a *attempt) {
+	if !r.inFlight[a] { // the replica crashed meanwhile
 		return
 	}
-	delete(n.inFlight, k)
-	if n.unreachable {
+	delete(r.inFlight, a)
+	if r.unreachable {
 		return
 	}
-	n.world.after(n.world.networkDelay(), func() { k.host.deliverResult(k, nil, fmt.Sprintf("%s by %s", k.call.Name, n.id)) })
+	r.world.after(r.world.networkDelay(), func() { a.host.deliverResult(a, nil, fmt.Sprintf("%s by %s", a.call.Name, r.id)) })
 }
 
-// crash ends the node's process: what is on it ends as a reset.
-func (n *replica) crash() {
-	n.up, n.queue, n.busyCores = false, nil, 0
+// crash ends the replica's process: attempts at it end with a reset of the connection.
+func (r *replica) crash() {
+	r.up, r.queue, r.busyCores = false, nil, 0
 	var lost []*attempt
-	for _, host := range n.world.aggregators { // in an order that does not hang on a map's
-		for _, k := range host.sendOrder {
-			if n.inFlight[k] {
-				lost = append(lost, k)
+	for _, host := range r.world.aggregators { // in the order of sending, not of a map
+		for _, a := range host.sendOrder {
+			if r.inFlight[a] {
+				lost = append(lost, a)
 			}
 		}
 	}
-	clear(n.inFlight)
-	for _, k := range lost {
-		n.world.after(n.world.networkDelay(), func() { k.host.deliverResult(k, &aggregator.AttemptError{Progress: aggregator.Written}, "") })
+	clear(r.inFlight)
+	for _, a := range lost {
+		r.world.after(r.world.networkDelay(), func() { a.host.deliverResult(a, &aggregator.AttemptError{Progress: aggregator.Written}, "") })
 	}
 }
 
 // endpointFeed is the list of servers; each mixer hears of a change some time later.
+// endpointFeed tells aggregators of the endpoint list directly; each learns of a change some time later.
 type endpointFeed struct {
 	world *world
 	lag   time.Duration
 }
 
-// publish tells all mixers of a node.
-func (r *endpointFeed) publish(n *replica, s balance.EndpointState) {
-	if r.world.Discovery.Kind != "" {
-		r.world.discovery.append(n, s)
+// maxPropagation bounds the time that a change of the list takes to an aggregator; it is drawn evenly below it.
+const maxPropagation = 50 * time.Millisecond
+
+// publish changes an endpoint's state, by discovery where the aggregators follow that.
+func (f *endpointFeed) publish(r *replica, s balance.EndpointState) {
+	if f.world.Discovery.Kind != "" {
+		f.world.discovery.append(r, s)
 		return
 	}
-	for _, host := range r.world.aggregators {
-		d := r.lag + time.Duration(r.world.rng.Float64()*float64(50*time.Millisecond))
-		r.world.after(d, func() { host.endpointPublished(n, s) })
+	for _, h := range f.world.aggregators {
+		d := f.lag + time.Duration(f.world.rng.Float64()*float64(maxPropagation))
+		f.world.after(d, func() { h.endpointPublished(r, s) })
 	}
 }
--- a/internal/testbed/sim/sim_test.go
+++ b/internal/testbed/sim/sim_test.go
@@ -18,7 +18,7 @@
 }
 
 // The same seed gives the same trace, on any number of processors; another seed gives another.
-func TestSameSeedSameTrace(t *testing.T) {
+func TestRun_TraceDependsOnSeedOnly(t *testing.T) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	for seed := range uint64(2) {
 		s := RandomSettings(seed)
@@ -36,8 +36,8 @@
 	}
 }
 
-// A calm fleet answers everything; the troubles do what they are for.
-func TestTroublesDoWhatTheyAreFor(t *testing.T) {
+// A fleet without faults answers everything; each kind of fault has its effect.
+func TestRun_EachFaultHasItsEffect(t *testing.T) {
 	quiet := func() Settings {
 		s := Defaults(1)
 		s.Rate = 40
@@ -67,20 +67,20 @@
 			if median(r) < 2*median(calm) {
 				t.Errorf("%s: %v, %v in calm", k, median(r), median(calm))
 			}
-		case BadChecks, EndpointLag, Deploy: // nothing may come of them by themselves
+		case BadChecks, EndpointLag, Deploy: // alone they may not harm
 			if r.Goodput() < 0.98 {
 				t.Errorf("%s: goodput %.3f", k, r.Goodput())
 			}
 		default:
 			if r.Hash == calm.Hash {
-				t.Errorf("%s: nothing comes of it", k)
+				t.Errorf("%s: no effect", k)
 			}
 		}
 	}
 }
 
-// No rule breaks in random runs.
-func TestRulesHold(t *testing.T) {
+// Random fleets violate no rule.
+func TestRun_RandomFleetsViolateNoRule(t *testing.T) {
 	for seed := range uint64(5) {
 		if r := play(t, RandomSettings(seed)); len(r.Violations) > 0 {
 			t.Errorf("seed %d: %d broken, the first %s", seed, len(r.Violations), r.Violations[0])
@@ -89,25 +89,25 @@
 }
 
 // The checker finds a planted bug of each rule.
-func TestPlantedBugsAreFound(t *testing.T) {
-	for bug, words := range map[string]string{
-		"double correction": "ran 2 times", "lost query": "has no final answer", "drain ignored": "after it was told to drain",
-		"dishonest whole": "marked whole", "leaked attempt": "attempts out", "second copy": "two attempts of",
+func TestChecker_FindsPlantedBugs(t *testing.T) {
+	for bug, violation := range map[Bug]string{
+		BugDoubleCorrection: "ran 2 times", BugLostQuery: "has no final answer", BugDrainIgnored: "drain or removal was known",
+		BugDishonestComplete: "marked complete", BugLeakedAttempt: "attempts in flight", BugConcurrentAttempts: "two attempts of",
 	} {
 		s := Defaults(3)
 		s.PlantedBug = bug
 		s.Faults = []Fault{{Kind: Deploy, From: time.Second, Duration: 6 * time.Second, Replicas: 6}, {Kind: Hang, From: 2 * time.Second, Duration: 5 * time.Second, Replicas: 5, First: 6}}
 		r := play(t, s)
-		if !slices.ContainsFunc(r.Violations, func(b string) bool { return strings.Contains(b, words) }) {
+		if !slices.ContainsFunc(r.Violations, func(b string) bool { return strings.Contains(b, violation) }) {
 			t.Errorf("%s: %v", bug, r.Violations)
 		}
 	}
 }
 
-// A schedule that breaks a rule is shrunk to the trouble that it takes.
-func TestShrink(t *testing.T) {
+// A run that violates a rule is shrunk to the fault that it takes.
+func TestShrink_KeepsTheFaultThatViolates(t *testing.T) {
 	s := RandomSettings(5)
-	s.PlantedBug = "drain ignored"
+	s.PlantedBug = BugDrainIgnored
 	s.Faults = []Fault{{Kind: SlowReplicas, From: time.Second, Duration: time.Second, Magnitude: 2}, {Kind: Deploy, From: time.Second, Duration: 5 * time.Second, Replicas: 4},
 		{Kind: Burst, From: time.Second, Duration: time.Second, Magnitude: 2}}
 	short, runs := Shrink(s, 200)
@@ -115,7 +115,7 @@
 		t.Errorf("%d runs, %+v", runs, short.Faults)
 	}
 	if r := play(t, short); len(r.Violations) == 0 {
-		t.Error("the shrunk run breaks nothing")
+		t.Error("the shrunk run violates no rule")
 	}
 }
 
