--- a/internal/testbed/ber/ber.go
+++ b/internal/testbed/ber/ber.go
@@ -123,6 +123,18 @@
 // Integer words a number of 15 bits.
 func Integer(tag, n int) string { return put(tag, false, string([]byte{byte(n >> 8 & 0x7f), byte(n)})) }
 
+// Tags of the APDUs that the stand-ins use.
+const (
+	InitRequest              = 20
+	InitResponse             = 21
+	SearchRequest            = 22
+	SearchResponse           = 23
+	PresentRequest           = 24
+	PresentResponse          = 25
+	ExtendedServicesRequest  = 46
+	ExtendedServicesResponse = 47
+)
+
 // Object identifiers, as their bytes.
 const (
 	OIDBib1        = "\x2a\x86\x48\xce\x13\x03\x01"         // 1.2.840.10003.3.1
--- /dev/null
+++ b/internal/testbed/health/drain.go
@@ -0,0 +1,81 @@
+package health
+
+import (
+	"fmt"
+	"time"
+
+	"rooktrestle/internal/testbed/deployment"
+	"rooktrestle/internal/testbed/invariants"
+	"rooktrestle/internal/testbed/replica"
+)
+
+const (
+	otherServers     = 1000 // that are only checked
+	slowServerEvery  = 20   // of them: its checks get no answer
+	maxPartsAfter    = 300 * time.Millisecond
+	agentDrainAnswer = "up drain"
+	agentReadyAnswer = "up ready 100%"
+)
+
+// Drain measures how long after a replica's agent said drain the last new part reaches it.
+func Drain(seed uint64) (r Result, err error) {
+	others := replica.NewArchive(1)
+	defer others.Close()
+	quick, err := others.SRU("quick", seed)
+	if err != nil {
+		return r, fmt.Errorf("start a server to check: %w", err)
+	}
+	defer quick.Kill()
+	slow, err := others.SRU("slow", seed)
+	if err != nil {
+		return r, fmt.Errorf("start a server to check: %w", err)
+	}
+	defer slow.Kill()
+	slow.SetHealth(replica.Health{Hang: true})
+	otherAddr := func(i int) string {
+		if i%slowServerEvery == 0 {
+			return slow.Addr()
+		}
+		return quick.Addr()
+	}
+	d, err := deployment.Start(deployment.Options{Replicas: 6, Reach: 3, Seed: seed, Agents: true, CheckInterval: 200 * time.Millisecond, MaxSockets: 4096,
+		CheckedOnlyAddr: otherAddr, CheckedOnlyCount: otherServers})
+	if err != nil {
+		return r, fmt.Errorf("start a deployment: %w", err)
+	}
+	defer d.Stop()
+	for _, n := range d.Replicas {
+		f := steady()
+		f.Delay, f.InitDelay = 60*time.Millisecond, 150*time.Millisecond
+		n.SetFaults(f)
+	}
+	calls, stop := startLoad(d, seed)
+	defer stop()
+	time.Sleep(4 * time.Second)
+	for _, i := range []int{1, 2} { // one of each protocol
+		measureDrain(&r, d, i)
+	}
+	to := time.Now()
+	stop()
+	r.checkComplete(calls.Calls(to.Add(-6*time.Second), to.Add(-time.Second)), ": what was in flight did not finish")
+	r.checkCorrections(d)
+	return r, nil
+}
+
+// measureDrain lets the agent of one replica say drain, and then ready again.
+func measureDrain(r *Result, d *deployment.Deployment, i int) {
+	name, agent := d.Replicas[i].Name, d.Agents[i]
+	draining := d.Events.Next(deployment.HealthChanged(name, "drain"))
+	set := time.Now()
+	agent.Set(agentDrainAnswer, replica.Respond)
+	_, ok := wait(draining, set, 5*time.Second)
+	r.claim(ok, "%s: its drain was not noticed within 5 s", name)
+	time.Sleep(2 * time.Second)
+	announced := agent.AnnouncedAt()
+	late, last := invariants.PartsAfter(d.Archive, name, announced, maxPartsAfter)
+	r.claim(len(late) == 0, "%s: %d new parts later than %v after it said drain", name, len(late), maxPartsAfter)
+	r.set("last-part-"+name+"-ms", float64(last.Microseconds())/1000)
+	r.set("heard-"+name+"-ms", float64(announced.Sub(set).Milliseconds()))
+	agent.Set(agentReadyAnswer, replica.Respond)
+	time.Sleep(time.Second)
+}
--- /dev/null
+++ b/internal/testbed/health/idle.go
@@ -0,0 +1,176 @@
+package health
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"time"
+
+	"rooktrestle/internal/testbed/ber"
+	"rooktrestle/internal/testbed/client"
+	"rooktrestle/internal/testbed/deployment"
+	"rooktrestle/internal/testbed/replica"
+)
+
+const (
+	idleConnectionCount = 700              // on one listener
+	probeRounds         = 10               // of calls beside the idle connections
+	probeTimeout        = 10 * time.Second // of each call
+	slowCallTimeout     = 20 * time.Second
+	maxReportedFailures = 5
+)
+
+// IdleConnections opens 700 idle or half-begun connections on each listener in turn. Meanwhile callers on every listener,
+// new ones included, and health checks are served, and an association keeps the result set that it uses.
+func IdleConnections(seed uint64) (r Result, err error) {
+	d, err := deployment.Start(deployment.Options{Replicas: 4, Reach: 2, Seed: seed})
+	if err != nil {
+		return r, fmt.Errorf("start a deployment: %w", err)
+	}
+	defer d.Stop()
+	session, err := client.Dial(d.Frontend.Addr("z3950"), "editor", probeTimeout)
+	if err != nil {
+		return r, fmt.Errorf("open an association: %w", err)
+	}
+	defer session.Close()
+	if out := session.Search("kept", "captions", "budget"); out != client.Complete {
+		return r, fmt.Errorf("the search before the idle connections: %v", out)
+	}
+	p := &lockoutProbe{deployment: d, session: session, result: &r}
+	for _, listener := range []string{"z3950", "sru", "health", "agent"} {
+		for _, sent := range halfBegun(listener) {
+			p.run(listener, sent)
+		}
+	}
+	r.set("asked", float64(p.checked))
+	r.set("not-served", float64(p.failed))
+	r.checkCorrections(d)
+	return r, nil
+}
+
+// halfBegun are the beginnings that the connections send to a listener: nothing, too little, and a request or more.
+func halfBegun(listener string) []string {
+	if listener == "z3950" {
+		return []string{"", "G", "\xb4\x20", ber.InitAPDU("")}
+	}
+	return []string{"", "G", "\xb4\x20", "GET / HTTP/1.1\r\nHost: x\r\n"}
+}
+
+// lockoutProbe calls every listener beside idle connections, and counts what was not served.
+type lockoutProbe struct {
+	deployment      *deployment.Deployment
+	session         *client.Origin // with a result set named kept
+	result          *Result
+	checked, failed int
+}
+
+// check counts one call. Only the first failures are reported, with what came instead of the answer.
+func (p *lockoutProbe) check(served bool, what string, got ...any) {
+	p.checked++
+	if served {
+		return
+	}
+	p.failed++
+	if p.failed <= maxReportedFailures {
+		p.result.claim(false, "%s was not served: %v", what, got)
+	}
+}
+
+// run opens idle connections on one listener and calls all of them.
+func (p *lockoutProbe) run(listener, sent string) {
+	outcomes := startSlowCalls(p.deployment)
+	closeIdle := openIdleConnections(p.deployment.Frontend.Addr(listener), sent)
+	defer closeIdle()
+	what := fmt.Sprintf("%s crowd of %d (%q)", listener, idleConnectionCount, sent)
+	for i := range probeRounds {
+		p.callSRU(what, fmt.Sprintf("%d:%s-%d-%d", i%4, listener, len(sent), i))
+		p.callZ3950(what)
+		p.callHealth(what)
+	}
+	for name, out := range outcomes() {
+		p.check(out == client.Complete, what+": "+name+" begun before", out)
+	}
+}
+
+func (p *lockoutProbe) callSRU(what, correctionID string) {
+	web := client.NewSRU(p.deployment.Frontend.Addr("sru"), probeTimeout)
+	defer web.Close()
+	out := web.Search("captions", "budget")
+	p.check(out == client.Complete, what+": sru search", out)
+	out = web.Correct("captions", correctionID)
+	p.check(out == client.Complete, what+": sru correction", out)
+}
+
+func (p *lockoutProbe) callZ3950(what string) {
+	o, err := client.Dial(p.deployment.Frontend.Addr("z3950"), "", probeTimeout)
+	p.check(err == nil, what+": z39.50 init", err)
+	if err != nil {
+		return
+	}
+	defer o.Close()
+	out := o.Search("s", "captions", "budget")
+	p.check(out == client.Complete, what+": z39.50 search", out)
+}
+
+func (p *lockoutProbe) callHealth(what string) {
+	line, err := client.AgentCheck(p.deployment.Frontend.Addr("agent"), "", probeTimeout)
+	p.check(err == nil && strings.HasPrefix(line, "up"), what+": agent-check", line, err)
+	status, _, body, err := client.Get("http://"+p.deployment.Frontend.Addr("health")+"/healthz", probeTimeout)
+	p.check(err == nil && status == 200, what+": health check", status, body, err)
+	response, err := p.session.RoundTrip(ber.PresentAPDU("kept", 1, 2))
+	p.check(err == nil && response.Tag == ber.PresentResponse && ber.DiagnosticCode(response) == 0, what+": a kept result set", response.Tag, err)
+}
+
+// startSlowCalls begins a call over each protocol that takes a while, and returns once its parts are in flight, or after
+// a quarter of a second. outcomes waits for the answers, and names the calls.
+func startSlowCalls(d *deployment.Deployment) (outcomes func() map[string]client.Outcome) {
+	for _, n := range d.Replicas {
+		n.SetFaults(replica.Faults{Delay: 600 * time.Millisecond})
+	}
+	sru, z3950 := make(chan client.Outcome, 1), make(chan client.Outcome, 1)
+	go func() {
+		web := client.NewSRU(d.Frontend.Addr("sru"), slowCallTimeout)
+		defer web.Close()
+		sru <- web.Search("captions", "budget")
+	}()
+	go func() {
+		o, err := client.Dial(d.Frontend.Addr("z3950"), "", probeTimeout)
+		if err != nil {
+			z3950 <- client.Disconnected
+			return
+		}
+		defer o.Close()
+		z3950 <- o.Search("s", "captions", "budget")
+	}()
+	began := time.Now()
+	for len(d.Archive.Events(began)) < 2*len(d.Replicas) && time.Since(began) < 250*time.Millisecond {
+		time.Sleep(5 * time.Millisecond)
+	}
+	for _, n := range d.Replicas {
+		n.SetFaults(replica.Faults{})
+	}
+	return func() map[string]client.Outcome {
+		return map[string]client.Outcome{"a search over SRU": <-sru, "a search over Z39.50": <-z3950}
+	}
+}
+
+// openIdleConnections opens connections that send a beginning and then nothing. The returned function closes them.
+func openIdleConnections(addr, sent string) (closeAll func()) {
+	var conns []net.Conn
+	for range idleConnectionCount {
+		c, err := net.DialTimeout("tcp", addr, 2*time.Second)
+		if err != nil {
+			continue // the listener may refuse it: only the callers have to be served
+		}
+		if sent != "" {
+			_, _ = io.WriteString(c, sent) // the listener may have closed it
+		}
+		conns = append(conns, c)
+	}
+	return func() {
+		for _, c := range conns {
+			_ = c.Close() // nothing is lost with it
+		}
+	}
+}
--- a/internal/testbed/health/observer.go
+++ b/internal/testbed/health/observer.go
@@ -9,119 +9,126 @@
 	"rooktrestle/internal/testbed/client"
 )
 
-// sampleEvery is how often the word is compared with what a client gets.
-const sampleEvery = 50 * time.Millisecond
+// sampleInterval is how often the reported readiness is compared with what a client gets.
+const sampleInterval = 50 * time.Millisecond
 
-// sample is one moment: what was said, and what a search asked at that moment came to.
+// sample is one moment: what was reported, and what came of a search that was sent at that moment.
 type sample struct {
 	at       time.Time
-	agent    string
-	status   int // of /readyz/captions
+	agent    string // line of the agent-check; empty: none came
+	status   int    // of /readyz/captions; 0: none came
 	drain    bool
 	outcome  client.Outcome
-	answered bool // the search has come to an end
-	untrue   string
+	answered bool // the search has ended
 }
 
-// witness samples until it is stopped.
-type witness struct {
+// observer takes samples until it is stopped.
+type observer struct {
+	agentAddr, healthAddr string
+	web                   *client.SRU
+
 	mu      sync.Mutex
 	samples []*sample
 	quit    chan struct{}
 	once    sync.Once
-	over    sync.WaitGroup
+	running sync.WaitGroup
+}
+
+// newObserver starts an observer of the listeners at the three addresses.
+func newObserver(agent, health, sru string) *observer {
+	o := &observer{agentAddr: agent, healthAddr: health, web: client.NewSRU(sru, callTimeout), quit: make(chan struct{})}
+	o.running.Go(o.run)
+	return o
 }
 
-func newWitness(agent, health, sru string) *witness {
-	w := &witness{quit: make(chan struct{})}
-	web := client.NewSRU(sru, 5*time.Second)
-	w.over.Add(1)
-	go func() {
-		defer w.over.Done()
-		tick := time.NewTicker(sampleEvery)
-		defer tick.Stop()
-		for {
-			select {
-			case <-w.quit:
-				return
-			case <-tick.C:
-			}
-			s := &sample{at: time.Now()}
-			w.mu.Lock()
-			w.samples = append(w.samples, s)
-			w.mu.Unlock()
-			w.over.Add(2)
-			go func() {
-				defer w.over.Done()
-				out := web.Search("captions", "budget")
-				w.mu.Lock()
-				s.outcome, s.answered = out, true
-				w.mu.Unlock()
-			}()
-			go func() {
-				defer w.over.Done()
-				line, err := client.AgentCheck(agent, "", time.Second)
-				if err != nil {
-					line = ""
-				}
-				status, _, _, err := client.Get("http://"+health+"/readyz/captions", time.Second)
-				if err != nil {
-					status = 0
-				}
-				w.mu.Lock()
-				s.agent, s.status, s.drain = line, status, strings.Contains(line, "drain")
-				w.mu.Unlock()
-			}()
+func (o *observer) run() {
+	tick := time.NewTicker(sampleInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-o.quit:
+			return
+		case <-tick.C:
 		}
-	}()
-	return w
+		s := &sample{at: time.Now()}
+		o.mu.Lock()
+		o.samples = append(o.samples, s)
+		o.mu.Unlock()
+		o.running.Go(func() { o.search(s) })
+		o.running.Go(func() { o.readReadiness(s) })
+	}
 }
 
-func (w *witness) stop() {
-	w.once.Do(func() { close(w.quit) })
-	w.over.Wait()
+func (o *observer) search(s *sample) {
+	out := o.web.Search("captions", "budget")
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s.outcome, s.answered = out, true
+}
+
+func (o *observer) readReadiness(s *sample) {
+	line, err := client.AgentCheck(o.agentAddr, "", time.Second)
+	if err != nil {
+		line = ""
+	}
+	status, _, _, err := client.Get("http://"+o.healthAddr+"/readyz/captions", time.Second)
+	if err != nil {
+		status = 0
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s.agent, s.status, s.drain = line, status, strings.Contains(line, "drain")
 }
 
-// weight is what the agent said of it, in percent; 0 if it named none.
+// stop ends the observer and waits for the calls in flight. It may be called more than once.
+func (o *observer) stop() {
+	o.once.Do(func() { close(o.quit) })
+	o.running.Wait()
+}
+
+// weight is what the agent-check reported, in percent; 0 if it reported none.
 func (s *sample) weight() (weight int) {
-	word, _, _ := strings.Cut(s.agent, "#")
-	for _, f := range strings.Fields(word) {
-		if strings.HasSuffix(f, "%") {
-			for _, c := range strings.TrimSuffix(f, "%") {
-				weight = weight*10 + int(c-'0')
-			}
+	line, _, _ := strings.Cut(s.agent, "#")
+	for _, field := range strings.Fields(line) {
+		digits, ok := strings.CutSuffix(field, "%")
+		if !ok {
+			continue
+		}
+		for _, digit := range digits {
+			weight = weight*10 + int(digit-'0')
 		}
 	}
 	return weight
 }
 
-// pressed is the share of the searches between two moments that were refused, and the median weight told.
-func (w *witness) pressed(from, to time.Time) (refused, weight float64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+// rejections is the fraction of the searches between two moments that was rejected, and the median of the weights.
+func (o *observer) rejections(from, to time.Time) (rejected, weight float64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	var weights []float64
-	n := 0.0
-	for _, s := range w.samples {
-		if s.answered && !s.at.Before(from) && s.at.Before(to) {
-			n++
-			if s.outcome == client.Rejected {
-				refused++
-			}
-			weights = append(weights, float64(s.weight()))
+	answered := 0.0
+	for _, s := range o.samples {
+		if !s.answered || s.at.Before(from) || !s.at.Before(to) {
+			continue
+		}
+		answered++
+		if s.outcome == client.Rejected {
+			rejected++
 		}
+		weights = append(weights, float64(s.weight()))
 	}
-	if n == 0 {
+	if answered == 0 {
 		return 0, 0
 	}
 	slices.Sort(weights)
-	return refused / n, weights[len(weights)/2]
+	return rejected / answered, weights[len(weights)/2]
 }
 
-// drained is how long after a moment the first word of drain came; 0: none did.
-func (w *witness) drained(at time.Time) time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, s := range w.samples {
+// drainReported is how long after a moment a drain was first reported; 0: never.
+func (o *observer) drainReported(at time.Time) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, s := range o.samples {
 		if s.drain && !s.at.Before(at) {
 			return max(s.at.Sub(at), time.Millisecond)
 		}
@@ -129,40 +136,43 @@
 	return 0
 }
 
-// lies says what of a sample was untrue; empty: nothing. Partial and late answers are no lie; refusals are none where
-// the weight is low.
-func (s *sample) lies() string {
+// minHonestWeight is the least weight that promises that queries are admitted, in percent.
+const minHonestWeight = 50
+
+// isInaccurate says whether the report differs from what the client got. Partial and overdue answers may come whatever is
+// reported, and rejections where the weight is low.
+func (s *sample) isInaccurate() bool {
 	switch {
 	case !s.answered || s.agent == "":
-		return ""
-	case s.drain:
-		return "" // served or not, a balancer was told to go elsewhere
-	case s.outcome == client.Complete && s.status != 200:
-		return "answered, and not ready"
-	case s.outcome == client.Rejected && s.weight() > 50 && s.status == 200:
-		return "refused, and a high weight"
-	case (s.outcome == client.Failed || s.outcome == client.Disconnected) && s.status == 200:
-		return "not answered, and ready"
+		return false
+	case s.drain: // served or not, a balancer is to go elsewhere
+		return false
+	case s.outcome == client.Complete:
+		return s.status != 200
+	case s.outcome == client.Rejected:
+		return s.weight() > minHonestWeight && s.status == 200
+	case s.outcome == client.Failed || s.outcome == client.Disconnected:
+		return s.status == 200
 	}
-	return ""
+	return false
 }
 
-// untrue is for how long between two moments the word was untrue, in all and at the longest stretch.
-func (w *witness) untrue(from, to time.Time) (all, most time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	run := time.Duration(0)
-	for _, s := range w.samples {
+// inaccurate is for how long between two moments the report was inaccurate, in all and at the longest stretch.
+func (o *observer) inaccurate(from, to time.Time) (total, longest time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	stretch := time.Duration(0)
+	for _, s := range o.samples {
 		if s.at.Before(from) || !s.at.Before(to) {
 			continue
 		}
-		if s.lies() == "" {
-			run = 0
+		if !s.isInaccurate() {
+			stretch = 0
 			continue
 		}
-		all += sampleEvery
-		run += sampleEvery
-		most = max(most, run)
+		total += sampleInterval
+		stretch += sampleInterval
+		longest = max(longest, stretch)
 	}
-	return all, most
+	return total, longest
 }
--- /dev/null
+++ b/internal/testbed/health/readiness.go
@@ -0,0 +1,124 @@
+package health
+
+import (
+	"fmt"
+	"time"
+
+	"rooktrestle/internal/testbed/deployment"
+	"rooktrestle/internal/testbed/load"
+	"rooktrestle/internal/testbed/replica"
+)
+
+// maxInaccurate bounds for how long the reported readiness may differ from what clients get, in one phase.
+const maxInaccurate = time.Second
+
+// ReadinessAccuracy compares the readiness that the aggregator reports with what a client gets at the same moment, each
+// 50 ms: while a shard loses its holders and gets them back, while the aggregator is overloaded, and while it drains.
+func ReadinessAccuracy(seed uint64) (r Result, err error) {
+	d, err := deployment.Start(deployment.Options{Replicas: 4, Reach: 2, Seed: seed, MaxOpen: 200})
+	if err != nil {
+		return r, fmt.Errorf("start a deployment: %w", err)
+	}
+	defer d.Stop()
+	setAll(d, steady())
+	time.Sleep(time.Second)
+	p := &readinessPhases{result: &r, deployment: d, observer: newObserver(d.Frontend.Addr("agent"), d.Frontend.Addr("health"), d.Frontend.Addr("sru"))}
+	defer p.observer.stop()
+	if err := p.loseShard(); err != nil {
+		return r, err
+	}
+	p.failChecks()
+	p.overload(seed)
+	p.drain()
+	return r, nil
+}
+
+func setAll(d *deployment.Deployment, f replica.Faults) {
+	for _, n := range d.Replicas {
+		n.SetFaults(f)
+	}
+}
+
+// readinessPhases runs the phases of ReadinessAccuracy.
+type readinessPhases struct {
+	result     *Result
+	deployment *deployment.Deployment
+	observer   *observer
+}
+
+// run changes something, lets the aggregator run for d, and returns when the phase began.
+func (p *readinessPhases) run(name string, d time.Duration, change func()) time.Time {
+	at := time.Now()
+	change()
+	time.Sleep(d)
+	inaccurate, longest := p.observer.inaccurate(at, time.Now().Add(-500*time.Millisecond))
+	p.result.set("untrue-"+name+"-ms", float64(inaccurate.Milliseconds()))
+	p.result.claim(inaccurate < maxInaccurate, "%s: inaccurate for %v, %v at a stretch", name, inaccurate, longest)
+	return at
+}
+
+func (p *readinessPhases) loseShard() error {
+	holders := []*replica.Server{p.deployment.Replica("n1"), p.deployment.Replica("n2")} // of shard 1
+	p.run("calm", 2*time.Second, func() {})
+	p.run("block-lost", 4*time.Second, func() {
+		for _, n := range holders {
+			n.Kill()
+		}
+	})
+	var err error
+	p.run("block-back", 5*time.Second, func() {
+		for _, n := range holders {
+			if startErr := n.Start(); startErr != nil {
+				err = fmt.Errorf("start %s again: %w", n.Name, startErr)
+			}
+		}
+	})
+	return err
+}
+
+func (p *readinessPhases) failChecks() {
+	setHealth := func(h replica.Health) {
+		for _, n := range p.deployment.Replicas {
+			n.SetHealth(h)
+		}
+	}
+	p.run("checks-lie-down", 4*time.Second, func() { setHealth(replica.Health{Status: 500, RejectChecks: true}) })
+	p.run("checks-well", 3*time.Second, func() { setHealth(replica.Health{}) })
+}
+
+func (p *readinessPhases) overload(seed uint64) {
+	r := p.result
+	var stop func()
+	at := p.run("overload", 5*time.Second, func() {
+		slow := steady()
+		slow.Delay, slow.Cores = 60*time.Millisecond, 2
+		setAll(p.deployment, slow)
+		_, stop = load.Start(load.Plan{SRU: p.deployment.Frontend.Addr("sru"), Rate: 150, Mix: load.Mix{Searches: 1}, Seed: seed, Timeout: callTimeout})
+	})
+	rejected, weight := p.observer.rejections(at.Add(time.Second), time.Now())
+	r.set("overload-refused-%", 100*rejected)
+	r.set("overload-weight-median-%", weight)
+	r.claim(rejected > 0.2 && weight <= 50, "no overload to speak of: %.0f%% rejected, weight %v", 100*rejected, weight)
+	p.run("overload-over", 5*time.Second, func() {
+		setAll(p.deployment, steady())
+		go stop()
+	})
+}
+
+// drain stops the frontend.
+func (p *readinessPhases) drain() {
+	r, frontend := p.result, p.deployment.Frontend
+	stopped := make(chan struct{})
+	at := p.run("drain", 2*time.Second, func() {
+		go func() {
+			defer close(stopped)
+			frontend.Stop(3 * time.Second)
+		}()
+	})
+	p.observer.stop()
+	reported := p.observer.drainReported(at)
+	r.set("drain-told-ms", float64(reported.Milliseconds()))
+	r.claim(reported > 0 && reported < time.Second, "the drain was reported after %v", reported)
+	<-stopped
+	p.deployment.Frontend = nil // stopped already
+}
--- /dev/null
+++ b/internal/testbed/health/replicas.go
@@ -0,0 +1,162 @@
+package health
+
+import (
+	"strings"
+	"time"
+
+	"rooktrestle/internal/testbed/client"
+	"rooktrestle/internal/testbed/deployment"
+	"rooktrestle/internal/testbed/invariants"
+	"rooktrestle/internal/testbed/load"
+	"rooktrestle/internal/testbed/replica"
+)
+
+// FailingWithGoodChecks measures how soon a replica is ejected whose checks all pass while it fails 80% of its parts, what
+// fraction of the traffic it keeps, what its failures cost, and how soon it is back once it is sound.
+func FailingWithGoodChecks(seed uint64) (r Result, err error) {
+	d, calls, stop, err := startUnderLoad(deployment.Options{Replicas: 4, Reach: 2, Agents: true}, seed)
+	if err != nil {
+		return r, err
+	}
+	defer d.Stop()
+	defer stop()
+	m := failureTimes{start: time.Now()}
+	time.Sleep(4 * time.Second)
+	m.fault = time.Now()
+	before, _ := invariants.TrafficShare(d.Archive, "n1", m.start.Add(time.Second), m.fault)
+	r.set("share-before-%", 100*before)
+	m.fail(&r, d)
+	m.recover(&r, d)
+	stop()
+	m.report(&r, d, calls, before)
+	r.checkCorrections(d)
+	return r, nil
+}
+
+// failureTimes are the moments of FailingWithGoodChecks.
+type failureTimes struct {
+	start                      time.Time
+	fault                      time.Time // the replica begins to fail
+	ejectedFrom, ejectedTo     time.Time // it fails, and has long been ejected
+	recoveredFrom, recoveredTo time.Time // it is sound, and long back
+}
+
+// fail makes the replica fail and waits for its ejection.
+func (m *failureTimes) fail(r *Result, d *deployment.Deployment) {
+	faults := steady()
+	faults.ErrorRate = 0.8
+	ejected := d.Events.Next(deployment.HealthChanged("n1", "parts fail"))
+	d.Replica("n1").SetFaults(faults)
+	detect, ok := wait(ejected, m.fault, 3*time.Second)
+	r.claim(ok, "not ejected within 3 s")
+	r.set("detect-s", detect.Seconds())
+	time.Sleep(time.Until(m.fault.Add(3 * time.Second)))
+	m.ejectedFrom = time.Now()
+	time.Sleep(12 * time.Second)
+	m.ejectedTo = time.Now()
+}
+
+// recover makes the replica sound and waits for its return.
+func (m *failureTimes) recover(r *Result, d *deployment.Deployment) {
+	back := d.Events.Next(deployment.HealthChanged("n1", "well"))
+	d.Replica("n1").SetFaults(steady())
+	sound := time.Now()
+	elapsed, ok := wait(back, sound, 10*time.Second)
+	r.claim(ok, "not back within 10 s")
+	r.set("recover-s", elapsed.Seconds())
+	time.Sleep(6 * time.Second)
+	m.recoveredFrom = time.Now()
+	time.Sleep(4 * time.Second)
+	m.recoveredTo = time.Now()
+}
+
+func (m *failureTimes) report(r *Result, d *deployment.Deployment, calls *load.Result, before float64) {
+	const seriesStep = 250 * time.Millisecond
+	share, parts := invariants.TrafficShare(d.Archive, "n1", m.ejectedFrom, m.ejectedTo)
+	r.set("share-%", 100*share)
+	r.set("parts", float64(parts))
+	r.claim(share < 0.02, "%.2f%% of the parts after 3 s", 100*share)
+	r.checkComplete(calls.Calls(m.ejectedFrom, m.ejectedTo.Add(-time.Second)), "")
+	r.set("whole-at-onset-%", 100*load.CompleteFraction(calls.Calls(m.fault, m.ejectedFrom)))
+	share, _ = invariants.TrafficShare(d.Archive, "n1", m.recoveredFrom, m.recoveredTo)
+	r.set("share-back-%", 100*share)
+	r.claim(share > before/2, "%.1f%% of the parts after its return, %.1f%% before", 100*share, 100*before)
+	for at := m.start; at.Before(m.recoveredTo); at = at.Add(seriesStep) {
+		s, _ := invariants.TrafficShare(d.Archive, "n1", at, at.Add(seriesStep))
+		r.Series = append(r.Series, Point{at.Sub(m.fault).Seconds(), 100 * s})
+	}
+}
+
+// ServingWithBadChecks has a replica whose check says down while it serves. It gets no traffic; once it is the only holder
+// of a shard it does, and the log says why.
+func ServingWithBadChecks(seed uint64) (r Result, err error) {
+	d, calls, stop, err := startUnderLoad(deployment.Options{Replicas: 4, Reach: 2, SRUOnly: true}, seed)
+	if err != nil {
+		return r, err
+	}
+	defer d.Stop()
+	defer stop()
+	time.Sleep(2 * time.Second)
+	down := d.Events.Next(deployment.HealthChanged("n1", "down (status 500)"))
+	at := time.Now()
+	d.Replica("n1").SetHealth(replica.Health{Status: 500})
+	elapsed, ok := wait(down, at, 3*time.Second)
+	r.claim(ok, "not taken for down")
+	r.set("left-s", elapsed.Seconds())
+	from := time.Now().Add(300 * time.Millisecond)
+	time.Sleep(3 * time.Second)
+	share, _ := invariants.TrafficShare(d.Archive, "n1", from, time.Now())
+	r.set("share-left-%", 100*share)
+	r.claim(share == 0, "%.1f%% of the parts at a replica that says down", 100*share)
+
+	onlyHolder := d.Events.Next(deployment.HealthChanged("n1", "alone"))
+	d.Replica("n2").Kill() // n1 and n2 are the holders of shard 1
+	at = time.Now()
+	elapsed, ok = wait(onlyHolder, at, 3*time.Second)
+	r.claim(ok, "the log does not say that it is the only holder of a shard")
+	r.set("alone-s", elapsed.Seconds())
+	time.Sleep(500 * time.Millisecond)
+	from = time.Now()
+	time.Sleep(4 * time.Second)
+	to := time.Now()
+	share, _ = invariants.TrafficShare(d.Archive, "n1", from, to)
+	r.set("share-alone-%", 100*share)
+	r.claim(share > 0.15, "%.1f%% of the parts at the only holder", 100*share)
+	stop()
+	r.checkComplete(calls.Calls(from, to.Add(-time.Second)), "")
+	r.checkCorrections(d)
+	return r, nil
+}
+
+// AllChecksFail lets every check fail at once while parts succeed. Service goes on, and the reported readiness says so.
+func AllChecksFail(seed uint64) (r Result, err error) {
+	d, calls, stop, err := startUnderLoad(deployment.Options{Replicas: 6, Reach: 2}, seed)
+	if err != nil {
+		return r, err
+	}
+	defer d.Stop()
+	defer stop()
+	time.Sleep(3 * time.Second)
+	from := time.Now()
+	for _, n := range d.Replicas {
+		n.SetHealth(replica.Health{Status: 503, RejectChecks: true})
+	}
+	downSamples := 0.0
+	for time.Since(from) < 8*time.Second {
+		if line, err := client.AgentCheck(d.Frontend.Addr("agent"), "", time.Second); err != nil || strings.HasPrefix(line, "down") {
+			downSamples++
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	to := time.Now()
+	for _, n := range d.Replicas {
+		n.SetHealth(replica.Health{})
+	}
+	time.Sleep(2 * time.Second)
+	stop()
+	r.checkComplete(calls.Calls(from, to), " while all checks fail")
+	r.set("own-word-down-samples", downSamples)
+	r.claim(downSamples == 0, "the aggregator said down %v times while everything was answered", downSamples)
+	r.checkCorrections(d)
+	return r, nil
+}
