Split the testbed commands into options, run and report

Cause: RunE closures of up to 80 lines, unchecked writes, map reports; reshape and other house words. Change: an options struct, a check and a run function a command; output keeps the first write error; typed JSON reports with the same keys; the subcommand is resharding, reshape stays as its alias.

--- a/cmd/testbed/demo.go
+++ b/cmd/testbed/demo.go
@@ -2,12 +2,10 @@
 
 import (
 	"fmt"
-	"io"
 	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
-	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -19,112 +17,131 @@
 	"rooktrestle/internal/testbed/replica"
 )
 
-func demo() *cobra.Command {
-	var d time.Duration
-	var nodes int
-	var seed uint64
-	var verbose bool
+// demoOptions are those of the demo command.
+type demoOptions struct {
+	duration time.Duration // 0: until it is interrupted
+	replicas int
+	seed     uint64
+	verbose  bool
+}
+
+// minDemoDuration leaves time for each phase.
+const minDemoDuration = 3 * time.Second
+
+func demoCommand() *cobra.Command {
+	var o demoOptions
 	c := &cobra.Command{
-		Use: "demo", Short: "Start nodes of both protocols, the real second front and a few clients, and show what becomes of a drain",
+		Use: "demo", Short: "Start replicas of both protocols, the real frontends and a few clients, and show what becomes of a drain",
 		Example: "  testbed demo --for 10s --nodes 6 --seed 7", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if nodes < 3 || nodes > 64 {
-				return fmt.Errorf("--nodes %d: 3 to 64", nodes)
+			if o.replicas < 3 || o.replicas > 64 {
+				return fmt.Errorf("--nodes %d: 3 to 64", o.replicas)
 			}
-			if d < 0 || d > 0 && d < 3*time.Second {
-				return fmt.Errorf("--for %v: at least 3s, or 0 until it is interrupted", d)
+			if o.duration != 0 && o.duration < minDemoDuration {
+				return fmt.Errorf("--for %v: at least %v, or 0 until it is interrupted", o.duration, minDemoDuration)
 			}
-			return runDemo(cmd.OutOrStdout(), d, nodes, seed, verbose)
+			return runDemo(&output{w: cmd.OutOrStdout()}, o)
 		},
 	}
-	c.Flags().DurationVar(&d, "for", 0, "how long; 0: until it is interrupted")
-	c.Flags().IntVar(&nodes, "nodes", 6, "stand-in nodes, every second one of Z39.50")
-	c.Flags().Uint64Var(&seed, "seed", 1, "of all chance")
-	c.Flags().BoolVarP(&verbose, "verbose", "v", false, "show what the front logs")
+	c.Flags().DurationVar(&o.duration, "for", 0, "how long; 0: until it is interrupted")
+	c.Flags().IntVar(&o.replicas, "nodes", 6, "stand-in replicas, every second one of Z39.50")
+	c.Flags().Uint64Var(&o.seed, "seed", 1, "of all random samples")
+	c.Flags().BoolVarP(&o.verbose, "verbose", "v", false, "show what the aggregator logs")
 	return c
 }
 
-func runDemo(out io.Writer, d time.Duration, nodes int, seed uint64, verbose bool) error {
+func runDemo(out *output, o demoOptions) error {
 	var log slog.Handler
-	if verbose {
+	if o.verbose {
 		log = slog.NewTextHandler(os.Stderr, nil)
 	}
-	in, err := deployment.Start(deployment.Options{Replicas: nodes, Reach: 2, Seed: seed, Agents: true, Log: log})
+	d, err := deployment.Start(deployment.Options{Replicas: o.replicas, Reach: 2, Seed: o.seed, Agents: true, Log: log})
 	if err != nil {
-		return err
+		return fmt.Errorf("start a deployment: %w", err)
 	}
-	defer in.Stop()
-	for _, n := range in.Replicas {
+	defer d.Stop()
+	for _, n := range d.Replicas {
 		n.SetFaults(replica.Faults{Delay: 10 * time.Millisecond, Jitter: 20 * time.Millisecond})
 	}
-	fmt.Fprintf(out, "%d archive nodes, half of them SRU, half Z39.50; each block is held by two of them.\n", nodes)
-	fmt.Fprintf(out, "SRU on %s, Z39.50 on %s, health on %s, agent-check on %s; configuration %s\n", in.Frontend.Addr("sru"),
-		in.Frontend.Addr("z3950"), in.Frontend.Addr("health"), in.Frontend.Addr("agent"), in.ConfigPath)
-	web := client.NewSRU(in.Frontend.Addr("sru"), 5*time.Second)
-	fmt.Fprintf(out, "\n  curl '%s'\n  curl 'http://%s/readyz?verbose'\n\n", web.SearchURL("captions", "budget"), in.Frontend.Addr("health"))
-	end := make(chan os.Signal, 1)
-	signal.Notify(end, os.Interrupt, syscall.SIGTERM)
+	printAddresses(out, d)
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(interrupted)
 	begin := time.Now()
-	calls, stop := load.Start(load.Plan{SRU: in.Frontend.Addr("sru"), Z3950: in.Frontend.Addr("z3950"), Rate: 30, Mix: load.DefaultMix, Seed: seed,
+	calls, stop := load.Start(load.Plan{SRU: d.Frontend.Addr("sru"), Z3950: d.Frontend.Addr("z3950"), Rate: 30, Mix: load.DefaultMix, Seed: o.seed,
 		Timeout: 5 * time.Second, Origins: 8})
+	phases := playDemoPhases(out, d, o.duration, begin, interrupted)
+	end := time.Now()
+	stop()
+	return reportDemo(out, d, calls, append(phases, end))
+}
+
+func printAddresses(out *output, d *deployment.Deployment) {
+	out.printf("%d archive replicas, half of them SRU, half Z39.50; each shard is held by two of them.\n", len(d.Replicas))
+	out.printf("SRU on %s, Z39.50 on %s, health on %s, agent-check on %s; configuration %s\n", d.Frontend.Addr("sru"),
+		d.Frontend.Addr("z3950"), d.Frontend.Addr("health"), d.Frontend.Addr("agent"), d.ConfigPath)
+	web := client.NewSRU(d.Frontend.Addr("sru"), 5*time.Second)
+	out.printf("\n  curl '%s'\n  curl 'http://%s/readyz?verbose'\n\n", web.SearchURL("captions", "budget"), d.Frontend.Addr("health"))
+}
+
+// playDemoPhases lets one replica drain and come back. It returns when each phase began, and ends early when it is
+// interrupted.
+func playDemoPhases(out *output, d *deployment.Deployment, duration time.Duration, begin time.Time, interrupted <-chan os.Signal) []time.Time {
 	drainAt, backAt := 4*time.Second, 8*time.Second
-	if d > 0 {
-		drainAt, backAt = d*2/5, d*7/10
+	if duration > 0 {
+		drainAt, backAt = duration*2/5, duration*7/10
 	}
 	pause := func(until time.Duration) bool {
 		select {
-		case <-end:
+		case <-interrupted:
 			return false
 		case <-time.After(time.Until(begin.Add(until))):
 			return true
 		}
 	}
 	phases := []time.Time{begin}
-	if pause(drainAt) {
-		phases = append(phases, time.Now())
-		fmt.Fprintf(out, "%5.1fs  the agent of n1 says drain\n", time.Since(begin).Seconds())
-		in.Agents[1].Set("up drain", replica.Respond)
-		if pause(backAt) {
-			phases = append(phases, time.Now())
-			fmt.Fprintf(out, "%5.1fs  the agent of n1 says ready\n", time.Since(begin).Seconds())
-			in.Agents[1].Set("up ready 100%", replica.Respond)
-			if d > 0 {
-				pause(d)
-			} else {
-				<-end
-			}
+	for _, phase := range []struct {
+		at    time.Duration
+		state string
+		line  string
+	}{{drainAt, "drain", "up drain"}, {backAt, "ready", "up ready 100%"}} {
+		if !pause(phase.at) {
+			return phases
 		}
+		phases = append(phases, time.Now())
+		out.printf("%5.1fs  the agent of n1 says %s\n", time.Since(begin).Seconds(), phase.state)
+		d.Agents[1].Set(phase.line, replica.Respond)
 	}
-	over := time.Now()
-	stop()
-	return table(out, in, calls, append(phases, over))
+	if duration > 0 {
+		pause(duration)
+	} else {
+		<-interrupted
+	}
+	return phases
 }
 
-// table prints what was asked and what became of it, by phase.
-func table(out io.Writer, in *deployment.Deployment, calls *load.Result, phases []time.Time) error {
-	fmt.Fprintln(out)
-	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "phase\tasked\twhole\tpartial\trefused\tfailed\tbroken\tparts at n1\tof all\t")
-	names := []string{"before", "n1 drains", "n1 is back"}
-	for i := 0; i+1 < len(phases); i++ {
-		list := calls.Calls(phases[i], phases[i+1])
-		n := load.CountOutcomes(list)
-		share, parts := invariants.TrafficShare(in.Archive, "n1", phases[i], phases[i+1])
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%d\t\n", names[i], len(list), n[client.Complete], n[client.Partial], n[client.Rejected],
-			n[client.Failed], n[client.Disconnected], share*float64(parts), parts)
-	}
-	t.Flush()
-	fmt.Fprintf(out, "\nlatency from the intended time: median %v, 99%% %v\n", calls.Quantile(50).Round(time.Millisecond), calls.Quantile(99).Round(time.Millisecond))
-	if len(phases) > 2 {
-		told := in.Agents[1].AnnouncedAt()
-		if len(phases) == 3 && !told.IsZero() {
-			_, last := invariants.PartsAfter(in.Archive, "n1", told, 0)
-			fmt.Fprintf(out, "last new part at n1 after its word: %v\n", last.Round(time.Millisecond))
+// reportDemo prints the calls and their outcomes by phase.
+func reportDemo(out *output, d *deployment.Deployment, calls *load.Result, phases []time.Time) error {
+	out.println()
+	out.table(func(t *output) {
+		t.printf("phase\tcalled\tcomplete\tpartial\trejected\tfailed\tdisconnected\tparts at n1\tof all\t\n")
+		names := []string{"before", "n1 drains", "n1 is back"}
+		for i := 0; i+1 < len(phases); i++ {
+			list := calls.Calls(phases[i], phases[i+1])
+			n := load.CountOutcomes(list)
+			share, parts := invariants.TrafficShare(d.Archive, "n1", phases[i], phases[i+1])
+			t.printf("%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%d\t\n", names[i], len(list), n[client.Complete], n[client.Partial], n[client.Rejected],
+				n[client.Failed], n[client.Disconnected], share*float64(parts), parts)
 		}
+	})
+	out.printf("\nlatency from the intended time: median %v, 99%% %v\n", calls.Quantile(50).Round(time.Millisecond), calls.Quantile(99).Round(time.Millisecond))
+	if announced := d.Agents[1].AnnouncedAt(); len(phases) == 3 && !announced.IsZero() {
+		_, last := invariants.PartsAfter(d.Archive, "n1", announced, 0)
+		out.printf("last new part at n1 after it said drain: %v\n", last.Round(time.Millisecond))
 	}
-	if twice := invariants.DuplicateCorrections(in.Archive); len(twice) > 0 {
+	if twice := invariants.DuplicateCorrections(d.Archive); len(twice) > 0 {
 		return fmt.Errorf("%w: corrections ran twice: %v", errClaimsFailed, twice)
 	}
-	fmt.Fprintln(out, "no correction ran twice")
-	return nil
+	out.println("no correction ran twice")
+	return out.err
 }
--- a/cmd/testbed/health.go
+++ b/cmd/testbed/health.go
@@ -1,11 +1,9 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
-	"sort"
-	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -14,114 +12,142 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 
-	labhealth "rooktrestle/internal/testbed/health"
+	"rooktrestle/internal/testbed/health"
 )
 
-func health() *cobra.Command {
-	var seeds int
-	var first uint64
-	var only []string
-	var asJSON bool
-	var picture string
+// maxSeeds bounds one run of the experiments.
+const maxSeeds = 1000
+
+// healthOptions are those of the health command.
+type healthOptions struct {
+	seeds     int
+	firstSeed uint64
+	only      []string // names of scenarios; empty: all
+	asJSON    bool
+	plot      string // file; empty: none
+}
+
+func healthCommand() *cobra.Command {
+	var o healthOptions
 	c := &cobra.Command{
 		Use: "health", Short: "Run the experiments on health evidence over several seeds and print median and worst",
 		Example: "  testbed health --seeds 20 --only liar-up --plot share.png", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if seeds < 1 || seeds > 1000 {
-				return fmt.Errorf("--seeds %d: 1 to 1000", seeds)
-			}
-			out := cmd.OutOrStdout()
-			report := map[string]any{}
-			broken := 0
-			for _, sc := range labhealth.Scenarios {
-				if len(only) > 0 && !slices.Contains(only, sc.Name) {
-					continue
-				}
-				values, claims := map[string][]float64{}, []string{}
-				var series [][]labhealth.Point
-				for seed := first; seed < first+uint64(seeds); seed++ {
-					began := time.Now()
-					r, err := sc.Run(seed)
-					if err != nil {
-						return fmt.Errorf("%s, seed %d: %w", sc.Name, seed, err)
-					}
-					for k, v := range r.Values {
-						values[k] = append(values[k], v)
-					}
-					for _, b := range r.Violations {
-						claims = append(claims, fmt.Sprintf("seed %d: %s", seed, b))
-					}
-					if len(r.Series) > 0 {
-						series = append(series, r.Series)
-					}
-					if !asJSON {
-						fmt.Fprintf(cmd.ErrOrStderr(), "%s, seed %d: %v, broken: %q\n", sc.Name, seed, time.Since(began).Round(time.Second), r.Violations)
-					}
-				}
-				broken += len(claims)
-				report[sc.Name] = map[string]any{"what": sc.What, "values": values, "broken": claims}
-				if !asJSON {
-					fmt.Fprintf(out, "%s: %s\n", sc.Name, sc.What)
-					t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-					fmt.Fprintln(t, "measure\tleast\tmedian\tmost\truns\t")
-					for _, k := range sorted(values) {
-						v := slices.Clone(values[k])
-						slices.Sort(v)
-						fmt.Fprintf(t, "%s\t%.4g\t%.4g\t%.4g\t%d\t\n", k, v[0], stat.Quantile(0.5, stat.Empirical, v, nil), v[len(v)-1], len(v))
-					}
-					t.Flush()
-					for _, b := range claims {
-						fmt.Fprintln(out, "  BROKEN", b)
-					}
-					fmt.Fprintln(out)
-				}
-				if picture != "" && len(series) > 0 {
-					if err := draw(picture, sc.What, series); err != nil {
-						return err
-					}
-				}
-			}
-			if len(report) == 0 {
-				return fmt.Errorf("--only %v: no such scenario", only)
+			if o.seeds < 1 || o.seeds > maxSeeds {
+				return fmt.Errorf("--seeds %d: 1 to %d", o.seeds, maxSeeds)
 			}
-			if asJSON {
-				text, err := json.MarshalIndent(report, "", "  ")
-				if err != nil {
-					return err
-				}
-				fmt.Fprintln(out, string(text))
-			}
-			if broken > 0 {
-				return fmt.Errorf("%w: %d broken", errClaimsFailed, broken)
-			}
-			return nil
+			return runHealth(&output{w: cmd.OutOrStdout()}, &output{w: cmd.ErrOrStderr()}, o)
 		},
 	}
-	c.Flags().IntVar(&seeds, "seeds", 1, "how many seeds")
-	c.Flags().Uint64Var(&first, "seed", 1, "the first")
-	c.Flags().StringSliceVar(&only, "only", nil, "scenarios by name; all if none is named")
-	c.Flags().BoolVar(&asJSON, "json", false, "all values as JSON")
-	c.Flags().StringVar(&picture, "plot", "", "draw the node's share over time into this PNG or SVG file")
+	c.Flags().IntVar(&o.seeds, "seeds", 1, "how many seeds")
+	c.Flags().Uint64Var(&o.firstSeed, "seed", 1, "the first")
+	c.Flags().StringSliceVar(&o.only, "only", nil, "scenarios by name; all if none is named")
+	c.Flags().BoolVar(&o.asJSON, "json", false, "all values as JSON")
+	c.Flags().StringVar(&o.plot, "plot", "", "draw the replica's share over time into this PNG or SVG file")
 	return c
 }
 
-func sorted(m map[string][]float64) (keys []string) {
-	for k := range m {
-		keys = append(keys, k)
+// scenarioReport is what all seeds of one scenario came to.
+type scenarioReport struct {
+	Violations []string             `json:"broken"`
+	Values     map[string][]float64 `json:"values"` // by measure, in the order of the seeds
+	What       string               `json:"what"`
+
+	series [][]health.Point // one a seed, where the scenario has one
+}
+
+// runHealth runs the scenarios and reports on out; progress takes a line a run.
+func runHealth(out, progress *output, o healthOptions) error {
+	reports := map[string]*scenarioReport{}
+	violations := 0
+	for _, scenario := range health.Scenarios {
+		if len(o.only) > 0 && !slices.Contains(o.only, scenario.Name) {
+			continue
+		}
+		report, err := runScenario(scenario, progress, o)
+		if err != nil {
+			return err
+		}
+		reports[scenario.Name] = report
+		violations += len(report.Violations)
+		if !o.asJSON {
+			report.print(out, scenario.Name)
+		}
+		if o.plot != "" && len(report.series) > 0 {
+			if err := plotSeries(o.plot, scenario.What, report.series); err != nil {
+				return fmt.Errorf("plot %s: %w", scenario.Name, err)
+			}
+		}
+	}
+	if len(reports) == 0 {
+		return fmt.Errorf("--only %v: no such scenario", o.only)
+	}
+	if o.asJSON {
+		out.printJSON(reports)
+	}
+	switch {
+	case out.err != nil:
+		return out.err
+	case violations > 0:
+		return fmt.Errorf("%w: %d broken", errClaimsFailed, violations)
+	}
+	return nil
+}
+
+// runScenario runs one scenario with each seed.
+func runScenario(scenario health.Scenario, progress *output, o healthOptions) (*scenarioReport, error) {
+	report := &scenarioReport{What: scenario.What, Values: map[string][]float64{}, Violations: []string{}}
+	for seed := o.firstSeed; seed < o.firstSeed+uint64(o.seeds); seed++ {
+		began := time.Now()
+		r, err := scenario.Run(seed)
+		if err != nil {
+			return nil, fmt.Errorf("%s, seed %d: %w", scenario.Name, seed, err)
+		}
+		report.add(seed, r)
+		if !o.asJSON {
+			progress.printf("%s, seed %d: %v, broken: %q\n", scenario.Name, seed, time.Since(began).Round(time.Second), r.Violations)
+		}
+	}
+	return report, nil
+}
+
+func (s *scenarioReport) add(seed uint64, r health.Result) {
+	for name, v := range r.Values {
+		s.Values[name] = append(s.Values[name], v)
+	}
+	for _, violation := range r.Violations {
+		s.Violations = append(s.Violations, fmt.Sprintf("seed %d: %s", seed, violation))
+	}
+	if len(r.Series) > 0 {
+		s.series = append(s.series, r.Series)
+	}
+}
+
+func (s *scenarioReport) print(out *output, name string) {
+	out.printf("%s: %s\n", name, s.What)
+	out.table(func(t *output) {
+		t.printf("measure\tmin\tmedian\tmax\truns\t\n")
+		for _, measure := range slices.Sorted(maps.Keys(s.Values)) {
+			values := slices.Sorted(slices.Values(s.Values[measure]))
+			median := stat.Quantile(0.5, stat.Empirical, values, nil)
+			t.printf("%s\t%.4g\t%.4g\t%.4g\t%d\t\n", measure, values[0], median, values[len(values)-1], len(values))
+		}
+	})
+	for _, violation := range s.Violations {
+		out.println("  BROKEN", violation)
 	}
-	sort.Strings(keys)
-	return keys
+	out.println()
 }
 
-// draw plots a node's share of the parts over time, one line a seed.
-func draw(file, title string, series [][]labhealth.Point) error {
+// plotSeries draws a replica's share of the parts over time, one line a seed.
+func plotSeries(file, title string, series [][]health.Point) error {
 	p := plot.New()
 	p.Title.Text = title
 	p.X.Label.Text, p.Y.Label.Text = "seconds after the fault", "share of the parts, %"
-	for _, s := range series {
+	for _, points := range series {
 		var xy plotter.XYs
-		for _, pt := range s {
-			xy = append(xy, plotter.XY{X: pt.At, Y: pt.Value})
+		for _, point := range points {
+			xy = append(xy, plotter.XY{X: point.At, Y: point.Value})
 		}
 		line, err := plotter.NewLine(xy)
 		if err != nil {
--- a/cmd/testbed/load.go
+++ b/cmd/testbed/load.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"os"
@@ -15,11 +14,16 @@
 	"rooktrestle/internal/testbed/load"
 )
 
-// loadMost bounds a run.
-const loadMost = time.Hour
+// Bounds of a run.
+const (
+	maxLoadRate     = 20000 // calls a second
+	minLoadDuration = time.Second
+	maxLoadDuration = time.Hour
+	maxOrigins      = 1000
+)
 
-// onLoopback says whether an address is on this machine: nothing else is ever called.
-func onLoopback(addr string) error {
+// checkLoopback fails for an address that is not on this machine: nothing else is ever called.
+func checkLoopback(addr string) error {
 	host, _, err := net.SplitHostPort(addr)
 	if err != nil {
 		return err
@@ -30,74 +34,113 @@
 	return nil
 }
 
+// loadOptions are those of the load command.
+type loadOptions struct {
+	plan     load.Plan
+	duration time.Duration
+	asJSON   bool
+}
+
+func (o *loadOptions) check() error {
+	p := &o.plan
+	if p.SRU == "" {
+		return fmt.Errorf("--sru is needed")
+	}
+	for _, addr := range []string{p.SRU, p.Z3950} {
+		if addr == "" {
+			continue
+		}
+		if err := checkLoopback(addr); err != nil {
+			return err
+		}
+	}
+	rateOK := p.Rate > 0 && p.Rate <= maxLoadRate // false for NaN, too
+	durationOK := o.duration >= minLoadDuration && o.duration <= maxLoadDuration
+	if !rateOK || !durationOK || p.Timeout <= 0 || p.Origins < 1 || p.Origins > maxOrigins {
+		return fmt.Errorf("--rate over 0 to %d, --for %v to %v, --timeout over 0, --origins 1 to %d", maxLoadRate, minLoadDuration, maxLoadDuration, maxOrigins)
+	}
+	return nil
+}
+
 func loadCommand() *cobra.Command {
-	var p load.Plan
-	var d time.Duration
-	var asJSON bool
+	var o loadOptions
 	c := &cobra.Command{
-		Use: "load", Short: "Call a front on loopback open-loop, and print outcomes and latencies from the intended times",
+		Use: "load", Short: "Call a frontend on loopback open-loop, and print outcomes and latencies from the intended times",
 		Example: "  testbed load --sru 127.0.0.1:8210 --z3950 127.0.0.1:2100 --rate 50 --for 30s", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if p.SRU == "" {
-				return fmt.Errorf("--sru is needed")
-			}
-			for _, addr := range []string{p.SRU, p.Z3950} {
-				if addr == "" {
-					continue
-				}
-				if err := onLoopback(addr); err != nil {
-					return err
-				}
-			}
-			if !(p.Rate > 0 && p.Rate <= 20000) || d < time.Second || d > loadMost || p.Timeout <= 0 || p.Origins < 1 || p.Origins > 1000 {
-				return fmt.Errorf("--rate over 0 to 20000, --for 1s to %v, --timeout over 0, --origins 1 to 1000", loadMost)
-			}
-			p.Mix = load.DefaultMix
-			stopped := make(chan os.Signal, 1)
-			signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
-			begin := time.Now()
-			calls, stop := load.Start(p)
-			tick := time.NewTicker(time.Second)
-			defer tick.Stop()
-			end := time.After(d)
-			for over := false; !over; {
-				select {
-				case <-end:
-					over = true
-				case <-stopped:
-					over = true
-				case <-tick.C:
-					n := load.CountOutcomes(calls.Calls(begin, time.Now()))
-					fmt.Fprintf(cmd.ErrOrStderr(), "%4.0fs  whole %d, partial %d, refused %d, failed %d, broken %d; 99%% within %v\n", time.Since(begin).Seconds(),
-						n[client.Complete], n[client.Partial], n[client.Rejected], n[client.Failed], n[client.Disconnected], calls.Quantile(99).Round(100*time.Microsecond))
-				}
-			}
-			stop()
-			all := calls.Calls(begin, time.Now())
-			n := load.CountOutcomes(all)
-			out := cmd.OutOrStdout()
-			if asJSON {
-				text, err := json.MarshalIndent(map[string]any{"asked": len(all), "whole": n[client.Complete], "partial": n[client.Partial], "refused": n[client.Rejected],
-					"failed": n[client.Failed], "broken": n[client.Disconnected], "p50_ms": ms(calls.Quantile(50)), "p99_ms": ms(calls.Quantile(99)), "p999_ms": ms(calls.Quantile(99.9))}, "", "  ")
-				if err == nil {
-					fmt.Fprintf(out, "%s\n", text)
-				}
+			if err := o.check(); err != nil {
 				return err
 			}
-			fmt.Fprintf(out, "asked %d: whole %d, partial %d, refused %d, failed %d, broken %d\n", len(all), n[client.Complete], n[client.Partial], n[client.Rejected], n[client.Failed], n[client.Disconnected])
-			fmt.Fprintf(out, "latency from the intended time: median %v, 99%% %v, 99.9%% %v\n", calls.Quantile(50), calls.Quantile(99), calls.Quantile(99.9))
-			return nil
+			o.plan.Mix = load.DefaultMix
+			return runLoad(&output{w: cmd.OutOrStdout()}, &output{w: cmd.ErrOrStderr()}, o)
 		},
 	}
-	c.Flags().StringVar(&p.SRU, "sru", "", "address of an SRU front")
-	c.Flags().StringVar(&p.Z3950, "z3950", "", "address of a Z39.50 front; empty: it is not called")
-	c.Flags().Float64Var(&p.Rate, "rate", 20, "calls a second, Poisson")
-	c.Flags().DurationVar(&d, "for", 10*time.Second, "how long")
-	c.Flags().DurationVar(&p.Timeout, "timeout", 10*time.Second, "of a call")
-	c.Flags().IntVar(&p.Origins, "origins", 16, "Z39.50 associations")
-	c.Flags().Uint64Var(&p.Seed, "seed", 1, "of all chance")
-	c.Flags().BoolVar(&asJSON, "json", false, "for scripts")
+	c.Flags().StringVar(&o.plan.SRU, "sru", "", "address of an SRU frontend")
+	c.Flags().StringVar(&o.plan.Z3950, "z3950", "", "address of a Z39.50 frontend; empty: it is not called")
+	c.Flags().Float64Var(&o.plan.Rate, "rate", 20, "calls a second, Poisson")
+	c.Flags().DurationVar(&o.duration, "for", 10*time.Second, "how long")
+	c.Flags().DurationVar(&o.plan.Timeout, "timeout", 10*time.Second, "of a call")
+	c.Flags().IntVar(&o.plan.Origins, "origins", 16, "Z39.50 associations")
+	c.Flags().Uint64Var(&o.plan.Seed, "seed", 1, "of all random samples")
+	c.Flags().BoolVar(&o.asJSON, "json", false, "for scripts")
 	return c
 }
 
-func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+// runLoad calls until the time is over or the process is interrupted; progress takes a line a second.
+func runLoad(out, progress *output, o loadOptions) error {
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(interrupted)
+	begin := time.Now()
+	calls, stop := load.Start(o.plan)
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	end := time.After(o.duration)
+	for over := false; !over; {
+		select {
+		case <-end:
+			over = true
+		case <-interrupted:
+			over = true
+		case <-tick.C:
+			n := load.CountOutcomes(calls.Calls(begin, time.Now()))
+			progress.printf("%4.0fs  %s; 99%% within %v\n", time.Since(begin).Seconds(), outcomeText(n), calls.Quantile(99).Round(100*time.Microsecond))
+		}
+	}
+	stop()
+	reportLoad(out, calls, calls.Calls(begin, time.Now()), o.asJSON)
+	return out.err
+}
+
+// loadReport is the report for scripts.
+type loadReport struct {
+	Calls        int     `json:"asked"`
+	Disconnected int     `json:"broken"`
+	Failed       int     `json:"failed"`
+	P50          float64 `json:"p50_ms"`
+	P999         float64 `json:"p999_ms"`
+	P99          float64 `json:"p99_ms"`
+	Partial      int     `json:"partial"`
+	Rejected     int     `json:"refused"`
+	Complete     int     `json:"whole"`
+}
+
+func reportLoad(out *output, result *load.Result, calls []load.Call, asJSON bool) {
+	n := load.CountOutcomes(calls)
+	if asJSON {
+		out.printJSON(loadReport{
+			Calls: len(calls), Complete: n[client.Complete], Partial: n[client.Partial], Rejected: n[client.Rejected], Failed: n[client.Failed],
+			Disconnected: n[client.Disconnected], P50: milliseconds(result.Quantile(50)), P99: milliseconds(result.Quantile(99)), P999: milliseconds(result.Quantile(99.9)),
+		})
+		return
+	}
+	out.printf("called %d: %s\n", len(calls), outcomeText(n))
+	out.printf("latency from the intended time: median %v, 99%% %v, 99.9%% %v\n", result.Quantile(50), result.Quantile(99), result.Quantile(99.9))
+}
+
+func outcomeText(n [client.Disconnected + 1]int) string {
+	return fmt.Sprintf("complete %d, partial %d, rejected %d, failed %d, disconnected %d",
+		n[client.Complete], n[client.Partial], n[client.Rejected], n[client.Failed], n[client.Disconnected])
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/cmd/testbed/main.go
+++ b/cmd/testbed/main.go
@@ -1,4 +1,5 @@
-// Rooklab is the laboratory of rooktrestle: a demonstration without any configuration, and experiments on loopback.
+// Testbed runs rooktrestle against stand-ins on loopback and under virtual time: a demonstration without any
+// configuration, load, experiments, and the simulator.
 package main
 
 import (
@@ -9,18 +10,25 @@
 	"github.com/spf13/cobra"
 )
 
-// errClaimsFailed is an answer "no": exit status 1.
+// errClaimsFailed means that the command ran and something that it claims did not hold: exit status 1. Any other error is
+// exit status 2.
 var errClaimsFailed = errors.New("not all claims hold")
 
 func main() {
-	root := &cobra.Command{Use: "testbed", Short: "Stand-in nodes, load and experiments for rooktrestle, on loopback",
-		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(demo(), health(), reshapeCommand(), huntCommand(), loadCommand(), daysCommand())
-	if err := root.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "testbed:", err)
+	if err := rootCommand().Execute(); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "testbed:", err) // there is nowhere else to report to
 		if errors.Is(err, errClaimsFailed) {
 			os.Exit(1)
 		}
 		os.Exit(2)
 	}
 }
+
+func rootCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use: "testbed", Short: "Stand-in replicas, load and experiments for rooktrestle, on loopback",
+		SilenceUsage: true, SilenceErrors: true,
+	}
+	root.AddCommand(demoCommand(), healthCommand(), reshardingCommand(), huntCommand(), loadCommand(), daysCommand())
+	return root
+}
