Give each exchange of the stand-in replicas a function of its own

Cause: one function of 101 and one of 74 lines answered all Z39.50 and all SRU exchanges; faults were bare strings. Change: an association type and a function an APDU, handlers a page, named faults; every ignored error says why. Measured: go test -race on internal/testbed/..., cmd/testbed and backend/healthcheck ok.

--- a/internal/testbed/replica/agent.go
+++ b/internal/testbed/replica/agent.go
@@ -3,128 +3,154 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 )
 
-// AgentBehavior is how an agent behaves.
+// AgentBehavior is how an agent answers an agent-check.
 type AgentBehavior int
 
+// The behaviors of agents.
 const (
 	Respond     AgentBehavior = iota // its line, then it closes
-	Hang                             // accepts and says nothing
+	Hang                             // accepts and sends nothing
 	Drip                             // a byte a second, and never the end of a line
 	Flood                            // a megabyte without the end of a line
-	CloseAtOnce                      // closes at once
+	CloseAtOnce                      // closes without a byte
 )
 
-// Agent is a stand-in of an agent-check's other side.
+const (
+	dripInterval = time.Second
+	dripBytes    = 600
+	// sendWait is how long an agent waits for what the check sends first.
+	sendWait = 2 * time.Millisecond
+)
+
+// Agent is a stand-in of the server side of agent-checks. Its methods are safe for concurrent use.
 type Agent struct {
-	ln    net.Listener
-	mu    sync.Mutex
-	line  string
-	how   AgentBehavior
-	asked chan struct{}
-	heard []string // what was sent to it
-	told  time.Time
-	done  chan struct{}
-	once  sync.Once
+	ln          net.Listener
+	mu          sync.Mutex
+	line        string
+	behavior    AgentBehavior
+	received    []string // what checks sent first
+	announcedAt time.Time
+	done        chan struct{}
+	once        sync.Once
 }
 
-// NewAgent starts an agent that says line.
+// NewAgent starts an agent that responds with line, on a port of its own.
 func NewAgent(line string) (*Agent, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{ln: ln, line: line, asked: make(chan struct{}, 1), done: make(chan struct{})}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go a.answer(c)
-		}
-	}()
+	a := &Agent{ln: ln, line: line, done: make(chan struct{})}
+	go a.accept()
 	return a, nil
 }
 
+// accept serves connections until the listener closes.
+func (a *Agent) accept() {
+	for {
+		c, err := a.ln.Accept()
+		if err != nil {
+			return
+		}
+		go a.answer(c)
+	}
+}
+
 // Addr is where it listens.
 func (a *Agent) Addr() string { return a.ln.Addr().String() }
 
-// Close ends it: connections are refused from then on.
+// Close ends it: connections are refused from then on. It may be called more than once.
 func (a *Agent) Close() {
 	a.once.Do(func() {
 		close(a.done)
-		a.ln.Close()
+		_ = a.ln.Close() // nothing is lost with it
 	})
 }
 
-// Set changes what it says and how.
-func (a *Agent) Set(line string, how AgentBehavior) {
+// Set changes the agent's line and behavior.
+func (a *Agent) Set(line string, behavior AgentBehavior) {
 	a.mu.Lock()
-	a.line, a.how, a.told = line, how, time.Time{}
-	a.mu.Unlock()
+	defer a.mu.Unlock()
+	a.line, a.behavior, a.announcedAt = line, behavior, time.Time{}
 }
 
-// AnnouncedAt is when the present line was first said; zero if it was not.
+// AnnouncedAt is when the present line was first sent; zero if it was not.
 func (a *Agent) AnnouncedAt() time.Time {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.told
+	return a.announcedAt
 }
 
-// Received is what was sent to it before it spoke.
+// Received is what checks sent before the agent responded.
 func (a *Agent) Received() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return append([]string(nil), a.heard...)
+	return slices.Clone(a.received)
 }
 
+// answer answers one check. The other side may close at any moment, so that errors of writing have no meaning here.
 func (a *Agent) answer(c net.Conn) {
-	defer c.Close()
+	defer func() { _ = c.Close() }() // the connection is over either way
 	a.mu.Lock()
-	line, how := a.line, a.how
+	line, behavior := a.line, a.behavior
 	a.mu.Unlock()
-	switch how {
+	switch behavior {
 	case Hang:
-		a.wait(c)
+		a.waitForClose(c)
 	case Drip:
-		for range 600 {
-			if _, err := io.WriteString(c, "u"); err != nil {
-				return
-			}
-			select {
-			case <-time.After(time.Second):
-			case <-a.done:
-				return
-			}
-		}
+		a.drip(c)
 	case Flood:
-		io.WriteString(c, strings.Repeat("up ", 350_000))
-		a.wait(c)
+		_, _ = io.WriteString(c, strings.Repeat("up ", 350_000))
+		a.waitForClose(c)
 	case CloseAtOnce:
 	default:
-		c.SetReadDeadline(time.Now().Add(2 * time.Millisecond))
-		sent := make([]byte, 256)
-		if n, _ := c.Read(sent); n > 0 {
-			a.mu.Lock()
-			a.heard = append(a.heard, string(sent[:n]))
-			a.mu.Unlock()
+		a.respond(c, line)
+	}
+}
+
+func (a *Agent) drip(c net.Conn) {
+	for range dripBytes {
+		if _, err := io.WriteString(c, "u"); err != nil {
+			return
 		}
-		io.WriteString(c, line+"\n")
-		a.mu.Lock()
-		if a.told.IsZero() && a.line == line {
-			a.told = time.Now()
+		select {
+		case <-time.After(dripInterval):
+		case <-a.done:
+			return
 		}
+	}
+}
+
+// respond reads what the check sends first, and sends the line.
+func (a *Agent) respond(c net.Conn, line string) {
+	if err := c.SetReadDeadline(time.Now().Add(sendWait)); err != nil {
+		return
+	}
+	sent := make([]byte, 256)
+	if n, _ := c.Read(sent); n > 0 { // most checks send nothing: a time-out is no error
+		a.mu.Lock()
+		a.received = append(a.received, string(sent[:n]))
 		a.mu.Unlock()
 	}
+	_, _ = io.WriteString(c, line+"\n")
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.announcedAt.IsZero() && a.line == line {
+		a.announcedAt = time.Now()
+	}
 }
 
-// wait reads until the other side leaves, or the end.
-func (a *Agent) wait(c net.Conn) {
-	go func() { <-a.done; c.Close() }()
-	io.Copy(io.Discard, c)
+// waitForClose reads until the other side closes, or the agent does.
+func (a *Agent) waitForClose(c net.Conn) {
+	go func() {
+		<-a.done
+		_ = c.Close() // ends the copy below
+	}()
+	_, _ = io.Copy(io.Discard, c) // until the connection ends, in whatever way
 }
--- a/internal/testbed/replica/archive.go
+++ b/internal/testbed/replica/archive.go
@@ -1,74 +1,83 @@
-// Package node has stand-ins of archive nodes, of SRU 1.2 with its record update and of Z39.50, after the public
-// specifications, with faults by plan and with checks that lie in both directions. They share no code with the
-// program.
+// Package replica has stand-ins of archive replicas, of SRU 1.2 with its record update and of Z39.50, after the public
+// specifications, with injected faults and with health checks that need not tell the truth. They share no code with the
+// program, so that a mistake in it is not made twice.
 package replica
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
 
-// Event is one part as a node saw it.
+// What a replica does with a part in place of serving it. The zero value serves it.
+const (
+	FaultHang    = "hang"   // no answer until the client closes the connection
+	FaultBreak   = "break"  // the connection breaks
+	FaultReject  = "reject" // a correction fails
+	FaultError   = "error"  // it fails at once
+	FaultCorrupt = "spoil"  // the answer is noise
+)
+
+// Event is one part as a replica saw it.
 type Event struct {
 	At           time.Time // its first byte, or the end of its head where only that is known
 	Replica      string
 	IsCorrection bool
 	Database     string // of searches
 	RecordID     string // of corrections
-	Fault        string // how it ended: "" served, else the fault
+	Fault        string // in place of an answer; empty: it was served
 }
 
-// Archive is what the nodes of one test hold, and all that they saw.
+// Archive is what the replicas of one test hold, and all that they saw. It is safe for concurrent use, but for the fields
+// that are set before the replicas start.
 type Archive struct {
-	// Act, if set, says what a node does with a correction, and Find with a search of a database: "" serves it, "hang"
-	// says nothing until the client leaves, "break" breaks the connection, "reject" fails it.
-	OnCorrection func(node, id string) string
-	OnSearch     func(base string) string
-	// CorrectionBegun and Left, if set, are told of each correction begun, and of each client that left a hanging node.
+	// OnCorrection and OnSearch, if set, choose what a replica does with a correction and with a search of a database: one of
+	// the faults, or empty to serve it.
+	OnCorrection func(replica, id string) string
+	OnSearch     func(database string) string
+	// CorrectionBegun and ClientLeft, if set, get the replica's name for each correction that begins, and for each client
+	// that leaves a hanging replica. Replicas block until it is received.
 	CorrectionBegun, ClientLeft chan string
 
-	mu      sync.Mutex
-	changed map[string]int
-	queries []string
-	hits    map[string]string
-	events  []Event
-	release chan struct{}
-	once    sync.Once
+	mu          sync.Mutex
+	corrections map[string]int // by record
+	queries     []string
+	records     map[string]string // by database
+	events      []Event
+	release     chan struct{}
+	once        sync.Once
 }
 
-// NewArchive returns an archive of so many blocks, each with one record.
-func NewArchive(blocks int) *Archive {
-	a := &Archive{changed: map[string]int{}, hits: map[string]string{}, release: make(chan struct{})}
-	for i := range blocks {
-		base := fmt.Sprintf("block-%d", i)
-		a.hits[base] = fmt.Sprintf(`<dc:dc xmlns:dc="http://purl.org/dc/elements/1.1/"><dc:title>line of %s</dc:title></dc:dc>`, base)
+// NewArchive returns an archive of so many shards, each with one record.
+func NewArchive(shards int) *Archive {
+	a := &Archive{corrections: map[string]int{}, records: map[string]string{}, release: make(chan struct{})}
+	for i := range shards {
+		database := fmt.Sprintf("block-%d", i)
+		a.records[database] = fmt.Sprintf(`<dc:dc xmlns:dc="http://purl.org/dc/elements/1.1/"><dc:title>line of %s</dc:title></dc:dc>`, database)
 	}
 	return a
 }
 
-// Close lets hanging nodes go on.
+// Close lets hanging replicas go on. It may be called more than once.
 func (a *Archive) Close() { a.once.Do(func() { close(a.release) }) }
 
-// CorrectionCounts is how often each correction was begun, by its record.
+// CorrectionCounts are how often each correction was begun, by its record. The caller owns the map.
 func (a *Archive) CorrectionCounts() map[string]int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	all := map[string]int{}
-	for id, n := range a.changed {
-		all[id] = n
-	}
-	return all
+	return maps.Clone(a.corrections)
 }
 
-// Queries are the searches as each node understood them.
+// Queries are the searches as each replica understood them, with the replica's name in front.
 func (a *Archive) Queries() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return append([]string(nil), a.queries...)
+	return slices.Clone(a.queries)
 }
 
-// Events are the parts seen from a time on.
+// Events are the parts seen from a moment on.
 func (a *Archive) Events(since time.Time) (list []Event) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -80,50 +89,52 @@
 	return list
 }
 
-func (a *Archive) saw(e Event) {
+func (a *Archive) record(e Event) {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.events = append(a.events, e)
-	a.mu.Unlock()
 }
 
-// correct notes that a correction has begun and says what is to be done with it.
-func (a *Archive) correct(n *Server, at time.Time, id, fault string) string {
+// beginCorrection counts a correction and returns the fault that it meets; injected is the replica's own.
+func (a *Archive) beginCorrection(s *Server, at time.Time, id, injected string) (fault string) {
 	a.mu.Lock()
-	a.changed[id]++
-	act := a.OnCorrection
+	a.corrections[id]++
+	choose := a.OnCorrection
 	a.mu.Unlock()
 	if a.CorrectionBegun != nil {
-		a.CorrectionBegun <- n.Name
+		a.CorrectionBegun <- s.Name
 	}
-	do := fault
-	if act != nil && do == "" {
-		do = act(n.Name, id)
+	fault = injected
+	if choose != nil && fault == "" {
+		fault = choose(s.Name, id)
 	}
-	a.saw(Event{At: at, Replica: n.Name, IsCorrection: true, RecordID: id, Fault: do})
-	return do
+	a.record(Event{At: at, Replica: s.Name, IsCorrection: true, RecordID: id, Fault: fault})
+	return fault
 }
 
-func (a *Archive) search(n *Server, at time.Time, base, query, fault string) (record, do string) {
+// beginSearch notes a search and returns the database's record and the fault that the search meets; injected is the
+// replica's own.
+func (a *Archive) beginSearch(s *Server, at time.Time, database, query, injected string) (record, fault string) {
 	a.mu.Lock()
-	a.queries = append(a.queries, n.Name+" "+query)
-	record, find := a.hits[base], a.OnSearch
+	a.queries = append(a.queries, s.Name+" "+query)
+	record, choose := a.records[database], a.OnSearch
 	a.mu.Unlock()
-	do = fault
-	if find != nil && do == "" {
-		do = find(base)
+	fault = injected
+	if choose != nil && fault == "" {
+		fault = choose(database)
 	}
-	a.saw(Event{At: at, Replica: n.Name, Database: base, Fault: do})
-	return record, do
+	a.record(Event{At: at, Replica: s.Name, Database: database, Fault: fault})
+	return record, fault
 }
 
-// SetOnSearch changes Find while nodes run.
-func (a *Archive) SetOnSearch(f func(base string) string) {
+// SetOnSearch changes OnSearch while replicas run.
+func (a *Archive) SetOnSearch(choose func(database string) string) {
 	a.mu.Lock()
-	a.OnSearch = f
-	a.mu.Unlock()
+	defer a.mu.Unlock()
+	a.OnSearch = choose
 }
 
-func (a *Archive) left(name string) {
+func (a *Archive) clientLeft(name string) {
 	if a.ClientLeft != nil {
 		a.ClientLeft <- name
 	}
--- a/internal/testbed/replica/replica.go
+++ b/internal/testbed/replica/replica.go
@@ -9,40 +9,47 @@
 	"time"
 )
 
-// Faults are what a node does wrong. Shares are of parts, drawn by the node's own seeded chance.
+// Faults are what a replica does wrong. Rates are fractions of the parts, drawn from the replica's own random stream.
 type Faults struct {
-	ErrorRate    float64       // fails them at once
-	ResetRate    float64       // breaks the connection after it has begun
-	CorruptRate  float64       // answers noise
-	HangRate     float64       // says nothing
+	ErrorRate    float64       // parts that fail at once
+	ResetRate    float64       // parts whose connection breaks after they have begun
+	CorruptRate  float64       // parts that are answered with noise
+	HangRate     float64       // parts without an answer
 	Delay        time.Duration // before each answer
-	Jitter       time.Duration // and so much more at most
-	WarmupPeriod time.Duration // after a start, answers take up to four times as long, for so long
+	Jitter       time.Duration // more, at most
+	WarmupPeriod time.Duration // after a start in which answers take up to four times as long
 	Cores        int           // parts served at once; 0: any number
 	InitDelay    time.Duration // before Init is answered
 }
 
-// Health is what a node's own checks say, true or not.
+// Health is what a replica's checks say, true or not.
 type Health struct {
-	Status       int    // of GET /healthz of an SRU node; 0: 200
-	Degraded     bool   // tells so in Envoy's header
-	RejectChecks bool   // refuses the Init of a check, and explain
-	Hang         bool   // says nothing
+	Status       int    // of GET /healthz of an SRU replica; 0: 200
+	Degraded     bool   // as Envoy's header says it
+	RejectChecks bool   // rejects explain, and the Init of a check
+	Hang         bool   // no answer
 	Body         string // of /healthz
 }
 
-// Store is what a node holds where blocks change: it answers for a database's name, or says a word instead.
+// Store is what a replica holds where shards change. It answers for a database's name, or rejects with a reason.
 type Store interface {
-	// Search returns the records of a block, at most so many, in the order of their identifiers, and how many there are.
-	Search(base string, most int) (records []Record, count int, word string)
-	// Correct changes a record: it runs if word is empty.
-	Correct(base, id string) (word string)
+	// Search returns at most limit records of a shard in the order of their identifiers, and how many there are. A reason
+	// that is not empty means that the replica does not answer for the shard.
+	Search(database string, limit int) (records []Record, count int, reason string)
+	// Correct changes a record; with a reason that is not empty it has not run.
+	Correct(database, id string) (reason string)
 }
 
 // Record is one record with its identifier.
 type Record struct{ ID, XML string }
 
-// Server is a running stand-in.
+// Protocols of a replica.
+const (
+	protocolSRU   = "sru"
+	protocolZ3950 = "z3950"
+)
+
+// Server is a running stand-in. Its methods are safe for concurrent use.
 type Server struct {
 	Name, Protocol string
 	archive        *Archive
@@ -50,147 +57,155 @@
 	mu      sync.Mutex
 	addr    string
 	rng     *rand.Rand
-	shelf   Store
+	store   Store // nil: the archive's records
 	faults  Faults
 	health  Health
 	started time.Time
-	slots   chan struct{}
-	stop    func()            // ends the listener and all connections
-	conns   map[net.Conn]bool // of a Z39.50 node
-	up      bool
+	slots   chan struct{} // one for each core; nil: any number
+	stop    func()        // ends the listener and all connections
+	running bool
 }
 
-// Seed of a node's chance: its own, from the run's and its name.
-func seedOf(seed uint64, name string) *rand.Rand {
+// randomStream is a replica's own, of the run's seed and its name.
+func randomStream(seed uint64, name string) *rand.Rand {
 	h := fnv.New64a()
-	fmt.Fprint(h, name)
+	_, _ = h.Write([]byte(name)) // a hash does not fail
 	return rand.New(rand.NewPCG(seed, h.Sum64()))
 }
 
 func (a *Archive) start(name, protocol string, seed uint64) (*Server, error) {
-	n := &Server{Name: name, Protocol: protocol, archive: a, rng: seedOf(seed, name), addr: "127.0.0.1:0"}
-	return n, n.Start()
+	s := &Server{Name: name, Protocol: protocol, archive: a, rng: randomStream(seed, name), addr: "127.0.0.1:0"}
+	return s, s.Start()
 }
 
-// SRU starts an SRU node, Z3950 a Z39.50 target, on a port of its own.
-func (a *Archive) SRU(name string, seed uint64) (*Server, error) { return a.start(name, "sru", seed) }
+// SRU starts an SRU replica on a port of its own.
+func (a *Archive) SRU(name string, seed uint64) (*Server, error) {
+	return a.start(name, protocolSRU, seed)
+}
 
-// Z3950 starts a Z39.50 target.
+// Z3950 starts a Z39.50 target on a port of its own.
 func (a *Archive) Z3950(name string, seed uint64) (*Server, error) {
-	return a.start(name, "z3950", seed)
+	return a.start(name, protocolZ3950, seed)
 }
 
-// Addr is where the node listens, or listened.
-func (n *Server) Addr() string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.addr
+// Addr is where the replica listens, or listened.
+func (s *Server) Addr() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.addr
 }
 
-// Start starts a node that is stopped, at the address it had.
-func (n *Server) Start() error {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.up {
+// Start starts a replica that is stopped, at the address that it had. It does nothing to one that runs.
+func (s *Server) Start() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running {
 		return nil
 	}
-	ln, err := net.Listen("tcp", n.addr)
+	ln, err := net.Listen("tcp", s.addr)
 	if err != nil {
-		return err
+		return fmt.Errorf("start replica %s: %w", s.Name, err)
 	}
-	n.addr, n.up, n.started = ln.Addr().String(), true, time.Now()
-	if n.Protocol == "sru" {
-		n.stop = n.serveSRU(ln)
+	s.addr, s.running, s.started = ln.Addr().String(), true, time.Now()
+	if s.Protocol == protocolSRU {
+		s.stop = s.serveSRU(ln)
 	} else {
-		n.stop = n.serveZ(ln)
+		s.stop = s.serveZ3950(ln)
 	}
 	return nil
 }
 
-// Kill ends a node as a process that dies does: connections are reset, new ones refused.
-func (n *Server) Kill() {
-	n.mu.Lock()
-	stop := n.stop
-	n.up, n.stop = false, nil
-	n.mu.Unlock()
+// Kill ends a replica as a crash does: connections are reset, new ones refused.
+func (s *Server) Kill() {
+	s.mu.Lock()
+	stop := s.stop
+	s.running, s.stop = false, nil
+	s.mu.Unlock()
 	if stop != nil {
 		stop()
 	}
 }
 
-// SetStore gives the node a shelf, in the place of the archive's blocks.
-func (n *Server) SetStore(s Store) {
-	n.mu.Lock()
-	n.shelf = s
-	n.mu.Unlock()
+// SetStore gives the replica a store in place of the archive's records.
+func (s *Server) SetStore(store Store) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store = store
 }
 
-func (n *Server) shelved() Store {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.shelf
+func (s *Server) currentStore() Store {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.store
 }
 
-// SetFaults changes what the node does wrong.
-func (n *Server) SetFaults(f Faults) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.faults = f
-	if n.slots = nil; f.Cores > 0 {
-		n.slots = make(chan struct{}, f.Cores)
+// SetFaults changes what the replica does wrong.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	if s.slots = nil; f.Cores > 0 {
+		s.slots = make(chan struct{}, f.Cores)
 	}
 }
 
-// SetHealth changes what its checks say.
-func (n *Server) SetHealth(h Health) {
-	n.mu.Lock()
-	n.health = h
-	n.mu.Unlock()
+func (s *Server) initDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.InitDelay
+}
+
+// SetHealth changes what the replica's checks say.
+func (s *Server) SetHealth(h Health) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health = h
 }
 
-func (n *Server) says() Health {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.health
+func (s *Server) currentHealth() Health {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.health
 }
 
-// draw decides on one part: which fault it meets, and how long it takes.
-func (n *Server) draw() (fault string, wait time.Duration, slots chan struct{}) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	f := n.faults
-	wait = f.Delay
+// nextPart draws which fault a part meets and how long it takes; slots is what it has to queue for.
+func (s *Server) nextPart() (fault string, delay time.Duration, slots chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.faults
+	delay = f.Delay
 	if f.Jitter > 0 {
-		wait += time.Duration(n.rng.Int64N(int64(f.Jitter)))
+		delay += time.Duration(s.rng.Int64N(int64(f.Jitter)))
 	}
-	if age := time.Since(n.started); f.WarmupPeriod > 0 && age < f.WarmupPeriod {
-		wait += time.Duration(3 * float64(wait) * (1 - float64(age)/float64(f.WarmupPeriod)))
+	if age := time.Since(s.started); f.WarmupPeriod > 0 && age < f.WarmupPeriod {
+		delay += time.Duration(3 * float64(delay) * (1 - float64(age)/float64(f.WarmupPeriod)))
 	}
-	p := n.rng.Float64()
-	for _, one := range []struct {
-		share float64
-		name  string
-	}{{f.ErrorRate, "error"}, {f.ResetRate, "break"}, {f.CorruptRate, "spoil"}, {f.HangRate, "hang"}} {
-		if p < one.share {
-			return one.name, wait, n.slots
+	p := s.rng.Float64()
+	for _, kind := range []struct {
+		rate  float64
+		fault string
+	}{{f.ErrorRate, FaultError}, {f.ResetRate, FaultBreak}, {f.CorruptRate, FaultCorrupt}, {f.HangRate, FaultHang}} {
+		if p < kind.rate {
+			return kind.fault, delay, s.slots
 		}
-		p -= one.share
+		p -= kind.rate
 	}
-	return "", wait, n.slots
+	return "", delay, s.slots
 }
 
-// take is draw, and the time it takes: queued for a core, then worked on.
-func (n *Server) take() (fault string) {
-	fault, wait, slots := n.draw()
-	if fault == "error" {
-		return fault // fails quickly: that is what makes such a node dangerous
+// process spends the time that a part takes, queueing for a core included, and returns the fault that it meets. Errors
+// come at once: that is what makes a failing replica attractive to a load balancer.
+func (s *Server) process() (fault string) {
+	fault, delay, slots := s.nextPart()
+	if fault == FaultError {
+		return fault
 	}
 	if slots != nil {
 		slots <- struct{}{}
 		defer func() { <-slots }()
 	}
-	if wait > 0 {
-		time.Sleep(wait)
+	if delay > 0 {
+		time.Sleep(delay)
 	}
 	return fault
 }
--- a/internal/testbed/replica/sru.go
+++ b/internal/testbed/replica/sru.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"context"
 	"encoding/xml"
 	"fmt"
 	"io"
@@ -12,134 +11,148 @@
 	"time"
 )
 
-// serveSRU serves an SRU node and returns how to end it.
-func (n *Server) serveSRU(ln net.Listener) func() {
-	s := &http.Server{Handler: http.HandlerFunc(n.sru)}
-	go s.Serve(ln)
-	return func() { s.Close() }
+// serveSRU serves an SRU replica and returns how to end it.
+func (s *Server) serveSRU(ln net.Listener) (stop func()) {
+	server := &http.Server{Handler: http.HandlerFunc(s.serveHTTP)}
+	go func() { _ = server.Serve(ln) }() // it ends with stop
+	return func() { _ = server.Close() } // nothing is lost with it
 }
 
-// wait says nothing until the client leaves, or the test ends.
-func (n *Server) wait(ctx context.Context, part bool) {
+// write writes an answer. A client that has left gets none: that is no error here.
+func write(w http.ResponseWriter, format string, args ...any) { _, _ = fmt.Fprintf(w, format, args...) }
+
+// hang gives no answer until the client leaves, or the archive closes.
+func (s *Server) hang(r *http.Request) (clientLeft bool) {
 	select {
-	case <-ctx.Done():
-		if part {
-			n.archive.left(n.Name)
-		}
-	case <-n.archive.release:
+	case <-r.Context().Done():
+		return true
+	case <-s.archive.release:
+		return false
 	}
 }
 
-func (n *Server) sru(w http.ResponseWriter, r *http.Request) {
+func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	at := time.Now()
-	h := n.says()
-	if r.URL.Path == "/healthz" {
-		if h.Hang {
-			n.wait(r.Context(), false)
-			return
-		}
-		if h.Degraded {
-			w.Header().Set("x-envoy-degraded", "1")
-		}
-		if h.Status > 0 {
-			w.WriteHeader(h.Status)
-		}
-		io.WriteString(w, h.Body)
+	database := strings.Trim(r.URL.Path, "/")
+	switch {
+	case r.URL.Path == "/healthz":
+		s.serveHealthz(w, r)
+	case r.URL.Query().Get("operation") == "explain":
+		s.serveExplain(w, r)
+	case r.Method == http.MethodPost:
+		s.serveUpdate(w, r, at, database)
+	default:
+		s.serveSearch(w, r, at, database)
+	}
+}
+
+func (s *Server) serveHealthz(w http.ResponseWriter, r *http.Request) {
+	h := s.currentHealth()
+	if h.Hang {
+		s.hang(r)
 		return
 	}
-	if r.URL.Query().Get("operation") == "explain" {
-		if h.Hang {
-			n.wait(r.Context(), false)
-			return
-		}
-		if h.RejectChecks {
-			http.Error(w, "no", 500)
-			return
-		}
-		io.WriteString(w, `<?xml version="1.0"?><explainResponse xmlns="http://www.loc.gov/zing/srw/"><version>1.2</version></explainResponse>`)
+	if h.Degraded {
+		w.Header().Set("x-envoy-degraded", "1")
+	}
+	if h.Status > 0 {
+		w.WriteHeader(h.Status)
+	}
+	write(w, "%s", h.Body)
+}
+
+func (s *Server) serveExplain(w http.ResponseWriter, r *http.Request) {
+	h := s.currentHealth()
+	switch {
+	case h.Hang:
+		s.hang(r)
+	case h.RejectChecks:
+		http.Error(w, "no", http.StatusInternalServerError)
+	default:
+		write(w, "%s", `<?xml version="1.0"?><explainResponse xmlns="http://www.loc.gov/zing/srw/"><version>1.2</version></explainResponse>`)
+	}
+}
+
+func (s *Server) serveUpdate(w http.ResponseWriter, r *http.Request, at time.Time, database string) {
+	var update struct {
+		ID string `xml:"Body>updateRequest>recordIdentifier"`
+	}
+	text, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = xml.Unmarshal(text, &update)
+	}
+	if err != nil || update.ID == "" {
+		http.Error(w, "no update", http.StatusBadRequest)
 		return
 	}
-	base := strings.Trim(r.URL.Path, "/")
-	do, fault := "", ""
-	var id, record string
-	if r.Method == "POST" {
-		var e struct {
-			ID string `xml:"Body>updateRequest>recordIdentifier"`
-		}
-		text, _ := io.ReadAll(r.Body)
-		if err := xml.Unmarshal(text, &e); err != nil || e.ID == "" {
-			http.Error(w, "no update", 400)
-			return
-		}
-		if s := n.shelved(); s != nil { // before anything runs
-			if word := s.Correct(base, e.ID); word != "" {
-				fmt.Fprintf(w, `<updateResponse xmlns="http://www.loc.gov/zing/srw/update/"><version>1.0</version><operationStatus>fail</operationStatus>`+
-					`<diagnostics><diagnostic xmlns="http://www.loc.gov/zing/srw/diagnostic/"><uri>info:srw/diagnostic/1/235</uri><details>%s</details></diagnostic></diagnostics></updateResponse>`, word)
-				return
-			}
-		}
-		fault = n.take()
-		id = e.ID
-		do = n.archive.correct(n, at, id, fault)
-	} else {
-		if s := n.shelved(); s != nil {
-			n.shelfSearch(w, r, s, at, base)
+	if store := s.currentStore(); store != nil { // before anything runs
+		if reason := store.Correct(database, update.ID); reason != "" {
+			write(w, `<updateResponse xmlns="http://www.loc.gov/zing/srw/update/"><version>1.0</version><operationStatus>fail</operationStatus>`+
+				`<diagnostics><diagnostic xmlns="http://www.loc.gov/zing/srw/diagnostic/"><uri>info:srw/diagnostic/1/235</uri><details>%s</details></diagnostic></diagnostics></updateResponse>`, reason)
 			return
 		}
-		fault = n.take()
-		record, do = n.archive.search(n, at, base, r.URL.Query().Get("query"), fault)
 	}
-	status := "success"
-	if n.fault(w, r, do) {
+	fault := s.archive.beginCorrection(s, at, update.ID, s.process())
+	if s.fail(w, r, fault) {
 		return
 	}
-	if do == "reject" {
+	status := "success"
+	if fault == FaultReject {
 		status = "fail"
 	}
-	if r.Method == "POST" {
-		fmt.Fprintf(w, `<updateResponse xmlns="http://www.loc.gov/zing/srw/update/"><version>1.0</version><operationStatus>%s</operationStatus></updateResponse>`, status)
+	write(w, `<updateResponse xmlns="http://www.loc.gov/zing/srw/update/"><version>1.0</version><operationStatus>%s</operationStatus></updateResponse>`, status)
+}
+
+func (s *Server) serveSearch(w http.ResponseWriter, r *http.Request, at time.Time, database string) {
+	if store := s.currentStore(); store != nil {
+		s.serveStoreSearch(w, r, store, at, database)
+		return
+	}
+	record, fault := s.archive.beginSearch(s, at, database, r.URL.Query().Get("query"), s.process())
+	if s.fail(w, r, fault) {
 		return
 	}
-	fmt.Fprintf(w, `<?xml version="1.0"?><zs:searchRetrieveResponse xmlns:zs="http://www.loc.gov/zing/srw/"><zs:version>1.2</zs:version>`+
+	write(w, `<?xml version="1.0"?><zs:searchRetrieveResponse xmlns:zs="http://www.loc.gov/zing/srw/"><zs:version>1.2</zs:version>`+
 		`<zs:numberOfRecords>1</zs:numberOfRecords><zs:records><zs:record><zs:recordSchema>info:srw/schema/1/dc-v1.1</zs:recordSchema>`+
 		`<zs:recordPacking>xml</zs:recordPacking><zs:recordData>%s</zs:recordData></zs:record></zs:records></zs:searchRetrieveResponse>`, record)
 }
 
-// fault does what a part meets in the place of an answer, and says whether it met anything.
-func (n *Server) fault(w http.ResponseWriter, r *http.Request, do string) bool {
-	switch do {
-	case "hang":
-		n.wait(r.Context(), true)
-	case "break":
-		panic(http.ErrAbortHandler)
-	case "error":
-		http.Error(w, "failing", 500)
-	case "spoil":
-		io.WriteString(w, "<noise")
-	default:
-		return false
-	}
-	return true
-}
-
-// shelfSearch answers a search from the node's shelf.
-func (n *Server) shelfSearch(w http.ResponseWriter, r *http.Request, s Store, at time.Time, base string) {
-	most, _ := strconv.Atoi(r.URL.Query().Get("maximumRecords"))
-	records, count, word := s.Search(base, most)
-	if word != "" {
-		fmt.Fprintf(w, `<searchRetrieveResponse xmlns="http://www.loc.gov/zing/srw/"><version>1.2</version><numberOfRecords>0</numberOfRecords>`+
-			`<diagnostics><diagnostic xmlns="http://www.loc.gov/zing/srw/diagnostic/"><uri>info:srw/diagnostic/1/235</uri><details>%s</details></diagnostic></diagnostics></searchRetrieveResponse>`, word)
+// serveStoreSearch answers a search from the replica's store.
+func (s *Server) serveStoreSearch(w http.ResponseWriter, r *http.Request, store Store, at time.Time, database string) {
+	limit, _ := strconv.Atoi(r.URL.Query().Get("maximumRecords")) // none: 0
+	records, count, reason := store.Search(database, limit)
+	if reason != "" {
+		write(w, `<searchRetrieveResponse xmlns="http://www.loc.gov/zing/srw/"><version>1.2</version><numberOfRecords>0</numberOfRecords>`+
+			`<diagnostics><diagnostic xmlns="http://www.loc.gov/zing/srw/diagnostic/"><uri>info:srw/diagnostic/1/235</uri><details>%s</details></diagnostic></diagnostics></searchRetrieveResponse>`, reason)
 		return
 	}
-	fault := n.take()
-	_, do := n.archive.search(n, at, base, r.URL.Query().Get("query"), fault)
-	if n.fault(w, r, do) {
+	_, fault := s.archive.beginSearch(s, at, database, r.URL.Query().Get("query"), s.process())
+	if s.fail(w, r, fault) {
 		return
 	}
-	fmt.Fprintf(w, `<?xml version="1.0"?><zs:searchRetrieveResponse xmlns:zs="http://www.loc.gov/zing/srw/"><zs:version>1.2</zs:version><zs:numberOfRecords>%d</zs:numberOfRecords><zs:records>`, count)
-	for _, rec := range records {
-		fmt.Fprintf(w, `<zs:record><zs:recordSchema>info:srw/schema/1/dc-v1.1</zs:recordSchema><zs:recordPacking>xml</zs:recordPacking><zs:recordData>%s</zs:recordData>`+
-			`<zs:recordIdentifier>%s</zs:recordIdentifier></zs:record>`, rec.XML, rec.ID)
+	write(w, `<?xml version="1.0"?><zs:searchRetrieveResponse xmlns:zs="http://www.loc.gov/zing/srw/"><zs:version>1.2</zs:version><zs:numberOfRecords>%d</zs:numberOfRecords><zs:records>`, count)
+	for _, record := range records {
+		write(w, `<zs:record><zs:recordSchema>info:srw/schema/1/dc-v1.1</zs:recordSchema><zs:recordPacking>xml</zs:recordPacking><zs:recordData>%s</zs:recordData>`+
+			`<zs:recordIdentifier>%s</zs:recordIdentifier></zs:record>`, record.XML, record.ID)
+	}
+	write(w, `</zs:records></zs:searchRetrieveResponse>`)
+}
+
+// fail does what a part meets in place of an answer, and says whether it met anything.
+func (s *Server) fail(w http.ResponseWriter, r *http.Request, fault string) bool {
+	switch fault {
+	case FaultHang:
+		if s.hang(r) {
+			s.archive.clientLeft(s.Name)
+		}
+	case FaultBreak:
+		panic(http.ErrAbortHandler)
+	case FaultError:
+		http.Error(w, "failing", http.StatusInternalServerError)
+	case FaultCorrupt:
+		write(w, "<noise")
+	default:
+		return false
 	}
-	io.WriteString(w, `</zs:records></zs:searchRetrieveResponse>`)
+	return true
 }
--- a/internal/testbed/sim/aggregator.go
+++ b/internal/testbed/sim/aggregator.go
@@ -307,7 +307,7 @@
 }
 
 // Send carries attempts to a replica.
-func (h *aggregatorHost) Send(now time.Time, to aggregator.Server, calls []aggregator.Call) {
+func (h *aggregatorHost) Send(_ time.Time, to aggregator.Server, calls []aggregator.Call) {
 	target := h.world.replicaByID[to.ID]
 	for _, call := range calls {
 		a := &attempt{host: h, call: call, replica: target}
