--- a/internal/testbed/ber/ber.go
+++ b/internal/testbed/ber/ber.go
@@ -1,17 +1,17 @@
-// Package ber is the laboratory's own BER and Z39.50: what stand-ins of targets and origins need, after the public
-// specification (Z39.50-2003, ISO 23950). It shares no code with the program, so that a mistake in that is not made
-// twice.
+// Package ber is the testbed's own BER and Z39.50: what stand-ins of targets and origins need, after the public
+// specification (Z39.50-2003, ISO 23950). It shares no code with the program, so that a mistake in it is not made twice.
 package ber
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"strings"
 )
 
-// TLV is a value. Class 2 is context-specific.
+// TLV is one value.
 type TLV struct {
 	Class, Tag  int
 	Constructed bool
@@ -19,10 +19,10 @@
 	Children    []TLV
 }
 
-// maxLength of a value that is read.
+// maxLength bounds a value that is read, in bytes.
 const maxLength = 1 << 20
 
-// Child is the first context-specific kid of a tag; its Tag is -1 if there is none.
+// Child is the first child with a context-specific tag; its Tag is -1 if there is none.
 func (v TLV) Child(tag int) TLV {
 	for _, k := range v.Children {
 		if k.Class == 2 && k.Tag == tag {
@@ -32,7 +32,7 @@
 	return TLV{Tag: -1}
 }
 
-// Int reads the body as a number.
+// Int reads the body as an unsigned number.
 func (v TLV) Int() (n int) {
 	for _, b := range v.Body {
 		n = n<<8 | int(b)
@@ -40,7 +40,7 @@
 	return n
 }
 
-// Read reads one value with all its kids.
+// Read reads one value with all its children. The error is io.EOF if there is none.
 func Read(r *bufio.Reader) (v TLV, err error) {
 	first, err := r.ReadByte()
 	if err != nil {
@@ -48,50 +48,72 @@
 	}
 	v.Class, v.Constructed, v.Tag = int(first>>6), first&0x20 != 0, int(first&0x1f)
 	if v.Tag == 0x1f {
-		v.Tag = 0
-		for b := byte(0x80); b&0x80 != 0; {
-			if b, err = r.ReadByte(); err != nil {
-				return v, err
-			}
-			v.Tag = v.Tag<<7 | int(b&0x7f)
+		if v.Tag, err = readLongTag(r); err != nil {
+			return v, err
 		}
 	}
-	size, err := r.ReadByte()
+	length, err := readLength(r)
 	if err != nil {
 		return v, err
 	}
-	n := int(size)
-	if size&0x80 != 0 {
-		n = 0
-		for range size & 0x7f {
+	v.Body = make([]byte, length)
+	if _, err = io.ReadFull(r, v.Body); err != nil || !v.Constructed {
+		return v, err
+	}
+	v.Children, err = readAll(v.Body)
+	return v, err
+}
+
+// readLongTag reads a tag of several bytes, of which the first has been read.
+func readLongTag(r *bufio.Reader) (tag int, err error) {
+	for b := byte(0x80); b&0x80 != 0; {
+		if b, err = r.ReadByte(); err != nil {
+			return 0, err
+		}
+		tag = tag<<7 | int(b&0x7f)
+	}
+	return tag, nil
+}
+
+func readLength(r *bufio.Reader) (int, error) {
+	first, err := r.ReadByte()
+	if err != nil {
+		return 0, err
+	}
+	length := int(first)
+	if first&0x80 != 0 {
+		length = 0
+		for range first & 0x7f {
 			b, err := r.ReadByte()
 			if err != nil {
-				return v, err
+				return 0, err
 			}
-			n = n<<8 | int(b)
+			length = length<<8 | int(b)
 		}
 	}
-	if n < 0 || n > maxLength {
-		return v, errors.New("ber: too long")
-	}
-	v.Body = make([]byte, n)
-	if _, err = io.ReadFull(r, v.Body); err != nil || !v.Constructed {
-		return v, err
+	if length < 0 || length > maxLength {
+		return 0, errors.New("ber: too long")
 	}
-	for in := bufio.NewReader(strings.NewReader(string(v.Body))); ; {
-		k, err := Read(in)
-		if err == io.EOF {
-			return v, nil
+	return length, nil
+}
+
+// readAll reads the values that a body consists of.
+func readAll(body []byte) (list []TLV, err error) {
+	for in := bufio.NewReader(bytes.NewReader(body)); ; {
+		v, err := Read(in)
+		if errors.Is(err, io.EOF) {
+			return list, nil
 		}
 		if err != nil {
-			return v, err
+			return list, err
 		}
-		v.Children = append(v.Children, k)
+		list = append(list, v)
 	}
 }
 
-// put words a value: a context tag if it is not negative, else the universal tag of that number.
-func put(tag int, cons bool, body string) string {
+// encode encodes a value. A tag that is not negative is context-specific; a negative one is the universal tag of its
+// absolute value.
+func encode(tag int, cons bool, body string) string {
 	first := byte(0x80)
 	if tag < 0 {
 		first, tag = 0, -tag
@@ -114,14 +136,16 @@
 	return out + string([]byte{0x82, byte(len(body) >> 8), byte(len(body))}) + body
 }
 
-// Constructed words a constructed value, Leaf a primitive one, Number a number of 15 bits.
-func Constructed(tag int, parts ...string) string { return put(tag, true, strings.Join(parts, "")) }
+// Constructed encodes a constructed value of encoded parts.
+func Constructed(tag int, parts ...string) string { return encode(tag, true, strings.Join(parts, "")) }
 
-// Primitive words a primitive value.
-func Primitive(tag int, body string) string { return put(tag, false, body) }
+// Primitive encodes a primitive value.
+func Primitive(tag int, body string) string { return encode(tag, false, body) }
 
-// Integer words a number of 15 bits.
-func Integer(tag, n int) string { return put(tag, false, string([]byte{byte(n >> 8 & 0x7f), byte(n)})) }
+// Integer encodes a number of at most 15 bits.
+func Integer(tag, n int) string {
+	return encode(tag, false, string([]byte{byte(n >> 8 & 0x7f), byte(n)}))
+}
 
 // Tags of the APDUs that the stand-ins use.
 const (
@@ -144,7 +168,7 @@
 	OIDMARC        = "\x2a\x86\x48\xce\x13\x05\x0a"         // 1.2.840.10003.5.10
 )
 
-// FormatQuery of a Type-1 query, in prefix notation.
+// FormatQuery formats a Type-1 query in prefix notation.
 func FormatQuery(v TLV) string {
 	switch {
 	case v.Tag == 0 && v.Children[0].Tag == 31:
@@ -159,7 +183,7 @@
 	return fmt.Sprintf("(%s %s %s)", []string{"and", "or", "not"}[v.Children[2].Children[0].Tag], FormatQuery(v.Children[0]), FormatQuery(v.Children[1]))
 }
 
-// InitAPDU is an Init request of version 3, signed on as user if that is not empty.
+// InitAPDU is an Init request of version 3; user, if not empty, is its authentication.
 func InitAPDU(user string) string {
 	auth := ""
 	if user != "" {
@@ -168,15 +192,15 @@
 	return Constructed(20, Primitive(3, "\x05\xe0"), Primitive(4, "\x00\xe2\x06"), Integer(5, 30000), Integer(6, 30000), auth)
 }
 
-// TermOperand is an operand of a query, by a Bib-1 use attribute.
+// TermOperand is an operand of a query: a term with a Bib-1 use attribute.
 func TermOperand(use int, text string) string {
 	return Constructed(0, Constructed(102, Constructed(44, Constructed(-16, Integer(120, 1), Integer(121, use))), Primitive(45, text)))
 }
 
-// ResultSetOperand is a result set as an operand.
+// ResultSetOperand is an operand of a query: a result set.
 func ResultSetOperand(name string) string { return Constructed(0, Primitive(31, name)) }
 
-// CombineOperands joins two operands: 0 and, 1 or, 2 not.
+// CombineOperands combines two operands by an operator: 0 and, 1 or, 2 and-not.
 func CombineOperands(op int, l, r string) string {
 	return Constructed(1, l, r, Constructed(46, Primitive(op, "")))
 }
@@ -187,7 +211,7 @@
 		Constructed(18, Primitive(105, base)), Constructed(21, Constructed(1, Primitive(-6, OIDBib1), rpn)))
 }
 
-// PresentAPDU asks for n records of a set from start on.
+// PresentAPDU requests n records of a result set from the one numbered start on.
 func PresentAPDU(set string, start, n int) string {
 	return Constructed(24, Primitive(31, set), Integer(30, start), Integer(29, n), Primitive(104, OIDXML))
 }
@@ -199,7 +223,7 @@
 	return Constructed(46, Primitive(2, "u"), Integer(3, 1), Primitive(4, OIDUpdate), Constructed(10, Primitive(-6, OIDUpdate), Constructed(0, es)), Integer(11, 1))
 }
 
-// DiagnosticCode is the diagnostic of a response; 0 if it has none.
+// DiagnosticCode is the Bib-1 diagnostic of a response; 0 if it has none.
 func DiagnosticCode(v TLV) int {
 	for _, d := range []TLV{v.Child(130), {Children: v.Child(4).Children}} {
 		if d.Tag == 130 {
--- a/internal/testbed/client/client.go
+++ b/internal/testbed/client/client.go
@@ -1,5 +1,5 @@
-// Package client has the laboratory's own callers: of SRU over the standard library's HTTP, of Z39.50 over the
-// laboratory's own BER, and of the health protocols. They share no code with the program.
+// Package client has the testbed's own clients: of SRU over the standard library's HTTP, of Z39.50 over the testbed's own
+// BER, and of the health protocols. They share no code with the program.
 package client
 
 import (
@@ -16,28 +16,30 @@
 	"rooktrestle/internal/testbed/ber"
 )
 
-// Outcome of one call, as its caller sees it.
+// Outcome of one call, as its client sees it.
 type Outcome int
 
+// The outcomes of calls.
 const (
-	Complete     Outcome = iota
-	Partial              // an answer that says that it is not whole
-	Rejected             // asking again is harmless
-	Failed               // no answer, or one that says so
-	Disconnected         // no word at all: the connection ended, or the time was over
+	Complete     Outcome = iota // an answer with everything
+	Partial                     // an answer that says that parts are missing
+	Rejected                    // nothing has run: a retry is harmless
+	Failed                      // an answer that says so
+	Disconnected                // no answer: the connection ended, or the time was over
 )
 
+// String names the outcome.
 func (o Outcome) String() string {
-	return [...]string{"whole", "partial", "refused", "failed", "broken"}[o]
+	return [...]string{"complete", "partial", "rejected", "failed", "disconnected"}[o]
 }
 
-// SRU calls one SRU server. It is safe for concurrent use.
+// SRU is a client of one SRU server. It is safe for concurrent use.
 type SRU struct {
 	addr string
 	http *http.Client
 }
 
-// NewSRU returns a caller that gives up after timeout.
+// NewSRU returns a client whose calls give up after timeout.
 func NewSRU(addr string, timeout time.Duration) *SRU {
 	return &SRU{addr, &http.Client{Timeout: timeout, Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: (&net.Dialer{Timeout: timeout}).DialContext}}}
 }
@@ -45,29 +47,30 @@
 // Close ends idle connections.
 func (c *SRU) Close() { c.http.CloseIdleConnections() }
 
-// SearchURL is where a search is asked.
+// SearchURL is the URL of a search.
 func (c *SRU) SearchURL(base, cql string) string {
 	v := url.Values{"operation": {"searchRetrieve"}, "version": {"1.2"}, "query": {cql}, "maximumRecords": {"10"}}
 	return "http://" + c.addr + "/" + base + "?" + v.Encode()
 }
 
-// Search looks for something in a database.
+// Search searches a database.
 func (c *SRU) Search(base, cql string) Outcome {
 	resp, err := c.http.Get(c.SearchURL(base, cql))
-	return judge(resp, err, "<numberOfRecords>")
+	return outcomeOf(resp, err, "<numberOfRecords>")
 }
 
 // Correct changes a record.
 func (c *SRU) Correct(base, id string) Outcome {
 	resp, err := c.http.Post("http://"+c.addr+"/"+base, "text/xml", strings.NewReader(UpdateXML(id)))
-	return judge(resp, err, "<operationStatus>success<")
+	return outcomeOf(resp, err, "<operationStatus>success<")
 }
 
-func judge(resp *http.Response, err error, good string) Outcome {
+// outcomeOf reads a response; success is the text that a complete answer has.
+func outcomeOf(resp *http.Response, err error, success string) Outcome {
 	if err != nil {
 		return Disconnected
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }() // read only: nothing is lost
 	text, err := io.ReadAll(resp.Body)
 	switch {
 	case err != nil:
@@ -78,7 +81,7 @@
 		return Failed
 	case strings.Contains(string(text), "diagnostic/1/59<"):
 		return Partial
-	case strings.Contains(string(text), "<diagnostic "), !strings.Contains(string(text), good):
+	case strings.Contains(string(text), "<diagnostic "), !strings.Contains(string(text), success):
 		return Failed
 	}
 	return Complete
@@ -97,15 +100,15 @@
 	timeout time.Duration
 }
 
-// Dial opens an association; user may be empty.
+// Dial opens an association; user, if not empty, is its authentication. Each wait for an answer ends after timeout.
 func Dial(addr, user string, timeout time.Duration) (*Origin, error) {
 	o, err := DialWithoutInit(addr, timeout)
 	if err != nil {
 		return nil, err
 	}
 	v, err := o.RoundTrip(ber.InitAPDU(user))
-	if err == nil && (v.Tag != 21 || len(v.Child(12).Body) != 1 || v.Child(12).Body[0] == 0) {
-		err = fmt.Errorf("init: refused, unit %d", v.Tag)
+	if err == nil && (v.Tag != ber.InitResponse || len(v.Child(12).Body) != 1 || v.Child(12).Body[0] == 0) {
+		err = fmt.Errorf("init: rejected, APDU %d", v.Tag)
 	}
 	if err != nil {
 		o.Close()
@@ -123,29 +126,31 @@
 	return &Origin{c, bufio.NewReader(c), timeout}, nil
 }
 
-// Send sends a unit and reads nothing.
-func (o *Origin) Send(unit string) error {
-	_, err := io.WriteString(o.c, unit)
+// Send sends an APDU and reads nothing.
+func (o *Origin) Send(apdu string) error {
+	_, err := io.WriteString(o.c, apdu)
 	return err
 }
 
-// Close ends the association without a word.
-func (o *Origin) Close() { o.c.Close() }
+// Close ends the association by closing its connection.
+func (o *Origin) Close() { _ = o.c.Close() } // nothing is lost with it
 
-// RoundTrip sends a unit and reads one.
-func (o *Origin) RoundTrip(unit string) (ber.TLV, error) {
-	o.c.SetDeadline(time.Now().Add(o.timeout))
-	if _, err := io.WriteString(o.c, unit); err != nil {
+// RoundTrip sends an APDU and reads one.
+func (o *Origin) RoundTrip(apdu string) (ber.TLV, error) {
+	if err := o.c.SetDeadline(time.Now().Add(o.timeout)); err != nil {
+		return ber.TLV{}, err
+	}
+	if _, err := io.WriteString(o.c, apdu); err != nil {
 		return ber.TLV{}, err
 	}
 	return ber.Read(o.in)
 }
 
-// Search looks for something in a database.
+// Search searches a database.
 func (o *Origin) Search(set, base, text string) Outcome {
 	v, err := o.RoundTrip(ber.SearchAPDU(set, base, ber.TermOperand(4, text)))
 	switch code := ber.DiagnosticCode(v); {
-	case err != nil || v.Tag != 23:
+	case err != nil || v.Tag != ber.SearchResponse:
 		return Disconnected
 	case code == 33:
 		return Partial
@@ -161,7 +166,7 @@
 func (o *Origin) Correct(id string) Outcome {
 	v, err := o.RoundTrip(ber.UpdateAPDU(id))
 	switch code := ber.DiagnosticCode(v); {
-	case err != nil || v.Tag != 47:
+	case err != nil || v.Tag != ber.ExtendedServicesResponse:
 		return Disconnected
 	case code == 2:
 		return Rejected
@@ -171,22 +176,25 @@
 	return Complete
 }
 
-// AgentCheck asks an agent-check and returns its line. send, if not empty, is sent first.
+// AgentCheck makes an agent-check and returns the agent's line, which is empty if the agent closed without one. send, if not
+// empty, is sent first.
 func AgentCheck(addr, send string, timeout time.Duration) (string, error) {
 	c, err := net.DialTimeout("tcp", addr, timeout)
 	if err != nil {
 		return "", err
 	}
-	defer c.Close()
-	c.SetDeadline(time.Now().Add(timeout))
+	defer func() { _ = c.Close() }() // read only: nothing is lost
+	if err := c.SetDeadline(time.Now().Add(timeout)); err != nil {
+		return "", err
+	}
 	if send != "" {
-		io.WriteString(c, send)
+		_, _ = io.WriteString(c, send) // the agent may have answered and closed already
 	}
 	text, err := io.ReadAll(c)
 	return strings.TrimSpace(string(text)), err
 }
 
-// Get asks for a page of HTTP on a connection of its own.
+// Get gets a page over HTTP on a connection of its own.
 func Get(rawURL string, timeout time.Duration) (status int, header http.Header, body string, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -199,7 +207,7 @@
 	if err != nil {
 		return 0, nil, "", err
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }() // read only: nothing is lost
 	text, err := io.ReadAll(resp.Body)
 	return resp.StatusCode, resp.Header, string(text), err
 }
--- a/internal/testbed/invariants/invariants.go
+++ b/internal/testbed/invariants/invariants.go
@@ -1,5 +1,5 @@
-// Package rules checks what stand-in nodes saw against the rules that hold whatever is built: no correction runs
-// twice, nothing new goes to a node that drains.
+// Package invariants checks what stand-in replicas saw: that no correction runs twice, that nothing new goes to a replica
+// that drains, and which fraction of the traffic each got.
 package invariants
 
 import (
@@ -21,9 +21,9 @@
 	return ids
 }
 
-// PartsAfter lists the parts whose first byte reached a node later than so long after a moment, and the latest of all
-// parts there after it.
-func PartsAfter(a *replica.Archive, name string, moment time.Time, limit time.Duration) (late []replica.Event, last time.Duration) {
+// PartsAfter lists the parts whose first byte reached a replica later than limit after a moment, and how long after the
+// moment the last part of all did.
+func PartsAfter(a *replica.Archive, name string, moment time.Time, limit time.Duration) (overdue []replica.Event, last time.Duration) {
 	for _, e := range a.Events(moment) {
 		if e.Replica != name {
 			continue
@@ -31,25 +31,25 @@
 		d := e.At.Sub(moment)
 		last = max(last, d)
 		if d > limit {
-			late = append(late, e)
+			overdue = append(overdue, e)
 		}
 	}
-	return late, last
+	return overdue, last
 }
 
-// TrafficShare is the share of the parts begun between two moments that one node got, and how many there were.
-func TrafficShare(a *replica.Archive, name string, from, to time.Time) (share float64, all int) {
+// TrafficShare is the fraction of the parts between two moments that one replica got, and how many parts there were.
+func TrafficShare(a *replica.Archive, name string, from, to time.Time) (fraction float64, total int) {
 	mine := 0
 	for _, e := range a.Events(from) {
 		if e.At.Before(to) {
-			all++
+			total++
 			if e.Replica == name {
 				mine++
 			}
 		}
 	}
-	if all == 0 {
+	if total == 0 {
 		return 0, 0
 	}
-	return float64(mine) / float64(all), all
+	return float64(mine) / float64(total), total
 }
--- a/internal/testbed/load/load.go
+++ b/internal/testbed/load/load.go
@@ -1,5 +1,5 @@
-// Package load calls a front at a steady pace, open-loop: calls begin at their intended times whether earlier ones
-// have ended or not, and latencies count from the intended time, so that a stall is not omitted from them.
+// Package load calls a frontend at a steady rate, open-loop: calls begin at their intended times whether earlier ones have
+// ended or not, and latencies count from the intended time, so that no stall is omitted from them.
 package load
 
 import (
@@ -13,18 +13,18 @@
 	"rooktrestle/internal/testbed/client"
 )
 
-// Mix is what is called, by weight.
+// Mix has the weights of the kinds of calls. Those of Z39.50 begin with Z.
 type Mix struct {
 	Searches, ZSearches, Reports, Corrections, ZCorrections float64
 }
 
-// DefaultMix is the archive's mix of classes, over both protocols.
+// DefaultMix is the archive's mix of classes over both protocols.
 var DefaultMix = Mix{Searches: 0.4, ZSearches: 0.15, Reports: 0.23, Corrections: 0.15, ZCorrections: 0.07}
 
-// Plan is a run.
+// Plan describes a run.
 type Plan struct {
 	SRU, Z3950 string  // addresses; an empty one is not called
-	Rate       float64 // calls a second, Poisson
+	Rate       float64 // calls a second; arrivals are a Poisson process
 	Mix        Mix
 	Seed       uint64
 	Timeout    time.Duration
@@ -40,14 +40,14 @@
 	Outcome client.Outcome
 }
 
-// Result gathers calls. It is safe for concurrent use.
+// Result collects the calls of a run. It is safe for concurrent use.
 type Result struct {
-	mu    sync.Mutex
-	calls []Call
-	took  *hdrhistogram.Histogram // microseconds
+	mu        sync.Mutex
+	calls     []Call
+	latencies *hdrhistogram.Histogram // microseconds
 }
 
-// Calls are those that began between two moments.
+// Calls are the ended calls that began between two moments.
 func (r *Result) Calls(from, to time.Time) (list []Call) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -59,11 +59,11 @@
 	return list
 }
 
-// Quantile is a latency of all calls.
+// Quantile is a percentile (0 to 100) of the latencies of all calls, with a precision of a microsecond.
 func (r *Result) Quantile(q float64) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Duration(r.took.ValueAtQuantile(q)) * time.Microsecond
+	return time.Duration(r.latencies.ValueAtQuantile(q)) * time.Microsecond
 }
 
 // CountOutcomes counts calls by outcome.
@@ -74,7 +74,7 @@
 	return n
 }
 
-// CompleteFraction is the share of calls answered whole; 1 of none.
+// CompleteFraction is the fraction of the calls that was answered completely; 1 if there was none.
 func CompleteFraction(calls []Call) float64 {
 	if len(calls) == 0 {
 		return 1
@@ -85,54 +85,94 @@
 func (r *Result) add(c Call) {
 	r.mu.Lock()
 	r.calls = append(r.calls, c)
-	r.took.RecordValue(max(1, int64(c.Latency/time.Microsecond)))
+	// A latency over the histogram's range cannot be recorded: no call takes as long, as clients time out.
+	_ = r.latencies.RecordValue(max(1, int64(c.Latency/time.Microsecond)))
 	r.mu.Unlock()
 }
 
-// Start begins a run. The returned function ends it, waits for the calls in hand, and returns once all have ended.
-func Start(p Plan) (*Result, func()) {
-	r := &Result{took: hdrhistogram.New(1, int64(10*time.Minute/time.Microsecond), 3)}
-	stop, over := make(chan struct{}), make(chan struct{})
-	web := client.NewSRU(p.SRU, p.Timeout)
-	origins := make(chan *client.Origin, max(1, p.Origins))
-	for range max(1, p.Origins) {
-		origins <- nil // dialled when first used
+// Start begins a run. stop ends it and returns once the calls in flight have ended; it may be called more than once.
+func Start(p Plan) (result *Result, stop func()) {
+	g := &generator{
+		plan: p, web: client.NewSRU(p.SRU, p.Timeout), origins: make(chan *client.Origin, max(1, p.Origins)), quit: make(chan struct{}), ended: make(chan struct{}),
+		result: &Result{latencies: hdrhistogram.New(1, int64(maxLatency/time.Microsecond), significantDigits)},
 	}
-	var calls sync.WaitGroup
-	go func() {
-		defer close(over)
-		rng := rand.New(rand.NewPCG(p.Seed, 11))
-		due := time.Now()
-		for n := 0; ; n++ {
-			due = due.Add(time.Duration(rng.ExpFloat64() / p.Rate * float64(time.Second)))
-			select {
-			case <-stop:
-				calls.Wait()
-				web.Close()
-				close(origins)
-				for o := range origins {
-					if o != nil {
-						o.Close()
-					}
-				}
-				return
-			case <-time.After(time.Until(due)):
-			}
-			kind := p.pick(rng)
-			id := fmt.Sprintf("%d:s%d-%d", rng.IntN(1024), p.Seed, n)
-			calls.Add(1)
-			go func(due time.Time) {
-				defer calls.Done()
-				began := time.Now()
-				out := p.call(kind, id, web, origins)
-				r.add(Call{Kind: kind, ID: id, Began: began, Latency: time.Since(due), Outcome: out})
-			}(due)
-		}
-	}()
+	for range cap(g.origins) {
+		g.origins <- nil
+	}
+	go g.run()
 	var once sync.Once
-	return r, func() { once.Do(func() { close(stop) }); <-over }
+	return g.result, func() {
+		once.Do(func() { close(g.quit) })
+		<-g.ended
+	}
+}
+
+// Range and precision of the histogram of latencies.
+const (
+	maxLatency        = 10 * time.Minute
+	significantDigits = 3
+)
+
+// Kinds of calls.
+const (
+	kindSearch          = "search"
+	kindZ3950Search     = "z-search"
+	kindReport          = "report"
+	kindCorrection      = "correct"
+	kindZ3950Correction = "z-correct"
+)
+
+// arrivalStream is the stream of random numbers of the arrivals.
+const arrivalStream = 11
+
+// generator makes the calls of one run.
+type generator struct {
+	plan    Plan
+	web     *client.SRU
+	origins chan *client.Origin // idle associations; nil: to be dialed when it is first used
+	result  *Result
+	calls   sync.WaitGroup
+	quit    chan struct{}
+	ended   chan struct{}
 }
 
+// run starts calls at their intended times until quit is closed.
+func (g *generator) run() {
+	defer close(g.ended)
+	rng := rand.New(rand.NewPCG(g.plan.Seed, arrivalStream))
+	intended := time.Now()
+	for n := 0; ; n++ {
+		intended = intended.Add(time.Duration(rng.ExpFloat64() / g.plan.Rate * float64(time.Second)))
+		select {
+		case <-g.quit:
+			g.close()
+			return
+		case <-time.After(time.Until(intended)):
+		}
+		kind := g.plan.pick(rng)
+		id := fmt.Sprintf("%d:s%d-%d", rng.IntN(1024), g.plan.Seed, n)
+		due := intended // the next call has another
+		g.calls.Go(func() {
+			began := time.Now()
+			out := g.call(kind, id)
+			g.result.add(Call{Kind: kind, ID: id, Began: began, Latency: time.Since(due), Outcome: out})
+		})
+	}
+}
+
+// close waits for the calls in flight and closes the connections.
+func (g *generator) close() {
+	g.calls.Wait()
+	g.web.Close()
+	close(g.origins)
+	for o := range g.origins {
+		if o != nil {
+			o.Close()
+		}
+	}
+}
+
+// pick draws the kind of a call. Without an address of Z39.50 its calls are made over SRU.
 func (p Plan) pick(rng *rand.Rand) string {
 	m := p.Mix
 	if p.Z3950 == "" {
@@ -142,34 +182,40 @@
 	for _, k := range []struct {
 		weight float64
 		kind   string
-	}{{m.Searches, "search"}, {m.ZSearches, "z-search"}, {m.Reports, "report"}, {m.Corrections, "correct"}, {m.ZCorrections, "z-correct"}} {
+	}{{m.Searches, kindSearch}, {m.ZSearches, kindZ3950Search}, {m.Reports, kindReport}, {m.Corrections, kindCorrection}, {m.ZCorrections, kindZ3950Correction}} {
 		if x < k.weight {
 			return k.kind
 		}
 		x -= k.weight
 	}
-	return "search"
+	return kindSearch
 }
 
-func (p Plan) call(kind, id string, web *client.SRU, origins chan *client.Origin) client.Outcome {
+// call makes one call; id is that of a correction.
+func (g *generator) call(kind, id string) client.Outcome {
 	switch kind {
-	case "search":
-		return web.Search("captions", "budget")
-	case "report":
-		return web.Search("coverage", "budget")
-	case "correct":
-		return web.Correct("captions", id)
+	case kindSearch:
+		return g.web.Search("captions", "budget")
+	case kindReport:
+		return g.web.Search("coverage", "budget")
+	case kindCorrection:
+		return g.web.Correct("captions", id)
 	}
-	o := <-origins
+	return g.callZ3950(kind, id)
+}
+
+// callZ3950 makes a call on an idle association. One that breaks is replaced.
+func (g *generator) callZ3950(kind, id string) client.Outcome {
+	o := <-g.origins
 	if o == nil {
 		var err error
-		if o, err = client.Dial(p.Z3950, "", p.Timeout); err != nil {
-			origins <- nil
+		if o, err = client.Dial(g.plan.Z3950, "", g.plan.Timeout); err != nil {
+			g.origins <- nil
 			return client.Disconnected
 		}
 	}
-	out := client.Disconnected
-	if kind == "z-search" {
+	var out client.Outcome
+	if kind == kindZ3950Search {
 		out = o.Search("default", "captions", "budget")
 	} else {
 		out = o.Correct(id)
@@ -178,6 +224,6 @@
 		o.Close()
 		o = nil
 	}
-	origins <- o
+	g.origins <- o
 	return out
 }
--- a/internal/testbed/load/load_test.go
+++ b/internal/testbed/load/load_test.go
@@ -9,13 +9,15 @@
 	"time"
 )
 
-// A server that stalls for a second shows in the latencies of all calls that were meant for that second, not only in
-// that of the one that it answered late: no coordinated omission.
-func TestStallsAreNotOmitted(t *testing.T) {
+// A server that stalls for a second shows in the latencies of all calls that were intended for that second, not only in
+// that of one overdue answer: there is no coordinated omission.
+func TestStart_StallsAreNotOmitted(t *testing.T) {
 	var stalled atomic.Int64 // until, in Unix nanoseconds
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(time.Until(time.Unix(0, stalled.Load())))
-		w.Write([]byte("<numberOfRecords>1</numberOfRecords>"))
+		if _, err := w.Write([]byte("<numberOfRecords>1</numberOfRecords>")); err != nil {
+			t.Errorf("answer: %v", err)
+		}
 	}))
 	defer s.Close()
 	r, stop := Start(Plan{SRU: strings.TrimPrefix(s.URL, "http://"), Rate: 200, Mix: Mix{Searches: 1}, Seed: 1, Timeout: time.Minute})
@@ -31,7 +33,7 @@
 		if c.Latency >= 500*time.Millisecond {
 			slow++
 		}
-		// Whoever asked during the stall waited until its end, at least.
+		// Each call during the stall lasted until its end at least.
 		if c.Began.After(from.Add(100*time.Millisecond)) && c.Began.Before(from.Add(900*time.Millisecond)) && c.Began.Add(c.Latency).Before(from.Add(990*time.Millisecond)) {
 			t.Errorf("a call at %v took %v", c.Began.Sub(from), c.Latency)
 		}
