--- a/cmd/testbed/resharding.go
+++ b/cmd/testbed/resharding.go
@@ -133,7 +133,7 @@
 // playResharding runs the load once, with random plans or without.
 func playResharding(o reshardingOptions, reshard bool) (r reshardingRun, err error) {
 	a, err := resharding.Start(resharding.Options{
-		Seed: o.seed, ReplicaCount: o.replicas, Blocks: o.shards, FrontendCount: 2, LastFrontendDelay: o.mapDelay, CopiesPerSecond: 50,
+		Seed: o.seed, ReplicaCount: o.replicas, ShardCount: o.shards, FrontendCount: 2, LastFrontendDelay: o.mapDelay, CopiesPerSecond: 50,
 		Records: 120, Delay: 5 * time.Millisecond, Timing: shardmap.Timing{MapPropagation: 100 * time.Millisecond, MaxQueryTime: 500 * time.Millisecond},
 	})
 	if err != nil {
@@ -165,7 +165,7 @@
 // collect reads the results of a run that has ended.
 func (r *reshardingRun) collect(a *resharding.Archive, calls *resharding.Report) {
 	n := calls.Count()
-	r.Calls, r.Complete, r.Partial, r.Rejected = calls.Asked, n[client.Complete], n[client.Partial], n[client.Rejected]
+	r.Calls, r.Complete, r.Partial, r.Rejected = calls.Calls, n[client.Complete], n[client.Partial], n[client.Rejected]
 	r.Failed, r.Disconnected = n[client.Failed], n[client.Disconnected]
 	r.Answered, r.P50, r.P99 = calls.Answered(), calls.Quantile(50), calls.Quantile(99)
 	r.Violations, r.Duplicates = calls.Violations, a.DuplicateCorrections()
--- /dev/null
+++ b/internal/testbed/deployment/config.go
@@ -0,0 +1,136 @@
+package deployment
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// withDefaults fills in what the options leave out.
+func (o Options) withDefaults() Options {
+	if o.CheckInterval == 0 {
+		o.CheckInterval = 200 * time.Millisecond
+	}
+	if o.MaxSockets == 0 {
+		o.MaxSockets = 1024
+	}
+	if o.CheckTimeout == 0 {
+		o.CheckTimeout = 500 * time.Millisecond
+	}
+	if o.MaxOpen == 0 {
+		o.MaxOpen = 400
+	}
+	return o
+}
+
+// shardSizes are how many shards are searched, and how many cells the servers fill.
+func (o Options) shardSizes() (shards, cells int) {
+	if o.CheckedOnlyCount > 0 {
+		return o.Replicas - o.Reach + 1, o.Replicas + o.CheckedOnlyCount
+	}
+	return o.Replicas, o.Replicas
+}
+
+// config is the operators' file.
+func (d *Deployment) config(o Options) string {
+	o = o.withDefaults()
+	var b strings.Builder
+	writeLimits(&b, o)
+	writeClasses(&b)
+	writeDatabases(&b, o)
+	b.WriteString(o.ExtraConfig)
+	d.writeServers(&b, o)
+	return b.String()
+}
+
+// write writes to a builder, which does not fail.
+func write(b *strings.Builder, format string, args ...any) { _, _ = fmt.Fprintf(b, format, args...) }
+
+func writeLimits(b *strings.Builder, o Options) {
+	checksPerSecond := 100 + int(4*float64(o.Replicas+o.CheckedOnlyCount)/o.CheckInterval.Seconds())
+	checksAtOnce := min(o.MaxSockets/4, 64+o.CheckedOnlyCount/4)
+	shards, cells := o.shardSizes()
+	write(b, `# Written by testbed for %d stand-in replicas.
+name = "lab"
+[listen]
+sru = "127.0.0.1:0"
+z3950 = "127.0.0.1:0"
+health = "127.0.0.1:0"
+agent = "127.0.0.1:0"
+[limits]
+sockets = %d
+max_open = %d
+[checks]
+every = %q
+per_second = %d
+at_once = %d
+timeout = %q
+fall = 2
+rise = 1
+[shards]
+count = %d
+cells = %d
+reach = %d
+`, o.Replicas, o.MaxSockets, o.MaxOpen, o.CheckInterval, checksPerSecond, checksAtOnce, o.CheckTimeout, shards, cells, o.Reach)
+}
+
+func writeClasses(b *strings.Builder) {
+	for _, class := range []string{
+		"name = \"line-search\"\naim = \"1.5s\"\ndeadline = \"4s\"\nlate_worth = 0.3",
+		"name = \"coverage-report\"\naim = \"1.2s\"\ndeadline = \"2s\"\nlate_worth = 0.1\nfloor = 0.5\npartial = 0.8",
+		"name = \"line-correction\"\naim = \"1s\"\ndeadline = \"2s\"\nlate_worth = 0.3\nunsafe = true",
+	} {
+		write(b, "[[class]]\n%s\n", class)
+	}
+}
+
+// writeDatabases writes two databases of all shards, and the checks of both protocols.
+func writeDatabases(b *strings.Builder, o Options) {
+	var list []string
+	shards, _ := o.shardSizes()
+	for i := range shards {
+		list = append(list, fmt.Sprint(i))
+	}
+	all := strings.Join(list, ", ")
+	write(b, `[[tenant]]
+name = "tv"
+quota = 100000
+users = ["editor"]
+[[database]]
+name = "captions"
+shards = [%s]
+search = "line-search"
+correction = "line-correction"
+tenant = "tv"
+[[database]]
+name = "coverage"
+shards = [%s]
+search = "coverage-report"
+tenant = "tv"
+[[check]]
+name = "healthz"
+kind = "http"
+path = "/healthz"
+[[check]]
+name = "init"
+kind = "z3950"
+`, all, all)
+}
+
+func (d *Deployment) writeServers(b *strings.Builder, o Options) {
+	for i, n := range d.Replicas {
+		check := map[string]string{"sru": "healthz", "z3950": "init"}[n.Protocol]
+		write(b, "[[server]]\nid = %q\nprotocol = %q\naddr = %q\ncell = %d\nzone = %d\ndatabase = \"block-%%d\"\nchecks = [%q]\n",
+			n.Name, n.Protocol, n.Addr(), i, i%2, check)
+		if o.Agents {
+			write(b, "agent = %q\n", d.Agents[i].Addr())
+		}
+		if o.ServerConfig != nil {
+			b.WriteString(o.ServerConfig(i))
+		}
+	}
+	for i := range o.CheckedOnlyCount {
+		write(b, "[[server]]\nid = \"other-%d\"\nprotocol = \"sru\"\naddr = %q\ncell = %d\ndatabase = \"block-%%d\"\nchecks = [\"healthz\"]\n",
+			i, o.CheckedOnlyAddr(i), o.Replicas+i)
+	}
+}
--- a/internal/testbed/resharding/check.go
+++ b/internal/testbed/resharding/check.go
@@ -14,10 +14,10 @@
 	"rooktrestle/internal/testbed/client"
 )
 
-// Answer is what one search came to, compared with the archive's known content.
+// Answer is what one search came to, compared with the archive's content.
 type Answer struct {
 	Outcome          client.Outcome
-	Violation        string // what is not as it should be; empty: nothing
+	Violation        string // how it differs from the content; empty: not at all
 	CompleteFraction float64
 }
 
@@ -27,14 +27,14 @@
 	included = regexp.MustCompile(`(\d+) of (\d+) blocks are in, ([\d.]+)% of the weight`)
 )
 
-// Search asks a front over SRU for everything, and checks what comes.
+// Search searches a frontend for everything over SRU, and checks the answer.
 func (a *Archive) Search(web *http.Client, addr, base string) Answer {
 	v := url.Values{"operation": {"searchRetrieve"}, "version": {"1.2"}, "query": {"line"}, "maximumRecords": {"2000"}}
 	resp, err := web.Get("http://" + addr + "/" + base + "?" + v.Encode())
 	if err != nil {
 		return Answer{Outcome: client.Disconnected}
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }() // read only: nothing is lost
 	raw, err := io.ReadAll(resp.Body)
 	text := string(raw)
 	switch {
@@ -45,15 +45,15 @@
 	case resp.StatusCode != 200:
 		return Answer{Outcome: client.Failed}
 	case strings.Contains(text, "diagnostic/1/59<"):
-		return a.partial(text)
+		return a.checkPartial(text)
 	case strings.Contains(text, "<diagnostic "):
 		return Answer{Outcome: client.Failed}
 	}
-	return Answer{Outcome: client.Complete, Violation: a.compare(text, true), CompleteFraction: 1}
+	return Answer{Outcome: client.Complete, Violation: a.checkRecords(text, true), CompleteFraction: 1}
 }
 
-// ids are the records of an answer, and how many it says there are.
-func ids(text string) (list []string, count int) {
+// recordIDs are the identifiers in an answer, and how many records it says there are.
+func recordIDs(text string) (list []string, count int) {
 	for _, m := range dcOf.FindAllStringSubmatch(text, -1) {
 		list = append(list, m[1])
 	}
@@ -63,37 +63,37 @@
 	return list, count
 }
 
-// compare holds an answer against the content: each record exactly once and in order if it is whole, none twice and
-// none that is not there if it is not; the count is that of the records in it.
-func (a *Archive) compare(text string, whole bool) string {
-	list, count := ids(text)
+// checkRecords compares an answer with the content: each record exactly once and in order if it is complete, else none twice
+// and none that is not in the archive. The count is that of the records in the answer.
+func (a *Archive) checkRecords(text string, complete bool) string {
+	list, count := recordIDs(text)
 	if count != len(list) {
-		return fmt.Sprintf("%d records, and %d are told", len(list), count)
+		return fmt.Sprintf("%d records, and the count says %d", len(list), count)
 	}
 	if !slices.IsSorted(list) {
 		return "the records are out of order"
 	}
 	for i, id := range list {
 		if i > 0 && list[i-1] == id {
-			return id + " stands twice"
+			return id + " is there twice"
 		}
 		if _, ok := slices.BinarySearch(a.Content.IDs, id); !ok {
 			return id + " is not in the archive"
 		}
 	}
-	if whole && len(list) != len(a.Content.IDs) {
-		return fmt.Sprintf("whole, and %d of %d records", len(list), len(a.Content.IDs))
+	if complete && len(list) != len(a.Content.IDs) {
+		return fmt.Sprintf("complete, and %d of %d records", len(list), len(a.Content.IDs))
 	}
 	return ""
 }
 
-// partial checks an answer that says that it is not whole: blocks are in as a whole, and the share of the weight that
-// it tells is that of its records, as blocks weigh what they hold at the start and halves of it after a split.
-func (a *Archive) partial(text string) Answer {
-	out := Answer{Outcome: client.Partial, Violation: a.compare(text, false)}
+// checkPartial checks an answer that says that it is partial: what it says of its shards and of its fraction of the weight
+// has to be possible.
+func (a *Archive) checkPartial(text string) Answer {
+	out := Answer{Outcome: client.Partial, Violation: a.checkRecords(text, false)}
 	m := included.FindStringSubmatch(text)
 	if m == nil {
-		out.Violation = "partial, and how much of it is not told"
+		out.Violation = "partial, and the answer does not say how much is missing"
 		return out
 	}
 	in, _ := strconv.Atoi(m[1])
@@ -105,13 +105,13 @@
 	return out
 }
 
-// Correct makes a correction over SRU.
+// Correct makes a correction over SRU. Its id is that of a record, with a suffix that tells corrections apart.
 func (a *Archive) Correct(web *http.Client, addr, id string) client.Outcome {
 	resp, err := web.Post("http://"+addr+"/captions", "text/xml", strings.NewReader(client.UpdateXML(id)))
 	if err != nil {
 		return client.Disconnected
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }() // read only: nothing is lost
 	text, err := io.ReadAll(resp.Body)
 	switch {
 	case err != nil:
@@ -124,7 +124,7 @@
 	return client.Failed
 }
 
-// NewHTTPClient is a caller's HTTP, which gives up after a time.
+// NewHTTPClient returns a client whose calls give up after timeout.
 func NewHTTPClient(timeout time.Duration) *http.Client {
 	return &http.Client{Timeout: timeout, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 }
--- a/internal/testbed/resharding/content.go
+++ b/internal/testbed/resharding/content.go
@@ -1,11 +1,12 @@
-// Package reshape is the laboratory's archive whose blocks split, merge and move: nodes that hold records by range and
-// fence by epoch, a source of maps, a controller that carries plans out and may be killed at any step, and a checker
-// that compares every answer with the archive's known content.
+// Package resharding is the testbed's archive whose shards split, merge and move: replicas that hold records by key range
+// and fence by epoch, a source of shard maps, a controller that carries plans out and may be killed before any step, and a
+// checker that compares every answer with the archive's known content.
 package resharding
 
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"sort"
 	"strconv"
 	"strings"
@@ -18,7 +19,7 @@
 // counted.
 type Content struct{ IDs []string }
 
-// NewContent makes lines of programmes and years.
+// NewContent makes records of so many programmes, years of each, and lines of each year.
 func NewContent(programmes, years, lines int) *Content {
 	c := &Content{}
 	for p := range programmes {
@@ -34,8 +35,8 @@
 
 func keyOf(id string) string { return id[:strings.IndexByte(id, ':')] }
 
-// in are the records of a range of keys.
-func (c *Content) in(from, to string) []string {
+// between are the records of a range of keys; to is not in it, and empty for no bound.
+func (c *Content) between(from, to string) []string {
 	a := sort.Search(len(c.IDs), func(i int) bool { return keyOf(c.IDs[i]) >= from })
 	b := len(c.IDs)
 	if to != "" {
@@ -48,36 +49,37 @@
 	return replica.Record{ID: id, XML: `<dc:dc xmlns:dc="http://purl.org/dc/elements/1.1/"><dc:identifier>` + id + `</dc:identifier></dc:dc>`}
 }
 
-// holding is what a node knows of one block.
-type holding struct {
-	from, to string
-	joining  bool
-	left     int    // joining: records that are still to be copied
-	gone     uint64 // since this epoch it is not its; 0: it is
+// heldShard is what a replica knows of one shard.
+type heldShard struct {
+	from, to  string
+	joining   bool
+	remaining int    // of a joining replica: records that are still to be copied
+	removedAt uint64 // epoch since which it is another's; 0: it is held
 }
 
-// chunk is how many records are copied at a time.
-const chunk = 4
+// copyChunk is how many records are copied at a time.
+const copyChunk = 4
 
-// Store is a node's part of the archive. It reads maps with code of its own.
+// Store is what one replica holds. It reads maps with code of its own, so that a mistake in the program's is not made twice.
+// It is safe for concurrent use.
 type Store struct {
 	Name    string
 	Content *Content
 
-	mu    sync.Mutex
-	held  map[uint64]*holding
-	epoch uint64
-	lie   string // said in the place of any answer
-	away  int
-	runs  map[string]int // corrections run here
+	mu             sync.Mutex
+	shards         map[uint64]*heldShard
+	epoch          uint64
+	rejection      string // sent in place of any answer; empty: none
+	rejected       int
+	correctionRuns map[string]int // by identifier
 }
 
-// NewStore returns an empty shelf.
+// NewStore returns an empty store of the replica with a name.
 func NewStore(name string, c *Content) *Store {
-	return &Store{Name: name, Content: c, held: map[uint64]*holding{}, runs: map[string]int{}}
+	return &Store{Name: name, Content: c, shards: map[uint64]*heldShard{}, correctionRuns: map[string]int{}}
 }
 
-// ApplyMap tells the node a map. An older one than it knows changes nothing.
+// ApplyMap passes a map to the replica. One of an older epoch than it knows changes nothing.
 func (s *Store) ApplyMap(text []byte) error {
 	var m struct {
 		Epoch  uint64 `json:"epoch"`
@@ -107,121 +109,118 @@
 				continue
 			}
 			mine[b.ID] = true
-			was := s.held[b.ID]
-			if was == nil || was.gone > 0 {
-				s.held[b.ID] = &holding{from: b.From, to: b.To, joining: h.Joining, left: len(s.Content.in(b.From, b.To))}
+			was := s.shards[b.ID]
+			if was == nil || was.removedAt > 0 {
+				s.shards[b.ID] = &heldShard{from: b.From, to: b.To, joining: h.Joining, remaining: len(s.Content.between(b.From, b.To))}
 			} else {
 				was.joining = h.Joining
 			}
 		}
 	}
-	for id, h := range s.held {
-		if !mine[id] && h.gone == 0 {
-			h.gone = m.Epoch
+	for id, h := range s.shards {
+		if !mine[id] && h.removedAt == 0 {
+			h.removedAt = m.Epoch
 		}
 	}
 	return nil
 }
 
-// SetRejection makes the node say something in the place of any answer; empty ends it.
-func (s *Store) SetRejection(word string) {
+// SetRejection makes the replica reject everything with a reason, true or not; empty ends it.
+func (s *Store) SetRejection(reason string) {
 	s.mu.Lock()
-	s.lie = word
+	s.rejection = reason
 	s.mu.Unlock()
 }
 
-// HasCopied says whether a joining node has all of a block.
+// HasCopied says whether a joining replica has all records of a shard.
 func (s *Store) HasCopied(block uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := s.held[block]
-	return h != nil && (!h.joining || h.left <= 0)
+	h := s.shards[block]
+	return h != nil && (!h.joining || h.remaining <= 0)
 }
 
-// CopyChunk copies a few records of a block that the node joins, and says whether there are more.
+// CopyChunk copies a few records of a shard that the replica joins, and says whether there are more.
 func (s *Store) CopyChunk(block uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := s.held[block]
+	h := s.shards[block]
 	if h == nil || !h.joining {
 		return false
 	}
-	h.left -= chunk
-	return h.left > 0
+	h.remaining -= copyChunk
+	return h.remaining > 0
 }
 
-// Epoch is the epoch that the node knows.
+// Epoch is that of the newest map that the replica knows.
 func (s *Store) Epoch() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.epoch
 }
 
-// RejectedParts is how many parts it turned away.
+// RejectedParts is how many parts it rejected.
 func (s *Store) RejectedParts() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.away
+	return s.rejected
 }
 
-// find looks for a block by its name, block-Part@EPOCH. With a word there is none to answer from.
-func (s *Store) find(base string) (*holding, string) {
+// find finds a shard by a database's name, block-ID@EPOCH. A reason that is not empty means that the replica does not
+// answer for it.
+func (s *Store) find(base string) (*heldShard, string) {
 	text, _, _ := strings.Cut(strings.TrimPrefix(base, "block-"), "@")
-	id, _ := strconv.ParseUint(text, 10, 64)
-	h := s.held[id]
-	word := ""
+	id, _ := strconv.ParseUint(text, 10, 64) // what is no number is no shard of ours: 0
+	h := s.shards[id]
+	reason := ""
 	switch {
-	case s.lie != "":
-		word = s.lie
+	case s.rejection != "":
+		reason = s.rejection
 	case h == nil:
-		word = fmt.Sprintf("not mine since epoch %d", max(1, s.epoch))
-	case h.gone > 0:
-		word = fmt.Sprintf("not mine since epoch %d", h.gone)
+		reason = fmt.Sprintf("not mine since epoch %d", max(1, s.epoch))
+	case h.removedAt > 0:
+		reason = fmt.Sprintf("not mine since epoch %d", h.removedAt)
 	case h.joining:
-		word = fmt.Sprintf("mine from epoch %d on", s.epoch+1)
+		reason = fmt.Sprintf("mine from epoch %d on", s.epoch+1)
 	}
-	if word != "" {
-		s.away++
+	if reason != "" {
+		s.rejected++
 	}
-	return h, word
+	return h, reason
 }
 
-// Search answers from the records of a block.
-func (s *Store) Search(base string, most int) (list []replica.Record, count int, word string) {
+// Search answers from the records of a shard.
+func (s *Store) Search(base string, limit int) (list []replica.Record, count int, reason string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h, word := s.find(base)
-	if word != "" {
-		return nil, 0, word
+	h, reason := s.find(base)
+	if reason != "" {
+		return nil, 0, reason
 	}
-	ids := s.Content.in(h.from, h.to)
-	for _, id := range ids[:min(len(ids), most)] {
+	ids := s.Content.between(h.from, h.to)
+	for _, id := range ids[:min(len(ids), limit)] {
 		list = append(list, record(id))
 	}
 	return list, len(ids), ""
 }
 
-// Correct runs a correction.
+// Correct runs a correction, or says why not.
 func (s *Store) Correct(base, id string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h, word := s.find(base)
-	if word == "" && (keyOf(id) < h.from || h.to != "" && keyOf(id) >= h.to) {
-		word = "the record is not in this block"
+	h, reason := s.find(base)
+	if reason == "" && (keyOf(id) < h.from || h.to != "" && keyOf(id) >= h.to) {
+		reason = "the record is not in this block"
 	}
-	if word == "" {
-		s.runs[id]++
+	if reason == "" {
+		s.correctionRuns[id]++
 	}
-	return word
+	return reason
 }
 
-// CorrectionRuns are the corrections that ran here.
+// CorrectionRuns are how often each correction ran here. The caller owns the map.
 func (s *Store) CorrectionRuns() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	all := map[string]int{}
-	for id, n := range s.runs {
-		all[id] = n
-	}
-	return all
+	return maps.Clone(s.correctionRuns)
 }
--- a/internal/testbed/resharding/resharding_test.go
+++ b/internal/testbed/resharding/resharding_test.go
@@ -22,8 +22,8 @@
 	if o.ReplicaCount == 0 {
 		o.ReplicaCount = 5
 	}
-	if o.Blocks == 0 {
-		o.Blocks = 4
+	if o.ShardCount == 0 {
+		o.ShardCount = 4
 	}
 	if o.Records == 0 {
 		o.Records = 96
@@ -110,7 +110,7 @@
 		"resets":       {replica.Faults{Delay: 300 * time.Millisecond, ResetRate: 1}, client.Failed},
 		"hangs":        {replica.Faults{HangRate: 1}, client.Failed},
 	} {
-		a := started(t, Options{Seed: 3, ReplicaCount: 6, Blocks: 1})
+		a := started(t, Options{Seed: 3, ReplicaCount: 6, ShardCount: 1})
 		for _, n := range []string{"n0", "n1"} { // the holders at the start
 			a.node(n).SetFaults(c.faults)
 		}
@@ -140,7 +140,7 @@
 // A front that hears of nothing, while its blocks move to other holders: the old ones turn its parts away, it asks the
 // source, which says nothing either; with the map it goes on. Nothing runs twice.
 func TestFrontThatHearsLate(t *testing.T) {
-	a := started(t, Options{Seed: 4, ReplicaCount: 6, Blocks: 1, FrontendCount: 2, LastFrontendDelay: time.Second})
+	a := started(t, Options{Seed: 4, ReplicaCount: 6, ShardCount: 1, FrontendCount: 2, LastFrontendDelay: time.Second})
 	p, err := shardmap.PlanMigration(a.Controller.Map(), 1, []string{"n3", "n4"}, shardmap.Timing{})
 	a.carry(t, p, err)
 	a.adopted(t, 0, 4)
@@ -160,7 +160,7 @@
 
 // A Z39.50 result set made before a split, a move and a merge is paged after each: the same records, in order.
 func TestResultSetAcrossReshapes(t *testing.T) {
-	a := started(t, Options{Seed: 5, ReplicaCount: 4, Blocks: 2})
+	a := started(t, Options{Seed: 5, ReplicaCount: 4, ShardCount: 2})
 	o, err := client.Dial(a.Frontends[0].Addr("z3950"), "editor", patience)
 	if err != nil {
 		t.Fatal(err)
@@ -171,14 +171,14 @@
 	}
 	page := func(start int) {
 		t.Helper()
-		if out, wrong := a.page(o, "s", start, 15); out != client.Complete || wrong != "" {
+		if out, wrong := a.presentPage(o, "s", start, 15); out != client.Complete || wrong != "" {
 			t.Errorf("records from %d: %v %s", start, out, wrong)
 		}
 	}
 	page(1)
 	m := a.Controller.Map()
 	b := m.Shard(1)
-	in := a.Content.in(string(b.From), string(b.To))
+	in := a.Content.between(string(b.From), string(b.To))
 	p, err := shardmap.PlanSplit(m, 1, []shardmap.Key{shardmap.Key(keyOf(in[len(in)/2]))}, shardmap.Timing{})
 	a.carry(t, p, err)
 	a.adopted(t, 0, a.Controller.Map().Epoch)
@@ -264,7 +264,7 @@
 // The controller is killed before each of its steps in turn; the next one goes on from what was kept. Every answer in
 // between is exact, and the plan ends where it should.
 func TestControllerKilledAtEveryStep(t *testing.T) {
-	a := started(t, Options{Seed: 7, ReplicaCount: 4, Blocks: 2})
+	a := started(t, Options{Seed: 7, ReplicaCount: 4, ShardCount: 2})
 	web := NewHTTPClient(patience)
 	plans := []func(*shardmap.Map) (*shardmap.Plan, error){
 		func(m *shardmap.Map) (*shardmap.Plan, error) {
@@ -317,7 +317,7 @@
 
 // The last good map is kept, and serves a start without a source; an older one from the source is refused then.
 func TestStartsFromTheKeptMap(t *testing.T) {
-	a := started(t, Options{Seed: 8, ReplicaCount: 4, Blocks: 2, PersistMaps: true})
+	a := started(t, Options{Seed: 8, ReplicaCount: 4, ShardCount: 2, PersistMaps: true})
 	p, err := shardmap.PlanMigration(a.Controller.Map(), 1, []string{"n2", "n3"}, shardmap.Timing{})
 	a.carry(t, p, err)
 	a.adopted(t, 0, 4)
@@ -341,7 +341,7 @@
 		t.Errorf("%+v", got)
 	}
 	told := a.Events[0].Next(func(e deployment.Event) bool { return strings.Contains(e.Attrs["err"], "older epoch") })
-	first, err := a.first()
+	first, err := a.firstMap()
 	if err != nil {
 		t.Fatal(err)
 	}
