--- a/cmd/testbed/demo.go
+++ b/cmd/testbed/demo.go
@@ -129,7 +129,7 @@
 		for i := 0; i+1 < len(phases); i++ {
 			list := calls.Calls(phases[i], phases[i+1])
 			n := load.CountOutcomes(list)
-			share, parts := invariants.TrafficShare(d.Archive, "n1", phases[i], phases[i+1])
+			share, parts := invariants.TrafficFraction(d.Archive, "n1", phases[i], phases[i+1])
 			t.printf("%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%d\t\n", names[i], len(list), n[client.Complete], n[client.Partial], n[client.Rejected],
 				n[client.Failed], n[client.Disconnected], share*float64(parts), parts)
 		}
--- a/internal/testbed/health/health_test.go
+++ b/internal/testbed/health/health_test.go
@@ -78,9 +78,9 @@
 	time.Sleep(300 * time.Millisecond) // what was on its way has arrived
 	from := time.Now()
 	time.Sleep(3 * time.Second)
-	share, parts := invariants.TrafficShare(in.Archive, "n1", from, time.Now())
-	if share > 0.05 || parts < 100 {
-		t.Errorf("%.1f%% of %d parts", 100*share, parts)
+	fraction, parts := invariants.TrafficFraction(in.Archive, "n1", from, time.Now())
+	if fraction > 0.05 || parts < 100 {
+		t.Errorf("%.1f%% of %d parts", 100*fraction, parts)
 	}
 	for _, e := range in.Archive.Events(from) {
 		if e.Replica == "n1" && e.IsCorrection {
@@ -139,8 +139,8 @@
 			t.Errorf("correction %d: %v", i, out)
 		}
 	}
-	if share, _ := invariants.TrafficShare(in.Archive, "n1", from, time.Now()); share != 0 {
-		t.Errorf("%.0f%% of the parts at a replica that says down", 100*share)
+	if fraction, _ := invariants.TrafficFraction(in.Archive, "n1", from, time.Now()); fraction != 0 {
+		t.Errorf("%.0f%% of the parts at a replica that says down", 100*fraction)
 	}
 	onlyHolder := in.Events.Next(deployment.HealthChanged("n1", "alone"))
 	in.Replica("n2").Kill()
@@ -208,6 +208,18 @@
 	if body := until("/readyz/captions", 503); !strings.Contains(body, "no usable holder of block 1") {
 		t.Errorf("%q", body)
 	}
+	checkDegraded(t, ready)
+	if err := in.Replica("n1").Start(); err != nil {
+		t.Fatal(err)
+	}
+	until("/readyz/captions", 200)
+	checkRules(t, in)
+}
+
+// checkDegraded checks what the pages say while one database is down and the other degraded. ready gets a page, and returns
+// its status, and its body behind Envoy's header.
+func checkDegraded(t *testing.T, ready func(page string) (int, string)) {
+	t.Helper()
 	// Partial answers of the other database are still possible: it is degraded, and the aggregator serves.
 	if status, body := ready("/healthz?verbose"); status != 200 || !strings.HasPrefix(body, "1|up ready") ||
 		!strings.Contains(body, "[-] captions down") || !strings.Contains(body, "[~] coverage degraded") {
@@ -227,9 +239,4 @@
 			t.Errorf("%s: %d", page, status)
 		}
 	}
-	if err := in.Replica("n1").Start(); err != nil {
-		t.Fatal(err)
-	}
-	until("/readyz/captions", 200)
-	checkRules(t, in)
 }
--- a/internal/testbed/health/replicas.go
+++ b/internal/testbed/health/replicas.go
@@ -23,7 +23,7 @@
 	m := failureTimes{start: time.Now()}
 	time.Sleep(4 * time.Second)
 	m.fault = time.Now()
-	before, _ := invariants.TrafficShare(d.Archive, "n1", m.start.Add(time.Second), m.fault)
+	before, _ := invariants.TrafficFraction(d.Archive, "n1", m.start.Add(time.Second), m.fault)
 	r.set("share-before-%", 100*before)
 	m.fail(&r, d)
 	m.recover(&r, d)
@@ -72,17 +72,17 @@
 
 func (m *failureTimes) report(r *Result, d *deployment.Deployment, calls *load.Result, before float64) {
 	const seriesStep = 250 * time.Millisecond
-	share, parts := invariants.TrafficShare(d.Archive, "n1", m.ejectedFrom, m.ejectedTo)
-	r.set("share-%", 100*share)
+	fraction, parts := invariants.TrafficFraction(d.Archive, "n1", m.ejectedFrom, m.ejectedTo)
+	r.set("share-%", 100*fraction)
 	r.set("parts", float64(parts))
-	r.claim(share < 0.02, "%.2f%% of the parts after 3 s", 100*share)
+	r.claim(fraction < 0.02, "%.2f%% of the parts after 3 s", 100*fraction)
 	r.checkComplete(calls.Calls(m.ejectedFrom, m.ejectedTo.Add(-time.Second)), "")
 	r.set("whole-at-onset-%", 100*load.CompleteFraction(calls.Calls(m.fault, m.ejectedFrom)))
-	share, _ = invariants.TrafficShare(d.Archive, "n1", m.recoveredFrom, m.recoveredTo)
-	r.set("share-back-%", 100*share)
-	r.claim(share > before/2, "%.1f%% of the parts after its return, %.1f%% before", 100*share, 100*before)
+	fraction, _ = invariants.TrafficFraction(d.Archive, "n1", m.recoveredFrom, m.recoveredTo)
+	r.set("share-back-%", 100*fraction)
+	r.claim(fraction > before/2, "%.1f%% of the parts after its return, %.1f%% before", 100*fraction, 100*before)
 	for at := m.start; at.Before(m.recoveredTo); at = at.Add(seriesStep) {
-		s, _ := invariants.TrafficShare(d.Archive, "n1", at, at.Add(seriesStep))
+		s, _ := invariants.TrafficFraction(d.Archive, "n1", at, at.Add(seriesStep))
 		r.Series = append(r.Series, Point{at.Sub(m.fault).Seconds(), 100 * s})
 	}
 }
@@ -105,9 +105,9 @@
 	r.set("left-s", elapsed.Seconds())
 	from := time.Now().Add(300 * time.Millisecond)
 	time.Sleep(3 * time.Second)
-	share, _ := invariants.TrafficShare(d.Archive, "n1", from, time.Now())
-	r.set("share-left-%", 100*share)
-	r.claim(share == 0, "%.1f%% of the parts at a replica that says down", 100*share)
+	fraction, _ := invariants.TrafficFraction(d.Archive, "n1", from, time.Now())
+	r.set("share-left-%", 100*fraction)
+	r.claim(fraction == 0, "%.1f%% of the parts at a replica that says down", 100*fraction)
 
 	onlyHolder := d.Events.Next(deployment.HealthChanged("n1", "alone"))
 	d.Replica("n2").Kill() // n1 and n2 are the holders of shard 1
@@ -119,9 +119,9 @@
 	from = time.Now()
 	time.Sleep(4 * time.Second)
 	to := time.Now()
-	share, _ = invariants.TrafficShare(d.Archive, "n1", from, to)
-	r.set("share-alone-%", 100*share)
-	r.claim(share > 0.15, "%.1f%% of the parts at the only holder", 100*share)
+	fraction, _ = invariants.TrafficFraction(d.Archive, "n1", from, to)
+	r.set("share-alone-%", 100*fraction)
+	r.claim(fraction > 0.15, "%.1f%% of the parts at the only holder", 100*fraction)
 	stop()
 	r.checkComplete(calls.Calls(from, to.Add(-time.Second)), "")
 	r.checkCorrections(d)
--- a/internal/testbed/invariants/invariants.go
+++ b/internal/testbed/invariants/invariants.go
@@ -37,8 +37,8 @@
 	return overdue, last
 }
 
-// TrafficShare is the fraction of the parts between two moments that one replica got, and how many parts there were.
-func TrafficShare(a *replica.Archive, name string, from, to time.Time) (fraction float64, total int) {
+// TrafficFraction is the fraction of the parts between two moments that one replica got, and how many parts there were.
+func TrafficFraction(a *replica.Archive, name string, from, to time.Time) (fraction float64, total int) {
 	mine := 0
 	for _, e := range a.Events(from) {
 		if e.At.Before(to) {
--- a/internal/testbed/resharding/content.go
+++ b/internal/testbed/resharding/content.go
@@ -49,8 +49,8 @@
 	return replica.Record{ID: id, XML: `<dc:dc xmlns:dc="http://purl.org/dc/elements/1.1/"><dc:identifier>` + id + `</dc:identifier></dc:dc>`}
 }
 
-// heldShard is what a replica knows of one shard.
-type heldShard struct {
+// shardState is what a replica knows of one shard.
+type shardState struct {
 	from, to  string
 	joining   bool
 	remaining int    // of a joining replica: records that are still to be copied
@@ -67,7 +67,7 @@
 	Content *Content
 
 	mu             sync.Mutex
-	shards         map[uint64]*heldShard
+	shards         map[uint64]*shardState
 	epoch          uint64
 	rejection      string // sent in place of any answer; empty: none
 	rejected       int
@@ -76,7 +76,7 @@
 
 // NewStore returns an empty store of the replica with a name.
 func NewStore(name string, c *Content) *Store {
-	return &Store{Name: name, Content: c, shards: map[uint64]*heldShard{}, correctionRuns: map[string]int{}}
+	return &Store{Name: name, Content: c, shards: map[uint64]*shardState{}, correctionRuns: map[string]int{}}
 }
 
 // ApplyMap passes a map to the replica. One of an older epoch than it knows changes nothing.
@@ -111,7 +111,7 @@
 			mine[b.ID] = true
 			was := s.shards[b.ID]
 			if was == nil || was.removedAt > 0 {
-				s.shards[b.ID] = &heldShard{from: b.From, to: b.To, joining: h.Joining, remaining: len(s.Content.between(b.From, b.To))}
+				s.shards[b.ID] = &shardState{from: b.From, to: b.To, joining: h.Joining, remaining: len(s.Content.between(b.From, b.To))}
 			} else {
 				was.joining = h.Joining
 			}
@@ -168,7 +168,7 @@
 
 // find finds a shard by a database's name, block-ID@EPOCH. A reason that is not empty means that the replica does not
 // answer for it.
-func (s *Store) find(base string) (*heldShard, string) {
+func (s *Store) find(base string) (*shardState, string) {
 	text, _, _ := strings.Cut(strings.TrimPrefix(base, "block-"), "@")
 	id, _ := strconv.ParseUint(text, 10, 64) // what is no number is no shard of ours: 0
 	h := s.shards[id]
--- a/internal/testbed/resharding/resharding_test.go
+++ b/internal/testbed/resharding/resharding_test.go
@@ -17,7 +17,7 @@
 	"rooktrestle/internal/testbed/replica"
 )
 
-func started(t *testing.T, o Options) *Archive {
+func startArchive(t *testing.T, o Options) *Archive {
 	t.Helper()
 	if o.ReplicaCount == 0 {
 		o.ReplicaCount = 5
@@ -39,32 +39,33 @@
 	return a
 }
 
-// Blocks that split, merge and move all the time under load over two fronts, one of which hears late: no correction
-// runs twice, every whole answer is exact, what is told of corrections is true.
-func TestReshapesUnderLoad(t *testing.T) {
-	a := started(t, Options{Seed: 1, FrontendCount: 2, LastFrontendDelay: 100 * time.Millisecond, CopiesPerSecond: 400, Delay: 5 * time.Millisecond})
+// Shards split, merge and move all the time under load over two frontends, one of which gets maps late: no correction runs
+// twice, every complete answer is exact, and what callers are told of corrections is true.
+func TestReshard_UnderLoad(t *testing.T) {
+	a := startArchive(t, Options{Seed: 1, FrontendCount: 2, LastFrontendDelay: 100 * time.Millisecond, CopiesPerSecond: 400, Delay: 5 * time.Millisecond})
 	r, end := a.StartLoad(Load{Rate: 60, Seed: 1})
 	done, err := a.Reshard(nil, 50*time.Millisecond, 24, 1)
 	if err != nil {
 		t.Error(err)
 	}
 	end()
-	t.Logf("%v, %v, %d of it wrong; %s", done, r.Outcomes, len(r.Violations), a.Frontends[0].CountersText())
+	t.Logf("%v, %v, %d violations; %s", done, r.Outcomes, len(r.Violations), a.Frontends[0].CountersText())
 	for _, w := range r.Violations {
 		t.Error(w)
 	}
 	if done["move"] < 2 || done["split"] < 2 {
-		t.Errorf("reshapes: %v", done)
+		t.Errorf("plans: %v", done)
 	}
 	if n := r.Count(); n[0] < 50 {
-		t.Errorf("whole, partial, refused, failed, broken: %v", n)
+		t.Errorf("complete, partial, rejected, failed, disconnected: %v", n)
 	}
 }
 
-const patience = 30 * time.Second
+// eventTimeout is how long an event is waited for: long enough for any machine, as reaching it is a failure.
+const eventTimeout = 30 * time.Second
 
-// carry carries a plan out.
-func (a *Archive) carry(t *testing.T, p *shardmap.Plan, err error) {
+// carryOut carries a plan out.
+func (a *Archive) carryOut(t *testing.T, p *shardmap.Plan, err error) {
 	t.Helper()
 	if err == nil {
 		err = a.Controller.Start(p)
@@ -77,20 +78,20 @@
 	}
 }
 
-// adopted waits until a front has an epoch.
-func (a *Archive) adopted(t *testing.T, front int, epoch shardmap.Epoch) {
+// waitForEpoch waits until a frontend has adopted an epoch.
+func (a *Archive) waitForEpoch(t *testing.T, front int, epoch shardmap.Epoch) {
 	t.Helper()
-	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(eventTimeout); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		for _, e := range a.Events[front].All() {
 			if n, _ := strconv.ParseUint(e.Attrs["epoch"], 10, 64); e.Msg == "map adopted" && n >= uint64(epoch) {
 				return
 			}
 		}
 	}
-	t.Fatalf("front %d does not adopt epoch %d", front, epoch)
+	t.Fatalf("frontend %d does not adopt epoch %d", front, epoch)
 }
 
-func (a *Archive) node(name string) *replica.Server {
+func (a *Archive) replica(name string) *replica.Server {
 	for _, n := range a.Replicas {
 		if n.Name == name {
 			return n
@@ -99,9 +100,9 @@
 	return nil
 }
 
-// A correction in hand at its old holder while the block moves away: it hangs, resets, or answers after the switch. It
-// runs once there, and nowhere else; the client is told the truth.
-func TestCorrectionInHandWhileItsBlockMoves(t *testing.T) {
+// A correction is in flight at its old holder while the shard migrates: it hangs, its connection is reset, or it is answered
+// after the switch. It runs once there, and nowhere else; the client is told the truth.
+func TestCorrection_InFlightWhileItsShardMigrates(t *testing.T) {
 	for name, c := range map[string]struct {
 		faults replica.Faults
 		want   client.Outcome
@@ -110,19 +111,19 @@
 		"resets":       {replica.Faults{Delay: 300 * time.Millisecond, ResetRate: 1}, client.Failed},
 		"hangs":        {replica.Faults{HangRate: 1}, client.Failed},
 	} {
-		a := started(t, Options{Seed: 3, ReplicaCount: 6, ShardCount: 1})
+		a := startArchive(t, Options{Seed: 3, ReplicaCount: 6, ShardCount: 1})
 		for _, n := range []string{"n0", "n1"} { // the holders at the start
-			a.node(n).SetFaults(c.faults)
+			a.replica(n).SetFaults(c.faults)
 		}
 		id := a.Content.IDs[5] + "-moved"
 		out := make(chan client.Outcome, 1)
-		go func() { out <- a.Correct(NewHTTPClient(patience), a.Frontends[0].Addr("sru"), id) }()
+		go func() { out <- a.Correct(NewHTTPClient(eventTimeout), a.Frontends[0].Addr("sru"), id) }()
 		for a.CorrectionRuns()[id] == 0 {
 			time.Sleep(time.Millisecond)
 		}
 		p, err := shardmap.PlanMigration(a.Controller.Map(), 1, []string{"n3", "n4"}, shardmap.Timing{})
-		a.carry(t, p, err)
-		a.adopted(t, 0, a.Controller.Map().Epoch)
+		a.carryOut(t, p, err)
+		a.waitForEpoch(t, 0, a.Controller.Map().Epoch)
 		if got := <-out; got != c.want {
 			t.Errorf("%s: the client is told %v, not %v", name, got, c.want)
 		}
@@ -131,37 +132,37 @@
 		}
 		// The next one runs at a new holder.
 		next := a.Content.IDs[5] + "-next"
-		if got := a.Correct(NewHTTPClient(patience), a.Frontends[0].Addr("sru"), next); got != client.Complete || a.CorrectionRuns()[next] != 1 || a.Stores["n3"].CorrectionRuns()[next]+a.Stores["n4"].CorrectionRuns()[next] != 1 {
+		if got := a.Correct(NewHTTPClient(eventTimeout), a.Frontends[0].Addr("sru"), next); got != client.Complete || a.CorrectionRuns()[next] != 1 || a.Stores["n3"].CorrectionRuns()[next]+a.Stores["n4"].CorrectionRuns()[next] != 1 {
 			t.Errorf("%s: the next one: %v, ran %v", name, got, a.CorrectionRuns()[next])
 		}
 	}
 }
 
-// A front that hears of nothing, while its blocks move to other holders: the old ones turn its parts away, it asks the
-// source, which says nothing either; with the map it goes on. Nothing runs twice.
-func TestFrontThatHearsLate(t *testing.T) {
-	a := started(t, Options{Seed: 4, ReplicaCount: 6, ShardCount: 1, FrontendCount: 2, LastFrontendDelay: time.Second})
+// A frontend gets no map while its shards migrate: the old holders reject its parts, it polls the source, which has nothing
+// new either; with the map it goes on. Nothing runs twice.
+func TestFrontend_LateMap(t *testing.T) {
+	a := startArchive(t, Options{Seed: 4, ReplicaCount: 6, ShardCount: 1, FrontendCount: 2, LastFrontendDelay: time.Second})
 	p, err := shardmap.PlanMigration(a.Controller.Map(), 1, []string{"n3", "n4"}, shardmap.Timing{})
-	a.carry(t, p, err)
-	a.adopted(t, 0, 4)
+	a.carryOut(t, p, err)
+	a.waitForEpoch(t, 0, 4)
 	id := a.Content.IDs[7] + "-late"
-	got := a.Correct(NewHTTPClient(patience), a.Frontends[1].Addr("sru"), id)
+	got := a.Correct(NewHTTPClient(eventTimeout), a.Frontends[1].Addr("sru"), id)
 	if got != client.Complete && got != client.Rejected || a.CorrectionRuns()[id] != map[client.Outcome]int{client.Complete: 1}[got] {
 		t.Errorf("%v, ran %d times", got, a.CorrectionRuns()[id])
 	}
 	if a.Stores["n0"].RejectedParts()+a.Stores["n1"].RejectedParts() == 0 {
-		t.Error("the old holders turned nothing away")
+		t.Error("the old holders rejected nothing")
 	}
-	a.adopted(t, 1, 4)
-	if got := a.Search(NewHTTPClient(patience), a.Frontends[1].Addr("sru"), "captions"); got.Outcome != client.Complete || got.Violation != "" {
+	a.waitForEpoch(t, 1, 4)
+	if got := a.Search(NewHTTPClient(eventTimeout), a.Frontends[1].Addr("sru"), "captions"); got.Outcome != client.Complete || got.Violation != "" {
 		t.Errorf("%+v", got)
 	}
 }
 
-// A Z39.50 result set made before a split, a move and a merge is paged after each: the same records, in order.
-func TestResultSetAcrossReshapes(t *testing.T) {
-	a := started(t, Options{Seed: 5, ReplicaCount: 4, ShardCount: 2})
-	o, err := client.Dial(a.Frontends[0].Addr("z3950"), "editor", patience)
+// A Z39.50 result set made before a split, a migration and a merge is paged after each: the same records, in order.
+func TestResultSet_AcrossResharding(t *testing.T) {
+	a := startArchive(t, Options{Seed: 5, ReplicaCount: 4, ShardCount: 2})
+	o, err := client.Dial(a.Frontends[0].Addr("z3950"), "editor", eventTimeout)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -180,27 +181,27 @@
 	b := m.Shard(1)
 	in := a.Content.between(string(b.From), string(b.To))
 	p, err := shardmap.PlanSplit(m, 1, []shardmap.Key{shardmap.Key(keyOf(in[len(in)/2]))}, shardmap.Timing{})
-	a.carry(t, p, err)
-	a.adopted(t, 0, a.Controller.Map().Epoch)
+	a.carryOut(t, p, err)
+	a.waitForEpoch(t, 0, a.Controller.Map().Epoch)
 	page(16)
 	p, err = shardmap.PlanMigration(a.Controller.Map(), 3, []string{"n2", "n3"}, shardmap.Timing{})
-	a.carry(t, p, err)
+	a.carryOut(t, p, err)
 	page(31)
 	p, err = shardmap.PlanMigration(a.Controller.Map(), 4, []string{"n2", "n3"}, shardmap.Timing{})
-	a.carry(t, p, err)
+	a.carryOut(t, p, err)
 	p, err = shardmap.PlanMerge(a.Controller.Map(), []shardmap.ID{3, 4}, shardmap.Timing{})
-	a.carry(t, p, err)
-	a.adopted(t, 0, a.Controller.Map().Epoch)
+	a.carryOut(t, p, err)
+	a.waitForEpoch(t, 0, a.Controller.Map().Epoch)
 	page(46)
 	page(1)
 }
 
-// A source that fails, speaks garbage, goes back, forks, or brings another archive's map changes nothing; a later good
-// one is taken, over a gap.
-func TestBadSources(t *testing.T) {
-	a := started(t, Options{Seed: 6})
-	web := NewHTTPClient(patience)
-	whole := func(what string) {
+// A source that fails, answers garbage, goes back, forks, or has another archive's map changes nothing; a later good map is
+// adopted, over a gap.
+func TestMapSource_BadMapsAreRefused(t *testing.T) {
+	a := startArchive(t, Options{Seed: 6})
+	web := NewHTTPClient(eventTimeout)
+	checkComplete := func(what string) {
 		t.Helper()
 		if got := a.Search(web, a.Frontends[0].Addr("sru"), "captions"); got.Outcome != client.Complete || got.Violation != "" {
 			t.Errorf("%s: %+v", what, got)
@@ -223,7 +224,7 @@
 	}
 	good := weights(2)
 	a.Sources[0].Publish(2, good.Encode())
-	a.adopted(t, 0, 2)
+	a.waitForEpoch(t, 0, 2)
 	for part, body := range map[string]string{
 		"not a map": "<html>", "older epoch": string(now.Encode()), "the same epoch": string(weights(9).Encode()),
 		"another archive": strings.Replace(string(good.Encode()), `"captions"`, `"other"`, 1),
@@ -238,34 +239,39 @@
 		a.Sources[0].SetFault(func() (int, []byte) { return status, []byte(body) })
 		select {
 		case <-told:
-		case <-time.After(patience):
-			t.Fatalf("%s: not told", part)
+		case <-time.After(eventTimeout):
+			t.Fatalf("%s: not refused", part)
 		}
-		whole(part)
+		checkComplete(part)
 	}
 	a.Sources[0].SetFault(nil)
-	later := good
+	a.Sources[0].Publish(5, threeEpochsLater(t, good).Encode())
+	a.waitForEpoch(t, 0, 5)
+	checkComplete("after all")
+	if text := a.Frontends[0].CountersText(); !strings.Contains(text, "epoch 5") || !strings.Contains(text, "over gaps 1") {
+		t.Error(text)
+	}
+}
+
+// threeEpochsLater is a map after three changes.
+func threeEpochsLater(t *testing.T, m *shardmap.Map) *shardmap.Map {
+	t.Helper()
 	for range 3 {
-		b := *later.Shard(1)
+		b := *m.Shard(1)
 		b.Weight++
 		var err error
-		if later, err = later.Change([]*shardmap.Shard{&b}, nil); err != nil {
+		if m, err = m.Change([]*shardmap.Shard{&b}, nil); err != nil {
 			t.Fatal(err)
 		}
 	}
-	a.Sources[0].Publish(5, later.Encode())
-	a.adopted(t, 0, 5)
-	whole("after all")
-	if text := a.Frontends[0].CountersText(); !strings.Contains(text, "epoch 5") || !strings.Contains(text, "over gaps 1") {
-		t.Error(text)
-	}
+	return m
 }
 
-// The controller is killed before each of its steps in turn; the next one goes on from what was kept. Every answer in
-// between is exact, and the plan ends where it should.
-func TestControllerKilledAtEveryStep(t *testing.T) {
-	a := started(t, Options{Seed: 7, ReplicaCount: 4, ShardCount: 2})
-	web := NewHTTPClient(patience)
+// The controller is killed before each of its steps in turn; the next one continues from what was persisted. Every answer
+// in between is exact, and the plan ends where it should.
+func TestController_KilledBeforeEveryStep(t *testing.T) {
+	a := startArchive(t, Options{Seed: 7, ReplicaCount: 4, ShardCount: 2})
+	web := NewHTTPClient(eventTimeout)
 	plans := []func(*shardmap.Map) (*shardmap.Plan, error){
 		func(m *shardmap.Map) (*shardmap.Plan, error) {
 			return shardmap.PlanMigration(m, 1, []string{"n2", "n3"}, shardmap.Timing{})
@@ -315,13 +321,13 @@
 	}
 }
 
-// The last good map is kept, and serves a start without a source; an older one from the source is refused then.
-func TestStartsFromTheKeptMap(t *testing.T) {
-	a := started(t, Options{Seed: 8, ReplicaCount: 4, ShardCount: 2, PersistMaps: true})
+// The last good map is persisted, and serves a start without a source; an older one from the source is refused then.
+func TestFrontend_StartsFromThePersistedMap(t *testing.T) {
+	a := startArchive(t, Options{Seed: 8, ReplicaCount: 4, ShardCount: 2, PersistMaps: true})
 	p, err := shardmap.PlanMigration(a.Controller.Map(), 1, []string{"n2", "n3"}, shardmap.Timing{})
-	a.carry(t, p, err)
-	a.adopted(t, 0, 4)
-	for end := time.Now().Add(patience); !strings.Contains(a.Frontends[0].CountersText(), "kept 4"); time.Sleep(5 * time.Millisecond) {
+	a.carryOut(t, p, err)
+	a.waitForEpoch(t, 0, 4)
+	for end := time.Now().Add(eventTimeout); !strings.Contains(a.Frontends[0].CountersText(), "kept 4"); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal(a.Frontends[0].CountersText())
 		}
@@ -336,8 +342,8 @@
 	if a.Frontends[0], err = app.StartPartners(conf, 9, slog.New(a.Events[0])); err != nil {
 		t.Fatal(err)
 	}
-	a.adopted(t, 0, 4)
-	if got := a.Search(NewHTTPClient(patience), a.Frontends[0].Addr("sru"), "captions"); got.Outcome != client.Complete || got.Violation != "" {
+	a.waitForEpoch(t, 0, 4)
+	if got := a.Search(NewHTTPClient(eventTimeout), a.Frontends[0].Addr("sru"), "captions"); got.Outcome != client.Complete || got.Violation != "" {
 		t.Errorf("%+v", got)
 	}
 	told := a.Events[0].Next(func(e deployment.Event) bool { return strings.Contains(e.Attrs["err"], "older epoch") })
@@ -348,18 +354,18 @@
 	a.Sources[0].SetFault(func() (int, []byte) { return 200, first.Encode() })
 	select {
 	case <-told:
-	case <-time.After(patience):
+	case <-time.After(eventTimeout):
 		t.Error("an older map from the source was not refused")
 	}
 }
 
-// A node that turns away what it holds is known as a liar, and loses its parts; searches stay whole.
-func TestLyingNode(t *testing.T) {
-	a := started(t, Options{Seed: 9})
+// A replica that rejects what it holds is ejected; searches stay complete.
+func TestReplica_RejectsWhatItHolds_IsEjected(t *testing.T) {
+	a := startArchive(t, Options{Seed: 9})
 	a.Stores["n1"].SetRejection("not mine since epoch 1")
 	left := a.Events[0].Next(deployment.HealthChanged("n1", "parts fail"))
-	web := NewHTTPClient(patience)
-	for end := time.Now().Add(patience); time.Now().Before(end); {
+	web := NewHTTPClient(eventTimeout)
+	for end := time.Now().Add(eventTimeout); time.Now().Before(end); {
 		if got := a.Search(web, a.Frontends[0].Addr("sru"), "captions"); got.Outcome != client.Complete || got.Violation != "" {
 			t.Fatalf("%+v", got)
 		}
@@ -369,5 +375,5 @@
 		default:
 		}
 	}
-	t.Error("the liar is not left")
+	t.Error("the replica is not ejected")
 }
--- a/internal/testbed/resharding/run.go
+++ b/internal/testbed/resharding/run.go
@@ -86,9 +86,9 @@
 
 // Shares of the kinds of calls, added up; corrections are the rest.
 const (
-	searchShare      = 0.45
-	z3950SearchShare = 0.6
-	reportShare      = 0.75
+	searchThreshold      = 0.45
+	z3950SearchThreshold = 0.6
+	reportThreshold      = 0.75
 )
 
 // StartLoad calls the frontends until stop is called, which waits for the calls in flight and compares what callers were
@@ -152,13 +152,13 @@
 	a, r := c.archive, c.report
 	elapsed := func() time.Duration { return time.Since(c.intended) }
 	switch {
-	case c.kind < searchShare:
+	case c.kind < searchThreshold:
 		got := a.Search(c.web, c.frontend.Addr("sru"), "captions")
 		r.add("search", elapsed(), got.Outcome, got.Violation)
-	case c.kind < z3950SearchShare:
+	case c.kind < z3950SearchThreshold:
 		out, violation := a.searchZ3950(c.frontend.Addr("z3950"))
 		r.add("z-search", elapsed(), out, violation)
-	case c.kind < reportShare:
+	case c.kind < reportThreshold:
 		got := a.Search(c.web, c.frontend.Addr("sru"), "coverage")
 		r.add("report", elapsed(), got.Outcome, got.Violation)
 	default:
--- a/internal/testbed/sim/aggregator.go
+++ b/internal/testbed/sim/aggregator.go
@@ -36,25 +36,25 @@
 // aggregatorHost drives a real core: it collects the events of a moment, hands them over in one turn, and carries out the
 // core's commands.
 type aggregatorHost struct {
-	world            *world
-	index            int
-	core             *aggregator.Core
-	balancerSettings balance.Settings
-	inbox            []aggregator.Event
-	turnScheduled    bool // a turn is due now
-	nextWake         time.Time
-	attempts         map[aggregator.AttemptID]*attempt
-	sendOrder        []*attempt                    // those in attempts and some that have ended, as they were sent
-	removalKnownAt   map[balance.Replica]time.Time // since when it has known that a replica drains or is removed
-	endpointStates   map[balance.Replica]balance.EndpointState
-	healthTable      *health.Table
-	healthLimits     map[balance.Replica]balance.HealthLimits
-	zone             int
-	incarnation      int // of its process; the first is 1
-	crashed          bool
-	watcher          *watcher // nil: endpointFeed tells it of the list
-	openRequests     map[*clientRequest]bool
-	knownStarts      map[balance.Replica]time.Time // of replicas, as far as it knows
+	world             *world
+	index             int
+	core              *aggregator.Core
+	balancerSettings  balance.Settings
+	inbox             []aggregator.Event
+	turnScheduled     bool // a turn is due now
+	nextWake          time.Time
+	attempts          map[aggregator.AttemptID]*attempt
+	sendOrder         []*attempt                    // those in attempts and some that have ended, as they were sent
+	removalNotifiedAt map[balance.Replica]time.Time // since when it has known that a replica drains or is removed
+	endpointStates    map[balance.Replica]balance.EndpointState
+	healthTable       *health.Table
+	healthLimits      map[balance.Replica]balance.HealthLimits
+	zone              int
+	incarnation       int // of its process; the first is 1
+	crashed           bool
+	watcher           *watcher // nil: endpointFeed tells it of the list
+	openRequests      map[*clientRequest]bool
+	notifiedStarts    map[balance.Replica]time.Time // of replicas, as far as it knows
 }
 
 func newAggregatorHost(w *world, i int) (*aggregatorHost, error) {
@@ -74,7 +74,7 @@
 	h.incarnation++
 	h.crashed, h.inbox, h.turnScheduled, h.nextWake = false, nil, false, time.Time{}
 	h.attempts, h.sendOrder, h.openRequests = map[aggregator.AttemptID]*attempt{}, nil, map[*clientRequest]bool{}
-	h.removalKnownAt, h.endpointStates, h.knownStarts = map[balance.Replica]time.Time{}, map[balance.Replica]balance.EndpointState{}, map[balance.Replica]time.Time{}
+	h.removalNotifiedAt, h.endpointStates, h.notifiedStarts = map[balance.Replica]time.Time{}, map[balance.Replica]balance.EndpointState{}, map[balance.Replica]time.Time{}
 	h.healthLimits = map[balance.Replica]balance.HealthLimits{}
 	h.balancerSettings = h.newBalancerSettings()
 	b, err := balance.New(h.balancerSettings)
@@ -122,7 +122,7 @@
 		if s, ok := known[r.id]; h.incarnation > 1 && (!ok || s != balance.InService) {
 			continue
 		}
-		h.knownStarts[r.id], h.endpointStates[r.id] = r.started, balance.InService
+		h.notifiedStarts[r.id], h.endpointStates[r.id] = r.started, balance.InService
 		list.Servers = append(list.Servers, h.endpoint(r))
 		server := health.Server{ID: health.ID(r.id)}
 		for j := range w.Reach {
@@ -170,16 +170,16 @@
 // applyEndpoint takes an entry of the endpoint list that has arrived.
 func (h *aggregatorHost) applyEndpoint(e endpointEntry) {
 	h.endpointStates[e.replica.id] = e.state
-	h.recordKnown(e)
+	h.recordNotified(e)
 }
 
-// recordKnown notes an entry that the aggregator is accountable for from now on.
-func (h *aggregatorHost) recordKnown(e endpointEntry) {
+// recordNotified notes an entry that the aggregator is accountable for from now on.
+func (h *aggregatorHost) recordNotified(e endpointEntry) {
 	if e.state == balance.InService {
-		h.knownStarts[e.replica.id] = e.started
-		delete(h.removalKnownAt, e.replica.id)
-	} else if _, ok := h.removalKnownAt[e.replica.id]; !ok {
-		h.removalKnownAt[e.replica.id] = h.world.now
+		h.notifiedStarts[e.replica.id] = e.started
+		delete(h.removalNotifiedAt, e.replica.id)
+	} else if _, ok := h.removalNotifiedAt[e.replica.id]; !ok {
+		h.removalNotifiedAt[e.replica.id] = h.world.now
 	}
 }
 
--- a/internal/testbed/sim/check.go
+++ b/internal/testbed/sim/check.go
@@ -47,7 +47,7 @@
 	if c.attemptsInFlight[name]++; c.attemptsInFlight[name] > 1 {
 		c.violate("two attempts of %s are in flight", a.call.Name)
 	}
-	if at, known := host.removalKnownAt[r.id]; known && c.world.now.Sub(at) > drainGrace {
+	if at, known := host.removalNotifiedAt[r.id]; known && c.world.now.Sub(at) > drainGrace {
 		c.violate("%s goes to %s, %v after its drain or removal was known", a.call.Name, r.id, c.world.now.Sub(at))
 	}
 	if a.call.Attempt.Number >= host.balancerSettings.MaxAttempts {
--- a/internal/testbed/sim/clock.go
+++ b/internal/testbed/sim/clock.go
@@ -50,13 +50,13 @@
 	seq        uint64
 	eventCount uint64
 	trace      *xxhash.Digest
-	keepText   bool
+	recordText bool
 	traceText  []string
 	buffer     [8]byte
 }
 
 func newClock(keepText bool) clock {
-	return clock{now: Start, trace: xxhash.New(), keepText: keepText}
+	return clock{now: Start, trace: xxhash.New(), recordText: keepText}
 }
 
 // at schedules an action; a moment that has passed counts as now.
@@ -77,7 +77,7 @@
 	_, _ = c.trace.WriteString(what) // a hash does not fail
 	c.hashNumber(a)
 	c.hashNumber(b)
-	if c.keepText {
+	if c.recordText {
 		c.traceText = append(c.traceText, fmt.Sprintf("%v %s %d %d", c.now.Sub(Start), what, a, b))
 	}
 }
--- a/internal/testbed/sim/days.go
+++ b/internal/testbed/sim/days.go
@@ -51,11 +51,11 @@
 	case dayHerd:
 		s.Faults = []Fault{bad, {Kind: Release, From: from, Duration: 5 * time.Second, First: first + nodes/8, Replicas: nodes / 2},
 			{Kind: KillAggregators, From: from + 2*time.Second, Duration: 2 * time.Second, Magnitude: 0.7},
-			{Kind: DiscoverySilence, From: from - time.Second, Duration: 4 * time.Second}}
+			{Kind: DiscoveryOutage, From: from - time.Second, Duration: 4 * time.Second}}
 	case dayZone:
 		s.Faults = []Fault{bad, {Kind: Outage, From: from, Duration: 5 * time.Second}}
 	case daySplit:
-		s.Faults = []Fault{{Kind: Partition, From: from, Duration: 6 * time.Second}, {Kind: DiscoverySilence, From: from, Duration: 4 * time.Second}}
+		s.Faults = []Fault{{Kind: Partition, From: from, Duration: 6 * time.Second}, {Kind: DiscoveryOutage, From: from, Duration: 4 * time.Second}}
 	case dayJoin:
 		s.Faults = []Fault{bad, {Kind: Release, From: from, Duration: 7 * time.Second, First: first + nodes/8, Replicas: nodes * 6 / 10}}
 	default:
--- a/internal/testbed/sim/days_test.go
+++ b/internal/testbed/sim/days_test.go
@@ -62,7 +62,7 @@
 func TestChecker_FindsSendsToDrainingReplicas(t *testing.T) {
 	found := false
 	for seed := uint64(1); seed < 6 && !found; seed++ {
-		r := fleet(t, "herd", seed, BugWaitInSilence)
+		r := fleet(t, "herd", seed, BugSlowReopen)
 		found = slices.ContainsFunc(r.Violations, func(b string) bool { return strings.Contains(b, "drain or removal was known") })
 		if honest := fleet(t, "herd", seed, ""); len(honest.Violations) > 0 {
 			t.Errorf("seed %d: %s", seed, honest.Violations[0])
--- a/internal/testbed/sim/discovery.go
+++ b/internal/testbed/sim/discovery.go
@@ -25,10 +25,10 @@
 	heartbeatInterval = 2 * time.Second // of a live watch
 
 	// After these times a change counts as known to an aggregator, whether or not it has arrived.
-	silentWatchKnown  = 6 * time.Second  // since its watch became unresponsive
-	pollKnown         = 10 * time.Second // without a watch, with SharedService
-	rejectedPollKnown = 40 * time.Second // after a rejected poll
-	liveWatchKnown    = 50 * time.Millisecond
+	unresponsiveWatchDelay = 6 * time.Second  // since its watch became unresponsive
+	pollDelay              = 10 * time.Second // without a watch, with SharedService
+	rejectedPollDelay      = 40 * time.Second // after a rejected poll
+	liveWatchDelay         = 50 * time.Millisecond
 )
 
 // endpointEntry is one change of the endpoint list.
@@ -42,7 +42,7 @@
 type discoveryService struct {
 	world         *world
 	log           []endpointEntry // entry i made version i + 1
-	silent        bool            // unresponsive; watches that were open are broken
+	unresponsive  bool            // unresponsive; watches that were open are broken
 	nextFree      time.Time
 	pending       []func() // answers to polls that came while it was silent
 	polls         int
@@ -54,8 +54,8 @@
 	d.log = append(d.log, endpointEntry{n, s, n.started})
 	for _, host := range d.world.aggregators {
 		if host.watcher != nil {
-			host.watcher.scheduleKnown(d.log[len(d.log)-1])
-			if w, call := host.watcher, host.watcher.callNumber; w.live && !w.silent {
+			host.watcher.scheduleNotified(d.log[len(d.log)-1])
+			if w, call := host.watcher, host.watcher.callNumber; w.live && !w.unresponsive {
 				d.world.after(d.propagationDelay(), func() { w.deliver(call) })
 			}
 		}
@@ -66,9 +66,9 @@
 	return time.Duration(d.world.rng.Float64() * float64(maxPropagation))
 }
 
-// setSilent makes discovery unresponsive, or ends that.
-func (d *discoveryService) setSilent(silent bool) {
-	d.silent = silent
+// setUnresponsive makes discovery unresponsive, or ends that.
+func (d *discoveryService) setUnresponsive(silent bool) {
+	d.unresponsive = silent
 	if !silent {
 		for _, answer := range d.pending {
 			answer()
@@ -76,28 +76,28 @@
 		d.pending = nil
 	}
 	for _, host := range d.world.aggregators {
-		if w := host.watcher; silent && w != nil && !w.silent {
-			w.silent, w.silentSince = true, d.world.now
+		if w := host.watcher; silent && w != nil && !w.unresponsive {
+			w.unresponsive, w.unresponsiveSince = true, d.world.now
 		}
 	}
 }
 
 // watcher is an aggregator's watch of discovery: the decisions of control/listwatch, with the network simulated.
 type watcher struct {
-	service          *discoveryService
-	host             *aggregatorHost
-	schedule         *listwatch.Reconnector
-	callNumber       int // of the present call; answers to earlier ones are dropped
-	live             bool
-	silent           bool // the present call is unresponsive
-	silentSince      time.Time
-	lastPollRejected bool
-	version          int
+	service           *discoveryService
+	host              *aggregatorHost
+	schedule          *listwatch.Reconnector
+	callNumber        int // of the present call; answers to earlier ones are dropped
+	live              bool
+	unresponsive      bool // the present call is unresponsive
+	unresponsiveSince time.Time
+	lastPollRejected  bool
+	version           int
 }
 
 func newWatcher(d *discoveryService, host *aggregatorHost) *watcher {
 	shared := 0
-	if d.world.Discovery.Kind == SharedService || d.world.PlantedBug == BugWaitInSilence {
+	if d.world.Discovery.Kind == SharedService || d.world.PlantedBug == BugSlowReopen {
 		shared = d.world.Aggregators
 	}
 	return &watcher{service: d, host: host, schedule: listwatch.New(listwatch.PlatformConfig(shared))}
@@ -105,10 +105,10 @@
 
 // start makes the first call of a process. What the local agent has counts as known to it from its first moment.
 func (w *watcher) start(again bool) {
-	w.live, w.silent = false, false
+	w.live, w.unresponsive = false, false
 	if again && w.service.world.Discovery.Kind == LocalAgents {
 		for _, e := range w.service.log[w.version:] {
-			w.scheduleKnown(e)
+			w.scheduleNotified(e)
 		}
 	}
 	w.open()
@@ -120,13 +120,13 @@
 	w.callNumber++
 	w.service.polls++
 	call := w.callNumber
-	w.live, w.silent = false, w.service.silent
-	w.silentSince = world.now
+	w.live, w.unresponsive = false, w.service.unresponsive
+	w.unresponsiveSince = world.now
 	w.schedule.Opened(world.now, world.rng.Float64())
 	w.scheduleReopen(call)
-	if w.silent {
+	if w.unresponsive {
 		for _, e := range w.service.log[w.version:] {
-			w.scheduleKnown(e)
+			w.scheduleNotified(e)
 		}
 		if world.Discovery.Kind == SharedService {
 			w.service.pending = append(w.service.pending, func() { w.answer(call) })
@@ -142,7 +142,7 @@
 	if w.callNumber != call {
 		return
 	}
-	w.silent = false
+	w.unresponsive = false
 	turn := world.now
 	if world.Discovery.Kind == SharedService {
 		if w.service.nextFree.Before(turn) {
@@ -158,7 +158,7 @@
 		w.service.nextFree = w.service.nextFree.Add(time.Duration(float64(time.Second) / world.Discovery.PerSecond))
 	}
 	world.at(turn.Add(world.networkDelay()), func() {
-		if w.callNumber == call && !w.silent {
+		if w.callNumber == call && !w.unresponsive {
 			w.live = true
 			w.deliver(call)
 			w.heartbeat(call)
@@ -168,7 +168,7 @@
 
 // deliver passes the changes that the aggregator does not have to its core.
 func (w *watcher) deliver(call int) {
-	if w.callNumber != call || w.silent {
+	if w.callNumber != call || w.unresponsive {
 		return
 	}
 	w.lastPollRejected = false
@@ -187,7 +187,7 @@
 
 func (w *watcher) heartbeat(call int) {
 	w.service.world.after(heartbeatInterval, func() {
-		if w.callNumber == call && !w.silent {
+		if w.callNumber == call && !w.unresponsive {
 			w.schedule.Received(w.service.world.now)
 			w.heartbeat(call)
 		}
@@ -202,7 +202,7 @@
 		case w.callNumber != call:
 		case w.schedule.SilenceDeadline().After(w.service.world.now):
 			w.scheduleReopen(call)
-		case w.service.world.PlantedBug == BugWaitInSilence:
+		case w.service.world.PlantedBug == BugSlowReopen:
 			w.callEnded(call)
 		default:
 			w.open()
@@ -223,34 +223,34 @@
 	})
 }
 
-// scheduleKnown schedules the moment from which the aggregator is accountable for a change, whether or not it arrives.
-func (w *watcher) scheduleKnown(e endpointEntry) {
+// scheduleNotified schedules the moment from which the aggregator is accountable for a change, whether or not it arrives.
+func (w *watcher) scheduleNotified(e endpointEntry) {
 	world := w.service.world
-	at := world.now.Add(liveWatchKnown)
+	at := world.now.Add(liveWatchDelay)
 	switch {
-	case w.silent:
-		if by := w.silentSince.Add(silentWatchKnown); by.After(at) {
+	case w.unresponsive:
+		if by := w.unresponsiveSince.Add(unresponsiveWatchDelay); by.After(at) {
 			at = by
 		}
 	case w.live:
 	case world.Discovery.Kind == LocalAgents:
-		if w.service.silent { // the agent does not have it
+		if w.service.unresponsive { // the agent does not have it
 			return
 		}
 	case w.lastPollRejected:
-		at = world.now.Add(rejectedPollKnown)
+		at = world.now.Add(rejectedPollDelay)
 	default:
-		at = world.now.Add(pollKnown)
+		at = world.now.Add(pollDelay)
 	}
 	host, incarnation, since := w.host, w.host.incarnation, world.now
 	known := func() {
 		if host.incarnation == incarnation && !host.crashed {
-			host.recordKnown(e)
+			host.recordNotified(e)
 		}
 	}
 	world.at(at, func() {
 		if w.lastPollRejected { // its poll was rejected: it may not know for longer
-			world.at(since.Add(rejectedPollKnown), known)
+			world.at(since.Add(rejectedPollDelay), known)
 			return
 		}
 		known()
--- a/internal/testbed/sim/fault.go
+++ b/internal/testbed/sim/fault.go
@@ -23,10 +23,10 @@
 	EndpointLag  FaultKind = "roster-lag"  // changes of the endpoint list come Magnitude seconds later
 
 	// Of whole fleets, where aggregators poll discovery by themselves.
-	Release          FaultKind = "release"   // replicas drain, end, and are replaced by others that warm up, evenly over the time
-	KillAggregators  FaultKind = "kill"      // a fraction (Magnitude) of the aggregators crashes at once; each is back within the time
-	DiscoverySilence FaultKind = "silence"   // discovery is unresponsive
-	Partition        FaultKind = "partition" // zones do not reach each other, gossip included
+	Release         FaultKind = "release"   // replicas drain, end, and are replaced by others that warm up, evenly over the time
+	KillAggregators FaultKind = "kill"      // a fraction (Magnitude) of the aggregators crashes at once; each is back within the time
+	DiscoveryOutage FaultKind = "silence"   // discovery is unresponsive
+	Partition       FaultKind = "partition" // zones do not reach each other, gossip included
 )
 
 // drainPeriod is how long a replica drains before it is replaced.
@@ -66,9 +66,9 @@
 		w.at(f.end(), func() { w.feed.lag = 0 })
 	case KillAggregators:
 		w.at(f.begin(), func() { f.killAggregators(w) })
-	case DiscoverySilence:
-		w.at(f.begin(), func() { w.discovery.setSilent(true) })
-		w.at(f.end(), func() { w.discovery.setSilent(false) })
+	case DiscoveryOutage:
+		w.at(f.begin(), func() { w.discovery.setUnresponsive(true) })
+		w.at(f.end(), func() { w.discovery.setUnresponsive(false) })
 	case Partition:
 		w.at(f.begin(), func() { w.partitioned = true })
 		w.at(f.end(), func() { w.partitioned = false })
--- a/internal/testbed/sim/replica.go
+++ b/internal/testbed/sim/replica.go
@@ -38,8 +38,8 @@
 
 // arrival is a part that came, and whether its aggregator knew when the replica had started.
 type arrival struct {
-	at         time.Time
-	startKnown bool
+	at            time.Time
+	startNotified bool
 }
 
 // Warmup says what a replica can do after its start, and what makes it collapse. With the zero value it has its full
@@ -66,25 +66,25 @@
 // arrivalOverloads counts an arriving part, and says whether the replica collapses under it. The rule allows as many
 // parts of mean service time as OverloadMultiple says; chance may add three standard deviations and three parts.
 func (r *replica) arrivalOverloads(host *aggregatorHost) bool {
-	c, share := r.world.Warmup, r.capacityFraction()
-	if share >= 1 || c.OverloadMultiple <= 0 {
+	c, fraction := r.world.Warmup, r.capacityFraction()
+	if fraction >= 1 || c.OverloadMultiple <= 0 {
 		r.recentArrivals = nil
 		return false
 	}
-	r.recentArrivals = append(r.recentArrivals, arrival{r.world.now, host.knownStarts[r.id].Equal(r.started)})
+	r.recentArrivals = append(r.recentArrivals, arrival{r.world.now, host.notifiedStarts[r.id].Equal(r.started)})
 	r.recentArrivals = slices.DeleteFunc(r.recentArrivals, func(a arrival) bool { return r.world.now.Sub(a.at) > c.OverloadPeriod })
-	most := c.OverloadMultiple * share * float64(r.world.Cores) * float64(c.OverloadPeriod) / float64(r.world.MeanServiceTime)
-	if float64(len(r.recentArrivals)) <= most+3*math.Sqrt(most)+3 {
+	allowed := c.OverloadMultiple * fraction * float64(r.world.Cores) * float64(c.OverloadPeriod) / float64(r.world.MeanServiceTime)
+	if float64(len(r.recentArrivals)) <= allowed+3*math.Sqrt(allowed)+3 {
 		return false
 	}
 	knowing := 0
 	for _, a := range r.recentArrivals {
-		if a.startKnown {
+		if a.startNotified {
 			knowing++
 		}
 	}
 	if 3*knowing > 2*len(r.recentArrivals) {
-		r.world.checker.violate("warming %s collapses under %d parts, %d of aggregators that knew its start; %.1f are allowed", r.id, len(r.recentArrivals), knowing, most)
+		r.world.checker.violate("warming %s collapses under %d parts, %d of aggregators that knew its start; %.1f are allowed", r.id, len(r.recentArrivals), knowing, allowed)
 	}
 	r.world.result.ReplicasOverloaded++
 	return true
@@ -169,8 +169,8 @@
 		if r.slowClass == allClasses || r.slowClass == a.call.Class {
 			d = time.Duration(float64(d) * r.slowdown)
 		}
-		if share := r.capacityFraction(); share < 1 {
-			d = time.Duration(float64(d) / share)
+		if fraction := r.capacityFraction(); fraction < 1 {
+			d = time.Duration(float64(d) / fraction)
 		}
 		r.world.after(d, func() {
 			r.busyCores--
--- a/internal/testbed/sim/settings.go
+++ b/internal/testbed/sim/settings.go
@@ -25,7 +25,7 @@
 	Discovery       Discovery     `json:"Discovery"` // how aggregators learn of the endpoint list
 	Faults          []Fault       `json:"Troubles"`
 	PlantedBug      Bug           `json:"Planted"` // on purpose, for tests of the checker
-	KeepTrace       bool          `json:"Keep"`    // keep the trace's text
+	RecordTrace     bool          `json:"Keep"`    // keep the trace's text
 }
 
 // Defaults are the settings of a small fleet without faults.
@@ -49,7 +49,7 @@
 	BugLeakedAttempt      Bug = "leaked attempt"    // a canceled attempt never ends
 	BugConcurrentAttempts Bug = "second copy"       // a canceled attempt ends before the replica knows
 	BugWarmupIgnored      Bug = "cold ignored"      // warming replicas are sent what warm ones are sent
-	BugWaitInSilence      Bug = "waits in silence"  // a silent watch is reopened only after the whole fleet's backoff
+	BugSlowReopen         Bug = "waits in silence"  // a silent watch is reopened only after the whole fleet's backoff
 )
 
 // Result is what one run came to.
@@ -67,7 +67,7 @@
 	Classes                [classCount]ClassCounts
 	Violations             []string        // of the rules, bounded by maxViolations
 	Latencies              []time.Duration // of served requests, in the order of their answers
-	Trace                  []string        // if Settings.KeepTrace is set
+	Trace                  []string        // if Settings.RecordTrace is set
 }
 
 // ClassCounts count the queries of one class; a client's retries count with the query that they retry.
--- a/internal/testbed/sim/sim.go
+++ b/internal/testbed/sim/sim.go
@@ -69,13 +69,13 @@
 // newWorld builds the fleet. The order of the steps fixes the order of the random samples.
 func newWorld(s Settings) (*world, error) {
 	w := &world{Settings: s, replicaByID: map[balance.Replica]*replica{}, rng: rand.New(rand.NewPCG(s.Seed, worldStream))}
-	w.clock = newClock(s.KeepTrace)
+	w.clock = newClock(s.RecordTrace)
 	w.checker = newChecker(w)
 	for i := range s.Replicas {
 		w.addReplica(newReplica(w, i))
 	}
 	w.feed, w.discovery = &endpointFeed{world: w}, &discoveryService{world: w}
-	w.drawTraffic()
+	w.sampleTraffic()
 	for i := range s.Aggregators {
 		h, err := newAggregatorHost(w, i)
 		if err != nil {
@@ -91,8 +91,8 @@
 	w.replicaByID[r.id] = r
 }
 
-// drawTraffic draws each aggregator's weight in the clients' choice.
-func (w *world) drawTraffic() {
+// sampleTraffic draws each aggregator's weight in the clients' choice.
+func (w *world) sampleTraffic() {
 	if w.TrafficSkew <= 0 {
 		return
 	}
