--- a/internal/testbed/deployment/deployment.go
+++ b/internal/testbed/deployment/deployment.go
@@ -97,7 +97,7 @@
 	return nil
 }
 
-// Replica finds a node by its name.
+// Replica finds a replica by its name; nil: there is none.
 func (d *Deployment) Replica(name string) *replica.Server {
 	for _, n := range d.Replicas {
 		if n.Name == name {
--- a/internal/testbed/load/load.go
+++ b/internal/testbed/load/load.go
@@ -33,7 +33,7 @@
 
 // Call is one call that has ended.
 type Call struct {
-	Kind    string // search, report, correct; with z- in front over Z39.50
+	Kind    string // one of the kinds of calls, as search or z-search
 	ID      string // of corrections
 	Began   time.Time
 	Latency time.Duration // from the intended time
--- a/internal/testbed/resharding/content.go
+++ b/internal/testbed/resharding/content.go
@@ -133,18 +133,18 @@
 }
 
 // HasCopied says whether a joining replica has all records of a shard.
-func (s *Store) HasCopied(block uint64) bool {
+func (s *Store) HasCopied(shard uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := s.shards[block]
+	h := s.shards[shard]
 	return h != nil && (!h.joining || h.remaining <= 0)
 }
 
 // CopyChunk copies a few records of a shard that the replica joins, and says whether there are more.
-func (s *Store) CopyChunk(block uint64) bool {
+func (s *Store) CopyChunk(shard uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := s.shards[block]
+	h := s.shards[shard]
 	if h == nil || !h.joining {
 		return false
 	}
--- a/internal/testbed/resharding/controller.go
+++ b/internal/testbed/resharding/controller.go
@@ -75,14 +75,14 @@
 }
 
 // HasCopied says whether a joining replica has all of a shard. One that has not is copied to in the background.
-func (c *Controller) HasCopied(block shardmap.ID, server string) bool {
+func (c *Controller) HasCopied(shard shardmap.ID, server string) bool {
 	s := c.Stores[server]
 	if s == nil {
 		return false
 	}
-	name := fmt.Sprintf("%d %s", block, server)
+	name := fmt.Sprintf("%d %s", shard, server)
 	id, copying := c.copies[name]
-	if s.HasCopied(uint64(block)) {
+	if s.HasCopied(uint64(shard)) {
 		if copying {
 			c.Copier.Remove(id)
 			delete(c.copies, name)
@@ -94,7 +94,7 @@
 			c.copies = map[string]scheduler.TaskID{}
 		}
 		c.copies[name] = c.Copier.Add(scheduler.Task{Priority: scheduler.Idle, Interval: time.Millisecond}, 0, func() (scheduler.Result, bool) {
-			s.CopyChunk(uint64(block))
+			s.CopyChunk(uint64(shard))
 			return scheduler.Steady, false
 		})
 	}
--- a/internal/testbed/sim/days.go
+++ b/internal/testbed/sim/days.go
@@ -22,34 +22,35 @@
 // minSearchParts is the least number of parts of a search: in the operators' archive a search reads a third of the shards.
 const minSearchParts = 4
 
-// DaySettings draws a day: so many mixers whose traffic is thin and uneven, with words between them, nodes that are cold after
-// a start, and lists that come from agents or from one service short of capacity, by the seed.
-func DaySettings(kind string, seed uint64, mixers, nodes int) (Settings, error) {
+// DaySettings draws the settings of a day by its seed: aggregators whose traffic is thin and uneven and who gossip, replicas
+// that warm up after a start, and endpoint lists from local agents or from one service short of capacity. It fails for a
+// day that is not in DayNames, and for fleets that are too small for a search.
+func DaySettings(kind string, seed uint64, aggregators, replicas int) (Settings, error) {
 	if !slices.Contains(DayNames, kind) {
 		return Settings{}, fmt.Errorf("day %q: there are %v", kind, DayNames)
 	}
-	if mixers < 2 || nodes < 2*minSearchParts {
-		return Settings{}, fmt.Errorf("%d aggregators, %d replicas: at least 2 and %d", mixers, nodes, 2*minSearchParts)
+	if aggregators < 2 || replicas < 2*minSearchParts {
+		return Settings{}, fmt.Errorf("%d aggregators, %d replicas: at least 2 and %d", aggregators, replicas, 2*minSearchParts)
 	}
 	rng := rand.New(rand.NewPCG(seed, dayStream))
 	s := Defaults(seed)
-	s.Aggregators, s.Replicas, s.SearchParts = mixers, nodes, max(minSearchParts, nodes/4)
+	s.Aggregators, s.Replicas, s.SearchParts = aggregators, replicas, max(minSearchParts, replicas/4)
 	s.Zones, s.TrafficSkew, s.Gossip, s.Duration = 2, 0.8, true, 15*time.Second
 	s.Warmup = Warmup{Period: 6 * time.Second, MinCapacity: 0.3, OverloadMultiple: 3, OverloadPeriod: 400 * time.Millisecond}
 	// Three to five tenths of the capacity of all cores. A correction has one part, every other query SearchParts.
 	load := 0.3 + 0.2*rng.Float64()
-	s.Rate = load * float64(nodes*s.Cores) / s.MeanServiceTime.Seconds() / (0.78*float64(s.SearchParts) + 0.22)
+	s.Rate = load * float64(replicas*s.Cores) / s.MeanServiceTime.Seconds() / (0.78*float64(s.SearchParts) + 0.22)
 	s.Retries = 1 + rng.IntN(2)
 	s.Discovery = Discovery{Kind: LocalAgents}
 	if rng.IntN(2) == 0 {
-		s.Discovery = Discovery{Kind: SharedService, PerSecond: float64(mixers) / 3, MaxWait: 500 * time.Millisecond}
+		s.Discovery = Discovery{Kind: SharedService, PerSecond: float64(aggregators) / 3, MaxWait: 500 * time.Millisecond}
 	}
 	from := 4*time.Second + time.Duration(rng.IntN(1000))*time.Millisecond
-	first := rng.IntN(nodes)
-	bad := Fault{Kind: []FaultKind{Hang, FastErrors}[rng.IntN(2)], From: from - time.Second, Duration: 8 * time.Second, First: first, Replicas: nodes / 8, Magnitude: 0.6}
+	first := rng.IntN(replicas)
+	bad := Fault{Kind: []FaultKind{Hang, FastErrors}[rng.IntN(2)], From: from - time.Second, Duration: 8 * time.Second, First: first, Replicas: replicas / 8, Magnitude: 0.6}
 	switch kind {
 	case dayHerd:
-		s.Faults = []Fault{bad, {Kind: Release, From: from, Duration: 5 * time.Second, First: first + nodes/8, Replicas: nodes / 2},
+		s.Faults = []Fault{bad, {Kind: Release, From: from, Duration: 5 * time.Second, First: first + replicas/8, Replicas: replicas / 2},
 			{Kind: KillAggregators, From: from + 2*time.Second, Duration: 2 * time.Second, Magnitude: 0.7},
 			{Kind: DiscoveryOutage, From: from - time.Second, Duration: 4 * time.Second}}
 	case dayZone:
@@ -57,7 +58,7 @@
 	case daySplit:
 		s.Faults = []Fault{{Kind: Partition, From: from, Duration: 6 * time.Second}, {Kind: DiscoveryOutage, From: from, Duration: 4 * time.Second}}
 	case dayJoin:
-		s.Faults = []Fault{bad, {Kind: Release, From: from, Duration: 7 * time.Second, First: first + nodes/8, Replicas: nodes * 6 / 10}}
+		s.Faults = []Fault{bad, {Kind: Release, From: from, Duration: 7 * time.Second, First: first + replicas/8, Replicas: replicas * 6 / 10}}
 	default:
 		s.Faults = []Fault{{Kind: Burst, From: from, Duration: 3 * time.Second, Magnitude: 1.5}}
 	}
--- a/internal/testbed/sim/discovery.go
+++ b/internal/testbed/sim/discovery.go
@@ -46,7 +46,7 @@
 	nextFree      time.Time
 	pending       []func() // answers to polls that came while it was silent
 	polls         int
-	rejectedPolls int // calls that it refused
+	rejectedPolls int
 }
 
 // append adds a change and sends it to open watches.
--- a/internal/testbed/sim/replica.go
+++ b/internal/testbed/sim/replica.go
@@ -208,7 +208,6 @@
 	}
 }
 
-// endpointFeed is the list of servers; each mixer hears of a change some time later.
 // endpointFeed tells aggregators of the endpoint list directly; each learns of a change some time later.
 type endpointFeed struct {
 	world *world
