--- a/internal/testbed/resharding/setup.go
+++ b/internal/testbed/resharding/setup.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"sort"
-	"strings"
 	"time"
 
 	"rooktrestle/internal/aggregator"
@@ -211,69 +210,6 @@
 	return shardmap.New("captions", 1, shardmap.ID(n+1), list)
 }
 
-// frontendConfig is the operators' file of frontend i.
-func (a *Archive) frontendConfig(i int, source string) string {
-	var b strings.Builder
-	fmt.Fprintf(&b, `name = "front%d"
-[listen]
-sru = "127.0.0.1:0"
-z3950 = "127.0.0.1:0"
-health = "127.0.0.1:0"
-agent = "127.0.0.1:0"
-[limits]
-sockets = 2048
-max_open = 4000
-max_records = 2000
-[checks]
-every = "500ms"
-[blocks]
-archive = "captions"
-source = %q
-wait = "2s"
-cold = "2s"
-`, i, source)
-	if a.PersistMaps {
-		fmt.Fprintf(&b, "keep = %q\n", filepath.Join(a.Dir, fmt.Sprintf("kept%d", i)))
-	}
-	fmt.Fprintf(&b, `[[class]]
-name = "line-search"
-aim = "1.5s"
-deadline = "4s"
-late_worth = 0.3
-%s
-[[class]]
-name = "coverage-report"
-aim = "1.2s"
-deadline = "2s"
-late_worth = 0.1
-floor = 0.5
-partial = 0.8
-[[class]]
-name = "line-correction"
-aim = "1s"
-deadline = "2s"
-late_worth = 0.3
-unsafe = true
-[[tenant]]
-name = "tv"
-quota = 100000
-users = ["editor"]
-[[database]]
-name = "captions"
-search = "line-search"
-correction = "line-correction"
-tenant = "tv"
-[[database]]
-name = "coverage"
-search = "coverage-report"
-tenant = "tv"
-`, a.ExtraClassConfig)
-	for _, n := range a.Replicas {
-		fmt.Fprintf(&b, "[[server]]\nid = %q\nprotocol = %q\naddr = %q\ndatabase = \"block-%%d@%%e\"\n", n.Name, n.Protocol, n.Addr())
-	}
-	return b.String()
-}
-
 // CorrectionRuns are how often each correction ran, on all replicas together.
 func (a *Archive) CorrectionRuns() map[string]int {
 	all := map[string]int{}
