--- a/balance/balance.go
+++ b/balance/balance.go
@@ -234,7 +234,7 @@
 	b.drop(q)
 }
 
-// deadline ends a query at once. It is refused where asking again is harmless and failed elsewhere.
+// giveUp ends a query at once. It is refused where asking again is harmless and failed elsewhere.
 func (b *Balancer) giveUp(q *query, wait time.Duration) {
 	harmless := q.class.Idempotency == Idempotent ||
 		q.step == 0 && !slices.ContainsFunc(q.parts, (*part).maybeRan)
--- a/internal/control/outlier/outlier.go
+++ b/internal/control/outlier/outlier.go
@@ -241,7 +241,7 @@
 	return changed
 }
 
-// TrafficFraction is the share of its parts that a server is to get: 1 unless it is an outlier.
+// TrafficShare is the share of its parts that a server is to get: 1 unless it is an outlier.
 func (t *Table) TrafficShare(id string) float64 {
 	if s := t.find(id); s != nil {
 		return s.share
