--- a/internal/testbed/sim/discovery.go
+++ b/internal/testbed/sim/discovery.go
@@ -8,252 +8,251 @@
 	"rooktrestle/internal/control/listwatch"
 )
 
-// Discovery is how mixers hear of the list. The zero value tells each of them at once, with the troubles' lag.
+// Discovery says how aggregators learn of the endpoint list. With the zero value endpointFeed tells each of them.
 type Discovery struct {
-	Kind      string        // Agents or Shared; empty: told at once
-	PerSecond float64       // Shared: calls that it answers
-	Wait      time.Duration // Shared: a call that would wait longer for its turn is refused
+	Kind      string        `json:"Kind"`      // LocalAgents or SharedService; empty: endpointFeed
+	PerSecond float64       `json:"PerSecond"` // SharedService: polls that it answers a second
+	MaxWait   time.Duration `json:"Wait"`      // SharedService: a poll that would queue for longer is rejected
 }
 
-// Kinds of discovery, as the platform has them.
+// Kinds of discovery, as the platform has them. The values stand in replay files.
 const (
-	Agents = "agents" // an agent on each mixer's machine: what that has counts as told
-	Shared = "shared" // one service that all mixers call
+	LocalAgents   = "agents" // an agent on each aggregator's machine: what that has counts as known
+	SharedService = "shared" // one service that all aggregators poll
 )
 
 const (
-	beat       = 2 * time.Second  // between the lines of a live watch
-	silentTold = 6 * time.Second  // after it fell silent what a watch misses counts as told
-	askedTold  = 10 * time.Second // what a mixer without a watch may not know, Shared
-	failedTold = 40 * time.Second // the same, after a failed call
+	heartbeatInterval = 2 * time.Second // of a live watch
+
+	// After these times a change counts as known to an aggregator, whether or not it has arrived.
+	unresponsiveWatchDelay = 6 * time.Second  // since its watch became unresponsive
+	pollDelay              = 10 * time.Second // without a watch, with SharedService
+	rejectedPollDelay      = 40 * time.Second // after a rejected poll
+	liveWatchDelay         = 50 * time.Millisecond
 )
 
-// entry is a line of the list.
-type entry struct {
-	n       *node
+// endpointEntry is one change of the endpoint list.
+type endpointEntry struct {
+	replica *replica
 	state   balance.EndpointState
 	started time.Time
 }
 
-// registry is the list in versions, which mixers follow by calls of their own.
-type registry struct {
-	w       *world
-	lines   []entry // line i made version i + 1
-	silent  bool    // nothing comes of it, and watches that were open are broken
-	free    time.Time
-	waiting []func() // calls that came while it was silent
-	calls   int
-	failed  int // calls that it refused
+// discoveryService keeps the endpoint list in versions, which aggregators watch.
+type discoveryService struct {
+	world         *world
+	log           []endpointEntry // entry i made version i + 1
+	unresponsive  bool            // unresponsive; watches that were open are broken
+	nextFree      time.Time
+	pending       []func() // answers to polls that came while it was silent
+	polls         int
+	rejectedPolls int
 }
 
-// change adds a line and passes it on to open watches.
-func (r *registry) change(n *node, s balance.EndpointState) {
-	r.lines = append(r.lines, entry{n, s, n.started})
-	for _, m := range r.w.mixers {
-		if m.follow != nil {
-			m.follow.counts(r.lines[len(r.lines)-1])
-			if f, gen := m.follow, m.follow.gen; f.live && !f.deaf {
-				r.w.in(r.lag(), func() { f.bring(gen) })
+// append adds a change and sends it to open watches.
+func (d *discoveryService) append(n *replica, s balance.EndpointState) {
+	d.log = append(d.log, endpointEntry{n, s, n.started})
+	for _, host := range d.world.aggregators {
+		if host.watcher != nil {
+			host.watcher.scheduleNotified(d.log[len(d.log)-1])
+			if w, call := host.watcher, host.watcher.callNumber; w.live && !w.unresponsive {
+				d.world.after(d.propagationDelay(), func() { w.deliver(call) })
 			}
 		}
 	}
 }
 
-func (r *registry) lag() time.Duration {
-	return time.Duration(r.w.rng.Float64() * float64(50*time.Millisecond))
+func (d *discoveryService) propagationDelay() time.Duration {
+	return time.Duration(d.world.rng.Float64() * float64(maxPropagation))
 }
 
-// silence makes discovery silent, or lets it speak again.
-func (r *registry) silence(silent bool) {
-	r.silent = silent
+// setUnresponsive makes discovery unresponsive, or ends that.
+func (d *discoveryService) setUnresponsive(silent bool) {
+	d.unresponsive = silent
 	if !silent {
-		for _, answer := range r.waiting {
+		for _, answer := range d.pending {
 			answer()
 		}
-		r.waiting = nil
+		d.pending = nil
 	}
-	for _, m := range r.w.mixers {
-		if f := m.follow; silent && f != nil && !f.deaf {
-			f.deaf, f.deafAt = true, r.w.now
+	for _, host := range d.world.aggregators {
+		if w := host.watcher; silent && w != nil && !w.unresponsive {
+			w.unresponsive, w.unresponsiveSince = true, d.world.now
 		}
 	}
 }
 
-// follower is a mixer's calls of discovery: the decisions of decide/watch, with the call and the word simulated.
-type follower struct {
-	r       *registry
-	m       *mixerHost
-	calls   *listwatch.Reconnector
-	gen     int // number of the present call
-	live    bool
-	deaf    bool // the present call hears nothing any more
-	deafAt  time.Time
-	failed  bool
-	version int
+// watcher is an aggregator's watch of discovery: the decisions of control/listwatch, with the network simulated.
+type watcher struct {
+	service           *discoveryService
+	host              *aggregatorHost
+	schedule          *listwatch.Reconnector
+	callNumber        int // of the present call; answers to earlier ones are dropped
+	live              bool
+	unresponsive      bool // the present call is unresponsive
+	unresponsiveSince time.Time
+	lastPollRejected  bool
+	version           int
 }
 
-func newFollower(r *registry, m *mixerHost) *follower {
+func newWatcher(d *discoveryService, host *aggregatorHost) *watcher {
 	shared := 0
-	if r.w.Discovery.Kind == Shared || r.w.Planted == waitsInSilence {
-		shared = r.w.Mixers
+	if d.world.Discovery.Kind == SharedService || d.world.PlantedBug == BugSlowReopen {
+		shared = d.world.Aggregators
 	}
-	return &follower{r: r, m: m, calls: listwatch.New(listwatch.PlatformConfig(shared))}
+	return &watcher{service: d, host: host, schedule: listwatch.New(listwatch.PlatformConfig(shared))}
 }
 
-// waitsInSilence is a planted bug: a silent watch is opened anew only after the fleet's back-off.
-const waitsInSilence = "waits in silence"
-
-// begin makes the first call of a process. What the agent has counts as told to a new one from its first moment.
-func (f *follower) begin(again bool) {
-	f.live, f.deaf = false, false
-	if again && f.r.w.Discovery.Kind == Agents {
-		for _, e := range f.r.lines[f.version:] {
-			f.counts(e)
+// start makes the first call of a process. What the local agent has counts as known to it from its first moment.
+func (w *watcher) start(again bool) {
+	w.live, w.unresponsive = false, false
+	if again && w.service.world.Discovery.Kind == LocalAgents {
+		for _, e := range w.service.log[w.version:] {
+			w.scheduleNotified(e)
 		}
 	}
-	f.open()
+	w.open()
 }
 
-// open calls discovery.
-func (f *follower) open() {
-	w := f.r.w
-	f.gen++
-	f.r.calls++
-	gen := f.gen
-	f.live, f.deaf = false, f.r.silent
-	f.deafAt = w.now
-	f.calls.Opened(w.now, w.rng.Float64())
-	f.look(gen)
-	if f.deaf {
-		for _, e := range f.r.lines[f.version:] {
-			f.counts(e)
+// open makes a call of discovery.
+func (w *watcher) open() {
+	world := w.service.world
+	w.callNumber++
+	w.service.polls++
+	call := w.callNumber
+	w.live, w.unresponsive = false, w.service.unresponsive
+	w.unresponsiveSince = world.now
+	w.schedule.Opened(world.now, world.rng.Float64())
+	w.scheduleReopen(call)
+	if w.unresponsive {
+		for _, e := range w.service.log[w.version:] {
+			w.scheduleNotified(e)
 		}
-		if w.Discovery.Kind == Shared {
-			f.r.waiting = append(f.r.waiting, func() { f.answer(gen) })
+		if world.Discovery.Kind == SharedService {
+			w.service.pending = append(w.service.pending, func() { w.answer(call) })
 		}
 		return
 	}
-	f.answer(gen)
+	w.answer(call)
 }
 
-// answer is discovery's to a call, in its turn: a service answers those that waited while it was silent when it speaks
-// again, and an agent does not.
-func (f *follower) answer(gen int) {
-	w := f.r.w
-	if f.gen != gen {
+// answer is discovery's answer to a call. A shared service has a capacity: it answers in turn, or rejects.
+func (w *watcher) answer(call int) {
+	world := w.service.world
+	if w.callNumber != call {
 		return
 	}
-	f.deaf = false
-	turn := w.now
-	if w.Discovery.Kind == Shared {
-		if f.r.free.Before(turn) {
-			f.r.free = turn
+	w.unresponsive = false
+	turn := world.now
+	if world.Discovery.Kind == SharedService {
+		if w.service.nextFree.Before(turn) {
+			w.service.nextFree = turn
 		}
-		if f.r.free.Sub(turn) > w.Discovery.Wait {
-			f.r.failed++
-			f.failed = true
-			w.in(w.delay(), func() { f.ended(gen) })
+		if w.service.nextFree.Sub(turn) > world.Discovery.MaxWait {
+			w.service.rejectedPolls++
+			w.lastPollRejected = true
+			world.after(world.networkDelay(), func() { w.callEnded(call) })
 			return
 		}
-		turn = f.r.free
-		f.r.free = f.r.free.Add(time.Duration(float64(time.Second) / w.Discovery.PerSecond))
+		turn = w.service.nextFree
+		w.service.nextFree = w.service.nextFree.Add(time.Duration(float64(time.Second) / world.Discovery.PerSecond))
 	}
-	w.at(turn.Add(w.delay()), func() {
-		if f.gen == gen && !f.deaf {
-			f.live = true
-			f.bring(gen)
-			f.beats(gen)
+	world.at(turn.Add(world.networkDelay()), func() {
+		if w.callNumber == call && !w.unresponsive {
+			w.live = true
+			w.deliver(call)
+			w.heartbeat(call)
 		}
 	})
 }
 
-// bring brings the lines that the mixer does not have.
-func (f *follower) bring(gen int) {
-	if f.gen != gen || f.deaf {
+// deliver passes the changes that the aggregator does not have to its core.
+func (w *watcher) deliver(call int) {
+	if w.callNumber != call || w.unresponsive {
 		return
 	}
-	f.failed = false
-	f.calls.Received(f.r.w.now)
-	f.calls.Succeeded()
+	w.lastPollRejected = false
+	w.schedule.Received(w.service.world.now)
+	w.schedule.Succeeded()
 	list := aggregator.EndpointsChanged{Kind: balance.ListDelta}
-	for ; f.version < len(f.r.lines); f.version++ {
-		e := f.r.lines[f.version]
-		f.m.hears(e)
-		s := f.m.server(e.n)
+	for ; w.version < len(w.service.log); w.version++ {
+		e := w.service.log[w.version]
+		w.host.applyEndpoint(e)
+		s := w.host.endpoint(e.replica)
 		s.State, s.Started = e.state, e.started
 		list.Servers = append(list.Servers, s)
 	}
-	f.m.put(list)
+	w.host.post(list)
 }
 
-func (f *follower) beats(gen int) {
-	f.r.w.in(beat, func() {
-		if f.gen == gen && !f.deaf {
-			f.calls.Received(f.r.w.now)
-			f.beats(gen)
+func (w *watcher) heartbeat(call int) {
+	w.service.world.after(heartbeatInterval, func() {
+		if w.callNumber == call && !w.unresponsive {
+			w.schedule.Received(w.service.world.now)
+			w.heartbeat(call)
 		}
 	})
 }
 
-// look opens the watch anew once it is broken.
-func (f *follower) look(gen int) {
-	at := f.calls.SilenceDeadline()
-	f.r.w.at(at, func() {
+// scheduleReopen reopens the watch once it counts as broken.
+func (w *watcher) scheduleReopen(call int) {
+	at := w.schedule.SilenceDeadline()
+	w.service.world.at(at, func() {
 		switch {
-		case f.gen != gen:
-		case f.calls.SilenceDeadline().After(f.r.w.now):
-			f.look(gen)
-		case f.r.w.Planted == waitsInSilence:
-			f.ended(gen)
+		case w.callNumber != call:
+		case w.schedule.SilenceDeadline().After(w.service.world.now):
+			w.scheduleReopen(call)
+		case w.service.world.PlantedBug == BugSlowReopen:
+			w.callEnded(call)
 		default:
-			f.open()
+			w.open()
 		}
 	})
 }
 
-func (f *follower) ended(gen int) {
-	if f.gen != gen {
+func (w *watcher) callEnded(call int) {
+	if w.callNumber != call {
 		return
 	}
-	f.gen, f.live = f.gen+1, false
-	closed := f.gen
-	f.r.w.at(f.calls.Ended(f.r.w.now, f.r.w.rng.Float64()), func() {
-		if f.gen == closed {
-			f.open()
+	w.callNumber, w.live = w.callNumber+1, false
+	closed := w.callNumber
+	w.service.world.at(w.schedule.Ended(w.service.world.now, w.service.world.rng.Float64()), func() {
+		if w.callNumber == closed {
+			w.open()
 		}
 	})
 }
 
-// counts says when a line counts as told, whether or not it comes: by then the mixer answers for what it does.
-func (f *follower) counts(e entry) {
-	w := f.r.w
-	at := w.now.Add(50 * time.Millisecond)
+// scheduleNotified schedules the moment from which the aggregator is accountable for a change, whether or not it arrives.
+func (w *watcher) scheduleNotified(e endpointEntry) {
+	world := w.service.world
+	at := world.now.Add(liveWatchDelay)
 	switch {
-	case f.deaf:
-		if by := f.deafAt.Add(silentTold); by.After(at) {
+	case w.unresponsive:
+		if by := w.unresponsiveSince.Add(unresponsiveWatchDelay); by.After(at) {
 			at = by
 		}
-	case f.live:
-	case w.Discovery.Kind == Agents:
-		if f.r.silent { // it does not have it
+	case w.live:
+	case world.Discovery.Kind == LocalAgents:
+		if w.service.unresponsive { // the agent does not have it
 			return
 		}
-	case f.failed:
-		at = w.now.Add(failedTold)
+	case w.lastPollRejected:
+		at = world.now.Add(rejectedPollDelay)
 	default:
-		at = w.now.Add(askedTold)
+		at = world.now.Add(pollDelay)
 	}
-	m, life, since := f.m, f.m.life, w.now
-	told := func() {
-		if m.life == life && !m.dead {
-			m.toldOf(e)
+	host, incarnation, since := w.host, w.host.incarnation, world.now
+	known := func() {
+		if host.incarnation == incarnation && !host.crashed {
+			host.recordNotified(e)
 		}
 	}
-	w.at(at, func() {
-		if f.failed { // it asked, and was refused: it may not know for longer
-			w.at(since.Add(failedTold), told)
+	world.at(at, func() {
+		if w.lastPollRejected { // its poll was rejected: it may not know for longer
+			world.at(since.Add(rejectedPollDelay), known)
 			return
 		}
-		told()
+		known()
 	})
 }
--- a/internal/testbed/sim/hunt.go
+++ b/internal/testbed/sim/hunt.go
@@ -5,75 +5,111 @@
 	"time"
 )
 
-// Draw makes the settings of a random run: a fleet and a schedule of troubles.
-func Draw(seed uint64) Settings {
-	rng := rand.New(rand.NewPCG(seed, 0x77))
+// RandomSettings draws the settings of a run: a small fleet and its faults.
+func RandomSettings(seed uint64) Settings {
+	rng := rand.New(rand.NewPCG(seed, settingsStream))
 	s := Defaults(seed)
-	s.Mixers = 1 + rng.IntN(3)
-	s.Nodes = 6 + rng.IntN(18)
+	s.Aggregators = 1 + rng.IntN(3)
+	s.Replicas = 6 + rng.IntN(18)
 	s.Reach = 2 + rng.IntN(3)
 	s.Rate = 40 + 160*rng.Float64()
 	s.Retries = rng.IntN(3)
-	s.Evidence = rng.IntN(2) == 0
-	s.For = 8 * time.Second
+	s.HealthEvidence = rng.IntN(2) == 0
+	s.Duration = 8 * time.Second
 	for range 1 + rng.IntN(3) {
-		t := Trouble{Kind: Kinds[rng.IntN(len(Kinds))], From: time.Duration(rng.IntN(5000)) * time.Millisecond, For: time.Duration(500+rng.IntN(4000)) * time.Millisecond,
-			First: rng.IntN(s.Nodes), Nodes: 1 + rng.IntN(max(1, s.Nodes/3))}
+		t := Fault{Kind: FaultKinds[rng.IntN(len(FaultKinds))], From: time.Duration(rng.IntN(5000)) * time.Millisecond, Duration: time.Duration(500+rng.IntN(4000)) * time.Millisecond,
+			First: rng.IntN(s.Replicas), Replicas: 1 + rng.IntN(max(1, s.Replicas/3))}
 		switch t.Kind {
 		case FastErrors:
-			t.Size = 0.35 + 0.5*rng.Float64()
+			t.Magnitude = 0.35 + 0.5*rng.Float64()
 		case Burst:
-			t.Size = 1.3 + 2*rng.Float64()
-		case Slow, Gray:
-			t.Size = 1.5 + 8*rng.Float64()
-		case Lag:
-			t.Size = 2 + 5*rng.Float64()
+			t.Magnitude = 1.3 + 2*rng.Float64()
+		case SlowReplicas, Gray:
+			t.Magnitude = 1.5 + 8*rng.Float64()
+		case EndpointLag:
+			t.Magnitude = 2 + 5*rng.Float64()
 		}
-		s.Troubles = append(s.Troubles, t)
+		s.Faults = append(s.Faults, t)
 	}
 	return s
 }
 
-// Shrink makes a run that breaks a rule shorter, as long as it breaks one: fewer troubles, fewer nodes, less load, less
-// time. It returns the shortest that was found and how many runs that took.
-func Shrink(s Settings, most int) (Settings, int) {
-	runs := 0
-	breaks := func(c Settings) bool {
-		if runs >= most {
-			return false
+// Shrink simplifies the settings of a run that violates a rule for as long as a run violates one: fewer faults and
+// replicas, less load, less time. It plays at most maxRuns runs, and returns the simplest settings that it found and how
+// many runs it played.
+func Shrink(s Settings, maxRuns int) (Settings, int) {
+	search := shrinker{best: s, maxRuns: maxRuns}
+	for progress := true; progress && search.runs < search.maxRuns; {
+		withoutFault := search.removeFault()
+		simpler := search.simplify()
+		progress = withoutFault || simpler
+	}
+	return search.best, search.runs
+}
+
+// shrinker searches for the simplest settings that violate a rule.
+type shrinker struct {
+	best          Settings
+	runs, maxRuns int
+}
+
+// accept plays a candidate and takes it for the best if it violates a rule.
+func (s *shrinker) accept(candidate Settings) bool {
+	if s.runs >= s.maxRuns {
+		return false
+	}
+	s.runs++
+	r, err := Run(candidate)
+	if err != nil || len(r.Violations) == 0 {
+		return false
+	}
+	s.best = candidate
+	return true
+}
+
+// removeFault leaves one fault out.
+func (s *shrinker) removeFault() bool {
+	for i := range s.best.Faults {
+		candidate := s.best
+		candidate.Faults = append(append([]Fault{}, s.best.Faults[:i]...), s.best.Faults[i+1:]...)
+		if s.accept(candidate) {
+			return true
 		}
-		runs++
-		r, err := Run(c)
-		return err == nil && len(r.Broken) > 0
 	}
-	for again := true; again && runs < most; {
-		again = false
-		for i := range s.Troubles {
-			c := s
-			c.Troubles = append(append([]Trouble{}, s.Troubles[:i]...), s.Troubles[i+1:]...)
-			if breaks(c) {
-				s, again = c, true
-				break
-			}
+	return false
+}
+
+// simplifications make settings smaller; one that changes nothing is not played.
+var simplifications = []func(*Settings){
+	func(c *Settings) { c.Aggregators = 1 },
+	func(c *Settings) { c.Retries = 0 },
+	func(c *Settings) { c.HealthEvidence = false },
+	func(c *Settings) { c.Replicas = max(c.Reach, c.Replicas/2) },
+	func(c *Settings) { c.Rate /= 2 },
+	func(c *Settings) { c.Duration = max(time.Second, c.Duration/2) },
+	func(c *Settings) { c.SearchParts = max(1, c.SearchParts/2) },
+}
+
+// minRate bounds the simplification of the load, in queries a second.
+const minRate = 1
+
+// simplify tries each simplification once.
+func (s *shrinker) simplify() bool {
+	progress := false
+	for _, change := range simplifications {
+		candidate := s.best
+		change(&candidate)
+		if candidate.Rate < minRate || sameSize(candidate, s.best) {
+			continue
 		}
-		for _, change := range []func(*Settings){
-			func(c *Settings) { c.Mixers = 1 },
-			func(c *Settings) { c.Retries = 0 },
-			func(c *Settings) { c.Evidence = false },
-			func(c *Settings) { c.Nodes = max(c.Reach, c.Nodes/2) },
-			func(c *Settings) { c.Rate /= 2 },
-			func(c *Settings) { c.For = max(time.Second, c.For/2) },
-			func(c *Settings) { c.Parts = max(1, c.Parts/2) },
-		} {
-			c := s
-			change(&c)
-			if c.Mixers == s.Mixers && c.Retries == s.Retries && c.Evidence == s.Evidence && c.Nodes == s.Nodes && c.Rate == s.Rate && c.For == s.For && c.Parts == s.Parts || c.Rate < 1 {
-				continue
-			}
-			if breaks(c) {
-				s, again = c, true
-			}
+		if s.accept(candidate) {
+			progress = true
 		}
 	}
-	return s, runs
+	return progress
+}
+
+func sameSize(a, b Settings) bool {
+	return a.Aggregators == b.Aggregators && a.Retries == b.Retries && a.HealthEvidence == b.HealthEvidence &&
+		a.Replicas == b.Replicas && a.Rate == b.Rate && a.Duration == b.Duration && a.SearchParts == b.SearchParts
 }
--- a/internal/testbed/sim/replica.go
+++ b/internal/testbed/sim/replica.go
@@ -11,216 +11,220 @@
 	"rooktrestle/internal/aggregator"
 )
 
-// queueMost is how many parts a node holds before it turns more away.
-const queueMost = 200
-
-// node is an archive node: cores, a queue, and what is wrong with it.
-type node struct {
-	w       *world
-	id      balance.Replica
-	index   int
-	rng     *rand.Rand
-	up      bool
-	cut     bool // nothing reaches it, and nothing comes from it
-	drains  bool
-	fails   float64 // share of parts that fail at once
-	slow    float64 // work takes so many times as long
-	slowFor int     // of this class only; negative: of all
-	hangs   bool    // takes parts and never answers
-	says    bool    // its checks say well, whatever is
-	busy    int
-	queue   []*work
-	out     map[*work]bool // taken and not ended
-	started time.Time      // of its process; zero: long ago
-	gone    bool           // it is replaced by another
-	recent  []arrival      // within the time in which too many make it fall, while it is cold
-}
-
-// arrival is a part that came, and whether its mixer had been told that the node is cold.
+// maxQueue is how many parts a replica queues before it rejects more.
+const maxQueue = 200
+
+// replica is a simulated archive server: cores, a queue, and the faults that it has.
+type replica struct {
+	world          *world
+	id             balance.Replica
+	index          int
+	rng            *rand.Rand
+	up             bool
+	unreachable    bool // nothing reaches it, and nothing comes from it
+	draining       bool
+	errorRate      float64 // fraction of the parts that fails at once
+	slowdown       float64 // factor of the service time
+	slowClass      int     // that slowdown applies to, or allClasses
+	unresponsive   bool    // takes parts and never answers
+	checksPass     bool    // its health checks, whatever its state
+	busyCores      int
+	queue          []*attempt
+	inFlight       map[*attempt]bool // received and not ended
+	started        time.Time         // of its process; zero: long ago
+	replaced       bool              // by another: it does not start again
+	recentArrivals []arrival         // within Warmup.OverloadPeriod, while it warms up
+}
+
+// arrival is a part that came, and whether its aggregator knew when the replica had started.
 type arrival struct {
-	at   time.Time
-	told bool
+	at            time.Time
+	startNotified bool
 }
 
-// Cold is what a node can do after its start, and what makes it fall. The zero value: all, and nothing.
-type Cold struct {
-	For    time.Duration // it is warm after it
-	From   float64       // share of its capacity at its start, growing evenly
-	Tip    float64       // so many times what it can do
-	TipFor time.Duration // within so long make it fall
+// Warmup says what a replica can do after its start, and what makes it collapse. With the zero value it has its full
+// capacity at once and never collapses.
+type Warmup struct {
+	Period           time.Duration `json:"For"`    // after which it has its full capacity
+	MinCapacity      float64       `json:"From"`   // fraction of the capacity at its start, growing evenly
+	OverloadMultiple float64       `json:"Tip"`    // of its present capacity
+	OverloadPeriod   time.Duration `json:"TipFor"` // over which arrivals count
 }
 
-// zone is the node's: its place in the ring tells it.
-func (n *node) zone() int { return n.index % max(2, n.w.Zones) }
+// zone follows from the replica's place in the ring.
+func (r *replica) zone() int { return r.index % max(2, r.world.Zones) }
 
-// share is what it has of its capacity by now.
-func (n *node) share() float64 {
-	age := n.w.now.Sub(n.started)
-	if c := n.w.Cold; c.For > 0 && !n.started.IsZero() && age < c.For {
-		return c.From + (1-c.From)*float64(age)/float64(c.For)
+// capacityFraction is the fraction of the full capacity that it has now.
+func (r *replica) capacityFraction() float64 {
+	age := r.world.now.Sub(r.started)
+	if c := r.world.Warmup; c.Period > 0 && !r.started.IsZero() && age < c.Period {
+		return c.MinCapacity + (1-c.MinCapacity)*float64(age)/float64(c.Period)
 	}
 	return 1
 }
 
-// crowded counts a part that came, and says whether the node falls under it. N parts of mean work are what the rule
-// allows within the time; chance may bring three deviations and three more.
-func (n *node) crowded(m *mixerHost) bool {
-	c, share := n.w.Cold, n.share()
-	if share >= 1 || c.Tip <= 0 {
-		n.recent = nil
+// arrivalOverloads counts an arriving part, and says whether the replica collapses under it. The rule allows as many
+// parts of mean service time as OverloadMultiple says; chance may add three standard deviations and three parts.
+func (r *replica) arrivalOverloads(host *aggregatorHost) bool {
+	c, fraction := r.world.Warmup, r.capacityFraction()
+	if fraction >= 1 || c.OverloadMultiple <= 0 {
+		r.recentArrivals = nil
 		return false
 	}
-	n.recent = append(n.recent, arrival{n.w.now, m.starts[n.id].Equal(n.started)})
-	n.recent = slices.DeleteFunc(n.recent, func(a arrival) bool { return n.w.now.Sub(a.at) > c.TipFor })
-	most := c.Tip * share * float64(n.w.Cores) * float64(c.TipFor) / float64(n.w.Work)
-	if float64(len(n.recent)) <= most+3*math.Sqrt(most)+3 {
+	r.recentArrivals = append(r.recentArrivals, arrival{r.world.now, host.notifiedStarts[r.id].Equal(r.started)})
+	r.recentArrivals = slices.DeleteFunc(r.recentArrivals, func(a arrival) bool { return r.world.now.Sub(a.at) > c.OverloadPeriod })
+	allowed := c.OverloadMultiple * fraction * float64(r.world.Cores) * float64(c.OverloadPeriod) / float64(r.world.MeanServiceTime)
+	if float64(len(r.recentArrivals)) <= allowed+3*math.Sqrt(allowed)+3 {
 		return false
 	}
-	told := 0
-	for _, a := range n.recent {
-		if a.told {
-			told++
+	knowing := 0
+	for _, a := range r.recentArrivals {
+		if a.startNotified {
+			knowing++
 		}
 	}
-	if 3*told > 2*len(n.recent) {
-		n.w.check.bad("cold %s falls under %d parts, %d of mixers that were told of its start; %.1f are allowed", n.id, len(n.recent), told, most)
+	if 3*knowing > 2*len(r.recentArrivals) {
+		r.world.checker.violate("warming %s collapses under %d parts, %d of aggregators that knew its start; %.1f are allowed", r.id, len(r.recentArrivals), knowing, allowed)
 	}
-	n.w.result.Fallen++
+	r.world.result.ReplicasOverloaded++
 	return true
 }
 
-// fall ends a node that got too much; it is back, cold, after a second.
-func (n *node) fall() {
-	n.die()
-	n.recent = nil
-	n.w.in(time.Second, func() {
-		if !n.gone {
-			n.up = true
-			n.begin()
+// restartDelay is how long a replica that collapsed is down.
+const restartDelay = time.Second
+
+// collapse ends an overloaded replica; it starts again after restartDelay.
+func (r *replica) collapse() {
+	r.crash()
+	r.recentArrivals = nil
+	r.world.after(restartDelay, func() {
+		if !r.replaced {
+			r.up = true
+			r.start()
 		}
 	})
 }
 
-// begin notes a start of the node's process.
-func (n *node) begin() {
-	if n.w.Cold.For > 0 {
-		n.started = n.w.now
+// start begins a new process of the replica and publishes it.
+func (r *replica) start() {
+	if r.world.Warmup.Period > 0 {
+		r.started = r.world.now
 	}
-	n.w.roster.tell(n, balance.InService)
+	r.world.feed.publish(r, balance.InService)
 }
 
-// work is one attempt of a part at a node.
-type work struct {
-	m    *mixerHost
-	call aggregator.Call
-	node *node
-	gone bool // the mixer has given it up
+// attempt is one attempt of a part at a replica.
+type attempt struct {
+	host      *aggregatorHost
+	call      aggregator.Call
+	replica   *replica
+	abandoned bool // the aggregator has canceled it or has crashed
 }
 
-func newNode(w *world, i int) *node {
-	return &node{w: w, id: balance.Replica(fmt.Sprintf("n%d", i)), index: i, rng: rand.New(rand.NewPCG(w.Seed, uint64(1000+i))), up: true,
-		slow: 1, slowFor: -1, says: true, out: map[*work]bool{}}
+func newReplica(w *world, i int) *replica {
+	return &replica{world: w, id: balance.Replica(fmt.Sprintf("n%d", i)), index: i, rng: rand.New(rand.NewPCG(w.Seed, uint64(firstReplicaStream+i))), up: true,
+		slowdown: 1, slowClass: allClasses, checksPass: true, inFlight: map[*attempt]bool{}}
 }
 
-// delay is the network's, one way.
-func (w *world) delay() time.Duration {
-	return w.Network/2 + time.Duration(w.rng.ExpFloat64()*float64(w.Network)/2)
-}
-
-// take takes a part that has arrived.
-func (n *node) take(k *work) {
-	w := n.w
+// receive handles a part that has arrived.
+func (r *replica) receive(a *attempt) {
+	w := r.world
 	switch {
-	case n.cut:
-		return // nobody will hear of it
-	case !n.up:
-		k.m.ended(k, &aggregator.AttemptError{Progress: aggregator.NotConnected}, "")
+	case r.unreachable:
+		return // lost on the network
+	case !r.up:
+		a.host.deliverResult(a, &aggregator.AttemptError{Progress: aggregator.NotConnected}, "")
 		return
-	case n.drains || len(n.queue) >= queueMost:
-		w.in(w.delay(), func() { k.m.ended(k, &aggregator.AttemptError{Progress: aggregator.Answered, Rejected: true}, "") })
+	case r.draining || len(r.queue) >= maxQueue:
+		w.after(w.networkDelay(), func() {
+			a.host.deliverResult(a, &aggregator.AttemptError{Progress: aggregator.Answered, Rejected: true}, "")
+		})
 		return
 	}
-	if n.crowded(k.m) {
-		w.in(w.delay(), func() { k.m.ended(k, &aggregator.AttemptError{Progress: aggregator.Written}, "") })
-		n.fall()
+	if r.arrivalOverloads(a.host) {
+		w.after(w.networkDelay(), func() { a.host.deliverResult(a, &aggregator.AttemptError{Progress: aggregator.Written}, "") })
+		r.collapse()
 		return
 	}
-	w.check.ran(n, k)
-	if n.rng.Float64() < n.fails {
-		w.in(w.delay(), func() { k.m.ended(k, &aggregator.AttemptError{Progress: aggregator.Answered}, "") })
+	w.checker.correctionRan(r, a)
+	if r.rng.Float64() < r.errorRate {
+		w.after(w.networkDelay(), func() { a.host.deliverResult(a, &aggregator.AttemptError{Progress: aggregator.Answered}, "") })
 		return
 	}
-	n.out[k] = true
-	if n.hangs {
+	r.inFlight[a] = true
+	if r.unresponsive {
 		return
 	}
-	n.queue = append(n.queue, k)
-	n.start()
+	r.queue = append(r.queue, a)
+	r.dispatch()
 }
 
-// start gives free cores something to do.
-func (n *node) start() {
-	for n.busy < n.w.Cores && len(n.queue) > 0 {
-		k := n.queue[0]
-		n.queue = n.queue[1:]
-		n.busy++
-		d := time.Duration((0.5 + 0.5*n.rng.ExpFloat64()) * float64(n.w.Work))
-		if n.slowFor < 0 || n.slowFor == k.call.Class {
-			d = time.Duration(float64(d) * n.slow)
+// dispatch gives queued parts to free cores.
+func (r *replica) dispatch() {
+	for r.busyCores < r.world.Cores && len(r.queue) > 0 {
+		a := r.queue[0]
+		r.queue = r.queue[1:]
+		r.busyCores++
+		d := time.Duration((0.5 + 0.5*r.rng.ExpFloat64()) * float64(r.world.MeanServiceTime))
+		if r.slowClass == allClasses || r.slowClass == a.call.Class {
+			d = time.Duration(float64(d) * r.slowdown)
 		}
-		if share := n.share(); share < 1 {
-			d = time.Duration(float64(d) / share)
+		if fraction := r.capacityFraction(); fraction < 1 {
+			d = time.Duration(float64(d) / fraction)
 		}
-		n.w.in(d, func() {
-			n.busy--
-			n.done(k)
-			n.start()
+		r.world.after(d, func() {
+			r.busyCores--
+			r.complete(a)
+			r.dispatch()
 		})
 	}
 }
 
-func (n *node) done(k *work) {
-	if !n.out[k] { // it died meanwhile
+func (r *replica) complete(a *attempt) {
+	if !r.inFlight[a] { // the replica crashed meanwhile
 		return
 	}
-	delete(n.out, k)
-	if n.cut {
+	delete(r.inFlight, a)
+	if r.unreachable {
 		return
 	}
-	n.w.in(n.w.delay(), func() { k.m.ended(k, nil, fmt.Sprintf("%s by %s", k.call.Name, n.id)) })
+	r.world.after(r.world.networkDelay(), func() { a.host.deliverResult(a, nil, fmt.Sprintf("%s by %s", a.call.Name, r.id)) })
 }
 
-// die ends the node's process: what is on it ends as a reset.
-func (n *node) die() {
-	n.up, n.queue, n.busy = false, nil, 0
-	var lost []*work
-	for _, m := range n.w.mixers { // in an order that does not hang on a map's
-		for _, k := range m.order {
-			if n.out[k] {
-				lost = append(lost, k)
+// crash ends the replica's process: attempts at it end with a reset of the connection.
+func (r *replica) crash() {
+	r.up, r.queue, r.busyCores = false, nil, 0
+	var lost []*attempt
+	for _, host := range r.world.aggregators { // in the order of sending, not of a map
+		for _, a := range host.sendOrder {
+			if r.inFlight[a] {
+				lost = append(lost, a)
 			}
 		}
 	}
-	clear(n.out)
-	for _, k := range lost {
-		n.w.in(n.w.delay(), func() { k.m.ended(k, &aggregator.AttemptError{Progress: aggregator.Written}, "") })
+	clear(r.inFlight)
+	for _, a := range lost {
+		r.world.after(r.world.networkDelay(), func() { a.host.deliverResult(a, &aggregator.AttemptError{Progress: aggregator.Written}, "") })
 	}
 }
 
-// roster is the list of servers; each mixer hears of a change some time later.
-type roster struct {
-	w   *world
-	lag time.Duration
+// endpointFeed tells aggregators of the endpoint list directly; each learns of a change some time later.
+type endpointFeed struct {
+	world *world
+	lag   time.Duration
 }
 
-// tell tells all mixers of a node.
-func (r *roster) tell(n *node, s balance.EndpointState) {
-	if r.w.Discovery.Kind != "" {
-		r.w.registry.change(n, s)
+// maxPropagation bounds the time that a change of the list takes to an aggregator; it is drawn evenly below it.
+const maxPropagation = 50 * time.Millisecond
+
+// publish changes an endpoint's state, by discovery where the aggregators follow that.
+func (f *endpointFeed) publish(r *replica, s balance.EndpointState) {
+	if f.world.Discovery.Kind != "" {
+		f.world.discovery.append(r, s)
 		return
 	}
-	for _, m := range r.w.mixers {
-		d := r.lag + time.Duration(r.w.rng.Float64()*float64(50*time.Millisecond))
-		r.w.in(d, func() { m.listed(n, s) })
+	for _, h := range f.world.aggregators {
+		d := f.lag + time.Duration(f.world.rng.Float64()*float64(maxPropagation))
+		f.world.after(d, func() { h.endpointPublished(r, s) })
 	}
 }
