Let an agent-check that finds no socket wait for one that ends

Change: such an arrival waits off the poller, 500 ms and eight of them at most; other listeners, the platform's among them, are as before.

--- a/internal/app/partnerlisteners.go
+++ b/internal/app/partnerlisteners.go
@@ -28,13 +28,19 @@
 	FirstRequest: 2 * time.Second, Idle: time.Minute, ReadRequest: 2 * time.Second, EvictableAfter: evictableAfter,
 }
 
+// agentAdmitTimeout is how long an agent-check that finds no socket waits for one. Agent-checks end by themselves: each is
+// answered at once, or after the time that it has to name a database, so that one behind a crowd is served all the same.
+const agentAdmitTimeout = 500 * time.Millisecond
+
 // partnerListener is one listener of a deployment.
 type partnerListener struct {
 	protocol   string
 	addr       string // empty: not listened to
 	maxSockets int
 	evict      func() bool // closes a connection in favour of a new one; nil: never
-	accept     func(*tcp.Conn) tcp.Handler
+	// admitTimeout is how long a connection that finds no socket waits for one; 0: not at all.
+	admitTimeout time.Duration
+	accept       func(*tcp.Conn) tcp.Handler
 }
 
 // listen builds the frontends and opens their listeners. Each listener has sockets of its own and evicts connections of
@@ -47,15 +53,15 @@
 	p.z3950 = zfront.New(service, associationTimes, p.clock.Now)
 	addrs, sockets := p.conf.Listen, p.conf.Listen.Share
 	for _, listener := range []partnerListener{
-		{"sru", addrs.SRU, sockets.SRU, func() bool { return p.sru.EvictIdle(true) }, p.sru.Accept},
-		{"z3950", addrs.Z3950, sockets.Z3950, p.z3950.Room, p.z3950.Accept},
-		{"health", addrs.Health, sockets.Health, func() bool { return p.health.EvictIdle(true) }, p.health.Accept},
-		{"agent", addrs.Agent, sockets.Agent, nil, p.reporter.Agent},
+		{"sru", addrs.SRU, sockets.SRU, func() bool { return p.sru.EvictIdle(true) }, 0, p.sru.Accept},
+		{"z3950", addrs.Z3950, sockets.Z3950, p.z3950.Room, 0, p.z3950.Accept},
+		{"health", addrs.Health, sockets.Health, func() bool { return p.health.EvictIdle(true) }, 0, p.health.Accept},
+		{"agent", addrs.Agent, sockets.Agent, nil, agentAdmitTimeout, p.reporter.Agent},
 	} {
 		if listener.addr == "" {
 			continue
 		}
-		limiter := &tcp.ConnLimiter{Max: listener.maxSockets, Evict: listener.evict}
+		limiter := &tcp.ConnLimiter{Max: listener.maxSockets, Evict: listener.evict, AdmitTimeout: listener.admitTimeout}
 		server, err := tcp.Listen(listener.addr, limiter, listener.accept)
 		if err != nil {
 			return fmt.Errorf("%s: %w", listener.protocol, err)
--- a/internal/net/tcp/limiter.go
+++ b/internal/net/tcp/limiter.go
@@ -3,10 +3,13 @@
 import (
 	"container/list"
 	"sync"
+	"time"
 )
 
-// maxEvictions is how many connections may be closed to admit a new one.
-const maxEvictions = 4
+const (
+	maxEvictions = 4 // connections that may be closed to admit a new one
+	maxWaiting   = 8 // connections beyond Max that may wait to be admitted
+)
 
 // ConnLimiter caps the connections that servers hold together. Guards the limit on sockets. Set its fields before the
 // first Listen.
@@ -18,7 +21,13 @@
 	// returns, or returns false: none may be closed. It may be called by several goroutines at once.
 	Evict func() bool
 
+	// AdmitTimeout is how long a connection that finds no place waits for another one to end or to linger; 0: it is closed
+	// at once. It is for listeners whose connections end soon by themselves. At most maxWaiting wait, beyond Max.
+	AdmitTimeout time.Duration
+
 	mu        sync.Mutex
+	waiting   int
+	changed   chan struct{} // closed when a connection ends or begins to linger; nil: nobody waits for that
 	open      int
 	lingering list.List // of *Conn that only wait for their peers to close, oldest first
 }
@@ -51,11 +60,68 @@
 	}
 }
 
+// admitLater waits until a connection that admit has rejected can be admitted, for AdmitTimeout at most. It blocks: the
+// caller is not on the poller.
+func (l *ConnLimiter) admitLater() bool {
+	if !l.beginWaiting() {
+		return false
+	}
+	defer l.endWaiting()
+	timeout := time.NewTimer(l.AdmitTimeout)
+	defer timeout.Stop()
+	for {
+		changed := l.nextChange() // before the attempt, or a change right after it would be missed
+		if l.admit() {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return false
+		}
+	}
+}
+
+func (l *ConnLimiter) beginWaiting() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.AdmitTimeout <= 0 || l.waiting == maxWaiting {
+		return false
+	}
+	l.waiting++
+	return true
+}
+
+func (l *ConnLimiter) endWaiting() {
+	l.mu.Lock()
+	l.waiting--
+	l.mu.Unlock()
+}
+
+// nextChange returns a channel that is closed when a connection ends or begins to linger.
+func (l *ConnLimiter) nextChange() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.changed == nil {
+		l.changed = make(chan struct{})
+	}
+	return l.changed
+}
+
+// notifyChange wakes those that wait. It is called with the lock held.
+func (l *ConnLimiter) notifyChange() {
+	if l.changed != nil {
+		close(l.changed)
+		l.changed = nil
+	}
+}
+
 // release uncounts a connection that has ended.
 func (l *ConnLimiter) release(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open--
+	l.notifyChange()
 	if c.lingering != nil {
 		l.lingering.Remove(c.lingering)
 		c.lingering = nil
@@ -67,6 +133,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.lingering = l.lingering.PushBack(c)
+	l.notifyChange()
 }
 
 // closeOldestLingering closes the connection that has waited longest for its peer to close, and says whether there was one.
--- a/internal/net/tcp/listen.go
+++ b/internal/net/tcp/listen.go
@@ -21,7 +21,7 @@
 type connKey struct{}
 
 // Listen listens on addr, host:port, and serves each connection that limiter admits with the handler that accept makes of
-// it. accept is called on the poller and must not block. The caller closes the server.
+// it. accept may be called on the poller and must not block. The caller closes the server.
 func Listen(addr string, limiter *ConnLimiter, accept func(*Conn) Handler) (*Server, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -30,7 +30,9 @@
 	loop, err := netpoll.NewEventLoop(
 		onReadable,
 		netpoll.WithOnPrepare(func(socket netpoll.Connection) context.Context { return prepare(socket, limiter, accept) }),
-		netpoll.WithOnConnect(onConnect))
+		netpoll.WithOnConnect(func(ctx context.Context, socket netpoll.Connection) context.Context {
+			return onConnect(ctx, socket, limiter, accept)
+		}))
 	if err != nil {
 		_ = listener.Close() // nothing was accepted
 		return nil, err
@@ -40,26 +42,40 @@
 	return &Server{listener: listener, loop: loop}, nil
 }
 
-// prepare makes a Conn of a connection that was accepted, before anything is read on it.
+// prepare makes a Conn of a connection that was accepted, before anything is read on it. It runs on the poller.
 func prepare(socket netpoll.Connection, limiter *ConnLimiter, accept func(*Conn) Handler) context.Context {
 	if !limiter.admit() {
-		return context.Background() // onConnect closes it, once it is registered
+		return context.Background() // for onConnect to admit later, or to close, once it is registered
 	}
-	c := &Conn{socket: socket, peer: socket.RemoteAddr(), limiter: limiter, done: make(chan struct{})}
-	c.handler = accept(c)
-	c.attach()
-	return context.WithValue(context.Background(), connKey{}, c)
+	return withConn(newConn(socket, limiter, accept))
 }
 
-func onConnect(ctx context.Context, socket netpoll.Connection) context.Context {
-	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
-		c.opened()
-	} else {
-		_ = socket.Close() // it was not admitted
+// onConnect lets a handler send first. It runs off the poller, so that a connection that was not admitted may wait here.
+func onConnect(ctx context.Context, socket netpoll.Connection, limiter *ConnLimiter, accept func(*Conn) Handler) context.Context {
+	c, ok := ctx.Value(connKey{}).(*Conn)
+	if !ok {
+		if !limiter.admitLater() {
+			_ = socket.Close() // it was not admitted
+			return ctx
+		}
+		// If it ended while it waited, netpoll reports that once this call has returned.
+		c = newConn(socket, limiter, accept)
+		ctx = withConn(c)
 	}
+	c.opened()
 	return ctx
 }
 
+// newConn makes a Conn of a connection that the limiter has admitted.
+func newConn(socket netpoll.Connection, limiter *ConnLimiter, accept func(*Conn) Handler) *Conn {
+	c := &Conn{socket: socket, peer: socket.RemoteAddr(), limiter: limiter, done: make(chan struct{})}
+	c.handler = accept(c)
+	c.attach()
+	return c
+}
+
+func withConn(c *Conn) context.Context { return context.WithValue(context.Background(), connKey{}, c) }
+
 func onReadable(ctx context.Context, _ netpoll.Connection) error {
 	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
 		c.read()
--- a/internal/net/tcp/races_test.go
+++ b/internal/net/tcp/races_test.go
@@ -115,3 +115,120 @@
 		t.Errorf("%d connections linger", limiter.lingering.Len())
 	}
 }
+
+// fullListener returns a listener of one connection, which is open, and the connections that it accepts. An arrival waits
+// for admitTimeout.
+func fullListener(t *testing.T, admitTimeout time.Duration) (s *Server, limiter *ConnLimiter, first *Conn, accepted chan acceptedConn) {
+	t.Helper()
+	accepted = make(chan acceptedConn, 10)
+	limiter = &ConnLimiter{Max: 1, AdmitTimeout: admitTimeout}
+	s, err := Listen("127.0.0.1:0", limiter, func(c *Conn) Handler {
+		handler := newRecordingHandler()
+		accepted <- acceptedConn{c, handler}
+		return handler
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	dialed(t, s)
+	return s, limiter, (<-accepted).conn, accepted
+}
+
+// acceptedConn is a connection that a listener admitted, and its handler.
+type acceptedConn struct {
+	conn    *Conn
+	handler *recordingHandler
+}
+
+func dialed(t *testing.T, s *Server) net.Conn {
+	t.Helper()
+	client, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = client.Close() }) // everything was read
+	return client
+}
+
+// awaitWaiting returns once so many connections wait to be admitted.
+func (l *ConnLimiter) awaitWaiting(t *testing.T, n int) {
+	t.Helper()
+	for giveUp := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		l.mu.Lock()
+		waiting := l.waiting
+		l.mu.Unlock()
+		if waiting == n {
+			return
+		}
+		if time.Now().After(giveUp) {
+			t.Fatalf("%d connections wait, want %d", waiting, n)
+		}
+	}
+}
+
+// Behind a crowd of connections that are answered and not yet known to linger, an arrival was closed unread.
+func TestConnLimiter_ArrivalWaitsForOneThatEnds(t *testing.T) {
+	s, limiter, first, accepted := fullListener(t, time.Minute)
+	second := dialed(t, s)
+	limiter.awaitWaiting(t, 1)
+	first.Write([]byte("first"), nil)
+	first.CloseGracefully()
+	c := (<-accepted).conn
+	c.Write([]byte("second"), nil)
+	c.CloseGracefully()
+	if text, err := io.ReadAll(second); string(text) != "second" || err != nil {
+		t.Errorf("%q, %v", text, err)
+	}
+	limiter.awaitWaiting(t, 0)
+}
+
+func TestConnLimiter_ArrivalThatLeavesWhileItWaits(t *testing.T) {
+	s, limiter, first, accepted := fullListener(t, time.Minute)
+	second := dialed(t, s)
+	limiter.awaitWaiting(t, 1)
+	if err := second.Close(); err != nil {
+		t.Fatal(err)
+	}
+	first.CloseGracefully()
+	<-(<-accepted).handler.closed
+	third := dialed(t, s)
+	c := (<-accepted).conn
+	c.Write([]byte("third"), nil)
+	c.CloseGracefully()
+	if text, err := io.ReadAll(third); string(text) != "third" || err != nil {
+		t.Errorf("the place of one that left is lost: %q, %v", text, err)
+	}
+}
+
+func TestConnLimiter_ArrivalWaitsNoLongerThanAllowed(t *testing.T) {
+	s, limiter, _, accepted := fullListener(t, time.Millisecond)
+	if text, err := io.ReadAll(dialed(t, s)); len(text) > 0 || err != nil {
+		t.Errorf("%q, %v", text, err)
+	}
+	limiter.awaitWaiting(t, 0)
+	if len(accepted) != 0 {
+		t.Error("a connection was admitted beyond the limit")
+	}
+}
+
+func TestConnLimiter_FewArrivalsWait(t *testing.T) {
+	s, limiter, _, accepted := fullListener(t, time.Minute)
+	for range maxWaiting {
+		dialed(t, s)
+	}
+	limiter.awaitWaiting(t, maxWaiting)
+	if text, err := io.ReadAll(dialed(t, s)); len(text) > 0 || err != nil {
+		t.Errorf("%q, %v", text, err)
+	}
+	if len(accepted) != 0 {
+		t.Error("a connection was admitted beyond the limit")
+	}
+	limiter.mu.Lock()
+	limiter.Max = 1 + maxWaiting // so that those that wait are admitted, and end with their clients
+	limiter.notifyChange()
+	limiter.mu.Unlock()
+	for range maxWaiting {
+		<-accepted
+	}
+}
