Split the Z39.50 frontend, its protocol and the health frontend by concern

Change: frontend/z3950 is server, association, operation, search, present, update, resultset and eviction; requests and diagnostics are typed. protocol/z3950 is ber, node, rpn, records, update and tags (every field's tag by its name in the standard); ParseUpdate returns an UpdateRequest and a diagnostic. frontend/health is health, agent and http. Units, error texts in Close, agent lines and the field names of Counters (printed by GET /counters) stay.

Tests: the check of ParseUpdate's five results is one of its two, over the same values.

--- /dev/null
+++ b/internal/frontend/z3950/present.go
@@ -0,0 +1,88 @@
+package z3950
+
+import (
+	"fmt"
+
+	"rooktrestle/internal/gateway"
+	"rooktrestle/internal/protocol/z3950"
+)
+
+// presentRequest is a Present unit on a result set.
+type presentRequest struct {
+	set       *resultSet
+	start     int    // position of the first record, from 1
+	number    int    // of records
+	syntax    string // object identifier of the record syntax
+	supported bool   // the record syntax is supported
+}
+
+// last returns the position of the last record.
+func (r *presentRequest) last() int { return r.start + r.number - 1 }
+
+// present handles a Present unit. Records that were not fetched yet are fetched by the search's query again.
+func (a *association) present(unit *z3950.Node) {
+	op := newOperation(unit)
+	request := presentRequest{
+		set:    a.sets[unit.Kid(z3950.FieldResultSetID).Text()],
+		start:  unit.Kid(z3950.FieldStartPoint).IntOr(0),
+		number: unit.Kid(z3950.FieldRecordsRequested).IntOr(-1),
+	}
+	request.syntax, request.supported = recordSyntax(unit)
+	if problem := a.checkPresent(unit, &request); problem != nil {
+		a.fail(op, *problem)
+		return
+	}
+	set, last := request.set, request.last()
+	if last <= set.fetched {
+		a.sendPresent(op, &request)
+		return
+	}
+	a.start(op, func(done func(gateway.Outcome)) (gateway.Cancel, *gateway.Outcome) {
+		return a.server.Service.Search(gateway.Caller{User: a.user}, set.databases, set.query, last, done)
+	}, func(outcome gateway.Outcome) {
+		switch outcome.Kind {
+		case gateway.Complete:
+			set.records, set.fetched = outcome.Records, last
+			a.sendPresent(op, &request)
+		case gateway.Partial:
+			a.fail(op, diagnostic{diagPresentSystemError, outcome.Coverage()})
+		default:
+			a.fail(op, diagnosticOf(outcome))
+		}
+	})
+}
+
+// checkPresent returns the diagnostic of a request that cannot be served, nil if it can.
+func (a *association) checkPresent(unit *z3950.Node, request *presentRequest) *diagnostic {
+	set, start, number := request.set, request.start, request.number
+	maxRecords := a.server.Service.Config.Limits.MaxRecords
+	switch {
+	case set == nil:
+		return &diagnostic{diagNoSuchResultSet, unit.Kid(z3950.FieldResultSetID).Text()}
+	// The last condition is start+number-1 > set.count without its overflow.
+	case start < 1 || number < 0 || number > set.count || start-1 > set.count-number:
+		return &diagnostic{diagPresentOutOfRange, fmt.Sprintf("%d records from %d of %d", number, start, set.count)}
+	case !request.supported:
+		return &diagnostic{diagSyntaxNotSupported, request.syntax}
+	case unit.Kid(z3950.FieldAdditionalRanges) != nil:
+		return &diagnostic{code: diagRangesNotSupported}
+	case request.last() > maxRecords:
+		return &diagnostic{diagResourcesExhausted, fmt.Sprintf("records beyond %d are not kept", maxRecords)}
+	}
+	return nil
+}
+
+// sendPresent responds with records that are fetched, as many as fit.
+func (a *association) sendPresent(op *operation, request *presentRequest) {
+	records := a.fitting(request.set.page(request.start, request.number))
+	next := request.start + len(records)
+	if next > request.set.count {
+		next = nextPositionNone
+	}
+	a.send(z3950.Ctx(z3950.PresentResponse,
+		op.reference,
+		z3950.Num(z3950.FieldRecordsReturned, len(records)),
+		z3950.Num(z3950.FieldNextPosition, next),
+		z3950.Num(z3950.FieldPresentStatus, presentStatus(len(records), request.number)),
+		z3950.Records(request.set.databases[0], request.syntax, records)))
+}
--- /dev/null
+++ b/internal/frontend/z3950/update.go
@@ -0,0 +1,27 @@
+package z3950
+
+import (
+	"rooktrestle/internal/gateway"
+	"rooktrestle/internal/protocol/z3950"
+)
+
+// update handles an extended services request, which has to be a database update of one record.
+func (a *association) update(unit *z3950.Node) {
+	op := newOperation(unit)
+	request, problem := z3950.ParseUpdate(unit)
+	if problem != nil {
+		a.fail(op, diagnostic{problem.Bib1, problem.Details})
+		return
+	}
+	a.start(op, func(done func(gateway.Outcome)) (gateway.Cancel, *gateway.Outcome) {
+		return a.server.Service.Correct(gateway.Caller{User: a.user}, request.Database, request.Action, request.Record, done)
+	}, func(outcome gateway.Outcome) {
+		if outcome.Kind != gateway.Complete {
+			a.fail(op, diagnosticOf(outcome))
+			return
+		}
+		a.send(z3950.Ctx(z3950.EsResponse,
+			op.reference,
+			z3950.Num(z3950.FieldEsOperationStatus, operationStatusDone)))
+	})
+}
--- a/internal/protocol/z3950/ber_test.go
+++ b/internal/protocol/z3950/ber_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"reflect"
 	"strings"
 	"testing"
@@ -9,25 +10,25 @@
 	"rooktrestle/internal/query"
 )
 
-func TestDecodeKnownBytes(t *testing.T) {
-	// A constructed octet string in pieces inside an indefinite length, as old origins send.
+func TestDecode_KnownBytes(t *testing.T) {
+	// A constructed octet string in segments inside an indefinite length, as old origins send.
 	n, rest, err := Decode([]byte("\xb6\x80\xbf\x69\x80\x04\x01a\x04\x02bc\x00\x00\x00\x00tail"))
 	if err != nil || n.Tag != SearchRequest || n.Kid(105).Text() != "abc" || string(rest) != "tail" {
-		t.Errorf("%+v %q %v", n, rest, err)
+		t.Errorf("decoded %+v, then %q, %v", n, rest, err)
 	}
 	for _, bad := range []string{"\x04\x80", "\x30\x02\x04\x05", "\xbf\xff\xff\xff\xff\x01\x00", "\x30\x85\x00\x00\x00\x00\x00", strings.Repeat("\x30\x80", 60)} {
-		if _, _, err := Decode([]byte(bad)); err == nil || err == ErrMore {
-			t.Errorf("%q: %v", bad, err)
+		if _, _, err := Decode([]byte(bad)); err == nil || errors.Is(err, ErrMore) {
+			t.Errorf("malformed %q: %v", bad, err)
 		}
 	}
 	for _, short := range []string{"", "\x30", "\x30\x05\x04", "\xbf", "\x30\x82\x01", "\x30\x80"} {
-		if _, _, err := Decode([]byte(short)); err != ErrMore {
-			t.Errorf("%q: %v", short, err)
+		if _, _, err := Decode([]byte(short)); !errors.Is(err, ErrMore) {
+			t.Errorf("incomplete %q: %v", short, err)
 		}
 	}
 }
 
-func TestIntegersAndOIDs(t *testing.T) {
+func TestIntegersAndOIDs_RoundTrip(t *testing.T) {
 	for _, v := range []int{0, 1, 127, 128, 255, 256, 32767, 32768, 1 << 20, 1 << 30, -1, -128, -129, -70000} {
 		if got, ok := Num(1, v).integer(); !ok || got != v {
 			t.Errorf("%d came back as %d", v, got)
@@ -42,11 +43,11 @@
 		}
 	}
 	if b := oidBytes(oidBib1); string(b) != "\x2a\x86\x48\xce\x13\x03\x01" {
-		t.Errorf("% x", b)
+		t.Errorf("%s is encoded as % x", oidBib1, b)
 	}
 }
 
-func TestQueriesAndUpdatesSurvive(t *testing.T) {
+func TestQueriesAndUpdates_RoundTrip(t *testing.T) {
 	for _, text := range []string{`a and (b or dc.title = "c d*") not dc.date >= 2020`, `cql.resultSetId = one or x`} {
 		tree, err := query.Parse(text)
 		if err != nil {
@@ -69,12 +70,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if base, action, got, code, info := ParseUpdate(n); base != "block-3" || action != query.ActionReplace || got != want || code != 0 {
-		t.Error(base, action, got, code, info)
+	got, problem := ParseUpdate(n)
+	if problem != nil || got.Database != "block-3" || got.Action != query.ActionReplace || got.Record != want {
+		t.Errorf("%+v, diagnostic %+v", got, problem)
 	}
 }
 
-// What decodes encodes to what decodes to the same; no input panics, here or in what reads the units.
+// A decoded value encodes to bytes that decode to the same value. No input makes the decoder or the parsers of units panic.
 func FuzzDecode(f *testing.F) {
 	f.Add(Ctx(SearchRequest, Str(17, "x"), Ctx(18, Str(105, "d")), Ctx(21, Ctx(1))).Encode(nil))
 	f.Add(Update("r", "d", query.ActionDelete, query.Record{ID: "1"}).Encode(nil))
@@ -88,8 +90,8 @@
 		if err != nil || len(rest) > 0 || !bytes.Equal(n.Encode(nil), again.Encode(nil)) {
 			t.Fatalf("%+v came back as %+v, %v", n, again, err)
 		}
-		ParseRPN(n.Kid(21))
-		ParseUpdate(n)
-		ParseRecords(n)
+		_, _ = ParseRPN(n.Kid(FieldQuery)) // only a panic is a fault
+		_, _ = ParseUpdate(n)
+		_, _ = ParseRecords(n)
 	})
 }
--- /dev/null
+++ b/internal/protocol/z3950/records.go
@@ -0,0 +1,121 @@
+package z3950
+
+import "rooktrestle/internal/query"
+
+// diagUnspecified is the bib-1 diagnostic of an unspecified error.
+const diagUnspecified = 100
+
+// Context tags of records in a response, and of the encodings of an EXTERNAL.
+const (
+	recordDatabase            = 0
+	recordContent             = 1
+	recordRetrieved           = 1 // within the content
+	recordSurrogateDiagnostic = 2 // within the content: why the record is missing
+	externalSingleType        = 0
+	externalOctets            = 1
+)
+
+// Diagnostic returns a diagnostic of the bib-1 set (DefaultDiagFormat) with a context tag.
+func Diagnostic(tag, code int, details string) *Node {
+	return Ctx(tag, diagnosticFields(code, details)...)
+}
+
+// DiagnosticSequence returns a diagnostic of the bib-1 set (DefaultDiagFormat) as a SEQUENCE.
+func DiagnosticSequence(code int, details string) *Node {
+	return sequence(diagnosticFields(code, details)...)
+}
+
+func diagnosticFields(code int, details string) []*Node {
+	return []*Node{
+		Oid(Universal, tagOID, oidDiag),
+		primitive(Universal, tagInteger, integerBytes(code)),
+		primitive(Universal, tagGeneral, []byte(details)),
+	}
+}
+
+// ParseDiagnostic reads a DefaultDiagFormat. It returns nil if n is absent or none.
+func ParseDiagnostic(n *Node) *query.Diagnostic {
+	if n == nil || len(n.Kids) < 2 {
+		return nil
+	}
+	d := &query.Diagnostic{Bib1: n.Kids[1].IntOr(diagUnspecified)}
+	if len(n.Kids) > 2 {
+		d.Details = n.Kids[2].Text()
+	}
+	return d
+}
+
+// externalXML returns an EXTERNAL of XML, as octets.
+func externalXML(text string) *Node {
+	return constructed(Universal, tagExternal, Oid(Universal, tagOID, OidXML), Str(externalOctets, text))
+}
+
+// externalSUTRS returns an EXTERNAL of plain text, as one GeneralString.
+func externalSUTRS(text string) *Node {
+	return constructed(Universal, tagExternal,
+		Oid(Universal, tagOID, OidSUTRS),
+		Ctx(externalSingleType, primitive(Universal, tagGeneral, []byte(text))))
+}
+
+// parseExternal returns the text of an EXTERNAL, which is octets or one string; empty if n is absent or no EXTERNAL.
+func parseExternal(n *Node) (text string) {
+	if n == nil || n.Class != Universal || n.Tag != tagExternal {
+		return ""
+	}
+	for _, kid := range n.Kids {
+		switch {
+		case kid.is(externalSingleType):
+			text = kid.Only().Text()
+		case kid.is(externalOctets):
+			text = kid.Text()
+		}
+	}
+	return text
+}
+
+// Records returns the field of a response that carries records of a database, in a record syntax: as OidSUTRS, or else as
+// OidXML.
+func Records(database, syntax string, list []query.Record) *Node {
+	records := Ctx(FieldRecords)
+	for _, r := range list {
+		external := externalXML(r.XML)
+		if syntax == OidSUTRS {
+			external = externalSUTRS(r.XML)
+		}
+		records.Kids = append(records.Kids, sequence(
+			Str(recordDatabase, database),
+			Ctx(recordContent, Ctx(recordRetrieved, external))))
+	}
+	return records
+}
+
+// ParseRecords returns the records in a response, and the diagnostic, if there is one, of the response or of the first
+// record that is missing.
+func ParseRecords(response *Node) (list []query.Record, d *query.Diagnostic) {
+	if d = ParseDiagnostic(response.Kid(FieldDiagnostic)); d != nil {
+		return nil, d
+	}
+	if many := response.Kid(fieldMultiDiagnostics); many != nil && len(many.Kids) > 0 {
+		return nil, ParseDiagnostic(many.Kids[0])
+	}
+	records := response.Kid(FieldRecords)
+	if records == nil {
+		return nil, nil
+	}
+	for _, record := range records.Kids {
+		content := record.Kid(recordContent).Only()
+		if content == nil {
+			continue
+		}
+		if content.is(recordSurrogateDiagnostic) {
+			if d == nil {
+				d = ParseDiagnostic(content.Only())
+			}
+			continue
+		}
+		if text := parseExternal(content.Only()); text != "" {
+			list = append(list, query.Record{XML: text})
+		}
+	}
+	return list, d
+}
--- /dev/null
+++ b/internal/protocol/z3950/rpn.go
@@ -0,0 +1,175 @@
+package z3950
+
+import (
+	"errors"
+	"strings"
+
+	"rooktrestle/internal/query"
+)
+
+// rpnOperators are the operators of a type-1 query by their context tags.
+var rpnOperators = []query.Operator{query.And, query.Or, query.Not}
+
+// Diagnostics of queries that cannot be read, in the diagnostic sets of both protocols.
+
+func malformedQuery(details string) error {
+	return &query.Error{SRU: 10, Bib1: 108, Details: details}
+}
+
+func unsupportedQueryType(details string) error {
+	return &query.Error{SRU: 11, Bib1: 107, Details: details}
+}
+
+func nestedTooDeep() error {
+	return &query.Error{SRU: 13, Bib1: 3, Details: "nested too deep"}
+}
+
+func unsupportedAttributeSet(oid string) error {
+	return &query.Error{SRU: 15, Bib1: 121, Details: oid}
+}
+
+func unsupportedAttribute() error {
+	return &query.Error{SRU: 24, Bib1: 113, Details: "attribute"}
+}
+
+func unsupportedTerm() error {
+	return &query.Error{SRU: 24, Bib1: 229, Details: "term"}
+}
+
+func unsupportedOperator(details string) error {
+	return &query.Error{SRU: 37, Bib1: 110, Details: details}
+}
+
+// Rpn returns a query as a type-1 query (RPN) with attributes of bib-1. The error is a *query.Error if the query cannot be
+// expressed so.
+func Rpn(n query.Node) (*Node, error) {
+	structure, err := rpnStructure(query.ExpandAny(n))
+	if err != nil {
+		return nil, err
+	}
+	return Ctx(queryType1, Oid(Universal, tagOID, oidBib1), structure), nil
+}
+
+func rpnStructure(n query.Node) (*Node, error) {
+	switch n := n.(type) {
+	case *query.Boolean:
+		left, err := rpnStructure(n.Left)
+		if err != nil {
+			return nil, err
+		}
+		right, err := rpnStructure(n.Right)
+		if err != nil {
+			return nil, err
+		}
+		operator := map[query.Operator]int{query.And: 0, query.Or: 1, query.Not: 2}[n.Operator]
+		return Ctx(rpnOperation, left, right, Ctx(rpnOperator, primitive(Context, operator, nil))), nil
+	case *query.ResultSet:
+		return Ctx(rpnOperand, Str(operandResultSet, n.Name)), nil
+	case *query.Clause:
+		attributes, term, err := query.Attributes(n)
+		if err != nil {
+			return nil, err
+		}
+		list := Ctx(clauseAttributes)
+		for _, attribute := range attributes {
+			list.Kids = append(list.Kids, sequence(Num(attributeType, attribute.Type), Num(attributeValue, attribute.Value)))
+		}
+		return Ctx(rpnOperand, Ctx(operandClause, list, Str(clauseGeneralTerm, term))), nil
+	}
+	return nil, errors.New("z3950: no such query")
+}
+
+// ParseRPN reads the query field of a search. The error is a *query.Error, which says why the query is rejected.
+func ParseRPN(field *Node) (query.Node, error) {
+	rpn := field.Only() // the query is a choice inside an explicit tag
+	if rpn == nil {
+		return nil, malformedQuery("no query")
+	}
+	if !rpn.is(queryType1) {
+		return nil, unsupportedQueryType("only type 1")
+	}
+	if len(rpn.Kids) != 2 {
+		return nil, malformedQuery("rpn")
+	}
+	if set := rpn.Kids[0].Oid(); set != oidBib1 {
+		return nil, unsupportedAttributeSet(set)
+	}
+	tree, err := parseStructure(rpn.Kids[1], 1)
+	if err != nil {
+		return nil, err
+	}
+	return tree, query.CheckLimits(tree)
+}
+
+func parseStructure(structure *Node, depth int) (query.Node, error) {
+	if depth > query.MaxDepth {
+		return nil, nestedTooDeep()
+	}
+	if structure.is(rpnOperand) {
+		return parseOperand(structure.Only())
+	}
+	if !structure.is(rpnOperation) || len(structure.Kids) != 3 {
+		return nil, malformedQuery("rpn structure")
+	}
+	left, err := parseStructure(structure.Kids[0], depth+1)
+	if err != nil {
+		return nil, err
+	}
+	right, err := parseStructure(structure.Kids[1], depth+1)
+	if err != nil {
+		return nil, err
+	}
+	operator, err := parseOperator(structure.Kids[2])
+	if err != nil {
+		return nil, err
+	}
+	return &query.Boolean{Operator: operator, Left: left, Right: right}, nil
+}
+
+func parseOperator(field *Node) (query.Operator, error) {
+	operator := field.Only()
+	if !field.is(rpnOperator) || operator == nil || operator.Class != Context {
+		return "", malformedQuery("operator")
+	}
+	if operator.Tag >= len(rpnOperators) {
+		return "", unsupportedOperator("prox")
+	}
+	return rpnOperators[operator.Tag], nil
+}
+
+func parseOperand(operand *Node) (query.Node, error) {
+	if operand == nil {
+		return nil, malformedQuery("operand")
+	}
+	if operand.is(operandResultSet) {
+		return &query.ResultSet{Name: operand.Text()}, nil
+	}
+	if !operand.is(operandClause) || len(operand.Kids) != 2 || !operand.Kids[0].is(clauseAttributes) {
+		return nil, malformedQuery("operand")
+	}
+	attributes, err := parseAttributes(operand.Kids[0])
+	if err != nil {
+		return nil, err
+	}
+	term := operand.Kids[1]
+	if !term.is(clauseGeneralTerm) && !term.is(clauseCharacterTerm) {
+		return nil, unsupportedTerm()
+	}
+	return query.ClauseFromAttributes(attributes, strings.ToValidUTF8(term.Text(), "\uFFFD"))
+}
+
+func parseAttributes(list *Node) ([]query.Attribute, error) {
+	var attributes []query.Attribute
+	for _, attribute := range list.Kids {
+		if set := attribute.Kid(attributeSet); set != nil && set.Oid() != oidBib1 {
+			return nil, unsupportedAttributeSet(set.Oid())
+		}
+		kind, hasKind := attribute.Kid(attributeType).integer()
+		value, hasValue := attribute.Kid(attributeValue).integer()
+		if !hasKind || !hasValue {
+			return nil, unsupportedAttribute()
+		}
+		attributes = append(attributes, query.Attribute{Type: kind, Value: value})
+	}
+	return attributes, nil
+}
