Split SRU's protocol by concern and name its diagnostics

Change: protocol/sru is sru (diagnostics), xml, search, update and response; SearchResponse takes a SearchResult; diagnostics are named constants; the handling of recordData is once for updates and responses. frontend/sru is server, failure (typed) and explain. Documents, statuses, headers and the texts of diagnostics stay.

Tests renamed only; the call of SearchResponse takes the struct.

--- a/internal/frontend/sru/server.go
+++ b/internal/frontend/sru/server.go
@@ -1,9 +1,7 @@
-// Package sru is the SRU front: a server.
+// Package sru is the SRU frontend: a server of searches, record updates and explain on the databases of a gateway.
 package sru
 
 import (
-	"fmt"
-	"math"
 	"net/url"
 	"strconv"
 	"strings"
@@ -15,166 +13,155 @@
 	"rooktrestle/internal/query"
 )
 
-// Server is the SRU front.
+// defaultMaxRecords is the number of records in a response if the request gives none.
+const defaultMaxRecords = 10
+
+// Server is the SRU frontend. It has no state of its own.
 type Server struct{ Service *gateway.Service }
 
-// Handle answers one request: /DATABASE with the parameters of SRU, or an update in a POST of OIDXML.
+// Handle answers one request, now or when its outcome is known: /DATABASE with the parameters of SRU in the query string
+// or in a form, or an update in a POST of XML. Without a database it is for the first one.
 func (s *Server) Handle(x *httpserve.Exchange) {
-	path, text, _ := strings.Cut(x.Target, "?")
-	name, err := url.PathUnescape(strings.Trim(path, "/"))
+	path, paramsText, _ := strings.Cut(x.Target, "?")
+	database, err := url.PathUnescape(strings.Trim(path, "/"))
 	if err != nil {
 		x.Respond(400, []byte("path\n"))
 		return
 	}
-	if name == "" {
-		name = s.Service.Config.Databases[0].Name
+	if database == "" {
+		database = s.Service.Config.Databases[0].Name
 	}
-	base := s.Service.Database(name)
-	kind, _, _ := strings.Cut(x.Header.Get("Content-Type"), ";")
+	contentType, _, _ := strings.Cut(x.Header.Get("Content-Type"), ";")
+	contentType = strings.TrimSpace(contentType)
 	switch {
-	case x.Method == "POST" && strings.HasSuffix(strings.TrimSpace(kind), "xml"):
-		s.update(x, name)
+	case x.Method == "POST" && strings.HasSuffix(contentType, "xml"):
+		s.update(x, database)
 		return
-	case x.Method == "POST" && strings.TrimSpace(kind) == "application/x-www-form-urlencoded":
-		text = string(x.Body)
+	case x.Method == "POST" && contentType == "application/x-www-form-urlencoded":
+		paramsText = string(x.Body)
 	case x.Method != "GET" && x.Method != "HEAD":
 		x.Respond(405, []byte("GET or POST\n"), "Allow", "GET, HEAD, POST")
 		return
 	}
-	params, err := url.ParseQuery(text)
+	s.query(x, database, paramsText)
+}
+
+// query answers a search or an explain.
+func (s *Server) query(x *httpserve.Exchange, name, paramsText string) {
+	params, err := url.ParseQuery(paramsText)
 	if err != nil {
-		s.refuse(x, sru.NewFault(6, "the query string cannot be read"))
+		respondFault(x, sru.NewFault(sru.UnsupportedValue, "the query string cannot be read"))
 		return
 	}
-	r, err := sru.ParseRequest(params)
+	request, err := sru.ParseRequest(params)
 	if err != nil {
-		s.refuse(x, sru.AsFault(err))
+		respondFault(x, sru.AsFault(err))
 		return
 	}
-	if base == nil {
-		s.refuse(x, sru.NewFault(235, name))
+	database := s.Service.Database(name)
+	if database == nil {
+		respondFault(x, sru.NewFault(sru.DatabaseDoesNotExist, name))
 		return
 	}
-	if r.Operation == "explain" {
-		x.Respond(200, s.explain(base), "Content-Type", sru.XMLType)
+	if request.Operation == sru.OperationExplain {
+		respondXML(x, s.explain(database))
 		return
 	}
-	s.search(x, base, r)
+	s.search(x, database, request)
 }
 
-func (s *Server) refuse(x *httpserve.Exchange, f *sru.Fault) {
-	x.Respond(200, sru.SearchResponse(0, nil, 1, 0, "xml", []query.Diagnostic{f.Diagnose()}), "Content-Type", sru.XMLType)
+// respondXML answers with a document.
+func respondXML(x *httpserve.Exchange, body []byte) {
+	x.Respond(200, body, "Content-Type", sru.XMLType)
 }
 
-func (s *Server) search(x *httpserve.Exchange, base *config.Database, r sru.Request) {
+// respondFault answers with a diagnostic in the response to a search, whatever the operation was.
+func respondFault(x *httpserve.Exchange, fault *sru.Fault) {
+	respondXML(x, failedSearch([]query.Diagnostic{fault.Diagnostic()}))
+}
+
+// failedSearch prints the response to a search without results.
+func failedSearch(diagnostics []query.Diagnostic) []byte {
+	return sru.SearchResponse(sru.SearchResult{StartRecord: 1, Packing: sru.PackingXML, Diagnostics: diagnostics})
+}
+
+// search answers a search.
+func (s *Server) search(x *httpserve.Exchange, database *config.Database, request sru.Request) {
 	limit := s.Service.Config.Limits.MaxRecords
-	if r.Most < 0 {
-		r.Most = min(10, limit)
+	if request.MaxRecords < 0 {
+		request.MaxRecords = min(defaultMaxRecords, limit)
 	}
-	if r.Schema != "" && r.Schema != "dc" && r.Schema != sru.DefaultSchema {
-		s.refuse(x, sru.NewFault(66, r.Schema))
+	if request.Schema != "" && request.Schema != "dc" && request.Schema != sru.DefaultSchema {
+		respondFault(x, sru.NewFault(sru.UnknownSchema, request.Schema))
 		return
 	}
-	if r.Start > limit {
-		s.refuse(x, sru.NewFault(61, strconv.Itoa(r.Start)))
+	if request.StartRecord > limit {
+		respondFault(x, sru.NewFault(sru.FirstRecordOutOfRange, strconv.Itoa(request.StartRecord)))
 		return
 	}
-	r.Most = min(r.Most, limit-r.Start+1)
-	answer := func(o gateway.Outcome) {
-		if o.Kind != gateway.Complete && o.Kind != gateway.Partial {
-			status, ds, fields := troubles(o)
-			x.Respond(status, sru.SearchResponse(0, nil, 1, 0, "xml", ds), fields...)
+	request.MaxRecords = min(request.MaxRecords, limit-request.StartRecord+1)
+	respond := func(outcome gateway.Outcome) {
+		if outcome.Kind != gateway.Complete && outcome.Kind != gateway.Partial {
+			f := failureOf(outcome)
+			x.Respond(f.status, failedSearch(f.diagnostics), f.fields...)
 			return
 		}
-		var ds []query.Diagnostic
-		if o.Kind == gateway.Partial {
-			ds = append(ds, sru.NewFault(59, o.Coverage()).Diagnose())
-		}
-		if r.Start > 1 && r.Start > o.Count {
-			ds = append(ds, sru.NewFault(61, strconv.Itoa(r.Start)).Diagnose())
-		}
-		records := o.Page(r.Start, r.Most)
-		next := 0
-		if end := r.Start + len(records); len(records) > 0 && end <= o.Count {
-			next = end
-		}
-		x.Respond(200, sru.SearchResponse(o.Count, records, r.Start, next, r.Packing, ds), "Content-Type", sru.XMLType)
+		respondXML(x, sru.SearchResponse(searchResult(&request, &outcome)))
 	}
-	cancel, known := s.Service.Search(gateway.Caller{}, []string{base.Name}, r.Query, r.Start-1+r.Most, answer)
-	wait(x, cancel, known, answer)
+	lastRecord := request.StartRecord - 1 + request.MaxRecords
+	cancel, known := s.Service.Search(gateway.Caller{}, []string{database.Name}, request.Query, lastRecord, respond)
+	await(x, cancel, known, respond)
 }
 
-// wait leaves a request to its outcome, or gives it up if the client has left.
-func wait(x *httpserve.Exchange, cancel gateway.Cancel, known *gateway.Outcome, answer func(gateway.Outcome)) {
-	if known != nil {
-		answer(*known)
-	} else if !x.OnDisconnect(cancel) {
-		cancel() // answered already, or the client is gone: nothing of it is left to give up, or all of it
-	}
-}
-
-// troubles words an outcome that is no answer. Refusals also say so in the status, with when to come back.
-func troubles(o gateway.Outcome) (status int, ds []query.Diagnostic, fields []string) {
-	fields = []string{"Content-Type", sru.XMLType}
-	one := func(f *sru.Fault) []query.Diagnostic { return []query.Diagnostic{f.Diagnose()} }
-	switch o.Kind {
-	case gateway.Rejected:
-		if o.RetryAfter > 0 {
-			fields = append(fields, "Retry-After", strconv.Itoa(int(math.Ceil(o.RetryAfter.Seconds()))))
-		}
-		return 503, one(sru.NewFault(2, fmt.Sprintf("refused; asking again is harmless, after %v", o.RetryAfter))), fields
-	case gateway.TimedOut:
-		return 200, one(sru.NewFault(1, "timed out")), fields
-	case gateway.UnknownDatabase:
-		return 200, one(sru.NewFault(235, o.Details)), fields
-	case gateway.ReadOnly:
-		return 200, one(sru.NewFault(4, "update of "+o.Details)), fields
-	case gateway.ServerDiagnostic:
-		d := *o.Diagnostic
-		if d.SRU == "" {
-			d.SRU, d.Details = sru.Diag+"1", fmt.Sprintf("bib-1 %d %s", d.Bib1, d.Details)
-		}
-		return 200, []query.Diagnostic{d}, fields
-	}
-	return 200, one(sru.NewFault(1, strings.TrimSpace("failed "+o.Details))), fields
+// searchResult returns the page of an outcome that a request is for. A partial outcome and a page beyond the results are
+// marked by diagnostics.
+func searchResult(request *sru.Request, outcome *gateway.Outcome) sru.SearchResult {
+	result := sru.SearchResult{
+		Count:       outcome.Count,
+		Records:     outcome.Page(request.StartRecord, request.MaxRecords),
+		StartRecord: request.StartRecord,
+		Packing:     request.Packing,
+	}
+	if outcome.Kind == gateway.Partial {
+		fault := sru.NewFault(sru.PartialResults, outcome.Coverage())
+		result.Diagnostics = append(result.Diagnostics, fault.Diagnostic())
+	}
+	if request.StartRecord > 1 && request.StartRecord > outcome.Count {
+		fault := sru.NewFault(sru.FirstRecordOutOfRange, strconv.Itoa(request.StartRecord))
+		result.Diagnostics = append(result.Diagnostics, fault.Diagnostic())
+	}
+	next := request.StartRecord + len(result.Records)
+	if len(result.Records) > 0 && next <= outcome.Count {
+		result.NextRecord = next
+	}
+	return result
 }
 
-func (s *Server) update(x *httpserve.Exchange, name string) {
-	u, err := sru.ParseUpdate(x.Body)
+// update answers an update of a record in a database.
+func (s *Server) update(x *httpserve.Exchange, database string) {
+	update, err := sru.ParseUpdate(x.Body)
 	if err != nil {
-		x.Respond(200, sru.UpdateResponse(false, u.Record.ID, []query.Diagnostic{sru.AsFault(err).Diagnose()}), "Content-Type", sru.XMLType)
+		diagnostics := []query.Diagnostic{sru.AsFault(err).Diagnostic()}
+		respondXML(x, sru.UpdateResponse(false, update.Record.ID, diagnostics))
 		return
 	}
-	answer := func(o gateway.Outcome) {
-		if o.Kind == gateway.Complete {
-			x.Respond(200, sru.UpdateResponse(true, u.Record.ID, nil), "Content-Type", sru.XMLType)
+	respond := func(outcome gateway.Outcome) {
+		if outcome.Kind != gateway.Complete {
+			f := failureOf(outcome)
+			x.Respond(f.status, sru.UpdateResponse(false, update.Record.ID, f.diagnostics), f.fields...)
 			return
 		}
-		status, ds, fields := troubles(o)
-		x.Respond(status, sru.UpdateResponse(false, u.Record.ID, ds), fields...)
+		respondXML(x, sru.UpdateResponse(true, update.Record.ID, nil))
 	}
-	cancel, known := s.Service.Correct(gateway.Caller{}, name, u.Action, u.Record, answer)
-	wait(x, cancel, known, answer)
+	cancel, known := s.Service.Correct(gateway.Caller{}, database, update.Action, update.Record, respond)
+	await(x, cancel, known, respond)
 }
 
-func (s *Server) explain(d *config.Database) []byte {
-	host, port, _ := strings.Cut(s.Service.Config.Listen.SRU, ":")
-	title := d.Title
-	if title == "" {
-		title = d.Name
-	}
-	var idx strings.Builder
-	for _, name := range query.IndexNames() {
-		set, short, _ := strings.Cut(name, ".")
-		fmt.Fprintf(&idx, `<index search="true" scan="false" sort="false"><title>%s</title><map><name set="%s">%s</name></map></index>`,
-			sru.Esc(name), sru.Esc(set), sru.Esc(short))
-	}
-	return fmt.Appendf(nil, sru.Head+`<explainResponse xmlns="%s"><version>1.2</version><record>`+
-		`<recordSchema>http://explain.z3950.org/dtd/2.0/</recordSchema><recordPacking>xml</recordPacking><recordData>`+
-		`<explain xmlns="http://explain.z3950.org/dtd/2.0/"><serverInfo protocol="SRU" version="1.2" transport="http" method="GET POST">`+
-		`<host>%s</host><port>%s</port><database>%s</database></serverInfo><databaseInfo><title>%s</title></databaseInfo>`+
-		`<indexInfo>%s</indexInfo><schemaInfo><schema identifier="%s" name="dc"><title>Dublin Core</title></schema></schemaInfo>`+
-		`<configInfo><default type="numberOfRecords">10</default><setting type="maximumRecords">%d</setting></configInfo>`+
-		`</explain></recordData></record></explainResponse>`+"\n",
-		sru.NsSRW, sru.Esc(host), sru.Esc(port), sru.Esc(d.Name), sru.Esc(title), idx.String(), sru.DefaultSchema, s.Service.Config.Limits.MaxRecords)
+// await responds at once if the outcome is known, and otherwise cancels the request if the client disconnects before it is.
+func await(x *httpserve.Exchange, cancel gateway.Cancel, known *gateway.Outcome, respond func(gateway.Outcome)) {
+	if known != nil {
+		respond(*known)
+	} else if !x.OnDisconnect(cancel) {
+		cancel() // the client has disconnected, or was answered meanwhile: cancelling then does nothing
+	}
 }
--- /dev/null
+++ b/internal/protocol/sru/search.go
@@ -0,0 +1,199 @@
+package sru
+
+import (
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"rooktrestle/internal/query"
+)
+
+// Operations of a Request.
+const (
+	OperationExplain = "explain"
+	OperationSearch  = "searchRetrieve"
+)
+
+// Request is a searchRetrieve or an explain request.
+type Request struct {
+	Operation   string
+	Query       query.Node
+	CQL         string // text of the query
+	StartRecord int    // position of the first record, from 1
+	MaxRecords  int    // records requested; negative: not given
+	Packing     string // PackingXML or PackingString
+	Schema      string // of records; empty: not given
+}
+
+// ParseRequest reads the parameters of a request; without any it is an explain. The error is a *Fault.
+func ParseRequest(params url.Values) (Request, error) {
+	request := Request{StartRecord: 1, MaxRecords: -1, Packing: PackingXML, Operation: params.Get("operation")}
+	if len(params) == 0 {
+		request.Operation = OperationExplain
+		return request, nil
+	}
+	for name, values := range params {
+		if len(values) > 1 {
+			return request, NewFault(UnsupportedValue, name)
+		}
+	}
+	if err := checkVersion(params.Get("version")); err != nil {
+		return request, err
+	}
+	switch request.Operation {
+	case OperationExplain:
+		return request, nil
+	case OperationSearch:
+	case "":
+		return request, NewFault(MissingParameter, "operation")
+	default:
+		return request, NewFault(UnsupportedOperation, request.Operation)
+	}
+	for name, values := range params {
+		if err := request.setParameter(name, values[0]); err != nil {
+			return request, err
+		}
+	}
+	if request.CQL == "" {
+		return request, NewFault(MissingParameter, "query")
+	}
+	if err := request.parseQuery(); err != nil {
+		return request, err
+	}
+	return request, nil
+}
+
+func checkVersion(version string) error {
+	switch version {
+	case "1.1", "1.2":
+		return nil
+	case "":
+		return NewFault(MissingParameter, "version")
+	}
+	return NewFault(UnsupportedVersion, "1.2")
+}
+
+// setParameter takes one parameter of a search.
+func (r *Request) setParameter(name, value string) error {
+	switch name {
+	case "version", "operation", "resultSetTTL":
+	case "query":
+		r.CQL = value
+	case "startRecord":
+		return setNumber(&r.StartRecord, name, value, 1)
+	case "maximumRecords":
+		return setNumber(&r.MaxRecords, name, value, 0)
+	case "recordPacking":
+		if value != PackingXML && value != PackingString {
+			return NewFault(UnsupportedPacking, value)
+		}
+		r.Packing = value
+	case "recordSchema":
+		r.Schema = value
+	case "sortKeys":
+		if value != "" {
+			return NewFault(SortUnsupported, value)
+		}
+	case "stylesheet":
+		return NewFault(StylesheetsUnsupported, value)
+	default:
+		if !strings.HasPrefix(name, "x-") { // an extension, which may be ignored
+			return NewFault(UnsupportedParameter, name)
+		}
+	}
+	return nil
+}
+
+// setNumber takes a parameter that is a number from a minimum on.
+func setNumber(field *int, name, value string, minimum int) error {
+	number, err := strconv.Atoi(value)
+	if err != nil || number < minimum {
+		return NewFault(UnsupportedValue, name)
+	}
+	*field = number
+	return nil
+}
+
+// parseQuery reads the query, in which result sets cannot be named.
+func (r *Request) parseQuery() error {
+	tree, err := query.Parse(r.CQL)
+	if err != nil {
+		return AsFault(err)
+	}
+	_, err = query.ResolveResultSets(tree, func(string) (query.Node, error) {
+		return nil, NewFault(ResultSetsUnsupported, "cql.resultSetId")
+	})
+	if err != nil {
+		return err
+	}
+	r.Query = tree
+	return nil
+}
+
+// SearchTarget returns the request target of a search on a database, for a GET.
+func SearchTarget(database, cql string, startRecord, maxRecords int) string {
+	params := url.Values{
+		"operation": {OperationSearch}, "version": {"1.2"}, "query": {cql}, "recordPacking": {PackingXML},
+		"startRecord": {strconv.Itoa(startRecord)}, "maximumRecords": {strconv.Itoa(maxRecords)},
+	}
+	return "/" + url.PathEscape(database) + "?" + params.Encode()
+}
+
+// SearchResult is what the response to a search says.
+type SearchResult struct {
+	Count       int // records that match
+	Records     []query.Record
+	StartRecord int    // position of the first of Records, from 1
+	NextRecord  int    // position of the record after Records; 0: there is none
+	Packing     string // PackingXML or PackingString
+	Diagnostics []query.Diagnostic
+}
+
+// SearchResponse prints the response to a search.
+func SearchResponse(result SearchResult) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, XMLHeader+`<searchRetrieveResponse xmlns="%s"><version>1.2</version><numberOfRecords>%d</numberOfRecords>`,
+		NamespaceSRW, result.Count)
+	if len(result.Records) > 0 {
+		b.WriteString("<records>")
+		for i, record := range result.Records {
+			b.WriteString(recordElement(record, result.Packing, result.StartRecord+i))
+		}
+		b.WriteString("</records>")
+	}
+	if result.NextRecord > 0 {
+		fmt.Fprintf(&b, "<nextRecordPosition>%d</nextRecordPosition>", result.NextRecord)
+	}
+	b.WriteString(diagnosticsElement(result.Diagnostics))
+	b.WriteString("</searchRetrieveResponse>\n")
+	return []byte(b.String())
+}
+
+// recordElement prints one record of a response.
+func recordElement(record query.Record, packing string, position int) string {
+	data := record.XML
+	// A record that is not XML would break the whole response.
+	if _, err := parseXML([]byte(data)); err != nil {
+		packing = PackingString
+	}
+	if packing == PackingString {
+		data = EscapeText(data)
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "<record><recordSchema>%s</recordSchema><recordPacking>%s</recordPacking><recordData>%s</recordData>",
+		EscapeText(schemaOf(record)), packing, data)
+	if record.ID != "" {
+		fmt.Fprintf(&b, "<recordIdentifier>%s</recordIdentifier>", EscapeText(record.ID))
+	}
+	fmt.Fprintf(&b, "<recordPosition>%d</recordPosition></record>", position)
+	return b.String()
+}
+
+// schemaOf returns the schema of a record, DefaultSchema if it names none.
+func schemaOf(record query.Record) string {
+	if record.Schema == "" {
+		return DefaultSchema
+	}
+	return record.Schema
+}
--- a/internal/protocol/sru/sru_test.go
+++ b/internal/protocol/sru/sru_test.go
@@ -10,7 +10,7 @@
 	"rooktrestle/internal/query"
 )
 
-func TestParametersNameTheirFaults(t *testing.T) {
+func TestParseRequest_Diagnostics(t *testing.T) {
 	good := "operation=searchRetrieve&version=1.2&query=cat"
 	for more, want := range map[string]int{
 		"": 0, "&maximumRecords=0&startRecord=3&recordPacking=string&x-any=1": 0, "&startRecord=0": 6, "&maximumRecords=-1": 6,
@@ -40,7 +40,7 @@
 	}
 }
 
-func TestUpdatesSurvive(t *testing.T) {
+func TestUpdates_RoundTripAndDiagnostics(t *testing.T) {
 	for _, u := range []Update{
 		{query.ActionReplace, query.Record{ID: `3:<&"`, Schema: DefaultSchema, XML: `<a x="1"><b/></a>`}},
 		{query.ActionDelete, query.Record{ID: "1:x"}},
@@ -65,8 +65,8 @@
 	}
 }
 
-// A record keeps the names that were declared around it, and one that is not OIDXML does not break the answer.
-func TestRecordsKeepTheirNames(t *testing.T) {
+// A record keeps the namespace prefixes that were declared around it, and one that is not XML does not break the response.
+func TestRecords_KeepNamespacePrefixes(t *testing.T) {
 	in := `<z:searchRetrieveResponse xmlns:z="http://www.loc.gov/zing/srw/" xmlns:dc="http://purl.org/dc/elements/1.1/">` +
 		`<z:numberOfRecords>1</z:numberOfRecords><z:records><z:record><z:recordPacking>xml</z:recordPacking>` +
 		`<z:recordData><dc:title>x</dc:title></z:recordData></z:record></z:records></z:searchRetrieveResponse>`
@@ -78,7 +78,9 @@
 	if err := xml.Unmarshal([]byte(r.Records[0].XML), &title); err != nil || title.XMLName.Space != "http://purl.org/dc/elements/1.1/" {
 		t.Errorf("%s: %v %v", r.Records[0].XML, title, err)
 	}
-	out := SearchResponse(2, append(r.Records, query.Record{XML: "<broken"}), 1, 0, "xml", nil)
+	out := SearchResponse(SearchResult{
+		Count: 2, Records: append(r.Records, query.Record{XML: "<broken"}), StartRecord: 1, Packing: PackingXML,
+	})
 	again, err := ParseResponse(out)
 	if err != nil || len(again.Records) != 2 || again.Records[1].XML != "<broken" || again.Records[0].XML != r.Records[0].XML {
 		t.Errorf("%s: %+v %v", out, again, err)
