--- /dev/null
+++ b/internal/frontend/grpchealth/asker.go
@@ -0,0 +1,152 @@
+package grpchealth
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/status"
+)
+
+const (
+	maxConns         = 1024        // servers with a connection; beyond it the one unused for longest is closed
+	connIdleTimeout  = time.Minute // an unused connection is closed after it
+	maxChecks        = 256         // that run at once
+	maxCheckTimeout  = time.Minute
+	maxCheckResponse = 64 << 10 // bytes
+)
+
+// Asker checks gRPC servers on behalf of an aggregator, which asks over HTTP: GET /check?addr=&service=&timeout=. The
+// response has status 200 if the server serves, 503 if it says that it does not (or if too many checks run), and 502 if it
+// gave no answer; the body says why. Connections are kept for further checks until Close.
+type Asker struct {
+	mu     sync.Mutex
+	conns  map[string]*clientConn // by the server's address
+	checks chan struct{}          // holds one element for each running check
+}
+
+// clientConn is a connection to a server.
+type clientConn struct {
+	conn     *grpc.ClientConn
+	lastUsed time.Time
+	users    int // checks that run on it
+}
+
+// close closes the connection. A check that runs on it fails.
+func (c *clientConn) close() {
+	_ = c.conn.Close() // it fails only for a connection that is closed already
+}
+
+// NewAsker returns an Asker without connections.
+func NewAsker() *Asker {
+	return &Asker{conns: map[string]*clientConn{}, checks: make(chan struct{}, maxChecks)}
+}
+
+// ServeHTTP performs one check.
+func (a *Asker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	params := r.URL.Query()
+	timeout, err := time.ParseDuration(params.Get("timeout"))
+	if r.URL.Path != "/check" || params.Get("addr") == "" || err != nil || timeout <= 0 || timeout > maxCheckTimeout {
+		http.Error(w, "GET /check?addr=HOST:PORT&service=NAME&timeout=1s", http.StatusBadRequest)
+		return
+	}
+	select {
+	case a.checks <- struct{}{}:
+		defer func() { <-a.checks }()
+	default:
+		http.Error(w, "too many checks at once", http.StatusServiceUnavailable)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), timeout)
+	defer cancel()
+	serving, err := a.check(ctx, params.Get("addr"), params.Get("service"))
+	switch {
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusBadGateway)
+	case serving != healthpb.HealthCheckResponse_SERVING:
+		http.Error(w, serving.String(), http.StatusServiceUnavailable)
+	default:
+		_, _ = fmt.Fprintln(w, serving) // a client that has disconnected needs no answer
+	}
+}
+
+// check calls Check of a server. The error holds the status code and the message of the call; it is sent to the aggregator.
+func (a *Asker) check(ctx context.Context, addr, service string) (ServingStatus, error) {
+	c, err := a.acquire(addr)
+	if err != nil {
+		return 0, err
+	}
+	defer a.release(c)
+	request := &healthpb.HealthCheckRequest{Service: service}
+	response, err := healthpb.NewHealthClient(c.conn).Check(ctx, request, grpc.WaitForReady(false))
+	if err != nil {
+		s := status.Convert(err)
+		return 0, fmt.Errorf("%v: %.100s", s.Code(), s.Message())
+	}
+	return response.GetStatus(), nil
+}
+
+// acquire returns the connection to a server, which is in use until release. It first closes the connections that are
+// unused for too long.
+func (a *Asker) acquire(addr string) (*clientConn, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	oldest := a.closeIdle(now)
+	c := a.conns[addr]
+	if c == nil {
+		if len(a.conns) >= maxConns && oldest != "" {
+			a.conns[oldest].close()
+			delete(a.conns, oldest)
+		}
+		conn, err := grpc.NewClient("passthrough:///"+addr,
+			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxCheckResponse)))
+		if err != nil {
+			return nil, err
+		}
+		c = &clientConn{conn: conn}
+		a.conns[addr] = c
+	}
+	c.users++
+	c.lastUsed = now
+	return c, nil
+}
+
+// closeIdle closes the connections that are unused for too long, and returns the address of the one of the others that is
+// unused for longest; empty if all are in use. It is called with the lock held.
+func (a *Asker) closeIdle(now time.Time) (oldest string) {
+	for addr, c := range a.conns {
+		switch {
+		case c.users > 0:
+		case now.Sub(c.lastUsed) > connIdleTimeout:
+			c.close()
+			delete(a.conns, addr)
+		case oldest == "" || c.lastUsed.Before(a.conns[oldest].lastUsed):
+			oldest = addr
+		}
+	}
+	return oldest
+}
+
+// release ends the use of a connection by one check.
+func (a *Asker) release(c *clientConn) {
+	a.mu.Lock()
+	c.users--
+	a.mu.Unlock()
+}
+
+// Close closes all connections. Checks that still run on them fail.
+func (a *Asker) Close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for addr, c := range a.conns {
+		c.close()
+		delete(a.conns, addr)
+	}
+}
