--- a/internal/protocol/http1/http1_test.go
+++ b/internal/protocol/http1/http1_test.go
@@ -7,41 +7,41 @@
 	"testing"
 )
 
-// readAll feeds text in pieces that end at cuts and returns the messages, and the status of the error if any.
-func readAll(text string, cuts ...int) (all []Message, status int) {
-	var p Parser
+// parseAll feeds a text in pieces that end at cuts. It returns the messages, and the status of the error; 0: none.
+func parseAll(text string, cuts ...int) (messages []Message, status int) {
+	var parser Parser
 	from := 0
 	for _, to := range append(cuts, len(text)) {
 		if to <= from || to > len(text) {
 			continue
 		}
-		p.Feed([]byte(text[from:to]))
+		parser.Feed([]byte(text[from:to]))
 		from = to
 		for {
-			m, err := p.Next()
-			var e *Error
-			if errors.As(err, &e) {
-				return all, e.Status
+			message, err := parser.Next()
+			var rejected *Error
+			if errors.As(err, &rejected) {
+				return messages, rejected.Status
 			}
-			if m == nil {
+			if message == nil {
 				break
 			}
-			all = append(all, *m)
+			messages = append(messages, *message)
 		}
 	}
-	return all, 0
+	return messages, 0
 }
 
-func TestRequests(t *testing.T) {
-	all, status := readAll("\r\nPOST /a?b HTTP/1.1\r\nX-One: 1\r\nx-one: 2\r\nContent-Length: 3\r\n\r\nabc" +
+func TestParser_Requests(t *testing.T) {
+	all, status := parseAll("\r\nPOST /a?b HTTP/1.1\r\nX-One: 1\r\nx-one: 2\r\nContent-Length: 3\r\n\r\nabc" +
 		"POST / HTTP/1.0\r\nTransfer-Encoding: Chunked\r\n\r\n3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nTrailer: x\r\n\r\n")
 	if status != 0 || len(all) != 2 || all[0].Header.Get("X-ONE") != "1,2" || string(all[0].Body) != "abc" || all[0].Close ||
 		string(all[1].Body) != "abcde" || !all[1].Close {
-		t.Errorf("%d %+v", status, all)
+		t.Errorf("status %d, messages %+v", status, all)
 	}
 }
 
-func TestBadRequests(t *testing.T) {
+func TestParser_RejectedRequests(t *testing.T) {
 	for text, want := range map[string]int{
 		"GET /\r\n\r\n":                             400,
 		"GET / HTTP/2.0\r\n\r\n":                    505,
@@ -59,35 +59,35 @@
 		"GET / HTTP/1.1\r\n" + strings.Repeat("a", MaxHead):                                               431,
 		"GET / HTTP/1.1\r\n" + strings.Repeat("a: b\r\n", MaxFields+1) + "\r\n":                           431,
 	} {
-		if _, status := readAll(text); status != want {
+		if _, status := parseAll(text); status != want {
 			t.Errorf("%.60q: %d, want %d", text, status, want)
 		}
 	}
 }
 
-func TestResponses(t *testing.T) {
+func TestParser_ResponseUntilTheEndOfTheStream(t *testing.T) {
 	p := Parser{Responses: true}
 	p.Feed([]byte("HTTP/1.1 200 OK\r\n\r\nuntil the end"))
 	if m, err := p.Next(); m != nil || err != nil {
-		t.Error(m, err)
+		t.Errorf("before the end: %+v, %v", m, err)
 	}
 	if m := p.End(); m == nil || string(m.Body) != "until the end" || m.Status != 200 {
-		t.Error(m)
+		t.Errorf("at the end: %+v", m)
 	}
 }
 
-// However a stream is cut up, the same messages and the same error come of it; and what is printed reads back.
+// A stream gives the same messages and the same error in whatever pieces it comes, and a printed request parses back.
 func FuzzParser(f *testing.F) {
 	f.Add("POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET /x HTTP/1.1\r\n\r\n", 20, 41)
 	f.Add("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", 47, 50)
 	f.Add("GET / HTTP/1.1\r\nA: b\r\nnonsense\r\n\r\n", 3, 18)
 	f.Fuzz(func(t *testing.T, text string, a, b int) {
-		whole, status := readAll(text)
-		if cut, s := readAll(text, a, b); s != status || !reflect.DeepEqual(cut, whole) {
-			t.Fatalf("whole: %d %+v; cut: %d %+v", status, whole, s, cut)
+		whole, status := parseAll(text)
+		if cut, s := parseAll(text, a, b); s != status || !reflect.DeepEqual(cut, whole) {
+			t.Fatalf("at once: %d %+v; in pieces: %d %+v", status, whole, s, cut)
 		}
 		for _, m := range whole {
-			again, _ := readAll(string(Request(m.Method, m.Target, "h", m.Body)))
+			again, _ := parseAll(string(Request(m.Method, m.Target, "h", m.Body)))
 			if len(again) != 1 || again[0].Target != m.Target || string(again[0].Body) != string(m.Body) {
 				t.Fatalf("%+v came back as %+v", m, again)
 			}
