Name agentcheck, httpcheck and jsonstream in the field's terms

Change: parsers in smaller steps (parseRange, scan, set by constants), httpcheck's Verdict is a Result, doc comments say what is dropped, limited and returned after an error. Table tests run as named cases.

--- a/internal/protocol/agentcheck/agentcheck.go
+++ b/internal/protocol/agentcheck/agentcheck.go
@@ -1,11 +1,11 @@
-// Package agentcheck words and reads HAProxy's agent-check: one line of words over TCP, after the description of
-// agent-check in HAProxy's public configuration manual.
+// Package agentcheck parses and prints the line that HAProxy's agent-check reads over TCP, after the description of
+// agent-check in HAProxy's public configuration manual. It does no I/O.
 //
-// The line ends with the first CR or LF, or with the connection. Words stand in any order, apart by spaces, tabs or
-// commas, in any case of letters: a percentage from 0% on sets the weight; maxconn:N the most connections; ready,
-// drain and maint the administrative state; up, down, failed and stopped the operating state. What is not named
-// stays as it was. Behind a # stands a description for people. Of two words on the same matter the later counts. A
-// word of no meaning does no harm beside others and is handed on, so that it can be logged.
+// The line ends with the first CR or LF, or with the connection. Its words are separated by spaces, tabs or commas, in any
+// order and in any case: a percentage, from 0%, sets the weight; maxconn:N the limit of connections; ready, drain and
+// maint the administrative state; up, down, failed and stopped the operational state. What the line does not name stays
+// as it was. A description for people follows a #. Of two words that set the same, the later one counts. An unknown word
+// beside known ones is ignored, but reported so that it can be logged.
 package agentcheck
 
 import (
@@ -15,24 +15,26 @@
 	"strings"
 )
 
-// MaxLine is the longest line that is read, in bytes.
+// MaxLine is the longest line that is parsed or printed, in bytes.
 const MaxLine = 4 << 10
 
-// mostWeight is the highest weight, as a share of the configured one: HAProxy's weights end at 256.
-const mostWeight = 2.56
+// maxWeight is the highest weight, as a fraction of the configured one: HAProxy's weights end at 256.
+const maxWeight = 2.56
 
 // Admin is an administrative state; empty: not named.
 type Admin string
 
+// Administrative states.
 const (
 	Ready Admin = "ready"
 	Drain Admin = "drain"
-	Maint Admin = "maint"
+	Maint Admin = "maint" // in maintenance
 )
 
-// State is an operating state; empty: not named.
+// State is an operational state; empty: not named.
 type State string
 
+// Operational states.
 const (
 	Up      State = "up"
 	Down    State = "down"
@@ -40,80 +42,89 @@
 	Stopped State = "stopped"
 )
 
-// Well says whether a state is that of a server that serves.
+// Well returns whether a server in the state serves.
 func (s State) Well() bool { return s == Up }
 
-// Report is what an agent says.
+// Report is what an agent reports in a line.
 type Report struct {
 	Admin   Admin
 	State   State
-	Weight  float64  // share of the configured weight; negative: not named
-	MaxConn int      // negative: not named
+	Weight  float64  // fraction of the configured weight, 0 to 2.56; negative: not named
+	MaxConn int      // limit of connections; negative: not named
 	Why     string   // the description
-	Unknown []string // words of no meaning
+	Unknown []string // unknown words
 }
 
-// ErrSilent is the error of a line without a word.
+// ErrSilent is the error of a line without a word. Its text is shown to operators.
 var ErrSilent = errors.New("agent: it says nothing")
 
-// Parse reads a line. It fails if no word of it has a meaning.
+const maxConnPrefix = "maxconn:"
+
+// Parse parses a line; what follows its end is ignored. The error is ErrSilent if the line has no word, and another one if
+// none of its words is known.
 func Parse(line string) (Report, error) {
-	r := Report{Weight: -1, MaxConn: -1}
-	if i := strings.IndexAny(line, "\r\n"); i >= 0 {
-		line = line[:i]
+	report := Report{Weight: -1, MaxConn: -1}
+	if end := strings.IndexAny(line, "\r\n"); end >= 0 {
+		line = line[:end]
 	}
-	line, why, _ := strings.Cut(line, "#")
-	r.Why = strings.TrimSpace(strings.Map(printable, why))
-	words := strings.FieldsFunc(line, func(c rune) bool { return c == ' ' || c == '\t' || c == ',' })
+	line, description, _ := strings.Cut(line, "#")
+	report.Why = strings.TrimSpace(strings.Map(dropControl, description))
+	words := strings.FieldsFunc(line, isSeparator)
 	if len(words) == 0 {
-		return r, ErrSilent
+		return report, ErrSilent
 	}
-	for _, w := range words {
-		if !r.take(strings.ToLower(w)) {
-			r.Unknown = append(r.Unknown, strings.Map(printable, w))
+	for _, word := range words {
+		if !report.set(strings.ToLower(word)) {
+			report.Unknown = append(report.Unknown, strings.Map(dropControl, word))
 		}
 	}
-	if len(r.Unknown) == len(words) {
-		return r, fmt.Errorf("agent: %.60q", strings.Join(r.Unknown, " "))
+	if len(report.Unknown) == len(words) {
+		return report, fmt.Errorf("agent: %.60q", strings.Join(report.Unknown, " "))
 	}
-	return r, nil
+	return report, nil
 }
 
-func printable(c rune) rune {
+func isSeparator(c rune) bool { return c == ' ' || c == '\t' || c == ',' }
+
+// dropControl maps control characters to none, so that a peer's text can be printed in one line.
+func dropControl(c rune) rune {
 	if c < ' ' || c == 0x7f {
 		return -1
 	}
 	return c
 }
 
-// take takes one word and says whether it has a meaning.
-func (r *Report) take(w string) bool {
-	switch {
-	case w == "ready" || w == "drain" || w == "maint":
-		r.Admin = Admin(w)
-	case w == "up" || w == "down" || w == "failed" || w == "stopped":
-		r.State = State(w)
-	case strings.HasSuffix(w, "%"):
-		v, ok := digits(w[:len(w)-1])
-		if !ok {
-			return false
+// set takes one word in lower case, and returns whether it is known.
+func (r *Report) set(word string) bool {
+	switch word {
+	case string(Ready), string(Drain), string(Maint):
+		r.Admin = Admin(word)
+		return true
+	case string(Up), string(Down), string(Failed), string(Stopped):
+		r.State = State(word)
+		return true
+	}
+	if percentage, ok := strings.CutSuffix(word, "%"); ok {
+		percent, ok := parseDigits(percentage)
+		if ok {
+			r.Weight = min(float64(percent)/100, maxWeight)
 		}
-		r.Weight = min(float64(v)/100, mostWeight)
-	case strings.HasPrefix(w, "maxconn:"):
-		v, ok := digits(w[len("maxconn:"):])
-		if !ok {
-			return false
+		return ok
+	}
+	if limit, ok := strings.CutPrefix(word, maxConnPrefix); ok {
+		conns, ok := parseDigits(limit)
+		if ok {
+			r.MaxConn = conns
 		}
-		r.MaxConn = v
-	default:
-		return false
+		return ok
 	}
-	return true
+	return false
 }
 
-// digits reads a number that is digits only: no sign, no space, no exponent.
-func digits(text string) (int, bool) {
-	if text == "" || len(text) > 9 {
+// parseDigits parses a number that consists of at most nine digits: no sign, no space, no exponent.
+func parseDigits(text string) (number int, ok bool) {
+	const maxDigits = 9
+	if text == "" || len(text) > maxDigits {
 		return 0, false
 	}
 	for _, c := range []byte(text) {
@@ -121,11 +132,12 @@
 			return 0, false
 		}
 	}
-	n, err := strconv.Atoi(text)
-	return n, err == nil
+	number, err := strconv.Atoi(text)
+	return number, err == nil
 }
 
-// Line words a report, with its LF. Parse reads it back.
+// Line prints the report as a line with its LF, which Parse parses back, all but the unknown words. A description that is
+// too long is cut.
 func (r Report) Line() string {
 	var words []string
 	if r.State != "" {
@@ -135,14 +147,15 @@
 		words = append(words, string(r.Admin))
 	}
 	if r.Weight >= 0 {
-		words = append(words, strconv.Itoa(int(min(r.Weight, mostWeight)*100+0.5))+"%")
+		percent := int(min(r.Weight, maxWeight)*100 + 0.5)
+		words = append(words, strconv.Itoa(percent)+"%")
 	}
 	if r.MaxConn >= 0 {
-		words = append(words, "maxconn:"+strconv.Itoa(r.MaxConn))
+		words = append(words, maxConnPrefix+strconv.Itoa(r.MaxConn))
 	}
 	line := strings.Join(words, " ")
-	if why := strings.TrimSpace(strings.Map(printable, r.Why)); why != "" {
-		line += " #" + why
+	if description := strings.TrimSpace(strings.Map(dropControl, r.Why)); description != "" {
+		line += " #" + description
 	}
 	if len(line) >= MaxLine {
 		line = line[:MaxLine-1]
@@ -150,21 +163,22 @@
 	return line + "\n"
 }
 
-// Reader takes a line out of a stream of bytes.
+// Reader parses the first line of a stream. The zero value is ready for use.
 type Reader struct{ line []byte }
 
-// Feed takes bytes. done says that the line is whole, or too long to be one.
-func (r *Reader) Feed(b []byte) (rep Report, err error, done bool) {
+// Feed adds bytes of the stream. Once done is true, the line has ended or is too long, and the other results are those of
+// Parse; before, they mean nothing.
+func (r *Reader) Feed(b []byte) (report Report, err error, done bool) { //nolint:revive // done comes last, as ok does: it says whether the others count
 	r.line = append(r.line, b[:min(len(b), MaxLine+1)]...)
-	if i := strings.IndexAny(string(r.line), "\r\n"); i >= 0 && i <= MaxLine {
-		rep, err = Parse(string(r.line[:i]))
-		return rep, err, true
+	if end := strings.IndexAny(string(r.line), "\r\n"); end >= 0 && end <= MaxLine {
+		report, err = Parse(string(r.line[:end]))
+		return report, err, true
 	}
 	if len(r.line) > MaxLine {
-		return rep, fmt.Errorf("agent: a line over %d bytes", MaxLine), true
+		return report, fmt.Errorf("agent: a line over %d bytes", MaxLine), true
 	}
-	return rep, nil, false
+	return report, nil, false
 }
 
-// End takes the end of the stream, which ends the line.
+// End ends the stream, which ends the line, and returns the results of Parse.
 func (r *Reader) End() (Report, error) { return Parse(string(r.line)) }
--- a/internal/protocol/agentcheck/agentcheck_test.go
+++ b/internal/protocol/agentcheck/agentcheck_test.go
@@ -6,29 +6,35 @@
 	"testing"
 )
 
-func TestLines(t *testing.T) {
-	for line, want := range map[string]Report{
-		"up 75%":                        {State: Up, Weight: 0.75, MaxConn: -1},
-		"ready,up\t100% maxconn:30":     {State: Up, Admin: Ready, Weight: 1, MaxConn: 30},
-		"maxconn:30 100% up READY\r\nx": {State: Up, Admin: Ready, Weight: 1, MaxConn: 30},
-		"drain":                         {Admin: Drain, Weight: -1, MaxConn: -1},
-		"MAINT":                         {Admin: Maint, Weight: -1, MaxConn: -1},
-		"stopped #going home, 5%":       {State: Stopped, Weight: -1, MaxConn: -1, Why: "going home, 5%"},
-		"failed":                        {State: Failed, Weight: -1, MaxConn: -1},
-		"0%":                            {Weight: 0, MaxConn: -1},
-		"9999%":                         {Weight: 2.56, MaxConn: -1},
-		"down up":                       {State: Up, Weight: -1, MaxConn: -1},
-		"up sideways -1%":               {State: Up, Weight: -1, MaxConn: -1, Unknown: []string{"sideways", "-1%"}},
-		"up maxconn: 5":                 {State: Up, Weight: -1, MaxConn: -1, Unknown: []string{"maxconn:", "5"}},
-		"up#\x01a\x7fb":                 {State: Up, Weight: -1, MaxConn: -1, Why: "ab"},
+func TestParse(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		line string
+		want Report
+	}{
+		{"state and weight", "up 75%", Report{State: Up, Weight: 0.75, MaxConn: -1}},
+		{"commas and tabs separate", "ready,up\t100% maxconn:30", Report{State: Up, Admin: Ready, Weight: 1, MaxConn: 30}},
+		{"any order, any case, only the first line", "maxconn:30 100% up READY\r\nx", Report{State: Up, Admin: Ready, Weight: 1, MaxConn: 30}},
+		{"drain", "drain", Report{Admin: Drain, Weight: -1, MaxConn: -1}},
+		{"maintenance", "MAINT", Report{Admin: Maint, Weight: -1, MaxConn: -1}},
+		{"nothing is read from the description", "stopped #going home, 5%", Report{State: Stopped, Weight: -1, MaxConn: -1, Why: "going home, 5%"}},
+		{"failed", "failed", Report{State: Failed, Weight: -1, MaxConn: -1}},
+		{"a weight of zero is named", "0%", Report{Weight: 0, MaxConn: -1}},
+		{"the weight is limited", "9999%", Report{Weight: 2.56, MaxConn: -1}},
+		{"the later state counts", "down up", Report{State: Up, Weight: -1, MaxConn: -1}},
+		{"unknown words are reported", "up sideways -1%", Report{State: Up, Weight: -1, MaxConn: -1, Unknown: []string{"sideways", "-1%"}}},
+		{"a limit without its number is unknown", "up maxconn: 5", Report{State: Up, Weight: -1, MaxConn: -1, Unknown: []string{"maxconn:", "5"}}},
+		{"control characters are dropped", "up#\x01a\x7fb", Report{State: Up, Weight: -1, MaxConn: -1, Why: "ab"}},
 	} {
-		if got, err := Parse(line); err != nil || !reflect.DeepEqual(got, want) {
-			t.Errorf("%q: %+v, %v", line, got, err)
-		}
+		t.Run(test.name, func(t *testing.T) {
+			if got, err := Parse(test.line); err != nil || !reflect.DeepEqual(got, test.want) {
+				t.Errorf("%q: %+v, %v", test.line, got, err)
+			}
+		})
 	}
 	for _, line := range []string{"", " , ", "#only a reason", "sideways", "x%", "-1%", "NaN%", "1e3%", "%", "+5%", "\nup"} {
 		if got, err := Parse(line); err == nil {
-			t.Errorf("%q: %+v", line, got)
+			t.Errorf("%q is accepted: %+v", line, got)
 		}
 	}
 }
@@ -40,21 +46,23 @@
 			t.Fatal("done before the line's end")
 		}
 	}
-	if rep, err, done := r.Feed([]byte("0%\nmore")); !done || err != nil || rep.Weight != 0.5 {
-		t.Error(rep, err, done)
+	if report, err, done := r.Feed([]byte("0%\nmore")); !done || err != nil || report.Weight != 0.5 {
+		t.Errorf("at the line's end: %+v, %v, done %v", report, err, done)
 	}
 	r = Reader{}
 	if _, err, done := r.Feed(make([]byte, 1<<20)); !done || err == nil || len(r.line) > MaxLine+1 {
-		t.Error(err, done, len(r.line))
+		t.Errorf("a line that is too long: %v, done %v, %d bytes are held", err, done, len(r.line))
 	}
 	r = Reader{}
-	r.Feed([]byte("drain"))
-	if rep, err := r.End(); err != nil || rep.Admin != Drain {
-		t.Error(rep, err)
+	if _, _, done := r.Feed([]byte("drain")); done {
+		t.Error("done before the end of the stream")
+	}
+	if report, err := r.End(); err != nil || report.Admin != Drain {
+		t.Errorf("at the end of the stream: %+v, %v", report, err)
 	}
 }
 
-// What is worded reads back as it was, whatever it was made from, and nothing gets into the line's second line.
+// A printed report parses back as it was, and is one line, whatever it was parsed from.
 func FuzzLine(f *testing.F) {
 	f.Add("up ready 50% maxconn:3 #why")
 	f.Add("down\r\n#x")
@@ -67,7 +75,7 @@
 		r.Unknown = nil
 		out := r.Line()
 		if strings.Count(out, "\n") != 1 || len(out) > MaxLine {
-			t.Fatalf("%q", out)
+			t.Fatalf("%q is not one line within the limit", out)
 		}
 		if len(out) == MaxLine {
 			return // its description was cut
--- a/internal/protocol/httpcheck/httpcheck.go
+++ b/internal/protocol/httpcheck/httpcheck.go
@@ -1,6 +1,6 @@
-// Package httpcheck is the HTTP health check as common balancers make it: which status and body are good, which
-// status means drain, and the headers by which Envoy's active checks tell degraded and immediate failure
-// (x-envoy-degraded, x-envoy-immediate-health-check-fail, after Envoy's public documentation).
+// Package httpcheck evaluates HTTP health checks as common load balancers do: by the status and the body of the response,
+// by statuses that mean draining, and by the headers in which Envoy's active health checks are told of a degraded server
+// and of an immediate failure, after Envoy's public documentation.
 package httpcheck
 
 import (
@@ -10,35 +10,48 @@
 	"strings"
 )
 
-// Headers that tell more than the status.
+// Headers of a response that say more than its status.
 const (
 	DegradedHeader  = "X-Envoy-Degraded"
 	ImmediateHeader = "X-Envoy-Immediate-Health-Check-Fail"
 )
 
-// Range of statuses, both ends included.
+// Lowest and highest status.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// Range is a range of statuses, both ends included.
 type Range struct{ From, To int }
 
-// ParseRanges reads statuses as "200-299,304".
-func ParseRanges(text string) (list []Range, err error) {
-	for _, one := range strings.Split(text, ",") {
-		from, to, both := strings.Cut(strings.TrimSpace(one), "-")
-		if !both {
-			to = from
-		}
-		r := Range{}
-		if r.From, err = strconv.Atoi(from); err == nil {
-			r.To, err = strconv.Atoi(to)
-		}
-		if err != nil || r.From < 100 || r.To > 599 || r.From > r.To {
-			return nil, fmt.Errorf("statuses %q: each is 100 to 599, or a range of these as 200-299", one)
+// ParseRanges parses a list of statuses and ranges, such as "200-299,304".
+func ParseRanges(text string) ([]Range, error) {
+	var ranges []Range
+	for _, element := range strings.Split(text, ",") {
+		r, err := parseRange(strings.TrimSpace(element))
+		if err != nil || r.From < minStatus || r.To > maxStatus || r.From > r.To {
+			return nil, fmt.Errorf("statuses %q: each is %d to %d, or a range of these as 200-299", element, minStatus, maxStatus)
 		}
-		list = append(list, r)
+		ranges = append(ranges, r)
 	}
-	return list, nil
+	return ranges, nil
 }
 
-// String prints ranges as they are read.
+// parseRange parses one status or range, whatever its bounds are.
+func parseRange(text string) (r Range, err error) {
+	from, to, isRange := strings.Cut(text, "-")
+	if !isRange {
+		to = from
+	}
+	if r.From, err = strconv.Atoi(from); err != nil {
+		return r, err
+	}
+	r.To, err = strconv.Atoi(to)
+	return r, err
+}
+
+// String prints the range as ParseRanges parses it.
 func (r Range) String() string {
 	if r.From == r.To {
 		return strconv.Itoa(r.From)
@@ -46,9 +59,9 @@
 	return fmt.Sprintf("%d-%d", r.From, r.To)
 }
 
-// In says whether a status is in one of the ranges.
-func In(list []Range, status int) bool {
-	for _, r := range list {
+// In returns whether a status is in one of the ranges.
+func In(ranges []Range, status int) bool {
+	for _, r := range ranges {
 		if status >= r.From && status <= r.To {
 			return true
 		}
@@ -56,42 +69,46 @@
 	return false
 }
 
-// Expect is what an answer is held against.
+// Expect is what a healthy server responds.
 type Expect struct {
 	Status []Range
-	Drain  []Range        // these mean drain, even if they are in Status
-	Body   string         // must stand in the body
-	Match  *regexp.Regexp // must match it
+	Drain  []Range        // statuses that mean draining, also if they are in Status
+	Body   string         // that the body contains; empty: not checked
+	Match  *regexp.Regexp // that the body matches; nil: not checked
 }
 
-// Verdict is what an answer says.
-type Verdict struct {
-	Good     bool
-	Drain    bool
+// Result is the result of a check.
+type Result struct {
+	Good     bool // the server is healthy
+	Drain    bool // it is healthy and draining
 	Degraded bool
-	AtOnce   bool // not good, and at once: no further check is waited for
-	Why      string
+	AtOnce   bool   // it is unhealthy at once, without the failures in a row that are needed otherwise
+	Why      string // of a result that is not good, or that is draining
 }
 
-// Judge holds an answer against what is expected. header returns a field's value, empty if it is not there.
-func (e *Expect) Judge(status int, header func(name string) string, body []byte) Verdict {
-	v := Verdict{Degraded: said(header(DegradedHeader))}
+// Judge evaluates a response. header returns the value of a field, empty if it is absent.
+func (e *Expect) Judge(status int, header func(name string) string, body []byte) Result {
+	result := Result{Degraded: isSet(header(DegradedHeader))}
 	switch {
 	case In(e.Drain, status):
-		v.Drain, v.Good, v.Why = true, true, fmt.Sprintf("status %d", status)
-	case said(header(ImmediateHeader)):
-		v.AtOnce, v.Why = true, "immediate failure told"
+		result.Good, result.Drain = true, true
+		result.Why = fmt.Sprintf("status %d", status)
+	case isSet(header(ImmediateHeader)):
+		result.AtOnce = true
+		result.Why = "immediate failure told"
 	case !In(e.Status, status):
-		v.Why = fmt.Sprintf("status %d", status)
+		result.Why = fmt.Sprintf("status %d", status)
 	case e.Body != "" && !strings.Contains(string(body), e.Body):
-		v.Why = "the body lacks " + strconv.Quote(e.Body)
+		result.Why = "the body lacks " + strconv.Quote(e.Body)
 	case e.Match != nil && !e.Match.Match(body):
-		v.Why = "the body does not match"
+		result.Why = "the body does not match"
 	default:
-		v.Good = true
+		result.Good = true
 	}
-	return v
+	return result
 }
 
-// said: the header is there, and does not say no. Its value does not matter to Envoy beyond that.
-func said(v string) bool { return v != "" && !strings.EqualFold(v, "false") && v != "0" }
+// isSet returns whether a header is present and does not say no. Beyond that its value does not matter to Envoy.
+func isSet(value string) bool {
+	return value != "" && !strings.EqualFold(value, "false") && value != "0"
+}
--- a/internal/protocol/jsonstream/jsonstream.go
+++ b/internal/protocol/jsonstream/jsonstream.go
@@ -1,29 +1,30 @@
-// Package jsonstream cuts a stream of bytes into the JSON objects that stand in it one after another, however each is
-// laid out over lines and however the bytes are cut up on the way. It does no I/O.
+// Package jsonstream splits a stream of bytes into the JSON objects in it, however they are laid out over lines and in
+// whatever pieces the bytes come. It does no I/O.
 package jsonstream
 
 import "fmt"
 
-// Framer holds what has come and was not taken yet. The zero value reads objects of any size.
+// Framer splits one stream. The zero value takes objects of any size. It is not safe for concurrent use.
 type Framer struct {
-	Most int // bytes of one object, at most; 0: not limited
+	Most int // limit of an object in bytes; 0: not limited
 
-	buf     []byte
-	scanned int  // bytes of buf that were looked at
-	depth   int  // brackets open there
-	quoted  bool // within a string
-	escaped bool // behind a backslash in one
-	err     error
+	buf     []byte // received and not returned yet
+	scanned int    // bytes of buf that were looked at
+	depth   int    // brackets that are open after them
+	quoted  bool   // they end within a string
+	escaped bool   // they end with the backslash of an escape
+	err     error  // the stream is broken
 }
 
-// Feed adds bytes.
+// Feed adds bytes to the stream. They are copied.
 func (f *Framer) Feed(b []byte) { f.buf = append(f.buf, b...) }
 
-// Inside says whether an object has begun and is not whole, as far as Next has looked.
+// Inside returns whether an object has begun and is not complete, as far as Next has looked.
 func (f *Framer) Inside() bool { return f.depth > 0 }
 
-// Next returns the next whole object, or nil if more bytes are needed. It is the caller's to parse: only its end is known.
-// After an error it fails for good.
+// Next returns the next complete object, nil if more bytes are needed. The bytes are the caller's. They may not be valid
+// JSON, as only the end of the object is searched for. An error means that something other than an object begins, or that
+// an object is too long; all further calls return it, too.
 func (f *Framer) Next() ([]byte, error) {
 	if f.err != nil {
 		return nil, f.err
@@ -31,28 +32,15 @@
 	for f.scanned < len(f.buf) {
 		c := f.buf[f.scanned]
 		if f.depth == 0 {
-			switch c {
-			case ' ', '\t', '\r', '\n':
+			if isSpace(c) {
 				f.buf = f.buf[1:]
 				continue
-			case '{':
-			default:
+			}
+			if c != '{' {
 				return nil, f.fail(fmt.Errorf("%q where an object should begin", c))
 			}
 		}
-		f.scanned++
-		switch {
-		case f.escaped:
-			f.escaped = false
-		case f.quoted:
-			f.escaped, f.quoted = c == '\\', c != '"'
-		case c == '"':
-			f.quoted = true
-		case c == '{' || c == '[':
-			f.depth++
-		case c == '}' || c == ']':
-			f.depth--
-		}
+		f.scan(c)
 		// Guards memory against an object that does not end.
 		if f.Most > 0 && f.scanned > f.Most {
 			return nil, f.fail(fmt.Errorf("an object over %d bytes", f.Most))
@@ -69,6 +57,27 @@
 	return nil, nil
 }
 
+// scan follows the strings and brackets by one byte of an object.
+func (f *Framer) scan(c byte) {
+	f.scanned++
+	switch {
+	case f.escaped:
+		f.escaped = false
+	case f.quoted:
+		f.escaped, f.quoted = c == '\\', c != '"'
+	case c == '"':
+		f.quoted = true
+	case c == '{' || c == '[':
+		f.depth++
+	case c == '}' || c == ']':
+		f.depth--
+	}
+}
+
+// isSpace returns whether c is white space of JSON.
+func isSpace(c byte) bool { return c == ' ' || c == '\t' || c == '\r' || c == '\n' }
+
+// fail breaks the stream and returns the error.
 func (f *Framer) fail(err error) error {
 	f.err, f.buf, f.scanned, f.depth = err, nil, 0, 0
 	return err
