--- a/internal/frontend/health/http.go
+++ b/internal/frontend/health/http.go
@@ -26,54 +26,54 @@
 //	/metrics           the counters
 //
 // Degraded and draining are also sent as Envoy's health check headers.
-func (t *Teller) HTTP(x *httpserve.Exchange) {
+func (t *Teller) HTTP(exchange *httpserve.Exchange) {
 	t.count.http.Add(1)
-	path, query, _ := strings.Cut(x.Target, "?")
-	if x.Method != "GET" && x.Method != "HEAD" && x.Method != "OPTIONS" {
-		x.Respond(405, nil, "Allow", "GET, HEAD, OPTIONS")
+	path, query, _ := strings.Cut(exchange.Target, "?")
+	if exchange.Method != "GET" && exchange.Method != "HEAD" && exchange.Method != "OPTIONS" {
+		exchange.Respond(405, nil, "Allow", "GET, HEAD, OPTIONS")
 		return
 	}
 	page, database, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	report := t.Report()
 	switch page {
 	case "livez":
-		t.respondLive(x, report)
+		t.respondLive(exchange, report)
 	case "readyz", "healthz":
-		respondReady(x, report, database, query)
+		respondReady(exchange, report, database, query)
 	case "servers":
 		if t.Servers == nil {
-			x.Respond(404, []byte("no such page\n"))
+			exchange.Respond(404, []byte("no such page\n"))
 			return
 		}
-		x.Respond(200, t.Servers(), "Content-Type", "application/json")
+		exchange.Respond(200, t.Servers(), "Content-Type", "application/json")
 	case "metrics":
 		if t.Metrics == nil {
-			x.Respond(404, []byte("no such page\n"))
+			exchange.Respond(404, []byte("no such page\n"))
 			return
 		}
-		x.Respond(200, []byte(t.Metrics()), plainText...)
+		exchange.Respond(200, []byte(t.Metrics()), plainText...)
 	default:
 		// Not 404, which load balancers would take as a drain.
-		x.Respond(400, []byte("no such page\n"), plainText...)
+		exchange.Respond(400, []byte("no such page\n"), plainText...)
 	}
 }
 
 // respondLive says whether the event loop has made a report lately.
-func (t *Teller) respondLive(x *httpserve.Exchange, report readiness.Report) {
+func (t *Teller) respondLive(exchange *httpserve.Exchange, report readiness.Report) {
 	if report.At.IsZero() || t.Now().Sub(report.At) > maxReportAge {
-		x.Respond(503, []byte(strings.Join(report.Reasons, "; ")+"\n"), plainText...)
+		exchange.Respond(503, []byte(strings.Join(report.Reasons, "; ")+"\n"), plainText...)
 		return
 	}
-	x.Respond(200, []byte("live\n"), plainText...)
+	exchange.Respond(200, []byte("live\n"), plainText...)
 }
 
 // respondReady says whether queries are accepted, by the aggregator or, if database is not empty, for that one.
-func respondReady(x *httpserve.Exchange, report readiness.Report, database, query string) {
+func respondReady(exchange *httpserve.Exchange, report readiness.Report, database, query string) {
 	state := report.State
 	if database != "" {
 		found := report.Database(database)
 		if found == nil {
-			x.Respond(400, []byte("no such database\n"), plainText...)
+			exchange.Respond(400, []byte("no such database\n"), plainText...)
 			return
 		}
 		state = found.State
@@ -93,14 +93,14 @@
 	case strings.Contains(query, "format=json"):
 		text, err := json.MarshalIndent(report, "", "  ")
 		if err != nil {
-			x.Respond(500, nil)
+			exchange.Respond(500, nil)
 			return
 		}
 		body, fields[1] = string(text)+"\n", "application/json"
 	case strings.Contains(query, "verbose"):
 		body += databaseLines(report.Databases)
 	}
-	x.Respond(status, []byte(body), fields...)
+	exchange.Respond(status, []byte(body), fields...)
 }
 
 // databaseLines prints the state of each database on a line.
--- a/internal/frontend/sru/server.go
+++ b/internal/frontend/sru/server.go
@@ -21,63 +21,63 @@
 
 // Handle answers one request, now or when its outcome is known: /DATABASE with the parameters of SRU in the query string
 // or in a form, or an update in a POST of XML. Without a database it is for the first one.
-func (s *Server) Handle(x *httpserve.Exchange) {
-	path, paramsText, _ := strings.Cut(x.Target, "?")
+func (s *Server) Handle(exchange *httpserve.Exchange) {
+	path, paramsText, _ := strings.Cut(exchange.Target, "?")
 	database, err := url.PathUnescape(strings.Trim(path, "/"))
 	if err != nil {
-		x.Respond(400, []byte("path\n"))
+		exchange.Respond(400, []byte("path\n"))
 		return
 	}
 	if database == "" {
 		database = s.Service.Config.Databases[0].Name
 	}
-	contentType, _, _ := strings.Cut(x.Header.Get("Content-Type"), ";")
+	contentType, _, _ := strings.Cut(exchange.Header.Get("Content-Type"), ";")
 	contentType = strings.TrimSpace(contentType)
 	switch {
-	case x.Method == "POST" && strings.HasSuffix(contentType, "xml"):
-		s.update(x, database)
+	case exchange.Method == "POST" && strings.HasSuffix(contentType, "xml"):
+		s.update(exchange, database)
 		return
-	case x.Method == "POST" && contentType == "application/x-www-form-urlencoded":
-		paramsText = string(x.Body)
-	case x.Method != "GET" && x.Method != "HEAD":
-		x.Respond(405, []byte("GET or POST\n"), "Allow", "GET, HEAD, POST")
+	case exchange.Method == "POST" && contentType == "application/x-www-form-urlencoded":
+		paramsText = string(exchange.Body)
+	case exchange.Method != "GET" && exchange.Method != "HEAD":
+		exchange.Respond(405, []byte("GET or POST\n"), "Allow", "GET, HEAD, POST")
 		return
 	}
-	s.query(x, database, paramsText)
+	s.query(exchange, database, paramsText)
 }
 
 // query answers a search or an explain.
-func (s *Server) query(x *httpserve.Exchange, name, paramsText string) {
+func (s *Server) query(exchange *httpserve.Exchange, name, paramsText string) {
 	params, err := url.ParseQuery(paramsText)
 	if err != nil {
-		respondFault(x, sru.NewFault(sru.UnsupportedValue, "the query string cannot be read"))
+		respondFault(exchange, sru.NewFault(sru.UnsupportedValue, "the query string cannot be read"))
 		return
 	}
 	request, err := sru.ParseRequest(params)
 	if err != nil {
-		respondFault(x, sru.AsFault(err))
+		respondFault(exchange, sru.AsFault(err))
 		return
 	}
 	database := s.Service.Database(name)
 	if database == nil {
-		respondFault(x, sru.NewFault(sru.DatabaseDoesNotExist, name))
+		respondFault(exchange, sru.NewFault(sru.DatabaseDoesNotExist, name))
 		return
 	}
 	if request.Operation == sru.OperationExplain {
-		respondXML(x, s.explain(database))
+		respondXML(exchange, s.explain(database))
 		return
 	}
-	s.search(x, database, request)
+	s.search(exchange, database, request)
 }
 
 // respondXML answers with a document.
-func respondXML(x *httpserve.Exchange, body []byte) {
-	x.Respond(200, body, "Content-Type", sru.XMLType)
+func respondXML(exchange *httpserve.Exchange, body []byte) {
+	exchange.Respond(200, body, "Content-Type", sru.XMLType)
 }
 
 // respondFault answers with a diagnostic in the response to a search, whatever the operation was.
-func respondFault(x *httpserve.Exchange, fault *sru.Fault) {
-	respondXML(x, failedSearch([]query.Diagnostic{fault.Diagnostic()}))
+func respondFault(exchange *httpserve.Exchange, fault *sru.Fault) {
+	respondXML(exchange, failedSearch([]query.Diagnostic{fault.Diagnostic()}))
 }
 
 // failedSearch prints the response to a search without results.
@@ -86,31 +86,31 @@
 }
 
 // search answers a search.
-func (s *Server) search(x *httpserve.Exchange, database *config.Database, request sru.Request) {
+func (s *Server) search(exchange *httpserve.Exchange, database *config.Database, request sru.Request) {
 	limit := s.Service.Config.Limits.MaxRecords
 	if request.MaxRecords < 0 {
 		request.MaxRecords = min(defaultMaxRecords, limit)
 	}
 	if request.Schema != "" && request.Schema != "dc" && request.Schema != sru.DefaultSchema {
-		respondFault(x, sru.NewFault(sru.UnknownSchema, request.Schema))
+		respondFault(exchange, sru.NewFault(sru.UnknownSchema, request.Schema))
 		return
 	}
 	if request.StartRecord > limit {
-		respondFault(x, sru.NewFault(sru.FirstRecordOutOfRange, strconv.Itoa(request.StartRecord)))
+		respondFault(exchange, sru.NewFault(sru.FirstRecordOutOfRange, strconv.Itoa(request.StartRecord)))
 		return
 	}
 	request.MaxRecords = min(request.MaxRecords, limit-request.StartRecord+1)
 	respond := func(outcome gateway.Outcome) {
 		if outcome.Kind != gateway.Complete && outcome.Kind != gateway.Partial {
 			f := failureOf(outcome)
-			x.Respond(f.status, failedSearch(f.diagnostics), f.fields...)
+			exchange.Respond(f.status, failedSearch(f.diagnostics), f.fields...)
 			return
 		}
-		respondXML(x, sru.SearchResponse(searchResult(&request, &outcome)))
+		respondXML(exchange, sru.SearchResponse(searchResult(&request, &outcome)))
 	}
 	lastRecord := request.StartRecord - 1 + request.MaxRecords
-	cancel, known := s.Service.Search(gateway.Caller{}, []string{database.Name}, request.Query, lastRecord, respond)
-	await(x, cancel, known, respond)
+	cancel, immediate := s.Service.Search(gateway.Caller{}, []string{database.Name}, request.Query, lastRecord, respond)
+	await(exchange, cancel, immediate, respond)
 }
 
 // searchResult returns the page of an outcome that a request is for. A partial outcome and a page beyond the results are
@@ -138,30 +138,30 @@
 }
 
 // update answers an update of a record in a database.
-func (s *Server) update(x *httpserve.Exchange, database string) {
-	update, err := sru.ParseUpdate(x.Body)
+func (s *Server) update(exchange *httpserve.Exchange, database string) {
+	update, err := sru.ParseUpdate(exchange.Body)
 	if err != nil {
 		diagnostics := []query.Diagnostic{sru.AsFault(err).Diagnostic()}
-		respondXML(x, sru.UpdateResponse(false, update.Record.ID, diagnostics))
+		respondXML(exchange, sru.UpdateResponse(false, update.Record.ID, diagnostics))
 		return
 	}
 	respond := func(outcome gateway.Outcome) {
 		if outcome.Kind != gateway.Complete {
 			f := failureOf(outcome)
-			x.Respond(f.status, sru.UpdateResponse(false, update.Record.ID, f.diagnostics), f.fields...)
+			exchange.Respond(f.status, sru.UpdateResponse(false, update.Record.ID, f.diagnostics), f.fields...)
 			return
 		}
-		respondXML(x, sru.UpdateResponse(true, update.Record.ID, nil))
+		respondXML(exchange, sru.UpdateResponse(true, update.Record.ID, nil))
 	}
-	cancel, known := s.Service.Correct(gateway.Caller{}, database, update.Action, update.Record, respond)
-	await(x, cancel, known, respond)
+	cancel, immediate := s.Service.Correct(gateway.Caller{}, database, update.Action, update.Record, respond)
+	await(exchange, cancel, immediate, respond)
 }
 
 // await responds at once if the outcome is known, and otherwise cancels the request if the client disconnects before it is.
-func await(x *httpserve.Exchange, cancel gateway.Cancel, known *gateway.Outcome, respond func(gateway.Outcome)) {
-	if known != nil {
-		respond(*known)
-	} else if !x.OnDisconnect(cancel) {
+func await(exchange *httpserve.Exchange, cancel gateway.Cancel, immediate *gateway.Outcome, respond func(gateway.Outcome)) {
+	if immediate != nil {
+		respond(*immediate)
+	} else if !exchange.OnDisconnect(cancel) {
 		cancel() // the client has disconnected, or was answered meanwhile: cancelling then does nothing
 	}
 }
--- /dev/null
+++ b/internal/frontend/z3950/association_test.go
@@ -0,0 +1,274 @@
+package z3950
+
+import (
+	"testing"
+	"time"
+
+	"rooktrestle/internal/aggregator"
+	"rooktrestle/internal/config"
+	"rooktrestle/internal/gateway"
+	"rooktrestle/internal/net/tcp"
+	"rooktrestle/internal/protocol/z3950"
+	"rooktrestle/internal/query"
+)
+
+// fakeConn records the units that are written to a connection, and how it is closed.
+type fakeConn struct {
+	t       *testing.T
+	units   []*z3950.Node
+	closed  bool // gracefully
+	evicted bool
+}
+
+func (c *fakeConn) Write(b []byte, _ func(tcp.WriteResult)) {
+	c.t.Helper()
+	unit, rest, err := z3950.Decode(b)
+	if err != nil || len(rest) > 0 {
+		c.t.Fatalf("written % x: %v", b, err)
+	}
+	c.units = append(c.units, unit)
+}
+func (c *fakeConn) CloseGracefully() { c.closed = true }
+func (c *fakeConn) CloseAndWait()    { c.evicted = true }
+
+// origin is the client's side of an association.
+type origin struct {
+	*fakeConn
+	server   *Server
+	handler  tcp.Handler
+	requests []*aggregator.Request // that the gateway was sent, and not answered yet
+	canceled int
+}
+
+// newOrigin opens a connection to a server with one database.
+func newOrigin(t *testing.T) *origin {
+	t.Helper()
+	o := &origin{fakeConn: &fakeConn{t: t}}
+	conf := &config.Partners{
+		Classes:   []config.Class{{Name: "search"}},
+		Tenants:   []config.Tenant{{Name: "tenant", Users: []string{"ann"}}},
+		Databases: []config.Database{{Name: "captions", Shards: []int{0}, SearchClass: "search", Tenant: "tenant"}},
+	}
+	conf.Limits.MaxRecords, conf.Limits.ResultSets = 20, 2
+	now := func() time.Time { return time.Unix(1000, 0) }
+	service := &gateway.Service{Config: conf, Now: now, Post: func(message aggregator.Message) {
+		switch message := message.(type) {
+		case aggregator.RequestArrived:
+			o.requests = append(o.requests, message.Request)
+		case aggregator.ClientDisconnected:
+			o.canceled++
+		}
+	}}
+	o.server = New(service, Times{}, now)
+	o.handler = o.server.Attach(o.fakeConn)
+	return o
+}
+
+// newAssociation opens an association.
+func newAssociation(t *testing.T) *origin {
+	t.Helper()
+	o := newOrigin(t)
+	o.send(initUnit("ann", 2))
+	if response := o.last(); response.Tag != z3950.InitResponse || !response.Kid(z3950.FieldInitResult).Truth() {
+		t.Fatalf("Init is answered by %+v", response)
+	}
+	return o
+}
+
+func (o *origin) send(unit *z3950.Node) { o.handler.Data(unit.Encode(nil)) }
+
+// last returns the unit that was received last.
+func (o *origin) last() *z3950.Node {
+	o.t.Helper()
+	if len(o.units) == 0 {
+		o.t.Fatal("no unit was sent")
+	}
+	return o.units[len(o.units)-1]
+}
+
+// answer finishes the oldest request with so many records found, of which up to ten were fetched.
+func (o *origin) answer(count int) {
+	o.t.Helper()
+	if len(o.requests) == 0 {
+		o.t.Fatal("no request is in flight")
+	}
+	request := o.requests[0]
+	o.requests = o.requests[1:]
+	result := query.PartResult{Count: count}
+	for range min(count, prefetch) {
+		result.Records = append(result.Records, query.Record{XML: "<record/>"})
+	}
+	request.Frontend.Answer(aggregator.FinalAnswer{
+		Status: aggregator.StatusServed, Complete: true, Items: []aggregator.Item{{Value: query.Encode(result)}},
+	})
+}
+
+func initUnit(user string, version int) *z3950.Node {
+	return z3950.Ctx(z3950.InitRequest,
+		z3950.Bits(z3950.FieldVersion, version),
+		z3950.Bits(z3950.FieldOptions, z3950.OptSearch),
+		z3950.Ctx(z3950.FieldAuthentication, z3950.Ctx(0, z3950.Str(z3950.FieldUserID, user))))
+}
+
+func searchUnit(t *testing.T, set string, replace bool) *z3950.Node {
+	t.Helper()
+	tree, err := query.Parse("cat")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rpn, err := z3950.Rpn(tree)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return z3950.Ctx(z3950.SearchRequest,
+		z3950.Boolean(z3950.FieldReplaceIndicator, replace),
+		z3950.Str(z3950.FieldResultSetName, set),
+		z3950.Ctx(z3950.FieldDatabaseNames, z3950.Str(z3950.FieldDatabaseName, "captions")),
+		z3950.Ctx(z3950.FieldQuery, rpn))
+}
+
+func presentUnit(set string, start, number int) *z3950.Node {
+	return z3950.Ctx(z3950.PresentRequest,
+		z3950.Str(z3950.FieldResultSetID, set), z3950.Num(z3950.FieldStartPoint, start), z3950.Num(z3950.FieldRecordsRequested, number))
+}
+
+func cancelUnit() *z3950.Node {
+	return z3950.Ctx(z3950.TriggerControl, z3950.Num(z3950.FieldRequestedAction, requestedActionCancel))
+}
+
+func TestAssociation_InitRejected(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		init *z3950.Node
+	}{
+		{"an unknown user", initUnit("eve", 2)},
+		{"a version before 3", initUnit("ann", 1)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			o := newOrigin(t)
+			o.send(test.init)
+			if o.last().Kid(z3950.FieldInitResult).Truth() || !o.closed {
+				t.Errorf("answered by %+v, closed %v", o.last(), o.closed)
+			}
+		})
+	}
+}
+
+func TestAssociation_ProtocolErrors(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		data []byte
+	}{
+		{"a search before Init", presentUnit("set", 1, 1).Encode(nil)},
+		{"another protocol", []byte("GET / HTTP/1.1\r\n")},
+		{"an unknown unit", z3950.Ctx(99).Encode(nil)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			o := newOrigin(t)
+			o.handler.Data(test.data)
+			if o.last().Tag != z3950.ClosePDU || o.last().Kid(z3950.FieldCloseReason).IntOr(-1) != z3950.CloseProtocol || !o.closed {
+				t.Errorf("answered by %+v, closed %v", o.last(), o.closed)
+			}
+		})
+	}
+}
+
+func TestAssociation_SearchAndPresent(t *testing.T) {
+	o := newAssociation(t)
+	o.send(searchUnit(t, "set", false))
+	o.answer(12)
+	if response := o.last(); response.Tag != z3950.SearchResponse || response.Kid(z3950.FieldResultCount).IntOr(-1) != 12 {
+		t.Fatalf("Search is answered by %+v", response)
+	}
+	o.send(presentUnit("set", 2, 3))
+	if got := o.last().Kid(z3950.FieldNextPosition).IntOr(-1); got != 5 || len(o.requests) != 0 {
+		t.Errorf("records that were fetched with the search: next position %d, %d requests", got, len(o.requests))
+	}
+	o.send(presentUnit("set", 11, 2))
+	if len(o.requests) != 1 {
+		t.Fatalf("records that were not fetched: %d requests", len(o.requests))
+	}
+	o.answer(12)
+	for _, test := range []struct {
+		name string
+		unit *z3950.Node
+		want int
+	}{
+		{"a result set that exists is not replaced", searchUnit(t, "set", false), diagResultSetExists},
+		{"a result set without a name", searchUnit(t, "", true), diagIllegalResultSetName},
+		{"an unknown result set", presentUnit("none", 1, 1), diagNoSuchResultSet},
+		{"records beyond the result set", presentUnit("set", 12, 2), diagPresentOutOfRange},
+	} {
+		o.send(test.unit)
+		if d := z3950.ParseDiagnostic(o.last().Kid(z3950.FieldDiagnostic)); d == nil || d.Bib1 != test.want {
+			t.Errorf("%s: %+v, want diagnostic %d", test.name, d, test.want)
+		}
+	}
+}
+
+func TestAssociation_Cancel_GoesOnWithPendingUnits(t *testing.T) {
+	o := newAssociation(t)
+	o.send(searchUnit(t, "first", false))
+	o.send(searchUnit(t, "second", false))
+	if len(o.requests) != 1 {
+		t.Fatalf("%d requests in flight, want 1", len(o.requests))
+	}
+	o.send(cancelUnit())
+	if d := z3950.ParseDiagnostic(o.last().Kid(z3950.FieldDiagnostic)); d == nil || d.Bib1 != diagTerminatedByOrigin {
+		t.Errorf("the first search is answered by %+v", o.last())
+	}
+	if o.canceled != 1 || len(o.requests) != 2 {
+		t.Errorf("%d requests cancelled, %d sent; want 1 and 2", o.canceled, len(o.requests))
+	}
+	units := len(o.units)
+	o.answer(1) // of the first search, too late
+	if len(o.units) != units {
+		t.Errorf("a cancelled search is answered by %+v", o.last())
+	}
+}
+
+func TestAssociation_TooManyPendingUnits(t *testing.T) {
+	o := newAssociation(t)
+	for range maxPending + 1 {
+		o.send(searchUnit(t, "set", false))
+	}
+	if o.closed {
+		t.Fatalf("closed with %d units pending", maxPending)
+	}
+	o.send(searchUnit(t, "set", false))
+	if o.last().Kid(z3950.FieldCloseReason).IntOr(-1) != z3950.CloseLimits || !o.closed || o.canceled != 1 {
+		t.Errorf("answered by %+v, closed %v, %d requests cancelled", o.last(), o.closed, o.canceled)
+	}
+}
+
+func TestServer_Shutdown_OperationInFlight(t *testing.T) {
+	o := newAssociation(t)
+	o.send(searchUnit(t, "set", false))
+	o.server.Shutdown()
+	if o.closed {
+		t.Fatal("closed before the operation in flight was finished")
+	}
+	o.answer(1)
+	if o.last().Kid(z3950.FieldCloseReason).IntOr(-1) != z3950.CloseShutdown || !o.closed {
+		t.Errorf("answered by %+v, closed %v", o.last(), o.closed)
+	}
+	o.handler.Closed(nil)
+	if open := o.server.Open(); open != 0 {
+		t.Errorf("%d associations are open", open)
+	}
+}
+
+func TestServer_Room_EvictsIdleAssociationsOnly(t *testing.T) {
+	busy := newAssociation(t)
+	busy.send(searchUnit(t, "set", false))
+	if busy.server.Room() || busy.evicted {
+		t.Error("an association with an operation in flight is evicted")
+	}
+	idle := newAssociation(t)
+	if !idle.server.Room() || !idle.evicted {
+		t.Error("an idle association is not evicted")
+	}
+	if got := idle.server.Counters(); got != (Counters{Associations: 1, Units: 1, Spared: 1}) {
+		t.Errorf("counters %+v", got)
+	}
+}
--- a/internal/frontend/z3950/operation.go
+++ b/internal/frontend/z3950/operation.go
@@ -69,7 +69,7 @@
 // is cancelled before.
 func (a *association) start(op *operation, start starter, respond func(gateway.Outcome)) {
 	a.inFlight = op
-	cancel, known := start(func(outcome gateway.Outcome) {
+	cancel, immediate := start(func(outcome gateway.Outcome) {
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		if op.finished || a.closed {
@@ -82,10 +82,10 @@
 		a.updateEvictionClass()
 	})
 	op.cancel = cancel
-	if known != nil {
+	if immediate != nil {
 		op.finished = true
 		a.inFlight = nil
-		respond(*known)
+		respond(*immediate)
 	}
 }
 
@@ -114,7 +114,7 @@
 }
 
 // fail responds to a request with a diagnostic.
-func (a *association) fail(op *operation, d diagnostic) {
+func (a *association) fail(op *operation, problem diagnostic) {
 	switch op.request {
 	case z3950.SearchRequest:
 		a.send(z3950.Ctx(z3950.SearchResponse,
@@ -124,19 +124,19 @@
 			z3950.Num(z3950.FieldNextPosition, nextPositionNone),
 			z3950.Boolean(z3950.FieldSearchStatus, false),
 			z3950.Num(z3950.FieldResultSetStatus, resultSetStatusNone),
-			z3950.Diagnostic(z3950.FieldDiagnostic, d.code, d.details)))
+			z3950.Diagnostic(z3950.FieldDiagnostic, problem.code, problem.details)))
 	case z3950.PresentRequest:
 		a.send(z3950.Ctx(z3950.PresentResponse,
 			op.reference,
 			z3950.Num(z3950.FieldRecordsReturned, 0),
 			z3950.Num(z3950.FieldNextPosition, nextPositionNone),
 			z3950.Num(z3950.FieldPresentStatus, presentStatusFailure),
-			z3950.Diagnostic(z3950.FieldDiagnostic, d.code, d.details)))
+			z3950.Diagnostic(z3950.FieldDiagnostic, problem.code, problem.details)))
 	case z3950.EsRequest:
 		a.send(z3950.Ctx(z3950.EsResponse,
 			op.reference,
 			z3950.Num(z3950.FieldEsOperationStatus, operationStatusFailure),
-			z3950.Ctx(z3950.FieldEsDiagnostics, z3950.DiagnosticSequence(d.code, d.details))))
+			z3950.Ctx(z3950.FieldEsDiagnostics, z3950.DiagnosticSequence(problem.code, problem.details))))
 	}
 }
 
--- a/internal/protocol/http1/parser.go
+++ b/internal/protocol/http1/parser.go
@@ -229,21 +229,21 @@
 	if err != nil || lines == nil {
 		return needBytes, err
 	}
-	m := &Message{Header: Header{}}
-	http10, err := m.parseStartLine(lines[0], p.Responses)
+	message := &Message{Header: Header{}}
+	http10, err := message.parseStartLine(lines[0], p.Responses)
 	if err != nil {
 		return needBytes, err
 	}
-	if err := m.parseFields(lines[1:]); err != nil {
+	if err := message.parseFields(lines[1:]); err != nil {
 		return needBytes, err
 	}
-	m.Close = m.Header.hasToken("connection", "close") || http10 && !m.Header.hasToken("connection", "keep-alive")
-	if err := p.startBody(m); err != nil {
+	message.Close = message.Header.hasToken("connection", "close") || http10 && !message.Header.hasToken("connection", "keep-alive")
+	if err := p.startBody(message); err != nil {
 		return needBytes, err
 	}
-	p.message = m
+	p.message = message
 	if p.Head != nil {
-		p.Head(m)
+		p.Head(message)
 	}
 	if p.stage == inBody && p.remaining == 0 {
 		return completed, nil
@@ -253,9 +253,9 @@
 
 // startBody determines how the length of the body is given. A message that gives it twice is rejected: another parser on
 // the way may take the other one, and what follows for another request (request smuggling).
-func (p *Parser) startBody(m *Message) error {
-	length, hasLength := m.Header["content-length"]
-	coding, hasCoding := m.Header["transfer-encoding"]
+func (p *Parser) startBody(message *Message) error {
+	length, hasLength := message.Header["content-length"]
+	coding, hasCoding := message.Header["transfer-encoding"]
 	p.remaining = 0
 	switch {
 	case hasCoding && hasLength:
@@ -273,8 +273,8 @@
 			return reject(413, "body over %d bytes", p.maxBody())
 		}
 		p.stage, p.remaining = inBody, int(n)
-	case p.Responses && m.Status != 204 && m.Status != 304 && m.Status >= 200:
-		p.stage, m.Close = untilClose, true
+	case p.Responses && message.Status != 204 && message.Status != 304 && message.Status >= 200:
+		p.stage, message.Close = untilClose, true
 	default:
 		p.stage = inBody
 	}
--- a/internal/protocol/z3950/ber.go
+++ b/internal/protocol/z3950/ber.go
@@ -29,11 +29,11 @@
 // indefinite is the length of a value that lasts until two zero octets.
 const indefinite = -1
 
-// Decode reads one value from the front of b and returns it with the bytes after it. The value shares no memory with b. The
-// error is ErrMore if b ends too soon; any other means that b does not begin with a value within the limits.
-func Decode(b []byte) (value *Node, rest []byte, err error) {
+// Decode reads one value from the front of data and returns it with the bytes after it. The value shares no memory with data. The
+// error is ErrMore if data ends too soon; any other means that data does not begin with a value within the limits.
+func Decode(data []byte) (value *Node, rest []byte, err error) {
 	d := decoder{remaining: maxNodes}
-	return d.value(b, 0)
+	return d.value(data, 0)
 }
 
 // decoder decodes one unit.
@@ -42,7 +42,7 @@
 }
 
 // value decodes a value at a depth and all values in it.
-func (d *decoder) value(b []byte, depth int) (*Node, []byte, error) {
+func (d *decoder) value(data []byte, depth int) (*Node, []byte, error) {
 	if depth > maxDepth {
 		return nil, nil, fmt.Errorf("z3950: nested over %d deep", maxDepth)
 	}
@@ -50,27 +50,27 @@
 	if d.remaining < 0 {
 		return nil, nil, fmt.Errorf("z3950: over %d values", maxNodes)
 	}
-	if len(b) < 2 {
+	if len(data) < 2 {
 		return nil, nil, ErrMore
 	}
-	n, b, err := decodeIdentifier(b)
+	n, data, err := decodeIdentifier(data)
 	if err != nil {
 		return nil, nil, err
 	}
-	size, b, err := decodeLength(b)
+	size, data, err := decodeLength(data)
 	switch {
 	case err != nil:
 		return nil, nil, err
 	case size == indefinite && !n.Cons:
 		return nil, nil, errors.New("z3950: a primitive without a length")
 	case size == indefinite:
-		return d.untilEnd(n, b, depth)
+		return d.untilEnd(n, data, depth)
 	case size > MaxPDU:
 		return nil, nil, fmt.Errorf("z3950: a value of %d bytes", size)
-	case len(b) < size:
+	case len(data) < size:
 		return nil, nil, ErrMore
 	}
-	content, rest := b[:size], b[size:]
+	content, rest := data[:size], data[size:]
 	if !n.Cons {
 		n.Bytes = append([]byte(nil), content...)
 		return n, rest, nil
@@ -89,70 +89,70 @@
 }
 
 // untilEnd decodes the values in n, whose length is indefinite.
-func (d *decoder) untilEnd(n *Node, b []byte, depth int) (*Node, []byte, error) {
+func (d *decoder) untilEnd(n *Node, data []byte, depth int) (*Node, []byte, error) {
 	for {
-		if len(b) >= 2 && b[0] == 0 && b[1] == 0 {
-			return n, b[2:], nil
+		if len(data) >= 2 && data[0] == 0 && data[1] == 0 {
+			return n, data[2:], nil
 		}
-		kid, rest, err := d.value(b, depth+1)
+		kid, rest, err := d.value(data, depth+1)
 		if err != nil {
 			return nil, nil, err
 		}
-		n.Kids, b = append(n.Kids, kid), rest
+		n.Kids, data = append(n.Kids, kid), rest
 	}
 }
 
-// decodeIdentifier reads the class and tag of a value. b is not empty.
-func decodeIdentifier(b []byte) (n *Node, rest []byte, err error) {
-	n = &Node{Class: Class(b[0] >> 6), Cons: b[0]&constructedBit != 0, Tag: int(b[0] & longTag)}
-	b = b[1:]
+// decodeIdentifier reads the class and tag of a value. data is not empty.
+func decodeIdentifier(data []byte) (n *Node, rest []byte, err error) {
+	n = &Node{Class: Class(data[0] >> 6), Cons: data[0]&constructedBit != 0, Tag: int(data[0] & longTag)}
+	data = data[1:]
 	if n.Tag != longTag {
-		return n, b, nil
+		return n, data, nil
 	}
 	n.Tag = 0
 	for i := 0; ; i++ {
 		if i == maxTagOctets {
 			return nil, nil, errors.New("z3950: a tag too long")
 		}
-		if i >= len(b) {
+		if i >= len(data) {
 			return nil, nil, ErrMore
 		}
-		n.Tag = n.Tag<<7 | int(b[i]&^moreBit)
-		if b[i]&moreBit == 0 {
-			return n, b[i+1:], nil
+		n.Tag = n.Tag<<7 | int(data[i]&^moreBit)
+		if data[i]&moreBit == 0 {
+			return n, data[i+1:], nil
 		}
 	}
 }
 
 // decodeLength reads the length of a value, which may be indefinite.
-func decodeLength(b []byte) (size int, rest []byte, err error) {
-	if len(b) == 0 {
+func decodeLength(data []byte) (size int, rest []byte, err error) {
+	if len(data) == 0 {
 		return 0, nil, ErrMore
 	}
-	size = int(b[0])
-	b = b[1:]
+	size = int(data[0])
+	data = data[1:]
 	if size == longLength {
-		return indefinite, b, nil
+		return indefinite, data, nil
 	}
 	if size&longLength == 0 {
-		return size, b, nil
+		return size, data, nil
 	}
 	octets := size &^ longLength
 	if octets > maxLengthBytes {
 		return 0, nil, errors.New("z3950: a length too long")
 	}
-	if len(b) < octets {
+	if len(data) < octets {
 		return 0, nil, ErrMore
 	}
 	size = 0
-	for _, octet := range b[:octets] {
+	for _, octet := range data[:octets] {
 		size = size<<8 | int(octet)
 	}
-	return size, b[octets:], nil
+	return size, data[octets:], nil
 }
 
-// Encode appends the value to b, in definite lengths, and returns the extended slice.
-func (n *Node) Encode(b []byte) []byte {
+// Encode appends the value to data, in definite lengths, and returns the extended slice.
+func (n *Node) Encode(data []byte) []byte {
 	identifier := byte(n.Class) << 6
 	content := n.Bytes
 	if n.Cons {
@@ -163,20 +163,20 @@
 		}
 	}
 	if n.Tag < longTag {
-		b = append(b, identifier|byte(n.Tag))
+		data = append(data, identifier|byte(n.Tag))
 	} else {
-		b = append(b, identifier|longTag)
-		b = appendSevenBits(b, n.Tag, maxTagOctets)
+		data = append(data, identifier|longTag)
+		data = appendSevenBits(data, n.Tag, maxTagOctets)
 	}
 	switch size := len(content); {
 	case size < longLength:
-		b = append(b, byte(size))
+		data = append(data, byte(size))
 	case size < 1<<8:
-		b = append(b, longLength|1, byte(size))
+		data = append(data, longLength|1, byte(size))
 	case size < 1<<16:
-		b = append(b, longLength|2, byte(size>>8), byte(size))
+		data = append(data, longLength|2, byte(size>>8), byte(size))
 	default:
-		b = append(b, longLength|4, byte(size>>24), byte(size>>16), byte(size>>8), byte(size))
+		data = append(data, longLength|4, byte(size>>24), byte(size>>16), byte(size>>8), byte(size))
 	}
-	return append(b, content...)
+	return append(data, content...)
 }
--- a/internal/protocol/z3950/rpn.go
+++ b/internal/protocol/z3950/rpn.go
@@ -50,23 +50,23 @@
 	return Ctx(queryType1, Oid(Universal, tagOID, oidBib1), structure), nil
 }
 
-func rpnStructure(n query.Node) (*Node, error) {
-	switch n := n.(type) {
+func rpnStructure(tree query.Node) (*Node, error) {
+	switch tree := tree.(type) {
 	case *query.Boolean:
-		left, err := rpnStructure(n.Left)
+		left, err := rpnStructure(tree.Left)
 		if err != nil {
 			return nil, err
 		}
-		right, err := rpnStructure(n.Right)
+		right, err := rpnStructure(tree.Right)
 		if err != nil {
 			return nil, err
 		}
-		operator := map[query.Operator]int{query.And: 0, query.Or: 1, query.Not: 2}[n.Operator]
+		operator := map[query.Operator]int{query.And: 0, query.Or: 1, query.Not: 2}[tree.Operator]
 		return Ctx(rpnOperation, left, right, Ctx(rpnOperator, primitive(Context, operator, nil))), nil
 	case *query.ResultSet:
-		return Ctx(rpnOperand, Str(operandResultSet, n.Name)), nil
+		return Ctx(rpnOperand, Str(operandResultSet, tree.Name)), nil
 	case *query.Clause:
-		attributes, term, err := query.Attributes(n)
+		attributes, term, err := query.Attributes(tree)
 		if err != nil {
 			return nil, err
 		}
