--- a/cmd/rooktrestle/blocks.go
+++ b/cmd/rooktrestle/blocks.go
@@ -169,17 +169,17 @@
 // describe describes a difference in one line.
 func describe(d shardmap.ShardChange) string {
 	switch {
-	case d.Was == nil:
-		return fmt.Sprintf("+ block %d %s, %s, held by %s, of %v", d.ID, d.Is.Range(), d.Is.State, replicaList(d.Is), d.Is.Parents)
-	case d.Is == nil:
-		return fmt.Sprintf("- block %d %s", d.ID, d.Was.Range())
+	case d.Before == nil:
+		return fmt.Sprintf("+ block %d %s, %s, held by %s, of %v", d.ID, d.After.Range(), d.After.State, replicaList(d.After), d.After.Parents)
+	case d.After == nil:
+		return fmt.Sprintf("- block %d %s", d.ID, d.Before.Range())
 	}
-	text := fmt.Sprintf("~ block %d %s", d.ID, d.Is.Range())
-	if d.Was.State != d.Is.State {
-		text += fmt.Sprintf(", from %s to %s", d.Was.State, d.Is.State)
+	text := fmt.Sprintf("~ block %d %s", d.ID, d.After.Range())
+	if d.Before.State != d.After.State {
+		text += fmt.Sprintf(", from %s to %s", d.Before.State, d.After.State)
 	}
-	if d.Was.Weight != d.Is.Weight {
-		text += fmt.Sprintf(", weight %g to %g", d.Was.Weight, d.Is.Weight)
+	if d.Before.Weight != d.After.Weight {
+		text += fmt.Sprintf(", weight %g to %g", d.Before.Weight, d.After.Weight)
 	}
 	for _, change := range []struct {
 		verb    string
--- a/cmd/rooktrestle/blocksplan.go
+++ b/cmd/rooktrestle/blocksplan.go
@@ -119,17 +119,17 @@
 	if writePath != "" && strings.Count(writePath, "%d") != 1 {
 		return fmt.Errorf("--write %q: it needs one %%d, for the epoch", writePath)
 	}
-	printf(out, "%s, from epoch %d\n", plan.What, plan.From)
+	printf(out, "%s, from epoch %d\n", plan.Description, plan.FromEpoch)
 	for i := range plan.Steps {
 		step := &plan.Steps[i]
 		if conditions := conditionsOf(step); len(conditions) > 0 {
-			printf(out, "  %s: %s\n", strings.Join(conditions, ", "), step.Why)
+			printf(out, "  %s: %s\n", strings.Join(conditions, ", "), step.WaitReason)
 		}
 		var err error
 		if m, err = step.Apply(m); err != nil {
 			return err
 		}
-		printf(out, "epoch %d: %s\n", m.Epoch, step.What)
+		printf(out, "epoch %d: %s\n", m.Epoch, step.Description)
 		if writePath == "" {
 			continue
 		}
@@ -143,13 +143,13 @@
 
 // conditionsOf are the conditions of a step for people.
 func conditionsOf(step *shardmap.Step) (conditions []string) {
-	if step.Wait > 0 {
-		conditions = append(conditions, "wait "+step.Wait.String())
+	if step.MinWait > 0 {
+		conditions = append(conditions, "wait "+step.MinWait.String())
 	}
-	if step.Copied {
+	if step.AwaitCopies {
 		conditions = append(conditions, "until every joining server has all")
 	}
-	if step.Heard {
+	if step.AwaitEpochKnown {
 		conditions = append(conditions, "until every holder knows the epoch before")
 	}
 	return conditions
--- a/internal/aggregator/resharding_test.go
+++ b/internal/aggregator/resharding_test.go
@@ -18,11 +18,11 @@
 	h.requestShards("q", 1, "x@2000")
 	first := h.firstServer()
 	h.applyPlan(shardmap.PlanMigration(h.shardMap, 2, newHolders, shardmap.Timing{}))
-	h.endAt(first, 2, notHeld(shardmap.NotHeld, h.shardMap.Epoch))
+	h.endAt(first, 2, notHeld(shardmap.NoLongerServed, h.shardMap.Epoch))
 	if h.inFlight() != "2@"+otherHolder(first) {
 		t.Fatalf("in flight: %s", h.inFlight())
 	}
-	h.endAt(otherHolder(first), 2, notHeld(shardmap.NotHeld, h.shardMap.Epoch))
+	h.endAt(otherHolder(first), 2, notHeld(shardmap.NoLongerServed, h.shardMap.Epoch))
 	if now := h.firstServer(); now != "c" && now != "d" {
 		t.Fatalf("in flight: %s", h.inFlight())
 	}
@@ -94,8 +94,8 @@
 			i := slices.IndexFunc(h.calls, func(o Call) bool { return o.Attempt == c.Attempt })
 			if c.Shard == 2 && !served {
 				s := string(h.servers[i].ID)
-				h.endAt(s, 2, notHeld(shardmap.NotHeld, h.shardMap.Epoch))
-				h.endAt(otherHolder(s), 2, notHeld(shardmap.NotHeld, h.shardMap.Epoch))
+				h.endAt(s, 2, notHeld(shardmap.NoLongerServed, h.shardMap.Epoch))
+				h.endAt(otherHolder(s), 2, notHeld(shardmap.NoLongerServed, h.shardMap.Epoch))
 				continue
 			}
 			h.endAt(string(h.servers[i].ID), c.Shard, nil)
@@ -148,7 +148,7 @@
 				case slices.Contains(h.canceled, call.Attempt):
 					h.endAt(s, call.Shard, &AttemptError{Progress: Written, Canceled: true})
 				case !served && call.Epoch < h.shardMap.Epoch:
-					h.endAt(s, call.Shard, notHeld(shardmap.NotHeld, h.shardMap.Epoch))
+					h.endAt(s, call.Shard, notHeld(shardmap.NoLongerServed, h.shardMap.Epoch))
 				default:
 					h.endAt(s, call.Shard, nil)
 				}
@@ -177,8 +177,8 @@
 			second = string(h.servers[i].ID)
 		}
 	}
-	h.endAt(second, 2, notHeld(shardmap.NotHeld, h.shardMap.Epoch))
-	h.endAt(otherHolder(second), 2, notHeld(shardmap.NotHeld, h.shardMap.Epoch))
+	h.endAt(second, 2, notHeld(shardmap.NoLongerServed, h.shardMap.Epoch))
+	h.endAt(otherHolder(second), 2, notHeld(shardmap.NoLongerServed, h.shardMap.Epoch))
 	if len(h.calls) != 1 || h.calls[0].Shard != 1 || len(h.canceled) != 1 {
 		t.Fatalf("in flight: %s, canceled %d", h.inFlight(), len(h.canceled))
 	}
@@ -206,8 +206,8 @@
 	// Its holders reject one part: there is no other view for it.
 	s := h.firstServer()
 	b := h.calls[0].Shard
-	h.endAt(s, b, notHeld(shardmap.NotHeld, h.shardMap.Epoch))
-	h.endAt(otherHolder(s), b, notHeld(shardmap.NotHeld, h.shardMap.Epoch))
+	h.endAt(s, b, notHeld(shardmap.NoLongerServed, h.shardMap.Epoch))
+	h.endAt(otherHolder(s), b, notHeld(shardmap.NoLongerServed, h.shardMap.Epoch))
 	h.endAll(nil)
 	if f := h.answer("q"); f.Status == StatusServed && f.Complete || h.core.Counters.Restarts != 0 {
 		t.Errorf("%+v", f)
@@ -232,11 +232,11 @@
 		}
 		h.requestShards("q", 1, "x@2000")
 		s := h.firstServer()
-		h.endAt(s, 2, notHeld(shardmap.NotHeld, 4))
+		h.endAt(s, 2, notHeld(shardmap.NoLongerServed, 4))
 		if h.mapRequests != 1 {
 			t.Errorf("a map was requested %d times", h.mapRequests)
 		}
-		h.endAt(otherHolder(s), 2, notHeld(shardmap.NotHeld, 4))
+		h.endAt(otherHolder(s), 2, notHeld(shardmap.NoLongerServed, 4))
 		if len(h.answers["q"]) > 0 || len(h.calls) > 0 {
 			t.Fatalf("%+v, in flight %s", h.answers, h.inFlight())
 		}
@@ -293,7 +293,7 @@
 	h.core.Observer = recorder
 	h.requestShards("q", 1, "x@2000")
 	s := h.firstServer()
-	h.endAt(s, 2, notHeld(shardmap.NotHeld, 1))
+	h.endAt(s, 2, notHeld(shardmap.NoLongerServed, 1))
 	if h.mapRequests != 0 || h.core.Resharding.Views.Stats.FalseRejections != 1 || len(recorder.summaries) != 1 || !recorder.summaries[0].FalseRejection {
 		t.Errorf("requested %d, %+v", h.mapRequests, recorder.summaries)
 	}
--- a/internal/app/grpchealthcmd/grpchealthcmd.go
+++ b/internal/app/grpchealthcmd/grpchealthcmd.go
@@ -132,7 +132,7 @@
 		return nil, err
 	}
 	fmt.Fprintln(os.Stderr, "listen bridge", listener.Addr())
-	checker := grpchealth.NewAsker()
+	checker := grpchealth.NewChecker()
 	server := &http.Server{Handler: checker, ReadHeaderTimeout: bridgeHeaderTime, MaxHeaderBytes: bridgeHeaderBytes}
 	go func() { failed <- server.Serve(listener) }()
 	return func() {
--- a/internal/app/healthclient.go
+++ b/internal/app/healthclient.go
@@ -204,10 +204,10 @@
 		if fact.Age >= 0 {
 			age = ", " + fact.Age.Round(time.Millisecond).String() + " ago"
 		}
-		if !fact.Counts {
+		if !fact.Effective {
 			age += ", does not count"
 		}
-		fmt.Fprintf(&b, "  %s %s%s\n", padRight(fact.Source, sourceWidth), fact.Says, age)
+		fmt.Fprintf(&b, "  %s %s%s\n", padRight(fact.Source, sourceWidth), fact.Finding, age)
 	}
 	return b.String()
 }
--- a/internal/app/healthtracker.go
+++ b/internal/app/healthtracker.go
@@ -98,8 +98,8 @@
 		})
 	} else {
 		for _, difference := range shardmap.Diff(old, adopted) {
-			h.setReplicas(difference.Was, false, changed)
-			h.setReplicas(difference.Is, true, changed)
+			h.setReplicas(difference.Before, false, changed)
+			h.setReplicas(difference.After, true, changed)
 		}
 	}
 	var entries []health.Server
--- a/internal/app/partnerlisteners.go
+++ b/internal/app/partnerlisteners.go
@@ -54,7 +54,7 @@
 	addrs, sockets := p.conf.Listen, p.conf.Listen.Share
 	for _, listener := range []partnerListener{
 		{"sru", addrs.SRU, sockets.SRU, func() bool { return p.sru.EvictIdle(true) }, 0, p.sru.Accept},
-		{"z3950", addrs.Z3950, sockets.Z3950, p.z3950.Room, 0, p.z3950.Accept},
+		{"z3950", addrs.Z3950, sockets.Z3950, p.z3950.EvictIdle, 0, p.z3950.Accept},
 		{"health", addrs.Health, sockets.Health, func() bool { return p.health.EvictIdle(true) }, 0, p.health.Accept},
 		{"agent", addrs.Agent, sockets.Agent, nil, agentAdmitTimeout, p.reporter.Agent},
 	} {
--- a/internal/app/partners.go
+++ b/internal/app/partners.go
@@ -39,8 +39,8 @@
 	healthTracker *healthTracker
 	shardMaps     *shardMaps // nil: each server's shards follow from its cell
 	readiness     *readinessPublisher
-	reporter      *fronthealth.Teller // answers checks of the aggregator itself
-	checks        *background.Runner  // health checks of the servers
+	reporter      *fronthealth.Responder // answers checks of the aggregator itself
+	checks        *background.Runner     // health checks of the servers
 
 	sru       *httpserve.Server
 	z3950     *zfront.Server
@@ -100,7 +100,7 @@
 		p.core.Resharding = p.shardMaps.resharding()
 	}
 	p.mailbox.Put(aggregator.EndpointsChanged{Kind: balance.ListFull, Servers: servers})
-	p.reporter = &fronthealth.Teller{
+	p.reporter = &fronthealth.Responder{
 		Now: p.clock.Now, Wait: p.conf.Listen.AgentWait.Duration, Servers: p.serversJSON, Metrics: p.CountersText,
 	}
 	p.readiness = newReadinessPublisher(p.conf, p.core, p.healthTracker, p.reporter)
--- a/internal/app/readiness.go
+++ b/internal/app/readiness.go
@@ -26,7 +26,7 @@
 	core      *aggregator.Core
 	health    *healthTracker
 	evaluator *readiness.Evaluator
-	publisher *fronthealth.Teller
+	publisher *fronthealth.Responder
 	draining  bool
 	due       time.Time        // of the next evaluation
 	memory    []metrics.Sample // total and released bytes
@@ -36,7 +36,7 @@
 	databasesAt time.Time
 }
 
-func newReadinessPublisher(conf *config.Partners, core *aggregator.Core, tracker *healthTracker, publisher *fronthealth.Teller) *readinessPublisher {
+func newReadinessPublisher(conf *config.Partners, core *aggregator.Core, tracker *healthTracker, publisher *fronthealth.Responder) *readinessPublisher {
 	return &readinessPublisher{
 		conf: conf, core: core, health: tracker, evaluator: readiness.New(readiness.DefaultConfig()), publisher: publisher,
 		memory: []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}},
--- a/internal/archtest/imports_test.go
+++ b/internal/archtest/imports_test.go
@@ -73,55 +73,68 @@
 	return false
 }
 
-// importsOf calls visit with each import of this module's packages by a file of the module that is no test, and returns
-// how many there were.
-func importsOf(t *testing.T, root string, visit func(from, to string)) (found int) {
+// sourceFiles returns the Go files below root that are no tests, but for other modules and data of tests.
+func sourceFiles(t *testing.T, root string) (files []string) {
 	t.Helper()
 	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
 		if err != nil {
 			return err
 		}
-		if entry.IsDir() && path != root && (strings.HasPrefix(entry.Name(), ".") || entry.Name() == "tools" || entry.Name() == "testdata") {
+		name := entry.Name()
+		if entry.IsDir() && path != root && (strings.HasPrefix(name, ".") || name == "tools" || name == "testdata") {
 			return filepath.SkipDir
 		}
-		if entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
-			return nil
-		}
-		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
-		if err != nil {
-			return err
-		}
-		relative, err := filepath.Rel(root, filepath.Dir(path))
-		if err != nil {
-			return err
-		}
-		for _, spec := range file.Imports {
-			to, err := strconv.Unquote(spec.Path.Value)
-			if err != nil {
-				return err
-			}
-			if to, ours := strings.CutPrefix(to, module); ours {
-				found++
-				visit(filepath.ToSlash(relative), to)
-			}
+		if strings.HasSuffix(name, ".go") && !strings.HasSuffix(name, "_test.go") {
+			files = append(files, path)
 		}
 		return nil
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return found
+	return files
+}
+
+// importsOf returns what a file imports of this module.
+func importsOf(t *testing.T, path string) (imports []string) {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, spec := range file.Imports {
+		imported, err := strconv.Unquote(spec.Path.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if imported, ours := strings.CutPrefix(imported, module); ours {
+			imports = append(imports, imported)
+		}
+	}
+	return imports
 }
 
 func TestImports_FollowTheLayers(t *testing.T) {
-	found := importsOf(t, filepath.Join("..", ".."), func(from, to string) {
+	root := filepath.Join("..", "..")
+	found := 0
+	for _, path := range sourceFiles(t, root) {
+		relative, err := filepath.Rel(root, filepath.Dir(path))
+		if err != nil {
+			t.Fatal(err)
+		}
+		from := filepath.ToSlash(relative)
 		l := layerOf(from)
 		if l == nil {
 			t.Errorf("%s is in no layer: add it to docs/architecture.md and to this test", from)
-		} else if !l.mayImport(to) {
-			t.Errorf("%s imports %s, which its layer (%s) may not", from, to, l.prefix)
+			continue
 		}
-	})
+		for _, to := range importsOf(t, path) {
+			found++
+			if !l.mayImport(to) {
+				t.Errorf("%s imports %s, which its layer (%s) may not", from, to, l.prefix)
+			}
+		}
+	}
 	if found < 100 {
 		t.Errorf("only %d imports were looked at: the module's files were not found", found)
 	}
--- a/internal/backend/healthcheck/decoder.go
+++ b/internal/backend/healthcheck/decoder.go
@@ -67,7 +67,7 @@
 
 func (d *agentDecoder) end() (Result, bool) {
 	report, err := d.line.End()
-	return agentResult(report, err), !errors.Is(err, agentcheck.ErrSilent)
+	return agentResult(report, err), !errors.Is(err, agentcheck.ErrEmptyReport)
 }
 
 var adminStates = map[agentcheck.Admin]health.AdminState{
@@ -80,7 +80,7 @@
 	if err != nil {
 		return failed(err)
 	}
-	result := Result{CheckResult: health.CheckResult{Weight: report.Weight, MaxConn: report.MaxConn, Reason: report.Why}}
+	result := Result{CheckResult: health.CheckResult{Weight: report.Weight, MaxConn: report.MaxConn, Reason: report.Description}}
 	result.Admin = adminStates[report.Admin]
 	switch {
 	case report.State == "":
--- a/internal/backend/sru/client.go
+++ b/internal/backend/sru/client.go
@@ -103,7 +103,7 @@
 		}
 	}
 	switch {
-	case response.Diagnostic == nil && response.Update && !response.Good:
+	case response.Diagnostic == nil && response.Update && !response.Succeeded:
 		response.Diagnostic = &query.Diagnostic{SRU: diagSystemError, Details: "the server failed the update"}
 	case response.Diagnostic != nil && response.Diagnostic.SRU == diagPartialResult:
 		response.Diagnostic = nil
--- a/internal/control/health/facts.go
+++ b/internal/control/health/facts.go
@@ -7,11 +7,11 @@
 
 // Fact is one piece of evidence, for status pages and scripts.
 type Fact struct {
-	Source string        `json:"source"`
-	Says   string        `json:"says"`
-	Age    time.Duration `json:"age_ns"`   // negative: it does not age
-	Valid  time.Duration `json:"valid_ns"` // how long it counts; 0: until it is taken back
-	Counts bool          `json:"counts"`   // in the decision
+	Source    string        `json:"source"`
+	Finding   string        `json:"says"`
+	Age       time.Duration `json:"age_ns"`   // negative: it does not age
+	Validity  time.Duration `json:"valid_ns"` // how long it counts; 0: until it is taken back
+	Effective bool          `json:"counts"`   // in the decision
 }
 
 // Facts returns the evidence on a server; nil if it is not listed.
@@ -26,7 +26,7 @@
 	if s.Draining {
 		roster = "drains"
 	}
-	facts = append(facts, Fact{Source: "roster", Says: roster, Age: -1, Counts: true})
+	facts = append(facts, Fact{Source: "roster", Finding: roster, Age: -1, Effective: true})
 	for k := range s.checks {
 		facts = append(facts, t.checkFact(&s.checks[k]))
 	}
@@ -38,36 +38,36 @@
 		}
 	}
 	if s.connectFailures > 0 {
-		facts = append(facts, Fact{Source: "connections", Says: "none found, lately", Age: t.now.Sub(s.unreachableAt), Counts: !s.unreachableAt.IsZero()})
+		facts = append(facts, Fact{Source: "connections", Finding: "none found, lately", Age: t.now.Sub(s.unreachableAt), Effective: !s.unreachableAt.IsZero()})
 	}
 	return facts
 }
 
 func (t *Table) checkFact(c *checkState) Fact {
 	config := &t.checks[c.config]
-	f := Fact{Source: "check " + config.Name, Age: t.now.Sub(c.resultAt), Valid: config.Validity, Counts: t.valid(c)}
+	f := Fact{Source: "check " + config.Name, Age: t.now.Sub(c.resultAt), Validity: config.Validity, Effective: t.valid(c)}
 	switch {
 	case c.resultAt.IsZero():
-		f.Says, f.Age = "nothing yet", -1
+		f.Finding, f.Age = "nothing yet", -1
 	case c.down:
-		f.Says = "down"
+		f.Finding = "down"
 	case c.failureRun > 0:
-		f.Says = "failing"
+		f.Finding = "failing"
 	default:
-		f.Says = "up"
+		f.Finding = "up"
 	}
 	if c.admin != AdminUnset {
-		f.Says += " " + c.admin.String()
-		f.Counts = f.Counts || c.admin != Ready
+		f.Finding += " " + c.admin.String()
+		f.Effective = f.Effective || c.admin != Ready
 	}
 	if c.weight >= 0 {
-		f.Says += " " + percent(c.weight)
+		f.Finding += " " + percent(c.weight)
 	}
 	if c.degraded {
-		f.Says += " degraded"
+		f.Finding += " degraded"
 	}
 	if c.reason != "" {
-		f.Says += " (" + c.reason + ")"
+		f.Finding += " (" + c.reason + ")"
 	}
 	return f
 }
@@ -77,7 +77,7 @@
 	if c.ejected {
 		says += ", ejected"
 	}
-	return Fact{Source: fmt.Sprintf("parts of class %d", class), Says: says, Age: t.now.Sub(c.updatedAt), Valid: t.rules.OutcomeHalfLife, Counts: true}
+	return Fact{Source: fmt.Sprintf("parts of class %d", class), Finding: says, Age: t.now.Sub(c.updatedAt), Validity: t.rules.OutcomeHalfLife, Effective: true}
 }
 
 func percent(fraction float64) string { return fmt.Sprintf("%.0f%%", fraction*100) }
--- a/internal/control/listwatch/listwatch.go
+++ b/internal/control/listwatch/listwatch.go
@@ -16,8 +16,8 @@
 	Clients           int           // aggregators that call the same discovery; less than two: an agent that nobody else calls
 	RetryInterval     time.Duration // between the starts of two calls to an agent, and the minimum wait after a failed one
 	CallsPerSecond    float64       // of all clients together, where all of them call at once
-	MinSilence        time.Duration // a watch is broken after a silence sampled between MinSilence
-	MaxSilence        time.Duration // and MaxSilence: clients whose watches fall silent at one moment call over a span of time
+	MinIdleTimeout    time.Duration // a watch is broken after a silence sampled between MinIdleTimeout
+	MaxIdleTimeout    time.Duration // and MaxIdleTimeout: clients whose watches fall silent at one moment call over a span of time
 	FirstEventTimeout time.Duration // an agent answers at once: a call without an event for that long is broken
 }
 
@@ -27,8 +27,8 @@
 		Clients:           clients,
 		RetryInterval:     200 * time.Millisecond,
 		CallsPerSecond:    40,
-		MinSilence:        3 * time.Second,
-		MaxSilence:        4500 * time.Millisecond,
+		MinIdleTimeout:    3 * time.Second,
+		MaxIdleTimeout:    4500 * time.Millisecond,
 		FirstEventTimeout: time.Second,
 	}
 }
@@ -37,7 +37,7 @@
 func (c Config) hasOwnAgent() bool { return c.Clients <= 1 }
 
 // Reconnector times the calls of one client, which makes one call at a time: Opened, any number of Received and Succeeded,
-// then Ended, or Opened again once SilenceDeadline has passed. It belongs to that client and is not safe for concurrent
+// then Ended, or Opened again once IdleDeadline has passed. It belongs to that client and is not safe for concurrent
 // use. Times must not go back; random numbers are from 0 to 1.
 type Reconnector struct {
 	config       Config
@@ -59,15 +59,15 @@
 // Opened notes that a call starts. random decides how long a silence it is allowed.
 func (r *Reconnector) Opened(now time.Time, random float64) {
 	r.opened, r.lastReceived, r.hasReceived = now, now, false
-	r.maxSilence = r.config.MinSilence + time.Duration(random*float64(r.config.MaxSilence-r.config.MinSilence))
+	r.maxSilence = r.config.MinIdleTimeout + time.Duration(random*float64(r.config.MaxIdleTimeout-r.config.MinIdleTimeout))
 }
 
 // Received notes that an event came, whatever it is.
 func (r *Reconnector) Received(now time.Time) { r.lastReceived, r.hasReceived = now, true }
 
-// SilenceDeadline returns when the watch counts as broken if nothing is received until then. It is to be opened again at
+// IdleDeadline returns when the watch counts as broken if nothing is received until then. It is to be opened again at
 // once, without a backoff: it has waited already, and what it goes on missing counts as delivered.
-func (r *Reconnector) SilenceDeadline() time.Time {
+func (r *Reconnector) IdleDeadline() time.Time {
 	if !r.hasReceived && r.config.hasOwnAgent() {
 		return r.lastReceived.Add(min(r.maxSilence, r.config.FirstEventTimeout))
 	}
--- a/internal/control/listwatch/listwatch_test.go
+++ b/internal/control/listwatch/listwatch_test.go
@@ -85,9 +85,9 @@
 
 func (m *model) checkSilence(t *testing.T) {
 	t.Helper()
-	silence := m.r.SilenceDeadline().Sub(m.r.lastReceived)
+	silence := m.r.IdleDeadline().Sub(m.r.lastReceived)
 	isFirstEventTimeout := !m.r.hasReceived && m.clients <= 1 && silence == m.config.FirstEventTimeout
-	if silence > m.config.MaxSilence || silence < m.config.MinSilence && !isFirstEventTimeout {
+	if silence > m.config.MaxIdleTimeout || silence < m.config.MinIdleTimeout && !isFirstEventTimeout {
 		t.Fatalf("broken after a silence of %v", silence)
 	}
 }
@@ -100,7 +100,7 @@
 	m.r.Received(m.now)
 	m.r.Succeeded()
 	m.failures = 0
-	if !m.r.SilenceDeadline().After(m.now.Add(eventInterval)) {
+	if !m.r.IdleDeadline().After(m.now.Add(eventInterval)) {
 		t.Fatal("broken before the next event is due")
 	}
 }
@@ -108,7 +108,7 @@
 // fallSilent lets the watch break, which must be early enough to get what is missed within 6 s.
 func (m *model) fallSilent(t *testing.T, random float64) {
 	t.Helper()
-	deadline := m.r.SilenceDeadline()
+	deadline := m.r.IdleDeadline()
 	if deadline.After(m.r.lastReceived.Add(5 * time.Second)) {
 		t.Fatalf("a silence of %v is allowed", deadline.Sub(m.r.lastReceived))
 	}
--- a/internal/control/shardmap/diff.go
+++ b/internal/control/shardmap/diff.go
@@ -5,8 +5,8 @@
 // ShardChange is what changed of one shard between two maps.
 type ShardChange struct {
 	ID       ID       `json:"ID"`
-	Was      *Shard   `json:"Was"`      // before; nil: it is new
-	Is       *Shard   `json:"Is"`       // after; nil: it was removed
+	Before   *Shard   `json:"Was"`      // before; nil: it is new
+	After    *Shard   `json:"Is"`       // after; nil: it was removed
 	Joined   []string `json:"Joined"`   // servers that have a replica and had none
 	Left     []string `json:"Left"`     // servers that had a replica and have none
 	Promoted []string `json:"Promoted"` // servers whose replica was joining, and serves
@@ -17,7 +17,7 @@
 	persistentmap.Diff(before.all, after.all, func(d persistentmap.Difference[ID, *Shard]) bool {
 		switch {
 		case !d.InAfter:
-			changes = append(changes, ShardChange{ID: d.Key, Was: d.Before})
+			changes = append(changes, ShardChange{ID: d.Key, Before: d.Before})
 		case !d.InBefore || !d.Before.equal(d.After):
 			changes = append(changes, changeOf(d.Before, d.After))
 		}
@@ -28,7 +28,7 @@
 
 // changeOf compares a shard with what it was before, or nil.
 func changeOf(was, is *Shard) ShardChange {
-	change := ShardChange{ID: is.ID, Was: was, Is: is}
+	change := ShardChange{ID: is.ID, Before: was, After: is}
 	previous := was
 	if previous == nil {
 		previous = &Shard{}
--- a/internal/control/shardmap/interleavings_test.go
+++ b/internal/control/shardmap/interleavings_test.go
@@ -317,7 +317,7 @@
 		placement.Parts = append(placement.Parts, placed)
 	}
 	requestMap := vs.ObserveEpoch(origin, epoch)
-	return placement.Rejected(vs, part, x.servers[server], NotHeld, epoch, requestMap)
+	return placement.Rejected(vs, part, x.servers[server], NoLongerServed, epoch, requestMap)
 }
 
 // checkInvariants fails the test if a state is wrong: the correction runs at most once, its outcome says whether it ran,
--- a/internal/control/shardmap/mismatch.go
+++ b/internal/control/shardmap/mismatch.go
@@ -11,10 +11,10 @@
 const (
 	// NoMismatch means that the map was not the reason.
 	NoMismatch Mismatch = iota
-	// NotHeld means that the server does not hold the shard any more, since an epoch.
-	NotHeld
-	// NotHeldYet means that the server will hold the shard from an epoch on.
-	NotHeldYet
+	// NoLongerServed means that the server does not hold the shard any more, since an epoch.
+	NoLongerServed
+	// NotYetServed means that the server will hold the shard from an epoch on.
+	NotYetServed
 )
 
 // String returns the beginning of the text that a server sends, without the epoch.
@@ -30,9 +30,9 @@
 // Diagnostic returns the text that a server sends for a mismatch and the epoch that it names; empty for NoMismatch.
 func (m Mismatch) Diagnostic(e Epoch) string {
 	switch m {
-	case NotHeld:
+	case NoLongerServed:
 		return notHeldPrefix + strconv.FormatUint(uint64(e), 10)
-	case NotHeldYet:
+	case NotYetServed:
 		return notHeldYetPrefix + strconv.FormatUint(uint64(e), 10) + notHeldYetSuffix
 	}
 	return ""
@@ -41,10 +41,10 @@
 // ParseMismatch parses the text of a diagnostic. Only the exact form that Diagnostic returns is accepted: any other text
 // does not prove that the part never ran.
 func ParseMismatch(text string) (Mismatch, Epoch, bool) {
-	mismatch := NotHeld
+	mismatch := NoLongerServed
 	number, ok := strings.CutPrefix(text, notHeldPrefix)
 	if !ok {
-		mismatch = NotHeldYet
+		mismatch = NotYetServed
 		if number, ok = strings.CutPrefix(text, notHeldYetPrefix); ok {
 			number, ok = strings.CutSuffix(number, notHeldYetSuffix)
 		}
--- a/internal/control/shardmap/placement_test.go
+++ b/internal/control/shardmap/placement_test.go
@@ -14,11 +14,11 @@
 		return &QueryPlacement{View: vs.current, Idempotent: idempotent, Parts: []Part{{Shard: 2, Servers: servers}}}
 	}
 	q := placement(false, "a", "b")
-	d := q.Rejected(vs, 0, "a", NotHeld, 2, vs.ObserveEpoch(origin, 2))
+	d := q.Rejected(vs, 0, "a", NoLongerServed, 2, vs.ObserveEpoch(origin, 2))
 	if d != (Decision{DropServer: true, RequestMap: true}) || !slices.Equal(q.Parts[0].Servers, []string{"b"}) {
 		t.Errorf("another server is left, and a newer epoch was named: %+v %v", d, q.Parts)
 	}
-	d = q.Rejected(vs, 0, "b", NotHeld, 2, vs.ObserveEpoch(origin, 2))
+	d = q.Rejected(vs, 0, "b", NoLongerServed, 2, vs.ObserveEpoch(origin, 2))
 	if d != (Decision{DropServer: true, AwaitMap: true}) {
 		t.Errorf("no server is left, and a newer map may be on its way: %+v", d)
 	}
@@ -27,7 +27,7 @@
 		t.Errorf("the source has no newer map: %+v", d)
 	}
 	q = placement(true, "a", "b")
-	if d := q.Rejected(vs, 0, "a", NotHeld, 1, vs.ObserveEpoch(origin, 1)); !d.FalseRejection || d.RequestMap {
+	if d := q.Rejected(vs, 0, "a", NoLongerServed, 1, vs.ObserveEpoch(origin, 1)); !d.FalseRejection || d.RequestMap {
 		t.Errorf("the server holds the shard by the map that it names: %+v", d)
 	}
 }
@@ -55,7 +55,7 @@
 		"the part was answered in the meantime": {QueryPlacement{Idempotent: true, Parts: []Part{{Shard: 2, Answered: true, Servers: []string{"a"}}}}, false},
 	} {
 		c.query.View = old
-		if d := c.query.Rejected(vs, 0, "a", NotHeld, 2, false); d.Restart != c.restart || d.AwaitMap {
+		if d := c.query.Rejected(vs, 0, "a", NoLongerServed, 2, false); d.Restart != c.restart || d.AwaitMap {
 			t.Errorf("%s: %+v", name, d)
 		}
 	}
--- a/internal/control/shardmap/plan.go
+++ b/internal/control/shardmap/plan.go
@@ -8,21 +8,21 @@
 
 // Plan is a change of shards as a succession of epochs. Controllers store it as JSON.
 type Plan struct {
-	Archive string `json:"Archive"`
-	From    Epoch  `json:"From"` // of the map that it was made for
-	Steps   []Step `json:"Steps"`
-	What    string `json:"What"` // the change, for people
+	Archive     string `json:"Archive"`
+	FromEpoch   Epoch  `json:"From"` // of the map that it was made for
+	Steps       []Step `json:"Steps"`
+	Description string `json:"What"` // the change, for people
 }
 
 // Step is one epoch of a plan: what it changes, and the conditions under which it may be published.
 type Step struct {
-	Put    []*Shard      `json:"Put"`    // put in place of the shards with the same ids
-	Remove []ID          `json:"Remove"` // shards that are removed
-	What   string        `json:"What"`   // the change, for people
-	Wait   time.Duration `json:"Wait"`   // at least this long after the epoch before
-	Copied bool          `json:"Copied"` // not before every joining replica is complete
-	Heard  bool          `json:"Heard"`  // not before the servers of the shards know the epoch before
-	Why    string        `json:"Why"`    // reason for the conditions, for people
+	Put             []*Shard      `json:"Put"`    // put in place of the shards with the same ids
+	Remove          []ID          `json:"Remove"` // shards that are removed
+	Description     string        `json:"What"`   // the change, for people
+	MinWait         time.Duration `json:"Wait"`   // at least this long after the epoch before
+	AwaitCopies     bool          `json:"Copied"` // not before every joining replica is complete
+	AwaitEpochKnown bool          `json:"Heard"`  // not before the servers of the shards know the epoch before
+	WaitReason      string        `json:"Why"`    // reason for the conditions, for people
 }
 
 // Apply returns the map after the step, from the map before it, and validates it. Other plans may have been carried out
@@ -71,7 +71,7 @@
 // the epoch, since other plans may be carried out at the same time. It returns -1 if the map is of another archive or
 // older than the plan.
 func (p *Plan) StepsDone(m *Map) int {
-	if m.Archive != p.Archive || m.Epoch < p.From {
+	if m.Archive != p.Archive || m.Epoch < p.FromEpoch {
 		return -1
 	}
 	for done := len(p.Steps); done > 0; done-- {
--- a/internal/control/shardmap/plan_test.go
+++ b/internal/control/shardmap/plan_test.go
@@ -89,10 +89,10 @@
 	}
 	next, err := plan.Steps[0].Apply(run.m)
 	if err != nil {
-		run.t.Fatalf("%s: %v", plan.What, err)
+		run.t.Fatalf("%s: %v", plan.Description, err)
 	}
 	if _, err := run.views.Offer(origin, next); err != nil {
-		run.t.Fatalf("%s: %v", plan.What, err)
+		run.t.Fatalf("%s: %v", plan.Description, err)
 	}
 	run.m = next
 	run.running = append(run.running, &runningPlan{plan, 1})
@@ -101,7 +101,7 @@
 // advance carries out the next step of a running plan, given by its index.
 func (run *planRun) advance(i int) {
 	r := run.running[i]
-	step := fmt.Sprintf("%s, step %d", r.plan.What, r.done)
+	step := fmt.Sprintf("%s, step %d", r.plan.Description, r.done)
 	next, err := r.plan.Steps[r.done].Apply(run.m)
 	if err != nil {
 		if !strings.Contains(err.Error(), "given since") {
--- a/internal/control/shardmap/planning.go
+++ b/internal/control/shardmap/planning.go
@@ -29,16 +29,16 @@
 	if len(joining) == 0 && len(servers) == len(shard.Replicas) {
 		return nil, fmt.Errorf("block %d: it is held by these already", id)
 	}
-	p := &Plan{Archive: current.Archive, From: current.Epoch, What: fmt.Sprintf("move block %d %s to %v", id, shard.Range(), servers)}
+	p := &Plan{Archive: current.Archive, FromEpoch: current.Epoch, Description: fmt.Sprintf("move block %d %s to %v", id, shard.Range(), servers)}
 	names := serverNames(joining)
 	copying := *shard
 	copying.State, copying.Replicas = Migrating, slices.Concat(shard.Replicas, joining)
-	p.Steps = append(p.Steps, Step{Put: []*Shard{&copying}, What: fmt.Sprintf("block %d is moving; %s join and copy", id, names)})
+	p.Steps = append(p.Steps, Step{Put: []*Shard{&copying}, Description: fmt.Sprintf("block %d is moving; %s join and copy", id, names)})
 	together := copying
 	if len(joining) > 0 {
 		together.Replicas = promoteJoining(copying.Replicas, current.Epoch+2)
-		p.Steps = append(p.Steps, Step{Put: []*Shard{&together}, What: names + " serve, too", Copied: true,
-			Why: "whoever serves has to have all of the block"})
+		p.Steps = append(p.Steps, Step{Put: []*Shard{&together}, Description: names + " serve, too", AwaitCopies: true,
+			WaitReason: "whoever serves has to have all of the block"})
 	}
 	done := together
 	done.State, done.Replicas = Serving, nil
@@ -49,10 +49,10 @@
 			anyStays = anyStays || shard.ServedBy(r.Server)
 		}
 	}
-	last := Step{Put: []*Shard{&done}, What: fmt.Sprintf("block %d is held by %v", id, servers), Heard: true, Wait: timing.MapPropagation,
-		Why: "every mixer has to know the new holders before the old ones turn parts away"}
+	last := Step{Put: []*Shard{&done}, Description: fmt.Sprintf("block %d is held by %v", id, servers), AwaitEpochKnown: true, MinWait: timing.MapPropagation,
+		WaitReason: "every mixer has to know the new holders before the old ones turn parts away"}
 	if !anyStays {
-		last.Why += "; none of the old ones stays"
+		last.WaitReason += "; none of the old ones stays"
 	}
 	p.Steps = append(p.Steps, last)
 	return p, nil
@@ -99,14 +99,14 @@
 	splitting.State = Splitting
 	lastID := pieces[len(pieces)-1].ID
 	return &Plan{
-		Archive: current.Archive, From: current.Epoch, What: fmt.Sprintf("split block %d %s at %q", id, shard.Range(), boundaries),
+		Archive: current.Archive, FromEpoch: current.Epoch, Description: fmt.Sprintf("split block %d %s at %q", id, shard.Range(), boundaries),
 		Steps: []Step{
-			{Put: []*Shard{&splitting}, What: fmt.Sprintf("block %d is about to be split", id)},
+			{Put: []*Shard{&splitting}, Description: fmt.Sprintf("block %d is about to be split", id)},
 			{Put: append([]*Shard{asRetiring(&splitting)}, pieces...),
-				What: fmt.Sprintf("blocks %d to %d take its place; it retires", current.NextID, lastID), Heard: true, Wait: timing.MapPropagation,
-				Why: "every node has to know of the split before anybody asks for a half"},
-			{Remove: []ID{id}, What: fmt.Sprintf("block %d is gone", id), Wait: timing.MapPropagation + timing.MaxQueryTime,
-				Why: "queries that are pinned to it have ended by then"},
+				Description: fmt.Sprintf("blocks %d to %d take its place; it retires", current.NextID, lastID), AwaitEpochKnown: true, MinWait: timing.MapPropagation,
+				WaitReason: "every node has to know of the split before anybody asks for a half"},
+			{Remove: []ID{id}, Description: fmt.Sprintf("block %d is gone", id), MinWait: timing.MapPropagation + timing.MaxQueryTime,
+				WaitReason: "queries that are pinned to it have ended by then"},
 		},
 	}, nil
 }
@@ -149,13 +149,13 @@
 		merged.Parents, merged.Weight = append(merged.Parents, s.ID), merged.Weight+s.weight()
 	}
 	return &Plan{
-		Archive: current.Archive, From: current.Epoch, What: fmt.Sprintf("merge blocks %v", ids),
+		Archive: current.Archive, FromEpoch: current.Epoch, Description: fmt.Sprintf("merge blocks %v", ids),
 		Steps: []Step{
-			{Put: announced, What: fmt.Sprintf("blocks %v are about to be merged", merged.Parents)},
-			{Put: append(retired, merged), What: fmt.Sprintf("block %d takes their place; they retire", merged.ID), Heard: true,
-				Wait: timing.MapPropagation, Why: "every node has to know of the merge before anybody asks for the whole"},
-			{Remove: slices.Clone(merged.Parents), What: fmt.Sprintf("blocks %v are gone", merged.Parents),
-				Wait: timing.MapPropagation + timing.MaxQueryTime, Why: "queries that are pinned to them have ended by then"},
+			{Put: announced, Description: fmt.Sprintf("blocks %v are about to be merged", merged.Parents)},
+			{Put: append(retired, merged), Description: fmt.Sprintf("block %d takes their place; they retire", merged.ID), AwaitEpochKnown: true,
+				MinWait: timing.MapPropagation, WaitReason: "every node has to know of the merge before anybody asks for the whole"},
+			{Remove: slices.Clone(merged.Parents), Description: fmt.Sprintf("blocks %v are gone", merged.Parents),
+				MinWait: timing.MapPropagation + timing.MaxQueryTime, WaitReason: "queries that are pinned to them have ended by then"},
 		},
 	}, nil
 }
--- a/internal/control/shardmap/rollout.go
+++ b/internal/control/shardmap/rollout.go
@@ -45,8 +45,8 @@
 		return Action{Done: true}, nil
 	}
 	step := &r.Plan.Steps[done]
-	if at := r.epochSince.Add(step.Wait); now.Before(at) {
-		return Action{CheckAt: at, WaitingFor: step.Why}, nil
+	if at := r.epochSince.Add(step.MinWait); now.Before(at) {
+		return Action{CheckAt: at, WaitingFor: step.WaitReason}, nil
 	}
 	if reason := step.waitingForNode(m, nodes); reason != "" {
 		return Action{CheckAt: now.Add(nodePollInterval), WaitingFor: reason}, nil
@@ -63,10 +63,10 @@
 			continue
 		}
 		for _, replica := range current.Replicas {
-			if s.Copied && replica.Joining && !nodes.HasCopied(shard.ID, replica.Server) {
+			if s.AwaitCopies && replica.Joining && !nodes.HasCopied(shard.ID, replica.Server) {
 				return replica.Server + " copies"
 			}
-			if s.Heard && nodes.KnownEpoch(replica.Server) < m.Epoch {
+			if s.AwaitEpochKnown && nodes.KnownEpoch(replica.Server) < m.Epoch {
 				return replica.Server + " does not know the epoch"
 			}
 		}
--- a/internal/control/shardmap/stored_test.go
+++ b/internal/control/shardmap/stored_test.go
@@ -69,7 +69,7 @@
 				t.Fatal(err)
 			}
 			expectJSON(t, &plan, stored)
-			m := storedMap(t, plan.From)
+			m := storedMap(t, plan.FromEpoch)
 			replanned, err := replan(m)
 			if err != nil {
 				t.Fatal(err)
--- a/internal/frontend/grpchealth/asker.go
+++ b/internal/frontend/grpchealth/asker.go
@@ -21,10 +21,10 @@
 	maxCheckResponse = 64 << 10 // bytes
 )
 
-// Asker checks gRPC servers on behalf of an aggregator, which asks over HTTP: GET /check?addr=&service=&timeout=. The
+// Checker checks gRPC servers on behalf of an aggregator, which asks over HTTP: GET /check?addr=&service=&timeout=. The
 // response has status 200 if the server serves, 503 if it says that it does not (or if too many checks run), and 502 if it
 // gave no answer; the body says why. Connections are kept for further checks until Close.
-type Asker struct {
+type Checker struct {
 	mu     sync.Mutex
 	conns  map[string]*clientConn // by the server's address
 	checks chan struct{}          // holds one element for each running check
@@ -42,13 +42,13 @@
 	_ = c.conn.Close() // it fails only for a connection that is closed already
 }
 
-// NewAsker returns an Asker without connections.
-func NewAsker() *Asker {
-	return &Asker{conns: map[string]*clientConn{}, checks: make(chan struct{}, maxChecks)}
+// NewChecker returns an Asker without connections.
+func NewChecker() *Checker {
+	return &Checker{conns: map[string]*clientConn{}, checks: make(chan struct{}, maxChecks)}
 }
 
 // ServeHTTP performs one check.
-func (a *Asker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (a *Checker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	params := r.URL.Query()
 	timeout, err := time.ParseDuration(params.Get("timeout"))
 	if r.URL.Path != "/check" || params.Get("addr") == "" || err != nil || timeout <= 0 || timeout > maxCheckTimeout {
@@ -76,7 +76,7 @@
 }
 
 // check calls Check of a server. The error holds the status code and the message of the call; it is sent to the aggregator.
-func (a *Asker) check(ctx context.Context, addr, service string) (ServingStatus, error) {
+func (a *Checker) check(ctx context.Context, addr, service string) (ServingStatus, error) {
 	c, err := a.acquire(addr)
 	if err != nil {
 		return 0, err
@@ -93,7 +93,7 @@
 
 // acquire returns the connection to a server, which is in use until release. It first closes the connections that are
 // unused for too long.
-func (a *Asker) acquire(addr string) (*clientConn, error) {
+func (a *Checker) acquire(addr string) (*clientConn, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
@@ -120,7 +120,7 @@
 
 // closeIdle closes the connections that are unused for too long, and returns the address of the one of the others that is
 // unused for longest; empty if all are in use. It is called with the lock held.
-func (a *Asker) closeIdle(now time.Time) (oldest string) {
+func (a *Checker) closeIdle(now time.Time) (oldest string) {
 	for addr, c := range a.conns {
 		switch {
 		case c.users > 0:
@@ -135,14 +135,14 @@
 }
 
 // release ends the use of a connection by one check.
-func (a *Asker) release(c *clientConn) {
+func (a *Checker) release(c *clientConn) {
 	a.mu.Lock()
 	c.users--
 	a.mu.Unlock()
 }
 
 // Close closes all connections. Checks that still run on them fail.
-func (a *Asker) Close() {
+func (a *Checker) Close() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for addr, c := range a.conns {
--- a/internal/frontend/grpchealth/asker_test.go
+++ b/internal/frontend/grpchealth/asker_test.go
@@ -40,7 +40,7 @@
 	if err := stopped.Close(); err != nil {
 		t.Fatal(err)
 	}
-	asker := NewAsker()
+	asker := NewChecker()
 	t.Cleanup(asker.Close)
 	web := httptest.NewServer(asker)
 	t.Cleanup(web.Close)
--- a/internal/frontend/health/agent.go
+++ b/internal/frontend/health/agent.go
@@ -12,12 +12,12 @@
 const maxDatabaseName = 256
 
 // Agent returns the handler of an agent-check connection: it sends one line and closes the connection.
-func (t *Teller) Agent(conn *tcp.Conn) tcp.Handler { return &agentConn{teller: t, conn: conn} }
+func (t *Responder) Agent(conn *tcp.Conn) tcp.Handler { return &agentConn{teller: t, conn: conn} }
 
 // agentConn is one agent-check connection. A client that sends the name of a database (HAProxy's agent-send) is sent the
 // state of that database.
 type agentConn struct {
-	teller *Teller
+	teller *Responder
 	conn   *tcp.Conn
 
 	mu       sync.Mutex
--- a/internal/frontend/health/health.go
+++ b/internal/frontend/health/health.go
@@ -16,9 +16,9 @@
 // maxReportAge is the age from which a report no longer counts. The event loop makes a new one every 50 ms.
 const maxReportAge = 700 * time.Millisecond
 
-// Teller serves the latest readiness report. Its exported fields are set before the first call and not changed later.
+// Responder serves the latest readiness report. Its exported fields are set before the first call and not changed later.
 // All methods may be called from any goroutine.
-type Teller struct {
+type Responder struct {
 	Now func() time.Time
 	// Wait is how long an agent-check may take to name a database; 0: no name is read, and the reply is sent at once.
 	Wait time.Duration
@@ -33,11 +33,11 @@
 }
 
 // Set replaces the report. The event loop calls it with each new one.
-func (t *Teller) Set(report readiness.Report) { t.latest.Store(&report) }
+func (t *Responder) Set(report readiness.Report) { t.latest.Store(&report) }
 
 // Report returns the latest report. Before the first one, and once the latest is overdue, it returns one that is down and
 // says so as its reason. Its reasons and databases are shared and must not be changed.
-func (t *Teller) Report() readiness.Report {
+func (t *Responder) Report() readiness.Report {
 	latest := t.latest.Load()
 	if latest == nil {
 		return readiness.Report{State: readiness.Down, StateText: "down", Reasons: []string{"starting"}, Weight: 1}
@@ -52,7 +52,7 @@
 }
 
 // Counters returns how many agent-checks and HTTP health checks were served, and how often the report was overdue.
-func (t *Teller) Counters() (agent, http, overdue uint64) {
+func (t *Responder) Counters() (agent, http, overdue uint64) {
 	return t.count.agent.Load(), t.count.http.Load(), t.count.overdue.Load()
 }
 
@@ -62,16 +62,16 @@
 	if database != "" {
 		found := report.Database(database)
 		if found == nil {
-			return agentcheck.Report{State: agentcheck.Down, Weight: -1, MaxConn: -1, Why: "no such database"}
+			return agentcheck.Report{State: agentcheck.Down, Weight: -1, MaxConn: -1, Description: "no such database"}
 		}
 		state, reason = found.State, found.Reason
 	}
 	converted := agentcheck.Report{
-		State:   agentcheck.Up,
-		Admin:   agentcheck.Ready,
-		Weight:  float64(report.Weight) / 100,
-		MaxConn: -1,
-		Why:     reason,
+		State:       agentcheck.Up,
+		Admin:       agentcheck.Ready,
+		Weight:      float64(report.Weight) / 100,
+		MaxConn:     -1,
+		Description: reason,
 	}
 	switch {
 	case report.Draining:
--- a/internal/frontend/health/health_test.go
+++ b/internal/frontend/health/health_test.go
@@ -22,7 +22,7 @@
 func (c *fakeConn) Close(error)                             {}
 
 // get makes a health check and returns the response as it is written.
-func get(t *testing.T, teller *Teller, target string) string {
+func get(t *testing.T, teller *Responder, target string) string {
 	t.Helper()
 	conn := &fakeConn{}
 	server := httpserve.New(httpserve.Timeouts{}, teller.Now, teller.HTTP)
@@ -31,8 +31,8 @@
 }
 
 // newTeller returns a Teller whose report was made some time ago.
-func newTeller(age time.Duration, state readiness.State, draining bool) *Teller {
-	teller := &Teller{Now: func() time.Time { return start.Add(age) }}
+func newTeller(age time.Duration, state readiness.State, draining bool) *Responder {
+	teller := &Responder{Now: func() time.Time { return start.Add(age) }}
 	teller.Set(readiness.Report{
 		At: start, State: state, Draining: draining, Weight: 40, Reasons: []string{"load"},
 		Databases: []readiness.DatabaseReport{
@@ -47,7 +47,7 @@
 	up := newTeller(0, readiness.Up, false)
 	for _, test := range []struct {
 		name   string
-		teller *Teller
+		teller *Responder
 		target string
 		want   []string // all are in the response
 	}{
@@ -63,7 +63,7 @@
 		{"live with a report that is just in time", newTeller(maxReportAge, readiness.Up, false), "/livez", []string{"HTTP/1.1 200 "}},
 		{"not live", newTeller(maxReportAge+1, readiness.Up, false), "/livez", []string{"HTTP/1.1 503 ", "the loop stands still since 700ms\n"}},
 		{"ready with an overdue report", newTeller(maxReportAge+1, readiness.Up, false), "/readyz", []string{"HTTP/1.1 503 "}},
-		{"before the first report", &Teller{Now: func() time.Time { return start }}, "/readyz", []string{"HTTP/1.1 503 ", "down #starting\n"}},
+		{"before the first report", &Responder{Now: func() time.Time { return start }}, "/readyz", []string{"HTTP/1.1 503 ", "down #starting\n"}},
 		{"an unknown page is no drain", up, "/nothing", []string{"HTTP/1.1 400 "}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/frontend/health/http.go
+++ b/internal/frontend/health/http.go
@@ -26,7 +26,7 @@
 //	/metrics           the counters
 //
 // Degraded and draining are also sent as Envoy's health check headers.
-func (t *Teller) HTTP(exchange *httpserve.Exchange) {
+func (t *Responder) HTTP(exchange *httpserve.Exchange) {
 	t.count.http.Add(1)
 	path, query, _ := strings.Cut(exchange.Target, "?")
 	if exchange.Method != "GET" && exchange.Method != "HEAD" && exchange.Method != "OPTIONS" {
@@ -59,7 +59,7 @@
 }
 
 // respondLive says whether the event loop has made a report lately.
-func (t *Teller) respondLive(exchange *httpserve.Exchange, report readiness.Report) {
+func (t *Responder) respondLive(exchange *httpserve.Exchange, report readiness.Report) {
 	if report.At.IsZero() || t.Now().Sub(report.At) > maxReportAge {
 		exchange.Respond(503, []byte(strings.Join(report.Reasons, "; ")+"\n"), plainText...)
 		return
--- a/internal/frontend/platform/races_test.go
+++ b/internal/frontend/platform/races_test.go
@@ -22,21 +22,22 @@
 
 // Disconnects of clients in forced orders, on real connections (docs/crossings.md).
 
-// closeNotifier closes closed once the end of its connection has been handled.
-type closeNotifier struct {
+// connObserver notifies a test of what its handler has done.
+type connObserver struct {
 	tcp.Handler
-	closed chan struct{}
+	handled chan int      // bytes that a call of Data was given, once it has returned
+	closed  chan struct{} // closed once the end of the connection has been handled
 }
 
-func (c closeNotifier) Closed(err error) { c.Handler.Closed(err); close(c.closed) }
+func (o connObserver) Data(b []byte)    { o.Handler.Data(b); o.handled <- len(b) }
+func (o connObserver) Closed(err error) { o.Handler.Closed(err); close(o.closed) }
 
-// serve listens until the test ends and returns a client's connection, and a channel that is closed once the end of that
-// connection has been handled.
-func serve(t *testing.T, f *Frontend) (net.Conn, <-chan struct{}) {
+// serve listens until the test ends and returns a client's connection, and the observer of the other side's handler.
+func serve(t *testing.T, f *Frontend) (net.Conn, connObserver) {
 	t.Helper()
-	closed := make(chan struct{})
+	observer := connObserver{handled: make(chan int, 10), closed: make(chan struct{})}
 	server, err := tcp.Listen("127.0.0.1:0", &tcp.ConnLimiter{Max: 10}, func(conn *tcp.Conn) tcp.Handler {
-		return closeNotifier{f.Accept(conn), closed}
+		return connObserver{f.Accept(conn), observer.handled, observer.closed}
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -47,7 +48,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = client.Close() }) // the test may have closed it
-	return client, closed
+	return client, observer
 }
 
 func newFrontend(put func(aggregator.Message)) *Frontend {
@@ -72,18 +73,24 @@
 // loop before the disconnect: in the other order the disconnect would be forgotten, and the query forwarded for nobody.
 func TestFrontend_DisconnectBeforeHandOver(t *testing.T) {
 	var client net.Conn
-	var closed <-chan struct{}
+	var observer connObserver
 	posted := make(chan aggregator.Message, 10)
 	f := newFrontend(func(m aggregator.Message) {
 		if arrived, ok := m.(aggregator.RequestArrived); ok && arrived.Request.ID == "2" {
 			_ = client.Close() // nothing was read from it
-			<-closed           // its end has been handled, and the request is not yet handed over
+			<-observer.closed  // its end has been handled, and the request is not yet handed over
 		}
 		posted <- m
 	})
-	client, closed = serve(t, f)
-	send(t, client, query(1)+query(2)) // in one piece: the second is there when the first is answered
+	client, observer = serve(t, f)
+	both := query(1) + query(2)
+	send(t, client, both)
 	first := (<-posted).(aggregator.RequestArrived).Request
+	// The second is there when the first is answered, and what read it has returned: else it could be handed over there, and
+	// the connection's end would wait for the hand-over.
+	for handled := 0; handled < len(both); {
+		handled += <-observer.handled
+	}
 	answered := make(chan struct{})
 	go func() {
 		first.Frontend.Answer(aggregator.FinalAnswer{Status: aggregator.StatusRejected})
@@ -114,7 +121,7 @@
 		t.Run(name, func(t *testing.T) {
 			posted := make(chan aggregator.Message, 10)
 			f := newFrontend(func(m aggregator.Message) { posted <- m })
-			client, closed := serve(t, f)
+			client, observer := serve(t, f)
 			send(t, client, query(1))
 			first := (<-posted).(aggregator.RequestArrived).Request
 			send(t, client, query(2))
@@ -124,7 +131,7 @@
 			if m, ok := (<-posted).(aggregator.ClientDisconnected); !ok || m.Request != first {
 				t.Errorf("posted %+v, want the disconnect of the first", m)
 			}
-			<-closed
+			<-observer.closed
 			first.Frontend.Answer(aggregator.FinalAnswer{Status: aggregator.StatusRejected})
 			if n := len(posted); n > 0 || f.OpenConns() > 0 {
 				t.Errorf("%d more events, %d connections", n, f.OpenConns())
--- a/internal/frontend/z3950/association_test.go
+++ b/internal/frontend/z3950/association_test.go
@@ -261,11 +261,11 @@
 func TestServer_Room_EvictsIdleAssociationsOnly(t *testing.T) {
 	busy := newAssociation(t)
 	busy.send(searchUnit(t, "set", false))
-	if busy.server.Room() || busy.evicted {
+	if busy.server.EvictIdle() || busy.evicted {
 		t.Error("an association with an operation in flight is evicted")
 	}
 	idle := newAssociation(t)
-	if !idle.server.Room() || !idle.evicted {
+	if !idle.server.EvictIdle() || !idle.evicted {
 		t.Error("an idle association is not evicted")
 	}
 	if got := idle.server.Counters(); got != (Counters{Associations: 1, Units: 1, Spared: 1}) {
--- a/internal/frontend/z3950/eviction.go
+++ b/internal/frontend/z3950/eviction.go
@@ -2,11 +2,11 @@
 
 import "rooktrestle/internal/control/eviction"
 
-// Room evicts an association to free its connection for a new one, and returns whether there was one to evict; its
+// EvictIdle evicts an association to free its connection for a new one, and returns whether there was one to evict; its
 // connection is closed before Room returns. It guards the limit on connections against origins that connect and stay
 // silent, or open an association and do nothing. An association with an operation in flight, or with result sets in recent
 // use, is never evicted.
-func (s *Server) Room() bool {
+func (s *Server) EvictIdle() bool {
 	s.mu.Lock()
 	a, ok := s.evictable.Evict(s.now())
 	if ok {
--- a/internal/net/discovery/connection.go
+++ b/internal/net/discovery/connection.go
@@ -70,7 +70,7 @@
 			return "", err
 		case addr := <-w.pendingSwitch():
 			return addr, errSwitched
-		case <-w.After(time.Until(w.reconnector.SilenceDeadline())):
+		case <-w.After(time.Until(w.reconnector.IdleDeadline())):
 			return "", errUnresponsive
 		case <-stop:
 			return "", nil
--- a/internal/net/discovery/races_test.go
+++ b/internal/net/discovery/races_test.go
@@ -84,7 +84,7 @@
 // Bytes of a list that does not end are no progress: the timer for an unresponsive watch runs on under them.
 func TestEventStream_EndlessList_IsNoProgress(t *testing.T) {
 	s := newEventStream(&Watcher{Put: func(aggregator.Message) {}, received: func() {}, Version: 7})
-	s.framer.Most = 1 << 10
+	s.framer.MaxBytes = 1 << 10
 	progressed := func(text string) bool {
 		s.Data([]byte(text))
 		select {
--- a/internal/net/discovery/stream.go
+++ b/internal/net/discovery/stream.go
@@ -72,7 +72,7 @@
 	if w.needsFullList {
 		s.state.phase = awaitingFullList
 	}
-	s.framer.Most = maxListBytes
+	s.framer.MaxBytes = maxListBytes
 	s.parser = http1.Parser{Responses: true, Stream: s.readBody, Head: s.readHead}
 	return s
 }
--- a/internal/protocol/agentcheck/agentcheck.go
+++ b/internal/protocol/agentcheck/agentcheck.go
@@ -47,20 +47,20 @@
 
 // Report is what an agent reports in a line.
 type Report struct {
-	Admin   Admin
-	State   State
-	Weight  float64  // fraction of the configured weight, 0 to 2.56; negative: not named
-	MaxConn int      // limit of connections; negative: not named
-	Why     string   // the description
-	Unknown []string // unknown words
+	Admin       Admin
+	State       State
+	Weight      float64  // fraction of the configured weight, 0 to 2.56; negative: not named
+	MaxConn     int      // limit of connections; negative: not named
+	Description string   // the description
+	Unknown     []string // unknown words
 }
 
-// ErrSilent is the error of a line without a word. Its text is shown to operators.
-var ErrSilent = errors.New("agent: it says nothing")
+// ErrEmptyReport is the error of a line without a word. Its text is shown to operators.
+var ErrEmptyReport = errors.New("agent: it says nothing")
 
 const maxConnPrefix = "maxconn:"
 
-// Parse parses a line; what follows its end is ignored. The error is ErrSilent if the line has no word, and another one if
+// Parse parses a line; what follows its end is ignored. The error is ErrEmptyReport if the line has no word, and another one if
 // none of its words is known.
 func Parse(line string) (Report, error) {
 	report := Report{Weight: -1, MaxConn: -1}
@@ -68,10 +68,10 @@
 		line = line[:end]
 	}
 	line, description, _ := strings.Cut(line, "#")
-	report.Why = strings.TrimSpace(strings.Map(dropControl, description))
+	report.Description = strings.TrimSpace(strings.Map(dropControl, description))
 	words := strings.FieldsFunc(line, isSeparator)
 	if len(words) == 0 {
-		return report, ErrSilent
+		return report, ErrEmptyReport
 	}
 	for _, word := range words {
 		if !report.set(strings.ToLower(word)) {
@@ -154,7 +154,7 @@
 		words = append(words, maxConnPrefix+strconv.Itoa(r.MaxConn))
 	}
 	line := strings.Join(words, " ")
-	if description := strings.TrimSpace(strings.Map(dropControl, r.Why)); description != "" {
+	if description := strings.TrimSpace(strings.Map(dropControl, r.Description)); description != "" {
 		line += " #" + description
 	}
 	if len(line) >= MaxLine {
--- a/internal/protocol/agentcheck/agentcheck_test.go
+++ b/internal/protocol/agentcheck/agentcheck_test.go
@@ -17,14 +17,14 @@
 		{"any order, any case, only the first line", "maxconn:30 100% up READY\r\nx", Report{State: Up, Admin: Ready, Weight: 1, MaxConn: 30}},
 		{"drain", "drain", Report{Admin: Drain, Weight: -1, MaxConn: -1}},
 		{"maintenance", "MAINT", Report{Admin: Maint, Weight: -1, MaxConn: -1}},
-		{"nothing is read from the description", "stopped #going home, 5%", Report{State: Stopped, Weight: -1, MaxConn: -1, Why: "going home, 5%"}},
+		{"nothing is read from the description", "stopped #going home, 5%", Report{State: Stopped, Weight: -1, MaxConn: -1, Description: "going home, 5%"}},
 		{"failed", "failed", Report{State: Failed, Weight: -1, MaxConn: -1}},
 		{"a weight of zero is named", "0%", Report{Weight: 0, MaxConn: -1}},
 		{"the weight is limited", "9999%", Report{Weight: 2.56, MaxConn: -1}},
 		{"the later state counts", "down up", Report{State: Up, Weight: -1, MaxConn: -1}},
 		{"unknown words are reported", "up sideways -1%", Report{State: Up, Weight: -1, MaxConn: -1, Unknown: []string{"sideways", "-1%"}}},
 		{"a limit without its number is unknown", "up maxconn: 5", Report{State: Up, Weight: -1, MaxConn: -1, Unknown: []string{"maxconn:", "5"}}},
-		{"control characters are dropped", "up#\x01a\x7fb", Report{State: Up, Weight: -1, MaxConn: -1, Why: "ab"}},
+		{"control characters are dropped", "up#\x01a\x7fb", Report{State: Up, Weight: -1, MaxConn: -1, Description: "ab"}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			if got, err := Parse(test.line); err != nil || !reflect.DeepEqual(got, test.want) {
--- a/internal/protocol/jsonstream/jsonstream.go
+++ b/internal/protocol/jsonstream/jsonstream.go
@@ -6,7 +6,7 @@
 
 // Framer splits one stream. The zero value takes objects of any size. It is not safe for concurrent use.
 type Framer struct {
-	Most int // limit of an object in bytes; 0: not limited
+	MaxBytes int // limit of an object in bytes; 0: not limited
 
 	buf     []byte // received and not returned yet
 	scanned int    // bytes of buf that were looked at
@@ -42,8 +42,8 @@
 		}
 		f.scan(c)
 		// Guards memory against an object that does not end.
-		if f.Most > 0 && f.scanned > f.Most {
-			return nil, f.fail(fmt.Errorf("an object over %d bytes", f.Most))
+		if f.MaxBytes > 0 && f.scanned > f.MaxBytes {
+			return nil, f.fail(fmt.Errorf("an object over %d bytes", f.MaxBytes))
 		}
 		if f.depth == 0 {
 			object := f.buf[:f.scanned:f.scanned]
--- a/internal/protocol/jsonstream/jsonstream_test.go
+++ b/internal/protocol/jsonstream/jsonstream_test.go
@@ -38,7 +38,7 @@
 	want := []string{one, indented.String(), "{}", one}
 	stream := "\n" + one + "\r\n\n" + indented.String() + "\n {}" + one + "\n{\"begun\":"
 	for size := 1; size <= len(stream); size++ {
-		f := &Framer{Most: 1 << 10}
+		f := &Framer{MaxBytes: 1 << 10}
 		got, err := split(f, []byte(stream), size)
 		if err != nil || strings.Join(got, "|") != strings.Join(want, "|") || !f.Inside() {
 			t.Fatalf("pieces of %d bytes: %v, %q, inside %v", size, err, got, f.Inside())
@@ -57,7 +57,7 @@
 			t.Errorf("%q: the stream goes on with %q", bad, object)
 		}
 	}
-	f := &Framer{Most: 100}
+	f := &Framer{MaxBytes: 100}
 	if _, err := split(f, []byte(`{"a":[`+strings.Repeat("0,", 60)), 7); err == nil || f.Inside() {
 		t.Errorf("an object that does not end: %v", err)
 	}
--- a/internal/protocol/sru/response.go
+++ b/internal/protocol/sru/response.go
@@ -17,7 +17,7 @@
 type Response struct {
 	query.PartResult // Diagnostic: of an update, too
 	Update           bool
-	Good             bool   // of an update: it succeeded
+	Succeeded        bool   // of an update: it succeeded
 	ID               string // of an update: the record's identifier
 }
 
@@ -38,7 +38,7 @@
 		response.Records = parseRecords(root)
 	case "updateResponse":
 		response.Update = true
-		response.Good = root.text("operationStatus") == statusSuccess
+		response.Succeeded = root.text("operationStatus") == statusSuccess
 		response.ID = root.text("recordIdentifier")
 	default:
 		return response, fmt.Errorf("an answer of the kind %q", root.XMLName.Local)
--- a/internal/testbed/resharding/controller.go
+++ b/internal/testbed/resharding/controller.go
@@ -129,12 +129,12 @@
 		move, err := rollout.Next(time.Now(), c.current, c)
 		switch {
 		case err != nil:
-			return fmt.Errorf("%s: %w", p.What, err)
+			return fmt.Errorf("%s: %w", p.Description, err)
 		case move.Done:
 			return c.planFile.Store(nil)
 		case move.Publish != nil:
 			if c.Log != nil {
-				c.Log(fmt.Sprintf("epoch %d: %s", move.Publish.Epoch, p.Steps[move.Step].What))
+				c.Log(fmt.Sprintf("epoch %d: %s", move.Publish.Epoch, p.Steps[move.Step].Description))
 			}
 			if err := c.adopt(move.Publish); err != nil {
 				return err
--- a/internal/testbed/sim/discovery.go
+++ b/internal/testbed/sim/discovery.go
@@ -196,11 +196,11 @@
 
 // scheduleReopen reopens the watch once it counts as broken.
 func (w *watcher) scheduleReopen(call int) {
-	at := w.schedule.SilenceDeadline()
+	at := w.schedule.IdleDeadline()
 	w.service.world.at(at, func() {
 		switch {
 		case w.callNumber != call:
-		case w.schedule.SilenceDeadline().After(w.service.world.now):
+		case w.schedule.IdleDeadline().After(w.service.world.now):
 			w.scheduleReopen(call)
 		case w.service.world.PlantedBug == BugSlowReopen:
 			w.callEnded(call)
