--- a/internal/query/diagnostics.go
+++ b/internal/query/diagnostics.go
@@ -10,6 +10,7 @@
 	Details string
 }
 
+// Error returns the details and both protocols' codes, for logs.
 func (e *Error) Error() string {
 	return fmt.Sprintf("query: %s (srw %d, bib-1 %d)", e.Details, e.SRU, e.Bib1)
 }
