--- a/internal/backend/healthcheck/check_test.go
+++ b/internal/backend/healthcheck/check_test.go
@@ -79,7 +79,8 @@
 }
 
 func TestCheck_AgentReports(t *testing.T) {
-	agent := newAgent(t, "up ready 50% maxconn:9 #busy")
+	agent := newAgent(t, "")
+	agent.Set("up ready 50% maxconn:9 #busy", replica.RespondToSend)
 	profile := newProfile(t, config.CheckAgent, longTimeout)
 	profile.Send = "captions\n"
 	want := health.CheckResult{Weight: 0.5, MaxConn: 9, Oper: health.Up, Admin: health.Ready, Reason: "busy"}
@@ -89,11 +90,11 @@
 	if received := agent.Received(); len(received) != 1 || received[0] != "captions\n" {
 		t.Errorf("it received %q", received)
 	}
-	agent.Set("maint", replica.Respond)
+	agent.Set("maint", replica.RespondToSend)
 	if r := run(profile, agent.Addr()); r.Failed || r.Admin != health.Maintenance || r.Oper != health.OperUnset || r.Weight >= 0 {
 		t.Errorf("%+v", r)
 	}
-	agent.Set("stopped", replica.Respond)
+	agent.Set("stopped", replica.RespondToSend)
 	if r := run(profile, agent.Addr()); r.Oper != health.Down || r.Reason != "stopped" {
 		t.Errorf("%+v", r)
 	}
--- a/internal/testbed/replica/agent.go
+++ b/internal/testbed/replica/agent.go
@@ -14,17 +14,18 @@
 
 // The behaviors of agents.
 const (
-	Respond     AgentBehavior = iota // its line, then it closes
-	Hang                             // accepts and sends nothing
-	Drip                             // a byte a second, and never the end of a line
-	Flood                            // a megabyte without the end of a line
-	CloseAtOnce                      // closes without a byte
+	Respond       AgentBehavior = iota // its line, then it closes
+	RespondToSend                      // the same, but not before it has read what the check sends first
+	Hang                               // accepts and sends nothing
+	Drip                               // a byte a second, and never the end of a line
+	Flood                              // a megabyte without the end of a line
+	CloseAtOnce                        // closes without a byte
 )
 
 const (
 	dripInterval = time.Second
 	dripBytes    = 600
-	// sendWait is how long an agent waits for what the check sends first.
+	// sendWait is how long an agent that responds waits for what the check may send first.
 	sendWait = 2 * time.Millisecond
 )
 
@@ -109,8 +110,12 @@
 		_, _ = io.WriteString(c, strings.Repeat("up ", 350_000))
 		a.waitForClose(c)
 	case CloseAtOnce:
-	default:
+	case RespondToSend:
 		a.respond(c, line)
+	default:
+		if err := c.SetReadDeadline(time.Now().Add(sendWait)); err == nil {
+			a.respond(c, line)
+		}
 	}
 }
 
@@ -127,11 +132,8 @@
 	}
 }
 
-// respond reads what the check sends first, and sends the line.
+// respond reads what the check sends first, up to the connection's read deadline, and sends the line.
 func (a *Agent) respond(c net.Conn, line string) {
-	if err := c.SetReadDeadline(time.Now().Add(sendWait)); err != nil {
-		return
-	}
 	sent := make([]byte, 256)
 	if n, _ := c.Read(sent); n > 0 { // most checks send nothing: a time-out is no error
 		a.mu.Lock()
