State part and server in attempts' errors; typed gossip messages, options and status errors

AttemptError had fields for server and part that nothing filled: both pools state them at an attempt's end, and the models of FuzzPool check them on every failure. gossip.DecodeObservations returned four values and gossip.Open took five in a row: Message and Options. The error of an unexpected status stood in two packages: http1.StatusError.

--- a/internal/aggregator/attempt_error.go
+++ b/internal/aggregator/attempt_error.go
@@ -79,6 +79,15 @@
 // Unwrap is the cause, which may be nil.
 func (e *AttemptError) Unwrap() error { return e.Cause }
 
+// StateSubject notes in err, if it is an AttemptError, to which server and for which part the attempt was. Backends call it
+// at the end of an attempt, once for each error.
+func StateSubject(err error, server balance.Replica, part string) {
+	var failure *AttemptError
+	if errors.As(err, &failure) {
+		failure.Server, failure.Part = server, part
+	}
+}
+
 // attemptResult is the result that an attempt's error stands for. An error that is no AttemptError proves nothing about
 // what the server did: the attempt may have run.
 func attemptResult(err error) balance.AttemptResult {
--- a/internal/app/platform.go
+++ b/internal/app/platform.go
@@ -155,8 +155,10 @@
 	if !settings.PeerMessages || s.node.PeerListen == "" || s.node.PeerBroadcast == "" {
 		return
 	}
-	received := func(payload []byte) { s.mailbox.PutDeferred(aggregator.GossipReceived{Payload: payload}) }
-	transport, err := gossip.Open(s.node.PeerListen, s.node.PeerBroadcast, s.node.Peers, s.node.Deployment.InstanceIndex, received)
+	transport, err := gossip.Open(gossip.Options{
+		Listen: s.node.PeerListen, Broadcast: s.node.PeerBroadcast, Peers: s.node.Peers, OwnIndex: s.node.Deployment.InstanceIndex,
+		Receive: func(datagram []byte) { s.mailbox.PutDeferred(aggregator.GossipReceived{Payload: datagram}) },
+	})
 	if err != nil {
 		logf("gossip disabled: %v", err)
 		return
--- a/internal/backend/leaf/attempt.go
+++ b/internal/backend/leaf/attempt.go
@@ -270,5 +270,6 @@
 		delete(a.conn.streams, a.call.Name)
 	}
 	ended.Attempt = a.call.Attempt
+	aggregator.StateSubject(ended.Err, a.host.id, a.call.Name)
 	p.emit(ended)
 }
--- a/internal/backend/leaf/harness_test.go
+++ b/internal/backend/leaf/harness_test.go
@@ -320,6 +320,9 @@
 	if !errors.As(e.Err, &failure) {
 		h.t.Fatalf("%s: %v says nothing", a.name, e.Err)
 	}
+	if failure.Part != a.name || failure.Server != "s" {
+		h.t.Fatalf("%s: %v names another part or server", a.name, e.Err)
+	}
 	h.checkFailure(a, failure)
 }
 
--- a/internal/backend/serialconn/attempt.go
+++ b/internal/backend/serialconn/attempt.go
@@ -91,5 +91,6 @@
 		a.conn.attempt = nil
 	}
 	ended.Attempt = a.call.Attempt
+	aggregator.StateSubject(ended.Err, a.server.ID, a.call.Name)
 	p.emit(ended)
 }
--- a/internal/backend/serialconn/harness_test.go
+++ b/internal/backend/serialconn/harness_test.go
@@ -204,6 +204,9 @@
 	if !errors.As(e.Err, &failure) || failure.Progress < aggregator.Written && a.mayHaveRun() {
 		h.t.Fatalf("%s is said not to have run: %v", a.name, e.Err)
 	}
+	if failure.Part != a.name || failure.Server != "s" {
+		h.t.Fatalf("%s: %v names another part or server", a.name, e.Err)
+	}
 	if failure.Canceled && a.mayHaveRun() && !a.transport.closed {
 		h.t.Fatalf("%s was canceled and its connection goes on", a.name)
 	}
--- a/internal/control/gossip/observation.go
+++ b/internal/control/gossip/observation.go
@@ -39,15 +39,21 @@
 	return IsKind(kind, message) && len(message) >= bodyOffset && (len(message)-bodyOffset)%observationBytes == 0
 }
 
-// DecodeObservations decodes a message of a kind: how long ago it was sent (negative where the sender's clock is
-// ahead), the low 8 bits of the sender's zone, and the observations. ok is false for anything else.
-func DecodeObservations(kind byte, now time.Duration, message []byte) (age time.Duration, zone int,
-	observations []Observation, ok bool) {
+// Message is a decoded message of observations.
+type Message struct {
+	Age          time.Duration // since it was sent; negative where the sender's clock is ahead
+	Zone         int           // low 8 bits of the sender's zone
+	Observations []Observation
+}
+
+// DecodeObservations decodes a message of a kind received at now; ok is false for anything else.
+func DecodeObservations(kind byte, now time.Duration, message []byte) (m Message, ok bool) {
 	if !IsObservations(kind, message) {
-		return 0, 0, nil, false
+		return Message{}, false
 	}
+	m = Message{Age: Age(now, message), Zone: int(message[zoneOffset])}
 	for rest := message[bodyOffset:]; len(rest) > 0; rest = rest[observationBytes:] {
-		observations = append(observations, Observation{binary.BigEndian.Uint32(rest), rest[4]})
+		m.Observations = append(m.Observations, Observation{binary.BigEndian.Uint32(rest), rest[4]})
 	}
-	return Age(now, message), int(message[zoneOffset]), observations, true
+	return m, true
 }
--- a/internal/control/outlier/message.go
+++ b/internal/control/outlier/message.go
@@ -42,12 +42,12 @@
 
 // decodeMessage decodes a datagram; ok is false if it is not a message of this package.
 func decodeMessage(now time.Duration, datagram []byte) (m message, ok bool) {
-	age, zone, encoded, ok := gossip.DecodeObservations(messageKind, now, datagram)
+	decoded, ok := gossip.DecodeObservations(messageKind, now, datagram)
 	if !ok {
 		return message{}, false
 	}
-	m = message{age: age, zone: zone}
-	for _, r := range encoded {
+	m = message{age: decoded.Age, zone: decoded.Zone}
+	for _, r := range decoded.Observations {
 		m.observations = append(m.observations, observation{
 			key:      r.Key,
 			failed:   int(r.Value >> countBits),
--- a/internal/net/discovery/stream.go
+++ b/internal/net/discovery/stream.go
@@ -21,11 +21,6 @@
 	errConnectionClosed = errors.New("the connection was closed")
 )
 
-// statusError is a response of another status than 200.
-type statusError int
-
-func (e statusError) Error() string { return fmt.Sprintf("status %d", int(e)) }
-
 // phase is how far the responses on a connection have come. Connections that need no complete list start in
 // receivingChanges.
 type phase int
@@ -161,7 +156,7 @@
 	if response.Status == http.StatusOK {
 		return
 	}
-	s.end(statusError(response.Status))
+	s.end(http1.StatusError(response.Status))
 	s.state.abandoned = true // its body is no list, whatever it looks like
 }
 
--- a/internal/net/gossip/gossip.go
+++ b/internal/net/gossip/gossip.go
@@ -30,30 +30,39 @@
 	peers     map[netip.AddrPort]bool // true: a peer, false: this aggregator itself
 }
 
-// Open listens at listen and sends to all, which reaches every aggregator of the tier; both are IP:port. Datagrams from
-// peers are passed to put on a goroutine of the transport's, each in memory of its own; put must not block. peers[own] is
-// this aggregator: its own datagrams are dropped. An address that cannot be parsed or used is an error, which names the
-// setting that it stands in. The caller closes the transport.
-func Open(listen, all string, peers []string, own int, put func([]byte)) (*Transport, error) {
-	listenAddr, err := netip.ParseAddrPort(listen)
+// Options say where a transport listens and sends. Addresses are IP:port.
+type Options struct {
+	Listen    string
+	Broadcast string   // reaches every aggregator of the tier
+	Peers     []string // every aggregator of the tier, in the order of their numbers
+	OwnIndex  int      // of this aggregator among Peers: its own datagrams are dropped
+	// Receive is called with each datagram of a peer, on a goroutine of the transport's. The datagram is the callee's. It
+	// must not block.
+	Receive func(datagram []byte)
+}
+
+// Open opens a transport. An address that cannot be parsed or used is an error, which names the setting that it stands in.
+// The caller closes the transport.
+func Open(options Options) (*Transport, error) {
+	listenAddr, err := netip.ParseAddrPort(options.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
 	t := &Transport{peers: map[netip.AddrPort]bool{}}
-	if t.broadcast, err = netip.ParseAddrPort(all); err != nil {
+	if t.broadcast, err = netip.ParseAddrPort(options.Broadcast); err != nil {
 		return nil, fmt.Errorf("peers_all: %w", err)
 	}
-	for i, peer := range peers {
+	for i, peer := range options.Peers {
 		addr, err := netip.ParseAddrPort(peer)
 		if err != nil {
 			return nil, fmt.Errorf("peers: entry %d: %w", i, err)
 		}
-		t.peers[addr] = i != own
+		t.peers[addr] = i != options.OwnIndex
 	}
 	if t.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(listenAddr)); err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	go t.receive(put) // until Close
+	go t.receive(options.Receive) // until Close
 	return t, nil
 }
 
--- a/internal/net/gossip/gossip_test.go
+++ b/internal/net/gossip/gossip_test.go
@@ -29,7 +29,10 @@
 	own, ownAddr := listenUDP(t)
 	unknown, _ := listenUDP(t)
 	received := make(chan string, 10)
-	transport, err := Open("127.0.0.1:0", peerAddr, []string{ownAddr, peerAddr}, 0, func(b []byte) { received <- string(b) })
+	transport, err := Open(Options{
+		Listen: "127.0.0.1:0", Broadcast: peerAddr, Peers: []string{ownAddr, peerAddr}, OwnIndex: 0,
+		Receive: func(datagram []byte) { received <- string(datagram) },
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -72,7 +75,8 @@
 		{"of one peer", "127.0.0.1:0", "127.0.0.1:1", "x"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			if transport, err := Open(c.listen, c.all, []string{c.peer}, 0, func([]byte) {}); err == nil {
+			options := Options{Listen: c.listen, Broadcast: c.all, Peers: []string{c.peer}, Receive: func([]byte) {}}
+			if transport, err := Open(options); err == nil {
 				transport.Close()
 				t.Error("opened")
 			}
--- a/internal/net/shardmapsource/http.go
+++ b/internal/net/shardmapsource/http.go
@@ -25,11 +25,6 @@
 	errConnectionClosed = errors.New("the connection was closed without a response")
 )
 
-// statusError is a response of another status than 200 and 304.
-type statusError int
-
-func (e statusError) Error() string { return fmt.Sprintf("status %d", int(e)) }
-
 // HTTP polls a service: GET /v1/blocks?after=EPOCH&wait=10s returns 200 with a map newer than EPOCH as soon as there is
 // one, or 304 when the wait is over.
 type HTTP struct {
@@ -126,7 +121,7 @@
 	case http.StatusNotModified:
 		return Update{Source: h.Addr}
 	default:
-		return h.failed(statusError(m.Status))
+		return h.failed(http1.StatusError(m.Status))
 	}
 }
 
--- a/internal/protocol/http1/message.go
+++ b/internal/protocol/http1/message.go
@@ -23,6 +23,12 @@
 // Error returns the status and the reason.
 func (e *Error) Error() string { return fmt.Sprintf("%d: %s", e.Status, e.Reason) }
 
+// StatusError is the error of a response whose status is not one that the caller asked for.
+type StatusError int
+
+// Error returns the status.
+func (e StatusError) Error() string { return fmt.Sprintf("status %d", int(e)) }
+
 func reject(status int, format string, args ...any) *Error {
 	return &Error{status, fmt.Sprintf(format, args...)}
 }
