--- a/cmd/rooktrestle/program_test.go
+++ b/cmd/rooktrestle/program_test.go
@@ -15,7 +15,7 @@
 	"testing"
 )
 
-func TestPlatformServes(t *testing.T) {
+func TestPlatform_Serves(t *testing.T) {
 	a, b := newLeaf(t, value), newLeaf(t, value)
 	p := platform(t, a, b)
 	status, text := p.ask("q1", "search", `{"slices":[{"slice":0,"mass":0.5},{"slice":3,"mass":0.5}],"filter":"बजेट"}`)
@@ -64,7 +64,7 @@
 }
 
 // A correction whose connection breaks after it was written may have run: it fails, and is never sent again.
-func TestPlatformCorrectionIsNotSentTwice(t *testing.T) {
+func TestPlatform_CorrectionIsNotSentTwice(t *testing.T) {
 	breaks := func(_ string, c net.Conn) string { closeQuietly(c); return "" }
 	a, b := newLeaf(t, breaks), newLeaf(t, breaks)
 	p := platform(t, a, b)
@@ -80,7 +80,7 @@
 }
 
 // A frame that cannot be read ends its connection and the attempts on it; a search goes elsewhere.
-func TestPlatformBadFrame(t *testing.T) {
+func TestPlatform_InvalidFrame(t *testing.T) {
 	bad := true
 	var mu sync.Mutex
 	first := func(name string, c net.Conn) string {
@@ -100,7 +100,7 @@
 	p.stop()
 }
 
-func TestPlatformBadRequests(t *testing.T) {
+func TestPlatform_InvalidRequests(t *testing.T) {
 	p := platform(t, newLeaf(t, value), newLeaf(t, value))
 	body := `{"slices":[{"slice":0,"mass":1}],"filter":"x"}`
 	head := "X-Request-Id: z\r\nX-Tenant: tv\r\nX-Deadline: 1.0\r\n"
@@ -142,7 +142,7 @@
 }
 
 // A request on a connection that was open when SIGTERM came is still answered.
-func TestPlatformAnswersLateArrivals(t *testing.T) {
+func TestPlatform_AnswersLateArrivals(t *testing.T) {
 	received, release := make(chan struct{}), make(chan struct{})
 	p := platform(t, newLeaf(t, func(name string, c net.Conn) string {
 		close(received)
--- a/cmd/rooktrestle/shutdown_test.go
+++ b/cmd/rooktrestle/shutdown_test.go
@@ -63,7 +63,7 @@
 
 // A client sends requests on one connection until the program ends it. Each request is answered completely or, where it
 // crosses the end, not accepted at all: its client sees the end, and may retry elsewhere.
-func TestAClientAsksUntilItsConnectionEnds(t *testing.T) {
+func TestShutdown_ClientSendsUntilItsConnectionEnds(t *testing.T) {
 	p := platform(t, newLeaf(t, value))
 	c := p.connect()
 	answered := 0
@@ -97,7 +97,7 @@
 
 // The last answer is there for a client that reads it after the program has ended, and no reset comes in its place. An
 // idle connection ends in the same way, after one SIGTERM or two.
-func TestTheLastAnswerOutlivesTheProgram(t *testing.T) {
+func TestShutdown_LastAnswerIsDelivered(t *testing.T) {
 	received, release := make(chan struct{}), make(chan struct{})
 	p := platform(t, newLeaf(t, func(name string, c net.Conn) string {
 		close(received)
@@ -125,7 +125,7 @@
 
 // Leaf servers hang to the end: the query is answered when its time is over, and the program ends then. Its deadline is
 // shorter than the pause for late arrivals, and so is the one of a request that comes within that pause.
-func TestShutdownUnderLeafServersThatHang(t *testing.T) {
+func TestShutdown_LeafServersHang(t *testing.T) {
 	received, never := make(chan struct{}, 10), make(chan struct{})
 	t.Cleanup(func() { close(never) })
 	p := platform(t, newLeaf(t, func(string, net.Conn) string {
@@ -150,7 +150,7 @@
 }
 
 // A SIGTERM before the program is ready, while discovery is unresponsive, ends it.
-func TestToldToEndBeforeItIsReady(t *testing.T) {
+func TestShutdown_BeforeReady(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -175,7 +175,7 @@
 }
 
 // A SIGTERM while a reload blocks on reading the configuration ends the program.
-func TestToldToEndWhileItReadsItsConfiguration(t *testing.T) {
+func TestShutdown_WhileConfigurationIsRead(t *testing.T) {
 	p := platform(t, newLeaf(t, value))
 	if err := os.Remove(p.conf); err != nil {
 		t.Fatal(err)
--- a/cmd/rooktrestle/silence_test.go
+++ b/cmd/rooktrestle/silence_test.go
@@ -106,7 +106,7 @@
 // began meanwhile, also one that was stopped all the time, and one that was killed and restarted meanwhile. From then on
 // nothing new goes to the server. Guards against instances that waited in silence and sent 1,481 parts to servers that
 // drained.
-func TestMixersLearnOfADrainAfterASilence(t *testing.T) {
+func TestDiscovery_DrainIsLearnedAfterASilentWatch(t *testing.T) {
 	draining, sound := newLeaf(t, value), newLeaf(t, value)
 	settings := strings.Replace(unhurried(300), `"n_instances"`, `"registry_mode":"pushed","n_instances"`, 1)
 	settings = strings.Replace(settings, `"quota_per_s":100`, `"quota_per_s":100000`, 1)
