--- /dev/null
+++ b/internal/aggregator/main_test.go
@@ -0,0 +1,9 @@
+package aggregator
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- /dev/null
+++ b/internal/frontend/health/main_test.go
@@ -0,0 +1,11 @@
+package health
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
