Write by netpoll's Write: a write raced the release of the buffers at a connection's end

Ruled out: netpoll's dialing and its operators (read: each path checks for nil), the handlers (their panics are contained and logged otherwise). Change: net.Conn's Write, which holds the buffers until it returns; what had ended before is reported as not written. The harness prints the whole stack trace of a program that panics.

--- a/cmd/rooktrestle/harness_test.go
+++ b/cmd/rooktrestle/harness_test.go
@@ -49,7 +49,7 @@
 	}
 	ready := make(chan struct{})
 	go func() {
-		lines, last := bufio.NewScanner(out), ""
+		lines, last, faulty := bufio.NewScanner(out), "", false
 		for lines.Scan() {
 			last = lines.Text()
 			if f := listening.FindStringSubmatch(last); f != nil && len(p.listen) < listeners {
@@ -61,6 +61,9 @@
 				p.lines <- last
 			}
 			if strings.Contains(last, "panic") || strings.Contains(last, "DATA RACE") {
+				faulty = true
+			}
+			if faulty { // the line, and the stack traces below it
 				t.Errorf("the program says: %s", last)
 			}
 		}
--- a/internal/net/tcp/races_test.go
+++ b/internal/net/tcp/races_test.go
@@ -65,6 +65,43 @@
 	}
 }
 
+// A peer that resets the connection while this side writes ends the connection, and each write is reported once. Guards
+// the program against a write into buffers that netpoll has released at the connection's end.
+func TestConn_Write_WhilePeerResets(t *testing.T) {
+	listener := listen(t)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.(*net.TCPConn).SetLinger(0) // a reset in place of a close; where it fails, the test sees a close
+			_ = conn.Close()
+		}
+	}()
+	const dialers, connections, writes = 8, 300, 20
+	var running sync.WaitGroup
+	for range dialers {
+		running.Go(func() {
+			for range connections {
+				h := newRecordingHandler()
+				c, err := DialServerFirst(listener.Addr().String(), time.Minute, func(*Conn) Handler { return h })
+				if err != nil {
+					continue // the reset came before the connection was made
+				}
+				var reported sync.WaitGroup
+				reported.Add(writes)
+				for range writes {
+					c.Write([]byte("request"), func(WriteResult) { reported.Done() })
+				}
+				reported.Wait()
+				<-h.closed
+			}
+		})
+	}
+	running.Wait()
+}
+
 // An abort of a connection that its peer closes at the same time is done all the same, once.
 func TestConn_Abort_WhilePeerCloses(t *testing.T) {
 	for range 50 {
--- a/internal/net/tcp/write.go
+++ b/internal/net/tcp/write.go
@@ -108,18 +108,16 @@
 	case !pending.deadline.IsZero() && time.Now().After(pending.deadline):
 		return WriteExpired
 	}
-	writer := c.socket.Writer()
-	if _, err := writer.WriteBinary(pending.data); err != nil {
-		return WriteNone
-	}
-	err := writer.Flush()
+	// Not by Writer: between WriteBinary and Flush netpoll may release the buffers of a connection that ends. Write holds
+	// them until it returns.
+	n, err := c.socket.Write(pending.data)
 	if err == nil {
 		return WriteComplete
 	}
 	c.Close(fmt.Errorf("write: %w", err))
-	// Only the first system call fails with these, and then it has taken nothing. After any other error a part of it or all
-	// of it may be under way.
-	if errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
+	// netpoll has taken nothing where the connection had ended before. Only the first system call fails with the other two,
+	// and then it has taken nothing. After any other error a part of it or all of it may be under way.
+	if n == 0 || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
 		return WriteNone
 	}
 	return WriteUncertain
