Let dead servers of tests stand on ports that no other process can be given

Cause: TestDeadServers freed two ports of listeners and took them for dead; with 24 copies side by side 12 of 192 processes (five runs of the test each) failed, as another copy's replica had been given the port and answered. The dial test did the same. Change: ports 1 and 2 of the loopback, which the system never gives out.

--- a/cmd/rooktrestle/partners_test.go
+++ b/cmd/rooktrestle/partners_test.go
@@ -355,14 +355,8 @@
 func TestDeadServers(t *testing.T) {
 	a := newArchive(t)
 	p := partners(t, a, func(servers map[string]string) {
-		for _, id := range []string{"a", "b"} {
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			servers[id] = ln.Addr().String()
-			closeQuietly(ln)
-		}
+		// Ports that the system gives to nobody. One that a listener has just freed may be another process's by now.
+		servers["a"], servers["b"] = "127.0.0.1:1", "127.0.0.1:2"
 	})
 	for _, id := range []string{"1:dead", "2:dead", "3:dead"} { // each has one sound holder at least
 		if contains(t, p.correct(id), "<operationStatus>success<"); a.CorrectionCounts()[id] != 1 {
--- a/internal/net/tcp/dial_test.go
+++ b/internal/net/tcp/dial_test.go
@@ -50,12 +50,8 @@
 
 // A connection that nobody accepts is an error, and so is an address of no meaning.
 func TestDialServerFirst_UnreachableAddress(t *testing.T) {
-	listener := listen(t)
-	refusing := listener.Addr().String()
-	if err := listener.Close(); err != nil {
-		t.Fatal(err)
-	}
-	for name, addr := range map[string]string{"nobody listens": refusing, "not a port": "127.0.0.1:none"} {
+	// The system gives port 1 to nobody; one that a listener has just freed may be another process's by now.
+	for name, addr := range map[string]string{"nobody listens": "127.0.0.1:1", "not a port": "127.0.0.1:none"} {
 		t.Run(name, func(t *testing.T) {
 			if c, err := DialServerFirst(addr, time.Minute, func(*Conn) Handler { return newRecordingHandler() }); err == nil {
 				t.Errorf("%s: connected to %v", addr, c.Peer())
