--- a/internal/archtest/imports_test.go
+++ b/internal/archtest/imports_test.go
@@ -6,6 +6,7 @@
 	"go/token"
 	"io/fs"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -73,8 +74,8 @@
 	return false
 }
 
-// sourceFiles returns the Go files below root that are no tests, but for other modules and data of tests.
-func sourceFiles(t *testing.T, root string) (files []string) {
+// goFiles returns the Go files below root, but for other modules and data of tests.
+func goFiles(t *testing.T, root string) (files []string) {
 	t.Helper()
 	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
 		if err != nil {
@@ -84,7 +85,7 @@
 		if entry.IsDir() && path != root && (strings.HasPrefix(name, ".") || name == "tools" || name == "testdata") {
 			return filepath.SkipDir
 		}
-		if strings.HasSuffix(name, ".go") && !strings.HasSuffix(name, "_test.go") {
+		if strings.HasSuffix(name, ".go") {
 			files = append(files, path)
 		}
 		return nil
@@ -95,6 +96,13 @@
 	return files
 }
 
+// sourceFiles returns the Go files below root that are no tests.
+func sourceFiles(t *testing.T, root string) []string {
+	t.Helper()
+	isTest := func(path string) bool { return strings.HasSuffix(path, "_test.go") }
+	return slices.DeleteFunc(goFiles(t, root), isTest)
+}
+
 // importsOf returns what a file imports of this module.
 func importsOf(t *testing.T, path string) (imports []string) {
 	t.Helper()
@@ -115,7 +123,6 @@
 }
 
 func TestImports_FollowTheLayers(t *testing.T) {
-	root := filepath.Join("..", "..")
 	found := 0
 	for _, path := range sourceFiles(t, root) {
 		relative, err := filepath.Rel(root, filepath.Dir(path))
