Balance: whole names in functions, attempts started by steps of one thing each

Cause: parts, servers, queries and attempts were p, s, q and a in functions of up to forty lines, and send(p, s, true) did the budgets, the bookkeeping, the half-open pacing and the choice between two actions. Change: whole names wherever a function is longer than ten lines; startAttempt returns the action and its callers say whether it is hedged; addAttempt stands beside removeAttempt; delayHalfOpen, addServer and pathTo are steps of their own; conditions that stood twice or filled a line are predicates (mayBeHalfOpen, acceptsHedges, mayHaveCrashed).

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -21,26 +21,26 @@
 
 // admit reports whether a query's answer may be expected in time. Guards against overload, whatever brings
 // it: work that will be late is rejected before it costs anything, queries of little weight per part first.
-func (b *Balancer) admit(q *query) bool {
-	factor := b.admissionFactor(q)
-	left := micros(b.stepDue(q) - b.now)
+func (b *Balancer) admit(query *query) bool {
+	factor := b.admissionFactor(query)
+	left := micros(b.stepDue(query) - b.now)
 	limit := left * admissionShare * factor
-	least, needed := min(q.minWeight(), q.neededWeight()), q.neededWeight()
-	open := b.openWeight(q, limit)
-	hopeless := min(b.fleet.MedianServiceTime, hopelessTimeLeft*micros(q.class.Objective))
+	least, needed := min(query.minWeight(), query.neededWeight()), query.neededWeight()
+	open := b.openWeight(query, limit)
+	hopeless := min(b.fleet.MedianServiceTime, hopelessTimeLeft*micros(query.class.Objective))
 	if left <= hopeless || open < least-weightTolerance {
 		return false
 	}
 	// Both must say so: what responses took lately, which lags, and the number in flight, high in a lull.
-	deviations := estimate.TailDeviations(len(q.parts), 1-(least+needed)/2)
+	deviations := estimate.TailDeviations(len(query.parts), 1-(least+needed)/2)
 	if delay, measured := b.fleet.ObservedQueueDelay(b.now); measured {
 		return b.fleet.SlowestWithQueue(deviations, delay) <= limit
 	}
 	slowest := b.fleet.Slowest(deviations)
-	if slowest <= micros(q.class.Objective)*minObservedLatency {
+	if slowest <= micros(query.class.Objective)*minObservedLatency {
 		return true
 	}
-	expected, measured := b.fleet.Expected(b.now, q.Class, len(q.parts), slowest)
+	expected, measured := b.fleet.Expected(b.now, query.Class, len(query.parts), slowest)
 	if expected > limit && !measured {
 		b.fleet.ForgetExcess() // a rejection brings no answers, so each forgets some of what made it
 	}
@@ -48,12 +48,12 @@
 }
 
 // admissionFactor weighs a query's weight per part against the mean, and takes it into that mean.
-func (b *Balancer) admissionFactor(q *query) float64 {
-	weight, parts := q.class.Weight, float64(max(1, q.Parts))
+func (b *Balancer) admissionFactor(query *query) float64 {
+	weight, parts := query.class.Weight, float64(max(1, query.Parts))
 	if b.settings.WeightByWork {
 		weight *= parts
 	}
-	if !b.tenantRates.Take(q.Tenant, b.now) {
+	if !b.tenantRates.Take(query.Tenant, b.now) {
 		weight *= b.settings.OverQuotaFactor
 	}
 	b.meanWeight += weightSmoothing * (weight - b.meanWeight)
@@ -86,27 +86,27 @@
 // shedOptionalParts leaves out parts that a query can do without where half of a shard's replicas are
 // excluded and the others have long queues. What these can do is for queries that need each of their parts:
 // one lost there wastes all others. It returns the weight that can still be reached.
-func (b *Balancer) shedOptionalParts(q *query, reachable float64) float64 {
-	if q.minWeight() >= q.neededWeight() {
+func (b *Balancer) shedOptionalParts(query *query, reachable float64) float64 {
+	if query.minWeight() >= query.neededWeight() {
 		return reachable
 	}
-	for _, p := range q.parts {
-		optional := p.attempts == 0 && !p.abandoned && reachable-p.Weight >= q.minWeight()
-		if optional && b.mostlyExcluded(p) {
-			p.abandoned = true
-			reachable -= p.Weight
+	for _, part := range query.parts {
+		optional := part.attempts == 0 && !part.abandoned && reachable-part.Weight >= query.minWeight()
+		if optional && b.mostlyExcluded(part) {
+			part.abandoned = true
+			reachable -= part.Weight
 		}
 	}
 	return reachable
 }
 
 // mostlyExcluded reports whether half of a part's replicas are excluded, and all others have long queues.
-func (b *Balancer) mostlyExcluded(p *part) bool {
-	excluded, candidates := 0, b.candidates(p)
-	for _, s := range candidates {
-		if s.nearlyExcluded() {
+func (b *Balancer) mostlyExcluded(part *part) bool {
+	excluded, candidates := 0, b.candidates(part)
+	for _, server := range candidates {
+		if server.nearlyExcluded() {
 			excluded++
-		} else if !b.fleet.Backlogged(&s.Server, b.now) {
+		} else if !b.fleet.Backlogged(&server.Server, b.now) {
 			return false
 		}
 	}
--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -25,103 +25,102 @@
 }
 
 // advancePart sends a part that waits, or hedges one that is overdue.
-func (b *Balancer) advancePart(p *part) {
-	if len(p.inFlight) > 0 {
-		b.hedge(p)
+func (b *Balancer) advancePart(part *part) {
+	if len(part.inFlight) > 0 {
+		b.hedge(part)
 		return
 	}
-	if b.now < p.notBefore {
+	if b.now < part.notBefore {
 		return
 	}
-	crashPending := slices.ContainsFunc(p.failedOn, func(s *server) bool { return len(s.resetQueries) > 0 })
-	if p.attempts == 0 || b.retryBudget.Allows(b.now) && !crashPending {
-		if s := b.choose(p); s != nil {
-			b.send(p, s, false)
+	crashPending := slices.ContainsFunc(part.failedOn, (*server).mayHaveCrashed)
+	if part.attempts == 0 || b.retryBudget.Allows(b.now) && !crashPending {
+		if server := b.choose(part); server != nil {
+			b.emit(b.startAttempt(part, server))
 		}
 	}
 }
 
-func (b *Balancer) send(p *part, s *server, hedged bool) {
-	a := &attempt{part: p, server: s, number: p.attempts, sent: b.now}
-	if p.attempts > 0 {
+// startAttempt counts a new attempt of a part at a server, and returns the action that sends it.
+func (b *Balancer) startAttempt(part *part, server *server) Send {
+	if part.attempts > 0 {
 		b.retryBudget.RecordRetry(b.now)
 	} else {
 		b.hedgeTokens = min(maxHedgeTokens, b.hedgeTokens+hedgesPerPart*b.sqrtInstances)
 	}
-	p.attempts++
-	p.inFlight = append(p.inFlight, a)
-	class := &s.PerClass[p.query.Class]
-	b.fleet.RecordSend(&s.Server, p.query.Class, b.now)
-	b.attempts[attemptKey{p.ID, a.number}] = a
+	b.addAttempt(part, server)
+	b.delayHalfOpen(server, part.query.Class)
+	action := Send{Part: part.ID, Replica: server.id}
+	if !b.settings.CanCancel && !b.settings.CanHedge && part.query.class.Idempotency != NonIdempotent {
+		action.Timeout = duration(b.fleet.Overdue())
+	}
+	return action
+}
+
+// delayHalfOpen puts off the next half-open request to a server or over its path, if that was one.
+func (b *Balancer) delayHalfOpen(server *server, class int) {
 	overdue := b.fleet.Overdue()
-	if !s.Path.Usable() {
-		s.Path.NextHalfOpen = b.now + duration(overdue)
-	} else if !s.HealthyFor(p.query.Class) {
-		class.NextHalfOpen = b.now + duration(halfOpenInterval*b.sqrtInstances*max(overdue, s.Recent.Max()))
-		s.NextHalfOpen = max(s.NextHalfOpen, class.NextHalfOpen)
-	}
-	action := Send{Part: p.ID, Replica: s.id}
-	if !b.settings.CanCancel && !b.settings.CanHedge && p.query.class.Idempotency != NonIdempotent {
-		action.Timeout = duration(overdue)
-	}
-	if hedged {
-		b.emit(Hedge(action))
-	} else {
-		b.emit(action)
+	if !server.Path.Usable() {
+		server.Path.NextHalfOpen = b.now + duration(overdue)
+	} else if !server.HealthyFor(class) {
+		delay := duration(halfOpenInterval * b.sqrtInstances * max(overdue, server.Recent.Max()))
+		server.PerClass[class].NextHalfOpen = b.now + delay
+		server.NextHalfOpen = max(server.NextHalfOpen, b.now+delay)
 	}
 }
 
-func (b *Balancer) endAttempt(e AttemptEnded) {
-	a := b.removeAttempt(attemptKey{e.Part, e.Attempt})
-	if a == nil {
+func (b *Balancer) endAttempt(ended AttemptEnded) {
+	attempt := b.removeAttempt(attemptKey{ended.Part, ended.Attempt})
+	if attempt == nil {
 		return
 	}
-	p, s := a.part, a.server
-	class := &s.PerClass[p.query.Class]
-	b.recordLoad(s, e.Report)
-	took := micros(b.now - a.sent)
-	unusable := e.Result < Canceled || took > b.fleet.Overdue()
-	class.RecordLoss(e.Result != OK && e.Result != QueueFull && unusable)
-	switch e.Result {
+	part := attempt.part
+	server := attempt.server
+	class := &server.PerClass[part.query.Class]
+	b.recordLoad(server, ended.Report)
+	took := micros(b.now - attempt.sent)
+	unusable := ended.Result < Canceled || took > b.fleet.Overdue()
+	class.RecordLoss(ended.Result != OK && ended.Result != QueueFull && unusable)
+	switch ended.Result {
 	case OK:
-		b.succeed(a, class, took)
+		b.succeed(attempt, class, took)
 		return
 	case Failed:
-		p.recordMayHaveRun(a)
-		s.RecordClassFailure(p.query.Class, b.now, b.now, b.halfOpenDelay())
-		s.Path.RecordReachable()
+		part.recordMayHaveRun(attempt)
+		server.RecordClassFailure(part.query.Class, b.now, b.now, b.halfOpenDelay())
+		server.Path.RecordReachable()
 	case Reset:
-		p.recordMayHaveRun(a)
-		s.RecordClassFailure(p.query.Class, b.now, b.now, b.halfOpenDelay())
-		b.connectionLost(s, p.query)
+		part.recordMayHaveRun(attempt)
+		server.RecordClassFailure(part.query.Class, b.now, b.now, b.halfOpenDelay())
+		b.connectionLost(server, part.query)
 	case ConnectFailed:
-		b.recordDown(s)
+		b.recordDown(server)
 	case QueueFull:
 		// Avoid it until some of the queue is worked off; a fast rejection leaves few in flight and draws the
 		// next part.
-		s.avoidUntil = b.now + duration(queueFullBackoff*b.fleet.Mean)
+		server.avoidUntil = b.now + duration(queueFullBackoff*b.fleet.Mean)
 	case TimedOut, Canceled:
-		p.recordMayHaveRun(a)
-		b.recordTimeout(a, class, e.Result, took)
+		part.recordMayHaveRun(attempt)
+		b.recordTimeout(attempt, ended.Result, took)
 	}
-	p.failedOn = append(p.failedOn, s)
-	b.delayRetry(p)
+	part.failedOn = append(part.failedOn, server)
+	b.delayRetry(part)
 }
 
 // succeed takes a part's first answer and cancels its other attempts.
-func (b *Balancer) succeed(a *attempt, class *suspicion.Record, took float64) {
-	p := a.part
+func (b *Balancer) succeed(attempt *attempt, class *suspicion.Record, took float64) {
+	part := attempt.part
 	class.LastSuccess = b.now
 	class.RecordSuccess()
-	b.fleet.RecordAnswer(&a.server.Server, b.now, took, len(p.query.parts))
-	if b.parts[p.ID] != p || p.answered {
+	b.fleet.RecordAnswer(&attempt.server.Server, b.now, took, len(part.query.parts))
+	if b.parts[part.ID] != part || part.answered {
 		return
 	}
-	p.answered = true
-	if a.number > 0 && (len(p.inFlight) > 0 || took <= b.fleet.Overdue()) {
+	part.answered = true
+	if attempt.number > 0 && (len(part.inFlight) > 0 || took <= b.fleet.Overdue()) {
 		b.hedgeTokens = min(maxHedgeTokens, b.hedgeTokens+1) // the hedged request paid
 	}
-	for _, other := range p.inFlight {
+	for _, other := range part.inFlight {
 		b.cancel(other)
 	}
 }
@@ -140,23 +139,28 @@
 // recordTimeout holds an overdue attempt against its server where nothing came from there since, or another
 // attempt was quicker: it is as good as a failure. Else a server that answers nothing, or not everything,
 // would be as new once its requests are canceled.
-func (b *Balancer) recordTimeout(a *attempt, class *suspicion.Record, result AttemptResult, took float64) {
-	p, s, overdue := a.part, a.server, b.fleet.Overdue()
-	lost := class.LastSuccess <= a.sent || took > suspicion.LostFactor*overdue
-	if result == TimedOut || took > overdue && (p.answered || lost) {
-		s.RecordClassFailure(p.query.Class, b.now, a.sent, b.halfOpenDelay())
+func (b *Balancer) recordTimeout(attempt *attempt, result AttemptResult, took float64) {
+	part := attempt.part
+	server := attempt.server
+	overdue := b.fleet.Overdue()
+	answeredSince := server.PerClass[part.query.Class].LastSuccess > attempt.sent
+	lost := !answeredSince || took > suspicion.LostFactor*overdue
+	if result == TimedOut || took > overdue && (part.answered || lost) {
+		server.RecordClassFailure(part.query.Class, b.now, attempt.sent, b.halfOpenDelay())
 	}
-	if s.LastSuccess <= a.sent { // else the part was lost, and its time says nothing of the others'
-		b.fleet.RecordUnanswered(&s.Server, took, len(p.query.parts))
+	// Where the server answered others since, the part was lost: its time says nothing of theirs.
+	if server.LastSuccess <= attempt.sent {
+		b.fleet.RecordUnanswered(&server.Server, took, len(part.query.parts))
 	}
 }
 
 // delayRetry spreads the attempts of a part over the time left where no other replica is healthy: they meet
 // queues worked off meanwhile.
 func (b *Balancer) delayRetry(p *part) {
-	if b.parts[p.ID] != p || slices.ContainsFunc(b.candidates(p), func(s *server) bool {
+	untriedAndHealthy := func(s *server) bool {
 		return !s.nearlyExcluded() && s.HealthyFor(p.query.Class) && !slices.Contains(p.failedOn, s)
-	}) {
+	}
+	if b.parts[p.ID] != p || slices.ContainsFunc(b.candidates(p), untriedAndHealthy) {
 		return
 	}
 	left := max(0, p.query.objective-b.now)
@@ -166,16 +170,16 @@
 // connectionLost notes that a query lost a server under one of its parts, and probes whether that server
 // still runs. Guards against queries that crash whatever begins them: the servers are innocent, and a retry
 // crashes the next. Also catches mass crashes, where the other parts of a wide query are hopeless.
-func (b *Balancer) connectionLost(s *server, q *query) {
-	if !slices.Contains(s.resetQueries, q) {
-		s.resetQueries = append(s.resetQueries, q)
+func (b *Balancer) connectionLost(server *server, query *query) {
+	if !slices.Contains(server.resetQueries, query) {
+		server.resetQueries = append(server.resetQueries, query)
 	}
 	switch {
 	case !b.settings.CanProbe:
-		s.resolveResets(true)
-	case !s.probing:
-		s.probing = true
-		b.emit(Probe{Replica: s.id})
+		server.resolveResets(true)
+	case !server.probing:
+		server.probing = true
+		b.emit(Probe{Replica: server.id})
 	}
 }
 
--- a/balance/endpoints.go
+++ b/balance/endpoints.go
@@ -12,8 +12,8 @@
 // updateEndpoints takes in a list of the replicas, or changes to it.
 func (b *Balancer) updateEndpoints(list EndpointList) {
 	if list.Kind != ListDelta {
-		for _, s := range b.endpoints {
-			s.Listed = false
+		for _, server := range b.endpoints {
+			server.Listed = false
 		}
 	}
 	for _, endpoint := range list.Endpoints {
@@ -29,27 +29,43 @@
 	b.indexEndpoints()
 }
 
-func (b *Balancer) updateEndpoint(e Endpoint) {
-	s := b.servers[e.Replica]
-	if s == nil {
-		s = &server{id: e.Replica}
-		s.PerClass = make([]suspicion.Record, len(b.settings.Classes))
-		s.gossipKey = gossip.ServerKey(string(e.Replica))
-		b.servers[e.Replica] = s
-		b.endpoints = append(b.endpoints, s)
+// updateEndpoint takes in one entry of a list.
+func (b *Balancer) updateEndpoint(endpoint Endpoint) {
+	server := b.servers[endpoint.Replica]
+	if server == nil {
+		server = b.addServer(endpoint.Replica)
 	}
-	if b.paths[e.Zone] == nil {
-		b.paths[e.Zone] = &suspicion.Path{}
-		if e.Zone != b.settings.Zone {
-			b.fleet.RemotePaths = append(b.fleet.RemotePaths, b.paths[e.Zone])
-		}
+	server.zone = endpoint.Zone
+	server.cell = endpoint.Cell
+	server.Listed = endpoint.State == InService
+	server.Path = b.pathTo(endpoint.Zone)
+	server.Remote = endpoint.Zone != b.settings.Zone
+	server.applyLimits(endpoint.HealthLimits)
+	if endpoint.Started > server.SlowStart.Started {
+		server.Restart(endpoint.Started, b.rng.Float64())
 	}
-	s.zone, s.cell, s.Listed = e.Zone, e.Cell, e.State == InService
-	s.Path, s.Remote = b.paths[e.Zone], e.Zone != b.settings.Zone
-	s.applyLimits(e.HealthLimits)
-	if e.Started > s.SlowStart.Started {
-		s.Restart(e.Started, b.rng.Float64())
+}
+
+// addServer adds a server that was not listed before.
+func (b *Balancer) addServer(id Replica) *server {
+	added := &server{id: id, gossipKey: gossip.ServerKey(string(id))}
+	added.PerClass = make([]suspicion.Record, len(b.settings.Classes))
+	b.servers[id] = added
+	b.endpoints = append(b.endpoints, added)
+	return added
+}
+
+// pathTo returns the network path to a zone.
+func (b *Balancer) pathTo(zone int) *suspicion.Path {
+	path := b.paths[zone]
+	if path == nil {
+		path = &suspicion.Path{}
+		b.paths[zone] = path
+		if zone != b.settings.Zone {
+			b.fleet.RemotePaths = append(b.fleet.RemotePaths, path)
+		}
 	}
+	return path
 }
 
 // applyLimits takes what others found out about a server. A half-open request once granted stays granted
--- a/balance/gossip.go
+++ b/balance/gossip.go
@@ -53,8 +53,8 @@
 
 // receiveGossip takes in another balancer's message. What was seen here since counts for more: a server that
 // answered this balancer after the other's probe went out is up. A message brings no server into the list.
-func (b *Balancer) receiveGossip(e GossipReceived) {
-	load, ok := gossip.DecodeLoad(b.now, e.Payload)
+func (b *Balancer) receiveGossip(received GossipReceived) {
+	load, ok := gossip.DecodeLoad(b.now, received.Payload)
 	fresh := time.Duration(math.Abs(float64(load.Age))) <= duration(gossipLifetime*micros(b.minObjective))
 	if !ok || !b.settings.GossipEnabled() || !fresh {
 		return
@@ -62,18 +62,18 @@
 	age := max(0, load.Age)
 	sameZone := load.Zone == b.settings.Zone&0xff
 	for _, observation := range load.Observations {
-		s := b.byGossipKey[observation.Key]
-		if s == nil {
+		server := b.byGossipKey[observation.Key]
+		if server == nil {
 			continue
 		}
-		s.probedAt = max(s.probedAt, b.now-age)
+		server.probedAt = max(server.probedAt, b.now-age)
 		if observation.Value != gossip.Unresponsive {
-			b.receiveQueue(s, float64(observation.Value))
+			b.receiveQueue(server, float64(observation.Value))
 			continue
 		}
 		// Only from the own zone: another zone's path there may be cut.
-		if sameZone && b.now-s.LastSuccess > age+b.settings.ProbeTimeout {
-			s.ProbeFailed, s.ProbeUnanswered = true, true
+		if sameZone && b.now-server.LastSuccess > age+b.settings.ProbeTimeout {
+			server.ProbeFailed, server.ProbeUnanswered = true, true
 		}
 	}
 }
--- a/balance/hedging.go
+++ b/balance/hedging.go
@@ -11,49 +11,54 @@
 
 // hedge sends a second request for a part whose attempt is overdue, or cancels it where hedging is not
 // allowed.
-func (b *Balancer) hedge(p *part) {
-	a := p.lastAttempt()
-	if !b.hedgeable(p, a) || micros(b.now-a.sent) <= b.hedgeAfter(p, a) ||
+func (b *Balancer) hedge(part *part) {
+	attempt := part.lastAttempt()
+	if !b.hedgeable(part, attempt) || micros(b.now-attempt.sent) <= b.hedgeAfter(part, attempt) ||
 		b.hedgeTokens < 1 || !b.retryBudget.Allows(b.now) {
 		return
 	}
-	s := b.choose(p)
-	if s == nil || s.PenaltyFor(p.query.Class) > 0 || s.Unresponsive || s.nearlyExcluded() {
+	server := b.choose(part)
+	if server == nil || !server.acceptsHedges(part.query.Class) {
 		return
 	}
 	// A backlog says why the attempt is late: it is done there all the same, and no sooner behind another.
-	current := a.server
+	current := attempt.server
 	backlogged := b.fleet.Backlogged(&current.Server, b.now) && current.Path.Usable()
-	if backlogged && !current.nearlyExcluded() && b.fleet.Backlogged(&s.Server, b.now) {
+	if backlogged && !current.nearlyExcluded() && b.fleet.Backlogged(&server.Server, b.now) {
 		return
 	}
 	b.hedgeTokens--
 	if b.settings.CanHedge {
-		b.send(p, s, true)
+		b.emit(Hedge(b.startAttempt(part, server)))
 	} else {
-		b.cancel(a)
+		b.cancel(attempt)
 	}
 }
 
-// hedgeable reports whether a part may have a second request beside attempt a.
-func (b *Balancer) hedgeable(p *part, a *attempt) bool {
-	if len(p.inFlight) > 1 || p.attempts >= b.settings.MaxAttempts || a.canceled {
+// acceptsHedges reports whether a server may get hedged requests of a class.
+func (s *server) acceptsHedges(class int) bool {
+	return s.PenaltyFor(class) == 0 && !s.Unresponsive && !s.nearlyExcluded()
+}
+
+// hedgeable reports whether a part may have a second request beside its last attempt.
+func (b *Balancer) hedgeable(part *part, attempt *attempt) bool {
+	if len(part.inFlight) > 1 || part.attempts >= b.settings.MaxAttempts || attempt.canceled {
 		return false
 	}
-	switch p.query.class.Idempotency {
+	switch part.query.class.Idempotency {
 	case NonIdempotent:
 		return false
 	case KeyedIdempotent:
-		return b.now+duration(b.fleet.Mean) <= p.inFlight[0].sent+p.query.class.DedupWindow
+		return b.now+duration(b.fleet.Mean) <= part.inFlight[0].sent+part.query.class.DedupWindow
 	}
 	return true
 }
 
 // hedgeAfter is the age in microseconds beyond which an attempt is hedged or canceled.
-func (b *Balancer) hedgeAfter(p *part, a *attempt) float64 {
-	s := a.server
+func (b *Balancer) hedgeAfter(part *part, attempt *attempt) float64 {
+	server := attempt.server
 	if b.settings.CanHedge {
-		if !s.HealthyFor(p.query.Class) || !s.Listed {
+		if !server.HealthyFor(part.query.Class) || !server.Listed {
 			return b.fleet.Typical()
 		}
 		return b.fleet.Overdue()
@@ -61,11 +66,11 @@
 	// To start over loses the time waited and adds work, and the overdue parts of a healthy server are heavy
 	// ones, overdue again elsewhere: only where the server answers nothing, or so late that the part is lost
 	// there.
-	class := &s.PerClass[p.query.Class]
-	if s.Listed && class.LastSuccess > a.sent && class.LossRate < suspicion.LossSmoothing {
+	class := &server.PerClass[part.query.Class]
+	if server.Listed && class.LastSuccess > attempt.sent && class.LossRate < suspicion.LossSmoothing {
 		return suspicion.LostFactor * b.fleet.Overdue()
 	}
-	if !s.Path.Usable() {
+	if !server.Path.Usable() {
 		return b.fleet.Typical()
 	}
 	return cancelOverdue * b.fleet.Overdue()
--- a/balance/lookup.go
+++ b/balance/lookup.go
@@ -14,13 +14,13 @@
 }
 
 // candidates are the servers in service that may be asked for a part.
-func (b *Balancer) candidates(p *part) (all []*server) {
-	if p.Candidates == nil {
-		return b.replicas(p.Shard)
+func (b *Balancer) candidates(part *part) (all []*server) {
+	if part.Candidates == nil {
+		return b.replicas(part.Shard)
 	}
-	for _, c := range p.Candidates {
-		if s := b.servers[c.Replica]; s != nil && s.Listed {
-			all = append(all, s)
+	for _, c := range part.Candidates {
+		if server := b.servers[c.Replica]; server != nil && server.Listed {
+			all = append(all, server)
 		}
 	}
 	return all
@@ -33,29 +33,39 @@
 	}
 	b.byGossipKey = map[uint32]*server{}
 	b.fleet.Servers = b.fleet.Servers[:0]
-	for _, s := range b.endpoints {
-		b.fleet.Servers = append(b.fleet.Servers, &s.Server)
-		if _, twice := b.byGossipKey[s.gossipKey]; twice || !s.Listed {
-			b.byGossipKey[s.gossipKey] = nil
+	for _, server := range b.endpoints {
+		b.fleet.Servers = append(b.fleet.Servers, &server.Server)
+		if _, twice := b.byGossipKey[server.gossipKey]; twice || !server.Listed {
+			b.byGossipKey[server.gossipKey] = nil
 		} else {
-			b.byGossipKey[s.gossipKey] = s
+			b.byGossipKey[server.gossipKey] = server
 		}
-		if s.Listed && s.cell >= 0 && s.cell < len(b.cells) {
-			b.cells[s.cell] = append(b.cells[s.cell], s)
+		if server.Listed && server.cell >= 0 && server.cell < len(b.cells) {
+			b.cells[server.cell] = append(b.cells[server.cell], server)
 		}
 	}
 }
 
+// addAttempt adds an attempt of a part that is sent to a server now to those in flight.
+func (b *Balancer) addAttempt(part *part, server *server) {
+	added := &attempt{part: part, server: server, number: part.attempts, sent: b.now}
+	part.attempts++
+	part.inFlight = append(part.inFlight, added)
+	b.attempts[attemptKey{part.ID, added.number}] = added
+	b.fleet.RecordSend(&server.Server, part.query.Class, b.now)
+}
+
 // removeAttempt takes an attempt that ended from all that are in flight; it returns nil if there is none.
 func (b *Balancer) removeAttempt(key attemptKey) *attempt {
-	a := b.attempts[key]
-	if a == nil {
+	ended := b.attempts[key]
+	if ended == nil {
 		return nil
 	}
 	delete(b.attempts, key)
-	a.part.inFlight = slices.DeleteFunc(a.part.inFlight, func(other *attempt) bool { return other == a })
-	a.server.RecordEnd(a.part.query.Class, a.sent)
-	return a
+	isEnded := func(a *attempt) bool { return a == ended }
+	ended.part.inFlight = slices.DeleteFunc(ended.part.inFlight, isEnded)
+	ended.server.RecordEnd(ended.part.query.Class, ended.sent)
+	return ended
 }
 
 // lastAttempt is the latest attempt in flight. There must be one.
@@ -66,16 +76,17 @@
 // recordMayHaveRun notes that an attempt that ended may have run.
 func (p *part) recordMayHaveRun(a *attempt) {
 	if !p.mayHaveRun || a.sent < p.firstMayHaveRun {
-		p.mayHaveRun, p.firstMayHaveRun = true, a.sent
+		p.mayHaveRun = true
+		p.firstMayHaveRun = a.sent
 	}
 }
 
 // prefer narrows servers down, in place, to those for which holds is true. If there are none it returns all.
 func prefer(servers []*server, holds func(*server) bool) []*server {
 	n := 0
-	for i, s := range servers {
-		if holds(s) {
-			servers[i], servers[n] = servers[n], s
+	for i, server := range servers {
+		if holds(server) {
+			servers[i], servers[n] = servers[n], server
 			n++
 		}
 	}
@@ -85,16 +96,16 @@
 	return servers[:n]
 }
 
-func (b *Balancer) addPart(e Part) {
-	q := b.byGroup[e.Group]
-	if q == nil || q.done {
+func (b *Balancer) addPart(arrived Part) {
+	query := b.byGroup[arrived.Group]
+	if query == nil || query.done {
 		return
 	}
-	p := &part{Part: e, query: q}
+	part := &part{Part: arrived, query: query}
 	b.fleet.Demand.Offered++
-	p.warmupTarget = b.sampleWarming(p)
-	q.parts = append(q.parts, p)
-	b.parts[e.ID] = p
+	part.warmupTarget = b.sampleWarming(part)
+	query.parts = append(query.parts, part)
+	b.parts[arrived.ID] = part
 	b.retryBudget.RecordRequest(b.now)
 	b.outbox.Earn()
 }
@@ -126,6 +137,12 @@
 	}
 }
 
+// mayHaveCrashed reports whether the server lost connections and is still being probed for it.
+func (s *server) mayHaveCrashed() bool { return len(s.resetQueries) > 0 }
+
+// mayBeHalfOpen reports whether the part's next attempt may be a half-open request: a query carries one, and no retry is.
+func (p *part) mayBeHalfOpen() bool { return p.attempts == 0 && !p.query.halfOpenUsed }
+
 // resolveResets notes whether a server that lost connections crashed; it runs on if only answers were lost.
 func (s *server) resolveResets(crashed bool) {
 	for _, q := range s.resetQueries {
--- a/balance/probing.go
+++ b/balance/probing.go
@@ -18,21 +18,21 @@
 // probeReplicas probes the replicas of a new query's parts, as far as the parts have earned it, and reports
 // whether to wait for the results. One balancer of many meets a server so rarely that its last load report is
 // old.
-func (b *Balancer) probeReplicas(q *query) (wait bool) {
+func (b *Balancer) probeReplicas(query *query) (wait bool) {
 	if !b.settings.CanProbe || !b.settings.LoadReportsOnProbe {
 		return false
 	}
 	var candidates []*server
-	for _, p := range q.parts {
-		candidates = append(candidates, b.candidates(p)...)
+	for _, part := range query.parts {
+		candidates = append(candidates, b.candidates(part)...)
 	}
-	if q.probedAt == 0 {
-		q.probedAt = b.now
-		parts := float64(len(q.parts))
+	if query.probedAt == 0 {
+		query.probedAt = b.now
+		parts := float64(len(query.parts))
 		b.probeTokens = min(maxProbesPerPart*parts, b.probeTokens) + probesPerPart*parts
 		b.probeOldest(candidates)
 	}
-	return micros(b.now-q.probedAt) < micros(b.minObjective)*maxProbeWait &&
+	return micros(b.now-query.probedAt) < micros(b.minObjective)*maxProbeWait &&
 		slices.ContainsFunc(candidates, func(s *server) bool { return s.probing })
 }
 
@@ -40,34 +40,34 @@
 func (b *Balancer) probeOldest(servers []*server) {
 	servers = slices.Clone(servers)
 	slices.SortStableFunc(servers, func(s, t *server) int { return cmp.Compare(s.probedAt, t.probedAt) })
-	for _, s := range servers {
-		due := micros(b.now-s.probedAt) >= micros(b.minObjective)*minProbeInterval
-		if b.probeTokens >= 1 && !s.probing && due {
+	for _, server := range servers {
+		due := micros(b.now-server.probedAt) >= micros(b.minObjective)*minProbeInterval
+		if b.probeTokens >= 1 && !server.probing && due {
 			b.probeTokens--
-			s.probing, s.probedAt = true, b.now
-			b.emit(Probe{Replica: s.id})
+			server.probing, server.probedAt = true, b.now
+			b.emit(Probe{Replica: server.id})
 		}
 	}
 }
 
-func (b *Balancer) endProbe(e ProbeEnded) {
-	s := b.servers[e.Replica]
-	if s == nil {
+func (b *Balancer) endProbe(ended ProbeEnded) {
+	server := b.servers[ended.Replica]
+	if server == nil {
 		return
 	}
-	s.probing = false
-	wasUnanswered := s.ProbeUnanswered
-	s.ProbeFailed = e.Result != OK
-	s.ProbeUnanswered = e.Result != OK && e.Result != Failed
-	s.resolveResets(s.ProbeFailed)
+	server.probing = false
+	wasUnanswered := server.ProbeUnanswered
+	server.ProbeFailed = ended.Result != OK
+	server.ProbeUnanswered = ended.Result != OK && ended.Result != Failed
+	server.resolveResets(server.ProbeFailed)
 	switch {
-	case e.Result == OK:
-		b.observeQueue(s, e.Report, wasUnanswered)
-		b.recordLoad(s, e.Report)
-		if e.Report != nil && e.Report.Queue >= 0 {
-			s.ProbedQueue, s.ProbedQueueAt = e.Report.Queue, b.now
+	case ended.Result == OK:
+		b.observeQueue(server, ended.Report, wasUnanswered)
+		b.recordLoad(server, ended.Report)
+		if ended.Report != nil && ended.Report.Queue >= 0 {
+			server.ProbedQueue, server.ProbedQueueAt = ended.Report.Queue, b.now
 		}
-	case s.ProbeUnanswered && b.now-s.LastSuccess > b.settings.ProbeTimeout:
-		b.observe(s, gossip.Unresponsive)
+	case server.ProbeUnanswered && b.now-server.LastSuccess > b.settings.ProbeTimeout:
+		b.observe(server, gossip.Unresponsive)
 	}
 }
--- a/balance/progress.go
+++ b/balance/progress.go
@@ -43,13 +43,13 @@
 // progress sums up the parts of a query's step.
 func (q *query) progress() progress {
 	done := progress{needed: q.neededWeight(), least: q.minWeight()}
-	for _, p := range q.parts {
-		if p.answered {
-			done.weight += p.Weight
+	for _, part := range q.parts {
+		if part.answered {
+			done.weight += part.Weight
 			done.answered++
 		}
-		if !p.abandoned {
-			done.reachable += p.Weight
+		if !part.abandoned {
+			done.reachable += part.Weight
 		}
 	}
 	done.waiting = q.step > 0 && done.answered < len(q.parts)
--- a/balance/query.go
+++ b/balance/query.go
@@ -13,37 +13,37 @@
 )
 
 // startQuery takes in a query; its parts follow as events of their own.
-func (b *Balancer) startQuery(e Query) {
-	if e.Class < 0 || e.Class >= len(b.settings.Classes) {
-		b.emit(Reject{Query: e.ID})
+func (b *Balancer) startQuery(arrived Query) {
+	if arrived.Class < 0 || arrived.Class >= len(b.settings.Classes) {
+		b.emit(Reject{Query: arrived.ID})
 		return
 	}
-	class := &b.settings.Classes[e.Class]
-	q := &query{Query: e, class: class, deadline: b.now + e.TimeLeft}
-	stretch := time.Duration(class.ObjectiveStretch * float64(e.WorkHint))
-	q.objective = b.now + min(class.Objective+stretch, class.Deadline) - b.timeSpent(e)
-	b.queries = append(b.queries, q)
-	b.byID[e.ID], b.byGroup[e.Group] = q, q
+	class := &b.settings.Classes[arrived.Class]
+	query := &query{Query: arrived, class: class, deadline: b.now + arrived.TimeLeft}
+	stretch := time.Duration(class.ObjectiveStretch * float64(arrived.WorkHint))
+	query.objective = b.now + min(class.Objective+stretch, class.Deadline) - b.timeSpent(arrived)
+	b.queries = append(b.queries, query)
+	b.byID[arrived.ID], b.byGroup[arrived.Group] = query, query
 	b.retryBudget.RecordRequest(b.now)
 }
 
 // advance takes a query one step on: it ends the query, or sends what should be sent.
-func (b *Balancer) advance(q *query) {
-	if q.step > 0 && len(q.parts) == 0 { // the parts of the second step have yet to come
-		if b.now >= q.deadline-b.answerMargin() {
-			b.rejectOrFail(q, 0)
+func (b *Balancer) advance(query *query) {
+	if query.step > 0 && len(query.parts) == 0 { // the parts of the second step have yet to come
+		if b.now >= query.deadline-b.answerMargin() {
+			b.rejectOrFail(query, 0)
 		}
 		return
 	}
-	for _, p := range q.parts {
-		p.abandoned = p.abandoned || b.exhausted(p)
+	for _, part := range query.parts {
+		part.abandoned = part.abandoned || b.exhausted(part)
 	}
-	done := q.progress()
-	done.reachable = b.shedOptionalParts(q, done.reachable)
-	if b.finish(q, done) || !q.admitted && !b.begin(q) || b.stopCrashing(q, done.answered) {
+	done := query.progress()
+	done.reachable = b.shedOptionalParts(query, done.reachable)
+	if b.finish(query, done) || !query.admitted && !b.begin(query) || b.stopCrashing(query, done.answered) {
 		return
 	}
-	b.sendParts(q, done)
+	b.sendParts(query, done)
 }
 
 // ending is what becomes of a query's step.
@@ -57,14 +57,14 @@
 )
 
 // finish ends a query's step if it is over, and reports whether it did.
-func (b *Balancer) finish(q *query, done progress) bool {
-	switch b.ending(q, done) {
+func (b *Balancer) finish(query *query, done progress) bool {
+	switch b.ending(query, done) {
 	case answeredComplete:
-		b.answer(q, true)
+		b.answer(query, true)
 	case answeredPartly:
-		b.answer(q, false)
+		b.answer(query, false)
 	case givenUp:
-		b.rejectOrFail(q, duration(retryAfterFactor*b.fleet.Mean/2))
+		b.rejectOrFail(query, duration(retryAfterFactor*b.fleet.Mean/2))
 	default:
 		return false
 	}
@@ -73,19 +73,19 @@
 
 // ending decides whether a query's step is complete, out of time, or answered in part because that is worth
 // more now than a complete answer later.
-func (b *Balancer) ending(q *query, done progress) ending {
+func (b *Balancer) ending(query *query, done progress) ending {
 	if done.complete() {
 		return answeredComplete
 	}
 	margin := b.answerMargin()
-	worthless := q.class.OverdueFraction <= 0 && b.now >= q.objective-margin
-	over := b.now >= q.deadline-margin || worthless || !done.answerable()
+	worthless := query.class.OverdueFraction <= 0 && b.now >= query.objective-margin
+	over := b.now >= query.deadline-margin || worthless || !done.answerable()
 	if over && !done.partial() {
 		return givenUp
 	}
 	nothingToCome := !done.completable() && done.weight >= done.reachable-weightTolerance
-	due := b.now >= b.stepDue(q)-margin && b.now < q.objective
-	worthMore := q.class.PartialFraction*done.weight/done.needed > q.class.OverdueFraction
+	due := b.now >= b.stepDue(query)-margin && b.now < query.objective
+	worthMore := query.class.PartialFraction*done.weight/done.needed > query.class.OverdueFraction
 	if over || done.partial() && (nothingToCome || due && worthMore) {
 		return answeredPartly
 	}
@@ -104,64 +104,64 @@
 }
 
 // rejectOrFail ends a query at once. It is rejected where a retry is harmless and fails elsewhere.
-func (b *Balancer) rejectOrFail(q *query, retryAfter time.Duration) {
-	harmless := q.class.Idempotency == Idempotent ||
-		q.step == 0 && !slices.ContainsFunc(q.parts, (*part).mightHaveRun)
+func (b *Balancer) rejectOrFail(query *query, retryAfter time.Duration) {
+	harmless := query.class.Idempotency == Idempotent ||
+		query.step == 0 && !slices.ContainsFunc(query.parts, (*part).mightHaveRun)
 	if harmless {
-		b.emit(Reject{Query: q.ID, RetryAfter: min(retryAfter, b.settings.MaxRetryAfter)})
+		b.emit(Reject{Query: query.ID, RetryAfter: min(retryAfter, b.settings.MaxRetryAfter)})
 	} else {
-		b.emit(Fail{Query: q.ID})
+		b.emit(Fail{Query: query.ID})
 	}
-	b.endQuery(q)
+	b.endQuery(query)
 }
 
 // begin admits a query or ends it, and reports whether its parts may be sent now.
-func (b *Balancer) begin(q *query) bool {
-	if b.now < b.crashingKeys[q.Key] {
-		b.rejectOrFail(q, b.settings.MaxRetryAfter)
+func (b *Balancer) begin(query *query) bool {
+	if b.now < b.crashingKeys[query.Key] {
+		b.rejectOrFail(query, b.settings.MaxRetryAfter)
 		return false
 	}
-	if b.probeReplicas(q) {
+	if b.probeReplicas(query) {
 		return false
 	}
-	if !b.admit(q) {
-		b.rejectOrFail(q, duration(retryAfterFactor*b.fleet.Mean))
+	if !b.admit(query) {
+		b.rejectOrFail(query, duration(retryAfterFactor*b.fleet.Mean))
 		return false
 	}
-	q.admitted = true
+	query.admitted = true
 	return true
 }
 
 // stopCrashing ends a query under which servers crash, and reports whether it did. For some time the query's
 // class then sends one part ahead of the others, as retries will come. Innocent queries pay with the time of
 // that part.
-func (b *Balancer) stopCrashing(q *query, answered int) bool {
-	suspect := b.now < b.suspectUntil[q.Class]
-	if q.crashes <= answered || q.crashes < maxCrashes && !suspect {
+func (b *Balancer) stopCrashing(query *query, answered int) bool {
+	suspect := b.now < b.suspectUntil[query.Class]
+	if query.crashes <= answered || query.crashes < maxCrashes && !suspect {
 		return false
 	}
-	b.suspectUntil[q.Class] = b.now + suspectDeadlines*q.class.Deadline
-	if q.Key != "" { // a retry comes with the same key
-		b.crashingKeys[q.Key] = b.suspectUntil[q.Class]
+	b.suspectUntil[query.Class] = b.now + suspectDeadlines*query.class.Deadline
+	if query.Key != "" { // a retry comes with the same key
+		b.crashingKeys[query.Key] = b.suspectUntil[query.Class]
 	}
-	b.rejectOrFail(q, b.settings.MaxRetryAfter)
+	b.rejectOrFail(query, b.settings.MaxRetryAfter)
 	return true
 }
 
 // sendParts sends the parts of a query that are due, as far as they are needed. Where some of the parts make
 // a complete answer the others are held in reserve: parts not needed cost work, and their retries the budget
 // of those that are. A part that is late brings on another.
-func (b *Balancer) sendParts(q *query, done progress) {
-	expected, wanted := b.expectedWeight(q, done.weight), done.needed-weightTolerance
-	suspect := b.now < b.suspectUntil[q.Class]
+func (b *Balancer) sendParts(query *query, done progress) {
+	expected, wanted := b.expectedWeight(query, done.weight), done.needed-weightTolerance
+	suspect := b.now < b.suspectUntil[query.Class]
 	for pass := range sendPasses {
-		for _, p := range q.parts {
+		for _, part := range query.parts {
 			enough := expected >= wanted && done.needed < 1
-			if p.answered || p.abandoned || enough || !b.inPass(p, pass) {
+			if part.answered || part.abandoned || enough || !b.inPass(part, pass) {
 				continue
 			}
-			if b.advancePart(p); len(p.inFlight) > 0 {
-				expected += p.Weight
+			if b.advancePart(part); len(part.inFlight) > 0 {
+				expected += part.Weight
 			}
 			if suspect && done.answered == 0 {
 				return
--- a/balance/ranking.go
+++ b/balance/ranking.go
@@ -25,17 +25,17 @@
 // nothing must not come to look like one that does.
 func (b *Balancer) pullBack(winner *server, candidates []*server) {
 	mean := b.fleet.AveragesOf(&winner.Server, b.now)
-	for _, s := range candidates {
-		if s != winner && s.Measured {
-			s.Latency = (s.Latency + mean.Latency) / 2
-			s.ServiceTime = (s.ServiceTime + mean.ServiceTime) / 2
-			s.Queue = (s.Queue + mean.Queue) / 2
+	for _, server := range candidates {
+		if server != winner && server.Measured {
+			server.Latency = (server.Latency + mean.Latency) / 2
+			server.ServiceTime = (server.ServiceTime + mean.ServiceTime) / 2
+			server.Queue = (server.Queue + mean.Queue) / 2
 		}
 	}
 }
 
 // recordLoad takes a load report into a server's averages.
-func (b *Balancer) recordLoad(s *server, report *LoadReport) {
+func (b *Balancer) recordLoad(server *server, report *LoadReport) {
 	if report == nil {
 		return
 	}
@@ -46,6 +46,6 @@
 	// Keep off while more than an objective's worth of parts waits. Guards a shard whose replicas are all
 	// crowded, which the fleet's state does not show. May hurt where servers have many cores.
 	excess := b.fleet.DrainTime(queue) - micros(b.minObjective)*admissionShare
-	s.avoidUntil = max(s.avoidUntil, b.now+duration(excess))
-	s.RecordLoad(b.now, queue, report.InFlight)
+	server.avoidUntil = max(server.avoidUntil, b.now+duration(excess))
+	server.RecordLoad(b.now, queue, report.InFlight)
 }
--- a/balance/selection.go
+++ b/balance/selection.go
@@ -16,32 +16,32 @@
 )
 
 // choose picks the replica for a part's next attempt: the lowest C3 rank among the candidates, or nil.
-func (b *Balancer) choose(p *part) *server {
-	candidates, halfOpen := b.withoutEjected(p)
+func (b *Balancer) choose(part *part) *server {
+	candidates, halfOpen := b.withoutEjected(part)
 	if halfOpen != nil {
 		return halfOpen
 	}
 	// One with next to no traffic is not to get what only waits for another replica to be free.
 	candidates = prefer(candidates, func(s *server) bool {
-		return !s.nearlyExcluded() || !b.skipsByFraction(p, s)
+		return !s.nearlyExcluded() || !b.skipsByFraction(part, s)
 	})
-	available, healthy, usable := b.available(p, candidates)
+	available, healthy, usable := b.available(part, candidates)
 	if len(available) == 0 {
 		return nil
 	}
 	if len(healthy) > 0 {
-		if s := b.halfOpen(p, available); s != nil {
-			return s
+		if server := b.halfOpen(part, available); server != nil {
+			return server
 		}
 	}
 	// A server that loses some answers takes what would wait long at the healthy ones.
 	pool := append(slices.Clone(healthy), usable...)
 	if len(healthy) == 0 {
-		pool = p.leastSuspect(available)
+		pool = part.leastSuspect(available)
 	}
 	unhealthyFrom := cmp.Or(len(healthy), len(pool)) // where none is healthy, all compete as equals
-	winner := b.lowestRank(p, pool, unhealthyFrom)
-	if p.attempts == 0 {
+	winner := b.lowestRank(part, pool, unhealthyFrom)
+	if part.attempts == 0 {
 		b.pullBack(winner, pool[:unhealthyFrom])
 	}
 	return winner
@@ -50,20 +50,20 @@
 // withoutEjected returns the candidates that are not ejected for a part's class, or all if there are none: an
 // ejected server gets only parts whose replicas are all ejected. If a half-open request to one is granted, it
 // returns that.
-func (b *Balancer) withoutEjected(p *part) (candidates []*server, halfOpen *server) {
-	candidates = b.candidates(p)
-	if !slices.ContainsFunc(candidates, p.ejectedAt) {
+func (b *Balancer) withoutEjected(part *part) (candidates []*server, halfOpen *server) {
+	candidates = b.candidates(part)
+	if !slices.ContainsFunc(candidates, part.ejectedAt) {
 		return candidates, nil
 	}
-	remaining := slices.DeleteFunc(slices.Clone(candidates), p.ejectedAt)
+	remaining := slices.DeleteFunc(slices.Clone(candidates), part.ejectedAt)
 	if len(remaining) == 0 {
 		return candidates, nil
 	}
-	for _, s := range candidates {
-		if s.halfOpen(p.query.Class) && p.attempts == 0 && !p.query.halfOpenUsed && b.now >= s.avoidUntil {
-			s.HalfOpenClasses &^= 1 << p.query.Class
-			p.query.halfOpenUsed = true
-			return nil, s
+	for _, server := range candidates {
+		if server.halfOpen(part.query.Class) && part.mayBeHalfOpen() && b.now >= server.avoidUntil {
+			server.HalfOpenClasses &^= 1 << part.query.Class
+			part.query.halfOpenUsed = true
+			return nil, server
 		}
 	}
 	return remaining, nil
@@ -71,18 +71,18 @@
 
 // available returns the candidates that may be sent a part now, and of them those that are healthy, and those
 // that are not but do most of what they are sent.
-func (b *Balancer) available(p *part, candidates []*server) (available, healthy, usable []*server) {
-	for _, s := range candidates {
-		busy := slices.ContainsFunc(p.inFlight, func(a *attempt) bool { return a.server == s })
-		if busy || b.now < s.avoidUntil || !b.slowStartAllows(p, s) ||
-			s.MaxInFlight > 0 && len(s.InFlight) >= s.MaxInFlight {
+func (b *Balancer) available(part *part, candidates []*server) (available, healthy, usable []*server) {
+	for _, server := range candidates {
+		busy := slices.ContainsFunc(part.inFlight, func(a *attempt) bool { return a.server == server })
+		if busy || b.now < server.avoidUntil || !b.slowStartAllows(part, server) ||
+			server.MaxInFlight > 0 && len(server.InFlight) >= server.MaxInFlight {
 			continue
 		}
-		available = append(available, s)
-		if s.HealthyFor(p.query.Class) && !slices.Contains(p.failedOn, s) {
-			healthy = append(healthy, s)
-		} else if s.usableFor(p) {
-			usable = append(usable, s)
+		available = append(available, server)
+		if server.HealthyFor(part.query.Class) && !slices.Contains(part.failedOn, server) {
+			healthy = append(healthy, server)
+		} else if server.usableFor(part) {
+			usable = append(usable, server)
 		}
 	}
 	return available, healthy, usable
@@ -91,20 +91,22 @@
 // halfOpen returns an unhealthy server to which this part is sent as a half-open request, or nil. Such a
 // server recovers by one request at a time, and a query carries one: with many balancers a wide query finds
 // one due at every unhealthy server. What must not run twice is the last to go there.
-func (b *Balancer) halfOpen(p *part, available []*server) *server {
-	if p.attempts > 0 || p.query.halfOpenUsed {
+func (b *Balancer) halfOpen(part *part, available []*server) *server {
+	if !part.mayBeHalfOpen() {
 		return nil
 	}
 	delay := duration(0)
-	if p.query.class.Idempotency == NonIdempotent {
+	if part.query.class.Idempotency == NonIdempotent {
 		delay = duration(unsafeHalfOpenDelay * b.fleet.Overdue())
 	}
-	for _, s := range available {
-		fault := s.Fault(p.query.Class)
-		if fault != nil && !s.ProbeFailed && len(fault.InFlight) == 0 && !b.skipsByFraction(p, s) &&
-			b.now >= fault.NextHalfOpen+delay && s.Path.AllowsHalfOpen(b.now) {
-			p.query.halfOpenUsed = true
-			return s
+	for _, server := range available {
+		fault := server.Fault(part.query.Class)
+		if fault == nil || server.ProbeFailed || len(fault.InFlight) > 0 || b.skipsByFraction(part, server) {
+			continue
+		}
+		if b.now >= fault.NextHalfOpen+delay && server.Path.AllowsHalfOpen(b.now) {
+			part.query.halfOpenUsed = true
+			return server
 		}
 	}
 	return nil
@@ -118,31 +120,31 @@
 	servers = prefer(servers, func(s *server) bool { return s.PerClass[p.query.Class].Penalty == 0 })
 	servers = prefer(servers, func(s *server) bool { return !s.Slow })
 	least := math.Inf(1)
-	for _, s := range servers {
-		least = min(least, s.PenaltyFor(p.query.Class))
+	for _, server := range servers {
+		least = min(least, server.PenaltyFor(p.query.Class))
 	}
 	return prefer(servers, func(s *server) bool { return s.PenaltyFor(p.query.Class) == least })
 }
 
 // lowestRank returns the server with the lowest rank, where near ties go to the own zone. Those from index
 // unhealthyFrom on rank worse, as do those that give this part to others.
-func (b *Balancer) lowestRank(p *part, pool []*server, unhealthyFrom int) *server {
+func (b *Balancer) lowestRank(part *part, pool []*server, unhealthyFrom int) *server {
 	ranks, best := make([]float64, len(pool)), math.Inf(1)
-	for i, s := range pool {
-		ranks[i] = b.rank(s) * (1 + b.rng.Float64()*rankJitter)
-		if i >= unhealthyFrom || b.skipsByFraction(p, s) {
+	for i, server := range pool {
+		ranks[i] = b.rank(server) * (1 + b.rng.Float64()*rankJitter)
+		if i >= unhealthyFrom || b.skipsByFraction(part, server) {
 			ranks[i] *= unhealthyRankFactor
 		}
 		best = min(best, ranks[i])
 	}
 	winner, winnerIsLocal, winnerRank := (*server)(nil), false, 0.0
-	for i, s := range pool {
-		local := s.zone == b.settings.Zone
+	for i, server := range pool {
+		local := server.zone == b.settings.Zone
 		if ranks[i] > best && (!local || ranks[i] > best*zoneTolerance) {
 			continue
 		}
 		if winner == nil || local && !winnerIsLocal || local == winnerIsLocal && ranks[i] < winnerRank {
-			winner, winnerIsLocal, winnerRank = s, local, ranks[i]
+			winner, winnerIsLocal, winnerRank = server, local, ranks[i]
 		}
 	}
 	return winner
@@ -165,21 +167,21 @@
 // a query of sixty parts whose shards have only such replicas never. Picked at random, all balancers together
 // send each replica its part of what its shards are asked. That is within rule 4 as long as demand is near
 // what warm servers were seen to answer.
-func (b *Balancer) sampleWarming(p *part) *server {
+func (b *Balancer) sampleWarming(part *part) *server {
 	if b.fleet.Extrapolates() {
 		return nil
 	}
-	candidates, sum := b.candidates(p), 0.0
-	for _, s := range candidates {
-		sum += b.fleet.Capacity(&s.Server, b.now)
+	candidates, sum := b.candidates(part), 0.0
+	for _, server := range candidates {
+		sum += b.fleet.Capacity(&server.Server, b.now)
 	}
 	if sum == float64(len(candidates)) || b.fleet.Demand.ExceedsPeak(sum, b.settings.Reach) {
 		return nil
 	}
 	sample := b.rng.Float64() * sum
-	for _, s := range candidates {
-		if sample -= b.fleet.Capacity(&s.Server, b.now); sample < 0 {
-			return s
+	for _, server := range candidates {
+		if sample -= b.fleet.Capacity(&server.Server, b.now); sample < 0 {
+			return server
 		}
 	}
 	return nil
--- a/balance/turn.go
+++ b/balance/turn.go
@@ -21,9 +21,9 @@
 		b.handle(event)
 	}
 	b.fleet.Assess(now)
-	for _, q := range b.queries {
-		if !q.done {
-			b.advance(q)
+	for _, query := range b.queries {
+		if !query.done {
+			b.advance(query)
 		}
 	}
 	b.queries = slices.DeleteFunc(b.queries, func(q *query) bool { return q.done })
@@ -39,8 +39,8 @@
 	case Part:
 		b.addPart(e)
 	case CandidatesChanged:
-		if p := b.parts[e.Part]; p != nil {
-			p.Candidates = e.Candidates
+		if part := b.parts[e.Part]; part != nil {
+			part.Candidates = e.Candidates
 		}
 	case AttemptEnded:
 		b.endAttempt(e)
@@ -51,8 +51,8 @@
 	case GossipReceived:
 		b.receiveGossip(e)
 	case ClientDisconnected:
-		if q := b.byID[e.Query]; q != nil {
-			b.endQuery(q)
+		if query := b.byID[e.Query]; query != nil {
+			b.endQuery(query)
 		}
 	}
 }
