Balance: one step a line in the decisions, and comments that say what they mean

Cause: pairs and triples of unlike things were assigned on one line, predicates filled conditions, and some comments left out what they spoke of ('and most', 'rule 2, the cap, no replica'). Change: one assignment a line; the ending of a step stands beside progress, GossipEnabled beside the settings.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -11,7 +11,7 @@
 const (
 	admissionShare     = 0.8  // of the time left: what a query of mean weight may be expected to take
 	minAdmissionFactor = 0.5  // least that a query's weight per part makes of that share
-	maxAdmissionFactor = 1.2  // and most
+	maxAdmissionFactor = 1.2  // most that it makes of that share
 	weightSmoothing    = 0.02 // weight of one query in the mean weight and number of parts
 	minObservedLatency = 0.5  // of the objective: what recent responses must have taken for a rejection
 	hopelessTimeLeft   = 0.25 // of the objective: only with less left may service times alone reject
@@ -25,13 +25,14 @@
 	factor := b.admissionFactor(query)
 	left := micros(b.stepDue(query) - b.now)
 	limit := left * admissionShare * factor
-	least, needed := min(query.minWeight(), query.neededWeight()), query.neededWeight()
+	needed := query.neededWeight()
+	least := min(query.minWeight(), needed)
 	open := b.openWeight(query, limit)
 	hopeless := min(b.fleet.MedianServiceTime, hopelessTimeLeft*micros(query.class.Objective))
 	if left <= hopeless || open < least-weightTolerance {
 		return false
 	}
-	// Both must say so: what responses took lately, which lags, and the number in flight, high in a lull.
+	// Reject only if both say so: recent response times, which lag, and the number in flight, high in a lull.
 	deviations := estimate.TailDeviations(len(query.parts), 1-(least+needed)/2)
 	if delay, measured := b.fleet.ObservedQueueDelay(b.now); measured {
 		return b.fleet.SlowestWithQueue(deviations, delay) <= limit
@@ -49,7 +50,8 @@
 
 // admissionFactor weighs a query's weight per part against the mean, and takes it into that mean.
 func (b *Balancer) admissionFactor(query *query) float64 {
-	weight, parts := query.class.Weight, float64(max(1, query.Parts))
+	weight := query.class.Weight
+	parts := float64(max(1, query.Parts))
 	if b.settings.WeightByWork {
 		weight *= parts
 	}
@@ -102,7 +104,8 @@
 
 // mostlyExcluded reports whether half of a part's replicas are excluded, and all others have long queues.
 func (b *Balancer) mostlyExcluded(part *part) bool {
-	excluded, candidates := 0, b.candidates(part)
+	candidates := b.candidates(part)
+	excluded := 0
 	for _, server := range candidates {
 		if server.nearlyExcluded() {
 			excluded++
--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -7,13 +7,14 @@
 	"rooktrestle/internal/control/suspicion"
 )
 
-// What the ends of attempts say of servers, and when half-open requests and retries follow.
+// What the ends of attempts show of servers, and when half-open requests and retries follow.
 const (
 	halfOpenInterval = 1.2 // overdue times between half-open requests to a server, times root Instances
 	queueFullBackoff = 0.5 // mean latencies for which a full server is avoided
 )
 
-// exhausted reports whether a part without an answer may not be sent again: rule 2, the cap, no replica.
+// exhausted reports whether a part without an answer may not be sent again: it must not run twice (rule 2),
+// has used up its attempts, or has no replica.
 func (b *Balancer) exhausted(p *part) bool {
 	if p.answered || len(p.inFlight) > 0 {
 		return false
--- a/balance/gossip.go
+++ b/balance/gossip.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"rooktrestle/internal/control/fleet"
 	"rooktrestle/internal/control/gossip"
 )
 
@@ -17,22 +16,16 @@
 	gossipLifetime = 0.5 // shortest objectives after which a message is ignored
 )
 
-// GossipEnabled reports whether balancers exchange gossip messages. Where they are few, each sees enough
-// itself.
-func (set *Settings) GossipEnabled() bool {
-	return set.PeerMessages && set.Instances > fleet.MaxExtrapolated
-}
-
-// observe keeps what a probe showed for the next message.
+// observe adds what a probe showed to the next message.
 func (b *Balancer) observe(s *server, value byte) {
 	if b.settings.GossipEnabled() {
 		b.outbox.Add(s.gossipKey, value)
 	}
 }
 
-// observeQueue shares a queue that no part should wait in, and that one so shared is short again, or that a
-// server that was unresponsive is back, or each balancer had to find that out itself. Others are not shared:
-// where all know the same, all send to the shortest queue, which is the longest by the next report.
+// observeQueue shares a long queue, the end of one that was shared, and that an unresponsive server is back:
+// else each balancer had to find that out itself. Other queues are not shared: where all know the same, all
+// send to the shortest queue, which is the longest by the next report.
 func (b *Balancer) observeQueue(s *server, report *LoadReport, wasUnanswered bool) {
 	if report == nil || report.Queue < 0 {
 		return
@@ -43,7 +36,7 @@
 	}
 }
 
-// sendGossip sends what is to be shared, as far as parts have earned it.
+// sendGossip sends the pending observations, as far as the parts served have earned their bytes.
 func (b *Balancer) sendGossip() {
 	interval := duration(gossipInterval * micros(b.minObjective))
 	if message := b.outbox.Flush(b.now, interval, b.settings.Zone); message != nil {
@@ -73,7 +66,8 @@
 		}
 		// Only from the own zone: another zone's path there may be cut.
 		if sameZone && b.now-server.LastSuccess > age+b.settings.ProbeTimeout {
-			server.ProbeFailed, server.ProbeUnanswered = true, true
+			server.ProbeFailed = true
+			server.ProbeUnanswered = true
 		}
 	}
 }
@@ -81,7 +75,8 @@
 // receiveQueue takes in a server's queue as another balancer saw it, unless it is short and what is known
 // here is no better.
 func (b *Balancer) receiveQueue(s *server, queue float64) {
-	s.ProbeFailed, s.ProbeUnanswered = false, false
+	s.ProbeFailed = false
+	s.ProbeUnanswered = false
 	long := b.fleet.IsLongQueue(queue)
 	if !long && queue > s.Queue {
 		return
--- a/balance/hedging.go
+++ b/balance/hedging.go
@@ -4,8 +4,8 @@
 
 // When a request is hedged, or canceled to be retried elsewhere.
 const (
-	hedgesPerPart  = 0.02 // hedged requests that a part earns, times root Instances
-	maxHedgeTokens = 16   // the most kept for later
+	hedgesPerPart  = 0.02 // hedged requests that a part earns, times the square root of Instances
+	maxHedgeTokens = 16   // most hedged requests that are kept for later
 	cancelOverdue  = 2.0  // overdue times after which a part is canceled and retried, without hedging
 )
 
--- a/balance/lookup.go
+++ b/balance/lookup.go
@@ -140,6 +140,10 @@
 // mayHaveCrashed reports whether the server lost connections and is still being probed for it.
 func (s *server) mayHaveCrashed() bool { return len(s.resetQueries) > 0 }
 
+// ejectedAt and healthyAt report what a server is to the part's class.
+func (p *part) ejectedAt(s *server) bool { return s.ejected(p.query.Class) }
+func (p *part) healthyAt(s *server) bool { return s.HealthyFor(p.query.Class) }
+
 // mayBeHalfOpen reports whether the part's next attempt may be a half-open request: a query carries one, and no retry is.
 func (p *part) mayBeHalfOpen() bool { return p.attempts == 0 && !p.query.halfOpenUsed }
 
--- a/balance/probing.go
+++ b/balance/probing.go
@@ -9,8 +9,8 @@
 
 // When replicas are probed for their load.
 const (
-	probesPerPart    = 0.15  // probes earned by a part
-	maxProbesPerPart = 2     // and the most kept for later, for each part of a query
+	probesPerPart    = 0.15  // probes that a part earns
+	maxProbesPerPart = 2     // most probes kept from earlier queries, for each part of a query
 	maxProbeWait     = 0.02  // of the shortest objective: the longest that a query waits for probes
 	minProbeInterval = 0.125 // of the shortest objective: least time between two probes of a server
 )
@@ -44,7 +44,8 @@
 		due := micros(b.now-server.probedAt) >= micros(b.minObjective)*minProbeInterval
 		if b.probeTokens >= 1 && !server.probing && due {
 			b.probeTokens--
-			server.probing, server.probedAt = true, b.now
+			server.probing = true
+			server.probedAt = b.now
 			b.emit(Probe{Replica: server.id})
 		}
 	}
@@ -65,7 +66,8 @@
 		b.observeQueue(server, ended.Report, wasUnanswered)
 		b.recordLoad(server, ended.Report)
 		if ended.Report != nil && ended.Report.Queue >= 0 {
-			server.ProbedQueue, server.ProbedQueueAt = ended.Report.Queue, b.now
+			server.ProbedQueue = ended.Report.Queue
+			server.ProbedQueueAt = b.now
 		}
 	case server.ProbeUnanswered && b.now-server.LastSuccess > b.settings.ProbeTimeout:
 		b.observe(server, gossip.Unresponsive)
--- a/balance/progress.go
+++ b/balance/progress.go
@@ -40,6 +40,16 @@
 	return p.completable() || p.reachable >= p.least-weightTolerance && p.least < p.needed
 }
 
+// ending is what becomes of a query's step.
+type ending int
+
+const (
+	continues ending = iota
+	answeredComplete
+	answeredPartly
+	givenUp
+)
+
 // progress sums up the parts of a query's step.
 func (q *query) progress() progress {
 	done := progress{needed: q.neededWeight(), least: q.minWeight()}
--- a/balance/query.go
+++ b/balance/query.go
@@ -23,7 +23,8 @@
 	stretch := time.Duration(class.ObjectiveStretch * float64(arrived.WorkHint))
 	query.objective = b.now + min(class.Objective+stretch, class.Deadline) - b.timeSpent(arrived)
 	b.queries = append(b.queries, query)
-	b.byID[arrived.ID], b.byGroup[arrived.Group] = query, query
+	b.byID[arrived.ID] = query
+	b.byGroup[arrived.Group] = query
 	b.retryBudget.RecordRequest(b.now)
 }
 
@@ -46,16 +47,6 @@
 	b.sendParts(query, done)
 }
 
-// ending is what becomes of a query's step.
-type ending int
-
-const (
-	continues ending = iota
-	answeredComplete
-	answeredPartly
-	givenUp
-)
-
 // finish ends a query's step if it is over, and reports whether it did.
 func (b *Balancer) finish(query *query, done progress) bool {
 	switch b.ending(query, done) {
@@ -97,7 +88,8 @@
 	b.emit(Answer{Query: q.ID, Complete: complete && (q.step == 0 || q.firstStepComplete)})
 	if q.step == 0 && q.class.FollowUpParts > 0 {
 		b.dropParts(q)
-		q.step, q.firstStepComplete = 1, complete
+		q.step = 1
+		q.firstStepComplete = complete
 		return
 	}
 	b.endQuery(q)
@@ -150,9 +142,10 @@
 
 // sendParts sends the parts of a query that are due, as far as they are needed. Where some of the parts make
 // a complete answer the others are held in reserve: parts not needed cost work, and their retries the budget
-// of those that are. A part that is late brings on another.
+// of those that are. In place of an overdue part another is sent.
 func (b *Balancer) sendParts(query *query, done progress) {
-	expected, wanted := b.expectedWeight(query, done.weight), done.needed-weightTolerance
+	expected := b.expectedWeight(query, done.weight)
+	wanted := done.needed - weightTolerance
 	suspect := b.now < b.suspectUntil[query.Class]
 	for pass := range sendPasses {
 		for _, part := range query.parts {
--- a/balance/selection.go
+++ b/balance/selection.go
@@ -21,7 +21,7 @@
 	if halfOpen != nil {
 		return halfOpen
 	}
-	// One with next to no traffic is not to get what only waits for another replica to be free.
+	// A nearly excluded server must not get a part that only waits for another replica to be free.
 	candidates = prefer(candidates, func(s *server) bool {
 		return !s.nearlyExcluded() || !b.skipsByFraction(part, s)
 	})
@@ -69,23 +69,23 @@
 	return remaining, nil
 }
 
-// available returns the candidates that may be sent a part now, and of them those that are healthy, and those
-// that are not but do most of what they are sent.
-func (b *Balancer) available(part *part, candidates []*server) (available, healthy, usable []*server) {
+// available returns the candidates that may be sent a part now: all of them, the healthy, and those that are
+// not healthy but usable.
+func (b *Balancer) available(part *part, candidates []*server) (all, healthy, usable []*server) {
 	for _, server := range candidates {
 		busy := slices.ContainsFunc(part.inFlight, func(a *attempt) bool { return a.server == server })
 		if busy || b.now < server.avoidUntil || !b.slowStartAllows(part, server) ||
 			server.MaxInFlight > 0 && len(server.InFlight) >= server.MaxInFlight {
 			continue
 		}
-		available = append(available, server)
+		all = append(all, server)
 		if server.HealthyFor(part.query.Class) && !slices.Contains(part.failedOn, server) {
 			healthy = append(healthy, server)
 		} else if server.usableFor(part) {
 			usable = append(usable, server)
 		}
 	}
-	return available, healthy, usable
+	return all, healthy, usable
 }
 
 // halfOpen returns an unhealthy server to which this part is sent as a half-open request, or nil. Such a
@@ -129,7 +129,8 @@
 // lowestRank returns the server with the lowest rank, where near ties go to the own zone. Those from index
 // unhealthyFrom on rank worse, as do those that give this part to others.
 func (b *Balancer) lowestRank(part *part, pool []*server, unhealthyFrom int) *server {
-	ranks, best := make([]float64, len(pool)), math.Inf(1)
+	ranks := make([]float64, len(pool))
+	best := math.Inf(1)
 	for i, server := range pool {
 		ranks[i] = b.rank(server) * (1 + b.rng.Float64()*rankJitter)
 		if i >= unhealthyFrom || b.skipsByFraction(part, server) {
@@ -137,14 +138,18 @@
 		}
 		best = min(best, ranks[i])
 	}
-	winner, winnerIsLocal, winnerRank := (*server)(nil), false, 0.0
+	var winner *server
+	winnerIsLocal := false
+	winnerRank := 0.0
 	for i, server := range pool {
 		local := server.zone == b.settings.Zone
 		if ranks[i] > best && (!local || ranks[i] > best*zoneTolerance) {
 			continue
 		}
 		if winner == nil || local && !winnerIsLocal || local == winnerIsLocal && ranks[i] < winnerRank {
-			winner, winnerIsLocal, winnerRank = server, local, ranks[i]
+			winner = server
+			winnerIsLocal = local
+			winnerRank = ranks[i]
 		}
 	}
 	return winner
@@ -171,7 +176,8 @@
 	if b.fleet.Extrapolates() {
 		return nil
 	}
-	candidates, sum := b.candidates(part), 0.0
+	candidates := b.candidates(part)
+	sum := 0.0
 	for _, server := range candidates {
 		sum += b.fleet.Capacity(&server.Server, b.now)
 	}
@@ -199,7 +205,3 @@
 	return trusted && p.query.class.Idempotency != NonIdempotent && !slices.Contains(p.failedOn, s) &&
 		s.PerClass[p.query.Class].LossRate < maxUsableLoss
 }
-
-func (p *part) ejectedAt(s *server) bool { return s.ejected(p.query.Class) }
-
-func (p *part) healthyAt(s *server) bool { return s.HealthyFor(p.query.Class) }
--- a/balance/settings.go
+++ b/balance/settings.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"rooktrestle/internal/control/fleet"
 )
 
 // Idempotency says what a second run of a part does.
@@ -84,6 +86,11 @@
 	RetryBudgetRatio  float64       // and for each query and part
 }
 
+// GossipEnabled reports whether balancers exchange gossip messages: where they are few, each sees enough itself.
+func (set *Settings) GossipEnabled() bool {
+	return set.PeerMessages && set.Instances > fleet.MaxExtrapolated
+}
+
 // check says what is wrong with settings.
 func (set *Settings) check() error {
 	switch {
--- a/balance/turn.go
+++ b/balance/turn.go
@@ -5,17 +5,18 @@
 	"time"
 )
 
-// When the next turn comes, and when queries end by it.
+// When the next turn comes, and how long before its deadline a query ends.
 const (
 	listRetryInterval = 0.5  // of the age at which the list is stale: mean wait after a failed call
-	timerInterval     = 0.01 // of the shortest objective: time between two looks for overdue attempts
-	answerMarginTicks = 3    // ticks before its deadline by which an answer leaves
+	timerInterval     = 0.01 // of the shortest objective: time between two checks for overdue attempts
+	answerMarginTicks = 3    // ticks before its deadline at which a query is answered at the latest
 )
 
 // Turn takes the events of one turn and returns the actions, in order. The clock never goes back.
 func (b *Balancer) Turn(now time.Duration, events []Event) []Action {
 	passed := now - b.now
-	b.now, b.actions = now, nil
+	b.now = now
+	b.actions = nil
 	b.fleet.EarnSlowStart(now, passed)
 	for _, event := range events {
 		b.handle(event)
