Retry budget: limits as a struct; the making of a Balancer by steps

Cause: retrybudget.New took a duration and two bare floats; New of balance worked out rates, objectives and the fleet's options inside one literal. Change: retrybudget.Limits; Settings.minObjective and tenantRates, newFleet and seedMask have names of their own.

--- a/balance/settings.go
+++ b/balance/settings.go
@@ -54,7 +54,9 @@
 	WeightByWork    bool    // weight is counted in proportion to work
 
 	// Shard s is held by the replicas of cells (s+j) mod Cells, 0 <= j < Reach. Each is at least 1.
-	Cells, Reach, Shards int
+	Cells  int
+	Reach  int
+	Shards int
 
 	CallWork     time.Duration // work of a call beside that of its parts
 	MaxCallParts int           // most parts that share one call
@@ -74,16 +76,16 @@
 	Rules Rules
 }
 
-// Rules are the stated figures of the rules.
+// Rules are the figures that the platform states for its rules.
 type Rules struct {
 	MaxListAge        time.Duration // ListOnRequest: the age from which a list counts as stale
 	WarmupPeriod      time.Duration // a started replica is warm after it
 	WarmupMinCapacity float64       // least fraction of its capacity at the start
-	OverloadMultiple  float64       // a replica that warms up and gets more than this multiple of its capacity
-	OverloadPeriod    time.Duration // for so long falls over
+	OverloadMultiple  float64       // a replica that warms up falls over if it gets more than this multiple of its
+	OverloadPeriod    time.Duration // capacity for this long
 	RetryBudgetWindow time.Duration // retries are counted over it; 0: no budget
-	RetryBudgetBase   float64       // retries allowed within a window
-	RetryBudgetRatio  float64       // and for each query and part
+	RetryBudgetBase   float64       // retries allowed within any window
+	RetryBudgetRatio  float64       // further retries allowed in it for each query and part
 }
 
 // GossipEnabled reports whether balancers exchange gossip messages: where they are few, each sees enough itself.
@@ -91,6 +93,24 @@
 	return set.PeerMessages && set.Instances > fleet.MaxExtrapolated
 }
 
+// minObjective is the shortest latency objective of all classes. There must be one.
+func (set *Settings) minObjective() time.Duration {
+	shortest := set.Classes[0].Objective
+	for _, class := range set.Classes {
+		shortest = min(shortest, class.Objective)
+	}
+	return shortest
+}
+
+// tenantRates are the tenants' rates at this balancer, in queries a second; 0: no limit.
+func (set *Settings) tenantRates() []float64 {
+	rates := make([]float64, len(set.Tenants))
+	for i, tenant := range set.Tenants {
+		rates[i] = tenant.Quota / float64(set.Instances)
+	}
+	return rates
+}
+
 // check says what is wrong with settings.
 func (set *Settings) check() error {
 	switch {
--- a/balance/state.go
+++ b/balance/state.go
@@ -3,10 +3,8 @@
 // This file decides nothing: it holds what a Balancer remembers, and how that is made.
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"rooktrestle/internal/control/estimate"
@@ -26,8 +24,8 @@
 	minObjective  time.Duration // shortest latency objective of all classes
 	rng           *rand.Rand
 	now           time.Duration
-	actions       []Action // of this turn
-	timerAt       time.Duration
+	actions       []Action      // of this turn
+	timerAt       time.Duration // when the timer asked for last fires
 	pollAt        time.Duration // when to ask for the list, after a failed call; 0: not due
 
 	servers     map[Replica]*server
@@ -48,8 +46,8 @@
 	meanParts     float64                // of a query offered
 	tenantRates   tokenbucket.Buckets
 	retryBudget   retrybudget.Budget
-	hedgeTokens   float64
-	probeTokens   float64
+	hedgeTokens   float64 // hedged requests that parts have earned
+	probeTokens   float64 // probes that parts have earned
 	outbox        gossip.Outbox
 	suspectUntil  []time.Duration          // of each class: its queries may crash servers until then
 	crashingKeys  map[string]time.Duration // keys of queries under which servers crashed: not begun until then
@@ -61,8 +59,9 @@
 	HealthLimits
 	id           Replica
 	gossipKey    uint32
-	zone, cell   int
-	avoidUntil   time.Duration // full, or down
+	zone         int
+	cell         int
+	avoidUntil   time.Duration // it is full or down: nothing is sent to it before
 	probing      bool
 	probedAt     time.Duration // by this balancer or another
 	resetQueries []*query      // lost a connection to it; it is being probed whether it crashed
@@ -118,17 +117,11 @@
 	if err := set.check(); err != nil {
 		return nil, err
 	}
-	shortest := slices.MinFunc(set.Classes, func(c, d Class) int { return cmp.Compare(c.Objective, d.Objective) })
-	rates := make([]float64, len(set.Tenants))
-	for i, tenant := range set.Tenants {
-		rates[i] = tenant.Quota / float64(set.Instances)
-	}
-	rules := set.Rules
 	return &Balancer{
 		settings:      set,
 		sqrtInstances: math.Sqrt(float64(set.Instances)),
-		minObjective:  shortest.Objective,
-		rng:           rand.New(rand.NewPCG(set.Seed, set.Seed^0x9e3779b97f4a7c15)),
+		minObjective:  set.minObjective(),
+		rng:           rand.New(rand.NewPCG(set.Seed, set.Seed^seedMask)),
 		servers:       map[Replica]*server{},
 		cells:         make([][]*server, set.Cells),
 		paths:         map[int]*suspicion.Path{},
@@ -136,23 +129,39 @@
 		byGroup:       map[uint64]*query{},
 		parts:         map[ID]*part{},
 		attempts:      map[attemptKey]*attempt{},
-		fleet: fleet.New(fleet.Options{
-			Instances: set.Instances, Objective: shortest.Objective, ProbesShared: set.GossipEnabled(),
-			SlowStart: slowstart.Limits{
-				WarmupPeriod: rules.WarmupPeriod, MinCapacity: rules.WarmupMinCapacity,
-				OverloadMultiple: rules.OverloadMultiple, OverloadPeriod: rules.OverloadPeriod,
-				Senders: set.Instances,
-			},
-		}),
+		fleet:         newFleet(&set),
 		firstAttempts: make([]retrydetect.Detector, len(set.Classes)),
 		suspectUntil:  make([]time.Duration, len(set.Classes)),
 		crashingKeys:  map[string]time.Duration{},
-		tenantRates:   tokenbucket.New(rates),
-		retryBudget:   retrybudget.New(rules.RetryBudgetWindow, rules.RetryBudgetBase, rules.RetryBudgetRatio),
-		outbox:        gossip.NewOutbox(set.Instances),
+		tenantRates:   tokenbucket.New(set.tenantRates()),
+		retryBudget: retrybudget.New(retrybudget.Limits{
+			Window: set.Rules.RetryBudgetWindow,
+			Base:   set.Rules.RetryBudgetBase,
+			Ratio:  set.Rules.RetryBudgetRatio,
+		}),
+		outbox: gossip.NewOutbox(set.Instances),
 	}, nil
 }
 
+// seedMask derives the second half of the random generator's seed; any fixed number does.
+const seedMask = 0x9e3779b97f4a7c15
+
+// newFleet returns the estimates of the servers before anything was measured.
+func newFleet(set *Settings) fleet.Fleet {
+	return fleet.New(fleet.Options{
+		Instances:    set.Instances,
+		Objective:    set.minObjective(),
+		ProbesShared: set.GossipEnabled(),
+		SlowStart: slowstart.Limits{
+			WarmupPeriod:     set.Rules.WarmupPeriod,
+			MinCapacity:      set.Rules.WarmupMinCapacity,
+			OverloadMultiple: set.Rules.OverloadMultiple,
+			OverloadPeriod:   set.Rules.OverloadPeriod,
+			Senders:          set.Instances,
+		},
+	})
+}
+
 func micros(d time.Duration) float64        { return estimate.Microseconds(d) }
 func duration(micros float64) time.Duration { return estimate.Duration(micros) }
 
--- a/internal/control/retrybudget/retrybudget.go
+++ b/internal/control/retrybudget/retrybudget.go
@@ -8,33 +8,36 @@
 	"rooktrestle/internal/control/estimate"
 )
 
+// Limits state how many retries may be sent within every window.
+type Limits struct {
+	Window time.Duration // if it is not positive, retries are not limited
+	Base   float64       // retries allowed whatever the number of requests
+	Ratio  float64       // further retries allowed for each request
+}
+
 // Budget is a sliding window of requests and retries. Make it with New; it is not safe for concurrent use.
 type Budget struct {
-	window   time.Duration
-	base     float64
-	ratio    float64
+	limits   Limits
 	requests estimate.Window
 	retries  estimate.Window
 }
 
-// New returns a budget that allows base retries and ratio more for each request, within every window. A window that is
-// not positive allows all.
-func New(window time.Duration, base, ratio float64) Budget {
-	return Budget{window: window, base: base, ratio: ratio}
-}
+// New returns a budget with those limits, before any request.
+func New(limits Limits) Budget { return Budget{limits: limits} }
 
 // RecordRequest counts a request that earns retries.
-func (b *Budget) RecordRequest(now time.Duration) { b.requests.Add(now, now-b.window-1) }
+func (b *Budget) RecordRequest(now time.Duration) { b.requests.Add(now, now-b.limits.Window-1) }
 
 // RecordRetry counts a retry that was sent.
-func (b *Budget) RecordRetry(now time.Duration) { b.retries.Add(now, now-b.window-1) }
+func (b *Budget) RecordRetry(now time.Duration) { b.retries.Add(now, now-b.limits.Window-1) }
 
 // Allows reports whether one more retry may be sent at now.
 func (b *Budget) Allows(now time.Duration) bool {
-	if b.window <= 0 {
+	if b.limits.Window <= 0 {
 		return true
 	}
 	// Retries are counted a nanosecond longer than requests, so that the limit holds in windows closed at both ends.
-	retries, requests := b.retries.Since(now-b.window-1), b.requests.Since(now-b.window)
-	return float64(retries+1) <= b.base+b.ratio*float64(requests)
+	retries := b.retries.Since(now - b.limits.Window - 1)
+	requests := b.requests.Since(now - b.limits.Window)
+	return float64(retries+1) <= b.limits.Base+b.limits.Ratio*float64(requests)
 }
--- a/internal/control/retrybudget/retrybudget_test.go
+++ b/internal/control/retrybudget/retrybudget_test.go
@@ -7,7 +7,7 @@
 
 func TestBudget_HoldsWithinEveryWindow(t *testing.T) {
 	const window = time.Second
-	b := New(window, 2, 0.5)
+	b := New(Limits{Window: window, Base: 2, Ratio: 0.5})
 	retries := func(now time.Duration) (sent int) {
 		for b.Allows(now) {
 			b.RecordRetry(now)
@@ -34,7 +34,7 @@
 }
 
 func TestBudget_NoWindowAllowsAll(t *testing.T) {
-	b := New(0, 0, 0)
+	b := New(Limits{})
 	for range 100 {
 		if !b.Allows(0) {
 			t.Fatal("a retry is not allowed")
