--- a/balance/gossip_test.go
+++ b/balance/gossip_test.go
@@ -188,7 +188,7 @@
 // What is sent is earned by parts taken, and never longer than is allowed.
 func TestGossip_IsLimited(t *testing.T) {
 	h := newGossipHarness(t)
-	h.b.outbox.Allowance = 0
+	h.b.outbox.Budget.Bytes = 0
 	if messages := gossipAfterProbe(h, Canceled, 0); len(messages) != 0 {
 		t.Errorf("sent %v with nothing earned", messages)
 	}
--- a/balance/lookup.go
+++ b/balance/lookup.go
@@ -107,7 +107,7 @@
 	query.parts = append(query.parts, part)
 	b.parts[arrived.ID] = part
 	b.retryBudget.RecordRequest(b.now)
-	b.outbox.Earn()
+	b.outbox.Budget.Earn(1)
 }
 
 // endQuery forgets a query that is over and cancels what is still in flight.
--- a/balance/progress.go
+++ b/balance/progress.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rooktrestle/internal/control/estimate"
+	"rooktrestle/internal/control/retrydetect"
 )
 
 const (
@@ -94,8 +95,13 @@
 
 // timeSpent is how long a client has waited in earlier attempts of a query; it counts against the objective.
 func (b *Balancer) timeSpent(e Query) time.Duration {
-	tolerance := timeLeftToleranceTicks * b.settings.Tick
-	if b.firstAttempts[e.Class].IsFirstAttempt(e.TimeLeft, b.settings.ClientsMarkRetries, e.IsRetry, tolerance) {
+	attempt := retrydetect.Attempt{
+		TimeLeft:     e.TimeLeft,
+		Tolerance:    timeLeftToleranceTicks * b.settings.Tick,
+		ClientsMark:  b.settings.ClientsMarkRetries,
+		MarkedARetry: e.IsRetry,
+	}
+	if b.firstAttempts[e.Class].IsFirstAttempt(attempt) {
 		return 0
 	}
 	return max(0, b.settings.Classes[e.Class].Deadline-e.TimeLeft)
--- a/internal/control/backoff/backoff_test.go
+++ b/internal/control/backoff/backoff_test.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// overloadedService accepts up to a number of calls in a second; if there are more, all of them wait for too long and fail.
+// overloadedService accepts up to a number of calls in a second; if there are more, all of them wait for too long
+// and fail.
 type overloadedService struct {
 	callsPerSecond int
 	random         *rand.Rand
@@ -15,7 +16,8 @@
 // connected returns how many of so many clients, which all lost the service at one moment, are connected after 20 s.
 func (s overloadedService) connected(clients int, initial Backoff) (connected int) {
 	const done = -1 // in place of the time of the next call
-	nextCall, backoffs := make([]time.Duration, clients), make([]Backoff, clients)
+	nextCall := make([]time.Duration, clients)
+	backoffs := make([]Backoff, clients)
 	for i := range backoffs {
 		backoffs[i] = initial
 		nextCall[i] = backoffs[i].Next(s.random.Float64())
@@ -41,21 +43,21 @@
 	return connected
 }
 
-// A service that accepts 30 calls per second and loses 80 clients at one moment gets them all back by ForFleet; clients that
-// call every 200 ms keep it overloaded for ever.
+// A service that accepts 30 calls per second and loses 80 clients at one moment gets them all back by ForFleet;
+// clients that call every 200 ms keep it overloaded for ever.
 func TestForFleet_AllClientsReconnect(t *testing.T) {
 	const capacity, clients, minWait = 30, 80, 200 * time.Millisecond
-	for name, c := range map[string]struct {
+	for name, test := range map[string]struct {
 		backoff      Backoff
 		allReconnect bool
 	}{
-		"backoff for the fleet": {ForFleet(clients, minWait, 40), true},
-		"fixed interval":        {Backoff{Initial: minWait, Max: minWait}, false},
+		"backoff for the fleet": {backoff: ForFleet(clients, minWait, 40), allReconnect: true},
+		"fixed interval":        {backoff: Backoff{Initial: minWait, Max: minWait}, allReconnect: false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			service := overloadedService{callsPerSecond: capacity, random: rand.New(rand.NewPCG(1, 2))}
-			connected := service.connected(clients, c.backoff)
-			if got := connected == clients; got != c.allReconnect {
+			connected := service.connected(clients, test.backoff)
+			if got := connected == clients; got != test.allReconnect {
 				t.Errorf("%d of %d clients reconnected", connected, clients)
 			}
 		})
--- a/internal/control/estimate/averages.go
+++ b/internal/control/estimate/averages.go
@@ -26,13 +26,11 @@
 	}
 }
 
-// RecordQueue takes in a reported queue; first says that none was reported before.
-func (a *Averages) RecordQueue(queue float64, first bool) {
-	if first {
-		a.Queue = queue
-	}
-	a.Queue += queueSmoothing * (queue - a.Queue)
-}
+// SetQueue takes in the first reported queue.
+func (a *Averages) SetQueue(queue float64) { a.Queue = queue }
+
+// RecordQueue takes in a reported queue that is not the first.
+func (a *Averages) RecordQueue(queue float64) { a.Queue += queueSmoothing * (queue - a.Queue) }
 
 // Mean is the mean of the averages of several servers.
 type Mean struct {
--- a/internal/control/estimate/estimate_test.go
+++ b/internal/control/estimate/estimate_test.go
@@ -19,20 +19,20 @@
 }
 
 func TestQuantile(t *testing.T) {
-	for _, c := range []struct {
+	for _, test := range []struct {
 		name   string
 		values []float64
 		q      float64
 		want   float64
 	}{
-		{"of none is 0", nil, 0.75, 0},
-		{"of one is that", []float64{7}, 0.75, 7},
-		{"of unsorted values", []float64{4, 1, 3, 2}, 0.75, 4},
-		{"the median of an even number is the upper one", []float64{4, 1, 3, 2}, 0.5, 3},
+		{name: "of none is 0", values: nil, q: 0.75, want: 0},
+		{name: "of one is that", values: []float64{7}, q: 0.75, want: 7},
+		{name: "of unsorted values", values: []float64{4, 1, 3, 2}, q: 0.75, want: 4},
+		{name: "the median of an even number is the upper one", values: []float64{4, 1, 3, 2}, q: 0.5, want: 3},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			if got := Quantile(c.values, c.q); got != c.want {
-				t.Errorf("got %v, want %v", got, c.want)
+		t.Run(test.name, func(t *testing.T) {
+			if got := Quantile(test.values, test.q); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
 			}
 		})
 	}
@@ -49,7 +49,8 @@
 	if n := w.Since(1); n != 3 || !slices.Equal(w, Window{2, 3, 4}) {
 		t.Errorf("%d events left: %v", n, w)
 	}
-	if w.Add(20, 10); !slices.Equal(w, Window{20}) {
+	w.Add(20, 10)
+	if !slices.Equal(w, Window{20}) {
 		t.Errorf("%v", w)
 	}
 }
@@ -75,7 +76,8 @@
 
 // All parts of a wide request together weigh about as much as a few narrow ones.
 func TestLatency_RecordLimitsWideRequests(t *testing.T) {
-	narrow, wide := NewLatency(1e6), NewLatency(1e6)
+	narrow := NewLatency(1e6)
+	wide := NewLatency(1e6)
 	if narrow.Mean != 250e3 || narrow.Deviation != 62.5e3 {
 		t.Fatalf("initially %+v", narrow)
 	}
@@ -93,7 +95,8 @@
 
 func TestLatency_ForgetMovesTowardTheFloor(t *testing.T) {
 	l := Latency{Mean: 1000, Deviation: 100}
-	if l.Forget(500); l.Mean != 850 || l.Deviation != 70 {
+	l.Forget(500)
+	if l.Mean != 850 || l.Deviation != 70 {
 		t.Errorf("%+v", l)
 	}
 	if l.Typical() != 920 || l.Overdue() != 1060 {
@@ -118,19 +121,24 @@
 
 func TestAverages(t *testing.T) {
 	a := Averages{Latency: 100, ServiceTime: 50}
-	if a.Record(200, 50); a.Latency != 130 || a.ServiceTime != 50 {
+	a.Record(200, 50)
+	if a.Latency != 130 || a.ServiceTime != 50 {
 		t.Errorf("%+v after a response", a)
 	}
-	if a.RecordUnanswered(100); a.Latency != 130 {
+	a.RecordUnanswered(100)
+	if a.Latency != 130 {
 		t.Errorf("latency %v: an unanswered attempt may only raise it", a.Latency)
 	}
-	if a.RecordUnanswered(230); a.Latency != 160 {
+	a.RecordUnanswered(230)
+	if a.Latency != 160 {
 		t.Errorf("latency %v after an unanswered attempt of 230", a.Latency)
 	}
-	if a.RecordQueue(10, true); a.Queue != 10 {
+	a.SetQueue(10)
+	if a.Queue != 10 {
 		t.Errorf("queue %v after the first report of 10", a.Queue)
 	}
-	if a.RecordQueue(20, false); a.Queue != 17 {
+	a.RecordQueue(20)
+	if a.Queue != 17 {
 		t.Errorf("queue %v after a report of 20", a.Queue)
 	}
 }
@@ -141,7 +149,8 @@
 	if m.Averages != (Averages{Latency: 100, ServiceTime: 50, Queue: 1}) {
 		t.Errorf("%+v", m)
 	}
-	if m.Add(Averages{Latency: 300, ServiceTime: 150, Queue: 3}); m.Averages != (Averages{200, 100, 2}) {
+	m.Add(Averages{Latency: 300, ServiceTime: 150, Queue: 3})
+	if m.Averages != (Averages{Latency: 200, ServiceTime: 100, Queue: 2}) {
 		t.Errorf("%+v", m)
 	}
 }
--- a/internal/control/estimate/samples.go
+++ b/internal/control/estimate/samples.go
@@ -10,7 +10,8 @@
 
 // Add adds a value and drops the oldest beyond maxSamples.
 func (s *Samples) Add(value float64) {
-	if *s = append(*s, value); len(*s) > maxSamples {
+	*s = append(*s, value)
+	if len(*s) > maxSamples {
 		*s = (*s)[1:]
 	}
 }
--- a/internal/control/eviction/eviction.go
+++ b/internal/control/eviction/eviction.go
@@ -1,7 +1,7 @@
-// Package eviction decides which connection is closed when a new one needs its place: never one with an operation in
-// flight, nor one whose state was used recently. Of the others, first those that have made no request yet, then those that
-// are idle, and last those for which state is stored. Within a class, the connection that has been in it for longest goes
-// first. The package does no I/O and reads no clock.
+// Package eviction decides which connection is closed when a new one needs its place: never one with an operation
+// in flight, nor one whose state was used recently. Of the others, first those that have made no request yet, then
+// those that are idle, and last those for which state is stored. Within a class, the connection that has been in
+// it for longest goes first. The package does no I/O and reads no clock.
 package eviction
 
 import (
@@ -22,8 +22,8 @@
 	classCount
 )
 
-// Registry holds connections by class, each class in the order in which the connections came into it. It is not safe for
-// concurrent use. A key stays until Remove, also after its eviction.
+// Registry holds connections by class, each class in the order in which the connections came into it. It is not
+// safe for concurrent use. A key stays until Remove, also after its eviction.
 type Registry[K comparable] struct {
 	recent   time.Duration
 	classes  [classCount]list.List // of *entry[K], front: oldest
@@ -55,7 +55,8 @@
 	}
 }
 
-// Evict chooses the connection that is to be closed and puts it into the class Evicted; ok is false if none may be closed.
+// Evict chooses the connection that is to be closed and puts it into the class Evicted; ok is false if none may be
+// closed.
 func (r *Registry[K]) Evict(now time.Time) (key K, ok bool) {
 	for class := Unused; class <= Stateful; class++ {
 		front := r.classes[class].Front()
--- a/internal/control/eviction/eviction_test.go
+++ b/internal/control/eviction/eviction_test.go
@@ -9,14 +9,20 @@
 var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func TestRegistry_EvictsByClassThenByAge(t *testing.T) {
-	registry, now := New[string](time.Minute), origin
-	for _, c := range []struct {
+	registry := New[string](time.Minute)
+	now := origin
+	for _, test := range []struct {
 		key   string
 		class Class
 	}{
-		{"busy", Busy}, {"stateful", Stateful}, {"idle1", Idle}, {"idle2", Idle}, {"unused1", Unused}, {"unused2", Unused},
+		{key: "busy", class: Busy},
+		{key: "stateful", class: Stateful},
+		{key: "idle1", class: Idle},
+		{key: "idle2", class: Idle},
+		{key: "unused1", class: Unused},
+		{key: "unused2", class: Unused},
 	} {
-		registry.Set(c.key, c.class, now)
+		registry.Set(test.key, test.class, now)
 		now = now.Add(time.Second)
 	}
 	registry.Set("idle1", Idle, now) // used again
@@ -62,19 +68,21 @@
 		}
 		best := model[first]
 		if !found || e.class < best.class || e.class == best.class && e.since.Before(best.since) {
-			first, found = key, true
+			first = key
+			found = true
 		}
 	}
 	return first, found
 }
 
-// FuzzRegistry compares a Registry with a plain model: no busy connection is evicted, none twice, and the evicted one is
-// the oldest of the lowest class.
+// FuzzRegistry compares a Registry with a plain model: no busy connection is evicted, none twice, and the evicted
+// one is the oldest of the lowest class.
 func FuzzRegistry(f *testing.F) {
 	f.Add(uint64(1), uint16(500))
 	f.Fuzz(func(t *testing.T, seed uint64, steps uint16) {
 		random := rand.New(rand.NewPCG(seed, 3))
-		registry, now := New[int](testRecent), origin
+		registry := New[int](testRecent)
+		now := origin
 		model := map[int]modelEntry{}
 		for range steps % 2000 {
 			now = now.Add(time.Duration(1+random.IntN(300)) * time.Millisecond)
@@ -86,14 +94,14 @@
 			case 1, 2:
 				class := Class(random.IntN(4))
 				registry.Set(key, class, now)
-				model[key] = modelEntry{class, now}
+				model[key] = modelEntry{class: class, since: now}
 			case 3:
 				want, found := firstEvicted(model, now)
 				if got, ok := registry.Evict(now); ok != found || ok && got != want {
 					t.Fatalf("%d %v is evicted, want %d %v", got, ok, want, found)
 				}
 				if found {
-					model[want] = modelEntry{Evicted, now}
+					model[want] = modelEntry{class: Evicted, since: now}
 				}
 			}
 		}
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -54,7 +54,8 @@
 // Extrapolates reports whether clients are so few that own requests stand for those of all.
 func (f *Fleet) Extrapolates() bool { return f.Options.Instances <= MaxExtrapolated }
 
-// Assess brings the estimates up to date and decides which servers and paths are unresponsive or slow. Call it once a turn.
+// Assess brings the estimates up to date and decides which servers and paths are unresponsive or slow. Call it
+// once a turn.
 func (f *Fleet) Assess(now time.Duration) {
 	f.RecentAnswers.Since(now - f.answerPeriod())
 	f.Averages = f.meanAverages()
@@ -101,7 +102,8 @@
 func (f *Fleet) AveragesOf(s *Server, now time.Duration) estimate.Averages {
 	mean := f.Averages.Averages
 	if s.Measured {
-		mean.Latency, mean.ServiceTime = s.Latency, s.ServiceTime
+		mean.Latency = s.Latency
+		mean.ServiceTime = s.ServiceTime
 	}
 	if s.ReportedAt > 0 {
 		age := estimate.Microseconds(now-s.ReportedAt) / (reportLifetime * estimate.Microseconds(f.Options.Objective))
@@ -168,7 +170,9 @@
 // server is worth one core at least.
 func (f *Fleet) Expected(now time.Duration, class, parts int, slowest float64) (took float64, measured bool) {
 	instances := float64(f.Options.Instances)
-	own, capacity, reports := 0.0, 0.0, []float64(nil)
+	own := 0.0
+	capacity := 0.0
+	var reports []float64
 	for _, s := range f.Servers {
 		if !s.Listed || !s.HealthyFor(class) {
 			continue
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -21,7 +21,8 @@
 	})
 	for range servers {
 		s := &Server{Listed: true}
-		s.PerClass, s.Path = make([]suspicion.Record, 1), &suspicion.Path{}
+		s.PerClass = make([]suspicion.Record, 1)
+		s.Path = &suspicion.Path{}
 		f.Servers = append(f.Servers, s)
 	}
 	return &f
@@ -59,7 +60,8 @@
 
 func TestFleet_RecordUnansweredOnlyRaises(t *testing.T) {
 	f := newFleet(2, 1)
-	s, now := f.Servers[0], time.Hour
+	s := f.Servers[0]
+	now := time.Hour
 	f.RecordAnswer(s, now, 100e3, 1)
 	mean := f.Mean
 	f.RecordUnanswered(s, 50e3, 1)
@@ -100,12 +102,14 @@
 	f := newFleet(80, minReports)
 	now := time.Hour
 	for _, s := range f.Servers[1:] {
-		s.ProbedQueue, s.ProbedQueueAt = 8, now
+		s.ProbedQueue = 8
+		s.ProbedQueueAt = now
 	}
 	if _, measured := f.ObservedQueueDelay(now); measured {
 		t.Error("too few probed queues stand for all")
 	}
-	f.Servers[0].ProbedQueue, f.Servers[0].ProbedQueueAt = 8, now
+	f.Servers[0].ProbedQueue = 8
+	f.Servers[0].ProbedQueueAt = now
 	delay, measured := f.ObservedQueueDelay(now)
 	if !measured || delay != f.DrainTime(8) {
 		t.Errorf("delay %v, %v, want %v", delay, measured, f.DrainTime(8))
@@ -121,15 +125,18 @@
 	if !f.Backlogged(s, now) || f.QueueDelay(s, now) != f.DrainTime(8) {
 		t.Errorf("delay %v", f.QueueDelay(s, now))
 	}
-	if f.Options.ProbesShared = false; f.QueueDelay(s, now) != 0 {
+	f.Options.ProbesShared = false
+	if f.QueueDelay(s, now) != 0 {
 		t.Error("a queue delay where queues are not shared")
 	}
 }
 
 func TestFleet_BacklogIsForgotten(t *testing.T) {
 	f := newFleet(80, 1)
-	s, now := f.Servers[0], time.Hour
-	s.QueueWasLong, s.ReportedAt = true, now
+	s := f.Servers[0]
+	now := time.Hour
+	s.QueueWasLong = true
+	s.ReportedAt = now
 	if !f.Backlogged(s, now+time.Second) || f.Backlogged(s, now+reportLifetime*time.Second) {
 		t.Error("a long queue must count for some time and no longer")
 	}
@@ -137,7 +144,9 @@
 
 func TestFleet_ForgetExcess(t *testing.T) {
 	f := newFleet(80, 1)
-	f.Mean, f.Deviation, f.MedianServiceTime = 1e6, 400e3, 100e3
+	f.Mean = 1e6
+	f.Deviation = 400e3
+	f.MedianServiceTime = 100e3
 	for range 50 {
 		f.ForgetExcess()
 	}
@@ -148,7 +157,8 @@
 
 func TestFleet_SlowStart(t *testing.T) {
 	f := newFleet(80, 2)
-	s, now := f.Servers[0], time.Hour
+	s := f.Servers[0]
+	now := time.Hour
 	s.Restart(now, 0.5)
 	if f.Capacity(s, now) != 0.2 || f.SlowStartAllows(s, now) {
 		t.Errorf("capacity %v at the start", f.Capacity(s, now))
@@ -157,7 +167,8 @@
 		t.Errorf("%+v", s)
 	}
 	f.Demand.Answered = 1e6
-	if f.EarnSlowStart(now, 10*ms); !f.SlowStartAllows(s, now) {
+	f.EarnSlowStart(now, 10*ms)
+	if !f.SlowStartAllows(s, now) {
 		t.Error("nothing owed of a large flow")
 	}
 	f.RecordSend(s, 0, now)
@@ -171,23 +182,27 @@
 
 func TestFleet_ExpectedCountsListedHealthyServersWithAReport(t *testing.T) {
 	now := time.Hour
-	for _, c := range []struct {
+	for _, test := range []struct {
 		name   string
 		change func(*Server)
 		want   bool
 	}{
-		{"a fresh load report counts", func(*Server) {}, true},
-		{"not that of an unlisted server", func(s *Server) { s.Listed = false }, false},
-		{"not that of an unhealthy server", func(s *Server) { s.Penalty = 1 }, false},
-		{"not one without requests in flight", func(s *Server) { s.RecordLoad(now, 3, -1) }, false},
-		{"not what a server began with after a restart", func(s *Server) { s.Restart(now, 0) }, false},
+		{name: "a fresh load report counts", change: func(*Server) {}, want: true},
+		{name: "not that of an unlisted server", change: func(s *Server) { s.Listed = false }, want: false},
+		{name: "not that of an unhealthy server", change: func(s *Server) { s.Penalty = 1 }, want: false},
+		{name: "not one without requests in flight", change: func(s *Server) { s.RecordLoad(now, 3, -1) }, want: false},
+		{
+			name:   "not what a server began with after a restart",
+			change: func(s *Server) { s.Restart(now, 0) },
+			want:   false,
+		},
 	} {
-		t.Run(c.name, func(t *testing.T) {
+		t.Run(test.name, func(t *testing.T) {
 			f := newFleet(80, 2)
 			f.Servers[0].RecordLoad(now, 3, 6)
-			c.change(f.Servers[0])
-			if _, measured := f.Expected(now, 0, 1, 1e6); measured != c.want {
-				t.Errorf("measured %v, want %v", measured, c.want)
+			test.change(f.Servers[0])
+			if _, measured := f.Expected(now, 0, 1, 1e6); measured != test.want {
+				t.Errorf("measured %v, want %v", measured, test.want)
 			}
 		})
 	}
--- a/internal/control/fleet/queue.go
+++ b/internal/control/fleet/queue.go
@@ -36,8 +36,9 @@
 	return f.DrainTime(f.AveragesOf(s, now).Queue)
 }
 
-// ObservedQueueDelay is how long a part waits at the servers with long queues, by what probes showed lately; measured is
-// false where too few did. It is fresh where responses are old: one of many clients has few, and after a jam none.
+// ObservedQueueDelay is how long a part waits at the servers with long queues, by what probes showed lately;
+// measured is false where too few did. It is fresh where responses are old: one of many clients has few, and after
+// a jam none.
 func (f *Fleet) ObservedQueueDelay(now time.Duration) (delay float64, measured bool) {
 	var queues []float64
 	for _, s := range f.Servers {
--- a/internal/control/fleet/server.go
+++ b/internal/control/fleet/server.go
@@ -25,8 +25,13 @@
 
 // RecordLoad takes in a load report of a queue and a number of requests in flight, which may be negative: none.
 func (s *Server) RecordLoad(now time.Duration, queue, inFlight float64) {
-	s.RecordQueue(queue, s.ReportedAt == 0)
-	s.ReportedAt, s.ReportedInFlight = now, inFlight
+	if s.ReportedAt == 0 {
+		s.SetQueue(queue)
+	} else {
+		s.RecordQueue(queue)
+	}
+	s.ReportedAt = now
+	s.ReportedInFlight = inFlight
 }
 
 // Restart forgets what an earlier process of the server showed; random is a random number from 0 to 1. The new one had
@@ -36,7 +41,9 @@
 	s.SlowStart.Restart(started, random)
 	s.Server.Restart()
 	s.Measured = false
-	s.Queue, s.ReportedInFlight, s.ReportedAt = 0, -1, started
+	s.Queue = 0
+	s.ReportedInFlight = -1
+	s.ReportedAt = started
 }
 
 // inFlightSince is the number of requests in flight by the last load report, and those sent since then. known is false
--- a/internal/control/gossip/compat_test.go
+++ b/internal/control/gossip/compat_test.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// A message of commit b803164 (writeWord of package balance), sent by an aggregator of zone 3, 90 s after the common clock's
-// zero: aggregators of both versions run side by side while a fleet is upgraded.
+// A message of commit b803164 (writeWord of package balance), sent by an aggregator of zone 3, 90 s after the
+// common clock's zero: aggregators of both versions run side by side while a fleet is upgraded.
 const earlierLoadMessage = "525f9076f8030102030407fffefdfcff00000005fe"
 
 func TestDecodeLoad_MessageOfAnEarlierVersion(t *testing.T) {
@@ -21,7 +21,11 @@
 	if !ok {
 		t.Fatal("the message is rejected")
 	}
-	want := []Observation{{Key: 0x01020304, Value: 7}, {Key: 0xfffefdfc, Value: Unresponsive}, {Key: 5, Value: QueueValue(1000)}}
+	want := []Observation{
+		{Key: 0x01020304, Value: 7},
+		{Key: 0xfffefdfc, Value: Unresponsive},
+		{Key: 5, Value: QueueValue(1000)},
+	}
 	if load.Age != received-sentAt || load.Zone != 3 || !slices.Equal(load.Observations, want) {
 		t.Errorf("decoded as %+v", load)
 	}
--- a/internal/control/gossip/load.go
+++ b/internal/control/gossip/load.go
@@ -12,8 +12,8 @@
 // QueueValue is the value that stands for a queue length; a longer one than fits is given as the longest that does.
 func QueueValue(queue float64) byte { return byte(max(0, min(float64(Unresponsive)-1, queue+0.5))) }
 
-// EncodeLoad encodes a load message, which states queue lengths and unresponsive servers as probes found them, sent at now
-// from a zone.
+// EncodeLoad encodes a load message, which states queue lengths and unresponsive servers as probes found them,
+// sent at now from a zone.
 func EncodeLoad(now time.Duration, zone int, observations []Observation) []byte {
 	return EncodeObservations(kindLoad, now, zone, observations)
 }
--- a/internal/control/gossip/load_test.go
+++ b/internal/control/gossip/load_test.go
@@ -6,25 +6,25 @@
 )
 
 func TestQueueValue(t *testing.T) {
-	for _, c := range []struct {
+	for _, test := range []struct {
 		name  string
 		queue float64
 		want  byte
 	}{
-		{"a fraction is rounded", 2.6, 3},
-		{"a queue longer than fits is the longest that does", 1000, Unresponsive - 1},
-		{"a negative queue is empty", -1, 0},
+		{name: "a fraction is rounded", queue: 2.6, want: 3},
+		{name: "a queue longer than fits is the longest that does", queue: 1000, want: Unresponsive - 1},
+		{name: "a negative queue is empty", queue: -1, want: 0},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			if got := QueueValue(c.queue); got != c.want {
-				t.Errorf("%v is sent as %d, want %d", c.queue, got, c.want)
+		t.Run(test.name, func(t *testing.T) {
+			if got := QueueValue(test.queue); got != test.want {
+				t.Errorf("%v is sent as %d, want %d", test.queue, got, test.want)
 			}
 		})
 	}
 }
 
 func TestLoadMessage_RoundTrip(t *testing.T) {
-	sent := []Observation{{ServerKey("a"), 7}, {ServerKey("b"), Unresponsive}}
+	sent := []Observation{{Key: ServerKey("a"), Value: 7}, {Key: ServerKey("b"), Value: Unresponsive}}
 	message := EncodeLoad(time.Hour, 0x102, sent)
 	load, ok := DecodeLoad(time.Hour+50*time.Millisecond, message)
 	if !ok || load.Age != 50*time.Millisecond || load.Zone != 2 {
@@ -44,23 +44,23 @@
 	now := time.Hour
 	o.Add(1, 5)
 	if o.Flush(now, interval, 0) != nil {
-		t.Error("a message with no allowance")
+		t.Error("a message with an empty budget")
 	}
-	o.Earn()
+	o.Budget.Earn(1)
 	if o.Flush(now, interval, 0) == nil {
-		t.Fatal("no message with an allowance")
+		t.Fatal("no message within the budget")
 	}
 	if o.Flush(now, interval, 0) != nil {
 		t.Error("a message without observations")
 	}
 	o.Add(1, 5)
 	o.Add(1, 6)
-	o.Earn()
+	o.Budget.Earn(1)
 	if o.Flush(now+interval-1, interval, 0) != nil {
 		t.Error("a message before its interval is over")
 	}
 	load, ok := DecodeLoad(now, o.Flush(now+interval, interval, 0))
-	if !ok || len(load.Observations) != 1 || load.Observations[0] != (Observation{1, 6}) {
+	if !ok || len(load.Observations) != 1 || load.Observations[0] != (Observation{Key: 1, Value: 6}) {
 		t.Errorf("%+v, %v: want the newest observation of the server", load, ok)
 	}
 }
@@ -68,13 +68,14 @@
 func TestOutbox_Limits(t *testing.T) {
 	o := NewOutbox(3)
 	for i := range 1000 {
-		o.Earn()
+		o.Budget.Earn(1)
 		o.Add(uint32(i), 1)
 	}
-	if o.Allowance != 3*MaxMessageBytes {
-		t.Errorf("allowance of %v bytes, want one full message to each", o.Allowance)
+	if o.Budget.Bytes != 3*MaxMessageBytes {
+		t.Errorf("budget of %v bytes, want one full message to each", o.Budget.Bytes)
 	}
-	if message := o.Flush(time.Hour, 0, 0); len(message) != EncodedSize(MaxObservations) || len(message) > MaxMessageBytes {
+	message := o.Flush(time.Hour, 0, 0)
+	if len(message) != EncodedSize(MaxObservations) || len(message) > MaxMessageBytes {
 		t.Errorf("a message of %d bytes", len(message))
 	}
 }
--- a/internal/control/listwatch/listwatch.go
+++ b/internal/control/listwatch/listwatch.go
@@ -1,6 +1,6 @@
-// Package listwatch decides when an aggregator calls service discovery for the endpoint list: when a watch that sends nothing
-// counts as broken, and how long to wait before the next call. It does no I/O, reads no clock and draws no random numbers
-// of its own.
+// Package listwatch decides when an aggregator calls service discovery for the endpoint list: when a watch that
+// sends nothing counts as broken, and how long to wait before the next call. It does no I/O, reads no clock and
+// draws no random numbers of its own.
 package listwatch
 
 import (
@@ -9,15 +9,15 @@
 	"rooktrestle/internal/control/backoff"
 )
 
-// Config holds the timing of an aggregator's calls. The platform's protocol states that a live watch sends something every
-// 2 s, that the changes a client misses through a silent watch count as delivered 6 s after it fell silent, and that
-// changes known to an agent on the aggregator's own machine count as delivered at once.
+// Config holds the timing of an aggregator's calls. The platform's protocol states that a live watch sends
+// something every 2 s, that the changes a client misses through a silent watch count as delivered 6 s after it
+// fell silent, and that changes known to an agent on the aggregator's own machine count as delivered at once.
 type Config struct {
-	Clients           int           // aggregators that call the same discovery; less than two: an agent that nobody else calls
-	RetryInterval     time.Duration // between the starts of two calls to an agent, and the minimum wait after a failed one
+	Clients           int           // aggregators that call the same discovery; less than two: an agent of its own
+	RetryInterval     time.Duration // between the starts of two calls to an agent; minimum wait after a failed one
 	CallsPerSecond    float64       // of all clients together, where all of them call at once
-	MinIdleTimeout    time.Duration // a watch is broken after a silence sampled between MinIdleTimeout
-	MaxIdleTimeout    time.Duration // and MaxIdleTimeout: clients whose watches fall silent at one moment call over a span of time
+	MinIdleTimeout    time.Duration // shortest silence after which a watch is broken; it is sampled between this
+	MaxIdleTimeout    time.Duration // and the longest, so that clients do not all call again at one moment
 	FirstEventTimeout time.Duration // an agent answers at once: a call without an event for that long is broken
 }
 
@@ -36,9 +36,9 @@
 // hasOwnAgent reports whether discovery is an agent that no other client calls.
 func (c Config) hasOwnAgent() bool { return c.Clients <= 1 }
 
-// Reconnector times the calls of one client, which makes one call at a time: Opened, any number of Received and Succeeded,
-// then Ended, or Opened again once IdleDeadline has passed. It belongs to that client and is not safe for concurrent
-// use. Times must not go back; random numbers are from 0 to 1.
+// Reconnector times the calls of one client, which makes one call at a time: Opened, any number of Received and
+// Succeeded, then Ended, or Opened again once IdleDeadline has passed. It belongs to that client and is not safe
+// for concurrent use. Times must not go back; random numbers are from 0 to 1.
 type Reconnector struct {
 	config       Config
 	backoff      backoff.Backoff
@@ -58,8 +58,11 @@
 
 // Opened notes that a call starts. random decides how long a silence it is allowed.
 func (r *Reconnector) Opened(now time.Time, random float64) {
-	r.opened, r.lastReceived, r.hasReceived = now, now, false
-	r.maxSilence = r.config.MinIdleTimeout + time.Duration(random*float64(r.config.MaxIdleTimeout-r.config.MinIdleTimeout))
+	r.opened = now
+	r.lastReceived = now
+	r.hasReceived = false
+	span := r.config.MaxIdleTimeout - r.config.MinIdleTimeout
+	r.maxSilence = r.config.MinIdleTimeout + time.Duration(random*float64(span))
 }
 
 // Received notes that an event came, whatever it is.
@@ -77,10 +80,10 @@
 // Succeeded notes that the call brought the endpoint list or a change of it: the backoff starts over.
 func (r *Reconnector) Succeeded() { r.backoff.Reset() }
 
-// Ended notes that the call failed or the watch ended, and returns when to call again. This protects a shared discovery that
-// is short of capacity: calls queue there and fail if they wait for too long, so clients that all called again at once
-// would keep it overloaded for ever. A client's own agent is called again as soon as the last call started about
-// RetryInterval ago.
+// Ended notes that the call failed or the watch ended, and returns when to call again. This protects a shared
+// discovery that is short of capacity: calls queue there and fail if they wait for too long, so clients that all
+// called again at once would keep it overloaded for ever. A client's own agent is called again as soon as the last
+// call started about RetryInterval ago.
 func (r *Reconnector) Ended(now time.Time, random float64) time.Time {
 	wait := r.backoff.Next(random)
 	if r.config.hasOwnAgent() {
--- a/internal/control/listwatch/listwatch_test.go
+++ b/internal/control/listwatch/listwatch_test.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// FuzzReconnector plays a discovery that answers, sends events, falls silent, rejects calls and ends watches, and checks
-// the bounds of every wait.
+// FuzzReconnector plays a discovery that answers, sends events, falls silent, rejects calls and ends watches, and
+// checks the bounds of every wait.
 func FuzzReconnector(f *testing.F) {
 	f.Add(uint16(0), []byte{0, 1, 2, 3, 4, 200, 255, 7})
 	f.Add(uint16(300), []byte{3, 3, 3, 0, 9, 2, 2, 1})
--- a/internal/control/outlier/message.go
+++ b/internal/control/outlier/message.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// messageKind is the letter L, version 1 of the message: for each server two counts of four bits each, of attempts that
-	// failed there and of attempts that it answered since the sender's last message.
+	// messageKind is the letter L, version 1 of the message: for each server two counts of four bits each, of
+	// attempts that failed there and of attempts that it answered since the sender's last message.
 	messageKind = 0x4c
 	countBits   = 4
 	maxCount    = 1<<countBits - 1 // larger counts are sent as maxCount
--- a/internal/control/outlier/message_test.go
+++ b/internal/control/outlier/message_test.go
@@ -10,8 +10,8 @@
 
 // Processes of both versions run side by side during an upgrade, so the bytes must not change.
 func TestMessage_OfAnEarlierVersionIsDecodedAndEncodedAlike(t *testing.T) {
-	// Written by commit b803164 (Table.Word, package internal/decide/outlier) one hour after the start of an aggregator of
-	// zone 2: 20 failures and 2 answers of server leaf-a, 3 failures of leaf-b.
+	// Written by commit b803164 (Table.Word, package internal/decide/outlier) one hour after the start of an
+	// aggregator of zone 2: 20 failures and 2 answers of server leaf-a, 3 failures of leaf-b.
 	const written = "4cee806db20271b6e0abf272b6e23e30"
 	datagram, err := hex.DecodeString(written)
 	if err != nil {
@@ -27,10 +27,17 @@
 		t.Errorf("decoded as %+v, %v", m, ok)
 	}
 
-	table := New(Config{DecayTime: 1500 * ms, OverdueAfter: 190 * ms, MaxMessageAge: 380 * ms, Zone: 2, Aggregators: 300})
+	table := New(Config{
+		DecayTime:     1500 * ms,
+		OverdueAfter:  190 * ms,
+		MaxMessageAge: 380 * ms,
+		Zone:          2,
+		Aggregators:   300,
+	})
 	table.Add("leaf-a", 0)
 	table.Add("leaf-b", 0)
-	if table.Receive(now, datagram); table.ObservationsReceived != 2 {
+	table.Receive(now, datagram)
+	if table.ObservationsReceived != 2 {
 		t.Errorf("%d observations received, want 2", table.ObservationsReceived)
 	}
 	table.AccrueBudget(100)
@@ -45,7 +52,7 @@
 
 // FuzzMessage checks that random datagrams break nothing, and that what is decoded encodes to the same bytes.
 func FuzzMessage(f *testing.F) {
-	f.Add(encodeMessage(start, 1, []observation{{7, 3, 2}}))
+	f.Add(encodeMessage(start, 1, []observation{{key: 7, failed: 3, answered: 2}}))
 	f.Add([]byte("L noise"))
 	f.Fuzz(func(t *testing.T, datagram []byte) {
 		m, ok := decodeMessage(start, datagram)
--- a/internal/control/outlier/outlier.go
+++ b/internal/control/outlier/outlier.go
@@ -1,20 +1,19 @@
-// Package outlier implements outlier detection shared by all aggregators of a zone. Where there are many aggregators with
-// little traffic each, every one of them sends a part to a given server only once in seconds, so each would have to lose
-// parts of its own before it noticed that a server hangs or fails. The aggregators therefore tell each other, in gossip
-// messages, at which servers attempts failed. A server at which far more of them fail than at the other servers is an
-// outlier: it is ejected, keeps a small share of its traffic as health checks, and gets its traffic back in steps while
-// these are answered.
+// Package outlier implements outlier detection shared by all aggregators of a zone. Where there are many
+// aggregators with little traffic each, every one of them sends a part to a given server only once in seconds, so
+// each would have to lose parts of its own before it noticed that a server hangs or fails. The aggregators
+// therefore tell each other, in gossip messages, at which servers attempts failed. A server at which far more of
+// them fail than at the other servers is an outlier: it is ejected, keeps a small share of its traffic as health
+// checks, and gets its traffic back in steps while these are answered.
 //
-// A server that fails half of its attempts or more gets that small share only, as long as the shard has another replica:
-// every failure uses up one of the few attempts of a part. A server that fails fewer gets a larger share. Observations of
-// other aggregators are hints: one that is lost, delayed, duplicated or forged changes a traffic share and breaks no
-// invariant.
+// A server that fails half of its attempts or more gets that small share only, as long as the shard has another
+// replica: every failure uses up one of the few attempts of a part. A server that fails fewer gets a larger share.
+// Observations of other aggregators are hints: one that is lost, delayed, duplicated or forged changes a traffic
+// share and breaks no invariant.
 //
 // A Table does no I/O, reads no clock and starts no goroutine. It is not safe for concurrent use.
 package outlier
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -27,12 +26,12 @@
 	DecayTime     time.Duration // time constant of the failure counts: after it 1/e of a failure still counts
 	OverdueAfter  time.Duration // a canceled attempt counts as failed if it was in flight for that long
 	MaxMessageAge time.Duration // gossip messages older than that, or from further in the future, are ignored
-	Zone          int           // of this aggregator; messages of other zones are ignored: their network path may be cut
+	Zone          int           // of this aggregator; messages of other zones, whose path may be cut, are ignored
 	Aggregators   int           // in the zone, this one included
 }
 
-// PlatformConfig returns the configuration for one of so many aggregators in a zone. latencyObjective is the shortest one
-// of the settings' classes.
+// PlatformConfig returns the configuration for one of so many aggregators in a zone. latencyObjective is the
+// shortest one of the settings' classes.
 func PlatformConfig(latencyObjective time.Duration, zone, aggregators int) Config {
 	return Config{
 		DecayTime:     4 * latencyObjective,
@@ -48,19 +47,19 @@
 	baselineFactor   = 4   // and how many times the baseline are needed on top of them
 	baselineQuantile = 0.4 // of the servers' failure counts: up to half of the servers may fail together with a zone
 	quietDecayTimes  = 8   // decay times without a failure after which an outlier moves up to the first step
-	budgetPerPart    = 0.4 // bytes delivered to all other aggregators, as a share of a full message, for each part accepted
 )
 
 // A recoveryStep is the traffic share of an ejected server whose answer rate is below a limit.
 type recoveryStep struct{ belowAnswerRate, share float64 }
 
-// recoverySteps are in ascending order; a server whose answer rate is not below the last limit is no outlier any more. The
-// first share amounts to about one part per second of all aggregators together: a search has some fifty parts and needs
-// each of them.
+// recoverySteps are in ascending order; a server whose answer rate is not below the last limit is no outlier any
+// more. The first share amounts to about one part per second of all aggregators together: a search has some fifty
+// parts and needs each of them.
 var recoverySteps = [...]recoveryStep{{0.1, 0.005}, {0.25, 0.01}, {0.85, 0.3}}
 
-// The answer rate of an ejected server is an exponentially weighted moving average of its outcomes. It starts in the
-// middle, because a server with many failures may be slow as well as down: six failures or nine answers from there decide.
+// The answer rate of an ejected server is an exponentially weighted moving average of its outcomes. It starts in
+// the middle, because a server with many failures may be slow as well as down: six failures or nine answers from
+// there decide.
 const (
 	outcomeWeight     = 0.125
 	initialAnswerRate = 0.5
@@ -98,7 +97,7 @@
 	servers map[uint32]*server // by gossip key
 	order   []*server          // in the order of Add
 	pending []*server          // with observations that are not sent yet, oldest first
-	budget  float64            // bytes that messages may take, summed over the receivers
+	budget  gossip.Budget      // of messages to the other aggregators
 	changed bool               // a failure, or an answer of an ejected server, came since the last Update
 	// nextUpdate is when Update has something to do even if nothing changed: failure counts decay.
 	nextUpdate time.Duration
@@ -109,11 +108,16 @@
 
 // New returns a Table without servers.
 func New(config Config) *Table {
-	return &Table{config: config, servers: map[uint32]*server{}}
+	return &Table{
+		config:  config,
+		servers: map[uint32]*server{},
+		budget:  gossip.NewBudget(config.Aggregators),
+	}
 }
 
-// Add adds a server whose process started at started; 0 stands for an unknown time long ago. A server that is in the table
-// stays as it is, unless started is later than before: then its process is a new one, and what was known is deleted.
+// Add adds a server whose process started at started; 0 stands for an unknown time long ago. A server that is in
+// the table stays as it is, unless started is later than before: then its process is a new one, and what was known
+// is deleted.
 func (t *Table) Add(id string, started time.Duration) {
 	if s := t.find(id); s != nil && started <= s.started {
 		return
@@ -157,13 +161,10 @@
 }
 
 // AccrueBudget allows messages in proportion to the parts that this aggregator accepted since the last call.
-func (t *Table) AccrueBudget(parts int) {
-	maxBudget := gossip.MaxMessageBytes * float64(t.config.Aggregators)
-	t.budget = min(t.budget+budgetPerPart*gossip.MaxMessageBytes*float64(parts), maxBudget)
-}
+func (t *Table) AccrueBudget(parts int) { t.budget.Earn(parts) }
 
-// AttemptEnded records the outcome of an attempt that this aggregator sent at sent. Servers that are not in the table are
-// ignored.
+// AttemptEnded records the outcome of an attempt that this aggregator sent at sent. Servers that are not in the
+// table are ignored.
 func (t *Table) AttemptEnded(now time.Duration, id string, sent time.Duration, outcome Outcome) {
 	s := t.find(id)
 	if s == nil {
@@ -206,8 +207,8 @@
 	return outcome
 }
 
-// Receive records the observations in another aggregator's message. A message that is malformed, too old or from another
-// zone is ignored, and so are observations on servers that are not in the table: gossip adds no server.
+// Receive records the observations in another aggregator's message. A message that is malformed, too old or from
+// another zone is ignored, and so are observations on servers that are not in the table: gossip adds no server.
 func (t *Table) Receive(now time.Duration, datagram []byte) {
 	m, ok := decodeMessage(now, datagram)
 	if !ok || m.zone != t.config.Zone&0xff || m.age > t.config.MaxMessageAge || m.age < -t.config.MaxMessageAge {
@@ -247,7 +248,8 @@
 	if !t.changed && now < t.nextUpdate {
 		return nil
 	}
-	t.changed, t.nextUpdate = false, now+t.config.DecayTime
+	t.changed = false
+	t.nextUpdate = now + t.config.DecayTime
 	threshold := t.ejectionThreshold(now)
 	for _, s := range t.order {
 		if !s.ejected && s.failures >= threshold {
@@ -279,19 +281,22 @@
 	}
 	// Nothing was sent to it, or the messages with its answers were lost: it gets a few more attempts.
 	if s.answerRate < recoverySteps[0].belowAnswerRate && now-s.lastFailure > quietDecayTimes*t.config.DecayTime {
-		s.answerRate, s.lastFailure = recoverySteps[0].belowAnswerRate, now
+		s.answerRate = recoverySteps[0].belowAnswerRate
+		s.lastFailure = now
 	}
 	for _, step := range recoverySteps {
 		if s.answerRate < step.belowAnswerRate {
 			return step.share
 		}
 	}
-	s.ejected, s.failures = false, 0 // it takes as many failures again to eject it
+	// The count starts over: it takes as many failures again to eject the server.
+	s.ejected = false
+	s.failures = 0
 	return 1
 }
 
-// TrafficShare returns the share of its usual traffic that a server is to get, from 0 to 1: 1 unless it is ejected. Servers
-// that are not in the table get all of it.
+// TrafficShare returns the share of its usual traffic that a server is to get, from 0 to 1: 1 unless it is
+// ejected. Servers that are not in the table get all of it.
 func (t *Table) TrafficShare(id string) float64 {
 	if s := t.find(id); s != nil {
 		return s.share
@@ -309,15 +314,13 @@
 	return count
 }
 
-// NextMessage returns a message with the oldest pending observations, to be sent to all other aggregators, and takes it from
-// the budget. It returns nil if nothing is pending or the budget is too small.
+// NextMessage returns a message with the oldest pending observations, to be sent to all other aggregators, and
+// takes it from the budget. It returns nil if nothing is pending or the budget is too small.
 func (t *Table) NextMessage(now time.Duration) []byte {
 	count := min(len(t.pending), gossip.MaxObservations)
-	size := float64(gossip.EncodedSize(count) * (t.config.Aggregators - 1))
-	if count == 0 || size > t.budget {
+	if count == 0 || !t.budget.Spend(count) {
 		return nil
 	}
-	t.budget -= size
 	var observations []observation
 	for _, s := range t.pending[:count] {
 		observations = append(observations, s.pending)
@@ -333,6 +336,6 @@
 	if len(values) == 0 {
 		return 0
 	}
-	slices.SortFunc(values, cmp.Compare)
+	slices.Sort(values)
 	return values[int(q*float64(len(values)-1))]
 }
--- a/internal/control/outlier/outlier_test.go
+++ b/internal/control/outlier/outlier_test.go
@@ -55,8 +55,8 @@
 	return messages
 }
 
-// Aggregators of which each loses a few parts at a server eject it together, and so do those that lost none there. Once it
-// answers the attempts of its remaining share, all of them restore it in steps.
+// Aggregators of which each loses a few parts at a server eject it together, and so do those that lost none there.
+// Once it answers the attempts of its remaining share, all of them restore it in steps.
 func TestTable_HangingServerIsEjectedByAllAndRestoredInSteps(t *testing.T) {
 	tables := []*Table{newTable(), newTable(), newTable(), newTable(), newTable(), newTable()}
 	now := start
@@ -68,7 +68,8 @@
 		t.Fatalf("%d messages, want 4", messages)
 	}
 	for i, table := range tables {
-		if table.TrafficShare("s3") != recoverySteps[0].share || table.TrafficShare("s4") != 1 || table.EjectedCount() != 1 {
+		hangingEjected := table.TrafficShare("s3") == recoverySteps[0].share && table.EjectedCount() == 1
+		if !hangingEjected || table.TrafficShare("s4") != 1 {
 			t.Fatalf("aggregator %d: share %v of the hanging server, %v of another",
 				i, table.TrafficShare("s3"), table.TrafficShare("s4"))
 		}
@@ -98,11 +99,13 @@
 func TestTable_SlowServerKeepsMostOfItsShare(t *testing.T) {
 	table := newTable()
 	endAttempts(table, minFailures, "s3", 300*ms, Canceled)
-	if table.Update(start); table.TrafficShare("s3") != recoverySteps[2].share {
+	table.Update(start)
+	if table.TrafficShare("s3") != recoverySteps[2].share {
 		t.Fatalf("share %v", table.TrafficShare("s3"))
 	}
 	endAttempts(table, 10, "s3", 0, Answered)
-	if table.Update(start); table.TrafficShare("s3") != 1 {
+	table.Update(start)
+	if table.TrafficShare("s3") != 1 {
 		t.Errorf("share %v after ten answers", table.TrafficShare("s3"))
 	}
 }
@@ -129,11 +132,13 @@
 	for i := range 20 {
 		endAttempts(table, 8, serverID(i), 300*ms, Canceled)
 	}
-	if table.Update(start); table.EjectedCount() != 0 {
+	table.Update(start)
+	if table.EjectedCount() != 0 {
 		t.Fatalf("%d servers ejected among equals", table.EjectedCount())
 	}
 	endAttempts(table, 40, "s3", 300*ms, Canceled)
-	if table.Update(start); table.EjectedCount() != 1 {
+	table.Update(start)
+	if table.EjectedCount() != 1 {
 		t.Errorf("%d servers ejected, one has six times the failures of the others", table.EjectedCount())
 	}
 	// Half of the servers fail with a zone: these are ejected, the others are not.
@@ -141,7 +146,8 @@
 	for i := range 10 {
 		endAttempts(table, 20, serverID(i), 0, Failed)
 	}
-	if table.Update(start); table.EjectedCount() != 10 {
+	table.Update(start)
+	if table.EjectedCount() != 10 {
 		t.Errorf("%d servers ejected, 10 of 20 fail", table.EjectedCount())
 	}
 }
@@ -169,7 +175,8 @@
 		"of another kind":   append([]byte{messageKind + 1}, encodeMessage(start, 0, failures)[1:]...),
 		"empty":             nil,
 	} {
-		if table.Receive(start, datagram); table.ObservationsReceived != 0 {
+		table.Receive(start, datagram)
+		if table.ObservationsReceived != 0 {
 			t.Errorf("a message %s was accepted", name)
 		}
 	}
@@ -177,7 +184,8 @@
 		t.Errorf("shares changed: %v", changed)
 	}
 	table.Receive(start, encodeMessage(start, 0, failures))
-	if table.Update(start); table.ObservationsReceived != 2 || table.EjectedCount() != 2 {
+	table.Update(start)
+	if table.ObservationsReceived != 2 || table.EjectedCount() != 2 {
 		t.Errorf("%d observations received, %d servers ejected", table.ObservationsReceived, table.EjectedCount())
 	}
 }
@@ -187,7 +195,8 @@
 	t.Helper()
 	table := newTable()
 	endAttempts(table, 30, "s3", 0, Failed)
-	if table.Update(start); table.TrafficShare("s3") != recoverySteps[0].share {
+	table.Update(start)
+	if table.TrafficShare("s3") != recoverySteps[0].share {
 		t.Fatalf("share %v after 30 failures", table.TrafficShare("s3"))
 	}
 	return table
@@ -196,27 +205,33 @@
 // An ejection ends with the server's entry, with its process, and with time.
 func TestTable_EjectionEnds(t *testing.T) {
 	table := newTableWithEjected(t)
-	if table.Add("s3", 0); table.TrafficShare("s3") == 1 {
+	table.Add("s3", 0)
+	if table.TrafficShare("s3") == 1 {
 		t.Error("adding a server of the same process restored it")
 	}
-	if table.Add("s3", start); table.TrafficShare("s3") != 1 {
+	table.Add("s3", start)
+	if table.TrafficShare("s3") != 1 {
 		t.Error("a new process has the share of the old one")
 	}
 	table = newTableWithEjected(t)
-	if table.Remove("s3"); table.TrafficShare("s3") != 1 || len(table.pending) != 0 {
+	table.Remove("s3")
+	if table.TrafficShare("s3") != 1 || len(table.pending) != 0 {
 		t.Error("a removed server has a share or pending observations")
 	}
 	table = newTableWithEjected(t)
-	if table.Retain(func(id string) bool { return id == "s4" }); len(table.order) != 1 || len(table.servers) != 1 {
+	table.Retain(func(id string) bool { return id == "s4" })
+	if len(table.order) != 1 || len(table.servers) != 1 {
 		t.Errorf("%d servers retained, want one", len(table.order))
 	}
 	// Nothing is sent to it: it gets a few attempts, and one failure ends that.
 	table = newTableWithEjected(t)
-	if changed := table.Update(start + 13*time.Second); len(changed) != 1 || table.TrafficShare("s3") != recoverySteps[1].share {
+	changed := table.Update(start + 13*time.Second)
+	if len(changed) != 1 || table.TrafficShare("s3") != recoverySteps[1].share {
 		t.Errorf("changed %v, share %v after a quiet time", changed, table.TrafficShare("s3"))
 	}
 	table.AttemptEnded(start+14*time.Second, "s3", start+13*time.Second, Failed)
-	if table.Update(start + 14*time.Second); table.TrafficShare("s3") != recoverySteps[0].share {
+	table.Update(start + 14*time.Second)
+	if table.TrafficShare("s3") != recoverySteps[0].share {
 		t.Errorf("share %v after one more failure", table.TrafficShare("s3"))
 	}
 }
@@ -232,7 +247,8 @@
 	if table.NextMessage(start) != nil {
 		t.Fatal("a message without a budget")
 	}
-	observations, deliveredBytes := 0, 0
+	observations := 0
+	deliveredBytes := 0
 	for now := start; observations < servers; now += ms {
 		table.AccrueBudget(1)
 		if datagram := table.NextMessage(now); datagram != nil {
@@ -243,7 +259,7 @@
 			observations += len(m.observations)
 			deliveredBytes += len(datagram) * (testConfig.Aggregators - 1)
 		}
-		accrued := budgetPerPart * gossip.MaxMessageBytes * float64((now-start)/ms+1)
+		accrued := gossip.BudgetPerPart * gossip.MaxMessageBytes * float64((now-start)/ms+1)
 		if float64(deliveredBytes) > accrued {
 			t.Fatalf("%d bytes delivered, budget %v", deliveredBytes, accrued)
 		}
@@ -304,7 +320,7 @@
 		m.table.Add(id, m.now)
 		m.listed[id] = true
 	case opReceive:
-		o := observation{gossip.ServerKey(id), int(argument % 16), int(argument / 16)}
+		o := observation{key: gossip.ServerKey(id), failed: int(argument % 16), answered: int(argument / 16)}
 		m.table.Receive(m.now, encodeMessage(m.now, 0, []observation{o}))
 	}
 	m.table.Update(m.now)
@@ -325,7 +341,8 @@
 			want++
 		}
 	}
-	if m.receiver.Receive(m.now, datagram); !ok || len(decoded.observations) == 0 || m.receiver.ObservationsReceived != want {
+	m.receiver.Receive(m.now, datagram)
+	if !ok || len(decoded.observations) == 0 || m.receiver.ObservationsReceived != want {
 		t.Fatalf("%d observations decoded, %d received in all, want %d",
 			len(decoded.observations), m.receiver.ObservationsReceived, want)
 	}
--- a/internal/control/readiness/damped.go
+++ b/internal/control/readiness/damped.go
@@ -14,20 +14,25 @@
 // update takes what is observed at a moment and sets current and reason.
 func (d *dampedState) update(now time.Time, observed State, reason string, config Config) {
 	if !d.started {
-		d.started, d.current, d.reason = true, observed, reason
+		d.started = true
+		d.current = observed
+		d.reason = reason
 	}
 	if observed == d.current {
-		d.pending, d.reason = observed, reason
+		d.pending = observed
+		d.reason = reason
 		return
 	}
 	if observed != d.pending {
-		d.pending, d.since = observed, now
+		d.pending = observed
+		d.since = now
 	}
 	delay := config.RecoverDelay
 	if observed > d.current {
 		delay = config.DegradeDelay
 	}
 	if now.Sub(d.since) >= delay {
-		d.current, d.reason = observed, reason
+		d.current = observed
+		d.reason = reason
 	}
 }
--- a/internal/control/readiness/headroom.go
+++ b/internal/control/readiness/headroom.go
@@ -57,7 +57,8 @@
 		elapsed := max(0, now.Sub(h.updated).Seconds())
 		value = min(value, h.value+h.config.WeightRisePerSecond*elapsed)
 	}
-	h.value, h.updated = value, now
+	h.value = value
+	h.updated = now
 	return value, reasons
 }
 
--- a/internal/control/readiness/readiness.go
+++ b/internal/control/readiness/readiness.go
@@ -1,8 +1,8 @@
 // Package readiness decides what an aggregator reports of its own health: whether queries can be answered, database by
 // database, and how much more load it can take. It does no I/O and reads no clock.
 //
-// A state gets worse once its cause has lasted for a moment, and better once the cause has been gone for longer, so that
-// it does not flap. Both delays are well under the second within which the report has to be true.
+// A state gets worse once its cause has lasted for a moment, and better once the cause has been gone for longer,
+// so that it does not flap. Both delays are well under the second within which the report has to be true.
 package readiness
 
 import (
--- a/internal/control/readiness/readiness_test.go
+++ b/internal/control/readiness/readiness_test.go
@@ -36,32 +36,60 @@
 }
 
 func TestEvaluator_StatesOfDatabasesAndAggregator(t *testing.T) {
-	for _, c := range []struct {
+	for _, test := range []struct {
 		name                         string
 		searchUnavailable            []int
 		correctionUnavailable        []int
 		captions, coverage, combined State
 		reason                       string
 	}{
-		{"all shards available", nil, nil, Up, Up, Up, ""},
-		{"one shard without a server", []int{2}, []int{2}, Down, Degraded, Degraded, "captions: no usable holder of block 2"},
-		{"one shard without corrections", nil, []int{1}, Degraded, Up, Degraded, "corrections of block 1"},
-		{"three of four shards without a server", []int{0, 1, 2}, nil, Down, Down, Down,
-			"coverage: no usable holder of block 0, 1, 2"},
+		{
+			name:     "all shards available",
+			captions: Up,
+			coverage: Up,
+			combined: Up,
+		},
+		{
+			name:                  "one shard without a server",
+			searchUnavailable:     []int{2},
+			correctionUnavailable: []int{2},
+			captions:              Down,
+			coverage:              Degraded,
+			combined:              Degraded,
+			reason:                "captions: no usable holder of block 2",
+		},
+		{
+			name:                  "one shard without corrections",
+			correctionUnavailable: []int{1},
+			captions:              Degraded,
+			coverage:              Up,
+			combined:              Degraded,
+			reason:                "corrections of block 1",
+		},
+		{
+			name:              "three of four shards without a server",
+			searchUnavailable: []int{0, 1, 2},
+			captions:          Down,
+			coverage:          Down,
+			combined:          Down,
+			reason:            "coverage: no usable holder of block 0, 1, 2",
+		},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			e, now := New(DefaultConfig()), origin
+		t.Run(test.name, func(t *testing.T) {
+			e := New(DefaultConfig())
+			now := origin
 			healthy := Snapshot{Databases: []DatabaseSnapshot{captions(nil, nil), coverage(nil)}}
 			faulty := Snapshot{Databases: []DatabaseSnapshot{
-				captions(c.searchUnavailable, c.correctionUnavailable), coverage(c.searchUnavailable),
+				captions(test.searchUnavailable, test.correctionUnavailable), coverage(test.searchUnavailable),
 			}}
 			evaluateFor(e, &now, time.Second, healthy)
 			r := evaluateFor(e, &now, time.Second, faulty)
-			if r.Database("CAPTIONS").State != c.captions || r.Database("coverage").State != c.coverage || r.State != c.combined ||
-				!strings.Contains(strings.Join(r.Reasons, "; "), c.reason) {
+			if r.Database("CAPTIONS").State != test.captions || r.Database("coverage").State != test.coverage || r.State != test.combined ||
+				!strings.Contains(strings.Join(r.Reasons, "; "), test.reason) {
 				t.Errorf("with the fault: %+v", r)
 			}
-			if r = evaluateFor(e, &now, time.Second, healthy); r.State != Up || len(r.Reasons) > 0 {
+			r = evaluateFor(e, &now, time.Second, healthy)
+			if r.State != Up || len(r.Reasons) > 0 {
 				t.Errorf("after the fault: %+v", r)
 			}
 		})
@@ -70,16 +98,19 @@
 
 // A fault that comes and goes faster than the delays is not reported; one that lasts is, within a second.
 func TestEvaluator_StatesDoNotFlap(t *testing.T) {
-	e, now := New(DefaultConfig()), origin
+	e := New(DefaultConfig())
+	now := origin
 	healthy := Snapshot{Databases: []DatabaseSnapshot{captions(nil, nil)}}
 	faulty := Snapshot{Databases: []DatabaseSnapshot{captions([]int{1}, nil)}}
 	evaluateFor(e, &now, time.Second, healthy)
-	changes, last := 0, Up
+	changes := 0
+	last := Up
 	for range 100 {
 		for _, s := range []Snapshot{faulty, healthy} {
 			now = now.Add(interval)
 			if r := e.Evaluate(now, s); r.State != last {
-				changes, last = changes+1, r.State
+				changes++
+				last = r.State
 			}
 		}
 	}
@@ -102,26 +133,35 @@
 }
 
 func TestEvaluator_WeightFollowsHeadroom(t *testing.T) {
-	for name, c := range map[string]struct {
+	for name, test := range map[string]struct {
 		snapshot             Snapshot
 		minWeight, maxWeight int
 	}{
-		"idle":                  {Snapshot{MaxInFlight: 100, MemoryLimit: 100 << 20, MemoryUsed: 10 << 20}, 100, 100},
-		"half of the limit":     {Snapshot{MaxInFlight: 100, InFlight: 50}, 100, 100},
-		"three quarters of it":  {Snapshot{MaxInFlight: 100, InFlight: 75}, 50, 50},
-		"at the limit":          {Snapshot{MaxInFlight: 100, InFlight: 100}, 1, 1},
-		"event loop lags":       {Snapshot{LoopLag: 300 * time.Millisecond}, 25, 25},
-		"memory almost used up": {Snapshot{MemoryLimit: 100 << 20, MemoryUsed: 95 << 20}, 15, 25},
-		"draining":              {Snapshot{Draining: true}, 100, 100},
+		"idle": {
+			snapshot:  Snapshot{MaxInFlight: 100, MemoryLimit: 100 << 20, MemoryUsed: 10 << 20},
+			minWeight: 100,
+			maxWeight: 100,
+		},
+		"half of the limit":    {snapshot: Snapshot{MaxInFlight: 100, InFlight: 50}, minWeight: 100, maxWeight: 100},
+		"three quarters of it": {snapshot: Snapshot{MaxInFlight: 100, InFlight: 75}, minWeight: 50, maxWeight: 50},
+		"at the limit":         {snapshot: Snapshot{MaxInFlight: 100, InFlight: 100}, minWeight: 1, maxWeight: 1},
+		"event loop lags":      {snapshot: Snapshot{LoopLag: 300 * time.Millisecond}, minWeight: 25, maxWeight: 25},
+		"memory almost used up": {
+			snapshot:  Snapshot{MemoryLimit: 100 << 20, MemoryUsed: 95 << 20},
+			minWeight: 15,
+			maxWeight: 25,
+		},
+		"draining": {snapshot: Snapshot{Draining: true}, minWeight: 100, maxWeight: 100},
 	} {
 		t.Run(name, func(t *testing.T) {
-			e, now := New(DefaultConfig()), origin
-			r := evaluateFor(e, &now, time.Second, c.snapshot)
-			if r.Weight < c.minWeight || r.Weight > c.maxWeight {
+			e := New(DefaultConfig())
+			now := origin
+			r := evaluateFor(e, &now, time.Second, test.snapshot)
+			if r.Weight < test.minWeight || r.Weight > test.maxWeight {
 				t.Errorf("weight out of range: %+v", r)
 			}
-			hasReason := len(r.Reasons) > 0 && !c.snapshot.Draining
-			if (r.Weight < 95) != hasReason || r.Draining != c.snapshot.Draining {
+			hasReason := len(r.Reasons) > 0 && !test.snapshot.Draining
+			if (r.Weight < 95) != hasReason || r.Draining != test.snapshot.Draining {
 				t.Errorf("reasons or draining: %+v", r)
 			}
 		})
@@ -129,21 +169,25 @@
 }
 
 func TestEvaluator_WeightAfterRejectionsRisesSlowly(t *testing.T) {
-	e, now := New(DefaultConfig()), origin
+	e := New(DefaultConfig())
+	now := origin
 	var s Snapshot
 	var r Report
 	for range 20 {
-		s.Received, s.Rejected = s.Received+10, s.Rejected+9
+		s.Received += 10
+		s.Rejected += 9
 		r = evaluateFor(e, &now, interval, s)
 	}
 	if r.Weight > 15 {
 		t.Errorf("nine of ten queries rejected: %+v", r)
 	}
 	// It rises slowly, and no further than the snapshots allow.
-	if r = evaluateFor(e, &now, 1200*time.Millisecond, s); r.Weight < 20 || r.Weight > 80 {
+	r = evaluateFor(e, &now, 1200*time.Millisecond, s)
+	if r.Weight < 20 || r.Weight > 80 {
 		t.Errorf("1.2 s after the last rejection: %+v", r)
 	}
-	if r = evaluateFor(e, &now, 3*time.Second, s); r.Weight != 100 {
+	r = evaluateFor(e, &now, 3*time.Second, s)
+	if r.Weight != 100 {
 		t.Errorf("4.2 s after the last rejection: %+v", r)
 	}
 }
@@ -154,13 +198,14 @@
 	state State
 }
 
-// FuzzEvaluator checks for random snapshots that a reported state was observed within the last second, and the bounds of
-// the weight.
+// FuzzEvaluator checks for random snapshots that a reported state was observed within the last second, and the
+// bounds of the weight.
 func FuzzEvaluator(f *testing.F) {
 	f.Add(uint64(3), uint16(300))
 	f.Fuzz(func(t *testing.T, seed uint64, steps uint16) {
 		random := rand.New(rand.NewPCG(seed, 5))
-		e, now := New(DefaultConfig()), origin
+		e := New(DefaultConfig())
+		now := origin
 		var snapshot Snapshot
 		var observed []observedState
 		for range steps % 1000 {
@@ -174,7 +219,7 @@
 				continue
 			}
 			state, _ := databaseState(snapshot.Databases[0])
-			observed = append(observed, observedState{now, state})
+			observed = append(observed, observedState{at: now, state: state})
 			for len(observed) > 1 && now.Sub(observed[1].at) > time.Second {
 				observed = observed[1:]
 			}
@@ -191,7 +236,8 @@
 	if random.IntN(5) == 0 {
 		s.Databases = []DatabaseSnapshot{captions(shards[:random.IntN(3)], nil), coverage(shards[:random.IntN(5)])}
 	}
-	s.InFlight, s.MaxInFlight = random.IntN(200), 100
+	s.InFlight = random.IntN(200)
+	s.MaxInFlight = 100
 	s.LoopLag = time.Duration(random.IntN(2000)) * time.Millisecond
 	s.Received += uint64(random.IntN(10))
 	s.Rejected = min(s.Received, s.Rejected+uint64(random.IntN(10)))
--- a/internal/control/retrydetect/retrydetect.go
+++ b/internal/control/retrydetect/retrydetect.go
@@ -16,19 +16,29 @@
 	votes    int
 }
 
-// IsFirstAttempt reports whether a query with so much time left is a first attempt. If clientsMark is set, clients flag
-// their retries, and isRetry is the flag. Times that differ by no more than tolerance count as equal.
-func (d *Detector) IsFirstAttempt(timeLeft time.Duration, clientsMark, isRetry bool, tolerance time.Duration) bool {
+// Attempt is what is known of an attempt of a query.
+type Attempt struct {
+	TimeLeft     time.Duration // until the client gives it up
+	Tolerance    time.Duration // times that differ by no more count as equal
+	ClientsMark  bool          // clients mark their retries
+	MarkedARetry bool          // the client marked this one; only where ClientsMark is set
+}
+
+// IsFirstAttempt reports whether an attempt is the first of its query, and learns from it.
+func (d *Detector) IsFirstAttempt(attempt Attempt) bool {
+	timeLeft := attempt.TimeLeft
 	switch {
-	case clientsMark && !isRetry:
+	case attempt.ClientsMark && !attempt.MarkedARetry:
 		d.timeLeft = timeLeft
 		return true
-	case max(timeLeft-d.timeLeft, d.timeLeft-timeLeft) <= tolerance:
+	case (timeLeft - d.timeLeft).Abs() <= attempt.Tolerance:
 		d.votes = min(d.votes+1, maxVotes)
 		return true
-	case !clientsMark:
-		if d.votes--; d.votes < 0 {
-			d.timeLeft, d.votes = timeLeft, 0
+	case !attempt.ClientsMark:
+		d.votes--
+		if d.votes < 0 {
+			d.timeLeft = timeLeft
+			d.votes = 0
 			return true
 		}
 	}
--- a/internal/control/scheduler/benchmark_test.go
+++ b/internal/control/scheduler/benchmark_test.go
@@ -10,8 +10,9 @@
 	"rooktrestle/internal/control/timers"
 )
 
-// BenchmarkScheduler measures one run from its due time to Done, for several numbers of tasks. The delay is that of virtual
-// time, at the 99th percentile, and memory is what adding a task allocates. Run with -bench Scheduler -benchmem.
+// BenchmarkScheduler measures one run from its due time to Done, for several numbers of tasks. The delay is that
+// of virtual time, at the 99th percentile, and memory is what adding a task allocates. Run with -bench Scheduler
+// -benchmem.
 func BenchmarkScheduler(b *testing.B) {
 	for _, tasks := range []int{100, 10_000, 100_000} {
 		b.Run(fmt.Sprintf("wheel/%d", tasks), func(b *testing.B) {
@@ -35,7 +36,8 @@
 		s.Add(origin, Task{Priority: Normal, Interval: 2 * time.Second}, 2*time.Second)
 	}
 	bytesPerTask := float64(heapBytes()-heapBefore) / float64(tasks)
-	now, delays := origin, make([]time.Duration, 0, b.N)
+	now := origin
+	delays := make([]time.Duration, 0, b.N)
 	b.ReportAllocs()
 	b.ResetTimer()
 	for len(delays) < b.N {
--- a/internal/control/scheduler/queue.go
+++ b/internal/control/scheduler/queue.go
@@ -25,9 +25,11 @@
 	q.head++
 	switch {
 	case q.isEmpty():
-		q.entries, q.head = q.entries[:0], 0
+		q.entries = q.entries[:0]
+		q.head = 0
 	case q.head > compactAfter && q.head > len(q.entries)/2:
-		q.entries, q.head = append(q.entries[:0], q.entries[q.head:]...), 0
+		q.entries = append(q.entries[:0], q.entries[q.head:]...)
+		q.head = 0
 	}
 	return e
 }
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -1,6 +1,7 @@
-// Package scheduler decides when background work runs: which task next, within a budget of starts per second and of
-// concurrent runs, by priority, and at an interval that depends on the result of the task's last run. It does no I/O, reads
-// no clock and starts no goroutine: its owner passes in the time and the ends of runs, and starts the runs that it returns.
+// Package scheduler decides when background work runs: which task next, within a budget of starts per second and
+// of concurrent runs, by priority, and at an interval that depends on the result of the task's last run. It does
+// no I/O, reads no clock and starts no goroutine: its owner passes in the time and the ends of runs, and starts
+// the runs that it returns.
 package scheduler
 
 import (
@@ -64,8 +65,8 @@
 	starts      []TaskID
 }
 
-// New returns a Scheduler without tasks, which takes ownership of the empty t. All random numbers come from seed. An error
-// says what is wrong with the budget.
+// New returns a Scheduler without tasks, which takes ownership of the empty t. All random numbers come from seed.
+// An error says what is wrong with the budget.
 func New(budget Budget, seed uint64, start time.Time, t timers.Timers) (*Scheduler, error) {
 	if err := budget.validate(); err != nil {
 		return nil, fmt.Errorf("scheduler: check budget: %w", err)
@@ -80,7 +81,8 @@
 	}, nil
 }
 
-// Add adds a task. Its first run is at a random time within firstWithin, so that tasks added together do not run together.
+// Add adds a task. Its first run is at a random time within firstWithin, so that tasks added together do not run
+// together.
 func (s *Scheduler) Add(now time.Time, t Task, firstWithin time.Duration) TaskID {
 	s.refill(now)
 	id := s.newID()
@@ -132,13 +134,14 @@
 		t.rerun = true
 	case stateWaiting:
 		s.timers.Cancel(int(id))
-		t.urgent, t.due = true, now
+		t.urgent = true
+		t.due = now
 		s.enqueue(id)
 	}
 }
 
-// Done notes that a run has ended, and its result. hung says that it took up all the time it had, so that the task's next
-// run gets a part of the capacity only. A task that is not running is left as it is.
+// Done notes that a run has ended, and its result. hung says that it took up all the time it had, so that the
+// task's next run gets a part of the capacity only. A task that is not running is left as it is.
 func (s *Scheduler) Done(now time.Time, id TaskID, result Result, hung bool) {
 	s.refill(now)
 	t := &s.tasks[id]
@@ -163,17 +166,19 @@
 // reschedule sets the due time of a task whose run has ended.
 func (s *Scheduler) reschedule(now time.Time, id TaskID, interval time.Duration) {
 	t := &s.tasks[id]
-	// The interval counts from the start of the last run, but at least half of it from the end: work that takes as long as
-	// its interval must not run all the time.
+	// The interval counts from the start of the last run, but at least half of it from the end: work that takes as
+	// long as its interval must not run all the time.
 	due := t.started.Add(s.jitter(interval))
 	if earliest := now.Add(interval / 2); due.Before(earliest) {
 		due = earliest
 	}
 	t.urgent = t.rerun
 	if t.rerun {
-		t.rerun, due = false, now
+		t.rerun = false
+		due = now
 	}
-	t.due, t.state = due, stateWaiting
+	t.due = due
+	t.state = stateWaiting
 	s.timers.Set(int(id), due)
 }
 
@@ -200,8 +205,8 @@
 	s.ready[priority][t.lane].push(readyEntry{id, t.generation})
 }
 
-// hasCapacity reports whether one more task of a lane may run. Tasks that hang get half of the runs at most, so that they
-// do not delay the sound ones.
+// hasCapacity reports whether one more task of a lane may run. Tasks that hang get half of the runs at most, so
+// that they do not delay the sound ones.
 func (s *Scheduler) hasCapacity(l lane) bool {
 	if s.running >= s.budget.MaxRunning {
 		return false
@@ -209,8 +214,8 @@
 	return l == soundLane || s.runningHung < s.budget.MaxRunning/2
 }
 
-// Advance returns the tasks that the owner is to start now, in order; each counts as running until it is Done. The slice is
-// valid until the next call.
+// Advance returns the tasks that the owner is to start now, in order; each counts as running until it is Done. The
+// slice is valid until the next call.
 func (s *Scheduler) Advance(now time.Time) []TaskID {
 	s.refill(now)
 	s.timers.Pop(now, func(id int) { s.enqueue(TaskID(id)) })
@@ -235,7 +240,8 @@
 	if t.lane == hungLane {
 		s.runningHung++
 	}
-	t.state, t.started = stateRunning, now
+	t.state = stateRunning
+	t.started = now
 	delay := max(0, now.Sub(t.due))
 	s.Stats.Starts++
 	s.Stats.LastDelay = delay
@@ -243,8 +249,8 @@
 	s.starts = append(s.starts, id)
 }
 
-// popReady removes the next ready task for which there is capacity: of the highest priority that has starts in a row left,
-// or if none has, of the highest priority.
+// popReady removes the next ready task for which there is capacity: of the highest priority that has starts in a
+// row left, or if none has, of the highest priority.
 func (s *Scheduler) popReady() (TaskID, bool) {
 	for _, respectTurns := range []bool{true, false} {
 		for priority := range priorityCount {
--- a/internal/control/scheduler/scheduler_test.go
+++ b/internal/control/scheduler/scheduler_test.go
@@ -73,7 +73,7 @@
 	for _, id := range m.s.Advance(m.now) {
 		m.starts[id] = append(m.starts[id], m.now)
 		r := m.run(id)
-		m.ends = append(m.ends, runEnd{m.now.Add(r.duration), id, r})
+		m.ends = append(m.ends, runEnd{at: m.now.Add(r.duration), id: id, run: r})
 	}
 	m.maxRunning = max(m.maxRunning, m.s.Running())
 }
@@ -146,9 +146,9 @@
 	const hanging, all = 900, 1000
 	m.run = func(id TaskID) run {
 		if id < hanging {
-			return run{time.Second, Down, true}
+			return run{duration: time.Second, result: Down, hung: true}
 		}
-		return run{2 * time.Millisecond, Steady, false}
+		return run{duration: 2 * time.Millisecond, result: Steady, hung: false}
 	}
 	for range all {
 		s.Add(origin, Task{Priority: Normal, Interval: 2 * time.Second}, 2*time.Second)
@@ -208,7 +208,8 @@
 	}
 }
 
-// A task runs at its fast interval after a change, at the slow one while down, at once by RunNow, and never after Remove.
+// A task runs at its fast interval after a change, at the slow one while down, at once by RunNow, and never after
+// Remove.
 func TestScheduler_IntervalsOfOneTask(t *testing.T) {
 	s := newScheduler(t, Budget{StartsPerSecond: 1000, Burst: 10, MaxRunning: 4})
 	m := newSimulation(s)
@@ -309,8 +310,8 @@
 	}
 }
 
-// FuzzScheduler checks after random operations that the limits of concurrent runs hold, that only tasks that exist and do
-// not run are started, and that no two tasks have the same id.
+// FuzzScheduler checks after random operations that the limits of concurrent runs hold, that only tasks that exist
+// and do not run are started, and that no two tasks have the same id.
 func FuzzScheduler(f *testing.F) {
 	f.Add(uint64(1), uint16(300))
 	f.Fuzz(func(t *testing.T, seed uint64, steps uint16) {
--- a/internal/control/scheduler/task.go
+++ b/internal/control/scheduler/task.go
@@ -13,8 +13,8 @@
 	priorityCount
 )
 
-// maxConsecutive is how many starts in a row a priority gets while a lower one waits, so that the lower ones do not starve
-// however much work the higher ones have.
+// maxConsecutive is how many starts in a row a priority gets while a lower one waits, so that the lower ones do
+// not starve however much work the higher ones have.
 var maxConsecutive = [priorityCount]int{8, 4, 1}
 
 // Result is what a run of a task showed. It decides the interval to the next run.
@@ -30,7 +30,7 @@
 // Task is a piece of work that recurs.
 type Task struct {
 	Priority     Priority
-	Interval     time.Duration // usual interval, from one start to the next; negative: the task is removed after one run
+	Interval     time.Duration // usual one, from start to start; negative: the task is removed after one run
 	FastInterval time.Duration // after a change; 0: Interval
 	SlowInterval time.Duration // while down; 0: Interval
 	FastRuns     int           // runs at the fast interval after a change
--- a/internal/control/slowstart/demand.go
+++ b/internal/control/slowstart/demand.go
@@ -27,7 +27,8 @@
 // Decay ages the counts by the time passed.
 func (d *Demand) Decay(passed, objective time.Duration) {
 	fade := math.Exp(-estimate.Microseconds(passed) / estimate.Microseconds(DemandPeriods*objective))
-	d.Answered, d.Offered = d.Answered*fade, d.Offered*fade
+	d.Answered *= fade
+	d.Offered *= fade
 	peakFade := math.Exp(-estimate.Microseconds(passed) / estimate.Microseconds(peakPeriods*objective))
 	d.Peak = max(d.Answered, d.Peak*peakFade)
 }
--- a/internal/control/slowstart/slowstart.go
+++ b/internal/control/slowstart/slowstart.go
@@ -87,5 +87,6 @@
 		s.recentSends = nil
 		return
 	}
-	s.recentSends, s.Credit = append(s.recentSends, now), max(-maxDebt, s.Credit-1)
+	s.recentSends = append(s.recentSends, now)
+	s.Credit = max(-maxDebt, s.Credit-1)
 }
--- a/internal/control/slowstart/slowstart_test.go
+++ b/internal/control/slowstart/slowstart_test.go
@@ -8,7 +8,13 @@
 
 const ms = time.Millisecond
 
-var rules = Limits{WarmupPeriod: 10 * time.Second, MinCapacity: 0.2, OverloadMultiple: 2, OverloadPeriod: 2 * time.Second, Senders: 10}
+var rules = Limits{
+	WarmupPeriod:     10 * time.Second,
+	MinCapacity:      0.2,
+	OverloadMultiple: 2,
+	OverloadPeriod:   2 * time.Second,
+	Senders:          10,
+}
 
 // A server's share grows evenly from its start, and a restart begins it anew with the random threshold.
 func TestLimits_Capacity(t *testing.T) {
@@ -18,12 +24,17 @@
 		t.Error("a server that runs long is not warm")
 	}
 	s.Restart(now, 0.4)
-	for _, c := range []struct {
+	for _, test := range []struct {
 		age   time.Duration
 		share float64
-	}{{0, 0.2}, {5 * time.Second, 0.6}, {10 * time.Second, 1}, {20 * time.Second, 1}} {
-		if got := rules.Capacity(&s, now+c.age); got < c.share-1e-9 || got > c.share+1e-9 {
-			t.Errorf("after %v share %v, want %v", c.age, got, c.share)
+	}{
+		{age: 0, share: 0.2},
+		{age: 5 * time.Second, share: 0.6},
+		{age: 10 * time.Second, share: 1},
+		{age: 20 * time.Second, share: 1},
+	} {
+		if got := rules.Capacity(&s, now+test.age); got < test.share-1e-9 || got > test.share+1e-9 {
+			t.Errorf("after %v share %v, want %v", test.age, got, test.share)
 		}
 	}
 	if s.Credit != 0.4 || s.FirstSendThreshold != 0.4 {
@@ -48,7 +59,8 @@
 			}
 			rules.RecordSend(&s, now)
 			sent = append(sent, now)
-			room := rules.OverloadMultiple / float64(work) / float64(rules.Senders) * rules.Capacity(&s, now) * float64(rules.OverloadPeriod)
+			partsPerNanosecond := rules.OverloadMultiple / float64(work) / float64(rules.Senders) * rules.Capacity(&s, now)
+			room := partsPerNanosecond * float64(rules.OverloadPeriod)
 			most := max(1, math.Floor(room))
 			in := 0.0
 			for _, at := range sent { // the window is shortened to whole parts
@@ -78,10 +90,12 @@
 	if s.Credit < 1 || !rules.Allows(&s, now, time.Second) {
 		t.Fatalf("%v owed, and no room", s.Credit)
 	}
-	if rules.RecordSend(&s, now); s.Credit > 0.1 || rules.Allows(&s, now, time.Second) {
+	rules.RecordSend(&s, now)
+	if s.Credit > 0.1 || rules.Allows(&s, now, time.Second) {
 		t.Errorf("%v owed after it was sent", s.Credit)
 	}
-	if rules.AddCredit(&s, now+rules.WarmupPeriod, 100); s.Credit > 0.1 {
+	rules.AddCredit(&s, now+rules.WarmupPeriod, 100)
+	if s.Credit > 0.1 {
 		t.Error("a warm server earns")
 	}
 }
@@ -102,7 +116,8 @@
 	if window := int(rules.OverloadPeriod / (5 * ms)); most > window+1 || len(s.recentSends) == 0 {
 		t.Errorf("%d parts kept, a window has %d", most, window)
 	}
-	if rules.RecordSend(&s, start+rules.WarmupPeriod); len(s.recentSends) != 0 {
+	rules.RecordSend(&s, start+rules.WarmupPeriod)
+	if len(s.recentSends) != 0 {
 		t.Errorf("%d parts kept of a warm server", len(s.recentSends))
 	}
 }
--- a/internal/control/suspicion/path.go
+++ b/internal/control/suspicion/path.go
@@ -31,8 +31,8 @@
 	return p.Penalty < max(MaxPenalty, pathFailuresPerRequest*float64(len(p.InFlight))) && !p.Unresponsive && !p.Slow
 }
 
-// AllowsHalfOpen reports whether a half-open request may go over the path: it is usable, or none is in flight and one is
-// due.
+// AllowsHalfOpen reports whether a half-open request may go over the path: it is usable, or none is in flight and
+// one is due.
 func (p *Path) AllowsHalfOpen(now time.Duration) bool {
 	return p.Usable() || len(p.InFlight) == 0 && now >= p.NextHalfOpen
 }
@@ -45,7 +45,8 @@
 
 // RecordAnswer notes an answer that took so many microseconds.
 func (p *Path) RecordAnswer(now time.Duration, took float64) {
-	p.Penalty, p.LastSuccess = 0, now
+	p.Penalty = 0
+	p.LastSuccess = now
 	p.MinLatency = min(took, (1-minLatencyRise)*cmp.Or(p.MinLatency, took)+minLatencyRise*took)
 }
 
--- a/internal/control/suspicion/record.go
+++ b/internal/control/suspicion/record.go
@@ -58,7 +58,8 @@
 // RecordSuccess takes some of the penalty away after a success.
 func (r *Record) RecordSuccess() {
 	r.Failures = 0
-	if r.Penalty *= penaltyDecay; r.Penalty < minPenalty {
+	r.Penalty *= penaltyDecay
+	if r.Penalty < minPenalty {
 		r.Penalty = 0
 	}
 }
--- a/internal/control/suspicion/server.go
+++ b/internal/control/suspicion/server.go
@@ -66,7 +66,9 @@
 func (s *Server) RecordAnswer(now time.Duration, took float64) {
 	s.Path.RecordAnswer(now, took)
 	s.Recent.Add(took)
-	s.LastSuccess, s.ProbeFailed, s.ProbeUnanswered = now, false, false
+	s.LastSuccess = now
+	s.ProbeFailed = false
+	s.ProbeUnanswered = false
 	s.RecordSuccess()
 }
 
@@ -103,7 +105,8 @@
 	for i := range s.PerClass {
 		class := &s.PerClass[i]
 		stalled := class.Stalled(now, c.Overdue)
-		class.Unresponsive, s.Lost = stalled > 0, s.Lost+stalled
+		class.Unresponsive = stalled > 0
+		s.Lost += stalled
 	}
 	s.Slow = c.Warm && len(s.Recent) >= slowSamples-1 &&
 		slices.Min(s.Recent.Last(slowSamples)) > SlowFactor*c.MedianServiceTime
@@ -114,7 +117,8 @@
 
 // Restart forgets what an earlier process of the server showed.
 func (s *Server) Restart() {
-	s.Recent, s.Penalty = nil, 0
+	s.Recent = nil
+	s.Penalty = 0
 	for i := range s.PerClass {
 		s.PerClass[i].Forget()
 	}
--- a/internal/control/suspicion/suspicion_test.go
+++ b/internal/control/suspicion/suspicion_test.go
@@ -46,23 +46,23 @@
 
 func TestRecord_Stalled(t *testing.T) {
 	const overdue = 100e3 // microseconds
-	for _, c := range []struct {
+	for _, test := range []struct {
 		name        string
 		age         time.Duration
 		lastSuccess time.Duration // before now; 0: after the request was sent
 		want        int
 	}{
-		{"a young request is not stalled", 50 * ms, time.Second, 0},
-		{"an overdue request without a later answer is", 150 * ms, time.Second, 1},
-		{"an overdue request with a later answer is not", 150 * ms, 10 * ms, 0},
-		{"one older than that is lost whatever was answered", 350 * ms, 10 * ms, 1},
+		{name: "a young request is not stalled", age: 50 * ms, lastSuccess: time.Second, want: 0},
+		{name: "an overdue request without a later answer is", age: 150 * ms, lastSuccess: time.Second, want: 1},
+		{name: "an overdue request with a later answer is not", age: 150 * ms, lastSuccess: 10 * ms, want: 0},
+		{name: "one older than that is lost whatever was answered", age: 350 * ms, lastSuccess: 10 * ms, want: 1},
 	} {
-		t.Run(c.name, func(t *testing.T) {
+		t.Run(test.name, func(t *testing.T) {
 			now := time.Hour
-			r := Record{LastSuccess: now - c.lastSuccess}
-			r.Sent(now - c.age)
-			if got := r.Stalled(now, overdue); got != c.want {
-				t.Errorf("%d stalled, want %d", got, c.want)
+			r := Record{LastSuccess: now - test.lastSuccess}
+			r.Sent(now - test.age)
+			if got := r.Stalled(now, overdue); got != test.want {
+				t.Errorf("%d stalled, want %d", got, test.want)
 			}
 		})
 	}
@@ -76,7 +76,8 @@
 	if r.LossRate < 0.4 || r.LossRate > 0.6 {
 		t.Errorf("loss rate %v where half is lost", r.LossRate)
 	}
-	if r.Forget(); r.LossRate != 0 {
+	r.Forget()
+	if r.LossRate != 0 {
 		t.Errorf("loss rate %v after a restart", r.LossRate)
 	}
 }
@@ -92,16 +93,19 @@
 	if !p.Usable() {
 		t.Error("unusable after 19 failures with 10 requests in flight")
 	}
-	if p.RecordFailure(); p.Usable() {
+	p.RecordFailure()
+	if p.Usable() {
 		t.Error("usable after 20 failures with 10 requests in flight")
 	}
 	if p.AllowsHalfOpen(time.Second) {
 		t.Error("a half-open request beside ten in flight")
 	}
-	if p.InFlight = nil; !p.AllowsHalfOpen(time.Second) {
+	p.InFlight = nil
+	if !p.AllowsHalfOpen(time.Second) {
 		t.Error("no half-open request with none in flight")
 	}
-	if p.RecordReachable(); !p.Usable() {
+	p.RecordReachable()
+	if !p.Usable() {
 		t.Error("unusable though an error came back")
 	}
 }
@@ -110,19 +114,23 @@
 	latency := estimate.Latency{Mean: 100e3, Deviation: 10e3}
 	var p Path
 	p.RecordAnswer(time.Second, 300e3)
-	if p.Assess(time.Second, &latency, 100e3); !p.Slow || p.Usable() {
+	p.Assess(time.Second, &latency, 100e3)
+	if !p.Slow || p.Usable() {
 		t.Error("three times the median service time is not slow")
 	}
-	if p.Assess(time.Second, &latency, 200e3); p.Slow {
+	p.Assess(time.Second, &latency, 200e3)
+	if p.Slow {
 		t.Error("one and a half times the median service time is slow")
 	}
 	for range MaxTypicalOverdue {
 		p.Sent(time.Second)
 	}
-	if p.Assess(time.Second+105*ms, &latency, 0); p.Unresponsive {
+	p.Assess(time.Second+105*ms, &latency, 0)
+	if p.Unresponsive {
 		t.Error("unresponsive within the typical latency")
 	}
-	if p.Assess(time.Second+115*ms, &latency, 0); !p.Unresponsive {
+	p.Assess(time.Second+115*ms, &latency, 0)
+	if !p.Unresponsive {
 		t.Error("responsive though all requests in flight exceed the typical latency")
 	}
 }
@@ -141,7 +149,8 @@
 	}
 	s.RecordClassFailure(0, 40*ms, 30*ms, 1000)
 	if s.Healthy() || s.Fault(1) != &s.Record || s.PenaltyFor(0) != 3 {
-		t.Errorf("a failure since which nothing was answered must count against the server: penalty %v", s.PenaltyFor(0))
+		t.Errorf("a failure since which nothing was answered must count against the server: penalty %v",
+			s.PenaltyFor(0))
 	}
 }
 
@@ -156,7 +165,8 @@
 	if s.Path.Penalty != 1 {
 		t.Errorf("path penalty %v", s.Path.Penalty)
 	}
-	if s.RecordAnswer(time.Second, 100e3); s.Path.Penalty != 0 || s.LastSuccess != time.Second {
+	s.RecordAnswer(time.Second, 100e3)
+	if s.Path.Penalty != 0 || s.LastSuccess != time.Second {
 		t.Error("an answer must clear the path")
 	}
 }
@@ -166,21 +176,26 @@
 	for range slowSamples - 1 {
 		s.RecordAnswer(time.Second, 300e3)
 	}
-	if s.Assess(time.Second, Conditions{Overdue: 1e6, MedianServiceTime: 100e3, Warm: false, ProbesShared: false}); s.Slow {
+	s.Assess(time.Second, Conditions{Overdue: 1e6, MedianServiceTime: 100e3, Warm: false, ProbesShared: false})
+	if s.Slow {
 		t.Error("a server that warms up counts as slow")
 	}
-	if s.Assess(time.Second, Conditions{Overdue: 1e6, MedianServiceTime: 100e3, Warm: true, ProbesShared: false}); !s.Slow || s.RecentMean() != 300e3 {
+	s.Assess(time.Second, Conditions{Overdue: 1e6, MedianServiceTime: 100e3, Warm: true, ProbesShared: false})
+	if !s.Slow || s.RecentMean() != 300e3 {
 		t.Errorf("slow %v, recent mean %v", s.Slow, s.RecentMean())
 	}
 	s.ProbeUnanswered = true
-	if s.Assess(time.Second, Conditions{Overdue: 1e6, MedianServiceTime: 100e3, Warm: true, ProbesShared: false}); s.Unresponsive {
+	s.Assess(time.Second, Conditions{Overdue: 1e6, MedianServiceTime: 100e3, Warm: true, ProbesShared: false})
+	if s.Unresponsive {
 		t.Error("an unanswered probe counts though probes are not shared")
 	}
-	if s.Assess(time.Second, Conditions{Overdue: 1e6, MedianServiceTime: 100e3, Warm: true, ProbesShared: true}); !s.Unresponsive {
+	s.Assess(time.Second, Conditions{Overdue: 1e6, MedianServiceTime: 100e3, Warm: true, ProbesShared: true})
+	if !s.Unresponsive {
 		t.Error("an unanswered probe does not count")
 	}
 	s.RecordSend(1, time.Second)
-	if s.Assess(2*time.Second, Conditions{Overdue: 100e3, MedianServiceTime: 100e3, Warm: true, ProbesShared: false}); !s.PerClass[1].Unresponsive || s.PerClass[0].Unresponsive || s.Lost != 1 {
+	s.Assess(2*time.Second, Conditions{Overdue: 100e3, MedianServiceTime: 100e3, Warm: true, ProbesShared: false})
+	if !s.PerClass[1].Unresponsive || s.PerClass[0].Unresponsive || s.Lost != 1 {
 		t.Errorf("%+v, %d lost", s.PerClass, s.Lost)
 	}
 	s.RecordEnd(1, time.Second)
@@ -188,7 +203,8 @@
 		t.Error("a request that ended is still in flight")
 	}
 	s.RecordServerFailure(0, 1000)
-	if s.Restart(); s.Penalty != 0 || len(s.Recent) != 0 {
+	s.Restart()
+	if s.Penalty != 0 || len(s.Recent) != 0 {
 		t.Error("a restart keeps what the earlier process showed")
 	}
 }
--- a/internal/control/timers/deadlinequeue.go
+++ b/internal/control/timers/deadlinequeue.go
@@ -12,9 +12,9 @@
 	QueueIndex() *int
 }
 
-// DeadlineQueue is a binary heap of exact deadlines from which any item can be removed. Unlike Wheel it does not round
-// times; Push and Remove cost the logarithm of the number of items. The zero value is an empty queue. It is owned by one
-// goroutine.
+// DeadlineQueue is a binary heap of exact deadlines from which any item can be removed. Unlike Wheel it does not
+// round times; Push and Remove cost the logarithm of the number of items. The zero value is an empty queue. It is
+// owned by one goroutine.
 type DeadlineQueue[T DeadlineItem] struct{ items []T }
 
 // Len returns the number of items.
--- a/internal/control/timers/deadlinequeue_test.go
+++ b/internal/control/timers/deadlinequeue_test.go
@@ -29,7 +29,10 @@
 		for i := range steps % 3000 {
 			switch random.IntN(4) {
 			case 0, 1:
-				item := &testItem{deadline: now.Add(time.Duration(random.IntN(20)) * time.Millisecond), order: uint64(i)}
+				item := &testItem{
+					deadline: now.Add(time.Duration(random.IntN(20)) * time.Millisecond),
+					order:    uint64(i),
+				}
 				queue.Push(item)
 				model = append(model, item)
 			case 2:
--- a/internal/control/timers/heap.go
+++ b/internal/control/timers/heap.go
@@ -26,7 +26,8 @@
 
 func (e *heapEntries) Swap(i, j int) {
 	e.ids[i], e.ids[j] = e.ids[j], e.ids[i]
-	e.positions[e.ids[i]], e.positions[e.ids[j]] = i, j
+	e.positions[e.ids[i]] = i
+	e.positions[e.ids[j]] = j
 }
 
 func (e *heapEntries) Push(x any) {
@@ -37,7 +38,8 @@
 
 func (e *heapEntries) Pop() any {
 	id := e.ids[len(e.ids)-1]
-	e.ids, e.positions[id] = e.ids[:len(e.ids)-1], notInHeap
+	e.ids = e.ids[:len(e.ids)-1]
+	e.positions[id] = notInHeap
 	return id
 }
 
--- a/internal/control/timers/timers.go
+++ b/internal/control/timers/timers.go
@@ -1,6 +1,6 @@
-// Package timers holds the due times of things that are told apart by number: a hierarchical timing wheel, and a binary heap
-// as the plain structure to measure it against. DeadlineQueue holds exact deadlines of any comparable items. None of them
-// reads a clock; each is owned by one goroutine.
+// Package timers holds the due times of things that are told apart by number: a hierarchical timing wheel, and a
+// binary heap as the plain structure to measure it against. DeadlineQueue holds exact deadlines of any comparable
+// items. None of them reads a clock; each is owned by one goroutine.
 package timers
 
 import "time"
--- a/internal/control/timers/timers_test.go
+++ b/internal/control/timers/timers_test.go
@@ -12,10 +12,12 @@
 func TestTimers_WheelAndHeapExpireTheSameIDs(t *testing.T) {
 	const ids = 300
 	random := rand.New(rand.NewPCG(3, 4))
-	wheel, heap := NewWheel(origin, time.Millisecond), NewHeap()
+	wheel := NewWheel(origin, time.Millisecond)
+	heap := NewHeap()
 	now := origin
 	for step := range 2000 {
-		id, due := random.IntN(ids), now.Add(time.Duration(random.IntN(90_000))*time.Millisecond)
+		id := random.IntN(ids)
+		due := now.Add(time.Duration(random.IntN(90_000)) * time.Millisecond)
 		wheel.Set(id, due)
 		heap.Set(id, due)
 		now = now.Add(time.Duration(random.IntN(300)) * time.Millisecond)
--- a/internal/control/timers/wheel.go
+++ b/internal/control/timers/wheel.go
@@ -17,10 +17,10 @@
 	popping    = -2 // in place of a level: taken from the wheel by the Pop in progress
 )
 
-// Wheel is a hierarchical timing wheel of four levels of 64 slots, after Varghese and Lauck, "Hashed and hierarchical timing
-// wheels" (1987): Set and Cancel cost the same whatever the number of due times. Times are rounded up to the tick, so no
-// id expires early. With a tick of 5 ms the wheel reaches 23 hours; what is due later waits in the last slot and is placed
-// again.
+// Wheel is a hierarchical timing wheel of four levels of 64 slots, after Varghese and Lauck, "Hashed and
+// hierarchical timing wheels" (1987): Set and Cancel cost the same whatever the number of due times. Times are
+// rounded up to the tick, so no id expires early. With a tick of 5 ms the wheel reaches 23 hours; what is due
+// later waits in the last slot and is placed again.
 type Wheel struct {
 	origin  time.Time
 	tick    time.Duration
@@ -91,8 +91,10 @@
 	item := &w.items[id]
 	level, slot := w.slotOf(item.due)
 	head := w.heads[level][slot]
-	item.level, item.slot = int8(level), int8(slot)
-	item.prev, item.next = endOfList, head
+	item.level = int8(level)
+	item.slot = int8(slot)
+	item.prev = endOfList
+	item.next = head
 	if head != endOfList {
 		w.items[head].prev = id
 	}
@@ -116,7 +118,8 @@
 // unlink takes an id out of its slot.
 func (w *Wheel) unlink(id int32) {
 	item := &w.items[id]
-	level, slot := item.level, item.slot
+	level := item.level
+	slot := item.slot
 	if item.prev != endOfList {
 		w.items[item.prev].next = item.next
 	} else {
@@ -153,7 +156,8 @@
 		}
 		begin := (position + int64(distance)) << (slotBits * level)
 		if !ok || begin < tick {
-			tick, ok = begin, true
+			tick = begin
+			ok = true
 		}
 	}
 	return tick, ok
@@ -211,15 +215,16 @@
 	}
 }
 
-// popExpired calls expired for the list of what is due. The list is emptied first, so that what expired sets for a time that
-// has come waits for the next Pop.
+// popExpired calls expired for the list of what is due. The list is emptied first, so that what expired sets for a
+// time that has come waits for the next Pop.
 func (w *Wheel) popExpired(expired func(id int)) {
 	w.expired = w.expired[:0]
 	for id := w.heads[expiredLevel][0]; id != endOfList; id = w.items[id].next {
 		w.expired = append(w.expired, id)
 		w.items[id].level = popping
 	}
-	w.heads[expiredLevel][0], w.used[expiredLevel] = endOfList, 0
+	w.heads[expiredLevel][0] = endOfList
+	w.used[expiredLevel] = 0
 	for _, id := range w.expired {
 		if w.items[id].level != popping {
 			continue // expired has cancelled it, or set it again
