Slow start: the window by steps; balance and readiness: fractions are called so

Cause: Allows counted, dropped and decided in one body, and its comment left out its subjects; admissionShare and FreeShare were fractions, as their neighbours are called; hopeless and worthMore named no quantity. Change: dropSendsUntil and sendsAfter; admissionFraction, FreeFraction, minTimeLeft, partialEarnsMore, noMoreExpected; tests set a latency in one statement.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -9,9 +9,9 @@
 
 // When new queries are rejected.
 const (
-	admissionShare     = 0.8  // of the time left: what a query of mean weight may be expected to take
-	minAdmissionFactor = 0.5  // least that a query's weight per part makes of that share
-	maxAdmissionFactor = 1.2  // most that it makes of that share
+	admissionFraction  = 0.8  // of the time left: what a query of mean weight may be expected to take
+	minAdmissionFactor = 0.5  // least that a query's weight per part makes of that fraction
+	maxAdmissionFactor = 1.2  // most that it makes of that fraction
 	weightSmoothing    = 0.02 // weight of one query in the mean weight and number of parts
 	minObservedLatency = 0.5  // of the objective: what recent responses must have taken for a rejection
 	hopelessTimeLeft   = 0.25 // of the objective: only with less left may service times alone reject
@@ -24,12 +24,12 @@
 func (b *Balancer) admit(query *query) bool {
 	factor := b.admissionFactor(query)
 	left := micros(b.stepDue(query) - b.now)
-	limit := left * admissionShare * factor
+	limit := left * admissionFraction * factor
 	needed := query.neededWeight()
 	least := min(query.minWeight(), needed)
 	open := b.openWeight(query, limit)
-	hopeless := min(b.fleet.MedianServiceTime, hopelessTimeLeft*micros(query.class.Objective))
-	if left <= hopeless || open < least-weightTolerance {
+	minTimeLeft := min(b.fleet.MedianServiceTime, hopelessTimeLeft*micros(query.class.Objective))
+	if left <= minTimeLeft || open < least-weightTolerance {
 		return false
 	}
 	// Reject only if both say so: recent response times, which lag, and the number in flight, high in a lull.
--- a/balance/admission_test.go
+++ b/balance/admission_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"rooktrestle/internal/control/estimate"
 )
 
 func TestAdmit_RejectsWhenAShardHasNoReplica(t *testing.T) {
@@ -21,8 +23,7 @@
 	h := newHarness(t, testSettings())
 	h.serve(20, 100*ms)
 	// The servers are overloaded.
-	h.b.fleet.Mean = 900e3
-	h.b.fleet.Deviation = 200e3
+	h.b.fleet.Latency = estimate.Latency{Mean: 900e3, Deviation: 200e3}
 	rejected := 0
 	for range 60 {
 		for _, rejection := range actionsOf[Reject](h.begin(newQuery{parts: 1})) {
@@ -85,8 +86,7 @@
 		h := newHarness(t, settings)
 		h.serve(40, 100*ms)
 		// The servers were overloaded a while ago.
-		h.b.fleet.Mean = 400e3
-		h.b.fleet.Deviation = 200e3
+		h.b.fleet.Latency = estimate.Latency{Mean: 400e3, Deviation: 200e3}
 		for _, server := range h.b.servers {
 			server.ReportedAt = h.now
 			server.ReportedInFlight = 1
@@ -103,8 +103,7 @@
 	settings.Instances = 80
 	h := newHarness(t, settings)
 	h.serve(40, 100*ms)
-	h.b.fleet.Mean = 2e6
-	h.b.fleet.Deviation = 1e6
+	h.b.fleet.Latency = estimate.Latency{Mean: 2e6, Deviation: 1e6}
 	if countOf[Reject](h.begin(newQuery{parts: 3})) != 1 {
 		t.Fatal("a query was begun where answers take twice its objective")
 	}
@@ -132,8 +131,7 @@
 		settings.Classes[0].OverdueFraction = 0.3
 		h := newHarness(t, settings)
 		h.serve(20, 100*ms)
-		h.b.fleet.Mean = 320e3
-		h.b.fleet.Deviation = 130e3
+		h.b.fleet.Latency = estimate.Latency{Mean: 320e3, Deviation: 130e3}
 		h.b.meanWeight = 1
 		h.b.meanParts = 30
 		if n := countOf[Send](h.begin(newQuery{parts: 30})); n != test.sends {
@@ -176,8 +174,7 @@
 func TestAdmit_OverloadIsForgotten(t *testing.T) {
 	h := newFleetHarness(t)
 	overloadLongAgo := func() {
-		h.b.fleet.Mean = 800e3
-		h.b.fleet.Deviation = 300e3
+		h.b.fleet.Latency = estimate.Latency{Mean: 800e3, Deviation: 300e3}
 		h.b.meanWeight = 1
 		h.b.meanParts = 30
 		h.b.fleet.RecentAnswers = nil
@@ -206,8 +203,7 @@
 		h = newFleetHarness(t)
 		overloadLongAgo()
 		if test.queue > 0 {
-			h.b.fleet.Mean = 100e3
-			h.b.fleet.Deviation = 20e3
+			h.b.fleet.Latency = estimate.Latency{Mean: 100e3, Deviation: 20e3}
 		}
 		for _, server := range h.b.servers {
 			server.ProbedQueue = test.queue
@@ -233,8 +229,7 @@
 		}
 		_, events := h.query(newQuery{parts: n})
 		// 1.2 ln 30 deviations: 0.61 of the objective
-		h.b.fleet.Mean = 200e3
-		h.b.fleet.Deviation = 100e3
+		h.b.fleet.Latency = estimate.Latency{Mean: 200e3, Deviation: 100e3}
 		sends := actionsOf[Send](h.turn(events...))
 		if len(sends) != n {
 			t.Fatalf("query %d: %d of %d parts sent", i, len(sends), n)
@@ -301,8 +296,7 @@
 		{mean: 500e3, queue: 2, stale: true, sends: 30}, // as the servers were once
 	} {
 		h := newFleetHarness(t)
-		h.b.fleet.Mean = test.mean
-		h.b.fleet.Deviation = 20e3
+		h.b.fleet.Latency = estimate.Latency{Mean: test.mean, Deviation: 20e3}
 		h.b.meanWeight = 1
 		h.b.meanParts = 30
 		if test.stale {
--- a/balance/hedging_test.go
+++ b/balance/hedging_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"rooktrestle/internal/control/estimate"
 	"rooktrestle/internal/control/suspicion"
 )
 
@@ -83,8 +84,7 @@
 	h := newHarness(t, settings)
 	h.serve(60, 100*ms)
 	// Attempts are overdue after 390 ms.
-	h.b.fleet.Mean = 150e3
-	h.b.fleet.Deviation = 80e3
+	h.b.fleet.Latency = estimate.Latency{Mean: 150e3, Deviation: 80e3}
 	send := h.sendOnePart(0)
 	h.now += 600 * ms
 	actions := h.turn(TimerFired{})
--- a/balance/path_test.go
+++ b/balance/path_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"rooktrestle/internal/control/estimate"
 	"rooktrestle/internal/control/suspicion"
 )
 
@@ -93,8 +94,7 @@
 		settings.CanHedge = false
 		h := newHarness(t, settings, twoZones()...)
 		h.serve(60, 100*ms)
-		h.b.fleet.Mean = 100e3
-		h.b.fleet.Deviation = 50e3
+		h.b.fleet.Latency = estimate.Latency{Mean: 100e3, Deviation: 50e3}
 		h.b.hedgeTokens = maxHedgeTokens
 		h.now += time.Millisecond
 		for _, server := range h.b.endpoints {
--- a/balance/query.go
+++ b/balance/query.go
@@ -74,10 +74,10 @@
 	if over && !done.partial() {
 		return givenUp
 	}
-	nothingToCome := !done.completable() && done.weight >= done.reachable-weightTolerance
+	noMoreExpected := !done.completable() && done.weight >= done.reachable-weightTolerance
 	due := b.now >= b.stepDue(query)-margin && b.now < query.objective
-	worthMore := query.class.PartialFraction*done.weight/done.needed > query.class.OverdueFraction
-	if over || done.partial() && (nothingToCome || due && worthMore) {
+	partialEarnsMore := query.class.PartialFraction*done.weight/done.needed > query.class.OverdueFraction
+	if over || done.partial() && (noMoreExpected || due && partialEarnsMore) {
 		return answeredPartly
 	}
 	return continues
@@ -145,11 +145,11 @@
 // of those that are. In place of an overdue part another is sent.
 func (b *Balancer) sendParts(query *query, done progress) {
 	expected := b.expectedWeight(query, done.weight)
-	wanted := done.needed - weightTolerance
+	target := done.needed - weightTolerance
 	suspect := b.now < b.suspectUntil[query.Class]
 	for pass := range sendPasses {
 		for _, part := range query.parts {
-			enough := expected >= wanted && done.needed < 1
+			enough := expected >= target && done.needed < 1
 			if part.answered || part.abandoned || enough || !b.inPass(part, pass) {
 				continue
 			}
--- a/balance/ranking.go
+++ b/balance/ranking.go
@@ -45,7 +45,7 @@
 	}
 	// Keep off while more than an objective's worth of parts waits. Guards a shard whose replicas are all
 	// crowded, which the fleet's state does not show. May hurt where servers have many cores.
-	excess := b.fleet.DrainTime(queue) - micros(b.minObjective)*admissionShare
+	excess := b.fleet.DrainTime(queue) - micros(b.minObjective)*admissionFraction
 	server.avoidUntil = max(server.avoidUntil, b.now+duration(excess))
 	server.RecordLoad(b.now, queue, report.InFlight)
 }
--- a/internal/control/readiness/headroom.go
+++ b/internal/control/readiness/headroom.go
@@ -39,7 +39,7 @@
 	}
 	if snapshot.MaxInFlight > 0 {
 		load := float64(snapshot.InFlight) / float64(snapshot.MaxInFlight)
-		limitTo((1-load)/(1-h.config.FreeShare),
+		limitTo((1-load)/(1-h.config.FreeFraction),
 			fmt.Sprintf("%d of %d queries and parts held", snapshot.InFlight, snapshot.MaxInFlight))
 	}
 	limitTo(1/(1+float64(snapshot.LoopLag)/float64(h.config.HalfWeightLag)),
--- a/internal/control/readiness/readiness.go
+++ b/internal/control/readiness/readiness.go
@@ -84,7 +84,7 @@
 type Config struct {
 	DegradeDelay        time.Duration // how long a cause lasts before a state gets worse
 	RecoverDelay        time.Duration // how long it is gone before the state gets better
-	FreeShare           float64       // share of MaxInFlight that may be in flight before the weight falls
+	FreeFraction        float64       // fraction of MaxInFlight that may be in flight before the weight falls
 	HalfWeightLag       time.Duration // lag of the event loop at which the weight is a half
 	RejectionWindow     time.Duration // over which rejected queries count
 	WeightRisePerSecond float64       // by which the weight may rise, where 1 is the full weight
@@ -96,7 +96,7 @@
 	return Config{
 		DegradeDelay:        100 * time.Millisecond,
 		RecoverDelay:        300 * time.Millisecond,
-		FreeShare:           0.5,
+		FreeFraction:        0.5,
 		HalfWeightLag:       100 * time.Millisecond,
 		RejectionWindow:     time.Second,
 		WeightRisePerSecond: 0.5,
--- a/internal/control/slowstart/slowstart.go
+++ b/internal/control/slowstart/slowstart.go
@@ -45,35 +45,45 @@
 }
 
 // Allows reports whether a server may be sent one more part, which takes so much work. All senders together must stay
-// under OverloadMultiple x present capacity, so each keeps to 1/Senders of it, with capacity taken as one core's and
-// work as high; the first part goes when one of random size is owed, or all senders would begin at once. Or, where
-// senders are many and unlike, each may send what is owed of its own flow: together that is the fleet's, and what a
-// quiet sender leaves is not lost. May hurt where most servers are warming up.
+// under OverloadMultiple x present capacity. Each therefore keeps to 1/Senders of it, where capacity is taken as that of
+// one core and work is estimated high. A sender's first part waits until a random fraction of a part is allowed, or all
+// senders would begin at once. Where senders are many and unlike, each may instead send what its own flow owes the
+// server: together that is the fleet's flow, and what a quiet sender does not send is not lost. This may hurt where most
+// servers are warming up.
 func (l *Limits) Allows(s *Server, now time.Duration, work time.Duration) bool {
 	capacity := l.Capacity(s, now)
 	if capacity >= 1 || l.OverloadMultiple <= 0 || s.Credit >= 1 {
 		return true
 	}
 	rate := l.OverloadMultiple / float64(work) / float64(l.Senders) // parts a nanosecond, of a warm core
-	allowed := rate * capacity * float64(l.OverloadPeriod)
-	if s.recentSends == nil && rate*(l.MinCapacity+capacity)/2*float64(now-s.Started) < s.FirstSendThreshold {
+	allowedSinceStart := rate * (l.MinCapacity + capacity) / 2 * float64(now-s.Started)
+	if s.recentSends == nil && allowedSinceStart < s.FirstSendThreshold {
 		return false
 	}
 	// The window is shortened to one that allows whole parts, or lengthened to one that allows a single part.
+	allowed := rate * capacity * float64(l.OverloadPeriod)
 	parts := max(1, math.Floor(allowed))
 	window := time.Duration(float64(l.OverloadPeriod) * parts / allowed)
-	oldest := now - max(window, l.OverloadPeriod)
+	s.dropSendsUntil(now - max(window, l.OverloadPeriod))
+	return float64(s.sendsAfter(now-window)) < parts
+}
+
+// dropSendsUntil forgets the sends at or before a time.
+func (s *Server) dropSendsUntil(oldest time.Duration) {
 	s.recentSends = slices.DeleteFunc(s.recentSends, func(at time.Duration) bool { return at <= oldest })
-	sent := 0
+}
+
+// sendsAfter counts the recent sends after a time.
+func (s *Server) sendsAfter(start time.Duration) (count int) {
 	for _, at := range s.recentSends {
-		if at > now-window {
-			sent++
+		if at > start {
+			count++
 		}
 	}
-	return float64(sent) < parts
+	return count
 }
 
-// AddCredit adds what is owed to a server where a warm one is owed so many parts, by capacity.
+// AddCredit adds what is owed to a server that warms up: the parts that a warm server is owed, times its capacity.
 func (l *Limits) AddCredit(s *Server, now time.Duration, parts float64) {
 	if capacity := l.Capacity(s, now); capacity < 1 {
 		s.Credit = min(1, s.Credit+capacity*parts)
--- a/internal/control/slowstart/slowstart_test.go
+++ b/internal/control/slowstart/slowstart_test.go
@@ -60,16 +60,17 @@
 			rules.RecordSend(&s, now)
 			sent = append(sent, now)
 			partsPerNanosecond := rules.OverloadMultiple / float64(work) / float64(rules.Senders) * rules.Capacity(&s, now)
-			room := partsPerNanosecond * float64(rules.OverloadPeriod)
-			most := max(1, math.Floor(room))
-			in := 0.0
-			for _, at := range sent { // the window is shortened to whole parts
-				if at > now-time.Duration(float64(rules.OverloadPeriod)*most/room) {
-					in++
+			allowed := partsPerNanosecond * float64(rules.OverloadPeriod)
+			limit := max(1, math.Floor(allowed))
+			window := time.Duration(float64(rules.OverloadPeriod) * limit / allowed) // shortened to whole parts
+			inWindow := 0.0
+			for _, at := range sent {
+				if at > now-window {
+					inWindow++
 				}
 			}
-			if in > most {
-				t.Fatalf("work %v: %v parts within the window at %v, %v allowed", work, in, now-start, most)
+			if inWindow > limit {
+				t.Fatalf("work %v: %v parts within the window at %v, %v allowed", work, inWindow, now-start, limit)
 			}
 		}
 		if len(sent) == 0 || sent[0] == start {
