Fleet, outlier, gossip: comments with their subjects, literals with their fields

Cause: constants were explained by half sentences ('and in which ...', 'at most'); recovery steps, test settings and the example were positional or packed; the harness kept a field that nothing read. Change: whole sentences and units, maxWorkFactor, one field a line; the example prints 'complete'.

--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -10,10 +10,19 @@
 // The owner of a Balancer hands over what happened in a turn and carries out the actions.
 func Example() {
 	b, err := balance.New(balance.Settings{
-		Seed: 7, Instances: 1, Tick: 5 * time.Millisecond,
-		Cells: 1, Reach: 1, Shards: 1, MaxAttempts: 2,
+		Seed:        7,
+		Instances:   1,
+		Tick:        5 * time.Millisecond,
+		Cells:       1,
+		Reach:       1,
+		Shards:      1,
+		MaxAttempts: 2,
 		Classes: []balance.Class{{
-			Objective: time.Second, Deadline: 2 * time.Second, Weight: 1, MinFraction: 1, CompleteFraction: 1,
+			Objective:        time.Second,
+			Deadline:         2 * time.Second,
+			Weight:           1,
+			MinFraction:      1,
+			CompleteFraction: 1,
 		}},
 	})
 	if err != nil {
@@ -26,7 +35,7 @@
 			case balance.Send:
 				fmt.Printf("send part %d to %s\n", a.Part, a.Replica)
 			case balance.Answer:
-				fmt.Printf("answer query %d, whole: %v\n", a.Query, a.Complete)
+				fmt.Printf("answer query %d, complete: %v\n", a.Query, a.Complete)
 			}
 		}
 	}
@@ -40,5 +49,5 @@
 	}))
 	// Output:
 	// send part 2 to shelf-1:8080
-	// answer query 1, whole: true
+	// answer query 1, complete: true
 }
--- a/balance/gossip.go
+++ b/balance/gossip.go
@@ -1,16 +1,13 @@
 package balance
 
 import (
-	"math"
-	"time"
-
 	"rooktrestle/internal/control/gossip"
 )
 
 // Gossip: one balancer of many meets a server so rarely that what it knows of its queue is old, and that it
-// must find out each bad server by parts of its own. So each shares with the others what its probes showed,
-// and nothing else. All of it is a hint: a message lost, late, duplicated or forged may cost a probe or a
-// choice, and breaks no rule.
+// would lose parts of its own at each faulty server. Each therefore shares with the others what its probes
+// showed, and nothing else. All of it is a hint: a message that is lost, late, duplicated or forged may cost
+// a probe or a worse choice, and breaks no rule.
 const (
 	gossipInterval = 0.1 // shortest objectives between two messages of a balancer
 	gossipLifetime = 0.5 // shortest objectives after which a message is ignored
@@ -48,7 +45,7 @@
 // answered this balancer after the other's probe went out is up. A message brings no server into the list.
 func (b *Balancer) receiveGossip(received GossipReceived) {
 	load, ok := gossip.DecodeLoad(b.now, received.Payload)
-	fresh := time.Duration(math.Abs(float64(load.Age))) <= duration(gossipLifetime*micros(b.minObjective))
+	fresh := load.Age.Abs() <= duration(gossipLifetime*micros(b.minObjective))
 	if !ok || !b.settings.GossipEnabled() || !fresh {
 		return
 	}
--- a/balance/harness_test.go
+++ b/balance/harness_test.go
@@ -10,10 +10,12 @@
 
 const ms = time.Millisecond
 
-// testSettings: one zone, three cells with a server each, every shard on all three.
+// testSettings are settings of one zone with three cells of a server each, where every shard is on all three servers.
 func testSettings() Settings {
 	return Settings{
-		Seed: 1, Instances: 2, Tick: 5 * ms,
+		Seed:      1,
+		Instances: 2,
+		Tick:      5 * ms,
 		Classes: []Class{{
 			Objective:        time.Second,
 			Deadline:         3 * time.Second,
@@ -22,8 +24,14 @@
 			MinFraction:      1,
 			CompleteFraction: 1,
 		}},
-		Cells: 3, Reach: 3, Shards: 6, MaxCallParts: 1,
-		MaxAttempts: 3, CanHedge: true, CanCancel: true, MaxRetryAfter: time.Second,
+		Cells:         3,
+		Reach:         3,
+		Shards:        6,
+		MaxCallParts:  1,
+		MaxAttempts:   3,
+		CanHedge:      true,
+		CanCancel:     true,
+		MaxRetryAfter: time.Second,
 		Rules: Rules{
 			WarmupPeriod:      10 * time.Second,
 			WarmupMinCapacity: 0.2,
@@ -38,8 +46,7 @@
 	*testing.T
 	b    *Balancer
 	now  time.Duration
-	next ID
-	sent map[ID]int
+	next ID // of a query or part
 }
 
 func newHarness(t *testing.T, settings Settings, list ...Endpoint) *harness {
@@ -48,7 +55,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &harness{T: t, b: b, now: 100 * time.Second, next: 1, sent: map[ID]int{}}
+	h := &harness{T: t, b: b, now: 100 * time.Second, next: 1}
 	if list == nil {
 		list = threeServers()
 	}
--- a/balance/query.go
+++ b/balance/query.go
@@ -153,7 +153,8 @@
 			if part.answered || part.abandoned || enough || !b.inPass(part, pass) {
 				continue
 			}
-			if b.advancePart(part); len(part.inFlight) > 0 {
+			b.advancePart(part)
+			if len(part.inFlight) > 0 {
 				expected += part.Weight
 			}
 			if suspect && done.answered == 0 {
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -13,17 +13,18 @@
 	"rooktrestle/internal/control/suspicion"
 )
 
-// MaxExtrapolated is how many clients own requests may stand for: one of many knows little of the others.
+// MaxExtrapolated is the largest number of clients for which the requests of one stand for those of all: one of
+// many knows little of the others.
 const MaxExtrapolated = 4
 
 const (
 	answerPeriods      = 2    // shortest latency objectives over which the rate of answers is taken
-	reportLifetime     = 3    // and in which a reported queue goes two thirds of the way to the mean
+	reportLifetime     = 3    // shortest objectives in which a reported queue goes two thirds of the way to the mean
 	assumedConcurrency = 4    // parts that a server is taken to serve at once: many, as reports may be late
-	maxWorkSpread      = 2.0  // a part's mean work over the median service time, at most
+	maxWorkFactor      = 2.0  // a part's work is taken as at most this multiple of the median service time
 	longQueueDelay     = 0.2  // of the shortest objective: a queue with a longer delay is long
 	longQueueQuantile  = 0.75 // quantile of the queues lately reported that a wide request meets
-	minReports         = 4    // servers whose queues, or answers whose times, stand for the others'
+	minReports         = 4    // least number of servers whose queues, or of answers whose times, stand for all
 )
 
 // Options describe a fleet and its clients.
@@ -36,12 +37,12 @@
 
 // Fleet is what one client knows of the servers. Make it with New; it is not safe for concurrent use.
 type Fleet struct {
-	estimate.Latency            // of all servers
-	Servers           []*Server // the owner keeps it up to date, in an order that does not depend on chance
-	Averages          estimate.Mean
-	RecentAnswers     estimate.Window
+	estimate.Latency                  // of all servers
+	Servers           []*Server       // the owner keeps it up to date, in an order that does not depend on chance
+	Averages          estimate.Mean   // over the measured servers, as of the last Assess
+	RecentAnswers     estimate.Window // when parts were answered lately
 	Demand            slowstart.Demand
-	MedianServiceTime float64 // of the servers, as of the last Assess; 0: not known
+	MedianServiceTime float64 // of the servers, as of the last Assess, microseconds; 0: not known
 	Options           Options
 	RemotePaths       []*suspicion.Path // to the other zones
 }
@@ -63,12 +64,14 @@
 	for _, s := range f.Servers {
 		capacity := f.Capacity(s, now)
 		s.Assess(now, suspicion.Conditions{
-			Overdue: f.Overdue() / capacity, MedianServiceTime: f.MedianServiceTime,
-			Warm: capacity == 1, ProbesShared: f.Options.ProbesShared,
+			Overdue:           f.Overdue() / capacity,
+			MedianServiceTime: f.MedianServiceTime,
+			Warm:              capacity == 1,
+			ProbesShared:      f.Options.ProbesShared,
 		})
 	}
-	// What is bad with a whole other zone is bad with the path there, whatever it is: cut, slow, or all lost. Its
-	// servers are avoided together and one part at a time tests the path.
+	// A fault that all servers of another zone show is one of the path there: it is cut, slow, or loses everything.
+	// The servers are avoided together, and one part at a time tests the path.
 	for _, path := range f.RemotePaths {
 		path.Assess(now, &f.Latency, f.MedianServiceTime)
 	}
@@ -163,11 +166,12 @@
 	return mean + deviations*min(f.Deviation, mean*estimate.InitialDeviation) + delay
 }
 
-// Expected is how long a new request of a class may take by Little's law: requests in flight at healthy servers over
-// the rate at which these answer. What is in flight falls as soon as less is sent, so rejections cannot feed on
-// themselves. Fresh load reports (their median: a few servers may hold most) and what was sent since tell it, or own
-// requests where clients are few; else measured is false, and what the slowest part takes lately must do. Each healthy
-// server is worth one core at least.
+// Expected is how long a new request of a class may take by Little's law: the requests in flight at healthy
+// servers, divided by the rate at which these answer. What is in flight falls as soon as less is sent, so
+// rejections do not cause further rejections. The number in flight is the median of fresh load reports, as a few
+// servers may hold most of the requests, with what was sent since; or own requests, where clients are few. Where
+// neither is known measured is false, and the result is slowest, the recent response time of the slowest part.
+// Each healthy server is taken to be worth at least one core.
 func (f *Fleet) Expected(now time.Duration, class, parts int, slowest float64) (took float64, measured bool) {
 	instances := float64(f.Options.Instances)
 	own := 0.0
--- a/internal/control/fleet/queue.go
+++ b/internal/control/fleet/queue.go
@@ -9,7 +9,7 @@
 
 // partWork is a high estimate of a part's work: at most the mean latency, which grows with queues.
 func (f *Fleet) partWork() float64 {
-	return min(f.Mean, maxWorkSpread*cmp.Or(f.MedianServiceTime, f.Mean))
+	return min(f.Mean, maxWorkFactor*cmp.Or(f.MedianServiceTime, f.Mean))
 }
 
 // DrainTime is how long a server takes to work off a queue.
--- a/internal/control/outlier/message.go
+++ b/internal/control/outlier/message.go
@@ -16,8 +16,9 @@
 
 // observation is what one aggregator saw itself of one server.
 type observation struct {
-	key              uint32 // gossip.ServerKey of the server's id
-	failed, answered int    // outcomes of attempts
+	key      uint32 // gossip.ServerKey of the server's id
+	failed   int    // attempts that failed there
+	answered int    // attempts that it answered
 }
 
 // message is a decoded gossip message.
--- a/internal/control/outlier/outlier.go
+++ b/internal/control/outlier/outlier.go
@@ -50,12 +50,19 @@
 )
 
 // A recoveryStep is the traffic share of an ejected server whose answer rate is below a limit.
-type recoveryStep struct{ belowAnswerRate, share float64 }
+type recoveryStep struct {
+	belowAnswerRate float64
+	share           float64
+}
 
 // recoverySteps are in ascending order; a server whose answer rate is not below the last limit is no outlier any
 // more. The first share amounts to about one part per second of all aggregators together: a search has some fifty
 // parts and needs each of them.
-var recoverySteps = [...]recoveryStep{{0.1, 0.005}, {0.25, 0.01}, {0.85, 0.3}}
+var recoverySteps = [...]recoveryStep{
+	{belowAnswerRate: 0.1, share: 0.005},
+	{belowAnswerRate: 0.25, share: 0.01},
+	{belowAnswerRate: 0.85, share: 0.3},
+}
 
 // The answer rate of an ejected server is an exponentially weighted moving average of its outcomes. It starts in
 // the middle, because a server with many failures may be slow as well as down: six failures or nine answers from
