Balance tests: comments that state the case

Cause: test comments were riddles ('Nor where all its replicas but one...', 'It answers somebody: one message lets it in'). Change: each says the situation and what is expected; no check changed.

--- a/balance/admission_test.go
+++ b/balance/admission_test.go
@@ -49,7 +49,7 @@
 	settings := testSettings()
 	h := newHarness(t, settings)
 	h.serve(5, 100*ms)
-	// Classes without value after the objective: 1.5 s of 3 s are gone, the objective of 1 s with them.
+	// The class earns nothing after its objective of 1 s, and 1.5 s of the 3 s until the deadline have passed.
 	actions := h.turn(Query{ID: 900, Group: 900, TimeLeft: 1500 * ms, Parts: 1},
 		Part{ID: 901, Group: 900, Weight: 1})
 	if rejection := onlyAction[Reject](h, actions); rejection.Query != 900 || countOf[Send](actions) > 0 {
@@ -78,7 +78,7 @@
 	h.sendOnePart(0)
 }
 
-// At n = 80 one query's own parts are no sign of a full fleet.
+// One of 80 balancers does not take the parts of its own query for a sign of a full fleet.
 func TestAdmit_OneOfManyDoesNotRejectItsOwnQuery(t *testing.T) {
 	for _, n := range []int{1, 80} {
 		settings := testSettings()
@@ -97,7 +97,7 @@
 	}
 }
 
-// Rejecting brings no answers; without reports from anyone it must end by itself.
+// Rejections bring no answers. Without load reports they must end by themselves.
 func TestAdmit_RejectionsForgetTheOverload(t *testing.T) {
 	settings := testSettings()
 	settings.Instances = 80
@@ -228,7 +228,7 @@
 			n = 30
 		}
 		_, events := h.query(newQuery{parts: n})
-		// 1.2 ln 30 deviations: 0.61 of the objective
+		// The slowest of 30 parts is 1.2 ln 30 deviations beyond the mean, at 0.61 of the objective.
 		h.b.fleet.Latency = estimate.Latency{Mean: 200e3, Deviation: 100e3}
 		sends := actionsOf[Send](h.turn(events...))
 		if len(sends) != n {
@@ -267,7 +267,7 @@
 	}
 }
 
-// Nor where all its replicas but one that is excluded are full: that one will not have it.
+// A query is not begun where all replicas of its part are full but for an excluded one, which would not get the part.
 func TestAdmit_ExcludedReplicaIsNotOpen(t *testing.T) {
 	for _, out := range []bool{true, false} {
 		h := newFleetHarness(t)
@@ -283,7 +283,8 @@
 	}
 }
 
-// By fresh probes the slowest of many parts waits longer than one does; own answers count while they are as fresh.
+// Where fresh probes show queues, the slowest of many parts is expected to wait longer than a single part. Own answers
+// count only while they are as fresh as the probes.
 func TestAdmit_CountsOnTheSlowestPart(t *testing.T) {
 	for _, test := range []struct {
 		mean, queue float64
--- a/balance/attempts_test.go
+++ b/balance/attempts_test.go
@@ -156,8 +156,9 @@
 	return n
 }
 
-// Rule 6 at every moment of a long bad spell: in any window the attempts beyond each part's first stay within the base
-// and the ratio of the queries and parts accepted in it, parts of a second step and hedged requests included.
+// Rule 6 holds at every moment of a long time of failures: in any window the attempts beyond each part's first
+// stay within the base and the ratio of the queries and parts accepted in it, parts of a second step and hedged
+// requests included.
 func TestRetry_BudgetHoldsInEveryWindow(t *testing.T) {
 	settings := testSettings()
 	settings.Classes[0].FollowUpParts = 2
@@ -182,7 +183,7 @@
 	}
 }
 
-// Where the healthy replicas reject a part its attempts are spread over the time left.
+// Where the healthy replicas reject a part because they are full, its attempts are spread over the time left.
 func TestRetry_AttemptsAfterFullReplicasAreSpread(t *testing.T) {
 	h := newFleetHarness(t, "a", "b", "c")
 	send := h.sendOnePart(0)
--- a/balance/crash_test.go
+++ b/balance/crash_test.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// Two servers die under a query before any part came back: it ends, and its class sends one part ahead.
+// Two servers crash under a query before any part is answered: the query ends, and later queries of its class send one
+// part ahead of the others.
 func TestCrash_QueryThatCrashesServersEnds(t *testing.T) {
 	settings := testSettings()
 	settings.CanProbe = true
@@ -18,13 +19,13 @@
 		h.now += 5 * ms
 		actions := h.turn(AttemptEnded{Part: send.Part, Replica: send.Replica, Result: Reset, Elapsed: 50 * ms})
 		if probe := onlyAction[Probe](h, actions); probe.Replica != send.Replica {
-			t.Fatalf("asked %s whether it lives, want %s", probe.Replica, send.Replica)
+			t.Fatalf("probed %s, want %s", probe.Replica, send.Replica)
 		}
-		h.wantNone(actions, "part sent again before the server was asked", countOf[Send](actions))
+		h.wantNone(actions, "retry before the probe has ended", countOf[Send](actions))
 		h.now += 5 * ms
 		actions = h.turn(ProbeEnded{Replica: send.Replica, Result: ConnectFailed})
 		if over := countOf[Reject](actions); over != i {
-			t.Fatalf("rejected %d times after %d deaths", over, i+1)
+			t.Fatalf("rejected %d times after %d crashes", over, i+1)
 		} else if over == 1 && onlyAction[Reject](h, actions).Query != id {
 			t.Error("another query was rejected")
 		}
@@ -38,7 +39,7 @@
 	}
 }
 
-// Connections break, but the servers live: answers are lost, and the query is innocent.
+// Where connections break and the servers are still up, only answers were lost: the query is not held responsible.
 func TestCrash_LostAnswersAreNoCrashes(t *testing.T) {
 	settings := testSettings()
 	settings.CanProbe = true
@@ -53,7 +54,7 @@
 	}
 }
 
-// A query under which servers died comes again with its key: it is rejected before it costs more servers.
+// A query under which servers crashed is retried with its key: it is rejected before it crashes more servers.
 func TestCrash_RetryOfACrashingQueryIsRejected(t *testing.T) {
 	h := newHarness(t, testSettings())
 	h.serve(10, 100*ms)
@@ -64,12 +65,12 @@
 		events[0] = q
 	}
 	keyed()
-	var died []Event
+	var resets []Event
 	for _, send := range actionsOf[Send](h.turn(events...)) {
-		died = append(died, endOf(send, Reset))
+		resets = append(resets, endOf(send, Reset))
 	}
 	h.now += 50 * ms
-	if rejection := onlyAction[Reject](h, h.turn(died...)); rejection.Query != id {
+	if rejection := onlyAction[Reject](h, h.turn(resets...)); rejection.Query != id {
 		t.Fatalf("rejected %v", rejection)
 	}
 	h.now += 500 * ms
--- a/balance/gossip_test.go
+++ b/balance/gossip_test.go
@@ -9,7 +9,7 @@
 	"rooktrestle/internal/control/gossip"
 )
 
-// newGossipHarness is a balancer of eighty that may send gossip and probe.
+// newGossipHarness drives one of eighty balancers that may gossip and probe.
 func newGossipHarness(t *testing.T) *harness {
 	settings := testSettings()
 	settings.Instances = 80
@@ -21,7 +21,8 @@
 	return h
 }
 
-// gossipAfterProbe is what h sends after a probe of server "a" ended so.
+// gossipAfterProbe returns the gossip that is sent after a probe of server "a" ended with a result, and for OK with the
+// report of a queue.
 func gossipAfterProbe(h *harness, result AttemptResult, queue float64) []SendGossip {
 	h.now += time.Second // nothing of "a" is known since
 	ended := ProbeEnded{Replica: "a", Result: result, Elapsed: 250 * ms}
@@ -49,7 +50,7 @@
 			t.Fatal("a part went to the unresponsive server")
 		}
 	}
-	// It answers somebody: one message lets it in again.
+	// It answers a probe of one balancer: a message ends the avoidance by the others.
 	messages = gossipAfterProbe(from, OK, 1)
 	if len(messages) != 1 {
 		t.Fatal("that an unresponsive server is back was not sent")
@@ -123,7 +124,8 @@
 	}
 }
 
-// Own evidence counts for more than what another heard earlier, and old messages are ignored.
+// What the receiver measured itself counts for more than an earlier observation of another, and messages that are old,
+// corrupt or about unknown servers are ignored.
 func TestGossip_IgnoredMessages(t *testing.T) {
 	for name, test := range map[string]struct {
 		delay       time.Duration // of the message
@@ -185,7 +187,7 @@
 	}
 }
 
-// What is sent is earned by parts taken, and never longer than is allowed.
+// Messages stay within the budget that accepted parts have earned, and within the maximum length.
 func TestGossip_IsLimited(t *testing.T) {
 	h := newGossipHarness(t)
 	h.b.outbox.Budget.Bytes = 0
--- a/balance/harness_test.go
+++ b/balance/harness_test.go
@@ -41,7 +41,7 @@
 	}
 }
 
-// harness drives a Balancer by hand.
+// harness drives a Balancer turn by turn, in virtual time.
 type harness struct {
 	*testing.T
 	b    *Balancer
@@ -152,7 +152,7 @@
 	return h.turn(AttemptEnded{Part: s.Part, Attempt: attempt, Replica: s.Replica, Result: r, Elapsed: took})
 }
 
-// serve runs n one-part queries to their answers, each in took.
+// serve runs n one-part queries to their answers; each takes so long.
 func (h *harness) serve(n int, took time.Duration) {
 	h.Helper()
 	for range n {
@@ -189,8 +189,8 @@
 	return list
 }
 
-// serveFirst runs n one-part queries through both steps, 100 ms each.
-func (h *harness) serveFirst(n int) {
+// serveBothSteps runs n one-part queries through both of their steps, 100 ms each.
+func (h *harness) serveBothSteps(n int) {
 	h.Helper()
 	for range n {
 		id, events := h.query(newQuery{parts: 1})
--- a/balance/limits_test.go
+++ b/balance/limits_test.go
@@ -38,7 +38,7 @@
 			HealthLimits: HealthLimits{EjectedClasses: 1, HalfOpenClasses: 1},
 		}},
 	})
-	// Told again for another reason, before it is used: still one.
+	// A later update, before the half-open request is used, grants no second one.
 	h.turn(EndpointList{
 		Kind: ListDelta,
 		Endpoints: []Endpoint{{
@@ -70,7 +70,7 @@
 	}
 }
 
-// What is not idempotent waits for a replica that is busy rather than go to one that is ejected.
+// A part that is not idempotent waits for a busy replica rather than go to an ejected one.
 func TestLimits_EjectedServerIsNoWayAroundABusyOne(t *testing.T) {
 	settings := testSettings()
 	settings.Classes[0].Idempotency = NonIdempotent
@@ -87,7 +87,7 @@
 	h.wantNone(actions, "second part at a server that takes one", countOf[Send](actions))
 }
 
-// A server takes no more parts at once than it says.
+// A server gets no more parts at once than its limit of requests in flight.
 func TestLimits_MaxInFlight(t *testing.T) {
 	h := newHarness(t, testSettings(), endpointsWithLimits(HealthLimits{MaxInFlight: 2})...)
 	out := 0
@@ -103,7 +103,7 @@
 	}
 }
 
-// A share of a half beside two whole ones: a fifth of the parts, about.
+// A server with traffic fraction 0.25 beside two with all of their traffic gets 8 to 20 % of the parts.
 func TestLimits_TrafficFraction(t *testing.T) {
 	h := newHarness(t, testSettings(), endpointsWithLimits(HealthLimits{TrafficFraction: 0.25})...)
 	got := h.counts(2000)
@@ -132,8 +132,8 @@
 	}
 }
 
-// A part that names its replicas goes to them only; one whose copy warms up gets its share; when the last is taken away
-// the query ends at once, and a replica given instead is asked.
+// A part that names its candidates goes to them only, and to one with a traffic fraction less often. When the last
+// candidate is removed the query ends at once; a replica that replaces it gets the part.
 func TestLimits_PartsNameTheirCandidates(t *testing.T) {
 	h := newHarness(t, testSettings())
 	holders := func(list ...Candidate) (ID, []Event) {
--- a/balance/path_test.go
+++ b/balance/path_test.go
@@ -9,7 +9,7 @@
 	"rooktrestle/internal/control/suspicion"
 )
 
-// All of a zone's servers look slow: it is the path. They are avoided together, and one part tests the path.
+// Where all servers of a zone look slow, the path is at fault. They are avoided together, and one part tests the path.
 func TestPath_SlowOneIsAvoidedAsAWhole(t *testing.T) {
 	h := newHarness(t, testSettings(), twoZones()...)
 	h.serve(60, 100*ms)
@@ -58,7 +58,7 @@
 	}
 }
 
-// Failures count against a path only while they outnumber what is still in flight there; anything from there clears it.
+// Failures count against a path only once there are twice as many as requests in flight there. Any answer clears them.
 func TestPath_FewFastFailuresDoNotCloseIt(t *testing.T) {
 	h := newHarness(t, testSettings(), twoZones()...)
 	path := h.b.paths[1]
--- a/balance/probing_test.go
+++ b/balance/probing_test.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// A new query asks its replicas for a report and waits for it, but not for one that does not come.
+// A new query probes its replicas and waits for the load report, but not for long if none comes.
 func TestProbe_NewQueryProbesItsReplicas(t *testing.T) {
 	settings := testSettings()
 	settings.CanProbe = true
--- a/balance/query_test.go
+++ b/balance/query_test.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// Parts that a complete answer does not need wait in reserve, and no retry is spent on them.
+// Parts that a complete answer does not need are held in reserve, and no retry is spent on them.
 func TestQuery_PartsNotNeededWaitInReserve(t *testing.T) {
 	settings := testSettings()
 	settings.Classes[0].CompleteFraction = 0.6
@@ -135,7 +135,7 @@
 	}
 }
 
-// A first step that waits for its last part until the objective leaves the second step none.
+// A first step ends without its last part early enough to leave the second step some of the objective.
 func TestQuery_FirstStepLeavesTimeForTheSecond(t *testing.T) {
 	settings := testSettings()
 	settings.Classes[0].MinFraction = 0.5
@@ -144,7 +144,7 @@
 	settings.Classes[0].FollowUpParts = 3
 	settings.CanHedge = false
 	h := newHarness(t, settings)
-	h.serveFirst(60)
+	h.serveBothSteps(60)
 	id, events := h.query(newQuery{parts: 3})
 	start := h.now
 	sends := actionsOf[Send](h.turn(events...))
--- a/balance/ranking_test.go
+++ b/balance/ranking_test.go
@@ -99,7 +99,7 @@
 	}
 }
 
-// The last answers of a wide query are its slowest: they may not stand for all.
+// The last answers of a wide query are its slowest: the mean must not follow them.
 func TestLatency_WideQueryDoesNotOutweighOthers(t *testing.T) {
 	h := newHarness(t, testSettings())
 	h.serve(80, 100*ms)
@@ -117,7 +117,7 @@
 	}
 }
 
-// What was reported long ago says little: it goes toward the mean of all.
+// A reported queue goes toward the mean of all servers with its age.
 func TestRank_OldLoadReportCountsLess(t *testing.T) {
 	h := newHarness(t, testSettings())
 	for i, name := range []Replica{"a", "b", "c"} {
--- a/balance/selection_test.go
+++ b/balance/selection_test.go
@@ -161,7 +161,7 @@
 	}
 }
 
-// A server that refuses connections draws nothing for a spell, which grows.
+// A server that refuses connections gets nothing for a time that grows with each failure.
 func TestChoose_DownServerIsAvoided(t *testing.T) {
 	h := newHarness(t, testSettings())
 	h.serve(30, 100*ms)
@@ -170,22 +170,22 @@
 		server.avoidUntil = h.now + time.Hour
 	}
 	down.avoidUntil = h.now
-	var spells []time.Duration
+	var delays []time.Duration
 	_, events := h.query(newQuery{parts: 1})
-	for try := range 2 {
+	for attempt := range 2 {
 		send := onlyAction[Send](h, h.turn(events...))
-		actions := h.end(send, try, ConnectFailed, 5*ms)
+		actions := h.end(send, attempt, ConnectFailed, 5*ms)
 		h.wantNone(actions, "send to a server just found down", countOf[Send](actions))
-		spells = append(spells, down.avoidUntil-h.now)
+		delays = append(delays, down.avoidUntil-h.now)
 		down.avoidUntil = 0
 		events = nil
 	}
-	if spells[0] <= 0 || spells[1] <= spells[0] {
-		t.Errorf("kept off for %v, want a spell that grows", spells)
+	if delays[0] <= 0 || delays[1] <= delays[0] {
+		t.Errorf("kept off for %v, want a time that grows", delays)
 	}
 }
 
-// n balancers try a bad server: each leaves it the longer, the more there are.
+// The more balancers there are, the longer each of them waits between half-open requests to a faulty server.
 func TestChoose_HalfOpenRequestsAreSpacedByInstances(t *testing.T) {
 	var gaps []time.Duration
 	for _, n := range []int{2, 80} {
@@ -202,7 +202,8 @@
 	}
 }
 
-// With many balancers a half-open request is due at every unhealthy server when a wide query comes: it carries one.
+// With many balancers a half-open request is due at every unhealthy server when a wide query comes: only one of
+// its parts is sent as one.
 func TestChoose_QueryCarriesOneHalfOpenRequest(t *testing.T) {
 	h := newHarness(t, testSettings(), twoZones()...)
 	h.serve(60, 100*ms)
@@ -224,7 +225,7 @@
 	}
 }
 
-// A server that loses one class of queries and serves the others: a late part of that class is canceled though
+// A server loses one class of queries and serves the others: an overdue part of that class is canceled though
 // others are answered, and the class goes elsewhere.
 func TestChoose_ServerThatLosesOneClass(t *testing.T) {
 	h := newHarness(t, twoClasses(Idempotent))
@@ -267,7 +268,7 @@
 	}
 }
 
-// What is not idempotent does not try an unhealthy server while other classes can.
+// A part that is not idempotent is not used as a half-open request while parts of other classes can be.
 func TestChoose_NonIdempotentPartsAreTheLastHalfOpenRequests(t *testing.T) {
 	h := newHarness(t, twoClasses(NonIdempotent))
 	h.serve(30, 100*ms)
@@ -280,7 +281,7 @@
 	}
 }
 
-// Where no replica is healthy, one that loses the class comes after one that is slow.
+// Where no replica is healthy, a slow one is preferred to one that loses the class.
 func TestChoose_ReplicaThatLosesTheClassIsTheLastResort(t *testing.T) {
 	h := newHarness(t, twoClasses(Idempotent))
 	h.serve(40, 100*ms)
@@ -300,8 +301,8 @@
 	}
 }
 
-// A server that loses some answers is of use while the healthy ones are busy, but not to what is not idempotent,
-// nor once it loses most.
+// A server that loses some answers is used while the healthy ones are busy, but not for parts that are not
+// idempotent, nor once it loses most answers.
 func TestChoose_ServerThatLosesSomeAnswersHelpsTheBusy(t *testing.T) {
 	for _, test := range []struct {
 		loss   float64
@@ -341,7 +342,7 @@
 }
 
 // A part waits for a replica that is full for a moment, and does not spend its attempts at one that has next to no
-// share. Guards against searches that died of a part in 60 ms, while its two healthy replicas served others.
+// traffic. Guards against searches that failed within 60 ms, while the two healthy replicas of a part served others.
 func TestChoose_PartWaitsForAFullReplicaRatherThanAnExcludedOne(t *testing.T) {
 	h := newFleetHarness(t, "a", "b", "c")
 	for range 40 { // of 200 parts about one may try a server that is excluded
@@ -379,7 +380,7 @@
 			h.now += 100 * ms
 		}
 	}
-	// Between two servers, one of share w gets 2w/(1+w) of what it would get: 0.46.
+	// Of two servers, one with traffic fraction w gets 2w/(1+w) of what it would get: 0.46.
 	if halfOpenRequests[0] != 60 || halfOpenRequests[0.3] < 18 || halfOpenRequests[0.3] > 38 {
 		t.Errorf("%v half-open requests of 60", halfOpenRequests)
 	}
--- a/balance/slowstart_test.go
+++ b/balance/slowstart_test.go
@@ -136,8 +136,8 @@
 	}
 }
 
-// One of many balancers gives a server that warms up its part of what it sends itself, whatever 1/n of the budget
-// allows: else the caution of all starves the server, as most balancers send little.
+// One of many balancers sends a server that warms up its part of the own flow, whatever 1/n of the limit allows: else
+// the server would be starved, as most balancers send little.
 func TestSlowStart_ServerGetsItsPartOfTheFlow(t *testing.T) {
 	settings := testSettings()
 	settings.Instances = 80
@@ -166,9 +166,10 @@
 	}
 }
 
-// Three hundred balancers of thin traffic owe a server that warms up their part from its start on, though each
-// owes it one in many seconds, and together no more than that. Guards against all beginning with nothing owed:
-// then none sends any for so long, and the last warm replica of its shards gets them all.
+// Three hundred balancers with little traffic owe a server that warms up their part from its start on, though each
+// owes it one in many seconds, and together no more than that. Guards against all of
+// them beginning with nothing owed: then none would send any for so long, and the last warm replica of its shards would
+// get all parts.
 func TestSlowStart_ServerIsNotStarvedByManyQuietBalancers(t *testing.T) {
 	const balancers = 300
 	sends := 0
@@ -205,8 +206,8 @@
 }
 
 // Where all replicas of a shard are warming up, a query that needs sixty such parts is begun: each part may go to
-// a replica picked at random, in proportion to what these can do. Not where more is asked than servers were seen
-// to answer.
+// a replica picked at random, in proportion to its capacity. It is not begun where more parts are asked for than
+// servers were seen to answer.
 func TestSlowStart_ReplicasAreSampledAtRandom(t *testing.T) {
 	startAll := func(h *harness) {
 		var list []Endpoint
