--- a/internal/aggregator/actions.go
+++ b/internal/aggregator/actions.go
@@ -35,7 +35,8 @@
 	case balance.Hedge:
 		c.send(balance.Send(action))
 	case balance.Cancel:
-		if a := c.attempts[AttemptID{action.Part, action.Attempt}]; a != nil {
+		a := c.attempts[AttemptID{Part: action.Part, Number: action.Attempt}]
+		if a != nil {
 			c.cancel(a)
 		}
 	case balance.Answer:
@@ -61,35 +62,46 @@
 	if p == nil {
 		return
 	}
-	deadline := p.query.deadline
-	if timeout := c.now.Add(action.Timeout); action.Timeout > 0 && timeout.Before(deadline) {
-		deadline = timeout
-	}
-	a := c.startAttempt(p, action.Replica, deadline)
+	a := c.startAttempt(p, action.Replica, c.attemptDeadline(p.query, action.Timeout))
 	c.addCall(action.Replica, c.call(a))
 	p.mayHaveRun = append(p.mayHaveRun, c.now)
 }
 
+// attemptDeadline is the deadline of an attempt that is sent now: the query's, or sooner by a time-out that is not 0.
+func (c *Core) attemptDeadline(q *query, timeout time.Duration) time.Time {
+	if timeout <= 0 {
+		return q.deadline
+	}
+	return earliest(q.deadline, c.now.Add(timeout))
+}
+
 // call is an attempt as the backend gets it. It is made before the attempt counts among those that may have run.
 func (c *Core) call(a *attempt) Call {
-	p, q := a.part, a.part.query
+	p := a.part
+	q := p.query
 	call := Call{
-		Attempt: a.id, Name: p.name, Class: q.request.Class, Shard: p.spec.Shard, Deadline: a.deadline,
-		WriteBy: c.writeBy(p), Payload: q.request.Payload,
-		FollowUp: q.followUp, FirstStepComplete: q.firstStepCompleted,
+		Attempt:           a.id,
+		Name:              p.name,
+		Class:             q.request.Class,
+		Shard:             p.spec.Shard,
+		Deadline:          a.deadline,
+		WriteBy:           c.writeBy(p),
+		Payload:           q.request.Payload,
+		FollowUp:          q.followUp,
+		FirstStepComplete: q.firstStepCompleted,
 	}
 	if q.view != nil {
 		call.Epoch = q.view.Map.Epoch
 	}
-	for _, f := range q.firstStep {
-		call.FirstStepShards = append(call.FirstStepShards, f.spec.Shard)
+	for _, answered := range q.firstStep {
+		call.FirstStepShards = append(call.FirstStepShards, answered.spec.Shard)
 	}
 	return call
 }
 
-// writeBy is when a part's next attempt must be written at the latest, because servers recognise repetitions only within
-// a window; zero if there is no such time. The balancer keeps to the window when it chooses, but a connection may come up
-// late, or be slow.
+// writeBy is when a part's next attempt must be written at the latest, because servers recognise repetitions only
+// within a window; zero if there is no such time. The balancer keeps to the window when it chooses, but a
+// connection may come up late, or be slow.
 func (c *Core) writeBy(p *part) (latest time.Time) {
 	window := classValue(c.limits.DedupWindows, p.query.request.Class)
 	if window > 0 && len(p.mayHaveRun) > 0 {
@@ -98,16 +110,17 @@
 	return latest
 }
 
-// addCall adds an attempt to the turn's calls. Attempts for one server share calls of at most Limits.MaxCallParts: servers
-// reject all parts of a longer one.
+// addCall adds an attempt to the turn's calls. Attempts for one server share calls of at most Limits.MaxCallParts:
+// servers reject all parts of a longer one.
 func (c *Core) addCall(server balance.Replica, call Call) {
 	for i := range c.calls {
-		if c.calls[i].server == server && len(c.calls[i].attempts) < c.limits.MaxCallParts {
-			c.calls[i].attempts = append(c.calls[i].attempts, call)
+		pending := &c.calls[i]
+		if pending.server == server && len(pending.attempts) < c.limits.MaxCallParts {
+			pending.attempts = append(pending.attempts, call)
 			return
 		}
 	}
-	c.calls = append(c.calls, pendingCall{server, []Call{call}})
+	c.calls = append(c.calls, pendingCall{server: server, attempts: []Call{call}})
 }
 
 // sendCalls hands the calls of this turn to the backend.
--- a/internal/aggregator/answer.go
+++ b/internal/aggregator/answer.go
@@ -19,8 +19,11 @@
 		return
 	}
 	answered := q.answeredParts()
-	if n := classValue(c.limits.FollowUpParts, q.request.Class); !q.followUp && n > 0 && len(answered) > 0 {
-		c.startFollowUp(q, answered, action.Complete, n)
+	followUpParts := classValue(c.limits.FollowUpParts, q.request.Class)
+	if !q.followUp && followUpParts > 0 && len(answered) > 0 {
+		q.firstStep = answered
+		q.firstStepCompleted = action.Complete
+		c.startFollowUp(q, followUpParts)
 		return
 	}
 	c.close(q, q.servedAnswer(action.Complete))
@@ -41,7 +44,7 @@
 	for _, p := range q.parts {
 		if p.answered {
 			final.AnsweredWeight += p.spec.Weight
-			final.Items = append(final.Items, Item{p.spec.Shard, p.value})
+			final.Items = append(final.Items, Item{Shard: p.spec.Shard, Value: p.value})
 		} else {
 			final.MissingShards = append(final.MissingShards, p.spec.Shard)
 		}
@@ -49,14 +52,14 @@
 	return final
 }
 
-// startFollowUp begins a query's second step: n parts of equal weight at those of the answered shards that scored
-// highest.
-func (c *Core) startFollowUp(q *query, answered []*part, complete bool, n int) {
+// startFollowUp begins a query's second step: at most maxParts parts of equal weight, at those shards of its first step
+// that scored highest.
+func (c *Core) startFollowUp(q *query, maxParts int) {
 	c.Counters.FollowUps++
-	q.followUp, q.firstStep, q.firstStepCompleted = true, answered, complete
-	best := slices.Clone(answered)
+	q.followUp = true
+	best := slices.Clone(q.firstStep)
 	slices.SortStableFunc(best, func(a, b *part) int { return cmp.Compare(b.score, a.score) })
-	best = best[:min(n, len(best))]
+	best = best[:min(maxParts, len(best))]
 	var specs []PartSpec
 	for _, p := range best {
 		specs = append(specs, PartSpec{Shard: p.spec.Shard, Weight: 1 / float64(len(best))})
@@ -73,7 +76,8 @@
 		return
 	}
 	if c.mayReroute(q) {
-		if decision := q.placement.ViewUnusable(c.Resharding.Views); decision.Restart || decision.AwaitMap {
+		decision := q.placement.ViewUnusable(c.Resharding.Views)
+		if decision.QueryContinues() {
 			c.applyDecision(q, decision)
 			return
 		}
@@ -89,7 +93,7 @@
 	c.releaseRequestID(q)
 	c.unpinView(q)
 	c.dropParts(q)
-	if final.Status != StatusServed && !c.now.Before(q.deadline.Add(-c.limits.DeadlineMargin)) {
+	if final.Status != StatusServed && c.deadlineReached(q) {
 		final.DeadlineExceeded = true
 	}
 	c.Counters.countFinal(final)
@@ -100,6 +104,11 @@
 	c.deliver(q.request, final)
 }
 
+// deadlineReached says that a query's deadline is less than DeadlineMargin away, or over.
+func (c *Core) deadlineReached(q *query) bool {
+	return !c.now.Before(q.deadline.Add(-c.limits.DeadlineMargin))
+}
+
 // deliver hands a final answer to the request's frontend. A panic there ends at that request.
 func (c *Core) deliver(request *Request, final FinalAnswer) {
 	request.done = true
--- a/internal/aggregator/attempt.go
+++ b/internal/aggregator/attempt.go
@@ -10,8 +10,8 @@
 	"rooktrestle/internal/control/shardmap"
 )
 
-// attempt is one sending of a part to one server. It is held until its AttemptEnded event, which may come long after the
-// query has its final answer.
+// attempt is one sending of a part to one server. It is held until its AttemptEnded event, which may come long
+// after the query has its final answer.
 type attempt struct {
 	id       AttemptID
 	part     *part
@@ -36,7 +36,12 @@
 	q := p.query
 	c.attemptsSent++
 	a := &attempt{
-		id: AttemptID{p.id, p.attempts}, part: p, server: server, sequence: c.attemptsSent, sent: c.now, deadline: deadline,
+		id:       AttemptID{Part: p.id, Number: p.attempts},
+		part:     p,
+		server:   server,
+		sequence: c.attemptsSent,
+		sent:     c.now,
+		deadline: deadline,
 	}
 	p.attempts++
 	c.attempts[a.id] = a
@@ -70,7 +75,7 @@
 	c.backend.Cancel(c.now, a.id, c.isOpen(a.part) && !a.part.answered)
 }
 
-// attemptEnded takes the end of an attempt. A second end of one attempt is dropped.
+// attemptEnded handles the end of an attempt. A second end of one attempt is ignored.
 func (c *Core) attemptEnded(e AttemptEnded) {
 	a := c.attempts[e.Attempt]
 	if a == nil {
@@ -90,12 +95,20 @@
 	errors.As(e.Err, &failure)
 	falseRejection := c.updatePlacement(a, result, failure)
 	c.observe(AttemptSummary{
-		Server: a.server, Class: q.request.Class, Result: result, Sent: a.sent,
-		LocalCause: failure != nil && failure.LocalCause, FalseRejection: falseRejection,
+		Server:         a.server,
+		Class:          q.request.Class,
+		Result:         result,
+		Sent:           a.sent,
+		LocalCause:     failure != nil && failure.LocalCause,
+		FalseRejection: falseRejection,
 	})
 	c.notify(balance.AttemptEnded{
-		Part: e.Attempt.Part, Attempt: e.Attempt.Number, Replica: a.server, Result: result,
-		Elapsed: c.now.Sub(a.sent), Report: e.Report,
+		Part:    a.id.Part,
+		Attempt: a.id.Number,
+		Replica: a.server,
+		Result:  result,
+		Elapsed: c.now.Sub(a.sent),
+		Report:  e.Report,
 	})
 	if q.restarting && q.inFlight == 0 && c.queries[q.id] == q {
 		c.restartQuery(q)
@@ -110,7 +123,7 @@
 	c.releaseRequestID(a.part.query)
 }
 
-// result is the result that the balancer learns: one that was canceled because of its time-out has timed out.
+// result is the result that the balancer learns: an attempt that was canceled because of its time-out has timed out.
 func (a *attempt) result(err error) balance.AttemptResult {
 	result := attemptResult(err)
 	if a.timedOut && (result == balance.Canceled || result == balance.NotSent) {
@@ -138,22 +151,26 @@
 
 // setAnswer keeps the first answer of a part.
 func (p *part) setAnswer(score float64, value string) {
-	if !p.answered {
-		p.answered, p.score, p.value = true, score, value
+	if p.answered {
+		return
 	}
+	p.answered = true
+	p.score = score
+	p.value = value
 }
 
-// updatePlacement notes the end of an attempt for the resharding rules, and reports whether its server rejected it with a
-// claim that the shard map contradicts. failure may be nil.
+// updatePlacement notes the end of an attempt for the resharding rules, and reports whether its server rejected it
+// with a claim that the shard map contradicts. failure may be nil.
 func (c *Core) updatePlacement(a *attempt, result balance.AttemptResult, failure *AttemptError) (falseRejection bool) {
-	p, q := a.part, a.part.query
+	p := a.part
+	q := p.query
 	if q.placement == nil || !c.isOpen(p) {
 		return false
 	}
-	f := &q.placement.Parts[p.placementIndex]
-	f.InFlight = false // a part has one attempt in flight at a time
-	f.Answered = f.Answered || p.answered
-	f.MayHaveRun = f.MayHaveRun || mayRunUnanswered(result)
+	placed := &q.placement.Parts[p.placementIndex]
+	placed.InFlight = false // a part has one attempt in flight at a time
+	placed.Answered = placed.Answered || p.answered
+	placed.MayHaveRun = placed.MayHaveRun || mayRunUnanswered(result)
 	if failure != nil && failure.MapStatus != shardmap.NoMismatch {
 		return c.shardNotHeld(a, failure)
 	}
@@ -170,8 +187,8 @@
 	}
 }
 
-// attemptsInFlight are the attempts in flight that satisfy a condition, in the order of their sending: nothing may depend
-// on the order of a map.
+// attemptsInFlight are the attempts in flight that satisfy a condition, in the order of their sending: nothing may
+// depend on the order of a map.
 func (c *Core) attemptsInFlight(condition func(*attempt) bool) (list []*attempt) {
 	for _, a := range c.attempts {
 		if condition(a) {
--- a/internal/aggregator/attempt_error.go
+++ b/internal/aggregator/attempt_error.go
@@ -66,6 +66,7 @@
 	return ""
 }
 
+// outcome says how the attempt ended and, unless it was rejected, how far it had come.
 func (e *AttemptError) outcome() string {
 	switch {
 	case e.Rejected:
@@ -79,12 +80,13 @@
 // Unwrap is the cause, which may be nil.
 func (e *AttemptError) Unwrap() error { return e.Cause }
 
-// StateSubject notes in err, if it is an AttemptError, to which server and for which part the attempt was. Backends call it
-// at the end of an attempt, once for each error.
+// StateSubject notes in err, if it is an AttemptError, to which server and for which part the attempt was. Backends
+// call it at the end of an attempt, once for each error.
 func StateSubject(err error, server balance.Replica, part string) {
 	var failure *AttemptError
 	if errors.As(err, &failure) {
-		failure.Server, failure.Part = server, part
+		failure.Server = server
+		failure.Part = part
 	}
 }
 
--- a/internal/aggregator/core.go
+++ b/internal/aggregator/core.go
@@ -1,7 +1,7 @@
-// Package aggregator is the scatter-gather core round the balancer: requests, their parts, attempts and answers. It does
-// no I/O and reads no clock. A Core takes the events of one turn, hands them to the balancer together, and carries out
-// the actions that come back through its ports (Backend, Frontend, GossipSender). Loop drives a Core on one goroutine;
-// other goroutines reach it by putting messages into a Mailbox.
+// Package aggregator is the scatter-gather core round the balancer: requests, their parts, attempts and answers. It
+// does no I/O and reads no clock. A Core takes the events of one turn, hands them to the balancer together, and
+// carries out the actions that come back through its ports (Backend, Frontend, GossipSender). Loop drives a Core on
+// one goroutine; other goroutines reach it by putting messages into a Mailbox.
 package aggregator
 
 import (
@@ -74,13 +74,27 @@
 // present time.
 func NewCore(b *balance.Balancer, backend Backend, limits Limits, start time.Time) *Core {
 	return &Core{
-		balancer: b, backend: backend, limits: limits,
-		epoch:   start.Add(-clockMargin - start.Sub(start.Truncate(clockStep))),
-		queries: map[balance.ID]*query{}, byRequest: map[*Request]*query{}, requestIDs: map[string]int{},
-		parts: map[balance.ID]*part{}, attempts: map[AttemptID]*attempt{}, servers: map[balance.Replica]Server{},
+		balancer: b,
+		backend:  backend,
+		limits:   limits,
+		epoch:    clockEpoch(start),
+
+		queries:    map[balance.ID]*query{},
+		byRequest:  map[*Request]*query{},
+		parts:      map[balance.ID]*part{},
+		attempts:   map[AttemptID]*attempt{},
+		requestIDs: map[string]int{},
+		servers:    map[balance.Replica]Server{},
 	}
 }
 
+// clockEpoch is the zero of the balancer's clock for a core that is made at start: a multiple of clockStep, less
+// clockMargin.
+func clockEpoch(start time.Time) time.Time {
+	sinceStep := start.Sub(start.Truncate(clockStep))
+	return start.Add(-clockMargin - sinceStep)
+}
+
 // OpenQueries is the number of queries that have no final answer yet.
 func (c *Core) OpenQueries() int { return len(c.queries) }
 
@@ -94,8 +108,8 @@
 // nothing is.
 func (c *Core) Turn(now time.Time, events []Event) (next time.Time) {
 	c.now = now
-	for _, e := range events {
-		c.handle(e)
+	for _, event := range events {
+		c.handle(event)
 	}
 	c.leaveExpiredViews()
 	c.cancelTimedOutAttempts()
@@ -108,8 +122,8 @@
 }
 
 // handle takes one event.
-func (c *Core) handle(e Event) {
-	switch e := e.(type) {
+func (c *Core) handle(event Event) {
+	switch e := event.(type) {
 	case RequestArrived:
 		c.requestArrived(e.Request)
 	case ClientDisconnected:
@@ -118,7 +132,10 @@
 		c.attemptEnded(e)
 	case ProbeEnded:
 		c.notify(balance.ProbeEnded{
-			Replica: e.Server, Result: attemptResult(e.Err), Elapsed: e.Elapsed, Report: e.Report,
+			Replica: e.Server,
+			Result:  attemptResult(e.Err),
+			Elapsed: e.Elapsed,
+			Report:  e.Report,
 		})
 	case LateAnswer:
 		c.lateAnswer(e.Server)
@@ -134,7 +151,7 @@
 }
 
 // notify adds an event for the balancer.
-func (c *Core) notify(e balance.Event) { c.pending = append(c.pending, e) }
+func (c *Core) notify(event balance.Event) { c.pending = append(c.pending, event) }
 
 // decide hands the pending events to the balancer and returns its actions.
 func (c *Core) decide() []balance.Action {
@@ -143,8 +160,8 @@
 	return c.balancer.Turn(c.clock(c.now), events)
 }
 
-// failOverdueQueries ends the queries whose clients wait no longer, whatever the balancer does. It guards against a query
-// left open by a turn that came too late for the balancer.
+// failOverdueQueries ends the queries whose clients wait no longer, whatever the balancer does. It guards against a
+// query left open by a turn that came too late for the balancer.
 func (c *Core) failOverdueQueries() {
 	overdue := c.deadlines.Pop(c.now)
 	slices.SortFunc(overdue, func(a, b *query) int { return cmp.Compare(a.id, b.id) })
@@ -165,11 +182,11 @@
 // nextTurn is the earliest time at which something is due; zero if nothing is.
 func (c *Core) nextTurn() time.Time {
 	next := c.timerAt
-	if t, ok := c.timeouts.Next(); ok {
-		next = earliest(next, t)
+	if timeout, ok := c.timeouts.Next(); ok {
+		next = earliest(next, timeout)
 	}
-	if t, ok := c.deadlines.Next(); ok {
-		next = earliest(next, t)
+	if deadline, ok := c.deadlines.Next(); ok {
+		next = earliest(next, deadline)
 	}
 	if c.Resharding != nil {
 		next = earliest(next, c.Resharding.Views.NextExpiry())
--- a/internal/aggregator/counters.go
+++ b/internal/aggregator/counters.go
@@ -62,17 +62,18 @@
 // String is the text of GET /counters and of the log at exit. Operators' scripts read it: it must not change.
 func (c Counters) String() string {
 	var text strings.Builder
-	fmt.Fprintf(&text, "taken %d; answered: served %d (partial %d), refused %d (full %d), failed %d, gone %d, out of time %d; ",
-		c.Received, c.Served, c.Partial, c.Rejected, c.RejectedAtCapacity, c.Failed, c.Disconnected, c.DeadlineExceeded)
+	fmt.Fprintf(&text, "taken %d; answered: served %d (partial %d), refused %d (full %d), ",
+		c.Received, c.Served, c.Partial, c.Rejected, c.RejectedAtCapacity)
+	fmt.Fprintf(&text, "failed %d, gone %d, out of time %d; ", c.Failed, c.Disconnected, c.DeadlineExceeded)
 	fmt.Fprintf(&text, "second steps %d, begun anew %d; ", c.FollowUps, c.Restarts)
 	fmt.Fprintf(&text, "sent %d, withdrawn %d, probes %d; ", c.Sent, c.Canceled, c.Probes)
 	fmt.Fprintf(&text, "words sent %d, heard %d, bad %d; ", c.GossipSent, c.GossipReceived, c.GossipInvalid)
 	text.WriteString("attempts:")
-	for i, n := range c.Results {
-		if i > 0 {
+	for result, count := range c.Results {
+		if result > 0 {
 			text.WriteByte(',')
 		}
-		fmt.Fprintf(&text, " %s %d", resultNames[i], n)
+		fmt.Fprintf(&text, " %s %d", resultNames[result], count)
 	}
 	return text.String()
 }
--- a/internal/aggregator/endpoints.go
+++ b/internal/aggregator/endpoints.go
@@ -25,7 +25,7 @@
 	return ok && s.State == balance.InService
 }
 
-// Server is what the endpoint list says of a server; one that is not listed has an RecordID and no address.
+// Server is what the endpoint list says of a server; a server that is not listed has its ID only.
 func (c *Core) Server(id balance.Replica) Server {
 	s := c.servers[id]
 	s.ID = id
@@ -34,13 +34,13 @@
 
 // InService is the number of servers that take new work.
 func (c *Core) InService() int {
-	n := 0
+	available := 0
 	for id := range c.servers {
 		if c.Available(id) {
-			n++
+			available++
 		}
 	}
-	return n
+	return available
 }
 
 // updateServers takes a list of servers, or changes of one, and returns it as the balancer gets it.
@@ -54,11 +54,15 @@
 		list.Endpoints = append(list.Endpoints, c.endpoint(s))
 	}
 	if c.Outliers != nil {
-		c.Outliers.Retain(func(id string) bool { _, listed := c.servers[balance.Replica(id)]; return listed })
+		c.Outliers.Retain(func(id string) bool {
+			_, listed := c.servers[balance.Replica(id)]
+			return listed
+		})
 	}
 	return list
 }
 
+// updateServer takes what the list says of one server.
 func (c *Core) updateServer(s Server) {
 	if s.State == balance.Removed {
 		delete(c.servers, s.ID)
@@ -72,16 +76,22 @@
 
 // endpoint is a server as the balancer gets it. An outlier has a reduced fraction of its traffic.
 func (c *Core) endpoint(s Server) balance.Endpoint {
-	e := balance.Endpoint{
-		HealthLimits: s.HealthLimits, Replica: s.ID, Zone: s.Zone, Cell: s.Cell, Size: s.Weight, State: s.State,
-		Started: c.startedAt(s),
+	endpoint := balance.Endpoint{
+		HealthLimits: s.HealthLimits,
+		Replica:      s.ID,
+		Zone:         s.Zone,
+		Cell:         s.Cell,
+		Size:         s.Weight,
+		State:        s.State,
+		Started:      c.startedAt(s),
 	}
-	if c.Outliers != nil {
-		if fraction := c.Outliers.TrafficShare(string(s.ID)); fraction < 1 {
-			e.TrafficFraction = min(fraction, cmp.Or(e.TrafficFraction, 1))
-		}
+	if c.Outliers == nil {
+		return endpoint
+	}
+	if fraction := c.Outliers.TrafficShare(string(s.ID)); fraction < 1 {
+		endpoint.TrafficFraction = min(fraction, cmp.Or(endpoint.TrafficFraction, 1)) // 0 stands for all of it
 	}
-	return e
+	return endpoint
 }
 
 // startedAt is when a server's process started, by the balancer's clock; 0: long ago.
--- a/internal/aggregator/loop.go
+++ b/internal/aggregator/loop.go
@@ -28,8 +28,8 @@
 	return timer.C, func() { timer.Stop() }
 }
 
-// Adapter is the state of a backend, or of another neighbour of the core, that lives on the loop. Its methods are called
-// by the loop only, and must not block.
+// Adapter is the state of a backend, or of another neighbour of the core, that lives on the loop. Its methods are
+// called by the loop only, and must not block.
 type Adapter interface {
 	// Handle takes a message and reports whether it was one of the adapter's own; it returns events for the core.
 	Handle(now time.Time, message Message) (events []Event, handled bool)
@@ -86,10 +86,7 @@
 		events = l.dispatch(now, message, events)
 	}
 	next := l.turn(now, events)
-	if next.IsZero() || !adapterDue.IsZero() && adapterDue.Before(next) {
-		next = adapterDue
-	}
-	return next
+	return earliest(next, adapterDue)
 }
 
 // dispatch hands a message to whom it is for, and appends the events that it brings for the core.
@@ -115,31 +112,41 @@
 		if p := recover(); p != nil {
 			l.Core.Counters.Panics++
 			fmt.Fprintf(os.Stderr, "message %T: panic: %v\n", message, p)
-			events, handled = nil, true
+			events = nil
+			handled = true
 		}
 	}()
 	return l.Adapter.Handle(now, message)
 }
 
-// turn recovers from a panic of the core or the balancer: open queries get their final answer, and a new balancer goes on.
+// turn recovers from a panic of the core or the balancer: open queries get their final answer, and a new balancer
+// goes on.
 func (l *Loop) turn(now time.Time, events []Event) (next time.Time) {
 	defer func() {
 		if p := recover(); p != nil {
 			fmt.Fprintf(os.Stderr, "turn: panic: %v\n", p)
-			fresh, err := l.NewBalancer()
-			if err != nil {
-				panic(fmt.Errorf("new balancer after a panic: %w", err)) // the same settings made one at the start
-			}
-			l.Core.Restart(now, fresh, events)
+			l.restartCore(now, events)
 			next = now
 		}
 	}()
 	return l.Core.Turn(now, events)
 }
 
+// restartCore lets the core go on with a new balancer after a turn with these events has panicked.
+func (l *Loop) restartCore(now time.Time, events []Event) {
+	fresh, err := l.NewBalancer()
+	if err != nil {
+		panic(fmt.Errorf("new balancer after a panic: %w", err)) // the same settings made one at the start
+	}
+	l.Core.Restart(now, fresh, events)
+}
+
 // Do runs f on the loop and waits until it has run. It must not be called on the loop, nor after Stop is closed.
 func (l *Loop) Do(f func()) {
 	done := make(chan struct{})
-	l.Mailbox.Put(RunOnLoop(func() { f(); close(done) }))
+	l.Mailbox.Put(RunOnLoop(func() {
+		f()
+		close(done)
+	}))
 	<-done
 }
--- a/internal/aggregator/mailbox.go
+++ b/internal/aggregator/mailbox.go
@@ -3,7 +3,7 @@
 import "sync"
 
 // Poster takes messages for the loop; Mailbox is one. Put may be called from any goroutine and does not block.
-type Poster interface{ Put(Message) }
+type Poster interface{ Put(message Message) }
 
 // Mailbox holds messages until the loop takes them. Any goroutine may put messages in; only the loop takes them out.
 // Put never blocks.
@@ -25,6 +25,7 @@
 	m.signal()
 }
 
+// signal makes Ready deliver, once for any number of signals before that.
 func (m *Mailbox) signal() {
 	select {
 	case m.ready <- struct{}{}:
@@ -35,8 +36,8 @@
 // maxDeferred is how many deferred messages gather before they wake the loop by themselves.
 const maxDeferred = 32
 
-// PutDeferred adds a message that may wait for the next turn, whatever brings that on. It saves processor time: with many
-// aggregators a gossip datagram arrives every other millisecond.
+// PutDeferred adds a message that may wait for the next turn, whatever brings that on. It saves processor time:
+// with many aggregators a gossip datagram arrives every other millisecond.
 func (m *Mailbox) PutDeferred(message Message) {
 	m.mu.Lock()
 	m.messages = append(m.messages, message)
@@ -53,7 +54,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	messages := m.messages
-	m.messages, m.deferred = nil, 0
+	m.messages = nil
+	m.deferred = 0
 	return messages
 }
 
--- a/internal/aggregator/messages.go
+++ b/internal/aggregator/messages.go
@@ -7,8 +7,8 @@
 	"rooktrestle/internal/control/shardmap"
 )
 
-// Message is what a Mailbox holds: an Event of the core, a RunOnLoop, or a message of an adapter's own. The interface is
-// sealed; adapters embed AdapterMessage in theirs.
+// Message is what a Mailbox holds: an Event of the core, a RunOnLoop, or a message of an adapter's own. The
+// interface is sealed; adapters embed AdapterMessage in theirs.
 type Message interface{ message() }
 
 // Event is a Message that the core handles: a request, the end of an attempt or a probe, a change of endpoints or shard
@@ -32,7 +32,7 @@
 	// AttemptEnded ends an attempt. A second one of the same attempt is ignored.
 	AttemptEnded struct {
 		Attempt AttemptID
-		Err     error               // nil: the part has its answer; an error that is no *AttemptError does not say whether it ran
+		Err     error               // nil: the part has its answer; other errors than *AttemptError: it may have run
 		Score   float64             // by which the second step chooses its shards
 		Value   string              // of the answer
 		Report  *balance.LoadReport // of the server; nil: none
--- a/internal/aggregator/ports.go
+++ b/internal/aggregator/ports.go
@@ -10,15 +10,16 @@
 
 // Frontend is where a request came from. Answer is called on the loop, once for each request whose client has not
 // disconnected. It must not block.
-type Frontend interface{ Answer(FinalAnswer) }
+type Frontend interface{ Answer(final FinalAnswer) }
 
-// Backend carries attempts to servers. Each attempt sent ends in one AttemptEnded and each probe in one ProbeEnded event,
-// whatever happens. Its methods are called on the loop and must not block.
+// Backend carries attempts to servers. Each attempt sent ends in one AttemptEnded and each probe in one ProbeEnded
+// event, whatever happens. Its methods are called on the loop and must not block.
 type Backend interface {
 	// Send makes one call of these attempts. The backend owns the slice from then on.
 	Send(now time.Time, to Server, calls []Call)
-	// Cancel gives an attempt up. Its AttemptEnded event comes only when the server has been notified, or the connection
-	// is closed, so that the part's next attempt cannot run beside it. mayRetry says that there may be a next one.
+	// Cancel gives an attempt up. Its AttemptEnded event comes only when the server has been notified, or the
+	// connection is closed, so that the part's next attempt cannot run beside it. mayRetry says that there may be a
+	// next one.
 	Cancel(now time.Time, attempt AttemptID, mayRetry bool)
 	// Probe requests a load report from a server.
 	Probe(now time.Time, to Server)
@@ -33,7 +34,7 @@
 // Directory says what is known of a server; Core is one. Like Core it is for the loop only.
 type Directory interface {
 	// Available says whether new work may be sent to a server.
-	Available(balance.Replica) bool
+	Available(server balance.Replica) bool
 }
 
 // AttemptObserver learns how each attempt ended, on the loop, in the order of the ends.
--- a/internal/aggregator/query.go
+++ b/internal/aggregator/query.go
@@ -58,7 +58,9 @@
 func (c *Core) requestArrived(request *Request) {
 	c.Counters.Received++
 	deadline := request.Arrived.Add(request.Timeout)
-	if c.atCapacity() || c.requestIDs[request.ID] > 0 || !c.now.Before(deadline) {
+	idInUse := c.requestIDs[request.ID] > 0
+	overdue := !c.now.Before(deadline)
+	if c.atCapacity() || idInUse || overdue {
 		c.Counters.Rejected++
 		c.Counters.RejectedAtCapacity++
 		c.deliver(request, c.rejection())
@@ -70,7 +72,8 @@
 		c.Outliers.AccrueBudget(1 + len(specs))
 	}
 	if request.Layout != nil {
-		if specs = c.pinView(q); len(specs) == 0 { // there is no map yet
+		specs = c.pinView(q)
+		if len(specs) == 0 { // there is no map yet
 			c.close(q, c.rejection())
 			return
 		}
@@ -86,9 +89,11 @@
 	return FinalAnswer{Status: StatusRejected, RetryAfter: c.limits.RetryAfter}
 }
 
+// open starts to hold a query for a request, and uses its request id.
 func (c *Core) open(request *Request, deadline time.Time) *query {
 	q := &query{id: c.nextID(), request: request, deadline: deadline}
-	c.queries[q.id], c.byRequest[request] = q, q
+	c.queries[q.id] = q
+	c.byRequest[request] = q
 	c.deadlines.Push(q)
 	c.requestIDs[request.ID]++
 	return q
@@ -101,10 +106,15 @@
 
 // submit hands a query and its parts to the balancer.
 func (c *Core) submit(q *query, specs []PartSpec) {
-	r := q.request
 	c.notify(balance.Query{
-		ID: q.id, Group: uint64(q.id), Class: r.Class, Tenant: r.Tenant, Key: r.Key,
-		TimeLeft: q.deadline.Sub(c.now), IsRetry: r.IsRetry, Parts: len(specs),
+		ID:       q.id,
+		Group:    uint64(q.id),
+		Class:    q.request.Class,
+		Tenant:   q.request.Tenant,
+		Key:      q.request.Key,
+		TimeLeft: q.deadline.Sub(c.now),
+		IsRetry:  q.request.IsRetry,
+		Parts:    len(specs),
 	})
 	c.submitParts(q, specs, "")
 }
@@ -113,16 +123,24 @@
 func (c *Core) submitParts(q *query, specs []PartSpec, suffix string) {
 	q.parts = nil
 	if q.placement != nil {
-		q.placement.Parts, q.placement.SecondStep = nil, q.followUp
+		q.placement.Parts = nil
+		q.placement.SecondStep = q.followUp
 	}
 	for _, spec := range specs {
 		p := &part{
-			id: c.nextID(), query: q, spec: spec, name: fmt.Sprintf("%s.%d%s", q.request.ID, spec.Shard, suffix),
+			id:    c.nextID(),
+			query: q,
+			spec:  spec,
+			name:  fmt.Sprintf("%s.%d%s", q.request.ID, spec.Shard, suffix),
 		}
 		c.parts[p.id] = p
 		q.parts = append(q.parts, p)
 		c.notify(balance.Part{
-			ID: p.id, Group: uint64(q.id), Shard: spec.Shard, Weight: spec.Weight, WorkHint: spec.WorkHint,
+			ID:         p.id,
+			Group:      uint64(q.id),
+			Shard:      spec.Shard,
+			Weight:     spec.Weight,
+			WorkHint:   spec.WorkHint,
 			Candidates: c.addToPlacement(q, p),
 		})
 	}
@@ -138,14 +156,17 @@
 // isOpen says that a part belongs to the present step of an open query.
 func (c *Core) isOpen(p *part) bool { return c.parts[p.id] == p }
 
-// releaseRequestID gives up one use of a query's request id. While one is left no other query may have the id: its parts
-// would have the names of parts that are in flight, and servers would take them for repetitions.
+// releaseRequestID gives up one use of a query's request id. While one is left no other query may have the id: its
+// parts would have the names of parts that are in flight, and servers would take them for repetitions.
 func (c *Core) releaseRequestID(q *query) {
-	if c.requestIDs[q.request.ID]--; c.requestIDs[q.request.ID] <= 0 {
-		delete(c.requestIDs, q.request.ID)
+	id := q.request.ID
+	c.requestIDs[id]--
+	if c.requestIDs[id] <= 0 {
+		delete(c.requestIDs, id)
 	}
 }
 
+// clientDisconnected ends the query of a request, if it is open still. Nobody is left to answer.
 func (c *Core) clientDisconnected(request *Request) {
 	if q := c.byRequest[request]; q != nil {
 		c.notify(balance.ClientDisconnected{Query: q.id})
--- a/internal/aggregator/resharding.go
+++ b/internal/aggregator/resharding.go
@@ -17,7 +17,7 @@
 	// RequestMapSoon does so after a short while: the source may be behind.
 	RequestMapSoon func()
 	// Adopted is called with each map that is adopted, and the one before it (nil at first).
-	Adopted func(old, now *shardmap.Map)
+	Adopted func(previous, adopted *shardmap.Map)
 	// Rejected is called with each offer that is not adopted because of an error.
 	Rejected func(source string, err error)
 }
@@ -29,10 +29,15 @@
 		return nil
 	}
 	specs := q.request.Layout(q.view)
-	q.placement = &shardmap.QueryPlacement{View: q.view, Idempotent: c.isIdempotent(q.request.Class), Restarts: q.restarts}
+	q.placement = &shardmap.QueryPlacement{
+		View:       q.view,
+		Idempotent: c.isIdempotent(q.request.Class),
+		Restarts:   q.restarts,
+	}
 	return specs
 }
 
+// unpinView releases the view that a query is pinned to, if any.
 func (c *Core) unpinView(q *query) {
 	if q.view != nil {
 		c.Resharding.Views.Release(q.view)
@@ -44,7 +49,8 @@
 	return class >= 0 && class < len(c.limits.NonIdempotent) && !c.limits.NonIdempotent[class]
 }
 
-// addToPlacement adds a part to its query's placement and returns the servers it may be sent to; nil where those are fixed.
+// addToPlacement adds a part to its query's placement and returns the servers it may be sent to; nil where those
+// are fixed.
 func (c *Core) addToPlacement(q *query, p *part) []balance.Candidate {
 	if q.placement == nil {
 		return nil
@@ -71,24 +77,25 @@
 
 func (c *Core) candidate(replica shardmap.Replica) balance.Candidate {
 	return balance.Candidate{
-		Replica: balance.Replica(replica.Server), TrafficFraction: c.Resharding.Views.TrafficFraction(c.now, replica),
+		Replica:         balance.Replica(replica.Server),
+		TrafficFraction: c.Resharding.Views.TrafficFraction(c.now, replica),
 	}
 }
 
 // shardMapOffered takes a map, or the lack of a newer one, from a map source.
 func (c *Core) shardMapOffered(e ShardMapOffered) {
-	r := c.Resharding
-	if r == nil {
+	resharding := c.Resharding
+	if resharding == nil {
 		return
 	}
 	switch {
 	case e.Err != nil: // the source may have a newer map all the same
-		r.Rejected(e.Source, e.Err)
+		resharding.Rejected(e.Source, e.Err)
 		return
 	case e.Map == nil:
-		r.noNewerMap(c.now)
+		resharding.noNewerMap(c.now)
 	default:
-		r.offer(c.now, e)
+		resharding.offer(c.now, e)
 	}
 	for _, q := range c.openQueries() {
 		if q.waiting {
@@ -99,13 +106,13 @@
 
 // offer adopts the map of an event, if it may follow the present one.
 func (r *Resharding) offer(now time.Time, e ShardMapOffered) {
-	old := r.Views.Current()
+	previous := r.Views.Current()
 	adopted, err := r.Views.Offer(now, e.Map)
 	switch {
 	case err != nil:
 		r.Rejected(e.Source, err)
 	case adopted:
-		r.Adopted(old, e.Map)
+		r.Adopted(previous, e.Map)
 	default:
 		r.noNewerMap(now)
 	}
@@ -126,26 +133,39 @@
 	}
 	for _, view := range c.Resharding.Views.Expired(c.now) {
 		for _, q := range c.openQueries() {
-			if q.view == view && !q.restarting && (q.placement.Idempotent || q.inFlight == 0) {
+			if q.view == view && q.mayLeaveView() {
 				c.reroute(q)
 			}
 		}
 	}
 }
 
-// shardNotHeld takes a server's rejection of an open part whose shard it does not hold. It reports whether the shard map
-// contradicts the server.
+// mayLeaveView says that no part of the query that must not run twice may be running, and that it is not about to leave
+// its view already.
+func (q *query) mayLeaveView() bool {
+	return !q.restarting && (q.placement.Idempotent || q.inFlight == 0)
+}
+
+// shardNotHeld takes a server's rejection of an open part whose shard it does not hold. It reports whether the
+// shard map contradicts the server.
 func (c *Core) shardNotHeld(a *attempt, failure *AttemptError) (falseRejection bool) {
-	p, q, r := a.part, a.part.query, c.Resharding
-	newer := r.Views.ObserveEpoch(c.now, failure.Epoch)
-	decision := q.placement.Rejected(r.Views, p.placementIndex, string(a.server), failure.MapStatus, failure.Epoch, newer)
+	p := a.part
+	q := p.query
+	views := c.Resharding.Views
+	decision := q.placement.Rejected(views, shardmap.Rejection{
+		Part:       p.placementIndex,
+		Server:     string(a.server),
+		Mismatch:   failure.MapStatus,
+		Epoch:      failure.Epoch,
+		RequestMap: views.ObserveEpoch(c.now, failure.Epoch),
+	})
 	if decision.FalseRejection {
-		r.Views.Stats.FalseRejections++
+		views.Stats.FalseRejections++
 	}
 	if decision.RequestMap {
-		r.RequestMap()
+		c.Resharding.RequestMap()
 	}
-	if decision.Restart || decision.AwaitMap {
+	if decision.QueryContinues() {
 		c.applyDecision(q, decision)
 	} else {
 		c.notify(balance.CandidatesChanged{Part: p.id, Candidates: c.remainingCandidates(q, p)})
@@ -187,7 +207,8 @@
 // prepareRestart cancels the attempts of a query and restarts it once none is in flight: a part's next attempt must not
 // run beside the one before it.
 func (c *Core) prepareRestart(q *query) {
-	q.restarting, q.waiting = true, false
+	q.restarting = true
+	q.waiting = false
 	q.restarts++
 	c.Counters.Restarts++
 	c.Resharding.Views.Stats.Restarts++
@@ -199,6 +220,7 @@
 	}
 }
 
+// waitForMap lets a query wait until a newer map is offered, or its deadline comes.
 func (c *Core) waitForMap(q *query) {
 	if !q.waiting {
 		c.Counters.MapWaits++
@@ -240,19 +262,21 @@
 
 // mayReroute says that a query which the balancer gave up may have been given up because of its outdated view.
 func (c *Core) mayReroute(q *query) bool {
-	return c.Resharding != nil && !q.restarting && !q.waiting && q.inFlight == 0 &&
-		c.now.Before(q.deadline.Add(-c.limits.DeadlineMargin)) && c.hasUnservablePart(q)
+	if c.Resharding == nil || c.deadlineReached(q) {
+		return false
+	}
+	return !q.restarting && !q.waiting && q.inFlight == 0 && c.hasUnservablePart(q)
 }
 
-// hasUnservablePart says whether a part of a query's first step lacks an answer and has no server in service.
+// hasUnservablePart says that a part of a query's first step lacks an answer and has no server in service.
 func (c *Core) hasUnservablePart(q *query) bool {
 	if q.placement == nil || q.followUp {
 		return false
 	}
 	available := func(server string) bool { return c.Available(balance.Replica(server)) }
 	for _, p := range q.parts {
-		f := &q.placement.Parts[p.placementIndex]
-		if !f.Answered && !slices.ContainsFunc(f.Servers, available) {
+		placed := &q.placement.Parts[p.placementIndex]
+		if !placed.Answered && !slices.ContainsFunc(placed.Servers, available) {
 			return true
 		}
 	}
--- a/internal/aggregator/restart.go
+++ b/internal/aggregator/restart.go
@@ -8,9 +8,9 @@
 	"rooktrestle/balance"
 )
 
-// Restart gives every open query its final answer and goes on with a new balancer. It is called after a panic in a turn:
-// it guards the process, and the queries it holds. Nothing of them is sent again. events are those of the turn that
-// panicked, which may not have been handled.
+// Restart gives every open query its final answer and goes on with a new balancer. It is called after a panic in a
+// turn: it guards the process, and the queries it holds. Nothing of them is sent again. events are those of the
+// turn that panicked, which may not have been handled.
 func (c *Core) Restart(now time.Time, fresh *balance.Balancer, events []Event) {
 	c.now = now
 	c.Counters.Panics++
@@ -18,7 +18,10 @@
 		c.close(q, FinalAnswer{Status: StatusFailed})
 	}
 	c.recoverEvents(events)
-	c.pending, c.calls, c.timerAt, c.balancer = nil, nil, time.Time{}, fresh
+	c.balancer = fresh
+	c.pending = nil
+	c.calls = nil
+	c.timerAt = time.Time{}
 	c.dropAttempts()
 	list := EndpointsChanged{Kind: balance.ListFull, Servers: c.listedServers()}
 	fresh.Turn(c.clock(now), []balance.Event{c.updateServers(list)})
@@ -26,8 +29,8 @@
 
 // recoverEvents fails the requests among the events that have no answer yet, and keeps the changes of endpoints.
 func (c *Core) recoverEvents(events []Event) {
-	for _, e := range events {
-		switch e := e.(type) {
+	for _, event := range events {
+		switch e := event.(type) {
 		case RequestArrived:
 			if !e.Request.done {
 				c.Counters.Failed++
--- a/internal/control/shardmap/interleavings_test.go
+++ b/internal/control/shardmap/interleavings_test.go
@@ -7,11 +7,11 @@
 	"testing"
 )
 
-// The tests of this file search exhaustively through one change of shards with one correction, which must not run twice,
-// and one search: every order in which nodes learn of an epoch, it is published and adopted (epochs may be skipped), and
-// parts are sent, arrive, are answered, lose their answers or find no connection. Waits of the plan are left out on
-// purpose: safety must not depend on them. The nodes are modelled here; the maps, the plan's steps and the decisions
-// after rejections are the real ones.
+// The tests of this file search exhaustively through one change of shards with one correction, which must not run
+// twice, and one search: every order in which nodes learn of an epoch, it is published and adopted (epochs may be
+// skipped), and parts are sent, arrive, are answered, lose their answers or find no connection. Waits of the plan
+// are left out on purpose: safety must not depend on them. The nodes are modelled here; the maps, the plan's steps
+// and the decisions after rejections are the real ones.
 
 // queryKind is one of the two queries of the model.
 type queryKind int
@@ -147,8 +147,8 @@
 	x.stack = append(x.stack, next)
 }
 
-// mapTransitions lets the nodes and the aggregator learn of epochs. A node learns the epoch after the published one; once
-// all know it, it is published.
+// mapTransitions lets the nodes and the aggregator learn of epochs. A node learns the epoch after the published
+// one; once all know it, it is published.
 func (x *explorer) mapTransitions(s systemState) {
 	if s.published+1 < len(x.maps) {
 		allKnow := true
@@ -305,8 +305,15 @@
 // decide takes the real decision after a rejection.
 func (x *explorer) decide(s *systemState, kind queryKind, part, server int, epoch Epoch) Decision {
 	q := &s.queries[kind]
-	vs := &Views{options: ViewOptions{MaxPinnedEpochs: 9, MaxPinnedAge: 1, WarmupMinFraction: 1}, current: &View{Map: x.maps[s.adopted]}}
-	placement := &QueryPlacement{View: &View{Map: x.maps[q.view]}, Idempotent: kind == search, Restarts: q.restarts}
+	vs := &Views{
+		options: ViewOptions{MaxPinnedEpochs: 9, MaxPinnedAge: 1, WarmupMinFraction: 1},
+		current: &View{Map: x.maps[s.adopted]},
+	}
+	placement := &QueryPlacement{
+		View:       &View{Map: x.maps[q.view]},
+		Idempotent: kind == search,
+		Restarts:   q.restarts,
+	}
 	for _, p := range q.parts {
 		placed := Part{Shard: p.shard, MayHaveRun: p.mayHaveRun, Answered: p.answered}
 		for i, name := range x.servers {
@@ -316,12 +323,17 @@
 		}
 		placement.Parts = append(placement.Parts, placed)
 	}
-	requestMap := vs.ObserveEpoch(origin, epoch)
-	return placement.Rejected(vs, part, x.servers[server], NoLongerServed, epoch, requestMap)
+	return placement.Rejected(vs, Rejection{
+		Part:       part,
+		Server:     x.servers[server],
+		Mismatch:   NoLongerServed,
+		Epoch:      epoch,
+		RequestMap: vs.ObserveEpoch(origin, epoch),
+	})
 }
 
-// checkInvariants fails the test if a state is wrong: the correction runs at most once, its outcome says whether it ran,
-// and a complete search has every key in exactly one shard of one view.
+// checkInvariants fails the test if a state is wrong: the correction runs at most once, its outcome says whether it
+// ran, and a complete search has every key in exactly one shard of one view.
 func (x *explorer) checkInvariants(s *systemState) {
 	if s.correctionRuns > 1 {
 		x.t.Fatalf("the correction ran %d times: %+v", s.correctionRuns, *s)
@@ -348,8 +360,8 @@
 // longRuns reports whether long runs are wanted.
 func longRuns() bool { return os.Getenv("ROOKTRESTLE_LONG") != "" }
 
-// All interleavings of one migration, split or merge with one correction and one search. If ROOKTRESTLE_LONG is set, each
-// part of the search has two attempts, else one.
+// All interleavings of one migration, split or merge with one correction and one search. If ROOKTRESTLE_LONG is
+// set, each part of the search has two attempts, else one.
 func TestInterleavings_QueriesAreCorrect(t *testing.T) {
 	newMap := func(shards ...*Shard) *Map {
 		for _, s := range shards {
--- a/internal/control/shardmap/placement.go
+++ b/internal/control/shardmap/placement.go
@@ -23,8 +23,8 @@
 	SecondStep bool // it continues an earlier query and has to stay on that one's view
 }
 
-// MaxRestarts is how often a query is restarted on a newer view. This protects a client's time and the servers from a map
-// that changes all the time.
+// MaxRestarts is how often a query is restarted on a newer view. This protects a client's time and the servers from
+// a map that changes all the time.
 const MaxRestarts = 3
 
 // Decision is what becomes of a part, or of a query, after a rejection. The zero value ends the query, unless the part
@@ -37,50 +37,60 @@
 	AwaitMap       bool // the query waits for a newer map, which may be on its way
 }
 
-// Rejected takes a server's rejection of a part, given by its index, because of its map. epoch is the one that the
-// rejection names, and requestMap what Views.ObserveEpoch returned for it.
-func (q *QueryPlacement) Rejected(vs *Views, part int, server string, mismatch Mismatch, epoch Epoch, requestMap bool) Decision {
-	d := Decision{RequestMap: requestMap}
-	p := &q.Parts[part]
-	if i := slices.Index(p.Servers, server); i >= 0 {
-		p.Servers = slices.Delete(p.Servers, i, i+1)
-		d.DropServer = true
+// QueryContinues reports whether the query restarts, now or once there is a newer map.
+func (d Decision) QueryContinues() bool { return d.Restart || d.AwaitMap }
+
+// Rejection is a server's rejection of a part because of its map.
+type Rejection struct {
+	Part       int // index in QueryPlacement.Parts
+	Server     string
+	Mismatch   Mismatch
+	Epoch      Epoch // that the server named
+	RequestMap bool  // what Views.ObserveEpoch returned for that epoch
+}
+
+// Rejected decides on a part after its rejection. The server is removed from those that may be sent the part.
+func (q *QueryPlacement) Rejected(vs *Views, rejection Rejection) Decision {
+	part := &q.Parts[rejection.Part]
+	decision := Decision{
+		RequestMap:     rejection.RequestMap,
+		FalseRejection: vs.contradicts(part.Shard, rejection),
 	}
-	d.FalseRejection = vs.contradicts(p.Shard, server, mismatch, epoch)
-	if len(p.Servers) > 0 || p.Answered {
-		return d // others may be sent the part
+	if i := slices.Index(part.Servers, rejection.Server); i >= 0 {
+		part.Servers = slices.Delete(part.Servers, i, i+1)
+		decision.DropServer = true
 	}
-	d.Restart, d.AwaitMap = q.restart(vs)
-	return d
+	if len(part.Servers) > 0 || part.Answered {
+		return decision // others may be sent the part
+	}
+	next := q.ViewUnusable(vs)
+	decision.Restart = next.Restart
+	decision.AwaitMap = next.AwaitMap
+	return decision
 }
 
-// contradicts reports whether a rejection is wrong by a map that its sender must know: it names an epoch that is not newer
-// than the current map, by which the server serves the shard all the same.
-func (vs *Views) contradicts(id ID, server string, mismatch Mismatch, epoch Epoch) bool {
+// contradicts reports whether a rejection is wrong by a map that its sender must know: it names an epoch that is
+// not newer than the current map, by which the server serves the shard all the same.
+func (vs *Views) contradicts(id ID, rejection Rejection) bool {
 	current := vs.Current()
-	if current == nil || epoch > current.Epoch || mismatch == NoMismatch {
+	if current == nil || rejection.Epoch > current.Epoch || rejection.Mismatch == NoMismatch {
 		return false
 	}
 	shard := current.Shard(id)
-	return shard != nil && shard.Active() && shard.ServedBy(server)
+	return shard != nil && shard.Active() && shard.ServedBy(rejection.Server)
 }
 
-// ViewUnusable decides on a query that has to leave its view, or that has a part without servers left.
+// ViewUnusable decides on a query that has to leave its view, or that has a part without servers left: it may
+// restart on the current view, or on a newer one. A part that may have run must not run at another replica unless
+// the query is idempotent, and a second step cannot change its view.
 func (q *QueryPlacement) ViewUnusable(vs *Views) Decision {
-	restart, await := q.restart(vs)
-	return Decision{Restart: restart, AwaitMap: await}
-}
-
-// restart reports whether the query may restart on the current view, or might on a newer one. A part that may have run
-// must not run at another replica unless the query is idempotent, and a second step cannot change its view.
-func (q *QueryPlacement) restart(vs *Views) (now, await bool) {
 	if q.SecondStep || q.Restarts >= MaxRestarts || !q.restartIsSafe() {
-		return false, false
+		return Decision{}
 	}
 	if current := vs.Current(); current != nil && current.Epoch > q.View.Map.Epoch {
-		return true, false
+		return Decision{Restart: true}
 	}
-	return false, vs.AwaitingMap()
+	return Decision{AwaitMap: vs.AwaitingMap()}
 }
 
 func (q *QueryPlacement) restartIsSafe() bool { return q.Idempotent || !q.MayHaveRun() }
--- a/internal/control/shardmap/placement_test.go
+++ b/internal/control/shardmap/placement_test.go
@@ -10,15 +10,23 @@
 
 func TestQueryPlacement_Rejected_WithoutANewerMap(t *testing.T) {
 	vs := newViews(t, placementOptions, threeShards(t))
-	placement := func(idempotent bool, servers ...string) *QueryPlacement {
-		return &QueryPlacement{View: vs.current, Idempotent: idempotent, Parts: []Part{{Shard: 2, Servers: servers}}}
+	placement := func() *QueryPlacement {
+		return &QueryPlacement{View: vs.current, Parts: []Part{{Shard: 2, Servers: []string{"a", "b"}}}}
 	}
-	q := placement(false, "a", "b")
-	d := q.Rejected(vs, 0, "a", NoLongerServed, 2, vs.ObserveEpoch(origin, 2))
+	reject := func(q *QueryPlacement, server string, epoch Epoch) Decision {
+		return q.Rejected(vs, Rejection{
+			Server:     server,
+			Mismatch:   NoLongerServed,
+			Epoch:      epoch,
+			RequestMap: vs.ObserveEpoch(origin, epoch),
+		})
+	}
+	q := placement()
+	d := reject(q, "a", 2)
 	if d != (Decision{DropServer: true, RequestMap: true}) || !slices.Equal(q.Parts[0].Servers, []string{"b"}) {
 		t.Errorf("another server is left, and a newer epoch was named: %+v %v", d, q.Parts)
 	}
-	d = q.Rejected(vs, 0, "b", NoLongerServed, 2, vs.ObserveEpoch(origin, 2))
+	d = reject(q, "b", 2)
 	if d != (Decision{DropServer: true, AwaitMap: true}) {
 		t.Errorf("no server is left, and a newer map may be on its way: %+v", d)
 	}
@@ -26,8 +34,9 @@
 	if d := q.ViewUnusable(vs); d != (Decision{}) {
 		t.Errorf("the source has no newer map: %+v", d)
 	}
-	q = placement(true, "a", "b")
-	if d := q.Rejected(vs, 0, "a", NoLongerServed, 1, vs.ObserveEpoch(origin, 1)); !d.FalseRejection || d.RequestMap {
+	q = placement()
+	q.Idempotent = true
+	if d := reject(q, "a", 1); !d.FalseRejection || d.RequestMap {
 		t.Errorf("the server holds the shard by the map that it names: %+v", d)
 	}
 }
@@ -43,19 +52,50 @@
 		query   QueryPlacement
 		restart bool
 	}{
-		"an idempotent query may have run":      {QueryPlacement{Idempotent: true, Parts: []Part{{Shard: 2, MayHaveRun: true}}}, true},
-		"it never ran":                          {QueryPlacement{Parts: []Part{{Shard: 2}}}, true},
-		"it may have run":                       {QueryPlacement{Parts: []Part{{Shard: 2, MayHaveRun: true}}}, false},
-		"another part has run":                  {QueryPlacement{Parts: []Part{{Shard: 2}, {Shard: 3, Answered: true}}}, false},
-		"it is a second step":                   {QueryPlacement{Idempotent: true, SecondStep: true, Parts: []Part{{Shard: 2}}}, false},
-		"it was restarted too often":            {QueryPlacement{Idempotent: true, Restarts: MaxRestarts, Parts: []Part{{Shard: 2}}}, false},
-		"its last server rejected it":           {QueryPlacement{Parts: []Part{{Shard: 2, Servers: []string{"a"}}}}, true},
-		"another server is left":                {QueryPlacement{Idempotent: true, Parts: []Part{{Shard: 2, Servers: []string{"a", "b"}}}}, false},
-		"the last server rejects after it ran":  {QueryPlacement{Parts: []Part{{Shard: 2, MayHaveRun: true, Servers: []string{"a"}}}}, false},
-		"the part was answered in the meantime": {QueryPlacement{Idempotent: true, Parts: []Part{{Shard: 2, Answered: true, Servers: []string{"a"}}}}, false},
+		"an idempotent query may have run": {
+			query:   QueryPlacement{Idempotent: true, Parts: []Part{{Shard: 2, MayHaveRun: true}}},
+			restart: true,
+		},
+		"it never ran": {
+			query:   QueryPlacement{Parts: []Part{{Shard: 2}}},
+			restart: true,
+		},
+		"it may have run": {
+			query:   QueryPlacement{Parts: []Part{{Shard: 2, MayHaveRun: true}}},
+			restart: false,
+		},
+		"another part has run": {
+			query:   QueryPlacement{Parts: []Part{{Shard: 2}, {Shard: 3, Answered: true}}},
+			restart: false,
+		},
+		"it is a second step": {
+			query:   QueryPlacement{Idempotent: true, SecondStep: true, Parts: []Part{{Shard: 2}}},
+			restart: false,
+		},
+		"it was restarted too often": {
+			query:   QueryPlacement{Idempotent: true, Restarts: MaxRestarts, Parts: []Part{{Shard: 2}}},
+			restart: false,
+		},
+		"its last server rejected it": {
+			query:   QueryPlacement{Parts: []Part{{Shard: 2, Servers: []string{"a"}}}},
+			restart: true,
+		},
+		"another server is left": {
+			query:   QueryPlacement{Idempotent: true, Parts: []Part{{Shard: 2, Servers: []string{"a", "b"}}}},
+			restart: false,
+		},
+		"the last server rejects after it ran": {
+			query:   QueryPlacement{Parts: []Part{{Shard: 2, MayHaveRun: true, Servers: []string{"a"}}}},
+			restart: false,
+		},
+		"the part was answered in the meantime": {
+			query:   QueryPlacement{Idempotent: true, Parts: []Part{{Shard: 2, Answered: true, Servers: []string{"a"}}}},
+			restart: false,
+		},
 	} {
 		c.query.View = old
-		if d := c.query.Rejected(vs, 0, "a", NoLongerServed, 2, false); d.Restart != c.restart || d.AwaitMap {
+		d := c.query.Rejected(vs, Rejection{Server: "a", Mismatch: NoLongerServed, Epoch: 2})
+		if d.Restart != c.restart || d.AwaitMap {
 			t.Errorf("%s: %+v", name, d)
 		}
 	}
