--- a/internal/aggregator/attempt.go
+++ b/internal/aggregator/attempt.go
@@ -139,7 +139,11 @@
 
 // mayRunUnanswered says that an attempt of that result may have been executed, or may be still.
 func mayRunUnanswered(result balance.AttemptResult) bool {
-	return result == balance.Failed || result == balance.TimedOut || result == balance.Reset || result == balance.Canceled
+	switch result {
+	case balance.Failed, balance.TimedOut, balance.Reset, balance.Canceled:
+		return true
+	}
+	return false
 }
 
 // forgetSend removes the send time of an attempt that did not run.
--- a/internal/aggregator/benchmark_test.go
+++ b/internal/aggregator/benchmark_test.go
@@ -19,15 +19,29 @@
 
 func (silentFrontend) Answer(FinalAnswer) {}
 
+// onePartRequest is a request of one shard whose client waits for an hour.
+func onePartRequest(id string, class, shard int, arrived time.Time) *Request {
+	return &Request{
+		ID:       id,
+		Class:    class,
+		Arrived:  arrived,
+		Timeout:  time.Hour,
+		Frontend: silentFrontend{},
+		Parts:    []PartSpec{{Shard: shard, Weight: 1}},
+	}
+}
+
 // coreHolding is a core that holds so many queries of one part each, all sent and none answered.
 func coreHolding(tb testing.TB, held, nodes int) (*Core, *silentBackend) {
 	tb.Helper()
-	set := balancerSettings()
-	set.Cells, set.Shards = nodes, nodes
-	for i := range set.Classes {
-		set.Classes[i].Objective, set.Classes[i].Deadline = time.Hour, 2*time.Hour
+	settings := balancerSettings()
+	settings.Cells = nodes
+	settings.Shards = nodes
+	for i := range settings.Classes {
+		settings.Classes[i].Objective = time.Hour
+		settings.Classes[i].Deadline = 2 * time.Hour
 	}
-	b, err := balance.New(set)
+	b, err := balance.New(settings)
 	if err != nil {
 		tb.Fatal(err)
 	}
@@ -39,7 +53,7 @@
 	}
 	events := []Event{EndpointsChanged{Kind: balance.ListFull, Servers: list}}
 	for i := range held {
-		events = append(events, RequestArrived{&Request{ID: fmt.Sprint("h", i), Class: 1, Arrived: startTime, Timeout: time.Hour, Frontend: silentFrontend{}, Parts: []PartSpec{{Shard: i % nodes, Weight: 1}}}})
+		events = append(events, RequestArrived{Request: onePartRequest(fmt.Sprint("h", i), 1, i%nodes, startTime)})
 	}
 	c.Turn(startTime, events)
 	back.sent = nil
@@ -58,7 +72,8 @@
 				b.ResetTimer()
 				for i := range b.N {
 					now = now.Add(time.Millisecond)
-					c.Turn(now, []Event{RequestArrived{&Request{ID: fmt.Sprint("q", i), Class: 0, Arrived: now, Timeout: time.Hour, Frontend: silentFrontend{}, Parts: []PartSpec{{Shard: i % nodes, Weight: 1}}}}})
+					request := onePartRequest(fmt.Sprint("q", i), 0, i%nodes, now)
+					c.Turn(now, []Event{RequestArrived{Request: request}})
 					var ends []Event
 					for _, s := range back.sent {
 						ends = append(ends, AttemptEnded{Attempt: s.Attempt, Value: "v"})
--- a/internal/aggregator/core_test.go
+++ b/internal/aggregator/core_test.go
@@ -14,15 +14,18 @@
 func TestCore_AnswersWithAllParts(t *testing.T) {
 	h := newHarness(t)
 	h.request("q", 0, 3)
-	if len(h.calls) != 3 || h.calls[1].Name != "q.1" || h.servers[0].Addr == "" || !h.calls[0].Deadline.Equal(startTime.Add(3*time.Second)) {
+	if len(h.calls) != 3 || h.calls[1].Name != "q.1" || h.servers[0].Addr == "" ||
+		!h.calls[0].Deadline.Equal(startTime.Add(timeout)) {
 		t.Fatalf("%+v", h.calls)
 	}
 	h.endAll(nil)
-	if f := h.answer("q"); f.Status != StatusServed || !f.Complete || !slices.Equal(f.Items, []Item{{0, "q.0"}, {1, "q.1"}, {2, "q.2"}}) {
-		t.Errorf("%+v", f)
+	items := []Item{{Shard: 0, Value: "q.0"}, {Shard: 1, Value: "q.1"}, {Shard: 2, Value: "q.2"}}
+	if final := h.answer("q"); final.Status != StatusServed || !final.Complete || !slices.Equal(final.Items, items) {
+		t.Errorf("%+v", final)
 	}
-	if h.core.OpenQueries() != 0 || len(h.core.parts) != 0 || len(h.core.attempts) != 0 {
-		t.Errorf("held: %d queries, %d parts, %d attempts", h.core.OpenQueries(), len(h.core.parts), len(h.core.attempts))
+	queries, parts, attempts := h.core.OpenQueries(), len(h.core.parts), len(h.core.attempts)
+	if queries != 0 || parts != 0 || attempts != 0 {
+		t.Errorf("held: %d queries, %d parts, %d attempts", queries, parts, attempts)
 	}
 }
 
@@ -34,13 +37,16 @@
 		t.Fatalf("%+v %+v", h.answers, h.calls)
 	}
 	for i, c := range h.calls {
-		if want := fmt.Sprintf("q.%d.phase2", 3-i); c.Name != want || !c.FollowUp || !c.FirstStepComplete || !slices.Equal(c.FirstStepShards, []int{0, 1, 2, 3}) {
+		want := fmt.Sprintf("q.%d.phase2", 3-i)
+		if c.Name != want || !c.FollowUp || !c.FirstStepComplete ||
+			!slices.Equal(c.FirstStepShards, []int{0, 1, 2, 3}) {
 			t.Errorf("%+v, want %s", c, want)
 		}
 	}
 	h.endAll(nil)
-	if f := h.answer("q"); !f.Complete || !slices.Equal(f.Items, []Item{{3, "q.3.phase2"}, {2, "q.2.phase2"}}) {
-		t.Errorf("%+v", f)
+	items := []Item{{Shard: 3, Value: "q.3.phase2"}, {Shard: 2, Value: "q.2.phase2"}}
+	if final := h.answer("q"); !final.Complete || !slices.Equal(final.Items, items) {
+		t.Errorf("%+v", final)
 	}
 }
 
@@ -49,29 +55,32 @@
 		err  error
 		want balance.AttemptResult
 	}{
-		{nil, balance.OK},
-		{&AttemptError{Progress: NotConnected}, balance.ConnectFailed},
-		{&AttemptError{Progress: PartlyWritten}, balance.ConnectFailed},
-		{&AttemptError{Progress: Written}, balance.Reset},
-		{&AttemptError{Progress: Answered}, balance.Failed},
-		{&AttemptError{Progress: Answered, Rejected: true}, balance.QueueFull},
-		{&AttemptError{Progress: Written, Canceled: true}, balance.Canceled},
-		{&AttemptError{Progress: NotConnected, Canceled: true}, balance.NotSent},
-		{fmt.Errorf("wrapped: %w", &AttemptError{Progress: NotConnected}), balance.ConnectFailed},
-		{io.EOF, balance.Reset}, // does not say whether it ran
+		{err: nil, want: balance.OK},
+		{err: &AttemptError{Progress: NotConnected}, want: balance.ConnectFailed},
+		{err: &AttemptError{Progress: PartlyWritten}, want: balance.ConnectFailed},
+		{err: &AttemptError{Progress: Written}, want: balance.Reset},
+		{err: &AttemptError{Progress: Answered}, want: balance.Failed},
+		{err: &AttemptError{Progress: Answered, Rejected: true}, want: balance.QueueFull},
+		{err: &AttemptError{Progress: Written, Canceled: true}, want: balance.Canceled},
+		{err: &AttemptError{Progress: NotConnected, Canceled: true}, want: balance.NotSent},
+		{err: fmt.Errorf("wrapped: %w", &AttemptError{Progress: NotConnected}), want: balance.ConnectFailed},
+		{err: io.EOF, want: balance.Reset}, // does not say whether it ran
 	} {
 		if got := attemptResult(c.err); got != c.want {
 			t.Errorf("%v: %v, want %v", c.err, got, c.want)
 		}
-		never := c.want == balance.ConnectFailed || c.want == balance.QueueFull || c.want == balance.NotSent
+		neverRan := c.want == balance.ConnectFailed || c.want == balance.QueueFull || c.want == balance.NotSent
 		h := newHarness(t)
 		h.request("q", 1, 1)
-		if h.endAll(c.err); never && len(h.calls) == 0 { // the balancer may wait before it retries
+		h.endAll(c.err)
+		if neverRan && len(h.calls) == 0 { // the balancer may wait before it retries
 			h.advance(time.Second)
 		}
-		if again := len(h.calls) > 0; again && !never {
+		retried := len(h.calls) > 0
+		switch {
+		case retried && !neverRan:
 			t.Errorf("%v: the part was sent again", c.err)
-		} else if c.want == balance.ConnectFailed && !again {
+		case !retried && c.want == balance.ConnectFailed:
 			t.Errorf("%v: the part was not sent again", c.err)
 		}
 	}
@@ -81,8 +90,8 @@
 	h := newHarness(t)
 	h.request("q", 1, 1)
 	h.advance(4 * time.Second)
-	if f := h.answer("q"); f.Status != StatusFailed || !f.DeadlineExceeded {
-		t.Errorf("%+v", f)
+	if final := h.answer("q"); final.Status != StatusFailed || !final.DeadlineExceeded {
+		t.Errorf("%+v", final)
 	}
 	if len(h.canceled) != 1 {
 		t.Fatal(h.canceled)
@@ -92,7 +101,8 @@
 		t.Error(h.core.Counters)
 	}
 	h.turn(AttemptEnded{Attempt: h.canceled[0], Value: "late"})
-	if h.answer("q"); h.core.Counters.Results[balance.OK] != 0 {
+	h.answer("q") // there is one still
+	if h.core.Counters.Results[balance.OK] != 0 {
 		t.Error("a late answer counted")
 	}
 }
@@ -100,14 +110,15 @@
 func TestCore_ClientDisconnects(t *testing.T) {
 	h := newHarness(t)
 	r := h.request("q", 1, 1)
-	h.turn(ClientDisconnected{r})
-	h.turn(ClientDisconnected{r})
+	h.turn(ClientDisconnected{Request: r})
+	h.turn(ClientDisconnected{Request: r})
 	if len(h.canceled) != 1 || h.core.Counters.Disconnected != 1 || len(h.answers) != 0 {
 		t.Errorf("%v %v", h.canceled, h.core.Counters)
 	}
 	sent := len(h.calls)
 	h.endAll(&AttemptError{Progress: NotConnected, Canceled: true})
-	if h.now = h.now.Add(time.Second); len(h.calls) > 0 {
+	h.now = h.now.Add(time.Second)
+	if len(h.calls) > 0 {
 		t.Errorf("sent again after %d", sent)
 	}
 }
@@ -117,8 +128,8 @@
 	for i := range 5 {
 		h.request(fmt.Sprint(i), 0, 4)
 	}
-	if f := h.answer("4"); f.Status != StatusRejected || f.RetryAfter != time.Second {
-		t.Errorf("%+v", f)
+	if final := h.answer("4"); final.Status != StatusRejected || final.RetryAfter != time.Second {
+		t.Errorf("%+v", final)
 	}
 	h.request("0", 0, 1) // an id that is open already
 	if h.core.Counters.RejectedAtCapacity != 2 {
@@ -159,13 +170,21 @@
 func TestCore_ServerStartsAreOnTheCoresClock(t *testing.T) {
 	h := newHarness(t)
 	list := h.core.updateServers(EndpointsChanged{Kind: balance.ListDelta, Servers: []Server{
-		{ID: "c", Started: startTime.Add(-time.Minute)}, {ID: "d"}, {ID: "e", Started: startTime.Add(-48 * time.Hour)}, {ID: "a", State: balance.Removed},
+		{ID: "c", Started: startTime.Add(-time.Minute)},
+		{ID: "d"},
+		{ID: "e", Started: startTime.Add(-48 * time.Hour)},
+		{ID: "a", State: balance.Removed},
 	}})
-	if got := list.Endpoints[0].Started; got != h.core.clock(startTime)-time.Minute || got < clockMargin-time.Minute || list.Endpoints[1].Started != 0 || list.Endpoints[2].Started != 0 {
+	started := list.Endpoints[0].Started
+	if started != h.core.clock(startTime)-time.Minute || started < clockMargin-time.Minute {
 		t.Errorf("%+v", list.Endpoints)
 	}
-	if h.core.Available("a") || !h.core.Available("c") {
-		t.Errorf("available: a %v, which was removed, c %v, which was added", h.core.Available("a"), h.core.Available("c"))
+	if list.Endpoints[1].Started != 0 || list.Endpoints[2].Started != 0 {
+		t.Errorf("an unknown start, or one before the clock's zero, is not 0: %+v", list.Endpoints)
+	}
+	removed, added := h.core.Available("a"), h.core.Available("c")
+	if removed || !added {
+		t.Errorf("available: a %v, which was removed, c %v, which was added", removed, added)
 	}
 }
 
@@ -174,11 +193,17 @@
 	for _, c := range []struct {
 		maxParts int
 		want     []int
-	}{{0, []int{1, 1, 1, 1}}, {1, []int{1, 1, 1, 1}}, {3, []int{3, 1}}, {9, []int{4}}} {
+	}{
+		{maxParts: 0, want: []int{1, 1, 1, 1}},
+		{maxParts: 1, want: []int{1, 1, 1, 1}},
+		{maxParts: 3, want: []int{3, 1}},
+		{maxParts: 9, want: []int{4}},
+	} {
 		h := newHarness(t)
 		h.core.limits.MaxCallParts = c.maxParts
 		h.turn(EndpointsChanged{Kind: balance.ListFull, Servers: []Server{{ID: "a", Addr: "a:1", Cell: 0}}})
-		if h.request("q", 0, 4); !slices.Equal(h.callSizes, c.want) {
+		h.request("q", 0, 4)
+		if !slices.Equal(h.callSizes, c.want) {
 			t.Errorf("at most %d parts a call: %v, want %v", c.maxParts, h.callSizes, c.want)
 		}
 	}
@@ -189,32 +214,40 @@
 	h := newHarness(t)
 	r := h.request("q", 0, 2)
 	h.request("q", 0, 1)
-	if f := h.answer("q"); f.Status != StatusRejected {
-		t.Errorf("while it is open: %+v", f)
+	if final := h.answer("q"); final.Status != StatusRejected {
+		t.Errorf("while it is open: %+v", final)
 	}
-	h.turn(ClientDisconnected{r})
+	h.turn(ClientDisconnected{Request: r})
 	h.request("q", 0, 1)
-	if n := len(h.answers["q"]); n != 2 || h.answers["q"][1].Status != StatusRejected {
-		t.Errorf("while its attempts are in flight: %d answers", n)
+	if answers := h.answers["q"]; len(answers) != 2 || answers[1].Status != StatusRejected {
+		t.Errorf("while its attempts are in flight: %d answers", len(answers))
 	}
 	h.endAll(&AttemptError{Progress: Written, Canceled: true})
-	if h.request("q", 0, 1); len(h.calls) != 1 {
+	h.request("q", 0, 1)
+	if len(h.calls) != 1 {
 		t.Error("rejected though nothing of it is in flight")
 	}
-	if h.endAll(nil); len(h.core.requestIDs) != 0 {
+	h.endAll(nil)
+	if len(h.core.requestIDs) != 0 {
 		t.Errorf("ids are still in use: %v", h.core.requestIDs)
 	}
 }
 
-// What several aggregators lose at a server reduces its traffic here, before the next query is balanced; answers that come
-// after their attempts were given up restore it.
+// What several aggregators lose at a server reduces its traffic here, before the next query is balanced; answers
+// that come after their attempts were given up restore it.
 func TestCore_LossesOfOtherAggregatorsReduceTraffic(t *testing.T) {
 	newTable := func() *outlier.Table {
-		return outlier.New(outlier.Config{DecayTime: time.Second, OverdueAfter: 100 * time.Millisecond, MaxMessageAge: time.Second, Aggregators: 10})
+		return outlier.New(outlier.Config{
+			DecayTime:     time.Second,
+			OverdueAfter:  100 * time.Millisecond,
+			MaxMessageAge: time.Second,
+			Aggregators:   10,
+		})
 	}
 	h := newHarness(t)
 	var sent gossipRecorder
-	h.core.Gossip, h.core.Outliers = &sent, newTable()
+	h.core.Gossip = &sent
+	h.core.Outliers = newTable()
 	h.turn(twoServers)
 	h.request("lost", 0, 1)
 	h.turn(AttemptEnded{Attempt: h.calls[0].Attempt, Err: &AttemptError{Progress: Answered}})
@@ -231,8 +264,9 @@
 		gossip = append(gossip, GossipReceived{Payload: sent[0]})
 	}
 	other.turn(gossip...)
-	if other.core.Outliers.TrafficShare(server) >= 0.01 || other.core.Counters.GossipInvalid != 0 {
-		t.Fatalf("fraction %v, %d invalid messages", other.core.Outliers.TrafficShare(server), other.core.Counters.GossipInvalid)
+	fraction, invalid := other.core.Outliers.TrafficShare(server), other.core.Counters.GossipInvalid
+	if fraction >= 0.01 || invalid != 0 {
+		t.Fatalf("fraction %v, %d invalid messages", fraction, invalid)
 	}
 	for i := range 15 {
 		other.request(fmt.Sprint("q", i), 0, 1)
@@ -246,10 +280,11 @@
 	for range 20 {
 		other.turn(LateAnswer{Server: balance.Replica(server)})
 	}
-	if other.turn(); other.core.Outliers.TrafficShare(server) != 1 {
+	other.turn()
+	if other.core.Outliers.TrafficShare(server) != 1 {
 		t.Errorf("fraction %v of a server that answers late", other.core.Outliers.TrafficShare(server))
 	}
-	other.turn(EndpointsChanged{Kind: balance.ListDelta, Servers: []Server{{ID: balance.Replica(server), State: balance.Removed}}})
+	other.turn(changeOf(Server{ID: balance.Replica(server), State: balance.Removed}))
 	if other.core.Outliers.TrafficShare(server) != 1 || len(other.core.servers) != 1 {
 		t.Error("a server that was removed is still known")
 	}
--- a/internal/aggregator/harness_test.go
+++ b/internal/aggregator/harness_test.go
@@ -1,6 +1,7 @@
 package aggregator
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -11,7 +12,16 @@
 
 // twoServers is the endpoint list of most tests.
 var twoServers = EndpointsChanged{
-	Kind: balance.ListFull, Servers: []Server{{ID: "a", Addr: "a:1", Cell: 0}, {ID: "b", Addr: "b:1", Cell: 1}},
+	Kind: balance.ListFull,
+	Servers: []Server{
+		{ID: "a", Addr: "a:1", Cell: 0},
+		{ID: "b", Addr: "b:1", Cell: 1},
+	},
+}
+
+// changeOf is a change of the endpoint list that states one server.
+func changeOf(server Server) EndpointsChanged {
+	return EndpointsChanged{Kind: balance.ListDelta, Servers: []Server{server}}
 }
 
 // harness is a core with a backend that only records its calls, and clients that record their answers. Its clock stands
@@ -44,7 +54,8 @@
 func (h *harness) Send(_ time.Time, to Server, calls []Call) {
 	h.callSizes = append(h.callSizes, len(calls))
 	for _, c := range calls {
-		h.calls, h.servers = append(h.calls, c), append(h.servers, to)
+		h.calls = append(h.calls, c)
+		h.servers = append(h.servers, to)
 	}
 }
 
@@ -54,14 +65,47 @@
 
 // balancerSettings has three classes: idempotent, not idempotent, and with a second step.
 func balancerSettings() balance.Settings {
+	idempotent := balance.Class{
+		Objective:        time.Second,
+		Deadline:         timeout,
+		Weight:           1,
+		OverdueFraction:  0.3,
+		MinFraction:      1,
+		CompleteFraction: 1,
+	}
+	nonIdempotent := idempotent
+	nonIdempotent.Idempotency = balance.NonIdempotent
+	withSecondStep := idempotent
+	withSecondStep.MinFraction = 0.5
+	withSecondStep.PartialFraction = 0.8
+	withSecondStep.FollowUpParts = 2
 	return balance.Settings{
-		Seed: 1, Instances: 1, Tick: 5 * time.Millisecond, Cells: 2, Reach: 2, Shards: 4, MaxCallParts: 1,
-		MaxAttempts: 3, CanCancel: true, MaxRetryAfter: time.Second,
-		Classes: []balance.Class{
-			{Objective: time.Second, Deadline: 3 * time.Second, Weight: 1, OverdueFraction: 0.3, MinFraction: 1, CompleteFraction: 1},
-			{Objective: time.Second, Deadline: 3 * time.Second, Weight: 1, OverdueFraction: 0.3, MinFraction: 1, CompleteFraction: 1, Idempotency: balance.NonIdempotent},
-			{Objective: time.Second, Deadline: 3 * time.Second, Weight: 1, OverdueFraction: 0.3, MinFraction: 0.5, CompleteFraction: 1, PartialFraction: 0.8, FollowUpParts: 2},
-		},
+		Seed:          1,
+		Instances:     1,
+		Tick:          5 * time.Millisecond,
+		Cells:         2,
+		Reach:         2,
+		Shards:        4,
+		MaxCallParts:  1,
+		MaxAttempts:   3,
+		CanCancel:     true,
+		MaxRetryAfter: time.Second,
+		Classes:       []balance.Class{idempotent, nonIdempotent, withSecondStep},
+	}
+}
+
+// timeout is how long the clients of the tests wait for their answers.
+const timeout = 3 * time.Second
+
+// newRequest is a request without parts whose client records its answers.
+func (h *harness) newRequest(id string, class int) *Request {
+	return &Request{
+		ID:       id,
+		Class:    class,
+		Arrived:  h.now,
+		Timeout:  timeout,
+		Payload:  "text",
+		Frontend: client{harness: h, id: id},
 	}
 }
 
@@ -73,7 +117,13 @@
 		t.Fatal(err)
 	}
 	h := &harness{t: t, now: startTime, answers: map[string][]FinalAnswer{}}
-	h.core = NewCore(b, h, Limits{FollowUpParts: []int{0, 0, 2}, MaxOpen: 20, RetryAfter: time.Second, DeadlineMargin: 20 * time.Millisecond}, startTime)
+	limits := Limits{
+		FollowUpParts:  []int{0, 0, 2},
+		MaxOpen:        20,
+		RetryAfter:     time.Second,
+		DeadlineMargin: 20 * time.Millisecond,
+	}
+	h.core = NewCore(b, h, limits, startTime)
 	h.turn(twoServers)
 	return h
 }
@@ -88,25 +138,39 @@
 
 // request sends a request of so many parts of equal weight.
 func (h *harness) request(id string, class, parts int) *Request {
-	r := &Request{ID: id, Class: class, Arrived: h.now, Timeout: 3 * time.Second, Payload: "text", Frontend: client{h, id}}
+	r := h.newRequest(id, class)
 	for i := range parts {
 		r.Parts = append(r.Parts, PartSpec{Shard: i, Weight: 1 / float64(parts)})
 	}
-	h.turn(RequestArrived{r})
+	h.turn(RequestArrived{Request: r})
 	return r
 }
 
 // endAll ends the calls in flight, each with an error or, if that is nil, with its name as value.
 func (h *harness) endAll(err error) {
-	ended := h.calls
-	h.calls, h.servers = nil, nil
 	var events []Event
-	for _, c := range ended {
+	for _, c := range h.takeCalls() {
 		events = append(events, AttemptEnded{Attempt: c.Attempt, Err: err, Score: float64(c.Shard), Value: c.Name})
 	}
 	h.turn(events...)
 }
 
+// takeCalls takes all calls out of those in flight.
+func (h *harness) takeCalls() []Call {
+	calls := h.calls
+	h.calls = nil
+	h.servers = nil
+	return calls
+}
+
+// takeCall takes the call at an index out of those in flight.
+func (h *harness) takeCall(index int) Call {
+	call := h.calls[index]
+	h.calls = slices.Delete(h.calls, index, index+1)
+	h.servers = slices.Delete(h.servers, index, index+1)
+	return call
+}
+
 // answer is the one final answer of a request.
 func (h *harness) answer(id string) FinalAnswer {
 	h.t.Helper()
--- a/internal/aggregator/loop_test.go
+++ b/internal/aggregator/loop_test.go
@@ -38,31 +38,38 @@
 func TestLoop_RecoversFromPanics(t *testing.T) {
 	h := newHarness(t)
 	mailbox := NewMailbox()
-	l := &Loop{Core: h.core, Mailbox: mailbox, Adapter: funcAdapter{}, Clock: fixedClock{h}, NewBalancer: func() (*balance.Balancer, error) { return balance.New(balancerSettings()) }}
+	l := &Loop{
+		Core:        h.core,
+		Mailbox:     mailbox,
+		Adapter:     funcAdapter{},
+		Clock:       fixedClock{h},
+		NewBalancer: func() (*balance.Balancer, error) { return balance.New(balancerSettings()) },
+	}
 	mailbox.Put(funcMessage(func() { panic("an event") }))
-	r := &Request{ID: "panics", Class: 99, Arrived: h.now, Timeout: time.Second, Frontend: client{h, "panics"}}
-	mailbox.Put(RequestArrived{r})
+	mailbox.Put(RequestArrived{Request: h.newRequest("panics", 99)})
 	l.RunTurn()
 	if h.answer("panics").Status != StatusRejected || h.core.Counters.Panics != 2 {
 		t.Error(h.core.Counters)
 	}
 	h.request("open", 1, 1)
-	late := &Request{ID: "late", Arrived: h.now, Timeout: time.Second, Frontend: client{h, "late"}}
 	mailbox.Put(unknownEvent{})
-	mailbox.Put(RequestArrived{late})
+	mailbox.Put(RequestArrived{Request: h.newRequest("late", 0)})
 	l.RunTurn()
-	if h.answer("open").Status != StatusFailed || h.answer("late").Status != StatusFailed || h.core.OpenQueries() != 0 || len(h.canceled) != 1 {
+	if h.answer("open").Status != StatusFailed || h.answer("late").Status != StatusFailed ||
+		h.core.OpenQueries() != 0 || len(h.canceled) != 1 {
 		t.Errorf("%+v", h.answers)
 	}
 	h.request("next", 0, 1)
-	if h.endAll(nil); h.answer("next").Status != StatusServed {
+	h.endAll(nil)
+	if h.answer("next").Status != StatusServed {
 		t.Errorf("%+v", h.answers)
 	}
 }
 
 func TestLoop_RunEndsWhenItIsStopped(t *testing.T) {
 	h := newHarness(t)
-	stop, ended := make(chan struct{}), make(chan struct{})
+	stop := make(chan struct{})
+	ended := make(chan struct{})
 	l := &Loop{Core: h.core, Mailbox: NewMailbox(), Adapter: funcAdapter{}, Clock: SystemClock{}, Stop: stop}
 	go func() {
 		defer close(ended)
--- a/internal/aggregator/mailbox_test.go
+++ b/internal/aggregator/mailbox_test.go
@@ -19,13 +19,16 @@
 	if ready(m) {
 		t.Error("the loop is woken before enough messages are deferred")
 	}
-	if m.PutDeferred(GossipReceived{}); !ready(m) || len(m.Take()) != maxDeferred {
+	m.PutDeferred(GossipReceived{})
+	if !ready(m) || len(m.Take()) != maxDeferred {
 		t.Error("deferred messages were not handed over in the end")
 	}
-	if m.PutDeferred(GossipReceived{}); ready(m) {
+	m.PutDeferred(GossipReceived{})
+	if ready(m) {
 		t.Error("the count of deferred messages was not reset")
 	}
-	if m.Put(RequestArrived{}); !ready(m) || len(m.Take()) != 2 {
+	m.Put(RequestArrived{})
+	if !ready(m) || len(m.Take()) != 2 {
 		t.Error("a message does not take the deferred ones along")
 	}
 }
--- a/internal/aggregator/request.go
+++ b/internal/aggregator/request.go
@@ -26,8 +26,8 @@
 	Payload  string
 	Parts    []PartSpec
 	Frontend Frontend
-	// Layout, if set, makes the parts from the view of the shard map that the query is pinned to; each is a shard. It is
-	// called again if the query is restarted on another view.
+	// Layout, if set, makes the parts from the view of the shard map that the query is pinned to; each is a shard.
+	// It is called again if the query is restarted on another view.
 	Layout func(*shardmap.View) []PartSpec
 
 	done bool // it has its final answer, or its client has disconnected
--- a/internal/aggregator/resharding_fuzz_test.go
+++ b/internal/aggregator/resharding_fuzz_test.go
@@ -22,8 +22,11 @@
 	f.Add(uint64(9), uint16(1500))
 	f.Fuzz(func(t *testing.T, seed uint64, steps uint16) {
 		z := &reshardingFuzz{
-			reshardingHarness: newReshardingHarness(t), rng: rand.New(rand.NewPCG(seed, 6)),
-			mayHaveRun: map[string]bool{}, classes: map[string]int{}, seen: map[AttemptID]bool{},
+			reshardingHarness: newReshardingHarness(t),
+			rng:               rand.New(rand.NewPCG(seed, 6)),
+			mayHaveRun:        map[string]bool{},
+			classes:           map[string]int{},
+			seen:              map[AttemptID]bool{},
 		}
 		for range steps % 2500 {
 			z.step()
@@ -45,16 +48,19 @@
 }
 
 // requestID is the id of the request that a call is for.
-func requestID(c Call) string { return strings.SplitN(c.Name, ".", 2)[0] }
+func requestID(c Call) string {
+	id, _, _ := strings.Cut(c.Name, ".")
+	return id
+}
 
 func (z *reshardingFuzz) step() {
 	z.now = z.now.Add(time.Duration(z.rng.IntN(40)) * time.Millisecond)
-	switch x := z.rng.IntN(12); {
-	case x < 3:
-		z.newRequest()
-	case x < 8 && len(z.calls) > 0:
+	switch roll := z.rng.IntN(12); {
+	case roll < 3:
+		z.sendRequest()
+	case roll < 8 && len(z.calls) > 0:
 		z.endOne()
-	case x == 8:
+	case roll == 8:
 		z.turn(ShardMapOffered{Source: "test"})
 	default:
 		z.reshard()
@@ -62,7 +68,7 @@
 	z.turn()
 }
 
-func (z *reshardingFuzz) newRequest() {
+func (z *reshardingFuzz) sendRequest() {
 	z.requests++
 	id := fmt.Sprintf("q%d", z.requests)
 	z.classes[id] = z.rng.IntN(2)
@@ -75,23 +81,21 @@
 
 // endOne ends one of the calls in flight.
 func (z *reshardingFuzz) endOne() {
-	i := z.rng.IntN(len(z.calls))
-	c := z.calls[i]
-	z.calls, z.servers = slices.Delete(z.calls, i, i+1), slices.Delete(z.servers, i, i+1)
+	c := z.takeCall(z.rng.IntN(len(z.calls)))
 	z.turn(AttemptEnded{Attempt: c.Attempt, Err: z.randomEnd(c), Value: fmt.Sprint(c.Shard)})
 }
 
 func (z *reshardingFuzz) randomEnd(c Call) error {
-	switch y := z.rng.IntN(8); {
+	switch roll := z.rng.IntN(8); {
 	case slices.Contains(z.canceled, c.Attempt):
 		z.mayHaveRun[requestID(c)] = true
 		return &AttemptError{Progress: Written, Canceled: true}
-	case y == 0:
+	case roll == 0:
 		z.mayHaveRun[requestID(c)] = true
 		return &AttemptError{Progress: Written}
-	case y == 1:
+	case roll == 1:
 		return &AttemptError{Progress: NotConnected}
-	case y < 5:
+	case roll < 5:
 		return notHeld(shardmap.Mismatch(1+z.rng.IntN(2)), z.shardMap.Epoch+shardmap.Epoch(z.rng.IntN(3)))
 	}
 	z.mayHaveRun[requestID(c)] = true
@@ -101,7 +105,9 @@
 // reshard moves, splits or merges shards, where the planner allows it.
 func (z *reshardingFuzz) reshard() {
 	var ids []shardmap.ID
-	z.shardMap.All(func(b *shardmap.Shard) bool { ids = append(ids, b.ID); return true })
+	for shard := range z.shardMap.All {
+		ids = append(ids, shard.ID)
+	}
 	var plan *shardmap.Plan
 	var err error
 	id := ids[z.rng.IntN(len(ids))]
@@ -143,8 +149,7 @@
 		z.now = z.now.Add(20 * time.Millisecond)
 		z.turn(ShardMapOffered{Source: "test"})
 		for len(z.calls) > 0 {
-			c := z.calls[0]
-			z.calls, z.servers = z.calls[1:], z.servers[1:]
+			c := z.takeCall(0)
 			z.turn(AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: Written, Canceled: true}})
 		}
 	}
--- a/internal/aggregator/resharding_harness_test.go
+++ b/internal/aggregator/resharding_harness_test.go
@@ -14,38 +14,55 @@
 // reshardingHarness is a harness with four servers, "a" to "d", and a shard map of two shards that "a" and "b" hold.
 type reshardingHarness struct {
 	*harness
-	mapRequests, mapRequestsSoon int
-	rejected                     []string
-	shardMap                     *shardmap.Map
+	mapRequests     int
+	mapRequestsSoon int
+	rejected        []string
+	shardMap        *shardmap.Map
 }
 
 func newReshardingHarness(t *testing.T) *reshardingHarness {
 	t.Helper()
-	set := balancerSettings()
-	set.Cells, set.Reach, set.Shards = 1, 1, 1
-	b, err := balance.New(set)
+	settings := balancerSettings()
+	settings.Cells = 1
+	settings.Reach = 1
+	settings.Shards = 1
+	b, err := balance.New(settings)
 	if err != nil {
 		t.Fatal(err)
 	}
-	views, err := shardmap.NewViews(shardmap.ViewOptions{MaxPinnedEpochs: 2, MaxPinnedAge: 4 * time.Second, WarmupMinFraction: 1, MaxSourceLag: 100 * time.Millisecond})
+	views, err := shardmap.NewViews(shardmap.ViewOptions{
+		MaxPinnedEpochs:   2,
+		MaxPinnedAge:      4 * time.Second,
+		WarmupMinFraction: 1,
+		MaxSourceLag:      100 * time.Millisecond,
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	h := &reshardingHarness{harness: &harness{t: t, now: startTime, answers: map[string][]FinalAnswer{}}}
-	h.core = NewCore(b, h, Limits{FollowUpParts: []int{0, 0, 2}, NonIdempotent: []bool{false, true, false}, MaxOpen: 100, RetryAfter: time.Second, DeadlineMargin: 20 * time.Millisecond}, startTime)
+	h.core = NewCore(b, h, Limits{
+		FollowUpParts:  []int{0, 0, 2},
+		NonIdempotent:  []bool{false, true, false},
+		MaxOpen:        100,
+		RetryAfter:     time.Second,
+		DeadlineMargin: 20 * time.Millisecond,
+	}, startTime)
 	h.core.Resharding = &Resharding{
-		Views: views, RequestMap: func() { h.mapRequests++ }, RequestMapSoon: func() { h.mapRequestsSoon++ },
-		Adopted:  func(_, _ *shardmap.Map) {},
-		Rejected: func(source string, err error) { h.rejected = append(h.rejected, source+": "+err.Error()) },
+		Views:          views,
+		RequestMap:     func() { h.mapRequests++ },
+		RequestMapSoon: func() { h.mapRequestsSoon++ },
+		Adopted:        func(_, _ *shardmap.Map) {},
+		Rejected:       func(source string, err error) { h.rejected = append(h.rejected, source+": "+err.Error()) },
 	}
 	var list []Server
 	for _, id := range []balance.Replica{"a", "b", "c", "d"} {
 		list = append(list, Server{ID: id, Addr: string(id) + ":1"})
 	}
 	h.turn(EndpointsChanged{Kind: balance.ListFull, Servers: list})
+	replicas := []shardmap.Replica{{Server: "a"}, {Server: "b"}}
 	h.shardMap, err = shardmap.New("captions", 1, 3, []*shardmap.Shard{
-		{ID: 1, To: "m@2000", State: shardmap.Serving, Weight: 1, Replicas: []shardmap.Replica{{Server: "a"}, {Server: "b"}}},
-		{ID: 2, From: "m@2000", State: shardmap.Serving, Weight: 3, Replicas: []shardmap.Replica{{Server: "a"}, {Server: "b"}}},
+		{ID: 1, To: "m@2000", State: shardmap.Serving, Weight: 1, Replicas: replicas},
+		{ID: 2, From: "m@2000", State: shardmap.Serving, Weight: 3, Replicas: replicas},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -61,32 +78,51 @@
 }
 
 // applyPlan offers the maps that a plan's steps lead to. It takes the planner's error, too, and fails on it.
-func (h *reshardingHarness) applyPlan(p *shardmap.Plan, err error) {
+func (h *reshardingHarness) applyPlan(plan *shardmap.Plan, err error) {
 	h.t.Helper()
-	for i := range p.Steps {
-		if err == nil {
-			h.shardMap, err = p.Steps[i].Apply(h.shardMap)
-		}
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	for i := range plan.Steps {
+		next, err := plan.Steps[i].Apply(h.shardMap)
 		if err != nil {
 			h.t.Fatal(err)
 		}
-		h.offer(h.shardMap)
+		h.offer(next)
 	}
 }
 
+// migrate offers the maps by which a shard moves to newHolders.
+func (h *reshardingHarness) migrate(id shardmap.ID) {
+	h.t.Helper()
+	h.applyPlan(shardmap.PlanMigration(h.shardMap, id, newHolders, shardmap.Timing{}))
+}
+
+// splitSecondShard offers the maps by which shard 2 is split into 3 and 4.
+func (h *reshardingHarness) splitSecondShard() {
+	h.t.Helper()
+	h.applyPlan(shardmap.PlanSplit(h.shardMap, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
+}
+
+// merge offers the maps by which shards become one.
+func (h *reshardingHarness) merge(ids ...shardmap.ID) {
+	h.t.Helper()
+	h.applyPlan(shardmap.PlanMerge(h.shardMap, ids, shardmap.Timing{}))
+}
+
 // requestShards sends a request for the shard of a key, or for all shards if the key is empty.
 func (h *reshardingHarness) requestShards(id string, class int, key string) {
-	r := &Request{ID: id, Class: class, Arrived: h.now, Timeout: 3 * time.Second, Payload: "text", Frontend: client{h.harness, id}}
+	r := h.newRequest(id, class)
 	r.Layout = func(v *shardmap.View) (specs []PartSpec) {
 		if key != "" {
 			return []PartSpec{{Shard: int(v.Map.Lookup(shardmap.Key(key)).ID), Weight: 1}}
 		}
-		for _, b := range v.Shards() {
-			specs = append(specs, PartSpec{Shard: int(b.ID), Weight: b.Weight / v.Map.Weight()})
+		for _, shard := range v.Shards() {
+			specs = append(specs, PartSpec{Shard: int(shard.ID), Weight: shard.Weight / v.Map.Weight()})
 		}
 		return specs
 	}
-	h.turn(RequestArrived{r})
+	h.turn(RequestArrived{Request: r})
 }
 
 // endAt ends the call in flight at a server for a shard.
@@ -94,7 +130,7 @@
 	h.t.Helper()
 	for i, c := range h.calls {
 		if string(h.servers[i].ID) == server && c.Shard == shard {
-			h.calls, h.servers = slices.Delete(h.calls, i, i+1), slices.Delete(h.servers, i, i+1)
+			h.takeCall(i)
 			h.turn(AttemptEnded{Attempt: c.Attempt, Err: err, Value: fmt.Sprintf("%d at %s", shard, server)})
 			return
 		}
@@ -131,7 +167,9 @@
 func (h *reshardingHarness) assertNothingHeld() {
 	h.t.Helper()
 	c := h.core
-	if epochs, queries := c.Resharding.Views.Pinned(); epochs+queries > 0 || c.OpenQueries() != 0 || len(c.parts) != 0 || len(c.attempts) != 0 || len(c.requestIDs) != 0 {
+	epochs, queries := c.Resharding.Views.Pinned()
+	held := c.OpenQueries() + len(c.parts) + len(c.attempts) + len(c.requestIDs)
+	if epochs+queries > 0 || held > 0 {
 		h.t.Errorf("left: %d epochs pinned by %d queries, %d queries, %d parts, %d attempts, %d request ids",
 			epochs, queries, c.OpenQueries(), len(c.parts), len(c.attempts), len(c.requestIDs))
 	}
@@ -144,6 +182,11 @@
 	r.summaries = append(r.summaries, summary)
 }
 
+// coversExactly says that an answer is complete and has the items of these shards, in ascending order, and no others.
+func (f FinalAnswer) coversExactly(want []int) bool {
+	return f.Status == StatusServed && f.Complete && f.AnsweredWeight >= 0.999 && slices.Equal(shards(f), want)
+}
+
 // shards are the shards of an answer's items, in ascending order.
 func shards(final FinalAnswer) (list []int) {
 	for _, item := range final.Items {
--- a/internal/aggregator/resharding_test.go
+++ b/internal/aggregator/resharding_test.go
@@ -17,7 +17,7 @@
 	h := newReshardingHarness(t)
 	h.requestShards("q", 1, "x@2000")
 	first := h.firstServer()
-	h.applyPlan(shardmap.PlanMigration(h.shardMap, 2, newHolders, shardmap.Timing{}))
+	h.migrate(2)
 	h.endAt(first, 2, notHeld(shardmap.NoLongerServed, h.shardMap.Epoch))
 	if h.inFlight() != "2@"+otherHolder(first) {
 		t.Fatalf("in flight: %s", h.inFlight())
@@ -36,32 +36,35 @@
 	h.assertNothingHeld()
 }
 
-// A correction that may have run at its old holder is never sent to a new one: not after a reset, an error, a time-out, or
-// a rejection after that, across any number of epochs.
+// A correction that may have run at its old holder is never sent to a new one: not after a reset, an error, a
+// time-out, or a rejection after that, across any number of epochs.
 func TestResharding_CorrectionThatMayHaveRunIsNotRetried(t *testing.T) {
 	for name, err := range map[string]error{
-		"reset": &AttemptError{Progress: Written, Cause: errors.New("reset")}, "error": &AttemptError{Progress: Answered},
-		"corrupt stream": &AttemptError{Progress: Written, CorruptStream: true}, "no answer": nil,
+		"reset":          &AttemptError{Progress: Written, Cause: errors.New("reset")},
+		"error":          &AttemptError{Progress: Answered},
+		"corrupt stream": &AttemptError{Progress: Written, CorruptStream: true},
+		"no answer":      nil,
 	} {
 		h := newReshardingHarness(t)
 		h.requestShards("q", 1, "x@2000")
 		first := h.firstServer()
-		h.applyPlan(shardmap.PlanMigration(h.shardMap, 2, newHolders, shardmap.Timing{}))
-		h.applyPlan(shardmap.PlanSplit(h.shardMap, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
+		h.migrate(2)
+		h.splitSecondShard()
 		if name != "no answer" {
 			h.endAt(first, 2, err)
 		}
 		for range 400 {
 			h.advance(10 * time.Millisecond)
-			if name == "no answer" && len(h.canceled) > 0 && len(h.calls) == 1 { // the server is notified at the deadline
+			if name == "no answer" && len(h.canceled) > 0 && len(h.calls) == 1 {
+				// The server is notified at the deadline.
 				h.endAt(first, 2, &AttemptError{Progress: Written, Canceled: true})
 			}
 		}
 		if len(h.calls) > 0 || len(h.callSizes) != 1 {
 			t.Errorf("%s: %d sends, in flight %s", name, len(h.callSizes), h.inFlight())
 		}
-		if f := h.answer("q"); f.Status != StatusFailed {
-			t.Errorf("%s: %+v", name, f)
+		if final := h.answer("q"); final.Status != StatusFailed {
+			t.Errorf("%s: %+v", name, final)
 		}
 		h.assertNothingHeld()
 	}
@@ -71,7 +74,7 @@
 func TestResharding_AnswerOfTheOldHolderCountsAfterTheSwitch(t *testing.T) {
 	h := newReshardingHarness(t)
 	h.requestShards("q", 1, "x@2000")
-	h.applyPlan(shardmap.PlanMigration(h.shardMap, 2, newHolders, shardmap.Timing{}))
+	h.migrate(2)
 	h.endAt(h.firstServer(), 2, nil)
 	if f := h.answer("q"); f.Status != StatusServed || h.core.Counters.Restarts != 0 {
 		t.Errorf("%+v", f)
@@ -79,13 +82,13 @@
 	h.assertNothingHeld()
 }
 
-// A search in flight across a split is answered from its own view: by the parent, and neither half; the next one has both
-// halves. Where the old holders serve the parent no longer, all of it is restarted, each shard once.
+// A search in flight across a split is answered from its own view: by the parent, and neither half; the next one
+// has both halves. Where the old holders serve the parent no longer, all of it is restarted, each shard once.
 func TestResharding_SearchAcrossASplit(t *testing.T) {
 	for _, served := range []bool{true, false} {
 		h := newReshardingHarness(t)
 		h.requestShards("q", 0, "")
-		h.applyPlan(shardmap.PlanSplit(h.shardMap, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
+		h.splitSecondShard()
 		if e, q := h.core.Resharding.Views.Pinned(); e != 1 || q != 1 {
 			t.Errorf("%d epochs pinned by %d queries", e, q)
 		}
@@ -108,9 +111,9 @@
 			want["q"] = []int{1, 3, 4}
 		}
 		for id, want := range want {
-			f := h.answer(id)
-			if got := shards(f); f.Status != StatusServed || !f.Complete || !slices.Equal(got, want) || f.AnsweredWeight < 0.999 || f.TotalParts != len(want) {
-				t.Errorf("%s, served %v: %+v", id, served, f)
+			final := h.answer(id)
+			if !final.coversExactly(want) || final.TotalParts != len(want) {
+				t.Errorf("%s, served %v: %+v", id, served, final)
 			}
 		}
 		h.assertNothingHeld()
@@ -120,23 +123,25 @@
 // The same across a merge, a move to other holders, and two changes in a row: every shard of one view once, whether the
 // old holders serve still or reject every part.
 func TestResharding_SearchAcrossMergeMoveAndTwoChanges(t *testing.T) {
-	split := func(h *reshardingHarness) {
-		h.applyPlan(shardmap.PlanSplit(h.shardMap, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
-	}
 	for name, c := range map[string]struct {
 		reshard func(h *reshardingHarness)
 		after   []int // shards of the last view
 	}{
-		"merge": {func(h *reshardingHarness) {
-			h.applyPlan(shardmap.PlanMerge(h.shardMap, []shardmap.ID{1, 2}, shardmap.Timing{}))
-		}, []int{3}},
-		"move": {func(h *reshardingHarness) {
-			h.applyPlan(shardmap.PlanMigration(h.shardMap, 2, newHolders, shardmap.Timing{}))
-		}, []int{1, 2}},
-		"split and move": {func(h *reshardingHarness) {
-			split(h)
-			h.applyPlan(shardmap.PlanMigration(h.shardMap, 4, newHolders, shardmap.Timing{}))
-		}, []int{1, 3, 4}},
+		"merge": {
+			reshard: func(h *reshardingHarness) { h.merge(1, 2) },
+			after:   []int{3},
+		},
+		"move": {
+			reshard: func(h *reshardingHarness) { h.migrate(2) },
+			after:   []int{1, 2},
+		},
+		"split and move": {
+			reshard: func(h *reshardingHarness) {
+				h.splitSecondShard()
+				h.migrate(4)
+			},
+			after: []int{1, 3, 4},
+		},
 	} {
 		for _, served := range []bool{true, false} {
 			h := newReshardingHarness(t)
@@ -157,9 +162,8 @@
 			if !served {
 				want = c.after
 			}
-			f := h.answer("q")
-			if got := shards(f); f.Status != StatusServed || !f.Complete || !slices.Equal(got, want) || f.AnsweredWeight < 0.999 {
-				t.Errorf("%s, served %v: %+v, want %v", name, served, f, want)
+			if final := h.answer("q"); !final.coversExactly(want) {
+				t.Errorf("%s, served %v: %+v, want %v", name, served, final, want)
 			}
 			h.assertNothingHeld()
 		}
@@ -170,7 +174,7 @@
 func TestResharding_RestartsOnlyWhenNothingIsInFlight(t *testing.T) {
 	h := newReshardingHarness(t)
 	h.requestShards("q", 0, "")
-	h.applyPlan(shardmap.PlanMigration(h.shardMap, 2, newHolders, shardmap.Timing{}))
+	h.migrate(2)
 	var second string
 	for i, c := range h.calls {
 		if c.Shard == 2 {
@@ -198,16 +202,17 @@
 	h := newReshardingHarness(t)
 	h.requestShards("q", 2, "")
 	old := h.shardMap.Epoch
-	h.applyPlan(shardmap.PlanSplit(h.shardMap, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
+	h.splitSecondShard()
 	h.endAll(nil)
-	if len(h.calls) != 2 || !h.calls[0].FollowUp || h.calls[0].Epoch != old || h.calls[0].Shard > 2 || h.calls[1].Shard > 2 {
+	if len(h.calls) != 2 || !h.calls[0].FollowUp || h.calls[0].Epoch != old ||
+		h.calls[0].Shard > 2 || h.calls[1].Shard > 2 {
 		t.Fatalf("%+v", h.calls)
 	}
 	// Its holders reject one part: there is no other view for it.
-	s := h.firstServer()
-	b := h.calls[0].Shard
-	h.endAt(s, b, notHeld(shardmap.NoLongerServed, h.shardMap.Epoch))
-	h.endAt(otherHolder(s), b, notHeld(shardmap.NoLongerServed, h.shardMap.Epoch))
+	server := h.firstServer()
+	shard := h.calls[0].Shard
+	h.endAt(server, shard, notHeld(shardmap.NoLongerServed, h.shardMap.Epoch))
+	h.endAt(otherHolder(server), shard, notHeld(shardmap.NoLongerServed, h.shardMap.Epoch))
 	h.endAll(nil)
 	if f := h.answer("q"); f.Status == StatusServed && f.Complete || h.core.Counters.Restarts != 0 {
 		t.Errorf("%+v", f)
@@ -266,8 +271,8 @@
 	h := newReshardingHarness(t)
 	h.requestShards("q", 0, "")
 	h.endAt("a", 1, &AttemptError{Progress: NotConnected})
-	h.turn(EndpointsChanged{Kind: balance.ListDelta, Servers: []Server{{ID: "a", Addr: "a:1", State: balance.Draining}}})
-	h.applyPlan(shardmap.PlanSplit(h.shardMap, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
+	h.turn(changeOf(Server{ID: "a", Addr: "a:1", State: balance.Draining}))
+	h.splitSecondShard()
 	before := len(h.callSizes)
 	h.requestShards("late", 0, "")
 	for i := range h.servers {
@@ -275,10 +280,10 @@
 			t.Errorf("in flight: %s", h.inFlight())
 		}
 	}
-	h.turn(EndpointsChanged{Kind: balance.ListDelta, Servers: []Server{{ID: "b", Addr: "b:1", State: balance.Draining}}})
-	n := len(h.callSizes)
+	h.turn(changeOf(Server{ID: "b", Addr: "b:1", State: balance.Draining}))
+	before = len(h.callSizes)
 	h.requestShards("none", 1, "x@2000")
-	if len(h.callSizes) != n {
+	if len(h.callSizes) != before {
 		t.Errorf("sent to draining servers: %s", h.inFlight())
 	}
 	if f := h.answer("none"); f.Status != StatusRejected {
@@ -294,12 +299,13 @@
 	h.requestShards("q", 1, "x@2000")
 	s := h.firstServer()
 	h.endAt(s, 2, notHeld(shardmap.NoLongerServed, 1))
-	if h.mapRequests != 0 || h.core.Resharding.Views.Stats.FalseRejections != 1 || len(recorder.summaries) != 1 || !recorder.summaries[0].FalseRejection {
+	if h.mapRequests != 0 || h.core.Resharding.Views.Stats.FalseRejections != 1 ||
+		len(recorder.summaries) != 1 || !recorder.summaries[0].FalseRejection {
 		t.Errorf("requested %d, %+v", h.mapRequests, recorder.summaries)
 	}
 	h.endAt(otherHolder(s), 2, nil)
-	if f := h.answer("q"); f.Status != StatusServed {
-		t.Errorf("%+v", f)
+	if final := h.answer("q"); final.Status != StatusServed {
+		t.Errorf("%+v", final)
 	}
 	h.assertNothingHeld()
 }
@@ -309,7 +315,7 @@
 	h := newReshardingHarness(t)
 	h.core.limits.FollowUpParts = nil
 	h.requestShards("q", 2, "")
-	h.applyPlan(shardmap.PlanSplit(h.shardMap, 2, []shardmap.Key{"p@2000"}, shardmap.Timing{}))
+	h.splitSecondShard()
 	for i, c := range h.calls {
 		if c.Shard == 2 {
 			h.endAt(string(h.servers[i].ID), 2, nil)
@@ -319,8 +325,10 @@
 	for range 350 {
 		h.advance(10 * time.Millisecond)
 	}
-	if f := h.answer("q"); f.Status != StatusServed || f.Complete || f.AnsweredWeight != 0.75 || f.TotalParts != 2 || !slices.Equal(f.MissingShards, []int{1}) {
-		t.Errorf("%+v", f)
+	final := h.answer("q")
+	if final.Status != StatusServed || final.Complete || final.AnsweredWeight != 0.75 ||
+		final.TotalParts != 2 || !slices.Equal(final.MissingShards, []int{1}) {
+		t.Errorf("%+v", final)
 	}
 }
 
@@ -330,7 +338,9 @@
 	h.requestShards("idempotent", 0, "")
 	h.requestShards("not idempotent", 1, "x@2000")
 	for range 3 {
-		next, err := h.shardMap.Change([]*shardmap.Shard{{ID: 1, To: "m@2000", State: shardmap.Serving, Weight: float64(h.shardMap.Epoch) + 1, Replicas: h.shardMap.Shard(1).Replicas}}, nil)
+		changed := *h.shardMap.Shard(1)
+		changed.Weight = float64(h.shardMap.Epoch) + 1
+		next, err := h.shardMap.Change([]*shardmap.Shard{&changed}, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -341,9 +351,7 @@
 		t.Errorf("%v, restarted %d", h.rejected, h.core.Counters.Restarts)
 	}
 	for len(h.calls) > 0 || len(h.canceled) > 0 {
-		calls := h.calls
-		h.calls, h.servers = nil, nil
-		for _, c := range calls {
+		for _, c := range h.takeCalls() {
 			var err error
 			if slices.Contains(h.canceled, c.Attempt) {
 				err = &AttemptError{Progress: Written, Canceled: true}
--- a/internal/aggregator/same_turn_test.go
+++ b/internal/aggregator/same_turn_test.go
@@ -13,9 +13,9 @@
 	mayRetry map[AttemptID]bool
 }
 
-func (a cancelRecorder) Cancel(now time.Time, id AttemptID, mayRetry bool) {
-	a.mayRetry[id] = mayRetry
-	a.harness.Cancel(now, id, mayRetry)
+func (r cancelRecorder) Cancel(now time.Time, id AttemptID, mayRetry bool) {
+	r.mayRetry[id] = mayRetry
+	r.harness.Cancel(now, id, mayRetry)
 }
 
 func newCancelRecorder(t *testing.T, settings balance.Settings) cancelRecorder {
@@ -24,26 +24,35 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := cancelRecorder{&harness{t: t, now: startTime, answers: map[string][]FinalAnswer{}}, map[AttemptID]bool{}}
-	a.core = NewCore(b, a, Limits{FollowUpParts: []int{0, 0, 2}, DeadlineMargin: 20 * time.Millisecond}, startTime)
-	a.turn(twoServers)
-	return a
+	r := cancelRecorder{
+		harness:  &harness{t: t, now: startTime, answers: map[string][]FinalAnswer{}},
+		mayRetry: map[AttemptID]bool{},
+	}
+	r.core = NewCore(b, r, Limits{FollowUpParts: []int{0, 0, 2}, DeadlineMargin: 20 * time.Millisecond}, startTime)
+	r.turn(twoServers)
+	return r
 }
 
-// A part that may have run is to be written again within its class's dedup window, counted from its first attempt that may
-// have run; one that never ran starts none. The balancer looks when it chooses, and the connection may come up later.
+// A part that may have run is to be written again within its class's dedup window, counted from its first attempt
+// that may have run; one that never ran starts none. The balancer looks when it chooses, and the connection may
+// come up later.
 func TestCore_DedupWindowBindsTheWrite(t *testing.T) {
 	const window = 700 * time.Millisecond
-	set := balancerSettings()
-	set.Classes[0].Idempotency, set.Classes[0].DedupWindow = balance.KeyedIdempotent, window
-	b, err := balance.New(set)
+	settings := balancerSettings()
+	settings.Classes[0].Idempotency = balance.KeyedIdempotent
+	settings.Classes[0].DedupWindow = window
+	b, err := balance.New(settings)
 	if err != nil {
 		t.Fatal(err)
 	}
 	h := &harness{t: t, now: startTime, answers: map[string][]FinalAnswer{}}
-	h.core = NewCore(b, h, Limits{FollowUpParts: []int{0, 0, 2}, DedupWindows: []time.Duration{window}, DeadlineMargin: 20 * time.Millisecond}, startTime)
+	h.core = NewCore(b, h, Limits{
+		FollowUpParts:  []int{0, 0, 2},
+		DedupWindows:   []time.Duration{window},
+		DeadlineMargin: 20 * time.Millisecond,
+	}, startTime)
 	h.turn(twoServers)
-	next := func() Call {
+	next := func() Call { // the next call that is sent
 		t.Helper()
 		for i := 0; len(h.calls) == 0; i++ {
 			if i > 1000 {
@@ -51,8 +60,7 @@
 			}
 			h.advance(5 * time.Millisecond)
 		}
-		c := h.calls[0]
-		h.calls, h.servers = nil, nil
+		c := h.takeCall(0)
 		return c
 	}
 	h.request("q", 0, 1)
@@ -80,9 +88,9 @@
 // A canceled part may be retried where its attempt has timed out and its query goes on, and not where its client has
 // disconnected.
 func TestCore_CancelSaysWhetherThePartMayBeRetried(t *testing.T) {
-	set := balancerSettings()
-	set.CanCancel = false // attempts have time-outs
-	h := newCancelRecorder(t, set)
+	settings := balancerSettings()
+	settings.CanCancel = false // attempts have time-outs
+	h := newCancelRecorder(t, settings)
 	h.request("times out", 0, 1)
 	for i := 0; len(h.canceled) == 0 && i < 500; i++ {
 		h.advance(5 * time.Millisecond)
@@ -92,44 +100,46 @@
 	}
 	h = newCancelRecorder(t, balancerSettings())
 	r := h.request("leaves", 0, 1)
-	h.turn(ClientDisconnected{r})
+	h.turn(ClientDisconnected{Request: r})
 	if mayRetry, ok := h.mayRetry[h.calls[0].Attempt]; !ok || mayRetry {
 		t.Errorf("its client has disconnected: may be retried %v, canceled %v", mayRetry, ok)
 	}
 }
 
-// Nothing is sent for a client that disconnects in the same turn, whether its request arrives in that turn or a part of it
-// is rejected.
+// Nothing is sent for a client that disconnects in the same turn, whether its request arrives in that turn or a
+// part of it is rejected.
 func TestCore_ClientDisconnectsInTheTurnOfTheSend(t *testing.T) {
 	h := newHarness(t)
-	r := &Request{ID: "q", Arrived: h.now, Timeout: 3 * time.Second, Payload: "text", Frontend: client{h, "q"}, Parts: []PartSpec{{Weight: 1}}}
-	h.turn(RequestArrived{r}, ClientDisconnected{r})
+	r := h.newRequest("q", 0)
+	r.Parts = []PartSpec{{Weight: 1}}
+	h.turn(RequestArrived{Request: r}, ClientDisconnected{Request: r})
 	if len(h.calls) != 0 || h.core.OpenQueries() != 0 || h.core.Counters.Disconnected != 1 {
 		t.Errorf("sent %d, held %d, %v", len(h.calls), h.core.OpenQueries(), h.core.Counters)
 	}
 	r = h.request("back", 0, 1)
-	c := h.calls[0]
-	h.calls = nil
-	h.turn(AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: Answered, Rejected: true}}, ClientDisconnected{r})
+	c := h.takeCall(0)
+	rejected := AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: Answered, Rejected: true}}
+	h.turn(rejected, ClientDisconnected{Request: r})
 	h.advance(time.Second)
 	if len(h.calls) != 0 || h.core.OpenQueries() != 0 {
 		t.Errorf("sent %d, held %d", len(h.calls), h.core.OpenQueries())
 	}
 }
 
-// A server that begins to drain in the turn of a request, or of the end of its first attempt, gets nothing in that turn.
+// A server that begins to drain in the turn of a request, or of the end of its first attempt, gets nothing in that
+// turn.
 func TestCore_ServerDrainsInTheTurnOfTheSend(t *testing.T) {
-	drain := EndpointsChanged{Kind: balance.ListDelta, Servers: []Server{{ID: "a", Addr: "a:1", State: balance.Draining}}}
+	drain := changeOf(Server{ID: "a", Addr: "a:1", State: balance.Draining})
 	for _, drains := range []bool{true, false} {
 		h := newHarness(t)
-		r := &Request{ID: "q", Arrived: h.now, Timeout: 3 * time.Second, Payload: "text", Frontend: client{h, "q"}, Parts: []PartSpec{{Weight: 1}}}
-		h.turn(RequestArrived{r}, drain)
+		r := h.newRequest("q", 0)
+		r.Parts = []PartSpec{{Weight: 1}}
+		h.turn(RequestArrived{Request: r}, drain)
 		if len(h.servers) != 1 || h.servers[0].ID != "b" {
 			t.Fatalf("sent to %+v", h.servers)
 		}
-		c := h.calls[0]
-		h.calls, h.servers = nil, nil
-		h.turn(EndpointsChanged{Kind: balance.ListDelta, Servers: []Server{{ID: "a", Addr: "a:1"}}})
+		c := h.takeCall(0)
+		h.turn(changeOf(Server{ID: "a", Addr: "a:1"}))
 		events := []Event{AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: Written}}}
 		if drains {
 			events = append(events, drain)
@@ -141,24 +151,23 @@
 	}
 }
 
-// A time-out is due in the turn that brings the answer: the part is served and nothing is canceled. In the turn before, the
-// attempt is canceled, and its answer counts as long as the backend has not ended it.
+// A time-out is due in the turn that brings the answer: the part is served and nothing is canceled. In the turn
+// before, the attempt is canceled, and its answer counts as long as the backend has not ended it.
 func TestCore_TimeoutCrossesTheAnswer(t *testing.T) {
 	for _, late := range []bool{false, true} {
-		set := balancerSettings()
-		set.CanCancel = false // attempts have time-outs
-		h := newCancelRecorder(t, set)
+		settings := balancerSettings()
+		settings.CanCancel = false // attempts have time-outs
+		h := newCancelRecorder(t, settings)
 		h.request("q", 0, 1)
-		c := h.calls[0]
-		h.calls, h.servers = nil, nil
+		c := h.takeCall(0)
 		h.now = c.Deadline
 		if late {
 			h.turn()
 		}
 		h.turn(AttemptEnded{Attempt: c.Attempt, Value: "v"})
-		f := h.answer("q") // the answer counts while the cancellation is under way, too
-		if f.Status != StatusServed || len(f.Items) != 1 || f.Items[0].Value != "v" {
-			t.Errorf("late %v: %+v", late, f)
+		final := h.answer("q") // the answer counts while the cancellation is under way, too
+		if final.Status != StatusServed || len(final.Items) != 1 || final.Items[0].Value != "v" {
+			t.Errorf("late %v: %+v", late, final)
 		}
 		if len(h.canceled) > 0 != late {
 			t.Errorf("late %v: canceled %v", late, h.canceled)
@@ -166,23 +175,31 @@
 	}
 }
 
-// The client's deadline, its disconnecting and the end of the last attempt come in one turn, in each order: the query ends
-// once, and nothing of it is retried.
+// The client's deadline, its disconnecting and the end of the last attempt come in one turn, in each order: the
+// query ends once, and nothing of it is retried.
 func TestCore_DeadlineDisconnectAndAttemptEndInOneTurn(t *testing.T) {
-	for i := range 6 {
+	for name, turn := range map[string]func(ended, left Event) []Event{
+		"the attempt ends, the client leaves": func(ended, left Event) []Event { return []Event{ended, left} },
+		"the client leaves, the attempt ends": func(ended, left Event) []Event { return []Event{left, ended} },
+		"the attempt ends":                    func(ended, _ Event) []Event { return []Event{ended} },
+		"the client leaves":                   func(_, left Event) []Event { return []Event{left} },
+		"the deadline alone":                  func(_, _ Event) []Event { return nil },
+		"the client leaves twice":             func(_, left Event) []Event { return []Event{left, left} },
+	} {
 		h := newHarness(t)
 		r := h.request("q", 0, 1)
-		c := h.calls[0]
-		h.calls, h.servers = nil, nil
+		c := h.takeCall(0)
 		h.now = h.now.Add(r.Timeout)
-		ended, left := AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: NotConnected}}, ClientDisconnected{r}
-		h.turn([][]Event{{ended, left}, {left, ended}, {ended}, {left}, {}, {left, left}}[i]...)
+		ended := AttemptEnded{Attempt: c.Attempt, Err: &AttemptError{Progress: NotConnected}}
+		left := ClientDisconnected{Request: r}
+		h.turn(turn(ended, left)...)
 		h.turn(ended, left)
 		if len(h.calls) != 0 || h.core.OpenQueries() != 0 || len(h.answers["q"]) > 1 {
-			t.Errorf("%d: sent %d, held %d, %d answers", i, len(h.calls), h.core.OpenQueries(), len(h.answers["q"]))
+			t.Errorf("%s: sent %d, held %d, %d answers", name, len(h.calls), h.core.OpenQueries(), len(h.answers["q"]))
 		}
-		if n := h.core.Counters; n.Received != 1 || n.Served+n.Rejected+n.Failed+n.Disconnected != 1 {
-			t.Errorf("%d: %v", i, n)
+		counters := h.core.Counters
+		if counters.Received != 1 || counters.Served+counters.Rejected+counters.Failed+counters.Disconnected != 1 {
+			t.Errorf("%s: %v", name, counters)
 		}
 	}
 }
