Take the lease holder's and the allocator's steps one by one; name their tolerances

Cause: packed assignments, unnamed 0.1 and 1e-9, and a fleet test whose faults, elections and time stood in one function; cases of the table test were positional. Change: Spend is takeSlots or takeTokens; acceptable takes the request that it is asked about; demandTolerance and tokenRoundingError are named; the fleet test elects, deposes, delivers and notes violations in functions of their own; table cases have field names.

--- a/internal/control/quota/allocator.go
+++ b/internal/control/quota/allocator.go
@@ -30,13 +30,16 @@
 	retryAt         time.Duration // when to propose that plan again if it was not committed
 }
 
-// StartTerm begins a term at now and returns the entry that announces it, which has to be committed first. The leader
-// before may have renewed every lease in the table until this moment, so all of them count for one more lease; only what
-// is left is divided at once. The table stays the caller's, who applies committed entries to it.
+// StartTerm begins a term at now and returns the entry that announces it, which has to be committed first. The
+// leader before may have renewed every lease in the table until this moment, so all of them count for one more
+// lease; only what is left is divided at once. The table stays the caller's, who applies committed entries to it.
 func StartTerm(rules *Rules, term uint64, table *Table, now time.Duration) (*Allocator, Entry) {
 	a := &Allocator{rules: rules, term: term, table: table, holders: map[HolderID]*holderState{}}
 	for _, r := range table.records {
-		a.holders[r.holder] = &holderState{leaseEnd: now + rules.maxLeaseAtAllocator(), demand: slices.Clone(r.plan)}
+		a.holders[r.holder] = &holderState{
+			leaseEnd: now + rules.maxLeaseAtAllocator(),
+			demand:   slices.Clone(r.plan),
+		}
 	}
 	return a, Entry{Term: term, Kind: TermStarted}
 }
@@ -61,8 +64,8 @@
 	state.confirmedEpoch = max(state.confirmedEpoch, request.ConfirmedEpoch)
 }
 
-// BeginConfirmation starts a round in which the caller confirms with a quorum that this process is still the leader, and
-// returns the round's number.
+// BeginConfirmation starts a round in which the caller confirms with a quorum that this process is still the
+// leader, and returns the round's number.
 func (a *Allocator) BeginConfirmation() uint64 {
 	a.nextRound++
 	return a.nextRound - 1
@@ -81,8 +84,14 @@
 		if state == nil || !state.grantDue || state.removalProposed || state.afterRound > round {
 			continue
 		}
-		state.grantDue, state.leaseEnd = false, now+a.rules.maxLeaseAtAllocator()
-		grants = append(grants, Grant{To: r.holder, Sequence: state.sequence, Epoch: r.epoch, Units: slices.Clone(r.plan)})
+		state.grantDue = false
+		state.leaseEnd = now + a.rules.maxLeaseAtAllocator()
+		grants = append(grants, Grant{
+			To:       r.holder,
+			Sequence: state.sequence,
+			Epoch:    r.epoch,
+			Units:    slices.Clone(r.plan),
+		})
 	}
 	return grants
 }
@@ -117,8 +126,8 @@
 	}
 }
 
-// proposePlans plans the holders' quotas by their demand, and returns entries for those that change. Units that a holder
-// gives up are another's only once it has confirmed the lower plan, so a transfer takes two rounds.
+// proposePlans plans the holders' quotas by their demand, and returns entries for those that change. Units that a
+// holder gives up are another's only once it has confirmed the lower plan, so a transfer takes two rounds.
 func (a *Allocator) proposePlans(now time.Duration) (entries []Entry) {
 	ids := a.plannedHolders()
 	plans := make([][]int, len(ids))
@@ -129,17 +138,19 @@
 		a.planBudget(budget, ids, plans)
 	}
 	for i, id := range ids {
-		state, epoch := a.holders[id], uint64(0)
+		epoch := uint64(0)
 		if r := a.table.lookup(id); r != nil {
-			epoch = r.epoch
 			if slices.Equal(r.plan, plans[i]) {
 				continue
 			}
+			epoch = r.epoch
 		}
+		state := a.holders[id]
 		if state.proposedEpoch == epoch && now < state.retryAt {
 			continue // a proposal is under way
 		}
-		state.proposedEpoch, state.retryAt = epoch, now+a.rules.LeaseDuration
+		state.proposedEpoch = epoch
+		state.retryAt = now + a.rules.LeaseDuration
 		entries = append(entries, Entry{Term: a.term, Kind: PlanSet, Holder: id, Plan: plans[i]})
 	}
 	return entries
@@ -163,10 +174,12 @@
 	for i, id := range ids {
 		demand[i] = a.holders[id].demand[budget]
 	}
-	targets := DivideMaxMin(a.rules.leasableUnits(rules)-rules.Reserve, demand)
-	free := a.rules.leasableUnits(rules) - a.table.committed[budget]
+	leasable := a.rules.leasableUnits(rules)
+	targets := DivideMaxMin(leasable-rules.Reserve, demand)
+	free := leasable - a.table.committed[budget]
 	for i, id := range ids {
-		target, maxSpend := targets[i], 0
+		target := targets[i]
+		maxSpend := 0
 		available := free // the reserve is for holders that have just joined
 		if r := a.table.lookup(id); r != nil {
 			maxSpend = r.maxSpend[budget]
--- a/internal/control/quota/fleet_test.go
+++ b/internal/control/quota/fleet_test.go
@@ -12,7 +12,6 @@
 // processes that pause, crash and restart, and leaders that are replaced without noticing. It counts what all of them
 // spend, by real time.
 type fleet struct {
-	t              *testing.T
 	rng            *rand.Rand
 	rules          *Rules // of the holders
 	allocatorRules *Rules // the same, unless a bug is planted
@@ -87,28 +86,44 @@
 }
 
 func newFleet(t *testing.T, seed uint64, planted bug) *fleet {
-	rules := &Rules{LeaseDuration: 2 * time.Second, MaxClockDrift: 0.05, MaxMembers: fleetSize, MinTransfer: 1, Budgets: []Budget{
-		{Key: "parts/s", Kind: Rate, Units: 40, Refill: time.Second, Base: 1, Reserve: 2},
-		{Key: "parts at once", Kind: Slots, Units: 30, MaxHold: 500 * time.Millisecond, Base: 1},
-		{Key: "list calls/s", Kind: Rate, Units: 6, Refill: 3 * time.Second},
-	}}
+	t.Helper()
+	rules := &Rules{
+		LeaseDuration: 2 * time.Second,
+		MaxClockDrift: 0.05,
+		MaxMembers:    fleetSize,
+		MinTransfer:   1,
+		Budgets: []Budget{
+			{Key: "parts/s", Kind: Rate, Units: 40, Refill: time.Second, Base: 1, Reserve: 2},
+			{Key: "parts at once", Kind: Slots, Units: 30, MaxHold: 500 * time.Millisecond, Base: 1},
+			{Key: "list calls/s", Kind: Rate, Units: 6, Refill: 3 * time.Second},
+		},
+	}
 	if err := rules.Validate(); err != nil {
 		t.Fatal(err)
 	}
-	f := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 0x5a)), rules: rules, allocatorRules: rules, plantedBug: planted, leader: -1}
+	f := &fleet{
+		rng:            rand.New(rand.NewPCG(seed, 0x5a)),
+		rules:          rules,
+		allocatorRules: rules,
+		plantedBug:     planted,
+		leader:         -1,
+		slotsInUse:     make([]int, len(rules.Budgets)),
+		spent:          make([]int, len(rules.Budgets)),
+		rejected:       make([]int, len(rules.Budgets)),
+	}
 	if planted == unitsReturnedEarly {
 		early := *rules
-		early.LeaseDuration, early.Budgets = rules.LeaseDuration/2, slices.Clone(rules.Budgets)
+		early.LeaseDuration = rules.LeaseDuration / 2
+		early.Budgets = slices.Clone(rules.Budgets)
 		early.Budgets[1].MaxHold = time.Millisecond
 		f.allocatorRules = &early
 	}
 	for _, b := range rules.Budgets {
 		f.tokens = append(f.tokens, float64(b.Units))
 	}
-	n := len(rules.Budgets)
-	f.slotsInUse, f.spent, f.rejected = make([]int, n), make([]int, n), make([]int, n)
 	for range 3 {
-		f.allocators = append(f.allocators, &allocatorNode{clock: f.newClock(), table: NewTable(f.allocatorRules)})
+		node := &allocatorNode{clock: f.newClock(), table: NewTable(f.allocatorRules)}
+		f.allocators = append(f.allocators, node)
 	}
 	for i := range fleetSize {
 		f.startProcess(fmt.Sprintf("m%d", i))
@@ -117,11 +132,17 @@
 }
 
 func (f *fleet) newClock() clock {
-	return clock{time.Duration(f.rng.Int64N(int64(time.Hour))), 1 + f.rules.MaxClockDrift*(2*f.rng.Float64()-1)}
+	offset := time.Duration(f.rng.Int64N(int64(time.Hour)))
+	drift := f.rules.MaxClockDrift * (2*f.rng.Float64() - 1)
+	return clock{offset: offset, rate: 1 + drift}
 }
 
 func (f *fleet) startProcess(aggregator string) {
-	p := &holderProcess{clock: f.newClock(), id: HolderID{aggregator, f.rng.Uint64()}, demand: f.rng.ExpFloat64() * 12}
+	p := &holderProcess{
+		clock:  f.newClock(),
+		id:     HolderID{Aggregator: aggregator, Incarnation: f.rng.Uint64()},
+		demand: f.rng.ExpFloat64() * 12,
+	}
 	p.holder = NewLeaseHolder(f.rules, p.id, p.read(f.now))
 	if f.plantedBug == baseAtOnce {
 		p.holder.startedAt -= time.Hour
@@ -133,52 +154,64 @@
 func (f *fleet) send(deliver func()) {
 	for range 1 + f.rng.IntN(8)/7 {
 		latency := time.Duration(f.rng.Int64N(int64(50 * time.Millisecond)))
-		switch x := f.rng.Float64(); {
-		case x < 0.15:
+		switch chance := f.rng.Float64(); {
+		case chance < 0.15:
 			continue
-		case x < 0.4:
+		case chance < 0.4:
 			latency = time.Duration(f.rng.Int64N(int64(3 * f.rules.LeaseDuration)))
 		}
-		f.messages = append(f.messages, message{f.now + latency, deliver})
+		f.deliverAfter(latency, deliver)
 	}
 }
 
+func (f *fleet) deliverAfter(latency time.Duration, deliver func()) {
+	f.messages = append(f.messages, message{deliverAt: f.now + latency, deliver: deliver})
+}
+
+// violated notes that an invariant does not hold now.
+func (f *fleet) violated(format string, args ...any) {
+	f.violations = append(f.violations, fmt.Sprintf("%v: ", f.now)+fmt.Sprintf(format, args...))
+}
+
 // spendUnit counts one unit that a holder spent, and notes a violation if that was more than the budget.
 func (f *fleet) spendUnit(p *holderProcess, b int) {
 	budget := &f.rules.Budgets[b]
 	f.spent[b]++
 	if budget.Kind == Slots {
-		if f.slotsInUse[b]++; f.slotsInUse[b] > budget.Units {
-			f.violations = append(f.violations, fmt.Sprintf("%v: %d of %d %s are in use", f.now, f.slotsInUse[b], budget.Units, budget.Key))
+		f.slotsInUse[b]++
+		if f.slotsInUse[b] > budget.Units {
+			f.violated("%d of %d %s are in use", f.slotsInUse[b], budget.Units, budget.Key)
 		}
 		held := time.Duration(f.rng.Int64N(int64(budget.MaxHold)))
-		f.messages = append(f.messages, message{f.now + held, func() {
+		f.deliverAfter(held, func() {
 			f.slotsInUse[b]--
 			p.holder.Release(b, 1)
-		}})
+		})
 		return
 	}
-	if f.tokens[b]--; f.tokens[b] < -1e-6 {
-		f.violations = append(f.violations, fmt.Sprintf("%v: %s are overspent by %.3f", f.now, budget.Key, -f.tokens[b]))
+	f.tokens[b]--
+	if f.tokens[b] < -1e-6 {
+		f.violated("%s are overspent by %.3f", budget.Key, -f.tokens[b])
 	}
 }
 
 // fleetSize is the largest that the rules allow, so that no unused base hides a quota that was granted twice.
 const fleetSize = 8
 
-// allowedUnits is how many units of a budget all processes may spend now, each by its own clock, paused or not, and what
-// they use beyond that. Quotas granted twice show here even if they are not spent at the same time.
+// allowedUnits is how many units of a budget all processes may spend now, each by its own clock, paused or not, and
+// what they use beyond that. Quotas granted twice show here even if they are not spent at the same time.
 func (f *fleet) allowedUnits(b int) (units int) {
 	budget := &f.rules.Budgets[b]
 	for _, p := range f.holders {
-		now, n := p.read(f.now), 0
+		now := p.read(f.now)
+		allowed := 0
 		if now < p.holder.leaseEnd {
-			n = p.holder.accounts[b].leased
+			allowed = p.holder.accounts[b].leased
 		}
 		if budget.Kind == Rate || now-p.holder.startedAt >= f.rules.maxSlotHold(budget) {
-			n += budget.Base
+			allowed += budget.Base
 		}
-		units += max(n, p.holder.accounts[b].inUse)
+		units += max(allowed, p.holder.accounts[b].inUse)
 	}
 	for _, p := range f.deadProcesses {
 		units += p.holder.accounts[b].inUse
@@ -192,18 +225,11 @@
 	f.now += tick
 	for b := range f.tokens {
 		if budget := &f.rules.Budgets[b]; budget.Kind == Rate {
-			f.tokens[b] = min(float64(budget.Units), f.tokens[b]+float64(budget.Units)*float64(tick)/float64(budget.Refill))
-		}
-	}
-	due := f.messages
-	f.messages = nil
-	for _, m := range due {
-		if m.deliverAt > f.now {
-			f.messages = append(f.messages, m)
-		} else {
-			m.deliver()
+			refilled := float64(budget.Units) * float64(tick) / float64(budget.Refill)
+			f.tokens[b] = min(float64(budget.Units), f.tokens[b]+refilled)
 		}
 	}
+	f.deliverDue()
 	for _, p := range f.holders {
 		f.runHolder(p)
 	}
@@ -212,11 +238,25 @@
 	}
 	f.injectFaults()
 	f.deadProcesses = slices.DeleteFunc(f.deadProcesses, func(p *holderProcess) bool {
-		return !slices.ContainsFunc(p.holder.accounts, func(p account) bool { return p.inUse > 0 })
+		return !slices.ContainsFunc(p.holder.accounts, func(a account) bool { return a.inUse > 0 })
 	})
 	for b := range f.rules.Budgets {
-		if n := f.allowedUnits(b); n > f.rules.Budgets[b].Units {
-			f.violations = append(f.violations, fmt.Sprintf("%v: all together may spend %d of %d %s", f.now, n, f.rules.Budgets[b].Units, f.rules.Budgets[b].Key))
+		budget := &f.rules.Budgets[b]
+		if allowed := f.allowedUnits(b); allowed > budget.Units {
+			f.violated("all together may spend %d of %d %s", allowed, budget.Units, budget.Key)
+		}
+	}
+}
+
+// deliverDue delivers the messages that have arrived by now.
+func (f *fleet) deliverDue() {
+	messages := f.messages
+	f.messages = nil
+	for _, m := range messages {
+		if m.deliverAt > f.now {
+			f.messages = append(f.messages, m)
+		} else {
+			m.deliver()
 		}
 	}
 }
@@ -276,7 +316,7 @@
 		return
 	}
 	latency := time.Duration(f.rng.Int64N(int64(100 * time.Millisecond)))
-	f.messages = append(f.messages, message{f.now + latency, func() { f.sendGrants(d, round) }})
+	f.deliverAfter(latency, func() { f.sendGrants(d, round) })
 }
 
 // sendGrants confirms a node's leadership and sends its grants.
@@ -303,63 +343,80 @@
 	return f.now >= d.isolatedUntil
 }
 
-func (f *fleet) deliverGrant(p *holderProcess, r Grant) {
-	now, before := p.read(f.now), p.holder.answered
+func (f *fleet) deliverGrant(p *holderProcess, grant Grant) {
+	now := p.read(f.now)
+	before := p.holder.answered
 	if f.plantedBug == leaseCountedFromGrant {
 		for i := range p.holder.recentRequests { // its requests seem to have been sent just now
 			p.holder.recentRequests[i].sentAt = now
 		}
 	}
-	p.holder.HandleGrant(now, r)
+	p.holder.HandleGrant(now, grant)
 	if f.plantedBug == leaseNeverEnds && p.holder.answered > before {
 		p.holder.leaseEnd = now + time.Hour
 	}
 }
 
+// happens is a random event that occurs once in a time, on average.
+func (f *fleet) happens(every time.Duration) bool {
+	return f.rng.Float64() < tick.Seconds()/every.Seconds()
+}
+
 // injectFaults elects and deposes leaders, and pauses, kills and starts processes.
 func (f *fleet) injectFaults() {
-	happens := func(every time.Duration) bool { return f.rng.Float64() < tick.Seconds()/every.Seconds() }
-	if f.leader < 0 && happens(300*time.Millisecond) {
-		f.leader = f.rng.IntN(len(f.allocators))
-		d := f.allocators[f.leader]
-		d.pausedUntil, d.isolatedUntil = f.now, f.now
-		d.applyLog(f.log) // a new leader knows everything that was committed before its term
-		f.term++
-		var e Entry
-		d.allocator, e = StartTerm(f.allocatorRules, f.term, d.table, d.read(f.now))
-		f.log = append(f.log, e)
-	}
-	if f.leader >= 0 && happens(7*time.Second) { // it is deposed: and knows it, or is paused, or is isolated
-		d := f.allocators[f.leader]
-		switch f.rng.IntN(3) {
-		case 0:
-			d.allocator = nil
-		case 1:
-			d.pausedUntil = f.now + 2*f.rules.LeaseDuration
-		case 2:
-			d.isolatedUntil = f.now + 3*f.rules.LeaseDuration
-			for _, p := range f.holders {
-				if p.onlyAllocator = nil; f.rng.IntN(2) == 0 {
-					p.onlyAllocator = d
-				}
-			}
-		}
-		f.leader = -1
+	if f.leader < 0 && f.happens(300*time.Millisecond) {
+		f.electLeader()
 	}
-	if happens(2 * time.Second) {
+	if f.leader >= 0 && f.happens(7*time.Second) {
+		f.deposeLeader()
+	}
+	if f.happens(2 * time.Second) {
 		p := f.holders[f.rng.IntN(len(f.holders))]
 		p.pausedUntil = f.now + time.Duration(f.rng.Int64N(int64(2*f.rules.LeaseDuration)))
 	}
-	if happens(3 * time.Second) { // a process crashes and is restarted
+	if f.happens(3 * time.Second) { // a process crashes and is restarted
 		f.kill(f.rng.IntN(len(f.holders)))
 	}
-	if happens(20 * time.Second) { // all at once
+	if f.happens(20 * time.Second) { // all at once
 		for i := range f.holders {
 			f.kill(i)
 		}
 	}
 }
 
+// electLeader makes a random node the leader, which begins a term.
+func (f *fleet) electLeader() {
+	f.leader = f.rng.IntN(len(f.allocators))
+	d := f.allocators[f.leader]
+	d.pausedUntil = f.now
+	d.isolatedUntil = f.now
+	d.applyLog(f.log) // a new leader knows everything that was committed before its term
+	f.term++
+	var termStarted Entry
+	d.allocator, termStarted = StartTerm(f.allocatorRules, f.term, d.table, d.read(f.now))
+	f.log = append(f.log, termStarted)
+}
+
+// deposeLeader ends that a node is the leader. The node knows it, or is paused, or is isolated.
+func (f *fleet) deposeLeader() {
+	d := f.allocators[f.leader]
+	switch f.rng.IntN(3) {
+	case 0:
+		d.allocator = nil
+	case 1:
+		d.pausedUntil = f.now + 2*f.rules.LeaseDuration
+	case 2:
+		d.isolatedUntil = f.now + 3*f.rules.LeaseDuration
+		for _, p := range f.holders {
+			p.onlyAllocator = nil
+			if f.rng.IntN(2) == 0 {
+				p.onlyAllocator = d
+			}
+		}
+	}
+	f.leader = -1
+}
+
 func (f *fleet) kill(i int) {
 	p := f.holders[i]
 	p.dead = true
@@ -370,9 +427,10 @@
 }
 
 // runFleet simulates a fleet until a violation, or for a time.
-func runFleet(t *testing.T, seed uint64, planted bug, d time.Duration) *fleet {
+func runFleet(t *testing.T, seed uint64, planted bug, duration time.Duration) *fleet {
+	t.Helper()
 	f := newFleet(t, seed, planted)
-	for f.now < d && len(f.violations) == 0 {
+	for f.now < duration && len(f.violations) == 0 {
 		f.step()
 	}
 	return f
@@ -387,7 +445,8 @@
 		}
 		for b, n := range f.spent {
 			if n == 0 || f.rejected[b] == 0 {
-				t.Errorf("seed %d: %s: %d spent, %d rejected: the limit was not reached", seed, f.rules.Budgets[b].Key, n, f.rejected[b])
+				t.Errorf("seed %d: %s: %d spent, %d rejected: the limit was not reached",
+					seed, f.rules.Budgets[b].Key, n, f.rejected[b])
 			}
 		}
 	}
@@ -395,7 +454,13 @@
 
 // The invariants of the simulation detect each planted bug.
 func TestFleet_PlantedBugsAreFound(t *testing.T) {
-	for _, planted := range []bug{unitsReturnedEarly, leaseCountedFromGrant, leaseNeverEnds, leadershipUnconfirmed, baseAtOnce} {
+	for _, planted := range []bug{
+		unitsReturnedEarly,
+		leaseCountedFromGrant,
+		leaseNeverEnds,
+		leadershipUnconfirmed,
+		baseAtOnce,
+	} {
 		found := 0
 		for seed := uint64(0); seed < 40 && found == 0; seed++ {
 			found += len(runFleet(t, seed, planted, 60*time.Second).violations)
--- a/internal/control/quota/holder.go
+++ b/internal/control/quota/holder.go
@@ -25,7 +25,9 @@
 	unleasedTokens float64 // Rate: tokens of the base that may be spent now
 	inUse          int     // Slots: units taken and not released
 	recentDemand   int     // Rate: units wanted since the last request, admitted or not; Slots: the most at once
-	smoothedDemand float64 // Rate: units wanted within a refill, smoothed over some leases; Slots: at once, decaying slowly
+	// smoothedDemand is, for Rate, the units wanted within a refill, smoothed over some leases; for Slots the most
+	// that were in use at once, which decays slowly.
+	smoothedDemand float64
 }
 
 // LeaseHolder is the side of an aggregator. It belongs to one process and ends with it; a new process makes a new one
@@ -45,6 +47,7 @@
 	demandSince    time.Duration // when recentDemand began to be counted
 }
 
+// sentRequest is when a request was sent. The lease that is granted for it counts from then.
 type sentRequest struct {
 	sequence uint64
 	sentAt   time.Duration
@@ -58,7 +61,12 @@
 // empty, and its base of slots counts once what an earlier process of this aggregator may have in use has ended.
 func NewLeaseHolder(rules *Rules, id HolderID, now time.Duration) *LeaseHolder {
 	return &LeaseHolder{
-		rules: rules, id: id, accounts: make([]account, len(rules.Budgets)), startedAt: now, refilledAt: now, demandSince: now,
+		rules:       rules,
+		id:          id,
+		accounts:    make([]account, len(rules.Budgets)),
+		startedAt:   now,
+		refilledAt:  now,
+		demandSince: now,
 	}
 }
 
@@ -77,7 +85,8 @@
 			a.leasedTokens = refill(a.leasedTokens, a.leased, leasedTime, period)
 		}
 		if now >= h.leaseEnd {
-			a.leased, a.leasedTokens = 0, 0
+			a.leased = 0
+			a.leasedTokens = 0
 		}
 	}
 	h.refilledAt = now
@@ -102,25 +111,40 @@
 	h.advance(now)
 	a, b := &h.accounts[budget], &h.rules.Budgets[budget]
 	if b.Kind == Slots {
-		a.recentDemand = max(a.recentDemand, a.inUse+units)
-		if a.inUse+units > h.slotLimit(a, b) {
-			return false
-		}
-		a.inUse += units
-		return true
+		return a.takeSlots(units, h.slotLimit(a, b))
+	}
+	return a.takeTokens(units)
+}
+
+// takeSlots takes units of a Slots budget if no more than limit are in use then.
+func (a *account) takeSlots(units, limit int) bool {
+	inUse := a.inUse + units
+	a.recentDemand = max(a.recentDemand, inUse)
+	if inUse > limit {
+		return false
 	}
+	a.inUse = inUse
+	return true
+}
+
+// takeTokens takes units of a Rate budget if there are as many tokens, those of the lease first.
+func (a *account) takeTokens(units int) bool {
 	a.recentDemand += units
-	if wholeUnits(a.leasedTokens)+wholeUnits(a.unleasedTokens) < units {
+	leased := wholeUnits(a.leasedTokens)
+	if leased+wholeUnits(a.unleasedTokens) < units {
 		return false
 	}
-	fromLease := min(wholeUnits(a.leasedTokens), units)
+	fromLease := min(leased, units)
 	a.leasedTokens = max(0, a.leasedTokens-float64(fromLease))
 	a.unleasedTokens = max(0, a.unleasedTokens-float64(units-fromLease))
 	return true
 }
 
+// tokenRoundingError is by how much a sum of tokens may be too small.
+const tokenRoundingError = 1e-9
+
 // wholeUnits rounds tokens down, and allows for the rounding errors of their sums.
-func wholeUnits(tokens float64) int { return int(tokens + 1e-9) }
+func wholeUnits(tokens float64) int { return int(tokens + tokenRoundingError) }
 
 // slotLimit is how many units may be in use at once.
 func (h *LeaseHolder) slotLimit(a *account, b *Budget) int {
@@ -151,9 +175,14 @@
 func (h *LeaseHolder) NextRequest(now time.Duration) Request {
 	h.advance(now)
 	h.sequence++
-	h.recentRequests[h.sequence%maxRecentRequests] = sentRequest{h.sequence, now}
+	h.recentRequests[h.sequence%maxRecentRequests] = sentRequest{sequence: h.sequence, sentAt: now}
 	h.confirmEpoch()
-	request := Request{From: h.id, Sequence: h.sequence, ConfirmedEpoch: h.confirmedEpoch, Demand: make([]int, len(h.accounts))}
+	request := Request{
+		From:           h.id,
+		Sequence:       h.sequence,
+		ConfirmedEpoch: h.confirmedEpoch,
+		Demand:         make([]int, len(h.accounts)),
+	}
 	elapsed := max(now-h.demandSince, 0)
 	for i := range h.accounts {
 		request.Demand[i] = h.accounts[i].takeDemand(&h.rules.Budgets[i], elapsed, h.rules.LeaseDuration)
@@ -162,16 +191,22 @@
 	return request
 }
 
+// demandTolerance is how much of a unit smoothed demand may exceed a whole number by without one more being requested.
+const demandTolerance = 0.1
+
 // takeDemand returns the units to request, from the demand of the elapsed time and the smoothed demand before it, and
 // begins to count anew.
 func (a *account) takeDemand(b *Budget, elapsed, lease time.Duration) int {
 	weight := 1 - math.Exp(-float64(elapsed)/float64(max(lease, b.Refill)))
-	if b.Kind == Slots {
-		a.smoothedDemand = max(float64(a.recentDemand), a.smoothedDemand-weight*(a.smoothedDemand-float64(a.recentDemand)))
-	} else if elapsed > 0 {
-		a.smoothedDemand += weight * (float64(a.recentDemand)*float64(b.Refill)/float64(elapsed) - a.smoothedDemand)
+	recent := float64(a.recentDemand)
+	switch {
+	case b.Kind == Slots: // rises at once
+		a.smoothedDemand = max(recent, a.smoothedDemand-weight*(a.smoothedDemand-recent))
+	case elapsed > 0:
+		perRefill := recent * float64(b.Refill) / float64(elapsed)
+		a.smoothedDemand += weight * (perRefill - a.smoothedDemand)
 	}
-	demand := int(math.Ceil(a.smoothedDemand - 0.1))
+	demand := int(math.Ceil(a.smoothedDemand - demandTolerance))
 	if a.recentDemand > 0 { // at least one, where one was wanted just now
 		demand = max(demand, 1)
 	}
@@ -195,14 +230,14 @@
 // ignored: the lease counts from before its request was sent, whenever the grant arrives.
 func (h *LeaseHolder) HandleGrant(now time.Duration, grant Grant) {
 	h.advance(now)
-	if !h.acceptable(&grant) {
-		return
-	}
-	leaseEnd := h.recentRequests[grant.Sequence%maxRecentRequests].sentAt + h.rules.minLeaseAtHolder()
-	if now >= leaseEnd {
+	request := h.recentRequests[grant.Sequence%maxRecentRequests]
+	leaseEnd := request.sentAt + h.rules.minLeaseAtHolder()
+	if !h.acceptable(&grant, request) || now >= leaseEnd {
 		return
 	}
-	h.answered, h.epoch, h.leaseEnd = grant.Sequence, grant.Epoch, leaseEnd
+	h.answered = grant.Sequence
+	h.epoch = grant.Epoch
+	h.leaseEnd = leaseEnd
 	for i := range h.accounts {
 		a := &h.accounts[i]
 		a.leased = max(0, grant.Units[i])
@@ -212,9 +247,10 @@
 	h.confirmEpoch()
 }
 
-// acceptable reports whether a grant answers a recent request of this process and is newer than the last one taken.
-func (h *LeaseHolder) acceptable(grant *Grant) bool {
-	request := h.recentRequests[grant.Sequence%maxRecentRequests]
-	return grant.To == h.id && grant.Sequence > h.answered && request.sequence == grant.Sequence &&
-		len(grant.Units) == len(h.accounts) && grant.Epoch >= h.epoch
+// acceptable reports whether a grant is for this process, answers the given request, and is newer than the last one
+// accepted.
+func (h *LeaseHolder) acceptable(grant *Grant, request sentRequest) bool {
+	isReply := grant.To == h.id && grant.Sequence == request.sequence && len(grant.Units) == len(h.accounts)
+	isNewer := grant.Sequence > h.answered && grant.Epoch >= h.epoch
+	return isReply && isNewer
 }
--- a/internal/control/quota/quota.go
+++ b/internal/control/quota/quota.go
@@ -1,8 +1,8 @@
-// Package quota divides budgets of a whole fleet among its aggregators by leases, so that all of them together never
-// spend more than the budget, however many there are, join, leave, pause or are partitioned. A LeaseHolder is the side of
-// an aggregator: it requests a lease and spends by it. An Allocator is the side of the elected leader: it keeps a Table
-// of what each holder may spend, which a quorum replicates, and grants only what the table has left.
-// docs/fleet-budgets-design.md has the argument.
+// Package quota divides budgets of a whole fleet among its aggregators by leases, so that all of them together
+// never spend more than the budget, however many there are, join, leave, pause or are partitioned. A LeaseHolder is
+// the side of an aggregator: it requests a lease and spends by it. An Allocator is the side of the elected leader:
+// it keeps a Table of what each holder may spend, which a quorum replicates, and grants only what the table has
+// left. docs/fleet-budgets-design.md has the argument.
 //
 // Nothing here does I/O, reads a clock or starts a goroutine. Times are readings of the caller's monotonic clock, which
 // goes on while its process is paused. Clocks of two processes may be apart by any offset, but their rates may differ
@@ -38,8 +38,9 @@
 type Budget struct {
 	Key  Key
 	Kind Kind
-	// Units are what is divided. For Slots: units that may be in use at once. For Rate: tokens, each of which may be
-	// spent at any time and is back after Refill; so of n units n may be spent together, and n in each Refill after that.
+	// Units are what is divided. For Slots: units that may be in use at once. For Rate: tokens, each of which may
+	// be spent at any time and is back after Refill; so of n units n may be spent together, and n in each Refill
+	// after that.
 	Units   int
 	Refill  time.Duration // Rate only
 	MaxHold time.Duration // Slots only: how long one may stay in use after its lease or its process has ended
@@ -84,6 +85,7 @@
 	return nil
 }
 
+// validate returns an error that names what is invalid of the budget, in a fleet of so many members at most.
 func (b *Budget) validate(maxMembers int) error {
 	switch {
 	case b.Kind == Rate && (b.Refill <= 0 || b.MaxHold != 0):
@@ -123,6 +125,7 @@
 	return longest
 }
 
+// scale multiplies a duration, and rounds it up.
 func scale(d time.Duration, factor float64) time.Duration {
 	return time.Duration(math.Ceil(float64(d) * factor))
 }
@@ -135,7 +138,10 @@
 }
 
 func (id HolderID) compare(other HolderID) int {
-	return cmp.Or(cmp.Compare(id.Aggregator, other.Aggregator), cmp.Compare(id.Incarnation, other.Incarnation))
+	return cmp.Or(
+		cmp.Compare(id.Aggregator, other.Aggregator),
+		cmp.Compare(id.Incarnation, other.Incarnation),
+	)
 }
 
 // Request is a holder's message by which it acquires or renews its lease.
@@ -151,5 +157,5 @@
 	To       HolderID
 	Sequence uint64 // of the request
 	Epoch    uint64 // of the plan that the units come from
-	Units    []int  // units of each budget, to be spent within Rules.LeaseDuration from before the request was sent
+	Units    []int  // units of each budget, to be spent within Rules.LeaseDuration of the moment before the request
 }
--- a/internal/control/quota/quota_test.go
+++ b/internal/control/quota/quota_test.go
@@ -9,10 +9,15 @@
 )
 
 func testRules() *Rules {
-	return &Rules{LeaseDuration: time.Second, MaxClockDrift: 0.1, MaxMembers: 4, Budgets: []Budget{
-		{Key: "rate", Kind: Rate, Units: 20, Refill: time.Second, Base: 1, Reserve: 2},
-		{Key: "slots", Kind: Slots, Units: 12, MaxHold: 500 * time.Millisecond, Base: 1},
-	}}
+	return &Rules{
+		LeaseDuration: time.Second,
+		MaxClockDrift: 0.1,
+		MaxMembers:    4,
+		Budgets: []Budget{
+			{Key: "rate", Kind: Rate, Units: 20, Refill: time.Second, Base: 1, Reserve: 2},
+			{Key: "slots", Kind: Slots, Units: 12, MaxHold: 500 * time.Millisecond, Base: 1},
+		},
+	}
 }
 
 func TestRules_Validate_NamesTheInvalidValue(t *testing.T) {
@@ -49,20 +54,23 @@
 		if len(raw) == 0 {
 			return
 		}
-		demands, all := make([]int, len(raw)), 0
+		demands := make([]int, len(raw))
+		totalDemand := 0
 		for i, b := range raw {
 			demands[i] = int(b)
-			all += demands[i]
+			totalDemand += demands[i]
 		}
-		quotas, sum := DivideMaxMin(int(units), demands), 0
-		for i, s := range quotas {
-			sum += s
-			if s < 0 || int(units) <= all && s > demands[i] {
+		quotas := DivideMaxMin(int(units), demands)
+		sum := 0
+		for i, quota := range quotas {
+			sum += quota
+			if quota < 0 || int(units) <= totalDemand && quota > demands[i] {
 				t.Fatalf("%d of %v: %v", units, demands, quotas)
 			}
-			for j, o := range quotas {
-				if s < demands[i] && o > s+1 {
-					t.Fatalf("%d of %v: %v: %d has less than it demands, and less than %d", units, demands, quotas, i, j)
+			for j, other := range quotas {
+				if quota < demands[i] && other > quota+1 {
+					t.Fatalf("%d of %v: %v: %d has less than it demands, and less than %d",
+						units, demands, quotas, i, j)
 				}
 			}
 		}
@@ -72,34 +80,40 @@
 	})
 }
 
-// An entry that would exceed a budget changes nothing, nor does one of a term that is over, and units that a holder gives
-// up are free only once it has confirmed the lower plan, or was removed.
+// An entry that would exceed a budget changes nothing, nor does one of a term that is over, and units that a holder
+// gives up are free only once it has confirmed the lower plan, or was removed.
 func TestTable_Apply_NeverExceedsTheBudget(t *testing.T) {
 	table := NewTable(testRules())
-	a, b := HolderID{"a", 1}, HolderID{"b", 1}
+	a := HolderID{"a", 1}
+	b := HolderID{"b", 1}
 	for i, step := range []struct {
 		entry     Entry
 		changes   bool
 		committed int
 	}{
-		{Entry{Term: 1, Kind: TermStarted}, true, 0},
-		{Entry{Term: 1, Kind: PlanSet, Holder: a, Plan: []int{10, 3}}, true, 10},
-		{Entry{Term: 1, Kind: PlanSet, Holder: b, Plan: []int{7, 3}}, false, 10},  // 16 are leased
-		{Entry{Term: 1, Kind: PlanSet, Holder: b, Plan: []int{-1, 3}}, false, 10}, // negative
-		{Entry{Term: 1, Kind: PlanSet, Holder: b, Plan: []int{1}}, false, 10},
-		{Entry{Term: 1, Kind: PlanSet, Holder: b, Plan: []int{6, 3}}, true, 16},
-		{Entry{Term: 1, Kind: PlanSet, Holder: a, Plan: []int{4, 3}}, true, 16}, // it may still be spending 10
-		{Entry{Term: 1, Kind: PlanSet, Holder: b, Plan: []int{12, 3}}, false, 16},
-		{Entry{Term: 1, Kind: PlanConfirmed, Holder: a, Epoch: 2}, false, 16}, // the epoch of its first plan
-		{Entry{Term: 1, Kind: PlanConfirmed, Holder: a, Epoch: 7}, true, 10},
-		{Entry{Term: 1, Kind: PlanSet, Holder: b, Plan: []int{12, 3}}, true, 16},
-		{Entry{Term: 2, Kind: TermStarted}, true, 16},
-		{Entry{Term: 1, Kind: HolderRemoved, Holder: b, Epoch: 11}, false, 16},
-		{Entry{Term: 2, Kind: HolderRemoved, Holder: b, Epoch: 6}, false, 16},
-		{Entry{Term: 2, Kind: HolderRemoved, Holder: b, Epoch: 11}, true, 4},
+		{entry: Entry{Term: 1, Kind: TermStarted}, changes: true, committed: 0},
+		{entry: Entry{Term: 1, Kind: PlanSet, Holder: a, Plan: []int{10, 3}}, changes: true, committed: 10},
+		// 16 are leased.
+		{entry: Entry{Term: 1, Kind: PlanSet, Holder: b, Plan: []int{7, 3}}, changes: false, committed: 10},
+		// Negative.
+		{entry: Entry{Term: 1, Kind: PlanSet, Holder: b, Plan: []int{-1, 3}}, changes: false, committed: 10},
+		{entry: Entry{Term: 1, Kind: PlanSet, Holder: b, Plan: []int{1}}, changes: false, committed: 10},
+		{entry: Entry{Term: 1, Kind: PlanSet, Holder: b, Plan: []int{6, 3}}, changes: true, committed: 16},
+		// It may still be spending 10.
+		{entry: Entry{Term: 1, Kind: PlanSet, Holder: a, Plan: []int{4, 3}}, changes: true, committed: 16},
+		{entry: Entry{Term: 1, Kind: PlanSet, Holder: b, Plan: []int{12, 3}}, changes: false, committed: 16},
+		// The epoch of its first plan.
+		{entry: Entry{Term: 1, Kind: PlanConfirmed, Holder: a, Epoch: 2}, changes: false, committed: 16},
+		{entry: Entry{Term: 1, Kind: PlanConfirmed, Holder: a, Epoch: 7}, changes: true, committed: 10},
+		{entry: Entry{Term: 1, Kind: PlanSet, Holder: b, Plan: []int{12, 3}}, changes: true, committed: 16},
+		{entry: Entry{Term: 2, Kind: TermStarted}, changes: true, committed: 16},
+		{entry: Entry{Term: 1, Kind: HolderRemoved, Holder: b, Epoch: 11}, changes: false, committed: 16},
+		{entry: Entry{Term: 2, Kind: HolderRemoved, Holder: b, Epoch: 6}, changes: false, committed: 16},
+		{entry: Entry{Term: 2, Kind: HolderRemoved, Holder: b, Epoch: 11}, changes: true, committed: 4},
 	} {
 		if changes := table.Apply(step.entry); changes != step.changes || table.Committed(0) != step.committed {
-			t.Errorf("entry %d: changes %v, %d committed; want %v, %d", i, changes, table.Committed(0), step.changes, step.committed)
+			t.Errorf("entry %d: changes %v, %d committed; want %v, %d",
+				i, changes, table.Committed(0), step.changes, step.committed)
 		}
 	}
 	if ids := table.Holders(); len(ids) != 1 || ids[0] != a {
@@ -107,11 +121,12 @@
 	}
 }
 
-// A lease counts from before its request, and a grant that is late, duplicated, another process's or overtaken is ignored.
+// A lease counts from before its request, and a grant that is late, duplicated, another process's or overtaken is
+// ignored.
 func TestLeaseHolder_HandleGrant_IgnoresInvalidGrants(t *testing.T) {
-	now, r := time.Hour, testRules()
+	now := time.Hour
 	me := HolderID{"a", 7}
-	h := NewLeaseHolder(r, me, now)
+	h := NewLeaseHolder(testRules(), me, now)
 	if h.Spend(now, 0, 1) || h.Spend(now, 1, 1) || h.Mode(now) != BaseOnly {
 		t.Error("a process that has just started may spend its base, though the one before it may have spent that")
 	}
@@ -122,12 +137,14 @@
 		"for no request":      {To: me, Sequence: 9, Epoch: 3, Units: []int{5, 2}},
 		"of other budgets":    {To: me, Sequence: request.Sequence, Epoch: 3, Units: []int{5}},
 	} {
-		if h.HandleGrant(now, bad); h.Mode(now) != BaseOnly {
+		h.HandleGrant(now, bad)
+		if h.Mode(now) != BaseOnly {
 			t.Errorf("a grant %s was accepted", what)
 		}
 	}
 	now += 400 * time.Millisecond
-	if h.HandleGrant(now, grant); h.Allowance(now, 0) != 6 || h.Allowance(now, 1) != 2 {
+	h.HandleGrant(now, grant)
+	if h.Allowance(now, 0) != 6 || h.Allowance(now, 1) != 2 {
 		t.Errorf("allowances are %d and %d", h.Allowance(now, 0), h.Allowance(now, 1))
 	}
 	if h.Spend(now, 0, 2) { // 0.4 of the base; nothing of what has just been leased
@@ -137,7 +154,8 @@
 	if h.Allowance(now, 0) != 6 {
 		t.Error("a second grant for one request was accepted")
 	}
-	two, three := h.NextRequest(now), h.NextRequest(now)
+	two := h.NextRequest(now)
+	three := h.NextRequest(now)
 	h.HandleGrant(now, Grant{To: me, Sequence: three.Sequence, Epoch: 5, Units: []int{4, 2}})
 	h.HandleGrant(now, Grant{To: me, Sequence: two.Sequence, Epoch: 4, Units: []int{8, 2}})
 	if h.Allowance(now, 0) != 5 {
@@ -147,9 +165,9 @@
 
 // A lease ends by the holder's clock the drift sooner than its nominal time, counted from its request.
 func TestLeaseHolder_LeaseEnds(t *testing.T) {
-	now, r := time.Hour, testRules()
+	now := time.Hour
 	me := HolderID{"a", 7}
-	h := NewLeaseHolder(r, me, now)
+	h := NewLeaseHolder(testRules(), me, now)
 	now += 400 * time.Millisecond
 	h.HandleGrant(now, Grant{To: me, Sequence: h.NextRequest(now).Sequence, Epoch: 5, Units: []int{4, 2}})
 	now += 899 * time.Millisecond // of the lease of a second, less the drift of a tenth
@@ -160,111 +178,147 @@
 	if h.Mode(now) != BaseOnly || h.Allowance(now, 0) != 1 || h.Spend(now, 1, 1) {
 		t.Error("the lease has not ended")
 	}
-	four := h.NextRequest(now)
+	late := h.NextRequest(now)
 	now += time.Second
-	if h.HandleGrant(now, Grant{To: me, Sequence: four.Sequence, Epoch: 6, Units: []int{8, 2}}); h.Mode(now) != BaseOnly {
+	h.HandleGrant(now, Grant{To: me, Sequence: late.Sequence, Epoch: 6, Units: []int{8, 2}})
+	if h.Mode(now) != BaseOnly {
 		t.Error("a grant that arrived after its lease was accepted")
 	}
-	if h.Release(1, 3); !h.Spend(now, 1, 1) || h.Spend(now, 1, 1) {
+	h.Release(1, 3)
+	if !h.Spend(now, 1, 1) || h.Spend(now, 1, 1) {
 		t.Error("the base is one slot")
 	}
 }
 
 // Slots in use beyond a lowered quota are confirmed as given up only once they are released.
 func TestLeaseHolder_ConfirmsALowerQuotaOnceSlotsAreReleased(t *testing.T) {
-	now, r, me := time.Duration(0), testRules(), HolderID{"a", 1}
-	h := NewLeaseHolder(r, me, now)
+	now := time.Duration(0)
+	me := HolderID{"a", 1}
+	h := NewLeaseHolder(testRules(), me, now)
 	h.HandleGrant(now, Grant{To: me, Sequence: h.NextRequest(now).Sequence, Epoch: 1, Units: []int{0, 5}})
 	if !h.Spend(now, 1, 5) {
 		t.Fatal("it may not spend what it was granted")
 	}
 	h.HandleGrant(now, Grant{To: me, Sequence: h.NextRequest(now).Sequence, Epoch: 2, Units: []int{0, 2}})
-	if a := h.NextRequest(now); a.ConfirmedEpoch != 1 || a.Demand[1] != 5 {
-		t.Errorf("%+v", a)
+	if request := h.NextRequest(now); request.ConfirmedEpoch != 1 || request.Demand[1] != 5 {
+		t.Errorf("%+v", request)
 	}
-	if h.Release(1, 3); h.NextRequest(now).ConfirmedEpoch != 2 {
+	h.Release(1, 3)
+	if h.NextRequest(now).ConfirmedEpoch != 2 {
 		t.Error("it is within its quota, and does not confirm it")
 	}
 }
 
 func TestLeaseHolder_Spend_DoesNotAllocate(t *testing.T) {
-	now, r, me := time.Duration(0), testRules(), HolderID{"a", 1}
-	h := NewLeaseHolder(r, me, now)
+	now := time.Duration(0)
+	me := HolderID{"a", 1}
+	h := NewLeaseHolder(testRules(), me, now)
 	h.HandleGrant(now, Grant{To: me, Sequence: h.NextRequest(now).Sequence, Epoch: 1, Units: []int{9, 5}})
-	if n := testing.AllocsPerRun(1000, func() {
+	allocations := testing.AllocsPerRun(1000, func() {
 		now += 100 * time.Microsecond
 		h.Spend(now, 0, 1)
 		if h.Spend(now, 1, 1) {
 			h.Release(1, 1)
 		}
-	}); n != 0 {
-		t.Errorf("%v allocations", n)
+	})
+	if allocations != 0 {
+		t.Errorf("%v allocations", allocations)
 	}
 }
 
-// spentAfterSettling runs a fleet without faults for a time until quotas have settled, and as long again, and returns
-// what each holder spent of the first budget in the second half.
-func spentAfterSettling(r *Rules, demands []float64, d time.Duration) (spent []float64) {
-	table := NewTable(r)
-	a, first := StartTerm(r, 1, table, 0)
-	table.Apply(first)
-	rng := rand.New(rand.NewPCG(1, 1))
-	var all []*LeaseHolder
+// settlingFleet is a fleet without faults, whose messages and entries take no time.
+type settlingFleet struct {
+	rng       *rand.Rand
+	table     *Table
+	allocator *Allocator
+	holders   []*LeaseHolder
+	demands   []float64 // of each holder, in units of the first budget per second
+}
+
+func newSettlingFleet(rules *Rules, demands []float64) *settlingFleet {
+	f := &settlingFleet{
+		rng:     rand.New(rand.NewPCG(1, 1)),
+		table:   NewTable(rules),
+		demands: demands,
+	}
+	var first Entry
+	f.allocator, first = StartTerm(rules, 1, f.table, 0)
+	f.table.Apply(first)
 	for i := range demands {
-		all = append(all, NewLeaseHolder(r, HolderID{string(rune('a' + i)), 1}, 0))
+		id := HolderID{Aggregator: string(rune('a' + i)), Incarnation: 1}
+		f.holders = append(f.holders, NewLeaseHolder(rules, id, 0))
 	}
-	spent = make([]float64, len(demands))
-	for now := time.Duration(0); now < 2*d; now += 10 * time.Millisecond {
-		for i, h := range all {
-			for n := demands[i] / 100; n > 0; n-- {
-				if rng.Float64() < n && h.Spend(now, 0, 1) && now >= d {
+	return f
+}
+
+// spentAfterSettling runs the fleet for a time until quotas have settled, and as long again, and returns what each
+// holder spent of the first budget in the second half.
+func (f *settlingFleet) spentAfterSettling(settling time.Duration) (spent []float64) {
+	spent = make([]float64, len(f.demands))
+	for now := time.Duration(0); now < 2*settling; now += tick {
+		for i, h := range f.holders {
+			for n := f.demands[i] * tick.Seconds(); n > 0; n-- {
+				if f.rng.Float64() < n && h.Spend(now, 0, 1) && now >= settling {
 					spent[i]++
 				}
 			}
-			if int(now/(10*time.Millisecond))%20 == i%20 {
-				a.HandleRequest(h.NextRequest(now))
+			if int(now/tick)%20 == i%20 {
+				f.allocator.HandleRequest(h.NextRequest(now))
 			}
 		}
-		if now%(100*time.Millisecond) > 0 {
-			continue
-		}
-		for _, e := range a.Propose(now) {
-			table.Apply(e)
+		if now%(100*time.Millisecond) == 0 {
+			f.runAllocator(now)
 		}
-		for _, grant := range a.Confirm(now, a.BeginConfirmation()) {
-			i := slices.IndexFunc(all, func(h *LeaseHolder) bool { return h.id == grant.To })
-			all[i].HandleGrant(now, grant)
-		}
-		a.ForgetRemoved()
 	}
 	return spent
 }
 
+// runAllocator commits what the allocator proposes and delivers its grants.
+func (f *settlingFleet) runAllocator(now time.Duration) {
+	for _, entry := range f.allocator.Propose(now) {
+		f.table.Apply(entry)
+	}
+	for _, grant := range f.allocator.Confirm(now, f.allocator.BeginConfirmation()) {
+		i := slices.IndexFunc(f.holders, func(h *LeaseHolder) bool { return h.id == grant.To })
+		f.holders[i].HandleGrant(now, grant)
+	}
+	f.allocator.ForgetRemoved()
+}
+
 // With uneven demand over nine tenths of the budget are used, where fixed quotas of 1/n would leave most of it idle.
 func TestAllocator_QuotasFollowDemand(t *testing.T) {
-	r := &Rules{LeaseDuration: 2 * time.Second, MaxClockDrift: 0.01, MaxMembers: 16, MinTransfer: 1, Budgets: []Budget{
-		{Key: "parts/s", Kind: Rate, Units: 400, Refill: time.Second, Base: 1, Reserve: 8}}}
-	demands := make([]float64, 16)
-	fixed, used := 0.0, 0.0
+	const (
+		members  = 16
+		units    = 400
+		settling = 20 * time.Second
+	)
+	rules := &Rules{
+		LeaseDuration: 2 * time.Second,
+		MaxClockDrift: 0.01,
+		MaxMembers:    members,
+		MinTransfer:   1,
+		Budgets:       []Budget{{Key: "parts/s", Kind: Rate, Units: units, Refill: time.Second, Base: 1, Reserve: 8}},
+	}
+	demands := make([]float64, members)
+	usedByFixedQuotas := 0.0
 	for i := range demands {
 		demands[i] = 4
 		if i < 3 {
 			demands[i] = 180
 		}
-		fixed += min(demands[i], 400.0/16)
+		usedByFixedQuotas += min(demands[i], units/members)
 	}
-	const d = 20 * time.Second
-	for _, n := range spentAfterSettling(r, demands, d) {
-		used += n / d.Seconds()
+	used := 0.0
+	for _, spent := range newSettlingFleet(rules, demands).spentAfterSettling(settling) {
+		used += spent / settling.Seconds()
 	}
-	if used < 0.9*400 || used > 1.01*400 || fixed > 0.4*400 {
-		t.Errorf("%.0f of 400 a second are used, %.0f by fixed quotas", used, fixed)
+	if used < 0.9*units || used > 1.01*units || usedByFixedQuotas > 0.4*units {
+		t.Errorf("%.0f of %d a second are used, %.0f by fixed quotas", used, units, usedByFixedQuotas)
 	}
 }
 
 func BenchmarkLeaseHolder_Spend(b *testing.B) {
-	r := testRules()
-	h := NewLeaseHolder(r, HolderID{"a", 1}, 0)
+	h := NewLeaseHolder(testRules(), HolderID{"a", 1}, 0)
 	h.HandleGrant(0, Grant{To: h.id, Sequence: h.NextRequest(0).Sequence, Epoch: 1, Units: []int{9, 5}})
 	now := time.Duration(0)
 	for b.Loop() {
--- a/internal/control/quota/table.go
+++ b/internal/control/quota/table.go
@@ -33,8 +33,8 @@
 	maxSpend []int  // units that it may be spending by this or an earlier plan: at least the plan
 }
 
-// Table is what each holder may spend. All replicas apply the same entries in the same order and have the same table. It
-// never exceeds a budget: an entry that would do so changes nothing. It is not safe for concurrent use.
+// Table is what each holder may spend. All replicas apply the same entries in the same order and have the same
+// table. It never exceeds a budget: an entry that would do so changes nothing. It is not safe for concurrent use.
 type Table struct {
 	rules     *Rules
 	term      uint64
@@ -74,26 +74,27 @@
 
 // Apply takes a committed entry and reports whether it changed anything. Entries that change nothing advance the epoch,
 // too: epochs are positions in the replicated log.
-func (t *Table) Apply(e Entry) bool {
+func (t *Table) Apply(entry Entry) bool {
 	t.epoch++
-	if e.Kind == TermStarted {
-		t.term = e.Term
+	if entry.Kind == TermStarted {
+		t.term = entry.Term
 		return true
 	}
-	if e.Term != t.term {
+	if entry.Term != t.term {
 		return false
 	}
-	switch e.Kind {
+	switch entry.Kind {
 	case PlanSet:
-		return t.setPlan(e.Holder, e.Plan)
+		return t.setPlan(entry.Holder, entry.Plan)
 	case PlanConfirmed:
-		return t.confirmPlan(e.Holder, e.Epoch)
+		return t.confirmPlan(entry.Holder, entry.Epoch)
 	case HolderRemoved:
-		return t.removeHolder(e.Holder, e.Epoch)
+		return t.removeHolder(entry.Holder, entry.Epoch)
 	}
 	return false
 }
 
+// setPlan gives a holder a plan, if no budget is exceeded even while it still spends by the plan before.
 func (t *Table) setPlan(id HolderID, plan []int) bool {
 	if len(plan) != len(t.committed) {
 		return false
@@ -106,7 +107,8 @@
 	maxSpend := slices.Clone(plan)
 	for b := range maxSpend {
 		maxSpend[b] = max(maxSpend[b], current[b])
-		if plan[b] < 0 || t.committed[b]+maxSpend[b]-current[b] > t.rules.leasableUnits(&t.rules.Budgets[b]) {
+		committed := t.committed[b] + maxSpend[b] - current[b]
+		if plan[b] < 0 || committed > t.rules.leasableUnits(&t.rules.Budgets[b]) {
 			return false
 		}
 	}
@@ -118,10 +120,13 @@
 		position, _ := t.find(id)
 		t.records = slices.Insert(t.records, position, r)
 	}
-	r.epoch, r.plan, r.maxSpend = t.epoch, slices.Clone(plan), maxSpend
+	r.epoch = t.epoch
+	r.plan = slices.Clone(plan)
+	r.maxSpend = maxSpend
 	return true
 }
 
+// confirmPlan frees the units that a holder may have spent beyond its plan of the given epoch.
 func (t *Table) confirmPlan(id HolderID, epoch uint64) bool {
 	r := t.lookup(id)
 	if r == nil || r.epoch != epoch || slices.Equal(r.maxSpend, r.plan) {
@@ -134,6 +139,7 @@
 	return true
 }
 
+// removeHolder frees all units of a holder whose plan is of the given epoch.
 func (t *Table) removeHolder(id HolderID, epoch uint64) bool {
 	position, found := t.find(id)
 	if !found || t.records[position].epoch != epoch {
