--- a/internal/app/healthclient.go
+++ b/internal/app/healthclient.go
@@ -47,9 +47,9 @@
 	Stop  <-chan struct{}
 }
 
-// CheckServers runs all checks of all servers in an operator's file, and prints for each server what every check says and
-// the state that follows. It returns whether all servers may be used. What only a running aggregator knows, the outcomes
-// of real requests, is not included: GET /servers of its health listener has it.
+// CheckServers runs all checks of all servers in an operator's file, and prints for each server what every check
+// says and the state that follows. It returns whether all servers may be used. What only a running aggregator
+// knows, the outcomes of real requests, is not included: GET /servers of its health listener has it.
 func CheckServers(path string, out io.Writer, options HealthOptions) (healthy bool, err error) {
 	conf, err := config.LoadPartners(path)
 	if err != nil {
@@ -95,7 +95,7 @@
 	for _, server := range conf.Servers {
 		servers = append(servers, health.Server{ID: health.ID(server.ID), Shards: shardsOfCell(conf, server.Cell)})
 	}
-	table.UpdateEndpoints(time.Now(), servers, true)
+	table.ReplaceEndpoints(time.Now(), servers)
 	return table, nil
 }
 
--- a/internal/app/healthtracker.go
+++ b/internal/app/healthtracker.go
@@ -14,8 +14,8 @@
 	"rooktrestle/internal/control/shardmap"
 )
 
-// healthTracker merges the results of health checks and of attempts into the servers' states, and reports changes to the
-// core's endpoint list. It is used on the loop only.
+// healthTracker merges the results of health checks and of attempts into the servers' states, and reports changes
+// to the core's endpoint list. It is used on the loop only.
 type healthTracker struct {
 	table      *health.Table
 	servers    map[health.ID]aggregator.Server
@@ -59,13 +59,13 @@
 		}
 		listed = append(listed, entry)
 	}
-	table.UpdateEndpoints(now, listed, true)
+	table.ReplaceEndpoints(now, listed)
 	h.evaluate(now)
 	return h, nil
 }
 
-// shardsOfCell are the shards that a server of a cell holds: those that start at its cell or at one of the reach-1 cells
-// before it on the ring.
+// shardsOfCell are the shards that a server of a cell holds: those that start at its cell or at one of the reach-1
+// cells before it on the ring.
 func shardsOfCell(conf *config.Partners, cell int) (shards []int) {
 	cells := conf.Shards.Cells
 	for shard := range conf.Shards.Count {
@@ -112,7 +112,7 @@
 		entries = append(entries, entry)
 	}
 	slices.SortFunc(entries, func(a, b health.Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	h.table.UpdateEndpoints(now, entries, false)
+	h.table.UpdateEndpoints(now, entries)
 }
 
 // setReplicas adds a shard to the listed servers that serve it, or removes it from them, and adds those to changed. A
@@ -165,8 +165,8 @@
 	health.OutOfService: balance.Removed,
 }
 
-// evaluate turns the servers whose health has changed into one change of the endpoint list, and logs each notable change
-// once, with its cause.
+// evaluate turns the servers whose health has changed into one change of the endpoint list, and logs each notable
+// change once, with its cause.
 func (h *healthTracker) evaluate(now time.Time) []aggregator.Event {
 	changes := h.table.Changes(now)
 	if len(changes) == 0 {
--- a/internal/control/health/bench_test.go
+++ b/internal/control/health/bench_test.go
@@ -10,7 +10,9 @@
 func benchmarkTable(b *testing.B, validity time.Duration) (*Table, []ID) {
 	b.Helper()
 	const n = 10_000
-	table, err := New(Defaults(3, 4), []CheckConfig{{Name: "h", Fall: 2, Rise: 1, Validity: validity}}, origin)
+	const nonIdempotent = 1 << 2
+	checks := []CheckConfig{{Name: "h", Fall: 2, Rise: 1, Validity: validity}}
+	table, err := New(Defaults(3, nonIdempotent), checks, origin)
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -20,13 +22,13 @@
 		ids[i] = ID(fmt.Sprintf("server-%05d", i))
 		list[i] = Server{ID: ids[i], Shards: []int{i, (i + 1) % n, (i + 2) % n, (i + 3) % n}}
 	}
-	table.UpdateEndpoints(origin, list, true)
+	table.ReplaceEndpoints(origin, list)
 	table.Changes(origin)
 	return table, ids
 }
 
-// BenchmarkOutcomes records outcomes at all servers in turn, one in a hundred a failure, and takes the changes after each
-// 1,000: what 100,000 outcomes per second cost.
+// BenchmarkOutcomes records outcomes at all servers in turn, one in a hundred a failure, and takes the changes
+// after each 1,000: what 100,000 outcomes per second cost.
 func BenchmarkOutcomes(b *testing.B) {
 	table, ids := benchmarkTable(b, 10*time.Second)
 	now := origin
--- a/internal/control/health/checks.go
+++ b/internal/control/health/checks.go
@@ -29,8 +29,9 @@
 	if !ok || check < 0 || check >= len(t.checks) {
 		return
 	}
-	s, config := t.servers[i], &t.checks[check]
+	s := t.servers[i]
 	c := s.check(check)
+	config := &t.checks[check]
 	if result.Failed && config.IgnoreFailures {
 		return // what was found before counts until its validity ends
 	}
@@ -79,17 +80,22 @@
 func (c *checkState) setDown(result *CheckResult, config *CheckConfig) {
 	switch {
 	case result.Failed:
-		c.successRun, c.failureRun = 0, c.failureRun+1
+		c.successRun = 0
+		c.failureRun++
 		if c.failureRun >= config.Fall || result.Immediate {
 			c.down = true
 		}
 	case result.Oper == Down:
-		c.successRun, c.failureRun, c.oper, c.down = 0, c.failureRun+1, Down, true
+		c.successRun = 0
+		c.failureRun++
+		c.oper = Down
+		c.down = true
 	default:
 		if result.Oper == Up {
 			c.oper = Up
 		}
-		c.failureRun, c.successRun = 0, c.successRun+1
+		c.failureRun = 0
+		c.successRun++
 		// A result without an operational state does not end a state of Down that the server sent.
 		if c.successRun >= config.Rise && (result.Oper == Up || c.oper != Down) {
 			c.down = false
@@ -101,8 +107,7 @@
 // after the last connection failure. This keeps a server to which nothing is sent any more, because it was unreachable,
 // from staying so for ever. The wait doubles with each time until a part is answered.
 func (t *Table) mayRevive(s *server) bool {
-	wait := min(t.rules.HalfOpenDelay<<min(s.revivals, 10), t.rules.MaxHalfOpenDelay)
-	return !s.unreachableAt.IsZero() && t.now.Sub(s.unreachableAt) >= wait
+	return !s.unreachableAt.IsZero() && t.now.Sub(s.unreachableAt) >= t.doubledDelay(s.revivals)
 }
 
 // valid reports whether what a check found still counts.
@@ -110,6 +115,7 @@
 	return !c.resultAt.IsZero() && t.now.Sub(c.resultAt) <= t.checks[c.config].Validity
 }
 
+// hasValidCheck reports whether any check of a server has a result that still counts.
 func (t *Table) hasValidCheck(s *server) bool {
 	for i := range s.checks {
 		if t.valid(&s.checks[i]) {
@@ -131,16 +137,18 @@
 // downByChecks reports whether a valid check has a server down, and why.
 func (t *Table) downByChecks(s *server) (down bool, reason string) {
 	for i := range s.checks {
-		if c := &s.checks[i]; c.down && t.valid(c) {
+		c := &s.checks[i]
+		if c.down && t.valid(c) {
 			return true, t.describe(c, "down")
 		}
 	}
 	return false, ""
 }
 
-// suppressFlapping reports whether a server that is down by its checks, or not, has to stay down because they flap. Each
-// change of their result adds to a penalty that decays; from FlapSuppress on the server stays down until the penalty has
-// decayed to FlapReuse (as RFC 2439 damps routes). This protects the list from changing with every check.
+// suppressFlapping reports whether a server that is down by its checks, or not, has to stay down because they flap.
+// Each change of their result adds to a penalty that decays; from FlapSuppress on the server stays down until the
+// penalty has decayed to FlapReuse (as RFC 2439 damps routes). This protects the list from changing with every
+// check.
 func (t *Table) suppressFlapping(s *server, down bool) bool {
 	if elapsed := t.now.Sub(s.flapPenaltyAt); elapsed > 0 {
 		s.flapPenalty *= math.Exp2(-float64(elapsed) / float64(t.rules.FlapHalfLife))
@@ -162,8 +170,9 @@
 	return s.suppressed
 }
 
-// strongestAdmin returns the strongest of Drain and Maintenance that a check gives a server, and why. These states do not
-// age: a drain that is no longer repeated is still one, until its check says Ready. A weight of 0 drains while it is valid.
+// strongestAdmin returns the strongest of Drain and Maintenance that a check gives a server, and why. These states
+// do not age: a drain that is no longer repeated is still one, until its check says Ready. A weight of 0 drains
+// while it is valid.
 func (t *Table) strongestAdmin(s *server) (strongest AdminState, reason string) {
 	for i := range s.checks {
 		c := &s.checks[i]
@@ -178,17 +187,17 @@
 		if c.weight == 0 && c.admin != admin {
 			finding = "weight 0"
 		}
-		strongest, reason = admin, t.describe(c, finding)
+		strongest = admin
+		reason = t.describe(c, finding)
 	}
 	return strongest, reason
 }
 
 // updateCheckCounts keeps the counts by which the checks as a whole are judged.
-func (t *Table) updateCheckCounts(s *server, checked, failing bool) {
-	failing = failing && checked
-	t.checkedServers += countChange(s.counted, checked)
-	t.failingServers += countChange(s.failing, failing)
-	s.counted, s.failing = checked, failing
+func (t *Table) updateCheckCounts(s *server, standing checkStanding) {
+	t.checkedServers += countChange(s.standing.checked, standing.checked)
+	t.failingServers += countChange(s.standing.failing, standing.failing)
+	s.standing = standing
 	if (t.mostChecksFail() || t.suspect) && t.nextSuspicion.IsZero() {
 		t.nextSuspicion = t.now
 	}
@@ -205,6 +214,7 @@
 	return 0
 }
 
+// mostChecksFail reports whether more servers fail their checks than PanicThreshold allows.
 func (t *Table) mostChecksFail() bool {
 	return float64(t.failingServers) > t.rules.PanicThreshold*float64(t.checkedServers)
 }
@@ -220,35 +230,36 @@
 		return
 	}
 	t.nextSuspicion = time.Time{}
-	most := t.mostChecksFail()
-	if !most && !t.suspect {
-		return
-	}
 	suspect := false
-	if most {
+	if t.mostChecksFail() {
 		suspect = t.failingChecksContradicted()
 		t.nextSuspicion = t.now.Add(suspicionInterval)
 	}
-	if suspect != t.suspect {
-		t.suspect = suspect
-		for i := range t.servers {
-			t.markDirty(i)
-		}
+	if suspect == t.suspect {
+		return
+	}
+	t.suspect = suspect
+	for i := range t.servers {
+		t.markDirty(i)
 	}
 }
 
-// failingChecksContradicted reports whether the servers that fail their checks work. Half of them have to answer parts at
-// first. Later a time without parts does not restore trust in the checks, but connection failures at most of them do.
+// failingChecksContradicted reports whether the servers that fail their checks work. Half of them have to answer
+// parts at first. Later a time without parts does not restore trust in the checks, but connection failures at most
+// of them do.
 func (t *Table) failingChecksContradicted() bool {
-	answering, unreachable := 0, 0
+	answering := 0
+	unreachable := 0
 	for _, s := range t.servers {
 		switch {
-		case s == nil || !s.failing:
+		case s == nil || !s.standing.failing:
 		case s.lastUnreachable.After(s.lastSuccess):
 			unreachable++
-		case t.now.Sub(s.lastSuccess) <= t.rules.AnswerValidity:
+		case t.answersCount(s):
 			answering++
 		}
 	}
-	return 2*unreachable <= t.failingServers && (t.suspect || 2*answering >= t.failingServers)
+	halfAnswer := 2*answering >= t.failingServers
+	mostUnreachable := 2*unreachable > t.failingServers
+	return !mostUnreachable && (t.suspect || halfAnswer)
 }
--- a/internal/control/health/checks_test.go
+++ b/internal/control/health/checks_test.go
@@ -19,16 +19,20 @@
 	f.checks["n2"] = CheckResult{Failed: true, Reason: "refused"} // shard 1 has its replicas on n1 and n2
 	f.run(time.Second, 20)
 	for _, id := range []ID{"n1", "n2"} {
-		if c := f.decisions[id]; c.State != InService || c.EjectedClasses != AllClasses || !strings.Contains(c.Cause, "alone") {
-			t.Errorf("%s: %+v", id, c)
+		decision := f.decisions[id]
+		if decision.State != InService || decision.EjectedClasses != AllClasses ||
+			!strings.Contains(decision.Cause, "alone") {
+			t.Errorf("%s: %+v", id, decision)
 		}
 	}
 	if f.table.UsableReplicas(1, search) == 0 {
 		t.Error("parts are answered there, and no replica is usable")
 	}
-	f.unreachable["n1"], f.unreachable["n2"] = true, true
+	f.unreachable["n1"] = true
+	f.unreachable["n2"] = true
 	f.run(2*time.Second, 20)
-	if f.decisions["n1"].State != OutOfService || f.decisions["n2"].State != OutOfService || f.table.UsableReplicas(1, search) != 0 {
+	if f.decisions["n1"].State != OutOfService || f.decisions["n2"].State != OutOfService ||
+		f.table.UsableReplicas(1, search) != 0 {
 		t.Errorf("%+v %+v", f.decisions["n1"], f.decisions["n2"])
 	}
 	f.unreachable["n1"] = false
@@ -59,8 +63,8 @@
 	}
 	f.run(10*time.Second, 0) // a time without parts does not restore trust in them
 	for _, id := range f.ids {
-		if c := f.decisions[id]; c.State != InService || !strings.Contains(c.Cause, "doubted") {
-			t.Fatalf("%s: %+v", id, c)
+		if decision := f.decisions[id]; decision.State != InService || !strings.Contains(decision.Cause, "doubted") {
+			t.Fatalf("%s: %+v", id, decision)
 		}
 	}
 	for _, id := range f.ids {
@@ -97,7 +101,8 @@
 		}
 		f.unchecked["n1"] = false
 		f.checks["n1"] = CheckResult{Admin: Ready, Oper: Up, Weight: 1, MaxConn: -1}
-		if f.run(time.Second, 20); f.decisions["n1"].State != InService {
+		f.run(time.Second, 20)
+		if f.decisions["n1"].State != InService {
 			t.Errorf("%s: ready and not in service: %+v", name, f.decisions["n1"])
 		}
 	}
@@ -105,13 +110,14 @@
 
 func TestDrain_ByEndpointList(t *testing.T) {
 	f := newFleet(t, 4, 2)
-	f.table.UpdateEndpoints(f.now, []Server{{ID: "n3", Draining: true, Shards: []int{3, 2}}}, false)
+	f.table.UpdateEndpoints(f.now, []Server{{ID: "n3", Draining: true, Shards: []int{3, 2}}})
 	f.run(time.Second, 20)
 	if f.sent["n3"] != 0 {
 		t.Error("parts were sent to a server that the endpoint list drains")
 	}
-	f.table.UpdateEndpoints(f.now, []Server{{ID: "n3", Removed: true}}, false)
-	if f.takeChanges(); f.decisions["n3"].State != OutOfService || f.table.Len() != 3 {
+	f.table.UpdateEndpoints(f.now, []Server{{ID: "n3", Removed: true}})
+	f.takeChanges()
+	if f.decisions["n3"].State != OutOfService || f.table.Len() != 3 {
 		t.Errorf("%+v", f.decisions["n3"])
 	}
 }
@@ -135,33 +141,39 @@
 		t.Errorf("%d notable changes in 30 s: %v", notable, f.decisions["n1"])
 	}
 	f.checks["n1"] = upResult
-	if f.run(50*time.Second, 20); f.decisions["n1"].State != InService {
+	f.run(50*time.Second, 20)
+	if f.decisions["n1"].State != InService {
 		t.Errorf("steady and still out: %+v", f.decisions["n1"])
 	}
 }
 
-// A traffic fraction moves slowly to the weight that a check gives, and a limit of connections counts while it is valid.
+// A traffic fraction moves slowly to the weight that a check gives, and a limit of connections counts while it is
+// valid.
 func TestTrafficFraction_MovesToTheWeight(t *testing.T) {
 	f := newFleet(t, 4, 2)
 	f.run(time.Second, 20)
 	f.checks["n1"] = CheckResult{Oper: Up, Weight: 0.25, MaxConn: 7}
 	f.run(200*time.Millisecond, 20)
-	if c := f.decisions["n1"]; c.TrafficFraction < 0.7 || c.MaxInFlight != 7 {
-		t.Errorf("%+v", c)
+	if decision := f.decisions["n1"]; decision.TrafficFraction < 0.7 || decision.MaxInFlight != 7 {
+		t.Errorf("%+v", decision)
 	}
-	if f.run(2*time.Second, 20); f.decisions["n1"].TrafficFraction != 0.25 {
-		t.Errorf("fraction %v", f.decisions["n1"].TrafficFraction)
+	f.run(2*time.Second, 20)
+	if fraction := f.decisions["n1"].TrafficFraction; fraction != 0.25 {
+		t.Errorf("fraction %v", fraction)
 	}
 	f.checks["n1"] = CheckResult{Oper: Up, Weight: 1, MaxConn: -1}
-	if f.run(2*time.Second, 20); f.decisions["n1"].TrafficFraction > 0.75 || f.decisions["n1"].TrafficFraction < 0.5 {
-		t.Errorf("fraction %v after 2 s", f.decisions["n1"].TrafficFraction)
+	f.run(2*time.Second, 20)
+	if fraction := f.decisions["n1"].TrafficFraction; fraction > 0.75 || fraction < 0.5 {
+		t.Errorf("fraction %v after 2 s", fraction)
 	}
 	f.checks["n1"] = CheckResult{Oper: Up, Weight: 1, MaxConn: -1, Degraded: true}
-	if f.run(3*time.Second, 20); math.Abs(f.decisions["n1"].TrafficFraction-degradedFraction) > 0.01 {
-		t.Errorf("fraction %v of a degraded server", f.decisions["n1"].TrafficFraction)
+	f.run(3*time.Second, 20)
+	if fraction := f.decisions["n1"].TrafficFraction; math.Abs(fraction-degradedFraction) > 0.01 {
+		t.Errorf("fraction %v of a degraded server", fraction)
 	}
 	f.unchecked["n1"] = true
-	if f.run(10*time.Second, 20); f.decisions["n1"].TrafficFraction < 0.999 || f.decisions["n1"].MaxInFlight != 0 {
-		t.Errorf("%+v", f.decisions["n1"])
+	f.run(10*time.Second, 20)
+	if decision := f.decisions["n1"]; decision.TrafficFraction < 0.999 || decision.MaxInFlight != 0 {
+		t.Errorf("%+v", decision)
 	}
 }
--- a/internal/control/health/decision.go
+++ b/internal/control/health/decision.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 )
 
@@ -18,7 +19,8 @@
 //	checks down, and checks suspect          as if there were none
 //	checks down, or flapping                 out of service
 //	server unreachable                       in service, as last resort, with half-open requests
-//	parts of a class fail                    in service, ejected from that class, with half-open requests, within the limit of its shards
+//	parts of a class fail                    in service, ejected from that class, with half-open requests,
+//	                                         within the limit of its shards
 //	otherwise                                in service
 //
 // A successful check never outweighs failing parts: no row asks whether a check succeeds.
@@ -42,7 +44,8 @@
 func (t *Table) update(index int) {
 	s := t.servers[index]
 	a := t.assess(s)
-	if fit := !a.adminOut && !a.believedDown && !a.unreachable; fit != s.fit {
+	fit := !a.adminOut && !a.believedDown && !a.unreachable
+	if fit != s.fit {
 		s.fit = fit
 		t.markNeighboursDirty(index)
 	}
@@ -70,16 +73,22 @@
 	}
 	a.admin, a.adminReason = t.strongestAdmin(s)
 	a.adminOut = s.Draining || a.admin != AdminUnset
-	t.updateCheckCounts(s, t.hasValidCheck(s) && !a.adminOut, a.down && !a.adminOut)
+	checked := t.hasValidCheck(s) && !a.adminOut
+	t.updateCheckCounts(s, checkStanding{checked: checked, failing: checked && a.down})
 	a.believedDown = a.down && !t.suspect
 	a.unreachable = !s.unreachableAt.IsZero()
 	if a.unreachable && a.down && t.now.Sub(s.unreachableAt) > t.rules.MaxHalfOpenDelay {
 		a.unreachable = false // too long ago: parts may be sent there again if it is the last replica
 	}
-	a.answeredLately = !s.lastSuccess.IsZero() && t.now.Sub(s.lastSuccess) <= t.rules.AnswerValidity && !a.unreachable
+	a.answeredLately = !a.unreachable && !s.lastSuccess.IsZero() && t.answersCount(s)
 	return a
 }
 
+// answersCount reports whether the last answer of a server still shows that it works.
+func (t *Table) answersCount(s *server) bool {
+	return t.now.Sub(s.lastSuccess) <= t.rules.AnswerValidity
+}
+
 // decide applies the table above, apart from traffic limits.
 func (t *Table) decide(index int, assessed *assessment) Decision {
 	s := t.servers[index]
@@ -93,9 +102,13 @@
 	case assessed.believedDown && assessed.unreachable:
 		return Decision{State: OutOfService, Cause: assessed.downReason + "; and parts find no connection"}
 	case assessed.believedDown:
-		if shard := t.soleShard(index); shard >= 0 {
-			return Decision{EjectedClasses: AllClasses, Contradictory: assessed.answeredLately, Usable: assessed.answeredLately,
-				Cause: fmt.Sprintf("%s; but it holds block %d alone", assessed.downReason, shard)}
+		if shard, sole := t.soleShard(index); sole {
+			return Decision{
+				EjectedClasses: AllClasses,
+				Cause:          fmt.Sprintf("%s; but it holds block %d alone", assessed.downReason, shard),
+				Usable:         assessed.answeredLately,
+				Contradictory:  assessed.answeredLately,
+			}
 		}
 		return Decision{State: OutOfService, Cause: assessed.downReason, Contradictory: assessed.answeredLately}
 	case assessed.unreachable:
@@ -129,29 +142,36 @@
 	return d
 }
 
-// soleShard returns a shard of which no other replica is fit, or -1.
-func (t *Table) soleShard(i int) int {
-	for _, shard := range t.servers[i].Shards {
-		others := false
-		for _, other := range t.replicas[shard] {
-			others = others || other != i && t.servers[other].fit
-		}
-		if !others {
-			return shard
+// soleShard returns a shard of a server of which no other replica is fit; sole is false if there is none.
+func (t *Table) soleShard(index int) (shard int, sole bool) {
+	isFitOther := func(other int) bool { return other != index && t.servers[other].fit }
+	for _, shard := range t.servers[index].Shards {
+		if !slices.ContainsFunc(t.replicas[shard], isFitOther) {
+			return shard, true
 		}
 	}
-	return -1
+	return 0, false
 }
 
 // publish notes a decision, and adds a change if it differs or a half-open request is granted.
 func (t *Table) publish(s *server, d *Decision, granted uint64) {
 	old := &s.decision
-	notable := !s.decided || old.State != d.State || old.EjectedClasses != d.EjectedClasses || old.Cause != d.Cause ||
-		old.MaxInFlight != d.MaxInFlight
+	notable := !s.decided || d.differsNotably(old)
 	if notable || granted != 0 || old.TrafficFraction != d.TrafficFraction || old.Usable != d.Usable {
 		t.changes = append(t.changes, Change{
-			ID: s.ID, Decision: *d, HalfOpenClasses: granted, Notable: notable && (s.decided || d.Cause != ""), PreviousState: old.State,
+			ID:              s.ID,
+			Decision:        *d,
+			HalfOpenClasses: granted,
+			Notable:         notable && (s.decided || d.Cause != ""),
+			PreviousState:   old.State,
 		})
 	}
-	s.decision, s.decided = *d, true
+	s.decision = *d
+	s.decided = true
+}
+
+// differsNotably reports whether two decisions differ in more than the traffic fraction or what may be expected.
+func (d *Decision) differsNotably(other *Decision) bool {
+	return d.State != other.State || d.EjectedClasses != other.EjectedClasses || d.Cause != other.Cause ||
+		d.MaxInFlight != other.MaxInFlight
 }
--- a/internal/control/health/ejection.go
+++ b/internal/control/health/ejection.go
@@ -45,8 +45,8 @@
 		return
 	}
 	t.ejectClass(index, class)
-	// Requests that must not run twice are not risked where other classes fail, even if they have succeeded so far: they
-	// are rare, and it would take long until they show that they fail, too.
+	// Requests that must not run twice are not risked where other classes fail, even if they have succeeded so far:
+	// they are rare, and it would take long until they show that they fail, too.
 	for other := range s.classes {
 		if t.rules.nonIdempotent(other) && !s.classes[other].ejected && t.mayEject(index, other) {
 			t.ejectClass(index, other)
@@ -54,21 +54,38 @@
 	}
 }
 
+// doubledDelay is HalfOpenDelay, doubled so many times, but MaxHalfOpenDelay at most.
+func (t *Table) doubledDelay(times int) time.Duration {
+	return min(t.rules.HalfOpenDelay<<min(times, maxDelayDoublings), t.rules.MaxHalfOpenDelay)
+}
+
+// ejectClass ejects a server from a class.
 func (t *Table) ejectClass(index, class int) {
 	c := &t.servers[index].classes[class]
 	if c.readmittedAt.IsZero() || t.now.Sub(c.readmittedAt) > repeatEjectionFactor*t.rules.MaxHalfOpenDelay {
 		c.ejections = 0
 	}
-	delay := min(t.rules.HalfOpenDelay<<min(c.ejections, maxDelayDoublings), t.rules.MaxHalfOpenDelay)
+	delay := t.doubledDelay(c.ejections)
 	if t.rules.nonIdempotent(class) {
 		delay = t.nonIdempotentDelay(c)
 	}
 	c.ejections++
-	c.ejected, c.ejectedAt, c.successRun, c.halfOpen = true, t.now, 0, false
-	c.nextHalfOpen, c.setbackAt, c.partsAtSetback = t.now.Add(delay), t.now, t.partsEnded[class]
+	c.ejected = true
+	c.ejectedAt = t.now
+	c.halfOpen = false
+	c.nextHalfOpen = t.now.Add(delay)
+	t.setBack(c, class)
 	t.markNeighboursDirty(index)
 }
 
+// setBack notes an ejection or a failed half-open request: successes count anew, and so do parts elsewhere.
+func (t *Table) setBack(c *classState, class int) {
+	c.successRun = 0
+	c.setbackAt = t.now
+	c.partsAtSetback = t.partsEnded[class]
+}
+
+// nonIdempotentDelay is the time to the next half-open request of a class of which no part may run twice.
 func (t *Table) nonIdempotentDelay(c *classState) time.Duration {
 	return t.rules.NonIdempotentDelay << min(c.ejections, maxNonIdempotentDelayDoublings)
 }
@@ -76,7 +93,8 @@
 // mayEject reports whether each shard of a server keeps enough replicas for a class without it.
 func (t *Table) mayEject(index, class int) bool {
 	for _, shard := range t.servers[index].Shards {
-		all, remaining := 0, 0
+		all := 0
+		remaining := 0
 		for _, other := range t.replicas[shard] {
 			s := t.servers[other]
 			if s.Draining {
@@ -104,12 +122,16 @@
 	switch outcome {
 	case Success:
 		c.successRun++
-		if c.successRun >= t.rules.ReturnSuccesses || nonIdempotent && c.successRun >= nonIdempotentReturnSuccesses {
+		required := t.rules.ReturnSuccesses
+		if nonIdempotent {
+			required = min(required, nonIdempotentReturnSuccesses)
+		}
+		if c.successRun >= required {
 			t.readmit(index, class)
 		}
 	case Neutral:
 	default:
-		c.successRun, c.setbackAt, c.partsAtSetback = 0, t.now, t.partsEnded[class]
+		t.setBack(c, class)
 		if nonIdempotent {
 			c.nextHalfOpen = t.now.Add(t.nonIdempotentDelay(c))
 		}
@@ -126,10 +148,11 @@
 		if other != class && !withIt {
 			continue
 		}
-		c.ejected, c.readmittedAt = false, t.now
+		c.ejected = false
+		c.readmittedAt = t.now
 		own, fleet := t.windows(s, other)
-		fleet.successes, fleet.failures = max(0, fleet.successes-own.successes), max(0, fleet.failures-own.failures)
-		own.successes, own.failures = 0, 0
+		fleet.subtract(own)
+		own.clear()
 	}
 	s.recoveryStart = t.now
 	t.markNeighboursDirty(index)
@@ -148,24 +171,30 @@
 		if pending || t.now.Before(c.nextHalfOpen) {
 			continue
 		}
-		if c.ejected && t.mayHalfOpen(s, class) || !c.ejected && lastResort && !t.rules.nonIdempotent(class) {
-			c.halfOpen, c.halfOpenAt = true, t.now
+		allowed := lastResort && !t.rules.nonIdempotent(class)
+		if c.ejected {
+			allowed = t.mayHalfOpen(s, class)
+		}
+		if allowed {
+			c.halfOpen = true
+			c.halfOpenAt = t.now
 			granted |= 1 << class
 		}
 	}
 	return granted
 }
 
-// mayHalfOpen reports whether an ejected class may have a half-open request. A non-idempotent class may not while another
-// ejected class can tell: it returns with that one. After a failed one the next waits until enough parts of the class
-// have ended elsewhere, or for the longest delay: they must stay a small fraction of all parts.
+// mayHalfOpen reports whether an ejected class may have a half-open request. A non-idempotent class may not while
+// another ejected class can tell: it returns with that one. After a failed one the next waits until enough parts of
+// the class have ended elsewhere, or for the longest delay: they must stay a small fraction of all parts.
 func (t *Table) mayHalfOpen(s *server, class int) bool {
 	if t.rules.nonIdempotent(class) {
 		return !t.idempotentClassEjected(s)
 	}
 	c := &s.classes[class]
-	return c.successRun > 0 || t.partsEnded[class]-c.partsAtSetback >= t.rules.HalfOpenTraffic ||
-		t.now.Sub(c.setbackAt) >= t.rules.MaxHalfOpenDelay
+	enoughElsewhere := t.partsEnded[class]-c.partsAtSetback >= t.rules.HalfOpenTraffic
+	waitedLongest := t.now.Sub(c.setbackAt) >= t.rules.MaxHalfOpenDelay
+	return c.successRun > 0 || enoughElsewhere || waitedLongest
 }
 
 func (t *Table) idempotentClassEjected(s *server) bool {
--- a/internal/control/health/ejection_test.go
+++ b/internal/control/health/ejection_test.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// Successful checks do not keep parts at a server that fails them: its share of the parts falls under 2%, and it returns
-// within 10 s after the fault has ended.
+// Successful checks do not keep parts at a server that fails them: its share of the parts falls under 2%, and it
+// returns within 10 s after the fault has ended.
 func TestEjection_SuccessfulChecksDoNotOutweighFailingParts(t *testing.T) {
 	for _, rate := range []float64{10, 40, 200} {
 		f := newFleet(t, 4, 2)
@@ -19,8 +19,10 @@
 		if share := f.trafficShare("n1"); share > 0.02 {
 			t.Errorf("rate %v: the failing server has %.1f%% of the parts", rate, 100*share)
 		}
-		if f.decisions["n1"].EjectedClasses&(1<<search|1<<correction) != 1<<search|1<<correction || !strings.Contains(f.decisions["n1"].Cause, "parts fail") {
-			t.Errorf("rate %v: the failing server is not ejected from both classes: %+v", rate, f.decisions["n1"])
+		const bothClasses = 1<<search | 1<<correction
+		decision := f.decisions["n1"]
+		if decision.EjectedClasses&bothClasses != bothClasses || !strings.Contains(decision.Cause, "parts fail") {
+			t.Errorf("rate %v: the failing server is not ejected from both classes: %+v", rate, decision)
 		}
 		f.failureRate["n1"] = 0
 		faultEnded := f.now
@@ -32,8 +34,9 @@
 		}
 		f.run(5*time.Second, rate)
 		f.resetCounts()
-		if f.run(10*time.Second, rate); f.trafficShare("n1") < 0.15 {
-			t.Errorf("rate %v: returned with %.1f%% of the parts", rate, 100*f.trafficShare("n1"))
+		f.run(10*time.Second, rate)
+		if share := f.trafficShare("n1"); share < 0.15 {
+			t.Errorf("rate %v: returned with %.1f%% of the parts", rate, 100*share)
 		}
 	}
 }
@@ -59,8 +62,9 @@
 func TestEjection_NonIdempotentClassIsEjectedWithTheOthers(t *testing.T) {
 	f := newFleet(t, 4, 2)
 	f.run(20*time.Second, 40)
-	if c := f.table.servers[1].classes[correction]; c.successes < f.table.rules.MinOutcomes || c.failures > 0 {
-		t.Fatalf("corrections have not succeeded before the fault: %+v", c)
+	outcomes := f.table.servers[1].classes[correction].outcomeWindow
+	if outcomes.successes < f.table.rules.MinOutcomes || outcomes.failures > 0 {
+		t.Fatalf("corrections have not succeeded before the fault: %+v", outcomes)
 	}
 	f.failureRate["n1"] = 0.8
 	for f.decisions["n1"].EjectedClasses&(1<<search) == 0 {
@@ -75,7 +79,8 @@
 func TestEjection_KeepsEnoughReplicas(t *testing.T) {
 	f := newFleet(t, 4, 2)
 	f.run(3*time.Second, 50)
-	f.failureRate["n0"], f.failureRate["n1"] = 0.9, 0.9 // the replicas of shard 0
+	f.failureRate["n0"] = 0.9 // n0 and n1 are the replicas of shard 0
+	f.failureRate["n1"] = 0.9
 	f.run(5*time.Second, 50)
 	ejected := 0
 	for _, id := range []ID{"n0", "n1"} {
@@ -116,11 +121,13 @@
 	f.run(2*time.Second, 50)
 	f.resetCounts()
 	f.run(20*time.Second, 50)
-	if c := f.decisions["n2"]; c.EjectedClasses != AllClasses || c.Usable || f.trafficShare("n2") > 0.02 {
-		t.Errorf("%+v, %.1f%% of the parts", c, 100*f.trafficShare("n2"))
+	decision := f.decisions["n2"]
+	if decision.EjectedClasses != AllClasses || decision.Usable || f.trafficShare("n2") > 0.02 {
+		t.Errorf("%+v, %.1f%% of the parts", decision, 100*f.trafficShare("n2"))
 	}
 	f.unreachable["n2"] = false
-	if f.run(2*time.Second, 50); f.decisions["n2"].EjectedClasses != 0 || !f.decisions["n2"].Usable {
+	f.run(2*time.Second, 50)
+	if f.decisions["n2"].EjectedClasses != 0 || !f.decisions["n2"].Usable {
 		t.Errorf("%+v", f.decisions["n2"])
 	}
 }
--- a/internal/control/health/facts.go
+++ b/internal/control/health/facts.go
@@ -9,75 +9,112 @@
 type Fact struct {
 	Source    string        `json:"source"`
 	Finding   string        `json:"says"`
-	Age       time.Duration `json:"age_ns"`   // negative: it does not age
+	Age       time.Duration `json:"age_ns"`   // noAge: it does not age
 	Validity  time.Duration `json:"valid_ns"` // how long it counts; 0: until it is taken back
 	Effective bool          `json:"counts"`   // in the decision
 }
 
+// noAge is the Fact.Age of a fact that does not age.
+const noAge time.Duration = -1
+
 // Facts returns the evidence on a server; nil if it is not listed.
 func (t *Table) Facts(now time.Time, id ID) (facts []Fact) {
 	t.advance(now)
-	i, ok := t.index[id]
+	index, ok := t.index[id]
 	if !ok {
 		return nil
 	}
-	s := t.servers[i]
-	roster := "listed"
-	if s.Draining {
-		roster = "drains"
-	}
-	facts = append(facts, Fact{Source: "roster", Finding: roster, Age: -1, Effective: true})
-	for k := range s.checks {
-		facts = append(facts, t.checkFact(&s.checks[k]))
+	s := t.servers[index]
+	facts = append(facts, s.endpointFact())
+	for i := range s.checks {
+		facts = append(facts, t.checkFact(&s.checks[i]))
 	}
 	for class := range s.classes {
 		c := &s.classes[class]
 		c.decay(t.now, t.rules.OutcomeHalfLife)
-		if c.total() >= 0.5 || c.ejected {
+		if c.total() >= minOutcomesShown || c.ejected {
 			facts = append(facts, t.classFact(class, c))
 		}
 	}
 	if s.connectFailures > 0 {
-		facts = append(facts, Fact{Source: "connections", Finding: "none found, lately", Age: t.now.Sub(s.unreachableAt), Effective: !s.unreachableAt.IsZero()})
+		facts = append(facts, Fact{
+			Source:    "connections",
+			Finding:   "none found, lately",
+			Age:       t.now.Sub(s.unreachableAt),
+			Effective: !s.unreachableAt.IsZero(),
+		})
 	}
 	return facts
 }
 
+// minOutcomesShown is how many decayed outcomes of a class are worth a fact.
+const minOutcomesShown = 0.5
+
+// endpointFact is what the endpoint list says of the server.
+func (s *server) endpointFact() Fact {
+	fact := Fact{Source: "roster", Finding: "listed", Age: noAge, Effective: true}
+	if s.Draining {
+		fact.Finding = "drains"
+	}
+	return fact
+}
+
+// checkFact is what a check has found.
 func (t *Table) checkFact(c *checkState) Fact {
 	config := &t.checks[c.config]
-	f := Fact{Source: "check " + config.Name, Age: t.now.Sub(c.resultAt), Validity: config.Validity, Effective: t.valid(c)}
-	switch {
-	case c.resultAt.IsZero():
-		f.Finding, f.Age = "nothing yet", -1
-	case c.down:
-		f.Finding = "down"
-	case c.failureRun > 0:
-		f.Finding = "failing"
-	default:
-		f.Finding = "up"
+	fact := Fact{
+		Source:    "check " + config.Name,
+		Finding:   c.condition(),
+		Age:       t.now.Sub(c.resultAt),
+		Validity:  config.Validity,
+		Effective: t.valid(c),
+	}
+	if c.resultAt.IsZero() {
+		fact.Age = noAge
 	}
 	if c.admin != AdminUnset {
-		f.Finding += " " + c.admin.String()
-		f.Effective = f.Effective || c.admin != Ready
+		fact.Finding += " " + c.admin.String()
+		fact.Effective = fact.Effective || c.admin != Ready
 	}
 	if c.weight >= 0 {
-		f.Finding += " " + percent(c.weight)
+		fact.Finding += " " + percent(c.weight)
 	}
 	if c.degraded {
-		f.Finding += " degraded"
+		fact.Finding += " degraded"
 	}
 	if c.reason != "" {
-		f.Finding += " (" + c.reason + ")"
+		fact.Finding += " (" + c.reason + ")"
+	}
+	return fact
+}
+
+// condition says in a word or two what the check's results amount to.
+func (c *checkState) condition() string {
+	switch {
+	case c.resultAt.IsZero():
+		return "nothing yet"
+	case c.down:
+		return "down"
+	case c.failureRun > 0:
+		return "failing"
 	}
-	return f
+	return "up"
 }
 
+// classFact is how parts of a class have ended.
 func (t *Table) classFact(class int, c *classState) Fact {
-	says := percent(c.failures/max(1e-9, c.total())) + " of parts fail"
+	finding := percent(c.failureRate()) + " of parts fail"
 	if c.ejected {
-		says += ", ejected"
+		finding += ", ejected"
+	}
+	return Fact{
+		Source:    fmt.Sprintf("parts of class %d", class),
+		Finding:   finding,
+		Age:       t.now.Sub(c.updatedAt),
+		Validity:  t.rules.OutcomeHalfLife,
+		Effective: true,
 	}
-	return Fact{Source: fmt.Sprintf("parts of class %d", class), Finding: says, Age: t.now.Sub(c.updatedAt), Validity: t.rules.OutcomeHalfLife, Effective: true}
 }
 
+// percent formats a fraction for people.
 func percent(fraction float64) string { return fmt.Sprintf("%.0f%%", fraction*100) }
--- a/internal/control/health/fleet_test.go
+++ b/internal/control/health/fleet_test.go
@@ -18,7 +18,6 @@
 // fleet simulates servers in virtual time: parts are placed by the decisions, as the balancer would, and end as the
 // servers are set to. There are as many shards as servers, each with a number of replicas on consecutive servers.
 type fleet struct {
-	t           *testing.T
 	table       *Table
 	now         time.Time
 	rng         *rand.Rand
@@ -41,14 +40,23 @@
 
 func newFleet(t *testing.T, servers, replicas int) *fleet {
 	t.Helper()
-	table, err := New(Defaults(2, 1<<correction), []CheckConfig{{Name: "http", Fall: 2, Rise: 1, Validity: 2 * time.Second}}, origin)
+	checks := []CheckConfig{{Name: "http", Fall: 2, Rise: 1, Validity: 2 * time.Second}}
+	table, err := New(Defaults(2, 1<<correction), checks, origin)
 	if err != nil {
 		t.Fatal(err)
 	}
 	f := &fleet{
-		t: t, table: table, now: origin, rng: rand.New(rand.NewPCG(5, 6)), replicas: replicas,
-		failureRate: map[ID]float64{}, unreachable: map[ID]bool{}, halfOpen: map[ID]uint64{}, sent: map[ID]int{},
-		checks: map[ID]CheckResult{}, unchecked: map[ID]bool{}, decisions: map[ID]Decision{},
+		table:       table,
+		now:         origin,
+		rng:         rand.New(rand.NewPCG(5, 6)),
+		replicas:    replicas,
+		failureRate: map[ID]float64{},
+		unreachable: map[ID]bool{},
+		halfOpen:    map[ID]uint64{},
+		sent:        map[ID]int{},
+		checks:      map[ID]CheckResult{},
+		unchecked:   map[ID]bool{},
+		decisions:   map[ID]Decision{},
 	}
 	var list []Server
 	for i := range servers {
@@ -61,24 +69,26 @@
 		list = append(list, Server{ID: id, Shards: shards})
 		f.checks[id] = upResult
 	}
-	table.UpdateEndpoints(f.now, list, true)
+	table.ReplaceEndpoints(f.now, list)
 	f.takeChanges()
 	return f
 }
 
+// takeChanges lets the table decide, and follows its decisions from then on.
 func (f *fleet) takeChanges() {
-	for _, c := range f.table.Changes(f.now) {
-		f.decisions[c.ID] = c.Decision
-		f.halfOpen[c.ID] |= c.HalfOpenClasses
-		f.halfOpen[c.ID] &= c.EjectedClasses
-		if c.Notable {
-			f.notable = append(f.notable, fmt.Sprintf("%v %s %v %s", f.now.Sub(origin), c.ID, c.State, c.Cause))
+	for _, change := range f.table.Changes(f.now) {
+		f.decisions[change.ID] = change.Decision
+		f.halfOpen[change.ID] |= change.HalfOpenClasses
+		f.halfOpen[change.ID] &= change.EjectedClasses
+		if change.Notable {
+			line := fmt.Sprintf("%v %s %v %s", f.now.Sub(origin), change.ID, change.State, change.Cause)
+			f.notable = append(f.notable, line)
 		}
 	}
 }
 
-// sendPart sends one part of a class to a replica of a shard, as the balancer does: a half-open request first, else to a
-// server that is not ejected, else to one that is.
+// sendPart sends one part of a class to a replica of a shard, as the balancer does: a half-open request first, else
+// to a server that is not ejected, else to one that is.
 func (f *fleet) sendPart(shard, class int) {
 	var candidates, lastResorts []ID
 	for j := range f.replicas {
@@ -117,8 +127,8 @@
 }
 
 // run lets time pass, with a rate of searches' parts per second on each shard, and a quarter of that of corrections.
-func (f *fleet) run(d time.Duration, rate float64) {
-	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(tick) {
+func (f *fleet) run(duration time.Duration, rate float64) {
+	for end := f.now.Add(duration); f.now.Before(end); f.now = f.now.Add(tick) {
 		if f.now.Sub(origin)%checkInterval == 0 {
 			f.runChecks()
 		}
@@ -142,13 +152,16 @@
 	}
 }
 
-func (f *fleet) resetCounts() { f.sent, f.notable = map[ID]int{}, nil }
+func (f *fleet) resetCounts() {
+	clear(f.sent)
+	f.notable = nil
+}
 
 // trafficShare returns a server's share of all parts since resetCounts.
 func (f *fleet) trafficShare(id ID) float64 {
-	all := 0
-	for _, n := range f.sent {
-		all += n
+	total := 0
+	for _, parts := range f.sent {
+		total += parts
 	}
-	return float64(f.sent[id]) / float64(max(1, all))
+	return float64(f.sent[id]) / float64(max(1, total))
 }
--- a/internal/control/health/limits.go
+++ b/internal/control/health/limits.go
@@ -5,7 +5,8 @@
 const (
 	// recoveryMinFraction is the fraction of its traffic with which a server begins after its return.
 	recoveryMinFraction = 0.25
-	// degradedFraction is that of a server that calls itself degraded. Envoy would not use it where others have capacity.
+	// degradedFraction is that of a server that calls itself degraded. Envoy would not use it where others have
+	// capacity.
 	degradedFraction = 0.25
 	// fallSpeed is how many times faster than it rises a fraction falls.
 	fallSpeed = 3
@@ -14,26 +15,34 @@
 // nextFraction moves a server's traffic fraction towards its target, and after a return up from recoveryMinFraction.
 func (t *Table) nextFraction(s *server) float64 {
 	target := t.targetFraction(s)
-	if !s.recoveryStart.IsZero() {
-		progress := float64(t.now.Sub(s.recoveryStart)) / float64(t.rules.RecoveryRamp)
-		ramp := recoveryMinFraction + (1-recoveryMinFraction)*max(0, progress)
-		if progress >= 1 {
-			s.recoveryStart = time.Time{}
-		} else if target > ramp {
-			s.fraction, s.fractionAt = ramp, t.now
-			return ramp
-		}
-	}
 	step := float64(t.now.Sub(s.fractionAt)) / float64(t.rules.WeightRiseTime)
 	s.fractionAt = t.now
-	if target > s.fraction {
+	limit, recovering := t.advanceRecovery(s)
+	switch {
+	case recovering && target > limit:
+		s.fraction = limit
+	case target > s.fraction:
 		s.fraction = min(target, s.fraction+step)
-	} else {
+	default:
 		s.fraction = max(target, s.fraction-fallSpeed*step)
 	}
 	return s.fraction
 }
 
+// advanceRecovery returns the traffic fraction that a server may have so soon after its return; recovering is false
+// if it has recovered by now.
+func (t *Table) advanceRecovery(s *server) (limit float64, recovering bool) {
+	if s.recoveryStart.IsZero() {
+		return 1, false
+	}
+	progress := float64(t.now.Sub(s.recoveryStart)) / float64(t.rules.RecoveryRamp)
+	if progress >= 1 {
+		s.recoveryStart = time.Time{}
+		return 1, false
+	}
+	return recoveryMinFraction + (1-recoveryMinFraction)*max(0, progress), true
+}
+
 // targetFraction returns the smallest traffic fraction that a server's valid checks give it.
 func (t *Table) targetFraction(s *server) float64 {
 	target := 1.0
--- a/internal/control/health/outcomes.go
+++ b/internal/control/health/outcomes.go
@@ -7,19 +7,40 @@
 
 // outcomeWindow is a failure rate over a time window with exponential decay.
 type outcomeWindow struct {
-	successes, failures float64 // decayed counts
-	updatedAt           time.Time
+	successes float64 // decayed count
+	failures  float64 // decayed count
+	updatedAt time.Time
 }
 
+// decay lets the counts decay up to now.
 func (w *outcomeWindow) decay(now time.Time, halfLife time.Duration) {
-	if elapsed := now.Sub(w.updatedAt); elapsed > 0 {
-		factor := math.Exp2(-float64(elapsed) / float64(halfLife))
-		w.successes, w.failures, w.updatedAt = w.successes*factor, w.failures*factor, now
+	elapsed := now.Sub(w.updatedAt)
+	if elapsed <= 0 {
+		return
 	}
+	factor := math.Exp2(-float64(elapsed) / float64(halfLife))
+	w.successes *= factor
+	w.failures *= factor
+	w.updatedAt = now
 }
 
 func (w *outcomeWindow) total() float64 { return w.successes + w.failures }
 
+// failureRate is the fraction of failures; 0 if there are no outcomes.
+func (w *outcomeWindow) failureRate() float64 { return w.failures / max(1e-9, w.total()) }
+
+// subtract takes out the counts of another window that were added to this one, too.
+func (w *outcomeWindow) subtract(other *outcomeWindow) {
+	w.successes = max(0, w.successes-other.successes)
+	w.failures = max(0, w.failures-other.failures)
+}
+
+// clear forgets the outcomes.
+func (w *outcomeWindow) clear() {
+	w.successes = 0
+	w.failures = 0
+}
+
 // RecordOutcome takes the end of an attempt of a real part of a class, which was sent at a time. A server that is not
 // listed, or an unknown class, is ignored.
 func (t *Table) RecordOutcome(now time.Time, id ID, class int, outcome Outcome, sent time.Time) {
@@ -42,14 +63,16 @@
 	if c.ejected && !sent.Before(c.ejectedAt) {
 		t.halfOpenEnded(i, class, outcome)
 	} else if !s.unreachableAt.IsZero() && c.halfOpen && outcome != Success {
-		c.halfOpen, c.nextHalfOpen = false, t.now.Add(t.rules.HalfOpenDelay)
+		c.halfOpen = false
+		c.nextHalfOpen = t.now.Add(t.rules.HalfOpenDelay)
 		t.markDirty(i)
 	}
 }
 
 // windows returns the outcomes of a class at a server and at all servers, decayed to now.
 func (t *Table) windows(s *server, class int) (own, fleet *outcomeWindow) {
-	own, fleet = &s.classes[class].outcomeWindow, &t.fleet[class]
+	own = &s.classes[class].outcomeWindow
+	fleet = &t.fleet[class]
 	own.decay(t.now, t.rules.OutcomeHalfLife)
 	fleet.decay(t.now, t.rules.OutcomeHalfLife)
 	return own, fleet
@@ -60,7 +83,8 @@
 	own, fleet := t.windows(s, class)
 	own.successes++
 	fleet.successes++
-	s.connectFailures, s.revivals = 0, 0
+	s.connectFailures = 0
+	s.revivals = 0
 	if !s.unreachableAt.IsZero() {
 		t.revive(i)
 	}
@@ -90,13 +114,15 @@
 	if s.unreachableAt.IsZero() {
 		t.markDirty(i)
 	}
-	s.unreachableAt, s.lastUnreachable = t.now, t.now
+	s.unreachableAt = t.now
+	s.lastUnreachable = t.now
 }
 
 // revive ends that a server counts as unreachable.
 func (t *Table) revive(i int) {
 	s := t.servers[i]
-	s.unreachableAt, s.recoveryStart = time.Time{}, t.now
+	s.unreachableAt = time.Time{}
+	s.recoveryStart = t.now
 	for class := range s.classes {
 		c := &s.classes[class]
 		c.halfOpen = c.halfOpen && c.ejected
@@ -112,18 +138,23 @@
 		return false
 	}
 	rate := wilsonLowerBound(own.failures, own.total())
-	otherSuccesses, otherFailures := max(0, fleet.successes-own.successes), max(0, fleet.failures-own.failures)
-	otherRate := 0.0
-	if otherSuccesses+otherFailures >= 1 {
-		otherRate = otherFailures / (otherSuccesses + otherFailures)
+	others := *fleet
+	others.subtract(own)
+	othersRate := 0.0
+	if others.total() >= 1 {
+		othersRate = others.failures / others.total()
 	}
-	return rate >= t.rules.EjectFailureRate && rate >= min(t.rules.EjectPeerRatio*otherRate, 1-1e-9)
+	peerLimit := min(t.rules.EjectPeerRatio*othersRate, maxPeerLimit)
+	return rate >= t.rules.EjectFailureRate && rate >= peerLimit
 }
 
+// maxPeerLimit is the failure rate that is enough for an ejection however many parts fail at the other servers.
+const maxPeerLimit = 1 - 1e-9
+
 // wilsonLowerBound returns the lower end of the Wilson score interval of failures out of n, one-sided at 95%
 // (Wilson 1927).
 func wilsonLowerBound(failures, n float64) float64 {
-	const z = 1.645
+	const z = 1.645 // standard normal quantile of 95%
 	if n <= 0 {
 		return 0
 	}
--- a/internal/control/health/rules.go
+++ b/internal/control/health/rules.go
@@ -22,6 +22,9 @@
 	return nil
 }
 
+// maxClasses is the largest number of classes. Each has a bit of a uint64; all 64 bits together are AllClasses.
+const maxClasses = 63
+
 // Rules are the parameters by which evidence is merged. Zero values are not defaults; see Defaults.
 type Rules struct {
 	Classes       int    // number of request classes, 1 to 63
@@ -37,7 +40,7 @@
 	AnswerValidity     time.Duration // how long an answer shows that a server works
 
 	// Half-open requests and recovery.
-	HalfOpenDelay      time.Duration // from an ejection to the first half-open request; doubles with each repeated ejection
+	HalfOpenDelay      time.Duration // from an ejection to the first half-open request; doubles if repeated
 	HalfOpenInterval   time.Duration // from a successful half-open request to the next
 	MaxHalfOpenDelay   time.Duration // the longest from a failed half-open request to the next
 	HalfOpenTraffic    float64       // parts of the class elsewhere for each failed one, within MaxHalfOpenDelay
@@ -88,25 +91,58 @@
 
 // validate names the settings in its errors as the operators' files do.
 func (r *Rules) validate() error {
-	for _, c := range []struct {
-		invalid bool
-		reason  string
+	for _, rule := range []struct {
+		valid  bool // false for NaN, too
+		reason string
 	}{
-		{r.Classes < 1 || r.Classes > 63, "1 to 63 classes"},
-		{r.OutcomeHalfLife <= 0 || r.AnswerValidity <= 0 || r.FlapHalfLife <= 0, "half-lives and fresh must be positive"},
-		{!(r.MinOutcomes >= 1), "volume must be at least 1"},
-		{!(r.EjectFailureRate > 0 && r.EjectFailureRate < 1), "share of failures must be over 0 and under 1"},
-		{!(r.EjectPeerRatio >= 1), "ratio must be at least 1"},
-		{r.MaxConnectFailures < 1 || r.ReturnSuccesses < 1, "unreached and return must be at least 1"},
-		{!(r.MaxEjectedFraction >= 0 && r.MaxEjectedFraction < 1), "eject_most must be 0 or more and under 1: a block keeps a holder"},
-		{!(r.PanicThreshold > 0 && r.PanicThreshold <= 1), "panic must be over 0 and at most 1"},
-		{r.HalfOpenDelay <= 0 || r.HalfOpenInterval <= 0 || r.MaxHalfOpenDelay < r.HalfOpenInterval || r.NonIdempotentDelay <= 0,
-			"times of trials must be positive, and the longest the longest"},
-		{!(r.FlapReuse > 0 && r.FlapSuppress > r.FlapReuse), "flap_most must be over flap_back, and that over 0"},
-		{r.WeightRiseTime <= 0 || r.RecoveryRamp <= 0, "weight_step and ramp must be positive"},
+		{
+			valid:  r.Classes >= 1 && r.Classes <= maxClasses,
+			reason: "1 to 63 classes",
+		},
+		{
+			valid:  r.OutcomeHalfLife > 0 && r.AnswerValidity > 0 && r.FlapHalfLife > 0,
+			reason: "half-lives and fresh must be positive",
+		},
+		{
+			valid:  r.MinOutcomes >= 1,
+			reason: "volume must be at least 1",
+		},
+		{
+			valid:  r.EjectFailureRate > 0 && r.EjectFailureRate < 1,
+			reason: "share of failures must be over 0 and under 1",
+		},
+		{
+			valid:  r.EjectPeerRatio >= 1,
+			reason: "ratio must be at least 1",
+		},
+		{
+			valid:  r.MaxConnectFailures >= 1 && r.ReturnSuccesses >= 1,
+			reason: "unreached and return must be at least 1",
+		},
+		{
+			valid:  r.MaxEjectedFraction >= 0 && r.MaxEjectedFraction < 1,
+			reason: "eject_most must be 0 or more and under 1: a block keeps a holder",
+		},
+		{
+			valid:  r.PanicThreshold > 0 && r.PanicThreshold <= 1,
+			reason: "panic must be over 0 and at most 1",
+		},
+		{
+			valid: r.HalfOpenDelay > 0 && r.HalfOpenInterval > 0 && r.NonIdempotentDelay > 0 &&
+				r.MaxHalfOpenDelay >= r.HalfOpenInterval,
+			reason: "times of trials must be positive, and the longest the longest",
+		},
+		{
+			valid:  r.FlapReuse > 0 && r.FlapSuppress > r.FlapReuse,
+			reason: "flap_most must be over flap_back, and that over 0",
+		},
+		{
+			valid:  r.WeightRiseTime > 0 && r.RecoveryRamp > 0,
+			reason: "weight_step and ramp must be positive",
+		},
 	} {
-		if c.invalid {
-			return errors.New(c.reason)
+		if !rule.valid {
+			return errors.New(rule.reason)
 		}
 	}
 	return nil
--- a/internal/control/health/schedule.go
+++ b/internal/control/health/schedule.go
@@ -8,6 +8,15 @@
 // fractionInterval is how often a traffic fraction that is on its way to its target is updated.
 const fractionInterval = 100 * time.Millisecond
 
+const (
+	// expiryMargin is added to a time until which something counts, so that it counts no longer by then.
+	expiryMargin = time.Millisecond
+	// flapReuseMargin is added to the time by which the penalty for flapping has decayed, for rounding errors.
+	flapReuseMargin = 10 * time.Millisecond
+	// fractionTolerance is by how much a fraction that has reached its target may differ from it.
+	fractionTolerance = 1e-9
+)
+
 // earliest is the earliest of some times; zero: none.
 type earliest struct{ time.Time }
 
@@ -24,11 +33,12 @@
 	var next earliest
 	t.scheduleChecks(s, &next)
 	t.scheduleHalfOpen(s, decision, &next)
-	if !s.recoveryStart.IsZero() || math.Abs(s.fraction-t.targetFraction(s)) > 1e-9 {
+	fractionMoves := math.Abs(s.fraction-t.targetFraction(s)) > fractionTolerance
+	if !s.recoveryStart.IsZero() || fractionMoves {
 		next.add(t.now.Add(fractionInterval))
 	}
-	if decision.Contradictory && decision.State == InService && t.now.Sub(s.lastSuccess) <= t.rules.AnswerValidity {
-		next.add(s.lastSuccess.Add(t.rules.AnswerValidity + time.Millisecond))
+	if decision.Contradictory && decision.State == InService && t.answersCount(s) {
+		next.add(s.lastSuccess.Add(t.rules.AnswerValidity + expiryMargin))
 	}
 	for class := range s.classes {
 		if s.classes[class].ejectionBlocked {
@@ -47,12 +57,13 @@
 	for i := range s.checks {
 		c := &s.checks[i]
 		if t.valid(c) && (c.down || c.degraded || c.weight >= 0 || c.maxConn >= 0) {
-			next.add(c.resultAt.Add(t.checks[c.config].Validity + time.Millisecond))
+			next.add(c.resultAt.Add(t.checks[c.config].Validity + expiryMargin))
 		}
 	}
 	if s.suppressed {
 		halfLives := math.Log2(max(1, s.flapPenalty/t.rules.FlapReuse))
-		next.add(t.now.Add(time.Duration(float64(t.rules.FlapHalfLife)*halfLives) + 10*time.Millisecond))
+		untilReuse := time.Duration(float64(t.rules.FlapHalfLife) * halfLives)
+		next.add(t.now.Add(untilReuse + flapReuseMargin))
 	}
 }
 
@@ -69,7 +80,7 @@
 		}
 	}
 	if !s.unreachableAt.IsZero() {
-		next.add(later(s.unreachableAt.Add(t.rules.MaxHalfOpenDelay+time.Millisecond), soon))
+		next.add(later(s.unreachableAt.Add(t.rules.MaxHalfOpenDelay+expiryMargin), soon))
 	}
 }
 
--- a/internal/control/health/table.go
+++ b/internal/control/health/table.go
@@ -28,7 +28,7 @@
 
 	checkedServers int       // servers with a valid check
 	failingServers int       // of them, those that are down by it
-	suspect        bool      // so many fail that the checks must be wrong
+	suspect        bool      // so many fail that the checks are taken for wrong
 	nextSuspicion  time.Time // when to judge the checks again; zero: no reason to
 	now            time.Time // the latest time given
 }
@@ -40,7 +40,7 @@
 	classes []classState
 
 	connectFailures int       // in a row
-	unreachableAt   time.Time // of the last connection failure while the server counts as unreachable; zero: it does not
+	unreachableAt   time.Time // of the last connection failure that made the server unreachable; zero: it is reachable
 	lastUnreachable time.Time // the same, kept after the server has recovered
 	revivals        int       // times that a check has made it reachable again without an answer since
 	lastSuccess     time.Time
@@ -55,13 +55,21 @@
 	recoveryStart time.Time // of the last return; zero: the ramp is over
 
 	fit      bool // counts as a replica of its shards
-	counted  bool // in Table.checkedServers
-	failing  bool // in Table.failingServers
+	standing checkStanding
 	queued   bool // in Table.dirty
 	decision Decision
 	decided  bool // there is a decision
 }
 
+// checkStanding is how a server counts when the checks are judged as a whole.
+type checkStanding struct {
+	checked bool // it has a valid check, and is not drained: it is one of Table.checkedServers
+	failing bool // it is also down by its checks: it is one of Table.failingServers
+}
+
+// timerResolution is the interval of the timer wheel: how late a server may be decided on anew.
+const timerResolution = 10 * time.Millisecond
+
 // New returns an empty table, or an error if a rule or a check is invalid. RecordCheck names checks by their indices.
 func New(rules Rules, checks []CheckConfig, start time.Time) (*Table, error) {
 	if err := rules.validate(); err != nil {
@@ -73,21 +81,31 @@
 		}
 	}
 	return &Table{
-		rules: rules, checks: checks, index: map[ID]int{}, replicas: map[int][]int{}, fleet: make([]outcomeWindow, rules.Classes),
-		partsEnded: make([]float64, rules.Classes), timers: timers.NewWheel(start, 10*time.Millisecond), now: start,
+		rules:      rules,
+		checks:     checks,
+		index:      map[ID]int{},
+		replicas:   map[int][]int{},
+		fleet:      make([]outcomeWindow, rules.Classes),
+		partsEnded: make([]float64, rules.Classes),
+		timers:     timers.NewWheel(start, timerResolution),
+		now:        start,
 	}, nil
 }
 
-// UpdateEndpoints takes the endpoint list: all servers that there are, or with full false only those that changed.
-func (t *Table) UpdateEndpoints(now time.Time, list []Server, full bool) {
+// UpdateEndpoints takes the servers that have changed in the endpoint list.
+func (t *Table) UpdateEndpoints(now time.Time, changed []Server) {
 	t.advance(now)
+	for _, endpoint := range changed {
+		t.updateEndpoint(endpoint)
+	}
+}
+
+// ReplaceEndpoints takes the whole endpoint list: servers that are not in it are removed.
+func (t *Table) ReplaceEndpoints(now time.Time, list []Server) {
+	t.UpdateEndpoints(now, list)
 	listed := map[ID]bool{}
 	for _, endpoint := range list {
 		listed[endpoint.ID] = true
-		t.updateEndpoint(endpoint)
-	}
-	if !full {
-		return
 	}
 	for i, s := range t.servers {
 		if s != nil && !listed[s.ID] {
@@ -96,15 +114,16 @@
 	}
 }
 
+// updateEndpoint adds, changes or removes one server.
 func (t *Table) updateEndpoint(endpoint Server) {
-	i, known := t.index[endpoint.ID]
+	i, listed := t.index[endpoint.ID]
 	if endpoint.Removed {
-		if known {
+		if listed {
 			t.removeServer(i)
 		}
 		return
 	}
-	if !known {
+	if !listed {
 		i = t.addServer(endpoint)
 	}
 	s := t.servers[i]
@@ -117,30 +136,47 @@
 	t.markDirty(i)
 }
 
+// addServer adds a server that is not listed yet, and returns its index.
 func (t *Table) addServer(endpoint Server) (i int) {
-	s := &server{Server: endpoint, classes: make([]classState, t.rules.Classes), fraction: 1, fractionAt: t.now}
-	i = len(t.servers)
-	if last := len(t.freeIndices) - 1; last >= 0 {
-		i, t.freeIndices = t.freeIndices[last], t.freeIndices[:last]
-		t.servers[i] = s
-	} else {
-		t.servers = append(t.servers, s)
+	i = t.takeIndex()
+	t.servers[i] = &server{
+		Server:     endpoint,
+		classes:    make([]classState, t.rules.Classes),
+		fraction:   1,
+		fractionAt: t.now,
 	}
 	t.index[endpoint.ID] = i
 	t.addReplicas(i)
 	return i
 }
 
+// takeIndex returns an index of servers that is free, or a new one.
+func (t *Table) takeIndex() (i int) {
+	last := len(t.freeIndices) - 1
+	if last < 0 {
+		t.servers = append(t.servers, nil)
+		return len(t.servers) - 1
+	}
+	i = t.freeIndices[last]
+	t.freeIndices = t.freeIndices[:last]
+	return i
+}
+
+// removeServer drops a server with its evidence, and frees its index.
 func (t *Table) removeServer(i int) {
 	s := t.servers[i]
 	t.removeReplicas(i)
 	t.timers.Cancel(i)
-	t.updateCheckCounts(s, false, false)
+	t.updateCheckCounts(s, checkStanding{})
 	delete(t.index, s.ID)
 	t.servers[i] = nil
 	t.freeIndices = append(t.freeIndices, i)
-	gone := Decision{State: OutOfService, TrafficFraction: 1, Cause: "the roster: gone"}
-	t.changes = append(t.changes, Change{ID: s.ID, Decision: gone, Notable: true, PreviousState: s.decision.State})
+	t.changes = append(t.changes, Change{
+		ID:            s.ID,
+		Decision:      Decision{State: OutOfService, TrafficFraction: 1, Cause: "the roster: gone"},
+		Notable:       true,
+		PreviousState: s.decision.State,
+	})
 }
 
 // addReplicas enters a server as a replica of its shards.
@@ -151,6 +187,7 @@
 	t.markNeighboursDirty(i)
 }
 
+// removeReplicas ends that a server counts as a replica of its shards.
 func (t *Table) removeReplicas(i int) {
 	t.markNeighboursDirty(i)
 	for _, shard := range t.servers[i].Shards {
@@ -162,6 +199,7 @@
 	}
 }
 
+// advance moves the table's time forward to now, never back.
 func (t *Table) advance(now time.Time) {
 	if now.After(t.now) {
 		t.now = now
@@ -232,6 +270,7 @@
 	return usable
 }
 
+// usable reports whether the server can be expected to answer parts of a class.
 func (s *server) usable(class int) bool {
 	c := &s.classes[class]
 	return s.decided && s.decision.State == InService && s.decision.Usable && !c.ejected && !c.ejectionBlocked
@@ -243,5 +282,6 @@
 // Len returns the number of servers listed.
 func (t *Table) Len() int { return len(t.index) }
 
-// ChecksSuspect reports whether failing checks are ignored: so many fail while parts are answered that they must be wrong.
+// ChecksSuspect reports whether failing checks are ignored: so many fail while parts are answered that they must be
+// wrong.
 func (t *Table) ChecksSuspect() bool { return t.suspect }
--- a/internal/control/health/table_test.go
+++ b/internal/control/health/table_test.go
@@ -21,18 +21,27 @@
 }
 
 func TestNew_RejectsInvalidRules(t *testing.T) {
-	for i, invalidate := range []func(*Rules){
-		func(r *Rules) { r.Classes = 0 }, func(r *Rules) { r.OutcomeHalfLife = 0 }, func(r *Rules) { r.MaxEjectedFraction = 1 }, func(r *Rules) { r.EjectFailureRate = 0 },
-		func(r *Rules) { r.PanicThreshold = 0 }, func(r *Rules) { r.MaxHalfOpenDelay = 1 }, func(r *Rules) { r.FlapReuse = 9 }, func(r *Rules) { r.ReturnSuccesses = 0 },
-		func(r *Rules) { r.WeightRiseTime = 0 }, func(r *Rules) { r.MinOutcomes = 0 }, func(r *Rules) { r.EjectPeerRatio = 0 },
+	for name, invalidate := range map[string]func(*Rules){
+		"no class":                         func(r *Rules) { r.Classes = 0 },
+		"no half-life":                     func(r *Rules) { r.OutcomeHalfLife = 0 },
+		"all replicas may be ejected":      func(r *Rules) { r.MaxEjectedFraction = 1 },
+		"ejection without failures":        func(r *Rules) { r.EjectFailureRate = 0 },
+		"panic without failing checks":     func(r *Rules) { r.PanicThreshold = 0 },
+		"longest delay under the interval": func(r *Rules) { r.MaxHalfOpenDelay = 1 },
+		"reuse above suppression":          func(r *Rules) { r.FlapReuse = 9 },
+		"return without successes":         func(r *Rules) { r.ReturnSuccesses = 0 },
+		"weights that jump":                func(r *Rules) { r.WeightRiseTime = 0 },
+		"a failure rate of no outcomes":    func(r *Rules) { r.MinOutcomes = 0 },
+		"no ratio to the other servers":    func(r *Rules) { r.EjectPeerRatio = 0 },
 	} {
-		r := Defaults(2, 0)
-		invalidate(&r)
-		if _, err := New(r, nil, origin); err == nil {
-			t.Errorf("case %d was accepted: %+v", i, r)
+		rules := Defaults(2, 0)
+		invalidate(&rules)
+		if _, err := New(rules, nil, origin); err == nil {
+			t.Errorf("%s: accepted: %+v", name, rules)
 		}
 	}
-	if _, err := New(Defaults(2, 0), []CheckConfig{{Name: "x", Fall: 1, Rise: 0, Validity: 1}}, origin); err == nil {
+	withoutRise := []CheckConfig{{Name: "x", Fall: 1, Rise: 0, Validity: 1}}
+	if _, err := New(Defaults(2, 0), withoutRise, origin); err == nil {
 		t.Error("a check without rise was accepted")
 	}
 }
@@ -64,8 +73,14 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		c := &checkedTable{t: t, rng: rand.New(rand.NewPCG(seed, 2)), table: table, now: origin,
-			ids: []ID{"a", "b", "c", "d", "e", "f"}, drained: map[ID]bool{}}
+		c := &checkedTable{
+			t:       t,
+			rng:     rand.New(rand.NewPCG(seed, 2)),
+			table:   table,
+			now:     origin,
+			ids:     []ID{"a", "b", "c", "d", "e", "f"},
+			drained: map[ID]bool{},
+		}
 		for i := range c.ids {
 			c.updateEndpoint(i, false)
 		}
@@ -86,7 +101,8 @@
 		c.updateEndpoint(i, c.rng.IntN(8) == 0)
 	default:
 		for range 5 {
-			class, outcome := c.rng.IntN(2), Outcome(c.rng.IntN(4))
+			class := c.rng.IntN(2)
+			outcome := Outcome(c.rng.IntN(4))
 			sent := c.now.Add(-time.Duration(c.rng.IntN(400)) * time.Millisecond)
 			c.table.RecordOutcome(c.now, c.ids[i], class, outcome, sent)
 		}
@@ -101,20 +117,26 @@
 
 func (c *checkedTable) updateEndpoint(i int, draining bool) {
 	n := len(c.ids)
-	c.table.UpdateEndpoints(c.now, []Server{{ID: c.ids[i], Draining: draining, Shards: []int{i, (i + 1) % n, (i + 2) % n}}}, false)
+	shards := []int{i, (i + 1) % n, (i + 2) % n}
+	c.table.UpdateEndpoints(c.now, []Server{{ID: c.ids[i], Draining: draining, Shards: shards}})
 }
 
 func (c *checkedTable) recordCheck(id ID) {
-	r := CheckResult{Failed: c.rng.IntN(3) == 0, Oper: OperState(c.rng.IntN(3)), Weight: -1, MaxConn: c.rng.IntN(4) - 1}
+	result := CheckResult{
+		Failed:  c.rng.IntN(3) == 0,
+		Oper:    OperState(c.rng.IntN(3)),
+		Weight:  -1,
+		MaxConn: c.rng.IntN(4) - 1,
+	}
 	if c.rng.IntN(4) == 0 {
-		r.Weight = float64(1+c.rng.IntN(4)) / 4
+		result.Weight = float64(1+c.rng.IntN(4)) / 4
 	}
 	check := c.rng.IntN(2)
-	if check == agentCheck && !r.Failed && c.rng.IntN(6) == 0 {
-		r.Admin = AdminState(1 + c.rng.IntN(3))
-		c.drained[id] = r.Admin != Ready
+	if check == agentCheck && !result.Failed && c.rng.IntN(6) == 0 {
+		result.Admin = AdminState(1 + c.rng.IntN(3))
+		c.drained[id] = result.Admin != Ready
 	}
-	c.table.RecordCheck(c.now, id, check, r)
+	c.table.RecordCheck(c.now, id, check, result)
 }
 
 func (c *checkedTable) checkChange(change Change) {
@@ -139,7 +161,8 @@
 	if c.drained[id] && d.State == InService {
 		c.t.Fatalf("%s is drained and in service: %+v", id, d)
 	}
-	fit, remaining := 0, 0
+	fit := 0
+	remaining := 0
 	for _, other := range c.table.replicas[i] {
 		s := c.table.servers[other]
 		if !s.fit {
--- a/internal/control/health/types.go
+++ b/internal/control/health/types.go
@@ -1,7 +1,8 @@
-// Package health keeps the evidence on servers and decides from it which of them get requests: all, only what no other
-// replica can take, or nothing, and which fraction of their traffic. Evidence comes from the endpoint list (called the
-// roster in texts for operators), from health checks of several kinds, and from the outcomes of real parts of queries, by
-// class. The package does no I/O, reads no clock and starts no goroutine; equal events lead to equal decisions.
+// Package health keeps the evidence on servers and decides from it which of them get requests: all, only what no
+// other replica can take, or nothing, and which fraction of their traffic. Evidence comes from the endpoint list
+// (called the roster in texts for operators), from health checks of several kinds, and from the outcomes of real
+// parts of queries, by class. The package does no I/O, reads no clock and starts no goroutine; equal events lead to
+// equal decisions.
 //
 // docs/health.md describes how facts merge; decision.go is that table.
 package health
--- a/internal/testbed/sim/aggregator.go
+++ b/internal/testbed/sim/aggregator.go
@@ -33,8 +33,8 @@
 	}
 }
 
-// aggregatorHost drives a real core: it collects the events of a moment, hands them over in one turn, and carries out the
-// core's commands.
+// aggregatorHost drives a real core: it collects the events of a moment, hands them over in one turn, and carries
+// out the core's commands.
 type aggregatorHost struct {
 	world             *world
 	index             int
@@ -135,7 +135,7 @@
 		if h.healthTable, err = health.New(health.Defaults(3, 1<<correction), []health.CheckConfig{{Name: "check", Fall: 2, Rise: 1, Validity: 4 * time.Second}}, Start); err != nil {
 			return err
 		}
-		h.healthTable.UpdateEndpoints(Start, checked, true)
+		h.healthTable.ReplaceEndpoints(Start, checked)
 		w.at(Start.Add(time.Duration(w.rng.Float64()*float64(time.Second))), h.runHealthChecks)
 	}
 	h.post(list)
