--- a/internal/control/persistentmap/diff.go
+++ b/internal/control/persistentmap/diff.go
@@ -11,8 +11,8 @@
 	After    V // zero unless InAfter
 }
 
-// Diff calls yield for each key whose value is not the same in two maps, in order, until it returns false. Nodes that the
-// maps share are skipped, so the cost is that of what they do not share.
+// Diff calls yield for each key whose value is not the same in two maps, in order, until it returns false. Nodes
+// that the maps share are skipped, so the cost is that of what they do not share.
 func Diff[K cmp.Ordered, V comparable](before, after Map[K, V], yield func(Difference[K, V]) bool) {
 	var a, b cursor[K, V]
 	a.enter(before.root)
@@ -31,7 +31,8 @@
 	}
 }
 
-// nextDifference compares the entries with the smaller key at two cursors, of which one may be done, and steps past them.
+// nextDifference compares the entries with the smaller key at two cursors, of which one may be done, and steps past
+// them.
 func nextDifference[K cmp.Ordered, V comparable](a, b *cursor[K, V]) (d Difference[K, V]) {
 	order := 0
 	switch {
@@ -43,11 +44,15 @@
 		order = cmp.Compare(a.key(), b.key())
 	}
 	if order <= 0 {
-		d.Key, d.Before, d.InBefore = a.key(), a.value(), true
+		d.Key = a.key()
+		d.Before = a.value()
+		d.InBefore = true
 		a.step()
 	}
 	if order >= 0 {
-		d.Key, d.After, d.InAfter = b.key(), b.value(), true
+		d.Key = b.key()
+		d.After = b.value()
+		d.InAfter = true
 		b.step()
 	}
 	return d
@@ -58,6 +63,7 @@
 	path []frame[K, V] // from the root to a leaf; empty: all entries are behind the cursor
 }
 
+// frame is a node on a cursor's path, and the position of the entry or child that the cursor is at.
 type frame[K cmp.Ordered, V any] struct {
 	node     *node[K, V]
 	position int
@@ -66,7 +72,7 @@
 // enter descends to the first entry of a node.
 func (c *cursor[K, V]) enter(n *node[K, V]) {
 	for n != nil {
-		c.path = append(c.path, frame[K, V]{n, 0})
+		c.path = append(c.path, frame[K, V]{node: n})
 		if n.isLeaf() {
 			return
 		}
--- a/internal/control/persistentmap/node.go
+++ b/internal/control/persistentmap/node.go
@@ -5,12 +5,12 @@
 	"slices"
 )
 
-// maxEntries is the most entries of a node: enough that a look-up visits few nodes, and few enough that copying a path is
-// cheap.
+// maxEntries is the most entries of a node: enough that a look-up visits few nodes, and few enough that copying a
+// path is cheap.
 const maxEntries = 32
 
-// node is either a leaf, with values, or has children; then keys[i] is the smallest key below children[i]. A node is never
-// changed once it is in a map.
+// node is either a leaf, with values, or has children; then keys[i] is the smallest key below children[i]. A node
+// is never changed once it is in a map.
 type node[K cmp.Ordered, V any] struct {
 	keys     []K
 	values   []V
@@ -45,40 +45,58 @@
 // set returns a copy of the node in which a key has a value, in two halves if it has too many entries; right is nil if
 // not. added says that the key is new.
 func (n *node[K, V]) set(key K, value V) (left, right *node[K, V], added bool) {
-	i := n.floor(key)
 	if n.isLeaf() {
-		if i >= 0 && n.keys[i] == key {
-			replaced := &node[K, V]{keys: n.keys, values: slices.Clone(n.values)}
-			replaced.values[i] = value
-			return replaced, nil, false
-		}
-		grown := &node[K, V]{keys: withInserted(n.keys, i+1, key), values: withInserted(n.values, i+1, value)}
-		left, right = grown.split()
-		return left, right, true
+		return n.setInLeaf(key, value)
 	}
-	i = max(i, 0)
+	i := max(n.floor(key), 0)
 	childLeft, childRight, added := n.children[i].set(key, value)
-	c := &node[K, V]{keys: slices.Clone(n.keys), children: slices.Clone(n.children)}
-	c.keys[i], c.children[i] = childLeft.keys[0], childLeft
+	changed := n.withChild(i, childLeft)
 	if childRight != nil {
-		c.keys = withInserted(c.keys, i+1, childRight.keys[0])
-		c.children = withInserted(c.children, i+1, childRight)
+		changed.keys = withInserted(changed.keys, i+1, childRight.keys[0])
+		changed.children = withInserted(changed.children, i+1, childRight)
 	}
-	left, right = c.split()
+	left, right = changed.split()
 	return left, right, added
 }
 
+// setInLeaf is set for a leaf.
+func (n *node[K, V]) setInLeaf(key K, value V) (left, right *node[K, V], added bool) {
+	i := n.floor(key)
+	if i >= 0 && n.keys[i] == key {
+		replaced := &node[K, V]{keys: n.keys, values: slices.Clone(n.values)}
+		replaced.values[i] = value
+		return replaced, nil, false
+	}
+	grown := &node[K, V]{
+		keys:   withInserted(n.keys, i+1, key),
+		values: withInserted(n.values, i+1, value),
+	}
+	left, right = grown.split()
+	return left, right, true
+}
+
+// withChild returns a copy of the node with another child at a position.
+func (n *node[K, V]) withChild(i int, child *node[K, V]) *node[K, V] {
+	changed := &node[K, V]{keys: slices.Clone(n.keys), children: slices.Clone(n.children)}
+	changed.keys[i] = child.keys[0]
+	changed.children[i] = child
+	return changed
+}
+
 // split returns the node, or two halves of it if it has too many entries.
 func (n *node[K, V]) split() (left, right *node[K, V]) {
 	if len(n.keys) <= maxEntries {
 		return n, nil
 	}
 	middle := len(n.keys) / 2
-	left, right = &node[K, V]{keys: slices.Clone(n.keys[:middle])}, &node[K, V]{keys: slices.Clone(n.keys[middle:])}
+	left = &node[K, V]{keys: slices.Clone(n.keys[:middle])}
+	right = &node[K, V]{keys: slices.Clone(n.keys[middle:])}
 	if n.isLeaf() {
-		left.values, right.values = slices.Clone(n.values[:middle]), slices.Clone(n.values[middle:])
+		left.values = slices.Clone(n.values[:middle])
+		right.values = slices.Clone(n.values[middle:])
 	} else {
-		left.children, right.children = slices.Clone(n.children[:middle]), slices.Clone(n.children[middle:])
+		left.children = slices.Clone(n.children[:middle])
+		right.children = slices.Clone(n.children[middle:])
 	}
 	return left, right
 }
@@ -108,10 +126,9 @@
 		}
 		return &node[K, V]{keys: without(n.keys, i), children: without(n.children, i)}, true
 	}
-	c := &node[K, V]{keys: slices.Clone(n.keys), children: slices.Clone(n.children)}
-	c.keys[i], c.children[i] = child.keys[0], child
-	c.mergeChild(i)
-	return c, true
+	changed := n.withChild(i, child)
+	changed.mergeChild(i)
+	return changed, true
 }
 
 // mergeChild merges a child with a neighbour if both together fill at most half a node: look-ups stay short, and a key
@@ -123,31 +140,34 @@
 	if i < 0 {
 		return
 	}
-	a, b := n.children[i], n.children[i+1]
-	if len(a.keys)+len(b.keys) > maxEntries/2 {
+	left := n.children[i]
+	right := n.children[i+1]
+	if len(left.keys)+len(right.keys) > maxEntries/2 {
 		return
 	}
-	merged := &node[K, V]{keys: slices.Concat(a.keys, b.keys)}
-	if a.isLeaf() {
-		merged.values = slices.Concat(a.values, b.values)
+	merged := &node[K, V]{keys: slices.Concat(left.keys, right.keys)}
+	if left.isLeaf() {
+		merged.values = slices.Concat(left.values, right.values)
 	} else {
-		merged.children = slices.Concat(a.children, b.children)
+		merged.children = slices.Concat(left.children, right.children)
 	}
 	n.children[i] = merged
-	n.keys, n.children = without(n.keys, i+1), without(n.children, i+1)
+	n.keys = without(n.keys, i+1)
+	n.children = without(n.children, i+1)
 }
 
 // withInserted returns a copy of a slice with an element inserted.
-func withInserted[T any](s []T, i int, element T) []T {
-	out := make([]T, len(s)+1)
-	copy(out, s[:i])
-	out[i] = element
-	copy(out[i+1:], s[i:])
-	return out
+func withInserted[T any](elements []T, i int, element T) []T {
+	grown := make([]T, len(elements)+1)
+	copy(grown, elements[:i])
+	grown[i] = element
+	copy(grown[i+1:], elements[i:])
+	return grown
 }
 
 // without returns a copy of a slice without an element.
-func without[T any](s []T, i int) []T {
-	out := make([]T, 0, len(s)-1)
-	return append(append(out, s[:i]...), s[i+1:]...)
+func without[T any](elements []T, i int) []T {
+	remaining := make([]T, 0, len(elements)-1)
+	remaining = append(remaining, elements[:i]...)
+	return append(remaining, elements[i+1:]...)
 }
--- a/internal/control/persistentmap/persistentmap.go
+++ b/internal/control/persistentmap/persistentmap.go
@@ -1,6 +1,6 @@
-// Package persistentmap is an ordered map that never changes: Set and Delete return a new map, which shares all but the
-// path to the change with the old one. It is a tree like a B+-tree with path copying, made for keeping many versions of a
-// map of which each differs little from the last.
+// Package persistentmap is an ordered map that never changes: Set and Delete return a new map, which shares all but
+// the path to the change with the old one. It is a tree like a B+-tree with path copying, made for keeping many
+// versions of a map of which each differs little from the last.
 package persistentmap
 
 import (
@@ -49,8 +49,9 @@
 func (m Map[K, V]) Below(key K) (found K, value V, ok bool) {
 	n := m.root
 	for n != nil {
-		i, _ := slices.BinarySearch(n.keys, key)
-		if i--; i < 0 {
+		firstNotBelow, _ := slices.BinarySearch(n.keys, key)
+		i := firstNotBelow - 1
+		if i < 0 {
 			break
 		}
 		if n.isLeaf() {
@@ -87,10 +88,11 @@
 	}
 }
 
-// Set returns a map in which a key has a value, and all else is as in m.
+// Set returns a map in which a key has a value, and every other key is as in m.
 func (m Map[K, V]) Set(key K, value V) Map[K, V] {
 	if m.root == nil {
-		return Map[K, V]{&node[K, V]{keys: []K{key}, values: []V{value}}, 1}
+		leaf := &node[K, V]{keys: []K{key}, values: []V{value}}
+		return Map[K, V]{root: leaf, size: 1}
 	}
 	left, right, added := m.root.set(key, value)
 	if added {
@@ -98,7 +100,10 @@
 	}
 	m.root = left
 	if right != nil {
-		m.root = &node[K, V]{keys: []K{left.keys[0], right.keys[0]}, children: []*node[K, V]{left, right}}
+		m.root = &node[K, V]{
+			keys:     []K{left.keys[0], right.keys[0]},
+			children: []*node[K, V]{left, right},
+		}
 	}
 	return m
 }
@@ -115,14 +120,14 @@
 	for root != nil && len(root.children) == 1 {
 		root = root.children[0]
 	}
-	return Map[K, V]{root, m.size - 1}
+	return Map[K, V]{root: root, size: m.size - 1}
 }
 
 // buildEntries is how many entries Build gives a node, so that some can be set later without a split.
 const buildEntries = maxEntries * 3 / 4
 
-// Build returns a map of entries, whose keys have to be in order and without duplicates. It costs less than setting them
-// one by one.
+// Build returns a map of entries, whose keys have to be in order and without duplicates. It costs less than setting
+// them one by one.
 func Build[K cmp.Ordered, V any](keys []K, values []V) Map[K, V] {
 	if len(keys) == 0 {
 		return Map[K, V]{}
@@ -130,19 +135,26 @@
 	var level []*node[K, V]
 	for i := 0; i < len(keys); i += buildEntries {
 		end := min(i+buildEntries, len(keys))
-		level = append(level, &node[K, V]{keys: slices.Clone(keys[i:end]), values: slices.Clone(values[i:end])})
+		level = append(level, &node[K, V]{
+			keys:   slices.Clone(keys[i:end]),
+			values: slices.Clone(values[i:end]),
+		})
 	}
 	for len(level) > 1 {
-		var parents []*node[K, V]
-		for i := 0; i < len(level); i += buildEntries {
-			end := min(i+buildEntries, len(level))
-			parent := &node[K, V]{children: slices.Clone(level[i:end])}
-			for _, child := range parent.children {
-				parent.keys = append(parent.keys, child.keys[0])
-			}
-			parents = append(parents, parent)
+		level = buildParents(level)
+	}
+	return Map[K, V]{root: level[0], size: len(keys)}
+}
+
+// buildParents returns the nodes above a level of a tree that Build makes.
+func buildParents[K cmp.Ordered, V any](level []*node[K, V]) (parents []*node[K, V]) {
+	for i := 0; i < len(level); i += buildEntries {
+		end := min(i+buildEntries, len(level))
+		parent := &node[K, V]{children: slices.Clone(level[i:end])}
+		for _, child := range parent.children {
+			parent.keys = append(parent.keys, child.keys[0])
 		}
-		level = parents
+		parents = append(parents, parent)
 	}
-	return Map[K, V]{level[0], len(keys)}
+	return parents
 }
--- a/internal/control/persistentmap/persistentmap_test.go
+++ b/internal/control/persistentmap/persistentmap_test.go
@@ -43,7 +43,8 @@
 	if built {
 		var keys, values []int
 		for i := range rng.IntN(300) {
-			keys, values = append(keys, 3*i), append(values, i)
+			keys = append(keys, 3*i)
+			values = append(values, i)
 			model[3*i] = i
 		}
 		m = Build(keys, values)
@@ -58,27 +59,30 @@
 			model[key] = i
 		}
 		if rng.IntN(100) == 0 {
-			versions = append(versions, version{m, maps.Clone(model)})
+			versions = append(versions, version{m: m, model: maps.Clone(model)})
 		}
 	}
-	return append(versions, version{m, model})
+	return append(versions, version{m: m, model: model})
 }
 
 func checkDiff(t *testing.T, before, after version) {
 	t.Helper()
-	differs, last := map[int]bool{}, -1
+	differs := map[int]bool{}
+	last := -1
 	Diff(before.m, after.m, func(d Difference[int, int]) bool {
 		wantBefore, inBefore := before.model[d.Key]
 		wantAfter, inAfter := after.model[d.Key]
 		switch {
 		case d.Key <= last:
 			t.Fatalf("key %d after %d", d.Key, last)
-		case inBefore != d.InBefore || inAfter != d.InAfter, d.Before != wantBefore || d.After != wantAfter:
+		case inBefore != d.InBefore || inAfter != d.InAfter,
+			d.Before != wantBefore || d.After != wantAfter:
 			t.Fatalf("want %d %v and %d %v, got %+v", wantBefore, inBefore, wantAfter, inAfter, d)
 		case inBefore && inAfter && d.Before == d.After:
 			t.Fatalf("no difference: %+v", d)
 		}
-		differs[d.Key], last = true, d.Key
+		differs[d.Key] = true
+		last = d.Key
 		return true
 	})
 	for key := range maxKey {
--- a/internal/control/shardmap/bench_test.go
+++ b/internal/control/shardmap/bench_test.go
@@ -14,7 +14,8 @@
 func largeMap(n int) *Map {
 	shards := make([]*Shard, n)
 	for i := range n {
-		s := &Shard{ID: ID(i + 1), State: Serving, Replicas: replicasOn(fmt.Sprintf("n%d", i%1000), fmt.Sprintf("n%d", (i+1)%1000))}
+		servers := []string{fmt.Sprintf("n%d", i%1000), fmt.Sprintf("n%d", (i+1)%1000)}
+		s := &Shard{ID: ID(i + 1), State: Serving, Replicas: replicasOn(servers...)}
 		if i > 0 {
 			s.From = Key(fmt.Sprintf("p%07d@2000", i))
 		}
@@ -33,26 +34,33 @@
 // sortedSlice holds shards in the order of their ranges: the simple structure to compare with.
 type sortedSlice []*Shard
 
-func (p sortedSlice) lookup(k Key) *Shard {
-	i, found := slices.BinarySearchFunc(p, k, func(s *Shard, k Key) int { return cmp.Compare(s.From, k) })
+func (s sortedSlice) lookup(key Key) *Shard {
+	compare := func(shard *Shard, key Key) int { return cmp.Compare(shard.From, key) }
+	i, found := slices.BinarySearchFunc(s, key, compare)
 	if !found {
 		i--
 	}
-	return p[i]
+	return s[i]
 }
 
+// sliceAndMap returns the active shards in the simple structures to compare with.
+func sliceAndMap(m *Map) (flat sortedSlice, byID map[ID]*Shard) {
+	byID = map[ID]*Shard{}
+	for s := range m.Active {
+		flat = append(flat, s)
+		byID[s.ID] = s
+	}
+	return flat, byID
+}
+
+// sink keeps the compiler from leaving out what is measured.
 var sink *Shard
 
 // BenchmarkLookup measures look-ups by key in the tree and in a sorted slice, and by id in the tree and in a Go map.
 func BenchmarkLookup(b *testing.B) {
 	for _, n := range []int{100, 10_000, 1_000_000} {
 		m := largeMap(n)
-		var flat sortedSlice
-		m.Active(func(s *Shard) bool { flat = append(flat, s); return true })
-		byID := map[ID]*Shard{}
-		for _, s := range flat {
-			byID[s.ID] = s
-		}
+		flat, byID := sliceAndMap(m)
 		rng := rand.New(rand.NewPCG(1, 2))
 		keys := make([]Key, 4096)
 		for i := range keys {
@@ -78,9 +86,7 @@
 func BenchmarkChange(b *testing.B) {
 	for _, n := range []int{100, 10_000, 1_000_000} {
 		m := largeMap(n)
-		var flat sortedSlice
-		byID := map[ID]*Shard{}
-		m.Active(func(s *Shard) bool { flat = append(flat, s); byID[s.ID] = s; return true })
+		flat, byID := sliceAndMap(m)
 		b.Run(fmt.Sprintf("tree/%d", n), func(b *testing.B) {
 			b.ReportAllocs()
 			for i := range b.N {
@@ -133,8 +139,8 @@
 	return float64(stats.HeapAlloc) / (1 << 20)
 }
 
-// A map of a million shards is parsed, adopted, changed a hundred times, and dropped. This logs the times and the memory
-// that it takes: run it with -run Million -v and ROOKTRESTLE_LONG=1.
+// A map of a million shards is parsed, adopted, changed a hundred times, and dropped. This logs the times and the
+// memory that it takes: run it with -run Million -v and ROOKTRESTLE_LONG=1.
 func TestMillionShards(t *testing.T) {
 	if !longRuns() {
 		t.Skip("long: set ROOKTRESTLE_LONG=1")
@@ -145,7 +151,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("%.0f MB of text parsed in %v; %.0f MB of heap", float64(len(text))/(1<<20), time.Since(start), heapMegabytes()-heapBefore)
+	t.Logf("%.0f MB of text parsed in %v; %.0f MB of heap",
+		float64(len(text))/(1<<20), time.Since(start), heapMegabytes()-heapBefore)
 	vs := newViews(t, ViewOptions{MaxPinnedEpochs: 200, MaxPinnedAge: time.Hour, WarmupMinFraction: 1}, first)
 	current := changeAHundredTimes(t, vs, first)
 	reparsed, err := Parse(text)
@@ -184,7 +191,8 @@
 		}
 		offering += time.Since(offerStart)
 	}
-	t.Logf("100 changes in %v, of it %v to validate and adopt them; 100 epochs pinned: %.2f MB more", time.Since(start), offering, heapMegabytes()-heapBefore)
+	t.Logf("100 changes in %v, of it %v to validate and adopt them; 100 epochs pinned: %.2f MB more",
+		time.Since(start), offering, heapMegabytes()-heapBefore)
 	for _, v := range pins {
 		vs.Release(v)
 	}
--- a/internal/control/shardmap/change.go
+++ b/internal/control/shardmap/change.go
@@ -6,7 +6,14 @@
 // shards must not be changed afterwards. Change validates the whole map as New does, but looks only at what changes and
 // at its neighbours; the rest is shared with m.
 func (m *Map) Change(put []*Shard, remove []ID) (*Map, error) {
-	next := &Map{Archive: m.Archive, Epoch: m.Epoch + 1, NextID: m.NextID, cover: m.cover, all: m.all, weight: m.weight}
+	next := &Map{
+		Archive: m.Archive,
+		Epoch:   m.Epoch + 1,
+		NextID:  m.NextID,
+		cover:   m.cover,
+		all:     m.all,
+		weight:  m.weight,
+	}
 	for _, s := range put {
 		next.NextID = max(next.NextID, s.ID+1)
 	}
@@ -75,19 +82,19 @@
 	return nil
 }
 
-// checkBoundaries checks that the keys at both ends of a shard's range are each in one active shard, and that the active
-// shards there adjoin their neighbours. A nil shard is valid.
+// checkBoundaries checks that the keys at both ends of a shard's range are each in one active shard, and that the
+// active shards there adjoin their neighbours. A nil shard is valid.
 func (m *Map) checkBoundaries(s *Shard) error {
 	if s == nil {
 		return nil
 	}
-	for _, k := range []Key{s.From, s.To} {
-		_, covering, ok := m.cover.Floor(k)
+	for _, boundary := range []Key{s.From, s.To} {
+		_, covering, ok := m.cover.Floor(boundary)
 		if !ok {
-			return openBeginningError(k)
+			return openBeginningError(boundary)
 		}
-		if !covering.Contains(k) {
-			return gapError(covering.To, k)
+		if !covering.Contains(boundary) {
+			return gapError(covering.To, boundary)
 		}
 		if err := m.checkNextShard(covering); err != nil {
 			return err
--- a/internal/control/shardmap/diff.go
+++ b/internal/control/shardmap/diff.go
@@ -27,24 +27,23 @@
 }
 
 // changeOf compares a shard with what it was before, or nil.
-func changeOf(was, is *Shard) ShardChange {
-	change := ShardChange{ID: is.ID, Before: was, After: is}
-	previous := was
-	if previous == nil {
-		previous = &Shard{}
+func changeOf(before, after *Shard) ShardChange {
+	change := ShardChange{ID: after.ID, Before: before, After: after}
+	if before == nil {
+		before = &Shard{}
 	}
-	for _, r := range is.Replicas {
-		before, had := previous.replica(r.Server)
+	for _, replica := range after.Replicas {
+		previous, existed := before.replica(replica.Server)
 		switch {
-		case !had:
-			change.Joined = append(change.Joined, r.Server)
-		case before.Joining && !r.Joining:
-			change.Promoted = append(change.Promoted, r.Server)
+		case !existed:
+			change.Joined = append(change.Joined, replica.Server)
+		case previous.Joining && !replica.Joining:
+			change.Promoted = append(change.Promoted, replica.Server)
 		}
 	}
-	for _, r := range previous.Replicas {
-		if _, has := is.replica(r.Server); !has {
-			change.Left = append(change.Left, r.Server)
+	for _, previous := range before.Replicas {
+		if _, remains := after.replica(previous.Server); !remains {
+			change.Left = append(change.Left, previous.Server)
 		}
 	}
 	return change
--- a/internal/control/shardmap/file.go
+++ b/internal/control/shardmap/file.go
@@ -25,24 +25,24 @@
 	if len(text) > maxFileSize {
 		return nil, fmt.Errorf("a map over %d bytes", maxFileSize)
 	}
-	var f mapFile
-	if err := json.Unmarshal(text, &f); err != nil {
+	var file mapFile
+	if err := json.Unmarshal(text, &file); err != nil {
 		return nil, fmt.Errorf("not a map: %w", err)
 	}
-	for _, s := range f.Shards {
+	for _, s := range file.Shards {
 		if s == nil {
 			return nil, errors.New("a block that is null")
 		}
 	}
-	return New(f.Archive, f.Epoch, f.NextID, f.Shards)
+	return New(file.Archive, file.Epoch, file.NextID, file.Shards)
 }
 
 // Encode returns the map's JSON text, as Parse reads it, with a line feed at its end. Equal maps have equal text.
 func (m *Map) Encode() []byte {
-	f := mapFile{Archive: m.Archive, Epoch: m.Epoch, NextID: m.NextID}
+	file := mapFile{Archive: m.Archive, Epoch: m.Epoch, NextID: m.NextID}
 	for s := range m.All {
-		f.Shards = append(f.Shards, s)
+		file.Shards = append(file.Shards, s)
 	}
-	text, _ := json.Marshal(f) // a validated map has no value that JSON cannot express
+	text, _ := json.Marshal(file) // a validated map has no value that JSON cannot express
 	return append(text, '\n')
 }
--- a/internal/control/shardmap/interleavings_test.go
+++ b/internal/control/shardmap/interleavings_test.go
@@ -92,7 +92,8 @@
 		q := &s.queries[i]
 		b = append(b, flags(q.started), byte(q.view), byte(q.restarts), byte(q.outcome), byte(len(q.parts)))
 		for _, p := range q.parts {
-			b = append(b, byte(p.shard), p.candidates, byte(p.server+1), byte(p.phase), p.attempts, flags(p.mayHaveRun, p.answered))
+			b = append(b, byte(p.shard), p.candidates, byte(p.server+1), byte(p.phase), p.attempts)
+			b = append(b, flags(p.mayHaveRun, p.answered))
 		}
 	}
 	return string(b)
@@ -204,15 +205,25 @@
 		}
 		for server := range x.servers {
 			if p.candidates>>server&1 == 1 {
-				push(func(p *partState) { p.server, p.phase, p.attempts = int8(server), sent, p.attempts+1 })
+				push(func(p *partState) {
+					p.server = int8(server)
+					p.phase = sent
+					p.attempts++
+				})
 			}
 		}
 	case p.phase == sent:
 		x.push(s, func(n *systemState) { x.arrive(n, kind, part) })
 		push(func(p *partState) { p.server = noServer }) // no connection: it never ran
 	case p.phase == running:
-		push(func(p *partState) { p.answered, p.server = true, noServer })
-		push(func(p *partState) { p.mayHaveRun, p.server = true, noServer }) // a reset or a time-out
+		push(func(p *partState) {
+			p.answered = true
+			p.server = noServer
+		})
+		push(func(p *partState) { // a reset or a time-out
+			p.mayHaveRun = true
+			p.server = noServer
+		})
 	case p.phase == rejection:
 		x.push(s, func(n *systemState) { x.reject(n, kind, part) })
 	}
@@ -256,7 +267,8 @@
 
 // end returns how a query without attempts in flight ends now, or unfinished if it can go on.
 func (x *explorer) end(q *queryState, kind queryKind) outcome {
-	allAnswered, stuck := true, false
+	allAnswered := true
+	stuck := false
 	for _, p := range q.parts {
 		allAnswered = allAnswered && p.answered
 		exhausted := p.candidates == 0 || p.attempts >= x.maxAttempts[kind] || kind == correction && p.mayHaveRun
@@ -276,7 +288,9 @@
 // pin starts a query on the map that the aggregator has adopted.
 func (x *explorer) pin(s *systemState, kind queryKind) {
 	q := &s.queries[kind]
-	q.started, q.view, q.parts = true, s.adopted, nil
+	q.started = true
+	q.view = s.adopted
+	q.parts = nil
 	m := x.maps[s.adopted]
 	if kind == correction {
 		q.parts = append(q.parts, x.newPart(m.Lookup(x.key)))
@@ -360,22 +374,41 @@
 // longRuns reports whether long runs are wanted.
 func longRuns() bool { return os.Getenv("ROOKTRESTLE_LONG") != "" }
 
-// All interleavings of one migration, split or merge with one correction and one search. If ROOKTRESTLE_LONG is
-// set, each part of the search has two attempts, else one.
-func TestInterleavings_QueriesAreCorrect(t *testing.T) {
-	newMap := func(shards ...*Shard) *Map {
-		for _, s := range shards {
-			s.State, s.Replicas = Serving, replicasOn("a", "b")
-		}
-		m, err := New("captions", 1, ID(len(shards)+1), shards)
+// mapOnFirstServers returns a map of shards that the servers a and b serve.
+func mapOnFirstServers(t *testing.T, shards ...*Shard) *Map {
+	t.Helper()
+	for _, s := range shards {
+		s.State = Serving
+		s.Replicas = replicasOn("a", "b")
+	}
+	m, err := New("captions", 1, ID(len(shards)+1), shards)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// mapsOfPlan returns a map and those that the steps of a plan lead to.
+func mapsOfPlan(t *testing.T, first *Map, plan *Plan) []*Map {
+	t.Helper()
+	maps := []*Map{first}
+	for i := range plan.Steps {
+		next, err := plan.Steps[i].Apply(maps[i])
 		if err != nil {
 			t.Fatal(err)
 		}
-		return m
+		maps = append(maps, next)
 	}
-	oneShard := newMap(&Shard{ID: 1})
-	twoShards := newMap(&Shard{ID: 1, To: "m@2000"}, &Shard{ID: 2, From: "m@2000"})
-	allServers, firstServers := []string{"a", "b", "c", "d"}, []string{"a", "b"}
+	return maps
+}
+
+// All interleavings of one migration, split or merge with one correction and one search. If ROOKTRESTLE_LONG is
+// set, each part of the search has two attempts, else one.
+func TestInterleavings_QueriesAreCorrect(t *testing.T) {
+	oneShard := mapOnFirstServers(t, &Shard{ID: 1})
+	twoShards := mapOnFirstServers(t, &Shard{ID: 1, To: "m@2000"}, &Shard{ID: 2, From: "m@2000"})
+	allServers := []string{"a", "b", "c", "d"}
+	firstServers := allServers[:2]
 	maxAttempts := [2]uint8{correction: 2, search: 1}
 	if longRuns() {
 		maxAttempts[search] = 2
@@ -385,28 +418,46 @@
 		servers []string
 		plan    func(*Map) (*Plan, error)
 	}{
-		"migrate to other servers": {oneShard, allServers, func(m *Map) (*Plan, error) { return PlanMigration(m, 1, []string{"c", "d"}, Timing{}) }},
-		"replace one server":       {oneShard, allServers, func(m *Map) (*Plan, error) { return PlanMigration(m, 1, []string{"b", "c"}, Timing{}) }},
-		"split":                    {oneShard, firstServers, func(m *Map) (*Plan, error) { return PlanSplit(m, 1, []Key{"m@2000"}, Timing{}) }},
-		"merge":                    {twoShards, firstServers, func(m *Map) (*Plan, error) { return PlanMerge(m, []ID{1, 2}, Timing{}) }},
+		"migrate to other servers": {
+			m:       oneShard,
+			servers: allServers,
+			plan:    func(m *Map) (*Plan, error) { return PlanMigration(m, 1, []string{"c", "d"}, Timing{}) },
+		},
+		"replace one server": {
+			m:       oneShard,
+			servers: allServers,
+			plan:    func(m *Map) (*Plan, error) { return PlanMigration(m, 1, []string{"b", "c"}, Timing{}) },
+		},
+		"split": {
+			m:       oneShard,
+			servers: firstServers,
+			plan:    func(m *Map) (*Plan, error) { return PlanSplit(m, 1, []Key{"m@2000"}, Timing{}) },
+		},
+		"merge": {
+			m:       twoShards,
+			servers: firstServers,
+			plan:    func(m *Map) (*Plan, error) { return PlanMerge(m, []ID{1, 2}, Timing{}) },
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			x := &explorer{t: t, maps: []*Map{c.m}, servers: c.servers, key: "x@2000", maxAttempts: maxAttempts,
-				visited: map[string]bool{}, outcomes: map[[2]outcome]int{}}
 			plan, err := c.plan(c.m)
 			if err != nil {
 				t.Fatal(err)
 			}
-			m := c.m
-			for i := range plan.Steps {
-				if m, err = plan.Steps[i].Apply(m); err != nil {
-					t.Fatal(err)
-				}
-				x.maps = append(x.maps, m)
+			x := &explorer{
+				t:           t,
+				maps:        mapsOfPlan(t, c.m, plan),
+				servers:     c.servers,
+				key:         "x@2000",
+				maxAttempts: maxAttempts,
+				visited:     map[string]bool{},
+				outcomes:    map[[2]outcome]int{},
 			}
 			x.run()
 			t.Logf("%d states visited; ends (correction and search): %v", len(x.visited), x.outcomes)
-			if len(x.visited) < 1000 || x.outcomes[[2]outcome{complete, complete}] == 0 || x.outcomes[[2]outcome{rejected, complete}] == 0 {
+			bothComplete := x.outcomes[[2]outcome{complete, complete}]
+			searchComplete := x.outcomes[[2]outcome{rejected, complete}]
+			if len(x.visited) < 1000 || bothComplete == 0 || searchComplete == 0 {
 				t.Errorf("%d states, ends %v", len(x.visited), x.outcomes)
 			}
 		})
--- a/internal/control/shardmap/key.go
+++ b/internal/control/shardmap/key.go
@@ -10,14 +10,19 @@
 // Keys are ordered as text. The empty Key is the beginning of all keys and, as the end of a range, the end of all.
 type Key string
 
-// yearDigits is the width of a year in a key.
-const yearDigits = 4
+// yearDigits is the width of a year in a key, and maxYear the latest year that has as many digits.
+const (
+	yearDigits = 4
+	maxYear    = 9999
+)
 
 // MakeKey returns the key of a programme and a year from 0 to 9999. The programme must not be empty and must not
 // contain @, : or white space.
 func MakeKey(programme string, year int) (Key, error) {
-	if programme == "" || strings.ContainsAny(programme, "@:\x00 \t\r\n") || year < 0 || year > 9999 {
-		return "", fmt.Errorf("key %q %d: a programme without @, : and spaces, and a year of four digits", programme, year)
+	validProgramme := programme != "" && !strings.ContainsAny(programme, "@:\x00 \t\r\n")
+	if !validProgramme || year < 0 || year > maxYear {
+		return "", fmt.Errorf("key %q %d: a programme without @, : and spaces, and a year of four digits",
+			programme, year)
 	}
 	return Key(fmt.Sprintf("%s@%0*d", programme, yearDigits, year)), nil
 }
@@ -38,8 +43,8 @@
 // is a key itself, so that every record has a place.
 func KeyOf(record string) Key {
 	head, _, _ := strings.Cut(record, ":")
-	if k, err := ParseKey(head); err == nil && k != "" {
-		return k
+	if key, err := ParseKey(head); err == nil && key != "" {
+		return key
 	}
 	return Key(record)
 }
--- a/internal/control/shardmap/map.go
+++ b/internal/control/shardmap/map.go
@@ -9,8 +9,8 @@
 	"rooktrestle/internal/control/persistentmap"
 )
 
-// Map is the assignment of shards in one epoch. It never changes, and shares memory with the maps of neighbouring epochs
-// where they are alike. Any number of goroutines may read one.
+// Map is the assignment of shards in one epoch. It never changes, and shares memory with the maps of neighbouring
+// epochs where they are alike. Any number of goroutines may read one.
 type Map struct {
 	Archive string // maps of different archives never follow one another
 	Epoch   Epoch
@@ -31,8 +31,8 @@
 func (m *Map) Weight() float64 { return m.weight }
 
 // Lookup returns the active shard that contains a key.
-func (m *Map) Lookup(k Key) *Shard {
-	_, shard, ok := m.cover.Floor(k)
+func (m *Map) Lookup(key Key) *Shard {
+	_, shard, ok := m.cover.Floor(key)
 	if !ok {
 		return nil
 	}
@@ -55,9 +55,9 @@
 	m.all.All(func(_ ID, s *Shard) bool { return yield(s) })
 }
 
-// New returns a map of shards, which must not be changed afterwards. It returns an error if they are not a valid map: if
-// keys are in no shard or in two active ones, or a shard has no serving replica. Whether the map may follow another is
-// checked by ValidateSuccession.
+// New returns a map of shards, which must not be changed afterwards. It returns an error if they are not a valid
+// map: if keys are in no shard or in two active ones, or a shard has no serving replica. Whether the map may follow
+// another is checked by ValidateSuccession.
 func New(archive string, epoch Epoch, next ID, shards []*Shard) (*Map, error) {
 	if archive == "" || epoch == 0 {
 		return nil, errors.New("a map needs an archive's name and an epoch over 0")
@@ -88,7 +88,8 @@
 		keys = append(keys, s.From)
 		m.weight += s.weight()
 	}
-	m.cover, m.all = persistentmap.Build(keys, active), persistentmap.Build(ids, byID)
+	m.cover = persistentmap.Build(keys, active)
+	m.all = persistentmap.Build(ids, byID)
 	return m, nil
 }
 
--- a/internal/control/shardmap/mismatch.go
+++ b/internal/control/shardmap/mismatch.go
@@ -22,36 +22,46 @@
 
 // Servers send a mismatch as the details of a diagnostic: "not mine since epoch 7" or "mine from epoch 9 on".
 const (
-	notHeldPrefix    = "not mine since epoch "
-	notHeldYetPrefix = "mine from epoch "
-	notHeldYetSuffix = " on"
+	noLongerServedPrefix = "not mine since epoch "
+	notYetServedPrefix   = "mine from epoch "
+	notYetServedSuffix   = " on"
 )
 
 // Diagnostic returns the text that a server sends for a mismatch and the epoch that it names; empty for NoMismatch.
-func (m Mismatch) Diagnostic(e Epoch) string {
+func (m Mismatch) Diagnostic(epoch Epoch) string {
+	number := strconv.FormatUint(uint64(epoch), 10)
 	switch m {
 	case NoLongerServed:
-		return notHeldPrefix + strconv.FormatUint(uint64(e), 10)
+		return noLongerServedPrefix + number
 	case NotYetServed:
-		return notHeldYetPrefix + strconv.FormatUint(uint64(e), 10) + notHeldYetSuffix
+		return notYetServedPrefix + number + notYetServedSuffix
 	}
 	return ""
 }
 
-// ParseMismatch parses the text of a diagnostic. Only the exact form that Diagnostic returns is accepted: any other text
-// does not prove that the part never ran.
+// ParseMismatch parses the text of a diagnostic. Only the exact form that Diagnostic returns is accepted: any other
+// text does not prove that the part never ran.
 func ParseMismatch(text string) (Mismatch, Epoch, bool) {
-	mismatch := NoLongerServed
-	number, ok := strings.CutPrefix(text, notHeldPrefix)
-	if !ok {
-		mismatch = NotYetServed
-		if number, ok = strings.CutPrefix(text, notHeldYetPrefix); ok {
-			number, ok = strings.CutSuffix(number, notHeldYetSuffix)
-		}
+	mismatch, number := splitDiagnostic(text)
+	if mismatch == NoMismatch {
+		return NoMismatch, 0, false
 	}
 	epoch, err := strconv.ParseUint(number, 10, 63)
-	if !ok || err != nil || epoch == 0 || number != strconv.FormatUint(epoch, 10) {
+	if err != nil || epoch == 0 || number != strconv.FormatUint(epoch, 10) {
 		return NoMismatch, 0, false
 	}
 	return mismatch, Epoch(epoch), true
 }
+
+// splitDiagnostic returns the mismatch that a diagnostic states, and the text of its epoch.
+func splitDiagnostic(text string) (mismatch Mismatch, epoch string) {
+	if number, ok := strings.CutPrefix(text, noLongerServedPrefix); ok {
+		return NoLongerServed, number
+	}
+	number, hasPrefix := strings.CutPrefix(text, notYetServedPrefix)
+	number, hasSuffix := strings.CutSuffix(number, notYetServedSuffix)
+	if hasPrefix && hasSuffix {
+		return NotYetServed, number
+	}
+	return NoMismatch, ""
+}
--- a/internal/control/shardmap/placement_test.go
+++ b/internal/control/shardmap/placement_test.go
@@ -89,7 +89,10 @@
 			restart: false,
 		},
 		"the part was answered in the meantime": {
-			query:   QueryPlacement{Idempotent: true, Parts: []Part{{Shard: 2, Answered: true, Servers: []string{"a"}}}},
+			query: QueryPlacement{
+				Idempotent: true,
+				Parts:      []Part{{Shard: 2, Answered: true, Servers: []string{"a"}}},
+			},
 			restart: false,
 		},
 	} {
--- a/internal/control/shardmap/plan.go
+++ b/internal/control/shardmap/plan.go
@@ -25,15 +25,14 @@
 	WaitReason      string        `json:"Why"`    // reason for the conditions, for people
 }
 
-// Apply returns the map after the step, from the map before it, and validates it. Other plans may have been carried out
-// since this one was made, so replicas serve since the epoch that really is the next. A plan whose new ids were given to
-// other shards in the meantime is rejected.
+// Apply returns the map after the step, from the map before it, and validates it. Other plans may have been carried
+// out since this one was made, so replicas serve since the epoch that really is the next. A plan whose new ids were
+// given to other shards in the meantime is rejected.
 func (s *Step) Apply(m *Map) (*Map, error) {
 	var put []*Shard
 	for _, planned := range s.Put {
 		current := m.Shard(planned.ID)
-		if current == nil && planned.ID < m.NextID ||
-			current != nil && (current.From != planned.From || current.To != planned.To) {
+		if m.givenToAnother(planned, current) {
 			return nil, fmt.Errorf("block %d: the id has been given since the plan was made", planned.ID)
 		}
 		put = append(put, withServingEpochs(planned, current, m.Epoch+1))
@@ -45,8 +44,17 @@
 	return next, next.ValidateSuccession(m)
 }
 
-// withServingEpochs returns a copy of a planned shard whose replicas serve since the epochs that follow from the current
-// shard, nil if there is none.
+// givenToAnother reports whether the id of a planned shard belongs, or once belonged, to another shard than the one
+// that is meant. current is the shard that has the id now, nil if none.
+func (m *Map) givenToAnother(planned, current *Shard) bool {
+	if current == nil {
+		return planned.ID < m.NextID
+	}
+	return current.From != planned.From || current.To != planned.To
+}
+
+// withServingEpochs returns a copy of a planned shard whose replicas serve since the epochs that follow from the
+// current shard, nil if there is none.
 func withServingEpochs(planned, current *Shard, next Epoch) *Shard {
 	shard := *planned
 	shard.Replicas = slices.Clone(planned.Replicas)
@@ -67,9 +75,9 @@
 	return &shard
 }
 
-// StepsDone returns how many of the plan's steps a map has behind it, judged by the shards that the steps made and not by
-// the epoch, since other plans may be carried out at the same time. It returns -1 if the map is of another archive or
-// older than the plan.
+// StepsDone returns how many of the plan's steps a map has behind it, judged by the shards that the steps made and
+// not by the epoch, since other plans may be carried out at the same time. It returns -1 if the map is of another
+// archive or older than the plan.
 func (p *Plan) StepsDone(m *Map) int {
 	if m.Archive != p.Archive || m.Epoch < p.FromEpoch {
 		return -1
@@ -89,8 +97,9 @@
 		if current == nil || current.State != planned.State || len(current.Replicas) != len(planned.Replicas) {
 			return false
 		}
-		for _, r := range planned.Replicas {
-			if existing, found := current.replica(r.Server); !found || existing.Joining != r.Joining {
+		for _, replica := range planned.Replicas {
+			existing, found := current.replica(replica.Server)
+			if !found || existing.Joining != replica.Joining {
 				return false
 			}
 		}
--- a/internal/control/shardmap/plan_test.go
+++ b/internal/control/shardmap/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -30,7 +31,9 @@
 	f.Fuzz(func(t *testing.T, seed uint64, steps uint16) {
 		first := threeShards(t)
 		run := &planRun{
-			t: t, rng: rand.New(rand.NewPCG(seed, 4)), m: first,
+			t:     t,
+			rng:   rand.New(rand.NewPCG(seed, 4)),
+			m:     first,
 			views: newViews(t, ViewOptions{MaxPinnedEpochs: 3, MaxPinnedAge: time.Minute, WarmupMinFraction: 1}, first),
 		}
 		for range steps % 400 {
@@ -71,11 +74,11 @@
 
 func (run *planRun) randomKeys() (keys []Key) {
 	for range 1 + run.rng.IntN(2) {
-		k, err := MakeKey(string(rune('a'+run.rng.IntN(26))), run.rng.IntN(9999))
+		key, err := MakeKey(string(rune('a'+run.rng.IntN(26))), run.rng.IntN(9999))
 		if err != nil {
 			run.t.Fatal(err)
 		}
-		keys = append(keys, k)
+		keys = append(keys, key)
 	}
 	return keys
 }
@@ -95,7 +98,7 @@
 		run.t.Fatalf("%s: %v", plan.Description, err)
 	}
 	run.m = next
-	run.running = append(run.running, &runningPlan{plan, 1})
+	run.running = append(run.running, &runningPlan{plan: plan, done: 1})
 }
 
 // advance carries out the next step of a running plan, given by its index.
@@ -124,12 +127,13 @@
 	}
 }
 
-// checkReparsed checks that a map made by a change equals the one that a source brings: parsed from its text, and sharing
-// memory with the current map.
+// checkReparsed checks that a map made by a change equals the one that a source brings: parsed from its text, and
+// sharing memory with the current map.
 func (run *planRun) checkReparsed(step string, next *Map) {
 	run.t.Helper()
 	parsed, err := Parse(next.Encode())
-	if err != nil || !parsed.sameShards(next) || parsed.ActiveCount() != next.ActiveCount() || fmt.Sprint(parsed.weight) == "NaN" {
+	if err != nil || !parsed.sameShards(next) || parsed.ActiveCount() != next.ActiveCount() ||
+		math.IsNaN(parsed.weight) {
 		run.t.Fatalf("%s: parsed, it is another: %v", step, err)
 	}
 	shared := parsed.ShareWith(run.m)
--- a/internal/control/shardmap/planning.go
+++ b/internal/control/shardmap/planning.go
@@ -29,33 +29,62 @@
 	if len(joining) == 0 && len(servers) == len(shard.Replicas) {
 		return nil, fmt.Errorf("block %d: it is held by these already", id)
 	}
-	p := &Plan{Archive: current.Archive, FromEpoch: current.Epoch, Description: fmt.Sprintf("move block %d %s to %v", id, shard.Range(), servers)}
 	names := serverNames(joining)
 	copying := *shard
-	copying.State, copying.Replicas = Migrating, slices.Concat(shard.Replicas, joining)
-	p.Steps = append(p.Steps, Step{Put: []*Shard{&copying}, Description: fmt.Sprintf("block %d is moving; %s join and copy", id, names)})
+	copying.State = Migrating
+	copying.Replicas = slices.Concat(shard.Replicas, joining)
+	steps := []Step{{
+		Put:         []*Shard{&copying},
+		Description: fmt.Sprintf("block %d is moving; %s join and copy", id, names),
+	}}
 	together := copying
 	if len(joining) > 0 {
 		together.Replicas = promoteJoining(copying.Replicas, current.Epoch+2)
-		p.Steps = append(p.Steps, Step{Put: []*Shard{&together}, Description: names + " serve, too", AwaitCopies: true,
-			WaitReason: "whoever serves has to have all of the block"})
+		steps = append(steps, Step{
+			Put:         []*Shard{&together},
+			Description: names + " serve, too",
+			AwaitCopies: true,
+			WaitReason:  "whoever serves has to have all of the block",
+		})
 	}
-	done := together
-	done.State, done.Replicas = Serving, nil
+	steps = append(steps, leaveStep(shard, &together, servers, timing))
+	return newPlan(current, fmt.Sprintf("move block %d %s to %v", id, shard.Range(), servers), steps...), nil
+}
+
+// leaveStep is the last step of a migration: only the named servers remain of those that hold the shard together.
+// before is the shard before the migration.
+func leaveStep(before, together *Shard, servers []string, timing Timing) Step {
+	done := *together
+	done.State = Serving
+	done.Replicas = nil
 	anyStays := false
-	for _, r := range together.Replicas {
-		if slices.Contains(servers, r.Server) {
-			done.Replicas = append(done.Replicas, r)
-			anyStays = anyStays || shard.ServedBy(r.Server)
+	for _, replica := range together.Replicas {
+		if slices.Contains(servers, replica.Server) {
+			done.Replicas = append(done.Replicas, replica)
+			anyStays = anyStays || before.ServedBy(replica.Server)
 		}
 	}
-	last := Step{Put: []*Shard{&done}, Description: fmt.Sprintf("block %d is held by %v", id, servers), AwaitEpochKnown: true, MinWait: timing.MapPropagation,
-		WaitReason: "every mixer has to know the new holders before the old ones turn parts away"}
+	step := Step{
+		Put:             []*Shard{&done},
+		Description:     fmt.Sprintf("block %d is held by %v", done.ID, servers),
+		MinWait:         timing.MapPropagation,
+		AwaitEpochKnown: true,
+		WaitReason:      "every mixer has to know the new holders before the old ones turn parts away",
+	}
 	if !anyStays {
-		last.WaitReason += "; none of the old ones stays"
+		step.WaitReason += "; none of the old ones stays"
+	}
+	return step
+}
+
+// newPlan returns a plan for the current map.
+func newPlan(current *Map, description string, steps ...Step) *Plan {
+	return &Plan{
+		Archive:     current.Archive,
+		FromEpoch:   current.Epoch,
+		Steps:       steps,
+		Description: description,
 	}
-	p.Steps = append(p.Steps, last)
-	return p, nil
 }
 
 // joiningReplicas returns a joining replica for each of these servers that does not serve the shard yet.
@@ -98,17 +127,25 @@
 	splitting := *shard
 	splitting.State = Splitting
 	lastID := pieces[len(pieces)-1].ID
-	return &Plan{
-		Archive: current.Archive, FromEpoch: current.Epoch, Description: fmt.Sprintf("split block %d %s at %q", id, shard.Range(), boundaries),
-		Steps: []Step{
-			{Put: []*Shard{&splitting}, Description: fmt.Sprintf("block %d is about to be split", id)},
-			{Put: append([]*Shard{asRetiring(&splitting)}, pieces...),
-				Description: fmt.Sprintf("blocks %d to %d take its place; it retires", current.NextID, lastID), AwaitEpochKnown: true, MinWait: timing.MapPropagation,
-				WaitReason: "every node has to know of the split before anybody asks for a half"},
-			{Remove: []ID{id}, Description: fmt.Sprintf("block %d is gone", id), MinWait: timing.MapPropagation + timing.MaxQueryTime,
-				WaitReason: "queries that are pinned to it have ended by then"},
-		},
-	}, nil
+	announce := Step{
+		Put:         []*Shard{&splitting},
+		Description: fmt.Sprintf("block %d is about to be split", id),
+	}
+	replace := Step{
+		Put:             append([]*Shard{asRetiring(&splitting)}, pieces...),
+		Description:     fmt.Sprintf("blocks %d to %d take its place; it retires", current.NextID, lastID),
+		MinWait:         timing.MapPropagation,
+		AwaitEpochKnown: true,
+		WaitReason:      "every node has to know of the split before anybody asks for a half",
+	}
+	remove := Step{
+		Remove:      []ID{id},
+		Description: fmt.Sprintf("block %d is gone", id),
+		MinWait:     timing.MapPropagation + timing.MaxQueryTime,
+		WaitReason:  "queries that are pinned to it have ended by then",
+	}
+	description := fmt.Sprintf("split block %d %s at %q", id, shard.Range(), boundaries)
+	return newPlan(current, description, announce, replace, remove), nil
 }
 
 // splitShard returns the shards into which keys split a shard, with ids from next on.
@@ -127,8 +164,11 @@
 	}
 	pieces = append(pieces, &Shard{From: from, To: shard.To})
 	for i, piece := range pieces {
-		piece.ID, piece.State, piece.Weight = next+ID(i), Serving, weight
-		piece.Replicas, piece.Parents = slices.Clone(shard.Replicas), []ID{shard.ID}
+		piece.ID = next + ID(i)
+		piece.State = Serving
+		piece.Weight = weight
+		piece.Replicas = slices.Clone(shard.Replicas)
+		piece.Parents = []ID{shard.ID}
 	}
 	return pieces, nil
 }
@@ -139,25 +179,42 @@
 	if err != nil {
 		return nil, err
 	}
-	first, last := shards[0], shards[len(shards)-1]
-	merged := &Shard{ID: current.NextID, From: first.From, To: last.To, State: Serving, Replicas: slices.Clone(first.Replicas)}
+	first := shards[0]
+	last := shards[len(shards)-1]
+	merged := &Shard{
+		ID:       current.NextID,
+		From:     first.From,
+		To:       last.To,
+		State:    Serving,
+		Replicas: slices.Clone(first.Replicas),
+	}
 	var announced, retired []*Shard
 	for _, s := range shards {
 		merging := *s
 		merging.State = Merging
-		announced, retired = append(announced, &merging), append(retired, asRetiring(&merging))
-		merged.Parents, merged.Weight = append(merged.Parents, s.ID), merged.Weight+s.weight()
+		announced = append(announced, &merging)
+		retired = append(retired, asRetiring(&merging))
+		merged.Parents = append(merged.Parents, s.ID)
+		merged.Weight += s.weight()
 	}
-	return &Plan{
-		Archive: current.Archive, FromEpoch: current.Epoch, Description: fmt.Sprintf("merge blocks %v", ids),
-		Steps: []Step{
-			{Put: announced, Description: fmt.Sprintf("blocks %v are about to be merged", merged.Parents)},
-			{Put: append(retired, merged), Description: fmt.Sprintf("block %d takes their place; they retire", merged.ID), AwaitEpochKnown: true,
-				MinWait: timing.MapPropagation, WaitReason: "every node has to know of the merge before anybody asks for the whole"},
-			{Remove: slices.Clone(merged.Parents), Description: fmt.Sprintf("blocks %v are gone", merged.Parents),
-				MinWait: timing.MapPropagation + timing.MaxQueryTime, WaitReason: "queries that are pinned to them have ended by then"},
-		},
-	}, nil
+	announce := Step{
+		Put:         announced,
+		Description: fmt.Sprintf("blocks %v are about to be merged", merged.Parents),
+	}
+	replace := Step{
+		Put:             append(retired, merged),
+		Description:     fmt.Sprintf("block %d takes their place; they retire", merged.ID),
+		MinWait:         timing.MapPropagation,
+		AwaitEpochKnown: true,
+		WaitReason:      "every node has to know of the merge before anybody asks for the whole",
+	}
+	remove := Step{
+		Remove:      slices.Clone(merged.Parents),
+		Description: fmt.Sprintf("blocks %v are gone", merged.Parents),
+		MinWait:     timing.MapPropagation + timing.MaxQueryTime,
+		WaitReason:  "queries that are pinned to them have ended by then",
+	}
+	return newPlan(current, fmt.Sprintf("merge blocks %v", ids), announce, replace, remove), nil
 }
 
 // mergeableShards returns the shards with these ids in the order of their ranges, or an error if they cannot be merged.
@@ -199,12 +256,14 @@
 	return s, nil
 }
 
+// asRetiring returns a copy of a shard that retires.
 func asRetiring(s *Shard) *Shard {
 	retiring := *s
 	retiring.State = Retiring
 	return &retiring
 }
 
+// sameReplicaServers reports whether the same servers serve two shards.
 func sameReplicaServers(a, b *Shard) bool {
 	if len(a.Replicas) != len(b.Replicas) {
 		return false
@@ -212,6 +271,7 @@
 	return !slices.ContainsFunc(a.Replicas, func(r Replica) bool { return !b.ServedBy(r.Server) })
 }
 
+// serverNames lists the servers of replicas for people.
 func serverNames(replicas []Replica) string {
 	if len(replicas) == 0 {
 		return "nobody"
--- a/internal/control/shardmap/rollout.go
+++ b/internal/control/shardmap/rollout.go
@@ -35,7 +35,8 @@
 // stays as it is, and is a legal one.
 func (r *Rollout) Next(now time.Time, m *Map, nodes NodeStatus) (Action, error) {
 	if r.epoch != m.Epoch {
-		r.epoch, r.epochSince = m.Epoch, now
+		r.epoch = m.Epoch
+		r.epochSince = now
 	}
 	done := r.Plan.StepsDone(m)
 	if done < 0 {
@@ -45,8 +46,8 @@
 		return Action{Done: true}, nil
 	}
 	step := &r.Plan.Steps[done]
-	if at := r.epochSince.Add(step.MinWait); now.Before(at) {
-		return Action{CheckAt: at, WaitingFor: step.WaitReason}, nil
+	if earliest := r.epochSince.Add(step.MinWait); now.Before(earliest) {
+		return Action{CheckAt: earliest, WaitingFor: step.WaitReason}, nil
 	}
 	if reason := step.waitingForNode(m, nodes); reason != "" {
 		return Action{CheckAt: now.Add(nodePollInterval), WaitingFor: reason}, nil
--- a/internal/control/shardmap/shard.go
+++ b/internal/control/shardmap/shard.go
@@ -29,7 +29,8 @@
 	Server string `json:"server"`
 	// Joining replicas are still copying the shard and get no requests.
 	Joining bool `json:"joining,omitempty"`
-	// ServingSince is the epoch in which the replica began to serve; 0 if it did from the start. It warms up after that.
+	// ServingSince is the epoch in which the replica began to serve; 0 if it did from the start. It warms up after
+	// that.
 	ServingSince Epoch `json:"since,omitempty"`
 }
 
@@ -48,7 +49,7 @@
 }
 
 // Contains reports whether a key lies in the shard's range.
-func (s *Shard) Contains(k Key) bool { return k >= s.From && (s.To == "" || k < s.To) }
+func (s *Shard) Contains(key Key) bool { return key >= s.From && (s.To == "" || key < s.To) }
 
 // Active reports whether the shard is one of those that cover the keys. Others are there for queries of earlier epochs.
 func (s *Shard) Active() bool { return s.State != Retiring }
@@ -78,6 +79,7 @@
 	return serving
 }
 
+// weight is the shard's Weight, or what counts if that is not stated.
 func (s *Shard) weight() float64 {
 	if s.Weight > 0 {
 		return s.Weight
@@ -87,7 +89,8 @@
 
 // Range formats the shard's range of keys for people.
 func (s *Shard) Range() string {
-	from, to := string(s.From), string(s.To)
+	from := string(s.From)
+	to := string(s.To)
 	if from == "" {
 		from = "-inf"
 	}
@@ -97,8 +100,10 @@
 	return "[" + from + ", " + to + ")"
 }
 
+// equal reports whether two shards are the same in all that a map states of them.
 func (s *Shard) equal(other *Shard) bool {
-	return other.ID == s.ID && other.From == s.From && other.To == s.To && other.State == s.State && other.Weight == s.Weight &&
+	return other.ID == s.ID && other.From == s.From && other.To == s.To &&
+		other.State == s.State && other.Weight == s.Weight &&
 		slices.Equal(other.Replicas, s.Replicas) && slices.Equal(other.Parents, s.Parents)
 }
 
@@ -129,6 +134,7 @@
 	return nil
 }
 
+// validateReplica checks a replica, given by its index, as part of a map of the given epoch.
 func (s *Shard) validateReplica(i int, epoch Epoch) error {
 	r := s.Replicas[i]
 	switch {
--- a/internal/control/shardmap/sharing.go
+++ b/internal/control/shardmap/sharing.go
@@ -2,9 +2,9 @@
 
 import "rooktrestle/internal/control/persistentmap"
 
-// ShareWith returns the same map, sharing memory with an earlier one where they are alike. It compares all shards, so it
-// should be called before the map is handed to a goroutine that must not be delayed; after it, Views.Offer costs no more
-// than what changed. If more than a quarter of the shards differ, m itself is returned.
+// ShareWith returns the same map, sharing memory with an earlier one where they are alike. It compares all shards,
+// so it should be called before the map is handed to a goroutine that must not be delayed; after it, Views.Offer
+// costs no more than what changed. If more than a quarter of the shards differ, m itself is returned.
 func (m *Map) ShareWith(old *Map) *Map {
 	if old == nil || old.Archive != m.Archive {
 		return m
@@ -13,7 +13,14 @@
 	if !worthwhile {
 		return m
 	}
-	shared := &Map{Archive: m.Archive, Epoch: m.Epoch, NextID: m.NextID, cover: old.cover, all: old.all, weight: m.weight}
+	shared := &Map{
+		Archive: m.Archive,
+		Epoch:   m.Epoch,
+		NextID:  m.NextID,
+		cover:   old.cover,
+		all:     old.all,
+		weight:  m.weight,
+	}
 	for _, s := range removed {
 		shared.all = shared.all.Delete(s.ID)
 		if s.Active() {
--- a/internal/control/shardmap/stored_test.go
+++ b/internal/control/shardmap/stored_test.go
@@ -10,9 +10,9 @@
 )
 
 // The files in testdata/b803164 were written by commit b803164, before the fields and types of this package were
-// renamed: the maps of ten epochs by Map.Print, the three plans that lead from one to the next as controllers store them,
-// and differences of maps as `rooktrestle blocks diff --json` prints them. Text of that form is on disks and is read by
-// scripts.
+// renamed: the maps of ten epochs by Map.Print, the three plans that lead from one to the next as controllers store
+// them, and differences of maps as `rooktrestle blocks diff --json` prints them. Text of that form is on disks and
+// is read by scripts.
 
 func storedFile(t *testing.T, name string) []byte {
 	t.Helper()
@@ -39,7 +39,9 @@
 		if m.Epoch != epoch || m.Archive != "captions" {
 			t.Errorf("epoch %d was read as epoch %d of %q", epoch, m.Epoch, m.Archive)
 		}
-		if text, want := m.Encode(), storedFile(t, fmt.Sprintf("map-epoch%d.json", epoch)); string(text) != string(want) {
+		text := m.Encode()
+		want := storedFile(t, fmt.Sprintf("map-epoch%d.json", epoch))
+		if string(text) != string(want) {
 			t.Errorf("epoch %d is written as\n%s, was\n%s", epoch, text, want)
 		}
 		if previous != nil {
@@ -50,7 +52,8 @@
 		previous = m
 	}
 	migrated := storedMap(t, 3).Shard(2)
-	if r, found := migrated.replica("n4"); !found || r.Joining || r.ServingSince != 3 || migrated.State != Migrating || migrated.Weight != 3 {
+	replica, found := migrated.replica("n4")
+	if !found || replica.Joining || replica.ServingSince != 3 || migrated.State != Migrating || migrated.Weight != 3 {
 		t.Errorf("the migrated shard was read as %+v", migrated)
 	}
 }
@@ -79,8 +82,9 @@
 				if m, err = plan.Steps[i].Apply(m); err != nil {
 					t.Fatal(err)
 				}
-				if want := storedMap(t, m.Epoch); !m.sameShards(want) || plan.StepsDone(want) != i+1 {
-					t.Errorf("step %d leads to %s, and %d steps are done in the stored map", i, m.Encode(), plan.StepsDone(want))
+				stored := storedMap(t, m.Epoch)
+				if done := plan.StepsDone(stored); !m.sameShards(stored) || done != i+1 {
+					t.Errorf("step %d leads to %s, and %d steps are done in the stored map", i, m.Encode(), done)
 				}
 			}
 		})
--- a/internal/control/shardmap/succession.go
+++ b/internal/control/shardmap/succession.go
@@ -44,44 +44,46 @@
 	return err
 }
 
-// validateNextEpoch checks what one epoch changed of a shard. was is nil if it is new, is if it was removed.
-func (m *Map) validateNextEpoch(old *Map, was, is *Shard) error {
+// validateNextEpoch checks what one epoch changed of a shard. before is nil if it is new, after if it was removed.
+func (m *Map) validateNextEpoch(old *Map, before, after *Shard) error {
 	switch {
-	case is == nil && was.Active():
-		return fmt.Errorf("block %d: gone while it is %s; it has to retire first", was.ID, was.State)
-	case is == nil:
+	case after == nil && before.Active():
+		return fmt.Errorf("block %d: gone while it is %s; it has to retire first", before.ID, before.State)
+	case after == nil:
 		return nil
-	case was == nil && is.ID < old.NextID:
-		return idReusedError(is)
-	case was == nil:
-		return m.checkNewShard(old, is)
-	case was.From != is.From || was.To != is.To:
-		return rangeChangedError(was, is)
-	}
-	return checkTransition(was, is, m.Epoch)
+	case before == nil && after.ID < old.NextID:
+		return idReusedError(after)
+	case before == nil:
+		return m.checkNewShard(old, after)
+	case before.From != after.From || before.To != after.To:
+		return rangeChangedError(before, after)
+	}
+	return checkTransition(before, after, m.Epoch)
 }
 
-// validateLaterEpoch checks what several epochs changed of a shard. was is nil if it is new, is if it was removed.
-func (m *Map) validateLaterEpoch(old *Map, was, is *Shard) error {
+// validateLaterEpoch checks what several epochs changed of a shard. before is nil if it is new, after if it was
+// removed.
+func (m *Map) validateLaterEpoch(old *Map, before, after *Shard) error {
 	switch {
-	case is == nil:
+	case after == nil:
 		return nil
-	case was == nil && is.ID < old.NextID:
-		return idReusedError(is)
-	case was == nil:
+	case before == nil && after.ID < old.NextID:
+		return idReusedError(after)
+	case before == nil:
 		return nil
-	case was.From != is.From || was.To != is.To:
-		return rangeChangedError(was, is)
-	case was.State == Retiring && is.State != Retiring:
-		return fmt.Errorf("block %d: from retiring to %s", is.ID, is.State)
+	case before.From != after.From || before.To != after.To:
+		return rangeChangedError(before, after)
+	case before.State == Retiring && after.State != Retiring:
+		return fmt.Errorf("block %d: from retiring to %s", after.ID, after.State)
 	}
 	return nil
 }
 
 func idReusedError(s *Shard) error { return fmt.Errorf("block %d: the id was given before", s.ID) }
 
-func rangeChangedError(was, is *Shard) error {
-	return fmt.Errorf("block %d: its range goes from %s to %s; that takes a new id", is.ID, was.Range(), is.Range())
+func rangeChangedError(before, after *Shard) error {
+	return fmt.Errorf("block %d: its range goes from %s to %s; that takes a new id",
+		after.ID, before.Range(), after.Range())
 }
 
 // sameShards reports whether two maps have equal shards and the same next id.
@@ -107,46 +109,49 @@
 }
 
 // checkTransition checks one shard from one epoch to the next.
-func checkTransition(was, is *Shard, epoch Epoch) error {
-	if !slices.Contains(allowedTransitions[was.State], is.State) {
-		return fmt.Errorf("block %d: from %s to %s", is.ID, was.State, is.State)
+func checkTransition(before, after *Shard, epoch Epoch) error {
+	if !slices.Contains(allowedTransitions[before.State], after.State) {
+		return fmt.Errorf("block %d: from %s to %s", after.ID, before.State, after.State)
 	}
-	if !slices.Equal(was.Parents, is.Parents) {
-		return fmt.Errorf("block %d: its parents change", is.ID)
+	if !slices.Equal(before.Parents, after.Parents) {
+		return fmt.Errorf("block %d: its parents change", after.ID)
 	}
-	for _, r := range is.Replicas {
-		if err := checkReplicaTransition(was, r, epoch); err != nil {
-			return fmt.Errorf("block %d: %w", is.ID, err)
+	for _, r := range after.Replicas {
+		if err := checkReplicaTransition(before, r, epoch); err != nil {
+			return fmt.Errorf("block %d: %w", after.ID, err)
 		}
 	}
-	serving := is.ServingReplicas()
-	if was.State != Migrating && is.State != Migrating && len(serving) < len(was.ServingReplicas()) && is.State != Retiring {
-		return fmt.Errorf("block %d: a holder leaves while the block is %s", is.ID, is.State)
+	serving := after.ServingReplicas()
+	mayLeave := before.State == Migrating || after.State == Migrating || after.State == Retiring
+	if !mayLeave && len(serving) < len(before.ServingReplicas()) {
+		return fmt.Errorf("block %d: a holder leaves while the block is %s", after.ID, after.State)
 	}
 	// A replica that served before has to be among those that serve now: no other is known to be complete.
-	served := func(r Replica) bool { return was.ServedBy(r.Server) }
-	if was.State != Retiring && !slices.ContainsFunc(serving, served) {
-		return fmt.Errorf("block %d: none of its holders held it before", is.ID)
+	served := func(r Replica) bool { return before.ServedBy(r.Server) }
+	if before.State != Retiring && !slices.ContainsFunc(serving, served) {
+		return fmt.Errorf("block %d: none of its holders held it before", after.ID)
 	}
 	return nil
 }
 
 // checkReplicaTransition checks one replica of the next epoch against the shard before.
-func checkReplicaTransition(was *Shard, r Replica, epoch Epoch) error {
-	before, existed := was.replica(r.Server)
+func checkReplicaTransition(before *Shard, replica Replica, epoch Epoch) error {
+	server := replica.Server
+	previous, existed := before.replica(server)
 	switch {
-	case !existed && !r.Joining:
-		return fmt.Errorf("%s serves without having joined", r.Server)
-	case !existed && was.State != Serving && was.State != Migrating:
-		return fmt.Errorf("%s joins while the block is %s", r.Server, was.State)
+	case !existed && !replica.Joining:
+		return fmt.Errorf("%s serves without having joined", server)
+	case !existed && before.State != Serving && before.State != Migrating:
+		return fmt.Errorf("%s joins while the block is %s", server, before.State)
 	case !existed:
 		return nil
-	case !before.Joining && r.Joining:
-		return fmt.Errorf("%s served, and joins again", r.Server)
-	case before.Joining && !r.Joining && r.ServingSince != epoch:
-		return fmt.Errorf("%s serves since epoch %d, and not since %d", r.Server, epoch, r.ServingSince)
-	case !before.Joining && r.ServingSince != before.ServingSince:
-		return fmt.Errorf("%s served since epoch %d, and now since %d", r.Server, before.ServingSince, r.ServingSince)
+	case !previous.Joining && replica.Joining:
+		return fmt.Errorf("%s served, and joins again", server)
+	case previous.Joining && !replica.Joining && replica.ServingSince != epoch:
+		return fmt.Errorf("%s serves since epoch %d, and not since %d", server, epoch, replica.ServingSince)
+	case !previous.Joining && replica.ServingSince != previous.ServingSince:
+		return fmt.Errorf("%s served since epoch %d, and now since %d",
+			server, previous.ServingSince, replica.ServingSince)
 	}
 	return nil
 }
@@ -160,19 +165,21 @@
 		return fmt.Errorf("block %d: new, and without parents", s.ID)
 	}
 	for i, id := range s.Parents {
-		was, is := old.Shard(id), m.Shard(id)
+		before := old.Shard(id)
+		after := m.Shard(id)
 		switch {
-		case was == nil || is == nil:
+		case before == nil || after == nil:
 			return fmt.Errorf("block %d: its parent %d is not there", s.ID, id)
-		case was.State != Splitting && was.State != Merging || is.State != Retiring:
-			return fmt.Errorf("block %d: its parent %d goes from %s to %s", s.ID, id, was.State, is.State)
-		case was.State == Splitting && !isPartOf(s, was):
-			return fmt.Errorf("block %d: its range %s is not a part of its parent's %s", s.ID, s.Range(), was.Range())
-		case was.State == Merging && !mergesParent(old, s, i):
+		case before.State != Splitting && before.State != Merging || after.State != Retiring:
+			return fmt.Errorf("block %d: its parent %d goes from %s to %s", s.ID, id, before.State, after.State)
+		case before.State == Splitting && !isPartOf(s, before):
+			return fmt.Errorf("block %d: its range %s is not a part of its parent's %s",
+				s.ID, s.Range(), before.Range())
+		case before.State == Merging && !mergesParent(old, s, i):
 			return fmt.Errorf("block %d: its range %s is not that of its parents together", s.ID, s.Range())
 		}
 		for _, r := range s.ServingReplicas() {
-			if !was.ServedBy(r.Server) {
+			if !before.ServedBy(r.Server) {
 				return fmt.Errorf("block %d: its holder %s did not serve its parent %d", s.ID, r.Server, id)
 			}
 		}
@@ -182,11 +189,12 @@
 
 // isPartOf reports whether a shard has only this parent and lies in its range.
 func isPartOf(s, parent *Shard) bool {
-	return len(s.Parents) == 1 && s.From >= parent.From && (parent.To == "" || s.To != "" && s.To <= parent.To)
+	endsWithin := parent.To == "" || s.To != "" && s.To <= parent.To
+	return len(s.Parents) == 1 && s.From >= parent.From && endsWithin
 }
 
-// mergesParent reports whether a shard's parent, given by its index, is where it has to be in the merged range: the first
-// at its beginning, the last at its end, and each behind the one before.
+// mergesParent reports whether a shard's parent, given by its index, is where it has to be in the merged range: the
+// first at its beginning, the last at its end, and each behind the one before.
 func mergesParent(old *Map, s *Shard, index int) bool {
 	parent := old.Shard(s.Parents[index])
 	if index == 0 && s.From != parent.From {
--- a/internal/control/shardmap/succession_test.go
+++ b/internal/control/shardmap/succession_test.go
@@ -19,9 +19,22 @@
 	s[5] = &Shard{ID: 5, From: "k@2000", To: "p@2000", State: Serving, Replicas: replicasOn("a", "b"), Parents: []ID{2}}
 }
 
+// splitAndRemoveShardTwo splits shard 2 and removes it.
+func splitAndRemoveShardTwo(s map[ID]*Shard) {
+	splitShardTwo(s)
+	delete(s, 2)
+}
+
+// moveBoundary moves the boundary between shards 1 and 2.
+func moveBoundary(s map[ID]*Shard) {
+	s[1].To = "h@2000"
+	s[2].From = "h@2000"
+}
+
 // joinShardTwo has server c join shard 2.
 func joinShardTwo(s map[ID]*Shard) {
-	s[2].State, s[2].Replicas = Migrating, append(s[2].Replicas, Replica{Server: "c", Joining: true})
+	s[2].State = Migrating
+	s[2].Replicas = append(s[2].Replicas, Replica{Server: "c", Joining: true})
 }
 
 // migrating returns the three shards with server c joining shard 2.
@@ -44,43 +57,150 @@
 }
 
 var splitSuccessions = map[string]succession{
-	"a split that was announced":     {announceSplit, 1, splitShardTwo, ""},
-	"a split without announcement":   {untouched, 1, splitShardTwo, "from serving to retiring"},
-	"a piece without a parent":       {announceSplit, 1, func(s map[ID]*Shard) { splitShardTwo(s); s[5].Parents = nil }, "without parents"},
-	"a piece on a server without it": {announceSplit, 1, func(s map[ID]*Shard) { splitShardTwo(s); s[5].Replicas = replicasOn("c") }, "did not serve its parent"},
-	"a split that is called off":     {announceSplit, 1, func(s map[ID]*Shard) { s[2].State = Serving }, ""},
-	"a piece takes the id of another shard": {announceSplit, 1, func(s map[ID]*Shard) {
-		splitShardTwo(s)
-		s[4].ID = 3
-		s[3] = s[4]
-		delete(s, 4)
-		s[5].To = ""
-	}, "takes a new id"},
-	"the parent is removed at once": {announceSplit, 1, func(s map[ID]*Shard) { splitShardTwo(s); delete(s, 2) }, "it has to retire first"},
-	"a split that was not seen":     {untouched, 5, func(s map[ID]*Shard) { splitShardTwo(s); delete(s, 2) }, ""},
+	"a split that was announced": {
+		from:   announceSplit,
+		epochs: 1,
+		change: splitShardTwo,
+	},
+	"a split without announcement": {
+		from:   untouched,
+		epochs: 1,
+		change: splitShardTwo,
+		want:   "from serving to retiring",
+	},
+	"a piece without a parent": {
+		from:   announceSplit,
+		epochs: 1,
+		change: func(s map[ID]*Shard) {
+			splitShardTwo(s)
+			s[5].Parents = nil
+		},
+		want: "without parents",
+	},
+	"a piece on a server without it": {
+		from:   announceSplit,
+		epochs: 1,
+		change: func(s map[ID]*Shard) {
+			splitShardTwo(s)
+			s[5].Replicas = replicasOn("c")
+		},
+		want: "did not serve its parent",
+	},
+	"a split that is called off": {
+		from:   announceSplit,
+		epochs: 1,
+		change: func(s map[ID]*Shard) { s[2].State = Serving },
+	},
+	"a piece takes the id of another shard": {
+		from:   announceSplit,
+		epochs: 1,
+		change: func(s map[ID]*Shard) {
+			splitShardTwo(s)
+			s[4].ID = 3
+			s[3] = s[4]
+			delete(s, 4)
+			s[5].To = ""
+		},
+		want: "takes a new id",
+	},
+	"the parent is removed at once": {
+		from:   announceSplit,
+		epochs: 1,
+		change: splitAndRemoveShardTwo,
+		want:   "it has to retire first",
+	},
+	"a split that was not seen": {
+		from:   untouched,
+		epochs: 5,
+		change: splitAndRemoveShardTwo,
+	},
 }
 
 var otherSuccessions = map[string]succession{
-	"another weight": {untouched, 1, func(s map[ID]*Shard) { s[1].Weight = 9 }, ""},
-	"other ranges":   {untouched, 1, func(s map[ID]*Shard) { s[1].To, s[2].From = "h@2000", "h@2000" }, "takes a new id"},
-	"other ranges, after epochs that were not seen": {untouched, 5, func(s map[ID]*Shard) { s[1].To, s[2].From = "h@2000", "h@2000" }, "takes a new id"},
-	"a server joins":                        {untouched, 1, joinShardTwo, ""},
-	"a server serves without having joined": {untouched, 1, func(s map[ID]*Shard) { s[2].State, s[2].Replicas = Migrating, replicasOn("a", "b", "c") }, "without having joined"},
-	"a joining server serves": {migrating, 1, func(s map[ID]*Shard) {
-		s[2].Replicas = append(replicasOn("a", "b"), Replica{Server: "c", ServingSince: 3})
-	}, ""},
-	"a joining server serves since an earlier epoch": {migrating, 1, func(s map[ID]*Shard) {
-		s[2].Replicas = append(replicasOn("a", "b"), Replica{Server: "c", ServingSince: 2})
-	}, "since epoch 3"},
-	"all earlier servers leave": {migrating, 1, func(s map[ID]*Shard) {
-		s[2].State, s[2].Replicas = Serving, []Replica{{Server: "c", ServingSince: 3}}
-	}, "none of its holders held it before"},
-	"one earlier server leaves": {migrating, 1, func(s map[ID]*Shard) {
-		s[2].State, s[2].Replicas = Serving, append(replicasOn("b"), Replica{Server: "c", ServingSince: 3})
-	}, ""},
-	"a server leaves a shard that does not migrate": {untouched, 1, func(s map[ID]*Shard) { s[2].Replicas = replicasOn("a") }, "a holder leaves"},
-	"a serving server joins again":                  {migrating, 1, func(s map[ID]*Shard) { s[2].Replicas[0].Joining = true }, "joins again"},
-	"a migrating shard is split":                    {migrating, 1, func(s map[ID]*Shard) { s[2].State, s[2].Replicas = Splitting, replicasOn("a", "b") }, "from moving to splitting"},
+	"another weight": {
+		from:   untouched,
+		epochs: 1,
+		change: func(s map[ID]*Shard) { s[1].Weight = 9 },
+	},
+	"other ranges": {
+		from:   untouched,
+		epochs: 1,
+		change: moveBoundary,
+		want:   "takes a new id",
+	},
+	"other ranges, after epochs that were not seen": {
+		from:   untouched,
+		epochs: 5,
+		change: moveBoundary,
+		want:   "takes a new id",
+	},
+	"a server joins": {
+		from:   untouched,
+		epochs: 1,
+		change: joinShardTwo,
+	},
+	"a server serves without having joined": {
+		from:   untouched,
+		epochs: 1,
+		change: func(s map[ID]*Shard) {
+			s[2].State = Migrating
+			s[2].Replicas = replicasOn("a", "b", "c")
+		},
+		want: "without having joined",
+	},
+	"a joining server serves": {
+		from:   migrating,
+		epochs: 1,
+		change: func(s map[ID]*Shard) {
+			s[2].Replicas = append(replicasOn("a", "b"), Replica{Server: "c", ServingSince: 3})
+		},
+	},
+	"a joining server serves since an earlier epoch": {
+		from:   migrating,
+		epochs: 1,
+		change: func(s map[ID]*Shard) {
+			s[2].Replicas = append(replicasOn("a", "b"), Replica{Server: "c", ServingSince: 2})
+		},
+		want: "since epoch 3",
+	},
+	"all earlier servers leave": {
+		from:   migrating,
+		epochs: 1,
+		change: func(s map[ID]*Shard) {
+			s[2].State = Serving
+			s[2].Replicas = []Replica{{Server: "c", ServingSince: 3}}
+		},
+		want: "none of its holders held it before",
+	},
+	"one earlier server leaves": {
+		from:   migrating,
+		epochs: 1,
+		change: func(s map[ID]*Shard) {
+			s[2].State = Serving
+			s[2].Replicas = append(replicasOn("b"), Replica{Server: "c", ServingSince: 3})
+		},
+	},
+	"a server leaves a shard that does not migrate": {
+		from:   untouched,
+		epochs: 1,
+		change: func(s map[ID]*Shard) { s[2].Replicas = replicasOn("a") },
+		want:   "a holder leaves",
+	},
+	"a serving server joins again": {
+		from:   migrating,
+		epochs: 1,
+		change: func(s map[ID]*Shard) { s[2].Replicas[0].Joining = true },
+		want:   "joins again",
+	},
+	"a migrating shard is split": {
+		from:   migrating,
+		epochs: 1,
+		change: func(s map[ID]*Shard) {
+			s[2].State = Splitting
+			s[2].Replicas = replicasOn("a", "b")
+		},
+		want: "from moving to splitting",
+	},
 }
 
 // Legal successions are adopted. Others are rejected with the reason, and the current map stays.
@@ -92,10 +212,11 @@
 				next := changedMap(t, old, c.epochs, c.change)
 				vs := newViews(t, ViewOptions{MaxPinnedEpochs: 2, MaxPinnedAge: time.Minute, WarmupMinFraction: 1}, old)
 				adopted, err := vs.Offer(origin, next)
-				if c.want == "" && (err != nil || !adopted) {
+				isLegal := c.want == ""
+				if isLegal && (err != nil || !adopted) {
 					t.Errorf("a legal succession was rejected: %v", err)
 				}
-				if c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want) || vs.Current() != old) {
+				if !isLegal && (err == nil || !strings.Contains(err.Error(), c.want) || vs.Current() != old) {
 					t.Errorf("got %v, want %q", err, c.want)
 				}
 			})
@@ -108,7 +229,14 @@
 	m = changedMap(t, m, 1, splitShardTwo)
 	m = changedMap(t, m, 1, func(s map[ID]*Shard) { delete(s, 2) })
 	reused := changedMap(t, m, 1, func(s map[ID]*Shard) {
-		s[2] = &Shard{ID: 2, From: "g@2000", To: "k@2000", State: Serving, Replicas: replicasOn("a", "b"), Parents: []ID{4}}
+		s[2] = &Shard{
+			ID:       2,
+			From:     "g@2000",
+			To:       "k@2000",
+			State:    Serving,
+			Replicas: replicasOn("a", "b"),
+			Parents:  []ID{4},
+		}
 		s[4].State = Retiring
 	})
 	if err := reused.ValidateSuccession(m); err == nil || !strings.Contains(err.Error(), "given before") {
--- a/internal/control/shardmap/views.go
+++ b/internal/control/shardmap/views.go
@@ -135,6 +135,7 @@
 	}
 }
 
+// adopt makes a map the current one.
 func (vs *Views) adopt(m *Map) {
 	vs.current = &View{Map: m}
 	vs.Stats.Accepted++
@@ -144,9 +145,9 @@
 // startWarmup notes when an epoch was adopted, and forgets epochs whose new replicas are warm.
 func (vs *Views) startWarmup(now time.Time, epoch Epoch) {
 	vs.adoptedAt[epoch] = now
-	for e, at := range vs.adoptedAt {
-		if now.Sub(at) >= vs.options.WarmupPeriod && e != epoch {
-			delete(vs.adoptedAt, e)
+	for earlier, adoptedAt := range vs.adoptedAt {
+		if earlier != epoch && now.Sub(adoptedAt) >= vs.options.WarmupPeriod {
+			delete(vs.adoptedAt, earlier)
 		}
 	}
 }
@@ -158,8 +159,9 @@
 	}
 }
 
-// SourceUnchanged says that the source has answered and has nothing newer. Epochs that servers named are then taken for
-// wrong, unless the first was named only within MaxSourceLag: pollAgain says that the source should be polled again soon.
+// SourceUnchanged says that the source has answered and has nothing newer. Epochs that servers named are then taken
+// for wrong, unless the first was named only within MaxSourceLag: pollAgain says that the source should be polled
+// again soon.
 func (vs *Views) SourceUnchanged(now time.Time) (pollAgain bool) {
 	if vs.mapRequested && now.Sub(vs.requestedSince) < vs.options.MaxSourceLag {
 		return true
@@ -172,14 +174,17 @@
 }
 
 // ObserveEpoch takes an epoch that a server named, and reports whether the source should be polled for a newer map.
-func (vs *Views) ObserveEpoch(now time.Time, e Epoch) (requestMap bool) {
-	if vs.current != nil && e <= vs.current.Map.Epoch || e <= vs.newestSeen && vs.mapRequested {
+func (vs *Views) ObserveEpoch(now time.Time, epoch Epoch) (requestMap bool) {
+	alreadyAdopted := vs.current != nil && epoch <= vs.current.Map.Epoch
+	alreadyRequested := vs.mapRequested && epoch <= vs.newestSeen
+	if alreadyAdopted || alreadyRequested {
 		return false
 	}
 	if !vs.mapRequested { // counted from the first: a server that names ever newer epochs gains no time
 		vs.requestedSince = now
 	}
-	vs.newestSeen, vs.mapRequested = max(vs.newestSeen, e), true
+	vs.newestSeen = max(vs.newestSeen, epoch)
+	vs.mapRequested = true
 	return true
 }
 
@@ -213,7 +218,9 @@
 // kept longer than MaxPinnedAge. This protects memory, and the replicas of retiring shards, from queries that stay.
 func (vs *Views) Expired(now time.Time) (expired []*View) {
 	for i, v := range vs.pinned {
-		if !v.expired && (len(vs.pinned)-i > vs.options.MaxPinnedEpochs || now.Sub(v.replacedAt) >= vs.options.MaxPinnedAge) {
+		tooMany := len(vs.pinned)-i > vs.options.MaxPinnedEpochs
+		tooOld := now.Sub(v.replacedAt) >= vs.options.MaxPinnedAge
+		if !v.expired && (tooMany || tooOld) {
 			v.expired = true
 			vs.Stats.Expired++
 			expired = append(expired, v)
@@ -225,8 +232,9 @@
 // NextExpiry returns when Expired will have a view by its age; zero if none is pinned.
 func (vs *Views) NextExpiry() (next time.Time) {
 	for _, v := range vs.pinned {
-		if at := v.replacedAt.Add(vs.options.MaxPinnedAge); !v.expired && (next.IsZero() || at.Before(next)) {
-			next = at
+		expiry := v.replacedAt.Add(vs.options.MaxPinnedAge)
+		if !v.expired && (next.IsZero() || expiry.Before(next)) {
+			next = expiry
 		}
 	}
 	return next
--- a/internal/control/shardmap/views_test.go
+++ b/internal/control/shardmap/views_test.go
@@ -23,12 +23,12 @@
 		adopted bool
 		want    error
 	}{
-		{"the first map", first, true, nil},
-		{"the next epoch", second, true, nil},
-		{"the same map again", second, false, nil},
-		{"an earlier epoch", first, false, ErrStaleEpoch},
-		{"another map of the current epoch", fork, false, ErrForked},
-		{"another archive", other, false, ErrOtherArchive},
+		{name: "the first map", m: first, adopted: true},
+		{name: "the next epoch", m: second, adopted: true},
+		{name: "the same map again", m: second},
+		{name: "an earlier epoch", m: first, want: ErrStaleEpoch},
+		{name: "another map of the current epoch", m: fork, want: ErrForked},
+		{name: "another archive", m: other, want: ErrOtherArchive},
 	} {
 		if adopted, err := vs.Offer(origin, c.m); adopted != c.adopted || !errors.Is(err, c.want) {
 			t.Errorf("%s: adopted %v, %v", c.name, adopted, err)
@@ -45,7 +45,8 @@
 
 // An epoch is dropped with its last query. Those kept too long, or beyond the limit, expire once.
 func TestViews_PinAndExpire(t *testing.T) {
-	m, now := threeShards(t), origin
+	m := threeShards(t)
+	now := origin
 	vs := newViews(t, ViewOptions{MaxPinnedEpochs: 2, MaxPinnedAge: 10 * time.Second, WarmupMinFraction: 1}, m)
 	var pins []*View
 	for range 4 {
@@ -80,7 +81,12 @@
 // Replicas that are new to a shard warm up for it, others do not.
 func TestViews_TrafficFraction_NewReplicasWarmUp(t *testing.T) {
 	m := threeShards(t)
-	vs := newViews(t, ViewOptions{MaxPinnedEpochs: 2, MaxPinnedAge: time.Minute, WarmupPeriod: 16 * time.Second, WarmupMinFraction: 0.25}, m)
+	vs := newViews(t, ViewOptions{
+		MaxPinnedEpochs:   2,
+		MaxPinnedAge:      time.Minute,
+		WarmupPeriod:      16 * time.Second,
+		WarmupMinFraction: 0.25,
+	}, m)
 	plan, err := PlanMigration(m, 2, []string{"b", "c"}, Timing{})
 	if err != nil {
 		t.Fatal(err)
@@ -91,14 +97,22 @@
 		}
 		mustOffer(t, vs, origin, m)
 	}
-	for server, want := range map[string]float64{"a": 1, "b": 1, "c": 0.25} {
-		for _, r := range m.Shard(2).ServingReplicas() {
-			if r.Server == server && vs.TrafficFraction(origin, r) != want {
-				t.Errorf("%s gets %v of its traffic, want %v", server, vs.TrafficFraction(origin, r), want)
-			}
-			if r.Server == "c" && (vs.TrafficFraction(origin.Add(8*time.Second), r) != 0.625 || vs.TrafficFraction(origin.Add(16*time.Second), r) != 1) {
-				t.Errorf("after half of the period c gets %v of its traffic", vs.TrafficFraction(origin.Add(8*time.Second), r))
-			}
+	atOnce := map[string]float64{"a": 1, "b": 1, "c": 0.25}
+	replicas := m.Shard(2).ServingReplicas()
+	if len(replicas) != len(atOnce) {
+		t.Fatalf("%d replicas serve, want %d", len(replicas), len(atOnce))
+	}
+	for _, replica := range replicas {
+		if fraction := vs.TrafficFraction(origin, replica); fraction != atOnce[replica.Server] {
+			t.Errorf("%s gets %v of its traffic, want %v", replica.Server, fraction, atOnce[replica.Server])
+		}
+		if replica.Server != "c" {
+			continue
+		}
+		half := vs.TrafficFraction(origin.Add(8*time.Second), replica)
+		end := vs.TrafficFraction(origin.Add(16*time.Second), replica)
+		if half != 0.625 || end != 1 {
+			t.Errorf("after half of the period c gets %v of its traffic, at its end %v", half, end)
 		}
 	}
 }
