--- a/cmd/simadapter/main.go
+++ b/cmd/simadapter/main.go
@@ -23,8 +23,9 @@
 type balancers map[string]*balance.Balancer
 
 // serve answers frames until the input ends. It reports an error to the simulator before it returns it.
-func serve(in io.Reader, out io.Writer) error {
-	reader, writer := simadapter.NewReader(in), simadapter.NewWriter(out)
+func serve(input io.Reader, output io.Writer) error {
+	reader := simadapter.NewReader(input)
+	writer := simadapter.NewWriter(output)
 	running := balancers{}
 	for {
 		frame, err := reader.Frame()
@@ -44,37 +45,49 @@
 	}
 }
 
-// turn hands a frame's events to their instances, in the order in which the frame first names these, and writes what the
-// balancers do.
+// turn hands a frame's events to their instances, in the order in which the frame first names these, and writes
+// what the balancers do.
 func (b balancers) turn(writer *simadapter.Writer, frame *simadapter.Frame) error {
 	var order []string
-	events := map[string][]balance.Event{}
-	for _, e := range frame.Events {
-		if _, seen := events[e.Instance]; !seen {
-			order = append(order, e.Instance)
-			events[e.Instance] = nil
+	pending := map[string][]balance.Event{}
+	for _, event := range frame.Events {
+		instance := event.Instance
+		if _, seen := pending[instance]; !seen {
+			order = append(order, instance)
 		}
-		switch input := e.Input.(type) {
-		case simadapter.Start:
-			fresh, err := balance.New(input.Settings)
-			if err != nil {
-				return fmt.Errorf("%s: %w", e.Instance, err)
-			}
-			b[e.Instance], events[e.Instance] = fresh, nil
-		case simadapter.Stop:
-			delete(b, e.Instance)
-			events[e.Instance] = nil
-		case simadapter.BalancerEvent:
-			if b[e.Instance] == nil {
-				return fmt.Errorf("%s has an event but was not started", e.Instance)
-			}
-			events[e.Instance] = append(events[e.Instance], input.Event)
+		events, err := b.handle(instance, event.Input, pending[instance])
+		if err != nil {
+			return err
 		}
+		pending[instance] = events
 	}
 	for _, instance := range order {
 		if balancer := b[instance]; balancer != nil {
-			writer.Actions(instance, balancer.Turn(frame.Now, events[instance]))
+			writer.Actions(instance, balancer.Turn(frame.Now, pending[instance]))
 		}
 	}
 	return nil
 }
+
+// handle starts or stops an instance, or takes an event for its balancer. It returns the events of this frame that the
+// balancer has yet to get; pending are those so far, which an instance that starts or stops forgets.
+func (b balancers) handle(instance string, input simadapter.Input, pending []balance.Event) ([]balance.Event, error) {
+	switch input := input.(type) {
+	case simadapter.Start:
+		balancer, err := balance.New(input.Settings)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", instance, err)
+		}
+		b[instance] = balancer
+		return nil, nil
+	case simadapter.Stop:
+		delete(b, instance)
+		return nil, nil
+	case simadapter.BalancerEvent:
+		if b[instance] == nil {
+			return nil, fmt.Errorf("%s has an event but was not started", instance)
+		}
+		return append(pending, input.Event), nil
+	}
+	return pending, nil
+}
--- a/cmd/simadapter/main_test.go
+++ b/cmd/simadapter/main_test.go
@@ -9,7 +9,9 @@
 	`"extra":{"cells":1,"class_floor":[1],"follow_up":[0],"in_a_row":1,"incomplete_worth":[1],"need_by_class":[1],` +
 	`"per_call":1,"slices":1},"limits":{"cancel":true,"send_cap":2},"n_instances":1,"tick":5000}`
 
-const endpointList = "DEFINE_LIST\tlist=0\tmembers=1\nSERVER\tserver=s:1\tphase=in_service\nTARGET_INSTANCE\tgatherer=gatherer_0\n" +
+const endpointList = "DEFINE_LIST\tlist=0\tmembers=1\n" +
+	"SERVER\tserver=s:1\tphase=in_service\n" +
+	"TARGET_INSTANCE\tgatherer=gatherer_0\n" +
 	"MEMBERSHIP\tlist=0\tform=C\tseq_no=1\n"
 
 func workItems(id string) string {
@@ -27,14 +29,15 @@
 		t.Fatal(err)
 	}
 	got := out.String()
-	if strings.Count(got, "YIELD\n") != 3 || !strings.Contains(got, "SPEAKING\tgatherer=gatherer_1\nSUBMIT_TO\thandle=15\tserver=s:1\n") ||
-		strings.Contains(got, "gatherer_0") {
+	const sent = "SPEAKING\tgatherer=gatherer_1\nSUBMIT_TO\thandle=15\tserver=s:1\n"
+	if strings.Count(got, "YIELD\n") != 3 || !strings.Contains(got, sent) || strings.Contains(got, "gatherer_0") {
 		t.Errorf("replies:\n%s", got)
 	}
 }
 
 func TestServe_KilledInstanceForgets(t *testing.T) {
-	in := "FRAME\tsim_time=10\nTARGET_INSTANCE\tgatherer=gatherer_0\n" + powerOn + "\n" + endpointList + workItems("5") +
+	in := "FRAME\tsim_time=10\nTARGET_INSTANCE\tgatherer=gatherer_0\n" +
+		powerOn + "\n" + endpointList + workItems("5") +
 		"RETIRE\n" + powerOn + "\nMEMBERSHIP\tlist=0\tform=C\tseq_no=1\nFLUSH\n"
 	var out strings.Builder
 	if err := serve(strings.NewReader(in), &out); err != nil {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -13,16 +13,23 @@
 const extra = `"extra":{"class_floor":[1],"follow_up":[0],"incomplete_worth":[1],"need_by_class":[1]}`
 
 func TestParse_StatesWhatAnAggregatorOnSocketsNeeds(t *testing.T) {
-	d, err := Parse([]byte(`{"classes":[{"name":"search","effect":"safe"}],` + extra + `,"orgs":[{"name":"tenant"}],"zones":["z0","z1"],` +
-		`"rank":3,"limits":{"conn_idle":2000,"connect_timeout":3000,"max_open":4,"max_retry_after":5000},"unknown":{}}`))
+	d, err := Parse([]byte(`{"classes":[{"name":"search","effect":"safe"}],` + extra +
+		`,"orgs":[{"name":"tenant"}],"zones":["z0","z1"],"rank":3,` +
+		`"limits":{"conn_idle":2000,"connect_timeout":3000,"max_open":4,"max_retry_after":5000},"unknown":{}}`))
 	if err != nil {
 		t.Fatal(err)
 	}
 	d.Decisions = balance.Settings{} // checked by package simadapter
 	want := Deployment{
-		Classes: []string{"search"}, Tenants: []string{"tenant"}, Zones: []string{"z0", "z1"}, InstanceIndex: 3,
-		ConnIdle: 2 * time.Millisecond, ConnectTimeout: 3 * time.Millisecond, MaxOpen: 4, StreamsPerConn: 1,
-		MaxRetryAfter: 5 * time.Millisecond,
+		Classes:        []string{"search"},
+		Tenants:        []string{"tenant"},
+		Zones:          []string{"z0", "z1"},
+		InstanceIndex:  3,
+		ConnIdle:       2 * time.Millisecond,
+		ConnectTimeout: 3 * time.Millisecond,
+		MaxOpen:        4,
+		StreamsPerConn: 1,
+		MaxRetryAfter:  5 * time.Millisecond,
 	}
 	if !reflect.DeepEqual(d, want) {
 		t.Errorf("got %+v, want %+v", d, want)
@@ -32,9 +39,11 @@
 // Clients of the simulator follow Retry-After only where it forwards it; those on sockets always do.
 func TestParse_BalancerHasNoRetryAfterWhereItIsNotForwarded(t *testing.T) {
 	for forwarded, want := range map[string]time.Duration{"true": time.Second, "false": 0} {
-		d, err := Parse([]byte(`{"classes":[{"effect":"safe"}],` + extra + `,"limits":{"max_retry_after":1000000,"retry_after":` + forwarded + `}}`))
-		if err != nil || d.Decisions.MaxRetryAfter != want || d.MaxRetryAfter != time.Second {
-			t.Errorf("forwarded %s: balancer %v, sockets %v, error %v", forwarded, d.Decisions.MaxRetryAfter, d.MaxRetryAfter, err)
+		d, err := Parse([]byte(`{"classes":[{"effect":"safe"}],` + extra +
+			`,"limits":{"max_retry_after":1000000,"retry_after":` + forwarded + `}}`))
+		balancer := d.Decisions.MaxRetryAfter
+		if err != nil || balancer != want || d.MaxRetryAfter != time.Second {
+			t.Errorf("forwarded %s: balancer %v, sockets %v, error %v", forwarded, balancer, d.MaxRetryAfter, err)
 		}
 	}
 }
--- a/internal/simadapter/events.go
+++ b/internal/simadapter/events.go
@@ -9,8 +9,9 @@
 	"rooktrestle/internal/settings"
 )
 
-// decoders read the events of a frame, by the name of their message. A decoder returns nil for one that the balancer has
-// no use for. Errors of single fields are kept in the message; what is returned beside one is not used.
+// decoders read the events of a frame, by the name of their message. A decoder returns nil for one that the
+// balancer has no use for. Errors of single fields are kept in the message; what is returned beside one is not
+// used.
 var decoders = map[string]func(*Reader, *message) (Input, error){
 	"POWER_ON":       decodeStart,
 	"RETIRE":         decodeStop,
@@ -27,21 +28,31 @@
 // The protocol's words for values.
 var (
 	endpointStates = map[string]balance.EndpointState{
-		"in_service": balance.InService, "terminating": balance.Draining, "terminated": balance.Removed,
+		"in_service":  balance.InService,
+		"terminating": balance.Draining,
+		"terminated":  balance.Removed,
 	}
 	listKinds = map[string]balance.ListKind{
-		"F": balance.ListFull, "C": balance.ListStale, "D": balance.ListDelta, "X": balance.ListFailed,
+		"F": balance.ListFull,
+		"C": balance.ListStale,
+		"D": balance.ListDelta,
+		"X": balance.ListFailed,
 	}
 	attemptResults = map[string]balance.AttemptResult{
-		"Ok": balance.OK, "Failed": balance.Failed, "QueueFull": balance.QueueFull,
-		"TimedOut": balance.TimedOut, "ConnectError": balance.ConnectFailed, "ResetByPeer": balance.Reset,
-		"Canceled": balance.Canceled, "Ignored": balance.NotSent,
+		"Ok":           balance.OK,
+		"Failed":       balance.Failed,
+		"QueueFull":    balance.QueueFull,
+		"TimedOut":     balance.TimedOut,
+		"ConnectError": balance.ConnectFailed,
+		"ResetByPeer":  balance.Reset,
+		"Canceled":     balance.Canceled,
+		"Ignored":      balance.NotSent,
 	}
 )
 
 func decodeStart(_ *Reader, m *message) (Input, error) {
 	deployment, err := settings.Parse([]byte(m.text("env")))
-	start := Start{deployment.Decisions}
+	start := Start{Settings: deployment.Decisions}
 	start.Settings.Seed = m.unsigned("seed")
 	if m.err != nil {
 		return nil, nil
@@ -67,32 +78,49 @@
 
 // decodeWork reads a query, or one of its parts: those have a segment.
 func decodeWork(_ *Reader, m *message) (Input, error) {
-	id, group, shard := balance.ID(m.unsigned("handle")), m.unsigned("group_no"), m.integer("segment_no")
+	id := balance.ID(m.unsigned("handle"))
+	group := m.unsigned("group_no")
+	shard := m.integer("segment_no")
 	hint := m.timeOr("hint", 0)
 	if shard >= 0 {
 		return BalancerEvent{balance.Part{
-			ID: id, Group: group, Shard: shard, Weight: m.number("heft"), WorkHint: hint,
+			ID:       id,
+			Group:    group,
+			Shard:    shard,
+			Weight:   m.number("heft"),
+			WorkHint: hint,
 		}}, nil
 	}
 	return BalancerEvent{balance.Query{
-		ID: id, Group: group, Class: m.wholeNumber("class", math.MaxInt32), Tenant: m.wholeNumberOrZero("billing"),
-		Key: m.textOr("resource", ""), WorkHint: hint, TimeLeft: m.time("grace"),
-		IsRetry: m.wholeNumberOrZero("is_retry") != 0, Parts: int(m.number("heft")),
+		ID:       id,
+		Group:    group,
+		Class:    m.wholeNumber("class", math.MaxInt32),
+		Tenant:   m.wholeNumberOrZero("billing"),
+		Key:      m.textOr("resource", ""),
+		WorkHint: hint,
+		TimeLeft: m.time("grace"),
+		IsRetry:  m.wholeNumberOrZero("is_retry") != 0,
+		Parts:    int(m.number("heft")),
 	}}, nil
 }
 
 func decodeAttemptEnded(_ *Reader, m *message) (Input, error) {
 	return BalancerEvent{balance.AttemptEnded{
-		Part: balance.ID(m.unsigned("handle")), Attempt: m.wholeNumber("shot", math.MaxInt32),
-		Replica: balance.Replica(m.text("server")), Result: oneOf(m, "outcome", attemptResults),
-		Elapsed: m.time("lag"), Report: m.report("metrics"),
+		Part:    balance.ID(m.unsigned("handle")),
+		Attempt: m.wholeNumber("shot", math.MaxInt32),
+		Replica: balance.Replica(m.text("server")),
+		Result:  oneOf(m, "outcome", attemptResults),
+		Elapsed: m.time("lag"),
+		Report:  m.report("metrics"),
 	}}, nil
 }
 
 func decodeProbeEnded(_ *Reader, m *message) (Input, error) {
 	return BalancerEvent{balance.ProbeEnded{
-		Replica: balance.Replica(m.text("server")), Result: oneOf(m, "outcome", attemptResults),
-		Elapsed: m.time("lag"), Report: m.report("metrics"),
+		Replica: balance.Replica(m.text("server")),
+		Result:  oneOf(m, "outcome", attemptResults),
+		Elapsed: m.time("lag"),
+		Report:  m.report("metrics"),
 	}}, nil
 }
 
@@ -115,6 +143,7 @@
 	return BalancerEvent{balance.GossipReceived{Payload: payload}}, nil
 }
 
+// ignore is the decoder of a message that the balancer has no use for.
 func ignore(*Reader, *message) (Input, error) { return nil, nil }
 
 // endpoint reads a SERVER, an entry of an endpoint list.
--- a/internal/simadapter/message.go
+++ b/internal/simadapter/message.go
@@ -46,45 +46,52 @@
 // fail keeps an error, unless there is one already.
 func (m *message) fail(format string, args ...any) {
 	if m.err == nil {
-		m.err = fmt.Errorf("%s: "+format, append([]any{m.name}, args...)...)
+		m.err = fmt.Errorf("%s: %w", m.name, fmt.Errorf(format, args...))
 	}
 }
 
+// textOr reads a field that may be missing.
 func (m *message) textOr(key, fallback string) string {
-	if v, ok := m.fields[key]; ok {
-		return v
+	if value, ok := m.fields[key]; ok {
+		return value
 	}
 	return fallback
 }
 
+// text reads a required field.
 func (m *message) text(key string) string {
-	v, ok := m.fields[key]
+	value, ok := m.fields[key]
 	if !ok {
 		m.fail("no %s", key)
 	}
-	return v
+	return value
 }
 
-// parse reads a required field with f; kind says in errors what the field should be.
-func parse[T any](m *message, key, kind string, f func(string) (T, error)) T {
+// parse reads a required field by a function; kind says in errors what the field should be.
+func parse[T any](m *message, key, kind string, parseText func(string) (T, error)) T {
 	text := m.text(key)
 	if m.err != nil {
 		var zero T
 		return zero
 	}
-	v, err := f(text)
+	value, err := parseText(text)
 	if err != nil {
 		m.fail("%s: %q is not %s", key, text, kind)
 	}
-	return v
+	return value
 }
 
-func (m *message) has(key string) bool { _, ok := m.fields[key]; return ok }
-
-func (m *message) unsigned(key string) uint64 {
-	return parse(m, key, "a number from 0", func(s string) (uint64, error) { return strconv.ParseUint(s, 10, 64) })
+func (m *message) has(key string) bool {
+	_, ok := m.fields[key]
+	return ok
 }
 
+// unsigned reads a whole number from 0.
+func (m *message) unsigned(key string) uint64 { return parse(m, key, "a number from 0", parseUnsigned) }
+
+func parseUnsigned(text string) (uint64, error) { return strconv.ParseUint(text, 10, 64) }
+
+// integer reads a whole number.
 func (m *message) integer(key string) int { return parse(m, key, "a whole number", strconv.Atoi) }
 
 // wholeNumber reads a whole number from 0 to a highest one.
@@ -107,6 +114,7 @@
 // number reads a finite number.
 func (m *message) number(key string) float64 { return parse(m, key, "a number", parseNumber) }
 
+// numberOr reads a finite number that may be missing.
 func (m *message) numberOr(key string, fallback float64) float64 {
 	if !m.has(key) {
 		return fallback
@@ -114,25 +122,29 @@
 	return m.number(key)
 }
 
-func parseNumber(s string) (float64, error) {
-	v, err := strconv.ParseFloat(s, 64)
-	if err == nil && (math.IsNaN(v) || math.IsInf(v, 0)) {
+func parseNumber(text string) (float64, error) {
+	number, err := strconv.ParseFloat(text, 64)
+	if err == nil && (math.IsNaN(number) || math.IsInf(number, 0)) {
 		err = strconv.ErrRange
 	}
-	return v, err
+	return number, err
 }
 
 // time reads a duration in microseconds.
-func (m *message) time(key string) time.Duration {
-	return parse(m, key, "a time", func(s string) (time.Duration, error) {
-		v, err := strconv.ParseInt(s, 10, 64)
-		if err == nil && (v < 0 || v > math.MaxInt64/1000) {
-			err = strconv.ErrRange
-		}
-		return time.Duration(v) * time.Microsecond, err
-	})
+func (m *message) time(key string) time.Duration { return parse(m, key, "a time", parseMicros) }
+
+// maxMicros is the longest time.Duration in microseconds.
+const maxMicros = math.MaxInt64 / int64(time.Microsecond)
+
+func parseMicros(text string) (time.Duration, error) {
+	micros, err := strconv.ParseInt(text, 10, 64)
+	if err == nil && (micros < 0 || micros > maxMicros) {
+		err = strconv.ErrRange
+	}
+	return time.Duration(micros) * time.Microsecond, err
 }
 
+// timeOr reads a duration that may be missing.
 func (m *message) timeOr(key string, fallback time.Duration) time.Duration {
 	if !m.has(key) {
 		return fallback
@@ -142,16 +154,17 @@
 
 // oneOf reads a field whose value is one of the protocol's words.
 func oneOf[T any](m *message, key string, values map[string]T) T {
-	return parse(m, key, "known", func(s string) (T, error) {
-		v, ok := values[s]
+	return parse(m, key, "known", func(word string) (T, error) {
+		value, ok := values[word]
 		if !ok {
-			return v, errors.New("unknown")
+			return value, errors.New("unknown")
 		}
-		return v, nil
+		return value, nil
 	})
 }
 
-// report reads a load report, name:number pairs separated by commas; nil where there is none. Unknown names are skipped.
+// report reads a load report, name:number pairs separated by commas; nil where there is none. Unknown names are
+// skipped.
 func (m *message) report(key string) *balance.LoadReport {
 	text := m.textOr(key, "")
 	if text == "" {
@@ -159,13 +172,13 @@
 	}
 	report := &balance.LoadReport{Queue: -1, InFlight: -1, Utilization: -1}
 	for _, pair := range strings.Split(text, ",") {
-		name, value, ok := strings.Cut(pair, ":")
-		v, err := parseNumber(value)
+		name, text, ok := strings.Cut(pair, ":")
+		value, err := parseNumber(text)
 		if !ok || err != nil {
 			m.fail("%s: %q is not name:number", key, pair)
 			return nil
 		}
-		settings.SetLoadValue(report, name, v)
+		settings.SetLoadValue(report, name, value)
 	}
 	return report
 }
--- a/internal/simadapter/reader.go
+++ b/internal/simadapter/reader.go
@@ -40,7 +40,7 @@
 	if m.name != "FRAME" {
 		return nil, r.wrap(fmt.Errorf("%s outside a frame", m.name))
 	}
-	f := &Frame{Now: m.time("sim_time")}
+	frame := &Frame{Now: m.time("sim_time")}
 	if m.err != nil {
 		return nil, r.wrap(m.err)
 	}
@@ -55,13 +55,13 @@
 		}
 		switch m.name {
 		case "FLUSH":
-			return f, nil
+			return frame, nil
 		case "TARGET_INSTANCE":
 			instance = m.instance()
 		case "DEFINE_LIST":
 			err = r.defineList(m)
 		default:
-			err = r.appendEvent(f, instance, m)
+			err = r.appendEvent(frame, instance, m)
 		}
 		if err = errors.Join(m.err, err); err != nil {
 			return nil, r.wrap(err)
@@ -103,7 +103,8 @@
 
 // defineList reads the entries of a DEFINE_LIST.
 func (r *Reader) defineList(m *message) error {
-	number, count := m.wholeNumber("list", maxList), m.wholeNumber("members", math.MaxInt32)
+	number := m.wholeNumber("list", maxList)
+	count := m.wholeNumber("members", math.MaxInt32)
 	if m.err != nil {
 		return nil // the caller reports m.err
 	}
@@ -129,9 +130,9 @@
 }
 
 // appendEvent reads a message that is an event for an instance, and appends it to a frame.
-func (r *Reader) appendEvent(f *Frame, instance string, m *message) error {
-	decode, known := decoders[m.name]
-	if !known {
+func (r *Reader) appendEvent(frame *Frame, instance string, m *message) error {
+	decode, ok := decoders[m.name]
+	if !ok {
 		return fmt.Errorf("unknown message %q", m.name)
 	}
 	input, err := decode(r, m)
@@ -142,7 +143,7 @@
 		return fmt.Errorf("%s before any TARGET_INSTANCE", m.name)
 	}
 	if input != nil {
-		f.Events = append(f.Events, Event{instance, input})
+		frame.Events = append(frame.Events, Event{Instance: instance, Input: input})
 	}
 	return nil
 }
--- a/internal/simadapter/writer.go
+++ b/internal/simadapter/writer.go
@@ -17,7 +17,7 @@
 type Writer struct{ out *bufio.Writer }
 
 // NewWriter returns a Writer to w.
-func NewWriter(w io.Writer) *Writer { return &Writer{bufio.NewWriterSize(w, writeBuffer)} }
+func NewWriter(w io.Writer) *Writer { return &Writer{out: bufio.NewWriterSize(w, writeBuffer)} }
 
 // Actions writes the actions of one instance; nothing if there are none.
 func (w *Writer) Actions(instance string, actions []balance.Action) {
@@ -25,13 +25,14 @@
 		return
 	}
 	w.printf("SPEAKING\tgatherer=%s\n", instance)
-	for _, a := range actions {
-		w.action(a)
+	for _, action := range actions {
+		w.action(action)
 	}
 }
 
-func (w *Writer) action(a balance.Action) {
-	switch a := a.(type) {
+// action writes the line of one action.
+func (w *Writer) action(action balance.Action) {
+	switch a := action.(type) {
 	case balance.Send:
 		w.send(a)
 	case balance.Hedge:
--- a/internal/state/atomicfile/atomicfile.go
+++ b/internal/state/atomicfile/atomicfile.go
@@ -1,6 +1,6 @@
-// Package atomicfile stores one value in a file so that a crash at any byte leaves the old value or the new one: the value
-// is written to a second file, synced, and renamed into place, and the directory is synced as well. Each value carries its
-// length and a checksum, so that a file that was corrupted in another way is recognized as such.
+// Package atomicfile stores one value in a file so that a crash at any byte leaves the old value or the new one:
+// the value is written to a second file, synced, and renamed into place, and the directory is synced as well. Each
+// value carries its length and a checksum, so that a file that was corrupted in another way is recognized as such.
 package atomicfile
 
 import (
@@ -20,8 +20,8 @@
 	ErrUnsupported = errors.New("the stored value has another format, or a newer version of this one")
 )
 
-// The file begins with a header: magic, version (one byte), length of the value and its xxHash64 (big-endian, eight bytes
-// each). The value follows.
+// The file begins with a header: magic, version (one byte), length of the value and its xxHash64 (big-endian, eight
+// bytes each). The value follows.
 const (
 	magic          = "rkeep"
 	version        = 1
@@ -42,7 +42,7 @@
 }
 
 // New returns the ValueFile at a path. The file need not exist, its directory must.
-func New(f FS, path string) *ValueFile { return &ValueFile{f, path} }
+func New(fileSystem FS, path string) *ValueFile { return &ValueFile{fs: fileSystem, path: path} }
 
 // Store replaces the stored value. After an error the file holds the old value or the new one, never anything else.
 func (v *ValueFile) Store(value []byte) error {
@@ -61,11 +61,11 @@
 // replace writes a synced file and renames it into place.
 func (v *ValueFile) replace(content []byte) error {
 	temporary := v.path + temporarySuffix
-	f, err := v.fs.Create(temporary)
+	file, err := v.fs.Create(temporary)
 	if err != nil {
 		return err
 	}
-	err = writeSynced(f, content)
+	err = writeSynced(file, content)
 	if err == nil {
 		err = v.fs.Rename(temporary, v.path)
 	}
@@ -77,19 +77,20 @@
 }
 
 // writeSynced writes the content and closes the file; no error means that the content is on the disk.
-func writeSynced(f WritableFile, content []byte) error {
-	_, err := f.Write(content)
+func writeSynced(file WritableFile, content []byte) error {
+	_, err := file.Write(content)
 	if err == nil {
-		err = f.Sync()
+		err = file.Sync()
 	}
-	if closeErr := f.Close(); err == nil {
+	closeErr := file.Close()
+	if err == nil {
 		err = closeErr
 	}
 	return err
 }
 
-// Load returns the stored value. ErrNotExist, ErrCorrupt and ErrUnsupported tell why there is none; other errors are those of
-// reading the file.
+// Load returns the stored value. ErrNotExist, ErrCorrupt and ErrUnsupported tell why there is none; other errors
+// are those of reading the file.
 func (v *ValueFile) Load() ([]byte, error) {
 	content, err := v.fs.ReadFile(v.path)
 	if errors.Is(err, fs.ErrNotExist) {
--- a/internal/state/atomicfile/atomicfile_test.go
+++ b/internal/state/atomicfile/atomicfile_test.go
@@ -10,10 +10,12 @@
 	"testing"
 )
 
-// A crash at every byte and step of a Store leaves the old value or the new one, whatever part of it had reached the disk.
+// A crash at every byte and step of a Store leaves the old value or the new one, whatever part of it had reached
+// the disk.
 func TestStore_CrashAtEveryStepLeavesOldOrNewValue(t *testing.T) {
 	const path = "dir/map"
-	oldValue, newValue := []byte("the old value"), []byte(strings.Repeat("a new value, ", 9))
+	oldValue := []byte("the old value")
+	newValue := []byte(strings.Repeat("a new value, ", 9))
 	for steps := 0; ; steps++ {
 		disk := newCrashingDisk()
 		if err := New(disk, path).Store(oldValue); err != nil {
--- a/internal/state/atomicfile/crashingdisk_test.go
+++ b/internal/state/atomicfile/crashingdisk_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"maps"
 )
 
 var errCrash = errors.New("crashed")
@@ -23,7 +24,11 @@
 }
 
 func newCrashingDisk() *crashingDisk {
-	return &crashingDisk{stepsUntilCrash: -1, files: map[string]*diskFile{}, syncedEntries: map[string]*diskFile{}}
+	return &crashingDisk{
+		stepsUntilCrash: -1,
+		files:           map[string]*diskFile{},
+		syncedEntries:   map[string]*diskFile{},
+	}
 }
 
 func (d *crashingDisk) step() error {
@@ -42,7 +47,7 @@
 	}
 	file := &diskFile{}
 	d.files[name] = file
-	return &diskHandle{d, file}, nil
+	return &diskHandle{disk: d, file: file}, nil
 }
 
 func (d *crashingDisk) Rename(oldName, newName string) error {
@@ -66,10 +71,7 @@
 	if err := d.step(); err != nil {
 		return err
 	}
-	d.syncedEntries = map[string]*diskFile{}
-	for name, file := range d.files {
-		d.syncedEntries[name] = file
-	}
+	d.syncedEntries = maps.Clone(d.files)
 	return nil
 }
 
@@ -114,13 +116,16 @@
 	disk *crashingDisk
 }
 
-// statesAfterCrash returns the disk without and with the directory entries that were not synced, each with none, half and
-// all of the bytes that were not synced.
+// statesAfterCrash returns the disk without and with the directory entries that were not synced, each with none,
+// half and all of the bytes that were not synced.
 func (d *crashingDisk) statesAfterCrash() (states []diskState) {
 	for _, entries := range []struct {
 		name  string
 		files map[string]*diskFile
-	}{{"synced entries", d.syncedEntries}, {"all entries", d.files}} {
+	}{
+		{name: "synced entries", files: d.syncedEntries},
+		{name: "all entries", files: d.files},
+	} {
 		for _, share := range []float64{0, 0.5, 1} {
 			states = append(states, diskState{
 				name: fmt.Sprintf("%s, %v of the unsynced bytes", entries.name, share),
@@ -139,8 +144,8 @@
 			kept += int(float64(unsynced) * unsyncedShare)
 		}
 		content := append(bytes.Clone(file.synced), file.data[len(file.synced):kept]...)
-		found.files[name] = &diskFile{content, content}
-		found.syncedEntries[name] = &diskFile{content, content}
+		found.files[name] = &diskFile{data: content, synced: content}
+		found.syncedEntries[name] = &diskFile{data: content, synced: content}
 	}
 	return found
 }
--- a/internal/state/atomicfile/fs.go
+++ b/internal/state/atomicfile/fs.go
@@ -5,8 +5,8 @@
 	"os"
 )
 
-// FS is the part of a file system that a ValueFile needs. OS is the operating system's; tests use one that crashes at every
-// step.
+// FS is the part of a file system that a ValueFile needs. OS is the operating system's; tests use one that crashes
+// at every step.
 type FS interface {
 	// Create creates a file, or truncates an existing one.
 	Create(name string) (WritableFile, error)
@@ -49,10 +49,10 @@
 
 // SyncDir implements FS.
 func (OS) SyncDir(dir string) error {
-	d, err := os.Open(dir)
+	directory, err := os.Open(dir)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = d.Close() }() // opened for reading only: nothing is lost
-	return d.Sync()
+	defer func() { _ = directory.Close() }() // opened for reading only: nothing is lost
+	return directory.Sync()
 }
