Name checks, ended attempts and offered maps by what they are in their functions

Cause: one-letter names in functions of twenty lines and more, where c was a check in one place and a class in the next; shardNotHeld and wholeNumber were no terms of the field. Change: check, ended, changed, offered, budget; rejectedByShardMap; integerUpTo, integerOrZero.

--- a/internal/aggregator/answer.go
+++ b/internal/aggregator/answer.go
@@ -113,9 +113,9 @@
 func (c *Core) deliver(request *Request, final FinalAnswer) {
 	request.done = true
 	defer func() {
-		if p := recover(); p != nil {
+		if cause := recover(); cause != nil {
 			c.Counters.Panics++
-			fmt.Fprintf(os.Stderr, "request %s: panic in its frontend: %v\n", request.ID, p)
+			fmt.Fprintf(os.Stderr, "request %s: panic in its frontend: %v\n", request.ID, cause)
 		}
 	}()
 	request.Frontend.Answer(final)
--- a/internal/aggregator/attempt.go
+++ b/internal/aggregator/attempt.go
@@ -76,23 +76,23 @@
 }
 
 // attemptEnded handles the end of an attempt. A second end of one attempt is ignored.
-func (c *Core) attemptEnded(e AttemptEnded) {
-	a := c.attempts[e.Attempt]
+func (c *Core) attemptEnded(ended AttemptEnded) {
+	a := c.attempts[ended.Attempt]
 	if a == nil {
 		return
 	}
 	q := a.part.query
 	c.removeAttempt(a)
-	result := a.result(e.Err)
+	result := a.result(ended.Err)
 	c.Counters.Results[result]++
 	if neverRan(result) {
 		a.part.forgetSend(a.sent)
 	}
 	if result == balance.OK && c.isOpen(a.part) {
-		a.part.setAnswer(e.Score, e.Value)
+		a.part.setAnswer(ended.Score, ended.Value)
 	}
 	var failure *AttemptError
-	errors.As(e.Err, &failure)
+	errors.As(ended.Err, &failure)
 	falseRejection := c.updatePlacement(a, result, failure)
 	c.observe(AttemptSummary{
 		Server:         a.server,
@@ -108,7 +108,7 @@
 		Replica: a.server,
 		Result:  result,
 		Elapsed: c.now.Sub(a.sent),
-		Report:  e.Report,
+		Report:  ended.Report,
 	})
 	if q.restarting && q.inFlight == 0 && c.queries[q.id] == q {
 		c.restartQuery(q)
@@ -176,7 +176,7 @@
 	placed.Answered = placed.Answered || p.answered
 	placed.MayHaveRun = placed.MayHaveRun || mayRunUnanswered(result)
 	if failure != nil && failure.MapStatus != shardmap.NoMismatch {
-		return c.shardNotHeld(a, failure)
+		return c.rejectedByShardMap(a, failure)
 	}
 	return false
 }
--- a/internal/aggregator/endpoints.go
+++ b/internal/aggregator/endpoints.go
@@ -44,12 +44,12 @@
 }
 
 // updateServers takes a list of servers, or changes of one, and returns it as the balancer gets it.
-func (c *Core) updateServers(e EndpointsChanged) balance.EndpointList {
-	if e.Kind != balance.ListDelta && e.Kind != balance.ListFailed {
+func (c *Core) updateServers(changed EndpointsChanged) balance.EndpointList {
+	if changed.Kind != balance.ListDelta && changed.Kind != balance.ListFailed {
 		clear(c.servers)
 	}
-	list := balance.EndpointList{Kind: e.Kind}
-	for _, s := range e.Servers {
+	list := balance.EndpointList{Kind: changed.Kind}
+	for _, s := range changed.Servers {
 		c.updateServer(s)
 		list.Endpoints = append(list.Endpoints, c.endpoint(s))
 	}
--- a/internal/aggregator/loop.go
+++ b/internal/aggregator/loop.go
@@ -109,9 +109,9 @@
 // handle recovers from a panic of the adapter: the message is dropped, and what depends on it ends by its deadline.
 func (l *Loop) handle(now time.Time, message Message) (events []Event, handled bool) {
 	defer func() {
-		if p := recover(); p != nil {
+		if cause := recover(); cause != nil {
 			l.Core.Counters.Panics++
-			fmt.Fprintf(os.Stderr, "message %T: panic: %v\n", message, p)
+			fmt.Fprintf(os.Stderr, "message %T: panic: %v\n", message, cause)
 			events = nil
 			handled = true
 		}
@@ -123,8 +123,8 @@
 // goes on.
 func (l *Loop) turn(now time.Time, events []Event) (next time.Time) {
 	defer func() {
-		if p := recover(); p != nil {
-			fmt.Fprintf(os.Stderr, "turn: panic: %v\n", p)
+		if cause := recover(); cause != nil {
+			fmt.Fprintf(os.Stderr, "turn: panic: %v\n", cause)
 			l.restartCore(now, events)
 			next = now
 		}
--- a/internal/aggregator/resharding.go
+++ b/internal/aggregator/resharding.go
@@ -83,19 +83,19 @@
 }
 
 // shardMapOffered takes a map, or the lack of a newer one, from a map source.
-func (c *Core) shardMapOffered(e ShardMapOffered) {
+func (c *Core) shardMapOffered(offered ShardMapOffered) {
 	resharding := c.Resharding
 	if resharding == nil {
 		return
 	}
 	switch {
-	case e.Err != nil: // the source may have a newer map all the same
-		resharding.Rejected(e.Source, e.Err)
+	case offered.Err != nil: // the source may have a newer map all the same
+		resharding.Rejected(offered.Source, offered.Err)
 		return
-	case e.Map == nil:
+	case offered.Map == nil:
 		resharding.noNewerMap(c.now)
 	default:
-		resharding.offer(c.now, e)
+		resharding.offer(c.now, offered)
 	}
 	for _, q := range c.openQueries() {
 		if q.waiting {
@@ -105,14 +105,14 @@
 }
 
 // offer adopts the map of an event, if it may follow the present one.
-func (r *Resharding) offer(now time.Time, e ShardMapOffered) {
+func (r *Resharding) offer(now time.Time, offered ShardMapOffered) {
 	previous := r.Views.Current()
-	adopted, err := r.Views.Offer(now, e.Map)
+	adopted, err := r.Views.Offer(now, offered.Map)
 	switch {
 	case err != nil:
-		r.Rejected(e.Source, err)
+		r.Rejected(offered.Source, err)
 	case adopted:
-		r.Adopted(previous, e.Map)
+		r.Adopted(previous, offered.Map)
 	default:
 		r.noNewerMap(now)
 	}
@@ -146,9 +146,9 @@
 	return !q.restarting && (q.placement.Idempotent || q.inFlight == 0)
 }
 
-// shardNotHeld takes a server's rejection of an open part whose shard it does not hold. It reports whether the
+// rejectedByShardMap takes a server's rejection of an open part whose shard it does not hold. It reports whether the
 // shard map contradicts the server.
-func (c *Core) shardNotHeld(a *attempt, failure *AttemptError) (falseRejection bool) {
+func (c *Core) rejectedByShardMap(a *attempt, failure *AttemptError) (falseRejection bool) {
 	p := a.part
 	q := p.query
 	views := c.Resharding.Views
--- a/internal/control/health/checks.go
+++ b/internal/control/health/checks.go
@@ -111,8 +111,8 @@
 }
 
 // valid reports whether what a check found still counts.
-func (t *Table) valid(c *checkState) bool {
-	return !c.resultAt.IsZero() && t.now.Sub(c.resultAt) <= t.checks[c.config].Validity
+func (t *Table) valid(check *checkState) bool {
+	return !check.resultAt.IsZero() && t.now.Sub(check.resultAt) <= t.checks[check.config].Validity
 }
 
 // hasValidCheck reports whether any check of a server has a result that still counts.
@@ -126,10 +126,10 @@
 }
 
 // describe returns the name of a check with what it found and, in parentheses, its reason.
-func (t *Table) describe(c *checkState, finding string) string {
-	text := "check " + t.checks[c.config].Name + ": " + finding
-	if c.reason != "" {
-		text += " (" + c.reason + ")"
+func (t *Table) describe(check *checkState, finding string) string {
+	text := "check " + t.checks[check.config].Name + ": " + finding
+	if check.reason != "" {
+		text += " (" + check.reason + ")"
 	}
 	return text
 }
@@ -137,9 +137,9 @@
 // downByChecks reports whether a valid check has a server down, and why.
 func (t *Table) downByChecks(s *server) (down bool, reason string) {
 	for i := range s.checks {
-		c := &s.checks[i]
-		if c.down && t.valid(c) {
-			return true, t.describe(c, "down")
+		check := &s.checks[i]
+		if check.down && t.valid(check) {
+			return true, t.describe(check, "down")
 		}
 	}
 	return false, ""
@@ -175,20 +175,20 @@
 // while it is valid.
 func (t *Table) strongestAdmin(s *server) (strongest AdminState, reason string) {
 	for i := range s.checks {
-		c := &s.checks[i]
-		admin := c.admin
-		if admin != Maintenance && c.weight == 0 && t.valid(c) {
+		check := &s.checks[i]
+		admin := check.admin
+		if admin != Maintenance && check.weight == 0 && t.valid(check) {
 			admin = Drain
 		}
 		if admin != Drain && admin != Maintenance || admin <= strongest {
 			continue
 		}
 		finding := admin.String()
-		if c.weight == 0 && c.admin != admin {
+		if check.weight == 0 && check.admin != admin {
 			finding = "weight 0"
 		}
 		strongest = admin
-		reason = t.describe(c, finding)
+		reason = t.describe(check, finding)
 	}
 	return strongest, reason
 }
--- a/internal/control/health/facts.go
+++ b/internal/control/health/facts.go
@@ -60,30 +60,30 @@
 }
 
 // checkFact is what a check has found.
-func (t *Table) checkFact(c *checkState) Fact {
-	config := &t.checks[c.config]
+func (t *Table) checkFact(check *checkState) Fact {
+	config := &t.checks[check.config]
 	fact := Fact{
 		Source:    "check " + config.Name,
-		Finding:   c.condition(),
-		Age:       t.now.Sub(c.resultAt),
+		Finding:   check.condition(),
+		Age:       t.now.Sub(check.resultAt),
 		Validity:  config.Validity,
-		Effective: t.valid(c),
+		Effective: t.valid(check),
 	}
-	if c.resultAt.IsZero() {
+	if check.resultAt.IsZero() {
 		fact.Age = noAge
 	}
-	if c.admin != AdminUnset {
-		fact.Finding += " " + c.admin.String()
-		fact.Effective = fact.Effective || c.admin != Ready
+	if check.admin != AdminUnset {
+		fact.Finding += " " + check.admin.String()
+		fact.Effective = fact.Effective || check.admin != Ready
 	}
-	if c.weight >= 0 {
-		fact.Finding += " " + percent(c.weight)
+	if check.weight >= 0 {
+		fact.Finding += " " + percent(check.weight)
 	}
-	if c.degraded {
+	if check.degraded {
 		fact.Finding += " degraded"
 	}
-	if c.reason != "" {
-		fact.Finding += " (" + c.reason + ")"
+	if check.reason != "" {
+		fact.Finding += " (" + check.reason + ")"
 	}
 	return fact
 }
--- a/internal/control/health/limits.go
+++ b/internal/control/health/limits.go
@@ -47,14 +47,14 @@
 func (t *Table) targetFraction(s *server) float64 {
 	target := 1.0
 	for i := range s.checks {
-		c := &s.checks[i]
-		if !t.valid(c) {
+		check := &s.checks[i]
+		if !t.valid(check) {
 			continue
 		}
-		if c.weight > 0 {
-			target = min(target, c.weight)
+		if check.weight > 0 {
+			target = min(target, check.weight)
 		}
-		if c.degraded {
+		if check.degraded {
 			target = min(target, degradedFraction)
 		}
 	}
@@ -64,9 +64,9 @@
 // maxInFlight returns the smallest limit of parts in flight that a server's valid checks give it; 0: none.
 func (t *Table) maxInFlight(s *server) (limit int) {
 	for i := range s.checks {
-		c := &s.checks[i]
-		if c.maxConn > 0 && t.valid(c) && (limit == 0 || c.maxConn < limit) {
-			limit = c.maxConn
+		check := &s.checks[i]
+		if check.maxConn > 0 && t.valid(check) && (limit == 0 || check.maxConn < limit) {
+			limit = check.maxConn
 		}
 	}
 	return limit
--- a/internal/control/health/schedule.go
+++ b/internal/control/health/schedule.go
@@ -55,9 +55,9 @@
 // scheduleChecks adds when a result that matters loses its validity, and when suppression for flapping ends.
 func (t *Table) scheduleChecks(s *server, next *earliest) {
 	for i := range s.checks {
-		c := &s.checks[i]
-		if t.valid(c) && (c.down || c.degraded || c.weight >= 0 || c.maxConn >= 0) {
-			next.add(c.resultAt.Add(t.checks[c.config].Validity + expiryMargin))
+		check := &s.checks[i]
+		if t.valid(check) && (check.down || check.degraded || check.weight >= 0 || check.maxConn >= 0) {
+			next.add(check.resultAt.Add(t.checks[check.config].Validity + expiryMargin))
 		}
 	}
 	if s.suppressed {
--- a/internal/control/quota/holder.go
+++ b/internal/control/quota/holder.go
@@ -196,14 +196,14 @@
 
 // takeDemand returns the units to request, from the demand of the elapsed time and the smoothed demand before it, and
 // begins to count anew.
-func (a *account) takeDemand(b *Budget, elapsed, lease time.Duration) int {
-	weight := 1 - math.Exp(-float64(elapsed)/float64(max(lease, b.Refill)))
+func (a *account) takeDemand(budget *Budget, elapsed, lease time.Duration) int {
+	weight := 1 - math.Exp(-float64(elapsed)/float64(max(lease, budget.Refill)))
 	recent := float64(a.recentDemand)
 	switch {
-	case b.Kind == Slots: // rises at once
+	case budget.Kind == Slots: // rises at once
 		a.smoothedDemand = max(recent, a.smoothedDemand-weight*(a.smoothedDemand-recent))
 	case elapsed > 0:
-		perRefill := recent * float64(b.Refill) / float64(elapsed)
+		perRefill := recent * float64(budget.Refill) / float64(elapsed)
 		a.smoothedDemand += weight * (perRefill - a.smoothedDemand)
 	}
 	demand := int(math.Ceil(a.smoothedDemand - demandTolerance))
--- a/internal/simadapter/events.go
+++ b/internal/simadapter/events.go
@@ -67,7 +67,7 @@
 	if m.err != nil || list.Kind == balance.ListFailed {
 		return BalancerEvent{list}, nil
 	}
-	number := m.wholeNumber("list", maxList)
+	number := m.integerUpTo("list", maxList)
 	endpoints, defined := r.lists[number]
 	if !defined && m.err == nil {
 		m.fail("list %d is not defined", number)
@@ -94,12 +94,12 @@
 	return BalancerEvent{balance.Query{
 		ID:       id,
 		Group:    group,
-		Class:    m.wholeNumber("class", math.MaxInt32),
-		Tenant:   m.wholeNumberOrZero("billing"),
+		Class:    m.integerUpTo("class", math.MaxInt32),
+		Tenant:   m.integerOrZero("billing"),
 		Key:      m.textOr("resource", ""),
 		WorkHint: hint,
 		TimeLeft: m.time("grace"),
-		IsRetry:  m.wholeNumberOrZero("is_retry") != 0,
+		IsRetry:  m.integerOrZero("is_retry") != 0,
 		Parts:    int(m.number("heft")),
 	}}, nil
 }
@@ -107,7 +107,7 @@
 func decodeAttemptEnded(_ *Reader, m *message) (Input, error) {
 	return BalancerEvent{balance.AttemptEnded{
 		Part:    balance.ID(m.unsigned("handle")),
-		Attempt: m.wholeNumber("shot", math.MaxInt32),
+		Attempt: m.integerUpTo("shot", math.MaxInt32),
 		Replica: balance.Replica(m.text("server")),
 		Result:  oneOf(m, "outcome", attemptResults),
 		Elapsed: m.time("lag"),
@@ -150,8 +150,8 @@
 func (m *message) endpoint() balance.Endpoint {
 	return balance.Endpoint{
 		Replica: balance.Replica(m.text("server")),
-		Zone:    m.wholeNumberOrZero("area"),
-		Cell:    m.wholeNumberOrZero("set_no"),
+		Zone:    m.integerOrZero("area"),
+		Cell:    m.integerOrZero("set_no"),
 		Size:    m.numberOr("size", 1),
 		State:   oneOf(m, "phase", endpointStates),
 		Started: m.timeOr("last_start", 0),
--- a/internal/simadapter/message.go
+++ b/internal/simadapter/message.go
@@ -94,21 +94,21 @@
 // integer reads a whole number.
 func (m *message) integer(key string) int { return parse(m, key, "a whole number", strconv.Atoi) }
 
-// wholeNumber reads a whole number from 0 to a highest one.
-func (m *message) wholeNumber(key string, highest int) int {
+// integerUpTo reads a whole number from 0 to a limit one.
+func (m *message) integerUpTo(key string, limit int) int {
 	n := m.integer(key)
-	if m.err == nil && (n < 0 || n > highest) {
-		m.fail("%s: %d is not within 0 to %d", key, n, highest)
+	if m.err == nil && (n < 0 || n > limit) {
+		m.fail("%s: %d is not within 0 to %d", key, n, limit)
 	}
 	return n
 }
 
-// wholeNumberOrZero is 0 where the field is missing.
-func (m *message) wholeNumberOrZero(key string) int {
+// integerOrZero is 0 where the field is missing.
+func (m *message) integerOrZero(key string) int {
 	if !m.has(key) {
 		return 0
 	}
-	return m.wholeNumber(key, math.MaxInt32)
+	return m.integerUpTo(key, math.MaxInt32)
 }
 
 // number reads a finite number.
--- a/internal/simadapter/reader.go
+++ b/internal/simadapter/reader.go
@@ -20,14 +20,14 @@
 // Reader reads frames. The endpoint lists that the input defines by number live as long as the Reader does. It is not
 // safe for concurrent use.
 type Reader struct {
-	in    *bufio.Reader
+	input *bufio.Reader
 	line  int // number of the last line read
 	lists map[int][]balance.Endpoint
 }
 
 // NewReader returns a Reader of r.
 func NewReader(r io.Reader) *Reader {
-	return &Reader{in: bufio.NewReaderSize(r, readBuffer), lists: map[int][]balance.Endpoint{}}
+	return &Reader{input: bufio.NewReaderSize(r, readBuffer), lists: map[int][]balance.Endpoint{}}
 }
 
 // Frame reads the next frame. It returns io.EOF where the input ends between frames; other errors state the line. After
@@ -72,7 +72,7 @@
 // next reads one line as a message; io.EOF at the end of the input. Empty lines are skipped.
 func (r *Reader) next() (*message, error) {
 	for {
-		text, err := r.in.ReadString('\n')
+		text, err := r.input.ReadString('\n')
 		if err != nil && (!errors.Is(err, io.EOF) || text == "") {
 			return nil, err
 		}
@@ -103,8 +103,8 @@
 
 // defineList reads the entries of a DEFINE_LIST.
 func (r *Reader) defineList(m *message) error {
-	number := m.wholeNumber("list", maxList)
-	count := m.wholeNumber("members", math.MaxInt32)
+	number := m.integerUpTo("list", maxList)
+	count := m.integerUpTo("members", math.MaxInt32)
 	if m.err != nil {
 		return nil // the caller reports m.err
 	}
--- a/internal/state/atomicfile/atomicfile.go
+++ b/internal/state/atomicfile/atomicfile.go
@@ -37,12 +37,14 @@
 // ValueFile stores one value at a path. Store and Load must not be called concurrently; no two ValueFiles may share a
 // path.
 type ValueFile struct {
-	fs   FS
-	path string
+	fileSystem FS
+	path       string
 }
 
 // New returns the ValueFile at a path. The file need not exist, its directory must.
-func New(fileSystem FS, path string) *ValueFile { return &ValueFile{fs: fileSystem, path: path} }
+func New(fileSystem FS, path string) *ValueFile {
+	return &ValueFile{fileSystem: fileSystem, path: path}
+}
 
 // Store replaces the stored value. After an error the file holds the old value or the new one, never anything else.
 func (v *ValueFile) Store(value []byte) error {
@@ -52,7 +54,7 @@
 	if err := v.replace(encode(value)); err != nil {
 		return fmt.Errorf("store %s: %w", v.path, err)
 	}
-	if err := v.fs.SyncDir(filepath.Dir(v.path)); err != nil {
+	if err := v.fileSystem.SyncDir(filepath.Dir(v.path)); err != nil {
 		return fmt.Errorf("store %s: sync directory: %w", v.path, err)
 	}
 	return nil
@@ -61,16 +63,16 @@
 // replace writes a synced file and renames it into place.
 func (v *ValueFile) replace(content []byte) error {
 	temporary := v.path + temporarySuffix
-	file, err := v.fs.Create(temporary)
+	file, err := v.fileSystem.Create(temporary)
 	if err != nil {
 		return err
 	}
 	err = writeSynced(file, content)
 	if err == nil {
-		err = v.fs.Rename(temporary, v.path)
+		err = v.fileSystem.Rename(temporary, v.path)
 	}
 	if err != nil {
-		_ = v.fs.Remove(temporary) // err says what failed; the next Store overwrites the file
+		_ = v.fileSystem.Remove(temporary) // err says what failed; the next Store overwrites the file
 		return err
 	}
 	return nil
@@ -92,7 +94,7 @@
 // Load returns the stored value. ErrNotExist, ErrCorrupt and ErrUnsupported tell why there is none; other errors
 // are those of reading the file.
 func (v *ValueFile) Load() ([]byte, error) {
-	content, err := v.fs.ReadFile(v.path)
+	content, err := v.fileSystem.ReadFile(v.path)
 	if errors.Is(err, fs.ErrNotExist) {
 		err = ErrNotExist
 	}
