Say plainly what max-min fairness, half-open requests and a merge do

Cause: comments that took two readings (that one, it returns with that one); PlanMerge built the merged shard among its steps. Change: mergeShards; comments in ordinary technical English.

--- a/internal/aggregator/answer.go
+++ b/internal/aggregator/answer.go
@@ -29,6 +29,7 @@
 	c.close(q, q.servedAnswer(action.Complete))
 }
 
+// answeredParts are the answered parts of the present step.
 func (q *query) answeredParts() (answered []*part) {
 	for _, p := range q.parts {
 		if p.answered {
--- a/internal/aggregator/resharding.go
+++ b/internal/aggregator/resharding.go
@@ -184,7 +184,7 @@
 	return candidates
 }
 
-// reroute decides on a query whose view is of no more use to it.
+// reroute decides on a query that cannot go on with its view.
 func (c *Core) reroute(q *query) { c.applyDecision(q, q.placement.ViewUnusable(c.Resharding.Views)) }
 
 // applyDecision restarts a query, lets it wait for a newer map, or ends it.
--- a/internal/control/health/ejection.go
+++ b/internal/control/health/ejection.go
@@ -139,7 +139,7 @@
 }
 
 // readmit ends a server's ejection from a class. It begins without failures and with a small fraction of its traffic.
-// Non-idempotent classes, which get no half-open requests while another class can tell, are readmitted with that one.
+// Non-idempotent classes get no half-open requests while an idempotent class is ejected: they are readmitted with it.
 func (t *Table) readmit(index, class int) {
 	s := t.servers[index]
 	for other := range s.classes {
@@ -184,9 +184,10 @@
 	return granted
 }
 
-// mayHalfOpen reports whether an ejected class may have a half-open request. A non-idempotent class may not while
-// another ejected class can tell: it returns with that one. After a failed one the next waits until enough parts of
-// the class have ended elsewhere, or for the longest delay: they must stay a small fraction of all parts.
+// mayHalfOpen reports whether an ejected class may have a half-open request. A non-idempotent class may not while an
+// idempotent one is ejected, too: it is readmitted with that class. After a failed half-open request the next one waits
+// until enough parts of the class have ended at other servers, or for MaxHalfOpenDelay, so that half-open requests stay
+// a small fraction of all parts.
 func (t *Table) mayHalfOpen(s *server, class int) bool {
 	if t.rules.nonIdempotent(class) {
 		return !t.idempotentClassEjected(s)
--- a/internal/control/quota/maxmin.go
+++ b/internal/control/quota/maxmin.go
@@ -2,9 +2,10 @@
 
 import "slices"
 
-// DivideMaxMin divides units by max-min fairness and returns the quotas, in the order of the demands: nobody has more
-// than it demands while another has less than it demands and less than that one. Units that nobody demands are divided
-// evenly, since the next demands are not known. Quotas of equal demands may differ by one unit, with the larger first.
+// DivideMaxMin divides units by max-min fairness and returns the quotas, in the order of the demands. Whoever gets
+// less than it demands gets as much as anybody else, but for one unit; nobody gets more than it demands until all
+// demands are met. Units beyond all demands are divided evenly, since the next demands are not known. Quotas of
+// equal demands may differ by one unit, with the larger first.
 func DivideMaxMin(units int, demands []int) []int {
 	quotas := make([]int, len(demands))
 	ascending := make([]int, len(demands)) // indices of demands, the smallest first
--- a/internal/control/shardmap/placement.go
+++ b/internal/control/shardmap/placement.go
@@ -20,7 +20,7 @@
 	Idempotent bool // every part may run twice
 	Parts      []Part
 	Restarts   int
-	SecondStep bool // it continues an earlier query and has to stay on that one's view
+	SecondStep bool // it is the second step of a query, and has to stay on the view of the first
 }
 
 // MaxRestarts is how often a query is restarted on a newer view. This protects a client's time and the servers from
--- a/internal/control/shardmap/planning.go
+++ b/internal/control/shardmap/planning.go
@@ -179,23 +179,13 @@
 	if err != nil {
 		return nil, err
 	}
-	first := shards[0]
-	last := shards[len(shards)-1]
-	merged := &Shard{
-		ID:       current.NextID,
-		From:     first.From,
-		To:       last.To,
-		State:    Serving,
-		Replicas: slices.Clone(first.Replicas),
-	}
+	merged := mergeShards(shards, current.NextID)
 	var announced, retired []*Shard
 	for _, s := range shards {
 		merging := *s
 		merging.State = Merging
 		announced = append(announced, &merging)
 		retired = append(retired, asRetiring(&merging))
-		merged.Parents = append(merged.Parents, s.ID)
-		merged.Weight += s.weight()
 	}
 	announce := Step{
 		Put:         announced,
@@ -217,6 +207,24 @@
 	return newPlan(current, fmt.Sprintf("merge blocks %v", ids), announce, replace, remove), nil
 }
 
+// mergeShards returns the shard that takes the place of neighbouring ones, which are in the order of their ranges.
+func mergeShards(shards []*Shard, id ID) *Shard {
+	first := shards[0]
+	last := shards[len(shards)-1]
+	merged := &Shard{
+		ID:       id,
+		From:     first.From,
+		To:       last.To,
+		State:    Serving,
+		Replicas: slices.Clone(first.Replicas),
+	}
+	for _, s := range shards {
+		merged.Parents = append(merged.Parents, s.ID)
+		merged.Weight += s.weight()
+	}
+	return merged
+}
+
 // mergeableShards returns the shards with these ids in the order of their ranges, or an error if they cannot be merged.
 func mergeableShards(current *Map, ids []ID) (shards []*Shard, err error) {
 	if len(ids) < 2 {
--- a/internal/simadapter/message.go
+++ b/internal/simadapter/message.go
@@ -94,7 +94,7 @@
 // integer reads a whole number.
 func (m *message) integer(key string) int { return parse(m, key, "a whole number", strconv.Atoi) }
 
-// integerUpTo reads a whole number from 0 to a limit one.
+// integerUpTo reads a whole number from 0 to a limit.
 func (m *message) integerUpTo(key string, limit int) int {
 	n := m.integer(key)
 	if m.err == nil && (n < 0 || n > limit) {
@@ -103,7 +103,7 @@
 	return n
 }
 
-// integerOrZero is 0 where the field is missing.
+// integerOrZero reads a whole number from 0 that may be missing: then it is 0.
 func (m *message) integerOrZero(key string) int {
 	if !m.has(key) {
 		return 0
