Free the agent-check's tests from the clock and from ports that were freed

Two tests took the address of a server that was gone for dead: the system may give its port to another process. The time-out of 50 ms of a hanging server also covered the dial, whose own error is another one than the test expects. Change: Respond reads nothing, RespondToSend reads first; no clock decides between them. A dead server is 127.0.0.1:1. The tests' dial has the long time-out, so that the short one runs out on the answer. The cases of two tables name their fields. 'Of nobody' also demands now that the check did not time out; no condition is dropped.

--- a/internal/backend/healthcheck/check_test.go
+++ b/internal/backend/healthcheck/check_test.go
@@ -21,6 +21,9 @@
 const (
 	longTimeout  = 30 * time.Second // no test reaches it
 	shortTimeout = 50 * time.Millisecond
+	// deadAddr is where nobody listens: the system gives port 1 to no listener. The port of a server that is gone may be
+	// another process's by now.
+	deadAddr = "127.0.0.1:1"
 )
 
 func newProfile(t *testing.T, kind string, timeout time.Duration) *config.CheckProfile {
@@ -41,7 +44,13 @@
 }
 
 func run(profile *config.CheckProfile, addr string) Result {
-	return Check{Profile: profile, Addr: addr, Dial: tcp.DialServerFirst}.Run()
+	return Check{Profile: profile, Addr: addr, Dial: dialPatiently}.Run()
+}
+
+// dialPatiently leaves the check's time-out to the answer. On a busy machine the dial alone may take longer than
+// shortTimeout, and it would depend on the load where the check's time is over.
+func dialPatiently(addr string, _ time.Duration, handler func(*tcp.Conn) tcp.Handler) (*tcp.Conn, error) {
+	return tcp.DialServerFirst(addr, longTimeout, handler)
 }
 
 func newAgent(t *testing.T, line string) *replica.Agent {
@@ -108,10 +117,10 @@
 		timedOut bool
 		reason   string
 	}{
-		"floods":           {replica.Flood, longTimeout, false, "over"},
-		"closes at once":   {replica.CloseAtOnce, longTimeout, false, "closed"},
-		"hangs":            {replica.Hang, shortTimeout, true, errTimeout.Error()},
-		"a byte at a time": {replica.Drip, shortTimeout, true, errTimeout.Error()},
+		"floods":           {behavior: replica.Flood, timeout: longTimeout, reason: "over"},
+		"closes at once":   {behavior: replica.CloseAtOnce, timeout: longTimeout, reason: "closed"},
+		"hangs":            {behavior: replica.Hang, timeout: shortTimeout, timedOut: true, reason: errTimeout.Error()},
+		"a byte at a time": {behavior: replica.Drip, timeout: shortTimeout, timedOut: true, reason: errTimeout.Error()},
 	} {
 		t.Run(name, func(t *testing.T) {
 			agent := newAgent(t, "")
@@ -126,9 +135,7 @@
 		})
 	}
 	t.Run("is gone", func(t *testing.T) {
-		agent := newAgent(t, "")
-		agent.Close()
-		if r := run(newProfile(t, config.CheckAgent, longTimeout), agent.Addr()); !r.Failed || r.TimedOut {
+		if r := run(newProfile(t, config.CheckAgent, longTimeout), deadAddr); !r.Failed || r.TimedOut {
 			t.Errorf("%+v", r)
 		}
 	})
@@ -140,11 +147,11 @@
 		kind      string
 		newServer func(*testing.T) *replica.Server
 	}{
-		"HTTP":                    {config.CheckHTTP, newSRUServer},
-		"SRU":                     {config.CheckSRU, newSRUServer},
-		"Z39.50":                  {config.CheckZ3950, newZ3950Server},
-		"TCP, of an SRU server":   {config.CheckTCP, newSRUServer},
-		"TCP, of a Z39.50 server": {config.CheckTCP, newZ3950Server},
+		"HTTP":                    {kind: config.CheckHTTP, newServer: newSRUServer},
+		"SRU":                     {kind: config.CheckSRU, newServer: newSRUServer},
+		"Z39.50":                  {kind: config.CheckZ3950, newServer: newZ3950Server},
+		"TCP, of an SRU server":   {kind: config.CheckTCP, newServer: newSRUServer},
+		"TCP, of a Z39.50 server": {kind: config.CheckTCP, newServer: newZ3950Server},
 	} {
 		t.Run(name, func(t *testing.T) {
 			server := c.newServer(t)
@@ -154,8 +161,7 @@
 			if c.kind != config.CheckTCP {
 				checkFaults(t, c.kind, server)
 			}
-			server.Kill()
-			if r := run(newProfile(t, c.kind, longTimeout), server.Addr()); !r.Failed {
+			if r := run(newProfile(t, c.kind, longTimeout), deadAddr); !r.Failed || r.TimedOut {
 				t.Errorf("of nobody: %+v", r)
 			}
 		})
--- a/internal/testbed/replica/agent.go
+++ b/internal/testbed/replica/agent.go
@@ -14,8 +14,8 @@
 
 // The behaviors of agents.
 const (
-	Respond       AgentBehavior = iota // its line, then it closes
-	RespondToSend                      // the same, but not before it has read what the check sends first
+	Respond       AgentBehavior = iota // sends its line at once, reads nothing and closes
+	RespondToSend                      // reads what the check sends first, then sends its line and closes
 	Hang                               // accepts and sends nothing
 	Drip                               // a byte a second, and never the end of a line
 	Flood                              // a megabyte without the end of a line
@@ -25,8 +25,6 @@
 const (
 	dripInterval = time.Second
 	dripBytes    = 600
-	// sendWait is how long an agent that responds waits for what the check may send first.
-	sendWait = 2 * time.Millisecond
 )
 
 // Agent is a stand-in of the server side of agent-checks. Its methods are safe for concurrent use.
@@ -35,7 +33,7 @@
 	mu          sync.Mutex
 	line        string
 	behavior    AgentBehavior
-	received    []string // what checks sent first
+	received    []string // what checks sent to RespondToSend
 	announcedAt time.Time
 	done        chan struct{}
 	once        sync.Once
@@ -88,7 +86,7 @@
 	return a.announcedAt
 }
 
-// Received is what checks sent before the agent responded.
+// Received is what checks sent before the agent responded, with the behavior RespondToSend.
 func (a *Agent) Received() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -111,11 +109,10 @@
 		a.waitForClose(c)
 	case CloseAtOnce:
 	case RespondToSend:
+		a.receive(c)
 		a.respond(c, line)
 	default:
-		if err := c.SetReadDeadline(time.Now().Add(sendWait)); err == nil {
-			a.respond(c, line)
-		}
+		a.respond(c, line)
 	}
 }
 
@@ -132,14 +129,21 @@
 	}
 }
 
-// respond reads what the check sends first, up to the connection's read deadline, and sends the line.
-func (a *Agent) respond(c net.Conn, line string) {
+// receive reads what the check sends first. It waits for that, however late it comes: an agent that answered and closed
+// before would reset the connection under the check's bytes.
+func (a *Agent) receive(c net.Conn) {
 	sent := make([]byte, 256)
-	if n, _ := c.Read(sent); n > 0 { // most checks send nothing: a time-out is no error
-		a.mu.Lock()
-		a.received = append(a.received, string(sent[:n]))
-		a.mu.Unlock()
+	n, err := c.Read(sent)
+	if err != nil {
+		return // the check has closed
 	}
+	a.mu.Lock()
+	a.received = append(a.received, string(sent[:n]))
+	a.mu.Unlock()
+}
+
+// respond sends the line.
+func (a *Agent) respond(c net.Conn, line string) {
 	_, _ = io.WriteString(c, line+"\n")
 	a.mu.Lock()
 	defer a.mu.Unlock()
