Check for leaked goroutines of packages on netpoll in one place

Change: internal/testbed/leakcheck, which only tests import; the layers forbid the program's packages to. The check is the same.

--- a/internal/backend/healthcheck/main_test.go
+++ b/internal/backend/healthcheck/main_test.go
@@ -3,12 +3,7 @@
 import (
 	"testing"
 
-	"go.uber.org/goleak"
+	"rooktrestle/internal/testbed/leakcheck"
 )
 
-// netpollPoller runs for as long as the process: netpoll starts its pollers once and never ends them.
-const netpollPoller = "github.com/cloudwego/netpoll.(*defaultPoll).Wait"
-
-func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction(netpollPoller))
-}
+func TestMain(m *testing.M) { leakcheck.Main(m) }
--- a/internal/net/discovery/helpers_test.go
+++ b/internal/net/discovery/helpers_test.go
@@ -8,19 +8,13 @@
 	"testing"
 	"time"
 
-	"go.uber.org/goleak"
-
 	"rooktrestle/balance"
 	"rooktrestle/internal/aggregator"
 	"rooktrestle/internal/net/tcp"
+	"rooktrestle/internal/testbed/leakcheck"
 )
 
-func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction(netpollPoller))
-}
-
-// netpollPoller runs for as long as the process: netpoll starts its pollers once and never ends them.
-const netpollPoller = "github.com/cloudwego/netpoll.(*defaultPoll).Wait"
+func TestMain(m *testing.M) { leakcheck.Main(m) }
 
 // fakeAgent stands in for a discovery service on real connections: each request goes to the test with its connection.
 type fakeAgent struct {
--- a/internal/net/httpserve/helpers_test.go
+++ b/internal/net/httpserve/helpers_test.go
@@ -11,17 +11,11 @@
 	"testing"
 	"time"
 
-	"go.uber.org/goleak"
-
 	"rooktrestle/internal/net/tcp"
+	"rooktrestle/internal/testbed/leakcheck"
 )
 
-func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction(netpollPoller))
-}
-
-// netpollPoller runs for as long as the process: netpoll starts its pollers once and never ends them.
-const netpollPoller = "github.com/cloudwego/netpoll.(*defaultPoll).Wait"
+func TestMain(m *testing.M) { leakcheck.Main(m) }
 
 // fakeConn records what is done with a connection.
 type fakeConn struct {
--- a/internal/net/tcp/helpers_test.go
+++ b/internal/net/tcp/helpers_test.go
@@ -5,15 +5,10 @@
 	"testing"
 	"time"
 
-	"go.uber.org/goleak"
+	"rooktrestle/internal/testbed/leakcheck"
 )
 
-func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction(netpollPoller))
-}
-
-// netpollPoller runs for as long as the process: netpoll starts its pollers once and never ends them.
-const netpollPoller = "github.com/cloudwego/netpoll.(*defaultPoll).Wait"
+func TestMain(m *testing.M) { leakcheck.Main(m) }
 
 // recordingHandler keeps what was read and closes closed at the connection's end.
 type recordingHandler struct {
