Assign one thing a line in net, backend, protocol and query

Cause: 43 assignments packed two to four fields into a line, and leaf took what waits for a connection off its host in two places. Change: a line each; host.takeWaiting; hosts are sorted by cmp.Compare of their ids, which differ, as before.

--- a/internal/backend/healthcheck/decoder.go
+++ b/internal/backend/healthcheck/decoder.go
@@ -53,7 +53,8 @@
 }
 
 func (r *answerReader) finish(result Result) {
-	r.decoded, r.result = true, result
+	r.decoded = true
+	r.result = result
 	close(r.done)
 }
 
@@ -114,7 +115,8 @@
 	d.parser.Feed(b)
 	m, err := d.parser.Next()
 	if d.head != nil {
-		m, err = d.head, nil
+		m = d.head
+		err = nil
 	}
 	switch {
 	case err != nil:
--- a/internal/backend/leaf/attempt.go
+++ b/internal/backend/leaf/attempt.go
@@ -91,7 +91,8 @@
 func (p *Pool) enqueue(now time.Time, b *batch) {
 	h := b.host
 	h.waiting = append(h.waiting, b)
-	streams, waiting := 0, 0
+	streams := 0
+	waiting := 0
 	for _, c := range h.conns {
 		if c.state == connDialing && c.addr == b.addr {
 			streams += p.limits.MaxStreams
@@ -134,7 +135,9 @@
 		if !a.call.WriteBy.IsZero() {
 			within = min(within, a.call.WriteBy.Sub(now))
 		}
-		a.conn, a.state, a.writtenAt = c, stateWriting, now
+		a.conn = c
+		a.state = stateWriting
+		a.writtenAt = now
 		c.streams[a.call.Name] = a
 	}
 	c.lastUsed = now
--- a/internal/backend/leaf/conn.go
+++ b/internal/backend/leaf/conn.go
@@ -110,7 +110,13 @@
 
 // connect starts to dial a server. If that is not possible now, the dial fails in a later turn.
 func (p *Pool) connect(now time.Time, h *host, addr string) {
-	c := &conn{host: h, addr: addr, lastUsed: now, streams: map[string]*attempt{}, canceledAt: map[string]time.Time{}}
+	c := &conn{
+		host:       h,
+		addr:       addr,
+		lastUsed:   now,
+		streams:    map[string]*attempt{},
+		canceledAt: map[string]time.Time{},
+	}
 	if addr == "" || p.connCount >= p.limits.MaxConnections && !p.evictIdle() {
 		p.mailbox.Put(dialResult{conn: c, err: errNoConnection})
 	} else {
@@ -159,13 +165,15 @@
 		p.failWaiting(now, c.host, errBrokenAtOnce)
 		return
 	}
-	c.transport, c.state, c.lastUsed = m.transport, connOpen, now
+	c.transport = m.transport
+	c.state = connOpen
+	c.lastUsed = now
 	h := c.host
-	waiting, probes := h.waiting, h.probes
-	h.waiting, h.probes = nil, nil
+	waiting, probes := h.takeWaiting()
 	listed := p.directory.Server(h.id)
 	for _, b := range waiting {
-		if p.endUnsendable(now, b, listed); len(b.attempts) > 0 {
+		p.endUnsendable(now, b, listed)
+		if len(b.attempts) > 0 {
 			p.place(now, b)
 		}
 	}
@@ -178,8 +186,7 @@
 
 // failWaiting ends all that waits for a connection to a server: none of it was written.
 func (p *Pool) failWaiting(now time.Time, h *host, cause error) {
-	waiting, probes := h.waiting, h.probes
-	h.waiting, h.probes = nil, nil
+	waiting, probes := h.takeWaiting()
 	for _, b := range waiting {
 		for _, a := range b.attempts {
 			p.fail(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Cause: cause})
--- a/internal/backend/leaf/pool.go
+++ b/internal/backend/leaf/pool.go
@@ -5,6 +5,7 @@
 package leaf
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -97,6 +98,15 @@
 	probes  []*probe
 }
 
+// takeWaiting returns the batches and the probes that wait for a connection, and lets none of them wait any longer.
+func (h *host) takeWaiting() ([]*batch, []*probe) {
+	batches := h.waiting
+	probes := h.probes
+	h.waiting = nil
+	h.probes = nil
+	return batches, probes
+}
+
 // NewPool returns a pool that posts its messages to mailbox and opens connections with dial: DialTCP, outside tests.
 // SetDirectory has to be called before the first attempt is sent.
 func NewPool(limits Limits, mailbox aggregator.Poster, dial DialFunc) *Pool {
@@ -108,7 +118,9 @@
 	}
 	p.dial = func(c *conn, addr string, timeout time.Duration) {
 		go func() {
-			transport, err := dial(addr, timeout, func(*tcp.Conn) tcp.Handler { return &frameReader{conn: c, mailbox: mailbox} })
+			transport, err := dial(addr, timeout, func(*tcp.Conn) tcp.Handler {
+				return &frameReader{conn: c, mailbox: mailbox}
+			})
 			if err != nil {
 				mailbox.Put(dialResult{conn: c, err: err})
 				return
@@ -191,11 +203,6 @@
 	for _, h := range p.hosts {
 		hosts = append(hosts, h)
 	}
-	slices.SortFunc(hosts, func(a, b *host) int {
-		if a.id < b.id {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(hosts, func(a, b *host) int { return cmp.Compare(a.id, b.id) })
 	return hosts
 }
--- a/internal/backend/leaf/receive.go
+++ b/internal/backend/leaf/receive.go
@@ -26,7 +26,8 @@
 	for {
 		f, ok, err := r.parser.Next()
 		if err != nil {
-			r.failed, m.err = true, err
+			r.failed = true
+			m.err = err
 		}
 		if !ok {
 			break
@@ -50,7 +51,9 @@
 		if c.isClosed() {
 			return
 		}
-		c.lastReceived, c.unresponsive, c.partialSince = now, false, time.Time{}
+		c.lastReceived = now
+		c.unresponsive = false
+		c.partialSince = time.Time{}
 		if err := p.handleFrame(now, c, f); err != nil {
 			p.closeCorrupt(c, err)
 		}
@@ -95,7 +98,8 @@
 	ended := aggregator.AttemptEnded{Report: ans.report}
 	switch ans.status {
 	case statusServed:
-		ended.Score, ended.Value = ans.score, ans.value
+		ended.Score = ans.score
+		ended.Value = ans.value
 	case statusError:
 		ended.Err = &aggregator.AttemptError{Progress: aggregator.Answered}
 	case statusBusy:
--- a/internal/backend/serialconn/attempt.go
+++ b/internal/backend/serialconn/attempt.go
@@ -23,7 +23,8 @@
 // write sends an attempt on a connection. What may have changed while it waited for the connection is checked again before
 // its first byte: the server may have begun to drain, and the attempt's time may be over.
 func (p *Pool) write(now time.Time, c *conn, a *attempt) {
-	c.attempt, a.conn = a, c
+	c.attempt = a
+	a.conn = c
 	request, err := p.request(now, a)
 	if err != nil {
 		p.fail(a, err)
--- a/internal/net/discovery/watcher.go
+++ b/internal/net/discovery/watcher.go
@@ -129,6 +129,7 @@
 // switchTo changes the address. Guards against a list that is patched with another discovery service's changes: its
 // versions need not continue those that are held.
 func (w *Watcher) switchTo(addr string) {
-	w.Addr, w.needsFullList = addr, true
+	w.Addr = addr
+	w.needsFullList = true
 	w.Log("discovery: switched to %s", addr)
 }
--- a/internal/net/httpserve/conn.go
+++ b/internal/net/httpserve/conn.go
@@ -145,7 +145,8 @@
 			c.continueIfWanted()
 			return
 		}
-		c.sentContinue, c.used = false, true
+		c.sentContinue = false
+		c.used = true
 		if !c.beginRequest() {
 			c.rejectAtShutdown()
 			return
--- a/internal/net/httpserve/evict.go
+++ b/internal/net/httpserve/evict.go
@@ -72,7 +72,8 @@
 func (c *serverConn) unlist() {
 	if c.list != nil {
 		c.list.Remove(c.element)
-		c.list, c.element = nil, nil
+		c.list = nil
+		c.element = nil
 	}
 }
 
--- a/internal/net/shardmapsource/file.go
+++ b/internal/net/shardmapsource/file.go
@@ -57,7 +57,8 @@
 		err = fmt.Errorf("read the shard map: %w", err)
 	}
 	f.Put(Update{Source: f.Path, Text: text, Err: err})
-	state.read, state.failed = info, err != nil
+	state.read = info
+	state.failed = err != nil
 }
 
 // sameFile says whether a file has not changed since the last reading; nil: there was none.
--- a/internal/net/shardmapsource/http.go
+++ b/internal/net/shardmapsource/http.go
@@ -44,21 +44,24 @@
 
 // Run polls until stop is closed; its caller waits for it.
 func (h *HTTP) Run(stop <-chan struct{}) {
-	interval, wait := h.MinInterval, time.Duration(0) // the first poll is answered at once
+	interval := h.MinInterval
+	wait := time.Duration(0) // the first poll is answered at once
 	for {
 		update, outcome := h.poll(stop, h.CurrentEpoch(), wait)
 		switch outcome {
 		case pollStopped:
 			return
 		case pollInterrupted:
-			interval, wait = h.MinInterval, 0
+			interval = h.MinInterval
+			wait = 0
 			continue
 		}
 		h.Put(update)
 		if update.Err != nil {
 			interval = min(2*interval, h.MaxInterval)
 		} else {
-			interval, wait = h.MinInterval, h.Wait
+			interval = h.MinInterval
+			wait = h.Wait
 		}
 		// A random time, or all aggregators would come back to a source together.
 		pause := time.NewTimer(interval/2 + rand.N(interval))
--- a/internal/net/tcp/conn.go
+++ b/internal/net/tcp/conn.go
@@ -105,7 +105,8 @@
 	c.endOnce.Do(func() {
 		defer close(c.done)
 		c.mu.Lock()
-		c.closed, c.ended = true, true
+		c.closed = true
+		c.ended = true
 		cause := c.cause
 		c.mu.Unlock()
 		if c.limiter != nil {
--- a/internal/net/tcp/limiter.go
+++ b/internal/net/tcp/limiter.go
@@ -35,7 +35,8 @@
 // StopAdmitting rejects every new connection from now on.
 func (l *ConnLimiter) StopAdmitting() {
 	l.mu.Lock()
-	l.Max, l.Evict = 0, nil
+	l.Max = 0
+	l.Evict = nil
 	l.mu.Unlock()
 }
 
--- a/internal/net/tcp/write.go
+++ b/internal/net/tcp/write.go
@@ -42,7 +42,8 @@
 	c.mu.Lock()
 	// Guards memory against a peer that sends requests and does not read.
 	if c.queued+len(pending.data) > maxQueuedBytes && !c.closed {
-		c.closed, c.cause = true, ErrSlowReader
+		c.closed = true
+		c.cause = ErrSlowReader
 		go c.closeSocket()
 	}
 	if c.closed || c.closing {
@@ -84,7 +85,8 @@
 func (c *Conn) takeQueue() []pendingWrite {
 	c.mu.Lock()
 	writes := c.queue
-	c.queue, c.queued = nil, 0
+	c.queue = nil
+	c.queued = 0
 	if len(writes) > 0 {
 		c.mu.Unlock()
 		return writes
--- a/internal/protocol/http1/message.go
+++ b/internal/protocol/http1/message.go
@@ -98,7 +98,8 @@
 	if len(parts) != 3 || !isToken(parts[0]) || parts[1] == "" {
 		return "", reject(400, "request line %q", truncate(line))
 	}
-	m.Method, m.Target = parts[0], parts[1]
+	m.Method = parts[0]
+	m.Target = parts[1]
 	return parts[2], nil
 }
 
--- a/internal/protocol/http1/parser.go
+++ b/internal/protocol/http1/parser.go
@@ -70,13 +70,16 @@
 	for {
 		progress, err := p.step()
 		if err != nil {
-			p.err, p.stage, p.buf = err, broken, nil
+			p.err = err
+			p.stage = broken
+			p.buf = nil
 			return nil, err
 		}
 		switch progress {
 		case completed:
 			message := p.message
-			p.message, p.stage = nil, inHead
+			p.message = nil
+			p.stage = inHead
 			return message, nil
 		case needBytes:
 			return nil, nil
@@ -90,7 +93,8 @@
 		return nil
 	}
 	message := p.message
-	p.message, p.stage = nil, broken
+	p.message = nil
+	p.stage = broken
 	return message
 }
 
@@ -272,9 +276,11 @@
 		if n > uint64(p.maxBody()) && p.Stream == nil {
 			return reject(413, "body over %d bytes", p.maxBody())
 		}
-		p.stage, p.remaining = inBody, int(n)
+		p.stage = inBody
+		p.remaining = int(n)
 	case p.Responses && message.Status != 204 && message.Status != 304 && message.Status >= 200:
-		p.stage, message.Close = untilClose, true
+		p.stage = untilClose
+		message.Close = true
 	default:
 		p.stage = inBody
 	}
--- a/internal/protocol/httpcheck/httpcheck.go
+++ b/internal/protocol/httpcheck/httpcheck.go
@@ -91,7 +91,8 @@
 	result := Result{Degraded: isSet(header(DegradedHeader))}
 	switch {
 	case In(e.Drain, status):
-		result.Good, result.Drain = true, true
+		result.Good = true
+		result.Drain = true
 		result.Why = fmt.Sprintf("status %d", status)
 	case isSet(header(ImmediateHeader)):
 		result.AtOnce = true
--- a/internal/protocol/jsonstream/jsonstream.go
+++ b/internal/protocol/jsonstream/jsonstream.go
@@ -47,7 +47,8 @@
 		}
 		if f.depth == 0 {
 			object := f.buf[:f.scanned:f.scanned]
-			f.buf, f.scanned = f.buf[f.scanned:], 0
+			f.buf = f.buf[f.scanned:]
+			f.scanned = 0
 			return object, nil
 		}
 	}
@@ -64,7 +65,8 @@
 	case f.escaped:
 		f.escaped = false
 	case f.quoted:
-		f.escaped, f.quoted = c == '\\', c != '"'
+		f.escaped = c == '\\'
+		f.quoted = c != '"'
 	case c == '"':
 		f.quoted = true
 	case c == '{' || c == '[':
@@ -79,6 +81,9 @@
 
 // fail breaks the stream and returns the error.
 func (f *Framer) fail(err error) error {
-	f.err, f.buf, f.scanned, f.depth = err, nil, 0, 0
+	f.err = err
+	f.buf = nil
+	f.scanned = 0
+	f.depth = 0
 	return err
 }
--- a/internal/protocol/z3950/ber.go
+++ b/internal/protocol/z3950/ber.go
@@ -70,7 +70,8 @@
 	case len(data) < size:
 		return nil, nil, ErrMore
 	}
-	content, rest := data[:size], data[size:]
+	content := data[:size]
+	rest := data[size:]
 	if !n.Cons {
 		n.Bytes = append([]byte(nil), content...)
 		return n, rest, nil
--- a/internal/protocol/z3950/node.go
+++ b/internal/protocol/z3950/node.go
@@ -110,7 +110,8 @@
 		return ""
 	}
 	var dotted strings.Builder
-	number, first := 0, true
+	number := 0
+	first := true
 	for _, octet := range n.Bytes {
 		if number = number<<7 | int(octet&^moreBit); number > maxOIDNumber {
 			return ""
--- a/internal/query/bib1.go
+++ b/internal/query/bib1.go
@@ -80,12 +80,17 @@
 	if !ok {
 		return nil, "", unsupportedIndex.errorf("%s", c.Index)
 	}
-	relation, structure, completeness := c.Relation, 0, 0
+	relation := c.Relation
+	structure := 0
+	completeness := 0
 	switch c.Relation {
 	case All:
-		relation, structure = Equal, structureWordList
+		relation = Equal
+		structure = structureWordList
 	case Exact:
-		relation, structure, completeness = Equal, structurePhrase, completenessField
+		relation = Equal
+		structure = structurePhrase
+		completeness = completenessField
 	case Any:
 		return nil, "", unsupportedRelation.errorf("any")
 	case Equal:
@@ -107,9 +112,11 @@
 // cutTruncation removes the unescaped * at the start and end of a term, and returns the value of the Truncation attribute
 // that stands for them; 0: there is none.
 func cutTruncation(term string) (rest string, truncation int) {
-	left, right := false, false
+	left := false
+	right := false
 	if len(term) > 1 && strings.HasPrefix(term, "*") {
-		term, left = term[1:], true
+		term = term[1:]
+		left = true
 	}
 	if len(term) > 1 && strings.HasSuffix(term, "*") && !endsEscaped(term) {
 		term, right = term[:len(term)-1], true
