Name nodes, clauses and check results whole in query, protocol and healthcheck

Cause: one-letter parameters over whole functions, tables packed into lines, positional literals; httpcheck's result was Good, AtOnce, Why. Change: tree, clause, attribute, position; Healthy, Immediate, Reason, State.IsUp; literals name their fields. Texts that operators read and the bytes of requests stay. TestExpect_Judge names the fields of its nine cases; each is the same. Measured: go vet, and go test -race -count=1 of query, protocol, backend and frontend/z3950 pass.

--- a/internal/backend/healthcheck/check.go
+++ b/internal/backend/healthcheck/check.go
@@ -54,7 +54,8 @@
 
 // failed is the result of a check that found no usable answer.
 func failed(err error) Result {
-	return Result{CheckResult: health.CheckResult{Failed: true, Weight: -1, MaxConn: -1, Reason: err.Error()}, Err: err}
+	result := health.CheckResult{Failed: true, Weight: -1, MaxConn: -1, Reason: err.Error()}
+	return Result{CheckResult: result, Err: err}
 }
 
 // passed is the result of a check whose answer says nothing beyond that.
@@ -73,9 +74,9 @@
 func (c Check) Run() Result {
 	timeout := c.Profile.Timeout.Duration
 	deadline := time.Now().Add(timeout)
-	x := c.exchange()
-	r := &answerReader{decoder: x.decoder, done: make(chan struct{})}
-	conn, err := c.Dial(x.addr, timeout, func(*tcp.Conn) tcp.Handler { return r })
+	exchange := c.exchange()
+	reader := &answerReader{decoder: exchange.decoder, done: make(chan struct{})}
+	conn, err := c.Dial(exchange.addr, timeout, func(*tcp.Conn) tcp.Handler { return reader })
 	if err != nil {
 		result := failed(dialCause(err))
 		result.TimedOut = !time.Now().Before(deadline)
@@ -85,14 +86,14 @@
 	if c.Profile.Kind == config.CheckTCP {
 		return passed()
 	}
-	if len(x.request) > 0 {
-		conn.Write(x.request, nil)
+	if len(exchange.request) > 0 {
+		conn.Write(exchange.request, nil)
 	}
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
-	case <-r.done:
-		return r.result
+	case <-reader.done:
+		return reader.result
 	case <-timer.C:
 		result := failed(errTimeout)
 		result.TimedOut = true
@@ -100,38 +101,59 @@
 	}
 }
 
+// exchange returns what the profile's kind of check sends, and how it reads the answer.
 func (c Check) exchange() exchange {
-	f := c.Profile
-	switch f.Kind {
+	profile := c.Profile
+	switch profile.Kind {
 	case config.CheckAgent:
-		return exchange{c.Addr, []byte(f.Send), &agentDecoder{}}
+		return exchange{addr: c.Addr, request: []byte(profile.Send), decoder: &agentDecoder{}}
 	case config.CheckHTTP:
-		request := http1.Request(f.Method, f.Path, cmp.Or(f.Host, c.Addr), nil, "Connection", "close", "User-Agent", userAgent)
-		return exchange{c.Addr, request, newHTTPDecoder(f.Method, c.judgeHTTP)}
+		return exchange{
+			addr:    c.Addr,
+			request: c.httpRequest(profile.Method, profile.Path, "User-Agent", userAgent),
+			decoder: newHTTPDecoder(profile.Method, c.judgeHTTP),
+		}
 	case config.CheckSRU:
-		target := "/" + url.PathEscape(f.Database) + "?operation=explain&version=1.2"
-		request := http1.Request("GET", target, cmp.Or(f.Host, c.Addr), nil, "Connection", "close")
-		return exchange{c.Addr, request, newHTTPDecoder("GET", judgeExplain)}
+		target := "/" + url.PathEscape(profile.Database) + "?operation=explain&version=1.2"
+		return exchange{
+			addr:    c.Addr,
+			request: c.httpRequest("GET", target),
+			decoder: newHTTPDecoder("GET", judgeExplain),
+		}
 	case config.CheckZ3950:
-		return exchange{c.Addr, initRequest(), &initDecoder{}}
+		return exchange{addr: c.Addr, request: initRequest(), decoder: &initDecoder{}}
 	case config.CheckGRPC:
-		query := url.Values{"addr": {c.Addr}, "service": {f.Service}, "timeout": {f.Timeout.String()}}
-		request := http1.Request("GET", "/check?"+query.Encode(), c.Bridge, nil, "Connection", "close")
-		return exchange{c.Bridge, request, newHTTPDecoder("GET", judgeBridge)}
+		query := url.Values{"addr": {c.Addr}, "service": {profile.Service}, "timeout": {profile.Timeout.String()}}
+		return exchange{
+			addr:    c.Bridge,
+			request: http1.Request("GET", "/check?"+query.Encode(), c.Bridge, nil, "Connection", "close"),
+			decoder: newHTTPDecoder("GET", judgeBridge),
+		}
 	}
 	return exchange{addr: c.Addr}
 }
 
+// httpRequest returns a request to the server, with more fields of the header as names and values in turn.
+func (c Check) httpRequest(method, target string, fields ...string) []byte {
+	host := cmp.Or(c.Profile.Host, c.Addr)
+	return http1.Request(method, target, host, nil, append([]string{"Connection", "close"}, fields...)...)
+}
+
 // judgeHTTP judges an HTTP answer by the profile's expectation.
 func (c Check) judgeHTTP(m *http1.Message) Result {
 	judged := c.Profile.Expectation.Judge(m.Status, m.Header.Get, m.Body)
 	result := Result{CheckResult: health.CheckResult{
-		Failed: !judged.Good, Immediate: judged.AtOnce, Degraded: judged.Degraded, Weight: -1, MaxConn: -1, Reason: judged.Why,
+		Failed:    !judged.Healthy,
+		Immediate: judged.Immediate,
+		Degraded:  judged.Degraded,
+		Weight:    -1,
+		MaxConn:   -1,
+		Reason:    judged.Reason,
 	}}
 	switch {
 	case judged.Drain:
 		result.Admin = health.Drain
-	case judged.Good:
+	case judged.Healthy:
 		result.Admin = health.Ready
 	default:
 		result.Admin = health.AdminUnset
--- a/internal/backend/healthcheck/decoder.go
+++ b/internal/backend/healthcheck/decoder.go
@@ -81,11 +81,15 @@
 	if err != nil {
 		return failed(err)
 	}
-	result := Result{CheckResult: health.CheckResult{Weight: report.Weight, MaxConn: report.MaxConn, Reason: report.Description}}
-	result.Admin = adminStates[report.Admin]
+	result := Result{CheckResult: health.CheckResult{
+		Weight:  report.Weight,
+		MaxConn: report.MaxConn,
+		Admin:   adminStates[report.Admin],
+		Reason:  report.Description,
+	}}
 	switch {
 	case report.State == "":
-	case report.State.Well():
+	case report.State.IsUp():
 		result.Oper = health.Up
 	default:
 		result.Oper = health.Down
--- a/internal/protocol/agentcheck/agentcheck.go
+++ b/internal/protocol/agentcheck/agentcheck.go
@@ -42,8 +42,8 @@
 	Stopped State = "stopped"
 )
 
-// Well returns whether a server in the state serves.
-func (s State) Well() bool { return s == Up }
+// IsUp returns whether a server in the state serves.
+func (s State) IsUp() bool { return s == Up }
 
 // Report is what an agent reports in a line.
 type Report struct {
@@ -51,7 +51,7 @@
 	State       State
 	Weight      float64  // fraction of the configured weight, 0 to 2.56; negative: not named
 	MaxConn     int      // limit of connections; negative: not named
-	Description string   // the description
+	Description string   // for people: what follows the #
 	Unknown     []string // unknown words
 }
 
@@ -60,8 +60,8 @@
 
 const maxConnPrefix = "maxconn:"
 
-// Parse parses a line; what follows its end is ignored. The error is ErrEmptyReport if the line has no word, and another one if
-// none of its words is known.
+// Parse parses a line; what follows its end is ignored. The error is ErrEmptyReport if the line has no word, and another
+// one if none of its words is known.
 func Parse(line string) (Report, error) {
 	report := Report{Weight: -1, MaxConn: -1}
 	if end := strings.IndexAny(line, "\r\n"); end >= 0 {
@@ -168,7 +168,9 @@
 
 // Feed adds bytes of the stream. Once done is true, the line has ended or is too long, and the other results are those of
 // Parse; before, they mean nothing.
-func (r *Reader) Feed(b []byte) (report Report, err error, done bool) { //nolint:revive // done comes last, as ok does: it says whether the others count
+//
+//nolint:revive // done comes last, as ok does: it says whether the others count
+func (r *Reader) Feed(b []byte) (report Report, err error, done bool) {
 	r.line = append(r.line, b[:min(len(b), MaxLine+1)]...)
 	if end := strings.IndexAny(string(r.line), "\r\n"); end >= 0 && end <= MaxLine {
 		report, err = Parse(string(r.line[:end]))
--- a/internal/protocol/httpcheck/httpcheck.go
+++ b/internal/protocol/httpcheck/httpcheck.go
@@ -79,11 +79,11 @@
 
 // Result is the result of a check.
 type Result struct {
-	Good     bool // the server is healthy
-	Drain    bool // it is healthy and draining
-	Degraded bool
-	AtOnce   bool   // it is unhealthy at once, without the failures in a row that are needed otherwise
-	Why      string // of a result that is not good, or that is draining
+	Healthy   bool
+	Drain     bool // the server is healthy and draining
+	Degraded  bool
+	Immediate bool   // it is unhealthy at once, without the failures in a row that are needed otherwise
+	Reason    string // why it is unhealthy, or draining
 }
 
 // Judge evaluates a response. header returns the value of a field, empty if it is absent.
@@ -91,20 +91,20 @@
 	result := Result{Degraded: isSet(header(DegradedHeader))}
 	switch {
 	case In(e.Drain, status):
-		result.Good = true
+		result.Healthy = true
 		result.Drain = true
-		result.Why = fmt.Sprintf("status %d", status)
+		result.Reason = fmt.Sprintf("status %d", status)
 	case isSet(header(ImmediateHeader)):
-		result.AtOnce = true
-		result.Why = "immediate failure told"
+		result.Immediate = true
+		result.Reason = "immediate failure told"
 	case !In(e.Status, status):
-		result.Why = fmt.Sprintf("status %d", status)
+		result.Reason = fmt.Sprintf("status %d", status)
 	case e.Body != "" && !strings.Contains(string(body), e.Body):
-		result.Why = "the body lacks " + strconv.Quote(e.Body)
+		result.Reason = "the body lacks " + strconv.Quote(e.Body)
 	case e.Match != nil && !e.Match.Match(body):
-		result.Why = "the body does not match"
+		result.Reason = "the body does not match"
 	default:
-		result.Good = true
+		result.Healthy = true
 	}
 	return result
 }
--- a/internal/protocol/httpcheck/httpcheck_test.go
+++ b/internal/protocol/httpcheck/httpcheck_test.go
@@ -23,15 +23,45 @@
 		body   string
 		want   Result
 	}{
-		{"healthy", 200, nil, "all fine", Result{Good: true}},
-		{"degraded", 301, http.Header{DegradedHeader: {"1"}}, "all fine", Result{Good: true, Degraded: true}},
-		{"not degraded, as the header says no", 200, http.Header{DegradedHeader: {"false"}}, "all fine", Result{Good: true}},
-		{"draining, whatever the body says", 404, nil, "", Result{Good: true, Drain: true, Why: "status 404"}},
-		{"an error status", 500, nil, "all fine", Result{Why: "status 500"}},
-		{"a status that is not expected", 302, nil, "all fine", Result{Why: "status 302"}},
-		{"the body lacks the text", 200, nil, "all", Result{Why: `the body lacks "fine"`}},
-		{"the body does not match", 200, nil, "fine, all", Result{Why: "the body does not match"}},
-		{"an immediate failure", 200, http.Header{ImmediateHeader: {"true"}}, "all fine", Result{AtOnce: true, Why: "immediate failure told"}},
+		{
+			name: "healthy", status: 200, body: "all fine",
+			want: Result{Healthy: true},
+		},
+		{
+			name: "degraded", status: 301, body: "all fine",
+			header: http.Header{DegradedHeader: {"1"}},
+			want:   Result{Healthy: true, Degraded: true},
+		},
+		{
+			name: "not degraded, as the header says no", status: 200, body: "all fine",
+			header: http.Header{DegradedHeader: {"false"}},
+			want:   Result{Healthy: true},
+		},
+		{
+			name: "draining, whatever the body says", status: 404,
+			want: Result{Healthy: true, Drain: true, Reason: "status 404"},
+		},
+		{
+			name: "an error status", status: 500, body: "all fine",
+			want: Result{Reason: "status 500"},
+		},
+		{
+			name: "a status that is not expected", status: 302, body: "all fine",
+			want: Result{Reason: "status 302"},
+		},
+		{
+			name: "the body lacks the text", status: 200, body: "all",
+			want: Result{Reason: `the body lacks "fine"`},
+		},
+		{
+			name: "the body does not match", status: 200, body: "fine, all",
+			want: Result{Reason: "the body does not match"},
+		},
+		{
+			name: "an immediate failure", status: 200, body: "all fine",
+			header: http.Header{ImmediateHeader: {"true"}},
+			want:   Result{Immediate: true, Reason: "immediate failure told"},
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			if got := expect.Judge(test.status, test.header.Get, []byte(test.body)); got != test.want {
--- a/internal/query/bib1.go
+++ b/internal/query/bib1.go
@@ -40,13 +40,29 @@
 
 // useAttributes are the values of the Use attribute by the names of indexes; empty: the server's choice.
 var useAttributes = map[string]int{
-	"": 1016, "cql.anywhere": 1035, "dc.title": 4, "dc.creator": 1003, "dc.subject": 21, "dc.date": 30,
-	"dc.identifier": 12, "rec.identifier": 1007, "dc.language": 54, "dc.description": 62, "dc.publisher": 1018,
-	"caption.text": 1010,
+	"":               1016,
+	"cql.anywhere":   1035,
+	"dc.title":       4,
+	"dc.creator":     1003,
+	"dc.subject":     21,
+	"dc.date":        30,
+	"dc.identifier":  12,
+	"rec.identifier": 1007,
+	"dc.language":    54,
+	"dc.description": 62,
+	"dc.publisher":   1018,
+	"caption.text":   1010,
 }
 
 // relationAttributes are the values of the Relation attribute. All, Any and Exact have none of their own.
-var relationAttributes = map[Relation]int{Less: 1, LessOrEqual: 2, Equal: 3, GreaterOrEqual: 4, Greater: 5, NotEqual: 6}
+var relationAttributes = map[Relation]int{
+	Less:           1,
+	LessOrEqual:    2,
+	Equal:          3,
+	GreaterOrEqual: 4,
+	Greater:        5,
+	NotEqual:       6,
+}
 
 var (
 	indexesByUse         = inverse(useAttributes)
@@ -75,15 +91,15 @@
 
 // Attributes returns the Bib-1 attributes of a clause, and its term as plain text without truncation. The relation Any
 // has no attributes: see ExpandAny. The error is an *Error.
-func Attributes(c *Clause) ([]Attribute, string, error) {
-	use, ok := useAttributes[c.Index]
+func Attributes(clause *Clause) ([]Attribute, string, error) {
+	use, ok := useAttributes[clause.Index]
 	if !ok {
-		return nil, "", unsupportedIndex.errorf("%s", c.Index)
+		return nil, "", unsupportedIndex.errorf("%s", clause.Index)
 	}
-	relation := c.Relation
+	relation := clause.Relation
 	structure := 0
 	completeness := 0
-	switch c.Relation {
+	switch clause.Relation {
 	case All:
 		relation = Equal
 		structure = structureWordList
@@ -95,13 +111,21 @@
 		return nil, "", unsupportedRelation.errorf("any")
 	case Equal:
 		structure = structureWord
-		if strings.ContainsAny(c.Term, " \t") {
+		if strings.ContainsAny(clause.Term, " \t") {
 			structure = structurePhrase
 		}
 	}
-	term, truncation := cutTruncation(c.Term)
-	attributes := []Attribute{{UseAttr, use}, {RelationAttr, relationAttributes[relation]}}
-	for _, optional := range []Attribute{{StructureAttr, structure}, {TruncationAttr, truncation}, {CompletenessAttr, completeness}} {
+	term, truncation := cutTruncation(clause.Term)
+	attributes := []Attribute{
+		{Type: UseAttr, Value: use},
+		{Type: RelationAttr, Value: relationAttributes[relation]},
+	}
+	optionalAttributes := []Attribute{
+		{Type: StructureAttr, Value: structure},
+		{Type: TruncationAttr, Value: truncation},
+		{Type: CompletenessAttr, Value: completeness},
+	}
+	for _, optional := range optionalAttributes {
 		if optional.Value != 0 {
 			attributes = append(attributes, optional)
 		}
@@ -134,22 +158,23 @@
 
 // ExpandAny turns each clause with the relation Any into clauses of its words, joined by Or: a Type-1 query has no
 // relation for it.
-func ExpandAny(n Node) Node {
-	switch n := n.(type) {
+func ExpandAny(tree Node) Node {
+	switch tree := tree.(type) {
 	case *Boolean:
-		return &Boolean{n.Operator, ExpandAny(n.Left), ExpandAny(n.Right)}
+		return &Boolean{Operator: tree.Operator, Left: ExpandAny(tree.Left), Right: ExpandAny(tree.Right)}
 	case *Clause:
-		words := strings.Fields(n.Term)
-		if n.Relation != Any || len(words) == 0 {
-			return n
+		words := strings.Fields(tree.Term)
+		if tree.Relation != Any || len(words) == 0 {
+			return tree
 		}
-		var expanded Node = &Clause{n.Index, Equal, words[0]}
+		var expanded Node = &Clause{Index: tree.Index, Relation: Equal, Term: words[0]}
 		for _, word := range words[1:] {
-			expanded = &Boolean{Or, expanded, &Clause{n.Index, Equal, word}}
+			clause := &Clause{Index: tree.Index, Relation: Equal, Term: word}
+			expanded = &Boolean{Operator: Or, Left: expanded, Right: clause}
 		}
 		return expanded
 	}
-	return n
+	return tree
 }
 
 // ClauseFromAttributes returns the clause that Bib-1 attributes and a plain term stand for. The error is an *Error.
@@ -172,37 +197,37 @@
 	structure, truncation, completeness int // 0: not given
 }
 
-func (d *attributeDecoder) add(a Attribute) error {
-	switch a.Type {
+func (d *attributeDecoder) add(attribute Attribute) error {
+	switch attribute.Type {
 	case UseAttr:
-		index, ok := indexesByUse[a.Value]
+		index, ok := indexesByUse[attribute.Value]
 		if !ok {
-			return unsupportedIndex.errorf("%d", a.Value)
+			return unsupportedIndex.errorf("%d", attribute.Value)
 		}
 		d.clause.Index = index
 	case RelationAttr:
-		relation, ok := relationsByAttribute[a.Value]
+		relation, ok := relationsByAttribute[attribute.Value]
 		if !ok {
-			return unsupportedRelation.errorf("%d", a.Value)
+			return unsupportedRelation.errorf("%d", attribute.Value)
 		}
 		d.clause.Relation = relation
 	case PositionAttr:
-		if a.Value != positionAny && a.Value != positionFirstInField {
-			return unsupportedPosition.errorf("%d", a.Value)
+		if attribute.Value != positionAny && attribute.Value != positionFirstInField {
+			return unsupportedPosition.errorf("%d", attribute.Value)
 		}
 	case StructureAttr:
-		d.structure = a.Value
-		return checkStructure(a.Value)
+		d.structure = attribute.Value
+		return checkStructure(attribute.Value)
 	case TruncationAttr:
-		d.truncation = a.Value
-		return checkTruncation(a.Value)
+		d.truncation = attribute.Value
+		return checkTruncation(attribute.Value)
 	case CompletenessAttr:
-		d.completeness = a.Value
-		if a.Value < completenessSubfield || a.Value > completenessField {
-			return unsupportedCompleteness.errorf("%d", a.Value)
+		d.completeness = attribute.Value
+		if attribute.Value < completenessSubfield || attribute.Value > completenessField {
+			return unsupportedCompleteness.errorf("%d", attribute.Value)
 		}
 	default:
-		return unsupportedAttribute.errorf("%d", a.Type)
+		return unsupportedAttribute.errorf("%d", attribute.Type)
 	}
 	return nil
 }
--- a/internal/query/cqlparse.go
+++ b/internal/query/cqlparse.go
@@ -4,9 +4,9 @@
 
 // parser is a recursive-descent parser of CQL.
 type parser struct {
-	tokens []token
-	at     int // index of the next token
-	depth  int // of open parentheses
+	tokens   []token
+	position int // index of the next token
+	depth    int // of open parentheses
 }
 
 // Parse reads CQL 1.2 without sorting, proximity and prefix assignments. Its error is an *Error.
@@ -19,7 +19,7 @@
 		return nil, err
 	}
 	p := &parser{tokens: tokens}
-	n, err := p.parseQuery()
+	tree, err := p.parseQuery()
 	if err != nil {
 		return nil, err
 	}
@@ -29,13 +29,13 @@
 		}
 		return nil, syntaxError.errorf("%q is left over", p.next().text)
 	}
-	return n, CheckLimits(n)
+	return tree, CheckLimits(tree)
 }
 
-func (p *parser) atEnd() bool { return p.at >= len(p.tokens) }
+func (p *parser) atEnd() bool { return p.position >= len(p.tokens) }
 
 // next is the next token; there must be one.
-func (p *parser) next() token { return p.tokens[p.at] }
+func (p *parser) next() token { return p.tokens[p.position] }
 
 // nextIs says whether the next token is an unquoted keyword or symbol.
 func (p *parser) nextIs(keyword string) bool {
@@ -61,7 +61,7 @@
 		if operators >= MaxOperators {
 			return nil, tooManyOperators.errorf("over %d boolean operators", MaxOperators)
 		}
-		p.at++
+		p.position++
 		if p.nextIs("/") {
 			return nil, unsupportedBooleanMod.errorf("boolean modifiers are not supported")
 		}
@@ -69,7 +69,7 @@
 		if err != nil {
 			return nil, err
 		}
-		left = &Boolean{operator, left, right}
+		left = &Boolean{Operator: operator, Left: left, Right: right}
 	}
 	return nil, err
 }
@@ -91,8 +91,17 @@
 
 // relations are the relations by their words in CQL.
 var relations = map[string]Relation{
-	"=": Equal, "scr": Equal, "==": Exact, "exact": Exact, "all": All, "any": Any, "<": Less, "<=": LessOrEqual, ">": Greater,
-	">=": GreaterOrEqual, "<>": NotEqual,
+	"=":     Equal,
+	"scr":   Equal,
+	"==":    Exact,
+	"exact": Exact,
+	"all":   All,
+	"any":   Any,
+	"<":     Less,
+	"<=":    LessOrEqual,
+	">":     Greater,
+	">=":    GreaterOrEqual,
+	"<>":    NotEqual,
 }
 
 // parseOperand parses a query in parentheses, or a clause.
@@ -109,16 +118,16 @@
 }
 
 func (p *parser) parseParenthesized() (Node, error) {
-	p.at++
-	n, err := p.parseQuery()
+	p.position++
+	tree, err := p.parseQuery()
 	if err != nil {
 		return nil, err
 	}
 	if !p.nextIs(")") {
 		return nil, unclosedParenthesis.errorf("a parenthesis is not closed")
 	}
-	p.at++
-	return n, nil
+	p.position++
+	return tree, nil
 }
 
 // parseClause parses a term, or an index with a relation and a term.
@@ -127,7 +136,7 @@
 	if first.isSymbol() {
 		return nil, syntaxError.errorf("%q where a term is due", first.text)
 	}
-	p.at++
+	p.position++
 	if p.atEnd() || p.next().quoted || first.quoted {
 		return newClause("", Equal, first.text)
 	}
@@ -135,7 +144,7 @@
 	if !ok {
 		return newClause("", Equal, first.text)
 	}
-	p.at++
+	p.position++
 	if p.nextIs("/") {
 		return nil, unsupportedModifier.errorf("relation modifiers are not supported")
 	}
@@ -143,7 +152,7 @@
 		return nil, syntaxError.errorf("no term after %s", relation)
 	}
 	term := p.next().text
-	p.at++
+	p.position++
 	return newClause(first.text, relation, term)
 }
 
@@ -152,7 +161,7 @@
 	index = strings.ToLower(index)
 	switch index {
 	case "cql.resultsetid":
-		return &ResultSet{term}, nil
+		return &ResultSet{Name: term}, nil
 	case "cql.serverchoice":
 		index = ""
 	}
@@ -162,5 +171,5 @@
 	if strings.TrimSpace(strings.Trim(term, "*")) == "" {
 		return nil, emptyTerm.errorf("an empty term")
 	}
-	return &Clause{index, relation, term}, nil
+	return &Clause{Index: index, Relation: relation, Term: term}, nil
 }
--- a/internal/query/cqlprint.go
+++ b/internal/query/cqlprint.go
@@ -3,39 +3,39 @@
 import "strings"
 
 // CQL prints a tree as CQL. Parse reads the result as the same tree.
-func CQL(n Node) string {
-	var b strings.Builder
-	printNode(&b, n)
-	return b.String()
+func CQL(tree Node) string {
+	var out strings.Builder
+	printNode(&out, tree)
+	return out.String()
 }
 
-func printNode(b *strings.Builder, n Node) {
-	switch n := n.(type) {
+func printNode(out *strings.Builder, node Node) {
+	switch node := node.(type) {
 	case *Boolean:
-		printOperand(b, n.Left)
-		b.WriteString(" " + string(n.Operator) + " ")
-		printOperand(b, n.Right)
+		printOperand(out, node.Left)
+		out.WriteString(" " + string(node.Operator) + " ")
+		printOperand(out, node.Right)
 	case *Clause:
-		if n.Index != "" {
-			b.WriteString(n.Index + " " + string(n.Relation) + " ")
-		} else if n.Relation != Equal {
-			b.WriteString("cql.serverChoice " + string(n.Relation) + " ")
+		if node.Index != "" {
+			out.WriteString(node.Index + " " + string(node.Relation) + " ")
+		} else if node.Relation != Equal {
+			out.WriteString("cql.serverChoice " + string(node.Relation) + " ")
 		}
-		b.WriteString(quote(n.Term))
+		out.WriteString(quote(node.Term))
 	case *ResultSet:
-		b.WriteString("cql.resultSetId = " + quote(n.Name))
+		out.WriteString("cql.resultSetId = " + quote(node.Name))
 	}
 }
 
 // printOperand prints an operand of a boolean operator, in parentheses if it is a boolean itself.
-func printOperand(b *strings.Builder, n Node) {
-	if _, nested := n.(*Boolean); !nested {
-		printNode(b, n)
+func printOperand(out *strings.Builder, node Node) {
+	if _, nested := node.(*Boolean); !nested {
+		printNode(out, node)
 		return
 	}
-	b.WriteByte('(')
-	printNode(b, n)
-	b.WriteByte(')')
+	out.WriteByte('(')
+	printNode(out, node)
+	out.WriteByte(')')
 }
 
 // quote puts a term into quotes, unless it reads as the same term without.
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -59,14 +59,14 @@
 func (*ResultSet) node() {}
 
 // CheckLimits returns an error if a tree exceeds MaxDepth or MaxOperators.
-func CheckLimits(n Node) error {
+func CheckLimits(tree Node) error {
 	operators := 0
-	var walk func(n Node, depth int) error
-	walk = func(n Node, depth int) error {
+	var walk func(node Node, depth int) error
+	walk = func(node Node, depth int) error {
 		if depth > MaxDepth {
 			return nestedTooDeep.errorf("nested over %d deep", MaxDepth)
 		}
-		boolean, ok := n.(*Boolean)
+		boolean, ok := node.(*Boolean)
 		if !ok {
 			return nil
 		}
@@ -79,25 +79,25 @@
 		}
 		return walk(boolean.Right, depth+1)
 	}
-	return walk(n, 1)
+	return walk(tree, 1)
 }
 
 // ResolveResultSets returns a tree in which the references to result sets are replaced by the queries that find returns
 // for their names. The argument is not changed; the result may share parts with it.
-func ResolveResultSets(n Node, find func(name string) (Node, error)) (Node, error) {
-	switch n := n.(type) {
+func ResolveResultSets(tree Node, find func(name string) (Node, error)) (Node, error) {
+	switch tree := tree.(type) {
 	case *ResultSet:
-		return find(n.Name)
+		return find(tree.Name)
 	case *Boolean:
-		left, err := ResolveResultSets(n.Left, find)
+		left, err := ResolveResultSets(tree.Left, find)
 		if err != nil {
 			return nil, err
 		}
-		right, err := ResolveResultSets(n.Right, find)
+		right, err := ResolveResultSets(tree.Right, find)
 		if err != nil {
 			return nil, err
 		}
-		return &Boolean{n.Operator, left, right}, nil
+		return &Boolean{Operator: tree.Operator, Left: left, Right: right}, nil
 	}
-	return n, nil
+	return tree, nil
 }
