--- a/internal/protocol/httpcheck/httpcheck_test.go
+++ b/internal/protocol/httpcheck/httpcheck_test.go
@@ -6,16 +6,22 @@
 	"testing"
 )
 
+func parseRanges(t *testing.T, text string) []Range {
+	t.Helper()
+	ranges, err := ParseRanges(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ranges
+}
+
 func TestExpect_Judge(t *testing.T) {
-	ranges := func(text string) []Range {
-		t.Helper()
-		r, err := ParseRanges(text)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return r
+	expect := &Expect{
+		Status: parseRanges(t, "200-299, 301,404"),
+		Drain:  parseRanges(t, "404"),
+		Body:   "fine",
+		Match:  regexp.MustCompile(`^all`),
 	}
-	expect := &Expect{Status: ranges("200-299, 301,404"), Drain: ranges("404"), Body: "fine", Match: regexp.MustCompile(`^all`)}
 	for _, test := range []struct {
 		name   string
 		status int
