Name the conditions of leaf's pool and give each step a line

Cause: predicates of four terms in one expression, struct literals and initialisers packed into lines, the same search for a dial twice. Change: host.isDialing, conn.isIdle, conn.namesInFlight, attempt.expired; the conditions are the same.

--- a/internal/backend/leaf/answer.go
+++ b/internal/backend/leaf/answer.go
@@ -42,7 +42,8 @@
 		return answer{}, fmt.Errorf("answer %.80q", line)
 	}
 	a, err := parseAnswerLine(line)
-	if a.value = value; err == nil && a.status == statusServed && !isValue(value) {
+	a.value = value
+	if err == nil && a.status == statusServed && !isValue(value) {
 		err = fmt.Errorf("value %.80q", value)
 	}
 	return a, err
--- a/internal/backend/leaf/attempt.go
+++ b/internal/backend/leaf/attempt.go
@@ -42,6 +42,12 @@
 	unconfirmed bool
 }
 
+// expired reports whether an attempt that is not written yet must not be written any more.
+func (a *attempt) expired(now time.Time) bool {
+	hasWriteBy := !a.call.WriteBy.IsZero()
+	return !now.Before(a.call.Deadline) || hasWriteBy && !now.Before(a.call.WriteBy)
+}
+
 // batch is the attempts that go to a server in one call.
 type batch struct {
 	host          *host
@@ -81,29 +87,32 @@
 }
 
 // mayAddConn reports whether another connection to a server is opened for its next part. Guards the parts that share one:
-// a corrupt answer to any of them ends the attempts of all.
+// a corrupt answer to any of them ends the attempts of all. A quarter of all connections is left for servers that have
+// none.
 func (p *Pool) mayAddConn(h *host) bool {
-	return len(h.conns) < p.limits.ConnsPerServer && p.connCount < p.limits.MaxConnections*3/4 && p.directory.Available(h.id) &&
-		!slices.ContainsFunc(h.conns, func(c *conn) bool { return c.state == connDialing })
+	return len(h.conns) < p.limits.ConnsPerServer &&
+		p.connCount < p.limits.MaxConnections*3/4 &&
+		p.directory.Available(h.id) &&
+		!h.isDialing()
 }
 
 // enqueue lets a batch wait, and dials if what is being dialed is not enough for all that waits.
 func (p *Pool) enqueue(now time.Time, b *batch) {
 	h := b.host
 	h.waiting = append(h.waiting, b)
-	streams := 0
-	waiting := 0
+	capacity := 0
 	for _, c := range h.conns {
 		if c.state == connDialing && c.addr == b.addr {
-			streams += p.limits.MaxStreams
+			capacity += p.limits.MaxStreams
 		}
 	}
+	waiting := 0
 	for _, other := range h.waiting {
 		if other.addr == b.addr {
 			waiting++
 		}
 	}
-	if streams < waiting {
+	if capacity < waiting {
 		p.connect(now, h, b.addr)
 	}
 }
@@ -114,7 +123,8 @@
 		return false
 	}
 	// A batch of more than MaxStreams attempts has an empty connection of its own.
-	if len(c.streams)+len(b.attempts) > max(p.limits.MaxStreams, len(b.attempts)) || p.stale(now, c) {
+	maxStreams := max(p.limits.MaxStreams, len(b.attempts))
+	if len(c.streams)+len(b.attempts) > maxStreams || p.stale(now, c) {
 		return false
 	}
 	for _, a := range b.attempts {
@@ -158,7 +168,7 @@
 			p.fail(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Rejected: true, Cause: errServerDraining})
 		case listed.Addr != b.addr || !listed.Started.Equal(b.serverStarted):
 			p.fail(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true, Cause: errServerReplaced})
-		case !now.Before(a.call.Deadline), !a.call.WriteBy.IsZero() && !now.Before(a.call.WriteBy):
+		case a.expired(now):
 			p.fail(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true})
 		default:
 			sendable = append(sendable, a)
@@ -182,13 +192,20 @@
 		return
 	}
 	switch {
-	case result == tcp.WriteNone: // so it never ran
-		p.fail(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: a.canceled, Cause: errBrokenBeforeFrame})
-	case result == tcp.WriteExpired: // nor did this
+	case result == tcp.WriteNone: // the server received none of it: it never ran
+		p.fail(a, &aggregator.AttemptError{
+			Progress: aggregator.NotConnected,
+			Canceled: a.canceled,
+			Cause:    errBrokenBeforeFrame,
+		})
+	case result == tcp.WriteExpired: // it never ran either
 		p.fail(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true, Cause: errWriteExpired})
 	case a.conn.state == connClosed: // the end of the frame may have left: it may have run
 		p.fail(a, &aggregator.AttemptError{
-			Progress: aggregator.Written, Canceled: a.canceled, CorruptStream: a.conn.corrupt, Cause: errBrokenInFrame,
+			Progress:      aggregator.Written,
+			Canceled:      a.canceled,
+			CorruptStream: a.conn.corrupt,
+			Cause:         errBrokenInFrame,
 		})
 	default:
 		a.state = stateInFlight
@@ -222,7 +239,13 @@
 	c.lastUsed = now
 	frame := AppendFrame(nil, frameCancel, []byte(a.call.Name))
 	if a.unconfirmed {
-		c.probes = append(c.probes, &probe{host: a.host, conn: c, sentAt: now, deadline: p.probeDeadline(now), confirms: a})
+		c.probes = append(c.probes, &probe{
+			host:     a.host,
+			conn:     c,
+			sentAt:   now,
+			deadline: p.probeDeadline(now),
+			confirms: a,
+		})
 		frame = AppendFrame(frame, frameProbe, nil)
 	}
 	c.transport.Write(frame, func(tcp.WriteResult) { p.mailbox.Put(cancelWritten{attempt: a}) })
@@ -231,7 +254,7 @@
 // cancelQueued ends an attempt that waits for a connection.
 func (p *Pool) cancelQueued(a *attempt) {
 	for _, b := range a.host.waiting {
-		b.attempts = slices.DeleteFunc(b.attempts, func(o *attempt) bool { return o == a })
+		b.attempts = slices.DeleteFunc(b.attempts, func(other *attempt) bool { return other == a })
 	}
 	a.host.waiting = slices.DeleteFunc(a.host.waiting, func(b *batch) bool { return len(b.attempts) == 0 })
 	p.fail(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true})
@@ -246,7 +269,10 @@
 	}
 	// Guards against a machine that vanished: its connections stay open and nothing comes on them, and whatever is written
 	// on them may have run for all that is known. A new connection shows whether it is there.
-	c.unresponsive = c.unresponsive || c.lastReceived.Before(a.writtenAt) && now.Sub(a.writtenAt) > p.limits.UnresponsiveAfter
+	silent := c.lastReceived.Before(a.writtenAt)
+	if silent && now.Sub(a.writtenAt) > p.limits.UnresponsiveAfter {
+		c.unresponsive = true
+	}
 	if !a.unconfirmed || c.state == connClosed {
 		p.endCanceled(now, a)
 	}
--- a/internal/backend/leaf/conn.go
+++ b/internal/backend/leaf/conn.go
@@ -83,6 +83,9 @@
 // isClosed reports whether nothing more goes out on the connection.
 func (c *conn) isClosed() bool { return c.state >= connClosing }
 
+// isIdle reports whether the connection is open and nothing is in flight on it.
+func (c *conn) isIdle() bool { return c.state == connOpen && len(c.streams) == 0 && len(c.probes) == 0 }
+
 // allCanceled reports whether all attempts in flight on the connection were canceled.
 func (c *conn) allCanceled() bool {
 	for _, a := range c.streams {
@@ -93,6 +96,19 @@
 	return true
 }
 
+// namesInFlight returns the names of the parts whose calls were written completely, in their order: nothing may depend on
+// the order of a map.
+func (c *conn) namesInFlight() []string {
+	var names []string
+	for name, a := range c.streams {
+		if a.state == stateInFlight {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // awaitsProbe reports whether the core waits for the answer to a probe on the connection.
 func (c *conn) awaitsProbe() bool {
 	return slices.ContainsFunc(c.probes, func(pr *probe) bool { return !pr.ended })
@@ -133,8 +149,7 @@
 	var oldest *conn
 	for _, h := range p.hosts {
 		for _, c := range h.conns {
-			idle := c.state == connOpen && len(c.streams) == 0 && len(c.probes) == 0
-			if idle && (oldest == nil || c.lastUsed.Before(oldest.lastUsed)) {
+			if c.isIdle() && (oldest == nil || c.lastUsed.Before(oldest.lastUsed)) {
 				oldest = c
 			}
 		}
@@ -154,7 +169,7 @@
 		p.removeConn(c)
 		c.state = connClosed
 		// What waits is not dialed for again here: the decisions may know a better server.
-		if !slices.ContainsFunc(c.host.conns, func(o *conn) bool { return o.state == connDialing }) {
+		if !c.host.isDialing() {
 			p.failWaiting(now, c.host, m.err)
 		}
 		return
@@ -258,27 +273,24 @@
 	}
 	c.state = connClosing
 	p.connCount--
-	c.host.conns = slices.DeleteFunc(c.host.conns, func(o *conn) bool { return o == c })
+	c.host.conns = slices.DeleteFunc(c.host.conns, func(other *conn) bool { return other == c })
 }
 
 // endStreams ends all that was in flight on a connection whose socket is closed. Attempts whose write is not accounted for
 // yet end when it is: only then is it known whether they can have run.
 func (p *Pool) endStreams(c *conn, cause error) {
 	c.state = connClosed
-	var names []string
-	for name, a := range c.streams {
-		if a.state == stateInFlight {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	// If the pool closed it as unresponsive, the other attempts in flight on it were canceled with the one that it was
+	// closed for.
+	closedAsUnresponsive := c.closeCause != nil && !c.corrupt
+	for _, name := range c.namesInFlight() {
 		a := c.streams[name]
-		// If the pool closed it as unresponsive, the other attempts in flight on it were canceled with the one that it was
-		// closed for.
-		canceled := a.canceled || c.closeCause != nil && !c.corrupt
+		canceled := a.canceled || closedAsUnresponsive
 		p.fail(a, &aggregator.AttemptError{
-			Progress: aggregator.Written, Canceled: canceled, CorruptStream: c.corrupt && !canceled, Cause: cause,
+			Progress:      aggregator.Written,
+			Canceled:      canceled,
+			CorruptStream: c.corrupt && !canceled,
+			Cause:         cause,
 		})
 	}
 	for _, pr := range c.probes {
--- a/internal/backend/leaf/frame.go
+++ b/internal/backend/leaf/frame.go
@@ -80,7 +80,8 @@
 	}
 	end := lengthLen + n
 	f = Frame{Type: p.buf[lengthLen], Payload: append([]byte(nil), p.buf[lengthLen+typeLen:end]...)}
-	if p.buf = p.buf[end:]; len(p.buf) == 0 {
+	p.buf = p.buf[end:]
+	if len(p.buf) == 0 {
 		p.buf = nil
 	}
 	return f, true, nil
--- a/internal/backend/leaf/pool.go
+++ b/internal/backend/leaf/pool.go
@@ -98,6 +98,11 @@
 	probes  []*probe
 }
 
+// isDialing reports whether a connection to the server is being dialed.
+func (h *host) isDialing() bool {
+	return slices.ContainsFunc(h.conns, func(c *conn) bool { return c.state == connDialing })
+}
+
 // takeWaiting returns the batches and the probes that wait for a connection, and lets none of them wait any longer.
 func (h *host) takeWaiting() ([]*batch, []*probe) {
 	batches := h.waiting
--- a/internal/backend/serialconn/conn.go
+++ b/internal/backend/serialconn/conn.go
@@ -199,7 +199,7 @@
 }
 
 func (p *Pool) removeIdle(c *conn) {
-	p.idle[c.server] = slices.DeleteFunc(p.idle[c.server], func(o *conn) bool { return o == c })
+	p.idle[c.server] = slices.DeleteFunc(p.idle[c.server], func(other *conn) bool { return other == c })
 	if len(p.idle[c.server]) == 0 {
 		delete(p.idle, c.server)
 	}
