Break packed lines of protocol, tcp and the codecs; name a predicate of http1

Cause: lines of up to 140 columns, literals of four fields in a line, conditions of four terms, and the operators of type-1 queries in two tables. Change: a field and a step a line; statusAllowsBody; one table of operators. Printed bytes are the same: formats are cut into pieces only. Measured: go vet, and go test -race -count=1 of net, backend, protocol, query and frontend pass.

--- a/internal/backend/sru/client.go
+++ b/internal/backend/sru/client.go
@@ -84,7 +84,8 @@
 		reply.Err = err
 		return reply
 	}
-	reply.Value, reply.Score = query.Encode(result), float64(result.Count)
+	reply.Value = query.Encode(result)
+	reply.Score = float64(result.Count)
 	return reply
 }
 
@@ -120,7 +121,11 @@
 		// A request for a shard that the server does not hold did not run.
 		if mismatch, epoch, ok := shardmap.ParseMismatch(d.Details); ok {
 			return &aggregator.AttemptError{
-				Progress: aggregator.Answered, Rejected: true, MapStatus: mismatch, Epoch: epoch, Cause: errors.New(d.Details),
+				Progress:  aggregator.Answered,
+				Rejected:  true,
+				MapStatus: mismatch,
+				Epoch:     epoch,
+				Cause:     errors.New(d.Details),
 			}
 		}
 	}
--- a/internal/backend/z3950/client.go
+++ b/internal/backend/z3950/client.go
@@ -175,7 +175,8 @@
 		return judgeResult(updateResult(node)), nil
 	case z3950.ClosePDU:
 		reason := node.Kid(tagCloseReason).IntOr(reasonUnspecified)
-		return serialconn.Reply{}, fmt.Errorf("z3950: the target closed: reason %d %s", reason, node.Kid(tagCloseDiagnostics).Text())
+		details := node.Kid(tagCloseDiagnostics).Text()
+		return serialconn.Reply{}, fmt.Errorf("z3950: the target closed: reason %d %s", reason, details)
 	default:
 		return serialconn.Reply{}, fmt.Errorf("z3950: unit %d", node.Tag)
 	}
@@ -218,12 +219,17 @@
 		// A request for a shard that the target does not hold did not run.
 		if mismatch, epoch, ok := shardmap.ParseMismatch(d.Details); ok {
 			return &aggregator.AttemptError{
-				Progress: aggregator.Answered, Rejected: true, MapStatus: mismatch, Epoch: epoch, Cause: errors.New(d.Details),
+				Progress:  aggregator.Answered,
+				Rejected:  true,
+				MapStatus: mismatch,
+				Epoch:     epoch,
+				Cause:     errors.New(d.Details),
 			}
 		}
 	}
 	if serverDiagnostics[d.Bib1] {
-		return &aggregator.AttemptError{Progress: aggregator.Answered, Cause: fmt.Errorf("bib-1 %d %s", d.Bib1, d.Details)}
+		cause := fmt.Errorf("bib-1 %d %s", d.Bib1, d.Details)
+		return &aggregator.AttemptError{Progress: aggregator.Answered, Cause: cause}
 	}
 	return nil
 }
--- a/internal/net/tcp/conn.go
+++ b/internal/net/tcp/conn.go
@@ -97,7 +97,10 @@
 func (c *Conn) attach() {
 	// Neither call fails on a connection that was just made: their errors are for other kinds of connections.
 	_ = c.socket.SetWriteTimeout(writeTimeout)
-	_ = c.socket.AddCloseCallback(func(netpoll.Connection) error { c.end(); return nil })
+	_ = c.socket.AddCloseCallback(func(netpoll.Connection) error {
+		c.end()
+		return nil
+	})
 }
 
 // end reports to the handler that the connection has ended. netpoll calls it before it releases the descriptor.
--- a/internal/net/tcp/dial.go
+++ b/internal/net/tcp/dial.go
@@ -77,7 +77,11 @@
 	c := &Conn{socket: socket, peer: peer, done: make(chan struct{})}
 	c.handler = handler(c)
 	c.attach()
-	if err := socket.SetOnRequest(func(context.Context, netpoll.Connection) error { c.read(); return nil }); err != nil {
+	err := socket.SetOnRequest(func(context.Context, netpoll.Connection) error {
+		c.read()
+		return nil
+	})
+	if err != nil {
 		c.closeSocket()
 		return nil, err
 	}
--- a/internal/net/tcp/listen.go
+++ b/internal/net/tcp/listen.go
@@ -51,7 +51,9 @@
 }
 
 // onConnect lets a handler send first. It runs off the poller, so that a connection that was not admitted may wait here.
-func onConnect(ctx context.Context, socket netpoll.Connection, limiter *ConnLimiter, accept func(*Conn) Handler) context.Context {
+func onConnect(
+	ctx context.Context, socket netpoll.Connection, limiter *ConnLimiter, accept func(*Conn) Handler,
+) context.Context {
 	c, ok := ctx.Value(connKey{}).(*Conn)
 	if !ok {
 		if !limiter.admitLater() {
--- a/internal/protocol/http1/parser.go
+++ b/internal/protocol/http1/parser.go
@@ -35,10 +35,16 @@
 // Parser parses a stream of messages, in whatever pieces its bytes come. The zero value parses requests. It is not safe
 // for concurrent use.
 type Parser struct {
-	Responses bool               // the messages are responses, not requests
-	Head      func(*Message)     // if set, called with each message as soon as its header is complete
-	Stream    func([]byte) error // if set, called with the bytes of bodies as they come; Message.Body stays empty. It must not retain them.
-	MaxBody   int                // limit of a body in bytes, if Stream is not set; 0: the package's MaxBody
+	Responses bool // the messages are responses, not requests
+
+	// Head, if set, is called with each message as soon as its header is complete.
+	Head func(*Message)
+
+	// Stream, if set, is called with the bytes of bodies as they come; Message.Body stays empty. It must not retain them.
+	Stream func([]byte) error
+
+	// MaxBody is the limit of a body in bytes, if Stream is not set; 0: the package's MaxBody.
+	MaxBody int
 
 	buf       []byte
 	stage     stage
@@ -55,7 +61,10 @@
 
 // WantsContinue returns whether the sender of the message in progress waits for 100 Continue.
 func (p *Parser) WantsContinue() bool {
-	return p.stage != inHead && p.stage != broken && p.message != nil && p.message.Header.hasToken("expect", "100-continue")
+	if p.stage == inHead || p.stage == broken || p.message == nil {
+		return false
+	}
+	return p.message.Header.hasToken("expect", "100-continue")
 }
 
 // Feed adds bytes to the stream. They are copied.
@@ -241,7 +250,12 @@
 	if err := message.parseFields(lines[1:]); err != nil {
 		return needBytes, err
 	}
-	message.Close = message.Header.hasToken("connection", "close") || http10 && !message.Header.hasToken("connection", "keep-alive")
+	if http10 { // the connection ends with the message, unless the peer asks for it to be kept
+		message.Close = !message.Header.hasToken("connection", "keep-alive")
+	}
+	if message.Header.hasToken("connection", "close") {
+		message.Close = true
+	}
 	if err := p.startBody(message); err != nil {
 		return needBytes, err
 	}
@@ -278,7 +292,7 @@
 		}
 		p.stage = inBody
 		p.remaining = int(n)
-	case p.Responses && message.Status != 204 && message.Status != 304 && message.Status >= 200:
+	case p.Responses && statusAllowsBody(message.Status):
 		p.stage = untilClose
 		message.Close = true
 	default:
@@ -286,3 +300,8 @@
 	}
 	return nil
 }
+
+// statusAllowsBody returns whether a response with a status may have a body (RFC 9112, section 6.3).
+func statusAllowsBody(status int) bool {
+	return status >= 200 && status != 204 && status != 304
+}
--- a/internal/protocol/httpcheck/httpcheck.go
+++ b/internal/protocol/httpcheck/httpcheck.go
@@ -31,7 +31,8 @@
 	for _, element := range strings.Split(text, ",") {
 		r, err := parseRange(strings.TrimSpace(element))
 		if err != nil || r.From < minStatus || r.To > maxStatus || r.From > r.To {
-			return nil, fmt.Errorf("statuses %q: each is %d to %d, or a range of these as 200-299", element, minStatus, maxStatus)
+			return nil, fmt.Errorf("statuses %q: each is %d to %d, or a range of these as 200-299",
+				element, minStatus, maxStatus)
 		}
 		ranges = append(ranges, r)
 	}
--- a/internal/protocol/sru/search.go
+++ b/internal/protocol/sru/search.go
@@ -153,7 +153,8 @@
 // SearchResponse prints the response to a search.
 func SearchResponse(result SearchResult) []byte {
 	var b strings.Builder
-	fmt.Fprintf(&b, XMLHeader+`<searchRetrieveResponse xmlns="%s"><version>1.2</version><numberOfRecords>%d</numberOfRecords>`,
+	fmt.Fprintf(&b, XMLHeader+
+		`<searchRetrieveResponse xmlns="%s"><version>1.2</version><numberOfRecords>%d</numberOfRecords>`,
 		NamespaceSRW, result.Count)
 	if len(result.Records) > 0 {
 		b.WriteString("<records>")
--- a/internal/protocol/sru/update.go
+++ b/internal/protocol/sru/update.go
@@ -54,10 +54,12 @@
 func UpdateRequest(update Update) []byte {
 	record := ""
 	if update.Record.XML != "" {
-		record = fmt.Sprintf("<record><recordSchema>%s</recordSchema><recordPacking>xml</recordPacking><recordData>%s</recordData></record>",
+		record = fmt.Sprintf("<record><recordSchema>%s</recordSchema><recordPacking>xml</recordPacking>"+
+			"<recordData>%s</recordData></record>",
 			EscapeText(schemaOf(update.Record)), update.Record.XML)
 	}
-	return fmt.Appendf(nil, XMLHeader+`<soap:Envelope xmlns:soap="%s"><soap:Body><updateRequest xmlns="%s"><version>1.0</version>`+
+	return fmt.Appendf(nil, XMLHeader+
+		`<soap:Envelope xmlns:soap="%s"><soap:Body><updateRequest xmlns="%s"><version>1.0</version>`+
 		"<action>%s%s</action><recordIdentifier>%s</recordIdentifier>%s</updateRequest></soap:Body></soap:Envelope>\n",
 		namespaceSOAP, namespaceUpdate, actionPrefix, update.Action, EscapeText(update.Record.ID), record)
 }
@@ -68,7 +70,9 @@
 	if succeeded {
 		status = statusSuccess
 	}
-	return fmt.Appendf(nil, XMLHeader+`<soap:Envelope xmlns:soap="%s"><soap:Body><updateResponse xmlns="%s"><version>1.0</version>`+
-		"<operationStatus>%s</operationStatus><recordIdentifier>%s</recordIdentifier>%s</updateResponse></soap:Body></soap:Envelope>\n",
+	return fmt.Appendf(nil, XMLHeader+
+		`<soap:Envelope xmlns:soap="%s"><soap:Body><updateResponse xmlns="%s"><version>1.0</version>`+
+		"<operationStatus>%s</operationStatus><recordIdentifier>%s</recordIdentifier>%s"+
+		"</updateResponse></soap:Body></soap:Envelope>\n",
 		namespaceSOAP, namespaceUpdate, status, EscapeText(id), diagnosticsElement(diagnostics))
 }
--- a/internal/protocol/z3950/ber.go
+++ b/internal/protocol/z3950/ber.go
@@ -29,8 +29,9 @@
 // indefinite is the length of a value that lasts until two zero octets.
 const indefinite = -1
 
-// Decode reads one value from the front of data and returns it with the bytes after it. The value shares no memory with data. The
-// error is ErrMore if data ends too soon; any other means that data does not begin with a value within the limits.
+// Decode reads one value from the front of data and returns it with the bytes after it. The value shares no memory with
+// data. The error is ErrMore if data ends too soon; any other means that data does not begin with a value within the
+// limits.
 func Decode(data []byte) (value *Node, rest []byte, err error) {
 	d := decoder{remaining: maxNodes}
 	return d.value(data, 0)
@@ -84,7 +85,8 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		n.Kids, content = append(n.Kids, kid), after
+		n.Kids = append(n.Kids, kid)
+		content = after
 	}
 	return n, rest, nil
 }
@@ -99,13 +101,18 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		n.Kids, data = append(n.Kids, kid), rest
+		n.Kids = append(n.Kids, kid)
+		data = rest
 	}
 }
 
 // decodeIdentifier reads the class and tag of a value. data is not empty.
 func decodeIdentifier(data []byte) (n *Node, rest []byte, err error) {
-	n = &Node{Class: Class(data[0] >> 6), Cons: data[0]&constructedBit != 0, Tag: int(data[0] & longTag)}
+	n = &Node{
+		Class: Class(data[0] >> 6),
+		Cons:  data[0]&constructedBit != 0,
+		Tag:   int(data[0] & longTag),
+	}
 	data = data[1:]
 	if n.Tag != longTag {
 		return n, data, nil
--- a/internal/protocol/z3950/rpn.go
+++ b/internal/protocol/z3950/rpn.go
@@ -2,13 +2,14 @@
 
 import (
 	"errors"
+	"slices"
 	"strings"
 
 	"rooktrestle/internal/query"
 )
 
 // rpnOperators are the operators of a type-1 query by their context tags.
-var rpnOperators = []query.Operator{query.And, query.Or, query.Not}
+var rpnOperators = []query.Operator{0: query.And, 1: query.Or, 2: query.Not}
 
 // Diagnostics of queries that cannot be read, in the diagnostic sets of both protocols.
 
@@ -61,8 +62,8 @@
 		if err != nil {
 			return nil, err
 		}
-		operator := map[query.Operator]int{query.And: 0, query.Or: 1, query.Not: 2}[tree.Operator]
-		return Ctx(rpnOperation, left, right, Ctx(rpnOperator, primitive(Context, operator, nil))), nil
+		tag := max(0, slices.Index(rpnOperators, tree.Operator))
+		return Ctx(rpnOperation, left, right, Ctx(rpnOperator, primitive(Context, tag, nil))), nil
 	case *query.ResultSet:
 		return Ctx(rpnOperand, Str(operandResultSet, tree.Name)), nil
 	case *query.Clause:
@@ -72,7 +73,8 @@
 		}
 		list := Ctx(clauseAttributes)
 		for _, attribute := range attributes {
-			list.Kids = append(list.Kids, sequence(Num(attributeType, attribute.Type), Num(attributeValue, attribute.Value)))
+			element := sequence(Num(attributeType, attribute.Type), Num(attributeValue, attribute.Value))
+			list.Kids = append(list.Kids, element)
 		}
 		return Ctx(rpnOperand, Ctx(operandClause, list, Str(clauseGeneralTerm, term))), nil
 	}
--- a/internal/protocol/z3950/update.go
+++ b/internal/protocol/z3950/update.go
@@ -22,7 +22,11 @@
 )
 
 // updateActions are the actions of a database update by their codes.
-var updateActions = map[int]query.Action{1: query.ActionCreate, 2: query.ActionReplace, 3: query.ActionDelete}
+var updateActions = map[int]query.Action{
+	1: query.ActionCreate,
+	2: query.ActionReplace,
+	3: query.ActionDelete,
+}
 
 // UpdateRequest is a database update of one record.
 type UpdateRequest struct {
@@ -98,7 +102,8 @@
 	if task == nil || !task.is(taskRequest) {
 		return nil, nil, malformedTask("task parameters")
 	}
-	toKeep, supplied = task.Kid(fieldUpdateToKeep), task.Kid(fieldUpdateNotToKeep)
+	toKeep = task.Kid(fieldUpdateToKeep)
+	supplied = task.Kid(fieldUpdateNotToKeep)
 	if toKeep == nil || supplied == nil {
 		return nil, nil, malformedTask("task parameters")
 	}
