Name the fields of test cases in net, backend and protocol, and split their long conditions

Cause: positional cases, conditions of up to six terms on a line of 164 columns. Change: fields by name, zero values left out; a step a line. Every case and every condition stays; TestPool_IncompleteFrameClosesConnection tells a missing end from a wrong one, and the order of two responses now also fails where both are missing.

--- a/internal/backend/leaf/crossings_test.go
+++ b/internal/backend/leaf/crossings_test.go
@@ -203,7 +203,8 @@
 			c.change(b, id)
 			close(dial.release)
 			b.handleUntil(isDialResult)
-			if e := b.attemptError(0, id); e.Progress != aggregator.NotConnected || e.Rejected != c.rejected || e.Canceled == c.rejected {
+			e := b.attemptError(0, id)
+			if e.Progress != aggregator.NotConnected || e.Rejected != c.rejected || e.Canceled == c.rejected {
 				t.Errorf("%+v", e)
 			}
 			// The connection itself is good, and is kept until it has been idle.
--- a/internal/backend/leaf/frame_test.go
+++ b/internal/backend/leaf/frame_test.go
@@ -31,7 +31,11 @@
 }
 
 func TestParseAnswer_RejectsInvalid(t *testing.T) {
-	for _, payload := range []string{"q.0 S 1 -\n5be2a07c19f04d6", "q.0 S 1 -\n5be2a07c19f04d6Z", "q.0 S NaN -\n" + validValue} {
+	for _, payload := range []string{
+		"q.0 S 1 -\n5be2a07c19f04d6",
+		"q.0 S 1 -\n5be2a07c19f04d6Z",
+		"q.0 S NaN -\n" + validValue,
+	} {
 		if _, err := parseAnswer([]byte(payload)); err == nil {
 			t.Errorf("%q was accepted", payload)
 		}
--- a/internal/backend/leaf/pool_test.go
+++ b/internal/backend/leaf/pool_test.go
@@ -129,7 +129,11 @@
 	h.cancel(first, false)
 	transport.settle(tcp.WriteComplete)
 	h.runTurn()
-	retry := aggregator.Call{Attempt: aggregator.AttemptID{Part: 0, Number: 1}, Name: first.name, Deadline: h.now.Add(time.Second)}
+	retry := aggregator.Call{
+		Attempt:  aggregator.AttemptID{Part: 0, Number: 1},
+		Name:     first.name,
+		Deadline: h.now.Add(time.Second),
+	}
 	h.pool.Send(h.now, h.server(), []aggregator.Call{retry})
 	h.runTurn()
 	if len(h.dials) != 1 || len(transport.writes) != 0 {
@@ -197,7 +201,8 @@
 		if len(events) > 0 {
 			t.Errorf("%+v", events)
 		}
-		due, closing := after > 0, transport.abortDone != nil
+		due := after > 0
+		closing := transport.abortDone != nil
 		if a.endCount != 0 || closing != due || !due && !next.Equal(h.now.Add(maxPartialFrameAge)) {
 			t.Errorf("after %v: ended %d times, closing %v, next sweep at %v", after, a.endCount, closing, next)
 		}
@@ -205,8 +210,11 @@
 	transport.finishAbort()
 	h.runTurn()
 	var e *aggregator.AttemptError
-	if ok := errors.As(a.err, &e); a.endCount != 1 || !ok || e.Progress != aggregator.Written || !e.CorruptStream || e.Canceled {
-		t.Errorf("ended %d times: %v", a.endCount, a.err)
+	if !errors.As(a.err, &e) || a.endCount != 1 {
+		t.Fatalf("ended %d times: %v", a.endCount, a.err)
+	}
+	if e.Progress != aggregator.Written || !e.CorruptStream || e.Canceled {
+		t.Errorf("ended with %v", a.err)
 	}
 }
 
@@ -239,7 +247,9 @@
 		t.Fatalf("3 aggregators: %d connections each, 80 aggregators: %d", few, many)
 	}
 	h := newHarness(t)
-	h.pool.limits.MaxConnections, h.pool.limits.MaxStreams, h.pool.limits.ConnsPerServer = 8, 100, ConnsPerServer(80)
+	h.pool.limits.MaxConnections = 8
+	h.pool.limits.MaxStreams = 100
+	h.pool.limits.ConnsPerServer = ConnsPerServer(80)
 	h.send()
 	h.finishDial(nil)
 	for range 20 {
@@ -309,10 +319,18 @@
 		mayRetry      bool
 		abandoned     bool
 	}{
-		"nothing received for long":            {2 * time.Second, false, false, true},
-		"probe answered":                       {2 * time.Second, true, true, false},
-		"canceled soon, and not to be retried": {100 * time.Millisecond, false, false, false},
-		"canceled soon, and to be retried":     {100 * time.Millisecond, false, true, true},
+		"nothing received for long": {canceledAfter: 2 * time.Second, abandoned: true},
+		"probe answered": {
+			canceledAfter: 2 * time.Second,
+			received:      true,
+			mayRetry:      true,
+		},
+		"canceled soon, and not to be retried": {canceledAfter: 100 * time.Millisecond},
+		"canceled soon, and to be retried": {
+			canceledAfter: 100 * time.Millisecond,
+			mayRetry:      true,
+			abandoned:     true,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
--- a/internal/backend/sru/client_test.go
+++ b/internal/backend/sru/client_test.go
@@ -11,20 +11,26 @@
 
 func TestJudge(t *testing.T) {
 	diagnosed := func(code string) string {
-		return `<searchRetrieveResponse><numberOfRecords>0</numberOfRecords><diagnostics><diagnostic><uri>info:srw/diagnostic/1/` + code + `</uri></diagnostic></diagnostics></searchRetrieveResponse>`
+		return `<searchRetrieveResponse><numberOfRecords>0</numberOfRecords><diagnostics><diagnostic>` +
+			`<uri>info:srw/diagnostic/1/` + code + `</uri></diagnostic></diagnostics></searchRetrieveResponse>`
 	}
 	for name, c := range map[string]struct {
 		body   string
 		failed bool
 	}{
-		"system error":       {diagnosed("1"), true},
-		"system unavailable": {diagnosed("2"), true},
-		"unsupported index":  {diagnosed("16"), false},
-		"partial result":     {diagnosed("59"), false},
-		"not XML":            {"junk", true},
-		"another document":   {"<html/>", true},
-		"negative count":     {"<searchRetrieveResponse><numberOfRecords>-4</numberOfRecords></searchRetrieveResponse>", true},
-		"update that failed": {"<updateResponse><operationStatus>fail</operationStatus></updateResponse>", false},
+		"system error":       {body: diagnosed("1"), failed: true},
+		"system unavailable": {body: diagnosed("2"), failed: true},
+		"unsupported index":  {body: diagnosed("16")},
+		"partial result":     {body: diagnosed("59")},
+		"not XML":            {body: "junk", failed: true},
+		"another document":   {body: "<html/>", failed: true},
+		"negative count": {
+			body:   "<searchRetrieveResponse><numberOfRecords>-4</numberOfRecords></searchRetrieveResponse>",
+			failed: true,
+		},
+		"update that failed": {
+			body: "<updateResponse><operationStatus>fail</operationStatus></updateResponse>",
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			reply := judge(&http1.Message{Status: http.StatusOK, Body: []byte(c.body)})
--- a/internal/net/gossip/gossip_test.go
+++ b/internal/net/gossip/gossip_test.go
@@ -70,9 +70,9 @@
 
 func TestOpen_BadAddresses(t *testing.T) {
 	for _, c := range []struct{ name, listen, all, peer string }{
-		{"of the listener", "x", "127.0.0.1:1", "127.0.0.1:1"},
-		{"of all peers", "127.0.0.1:0", "x", "127.0.0.1:1"},
-		{"of one peer", "127.0.0.1:0", "127.0.0.1:1", "x"},
+		{name: "of the listener", listen: "x", all: "127.0.0.1:1", peer: "127.0.0.1:1"},
+		{name: "of all peers", listen: "127.0.0.1:0", all: "x", peer: "127.0.0.1:1"},
+		{name: "of one peer", listen: "127.0.0.1:0", all: "127.0.0.1:1", peer: "x"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			options := Options{Listen: c.listen, Broadcast: c.all, Peers: []string{c.peer}, Receive: func([]byte) {}}
--- a/internal/net/httpserve/helpers_test.go
+++ b/internal/net/httpserve/helpers_test.go
@@ -87,8 +87,13 @@
 // connectHeld connects a client; what it sends is read off the socket and held until the test releases it.
 func (s *testServer) connectHeld(t *testing.T) (client, *heldHandler) {
 	t.Helper()
-	h, accepted := &heldHandler{nil, make(chan struct{}), make(chan struct{}), make(chan struct{})}, make(chan struct{})
-	s.acceptWith(func(conn *tcp.Conn) tcp.Handler { h.Handler = s.Accept(conn); close(accepted); return h })
+	h := &heldHandler{arrived: make(chan struct{}), release: make(chan struct{}), closed: make(chan struct{})}
+	accepted := make(chan struct{})
+	s.acceptWith(func(conn *tcp.Conn) tcp.Handler {
+		h.Handler = s.Accept(conn)
+		close(accepted)
+		return h
+	})
 	c := s.connect(t)
 	<-accepted
 	return c, h
--- a/internal/net/httpserve/server_test.go
+++ b/internal/net/httpserve/server_test.go
@@ -26,7 +26,8 @@
 	}
 	passed[1].Respond(http.StatusOK, []byte("two"))
 	text := conn.written.String()
-	if strings.Count(text, "HTTP/1.1 200") != 2 || strings.Index(text, "one") > strings.Index(text, "two") || conn.closedGracefully {
+	inOrder := strings.Index(text, "one") < strings.Index(text, "two")
+	if strings.Count(text, "HTTP/1.1 200") != 2 || !inOrder || conn.closedGracefully {
 		t.Errorf("%q", text)
 	}
 }
@@ -34,7 +35,10 @@
 func TestExchange_ClientDisconnects(t *testing.T) {
 	disconnects := 0
 	var x *Exchange
-	s := New(Timeouts{}, startTime, func(passed *Exchange) { x = passed; x.OnDisconnect(func() { disconnects++ }) })
+	s := New(Timeouts{}, startTime, func(passed *Exchange) {
+		x = passed
+		x.OnDisconnect(func() { disconnects++ })
+	})
 	conn := &fakeConn{}
 	c := s.Attach(conn)
 	c.Data([]byte(getRequest))
@@ -83,7 +87,8 @@
 func TestServer_EvictIdle(t *testing.T) {
 	now := startTime()
 	var x *Exchange
-	s := New(Timeouts{EvictableAfter: 2 * time.Second}, func() time.Time { return now }, func(passed *Exchange) { x = passed })
+	clock := func() time.Time { return now }
+	s := New(Timeouts{EvictableAfter: 2 * time.Second}, clock, func(passed *Exchange) { x = passed })
 	attach := func(sent string, respond bool) *fakeConn {
 		conn := &fakeConn{}
 		c := s.Attach(conn)
@@ -113,8 +118,10 @@
 	for range 4 {
 		s.EvictIdle(true)
 	}
-	if !keptAlive.closedAndWaited || !fresh.closedAndWaited || !half.closedAndWaited || busy.closedAndWaited || s.EvictIdle(true) {
-		t.Errorf("evicted: kept alive %v, fresh %v, half %v, busy %v", keptAlive.closedAndWaited, fresh.closedAndWaited, half.closedAndWaited, busy.closedAndWaited)
+	allIdleEvicted := keptAlive.closedAndWaited && fresh.closedAndWaited && half.closedAndWaited
+	if !allIdleEvicted || busy.closedAndWaited || s.EvictIdle(true) {
+		t.Errorf("evicted: kept alive %v, fresh %v, half %v, busy %v",
+			keptAlive.closedAndWaited, fresh.closedAndWaited, half.closedAndWaited, busy.closedAndWaited)
 	}
 	if n := s.Counters().Evicted; n != 5 {
 		t.Errorf("%d evicted", n)
@@ -123,10 +130,11 @@
 
 // The time-out of the first request runs from the start of the connection: what trickles in does not prolong it.
 func TestTimeouts_FirstRequest(t *testing.T) {
-	s := New(Timeouts{FirstRequest: time.Hour, Idle: time.Hour, ReadRequest: time.Hour}, startTime, func(x *Exchange) { x.Respond(http.StatusOK, nil) })
+	timeouts := Timeouts{FirstRequest: time.Hour, Idle: time.Hour, ReadRequest: time.Hour}
+	s := New(timeouts, startTime, func(x *Exchange) { x.Respond(http.StatusOK, nil) })
 	for _, c := range []struct{ name, sent, want string }{
-		{"nothing was sent", "", ""},
-		{"a part of a request was sent", "GET / HT", "HTTP/1.1 408 "},
+		{name: "nothing was sent"}, // the connection ends without a response
+		{name: "a part of a request was sent", sent: "GET / HT", want: "HTTP/1.1 408 "},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			conn := &fakeConn{}
@@ -135,8 +143,10 @@
 			if sc.Data([]byte(c.sent)); sc.timer != timer {
 				t.Error("the timer was started again")
 			}
-			if sc.expire(); !conn.closedGracefully || !strings.HasPrefix(conn.written.String(), c.want) || c.want == "" && conn.written.Len() > 0 {
-				t.Errorf("%q", conn.written.String())
+			sc.expire()
+			written := conn.written.String()
+			if !conn.closedGracefully || !strings.HasPrefix(written, c.want) || c.want == "" && written != "" {
+				t.Errorf("%q", written)
 			}
 		})
 	}
@@ -180,7 +190,9 @@
 			t.Errorf("%d: %d busy", i, busyConns(s))
 		}
 		x.Respond(http.StatusOK, nil)
-		if overload := i >= 2; conn.closedGracefully != overload || strings.Contains(conn.written.String(), "Connection: close") != overload {
+		overload := i >= 2
+		toldToClose := strings.Contains(conn.written.String(), "Connection: close")
+		if conn.closedGracefully != overload || toldToClose != overload {
 			t.Errorf("%d: closed %v, %q", i, conn.closedGracefully, conn.written.String())
 		}
 	}
--- a/internal/protocol/agentcheck/agentcheck_test.go
+++ b/internal/protocol/agentcheck/agentcheck_test.go
@@ -12,19 +12,43 @@
 		line string
 		want Report
 	}{
-		{"state and weight", "up 75%", Report{State: Up, Weight: 0.75, MaxConn: -1}},
-		{"commas and tabs separate", "ready,up\t100% maxconn:30", Report{State: Up, Admin: Ready, Weight: 1, MaxConn: 30}},
-		{"any order, any case, only the first line", "maxconn:30 100% up READY\r\nx", Report{State: Up, Admin: Ready, Weight: 1, MaxConn: 30}},
-		{"drain", "drain", Report{Admin: Drain, Weight: -1, MaxConn: -1}},
-		{"maintenance", "MAINT", Report{Admin: Maint, Weight: -1, MaxConn: -1}},
-		{"nothing is read from the description", "stopped #going home, 5%", Report{State: Stopped, Weight: -1, MaxConn: -1, Description: "going home, 5%"}},
-		{"failed", "failed", Report{State: Failed, Weight: -1, MaxConn: -1}},
-		{"a weight of zero is named", "0%", Report{Weight: 0, MaxConn: -1}},
-		{"the weight is limited", "9999%", Report{Weight: 2.56, MaxConn: -1}},
-		{"the later state counts", "down up", Report{State: Up, Weight: -1, MaxConn: -1}},
-		{"unknown words are reported", "up sideways -1%", Report{State: Up, Weight: -1, MaxConn: -1, Unknown: []string{"sideways", "-1%"}}},
-		{"a limit without its number is unknown", "up maxconn: 5", Report{State: Up, Weight: -1, MaxConn: -1, Unknown: []string{"maxconn:", "5"}}},
-		{"control characters are dropped", "up#\x01a\x7fb", Report{State: Up, Weight: -1, MaxConn: -1, Description: "ab"}},
+		{name: "state and weight", line: "up 75%", want: Report{State: Up, Weight: 0.75, MaxConn: -1}},
+		{
+			name: "commas and tabs separate",
+			line: "ready,up\t100% maxconn:30",
+			want: Report{State: Up, Admin: Ready, Weight: 1, MaxConn: 30},
+		},
+		{
+			name: "any order, any case, only the first line",
+			line: "maxconn:30 100% up READY\r\nx",
+			want: Report{State: Up, Admin: Ready, Weight: 1, MaxConn: 30},
+		},
+		{name: "drain", line: "drain", want: Report{Admin: Drain, Weight: -1, MaxConn: -1}},
+		{name: "maintenance", line: "MAINT", want: Report{Admin: Maint, Weight: -1, MaxConn: -1}},
+		{
+			name: "nothing is read from the description",
+			line: "stopped #going home, 5%",
+			want: Report{State: Stopped, Weight: -1, MaxConn: -1, Description: "going home, 5%"},
+		},
+		{name: "failed", line: "failed", want: Report{State: Failed, Weight: -1, MaxConn: -1}},
+		{name: "a weight of zero is named", line: "0%", want: Report{Weight: 0, MaxConn: -1}},
+		{name: "the weight is limited", line: "9999%", want: Report{Weight: 2.56, MaxConn: -1}},
+		{name: "the later state counts", line: "down up", want: Report{State: Up, Weight: -1, MaxConn: -1}},
+		{
+			name: "unknown words are reported",
+			line: "up sideways -1%",
+			want: Report{State: Up, Weight: -1, MaxConn: -1, Unknown: []string{"sideways", "-1%"}},
+		},
+		{
+			name: "a limit without its number is unknown",
+			line: "up maxconn: 5",
+			want: Report{State: Up, Weight: -1, MaxConn: -1, Unknown: []string{"maxconn:", "5"}},
+		},
+		{
+			name: "control characters are dropped",
+			line: "up#\x01a\x7fb",
+			want: Report{State: Up, Weight: -1, MaxConn: -1, Description: "ab"},
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			if got, err := Parse(test.line); err != nil || !reflect.DeepEqual(got, test.want) {
--- a/internal/protocol/sru/sru_test.go
+++ b/internal/protocol/sru/sru_test.go
@@ -13,8 +13,15 @@
 func TestParseRequest_Diagnostics(t *testing.T) {
 	good := "operation=searchRetrieve&version=1.2&query=cat"
 	for more, want := range map[string]int{
-		"": 0, "&maximumRecords=0&startRecord=3&recordPacking=string&x-any=1": 0, "&startRecord=0": 6, "&maximumRecords=-1": 6,
-		"&recordPacking=pdf": 71, "&sortKeys=date": 80, "&stylesheet=x": 110, "&nothing=1": 8, "&version=1.2": 6,
+		"": 0,
+		"&maximumRecords=0&startRecord=3&recordPacking=string&x-any=1": 0,
+		"&startRecord=0":     6,
+		"&maximumRecords=-1": 6,
+		"&recordPacking=pdf": 71,
+		"&sortKeys=date":     80,
+		"&stylesheet=x":      110,
+		"&nothing=1":         8,
+		"&version=1.2":       6,
 	} {
 		params, err := url.ParseQuery(good + more)
 		if err != nil {
@@ -27,8 +34,11 @@
 		}
 	}
 	for text, want := range map[string]int{
-		"version=1.2": 7, "operation=scan&version=1.2": 4, "operation=searchRetrieve": 7,
-		"operation=searchRetrieve&version=3.0": 5, "operation=searchRetrieve&version=1.2": 7,
+		"version=1.2":                                                      7,
+		"operation=scan&version=1.2":                                       4,
+		"operation=searchRetrieve":                                         7,
+		"operation=searchRetrieve&version=3.0":                             5,
+		"operation=searchRetrieve&version=1.2":                             7,
 		"operation=searchRetrieve&version=1.2&query=cql.resultSetId+%3D+x": 50,
 	} {
 		params, _ := url.ParseQuery(text)
@@ -42,15 +52,17 @@
 
 func TestUpdates_RoundTripAndDiagnostics(t *testing.T) {
 	for _, u := range []Update{
-		{query.ActionReplace, query.Record{ID: `3:<&"`, Schema: DefaultSchema, XML: `<a x="1"><b/></a>`}},
-		{query.ActionDelete, query.Record{ID: "1:x"}},
+		{Action: query.ActionReplace, Record: query.Record{ID: `3:<&"`, Schema: DefaultSchema, XML: `<a x="1"><b/></a>`}},
+		{Action: query.ActionDelete, Record: query.Record{ID: "1:x"}},
 	} {
 		if got, err := ParseUpdate(UpdateRequest(u)); err != nil || got != u {
 			t.Errorf("%+v came back as %+v, %v", u, got, err)
 		}
 	}
 	for text, want := range map[string]int{
-		"nonsense": 6, "<other/>": 4, "<updateRequest><action>info:srw/action/1/burn</action></updateRequest>": 6,
+		"nonsense": 6,
+		"<other/>": 4,
+		"<updateRequest><action>info:srw/action/1/burn</action></updateRequest>":                                         6,
 		"<updateRequest><action>info:srw/action/1/delete</action></updateRequest>":                                       7,
 		"<updateRequest><action>info:srw/action/1/create</action><recordIdentifier>x</recordIdentifier></updateRequest>": 7,
 		`<!DOCTYPE a [<!ENTITY b "c">]><updateRequest/>`:                                                                 6,
--- a/internal/protocol/z3950/ber_test.go
+++ b/internal/protocol/z3950/ber_test.go
@@ -16,7 +16,13 @@
 	if err != nil || n.Tag != SearchRequest || n.Kid(105).Text() != "abc" || string(rest) != "tail" {
 		t.Errorf("decoded %+v, then %q, %v", n, rest, err)
 	}
-	for _, bad := range []string{"\x04\x80", "\x30\x02\x04\x05", "\xbf\xff\xff\xff\xff\x01\x00", "\x30\x85\x00\x00\x00\x00\x00", strings.Repeat("\x30\x80", 60)} {
+	for _, bad := range []string{
+		"\x04\x80",                     // a primitive of indefinite length
+		"\x30\x02\x04\x05",             // a value longer than the one that holds it
+		"\xbf\xff\xff\xff\xff\x01\x00", // a tag of five octets
+		"\x30\x85\x00\x00\x00\x00\x00", // a length of five octets
+		strings.Repeat("\x30\x80", 60), // nested too deep
+	} {
 		if _, _, err := Decode([]byte(bad)); err == nil || errors.Is(err, ErrMore) {
 			t.Errorf("malformed %q: %v", bad, err)
 		}
