Dial in a function of its own in both pools, and judge a wrong shard in one place

Cause: the dial was a closure in a closure in either constructor; the SRU and the Z39.50 client each made the same error of a diagnostic by which a server says that it does not hold the shard. Change: runDial in leaf and in serialconn, whose difference (a nil *tcp.Conn is no nil Transport) is said; serialconn.MapMismatchError. Measured: go test -race -count=2 of backend pass.

--- a/internal/backend/leaf/pool.go
+++ b/internal/backend/leaf/pool.go
@@ -122,20 +122,18 @@
 		attempts: map[aggregator.AttemptID]*attempt{},
 	}
 	p.dial = func(c *conn, addr string, timeout time.Duration) {
-		go func() {
-			transport, err := dial(addr, timeout, func(*tcp.Conn) tcp.Handler {
-				return &frameReader{conn: c, mailbox: mailbox}
-			})
-			if err != nil {
-				mailbox.Put(dialResult{conn: c, err: err})
-				return
-			}
-			mailbox.Put(dialResult{conn: c, transport: transport})
-		}()
+		go func() { mailbox.Put(runDial(c, addr, timeout, dial, mailbox)) }()
 	}
 	return p
 }
 
+// runDial dials a connection whose frames go to mailbox. It blocks until the connection is up or has failed.
+func runDial(c *conn, addr string, timeout time.Duration, dial DialFunc, mailbox aggregator.Poster) dialResult {
+	handler := func(*tcp.Conn) tcp.Handler { return &frameReader{conn: c, mailbox: mailbox} }
+	transport, err := dial(addr, timeout, handler)
+	return dialResult{conn: c, transport: transport, err: err}
+}
+
 // SetDirectory sets the directory that says where new calls may go.
 func (p *Pool) SetDirectory(d Directory) { p.directory = d }
 
--- a/internal/backend/serialconn/codec.go
+++ b/internal/backend/serialconn/codec.go
@@ -1,7 +1,10 @@
 package serialconn
 
 import (
+	"errors"
+
 	"rooktrestle/internal/aggregator"
+	"rooktrestle/internal/control/shardmap"
 	"rooktrestle/internal/query"
 )
 
@@ -25,6 +28,22 @@
 	End() []Reply
 }
 
+// MapMismatchError returns the AttemptError of a request for a shard that its server does not hold, if the details of the
+// server's diagnostic say that, and nil if they do not. Such a request did not run.
+func MapMismatchError(details string) error {
+	mismatch, epoch, ok := shardmap.ParseMismatch(details)
+	if !ok {
+		return nil
+	}
+	return &aggregator.AttemptError{
+		Progress:  aggregator.Answered,
+		Rejected:  true,
+		MapStatus: mismatch,
+		Epoch:     epoch,
+		Cause:     errors.New(details),
+	}
+}
+
 // Reply is one answer of a server.
 type Reply struct {
 	Greeting bool  // it answers the greeting
--- a/internal/backend/serialconn/pool.go
+++ b/internal/backend/serialconn/pool.go
@@ -68,20 +68,23 @@
 		attempts: map[aggregator.AttemptID]*attempt{},
 	}
 	p.dial = func(c *conn, addr string, codec Codec) {
-		go func() {
-			transport, err := dial(addr, limits.ConnectTimeout, func(*tcp.Conn) tcp.Handler {
-				return &replyReader{conn: c, mailbox: mailbox, parser: codec.Parser()}
-			})
-			if err != nil {
-				mailbox.Put(dialResult{conn: c, err: err})
-				return
-			}
-			mailbox.Put(dialResult{conn: c, transport: transport})
-		}()
+		go func() { mailbox.Put(p.runDial(c, addr, codec, dial)) }()
 	}
 	return p
 }
 
+// runDial dials a connection whose replies go to the pool's mailbox. It blocks until the connection is up or has failed,
+// so that it is not called on the loop.
+func (p *Pool) runDial(c *conn, addr string, codec Codec, dial tcp.Dialer) dialResult {
+	transport, err := dial(addr, p.limits.ConnectTimeout, func(*tcp.Conn) tcp.Handler {
+		return &replyReader{conn: c, mailbox: p.mailbox, parser: codec.Parser()}
+	})
+	if err != nil {
+		return dialResult{conn: c, err: err} // without the nil *tcp.Conn: as a Transport it would not be nil
+	}
+	return dialResult{conn: c, transport: transport}
+}
+
 // SetDirectory sets the directory that says where new requests may go.
 func (p *Pool) SetDirectory(d aggregator.Directory) { p.directory = d }
 
--- a/internal/backend/sru/client.go
+++ b/internal/backend/sru/client.go
@@ -118,16 +118,7 @@
 	case diagSystemError, diagUnavailable, diagAuthentication:
 		return failed(errors.New(d.SRU + " " + d.Details))
 	case diagDatabaseNotFound:
-		// A request for a shard that the server does not hold did not run.
-		if mismatch, epoch, ok := shardmap.ParseMismatch(d.Details); ok {
-			return &aggregator.AttemptError{
-				Progress:  aggregator.Answered,
-				Rejected:  true,
-				MapStatus: mismatch,
-				Epoch:     epoch,
-				Cause:     errors.New(d.Details),
-			}
-		}
+		return serialconn.MapMismatchError(d.Details)
 	}
 	return nil
 }
--- a/internal/backend/z3950/client.go
+++ b/internal/backend/z3950/client.go
@@ -216,16 +216,7 @@
 // targetError returns the AttemptError of a diagnostic by which the target speaks of itself; nil if it is of the request.
 func targetError(d *query.Diagnostic) error {
 	if d.Bib1 == bib1DatabaseUnavailable {
-		// A request for a shard that the target does not hold did not run.
-		if mismatch, epoch, ok := shardmap.ParseMismatch(d.Details); ok {
-			return &aggregator.AttemptError{
-				Progress:  aggregator.Answered,
-				Rejected:  true,
-				MapStatus: mismatch,
-				Epoch:     epoch,
-				Cause:     errors.New(d.Details),
-			}
-		}
+		return serialconn.MapMismatchError(d.Details)
 	}
 	if serverDiagnostics[d.Bib1] {
 		cause := fmt.Errorf("bib-1 %d %s", d.Bib1, d.Details)
