--- a/internal/backend/healthcheck/check.go
+++ b/internal/backend/healthcheck/check.go
@@ -140,8 +140,8 @@
 }
 
 // judgeHTTP judges an HTTP answer by the profile's expectation.
-func (c Check) judgeHTTP(m *http1.Message) Result {
-	judged := c.Profile.Expectation.Judge(m.Status, m.Header.Get, m.Body)
+func (c Check) judgeHTTP(response *http1.Message) Result {
+	judged := c.Profile.Expectation.Judge(response.Status, response.Header.Get, response.Body)
 	result := Result{CheckResult: health.CheckResult{
 		Failed:    !judged.Healthy,
 		Immediate: judged.Immediate,
@@ -162,11 +162,11 @@
 }
 
 // judgeBridge judges the answer of grpchealth, which makes gRPC checks for this program.
-func judgeBridge(m *http1.Message) Result {
-	if m.Status == 200 {
+func judgeBridge(response *http1.Message) Result {
+	if response.Status == 200 {
 		return passed()
 	}
-	return failed(fmt.Errorf("%.100s", m.Body))
+	return failed(fmt.Errorf("%.100s", response.Body))
 }
 
 // initRequest returns a Z39.50 Init request.
--- a/internal/backend/healthcheck/decoder.go
+++ b/internal/backend/healthcheck/decoder.go
@@ -61,8 +61,8 @@
 // agentDecoder decodes the line of an agent.
 type agentDecoder struct{ line agentcheck.Reader }
 
-func (d *agentDecoder) feed(b []byte) (Result, bool) {
-	report, err, done := d.line.Feed(b)
+func (d *agentDecoder) feed(data []byte) (Result, bool) {
+	report, err, done := d.line.Feed(data)
 	return agentResult(report, err), done
 }
 
@@ -139,11 +139,11 @@
 }
 
 // judgeExplain judges the answer to an SRU explain request.
-func judgeExplain(m *http1.Message) Result {
+func judgeExplain(response *http1.Message) Result {
 	var root struct{ XMLName xml.Name }
-	switch err := xml.Unmarshal(m.Body, &root); {
-	case m.Status != 200:
-		return failed(errors.New("status " + strconv.Itoa(m.Status)))
+	switch err := xml.Unmarshal(response.Body, &root); {
+	case response.Status != 200:
+		return failed(errors.New("status " + strconv.Itoa(response.Status)))
 	case err != nil:
 		return failed(errNotXML)
 	case root.XMLName.Local != "explainResponse":
--- a/internal/backend/leaf/attempt.go
+++ b/internal/backend/leaf/attempt.go
@@ -57,30 +57,30 @@
 }
 
 // place writes a batch on a connection that can take it, or lets it wait for a new one.
-func (p *Pool) place(now time.Time, b *batch) {
-	c, idle := p.leastLoaded(now, b)
-	if c == nil {
-		p.enqueue(now, b)
+func (p *Pool) place(now time.Time, batch *batch) {
+	conn, idle := p.leastLoaded(now, batch)
+	if conn == nil {
+		p.enqueue(now, batch)
 		return
 	}
-	p.write(now, c, b)
-	if idle <= 1 && p.mayAddConn(b.host) {
-		p.connect(now, b.host, b.addr)
+	p.write(now, conn, batch)
+	if idle <= 1 && p.mayAddConn(batch.host) {
+		p.connect(now, batch.host, batch.addr)
 	}
 }
 
 // leastLoaded returns the connection with the fewest attempts in flight of those that accept a batch, nil if none does, and
 // how many of them are idle.
-func (p *Pool) leastLoaded(now time.Time, b *batch) (best *conn, idle int) {
-	for _, c := range b.host.conns {
-		if c.state != connOpen || !p.accepts(now, c, b) {
+func (p *Pool) leastLoaded(now time.Time, batch *batch) (best *conn, idle int) {
+	for _, conn := range batch.host.conns {
+		if conn.state != connOpen || !p.accepts(now, conn, batch) {
 			continue
 		}
-		if len(c.streams) == 0 {
+		if len(conn.streams) == 0 {
 			idle++
 		}
-		if best == nil || len(c.streams) < len(best.streams) {
-			best = c
+		if best == nil || len(conn.streams) < len(best.streams) {
+			best = conn
 		}
 	}
 	return best, idle
@@ -97,39 +97,39 @@
 }
 
 // enqueue lets a batch wait, and dials if what is being dialed is not enough for all that waits.
-func (p *Pool) enqueue(now time.Time, b *batch) {
-	h := b.host
-	h.waiting = append(h.waiting, b)
+func (p *Pool) enqueue(now time.Time, batch *batch) {
+	h := batch.host
+	h.waiting = append(h.waiting, batch)
 	capacity := 0
-	for _, c := range h.conns {
-		if c.state == connDialing && c.addr == b.addr {
+	for _, conn := range h.conns {
+		if conn.state == connDialing && conn.addr == batch.addr {
 			capacity += p.limits.MaxStreams
 		}
 	}
 	waiting := 0
 	for _, other := range h.waiting {
-		if other.addr == b.addr {
+		if other.addr == batch.addr {
 			waiting++
 		}
 	}
 	if capacity < waiting {
-		p.connect(now, h, b.addr)
+		p.connect(now, h, batch.addr)
 	}
 }
 
 // accepts reports whether a batch may go out on an open connection.
-func (p *Pool) accepts(now time.Time, c *conn, b *batch) bool {
-	if c.unresponsive || c.draining || !c.partialSince.IsZero() || c.addr != b.addr {
+func (p *Pool) accepts(now time.Time, conn *conn, batch *batch) bool {
+	if conn.unresponsive || conn.draining || !conn.partialSince.IsZero() || conn.addr != batch.addr {
 		return false
 	}
 	// A batch of more than MaxStreams attempts has an empty connection of its own.
-	maxStreams := max(p.limits.MaxStreams, len(b.attempts))
-	if len(c.streams)+len(b.attempts) > maxStreams || p.stale(now, c) {
+	maxStreams := max(p.limits.MaxStreams, len(batch.attempts))
+	if len(conn.streams)+len(batch.attempts) > maxStreams || p.stale(now, conn) {
 		return false
 	}
-	for _, a := range b.attempts {
+	for _, attempt := range batch.attempts {
 		// A late answer to an earlier attempt at the part would be taken for this one's.
-		if _, canceled := c.canceledAt[a.call.Name]; canceled || c.streams[a.call.Name] != nil {
+		if _, canceled := conn.canceledAt[attempt.call.Name]; canceled || conn.streams[attempt.call.Name] != nil {
 			return false
 		}
 	}
@@ -137,44 +137,52 @@
 }
 
 // write hands a batch to a connection's transport.
-func (p *Pool) write(now time.Time, c *conn, b *batch) {
-	calls := make([]aggregator.Call, len(b.attempts))
+func (p *Pool) write(now time.Time, conn *conn, batch *batch) {
+	calls := make([]aggregator.Call, len(batch.attempts))
 	within := maxWriteDelay
-	for i, a := range b.attempts {
-		calls[i] = a.call
-		if !a.call.WriteBy.IsZero() {
-			within = min(within, a.call.WriteBy.Sub(now))
+	for i, attempt := range batch.attempts {
+		calls[i] = attempt.call
+		if !attempt.call.WriteBy.IsZero() {
+			within = min(within, attempt.call.WriteBy.Sub(now))
 		}
-		a.conn = c
-		a.state = stateWriting
-		a.writtenAt = now
-		c.streams[a.call.Name] = a
+		attempt.conn = conn
+		attempt.state = stateWriting
+		attempt.writtenAt = now
+		conn.streams[attempt.call.Name] = attempt
 	}
-	c.lastUsed = now
-	attempts := b.attempts
-	c.transport.WriteWithin(within, callFrame(now, calls), func(result tcp.WriteResult) {
-		p.mailbox.Put(writeFinished{conn: c, attempts: attempts, result: result})
+	conn.lastUsed = now
+	attempts := batch.attempts
+	conn.transport.WriteWithin(within, callFrame(now, calls), func(result tcp.WriteResult) {
+		p.mailbox.Put(writeFinished{conn: conn, attempts: attempts, result: result})
 	})
 }
 
 // endUnsendable ends those attempts of a batch that must not be sent any more, now that their connection is open: the
 // server may have begun to drain, moved or restarted, and their time may be over. What was meant for a server's earlier
 // process was not counted against what may be sent to one that is warming up.
-func (p *Pool) endUnsendable(now time.Time, b *batch, listed aggregator.Server) {
-	sendable := b.attempts[:0]
-	for _, a := range b.attempts {
+func (p *Pool) endUnsendable(now time.Time, batch *batch, listed aggregator.Server) {
+	sendable := batch.attempts[:0]
+	for _, attempt := range batch.attempts {
 		switch {
-		case !p.directory.Available(b.host.id):
-			p.fail(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Rejected: true, Cause: errServerDraining})
-		case listed.Addr != b.addr || !listed.Started.Equal(b.serverStarted):
-			p.fail(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true, Cause: errServerReplaced})
-		case a.expired(now):
-			p.fail(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true})
+		case !p.directory.Available(batch.host.id):
+			p.fail(attempt, &aggregator.AttemptError{
+				Progress: aggregator.NotConnected,
+				Rejected: true,
+				Cause:    errServerDraining,
+			})
+		case listed.Addr != batch.addr || !listed.Started.Equal(batch.serverStarted):
+			p.fail(attempt, &aggregator.AttemptError{
+				Progress: aggregator.NotConnected,
+				Canceled: true,
+				Cause:    errServerReplaced,
+			})
+		case attempt.expired(now):
+			p.fail(attempt, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true})
 		default:
-			sendable = append(sendable, a)
+			sendable = append(sendable, attempt)
 		}
 	}
-	b.attempts = sendable
+	batch.attempts = sendable
 }
 
 // handleWriteFinished takes how far a call was written.
@@ -187,28 +195,32 @@
 	}
 }
 
-func (p *Pool) handleWritten(a *attempt, result tcp.WriteResult) {
-	if p.attempts[a.call.Attempt] != a || a.state != stateWriting {
+func (p *Pool) handleWritten(attempt *attempt, result tcp.WriteResult) {
+	if p.attempts[attempt.call.Attempt] != attempt || attempt.state != stateWriting {
 		return
 	}
 	switch {
 	case result == tcp.WriteNone: // the server received none of it: it never ran
-		p.fail(a, &aggregator.AttemptError{
+		p.fail(attempt, &aggregator.AttemptError{
 			Progress: aggregator.NotConnected,
-			Canceled: a.canceled,
+			Canceled: attempt.canceled,
 			Cause:    errBrokenBeforeFrame,
 		})
 	case result == tcp.WriteExpired: // it never ran either
-		p.fail(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true, Cause: errWriteExpired})
-	case a.conn.state == connClosed: // the end of the frame may have left: it may have run
-		p.fail(a, &aggregator.AttemptError{
+		p.fail(attempt, &aggregator.AttemptError{
+			Progress: aggregator.NotConnected,
+			Canceled: true,
+			Cause:    errWriteExpired,
+		})
+	case attempt.conn.state == connClosed: // the end of the frame may have left: it may have run
+		p.fail(attempt, &aggregator.AttemptError{
 			Progress:      aggregator.Written,
-			Canceled:      a.canceled,
-			CorruptStream: a.conn.corrupt,
+			Canceled:      attempt.canceled,
+			CorruptStream: attempt.conn.corrupt,
 			Cause:         errBrokenInFrame,
 		})
 	default:
-		a.state = stateInFlight
+		attempt.state = stateInFlight
 	}
 }
 
@@ -218,87 +230,88 @@
 // will when the partition ends. Such a connection is closed, and what it has not sent yet is discarded; if other parts are
 // in flight on it, a probe behind the cancel frame shows whether it has to be.
 func (p *Pool) Cancel(now time.Time, id aggregator.AttemptID, mayRetry bool) {
-	a := p.attempts[id]
-	if a == nil || a.canceled {
+	attempt := p.attempts[id]
+	if attempt == nil || attempt.canceled {
 		return
 	}
-	a.canceled = true
-	if a.state == stateQueued {
-		p.cancelQueued(a)
+	attempt.canceled = true
+	if attempt.state == stateQueued {
+		p.cancelQueued(attempt)
 		return
 	}
-	c := a.conn
-	if c.isClosed() { // it ends with its connection
+	conn := attempt.conn
+	if conn.isClosed() { // it ends with its connection
 		return
 	}
-	a.unconfirmed = mayRetry && !c.lastReceived.After(a.writtenAt)
-	if a.unconfirmed && c.allCanceled() {
-		p.closeConn(c, errUnresponsive)
+	attempt.unconfirmed = mayRetry && !conn.lastReceived.After(attempt.writtenAt)
+	if attempt.unconfirmed && conn.allCanceled() {
+		p.closeConn(conn, errUnresponsive)
 		return
 	}
-	c.lastUsed = now
-	frame := AppendFrame(nil, frameCancel, []byte(a.call.Name))
-	if a.unconfirmed {
-		c.probes = append(c.probes, &probe{
-			host:     a.host,
-			conn:     c,
+	conn.lastUsed = now
+	frame := AppendFrame(nil, frameCancel, []byte(attempt.call.Name))
+	if attempt.unconfirmed {
+		conn.probes = append(conn.probes, &probe{
+			host:     attempt.host,
+			conn:     conn,
 			sentAt:   now,
 			deadline: p.probeDeadline(now),
-			confirms: a,
+			confirms: attempt,
 		})
 		frame = AppendFrame(frame, frameProbe, nil)
 	}
-	c.transport.Write(frame, func(tcp.WriteResult) { p.mailbox.Put(cancelWritten{attempt: a}) })
+	conn.transport.Write(frame, func(tcp.WriteResult) { p.mailbox.Put(cancelWritten{attempt: attempt}) })
 }
 
 // cancelQueued ends an attempt that waits for a connection.
-func (p *Pool) cancelQueued(a *attempt) {
-	for _, b := range a.host.waiting {
-		b.attempts = slices.DeleteFunc(b.attempts, func(other *attempt) bool { return other == a })
+func (p *Pool) cancelQueued(canceled *attempt) {
+	h := canceled.host
+	for _, b := range h.waiting {
+		b.attempts = slices.DeleteFunc(b.attempts, func(a *attempt) bool { return a == canceled })
 	}
-	a.host.waiting = slices.DeleteFunc(a.host.waiting, func(b *batch) bool { return len(b.attempts) == 0 })
-	p.fail(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true})
+	h.waiting = slices.DeleteFunc(h.waiting, func(b *batch) bool { return len(b.attempts) == 0 })
+	p.fail(canceled, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true})
 }
 
 // handleCancelWritten ends a canceled attempt, unless a probe has yet to confirm that its server knows. The cancel frame was
 // written, or the connection is closed: either way the server has canceled it, or soon will.
-func (p *Pool) handleCancelWritten(now time.Time, a *attempt) {
-	c := a.conn
-	if p.attempts[a.call.Attempt] != a || c.state == connClosing {
+func (p *Pool) handleCancelWritten(now time.Time, attempt *attempt) {
+	conn := attempt.conn
+	if p.attempts[attempt.call.Attempt] != attempt || conn.state == connClosing {
 		return
 	}
 	// Guards against a machine that vanished: its connections stay open and nothing comes on them, and whatever is written
 	// on them may have run for all that is known. A new connection shows whether it is there.
-	silent := c.lastReceived.Before(a.writtenAt)
-	if silent && now.Sub(a.writtenAt) > p.limits.UnresponsiveAfter {
-		c.unresponsive = true
+	silent := conn.lastReceived.Before(attempt.writtenAt)
+	if silent && now.Sub(attempt.writtenAt) > p.limits.UnresponsiveAfter {
+		conn.unresponsive = true
 	}
-	if !a.unconfirmed || c.state == connClosed {
-		p.endCanceled(now, a)
+	if !attempt.unconfirmed || conn.state == connClosed {
+		p.endCanceled(now, attempt)
 	}
 }
 
 // endCanceled ends an attempt whose server has been notified that it is canceled.
-func (p *Pool) endCanceled(now time.Time, a *attempt) {
-	a.conn.canceledAt[a.call.Name] = now
-	p.fail(a, &aggregator.AttemptError{Progress: aggregator.Written, Canceled: true})
+func (p *Pool) endCanceled(now time.Time, attempt *attempt) {
+	attempt.conn.canceledAt[attempt.call.Name] = now
+	p.fail(attempt, &aggregator.AttemptError{Progress: aggregator.Written, Canceled: true})
 }
 
 // fail ends an attempt with an error.
-func (p *Pool) fail(a *attempt, err *aggregator.AttemptError) {
-	p.end(a, aggregator.AttemptEnded{Err: err})
+func (p *Pool) fail(attempt *attempt, err *aggregator.AttemptError) {
+	p.end(attempt, aggregator.AttemptEnded{Err: err})
 }
 
 // end ends an attempt, unless it has ended. ended says how, but for the attempt's id.
-func (p *Pool) end(a *attempt, ended aggregator.AttemptEnded) {
-	if p.attempts[a.call.Attempt] != a {
+func (p *Pool) end(attempt *attempt, ended aggregator.AttemptEnded) {
+	if p.attempts[attempt.call.Attempt] != attempt {
 		return
 	}
-	delete(p.attempts, a.call.Attempt)
-	if a.conn != nil && a.conn.streams[a.call.Name] == a {
-		delete(a.conn.streams, a.call.Name)
+	delete(p.attempts, attempt.call.Attempt)
+	if attempt.conn != nil && attempt.conn.streams[attempt.call.Name] == attempt {
+		delete(attempt.conn.streams, attempt.call.Name)
 	}
-	ended.Attempt = a.call.Attempt
-	aggregator.StateSubject(ended.Err, a.host.id, a.call.Name)
+	ended.Attempt = attempt.call.Attempt
+	aggregator.StateSubject(ended.Err, attempt.host.id, attempt.call.Name)
 	p.emit(ended)
 }
--- a/internal/backend/leaf/conn.go
+++ b/internal/backend/leaf/conn.go
@@ -111,7 +111,7 @@
 
 // awaitsProbe reports whether the core waits for the answer to a probe on the connection.
 func (c *conn) awaitsProbe() bool {
-	return slices.ContainsFunc(c.probes, func(pr *probe) bool { return !pr.ended })
+	return slices.ContainsFunc(c.probes, func(probe *probe) bool { return !probe.ended })
 }
 
 // stale reports whether the server may close an idle connection by the time that a frame arrives.
@@ -162,70 +162,70 @@
 }
 
 // handleDialResult sends what waits for a connection, or ends it if there is none to come.
-func (p *Pool) handleDialResult(now time.Time, m dialResult) {
-	c := m.conn
-	if m.err != nil {
+func (p *Pool) handleDialResult(now time.Time, result dialResult) {
+	conn := result.conn
+	if result.err != nil {
 		p.Stats.DialsFailed++
-		p.removeConn(c)
-		c.state = connClosed
+		p.removeConn(conn)
+		conn.state = connClosed
 		// What waits is not dialed for again here: the decisions may know a better server.
-		if !c.host.isDialing() {
-			p.failWaiting(now, c.host, m.err)
+		if !conn.host.isDialing() {
+			p.failWaiting(now, conn.host, result.err)
 		}
 		return
 	}
-	if c.isClosed() { // its socket was closed before this message
-		c.transport = m.transport
-		m.transport.Close(nil)
-		p.failWaiting(now, c.host, errBrokenAtOnce)
+	if conn.isClosed() { // its socket was closed before this message
+		conn.transport = result.transport
+		result.transport.Close(nil)
+		p.failWaiting(now, conn.host, errBrokenAtOnce)
 		return
 	}
-	c.transport = m.transport
-	c.state = connOpen
-	c.lastUsed = now
-	h := c.host
-	waiting, probes := h.takeWaiting()
-	listed := p.directory.Server(h.id)
-	for _, b := range waiting {
-		p.endUnsendable(now, b, listed)
-		if len(b.attempts) > 0 {
-			p.place(now, b)
+	conn.transport = result.transport
+	conn.state = connOpen
+	conn.lastUsed = now
+	host := conn.host
+	waiting, probes := host.takeWaiting()
+	listed := p.directory.Server(host.id)
+	for _, batch := range waiting {
+		p.endUnsendable(now, batch, listed)
+		if len(batch.attempts) > 0 {
+			p.place(now, batch)
 		}
 	}
-	for _, pr := range probes {
-		if !pr.ended {
-			p.sendLoadProbe(c, pr)
+	for _, probe := range probes {
+		if !probe.ended {
+			p.sendLoadProbe(conn, probe)
 		}
 	}
 }
 
 // failWaiting ends all that waits for a connection to a server: none of it was written.
-func (p *Pool) failWaiting(now time.Time, h *host, cause error) {
-	waiting, probes := h.takeWaiting()
-	for _, b := range waiting {
-		for _, a := range b.attempts {
-			p.fail(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Cause: cause})
+func (p *Pool) failWaiting(now time.Time, host *host, cause error) {
+	waiting, probes := host.takeWaiting()
+	for _, batch := range waiting {
+		for _, attempt := range batch.attempts {
+			p.fail(attempt, &aggregator.AttemptError{Progress: aggregator.NotConnected, Cause: cause})
 		}
 	}
-	for _, pr := range probes {
-		p.endProbe(now, pr, &aggregator.AttemptError{Progress: aggregator.NotConnected, Cause: cause}, nil)
+	for _, probe := range probes {
+		p.endProbe(now, probe, &aggregator.AttemptError{Progress: aggregator.NotConnected, Cause: cause}, nil)
 	}
 }
 
 // closeConn closes a connection. What is in flight on it ends once its socket is closed, and no sooner: a retry sent before
 // that may reach its server before this connection's server sees the end, and run beside it.
-func (p *Pool) closeConn(c *conn, cause error) {
+func (p *Pool) closeConn(conn *conn, cause error) {
 	switch {
-	case c.isClosed():
-	case c.transport == nil:
-		p.connLost(c, cause)
-	case len(c.streams) == 0:
-		c.transport.Close(cause)
-		p.connLost(c, cause)
+	case conn.isClosed():
+	case conn.transport == nil:
+		p.connLost(conn, cause)
+	case len(conn.streams) == 0:
+		conn.transport.Close(cause)
+		p.connLost(conn, cause)
 	default:
-		p.removeConn(c)
-		c.closeCause = cause
-		c.transport.Abort(cause, func() { p.mailbox.Put(connectionAborted{conn: c}) })
+		p.removeConn(conn)
+		conn.closeCause = cause
+		conn.transport.Abort(cause, func() { p.mailbox.Put(connectionAborted{conn: conn}) })
 	}
 }
 
@@ -278,22 +278,22 @@
 
 // endStreams ends all that was in flight on a connection whose socket is closed. Attempts whose write is not accounted for
 // yet end when it is: only then is it known whether they can have run.
-func (p *Pool) endStreams(c *conn, cause error) {
-	c.state = connClosed
+func (p *Pool) endStreams(conn *conn, cause error) {
+	conn.state = connClosed
 	// If the pool closed it as unresponsive, the other attempts in flight on it were canceled with the one that it was
 	// closed for.
-	closedAsUnresponsive := c.closeCause != nil && !c.corrupt
-	for _, name := range c.namesInFlight() {
-		a := c.streams[name]
-		canceled := a.canceled || closedAsUnresponsive
-		p.fail(a, &aggregator.AttemptError{
+	closedAsUnresponsive := conn.closeCause != nil && !conn.corrupt
+	for _, name := range conn.namesInFlight() {
+		attempt := conn.streams[name]
+		canceled := attempt.canceled || closedAsUnresponsive
+		p.fail(attempt, &aggregator.AttemptError{
 			Progress:      aggregator.Written,
 			Canceled:      canceled,
-			CorruptStream: c.corrupt && !canceled,
+			CorruptStream: conn.corrupt && !canceled,
 			Cause:         cause,
 		})
 	}
-	for _, pr := range c.probes {
-		p.endProbeOfClosedConn(c, pr, cause)
+	for _, probe := range conn.probes {
+		p.endProbeOfClosedConn(conn, probe, cause)
 	}
 }
--- a/internal/backend/leaf/frame.go
+++ b/internal/backend/leaf/frame.go
@@ -89,20 +89,20 @@
 
 // checkPrefix returns what is wrong with the beginning of a frame, as early as its bytes show it. Guards against corrupt
 // answers: whoever waits for the end of one holds up everything else in flight on the connection.
-func checkPrefix(b []byte) error {
+func checkPrefix(prefix []byte) error {
 	for i, highest := range []byte{0, 0, maxFrameLen >> 8} {
-		if i < len(b) && b[i] > highest {
-			return fmt.Errorf("a frame's length begins with % x", b[:i+1])
+		if i < len(prefix) && prefix[i] > highest {
+			return fmt.Errorf("a frame's length begins with % x", prefix[:i+1])
 		}
 	}
-	if len(b) < lengthLen {
+	if len(prefix) < lengthLen {
 		return nil
 	}
-	n := int(binary.BigEndian.Uint32(b))
+	n := int(binary.BigEndian.Uint32(prefix))
 	if n < typeLen || n > maxFrameLen {
 		return fmt.Errorf("frame of %d bytes", n)
 	}
-	body := b[lengthLen:min(len(b), lengthLen+n)]
+	body := prefix[lengthLen:min(len(prefix), lengthLen+n)]
 	if len(body) == 0 {
 		return nil
 	}
--- a/internal/backend/leaf/probe.go
+++ b/internal/backend/leaf/probe.go
@@ -31,36 +31,37 @@
 }
 
 // placeProbe sends a load probe on an open connection, or lets it wait for one.
-func (p *Pool) placeProbe(now time.Time, pr *probe, addr string) {
-	h := pr.host
-	for _, c := range h.conns {
-		if c.state == connOpen && !c.unresponsive && !c.draining && c.addr == addr && !p.stale(now, c) {
-			p.sendLoadProbe(c, pr)
+func (p *Pool) placeProbe(now time.Time, probe *probe, addr string) {
+	host := probe.host
+	for _, conn := range host.conns {
+		if conn.state == connOpen && !conn.unresponsive && !conn.draining && conn.addr == addr && !p.stale(now, conn) {
+			p.sendLoadProbe(conn, probe)
 			return
 		}
 	}
-	h.probes = append(h.probes, pr)
-	if !slices.ContainsFunc(h.conns, func(c *conn) bool { return c.state == connDialing && c.addr == addr }) {
-		p.connect(now, h, addr)
+	host.probes = append(host.probes, probe)
+	isDialing := func(conn *conn) bool { return conn.state == connDialing && conn.addr == addr }
+	if !slices.ContainsFunc(host.conns, isDialing) {
+		p.connect(now, host, addr)
 	}
 }
 
-func (p *Pool) sendLoadProbe(c *conn, pr *probe) {
-	pr.conn = c
-	c.probes = append(c.probes, pr)
-	c.transport.Write(AppendFrame(nil, frameLoad, nil), nil)
+func (p *Pool) sendLoadProbe(conn *conn, probe *probe) {
+	probe.conn = conn
+	conn.probes = append(conn.probes, probe)
+	conn.transport.Write(AppendFrame(nil, frameLoad, nil), nil)
 }
 
 // handleProbeAnswer takes the answer to the oldest probe on a connection.
-func (p *Pool) handleProbeAnswer(now time.Time, c *conn, payload string) error {
-	if len(c.probes) == 0 {
+func (p *Pool) handleProbeAnswer(now time.Time, conn *conn, payload string) error {
+	if len(conn.probes) == 0 {
 		return errUnexpectedProbe
 	}
-	pr := c.probes[0]
-	c.probes = c.probes[1:]
-	if pr.confirms != nil {
-		if p.awaitsConfirmation(pr) {
-			p.endCanceled(now, pr.confirms)
+	probe := conn.probes[0]
+	conn.probes = conn.probes[1:]
+	if probe.confirms != nil {
+		if p.awaitsConfirmation(probe) {
+			p.endCanceled(now, probe.confirms)
 		}
 		return nil
 	}
@@ -68,39 +69,39 @@
 	if payload == probeFailed {
 		err = &aggregator.AttemptError{Progress: aggregator.Answered}
 	}
-	p.endProbe(now, pr, err, parseReport(payload))
+	p.endProbe(now, probe, err, parseReport(payload))
 	return nil
 }
 
 // awaitsConfirmation reports whether the attempt that a probe confirms has not ended yet.
-func (p *Pool) awaitsConfirmation(pr *probe) bool {
-	return p.attempts[pr.confirms.call.Attempt] == pr.confirms
+func (p *Pool) awaitsConfirmation(probe *probe) bool {
+	return p.attempts[probe.confirms.call.Attempt] == probe.confirms
 }
 
 // confirmationOverdue reports whether a probe was to confirm by now that a server has read a cancel frame, and did not.
-func (p *Pool) confirmationOverdue(now time.Time, pr *probe) bool {
-	return pr.confirms != nil && p.awaitsConfirmation(pr) && !now.Before(pr.deadline)
+func (p *Pool) confirmationOverdue(now time.Time, probe *probe) bool {
+	return probe.confirms != nil && p.awaitsConfirmation(probe) && !now.Before(probe.deadline)
 }
 
 // endProbeOfClosedConn ends a probe whose connection is closed. A load probe is sent once more: a connection may end while
 // its server lives, and only a new one shows that.
-func (p *Pool) endProbeOfClosedConn(c *conn, pr *probe, cause error) {
-	if pr.confirms != nil {
+func (p *Pool) endProbeOfClosedConn(conn *conn, probe *probe, cause error) {
+	if probe.confirms != nil {
 		return
 	}
-	if !pr.ended && !pr.retried && p.directory.Available(pr.host.id) {
-		pr.retried = true
-		p.placeProbe(pr.sentAt, pr, c.addr)
+	if !probe.ended && !probe.retried && p.directory.Available(probe.host.id) {
+		probe.retried = true
+		p.placeProbe(probe.sentAt, probe, conn.addr)
 		return
 	}
-	p.endProbe(pr.sentAt, pr, &aggregator.AttemptError{Progress: aggregator.Written, Cause: cause}, nil)
+	p.endProbe(probe.sentAt, probe, &aggregator.AttemptError{Progress: aggregator.Written, Cause: cause}, nil)
 }
 
 // endProbe ends a load probe, unless it has ended.
-func (p *Pool) endProbe(now time.Time, pr *probe, err error, report *balance.LoadReport) {
-	if pr.ended {
+func (p *Pool) endProbe(now time.Time, probe *probe, err error, report *balance.LoadReport) {
+	if probe.ended {
 		return
 	}
-	pr.ended = true
-	p.emit(aggregator.ProbeEnded{Server: pr.host.id, Err: err, Elapsed: now.Sub(pr.sentAt), Report: report})
+	probe.ended = true
+	p.emit(aggregator.ProbeEnded{Server: probe.host.id, Err: err, Elapsed: now.Sub(probe.sentAt), Report: report})
 }
--- a/internal/backend/leaf/receive.go
+++ b/internal/backend/leaf/receive.go
@@ -17,110 +17,110 @@
 }
 
 // Data takes the bytes of one read.
-func (r *frameReader) Data(b []byte) {
+func (r *frameReader) Data(data []byte) {
 	if r.failed {
 		return
 	}
-	r.parser.Feed(b)
-	m := framesReceived{conn: r.conn}
+	r.parser.Feed(data)
+	received := framesReceived{conn: r.conn}
 	for {
-		f, ok, err := r.parser.Next()
+		frame, ok, err := r.parser.Next()
 		if err != nil {
 			r.failed = true
-			m.err = err
+			received.err = err
 		}
 		if !ok {
 			break
 		}
-		m.frames = append(m.frames, f)
+		received.frames = append(received.frames, frame)
 	}
-	m.partial = r.parser.Partial()
-	if len(m.frames) > 0 || r.failed || m.partial && !r.partial {
-		r.mailbox.Put(m)
+	received.partial = r.parser.Partial()
+	if len(received.frames) > 0 || r.failed || received.partial && !r.partial {
+		r.mailbox.Put(received)
 	}
-	r.partial = m.partial
+	r.partial = received.partial
 }
 
 // Closed takes the end of the connection.
 func (r *frameReader) Closed(err error) { r.mailbox.Put(connectionClosed{conn: r.conn, err: err}) }
 
 // handleFrames takes what one read of a connection brought.
-func (p *Pool) handleFrames(now time.Time, m framesReceived) {
-	c := m.conn
-	for _, f := range m.frames {
-		if c.isClosed() {
+func (p *Pool) handleFrames(now time.Time, received framesReceived) {
+	conn := received.conn
+	for _, frame := range received.frames {
+		if conn.isClosed() {
 			return
 		}
-		c.lastReceived = now
-		c.unresponsive = false
-		c.partialSince = time.Time{}
-		if err := p.handleFrame(now, c, f); err != nil {
-			p.closeCorrupt(c, err)
+		conn.lastReceived = now
+		conn.unresponsive = false
+		conn.partialSince = time.Time{}
+		if err := p.handleFrame(now, conn, frame); err != nil {
+			p.closeCorrupt(conn, err)
 		}
 	}
 	switch {
-	case c.isClosed():
-	case m.err != nil:
-		p.closeCorrupt(c, m.err)
-	case m.partial && len(c.streams) == 0 && !c.awaitsProbe():
-		p.closeCorrupt(c, errUnexpectedBytes)
-	case m.partial:
-		c.partialSince = now
-	case c.draining && len(c.streams) == 0:
-		p.closeConn(c, errExcessAnswer)
+	case conn.isClosed():
+	case received.err != nil:
+		p.closeCorrupt(conn, received.err)
+	case received.partial && len(conn.streams) == 0 && !conn.awaitsProbe():
+		p.closeCorrupt(conn, errUnexpectedBytes)
+	case received.partial:
+		conn.partialSince = now
+	case conn.draining && len(conn.streams) == 0:
+		p.closeConn(conn, errExcessAnswer)
 	}
 }
 
 // handleFrame takes one frame. An error says that the connection cannot be used any more.
-func (p *Pool) handleFrame(now time.Time, c *conn, f Frame) error {
-	switch f.Type {
+func (p *Pool) handleFrame(now time.Time, conn *conn, frame Frame) error {
+	switch frame.Type {
 	case frameAnswer:
-		return p.handleAnswer(now, c, f.Payload)
+		return p.handleAnswer(now, conn, frame.Payload)
 	case frameLoad, frameProbe:
-		return p.handleProbeAnswer(now, c, string(f.Payload))
+		return p.handleProbeAnswer(now, conn, string(frame.Payload))
 	default:
-		return fmt.Errorf("the server could not use a frame: %.80q", f.Payload)
+		return fmt.Errorf("the server could not use a frame: %.80q", frame.Payload)
 	}
 }
 
 // handleAnswer ends the attempt that an answer is for.
-func (p *Pool) handleAnswer(now time.Time, c *conn, payload []byte) error {
-	ans, err := parseAnswer(payload)
+func (p *Pool) handleAnswer(now time.Time, conn *conn, payload []byte) error {
+	answer, err := parseAnswer(payload)
 	if err != nil {
 		return err
 	}
-	c.lastUsed = now
-	a := c.streams[ans.name]
-	if a == nil {
-		return p.handleUnexpectedAnswer(c, ans.name)
+	conn.lastUsed = now
+	attempt := conn.streams[answer.name]
+	if attempt == nil {
+		return p.handleUnexpectedAnswer(conn, answer.name)
 	}
-	c.lastAnswered = ans.name
-	ended := aggregator.AttemptEnded{Report: ans.report}
-	switch ans.status {
+	conn.lastAnswered = answer.name
+	ended := aggregator.AttemptEnded{Report: answer.report}
+	switch answer.status {
 	case statusServed:
-		ended.Score = ans.score
-		ended.Value = ans.value
+		ended.Score = answer.score
+		ended.Value = answer.value
 	case statusError:
 		ended.Err = &aggregator.AttemptError{Progress: aggregator.Answered}
 	case statusBusy:
 		ended.Err = &aggregator.AttemptError{Progress: aggregator.Answered, Rejected: true}
 	}
-	p.end(a, ended)
+	p.end(attempt, ended)
 	return nil
 }
 
 // handleUnexpectedAnswer takes an answer for a part that is not in flight on the connection. If the attempt was canceled,
 // the answer is late. A second copy of the last answer does no harm, but the connection is not used any more. Any other
 // answer belongs to a part that will never get its own.
-func (p *Pool) handleUnexpectedAnswer(c *conn, name string) error {
-	if _, canceled := c.canceledAt[name]; canceled {
+func (p *Pool) handleUnexpectedAnswer(conn *conn, name string) error {
+	if _, canceled := conn.canceledAt[name]; canceled {
 		p.Stats.LateAnswers++
-		delete(c.canceledAt, name)
-		p.emit(aggregator.LateAnswer{Server: c.host.id})
+		delete(conn.canceledAt, name)
+		p.emit(aggregator.LateAnswer{Server: conn.host.id})
 		return nil
 	}
-	if name == c.lastAnswered {
-		c.draining = true
+	if name == conn.lastAnswered {
+		conn.draining = true
 		return nil
 	}
 	return fmt.Errorf("an answer for %.80q, which is not in flight", name)
--- a/internal/backend/leaf/sweep.go
+++ b/internal/backend/leaf/sweep.go
@@ -22,68 +22,68 @@
 func (p *Pool) Sweep(now time.Time) ([]aggregator.Event, time.Time) {
 	p.handling = true
 	var next wakeup
-	for _, h := range p.sortedHosts() {
-		for _, pr := range h.probes {
-			p.sweepProbe(now, pr, &next)
+	for _, host := range p.sortedHosts() {
+		for _, probe := range host.probes {
+			p.sweepProbe(now, probe, &next)
 		}
-		for _, c := range slices.Clone(h.conns) {
-			p.sweepConn(now, c, &next)
+		for _, conn := range slices.Clone(host.conns) {
+			p.sweepConn(now, conn, &next)
 		}
-		if len(h.conns) == 0 && len(h.waiting) == 0 && len(h.probes) == 0 {
-			delete(p.hosts, h.id)
+		if len(host.conns) == 0 && len(host.waiting) == 0 && len(host.probes) == 0 {
+			delete(p.hosts, host.id)
 		}
 	}
 	return p.takeEvents(), next.earliest
 }
 
-func (p *Pool) sweepProbe(now time.Time, pr *probe, next *wakeup) {
+func (p *Pool) sweepProbe(now time.Time, probe *probe, next *wakeup) {
 	switch {
-	case pr.confirms != nil: // sweepConn closes the connection of one that is overdue
-		if p.awaitsConfirmation(pr) && now.Before(pr.deadline) {
-			next.notLaterThan(pr.deadline)
+	case probe.confirms != nil: // sweepConn closes the connection of one that is overdue
+		if p.awaitsConfirmation(probe) && now.Before(probe.deadline) {
+			next.notLaterThan(probe.deadline)
 		}
-	case pr.ended:
-	case !now.Before(pr.deadline):
-		p.endProbe(now, pr, &aggregator.AttemptError{Progress: aggregator.Written, Canceled: true}, nil)
+	case probe.ended:
+	case !now.Before(probe.deadline):
+		p.endProbe(now, probe, &aggregator.AttemptError{Progress: aggregator.Written, Canceled: true}, nil)
 	default:
-		next.notLaterThan(pr.deadline)
+		next.notLaterThan(probe.deadline)
 	}
 }
 
-func (p *Pool) sweepConn(now time.Time, c *conn, next *wakeup) {
-	for _, pr := range c.probes {
-		p.sweepProbe(now, pr, next)
+func (p *Pool) sweepConn(now time.Time, conn *conn, next *wakeup) {
+	for _, probe := range conn.probes {
+		p.sweepProbe(now, probe, next)
 	}
-	if slices.ContainsFunc(c.probes, func(pr *probe) bool { return p.confirmationOverdue(now, pr) }) {
-		p.closeConn(c, errUnresponsive)
+	if slices.ContainsFunc(conn.probes, func(probe *probe) bool { return p.confirmationOverdue(now, probe) }) {
+		p.closeConn(conn, errUnresponsive)
 		return
 	}
-	for name, canceledAt := range c.canceledAt {
+	for name, canceledAt := range conn.canceledAt {
 		if now.Sub(canceledAt) > lateAnswerWindow {
-			delete(c.canceledAt, name)
+			delete(conn.canceledAt, name)
 		}
 	}
-	if !c.partialSince.IsZero() {
-		due := c.partialSince.Add(maxPartialFrameAge)
+	if !conn.partialSince.IsZero() {
+		due := conn.partialSince.Add(maxPartialFrameAge)
 		if !now.Before(due) {
-			p.closeCorrupt(c, errIncompleteFrame)
+			p.closeCorrupt(conn, errIncompleteFrame)
 			return
 		}
 		next.notLaterThan(due)
 	}
-	if c.state != connDialing && len(c.streams) == 0 {
-		p.sweepIdleConn(now, c, next)
+	if conn.state != connDialing && len(conn.streams) == 0 {
+		p.sweepIdleConn(now, conn, next)
 	}
 }
 
-func (p *Pool) sweepIdleConn(now time.Time, c *conn, next *wakeup) {
+func (p *Pool) sweepIdleConn(now time.Time, conn *conn, next *wakeup) {
 	switch {
-	case c.draining:
-		p.closeConn(c, errDrained)
+	case conn.draining:
+		p.closeConn(conn, errDrained)
 	case p.limits.IdleTimeout <= 0:
-	case p.stale(now, c):
-		p.closeConn(c, errIdle)
+	case p.stale(now, conn):
+		p.closeConn(conn, errIdle)
 	default:
-		next.notLaterThan(c.lastUsed.Add(p.maxIdle() + time.Millisecond))
+		next.notLaterThan(conn.lastUsed.Add(p.maxIdle() + time.Millisecond))
 	}
 }
--- a/internal/backend/serialconn/attempt.go
+++ b/internal/backend/serialconn/attempt.go
@@ -22,33 +22,39 @@
 
 // write sends an attempt on a connection. What may have changed while it waited for the connection is checked again before
 // its first byte: the server may have begun to drain, and the attempt's time may be over.
-func (p *Pool) write(now time.Time, c *conn, a *attempt) {
-	c.attempt = a
-	a.conn = c
-	request, err := p.request(now, a)
+func (p *Pool) write(now time.Time, conn *conn, attempt *attempt) {
+	conn.attempt = attempt
+	attempt.conn = conn
+	request, err := p.request(now, attempt)
 	if err != nil {
-		p.fail(a, err)
-		p.release(now, c)
+		p.fail(attempt, err)
+		p.release(now, conn)
 		return
 	}
-	a.progress = aggregator.Written // until the transport says otherwise
-	c.lastUsed = now
-	c.transport.Write(request, func(result tcp.WriteResult) { p.mailbox.Put(writeFinished{attempt: a, result: result}) })
+	attempt.progress = aggregator.Written // until the transport says otherwise
+	conn.lastUsed = now
+	conn.transport.Write(request, func(result tcp.WriteResult) {
+		p.mailbox.Put(writeFinished{attempt: attempt, result: result})
+	})
 }
 
 // request returns the bytes of an attempt, or why it must not be sent.
-func (p *Pool) request(now time.Time, a *attempt) ([]byte, *aggregator.AttemptError) {
-	if !p.directory.Available(a.server.ID) {
-		return nil, &aggregator.AttemptError{Progress: aggregator.NotConnected, Rejected: true, Cause: errServerDraining}
+func (p *Pool) request(now time.Time, attempt *attempt) ([]byte, *aggregator.AttemptError) {
+	if !p.directory.Available(attempt.server.ID) {
+		return nil, &aggregator.AttemptError{
+			Progress: aggregator.NotConnected,
+			Rejected: true,
+			Cause:    errServerDraining,
+		}
 	}
-	if a.canceled || !now.Before(a.call.Deadline) {
+	if attempt.canceled || !now.Before(attempt.call.Deadline) {
 		return nil, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true}
 	}
 	var work query.Work
-	if err := json.Unmarshal([]byte(a.call.Payload), &work); err != nil {
+	if err := json.Unmarshal([]byte(attempt.call.Payload), &work); err != nil {
 		return nil, &aggregator.AttemptError{Progress: aggregator.NotConnected, Cause: fmt.Errorf("payload: %w", err)}
 	}
-	request, err := p.codec(a.server.ID).Request(a.call, work)
+	request, err := p.codec(attempt.server.ID).Request(attempt.call, work)
 	if err != nil {
 		return nil, &aggregator.AttemptError{Progress: aggregator.NotConnected, Cause: err}
 	}
@@ -56,42 +62,50 @@
 }
 
 // handleWritten takes how far an attempt's request was written.
-func (p *Pool) handleWritten(a *attempt, result tcp.WriteResult) {
-	a.writeDone = true
+func (p *Pool) handleWritten(attempt *attempt, result tcp.WriteResult) {
+	attempt.writeDone = true
 	if result == tcp.WriteNone {
-		a.progress = aggregator.NotConnected
+		attempt.progress = aggregator.NotConnected
 	}
-	if a.conn.closed && p.attempts[a.call.Attempt] == a {
-		p.failLost(a, errBroken)
+	if attempt.conn.closed && p.attempts[attempt.call.Attempt] == attempt {
+		p.failLost(attempt, errBroken)
 	}
 }
 
 // failLost ends an attempt whose connection is closed, if it is known how far its request was written; else
 // handleWritten ends it.
-func (p *Pool) failLost(a *attempt, cause error) {
+func (p *Pool) failLost(attempt *attempt, cause error) {
 	switch {
-	case a.progress < aggregator.Written:
-		p.fail(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: a.canceled, Cause: cause})
-	case a.writeDone:
-		p.fail(a, &aggregator.AttemptError{Progress: aggregator.Written, Canceled: a.canceled, Cause: cause})
+	case attempt.progress < aggregator.Written:
+		p.fail(attempt, &aggregator.AttemptError{
+			Progress: aggregator.NotConnected,
+			Canceled: attempt.canceled,
+			Cause:    cause,
+		})
+	case attempt.writeDone:
+		p.fail(attempt, &aggregator.AttemptError{
+			Progress: aggregator.Written,
+			Canceled: attempt.canceled,
+			Cause:    cause,
+		})
 	}
 }
 
 // fail ends an attempt with an error.
-func (p *Pool) fail(a *attempt, err *aggregator.AttemptError) {
-	p.end(a, aggregator.AttemptEnded{Err: err})
+func (p *Pool) fail(attempt *attempt, err *aggregator.AttemptError) {
+	p.end(attempt, aggregator.AttemptEnded{Err: err})
 }
 
 // end ends an attempt, unless it has ended. ended says how, but for the attempt's id.
-func (p *Pool) end(a *attempt, ended aggregator.AttemptEnded) {
-	if p.attempts[a.call.Attempt] != a {
+func (p *Pool) end(attempt *attempt, ended aggregator.AttemptEnded) {
+	if p.attempts[attempt.call.Attempt] != attempt {
 		return
 	}
-	delete(p.attempts, a.call.Attempt)
-	if a.conn != nil && a.conn.attempt == a {
-		a.conn.attempt = nil
+	delete(p.attempts, attempt.call.Attempt)
+	if attempt.conn != nil && attempt.conn.attempt == attempt {
+		attempt.conn.attempt = nil
 	}
-	ended.Attempt = a.call.Attempt
-	aggregator.StateSubject(ended.Err, a.server.ID, a.call.Name)
+	ended.Attempt = attempt.call.Attempt
+	aggregator.StateSubject(ended.Err, attempt.server.ID, attempt.call.Name)
 	p.emit(ended)
 }
--- a/internal/backend/serialconn/conn.go
+++ b/internal/backend/serialconn/conn.go
@@ -79,112 +79,112 @@
 }
 
 // handleDialResult greets the server or, if its protocol has no greeting, writes the attempt that the connection is for.
-func (p *Pool) handleDialResult(now time.Time, m dialResult) {
-	c := m.conn
-	if m.err != nil {
+func (p *Pool) handleDialResult(now time.Time, result dialResult) {
+	conn := result.conn
+	if result.err != nil {
 		p.Stats.DialsFailed++
-		p.closeConn(c, nil)
-		if c.attempt != nil {
-			p.fail(c.attempt, &aggregator.AttemptError{Progress: aggregator.NotConnected, Cause: m.err})
+		p.closeConn(conn, nil)
+		if conn.attempt != nil {
+			p.fail(conn.attempt, &aggregator.AttemptError{Progress: aggregator.NotConnected, Cause: result.err})
 		}
 		return
 	}
-	c.transport = m.transport
-	if c.closed || c.attempt == nil { // closed at once, or its attempt canceled meanwhile
-		p.closeConn(c, errNotNeeded)
+	conn.transport = result.transport
+	if conn.closed || conn.attempt == nil { // closed at once, or its attempt canceled meanwhile
+		p.closeConn(conn, errNotNeeded)
 		return
 	}
-	if greeting := p.codec(c.server).Greeting(); greeting != nil {
-		c.transport.Write(greeting, nil)
-		p.greeting[c] = now
+	if greeting := p.codec(conn.server).Greeting(); greeting != nil {
+		conn.transport.Write(greeting, nil)
+		p.greeting[conn] = now
 		return
 	}
-	c.ready = true
-	p.write(now, c, c.attempt)
+	conn.ready = true
+	p.write(now, conn, conn.attempt)
 }
 
 // handleReply takes one answer that came on a connection.
-func (p *Pool) handleReply(now time.Time, c *conn, reply Reply) {
-	a := c.attempt
+func (p *Pool) handleReply(now time.Time, conn *conn, reply Reply) {
+	attempt := conn.attempt
 	switch {
-	case reply.Greeting && !c.ready:
-		p.handleGreeting(now, c, reply)
+	case reply.Greeting && !conn.ready:
+		p.handleGreeting(now, conn, reply)
 		return
-	case !c.ready:
+	case !conn.ready:
 		// It is no answer to the attempt that waits.
-		p.closeUnwritten(c, errEarlyAnswer)
+		p.closeUnwritten(conn, errEarlyAnswer)
 		return
-	case a == nil || a.canceled || reply.Greeting:
+	case attempt == nil || attempt.canceled || reply.Greeting:
 		p.Stats.LateAnswers++ // what follows on this connection could not be matched to its request
-		p.closeConn(c, errUnexpectedReply)
-		if a != nil {
-			p.failLost(a, errCanceled)
+		p.closeConn(conn, errUnexpectedReply)
+		if attempt != nil {
+			p.failLost(attempt, errCanceled)
 		}
 		return
 	}
-	p.end(a, aggregator.AttemptEnded{Err: reply.Err, Score: reply.Score, Value: reply.Value})
+	p.end(attempt, aggregator.AttemptEnded{Err: reply.Err, Score: reply.Score, Value: reply.Value})
 	if reply.Close {
-		p.closeConn(c, errCloseRequested)
+		p.closeConn(conn, errCloseRequested)
 		return
 	}
-	p.release(now, c)
+	p.release(now, conn)
 }
 
 // handleGreeting takes the answer to a connection's greeting.
-func (p *Pool) handleGreeting(now time.Time, c *conn, reply Reply) {
+func (p *Pool) handleGreeting(now time.Time, conn *conn, reply Reply) {
 	if reply.Err != nil {
-		p.closeUnwritten(c, reply.Err)
+		p.closeUnwritten(conn, reply.Err)
 		return
 	}
-	delete(p.greeting, c)
-	c.ready = true
-	if c.attempt != nil {
-		p.write(now, c, c.attempt)
+	delete(p.greeting, conn)
+	conn.ready = true
+	if conn.attempt != nil {
+		p.write(now, conn, conn.attempt)
 	}
 }
 
 // handleClosed takes the end of a connection.
-func (p *Pool) handleClosed(c *conn, cause error) {
-	if !c.closed && c.transport != nil {
+func (p *Pool) handleClosed(conn *conn, cause error) {
+	if !conn.closed && conn.transport != nil {
 		p.Stats.Broken++
 	}
-	p.closeConn(c, cause)
+	p.closeConn(conn, cause)
 	if cause == nil {
 		cause = errServerClosed
 	}
-	if c.attempt != nil {
-		p.failLost(c.attempt, cause)
+	if conn.attempt != nil {
+		p.failLost(conn.attempt, cause)
 	}
 }
 
 // closeUnwritten closes a connection whose attempt, if it has one, was not written.
-func (p *Pool) closeUnwritten(c *conn, cause error) {
-	a := c.attempt
-	p.closeConn(c, cause)
-	if a != nil {
-		p.fail(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Cause: cause})
+func (p *Pool) closeUnwritten(conn *conn, cause error) {
+	attempt := conn.attempt
+	p.closeConn(conn, cause)
+	if attempt != nil {
+		p.fail(attempt, &aggregator.AttemptError{Progress: aggregator.NotConnected, Cause: cause})
 	}
 }
 
-func (p *Pool) closeConn(c *conn, cause error) {
-	if c.transport != nil {
-		c.transport.Close(cause)
+func (p *Pool) closeConn(conn *conn, cause error) {
+	if conn.transport != nil {
+		conn.transport.Close(cause)
 	}
-	if !c.closed {
-		c.closed = true
+	if !conn.closed {
+		conn.closed = true
 		p.connCount--
-		p.removeIdle(c)
+		p.removeIdle(conn)
 	}
 }
 
 // release makes a connection that has carried an attempt idle.
-func (p *Pool) release(now time.Time, c *conn) {
-	c.attempt = nil
-	if c.closed || !c.ready {
+func (p *Pool) release(now time.Time, conn *conn) {
+	conn.attempt = nil
+	if conn.closed || !conn.ready {
 		return
 	}
-	c.lastUsed = now
-	p.idle[c.server] = append(p.idle[c.server], c)
+	conn.lastUsed = now
+	p.idle[conn.server] = append(p.idle[conn.server], conn)
 }
 
 // takeIdle returns an idle connection that the server surely still holds, nil if there is none. It is not idle any more.
--- a/internal/backend/serialconn/pool.go
+++ b/internal/backend/serialconn/pool.go
@@ -104,20 +104,20 @@
 // Cancel gives an attempt up. None of the protocols can cancel a request so that nothing more comes of it, so the
 // connection is closed, and the attempt ends when it is.
 func (p *Pool) Cancel(_ time.Time, id aggregator.AttemptID, _ bool) {
-	a := p.attempts[id]
-	if a == nil || a.canceled {
+	attempt := p.attempts[id]
+	if attempt == nil || attempt.canceled {
 		return
 	}
-	a.canceled = true
-	c := a.conn
-	if c.transport != nil && c.ready {
-		c.transport.Close(errCanceled)
+	attempt.canceled = true
+	conn := attempt.conn
+	if conn.transport != nil && conn.ready {
+		conn.transport.Close(errCanceled)
 		return
 	}
 	// Dialing or greeting: nothing of it was written.
-	p.fail(a, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true})
-	if c.transport != nil {
-		p.closeConn(c, errCanceled)
+	p.fail(attempt, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true})
+	if conn.transport != nil {
+		p.closeConn(conn, errCanceled)
 	}
 }
 
--- a/internal/backend/sru/client.go
+++ b/internal/backend/sru/client.go
@@ -77,9 +77,9 @@
 
 // judge turns an HTTP answer into a reply. What a server says of the query itself is an answer; what it says of itself is an
 // error, and proves nothing of whether the request ran.
-func judge(m *http1.Message) serialconn.Reply {
-	reply := serialconn.Reply{Close: m.Close}
-	result, err := parseResult(m)
+func judge(message *http1.Message) serialconn.Reply {
+	reply := serialconn.Reply{Close: message.Close}
+	result, err := parseResult(message)
 	if err != nil {
 		reply.Err = err
 		return reply
@@ -90,11 +90,11 @@
 }
 
 // parseResult returns what an answer says of the request, or an AttemptError.
-func parseResult(m *http1.Message) (query.PartResult, error) {
-	if m.Status != http.StatusOK {
-		return query.PartResult{}, failed(fmt.Errorf("status %d", m.Status))
+func parseResult(message *http1.Message) (query.PartResult, error) {
+	if message.Status != http.StatusOK {
+		return query.PartResult{}, failed(fmt.Errorf("status %d", message.Status))
 	}
-	response, err := sru.ParseResponse(m.Body)
+	response, err := sru.ParseResponse(message.Body)
 	if err != nil {
 		return query.PartResult{}, failed(err)
 	}
--- a/internal/backend/z3950/client.go
+++ b/internal/backend/z3950/client.go
@@ -134,8 +134,8 @@
 type clientParser struct{ buf []byte }
 
 // Feed takes bytes and returns the responses that are complete with them.
-func (p *clientParser) Feed(b []byte) (replies []serialconn.Reply, err error) {
-	p.buf = append(p.buf, b...)
+func (p *clientParser) Feed(data []byte) (replies []serialconn.Reply, err error) {
+	p.buf = append(p.buf, data...)
 	for len(p.buf) > 0 {
 		node, rest, err := z3950.Decode(p.buf)
 		if errors.Is(err, z3950.ErrMore) && len(p.buf) <= maxPartialLen {
--- a/internal/net/discovery/stream.go
+++ b/internal/net/discovery/stream.go
@@ -88,14 +88,14 @@
 }
 
 // Data takes bytes off the connection. It implements tcp.Handler.
-func (s *eventStream) Data(b []byte) {
+func (s *eventStream) Data(data []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state.abandoned { // guards the list of a new address against late events of the old one
 		return
 	}
 	s.state.sawProgress = false
-	err := s.read(b)
+	err := s.read(data)
 	// A part of a list is no progress. Guards against a list that goes on and on and never ends.
 	if s.state.sawProgress {
 		s.signalProgress()
@@ -129,8 +129,8 @@
 }
 
 // read parses what has come, and returns why the watch is over; nil: it is not.
-func (s *eventStream) read(b []byte) error {
-	s.parser.Feed(b)
+func (s *eventStream) read(data []byte) error {
+	s.parser.Feed(data)
 	response, err := s.parser.Next()
 	if err != nil {
 		return fmt.Errorf("read the response: %w", err)
@@ -162,11 +162,11 @@
 
 // readBody takes a piece of a response's body as it comes. The parser calls it. A list is complete with its last bracket,
 // however the response that it stands in ends.
-func (s *eventStream) readBody(b []byte) error {
+func (s *eventStream) readBody(data []byte) error {
 	if s.state.abandoned {
 		return nil
 	}
-	s.framer.Feed(b)
+	s.framer.Feed(data)
 	for {
 		text, err := s.framer.Next()
 		if err != nil {
--- a/internal/net/httpserve/conn.go
+++ b/internal/net/httpserve/conn.go
@@ -102,7 +102,7 @@
 }
 
 // Data reads requests. It implements tcp.Handler.
-func (c *serverConn) Data(b []byte) {
+func (c *serverConn) Data(data []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -117,7 +117,7 @@
 			c.startTimer(c.server.timeouts.ReadRequest)
 		}
 	}
-	c.parser.Feed(b)
+	c.parser.Feed(data)
 	// Guards memory against a client that goes on sending behind a request in flight.
 	if c.current != nil && c.parser.Buffered() > maxPipelinedBytes {
 		c.closed = true
