Use the tags of protocol/z3950 in the Z39.50 client and check instead of copies

Cause: backend/z3950 and healthcheck named 29 tags of the protocol again. Change: the Field constants of protocol/z3950, each compared with the copy before that was removed: equal. Measured: go test -race -count=1 of both pass, and go test -run Z3950 of cmd/rooktrestle.

--- a/internal/backend/healthcheck/check.go
+++ b/internal/backend/healthcheck/check.go
@@ -20,16 +20,6 @@
 // userAgent names the program to the servers that it checks.
 const userAgent = "rooktrestle-check"
 
-// Tags of the elements of Z39.50's Init (ANSI/NISO Z39.50-2003, section 4.1).
-const (
-	tagProtocolVersion = 3
-	tagOptions         = 4
-	tagMessageSize     = 5   // preferredMessageSize
-	tagRecordSize      = 6   // exceptionalRecordSize
-	tagInitResult      = 12  // whether the association is accepted
-	tagImplID          = 110 // implementationId
-)
-
 // Check is one check of one server. Run may be called several times, and by several goroutines at once.
 type Check struct {
 	Profile *config.CheckProfile
@@ -172,11 +162,11 @@
 // initRequest returns a Z39.50 Init request.
 func initRequest() []byte {
 	return z3950.Ctx(z3950.InitRequest,
-		z3950.Bits(tagProtocolVersion, 0, 1, 2),
-		z3950.Bits(tagOptions, z3950.OptSearch, z3950.OptPresent),
-		z3950.Num(tagMessageSize, z3950.MaxPDU),
-		z3950.Num(tagRecordSize, z3950.MaxPDU),
-		z3950.Str(tagImplID, userAgent),
+		z3950.Bits(z3950.FieldVersion, 0, 1, 2),
+		z3950.Bits(z3950.FieldOptions, z3950.OptSearch, z3950.OptPresent),
+		z3950.Num(z3950.FieldPreferredMessageSize, z3950.MaxPDU),
+		z3950.Num(z3950.FieldExceptionalRecordSize, z3950.MaxPDU),
+		z3950.Str(z3950.FieldImplementationID, userAgent),
 	).Encode(nil)
 }
 
--- a/internal/backend/z3950/client.go
+++ b/internal/backend/z3950/client.go
@@ -21,36 +21,6 @@
 	maxPartialLen = z3950.MaxPDU + 64
 )
 
-// Tags of Z39.50's elements (ANSI/NISO Z39.50-2003, section 4.1).
-const (
-	tagReferenceID     = 2
-	tagProtocolVersion = 3
-	tagOptions         = 4
-	tagMessageSize     = 5 // preferredMessageSize
-	tagRecordSize      = 6 // exceptionalRecordSize
-	tagInitResult      = 12
-	tagImplID          = 110
-	tagImplName        = 111
-
-	tagSmallSetUpperBound     = 13
-	tagLargeSetLowerBound     = 14
-	tagMediumSetPresentNumber = 15
-	tagReplaceIndicator       = 16
-	tagResultSetName          = 17
-	tagDatabaseNames          = 18
-	tagDatabaseName           = 105
-	tagRecordSyntax           = 104 // preferredRecordSyntax
-	tagQuery                  = 21
-	tagSearchStatus           = 22
-	tagResultCount            = 23
-
-	tagOperationStatus = 3 // of an extended service's response
-	tagDiagnostics     = 4
-
-	tagCloseReason      = 211
-	tagCloseDiagnostics = 3
-)
-
 const (
 	// noLargeSet is a bound that no result set reaches: records come with the answer to any search.
 	noLargeSet = 1 << 30
@@ -91,12 +61,12 @@
 // Greeting returns an Init request.
 func (c *Client) Greeting() []byte {
 	return z3950.Ctx(z3950.InitRequest,
-		z3950.Bits(tagProtocolVersion, 0, 1, 2),
-		z3950.Bits(tagOptions, z3950.OptSearch, z3950.OptPresent, z3950.OptDelete, z3950.OptES, z3950.OptNamed),
-		z3950.Num(tagMessageSize, z3950.MaxPDU),
-		z3950.Num(tagRecordSize, z3950.MaxPDU),
-		z3950.Str(tagImplID, implementation),
-		z3950.Str(tagImplName, implementation),
+		z3950.Bits(z3950.FieldVersion, 0, 1, 2),
+		z3950.Bits(z3950.FieldOptions, z3950.OptSearch, z3950.OptPresent, z3950.OptDelete, z3950.OptES, z3950.OptNamed),
+		z3950.Num(z3950.FieldPreferredMessageSize, z3950.MaxPDU),
+		z3950.Num(z3950.FieldExceptionalRecordSize, z3950.MaxPDU),
+		z3950.Str(z3950.FieldImplementationID, implementation),
+		z3950.Str(z3950.FieldImplementationName, implementation),
 	).Encode(nil)
 }
 
@@ -116,15 +86,15 @@
 		return nil, err
 	}
 	return z3950.Ctx(z3950.SearchRequest,
-		z3950.Str(tagReferenceID, call.Name),
-		z3950.Num(tagSmallSetUpperBound, work.MaxRecords),
-		z3950.Num(tagLargeSetLowerBound, noLargeSet),
-		z3950.Num(tagMediumSetPresentNumber, work.MaxRecords),
-		z3950.Boolean(tagReplaceIndicator, true),
-		z3950.Str(tagResultSetName, resultSetName),
-		z3950.Ctx(tagDatabaseNames, z3950.Str(tagDatabaseName, database)),
-		z3950.Oid(z3950.Context, tagRecordSyntax, z3950.OidXML),
-		z3950.Ctx(tagQuery, rpn),
+		z3950.Str(z3950.FieldReferenceID, call.Name),
+		z3950.Num(z3950.FieldSmallSetUpperBound, work.MaxRecords),
+		z3950.Num(z3950.FieldLargeSetLowerBound, noLargeSet),
+		z3950.Num(z3950.FieldMediumSetPresentNumber, work.MaxRecords),
+		z3950.Boolean(z3950.FieldReplaceIndicator, true),
+		z3950.Str(z3950.FieldResultSetName, resultSetName),
+		z3950.Ctx(z3950.FieldDatabaseNames, z3950.Str(z3950.FieldDatabaseName, database)),
+		z3950.Oid(z3950.Context, z3950.FieldRecordSyntax, z3950.OidXML),
+		z3950.Ctx(z3950.FieldQuery, rpn),
 	).Encode(nil), nil
 }
 
@@ -165,7 +135,7 @@
 	switch node.Tag {
 	case z3950.InitResponse:
 		reply := serialconn.Reply{Greeting: true}
-		if !node.Kid(tagInitResult).Truth() {
+		if !node.Kid(z3950.FieldInitResult).Truth() {
 			reply.Err = errInitRejected
 		}
 		return reply, nil
@@ -174,8 +144,8 @@
 	case z3950.EsResponse:
 		return judgeResult(updateResult(node)), nil
 	case z3950.ClosePDU:
-		reason := node.Kid(tagCloseReason).IntOr(reasonUnspecified)
-		details := node.Kid(tagCloseDiagnostics).Text()
+		reason := node.Kid(z3950.FieldCloseReason).IntOr(reasonUnspecified)
+		details := node.Kid(z3950.FieldCloseInformation).Text()
 		return serialconn.Reply{}, fmt.Errorf("z3950: the target closed: reason %d %s", reason, details)
 	default:
 		return serialconn.Reply{}, fmt.Errorf("z3950: unit %d", node.Tag)
@@ -183,19 +153,19 @@
 }
 
 func searchResult(node *z3950.Node) (result query.PartResult) {
-	result.Count = max(0, node.Kid(tagResultCount).IntOr(0))
+	result.Count = max(0, node.Kid(z3950.FieldResultCount).IntOr(0))
 	result.Records, result.Diagnostic = z3950.ParseRecords(node)
-	if !node.Kid(tagSearchStatus).Truth() && result.Diagnostic == nil {
+	if !node.Kid(z3950.FieldSearchStatus).Truth() && result.Diagnostic == nil {
 		result.Diagnostic = &query.Diagnostic{Bib1: bib1Unspecified, Details: "the search failed"}
 	}
 	return result
 }
 
 func updateResult(node *z3950.Node) (result query.PartResult) {
-	if list := node.Kid(tagDiagnostics); list != nil && len(list.Kids) > 0 {
+	if list := node.Kid(z3950.FieldEsDiagnostics); list != nil && len(list.Kids) > 0 {
 		result.Diagnostic = z3950.ParseDiagnostic(list.Kids[0])
 	}
-	failed := node.Kid(tagOperationStatus).IntOr(operationFailed) == operationFailed
+	failed := node.Kid(z3950.FieldEsOperationStatus).IntOr(operationFailed) == operationFailed
 	if failed && result.Diagnostic == nil {
 		result.Diagnostic = &query.Diagnostic{Bib1: bib1Unspecified, Details: "the update failed"}
 	}
--- a/internal/backend/z3950/client_test.go
+++ b/internal/backend/z3950/client_test.go
@@ -9,7 +9,10 @@
 
 // No input makes the parser of a target's responses panic, and what it keeps is bounded.
 func FuzzAnswers(f *testing.F) {
-	f.Add(z3950.Ctx(z3950.SearchResponse, z3950.Num(23, 1), z3950.Boolean(22, true)).Encode(nil))
+	f.Add(z3950.Ctx(z3950.SearchResponse,
+		z3950.Num(z3950.FieldResultCount, 1),
+		z3950.Boolean(z3950.FieldSearchStatus, true),
+	).Encode(nil))
 	f.Add(z3950.Update("r", "d", query.ActionDelete, query.Record{ID: "1"}).Encode(nil))
 	f.Add([]byte("\xb6\x80\xbf\x69\x80\x04\x01a\x00\x00\x00\x00"))
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/internal/protocol/z3950/ber_test.go
+++ b/internal/protocol/z3950/ber_test.go
@@ -13,7 +13,7 @@
 func TestDecode_KnownBytes(t *testing.T) {
 	// A constructed octet string in segments inside an indefinite length, as old origins send.
 	n, rest, err := Decode([]byte("\xb6\x80\xbf\x69\x80\x04\x01a\x04\x02bc\x00\x00\x00\x00tail"))
-	if err != nil || n.Tag != SearchRequest || n.Kid(105).Text() != "abc" || string(rest) != "tail" {
+	if err != nil || n.Tag != SearchRequest || n.Kid(FieldDatabaseName).Text() != "abc" || string(rest) != "tail" {
 		t.Errorf("decoded %+v, then %q, %v", n, rest, err)
 	}
 	for _, bad := range []string{
@@ -63,7 +63,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		sent, _, err := Decode(Ctx(21, n).Encode(nil))
+		sent, _, err := Decode(Ctx(FieldQuery, n).Encode(nil))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -84,7 +84,11 @@
 
 // A decoded value encodes to bytes that decode to the same value. No input makes the decoder or the parsers of units panic.
 func FuzzDecode(f *testing.F) {
-	f.Add(Ctx(SearchRequest, Str(17, "x"), Ctx(18, Str(105, "d")), Ctx(21, Ctx(1))).Encode(nil))
+	f.Add(Ctx(SearchRequest,
+		Str(FieldResultSetName, "x"),
+		Ctx(FieldDatabaseNames, Str(FieldDatabaseName, "d")),
+		Ctx(FieldQuery, Ctx(queryType1)),
+	).Encode(nil))
 	f.Add(Update("r", "d", query.ActionDelete, query.Record{ID: "1"}).Encode(nil))
 	f.Add([]byte("\xb6\x80\xbf\x69\x80\x04\x01a\x00\x00\x00\x00"))
 	f.Fuzz(func(t *testing.T, b []byte) {
