--- a/internal/backend/leaf/attempt.go
+++ b/internal/backend/leaf/attempt.go
@@ -282,8 +282,8 @@
 	}
 	// Guards against a machine that vanished: its connections stay open and nothing comes on them, and whatever is written
 	// on them may have run for all that is known. A new connection shows whether it is there.
-	silent := conn.lastReceived.Before(attempt.writtenAt)
-	if silent && now.Sub(attempt.writtenAt) > p.limits.UnresponsiveAfter {
+	nothingReceived := conn.lastReceived.Before(attempt.writtenAt)
+	if nothingReceived && now.Sub(attempt.writtenAt) > p.limits.UnresponsiveAfter {
 		conn.unresponsive = true
 	}
 	if !attempt.unconfirmed || conn.state == connClosed {
--- a/internal/net/httpserve/conn.go
+++ b/internal/net/httpserve/conn.go
@@ -142,7 +142,7 @@
 			return
 		}
 		if request == nil {
-			c.continueIfWanted()
+			c.sendContinueIfExpected()
 			return
 		}
 		c.sentContinue = false
@@ -170,9 +170,9 @@
 	c.rejectBad(status, err.Error())
 }
 
-// continueIfWanted sends 100 Continue, once, to a client that waits for it before it sends its request's body.
-func (c *serverConn) continueIfWanted() {
-	if c.parser.WantsContinue() && !c.sentContinue {
+// sendContinueIfExpected sends 100 Continue, once, to a client that waits for it before it sends its request's body.
+func (c *serverConn) sendContinueIfExpected() {
+	if c.parser.ExpectsContinue() && !c.sentContinue {
 		c.sentContinue = true
 		c.conn.Write([]byte(continueResponse), nil)
 	}
--- a/internal/protocol/http1/parser.go
+++ b/internal/protocol/http1/parser.go
@@ -59,8 +59,8 @@
 // Begun returns whether a message has begun and is not complete.
 func (p *Parser) Begun() bool { return p.stage != inHead || len(p.buf) > 0 }
 
-// WantsContinue returns whether the sender of the message in progress waits for 100 Continue.
-func (p *Parser) WantsContinue() bool {
+// ExpectsContinue returns whether the sender of the message in progress waits for 100 Continue.
+func (p *Parser) ExpectsContinue() bool {
 	if p.stage == inHead || p.stage == broken || p.message == nil {
 		return false
 	}
