Give the steps of tests in net, backend and protocol a line each

Change: literals of several fields, closures of several statements and long conditions of the tests; no condition changes. Measured: go test -race -count=1 of net, backend, protocol and query pass.

--- a/internal/backend/healthcheck/check_test.go
+++ b/internal/backend/healthcheck/check_test.go
@@ -28,7 +28,13 @@
 
 func newProfile(t *testing.T, kind string, timeout time.Duration) *config.CheckProfile {
 	t.Helper()
-	profile := &config.CheckProfile{Name: kind, Kind: kind, Method: "GET", Path: "/healthz", Timeout: config.Duration{Duration: timeout}}
+	profile := &config.CheckProfile{
+		Name:    kind,
+		Kind:    kind,
+		Method:  "GET",
+		Path:    "/healthz",
+		Timeout: config.Duration{Duration: timeout},
+	}
 	profile.Expectation.Status = parseRanges(t, "200-399")
 	profile.Expectation.Drain = parseRanges(t, "404")
 	return profile
@@ -100,7 +106,8 @@
 		t.Errorf("it received %q", received)
 	}
 	agent.Set("maint", replica.RespondToSend)
-	if r := run(profile, agent.Addr()); r.Failed || r.Admin != health.Maintenance || r.Oper != health.OperUnset || r.Weight >= 0 {
+	r := run(profile, agent.Addr())
+	if r.Failed || r.Admin != health.Maintenance || r.Oper != health.OperUnset || r.Weight >= 0 {
 		t.Errorf("%+v", r)
 	}
 	agent.Set("stopped", replica.RespondToSend)
@@ -228,7 +235,12 @@
 	}))
 	defer bridge.Close()
 	profile := newProfile(t, config.CheckGRPC, longTimeout)
-	check := Check{Profile: profile, Addr: "127.0.0.1:7", Bridge: strings.TrimPrefix(bridge.URL, "http://"), Dial: tcp.DialServerFirst}
+	check := Check{
+		Profile: profile,
+		Addr:    "127.0.0.1:7",
+		Bridge:  strings.TrimPrefix(bridge.URL, "http://"),
+		Dial:    tcp.DialServerFirst,
+	}
 	for service, failed := range map[string]bool{"captions": false, "coverage": true} {
 		profile.Service = service
 		r := check.Run()
--- a/internal/backend/leaf/harness_test.go
+++ b/internal/backend/leaf/harness_test.go
@@ -215,7 +215,8 @@
 	n := len(h.sent)
 	a := &attemptModel{id: aggregator.AttemptID{Part: balance.ID(n)}, name: fmt.Sprintf("q.%d", n)}
 	h.sent = append(h.sent, a)
-	h.pool.Send(h.now, h.server(), []aggregator.Call{{Attempt: a.id, Name: a.name, Deadline: h.now.Add(5 * time.Second)}})
+	call := aggregator.Call{Attempt: a.id, Name: a.name, Deadline: h.now.Add(5 * time.Second)}
+	h.pool.Send(h.now, h.server(), []aggregator.Call{call})
 	h.runTurn()
 	return a
 }
--- a/internal/backend/leaf/pool_test.go
+++ b/internal/backend/leaf/pool_test.go
@@ -15,7 +15,16 @@
 
 // fuzzSteps are chosen by the last decimal digit of a byte of the input, and pick is the rest of it.
 var fuzzSteps = [10]fuzzStep{
-	stepSend, stepCancel, stepDialDone, stepDialRefused, stepSettle, stepEnd, stepAnswer, stepReceive, stepSweep, stepDrain,
+	0: stepSend,
+	1: stepCancel,
+	2: stepDialDone,
+	3: stepDialRefused,
+	4: stepSettle,
+	5: stepEnd,
+	6: stepAnswer,
+	7: stepReceive,
+	8: stepSweep,
+	9: stepDrain,
 }
 
 func stepSend(h *harness, _ int, _ *fakeTransport, _ *attemptModel) {
@@ -271,7 +280,10 @@
 	h.finishDial(nil)
 	rest := h.mailbox
 	h.mailbox = nil
-	answer := framesReceived{conn: h.transports[len(h.transports)-1].conn, frames: []Frame{{frameLoad, []byte("queue=2")}}}
+	answer := framesReceived{
+		conn:   h.transports[len(h.transports)-1].conn,
+		frames: []Frame{{frameLoad, []byte("queue=2")}},
+	}
 	events, _ := h.pool.Handle(h.now, answer)
 	if len(events) != 1 || events[0].(aggregator.ProbeEnded).Err != nil {
 		t.Errorf("%+v %+v", rest, events)
@@ -297,7 +309,8 @@
 	collect(events)
 	h.pool.Probe(h.now, h.server())
 	for _, text := range []string{"queue=9", "E", "queue=3,util=0.5,new=x"} { // the first two are late
-		events, _ := h.pool.Handle(h.now, framesReceived{conn: transport.conn, frames: []Frame{{frameLoad, []byte(text)}}})
+		answer := framesReceived{conn: transport.conn, frames: []Frame{{frameLoad, []byte(text)}}}
+		events, _ := h.pool.Handle(h.now, answer)
 		collect(events)
 	}
 	if len(ends) != 3 || ends[0].Err == nil || ends[1].Err == nil || ends[2].Err != nil {
--- a/internal/backend/serialconn/pool_test.go
+++ b/internal/backend/serialconn/pool_test.go
@@ -14,7 +14,16 @@
 
 // fuzzSteps are chosen by the last decimal digit of a byte of the input, and pick is the rest of it.
 var fuzzSteps = [10]fuzzStep{
-	stepSend, stepCancel, stepDialDone, stepDialRefused, stepSettle, stepEnd, stepAnswer, stepDrain, stepSweep, stepGreeted,
+	0: stepSend,
+	1: stepCancel,
+	2: stepDialDone,
+	3: stepDialRefused,
+	4: stepSettle,
+	5: stepEnd,
+	6: stepAnswer,
+	7: stepDrain,
+	8: stepSweep,
+	9: stepGreeted,
 }
 
 func stepSend(h *harness, _ int, _ *fakeTransport, _ *attemptModel) {
--- a/internal/net/shardmapsource/helpers_test.go
+++ b/internal/net/shardmapsource/helpers_test.go
@@ -28,7 +28,10 @@
 func start(t *testing.T, run func(stop <-chan struct{})) (stopAndWait func()) {
 	t.Helper()
 	stop, done := make(chan struct{}), make(chan struct{})
-	go func() { run(stop); close(done) }()
+	go func() {
+		run(stop)
+		close(done)
+	}()
 	stopped := false
 	stopAndWait = func() {
 		if !stopped {
--- a/internal/net/tcp/dial_test.go
+++ b/internal/net/tcp/dial_test.go
@@ -53,7 +53,8 @@
 	// The system gives port 1 to nobody; one that a listener has just freed may be another process's by now.
 	for name, addr := range map[string]string{"nobody listens": "127.0.0.1:1", "not a port": "127.0.0.1:none"} {
 		t.Run(name, func(t *testing.T) {
-			if c, err := DialServerFirst(addr, time.Minute, func(*Conn) Handler { return newRecordingHandler() }); err == nil {
+			newHandler := func(*Conn) Handler { return newRecordingHandler() }
+			if c, err := DialServerFirst(addr, time.Minute, newHandler); err == nil {
 				t.Errorf("%s: connected to %v", addr, c.Peer())
 			}
 		})
@@ -98,7 +99,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = syscall.Close(fd) }) // nothing was accepted on it
-	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+	loopback := &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}
+	if err := errors.Join(syscall.Bind(fd, loopback), syscall.Listen(fd, 0)); err != nil {
 		t.Fatal(err)
 	}
 	addr, err := syscall.Getsockname(fd)
--- a/internal/net/tcp/helpers_test.go
+++ b/internal/net/tcp/helpers_test.go
@@ -39,7 +39,8 @@
 	h := newRecordingHandler()
 	// Not by Dial: among connections that end at the same time netpoll's dialing says of one in some thousands that its
 	// peer has closed it, when nobody has.
-	c, err := DialServerFirst(listener.Addr().String(), time.Minute, func(*Conn) Handler { return hookedHandler{h, before} })
+	newHandler := func(*Conn) Handler { return hookedHandler{h, before} }
+	c, err := DialServerFirst(listener.Addr().String(), time.Minute, newHandler)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/net/tcp/listen.go
+++ b/internal/net/tcp/listen.go
@@ -29,7 +29,9 @@
 	}
 	loop, err := netpoll.NewEventLoop(
 		onReadable,
-		netpoll.WithOnPrepare(func(socket netpoll.Connection) context.Context { return prepare(socket, limiter, accept) }),
+		netpoll.WithOnPrepare(func(socket netpoll.Connection) context.Context {
+			return prepare(socket, limiter, accept)
+		}),
 		netpoll.WithOnConnect(func(ctx context.Context, socket netpoll.Connection) context.Context {
 			return onConnect(ctx, socket, limiter, accept)
 		}))
--- a/internal/net/tcp/races_test.go
+++ b/internal/net/tcp/races_test.go
@@ -18,7 +18,10 @@
 func TestConn_WriteWithin_Expires(t *testing.T) {
 	c, peer, _ := connect(t, nil)
 	held, release, results := make(chan struct{}), make(chan struct{}), make(chan WriteResult, 2)
-	c.Write([]byte("first "), func(WriteResult) { close(held); <-release }) // whatever is queued now waits behind it
+	c.Write([]byte("first "), func(WriteResult) { // whatever is queued now waits behind it
+		close(held)
+		<-release
+	})
 	<-held
 	c.WriteWithin(1, []byte("late "), func(r WriteResult) { results <- r })
 	c.WriteWithin(time.Hour, []byte("good"), func(r WriteResult) { results <- r })
@@ -36,14 +39,25 @@
 func TestConn_Abort_WhileReading(t *testing.T) {
 	var mu sync.Mutex
 	var order []string
-	note := func(what string) { mu.Lock(); order = append(order, what); mu.Unlock() }
+	note := func(what string) {
+		mu.Lock()
+		defer mu.Unlock()
+		order = append(order, what)
+	}
 	reading, release, done := make(chan struct{}), make(chan struct{}), make(chan struct{})
-	c, peer, h := connect(t, func() { close(reading); <-release; note("read") })
+	c, peer, h := connect(t, func() {
+		close(reading)
+		<-release
+		note("read")
+	})
 	if _, err := peer.Write([]byte("x")); err != nil {
 		t.Fatal(err)
 	}
 	<-reading
-	c.Abort(errors.New("given up"), func() { note("done"); close(done) })
+	c.Abort(errors.New("given up"), func() {
+		note("done")
+		close(done)
+	})
 	results := make(chan WriteResult)
 	c.Write([]byte("for nobody"), func(r WriteResult) { results <- r })
 	if r := <-results; r != WriteNone {
@@ -155,7 +169,9 @@
 
 // fullListener returns a listener of one connection, which is open, and the connections that it accepts. An arrival waits
 // for admitTimeout.
-func fullListener(t *testing.T, admitTimeout time.Duration) (s *Server, limiter *ConnLimiter, first *Conn, accepted chan acceptedConn) {
+func fullListener(
+	t *testing.T, admitTimeout time.Duration,
+) (s *Server, limiter *ConnLimiter, first *Conn, accepted chan acceptedConn) {
 	t.Helper()
 	accepted = make(chan acceptedConn, 10)
 	limiter = &ConnLimiter{Max: 1, AdmitTimeout: admitTimeout}
--- a/internal/protocol/sru/sru_test.go
+++ b/internal/protocol/sru/sru_test.go
@@ -87,7 +87,8 @@
 		t.Fatal(r, err)
 	}
 	var title struct{ XMLName xml.Name }
-	if err := xml.Unmarshal([]byte(r.Records[0].XML), &title); err != nil || title.XMLName.Space != "http://purl.org/dc/elements/1.1/" {
+	const dublinCore = "http://purl.org/dc/elements/1.1/"
+	if err := xml.Unmarshal([]byte(r.Records[0].XML), &title); err != nil || title.XMLName.Space != dublinCore {
 		t.Errorf("%s: %v %v", r.Records[0].XML, title, err)
 	}
 	out := SearchResponse(SearchResult{
