--- a/internal/backend/healthcheck/decoder.go
+++ b/internal/backend/healthcheck/decoder.go
@@ -53,15 +53,16 @@
 }
 
 func (r *answerReader) finish(result Result) {
-	r.decoded, r.result = true, result
+	r.decoded = true
+	r.result = result
 	close(r.done)
 }
 
 // agentDecoder decodes the line of an agent.
 type agentDecoder struct{ line agentcheck.Reader }
 
-func (d *agentDecoder) feed(b []byte) (Result, bool) {
-	report, err, done := d.line.Feed(b)
+func (d *agentDecoder) feed(data []byte) (Result, bool) {
+	report, err, done := d.line.Feed(data)
 	return agentResult(report, err), done
 }
 
@@ -80,11 +81,15 @@
 	if err != nil {
 		return failed(err)
 	}
-	result := Result{CheckResult: health.CheckResult{Weight: report.Weight, MaxConn: report.MaxConn, Reason: report.Description}}
-	result.Admin = adminStates[report.Admin]
+	result := Result{CheckResult: health.CheckResult{
+		Weight:  report.Weight,
+		MaxConn: report.MaxConn,
+		Admin:   adminStates[report.Admin],
+		Reason:  report.Description,
+	}}
 	switch {
 	case report.State == "":
-	case report.State.Well():
+	case report.State.IsUp():
 		result.Oper = health.Up
 	default:
 		result.Oper = health.Down
@@ -114,7 +119,8 @@
 	d.parser.Feed(b)
 	m, err := d.parser.Next()
 	if d.head != nil {
-		m, err = d.head, nil
+		m = d.head
+		err = nil
 	}
 	switch {
 	case err != nil:
@@ -133,11 +139,11 @@
 }
 
 // judgeExplain judges the answer to an SRU explain request.
-func judgeExplain(m *http1.Message) Result {
+func judgeExplain(response *http1.Message) Result {
 	var root struct{ XMLName xml.Name }
-	switch err := xml.Unmarshal(m.Body, &root); {
-	case m.Status != 200:
-		return failed(errors.New("status " + strconv.Itoa(m.Status)))
+	switch err := xml.Unmarshal(response.Body, &root); {
+	case response.Status != 200:
+		return failed(errors.New("status " + strconv.Itoa(response.Status)))
 	case err != nil:
 		return failed(errNotXML)
 	case root.XMLName.Local != "explainResponse":
@@ -159,7 +165,7 @@
 		return failed(err), true
 	case n.Class != z3950.Context || n.Tag != z3950.InitResponse:
 		return failed(fmt.Errorf("init: unit %d came back", n.Tag)), true
-	case !n.Kid(tagInitResult).Truth():
+	case !n.Kid(z3950.FieldInitResult).Truth():
 		return failed(errInitRejected), true
 	}
 	return passed(), true
--- a/internal/net/httpserve/conn.go
+++ b/internal/net/httpserve/conn.go
@@ -102,7 +102,7 @@
 }
 
 // Data reads requests. It implements tcp.Handler.
-func (c *serverConn) Data(b []byte) {
+func (c *serverConn) Data(data []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -117,7 +117,7 @@
 			c.startTimer(c.server.timeouts.ReadRequest)
 		}
 	}
-	c.parser.Feed(b)
+	c.parser.Feed(data)
 	// Guards memory against a client that goes on sending behind a request in flight.
 	if c.current != nil && c.parser.Buffered() > maxPipelinedBytes {
 		c.closed = true
@@ -142,10 +142,11 @@
 			return
 		}
 		if request == nil {
-			c.continueIfWanted()
+			c.sendContinueIfExpected()
 			return
 		}
-		c.sentContinue, c.used = false, true
+		c.sentContinue = false
+		c.used = true
 		if !c.beginRequest() {
 			c.rejectAtShutdown()
 			return
@@ -169,9 +170,9 @@
 	c.rejectBad(status, err.Error())
 }
 
-// continueIfWanted sends 100 Continue, once, to a client that waits for it before it sends its request's body.
-func (c *serverConn) continueIfWanted() {
-	if c.parser.WantsContinue() && !c.sentContinue {
+// sendContinueIfExpected sends 100 Continue, once, to a client that waits for it before it sends its request's body.
+func (c *serverConn) sendContinueIfExpected() {
+	if c.parser.ExpectsContinue() && !c.sentContinue {
 		c.sentContinue = true
 		c.conn.Write([]byte(continueResponse), nil)
 	}
--- a/internal/net/tcp/conn.go
+++ b/internal/net/tcp/conn.go
@@ -97,7 +97,10 @@
 func (c *Conn) attach() {
 	// Neither call fails on a connection that was just made: their errors are for other kinds of connections.
 	_ = c.socket.SetWriteTimeout(writeTimeout)
-	_ = c.socket.AddCloseCallback(func(netpoll.Connection) error { c.end(); return nil })
+	_ = c.socket.AddCloseCallback(func(netpoll.Connection) error {
+		c.end()
+		return nil
+	})
 }
 
 // end reports to the handler that the connection has ended. netpoll calls it before it releases the descriptor.
@@ -105,7 +108,8 @@
 	c.endOnce.Do(func() {
 		defer close(c.done)
 		c.mu.Lock()
-		c.closed, c.ended = true, true
+		c.closed = true
+		c.ended = true
 		cause := c.cause
 		c.mu.Unlock()
 		if c.limiter != nil {
--- a/internal/net/tcp/listen.go
+++ b/internal/net/tcp/listen.go
@@ -29,7 +29,9 @@
 	}
 	loop, err := netpoll.NewEventLoop(
 		onReadable,
-		netpoll.WithOnPrepare(func(socket netpoll.Connection) context.Context { return prepare(socket, limiter, accept) }),
+		netpoll.WithOnPrepare(func(socket netpoll.Connection) context.Context {
+			return prepare(socket, limiter, accept)
+		}),
 		netpoll.WithOnConnect(func(ctx context.Context, socket netpoll.Connection) context.Context {
 			return onConnect(ctx, socket, limiter, accept)
 		}))
@@ -51,7 +53,9 @@
 }
 
 // onConnect lets a handler send first. It runs off the poller, so that a connection that was not admitted may wait here.
-func onConnect(ctx context.Context, socket netpoll.Connection, limiter *ConnLimiter, accept func(*Conn) Handler) context.Context {
+func onConnect(
+	ctx context.Context, socket netpoll.Connection, limiter *ConnLimiter, accept func(*Conn) Handler,
+) context.Context {
 	c, ok := ctx.Value(connKey{}).(*Conn)
 	if !ok {
 		if !limiter.admitLater() {
