Split the simulator's aggregator and discovery into steps, one field and assignment a line

Cause: a process's start, its settings, a poll's turn and a probe were packed into multi-assignments, one-line literals and long functions. Change: one step a line, named predicates, one place for the propagation delay and for a failed attempt's way back. The order of the random samples is the same.

--- a/internal/testbed/sim/aggregator.go
+++ b/internal/testbed/sim/aggregator.go
@@ -25,11 +25,35 @@
 // maxDeadline is the longest deadline of a class.
 const maxDeadline = 4 * time.Second
 
+// classes are the settings of the classes, by class.
 func classes() []balance.Class {
 	return []balance.Class{
-		{Objective: 1500 * time.Millisecond, Deadline: maxDeadline, Weight: 1, OverdueFraction: 0.3, MinFraction: 1, CompleteFraction: 1},
-		{Objective: 1200 * time.Millisecond, Deadline: 2 * time.Second, Weight: 2, OverdueFraction: 0.1, MinFraction: 0.5, CompleteFraction: 1, PartialFraction: 0.8},
-		{Objective: 1500 * time.Millisecond, Deadline: 3 * time.Second, Weight: 1, OverdueFraction: 0.3, MinFraction: 1, CompleteFraction: 1, Idempotency: balance.NonIdempotent},
+		search: {
+			Objective:        1500 * time.Millisecond,
+			Deadline:         maxDeadline,
+			Weight:           1,
+			OverdueFraction:  0.3,
+			MinFraction:      1,
+			CompleteFraction: 1,
+		},
+		report: {
+			Objective:        1200 * time.Millisecond,
+			Deadline:         2 * time.Second,
+			Weight:           2,
+			OverdueFraction:  0.1,
+			MinFraction:      0.5,
+			CompleteFraction: 1,
+			PartialFraction:  0.8,
+		},
+		correction: {
+			Objective:        1500 * time.Millisecond,
+			Deadline:         3 * time.Second,
+			Weight:           1,
+			OverdueFraction:  0.3,
+			MinFraction:      1,
+			CompleteFraction: 1,
+			Idempotency:      balance.NonIdempotent,
+		},
 	}
 }
 
@@ -44,23 +68,23 @@
 	turnScheduled     bool // a turn is due now
 	nextWake          time.Time
 	attempts          map[aggregator.AttemptID]*attempt
-	sendOrder         []*attempt                    // those in attempts and some that have ended, as they were sent
-	removalNotifiedAt map[balance.Replica]time.Time // since when it has known that a replica drains or is removed
+	sendOrder         []*attempt                    // the attempts in the order of sending, with some that have ended
+	removalNotifiedAt map[balance.Replica]time.Time // when it learned that a replica drains or is removed
 	endpointStates    map[balance.Replica]balance.EndpointState
 	healthTable       *health.Table
 	healthLimits      map[balance.Replica]balance.HealthLimits
 	zone              int
 	incarnation       int // of its process; the first is 1
 	crashed           bool
-	watcher           *watcher // nil: endpointFeed tells it of the list
+	watcher           *watcher // nil: endpointFeed passes changes of the endpoint list
 	openRequests      map[*clientRequest]bool
-	notifiedStarts    map[balance.Replica]time.Time // of replicas, as far as it knows
+	notifiedStarts    map[balance.Replica]time.Time // start times of the replicas' processes that it has learned of
 }
 
-func newAggregatorHost(w *world, i int) (*aggregatorHost, error) {
-	h := &aggregatorHost{world: w, index: i}
+func newAggregatorHost(w *world, index int) (*aggregatorHost, error) {
+	h := &aggregatorHost{world: w, index: index}
 	if w.Zones > 0 {
-		h.zone = i % w.Zones
+		h.zone = index % w.Zones
 	}
 	if w.Discovery.Kind != "" {
 		h.watcher = newWatcher(w.discovery, h)
@@ -70,78 +94,134 @@
 
 // start begins a new process of the aggregator. It starts from the endpoint list that the previous one had at its end.
 func (h *aggregatorHost) start() error {
-	known := h.endpointStates
+	previousStates := h.endpointStates
 	h.incarnation++
-	h.crashed, h.inbox, h.turnScheduled, h.nextWake = false, nil, false, time.Time{}
-	h.attempts, h.sendOrder, h.openRequests = map[aggregator.AttemptID]*attempt{}, nil, map[*clientRequest]bool{}
-	h.removalNotifiedAt, h.endpointStates, h.notifiedStarts = map[balance.Replica]time.Time{}, map[balance.Replica]balance.EndpointState{}, map[balance.Replica]time.Time{}
+	h.crashed = false
+	h.resetState()
+	if err := h.newCore(); err != nil {
+		return err
+	}
+	if err := h.applyInitialList(previousStates); err != nil {
+		return err
+	}
+	if h.watcher != nil {
+		h.watcher.start()
+	}
+	return nil
+}
+
+// resetState drops what a process loses at its end.
+func (h *aggregatorHost) resetState() {
+	h.inbox = nil
+	h.turnScheduled = false
+	h.nextWake = time.Time{}
+	h.attempts = map[aggregator.AttemptID]*attempt{}
+	h.sendOrder = nil
+	h.openRequests = map[*clientRequest]bool{}
+	h.removalNotifiedAt = map[balance.Replica]time.Time{}
+	h.endpointStates = map[balance.Replica]balance.EndpointState{}
+	h.notifiedStarts = map[balance.Replica]time.Time{}
 	h.healthLimits = map[balance.Replica]balance.HealthLimits{}
+}
+
+// newCore makes the core of a new process.
+func (h *aggregatorHost) newCore() error {
 	h.balancerSettings = h.newBalancerSettings()
-	b, err := balance.New(h.balancerSettings)
+	balancer, err := balance.New(h.balancerSettings)
 	if err != nil {
 		return err
 	}
-	h.core = aggregator.NewCore(b, h, aggregator.Limits{FollowUpParts: []int{0, 0, 0}, MaxOpen: 20000, RetryAfter: time.Second, DeadlineMargin: 20 * time.Millisecond}, Start)
+	limits := aggregator.Limits{
+		FollowUpParts:  make([]int, classCount),
+		MaxOpen:        20000,
+		RetryAfter:     time.Second,
+		DeadlineMargin: 20 * time.Millisecond,
+	}
+	h.core = aggregator.NewCore(balancer, h, limits, Start)
 	h.core.Observer = h
 	if h.world.Gossip {
 		h.core.Gossip = h
 		h.core.Outliers = outlier.New(outlier.PlatformConfig(classes()[report].Objective, h.zone, h.world.Aggregators))
 	}
-	if err := h.applyInitialList(known); err != nil {
-		return err
-	}
-	if h.watcher != nil {
-		h.watcher.start(h.incarnation > 1)
-	}
 	return nil
 }
 
 func (h *aggregatorHost) newBalancerSettings() balance.Settings {
 	w := h.world
-	settings := balance.Settings{Seed: w.Seed + uint64(h.index), Instances: w.Aggregators, Tick: 5 * time.Millisecond, Cells: w.Replicas, Reach: w.Reach, Shards: w.Replicas,
-		MaxCallParts: 1, MaxAttempts: 4, CanCancel: true, MaxRetryAfter: time.Second, OverQuotaFactor: 1, Classes: classes(),
-		Tenants: []balance.Tenant{{}}, Zone: h.zone}
+	settings := balance.Settings{
+		Seed:            w.Seed + uint64(h.index),
+		Instances:       w.Aggregators,
+		Tick:            5 * time.Millisecond,
+		Cells:           w.Replicas,
+		Reach:           w.Reach,
+		Shards:          w.Replicas,
+		MaxCallParts:    1,
+		MaxAttempts:     4,
+		CanCancel:       true,
+		MaxRetryAfter:   time.Second,
+		OverQuotaFactor: 1,
+		Classes:         classes(),
+		Tenants:         []balance.Tenant{{}},
+		Zone:            h.zone,
+	}
 	if h.incarnation > 1 { // a new process has random samples of its own
 		settings.Seed += uint64(h.incarnation) << 32
 	}
 	if w.Warmup.Period > 0 && w.PlantedBug != BugWarmupIgnored {
-		settings.Rules = balance.Rules{WarmupPeriod: w.Warmup.Period, WarmupMinCapacity: w.Warmup.MinCapacity, OverloadMultiple: w.Warmup.OverloadMultiple, OverloadPeriod: w.Warmup.OverloadPeriod}
+		settings.Rules = balance.Rules{
+			WarmupPeriod:      w.Warmup.Period,
+			WarmupMinCapacity: w.Warmup.MinCapacity,
+			OverloadMultiple:  w.Warmup.OverloadMultiple,
+			OverloadPeriod:    w.Warmup.OverloadPeriod,
+		}
 	}
 	if w.Gossip {
-		settings.PeerMessages, settings.CanProbe, settings.LoadReportsOnProbe, settings.ProbeTimeout = true, true, true, probeTimeout
+		settings.PeerMessages = true
+		settings.CanProbe = true
+		settings.LoadReportsOnProbe = true
+		settings.ProbeTimeout = probeTimeout
 	}
 	return settings
 }
 
-// applyInitialList gives the aggregator its first list: the replicas that its previous process had in service, or all.
-func (h *aggregatorHost) applyInitialList(known map[balance.Replica]balance.EndpointState) error {
+// applyInitialList gives the aggregator its first endpoint list: the replicas that its previous process had in service;
+// all replicas for its first process.
+func (h *aggregatorHost) applyInitialList(previousStates map[balance.Replica]balance.EndpointState) error {
 	w := h.world
 	list := aggregator.EndpointsChanged{Kind: balance.ListFull}
 	var checked []health.Server
 	for _, r := range w.replicas {
-		if s, ok := known[r.id]; h.incarnation > 1 && (!ok || s != balance.InService) {
+		state, listed := previousStates[r.id]
+		if h.incarnation > 1 && (!listed || state != balance.InService) {
 			continue
 		}
-		h.notifiedStarts[r.id], h.endpointStates[r.id] = r.started, balance.InService
+		h.notifiedStarts[r.id] = r.started
+		h.endpointStates[r.id] = balance.InService
 		list.Servers = append(list.Servers, h.endpoint(r))
-		server := health.Server{ID: health.ID(r.id)}
-		for j := range w.Reach {
-			server.Shards = append(server.Shards, (r.index-j+w.Replicas)%w.Replicas)
-		}
-		checked = append(checked, server)
+		checked = append(checked, health.Server{ID: health.ID(r.id), Shards: r.shards()})
 	}
 	if w.HealthEvidence {
-		var err error
-		if h.healthTable, err = health.New(health.Defaults(3, 1<<correction), []health.CheckConfig{{Name: "check", Fall: 2, Rise: 1, Validity: 4 * time.Second}}, Start); err != nil {
+		if err := h.startHealthChecks(checked); err != nil {
 			return err
 		}
-		h.healthTable.UpdateEndpoints(Start, checked, true)
-		w.at(Start.Add(time.Duration(w.rng.Float64()*float64(time.Second))), h.runHealthChecks)
 	}
 	h.post(list)
 	return nil
 }
 
+// startHealthChecks makes the health table, and schedules the first checks of the servers.
+func (h *aggregatorHost) startHealthChecks(servers []health.Server) (err error) {
+	check := health.CheckConfig{Name: "check", Fall: 2, Rise: 1, Validity: 4 * time.Second}
+	defaults := health.Defaults(classCount, 1<<correction)
+	if h.healthTable, err = health.New(defaults, []health.CheckConfig{check}, Start); err != nil {
+		return err
+	}
+	h.healthTable.UpdateEndpoints(Start, servers, true)
+	firstCheck := time.Duration(h.world.rng.Float64() * float64(healthCheckInterval))
+	h.world.at(Start.Add(firstCheck), h.runHealthChecks)
+	return nil
+}
+
 // crash ends the aggregator's process: clients and replicas see their connections end.
 func (h *aggregatorHost) crash() {
 	h.crashed = true
@@ -157,33 +237,36 @@
 		h.watcher.live = false
 	}
 	var lost []*clientRequest
-	for a := range h.openRequests {
-		lost = append(lost, a)
+	for request := range h.openRequests {
+		lost = append(lost, request)
 	}
-	slices.SortFunc(lost, func(a, other *clientRequest) int { return cmp.Compare(a.id, other.id) })
-	for _, a := range lost {
-		h.world.after(h.world.networkDelay(), a.connectionLost)
+	slices.SortFunc(lost, func(a, b *clientRequest) int { return cmp.Compare(a.id, b.id) })
+	for _, request := range lost {
+		h.world.after(h.world.networkDelay(), request.connectionLost)
 	}
 	clear(h.openRequests)
 }
 
 // applyEndpoint takes an entry of the endpoint list that has arrived.
-func (h *aggregatorHost) applyEndpoint(e endpointEntry) {
-	h.endpointStates[e.replica.id] = e.state
-	h.recordNotified(e)
+func (h *aggregatorHost) applyEndpoint(entry endpointEntry) {
+	h.endpointStates[entry.replica.id] = entry.state
+	h.recordNotified(entry)
 }
 
-// recordNotified notes an entry that the aggregator is accountable for from now on.
-func (h *aggregatorHost) recordNotified(e endpointEntry) {
-	if e.state == balance.InService {
-		h.notifiedStarts[e.replica.id] = e.started
-		delete(h.removalNotifiedAt, e.replica.id)
-	} else if _, ok := h.removalNotifiedAt[e.replica.id]; !ok {
-		h.removalNotifiedAt[e.replica.id] = h.world.now
+// recordNotified notes that the aggregator knows an entry: from now on the checker holds it to that.
+func (h *aggregatorHost) recordNotified(entry endpointEntry) {
+	id := entry.replica.id
+	if entry.state == balance.InService {
+		h.notifiedStarts[id] = entry.started
+		delete(h.removalNotifiedAt, id)
+		return
+	}
+	if _, notified := h.removalNotifiedAt[id]; !notified {
+		h.removalNotifiedAt[id] = h.world.now
 	}
 }
 
-// Broadcast carries a gossip message to the other aggregators; some are lost.
+// Broadcast carries a gossip message to the other aggregators. A fraction of the messages is lost on the network.
 func (h *aggregatorHost) Broadcast(text []byte) {
 	w := h.world
 	for _, other := range w.aggregators {
@@ -204,8 +287,18 @@
 	probeTimeout          = 200 * time.Millisecond // of a load probe
 )
 
+// endpoint is a replica's entry in the aggregator's endpoint list.
 func (h *aggregatorHost) endpoint(r *replica) aggregator.Server {
-	return aggregator.Server{HealthLimits: h.healthLimits[r.id], ID: r.id, Addr: string(r.id), Zone: r.zone(), Cell: r.index, Weight: 1, State: h.endpointStates[r.id], Started: r.started}
+	return aggregator.Server{
+		HealthLimits: h.healthLimits[r.id],
+		ID:           r.id,
+		Addr:         string(r.id),
+		Zone:         r.zone(),
+		Cell:         r.index,
+		Weight:       1,
+		State:        h.endpointStates[r.id],
+		Started:      r.started,
+	}
 }
 
 // post puts an event into the inbox for the turn of this moment.
@@ -225,6 +318,7 @@
 	}
 }
 
+// runTurn hands the core the events of this moment, and schedules the turn that the core asks for.
 func (h *aggregatorHost) runTurn() {
 	if h.crashed {
 		return
@@ -236,22 +330,28 @@
 	if h.healthTable != nil {
 		h.publishHealthChanges()
 	}
-	if !next.IsZero() && (h.nextWake.IsZero() || next.Before(h.nextWake) || !h.nextWake.After(h.world.now)) {
-		h.nextWake = next
-		incarnation := h.incarnation
-		h.world.at(next, func() {
-			if h.incarnation == incarnation && h.nextWake.Equal(next) && !h.turnScheduled {
-				h.turnScheduled = true
-				h.runTurn()
-			}
-		})
+	wakePending := h.nextWake.After(h.world.now)
+	if !next.IsZero() && (!wakePending || next.Before(h.nextWake)) {
+		h.scheduleWake(next)
 	}
 }
 
+// scheduleWake schedules a turn without an event. A later call replaces the moment.
+func (h *aggregatorHost) scheduleWake(at time.Time) {
+	h.nextWake = at
+	incarnation := h.incarnation
+	h.world.at(at, func() {
+		if h.incarnation == incarnation && h.nextWake.Equal(at) && !h.turnScheduled {
+			h.turnScheduled = true
+			h.runTurn()
+		}
+	})
+}
+
 // endpointPublished takes a change from endpointFeed.
-func (h *aggregatorHost) endpointPublished(r *replica, s balance.EndpointState) {
-	h.applyEndpoint(endpointEntry{r, s, r.started})
-	if h.world.PlantedBug == BugDrainIgnored && s == balance.Draining {
+func (h *aggregatorHost) endpointPublished(r *replica, state balance.EndpointState) {
+	h.applyEndpoint(endpointEntry{replica: r, state: state, started: r.started})
+	if h.world.PlantedBug == BugDrainIgnored && state == balance.Draining {
 		return
 	}
 	h.post(aggregator.EndpointsChanged{Kind: balance.ListDelta, Servers: []aggregator.Server{h.endpoint(r)}})
@@ -262,7 +362,8 @@
 	if h.healthTable == nil {
 		return
 	}
-	h.healthTable.RecordOutcome(now, health.ID(a.Server), a.Class, a.HealthResult(now, classes()[a.Class].Objective), a.Sent)
+	result := a.HealthResult(now, classes()[a.Class].Objective)
+	h.healthTable.RecordOutcome(now, health.ID(a.Server), a.Class, result, a.Sent)
 }
 
 // healthCheckInterval is the time between two checks of a replica.
@@ -286,14 +387,8 @@
 	changes := h.healthTable.Changes(h.world.now)
 	if len(changes) > 0 {
 		list := aggregator.EndpointsChanged{Kind: balance.ListDelta}
-		for _, c := range changes {
-			r := h.world.replicaByID[balance.Replica(c.ID)]
-			h.healthLimits[r.id] = balance.HealthLimits{TrafficFraction: c.TrafficFraction, MaxInFlight: c.MaxInFlight, EjectedClasses: c.EjectedClasses, HalfOpenClasses: c.HalfOpenClasses}
-			s := h.endpoint(r)
-			if c.State != health.InService && s.State == balance.InService {
-				s.State = balance.Draining
-			}
-			list.Servers = append(list.Servers, s)
+		for _, change := range changes {
+			list.Servers = append(list.Servers, h.applyHealthChange(change))
 		}
 		h.post(list)
 	}
@@ -306,9 +401,25 @@
 	}
 }
 
+// applyHealthChange notes a replica's new limits and returns its changed entry of the endpoint list.
+func (h *aggregatorHost) applyHealthChange(change health.Change) aggregator.Server {
+	r := h.world.replicaByID[balance.Replica(change.ID)]
+	h.healthLimits[r.id] = balance.HealthLimits{
+		TrafficFraction: change.TrafficFraction,
+		MaxInFlight:     change.MaxInFlight,
+		EjectedClasses:  change.EjectedClasses,
+		HalfOpenClasses: change.HalfOpenClasses,
+	}
+	server := h.endpoint(r)
+	if change.State != health.InService && server.State == balance.InService {
+		server.State = balance.Draining
+	}
+	return server
+}
+
 // Send carries attempts to a replica.
-func (h *aggregatorHost) Send(_ time.Time, to aggregator.Server, calls []aggregator.Call) {
-	target := h.world.replicaByID[to.ID]
+func (h *aggregatorHost) Send(_ time.Time, server aggregator.Server, calls []aggregator.Call) {
+	target := h.world.replicaByID[server.ID]
 	for _, call := range calls {
 		a := &attempt{host: h, call: call, replica: target}
 		h.attempts[call.Attempt] = a
@@ -320,11 +431,19 @@
 		}
 		h.world.after(h.world.networkDelay(), func() { target.receive(a) })
 	}
-	if len(h.sendOrder) > 2*len(h.attempts)+64 {
-		h.sendOrder = slices.DeleteFunc(h.sendOrder, func(a *attempt) bool { return h.attempts[a.call.Attempt] != a && !a.replica.inFlight[a] })
+	if len(h.sendOrder) > 2*len(h.attempts)+maxEndedInSendOrder {
+		h.sendOrder = slices.DeleteFunc(h.sendOrder, h.hasEnded)
 	}
 }
 
+// maxEndedInSendOrder is how many ended attempts sendOrder may hold, beside as many as are in flight.
+const maxEndedInSendOrder = 64
+
+// hasEnded says whether an attempt has ended for the aggregator and for the replica.
+func (h *aggregatorHost) hasEnded(a *attempt) bool {
+	return h.attempts[a.call.Attempt] != a && !a.replica.inFlight[a]
+}
+
 // Cancel ends an attempt at this moment: the replica is notified by then.
 func (h *aggregatorHost) Cancel(_ time.Time, id aggregator.AttemptID, _ bool) {
 	a := h.attempts[id]
@@ -332,45 +451,50 @@
 		return
 	}
 	a.abandoned = true
+	canceled := &aggregator.AttemptError{Progress: aggregator.Written, Canceled: true}
+	ended := aggregator.AttemptEnded{Attempt: id, Err: canceled}
 	if h.world.PlantedBug == BugLeakedAttempt && id.Part%5 == 0 {
 		return
 	}
 	if h.world.PlantedBug == BugConcurrentAttempts { // it ends before the replica is notified
-		h.post(aggregator.AttemptEnded{Attempt: id, Err: &aggregator.AttemptError{Progress: aggregator.Written, Canceled: true}})
+		h.post(ended)
 		return
 	}
 	h.world.at(h.world.now, func() {
 		if h.attempts[id] == a {
-			h.finishAttempt(a, aggregator.AttemptEnded{Attempt: id, Err: &aggregator.AttemptError{Progress: aggregator.Written, Canceled: true}})
+			h.finishAttempt(a, ended)
 		}
 	})
 }
 
-// Probe polls a replica's load where aggregators gossip; elsewhere it ends without a report.
-func (h *aggregatorHost) Probe(now time.Time, to aggregator.Server) {
-	failed := aggregator.ProbeEnded{Server: to.ID, Err: &aggregator.AttemptError{Progress: aggregator.NotConnected}}
+// Probe polls a replica's load where aggregators gossip; elsewhere it ends without a load report.
+func (h *aggregatorHost) Probe(now time.Time, server aggregator.Server) {
+	ended := aggregator.ProbeEnded{Server: server.ID}
 	if !h.world.Gossip {
-		h.post(failed)
+		ended.Err = &aggregator.AttemptError{Progress: aggregator.NotConnected}
+		h.post(ended)
 		return
 	}
-	target, incarnation := h.world.replicaByID[to.ID], h.incarnation
-	after := func(d time.Duration, e aggregator.ProbeEnded) {
-		h.world.after(d, func() {
-			if h.incarnation == incarnation {
-				e.Elapsed = h.world.now.Sub(now)
-				h.post(e)
-			}
-		})
-	}
+	target := h.world.replicaByID[server.ID]
+	var elapsed time.Duration
 	switch {
 	case target.unreachable || h.world.separated(h.zone, target.zone()):
-		failed.Err = &aggregator.AttemptError{Progress: aggregator.Written}
-		after(probeTimeout, failed)
+		ended.Err = &aggregator.AttemptError{Progress: aggregator.Written}
+		elapsed = probeTimeout
 	case !target.up:
-		after(h.world.networkDelay(), failed)
+		ended.Err = &aggregator.AttemptError{Progress: aggregator.NotConnected}
+		elapsed = h.world.networkDelay()
 	default:
-		after(h.world.networkDelay()+h.world.networkDelay(), aggregator.ProbeEnded{Server: to.ID, Report: &balance.LoadReport{Queue: float64(len(target.queue)), InFlight: float64(len(target.inFlight)), Utilization: -1}})
-	}
+		ended.Report = target.loadReport()
+		elapsed = h.world.networkDelay() + h.world.networkDelay()
+	}
+	incarnation := h.incarnation
+	h.world.after(elapsed, func() {
+		if h.incarnation == incarnation {
+			ended.Elapsed = h.world.now.Sub(now)
+			h.post(ended)
+		}
+	})
 }
 
 // deliverResult reports the end of an attempt, unless it was canceled before.
@@ -381,8 +505,8 @@
 	h.finishAttempt(a, aggregator.AttemptEnded{Attempt: a.call.Attempt, Err: err, Value: value})
 }
 
-func (h *aggregatorHost) finishAttempt(a *attempt, e aggregator.AttemptEnded) {
+func (h *aggregatorHost) finishAttempt(a *attempt, ended aggregator.AttemptEnded) {
 	delete(h.attempts, a.call.Attempt)
 	h.world.checker.attemptEnded(a)
-	h.post(e)
+	h.post(ended)
 }
--- a/internal/testbed/sim/discovery.go
+++ b/internal/testbed/sim/discovery.go
@@ -42,92 +42,125 @@
 type discoveryService struct {
 	world         *world
 	log           []endpointEntry // entry i made version i + 1
-	unresponsive  bool            // unresponsive; watches that were open are broken
-	nextFree      time.Time
-	pending       []func() // answers to polls that came while it was silent
+	unresponsive  bool            // polls get no answer, and watches that were open get no more changes
+	nextFree      time.Time       // of a shared service: when it can answer the next poll
+	pending       []func()        // answers to polls that arrived while it was unresponsive
 	polls         int
 	rejectedPolls int
 }
 
 // append adds a change and sends it to open watches.
-func (d *discoveryService) append(n *replica, s balance.EndpointState) {
-	d.log = append(d.log, endpointEntry{n, s, n.started})
+func (d *discoveryService) append(r *replica, state balance.EndpointState) {
+	entry := endpointEntry{replica: r, state: state, started: r.started}
+	d.log = append(d.log, entry)
 	for _, host := range d.world.aggregators {
-		if host.watcher != nil {
-			host.watcher.scheduleNotified(d.log[len(d.log)-1])
-			if w, call := host.watcher, host.watcher.callNumber; w.live && !w.unresponsive {
-				d.world.after(d.propagationDelay(), func() { w.deliver(call) })
-			}
+		w := host.watcher
+		if w == nil {
+			continue
+		}
+		w.scheduleNotified(entry)
+		if w.live && !w.unresponsive {
+			call := w.callNumber
+			d.world.after(d.world.propagationDelay(), func() { w.deliver(call) })
 		}
 	}
 }
 
-func (d *discoveryService) propagationDelay() time.Duration {
-	return time.Duration(d.world.rng.Float64() * float64(maxPropagation))
-}
-
 // setUnresponsive makes discovery unresponsive, or ends that.
-func (d *discoveryService) setUnresponsive(silent bool) {
-	d.unresponsive = silent
-	if !silent {
+func (d *discoveryService) setUnresponsive(unresponsive bool) {
+	d.unresponsive = unresponsive
+	if !unresponsive {
 		for _, answer := range d.pending {
 			answer()
 		}
 		d.pending = nil
+		return
 	}
 	for _, host := range d.world.aggregators {
-		if w := host.watcher; silent && w != nil && !w.unresponsive {
-			w.unresponsive, w.unresponsiveSince = true, d.world.now
+		if w := host.watcher; w != nil && !w.unresponsive {
+			w.unresponsive = true
+			w.unresponsiveSince = d.world.now
 		}
 	}
 }
 
+// schedulePoll says when a poll that has arrived is answered: at once, or where the service is shared in the order of
+// arrival at its rate. accepted is false for a poll that the service rejects.
+func (d *discoveryService) schedulePoll() (answeredAt time.Time, accepted bool) {
+	now := d.world.now
+	discovery := d.world.Discovery
+	if discovery.Kind != SharedService {
+		return now, true
+	}
+	if d.nextFree.Before(now) {
+		d.nextFree = now
+	}
+	if d.nextFree.Sub(now) > discovery.MaxWait {
+		d.rejectedPolls++
+		return time.Time{}, false
+	}
+	answeredAt = d.nextFree
+	d.nextFree = d.nextFree.Add(time.Duration(float64(time.Second) / discovery.PerSecond))
+	return answeredAt, true
+}
+
 // watcher is an aggregator's watch of discovery: the decisions of control/listwatch, with the network simulated.
 type watcher struct {
 	service           *discoveryService
 	host              *aggregatorHost
 	schedule          *listwatch.Reconnector
-	callNumber        int // of the present call; answers to earlier ones are dropped
-	live              bool
-	unresponsive      bool // the present call is unresponsive
+	callNumber        int  // of the present call; answers to earlier ones are dropped
+	live              bool // the present call has been answered
+	unresponsive      bool // the present call gets no answer and no more changes
 	unresponsiveSince time.Time
 	lastPollRejected  bool
-	version           int
+	version           int // of the endpoint list that the aggregator has
 }
 
 func newWatcher(d *discoveryService, host *aggregatorHost) *watcher {
-	shared := 0
+	pollers := 0 // that share the service
 	if d.world.Discovery.Kind == SharedService || d.world.PlantedBug == BugSlowReopen {
-		shared = d.world.Aggregators
+		pollers = d.world.Aggregators
+	}
+	return &watcher{
+		service:  d,
+		host:     host,
+		schedule: listwatch.New(listwatch.PlatformConfig(pollers)),
 	}
-	return &watcher{service: d, host: host, schedule: listwatch.New(listwatch.PlatformConfig(shared))}
 }
 
-// start makes the first call of a process. What the local agent has counts as known to it from its first moment.
-func (w *watcher) start(again bool) {
-	w.live, w.unresponsive = false, false
-	if again && w.service.world.Discovery.Kind == LocalAgents {
-		for _, e := range w.service.log[w.version:] {
-			w.scheduleNotified(e)
-		}
+// start makes the first call of the aggregator's process. After a restart it counts as notified of what the local agent
+// has.
+func (w *watcher) start() {
+	w.live = false
+	w.unresponsive = false
+	restarted := w.host.incarnation > 1
+	if restarted && w.service.world.Discovery.Kind == LocalAgents {
+		w.scheduleMissingNotified()
 	}
 	w.open()
 }
 
+// scheduleMissingNotified calls scheduleNotified for each change that the aggregator does not have.
+func (w *watcher) scheduleMissingNotified() {
+	for _, entry := range w.service.log[w.version:] {
+		w.scheduleNotified(entry)
+	}
+}
+
 // open makes a call of discovery.
 func (w *watcher) open() {
 	world := w.service.world
 	w.callNumber++
 	w.service.polls++
 	call := w.callNumber
-	w.live, w.unresponsive = false, w.service.unresponsive
+	w.live = false
+	w.unresponsive = w.service.unresponsive
 	w.unresponsiveSince = world.now
 	w.schedule.Opened(world.now, world.rng.Float64())
 	w.scheduleReopen(call)
 	if w.unresponsive {
-		for _, e := range w.service.log[w.version:] {
-			w.scheduleNotified(e)
-		}
+		w.scheduleMissingNotified()
 		if world.Discovery.Kind == SharedService {
 			w.service.pending = append(w.service.pending, func() { w.answer(call) })
 		}
@@ -136,28 +169,20 @@
 	w.answer(call)
 }
 
-// answer is discovery's answer to a call. A shared service has a capacity: it answers in turn, or rejects.
+// answer is discovery's answer to a call.
 func (w *watcher) answer(call int) {
 	world := w.service.world
 	if w.callNumber != call {
 		return
 	}
 	w.unresponsive = false
-	turn := world.now
-	if world.Discovery.Kind == SharedService {
-		if w.service.nextFree.Before(turn) {
-			w.service.nextFree = turn
-		}
-		if w.service.nextFree.Sub(turn) > world.Discovery.MaxWait {
-			w.service.rejectedPolls++
-			w.lastPollRejected = true
-			world.after(world.networkDelay(), func() { w.callEnded(call) })
-			return
-		}
-		turn = w.service.nextFree
-		w.service.nextFree = w.service.nextFree.Add(time.Duration(float64(time.Second) / world.Discovery.PerSecond))
+	answeredAt, accepted := w.service.schedulePoll()
+	if !accepted {
+		w.lastPollRejected = true
+		world.after(world.networkDelay(), func() { w.callEnded(call) })
+		return
 	}
-	world.at(turn.Add(world.networkDelay()), func() {
+	world.at(answeredAt.Add(world.networkDelay()), func() {
 		if w.callNumber == call && !w.unresponsive {
 			w.live = true
 			w.deliver(call)
@@ -176,15 +201,17 @@
 	w.schedule.Succeeded()
 	list := aggregator.EndpointsChanged{Kind: balance.ListDelta}
 	for ; w.version < len(w.service.log); w.version++ {
-		e := w.service.log[w.version]
-		w.host.applyEndpoint(e)
-		s := w.host.endpoint(e.replica)
-		s.State, s.Started = e.state, e.started
-		list.Servers = append(list.Servers, s)
+		entry := w.service.log[w.version]
+		w.host.applyEndpoint(entry)
+		server := w.host.endpoint(entry.replica)
+		server.State = entry.state
+		server.Started = entry.started
+		list.Servers = append(list.Servers, server)
 	}
 	w.host.post(list)
 }
 
+// heartbeat lets discovery send heartbeats for as long as the call is live.
 func (w *watcher) heartbeat(call int) {
 	w.service.world.after(heartbeatInterval, func() {
 		if w.callNumber == call && !w.unresponsive {
@@ -210,49 +237,66 @@
 	})
 }
 
+// callEnded ends a call, and schedules the next after a backoff.
 func (w *watcher) callEnded(call int) {
 	if w.callNumber != call {
 		return
 	}
-	w.callNumber, w.live = w.callNumber+1, false
+	world := w.service.world
+	w.callNumber++
+	w.live = false
 	closed := w.callNumber
-	w.service.world.at(w.schedule.Ended(w.service.world.now, w.service.world.rng.Float64()), func() {
+	reopenAt := w.schedule.Ended(world.now, world.rng.Float64())
+	world.at(reopenAt, func() {
 		if w.callNumber == closed {
 			w.open()
 		}
 	})
 }
 
-// scheduleNotified schedules the moment from which the aggregator is accountable for a change, whether or not it arrives.
-func (w *watcher) scheduleNotified(e endpointEntry) {
+// scheduleNotified schedules the moment from which the aggregator counts as notified of a change, whether or not the
+// change has arrived.
+func (w *watcher) scheduleNotified(entry endpointEntry) {
 	world := w.service.world
-	at := world.now.Add(liveWatchDelay)
-	switch {
-	case w.unresponsive:
-		if by := w.unresponsiveSince.Add(unresponsiveWatchDelay); by.After(at) {
-			at = by
-		}
-	case w.live:
-	case world.Discovery.Kind == LocalAgents:
-		if w.service.unresponsive { // the agent does not have it
-			return
-		}
-	case w.lastPollRejected:
-		at = world.now.Add(rejectedPollDelay)
-	default:
-		at = world.now.Add(pollDelay)
+	notifiedAt, ok := w.notifiedAt()
+	if !ok {
+		return
 	}
-	host, incarnation, since := w.host, w.host.incarnation, world.now
-	known := func() {
+	host := w.host
+	incarnation := host.incarnation
+	changedAt := world.now
+	notify := func() {
 		if host.incarnation == incarnation && !host.crashed {
-			host.recordNotified(e)
+			host.recordNotified(entry)
 		}
 	}
-	world.at(at, func() {
-		if w.lastPollRejected { // its poll was rejected: it may not know for longer
-			world.at(since.Add(rejectedPollDelay), known)
+	world.at(notifiedAt, func() {
+		if w.lastPollRejected { // it has to back off, so that it may learn of the change later
+			world.at(changedAt.Add(rejectedPollDelay), notify)
 			return
 		}
-		known()
+		notify()
 	})
 }
+
+// notifiedAt is when the aggregator counts as notified of a change that is made now, by the state of its watch; ok is
+// false while the change reaches nobody.
+func (w *watcher) notifiedAt() (moment time.Time, ok bool) {
+	world := w.service.world
+	soonest := world.now.Add(liveWatchDelay)
+	switch {
+	case w.unresponsive:
+		detected := w.unresponsiveSince.Add(unresponsiveWatchDelay)
+		if detected.After(soonest) {
+			return detected, true
+		}
+		return soonest, true
+	case w.live:
+		return soonest, true
+	case world.Discovery.Kind == LocalAgents:
+		return soonest, !w.service.unresponsive // an agent does not have the change while its service is unresponsive
+	case w.lastPollRejected:
+		return world.now.Add(rejectedPollDelay), true
+	}
+	return world.now.Add(pollDelay), true
+}
--- a/internal/testbed/sim/replica.go
+++ b/internal/testbed/sim/replica.go
@@ -21,7 +21,7 @@
 	index          int
 	rng            *rand.Rand
 	up             bool
-	unreachable    bool // nothing reaches it, and nothing comes from it
+	unreachable    bool // messages to it and from it are lost
 	draining       bool
 	errorRate      float64 // fraction of the parts that fails at once
 	slowdown       float64 // factor of the service time
@@ -36,10 +36,10 @@
 	recentArrivals []arrival         // within Warmup.OverloadPeriod, while it warms up
 }
 
-// arrival is a part that came, and whether its aggregator knew when the replica had started.
+// arrival is a part that arrived at a warming replica.
 type arrival struct {
-	at            time.Time
-	startNotified bool
+	moment        time.Time
+	startNotified bool // the sending aggregator had learned when the replica started
 }
 
 // Warmup says what a replica can do after its start, and what makes it collapse. With the zero value it has its full
@@ -51,43 +51,76 @@
 	OverloadPeriod   time.Duration `json:"TipFor"` // over which arrivals count
 }
 
+// shards are those that the replica holds: its own and those of the replicas before it in the ring.
+func (r *replica) shards() []int {
+	var list []int
+	for offset := range r.world.Reach {
+		list = append(list, (r.index-offset+r.world.Replicas)%r.world.Replicas)
+	}
+	return list
+}
+
+// loadReport is the replica's answer to a load probe.
+func (r *replica) loadReport() *balance.LoadReport {
+	return &balance.LoadReport{
+		Queue:       float64(len(r.queue)),
+		InFlight:    float64(len(r.inFlight)),
+		Utilization: -1, // not reported
+	}
+}
+
 // zone follows from the replica's place in the ring.
 func (r *replica) zone() int { return r.index % max(2, r.world.Zones) }
 
 // capacityFraction is the fraction of the full capacity that it has now.
 func (r *replica) capacityFraction() float64 {
+	warmup := r.world.Warmup
 	age := r.world.now.Sub(r.started)
-	if c := r.world.Warmup; c.Period > 0 && !r.started.IsZero() && age < c.Period {
-		return c.MinCapacity + (1-c.MinCapacity)*float64(age)/float64(c.Period)
+	if warmup.Period <= 0 || r.started.IsZero() || age >= warmup.Period {
+		return 1
 	}
-	return 1
+	return warmup.MinCapacity + (1-warmup.MinCapacity)*float64(age)/float64(warmup.Period)
 }
 
 // arrivalOverloads counts an arriving part, and says whether the replica collapses under it. The rule allows as many
 // parts of mean service time as OverloadMultiple says; chance may add three standard deviations and three parts.
 func (r *replica) arrivalOverloads(host *aggregatorHost) bool {
-	c, fraction := r.world.Warmup, r.capacityFraction()
-	if fraction >= 1 || c.OverloadMultiple <= 0 {
+	warmup := r.world.Warmup
+	fraction := r.capacityFraction()
+	if fraction >= 1 || warmup.OverloadMultiple <= 0 {
 		r.recentArrivals = nil
 		return false
 	}
-	r.recentArrivals = append(r.recentArrivals, arrival{r.world.now, host.notifiedStarts[r.id].Equal(r.started)})
-	r.recentArrivals = slices.DeleteFunc(r.recentArrivals, func(a arrival) bool { return r.world.now.Sub(a.at) > c.OverloadPeriod })
-	allowed := c.OverloadMultiple * fraction * float64(r.world.Cores) * float64(c.OverloadPeriod) / float64(r.world.MeanServiceTime)
+	startNotified := host.notifiedStarts[r.id].Equal(r.started)
+	r.recentArrivals = append(r.recentArrivals, arrival{moment: r.world.now, startNotified: startNotified})
+	r.recentArrivals = slices.DeleteFunc(r.recentArrivals, func(a arrival) bool {
+		return r.world.now.Sub(a.moment) > warmup.OverloadPeriod
+	})
+	cores := float64(r.world.Cores)
+	servicesInPeriod := float64(warmup.OverloadPeriod) / float64(r.world.MeanServiceTime)
+	allowed := warmup.OverloadMultiple * fraction * cores * servicesInPeriod
 	if float64(len(r.recentArrivals)) <= allowed+3*math.Sqrt(allowed)+3 {
 		return false
 	}
-	knowing := 0
+	r.reportOverload(allowed)
+	r.world.result.ReplicasOverloaded++
+	return true
+}
+
+// reportOverload reports a collapse as a violation if over two thirds of the recent parts came from aggregators that had
+// learned of the replica's start: they had to send less.
+func (r *replica) reportOverload(allowed float64) {
+	notified := 0
 	for _, a := range r.recentArrivals {
 		if a.startNotified {
-			knowing++
+			notified++
 		}
 	}
-	if 3*knowing > 2*len(r.recentArrivals) {
-		r.world.checker.violate("warming %s collapses under %d parts, %d of aggregators that knew its start; %.1f are allowed", r.id, len(r.recentArrivals), knowing, allowed)
+	if 3*notified <= 2*len(r.recentArrivals) {
+		return
 	}
-	r.world.result.ReplicasOverloaded++
-	return true
+	const format = "warming %s collapses under %d parts, %d of aggregators that knew its start; %.1f are allowed"
+	r.world.checker.violate(format, r.id, len(r.recentArrivals), notified, allowed)
 }
 
 // restartDelay is how long a replica that collapsed is down.
@@ -121,9 +154,20 @@
 	abandoned bool // the aggregator has canceled it or has crashed
 }
 
-func newReplica(w *world, i int) *replica {
-	return &replica{world: w, id: balance.Replica(fmt.Sprintf("n%d", i)), index: i, rng: rand.New(rand.NewPCG(w.Seed, uint64(firstReplicaStream+i))), up: true,
-		slowdown: 1, slowClass: allClasses, checksPass: true, inFlight: map[*attempt]bool{}}
+// newReplica returns a replica whose name and random stream are of its number. Its place in the ring is the same, unless
+// it replaces another.
+func newReplica(w *world, number int) *replica {
+	return &replica{
+		world:      w,
+		id:         balance.Replica(fmt.Sprintf("n%d", number)),
+		index:      number,
+		rng:        rand.New(rand.NewPCG(w.Seed, uint64(firstReplicaStream+number))),
+		up:         true,
+		slowdown:   1,
+		slowClass:  allClasses,
+		checksPass: true,
+		inFlight:   map[*attempt]bool{},
+	}
 }
 
 // receive handles a part that has arrived.
@@ -136,19 +180,17 @@
 		a.host.deliverResult(a, &aggregator.AttemptError{Progress: aggregator.NotConnected}, "")
 		return
 	case r.draining || len(r.queue) >= maxQueue:
-		w.after(w.networkDelay(), func() {
-			a.host.deliverResult(a, &aggregator.AttemptError{Progress: aggregator.Answered, Rejected: true}, "")
-		})
+		r.fail(a, &aggregator.AttemptError{Progress: aggregator.Answered, Rejected: true})
 		return
 	}
 	if r.arrivalOverloads(a.host) {
-		w.after(w.networkDelay(), func() { a.host.deliverResult(a, &aggregator.AttemptError{Progress: aggregator.Written}, "") })
+		r.fail(a, &aggregator.AttemptError{Progress: aggregator.Written})
 		r.collapse()
 		return
 	}
 	w.checker.correctionRan(r, a)
 	if r.rng.Float64() < r.errorRate {
-		w.after(w.networkDelay(), func() { a.host.deliverResult(a, &aggregator.AttemptError{Progress: aggregator.Answered}, "") })
+		r.fail(a, &aggregator.AttemptError{Progress: aggregator.Answered})
 		return
 	}
 	r.inFlight[a] = true
@@ -159,20 +201,18 @@
 	r.dispatch()
 }
 
+// fail ends an attempt with an error, which the aggregator gets one network delay later.
+func (r *replica) fail(a *attempt, err error) {
+	r.world.after(r.world.networkDelay(), func() { a.host.deliverResult(a, err, "") })
+}
+
 // dispatch gives queued parts to free cores.
 func (r *replica) dispatch() {
 	for r.busyCores < r.world.Cores && len(r.queue) > 0 {
 		a := r.queue[0]
 		r.queue = r.queue[1:]
 		r.busyCores++
-		d := time.Duration((0.5 + 0.5*r.rng.ExpFloat64()) * float64(r.world.MeanServiceTime))
-		if r.slowClass == allClasses || r.slowClass == a.call.Class {
-			d = time.Duration(float64(d) * r.slowdown)
-		}
-		if fraction := r.capacityFraction(); fraction < 1 {
-			d = time.Duration(float64(d) / fraction)
-		}
-		r.world.after(d, func() {
+		r.world.after(r.sampleServiceTime(a.call.Class), func() {
 			r.busyCores--
 			r.complete(a)
 			r.dispatch()
@@ -180,6 +220,18 @@
 	}
 }
 
+// sampleServiceTime draws how long a part of a class takes on a core.
+func (r *replica) sampleServiceTime(class int) time.Duration {
+	elapsed := time.Duration((0.5 + 0.5*r.rng.ExpFloat64()) * float64(r.world.MeanServiceTime))
+	if r.slowClass == allClasses || r.slowClass == class {
+		elapsed = time.Duration(float64(elapsed) * r.slowdown)
+	}
+	if fraction := r.capacityFraction(); fraction < 1 {
+		elapsed = time.Duration(float64(elapsed) / fraction)
+	}
+	return elapsed
+}
+
 func (r *replica) complete(a *attempt) {
 	if !r.inFlight[a] { // the replica crashed meanwhile
 		return
@@ -188,12 +240,16 @@
 	if r.unreachable {
 		return
 	}
-	r.world.after(r.world.networkDelay(), func() { a.host.deliverResult(a, nil, fmt.Sprintf("%s by %s", a.call.Name, r.id)) })
+	r.world.after(r.world.networkDelay(), func() {
+		a.host.deliverResult(a, nil, fmt.Sprintf("%s by %s", a.call.Name, r.id))
+	})
 }
 
 // crash ends the replica's process: attempts at it end with a reset of the connection.
 func (r *replica) crash() {
-	r.up, r.queue, r.busyCores = false, nil, 0
+	r.up = false
+	r.queue = nil
+	r.busyCores = 0
 	var lost []*attempt
 	for _, host := range r.world.aggregators { // in the order of sending, not of a map
 		for _, a := range host.sendOrder {
@@ -204,27 +260,33 @@
 	}
 	clear(r.inFlight)
 	for _, a := range lost {
-		r.world.after(r.world.networkDelay(), func() { a.host.deliverResult(a, &aggregator.AttemptError{Progress: aggregator.Written}, "") })
+		r.fail(a, &aggregator.AttemptError{Progress: aggregator.Written})
 	}
 }
 
-// endpointFeed tells aggregators of the endpoint list directly; each learns of a change some time later.
+// endpointFeed passes changes of the endpoint list to every aggregator directly, where there is no discovery. Each learns
+// of a change after a delay of its own.
 type endpointFeed struct {
 	world *world
-	lag   time.Duration
+	lag   time.Duration // added to each delay
 }
 
-// maxPropagation bounds the time that a change of the list takes to an aggregator; it is drawn evenly below it.
+// maxPropagation bounds the time that a change of the endpoint list takes to an aggregator.
 const maxPropagation = 50 * time.Millisecond
 
+// propagationDelay draws the time that a change of the endpoint list takes to an aggregator, evenly up to maxPropagation.
+func (w *world) propagationDelay() time.Duration {
+	return time.Duration(w.rng.Float64() * float64(maxPropagation))
+}
+
 // publish changes an endpoint's state, by discovery where the aggregators follow that.
-func (f *endpointFeed) publish(r *replica, s balance.EndpointState) {
+func (f *endpointFeed) publish(r *replica, state balance.EndpointState) {
 	if f.world.Discovery.Kind != "" {
-		f.world.discovery.append(r, s)
+		f.world.discovery.append(r, state)
 		return
 	}
-	for _, h := range f.world.aggregators {
-		d := f.lag + time.Duration(f.world.rng.Float64()*float64(maxPropagation))
-		f.world.after(d, func() { h.endpointPublished(r, s) })
+	for _, host := range f.world.aggregators {
+		delay := f.lag + f.world.propagationDelay()
+		f.world.after(delay, func() { host.endpointPublished(r, state) })
 	}
 }
