Name the simulator's steps and samples; spread its packed literals

Cause: queries, answers, faults and the checker's rules stood in long functions with one-letter names and one-line literals.

--- a/internal/testbed/sim/aggregator.go
+++ b/internal/testbed/sim/aggregator.go
@@ -425,7 +425,7 @@
 		h.attempts[call.Attempt] = a
 		h.sendOrder = append(h.sendOrder, a)
 		h.world.record("send", uint64(call.Attempt.Part), uint64(target.index))
-		h.world.checker.attemptSent(h, target, a)
+		h.world.checker.attemptSent(a)
 		if h.world.separated(h.zone, target.zone()) {
 			continue // lost on the network
 		}
--- a/internal/testbed/sim/check.go
+++ b/internal/testbed/sim/check.go
@@ -9,59 +9,87 @@
 	"rooktrestle/internal/aggregator"
 )
 
-// drainGrace is how long after an aggregator knows that a replica drains it may still send a new attempt there.
-const drainGrace = 250 * time.Millisecond
+const (
+	// drainGrace is how long after an aggregator learned that a replica drains it may still send a new attempt there.
+	drainGrace = 250 * time.Millisecond
+
+	// answerGrace is how long after its deadline a request may be answered.
+	answerGrace = 20 * time.Millisecond
+
+	// fractionTolerance is for rounding errors in a sum of fractions.
+	fractionTolerance = 1e-9
+)
 
 // checker compares every step of a run with the rules.
 type checker struct {
 	world            *world
 	violations       []string
-	openRequests     map[string]*clientRequest
-	requests         map[string]*aggregator.Request
-	finalAnswers     map[string]int
-	correctionRuns   map[string]int // of corrections, by the query
-	attemptsInFlight map[string]int // by aggregator and part
+	openRequests     map[string]*clientRequest      // by identifier, without a final answer
+	requests         map[string]*aggregator.Request // what the aggregator got for each of openRequests
+	finalAnswers     map[string]int                 // by the request's identifier
+	correctionRuns   map[string]int                 // how often each correction ran, by its query
+	attemptsInFlight map[string]int                 // by aggregator and part
 }
 
 func newChecker(w *world) *checker {
-	return &checker{world: w, openRequests: map[string]*clientRequest{}, requests: map[string]*aggregator.Request{}, finalAnswers: map[string]int{}, correctionRuns: map[string]int{}, attemptsInFlight: map[string]int{}}
+	return &checker{
+		world:            w,
+		openRequests:     map[string]*clientRequest{},
+		requests:         map[string]*aggregator.Request{},
+		finalAnswers:     map[string]int{},
+		correctionRuns:   map[string]int{},
+		attemptsInFlight: map[string]int{},
+	}
 }
 
 // maxViolations bounds the violations that are kept of one run.
 const maxViolations = 50
 
+// violate notes a violation with the present moment.
 func (c *checker) violate(format string, args ...any) {
-	if len(c.violations) < maxViolations {
-		c.violations = append(c.violations, fmt.Sprintf("%v: ", c.world.now.Sub(Start))+fmt.Sprintf(format, args...))
+	if len(c.violations) == maxViolations {
+		return
 	}
+	text := fmt.Sprintf(format, args...)
+	c.violations = append(c.violations, fmt.Sprintf("%v: %s", c.world.now.Sub(Start), text))
 }
 
-func (c *checker) requestSent(request *clientRequest, r *aggregator.Request) {
-	c.openRequests[request.id], c.requests[request.id] = request, r
+func (c *checker) requestSent(sent *clientRequest, request *aggregator.Request) {
+	c.openRequests[sent.id] = sent
+	c.requests[sent.id] = request
 }
 
+// attemptKey names a part of a request within its aggregator.
+func attemptKey(a *attempt) string { return fmt.Sprintf("%d %s", a.host.index, a.call.Name) }
+
 // attemptSent checks that a part has one attempt at a time, none to a replica that is known to drain or to be removed, and
 // no more than MaxAttempts.
-func (c *checker) attemptSent(host *aggregatorHost, r *replica, a *attempt) {
-	name := fmt.Sprintf("%d %s", host.index, a.call.Name)
-	if c.attemptsInFlight[name]++; c.attemptsInFlight[name] > 1 {
-		c.violate("two attempts of %s are in flight", a.call.Name)
-	}
-	if at, known := host.removalNotifiedAt[r.id]; known && c.world.now.Sub(at) > drainGrace {
-		c.violate("%s goes to %s, %v after its drain or removal was known", a.call.Name, r.id, c.world.now.Sub(at))
+func (c *checker) attemptSent(a *attempt) {
+	name := a.call.Name
+	key := attemptKey(a)
+	c.attemptsInFlight[key]++
+	if c.attemptsInFlight[key] > 1 {
+		c.violate("two attempts of %s are in flight", name)
+	}
+	if notifiedAt, notified := a.host.removalNotifiedAt[a.replica.id]; notified {
+		if elapsed := c.world.now.Sub(notifiedAt); elapsed > drainGrace {
+			c.violate("%s goes to %s, %v after its drain or removal was known", name, a.replica.id, elapsed)
+		}
 	}
-	if a.call.Attempt.Number >= host.balancerSettings.MaxAttempts {
-		c.violate("attempt %d of %s", a.call.Attempt.Number+1, a.call.Name)
+	if a.call.Attempt.Number >= a.host.balancerSettings.MaxAttempts {
+		c.violate("attempt %d of %s", a.call.Attempt.Number+1, name)
 	}
-	if id, _, _ := strings.Cut(a.call.Name, "."); c.openRequests[id] == nil {
-		c.violate("%s is sent, and its request has ended", a.call.Name)
+	requestID, _, _ := strings.Cut(name, ".")
+	if c.openRequests[requestID] == nil {
+		c.violate("%s is sent, and its request has ended", name)
 	}
 }
 
 func (c *checker) attemptEnded(a *attempt) {
-	name := fmt.Sprintf("%d %s", a.host.index, a.call.Name)
-	if c.attemptsInFlight[name]--; c.attemptsInFlight[name] <= 0 {
-		delete(c.attemptsInFlight, name)
+	key := attemptKey(a)
+	c.attemptsInFlight[key]--
+	if c.attemptsInFlight[key] <= 0 {
+		delete(c.attemptsInFlight, key)
 	}
 }
 
@@ -70,12 +98,13 @@
 	if a.call.Class != correction {
 		return
 	}
-	id, _, _ := strings.Cut(a.call.Name, ".")
-	id, _, _ = strings.Cut(id, "-") // of the query
-	if c.correctionRuns[id]++; c.correctionRuns[id] > 1 {
-		c.violate("correction %s ran %d times, now at %s", a.call.Name, c.correctionRuns[id], r.id)
+	queryID, _, _ := strings.Cut(a.call.Name, "-")
+	c.correctionRuns[queryID]++
+	runs := c.correctionRuns[queryID]
+	if runs > 1 {
+		c.violate("correction %s ran %d times, now at %s", a.call.Name, runs, r.id)
 	}
-	if c.world.PlantedBug == BugDoubleCorrection && c.correctionRuns[id] == 1 && strings.HasPrefix(id, "q7") {
+	if c.world.PlantedBug == BugDoubleCorrection && runs == 1 && strings.HasPrefix(queryID, "q7") {
 		c.world.after(time.Millisecond, func() { c.correctionRan(r, a) })
 	}
 }
@@ -89,36 +118,44 @@
 // requestAnswered checks that a request has one final answer, in time, with the values of replicas only, marked complete
 // only if every part is in.
 func (c *checker) requestAnswered(request *clientRequest, answer aggregator.FinalAnswer) {
-	if c.finalAnswers[request.id]++; c.finalAnswers[request.id] > 1 {
+	c.finalAnswers[request.id]++
+	if c.finalAnswers[request.id] > 1 {
 		c.violate("%s has %d final answers", request.id, c.finalAnswers[request.id])
 	}
+	sent := c.requests[request.id]
 	delete(c.openRequests, request.id)
-	r := c.requests[request.id]
 	delete(c.requests, request.id)
-	if overdue := c.world.now.Sub(r.Arrived.Add(r.Timeout)); overdue > 20*time.Millisecond {
+	deadline := sent.Arrived.Add(sent.Timeout)
+	if overdue := c.world.now.Sub(deadline); overdue > answerGrace {
 		c.violate("%s is answered %v after its deadline", request.id, overdue)
 	}
-	id, _, _ := strings.Cut(request.id, "-")
-	if answer.Status == aggregator.StatusRejected && request.query.class == correction && c.correctionRuns[id] > 0 {
-		c.violate("correction %s is rejected, and has run", request.id)
-	}
-	if answer.Status != aggregator.StatusServed {
-		return
+	switch answer.Status {
+	case aggregator.StatusRejected:
+		queryID, _, _ := strings.Cut(request.id, "-")
+		if request.query.class == correction && c.correctionRuns[queryID] > 0 {
+			c.violate("correction %s is rejected, and has run", request.id)
+		}
+	case aggregator.StatusServed:
+		c.checkContent(request, answer)
 	}
+}
+
+// checkContent checks the values of an answer, and whether it has as many as it needs.
+func (c *checker) checkContent(request *clientRequest, answer aggregator.FinalAnswer) {
 	fraction := 0.0
-	for _, i := range answer.Items {
-		name := fmt.Sprintf("%s.%d", request.id, i.Shard)
-		if !slices.Contains(request.partNames, name) || !strings.HasPrefix(i.Value, name+" by ") {
-			c.violate("%s: the value %q for shard %d", request.id, i.Value, i.Shard)
+	for _, item := range answer.Items {
+		name := fmt.Sprintf("%s.%d", request.id, item.Shard)
+		if !slices.Contains(request.partNames, name) || !strings.HasPrefix(item.Value, name+" by ") {
+			c.violate("%s: the value %q for shard %d", request.id, item.Value, item.Shard)
 		}
 		fraction += 1 / float64(len(request.partNames))
 	}
-	class := classes()[request.query.class]
 	if answer.Complete && len(answer.Items) != len(request.partNames) {
 		c.violate("%s is marked complete with %d of %d parts", request.id, len(answer.Items), len(request.partNames))
 	}
-	if fraction < class.MinFraction-1e-9 {
-		c.violate("%s is served with %.2f of its weight, under its floor %.2f", request.id, fraction, class.MinFraction)
+	minFraction := classes()[request.query.class].MinFraction
+	if fraction < minFraction-fractionTolerance {
+		c.violate("%s is served with %.2f of its weight, under its floor %.2f", request.id, fraction, minFraction)
 	}
 }
 
@@ -129,8 +166,10 @@
 	}
 	slices.Sort(c.violations)
 	for _, host := range c.world.aggregators {
-		if r := host.core.OpenQueries(); r > 0 || host.core.Load() > 0 {
-			c.violate("aggregator %d holds %d queries, %d of load", host.index, r, host.core.Load())
+		open := host.core.OpenQueries()
+		load := host.core.Load()
+		if open > 0 || load > 0 {
+			c.violate("aggregator %d holds %d queries, %d of load", host.index, open, load)
 		}
 		if len(host.attempts) > 0 {
 			c.violate("aggregator %d has %d attempts in flight", host.index, len(host.attempts))
--- a/internal/testbed/sim/client.go
+++ b/internal/testbed/sim/client.go
@@ -16,7 +16,7 @@
 	number     int
 	aggregator int
 	deadline   time.Time // by which the client gives up
-	objective  time.Time // an answer by then is within the objective
+	objective  time.Time // an answer by then is within the latency objective
 }
 
 // clientRequest is one request; it waits for the final answer.
@@ -28,36 +28,47 @@
 	partNames []string // of its parts
 }
 
-// Fractions of the queries; searches are the rest.
+// Fractions of the queries; all others are searches.
 const (
 	reportFraction     = 0.22
 	correctionFraction = 0.22
 )
 
-// queryArrives draws a new query and schedules the next.
+// minRetryTimeLeft is how long before a query's deadline its client makes the last retry.
+const minRetryTimeLeft = 100 * time.Millisecond
+
+// queryArrives sends a new query and schedules the next.
 func (w *world) queryArrives() {
 	if w.now.After(Start.Add(w.Duration)) {
 		return
 	}
-	w.after(time.Duration(w.rng.ExpFloat64()/w.arrivalRate()*float64(time.Second)), w.queryArrives)
-	x := w.rng.Float64()
+	interval := time.Duration(w.rng.ExpFloat64() / w.arrivalRate() * float64(time.Second))
+	w.after(interval, w.queryArrives)
+	w.sendRequest(w.sampleQuery())
+}
+
+// sampleQuery draws a query and counts it.
+func (w *world) sampleQuery() *query {
+	kind := w.rng.Float64()
 	q := &query{class: search, aggregator: w.pickAggregator(), number: w.result.Queries}
-	n := w.SearchParts
+	partCount := w.SearchParts
 	switch {
-	case x < reportFraction:
+	case kind < reportFraction:
 		q.class = report
-	case x < reportFraction+correctionFraction:
-		q.class, n = correction, 1
+	case kind < reportFraction+correctionFraction:
+		q.class = correction
+		partCount = 1
 	}
-	n = min(n, w.Replicas)
-	for _, s := range w.rng.Perm(w.Replicas)[:n] {
-		q.parts = append(q.parts, aggregator.PartSpec{Shard: s, Weight: 1 / float64(n)})
+	partCount = min(partCount, w.Replicas)
+	for _, shard := range w.rng.Perm(w.Replicas)[:partCount] {
+		q.parts = append(q.parts, aggregator.PartSpec{Shard: shard, Weight: 1 / float64(partCount)})
 	}
-	q.deadline = w.now.Add(classes()[q.class].Deadline)
-	q.objective = w.now.Add(classes()[q.class].Objective)
+	class := classes()[q.class]
+	q.deadline = w.now.Add(class.Deadline)
+	q.objective = w.now.Add(class.Objective)
 	w.result.Queries++
 	w.result.Classes[q.class].Queries++
-	w.sendRequest(q)
+	return q
 }
 
 // pickAggregator draws an aggregator for a client, by its weight.
@@ -65,68 +76,77 @@
 	if w.TrafficSkew == 0 {
 		return w.rng.IntN(len(w.aggregators))
 	}
-	x := w.rng.Float64() * w.cumulativeTraffic[len(w.cumulativeTraffic)-1]
-	i, _ := slices.BinarySearch(w.cumulativeTraffic, x)
-	return min(i, len(w.cumulativeTraffic)-1)
+	last := len(w.cumulativeTraffic) - 1
+	sample := w.rng.Float64() * w.cumulativeTraffic[last]
+	index, _ := slices.BinarySearch(w.cumulativeTraffic, sample)
+	return min(index, last)
 }
 
 // arrivalRate is the present rate of queries, bursts included.
 func (w *world) arrivalRate() float64 {
-	r := w.Rate
+	rate := w.Rate
 	for i := range w.Faults {
-		if t := &w.Faults[i]; t.Kind == Burst && t.activeAt(w.now) {
-			r *= t.Magnitude
+		fault := &w.Faults[i]
+		if fault.Kind == Burst && fault.activeAt(w.now) {
+			rate *= fault.Magnitude
 		}
 	}
-	return r
+	return rate
 }
 
 // sendRequest sends the query's next request.
 func (w *world) sendRequest(q *query) {
 	q.attempts++
 	w.result.Requests++
-	c := &clientRequest{world: w, query: q, id: fmt.Sprintf("q%d-%d", q.number, q.attempts), started: w.now}
-	for _, p := range q.parts {
-		c.partNames = append(c.partNames, fmt.Sprintf("%s.%d", c.id, p.Shard))
+	c := &clientRequest{
+		world:   w,
+		query:   q,
+		id:      fmt.Sprintf("q%d-%d", q.number, q.attempts),
+		started: w.now,
+	}
+	for _, part := range q.parts {
+		c.partNames = append(c.partNames, fmt.Sprintf("%s.%d", c.id, part.Shard))
 	}
-	r := &aggregator.Request{ID: c.id, Class: q.class, Arrived: w.now, Timeout: q.deadline.Sub(w.now), IsRetry: q.attempts > 1, Parts: q.parts, Frontend: c}
-	w.checker.requestSent(c, r)
+	request := &aggregator.Request{
+		ID:       c.id,
+		Class:    q.class,
+		Arrived:  w.now,
+		Timeout:  q.deadline.Sub(w.now),
+		IsRetry:  q.attempts > 1,
+		Parts:    q.parts,
+		Frontend: c,
+	}
+	w.checker.requestSent(c, request)
 	w.record("ask", uint64(q.number), uint64(q.attempts))
 	for w.aggregators[q.aggregator].crashed { // the connection is refused: the client goes to another
 		q.aggregator = w.pickAggregator()
 	}
-	w.aggregators[q.aggregator].openRequests[c] = true
-	w.aggregators[q.aggregator].post(aggregator.RequestArrived{Request: r})
+	host := w.aggregators[q.aggregator]
+	host.openRequests[c] = true
+	host.post(aggregator.RequestArrived{Request: request})
 	if w.PlantedBug == BugLostQuery && q.number == 50 {
-		r.Frontend = discardAnswer{}
+		request.Frontend = discardAnswer{}
 	}
 }
 
+// discardAnswer is the frontend of BugLostQuery.
 type discardAnswer struct{}
 
 func (discardAnswer) Answer(aggregator.FinalAnswer) {}
 
 // Answer takes the final answer. A client whose request was rejected or failed may retry before the query's deadline.
-func (c *clientRequest) Answer(f aggregator.FinalAnswer) {
-	w, q := c.world, c.query
-	w.record("answer", uint64(q.number), uint64(f.Status))
-	if w.PlantedBug == BugDishonestComplete && f.Status == aggregator.StatusServed && !f.Complete {
-		f.Complete = true
+func (c *clientRequest) Answer(answer aggregator.FinalAnswer) {
+	w := c.world
+	q := c.query
+	w.record("answer", uint64(q.number), uint64(answer.Status))
+	if w.PlantedBug == BugDishonestComplete && answer.Status == aggregator.StatusServed {
+		answer.Complete = true
 	}
-	w.checker.requestAnswered(c, f)
+	w.checker.requestAnswered(c, answer)
 	delete(w.aggregators[q.aggregator].openRequests, c)
-	switch f.Status {
+	switch answer.Status {
 	case aggregator.StatusServed:
-		w.result.Served++
-		w.result.Answered++
-		w.result.Classes[q.class].Answered++
-		if !w.now.After(q.objective) {
-			w.result.Classes[q.class].WithinObjective++
-		}
-		if !f.Complete {
-			w.result.Partial++
-		}
-		w.result.Latencies = append(w.result.Latencies, w.now.Sub(c.started))
+		c.countServed(answer.Complete)
 		return
 	case aggregator.StatusRejected:
 		w.result.Rejected++
@@ -139,9 +159,26 @@
 	c.retry()
 }
 
+// countServed counts a request that was served.
+func (c *clientRequest) countServed(complete bool) {
+	w := c.world
+	class := &w.result.Classes[c.query.class]
+	w.result.Served++
+	w.result.Answered++
+	class.Answered++
+	if !w.now.After(c.query.objective) {
+		class.WithinObjective++
+	}
+	if !complete {
+		w.result.Partial++
+	}
+	w.result.Latencies = append(w.result.Latencies, w.now.Sub(c.started))
+}
+
 // connectionLost ends a request whose aggregator crashed: the client sees its connection end.
 func (c *clientRequest) connectionLost() {
-	w, q := c.world, c.query
+	w := c.world
+	q := c.query
 	w.record("lost", uint64(q.number), uint64(q.attempts))
 	w.checker.requestLost(c)
 	w.result.ConnectionsLost++
@@ -152,11 +189,14 @@
 
 // retry schedules another request, if the client has retries and time left.
 func (c *clientRequest) retry() {
-	w, q := c.world, c.query
-	if q.attempts <= w.Retries {
-		d := time.Duration((0.5 + 1.5*w.rng.Float64()) * float64(w.RetryDelay))
-		if at := w.now.Add(d); at.Before(q.deadline.Add(-100 * time.Millisecond)) {
-			w.at(at, func() { w.sendRequest(q) })
-		}
+	w := c.world
+	q := c.query
+	if q.attempts > w.Retries {
+		return
+	}
+	delay := time.Duration((0.5 + 1.5*w.rng.Float64()) * float64(w.RetryDelay))
+	retryAt := w.now.Add(delay)
+	if retryAt.Before(q.deadline.Add(-minRetryTimeLeft)) {
+		w.at(retryAt, func() { w.sendRequest(q) })
 	}
 }
--- a/internal/testbed/sim/clock.go
+++ b/internal/testbed/sim/clock.go
@@ -14,7 +14,7 @@
 
 // event is an action that is due at a moment of virtual time.
 type event struct {
-	at     time.Time
+	due    time.Time
 	seq    uint64 // events of one moment run in the order in which they were scheduled
 	action func()
 }
@@ -25,8 +25,8 @@
 func (e events) Len() int { return len(e) }
 
 func (e events) Less(i, j int) bool {
-	if !e[i].at.Equal(e[j].at) {
-		return e[i].at.Before(e[j].at)
+	if !e[i].due.Equal(e[j].due) {
+		return e[i].due.Before(e[j].due)
 	}
 	return e[i].seq < e[j].seq
 }
@@ -52,11 +52,12 @@
 	trace      *xxhash.Digest
 	recordText bool
 	traceText  []string
-	buffer     [8]byte
+	buffer     [8]byte // of hashNumber
 }
 
-func newClock(keepText bool) clock {
-	return clock{now: Start, trace: xxhash.New(), recordText: keepText}
+// newClock returns a clock at Start; recordText also keeps the trace as text.
+func newClock(recordText bool) clock {
+	return clock{now: Start, trace: xxhash.New(), recordText: recordText}
 }
 
 // at schedules an action; a moment that has passed counts as now.
@@ -65,20 +66,20 @@
 		t = c.now
 	}
 	c.seq++
-	heap.Push(&c.queue, event{t, c.seq, action})
+	heap.Push(&c.queue, event{due: t, seq: c.seq, action: action})
 }
 
-// after schedules an action in d from now.
-func (c *clock) after(d time.Duration, action func()) { c.at(c.now.Add(d), action) }
+// after schedules an action for the moment when a duration has passed.
+func (c *clock) after(delay time.Duration, action func()) { c.at(c.now.Add(delay), action) }
 
 // record adds an entry to the trace. The texts are part of the trace's hash, which tests and recorded runs compare.
-func (c *clock) record(what string, a, b uint64) {
+func (c *clock) record(what string, subject, detail uint64) {
 	c.hashNumber(uint64(c.now.Sub(Start)))
 	_, _ = c.trace.WriteString(what) // a hash does not fail
-	c.hashNumber(a)
-	c.hashNumber(b)
+	c.hashNumber(subject)
+	c.hashNumber(detail)
 	if c.recordText {
-		c.traceText = append(c.traceText, fmt.Sprintf("%v %s %d %d", c.now.Sub(Start), what, a, b))
+		c.traceText = append(c.traceText, fmt.Sprintf("%v %s %d %d", c.now.Sub(Start), what, subject, detail))
 	}
 }
 
@@ -89,9 +90,9 @@
 
 // run executes the events up to and including end.
 func (c *clock) run(end time.Time) {
-	for len(c.queue) > 0 && !c.queue[0].at.After(end) {
+	for len(c.queue) > 0 && !c.queue[0].due.After(end) {
 		e := heap.Pop(&c.queue).(event)
-		c.now = e.at
+		c.now = e.due
 		c.eventCount++
 		e.action()
 	}
--- a/internal/testbed/sim/days.go
+++ b/internal/testbed/sim/days.go
@@ -34,33 +34,72 @@
 	}
 	rng := rand.New(rand.NewPCG(seed, dayStream))
 	s := Defaults(seed)
-	s.Aggregators, s.Replicas, s.SearchParts = aggregators, replicas, max(minSearchParts, replicas/4)
-	s.Zones, s.TrafficSkew, s.Gossip, s.Duration = 2, 0.8, true, 15*time.Second
-	s.Warmup = Warmup{Period: 6 * time.Second, MinCapacity: 0.3, OverloadMultiple: 3, OverloadPeriod: 400 * time.Millisecond}
+	s.Aggregators = aggregators
+	s.Replicas = replicas
+	s.SearchParts = max(minSearchParts, replicas/4)
+	s.Zones = 2
+	s.TrafficSkew = 0.8
+	s.Gossip = true
+	s.Duration = 15 * time.Second
+	s.Warmup = Warmup{
+		Period:           6 * time.Second,
+		MinCapacity:      0.3,
+		OverloadMultiple: 3,
+		OverloadPeriod:   400 * time.Millisecond,
+	}
 	// Three to five tenths of the capacity of all cores. A correction has one part, every other query SearchParts.
 	load := 0.3 + 0.2*rng.Float64()
-	s.Rate = load * float64(replicas*s.Cores) / s.MeanServiceTime.Seconds() / (0.78*float64(s.SearchParts) + 0.22)
+	meanParts := (1-correctionFraction)*float64(s.SearchParts) + correctionFraction
+	s.Rate = load * float64(replicas*s.Cores) / s.MeanServiceTime.Seconds() / meanParts
 	s.Retries = 1 + rng.IntN(2)
 	s.Discovery = Discovery{Kind: LocalAgents}
 	if rng.IntN(2) == 0 {
-		s.Discovery = Discovery{Kind: SharedService, PerSecond: float64(aggregators) / 3, MaxWait: 500 * time.Millisecond}
+		s.Discovery = Discovery{
+			Kind:      SharedService,
+			PerSecond: float64(aggregators) / 3,
+			MaxWait:   500 * time.Millisecond,
+		}
 	}
+	s.Faults = dayFaults(kind, replicas, rng)
+	return s, nil
+}
+
+// dayFaults draws the faults of a day.
+func dayFaults(kind string, replicas int, rng *rand.Rand) []Fault {
 	from := 4*time.Second + time.Duration(rng.IntN(1000))*time.Millisecond
 	first := rng.IntN(replicas)
-	bad := Fault{Kind: []FaultKind{Hang, FastErrors}[rng.IntN(2)], From: from - time.Second, Duration: 8 * time.Second, First: first, Replicas: replicas / 8, Magnitude: 0.6}
+	badReplicas := Fault{
+		Kind:      []FaultKind{Hang, FastErrors}[rng.IntN(2)],
+		From:      from - time.Second,
+		Duration:  8 * time.Second,
+		First:     first,
+		Replicas:  replicas / 8,
+		Magnitude: 0.6,
+	}
+	firstReleased := first + replicas/8 // the bad replicas are not released
 	switch kind {
 	case dayHerd:
-		s.Faults = []Fault{bad, {Kind: Release, From: from, Duration: 5 * time.Second, First: first + replicas/8, Replicas: replicas / 2},
+		return []Fault{
+			badReplicas,
+			{Kind: Release, From: from, Duration: 5 * time.Second, First: firstReleased, Replicas: replicas / 2},
 			{Kind: KillAggregators, From: from + 2*time.Second, Duration: 2 * time.Second, Magnitude: 0.7},
-			{Kind: DiscoveryOutage, From: from - time.Second, Duration: 4 * time.Second}}
+			{Kind: DiscoveryOutage, From: from - time.Second, Duration: 4 * time.Second},
+		}
 	case dayZone:
-		s.Faults = []Fault{bad, {Kind: Outage, From: from, Duration: 5 * time.Second}}
+		return []Fault{
+			badReplicas,
+			{Kind: Outage, From: from, Duration: 5 * time.Second},
+		}
 	case daySplit:
-		s.Faults = []Fault{{Kind: Partition, From: from, Duration: 6 * time.Second}, {Kind: DiscoveryOutage, From: from, Duration: 4 * time.Second}}
+		return []Fault{
+			{Kind: Partition, From: from, Duration: 6 * time.Second},
+			{Kind: DiscoveryOutage, From: from, Duration: 4 * time.Second},
+		}
 	case dayJoin:
-		s.Faults = []Fault{bad, {Kind: Release, From: from, Duration: 7 * time.Second, First: first + replicas/8, Replicas: replicas * 6 / 10}}
-	default:
-		s.Faults = []Fault{{Kind: Burst, From: from, Duration: 3 * time.Second, Magnitude: 1.5}}
+		return []Fault{
+			badReplicas,
+			{Kind: Release, From: from, Duration: 7 * time.Second, First: firstReleased, Replicas: replicas * 6 / 10},
+		}
 	}
-	return s, nil
+	return []Fault{{Kind: Burst, From: from, Duration: 3 * time.Second, Magnitude: 1.5}}
 }
--- a/internal/testbed/sim/days_test.go
+++ b/internal/testbed/sim/days_test.go
@@ -1,10 +1,6 @@
 package sim
 
-import (
-	"slices"
-	"strings"
-	"testing"
-)
+import "testing"
 
 // fleet plays a day of a small fleet; testbed days plays the sizes that operators have.
 func fleet(t *testing.T, kind string, seed uint64, planted Bug) Result {
@@ -19,7 +15,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.PlantedBug, s.Rate = planted, load*s.Rate/3
+	s.PlantedBug = planted
+	s.Rate = load * s.Rate / 3
 	return play(t, s)
 }
 
@@ -45,15 +42,17 @@
 		t.Errorf("%s", honest.Violations[0])
 	}
 	r := loaded(t, "join", 1, BugWarmupIgnored, 6)
-	if r.ReplicasOverloaded == 0 || !slices.ContainsFunc(r.Violations, func(b string) bool { return strings.Contains(b, "collapses under") }) {
-		t.Errorf("%d fell, broken: %v", r.ReplicasOverloaded, r.Violations)
+	if r.ReplicasOverloaded == 0 || !violates(r, "collapses under") {
+		t.Errorf("%d collapsed, violations: %v", r.ReplicasOverloaded, r.Violations)
 	}
 }
 
 // The same seed gives the same trace with gossip, crashes, and polled endpoint lists.
 func TestDays_TraceDependsOnSeedOnly(t *testing.T) {
-	if one, two := fleet(t, "herd", 2, ""), fleet(t, "herd", 2, ""); one.Hash != two.Hash || one.Requests == 0 {
-		t.Errorf("%x, then %x", one.Hash, two.Hash)
+	first := fleet(t, "herd", 2, "")
+	second := fleet(t, "herd", 2, "")
+	if first.Hash != second.Hash || first.Requests == 0 {
+		t.Errorf("%x, then %x", first.Hash, second.Hash)
 	}
 }
 
@@ -62,8 +61,7 @@
 func TestChecker_FindsSendsToDrainingReplicas(t *testing.T) {
 	found := false
 	for seed := uint64(1); seed < 6 && !found; seed++ {
-		r := fleet(t, "herd", seed, BugSlowReopen)
-		found = slices.ContainsFunc(r.Violations, func(b string) bool { return strings.Contains(b, "drain or removal was known") })
+		found = violates(fleet(t, "herd", seed, BugSlowReopen), "drain or removal was known")
 		if honest := fleet(t, "herd", seed, ""); len(honest.Violations) > 0 {
 			t.Errorf("seed %d: %s", seed, honest.Violations[0])
 		}
--- a/internal/testbed/sim/fault.go
+++ b/internal/testbed/sim/fault.go
@@ -40,14 +40,13 @@
 	Kind      FaultKind     `json:"kind"`
 	From      time.Duration `json:"from"` // after Start
 	Duration  time.Duration `json:"for"`
-	Replicas  int           `json:"nodes"` // so many, from First on round the ring
-	First     int           `json:"first"`
-	Magnitude float64       `json:"size"` // as the kind says
+	Replicas  int           `json:"nodes"` // how many replicas it affects, from First on round the ring
+	First     int           `json:"first"` // place in the ring
+	Magnitude float64       `json:"size"`  // its meaning depends on the kind
 }
 
 func (f *Fault) activeAt(now time.Time) bool {
-	d := now.Sub(Start)
-	return d >= f.From && d < f.From+f.Duration
+	return !now.Before(f.begin()) && now.Before(f.end())
 }
 
 func (f *Fault) begin() time.Time { return Start.Add(f.From) }
@@ -62,7 +61,8 @@
 	case Deploy, Release:
 		f.scheduleRollout(w)
 	case EndpointLag:
-		w.at(f.begin(), func() { w.feed.lag = time.Duration(f.Magnitude * float64(time.Second)) })
+		lag := time.Duration(f.Magnitude * float64(time.Second))
+		w.at(f.begin(), func() { w.feed.lag = lag })
 		w.at(f.end(), func() { w.feed.lag = 0 })
 	case KillAggregators:
 		w.at(f.begin(), func() { f.killAggregators(w) })
@@ -111,9 +111,9 @@
 
 func secondZone(w *world) []*replica {
 	var list []*replica
-	for i := range w.replicas {
+	for i, r := range w.replicas {
 		if i%2 == 1 {
-			list = append(list, w.replicas[i])
+			list = append(list, r)
 		}
 	}
 	return list
@@ -126,7 +126,8 @@
 	case SlowReplicas:
 		r.slowdown = f.Magnitude
 	case Gray:
-		r.slowdown, r.slowClass = f.Magnitude, search
+		r.slowdown = f.Magnitude
+		r.slowClass = search
 	case Isolate:
 		r.unreachable = true
 	case Hang:
@@ -146,7 +147,8 @@
 	case SlowReplicas:
 		r.slowdown = 1
 	case Gray:
-		r.slowdown, r.slowClass = 1, allClasses
+		r.slowdown = 1
+		r.slowClass = allClasses
 	case Isolate:
 		r.unreachable = false
 	case Hang:
@@ -165,23 +167,24 @@
 // again, in a release another takes its place.
 func (f *Fault) scheduleRollout(w *world) {
 	targets := f.targets(w)
-	count := len(targets)
+	count := time.Duration(len(targets))
 	for i, r := range targets {
-		at := f.begin().Add(time.Duration(i) * f.Duration / time.Duration(count))
-		w.at(at, func() {
+		drainAt := f.begin().Add(time.Duration(i) * f.Duration / count)
+		w.at(drainAt, func() {
 			r.draining = true
 			w.feed.publish(r, balance.Draining)
 		})
 		if f.Kind == Release {
-			w.at(at.Add(drainPeriod), func() { replace(w, r) })
+			w.at(drainAt.Add(drainPeriod), func() { replace(w, r) })
 			continue
 		}
-		w.at(at.Add(f.Duration/time.Duration(2*count)), func() {
+		w.at(drainAt.Add(f.Duration/(2*count)), func() {
 			r.crash()
 			w.feed.publish(r, balance.Removed)
 		})
-		w.at(at.Add(f.Duration/time.Duration(count)), func() {
-			r.draining, r.up = false, true
+		w.at(drainAt.Add(f.Duration/count), func() {
+			r.draining = false
+			r.up = true
 			r.start()
 		})
 	}
@@ -202,11 +205,12 @@
 func (f *Fault) killAggregators(w *world) {
 	victims := int(f.Magnitude * float64(len(w.aggregators)))
 	for _, i := range w.rng.Perm(len(w.aggregators))[:victims] {
-		h := w.aggregators[i]
-		h.crash()
-		w.after(time.Duration(w.rng.Float64()*float64(f.Duration)), func() {
-			if err := h.start(); err != nil {
-				w.checker.violate("aggregator %d does not start again: %v", h.index, err)
+		host := w.aggregators[i]
+		host.crash()
+		downtime := time.Duration(w.rng.Float64() * float64(f.Duration))
+		w.after(downtime, func() {
+			if err := host.start(); err != nil {
+				w.checker.violate("aggregator %d does not start again: %v", host.index, err)
 			}
 		})
 	}
--- a/internal/testbed/sim/settings.go
+++ b/internal/testbed/sim/settings.go
@@ -31,8 +31,18 @@
 // Defaults are the settings of a small fleet without faults.
 func Defaults(seed uint64) Settings {
 	return Settings{
-		Seed: seed, Aggregators: 2, Replicas: 12, Reach: 4, SearchParts: 4, Cores: 2, MeanServiceTime: 20 * time.Millisecond, Rate: 100,
-		Retries: 1, RetryDelay: 300 * time.Millisecond, NetworkDelay: 500 * time.Microsecond, Duration: 10 * time.Second,
+		Seed:            seed,
+		Aggregators:     2,
+		Replicas:        12,
+		Reach:           4,
+		SearchParts:     4,
+		Cores:           2,
+		MeanServiceTime: 20 * time.Millisecond,
+		Rate:            100,
+		Retries:         1,
+		RetryDelay:      300 * time.Millisecond,
+		NetworkDelay:    500 * time.Microsecond,
+		Duration:        10 * time.Second,
 	}
 }
 
@@ -44,12 +54,12 @@
 const (
 	BugDoubleCorrection   Bug = "double correction" // a correction runs twice
 	BugLostQuery          Bug = "lost query"        // an answer reaches nobody
-	BugDrainIgnored       Bug = "drain ignored"     // aggregators do not hear that a replica drains
+	BugDrainIgnored       Bug = "drain ignored"     // aggregators are not notified that a replica drains
 	BugDishonestComplete  Bug = "dishonest whole"   // partial answers are marked complete
 	BugLeakedAttempt      Bug = "leaked attempt"    // a canceled attempt never ends
-	BugConcurrentAttempts Bug = "second copy"       // a canceled attempt ends before the replica knows
-	BugWarmupIgnored      Bug = "cold ignored"      // warming replicas are sent what warm ones are sent
-	BugSlowReopen         Bug = "waits in silence"  // a silent watch is reopened only after the whole fleet's backoff
+	BugConcurrentAttempts Bug = "second copy"       // a canceled attempt ends before the replica is notified
+	BugWarmupIgnored      Bug = "cold ignored"      // warming replicas get as much as warm ones
+	BugSlowReopen         Bug = "waits in silence"  // an unresponsive watch is reopened only after the backoff of the whole fleet
 )
 
 // Result is what one run came to.
@@ -57,9 +67,12 @@
 	Hash                   uint64 // of the trace
 	Events                 uint64 // of the simulation
 	Requests               int    // queries and the clients' retries of them
-	Served, Partial        int    // of the requests; Partial counts among Served
-	Rejected, Failed       int    // of the requests
-	Queries, Answered      int    // first requests, and those of them that were answered in the end
+	Served                 int    // requests, partial answers included
+	Partial                int    // requests served with a partial answer
+	Rejected               int    // requests
+	Failed                 int    // requests
+	Queries                int    // first requests
+	Answered               int    // queries that were served in the end
 	ConnectionsLost        int    // requests whose aggregator crashed under them
 	ReplicasOverloaded     int    // warming replicas that collapsed under too many parts
 	DiscoveryPolls         int
@@ -71,7 +84,11 @@
 }
 
 // ClassCounts count the queries of one class; a client's retries count with the query that they retry.
-type ClassCounts struct{ Queries, Answered, WithinObjective int }
+type ClassCounts struct {
+	Queries         int
+	Answered        int
+	WithinObjective int
+}
 
 // Goodput is the fraction of the queries that was answered; 1 if there was none.
 func (r *Result) Goodput() float64 {
--- a/internal/testbed/sim/settings_test.go
+++ b/internal/testbed/sim/settings_test.go
@@ -21,7 +21,8 @@
 	if err := json.Unmarshal(text, &file); err != nil {
 		t.Fatal(err)
 	}
-	want := "Cold Cores Discovery Evidence For Keep Mixers Network Nodes Parts Planted Rate Reach Retries RetryAt Seed Skew Troubles Words Work Zones"
+	want := "Cold Cores Discovery Evidence For Keep Mixers Network Nodes Parts Planted Rate Reach Retries RetryAt Seed " +
+		"Skew Troubles Words Work Zones"
 	if got := strings.Join(slices.Sorted(maps.Keys(file)), " "); got != want {
 		t.Errorf("the keys are %s, not %s", got, want)
 	}
@@ -45,13 +46,26 @@
 	if err := json.Unmarshal([]byte(file), &s); err != nil {
 		t.Fatal(err)
 	}
-	if s.Aggregators != 3 || s.Replicas != 14 || s.MeanServiceTime != 20*time.Millisecond || s.Duration != 8*time.Second || !s.Gossip {
+	if s.Aggregators != 3 || s.Replicas != 14 || s.MeanServiceTime != 20*time.Millisecond {
 		t.Errorf("%+v", s)
 	}
-	if s.Warmup.Period != 6*time.Second || s.Warmup.OverloadMultiple != 3 || s.Discovery.Kind != SharedService || s.Discovery.MaxWait != 500*time.Millisecond {
-		t.Errorf("%+v %+v", s.Warmup, s.Discovery)
+	if s.Duration != 8*time.Second || !s.Gossip {
+		t.Errorf("%+v", s)
+	}
+	if s.Warmup.Period != 6*time.Second || s.Warmup.OverloadMultiple != 3 {
+		t.Errorf("%+v", s.Warmup)
+	}
+	if s.Discovery.Kind != SharedService || s.Discovery.MaxWait != 500*time.Millisecond {
+		t.Errorf("%+v", s.Discovery)
+	}
+	want := Fault{
+		Kind:     Isolate,
+		From:     4024 * time.Millisecond,
+		Duration: 1718 * time.Millisecond,
+		Replicas: 3,
+		First:    5,
 	}
-	if want := (Fault{Kind: Isolate, From: 4024 * time.Millisecond, Duration: 1718 * time.Millisecond, Replicas: 3, First: 5}); len(s.Faults) != 1 || s.Faults[0] != want {
+	if len(s.Faults) != 1 || s.Faults[0] != want {
 		t.Errorf("%+v", s.Faults)
 	}
 	if s.PlantedBug != BugDrainIgnored {
--- a/internal/testbed/sim/sim.go
+++ b/internal/testbed/sim/sim.go
@@ -12,7 +12,7 @@
 	"rooktrestle/balance"
 )
 
-// Streams of random numbers: each user of chance has its own, so that one does not move the others.
+// Streams of random numbers. Each purpose has its own, so that another number of samples for one does not change the others.
 const (
 	worldStream        = 0x51
 	settingsStream     = 0x77
@@ -60,7 +60,6 @@
 		s.Faults[i].schedule(w)
 	}
 	w.at(Start.Add(firstArrival), w.queryArrives)
-	w.run(Start.Add(s.Duration))
 	w.run(Start.Add(s.Duration + maxDeadline + quietPeriod))
 	w.checker.checkQuiescence()
 	return w.finalResult(), nil
@@ -68,13 +67,18 @@
 
 // newWorld builds the fleet. The order of the steps fixes the order of the random samples.
 func newWorld(s Settings) (*world, error) {
-	w := &world{Settings: s, replicaByID: map[balance.Replica]*replica{}, rng: rand.New(rand.NewPCG(s.Seed, worldStream))}
-	w.clock = newClock(s.RecordTrace)
+	w := &world{
+		clock:       newClock(s.RecordTrace),
+		Settings:    s,
+		rng:         rand.New(rand.NewPCG(s.Seed, worldStream)),
+		replicaByID: map[balance.Replica]*replica{},
+	}
 	w.checker = newChecker(w)
 	for i := range s.Replicas {
 		w.addReplica(newReplica(w, i))
 	}
-	w.feed, w.discovery = &endpointFeed{world: w}, &discoveryService{world: w}
+	w.feed = &endpointFeed{world: w}
+	w.discovery = &discoveryService{world: w}
 	w.sampleTraffic()
 	for i := range s.Aggregators {
 		h, err := newAggregatorHost(w, i)
@@ -96,16 +100,20 @@
 	if w.TrafficSkew <= 0 {
 		return
 	}
-	sum := 0.0
+	total := 0.0
 	for range w.Aggregators {
-		sum += math.Exp(w.TrafficSkew * w.rng.NormFloat64())
-		w.cumulativeTraffic = append(w.cumulativeTraffic, sum)
+		total += math.Exp(w.TrafficSkew * w.rng.NormFloat64())
+		w.cumulativeTraffic = append(w.cumulativeTraffic, total)
 	}
 }
 
 func (w *world) finalResult() Result {
-	w.result.Hash, w.result.Events, w.result.Trace = w.trace.Sum64(), w.eventCount, w.traceText
-	w.result.Violations = w.checker.violations
-	w.result.DiscoveryPolls, w.result.DiscoveryPollsRejected = w.discovery.polls, w.discovery.rejectedPolls
-	return w.result
+	result := w.result
+	result.Hash = w.trace.Sum64()
+	result.Events = w.eventCount
+	result.Trace = w.traceText
+	result.Violations = w.checker.violations
+	result.DiscoveryPolls = w.discovery.polls
+	result.DiscoveryPollsRejected = w.discovery.rejectedPolls
+	return result
 }
--- a/internal/testbed/sim/sim_test.go
+++ b/internal/testbed/sim/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"runtime"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -17,20 +18,25 @@
 	return r
 }
 
+// violates says whether a violation of a run contains a text.
+func violates(r Result, text string) bool {
+	return slices.ContainsFunc(r.Violations, func(violation string) bool { return strings.Contains(violation, text) })
+}
+
 // The same seed gives the same trace, on any number of processors; another seed gives another.
 func TestRun_TraceDependsOnSeedOnly(t *testing.T) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	for seed := range uint64(2) {
 		s := RandomSettings(seed)
-		one := play(t, s)
+		first := play(t, s)
 		runtime.GOMAXPROCS(8)
-		two := play(t, s)
+		second := play(t, s)
 		runtime.GOMAXPROCS(1)
-		if one.Hash != two.Hash || one.Events != two.Events || one.Requests == 0 {
-			t.Errorf("seed %d: %x of %d events, then %x of %d", seed, one.Hash, one.Events, two.Hash, two.Events)
+		if first.Hash != second.Hash || first.Events != second.Events || first.Requests == 0 {
+			t.Errorf("seed %d: %x of %d events, then %x of %d", seed, first.Hash, first.Events, second.Hash, second.Events)
 		}
 		s.Seed += 1000
-		if other := play(t, s); other.Hash == one.Hash {
+		if other := play(t, s); other.Hash == first.Hash {
 			t.Errorf("seeds %d and %d give the same trace", seed, s.Seed)
 		}
 	}
@@ -51,29 +57,36 @@
 		slices.Sort(r.Latencies)
 		return r.Latencies[len(r.Latencies)/2]
 	}
-	for _, k := range FaultKinds {
+	magnitudes := map[FaultKind]float64{FastErrors: 0.8, Burst: 3, SlowReplicas: 8, Gray: 8, EndpointLag: 5}
+	for _, kind := range FaultKinds {
 		s := quiet()
-		s.Faults = []Fault{{Kind: k, From: 2 * time.Second, Duration: 6 * time.Second, Replicas: 6, Magnitude: map[FaultKind]float64{FastErrors: 0.8, Burst: 3, SlowReplicas: 8, Gray: 8, EndpointLag: 5}[k]}}
+		s.Faults = []Fault{{
+			Kind:      kind,
+			From:      2 * time.Second,
+			Duration:  6 * time.Second,
+			Replicas:  6,
+			Magnitude: magnitudes[kind],
+		}}
 		r := play(t, s)
 		if len(r.Violations) > 0 {
-			t.Errorf("%s: %v", k, r.Violations)
+			t.Errorf("%s: %v", kind, r.Violations)
 		}
-		switch k {
+		switch kind {
 		case Burst:
 			if r.Queries < calm.Queries*2 {
-				t.Errorf("%s: %d queries, %d in calm", k, r.Queries, calm.Queries)
+				t.Errorf("%s: %d queries, %d in calm", kind, r.Queries, calm.Queries)
 			}
 		case SlowReplicas:
 			if median(r) < 2*median(calm) {
-				t.Errorf("%s: %v, %v in calm", k, median(r), median(calm))
+				t.Errorf("%s: %v, %v in calm", kind, median(r), median(calm))
 			}
 		case BadChecks, EndpointLag, Deploy: // alone they may not harm
 			if r.Goodput() < 0.98 {
-				t.Errorf("%s: goodput %.3f", k, r.Goodput())
+				t.Errorf("%s: goodput %.3f", kind, r.Goodput())
 			}
 		default:
 			if r.Hash == calm.Hash {
-				t.Errorf("%s: no effect", k)
+				t.Errorf("%s: no effect", kind)
 			}
 		}
 	}
@@ -91,14 +104,20 @@
 // The checker finds a planted bug of each rule.
 func TestChecker_FindsPlantedBugs(t *testing.T) {
 	for bug, violation := range map[Bug]string{
-		BugDoubleCorrection: "ran 2 times", BugLostQuery: "has no final answer", BugDrainIgnored: "drain or removal was known",
-		BugDishonestComplete: "marked complete", BugLeakedAttempt: "attempts in flight", BugConcurrentAttempts: "two attempts of",
+		BugDoubleCorrection:   "ran 2 times",
+		BugLostQuery:          "has no final answer",
+		BugDrainIgnored:       "drain or removal was known",
+		BugDishonestComplete:  "marked complete",
+		BugLeakedAttempt:      "attempts in flight",
+		BugConcurrentAttempts: "two attempts of",
 	} {
 		s := Defaults(3)
 		s.PlantedBug = bug
-		s.Faults = []Fault{{Kind: Deploy, From: time.Second, Duration: 6 * time.Second, Replicas: 6}, {Kind: Hang, From: 2 * time.Second, Duration: 5 * time.Second, Replicas: 5, First: 6}}
-		r := play(t, s)
-		if !slices.ContainsFunc(r.Violations, func(b string) bool { return strings.Contains(b, violation) }) {
+		s.Faults = []Fault{
+			{Kind: Deploy, From: time.Second, Duration: 6 * time.Second, Replicas: 6},
+			{Kind: Hang, From: 2 * time.Second, Duration: 5 * time.Second, Replicas: 5, First: 6},
+		}
+		if r := play(t, s); !violates(r, violation) {
 			t.Errorf("%s: %v", bug, r.Violations)
 		}
 	}
@@ -108,8 +127,11 @@
 func TestShrink_KeepsTheFaultThatViolates(t *testing.T) {
 	s := RandomSettings(5)
 	s.PlantedBug = BugDrainIgnored
-	s.Faults = []Fault{{Kind: SlowReplicas, From: time.Second, Duration: time.Second, Magnitude: 2}, {Kind: Deploy, From: time.Second, Duration: 5 * time.Second, Replicas: 4},
-		{Kind: Burst, From: time.Second, Duration: time.Second, Magnitude: 2}}
+	s.Faults = []Fault{
+		{Kind: SlowReplicas, From: time.Second, Duration: time.Second, Magnitude: 2},
+		{Kind: Deploy, From: time.Second, Duration: 5 * time.Second, Replicas: 4},
+		{Kind: Burst, From: time.Second, Duration: time.Second, Magnitude: 2},
+	}
 	short, runs := Shrink(s, 200)
 	if len(short.Faults) != 1 || short.Faults[0].Kind != Deploy || runs < 5 {
 		t.Errorf("%d runs, %+v", runs, short.Faults)
@@ -122,11 +144,13 @@
 // Events a second, by the size of the fleet. Run with -bench Fleet.
 func BenchmarkFleet(b *testing.B) {
 	for _, n := range []int{10, 100, 1000} {
-		b.Run(map[int]string{10: "10", 100: "100", 1000: "1000"}[n], func(b *testing.B) {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
 			events := uint64(0)
 			for i := range b.N {
 				s := Defaults(uint64(i))
-				s.Replicas, s.Rate, s.Duration = n, 8*float64(n), 2*time.Second
+				s.Replicas = n
+				s.Rate = 8 * float64(n)
+				s.Duration = 2 * time.Second
 				r, err := Run(s)
 				if err != nil || len(r.Violations) > 0 {
 					b.Fatal(err, r.Violations)
