Spread the testbed commands' packed literals; the demo's phases are typed

Cause: commands, reports and the random fault stood in one-line literals, multi-assignments and a function of five parameters. Change: one field and one assignment a line, demoPlayer with demoPhase, compareReshardingRuns, randomFault. Flags, output and JSON keys are the same.

--- a/cmd/testbed/days.go
+++ b/cmd/testbed/days.go
@@ -31,7 +31,7 @@
 	mean, deviation := stat.MeanStdDev(values, nil)
 	n := float64(len(values))
 	t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 1}.Quantile(1 - (1-confidence)/2)
-	return interval{mean, t * deviation / math.Sqrt(n)}
+	return interval{Mean: mean, Half: t * deviation / math.Sqrt(n)}
 }
 
 func (i interval) String() string { return fmt.Sprintf("%.3f ± %.3f", i.Mean, i.Half) }
@@ -53,7 +53,13 @@
 }
 
 func newDaySummary(day string, seeds int) *daySummary {
-	return &daySummary{Day: day, Seeds: seeds, WithinObjective: map[string]interval{}, Violations: map[uint64]string{}, withinObjective: map[string][]float64{}}
+	return &daySummary{
+		Day:             day,
+		Seeds:           seeds,
+		WithinObjective: map[string]interval{},
+		Violations:      map[uint64]string{},
+		withinObjective: map[string][]float64{},
+	}
 }
 
 // classNames are those of the simulator's classes, by index.
@@ -61,11 +67,15 @@
 
 // add adds the result of the next seed.
 func (d *daySummary) add(seed uint64, r sim.Result) {
-	d.goodput, d.polls = append(d.goodput, r.Goodput()), append(d.polls, float64(r.DiscoveryPolls))
-	for i, c := range r.Classes {
-		if c.Queries > 0 {
-			d.withinObjective[classNames[i]] = append(d.withinObjective[classNames[i]], float64(c.WithinObjective)/float64(c.Queries))
+	d.goodput = append(d.goodput, r.Goodput())
+	d.polls = append(d.polls, float64(r.DiscoveryPolls))
+	for i, class := range r.Classes {
+		if class.Queries == 0 {
+			continue
 		}
+		name := classNames[i]
+		fraction := float64(class.WithinObjective) / float64(class.Queries)
+		d.withinObjective[name] = append(d.withinObjective[name], fraction)
 	}
 	d.ReplicasOverloaded += r.ReplicasOverloaded
 	if len(r.Violations) > 0 {
@@ -75,7 +85,8 @@
 
 // summarize computes the intervals once every seed is added.
 func (d *daySummary) summarize() {
-	d.Answered, d.DiscoveryPolls = intervalOf(d.goodput), intervalOf(d.polls)
+	d.Answered = intervalOf(d.goodput)
+	d.DiscoveryPolls = intervalOf(d.polls)
 	for name, fractions := range d.withinObjective {
 		d.WithinObjective[name] = intervalOf(fractions)
 	}
@@ -83,20 +94,26 @@
 
 // daysOptions are those of the days command.
 type daysOptions struct {
-	seeds                 int
-	firstSeed             uint64
-	aggregators, replicas int
-	asJSON                bool
+	seeds       int
+	firstSeed   uint64
+	aggregators int
+	replicas    int
+	asJSON      bool
 }
 
 // daysCommand plays days of whole fleets.
 func daysCommand() *cobra.Command {
 	var o daysOptions
 	c := &cobra.Command{
-		Use: "days [DAY...]", Short: "Play days of whole fleets under virtual time, and print what was answered with its interval over seeds",
-		Long: "Plays days of whole fleets under virtual time: aggregators killed at once during a release, a zone lost and back warming up,\n" +
-			"zones cut off from each other while discovery is unresponsive, most replicas replaced. Exit status 1: a rule was broken.",
-		Example: "  testbed days herd split --mixers 300 --nodes 200 --seeds 20\n  testbed days herd --seed 7 --seeds 1 --json", ValidArgs: sim.DayNames,
+		Use:   "days [DAY...]",
+		Short: "Play days of whole fleets under virtual time, and print what was answered with its interval over seeds",
+		Long: "Plays days of whole fleets under virtual time: aggregators killed at once during a release, " +
+			"a zone lost and back warming up,\n" +
+			"zones cut off from each other while discovery is unresponsive, most replicas replaced. " +
+			"Exit status 1: a rule was broken.",
+		Example: "  testbed days herd split --mixers 300 --nodes 200 --seeds 20\n" +
+			"  testbed days herd --seed 7 --seeds 1 --json",
+		ValidArgs: sim.DayNames,
 		RunE: func(cmd *cobra.Command, names []string) error {
 			if len(names) == 0 {
 				names = sim.DayNames
@@ -141,7 +158,8 @@
 
 // play plays the seeds of a day concurrently, and adds them in their order: sums of floats depend on it.
 func (d *daySummary) play(o daysOptions) error {
-	results, errs := make([]sim.Result, d.Seeds), make([]error, d.Seeds)
+	results := make([]sim.Result, d.Seeds)
+	errs := make([]error, d.Seeds)
 	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
 	var players sync.WaitGroup
 	for i := range d.Seeds {
--- a/cmd/testbed/demo.go
+++ b/cmd/testbed/demo.go
@@ -31,8 +31,10 @@
 func demoCommand() *cobra.Command {
 	var o demoOptions
 	c := &cobra.Command{
-		Use: "demo", Short: "Start replicas of both protocols, the real frontends and a few clients, and show what becomes of a drain",
-		Example: "  testbed demo --for 10s --nodes 6 --seed 7", Args: cobra.NoArgs,
+		Use:     "demo",
+		Short:   "Start replicas of both protocols, the real frontends and a few clients, and show what becomes of a drain",
+		Example: "  testbed demo --for 10s --nodes 6 --seed 7",
+		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if o.replicas < 3 || o.replicas > 64 {
 				return fmt.Errorf("--nodes %d: 3 to 64", o.replicas)
@@ -55,7 +57,13 @@
 	if o.verbose {
 		log = slog.NewTextHandler(os.Stderr, nil)
 	}
-	d, err := deployment.Start(deployment.Options{Replicas: o.replicas, Reach: 2, Seed: o.seed, Agents: true, Log: log})
+	d, err := deployment.Start(deployment.Options{
+		Replicas: o.replicas,
+		Reach:    2,
+		Seed:     o.seed,
+		Agents:   true,
+		Log:      log,
+	})
 	if err != nil {
 		return fmt.Errorf("start a deployment: %w", err)
 	}
@@ -68,9 +76,17 @@
 	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
 	defer signal.Stop(interrupted)
 	begin := time.Now()
-	calls, stop := load.Start(load.Plan{SRU: d.Frontend.Addr("sru"), Z3950: d.Frontend.Addr("z3950"), Rate: 30, Mix: load.DefaultMix, Seed: o.seed,
-		Timeout: 5 * time.Second, Origins: 8})
-	phases := playDemoPhases(out, d, o.duration, begin, interrupted)
+	calls, stop := load.Start(load.Plan{
+		SRU:     d.Frontend.Addr("sru"),
+		Z3950:   d.Frontend.Addr("z3950"),
+		Rate:    30,
+		Mix:     load.DefaultMix,
+		Seed:    o.seed,
+		Timeout: 5 * time.Second,
+		Origins: 8,
+	})
+	player := demoPlayer{out: out, deployment: d, begin: begin, interrupted: interrupted}
+	phases := player.play(o.duration)
 	end := time.Now()
 	stop()
 	return reportDemo(out, d, calls, append(phases, end))
@@ -78,46 +94,63 @@
 
 func printAddresses(out *output, d *deployment.Deployment) {
 	out.printf("%d archive replicas, half of them SRU, half Z39.50; each shard is held by two of them.\n", len(d.Replicas))
-	out.printf("SRU on %s, Z39.50 on %s, health on %s, agent-check on %s; configuration %s\n", d.Frontend.Addr("sru"),
-		d.Frontend.Addr("z3950"), d.Frontend.Addr("health"), d.Frontend.Addr("agent"), d.ConfigPath)
-	web := client.NewSRU(d.Frontend.Addr("sru"), 5*time.Second)
-	out.printf("\n  curl '%s'\n  curl 'http://%s/readyz?verbose'\n\n", web.SearchURL("captions", "budget"), d.Frontend.Addr("health"))
+	sru := d.Frontend.Addr("sru")
+	health := d.Frontend.Addr("health")
+	out.printf("SRU on %s, Z39.50 on %s, health on %s, agent-check on %s; configuration %s\n",
+		sru, d.Frontend.Addr("z3950"), health, d.Frontend.Addr("agent"), d.ConfigPath)
+	web := client.NewSRU(sru, 5*time.Second)
+	out.printf("\n  curl '%s'\n  curl 'http://%s/readyz?verbose'\n\n", web.SearchURL("captions", "budget"), health)
+}
+
+// demoPlayer plays the phases of the demonstration.
+type demoPlayer struct {
+	out         *output
+	deployment  *deployment.Deployment
+	begin       time.Time
+	interrupted <-chan os.Signal
+}
+
+// demoPhase begins when the agent of n1 changes what it says.
+type demoPhase struct {
+	begin  time.Duration // after the beginning of the demonstration
+	state  string
+	answer string // of the agent
 }
 
-// playDemoPhases lets one replica drain and come back. It returns when each phase began, and ends early when it is
-// interrupted.
-func playDemoPhases(out *output, d *deployment.Deployment, duration time.Duration, begin time.Time, interrupted <-chan os.Signal) []time.Time {
-	drainAt, backAt := 4*time.Second, 8*time.Second
+// play lets one replica drain and come back, within a duration; 0: until it is interrupted. It returns when each phase
+// began, and ends early when it is interrupted.
+func (p *demoPlayer) play(duration time.Duration) []time.Time {
+	drain := demoPhase{begin: 4 * time.Second, state: "drain", answer: "up drain"}
+	ready := demoPhase{begin: 8 * time.Second, state: "ready", answer: "up ready 100%"}
 	if duration > 0 {
-		drainAt, backAt = duration*2/5, duration*7/10
+		drain.begin = duration * 2 / 5
+		ready.begin = duration * 7 / 10
 	}
-	pause := func(until time.Duration) bool {
-		select {
-		case <-interrupted:
-			return false
-		case <-time.After(time.Until(begin.Add(until))):
-			return true
+	begins := []time.Time{p.begin}
+	for _, phase := range []demoPhase{drain, ready} {
+		if !p.waitUntil(phase.begin) {
+			return begins
 		}
-	}
-	phases := []time.Time{begin}
-	for _, phase := range []struct {
-		at    time.Duration
-		state string
-		line  string
-	}{{drainAt, "drain", "up drain"}, {backAt, "ready", "up ready 100%"}} {
-		if !pause(phase.at) {
-			return phases
-		}
-		phases = append(phases, time.Now())
-		out.printf("%5.1fs  the agent of n1 says %s\n", time.Since(begin).Seconds(), phase.state)
-		d.Agents[1].Set(phase.line, replica.Respond)
+		begins = append(begins, time.Now())
+		p.out.printf("%5.1fs  the agent of n1 says %s\n", time.Since(p.begin).Seconds(), phase.state)
+		p.deployment.Agents[1].Set(phase.answer, replica.Respond)
 	}
 	if duration > 0 {
-		pause(duration)
+		p.waitUntil(duration)
 	} else {
-		<-interrupted
+		<-p.interrupted
+	}
+	return begins
+}
+
+// waitUntil waits until so long after the beginning; false: it was interrupted.
+func (p *demoPlayer) waitUntil(elapsed time.Duration) bool {
+	select {
+	case <-p.interrupted:
+		return false
+	case <-time.After(time.Until(p.begin.Add(elapsed))):
+		return true
 	}
-	return phases
 }
 
 // reportDemo prints the calls and their outcomes by phase.
@@ -128,13 +161,17 @@
 		names := []string{"before", "n1 drains", "n1 is back"}
 		for i := 0; i+1 < len(phases); i++ {
 			list := calls.Calls(phases[i], phases[i+1])
-			n := load.CountOutcomes(list)
-			share, parts := invariants.TrafficFraction(d.Archive, "n1", phases[i], phases[i+1])
-			t.printf("%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%d\t\n", names[i], len(list), n[client.Complete], n[client.Partial], n[client.Rejected],
-				n[client.Failed], n[client.Disconnected], share*float64(parts), parts)
+			t.printf("%s\t%d\t", names[i], len(list))
+			for _, count := range load.CountOutcomes(list) {
+				t.printf("%d\t", count)
+			}
+			fraction, parts := invariants.TrafficFraction(d.Archive, "n1", phases[i], phases[i+1])
+			t.printf("%.0f\t%d\t\n", fraction*float64(parts), parts)
 		}
 	})
-	out.printf("\nlatency from the intended time: median %v, 99%% %v\n", calls.Quantile(50).Round(time.Millisecond), calls.Quantile(99).Round(time.Millisecond))
+	p50 := calls.Quantile(50).Round(time.Millisecond)
+	p99 := calls.Quantile(99).Round(time.Millisecond)
+	out.printf("\nlatency from the intended time: median %v, 99%% %v\n", p50, p99)
 	if announced := d.Agents[1].AnnouncedAt(); len(phases) == 3 && !announced.IsZero() {
 		_, last := invariants.PartsAfter(d.Archive, "n1", announced, 0)
 		out.printf("last new part at n1 after it said drain: %v\n", last.Round(time.Millisecond))
--- a/cmd/testbed/health.go
+++ b/cmd/testbed/health.go
@@ -30,8 +30,10 @@
 func healthCommand() *cobra.Command {
 	var o healthOptions
 	c := &cobra.Command{
-		Use: "health", Short: "Run the experiments on health evidence over several seeds and print median and worst",
-		Example: "  testbed health --seeds 20 --only liar-up --plot share.png", Args: cobra.NoArgs,
+		Use:     "health",
+		Short:   "Run the experiments on health evidence over several seeds and print median and worst",
+		Example: "  testbed health --seeds 20 --only liar-up --plot share.png",
+		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if o.seeds < 1 || o.seeds > maxSeeds {
 				return fmt.Errorf("--seeds %d: 1 to %d", o.seeds, maxSeeds)
@@ -105,15 +107,16 @@
 		}
 		report.add(seed, r)
 		if !o.asJSON {
-			progress.printf("%s, seed %d: %v, broken: %q\n", scenario.Name, seed, time.Since(began).Round(time.Second), r.Violations)
+			elapsed := time.Since(began).Round(time.Second)
+			progress.printf("%s, seed %d: %v, broken: %q\n", scenario.Name, seed, elapsed, r.Violations)
 		}
 	}
 	return report, nil
 }
 
 func (s *scenarioReport) add(seed uint64, r health.Result) {
-	for name, v := range r.Values {
-		s.Values[name] = append(s.Values[name], v)
+	for name, value := range r.Values {
+		s.Values[name] = append(s.Values[name], value)
 	}
 	for _, violation := range r.Violations {
 		s.Violations = append(s.Violations, fmt.Sprintf("seed %d: %s", seed, violation))
@@ -143,7 +146,8 @@
 func plotSeries(file, title string, series [][]health.Point) error {
 	p := plot.New()
 	p.Title.Text = title
-	p.X.Label.Text, p.Y.Label.Text = "seconds after the fault", "share of the parts, %"
+	p.X.Label.Text = "seconds after the fault"
+	p.Y.Label.Text = "share of the parts, %"
 	for _, points := range series {
 		var xy plotter.XYs
 		for _, point := range points {
--- a/cmd/testbed/hunt.go
+++ b/cmd/testbed/hunt.go
@@ -29,8 +29,10 @@
 	var o huntOptions
 	var replay string
 	c := &cobra.Command{
-		Use: "hunt", Short: "Play random fleets with random faults, and shrink each run that breaks a rule to a file that can be replayed",
-		Example: "  testbed hunt --seeds 1000 --for 5m\n  testbed hunt --replay broken-17.json", Args: cobra.NoArgs,
+		Use:     "hunt",
+		Short:   "Play random fleets with random faults, and shrink each run that breaks a rule to a file that can be replayed",
+		Example: "  testbed hunt --seeds 1000 --for 5m\n  testbed hunt --replay broken-17.json",
+		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			out := &output{w: cmd.OutOrStdout()}
 			if replay != "" {
@@ -129,7 +131,8 @@
 	defer h.mu.Unlock()
 	seed = h.next
 	h.next++
-	over := seed >= h.options.firstSeed+uint64(h.options.seeds) || time.Now().After(h.end) || h.failure != nil
+	played := seed >= h.options.firstSeed+uint64(h.options.seeds)
+	over := played || time.Now().After(h.end) || h.failure != nil
 	return seed, !over
 }
 
@@ -154,7 +157,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.violating++
-	h.out.printf("seed %d: %s (%d in all); shrunk in %d runs to %d faults: %s\n", seed, r.Violations[0], len(r.Violations), runs, len(shrunk.Faults), path)
+	h.out.printf("seed %d: %s (%d in all); shrunk in %d runs to %d faults: %s\n",
+		seed, r.Violations[0], len(r.Violations), runs, len(shrunk.Faults), path)
 	if err != nil {
 		h.failure = fmt.Errorf("write the shrunk run of seed %d: %w", seed, err)
 	}
--- a/cmd/testbed/load.go
+++ b/cmd/testbed/load.go
@@ -57,7 +57,8 @@
 	rateOK := p.Rate > 0 && p.Rate <= maxLoadRate // false for NaN, too
 	durationOK := o.duration >= minLoadDuration && o.duration <= maxLoadDuration
 	if !rateOK || !durationOK || p.Timeout <= 0 || p.Origins < 1 || p.Origins > maxOrigins {
-		return fmt.Errorf("--rate over 0 to %d, --for %v to %v, --timeout over 0, --origins 1 to %d", maxLoadRate, minLoadDuration, maxLoadDuration, maxOrigins)
+		return fmt.Errorf("--rate over 0 to %d, --for %v to %v, --timeout over 0, --origins 1 to %d",
+			maxLoadRate, minLoadDuration, maxLoadDuration, maxOrigins)
 	}
 	return nil
 }
@@ -65,8 +66,10 @@
 func loadCommand() *cobra.Command {
 	var o loadOptions
 	c := &cobra.Command{
-		Use: "load", Short: "Call a frontend on loopback open-loop, and print outcomes and latencies from the intended times",
-		Example: "  testbed load --sru 127.0.0.1:8210 --z3950 127.0.0.1:2100 --rate 50 --for 30s", Args: cobra.NoArgs,
+		Use:     "load",
+		Short:   "Call a frontend on loopback open-loop, and print outcomes and latencies from the intended times",
+		Example: "  testbed load --sru 127.0.0.1:8210 --z3950 127.0.0.1:2100 --rate 50 --for 30s",
+		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if err := o.check(); err != nil {
 				return err
@@ -103,8 +106,9 @@
 		case <-interrupted:
 			over = true
 		case <-tick.C:
-			n := load.CountOutcomes(calls.Calls(begin, time.Now()))
-			progress.printf("%4.0fs  %s; 99%% within %v\n", time.Since(begin).Seconds(), outcomeText(n), calls.Quantile(99).Round(100*time.Microsecond))
+			counts := load.CountOutcomes(calls.Calls(begin, time.Now()))
+			p99 := calls.Quantile(99).Round(100 * time.Microsecond)
+			progress.printf("%4.0fs  %s; 99%% within %v\n", time.Since(begin).Seconds(), outcomeText(counts), p99)
 		}
 	}
 	stop()
@@ -126,21 +130,35 @@
 }
 
 func reportLoad(out *output, result *load.Result, calls []load.Call, asJSON bool) {
-	n := load.CountOutcomes(calls)
+	counts := load.CountOutcomes(calls)
+	p50 := result.Quantile(50)
+	p99 := result.Quantile(99)
+	p999 := result.Quantile(99.9)
 	if asJSON {
 		out.printJSON(loadReport{
-			Calls: len(calls), Complete: n[client.Complete], Partial: n[client.Partial], Rejected: n[client.Rejected], Failed: n[client.Failed],
-			Disconnected: n[client.Disconnected], P50: milliseconds(result.Quantile(50)), P99: milliseconds(result.Quantile(99)), P999: milliseconds(result.Quantile(99.9)),
+			Calls:        len(calls),
+			Disconnected: counts[client.Disconnected],
+			Failed:       counts[client.Failed],
+			P50:          milliseconds(p50),
+			P999:         milliseconds(p999),
+			P99:          milliseconds(p99),
+			Partial:      counts[client.Partial],
+			Rejected:     counts[client.Rejected],
+			Complete:     counts[client.Complete],
 		})
 		return
 	}
-	out.printf("called %d: %s\n", len(calls), outcomeText(n))
-	out.printf("latency from the intended time: median %v, 99%% %v, 99.9%% %v\n", result.Quantile(50), result.Quantile(99), result.Quantile(99.9))
+	out.printf("called %d: %s\n", len(calls), outcomeText(counts))
+	out.printf("latency from the intended time: median %v, 99%% %v, 99.9%% %v\n", p50, p99, p999)
 }
 
-func outcomeText(n [client.Disconnected + 1]int) string {
+func outcomeText(counts [client.Disconnected + 1]int) string {
 	return fmt.Sprintf("complete %d, partial %d, rejected %d, failed %d, disconnected %d",
-		n[client.Complete], n[client.Partial], n[client.Rejected], n[client.Failed], n[client.Disconnected])
+		counts[client.Complete],
+		counts[client.Partial],
+		counts[client.Rejected],
+		counts[client.Failed],
+		counts[client.Disconnected])
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/cmd/testbed/main.go
+++ b/cmd/testbed/main.go
@@ -26,9 +26,18 @@
 
 func rootCommand() *cobra.Command {
 	root := &cobra.Command{
-		Use: "testbed", Short: "Stand-in replicas, load and experiments for rooktrestle, on loopback",
-		SilenceUsage: true, SilenceErrors: true,
+		Use:           "testbed",
+		Short:         "Stand-in replicas, load and experiments for rooktrestle, on loopback",
+		SilenceUsage:  true,
+		SilenceErrors: true,
 	}
-	root.AddCommand(demoCommand(), healthCommand(), reshardingCommand(), huntCommand(), loadCommand(), daysCommand())
+	root.AddCommand(
+		demoCommand(),
+		healthCommand(),
+		reshardingCommand(),
+		huntCommand(),
+		loadCommand(),
+		daysCommand(),
+	)
 	return root
 }
--- a/cmd/testbed/resharding.go
+++ b/cmd/testbed/resharding.go
@@ -13,11 +13,14 @@
 
 // reshardingOptions are those of one experiment.
 type reshardingOptions struct {
-	duration, interval, mapDelay time.Duration
-	rate                         float64
-	seed                         uint64
-	replicas, shards             int
-	asJSON                       bool
+	duration time.Duration // of each run
+	interval time.Duration // from the beginning of one plan to the next
+	mapDelay time.Duration // by which the second aggregator gets shard maps late
+	rate     float64       // calls a second
+	seed     uint64
+	replicas int
+	shards   int // at the start
+	asJSON   bool
 }
 
 // maxAnsweredLoss is by how much the answered fraction may be smaller while shards change.
@@ -36,9 +39,12 @@
 func reshardingCommand() *cobra.Command {
 	var o reshardingOptions
 	c := &cobra.Command{
-		Use: "resharding", Aliases: []string{"reshape"},
-		Short:   "Split, merge and move shards under load, and compare every answer with the archive and with the same load without that",
-		Example: "  testbed resharding --for 60s --every 2s --rate 60", Args: cobra.NoArgs,
+		Use:     "resharding",
+		Aliases: []string{"reshape"},
+		Short: "Split, merge and move shards under load, and compare every answer with the archive " +
+			"and with the same load without that",
+		Example: "  testbed resharding --for 60s --every 2s --rate 60",
+		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if err := o.check(); err != nil {
 				return err
@@ -97,25 +103,35 @@
 	} else {
 		printReshardingRuns(out, runs)
 	}
-	unchanged, resharded := runs[runUnchanged], runs[runResharded]
-	switch {
-	case out.err != nil:
+	if out.err != nil {
 		return out.err
-	case len(unchanged.Violations)+len(resharded.Violations)+len(unchanged.Duplicates)+len(resharded.Duplicates) > 0:
+	}
+	return compareReshardingRuns(runs[runUnchanged], runs[runResharded])
+}
+
+// compareReshardingRuns fails with errClaimsFailed if a run has wrong answers, or if resharding costs answers.
+func compareReshardingRuns(unchanged, resharded reshardingRun) error {
+	if unchanged.isWrong() || resharded.isWrong() {
 		return fmt.Errorf("%w: wrong answers, or corrections that ran twice", errClaimsFailed)
-	case resharded.Answered < unchanged.Answered-maxAnsweredLoss:
-		return fmt.Errorf("%w: %.2f%% answered while shards change, %.2f%% without", errClaimsFailed, 100*resharded.Answered, 100*unchanged.Answered)
+	}
+	if resharded.Answered < unchanged.Answered-maxAnsweredLoss {
+		return fmt.Errorf("%w: %.2f%% answered while shards change, %.2f%% without",
+			errClaimsFailed, 100*resharded.Answered, 100*unchanged.Answered)
 	}
 	return nil
 }
 
+func (r *reshardingRun) isWrong() bool { return len(r.Violations)+len(r.Duplicates) > 0 }
+
 func printReshardingRuns(out *output, runs map[string]reshardingRun) {
 	out.table(func(t *output) {
 		t.printf("run\tcalled\tcomplete\tpartial\trejected\tfailed\tdisconnected\tanswered\tp50\tp99\twrong\ttwice\t\n")
 		for _, name := range []string{runUnchanged, runResharded} {
 			r := runs[name]
-			t.printf("%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f%%\t%v\t%v\t%d\t%d\t\n", name, r.Calls, r.Complete, r.Partial, r.Rejected, r.Failed, r.Disconnected,
-				100*r.Answered, r.P50.Round(100*time.Microsecond), r.P99.Round(100*time.Microsecond), len(r.Violations), len(r.Duplicates))
+			p50 := r.P50.Round(100 * time.Microsecond)
+			p99 := r.P99.Round(100 * time.Microsecond)
+			t.printf("%s\t%d\t%d\t%d\t%d\t%d\t%d\t", name, r.Calls, r.Complete, r.Partial, r.Rejected, r.Failed, r.Disconnected)
+			t.printf("%.2f%%\t%v\t%v\t%d\t%d\t\n", 100*r.Answered, p50, p99, len(r.Violations), len(r.Duplicates))
 		}
 	})
 	resharded := runs[runResharded]
@@ -133,15 +149,26 @@
 // playResharding runs the load once, with random plans or without.
 func playResharding(o reshardingOptions, reshard bool) (r reshardingRun, err error) {
 	a, err := resharding.Start(resharding.Options{
-		Seed: o.seed, ReplicaCount: o.replicas, ShardCount: o.shards, FrontendCount: 2, LastFrontendDelay: o.mapDelay, CopiesPerSecond: 50,
-		Records: 120, Delay: 5 * time.Millisecond, Timing: shardmap.Timing{MapPropagation: 100 * time.Millisecond, MaxQueryTime: 500 * time.Millisecond},
+		Seed:              o.seed,
+		ReplicaCount:      o.replicas,
+		ShardCount:        o.shards,
+		FrontendCount:     2,
+		LastFrontendDelay: o.mapDelay,
+		CopiesPerSecond:   50,
+		Records:           120,
+		Delay:             5 * time.Millisecond,
+		Timing: shardmap.Timing{
+			MapPropagation: 100 * time.Millisecond,
+			MaxQueryTime:   500 * time.Millisecond,
+		},
 	})
 	if err != nil {
 		return r, fmt.Errorf("start an archive: %w", err)
 	}
 	defer a.Stop()
 	calls, endLoad := a.StartLoad(resharding.Load{Rate: o.rate, Seed: o.seed})
-	stop, ended := make(chan struct{}), make(chan error, 1)
+	stop := make(chan struct{})
+	ended := make(chan error, 1)
 	go func() {
 		if !reshard {
 			<-stop
@@ -164,13 +191,20 @@
 
 // collect reads the results of a run that has ended.
 func (r *reshardingRun) collect(a *resharding.Archive, calls *resharding.Report) {
-	n := calls.Count()
-	r.Calls, r.Complete, r.Partial, r.Rejected = calls.Calls, n[client.Complete], n[client.Partial], n[client.Rejected]
-	r.Failed, r.Disconnected = n[client.Failed], n[client.Disconnected]
-	r.Answered, r.P50, r.P99 = calls.Answered(), calls.Quantile(50), calls.Quantile(99)
-	r.Violations, r.Duplicates = calls.Violations, a.DuplicateCorrections()
+	counts := calls.Count()
+	r.Calls = calls.Calls
+	r.Complete = counts[client.Complete]
+	r.Partial = counts[client.Partial]
+	r.Rejected = counts[client.Rejected]
+	r.Failed = counts[client.Failed]
+	r.Disconnected = counts[client.Disconnected]
+	r.Answered = calls.Answered()
+	r.P50 = calls.Quantile(50)
+	r.P99 = calls.Quantile(99)
+	r.Violations = calls.Violations
+	r.Duplicates = a.DuplicateCorrections()
 	r.Epoch = uint64(a.Controller.Map().Epoch)
-	for _, f := range a.Frontends {
-		r.Frontends = append(r.Frontends, f.CountersText())
+	for _, frontend := range a.Frontends {
+		r.Frontends = append(r.Frontends, frontend.CountersText())
 	}
 }
--- a/internal/testbed/sim/hunt.go
+++ b/internal/testbed/sim/hunt.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -17,40 +18,51 @@
 	s.HealthEvidence = rng.IntN(2) == 0
 	s.Duration = 8 * time.Second
 	for range 1 + rng.IntN(3) {
-		t := Fault{Kind: FaultKinds[rng.IntN(len(FaultKinds))], From: time.Duration(rng.IntN(5000)) * time.Millisecond, Duration: time.Duration(500+rng.IntN(4000)) * time.Millisecond,
-			First: rng.IntN(s.Replicas), Replicas: 1 + rng.IntN(max(1, s.Replicas/3))}
-		switch t.Kind {
-		case FastErrors:
-			t.Magnitude = 0.35 + 0.5*rng.Float64()
-		case Burst:
-			t.Magnitude = 1.3 + 2*rng.Float64()
-		case SlowReplicas, Gray:
-			t.Magnitude = 1.5 + 8*rng.Float64()
-		case EndpointLag:
-			t.Magnitude = 2 + 5*rng.Float64()
-		}
-		s.Faults = append(s.Faults, t)
+		s.Faults = append(s.Faults, randomFault(rng, s.Replicas))
 	}
 	return s
 }
 
+// randomFault draws a fault of a fleet of so many replicas. The order of the fields is that of the random samples.
+func randomFault(rng *rand.Rand, replicas int) Fault {
+	fault := Fault{
+		Kind:     FaultKinds[rng.IntN(len(FaultKinds))],
+		From:     time.Duration(rng.IntN(5000)) * time.Millisecond,
+		Duration: time.Duration(500+rng.IntN(4000)) * time.Millisecond,
+		First:    rng.IntN(replicas),
+		Replicas: 1 + rng.IntN(max(1, replicas/3)),
+	}
+	switch fault.Kind {
+	case FastErrors:
+		fault.Magnitude = 0.35 + 0.5*rng.Float64()
+	case Burst:
+		fault.Magnitude = 1.3 + 2*rng.Float64()
+	case SlowReplicas, Gray:
+		fault.Magnitude = 1.5 + 8*rng.Float64()
+	case EndpointLag:
+		fault.Magnitude = 2 + 5*rng.Float64()
+	}
+	return fault
+}
+
 // Shrink simplifies the settings of a run that violates a rule for as long as a run violates one: fewer faults and
 // replicas, less load, less time. It plays at most maxRuns runs, and returns the simplest settings that it found and how
 // many runs it played.
 func Shrink(s Settings, maxRuns int) (Settings, int) {
-	search := shrinker{best: s, maxRuns: maxRuns}
-	for progress := true; progress && search.runs < search.maxRuns; {
-		withoutFault := search.removeFault()
-		simpler := search.simplify()
+	shrinker := shrinker{best: s, maxRuns: maxRuns}
+	for progress := true; progress && shrinker.runs < shrinker.maxRuns; {
+		withoutFault := shrinker.removeFault()
+		simpler := shrinker.simplify()
 		progress = withoutFault || simpler
 	}
-	return search.best, search.runs
+	return shrinker.best, shrinker.runs
 }
 
 // shrinker searches for the simplest settings that violate a rule.
 type shrinker struct {
-	best          Settings
-	runs, maxRuns int
+	best    Settings
+	runs    int // played so far
+	maxRuns int
 }
 
 // accept plays a candidate and takes it for the best if it violates a rule.
@@ -71,7 +83,7 @@
 func (s *shrinker) removeFault() bool {
 	for i := range s.best.Faults {
 		candidate := s.best
-		candidate.Faults = append(append([]Fault{}, s.best.Faults[:i]...), s.best.Faults[i+1:]...)
+		candidate.Faults = slices.Delete(slices.Clone(s.best.Faults), i, i+1)
 		if s.accept(candidate) {
 			return true
 		}
