Name the stand-ins' tags, diagnostics and responses; one field a line

Cause: BER of requests and responses stood in one-line expressions of numbers, SRU responses were written twice, and parameters were ref, at, es, in, h. Change: constants for diagnostics, tags and responses, a typed request with its reference identifier, the choice of a fault as a function of its own.

--- a/internal/testbed/ber/ber.go
+++ b/internal/testbed/ber/ber.go
@@ -13,7 +13,8 @@
 
 // TLV is one value.
 type TLV struct {
-	Class, Tag  int
+	Class       int
+	Tag         int
 	Constructed bool
 	Body        []byte
 	Children    []TLV
@@ -22,11 +23,21 @@
 // maxLength bounds a value that is read, in bytes.
 const maxLength = 1 << 20
 
+// classContext is the class of context-specific tags.
+const classContext = 2
+
+// Bits of a tag's first byte.
+const (
+	contextBits    = classContext << 6
+	constructedBit = 0x20
+	longTag        = 0x1f // the tag is in the bytes that follow
+)
+
 // Child is the first child with a context-specific tag; its Tag is -1 if there is none.
 func (v TLV) Child(tag int) TLV {
-	for _, k := range v.Children {
-		if k.Class == 2 && k.Tag == tag {
-			return k
+	for _, child := range v.Children {
+		if child.Class == classContext && child.Tag == tag {
+			return child
 		}
 	}
 	return TLV{Tag: -1}
@@ -46,8 +57,10 @@
 	if err != nil {
 		return v, err
 	}
-	v.Class, v.Constructed, v.Tag = int(first>>6), first&0x20 != 0, int(first&0x1f)
-	if v.Tag == 0x1f {
+	v.Class = int(first >> 6)
+	v.Constructed = first&constructedBit != 0
+	v.Tag = int(first & longTag)
+	if v.Tag == longTag {
 		if v.Tag, err = readLongTag(r); err != nil {
 			return v, err
 		}
@@ -99,8 +112,9 @@
 
 // readAll reads the values that a body consists of.
 func readAll(body []byte) (list []TLV, err error) {
-	for in := bufio.NewReader(bytes.NewReader(body)); ; {
-		v, err := Read(in)
+	reader := bufio.NewReader(bytes.NewReader(body))
+	for {
+		v, err := Read(reader)
 		if errors.Is(err, io.EOF) {
 			return list, nil
 		}
@@ -112,39 +126,44 @@
 }
 
 // encode encodes a value. A tag that is not negative is context-specific; a negative one is the universal tag of its
-// absolute value.
-func encode(tag int, cons bool, body string) string {
-	first := byte(0x80)
+// absolute value. form is constructedBit, or 0 for a primitive value.
+func encode(tag int, form byte, body string) string {
+	first := form | contextBits
 	if tag < 0 {
-		first, tag = 0, -tag
-	}
-	if cons {
-		first |= 0x20
+		first = form
+		tag = -tag
 	}
-	out := ""
+	return encodeTag(first, tag) + encodeLength(len(body)) + body
+}
+
+func encodeTag(first byte, tag int) string {
 	switch {
-	case tag < 0x1f:
-		out = string([]byte{first | byte(tag)})
+	case tag < longTag:
+		return string([]byte{first | byte(tag)})
 	case tag < 0x80:
-		out = string([]byte{first | 0x1f, byte(tag)})
-	default:
-		out = string([]byte{first | 0x1f, 0x80 | byte(tag>>7), byte(tag & 0x7f)})
+		return string([]byte{first | longTag, byte(tag)})
 	}
-	if len(body) < 0x80 {
-		return out + string([]byte{byte(len(body))}) + body
+	return string([]byte{first | longTag, 0x80 | byte(tag>>7), byte(tag & 0x7f)})
+}
+
+func encodeLength(length int) string {
+	if length < 0x80 {
+		return string([]byte{byte(length)})
 	}
-	return out + string([]byte{0x82, byte(len(body) >> 8), byte(len(body))}) + body
+	return string([]byte{0x82, byte(length >> 8), byte(length)})
 }
 
 // Constructed encodes a constructed value of encoded parts.
-func Constructed(tag int, parts ...string) string { return encode(tag, true, strings.Join(parts, "")) }
+func Constructed(tag int, parts ...string) string {
+	return encode(tag, constructedBit, strings.Join(parts, ""))
+}
 
 // Primitive encodes a primitive value.
-func Primitive(tag int, body string) string { return encode(tag, false, body) }
+func Primitive(tag int, body string) string { return encode(tag, 0, body) }
 
 // Integer encodes a number of at most 15 bits.
 func Integer(tag, n int) string {
-	return encode(tag, false, string([]byte{byte(n >> 8 & 0x7f), byte(n)}))
+	return encode(tag, 0, string([]byte{byte(n >> 8 & 0x7f), byte(n)}))
 }
 
 // Tags of the APDUs that the stand-ins use.
@@ -170,17 +189,23 @@
 
 // FormatQuery formats a Type-1 query in prefix notation.
 func FormatQuery(v TLV) string {
-	switch {
-	case v.Tag == 0 && v.Children[0].Tag == 31:
-		return "set:" + string(v.Children[0].Body)
-	case v.Tag == 0:
-		text := ""
-		for _, a := range v.Children[0].Child(44).Children {
-			text += fmt.Sprintf("@%d=%d ", a.Child(120).Int(), a.Child(121).Int())
-		}
-		return text + string(v.Children[0].Child(45).Body)
+	if v.Tag == 0 {
+		return formatOperand(v.Children[0])
 	}
-	return fmt.Sprintf("(%s %s %s)", []string{"and", "or", "not"}[v.Children[2].Children[0].Tag], FormatQuery(v.Children[0]), FormatQuery(v.Children[1]))
+	operator := [...]string{"and", "or", "not"}[v.Children[2].Children[0].Tag]
+	return fmt.Sprintf("(%s %s %s)", operator, FormatQuery(v.Children[0]), FormatQuery(v.Children[1]))
+}
+
+// formatOperand formats a result set, or a term with its attributes.
+func formatOperand(v TLV) string {
+	if v.Tag == 31 {
+		return "set:" + string(v.Body)
+	}
+	text := ""
+	for _, attribute := range v.Child(44).Children {
+		text += fmt.Sprintf("@%d=%d ", attribute.Child(120).Int(), attribute.Child(121).Int())
+	}
+	return text + string(v.Child(45).Body)
 }
 
 // InitAPDU is an Init request of version 3; user, if not empty, is its authentication.
@@ -189,49 +214,72 @@
 	if user != "" {
 		auth = Constructed(7, Primitive(-26, user))
 	}
-	return Constructed(20, Primitive(3, "\x05\xe0"), Primitive(4, "\x00\xe2\x06"), Integer(5, 30000), Integer(6, 30000), auth)
+	return Constructed(InitRequest,
+		Primitive(3, "\x05\xe0"),
+		Primitive(4, "\x00\xe2\x06"),
+		Integer(5, 30000),
+		Integer(6, 30000),
+		auth)
 }
 
 // TermOperand is an operand of a query: a term with a Bib-1 use attribute.
 func TermOperand(use int, text string) string {
-	return Constructed(0, Constructed(102, Constructed(44, Constructed(-16, Integer(120, 1), Integer(121, use))), Primitive(45, text)))
+	attribute := Constructed(-16, Integer(120, 1), Integer(121, use))
+	return Constructed(0, Constructed(102, Constructed(44, attribute), Primitive(45, text)))
 }
 
 // ResultSetOperand is an operand of a query: a result set.
 func ResultSetOperand(name string) string { return Constructed(0, Primitive(31, name)) }
 
 // CombineOperands combines two operands by an operator: 0 and, 1 or, 2 and-not.
-func CombineOperands(op int, l, r string) string {
-	return Constructed(1, l, r, Constructed(46, Primitive(op, "")))
+func CombineOperands(operator int, left, right string) string {
+	return Constructed(1, left, right, Constructed(46, Primitive(operator, "")))
 }
 
 // SearchAPDU is a search of a database into a result set.
 func SearchAPDU(set, base, rpn string) string {
-	return Constructed(22, Primitive(2, "r-"+set), Integer(13, 0), Integer(14, 1), Integer(15, 0), Primitive(16, "\xff"), Primitive(17, set),
-		Constructed(18, Primitive(105, base)), Constructed(21, Constructed(1, Primitive(-6, OIDBib1), rpn)))
+	return Constructed(SearchRequest,
+		Primitive(2, "r-"+set),
+		Integer(13, 0),
+		Integer(14, 1),
+		Integer(15, 0),
+		Primitive(16, "\xff"),
+		Primitive(17, set),
+		Constructed(18, Primitive(105, base)),
+		Constructed(21, Constructed(1, Primitive(-6, OIDBib1), rpn)))
 }
 
 // PresentAPDU requests n records of a result set from the one numbered start on.
 func PresentAPDU(set string, start, n int) string {
-	return Constructed(24, Primitive(31, set), Integer(30, start), Integer(29, n), Primitive(104, OIDXML))
+	return Constructed(PresentRequest,
+		Primitive(31, set),
+		Integer(30, start),
+		Integer(29, n),
+		Primitive(104, OIDXML))
 }
 
 // UpdateAPDU changes a record of the database captions.
 func UpdateAPDU(id string) string {
 	record := Constructed(4, Constructed(-8, Primitive(-6, OIDXML), Primitive(1, "<line/>")))
-	es := Constructed(1, Constructed(1, Integer(1, 2), Primitive(2, "captions")), Constructed(2, Constructed(-16, Constructed(1, Primitive(2, id)), record)))
-	return Constructed(46, Primitive(2, "u"), Integer(3, 1), Primitive(4, OIDUpdate), Constructed(10, Primitive(-6, OIDUpdate), Constructed(0, es)), Integer(11, 1))
+	toKeep := Constructed(1, Integer(1, 2), Primitive(2, "captions"))
+	notToKeep := Constructed(2, Constructed(-16, Constructed(1, Primitive(2, id)), record))
+	parameters := Constructed(0, Constructed(1, toKeep, notToKeep)) // esRequest
+	return Constructed(ExtendedServicesRequest,
+		Primitive(2, "u"),
+		Integer(3, 1),
+		Primitive(4, OIDUpdate),
+		Constructed(10, Primitive(-6, OIDUpdate), parameters),
+		Integer(11, 1))
 }
 
 // DiagnosticCode is the Bib-1 diagnostic of a response; 0 if it has none.
 func DiagnosticCode(v TLV) int {
-	for _, d := range []TLV{v.Child(130), {Children: v.Child(4).Children}} {
-		if d.Tag == 130 {
-			return d.Children[1].Int()
-		}
-		if len(d.Children) > 0 && len(d.Children[0].Children) > 1 {
-			return d.Children[0].Children[1].Int()
-		}
+	if ofSearch := v.Child(130); ofSearch.Tag == 130 {
+		return ofSearch.Children[1].Int()
+	}
+	ofUpdate := v.Child(4).Children
+	if len(ofUpdate) > 0 && len(ofUpdate[0].Children) > 1 {
+		return ofUpdate[0].Children[1].Int()
 	}
 	return 0
 }
--- a/internal/testbed/client/client.go
+++ b/internal/testbed/client/client.go
@@ -41,7 +41,15 @@
 
 // NewSRU returns a client whose calls give up after timeout.
 func NewSRU(addr string, timeout time.Duration) *SRU {
-	return &SRU{addr, &http.Client{Timeout: timeout, Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: (&net.Dialer{Timeout: timeout}).DialContext}}}
+	dialer := &net.Dialer{Timeout: timeout}
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: 64,
+		DialContext:         dialer.DialContext,
+	}
+	return &SRU{
+		addr: addr,
+		http: &http.Client{Timeout: timeout, Transport: transport},
+	}
 }
 
 // Close ends idle connections.
@@ -49,8 +57,13 @@
 
 // SearchURL is the URL of a search.
 func (c *SRU) SearchURL(base, cql string) string {
-	v := url.Values{"operation": {"searchRetrieve"}, "version": {"1.2"}, "query": {cql}, "maximumRecords": {"10"}}
-	return "http://" + c.addr + "/" + base + "?" + v.Encode()
+	parameters := url.Values{
+		"operation":      {"searchRetrieve"},
+		"version":        {"1.2"},
+		"query":          {cql},
+		"maximumRecords": {"10"},
+	}
+	return "http://" + c.addr + "/" + base + "?" + parameters.Encode()
 }
 
 // Search searches a database.
@@ -89,14 +102,29 @@
 
 // UpdateXML is the body of a record update.
 func UpdateXML(id string) string {
-	return `<updateRequest xmlns="http://www.loc.gov/zing/srw/update/"><version>1.0</version><action>info:srw/action/1/replace</action>` +
-		`<recordIdentifier>` + id + `</recordIdentifier><record><recordPacking>xml</recordPacking><recordData><line/></recordData></record></updateRequest>`
+	return `<updateRequest xmlns="http://www.loc.gov/zing/srw/update/"><version>1.0</version>` +
+		`<action>info:srw/action/1/replace</action>` +
+		`<recordIdentifier>` + id + `</recordIdentifier>` +
+		`<record><recordPacking>xml</recordPacking><recordData><line/></recordData></record></updateRequest>`
 }
 
+// Values of Z39.50 that the client sends or gets.
+const (
+	useTitle = 4 // Bib-1 use attribute
+	taskDone = 1 // status of an extended service's task
+)
+
+// Bib-1 diagnostics.
+const (
+	noDiagnostic         = 0
+	temporaryError       = 2
+	validSubsetAvailable = 33
+)
+
 // Origin is a Z39.50 client with one association. One goroutine uses it.
 type Origin struct {
-	c       net.Conn
-	in      *bufio.Reader
+	conn    net.Conn
+	reader  *bufio.Reader
 	timeout time.Duration
 }
 
@@ -106,9 +134,9 @@
 	if err != nil {
 		return nil, err
 	}
-	v, err := o.RoundTrip(ber.InitAPDU(user))
-	if err == nil && (v.Tag != ber.InitResponse || len(v.Child(12).Body) != 1 || v.Child(12).Body[0] == 0) {
-		err = fmt.Errorf("init: rejected, APDU %d", v.Tag)
+	response, err := o.RoundTrip(ber.InitAPDU(user))
+	if err == nil && !initAccepted(response) {
+		err = fmt.Errorf("init: rejected, APDU %d", response.Tag)
 	}
 	if err != nil {
 		o.Close()
@@ -117,80 +145,89 @@
 	return o, nil
 }
 
+func initAccepted(response ber.TLV) bool {
+	result := response.Child(12).Body
+	return response.Tag == ber.InitResponse && len(result) == 1 && result[0] != 0
+}
+
 // DialWithoutInit opens a connection without Init.
 func DialWithoutInit(addr string, timeout time.Duration) (*Origin, error) {
-	c, err := net.DialTimeout("tcp", addr, timeout)
+	conn, err := net.DialTimeout("tcp", addr, timeout)
 	if err != nil {
 		return nil, err
 	}
-	return &Origin{c, bufio.NewReader(c), timeout}, nil
+	return &Origin{conn: conn, reader: bufio.NewReader(conn), timeout: timeout}, nil
 }
 
 // Send sends an APDU and reads nothing.
 func (o *Origin) Send(apdu string) error {
-	_, err := io.WriteString(o.c, apdu)
+	_, err := io.WriteString(o.conn, apdu)
 	return err
 }
 
 // Close ends the association by closing its connection.
-func (o *Origin) Close() { _ = o.c.Close() } // nothing is lost with it
+func (o *Origin) Close() { _ = o.conn.Close() } // nothing is lost with it
 
 // RoundTrip sends an APDU and reads one.
 func (o *Origin) RoundTrip(apdu string) (ber.TLV, error) {
-	if err := o.c.SetDeadline(time.Now().Add(o.timeout)); err != nil {
+	if err := o.conn.SetDeadline(time.Now().Add(o.timeout)); err != nil {
 		return ber.TLV{}, err
 	}
-	if _, err := io.WriteString(o.c, apdu); err != nil {
+	if _, err := io.WriteString(o.conn, apdu); err != nil {
 		return ber.TLV{}, err
 	}
-	return ber.Read(o.in)
+	return ber.Read(o.reader)
 }
 
 // Search searches a database.
 func (o *Origin) Search(set, base, text string) Outcome {
-	v, err := o.RoundTrip(ber.SearchAPDU(set, base, ber.TermOperand(4, text)))
-	switch code := ber.DiagnosticCode(v); {
-	case err != nil || v.Tag != ber.SearchResponse:
+	response, err := o.RoundTrip(ber.SearchAPDU(set, base, ber.TermOperand(useTitle, text)))
+	if err != nil || response.Tag != ber.SearchResponse {
 		return Disconnected
-	case code == 33:
+	}
+	switch ber.DiagnosticCode(response) {
+	case noDiagnostic:
+		return Complete
+	case validSubsetAvailable:
 		return Partial
-	case code == 2:
+	case temporaryError:
 		return Rejected
-	case code != 0:
-		return Failed
 	}
-	return Complete
+	return Failed
 }
 
 // Correct changes a record of the database captions.
 func (o *Origin) Correct(id string) Outcome {
-	v, err := o.RoundTrip(ber.UpdateAPDU(id))
-	switch code := ber.DiagnosticCode(v); {
-	case err != nil || v.Tag != ber.ExtendedServicesResponse:
+	response, err := o.RoundTrip(ber.UpdateAPDU(id))
+	if err != nil || response.Tag != ber.ExtendedServicesResponse {
 		return Disconnected
-	case code == 2:
+	}
+	code := ber.DiagnosticCode(response)
+	taskStatus := response.Child(3).Int()
+	switch {
+	case code == temporaryError:
 		return Rejected
-	case code != 0 || v.Child(3).Int() != 1:
+	case code != noDiagnostic || taskStatus != taskDone:
 		return Failed
 	}
 	return Complete
 }
 
-// AgentCheck makes an agent-check and returns the agent's line, which is empty if the agent closed without one. send, if not
-// empty, is sent first.
+// AgentCheck makes an agent-check and returns the agent's line, which is empty if the agent closed without one. send, if
+// not empty, is sent first.
 func AgentCheck(addr, send string, timeout time.Duration) (string, error) {
-	c, err := net.DialTimeout("tcp", addr, timeout)
+	conn, err := net.DialTimeout("tcp", addr, timeout)
 	if err != nil {
 		return "", err
 	}
-	defer func() { _ = c.Close() }() // read only: nothing is lost
-	if err := c.SetDeadline(time.Now().Add(timeout)); err != nil {
+	defer func() { _ = conn.Close() }() // read only: nothing is lost
+	if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
 		return "", err
 	}
 	if send != "" {
-		_, _ = io.WriteString(c, send) // the agent may have answered and closed already
+		_, _ = io.WriteString(conn, send) // the agent may have answered and closed already
 	}
-	text, err := io.ReadAll(c)
+	text, err := io.ReadAll(conn)
 	return strings.TrimSpace(string(text)), err
 }
 
--- a/internal/testbed/replica/archive.go
+++ b/internal/testbed/replica/archive.go
@@ -38,30 +38,36 @@
 	OnCorrection func(replica, id string) string
 	OnSearch     func(database string) string
 	// CorrectionBegun and ClientLeft, if set, get the replica's name for each correction that begins, and for each client
-	// that leaves a hanging replica. Replicas block until it is received.
-	CorrectionBegun, ClientLeft chan string
+	// that closes its connection to a hanging replica. Replicas block until the name is received.
+	CorrectionBegun chan string
+	ClientLeft      chan string
 
 	mu          sync.Mutex
 	corrections map[string]int // by record
 	queries     []string
 	records     map[string]string // by database
 	events      []Event
-	release     chan struct{}
-	once        sync.Once
+	release     chan struct{} // closed by Close
+	closeOnce   sync.Once
 }
 
 // NewArchive returns an archive of so many shards, each with one record.
 func NewArchive(shards int) *Archive {
-	a := &Archive{corrections: map[string]int{}, records: map[string]string{}, release: make(chan struct{})}
+	a := &Archive{
+		corrections: map[string]int{},
+		records:     map[string]string{},
+		release:     make(chan struct{}),
+	}
 	for i := range shards {
 		database := fmt.Sprintf("block-%d", i)
-		a.records[database] = fmt.Sprintf(`<dc:dc xmlns:dc="http://purl.org/dc/elements/1.1/"><dc:title>line of %s</dc:title></dc:dc>`, database)
+		a.records[database] = `<dc:dc xmlns:dc="http://purl.org/dc/elements/1.1/">` +
+			`<dc:title>line of ` + database + `</dc:title></dc:dc>`
 	}
 	return a
 }
 
 // Close lets hanging replicas go on. It may be called more than once.
-func (a *Archive) Close() { a.once.Do(func() { close(a.release) }) }
+func (a *Archive) Close() { a.closeOnce.Do(func() { close(a.release) }) }
 
 // CorrectionCounts are how often each correction was begun, by its record. The caller owns the map.
 func (a *Archive) CorrectionCounts() map[string]int {
@@ -117,7 +123,8 @@
 func (a *Archive) beginSearch(s *Server, at time.Time, database, query, injected string) (record, fault string) {
 	a.mu.Lock()
 	a.queries = append(a.queries, s.Name+" "+query)
-	record, choose := a.records[database], a.OnSearch
+	record = a.records[database]
+	choose := a.OnSearch
 	a.mu.Unlock()
 	fault = injected
 	if choose != nil && fault == "" {
--- a/internal/testbed/replica/replica.go
+++ b/internal/testbed/replica/replica.go
@@ -33,15 +33,18 @@
 
 // Store is what a replica holds where shards change. It answers for a database's name, or rejects with a reason.
 type Store interface {
-	// Search returns at most limit records of a shard in the order of their identifiers, and how many there are. A reason
-	// that is not empty means that the replica does not answer for the shard.
+	// Search returns at most limit records of a shard in the order of their identifiers, and how many the shard has. A
+	// reason that is not empty means that the replica does not answer for the shard.
 	Search(database string, limit int) (records []Record, count int, reason string)
 	// Correct changes a record; with a reason that is not empty it has not run.
 	Correct(database, id string) (reason string)
 }
 
 // Record is one record with its identifier.
-type Record struct{ ID, XML string }
+type Record struct {
+	ID  string
+	XML string
+}
 
 // Protocols of a replica.
 const (
@@ -51,8 +54,9 @@
 
 // Server is a running stand-in. Its methods are safe for concurrent use.
 type Server struct {
-	Name, Protocol string
-	archive        *Archive
+	Name     string
+	Protocol string
+	archive  *Archive
 
 	mu      sync.Mutex
 	addr    string
@@ -66,15 +70,21 @@
 	running bool
 }
 
-// randomStream is a replica's own, of the run's seed and its name.
+// randomStream returns the stream of random numbers of the replica with a name, by the run's seed.
 func randomStream(seed uint64, name string) *rand.Rand {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(name)) // a hash does not fail
-	return rand.New(rand.NewPCG(seed, h.Sum64()))
+	nameHash := fnv.New64a()
+	_, _ = nameHash.Write([]byte(name)) // a hash does not fail
+	return rand.New(rand.NewPCG(seed, nameHash.Sum64()))
 }
 
 func (a *Archive) start(name, protocol string, seed uint64) (*Server, error) {
-	s := &Server{Name: name, Protocol: protocol, archive: a, rng: randomStream(seed, name), addr: "127.0.0.1:0"}
+	s := &Server{
+		Name:     name,
+		Protocol: protocol,
+		archive:  a,
+		rng:      randomStream(seed, name),
+		addr:     "127.0.0.1:0",
+	}
 	return s, s.Start()
 }
 
@@ -102,15 +112,17 @@
 	if s.running {
 		return nil
 	}
-	ln, err := net.Listen("tcp", s.addr)
+	listener, err := net.Listen("tcp", s.addr)
 	if err != nil {
 		return fmt.Errorf("start replica %s: %w", s.Name, err)
 	}
-	s.addr, s.running, s.started = ln.Addr().String(), true, time.Now()
+	s.addr = listener.Addr().String()
+	s.running = true
+	s.started = time.Now()
 	if s.Protocol == protocolSRU {
-		s.stop = s.serveSRU(ln)
+		s.stop = s.serveSRU(listener)
 	} else {
-		s.stop = s.serveZ3950(ln)
+		s.stop = s.serveZ3950(listener)
 	}
 	return nil
 }
@@ -119,7 +131,8 @@
 func (s *Server) Kill() {
 	s.mu.Lock()
 	stop := s.stop
-	s.running, s.stop = false, nil
+	s.running = false
+	s.stop = nil
 	s.mu.Unlock()
 	if stop != nil {
 		stop()
@@ -140,12 +153,13 @@
 }
 
 // SetFaults changes what the replica does wrong.
-func (s *Server) SetFaults(f Faults) {
+func (s *Server) SetFaults(faults Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.faults = f
-	if s.slots = nil; f.Cores > 0 {
-		s.slots = make(chan struct{}, f.Cores)
+	s.faults = faults
+	s.slots = nil
+	if faults.Cores > 0 {
+		s.slots = make(chan struct{}, faults.Cores)
 	}
 }
 
@@ -156,10 +170,10 @@
 }
 
 // SetHealth changes what the replica's checks say.
-func (s *Server) SetHealth(h Health) {
+func (s *Server) SetHealth(health Health) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.health = h
+	s.health = health
 }
 
 func (s *Server) currentHealth() Health {
@@ -172,25 +186,35 @@
 func (s *Server) nextPart() (fault string, delay time.Duration, slots chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f := s.faults
-	delay = f.Delay
-	if f.Jitter > 0 {
-		delay += time.Duration(s.rng.Int64N(int64(f.Jitter)))
+	delay = s.faults.Delay
+	if s.faults.Jitter > 0 {
+		delay += time.Duration(s.rng.Int64N(int64(s.faults.Jitter)))
 	}
-	if age := time.Since(s.started); f.WarmupPeriod > 0 && age < f.WarmupPeriod {
-		delay += time.Duration(3 * float64(delay) * (1 - float64(age)/float64(f.WarmupPeriod)))
+	age := time.Since(s.started)
+	if s.faults.WarmupPeriod > 0 && age < s.faults.WarmupPeriod {
+		coldness := 1 - float64(age)/float64(s.faults.WarmupPeriod)
+		delay += time.Duration(3 * float64(delay) * coldness)
 	}
-	p := s.rng.Float64()
-	for _, kind := range []struct {
+	return s.faults.pick(s.rng.Float64()), delay, s.slots
+}
+
+// pick returns the fault that a sample from 0 to 1 stands for; empty: none.
+func (f *Faults) pick(sample float64) (fault string) {
+	for _, kind := range [...]struct {
 		rate  float64
 		fault string
-	}{{f.ErrorRate, FaultError}, {f.ResetRate, FaultBreak}, {f.CorruptRate, FaultCorrupt}, {f.HangRate, FaultHang}} {
-		if p < kind.rate {
-			return kind.fault, delay, s.slots
+	}{
+		{f.ErrorRate, FaultError},
+		{f.ResetRate, FaultBreak},
+		{f.CorruptRate, FaultCorrupt},
+		{f.HangRate, FaultHang},
+	} {
+		if sample < kind.rate {
+			return kind.fault
 		}
-		p -= kind.rate
+		sample -= kind.rate
 	}
-	return "", delay, s.slots
+	return ""
 }
 
 // process spends the time that a part takes, queueing for a core included, and returns the fault that it meets. Errors
--- a/internal/testbed/replica/sru.go
+++ b/internal/testbed/replica/sru.go
@@ -11,11 +11,35 @@
 	"time"
 )
 
+// Responses of SRU 1.2 and of its record update, and formats of their pieces.
+const (
+	explainResponse = `<?xml version="1.0"?><explainResponse xmlns="http://www.loc.gov/zing/srw/">` +
+		`<version>1.2</version></explainResponse>`
+
+	searchBeginFormat = `<?xml version="1.0"?><zs:searchRetrieveResponse xmlns:zs="http://www.loc.gov/zing/srw/">` +
+		`<zs:version>1.2</zs:version><zs:numberOfRecords>%d</zs:numberOfRecords><zs:records>`
+	recordBeginFormat = `<zs:record><zs:recordSchema>info:srw/schema/1/dc-v1.1</zs:recordSchema>` +
+		`<zs:recordPacking>xml</zs:recordPacking><zs:recordData>%s</zs:recordData>`
+	recordIdentifierFormat = `<zs:recordIdentifier>%s</zs:recordIdentifier>`
+	recordEnd              = `</zs:record>`
+	searchEnd              = `</zs:records></zs:searchRetrieveResponse>`
+
+	// diagnosticsFormat is diagnostic 235 of SRU, database does not exist, with its details.
+	diagnosticsFormat = `<diagnostics><diagnostic xmlns="http://www.loc.gov/zing/srw/diagnostic/">` +
+		`<uri>info:srw/diagnostic/1/235</uri><details>%s</details></diagnostic></diagnostics>`
+	rejectedSearchFormat = `<searchRetrieveResponse xmlns="http://www.loc.gov/zing/srw/"><version>1.2</version>` +
+		`<numberOfRecords>0</numberOfRecords>` + diagnosticsFormat + `</searchRetrieveResponse>`
+
+	updateBegin          = `<updateResponse xmlns="http://www.loc.gov/zing/srw/update/"><version>1.0</version>`
+	updateFormat         = updateBegin + `<operationStatus>%s</operationStatus></updateResponse>`
+	rejectedUpdateFormat = updateBegin + `<operationStatus>fail</operationStatus>` + diagnosticsFormat + `</updateResponse>`
+)
+
 // serveSRU serves an SRU replica and returns how to end it.
-func (s *Server) serveSRU(ln net.Listener) (stop func()) {
+func (s *Server) serveSRU(listener net.Listener) (stop func()) {
 	server := &http.Server{Handler: http.HandlerFunc(s.serveHTTP)}
-	go func() { _ = server.Serve(ln) }() // it ends with stop
-	return func() { _ = server.Close() } // nothing is lost with it
+	go func() { _ = server.Serve(listener) }() // it ends with stop
+	return func() { _ = server.Close() }       // nothing is lost with it
 }
 
 // write writes an answer. A client that has left gets none: that is no error here.
@@ -32,7 +56,7 @@
 }
 
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
-	at := time.Now()
+	begin := time.Now()
 	database := strings.Trim(r.URL.Path, "/")
 	switch {
 	case r.URL.Path == "/healthz":
@@ -40,40 +64,40 @@
 	case r.URL.Query().Get("operation") == "explain":
 		s.serveExplain(w, r)
 	case r.Method == http.MethodPost:
-		s.serveUpdate(w, r, at, database)
+		s.serveUpdate(w, r, begin, database)
 	default:
-		s.serveSearch(w, r, at, database)
+		s.serveSearch(w, r, begin, database)
 	}
 }
 
 func (s *Server) serveHealthz(w http.ResponseWriter, r *http.Request) {
-	h := s.currentHealth()
-	if h.Hang {
+	health := s.currentHealth()
+	if health.Hang {
 		s.hang(r)
 		return
 	}
-	if h.Degraded {
+	if health.Degraded {
 		w.Header().Set("x-envoy-degraded", "1")
 	}
-	if h.Status > 0 {
-		w.WriteHeader(h.Status)
+	if health.Status > 0 {
+		w.WriteHeader(health.Status)
 	}
-	write(w, "%s", h.Body)
+	write(w, "%s", health.Body)
 }
 
 func (s *Server) serveExplain(w http.ResponseWriter, r *http.Request) {
-	h := s.currentHealth()
+	health := s.currentHealth()
 	switch {
-	case h.Hang:
+	case health.Hang:
 		s.hang(r)
-	case h.RejectChecks:
+	case health.RejectChecks:
 		http.Error(w, "no", http.StatusInternalServerError)
 	default:
-		write(w, "%s", `<?xml version="1.0"?><explainResponse xmlns="http://www.loc.gov/zing/srw/"><version>1.2</version></explainResponse>`)
+		write(w, explainResponse)
 	}
 }
 
-func (s *Server) serveUpdate(w http.ResponseWriter, r *http.Request, at time.Time, database string) {
+func (s *Server) serveUpdate(w http.ResponseWriter, r *http.Request, begin time.Time, database string) {
 	var update struct {
 		ID string `xml:"Body>updateRequest>recordIdentifier"`
 	}
@@ -87,12 +111,11 @@
 	}
 	if store := s.currentStore(); store != nil { // before anything runs
 		if reason := store.Correct(database, update.ID); reason != "" {
-			write(w, `<updateResponse xmlns="http://www.loc.gov/zing/srw/update/"><version>1.0</version><operationStatus>fail</operationStatus>`+
-				`<diagnostics><diagnostic xmlns="http://www.loc.gov/zing/srw/diagnostic/"><uri>info:srw/diagnostic/1/235</uri><details>%s</details></diagnostic></diagnostics></updateResponse>`, reason)
+			write(w, rejectedUpdateFormat, reason)
 			return
 		}
 	}
-	fault := s.archive.beginCorrection(s, at, update.ID, s.process())
+	fault := s.archive.beginCorrection(s, begin, update.ID, s.process())
 	if s.fail(w, r, fault) {
 		return
 	}
@@ -100,42 +123,45 @@
 	if fault == FaultReject {
 		status = "fail"
 	}
-	write(w, `<updateResponse xmlns="http://www.loc.gov/zing/srw/update/"><version>1.0</version><operationStatus>%s</operationStatus></updateResponse>`, status)
+	write(w, updateFormat, status)
 }
 
-func (s *Server) serveSearch(w http.ResponseWriter, r *http.Request, at time.Time, database string) {
+func (s *Server) serveSearch(w http.ResponseWriter, r *http.Request, begin time.Time, database string) {
 	if store := s.currentStore(); store != nil {
-		s.serveStoreSearch(w, r, store, at, database)
+		s.serveStoreSearch(w, r, store, begin, database)
 		return
 	}
-	record, fault := s.archive.beginSearch(s, at, database, r.URL.Query().Get("query"), s.process())
+	record, fault := s.archive.beginSearch(s, begin, database, r.URL.Query().Get("query"), s.process())
 	if s.fail(w, r, fault) {
 		return
 	}
-	write(w, `<?xml version="1.0"?><zs:searchRetrieveResponse xmlns:zs="http://www.loc.gov/zing/srw/"><zs:version>1.2</zs:version>`+
-		`<zs:numberOfRecords>1</zs:numberOfRecords><zs:records><zs:record><zs:recordSchema>info:srw/schema/1/dc-v1.1</zs:recordSchema>`+
-		`<zs:recordPacking>xml</zs:recordPacking><zs:recordData>%s</zs:recordData></zs:record></zs:records></zs:searchRetrieveResponse>`, record)
+	write(w, searchBeginFormat, 1)
+	write(w, recordBeginFormat, record)
+	write(w, recordEnd)
+	write(w, searchEnd)
 }
 
 // serveStoreSearch answers a search from the replica's store.
-func (s *Server) serveStoreSearch(w http.ResponseWriter, r *http.Request, store Store, at time.Time, database string) {
+func (s *Server) serveStoreSearch(
+	w http.ResponseWriter, r *http.Request, store Store, begin time.Time, database string,
+) {
 	limit, _ := strconv.Atoi(r.URL.Query().Get("maximumRecords")) // none: 0
 	records, count, reason := store.Search(database, limit)
 	if reason != "" {
-		write(w, `<searchRetrieveResponse xmlns="http://www.loc.gov/zing/srw/"><version>1.2</version><numberOfRecords>0</numberOfRecords>`+
-			`<diagnostics><diagnostic xmlns="http://www.loc.gov/zing/srw/diagnostic/"><uri>info:srw/diagnostic/1/235</uri><details>%s</details></diagnostic></diagnostics></searchRetrieveResponse>`, reason)
+		write(w, rejectedSearchFormat, reason)
 		return
 	}
-	_, fault := s.archive.beginSearch(s, at, database, r.URL.Query().Get("query"), s.process())
+	_, fault := s.archive.beginSearch(s, begin, database, r.URL.Query().Get("query"), s.process())
 	if s.fail(w, r, fault) {
 		return
 	}
-	write(w, `<?xml version="1.0"?><zs:searchRetrieveResponse xmlns:zs="http://www.loc.gov/zing/srw/"><zs:version>1.2</zs:version><zs:numberOfRecords>%d</zs:numberOfRecords><zs:records>`, count)
+	write(w, searchBeginFormat, count)
 	for _, record := range records {
-		write(w, `<zs:record><zs:recordSchema>info:srw/schema/1/dc-v1.1</zs:recordSchema><zs:recordPacking>xml</zs:recordPacking><zs:recordData>%s</zs:recordData>`+
-			`<zs:recordIdentifier>%s</zs:recordIdentifier></zs:record>`, record.XML, record.ID)
+		write(w, recordBeginFormat, record.XML)
+		write(w, recordIdentifierFormat, record.ID)
+		write(w, recordEnd)
 	}
-	write(w, `</zs:records></zs:searchRetrieveResponse>`)
+	write(w, searchEnd)
 }
 
 // fail does what a part meets in place of an answer, and says whether it met anything.
--- a/internal/testbed/replica/z3950.go
+++ b/internal/testbed/replica/z3950.go
@@ -13,21 +13,29 @@
 
 // Bib-1 diagnostics that targets answer with, as the bodies of their integers.
 const (
-	temporaryError       = "\x02"     // 2: temporary system error
-	databaseUnavailable  = "\x6d"     // 109
-	updateRejected       = "\x00\xe0" // 224: immediate execution of the extended service failed
+	temporaryError      = "\x02"     // 2: temporary system error
+	databaseUnavailable = "\x6d"     // 109
+	updateRejected      = "\x00\xe0" // 224: immediate execution of the extended service failed
+)
+
+// Values of responses.
+const (
 	resultSetOK          = "\xff"
 	resultSetFailed      = "\x00"
 	taskDone             = 1
 	taskFailed           = 3
-	tagVisibleString     = -26
-	tagGeneralString     = -27
-	tagObjectIdentifier  = -6
-	tagInteger           = -2
 	presentationFailure  = 3
 	noiseInsteadOfAnAPDU = "\xb7\x03\x02\x01\x00noise"
 )
 
+// Universal tags, negative as package ber takes them.
+const (
+	tagInteger          = -2
+	tagObjectIdentifier = -6
+	tagVisibleString    = -26
+	tagGeneralString    = -27
+)
+
 // connections are those of one target while it runs.
 type connections struct {
 	mu   sync.Mutex
@@ -59,23 +67,24 @@
 }
 
 // serveZ3950 serves a Z39.50 target and returns how to end it.
-func (s *Server) serveZ3950(ln net.Listener) (stop func()) {
+func (s *Server) serveZ3950(listener net.Listener) (stop func()) {
 	conns := &connections{open: map[net.Conn]bool{}}
 	go func() {
 		for {
-			conn, err := ln.Accept()
+			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
 			conns.add(conn)
 			go func() {
 				defer conns.remove(conn)
-				(&association{server: s, conn: conn, in: bufio.NewReader(conn)}).serve()
+				a := &association{server: s, conn: conn, reader: bufio.NewReader(conn)}
+				a.serve()
 			}()
 		}
 	}()
 	return func() {
-		_ = ln.Close() // nothing is lost with it
+		_ = listener.Close() // nothing is lost with it
 		conns.reset()
 	}
 }
@@ -84,22 +93,36 @@
 type association struct {
 	server *Server
 	conn   net.Conn
-	in     *bufio.Reader
+	reader *bufio.Reader
+}
+
+// apdu is a request with the moment of its first byte.
+type apdu struct {
+	ber.TLV
+	begin time.Time
+}
+
+// referenceID is the request's reference identifier, encoded for the response.
+func (r *apdu) referenceID() string { return ber.Primitive(2, string(r.Child(2).Body)) }
+
+// readAPDU reads a request.
+func (a *association) readAPDU() (*apdu, error) {
+	if _, err := a.reader.Peek(1); err != nil {
+		return nil, err
+	}
+	begin := time.Now()
+	value, err := ber.Read(a.reader)
+	return &apdu{TLV: value, begin: begin}, err
 }
 
 // serve answers APDUs until the origin leaves, or a part meets a fault that ends the connection.
 func (a *association) serve() {
 	defer func() { _ = a.conn.Close() }() // nothing is lost with it
 	for {
-		if _, err := a.in.Peek(1); err != nil {
-			return
-		}
-		at := time.Now()
-		request, err := ber.Read(a.in)
+		request, err := a.readAPDU()
 		if err != nil {
 			return
 		}
-		ref := ber.Primitive(2, string(request.Child(2).Body))
 		fault := ""
 		switch request.Tag {
 		case ber.InitRequest:
@@ -107,9 +130,9 @@
 				return
 			}
 		case ber.SearchRequest:
-			fault = a.answerSearch(request, at, ref)
+			fault = a.answerSearch(request)
 		case ber.ExtendedServicesRequest:
-			fault = a.answerUpdate(request, at, ref)
+			fault = a.answerUpdate(request)
 		default:
 			return
 		}
@@ -124,7 +147,7 @@
 func (a *association) send(apdu string) { _, _ = io.WriteString(a.conn, apdu) }
 
 // hang gives no answer until the origin leaves.
-func (a *association) hang() { _, _ = a.in.ReadByte() }
+func (a *association) hang() { _, _ = a.reader.ReadByte() }
 
 // fail does what a part meets in place of an answer; the connection ends after it.
 func (a *association) fail(fault string) {
@@ -139,105 +162,145 @@
 }
 
 // answerInit answers Init, and says whether the association goes on.
-func (a *association) answerInit(request ber.TLV) bool {
-	h := a.server.currentHealth()
-	if h.Hang {
+func (a *association) answerInit(request *apdu) bool {
+	health := a.server.currentHealth()
+	if health.Hang {
 		a.hang()
 		return false
 	}
 	time.Sleep(a.server.initDelay())
 	result := resultSetOK
-	// Only the Init of a check: a replica that rejects its parts, too, does not tell the untruth.
-	if h.RejectChecks && strings.Contains(string(request.Child(110).Body), "check") {
+	// Only the Init of a check is rejected: the checks are to contradict what the replica does with parts.
+	isCheck := strings.Contains(string(request.Child(110).Body), "check")
+	if health.RejectChecks && isCheck {
 		result = resultSetFailed
 	}
-	a.send(ber.Constructed(ber.InitResponse, ber.Primitive(3, "\x05\xe0"), ber.Primitive(4, "\x00\xe0\x00"),
-		ber.Integer(5, 30000), ber.Integer(6, 30000), ber.Primitive(12, result)))
+	a.send(ber.Constructed(ber.InitResponse,
+		ber.Primitive(3, "\x05\xe0"),
+		ber.Primitive(4, "\x00\xe0\x00"),
+		ber.Integer(5, 30000),
+		ber.Integer(6, 30000),
+		ber.Primitive(12, result)))
 	return true
 }
 
 // answerSearch answers a search, and returns the fault that it met instead.
-func (a *association) answerSearch(request ber.TLV, at time.Time, ref string) (fault string) {
+func (a *association) answerSearch(request *apdu) (fault string) {
 	s := a.server
+	ref := request.referenceID()
 	database := string(request.Child(18).Children[0].Body)
 	query := ber.FormatQuery(request.Child(21).Children[0].Children[1])
-	var records []Record
-	count := 1
-	if store := s.currentStore(); store != nil {
-		var reason string
-		if records, count, reason = store.Search(database, request.Child(15).Int()); reason != "" {
-			a.send(searchFailure(ref, databaseUnavailable, tagVisibleString, reason))
-			return ""
-		}
-		if _, fault = s.archive.beginSearch(s, at, database, query, s.process()); fault == FaultError {
-			a.send(searchFailure(ref, temporaryError, tagVisibleString, "failing"))
-			return ""
-		}
-	} else {
-		record, met := s.archive.beginSearch(s, at, database, query, s.process())
-		if fault = met; fault == FaultError {
-			a.send(searchFailure(ref, temporaryError, tagGeneralString, "failing"))
-			return ""
+	store := s.currentStore()
+	if store == nil {
+		record, fault := s.archive.beginSearch(s, request.begin, database, query, s.process())
+		switch fault {
+		case "":
+			a.send(searchResponse(ref, database, 1, []Record{{XML: record}}))
+		case FaultError:
+			a.send(searchFailure(ref, diagnostic{temporaryError, tagGeneralString, "failing"}))
+		default:
+			return fault
 		}
-		records = []Record{{XML: record}}
+		return ""
+	}
+	records, count, reason := store.Search(database, request.Child(15).Int())
+	if reason != "" {
+		a.send(searchFailure(ref, diagnostic{databaseUnavailable, tagVisibleString, reason}))
+		return ""
 	}
-	if fault != "" {
+	_, fault = s.archive.beginSearch(s, request.begin, database, query, s.process())
+	switch fault {
+	case "":
+		a.send(searchResponse(ref, database, count, records))
+	case FaultError:
+		a.send(searchFailure(ref, diagnostic{temporaryError, tagVisibleString, "failing"}))
+	default:
 		return fault
 	}
-	a.send(searchResponse(ref, database, count, records))
 	return ""
 }
 
-func searchFailure(ref, code string, textTag int, text string) string {
-	return ber.Constructed(ber.SearchResponse, ref, ber.Integer(23, 0), ber.Integer(24, 0), ber.Integer(25, 0), ber.Primitive(22, resultSetFailed),
+// diagnostic is a Bib-1 diagnostic of a failure.
+type diagnostic struct {
+	code    string // the body of its integer
+	textTag int    // of the additional information
+	text    string
+}
+
+// encodeAs encodes the diagnostic as a DefaultDiagFormat with a tag.
+func (d diagnostic) encodeAs(tag int) string {
+	return ber.Constructed(tag,
+		ber.Primitive(tagObjectIdentifier, ber.OIDDiagnostics),
+		ber.Primitive(tagInteger, d.code),
+		ber.Primitive(d.textTag, d.text))
+}
+
+func searchFailure(ref string, failure diagnostic) string {
+	return ber.Constructed(ber.SearchResponse,
+		ref,
+		ber.Integer(23, 0),
+		ber.Integer(24, 0),
+		ber.Integer(25, 0),
+		ber.Primitive(22, resultSetFailed),
 		ber.Integer(26, presentationFailure),
-		ber.Constructed(130, ber.Primitive(tagObjectIdentifier, ber.OIDDiagnostics), ber.Primitive(tagInteger, code), ber.Primitive(textTag, text)))
+		failure.encodeAs(130))
 }
 
 func searchResponse(ref, database string, count int, records []Record) string {
 	var list []string
-	for _, r := range records {
-		external := ber.Constructed(-8, ber.Primitive(tagObjectIdentifier, ber.OIDXML), ber.Primitive(1, r.XML))
-		list = append(list, ber.Constructed(-16, ber.Primitive(0, database), ber.Constructed(1, ber.Constructed(1, external))))
+	for _, record := range records {
+		external := ber.Constructed(-8, ber.Primitive(tagObjectIdentifier, ber.OIDXML), ber.Primitive(1, record.XML))
+		retrieval := ber.Constructed(1, ber.Constructed(1, external))
+		list = append(list, ber.Constructed(-16, ber.Primitive(0, database), retrieval))
 	}
-	return ber.Constructed(ber.SearchResponse, ref, ber.Integer(23, count), ber.Integer(24, len(list)), ber.Integer(25, 0),
-		ber.Primitive(22, resultSetOK), ber.Integer(27, 0), ber.Constructed(28, list...))
+	return ber.Constructed(ber.SearchResponse,
+		ref,
+		ber.Integer(23, count),
+		ber.Integer(24, len(list)),
+		ber.Integer(25, 0),
+		ber.Primitive(22, resultSetOK),
+		ber.Integer(27, 0),
+		ber.Constructed(28, list...))
 }
 
 // answerUpdate answers a record update, and returns the fault that it met instead.
-func (a *association) answerUpdate(request ber.TLV, at time.Time, ref string) (fault string) {
+func (a *association) answerUpdate(request *apdu) (fault string) {
 	s := a.server
-	es := request.Child(10).Child(0).Children[0] // esRequest
-	id := string(es.Child(2).Children[0].Children[0].Child(1).Children[0].Body)
+	ref := request.referenceID()
+	update := request.Child(10).Child(0).Children[0] // esRequest
+	id := string(update.Child(2).Children[0].Children[0].Child(1).Children[0].Body)
 	if store := s.currentStore(); store != nil { // before anything runs
-		if reason := store.Correct(updateDatabase(es), id); reason != "" {
-			a.send(updateFailure(ref, databaseUnavailable, tagVisibleString, reason))
+		if reason := store.Correct(updateDatabase(update), id); reason != "" {
+			a.send(updateFailure(ref, diagnostic{databaseUnavailable, tagVisibleString, reason}))
 			return ""
 		}
 	}
-	switch fault = s.archive.beginCorrection(s, at, id, s.process()); fault {
+	fault = s.archive.beginCorrection(s, request.begin, id, s.process())
+	switch fault {
 	case "":
 		a.send(ber.Constructed(ber.ExtendedServicesResponse, ref, ber.Integer(3, taskDone)))
 	case FaultReject:
-		a.send(updateFailure(ref, updateRejected, tagGeneralString, "no"))
+		a.send(updateFailure(ref, diagnostic{updateRejected, tagGeneralString, "no"}))
 	case FaultError:
-		a.send(updateFailure(ref, temporaryError, tagGeneralString, "failing"))
+		a.send(updateFailure(ref, diagnostic{temporaryError, tagGeneralString, "failing"}))
 	default:
 		return fault
 	}
 	return ""
 }
 
-// updateDatabase is the database that an update names.
-func updateDatabase(es ber.TLV) string {
-	keep := es.Child(1)                                         // toKeep
-	if len(keep.Children) == 1 && keep.Children[0].Class == 0 { // a sequence inside
-		keep = keep.Children[0]
+// updateDatabase is the database that an update (esRequest) names.
+func updateDatabase(update ber.TLV) string {
+	toKeep := update.Child(1)
+	if len(toKeep.Children) == 1 && toKeep.Children[0].Class == 0 { // a sequence inside
+		toKeep = toKeep.Children[0]
 	}
-	return string(keep.Child(2).Body)
+	return string(toKeep.Child(2).Body)
 }
 
-func updateFailure(ref, code string, textTag int, text string) string {
-	diagnostic := ber.Constructed(-16, ber.Primitive(tagObjectIdentifier, ber.OIDDiagnostics), ber.Primitive(tagInteger, code), ber.Primitive(textTag, text))
-	return ber.Constructed(ber.ExtendedServicesResponse, ref, ber.Integer(3, taskFailed), ber.Constructed(4, diagnostic))
+func updateFailure(ref string, failure diagnostic) string {
+	return ber.Constructed(ber.ExtendedServicesResponse,
+		ref,
+		ber.Integer(3, taskFailed),
+		ber.Constructed(4, failure.encodeAs(-16)))
 }
