--- a/internal/testbed/deployment/config.go
+++ b/internal/testbed/deployment/config.go
@@ -39,7 +39,7 @@
 	o = o.withDefaults()
 	var b strings.Builder
 	writeLimits(&b, o)
-	writeClasses(&b, o.DeadlineFactor)
+	b.WriteString(ClassConfig(o.DeadlineFactor, ""))
 	writeDatabases(&b, o)
 	b.WriteString(o.ExtraConfig)
 	d.writeServers(&b, o)
@@ -60,12 +60,7 @@
 	}
 	write(b, `# Written by testbed for %d stand-in replicas.
 name = "lab"
-[listen]
-sru = "127.0.0.1:0"
-z3950 = "127.0.0.1:0"
-health = "127.0.0.1:0"
-agent = "127.0.0.1:0"
-[limits]
+%s[limits]
 sockets = %d
 max_open = %d
 %s[checks]
@@ -79,12 +74,22 @@
 count = %d
 cells = %d
 reach = %d
-`, o.Replicas, o.MaxSockets, o.MaxOpen, connect, o.CheckInterval, checksPerSecond, checksAtOnce, o.CheckTimeout,
+`, o.Replicas, ListenConfig, o.MaxSockets, o.MaxOpen, connect, o.CheckInterval, checksPerSecond, checksAtOnce, o.CheckTimeout,
 		shards, cells, o.Reach)
 }
 
-// writeClasses writes the three classes, their objectives and deadlines times factor.
-func writeClasses(b *strings.Builder, factor int) {
+// ListenConfig is the table of the operators' file that has every frontend listen on a port of its own.
+const ListenConfig = `[listen]
+sru = "127.0.0.1:0"
+z3950 = "127.0.0.1:0"
+health = "127.0.0.1:0"
+agent = "127.0.0.1:0"
+`
+
+// ClassConfig is the operators' file on the three classes: line-search, coverage-report and line-correction. Objectives
+// and deadlines are multiplied by factor; searchConfig has more keys of line-search.
+func ClassConfig(factor int, searchConfig string) string {
+	var b strings.Builder
 	for _, class := range []struct {
 		name      string
 		objective time.Duration
@@ -95,7 +100,7 @@
 			name:      "line-search",
 			objective: 1500 * time.Millisecond,
 			deadline:  4 * time.Second,
-			extra:     "late_worth = 0.3",
+			extra:     "late_worth = 0.3\n" + searchConfig,
 		},
 		{
 			name:      "coverage-report",
@@ -112,8 +117,9 @@
 	} {
 		objective := time.Duration(factor) * class.objective
 		deadline := time.Duration(factor) * class.deadline
-		write(b, "[[class]]\nname = %q\naim = %q\ndeadline = %q\n%s\n", class.name, objective, deadline, class.extra)
+		write(&b, "[[class]]\nname = %q\naim = %q\ndeadline = %q\n%s\n", class.name, objective, deadline, class.extra)
 	}
+	return b.String()
 }
 
 // writeDatabases writes two databases of all shards, and the checks of both protocols.
--- a/internal/testbed/invariants/invariants.go
+++ b/internal/testbed/invariants/invariants.go
@@ -1,5 +1,5 @@
-// Package invariants checks what stand-in replicas saw: that no correction runs twice, that nothing new goes to a replica
-// that drains, and which fraction of the traffic each got.
+// Package invariants evaluates what stand-in replicas recorded: corrections that ran twice, parts that were sent to a
+// replica after it began to drain, and which fraction of the traffic each replica got.
 package invariants
 
 import (
@@ -11,27 +11,32 @@
 )
 
 // DuplicateCorrections lists the corrections that began more than once.
-func DuplicateCorrections(a *replica.Archive) (ids []string) {
-	for id, n := range a.CorrectionCounts() {
-		if n > 1 {
-			ids = append(ids, fmt.Sprintf("%s (%d times)", id, n))
+func DuplicateCorrections(a *replica.Archive) []string { return Duplicates(a.CorrectionCounts()) }
+
+// Duplicates lists the corrections that ran more than once, by how often each ran, sorted by identifier.
+func Duplicates(runs map[string]int) (list []string) {
+	for id, count := range runs {
+		if count > 1 {
+			list = append(list, fmt.Sprintf("%s (%d times)", id, count))
 		}
 	}
-	slices.Sort(ids)
-	return ids
+	slices.Sort(list)
+	return list
 }
 
 // PartsAfter lists the parts whose first byte reached a replica later than limit after a moment, and how long after the
 // moment the last part of all did.
-func PartsAfter(a *replica.Archive, name string, moment time.Time, limit time.Duration) (overdue []replica.Event, last time.Duration) {
-	for _, e := range a.Events(moment) {
-		if e.Replica != name {
+func PartsAfter(
+	a *replica.Archive, name string, moment time.Time, limit time.Duration,
+) (overdue []replica.Event, last time.Duration) {
+	for _, event := range a.Events(moment) {
+		if event.Replica != name {
 			continue
 		}
-		d := e.At.Sub(moment)
-		last = max(last, d)
-		if d > limit {
-			overdue = append(overdue, e)
+		elapsed := event.At.Sub(moment)
+		last = max(last, elapsed)
+		if elapsed > limit {
+			overdue = append(overdue, event)
 		}
 	}
 	return overdue, last
@@ -39,17 +44,18 @@
 
 // TrafficFraction is the fraction of the parts between two moments that one replica got, and how many parts there were.
 func TrafficFraction(a *replica.Archive, name string, from, to time.Time) (fraction float64, total int) {
-	mine := 0
-	for _, e := range a.Events(from) {
-		if e.At.Before(to) {
-			total++
-			if e.Replica == name {
-				mine++
-			}
+	ofReplica := 0
+	for _, event := range a.Events(from) {
+		if !event.At.Before(to) {
+			continue
+		}
+		total++
+		if event.Replica == name {
+			ofReplica++
 		}
 	}
 	if total == 0 {
 		return 0, 0
 	}
-	return float64(mine) / float64(total), total
+	return float64(ofReplica) / float64(total), total
 }
--- a/internal/testbed/resharding/check.go
+++ b/internal/testbed/resharding/check.go
@@ -21,16 +21,22 @@
 	CompleteFraction float64
 }
 
+// What is read from answers.
 var (
-	countOf  = regexp.MustCompile(`<numberOfRecords>(\d+)<`)
-	dcOf     = regexp.MustCompile(`<dc:identifier>([^<]*)<`)
-	included = regexp.MustCompile(`(\d+) of (\d+) blocks are in, ([\d.]+)% of the weight`)
+	recordCountPattern = regexp.MustCompile(`<numberOfRecords>(\d+)<`)
+	identifierPattern  = regexp.MustCompile(`<dc:identifier>([^<]*)<`)
+	includedPattern    = regexp.MustCompile(`(\d+) of (\d+) blocks are in, ([\d.]+)% of the weight`)
 )
 
 // Search searches a frontend for everything over SRU, and checks the answer.
 func (a *Archive) Search(web *http.Client, addr, base string) Answer {
-	v := url.Values{"operation": {"searchRetrieve"}, "version": {"1.2"}, "query": {"line"}, "maximumRecords": {"2000"}}
-	resp, err := web.Get("http://" + addr + "/" + base + "?" + v.Encode())
+	parameters := url.Values{
+		"operation":      {"searchRetrieve"},
+		"version":        {"1.2"},
+		"query":          {"line"},
+		"maximumRecords": {"2000"},
+	}
+	resp, err := web.Get("http://" + addr + "/" + base + "?" + parameters.Encode())
 	if err != nil {
 		return Answer{Outcome: client.Disconnected}
 	}
@@ -49,62 +55,82 @@
 	case strings.Contains(text, "<diagnostic "):
 		return Answer{Outcome: client.Failed}
 	}
-	return Answer{Outcome: client.Complete, Violation: a.checkRecords(text, true), CompleteFraction: 1}
+	return Answer{
+		Outcome:          client.Complete,
+		Violation:        a.checkCompleteRecords(text),
+		CompleteFraction: 1,
+	}
 }
 
 // recordIDs are the identifiers in an answer, and how many records it says there are.
-func recordIDs(text string) (list []string, count int) {
-	for _, m := range dcOf.FindAllStringSubmatch(text, -1) {
-		list = append(list, m[1])
+func recordIDs(text string) (ids []string, count int) {
+	for _, match := range identifierPattern.FindAllStringSubmatch(text, -1) {
+		ids = append(ids, match[1])
 	}
-	if m := countOf.FindStringSubmatch(text); m != nil {
-		count, _ = strconv.Atoi(m[1])
+	if match := recordCountPattern.FindStringSubmatch(text); match != nil {
+		count, _ = strconv.Atoi(match[1]) // it consists of digits
 	}
-	return list, count
+	return ids, count
 }
 
-// checkRecords compares an answer with the content: each record exactly once and in order if it is complete, else none twice
-// and none that is not in the archive. The count is that of the records in the answer.
-func (a *Archive) checkRecords(text string, complete bool) string {
-	list, count := recordIDs(text)
-	if count != len(list) {
-		return fmt.Sprintf("%d records, and the count says %d", len(list), count)
+// checkRecords compares the records of an answer with the content: they are in order, none is there twice, and none is
+// not in the archive. The count has to be that of the records in the answer. It returns the first violation; empty: none.
+func (a *Archive) checkRecords(text string) (violation string) {
+	ids, count := recordIDs(text)
+	if count != len(ids) {
+		return fmt.Sprintf("%d records, and the count says %d", len(ids), count)
 	}
-	if !slices.IsSorted(list) {
+	if !slices.IsSorted(ids) {
 		return "the records are out of order"
 	}
-	for i, id := range list {
-		if i > 0 && list[i-1] == id {
+	for i, id := range ids {
+		if i > 0 && ids[i-1] == id {
 			return id + " is there twice"
 		}
-		if _, ok := slices.BinarySearch(a.Content.IDs, id); !ok {
+		if _, found := slices.BinarySearch(a.Content.IDs, id); !found {
 			return id + " is not in the archive"
 		}
 	}
-	if complete && len(list) != len(a.Content.IDs) {
-		return fmt.Sprintf("complete, and %d of %d records", len(list), len(a.Content.IDs))
+	return ""
+}
+
+// checkCompleteRecords is checkRecords for a complete answer, which has every record.
+func (a *Archive) checkCompleteRecords(text string) (violation string) {
+	if violation = a.checkRecords(text); violation != "" {
+		return violation
+	}
+	if ids, _ := recordIDs(text); len(ids) != len(a.Content.IDs) {
+		return fmt.Sprintf("complete, and %d of %d records", len(ids), len(a.Content.IDs))
 	}
 	return ""
 }
 
-// checkPartial checks an answer that says that it is partial: what it says of its shards and of its fraction of the weight
-// has to be possible.
+// checkPartial checks an answer that is marked partial: what it says of its shards and of its fraction of the weight has
+// to be possible.
 func (a *Archive) checkPartial(text string) Answer {
-	out := Answer{Outcome: client.Partial, Violation: a.checkRecords(text, false)}
-	m := included.FindStringSubmatch(text)
-	if m == nil {
-		out.Violation = "partial, and the answer does not say how much is missing"
-		return out
+	answer := Answer{Outcome: client.Partial, Violation: a.checkRecords(text)}
+	match := includedPattern.FindStringSubmatch(text)
+	if match == nil {
+		answer.Violation = "partial, and the answer does not say how much is missing"
+		return answer
 	}
-	in, _ := strconv.Atoi(m[1])
-	of, _ := strconv.Atoi(m[2])
-	share, _ := strconv.ParseFloat(m[3], 64)
-	if out.CompleteFraction = share / 100; in >= of || share > 99.95 || share < 50 {
-		out.Violation = "partial: " + m[0]
+	// The pattern allows numbers only; of "1.2.3" as a percentage 0 is read, which is a violation.
+	included, _ := strconv.Atoi(match[1])
+	total, _ := strconv.Atoi(match[2])
+	percent, _ := strconv.ParseFloat(match[3], 64)
+	answer.CompleteFraction = percent / 100
+	if included >= total || percent > maxPartialPercent || percent < minPartialPercent {
+		answer.Violation = "partial: " + match[0]
 	}
-	return out
+	return answer
 }
 
+// What a partial answer may have, in percent of the weight.
+const (
+	minPartialPercent = 50    // the floor of coverage-report
+	maxPartialPercent = 99.95 // more is printed as 100.0
+)
+
 // Correct makes a correction over SRU. Its id is that of a record, with a suffix that tells corrections apart.
 func (a *Archive) Correct(web *http.Client, addr, id string) client.Outcome {
 	resp, err := web.Post("http://"+addr+"/captions", "text/xml", strings.NewReader(client.UpdateXML(id)))
--- a/internal/testbed/resharding/config.go
+++ b/internal/testbed/resharding/config.go
@@ -4,18 +4,15 @@
 	"fmt"
 	"path/filepath"
 	"strings"
+
+	"rooktrestle/internal/testbed/deployment"
 )
 
-// frontendConfig is the operators' file of frontend i.
-func (a *Archive) frontendConfig(i int, source string) string {
+// frontendConfig is the operators' file of a frontend, by its index and the address of its source of shard maps.
+func (a *Archive) frontendConfig(index int, source string) string {
 	var b strings.Builder
 	write(&b, `name = "front%d"
-[listen]
-sru = "127.0.0.1:0"
-z3950 = "127.0.0.1:0"
-health = "127.0.0.1:0"
-agent = "127.0.0.1:0"
-[limits]
+%s[limits]
 sockets = 2048
 max_open = 4000
 max_records = 2000
@@ -26,11 +23,12 @@
 source = %q
 wait = "2s"
 cold = "2s"
-`, i, source)
+`, index, deployment.ListenConfig, source)
 	if a.PersistMaps {
-		write(&b, "keep = %q\n", filepath.Join(a.Dir, fmt.Sprintf("kept%d", i)))
+		write(&b, "keep = %q\n", filepath.Join(a.Dir, fmt.Sprintf("kept%d", index)))
 	}
-	a.writeClasses(&b)
+	b.WriteString(deployment.ClassConfig(1, a.ExtraClassConfig))
+	writeDatabases(&b)
 	a.writeServers(&b)
 	return b.String()
 }
@@ -38,28 +36,9 @@
 // write writes to a builder, which does not fail.
 func write(b *strings.Builder, format string, args ...any) { _, _ = fmt.Fprintf(b, format, args...) }
 
-// writeClasses writes the classes, the tenant and the databases.
-func (a *Archive) writeClasses(b *strings.Builder) {
-	write(b, `[[class]]
-name = "line-search"
-aim = "1.5s"
-deadline = "4s"
-late_worth = 0.3
-%s
-[[class]]
-name = "coverage-report"
-aim = "1.2s"
-deadline = "2s"
-late_worth = 0.1
-floor = 0.5
-partial = 0.8
-[[class]]
-name = "line-correction"
-aim = "1s"
-deadline = "2s"
-late_worth = 0.3
-unsafe = true
-[[tenant]]
+// writeDatabases writes the tenant and the databases.
+func writeDatabases(b *strings.Builder) {
+	write(b, `[[tenant]]
 name = "tv"
 quota = 100000
 users = ["editor"]
@@ -72,11 +51,16 @@
 name = "coverage"
 search = "coverage-report"
 tenant = "tv"
-`, a.ExtraClassConfig)
+`)
 }
 
 func (a *Archive) writeServers(b *strings.Builder) {
-	for _, n := range a.Replicas {
-		write(b, "[[server]]\nid = %q\nprotocol = %q\naddr = %q\ndatabase = \"block-%%d@%%e\"\n", n.Name, n.Protocol, n.Addr())
+	for _, server := range a.Replicas {
+		write(b, `[[server]]
+id = %q
+protocol = %q
+addr = %q
+database = "block-%%d@%%e"
+`, server.Name, server.Protocol, server.Addr())
 	}
 }
--- a/internal/testbed/resharding/content.go
+++ b/internal/testbed/resharding/content.go
@@ -1,12 +1,13 @@
-// Package resharding is the testbed's archive whose shards split, merge and move: replicas that hold records by key range
-// and fence by epoch, a source of shard maps, a controller that carries plans out and may be killed before any step, and a
-// checker that compares every answer with the archive's known content.
+// Package resharding is the testbed's archive whose shards split, merge and move: replicas that hold records by key
+// range and fence by epoch, a source of shard maps, a controller that carries plans out and may be killed before any
+// step, and a checker that compares every answer with the archive's known content.
 package resharding
 
 import (
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -22,36 +23,56 @@
 // NewContent makes records of so many programmes, years of each, and lines of each year.
 func NewContent(programmes, years, lines int) *Content {
 	c := &Content{}
-	for p := range programmes {
-		for y := range years {
-			for l := range lines {
-				c.IDs = append(c.IDs, fmt.Sprintf("p%02d@%04d:%03d", p, 2000+y, l))
+	for programme := range programmes {
+		for year := range years {
+			for line := range lines {
+				c.IDs = append(c.IDs, fmt.Sprintf("p%02d@%04d:%03d", programme, 2000+year, line))
 			}
 		}
 	}
-	sort.Strings(c.IDs)
+	slices.Sort(c.IDs)
 	return c
 }
 
+// keyOf is the key of a record: its identifier without the line.
 func keyOf(id string) string { return id[:strings.IndexByte(id, ':')] }
 
+// keys are the keys of all records, in order, each once.
+func (c *Content) keys() (list []string) {
+	for _, id := range c.IDs {
+		list = append(list, keyOf(id))
+	}
+	return slices.Compact(list)
+}
+
 // between are the records of a range of keys; to is not in it, and empty for no bound.
 func (c *Content) between(from, to string) []string {
-	a := sort.Search(len(c.IDs), func(i int) bool { return keyOf(c.IDs[i]) >= from })
-	b := len(c.IDs)
+	begin := c.indexOf(from)
+	end := len(c.IDs)
 	if to != "" {
-		b = sort.Search(len(c.IDs), func(i int) bool { return keyOf(c.IDs[i]) >= to })
+		end = c.indexOf(to)
 	}
-	return c.IDs[a:max(a, b)]
+	return c.IDs[begin:max(begin, end)]
 }
 
-func record(id string) replica.Record {
-	return replica.Record{ID: id, XML: `<dc:dc xmlns:dc="http://purl.org/dc/elements/1.1/"><dc:identifier>` + id + `</dc:identifier></dc:dc>`}
+// indexOf is the index of the first record whose key is not before a key.
+func (c *Content) indexOf(key string) int {
+	return sort.Search(len(c.IDs), func(i int) bool { return keyOf(c.IDs[i]) >= key })
+}
+
+// recordOf is the record with an identifier, which is all of its content.
+func recordOf(id string) replica.Record {
+	return replica.Record{
+		ID: id,
+		XML: `<dc:dc xmlns:dc="http://purl.org/dc/elements/1.1/">` +
+			`<dc:identifier>` + id + `</dc:identifier></dc:dc>`,
+	}
 }
 
 // shardState is what a replica knows of one shard.
 type shardState struct {
-	from, to  string
+	from      string // first key
+	to        string // key after the last; empty: no bound
 	joining   bool
 	remaining int    // of a joining replica: records that are still to be copied
 	removedAt uint64 // epoch since which it is another's; 0: it is held
@@ -69,62 +90,79 @@
 	mu             sync.Mutex
 	shards         map[uint64]*shardState
 	epoch          uint64
-	rejection      string // sent in place of any answer; empty: none
-	rejected       int
+	rejection      string         // reason for which everything is rejected; empty: none
+	rejected       int            // parts
 	correctionRuns map[string]int // by identifier
 }
 
 // NewStore returns an empty store of the replica with a name.
 func NewStore(name string, c *Content) *Store {
-	return &Store{Name: name, Content: c, shards: map[uint64]*shardState{}, correctionRuns: map[string]int{}}
+	return &Store{
+		Name:           name,
+		Content:        c,
+		shards:         map[uint64]*shardState{},
+		correctionRuns: map[string]int{},
+	}
+}
+
+// mapDocument is what a replica reads of a shard map.
+type mapDocument struct {
+	Epoch  uint64 `json:"epoch"`
+	Shards []struct {
+		ID       uint64 `json:"id"`
+		From     string `json:"from"`
+		To       string `json:"to"`
+		Replicas []struct {
+			Server  string `json:"server"`
+			Joining bool   `json:"joining"`
+		} `json:"holders"`
+	} `json:"blocks"`
 }
 
 // ApplyMap passes a map to the replica. One of an older epoch than it knows changes nothing.
 func (s *Store) ApplyMap(text []byte) error {
-	var m struct {
-		Epoch  uint64 `json:"epoch"`
-		Blocks []struct {
-			ID      uint64 `json:"id"`
-			From    string `json:"from"`
-			To      string `json:"to"`
-			Holders []struct {
-				Server  string `json:"server"`
-				Joining bool   `json:"joining"`
-			} `json:"holders"`
-		} `json:"blocks"`
-	}
-	if err := json.Unmarshal(text, &m); err != nil {
+	var document mapDocument
+	if err := json.Unmarshal(text, &document); err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if m.Epoch <= s.epoch {
+	if document.Epoch <= s.epoch {
 		return nil
 	}
-	s.epoch = m.Epoch
-	mine := map[uint64]bool{}
-	for _, b := range m.Blocks {
-		for _, h := range b.Holders {
-			if h.Server != s.Name {
-				continue
-			}
-			mine[b.ID] = true
-			was := s.shards[b.ID]
-			if was == nil || was.removedAt > 0 {
-				s.shards[b.ID] = &shardState{from: b.From, to: b.To, joining: h.Joining, remaining: len(s.Content.between(b.From, b.To))}
-			} else {
-				was.joining = h.Joining
+	s.epoch = document.Epoch
+	held := map[uint64]bool{}
+	for _, shard := range document.Shards {
+		for _, holder := range shard.Replicas {
+			if holder.Server == s.Name {
+				held[shard.ID] = true
+				s.hold(shard.ID, shard.From, shard.To, holder.Joining)
 			}
 		}
 	}
-	for id, h := range s.shards {
-		if !mine[id] && h.removedAt == 0 {
-			h.removedAt = m.Epoch
+	for id, shard := range s.shards {
+		if !held[id] && shard.removedAt == 0 {
+			shard.removedAt = document.Epoch
 		}
 	}
 	return nil
 }
 
+// hold notes that the replica holds a shard, or joins it. It is called with the lock held.
+func (s *Store) hold(id uint64, from, to string, joining bool) {
+	shard := s.shards[id]
+	if shard != nil && shard.removedAt == 0 {
+		shard.joining = joining
+		return
+	}
+	s.shards[id] = &shardState{
+		from:      from,
+		to:        to,
+		joining:   joining,
+		remaining: len(s.Content.between(from, to)),
+	}
+}
+
 // SetRejection makes the replica reject everything with a reason, true or not; empty ends it.
 func (s *Store) SetRejection(reason string) {
 	s.mu.Lock()
@@ -133,23 +171,23 @@
 }
 
 // HasCopied says whether a joining replica has all records of a shard.
-func (s *Store) HasCopied(shard uint64) bool {
+func (s *Store) HasCopied(id uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := s.shards[shard]
-	return h != nil && (!h.joining || h.remaining <= 0)
+	shard := s.shards[id]
+	return shard != nil && (!shard.joining || shard.remaining <= 0)
 }
 
 // CopyChunk copies a few records of a shard that the replica joins, and says whether there are more.
-func (s *Store) CopyChunk(shard uint64) bool {
+func (s *Store) CopyChunk(id uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := s.shards[shard]
-	if h == nil || !h.joining {
+	shard := s.shards[id]
+	if shard == nil || !shard.joining {
 		return false
 	}
-	h.remaining -= copyChunk
-	return h.remaining > 0
+	shard.remaining -= copyChunk
+	return shard.remaining > 0
 }
 
 // Epoch is that of the newest map that the replica knows.
@@ -167,57 +205,65 @@
 }
 
 // find finds a shard by a database's name, block-ID@EPOCH. A reason that is not empty means that the replica does not
-// answer for it.
-func (s *Store) find(base string) (*shardState, string) {
-	text, _, _ := strings.Cut(strings.TrimPrefix(base, "block-"), "@")
-	id, _ := strconv.ParseUint(text, 10, 64) // what is no number is no shard of ours: 0
-	h := s.shards[id]
-	reason := ""
+// answer for it; such a part is counted as rejected. It is called with the lock held.
+func (s *Store) find(database string) (shard *shardState, reason string) {
+	number, _, _ := strings.Cut(strings.TrimPrefix(database, "block-"), "@")
+	id, _ := strconv.ParseUint(number, 10, 64) // what is no number is 0, which no shard has
+	shard = s.shards[id]
+	if reason = s.rejectionOf(shard); reason != "" {
+		s.rejected++
+	}
+	return shard, reason
+}
+
+// rejectionOf is the reason for which the replica does not answer for a shard; empty: it does.
+func (s *Store) rejectionOf(shard *shardState) string {
 	switch {
 	case s.rejection != "":
-		reason = s.rejection
-	case h == nil:
-		reason = fmt.Sprintf("not mine since epoch %d", max(1, s.epoch))
-	case h.removedAt > 0:
-		reason = fmt.Sprintf("not mine since epoch %d", h.removedAt)
-	case h.joining:
-		reason = fmt.Sprintf("mine from epoch %d on", s.epoch+1)
+		return s.rejection
+	case shard == nil:
+		return fmt.Sprintf("not mine since epoch %d", max(1, s.epoch))
+	case shard.removedAt > 0:
+		return fmt.Sprintf("not mine since epoch %d", shard.removedAt)
+	case shard.joining:
+		return fmt.Sprintf("mine from epoch %d on", s.epoch+1)
 	}
-	if reason != "" {
-		s.rejected++
-	}
-	return h, reason
+	return ""
 }
 
 // Search answers from the records of a shard.
-func (s *Store) Search(base string, limit int) (list []replica.Record, count int, reason string) {
+func (s *Store) Search(database string, limit int) (records []replica.Record, count int, reason string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h, reason := s.find(base)
+	shard, reason := s.find(database)
 	if reason != "" {
 		return nil, 0, reason
 	}
-	ids := s.Content.between(h.from, h.to)
+	ids := s.Content.between(shard.from, shard.to)
 	for _, id := range ids[:min(len(ids), limit)] {
-		list = append(list, record(id))
+		records = append(records, recordOf(id))
 	}
-	return list, len(ids), ""
+	return records, len(ids), ""
 }
 
 // Correct runs a correction, or says why not.
-func (s *Store) Correct(base, id string) string {
+func (s *Store) Correct(database, id string) (reason string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h, reason := s.find(base)
-	if reason == "" && (keyOf(id) < h.from || h.to != "" && keyOf(id) >= h.to) {
-		reason = "the record is not in this block"
+	shard, reason := s.find(database)
+	if reason != "" {
+		return reason
 	}
-	if reason == "" {
-		s.correctionRuns[id]++
+	if !shard.contains(keyOf(id)) {
+		return "the record is not in this block"
 	}
-	return reason
+	s.correctionRuns[id]++
+	return ""
 }
 
+// contains says whether a key is in the shard's range.
+func (s *shardState) contains(key string) bool { return key >= s.from && (s.to == "" || key < s.to) }
+
 // CorrectionRuns are how often each correction ran here. The caller owns the map.
 func (s *Store) CorrectionRuns() map[string]int {
 	s.mu.Lock()
--- a/internal/testbed/resharding/controller.go
+++ b/internal/testbed/resharding/controller.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"path/filepath"
 	"time"
 
 	"rooktrestle/internal/app/background"
@@ -12,20 +13,27 @@
 	"rooktrestle/internal/state/atomicfile"
 )
 
-// Controller carries plans out: it persists the map and the plan, passes each map to the replicas, then publishes it. It
-// may be killed between any two of its steps; a new one continues from what is persisted. One goroutine uses it.
+// Controller carries plans out: it persists the map and the plan, passes each map to the replicas, then publishes it.
+// It may be killed between any two of its steps; a new one continues from what is persisted. One goroutine uses it.
 type Controller struct {
 	Stores     map[string]*Store
 	Publish    func(epoch uint64, text []byte)
 	Timing     shardmap.Timing
-	KillBefore func(at string) bool // if set, called before each step: true ends the controller there
+	KillBefore func(step string) bool // if set, called before each step: true ends the controller there
 	Log        func(text string)
 	// Copier copies to joining replicas in the background, within its budget.
 	Copier *background.Runner
 
-	mapFile, planFile *atomicfile.ValueFile
-	current           *shardmap.Map
-	copies            map[string]scheduler.TaskID
+	mapFile  *atomicfile.ValueFile
+	planFile *atomicfile.ValueFile
+	current  *shardmap.Map
+	copies   map[copyKey]scheduler.TaskID // under way
+}
+
+// copyKey names the copying of a shard to a joining replica.
+type copyKey struct {
+	shard  shardmap.ID
+	server string
 }
 
 // errKilled ends a controller where KillBefore says so.
@@ -33,7 +41,9 @@
 
 // NewController opens the state in a folder; first is the map where none is persisted.
 func NewController(dir string, first *shardmap.Map, c Controller) (*Controller, error) {
-	c.mapFile, c.planFile = atomicfile.New(atomicfile.OS{}, dir+"/map"), atomicfile.New(atomicfile.OS{}, dir+"/plan")
+	c.mapFile = atomicfile.New(atomicfile.OS{}, filepath.Join(dir, "map"))
+	c.planFile = atomicfile.New(atomicfile.OS{}, filepath.Join(dir, "plan"))
+	c.copies = map[copyKey]scheduler.TaskID{}
 	text, err := c.mapFile.Load()
 	switch {
 	case errors.Is(err, atomicfile.ErrNotExist):
@@ -48,22 +58,23 @@
 			return nil, err
 		}
 	}
-	return &c, c.announce(c.current) // again, if it was announced before: replicas and sources ignore what they know
+	// It may have been announced before: replicas and sources ignore a map that they have.
+	return &c, c.announce(c.current)
 }
 
 // Map is the current map.
 func (c *Controller) Map() *shardmap.Map { return c.current }
 
-func (c *Controller) killedBefore(at string) bool { return c.KillBefore != nil && c.KillBefore(at) }
+func (c *Controller) killedBefore(step string) bool { return c.KillBefore != nil && c.KillBefore(step) }
 
 // announce passes a map to the replicas, then publishes it.
 func (c *Controller) announce(m *shardmap.Map) error {
 	text := m.Encode()
-	for name, s := range c.Stores {
+	for name, store := range c.Stores {
 		if c.killedBefore("notifying " + name) {
 			return errKilled
 		}
-		if err := s.ApplyMap(text); err != nil {
+		if err := store.ApplyMap(text); err != nil {
 			return err
 		}
 	}
@@ -76,37 +87,39 @@
 
 // HasCopied says whether a joining replica has all of a shard. One that has not is copied to in the background.
 func (c *Controller) HasCopied(shard shardmap.ID, server string) bool {
-	s := c.Stores[server]
-	if s == nil {
+	store := c.Stores[server]
+	if store == nil {
 		return false
 	}
-	name := fmt.Sprintf("%d %s", shard, server)
-	id, copying := c.copies[name]
-	if s.HasCopied(uint64(shard)) {
-		if copying {
-			c.Copier.Remove(id)
-			delete(c.copies, name)
-		}
-		return true
-	}
-	if !copying {
-		if c.copies == nil {
-			c.copies = map[string]scheduler.TaskID{}
-		}
-		c.copies[name] = c.Copier.Add(scheduler.Task{Priority: scheduler.Idle, Interval: time.Millisecond}, 0, func() (scheduler.Result, bool) {
-			s.CopyChunk(uint64(shard))
-			return scheduler.Steady, false
-		})
+	key := copyKey{shard: shard, server: server}
+	task, copying := c.copies[key]
+	copied := store.HasCopied(uint64(shard))
+	switch {
+	case copied && copying:
+		c.Copier.Remove(task)
+		delete(c.copies, key)
+	case !copied && !copying:
+		c.copies[key] = c.startCopying(store, shard)
 	}
-	return false
+	return copied
+}
+
+// startCopying copies a shard to a replica in the background, until the task is removed.
+func (c *Controller) startCopying(store *Store, shard shardmap.ID) scheduler.TaskID {
+	task := scheduler.Task{Priority: scheduler.Idle, Interval: time.Millisecond}
+	return c.Copier.Add(task, 0, func() (scheduler.Result, bool) {
+		store.CopyChunk(uint64(shard))
+		return scheduler.Steady, false
+	})
 }
 
 // KnownEpoch is the epoch that a replica knows.
 func (c *Controller) KnownEpoch(server string) shardmap.Epoch {
-	if s := c.Stores[server]; s != nil {
-		return shardmap.Epoch(s.Epoch())
+	store := c.Stores[server]
+	if store == nil {
+		return 0
 	}
-	return 0
+	return shardmap.Epoch(store.Epoch())
 }
 
 // Start persists a plan, so that a Run carries it out whatever happens.
@@ -118,24 +131,23 @@
 	return c.planFile.Store(text)
 }
 
-// Run carries the persisted plan out until it is done or stop is closed. It fails with errKilled where KillBefore says so.
+// Run carries the persisted plan out until it is done or stop is closed. It fails with errKilled where KillBefore says
+// so.
 func (c *Controller) Run(stop <-chan struct{}) error {
-	p, err := c.loadPlan()
-	if err != nil || p == nil {
+	plan, err := c.loadPlan()
+	if err != nil || plan == nil {
 		return err
 	}
-	rollout := &shardmap.Rollout{Plan: p}
+	rollout := &shardmap.Rollout{Plan: plan}
 	for {
 		move, err := rollout.Next(time.Now(), c.current, c)
 		switch {
 		case err != nil:
-			return fmt.Errorf("%s: %w", p.Description, err)
+			return fmt.Errorf("%s: %w", plan.Description, err)
 		case move.Done:
 			return c.planFile.Store(nil)
 		case move.Publish != nil:
-			if c.Log != nil {
-				c.Log(fmt.Sprintf("epoch %d: %s", move.Publish.Epoch, p.Steps[move.Step].Description))
-			}
+			c.logStep(move.Publish, plan.Steps[move.Step].Description)
 			if err := c.adopt(move.Publish); err != nil {
 				return err
 			}
@@ -149,20 +161,29 @@
 	}
 }
 
+func (c *Controller) logStep(m *shardmap.Map, description string) {
+	if c.Log != nil {
+		c.Log(fmt.Sprintf("epoch %d: %s", m.Epoch, description))
+	}
+}
+
 // loadPlan reads the persisted plan; nil: there is none.
 func (c *Controller) loadPlan() (*shardmap.Plan, error) {
 	text, err := c.planFile.Load()
-	if errors.Is(err, atomicfile.ErrNotExist) || err == nil && len(text) == 0 {
+	if errors.Is(err, atomicfile.ErrNotExist) {
 		return nil, nil
 	}
 	if err != nil {
 		return nil, fmt.Errorf("load the plan: %w", err)
 	}
-	var p shardmap.Plan
-	if err := json.Unmarshal(text, &p); err != nil {
+	if len(text) == 0 { // the last plan was carried out
+		return nil, nil
+	}
+	var plan shardmap.Plan
+	if err := json.Unmarshal(text, &plan); err != nil {
 		return nil, fmt.Errorf("read the plan: %w", err)
 	}
-	return &p, nil
+	return &plan, nil
 }
 
 // adopt persists a map and announces it.
--- a/internal/testbed/resharding/resharding_test.go
+++ b/internal/testbed/resharding/resharding_test.go
@@ -39,10 +39,19 @@
 	return a
 }
 
+// isExact says whether an answer is complete and has exactly the archive's records.
+func (a Answer) isExact() bool { return a.Outcome == client.Complete && a.Violation == "" }
+
 // Shards split, merge and move all the time under load over two frontends, one of which gets maps late: no correction runs
 // twice, every complete answer is exact, and what callers are told of corrections is true.
 func TestReshard_UnderLoad(t *testing.T) {
-	a := startArchive(t, Options{Seed: 1, FrontendCount: 2, LastFrontendDelay: 100 * time.Millisecond, CopiesPerSecond: 400, Delay: 5 * time.Millisecond})
+	a := startArchive(t, Options{
+		Seed:              1,
+		FrontendCount:     2,
+		LastFrontendDelay: 100 * time.Millisecond,
+		CopiesPerSecond:   400,
+		Delay:             5 * time.Millisecond,
+	})
 	r, end := a.StartLoad(Load{Rate: 60, Seed: 1})
 	done, err := a.Reshard(nil, 50*time.Millisecond, 24, 1)
 	if err != nil {
@@ -50,14 +59,14 @@
 	}
 	end()
 	t.Logf("%v, %v, %d violations; %s", done, r.Outcomes, len(r.Violations), a.Frontends[0].CountersText())
-	for _, w := range r.Violations {
-		t.Error(w)
+	for _, violation := range r.Violations {
+		t.Error(violation)
 	}
 	if done["move"] < 2 || done["split"] < 2 {
 		t.Errorf("plans: %v", done)
 	}
-	if n := r.Count(); n[0] < 50 {
-		t.Errorf("complete, partial, rejected, failed, disconnected: %v", n)
+	if counts := r.Count(); counts[client.Complete] < 50 {
+		t.Errorf("complete, partial, rejected, failed, disconnected: %v", counts)
 	}
 }
 
@@ -107,9 +116,18 @@
 		faults replica.Faults
 		want   client.Outcome
 	}{
-		"answers late": {replica.Faults{Delay: 700 * time.Millisecond}, client.Complete},
-		"resets":       {replica.Faults{Delay: 300 * time.Millisecond, ResetRate: 1}, client.Failed},
-		"hangs":        {replica.Faults{HangRate: 1}, client.Failed},
+		"answers late": {
+			faults: replica.Faults{Delay: 700 * time.Millisecond},
+			want:   client.Complete,
+		},
+		"resets": {
+			faults: replica.Faults{Delay: 300 * time.Millisecond, ResetRate: 1},
+			want:   client.Failed,
+		},
+		"hangs": {
+			faults: replica.Faults{HangRate: 1},
+			want:   client.Failed,
+		},
 	} {
 		a := startArchive(t, Options{Seed: 3, ReplicaCount: 6, ShardCount: 1})
 		for _, n := range []string{"n0", "n1"} { // the holders at the start
@@ -132,8 +150,11 @@
 		}
 		// The next one runs at a new holder.
 		next := a.Content.IDs[5] + "-next"
-		if got := a.Correct(NewHTTPClient(eventTimeout), a.Frontends[0].Addr("sru"), next); got != client.Complete || a.CorrectionRuns()[next] != 1 || a.Stores["n3"].CorrectionRuns()[next]+a.Stores["n4"].CorrectionRuns()[next] != 1 {
-			t.Errorf("%s: the next one: %v, ran %v", name, got, a.CorrectionRuns()[next])
+		got := a.Correct(NewHTTPClient(eventTimeout), a.Frontends[0].Addr("sru"), next)
+		runs := a.CorrectionRuns()[next]
+		runsAtNew := a.Stores["n3"].CorrectionRuns()[next] + a.Stores["n4"].CorrectionRuns()[next]
+		if got != client.Complete || runs != 1 || runsAtNew != 1 {
+			t.Errorf("%s: the next one: %v, ran %d times, %d at the new holders", name, got, runs, runsAtNew)
 		}
 	}
 }
@@ -141,20 +162,29 @@
 // A frontend gets no map while its shards migrate: the old holders reject its parts, it polls the source, which has nothing
 // new either; with the map it goes on. Nothing runs twice.
 func TestFrontend_LateMap(t *testing.T) {
-	a := startArchive(t, Options{Seed: 4, ReplicaCount: 6, ShardCount: 1, FrontendCount: 2, LastFrontendDelay: time.Second})
+	a := startArchive(t, Options{
+		Seed:              4,
+		ReplicaCount:      6,
+		ShardCount:        1,
+		FrontendCount:     2,
+		LastFrontendDelay: time.Second,
+	})
 	p, err := shardmap.PlanMigration(a.Controller.Map(), 1, []string{"n3", "n4"}, shardmap.Timing{})
 	a.carryOut(t, p, err)
 	a.waitForEpoch(t, 0, 4)
 	id := a.Content.IDs[7] + "-late"
 	got := a.Correct(NewHTTPClient(eventTimeout), a.Frontends[1].Addr("sru"), id)
-	if got != client.Complete && got != client.Rejected || a.CorrectionRuns()[id] != map[client.Outcome]int{client.Complete: 1}[got] {
-		t.Errorf("%v, ran %d times", got, a.CorrectionRuns()[id])
+	runs := a.CorrectionRuns()[id]
+	done := got == client.Complete && runs == 1
+	rejected := got == client.Rejected && runs == 0
+	if !done && !rejected {
+		t.Errorf("%v, ran %d times", got, runs)
 	}
 	if a.Stores["n0"].RejectedParts()+a.Stores["n1"].RejectedParts() == 0 {
 		t.Error("the old holders rejected nothing")
 	}
 	a.waitForEpoch(t, 1, 4)
-	if got := a.Search(NewHTTPClient(eventTimeout), a.Frontends[1].Addr("sru"), "captions"); got.Outcome != client.Complete || got.Violation != "" {
+	if got := a.Search(NewHTTPClient(eventTimeout), a.Frontends[1].Addr("sru"), "captions"); !got.isExact() {
 		t.Errorf("%+v", got)
 	}
 }
@@ -162,25 +192,26 @@
 // A Z39.50 result set made before a split, a migration and a merge is paged after each: the same records, in order.
 func TestResultSet_AcrossResharding(t *testing.T) {
 	a := startArchive(t, Options{Seed: 5, ReplicaCount: 4, ShardCount: 2})
-	o, err := client.Dial(a.Frontends[0].Addr("z3950"), "editor", eventTimeout)
+	origin, err := client.Dial(a.Frontends[0].Addr("z3950"), "editor", eventTimeout)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer o.Close()
-	if out := o.Search("s", "captions", "line"); out != client.Complete {
+	defer origin.Close()
+	if out := origin.Search("s", "captions", "line"); out != client.Complete {
 		t.Fatal(out)
 	}
 	page := func(start int) {
 		t.Helper()
-		if out, wrong := a.presentPage(o, "s", start, 15); out != client.Complete || wrong != "" {
-			t.Errorf("records from %d: %v %s", start, out, wrong)
+		if got := a.presentPage(origin, "s", start, 15); !got.isExact() {
+			t.Errorf("records from %d: %v %s", start, got.Outcome, got.Violation)
 		}
 	}
 	page(1)
-	m := a.Controller.Map()
-	b := m.Shard(1)
-	in := a.Content.between(string(b.From), string(b.To))
-	p, err := shardmap.PlanSplit(m, 1, []shardmap.Key{shardmap.Key(keyOf(in[len(in)/2]))}, shardmap.Timing{})
+	first := a.Controller.Map()
+	shard := first.Shard(1)
+	records := a.Content.between(string(shard.From), string(shard.To))
+	middle := shardmap.Key(keyOf(records[len(records)/2]))
+	p, err := shardmap.PlanSplit(first, 1, []shardmap.Key{middle}, shardmap.Timing{})
 	a.carryOut(t, p, err)
 	a.waitForEpoch(t, 0, a.Controller.Map().Epoch)
 	page(16)
@@ -203,7 +234,7 @@
 	web := NewHTTPClient(eventTimeout)
 	checkComplete := func(what string) {
 		t.Helper()
-		if got := a.Search(web, a.Frontends[0].Addr("sru"), "captions"); got.Outcome != client.Complete || got.Violation != "" {
+		if got := a.Search(web, a.Frontends[0].Addr("sru"), "captions"); !got.isExact() {
 			t.Errorf("%s: %+v", what, got)
 		}
 	}
@@ -226,10 +257,13 @@
 	a.Sources[0].Publish(2, good.Encode())
 	a.waitForEpoch(t, 0, 2)
 	for part, body := range map[string]string{
-		"not a map": "<html>", "older epoch": string(now.Encode()), "the same epoch": string(weights(9).Encode()),
+		"not a map":       "<html>",
+		"older epoch":     string(now.Encode()),
+		"the same epoch":  string(weights(9).Encode()),
 		"another archive": strings.Replace(string(good.Encode()), `"captions"`, `"other"`, 1),
-		"in no block":     `{"archive":"captions","epoch":9,"next_id":9,"blocks":[{"id":1,"from":"","to":"m@2000","state":"serving","holders":[{"server":"n0"}]}]}`,
-		"status 500":      "",
+		"in no block": `{"archive":"captions","epoch":9,"next_id":9,"blocks":[` +
+			`{"id":1,"from":"","to":"m@2000","state":"serving","holders":[{"server":"n0"}]}]}`,
+		"status 500": "",
 	} {
 		told := refused(part)
 		status := 200
@@ -308,7 +342,7 @@
 				}
 				kills++
 			}
-			if got := a.Search(web, a.Frontends[0].Addr("sru"), "captions"); got.Outcome != client.Complete || got.Violation != "" {
+			if got := a.Search(web, a.Frontends[0].Addr("sru"), "captions"); !got.isExact() {
 				t.Errorf("plan %d, killed at step %d: %+v", i, n, got)
 			}
 		}
@@ -327,10 +361,12 @@
 	p, err := shardmap.PlanMigration(a.Controller.Map(), 1, []string{"n2", "n3"}, shardmap.Timing{})
 	a.carryOut(t, p, err)
 	a.waitForEpoch(t, 0, 4)
-	for end := time.Now().Add(eventTimeout); !strings.Contains(a.Frontends[0].CountersText(), "kept 4"); time.Sleep(5 * time.Millisecond) {
+	end := time.Now().Add(eventTimeout)
+	for !strings.Contains(a.Frontends[0].CountersText(), "kept 4") {
 		if time.Now().After(end) {
 			t.Fatal(a.Frontends[0].CountersText())
 		}
+		time.Sleep(5 * time.Millisecond)
 	}
 	a.Sources[0].SetFault(func() (int, []byte) { return 503, nil })
 	a.Frontends[0].Stop(0)
@@ -343,7 +379,7 @@
 		t.Fatal(err)
 	}
 	a.waitForEpoch(t, 0, 4)
-	if got := a.Search(NewHTTPClient(eventTimeout), a.Frontends[0].Addr("sru"), "captions"); got.Outcome != client.Complete || got.Violation != "" {
+	if got := a.Search(NewHTTPClient(eventTimeout), a.Frontends[0].Addr("sru"), "captions"); !got.isExact() {
 		t.Errorf("%+v", got)
 	}
 	told := a.Events[0].Next(func(e deployment.Event) bool { return strings.Contains(e.Attrs["err"], "older epoch") })
@@ -366,7 +402,7 @@
 	left := a.Events[0].Next(deployment.HealthChanged("n1", "parts fail"))
 	web := NewHTTPClient(eventTimeout)
 	for end := time.Now().Add(eventTimeout); time.Now().Before(end); {
-		if got := a.Search(web, a.Frontends[0].Addr("sru"), "captions"); got.Outcome != client.Complete || got.Violation != "" {
+		if got := a.Search(web, a.Frontends[0].Addr("sru"), "captions"); !got.isExact() {
 			t.Fatalf("%+v", got)
 		}
 		select {
--- a/internal/testbed/resharding/run.go
+++ b/internal/testbed/resharding/run.go
@@ -28,23 +28,23 @@
 	Violations         []string
 	Calls              int
 	latencies          *hdrhistogram.Histogram   // in microseconds, from the intended times
-	correctionOutcomes map[string]client.Outcome // as callers were told, by identifier
+	correctionOutcomes map[string]client.Outcome // as callers got them, by the correction's identifier
 }
 
 // Count adds up the outcomes of all kinds.
-func (r *Report) Count() (n [client.Disconnected + 1]int) {
-	for _, o := range r.Outcomes {
-		for i, k := range o {
-			n[i] += k
+func (r *Report) Count() (total [client.Disconnected + 1]int) {
+	for _, counts := range r.Outcomes {
+		for outcome, count := range counts {
+			total[outcome] += count
 		}
 	}
-	return n
+	return total
 }
 
 // Answered is the fraction of the calls that was answered, completely or in part.
 func (r *Report) Answered() float64 {
-	n := r.Count()
-	return float64(n[client.Complete]+n[client.Partial]) / float64(max(1, r.Calls))
+	counts := r.Count()
+	return float64(counts[client.Complete]+counts[client.Partial]) / float64(max(1, r.Calls))
 }
 
 // Quantile is a percentile (0 to 100) of the calls' latencies.
@@ -55,9 +55,9 @@
 func (r *Report) add(kind string, latency time.Duration, out client.Outcome, violation string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	o := r.Outcomes[kind]
-	o[out]++
-	r.Outcomes[kind] = o
+	counts := r.Outcomes[kind]
+	counts[out]++
+	r.Outcomes[kind] = counts
 	r.Calls++
 	// A latency over the histogram's range cannot be recorded: no call takes as long, as callers give up.
 	_ = r.latencies.RecordValue(max(1, int64(latency/time.Microsecond)))
@@ -84,54 +84,62 @@
 	planStream = 31
 )
 
-// Shares of the kinds of calls, added up; corrections are the rest.
+// Fractions of the kinds of calls, added up. A sample from 0 to 1 that is below none of them stands for a correction.
 const (
 	searchThreshold      = 0.45
 	z3950SearchThreshold = 0.6
 	reportThreshold      = 0.75
 )
 
-// StartLoad calls the frontends until stop is called, which waits for the calls in flight and compares what callers were
-// told of corrections with what ran. stop may be called more than once, but the comparison is made each time.
-func (a *Archive) StartLoad(l Load) (report *Report, stop func()) {
-	r := &Report{
+// StartLoad calls the frontends until stop is called, which waits for the calls in flight and compares the outcomes of
+// corrections with what ran. stop may be called more than once, but the comparison is made each time.
+func (a *Archive) StartLoad(load Load) (report *Report, stop func()) {
+	report = &Report{
 		Outcomes:           map[string][client.Disconnected + 1]int{},
 		latencies:          hdrhistogram.New(1, int64(maxLatency/time.Microsecond), significantDigits),
 		correctionOutcomes: map[string]client.Outcome{},
 	}
-	quit, ended := make(chan struct{}), make(chan struct{})
+	quit := make(chan struct{})
+	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		a.generateLoad(l, r, quit)
+		a.generateLoad(load, report, quit)
 	}()
 	var once sync.Once
-	return r, func() {
+	return report, func() {
 		once.Do(func() { close(quit) })
 		<-ended
-		r.checkCorrections(a)
+		report.checkCorrections(a)
 	}
 }
 
 // generateLoad starts calls at their intended times until quit is closed, and waits for those in flight.
-func (a *Archive) generateLoad(l Load, r *Report, quit <-chan struct{}) {
+func (a *Archive) generateLoad(load Load, report *Report, quit <-chan struct{}) {
 	web := NewHTTPClient(callTimeout)
 	defer web.CloseIdleConnections()
-	rng := rand.New(rand.NewPCG(l.Seed, loadStream))
+	rng := rand.New(rand.NewPCG(load.Seed, loadStream))
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	intended := time.Now()
 	for n := 0; ; n++ {
-		intended = intended.Add(time.Duration(rng.ExpFloat64() / l.Rate * float64(time.Second)))
+		intended = intended.Add(time.Duration(rng.ExpFloat64() / load.Rate * float64(time.Second)))
 		select {
 		case <-quit:
 			return
 		case <-time.After(time.Until(intended)):
 		}
-		c := &call{archive: a, report: r, web: web, intended: intended}
-		c.frontend = a.Frontends[rng.IntN(len(a.Frontends))]
-		c.kind = rng.Float64()
-		record := a.Content.IDs[rng.IntN(len(a.Content.IDs))]
-		c.correctionID = fmt.Sprintf("%s-%d-%d", record, l.Seed, n)
+		frontend := a.Frontends[rng.IntN(len(a.Frontends))]
+		kind := rng.Float64()
+		recordID := a.Content.IDs[rng.IntN(len(a.Content.IDs))]
+		c := &call{
+			archive:      a,
+			report:       report,
+			web:          web,
+			frontend:     frontend,
+			intended:     intended,
+			kind:         kind,
+			correctionID: fmt.Sprintf("%s-%d-%d", recordID, load.Seed, n),
+		}
 		calls.Go(c.make)
 	}
 }
@@ -149,87 +157,103 @@
 
 // make makes the call and reports it.
 func (c *call) make() {
-	a, r := c.archive, c.report
-	elapsed := func() time.Duration { return time.Since(c.intended) }
+	sru := c.frontend.Addr("sru")
 	switch {
 	case c.kind < searchThreshold:
-		got := a.Search(c.web, c.frontend.Addr("sru"), "captions")
-		r.add("search", elapsed(), got.Outcome, got.Violation)
+		c.add("search", c.archive.Search(c.web, sru, "captions"))
 	case c.kind < z3950SearchThreshold:
-		out, violation := a.searchZ3950(c.frontend.Addr("z3950"))
-		r.add("z-search", elapsed(), out, violation)
+		c.add("z-search", c.archive.searchZ3950(c.frontend.Addr("z3950")))
 	case c.kind < reportThreshold:
-		got := a.Search(c.web, c.frontend.Addr("sru"), "coverage")
-		r.add("report", elapsed(), got.Outcome, got.Violation)
+		c.add("report", c.archive.Search(c.web, sru, "coverage"))
 	default:
-		out := a.Correct(c.web, c.frontend.Addr("sru"), c.correctionID)
-		r.add("correct", elapsed(), out, "")
-		r.setCorrection(c.correctionID, out)
+		out := c.archive.Correct(c.web, sru, c.correctionID)
+		c.add("correct", Answer{Outcome: out})
+		c.report.setCorrection(c.correctionID, out)
 	}
 }
 
+// add reports what the call came to; its latency is from the intended time until now.
+func (c *call) add(kind string, answer Answer) {
+	c.report.add(kind, time.Since(c.intended), answer.Outcome, answer.Violation)
+}
+
 func (r *Report) setCorrection(id string, out client.Outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.correctionOutcomes[id] = out
 }
 
-// checkCorrections compares what callers were told of corrections with what ran: one that is done ran once, one that was
-// rejected never.
+// checkCorrections compares the outcomes of corrections with what ran: none ran twice, one that is reported done ran
+// once, and one that is reported rejected did not run.
 func (r *Report) checkCorrections(a *Archive) {
 	ran := a.CorrectionRuns()
 	for id, out := range r.correctionOutcomes {
-		switch n := ran[id]; {
-		case n > 1:
-			r.Violations = append(r.Violations, fmt.Sprintf("correct: %s ran %d times", id, n))
-		case out == client.Complete && n != 1:
-			r.Violations = append(r.Violations, fmt.Sprintf("correct: %s is reported done, and ran %d times", id, n))
-		case out == client.Rejected && n != 0:
-			r.Violations = append(r.Violations, fmt.Sprintf("correct: %s is reported rejected, and ran", id))
+		violation := ""
+		switch runs := ran[id]; {
+		case runs > 1:
+			violation = fmt.Sprintf("correct: %s ran %d times", id, runs)
+		case out == client.Complete && runs != 1:
+			violation = fmt.Sprintf("correct: %s is reported done, and ran %d times", id, runs)
+		case out == client.Rejected && runs != 0:
+			violation = fmt.Sprintf("correct: %s is reported rejected, and ran", id)
+		}
+		if violation != "" {
+			r.Violations = append(r.Violations, violation)
 		}
 	}
 }
 
 // searchZ3950 searches over Z39.50 and presents the first records, which must be those of the archive.
-func (a *Archive) searchZ3950(addr string) (client.Outcome, string) {
-	o, err := client.Dial(addr, "", callTimeout)
+func (a *Archive) searchZ3950(addr string) Answer {
+	origin, err := client.Dial(addr, "", callTimeout)
 	if err != nil {
-		return client.Disconnected, ""
+		return Answer{Outcome: client.Disconnected}
 	}
-	defer o.Close()
-	if out := o.Search("s", "captions", "line"); out != client.Complete {
-		return out, ""
+	defer origin.Close()
+	if out := origin.Search("s", "captions", "line"); out != client.Complete {
+		return Answer{Outcome: out}
 	}
-	return a.presentPage(o, "s", 1, 8)
+	return a.presentPage(origin, "s", 1, 8)
 }
 
-// presentPage presents records of a result set and compares them with the archive.
-func (a *Archive) presentPage(o *client.Origin, set string, start, n int) (client.Outcome, string) {
-	v, err := o.RoundTrip(ber.PresentAPDU(set, start, n))
+// presentPage presents so many records of a result set from the one numbered start on, and compares them with the
+// archive.
+func (a *Archive) presentPage(origin *client.Origin, set string, start, count int) Answer {
+	response, err := origin.RoundTrip(ber.PresentAPDU(set, start, count))
 	if err != nil {
-		return client.Disconnected, ""
+		return Answer{Outcome: client.Disconnected}
 	}
-	if code := ber.DiagnosticCode(v); code != 0 {
-		if code == 2 {
-			return client.Rejected, ""
-		}
-		return client.Failed, ""
+	switch ber.DiagnosticCode(response) {
+	case 0:
+		ids, _ := recordIDs(string(response.Body))
+		return Answer{Outcome: client.Complete, Violation: a.checkPage(ids, start, count)}
+	case temporaryError:
+		return Answer{Outcome: client.Rejected}
 	}
-	list, _ := recordIDs(string(v.Body))
-	if len(list) != n {
-		return client.Complete, fmt.Sprintf("%d records of %d", len(list), n)
+	return Answer{Outcome: client.Failed}
+}
+
+// temporaryError is a Bib-1 diagnostic: the frontend rejects the request.
+const temporaryError = 2
+
+// checkPage compares the identifiers of a page with the archive's.
+func (a *Archive) checkPage(ids []string, start, count int) (violation string) {
+	if len(ids) != count {
+		return fmt.Sprintf("%d records of %d", len(ids), count)
 	}
-	for i, id := range list {
+	for i, id := range ids {
 		if want := a.Content.IDs[start-1+i]; id != want {
-			return client.Complete, fmt.Sprintf("record %d is %s, not %s", start+i, id, want)
+			return fmt.Sprintf("record %d is %s, not %s", start+i, id, want)
 		}
 	}
-	return client.Complete, ""
+	return ""
 }
 
-// Reshard carries out random plans, one after the other, each begun interval after the last, until stop is closed or limit
-// are done (0: no limit). It returns how many of each kind were done.
-func (a *Archive) Reshard(stop <-chan struct{}, interval time.Duration, limit int, seed uint64) (done map[string]int, err error) {
+// Reshard carries out random plans, one after the other, each begun interval after the last, until stop is closed or
+// limit plans are done (0: no limit). It returns how many plans of each kind were done.
+func (a *Archive) Reshard(
+	stop <-chan struct{}, interval time.Duration, limit int, seed uint64,
+) (done map[string]int, err error) {
 	rng := rand.New(rand.NewPCG(seed, planStream))
 	done = map[string]int{}
 	next := time.Now()
@@ -240,11 +264,11 @@
 		case <-time.After(time.Until(next)):
 		}
 		next = time.Now().Add(interval)
-		kind, p := a.randomPlan(rng)
-		if p == nil {
+		kind, plan := a.randomPlan(rng)
+		if plan == nil {
 			continue
 		}
-		if err := a.Controller.Start(p); err != nil {
+		if err := a.Controller.Start(plan); err != nil {
 			return done, err
 		}
 		if err := a.Controller.Run(stop); err != nil {
@@ -256,36 +280,56 @@
 	return done, nil
 }
 
-// randomPlan draws a plan for the current map: shards are rather split while they are few, and merged while they are many.
-// There may be none.
-func (a *Archive) randomPlan(rng *rand.Rand) (kind string, p *shardmap.Plan) {
-	m := a.Controller.Map()
+// Kinds of plans.
+const (
+	kindMigration = "move"
+	kindSplit     = "split"
+	kindMerge     = "merge"
+)
+
+// Fractions of the kinds of plans, added up, while there are few shards. With many, merges replace splits.
+const (
+	migrationThreshold = 0.4
+	splitThreshold     = 0.75
+)
+
+// randomPlan draws a plan for the current map: splits are likelier while there are few shards, and merges while there
+// are many. plan is nil if the draw makes no plan.
+func (a *Archive) randomPlan(rng *rand.Rand) (kind string, plan *shardmap.Plan) {
+	current := a.Controller.Map()
 	var shards []*shardmap.Shard
-	m.Active(func(b *shardmap.Shard) bool {
-		shards = append(shards, b)
+	current.Active(func(shard *shardmap.Shard) bool {
+		shards = append(shards, shard)
 		return true
 	})
-	i := rng.IntN(len(shards))
+	index := rng.IntN(len(shards))
 	few := len(shards) < 2*a.ShardCount
-	switch x := rng.Float64(); {
-	case x < 0.4:
-		return a.randomMigration(rng, m, shards[i])
-	case few && x < 0.75 || len(shards) <= a.ShardCount:
-		return a.randomSplit(rng, m, shards[i])
+	fewest := len(shards) <= a.ShardCount
+	sample := rng.Float64()
+	switch {
+	case sample < migrationThreshold:
+		return a.randomMigration(rng, current, shards[index])
+	case fewest || few && sample < splitThreshold:
+		return a.randomSplit(rng, current, shards[index])
 	}
-	return a.randomMerge(m, shards, i)
+	return a.merge(current, shards, index)
 }
 
 func (a *Archive) randomMigration(rng *rand.Rand, m *shardmap.Map, shard *shardmap.Shard) (string, *shardmap.Plan) {
-	var to []string
-	for _, k := range rng.Perm(len(a.Replicas))[:2] {
-		to = append(to, a.Replicas[k].Name)
+	var replicas []string
+	for _, index := range rng.Perm(len(a.Replicas))[:2] {
+		replicas = append(replicas, a.Replicas[index].Name)
 	}
-	p, err := shardmap.PlanMigration(m, shard.ID, to, a.Timing)
+	return a.migrate(m, shard, replicas)
+}
+
+// migrate plans to move a shard to other replicas.
+func (a *Archive) migrate(m *shardmap.Map, shard *shardmap.Shard, replicas []string) (string, *shardmap.Plan) {
+	plan, err := shardmap.PlanMigration(m, shard.ID, replicas, a.Timing)
 	if err != nil {
-		return "", nil // it has these holders already
+		return "", nil // they hold it already
 	}
-	return "move", p
+	return kindMigration, plan
 }
 
 func (a *Archive) randomSplit(rng *rand.Rand, m *shardmap.Map, shard *shardmap.Shard) (string, *shardmap.Plan) {
@@ -293,36 +337,34 @@
 	if len(records) < 2 {
 		return "", nil
 	}
-	at := shardmap.Key(keyOf(records[1+rng.IntN(len(records)-1)]))
-	p, err := shardmap.PlanSplit(m, shard.ID, []shardmap.Key{at}, a.Timing)
+	firstKey := shardmap.Key(keyOf(records[1+rng.IntN(len(records)-1)])) // of the second half
+	plan, err := shardmap.PlanSplit(m, shard.ID, []shardmap.Key{firstKey}, a.Timing)
 	if err != nil {
 		return "", nil // the key is the shard's first
 	}
-	return "split", p
+	return kindSplit, plan
 }
 
-// randomMerge merges the first neighbours from shard i on that have the same holders, or else moves shard i to the holders
-// of the next.
-func (a *Archive) randomMerge(m *shardmap.Map, shards []*shardmap.Shard, i int) (string, *shardmap.Plan) {
-	for j := range shards {
-		k := (i + j) % len(shards)
-		if k+1 >= len(shards) {
+// merge plans to merge the first neighbours from a shard on that have the same holders. Where there are none, it plans
+// to move the shard to the holders of the next.
+func (a *Archive) merge(m *shardmap.Map, shards []*shardmap.Shard, index int) (string, *shardmap.Plan) {
+	for offset := range shards {
+		left := (index + offset) % len(shards)
+		right := left + 1
+		if right == len(shards) {
 			continue
 		}
-		if p, err := shardmap.PlanMerge(m, []shardmap.ID{shards[k].ID, shards[k+1].ID}, a.Timing); err == nil {
-			return "merge", p
+		plan, err := shardmap.PlanMerge(m, []shardmap.ID{shards[left].ID, shards[right].ID}, a.Timing)
+		if err == nil {
+			return kindMerge, plan
 		}
 	}
-	if i+1 >= len(shards) {
+	if index+1 == len(shards) {
 		return "", nil
 	}
-	var to []string
-	for _, h := range shards[i+1].ServingReplicas() {
-		to = append(to, h.Server)
-	}
-	p, err := shardmap.PlanMigration(m, shards[i].ID, to, a.Timing)
-	if err != nil {
-		return "", nil // it has these holders already
+	var replicas []string
+	for _, holder := range shards[index+1].ServingReplicas() {
+		replicas = append(replicas, holder.Server)
 	}
-	return "move", p
+	return a.migrate(m, shards[index], replicas)
 }
--- a/internal/testbed/resharding/setup.go
+++ b/internal/testbed/resharding/setup.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"os"
 	"path/filepath"
-	"sort"
 	"time"
 
 	"rooktrestle/internal/aggregator"
@@ -16,6 +15,7 @@
 	"rooktrestle/internal/control/scheduler"
 	"rooktrestle/internal/control/shardmap"
 	"rooktrestle/internal/testbed/deployment"
+	"rooktrestle/internal/testbed/invariants"
 	"rooktrestle/internal/testbed/replica"
 )
 
@@ -61,7 +61,12 @@
 // Start starts an archive: replicas, map sources, the controller with its first map, and the frontends, which have
 // adopted that map when Start returns. The caller stops it.
 func Start(o Options) (a *Archive, err error) {
-	a = &Archive{Options: o, Content: NewContent(max(4, o.Records/12), 4, 3), Archive: replica.NewArchive(0), Stores: map[string]*Store{}}
+	a = &Archive{
+		Options: o,
+		Content: NewContent(max(4, o.Records/12), 4, 3),
+		Archive: replica.NewArchive(0),
+		Stores:  map[string]*Store{},
+	}
 	defer func() {
 		if err != nil {
 			a.Stop()
@@ -71,7 +76,14 @@
 	if a.Dir, err = os.MkdirTemp("", "resharding"); err != nil {
 		return a, err
 	}
-	for _, step := range []func() error{a.startReplicas, a.startSources, a.startCopier, a.publishFirstMap, a.startFrontends} {
+	steps := []func() error{
+		a.startReplicas,
+		a.startSources,
+		a.startCopier,
+		a.publishFirstMap,
+		a.startFrontends,
+	}
+	for _, step := range steps {
 		if err = step(); err != nil {
 			return a, err
 		}
@@ -86,14 +98,15 @@
 		if i%2 == 1 {
 			start = a.Archive.Z3950
 		}
-		n, err := start(name, a.Seed)
+		server, err := start(name, a.Seed)
 		if err != nil {
 			return err
 		}
-		n.SetFaults(replica.Faults{Delay: a.Delay, Jitter: a.Delay})
+		server.SetFaults(replica.Faults{Delay: a.Delay, Jitter: a.Delay})
 		store := NewStore(name, a.Content)
-		n.SetStore(store)
-		a.Replicas, a.Stores[name] = append(a.Replicas, n), store
+		server.SetStore(store)
+		a.Replicas = append(a.Replicas, server)
+		a.Stores[name] = store
 	}
 	return nil
 }
@@ -101,11 +114,11 @@
 // startSources starts a map source for each frontend.
 func (a *Archive) startSources() error {
 	for range max(1, a.FrontendCount) {
-		s, err := NewMapSource()
+		source, err := NewMapSource()
 		if err != nil {
 			return fmt.Errorf("start a map source: %w", err)
 		}
-		a.Sources = append(a.Sources, s)
+		a.Sources = append(a.Sources, source)
 	}
 	return nil
 }
@@ -115,7 +128,8 @@
 	if rate == 0 {
 		rate = defaultCopyRate
 	}
-	if a.copier, err = background.New(scheduler.Budget{StartsPerSecond: rate, Burst: 2, MaxRunning: 2}, a.Seed, aggregator.SystemClock{}); err != nil {
+	budget := scheduler.Budget{StartsPerSecond: rate, Burst: 2, MaxRunning: 2}
+	if a.copier, err = background.New(budget, a.Seed, aggregator.SystemClock{}); err != nil {
 		return fmt.Errorf("start the copier: %w", err)
 	}
 	a.stop = make(chan struct{})
@@ -141,23 +155,25 @@
 }
 
 // startFrontend starts a frontend and waits until it has adopted a map.
-func (a *Archive) startFrontend(i int, source *MapSource) error {
+func (a *Archive) startFrontend(index int, source *MapSource) error {
 	events := &deployment.Events{}
 	events.ForwardTo(a.Log)
-	path := filepath.Join(a.Dir, fmt.Sprintf("front%d.toml", i))
-	if err := os.WriteFile(path, []byte(a.frontendConfig(i, source.Addr())), 0o600); err != nil {
+	path := filepath.Join(a.Dir, fmt.Sprintf("front%d.toml", index))
+	text := a.frontendConfig(index, source.Addr())
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
 	conf, err := config.LoadPartners(path)
 	if err != nil {
 		return err
 	}
-	adopted := events.Next(func(e deployment.Event) bool { return e.Msg == "map adopted" })
-	f, err := app.StartPartners(conf, a.Seed+uint64(i), slog.New(events))
+	adopted := events.Next(func(event deployment.Event) bool { return event.Msg == "map adopted" })
+	frontend, err := app.StartPartners(conf, a.Seed+uint64(index), slog.New(events))
 	if err != nil {
 		return err
 	}
-	a.Frontends, a.Events = append(a.Frontends, f), append(a.Events, events)
+	a.Frontends = append(a.Frontends, frontend)
+	a.Events = append(a.Events, events)
 	select {
 	case <-adopted:
 		return nil
@@ -168,69 +184,69 @@
 
 // StartController starts a new controller on the persisted state, as after a crash; first is the map where none is
 // persisted, and killed, if not nil, kills it before a step.
-func (a *Archive) StartController(first *shardmap.Map, killed func(at string) bool) error {
-	c, err := NewController(a.Dir, first, Controller{Stores: a.Stores, Publish: a.publish, Timing: a.Timing, KillBefore: killed, Copier: a.copier})
-	a.Controller = c
+func (a *Archive) StartController(first *shardmap.Map, killed func(step string) bool) (err error) {
+	a.Controller, err = NewController(a.Dir, first, Controller{
+		Stores:     a.Stores,
+		Publish:    a.publish,
+		Timing:     a.Timing,
+		KillBefore: killed,
+		Copier:     a.copier,
+	})
 	return err
 }
 
 // publish passes a map to every source, to the last one late.
 func (a *Archive) publish(epoch uint64, text []byte) {
-	for i, s := range a.Sources {
-		if i > 0 && i == len(a.Sources)-1 && a.LastFrontendDelay > 0 && epoch > 1 {
-			a.delayed = append(a.delayed, time.AfterFunc(a.LastFrontendDelay, func() { s.Publish(epoch, text) }))
+	delaysLast := a.LastFrontendDelay > 0 && epoch > 1
+	for i, source := range a.Sources {
+		isLast := i > 0 && i == len(a.Sources)-1
+		if !isLast || !delaysLast {
+			source.Publish(epoch, text)
 			continue
 		}
-		s.Publish(epoch, text)
+		timer := time.AfterFunc(a.LastFrontendDelay, func() { source.Publish(epoch, text) })
+		a.delayed = append(a.delayed, timer)
 	}
 }
 
 // firstMap cuts the keys into shards of about the same size.
 func (a *Archive) firstMap() (*shardmap.Map, error) {
-	var keys []string
-	for _, id := range a.Content.IDs {
-		if k := keyOf(id); len(keys) == 0 || keys[len(keys)-1] != k {
-			keys = append(keys, k)
+	keys := a.Content.keys()
+	count := min(a.ShardCount, len(keys))
+	var shards []*shardmap.Shard
+	for i := range count {
+		holder := a.Replicas[i%len(a.Replicas)].Name
+		nextHolder := a.Replicas[(i+1)%len(a.Replicas)].Name
+		shard := &shardmap.Shard{
+			ID:       shardmap.ID(i + 1),
+			State:    shardmap.Serving,
+			Replicas: []shardmap.Replica{{Server: holder}, {Server: nextHolder}},
 		}
-	}
-	n := min(a.ShardCount, len(keys))
-	var list []*shardmap.Shard
-	for i := range n {
-		b := &shardmap.Shard{ID: shardmap.ID(i + 1), State: shardmap.Serving, Replicas: []shardmap.Replica{
-			{Server: a.Replicas[i%len(a.Replicas)].Name}, {Server: a.Replicas[(i+1)%len(a.Replicas)].Name}}}
 		if i > 0 {
-			b.From = shardmap.Key(keys[i*len(keys)/n])
+			shard.From = shardmap.Key(keys[i*len(keys)/count])
 		}
-		if i+1 < n {
-			b.To = shardmap.Key(keys[(i+1)*len(keys)/n])
+		if i+1 < count {
+			shard.To = shardmap.Key(keys[(i+1)*len(keys)/count])
 		}
-		b.Weight = float64(len(a.Content.between(string(b.From), string(b.To))))
-		list = append(list, b)
+		shard.Weight = float64(len(a.Content.between(string(shard.From), string(shard.To))))
+		shards = append(shards, shard)
 	}
-	return shardmap.New("captions", 1, shardmap.ID(n+1), list)
+	return shardmap.New("captions", 1, shardmap.ID(count+1), shards)
 }
 
 // CorrectionRuns are how often each correction ran, on all replicas together.
 func (a *Archive) CorrectionRuns() map[string]int {
 	all := map[string]int{}
-	for _, s := range a.Stores {
-		for id, n := range s.CorrectionRuns() {
-			all[id] += n
+	for _, store := range a.Stores {
+		for id, count := range store.CorrectionRuns() {
+			all[id] += count
 		}
 	}
 	return all
 }
 
 // DuplicateCorrections lists the corrections that ran more than once.
-func (a *Archive) DuplicateCorrections() (ids []string) {
-	for id, n := range a.CorrectionRuns() {
-		if n > 1 {
-			ids = append(ids, fmt.Sprintf("%s (%d times)", id, n))
-		}
-	}
-	sort.Strings(ids)
-	return ids
-}
+func (a *Archive) DuplicateCorrections() []string { return invariants.Duplicates(a.CorrectionRuns()) }
 
 // Stop ends the archive and removes its files.
 func (a *Archive) Stop() {
@@ -238,17 +254,17 @@
 	if a.stop != nil {
 		close(a.stop)
 	}
-	for _, t := range a.delayed {
-		t.Stop()
+	for _, timer := range a.delayed {
+		timer.Stop()
 	}
-	for _, f := range a.Frontends {
-		f.Stop(0)
+	for _, frontend := range a.Frontends {
+		frontend.Stop(0)
 	}
-	for _, s := range a.Sources {
-		s.Close()
+	for _, source := range a.Sources {
+		source.Close()
 	}
-	for _, n := range a.Replicas {
-		n.Kill()
+	for _, server := range a.Replicas {
+		server.Kill()
 	}
 	if a.Dir != "" {
 		_ = os.RemoveAll(a.Dir) // what is left is a temporary folder
