--- a/cmd/testbed/days.go
+++ b/cmd/testbed/days.go
@@ -103,7 +103,7 @@
 
 // daysCommand plays days of whole fleets.
 func daysCommand() *cobra.Command {
-	var o daysOptions
+	var options daysOptions
 	c := &cobra.Command{
 		Use:   "days [DAY...]",
 		Short: "Play days of whole fleets under virtual time, and print what was answered with its interval over seeds",
@@ -118,36 +118,36 @@
 			if len(names) == 0 {
 				names = sim.DayNames
 			}
-			if o.seeds < 1 {
+			if options.seeds < 1 {
 				return fmt.Errorf("--seeds at least 1")
 			}
-			return runDays(&output{w: cmd.OutOrStdout()}, names, o)
+			return runDays(&output{w: cmd.OutOrStdout()}, names, options)
 		},
 	}
-	c.Flags().IntVar(&o.seeds, "seeds", 4, "how many of each day")
-	c.Flags().Uint64Var(&o.firstSeed, "seed", 1, "the first")
-	c.Flags().IntVar(&o.aggregators, "mixers", 60, "aggregators of the fleet")
-	c.Flags().IntVar(&o.replicas, "nodes", 40, "replicas of the archive")
-	c.Flags().BoolVar(&o.asJSON, "json", false, "for scripts")
+	c.Flags().IntVar(&options.seeds, "seeds", 4, "how many of each day")
+	c.Flags().Uint64Var(&options.firstSeed, "seed", 1, "the first")
+	c.Flags().IntVar(&options.aggregators, "mixers", 60, "aggregators of the fleet")
+	c.Flags().IntVar(&options.replicas, "nodes", 40, "replicas of the archive")
+	c.Flags().BoolVar(&options.asJSON, "json", false, "for scripts")
 	return c
 }
 
-func runDays(out *output, names []string, o daysOptions) error {
+func runDays(out *output, names []string, options daysOptions) error {
 	violated := false
 	var summaries []*daySummary
 	for _, name := range names {
-		d := newDaySummary(name, o.seeds)
-		if err := d.play(o); err != nil {
+		d := newDaySummary(name, options.seeds)
+		if err := d.play(options); err != nil {
 			return err
 		}
 		d.summarize()
 		summaries = append(summaries, d)
 		violated = violated || len(d.Violations) > 0
-		if !o.asJSON {
+		if !options.asJSON {
 			d.print(out)
 		}
 	}
-	if o.asJSON {
+	if options.asJSON {
 		out.printJSON(summaries)
 	}
 	if out.err == nil && violated {
@@ -157,7 +157,7 @@
 }
 
 // play plays the seeds of a day concurrently, and adds them in their order: sums of floats depend on it.
-func (d *daySummary) play(o daysOptions) error {
+func (d *daySummary) play(options daysOptions) error {
 	results := make([]sim.Result, d.Seeds)
 	errs := make([]error, d.Seeds)
 	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
@@ -166,7 +166,7 @@
 		slots <- struct{}{}
 		players.Go(func() {
 			defer func() { <-slots }()
-			results[i], errs[i] = playSeed(d.Day, o.firstSeed+uint64(i), o)
+			results[i], errs[i] = playSeed(d.Day, options.firstSeed+uint64(i), options)
 		})
 	}
 	players.Wait()
@@ -174,13 +174,13 @@
 		if errs[i] != nil {
 			return errs[i]
 		}
-		d.add(o.firstSeed+uint64(i), r)
+		d.add(options.firstSeed+uint64(i), r)
 	}
 	return nil
 }
 
-func playSeed(day string, seed uint64, o daysOptions) (sim.Result, error) {
-	s, err := sim.DaySettings(day, seed, o.aggregators, o.replicas)
+func playSeed(day string, seed uint64, options daysOptions) (sim.Result, error) {
+	s, err := sim.DaySettings(day, seed, options.aggregators, options.replicas)
 	if err != nil {
 		return sim.Result{}, err
 	}
--- a/cmd/testbed/demo.go
+++ b/cmd/testbed/demo.go
@@ -29,38 +29,40 @@
 const minDemoDuration = 3 * time.Second
 
 func demoCommand() *cobra.Command {
-	var o demoOptions
+	var options demoOptions
 	c := &cobra.Command{
-		Use:     "demo",
-		Short:   "Start replicas of both protocols, the real frontends and a few clients, and show what becomes of a drain",
+		Use: "demo",
+		Short: "Start replicas of both protocols, the real frontends and a few clients, " +
+			"and show what becomes of a drain",
 		Example: "  testbed demo --for 10s --nodes 6 --seed 7",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if o.replicas < 3 || o.replicas > 64 {
-				return fmt.Errorf("--nodes %d: 3 to 64", o.replicas)
+			if options.replicas < 3 || options.replicas > 64 {
+				return fmt.Errorf("--nodes %d: 3 to 64", options.replicas)
 			}
-			if o.duration != 0 && o.duration < minDemoDuration {
-				return fmt.Errorf("--for %v: at least %v, or 0 until it is interrupted", o.duration, minDemoDuration)
+			if options.duration != 0 && options.duration < minDemoDuration {
+				return fmt.Errorf("--for %v: at least %v, or 0 until it is interrupted",
+					options.duration, minDemoDuration)
 			}
-			return runDemo(&output{w: cmd.OutOrStdout()}, o)
+			return runDemo(&output{w: cmd.OutOrStdout()}, options)
 		},
 	}
-	c.Flags().DurationVar(&o.duration, "for", 0, "how long; 0: until it is interrupted")
-	c.Flags().IntVar(&o.replicas, "nodes", 6, "stand-in replicas, every second one of Z39.50")
-	c.Flags().Uint64Var(&o.seed, "seed", 1, "of all random samples")
-	c.Flags().BoolVarP(&o.verbose, "verbose", "v", false, "show what the aggregator logs")
+	c.Flags().DurationVar(&options.duration, "for", 0, "how long; 0: until it is interrupted")
+	c.Flags().IntVar(&options.replicas, "nodes", 6, "stand-in replicas, every second one of Z39.50")
+	c.Flags().Uint64Var(&options.seed, "seed", 1, "of all random samples")
+	c.Flags().BoolVarP(&options.verbose, "verbose", "v", false, "show what the aggregator logs")
 	return c
 }
 
-func runDemo(out *output, o demoOptions) error {
+func runDemo(out *output, options demoOptions) error {
 	var log slog.Handler
-	if o.verbose {
+	if options.verbose {
 		log = slog.NewTextHandler(os.Stderr, nil)
 	}
 	d, err := deployment.Start(deployment.Options{
-		Replicas: o.replicas,
+		Replicas: options.replicas,
 		Reach:    2,
-		Seed:     o.seed,
+		Seed:     options.seed,
 		Agents:   true,
 		Log:      log,
 	})
@@ -81,19 +83,20 @@
 		Z3950:   d.Frontend.Addr("z3950"),
 		Rate:    30,
 		Mix:     load.DefaultMix,
-		Seed:    o.seed,
+		Seed:    options.seed,
 		Timeout: 5 * time.Second,
 		Origins: 8,
 	})
 	player := demoPlayer{out: out, deployment: d, begin: begin, interrupted: interrupted}
-	phases := player.play(o.duration)
+	phases := player.play(options.duration)
 	end := time.Now()
 	stop()
 	return reportDemo(out, d, calls, append(phases, end))
 }
 
 func printAddresses(out *output, d *deployment.Deployment) {
-	out.printf("%d archive replicas, half of them SRU, half Z39.50; each shard is held by two of them.\n", len(d.Replicas))
+	out.printf("%d archive replicas, half of them SRU, half Z39.50; each shard is held by two of them.\n",
+		len(d.Replicas))
 	sru := d.Frontend.Addr("sru")
 	health := d.Frontend.Addr("health")
 	out.printf("SRU on %s, Z39.50 on %s, health on %s, agent-check on %s; configuration %s\n",
--- a/cmd/testbed/health.go
+++ b/cmd/testbed/health.go
@@ -28,24 +28,24 @@
 }
 
 func healthCommand() *cobra.Command {
-	var o healthOptions
+	var options healthOptions
 	c := &cobra.Command{
 		Use:     "health",
 		Short:   "Run the experiments on health evidence over several seeds and print median and worst",
 		Example: "  testbed health --seeds 20 --only liar-up --plot share.png",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if o.seeds < 1 || o.seeds > maxSeeds {
-				return fmt.Errorf("--seeds %d: 1 to %d", o.seeds, maxSeeds)
+			if options.seeds < 1 || options.seeds > maxSeeds {
+				return fmt.Errorf("--seeds %d: 1 to %d", options.seeds, maxSeeds)
 			}
-			return runHealth(&output{w: cmd.OutOrStdout()}, &output{w: cmd.ErrOrStderr()}, o)
+			return runHealth(&output{w: cmd.OutOrStdout()}, &output{w: cmd.ErrOrStderr()}, options)
 		},
 	}
-	c.Flags().IntVar(&o.seeds, "seeds", 1, "how many seeds")
-	c.Flags().Uint64Var(&o.firstSeed, "seed", 1, "the first")
-	c.Flags().StringSliceVar(&o.only, "only", nil, "scenarios by name; all if none is named")
-	c.Flags().BoolVar(&o.asJSON, "json", false, "all values as JSON")
-	c.Flags().StringVar(&o.plot, "plot", "", "draw the replica's share over time into this PNG or SVG file")
+	c.Flags().IntVar(&options.seeds, "seeds", 1, "how many seeds")
+	c.Flags().Uint64Var(&options.firstSeed, "seed", 1, "the first")
+	c.Flags().StringSliceVar(&options.only, "only", nil, "scenarios by name; all if none is named")
+	c.Flags().BoolVar(&options.asJSON, "json", false, "all values as JSON")
+	c.Flags().StringVar(&options.plot, "plot", "", "draw the replica's share over time into this PNG or SVG file")
 	return c
 }
 
@@ -59,32 +59,32 @@
 }
 
 // runHealth runs the scenarios and reports on out; progress takes a line a run.
-func runHealth(out, progress *output, o healthOptions) error {
+func runHealth(out, progress *output, options healthOptions) error {
 	reports := map[string]*scenarioReport{}
 	violations := 0
 	for _, scenario := range health.Scenarios {
-		if len(o.only) > 0 && !slices.Contains(o.only, scenario.Name) {
+		if len(options.only) > 0 && !slices.Contains(options.only, scenario.Name) {
 			continue
 		}
-		report, err := runScenario(scenario, progress, o)
+		report, err := runScenario(scenario, progress, options)
 		if err != nil {
 			return err
 		}
 		reports[scenario.Name] = report
 		violations += len(report.Violations)
-		if !o.asJSON {
+		if !options.asJSON {
 			report.print(out, scenario.Name)
 		}
-		if o.plot != "" && len(report.series) > 0 {
-			if err := plotSeries(o.plot, scenario.What, report.series); err != nil {
+		if options.plot != "" && len(report.series) > 0 {
+			if err := plotSeries(options.plot, scenario.What, report.series); err != nil {
 				return fmt.Errorf("plot %s: %w", scenario.Name, err)
 			}
 		}
 	}
 	if len(reports) == 0 {
-		return fmt.Errorf("--only %v: no such scenario", o.only)
+		return fmt.Errorf("--only %v: no such scenario", options.only)
 	}
-	if o.asJSON {
+	if options.asJSON {
 		out.printJSON(reports)
 	}
 	switch {
@@ -97,16 +97,16 @@
 }
 
 // runScenario runs one scenario with each seed.
-func runScenario(scenario health.Scenario, progress *output, o healthOptions) (*scenarioReport, error) {
+func runScenario(scenario health.Scenario, progress *output, options healthOptions) (*scenarioReport, error) {
 	report := &scenarioReport{What: scenario.What, Values: map[string][]float64{}, Violations: []string{}}
-	for seed := o.firstSeed; seed < o.firstSeed+uint64(o.seeds); seed++ {
+	for seed := options.firstSeed; seed < options.firstSeed+uint64(options.seeds); seed++ {
 		began := time.Now()
 		r, err := scenario.Run(seed)
 		if err != nil {
 			return nil, fmt.Errorf("%s, seed %d: %w", scenario.Name, seed, err)
 		}
 		report.add(seed, r)
-		if !o.asJSON {
+		if !options.asJSON {
 			elapsed := time.Since(began).Round(time.Second)
 			progress.printf("%s, seed %d: %v, broken: %q\n", scenario.Name, seed, elapsed, r.Violations)
 		}
--- a/cmd/testbed/hunt.go
+++ b/cmd/testbed/hunt.go
@@ -26,11 +26,12 @@
 
 // huntCommand searches seeds for violations of the rules.
 func huntCommand() *cobra.Command {
-	var o huntOptions
+	var options huntOptions
 	var replay string
 	c := &cobra.Command{
-		Use:     "hunt",
-		Short:   "Play random fleets with random faults, and shrink each run that breaks a rule to a file that can be replayed",
+		Use: "hunt",
+		Short: "Play random fleets with random faults, " +
+			"and shrink each run that breaks a rule to a file that can be replayed",
 		Example: "  testbed hunt --seeds 1000 --for 5m\n  testbed hunt --replay broken-17.json",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -38,16 +39,16 @@
 			if replay != "" {
 				return replayFile(out, replay)
 			}
-			if o.seeds < 1 || o.duration <= 0 {
+			if options.seeds < 1 || options.duration <= 0 {
 				return fmt.Errorf("--seeds at least 1, --for over 0")
 			}
-			return runHunt(out, o)
+			return runHunt(out, options)
 		},
 	}
-	c.Flags().IntVar(&o.seeds, "seeds", 200, "how many seeds")
-	c.Flags().Uint64Var(&o.firstSeed, "seed", 1, "the first")
-	c.Flags().DurationVar(&o.duration, "for", time.Minute, "no new run is begun after so long")
-	c.Flags().StringVar(&o.dir, "dir", ".", "where shrunk runs are written")
+	c.Flags().IntVar(&options.seeds, "seeds", 200, "how many seeds")
+	c.Flags().Uint64Var(&options.firstSeed, "seed", 1, "the first")
+	c.Flags().DurationVar(&options.duration, "for", time.Minute, "no new run is begun after so long")
+	c.Flags().StringVar(&options.dir, "dir", ".", "where shrunk runs are written")
 	c.Flags().StringVar(&replay, "replay", "", "play one written run again")
 	return c
 }
@@ -58,11 +59,11 @@
 	if err != nil {
 		return fmt.Errorf("read the run to replay: %w", err)
 	}
-	var s sim.Settings
-	if err := json.Unmarshal(text, &s); err != nil {
+	var settings sim.Settings
+	if err := json.Unmarshal(text, &settings); err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
-	r, err := sim.Run(s)
+	r, err := sim.Run(settings)
 	if err != nil {
 		return fmt.Errorf("replay %s: %w", path, err)
 	}
@@ -90,8 +91,8 @@
 	failure   error // ends the hunt
 }
 
-func runHunt(out *output, o huntOptions) error {
-	h := &seedHunt{options: o, end: time.Now().Add(o.duration), out: out, next: o.firstSeed}
+func runHunt(out *output, options huntOptions) error {
+	h := &seedHunt{options: options, end: time.Now().Add(options.duration), out: out, next: options.firstSeed}
 	var players sync.WaitGroup
 	for range runtime.GOMAXPROCS(0) {
 		players.Go(h.playSeeds)
@@ -147,8 +148,8 @@
 }
 
 // report shrinks a run that violates a rule and writes it to a file.
-func (h *seedHunt) report(seed uint64, s sim.Settings, r sim.Result) {
-	shrunk, runs := sim.Shrink(s, shrinkRuns)
+func (h *seedHunt) report(seed uint64, settings sim.Settings, r sim.Result) {
+	shrunk, runs := sim.Shrink(settings, shrinkRuns)
 	path := fmt.Sprintf("%s/broken-%d.json", h.options.dir, seed)
 	text, err := json.MarshalIndent(shrunk, "", "  ")
 	if err == nil {
--- a/cmd/testbed/load.go
+++ b/cmd/testbed/load.go
@@ -64,41 +64,41 @@
 }
 
 func loadCommand() *cobra.Command {
-	var o loadOptions
+	var options loadOptions
 	c := &cobra.Command{
 		Use:     "load",
 		Short:   "Call a frontend on loopback open-loop, and print outcomes and latencies from the intended times",
 		Example: "  testbed load --sru 127.0.0.1:8210 --z3950 127.0.0.1:2100 --rate 50 --for 30s",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := o.check(); err != nil {
+			if err := options.check(); err != nil {
 				return err
 			}
-			o.plan.Mix = load.DefaultMix
-			return runLoad(&output{w: cmd.OutOrStdout()}, &output{w: cmd.ErrOrStderr()}, o)
+			options.plan.Mix = load.DefaultMix
+			return runLoad(&output{w: cmd.OutOrStdout()}, &output{w: cmd.ErrOrStderr()}, options)
 		},
 	}
-	c.Flags().StringVar(&o.plan.SRU, "sru", "", "address of an SRU frontend")
-	c.Flags().StringVar(&o.plan.Z3950, "z3950", "", "address of a Z39.50 frontend; empty: it is not called")
-	c.Flags().Float64Var(&o.plan.Rate, "rate", 20, "calls a second, Poisson")
-	c.Flags().DurationVar(&o.duration, "for", 10*time.Second, "how long")
-	c.Flags().DurationVar(&o.plan.Timeout, "timeout", 10*time.Second, "of a call")
-	c.Flags().IntVar(&o.plan.Origins, "origins", 16, "Z39.50 associations")
-	c.Flags().Uint64Var(&o.plan.Seed, "seed", 1, "of all random samples")
-	c.Flags().BoolVar(&o.asJSON, "json", false, "for scripts")
+	c.Flags().StringVar(&options.plan.SRU, "sru", "", "address of an SRU frontend")
+	c.Flags().StringVar(&options.plan.Z3950, "z3950", "", "address of a Z39.50 frontend; empty: it is not called")
+	c.Flags().Float64Var(&options.plan.Rate, "rate", 20, "calls a second, Poisson")
+	c.Flags().DurationVar(&options.duration, "for", 10*time.Second, "how long")
+	c.Flags().DurationVar(&options.plan.Timeout, "timeout", 10*time.Second, "of a call")
+	c.Flags().IntVar(&options.plan.Origins, "origins", 16, "Z39.50 associations")
+	c.Flags().Uint64Var(&options.plan.Seed, "seed", 1, "of all random samples")
+	c.Flags().BoolVar(&options.asJSON, "json", false, "for scripts")
 	return c
 }
 
 // runLoad calls until the time is over or the process is interrupted; progress takes a line a second.
-func runLoad(out, progress *output, o loadOptions) error {
+func runLoad(out, progress *output, options loadOptions) error {
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
 	defer signal.Stop(interrupted)
 	begin := time.Now()
-	calls, stop := load.Start(o.plan)
+	calls, stop := load.Start(options.plan)
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
-	end := time.After(o.duration)
+	end := time.After(options.duration)
 	for over := false; !over; {
 		select {
 		case <-end:
@@ -112,7 +112,7 @@
 		}
 	}
 	stop()
-	reportLoad(out, calls, calls.Calls(begin, time.Now()), o.asJSON)
+	reportLoad(out, calls, calls.Calls(begin, time.Now()), options.asJSON)
 	return out.err
 }
 
--- a/cmd/testbed/main.go
+++ b/cmd/testbed/main.go
@@ -10,8 +10,8 @@
 	"github.com/spf13/cobra"
 )
 
-// errClaimsFailed means that the command ran and something that it claims did not hold: exit status 1. Any other error is
-// exit status 2.
+// errClaimsFailed means that the command ran and something that it claims did not hold: exit status 1. Any other
+// error is exit status 2.
 var errClaimsFailed = errors.New("not all claims hold")
 
 func main() {
--- a/cmd/testbed/output.go
+++ b/cmd/testbed/output.go
@@ -7,8 +7,8 @@
 	"text/tabwriter"
 )
 
-// output writes a command's report and keeps the first error, which the command returns at its end: the report of a long
-// run need not check each line.
+// output writes a command's report and keeps the first error, which the command returns at its end: the report of a
+// long run need not check each line.
 type output struct {
 	w   io.Writer
 	err error
--- a/cmd/testbed/resharding.go
+++ b/cmd/testbed/resharding.go
@@ -37,7 +37,7 @@
 }
 
 func reshardingCommand() *cobra.Command {
-	var o reshardingOptions
+	var options reshardingOptions
 	c := &cobra.Command{
 		Use:     "resharding",
 		Aliases: []string{"reshape"},
@@ -46,20 +46,21 @@
 		Example: "  testbed resharding --for 60s --every 2s --rate 60",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := o.check(); err != nil {
+			if err := options.check(); err != nil {
 				return err
 			}
-			return runResharding(&output{w: cmd.OutOrStdout()}, o)
+			return runResharding(&output{w: cmd.OutOrStdout()}, options)
 		},
 	}
-	c.Flags().DurationVar(&o.duration, "for", 20*time.Second, "how long each of the two runs lasts")
-	c.Flags().DurationVar(&o.interval, "every", 2*time.Second, "from the beginning of one plan to the next")
-	c.Flags().DurationVar(&o.mapDelay, "late", 300*time.Millisecond, "by which the second aggregator gets shard maps late")
-	c.Flags().Float64Var(&o.rate, "rate", 60, "calls a second")
-	c.Flags().Uint64Var(&o.seed, "seed", 1, "of all random samples")
-	c.Flags().IntVar(&o.replicas, "nodes", 6, "stand-in replicas, every second one of Z39.50")
-	c.Flags().IntVar(&o.shards, "blocks", 6, "shards at the start")
-	c.Flags().BoolVar(&o.asJSON, "json", false, "for scripts")
+	c.Flags().DurationVar(&options.duration, "for", 20*time.Second, "how long each of the two runs lasts")
+	c.Flags().DurationVar(&options.interval, "every", 2*time.Second, "from the beginning of one plan to the next")
+	c.Flags().DurationVar(&options.mapDelay, "late", 300*time.Millisecond,
+		"by which the second aggregator gets shard maps late")
+	c.Flags().Float64Var(&options.rate, "rate", 60, "calls a second")
+	c.Flags().Uint64Var(&options.seed, "seed", 1, "of all random samples")
+	c.Flags().IntVar(&options.replicas, "nodes", 6, "stand-in replicas, every second one of Z39.50")
+	c.Flags().IntVar(&options.shards, "blocks", 6, "shards at the start")
+	c.Flags().BoolVar(&options.asJSON, "json", false, "for scripts")
 	return c
 }
 
@@ -89,16 +90,16 @@
 )
 
 // runResharding runs the load twice, without and with resharding, and compares.
-func runResharding(out *output, o reshardingOptions) error {
+func runResharding(out *output, options reshardingOptions) error {
 	runs := map[string]reshardingRun{}
 	for _, name := range []string{runUnchanged, runResharded} {
-		r, err := playResharding(o, name == runResharded)
+		r, err := playResharding(options, name == runResharded)
 		if err != nil {
 			return err
 		}
 		runs[name] = r
 	}
-	if o.asJSON {
+	if options.asJSON {
 		out.printJSON(runs)
 	} else {
 		printReshardingRuns(out, runs)
@@ -130,7 +131,8 @@
 			r := runs[name]
 			p50 := r.P50.Round(100 * time.Microsecond)
 			p99 := r.P99.Round(100 * time.Microsecond)
-			t.printf("%s\t%d\t%d\t%d\t%d\t%d\t%d\t", name, r.Calls, r.Complete, r.Partial, r.Rejected, r.Failed, r.Disconnected)
+			t.printf("%s\t%d\t%d\t%d\t%d\t%d\t%d\t",
+				name, r.Calls, r.Complete, r.Partial, r.Rejected, r.Failed, r.Disconnected)
 			t.printf("%.2f%%\t%v\t%v\t%d\t%d\t\n", 100*r.Answered, p50, p99, len(r.Violations), len(r.Duplicates))
 		}
 	})
@@ -147,13 +149,13 @@
 }
 
 // playResharding runs the load once, with random plans or without.
-func playResharding(o reshardingOptions, reshard bool) (r reshardingRun, err error) {
+func playResharding(options reshardingOptions, reshard bool) (r reshardingRun, err error) {
 	a, err := resharding.Start(resharding.Options{
-		Seed:              o.seed,
-		ReplicaCount:      o.replicas,
-		ShardCount:        o.shards,
+		Seed:              options.seed,
+		ReplicaCount:      options.replicas,
+		ShardCount:        options.shards,
 		FrontendCount:     2,
-		LastFrontendDelay: o.mapDelay,
+		LastFrontendDelay: options.mapDelay,
 		CopiesPerSecond:   50,
 		Records:           120,
 		Delay:             5 * time.Millisecond,
@@ -166,7 +168,7 @@
 		return r, fmt.Errorf("start an archive: %w", err)
 	}
 	defer a.Stop()
-	calls, endLoad := a.StartLoad(resharding.Load{Rate: o.rate, Seed: o.seed})
+	calls, endLoad := a.StartLoad(resharding.Load{Rate: options.rate, Seed: options.seed})
 	stop := make(chan struct{})
 	ended := make(chan error, 1)
 	go func() {
@@ -176,10 +178,10 @@
 			return
 		}
 		var err error
-		r.Plans, err = a.Reshard(stop, o.interval, 0, o.seed)
+		r.Plans, err = a.Reshard(stop, options.interval, 0, options.seed)
 		ended <- err
 	}()
-	time.Sleep(o.duration)
+	time.Sleep(options.duration)
 	close(stop)
 	if err = <-ended; err != nil {
 		err = fmt.Errorf("carry plans out: %w", err)
--- a/internal/testbed/ber/ber.go
+++ b/internal/testbed/ber/ber.go
@@ -1,5 +1,6 @@
 // Package ber is the testbed's own BER and Z39.50: what stand-ins of targets and origins need, after the public
-// specification (Z39.50-2003, ISO 23950). It shares no code with the program, so that a mistake in it is not made twice.
+// specification (Z39.50-2003, ISO 23950). It shares no code with the program, so that a mistake in it is not made
+// twice.
 package ber
 
 import (
--- a/internal/testbed/client/client.go
+++ b/internal/testbed/client/client.go
@@ -1,5 +1,5 @@
-// Package client has the testbed's own clients: of SRU over the standard library's HTTP, of Z39.50 over the testbed's own
-// BER, and of the health protocols. They share no code with the program.
+// Package client has the testbed's own clients: of SRU over the standard library's HTTP, of Z39.50 over the testbed's
+// own BER, and of the health protocols. They share no code with the program.
 package client
 
 import (
@@ -213,8 +213,8 @@
 	return Complete
 }
 
-// AgentCheck makes an agent-check and returns the agent's line, which is empty if the agent closed without one. send, if
-// not empty, is sent first.
+// AgentCheck makes an agent-check and returns the agent's line, which is empty if the agent closed without one. send,
+// if not empty, is sent first.
 func AgentCheck(addr, send string, timeout time.Duration) (string, error) {
 	conn, err := net.DialTimeout("tcp", addr, timeout)
 	if err != nil {
--- a/internal/testbed/deployment/config.go
+++ b/internal/testbed/deployment/config.go
@@ -35,14 +35,14 @@
 }
 
 // config is the operators' file.
-func (d *Deployment) config(o Options) string {
-	o = o.withDefaults()
+func (d *Deployment) config(options Options) string {
+	options = options.withDefaults()
 	var b strings.Builder
-	writeLimits(&b, o)
-	b.WriteString(ClassConfig(o.DeadlineFactor, ""))
-	writeDatabases(&b, o)
-	b.WriteString(o.ExtraConfig)
-	d.writeServers(&b, o)
+	writeLimits(&b, options)
+	b.WriteString(ClassConfig(options.DeadlineFactor, ""))
+	writeDatabases(&b, options)
+	b.WriteString(options.ExtraConfig)
+	d.writeServers(&b, options)
 	return b.String()
 }
 
@@ -50,13 +50,14 @@
 func write(b *strings.Builder, format string, args ...any) { _, _ = fmt.Fprintf(b, format, args...) }
 
 // writeLimits writes the name, the listeners, the limits, the times of checks and the ring of shards.
-func writeLimits(b *strings.Builder, o Options) {
-	checksPerSecond := 100 + int(4*float64(o.Replicas+o.CheckedOnlyCount)/o.CheckInterval.Seconds())
-	checksAtOnce := min(o.MaxSockets/4, 64+o.CheckedOnlyCount/4)
-	shards, cells := o.shardSizes()
+func writeLimits(b *strings.Builder, options Options) {
+	servers := float64(options.Replicas + options.CheckedOnlyCount)
+	checksPerSecond := 100 + int(4*servers/options.CheckInterval.Seconds())
+	checksAtOnce := min(options.MaxSockets/4, 64+options.CheckedOnlyCount/4)
+	shards, cells := options.shardSizes()
 	connect := ""
-	if o.ConnectTimeout > 0 {
-		connect = fmt.Sprintf("connect = %q\n", o.ConnectTimeout)
+	if options.ConnectTimeout > 0 {
+		connect = fmt.Sprintf("connect = %q\n", options.ConnectTimeout)
 	}
 	write(b, `# Written by testbed for %d stand-in replicas.
 name = "lab"
@@ -74,8 +75,19 @@
 count = %d
 cells = %d
 reach = %d
-`, o.Replicas, ListenConfig, o.MaxSockets, o.MaxOpen, connect, o.CheckInterval, checksPerSecond, checksAtOnce, o.CheckTimeout,
-		shards, cells, o.Reach)
+`,
+		options.Replicas,
+		ListenConfig,
+		options.MaxSockets,
+		options.MaxOpen,
+		connect,
+		options.CheckInterval,
+		checksPerSecond,
+		checksAtOnce,
+		options.CheckTimeout,
+		shards,
+		cells,
+		options.Reach)
 }
 
 // ListenConfig is the table of the operators' file that has every frontend listen on a port of its own.
@@ -123,9 +135,9 @@
 }
 
 // writeDatabases writes two databases of all shards, and the checks of both protocols.
-func writeDatabases(b *strings.Builder, o Options) {
+func writeDatabases(b *strings.Builder, options Options) {
 	var list []string
-	shards, _ := o.shardSizes()
+	shards, _ := options.shardSizes()
 	for i := range shards {
 		list = append(list, fmt.Sprint(i))
 	}
@@ -156,7 +168,7 @@
 }
 
 // writeServers writes the replicas, and after them the servers that are only checked.
-func (d *Deployment) writeServers(b *strings.Builder, o Options) {
+func (d *Deployment) writeServers(b *strings.Builder, options Options) {
 	checks := map[string]string{"sru": "healthz", "z3950": "init"} // by protocol
 	for i, server := range d.Replicas {
 		write(b, `[[server]]
@@ -168,14 +180,14 @@
 database = "block-%%d"
 checks = [%q]
 `, server.Name, server.Protocol, server.Addr(), i, i%2, checks[server.Protocol])
-		if o.Agents {
+		if options.Agents {
 			write(b, "agent = %q\n", d.Agents[i].Addr())
 		}
-		if o.ServerConfig != nil {
-			b.WriteString(o.ServerConfig(i))
+		if options.ServerConfig != nil {
+			b.WriteString(options.ServerConfig(i))
 		}
 	}
-	for i := range o.CheckedOnlyCount {
+	for i := range options.CheckedOnlyCount {
 		write(b, `[[server]]
 id = "other-%d"
 protocol = "sru"
@@ -183,6 +195,6 @@
 cell = %d
 database = "block-%%d"
 checks = ["healthz"]
-`, i, o.CheckedOnlyAddr(i), o.Replicas+i)
+`, i, options.CheckedOnlyAddr(i), options.Replicas+i)
 	}
 }
--- a/internal/testbed/deployment/deployment.go
+++ b/internal/testbed/deployment/deployment.go
@@ -1,5 +1,5 @@
-// Package deployment sets up a complete deployment for a test, a demonstration or an experiment: stand-in replicas of both
-// protocols, an operators' file written for them, and the real frontends started from it in this process.
+// Package deployment sets up a complete deployment for a test, a demonstration or an experiment: stand-in replicas of
+// both protocols, an operators' file written for them, and the real frontends started from it in this process.
 package deployment
 
 import (
@@ -32,8 +32,8 @@
 	Agents         bool               // each replica has an agent, and an agent-check
 	ExtraConfig    string             // more of the operators' file, before the servers
 	ServerConfig   func(i int) string // more keys of server i; nil: none
-	// CheckedOnlyAddr is the address of further server i. Such servers hold no shard that is searched, and are only checked.
-	// With them the last shards have fewer holders, and the databases leave these shards out.
+	// CheckedOnlyAddr is the address of further server i. Such servers hold no shard that is searched, and are only
+	// checked. With them the last shards have fewer holders, and the databases leave these shards out.
 	CheckedOnlyAddr  func(i int) string
 	CheckedOnlyCount int
 	Log              slog.Handler // where the aggregator logs, beside Events; nil: nowhere
@@ -51,11 +51,11 @@
 }
 
 // Start starts a deployment. The caller stops it.
-func Start(o Options) (d *Deployment, err error) {
-	o.Reach = max(1, o.Reach)
+func Start(options Options) (d *Deployment, err error) {
+	options.Reach = max(1, options.Reach)
 	d = &Deployment{
-		Archive: replica.NewArchive(o.Replicas),
-		Events:  &Events{next: o.Log},
+		Archive: replica.NewArchive(options.Replicas),
+		Events:  &Events{next: options.Log},
 	}
 	defer func() {
 		if err != nil {
@@ -63,37 +63,37 @@
 			d = nil
 		}
 	}()
-	if err = d.startReplicas(o); err != nil {
+	if err = d.startReplicas(options); err != nil {
 		return d, err
 	}
 	if d.dir, err = os.MkdirTemp("", "testbed"); err != nil {
 		return d, err
 	}
 	d.ConfigPath = filepath.Join(d.dir, "partners.toml")
-	if err = os.WriteFile(d.ConfigPath, []byte(d.config(o)), 0o600); err != nil {
+	if err = os.WriteFile(d.ConfigPath, []byte(d.config(options)), 0o600); err != nil {
 		return d, err
 	}
 	conf, err := config.LoadPartners(d.ConfigPath)
 	if err != nil {
 		return d, fmt.Errorf("read the configuration: %w", err)
 	}
-	d.Frontend, err = app.StartPartners(conf, o.Seed, slog.New(d.Events))
+	d.Frontend, err = app.StartPartners(conf, options.Seed, slog.New(d.Events))
 	return d, err
 }
 
 // startReplicas starts the replicas, of both protocols in turn, and their agents.
-func (d *Deployment) startReplicas(o Options) error {
-	for i := range o.Replicas {
+func (d *Deployment) startReplicas(options Options) error {
+	for i := range options.Replicas {
 		start := d.Archive.SRU
-		if i%2 == 1 && !o.SRUOnly {
+		if i%2 == 1 && !options.SRUOnly {
 			start = d.Archive.Z3950
 		}
-		server, err := start(fmt.Sprintf("n%d", i), o.Seed)
+		server, err := start(fmt.Sprintf("n%d", i), options.Seed)
 		if err != nil {
 			return err
 		}
 		d.Replicas = append(d.Replicas, server)
-		if !o.Agents {
+		if !options.Agents {
 			continue
 		}
 		agent, err := replica.NewAgent("up ready 100%")
--- a/internal/testbed/health/health_test.go
+++ b/internal/testbed/health/health_test.go
@@ -22,16 +22,16 @@
 
 // startDeployment starts a deployment whose checks are frequent. Its deadlines, and the timeouts of checks and of
 // connections, are so long that a slow machine does not reach them.
-func startDeployment(t *testing.T, o deployment.Options) *deployment.Deployment {
+func startDeployment(t *testing.T, options deployment.Options) *deployment.Deployment {
 	t.Helper()
-	o.Replicas = 4
-	o.Reach = 2
-	o.Seed = 1
-	o.CheckInterval = 50 * time.Millisecond
-	o.CheckTimeout = eventTimeout / 2
-	o.ConnectTimeout = eventTimeout / 2
-	o.DeadlineFactor = deadlineFactor
-	in, err := deployment.Start(o)
+	options.Replicas = 4
+	options.Reach = 2
+	options.Seed = 1
+	options.CheckInterval = 50 * time.Millisecond
+	options.CheckTimeout = eventTimeout / 2
+	options.ConnectTimeout = eventTimeout / 2
+	options.DeadlineFactor = deadlineFactor
+	in, err := deployment.Start(options)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -78,8 +78,8 @@
 	t.Fatalf("%d parts were sent, not %d", len(in.Archive.Events(since)), count)
 }
 
-// reportedState makes agent-checks until one reports something else than that the aggregator's loop stands still, which is
-// what the reports say while a busy machine gives the process no processor time.
+// reportedState makes agent-checks until one reports something else than that the aggregator's loop stands still,
+// which is what the reports say while a busy machine gives the process no processor time.
 func reportedState(t *testing.T, in *deployment.Deployment) string {
 	t.Helper()
 	line := ""
@@ -127,8 +127,8 @@
 	return -1
 }
 
-// A replica that fails its parts while all its checks pass gets half-open requests only, no correction among them, and is
-// back once it is sound.
+// A replica that fails its parts while all its checks pass gets half-open requests only, no correction among them,
+// and is back once it is sound.
 func TestFailingReplica_GoodChecks_IsEjected(t *testing.T) {
 	in := startDeployment(t, deployment.Options{Agents: true})
 	_, stop := underLoad(t, in)
@@ -155,8 +155,8 @@
 	checkRules(t, in)
 }
 
-// Once a replica's agent has said drain, nothing new reaches it, though it holds shards that are read all the time, and what
-// was in flight is answered.
+// Once a replica's agent has said drain, nothing new reaches it, though it holds shards that are read all the time,
+// and what was in flight is answered.
 func TestDrainByAgent_NothingNewAndInFlightAnswered(t *testing.T) {
 	in := startDeployment(t, deployment.Options{Agents: true})
 	setAll(in, replica.Faults{Delay: 100 * time.Millisecond, InitDelay: 100 * time.Millisecond})
@@ -275,8 +275,8 @@
 	checkRules(t, in)
 }
 
-// checkDegraded checks what the pages say while one database is down and the other degraded. ready gets a page, and returns
-// its status, and its body behind Envoy's header.
+// checkDegraded checks what the pages say while one database is down and the other degraded. ready gets a page, and
+// returns its status, and its body behind Envoy's header.
 func checkDegraded(t *testing.T, ready func(page string) (int, string)) {
 	t.Helper()
 	// Partial answers of the other database are still possible: it is degraded, and the aggregator serves.
--- a/internal/testbed/health/idle.go
+++ b/internal/testbed/health/idle.go
@@ -24,8 +24,8 @@
 	maxReportedFailures = 5
 )
 
-// IdleConnections opens 700 idle or half-begun connections on each listener in turn. Meanwhile callers on every listener,
-// new ones included, and health checks are served, and an association keeps the result set that it uses.
+// IdleConnections opens 700 idle or half-begun connections on each listener in turn. Meanwhile callers on every
+// listener, new ones included, and health checks are served, and an association keeps the result set that it uses.
 func IdleConnections(seed uint64) (r Result, err error) {
 	d, err := deployment.Start(deployment.Options{Replicas: 4, Reach: 2, Seed: seed})
 	if err != nil {
@@ -131,8 +131,8 @@
 	p.check(presented, what+": a kept result set", response.Tag, err)
 }
 
-// startSlowCalls begins a call over each protocol that takes a while, and returns once its parts are in flight, or after
-// a quarter of a second. outcomes waits for the answers, and names the calls.
+// startSlowCalls begins a call over each protocol that takes a while, and returns once its parts are in flight, or
+// after a quarter of a second. outcomes waits for the answers, and names the calls.
 func startSlowCalls(d *deployment.Deployment) (outcomes func() map[string]client.Outcome) {
 	setAll(d, replica.Faults{Delay: 600 * time.Millisecond})
 	sru := make(chan client.Outcome, 1)
@@ -182,8 +182,9 @@
 	return conns
 }
 
-// awaitAgent waits until the agent listener has answered or closed each connection: only then they are idle. Before, they
-// are agent-checks under way, and a listener whose sockets and places to wait are all taken by such turns others away.
+// awaitAgent waits until the agent listener has answered or closed each connection: only then they are idle. Before,
+// they are agent-checks under way, and a listener whose sockets and places to wait are all taken by such turns others
+// away.
 func (conns idleConnections) awaitAgent(timeout time.Duration) error {
 	deadline := time.Now().Add(timeout)
 	var firstByte [1]byte
--- a/internal/testbed/health/observer.go
+++ b/internal/testbed/health/observer.go
@@ -151,8 +151,8 @@
 // minHonestWeight is the least weight that promises that queries are admitted, in percent.
 const minHonestWeight = 50
 
-// isInaccurate says whether the report differs from what the client got. Partial and overdue answers may come whatever is
-// reported, and rejections where the weight is low.
+// isInaccurate says whether the report differs from what the client got. Partial and overdue answers may come
+// whatever is reported, and rejections where the weight is low.
 func (s *sample) isInaccurate() bool {
 	switch {
 	case !s.answered || s.agent == "":
--- a/internal/testbed/health/replicas.go
+++ b/internal/testbed/health/replicas.go
@@ -11,8 +11,8 @@
 	"rooktrestle/internal/testbed/replica"
 )
 
-// FailingWithGoodChecks measures how soon a replica is ejected whose checks all pass while it fails 80% of its parts, what
-// fraction of the traffic it keeps, what its failures cost, and how soon it is back once it is sound.
+// FailingWithGoodChecks measures how soon a replica is ejected whose checks all pass while it fails 80% of its parts,
+// what fraction of the traffic it keeps, what its failures cost, and how soon it is back once it is sound.
 func FailingWithGoodChecks(seed uint64) (r Result, err error) {
 	d, calls, stop, err := startUnderLoad(deployment.Options{Replicas: 4, Reach: 2, Agents: true}, seed)
 	if err != nil {
@@ -89,8 +89,8 @@
 	}
 }
 
-// ServingWithBadChecks has a replica whose check says down while it serves. It gets no traffic; once it is the only holder
-// of a shard it does, and the log says why.
+// ServingWithBadChecks has a replica whose check says down while it serves. It gets no traffic; once it is the only
+// holder of a shard it does, and the log says why.
 func ServingWithBadChecks(seed uint64) (r Result, err error) {
 	d, calls, stop, err := startUnderLoad(deployment.Options{Replicas: 4, Reach: 2, SRUOnly: true}, seed)
 	if err != nil {
--- a/internal/testbed/health/scenario.go
+++ b/internal/testbed/health/scenario.go
@@ -1,7 +1,7 @@
-// Package health has the experiments on health evidence: replicas whose checks contradict what they do, drains, checks
-// that all fail, agents that misbehave, many idle connections, and whether the readiness that the aggregator reports is
-// what a client gets. Each scenario runs the real frontends on loopback against stand-in replicas, measures, and reports
-// which of its claims did not hold.
+// Package health has the experiments on health evidence: replicas whose checks contradict what they do, drains,
+// checks that all fail, agents that misbehave, many idle connections, and whether the readiness that the aggregator
+// reports is what a client gets. Each scenario runs the real frontends on loopback against stand-in replicas,
+// measures, and reports which of its claims did not hold.
 package health
 
 import (
@@ -122,10 +122,10 @@
 // startUnderLoad starts a deployment whose replicas answer steadily, with callers. stop ends the callers, not the
 // deployment.
 func startUnderLoad(
-	o deployment.Options, seed uint64,
+	options deployment.Options, seed uint64,
 ) (d *deployment.Deployment, calls *load.Result, stop func(), err error) {
-	o.Seed = seed
-	if d, err = deployment.Start(o); err != nil {
+	options.Seed = seed
+	if d, err = deployment.Start(options); err != nil {
 		return nil, nil, nil, fmt.Errorf("start a deployment: %w", err)
 	}
 	setAll(d, steady())
--- a/internal/testbed/load/load.go
+++ b/internal/testbed/load/load.go
@@ -35,8 +35,9 @@
 type Plan struct {
 	SRU, Z3950 string  // addresses; an empty one is not called
 	Rate       float64 // calls a second; arrivals are a Poisson process
-	// MaxInFlight bounds the calls in flight: a call that is due meanwhile begins when one has ended. On a machine that is
-	// too slow for Rate there are fewer calls then, not more of them in flight. 0: no bound, the load is open-loop.
+	// MaxInFlight bounds the calls in flight: a call that is due meanwhile begins when one has ended. On a machine
+	// that is too slow for Rate there are fewer calls then, not more of them in flight. 0: no bound, the load is
+	// open-loop.
 	MaxInFlight int
 	Mix         Mix
 	Seed        uint64
@@ -104,17 +105,17 @@
 }
 
 // Start begins a run. stop ends it and returns once the calls in flight have ended; it may be called more than once.
-func Start(p Plan) (result *Result, stop func()) {
+func Start(plan Plan) (result *Result, stop func()) {
 	g := &generator{
-		plan:    p,
-		web:     client.NewSRU(p.SRU, p.Timeout),
-		origins: make(chan *client.Origin, max(1, p.Origins)),
+		plan:    plan,
+		web:     client.NewSRU(plan.SRU, plan.Timeout),
+		origins: make(chan *client.Origin, max(1, plan.Origins)),
 		result:  &Result{latencies: hdrhistogram.New(1, int64(maxLatency/time.Microsecond), significantDigits)},
 		quit:    make(chan struct{}),
 		ended:   make(chan struct{}),
 	}
-	if p.MaxInFlight > 0 {
-		g.slots = make(chan struct{}, p.MaxInFlight)
+	if plan.MaxInFlight > 0 {
+		g.slots = make(chan struct{}, plan.MaxInFlight)
 	}
 	for range cap(g.origins) {
 		g.origins <- nil
--- a/internal/testbed/replica/archive.go
+++ b/internal/testbed/replica/archive.go
@@ -30,15 +30,15 @@
 	Fault        string // in place of an answer; empty: it was served
 }
 
-// Archive is what the replicas of one test hold, and all that they saw. It is safe for concurrent use, but for the fields
-// that are set before the replicas start.
+// Archive is what the replicas of one test hold, and all that they saw. It is safe for concurrent use, but for the
+// fields that are set before the replicas start.
 type Archive struct {
-	// OnCorrection and OnSearch, if set, choose what a replica does with a correction and with a search of a database: one of
-	// the faults, or empty to serve it.
+	// OnCorrection and OnSearch, if set, choose what a replica does with a correction and with a search of a
+	// database: one of the faults, or empty to serve it.
 	OnCorrection func(replica, id string) string
 	OnSearch     func(database string) string
-	// CorrectionBegun and ClientLeft, if set, get the replica's name for each correction that begins, and for each client
-	// that closes its connection to a hanging replica. Replicas block until the name is received.
+	// CorrectionBegun and ClientLeft, if set, get the replica's name for each correction that begins, and for each
+	// client that closes its connection to a hanging replica. Replicas block until the name is received.
 	CorrectionBegun chan string
 	ClientLeft      chan string
 
--- a/internal/testbed/replica/sru.go
+++ b/internal/testbed/replica/sru.go
@@ -32,7 +32,8 @@
 
 	updateBegin          = `<updateResponse xmlns="http://www.loc.gov/zing/srw/update/"><version>1.0</version>`
 	updateFormat         = updateBegin + `<operationStatus>%s</operationStatus></updateResponse>`
-	rejectedUpdateFormat = updateBegin + `<operationStatus>fail</operationStatus>` + diagnosticsFormat + `</updateResponse>`
+	rejectedUpdateFormat = updateBegin + `<operationStatus>fail</operationStatus>` +
+		diagnosticsFormat + `</updateResponse>`
 )
 
 // serveSRU serves an SRU replica and returns how to end it.
--- a/internal/testbed/resharding/check.go
+++ b/internal/testbed/resharding/check.go
@@ -73,8 +73,9 @@
 	return ids, count
 }
 
-// checkRecords compares the records of an answer with the content: they are in order, none is there twice, and none is
-// not in the archive. The count has to be that of the records in the answer. It returns the first violation; empty: none.
+// checkRecords compares the records of an answer with the content: they are in order, none is there twice, and none
+// is not in the archive. The count has to be that of the records in the answer. It returns the first violation;
+// empty: none.
 func (a *Archive) checkRecords(text string) (violation string) {
 	ids, count := recordIDs(text)
 	if count != len(ids) {
@@ -105,8 +106,8 @@
 	return ""
 }
 
-// checkPartial checks an answer that is marked partial: what it says of its shards and of its fraction of the weight has
-// to be possible.
+// checkPartial checks an answer that is marked partial: what it says of its shards and of its fraction of the weight
+// has to be possible.
 func (a *Archive) checkPartial(text string) Answer {
 	answer := Answer{Outcome: client.Partial, Violation: a.checkRecords(text)}
 	match := includedPattern.FindStringSubmatch(text)
--- a/internal/testbed/resharding/content.go
+++ b/internal/testbed/resharding/content.go
@@ -81,8 +81,8 @@
 // copyChunk is how many records are copied at a time.
 const copyChunk = 4
 
-// Store is what one replica holds. It reads maps with code of its own, so that a mistake in the program's is not made twice.
-// It is safe for concurrent use.
+// Store is what one replica holds. It reads maps with code of its own, so that a mistake in the program's is not made
+// twice. It is safe for concurrent use.
 type Store struct {
 	Name    string
 	Content *Content
--- a/internal/testbed/resharding/resharding_test.go
+++ b/internal/testbed/resharding/resharding_test.go
@@ -42,8 +42,8 @@
 // isExact says whether an answer is complete and has exactly the archive's records.
 func (a Answer) isExact() bool { return a.Outcome == client.Complete && a.Violation == "" }
 
-// Shards split, merge and move all the time under load over two frontends, one of which gets maps late: no correction runs
-// twice, every complete answer is exact, and what callers are told of corrections is true.
+// Shards split, merge and move all the time under load over two frontends, one of which gets maps late: no correction
+// runs twice, every complete answer is exact, and what callers are told of corrections is true.
 func TestReshard_UnderLoad(t *testing.T) {
 	a := startArchive(t, Options{
 		Seed:              1,
@@ -109,8 +109,8 @@
 	return nil
 }
 
-// A correction is in flight at its old holder while the shard migrates: it hangs, its connection is reset, or it is answered
-// after the switch. It runs once there, and nowhere else; the client is told the truth.
+// A correction is in flight at its old holder while the shard migrates: it hangs, its connection is reset, or it is
+// answered after the switch. It runs once there, and nowhere else; the client is told the truth.
 func TestCorrection_InFlightWhileItsShardMigrates(t *testing.T) {
 	for name, c := range map[string]struct {
 		faults replica.Faults
@@ -159,8 +159,8 @@
 	}
 }
 
-// A frontend gets no map while its shards migrate: the old holders reject its parts, it polls the source, which has nothing
-// new either; with the map it goes on. Nothing runs twice.
+// A frontend gets no map while its shards migrate: the old holders reject its parts, it polls the source, which has
+// nothing new either; with the map it goes on. Nothing runs twice.
 func TestFrontend_LateMap(t *testing.T) {
 	a := startArchive(t, Options{
 		Seed:              4,
@@ -227,8 +227,8 @@
 	page(1)
 }
 
-// A source that fails, answers garbage, goes back, forks, or has another archive's map changes nothing; a later good map is
-// adopted, over a gap.
+// A source that fails, answers garbage, goes back, forks, or has another archive's map changes nothing; a later good
+// map is adopted, over a gap.
 func TestMapSource_BadMapsAreRefused(t *testing.T) {
 	a := startArchive(t, Options{Seed: 6})
 	web := NewHTTPClient(eventTimeout)
@@ -282,8 +282,9 @@
 	a.Sources[0].Publish(5, threeEpochsLater(t, good).Encode())
 	a.waitForEpoch(t, 0, 5)
 	checkComplete("after all")
-	if text := a.Frontends[0].CountersText(); !strings.Contains(text, "epoch 5") || !strings.Contains(text, "over gaps 1") {
-		t.Error(text)
+	counters := a.Frontends[0].CountersText()
+	if !strings.Contains(counters, "epoch 5") || !strings.Contains(counters, "over gaps 1") {
+		t.Error(counters)
 	}
 }
 
@@ -301,8 +302,8 @@
 	return m
 }
 
-// The controller is killed before each of its steps in turn; the next one continues from what was persisted. Every answer
-// in between is exact, and the plan ends where it should.
+// The controller is killed before each of its steps in turn; the next one continues from what was persisted. Every
+// answer in between is exact, and the plan ends where it should.
 func TestController_KilledBeforeEveryStep(t *testing.T) {
 	a := startArchive(t, Options{Seed: 7, ReplicaCount: 4, ShardCount: 2})
 	web := NewHTTPClient(eventTimeout)
--- a/internal/testbed/resharding/setup.go
+++ b/internal/testbed/resharding/setup.go
@@ -60,10 +60,10 @@
 
 // Start starts an archive: replicas, map sources, the controller with its first map, and the frontends, which have
 // adopted that map when Start returns. The caller stops it.
-func Start(o Options) (a *Archive, err error) {
+func Start(options Options) (a *Archive, err error) {
 	a = &Archive{
-		Options: o,
-		Content: NewContent(max(4, o.Records/12), 4, 3),
+		Options: options,
+		Content: NewContent(max(4, options.Records/12), 4, 3),
 		Archive: replica.NewArchive(0),
 		Stores:  map[string]*Store{},
 	}
--- a/internal/testbed/sim/aggregator.go
+++ b/internal/testbed/sim/aggregator.go
@@ -57,8 +57,8 @@
 	}
 }
 
-// aggregatorHost drives a real core: it collects the events of a moment, hands them over in one turn, and carries out the
-// core's commands.
+// aggregatorHost drives a real core: it collects the events of a moment, hands them over in one turn, and carries out
+// the core's commands.
 type aggregatorHost struct {
 	world             *world
 	index             int
@@ -209,19 +209,6 @@
 	return nil
 }
 
-// startHealthChecks makes the health table, and schedules the first checks of the servers.
-func (h *aggregatorHost) startHealthChecks(servers []health.Server) (err error) {
-	check := health.CheckConfig{Name: "check", Fall: 2, Rise: 1, Validity: 4 * time.Second}
-	defaults := health.Defaults(classCount, 1<<correction)
-	if h.healthTable, err = health.New(defaults, []health.CheckConfig{check}, Start); err != nil {
-		return err
-	}
-	h.healthTable.UpdateEndpoints(Start, servers, true)
-	firstCheck := time.Duration(h.world.rng.Float64() * float64(healthCheckInterval))
-	h.world.at(Start.Add(firstCheck), h.runHealthChecks)
-	return nil
-}
-
 // crash ends the aggregator's process: clients and replicas see their connections end.
 func (h *aggregatorHost) crash() {
 	h.crashed = true
@@ -266,27 +253,6 @@
 	}
 }
 
-// Broadcast carries a gossip message to the other aggregators. A fraction of the messages is lost on the network.
-func (h *aggregatorHost) Broadcast(text []byte) {
-	w := h.world
-	for _, other := range w.aggregators {
-		if other == h || w.separated(h.zone, other.zone) || w.rng.Float64() < gossipLossProbability {
-			continue
-		}
-		incarnation := other.incarnation
-		w.after(w.networkDelay(), func() {
-			if other.incarnation == incarnation && !other.crashed {
-				other.post(aggregator.GossipReceived{Payload: text})
-			}
-		})
-	}
-}
-
-const (
-	gossipLossProbability = 0.02                   // of a gossip message, to each aggregator
-	probeTimeout          = 200 * time.Millisecond // of a load probe
-)
-
 // endpoint is a replica's entry in the aggregator's endpoint list.
 func (h *aggregatorHost) endpoint(r *replica) aggregator.Server {
 	return aggregator.Server{
@@ -356,157 +322,3 @@
 	}
 	h.post(aggregator.EndpointsChanged{Kind: balance.ListDelta, Servers: []aggregator.Server{h.endpoint(r)}})
 }
-
-// AttemptEnded takes the end of an attempt as health evidence.
-func (h *aggregatorHost) AttemptEnded(now time.Time, a aggregator.AttemptSummary) {
-	if h.healthTable == nil {
-		return
-	}
-	result := a.HealthResult(now, classes()[a.Class].Objective)
-	h.healthTable.RecordOutcome(now, health.ID(a.Server), a.Class, result, a.Sent)
-}
-
-// healthCheckInterval is the time between two checks of a replica.
-const healthCheckInterval = time.Second
-
-// runHealthChecks checks every replica, and again after healthCheckInterval.
-func (h *aggregatorHost) runHealthChecks() {
-	for _, r := range h.world.replicas {
-		result := health.CheckResult{Oper: health.Up, Weight: -1, MaxConn: -1}
-		if !r.checksPass || !r.up || r.unreachable {
-			result = health.CheckResult{Failed: true, Weight: -1, MaxConn: -1}
-		}
-		h.healthTable.RecordCheck(h.world.now, health.ID(r.id), 0, result)
-	}
-	h.publishHealthChanges()
-	h.world.after(healthCheckInterval, h.runHealthChecks)
-}
-
-// publishHealthChanges passes changes of the health table to the core as changes of endpoints.
-func (h *aggregatorHost) publishHealthChanges() {
-	changes := h.healthTable.Changes(h.world.now)
-	if len(changes) > 0 {
-		list := aggregator.EndpointsChanged{Kind: balance.ListDelta}
-		for _, change := range changes {
-			list.Servers = append(list.Servers, h.applyHealthChange(change))
-		}
-		h.post(list)
-	}
-	if at, ok := h.healthTable.NextDeadline(); ok && at.After(h.world.now) {
-		h.world.at(at, func() {
-			if len(h.inbox) == 0 {
-				h.publishHealthChanges()
-			}
-		})
-	}
-}
-
-// applyHealthChange notes a replica's new limits and returns its changed entry of the endpoint list.
-func (h *aggregatorHost) applyHealthChange(change health.Change) aggregator.Server {
-	r := h.world.replicaByID[balance.Replica(change.ID)]
-	h.healthLimits[r.id] = balance.HealthLimits{
-		TrafficFraction: change.TrafficFraction,
-		MaxInFlight:     change.MaxInFlight,
-		EjectedClasses:  change.EjectedClasses,
-		HalfOpenClasses: change.HalfOpenClasses,
-	}
-	server := h.endpoint(r)
-	if change.State != health.InService && server.State == balance.InService {
-		server.State = balance.Draining
-	}
-	return server
-}
-
-// Send carries attempts to a replica.
-func (h *aggregatorHost) Send(_ time.Time, server aggregator.Server, calls []aggregator.Call) {
-	target := h.world.replicaByID[server.ID]
-	for _, call := range calls {
-		a := &attempt{host: h, call: call, replica: target}
-		h.attempts[call.Attempt] = a
-		h.sendOrder = append(h.sendOrder, a)
-		h.world.record("send", uint64(call.Attempt.Part), uint64(target.index))
-		h.world.checker.attemptSent(a)
-		if h.world.separated(h.zone, target.zone()) {
-			continue // lost on the network
-		}
-		h.world.after(h.world.networkDelay(), func() { target.receive(a) })
-	}
-	if len(h.sendOrder) > 2*len(h.attempts)+maxEndedInSendOrder {
-		h.sendOrder = slices.DeleteFunc(h.sendOrder, h.hasEnded)
-	}
-}
-
-// maxEndedInSendOrder is how many ended attempts sendOrder may hold, beside as many as are in flight.
-const maxEndedInSendOrder = 64
-
-// hasEnded says whether an attempt has ended for the aggregator and for the replica.
-func (h *aggregatorHost) hasEnded(a *attempt) bool {
-	return h.attempts[a.call.Attempt] != a && !a.replica.inFlight[a]
-}
-
-// Cancel ends an attempt at this moment: the replica is notified by then.
-func (h *aggregatorHost) Cancel(_ time.Time, id aggregator.AttemptID, _ bool) {
-	a := h.attempts[id]
-	if a == nil || a.abandoned {
-		return
-	}
-	a.abandoned = true
-	canceled := &aggregator.AttemptError{Progress: aggregator.Written, Canceled: true}
-	ended := aggregator.AttemptEnded{Attempt: id, Err: canceled}
-	if h.world.PlantedBug == BugLeakedAttempt && id.Part%5 == 0 {
-		return
-	}
-	if h.world.PlantedBug == BugConcurrentAttempts { // it ends before the replica is notified
-		h.post(ended)
-		return
-	}
-	h.world.at(h.world.now, func() {
-		if h.attempts[id] == a {
-			h.finishAttempt(a, ended)
-		}
-	})
-}
-
-// Probe polls a replica's load where aggregators gossip; elsewhere it ends without a load report.
-func (h *aggregatorHost) Probe(now time.Time, server aggregator.Server) {
-	ended := aggregator.ProbeEnded{Server: server.ID}
-	if !h.world.Gossip {
-		ended.Err = &aggregator.AttemptError{Progress: aggregator.NotConnected}
-		h.post(ended)
-		return
-	}
-	target := h.world.replicaByID[server.ID]
-	var elapsed time.Duration
-	switch {
-	case target.unreachable || h.world.separated(h.zone, target.zone()):
-		ended.Err = &aggregator.AttemptError{Progress: aggregator.Written}
-		elapsed = probeTimeout
-	case !target.up:
-		ended.Err = &aggregator.AttemptError{Progress: aggregator.NotConnected}
-		elapsed = h.world.networkDelay()
-	default:
-		ended.Report = target.loadReport()
-		elapsed = h.world.networkDelay() + h.world.networkDelay()
-	}
-	incarnation := h.incarnation
-	h.world.after(elapsed, func() {
-		if h.incarnation == incarnation {
-			ended.Elapsed = h.world.now.Sub(now)
-			h.post(ended)
-		}
-	})
-}
-
-// deliverResult reports the end of an attempt, unless it was canceled before.
-func (h *aggregatorHost) deliverResult(a *attempt, err error, value string) {
-	if h.attempts[a.call.Attempt] != a || a.abandoned || h.world.separated(h.zone, a.replica.zone()) {
-		return
-	}
-	h.finishAttempt(a, aggregator.AttemptEnded{Attempt: a.call.Attempt, Err: err, Value: value})
-}
-
-func (h *aggregatorHost) finishAttempt(a *attempt, ended aggregator.AttemptEnded) {
-	delete(h.attempts, a.call.Attempt)
-	h.world.checker.attemptEnded(a)
-	h.post(ended)
-}
--- a/internal/testbed/sim/check.go
+++ b/internal/testbed/sim/check.go
@@ -62,22 +62,22 @@
 // attemptKey names a part of a request within its aggregator.
 func attemptKey(a *attempt) string { return fmt.Sprintf("%d %s", a.host.index, a.call.Name) }
 
-// attemptSent checks that a part has one attempt at a time, none to a replica that is known to drain or to be removed, and
-// no more than MaxAttempts.
-func (c *checker) attemptSent(a *attempt) {
-	name := a.call.Name
-	key := attemptKey(a)
+// attemptSent checks that a part has one attempt at a time, none to a replica that is known to drain or to be
+// removed, and no more than MaxAttempts.
+func (c *checker) attemptSent(sent *attempt) {
+	name := sent.call.Name
+	key := attemptKey(sent)
 	c.attemptsInFlight[key]++
 	if c.attemptsInFlight[key] > 1 {
 		c.violate("two attempts of %s are in flight", name)
 	}
-	if notifiedAt, notified := a.host.removalNotifiedAt[a.replica.id]; notified {
+	if notifiedAt, notified := sent.host.removalNotifiedAt[sent.replica.id]; notified {
 		if elapsed := c.world.now.Sub(notifiedAt); elapsed > drainGrace {
-			c.violate("%s goes to %s, %v after its drain or removal was known", name, a.replica.id, elapsed)
+			c.violate("%s goes to %s, %v after its drain or removal was known", name, sent.replica.id, elapsed)
 		}
 	}
-	if a.call.Attempt.Number >= a.host.balancerSettings.MaxAttempts {
-		c.violate("attempt %d of %s", a.call.Attempt.Number+1, name)
+	if sent.call.Attempt.Number >= sent.host.balancerSettings.MaxAttempts {
+		c.violate("attempt %d of %s", sent.call.Attempt.Number+1, name)
 	}
 	requestID, _, _ := strings.Cut(name, ".")
 	if c.openRequests[requestID] == nil {
@@ -115,8 +115,8 @@
 	delete(c.requests, request.id)
 }
 
-// requestAnswered checks that a request has one final answer, in time, with the values of replicas only, marked complete
-// only if every part is in.
+// requestAnswered checks that a request has one final answer, in time, with the values of replicas only, marked
+// complete only if every part is in.
 func (c *checker) requestAnswered(request *clientRequest, answer aggregator.FinalAnswer) {
 	c.finalAnswers[request.id]++
 	if c.finalAnswers[request.id] > 1 {
--- a/internal/testbed/sim/days.go
+++ b/internal/testbed/sim/days.go
@@ -19,18 +19,20 @@
 // DayNames are the days that DaySettings draws.
 var DayNames = []string{dayCalm, dayHerd, dayZone, daySplit, dayJoin}
 
-// minSearchParts is the least number of parts of a search: in the operators' archive a search reads a third of the shards.
+// minSearchParts is the least number of parts of a search: in the operators' archive a search reads a third of the
+// shards.
 const minSearchParts = 4
 
-// DaySettings draws the settings of a day by its seed: aggregators whose traffic is thin and uneven and who gossip, replicas
-// that warm up after a start, and endpoint lists from local agents or from one service short of capacity. It fails for a
-// day that is not in DayNames, and for fleets that are too small for a search.
+// DaySettings draws the settings of a day by its seed: aggregators whose traffic is thin and uneven and who gossip,
+// replicas that warm up after a start, and endpoint lists from local agents or from one service short of capacity. It
+// fails for a day that is not in DayNames, and for fleets that are too small for a search.
 func DaySettings(kind string, seed uint64, aggregators, replicas int) (Settings, error) {
 	if !slices.Contains(DayNames, kind) {
 		return Settings{}, fmt.Errorf("day %q: there are %v", kind, DayNames)
 	}
 	if aggregators < 2 || replicas < 2*minSearchParts {
-		return Settings{}, fmt.Errorf("%d aggregators, %d replicas: at least 2 and %d", aggregators, replicas, 2*minSearchParts)
+		return Settings{}, fmt.Errorf("%d aggregators, %d replicas: at least 2 and %d",
+			aggregators, replicas, 2*minSearchParts)
 	}
 	rng := rand.New(rand.NewPCG(seed, dayStream))
 	s := Defaults(seed)
--- a/internal/testbed/sim/days_test.go
+++ b/internal/testbed/sim/days_test.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// Aggregators that wait after their watches became unresponsive send to replicas that drain. It was seen at full size, and
-// is what control/listwatch guards against.
+// Aggregators that wait after their watches became unresponsive send to replicas that drain. It was seen at full
+// size, and is what control/listwatch guards against.
 func TestChecker_FindsSendsToDrainingReplicas(t *testing.T) {
 	found := false
 	for seed := uint64(1); seed < 6 && !found; seed++ {
--- a/internal/testbed/sim/fault.go
+++ b/internal/testbed/sim/fault.go
@@ -11,7 +11,7 @@
 
 // The kinds of faults. Magnitude means what the comment says; elsewhere it has no meaning.
 const (
-	FastErrors   FaultKind = "fast-errors" // replicas fail a fraction (Magnitude) of their parts at once, while their checks pass
+	FastErrors   FaultKind = "fast-errors" // replicas fail a fraction (Magnitude) of their parts at once; checks pass
 	Burst        FaultKind = "burst"       // the rate of queries times Magnitude
 	SlowReplicas FaultKind = "slow"        // every replica's service time times Magnitude
 	Gray         FaultKind = "gray"        // replicas' service time of searches only, times Magnitude
@@ -22,9 +22,9 @@
 	BadChecks    FaultKind = "bad-checks"  // every health check fails while replicas serve
 	EndpointLag  FaultKind = "roster-lag"  // changes of the endpoint list come Magnitude seconds later
 
-	// Of whole fleets, where aggregators poll discovery by themselves.
-	Release         FaultKind = "release"   // replicas drain, end, and are replaced by others that warm up, evenly over the time
-	KillAggregators FaultKind = "kill"      // a fraction (Magnitude) of the aggregators crashes at once; each is back within the time
+	// Faults of whole fleets, whose aggregators poll discovery.
+	Release         FaultKind = "release"   // replicas drain, end, and are replaced by others that warm up, in turn
+	KillAggregators FaultKind = "kill"      // a fraction (Magnitude) of the aggregators crashes; each starts again
 	DiscoveryOutage FaultKind = "silence"   // discovery is unresponsive
 	Partition       FaultKind = "partition" // zones do not reach each other, gossip included
 )
@@ -33,7 +33,18 @@
 const drainPeriod = 2 * time.Second
 
 // FaultKinds are all kinds but those of whole fleets.
-var FaultKinds = []FaultKind{FastErrors, Burst, SlowReplicas, Gray, Deploy, Outage, Isolate, Hang, BadChecks, EndpointLag}
+var FaultKinds = []FaultKind{
+	FastErrors,
+	Burst,
+	SlowReplicas,
+	Gray,
+	Deploy,
+	Outage,
+	Isolate,
+	Hang,
+	BadChecks,
+	EndpointLag,
+}
 
 // Fault is one thing that goes wrong for a while.
 type Fault struct {
--- a/internal/testbed/sim/hunt.go
+++ b/internal/testbed/sim/hunt.go
@@ -46,8 +46,8 @@
 }
 
 // Shrink simplifies the settings of a run that violates a rule for as long as a run violates one: fewer faults and
-// replicas, less load, less time. It plays at most maxRuns runs, and returns the simplest settings that it found and how
-// many runs it played.
+// replicas, less load, less time. It plays at most maxRuns runs, and returns the simplest settings that it found and
+// how many runs it played.
 func Shrink(s Settings, maxRuns int) (Settings, int) {
 	shrinker := shrinker{best: s, maxRuns: maxRuns}
 	for progress := true; progress && shrinker.runs < shrinker.maxRuns; {
--- /dev/null
+++ b/internal/testbed/sim/network.go
@@ -0,0 +1,123 @@
+package sim
+
+import (
+	"slices"
+	"time"
+
+	"rooktrestle/internal/aggregator"
+)
+
+// Broadcast carries a gossip message to the other aggregators. A fraction of the messages is lost on the network.
+func (h *aggregatorHost) Broadcast(text []byte) {
+	w := h.world
+	for _, other := range w.aggregators {
+		if other == h || w.separated(h.zone, other.zone) || w.rng.Float64() < gossipLossProbability {
+			continue
+		}
+		incarnation := other.incarnation
+		w.after(w.networkDelay(), func() {
+			if other.incarnation == incarnation && !other.crashed {
+				other.post(aggregator.GossipReceived{Payload: text})
+			}
+		})
+	}
+}
+
+const (
+	gossipLossProbability = 0.02                   // of a gossip message, to each aggregator
+	probeTimeout          = 200 * time.Millisecond // of a load probe
+)
+
+// Send carries attempts to a replica.
+func (h *aggregatorHost) Send(_ time.Time, server aggregator.Server, calls []aggregator.Call) {
+	target := h.world.replicaByID[server.ID]
+	for _, call := range calls {
+		a := &attempt{host: h, call: call, replica: target}
+		h.attempts[call.Attempt] = a
+		h.sendOrder = append(h.sendOrder, a)
+		h.world.record("send", uint64(call.Attempt.Part), uint64(target.index))
+		h.world.checker.attemptSent(a)
+		if h.world.separated(h.zone, target.zone()) {
+			continue // lost on the network
+		}
+		h.world.after(h.world.networkDelay(), func() { target.receive(a) })
+	}
+	if len(h.sendOrder) > 2*len(h.attempts)+maxEndedInSendOrder {
+		h.sendOrder = slices.DeleteFunc(h.sendOrder, h.hasEnded)
+	}
+}
+
+// maxEndedInSendOrder is how many ended attempts sendOrder may hold, beside as many as are in flight.
+const maxEndedInSendOrder = 64
+
+// hasEnded says whether an attempt has ended for the aggregator and for the replica.
+func (h *aggregatorHost) hasEnded(a *attempt) bool {
+	return h.attempts[a.call.Attempt] != a && !a.replica.inFlight[a]
+}
+
+// Cancel ends an attempt at this moment: the replica is notified by then.
+func (h *aggregatorHost) Cancel(_ time.Time, id aggregator.AttemptID, _ bool) {
+	a := h.attempts[id]
+	if a == nil || a.abandoned {
+		return
+	}
+	a.abandoned = true
+	canceled := &aggregator.AttemptError{Progress: aggregator.Written, Canceled: true}
+	ended := aggregator.AttemptEnded{Attempt: id, Err: canceled}
+	if h.world.PlantedBug == BugLeakedAttempt && id.Part%5 == 0 {
+		return
+	}
+	if h.world.PlantedBug == BugConcurrentAttempts { // it ends before the replica is notified
+		h.post(ended)
+		return
+	}
+	h.world.at(h.world.now, func() {
+		if h.attempts[id] == a {
+			h.finishAttempt(a, ended)
+		}
+	})
+}
+
+// Probe polls a replica's load where aggregators gossip; elsewhere it ends without a load report.
+func (h *aggregatorHost) Probe(now time.Time, server aggregator.Server) {
+	ended := aggregator.ProbeEnded{Server: server.ID}
+	if !h.world.Gossip {
+		ended.Err = &aggregator.AttemptError{Progress: aggregator.NotConnected}
+		h.post(ended)
+		return
+	}
+	target := h.world.replicaByID[server.ID]
+	var elapsed time.Duration
+	switch {
+	case target.unreachable || h.world.separated(h.zone, target.zone()):
+		ended.Err = &aggregator.AttemptError{Progress: aggregator.Written}
+		elapsed = probeTimeout
+	case !target.up:
+		ended.Err = &aggregator.AttemptError{Progress: aggregator.NotConnected}
+		elapsed = h.world.networkDelay()
+	default:
+		ended.Report = target.loadReport()
+		elapsed = h.world.networkDelay() + h.world.networkDelay()
+	}
+	incarnation := h.incarnation
+	h.world.after(elapsed, func() {
+		if h.incarnation == incarnation {
+			ended.Elapsed = h.world.now.Sub(now)
+			h.post(ended)
+		}
+	})
+}
+
+// deliverResult reports the end of an attempt, unless it was canceled before.
+func (h *aggregatorHost) deliverResult(a *attempt, err error, value string) {
+	if h.attempts[a.call.Attempt] != a || a.abandoned || h.world.separated(h.zone, a.replica.zone()) {
+		return
+	}
+	h.finishAttempt(a, aggregator.AttemptEnded{Attempt: a.call.Attempt, Err: err, Value: value})
+}
+
+func (h *aggregatorHost) finishAttempt(a *attempt, ended aggregator.AttemptEnded) {
+	delete(h.attempts, a.call.Attempt)
+	h.world.checker.attemptEnded(a)
+	h.post(ended)
+}
--- a/internal/testbed/sim/replica.go
+++ b/internal/testbed/sim/replica.go
@@ -107,8 +107,8 @@
 	return true
 }
 
-// reportOverload reports a collapse as a violation if over two thirds of the recent parts came from aggregators that had
-// learned of the replica's start: they had to send less.
+// reportOverload reports a collapse as a violation if over two thirds of the recent parts came from aggregators that
+// had learned of the replica's start: they had to send less.
 func (r *replica) reportOverload(allowed float64) {
 	notified := 0
 	for _, a := range r.recentArrivals {
@@ -154,8 +154,8 @@
 	abandoned bool // the aggregator has canceled it or has crashed
 }
 
-// newReplica returns a replica whose name and random stream are of its number. Its place in the ring is the same, unless
-// it replaces another.
+// newReplica returns a replica whose name and random stream are of its number. Its place in the ring is the same,
+// unless it replaces another.
 func newReplica(w *world, number int) *replica {
 	return &replica{
 		world:      w,
@@ -264,8 +264,8 @@
 	}
 }
 
-// endpointFeed passes changes of the endpoint list to every aggregator directly, where there is no discovery. Each learns
-// of a change after a delay of its own.
+// endpointFeed passes changes of the endpoint list to every aggregator directly, where there is no discovery. Each
+// learns of a change after a delay of its own.
 type endpointFeed struct {
 	world *world
 	lag   time.Duration // added to each delay
@@ -274,7 +274,8 @@
 // maxPropagation bounds the time that a change of the endpoint list takes to an aggregator.
 const maxPropagation = 50 * time.Millisecond
 
-// propagationDelay draws the time that a change of the endpoint list takes to an aggregator, evenly up to maxPropagation.
+// propagationDelay draws the time that a change of the endpoint list takes to an aggregator, evenly up to
+// maxPropagation.
 func (w *world) propagationDelay() time.Duration {
 	return time.Duration(w.rng.Float64() * float64(maxPropagation))
 }
--- a/internal/testbed/sim/settings.go
+++ b/internal/testbed/sim/settings.go
@@ -8,7 +8,7 @@
 	Seed            uint64        `json:"Seed"` // of all random samples
 	Aggregators     int           `json:"Mixers"`
 	Replicas        int           `json:"Nodes"`
-	Reach           int           `json:"Reach"`     // replicas that hold a shard; there are as many shards as replicas, round the ring
+	Reach           int           `json:"Reach"`     // replicas that hold a shard; there are as many shards as replicas
 	SearchParts     int           `json:"Parts"`     // parts of one search
 	Cores           int           `json:"Cores"`     // of a replica
 	MeanServiceTime time.Duration `json:"Work"`      // of a part: half of it fixed, half exponential
@@ -17,10 +17,10 @@
 	RetryDelay      time.Duration `json:"RetryAt"`   // drawn from half of it to twice of it
 	NetworkDelay    time.Duration `json:"Network"`   // mean, one way
 	Duration        time.Duration `json:"For"`       // of the clients' traffic
-	HealthEvidence  bool          `json:"Evidence"`  // aggregators keep a health table, and check each replica once a second
-	Zones           int           `json:"Zones"`     // of replicas and aggregators, in turn; 0: two of replicas, all aggregators in the first
-	TrafficSkew     float64       `json:"Skew"`      // an aggregator's weight is e to this many standard normal deviations; 0: all equal
-	Gossip          bool          `json:"Words"`     // aggregators send load probes to replicas and gossip messages to each other
+	HealthEvidence  bool          `json:"Evidence"`  // aggregators have health tables, and check replicas once a second
+	Zones           int           `json:"Zones"`     // 0: replicas are in two zones, all aggregators in the first
+	TrafficSkew     float64       `json:"Skew"`      // standard deviation of the log of aggregators' weights
+	Gossip          bool          `json:"Words"`     // aggregators probe replicas' load and gossip with each other
 	Warmup          Warmup        `json:"Cold"`      // of a replica after its start
 	Discovery       Discovery     `json:"Discovery"` // how aggregators learn of the endpoint list
 	Faults          []Fault       `json:"Troubles"`
@@ -59,7 +59,7 @@
 	BugLeakedAttempt      Bug = "leaked attempt"    // a canceled attempt never ends
 	BugConcurrentAttempts Bug = "second copy"       // a canceled attempt ends before the replica is notified
 	BugWarmupIgnored      Bug = "cold ignored"      // warming replicas get as much as warm ones
-	BugSlowReopen         Bug = "waits in silence"  // an unresponsive watch is reopened only after the backoff of the whole fleet
+	BugSlowReopen         Bug = "waits in silence"  // an unresponsive watch is reopened only after the fleet's backoff
 )
 
 // Result is what one run came to.
--- a/internal/testbed/sim/settings_test.go
+++ b/internal/testbed/sim/settings_test.go
@@ -21,8 +21,8 @@
 	if err := json.Unmarshal(text, &file); err != nil {
 		t.Fatal(err)
 	}
-	want := "Cold Cores Discovery Evidence For Keep Mixers Network Nodes Parts Planted Rate Reach Retries RetryAt Seed " +
-		"Skew Troubles Words Work Zones"
+	want := "Cold Cores Discovery Evidence For Keep Mixers Network Nodes Parts Planted Rate Reach Retries RetryAt " +
+		"Seed Skew Troubles Words Work Zones"
 	if got := strings.Join(slices.Sorted(maps.Keys(file)), " "); got != want {
 		t.Errorf("the keys are %s, not %s", got, want)
 	}
@@ -39,8 +39,10 @@
 
 // A file that an earlier version wrote is read with all its values.
 func TestSettings_ReadEarlierReplayFile(t *testing.T) {
-	const file = `{"Seed":1,"Mixers":3,"Nodes":14,"Work":20000000,"For":8000000000,"Words":true,"Cold":{"For":6000000000,"Tip":3},
-		"Discovery":{"Kind":"shared","Wait":500000000},"Troubles":[{"kind":"cut","from":4024000000,"for":1718000000,"nodes":3,"first":5}],
+	const file = `{"Seed":1,"Mixers":3,"Nodes":14,"Work":20000000,"For":8000000000,"Words":true,
+		"Cold":{"For":6000000000,"Tip":3},
+		"Discovery":{"Kind":"shared","Wait":500000000},
+		"Troubles":[{"kind":"cut","from":4024000000,"for":1718000000,"nodes":3,"first":5}],
 		"Planted":"drain ignored"}`
 	var s Settings
 	if err := json.Unmarshal([]byte(file), &s); err != nil {
--- a/internal/testbed/sim/sim.go
+++ b/internal/testbed/sim/sim.go
@@ -12,7 +12,8 @@
 	"rooktrestle/balance"
 )
 
-// Streams of random numbers. Each purpose has its own, so that another number of samples for one does not change the others.
+// Streams of random numbers. Each purpose has its own, so that another number of samples for one does not change the
+// others.
 const (
 	worldStream        = 0x51
 	settingsStream     = 0x77
@@ -51,36 +52,36 @@
 }
 
 // Run plays a fleet. An error means that the settings make no fleet; violations of the rules are part of the result.
-func Run(s Settings) (Result, error) {
-	w, err := newWorld(s)
+func Run(settings Settings) (Result, error) {
+	w, err := newWorld(settings)
 	if err != nil {
 		return Result{}, err
 	}
-	for i := range s.Faults {
-		s.Faults[i].schedule(w)
+	for i := range settings.Faults {
+		settings.Faults[i].schedule(w)
 	}
 	w.at(Start.Add(firstArrival), w.queryArrives)
-	w.run(Start.Add(s.Duration + maxDeadline + quietPeriod))
+	w.run(Start.Add(settings.Duration + maxDeadline + quietPeriod))
 	w.checker.checkQuiescence()
 	return w.finalResult(), nil
 }
 
 // newWorld builds the fleet. The order of the steps fixes the order of the random samples.
-func newWorld(s Settings) (*world, error) {
+func newWorld(settings Settings) (*world, error) {
 	w := &world{
-		clock:       newClock(s.RecordTrace),
-		Settings:    s,
-		rng:         rand.New(rand.NewPCG(s.Seed, worldStream)),
+		clock:       newClock(settings.RecordTrace),
+		Settings:    settings,
+		rng:         rand.New(rand.NewPCG(settings.Seed, worldStream)),
 		replicaByID: map[balance.Replica]*replica{},
 	}
 	w.checker = newChecker(w)
-	for i := range s.Replicas {
+	for i := range settings.Replicas {
 		w.addReplica(newReplica(w, i))
 	}
 	w.feed = &endpointFeed{world: w}
 	w.discovery = &discoveryService{world: w}
 	w.sampleTraffic()
-	for i := range s.Aggregators {
+	for i := range settings.Aggregators {
 		h, err := newAggregatorHost(w, i)
 		if err != nil {
 			return nil, err
--- a/internal/testbed/sim/sim_test.go
+++ b/internal/testbed/sim/sim_test.go
@@ -33,7 +33,8 @@
 		second := play(t, s)
 		runtime.GOMAXPROCS(1)
 		if first.Hash != second.Hash || first.Events != second.Events || first.Requests == 0 {
-			t.Errorf("seed %d: %x of %d events, then %x of %d", seed, first.Hash, first.Events, second.Hash, second.Events)
+			t.Errorf("seed %d: %x of %d events, then %x of %d",
+				seed, first.Hash, first.Events, second.Hash, second.Events)
 		}
 		s.Seed += 1000
 		if other := play(t, s); other.Hash == first.Hash {
