--- a/internal/testbed/client/client.go
+++ b/internal/testbed/client/client.go
@@ -21,11 +21,11 @@
 
 // The outcomes of calls.
 const (
-	Complete     Outcome = iota // an answer with everything
+	Complete     Outcome = iota // an answer that has every part
 	Partial                     // an answer that says that parts are missing
-	Rejected                    // nothing has run: a retry is harmless
-	Failed                      // an answer that says so
-	Disconnected                // no answer: the connection ended, or the time was over
+	Rejected                    // nothing was executed: a retry is harmless
+	Failed                      // an answer that reports a failure
+	Disconnected                // no answer: the connection ended, or the call timed out
 )
 
 // String names the outcome.
--- a/internal/testbed/health/drain.go
+++ b/internal/testbed/health/drain.go
@@ -19,25 +19,11 @@
 
 // Drain measures how long after a replica's agent said drain the last new part reaches it.
 func Drain(seed uint64) (r Result, err error) {
-	others := replica.NewArchive(1)
-	defer others.Close()
-	quick, err := others.SRU("quick", seed)
+	others, err := startCheckedOnly(seed)
 	if err != nil {
-		return r, fmt.Errorf("start a server to check: %w", err)
-	}
-	defer quick.Kill()
-	slow, err := others.SRU("slow", seed)
-	if err != nil {
-		return r, fmt.Errorf("start a server to check: %w", err)
-	}
-	defer slow.Kill()
-	slow.SetHealth(replica.Health{Hang: true})
-	otherAddr := func(i int) string {
-		if i%slowServerEvery == 0 {
-			return slow.Addr()
-		}
-		return quick.Addr()
+		return r, err
 	}
+	defer others.stop()
 	d, err := deployment.Start(deployment.Options{
 		Replicas:         6,
 		Reach:            3,
@@ -45,7 +31,7 @@
 		Agents:           true,
 		CheckInterval:    200 * time.Millisecond,
 		MaxSockets:       4096,
-		CheckedOnlyAddr:  otherAddr,
+		CheckedOnlyAddr:  others.addr,
 		CheckedOnlyCount: otherServers,
 	})
 	if err != nil {
@@ -69,6 +55,42 @@
 	return r, nil
 }
 
+// checkedOnly are two replicas that stand for the servers that are only checked.
+type checkedOnly struct {
+	archive *replica.Archive
+	quick   *replica.Server // answers its checks
+	slow    *replica.Server // does not
+}
+
+func startCheckedOnly(seed uint64) (*checkedOnly, error) {
+	archive := replica.NewArchive(1)
+	quick, err := archive.SRU("quick", seed)
+	if err != nil {
+		return nil, fmt.Errorf("start a server to check: %w", err)
+	}
+	slow, err := archive.SRU("slow", seed)
+	if err != nil {
+		quick.Kill()
+		return nil, fmt.Errorf("start a server to check: %w", err)
+	}
+	slow.SetHealth(replica.Health{Hang: true})
+	return &checkedOnly{archive: archive, quick: quick, slow: slow}, nil
+}
+
+// addr is the address of the server with an index.
+func (c *checkedOnly) addr(index int) string {
+	if index%slowServerEvery == 0 {
+		return c.slow.Addr()
+	}
+	return c.quick.Addr()
+}
+
+func (c *checkedOnly) stop() {
+	c.slow.Kill()
+	c.quick.Kill()
+	c.archive.Close()
+}
+
 // measureDrain lets the agent of one replica say drain, and then ready again.
 func measureDrain(r *Result, d *deployment.Deployment, index int) {
 	name := d.Replicas[index].Name
--- a/internal/testbed/load/load_test.go
+++ b/internal/testbed/load/load_test.go
@@ -52,3 +52,47 @@
 		t.Errorf("%v", n)
 	}
 }
+
+// With a bound on the calls in flight no more than that are, however slow the server is, and the calls go on.
+func TestStart_MaxInFlightBoundsTheCallsInFlight(t *testing.T) {
+	const bound = 2
+	arrived := make(chan struct{})
+	release := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		arrived <- struct{}{}
+		<-release
+		if _, err := w.Write([]byte("<numberOfRecords>1</numberOfRecords>")); err != nil {
+			t.Errorf("answer: %v", err)
+		}
+	}))
+	defer s.Close()
+	r, stop := Start(Plan{
+		SRU:         strings.TrimPrefix(s.URL, "http://"),
+		Rate:        10000,
+		MaxInFlight: bound,
+		Mix:         Mix{Searches: 1},
+		Seed:        1,
+		Timeout:     time.Minute,
+	})
+	for range bound {
+		<-arrived
+	}
+	select {
+	case <-arrived:
+		t.Errorf("more than %d calls are in flight", bound)
+	case <-time.After(100 * time.Millisecond): // 1,000 more calls are due by then
+	}
+	release <- struct{}{}
+	<-arrived // another call, in place of the one that has ended
+	close(release)
+	go func() {
+		for range arrived {
+			continue // calls that began before stop
+		}
+	}()
+	stop()
+	close(arrived)
+	if calls := r.Calls(time.Time{}, time.Now()); len(calls) < bound+1 || CompleteFraction(calls) != 1 {
+		t.Errorf("%v", CountOutcomes(calls))
+	}
+}
--- a/internal/testbed/replica/archive.go
+++ b/internal/testbed/replica/archive.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// What a replica does with a part in place of serving it. The zero value serves it.
+// Faults: what a replica does with a part in place of serving it. An empty string means that it serves the part.
 const (
 	FaultHang    = "hang"   // no answer until the client closes the connection
 	FaultBreak   = "break"  // the connection breaks
--- a/internal/testbed/replica/replica.go
+++ b/internal/testbed/replica/replica.go
@@ -9,24 +9,25 @@
 	"time"
 )
 
-// Faults are what a replica does wrong. Rates are fractions of the parts, drawn from the replica's own random stream.
+// Faults are the faults that a replica injects. Rates are fractions of the parts, drawn from the replica's own random
+// stream.
 type Faults struct {
 	ErrorRate    float64       // parts that fail at once
 	ResetRate    float64       // parts whose connection breaks after they have begun
 	CorruptRate  float64       // parts that are answered with noise
 	HangRate     float64       // parts without an answer
 	Delay        time.Duration // before each answer
-	Jitter       time.Duration // more, at most
-	WarmupPeriod time.Duration // after a start in which answers take up to four times as long
+	Jitter       time.Duration // up to this much is added to Delay, drawn evenly
+	WarmupPeriod time.Duration // after a start: answers take up to four times as long
 	Cores        int           // parts served at once; 0: any number
 	InitDelay    time.Duration // before Init is answered
 }
 
-// Health is what a replica's checks say, true or not.
+// Health is what a replica answers to health checks, whether or not it is what the replica does with parts.
 type Health struct {
 	Status       int    // of GET /healthz of an SRU replica; 0: 200
 	Degraded     bool   // as Envoy's header says it
-	RejectChecks bool   // rejects explain, and the Init of a check
+	RejectChecks bool   // rejects SRU explain, and the Init of a Z39.50 check
 	Hang         bool   // no answer
 	Body         string // of /healthz
 }
@@ -152,7 +153,7 @@
 	return s.store
 }
 
-// SetFaults changes what the replica does wrong.
+// SetFaults changes the faults that the replica injects. Parts under way keep those that they have met.
 func (s *Server) SetFaults(faults Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -169,7 +170,7 @@
 	return s.faults.InitDelay
 }
 
-// SetHealth changes what the replica's checks say.
+// SetHealth changes what the replica answers to health checks.
 func (s *Server) SetHealth(health Health) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/testbed/replica/z3950.go
+++ b/internal/testbed/replica/z3950.go
@@ -143,7 +143,7 @@
 	}
 }
 
-// send writes an APDU. An origin that has left gets none: the next read says so.
+// send writes an APDU. A failure means that the origin has closed the connection, which the next read reports.
 func (a *association) send(apdu string) { _, _ = io.WriteString(a.conn, apdu) }
 
 // hang gives no answer until the origin leaves.
@@ -197,7 +197,7 @@
 		case "":
 			a.send(searchResponse(ref, database, 1, []Record{{XML: record}}))
 		case FaultError:
-			a.send(searchFailure(ref, diagnostic{temporaryError, tagGeneralString, "failing"}))
+			a.send(searchFailure(ref, diagnostic{code: temporaryError, textTag: tagGeneralString, text: "failing"}))
 		default:
 			return fault
 		}
@@ -205,7 +205,7 @@
 	}
 	records, count, reason := store.Search(database, request.Child(15).Int())
 	if reason != "" {
-		a.send(searchFailure(ref, diagnostic{databaseUnavailable, tagVisibleString, reason}))
+		a.send(searchFailure(ref, diagnostic{code: databaseUnavailable, textTag: tagVisibleString, text: reason}))
 		return ""
 	}
 	_, fault = s.archive.beginSearch(s, request.begin, database, query, s.process())
@@ -213,7 +213,7 @@
 	case "":
 		a.send(searchResponse(ref, database, count, records))
 	case FaultError:
-		a.send(searchFailure(ref, diagnostic{temporaryError, tagVisibleString, "failing"}))
+		a.send(searchFailure(ref, diagnostic{code: temporaryError, textTag: tagVisibleString, text: "failing"}))
 	default:
 		return fault
 	}
@@ -271,7 +271,7 @@
 	id := string(update.Child(2).Children[0].Children[0].Child(1).Children[0].Body)
 	if store := s.currentStore(); store != nil { // before anything runs
 		if reason := store.Correct(updateDatabase(update), id); reason != "" {
-			a.send(updateFailure(ref, diagnostic{databaseUnavailable, tagVisibleString, reason}))
+			a.send(updateFailure(ref, diagnostic{code: databaseUnavailable, textTag: tagVisibleString, text: reason}))
 			return ""
 		}
 	}
@@ -280,9 +280,9 @@
 	case "":
 		a.send(ber.Constructed(ber.ExtendedServicesResponse, ref, ber.Integer(3, taskDone)))
 	case FaultReject:
-		a.send(updateFailure(ref, diagnostic{updateRejected, tagGeneralString, "no"}))
+		a.send(updateFailure(ref, diagnostic{code: updateRejected, textTag: tagGeneralString, text: "no"}))
 	case FaultError:
-		a.send(updateFailure(ref, diagnostic{temporaryError, tagGeneralString, "failing"}))
+		a.send(updateFailure(ref, diagnostic{code: temporaryError, textTag: tagGeneralString, text: "failing"}))
 	default:
 		return fault
 	}
--- a/internal/testbed/resharding/resharding_test.go
+++ b/internal/testbed/resharding/resharding_test.go
@@ -238,41 +238,27 @@
 			t.Errorf("%s: %+v", what, got)
 		}
 	}
-	refused := func(part string) <-chan deployment.Event {
-		return a.Events[0].Next(func(e deployment.Event) bool {
-			return e.Msg == "map refused, the present one stays" && strings.Contains(e.Attrs["err"], part)
-		})
-	}
 	now := a.Controller.Map()
-	weights := func(w float64) *shardmap.Map {
-		b := *now.Shard(1)
-		b.Weight = w
-		m, err := now.Change([]*shardmap.Shard{&b}, nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return m
-	}
-	good := weights(2)
+	good := withWeight(t, now, 2)
 	a.Sources[0].Publish(2, good.Encode())
 	a.waitForEpoch(t, 0, 2)
 	for part, body := range map[string]string{
 		"not a map":       "<html>",
 		"older epoch":     string(now.Encode()),
-		"the same epoch":  string(weights(9).Encode()),
+		"the same epoch":  string(withWeight(t, now, 9).Encode()),
 		"another archive": strings.Replace(string(good.Encode()), `"captions"`, `"other"`, 1),
 		"in no block": `{"archive":"captions","epoch":9,"next_id":9,"blocks":[` +
 			`{"id":1,"from":"","to":"m@2000","state":"serving","holders":[{"server":"n0"}]}]}`,
 		"status 500": "",
 	} {
-		told := refused(part)
+		refused := a.nextRefusal(part)
 		status := 200
 		if part == "status 500" {
 			status = 500
 		}
 		a.Sources[0].SetFault(func() (int, []byte) { return status, []byte(body) })
 		select {
-		case <-told:
+		case <-refused:
 		case <-time.After(eventTimeout):
 			t.Fatalf("%s: not refused", part)
 		}
@@ -288,18 +274,37 @@
 	}
 }
 
+// nextRefusal returns a channel that gets the next refusal of a map by the first frontend whose error contains a text.
+func (a *Archive) nextRefusal(text string) <-chan deployment.Event {
+	return a.Events[0].Next(func(event deployment.Event) bool {
+		refused := event.Msg == "map refused, the present one stays"
+		return refused && strings.Contains(event.Attrs["err"], text)
+	})
+}
+
+// withWeight is the map of the next epoch, in which shard 1 has another weight.
+func withWeight(t *testing.T, m *shardmap.Map, weight float64) *shardmap.Map {
+	t.Helper()
+	shard := *m.Shard(1)
+	shard.Weight = weight
+	next, err := m.Change([]*shardmap.Shard{&shard}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
 // threeEpochsLater is a map after three changes.
 func threeEpochsLater(t *testing.T, m *shardmap.Map) *shardmap.Map {
 	t.Helper()
+	later := m
 	for range 3 {
-		b := *m.Shard(1)
-		b.Weight++
-		var err error
-		if m, err = m.Change([]*shardmap.Shard{&b}, nil); err != nil {
-			t.Fatal(err)
-		}
+		later = withWeight(t, later, later.Shard(1).Weight+1)
 	}
-	return m
+	if later.Epoch != m.Epoch+3 {
+		t.Fatalf("epoch %d after three changes of epoch %d", later.Epoch, m.Epoch)
+	}
+	return later
 }
 
 // The controller is killed before each of its steps in turn; the next one continues from what was persisted. Every
@@ -383,14 +388,16 @@
 	if got := a.Search(NewHTTPClient(eventTimeout), a.Frontends[0].Addr("sru"), "captions"); !got.isExact() {
 		t.Errorf("%+v", got)
 	}
-	told := a.Events[0].Next(func(e deployment.Event) bool { return strings.Contains(e.Attrs["err"], "older epoch") })
+	refused := a.Events[0].Next(func(event deployment.Event) bool {
+		return strings.Contains(event.Attrs["err"], "older epoch")
+	})
 	first, err := a.firstMap()
 	if err != nil {
 		t.Fatal(err)
 	}
 	a.Sources[0].SetFault(func() (int, []byte) { return 200, first.Encode() })
 	select {
-	case <-told:
+	case <-refused:
 	case <-time.After(eventTimeout):
 		t.Error("an older map from the source was not refused")
 	}
--- a/internal/testbed/sim/aggregator.go
+++ b/internal/testbed/sim/aggregator.go
@@ -81,6 +81,7 @@
 	notifiedStarts    map[balance.Replica]time.Time // start times of the replicas' processes that it has learned of
 }
 
+// newAggregatorHost starts the first process of an aggregator, whose zone follows from its index.
 func newAggregatorHost(w *world, index int) (*aggregatorHost, error) {
 	h := &aggregatorHost{world: w, index: index}
 	if w.Zones > 0 {
@@ -146,6 +147,7 @@
 	return nil
 }
 
+// newBalancerSettings derives the balancer's settings from those of the run.
 func (h *aggregatorHost) newBalancerSettings() balance.Settings {
 	w := h.world
 	settings := balance.Settings{
--- a/internal/testbed/sim/check.go
+++ b/internal/testbed/sim/check.go
@@ -20,7 +20,7 @@
 	fractionTolerance = 1e-9
 )
 
-// checker compares every step of a run with the rules.
+// checker checks every step of a run against the rules that have to hold whatever happens.
 type checker struct {
 	world            *world
 	violations       []string
@@ -159,7 +159,7 @@
 	}
 }
 
-// checkQuiescence checks that nothing is left once the clients have ended.
+// checkQuiescence checks at the end of a run that no request, query or attempt is open.
 func (c *checker) checkQuiescence() {
 	for id := range c.openRequests {
 		c.violate("%s has no final answer", id)
--- a/internal/testbed/sim/client.go
+++ b/internal/testbed/sim/client.go
@@ -8,7 +8,7 @@
 	"rooktrestle/internal/aggregator"
 )
 
-// query is what a client wants, over its first request and all retries.
+// query is one query of a client: its first request and all retries.
 type query struct {
 	class      int
 	parts      []aggregator.PartSpec
@@ -19,7 +19,7 @@
 	objective  time.Time // an answer by then is within the latency objective
 }
 
-// clientRequest is one request; it waits for the final answer.
+// clientRequest is one request of a query. It is the frontend that the core gives the final answer to.
 type clientRequest struct {
 	world     *world
 	query     *query
--- a/internal/testbed/sim/sim.go
+++ b/internal/testbed/sim/sim.go
@@ -21,7 +21,7 @@
 	firstReplicaStream = 1000
 )
 
-// quietPeriod is how long a run goes on after the last deadline: by then nothing may be left.
+// quietPeriod is how long a run goes on after the last deadline: at its end no query and no attempt may be open.
 const quietPeriod = 5 * time.Second
 
 // firstArrival is when the first query comes.
