--- a/cmd/rooktrestle/blocks.go
+++ b/cmd/rooktrestle/blocks.go
@@ -36,7 +36,9 @@
 func blocksCheckCommand() *cobra.Command {
 	var after string
 	c := &cobra.Command{
-		Use: "check FILE", Short: "Validate a map; with --after, also as the successor of another", Args: cobra.ExactArgs(1),
+		Use:     "check FILE",
+		Short:   "Validate a map; with --after, also as the successor of another",
+		Args:    cobra.ExactArgs(1),
 		Example: "  rooktrestle blocks check new.json --after now.json",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			m, err := readMap(args[0])
@@ -64,7 +66,9 @@
 	var asJSON bool
 	var key string
 	c := &cobra.Command{
-		Use: "show FILE", Short: "Print a map, or with --key the block of a record or key", Args: cobra.ExactArgs(1),
+		Use:     "show FILE",
+		Short:   "Print a map, or with --key the block of a record or key",
+		Args:    cobra.ExactArgs(1),
 		Example: "  rooktrestle blocks show now.json --key news@2019:44",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			m, err := readMap(args[0])
@@ -130,7 +134,9 @@
 func blocksDiffCommand() *cobra.Command {
 	var asJSON bool
 	c := &cobra.Command{
-		Use: "diff OLD NEW", Short: "Print the differences of two maps, and whether the second may succeed the first", Args: cobra.ExactArgs(2),
+		Use:     "diff OLD NEW",
+		Short:   "Print the differences of two maps, and whether the second may succeed the first",
+		Args:    cobra.ExactArgs(2),
 		Example: "  rooktrestle blocks diff now.json new.json",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			before, err := readMap(args[0])
--- a/cmd/rooktrestle/blocksplan.go
+++ b/cmd/rooktrestle/blocksplan.go
@@ -52,7 +52,10 @@
 // command returns the command of a plan, which has at least two arguments. Its answer is no if there is no such plan.
 func (o *planOptions) command(use, short, example string, plan planner) *cobra.Command {
 	return &cobra.Command{
-		Use: use, Short: short, Example: example, Args: cobra.MinimumNArgs(2),
+		Use:     use,
+		Short:   short,
+		Example: example,
+		Args:    cobra.MinimumNArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			m, err := readMap(o.mapPath)
 			if err != nil {
--- a/cmd/rooktrestle/health.go
+++ b/cmd/rooktrestle/health.go
@@ -15,8 +15,10 @@
 func healthCommand() *cobra.Command {
 	var options app.HealthOptions
 	c := &cobra.Command{
-		Use: "health FILE", Short: "Check the servers of the operator's FILE, and print their states and the causes",
-		Example: "  rooktrestle health deploy/partners.toml --watch", Args: cobra.ExactArgs(1),
+		Use:     "health FILE",
+		Short:   "Check the servers of the operator's FILE, and print their states and the causes",
+		Example: "  rooktrestle health deploy/partners.toml --watch",
+		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			options.Stop = stopOnSignal()
 			healthy, err := app.CheckServers(args[0], cmd.OutOrStdout(), options)
--- a/cmd/rooktrestle/main.go
+++ b/cmd/rooktrestle/main.go
@@ -82,7 +82,9 @@
 func serveCommand(logger **slog.Logger) *cobra.Command {
 	var front string
 	c := &cobra.Command{
-		Use: "serve", Short: "Serve the platform's configuration (NODE_CONFIG), or the operator's file of SRU and Z39.50", Args: cobra.NoArgs,
+		Use:   "serve",
+		Short: "Serve the platform's configuration (NODE_CONFIG), or the operator's file of SRU and Z39.50",
+		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			if front != "" {
 				return app.ServePartners(front, *logger)
@@ -96,8 +98,9 @@
 
 func checkConfigCommand() *cobra.Command {
 	return &cobra.Command{
-		Use: "check-config [FILE]", Short: "Read the platform's configuration, or the operator's FILE, and report whether it can be served",
-		Args: cobra.MaximumNArgs(1),
+		Use:   "check-config [FILE]",
+		Short: "Read the platform's configuration, or the operator's FILE, and report whether it can be served",
+		Args:  cobra.MaximumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if len(args) == 1 {
 				return app.CheckPartners(cmd.OutOrStdout(), args[0])
@@ -114,8 +117,10 @@
 
 func versionCommand() *cobra.Command {
 	return &cobra.Command{
-		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
-		Run: func(cmd *cobra.Command, _ []string) { printf(cmd.OutOrStdout(), "%s\n", version()) },
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run:   func(cmd *cobra.Command, _ []string) { printf(cmd.OutOrStdout(), "%s\n", version()) },
 	}
 }
 
--- a/internal/app/background/background.go
+++ b/internal/app/background/background.go
@@ -45,8 +45,11 @@
 		return nil, err
 	}
 	return &Runner{
-		clock: clock, schedule: schedule, jobs: map[scheduler.TaskID]Job{},
-		startDelay: hdrhistogram.New(1, int64(maxStartDelay/time.Microsecond), startDelayDigits), wake: make(chan struct{}, 1),
+		clock:      clock,
+		schedule:   schedule,
+		jobs:       map[scheduler.TaskID]Job{},
+		startDelay: hdrhistogram.New(1, int64(maxStartDelay/time.Microsecond), startDelayDigits),
+		wake:       make(chan struct{}, 1),
 	}, nil
 }
 
@@ -150,8 +153,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return Stats{
-		Stats: r.schedule.Stats, Tasks: r.schedule.Len(), Running: r.schedule.Running(),
-		StartDelayP50: r.quantile(50), StartDelayP99: r.quantile(99),
+		Stats:         r.schedule.Stats,
+		Tasks:         r.schedule.Len(),
+		Running:       r.schedule.Running(),
+		StartDelayP50: r.quantile(50),
+		StartDelayP99: r.quantile(99),
 	}
 }
 
--- a/internal/app/grpchealthcmd/grpchealthcmd.go
+++ b/internal/app/grpchealthcmd/grpchealthcmd.go
@@ -54,9 +54,12 @@
 func New(name string) *cobra.Command {
 	var o options
 	c := &cobra.Command{
-		Use: name, Short: "Serve an aggregator's health over grpc.health.v1, and check gRPC servers for it",
-		Example: "  " + name + " --listen 127.0.0.1:8213 --mixer 127.0.0.1:8211 --bridge 127.0.0.1:8214", Args: cobra.NoArgs,
-		SilenceUsage: true, SilenceErrors: true,
+		Use:           name,
+		Short:         "Serve an aggregator's health over grpc.health.v1, and check gRPC servers for it",
+		Example:       "  " + name + " --listen 127.0.0.1:8213 --mixer 127.0.0.1:8211 --bridge 127.0.0.1:8214",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
 		RunE: func(*cobra.Command, []string) error {
 			if err := o.validate(); err != nil {
 				return err
--- a/internal/app/healthclient.go
+++ b/internal/app/healthclient.go
@@ -29,9 +29,14 @@
 func newServerHealth(table *health.Table, now time.Time, id string) ServerHealth {
 	decision, _ := table.Decision(health.ID(id)) // an unknown server has the zero decision
 	return ServerHealth{
-		ID: id, State: decision.State.String(), Usable: decision.Usable, EjectedClasses: decision.EjectedClasses,
-		TrafficFraction: decision.TrafficFraction, MaxInFlight: decision.MaxInFlight, Cause: decision.Cause,
-		Facts: table.Facts(now, health.ID(id)),
+		ID:              id,
+		State:           decision.State.String(),
+		Usable:          decision.Usable,
+		EjectedClasses:  decision.EjectedClasses,
+		TrafficFraction: decision.TrafficFraction,
+		MaxInFlight:     decision.MaxInFlight,
+		Cause:           decision.Cause,
+		Facts:           table.Facts(now, health.ID(id)),
 	}
 }
 
@@ -131,7 +136,12 @@
 			if profile.Name != name {
 				continue
 			}
-			check := healthcheck.Check{Profile: profile, Addr: profile.AddrFor(server), Bridge: conf.Checks.GRPCBridge, Dial: tcp.DialServerFirst}
+			check := healthcheck.Check{
+				Profile: profile,
+				Addr:    profile.AddrFor(server),
+				Bridge:  conf.Checks.GRPCBridge,
+				Dial:    tcp.DialServerFirst,
+			}
 			checks = append(checks, serverCheck{check, i})
 		}
 	}
--- a/internal/app/healthtracker.go
+++ b/internal/app/healthtracker.go
@@ -39,13 +39,19 @@
 // evaluateHealth makes the loop evaluate the outcomes recorded since the last evaluation.
 type evaluateHealth struct{ aggregator.AdapterMessage }
 
-func newHealthTracker(conf *config.Partners, servers []aggregator.Server, now time.Time, mailbox aggregator.Poster, log *slog.Logger) (*healthTracker, error) {
+func newHealthTracker(
+	conf *config.Partners, servers []aggregator.Server, now time.Time, mailbox aggregator.Poster, log *slog.Logger,
+) (*healthTracker, error) {
 	table, err := health.New(conf.HealthRules(), conf.HealthSources(), now)
 	if err != nil {
 		return nil, err
 	}
 	h := &healthTracker{
-		table: table, servers: map[health.ID]aggregator.Server{}, shards: map[health.ID]map[int]bool{}, log: log, mailbox: mailbox,
+		table:   table,
+		servers: map[health.ID]aggregator.Server{},
+		shards:  map[health.ID]map[int]bool{},
+		log:     log,
+		mailbox: mailbox,
 	}
 	for _, class := range conf.Classes {
 		h.objectives = append(h.objectives, class.Objective.Duration)
@@ -185,8 +191,10 @@
 		}
 		server.State = endpointStates[change.State]
 		server.HealthLimits = balance.HealthLimits{
-			TrafficFraction: change.TrafficFraction, MaxInFlight: change.MaxInFlight,
-			EjectedClasses: change.EjectedClasses, HalfOpenClasses: change.HalfOpenClasses,
+			TrafficFraction: change.TrafficFraction,
+			MaxInFlight:     change.MaxInFlight,
+			EjectedClasses:  change.EjectedClasses,
+			HalfOpenClasses: change.HalfOpenClasses,
 		}
 		update.Servers = append(update.Servers, server)
 	}
--- a/internal/app/partnerlisteners.go
+++ b/internal/app/partnerlisteners.go
@@ -20,12 +20,18 @@
 
 // sruTimeouts are those of SRU's HTTP connections.
 var sruTimeouts = httpserve.Timeouts{
-	FirstRequest: 10 * time.Second, Idle: 2 * time.Minute, ReadRequest: 10 * time.Second, EvictableAfter: evictableAfter,
+	FirstRequest:   10 * time.Second,
+	Idle:           2 * time.Minute,
+	ReadRequest:    10 * time.Second,
+	EvictableAfter: evictableAfter,
 }
 
 // healthTimeouts are those of the health listener's HTTP connections.
 var healthTimeouts = httpserve.Timeouts{
-	FirstRequest: 2 * time.Second, Idle: time.Minute, ReadRequest: 2 * time.Second, EvictableAfter: evictableAfter,
+	FirstRequest:   2 * time.Second,
+	Idle:           time.Minute,
+	ReadRequest:    2 * time.Second,
+	EvictableAfter: evictableAfter,
 }
 
 // agentAdmitTimeout is how long an agent-check that finds no socket waits for one. Agent-checks end by themselves: each is
@@ -49,19 +55,51 @@
 	service := &gateway.Service{Config: p.conf, Post: p.mailbox.Put, Now: p.clock.Now}
 	p.sru = httpserve.New(sruTimeouts, p.clock.Now, (&srufront.Server{Service: service}).Handle)
 	p.health = httpserve.New(healthTimeouts, p.clock.Now, p.reporter.HTTP)
-	associationTimes := zfront.Times{Init: associationInitTimeout, Idle: associationIdleTimeout, Recent: resultSetsRecent}
+	associationTimes := zfront.Times{
+		Init:   associationInitTimeout,
+		Idle:   associationIdleTimeout,
+		Recent: resultSetsRecent,
+	}
 	p.z3950 = zfront.New(service, associationTimes, p.clock.Now)
 	addrs, sockets := p.conf.Listen, p.conf.Listen.Share
 	for _, listener := range []partnerListener{
-		{"sru", addrs.SRU, sockets.SRU, func() bool { return p.sru.EvictIdle(true) }, 0, p.sru.Accept},
-		{"z3950", addrs.Z3950, sockets.Z3950, p.z3950.EvictIdle, 0, p.z3950.Accept},
-		{"health", addrs.Health, sockets.Health, func() bool { return p.health.EvictIdle(true) }, 0, p.health.Accept},
-		{"agent", addrs.Agent, sockets.Agent, nil, agentAdmitTimeout, p.reporter.Agent},
+		{
+			protocol:   "sru",
+			addr:       addrs.SRU,
+			maxSockets: sockets.SRU,
+			evict:      func() bool { return p.sru.EvictIdle(true) },
+			accept:     p.sru.Accept,
+		},
+		{
+			protocol:   "z3950",
+			addr:       addrs.Z3950,
+			maxSockets: sockets.Z3950,
+			evict:      p.z3950.EvictIdle,
+			accept:     p.z3950.Accept,
+		},
+		{
+			protocol:   "health",
+			addr:       addrs.Health,
+			maxSockets: sockets.Health,
+			evict:      func() bool { return p.health.EvictIdle(true) },
+			accept:     p.health.Accept,
+		},
+		{
+			protocol:     "agent",
+			addr:         addrs.Agent,
+			maxSockets:   sockets.Agent,
+			admitTimeout: agentAdmitTimeout,
+			accept:       p.reporter.Agent,
+		},
 	} {
 		if listener.addr == "" {
 			continue
 		}
-		limiter := &tcp.ConnLimiter{Max: listener.maxSockets, Evict: listener.evict, AdmitTimeout: listener.admitTimeout}
+		limiter := &tcp.ConnLimiter{
+			Max:          listener.maxSockets,
+			Evict:        listener.evict,
+			AdmitTimeout: listener.admitTimeout,
+		}
 		server, err := tcp.Listen(listener.addr, limiter, listener.accept)
 		if err != nil {
 			return fmt.Errorf("%s: %w", listener.protocol, err)
--- a/internal/app/partners.go
+++ b/internal/app/partners.go
@@ -56,8 +56,14 @@
 // all its random draws.
 func StartPartners(conf *config.Partners, seed uint64, log *slog.Logger) (*PartnersDeployment, error) {
 	p := &PartnersDeployment{
-		conf: conf, log: log, clock: aggregator.SystemClock{}, mailbox: aggregator.NewMailbox(), listeners: map[string]*tcp.Server{},
-		stop: make(chan struct{}), loopDone: make(chan struct{}), checksDone: make(chan struct{}),
+		conf:       conf,
+		log:        log,
+		clock:      aggregator.SystemClock{},
+		mailbox:    aggregator.NewMailbox(),
+		listeners:  map[string]*tcp.Server{},
+		stop:       make(chan struct{}),
+		loopDone:   make(chan struct{}),
+		checksDone: make(chan struct{}),
 	}
 	if err := p.buildLoop(conf.Decisions(seed)); err != nil {
 		return nil, err
@@ -82,7 +88,8 @@
 	}
 	limits := p.conf.Limits
 	p.pool = serialconn.NewPool(serialconn.Limits{
-		ConnectTimeout: limits.Connect.Duration, IdleTimeout: limits.Idle.Duration,
+		ConnectTimeout: limits.Connect.Duration,
+		IdleTimeout:    limits.Idle.Duration,
 		MaxConnections: max(1, limits.Sockets/2-p.conf.Checks.MaxConcurrent),
 	}, p.mailbox, tcp.Dial, codecs(p.conf))
 	now := p.clock.Now()
@@ -101,11 +108,18 @@
 	}
 	p.mailbox.Put(aggregator.EndpointsChanged{Kind: balance.ListFull, Servers: servers})
 	p.reporter = &fronthealth.Responder{
-		Now: p.clock.Now, Wait: p.conf.Listen.AgentWait.Duration, Servers: p.serversJSON, Metrics: p.CountersText,
+		Now:     p.clock.Now,
+		Wait:    p.conf.Listen.AgentWait.Duration,
+		Servers: p.serversJSON,
+		Metrics: p.CountersText,
 	}
 	p.readiness = newReadinessPublisher(p.conf, p.core, p.healthTracker, p.reporter)
 	p.loop = &aggregator.Loop{
-		Core: p.core, Mailbox: p.mailbox, Adapter: adapters{p.pool, p.healthTracker, p.readiness}, Clock: p.clock, Stop: p.stop,
+		Core:        p.core,
+		Mailbox:     p.mailbox,
+		Adapter:     adapters{p.pool, p.healthTracker, p.readiness},
+		Clock:       p.clock,
+		Stop:        p.stop,
 		NewBalancer: newBalancer,
 	}
 	return nil
@@ -125,7 +139,11 @@
 func endpoints(conf *config.Partners) (list []aggregator.Server) {
 	for _, server := range conf.Servers {
 		list = append(list, aggregator.Server{
-			ID: balance.Replica(server.ID), Addr: server.Addr, Zone: server.Zone, Cell: server.Cell, Weight: 1,
+			ID:     balance.Replica(server.ID),
+			Addr:   server.Addr,
+			Zone:   server.Zone,
+			Cell:   server.Cell,
+			Weight: 1,
 		})
 	}
 	return list
@@ -151,7 +169,10 @@
 func (p *PartnersDeployment) buildChecks(seed uint64) (err error) {
 	checks := p.conf.Checks
 	p.checks, err = background.New(scheduler.Budget{
-		StartsPerSecond: checks.MaxStartsPerSecond, Burst: max(8, checks.MaxConcurrent), MaxRunning: checks.MaxConcurrent, Jitter: checks.Jitter,
+		StartsPerSecond: checks.MaxStartsPerSecond,
+		Burst:           max(8, checks.MaxConcurrent),
+		MaxRunning:      checks.MaxConcurrent,
+		Jitter:          checks.Jitter,
 	}, seed, p.clock)
 	if err != nil {
 		return err
@@ -160,8 +181,11 @@
 		for _, check := range checksOf(p.conf, server) {
 			profile := check.Profile
 			task := scheduler.Task{
-				Priority: scheduler.Normal, Interval: profile.Interval.Duration, FastInterval: profile.FastInterval.Duration,
-				FastRuns: profile.FastChecks, SlowInterval: profile.DownInterval.Duration,
+				Priority:     scheduler.Normal,
+				Interval:     profile.Interval.Duration,
+				FastInterval: profile.FastInterval.Duration,
+				FastRuns:     profile.FastChecks,
+				SlowInterval: profile.DownInterval.Duration,
 			}
 			p.checks.Add(task, profile.Interval.Duration/4, p.checkJob(health.ID(server.ID), check))
 		}
--- a/internal/app/platform.go
+++ b/internal/app/platform.go
@@ -105,7 +105,10 @@
 		return nil, err
 	}
 	s := &platformServer{
-		node: node, mailbox: aggregator.NewMailbox(), stop: make(chan struct{}), loopDone: make(chan struct{}),
+		node:     node,
+		mailbox:  aggregator.NewMailbox(),
+		stop:     make(chan struct{}),
+		loopDone: make(chan struct{}),
 	}
 	s.pool = leaf.NewPool(leaf.Limits{
 		MaxStreams:        node.Deployment.StreamsPerConn,
@@ -123,7 +126,11 @@
 		return nil, err
 	}
 	s.loop = &aggregator.Loop{
-		Core: s.core, Mailbox: s.mailbox, Adapter: s.pool, Clock: s.clock, Stop: s.stop,
+		Core:        s.core,
+		Mailbox:     s.mailbox,
+		Adapter:     s.pool,
+		Clock:       s.clock,
+		Stop:        s.stop,
 		NewBalancer: func() (*balance.Balancer, error) { return balance.New(settings) },
 	}
 	s.newFrontend()
@@ -134,7 +141,9 @@
 func platformLimits(node config.Node) aggregator.Limits {
 	deployment := node.Deployment
 	limits := aggregator.Limits{
-		MaxOpen: deployment.MaxOpen, MaxCallParts: deployment.Decisions.MaxCallParts, RetryAfter: deployment.MaxRetryAfter,
+		MaxOpen:        deployment.MaxOpen,
+		MaxCallParts:   deployment.Decisions.MaxCallParts,
+		RetryAfter:     deployment.MaxRetryAfter,
 		DeadlineMargin: 4 * deployment.Decisions.Tick,
 	}
 	for _, class := range deployment.Decisions.Classes {
@@ -156,8 +165,11 @@
 		return
 	}
 	transport, err := gossip.Open(gossip.Options{
-		Listen: s.node.PeerListen, Broadcast: s.node.PeerBroadcast, Peers: s.node.Peers, OwnIndex: s.node.Deployment.InstanceIndex,
-		Receive: func(datagram []byte) { s.mailbox.PutDeferred(aggregator.GossipReceived{Payload: datagram}) },
+		Listen:    s.node.PeerListen,
+		Broadcast: s.node.PeerBroadcast,
+		Peers:     s.node.Peers,
+		OwnIndex:  s.node.Deployment.InstanceIndex,
+		Receive:   func(datagram []byte) { s.mailbox.PutDeferred(aggregator.GossipReceived{Payload: datagram}) },
 	})
 	if err != nil {
 		logf("gossip disabled: %v", err)
@@ -165,7 +177,8 @@
 	}
 	s.gossip, s.core.Gossip = transport, transport
 	if settings.GossipEnabled() {
-		s.core.Outliers = outlier.New(outlier.PlatformConfig(shortestObjective(settings.Classes), settings.Zone, settings.Instances))
+		objective := shortestObjective(settings.Classes)
+		s.core.Outliers = outlier.New(outlier.PlatformConfig(objective, settings.Zone, settings.Instances))
 	}
 }
 
@@ -179,7 +192,10 @@
 func (s *platformServer) newWatcher() error {
 	deployment := s.node.Deployment
 	s.watcher = &discovery.Watcher{
-		Addr: s.node.Discovery, Zones: deployment.Zones, Put: s.mailbox.Put, Log: logf,
+		Addr:   s.node.Discovery,
+		Zones:  deployment.Zones,
+		Put:    s.mailbox.Put,
+		Log:    logf,
 		Random: rand.New(rand.NewPCG(s.node.Seed, 1)).Float64,
 	}
 	// Otherwise discovery is an agent on this machine, which answers at once and need not be spared.
@@ -207,9 +223,15 @@
 		longestDeadline = max(longestDeadline, class.Deadline)
 	}
 	s.frontend = platform.New(platform.Options{
-		Classes: deployment.Classes, Tenants: deployment.Tenants, Shards: deployment.Decisions.Shards, MaxTimeout: 2 * longestDeadline,
+		Classes:    deployment.Classes,
+		Tenants:    deployment.Tenants,
+		Shards:     deployment.Decisions.Shards,
+		MaxTimeout: 2 * longestDeadline,
 		Timeouts: httpserve.Timeouts{
-			FirstRequest: requestReadTimeout, Idle: keepAliveTimeout, ReadRequest: requestReadTimeout, EvictableAfter: evictableAfter,
+			FirstRequest:   requestReadTimeout,
+			Idle:           keepAliveTimeout,
+			ReadRequest:    requestReadTimeout,
+			EvictableAfter: evictableAfter,
 		},
 	}, s.mailbox.Put, s.clock.Now, func() (text string) {
 		s.loop.Do(func() { text = s.countersText() })
@@ -227,8 +249,9 @@
 	stats := s.pool.Stats
 	text := fmt.Sprintf("%v; leaf connections: dialed %d, refused %d, broken %d, spoilt %d, late answers %d; front: %+v",
 		s.core.Counters, stats.Dials, stats.DialsFailed, stats.Broken, stats.Corrupt, stats.LateAnswers, s.frontend.Counters())
-	if s.core.Outliers != nil {
-		text += fmt.Sprintf("; servers that lose parts: %d, remarks on them heard %d", s.core.Outliers.EjectedCount(), s.core.Outliers.ObservationsReceived)
+	if outliers := s.core.Outliers; outliers != nil {
+		text += fmt.Sprintf("; servers that lose parts: %d, remarks on them heard %d",
+			outliers.EjectedCount(), outliers.ObservationsReceived)
 	}
 	return text
 }
@@ -332,5 +355,6 @@
 
 // shortestObjective is the shortest latency objective of the classes.
 func shortestObjective(classes []balance.Class) time.Duration {
-	return slices.MinFunc(classes, func(a, b balance.Class) int { return cmp.Compare(a.Objective, b.Objective) }).Objective
+	byObjective := func(a, b balance.Class) int { return cmp.Compare(a.Objective, b.Objective) }
+	return slices.MinFunc(classes, byObjective).Objective
 }
--- a/internal/app/readiness.go
+++ b/internal/app/readiness.go
@@ -36,10 +36,16 @@
 	databasesAt time.Time
 }
 
-func newReadinessPublisher(conf *config.Partners, core *aggregator.Core, tracker *healthTracker, publisher *fronthealth.Responder) *readinessPublisher {
+func newReadinessPublisher(
+	conf *config.Partners, core *aggregator.Core, tracker *healthTracker, publisher *fronthealth.Responder,
+) *readinessPublisher {
 	return &readinessPublisher{
-		conf: conf, core: core, health: tracker, evaluator: readiness.New(readiness.DefaultConfig()), publisher: publisher,
-		memory: []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}},
+		conf:      conf,
+		core:      core,
+		health:    tracker,
+		evaluator: readiness.New(readiness.DefaultConfig()),
+		publisher: publisher,
+		memory:    []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}},
 	}
 }
 
@@ -68,8 +74,13 @@
 	metrics.Read(p.memory)
 	counters := p.core.Counters
 	snapshot := readiness.Snapshot{
-		Draining: p.draining, InFlight: p.core.Load(), MaxInFlight: p.conf.Limits.MaxOpen, Received: counters.Received, Rejected: counters.Rejected,
-		MemoryUsed: p.memory[0].Value.Uint64() - p.memory[1].Value.Uint64(), MemoryLimit: uint64(p.conf.Limits.MemoryMB) << 20,
+		Draining:    p.draining,
+		InFlight:    p.core.Load(),
+		MaxInFlight: p.conf.Limits.MaxOpen,
+		Received:    counters.Received,
+		Rejected:    counters.Rejected,
+		MemoryUsed:  p.memory[0].Value.Uint64() - p.memory[1].Value.Uint64(),
+		MemoryLimit: uint64(p.conf.Limits.MemoryMB) << 20,
 	}
 	if !p.due.IsZero() {
 		snapshot.LoopLag = max(0, now.Sub(p.due))
@@ -86,7 +97,9 @@
 	if unchanged && now.Sub(p.databasesAt) < databaseRefreshInterval {
 		return
 	}
-	p.databases, p.databasesOf, p.databasesAt = nil, p.health.version, now
+	p.databases = nil
+	p.databasesOf = p.health.version
+	p.databasesAt = now
 	for _, database := range p.conf.Databases {
 		p.databases = append(p.databases, p.snapshotOf(database))
 	}
@@ -94,7 +107,8 @@
 
 // snapshotOf counts the shards of a database and lists those without a usable replica.
 func (p *readinessPublisher) snapshotOf(database config.Database) readiness.DatabaseSnapshot {
-	search, correction := p.conf.ClassIndex(database.SearchClass), p.conf.ClassIndex(database.CorrectionClass)
+	search := p.conf.ClassIndex(database.SearchClass)
+	correction := p.conf.ClassIndex(database.CorrectionClass)
 	snapshot := readiness.DatabaseSnapshot{Name: database.Name, MinCoverage: p.conf.Classes[search].MinFraction}
 	if p.health.table.ChecksSuspect() {
 		snapshot.Caveat = "checks are doubted"
--- a/internal/app/shardmaps.go
+++ b/internal/app/shardmaps.go
@@ -41,14 +41,21 @@
 	running        sync.WaitGroup
 }
 
-func newShardMaps(conf *config.Partners, tracker *healthTracker, mailbox aggregator.Poster, log *slog.Logger) (*shardMaps, error) {
+func newShardMaps(
+	conf *config.Partners, tracker *healthTracker, mailbox aggregator.Poster, log *slog.Logger,
+) (*shardMaps, error) {
 	views, err := shardmap.NewViews(conf.ShardMap.ViewOptions())
 	if err != nil {
 		return nil, err
 	}
 	return &shardMaps{
-		conf: conf, views: views, health: tracker, mailbox: mailbox, log: log,
-		poll: make(chan struct{}, 1), toPersist: make(chan *shardmap.Map, 1),
+		conf:      conf,
+		views:     views,
+		health:    tracker,
+		mailbox:   mailbox,
+		log:       log,
+		poll:      make(chan struct{}, 1),
+		toPersist: make(chan *shardmap.Map, 1),
 	}, nil
 }
 
@@ -118,8 +125,14 @@
 		return
 	}
 	source := &shardmapsource.HTTP{
-		Addr: settings.Source, Wait: settings.LongPollTimeout.Duration, MinInterval: mapMinInterval, MaxInterval: mapMaxInterval,
-		Put: m.offer, CurrentEpoch: m.adoptedEpoch.Load, Wake: m.poll, Dial: tcp.Dial,
+		Addr:         settings.Source,
+		Wait:         settings.LongPollTimeout.Duration,
+		MinInterval:  mapMinInterval,
+		MaxInterval:  mapMaxInterval,
+		Put:          m.offer,
+		CurrentEpoch: m.adoptedEpoch.Load,
+		Wake:         m.poll,
+		Dial:         tcp.Dial,
 	}
 	source.Run(stop)
 }
--- a/internal/config/healthchecks.go
+++ b/internal/config/healthchecks.go
@@ -115,10 +115,12 @@
 // come back then.
 func (p *Partners) addImpliedChecks(server *Server) {
 	if server.Agent != "" {
-		server.Checks = append(server.Checks, p.impliedProfile(CheckProfile{Name: "agent " + server.Agent, Kind: CheckAgent, Addr: server.Agent}))
+		implied := p.impliedProfile(CheckProfile{Name: "agent " + server.Agent, Kind: CheckAgent, Addr: server.Agent})
+		server.Checks = append(server.Checks, implied)
 	}
 	if server.Health != "" {
-		server.Checks = append(server.Checks, p.impliedProfile(CheckProfile{Name: "http " + server.Health, Kind: CheckHTTP, Path: server.Health}))
+		implied := p.impliedProfile(CheckProfile{Name: "http " + server.Health, Kind: CheckHTTP, Path: server.Health})
+		server.Checks = append(server.Checks, implied)
 	}
 	reachabilityChecked := false
 	for _, name := range server.Checks {
--- a/internal/config/healthrules.go
+++ b/internal/config/healthrules.go
@@ -58,12 +58,12 @@
 	}
 }
 
-func (p *Partners) validateHealthRules(v *validator) {
+func (p *Partners) validateHealthRules(problems *validator) {
 	if len(p.Classes) == 0 || len(p.Classes) > maxClasses {
 		return // a problem of its own
 	}
 	if _, err := health.New(p.HealthRules(), nil, time.Unix(0, 0)); err != nil {
-		v.addf("health", "%v", err)
+		problems.addf("health", "%v", err)
 	}
 }
 
@@ -71,7 +71,10 @@
 func (p *Partners) HealthSources() (sources []health.CheckConfig) {
 	for _, profile := range p.CheckProfiles {
 		sources = append(sources, health.CheckConfig{
-			Name: profile.Name, Fall: profile.Fall, Rise: profile.Rise, Validity: profile.ResultTTL.Duration,
+			Name:           profile.Name,
+			Fall:           profile.Fall,
+			Rise:           profile.Rise,
+			Validity:       profile.ResultTTL.Duration,
 			IgnoreFailures: profile.NoResult == noResultIgnored,
 		})
 	}
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -58,7 +58,12 @@
 	if err != nil {
 		return node, fmt.Errorf("%s: %w", path, err)
 	}
-	for name, field := range map[string]*string{"NODE_NAME": &node.Name, "NODE_LISTEN": &node.Listen, "NODE_DISCOVERY": &node.Discovery} {
+	fields := map[string]*string{
+		"NODE_NAME":      &node.Name,
+		"NODE_LISTEN":    &node.Listen,
+		"NODE_DISCOVERY": &node.Discovery,
+	}
+	for name, field := range fields {
 		if value := env(name); value != "" {
 			*field = value
 		}
@@ -119,10 +124,19 @@
 		return Node{}, errors.New("no settings")
 	}
 	node := Node{
-		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, InitialEndpoints: file.InitialEndpoints,
-		Cores: file.Limits.Cores, MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets, Seed: parseSeed(file.Seed),
-		PeerListen: file.PeerListen, Peers: file.Peers, PeerBroadcast: file.PeerBroadcast,
-		fileDiscovery: file.Discovery, fileSettings: file.Settings,
+		Name:             file.Name,
+		Listen:           file.Listen,
+		Discovery:        file.Discovery,
+		InitialEndpoints: file.InitialEndpoints,
+		Cores:            file.Limits.Cores,
+		MemoryMB:         file.Limits.MemoryMB,
+		Sockets:          file.Limits.Sockets,
+		Seed:             parseSeed(file.Seed),
+		PeerListen:       file.PeerListen,
+		Peers:            file.Peers,
+		PeerBroadcast:    file.PeerBroadcast,
+		fileDiscovery:    file.Discovery,
+		fileSettings:     file.Settings,
 	}
 	if err := node.validatePeers(); err != nil {
 		return node, err
--- a/internal/config/partners.go
+++ b/internal/config/partners.go
@@ -180,9 +180,18 @@
 // Decisions are the settings of the decisions that follow from the file. seed is that of all random draws.
 func (p *Partners) Decisions(seed uint64) balance.Settings {
 	settings := balance.Settings{
-		Seed: seed, Instances: p.Instances, Tick: 5 * time.Millisecond, Zone: p.Zone,
-		Cells: p.Shards.Cells, Reach: p.Shards.Reach, Shards: p.Shards.Count, MaxCallParts: 1,
-		MaxAttempts: p.Limits.Attempts, CanCancel: true, MaxRetryAfter: 5 * time.Second, OverQuotaFactor: 1,
+		Seed:            seed,
+		Instances:       p.Instances,
+		Tick:            5 * time.Millisecond,
+		Zone:            p.Zone,
+		Cells:           p.Shards.Cells,
+		Reach:           p.Shards.Reach,
+		Shards:          p.Shards.Count,
+		MaxCallParts:    1,
+		MaxAttempts:     p.Limits.Attempts,
+		CanCancel:       true,
+		MaxRetryAfter:   5 * time.Second,
+		OverQuotaFactor: 1,
 	}
 	if p.ShardMap.Enabled() { // each part names the replicas of its shard
 		settings.Cells, settings.Reach, settings.Shards = 1, 1, 1
@@ -193,9 +202,15 @@
 			idempotency = balance.NonIdempotent
 		}
 		settings.Classes = append(settings.Classes, balance.Class{
-			Objective: class.Objective.Duration, Deadline: class.Deadline.Duration, Weight: class.Weight,
-			OverdueFraction: class.OverdueFraction, Idempotency: idempotency, MinFraction: class.MinFraction,
-			CompleteFraction: 1, PartialFraction: class.PartialFraction, FollowUpParts: class.FollowUpParts,
+			Objective:        class.Objective.Duration,
+			Deadline:         class.Deadline.Duration,
+			Weight:           class.Weight,
+			OverdueFraction:  class.OverdueFraction,
+			Idempotency:      idempotency,
+			MinFraction:      class.MinFraction,
+			CompleteFraction: 1,
+			PartialFraction:  class.PartialFraction,
+			FollowUpParts:    class.FollowUpParts,
 		})
 	}
 	for _, tenant := range p.Tenants {
--- a/internal/config/partnersvalidate.go
+++ b/internal/config/partnersvalidate.go
@@ -7,122 +7,127 @@
 )
 
 // validate reports all that is wrong with a file. Some of it is a problem of several keys; the line is that of one.
-func (p *Partners) validate(v *validator) {
+func (p *Partners) validate(problems *validator) {
 	if p.Listen.SRU == "" && p.Listen.Z3950 == "" {
-		v.addf("listen", "neither sru nor z3950 is listened to")
+		problems.addf("listen", "neither sru nor z3950 is listened to")
 	}
-	p.validateShards(v)
-	p.validateLimits(v)
-	p.validateClasses(v)
-	p.validateDatabases(v)
+	p.validateShards(problems)
+	p.validateLimits(problems)
+	p.validateClasses(problems)
+	p.validateDatabases(problems)
 	if len(p.Databases) == 0 || len(p.Servers) == 0 {
-		v.addf("", "no database, or no server")
+		problems.addf("", "no database, or no server")
 	}
-	p.validateServers(v)
-	p.validateListeners(v)
-	p.validateChecks(v)
-	p.validateHealthRules(v)
+	p.validateServers(problems)
+	p.validateListeners(problems)
+	p.validateChecks(problems)
+	p.validateHealthRules(problems)
 }
 
-func (p *Partners) validateShards(v *validator) {
+func (p *Partners) validateShards(problems *validator) {
 	if !p.ShardMap.intended() {
-		v.atLeast("shards.count", p.Shards.Count, 1)
-		v.atLeast("shards.cells", p.Shards.Cells, 1)
-		v.atLeast("shards.reach", p.Shards.Reach, 1)
+		problems.atLeast("shards.count", p.Shards.Count, 1)
+		problems.atLeast("shards.cells", p.Shards.Cells, 1)
+		problems.atLeast("shards.reach", p.Shards.Reach, 1)
 	}
-	p.validateShardMap(v)
+	p.validateShardMap(problems)
 	if p.Shards.Reach > p.Shards.Cells {
-		v.addf("shards.reach", "reach must be at most cells: %d of %d", p.Shards.Reach, p.Shards.Cells)
+		problems.addf("shards.reach", "reach must be at most cells: %d of %d", p.Shards.Reach, p.Shards.Cells)
 	}
 }
 
-func (p *Partners) validateLimits(v *validator) {
-	v.atLeast("limits.max_open", p.Limits.MaxOpen, 1)
-	v.atLeast("limits.max_records", p.Limits.MaxRecords, 1)
-	v.atLeast("limits.sockets", p.Limits.Sockets, 1)
-	v.atLeast("limits.memory_mb", p.Limits.MemoryMB, 1)
-	v.atLeast("limits.attempts", p.Limits.Attempts, 1)
-	v.atLeast("limits.result_sets", p.Limits.ResultSets, 1)
-	v.atLeast("mixers", p.Instances, 1)
+func (p *Partners) validateLimits(problems *validator) {
+	problems.atLeast("limits.max_open", p.Limits.MaxOpen, 1)
+	problems.atLeast("limits.max_records", p.Limits.MaxRecords, 1)
+	problems.atLeast("limits.sockets", p.Limits.Sockets, 1)
+	problems.atLeast("limits.memory_mb", p.Limits.MemoryMB, 1)
+	problems.atLeast("limits.attempts", p.Limits.Attempts, 1)
+	problems.atLeast("limits.result_sets", p.Limits.ResultSets, 1)
+	problems.atLeast("mixers", p.Instances, 1)
 }
 
-func (p *Partners) validateClasses(v *validator) {
+func (p *Partners) validateClasses(problems *validator) {
 	names := map[string]bool{}
 	for i, class := range p.Classes {
 		path := fmt.Sprintf("class.%d", i)
 		if class.Name == "" || names[class.Name] {
-			v.addf(path, "class %q has no name, or stands twice", class.Name)
+			problems.addf(path, "class %q has no name, or stands twice", class.Name)
 		}
 		names[class.Name] = true
 		if class.Objective.Duration <= 0 {
-			v.addf(path+".aim", "class %q: aim must be over 0", class.Name)
+			problems.addf(path+".aim", "class %q: aim must be over 0", class.Name)
 		}
 		if class.Deadline.Duration < class.Objective.Duration {
-			v.addf(path+".deadline", "class %q: deadline %v is before aim %v", class.Name, class.Deadline.Duration, class.Objective.Duration)
+			problems.addf(path+".deadline", "class %q: deadline %v is before aim %v",
+				class.Name, class.Deadline.Duration, class.Objective.Duration)
 		}
 		if !(class.MinFraction > 0 && class.MinFraction <= 1) { // written so that NaN is a problem, too
-			v.addf(path+".floor", "class %q: floor must be over 0 and at most 1, not %v", class.Name, class.MinFraction)
+			problems.addf(path+".floor", "class %q: floor must be over 0 and at most 1, not %v",
+				class.Name, class.MinFraction)
 		}
 	}
 	if len(p.Classes) == 0 || len(p.Classes) > maxClasses {
-		v.addf("class", "1 to 63 classes, not %d", len(p.Classes))
+		problems.addf("class", "1 to 63 classes, not %d", len(p.Classes))
 	}
 }
 
-func (p *Partners) validateDatabases(v *validator) {
+func (p *Partners) validateDatabases(problems *validator) {
 	for i, database := range p.Databases {
 		path := fmt.Sprintf("database.%d", i)
 		if p.ClassIndex(database.SearchClass) < 0 {
-			v.addf(path+".search", "database %s: class %q is not there", database.Name, database.SearchClass)
+			problems.addf(path+".search", "database %s: class %q is not there",
+				database.Name, database.SearchClass)
 		}
 		if database.CorrectionClass != "" {
 			// A correction of an idempotent class could be sent again after it may have run.
 			if class := p.ClassIndex(database.CorrectionClass); class < 0 || !p.Classes[class].NonIdempotent {
-				v.addf(path+".correction", "database %s: class %q of corrections is not there, or not unsafe", database.Name, database.CorrectionClass)
+				problems.addf(path+".correction", "database %s: class %q of corrections is not there, or not unsafe",
+					database.Name, database.CorrectionClass)
 			}
 		}
 		if p.TenantIndex(database.Tenant) < 0 {
-			v.addf(path+".tenant", "database %s: tenant %q is not there", database.Name, database.Tenant)
+			problems.addf(path+".tenant", "database %s: tenant %q is not there", database.Name, database.Tenant)
 		}
 		if database.Name == "" || len(database.Shards) == 0 && !p.ShardMap.intended() {
-			v.addf(path, "database %q: no name or no shards", database.Name)
+			problems.addf(path, "database %q: no name or no shards", database.Name)
 		}
 		if !p.ShardMap.Enabled() {
-			p.validateDatabaseShards(v, database, path)
+			p.validateDatabaseShards(problems, database, path)
 		}
 	}
 }
 
-func (p *Partners) validateDatabaseShards(v *validator, database Database, path string) {
+func (p *Partners) validateDatabaseShards(problems *validator, database Database, path string) {
 	for i, shard := range database.Shards {
 		if shard < 0 || shard >= p.Shards.Count || slices.Contains(database.Shards[:i], shard) {
-			v.addf(path+".shards", "database %s: shard %d is not there, or twice", database.Name, shard)
+			problems.addf(path+".shards", "database %s: shard %d is not there, or twice", database.Name, shard)
 		}
 	}
 }
 
-func (p *Partners) validateServers(v *validator) {
+func (p *Partners) validateServers(problems *validator) {
 	ids := map[string]bool{}
 	for i, server := range p.Servers {
 		path := fmt.Sprintf("server.%d", i)
 		switch {
 		case server.ID == "":
-			v.addf(path, "a server without an id")
+			problems.addf(path, "a server without an id")
 		case ids[server.ID]:
-			v.addf(path+".id", "server %q stands twice", server.ID)
+			problems.addf(path+".id", "server %q stands twice", server.ID)
 		}
 		ids[server.ID] = true
 		if _, _, err := net.SplitHostPort(server.Addr); err != nil {
-			v.addf(path+".addr", "server %q: addr %q is not host:port", server.ID, server.Addr)
+			problems.addf(path+".addr", "server %q: addr %q is not host:port", server.ID, server.Addr)
 		}
 		if server.Protocol != SRU && server.Protocol != Z3950 {
-			v.addf(path+".protocol", "server %q: protocol %q is neither sru nor z3950", server.ID, server.Protocol)
+			problems.addf(path+".protocol", "server %q: protocol %q is neither sru nor z3950",
+				server.ID, server.Protocol)
 		}
 		if !p.ShardMap.intended() && (server.Cell < 0 || server.Cell >= p.Shards.Cells) {
-			v.addf(path+".cell", "server %q: cell %d is not there", server.ID, server.Cell)
+			problems.addf(path+".cell", "server %q: cell %d is not there", server.ID, server.Cell)
 		}
 		if server.Database == "" {
-			v.addf(path, "server %q: it needs database, how it names a shard", server.ID)
+			problems.addf(path, "server %q: it needs database, how it names a shard", server.ID)
 		}
 	}
 }
--- a/internal/config/problems.go
+++ b/internal/config/problems.go
@@ -99,11 +99,11 @@
 	}
 }
 
-// decode reads TOML into v, a pointer. Keys that v does not have are problems. Its error is of type Problems.
-func decode(file string, text []byte, v any) error {
+// decode reads TOML into target, a pointer. Keys that target does not have are problems. Its error is of type Problems.
+func decode(file string, text []byte, target any) error {
 	decoder := toml.NewDecoder(bytes.NewReader(text))
 	decoder.DisallowUnknownFields()
-	err := decoder.Decode(v)
+	err := decoder.Decode(target)
 	var unknown *toml.StrictMissingError
 	var invalid *toml.DecodeError
 	switch {
@@ -140,7 +140,12 @@
 
 // addf adds a problem of the key at a path.
 func (v *validator) addf(path, format string, args ...any) {
-	v.problems = append(v.problems, Problem{File: v.file, Line: v.lines.line(path), Key: path, Reason: fmt.Sprintf(format, args...)})
+	v.problems = append(v.problems, Problem{
+		File:   v.file,
+		Line:   v.lines.line(path),
+		Key:    path,
+		Reason: fmt.Sprintf(format, args...),
+	})
 }
 
 // atLeast adds a problem if the number at a path is below a minimum.
--- a/internal/config/shardmap.go
+++ b/internal/config/shardmap.go
@@ -32,8 +32,11 @@
 // ViewOptions are the options of the views of the map.
 func (s *ShardMapSource) ViewOptions() shardmap.ViewOptions {
 	return shardmap.ViewOptions{
-		MaxPinnedEpochs: s.MaxPinnedEpochs, MaxPinnedAge: s.MaxPinnedAge.Duration, WarmupPeriod: s.WarmupPeriod.Duration,
-		WarmupMinFraction: s.WarmupMinFraction, MaxSourceLag: s.MaxSourceLag.Duration,
+		MaxPinnedEpochs:   s.MaxPinnedEpochs,
+		MaxPinnedAge:      s.MaxPinnedAge.Duration,
+		WarmupPeriod:      s.WarmupPeriod.Duration,
+		WarmupMinFraction: s.WarmupMinFraction,
+		MaxSourceLag:      s.MaxSourceLag.Duration,
 	}
 }
 
@@ -59,52 +62,53 @@
 	return longest
 }
 
-func (p *Partners) validateShardMap(v *validator) {
+func (p *Partners) validateShardMap(problems *validator) {
 	s := &p.ShardMap
 	if !s.Enabled() {
 		if s.intended() {
-			v.addf("blocks", "neither file nor source says where the map comes from")
+			problems.addf("blocks", "neither file nor source says where the map comes from")
 		}
 		return
 	}
-	p.validateShardMapSource(v)
-	p.validateShardMapTimes(v)
+	p.validateShardMapSource(problems)
+	p.validateShardMapTimes(problems)
 	if _, err := shardmap.NewViews(s.ViewOptions()); err != nil {
-		v.addf("blocks", "%v", err)
+		problems.addf("blocks", "%v", err)
 	}
 	for i, database := range p.Databases {
 		if len(database.Shards) > 0 {
-			v.addf(fmt.Sprintf("database.%d.shards", i), "database %s: with a map of blocks it has all of them, and names no shards", database.Name)
+			problems.addf(fmt.Sprintf("database.%d.shards", i), "database %s: with a map of blocks it has all of them, and names no shards",
+				database.Name)
 		}
 	}
 }
 
-func (p *Partners) validateShardMapSource(v *validator) {
+func (p *Partners) validateShardMapSource(problems *validator) {
 	s := &p.ShardMap
 	if s.File != "" && s.Source != "" {
-		v.addf("blocks.source", "a file or a source, not both: they could contradict each other")
+		problems.addf("blocks.source", "a file or a source, not both: they could contradict each other")
 	}
 	if s.Archive == "" {
-		v.addf("blocks", "archive: the map's name for what it maps is needed")
+		problems.addf("blocks", "archive: the map's name for what it maps is needed")
 	}
 	if p.Shards.Count != 0 || p.Shards.Cells != 0 || p.Shards.Reach != 0 {
-		v.addf("shards", "the ring of [shards] and a map of blocks: only one of them can say who holds what")
+		problems.addf("shards", "the ring of [shards] and a map of blocks: only one of them can say who holds what")
 	}
 	if _, _, err := net.SplitHostPort(s.Source); s.Source != "" && err != nil {
-		v.addf("blocks.source", "source %q is not host:port", s.Source)
+		problems.addf("blocks.source", "source %q is not host:port", s.Source)
 	}
 }
 
-func (p *Partners) validateShardMapTimes(v *validator) {
+func (p *Partners) validateShardMapTimes(problems *validator) {
 	s := &p.ShardMap
 	if s.MaxPinnedAge.Duration < p.longestDeadline() {
-		v.addf("blocks.pinned_for", "pinned_for %v is shorter than the longest deadline %v: queries would have to leave their view while their time lasts",
+		problems.addf("blocks.pinned_for", "pinned_for %v is shorter than the longest deadline %v: queries would have to leave their view while their time lasts",
 			s.MaxPinnedAge.Duration, p.longestDeadline())
 	}
 	if s.LongPollTimeout.Duration > time.Minute || s.LongPollTimeout.Duration < 0 {
-		v.addf("blocks.wait", "wait must be at most 1m, not %v", s.LongPollTimeout.Duration)
+		problems.addf("blocks.wait", "wait must be at most 1m, not %v", s.LongPollTimeout.Duration)
 	}
 	if s.PollInterval.Duration < 10*time.Millisecond {
-		v.addf("blocks.every", "every must be at least 10ms, not %v", s.PollInterval.Duration)
+		problems.addf("blocks.every", "every must be at least 10ms, not %v", s.PollInterval.Duration)
 	}
 }
--- a/internal/config/sockets.go
+++ b/internal/config/sockets.go
@@ -44,7 +44,7 @@
 	}
 }
 
-func (p *Partners) validateListeners(v *validator) {
+func (p *Partners) validateListeners(problems *validator) {
 	sum := 0
 	for _, listener := range []struct {
 		name, addr string
@@ -58,16 +58,18 @@
 		if listener.addr == "" {
 			continue
 		}
-		v.atLeast("listen.share."+listener.name, listener.sockets, 1)
+		problems.atLeast("listen.share."+listener.name, listener.sockets, 1)
 		sum += listener.sockets
 		if _, _, err := net.SplitHostPort(listener.addr); err != nil {
-			v.addf("listen."+listener.name, "listen: %s = %q is not host:port", listener.name, listener.addr)
+			problems.addf("listen."+listener.name, "listen: %s = %q is not host:port",
+				listener.name, listener.addr)
 		}
 	}
 	if available := p.frontendSockets(); sum > available {
-		v.addf("listen.share", "the listeners' shares come to %d sockets, and %d of limits.sockets %d are theirs", sum, max(0, available), p.Limits.Sockets)
+		problems.addf("listen.share", "the listeners' shares come to %d sockets, and %d of limits.sockets %d are theirs",
+			sum, max(0, available), p.Limits.Sockets)
 	}
 	if p.Listen.AgentWait.Duration > maxAgentWait {
-		v.addf("listen.agent_wait", "agent_wait must be at most 1s: balancers wait no longer")
+		problems.addf("listen.agent_wait", "agent_wait must be at most 1s: balancers wait no longer")
 	}
 }
--- a/internal/frontend/health/agent.go
+++ b/internal/frontend/health/agent.go
@@ -12,13 +12,13 @@
 const maxDatabaseName = 256
 
 // Agent returns the handler of an agent-check connection: it sends one line and closes the connection.
-func (t *Responder) Agent(conn *tcp.Conn) tcp.Handler { return &agentConn{teller: t, conn: conn} }
+func (t *Responder) Agent(conn *tcp.Conn) tcp.Handler { return &agentConn{responder: t, conn: conn} }
 
 // agentConn is one agent-check connection. A client that sends the name of a database (HAProxy's agent-send) is sent the
 // state of that database.
 type agentConn struct {
-	teller *Responder
-	conn   *tcp.Conn
+	responder *Responder
+	conn      *tcp.Conn
 
 	mu       sync.Mutex
 	received []byte // towards the name of a database
@@ -30,11 +30,11 @@
 func (a *agentConn) Opened() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.teller.Wait <= 0 {
+	if a.responder.Wait <= 0 {
 		a.reply("")
 		return
 	}
-	a.timer = time.AfterFunc(a.teller.Wait, func() {
+	a.timer = time.AfterFunc(a.responder.Wait, func() {
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.reply(strings.TrimSpace(string(a.received)))
@@ -48,8 +48,8 @@
 		return
 	}
 	a.done = true
-	a.teller.count.agent.Add(1)
-	line := agentReport(a.teller.Report(), database).Line()
+	a.responder.count.agent.Add(1)
+	line := agentReport(a.responder.Report(), database).Line()
 	a.conn.Write([]byte(line), nil)
 	a.conn.CloseGracefully()
 }
@@ -58,7 +58,7 @@
 func (a *agentConn) Data(b []byte) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.done || a.teller.Wait <= 0 {
+	if a.done || a.responder.Wait <= 0 {
 		return
 	}
 	a.received = append(a.received, b[:min(len(b), maxDatabaseName+1)]...)
--- a/internal/frontend/platform/parse_test.go
+++ b/internal/frontend/platform/parse_test.go
@@ -28,8 +28,14 @@
 func TestParseRequest(t *testing.T) {
 	arrived := time.Unix(1000, 0)
 	want := &aggregator.Request{
-		ID: "q1", Class: 0, Tenant: 1, IsRetry: true, Arrived: arrived, Timeout: 500 * time.Millisecond,
-		Payload: "f", Key: "00112233aabbccdd",
+		ID:      "q1",
+		Class:   0,
+		Tenant:  1,
+		IsRetry: true,
+		Arrived: arrived,
+		Timeout: 500 * time.Millisecond,
+		Payload: "f",
+		Key:     "00112233aabbccdd",
 		Parts: []aggregator.PartSpec{
 			{Shard: 1, Weight: 0.25, WorkHint: 1500 * time.Microsecond},
 			{Shard: 3, Weight: 0.75},
--- a/internal/frontend/z3950/association.go
+++ b/internal/frontend/z3950/association.go
@@ -25,7 +25,14 @@
 )
 
 // supportedOptions are the options that an association may be opened with, in the order of their bits.
-var supportedOptions = []int{z3950.OptSearch, z3950.OptPresent, z3950.OptDelete, z3950.OptTrigger, z3950.OptES, z3950.OptNamed}
+var supportedOptions = []int{
+	z3950.OptSearch,
+	z3950.OptPresent,
+	z3950.OptDelete,
+	z3950.OptTrigger,
+	z3950.OptES,
+	z3950.OptNamed,
+}
 
 // association is one association (session) on a connection. One operation is in flight at a time; units that arrive
 // meanwhile wait for it. Unless said otherwise, its methods are called with the lock held.
--- a/internal/frontend/z3950/association_test.go
+++ b/internal/frontend/z3950/association_test.go
@@ -99,7 +99,9 @@
 		result.Records = append(result.Records, query.Record{XML: "<record/>"})
 	}
 	request.Frontend.Answer(aggregator.FinalAnswer{
-		Status: aggregator.StatusServed, Complete: true, Items: []aggregator.Item{{Value: query.Encode(result)}},
+		Status:   aggregator.StatusServed,
+		Complete: true,
+		Items:    []aggregator.Item{{Value: query.Encode(result)}},
 	})
 }
 
--- a/internal/frontend/z3950/search.go
+++ b/internal/frontend/z3950/search.go
@@ -79,7 +79,13 @@
 			a.fail(op, diagnosticOf(outcome))
 			return
 		}
-		set := &resultSet{query: tree, databases: request.databases, count: outcome.Count, records: outcome.Records, fetched: fetch}
+		set := &resultSet{
+			query:     tree,
+			databases: request.databases,
+			count:     outcome.Count,
+			records:   outcome.Records,
+			fetched:   fetch,
+		}
 		a.sets[request.setName] = set
 		if outcome.Kind == gateway.Partial {
 			a.sendPartialSearch(op, outcome)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,13 +51,21 @@
 
 // Search searches databases of one class and requests up to maxRecords records of each shard. An outcome that is known
 // at once is returned; any other is passed to done, once, on the loop, unless the search is cancelled.
-func (s *Service) Search(caller Caller, databases []string, search query.Node, maxRecords int, done func(Outcome)) (Cancel, *Outcome) {
+func (s *Service) Search(
+	caller Caller, databases []string, search query.Node, maxRecords int, done func(Outcome),
+) (Cancel, *Outcome) {
 	first, shards, unknown := s.resolve(databases)
 	if unknown != nil {
 		return nil, unknown
 	}
 	work := query.Work{CQL: query.CQL(search), MaxRecords: maxRecords}
-	return s.submit(caller, submission{database: first, class: first.SearchClass, shards: shards, work: work, layout: s.allShards()}, done)
+	return s.submit(caller, submission{
+		database: first,
+		class:    first.SearchClass,
+		shards:   shards,
+		work:     work,
+		layout:   s.allShards(),
+	}, done)
 }
 
 // resolve finds the first of the databases, whose tenant and class count, and the shards of all. All must be of one
@@ -85,7 +93,9 @@
 
 // Correct creates, replaces or deletes a record. The correction is sent to one shard, and never runs twice. Outcomes are
 // reported as those of Search.
-func (s *Service) Correct(caller Caller, database string, action query.Action, record query.Record, done func(Outcome)) (Cancel, *Outcome) {
+func (s *Service) Correct(
+	caller Caller, database string, action query.Action, record query.Record, done func(Outcome),
+) (Cancel, *Outcome) {
 	target := s.Database(database)
 	if target == nil {
 		return nil, &Outcome{Kind: UnknownDatabase, Details: database}
@@ -93,7 +103,11 @@
 	if target.CorrectionClass == "" {
 		return nil, &Outcome{Kind: ReadOnly, Details: database}
 	}
-	correction := submission{database: target, class: target.CorrectionClass, work: query.Work{Action: action, Record: record}}
+	correction := submission{
+		database: target,
+		class:    target.CorrectionClass,
+		work:     query.Work{Action: action, Record: record},
+	}
 	if s.Config.ShardMap.Enabled() {
 		correction.layout = shardOfKey(shardmap.KeyOf(record.ID))
 	} else {
--- a/internal/gateway/merge.go
+++ b/internal/gateway/merge.go
@@ -33,7 +33,11 @@
 
 // merge makes one outcome of the parts of a served query.
 func merge(answer aggregator.FinalAnswer, sortByID bool) Outcome {
-	outcome := Outcome{MissingShards: answer.MissingShards, TotalParts: answer.TotalParts, AnsweredWeight: answer.AnsweredWeight}
+	outcome := Outcome{
+		MissingShards:  answer.MissingShards,
+		TotalParts:     answer.TotalParts,
+		AnsweredWeight: answer.AnsweredWeight,
+	}
 	if !answer.Complete {
 		outcome.Kind = Partial
 	}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -45,7 +45,8 @@
 	for _, shard := range o.MissingShards[:min(len(o.MissingShards), maxListedShards)] {
 		listed = append(listed, fmt.Sprint(shard))
 	}
-	text := fmt.Sprintf("%d of %d blocks are in, %.1f%% of the weight", o.TotalParts-len(o.MissingShards), o.TotalParts, 100*o.AnsweredWeight)
+	answered := o.TotalParts - len(o.MissingShards)
+	text := fmt.Sprintf("%d of %d blocks are in, %.1f%% of the weight", answered, o.TotalParts, 100*o.AnsweredWeight)
 	if len(listed) > 0 {
 		text += "; not in: " + strings.Join(listed, ", ")
 		if more := len(o.MissingShards) - len(listed); more > 0 {
