--- a/cmd/rooktrestle/blocks.go
+++ b/cmd/rooktrestle/blocks.go
@@ -36,7 +36,9 @@
 func blocksCheckCommand() *cobra.Command {
 	var after string
 	c := &cobra.Command{
-		Use: "check FILE", Short: "Validate a map; with --after, also as the successor of another", Args: cobra.ExactArgs(1),
+		Use:     "check FILE",
+		Short:   "Validate a map; with --after, also as the successor of another",
+		Args:    cobra.ExactArgs(1),
 		Example: "  rooktrestle blocks check new.json --after now.json",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			m, err := readMap(args[0])
@@ -52,7 +54,8 @@
 					return fmt.Errorf("%w: %s after %s: %w", errNegative, args[0], after, err)
 				}
 			}
-			printf(cmd.OutOrStdout(), "%s epoch %d: %d blocks, %d listed: good\n", m.Archive, m.Epoch, m.ActiveCount(), m.TotalCount())
+			printf(cmd.OutOrStdout(), "%s epoch %d: %d blocks, %d listed: good\n",
+				m.Archive, m.Epoch, m.ActiveCount(), m.TotalCount())
 			return nil
 		},
 	}
@@ -64,7 +67,9 @@
 	var asJSON bool
 	var key string
 	c := &cobra.Command{
-		Use: "show FILE", Short: "Print a map, or with --key the block of a record or key", Args: cobra.ExactArgs(1),
+		Use:     "show FILE",
+		Short:   "Print a map, or with --key the block of a record or key",
+		Args:    cobra.ExactArgs(1),
 		Example: "  rooktrestle blocks show now.json --key news@2019:44",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			m, err := readMap(args[0])
@@ -98,7 +103,8 @@
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	printf(table, "block\trange\tstate\tweight\tholders\n")
 	for _, shard := range shards {
-		printf(table, "%d\t%s\t%s\t%g\t%s\n", shard.ID, shard.Range(), shard.State, max(shard.Weight, 0), replicaList(shard))
+		printf(table, "%d\t%s\t%s\t%g\t%s\n",
+			shard.ID, shard.Range(), shard.State, max(shard.Weight, 0), replicaList(shard))
 	}
 	return table.Flush()
 }
@@ -130,7 +136,9 @@
 func blocksDiffCommand() *cobra.Command {
 	var asJSON bool
 	c := &cobra.Command{
-		Use: "diff OLD NEW", Short: "Print the differences of two maps, and whether the second may succeed the first", Args: cobra.ExactArgs(2),
+		Use:     "diff OLD NEW",
+		Short:   "Print the differences of two maps, and whether the second may succeed the first",
+		Args:    cobra.ExactArgs(2),
 		Example: "  rooktrestle blocks diff now.json new.json",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			before, err := readMap(args[0])
@@ -167,26 +175,31 @@
 }
 
 // describe describes a difference in one line.
-func describe(d shardmap.ShardChange) string {
+func describe(change shardmap.ShardChange) string {
 	switch {
-	case d.Before == nil:
-		return fmt.Sprintf("+ block %d %s, %s, held by %s, of %v", d.ID, d.After.Range(), d.After.State, replicaList(d.After), d.After.Parents)
-	case d.After == nil:
-		return fmt.Sprintf("- block %d %s", d.ID, d.Before.Range())
+	case change.Before == nil:
+		return fmt.Sprintf("+ block %d %s, %s, held by %s, of %v",
+			change.ID, change.After.Range(), change.After.State, replicaList(change.After), change.After.Parents)
+	case change.After == nil:
+		return fmt.Sprintf("- block %d %s", change.ID, change.Before.Range())
 	}
-	text := fmt.Sprintf("~ block %d %s", d.ID, d.After.Range())
-	if d.Before.State != d.After.State {
-		text += fmt.Sprintf(", from %s to %s", d.Before.State, d.After.State)
+	text := fmt.Sprintf("~ block %d %s", change.ID, change.After.Range())
+	if change.Before.State != change.After.State {
+		text += fmt.Sprintf(", from %s to %s", change.Before.State, change.After.State)
 	}
-	if d.Before.Weight != d.After.Weight {
-		text += fmt.Sprintf(", weight %g to %g", d.Before.Weight, d.After.Weight)
+	if change.Before.Weight != change.After.Weight {
+		text += fmt.Sprintf(", weight %g to %g", change.Before.Weight, change.After.Weight)
 	}
-	for _, change := range []struct {
+	for _, moved := range []struct {
 		verb    string
 		servers []string
-	}{{"joins", d.Joined}, {"serves now", d.Promoted}, {"leaves", d.Left}} {
-		if len(change.servers) > 0 {
-			text += ", " + change.verb + ": " + strings.Join(change.servers, " ")
+	}{
+		{"joins", change.Joined},
+		{"serves now", change.Promoted},
+		{"leaves", change.Left},
+	} {
+		if len(moved.servers) > 0 {
+			text += ", " + moved.verb + ": " + strings.Join(moved.servers, " ")
 		}
 	}
 	return text
--- a/cmd/rooktrestle/blocksplan.go
+++ b/cmd/rooktrestle/blocksplan.go
@@ -32,7 +32,10 @@
 
 func blocksPlanCommand() *cobra.Command {
 	var o planOptions
-	c := &cobra.Command{Use: "plan", Short: "Print the epochs that change blocks safely, with the waits between them and the reasons"}
+	c := &cobra.Command{
+		Use:   "plan",
+		Short: "Print the epochs that change blocks safely, with the waits between them and the reasons",
+	}
 	flags := c.PersistentFlags()
 	flags.StringVar(&o.mapPath, "map", "", "the current map")
 	flags.StringVar(&o.writePath, "write", "", "write each epoch's map to this path, with %d for the epoch")
@@ -52,7 +55,10 @@
 // command returns the command of a plan, which has at least two arguments. Its answer is no if there is no such plan.
 func (o *planOptions) command(use, short, example string, plan planner) *cobra.Command {
 	return &cobra.Command{
-		Use: use, Short: short, Example: example, Args: cobra.MinimumNArgs(2),
+		Use:     use,
+		Short:   short,
+		Example: example,
+		Args:    cobra.MinimumNArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			m, err := readMap(o.mapPath)
 			if err != nil {
--- a/internal/app/healthclient.go
+++ b/internal/app/healthclient.go
@@ -29,9 +29,14 @@
 func newServerHealth(table *health.Table, now time.Time, id string) ServerHealth {
 	decision, _ := table.Decision(health.ID(id)) // an unknown server has the zero decision
 	return ServerHealth{
-		ID: id, State: decision.State.String(), Usable: decision.Usable, EjectedClasses: decision.EjectedClasses,
-		TrafficFraction: decision.TrafficFraction, MaxInFlight: decision.MaxInFlight, Cause: decision.Cause,
-		Facts: table.Facts(now, health.ID(id)),
+		ID:              id,
+		State:           decision.State.String(),
+		Usable:          decision.Usable,
+		EjectedClasses:  decision.EjectedClasses,
+		TrafficFraction: decision.TrafficFraction,
+		MaxInFlight:     decision.MaxInFlight,
+		Cause:           decision.Cause,
+		Facts:           table.Facts(now, health.ID(id)),
 	}
 }
 
@@ -101,7 +106,9 @@
 
 // changedReports returns the reports of the servers whose state or cause differs from printed, which it updates, and
 // whether all servers are healthy.
-func changedReports(conf *config.Partners, table *health.Table, printed map[string]string) (reports []ServerHealth, healthy bool) {
+func changedReports(
+	conf *config.Partners, table *health.Table, printed map[string]string,
+) (reports []ServerHealth, healthy bool) {
 	now := time.Now()
 	table.Changes(now)
 	healthy = true
@@ -131,7 +138,12 @@
 			if profile.Name != name {
 				continue
 			}
-			check := healthcheck.Check{Profile: profile, Addr: profile.AddrFor(server), Bridge: conf.Checks.GRPCBridge, Dial: tcp.DialServerFirst}
+			check := healthcheck.Check{
+				Profile: profile,
+				Addr:    profile.AddrFor(server),
+				Bridge:  conf.Checks.GRPCBridge,
+				Dial:    tcp.DialServerFirst,
+			}
 			checks = append(checks, serverCheck{check, i})
 		}
 	}
