--- a/internal/aggregator/core_test.go
+++ b/internal/aggregator/core_test.go
@@ -295,7 +295,7 @@
 		gossip = append(gossip, GossipReceived{Payload: sent[0]})
 	}
 	other.turn(gossip...)
-	fraction, invalid := other.core.Outliers.TrafficShare(server), other.core.Counters.GossipInvalid
+	fraction, invalid := other.core.Outliers.TrafficFraction(server), other.core.Counters.GossipInvalid
 	if fraction >= 0.01 || invalid != 0 {
 		t.Fatalf("fraction %v, %d invalid messages", fraction, invalid)
 	}
@@ -312,11 +312,11 @@
 		other.turn(LateAnswer{Server: balance.Replica(server)})
 	}
 	other.turn()
-	if other.core.Outliers.TrafficShare(server) != 1 {
-		t.Errorf("fraction %v of a server that answers late", other.core.Outliers.TrafficShare(server))
+	if other.core.Outliers.TrafficFraction(server) != 1 {
+		t.Errorf("fraction %v of a server that answers late", other.core.Outliers.TrafficFraction(server))
 	}
 	other.turn(changeOf(Server{ID: balance.Replica(server), State: balance.Removed}))
-	if other.core.Outliers.TrafficShare(server) != 1 || len(other.core.servers) != 1 {
+	if other.core.Outliers.TrafficFraction(server) != 1 || len(other.core.servers) != 1 {
 		t.Error("a server that was removed is still known")
 	}
 }
--- a/internal/aggregator/endpoints.go
+++ b/internal/aggregator/endpoints.go
@@ -88,7 +88,7 @@
 	if c.Outliers == nil {
 		return endpoint
 	}
-	if fraction := c.Outliers.TrafficShare(string(s.ID)); fraction < 1 {
+	if fraction := c.Outliers.TrafficFraction(string(s.ID)); fraction < 1 {
 		endpoint.TrafficFraction = min(fraction, cmp.Or(endpoint.TrafficFraction, 1)) // 0 stands for all of it
 	}
 	return endpoint
--- a/internal/backend/healthcheck/check.go
+++ b/internal/backend/healthcheck/check.go
@@ -161,12 +161,12 @@
 
 // initRequest returns a Z39.50 Init request.
 func initRequest() []byte {
-	return z3950.Ctx(z3950.InitRequest,
-		z3950.Bits(z3950.FieldVersion, 0, 1, 2),
-		z3950.Bits(z3950.FieldOptions, z3950.OptSearch, z3950.OptPresent),
-		z3950.Num(z3950.FieldPreferredMessageSize, z3950.MaxPDU),
-		z3950.Num(z3950.FieldExceptionalRecordSize, z3950.MaxPDU),
-		z3950.Str(z3950.FieldImplementationID, userAgent),
+	return z3950.Constructed(z3950.InitRequest,
+		z3950.BitString(z3950.FieldVersion, 0, 1, 2),
+		z3950.BitString(z3950.FieldOptions, z3950.OptSearch, z3950.OptPresent),
+		z3950.Integer(z3950.FieldPreferredMessageSize, z3950.MaxPDU),
+		z3950.Integer(z3950.FieldExceptionalRecordSize, z3950.MaxPDU),
+		z3950.String(z3950.FieldImplementationID, userAgent),
 	).Encode(nil)
 }
 
--- a/internal/backend/healthcheck/decoder.go
+++ b/internal/backend/healthcheck/decoder.go
@@ -165,7 +165,7 @@
 		return failed(err), true
 	case n.Class != z3950.Context || n.Tag != z3950.InitResponse:
 		return failed(fmt.Errorf("init: unit %d came back", n.Tag)), true
-	case !n.Kid(z3950.FieldInitResult).Truth():
+	case !n.Child(z3950.FieldInitResult).Bool():
 		return failed(errInitRejected), true
 	}
 	return passed(), true
--- a/internal/backend/z3950/client.go
+++ b/internal/backend/z3950/client.go
@@ -60,13 +60,13 @@
 
 // Greeting returns an Init request.
 func (c *Client) Greeting() []byte {
-	return z3950.Ctx(z3950.InitRequest,
-		z3950.Bits(z3950.FieldVersion, 0, 1, 2),
-		z3950.Bits(z3950.FieldOptions, z3950.OptSearch, z3950.OptPresent, z3950.OptDelete, z3950.OptES, z3950.OptNamed),
-		z3950.Num(z3950.FieldPreferredMessageSize, z3950.MaxPDU),
-		z3950.Num(z3950.FieldExceptionalRecordSize, z3950.MaxPDU),
-		z3950.Str(z3950.FieldImplementationID, implementation),
-		z3950.Str(z3950.FieldImplementationName, implementation),
+	return z3950.Constructed(z3950.InitRequest,
+		z3950.BitString(z3950.FieldVersion, 0, 1, 2),
+		z3950.BitString(z3950.FieldOptions, z3950.OptSearch, z3950.OptPresent, z3950.OptDelete, z3950.OptES, z3950.OptNamed),
+		z3950.Integer(z3950.FieldPreferredMessageSize, z3950.MaxPDU),
+		z3950.Integer(z3950.FieldExceptionalRecordSize, z3950.MaxPDU),
+		z3950.String(z3950.FieldImplementationID, implementation),
+		z3950.String(z3950.FieldImplementationName, implementation),
 	).Encode(nil)
 }
 
@@ -81,20 +81,20 @@
 	if err != nil {
 		return nil, err
 	}
-	rpn, err := z3950.Rpn(tree)
+	rpn, err := z3950.EncodeRPN(tree)
 	if err != nil {
 		return nil, err
 	}
-	return z3950.Ctx(z3950.SearchRequest,
-		z3950.Str(z3950.FieldReferenceID, call.Name),
-		z3950.Num(z3950.FieldSmallSetUpperBound, work.MaxRecords),
-		z3950.Num(z3950.FieldLargeSetLowerBound, noLargeSet),
-		z3950.Num(z3950.FieldMediumSetPresentNumber, work.MaxRecords),
+	return z3950.Constructed(z3950.SearchRequest,
+		z3950.String(z3950.FieldReferenceID, call.Name),
+		z3950.Integer(z3950.FieldSmallSetUpperBound, work.MaxRecords),
+		z3950.Integer(z3950.FieldLargeSetLowerBound, noLargeSet),
+		z3950.Integer(z3950.FieldMediumSetPresentNumber, work.MaxRecords),
 		z3950.Boolean(z3950.FieldReplaceIndicator, true),
-		z3950.Str(z3950.FieldResultSetName, resultSetName),
-		z3950.Ctx(z3950.FieldDatabaseNames, z3950.Str(z3950.FieldDatabaseName, database)),
-		z3950.Oid(z3950.Context, z3950.FieldRecordSyntax, z3950.OidXML),
-		z3950.Ctx(z3950.FieldQuery, rpn),
+		z3950.String(z3950.FieldResultSetName, resultSetName),
+		z3950.Constructed(z3950.FieldDatabaseNames, z3950.String(z3950.FieldDatabaseName, database)),
+		z3950.OID(z3950.Context, z3950.FieldRecordSyntax, z3950.OidXML),
+		z3950.Constructed(z3950.FieldQuery, rpn),
 	).Encode(nil), nil
 }
 
@@ -135,7 +135,7 @@
 	switch node.Tag {
 	case z3950.InitResponse:
 		reply := serialconn.Reply{Greeting: true}
-		if !node.Kid(z3950.FieldInitResult).Truth() {
+		if !node.Child(z3950.FieldInitResult).Bool() {
 			reply.Err = errInitRejected
 		}
 		return reply, nil
@@ -144,8 +144,8 @@
 	case z3950.EsResponse:
 		return judgeResult(updateResult(node)), nil
 	case z3950.ClosePDU:
-		reason := node.Kid(z3950.FieldCloseReason).IntOr(reasonUnspecified)
-		details := node.Kid(z3950.FieldCloseInformation).Text()
+		reason := node.Child(z3950.FieldCloseReason).IntOr(reasonUnspecified)
+		details := node.Child(z3950.FieldCloseInformation).Text()
 		return serialconn.Reply{}, fmt.Errorf("z3950: the target closed: reason %d %s", reason, details)
 	default:
 		return serialconn.Reply{}, fmt.Errorf("z3950: unit %d", node.Tag)
@@ -153,19 +153,19 @@
 }
 
 func searchResult(node *z3950.Node) (result query.PartResult) {
-	result.Count = max(0, node.Kid(z3950.FieldResultCount).IntOr(0))
+	result.Count = max(0, node.Child(z3950.FieldResultCount).IntOr(0))
 	result.Records, result.Diagnostic = z3950.ParseRecords(node)
-	if !node.Kid(z3950.FieldSearchStatus).Truth() && result.Diagnostic == nil {
+	if !node.Child(z3950.FieldSearchStatus).Bool() && result.Diagnostic == nil {
 		result.Diagnostic = &query.Diagnostic{Bib1: bib1Unspecified, Details: "the search failed"}
 	}
 	return result
 }
 
 func updateResult(node *z3950.Node) (result query.PartResult) {
-	if list := node.Kid(z3950.FieldEsDiagnostics); list != nil && len(list.Kids) > 0 {
-		result.Diagnostic = z3950.ParseDiagnostic(list.Kids[0])
+	if list := node.Child(z3950.FieldEsDiagnostics); list != nil && len(list.Children) > 0 {
+		result.Diagnostic = z3950.ParseDiagnostic(list.Children[0])
 	}
-	failed := node.Kid(z3950.FieldEsOperationStatus).IntOr(operationFailed) == operationFailed
+	failed := node.Child(z3950.FieldEsOperationStatus).IntOr(operationFailed) == operationFailed
 	if failed && result.Diagnostic == nil {
 		result.Diagnostic = &query.Diagnostic{Bib1: bib1Unspecified, Details: "the update failed"}
 	}
--- a/internal/backend/z3950/client_test.go
+++ b/internal/backend/z3950/client_test.go
@@ -9,8 +9,8 @@
 
 // No input makes the parser of a target's responses panic, and what it keeps is bounded.
 func FuzzAnswers(f *testing.F) {
-	f.Add(z3950.Ctx(z3950.SearchResponse,
-		z3950.Num(z3950.FieldResultCount, 1),
+	f.Add(z3950.Constructed(z3950.SearchResponse,
+		z3950.Integer(z3950.FieldResultCount, 1),
 		z3950.Boolean(z3950.FieldSearchStatus, true),
 	).Encode(nil))
 	f.Add(z3950.Update("r", "d", query.ActionDelete, query.Record{ID: "1"}).Encode(nil))
--- a/internal/control/outlier/outlier.go
+++ b/internal/control/outlier/outlier.go
@@ -49,19 +49,19 @@
 	quietDecayTimes  = 8   // decay times without a failure after which an outlier moves up to the first step
 )
 
-// A recoveryStep is the traffic share of an ejected server whose answer rate is below a limit.
+// A recoveryStep is the traffic fraction of an ejected server whose answer rate is below a limit.
 type recoveryStep struct {
 	belowAnswerRate float64
-	share           float64
+	fraction        float64
 }
 
 // recoverySteps are in ascending order; a server whose answer rate is not below the last limit is no outlier any
-// more. The first share amounts to about one part per second of all aggregators together: a search has some fifty
+// more. The first fraction amounts to about one part per second of all aggregators together: a search has some fifty
 // parts and needs each of them.
 var recoverySteps = [...]recoveryStep{
-	{belowAnswerRate: 0.1, share: 0.005},
-	{belowAnswerRate: 0.25, share: 0.01},
-	{belowAnswerRate: 0.85, share: 0.3},
+	{belowAnswerRate: 0.1, fraction: 0.005},
+	{belowAnswerRate: 0.25, fraction: 0.01},
+	{belowAnswerRate: 0.85, fraction: 0.3},
 }
 
 // The answer rate of an ejected server is an exponentially weighted moving average of its outcomes. It starts in
@@ -93,7 +93,7 @@
 	lastAnswer  time.Duration // to this aggregator
 	ejected     bool
 	answerRate  float64     // of an ejected server
-	share       float64     // of its traffic, as of the last Update; 1: all of it
+	fraction    float64     // of its traffic, as of the last Update; 1: all of it
 	pending     observation // by this aggregator, for its next message; the key is always set
 	queued      bool        // pending is in Table.pending
 }
@@ -131,7 +131,7 @@
 	}
 	key := gossip.ServerKey(id)
 	t.delete(t.servers[key])
-	s := &server{id: id, started: started, share: 1, pending: observation{key: key}}
+	s := &server{id: id, started: started, fraction: 1, pending: observation{key: key}}
 	t.servers[key] = s
 	t.order = append(t.order, s)
 }
@@ -250,7 +250,7 @@
 }
 
 // Update ejects and restores servers by what was recorded since the last call, and returns the ids of those whose
-// TrafficShare changed, in the order of Add. It is cheap where nothing was recorded.
+// TrafficFraction changed, in the order of Add. It is cheap where nothing was recorded.
 func (t *Table) Update(now time.Duration) (changed []string) {
 	if !t.changed && now < t.nextUpdate {
 		return nil
@@ -263,8 +263,8 @@
 			s.ejected = true
 			s.answerRate = initialAnswerRate * math.Pow(1-outcomeWeight, s.failures-threshold)
 		}
-		if share := t.updateShare(s, now); share != s.share {
-			s.share = share
+		if fraction := t.updateFraction(s, now); fraction != s.fraction {
+			s.fraction = fraction
 			changed = append(changed, s.id)
 		}
 	}
@@ -281,8 +281,8 @@
 	return minFailures + baselineFactor*quantile(failures, baselineQuantile)
 }
 
-// updateShare restores a server that recovered and returns the traffic share that it is to get.
-func (t *Table) updateShare(s *server, now time.Duration) float64 {
+// updateFraction restores a server that recovered and returns the fraction of its traffic that it is to get.
+func (t *Table) updateFraction(s *server, now time.Duration) float64 {
 	if !s.ejected {
 		return 1
 	}
@@ -293,7 +293,7 @@
 	}
 	for _, step := range recoverySteps {
 		if s.answerRate < step.belowAnswerRate {
-			return step.share
+			return step.fraction
 		}
 	}
 	// The count starts over: it takes as many failures again to eject the server.
@@ -302,11 +302,11 @@
 	return 1
 }
 
-// TrafficShare returns the share of its usual traffic that a server is to get, from 0 to 1: 1 unless it is
+// TrafficFraction returns the fraction of its usual traffic that a server is to get, from 0 to 1: 1 unless it is
 // ejected. Servers that are not in the table get all of it.
-func (t *Table) TrafficShare(id string) float64 {
+func (t *Table) TrafficFraction(id string) float64 {
 	if s := t.find(id); s != nil {
-		return s.share
+		return s.fraction
 	}
 	return 1
 }
--- a/internal/control/outlier/outlier_test.go
+++ b/internal/control/outlier/outlier_test.go
@@ -68,25 +68,25 @@
 		t.Fatalf("%d messages, want 4", messages)
 	}
 	for i, table := range tables {
-		hangingEjected := table.TrafficShare("s3") == recoverySteps[0].share && table.EjectedCount() == 1
-		if !hangingEjected || table.TrafficShare("s4") != 1 {
-			t.Fatalf("aggregator %d: share %v of the hanging server, %v of another",
-				i, table.TrafficShare("s3"), table.TrafficShare("s4"))
+		hangingEjected := table.TrafficFraction("s3") == recoverySteps[0].fraction && table.EjectedCount() == 1
+		if !hangingEjected || table.TrafficFraction("s4") != 1 {
+			t.Fatalf("aggregator %d: fraction %v of the hanging server, %v of another",
+				i, table.TrafficFraction("s3"), table.TrafficFraction("s4"))
 		}
 	}
-	shares := []float64{}
+	fractions := []float64{}
 	answering := tables[5]
 	for range 40 {
 		now += 50 * ms
 		answering.AccrueBudget(100)
 		answering.AttemptEnded(now, "s3", now-50*ms, Answered)
 		exchangeMessages(now, tables)
-		if share := tables[0].TrafficShare("s3"); len(shares) == 0 || shares[len(shares)-1] != share {
-			shares = append(shares, share)
+		if fraction := tables[0].TrafficFraction("s3"); len(fractions) == 0 || fractions[len(fractions)-1] != fraction {
+			fractions = append(fractions, fraction)
 		}
 	}
-	if want := []float64{0.01, 0.3, 1}; !slices.Equal(shares, want) {
-		t.Errorf("restored by shares %v, want %v", shares, want)
+	if want := []float64{0.01, 0.3, 1}; !slices.Equal(fractions, want) {
+		t.Errorf("restored by fractions %v, want %v", fractions, want)
 	}
 	now += 50 * ms
 	answering.AttemptEnded(now, "s3", now-50*ms, Answered)
@@ -100,13 +100,13 @@
 	table := newTable()
 	endAttempts(table, minFailures, "s3", 300*ms, Canceled)
 	table.Update(start)
-	if table.TrafficShare("s3") != recoverySteps[2].share {
-		t.Fatalf("share %v", table.TrafficShare("s3"))
+	if table.TrafficFraction("s3") != recoverySteps[2].fraction {
+		t.Fatalf("fraction %v", table.TrafficFraction("s3"))
 	}
 	endAttempts(table, 10, "s3", 0, Answered)
 	table.Update(start)
-	if table.TrafficShare("s3") != 1 {
-		t.Errorf("share %v after ten answers", table.TrafficShare("s3"))
+	if table.TrafficFraction("s3") != 1 {
+		t.Errorf("fraction %v after ten answers", table.TrafficFraction("s3"))
 	}
 }
 
@@ -121,8 +121,8 @@
 		table.AttemptEnded(now, "s3", start, outcome)
 		table.Update(now)
 	}
-	if share := table.TrafficShare("s3"); share <= recoverySteps[0].share || share >= 1 {
-		t.Errorf("share %v", share)
+	if fraction := table.TrafficFraction("s3"); fraction <= recoverySteps[0].fraction || fraction >= 1 {
+		t.Errorf("fraction %v", fraction)
 	}
 }
 
@@ -181,7 +181,7 @@
 		}
 	}
 	if changed := table.Update(start); len(changed) != 0 {
-		t.Errorf("shares changed: %v", changed)
+		t.Errorf("fractions changed: %v", changed)
 	}
 	table.Receive(start, encodeMessage(start, 0, failures))
 	table.Update(start)
@@ -196,8 +196,8 @@
 	table := newTable()
 	endAttempts(table, 30, "s3", 0, Failed)
 	table.Update(start)
-	if table.TrafficShare("s3") != recoverySteps[0].share {
-		t.Fatalf("share %v after 30 failures", table.TrafficShare("s3"))
+	if table.TrafficFraction("s3") != recoverySteps[0].fraction {
+		t.Fatalf("fraction %v after 30 failures", table.TrafficFraction("s3"))
 	}
 	return table
 }
@@ -206,16 +206,16 @@
 func TestTable_EjectionEnds(t *testing.T) {
 	table := newTableWithEjected(t)
 	table.Add("s3", 0)
-	if table.TrafficShare("s3") == 1 {
+	if table.TrafficFraction("s3") == 1 {
 		t.Error("adding a server of the same process restored it")
 	}
 	table.Add("s3", start)
-	if table.TrafficShare("s3") != 1 {
+	if table.TrafficFraction("s3") != 1 {
 		t.Error("a new process has the share of the old one")
 	}
 	table = newTableWithEjected(t)
 	table.Remove("s3")
-	if table.TrafficShare("s3") != 1 || len(table.pending) != 0 {
+	if table.TrafficFraction("s3") != 1 || len(table.pending) != 0 {
 		t.Error("a removed server has a share or pending observations")
 	}
 	table = newTableWithEjected(t)
@@ -226,13 +226,13 @@
 	// Nothing is sent to it: it gets a few attempts, and one failure ends that.
 	table = newTableWithEjected(t)
 	changed := table.Update(start + 13*time.Second)
-	if len(changed) != 1 || table.TrafficShare("s3") != recoverySteps[1].share {
-		t.Errorf("changed %v, share %v after a quiet time", changed, table.TrafficShare("s3"))
+	if len(changed) != 1 || table.TrafficFraction("s3") != recoverySteps[1].fraction {
+		t.Errorf("changed %v, fraction %v after a quiet time", changed, table.TrafficFraction("s3"))
 	}
 	table.AttemptEnded(start+14*time.Second, "s3", start+13*time.Second, Failed)
 	table.Update(start + 14*time.Second)
-	if table.TrafficShare("s3") != recoverySteps[0].share {
-		t.Errorf("share %v after one more failure", table.TrafficShare("s3"))
+	if table.TrafficFraction("s3") != recoverySteps[0].fraction {
+		t.Errorf("fraction %v after one more failure", table.TrafficFraction("s3"))
 	}
 }
 
@@ -357,15 +357,15 @@
 	}
 	for i := range fuzzServers {
 		id := serverID(i)
-		share := m.table.TrafficShare(id)
-		isStep := slices.ContainsFunc(recoverySteps[:], func(s recoveryStep) bool { return s.share == share })
-		if share != 1 && (!isStep || !m.listed[id]) {
-			t.Fatalf("%s has share %v, listed: %v", id, share, m.listed[id])
+		fraction := m.table.TrafficFraction(id)
+		isStep := slices.ContainsFunc(recoverySteps[:], func(s recoveryStep) bool { return s.fraction == fraction })
+		if fraction != 1 && (!isStep || !m.listed[id]) {
+			t.Fatalf("%s has fraction %v, listed: %v", id, fraction, m.listed[id])
 		}
 	}
 }
 
-// FuzzTable checks after random operations that shares are 1 or one of the steps, that only servers of the table have a
+// FuzzTable checks after random operations that fractions are 1 or one of the steps, that only servers of the table have a
 // share below 1, and that a message is read as it was written.
 func FuzzTable(f *testing.F) {
 	f.Add([]byte{0, 1, 2, 3, 4, 5, 6, 7, 8, 9})
--- a/internal/frontend/z3950/association.go
+++ b/internal/frontend/z3950/association.go
@@ -114,9 +114,9 @@
 	}
 	a.closed = true
 	a.cancelOperations()
-	a.send(z3950.Ctx(z3950.ClosePDU,
-		z3950.Num(z3950.FieldCloseReason, reason),
-		z3950.Str(z3950.FieldCloseInformation, information)))
+	a.send(z3950.Constructed(z3950.ClosePDU,
+		z3950.Integer(z3950.FieldCloseReason, reason),
+		z3950.String(z3950.FieldCloseInformation, information)))
 	a.conn.CloseGracefully()
 }
 
@@ -153,7 +153,7 @@
 	case unit.Tag == z3950.ClosePDU:
 		a.close(z3950.CloseFinished, "")
 	case unit.Tag == z3950.TriggerControl:
-		if unit.Kid(z3950.FieldRequestedAction).IntOr(0) == requestedActionCancel && a.inFlight != nil {
+		if unit.Child(z3950.FieldRequestedAction).IntOr(0) == requestedActionCancel && a.inFlight != nil {
 			a.cancelInFlight()
 		}
 	case a.inFlight != nil:
@@ -207,27 +207,27 @@
 
 // initialize answers Init. An origin of a version before 3, or a user that is not configured, is rejected.
 func (a *association) initialize(unit *z3950.Node) {
-	a.user = userOf(unit.Kid(z3950.FieldAuthentication).Only())
+	a.user = userOf(unit.Child(z3950.FieldAuthentication).OnlyChild())
 	const version3 = 2 // bit
-	accepted := unit.Kid(z3950.FieldVersion).Bit(version3) && (a.user == "" || a.server.Service.Tenant(a.user) >= 0)
+	accepted := unit.Child(z3950.FieldVersion).Bit(version3) && (a.user == "" || a.server.Service.Tenant(a.user) >= 0)
 	options := []int{}
 	for _, option := range supportedOptions {
-		if unit.Kid(z3950.FieldOptions).Bit(option) {
+		if unit.Child(z3950.FieldOptions).Bit(option) {
 			options = append(options, option)
 		}
 	}
-	requestedSize := unit.Kid(z3950.FieldPreferredMessageSize).IntOr(z3950.MaxPDU)
+	requestedSize := unit.Child(z3950.FieldPreferredMessageSize).IntOr(z3950.MaxPDU)
 	a.messageSize = min(z3950.MaxPDU, max(minMessageSize, requestedSize))
 	a.initialized = accepted
-	a.send(z3950.Ctx(z3950.InitResponse,
-		unit.Kid(z3950.FieldReferenceID),
-		z3950.Bits(z3950.FieldVersion, 0, 1, 2),
-		z3950.Bits(z3950.FieldOptions, options...),
-		z3950.Num(z3950.FieldPreferredMessageSize, a.messageSize),
-		z3950.Num(z3950.FieldExceptionalRecordSize, z3950.MaxPDU),
+	a.send(z3950.Constructed(z3950.InitResponse,
+		unit.Child(z3950.FieldReferenceID),
+		z3950.BitString(z3950.FieldVersion, 0, 1, 2),
+		z3950.BitString(z3950.FieldOptions, options...),
+		z3950.Integer(z3950.FieldPreferredMessageSize, a.messageSize),
+		z3950.Integer(z3950.FieldExceptionalRecordSize, z3950.MaxPDU),
 		z3950.Boolean(z3950.FieldInitResult, accepted),
-		z3950.Str(z3950.FieldImplementationID, implementation),
-		z3950.Str(z3950.FieldImplementationName, implementation)))
+		z3950.String(z3950.FieldImplementationID, implementation),
+		z3950.String(z3950.FieldImplementationName, implementation)))
 	if !accepted {
 		a.closed = true
 		a.conn.CloseGracefully()
@@ -242,8 +242,8 @@
 	case authentication.Class == z3950.Universal && authentication.Tag == z3950.TagVisible:
 		user, _, _ := strings.Cut(authentication.Text(), "/")
 		return user
-	case authentication.Cons:
-		return authentication.Kid(z3950.FieldUserID).Text()
+	case authentication.IsConstructed:
+		return authentication.Child(z3950.FieldUserID).Text()
 	}
 	return ""
 }
--- a/internal/frontend/z3950/association_test.go
+++ b/internal/frontend/z3950/association_test.go
@@ -69,7 +69,7 @@
 	t.Helper()
 	o := newOrigin(t)
 	o.send(initUnit("ann", 2))
-	if response := o.last(); response.Tag != z3950.InitResponse || !response.Kid(z3950.FieldInitResult).Truth() {
+	if response := o.last(); response.Tag != z3950.InitResponse || !response.Child(z3950.FieldInitResult).Bool() {
 		t.Fatalf("Init is answered by %+v", response)
 	}
 	return o
@@ -106,10 +106,10 @@
 }
 
 func initUnit(user string, version int) *z3950.Node {
-	return z3950.Ctx(z3950.InitRequest,
-		z3950.Bits(z3950.FieldVersion, version),
-		z3950.Bits(z3950.FieldOptions, z3950.OptSearch),
-		z3950.Ctx(z3950.FieldAuthentication, z3950.Ctx(0, z3950.Str(z3950.FieldUserID, user))))
+	return z3950.Constructed(z3950.InitRequest,
+		z3950.BitString(z3950.FieldVersion, version),
+		z3950.BitString(z3950.FieldOptions, z3950.OptSearch),
+		z3950.Constructed(z3950.FieldAuthentication, z3950.Constructed(0, z3950.String(z3950.FieldUserID, user))))
 }
 
 func searchUnit(t *testing.T, set string, replace bool) *z3950.Node {
@@ -118,24 +118,24 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	rpn, err := z3950.Rpn(tree)
+	rpn, err := z3950.EncodeRPN(tree)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return z3950.Ctx(z3950.SearchRequest,
+	return z3950.Constructed(z3950.SearchRequest,
 		z3950.Boolean(z3950.FieldReplaceIndicator, replace),
-		z3950.Str(z3950.FieldResultSetName, set),
-		z3950.Ctx(z3950.FieldDatabaseNames, z3950.Str(z3950.FieldDatabaseName, "captions")),
-		z3950.Ctx(z3950.FieldQuery, rpn))
+		z3950.String(z3950.FieldResultSetName, set),
+		z3950.Constructed(z3950.FieldDatabaseNames, z3950.String(z3950.FieldDatabaseName, "captions")),
+		z3950.Constructed(z3950.FieldQuery, rpn))
 }
 
 func presentUnit(set string, start, number int) *z3950.Node {
-	return z3950.Ctx(z3950.PresentRequest,
-		z3950.Str(z3950.FieldResultSetID, set), z3950.Num(z3950.FieldStartPoint, start), z3950.Num(z3950.FieldRecordsRequested, number))
+	return z3950.Constructed(z3950.PresentRequest,
+		z3950.String(z3950.FieldResultSetID, set), z3950.Integer(z3950.FieldStartPoint, start), z3950.Integer(z3950.FieldRecordsRequested, number))
 }
 
 func cancelUnit() *z3950.Node {
-	return z3950.Ctx(z3950.TriggerControl, z3950.Num(z3950.FieldRequestedAction, requestedActionCancel))
+	return z3950.Constructed(z3950.TriggerControl, z3950.Integer(z3950.FieldRequestedAction, requestedActionCancel))
 }
 
 func TestAssociation_InitRejected(t *testing.T) {
@@ -149,7 +149,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			o := newOrigin(t)
 			o.send(test.init)
-			if o.last().Kid(z3950.FieldInitResult).Truth() || !o.closed {
+			if o.last().Child(z3950.FieldInitResult).Bool() || !o.closed {
 				t.Errorf("answered by %+v, closed %v", o.last(), o.closed)
 			}
 		})
@@ -163,12 +163,12 @@
 	}{
 		{"a search before Init", presentUnit("set", 1, 1).Encode(nil)},
 		{"another protocol", []byte("GET / HTTP/1.1\r\n")},
-		{"an unknown unit", z3950.Ctx(99).Encode(nil)},
+		{"an unknown unit", z3950.Constructed(99).Encode(nil)},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			o := newOrigin(t)
 			o.handler.Data(test.data)
-			if o.last().Tag != z3950.ClosePDU || o.last().Kid(z3950.FieldCloseReason).IntOr(-1) != z3950.CloseProtocol || !o.closed {
+			if o.last().Tag != z3950.ClosePDU || o.last().Child(z3950.FieldCloseReason).IntOr(-1) != z3950.CloseProtocol || !o.closed {
 				t.Errorf("answered by %+v, closed %v", o.last(), o.closed)
 			}
 		})
@@ -179,11 +179,11 @@
 	o := newAssociation(t)
 	o.send(searchUnit(t, "set", false))
 	o.answer(12)
-	if response := o.last(); response.Tag != z3950.SearchResponse || response.Kid(z3950.FieldResultCount).IntOr(-1) != 12 {
+	if response := o.last(); response.Tag != z3950.SearchResponse || response.Child(z3950.FieldResultCount).IntOr(-1) != 12 {
 		t.Fatalf("Search is answered by %+v", response)
 	}
 	o.send(presentUnit("set", 2, 3))
-	if got := o.last().Kid(z3950.FieldNextPosition).IntOr(-1); got != 5 || len(o.requests) != 0 {
+	if got := o.last().Child(z3950.FieldNextPosition).IntOr(-1); got != 5 || len(o.requests) != 0 {
 		t.Errorf("records that were fetched with the search: next position %d, %d requests", got, len(o.requests))
 	}
 	o.send(presentUnit("set", 11, 2))
@@ -202,7 +202,7 @@
 		{"records beyond the result set", presentUnit("set", 12, 2), diagPresentOutOfRange},
 	} {
 		o.send(test.unit)
-		if d := z3950.ParseDiagnostic(o.last().Kid(z3950.FieldDiagnostic)); d == nil || d.Bib1 != test.want {
+		if d := z3950.ParseDiagnostic(o.last().Child(z3950.FieldDiagnostic)); d == nil || d.Bib1 != test.want {
 			t.Errorf("%s: %+v, want diagnostic %d", test.name, d, test.want)
 		}
 	}
@@ -216,7 +216,7 @@
 		t.Fatalf("%d requests in flight, want 1", len(o.requests))
 	}
 	o.send(cancelUnit())
-	if d := z3950.ParseDiagnostic(o.last().Kid(z3950.FieldDiagnostic)); d == nil || d.Bib1 != diagTerminatedByOrigin {
+	if d := z3950.ParseDiagnostic(o.last().Child(z3950.FieldDiagnostic)); d == nil || d.Bib1 != diagTerminatedByOrigin {
 		t.Errorf("the first search is answered by %+v", o.last())
 	}
 	if o.canceled != 1 || len(o.requests) != 2 {
@@ -238,7 +238,7 @@
 		t.Fatalf("closed with %d units pending", maxPending)
 	}
 	o.send(searchUnit(t, "set", false))
-	if o.last().Kid(z3950.FieldCloseReason).IntOr(-1) != z3950.CloseLimits || !o.closed || o.canceled != 1 {
+	if o.last().Child(z3950.FieldCloseReason).IntOr(-1) != z3950.CloseLimits || !o.closed || o.canceled != 1 {
 		t.Errorf("answered by %+v, closed %v, %d requests cancelled", o.last(), o.closed, o.canceled)
 	}
 }
@@ -251,7 +251,7 @@
 		t.Fatal("closed before the operation in flight was finished")
 	}
 	o.answer(1)
-	if o.last().Kid(z3950.FieldCloseReason).IntOr(-1) != z3950.CloseShutdown || !o.closed {
+	if o.last().Child(z3950.FieldCloseReason).IntOr(-1) != z3950.CloseShutdown || !o.closed {
 		t.Errorf("answered by %+v, closed %v", o.last(), o.closed)
 	}
 	o.handler.Closed(nil)
--- a/internal/frontend/z3950/operation.go
+++ b/internal/frontend/z3950/operation.go
@@ -58,7 +58,7 @@
 
 // newOperation returns the operation of a request.
 func newOperation(unit *z3950.Node) *operation {
-	return &operation{reference: unit.Kid(z3950.FieldReferenceID), request: unit.Tag}
+	return &operation{reference: unit.Child(z3950.FieldReferenceID), request: unit.Tag}
 }
 
 // starter starts an operation at the gateway. It returns either its outcome, if that is known at once, or how to cancel
@@ -117,26 +117,26 @@
 func (a *association) fail(op *operation, problem diagnostic) {
 	switch op.request {
 	case z3950.SearchRequest:
-		a.send(z3950.Ctx(z3950.SearchResponse,
+		a.send(z3950.Constructed(z3950.SearchResponse,
 			op.reference,
-			z3950.Num(z3950.FieldResultCount, 0),
-			z3950.Num(z3950.FieldRecordsReturned, 0),
-			z3950.Num(z3950.FieldNextPosition, nextPositionNone),
+			z3950.Integer(z3950.FieldResultCount, 0),
+			z3950.Integer(z3950.FieldRecordsReturned, 0),
+			z3950.Integer(z3950.FieldNextPosition, nextPositionNone),
 			z3950.Boolean(z3950.FieldSearchStatus, false),
-			z3950.Num(z3950.FieldResultSetStatus, resultSetStatusNone),
+			z3950.Integer(z3950.FieldResultSetStatus, resultSetStatusNone),
 			z3950.Diagnostic(z3950.FieldDiagnostic, problem.code, problem.details)))
 	case z3950.PresentRequest:
-		a.send(z3950.Ctx(z3950.PresentResponse,
+		a.send(z3950.Constructed(z3950.PresentResponse,
 			op.reference,
-			z3950.Num(z3950.FieldRecordsReturned, 0),
-			z3950.Num(z3950.FieldNextPosition, nextPositionNone),
-			z3950.Num(z3950.FieldPresentStatus, presentStatusFailure),
+			z3950.Integer(z3950.FieldRecordsReturned, 0),
+			z3950.Integer(z3950.FieldNextPosition, nextPositionNone),
+			z3950.Integer(z3950.FieldPresentStatus, presentStatusFailure),
 			z3950.Diagnostic(z3950.FieldDiagnostic, problem.code, problem.details)))
 	case z3950.EsRequest:
-		a.send(z3950.Ctx(z3950.EsResponse,
+		a.send(z3950.Constructed(z3950.EsResponse,
 			op.reference,
-			z3950.Num(z3950.FieldEsOperationStatus, operationStatusFailure),
-			z3950.Ctx(z3950.FieldEsDiagnostics, z3950.DiagnosticSequence(problem.code, problem.details))))
+			z3950.Integer(z3950.FieldEsOperationStatus, operationStatusFailure),
+			z3950.Constructed(z3950.FieldEsDiagnostics, z3950.DiagnosticSequence(problem.code, problem.details))))
 	}
 }
 
--- a/internal/frontend/z3950/present.go
+++ b/internal/frontend/z3950/present.go
@@ -23,9 +23,9 @@
 func (a *association) present(unit *z3950.Node) {
 	op := newOperation(unit)
 	request := presentRequest{
-		set:    a.sets[unit.Kid(z3950.FieldResultSetID).Text()],
-		start:  unit.Kid(z3950.FieldStartPoint).IntOr(0),
-		number: unit.Kid(z3950.FieldRecordsRequested).IntOr(-1),
+		set:    a.sets[unit.Child(z3950.FieldResultSetID).Text()],
+		start:  unit.Child(z3950.FieldStartPoint).IntOr(0),
+		number: unit.Child(z3950.FieldRecordsRequested).IntOr(-1),
 	}
 	request.syntax, request.supported = recordSyntax(unit)
 	if problem := a.checkPresent(unit, &request); problem != nil {
@@ -58,13 +58,13 @@
 	maxRecords := a.server.Service.Config.Limits.MaxRecords
 	switch {
 	case set == nil:
-		return &diagnostic{diagNoSuchResultSet, unit.Kid(z3950.FieldResultSetID).Text()}
+		return &diagnostic{diagNoSuchResultSet, unit.Child(z3950.FieldResultSetID).Text()}
 	// The last condition is start+number-1 > set.count without its overflow.
 	case start < 1 || number < 0 || number > set.count || start-1 > set.count-number:
 		return &diagnostic{diagPresentOutOfRange, fmt.Sprintf("%d records from %d of %d", number, start, set.count)}
 	case !request.supported:
 		return &diagnostic{diagSyntaxNotSupported, request.syntax}
-	case unit.Kid(z3950.FieldAdditionalRanges) != nil:
+	case unit.Child(z3950.FieldAdditionalRanges) != nil:
 		return &diagnostic{code: diagRangesNotSupported}
 	case request.last() > maxRecords:
 		return &diagnostic{diagResourcesExhausted, fmt.Sprintf("records beyond %d are not kept", maxRecords)}
@@ -79,10 +79,10 @@
 	if next > request.set.count {
 		next = nextPositionNone
 	}
-	a.send(z3950.Ctx(z3950.PresentResponse,
+	a.send(z3950.Constructed(z3950.PresentResponse,
 		op.reference,
-		z3950.Num(z3950.FieldRecordsReturned, len(records)),
-		z3950.Num(z3950.FieldNextPosition, next),
-		z3950.Num(z3950.FieldPresentStatus, presentStatus(len(records), request.number)),
+		z3950.Integer(z3950.FieldRecordsReturned, len(records)),
+		z3950.Integer(z3950.FieldNextPosition, next),
+		z3950.Integer(z3950.FieldPresentStatus, presentStatus(len(records), request.number)),
 		z3950.Records(request.set.databases[0], request.syntax, records)))
 }
--- a/internal/frontend/z3950/resultset.go
+++ b/internal/frontend/z3950/resultset.go
@@ -56,18 +56,18 @@
 
 // recordSyntax returns the record syntax that a request prefers, XML by default, and whether it is supported.
 func recordSyntax(unit *z3950.Node) (oid string, supported bool) {
-	field := unit.Kid(z3950.FieldRecordSyntax)
+	field := unit.Child(z3950.FieldRecordSyntax)
 	if field == nil {
 		return z3950.OidXML, true
 	}
-	oid = field.Oid()
+	oid = field.OID()
 	return oid, oid == z3950.OidXML || oid == z3950.OidSUTRS
 }
 
 // deleteResultSets handles a request to delete all result sets or those of a list.
 func (a *association) deleteResultSets(unit *z3950.Node) {
 	status := deleteStatusSuccess
-	if unit.Kid(z3950.FieldDeleteFunction).IntOr(-1) == deleteFunctionAll {
+	if unit.Child(z3950.FieldDeleteFunction).IntOr(-1) == deleteFunctionAll {
 		clear(a.sets)
 	} else {
 		for _, name := range resultSetList(unit) {
@@ -77,19 +77,19 @@
 			delete(a.sets, name)
 		}
 	}
-	a.send(z3950.Ctx(z3950.DeleteResponse,
-		unit.Kid(z3950.FieldReferenceID),
-		z3950.Num(z3950.FieldDeleteOperationStatus, status)))
+	a.send(z3950.Constructed(z3950.DeleteResponse,
+		unit.Child(z3950.FieldReferenceID),
+		z3950.Integer(z3950.FieldDeleteOperationStatus, status)))
 }
 
 // resultSetList returns the names of result sets in a request to delete them.
 func resultSetList(unit *z3950.Node) []string {
 	var names []string
-	for _, field := range unit.Kids {
+	for _, field := range unit.Children {
 		if field.Class != z3950.Universal || field.Tag != z3950.TagSequence {
 			continue
 		}
-		for _, name := range field.Kids {
+		for _, name := range field.Children {
 			names = append(names, name.Text())
 		}
 	}
--- a/internal/frontend/z3950/search.go
+++ b/internal/frontend/z3950/search.go
@@ -30,16 +30,16 @@
 // parseSearch reads the fields of a Search unit, all but the query.
 func parseSearch(unit *z3950.Node) searchRequest {
 	request := searchRequest{
-		setName:    unit.Kid(z3950.FieldResultSetName).Text(),
-		replace:    unit.Kid(z3950.FieldReplaceIndicator).Truth(),
-		rpn:        unit.Kid(z3950.FieldQuery),
-		smallMax:   unit.Kid(z3950.FieldSmallSetUpperBound).IntOr(0),
-		largeMin:   unit.Kid(z3950.FieldLargeSetLowerBound).IntOr(1),
-		mediumSent: unit.Kid(z3950.FieldMediumSetPresentNumber).IntOr(0),
+		setName:    unit.Child(z3950.FieldResultSetName).Text(),
+		replace:    unit.Child(z3950.FieldReplaceIndicator).Bool(),
+		rpn:        unit.Child(z3950.FieldQuery),
+		smallMax:   unit.Child(z3950.FieldSmallSetUpperBound).IntOr(0),
+		largeMin:   unit.Child(z3950.FieldLargeSetLowerBound).IntOr(1),
+		mediumSent: unit.Child(z3950.FieldMediumSetPresentNumber).IntOr(0),
 	}
 	request.syntax, request.supported = recordSyntax(unit)
-	if names := unit.Kid(z3950.FieldDatabaseNames); names != nil {
-		for _, name := range names.Kids {
+	if names := unit.Child(z3950.FieldDatabaseNames); names != nil {
+		for _, name := range names.Children {
 			request.databases = append(request.databases, name.Text())
 		}
 	}
@@ -132,13 +132,13 @@
 
 // sendPartialSearch responds to a search whose results are a valid subset. Its result set may be used; no records are sent.
 func (a *association) sendPartialSearch(op *operation, outcome gateway.Outcome) {
-	a.send(z3950.Ctx(z3950.SearchResponse,
+	a.send(z3950.Constructed(z3950.SearchResponse,
 		op.reference,
-		z3950.Num(z3950.FieldResultCount, outcome.Count),
-		z3950.Num(z3950.FieldRecordsReturned, 0),
-		z3950.Num(z3950.FieldNextPosition, 1),
+		z3950.Integer(z3950.FieldResultCount, outcome.Count),
+		z3950.Integer(z3950.FieldRecordsReturned, 0),
+		z3950.Integer(z3950.FieldNextPosition, 1),
 		z3950.Boolean(z3950.FieldSearchStatus, false),
-		z3950.Num(z3950.FieldResultSetStatus, resultSetStatusSubset),
+		z3950.Integer(z3950.FieldResultSetStatus, resultSetStatusSubset),
 		z3950.Diagnostic(z3950.FieldDiagnostic, diagPartialResults, outcome.Coverage())))
 }
 
@@ -151,14 +151,14 @@
 	case requested <= 0:
 	case !request.supported:
 		records = []*z3950.Node{
-			z3950.Num(z3950.FieldPresentStatus, presentStatusFailure),
+			z3950.Integer(z3950.FieldPresentStatus, presentStatusFailure),
 			z3950.Diagnostic(z3950.FieldDiagnostic, diagSyntaxNotSupported, request.syntax),
 		}
 	default:
 		list := a.fitting(set.page(1, requested))
 		sent = len(list)
 		records = []*z3950.Node{
-			z3950.Num(z3950.FieldPresentStatus, presentStatus(sent, requested)),
+			z3950.Integer(z3950.FieldPresentStatus, presentStatus(sent, requested)),
 			z3950.Records(set.databases[0], request.syntax, list),
 		}
 	}
@@ -168,10 +168,10 @@
 	}
 	fields := []*z3950.Node{
 		op.reference,
-		z3950.Num(z3950.FieldResultCount, set.count),
-		z3950.Num(z3950.FieldRecordsReturned, sent),
-		z3950.Num(z3950.FieldNextPosition, next),
+		z3950.Integer(z3950.FieldResultCount, set.count),
+		z3950.Integer(z3950.FieldRecordsReturned, sent),
+		z3950.Integer(z3950.FieldNextPosition, next),
 		z3950.Boolean(z3950.FieldSearchStatus, true),
 	}
-	a.send(z3950.Ctx(z3950.SearchResponse, append(fields, records...)...))
+	a.send(z3950.Constructed(z3950.SearchResponse, append(fields, records...)...))
 }
--- a/internal/frontend/z3950/update.go
+++ b/internal/frontend/z3950/update.go
@@ -20,8 +20,8 @@
 			a.fail(op, diagnosticOf(outcome))
 			return
 		}
-		a.send(z3950.Ctx(z3950.EsResponse,
+		a.send(z3950.Constructed(z3950.EsResponse,
 			op.reference,
-			z3950.Num(z3950.FieldEsOperationStatus, operationStatusDone)))
+			z3950.Integer(z3950.FieldEsOperationStatus, operationStatusDone)))
 	})
 }
--- a/internal/protocol/z3950/ber.go
+++ b/internal/protocol/z3950/ber.go
@@ -62,7 +62,7 @@
 	switch {
 	case err != nil:
 		return nil, nil, err
-	case size == indefinite && !n.Cons:
+	case size == indefinite && !n.IsConstructed:
 		return nil, nil, errors.New("z3950: a primitive without a length")
 	case size == indefinite:
 		return d.untilEnd(n, data, depth)
@@ -73,19 +73,19 @@
 	}
 	content := data[:size]
 	rest := data[size:]
-	if !n.Cons {
+	if !n.IsConstructed {
 		n.Bytes = append([]byte(nil), content...)
 		return n, rest, nil
 	}
 	for len(content) > 0 {
-		kid, after, err := d.value(content, depth+1)
+		child, after, err := d.value(content, depth+1)
 		if errors.Is(err, ErrMore) {
 			err = errors.New("z3950: a value is longer than what holds it")
 		}
 		if err != nil {
 			return nil, nil, err
 		}
-		n.Kids = append(n.Kids, kid)
+		n.Children = append(n.Children, child)
 		content = after
 	}
 	return n, rest, nil
@@ -97,11 +97,11 @@
 		if len(data) >= 2 && data[0] == 0 && data[1] == 0 {
 			return n, data[2:], nil
 		}
-		kid, rest, err := d.value(data, depth+1)
+		child, rest, err := d.value(data, depth+1)
 		if err != nil {
 			return nil, nil, err
 		}
-		n.Kids = append(n.Kids, kid)
+		n.Children = append(n.Children, child)
 		data = rest
 	}
 }
@@ -109,9 +109,9 @@
 // decodeIdentifier reads the class and tag of a value. data is not empty.
 func decodeIdentifier(data []byte) (n *Node, rest []byte, err error) {
 	n = &Node{
-		Class: Class(data[0] >> 6),
-		Cons:  data[0]&constructedBit != 0,
-		Tag:   int(data[0] & longTag),
+		Class:         Class(data[0] >> 6),
+		IsConstructed: data[0]&constructedBit != 0,
+		Tag:           int(data[0] & longTag),
 	}
 	data = data[1:]
 	if n.Tag != longTag {
@@ -163,11 +163,11 @@
 func (n *Node) Encode(data []byte) []byte {
 	identifier := byte(n.Class) << 6
 	content := n.Bytes
-	if n.Cons {
+	if n.IsConstructed {
 		identifier |= constructedBit
 		content = nil
-		for _, kid := range n.Kids {
-			content = kid.Encode(content)
+		for _, child := range n.Children {
+			content = child.Encode(content)
 		}
 	}
 	if n.Tag < longTag {
--- a/internal/protocol/z3950/ber_test.go
+++ b/internal/protocol/z3950/ber_test.go
@@ -13,7 +13,7 @@
 func TestDecode_KnownBytes(t *testing.T) {
 	// A constructed octet string in segments inside an indefinite length, as old origins send.
 	n, rest, err := Decode([]byte("\xb6\x80\xbf\x69\x80\x04\x01a\x04\x02bc\x00\x00\x00\x00tail"))
-	if err != nil || n.Tag != SearchRequest || n.Kid(FieldDatabaseName).Text() != "abc" || string(rest) != "tail" {
+	if err != nil || n.Tag != SearchRequest || n.Child(FieldDatabaseName).Text() != "abc" || string(rest) != "tail" {
 		t.Errorf("decoded %+v, then %q, %v", n, rest, err)
 	}
 	for _, bad := range []string{
@@ -36,19 +36,19 @@
 
 func TestIntegersAndOIDs_RoundTrip(t *testing.T) {
 	for _, v := range []int{0, 1, 127, 128, 255, 256, 32767, 32768, 1 << 20, 1 << 30, -1, -128, -129, -70000} {
-		if got, ok := Num(1, v).integer(); !ok || got != v {
+		if got, ok := Integer(1, v).integer(); !ok || got != v {
 			t.Errorf("%d came back as %d", v, got)
 		}
 	}
-	if b := Num(1, 128).Bytes; !bytes.Equal(b, []byte{0, 128}) {
+	if b := Integer(1, 128).Bytes; !bytes.Equal(b, []byte{0, 128}) {
 		t.Errorf("128 is % x", b)
 	}
 	for _, o := range []string{oidBib1, OidXML, oidUpdate1, "2.100.3"} {
-		if got := Oid(Universal, tagOID, o).Oid(); got != o {
+		if got := OID(Universal, tagOID, o).OID(); got != o {
 			t.Errorf("%s came back as %s", o, got)
 		}
 	}
-	if b := oidBytes(oidBib1); string(b) != "\x2a\x86\x48\xce\x13\x03\x01" {
+	if b := encodeOID(oidBib1); string(b) != "\x2a\x86\x48\xce\x13\x03\x01" {
 		t.Errorf("%s is encoded as % x", oidBib1, b)
 	}
 }
@@ -59,11 +59,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		n, err := Rpn(tree)
+		n, err := EncodeRPN(tree)
 		if err != nil {
 			t.Fatal(err)
 		}
-		sent, _, err := Decode(Ctx(FieldQuery, n).Encode(nil))
+		sent, _, err := Decode(Constructed(FieldQuery, n).Encode(nil))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -84,10 +84,10 @@
 
 // A decoded value encodes to bytes that decode to the same value. No input makes the decoder or the parsers of units panic.
 func FuzzDecode(f *testing.F) {
-	f.Add(Ctx(SearchRequest,
-		Str(FieldResultSetName, "x"),
-		Ctx(FieldDatabaseNames, Str(FieldDatabaseName, "d")),
-		Ctx(FieldQuery, Ctx(queryType1)),
+	f.Add(Constructed(SearchRequest,
+		String(FieldResultSetName, "x"),
+		Constructed(FieldDatabaseNames, String(FieldDatabaseName, "d")),
+		Constructed(FieldQuery, Constructed(queryType1)),
 	).Encode(nil))
 	f.Add(Update("r", "d", query.ActionDelete, query.Record{ID: "1"}).Encode(nil))
 	f.Add([]byte("\xb6\x80\xbf\x69\x80\x04\x01a\x00\x00\x00\x00"))
@@ -100,7 +100,7 @@
 		if err != nil || len(rest) > 0 || !bytes.Equal(n.Encode(nil), again.Encode(nil)) {
 			t.Fatalf("%+v came back as %+v, %v", n, again, err)
 		}
-		_, _ = ParseRPN(n.Kid(FieldQuery)) // only a panic is a fault
+		_, _ = ParseRPN(n.Child(FieldQuery)) // only a panic is a fault
 		_, _ = ParseUpdate(n)
 		_, _ = ParseRecords(n)
 	})
--- a/internal/protocol/z3950/node.go
+++ b/internal/protocol/z3950/node.go
@@ -27,35 +27,35 @@
 
 // Node is a BER value. Its methods that read it may be called on nil, which is an absent value.
 type Node struct {
-	Class Class
-	Tag   int
-	Cons  bool    // constructed: it consists of values
-	Bytes []byte  // of a primitive value
-	Kids  []*Node // of a constructed value
+	Class         Class
+	Tag           int
+	IsConstructed bool    // constructed: it consists of values
+	Bytes         []byte  // of a primitive value
+	Children      []*Node // of a constructed value
 }
 
 // is returns whether a value has a context tag.
 func (n *Node) is(tag int) bool { return n.Class == Context && n.Tag == tag }
 
-// Kid returns the first value inside with a context tag, nil if there is none.
-func (n *Node) Kid(tag int) *Node {
+// Child returns the first value inside with a context tag, nil if there is none.
+func (n *Node) Child(tag int) *Node {
 	if n == nil {
 		return nil
 	}
-	for _, kid := range n.Kids {
-		if kid.is(tag) {
-			return kid
+	for _, child := range n.Children {
+		if child.is(tag) {
+			return child
 		}
 	}
 	return nil
 }
 
-// Only returns the value inside an explicit tag, nil if there is not exactly one.
-func (n *Node) Only() *Node {
-	if n == nil || len(n.Kids) != 1 {
+// OnlyChild returns the value inside an explicit tag, nil if there is not exactly one.
+func (n *Node) OnlyChild() *Node {
+	if n == nil || len(n.Children) != 1 {
 		return nil
 	}
-	return n.Kids[0]
+	return n.Children[0]
 }
 
 // Text returns the octets of a string, which may have been sent in segments; empty if the value is absent.
@@ -63,11 +63,11 @@
 	if n == nil {
 		return ""
 	}
-	if !n.Cons {
+	if !n.IsConstructed {
 		return string(n.Bytes)
 	}
 	var text strings.Builder
-	for _, segment := range n.Kids {
+	for _, segment := range n.Children {
 		text.WriteString(segment.Text())
 	}
 	return text.String()
@@ -75,7 +75,7 @@
 
 // integer returns the value of an INTEGER of up to 64 bits; ok is false if it is none.
 func (n *Node) integer() (value int, ok bool) {
-	if n == nil || n.Cons || len(n.Bytes) == 0 || len(n.Bytes) > 8 {
+	if n == nil || n.IsConstructed || len(n.Bytes) == 0 || len(n.Bytes) > 8 {
 		return 0, false
 	}
 	v := int64(int8(n.Bytes[0]))
@@ -93,8 +93,8 @@
 	return other
 }
 
-// Truth returns the value of a BOOLEAN, false if it is absent.
-func (n *Node) Truth() bool { return n != nil && len(n.Bytes) == 1 && n.Bytes[0] != 0 }
+// Bool returns the value of a BOOLEAN, false if it is absent.
+func (n *Node) Bool() bool { return n != nil && len(n.Bytes) == 1 && n.Bytes[0] != 0 }
 
 // Bit returns a bit of a BIT STRING, false if it is not in it.
 func (n *Node) Bit(i int) bool {
@@ -104,9 +104,9 @@
 // maxOIDNumber is the highest number in an object identifier.
 const maxOIDNumber = 1 << 28
 
-// Oid returns an OBJECT IDENTIFIER in dotted form, empty if it is absent or malformed.
-func (n *Node) Oid() string {
-	if n == nil || n.Cons || len(n.Bytes) == 0 {
+// OID returns an OBJECT IDENTIFIER in dotted form, empty if it is absent or malformed.
+func (n *Node) OID() string {
+	if n == nil || n.IsConstructed || len(n.Bytes) == 0 {
 		return ""
 	}
 	var dotted strings.Builder
@@ -131,12 +131,12 @@
 	return dotted.String()
 }
 
-// constructed returns a constructed value. Kids that are nil are left out.
-func constructed(class Class, tag int, kids ...*Node) *Node {
-	n := &Node{Class: class, Tag: tag, Cons: true}
-	for _, kid := range kids {
-		if kid != nil {
-			n.Kids = append(n.Kids, kid)
+// constructed returns a constructed value. Children that are nil are left out.
+func constructed(class Class, tag int, children ...*Node) *Node {
+	n := &Node{Class: class, Tag: tag, IsConstructed: true}
+	for _, child := range children {
+		if child != nil {
+			n.Children = append(n.Children, child)
 		}
 	}
 	return n
@@ -146,16 +146,16 @@
 func primitive(class Class, tag int, b []byte) *Node { return &Node{Class: class, Tag: tag, Bytes: b} }
 
 // sequence returns a SEQUENCE.
-func sequence(kids ...*Node) *Node { return constructed(Universal, TagSequence, kids...) }
+func sequence(children ...*Node) *Node { return constructed(Universal, TagSequence, children...) }
 
-// Ctx returns a constructed value with a context tag. Kids that are nil are left out.
-func Ctx(tag int, kids ...*Node) *Node { return constructed(Context, tag, kids...) }
+// Constructed returns a constructed value with a context tag. Children that are nil are left out.
+func Constructed(tag int, children ...*Node) *Node { return constructed(Context, tag, children...) }
 
-// Str returns a string with a context tag.
-func Str(tag int, s string) *Node { return primitive(Context, tag, []byte(s)) }
+// String returns a string with a context tag.
+func String(tag int, s string) *Node { return primitive(Context, tag, []byte(s)) }
 
-// Num returns an INTEGER with a context tag.
-func Num(tag, v int) *Node { return primitive(Context, tag, integerBytes(v)) }
+// Integer returns an INTEGER with a context tag.
+func Integer(tag, v int) *Node { return primitive(Context, tag, encodeInteger(v)) }
 
 // Boolean returns a BOOLEAN with a context tag.
 func Boolean(tag int, v bool) *Node {
@@ -166,8 +166,8 @@
 	return primitive(Context, tag, []byte{octet})
 }
 
-// Bits returns a BIT STRING of 16 bits with a context tag, in which the bits of set, 0 to 15, are set.
-func Bits(tag int, set ...int) *Node {
+// BitString returns a BIT STRING of 16 bits with a context tag, in which the bits of set, 0 to 15, are set.
+func BitString(tag int, set ...int) *Node {
 	b := []byte{0, 0, 0} // unused bits in the last octet, and the octets
 	for _, i := range set {
 		b[1+i/8] |= 0x80 >> (i % 8)
@@ -175,11 +175,11 @@
 	return primitive(Context, tag, b)
 }
 
-// Oid returns an OBJECT IDENTIFIER, which is given in dotted form.
-func Oid(class Class, tag int, dotted string) *Node { return primitive(class, tag, oidBytes(dotted)) }
+// OID returns an OBJECT IDENTIFIER, which is given in dotted form.
+func OID(class Class, tag int, dotted string) *Node { return primitive(class, tag, encodeOID(dotted)) }
 
-// integerBytes encodes an INTEGER in as few octets as it needs.
-func integerBytes(v int) []byte {
+// encodeInteger encodes an INTEGER in as few octets as it needs.
+func encodeInteger(v int) []byte {
 	b := []byte{byte(v)}
 	for rest := v >> 7; rest != 0 && rest != -1; rest >>= 8 {
 		b = append([]byte{byte(v >> (8 * len(b)))}, b...)
@@ -187,8 +187,8 @@
 	return b
 }
 
-// oidBytes encodes an object identifier. The dotted form is a constant of this package and well formed.
-func oidBytes(dotted string) []byte {
+// encodeOID encodes an object identifier. The dotted form is a constant of this package and well formed.
+func encodeOID(dotted string) []byte {
 	const maxOctets = 5 // of a number
 	var b []byte
 	top := 0
--- a/internal/protocol/z3950/records.go
+++ b/internal/protocol/z3950/records.go
@@ -17,7 +17,7 @@
 
 // Diagnostic returns a diagnostic of the bib-1 set (DefaultDiagFormat) with a context tag.
 func Diagnostic(tag, code int, details string) *Node {
-	return Ctx(tag, diagnosticFields(code, details)...)
+	return Constructed(tag, diagnosticFields(code, details)...)
 }
 
 // DiagnosticSequence returns a diagnostic of the bib-1 set (DefaultDiagFormat) as a SEQUENCE.
@@ -27,34 +27,34 @@
 
 func diagnosticFields(code int, details string) []*Node {
 	return []*Node{
-		Oid(Universal, tagOID, oidDiag),
-		primitive(Universal, tagInteger, integerBytes(code)),
+		OID(Universal, tagOID, oidDiag),
+		primitive(Universal, tagInteger, encodeInteger(code)),
 		primitive(Universal, tagGeneral, []byte(details)),
 	}
 }
 
 // ParseDiagnostic reads a DefaultDiagFormat. It returns nil if n is absent or none.
 func ParseDiagnostic(n *Node) *query.Diagnostic {
-	if n == nil || len(n.Kids) < 2 {
+	if n == nil || len(n.Children) < 2 {
 		return nil
 	}
-	d := &query.Diagnostic{Bib1: n.Kids[1].IntOr(diagUnspecified)}
-	if len(n.Kids) > 2 {
-		d.Details = n.Kids[2].Text()
+	d := &query.Diagnostic{Bib1: n.Children[1].IntOr(diagUnspecified)}
+	if len(n.Children) > 2 {
+		d.Details = n.Children[2].Text()
 	}
 	return d
 }
 
 // externalXML returns an EXTERNAL of XML, as octets.
 func externalXML(text string) *Node {
-	return constructed(Universal, tagExternal, Oid(Universal, tagOID, OidXML), Str(externalOctets, text))
+	return constructed(Universal, tagExternal, OID(Universal, tagOID, OidXML), String(externalOctets, text))
 }
 
 // externalSUTRS returns an EXTERNAL of plain text, as one GeneralString.
 func externalSUTRS(text string) *Node {
 	return constructed(Universal, tagExternal,
-		Oid(Universal, tagOID, OidSUTRS),
-		Ctx(externalSingleType, primitive(Universal, tagGeneral, []byte(text))))
+		OID(Universal, tagOID, OidSUTRS),
+		Constructed(externalSingleType, primitive(Universal, tagGeneral, []byte(text))))
 }
 
 // parseExternal returns the text of an EXTERNAL, which is octets or one string; empty if n is absent or no EXTERNAL.
@@ -62,12 +62,12 @@
 	if n == nil || n.Class != Universal || n.Tag != tagExternal {
 		return ""
 	}
-	for _, kid := range n.Kids {
+	for _, child := range n.Children {
 		switch {
-		case kid.is(externalSingleType):
-			text = kid.Only().Text()
-		case kid.is(externalOctets):
-			text = kid.Text()
+		case child.is(externalSingleType):
+			text = child.OnlyChild().Text()
+		case child.is(externalOctets):
+			text = child.Text()
 		}
 	}
 	return text
@@ -76,15 +76,15 @@
 // Records returns the field of a response that carries records of a database, in a record syntax: as OidSUTRS, or else as
 // OidXML.
 func Records(database, syntax string, list []query.Record) *Node {
-	records := Ctx(FieldRecords)
+	records := Constructed(FieldRecords)
 	for _, r := range list {
 		external := externalXML(r.XML)
 		if syntax == OidSUTRS {
 			external = externalSUTRS(r.XML)
 		}
-		records.Kids = append(records.Kids, sequence(
-			Str(recordDatabase, database),
-			Ctx(recordContent, Ctx(recordRetrieved, external))))
+		records.Children = append(records.Children, sequence(
+			String(recordDatabase, database),
+			Constructed(recordContent, Constructed(recordRetrieved, external))))
 	}
 	return records
 }
@@ -92,28 +92,28 @@
 // ParseRecords returns the records in a response, and the diagnostic, if there is one, of the response or of the first
 // record that is missing.
 func ParseRecords(response *Node) (list []query.Record, d *query.Diagnostic) {
-	if d = ParseDiagnostic(response.Kid(FieldDiagnostic)); d != nil {
+	if d = ParseDiagnostic(response.Child(FieldDiagnostic)); d != nil {
 		return nil, d
 	}
-	if many := response.Kid(fieldMultiDiagnostics); many != nil && len(many.Kids) > 0 {
-		return nil, ParseDiagnostic(many.Kids[0])
+	if many := response.Child(fieldMultiDiagnostics); many != nil && len(many.Children) > 0 {
+		return nil, ParseDiagnostic(many.Children[0])
 	}
-	records := response.Kid(FieldRecords)
+	records := response.Child(FieldRecords)
 	if records == nil {
 		return nil, nil
 	}
-	for _, record := range records.Kids {
-		content := record.Kid(recordContent).Only()
+	for _, record := range records.Children {
+		content := record.Child(recordContent).OnlyChild()
 		if content == nil {
 			continue
 		}
 		if content.is(recordSurrogateDiagnostic) {
 			if d == nil {
-				d = ParseDiagnostic(content.Only())
+				d = ParseDiagnostic(content.OnlyChild())
 			}
 			continue
 		}
-		if text := parseExternal(content.Only()); text != "" {
+		if text := parseExternal(content.OnlyChild()); text != "" {
 			list = append(list, query.Record{XML: text})
 		}
 	}
--- a/internal/protocol/z3950/rpn.go
+++ b/internal/protocol/z3950/rpn.go
@@ -41,14 +41,14 @@
 	return &query.Error{SRU: 37, Bib1: 110, Details: details}
 }
 
-// Rpn returns a query as a type-1 query (RPN) with attributes of bib-1. The error is a *query.Error if the query cannot be
-// expressed so.
-func Rpn(n query.Node) (*Node, error) {
+// EncodeRPN returns a query as a type-1 query (RPN) with attributes of bib-1. The error is a *query.Error if the query
+// cannot be expressed so.
+func EncodeRPN(n query.Node) (*Node, error) {
 	structure, err := rpnStructure(query.ExpandAny(n))
 	if err != nil {
 		return nil, err
 	}
-	return Ctx(queryType1, Oid(Universal, tagOID, oidBib1), structure), nil
+	return Constructed(queryType1, OID(Universal, tagOID, oidBib1), structure), nil
 }
 
 func rpnStructure(tree query.Node) (*Node, error) {
@@ -63,40 +63,40 @@
 			return nil, err
 		}
 		tag := max(0, slices.Index(rpnOperators, tree.Operator))
-		return Ctx(rpnOperation, left, right, Ctx(rpnOperator, primitive(Context, tag, nil))), nil
+		return Constructed(rpnOperation, left, right, Constructed(rpnOperator, primitive(Context, tag, nil))), nil
 	case *query.ResultSet:
-		return Ctx(rpnOperand, Str(operandResultSet, tree.Name)), nil
+		return Constructed(rpnOperand, String(operandResultSet, tree.Name)), nil
 	case *query.Clause:
 		attributes, term, err := query.Attributes(tree)
 		if err != nil {
 			return nil, err
 		}
-		list := Ctx(clauseAttributes)
+		list := Constructed(clauseAttributes)
 		for _, attribute := range attributes {
-			element := sequence(Num(attributeType, attribute.Type), Num(attributeValue, attribute.Value))
-			list.Kids = append(list.Kids, element)
+			element := sequence(Integer(attributeType, attribute.Type), Integer(attributeValue, attribute.Value))
+			list.Children = append(list.Children, element)
 		}
-		return Ctx(rpnOperand, Ctx(operandClause, list, Str(clauseGeneralTerm, term))), nil
+		return Constructed(rpnOperand, Constructed(operandClause, list, String(clauseGeneralTerm, term))), nil
 	}
 	return nil, errors.New("z3950: no such query")
 }
 
 // ParseRPN reads the query field of a search. The error is a *query.Error, which says why the query is rejected.
 func ParseRPN(field *Node) (query.Node, error) {
-	rpn := field.Only() // the query is a choice inside an explicit tag
+	rpn := field.OnlyChild() // the query is a choice inside an explicit tag
 	if rpn == nil {
 		return nil, malformedQuery("no query")
 	}
 	if !rpn.is(queryType1) {
 		return nil, unsupportedQueryType("only type 1")
 	}
-	if len(rpn.Kids) != 2 {
+	if len(rpn.Children) != 2 {
 		return nil, malformedQuery("rpn")
 	}
-	if set := rpn.Kids[0].Oid(); set != oidBib1 {
+	if set := rpn.Children[0].OID(); set != oidBib1 {
 		return nil, unsupportedAttributeSet(set)
 	}
-	tree, err := parseStructure(rpn.Kids[1], 1)
+	tree, err := parseStructure(rpn.Children[1], 1)
 	if err != nil {
 		return nil, err
 	}
@@ -108,20 +108,20 @@
 		return nil, nestedTooDeep()
 	}
 	if structure.is(rpnOperand) {
-		return parseOperand(structure.Only())
+		return parseOperand(structure.OnlyChild())
 	}
-	if !structure.is(rpnOperation) || len(structure.Kids) != 3 {
+	if !structure.is(rpnOperation) || len(structure.Children) != 3 {
 		return nil, malformedQuery("rpn structure")
 	}
-	left, err := parseStructure(structure.Kids[0], depth+1)
+	left, err := parseStructure(structure.Children[0], depth+1)
 	if err != nil {
 		return nil, err
 	}
-	right, err := parseStructure(structure.Kids[1], depth+1)
+	right, err := parseStructure(structure.Children[1], depth+1)
 	if err != nil {
 		return nil, err
 	}
-	operator, err := parseOperator(structure.Kids[2])
+	operator, err := parseOperator(structure.Children[2])
 	if err != nil {
 		return nil, err
 	}
@@ -129,7 +129,7 @@
 }
 
 func parseOperator(field *Node) (query.Operator, error) {
-	operator := field.Only()
+	operator := field.OnlyChild()
 	if !field.is(rpnOperator) || operator == nil || operator.Class != Context {
 		return "", malformedQuery("operator")
 	}
@@ -146,14 +146,14 @@
 	if operand.is(operandResultSet) {
 		return &query.ResultSet{Name: operand.Text()}, nil
 	}
-	if !operand.is(operandClause) || len(operand.Kids) != 2 || !operand.Kids[0].is(clauseAttributes) {
+	if !operand.is(operandClause) || len(operand.Children) != 2 || !operand.Children[0].is(clauseAttributes) {
 		return nil, malformedQuery("operand")
 	}
-	attributes, err := parseAttributes(operand.Kids[0])
+	attributes, err := parseAttributes(operand.Children[0])
 	if err != nil {
 		return nil, err
 	}
-	term := operand.Kids[1]
+	term := operand.Children[1]
 	if !term.is(clauseGeneralTerm) && !term.is(clauseCharacterTerm) {
 		return nil, unsupportedTerm()
 	}
@@ -162,12 +162,12 @@
 
 func parseAttributes(list *Node) ([]query.Attribute, error) {
 	var attributes []query.Attribute
-	for _, attribute := range list.Kids {
-		if set := attribute.Kid(attributeSet); set != nil && set.Oid() != oidBib1 {
-			return nil, unsupportedAttributeSet(set.Oid())
+	for _, attribute := range list.Children {
+		if set := attribute.Child(attributeSet); set != nil && set.OID() != oidBib1 {
+			return nil, unsupportedAttributeSet(set.OID())
 		}
-		kind, hasKind := attribute.Kid(attributeType).integer()
-		value, hasValue := attribute.Kid(attributeValue).integer()
+		kind, hasKind := attribute.Child(attributeType).integer()
+		value, hasValue := attribute.Child(attributeValue).integer()
 		if !hasKind || !hasValue {
 			return nil, unsupportedAttribute()
 		}
--- a/internal/protocol/z3950/update.go
+++ b/internal/protocol/z3950/update.go
@@ -45,17 +45,17 @@
 	}
 	var content *Node
 	if record.XML != "" {
-		content = Ctx(fieldSuppliedRecord, externalXML(record.XML))
+		content = Constructed(fieldSuppliedRecord, externalXML(record.XML))
 	}
-	toKeep := sequence(Num(fieldUpdateAction, code), Str(fieldUpdateDatabaseName, database))
-	supplied := sequence(Ctx(fieldSuppliedID, Str(suppliedIDString, record.ID)), content)
-	task := Ctx(taskRequest, Ctx(fieldUpdateToKeep, toKeep), Ctx(fieldUpdateNotToKeep, sequence(supplied)))
-	return Ctx(EsRequest,
-		Str(FieldReferenceID, reference),
-		Num(fieldEsFunction, esFunctionCreate),
-		Oid(Context, fieldEsPackageType, oidUpdate1),
-		Ctx(fieldEsTaskParameters, Oid(Universal, tagOID, oidUpdate1), Ctx(externalSingleType, task)),
-		Num(fieldEsWaitAction, esWait))
+	toKeep := sequence(Integer(fieldUpdateAction, code), String(fieldUpdateDatabaseName, database))
+	supplied := sequence(Constructed(fieldSuppliedID, String(suppliedIDString, record.ID)), content)
+	task := Constructed(taskRequest, Constructed(fieldUpdateToKeep, toKeep), Constructed(fieldUpdateNotToKeep, sequence(supplied)))
+	return Constructed(EsRequest,
+		String(FieldReferenceID, reference),
+		Integer(fieldEsFunction, esFunctionCreate),
+		OID(Context, fieldEsPackageType, oidUpdate1),
+		Constructed(fieldEsTaskParameters, OID(Universal, tagOID, oidUpdate1), Constructed(externalSingleType, task)),
+		Integer(fieldEsWaitAction, esWait))
 }
 
 // ParseUpdate reads a database update. The diagnostic is nil if it is one that can be served.
@@ -65,19 +65,19 @@
 	if problem != nil {
 		return request, problem
 	}
-	action, found := updateActions[toKeep.Kid(fieldUpdateAction).IntOr(0)]
+	action, found := updateActions[toKeep.Child(fieldUpdateAction).IntOr(0)]
 	if !found {
 		return request, malformedTask("action")
 	}
 	request.Action = action
-	request.Database = toKeep.Kid(fieldUpdateDatabaseName).Text()
+	request.Database = toKeep.Child(fieldUpdateDatabaseName).Text()
 	// One record is one query: the response to several could not say which of them was changed.
-	if len(supplied.Kids) != 1 {
+	if len(supplied.Children) != 1 {
 		return request, malformedTask("one record a request")
 	}
-	record := supplied.Kids[0]
+	record := supplied.Children[0]
 	request.Record.ID = suppliedID(record)
-	request.Record.XML = parseExternal(record.Kid(fieldSuppliedRecord).Only())
+	request.Record.XML = parseExternal(record.Child(fieldSuppliedRecord).OnlyChild())
 	if request.Record.ID == "" || request.Record.XML == "" && action != query.ActionDelete {
 		return request, malformedTask("no record id, or no record")
 	}
@@ -86,30 +86,30 @@
 
 // updateTask returns the parts of a database update: action and database, and the list of records.
 func updateTask(unit *Node) (toKeep, supplied *Node, problem *query.Diagnostic) {
-	if unit.Kid(fieldEsFunction).IntOr(0) != esFunctionCreate {
+	if unit.Child(fieldEsFunction).IntOr(0) != esFunctionCreate {
 		return nil, nil, &query.Diagnostic{Bib1: diagUnsupportedFunction, Details: "function"}
 	}
-	packageType := unit.Kid(fieldEsPackageType).Oid()
+	packageType := unit.Child(fieldEsPackageType).OID()
 	if !strings.HasPrefix(packageType, oidUpdate) {
 		return nil, nil, &query.Diagnostic{Bib1: diagUnsupportedPackageType, Details: packageType}
 	}
-	parameters := unit.Kid(fieldEsTaskParameters)
+	parameters := unit.Child(fieldEsTaskParameters)
 	// The EXTERNAL may stand inside the tag or, with an implicit tag, in its place.
-	if external := parameters.Only(); external != nil && external.Class == Universal && external.Tag == tagExternal {
+	if external := parameters.OnlyChild(); external != nil && external.Class == Universal && external.Tag == tagExternal {
 		parameters = external
 	}
-	task := parameters.Kid(externalSingleType).Only()
+	task := parameters.Child(externalSingleType).OnlyChild()
 	if task == nil || !task.is(taskRequest) {
 		return nil, nil, malformedTask("task parameters")
 	}
-	toKeep = task.Kid(fieldUpdateToKeep)
-	supplied = task.Kid(fieldUpdateNotToKeep)
+	toKeep = task.Child(fieldUpdateToKeep)
+	supplied = task.Child(fieldUpdateNotToKeep)
 	if toKeep == nil || supplied == nil {
 		return nil, nil, malformedTask("task parameters")
 	}
 	// The sequence of records may stand inside the tag. A single record is a sequence too, of values with context tags.
 	list := explicitSequence(supplied)
-	if !slices.ContainsFunc(list.Kids, func(kid *Node) bool { return kid.Class != Universal }) {
+	if !slices.ContainsFunc(list.Children, func(child *Node) bool { return child.Class != Universal }) {
 		supplied = list
 	}
 	return explicitSequence(toKeep), supplied, nil
@@ -117,7 +117,7 @@
 
 // suppliedID returns the identifier of a record in a database update, a number or a string.
 func suppliedID(record *Node) string {
-	id := record.Kid(fieldSuppliedID).Only()
+	id := record.Child(fieldSuppliedID).OnlyChild()
 	if id != nil && id.is(suppliedIDNumber) {
 		return strconv.Itoa(id.IntOr(0))
 	}
@@ -126,8 +126,8 @@
 
 // explicitSequence returns the SEQUENCE inside an explicit tag, or n itself if there is none.
 func explicitSequence(n *Node) *Node {
-	if kid := n.Only(); kid != nil && kid.Class == Universal && kid.Tag == TagSequence {
-		return kid
+	if child := n.OnlyChild(); child != nil && child.Class == Universal && child.Tag == TagSequence {
+		return child
 	}
 	return n
 }
