--- a/internal/aggregator/actions.go
+++ b/internal/aggregator/actions.go
@@ -76,24 +76,24 @@
 }
 
 // call is an attempt as the backend gets it. It is made before the attempt counts among those that may have run.
-func (c *Core) call(a *attempt) Call {
-	p := a.part
-	q := p.query
+func (c *Core) call(attempt *attempt) Call {
+	part := attempt.part
+	query := part.query
 	call := Call{
-		Attempt:           a.id,
-		Name:              p.name,
-		Class:             q.request.Class,
-		Shard:             p.spec.Shard,
-		Deadline:          a.deadline,
-		WriteBy:           c.writeBy(p),
-		Payload:           q.request.Payload,
-		FollowUp:          q.followUp,
-		FirstStepComplete: q.firstStepCompleted,
+		Attempt:           attempt.id,
+		Name:              part.name,
+		Class:             query.request.Class,
+		Shard:             part.spec.Shard,
+		Deadline:          attempt.deadline,
+		WriteBy:           c.writeBy(part),
+		Payload:           query.request.Payload,
+		FollowUp:          query.followUp,
+		FirstStepComplete: query.firstStepCompleted,
 	}
-	if q.view != nil {
-		call.Epoch = q.view.Map.Epoch
+	if query.view != nil {
+		call.Epoch = query.view.Map.Epoch
 	}
-	for _, answered := range q.firstStep {
+	for _, answered := range query.firstStep {
 		call.FirstStepShards = append(call.FirstStepShards, answered.spec.Shard)
 	}
 	return call
--- a/internal/aggregator/answer.go
+++ b/internal/aggregator/answer.go
@@ -55,18 +55,18 @@
 
 // startFollowUp begins a query's second step: at most maxParts parts of equal weight, at those shards of its first step
 // that scored highest.
-func (c *Core) startFollowUp(q *query, maxParts int) {
+func (c *Core) startFollowUp(query *query, maxParts int) {
 	c.Counters.FollowUps++
-	q.followUp = true
-	best := slices.Clone(q.firstStep)
+	query.followUp = true
+	best := slices.Clone(query.firstStep)
 	slices.SortStableFunc(best, func(a, b *part) int { return cmp.Compare(b.score, a.score) })
 	best = best[:min(maxParts, len(best))]
 	var specs []PartSpec
 	for _, p := range best {
 		specs = append(specs, PartSpec{Shard: p.spec.Shard, Weight: 1 / float64(len(best))})
 	}
-	c.dropParts(q)
-	c.submitParts(q, specs, followUpSuffix)
+	c.dropParts(query)
+	c.submitParts(query, specs, followUpSuffix)
 }
 
 // abandon ends a query that the balancer rejects or fails. Where its outdated view was the reason it is restarted, or
@@ -87,22 +87,22 @@
 }
 
 // close gives a query its one final answer. Attempts of it that are in flight stay so until they end.
-func (c *Core) close(q *query, final FinalAnswer) {
-	delete(c.queries, q.id)
-	delete(c.byRequest, q.request)
-	c.deadlines.Remove(q)
-	c.releaseRequestID(q)
-	c.unpinView(q)
-	c.dropParts(q)
-	if final.Status != StatusServed && c.deadlineReached(q) {
+func (c *Core) close(query *query, final FinalAnswer) {
+	delete(c.queries, query.id)
+	delete(c.byRequest, query.request)
+	c.deadlines.Remove(query)
+	c.releaseRequestID(query)
+	c.unpinView(query)
+	c.dropParts(query)
+	if final.Status != StatusServed && c.deadlineReached(query) {
 		final.DeadlineExceeded = true
 	}
 	c.Counters.countFinal(final)
 	if final.Status == StatusDisconnected {
-		q.request.done = true // nobody is left to take the answer
+		query.request.done = true // nobody is left to take the answer
 		return
 	}
-	c.deliver(q.request, final)
+	c.deliver(query.request, final)
 }
 
 // deadlineReached says that a query's deadline is less than DeadlineMargin away, or over.
--- a/internal/aggregator/attempt.go
+++ b/internal/aggregator/attempt.go
@@ -32,27 +32,27 @@
 func (a *attempt) QueueIndex() *int { return &a.index }
 
 // startAttempt notes a new attempt of a part as in flight.
-func (c *Core) startAttempt(p *part, server balance.Replica, deadline time.Time) *attempt {
-	q := p.query
+func (c *Core) startAttempt(part *part, server balance.Replica, deadline time.Time) *attempt {
+	query := part.query
 	c.attemptsSent++
-	a := &attempt{
-		id:       AttemptID{Part: p.id, Number: p.attempts},
-		part:     p,
+	newAttempt := &attempt{
+		id:       AttemptID{Part: part.id, Number: part.attempts},
+		part:     part,
 		server:   server,
 		sequence: c.attemptsSent,
 		sent:     c.now,
 		deadline: deadline,
 	}
-	p.attempts++
-	c.attempts[a.id] = a
-	c.timeouts.Push(a)
-	c.requestIDs[q.request.ID]++
-	q.inFlight++
-	if q.placement != nil {
-		q.placement.Parts[p.placementIndex].InFlight = true
+	part.attempts++
+	c.attempts[newAttempt.id] = newAttempt
+	c.timeouts.Push(newAttempt)
+	c.requestIDs[query.request.ID]++
+	query.inFlight++
+	if query.placement != nil {
+		query.placement.Parts[part.placementIndex].InFlight = true
 	}
 	c.Counters.Sent++
-	return a
+	return newAttempt
 }
 
 // cancelTimedOutAttempts cancels the attempts whose deadline is over, in the order of their sending.
@@ -81,7 +81,7 @@
 	if a == nil {
 		return
 	}
-	q := a.part.query
+	query := a.part.query
 	c.removeAttempt(a)
 	result := a.result(ended.Err)
 	c.Counters.Results[result]++
@@ -96,7 +96,7 @@
 	falseRejection := c.updatePlacement(a, result, failure)
 	c.observe(AttemptSummary{
 		Server:         a.server,
-		Class:          q.request.Class,
+		Class:          query.request.Class,
 		Result:         result,
 		Sent:           a.sent,
 		LocalCause:     failure != nil && failure.LocalCause,
@@ -110,8 +110,8 @@
 		Elapsed: c.now.Sub(a.sent),
 		Report:  ended.Report,
 	})
-	if q.restarting && q.inFlight == 0 && c.queries[q.id] == q {
-		c.restartQuery(q)
+	if query.restarting && query.inFlight == 0 && c.queries[query.id] == query {
+		c.restartQuery(query)
 	}
 }
 
@@ -165,18 +165,20 @@
 
 // updatePlacement notes the end of an attempt for the resharding rules, and reports whether its server rejected it
 // with a claim that the shard map contradicts. failure may be nil.
-func (c *Core) updatePlacement(a *attempt, result balance.AttemptResult, failure *AttemptError) (falseRejection bool) {
-	p := a.part
-	q := p.query
-	if q.placement == nil || !c.isOpen(p) {
+func (c *Core) updatePlacement(
+	attempt *attempt, result balance.AttemptResult, failure *AttemptError,
+) (falseRejection bool) {
+	part := attempt.part
+	query := part.query
+	if query.placement == nil || !c.isOpen(part) {
 		return false
 	}
-	placed := &q.placement.Parts[p.placementIndex]
+	placed := &query.placement.Parts[part.placementIndex]
 	placed.InFlight = false // a part has one attempt in flight at a time
-	placed.Answered = placed.Answered || p.answered
+	placed.Answered = placed.Answered || part.answered
 	placed.MayHaveRun = placed.MayHaveRun || mayRunUnanswered(result)
 	if failure != nil && failure.MapStatus != shardmap.NoMismatch {
-		return c.rejectedByShardMap(a, failure)
+		return c.rejectedByShardMap(attempt, failure)
 	}
 	return false
 }
--- a/internal/aggregator/endpoints.go
+++ b/internal/aggregator/endpoints.go
@@ -63,32 +63,32 @@
 }
 
 // updateServer takes what the list says of one server.
-func (c *Core) updateServer(s Server) {
-	if s.State == balance.Removed {
-		delete(c.servers, s.ID)
+func (c *Core) updateServer(server Server) {
+	if server.State == balance.Removed {
+		delete(c.servers, server.ID)
 		return
 	}
-	c.servers[s.ID] = s
+	c.servers[server.ID] = server
 	if c.Outliers != nil {
-		c.Outliers.Add(string(s.ID), c.startedAt(s))
+		c.Outliers.Add(string(server.ID), c.startedAt(server))
 	}
 }
 
 // endpoint is a server as the balancer gets it. An outlier has a reduced fraction of its traffic.
-func (c *Core) endpoint(s Server) balance.Endpoint {
+func (c *Core) endpoint(server Server) balance.Endpoint {
 	endpoint := balance.Endpoint{
-		HealthLimits: s.HealthLimits,
-		Replica:      s.ID,
-		Zone:         s.Zone,
-		Cell:         s.Cell,
-		Size:         s.Weight,
-		State:        s.State,
-		Started:      c.startedAt(s),
+		HealthLimits: server.HealthLimits,
+		Replica:      server.ID,
+		Zone:         server.Zone,
+		Cell:         server.Cell,
+		Size:         server.Weight,
+		State:        server.State,
+		Started:      c.startedAt(server),
 	}
 	if c.Outliers == nil {
 		return endpoint
 	}
-	if fraction := c.Outliers.TrafficFraction(string(s.ID)); fraction < 1 {
+	if fraction := c.Outliers.TrafficFraction(string(server.ID)); fraction < 1 {
 		endpoint.TrafficFraction = min(fraction, cmp.Or(endpoint.TrafficFraction, 1)) // 0 stands for all of it
 	}
 	return endpoint
--- a/internal/aggregator/query.go
+++ b/internal/aggregator/query.go
@@ -105,43 +105,43 @@
 }
 
 // submit hands a query and its parts to the balancer.
-func (c *Core) submit(q *query, specs []PartSpec) {
+func (c *Core) submit(query *query, specs []PartSpec) {
 	c.notify(balance.Query{
-		ID:       q.id,
-		Group:    uint64(q.id),
-		Class:    q.request.Class,
-		Tenant:   q.request.Tenant,
-		Key:      q.request.Key,
-		TimeLeft: q.deadline.Sub(c.now),
-		IsRetry:  q.request.IsRetry,
+		ID:       query.id,
+		Group:    uint64(query.id),
+		Class:    query.request.Class,
+		Tenant:   query.request.Tenant,
+		Key:      query.request.Key,
+		TimeLeft: query.deadline.Sub(c.now),
+		IsRetry:  query.request.IsRetry,
 		Parts:    len(specs),
 	})
-	c.submitParts(q, specs, "")
+	c.submitParts(query, specs, "")
 }
 
 // submitParts makes the parts of a query's step and hands them to the balancer. The suffix ends their names.
-func (c *Core) submitParts(q *query, specs []PartSpec, suffix string) {
-	q.parts = nil
-	if q.placement != nil {
-		q.placement.Parts = nil
-		q.placement.SecondStep = q.followUp
+func (c *Core) submitParts(query *query, specs []PartSpec, suffix string) {
+	query.parts = nil
+	if query.placement != nil {
+		query.placement.Parts = nil
+		query.placement.SecondStep = query.followUp
 	}
 	for _, spec := range specs {
-		p := &part{
+		newPart := &part{
 			id:    c.nextID(),
-			query: q,
+			query: query,
 			spec:  spec,
-			name:  fmt.Sprintf("%s.%d%s", q.request.ID, spec.Shard, suffix),
+			name:  fmt.Sprintf("%s.%d%s", query.request.ID, spec.Shard, suffix),
 		}
-		c.parts[p.id] = p
-		q.parts = append(q.parts, p)
+		c.parts[newPart.id] = newPart
+		query.parts = append(query.parts, newPart)
 		c.notify(balance.Part{
-			ID:         p.id,
-			Group:      uint64(q.id),
+			ID:         newPart.id,
+			Group:      uint64(query.id),
 			Shard:      spec.Shard,
 			Weight:     spec.Weight,
 			WorkHint:   spec.WorkHint,
-			Candidates: c.addToPlacement(q, p),
+			Candidates: c.addToPlacement(query, newPart),
 		})
 	}
 }
--- a/internal/aggregator/resharding.go
+++ b/internal/aggregator/resharding.go
@@ -23,16 +23,16 @@
 }
 
 // pinView pins a query to the present view and makes its parts; none if there is no view yet.
-func (c *Core) pinView(q *query) []PartSpec {
-	q.view = c.Resharding.Views.Pin()
-	if q.view == nil {
+func (c *Core) pinView(query *query) []PartSpec {
+	query.view = c.Resharding.Views.Pin()
+	if query.view == nil {
 		return nil
 	}
-	specs := q.request.Layout(q.view)
-	q.placement = &shardmap.QueryPlacement{
-		View:       q.view,
-		Idempotent: c.isIdempotent(q.request.Class),
-		Restarts:   q.restarts,
+	specs := query.request.Layout(query.view)
+	query.placement = &shardmap.QueryPlacement{
+		View:       query.view,
+		Idempotent: c.isIdempotent(query.request.Class),
+		Restarts:   query.restarts,
 	}
 	return specs
 }
@@ -51,18 +51,18 @@
 
 // addToPlacement adds a part to its query's placement and returns the servers it may be sent to; nil where those
 // are fixed.
-func (c *Core) addToPlacement(q *query, p *part) []balance.Candidate {
-	if q.placement == nil {
+func (c *Core) addToPlacement(query *query, part *part) []balance.Candidate {
+	if query.placement == nil {
 		return nil
 	}
-	entry := shardmap.Part{Shard: shardmap.ID(p.spec.Shard)}
+	entry := shardmap.Part{Shard: shardmap.ID(part.spec.Shard)}
 	candidates := []balance.Candidate{}
-	for _, replica := range q.servingReplicas(p) {
+	for _, replica := range query.servingReplicas(part) {
 		entry.Servers = append(entry.Servers, replica.Server)
 		candidates = append(candidates, c.candidate(replica))
 	}
-	p.placementIndex = len(q.placement.Parts)
-	q.placement.Parts = append(q.placement.Parts, entry)
+	part.placementIndex = len(query.placement.Parts)
+	query.placement.Parts = append(query.placement.Parts, entry)
 	return candidates
 }
 
@@ -148,13 +148,13 @@
 
 // rejectedByShardMap takes a server's rejection of an open part whose shard it does not hold. It reports whether the
 // shard map contradicts the server.
-func (c *Core) rejectedByShardMap(a *attempt, failure *AttemptError) (falseRejection bool) {
-	p := a.part
-	q := p.query
+func (c *Core) rejectedByShardMap(attempt *attempt, failure *AttemptError) (falseRejection bool) {
+	part := attempt.part
+	query := part.query
 	views := c.Resharding.Views
-	decision := q.placement.Rejected(views, shardmap.Rejection{
-		Part:       p.placementIndex,
-		Server:     string(a.server),
+	decision := query.placement.Rejected(views, shardmap.Rejection{
+		Part:       part.placementIndex,
+		Server:     string(attempt.server),
 		Mismatch:   failure.MapStatus,
 		Epoch:      failure.Epoch,
 		RequestMap: views.ObserveEpoch(c.now, failure.Epoch),
@@ -166,9 +166,9 @@
 		c.Resharding.RequestMap()
 	}
 	if decision.QueryContinues() {
-		c.applyDecision(q, decision)
+		c.applyDecision(query, decision)
 	} else {
-		c.notify(balance.CandidatesChanged{Part: p.id, Candidates: c.remainingCandidates(q, p)})
+		c.notify(balance.CandidatesChanged{Part: part.id, Candidates: c.remainingCandidates(query, part)})
 	}
 	return decision.FalseRejection
 }
@@ -188,35 +188,35 @@
 func (c *Core) reroute(q *query) { c.applyDecision(q, q.placement.ViewUnusable(c.Resharding.Views)) }
 
 // applyDecision restarts a query, lets it wait for a newer map, or ends it.
-func (c *Core) applyDecision(q *query, decision shardmap.Decision) {
-	if !q.restarting && !q.waiting { // the balancer still has it
-		c.notify(balance.ClientDisconnected{Query: q.id})
-		c.dropParts(q)
+func (c *Core) applyDecision(query *query, decision shardmap.Decision) {
+	if !query.restarting && !query.waiting { // the balancer still has it
+		c.notify(balance.ClientDisconnected{Query: query.id})
+		c.dropParts(query)
 	}
 	switch {
 	case decision.Restart:
-		c.prepareRestart(q)
+		c.prepareRestart(query)
 	case decision.AwaitMap:
-		c.waitForMap(q)
+		c.waitForMap(query)
 	default:
-		q.waiting = false
-		c.closeUnroutable(q)
+		query.waiting = false
+		c.closeUnroutable(query)
 	}
 }
 
 // prepareRestart cancels the attempts of a query and restarts it once none is in flight: a part's next attempt must not
 // run beside the one before it.
-func (c *Core) prepareRestart(q *query) {
-	q.restarting = true
-	q.waiting = false
-	q.restarts++
+func (c *Core) prepareRestart(query *query) {
+	query.restarting = true
+	query.waiting = false
+	query.restarts++
 	c.Counters.Restarts++
 	c.Resharding.Views.Stats.Restarts++
-	for _, a := range c.attemptsInFlight(func(a *attempt) bool { return a.part.query == q }) {
+	for _, a := range c.attemptsInFlight(func(a *attempt) bool { return a.part.query == query }) {
 		c.cancel(a)
 	}
-	if q.inFlight == 0 {
-		c.restartQuery(q)
+	if query.inFlight == 0 {
+		c.restartQuery(query)
 	}
 }
 
@@ -239,16 +239,16 @@
 }
 
 // restartQuery submits a query to the balancer again, on the present view and under a new id.
-func (c *Core) restartQuery(q *query) {
-	q.restarting = false
-	c.unpinView(q)
-	c.changeID(q)
-	specs := c.pinView(q)
-	if !c.now.Before(q.deadline) || len(specs) == 0 {
-		c.close(q, c.rejection())
+func (c *Core) restartQuery(query *query) {
+	query.restarting = false
+	c.unpinView(query)
+	c.changeID(query)
+	specs := c.pinView(query)
+	if !c.now.Before(query.deadline) || len(specs) == 0 {
+		c.close(query, c.rejection())
 		return
 	}
-	c.submit(q, specs)
+	c.submit(query, specs)
 }
 
 // changeID gives a query a new id, by which the queue of deadlines orders it.
@@ -269,13 +269,13 @@
 }
 
 // hasUnservablePart says that a part of a query's first step lacks an answer and has no server in service.
-func (c *Core) hasUnservablePart(q *query) bool {
-	if q.placement == nil || q.followUp {
+func (c *Core) hasUnservablePart(query *query) bool {
+	if query.placement == nil || query.followUp {
 		return false
 	}
 	available := func(server string) bool { return c.Available(balance.Replica(server)) }
-	for _, p := range q.parts {
-		placed := &q.placement.Parts[p.placementIndex]
+	for _, p := range query.parts {
+		placed := &query.placement.Parts[p.placementIndex]
 		if !placed.Answered && !slices.ContainsFunc(placed.Servers, available) {
 			return true
 		}
--- a/internal/control/health/checks.go
+++ b/internal/control/health/checks.go
@@ -29,8 +29,8 @@
 	if !ok || check < 0 || check >= len(t.checks) {
 		return
 	}
-	s := t.servers[i]
-	c := s.check(check)
+	server := t.servers[i]
+	c := server.check(check)
 	config := &t.checks[check]
 	if result.Failed && config.IgnoreFailures {
 		return // what was found before counts until its validity ends
@@ -38,9 +38,9 @@
 	c.resultAt = t.now
 	c.setStates(&result)
 	c.setDown(&result, config)
-	if !c.down && !result.Failed && !config.IgnoreFailures && t.mayRevive(s) {
-		s.revivals++
-		s.connectFailures = t.rules.MaxConnectFailures - 1
+	if !c.down && !result.Failed && !config.IgnoreFailures && t.mayRevive(server) {
+		server.revivals++
+		server.connectFailures = t.rules.MaxConnectFailures - 1
 		t.revive(i)
 	}
 	t.markDirty(i)
@@ -149,33 +149,33 @@
 // Each change of their result adds to a penalty that decays; from FlapSuppress on the server stays down until the
 // penalty has decayed to FlapReuse (as RFC 2439 damps routes). This protects the list from changing with every
 // check.
-func (t *Table) suppressFlapping(s *server, down bool) bool {
-	if elapsed := t.now.Sub(s.flapPenaltyAt); elapsed > 0 {
-		s.flapPenalty *= math.Exp2(-float64(elapsed) / float64(t.rules.FlapHalfLife))
+func (t *Table) suppressFlapping(server *server, down bool) bool {
+	if elapsed := t.now.Sub(server.flapPenaltyAt); elapsed > 0 {
+		server.flapPenalty *= math.Exp2(-float64(elapsed) / float64(t.rules.FlapHalfLife))
 	}
-	s.flapPenaltyAt = t.now
-	if down != s.wasDown {
-		s.wasDown = down
-		s.flapPenalty = min(s.flapPenalty+1, 2*t.rules.FlapSuppress)
+	server.flapPenaltyAt = t.now
+	if down != server.wasDown {
+		server.wasDown = down
+		server.flapPenalty = min(server.flapPenalty+1, 2*t.rules.FlapSuppress)
 		if !down {
-			s.recoveryStart = t.now
+			server.recoveryStart = t.now
 		}
 	}
 	switch {
-	case s.flapPenalty >= t.rules.FlapSuppress:
-		s.suppressed = true
-	case s.flapPenalty <= t.rules.FlapReuse:
-		s.suppressed = false
+	case server.flapPenalty >= t.rules.FlapSuppress:
+		server.suppressed = true
+	case server.flapPenalty <= t.rules.FlapReuse:
+		server.suppressed = false
 	}
-	return s.suppressed
+	return server.suppressed
 }
 
 // strongestAdmin returns the strongest of Drain and Maintenance that a check gives a server, and why. These states
 // do not age: a drain that is no longer repeated is still one, until its check says Ready. A weight of 0 drains
 // while it is valid.
-func (t *Table) strongestAdmin(s *server) (strongest AdminState, reason string) {
-	for i := range s.checks {
-		check := &s.checks[i]
+func (t *Table) strongestAdmin(server *server) (strongest AdminState, reason string) {
+	for i := range server.checks {
+		check := &server.checks[i]
 		admin := check.admin
 		if admin != Maintenance && check.weight == 0 && t.valid(check) {
 			admin = Drain
--- a/internal/control/health/decision.go
+++ b/internal/control/health/decision.go
@@ -42,46 +42,46 @@
 
 // update decides on a server anew.
 func (t *Table) update(index int) {
-	s := t.servers[index]
-	a := t.assess(s)
-	fit := !a.adminOut && !a.believedDown && !a.unreachable
-	if fit != s.fit {
-		s.fit = fit
+	server := t.servers[index]
+	assessed := t.assess(server)
+	fit := !assessed.adminOut && !assessed.believedDown && !assessed.unreachable
+	if fit != server.fit {
+		server.fit = fit
 		t.markNeighboursDirty(index)
 	}
-	for class := range s.classes {
-		t.updateEjection(index, class, a.adminOut || a.believedDown)
+	for class := range server.classes {
+		t.updateEjection(index, class, assessed.adminOut || assessed.believedDown)
 	}
-	d := t.decide(index, &a)
-	if d.State != InService {
-		d.Usable = false
-		for class := range s.classes { // the caller has dropped its grants with the server
-			s.classes[class].halfOpen = false
+	decision := t.decide(index, &assessed)
+	if decision.State != InService {
+		decision.Usable = false
+		for class := range server.classes { // the caller has dropped its grants with the server
+			server.classes[class].halfOpen = false
 		}
 	}
-	d.TrafficFraction = max(1, math.Round(t.nextFraction(s)*fractionSteps)) / fractionSteps
-	d.MaxInFlight = t.maxInFlight(s)
-	t.publish(s, &d, t.grantHalfOpen(s, &d))
-	t.scheduleUpdate(index, &d)
+	decision.TrafficFraction = max(1, math.Round(t.nextFraction(server)*fractionSteps)) / fractionSteps
+	decision.MaxInFlight = t.maxInFlight(server)
+	t.publish(server, &decision, t.grantHalfOpen(server, &decision))
+	t.scheduleUpdate(index, &decision)
 }
 
 // assess collects the evidence on a server, and counts its checks.
-func (t *Table) assess(s *server) (a assessment) {
-	a.down, a.downReason = t.downByChecks(s)
-	if t.suppressFlapping(s, a.down) {
-		a.down, a.downReason = true, "its checks flap"
+func (t *Table) assess(server *server) (assessed assessment) {
+	assessed.down, assessed.downReason = t.downByChecks(server)
+	if t.suppressFlapping(server, assessed.down) {
+		assessed.down, assessed.downReason = true, "its checks flap"
 	}
-	a.admin, a.adminReason = t.strongestAdmin(s)
-	a.adminOut = s.Draining || a.admin != AdminUnset
-	checked := t.hasValidCheck(s) && !a.adminOut
-	t.updateCheckCounts(s, checkStanding{checked: checked, failing: checked && a.down})
-	a.believedDown = a.down && !t.suspect
-	a.unreachable = !s.unreachableAt.IsZero()
-	if a.unreachable && a.down && t.now.Sub(s.unreachableAt) > t.rules.MaxHalfOpenDelay {
-		a.unreachable = false // too long ago: parts may be sent there again if it is the last replica
+	assessed.admin, assessed.adminReason = t.strongestAdmin(server)
+	assessed.adminOut = server.Draining || assessed.admin != AdminUnset
+	checked := t.hasValidCheck(server) && !assessed.adminOut
+	t.updateCheckCounts(server, checkStanding{checked: checked, failing: checked && assessed.down})
+	assessed.believedDown = assessed.down && !t.suspect
+	assessed.unreachable = !server.unreachableAt.IsZero()
+	if assessed.unreachable && assessed.down && t.now.Sub(server.unreachableAt) > t.rules.MaxHalfOpenDelay {
+		assessed.unreachable = false // too long ago: parts may be sent there again if it is the last replica
 	}
-	a.answeredLately = !a.unreachable && !s.lastSuccess.IsZero() && t.answersCount(s)
-	return a
+	assessed.answeredLately = !assessed.unreachable && !server.lastSuccess.IsZero() && t.answersCount(server)
+	return assessed
 }
 
 // answersCount reports whether the last answer of a server still shows that it works.
@@ -91,9 +91,9 @@
 
 // decide applies the table above, apart from traffic limits.
 func (t *Table) decide(index int, assessed *assessment) Decision {
-	s := t.servers[index]
+	server := t.servers[index]
 	switch {
-	case s.Draining:
+	case server.Draining:
 		return Decision{State: Draining, Cause: "the roster: it drains"}
 	case assessed.admin == Maintenance:
 		return Decision{State: OutOfService, Cause: assessed.adminReason}
@@ -114,32 +114,33 @@
 	case assessed.unreachable:
 		return Decision{EjectedClasses: AllClasses, Cause: "parts find no connection"}
 	}
-	return t.decideByOutcomes(s, assessed)
+	return t.decideByOutcomes(server, assessed)
 }
 
 // decideByOutcomes decides on a server that is not out of use for another reason.
-func (t *Table) decideByOutcomes(s *server, assessed *assessment) Decision {
-	d := Decision{Usable: true}
+func (t *Table) decideByOutcomes(server *server, assessed *assessment) Decision {
+	decision := Decision{Usable: true}
 	var ejected []string
-	for class := range s.classes {
-		if s.classes[class].ejected {
-			d.EjectedClasses |= 1 << class
+	for class := range server.classes {
+		if server.classes[class].ejected {
+			decision.EjectedClasses |= 1 << class
 			ejected = append(ejected, fmt.Sprint(class))
-		} else if s.classes[class].ejectionBlocked {
-			d.Cause = fmt.Sprintf("parts of class %d fail, but its blocks have no others", class)
-			d.Contradictory = true
+		} else if server.classes[class].ejectionBlocked {
+			decision.Cause = fmt.Sprintf("parts of class %d fail, but its blocks have no others", class)
+			decision.Contradictory = true
 		}
 	}
-	if d.EjectedClasses != 0 {
-		d.Cause = "parts fail, of class " + strings.Join(ejected, ", ")
-		d.Contradictory = t.hasValidCheck(s) && !assessed.down
+	if decision.EjectedClasses != 0 {
+		decision.Cause = "parts fail, of class " + strings.Join(ejected, ", ")
+		decision.Contradictory = t.hasValidCheck(server) && !assessed.down
 	}
 	if assessed.down { // and the checks are suspect
-		d.Cause = strings.TrimPrefix(d.Cause+"; ", "; ") + assessed.downReason + "; but checks are doubted"
-		d.Contradictory = true
-		d.Usable = s.lastSuccess.After(s.lastUnreachable)
+		outcomesCause := strings.TrimPrefix(decision.Cause+"; ", "; ")
+		decision.Cause = outcomesCause + assessed.downReason + "; but checks are doubted"
+		decision.Contradictory = true
+		decision.Usable = server.lastSuccess.After(server.lastUnreachable)
 	}
-	return d
+	return decision
 }
 
 // soleShard returns a shard of a server of which no other replica is fit; sole is false if there is none.
@@ -154,20 +155,20 @@
 }
 
 // publish notes a decision, and adds a change if it differs or a half-open request is granted.
-func (t *Table) publish(s *server, d *Decision, granted uint64) {
-	old := &s.decision
-	notable := !s.decided || d.differsNotably(old)
-	if notable || granted != 0 || old.TrafficFraction != d.TrafficFraction || old.Usable != d.Usable {
+func (t *Table) publish(server *server, decision *Decision, granted uint64) {
+	old := &server.decision
+	notable := !server.decided || decision.differsNotably(old)
+	if notable || granted != 0 || old.TrafficFraction != decision.TrafficFraction || old.Usable != decision.Usable {
 		t.changes = append(t.changes, Change{
-			ID:              s.ID,
-			Decision:        *d,
+			ID:              server.ID,
+			Decision:        *decision,
 			HalfOpenClasses: granted,
-			Notable:         notable && (s.decided || d.Cause != ""),
+			Notable:         notable && (server.decided || decision.Cause != ""),
 			PreviousState:   old.State,
 		})
 	}
-	s.decision = *d
-	s.decided = true
+	server.decision = *decision
+	server.decided = true
 }
 
 // differsNotably reports whether two decisions differ in more than the traffic fraction or what may be expected.
--- a/internal/control/health/ejection.go
+++ b/internal/control/health/ejection.go
@@ -34,21 +34,21 @@
 // updateEjection ejects a server from a class if it fails too often. With outOfUse the server gets no requests for
 // another reason, and its outcomes say nothing more.
 func (t *Table) updateEjection(index, class int, outOfUse bool) {
-	s := t.servers[index]
-	c := &s.classes[class]
-	c.ejectionBlocked = false
-	if outOfUse || c.ejected || !t.failsTooOften(s, class) {
+	server := t.servers[index]
+	classState := &server.classes[class]
+	classState.ejectionBlocked = false
+	if outOfUse || classState.ejected || !t.failsTooOften(server, class) {
 		return
 	}
 	if !t.mayEject(index, class) {
-		c.ejectionBlocked = true
+		classState.ejectionBlocked = true
 		return
 	}
 	t.ejectClass(index, class)
 	// Requests that must not run twice are not risked where other classes fail, even if they have succeeded so far:
 	// they are rare, and it would take long until they show that they fail, too.
-	for other := range s.classes {
-		if t.rules.nonIdempotent(other) && !s.classes[other].ejected && t.mayEject(index, other) {
+	for other := range server.classes {
+		if t.rules.nonIdempotent(other) && !server.classes[other].ejected && t.mayEject(index, other) {
 			t.ejectClass(index, other)
 		}
 	}
@@ -61,20 +61,21 @@
 
 // ejectClass ejects a server from a class.
 func (t *Table) ejectClass(index, class int) {
-	c := &t.servers[index].classes[class]
-	if c.readmittedAt.IsZero() || t.now.Sub(c.readmittedAt) > repeatEjectionFactor*t.rules.MaxHalfOpenDelay {
-		c.ejections = 0
+	classState := &t.servers[index].classes[class]
+	repeatPeriod := repeatEjectionFactor * t.rules.MaxHalfOpenDelay
+	if classState.readmittedAt.IsZero() || t.now.Sub(classState.readmittedAt) > repeatPeriod {
+		classState.ejections = 0
 	}
-	delay := t.doubledDelay(c.ejections)
+	delay := t.doubledDelay(classState.ejections)
 	if t.rules.nonIdempotent(class) {
-		delay = t.nonIdempotentDelay(c)
+		delay = t.nonIdempotentDelay(classState)
 	}
-	c.ejections++
-	c.ejected = true
-	c.ejectedAt = t.now
-	c.halfOpen = false
-	c.nextHalfOpen = t.now.Add(delay)
-	t.setBack(c, class)
+	classState.ejections++
+	classState.ejected = true
+	classState.ejectedAt = t.now
+	classState.halfOpen = false
+	classState.nextHalfOpen = t.now.Add(delay)
+	t.setBack(classState, class)
 	t.markNeighboursDirty(index)
 }
 
@@ -96,12 +97,12 @@
 		all := 0
 		remaining := 0
 		for _, other := range t.replicas[shard] {
-			s := t.servers[other]
-			if s.Draining {
+			server := t.servers[other]
+			if server.Draining {
 				continue
 			}
 			all++
-			if other != index && s.fit && !s.classes[class].ejected {
+			if other != index && server.fit && !server.classes[class].ejected {
 				remaining++
 			}
 		}
@@ -114,26 +115,26 @@
 
 // halfOpenEnded takes the outcome of a part that was sent after the ejection.
 func (t *Table) halfOpenEnded(index, class int, outcome Outcome) {
-	c := &t.servers[index].classes[class]
+	classState := &t.servers[index].classes[class]
 	nonIdempotent := t.rules.nonIdempotent(class)
-	c.halfOpen = false
-	c.nextHalfOpen = t.now.Add(t.rules.HalfOpenInterval)
+	classState.halfOpen = false
+	classState.nextHalfOpen = t.now.Add(t.rules.HalfOpenInterval)
 	t.markDirty(index)
 	switch outcome {
 	case Success:
-		c.successRun++
+		classState.successRun++
 		required := t.rules.ReturnSuccesses
 		if nonIdempotent {
 			required = min(required, nonIdempotentReturnSuccesses)
 		}
-		if c.successRun >= required {
+		if classState.successRun >= required {
 			t.readmit(index, class)
 		}
 	case Neutral:
 	default:
-		t.setBack(c, class)
+		t.setBack(classState, class)
 		if nonIdempotent {
-			c.nextHalfOpen = t.now.Add(t.nonIdempotentDelay(c))
+			classState.nextHalfOpen = t.now.Add(t.nonIdempotentDelay(classState))
 		}
 	}
 }
@@ -141,43 +142,44 @@
 // readmit ends a server's ejection from a class. It begins without failures and with a small fraction of its traffic.
 // Non-idempotent classes get no half-open requests while an idempotent class is ejected: they are readmitted with it.
 func (t *Table) readmit(index, class int) {
-	s := t.servers[index]
-	for other := range s.classes {
-		c := &s.classes[other]
-		withIt := c.ejected && t.rules.nonIdempotent(other) && !t.rules.nonIdempotent(class)
+	server := t.servers[index]
+	for other := range server.classes {
+		classState := &server.classes[other]
+		withIt := classState.ejected && t.rules.nonIdempotent(other) && !t.rules.nonIdempotent(class)
 		if other != class && !withIt {
 			continue
 		}
-		c.ejected = false
-		c.readmittedAt = t.now
-		own, fleet := t.windows(s, other)
+		classState.ejected = false
+		classState.readmittedAt = t.now
+		own, fleet := t.windows(server, other)
 		fleet.subtract(own)
 		own.clear()
 	}
-	s.recoveryStart = t.now
+	server.recoveryStart = t.now
 	t.markNeighboursDirty(index)
 }
 
 // grantHalfOpen grants the half-open requests that are due by a decision: one part of each such class (bit c: class c).
-func (t *Table) grantHalfOpen(s *server, decision *Decision) (granted uint64) {
+func (t *Table) grantHalfOpen(server *server, decision *Decision) (granted uint64) {
 	if decision.State != InService || decision.EjectedClasses == 0 {
 		return 0
 	}
-	lastResort := decision.EjectedClasses == AllClasses && !s.unreachableAt.IsZero()
-	for class := range s.classes {
-		c := &s.classes[class]
+	lastResort := decision.EjectedClasses == AllClasses && !server.unreachableAt.IsZero()
+	grantValidity := repeatEjectionFactor * t.rules.MaxHalfOpenDelay
+	for class := range server.classes {
+		classState := &server.classes[class]
 		// A grant that was not used, for whatever reason, is repeated in the end.
-		pending := c.halfOpen && t.now.Sub(c.halfOpenAt) < repeatEjectionFactor*t.rules.MaxHalfOpenDelay
-		if pending || t.now.Before(c.nextHalfOpen) {
+		pending := classState.halfOpen && t.now.Sub(classState.halfOpenAt) < grantValidity
+		if pending || t.now.Before(classState.nextHalfOpen) {
 			continue
 		}
 		allowed := lastResort && !t.rules.nonIdempotent(class)
-		if c.ejected {
-			allowed = t.mayHalfOpen(s, class)
+		if classState.ejected {
+			allowed = t.mayHalfOpen(server, class)
 		}
 		if allowed {
-			c.halfOpen = true
-			c.halfOpenAt = t.now
+			classState.halfOpen = true
+			classState.halfOpenAt = t.now
 			granted |= 1 << class
 		}
 	}
--- a/internal/control/health/facts.go
+++ b/internal/control/health/facts.go
@@ -24,24 +24,24 @@
 	if !ok {
 		return nil
 	}
-	s := t.servers[index]
-	facts = append(facts, s.endpointFact())
-	for i := range s.checks {
-		facts = append(facts, t.checkFact(&s.checks[i]))
+	server := t.servers[index]
+	facts = append(facts, server.endpointFact())
+	for i := range server.checks {
+		facts = append(facts, t.checkFact(&server.checks[i]))
 	}
-	for class := range s.classes {
-		c := &s.classes[class]
-		c.decay(t.now, t.rules.OutcomeHalfLife)
-		if c.total() >= minOutcomesShown || c.ejected {
-			facts = append(facts, t.classFact(class, c))
+	for class := range server.classes {
+		classState := &server.classes[class]
+		classState.decay(t.now, t.rules.OutcomeHalfLife)
+		if classState.total() >= minOutcomesShown || classState.ejected {
+			facts = append(facts, t.classFact(class, classState))
 		}
 	}
-	if s.connectFailures > 0 {
+	if server.connectFailures > 0 {
 		facts = append(facts, Fact{
 			Source:    "connections",
 			Finding:   "none found, lately",
-			Age:       t.now.Sub(s.unreachableAt),
-			Effective: !s.unreachableAt.IsZero(),
+			Age:       t.now.Sub(server.unreachableAt),
+			Effective: !server.unreachableAt.IsZero(),
 		})
 	}
 	return facts
--- a/internal/control/health/limits.go
+++ b/internal/control/health/limits.go
@@ -13,41 +13,41 @@
 )
 
 // nextFraction moves a server's traffic fraction towards its target, and after a return up from recoveryMinFraction.
-func (t *Table) nextFraction(s *server) float64 {
-	target := t.targetFraction(s)
-	step := float64(t.now.Sub(s.fractionAt)) / float64(t.rules.WeightRiseTime)
-	s.fractionAt = t.now
-	limit, recovering := t.advanceRecovery(s)
+func (t *Table) nextFraction(server *server) float64 {
+	target := t.targetFraction(server)
+	step := float64(t.now.Sub(server.fractionAt)) / float64(t.rules.WeightRiseTime)
+	server.fractionAt = t.now
+	limit, recovering := t.advanceRecovery(server)
 	switch {
 	case recovering && target > limit:
-		s.fraction = limit
-	case target > s.fraction:
-		s.fraction = min(target, s.fraction+step)
+		server.fraction = limit
+	case target > server.fraction:
+		server.fraction = min(target, server.fraction+step)
 	default:
-		s.fraction = max(target, s.fraction-fallSpeed*step)
+		server.fraction = max(target, server.fraction-fallSpeed*step)
 	}
-	return s.fraction
+	return server.fraction
 }
 
 // advanceRecovery returns the traffic fraction that a server may have so soon after its return; recovering is false
 // if it has recovered by now.
-func (t *Table) advanceRecovery(s *server) (limit float64, recovering bool) {
-	if s.recoveryStart.IsZero() {
+func (t *Table) advanceRecovery(server *server) (limit float64, recovering bool) {
+	if server.recoveryStart.IsZero() {
 		return 1, false
 	}
-	progress := float64(t.now.Sub(s.recoveryStart)) / float64(t.rules.RecoveryRamp)
+	progress := float64(t.now.Sub(server.recoveryStart)) / float64(t.rules.RecoveryRamp)
 	if progress >= 1 {
-		s.recoveryStart = time.Time{}
+		server.recoveryStart = time.Time{}
 		return 1, false
 	}
 	return recoveryMinFraction + (1-recoveryMinFraction)*max(0, progress), true
 }
 
 // targetFraction returns the smallest traffic fraction that a server's valid checks give it.
-func (t *Table) targetFraction(s *server) float64 {
+func (t *Table) targetFraction(server *server) float64 {
 	target := 1.0
-	for i := range s.checks {
-		check := &s.checks[i]
+	for i := range server.checks {
+		check := &server.checks[i]
 		if !t.valid(check) {
 			continue
 		}
--- a/internal/control/health/outcomes.go
+++ b/internal/control/health/outcomes.go
@@ -58,13 +58,13 @@
 	case ConnectFailure:
 		t.recordConnectFailure(i)
 	}
-	s := t.servers[i]
-	c := &s.classes[class]
-	if c.ejected && !sent.Before(c.ejectedAt) {
+	server := t.servers[i]
+	classState := &server.classes[class]
+	if classState.ejected && !sent.Before(classState.ejectedAt) {
 		t.halfOpenEnded(i, class, outcome)
-	} else if !s.unreachableAt.IsZero() && c.halfOpen && outcome != Success {
-		c.halfOpen = false
-		c.nextHalfOpen = t.now.Add(t.rules.HalfOpenDelay)
+	} else if !server.unreachableAt.IsZero() && classState.halfOpen && outcome != Success {
+		classState.halfOpen = false
+		classState.nextHalfOpen = t.now.Add(t.rules.HalfOpenDelay)
 		t.markDirty(i)
 	}
 }
@@ -79,61 +79,61 @@
 }
 
 func (t *Table) recordSuccess(i, class int) {
-	s := t.servers[i]
-	own, fleet := t.windows(s, class)
+	server := t.servers[i]
+	own, fleet := t.windows(server, class)
 	own.successes++
 	fleet.successes++
-	s.connectFailures = 0
-	s.revivals = 0
-	if !s.unreachableAt.IsZero() {
+	server.connectFailures = 0
+	server.revivals = 0
+	if !server.unreachableAt.IsZero() {
 		t.revive(i)
 	}
-	if t.now.Sub(s.lastSuccess) > t.rules.AnswerValidity/2 { // whether it is usable may depend on it
+	if t.now.Sub(server.lastSuccess) > t.rules.AnswerValidity/2 { // whether it is usable may depend on it
 		t.markDirty(i)
 	}
-	s.lastSuccess = t.now
+	server.lastSuccess = t.now
 }
 
 func (t *Table) recordFailure(i, class int) {
-	s := t.servers[i]
-	own, fleet := t.windows(s, class)
+	server := t.servers[i]
+	own, fleet := t.windows(server, class)
 	own.failures++
 	fleet.failures++
-	s.connectFailures = 0
-	if !s.classes[class].ejected && t.failsTooOften(s, class) {
+	server.connectFailures = 0
+	if !server.classes[class].ejected && t.failsTooOften(server, class) {
 		t.markDirty(i)
 	}
 }
 
 func (t *Table) recordConnectFailure(i int) {
-	s := t.servers[i]
-	s.connectFailures++
-	if s.connectFailures < t.rules.MaxConnectFailures {
+	server := t.servers[i]
+	server.connectFailures++
+	if server.connectFailures < t.rules.MaxConnectFailures {
 		return
 	}
-	if s.unreachableAt.IsZero() {
+	if server.unreachableAt.IsZero() {
 		t.markDirty(i)
 	}
-	s.unreachableAt = t.now
-	s.lastUnreachable = t.now
+	server.unreachableAt = t.now
+	server.lastUnreachable = t.now
 }
 
 // revive ends that a server counts as unreachable.
 func (t *Table) revive(i int) {
-	s := t.servers[i]
-	s.unreachableAt = time.Time{}
-	s.recoveryStart = t.now
-	for class := range s.classes {
-		c := &s.classes[class]
-		c.halfOpen = c.halfOpen && c.ejected
+	server := t.servers[i]
+	server.unreachableAt = time.Time{}
+	server.recoveryStart = t.now
+	for class := range server.classes {
+		classState := &server.classes[class]
+		classState.halfOpen = classState.halfOpen && classState.ejected
 	}
 	t.markDirty(i)
 }
 
 // failsTooOften reports whether a server's failure rate of a class ejects it: by its lower confidence bound, so that a
 // few unlucky parts do not count, and compared with the other servers, so that a fault that all suffer ejects none.
-func (t *Table) failsTooOften(s *server, class int) bool {
-	own, fleet := t.windows(s, class)
+func (t *Table) failsTooOften(server *server, class int) bool {
+	own, fleet := t.windows(server, class)
 	if own.total() < t.rules.MinOutcomes {
 		return false
 	}
--- a/internal/control/health/schedule.go
+++ b/internal/control/health/schedule.go
@@ -29,19 +29,19 @@
 // scheduleUpdate sets the timer for when a server has to be decided on again though no evidence comes in: something
 // expires, or proceeds with time, by then.
 func (t *Table) scheduleUpdate(index int, decision *Decision) {
-	s := t.servers[index]
+	server := t.servers[index]
 	var next earliest
-	t.scheduleChecks(s, &next)
-	t.scheduleHalfOpen(s, decision, &next)
-	fractionMoves := math.Abs(s.fraction-t.targetFraction(s)) > fractionTolerance
-	if !s.recoveryStart.IsZero() || fractionMoves {
+	t.scheduleChecks(server, &next)
+	t.scheduleHalfOpen(server, decision, &next)
+	fractionMoves := math.Abs(server.fraction-t.targetFraction(server)) > fractionTolerance
+	if !server.recoveryStart.IsZero() || fractionMoves {
 		next.add(t.now.Add(fractionInterval))
 	}
-	if decision.Contradictory && decision.State == InService && t.answersCount(s) {
-		next.add(s.lastSuccess.Add(t.rules.AnswerValidity + expiryMargin))
+	if decision.Contradictory && decision.State == InService && t.answersCount(server) {
+		next.add(server.lastSuccess.Add(t.rules.AnswerValidity + expiryMargin))
 	}
-	for class := range s.classes {
-		if s.classes[class].ejectionBlocked {
+	for class := range server.classes {
+		if server.classes[class].ejectionBlocked {
 			next.add(t.now.Add(t.rules.OutcomeHalfLife / 4))
 		}
 	}
@@ -53,34 +53,34 @@
 }
 
 // scheduleChecks adds when a result that matters loses its validity, and when suppression for flapping ends.
-func (t *Table) scheduleChecks(s *server, next *earliest) {
-	for i := range s.checks {
-		check := &s.checks[i]
+func (t *Table) scheduleChecks(server *server, next *earliest) {
+	for i := range server.checks {
+		check := &server.checks[i]
 		if t.valid(check) && (check.down || check.degraded || check.weight >= 0 || check.maxConn >= 0) {
 			next.add(check.resultAt.Add(t.checks[check.config].Validity + expiryMargin))
 		}
 	}
-	if s.suppressed {
-		halfLives := math.Log2(max(1, s.flapPenalty/t.rules.FlapReuse))
+	if server.suppressed {
+		halfLives := math.Log2(max(1, server.flapPenalty/t.rules.FlapReuse))
 		untilReuse := time.Duration(float64(t.rules.FlapHalfLife) * halfLives)
 		next.add(t.now.Add(untilReuse + flapReuseMargin))
 	}
 }
 
 // scheduleHalfOpen adds when a half-open request may be due.
-func (t *Table) scheduleHalfOpen(s *server, decision *Decision, next *earliest) {
+func (t *Table) scheduleHalfOpen(server *server, decision *Decision, next *earliest) {
 	soon := t.now.Add(halfOpenPollInterval)
 	if decision.EjectedClasses != 0 && decision.State == InService {
-		for class := range s.classes {
-			c := &s.classes[class]
+		for class := range server.classes {
+			classState := &server.classes[class]
 			lastResort := decision.EjectedClasses == AllClasses && !t.rules.nonIdempotent(class)
-			if !c.halfOpen && (c.ejected || lastResort) {
-				next.add(later(c.nextHalfOpen, soon))
+			if !classState.halfOpen && (classState.ejected || lastResort) {
+				next.add(later(classState.nextHalfOpen, soon))
 			}
 		}
 	}
-	if !s.unreachableAt.IsZero() {
-		next.add(later(s.unreachableAt.Add(t.rules.MaxHalfOpenDelay+expiryMargin), soon))
+	if !server.unreachableAt.IsZero() {
+		next.add(later(server.unreachableAt.Add(t.rules.MaxHalfOpenDelay+expiryMargin), soon))
 	}
 }
 
--- a/internal/control/health/table.go
+++ b/internal/control/health/table.go
@@ -126,13 +126,13 @@
 	if !listed {
 		i = t.addServer(endpoint)
 	}
-	s := t.servers[i]
-	if !slices.Equal(s.Shards, endpoint.Shards) {
+	server := t.servers[i]
+	if !slices.Equal(server.Shards, endpoint.Shards) {
 		t.removeReplicas(i)
-		s.Shards = endpoint.Shards
+		server.Shards = endpoint.Shards
 		t.addReplicas(i)
 	}
-	s.Draining = endpoint.Draining
+	server.Draining = endpoint.Draining
 	t.markDirty(i)
 }
 
@@ -164,18 +164,18 @@
 
 // removeServer drops a server with its evidence, and frees its index.
 func (t *Table) removeServer(i int) {
-	s := t.servers[i]
+	server := t.servers[i]
 	t.removeReplicas(i)
 	t.timers.Cancel(i)
-	t.updateCheckCounts(s, checkStanding{})
-	delete(t.index, s.ID)
+	t.updateCheckCounts(server, checkStanding{})
+	delete(t.index, server.ID)
 	t.servers[i] = nil
 	t.freeIndices = append(t.freeIndices, i)
 	t.changes = append(t.changes, Change{
-		ID:            s.ID,
+		ID:            server.ID,
 		Decision:      Decision{State: OutOfService, TrafficFraction: 1, Cause: "the roster: gone"},
 		Notable:       true,
-		PreviousState: s.decision.State,
+		PreviousState: server.decision.State,
 	})
 }
 
@@ -232,8 +232,8 @@
 	for len(t.dirty) > 0 {
 		i := t.dirty[0]
 		t.dirty = t.dirty[1:]
-		if s := t.servers[i]; s != nil {
-			s.queued = false
+		if server := t.servers[i]; server != nil {
+			server.queued = false
 			t.update(i)
 		}
 	}
--- a/internal/control/persistentmap/diff.go
+++ b/internal/control/persistentmap/diff.go
@@ -33,27 +33,27 @@
 
 // nextDifference compares the entries with the smaller key at two cursors, of which one may be done, and steps past
 // them.
-func nextDifference[K cmp.Ordered, V comparable](a, b *cursor[K, V]) (d Difference[K, V]) {
+func nextDifference[K cmp.Ordered, V comparable](before, after *cursor[K, V]) (d Difference[K, V]) {
 	order := 0
 	switch {
-	case b.done():
+	case after.done():
 		order = -1
-	case a.done():
+	case before.done():
 		order = 1
 	default:
-		order = cmp.Compare(a.key(), b.key())
+		order = cmp.Compare(before.key(), after.key())
 	}
 	if order <= 0 {
-		d.Key = a.key()
-		d.Before = a.value()
+		d.Key = before.key()
+		d.Before = before.value()
 		d.InBefore = true
-		a.step()
+		before.step()
 	}
 	if order >= 0 {
-		d.Key = b.key()
-		d.After = b.value()
+		d.Key = after.key()
+		d.After = after.value()
 		d.InAfter = true
-		b.step()
+		after.step()
 	}
 	return d
 }
--- a/internal/control/shardmap/change.go
+++ b/internal/control/shardmap/change.go
@@ -47,19 +47,19 @@
 }
 
 // insert adds a shard whose predecessor was uncovered. It is used on a map that nobody else has yet.
-func (m *Map) insert(s *Shard) error {
-	if err := s.validate(m.Epoch, m.NextID); err != nil {
+func (m *Map) insert(shard *Shard) error {
+	if err := shard.validate(m.Epoch, m.NextID); err != nil {
 		return err
 	}
-	m.all = m.all.Set(s.ID, s)
-	if !s.Active() {
+	m.all = m.all.Set(shard.ID, shard)
+	if !shard.Active() {
 		return nil
 	}
-	if existing, found := m.cover.Get(s.From); found {
-		return overlapError(existing, s)
+	if existing, found := m.cover.Get(shard.From); found {
+		return overlapError(existing, shard)
 	}
-	m.cover = m.cover.Set(s.From, s)
-	m.weight += s.weight()
+	m.cover = m.cover.Set(shard.From, shard)
+	m.weight += shard.weight()
 	return nil
 }
 
@@ -84,11 +84,11 @@
 
 // checkBoundaries checks that the keys at both ends of a shard's range are each in one active shard, and that the
 // active shards there adjoin their neighbours. A nil shard is valid.
-func (m *Map) checkBoundaries(s *Shard) error {
-	if s == nil {
+func (m *Map) checkBoundaries(shard *Shard) error {
+	if shard == nil {
 		return nil
 	}
-	for _, boundary := range []Key{s.From, s.To} {
+	for _, boundary := range []Key{shard.From, shard.To} {
 		_, covering, ok := m.cover.Floor(boundary)
 		if !ok {
 			return openBeginningError(boundary)
@@ -112,23 +112,23 @@
 }
 
 // checkNextShard checks that an active shard ends where the next begins.
-func (m *Map) checkNextShard(s *Shard) error {
+func (m *Map) checkNextShard(shard *Shard) error {
 	var next *Shard
-	m.cover.Ascend(s.From, func(_ Key, other *Shard) bool {
-		if other != s {
+	m.cover.Ascend(shard.From, func(_ Key, other *Shard) bool {
+		if other != shard {
 			next = other
 		}
-		return other == s
+		return other == shard
 	})
 	switch {
-	case next == nil && s.To != "":
-		return openEndError(s.To)
+	case next == nil && shard.To != "":
+		return openEndError(shard.To)
 	case next == nil:
 		return nil
-	case s.To == "" || next.From < s.To:
-		return overlapError(s, next)
-	case next.From > s.To:
-		return gapError(s.To, next.From)
+	case shard.To == "" || next.From < shard.To:
+		return overlapError(shard, next)
+	case next.From > shard.To:
+		return gapError(shard.To, next.From)
 	}
 	return nil
 }
--- a/internal/control/shardmap/placement.go
+++ b/internal/control/shardmap/placement.go
@@ -50,11 +50,11 @@
 }
 
 // Rejected decides on a part after its rejection. The server is removed from those that may be sent the part.
-func (q *QueryPlacement) Rejected(vs *Views, rejection Rejection) Decision {
+func (q *QueryPlacement) Rejected(views *Views, rejection Rejection) Decision {
 	part := &q.Parts[rejection.Part]
 	decision := Decision{
 		RequestMap:     rejection.RequestMap,
-		FalseRejection: vs.contradicts(part.Shard, rejection),
+		FalseRejection: views.contradicts(part.Shard, rejection),
 	}
 	if i := slices.Index(part.Servers, rejection.Server); i >= 0 {
 		part.Servers = slices.Delete(part.Servers, i, i+1)
@@ -63,7 +63,7 @@
 	if len(part.Servers) > 0 || part.Answered {
 		return decision // others may be sent the part
 	}
-	next := q.ViewUnusable(vs)
+	next := q.ViewUnusable(views)
 	decision.Restart = next.Restart
 	decision.AwaitMap = next.AwaitMap
 	return decision
@@ -83,14 +83,14 @@
 // ViewUnusable decides on a query that has to leave its view, or that has a part without servers left: it may
 // restart on the current view, or on a newer one. A part that may have run must not run at another replica unless
 // the query is idempotent, and a second step cannot change its view.
-func (q *QueryPlacement) ViewUnusable(vs *Views) Decision {
+func (q *QueryPlacement) ViewUnusable(views *Views) Decision {
 	if q.SecondStep || q.Restarts >= MaxRestarts || !q.restartIsSafe() {
 		return Decision{}
 	}
-	if current := vs.Current(); current != nil && current.Epoch > q.View.Map.Epoch {
+	if current := views.Current(); current != nil && current.Epoch > q.View.Map.Epoch {
 		return Decision{Restart: true}
 	}
-	return Decision{AwaitMap: vs.AwaitingMap()}
+	return Decision{AwaitMap: views.AwaitingMap()}
 }
 
 func (q *QueryPlacement) restartIsSafe() bool { return q.Idempotent || !q.MayHaveRun() }
--- a/internal/control/shardmap/plan.go
+++ b/internal/control/shardmap/plan.go
@@ -28,20 +28,20 @@
 // Apply returns the map after the step, from the map before it, and validates it. Other plans may have been carried
 // out since this one was made, so replicas serve since the epoch that really is the next. A plan whose new ids were
 // given to other shards in the meantime is rejected.
-func (s *Step) Apply(m *Map) (*Map, error) {
+func (s *Step) Apply(published *Map) (*Map, error) {
 	var put []*Shard
 	for _, planned := range s.Put {
-		current := m.Shard(planned.ID)
-		if m.givenToAnother(planned, current) {
+		current := published.Shard(planned.ID)
+		if published.givenToAnother(planned, current) {
 			return nil, fmt.Errorf("block %d: the id has been given since the plan was made", planned.ID)
 		}
-		put = append(put, withServingEpochs(planned, current, m.Epoch+1))
+		put = append(put, withServingEpochs(planned, current, published.Epoch+1))
 	}
-	next, err := m.Change(put, s.Remove)
+	next, err := published.Change(put, s.Remove)
 	if err != nil {
 		return nil, err
 	}
-	return next, next.ValidateSuccession(m)
+	return next, next.ValidateSuccession(published)
 }
 
 // givenToAnother reports whether the id of a planned shard belongs, or once belonged, to another shard than the one
@@ -78,12 +78,12 @@
 // StepsDone returns how many of the plan's steps a map has behind it, judged by the shards that the steps made and
 // not by the epoch, since other plans may be carried out at the same time. It returns -1 if the map is of another
 // archive or older than the plan.
-func (p *Plan) StepsDone(m *Map) int {
-	if m.Archive != p.Archive || m.Epoch < p.FromEpoch {
+func (p *Plan) StepsDone(published *Map) int {
+	if published.Archive != p.Archive || published.Epoch < p.FromEpoch {
 		return -1
 	}
 	for done := len(p.Steps); done > 0; done-- {
-		if p.Steps[done-1].isApplied(m) {
+		if p.Steps[done-1].isApplied(published) {
 			return done
 		}
 	}
@@ -91,9 +91,9 @@
 }
 
 // isApplied reports whether a map has what the step made.
-func (s *Step) isApplied(m *Map) bool {
+func (s *Step) isApplied(published *Map) bool {
 	for _, planned := range s.Put {
-		current := m.Shard(planned.ID)
+		current := published.Shard(planned.ID)
 		if current == nil || current.State != planned.State || len(current.Replicas) != len(planned.Replicas) {
 			return false
 		}
@@ -104,5 +104,5 @@
 			}
 		}
 	}
-	return !slices.ContainsFunc(s.Remove, func(id ID) bool { return m.Shard(id) != nil })
+	return !slices.ContainsFunc(s.Remove, func(id ID) bool { return published.Shard(id) != nil })
 }
--- a/internal/control/shardmap/rollout.go
+++ b/internal/control/shardmap/rollout.go
@@ -33,12 +33,12 @@
 
 // Next returns what to do with the current map. An error means that the plan cannot be carried out any more; the map
 // stays as it is, and is a legal one.
-func (r *Rollout) Next(now time.Time, m *Map, nodes NodeStatus) (Action, error) {
-	if r.epoch != m.Epoch {
-		r.epoch = m.Epoch
+func (r *Rollout) Next(now time.Time, published *Map, nodes NodeStatus) (Action, error) {
+	if r.epoch != published.Epoch {
+		r.epoch = published.Epoch
 		r.epochSince = now
 	}
-	done := r.Plan.StepsDone(m)
+	done := r.Plan.StepsDone(published)
 	if done < 0 {
 		return Action{}, ErrOtherArchive
 	}
@@ -49,17 +49,17 @@
 	if earliest := r.epochSince.Add(step.MinWait); now.Before(earliest) {
 		return Action{CheckAt: earliest, WaitingFor: step.WaitReason}, nil
 	}
-	if reason := step.waitingForNode(m, nodes); reason != "" {
+	if reason := step.waitingForNode(published, nodes); reason != "" {
 		return Action{CheckAt: now.Add(nodePollInterval), WaitingFor: reason}, nil
 	}
-	next, err := step.Apply(m)
+	next, err := step.Apply(published)
 	return Action{Publish: next, Step: done}, err
 }
 
 // waitingForNode says which node a step has to wait for; empty if none.
-func (s *Step) waitingForNode(m *Map, nodes NodeStatus) string {
+func (s *Step) waitingForNode(published *Map, nodes NodeStatus) string {
 	for _, shard := range s.Put {
-		current := m.Shard(shard.ID)
+		current := published.Shard(shard.ID)
 		if current == nil {
 			continue
 		}
@@ -67,7 +67,7 @@
 			if s.AwaitCopies && replica.Joining && !nodes.HasCopied(shard.ID, replica.Server) {
 				return replica.Server + " copies"
 			}
-			if s.AwaitEpochKnown && nodes.KnownEpoch(replica.Server) < m.Epoch {
+			if s.AwaitEpochKnown && nodes.KnownEpoch(replica.Server) < published.Epoch {
 				return replica.Server + " does not know the epoch"
 			}
 		}
--- a/internal/control/shardmap/succession.go
+++ b/internal/control/shardmap/succession.go
@@ -157,30 +157,30 @@
 }
 
 // checkNewShard checks a shard whose id is new: it takes the place of its parents, which retire in this epoch.
-func (m *Map) checkNewShard(old *Map, s *Shard) error {
-	if s.State != Serving {
-		return fmt.Errorf("block %d: new, and %s", s.ID, s.State)
+func (m *Map) checkNewShard(old *Map, shard *Shard) error {
+	if shard.State != Serving {
+		return fmt.Errorf("block %d: new, and %s", shard.ID, shard.State)
 	}
-	if len(s.Parents) == 0 {
-		return fmt.Errorf("block %d: new, and without parents", s.ID)
+	if len(shard.Parents) == 0 {
+		return fmt.Errorf("block %d: new, and without parents", shard.ID)
 	}
-	for i, id := range s.Parents {
+	for i, id := range shard.Parents {
 		before := old.Shard(id)
 		after := m.Shard(id)
 		switch {
 		case before == nil || after == nil:
-			return fmt.Errorf("block %d: its parent %d is not there", s.ID, id)
+			return fmt.Errorf("block %d: its parent %d is not there", shard.ID, id)
 		case before.State != Splitting && before.State != Merging || after.State != Retiring:
-			return fmt.Errorf("block %d: its parent %d goes from %s to %s", s.ID, id, before.State, after.State)
-		case before.State == Splitting && !isPartOf(s, before):
+			return fmt.Errorf("block %d: its parent %d goes from %s to %s", shard.ID, id, before.State, after.State)
+		case before.State == Splitting && !isPartOf(shard, before):
 			return fmt.Errorf("block %d: its range %s is not a part of its parent's %s",
-				s.ID, s.Range(), before.Range())
-		case before.State == Merging && !mergesParent(old, s, i):
-			return fmt.Errorf("block %d: its range %s is not that of its parents together", s.ID, s.Range())
+				shard.ID, shard.Range(), before.Range())
+		case before.State == Merging && !mergesParent(old, shard, i):
+			return fmt.Errorf("block %d: its range %s is not that of its parents together", shard.ID, shard.Range())
 		}
-		for _, r := range s.ServingReplicas() {
+		for _, r := range shard.ServingReplicas() {
 			if !before.ServedBy(r.Server) {
-				return fmt.Errorf("block %d: its holder %s did not serve its parent %d", s.ID, r.Server, id)
+				return fmt.Errorf("block %d: its holder %s did not serve its parent %d", shard.ID, r.Server, id)
 			}
 		}
 	}
@@ -195,13 +195,13 @@
 
 // mergesParent reports whether a shard's parent, given by its index, is where it has to be in the merged range: the
 // first at its beginning, the last at its end, and each behind the one before.
-func mergesParent(old *Map, s *Shard, index int) bool {
-	parent := old.Shard(s.Parents[index])
-	if index == 0 && s.From != parent.From {
+func mergesParent(old *Map, shard *Shard, index int) bool {
+	parent := old.Shard(shard.Parents[index])
+	if index == 0 && shard.From != parent.From {
 		return false
 	}
-	if index == len(s.Parents)-1 && s.To != parent.To {
+	if index == len(shard.Parents)-1 && shard.To != parent.To {
 		return false
 	}
-	return index == 0 || old.Shard(s.Parents[index-1]).To == parent.From
+	return index == 0 || old.Shard(shard.Parents[index-1]).To == parent.From
 }
--- a/internal/control/shardmap/views.go
+++ b/internal/control/shardmap/views.go
@@ -98,18 +98,18 @@
 
 // Offer takes a map from a source, and adopts it if it may follow the current one. Otherwise it returns the reason, and
 // the current map stays. A map that equals the current one is neither adopted nor an error.
-func (vs *Views) Offer(now time.Time, m *Map) (adopted bool, err error) {
+func (vs *Views) Offer(now time.Time, published *Map) (adopted bool, err error) {
 	if vs.current == nil {
 		// Replicas of the first map count as warm.
-		vs.adopt(m)
+		vs.adopt(published)
 		return true, nil
 	}
 	old := vs.current.Map
-	if m.Epoch == old.Epoch && m.Archive == old.Archive && m.sameShards(old) {
+	if published.Epoch == old.Epoch && published.Archive == old.Archive && published.sameShards(old) {
 		vs.settleRequest()
 		return false, nil
 	}
-	if err := m.ValidateSuccession(old); err != nil {
+	if err := published.ValidateSuccession(old); err != nil {
 		if errors.Is(err, ErrStaleEpoch) {
 			vs.Stats.Stale++
 		} else {
@@ -117,12 +117,12 @@
 		}
 		return false, err
 	}
-	if m.Epoch > old.Epoch+1 {
+	if published.Epoch > old.Epoch+1 {
 		vs.Stats.Gaps++
 	}
 	vs.replaceCurrent(now)
-	vs.adopt(m)
-	vs.startWarmup(now, m.Epoch)
+	vs.adopt(published)
+	vs.startWarmup(now, published.Epoch)
 	return true, nil
 }
 
--- a/internal/control/slowstart/slowstart.go
+++ b/internal/control/slowstart/slowstart.go
@@ -50,22 +50,22 @@
 // senders would begin at once. Where senders are many and unlike, each may instead send what its own flow owes the
 // server: together that is the fleet's flow, and what a quiet sender does not send is not lost. This may hurt where most
 // servers are warming up.
-func (l *Limits) Allows(s *Server, now time.Duration, work time.Duration) bool {
-	capacity := l.Capacity(s, now)
-	if capacity >= 1 || l.OverloadMultiple <= 0 || s.Credit >= 1 {
+func (l *Limits) Allows(server *Server, now time.Duration, work time.Duration) bool {
+	capacity := l.Capacity(server, now)
+	if capacity >= 1 || l.OverloadMultiple <= 0 || server.Credit >= 1 {
 		return true
 	}
 	rate := l.OverloadMultiple / float64(work) / float64(l.Senders) // parts a nanosecond, of a warm core
-	allowedSinceStart := rate * (l.MinCapacity + capacity) / 2 * float64(now-s.Started)
-	if s.recentSends == nil && allowedSinceStart < s.FirstSendThreshold {
+	allowedSinceStart := rate * (l.MinCapacity + capacity) / 2 * float64(now-server.Started)
+	if server.recentSends == nil && allowedSinceStart < server.FirstSendThreshold {
 		return false
 	}
 	// The window is shortened to one that allows whole parts, or lengthened to one that allows a single part.
 	allowed := rate * capacity * float64(l.OverloadPeriod)
 	parts := max(1, math.Floor(allowed))
 	window := time.Duration(float64(l.OverloadPeriod) * parts / allowed)
-	s.dropSendsUntil(now - max(window, l.OverloadPeriod))
-	return float64(s.sendsAfter(now-window)) < parts
+	server.dropSendsUntil(now - max(window, l.OverloadPeriod))
+	return float64(server.sendsAfter(now-window)) < parts
 }
 
 // dropSendsUntil forgets the sends at or before a time.
--- a/internal/simadapter/events.go
+++ b/internal/simadapter/events.go
@@ -62,56 +62,56 @@
 
 func decodeStop(*Reader, *message) (Input, error) { return Stop{}, nil }
 
-func decodeEndpointList(r *Reader, m *message) (Input, error) {
-	list := balance.EndpointList{Kind: oneOf(m, "form", listKinds)}
-	if m.err != nil || list.Kind == balance.ListFailed {
+func decodeEndpointList(r *Reader, message *message) (Input, error) {
+	list := balance.EndpointList{Kind: oneOf(message, "form", listKinds)}
+	if message.err != nil || list.Kind == balance.ListFailed {
 		return BalancerEvent{list}, nil
 	}
-	number := m.integerUpTo("list", maxList)
+	number := message.integerUpTo("list", maxList)
 	endpoints, defined := r.lists[number]
-	if !defined && m.err == nil {
-		m.fail("list %d is not defined", number)
+	if !defined && message.err == nil {
+		message.fail("list %d is not defined", number)
 	}
 	list.Endpoints = endpoints
 	return BalancerEvent{list}, nil
 }
 
 // decodeWork reads a query, or one of its parts: those have a segment.
-func decodeWork(_ *Reader, m *message) (Input, error) {
-	id := balance.ID(m.unsigned("handle"))
-	group := m.unsigned("group_no")
-	shard := m.integer("segment_no")
-	hint := m.timeOr("hint", 0)
+func decodeWork(_ *Reader, message *message) (Input, error) {
+	id := balance.ID(message.unsigned("handle"))
+	group := message.unsigned("group_no")
+	shard := message.integer("segment_no")
+	hint := message.timeOr("hint", 0)
 	if shard >= 0 {
 		return BalancerEvent{balance.Part{
 			ID:       id,
 			Group:    group,
 			Shard:    shard,
-			Weight:   m.number("heft"),
+			Weight:   message.number("heft"),
 			WorkHint: hint,
 		}}, nil
 	}
 	return BalancerEvent{balance.Query{
 		ID:       id,
 		Group:    group,
-		Class:    m.integerUpTo("class", math.MaxInt32),
-		Tenant:   m.integerOrZero("billing"),
-		Key:      m.textOr("resource", ""),
+		Class:    message.integerUpTo("class", math.MaxInt32),
+		Tenant:   message.integerOrZero("billing"),
+		Key:      message.textOr("resource", ""),
 		WorkHint: hint,
-		TimeLeft: m.time("grace"),
-		IsRetry:  m.integerOrZero("is_retry") != 0,
-		Parts:    int(m.number("heft")),
+		TimeLeft: message.time("grace"),
+		IsRetry:  message.integerOrZero("is_retry") != 0,
+		Parts:    int(message.number("heft")),
 	}}, nil
 }
 
-func decodeAttemptEnded(_ *Reader, m *message) (Input, error) {
+func decodeAttemptEnded(_ *Reader, message *message) (Input, error) {
 	return BalancerEvent{balance.AttemptEnded{
-		Part:    balance.ID(m.unsigned("handle")),
-		Attempt: m.integerUpTo("shot", math.MaxInt32),
-		Replica: balance.Replica(m.text("server")),
-		Result:  oneOf(m, "outcome", attemptResults),
-		Elapsed: m.time("lag"),
-		Report:  m.report("metrics"),
+		Part:    balance.ID(message.unsigned("handle")),
+		Attempt: message.integerUpTo("shot", math.MaxInt32),
+		Replica: balance.Replica(message.text("server")),
+		Result:  oneOf(message, "outcome", attemptResults),
+		Elapsed: message.time("lag"),
+		Report:  message.report("metrics"),
 	}}, nil
 }
 
--- a/internal/simadapter/message.go
+++ b/internal/simadapter/message.go
@@ -68,15 +68,15 @@
 }
 
 // parse reads a required field by a function; kind says in errors what the field should be.
-func parse[T any](m *message, key, kind string, parseText func(string) (T, error)) T {
-	text := m.text(key)
-	if m.err != nil {
+func parse[T any](message *message, key, kind string, parseText func(string) (T, error)) T {
+	text := message.text(key)
+	if message.err != nil {
 		var zero T
 		return zero
 	}
 	value, err := parseText(text)
 	if err != nil {
-		m.fail("%s: %q is not %s", key, text, kind)
+		message.fail("%s: %q is not %s", key, text, kind)
 	}
 	return value
 }
--- a/internal/simadapter/reader.go
+++ b/internal/simadapter/reader.go
@@ -102,10 +102,10 @@
 }
 
 // defineList reads the entries of a DEFINE_LIST.
-func (r *Reader) defineList(m *message) error {
-	number := m.integerUpTo("list", maxList)
-	count := m.integerUpTo("members", math.MaxInt32)
-	if m.err != nil {
+func (r *Reader) defineList(message *message) error {
+	number := message.integerUpTo("list", maxList)
+	count := message.integerUpTo("members", math.MaxInt32)
+	if message.err != nil {
 		return nil // the caller reports m.err
 	}
 	var list []balance.Endpoint
@@ -130,17 +130,17 @@
 }
 
 // appendEvent reads a message that is an event for an instance, and appends it to a frame.
-func (r *Reader) appendEvent(frame *Frame, instance string, m *message) error {
-	decode, ok := decoders[m.name]
+func (r *Reader) appendEvent(frame *Frame, instance string, message *message) error {
+	decode, ok := decoders[message.name]
 	if !ok {
-		return fmt.Errorf("unknown message %q", m.name)
+		return fmt.Errorf("unknown message %q", message.name)
 	}
-	input, err := decode(r, m)
+	input, err := decode(r, message)
 	if err != nil {
 		return err
 	}
 	if instance == "" {
-		return fmt.Errorf("%s before any TARGET_INSTANCE", m.name)
+		return fmt.Errorf("%s before any TARGET_INSTANCE", message.name)
 	}
 	if input != nil {
 		frame.Events = append(frame.Events, Event{Instance: instance, Input: input})
