--- a/internal/aggregator/answer.go
+++ b/internal/aggregator/answer.go
@@ -26,7 +26,9 @@
 		c.startFollowUp(q, followUpParts)
 		return
 	}
-	c.close(q, q.servedAnswer(action.Complete))
+	final := q.servedAnswer()
+	final.Complete = action.Complete
+	c.close(q, final)
 }
 
 // answeredParts are the answered parts of the present step.
@@ -39,9 +41,9 @@
 	return answered
 }
 
-// servedAnswer is the final answer that the answered parts make up.
-func (q *query) servedAnswer(complete bool) FinalAnswer {
-	final := FinalAnswer{Status: StatusServed, Complete: complete, TotalParts: len(q.parts)}
+// servedAnswer is the final answer that the answered parts make up. The caller says whether it is complete.
+func (q *query) servedAnswer() FinalAnswer {
+	final := FinalAnswer{Status: StatusServed, TotalParts: len(q.parts)}
 	for _, p := range q.parts {
 		if p.answered {
 			final.AnsweredWeight += p.spec.Weight
--- a/internal/control/health/decision.go
+++ b/internal/control/health/decision.go
@@ -49,8 +49,12 @@
 		server.fit = fit
 		t.markNeighboursDirty(index)
 	}
+	outOfUse := assessed.adminOut || assessed.believedDown
 	for class := range server.classes {
-		t.updateEjection(index, class, assessed.adminOut || assessed.believedDown)
+		server.classes[class].ejectionBlocked = false
+		if !outOfUse { // its outcomes say nothing more otherwise
+			t.updateEjection(index, class)
+		}
 	}
 	decision := t.decide(index, &assessed)
 	if decision.State != InService {
--- a/internal/control/health/ejection.go
+++ b/internal/control/health/ejection.go
@@ -31,13 +31,12 @@
 	nonIdempotentReturnSuccesses = 2
 )
 
-// updateEjection ejects a server from a class if it fails too often. With outOfUse the server gets no requests for
-// another reason, and its outcomes say nothing more.
-func (t *Table) updateEjection(index, class int, outOfUse bool) {
+// updateEjection ejects a server that may get requests from a class if it fails too often, or notes in ejectionBlocked
+// that it must not.
+func (t *Table) updateEjection(index, class int) {
 	server := t.servers[index]
 	classState := &server.classes[class]
-	classState.ejectionBlocked = false
-	if outOfUse || classState.ejected || !t.failsTooOften(server, class) {
+	if classState.ejected || !t.failsTooOften(server, class) {
 		return
 	}
 	if !t.mayEject(index, class) {
--- a/internal/control/health/table_test.go
+++ b/internal/control/health/table_test.go
@@ -82,7 +82,7 @@
 			drained: map[ID]bool{},
 		}
 		for i := range c.ids {
-			c.updateEndpoint(i, false)
+			c.updateEndpoint(i, inUse)
 		}
 		for range steps % 3000 {
 			c.step()
@@ -98,7 +98,7 @@
 	case 0, 1:
 		c.recordCheck(c.ids[i])
 	case 2:
-		c.updateEndpoint(i, c.rng.IntN(8) == 0)
+		c.updateEndpoint(i, drainState(c.rng.IntN(8) == 0))
 	default:
 		for range 5 {
 			class := c.rng.IntN(2)
@@ -115,10 +115,18 @@
 	}
 }
 
-func (c *checkedTable) updateEndpoint(i int, draining bool) {
+// drainState is whether the roster lets a server drain.
+type drainState bool
+
+const (
+	inUse  drainState = false
+	drains drainState = true
+)
+
+func (c *checkedTable) updateEndpoint(i int, draining drainState) {
 	n := len(c.ids)
 	shards := []int{i, (i + 1) % n, (i + 2) % n}
-	c.table.UpdateEndpoints(c.now, []Server{{ID: c.ids[i], Draining: draining, Shards: shards}})
+	c.table.UpdateEndpoints(c.now, []Server{{ID: c.ids[i], Draining: draining == drains, Shards: shards}})
 }
 
 func (c *checkedTable) recordCheck(id ID) {
--- a/internal/control/persistentmap/persistentmap_test.go
+++ b/internal/control/persistentmap/persistentmap_test.go
@@ -22,7 +22,11 @@
 	f.Add(uint64(2), uint16(4000))
 	f.Fuzz(func(t *testing.T, seed uint64, steps uint16) {
 		rng := rand.New(rand.NewPCG(seed, 1))
-		versions := randomVersions(rng, seed%2 == 0, int(steps%6000))
+		first := version{model: map[int]int{}}
+		if seed%2 == 0 {
+			first = builtVersion(rng)
+		}
+		versions := randomVersions(rng, first, int(steps%6000))
 		for range 20 {
 			checkDiff(t, versions[rng.IntN(len(versions))], versions[rng.IntN(len(versions))])
 		}
@@ -35,20 +39,23 @@
 	})
 }
 
-// randomVersions makes a number of changes to a map, which was built of entries or is empty at first, and returns some
-// versions and the last.
-func randomVersions(rng *rand.Rand, built bool, steps int) (versions []version) {
-	var m Map[int, int]
+// builtVersion is a map that was built of a random number of entries.
+func builtVersion(rng *rand.Rand) version {
+	var keys, values []int
 	model := map[int]int{}
-	if built {
-		var keys, values []int
-		for i := range rng.IntN(300) {
-			keys = append(keys, 3*i)
-			values = append(values, i)
-			model[3*i] = i
-		}
-		m = Build(keys, values)
+	for i := range rng.IntN(300) {
+		keys = append(keys, 3*i)
+		values = append(values, i)
+		model[3*i] = i
 	}
+	return version{m: Build(keys, values), model: model}
+}
+
+// randomVersions makes a number of changes to a map, whose first model it takes over, and returns some versions and the
+// last.
+func randomVersions(rng *rand.Rand, first version, steps int) (versions []version) {
+	m := first.m
+	model := first.model
 	for i := range steps {
 		key := rng.IntN(maxKey)
 		if rng.IntN(3) == 0 {
