Name the world, target, query and attempt whole in the simulator's faults

Cause: one-letter parameters in wide scopes. Change: fault.go, client.go, replica.go; identifiers only.

--- a/internal/testbed/sim/client.go
+++ b/internal/testbed/sim/client.go
@@ -95,36 +95,36 @@
 }
 
 // sendRequest sends the query's next request.
-func (w *world) sendRequest(q *query) {
-	q.attempts++
+func (w *world) sendRequest(query *query) {
+	query.attempts++
 	w.result.Requests++
 	c := &clientRequest{
 		world:   w,
-		query:   q,
-		id:      fmt.Sprintf("q%d-%d", q.number, q.attempts),
+		query:   query,
+		id:      fmt.Sprintf("q%d-%d", query.number, query.attempts),
 		started: w.now,
 	}
-	for _, part := range q.parts {
+	for _, part := range query.parts {
 		c.partNames = append(c.partNames, fmt.Sprintf("%s.%d", c.id, part.Shard))
 	}
 	request := &aggregator.Request{
 		ID:       c.id,
-		Class:    q.class,
+		Class:    query.class,
 		Arrived:  w.now,
-		Timeout:  q.deadline.Sub(w.now),
-		IsRetry:  q.attempts > 1,
-		Parts:    q.parts,
+		Timeout:  query.deadline.Sub(w.now),
+		IsRetry:  query.attempts > 1,
+		Parts:    query.parts,
 		Frontend: c,
 	}
 	w.checker.requestSent(c, request)
-	w.record("ask", uint64(q.number), uint64(q.attempts))
-	for w.aggregators[q.aggregator].crashed { // the connection is refused: the client goes to another
-		q.aggregator = w.pickAggregator()
+	w.record("ask", uint64(query.number), uint64(query.attempts))
+	for w.aggregators[query.aggregator].crashed { // the connection is refused: the client goes to another
+		query.aggregator = w.pickAggregator()
 	}
-	host := w.aggregators[q.aggregator]
+	host := w.aggregators[query.aggregator]
 	host.openRequests[c] = true
 	host.post(aggregator.RequestArrived{Request: request})
-	if w.PlantedBug == BugLostQuery && q.number == 50 {
+	if w.PlantedBug == BugLostQuery && query.number == 50 {
 		request.Frontend = discardAnswer{}
 	}
 }
--- a/internal/testbed/sim/fault.go
+++ b/internal/testbed/sim/fault.go
@@ -65,163 +65,163 @@
 func (f *Fault) end() time.Time { return Start.Add(f.From + f.Duration) }
 
 // schedule makes the fault happen in a run. Burst needs nothing: the clients' rate looks it up.
-func (f *Fault) schedule(w *world) {
+func (f *Fault) schedule(world *world) {
 	switch f.Kind {
 	case FastErrors, SlowReplicas, Gray, Isolate, Hang, BadChecks, Outage:
-		f.scheduleOnReplicas(w)
+		f.scheduleOnReplicas(world)
 	case Deploy, Release:
-		f.scheduleRollout(w)
+		f.scheduleRollout(world)
 	case EndpointLag:
 		lag := time.Duration(f.Magnitude * float64(time.Second))
-		w.at(f.begin(), func() { w.feed.lag = lag })
-		w.at(f.end(), func() { w.feed.lag = 0 })
+		world.at(f.begin(), func() { world.feed.lag = lag })
+		world.at(f.end(), func() { world.feed.lag = 0 })
 	case KillAggregators:
-		w.at(f.begin(), func() { f.killAggregators(w) })
+		world.at(f.begin(), func() { f.killAggregators(world) })
 	case DiscoveryOutage:
-		w.at(f.begin(), func() { w.discovery.setUnresponsive(true) })
-		w.at(f.end(), func() { w.discovery.setUnresponsive(false) })
+		world.at(f.begin(), func() { world.discovery.setUnresponsive(true) })
+		world.at(f.end(), func() { world.discovery.setUnresponsive(false) })
 	case Partition:
-		w.at(f.begin(), func() { w.partitioned = true })
-		w.at(f.end(), func() { w.partitioned = false })
+		world.at(f.begin(), func() { world.partitioned = true })
+		world.at(f.end(), func() { world.partitioned = false })
 	}
 }
 
 // targets are the replicas that the fault names.
-func (f *Fault) targets(w *world) []*replica {
+func (f *Fault) targets(world *world) []*replica {
 	var list []*replica
-	for i := range min(f.Replicas, len(w.replicas)) {
-		list = append(list, w.replicas[(f.First+i)%len(w.replicas)])
+	for i := range min(f.Replicas, len(world.replicas)) {
+		list = append(list, world.replicas[(f.First+i)%len(world.replicas)])
 	}
 	return list
 }
 
 // scheduleOnReplicas changes the fault's replicas at its begin and undoes it at its end.
-func (f *Fault) scheduleOnReplicas(w *world) {
+func (f *Fault) scheduleOnReplicas(world *world) {
 	var targets []*replica
 	switch f.Kind {
 	case SlowReplicas, BadChecks:
-		targets = w.replicas
+		targets = world.replicas
 	case Outage:
 		// The named replicas crash too, those of the second zone among them twice.
-		targets = append(f.targets(w), secondZone(w)...)
+		targets = append(f.targets(world), secondZone(world)...)
 	default:
-		targets = f.targets(w)
+		targets = f.targets(world)
 	}
-	w.at(f.begin(), func() {
-		w.record("trouble "+string(f.Kind), 1, uint64(f.Replicas))
-		for _, r := range targets {
-			f.apply(w, r)
+	world.at(f.begin(), func() {
+		world.record("trouble "+string(f.Kind), 1, uint64(f.Replicas))
+		for _, target := range targets {
+			f.apply(world, target)
 		}
 	})
-	w.at(f.end(), func() {
-		for _, r := range targets {
-			f.revert(r)
+	world.at(f.end(), func() {
+		for _, target := range targets {
+			f.revert(target)
 		}
 	})
 }
 
-func secondZone(w *world) []*replica {
+func secondZone(world *world) []*replica {
 	var list []*replica
-	for i, r := range w.replicas {
+	for i, member := range world.replicas {
 		if i%2 == 1 {
-			list = append(list, r)
+			list = append(list, member)
 		}
 	}
 	return list
 }
 
-func (f *Fault) apply(w *world, r *replica) {
+func (f *Fault) apply(world *world, target *replica) {
 	switch f.Kind {
 	case FastErrors:
-		r.errorRate = f.Magnitude
+		target.errorRate = f.Magnitude
 	case SlowReplicas:
-		r.slowdown = f.Magnitude
+		target.slowdown = f.Magnitude
 	case Gray:
-		r.slowdown = f.Magnitude
-		r.slowClass = search
+		target.slowdown = f.Magnitude
+		target.slowClass = search
 	case Isolate:
-		r.unreachable = true
+		target.unreachable = true
 	case Hang:
-		r.unresponsive = true
+		target.unresponsive = true
 	case BadChecks:
-		r.checksPass = false
+		target.checksPass = false
 	case Outage:
-		r.crash()
-		w.feed.publish(r, balance.Removed)
+		target.crash()
+		world.feed.publish(target, balance.Removed)
 	}
 }
 
-func (f *Fault) revert(r *replica) {
+func (f *Fault) revert(target *replica) {
 	switch f.Kind {
 	case FastErrors:
-		r.errorRate = 0
+		target.errorRate = 0
 	case SlowReplicas:
-		r.slowdown = 1
+		target.slowdown = 1
 	case Gray:
-		r.slowdown = 1
-		r.slowClass = allClasses
+		target.slowdown = 1
+		target.slowClass = allClasses
 	case Isolate:
-		r.unreachable = false
+		target.unreachable = false
 	case Hang:
-		r.unresponsive = false
-		r.crash() // an operator restarts it
-		r.up = true
+		target.unresponsive = false
+		target.crash() // an operator restarts it
+		target.up = true
 	case BadChecks:
-		r.checksPass = true
+		target.checksPass = true
 	case Outage:
-		r.up = true
-		r.start()
+		target.up = true
+		target.start()
 	}
 }
 
 // scheduleRollout lets replicas drain one after the other, evenly over the fault's time. In a deployment each starts
 // again, in a release another takes its place.
-func (f *Fault) scheduleRollout(w *world) {
-	targets := f.targets(w)
+func (f *Fault) scheduleRollout(world *world) {
+	targets := f.targets(world)
 	count := time.Duration(len(targets))
-	for i, r := range targets {
+	for i, target := range targets {
 		drainAt := f.begin().Add(time.Duration(i) * f.Duration / count)
-		w.at(drainAt, func() {
-			r.draining = true
-			w.feed.publish(r, balance.Draining)
+		world.at(drainAt, func() {
+			target.draining = true
+			world.feed.publish(target, balance.Draining)
 		})
 		if f.Kind == Release {
-			w.at(drainAt.Add(drainPeriod), func() { replace(w, r) })
+			world.at(drainAt.Add(drainPeriod), func() { replace(world, target) })
 			continue
 		}
-		w.at(drainAt.Add(f.Duration/(2*count)), func() {
-			r.crash()
-			w.feed.publish(r, balance.Removed)
+		world.at(drainAt.Add(f.Duration/(2*count)), func() {
+			target.crash()
+			world.feed.publish(target, balance.Removed)
 		})
-		w.at(drainAt.Add(f.Duration/count), func() {
-			r.draining = false
-			r.up = true
-			r.start()
+		world.at(drainAt.Add(f.Duration/count), func() {
+			target.draining = false
+			target.up = true
+			target.start()
 		})
 	}
 }
 
 // replace ends a replica and starts another at its place in the ring.
-func replace(w *world, old *replica) {
+func replace(world *world, old *replica) {
 	old.crash()
 	old.replaced = true
-	w.feed.publish(old, balance.Removed)
-	successor := newReplica(w, len(w.replicas))
+	world.feed.publish(old, balance.Removed)
+	successor := newReplica(world, len(world.replicas))
 	successor.index = old.index
-	w.addReplica(successor)
+	world.addReplica(successor)
 	successor.start()
 }
 
 // killAggregators crashes a fraction of the aggregators; each starts again at a random moment of the fault's time.
-func (f *Fault) killAggregators(w *world) {
-	victims := int(f.Magnitude * float64(len(w.aggregators)))
-	for _, i := range w.rng.Perm(len(w.aggregators))[:victims] {
-		host := w.aggregators[i]
+func (f *Fault) killAggregators(world *world) {
+	victims := int(f.Magnitude * float64(len(world.aggregators)))
+	for _, i := range world.rng.Perm(len(world.aggregators))[:victims] {
+		host := world.aggregators[i]
 		host.crash()
-		downtime := time.Duration(w.rng.Float64() * float64(f.Duration))
-		w.after(downtime, func() {
+		downtime := time.Duration(world.rng.Float64() * float64(f.Duration))
+		world.after(downtime, func() {
 			if err := host.start(); err != nil {
-				w.checker.violate("aggregator %d does not start again: %v", host.index, err)
+				world.checker.violate("aggregator %d does not start again: %v", host.index, err)
 			}
 		})
 	}
--- a/internal/testbed/sim/replica.go
+++ b/internal/testbed/sim/replica.go
@@ -171,33 +171,33 @@
 }
 
 // receive handles a part that has arrived.
-func (r *replica) receive(a *attempt) {
+func (r *replica) receive(attempt *attempt) {
 	w := r.world
 	switch {
 	case r.unreachable:
 		return // lost on the network
 	case !r.up:
-		a.host.deliverResult(a, &aggregator.AttemptError{Progress: aggregator.NotConnected}, "")
+		attempt.host.deliverResult(attempt, &aggregator.AttemptError{Progress: aggregator.NotConnected}, "")
 		return
 	case r.draining || len(r.queue) >= maxQueue:
-		r.fail(a, &aggregator.AttemptError{Progress: aggregator.Answered, Rejected: true})
+		r.fail(attempt, &aggregator.AttemptError{Progress: aggregator.Answered, Rejected: true})
 		return
 	}
-	if r.arrivalOverloads(a.host) {
-		r.fail(a, &aggregator.AttemptError{Progress: aggregator.Written})
+	if r.arrivalOverloads(attempt.host) {
+		r.fail(attempt, &aggregator.AttemptError{Progress: aggregator.Written})
 		r.collapse()
 		return
 	}
-	w.checker.correctionRan(r, a)
+	w.checker.correctionRan(r, attempt)
 	if r.rng.Float64() < r.errorRate {
-		r.fail(a, &aggregator.AttemptError{Progress: aggregator.Answered})
+		r.fail(attempt, &aggregator.AttemptError{Progress: aggregator.Answered})
 		return
 	}
-	r.inFlight[a] = true
+	r.inFlight[attempt] = true
 	if r.unresponsive {
 		return
 	}
-	r.queue = append(r.queue, a)
+	r.queue = append(r.queue, attempt)
 	r.dispatch()
 }
 
