--- a/cmd/testbed/days.go
+++ b/cmd/testbed/days.go
@@ -66,10 +66,10 @@
 var classNames = [...]string{"search", "report", "correction"}
 
 // add adds the result of the next seed.
-func (d *daySummary) add(seed uint64, r sim.Result) {
-	d.goodput = append(d.goodput, r.Goodput())
-	d.polls = append(d.polls, float64(r.DiscoveryPolls))
-	for i, class := range r.Classes {
+func (d *daySummary) add(seed uint64, result sim.Result) {
+	d.goodput = append(d.goodput, result.Goodput())
+	d.polls = append(d.polls, float64(result.DiscoveryPolls))
+	for i, class := range result.Classes {
 		if class.Queries == 0 {
 			continue
 		}
@@ -77,9 +77,9 @@
 		fraction := float64(class.WithinObjective) / float64(class.Queries)
 		d.withinObjective[name] = append(d.withinObjective[name], fraction)
 	}
-	d.ReplicasOverloaded += r.ReplicasOverloaded
-	if len(r.Violations) > 0 {
-		d.Violations[seed] = r.Violations[0]
+	d.ReplicasOverloaded += result.ReplicasOverloaded
+	if len(result.Violations) > 0 {
+		d.Violations[seed] = result.Violations[0]
 	}
 }
 
@@ -121,7 +121,7 @@
 			if options.seeds < 1 {
 				return fmt.Errorf("--seeds at least 1")
 			}
-			return runDays(&output{w: cmd.OutOrStdout()}, names, options)
+			return runDays(&output{writer: cmd.OutOrStdout()}, names, options)
 		},
 	}
 	c.Flags().IntVar(&options.seeds, "seeds", 4, "how many of each day")
--- a/cmd/testbed/demo.go
+++ b/cmd/testbed/demo.go
@@ -44,7 +44,7 @@
 				return fmt.Errorf("--for %v: at least %v, or 0 until it is interrupted",
 					options.duration, minDemoDuration)
 			}
-			return runDemo(&output{w: cmd.OutOrStdout()}, options)
+			return runDemo(&output{writer: cmd.OutOrStdout()}, options)
 		},
 	}
 	c.Flags().DurationVar(&options.duration, "for", 0, "how long; 0: until it is interrupted")
--- a/cmd/testbed/health.go
+++ b/cmd/testbed/health.go
@@ -38,7 +38,7 @@
 			if options.seeds < 1 || options.seeds > maxSeeds {
 				return fmt.Errorf("--seeds %d: 1 to %d", options.seeds, maxSeeds)
 			}
-			return runHealth(&output{w: cmd.OutOrStdout()}, &output{w: cmd.ErrOrStderr()}, options)
+			return runHealth(&output{writer: cmd.OutOrStdout()}, &output{writer: cmd.ErrOrStderr()}, options)
 		},
 	}
 	c.Flags().IntVar(&options.seeds, "seeds", 1, "how many seeds")
--- a/cmd/testbed/hunt.go
+++ b/cmd/testbed/hunt.go
@@ -35,7 +35,7 @@
 		Example: "  testbed hunt --seeds 1000 --for 5m\n  testbed hunt --replay broken-17.json",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			out := &output{w: cmd.OutOrStdout()}
+			out := &output{writer: cmd.OutOrStdout()}
 			if replay != "" {
 				return replayFile(out, replay)
 			}
@@ -148,7 +148,7 @@
 }
 
 // report shrinks a run that violates a rule and writes it to a file.
-func (h *seedHunt) report(seed uint64, settings sim.Settings, r sim.Result) {
+func (h *seedHunt) report(seed uint64, settings sim.Settings, result sim.Result) {
 	shrunk, runs := sim.Shrink(settings, shrinkRuns)
 	path := fmt.Sprintf("%s/broken-%d.json", h.options.dir, seed)
 	text, err := json.MarshalIndent(shrunk, "", "  ")
@@ -159,7 +159,7 @@
 	defer h.mu.Unlock()
 	h.violating++
 	h.out.printf("seed %d: %s (%d in all); shrunk in %d runs to %d faults: %s\n",
-		seed, r.Violations[0], len(r.Violations), runs, len(shrunk.Faults), path)
+		seed, result.Violations[0], len(result.Violations), runs, len(shrunk.Faults), path)
 	if err != nil {
 		h.failure = fmt.Errorf("write the shrunk run of seed %d: %w", seed, err)
 	}
--- a/cmd/testbed/load.go
+++ b/cmd/testbed/load.go
@@ -75,7 +75,7 @@
 				return err
 			}
 			options.plan.Mix = load.DefaultMix
-			return runLoad(&output{w: cmd.OutOrStdout()}, &output{w: cmd.ErrOrStderr()}, options)
+			return runLoad(&output{writer: cmd.OutOrStdout()}, &output{writer: cmd.ErrOrStderr()}, options)
 		},
 	}
 	c.Flags().StringVar(&options.plan.SRU, "sru", "", "address of an SRU frontend")
--- a/cmd/testbed/output.go
+++ b/cmd/testbed/output.go
@@ -10,25 +10,25 @@
 // output writes a command's report and keeps the first error, which the command returns at its end: the report of a
 // long run need not check each line.
 type output struct {
-	w   io.Writer
-	err error
+	writer io.Writer
+	err    error
 }
 
 func (o *output) printf(format string, args ...any) {
 	if o.err == nil {
-		_, o.err = fmt.Fprintf(o.w, format, args...)
+		_, o.err = fmt.Fprintf(o.writer, format, args...)
 	}
 }
 
 func (o *output) println(args ...any) {
 	if o.err == nil {
-		_, o.err = fmt.Fprintln(o.w, args...)
+		_, o.err = fmt.Fprintln(o.writer, args...)
 	}
 }
 
 // printJSON writes a value as indented JSON.
-func (o *output) printJSON(v any) {
-	text, err := json.MarshalIndent(v, "", "  ")
+func (o *output) printJSON(value any) {
+	text, err := json.MarshalIndent(value, "", "  ")
 	if err != nil {
 		if o.err == nil {
 			o.err = err
@@ -43,8 +43,8 @@
 	if o.err != nil {
 		return
 	}
-	aligned := tabwriter.NewWriter(o.w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	t := &output{w: aligned}
+	aligned := tabwriter.NewWriter(o.writer, 0, 0, 2, ' ', tabwriter.AlignRight)
+	t := &output{writer: aligned}
 	rows(t)
 	o.err = t.err
 	if err := aligned.Flush(); o.err == nil {
--- a/cmd/testbed/resharding.go
+++ b/cmd/testbed/resharding.go
@@ -49,7 +49,7 @@
 			if err := options.check(); err != nil {
 				return err
 			}
-			return runResharding(&output{w: cmd.OutOrStdout()}, options)
+			return runResharding(&output{writer: cmd.OutOrStdout()}, options)
 		},
 	}
 	c.Flags().DurationVar(&options.duration, "for", 20*time.Second, "how long each of the two runs lasts")
@@ -192,7 +192,7 @@
 }
 
 // collect reads the results of a run that has ended.
-func (r *reshardingRun) collect(a *resharding.Archive, calls *resharding.Report) {
+func (r *reshardingRun) collect(archive *resharding.Archive, calls *resharding.Report) {
 	counts := calls.Count()
 	r.Calls = calls.Calls
 	r.Complete = counts[client.Complete]
@@ -204,9 +204,9 @@
 	r.P50 = calls.Quantile(50)
 	r.P99 = calls.Quantile(99)
 	r.Violations = calls.Violations
-	r.Duplicates = a.DuplicateCorrections()
-	r.Epoch = uint64(a.Controller.Map().Epoch)
-	for _, frontend := range a.Frontends {
+	r.Duplicates = archive.DuplicateCorrections()
+	r.Epoch = uint64(archive.Controller.Map().Epoch)
+	for _, frontend := range archive.Frontends {
 		r.Frontends = append(r.Frontends, frontend.CountersText())
 	}
 }
