Spell short names of the network packages out; Checker's file has its name

Cause: m, h, b, c and op stood in scopes of many lines, Checker was still an Asker in its file and its doc, listen.share was a Share in Go although it limits sockets, and atLeast did not say that it reports. Change: renames only (SocketLimits, requireMin, leftTruncated); no TOML key, text or value changes. Measured: go test -race -count=1 of frontend, config, query, protocol, net/discovery and backend/leaf: all ok.

--- a/cmd/rooktrestle/blocksplan.go
+++ b/cmd/rooktrestle/blocksplan.go
@@ -121,7 +121,7 @@
 }
 
 // printPlan prints a plan, and writes the map of each of its epochs if there is a path for them.
-func printPlan(out io.Writer, m *shardmap.Map, plan *shardmap.Plan, writePath string) error {
+func printPlan(out io.Writer, current *shardmap.Map, plan *shardmap.Plan, writePath string) error {
 	if writePath != "" && strings.Count(writePath, "%d") != 1 {
 		return fmt.Errorf("--write %q: it needs one %%d, for the epoch", writePath)
 	}
@@ -132,15 +132,15 @@
 			printf(out, "  %s: %s\n", strings.Join(conditions, ", "), step.WaitReason)
 		}
 		var err error
-		if m, err = step.Apply(m); err != nil {
+		if current, err = step.Apply(current); err != nil {
 			return err
 		}
-		printf(out, "epoch %d: %s\n", m.Epoch, step.Description)
+		printf(out, "epoch %d: %s\n", current.Epoch, step.Description)
 		if writePath == "" {
 			continue
 		}
-		path := strings.Replace(writePath, "%d", fmt.Sprint(m.Epoch), 1)
-		if err := os.WriteFile(path, m.Encode(), 0o600); err != nil {
+		path := strings.Replace(writePath, "%d", fmt.Sprint(current.Epoch), 1)
+		if err := os.WriteFile(path, current.Encode(), 0o600); err != nil {
 			return err
 		}
 	}
--- a/internal/app/partnerlisteners.go
+++ b/internal/app/partnerlisteners.go
@@ -61,7 +61,8 @@
 		Recent: resultSetsRecent,
 	}
 	p.z3950 = zfront.New(service, associationTimes, p.clock.Now)
-	addrs, sockets := p.conf.Listen, p.conf.Listen.Share
+	addrs := p.conf.Listen
+	sockets := p.conf.Listen.SocketLimits
 	for _, listener := range []partnerListener{
 		{
 			protocol:   "sru",
--- a/internal/backend/leaf/conn.go
+++ b/internal/backend/leaf/conn.go
@@ -125,9 +125,9 @@
 }
 
 // connect starts to dial a server. If that is not possible now, the dial fails in a later turn.
-func (p *Pool) connect(now time.Time, h *host, addr string) {
+func (p *Pool) connect(now time.Time, host *host, addr string) {
 	c := &conn{
-		host:       h,
+		host:       host,
 		addr:       addr,
 		lastUsed:   now,
 		streams:    map[string]*attempt{},
@@ -140,7 +140,7 @@
 		p.dial(c, addr, p.limits.ConnectTimeout+timeoutSlack)
 	}
 	p.connCount++
-	h.conns = append(h.conns, c)
+	host.conns = append(host.conns, c)
 }
 
 // evictIdle closes the connection that has been idle longest, and reports whether there was one. Guards
--- a/internal/config/healthcheckvalidate.go
+++ b/internal/config/healthcheckvalidate.go
@@ -22,9 +22,9 @@
 
 func (p *Partners) validateChecks(problems *validator) {
 	checks := p.Checks
-	problems.atLeast("checks.fall", checks.Fall, 1)
-	problems.atLeast("checks.rise", checks.Rise, 1)
-	problems.atLeast("checks.at_once", checks.MaxConcurrent, 2)
+	problems.requireMin("checks.fall", checks.Fall, 1)
+	problems.requireMin("checks.rise", checks.Rise, 1)
+	problems.requireMin("checks.at_once", checks.MaxConcurrent, 2)
 	if !(checks.MaxStartsPerSecond > 0 && checks.MaxStartsPerSecond <= 1e6) { // written so that NaN is a problem, too
 		problems.addf("checks.per_second", "checks.per_second must be over 0 and at most 1000000, not %v",
 			checks.MaxStartsPerSecond)
@@ -80,8 +80,8 @@
 			profile.Name, profile.Kind)
 	}
 	profile.validateTimes(problems, path)
-	problems.atLeast(path+".fall", profile.Fall, 1)
-	problems.atLeast(path+".rise", profile.Rise, 1)
+	problems.requireMin(path+".fall", profile.Fall, 1)
+	problems.requireMin(path+".rise", profile.Rise, 1)
 	profile.validateTarget(problems, path)
 	if profile.NoResult != noResultIgnored && profile.NoResult != noResultDown {
 		problems.addf(path+".silence", "check %q: silence is ignore or down, not %q",
--- a/internal/config/partners.go
+++ b/internal/config/partners.go
@@ -53,8 +53,8 @@
 	Agent  string `toml:"agent"`  // agent-check
 	// AgentWait is how long an agent-check may take to name a database (agent-send) before it is answered for the
 	// aggregator as a whole; 0: no agent-check names one.
-	AgentWait Duration     `toml:"agent_wait"`
-	Share     SocketShares `toml:"share"`
+	AgentWait    Duration     `toml:"agent_wait"`
+	SocketLimits SocketLimits `toml:"share"`
 }
 
 // Limits are the limits of an aggregator.
--- a/internal/config/partnersvalidate.go
+++ b/internal/config/partnersvalidate.go
@@ -26,9 +26,9 @@
 
 func (p *Partners) validateShards(problems *validator) {
 	if !p.ShardMap.intended() {
-		problems.atLeast("shards.count", p.Shards.Count, 1)
-		problems.atLeast("shards.cells", p.Shards.Cells, 1)
-		problems.atLeast("shards.reach", p.Shards.Reach, 1)
+		problems.requireMin("shards.count", p.Shards.Count, 1)
+		problems.requireMin("shards.cells", p.Shards.Cells, 1)
+		problems.requireMin("shards.reach", p.Shards.Reach, 1)
 	}
 	p.validateShardMap(problems)
 	if p.Shards.Reach > p.Shards.Cells {
@@ -37,13 +37,13 @@
 }
 
 func (p *Partners) validateLimits(problems *validator) {
-	problems.atLeast("limits.max_open", p.Limits.MaxOpen, 1)
-	problems.atLeast("limits.max_records", p.Limits.MaxRecords, 1)
-	problems.atLeast("limits.sockets", p.Limits.Sockets, 1)
-	problems.atLeast("limits.memory_mb", p.Limits.MemoryMB, 1)
-	problems.atLeast("limits.attempts", p.Limits.Attempts, 1)
-	problems.atLeast("limits.result_sets", p.Limits.ResultSets, 1)
-	problems.atLeast("mixers", p.Instances, 1)
+	problems.requireMin("limits.max_open", p.Limits.MaxOpen, 1)
+	problems.requireMin("limits.max_records", p.Limits.MaxRecords, 1)
+	problems.requireMin("limits.sockets", p.Limits.Sockets, 1)
+	problems.requireMin("limits.memory_mb", p.Limits.MemoryMB, 1)
+	problems.requireMin("limits.attempts", p.Limits.Attempts, 1)
+	problems.requireMin("limits.result_sets", p.Limits.ResultSets, 1)
+	problems.requireMin("mixers", p.Instances, 1)
 }
 
 func (p *Partners) validateClasses(problems *validator) {
--- a/internal/config/problems.go
+++ b/internal/config/problems.go
@@ -148,8 +148,8 @@
 	})
 }
 
-// atLeast adds a problem if the number at a path is below a minimum.
-func (v *validator) atLeast(path string, number, minimum int) {
+// requireMin adds a problem if the number at a path is below a minimum.
+func (v *validator) requireMin(path string, number, minimum int) {
 	if number < minimum {
 		v.addf(path, "%s must be at least %d, not %d", path, minimum, number)
 	}
--- a/internal/config/sockets.go
+++ b/internal/config/sockets.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// SocketShares are the sockets that each listener may use.
-type SocketShares struct {
+// SocketLimits are the numbers of sockets that each listener may use.
+type SocketLimits struct {
 	SRU    int `toml:"sru"`
 	Z3950  int `toml:"z3950"`
 	Health int `toml:"health"`
@@ -27,20 +27,21 @@
 // remaining ones three fifths for SRU and two fifths for Z39.50.
 func (p *Partners) setSocketDefaults() {
 	total := max(8, p.frontendSockets())
-	shares := &p.Listen.Share
-	setDefault(&shares.Health, max(2, total/10))
-	setDefault(&shares.Agent, max(2, total/20))
-	remaining := max(2, total-shares.Health-shares.Agent)
+	limits := &p.Listen.SocketLimits
+	setDefault(&limits.Health, max(2, total/10))
+	setDefault(&limits.Agent, max(2, total/20))
+	remaining := max(2, total-limits.Health-limits.Agent)
 	switch {
 	case p.Listen.SRU == "":
-		setDefault(&shares.Z3950, remaining)
+		setDefault(&limits.Z3950, remaining)
 	case p.Listen.Z3950 == "":
-		setDefault(&shares.SRU, remaining)
-	case shares.SRU == 0 && shares.Z3950 == 0:
-		shares.SRU, shares.Z3950 = remaining-remaining*2/5, remaining*2/5
+		setDefault(&limits.SRU, remaining)
+	case limits.SRU == 0 && limits.Z3950 == 0:
+		limits.Z3950 = remaining * 2 / 5
+		limits.SRU = remaining - limits.Z3950
 	default:
-		setDefault(&shares.SRU, max(1, remaining-shares.Z3950))
-		setDefault(&shares.Z3950, max(1, remaining-shares.SRU))
+		setDefault(&limits.SRU, max(1, remaining-limits.Z3950))
+		setDefault(&limits.Z3950, max(1, remaining-limits.SRU))
 	}
 }
 
@@ -50,15 +51,15 @@
 		name, addr string
 		sockets    int
 	}{
-		{"sru", p.Listen.SRU, p.Listen.Share.SRU},
-		{"z3950", p.Listen.Z3950, p.Listen.Share.Z3950},
-		{"health", p.Listen.Health, p.Listen.Share.Health},
-		{"agent", p.Listen.Agent, p.Listen.Share.Agent},
+		{"sru", p.Listen.SRU, p.Listen.SocketLimits.SRU},
+		{"z3950", p.Listen.Z3950, p.Listen.SocketLimits.Z3950},
+		{"health", p.Listen.Health, p.Listen.SocketLimits.Health},
+		{"agent", p.Listen.Agent, p.Listen.SocketLimits.Agent},
 	} {
 		if listener.addr == "" {
 			continue
 		}
-		problems.atLeast("listen.share."+listener.name, listener.sockets, 1)
+		problems.requireMin("listen.share."+listener.name, listener.sockets, 1)
 		sum += listener.sockets
 		if _, _, err := net.SplitHostPort(listener.addr); err != nil {
 			problems.addf("listen."+listener.name, "listen: %s = %q is not host:port",
--- a/internal/frontend/grpchealth/asker.go
+++ b/internal/frontend/grpchealth/checker.go
@@ -42,13 +42,13 @@
 	_ = c.conn.Close() // it fails only for a connection that is closed already
 }
 
-// NewChecker returns an Asker without connections.
+// NewChecker returns a Checker without connections.
 func NewChecker() *Checker {
 	return &Checker{conns: map[string]*clientConn{}, checks: make(chan struct{}, maxChecks)}
 }
 
 // ServeHTTP performs one check.
-func (a *Checker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (c *Checker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	params := r.URL.Query()
 	timeout, err := time.ParseDuration(params.Get("timeout"))
 	if r.URL.Path != "/check" || params.Get("addr") == "" || err != nil || timeout <= 0 || timeout > maxCheckTimeout {
@@ -56,15 +56,15 @@
 		return
 	}
 	select {
-	case a.checks <- struct{}{}:
-		defer func() { <-a.checks }()
+	case c.checks <- struct{}{}:
+		defer func() { <-c.checks }()
 	default:
 		http.Error(w, "too many checks at once", http.StatusServiceUnavailable)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), timeout)
 	defer cancel()
-	serving, err := a.check(ctx, params.Get("addr"), params.Get("service"))
+	serving, err := c.check(ctx, params.Get("addr"), params.Get("service"))
 	switch {
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusBadGateway)
@@ -76,14 +76,14 @@
 }
 
 // check calls Check of a server. The error holds the status code and the message of the call; it is sent to the aggregator.
-func (a *Checker) check(ctx context.Context, addr, service string) (ServingStatus, error) {
-	c, err := a.acquire(addr)
+func (c *Checker) check(ctx context.Context, addr, service string) (ServingStatus, error) {
+	client, err := c.acquire(addr)
 	if err != nil {
 		return 0, err
 	}
-	defer a.release(c)
+	defer c.release(client)
 	request := &healthpb.HealthCheckRequest{Service: service}
-	response, err := healthpb.NewHealthClient(c.conn).Check(ctx, request, grpc.WaitForReady(false))
+	response, err := healthpb.NewHealthClient(client.conn).Check(ctx, request, grpc.WaitForReady(false))
 	if err != nil {
 		s := status.Convert(err)
 		return 0, fmt.Errorf("%v: %.100s", s.Code(), s.Message())
@@ -93,16 +93,16 @@
 
 // acquire returns the connection to a server, which is in use until release. It first closes the connections that are
 // unused for too long.
-func (a *Checker) acquire(addr string) (*clientConn, error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
+func (c *Checker) acquire(addr string) (*clientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	now := time.Now()
-	oldest := a.closeIdle(now)
-	c := a.conns[addr]
-	if c == nil {
-		if len(a.conns) >= maxConns && oldest != "" {
-			a.conns[oldest].close()
-			delete(a.conns, oldest)
+	oldest := c.closeIdle(now)
+	client := c.conns[addr]
+	if client == nil {
+		if len(c.conns) >= maxConns && oldest != "" {
+			c.conns[oldest].close()
+			delete(c.conns, oldest)
 		}
 		conn, err := grpc.NewClient("passthrough:///"+addr,
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
@@ -110,24 +110,24 @@
 		if err != nil {
 			return nil, err
 		}
-		c = &clientConn{conn: conn}
-		a.conns[addr] = c
+		client = &clientConn{conn: conn}
+		c.conns[addr] = client
 	}
-	c.users++
-	c.lastUsed = now
-	return c, nil
+	client.users++
+	client.lastUsed = now
+	return client, nil
 }
 
 // closeIdle closes the connections that are unused for too long, and returns the address of the one of the others that is
 // unused for longest; empty if all are in use. It is called with the lock held.
-func (a *Checker) closeIdle(now time.Time) (oldest string) {
-	for addr, c := range a.conns {
+func (c *Checker) closeIdle(now time.Time) (oldest string) {
+	for addr, client := range c.conns {
 		switch {
-		case c.users > 0:
-		case now.Sub(c.lastUsed) > connIdleTimeout:
-			c.close()
-			delete(a.conns, addr)
-		case oldest == "" || c.lastUsed.Before(a.conns[oldest].lastUsed):
+		case client.users > 0:
+		case now.Sub(client.lastUsed) > connIdleTimeout:
+			client.close()
+			delete(c.conns, addr)
+		case oldest == "" || client.lastUsed.Before(c.conns[oldest].lastUsed):
 			oldest = addr
 		}
 	}
@@ -135,18 +135,18 @@
 }
 
 // release ends the use of a connection by one check.
-func (a *Checker) release(c *clientConn) {
-	a.mu.Lock()
-	c.users--
-	a.mu.Unlock()
+func (c *Checker) release(client *clientConn) {
+	c.mu.Lock()
+	client.users--
+	c.mu.Unlock()
 }
 
 // Close closes all connections. Checks that still run on them fail.
-func (a *Checker) Close() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for addr, c := range a.conns {
-		c.close()
-		delete(a.conns, addr)
+func (c *Checker) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, client := range c.conns {
+		client.close()
+		delete(c.conns, addr)
 	}
 }
--- a/internal/frontend/grpchealth/asker_test.go
+++ b/internal/frontend/grpchealth/checker_test.go
@@ -40,9 +40,9 @@
 	if err := stopped.Close(); err != nil {
 		t.Fatal(err)
 	}
-	asker := NewChecker()
-	t.Cleanup(asker.Close)
-	web := httptest.NewServer(asker)
+	checker := NewChecker()
+	t.Cleanup(checker.Close)
+	web := httptest.NewServer(checker)
 	t.Cleanup(web.Close)
 	for _, test := range []struct {
 		name                   string
@@ -67,7 +67,7 @@
 			}
 		})
 	}
-	if len(asker.conns) != 3 {
-		t.Errorf("%d connections are kept, want 3", len(asker.conns))
+	if len(checker.conns) != 3 {
+		t.Errorf("%d connections are kept, want 3", len(checker.conns))
 	}
 }
--- a/internal/frontend/z3950/association.go
+++ b/internal/frontend/z3950/association.go
@@ -55,14 +55,14 @@
 
 // Data decodes and handles units. It is called without the lock held. A panic in it closes the connection, and Closed
 // then cancels the operation in flight.
-func (a *association) Data(b []byte) {
+func (a *association) Data(data []byte) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.closed {
 		return
 	}
 	a.restartIdleTimer()
-	a.buf = append(a.buf, b...)
+	a.buf = append(a.buf, data...)
 	for len(a.buf) > 0 && !a.closed {
 		unit, rest, err := z3950.Decode(a.buf)
 		// Checked before the unit is complete: a peer that speaks another protocol would be waited for otherwise.
--- a/internal/frontend/z3950/operation.go
+++ b/internal/frontend/z3950/operation.go
@@ -67,41 +67,41 @@
 
 // start puts an operation in flight. respond is called with its outcome and with the lock held, once, unless the operation
 // is cancelled before.
-func (a *association) start(op *operation, start starter, respond func(gateway.Outcome)) {
-	a.inFlight = op
+func (a *association) start(operation *operation, start starter, respond func(gateway.Outcome)) {
+	a.inFlight = operation
 	cancel, immediate := start(func(outcome gateway.Outcome) {
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		if op.finished || a.closed {
+		if operation.finished || a.closed {
 			return
 		}
-		op.finished = true
+		operation.finished = true
 		respond(outcome)
 		a.restartIdleTimer()
 		a.performPending()
 		a.updateEvictionClass()
 	})
-	op.cancel = cancel
+	operation.cancel = cancel
 	if immediate != nil {
-		op.finished = true
+		operation.finished = true
 		a.inFlight = nil
 		respond(*immediate)
 	}
 }
 
 // abort marks an operation as finished and cancels it at the gateway.
-func (op *operation) abort() {
-	op.finished = true
-	if op.cancel != nil {
-		op.cancel()
+func (o *operation) abort() {
+	o.finished = true
+	if o.cancel != nil {
+		o.cancel()
 	}
 }
 
 // cancelInFlight cancels the operation in flight as the origin requested, and goes on with the pending units.
 func (a *association) cancelInFlight() {
-	op := a.inFlight
-	op.abort()
-	a.fail(op, diagnostic{code: diagTerminatedByOrigin})
+	operation := a.inFlight
+	operation.abort()
+	a.fail(operation, diagnostic{code: diagTerminatedByOrigin})
 	a.performPending()
 }
 
@@ -114,11 +114,11 @@
 }
 
 // fail responds to a request with a diagnostic.
-func (a *association) fail(op *operation, problem diagnostic) {
-	switch op.request {
+func (a *association) fail(operation *operation, problem diagnostic) {
+	switch operation.request {
 	case z3950.SearchRequest:
 		a.send(z3950.Constructed(z3950.SearchResponse,
-			op.reference,
+			operation.reference,
 			z3950.Integer(z3950.FieldResultCount, 0),
 			z3950.Integer(z3950.FieldRecordsReturned, 0),
 			z3950.Integer(z3950.FieldNextPosition, nextPositionNone),
@@ -127,14 +127,14 @@
 			z3950.Diagnostic(z3950.FieldDiagnostic, problem.code, problem.details)))
 	case z3950.PresentRequest:
 		a.send(z3950.Constructed(z3950.PresentResponse,
-			op.reference,
+			operation.reference,
 			z3950.Integer(z3950.FieldRecordsReturned, 0),
 			z3950.Integer(z3950.FieldNextPosition, nextPositionNone),
 			z3950.Integer(z3950.FieldPresentStatus, presentStatusFailure),
 			z3950.Diagnostic(z3950.FieldDiagnostic, problem.code, problem.details)))
 	case z3950.EsRequest:
 		a.send(z3950.Constructed(z3950.EsResponse,
-			op.reference,
+			operation.reference,
 			z3950.Integer(z3950.FieldEsOperationStatus, operationStatusFailure),
 			z3950.Constructed(z3950.FieldEsDiagnostics, z3950.DiagnosticSequence(problem.code, problem.details))))
 	}
--- a/internal/frontend/z3950/present.go
+++ b/internal/frontend/z3950/present.go
@@ -21,7 +21,7 @@
 
 // present handles a Present unit. Records that were not fetched yet are fetched by the search's query again.
 func (a *association) present(unit *z3950.Node) {
-	op := newOperation(unit)
+	operation := newOperation(unit)
 	request := presentRequest{
 		set:    a.sets[unit.Child(z3950.FieldResultSetID).Text()],
 		start:  unit.Child(z3950.FieldStartPoint).IntOr(0),
@@ -29,25 +29,25 @@
 	}
 	request.syntax, request.supported = recordSyntax(unit)
 	if problem := a.checkPresent(unit, &request); problem != nil {
-		a.fail(op, *problem)
+		a.fail(operation, *problem)
 		return
 	}
 	set, last := request.set, request.last()
 	if last <= set.fetched {
-		a.sendPresent(op, &request)
+		a.sendPresent(operation, &request)
 		return
 	}
-	a.start(op, func(done func(gateway.Outcome)) (gateway.Cancel, *gateway.Outcome) {
+	a.start(operation, func(done func(gateway.Outcome)) (gateway.Cancel, *gateway.Outcome) {
 		return a.server.Service.Search(gateway.Caller{User: a.user}, set.databases, set.query, last, done)
 	}, func(outcome gateway.Outcome) {
 		switch outcome.Kind {
 		case gateway.Complete:
 			set.records, set.fetched = outcome.Records, last
-			a.sendPresent(op, &request)
+			a.sendPresent(operation, &request)
 		case gateway.Partial:
-			a.fail(op, diagnostic{diagPresentSystemError, outcome.Coverage()})
+			a.fail(operation, diagnostic{diagPresentSystemError, outcome.Coverage()})
 		default:
-			a.fail(op, diagnosticOf(outcome))
+			a.fail(operation, diagnosticOf(outcome))
 		}
 	})
 }
@@ -73,14 +73,14 @@
 }
 
 // sendPresent responds with records that are fetched, as many as fit.
-func (a *association) sendPresent(op *operation, request *presentRequest) {
+func (a *association) sendPresent(operation *operation, request *presentRequest) {
 	records := a.fitting(request.set.page(request.start, request.number))
 	next := request.start + len(records)
 	if next > request.set.count {
 		next = nextPositionNone
 	}
 	a.send(z3950.Constructed(z3950.PresentResponse,
-		op.reference,
+		operation.reference,
 		z3950.Integer(z3950.FieldRecordsReturned, len(records)),
 		z3950.Integer(z3950.FieldNextPosition, next),
 		z3950.Integer(z3950.FieldPresentStatus, presentStatus(len(records), request.number)),
--- a/internal/frontend/z3950/search.go
+++ b/internal/frontend/z3950/search.go
@@ -59,24 +59,24 @@
 
 // search handles a Search unit.
 func (a *association) search(unit *z3950.Node) {
-	op := newOperation(unit)
+	operation := newOperation(unit)
 	request := parseSearch(unit)
 	if problem := a.checkSearch(&request); problem != nil {
-		a.fail(op, *problem)
+		a.fail(operation, *problem)
 		return
 	}
 	tree, err := a.parseQuery(request.rpn)
 	if err != nil {
-		a.fail(op, diagnosticOfError(err))
+		a.fail(operation, diagnosticOfError(err))
 		return
 	}
 	fetch := min(a.server.Service.Config.Limits.MaxRecords, max(prefetch, request.smallMax, request.mediumSent))
-	a.start(op, func(done func(gateway.Outcome)) (gateway.Cancel, *gateway.Outcome) {
+	a.start(operation, func(done func(gateway.Outcome)) (gateway.Cancel, *gateway.Outcome) {
 		return a.server.Service.Search(gateway.Caller{User: a.user}, request.databases, tree, fetch, done)
 	}, func(outcome gateway.Outcome) {
 		delete(a.sets, request.setName)
 		if outcome.Kind != gateway.Complete && outcome.Kind != gateway.Partial {
-			a.fail(op, diagnosticOf(outcome))
+			a.fail(operation, diagnosticOf(outcome))
 			return
 		}
 		set := &resultSet{
@@ -88,10 +88,10 @@
 		}
 		a.sets[request.setName] = set
 		if outcome.Kind == gateway.Partial {
-			a.sendPartialSearch(op, outcome)
+			a.sendPartialSearch(operation, outcome)
 			return
 		}
-		a.sendSearch(op, &request, set)
+		a.sendSearch(operation, &request, set)
 	})
 }
 
@@ -131,9 +131,9 @@
 }
 
 // sendPartialSearch responds to a search whose results are a valid subset. Its result set may be used; no records are sent.
-func (a *association) sendPartialSearch(op *operation, outcome gateway.Outcome) {
+func (a *association) sendPartialSearch(operation *operation, outcome gateway.Outcome) {
 	a.send(z3950.Constructed(z3950.SearchResponse,
-		op.reference,
+		operation.reference,
 		z3950.Integer(z3950.FieldResultCount, outcome.Count),
 		z3950.Integer(z3950.FieldRecordsReturned, 0),
 		z3950.Integer(z3950.FieldNextPosition, 1),
@@ -143,7 +143,7 @@
 }
 
 // sendSearch responds to a search with complete results.
-func (a *association) sendSearch(op *operation, request *searchRequest, set *resultSet) {
+func (a *association) sendSearch(operation *operation, request *searchRequest, set *resultSet) {
 	requested := request.recordsSent(set.count)
 	sent := 0
 	var records []*z3950.Node
@@ -167,7 +167,7 @@
 		next = nextPositionNone
 	}
 	fields := []*z3950.Node{
-		op.reference,
+		operation.reference,
 		z3950.Integer(z3950.FieldResultCount, set.count),
 		z3950.Integer(z3950.FieldRecordsReturned, sent),
 		z3950.Integer(z3950.FieldNextPosition, next),
--- a/internal/net/discovery/endpoints.go
+++ b/internal/net/discovery/endpoints.go
@@ -61,8 +61,8 @@
 
 // server converts an entry to the aggregator's type.
 func (e endpointEntry) server(zones []string) aggregator.Server {
-	state, known := endpointStates[e.State]
-	if !known {
+	state, ok := endpointStates[e.State]
+	if !ok {
 		state = balance.Draining
 	}
 	server := aggregator.Server{
--- a/internal/protocol/jsonstream/jsonstream.go
+++ b/internal/protocol/jsonstream/jsonstream.go
@@ -59,25 +59,25 @@
 }
 
 // scan follows the strings and brackets by one byte of an object.
-func (f *Framer) scan(c byte) {
+func (f *Framer) scan(char byte) {
 	f.scanned++
 	switch {
 	case f.escaped:
 		f.escaped = false
 	case f.quoted:
-		f.escaped = c == '\\'
-		f.quoted = c != '"'
-	case c == '"':
+		f.escaped = char == '\\'
+		f.quoted = char != '"'
+	case char == '"':
 		f.quoted = true
-	case c == '{' || c == '[':
+	case char == '{' || char == '[':
 		f.depth++
-	case c == '}' || c == ']':
+	case char == '}' || char == ']':
 		f.depth--
 	}
 }
 
-// isSpace returns whether c is white space of JSON.
-func isSpace(c byte) bool { return c == ' ' || c == '\t' || c == '\r' || c == '\n' }
+// isSpace returns whether char is white space of JSON.
+func isSpace(char byte) bool { return char == ' ' || char == '\t' || char == '\r' || char == '\n' }
 
 // fail breaks the stream and returns the error.
 func (f *Framer) fail(err error) error {
--- a/internal/query/bib1.go
+++ b/internal/query/bib1.go
@@ -136,21 +136,22 @@
 // cutTruncation removes the unescaped * at the start and end of a term, and returns the value of the Truncation attribute
 // that stands for them; 0: there is none.
 func cutTruncation(term string) (rest string, truncation int) {
-	left := false
-	right := false
+	leftTruncated := false
+	rightTruncated := false
 	if len(term) > 1 && strings.HasPrefix(term, "*") {
 		term = term[1:]
-		left = true
+		leftTruncated = true
 	}
 	if len(term) > 1 && strings.HasSuffix(term, "*") && !endsEscaped(term) {
-		term, right = term[:len(term)-1], true
+		term = term[:len(term)-1]
+		rightTruncated = true
 	}
 	switch {
-	case left && right:
+	case leftTruncated && rightTruncated:
 		truncation = truncationBoth
-	case left:
+	case leftTruncated:
 		truncation = truncationLeft
-	case right:
+	case rightTruncated:
 		truncation = truncationRight
 	}
 	return term, truncation
--- a/internal/query/cqlparse.go
+++ b/internal/query/cqlparse.go
@@ -165,7 +165,7 @@
 	case "cql.serverchoice":
 		index = ""
 	}
-	if _, known := useAttributes[index]; !known {
+	if _, supported := useAttributes[index]; !supported {
 		return nil, unsupportedIndex.errorf("%s", index)
 	}
 	if strings.TrimSpace(strings.Trim(term, "*")) == "" {
