Break long lines and name long conditions of backends, discovery and config

Cause: lines over 120 columns and conditions of three to five clauses in one if. Change: takesProbe and reserveConn name what the pool asks of a connection; the tests' conditions are split into checks of one subject each, or their clauses named.

--- a/internal/backend/leaf/conn.go
+++ b/internal/backend/leaf/conn.go
@@ -133,7 +133,7 @@
 		streams:    map[string]*attempt{},
 		canceledAt: map[string]time.Time{},
 	}
-	if addr == "" || p.connCount >= p.limits.MaxConnections && !p.evictIdle() {
+	if addr == "" || !p.reserveConn() {
 		p.mailbox.Put(dialResult{conn: c, err: errNoConnection})
 	} else {
 		p.Stats.Dials++
@@ -143,6 +143,11 @@
 	host.conns = append(host.conns, c)
 }
 
+// reserveConn reports whether there may be one more connection. At the limit it closes an idle one for it.
+func (p *Pool) reserveConn() bool {
+	return p.connCount < p.limits.MaxConnections || p.evictIdle()
+}
+
 // evictIdle closes the connection that has been idle longest, and reports whether there was one. Guards
 // Limits.MaxConnections.
 func (p *Pool) evictIdle() bool {
--- a/internal/backend/leaf/crossings_test.go
+++ b/internal/backend/leaf/crossings_test.go
@@ -226,7 +226,8 @@
 func TestPool_ReuseCrossesServerClose(t *testing.T) {
 	s := newLeafServer(t)
 	release, arrived := make(chan struct{}), make(chan struct{})
-	b := newLoopback(t, func(addr string, timeout time.Duration, handler func(*tcp.Conn) tcp.Handler) (Transport, error) {
+	type newHandler = func(*tcp.Conn) tcp.Handler
+	b := newLoopback(t, func(addr string, timeout time.Duration, handler newHandler) (Transport, error) {
 		return dialNet(addr, timeout, func(c *tcp.Conn) tcp.Handler {
 			return gatedHandler{handler(c), arrived, release}
 		})
--- a/internal/backend/leaf/harness_test.go
+++ b/internal/backend/leaf/harness_test.go
@@ -337,7 +337,9 @@
 	if e.Canceled && !a.canceled && !h.poolMayCancel(a) {
 		h.t.Fatalf("%s was not canceled: %v", a.name, e)
 	}
-	if e.Progress == aggregator.Written && a.mayHaveRun() && a.mayArrive() && (!e.Canceled || !a.serverNotified()) {
+	mayStillArrive := a.mayHaveRun() && a.mayArrive()
+	stopped := e.Canceled && a.serverNotified()
+	if e.Progress == aggregator.Written && mayStillArrive && !stopped {
 		h.t.Fatalf("%s ended while it may still arrive: %v", a.name, e)
 	}
 }
--- a/internal/backend/leaf/probe.go
+++ b/internal/backend/leaf/probe.go
@@ -30,11 +30,16 @@
 	return now.Add(p.limits.ConnectTimeout + timeoutSlack)
 }
 
+// takesProbe reports whether a load probe of the server at addr may go out on the connection.
+func (c *conn) takesProbe(addr string) bool {
+	return c.state == connOpen && !c.unresponsive && !c.draining && c.addr == addr
+}
+
 // placeProbe sends a load probe on an open connection, or lets it wait for one.
 func (p *Pool) placeProbe(now time.Time, probe *probe, addr string) {
 	host := probe.host
 	for _, conn := range host.conns {
-		if conn.state == connOpen && !conn.unresponsive && !conn.draining && conn.addr == addr && !p.stale(now, conn) {
+		if conn.takesProbe(addr) && !p.stale(now, conn) {
 			p.sendLoadProbe(conn, probe)
 			return
 		}
--- a/internal/backend/z3950/client.go
+++ b/internal/backend/z3950/client.go
@@ -62,7 +62,8 @@
 func (c *Client) Greeting() []byte {
 	return z3950.Constructed(z3950.InitRequest,
 		z3950.BitString(z3950.FieldVersion, 0, 1, 2),
-		z3950.BitString(z3950.FieldOptions, z3950.OptSearch, z3950.OptPresent, z3950.OptDelete, z3950.OptES, z3950.OptNamed),
+		z3950.BitString(z3950.FieldOptions,
+			z3950.OptSearch, z3950.OptPresent, z3950.OptDelete, z3950.OptES, z3950.OptNamed),
 		z3950.Integer(z3950.FieldPreferredMessageSize, z3950.MaxPDU),
 		z3950.Integer(z3950.FieldExceptionalRecordSize, z3950.MaxPDU),
 		z3950.String(z3950.FieldImplementationID, implementation),
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -56,7 +56,8 @@
 		t.Fatal(err)
 	}
 	for _, edit := range []invalidEdit{
-		{old: `unsafe = true`, new: ``, want: "not unsafe", someLine: true}, // a correction must not be of a class that may run twice
+		// A correction must not be of a class that may run twice.
+		{old: `unsafe = true`, new: ``, want: "not unsafe", someLine: true},
 		{old: `shards = [0, 1, 2, 3]`, new: `shards = [0, 9]`, want: "shard 9"},
 		{old: `shards = [0, 1, 2, 3]`, new: `shards = [0, 0]`, want: "shard 0"},
 		{old: `search = "line-search"`, new: `search = "nothing"`, want: `"nothing"`},
@@ -127,7 +128,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if p, err := LoadPartners("../../deploy/blocks.toml"); err != nil || !p.ShardMap.Enabled() || p.Decisions(1).Cells != 1 {
+	p, err := LoadPartners("../../deploy/blocks.toml")
+	if err != nil || !p.ShardMap.Enabled() || p.Decisions(1).Cells != 1 {
 		t.Fatal(err)
 	}
 	valid := string(text)
@@ -209,7 +211,8 @@
 	text := `{"name":"n3","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",
 		"limits":{"cores":1.5,"memory_mb":100,"sockets":50},
 		"settings":{"classes":[{"name":"a","aim":1000000,"credit":1,"deadline":2000000,"effect":"safe"}],
-		"extra":{"cells":1,"class_floor":[1],"follow_up":[0],"in_a_row":1,"incomplete_worth":[1],"need_by_class":[1],"per_call":3,"slices":1},
+		"extra":{"cells":1,"class_floor":[1],"follow_up":[0],"in_a_row":1,
+		"incomplete_worth":[1],"need_by_class":[1],"per_call":3,"slices":1},
 		"limits":{"cancel":true,"send_cap":2,"conn_idle":15000000,"max_retry_after":1000000,"retry_after":false},
 		"n_instances":1,"orgs":[{"name":"tv","quota_per_s":2}],"tick":5000}}`
 	n, err := ParseNode([]byte(text))
@@ -217,10 +220,15 @@
 		t.Fatal(err)
 	}
 	d := n.Deployment
-	if n.Seed != 0x8c1f30d27a5be964 || d.Decisions.Seed != n.Seed || n.MemoryMB != 100 || d.Classes[0] != "a" || d.Tenants[0] != "tv" ||
-		d.ConnIdle != 15*time.Second || d.Decisions.MaxCallParts != 3 {
+	if n.Seed != 0x8c1f30d27a5be964 || d.Decisions.Seed != n.Seed || n.MemoryMB != 100 {
 		t.Errorf("%+v", n)
 	}
+	if d.Classes[0] != "a" || d.Tenants[0] != "tv" {
+		t.Errorf("classes %v, tenants %v", d.Classes, d.Tenants)
+	}
+	if d.ConnIdle != 15*time.Second || d.Decisions.MaxCallParts != 3 {
+		t.Errorf("%+v", d)
+	}
 	// Clients get Retry-After though the simulator would not forward it.
 	if d.Decisions.MaxRetryAfter != time.Second {
 		t.Errorf("Retry-After of at most %v", d.Decisions.MaxRetryAfter)
--- a/internal/config/healthcheckvalidate.go
+++ b/internal/config/healthcheckvalidate.go
@@ -137,7 +137,8 @@
 
 func (f *CheckProfile) validateRequest(problems *validator, path string) {
 	if strings.ContainsAny(f.Path+f.Host+f.Method, " \r\n") || f.Path != "" && f.Path[0] != '/' {
-		problems.addf(path+".path", "check %q: path %q, host %q and method %q must be without spaces, and the path begin with /",
+		problems.addf(path+".path",
+			"check %q: path %q, host %q and method %q must be without spaces, and the path begin with /",
 			f.Name, f.Path, f.Host, f.Method)
 	}
 	if f.Send != "" && f.Kind != CheckAgent {
--- a/internal/config/peers_test.go
+++ b/internal/config/peers_test.go
@@ -23,7 +23,8 @@
 	if err := (Node{}).validatePeers(); err != nil {
 		t.Error(err) // no peers, no gossip
 	}
-	if _, err := ParseNode([]byte(`{"peer_listen":"here","settings":{}}`)); err == nil || !strings.Contains(err.Error(), "peer_listen") {
+	_, err := ParseNode([]byte(`{"peer_listen":"here","settings":{}}`))
+	if err == nil || !strings.Contains(err.Error(), "peer_listen") {
 		t.Errorf("an invalid address was accepted: %v", err)
 	}
 }
--- a/internal/net/discovery/watcher_test.go
+++ b/internal/net/discovery/watcher_test.go
@@ -29,7 +29,8 @@
 	addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
 		indices <- r.URL.Query().Get("index")
 		requests++
-		_, _ = fmt.Fprintf(w, "\n{\"version\":%d,\"full\":%v,\"servers\":[]}\n", 10*requests, requests == 1) // the client may be gone
+		// The error is ignored: the client may be gone.
+		_, _ = fmt.Fprintf(w, "\n{\"version\":%d,\"full\":%v,\"servers\":[]}\n", 10*requests, requests == 1)
 		w.(http.Flusher).Flush()
 		if requests == 3 {
 			<-r.Context().Done()
@@ -54,7 +55,8 @@
 		return serve(t, func(w http.ResponseWriter, r *http.Request) {
 			requests <- name + " " + r.URL.RawQuery
 			if r.URL.RawQuery == "" {
-				_, _ = fmt.Fprintf(w, "{\"version\":3,\"full\":true,\n\"servers\":[{\"id\":%q}]}\n", name) // the client may be gone
+				// The error is ignored: the client may be gone.
+				_, _ = fmt.Fprintf(w, "{\"version\":3,\"full\":true,\n\"servers\":[{\"id\":%q}]}\n", name)
 				return
 			}
 			_, _ = fmt.Fprintf(w, "{\"version\":4,\"full\":false,\"servers\":[{\"id\":%q}]}\n", name) // the same
@@ -126,7 +128,9 @@
 		}
 		for _, w := range waits { // an agent that has not answered yet is given a second
 			silence := w.deadline.Sub(opened) // at least: the machine may have been slow to open the watch
-			if (silence < 3*time.Second || w.duration > 4500*time.Millisecond) && (fleetSize > 1 || w.duration > time.Second) {
+			soleWait := fleetSize <= 1 && w.duration <= time.Second
+			inRange := silence >= 3*time.Second && w.duration <= 4500*time.Millisecond
+			if !inRange && !soleWait {
 				t.Errorf("watch %d: a wait of %v", attempt, w.duration)
 			}
 		}
--- a/internal/protocol/z3950/update.go
+++ b/internal/protocol/z3950/update.go
@@ -49,7 +49,9 @@
 	}
 	toKeep := sequence(Integer(fieldUpdateAction, code), String(fieldUpdateDatabaseName, database))
 	supplied := sequence(Constructed(fieldSuppliedID, String(suppliedIDString, record.ID)), content)
-	task := Constructed(taskRequest, Constructed(fieldUpdateToKeep, toKeep), Constructed(fieldUpdateNotToKeep, sequence(supplied)))
+	task := Constructed(taskRequest,
+		Constructed(fieldUpdateToKeep, toKeep),
+		Constructed(fieldUpdateNotToKeep, sequence(supplied)))
 	return Constructed(EsRequest,
 		String(FieldReferenceID, reference),
 		Integer(fieldEsFunction, esFunctionCreate),
