Break the long lines and packed conditions of the program's tests

Change: requests, settings and conditions are broken or named; each check stays, the counts of corrections are checks of their own.

--- a/cmd/rooktrestle/blocks_test.go
+++ b/cmd/rooktrestle/blocks_test.go
@@ -36,7 +36,8 @@
 	want(0, "2  ", "show", now, "--key", "news@2019:44")
 	want(0, `"id": 3`, "show", now, "--key", "z@2019", "--json")
 	steps := filepath.Join(dir, "%d.json")
-	want(0, "epoch 8: block 2 is moving; c join|until every joining server has all|epoch 9|epoch 10: block 2 is held by [b c]|wait 10s",
+	want(0, "epoch 8: block 2 is moving; c join|until every joining server has all|epoch 9|"+
+		"epoch 10: block 2 is held by [b c]|wait 10s",
 		"plan", "move", "2", "b", "c", "--map", now, "--write", steps)
 	want(0, "~ block 2 [g@2000, p@2000), from serving to moving, joins: c", "diff", now, filepath.Join(dir, "8.json"))
 	want(0, "epoch 9: 3 blocks", "check", filepath.Join(dir, "9.json"), "--after", filepath.Join(dir, "8.json"))
@@ -64,7 +65,8 @@
 	}
 	text := string(good)
 	for _, c := range []struct{ old, new string }{
-		{`source = "127.0.0.1:8600" `, "file = \"" + file + "\"\nevery = \"1h\" #"}, {`keep = "/tmp/rooktrestle-blocks"`, `#`},
+		{`source = "127.0.0.1:8600" `, "file = \"" + file + "\"\nevery = \"1h\" #"},
+		{`keep = "/tmp/rooktrestle-blocks"`, `#`},
 		{`"127.0.0.1:8210"`, `"127.0.0.1:0"`},
 		{`"127.0.0.1:2100"`, `"127.0.0.1:0"`},
 		{`"127.0.0.1:8211"`, `"127.0.0.1:0"`},
--- a/cmd/rooktrestle/fleet_test.go
+++ b/cmd/rooktrestle/fleet_test.go
@@ -113,7 +113,8 @@
 		path := filepath.Join(t.TempDir(), "config.json")
 		keys := fmt.Sprintf(`"name":"n%d","seed":"%x","peer_listen":%q,"peers":[%s],"peers_all":%q`,
 			i, 77+i, r.to[i].String(), strings.Join(peers, ","), r.all[i].LocalAddr().String())
-		configureAs(t, path, at, strings.Replace(settings, `"n_instances"`, fmt.Sprintf(`"rank":%d,"n_instances"`, i), 1), keys)
+		ranked := strings.Replace(settings, `"n_instances"`, fmt.Sprintf(`"rank":%d,"n_instances"`, i), 1)
+		configureAs(t, path, at, ranked, keys)
 		p := start(t, 1, []string{"NODE_CONFIG=" + path, "NODE_DISCOVERY=" + at})
 		p.wait()
 		fleet = append(fleet, p)
@@ -121,7 +122,8 @@
 	return fleet
 }
 
-var gossipText = regexp.MustCompile(`words sent \d+, heard (\d+), bad (\d+);.*servers that lose parts: (\d+), remarks on them heard (\d+)`)
+var gossipText = regexp.MustCompile(`words sent \d+, heard (\d+), bad (\d+);` +
+	`.*servers that lose parts: (\d+), remarks on them heard (\d+)`)
 
 // gossipCounters are an instance's counters of gossip and of outliers.
 type gossipCounters struct{ received, corrupt, outliers, observations int }
@@ -153,7 +155,8 @@
 	f.t.Helper()
 	f.queries[i]++
 	id := fmt.Sprintf("q%d.%d", i, f.queries[i])
-	if status, text := f.instances[i].ask(id, "search", `{"slices":[{"slice":0,"mass":1}],"filter":"x"}`); status != 200 {
+	status, text := f.instances[i].ask(id, "search", `{"slices":[{"slice":0,"mass":1}],"filter":"x"}`)
+	if status != 200 {
 		_, counters := f.instances[i].get("http://" + f.instances[i].listen["http"] + "/counters")
 		f.t.Fatalf("instance %d: query %d: %d %s; %s", i, f.queries[i], status, text, counters)
 	}
--- a/cmd/rooktrestle/health_test.go
+++ b/cmd/rooktrestle/health_test.go
@@ -69,7 +69,9 @@
 		{"in service", ""},
 		{"draining", "drain (festival)"},
 	} {
-		if r := reports[i]; r.State != want.state || !strings.Contains(r.Cause, want.cause) || len(r.Facts) < 3 || r.Usable != (i == 2) {
+		r := reports[i]
+		matches := r.State == want.state && strings.Contains(r.Cause, want.cause)
+		if !matches || len(r.Facts) < 3 || r.Usable != (i == 2) {
 			t.Errorf("%+v, want %v", r, want)
 		}
 	}
--- a/cmd/rooktrestle/partners_test.go
+++ b/cmd/rooktrestle/partners_test.go
@@ -219,9 +219,12 @@
 	if r := o.ask(ber.SearchAPDU("x", "nowhere", ber.TermOperand(4, "x"))); ber.DiagnosticCode(r) != 109 {
 		t.Errorf("%+v", r)
 	}
-	if r := o.ask(ber.UpdateAPDU("2:line")); r.Tag != 47 || r.Child(3).Int() != 1 || a.CorrectionCounts()["2:line"] != 1 {
+	if r := o.ask(ber.UpdateAPDU("2:line")); r.Tag != 47 || r.Child(3).Int() != 1 {
 		t.Errorf("%+v", r)
 	}
+	if runs := a.CorrectionCounts()["2:line"]; runs != 1 {
+		t.Errorf("the correction ran %d times", runs)
+	}
 	if r := o.ask(ber.Constructed(48, ber.Integer(211, 0))); r.Tag != 48 {
 		t.Errorf("%+v", r)
 	}
@@ -300,7 +303,8 @@
 			t.Fatal(err)
 		}
 		body := client.UpdateXML(id)
-		send(c, fmt.Sprintf("POST /captions HTTP/1.1\r\nHost: x\r\nContent-Type: text/xml\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+		const head = "POST /captions HTTP/1.1\r\nHost: x\r\nContent-Type: text/xml\r\nContent-Length: %d\r\n\r\n"
+		send(c, fmt.Sprintf(head, len(body))+body)
 		server := <-a.CorrectionBegun
 		closeQuietly(c)
 		if left := <-a.ClientLeft; left != server {
@@ -325,7 +329,8 @@
 	o := dialZ(t, p.listen["z3950"], "")
 	o.send(ber.UpdateAPDU("0:z"))
 	<-a.CorrectionBegun
-	if r := o.ask(ber.Constructed(32, ber.Integer(46, 3))); r.Tag != 47 || r.Child(3).Int() != 3 || ber.DiagnosticCode(r) != 105 {
+	r := o.ask(ber.Constructed(32, ber.Integer(46, 3)))
+	if r.Tag != 47 || r.Child(3).Int() != 3 || ber.DiagnosticCode(r) != 105 {
 		t.Errorf("%+v", r)
 	}
 	<-a.ClientLeft
@@ -353,7 +358,12 @@
 // A correction that may have run fails and is not sent again, whether its server breaks off or stays silent.
 func TestCorrectionsThatMayHaveRun(t *testing.T) {
 	a := newArchive(t)
-	a.OnCorrection = func(_, id string) string { return map[byte]string{'b': "break", 'h': "hang", 'r': "reject"}[id[2]] }
+	behaviors := map[byte]string{
+		'b': "break",
+		'h': "hang",
+		'r': "reject",
+	}
+	a.OnCorrection = func(_, id string) string { return behaviors[id[2]] }
 	p := partners(t, a, partnersOptions{})
 	for _, id := range []string{"0:break", "1:break", "2:break", "3:break"} {
 		contains(t, p.correct(id), "<operationStatus>fail<", "diagnostic/1/1<", "failed")
@@ -425,8 +435,9 @@
 			t.Errorf("%s ran %d times", id, a.CorrectionCounts()[id])
 		}
 	}
-	if text := p.correct("0:dead"); !strings.Contains(text, "<operationStatus>fail<") || a.CorrectionCounts()["0:dead"] != 0 {
-		t.Error(text)
+	contains(t, p.correct("0:dead"), "<operationStatus>fail<")
+	if runs := a.CorrectionCounts()["0:dead"]; runs != 0 {
+		t.Errorf("the correction ran %d times", runs)
 	}
 	p.stop()
 }
@@ -461,7 +472,8 @@
 		}
 		o.Close()
 	}
-	if r := good.ask(ber.SearchAPDU("x", "captions", ber.Constructed(0, ber.Primitive(77, "")))); ber.DiagnosticCode(r) != 108 {
+	invalidOperand := ber.Constructed(0, ber.Primitive(77, ""))
+	if r := good.ask(ber.SearchAPDU("x", "captions", invalidOperand)); ber.DiagnosticCode(r) != 108 {
 		t.Errorf("%+v", r)
 	}
 	if r := good.ask(ber.SearchAPDU("x", "captions", ber.TermOperand(4, "x"))); r.Child(23).Int() != 4 {
--- a/cmd/rooktrestle/platform_standins_test.go
+++ b/cmd/rooktrestle/platform_standins_test.go
@@ -90,8 +90,10 @@
  {"name":"report","aim":2500000,"credit":2,"deadline":7500000,"effect":"safe","late_worth":0.1},
  {"name":"search","aim":1500000,"credit":1,"deadline":4000000,"effect":"safe","late_worth":0.3},
  {"name":"correction","aim":1500000,"credit":1,"deadline":3000000,"effect":"unsafe","late_worth":0.3}],
- "extra":{"cells":2,"class_floor":[0.5,1,1],"follow_up":[2,0,0],"in_a_row":2,"incomplete_worth":[0.8,0.9,0.9],"need_by_class":[1,1,1],"per_call":1,"slices":4},
- "limits":{"cancel":true,"conn_idle":15000000,"connect_timeout":250000,"max_open":100,"max_retry_after":1000000,"probing":true,"send_cap":4,"streams_per_conn":100},
+ "extra":{"cells":2,"class_floor":[0.5,1,1],"follow_up":[2,0,0],"in_a_row":2,"incomplete_worth":[0.8,0.9,0.9],
+  "need_by_class":[1,1,1],"per_call":1,"slices":4},
+ "limits":{"cancel":true,"conn_idle":15000000,"connect_timeout":250000,"max_open":100,
+  "max_retry_after":1000000,"probing":true,"send_cap":4,"streams_per_conn":100},
  "load_info":{"fields":["pending"],"how":"pull"},"n_instances":1,"orgs":[{"name":"tv","quota_per_s":100,"share":1}],
  "rules":{"cold":16000000,"cold_from":0.28,"fall":2000000,"tip_multiple":3},"tick":5000,"zone":0,"zones":["a","b"]}`
 
@@ -124,7 +126,9 @@
 		if i == drains {
 			state = "DRAINING"
 		}
-		lines = append(lines, fmt.Sprintf(`{"id":"s-%d","addr":%q,"zone":"a","kind":"m","cell":%d,"state":%q,"weight":1,"started_ms":0}`, i, l.addr, i, state))
+		line := fmt.Sprintf(`{"id":"s-%d","addr":%q,"zone":"a","kind":"m","cell":%d,"state":%q,"weight":1,"started_ms":0}`,
+			i, l.addr, i, state)
+		lines = append(lines, line)
 	}
 	return fmt.Sprintf(`{"version":1,"full":true,"servers":[%s]}`, strings.Join(lines, ","))
 }
@@ -159,7 +163,9 @@
 // configureAs writes a configuration with these settings and further keys.
 func configureAs(t *testing.T, path, discovery, settings, keys string) {
 	conf := fmt.Sprintf(`{%s,"listen":"127.0.0.1:0","discovery":%q,
-		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"version":0,"full":true,"servers":[]},"settings":%s}`, keys, discovery, settings)
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},
+		"known":{"version":0,"full":true,"servers":[]},
+		"settings":%s}`, keys, discovery, settings)
 	writeFile(t, path, conf)
 }
 
--- a/cmd/rooktrestle/program_test.go
+++ b/cmd/rooktrestle/program_test.go
@@ -18,7 +18,8 @@
 func TestPlatform_Serves(t *testing.T) {
 	a, b := newLeaf(t, value), newLeaf(t, value)
 	p := platform(t, a, b)
-	status, text := p.ask("q1", "search", `{"slices":[{"slice":0,"mass":0.5},{"slice":3,"mass":0.5}],"filter":"बजेट"}`)
+	status, text := p.ask("q1", "search", `{"slices":[{"slice":0,"mass":0.5},{"slice":3,"mass":0.5}],
+		"filter":"बजेट"}`)
 	var got struct {
 		Entire bool
 		Items  []struct {
@@ -99,7 +100,8 @@
 		return value(name, c)
 	}
 	p := platform(t, newLeaf(t, first), newLeaf(t, first))
-	if status, text := p.ask("q4", "search", `{"slices":[{"slice":1,"mass":1}],"filter":"x"}`); status != 200 || !strings.Contains(text, valueOf("q4.1")) {
+	status, text := p.ask("q4", "search", `{"slices":[{"slice":1,"mass":1}],"filter":"x"}`)
+	if status != 200 || !strings.Contains(text, valueOf("q4.1")) {
 		t.Errorf("%d %s", status, text)
 	}
 	p.stop()
@@ -239,7 +241,11 @@
 	writeFile(t, bad, `{"settings":{"classes":[]}}`)
 	for _, args := range [][]string{{"serve"}, {"serve", "--front", bad}, {"check-config", "/nowhere"}, {"check-config"}} {
 		cmd := exec.Command(os.Args[0], args...)
-		cmd.Env = append(os.Environ(), "ROOKTRESTLE_PROGRAM=1", "NODE_CONFIG="+bad, "NODE_LISTEN=127.0.0.1:0", "NODE_DISCOVERY=127.0.0.1:1")
+		cmd.Env = append(os.Environ(),
+			"ROOKTRESTLE_PROGRAM=1",
+			"NODE_CONFIG="+bad,
+			"NODE_LISTEN=127.0.0.1:0",
+			"NODE_DISCOVERY=127.0.0.1:1")
 		out, err := cmd.CombinedOutput()
 		if cmd.ProcessState.ExitCode() != 2 || strings.Count(string(out), "\n") != 1 {
 			t.Errorf("%v: %v, %q", args, err, out)
--- a/cmd/rooktrestle/shutdown_test.go
+++ b/cmd/rooktrestle/shutdown_test.go
@@ -35,7 +35,8 @@
 // send sends a query of one part, with its deadline in seconds.
 func (c httpClient) send(id, wait string) error {
 	body := `{"slices":[{"slice":1,"mass":1}],"filter":"x"}`
-	_, err := fmt.Fprintf(c, "POST /search HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nX-Class: search\r\nX-Tenant: tv\r\nX-Deadline: %s\r\nContent-Length: %d\r\n\r\n%s",
+	_, err := fmt.Fprintf(c, "POST /search HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nX-Class: search\r\nX-Tenant: tv\r\n"+
+		"X-Deadline: %s\r\nContent-Length: %d\r\n\r\n%s",
 		id, wait, len(body), body)
 	return err
 }
--- a/cmd/rooktrestle/silence_test.go
+++ b/cmd/rooktrestle/silence_test.go
@@ -73,7 +73,8 @@
 	f.t.Helper()
 	f.queries[i]++
 	id := fmt.Sprintf("q%d.%d", i, f.queries[i])
-	if status, text := f.instances[i].ask(id, "search", `{"slices":[{"slice":0,"mass":1}],"filter":"x"}`); status != 200 {
+	status, text := f.instances[i].ask(id, "search", `{"slices":[{"slice":0,"mass":1}],"filter":"x"}`)
+	if status != 200 {
 		f.t.Fatalf("%s: %d %s", id, status, text)
 	}
 }
