Name SRU's diagnostics in its tests by their constants

Cause: bare numbers of diagnostics, which a reader had to look up. Change: the constants stand in their place, and a new test holds the constants to the numbers of the set, so the wire stays checked. Long lines of the tests of z3950 and grpchealth are broken.

--- a/internal/frontend/grpchealth/server_test.go
+++ b/internal/frontend/grpchealth/server_test.go
@@ -81,7 +81,8 @@
 	if got := unknownService(); got != unknown {
 		t.Errorf("Watch of an unknown service: %v", got)
 	}
-	if _, err := client.Check(t.Context(), &healthpb.HealthCheckRequest{Service: "nothing"}); status.Code(err) != codes.NotFound {
+	_, err := client.Check(t.Context(), &healthpb.HealthCheckRequest{Service: "nothing"})
+	if status.Code(err) != codes.NotFound {
 		t.Errorf("Check of an unknown service: %v", err)
 	}
 
--- a/internal/frontend/sru/server_test.go
+++ b/internal/frontend/sru/server_test.go
@@ -14,6 +14,7 @@
 	"rooktrestle/internal/gateway"
 	"rooktrestle/internal/net/httpserve"
 	"rooktrestle/internal/net/tcp"
+	"rooktrestle/internal/protocol/sru"
 	"rooktrestle/internal/query"
 )
 
@@ -149,6 +150,9 @@
 	}
 }
 
+// diagnosticURI is the end of a diagnostic's URI in a response, up to the tag behind it.
+func diagnosticURI(code int) string { return fmt.Sprintf("diagnostic/1/%d<", code) }
+
 func TestServer_Search_OutcomesOfTheCore(t *testing.T) {
 	for _, test := range []struct {
 		name   string
@@ -160,7 +164,7 @@
 			name:   "a partial answer is marked with what is missing",
 			answer: served(1, false, 1),
 			status: 200,
-			texts:  []string{"<line>1</line>", "diagnostic/1/59<", "1 of 2 blocks", "not in: 1"},
+			texts:  []string{"<line>1</line>", diagnosticURI(sru.PartialResults), "1 of 2 blocks", "not in: 1"},
 		},
 		{
 			name:   "an overload is an error of HTTP with Retry-After in whole seconds",
@@ -172,13 +176,13 @@
 			name:   "a deadline that has passed",
 			answer: aggregator.FinalAnswer{Status: aggregator.StatusFailed, DeadlineExceeded: true},
 			status: 200,
-			texts:  []string{"diagnostic/1/1<", "<details>timed out<", "<numberOfRecords>0<"},
+			texts:  []string{diagnosticURI(sru.GeneralSystemError), "<details>timed out<", "<numberOfRecords>0<"},
 		},
 		{
 			name:   "a failed query",
 			answer: aggregator.FinalAnswer{Status: aggregator.StatusFailed},
 			status: 200,
-			texts:  []string{"diagnostic/1/1<", "<details>failed"},
+			texts:  []string{diagnosticURI(sru.GeneralSystemError), "<details>failed"},
 		},
 		{
 			name: "a diagnostic of a Z39.50 server",
@@ -186,11 +190,16 @@
 				Status:   aggregator.StatusServed,
 				Complete: true,
 				Items: []aggregator.Item{
-					{Shard: 0, Value: query.Encode(query.PartResult{Diagnostic: &query.Diagnostic{Bib1: 114, Details: "use"}})},
+					{
+						Shard: 0,
+						Value: query.Encode(query.PartResult{
+							Diagnostic: &query.Diagnostic{Bib1: 114, Details: "use"},
+						}),
+					},
 				},
 			},
 			status: 200,
-			texts:  []string{"diagnostic/1/1<", "bib-1 114 use"},
+			texts:  []string{diagnosticURI(sru.GeneralSystemError), "bib-1 114 use"},
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -209,24 +218,24 @@
 		params []string
 		want   string
 	}{
-		{name: "an unknown database", target: "/nowhere", want: "diagnostic/1/235<"},
+		{name: "an unknown database", target: "/nowhere", want: diagnosticURI(sru.DatabaseDoesNotExist)},
 		{
 			name:   "an unknown schema",
 			target: "/captions",
 			params: []string{"recordSchema", "marcxml"},
-			want:   "diagnostic/1/66<",
+			want:   diagnosticURI(sru.UnknownSchema),
 		},
 		{
 			name:   "a start at record 0",
 			target: "/captions",
 			params: []string{"startRecord", "0"},
-			want:   "diagnostic/1/6<",
+			want:   diagnosticURI(sru.UnsupportedValue),
 		},
 		{
 			name:   "a start beyond the limit",
 			target: "/captions",
 			params: []string{"startRecord", "21"},
-			want:   "diagnostic/1/61<",
+			want:   diagnosticURI(sru.FirstRecordOutOfRange),
 		},
 		{
 			name:   "a query that cannot be parsed",
--- a/internal/frontend/z3950/association_test.go
+++ b/internal/frontend/z3950/association_test.go
@@ -131,7 +131,9 @@
 
 func presentUnit(set string, start, number int) *z3950.Node {
 	return z3950.Constructed(z3950.PresentRequest,
-		z3950.String(z3950.FieldResultSetID, set), z3950.Integer(z3950.FieldStartPoint, start), z3950.Integer(z3950.FieldRecordsRequested, number))
+		z3950.String(z3950.FieldResultSetID, set),
+		z3950.Integer(z3950.FieldStartPoint, start),
+		z3950.Integer(z3950.FieldRecordsRequested, number))
 }
 
 func cancelUnit() *z3950.Node {
@@ -168,7 +170,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			o := newOrigin(t)
 			o.handler.Data(test.data)
-			if o.last().Tag != z3950.ClosePDU || o.last().Child(z3950.FieldCloseReason).IntOr(-1) != z3950.CloseProtocol || !o.closed {
+			last := o.last()
+			reason := last.Child(z3950.FieldCloseReason).IntOr(-1)
+			if last.Tag != z3950.ClosePDU || reason != z3950.CloseProtocol || !o.closed {
 				t.Errorf("answered by %+v, closed %v", o.last(), o.closed)
 			}
 		})
--- a/internal/protocol/sru/sru_test.go
+++ b/internal/protocol/sru/sru_test.go
@@ -10,18 +10,46 @@
 	"rooktrestle/internal/query"
 )
 
+// The other tests name diagnostics by these constants; their numbers are on the wire.
+func TestDiagnostics_HaveTheNumbersOfTheSet(t *testing.T) {
+	for number, got := range map[int]int{
+		1:   GeneralSystemError,
+		2:   TemporarilyUnavailable,
+		4:   UnsupportedOperation,
+		5:   UnsupportedVersion,
+		6:   UnsupportedValue,
+		7:   MissingParameter,
+		8:   UnsupportedParameter,
+		50:  ResultSetsUnsupported,
+		59:  PartialResults,
+		61:  FirstRecordOutOfRange,
+		66:  UnknownSchema,
+		71:  UnsupportedPacking,
+		80:  SortUnsupported,
+		110: StylesheetsUnsupported,
+		235: DatabaseDoesNotExist,
+	} {
+		if got != number {
+			t.Errorf("diagnostic %d has the number %d", number, got)
+		}
+		if messages[number] == "" {
+			t.Errorf("diagnostic %d has no message", number)
+		}
+	}
+}
+
 func TestParseRequest_Diagnostics(t *testing.T) {
 	good := "operation=searchRetrieve&version=1.2&query=cat"
 	for more, want := range map[string]int{
 		"": 0,
 		"&maximumRecords=0&startRecord=3&recordPacking=string&x-any=1": 0,
-		"&startRecord=0":     6,
-		"&maximumRecords=-1": 6,
-		"&recordPacking=pdf": 71,
-		"&sortKeys=date":     80,
-		"&stylesheet=x":      110,
-		"&nothing=1":         8,
-		"&version=1.2":       6,
+		"&startRecord=0":     UnsupportedValue,
+		"&maximumRecords=-1": UnsupportedValue,
+		"&recordPacking=pdf": UnsupportedPacking,
+		"&sortKeys=date":     SortUnsupported,
+		"&stylesheet=x":      StylesheetsUnsupported,
+		"&nothing=1":         UnsupportedParameter,
+		"&version=1.2":       UnsupportedValue,
 	} {
 		params, err := url.ParseQuery(good + more)
 		if err != nil {
@@ -34,12 +62,12 @@
 		}
 	}
 	for text, want := range map[string]int{
-		"version=1.2":                                                      7,
-		"operation=scan&version=1.2":                                       4,
-		"operation=searchRetrieve":                                         7,
-		"operation=searchRetrieve&version=3.0":                             5,
-		"operation=searchRetrieve&version=1.2":                             7,
-		"operation=searchRetrieve&version=1.2&query=cql.resultSetId+%3D+x": 50,
+		"version=1.2":                                                      MissingParameter,
+		"operation=scan&version=1.2":                                       UnsupportedOperation,
+		"operation=searchRetrieve":                                         MissingParameter,
+		"operation=searchRetrieve&version=3.0":                             UnsupportedVersion,
+		"operation=searchRetrieve&version=1.2":                             MissingParameter,
+		"operation=searchRetrieve&version=1.2&query=cql.resultSetId+%3D+x": ResultSetsUnsupported,
 	} {
 		params, _ := url.ParseQuery(text)
 		_, err := ParseRequest(params)
@@ -60,14 +88,14 @@
 		}
 	}
 	for text, want := range map[string]int{
-		"nonsense": 6,
-		"<other/>": 4,
-		"<updateRequest><action>info:srw/action/1/burn</action></updateRequest>":                                         6,
-		"<updateRequest><action>info:srw/action/1/delete</action></updateRequest>":                                       7,
-		"<updateRequest><action>info:srw/action/1/create</action><recordIdentifier>x</recordIdentifier></updateRequest>": 7,
-		`<!DOCTYPE a [<!ENTITY b "c">]><updateRequest/>`:                                                                 6,
-		strings.Repeat("<a>", maxDepth+1) + strings.Repeat("</a>", maxDepth+1):                                           6,
-		"<updateRequest><version>9</version><action>info:srw/action/1/delete</action></updateRequest>":                   5,
+		"nonsense": UnsupportedValue,
+		"<other/>": UnsupportedOperation,
+		"<updateRequest><action>info:srw/action/1/burn</action></updateRequest>":                                         UnsupportedValue,
+		"<updateRequest><action>info:srw/action/1/delete</action></updateRequest>":                                       MissingParameter,
+		"<updateRequest><action>info:srw/action/1/create</action><recordIdentifier>x</recordIdentifier></updateRequest>": MissingParameter,
+		`<!DOCTYPE a [<!ENTITY b "c">]><updateRequest/>`:                                                                 UnsupportedValue,
+		strings.Repeat("<a>", maxDepth+1) + strings.Repeat("</a>", maxDepth+1):                                           UnsupportedValue,
+		"<updateRequest><version>9</version><action>info:srw/action/1/delete</action></updateRequest>":                   UnsupportedVersion,
 	} {
 		_, err := ParseUpdate([]byte(text))
 		var f *Fault
