Break the long lines of the application's composition

Cause: lines over 120 columns and literals crammed on one line. Change: one field a line; texts are as they were. Measured: go test -race -count=1 ./internal/app/...: all ok.

--- a/internal/app/grpchealthcmd/grpchealthcmd.go
+++ b/internal/app/grpchealthcmd/grpchealthcmd.go
@@ -69,7 +69,8 @@
 	}
 	c.Flags().StringVar(&o.listen, "listen", "", "address for gRPC clients; empty: none")
 	c.Flags().StringVar(&o.aggregator, "mixer", "", "address of the aggregator's health listener; needed with --listen")
-	c.Flags().StringVar(&o.bridge, "bridge", "", "address at which the aggregator has gRPC servers checked (checks.grpc_bridge); empty: none")
+	c.Flags().StringVar(&o.bridge, "bridge", "",
+		"address at which the aggregator has gRPC servers checked (checks.grpc_bridge); empty: none")
 	c.Flags().DurationVar(&o.interval, "every", defaultInterval, "interval between requests to the aggregator")
 	return c
 }
--- a/internal/app/platform.go
+++ b/internal/app/platform.go
@@ -247,8 +247,10 @@
 // countersText is the text of GET /counters, and of the counters at exit. It runs on the loop.
 func (s *platformServer) countersText() string {
 	stats := s.pool.Stats
-	text := fmt.Sprintf("%v; leaf connections: dialed %d, refused %d, broken %d, spoilt %d, late answers %d; front: %+v",
-		s.core.Counters, stats.Dials, stats.DialsFailed, stats.Broken, stats.Corrupt, stats.LateAnswers, s.frontend.Counters())
+	text := fmt.Sprintf("%v; leaf connections: dialed %d, refused %d, broken %d, spoilt %d, late answers %d; "+
+		"front: %+v",
+		s.core.Counters, stats.Dials, stats.DialsFailed, stats.Broken, stats.Corrupt, stats.LateAnswers,
+		s.frontend.Counters())
 	if outliers := s.core.Outliers; outliers != nil {
 		text += fmt.Sprintf("; servers that lose parts: %d, remarks on them heard %d",
 			outliers.EjectedCount(), outliers.ObservationsReceived)
--- a/internal/app/readiness.go
+++ b/internal/app/readiness.go
@@ -45,7 +45,10 @@
 		health:    tracker,
 		evaluator: readiness.New(readiness.DefaultConfig()),
 		publisher: publisher,
-		memory:    []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}},
+		memory: []metrics.Sample{
+			{Name: "/memory/classes/total:bytes"},
+			{Name: "/memory/classes/heap/released:bytes"},
+		},
 	}
 }
 
--- a/internal/app/shardmaps.go
+++ b/internal/app/shardmaps.go
@@ -120,7 +120,12 @@
 func (m *shardMaps) pollSource(stop <-chan struct{}) {
 	settings := m.conf.ShardMap
 	if settings.File != "" {
-		source := &shardmapsource.File{Path: settings.File, Interval: settings.PollInterval.Duration, Put: m.offer, Wake: m.poll}
+		source := &shardmapsource.File{
+			Path:     settings.File,
+			Interval: settings.PollInterval.Duration,
+			Put:      m.offer,
+			Wake:     m.poll,
+		}
 		source.Run(stop)
 		return
 	}
