--- a/internal/backend/leaf/conn.go
+++ b/internal/backend/leaf/conn.go
@@ -125,22 +125,27 @@
 }
 
 // connect starts to dial a server. If that is not possible now, the dial fails in a later turn.
-func (p *Pool) connect(now time.Time, h *host, addr string) {
+func (p *Pool) connect(now time.Time, host *host, addr string) {
 	c := &conn{
-		host:       h,
+		host:       host,
 		addr:       addr,
 		lastUsed:   now,
 		streams:    map[string]*attempt{},
 		canceledAt: map[string]time.Time{},
 	}
-	if addr == "" || p.connCount >= p.limits.MaxConnections && !p.evictIdle() {
+	if addr == "" || !p.reserveConn() {
 		p.mailbox.Put(dialResult{conn: c, err: errNoConnection})
 	} else {
 		p.Stats.Dials++
 		p.dial(c, addr, p.limits.ConnectTimeout+timeoutSlack)
 	}
 	p.connCount++
-	h.conns = append(h.conns, c)
+	host.conns = append(host.conns, c)
+}
+
+// reserveConn reports whether there may be one more connection. At the limit it closes an idle one for it.
+func (p *Pool) reserveConn() bool {
+	return p.connCount < p.limits.MaxConnections || p.evictIdle()
 }
 
 // evictIdle closes the connection that has been idle longest, and reports whether there was one. Guards
--- a/internal/config/healthcheckvalidate.go
+++ b/internal/config/healthcheckvalidate.go
@@ -22,9 +22,9 @@
 
 func (p *Partners) validateChecks(problems *validator) {
 	checks := p.Checks
-	problems.atLeast("checks.fall", checks.Fall, 1)
-	problems.atLeast("checks.rise", checks.Rise, 1)
-	problems.atLeast("checks.at_once", checks.MaxConcurrent, 2)
+	problems.requireMin("checks.fall", checks.Fall, 1)
+	problems.requireMin("checks.rise", checks.Rise, 1)
+	problems.requireMin("checks.at_once", checks.MaxConcurrent, 2)
 	if !(checks.MaxStartsPerSecond > 0 && checks.MaxStartsPerSecond <= 1e6) { // written so that NaN is a problem, too
 		problems.addf("checks.per_second", "checks.per_second must be over 0 and at most 1000000, not %v",
 			checks.MaxStartsPerSecond)
@@ -80,8 +80,8 @@
 			profile.Name, profile.Kind)
 	}
 	profile.validateTimes(problems, path)
-	problems.atLeast(path+".fall", profile.Fall, 1)
-	problems.atLeast(path+".rise", profile.Rise, 1)
+	problems.requireMin(path+".fall", profile.Fall, 1)
+	problems.requireMin(path+".rise", profile.Rise, 1)
 	profile.validateTarget(problems, path)
 	if profile.NoResult != noResultIgnored && profile.NoResult != noResultDown {
 		problems.addf(path+".silence", "check %q: silence is ignore or down, not %q",
@@ -137,7 +137,8 @@
 
 func (f *CheckProfile) validateRequest(problems *validator, path string) {
 	if strings.ContainsAny(f.Path+f.Host+f.Method, " \r\n") || f.Path != "" && f.Path[0] != '/' {
-		problems.addf(path+".path", "check %q: path %q, host %q and method %q must be without spaces, and the path begin with /",
+		problems.addf(path+".path",
+			"check %q: path %q, host %q and method %q must be without spaces, and the path begin with /",
 			f.Name, f.Path, f.Host, f.Method)
 	}
 	if f.Send != "" && f.Kind != CheckAgent {
