--- a/balance/admission.go
+++ b/balance/admission.go
@@ -16,7 +16,6 @@
 	minObservedLatency = 0.5  // of the objective: what recent responses must have taken for a rejection
 	hopelessTimeLeft   = 0.25 // of the objective: only with less left may service times alone reject
 	minInFlightToJudge = 2    // own requests in flight from which a server's recent latency closes it
-	maxExtrapolated    = 4    // balancers that own requests may stand for: one of many knows little
 	minTrafficFraction = 0.01 // a traffic fraction so small that parts rather wait for another replica
 )
 
@@ -34,14 +33,14 @@
 	}
 	// Both must say so: what responses took lately, which lags, and the number in flight, high in a lull.
 	deviations := estimate.TailDeviations(len(q.parts), 1-(least+needed)/2)
-	if delay, measured := b.observedQueueDelay(); measured {
+	if delay, measured := b.fleet.ObservedQueueDelay(b.now); measured {
 		return b.fleet.SlowestWithQueue(deviations, delay) <= limit
 	}
 	slowest := b.fleet.Slowest(deviations)
 	if slowest <= micros(q.class.Objective)*minObservedLatency {
 		return true
 	}
-	expected, measured := b.expectedLatency(q, slowest)
+	expected, measured := b.fleet.Expected(b.now, q.Class, len(q.parts), slowest)
 	if expected > limit && !measured {
 		b.fleet.ForgetExcess() // a rejection brings no answers, so each forgets some of what made it
 	}
@@ -81,55 +80,7 @@
 	halfOpen := len(s.InFlight) == 0 && b.now >= s.NextTrial
 	quick := s.RecentMean() <= limit || !s.Slow && len(s.InFlight) < minInFlightToJudge
 	return b.now >= s.avoidUntil && b.slowStartAllows(p, s) && (quick || halfOpen) &&
-		b.queueDelay(s) <= max(0, limit-b.fleet.InitialMean())
-}
-
-// expectedLatency is how long a new query may take by Little's law: requests in flight at healthy servers over the
-// rate at which these answer. What is in flight falls as soon as less is sent, so rejections cannot feed on
-// themselves. Fresh load reports (their median: a few servers may hold most) and the parts sent since tell it, or
-// own requests where balancers are few; else measured is false and recent response times must do.
-func (b *Balancer) expectedLatency(q *query, slowest float64) (took float64, measured bool) {
-	instances := float64(b.settings.Instances)
-	own, capacity, reports := 0.0, 0.0, []float64(nil)
-	for _, s := range b.endpoints {
-		if !s.listed || !s.HealthyFor(q.Class) {
-			continue
-		}
-		capacity += b.capacity(s)
-		own += float64(len(s.InFlight) - s.Lost)
-		if inFlight, known := s.inFlightSince(b.now - b.fleet.AnswerPeriod()); known {
-			reports = append(reports, inFlight)
-		}
-	}
-	if reports == nil && instances > maxExtrapolated {
-		return slowest, false
-	}
-	capacity = max(capacity, 1)
-	inFlight := max(min(instances, maxExtrapolated)*own/capacity, estimate.Median(reports))
-	return b.fleet.Expected(len(q.parts), inFlight, capacity, instances, slowest), true
-}
-
-// backlogged reports whether a server has a long queue, by what is known of it, or with time of the others. The last
-// report of a long one counts only for so long: where no reports come it would for good.
-func (b *Balancer) backlogged(s *server) bool {
-	reported := s.queueWasLong && b.now-s.reportedAt < reportLifetime*b.minObjective
-	return reported || b.fleet.IsLongQueue(b.averagesOf(s).Queue)
-}
-
-// queueDelay is how long a part waits at a server before it is begun, where queues are shared by gossip.
-func (b *Balancer) queueDelay(s *server) float64 {
-	if !b.settings.GossipEnabled() {
-		return 0
-	}
-	return b.fleet.DrainTime(b.averagesOf(s).Queue)
-}
-
-// observedQueueDelay is how long a part waits at the servers with long queues, by what probes showed lately; measured
-// is false where too few did. It is fresh where responses are old: one of many balancers has few, and after a jam none.
-func (b *Balancer) observedQueueDelay() (delay float64, measured bool) {
-	queues := b.probedQueues(b.now - b.fleet.AnswerPeriod())
-	measured = len(queues) >= estimate.MinReports && b.settings.Instances > maxExtrapolated
-	return b.fleet.DrainTime(estimate.Quantile(queues, estimate.LongQueueQuantile)), measured
+		b.fleet.QueueDelay(&s.Server, b.now) <= max(0, limit-b.fleet.InitialMean())
 }
 
 // shedOptionalParts leaves out parts that a query can do without where half of a shard's replicas are excluded and the
@@ -155,7 +106,7 @@
 	for _, s := range candidates {
 		if s.nearlyExcluded() {
 			excluded++
-		} else if !b.backlogged(s) {
+		} else if !b.fleet.Backlogged(&s.Server, b.now) {
 			return false
 		}
 	}
--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -51,9 +51,8 @@
 	p.attempts++
 	p.inFlight = append(p.inFlight, a)
 	class := &s.PerClass[p.query.Class]
-	s.Sent(p.query.Class, b.now)
+	b.fleet.RecordSend(&s.Server, p.query.Class, b.now)
 	b.attempts[attemptKey{p.ID, a.number}] = a
-	b.slowStart.RecordSend(&s.slowStart, b.now)
 	overdue := b.fleet.Overdue()
 	if !s.Path.Usable() {
 		s.Path.NextTrial = b.now + duration(overdue)
@@ -113,7 +112,7 @@
 	p := a.part
 	class.LastSuccess = b.now
 	class.RecordSuccess()
-	b.recordAnswer(a.server, took, len(p.query.parts))
+	b.fleet.RecordAnswer(&a.server.Server, b.now, took, len(p.query.parts))
 	if b.parts[p.ID] != p || p.answered {
 		return
 	}
@@ -131,7 +130,7 @@
 	s.RecordServerFailure(b.now, b.trialInterval())
 	s.avoidUntil = b.now + duration(s.Penalty*b.fleet.Overdue())
 	s.resolveResets(true)
-	if b.now-s.slowStart.Started > b.settings.Rules.WarmupPeriod {
+	if b.now-s.SlowStart.Started > b.settings.Rules.WarmupPeriod {
 		s.Recent = nil
 	}
 }
@@ -146,7 +145,7 @@
 		s.RecordClassFailure(p.query.Class, b.now, a.sent, b.trialInterval())
 	}
 	if s.LastSuccess <= a.sent { // else the part was lost, and its time says nothing of the others'
-		b.recordUnanswered(s, took, len(p.query.parts))
+		b.fleet.RecordUnanswered(&s.Server, took, len(p.query.parts))
 	}
 }
 
@@ -178,16 +177,6 @@
 	}
 }
 
-// resolveResets decides whether a server that lost connections crashed; it runs if only answers were lost.
-func (s *server) resolveResets(crashed bool) {
-	for _, q := range s.resetQueries {
-		if crashed {
-			q.crashes++
-		}
-	}
-	s.resetQueries = nil
-}
-
 // trialInterval is the least time between two half-open requests to a server or class, in microseconds.
 func (b *Balancer) trialInterval() float64 {
 	return halfOpenInterval * b.sqrtInstances * b.fleet.Overdue()
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -120,7 +120,7 @@
 	h := newBench(t, testSettings())
 	for i, name := range []Replica{"a", "b", "c"} {
 		s := h.b.servers[name]
-		s.measured, s.reportedAt, s.Averages = true, h.now, estimate.Averages{Latency: 100e3, ServiceTime: 100e3, Queue: float64(3 - i)}
+		s.Measured, s.ReportedAt, s.Averages = true, h.now, estimate.Averages{Latency: 100e3, ServiceTime: 100e3, Queue: float64(3 - i)}
 	}
 	_, ev := h.query(0, 1)
 	if s := one[Send](h, h.turn(ev...)); s.Replica != "c" {
@@ -135,7 +135,7 @@
 func TestRankIsC3(t *testing.T) {
 	h := newBench(t, testSettings())
 	s := h.b.servers["a"]
-	s.measured, s.reportedAt, s.Averages = true, h.now, estimate.Averages{Latency: 300, ServiceTime: 100, Queue: 2}
+	s.Measured, s.ReportedAt, s.Averages = true, h.now, estimate.Averages{Latency: 300, ServiceTime: 100, Queue: 2}
 	s.InFlight = []time.Duration{0}
 	// n = 2: q̂ = 1 + 1x2 + 2 = 5; 300 - 100 + 125 x 100
 	if got := h.b.rank(s); got != 12700 {
@@ -145,15 +145,15 @@
 
 func TestUnheardServerTakesTheMean(t *testing.T) {
 	h := newBench(t, testSettings())
-	if got := h.b.averagesOf(h.b.servers["a"]); got != (estimate.Averages{Latency: 1e6, ServiceTime: 1e6, Queue: 0}) {
+	if got := h.b.fleet.AveragesOf(&h.b.servers["a"].Server, h.now); got != (estimate.Averages{Latency: 1e6, ServiceTime: 1e6, Queue: 0}) {
 		t.Errorf("before any answer %+v, want the objective, the objective and 0", got)
 	}
 	for name, r := range map[Replica]float64{"b": 100, "c": 300} {
 		s := h.b.servers[name]
-		s.measured, s.Latency, s.ServiceTime, s.Queue = true, r, r/2, r/100
+		s.Measured, s.Latency, s.ServiceTime, s.Queue = true, r, r/2, r/100
 	}
 	h.turn(TimerFired{})
-	if got := h.b.averagesOf(h.b.servers["a"]); got != (estimate.Averages{Latency: 200, ServiceTime: 100, Queue: 2}) {
+	if got := h.b.fleet.AveragesOf(&h.b.servers["a"].Server, h.now); got != (estimate.Averages{Latency: 200, ServiceTime: 100, Queue: 2}) {
 		t.Errorf("%+v, want the means 200, 100 and 2", got)
 	}
 }
@@ -406,8 +406,8 @@
 	h := newBench(t, testSettings())
 	h.serve(9, 100*ms)
 	h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", Cell: 0, Started: h.now}}})
-	if s := h.b.servers["a"]; s.measured || h.b.capacity(s) != 0.2 {
-		t.Errorf("heard %v, share %v after a restart", s.measured, h.b.capacity(s))
+	if s := h.b.servers["a"]; s.Measured || h.b.fleet.Capacity(&s.Server, h.now) != 0.2 {
+		t.Errorf("heard %v, share %v after a restart", s.Measured, h.b.fleet.Capacity(&s.Server, h.now))
 	}
 }
 
@@ -745,7 +745,7 @@
 		h.serve(40, 100*ms)
 		h.b.fleet.Mean, h.b.fleet.Deviation = 400e3, 200e3 // crowded a while ago
 		for _, s := range h.b.servers {
-			s.reportedAt, s.reportedInFlight = h.now, 1
+			s.ReportedAt, s.ReportedInFlight = h.now, 1
 		}
 		_, ev := h.query(0, 3)
 		if got := len(all[Send](h.turn(ev...))); got != 3 {
@@ -761,7 +761,7 @@
 	h := newBench(t, set)
 	a, b := h.b.servers["a"], h.b.servers["b"]
 	for _, s := range []*server{a, b} {
-		s.measured, s.reportedAt, s.Latency, s.ServiceTime = true, h.now, 100e3, 100e3
+		s.Measured, s.ReportedAt, s.Latency, s.ServiceTime = true, h.now, 100e3, 100e3
 	}
 	a.InFlight, b.Queue = []time.Duration{0}, 20
 	if h.b.rank(a) >= h.b.rank(b) {
@@ -1104,15 +1104,15 @@
 	h := newBench(t, testSettings(), twoZones()...)
 	h.serve(60, 100*ms)
 	far := h.b.servers["b"]
-	h.b.recordAnswer(far, 100e3, 40)
+	h.b.fleet.RecordAnswer(&far.Server, h.now, 100e3, 40)
 	for range 12 {
-		h.b.recordAnswer(far, 600e3, 40)
+		h.b.fleet.RecordAnswer(&far.Server, h.now, 600e3, 40)
 	}
 	if h.turn(TimerFired{}); !far.Path.Usable() {
 		t.Error("a few slow parts made the way slow")
 	}
 	for range 40 {
-		h.b.recordAnswer(far, 1.5e6, 40)
+		h.b.fleet.RecordAnswer(&far.Server, h.now, 1.5e6, 40)
 	}
 	if h.turn(TimerFired{}); far.Path.Usable() {
 		t.Error("every answer takes long, and the way is still used")
@@ -1133,7 +1133,7 @@
 	if way.InFlight = nil; way.Usable() {
 		t.Error("four failures and nothing out: the way must be left")
 	}
-	h.b.recordAnswer(s, 100e3, 1)
+	h.b.fleet.RecordAnswer(&s.Server, h.now, 100e3, 1)
 	if !way.Usable() {
 		t.Error("an answer must open the way")
 	}
@@ -1172,7 +1172,7 @@
 	for h.now < start+4*time.Second {
 		for _, name := range []Replica{"b", "c"} {
 			s := h.b.servers[name]
-			s.Queue, s.reportedAt = 3, h.now // the warm are busy
+			s.Queue, s.ReportedAt = 3, h.now // the warm are busy
 		}
 		_, ev := h.query(0, 1)
 		s := one[Send](h, h.turn(ev...))
@@ -1192,7 +1192,7 @@
 	set := testSettings()
 	set.Instances = 80
 	h := newBench(t, set, Endpoint{Replica: "a", Cell: 0, Started: 100 * time.Second})
-	h.b.servers["a"].slowStart.FirstSendThreshold = 1
+	h.b.servers["a"].SlowStart.FirstSendThreshold = 1
 	_, ev := h.query(0, 1)
 	if acts := h.turn(ev...); len(all[Reject](acts)) != 1 || len(all[Send](acts)) != 0 {
 		t.Errorf("want a refusal at once, got %v", acts)
@@ -1321,15 +1321,15 @@
 	h := newBench(t, testSettings())
 	for i, name := range []Replica{"a", "b", "c"} {
 		s := h.b.servers[name]
-		s.measured, s.reportedAt, s.Averages = true, h.now, estimate.Averages{Latency: 100e3, ServiceTime: 100e3, Queue: float64(9 * i)}
+		s.Measured, s.ReportedAt, s.Averages = true, h.now, estimate.Averages{Latency: 100e3, ServiceTime: 100e3, Queue: float64(9 * i)}
 	}
 	h.turn(TimerFired{})
-	if q := h.b.averagesOf(h.b.servers["c"]).Queue; q != 18 {
+	if q := h.b.fleet.AveragesOf(&h.b.servers["c"].Server, h.now).Queue; q != 18 {
 		t.Errorf("q %v just after a report of 18", q)
 	}
 	h.now += 10 * time.Second
 	h.turn(TimerFired{})
-	if q := h.b.averagesOf(h.b.servers["c"]).Queue; q < 9 || q > 10 {
+	if q := h.b.fleet.AveragesOf(&h.b.servers["c"].Server, h.now).Queue; q < 9 || q > 10 {
 		t.Errorf("q %v ten aims after a report of 18, want the mean of 9", q)
 	}
 }
@@ -1648,10 +1648,10 @@
 		list[0].Started = h.now
 		h.turn(EndpointList{Kind: ListDelta, Endpoints: list[:1]})
 		for start := h.now; h.now < start+2*time.Second; h.now += 100 * ms {
-			h.b.demand.Answered = 0.5 * slowstart.DemandPeriods * h.b.minObjective.Seconds() // it sends a part in two seconds
+			h.b.fleet.Demand.Answered = 0.5 * slowstart.DemandPeriods * h.b.minObjective.Seconds() // it sends a part in two seconds
 			h.turn(TimerFired{})
-			if s := h.b.servers["a"]; s.slowStart.Credit >= 1 { // a part is sent as soon as it is owed
-				s.slowStart.Credit--
+			if s := h.b.servers["a"]; s.SlowStart.Credit >= 1 { // a part is sent as soon as it is owed
+				s.SlowStart.Credit--
 				if sends++; h.now >= start+time.Second {
 					late++
 				}
--- a/balance/endpoints.go
+++ b/balance/endpoints.go
@@ -4,7 +4,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"rooktrestle/internal/control/gossip"
 	"rooktrestle/internal/control/suspicion"
@@ -14,14 +13,14 @@
 func (b *Balancer) updateEndpoints(list EndpointList) {
 	if list.Kind != ListDelta {
 		for _, s := range b.endpoints {
-			s.listed = false
+			s.Listed = false
 		}
 	}
 	for _, endpoint := range list.Endpoints {
 		b.updateEndpoint(endpoint)
 	}
 	b.endpoints = slices.DeleteFunc(b.endpoints, func(s *server) bool {
-		gone := !s.listed && len(s.InFlight) == 0 && !s.probing
+		gone := !s.Listed && len(s.InFlight) == 0 && !s.probing
 		if gone {
 			delete(b.servers, s.id)
 		}
@@ -41,12 +40,15 @@
 	}
 	if b.paths[e.Zone] == nil {
 		b.paths[e.Zone] = &suspicion.Path{}
+		if e.Zone != b.settings.Zone {
+			b.fleet.RemotePaths = append(b.fleet.RemotePaths, b.paths[e.Zone])
+		}
 	}
-	s.zone, s.cell, s.listed = e.Zone, e.Cell, e.State == InService
+	s.zone, s.cell, s.Listed = e.Zone, e.Cell, e.State == InService
 	s.Path, s.Remote = b.paths[e.Zone], e.Zone != b.settings.Zone
 	s.applyLimits(e.HealthLimits)
-	if e.Started > s.slowStart.Started {
-		s.reset(e.Started, b.rng.Float64())
+	if e.Started > s.SlowStart.Started {
+		s.Restart(e.Started, b.rng.Float64())
 	}
 }
 
@@ -57,12 +59,3 @@
 	s.HealthLimits = limits
 	s.HalfOpenClasses = halfOpen & limits.EjectedClasses
 }
-
-// reset forgets what a server's earlier process showed; random is from 0 to 1. The new one had nothing in flight when
-// it began: taken for as busy as the mean of the others, it would be avoided while these are full.
-func (s *server) reset(started time.Duration, random float64) {
-	s.slowStart.Restart(started, random)
-	s.Restart()
-	s.measured = false
-	s.Queue, s.reportedInFlight, s.reportedAt = 0, -1, started
-}
--- a/balance/events.go
+++ b/balance/events.go
@@ -118,6 +118,10 @@
 	HalfOpenClasses uint64  // bit c: but for one part of class c, once
 }
 
+// ejected reports whether parts of a class are kept away, and halfOpen whether one of them may go all the same.
+func (l *HealthLimits) ejected(class int) bool  { return l.EjectedClasses>>class&1 == 1 }
+func (l *HealthLimits) halfOpen(class int) bool { return l.HalfOpenClasses>>class&1 == 1 }
+
 // Endpoint is an entry of the list of replicas.
 type Endpoint struct {
 	HealthLimits
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -9,9 +9,9 @@
 // Shares of a server that the fleet finds to lose nearly all of its parts.
 const nextToNone = 0.005
 
-// fleet is one of 300 gatherers, whose classes are a search that needs every part, and a report that half of them do
+// newFleetBench is one of 300 gatherers, whose classes are a search that needs every part, and a report that half of them do
 // for. Every shard is on the same four servers.
-func fleet(t *testing.T, out ...Replica) *bench {
+func newFleetBench(t *testing.T, out ...Replica) *bench {
 	set := testSettings()
 	set.Instances, set.CanHedge, set.Cells, set.Reach, set.MaxAttempts = 300, false, 4, 4, 4
 	report := set.Classes[0]
@@ -40,14 +40,14 @@
 // A part waits for a holder that is full for a moment, and does not spend its attempts at one that has next to no
 // share. Guards against searches that died of a part in 60 ms, while its two sound holders served others.
 func TestPartWaitsForAFullHolderNotAtOneThatIsOut(t *testing.T) {
-	h := fleet(t, "a", "b", "c")
+	h := newFleetBench(t, "a", "b", "c")
 	for range 40 { // of 200 parts about one may try a server that is out
 		_, ev := h.query(0, 5)
 		if n := to(all[Send](h.turn(ev...))); n["d"] < 4 {
 			t.Fatalf("parts went to %v", n)
 		}
 	}
-	h = fleet(t, "a", "b", "c")
+	h = newFleetBench(t, "a", "b", "c")
 	h.b.servers["d"].avoidUntil = h.now + 100*ms
 	_, ev := h.query(0, 1)
 	if acts := h.turn(ev...); len(all[Send](acts)) != 0 {
@@ -57,7 +57,7 @@
 
 // Where the sound holders turn a part away its attempts are spread over the time left.
 func TestAttemptsAfterFullHoldersAreSpread(t *testing.T) {
-	h := fleet(t, "a", "b", "c")
+	h := newFleetBench(t, "a", "b", "c")
 	_, ev := h.query(0, 1)
 	s := one[Send](h, h.turn(ev...))
 	at, times := 0, []time.Duration{}
@@ -81,9 +81,9 @@
 // A part is not called off at a server that is behind to be sent where nearly all parts are lost.
 func TestPartIsNotCalledOffForAServerThatIsOut(t *testing.T) {
 	for _, out := range []bool{true, false} {
-		h := fleet(t)
+		h := newFleetBench(t)
 		if out {
-			h = fleet(t, "a", "b", "c")
+			h = newFleetBench(t, "a", "b", "c")
 		}
 		h.b.hedgeTokens = 10
 		_, ev := h.query(0, 1)
@@ -104,7 +104,7 @@
 func TestReportYieldsCrowdedShards(t *testing.T) {
 	crowd := func(h *bench, queue float64) {
 		for _, id := range []Replica{"c", "d"} {
-			h.b.servers[id].Queue, h.b.servers[id].reportedAt = queue, h.now
+			h.b.servers[id].Queue, h.b.servers[id].ReportedAt = queue, h.now
 		}
 	}
 	for _, c := range []struct {
@@ -117,7 +117,7 @@
 		{[]Replica{"a", "b"}, 0, 1, 10},
 		{[]Replica{"a"}, 12, 1, 10},
 	} {
-		h := fleet(t, c.out...)
+		h := newFleetBench(t, c.out...)
 		crowd(h, c.queue)
 		id, ev := h.query(c.class, 10)
 		sends := all[Send](h.turn(ev...))
@@ -141,7 +141,7 @@
 // A gatherer that only ever saw a jam admits again: what it forgets with each refusal leads to its first guess, and
 // fresh probes of short queues tell more than old answers. Fresh probes of long ones refuse at once.
 func TestJamIsUnlearned(t *testing.T) {
-	h := fleet(t)
+	h := newFleetBench(t)
 	jam := func() { // long ago, and nothing since
 		h.b.fleet.Mean, h.b.fleet.Deviation, h.b.meanWeight, h.b.meanParts, h.b.fleet.RecentAnswers = 800e3, 300e3, 1, 30, nil
 		for _, s := range h.b.servers {
@@ -164,12 +164,12 @@
 		queue float64
 		sends int
 	}{{0, 30}, {40, 0}} {
-		h = fleet(t)
+		h = newFleetBench(t)
 		if jam(); c.queue > 0 {
 			h.b.fleet.Mean, h.b.fleet.Deviation = 100e3, 20e3
 		}
 		for _, s := range h.b.servers {
-			s.probedQueue, s.probedQueueAt = c.queue, h.now
+			s.ProbedQueue, s.ProbedQueueAt = c.queue, h.now
 		}
 		_, ev := h.query(0, 30)
 		if n := len(all[Send](h.turn(ev...))); n != c.sends {
@@ -181,7 +181,7 @@
 // A wide query's worth a part is weighed against that of the parts offered, not of the queries: beside corrections of
 // one part it would count as worth nothing, and be refused in a lull.
 func TestWideQueriesAreNotRefusedBesideNarrowOnes(t *testing.T) {
-	h := fleet(t)
+	h := newFleetBench(t)
 	h.b.meanWeight, h.b.meanParts = 1, 15.5 // as the queries below have on average
 	for i := range 200 {
 		n := 1
@@ -208,7 +208,7 @@
 		queue float64
 		calls bool
 	}{{15, false}, {0, true}} {
-		h := fleet(t, "a", "b")
+		h := newFleetBench(t, "a", "b")
 		h.b.hedgeTokens = 10
 		_, ev := h.query(0, 1)
 		h.turn(ev...)
@@ -216,7 +216,7 @@
 		for range 120 {
 			h.now += 5 * ms
 			for _, s := range h.b.servers {
-				s.Queue, s.reportedAt = c.queue, h.now
+				s.Queue, s.ReportedAt = c.queue, h.now
 			}
 			called += len(all[Cancel](h.turn(TimerFired{})))
 		}
@@ -235,7 +235,7 @@
 		long        bool // the others, by a word of long ago
 		calls       bool
 	}{{0, 15, false, true}, {15, 0, true, true}, {15, 15, false, false}} {
-		h := fleet(t)
+		h := newFleetBench(t)
 		h.b.hedgeTokens = 10
 		_, ev := h.query(0, 1)
 		at := one[Send](h, h.turn(ev...)).Replica
@@ -243,11 +243,11 @@
 		for range 120 {
 			h.now += 5 * ms
 			for id, s := range h.b.servers {
-				s.reportedAt, s.Queue = h.now, c.others
-				if s.queueWasLong = c.long; id == at {
+				s.ReportedAt, s.Queue = h.now, c.others
+				if s.QueueWasLong = c.long; id == at {
 					s.Queue = c.own
 				} else if c.long {
-					s.reportedAt -= 4 * time.Second
+					s.ReportedAt -= 4 * time.Second
 				}
 			}
 			called += len(all[Cancel](h.turn(TimerFired{})))
@@ -268,15 +268,15 @@
 		}
 		h.turn(EndpointList{Kind: ListDelta, Endpoints: list}) // shares of 0.52 and 0.68
 		for _, s := range h.b.servers {
-			s.slowStart.Credit, s.slowStart.FirstSendThreshold = 0, 1
+			s.SlowStart.Credit, s.SlowStart.FirstSendThreshold = 0, 1
 		}
 	}
 	n, parts := map[Replica]int{}, 0
 	for i := range 60 {
-		h := fleet(t)
+		h := newFleetBench(t)
 		h.b.rng = rand.New(rand.NewPCG(uint64(i), 1))
 		if cold(h); i >= 40 {
-			h.b.demand.Offered *= 10
+			h.b.fleet.Demand.Offered *= 10
 		}
 		_, ev := h.query(0, 6)
 		sends := all[Send](h.turn(ev...))
@@ -308,11 +308,11 @@
 		queue float64
 		sends int
 	}{{3, 10}, {28, 0}} {
-		h := fleet(t)
-		h.b.settings.PeerMessages = true
+		h := newFleetBench(t)
+		h.b.settings.PeerMessages, h.b.fleet.Options.ProbesShared = true, true
 		h.b.meanWeight, h.b.meanParts = 1, 10
 		for _, s := range h.b.servers { // at 28 a part would wait for 0.7 of the aim, and the servers are not full
-			s.Queue, s.reportedAt = c.queue, h.now
+			s.Queue, s.ReportedAt = c.queue, h.now
 		}
 		_, ev := h.query(0, 10)
 		acts := h.turn(ev...)
@@ -325,9 +325,9 @@
 // Nor where all its holders but one that is out are full: that one will not have it.
 func TestHolderThatIsOutIsNotOpen(t *testing.T) {
 	for _, out := range []bool{true, false} {
-		h := fleet(t)
+		h := newFleetBench(t)
 		if out {
-			h = fleet(t, "a")
+			h = newFleetBench(t, "a")
 		}
 		for _, id := range []Replica{"b", "c", "d"} {
 			h.b.servers[id].avoidUntil = h.now + 100*ms
@@ -343,7 +343,7 @@
 func TestTrialsGoByTheShare(t *testing.T) {
 	trials := map[float64]int{}
 	for _, share := range []float64{0, 0.3} {
-		h := fleet(t)
+		h := newFleetBench(t)
 		h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", HealthLimits: HealthLimits{TrafficFraction: share}}}})
 		for range 60 {
 			s := h.b.servers["a"]
@@ -375,13 +375,13 @@
 		{500e3, 2, false, 0},
 		{500e3, 2, true, 30}, // as the servers were once
 	} {
-		h := fleet(t)
+		h := newFleetBench(t)
 		h.b.fleet.Mean, h.b.fleet.Deviation, h.b.meanWeight, h.b.meanParts = c.mean, 20e3, 1, 30
 		if c.stale {
 			h.b.fleet.RecentAnswers = nil
 		}
 		for _, s := range h.b.servers {
-			s.probedQueue, s.probedQueueAt = c.queue, h.now
+			s.ProbedQueue, s.ProbedQueueAt = c.queue, h.now
 		}
 		_, ev := h.query(0, 30)
 		if n := len(all[Send](h.turn(ev...))); n != c.sends {
--- a/balance/gossip.go
+++ b/balance/gossip.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"rooktrestle/internal/control/fleet"
 	"rooktrestle/internal/control/gossip"
 )
 
@@ -16,7 +17,9 @@
 )
 
 // GossipEnabled reports whether balancers exchange gossip messages. Where they are few, each sees enough itself.
-func (set *Settings) GossipEnabled() bool { return set.PeerMessages && set.Instances > maxExtrapolated }
+func (set *Settings) GossipEnabled() bool {
+	return set.PeerMessages && set.Instances > fleet.MaxExtrapolated
+}
 
 // observe keeps what a probe showed for the next message.
 func (b *Balancer) observe(s *server, value byte) {
@@ -32,9 +35,9 @@
 	if report == nil || report.Queue < 0 {
 		return
 	}
-	if long := b.fleet.IsLongQueue(report.Queue); long || s.queueWasLong || wasUnanswered {
+	if long := b.fleet.IsLongQueue(report.Queue); long || s.QueueWasLong || wasUnanswered {
 		b.observe(s, gossip.QueueValue(report.Queue))
-		s.queueWasLong = long
+		s.QueueWasLong = long
 	}
 }
 
@@ -81,6 +84,6 @@
 	if !long && queue > s.Queue {
 		return
 	}
-	s.queueWasLong = long
+	s.QueueWasLong = long
 	b.recordLoad(s, &LoadReport{Queue: queue, InFlight: -1, Utilization: -1})
 }
--- a/balance/hedging.go
+++ b/balance/hedging.go
@@ -21,7 +21,7 @@
 		return
 	}
 	// Nor from a server with a backlog, which says why it is late, to another: it is done there all the same.
-	if b.backlogged(a.server) && a.server.Path.Usable() && !a.server.nearlyExcluded() && b.backlogged(s) {
+	if b.fleet.Backlogged(&a.server.Server, b.now) && a.server.Path.Usable() && !a.server.nearlyExcluded() && b.fleet.Backlogged(&s.Server, b.now) {
 		return
 	}
 	b.hedgeTokens--
@@ -50,7 +50,7 @@
 func (b *Balancer) hedgeAfter(p *part, a *attempt) float64 {
 	s := a.server
 	if b.settings.CanHedge {
-		if !s.HealthyFor(p.query.Class) || !s.listed {
+		if !s.HealthyFor(p.query.Class) || !s.Listed {
 			return b.fleet.Typical()
 		}
 		return b.fleet.Overdue()
@@ -58,7 +58,7 @@
 	// To start over loses the time waited and adds work, and the overdue parts of a healthy server are heavy ones,
 	// overdue again elsewhere: only where the server answers nothing, or so late that the part is lost there.
 	class := &s.PerClass[p.query.Class]
-	if s.listed && class.LastSuccess > a.sent && class.LossRate < suspicion.LossSmoothing {
+	if s.Listed && class.LastSuccess > a.sent && class.LossRate < suspicion.LossSmoothing {
 		return suspicion.LostFactor * b.fleet.Overdue()
 	}
 	if !s.Path.Usable() {
--- a/balance/lookup.go
+++ b/balance/lookup.go
@@ -2,12 +2,7 @@
 
 // This file decides nothing: it looks up what a Balancer remembers, and adds and removes it.
 
-import (
-	"slices"
-	"time"
-
-	"rooktrestle/internal/control/estimate"
-)
+import "slices"
 
 // replicas are the servers in service that hold a shard.
 func (b *Balancer) replicas(shard int) []*server {
@@ -24,7 +19,7 @@
 		return b.replicas(p.Shard)
 	}
 	for _, c := range p.Candidates {
-		if s := b.servers[c.Replica]; s != nil && s.listed {
+		if s := b.servers[c.Replica]; s != nil && s.Listed {
 			all = append(all, s)
 		}
 	}
@@ -37,13 +32,15 @@
 		b.cells[i] = b.cells[i][:0]
 	}
 	b.byGossipKey = map[uint32]*server{}
+	b.fleet.Servers = b.fleet.Servers[:0]
 	for _, s := range b.endpoints {
-		if _, twice := b.byGossipKey[s.gossipKey]; twice || !s.listed {
+		b.fleet.Servers = append(b.fleet.Servers, &s.Server)
+		if _, twice := b.byGossipKey[s.gossipKey]; twice || !s.Listed {
 			b.byGossipKey[s.gossipKey] = nil
 		} else {
 			b.byGossipKey[s.gossipKey] = s
 		}
-		if s.listed && s.cell >= 0 && s.cell < len(b.cells) {
+		if s.Listed && s.cell >= 0 && s.cell < len(b.cells) {
 			b.cells[s.cell] = append(b.cells[s.cell], s)
 		}
 	}
@@ -61,35 +58,6 @@
 	return a
 }
 
-// progress sums up the parts of a query's step.
-func (q *query) progress() (done progress) {
-	for _, p := range q.parts {
-		if p.answered {
-			done.weight += p.Weight
-			done.answered++
-		}
-		if !p.abandoned {
-			done.reachable += p.Weight
-		}
-	}
-	return done
-}
-
-// neededWeight is the weight of the parts that make an answer complete, and minWeight the least for any answer.
-func (q *query) neededWeight() float64 {
-	if q.step > 0 {
-		return 1
-	}
-	return q.class.CompleteFraction
-}
-
-func (q *query) minWeight() float64 {
-	if q.step > 0 && q.class.MinFraction >= q.class.CompleteFraction {
-		return 1
-	}
-	return min(q.class.MinFraction, q.neededWeight())
-}
-
 // lastAttempt is the latest attempt in flight. There must be one.
 func (p *part) lastAttempt() *attempt { return p.inFlight[len(p.inFlight)-1] }
 
@@ -123,7 +91,7 @@
 		return
 	}
 	p := &part{Part: e, query: q}
-	b.demand.Offered++
+	b.fleet.Demand.Offered++
 	p.warmupTarget = b.sampleWarming(p)
 	q.parts = append(q.parts, p)
 	b.parts[e.ID] = p
@@ -158,49 +126,12 @@
 	}
 }
 
-// serviceTimes are those of the listed servers that can be reached, microseconds.
-func (b *Balancer) serviceTimes() (times []float64) {
-	for _, s := range b.endpoints {
-		if s.listed && len(s.Recent) > 0 && s.Path.Usable() {
-			times = append(times, s.Recent.Min())
-		}
-	}
-	return times
-}
-
-// probedQueues are the queues of the listed servers that probes showed after since.
-func (b *Balancer) probedQueues(since time.Duration) (queues []float64) {
-	for _, s := range b.endpoints {
-		if s.listed && s.probedQueueAt > since {
-			queues = append(queues, s.probedQueue)
-		}
-	}
-	return queues
-}
-
-// meanAverages are those over the measured servers; before any was measured, the shortest objective.
-func (b *Balancer) meanAverages() estimate.Mean {
-	objective := micros(b.minObjective)
-	mean := estimate.Mean{Averages: estimate.Averages{Latency: objective, ServiceTime: objective}}
-	for _, s := range b.endpoints {
-		if s.measured && s.listed {
-			mean.Add(s.Averages)
-		}
-	}
-	return mean
-}
-
-// inFlightSince is a server's number of requests in flight by its last load report, and those sent since then. known is
-// false if it reported none after since.
-func (s *server) inFlightSince(since time.Duration) (inFlight float64, known bool) {
-	if s.reportedInFlight < 0 || s.reportedAt <= 0 || s.reportedAt <= since {
-		return 0, false
-	}
-	inFlight = s.reportedInFlight
-	for _, sent := range s.InFlight {
-		if sent > s.reportedAt {
-			inFlight++
+// resolveResets notes whether a server that lost connections crashed; it runs on if only answers were lost.
+func (s *server) resolveResets(crashed bool) {
+	for _, q := range s.resetQueries {
+		if crashed {
+			q.crashes++
 		}
 	}
-	return inFlight, true
+	s.resetQueries = nil
 }
--- a/balance/peers_test.go
+++ b/balance/peers_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"rooktrestle/internal/control/fleet"
 	"rooktrestle/internal/control/gossip"
 )
 
@@ -147,7 +148,7 @@
 		h := many(t)
 		word := learned(h, Canceled, 0)[0].Payload
 		if h = many(t); few {
-			h.b.settings.Instances = maxExtrapolated
+			h.b.settings.Instances = fleet.MaxExtrapolated
 		} else {
 			h.b.settings.PeerMessages = false
 		}
@@ -155,7 +156,7 @@
 			t.Errorf("few %v: told %v", few, told)
 		}
 		h = many(t)
-		h.b.settings.PeerMessages = false
+		h.b.settings.PeerMessages, h.b.fleet.Options.ProbesShared = false, false
 		h.now += time.Second
 		if h.turn(GossipReceived{word}); h.b.servers["a"].ProbeUnanswered {
 			t.Error("a word counts where they are not allowed")
--- a/balance/probing.go
+++ b/balance/probing.go
@@ -64,7 +64,7 @@
 		b.observeQueue(s, e.Report, wasUnanswered)
 		b.recordLoad(s, e.Report)
 		if e.Report != nil && e.Report.Queue >= 0 {
-			s.probedQueue, s.probedQueueAt = e.Report.Queue, b.now
+			s.ProbedQueue, s.ProbedQueueAt = e.Report.Queue, b.now
 		}
 	case s.ProbeUnanswered && b.now-s.LastSuccess > b.settings.ProbeTimeout:
 		b.observe(s, gossip.Unresponsive)
--- /dev/null
+++ b/balance/progress.go
@@ -0,0 +1,78 @@
+package balance
+
+// This file decides nothing: it works out how far a query has come and how much time it has left.
+
+import (
+	"time"
+
+	"rooktrestle/internal/control/estimate"
+)
+
+const (
+	timeLeftToleranceTicks = 2   // ticks by which the time left of first attempts may differ
+	maxFollowUpReserve     = 0.5 // of the objective: the most time kept for a second step
+)
+
+// progress is how far a query's step has come.
+type progress struct {
+	weight    float64 // of the parts answered
+	reachable float64 // what that may still come to
+	answered  int     // number of parts
+}
+
+// progress sums up the parts of a query's step.
+func (q *query) progress() (done progress) {
+	for _, p := range q.parts {
+		if p.answered {
+			done.weight += p.Weight
+			done.answered++
+		}
+		if !p.abandoned {
+			done.reachable += p.Weight
+		}
+	}
+	return done
+}
+
+// neededWeight is the weight of the parts that make an answer complete, and minWeight the least for any answer.
+func (q *query) neededWeight() float64 {
+	if q.step > 0 {
+		return 1
+	}
+	return q.class.CompleteFraction
+}
+
+func (q *query) minWeight() float64 {
+	if q.step > 0 && q.class.MinFraction >= q.class.CompleteFraction {
+		return 1
+	}
+	return min(q.class.MinFraction, q.neededWeight())
+}
+
+// expectedWeight adds to weight that of the parts in flight that are not late yet.
+func (b *Balancer) expectedWeight(q *query, weight float64) float64 {
+	for _, p := range q.parts {
+		if len(p.inFlight) > 0 && !p.answered && micros(b.now-p.lastAttempt().sent) <= b.fleet.Typical() {
+			weight += p.Weight
+		}
+	}
+	return weight
+}
+
+// timeSpent is how long a client has waited in earlier attempts of a query; it counts against the objective.
+func (b *Balancer) timeSpent(e Query) time.Duration {
+	tolerance := timeLeftToleranceTicks * b.settings.Tick
+	if b.firstAttempts[e.Class].IsFirstAttempt(e.TimeLeft, b.settings.ClientsMarkRetries, e.IsRetry, tolerance) {
+		return 0
+	}
+	return max(0, b.settings.Classes[e.Class].Deadline-e.TimeLeft)
+}
+
+// stepDue is when a query's step has to end for its answer to be in time: a first step leaves time for the second.
+func (b *Balancer) stepDue(q *query) time.Duration {
+	if q.step > 0 || q.class.FollowUpParts == 0 {
+		return q.objective
+	}
+	second := b.fleet.Slowest(estimate.TailDeviations(q.class.FollowUpParts, 0))
+	return q.objective - duration(min(second, maxFollowUpReserve*micros(q.class.Objective)))
+}
--- a/balance/query.go
+++ b/balance/query.go
@@ -3,18 +3,14 @@
 import (
 	"slices"
 	"time"
-
-	"rooktrestle/internal/control/estimate"
 )
 
 // When queries begin, end and send their parts.
 const (
-	weightTolerance        = 5e-5 // weights of parts add up to 1 apart from this
-	timeLeftToleranceTicks = 2    // ticks by which the time left of first attempts may differ
-	retryAfterFactor       = 2.0  // mean latencies until a rejected client may retry; half after a failure
-	maxFollowUpReserve     = 0.5  // of the objective: the most time kept for a second step
-	maxCrashes             = 2    // servers that may crash under a query before it ends
-	suspectDeadlines       = 4    // deadlines for which its class is then suspected of crashing servers
+	weightTolerance  = 5e-5 // weights of parts add up to 1 apart from this
+	retryAfterFactor = 2.0  // mean latencies until a rejected client may retry; half after a failure
+	maxCrashes       = 2    // servers that may crash under a query before it ends
+	suspectDeadlines = 4    // deadlines for which its class is then suspected of crashing servers
 )
 
 func (b *Balancer) startQuery(e Query) {
@@ -31,15 +27,6 @@
 	b.retryBudget.RecordRequest(b.now)
 }
 
-// timeSpent is how long a client has waited in earlier attempts of a query; it counts against the objective.
-func (b *Balancer) timeSpent(e Query) time.Duration {
-	tolerance := timeLeftToleranceTicks * b.settings.Tick
-	if b.firstAttempts[e.Class].IsFirstAttempt(e.TimeLeft, b.settings.ClientsMarkRetries, e.IsRetry, tolerance) {
-		return 0
-	}
-	return max(0, b.settings.Classes[e.Class].Deadline-e.TimeLeft)
-}
-
 // advance takes a query one step on: it ends the query, or sends what should be sent.
 func (b *Balancer) advance(q *query) {
 	if q.step > 0 && len(q.parts) == 0 { // the parts of the second step have yet to come
@@ -164,16 +151,6 @@
 	}
 }
 
-// expectedWeight adds to weight that of the parts in flight that are not late yet.
-func (b *Balancer) expectedWeight(q *query, weight float64) float64 {
-	for _, p := range q.parts {
-		if len(p.inFlight) > 0 && !p.answered && micros(b.now-p.lastAttempt().sent) <= b.fleet.Typical() {
-			weight += p.Weight
-		}
-	}
-	return weight
-}
-
 // The passes in which a query's parts are sent.
 const (
 	firstAttemptsHealthy = iota // unsent parts with a healthy replica
@@ -191,12 +168,3 @@
 	}
 	return p.attempts > 0
 }
-
-// stepDue is when a query's step has to end for its answer to be in time: a first step leaves time for the second.
-func (b *Balancer) stepDue(q *query) time.Duration {
-	if q.step > 0 || q.class.FollowUpParts == 0 {
-		return q.objective
-	}
-	second := b.fleet.Slowest(estimate.TailDeviations(q.class.FollowUpParts, 0))
-	return q.objective - duration(min(second, maxFollowUpReserve*micros(q.class.Objective)))
-}
--- a/balance/selection.go
+++ b/balance/selection.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"math"
 	"slices"
-
-	"rooktrestle/internal/control/suspicion"
 )
 
 // How a replica is chosen.
@@ -59,7 +57,7 @@
 		return candidates, nil
 	}
 	for _, s := range candidates {
-		if s.halfOpenFor(p.query.Class) && p.attempts == 0 && !p.query.halfOpenUsed && b.now >= s.avoidUntil {
+		if s.halfOpen(p.query.Class) && p.attempts == 0 && !p.query.halfOpenUsed && b.now >= s.avoidUntil {
 			s.HalfOpenClasses &^= 1 << p.query.Class
 			p.query.halfOpenUsed = true
 			return nil, s
@@ -101,7 +99,7 @@
 	for _, s := range available {
 		fault := s.Fault(p.query.Class)
 		if fault != nil && !s.ProbeFailed && len(fault.InFlight) == 0 && !b.skipsByFraction(p, s) &&
-			b.now >= fault.NextTrial+delay && b.pathAllowsTrial(s.Path) {
+			b.now >= fault.NextTrial+delay && s.Path.AllowsTrial(b.now) {
 			p.query.halfOpenUsed = true
 			return s
 		}
@@ -109,10 +107,6 @@
 	return nil
 }
 
-func (b *Balancer) pathAllowsTrial(path *suspicion.Path) bool {
-	return path.Usable() || len(path.InFlight) == 0 && b.now >= path.NextTrial
-}
-
 // leastSuspect narrows down servers none of which is healthy: to a usable path, then to those that did not fail this
 // part, then none of its class, then to the quick, then to the least penalty.
 func (p *part) leastSuspect(servers []*server) []*server {
@@ -160,6 +154,35 @@
 	return fraction < 1 && b.rng.Float64() > 2*fraction/(1+fraction)
 }
 
+// sampleWarming picks one of a part's replicas at random, by capacity, to which it may go though that is warming up; or
+// none. Where balancers are many, what each owes a server that warms up lets it go seldom, and a query of sixty parts
+// whose shards have only such replicas never. Picked at random, all balancers together send each replica its part of
+// what its shards are asked. That is within rule 4 as long as demand is near what warm servers were seen to answer.
+func (b *Balancer) sampleWarming(p *part) *server {
+	if b.fleet.Extrapolates() {
+		return nil
+	}
+	candidates, sum := b.candidates(p), 0.0
+	for _, s := range candidates {
+		sum += b.fleet.Capacity(&s.Server, b.now)
+	}
+	if sum == float64(len(candidates)) || b.fleet.Demand.ExceedsPeak(sum, b.settings.Reach) {
+		return nil
+	}
+	sample := b.rng.Float64() * sum
+	for _, s := range candidates {
+		if sample -= b.fleet.Capacity(&s.Server, b.now); sample < 0 {
+			return s
+		}
+	}
+	return nil
+}
+
+// slowStartAllows reports whether a server that may be warming up may be sent a part.
+func (b *Balancer) slowStartAllows(p *part, s *server) bool {
+	return p.warmupTarget == s || b.fleet.SlowStartAllows(&s.Server, b.now)
+}
+
 // usableFor reports whether a server that is not healthy does most of what a part of this class asks of it. What must
 // not run twice does not go where some is lost.
 func (s *server) usableFor(p *part) bool {
@@ -168,11 +191,6 @@
 		s.PerClass[p.query.Class].LossRate < maxUsableLoss
 }
 
-func (p *part) ejectedAt(s *server) bool { return s.ejectedFor(p.query.Class) }
+func (p *part) ejectedAt(s *server) bool { return s.ejected(p.query.Class) }
 
 func (p *part) healthyAt(s *server) bool { return s.HealthyFor(p.query.Class) }
-
-// ejectedFor reports whether outlier detection keeps parts of a class away, and halfOpenFor whether one of them may go
-// all the same.
-func (s *server) ejectedFor(class int) bool  { return s.EjectedClasses>>class&1 == 1 }
-func (s *server) halfOpenFor(class int) bool { return s.HalfOpenClasses>>class&1 == 1 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"rooktrestle/internal/control/estimate"
+	"rooktrestle/internal/control/fleet"
 	"rooktrestle/internal/control/gossip"
 	"rooktrestle/internal/control/retrybudget"
 	"rooktrestle/internal/control/retrydetect"
@@ -41,10 +42,7 @@
 	parts    map[ID]*part
 	attempts map[attemptKey]*attempt
 
-	fleet         estimate.Fleet
-	fleetAverages estimate.Mean // over the measured servers, as of this turn
-	demand        slowstart.Demand
-	slowStart     slowstart.Limits
+	fleet         fleet.Fleet
 	firstAttempts []retrydetect.Detector // of each class
 	meanWeight    float64                // of a query offered
 	meanParts     float64                // of a query offered
@@ -59,24 +57,12 @@
 
 // server is what this balancer knows of one replica.
 type server struct {
-	suspicion.Server
-	estimate.Averages
+	fleet.Server
 	HealthLimits
-
-	id         Replica
-	gossipKey  uint32
-	zone, cell int
-	listed     bool
-	slowStart  slowstart.Server
-
-	measured         bool          // the averages of latency and service time are its own
-	avoidUntil       time.Duration // full, or down
-	reportedAt       time.Duration // of the last load report; 0: never
-	reportedInFlight float64       // negative: not reported
-	probedQueue      float64       // by the last probe that showed it
-	probedQueueAt    time.Duration
-	queueWasLong     bool // by the last gossip sent or received
-
+	id           Replica
+	gossipKey    uint32
+	zone, cell   int
+	avoidUntil   time.Duration // full, or down
 	probing      bool
 	probedAt     time.Duration // by this balancer or another
 	resetQueries []*query      // lost a connection to it; it is being probed whether it crashed
@@ -127,13 +113,6 @@
 	probedAt          time.Duration // when its replicas were probed; 0: not yet
 }
 
-// progress is how far a query's step has come.
-type progress struct {
-	weight    float64 // of the parts answered
-	reachable float64 // what that may still come to
-	answered  int     // number of parts
-}
-
 // New returns a Balancer for the settings, or an error that names what is wrong with them.
 func New(set Settings) (*Balancer, error) {
 	if err := set.check(); err != nil {
@@ -157,18 +136,20 @@
 		byGroup:       map[uint64]*query{},
 		parts:         map[ID]*part{},
 		attempts:      map[attemptKey]*attempt{},
-		fleet:         estimate.NewFleet(shortest.Objective),
+		fleet: fleet.New(fleet.Options{
+			Instances: set.Instances, Objective: shortest.Objective, ProbesShared: set.GossipEnabled(),
+			SlowStart: slowstart.Limits{
+				WarmupPeriod: rules.WarmupPeriod, MinCapacity: rules.WarmupMinCapacity,
+				OverloadMultiple: rules.OverloadMultiple, OverloadPeriod: rules.OverloadPeriod,
+				Senders: set.Instances,
+			},
+		}),
 		firstAttempts: make([]retrydetect.Detector, len(set.Classes)),
 		suspectUntil:  make([]time.Duration, len(set.Classes)),
 		crashingKeys:  map[string]time.Duration{},
 		tenantRates:   tokenbucket.New(rates),
 		retryBudget:   retrybudget.New(rules.RetryBudgetWindow, rules.RetryBudgetBase, rules.RetryBudgetRatio),
 		outbox:        gossip.NewOutbox(set.Instances),
-		slowStart: slowstart.Limits{
-			WarmupPeriod: rules.WarmupPeriod, MinCapacity: rules.WarmupMinCapacity,
-			OverloadMultiple: rules.OverloadMultiple, OverloadPeriod: rules.OverloadPeriod,
-			Senders: set.Instances,
-		},
 	}, nil
 }
 
--- a/balance/turn.go
+++ b/balance/turn.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"rooktrestle/internal/control/estimate"
 )
 
 // When the next turn comes, and when queries end by it.
@@ -18,11 +16,11 @@
 func (b *Balancer) Turn(now time.Duration, events []Event) []Action {
 	passed := now - b.now
 	b.now, b.actions = now, nil
-	b.earnSlowStart(passed)
+	b.fleet.EarnSlowStart(now, passed)
 	for _, event := range events {
 		b.handle(event)
 	}
-	b.assessServers()
+	b.fleet.Assess(now)
 	for _, q := range b.queries {
 		if !q.done {
 			b.advance(q)
@@ -90,21 +88,3 @@
 	}
 	b.updateEndpoints(list)
 }
-
-// assessServers looks for servers and paths that are unresponsive or slow, whatever makes them so.
-func (b *Balancer) assessServers() {
-	b.fleet.RecentAnswers.Since(b.now - b.fleet.AnswerPeriod())
-	b.fleetAverages = b.meanAverages()
-	b.fleet.MedianServiceTime = estimate.Median(b.serviceTimes()) // for this turn: no answer comes in before the next
-	for _, s := range b.endpoints {
-		capacity, shared := b.capacity(s), b.settings.GossipEnabled()
-		s.Assess(b.now, b.fleet.Overdue()/capacity, b.fleet.MedianServiceTime, capacity == 1, shared)
-	}
-	// What is bad with a whole other zone is bad with the path there, whatever it is: cut, slow, or all lost. Its
-	// servers are avoided together and one part at a time tests the path.
-	for zone, path := range b.paths {
-		if zone != b.settings.Zone {
-			path.Assess(b.now, &b.fleet.Latency, b.fleet.MedianServiceTime)
-		}
-	}
-}
