--- a/balance/admission.go
+++ b/balance/admission.go
@@ -77,7 +77,7 @@
 // warming up without capacity, has requests in flight and took too long lately, or is too slow and no
 // half-open request is due.
 func (b *Balancer) isOpen(p *part, s *server, limit float64) bool {
-	halfOpen := len(s.InFlight) == 0 && b.now >= s.NextTrial
+	halfOpen := len(s.InFlight) == 0 && b.now >= s.NextHalfOpen
 	quick := s.RecentMean() <= limit || !s.Slow && len(s.InFlight) < minInFlightToJudge
 	return b.now >= s.avoidUntil && b.slowStartAllows(p, s) && (quick || halfOpen) &&
 		b.fleet.QueueDelay(&s.Server, b.now) <= max(0, limit-b.fleet.InitialMean())
--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -55,10 +55,10 @@
 	b.attempts[attemptKey{p.ID, a.number}] = a
 	overdue := b.fleet.Overdue()
 	if !s.Path.Usable() {
-		s.Path.NextTrial = b.now + duration(overdue)
+		s.Path.NextHalfOpen = b.now + duration(overdue)
 	} else if !s.HealthyFor(p.query.Class) {
-		class.NextTrial = b.now + duration(halfOpenInterval*b.sqrtInstances*max(overdue, s.Recent.Max()))
-		s.NextTrial = max(s.NextTrial, class.NextTrial)
+		class.NextHalfOpen = b.now + duration(halfOpenInterval*b.sqrtInstances*max(overdue, s.Recent.Max()))
+		s.NextHalfOpen = max(s.NextHalfOpen, class.NextHalfOpen)
 	}
 	action := Send{Part: p.ID, Replica: s.id}
 	if !b.settings.CanCancel && !b.settings.CanHedge && p.query.class.Idempotency != NonIdempotent {
@@ -88,11 +88,11 @@
 		return
 	case Failed:
 		p.recordMayHaveRun(a)
-		s.RecordClassFailure(p.query.Class, b.now, b.now, b.trialInterval())
+		s.RecordClassFailure(p.query.Class, b.now, b.now, b.halfOpenDelay())
 		s.Path.RecordReachable()
 	case Reset:
 		p.recordMayHaveRun(a)
-		s.RecordClassFailure(p.query.Class, b.now, b.now, b.trialInterval())
+		s.RecordClassFailure(p.query.Class, b.now, b.now, b.halfOpenDelay())
 		b.connectionLost(s, p.query)
 	case ConnectFailed:
 		b.recordDown(s)
@@ -129,7 +129,7 @@
 // recordDown notes that a server refuses connections: nothing is gained by another attempt at once, and less
 // each time.
 func (b *Balancer) recordDown(s *server) {
-	s.RecordServerFailure(b.now, b.trialInterval())
+	s.RecordServerFailure(b.now, b.halfOpenDelay())
 	s.avoidUntil = b.now + duration(s.Penalty*b.fleet.Overdue())
 	s.resolveResets(true)
 	if b.now-s.SlowStart.Started > b.settings.Rules.WarmupPeriod {
@@ -144,7 +144,7 @@
 	p, s, overdue := a.part, a.server, b.fleet.Overdue()
 	lost := class.LastSuccess <= a.sent || took > suspicion.LostFactor*overdue
 	if result == TimedOut || took > overdue && (p.answered || lost) {
-		s.RecordClassFailure(p.query.Class, b.now, a.sent, b.trialInterval())
+		s.RecordClassFailure(p.query.Class, b.now, a.sent, b.halfOpenDelay())
 	}
 	if s.LastSuccess <= a.sent { // else the part was lost, and its time says nothing of the others'
 		b.fleet.RecordUnanswered(&s.Server, took, len(p.query.parts))
@@ -179,7 +179,7 @@
 	}
 }
 
-// trialInterval is the least time between two half-open requests to a server or class, in microseconds.
-func (b *Balancer) trialInterval() float64 {
+// halfOpenDelay is the least time between two half-open requests to a server or class, in microseconds.
+func (b *Balancer) halfOpenDelay() float64 {
 	return halfOpenInterval * b.sqrtInstances * b.fleet.Overdue()
 }
--- a/balance/evidence_test.go
+++ b/balance/evidence_test.go
@@ -6,19 +6,19 @@
 )
 
 // counts serves n one-part queries of class 0 and returns how many attempts each server got.
-func (h *bench) counts(n int) map[Replica]int {
+func (h *harness) counts(n int) map[Replica]int {
 	h.Helper()
 	got := map[Replica]int{}
 	for range n {
-		_, ev := h.query(0, 1)
-		s := one[Send](h, h.turn(ev...))
+		_, events := h.query(0, 1)
+		s := onlyAction[Send](h, h.turn(events...))
 		got[s.Replica]++
 		h.end(s, 0, OK, 50*ms)
 	}
 	return got
 }
 
-func withEvidence(e HealthLimits) []Endpoint {
+func endpointsWithLimits(e HealthLimits) []Endpoint {
 	list := threeServers()
 	list[0].HealthLimits = e
 	return list
@@ -26,8 +26,8 @@
 
 // A shunned server gets nothing of that class while another holder is listed, but for one part for each trial that
 // is granted; where all are shunned, parts go there all the same.
-func TestShunnedServerGetsTrialsOnly(t *testing.T) {
-	h := newBench(t, testSettings(), withEvidence(HealthLimits{EjectedClasses: 1})...)
+func TestLimits_EjectedServerGetsHalfOpenRequestsOnly(t *testing.T) {
+	h := newHarness(t, testSettings(), endpointsWithLimits(HealthLimits{EjectedClasses: 1})...)
 	if n := h.counts(50)["a"]; n != 0 {
 		t.Fatalf("%d parts at a shunned server", n)
 	}
@@ -46,26 +46,26 @@
 }
 
 // What must not run twice waits for a holder that is busy rather than go to one that is shunned.
-func TestShunnedServerIsNoWayAroundABusyOne(t *testing.T) {
-	set := testSettings()
-	set.Classes[0].Idempotency = NonIdempotent
-	h := newBench(t, set, Endpoint{Replica: "a", Cell: 0, HealthLimits: HealthLimits{EjectedClasses: 1}}, Endpoint{Replica: "b", Cell: 1, HealthLimits: HealthLimits{MaxInFlight: 1}})
-	_, ev := h.query(0, 1)
-	if s := one[Send](h, h.turn(ev...)); s.Replica != "b" {
+func TestLimits_EjectedServerIsNoWayAroundABusyOne(t *testing.T) {
+	settings := testSettings()
+	settings.Classes[0].Idempotency = NonIdempotent
+	h := newHarness(t, settings, Endpoint{Replica: "a", Cell: 0, HealthLimits: HealthLimits{EjectedClasses: 1}}, Endpoint{Replica: "b", Cell: 1, HealthLimits: HealthLimits{MaxInFlight: 1}})
+	_, events := h.query(0, 1)
+	if s := onlyAction[Send](h, h.turn(events...)); s.Replica != "b" {
 		t.Fatalf("sent to %s", s.Replica)
 	}
-	_, ev = h.query(0, 1)
-	acts := h.turn(ev...)
-	h.none(acts, "second part at a server that takes one", len(all[Send](acts)))
+	_, events = h.query(0, 1)
+	actions := h.turn(events...)
+	h.wantNone(actions, "second part at a server that takes one", len(actionsOf[Send](actions)))
 }
 
 // A server takes no more parts at once than it says.
-func TestMostPartsAtOnce(t *testing.T) {
-	h := newBench(t, testSettings(), withEvidence(HealthLimits{MaxInFlight: 2})...)
+func TestLimits_MaxInFlight(t *testing.T) {
+	h := newHarness(t, testSettings(), endpointsWithLimits(HealthLimits{MaxInFlight: 2})...)
 	out := 0
 	for range 30 {
-		_, ev := h.query(0, 1)
-		for _, s := range all[Send](h.turn(ev...)) {
+		_, events := h.query(0, 1)
+		for _, s := range actionsOf[Send](h.turn(events...)) {
 			if s.Replica == "a" {
 				out++
 			}
@@ -77,8 +77,8 @@
 }
 
 // A share of a half beside two whole ones: a fifth of the parts, about.
-func TestShareThins(t *testing.T) {
-	h := newBench(t, testSettings(), withEvidence(HealthLimits{TrafficFraction: 0.25})...)
+func TestLimits_TrafficFraction(t *testing.T) {
+	h := newHarness(t, testSettings(), endpointsWithLimits(HealthLimits{TrafficFraction: 0.25})...)
 	got := h.counts(2000)
 	if share := float64(got["a"]) / 2000; share < 0.08 || share > 0.2 {
 		t.Errorf("%v", got)
@@ -86,12 +86,12 @@
 }
 
 // Evidence that tells nothing changes nothing: the same choices with the same seed.
-func TestNoEvidenceNoChange(t *testing.T) {
+func TestLimits_NoneChangeNothing(t *testing.T) {
 	trace := func(e HealthLimits) (got []Replica) {
-		h := newBench(t, testSettings(), withEvidence(e)...)
+		h := newHarness(t, testSettings(), endpointsWithLimits(e)...)
 		for range 200 {
-			_, ev := h.query(0, 1)
-			s := one[Send](h, h.turn(ev...))
+			_, events := h.query(0, 1)
+			s := onlyAction[Send](h, h.turn(events...))
 			got = append(got, s.Replica)
 			h.end(s, 0, OK, time.Duration(20+len(got)%7*10)*ms)
 		}
@@ -107,33 +107,33 @@
 
 // A part that names its holders goes to them only; one that is cold for it gets its share; when the last is taken away
 // the query ends at once, and a holder given instead is asked.
-func TestPartsNameTheirHolders(t *testing.T) {
-	h := newBench(t, testSettings())
+func TestLimits_PartsNameTheirCandidates(t *testing.T) {
+	h := newHarness(t, testSettings())
 	holders := func(list ...Candidate) (ID, []Event) {
-		id, ev := h.query(0, 1)
-		p := ev[1].(Part)
+		id, events := h.query(0, 1)
+		p := events[1].(Part)
 		p.Candidates = list
-		ev[1] = p
-		return id, ev
+		events[1] = p
+		return id, events
 	}
 	got := map[Replica]int{}
 	for range 1000 {
-		_, ev := holders(Candidate{Replica: "a", TrafficFraction: 0.25}, Candidate{Replica: "b"}, Candidate{Replica: "unlisted"})
-		s := one[Send](h, h.turn(ev...))
+		_, events := holders(Candidate{Replica: "a", TrafficFraction: 0.25}, Candidate{Replica: "b"}, Candidate{Replica: "unlisted"})
+		s := onlyAction[Send](h, h.turn(events...))
 		got[s.Replica]++
 		h.end(s, 0, OK, 50*ms)
 	}
 	if got["c"] != 0 || got["a"] < 50 || got["a"] > 350 || got["a"]+got["b"] != 1000 {
 		t.Errorf("%v", got)
 	}
-	id, ev := holders(Candidate{Replica: "a"})
-	s := one[Send](h, h.turn(ev...))
-	if acts := h.turn(CandidatesChanged{Part: s.Part, Candidates: []Candidate{}}, AttemptEnded{Part: s.Part, Replica: "a", Result: NotSent}); one[Reject](h, acts).Query != id {
-		t.Errorf("%v", acts)
+	id, events := holders(Candidate{Replica: "a"})
+	s := onlyAction[Send](h, h.turn(events...))
+	if actions := h.turn(CandidatesChanged{Part: s.Part, Candidates: []Candidate{}}, AttemptEnded{Part: s.Part, Replica: "a", Result: NotSent}); onlyAction[Reject](h, actions).Query != id {
+		t.Errorf("%v", actions)
 	}
-	_, ev = holders(Candidate{Replica: "a"})
-	s = one[Send](h, h.turn(ev...))
-	if acts := h.turn(CandidatesChanged{Part: s.Part, Candidates: []Candidate{{Replica: "c"}}}, AttemptEnded{Part: s.Part, Replica: "a", Result: NotSent}); one[Send](h, acts).Replica != "c" {
-		t.Errorf("%v", acts)
+	_, events = holders(Candidate{Replica: "a"})
+	s = onlyAction[Send](h, h.turn(events...))
+	if actions := h.turn(CandidatesChanged{Part: s.Part, Candidates: []Candidate{{Replica: "c"}}}, AttemptEnded{Part: s.Part, Replica: "a", Result: NotSent}); onlyAction[Send](h, actions).Replica != "c" {
+		t.Errorf("%v", actions)
 	}
 }
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -7,29 +7,29 @@
 )
 
 // Shares of a server that the fleet finds to lose nearly all of its parts.
-const nextToNone = 0.005
+const almostNoTraffic = 0.005
 
 // newFleetBench is one of 300 gatherers, whose classes are a search that needs every part, and a report that half of them do
 // for. Every shard is on the same four servers.
-func newFleetBench(t *testing.T, out ...Replica) *bench {
-	set := testSettings()
-	set.Instances, set.CanHedge, set.Cells, set.Reach, set.MaxAttempts = 300, false, 4, 4, 4
-	report := set.Classes[0]
+func newFleetBench(t *testing.T, out ...Replica) *harness {
+	settings := testSettings()
+	settings.Instances, settings.CanHedge, settings.Cells, settings.Reach, settings.MaxAttempts = 300, false, 4, 4, 4
+	report := settings.Classes[0]
 	report.MinFraction, report.PartialFraction, report.OverdueFraction = 0.5, 0.8, 0.1
-	set.Classes = append(set.Classes, report)
-	h := newBench(t, set, Endpoint{Replica: "a", Cell: 0}, Endpoint{Replica: "b", Cell: 1}, Endpoint{Replica: "c", Cell: 2}, Endpoint{Replica: "d", Cell: 3})
+	settings.Classes = append(settings.Classes, report)
+	h := newHarness(t, settings, Endpoint{Replica: "a", Cell: 0}, Endpoint{Replica: "b", Cell: 1}, Endpoint{Replica: "c", Cell: 2}, Endpoint{Replica: "d", Cell: 3})
 	h.serve(60, 100*ms)
 	var list []Endpoint
 	for _, id := range out {
 		m := Endpoint{Replica: id, Cell: int(id[0] - 'a')}
-		m.TrafficFraction = nextToNone
+		m.TrafficFraction = almostNoTraffic
 		list = append(list, m)
 	}
 	h.turn(EndpointList{Kind: ListDelta, Endpoints: list})
 	return h
 }
 
-func to(sends []Send) map[Replica]int {
+func countByReplica(sends []Send) map[Replica]int {
 	n := map[Replica]int{}
 	for _, s := range sends {
 		n[s.Replica]++
@@ -39,39 +39,39 @@
 
 // A part waits for a holder that is full for a moment, and does not spend its attempts at one that has next to no
 // share. Guards against searches that died of a part in 60 ms, while its two sound holders served others.
-func TestPartWaitsForAFullHolderNotAtOneThatIsOut(t *testing.T) {
+func TestChoose_PartWaitsForAFullReplicaRatherThanAnExcludedOne(t *testing.T) {
 	h := newFleetBench(t, "a", "b", "c")
 	for range 40 { // of 200 parts about one may try a server that is out
-		_, ev := h.query(0, 5)
-		if n := to(all[Send](h.turn(ev...))); n["d"] < 4 {
+		_, events := h.query(0, 5)
+		if n := countByReplica(actionsOf[Send](h.turn(events...))); n["d"] < 4 {
 			t.Fatalf("parts went to %v", n)
 		}
 	}
 	h = newFleetBench(t, "a", "b", "c")
 	h.b.servers["d"].avoidUntil = h.now + 100*ms
-	_, ev := h.query(0, 1)
-	if acts := h.turn(ev...); len(all[Send](acts)) != 0 {
-		t.Fatalf("sent while the one sound holder is full: %v", acts)
+	_, events := h.query(0, 1)
+	if actions := h.turn(events...); len(actionsOf[Send](actions)) != 0 {
+		t.Fatalf("sent while the one sound holder is full: %v", actions)
 	}
 }
 
 // Where the sound holders turn a part away its attempts are spread over the time left.
-func TestAttemptsAfterFullHoldersAreSpread(t *testing.T) {
+func TestRetry_AttemptsAfterFullReplicasAreSpread(t *testing.T) {
 	h := newFleetBench(t, "a", "b", "c")
-	_, ev := h.query(0, 1)
-	s := one[Send](h, h.turn(ev...))
+	_, events := h.query(0, 1)
+	s := onlyAction[Send](h, h.turn(events...))
 	at, times := 0, []time.Duration{}
 	start := h.now
-	acts := h.end(s, at, QueueFull, ms)
+	actions := h.end(s, at, QueueFull, ms)
 	for h.now < start+900*ms && at < 3 {
-		if again := all[Send](acts); len(again) == 1 {
+		if again := actionsOf[Send](actions); len(again) == 1 {
 			at++
 			times = append(times, h.now-start)
-			acts = h.end(again[0], at, QueueFull, ms)
+			actions = h.end(again[0], at, QueueFull, ms)
 			continue
 		}
 		h.now += 5 * ms
-		acts = h.turn(TimerFired{})
+		actions = h.turn(TimerFired{})
 	}
 	if len(times) != 3 || times[0] < 200*ms || times[1]-times[0] < 150*ms || times[2]-times[1] < 150*ms {
 		t.Errorf("further attempts at %v of an aim of a second", times)
@@ -79,19 +79,19 @@
 }
 
 // A part is not called off at a server that is behind to be sent where nearly all parts are lost.
-func TestPartIsNotCalledOffForAServerThatIsOut(t *testing.T) {
+func TestHedge_PartIsNotCanceledForAnExcludedServer(t *testing.T) {
 	for _, out := range []bool{true, false} {
 		h := newFleetBench(t)
 		if out {
 			h = newFleetBench(t, "a", "b", "c")
 		}
 		h.b.hedgeTokens = 10
-		_, ev := h.query(0, 1)
-		s := one[Send](h, h.turn(ev...))
+		_, events := h.query(0, 1)
+		s := onlyAction[Send](h, h.turn(events...))
 		called := 0
 		for range 160 {
 			h.now += 5 * ms
-			called += len(all[Cancel](h.turn(TimerFired{})))
+			called += len(actionsOf[Cancel](h.turn(TimerFired{})))
 		}
 		if called > 0 == out {
 			t.Errorf("out %v: %d calls back from %s", out, called, s.Replica)
@@ -101,8 +101,8 @@
 
 // A report leaves a shard to the searches where half of its holders are out and the others are crowded, answers at
 // once from the rest, and never from less than its floor.
-func TestReportYieldsCrowdedShards(t *testing.T) {
-	crowd := func(h *bench, queue float64) {
+func TestQuery_ShedsOptionalPartsOfCrowdedShards(t *testing.T) {
+	crowd := func(h *harness, queue float64) {
 		for _, id := range []Replica{"c", "d"} {
 			h.b.servers[id].Queue, h.b.servers[id].ReportedAt = queue, h.now
 		}
@@ -119,8 +119,8 @@
 	} {
 		h := newFleetBench(t, c.out...)
 		crowd(h, c.queue)
-		id, ev := h.query(c.class, 10)
-		sends := all[Send](h.turn(ev...))
+		id, events := h.query(c.class, 10)
+		sends := actionsOf[Send](h.turn(events...))
 		if len(sends) != c.want {
 			t.Errorf("%v out, queue %v, class %d: %d parts sent, want %d", c.out, c.queue, c.class, len(sends), c.want)
 			continue
@@ -128,11 +128,11 @@
 		if c.want == 10 {
 			continue
 		}
-		var acts []Action
+		var actions []Action
 		for _, s := range sends {
-			acts = append(acts, h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: OK, Elapsed: 10 * ms})...)
+			actions = append(actions, h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: OK, Elapsed: 10 * ms})...)
 		}
-		if a := one[Answer](h, acts); a.Query != id || a.Complete {
+		if a := onlyAction[Answer](h, actions); a.Query != id || a.Complete {
 			t.Errorf("answer %+v", a)
 		}
 	}
@@ -140,7 +140,7 @@
 
 // A gatherer that only ever saw a jam admits again: what it forgets with each refusal leads to its first guess, and
 // fresh probes of short queues tell more than old answers. Fresh probes of long ones refuse at once.
-func TestJamIsUnlearned(t *testing.T) {
+func TestAdmit_JamIsForgotten(t *testing.T) {
 	h := newFleetBench(t)
 	jam := func() { // long ago, and nothing since
 		h.b.fleet.Mean, h.b.fleet.Deviation, h.b.meanWeight, h.b.meanParts, h.b.fleet.RecentAnswers = 800e3, 300e3, 1, 30, nil
@@ -151,8 +151,8 @@
 	jam()
 	refused := 0
 	for ; refused < 20; refused++ {
-		_, ev := h.query(0, 30)
-		if len(all[Send](h.turn(ev...))) > 0 {
+		_, events := h.query(0, 30)
+		if len(actionsOf[Send](h.turn(events...))) > 0 {
 			break
 		}
 		h.now += time.Second
@@ -171,8 +171,8 @@
 		for _, s := range h.b.servers {
 			s.ProbedQueue, s.ProbedQueueAt = c.queue, h.now
 		}
-		_, ev := h.query(0, 30)
-		if n := len(all[Send](h.turn(ev...))); n != c.sends {
+		_, events := h.query(0, 30)
+		if n := len(actionsOf[Send](h.turn(events...))); n != c.sends {
 			t.Errorf("%d parts sent, queues of %v", n, c.queue)
 		}
 	}
@@ -180,7 +180,7 @@
 
 // A wide query's worth a part is weighed against that of the parts offered, not of the queries: beside corrections of
 // one part it would count as worth nothing, and be refused in a lull.
-func TestWideQueriesAreNotRefusedBesideNarrowOnes(t *testing.T) {
+func TestAdmit_WideQueriesBesideNarrowOnes(t *testing.T) {
 	h := newFleetBench(t)
 	h.b.meanWeight, h.b.meanParts = 1, 15.5 // as the queries below have on average
 	for i := range 200 {
@@ -188,9 +188,9 @@
 		if i%2 == 0 {
 			n = 30
 		}
-		_, ev := h.query(0, n)
+		_, events := h.query(0, n)
 		h.b.fleet.Mean, h.b.fleet.Deviation = 200e3, 100e3 // 1.2 ln 30 deviations: 0.61 of the aim
-		sends := all[Send](h.turn(ev...))
+		sends := actionsOf[Send](h.turn(events...))
 		if len(sends) != n {
 			t.Fatalf("query %d: %d of %d parts sent", i, len(sends), n)
 		}
@@ -203,22 +203,22 @@
 
 // Nor is a part called off at a server that lives, for another whose queue is long: it would wait there as long, and
 // the first does its work all the same. Guards against two crowded holders that finish only what was called off.
-func TestPartIsNotCalledOffBetweenCrowdedServers(t *testing.T) {
+func TestHedge_PartIsNotCanceledBetweenCrowdedServers(t *testing.T) {
 	for _, c := range []struct {
 		queue float64
 		calls bool
 	}{{15, false}, {0, true}} {
 		h := newFleetBench(t, "a", "b")
 		h.b.hedgeTokens = 10
-		_, ev := h.query(0, 1)
-		h.turn(ev...)
+		_, events := h.query(0, 1)
+		h.turn(events...)
 		called := 0
 		for range 120 {
 			h.now += 5 * ms
 			for _, s := range h.b.servers {
 				s.Queue, s.ReportedAt = c.queue, h.now
 			}
-			called += len(all[Cancel](h.turn(TimerFired{})))
+			called += len(actionsOf[Cancel](h.turn(TimerFired{})))
 		}
 		if called > 0 != c.calls {
 			t.Errorf("queues of %v: %d calls back", c.queue, called)
@@ -229,7 +229,7 @@
 // What says nothing of being behind is left for one that is: its lateness is not told by a queue. Guards parts sent
 // across a cut that were out until their query's end, 1.33 s of 1.34, as the holders on this side had long queues, or had
 // been told of as such when words still came.
-func TestPartIsCalledOffWhereNothingSaysWhyItIsLate(t *testing.T) {
+func TestHedge_PartIsCanceledWhereNothingSaysWhyItIsLate(t *testing.T) {
 	for _, c := range []struct {
 		own, others float64
 		long        bool // the others, by a word of long ago
@@ -237,8 +237,8 @@
 	}{{0, 15, false, true}, {15, 0, true, true}, {15, 15, false, false}} {
 		h := newFleetBench(t)
 		h.b.hedgeTokens = 10
-		_, ev := h.query(0, 1)
-		at := one[Send](h, h.turn(ev...)).Replica
+		_, events := h.query(0, 1)
+		at := onlyAction[Send](h, h.turn(events...)).Replica
 		called := 0
 		for range 120 {
 			h.now += 5 * ms
@@ -250,7 +250,7 @@
 					s.ReportedAt -= 4 * time.Second
 				}
 			}
-			called += len(all[Cancel](h.turn(TimerFired{})))
+			called += len(actionsOf[Cancel](h.turn(TimerFired{})))
 		}
 		if called > 0 != c.calls {
 			t.Errorf("%+v: %d calls back", c, called)
@@ -260,8 +260,8 @@
 
 // Where all holders of a shard are cold, a query that needs sixty such parts is begun: each part may go to a holder
 // drawn by lot, in proportion to what these can do. Not where more is asked than servers were seen to answer.
-func TestColdHoldersAreDrawnByLot(t *testing.T) {
-	cold := func(h *bench) {
+func TestSlowStart_ReplicasAreSampledAtRandom(t *testing.T) {
+	cold := func(h *harness) {
 		var list []Endpoint
 		for i, id := range []Replica{"a", "b", "c", "d"} {
 			list = append(list, Endpoint{Replica: id, Cell: i, Started: h.now - time.Duration(4+2*(i%2))*time.Second})
@@ -278,8 +278,8 @@
 		if cold(h); i >= 40 {
 			h.b.fleet.Demand.Offered *= 10
 		}
-		_, ev := h.query(0, 6)
-		sends := all[Send](h.turn(ev...))
+		_, events := h.query(0, 6)
+		sends := actionsOf[Send](h.turn(events...))
 		if i >= 40 {
 			if len(sends) > 0 {
 				t.Fatalf("%d parts sent to cold servers, ten times what they answer is asked", len(sends))
@@ -289,7 +289,7 @@
 		if len(sends) != 6 {
 			t.Fatalf("%d of 6 parts sent", len(sends))
 		}
-		for id, k := range to(sends) {
+		for id, k := range countByReplica(sends) {
 			n[id] += k
 			parts += k
 		}
@@ -303,7 +303,7 @@
 }
 
 // A query is not begun where the only holders of one of its parts are known to be so far behind that it would be late.
-func TestQueryIsNotBegunWhereAPartWouldWaitTooLong(t *testing.T) {
+func TestAdmit_RejectsWhereAPartWouldWaitTooLong(t *testing.T) {
 	for _, c := range []struct {
 		queue float64
 		sends int
@@ -314,16 +314,16 @@
 		for _, s := range h.b.servers { // at 28 a part would wait for 0.7 of the aim, and the servers are not full
 			s.Queue, s.ReportedAt = c.queue, h.now
 		}
-		_, ev := h.query(0, 10)
-		acts := h.turn(ev...)
-		if n := len(all[Send](acts)); n != c.sends || c.sends == 0 && len(all[Reject](acts)) != 1 {
+		_, events := h.query(0, 10)
+		actions := h.turn(events...)
+		if n := len(actionsOf[Send](actions)); n != c.sends || c.sends == 0 && len(actionsOf[Reject](actions)) != 1 {
 			t.Errorf("queues of %v: %d parts sent", c.queue, n)
 		}
 	}
 }
 
 // Nor where all its holders but one that is out are full: that one will not have it.
-func TestHolderThatIsOutIsNotOpen(t *testing.T) {
+func TestAdmit_ExcludedReplicaIsNotOpen(t *testing.T) {
 	for _, out := range []bool{true, false} {
 		h := newFleetBench(t)
 		if out {
@@ -332,24 +332,24 @@
 		for _, id := range []Replica{"b", "c", "d"} {
 			h.b.servers[id].avoidUntil = h.now + 100*ms
 		}
-		_, ev := h.query(0, 1)
-		if n := len(all[Reject](h.turn(ev...))); n == 1 != out {
+		_, events := h.query(0, 1)
+		if n := len(actionsOf[Reject](h.turn(events...))); n == 1 != out {
 			t.Errorf("out %v: %d refused", out, n)
 		}
 	}
 }
 
 // A server that the fleet knows to lose some is tried by its share, not by the clock of each gatherer that doubts it.
-func TestTrialsGoByTheShare(t *testing.T) {
+func TestChoose_HalfOpenRequestsGoByTrafficFraction(t *testing.T) {
 	trials := map[float64]int{}
 	for _, share := range []float64{0, 0.3} {
 		h := newFleetBench(t)
 		h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", HealthLimits: HealthLimits{TrafficFraction: share}}}})
 		for range 60 {
 			s := h.b.servers["a"]
-			s.Penalty, s.NextTrial, s.PerClass[0].NextTrial = 1, 0, 0
-			_, ev := h.query(0, 1)
-			s1 := one[Send](h, h.turn(ev...))
+			s.Penalty, s.NextHalfOpen, s.PerClass[0].NextHalfOpen = 1, 0, 0
+			_, events := h.query(0, 1)
+			s1 := onlyAction[Send](h, h.turn(events...))
 			if s1.Replica == "a" {
 				trials[share]++
 			}
@@ -364,7 +364,7 @@
 }
 
 // By fresh probes the slowest of many parts waits longer than one does; own answers count while they are as fresh.
-func TestAdmissionReckonsWithTheSlowestPart(t *testing.T) {
+func TestAdmit_CountsOnTheSlowestPart(t *testing.T) {
 	for _, c := range []struct {
 		mean, queue float64
 		stale       bool
@@ -383,8 +383,8 @@
 		for _, s := range h.b.servers {
 			s.ProbedQueue, s.ProbedQueueAt = c.queue, h.now
 		}
-		_, ev := h.query(0, 30)
-		if n := len(all[Send](h.turn(ev...))); n != c.sends {
+		_, events := h.query(0, 30)
+		if n := len(actionsOf[Send](h.turn(events...))); n != c.sends {
 			t.Errorf("%+v: %d parts sent", c, n)
 		}
 	}
--- a/balance/peers_test.go
+++ b/balance/peers_test.go
@@ -9,29 +9,29 @@
 	"rooktrestle/internal/control/gossip"
 )
 
-// many is a gatherer of eighty that may talk and probe.
-func many(t *testing.T) *bench {
-	set := testSettings()
-	set.Instances, set.PeerMessages, set.CanProbe, set.ProbeTimeout = 80, true, true, 250*ms
-	h := newBench(t, set)
+// newGossipHarness is a gatherer of eighty that may talk and probe.
+func newGossipHarness(t *testing.T) *harness {
+	settings := testSettings()
+	settings.Instances, settings.PeerMessages, settings.CanProbe, settings.ProbeTimeout = 80, true, true, 250*ms
+	h := newHarness(t, settings)
 	h.serve(100, 100*ms)
 	return h
 }
 
-// learned is what h tells after a probe of server "a" ended so.
-func learned(h *bench, r AttemptResult, queue float64) []SendGossip {
+// gossipAfterProbe is what h tells after a probe of server "a" ended so.
+func gossipAfterProbe(h *harness, r AttemptResult, queue float64) []SendGossip {
 	h.now += time.Second // nothing of "a" is known since
 	p := ProbeEnded{Replica: "a", Result: r, Elapsed: 250 * ms}
 	if r == OK {
 		p.Report = &LoadReport{Queue: queue, InFlight: -1, Utilization: -1}
 	}
-	return all[SendGossip](h.turn(p))
+	return actionsOf[SendGossip](h.turn(p))
 }
 
 // A silent server found by one gatherer is left by the others, before each has lost parts of its own there.
-func TestSilenceFoundByOneIsKnownToAll(t *testing.T) {
-	from, to := many(t), many(t)
-	told := learned(from, Canceled, 0)
+func TestGossip_UnresponsiveServerIsKnownToAll(t *testing.T) {
+	from, to := newGossipHarness(t), newGossipHarness(t)
+	told := gossipAfterProbe(from, Canceled, 0)
 	if len(told) != 1 || len(told[0].Payload) > MaxGossipBytes {
 		t.Fatalf("told %v", told)
 	}
@@ -41,13 +41,13 @@
 		t.Fatal("a silent server is still trusted")
 	}
 	for range 20 {
-		_, ev := to.query(0, 1)
-		if s := one[Send](to, to.turn(ev...)); s.Replica == "a" {
+		_, events := to.query(0, 1)
+		if s := onlyAction[Send](to, to.turn(events...)); s.Replica == "a" {
 			t.Fatal("a part went to the silent server")
 		}
 	}
 	// It answers somebody: one word lets it in again.
-	if told = learned(from, OK, 1); len(told) != 1 {
+	if told = gossipAfterProbe(from, OK, 1); len(told) != 1 {
 		t.Fatal("that a silent server is there again was not told")
 	}
 	to.now = from.now
@@ -55,24 +55,24 @@
 	if to.turn(); to.b.servers["a"].Unresponsive {
 		t.Error("a server that answers is still left")
 	}
-	if told = learned(from, OK, 1); len(told) != 0 {
+	if told = gossipAfterProbe(from, OK, 1); len(told) != 0 {
 		t.Error("a short queue of a server that was neither silent nor long was told")
 	}
 }
 
 // Silence told from another zone may be of the way there, which is not this one's; and an answer ends what was told.
-func TestSilenceOfAnotherZonesWay(t *testing.T) {
-	silent := func(h *bench, zone int) bool {
+func TestGossip_UnresponsiveFromAnotherZone(t *testing.T) {
+	silent := func(h *harness, zone int) bool {
 		h.now += time.Second
 		h.turn(GossipReceived{gossip.EncodeLoad(h.now, zone, []gossip.Observation{{Key: gossip.ServerKey("a"), Value: gossip.Unresponsive}})})
 		return h.b.servers["a"].Unresponsive
 	}
-	h := many(t)
+	h := newGossipHarness(t)
 	if silent(h, 1) {
 		t.Error("taken from another zone")
 	}
-	_, ev := h.query(0, 9)
-	sends := all[Send](h.turn(ev...))
+	_, events := h.query(0, 9)
+	sends := actionsOf[Send](h.turn(events...))
 	if !silent(h, 0) {
 		t.Fatal("not taken from the own zone")
 	}
@@ -81,14 +81,14 @@
 			h.turn(AttemptEnded{Part: s.Part, Replica: "a", Result: OK, Elapsed: time.Second})
 		}
 	}
-	if to(sends)["a"] == 0 || h.b.servers["a"].ProbeUnanswered {
-		t.Errorf("%d parts answered, and it is taken for silent", to(sends)["a"])
+	if countByReplica(sends)["a"] == 0 || h.b.servers["a"].ProbeUnanswered {
+		t.Errorf("%d parts answered, and it is taken for silent", countByReplica(sends)["a"])
 	}
 }
 
-func TestLongQueueIsToldAndItsEnd(t *testing.T) {
-	from, to := many(t), many(t)
-	told := learned(from, OK, 40)
+func TestGossip_LongQueueAndItsEnd(t *testing.T) {
+	from, to := newGossipHarness(t), newGossipHarness(t)
+	told := gossipAfterProbe(from, OK, 40)
 	if len(told) != 1 {
 		t.Fatal("a long queue was not told")
 	}
@@ -97,7 +97,7 @@
 	if q := to.b.servers["a"].Queue; q < 20 {
 		t.Fatalf("queue taken as %v", q)
 	}
-	told = learned(from, OK, 0)
+	told = gossipAfterProbe(from, OK, 0)
 	if len(told) != 1 {
 		t.Fatal("the end of a long queue was not told")
 	}
@@ -106,13 +106,13 @@
 	if q := to.b.servers["a"].Queue; q > 15 {
 		t.Fatalf("queue taken as %v after its end", q)
 	}
-	if told = learned(from, OK, 0); len(told) != 0 {
+	if told = gossipAfterProbe(from, OK, 0); len(told) != 0 {
 		t.Error("an ordinary queue was told: all would send to the shortest")
 	}
 }
 
 // Own evidence counts for more than what another heard earlier, and old words tell nothing.
-func TestWordsThatTellNothing(t *testing.T) {
+func TestGossip_IgnoredMessages(t *testing.T) {
 	for name, c := range map[string]struct {
 		late time.Duration
 		bend func([]byte) []byte
@@ -130,8 +130,8 @@
 			return gossip.EncodeLoad(0, 0, load.Observations)
 		}},
 	} {
-		from, to := many(t), many(t)
-		text := learned(from, Canceled, 0)[0].Payload
+		from, to := newGossipHarness(t), newGossipHarness(t)
+		text := gossipAfterProbe(from, Canceled, 0)[0].Payload
 		if c.bend != nil {
 			text = c.bend(text)
 		}
@@ -145,17 +145,17 @@
 	}
 	// Where words are not allowed, or gatherers are few, none is sent and none counts.
 	for _, few := range []bool{false, true} {
-		h := many(t)
-		word := learned(h, Canceled, 0)[0].Payload
-		if h = many(t); few {
+		h := newGossipHarness(t)
+		word := gossipAfterProbe(h, Canceled, 0)[0].Payload
+		if h = newGossipHarness(t); few {
 			h.b.settings.Instances = fleet.MaxExtrapolated
 		} else {
 			h.b.settings.PeerMessages = false
 		}
-		if told := learned(h, Canceled, 0); len(told) != 0 {
+		if told := gossipAfterProbe(h, Canceled, 0); len(told) != 0 {
 			t.Errorf("few %v: told %v", few, told)
 		}
-		h = many(t)
+		h = newGossipHarness(t)
 		h.b.settings.PeerMessages, h.b.fleet.Options.ProbesShared = false, false
 		h.now += time.Second
 		if h.turn(GossipReceived{word}); h.b.servers["a"].ProbeUnanswered {
@@ -165,10 +165,10 @@
 }
 
 // What is told is earned by parts taken, and never longer than is allowed.
-func TestWordsAreRationed(t *testing.T) {
-	h := many(t)
+func TestGossip_IsLimited(t *testing.T) {
+	h := newGossipHarness(t)
 	h.b.outbox.Allowance = 0
-	if told := learned(h, Canceled, 0); len(told) != 0 {
+	if told := gossipAfterProbe(h, Canceled, 0); len(told) != 0 {
 		t.Errorf("told %v with nothing earned", told)
 	}
 	var remarks []gossip.Observation
@@ -181,7 +181,7 @@
 	}
 }
 
-func FuzzWord(f *testing.F) {
+func FuzzReceiveGossip(f *testing.F) {
 	f.Add([]byte(nil))
 	f.Add(gossip.EncodeLoad(time.Hour, 0, []gossip.Observation{{Key: gossip.ServerKey("a"), Value: 7}, {Key: gossip.ServerKey("b"), Value: gossip.Unresponsive}}))
 	f.Add(append(gossip.EncodeLoad(0, 0, nil), 1, 2, 3))
@@ -190,9 +190,9 @@
 		if ok != IsGossip(text) || ok && len(text) != gossip.EncodedSize(len(load.Observations)) {
 			t.Fatalf("%x: %v, %d remarks", text, ok, len(load.Observations))
 		}
-		set := testSettings()
-		set.Instances, set.PeerMessages = 80, true
-		b, err := New(set)
+		settings := testSettings()
+		settings.Instances, settings.PeerMessages = 80, true
+		b, err := New(settings)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/balance/selection.go
+++ b/balance/selection.go
@@ -102,7 +102,7 @@
 	for _, s := range available {
 		fault := s.Fault(p.query.Class)
 		if fault != nil && !s.ProbeFailed && len(fault.InFlight) == 0 && !b.skipsByFraction(p, s) &&
-			b.now >= fault.NextTrial+delay && s.Path.AllowsTrial(b.now) {
+			b.now >= fault.NextHalfOpen+delay && s.Path.AllowsHalfOpen(b.now) {
 			p.query.halfOpenUsed = true
 			return s
 		}
--- a/internal/control/gossip/gossip_test.go
+++ b/internal/control/gossip/gossip_test.go
@@ -6,7 +6,7 @@
 )
 
 // A word reads as its kind alone, a byte changed anywhere makes it none, and its age goes round with the stamp.
-func TestFrame(t *testing.T) {
+func TestEncode_FramesAKindAndItsAge(t *testing.T) {
 	const kind = 0x51
 	now := time.Hour
 	for _, body := range []string{"", "body", string(make([]byte, MaxMessageBytes-HeaderBytes))} {
--- a/internal/control/retrydetect/retrydetect_test.go
+++ b/internal/control/retrydetect/retrydetect_test.go
@@ -7,7 +7,7 @@
 
 // Where clients flag their repeats the flag decides; where they do not, the time left that most queries have is that
 // of first tries, and a change of it is learned.
-func TestFirst(t *testing.T) {
+func TestDetector_IsFirstAttempt(t *testing.T) {
 	const s, tick = time.Second, 10 * time.Millisecond
 	var u Detector
 	if !u.IsFirstAttempt(2*s, true, false, tick) || u.IsFirstAttempt(s, true, true, tick) || !u.IsFirstAttempt(2*s+tick, true, true, tick) {
--- a/internal/control/slowstart/slowstart_test.go
+++ b/internal/control/slowstart/slowstart_test.go
@@ -11,7 +11,7 @@
 var rules = Limits{WarmupPeriod: 10 * time.Second, MinCapacity: 0.2, OverloadMultiple: 2, OverloadPeriod: 2 * time.Second, Senders: 10}
 
 // A server's share grows evenly from its start, and a restart begins it anew with what the lot says.
-func TestShare(t *testing.T) {
+func TestLimits_Capacity(t *testing.T) {
 	var s Server
 	now := time.Hour
 	if rules.Capacity(&s, now) != 1 || !rules.Allows(&s, now, 100*ms) {
@@ -35,7 +35,7 @@
 }
 
 // However eagerly one mixer sends, within every window it keeps to its part of what the server stands, or to one part.
-func TestRoomKeepsToTheBudget(t *testing.T) {
+func TestLimits_AllowsKeepsToItsShareInEveryWindow(t *testing.T) {
 	for _, work := range []time.Duration{2 * ms, 10 * ms, 100 * ms} {
 		var s Server
 		start := time.Hour
@@ -67,7 +67,7 @@
 }
 
 // What is owed of the own flow lets a part go where the budget's 1/n does not, and is spent by it.
-func TestCredit(t *testing.T) {
+func TestLimits_CreditLetsAPartGo(t *testing.T) {
 	var s Server
 	now := time.Hour
 	s.Restart(now, 0.5)
@@ -88,7 +88,7 @@
 
 // What was sent to a server is not kept for as long as it runs: two thousand parts in its cold time, and none after it.
 // Guards the memory of a mixer that runs for days.
-func TestSendsAreDropped(t *testing.T) {
+func TestLimits_RecentSendsAreDropped(t *testing.T) {
 	var s Server
 	start := time.Hour
 	s.Restart(start, 0)
--- a/internal/control/suspicion/path.go
+++ b/internal/control/suspicion/path.go
@@ -31,10 +31,10 @@
 	return p.Penalty < max(MaxPenalty, pathFailuresPerRequest*float64(len(p.InFlight))) && !p.Unresponsive && !p.Slow
 }
 
-// AllowsTrial reports whether a half-open request may go over the path: it is usable, or none is in flight and one is
+// AllowsHalfOpen reports whether a half-open request may go over the path: it is usable, or none is in flight and one is
 // due.
-func (p *Path) AllowsTrial(now time.Duration) bool {
-	return p.Usable() || len(p.InFlight) == 0 && now >= p.NextTrial
+func (p *Path) AllowsHalfOpen(now time.Duration) bool {
+	return p.Usable() || len(p.InFlight) == 0 && now >= p.NextHalfOpen
 }
 
 // RecordFailure counts a failure over the path.
--- a/internal/control/suspicion/record.go
+++ b/internal/control/suspicion/record.go
@@ -34,7 +34,7 @@
 	LossRate     float64         // moving share of the attempts that got no usable answer, 0 to 1
 	Unresponsive bool            // too many in flight are stalled
 	Slow         bool            // responses are late by far, though they come
-	NextTrial    time.Duration   // earliest next half-open request
+	NextHalfOpen time.Duration   // earliest next half-open request
 }
 
 // Sent adds a request sent at now to those in flight.
@@ -73,7 +73,7 @@
 // Penalize adds one failure to the penalty and puts the next half-open request off for interval microseconds.
 func (r *Record) Penalize(now time.Duration, interval float64) {
 	r.Penalty = min(MaxPenalty, r.Penalty+1)
-	r.NextTrial = now + estimate.Duration(interval)
+	r.NextHalfOpen = now + estimate.Duration(interval)
 }
 
 // Stalled counts the requests in flight that are older than overdue microseconds and since which nothing was answered,
