--- a/balance/admission_test.go
+++ b/balance/admission_test.go
@@ -26,12 +26,12 @@
 		_, ev := h.query(0, 1)
 		for _, r := range actionsOf[Reject](h.turn(ev...)) {
 			if refused++; r.RetryAfter <= 0 {
-				t.Error("refused without a time to come back")
+				t.Error("rejected without a time to come back")
 			}
 		}
 	}
 	if refused == 0 {
-		t.Fatal("60 queries at once to three servers in a jam: none refused")
+		t.Fatal("60 queries at once to three servers in a jam: none rejected")
 	}
 	// Once nothing is in hand, queries are taken again, though no answer has lowered the mean.
 	for _, s := range h.b.servers {
@@ -46,7 +46,7 @@
 	settings := testSettings()
 	h := newHarness(t, settings)
 	h.serve(5, 100*ms)
-	// Classes without late worth: 1.5 s of 3 s are gone, the aim of 1 s with them.
+	// Classes without value after the objective: 1.5 s of 3 s are gone, the objective of 1 s with them.
 	actions := h.turn(Query{ID: 900, Group: 900, TimeLeft: 1500 * ms, Parts: 1},
 		Part{ID: 901, Group: 900, Weight: 1})
 	if r := onlyAction[Reject](h, actions); r.Query != 900 || len(actionsOf[Send](actions)) > 0 {
@@ -68,7 +68,7 @@
 	jam(4)
 	id, ev := h.query(0, 1)
 	if r := onlyAction[Reject](h, h.turn(ev...)); r.Query != id {
-		t.Errorf("refused %d, want %d", r.Query, id)
+		t.Errorf("rejected %d, want %d", r.Query, id)
 	}
 	jam(0) // the same times with nothing in hand are old news
 	_, ev = h.query(0, 1)
@@ -93,7 +93,7 @@
 	}
 }
 
-// Refusing brings no answers; without word from anyone it must end by itself.
+// Rejecting brings no answers; without reports from anyone it must end by itself.
 func TestAdmit_RejectionsForgetTheJam(t *testing.T) {
 	settings := testSettings()
 	settings.Instances = 80
@@ -102,7 +102,7 @@
 	h.b.fleet.Mean, h.b.fleet.Deviation = 2e6, 1e6
 	_, ev := h.query(0, 3)
 	if len(actionsOf[Reject](h.turn(ev...))) != 1 {
-		t.Fatal("a query was begun where answers take twice its aim")
+		t.Fatal("a query was begun where answers take twice its objective")
 	}
 	for range 20 {
 		_, ev = h.query(0, 3)
@@ -110,7 +110,7 @@
 			return
 		}
 	}
-	t.Error("20 queries refused in a row: nothing lets one through to see")
+	t.Error("20 queries rejected in a row: nothing lets one through to see")
 }
 
 // Where fewer parts make an answer, admission does not wait for the slowest of all.
@@ -132,7 +132,7 @@
 	}
 }
 
-// A cold replica that may not be sent a part now is no reason to begin a query.
+// A replica that warms up that may not be sent a part now is no reason to begin a query.
 func TestAdmit_ReplicaWarmingUpWithoutCapacityIsNotOpen(t *testing.T) {
 	settings := testSettings()
 	settings.Instances = 80
@@ -144,7 +144,7 @@
 	}
 }
 
-// Both replicas of a shard report more parts than they can serve in an aim, whatever the fleet's state: the shard is
+// Both replicas of a shard report more parts than they can serve in an objective, whatever the fleet's state: the shard is
 // closed until they may have served them.
 func TestAdmit_CrowdedShardIsClosedForAWhile(t *testing.T) {
 	h := newHarness(t, testSettings())
@@ -161,8 +161,8 @@
 	onlyAction[Send](h, h.turn(ev...))
 }
 
-// A gatherer that only ever saw a jam admits again: what it forgets with each refusal leads to its first guess, and
-// fresh probes of short queues tell more than old answers. Fresh probes of long ones refuse at once.
+// A balancer that only ever saw a jam admits again: what it forgets with each rejection leads to its first estimate, and
+// fresh probes of short queues count for more than old answers. Fresh probes of long ones reject at once.
 func TestAdmit_JamIsForgotten(t *testing.T) {
 	h := newFleetBench(t)
 	jam := func() { // long ago, and nothing since
@@ -181,7 +181,7 @@
 		h.now += time.Second
 	}
 	if refused == 0 || refused > 6 {
-		t.Errorf("%d queries refused after a jam", refused)
+		t.Errorf("%d queries rejected after a jam", refused)
 	}
 	for _, c := range []struct {
 		queue float64
@@ -201,8 +201,8 @@
 	}
 }
 
-// A wide query's worth a part is weighed against that of the parts offered, not of the queries: beside corrections of
-// one part it would count as worth nothing, and be refused in a lull.
+// A wide query's weight per part is weighed against that of the parts offered, not of the queries: beside corrections of
+// one part it would count as of no weight, and be rejected in a lull.
 func TestAdmit_WideQueriesBesideNarrowOnes(t *testing.T) {
 	h := newFleetBench(t)
 	h.b.meanWeight, h.b.meanParts = 1, 15.5 // as the queries below have on average
@@ -212,7 +212,7 @@
 			n = 30
 		}
 		_, events := h.query(0, n)
-		h.b.fleet.Mean, h.b.fleet.Deviation = 200e3, 100e3 // 1.2 ln 30 deviations: 0.61 of the aim
+		h.b.fleet.Mean, h.b.fleet.Deviation = 200e3, 100e3 // 1.2 ln 30 deviations: 0.61 of the objective
 		sends := actionsOf[Send](h.turn(events...))
 		if len(sends) != n {
 			t.Fatalf("query %d: %d of %d parts sent", i, len(sends), n)
@@ -224,7 +224,7 @@
 	}
 }
 
-// A query is not begun where the only holders of one of its parts are known to be so far behind that it would be late.
+// A query is not begun where the only replicas of one of its parts are known to be so far behind that it would be late.
 func TestAdmit_RejectsWhereAPartWouldWaitTooLong(t *testing.T) {
 	for _, c := range []struct {
 		queue float64
@@ -233,7 +233,7 @@
 		h := newFleetBench(t)
 		h.b.settings.PeerMessages, h.b.fleet.Options.ProbesShared = true, true
 		h.b.meanWeight, h.b.meanParts = 1, 10
-		for _, s := range h.b.servers { // at 28 a part would wait for 0.7 of the aim, and the servers are not full
+		for _, s := range h.b.servers { // at 28 a part would wait for 0.7 of the objective, and the servers are not full
 			s.Queue, s.ReportedAt = c.queue, h.now
 		}
 		_, events := h.query(0, 10)
@@ -244,7 +244,7 @@
 	}
 }
 
-// Nor where all its holders but one that is out are full: that one will not have it.
+// Nor where all its replicas but one that is excluded are full: that one will not have it.
 func TestAdmit_ExcludedReplicaIsNotOpen(t *testing.T) {
 	for _, out := range []bool{true, false} {
 		h := newFleetBench(t)
@@ -256,7 +256,7 @@
 		}
 		_, events := h.query(0, 1)
 		if n := len(actionsOf[Reject](h.turn(events...))); n == 1 != out {
-			t.Errorf("out %v: %d refused", out, n)
+			t.Errorf("excluded %v: %d rejected", out, n)
 		}
 	}
 }
--- a/balance/attempts_test.go
+++ b/balance/attempts_test.go
@@ -79,7 +79,7 @@
 	before := len(h.b.servers[s.Replica].Recent)
 	h.end(s, 0, Canceled, 20*ms)
 	if srv := h.b.servers[s.Replica]; len(srv.Recent) != before || slices.Contains(srv.Recent, 20e3) {
-		t.Error("a short attempt called off counts as a quick answer")
+		t.Error("a short attempt canceled counts as a quick answer")
 	}
 }
 
@@ -91,7 +91,7 @@
 	settings.Rules.RetryBudgetWindow, settings.Rules.RetryBudgetBase, settings.Rules.RetryBudgetRatio = 2*time.Second, 3, 0.1
 	settings.MaxAttempts = 4
 	h := newHarness(t, settings)
-	var took, further []time.Duration
+	var accepted, retries []time.Duration
 	tries := map[ID]int{}
 	var pending []AttemptEnded
 	second := map[ID]bool{}
@@ -100,7 +100,7 @@
 		for _, e := range events {
 			switch e.(type) {
 			case Query, Part:
-				took = append(took, h.now)
+				accepted = append(accepted, h.now)
 			}
 		}
 		for _, action := range h.turn(events...) {
@@ -123,20 +123,20 @@
 				continue
 			}
 			if tries[s.Part]++; tries[s.Part] > 1 {
-				further = append(further, h.now)
+				retries = append(retries, h.now)
 				n, k := 0.0, 0.0
-				for _, at := range further {
+				for _, at := range retries {
 					if at >= h.now-settings.Rules.RetryBudgetWindow {
 						n++
 					}
 				}
-				for _, at := range took {
+				for _, at := range accepted {
 					if at > h.now-settings.Rules.RetryBudgetWindow {
 						k++
 					}
 				}
 				if n > settings.Rules.RetryBudgetBase+settings.Rules.RetryBudgetRatio*k {
-					t.Fatalf("%v further attempts within a window that took %v", n, k)
+					t.Fatalf("%v retries within a window that took %v", n, k)
 				}
 			}
 			result := OK
@@ -159,12 +159,12 @@
 		pending, next = nil, nil
 		turn(events...)
 	}
-	if len(further) < 12 {
-		t.Errorf("only %d further attempts in 12 s: the budget is there to be used", len(further))
+	if len(retries) < 12 {
+		t.Errorf("only %d retries in 12 s: the budget is there to be used", len(retries))
 	}
 }
 
-// Where the sound holders turn a part away its attempts are spread over the time left.
+// Where the healthy replicas reject a part its attempts are spread over the time left.
 func TestRetry_AttemptsAfterFullReplicasAreSpread(t *testing.T) {
 	h := newFleetBench(t, "a", "b", "c")
 	_, events := h.query(0, 1)
@@ -183,6 +183,6 @@
 		actions = h.turn(TimerFired{})
 	}
 	if len(times) != 3 || times[0] < 200*ms || times[1]-times[0] < 150*ms || times[2]-times[1] < 150*ms {
-		t.Errorf("further attempts at %v of an aim of a second", times)
+		t.Errorf("retries at %v of an objective of a second", times)
 	}
 }
--- a/balance/crash_test.go
+++ b/balance/crash_test.go
@@ -24,9 +24,9 @@
 		h.now += 5 * ms
 		actions = h.turn(ProbeEnded{Replica: s.Replica, Result: ConnectFailed})
 		if over := len(actionsOf[Reject](actions)); over != i {
-			t.Fatalf("refused %d times after %d deaths", over, i+1)
+			t.Fatalf("rejected %d times after %d deaths", over, i+1)
 		} else if over == 1 && onlyAction[Reject](h, actions).Query != id {
-			t.Error("another query was refused")
+			t.Error("another query was rejected")
 		}
 	}
 	_, ev = h.query(0, 3)
@@ -56,7 +56,7 @@
 	}
 }
 
-// A query under which servers died comes again with its key: it is refused before it costs more servers.
+// A query under which servers died comes again with its key: it is rejected before it costs more servers.
 func TestCrash_RetryOfACrashingQueryIsRejected(t *testing.T) {
 	h := newHarness(t, testSettings())
 	h.serve(10, 100*ms)
@@ -73,7 +73,7 @@
 	}
 	h.now += 50 * ms
 	if r := onlyAction[Reject](h, h.turn(died...)); r.Query != id {
-		t.Fatalf("refused %v", r)
+		t.Fatalf("rejected %v", r)
 	}
 	h.now += 500 * ms
 	id, ev = h.query(0, 3)
--- a/balance/endpoints_test.go
+++ b/balance/endpoints_test.go
@@ -42,6 +42,6 @@
 		waits = append(waits, h.now-failed)
 	}
 	if waits[0] == waits[1] || min(waits[0], waits[1]) < time.Second {
-		t.Errorf("asked again after %v: all gatherers would call at once", waits)
+		t.Errorf("asked again after %v: all balancers would call at once", waits)
 	}
 }
--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -7,7 +7,7 @@
 	"rooktrestle/balance"
 )
 
-// A gatherer hands over what happened in a turn and carries out what comes back.
+// The owner of a Balancer hands over what happened in a turn and carries out the actions.
 func Example() {
 	b, err := balance.New(balance.Settings{
 		Seed: 7, Instances: 1, Tick: 5 * time.Millisecond,
--- a/balance/gossip_test.go
+++ b/balance/gossip_test.go
@@ -9,7 +9,7 @@
 	"rooktrestle/internal/control/gossip"
 )
 
-// newGossipHarness is a gatherer of eighty that may talk and probe.
+// newGossipHarness is a balancer of eighty that may send gossip and probe.
 func newGossipHarness(t *testing.T) *harness {
 	settings := testSettings()
 	settings.Instances, settings.PeerMessages, settings.CanProbe, settings.ProbeTimeout = 80, true, true, 250*ms
@@ -18,7 +18,7 @@
 	return h
 }
 
-// gossipAfterProbe is what h tells after a probe of server "a" ended so.
+// gossipAfterProbe is what h sends after a probe of server "a" ended so.
 func gossipAfterProbe(h *harness, r AttemptResult, queue float64) []SendGossip {
 	h.now += time.Second // nothing of "a" is known since
 	p := ProbeEnded{Replica: "a", Result: r, Elapsed: 250 * ms}
@@ -28,52 +28,52 @@
 	return actionsOf[SendGossip](h.turn(p))
 }
 
-// A silent server found by one gatherer is left by the others, before each has lost parts of its own there.
+// An unresponsive server found by one balancer is avoided by the others, before each has lost parts of its own there.
 func TestGossip_UnresponsiveServerIsKnownToAll(t *testing.T) {
 	from, to := newGossipHarness(t), newGossipHarness(t)
-	told := gossipAfterProbe(from, Canceled, 0)
-	if len(told) != 1 || len(told[0].Payload) > MaxGossipBytes {
-		t.Fatalf("told %v", told)
+	messages := gossipAfterProbe(from, Canceled, 0)
+	if len(messages) != 1 || len(messages[0].Payload) > MaxGossipBytes {
+		t.Fatalf("sent %v", messages)
 	}
 	to.now = from.now
-	to.turn(GossipReceived{told[0].Payload}, GossipReceived{told[0].Payload}) // doubled
+	to.turn(GossipReceived{messages[0].Payload}, GossipReceived{messages[0].Payload}) // doubled
 	if s := to.b.servers["a"]; !s.Unresponsive {
-		t.Fatal("a silent server is still trusted")
+		t.Fatal("an unresponsive server is still trusted")
 	}
 	for range 20 {
 		_, events := to.query(0, 1)
 		if s := onlyAction[Send](to, to.turn(events...)); s.Replica == "a" {
-			t.Fatal("a part went to the silent server")
+			t.Fatal("a part went to the unresponsive server")
 		}
 	}
-	// It answers somebody: one word lets it in again.
-	if told = gossipAfterProbe(from, OK, 1); len(told) != 1 {
-		t.Fatal("that a silent server is there again was not told")
+	// It answers somebody: one message lets it in again.
+	if messages = gossipAfterProbe(from, OK, 1); len(messages) != 1 {
+		t.Fatal("that an unresponsive server is back was not sent")
 	}
 	to.now = from.now
-	to.turn(GossipReceived{told[0].Payload})
+	to.turn(GossipReceived{messages[0].Payload})
 	if to.turn(); to.b.servers["a"].Unresponsive {
-		t.Error("a server that answers is still left")
+		t.Error("a server that answers is still avoided")
 	}
-	if told = gossipAfterProbe(from, OK, 1); len(told) != 0 {
-		t.Error("a short queue of a server that was neither silent nor long was told")
+	if messages = gossipAfterProbe(from, OK, 1); len(messages) != 0 {
+		t.Error("a short queue of a server that was neither unresponsive nor crowded was sent")
 	}
 }
 
-// Silence told from another zone may be of the way there, which is not this one's; and an answer ends what was told.
+// That a server is unresponsive, heard from another zone, may be of the path there, which is not this one's; and an answer ends what was sent.
 func TestGossip_UnresponsiveFromAnotherZone(t *testing.T) {
-	silent := func(h *harness, zone int) bool {
+	unresponsive := func(h *harness, zone int) bool {
 		h.now += time.Second
 		h.turn(GossipReceived{gossip.EncodeLoad(h.now, zone, []gossip.Observation{{Key: gossip.ServerKey("a"), Value: gossip.Unresponsive}})})
 		return h.b.servers["a"].Unresponsive
 	}
 	h := newGossipHarness(t)
-	if silent(h, 1) {
+	if unresponsive(h, 1) {
 		t.Error("taken from another zone")
 	}
 	_, events := h.query(0, 9)
 	sends := actionsOf[Send](h.turn(events...))
-	if !silent(h, 0) {
+	if !unresponsive(h, 0) {
 		t.Fatal("not taken from the own zone")
 	}
 	for _, s := range sends {
@@ -82,36 +82,36 @@
 		}
 	}
 	if countByReplica(sends)["a"] == 0 || h.b.servers["a"].ProbeUnanswered {
-		t.Errorf("%d parts answered, and it is taken for silent", countByReplica(sends)["a"])
+		t.Errorf("%d parts answered, and it is taken for unresponsive", countByReplica(sends)["a"])
 	}
 }
 
 func TestGossip_LongQueueAndItsEnd(t *testing.T) {
 	from, to := newGossipHarness(t), newGossipHarness(t)
-	told := gossipAfterProbe(from, OK, 40)
-	if len(told) != 1 {
-		t.Fatal("a long queue was not told")
+	messages := gossipAfterProbe(from, OK, 40)
+	if len(messages) != 1 {
+		t.Fatal("a long queue was not sent")
 	}
 	to.now = from.now
-	to.turn(GossipReceived{told[0].Payload})
+	to.turn(GossipReceived{messages[0].Payload})
 	if q := to.b.servers["a"].Queue; q < 20 {
 		t.Fatalf("queue taken as %v", q)
 	}
-	told = gossipAfterProbe(from, OK, 0)
-	if len(told) != 1 {
-		t.Fatal("the end of a long queue was not told")
+	messages = gossipAfterProbe(from, OK, 0)
+	if len(messages) != 1 {
+		t.Fatal("the end of a long queue was not sent")
 	}
 	to.now = from.now
-	to.turn(GossipReceived{told[0].Payload})
+	to.turn(GossipReceived{messages[0].Payload})
 	if q := to.b.servers["a"].Queue; q > 15 {
 		t.Fatalf("queue taken as %v after its end", q)
 	}
-	if told = gossipAfterProbe(from, OK, 0); len(told) != 0 {
-		t.Error("an ordinary queue was told: all would send to the shortest")
+	if messages = gossipAfterProbe(from, OK, 0); len(messages) != 0 {
+		t.Error("an ordinary queue was sent: all would send to the shortest")
 	}
 }
 
-// Own evidence counts for more than what another heard earlier, and old words tell nothing.
+// Own evidence counts for more than what another heard earlier, and old messages are ignored.
 func TestGossip_IgnoredMessages(t *testing.T) {
 	for name, c := range map[string]struct {
 		late time.Duration
@@ -143,33 +143,33 @@
 			t.Errorf("%s: the server is left", name)
 		}
 	}
-	// Where words are not allowed, or gatherers are few, none is sent and none counts.
+	// Where messages are not allowed, or balancers are few, none is sent and none counts.
 	for _, few := range []bool{false, true} {
 		h := newGossipHarness(t)
-		word := gossipAfterProbe(h, Canceled, 0)[0].Payload
+		message := gossipAfterProbe(h, Canceled, 0)[0].Payload
 		if h = newGossipHarness(t); few {
 			h.b.settings.Instances = fleet.MaxExtrapolated
 		} else {
 			h.b.settings.PeerMessages = false
 		}
-		if told := gossipAfterProbe(h, Canceled, 0); len(told) != 0 {
-			t.Errorf("few %v: told %v", few, told)
+		if messages := gossipAfterProbe(h, Canceled, 0); len(messages) != 0 {
+			t.Errorf("few %v: sent %v", few, messages)
 		}
 		h = newGossipHarness(t)
 		h.b.settings.PeerMessages, h.b.fleet.Options.ProbesShared = false, false
 		h.now += time.Second
-		if h.turn(GossipReceived{word}); h.b.servers["a"].ProbeUnanswered {
-			t.Error("a word counts where they are not allowed")
+		if h.turn(GossipReceived{message}); h.b.servers["a"].ProbeUnanswered {
+			t.Error("a message counts where they are not allowed")
 		}
 	}
 }
 
-// What is told is earned by parts taken, and never longer than is allowed.
+// What is sent is earned by parts taken, and never longer than is allowed.
 func TestGossip_IsLimited(t *testing.T) {
 	h := newGossipHarness(t)
 	h.b.outbox.Allowance = 0
-	if told := gossipAfterProbe(h, Canceled, 0); len(told) != 0 {
-		t.Errorf("told %v with nothing earned", told)
+	if messages := gossipAfterProbe(h, Canceled, 0); len(messages) != 0 {
+		t.Errorf("sent %v with nothing earned", messages)
 	}
 	var remarks []gossip.Observation
 	for i := range 200 {
@@ -198,7 +198,7 @@
 		}
 		b.Turn(time.Second, []Event{EndpointList{Kind: ListFull, Endpoints: threeServers()}, GossipReceived{Payload: text}})
 		if len(b.servers) != 3 {
-			t.Fatal("a word changed the list")
+			t.Fatal("a message changed the list")
 		}
 	})
 }
--- a/balance/harness_test.go
+++ b/balance/harness_test.go
@@ -161,7 +161,7 @@
 // Shares of a server that the fleet finds to lose nearly all of its parts.
 const almostNoTraffic = 0.005
 
-// newFleetBench is one of 300 gatherers, whose classes are a search that needs every part, and a report that half of them do
+// newFleetBench is one of 300 balancers, whose classes are a search that needs every part, and a report that half of them do
 // for. Every shard is on the same four servers.
 func newFleetBench(t *testing.T, out ...Replica) *harness {
 	settings := testSettings()
--- a/balance/hedging_test.go
+++ b/balance/hedging_test.go
@@ -30,7 +30,7 @@
 	actions := h.turn(AttemptEnded{Part: s.Part, Attempt: 1, Replica: c.Replica, Result: OK})
 	onlyAction[Answer](h, actions)
 	if x := onlyAction[Cancel](h, actions); x.Attempt != 0 {
-		t.Errorf("called off attempt %d, want 0", x.Attempt)
+		t.Errorf("canceled attempt %d, want 0", x.Attempt)
 	}
 }
 
@@ -47,15 +47,15 @@
 		h.wantNone(actions, "attempt beside another", len(actionsOf[Send](actions))+len(actionsOf[Hedge](actions)))
 		if len(actionsOf[Cancel](actions)) > 0 {
 			if n := onlyAction[Send](h, h.end(s, 0, Canceled, 5*ms)); n.Replica == s.Replica {
-				t.Errorf("sent again to the silent server")
+				t.Errorf("sent again to the unresponsive server")
 			}
 			return
 		}
 	}
-	t.Error("a part at a silent server was never called off")
+	t.Error("a part at an unresponsive server was never canceled")
 }
 
-// A part called off late, at a server that showed nothing since or was outrun, leaves doubt like a failure.
+// A part canceled late, at a server that showed nothing since or was outrun, leaves a penalty like a failure.
 func TestHedge_CanceledOverdueAttemptLeavesAPenalty(t *testing.T) {
 	h := newHarness(t, testSettings())
 	s, c := h.hedged()
@@ -67,17 +67,17 @@
 	}
 	h.end(s, 0, Canceled, 5*ms)
 	if d := h.b.servers[s.Replica].Penalty; d < 1 {
-		t.Errorf("doubt %v in a server that lost a part", d)
+		t.Errorf("penalty %v in a server that lost a part", d)
 	}
 	_, ev := h.query(0, 1)
 	s = onlyAction[Send](h, h.turn(ev...))
 	h.end(s, 0, Canceled, 20*ms)
 	if d := h.b.servers[s.Replica].Penalty; d != 0 {
-		t.Errorf("doubt %v after an early call-off", d)
+		t.Errorf("penalty %v after an early cancellation", d)
 	}
 }
 
-// Where only one attempt may be out, the late part of a quiet server is a heavy one and stays: it would be late
+// Where only one attempt may be in flight, the late part of a quiet server is a heavy one and stays: it would be late
 // elsewhere too. Only a server that shows nothing for twice as long loses it.
 func TestHedge_HeavyPartIsNotCanceled(t *testing.T) {
 	settings := testSettings()
@@ -89,14 +89,14 @@
 	s := onlyAction[Send](h, h.turn(ev...))
 	h.now += 600 * ms
 	actions := h.turn(TimerFired{})
-	h.wantNone(actions, "early call-off", len(actionsOf[Cancel](actions)))
+	h.wantNone(actions, "early cancellation", len(actionsOf[Cancel](actions)))
 	h.now += 200 * ms
 	if c := onlyAction[Cancel](h, h.turn(TimerFired{})); c.Part != s.Part {
-		t.Errorf("called off %v", c)
+		t.Errorf("canceled %v", c)
 	}
 }
 
-// A part is called off though its server answers others of the class, once it is so late that it must be lost;
+// A part is canceled though its server answers others of the class, once it is so late that it must be lost;
 // what is lost is no load, and a call-off that pays earns the next.
 func TestHedge_PartsLostAmongOthers(t *testing.T) {
 	settings := testSettings()
@@ -115,18 +115,18 @@
 		}
 	}
 	if late := h.b.fleet.Overdue(); micros(calledAt) < suspicion.LostFactor*late || micros(calledAt) > suspicion.LostFactor*late+20e3 {
-		t.Errorf("called off after %v, late is %v", calledAt, duration(late))
+		t.Errorf("canceled after %v, late is %v", calledAt, duration(late))
 	}
 	if srv.Lost != 1 || srv.HealthyFor(0) {
-		t.Errorf("%d parts are lost there, sound: %v", srv.Lost, srv.HealthyFor(0))
+		t.Errorf("%d parts are lost there, healthy: %v", srv.Lost, srv.HealthyFor(0))
 	}
 	if r := h.b.rank(srv); r > 10*micros(100*ms) {
 		t.Errorf("rank %v: a lost part counts as load", r)
 	}
-	doubt, tokens := srv.Penalty, h.b.hedgeTokens
+	penalty, tokens := srv.Penalty, h.b.hedgeTokens
 	again := onlyAction[Send](h, h.turn(AttemptEnded{Part: lost.Part, Replica: lost.Replica, Result: Canceled}))
-	if srv.Penalty != doubt || srv.PerClass[0].Penalty != 1 || again.Replica == lost.Replica {
-		t.Errorf("doubt %v, with the class %v; again at %s", srv.Penalty, srv.PerClass[0].Penalty, again.Replica)
+	if srv.Penalty != penalty || srv.PerClass[0].Penalty != 1 || again.Replica == lost.Replica {
+		t.Errorf("penalty %v, with the class %v; again at %s", srv.Penalty, srv.PerClass[0].Penalty, again.Replica)
 	}
 	h.end(again, 1, OK, 100*ms)
 	if h.b.hedgeTokens < tokens+1 {
@@ -134,7 +134,7 @@
 	}
 }
 
-// A part is not called off at a server that is behind to be sent where nearly all parts are lost.
+// A part is not canceled at a server that is behind to be sent where nearly all parts are lost.
 func TestHedge_PartIsNotCanceledForAnExcludedServer(t *testing.T) {
 	for _, out := range []bool{true, false} {
 		h := newFleetBench(t)
@@ -150,13 +150,13 @@
 			called += len(actionsOf[Cancel](h.turn(TimerFired{})))
 		}
 		if called > 0 == out {
-			t.Errorf("out %v: %d calls back from %s", out, called, s.Replica)
+			t.Errorf("excluded %v: %d calls back from %s", out, called, s.Replica)
 		}
 	}
 }
 
-// Nor is a part called off at a server that lives, for another whose queue is long: it would wait there as long, and
-// the first does its work all the same. Guards against two crowded holders that finish only what was called off.
+// Nor is a part canceled at a server that lives, for another whose queue is long: it would wait there as long, and
+// the first does its work all the same. Guards against two crowded replicas that finish only what was canceled.
 func TestHedge_PartIsNotCanceledBetweenCrowdedServers(t *testing.T) {
 	for _, c := range []struct {
 		queue float64
@@ -180,13 +180,13 @@
 	}
 }
 
-// What says nothing of being behind is left for one that is: its lateness is not told by a queue. Guards parts sent
-// across a cut that were out until their query's end, 1.33 s of 1.34, as the holders on this side had long queues, or had
-// been told of as such when words still came.
+// What says nothing of being behind is left for one that is: its lateness is not explained by a queue. Guards parts sent
+// across a cut that were in flight until their query's end, 1.33 s of 1.34, as the replicas on this side had long queues, or had
+// been reported as such when messages still came.
 func TestHedge_PartIsCanceledWhereNothingSaysWhyItIsLate(t *testing.T) {
 	for _, c := range []struct {
 		own, others float64
-		long        bool // the others, by a word of long ago
+		long        bool // the others, by a message of long ago
 		calls       bool
 	}{{0, 15, false, true}, {15, 0, true, true}, {15, 15, false, false}} {
 		h := newFleetBench(t)
--- a/balance/limits_test.go
+++ b/balance/limits_test.go
@@ -24,18 +24,18 @@
 	return list
 }
 
-// A shunned server gets nothing of that class while another holder is listed, but for one part for each trial that
-// is granted; where all are shunned, parts go there all the same.
+// An ejected server gets nothing of that class while another replica is listed, but for one part for each half-open request that
+// is granted; where all are ejected, parts go there all the same.
 func TestLimits_EjectedServerGetsHalfOpenRequestsOnly(t *testing.T) {
 	h := newHarness(t, testSettings(), endpointsWithLimits(HealthLimits{EjectedClasses: 1})...)
 	if n := h.counts(50)["a"]; n != 0 {
-		t.Fatalf("%d parts at a shunned server", n)
+		t.Fatalf("%d parts at an ejected server", n)
 	}
 	h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", Cell: 0, HealthLimits: HealthLimits{EjectedClasses: 1, HalfOpenClasses: 1}}}})
 	// Told again for another reason, before it is used: still one.
 	h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", Cell: 0, HealthLimits: HealthLimits{EjectedClasses: 1, TrafficFraction: 0.5}}}})
 	if n := h.counts(50)["a"]; n != 1 {
-		t.Fatalf("%d parts at a shunned server for one trial", n)
+		t.Fatalf("%d parts at an ejected server for one half-open request", n)
 	}
 	h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{
 		{Replica: "a", Cell: 0, HealthLimits: HealthLimits{EjectedClasses: 1}}, {Replica: "b", Cell: 1, State: Removed}, {Replica: "c", Cell: 2, HealthLimits: HealthLimits{EjectedClasses: 3}},
@@ -45,7 +45,7 @@
 	}
 }
 
-// What must not run twice waits for a holder that is busy rather than go to one that is shunned.
+// What is not idempotent waits for a replica that is busy rather than go to one that is ejected.
 func TestLimits_EjectedServerIsNoWayAroundABusyOne(t *testing.T) {
 	settings := testSettings()
 	settings.Classes[0].Idempotency = NonIdempotent
@@ -72,7 +72,7 @@
 		}
 	}
 	if out != 2 {
-		t.Errorf("%d parts out at a server that takes 2", out)
+		t.Errorf("%d parts in flight at a server that takes 2", out)
 	}
 }
 
@@ -85,7 +85,7 @@
 	}
 }
 
-// Evidence that tells nothing changes nothing: the same choices with the same seed.
+// A zero HealthLimits changes nothing: the same choices with the same seed.
 func TestLimits_NoneChangeNothing(t *testing.T) {
 	trace := func(e HealthLimits) (got []Replica) {
 		h := newHarness(t, testSettings(), endpointsWithLimits(e)...)
@@ -105,8 +105,8 @@
 	}
 }
 
-// A part that names its holders goes to them only; one that is cold for it gets its share; when the last is taken away
-// the query ends at once, and a holder given instead is asked.
+// A part that names its replicas goes to them only; one whose copy warms up gets its share; when the last is taken away
+// the query ends at once, and a replica given instead is asked.
 func TestLimits_PartsNameTheirCandidates(t *testing.T) {
 	h := newHarness(t, testSettings())
 	holders := func(list ...Candidate) (ID, []Event) {
--- a/balance/path_test.go
+++ b/balance/path_test.go
@@ -8,14 +8,14 @@
 	"rooktrestle/internal/control/suspicion"
 )
 
-// All of a zone's servers look slow: it is the way. They are left together, and one part tries the way.
+// All of a zone's servers look slow: it is the path. They are avoided together, and one part tests the path.
 func TestPath_SlowOneIsAvoidedAsAWhole(t *testing.T) {
 	h := newHarness(t, testSettings(), twoZones()...)
 	h.serve(60, 100*ms)
 	h.b.paths[1].MinLatency = 1.5e6
 	h.turn(TimerFired{})
 	if h.b.paths[1].Usable() || h.b.fleet.MedianServiceTime > 200e3 {
-		t.Fatalf("way fit %v, median %v", h.b.paths[1].Usable(), h.b.fleet.MedianServiceTime)
+		t.Fatalf("path usable %v, median %v", h.b.paths[1].Usable(), h.b.fleet.MedianServiceTime)
 	}
 	h.b.paths[1].NextHalfOpen = h.now + time.Hour
 	_, ev := h.query(0, 6)
@@ -26,16 +26,16 @@
 		return n
 	}
 	if n := far(); n != 0 {
-		t.Errorf("%d parts over a slow way", n)
+		t.Errorf("%d parts over a slow path", n)
 	}
 	h.b.paths[1].NextHalfOpen = 0
 	_, ev = h.query(0, 6)
 	if n := far(); n != 1 {
-		t.Errorf("%d parts try the way, want 1", n)
+		t.Errorf("%d parts test the path, want 1", n)
 	}
 }
 
-// The last answers of a wide query are its slowest: they do not make a way slow, unless all are.
+// The last answers of a wide query are its slowest: they do not make a path slow, unless all are.
 func TestPath_SlowPartsDoNotMakeItSlow(t *testing.T) {
 	h := newHarness(t, testSettings(), twoZones()...)
 	h.serve(60, 100*ms)
@@ -45,37 +45,37 @@
 		h.b.fleet.RecordAnswer(&far.Server, h.now, 600e3, 40)
 	}
 	if h.turn(TimerFired{}); !far.Path.Usable() {
-		t.Error("a few slow parts made the way slow")
+		t.Error("a few slow parts made the path slow")
 	}
 	for range 40 {
 		h.b.fleet.RecordAnswer(&far.Server, h.now, 1.5e6, 40)
 	}
 	if h.turn(TimerFired{}); far.Path.Usable() {
-		t.Error("every answer takes long, and the way is still used")
+		t.Error("every answer takes long, and the path is still used")
 	}
 }
 
-// Failures count against a way only while they outnumber what is still out there; any word from there clears it.
+// Failures count against a path only while they outnumber what is still in flight there; anything from there clears it.
 func TestPath_FewFastFailuresDoNotCloseIt(t *testing.T) {
 	h := newHarness(t, testSettings(), twoZones()...)
-	way, s := h.b.paths[1], h.b.servers["b"]
-	way.InFlight = make([]time.Duration, 20)
+	path, s := h.b.paths[1], h.b.servers["b"]
+	path.InFlight = make([]time.Duration, 20)
 	for range 4 {
 		s.RecordClassFailure(0, h.now, h.now, h.b.halfOpenDelay())
 	}
-	if !way.Usable() {
-		t.Error("four failures with twenty parts out closed the way")
+	if !path.Usable() {
+		t.Error("four failures with twenty parts in flight closed the path")
 	}
-	if way.InFlight = nil; way.Usable() {
-		t.Error("four failures and nothing out: the way must be left")
+	if path.InFlight = nil; path.Usable() {
+		t.Error("four failures and nothing in flight: the path must be avoided")
 	}
 	h.b.fleet.RecordAnswer(&s.Server, h.now, 100e3, 1)
-	if !way.Usable() {
-		t.Error("an answer must open the way")
+	if !path.Usable() {
+		t.Error("an answer must open the path")
 	}
 }
 
-// Many parts are out on a way and nothing comes from there: it is left before any of them is late by itself, and
+// Many parts are in flight over a path and nothing comes from there: it is left before any of them is late by itself, and
 // they move. A few slow ones are no sign.
 func TestPath_OneThatTakesAllPartsIsAvoidedEarly(t *testing.T) {
 	for _, c := range []struct {
@@ -104,7 +104,7 @@
 		h.now += 160 * ms
 		h.turn(TimerFired{})
 		if h.b.paths[1].Usable() == c.silent {
-			t.Errorf("%d parts out, none answered: way fit %v", c.parts, h.b.paths[1].Usable())
+			t.Errorf("%d parts in flight, none answered: path usable %v", c.parts, h.b.paths[1].Usable())
 		}
 		h.now += 10 * ms
 		if n := len(h.b.attempts); c.silent && !slices.ContainsFunc(attemptsInOrder(h.b), func(a *attempt) bool { return a.canceled }) {
--- a/balance/probing_test.go
+++ b/balance/probing_test.go
@@ -22,7 +22,7 @@
 	actions = h.turn(ProbeEnded{Replica: probes[0].Replica, Result: OK, Report: &LoadReport{Queue: -1, InFlight: 9, Utilization: -1}})
 	for _, s := range actionsOf[Send](actions)[:2] {
 		if s.Replica == probes[0].Replica {
-			t.Error("the replica that reports nine parts in hand was not passed over")
+			t.Error("the replica that reports nine parts in flight was not passed over")
 		}
 	}
 	h.now += time.Second
--- a/balance/query_test.go
+++ b/balance/query_test.go
@@ -29,7 +29,7 @@
 	onlyAction[Send](h, h.turn(ev...))
 	h.now += 3*time.Second - 15*ms
 	if r := onlyAction[Reject](h, h.turn(TimerFired{})); r.Query != id {
-		t.Errorf("refused %d, want %d", r.Query, id)
+		t.Errorf("rejected %d, want %d", r.Query, id)
 	}
 }
 
@@ -107,7 +107,7 @@
 	}
 }
 
-// Parts that a whole answer does not need wait in reserve, and no further attempt is spent on them.
+// Parts that a complete answer does not need wait in reserve, and no retry is spent on them.
 func TestQuery_PartsNotNeededWaitInReserve(t *testing.T) {
 	settings := testSettings()
 	settings.Classes[0].CompleteFraction, settings.Classes[0].MinFraction = 0.6, 0.6
@@ -134,7 +134,7 @@
 	}
 }
 
-// A first step that waits for its last part until the aim leaves the second step none.
+// A first step that waits for its last part until the objective leaves the second step none.
 func TestQuery_FirstStepLeavesTimeForTheSecond(t *testing.T) {
 	settings := testSettings()
 	settings.Classes[0].MinFraction, settings.Classes[0].PartialFraction, settings.Classes[0].OverdueFraction, settings.Classes[0].FollowUpParts = 0.5, 0.9, 0.1, 3
@@ -156,10 +156,10 @@
 			return
 		}
 	}
-	t.Error("no answer from two of three parts before the aim")
+	t.Error("no answer from two of three parts before the objective")
 }
 
-// A report leaves a shard to the searches where half of its holders are out and the others are crowded, answers at
+// A report leaves a shard to the searches where half of its replicas are excluded and the others are crowded, answers at
 // once from the rest, and never from less than its floor.
 func TestQuery_ShedsOptionalPartsOfCrowdedShards(t *testing.T) {
 	crowd := func(h *harness, queue float64) {
@@ -182,7 +182,7 @@
 		id, events := h.query(c.class, 10)
 		sends := actionsOf[Send](h.turn(events...))
 		if len(sends) != c.want {
-			t.Errorf("%v out, queue %v, class %d: %d parts sent, want %d", c.out, c.queue, c.class, len(sends), c.want)
+			t.Errorf("%v excluded, queue %v, class %d: %d parts sent, want %d", c.out, c.queue, c.class, len(sends), c.want)
 			continue
 		}
 		if c.want == 10 {
--- a/balance/ranking_test.go
+++ b/balance/ranking_test.go
@@ -107,6 +107,6 @@
 	h.now += 10 * time.Second
 	h.turn(TimerFired{})
 	if q := h.b.fleet.AveragesOf(&h.b.servers["c"].Server, h.now).Queue; q < 9 || q > 10 {
-		t.Errorf("q %v ten aims after a report of 18, want the mean of 9", q)
+		t.Errorf("q %v ten objectives after a report of 18, want the mean of 9", q)
 	}
 }
--- a/balance/selection_test.go
+++ b/balance/selection_test.go
@@ -44,19 +44,19 @@
 	bad := s.Replica
 	s = onlyAction[Send](h, h.end(s, 0, Failed, 2*ms))
 	onlyAction[Answer](h, h.end(s, 1, OK, 100*ms))
-	trials := 0
+	halfOpenRequests := 0
 	for i := range 40 {
 		_, ev := h.query(0, 1)
 		s := onlyAction[Send](h, h.turn(ev...))
 		if s.Replica == bad {
-			if trials++; i == 0 {
+			if halfOpenRequests++; i == 0 {
 				t.Error("the next part went to the server that just failed")
 			}
 		}
 		onlyAction[Answer](h, h.end(s, 0, OK, 100*ms))
 	}
-	if trials == 0 || h.b.servers[bad].Penalty > 0 {
-		t.Errorf("%d trials, doubt %v: it must come back", trials, h.b.servers[bad].Penalty)
+	if halfOpenRequests == 0 || h.b.servers[bad].Penalty > 0 {
+		t.Errorf("%d half-open requests, penalty %v: it must come back", halfOpenRequests, h.b.servers[bad].Penalty)
 	}
 }
 
@@ -64,13 +64,13 @@
 	h := newHarness(t, testSettings())
 	h.serve(60, 100*ms)
 	_, ev := h.query(0, 1)
-	silent := onlyAction[Send](h, h.turn(ev...)).Replica
+	unresponsive := onlyAction[Send](h, h.turn(ev...)).Replica
 	h.now += 500 * ms
 	h.turn(TimerFired{})
 	for range 6 {
 		_, ev := h.query(0, 1)
-		if s := onlyAction[Send](h, h.turn(ev...)); s.Replica == silent {
-			t.Errorf("a part went to %s, which answers nothing", silent)
+		if s := onlyAction[Send](h, h.turn(ev...)); s.Replica == unresponsive {
+			t.Errorf("a part went to %s, which answers nothing", unresponsive)
 		}
 	}
 }
@@ -83,7 +83,7 @@
 	}
 	_, ev := h.query(0, 3)
 	if n := len(actionsOf[Send](h.turn(ev...))); n != 3 {
-		t.Errorf("%d of 3 parts sent with every server doubted", n)
+		t.Errorf("%d of 3 parts sent with every server unhealthy", n)
 	}
 }
 
@@ -160,7 +160,7 @@
 	bad.Penalty = 1
 	h.serve(400, 100*ms)
 	if bad.Penalty > 0 {
-		t.Error("with unsafe classes only, a doubted server never came back")
+		t.Error("with unsafe classes only, an unhealthy server never came back")
 	}
 }
 
@@ -187,7 +187,7 @@
 	}
 }
 
-// n gatherers try a bad server: each leaves it the longer, the more there are.
+// n balancers try a bad server: each leaves it the longer, the more there are.
 func TestChoose_HalfOpenRequestsAreSpacedByInstances(t *testing.T) {
 	var gaps []time.Duration
 	for _, n := range []int{2, 80} {
@@ -201,11 +201,11 @@
 		gaps = append(gaps, h.b.servers[s.Replica].NextHalfOpen-h.now)
 	}
 	if gaps[0] <= 0 || gaps[1] < 4*gaps[0] {
-		t.Errorf("trials after %v: at n = 80 each must wait over four times as long as at 2", gaps)
+		t.Errorf("half-open requests after %v: at n = 80 each must wait over four times as long as at 2", gaps)
 	}
 }
 
-// With many gatherers a trial is due at every doubted server when a wide query comes: it carries one.
+// With many balancers a half-open request is due at every unhealthy server when a wide query comes: it carries one.
 func TestChoose_QueryCarriesOneHalfOpenRequest(t *testing.T) {
 	h := newHarness(t, testSettings(), twoZones()...)
 	h.serve(60, 100*ms)
@@ -215,18 +215,18 @@
 		}
 	}
 	_, ev := h.query(0, 6)
-	trials := 0
+	halfOpenRequests := 0
 	for _, s := range actionsOf[Send](h.turn(ev...)) {
 		if h.b.servers[s.Replica].Penalty > 0 {
-			trials++
+			halfOpenRequests++
 		}
 	}
-	if trials != 1 {
-		t.Errorf("%d parts of one query went to doubted servers, want 1", trials)
+	if halfOpenRequests != 1 {
+		t.Errorf("%d parts of one query went to unhealthy servers, want 1", halfOpenRequests)
 	}
 }
 
-// A server that loses one class of queries and serves the others: a late part of that class is called off though
+// A server that loses one class of queries and serves the others: a late part of that class is canceled though
 // others are answered, and the class goes elsewhere.
 func TestChoose_ServerThatLosesOneClass(t *testing.T) {
 	h := newHarness(t, twoClasses(Idempotent))
@@ -257,11 +257,11 @@
 		calledOff = actionsOf[Cancel](actions)
 	}
 	if len(calledOff) != 1 || calledOff[0].Part != lost.Part {
-		t.Fatalf("called off %v", calledOff)
+		t.Fatalf("canceled %v", calledOff)
 	}
 	h.turn(AttemptEnded{Part: lost.Part, Replica: "a", Result: Canceled})
 	if bad.HealthyFor(0) || !bad.HealthyFor(1) {
-		t.Errorf("doubt %v, of each class %+v", bad.Penalty, bad.PerClass)
+		t.Errorf("penalty %v, of each class %+v", bad.Penalty, bad.PerClass)
 	}
 	found := false
 	for range 20 {
@@ -272,12 +272,12 @@
 	}
 }
 
-// What may not run twice does not try a doubted server while other classes can.
+// What is not idempotent does not try an unhealthy server while other classes can.
 func TestChoose_NonIdempotentPartsAreTheLastHalfOpenRequests(t *testing.T) {
 	h := newHarness(t, twoClasses(NonIdempotent))
 	h.serve(30, 100*ms)
 	h.b.servers["a"].Penalty, h.b.servers["a"].NextHalfOpen = 1, h.now
-	for _, class := range []int{1, 0} { // a trial is due
+	for _, class := range []int{1, 0} { // a half-open request is due
 		_, ev := h.query(class, 1)
 		if s := onlyAction[Send](h, h.turn(ev...)); (s.Replica == "a") != (class == 0) {
 			t.Errorf("class %d goes to %s", class, s.Replica)
@@ -285,7 +285,7 @@
 	}
 }
 
-// Where no replica is sound, one that loses the class comes after one that is slow.
+// Where no replica is healthy, one that loses the class comes after one that is slow.
 func TestChoose_ReplicaThatLosesTheClassIsTheLastResort(t *testing.T) {
 	h := newHarness(t, twoClasses(Idempotent))
 	h.serve(40, 100*ms)
@@ -306,12 +306,12 @@
 	}
 }
 
-// A server that loses some answers is of use while the sound ones are busy, but not to what may not run twice,
+// A server that loses some answers is of use while the healthy ones are busy, but not to what is not idempotent,
 // nor once it loses most.
 func TestChoose_ServerThatLosesSomeAnswersHelpsTheBusy(t *testing.T) {
 	for _, c := range []struct {
 		loss   float64
-		busy   int // parts in hand at the sound servers
+		busy   int // parts in flight at the healthy servers
 		effect Idempotency
 		want   bool
 	}{{0.25, 8, Idempotent, true}, {0.25, 0, Idempotent, false}, {0.8, 8, Idempotent, false}, {0.25, 8, NonIdempotent, false}} {
@@ -340,11 +340,11 @@
 	}
 }
 
-// A part waits for a holder that is full for a moment, and does not spend its attempts at one that has next to no
-// share. Guards against searches that died of a part in 60 ms, while its two sound holders served others.
+// A part waits for a replica that is full for a moment, and does not spend its attempts at one that has next to no
+// share. Guards against searches that died of a part in 60 ms, while its two healthy replicas served others.
 func TestChoose_PartWaitsForAFullReplicaRatherThanAnExcludedOne(t *testing.T) {
 	h := newFleetBench(t, "a", "b", "c")
-	for range 40 { // of 200 parts about one may try a server that is out
+	for range 40 { // of 200 parts about one may try a server that is excluded
 		_, events := h.query(0, 5)
 		if n := countByReplica(actionsOf[Send](h.turn(events...))); n["d"] < 4 {
 			t.Fatalf("parts went to %v", n)
@@ -354,13 +354,13 @@
 	h.b.servers["d"].avoidUntil = h.now + 100*ms
 	_, events := h.query(0, 1)
 	if actions := h.turn(events...); len(actionsOf[Send](actions)) != 0 {
-		t.Fatalf("sent while the one sound holder is full: %v", actions)
+		t.Fatalf("sent while the one healthy replica is full: %v", actions)
 	}
 }
 
-// A server that the fleet knows to lose some is tried by its share, not by the clock of each gatherer that doubts it.
+// A server that the fleet knows to lose some is tried by its share, not by the clock of each balancer that holds failures against it.
 func TestChoose_HalfOpenRequestsGoByTrafficFraction(t *testing.T) {
-	trials := map[float64]int{}
+	halfOpenRequests := map[float64]int{}
 	for _, share := range []float64{0, 0.3} {
 		h := newFleetBench(t)
 		h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", HealthLimits: HealthLimits{TrafficFraction: share}}}})
@@ -370,14 +370,14 @@
 			_, events := h.query(0, 1)
 			s1 := onlyAction[Send](h, h.turn(events...))
 			if s1.Replica == "a" {
-				trials[share]++
+				halfOpenRequests[share]++
 			}
 			h.turn(AttemptEnded{Part: s1.Part, Replica: s1.Replica, Result: OK, Elapsed: 10 * ms})
 			h.now += 100 * ms
 		}
 	}
 	// Between two servers, one of share w gets 2w/(1+w) of what it would get: 0.46.
-	if trials[0] != 60 || trials[0.3] < 18 || trials[0.3] > 38 {
-		t.Errorf("%v trials of 60", trials)
+	if halfOpenRequests[0] != 60 || halfOpenRequests[0.3] < 18 || halfOpenRequests[0.3] > 38 {
+		t.Errorf("%v half-open requests of 60", halfOpenRequests)
 	}
 }
--- a/balance/settings_test.go
+++ b/balance/settings_test.go
@@ -12,7 +12,7 @@
 		"no instances": func(s *Settings) { s.Instances = 0 },
 		"no attempts":  func(s *Settings) { s.MaxAttempts = 0 },
 		"no tick":      func(s *Settings) { s.Tick = 0 },
-		"no aim":       func(s *Settings) { s.Classes[0].Objective = 0 },
+		"no objective": func(s *Settings) { s.Classes[0].Objective = 0 },
 		"need over 1":  func(s *Settings) { s.Classes[0].CompleteFraction = 2 },
 		"budget under": func(s *Settings) { s.Rules.RetryBudgetRatio = -1 },
 		"asked before": func(s *Settings) { s.Rules.MaxListAge = -time.Second },
--- a/balance/slowstart_test.go
+++ b/balance/slowstart_test.go
@@ -16,9 +16,9 @@
 		sends += len(actionsOf[Send](h.turn(ev...)))
 		h.now += 100 * ms
 	}
-	// 2 x 0.2 x 2 s / 250 ms / 2 gatherers is 1.6 parts, and 2.9 when the window ends.
+	// 2 x 0.2 x 2 s / 250 ms / 2 balancers is 1.6 parts, and 2.9 when the window ends.
 	if sends < 1 || sends > 3 {
-		t.Errorf("%d parts sent to a cold server within its window, want 1 to 3", sends)
+		t.Errorf("%d parts sent to a server that warms up within its window, want 1 to 3", sends)
 	}
 	h.now += 11 * time.Second
 	_, ev := h.query(0, 1)
@@ -36,7 +36,7 @@
 	}
 }
 
-// Rule 4: however many gatherers there are, together they keep to the stated multiple of a cold server's
+// Rule 4: however many balancers there are, together they keep to the stated multiple of a warming server's
 // capacity in every window, and do not starve it.
 func TestSlowStart_ManyBalancersDoNotOverloadAServer(t *testing.T) {
 	const work = 100 * ms
@@ -83,7 +83,7 @@
 			}
 		}
 		if len(sent) == 0 {
-			t.Errorf("n = %d: a cold server draws nothing", n)
+			t.Errorf("n = %d: a server that warms up draws nothing", n)
 		}
 		for i, at := range sent {
 			inWindow := 0
@@ -101,8 +101,8 @@
 	}
 }
 
-// One of many gatherers gives a cold server its part of what it sends itself, whatever 1/n of the budget allows:
-// else the caution of all starves the server, as most gatherers send little.
+// One of many balancers gives a server that warms up its part of what it sends itself, whatever 1/n of the budget allows:
+// else the caution of all starves the server, as most balancers send little.
 func TestSlowStart_ServerGetsItsPartOfTheFlow(t *testing.T) {
 	settings := testSettings()
 	settings.Instances, settings.CanHedge = 80, false
@@ -124,13 +124,13 @@
 	}
 	// 20 parts a second, 10 at a warm server; 0.2 to 0.5 of 1.8 times that for 4 s are 25 parts. 1/n alone is one.
 	if sends < 7 || sends > 30 {
-		t.Errorf("%d parts went to the cold server, want about 25", sends)
+		t.Errorf("%d parts went to the server that warms up, want about 25", sends)
 	}
 }
 
-// Three hundred gatherers of thin traffic owe a cold server their part from its start on, though each owes it one in
+// Three hundred balancers of thin traffic owe a server that warms up their part from its start on, though each owes it one in
 // many seconds, and together no more than that. Guards against all beginning with nothing owed: then none sends any
-// for so long, and the last warm holder of its shards gets them all.
+// for so long, and the last warm replica of its shards gets them all.
 func TestSlowStart_ServerIsNotStarvedByManyQuietBalancers(t *testing.T) {
 	const gatherers = 300
 	sends, late := 0, 0
@@ -161,10 +161,10 @@
 	}
 }
 
-// Where all holders of a shard are cold, a query that needs sixty such parts is begun: each part may go to a holder
-// drawn by lot, in proportion to what these can do. Not where more is asked than servers were seen to answer.
+// Where all replicas of a shard are warming up, a query that needs sixty such parts is begun: each part may go to a replica
+// picked at random, in proportion to what these can do. Not where more is asked than servers were seen to answer.
 func TestSlowStart_ReplicasAreSampledAtRandom(t *testing.T) {
-	cold := func(h *harness) {
+	startAll := func(h *harness) {
 		var list []Endpoint
 		for i, id := range []Replica{"a", "b", "c", "d"} {
 			list = append(list, Endpoint{Replica: id, Cell: i, Started: h.now - time.Duration(4+2*(i%2))*time.Second})
@@ -178,14 +178,14 @@
 	for i := range 60 {
 		h := newFleetBench(t)
 		h.b.rng = rand.New(rand.NewPCG(uint64(i), 1))
-		if cold(h); i >= 40 {
+		if startAll(h); i >= 40 {
 			h.b.fleet.Demand.Offered *= 10
 		}
 		_, events := h.query(0, 6)
 		sends := actionsOf[Send](h.turn(events...))
 		if i >= 40 {
 			if len(sends) > 0 {
-				t.Fatalf("%d parts sent to cold servers, ten times what they answer is asked", len(sends))
+				t.Fatalf("%d parts sent to servers that warm up, ten times what they answer is asked", len(sends))
 			}
 			continue
 		}
--- a/internal/control/gossip/gossip_test.go
+++ b/internal/control/gossip/gossip_test.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// A word reads as its kind alone, a byte changed anywhere makes it none, and its age goes round with the stamp.
+// A message is of its kind alone, no changed byte passes, and its age wraps with the timestamp.
 func TestEncode_FramesAKindAndItsAge(t *testing.T) {
 	const kind = 0x51
 	now := time.Hour
@@ -17,7 +17,7 @@
 		for i := range text {
 			text[i] ^= 0x10
 			if IsKind(kind, text) {
-				t.Errorf("byte %d changed, and still a word", i)
+				t.Errorf("byte %d changed, and still a message", i)
 			}
 			text[i] ^= 0x10
 		}
@@ -28,6 +28,6 @@
 		}
 	}
 	if IsKind(kind, nil) || IsKind(kind, Encode(kind, now, make([]byte, MaxMessageBytes-HeaderBytes+1))) {
-		t.Error("too short or too long, and a word")
+		t.Error("too short or too long, and a message")
 	}
 }
--- a/internal/control/slowstart/slowstart_test.go
+++ b/internal/control/slowstart/slowstart_test.go
@@ -10,7 +10,7 @@
 
 var rules = Limits{WarmupPeriod: 10 * time.Second, MinCapacity: 0.2, OverloadMultiple: 2, OverloadPeriod: 2 * time.Second, Senders: 10}
 
-// A server's share grows evenly from its start, and a restart begins it anew with what the lot says.
+// A server's share grows evenly from its start, and a restart begins it anew with the random threshold.
 func TestLimits_Capacity(t *testing.T) {
 	var s Server
 	now := time.Hour
@@ -30,11 +30,11 @@
 		t.Errorf("%+v", s)
 	}
 	if none := (&Limits{}); none.Capacity(&s, now) != 1 || !none.Allows(&s, now, 100*ms) {
-		t.Error("cold, though no rule is stated")
+		t.Error("warming up, though no limit is stated")
 	}
 }
 
-// However eagerly one mixer sends, within every window it keeps to its part of what the server stands, or to one part.
+// However eagerly one sender sends, within every window it keeps to its part of what the server stands, or to one part.
 func TestLimits_AllowsKeepsToItsShareInEveryWindow(t *testing.T) {
 	for _, work := range []time.Duration{2 * ms, 10 * ms, 100 * ms} {
 		var s Server
@@ -86,8 +86,8 @@
 	}
 }
 
-// What was sent to a server is not kept for as long as it runs: two thousand parts in its cold time, and none after it.
-// Guards the memory of a mixer that runs for days.
+// What was sent to a server is not kept for as long as it runs: two thousand parts in its warm-up, and none after it.
+// Guards the memory of a sender that runs for days.
 func TestLimits_RecentSendsAreDropped(t *testing.T) {
 	var s Server
 	start := time.Hour
