--- a/balance/admission_test.go
+++ b/balance/admission_test.go
@@ -9,8 +9,8 @@
 	settings := testSettings()
 	settings.Reach = 1
 	h := newHarness(t, settings, Endpoint{Replica: "a", Cell: 0})
-	id, ev := h.query(0, 2) // shard 1 has no replica
-	actions := h.turn(ev...)
+	id, events := h.query(newQuery{parts: 2}) // shard 1 has no replica
+	actions := h.turn(events...)
 	if r := onlyAction[Reject](h, actions); r.Query != id || r.RetryAfter <= 0 {
 		t.Errorf("%v", r)
 	}
@@ -20,11 +20,12 @@
 func TestAdmit_OverloadIsRejectedAndEnds(t *testing.T) {
 	h := newHarness(t, testSettings())
 	h.serve(20, 100*ms)
-	h.b.fleet.Mean, h.b.fleet.Deviation = 900e3, 200e3 // a jam
+	// a jam
+	h.b.fleet.Mean = 900e3
+	h.b.fleet.Deviation = 200e3
 	refused := 0
 	for range 60 {
-		_, ev := h.query(0, 1)
-		for _, r := range actionsOf[Reject](h.turn(ev...)) {
+		for _, r := range actionsOf[Reject](h.begin(newQuery{parts: 1})) {
 			if refused++; r.RetryAfter <= 0 {
 				t.Error("rejected without a time to come back")
 			}
@@ -35,11 +36,11 @@
 	}
 	// Once nothing is in hand, queries are taken again, though no answer has lowered the mean.
 	for _, s := range h.b.servers {
-		s.InFlight, s.LastSuccess = nil, h.now
+		s.InFlight = nil
+		s.LastSuccess = h.now
 	}
 	h.b.queries = nil
-	_, ev := h.query(0, 1)
-	onlyAction[Send](h, h.turn(ev...))
+	h.sendOnePart(0)
 }
 
 func TestAdmit_HopelessRetryIsRejected(t *testing.T) {
@@ -59,20 +60,20 @@
 	h.serve(20, 100*ms)
 	jam := func(parts int) {
 		for _, s := range h.b.servers {
-			s.Recent, s.InFlight = []float64{2e6, 2e6}, make([]time.Duration, parts)
+			s.Recent = []float64{2e6, 2e6}
+			s.InFlight = make([]time.Duration, parts)
 			for i := range s.InFlight {
 				s.InFlight[i] = h.now
 			}
 		}
 	}
 	jam(4)
-	id, ev := h.query(0, 1)
-	if r := onlyAction[Reject](h, h.turn(ev...)); r.Query != id {
+	id, events := h.query(newQuery{parts: 1})
+	if r := onlyAction[Reject](h, h.turn(events...)); r.Query != id {
 		t.Errorf("rejected %d, want %d", r.Query, id)
 	}
 	jam(0) // the same times with nothing in hand are old news
-	_, ev = h.query(0, 1)
-	onlyAction[Send](h, h.turn(ev...))
+	h.sendOnePart(0)
 }
 
 // At n = 80 one query's own parts are no sign of a full fleet.
@@ -82,12 +83,14 @@
 		settings.Instances = n
 		h := newHarness(t, settings)
 		h.serve(40, 100*ms)
-		h.b.fleet.Mean, h.b.fleet.Deviation = 400e3, 200e3 // crowded a while ago
+		// crowded a while ago
+		h.b.fleet.Mean = 400e3
+		h.b.fleet.Deviation = 200e3
 		for _, s := range h.b.servers {
-			s.ReportedAt, s.ReportedInFlight = h.now, 1
+			s.ReportedAt = h.now
+			s.ReportedInFlight = 1
 		}
-		_, ev := h.query(0, 3)
-		if got := len(actionsOf[Send](h.turn(ev...))); got != 3 {
+		if got := len(actionsOf[Send](h.begin(newQuery{parts: 3}))); got != 3 {
 			t.Errorf("n = %d: %d of 3 parts sent to an idle fleet", n, got)
 		}
 	}
@@ -99,14 +102,13 @@
 	settings.Instances = 80
 	h := newHarness(t, settings)
 	h.serve(40, 100*ms)
-	h.b.fleet.Mean, h.b.fleet.Deviation = 2e6, 1e6
-	_, ev := h.query(0, 3)
-	if len(actionsOf[Reject](h.turn(ev...))) != 1 {
+	h.b.fleet.Mean = 2e6
+	h.b.fleet.Deviation = 1e6
+	if len(actionsOf[Reject](h.begin(newQuery{parts: 3}))) != 1 {
 		t.Fatal("a query was begun where answers take twice its objective")
 	}
 	for range 20 {
-		_, ev = h.query(0, 3)
-		if len(actionsOf[Send](h.turn(ev...))) == 3 {
+		if len(actionsOf[Send](h.begin(newQuery{parts: 3}))) == 3 {
 			return
 		}
 	}
@@ -120,13 +122,20 @@
 	for _, c := range []struct {
 		floor float64
 		sends int
-	}{{1, 0}, {0.8, 30}} {
-		settings.Classes[0].MinFraction, settings.Classes[0].PartialFraction, settings.Classes[0].OverdueFraction = c.floor, 0.9, 0.3
+	}{
+		{floor: 1, sends: 0},
+		{floor: 0.8, sends: 30},
+	} {
+		settings.Classes[0].MinFraction = c.floor
+		settings.Classes[0].PartialFraction = 0.9
+		settings.Classes[0].OverdueFraction = 0.3
 		h := newHarness(t, settings)
 		h.serve(20, 100*ms)
-		h.b.fleet.Mean, h.b.fleet.Deviation, h.b.meanWeight, h.b.meanParts = 320e3, 130e3, 1, 30
-		_, ev := h.query(0, 30)
-		if n := len(actionsOf[Send](h.turn(ev...))); n != c.sends {
+		h.b.fleet.Mean = 320e3
+		h.b.fleet.Deviation = 130e3
+		h.b.meanWeight = 1
+		h.b.meanParts = 30
+		if n := len(actionsOf[Send](h.begin(newQuery{parts: 30}))); n != c.sends {
 			t.Errorf("floor %v: %d parts sent, want %d", c.floor, n, c.sends)
 		}
 	}
@@ -138,8 +147,7 @@
 	settings.Instances = 80
 	h := newHarness(t, settings, Endpoint{Replica: "a", Cell: 0, Started: 100 * time.Second})
 	h.b.servers["a"].SlowStart.FirstSendThreshold = 1
-	_, ev := h.query(0, 1)
-	if actions := h.turn(ev...); len(actionsOf[Reject](actions)) != 1 || len(actionsOf[Send](actions)) != 0 {
+	if actions := h.begin(newQuery{parts: 1}); len(actionsOf[Reject](actions)) != 1 || len(actionsOf[Send](actions)) != 0 {
 		t.Errorf("want a refusal at once, got %v", actions)
 	}
 }
@@ -152,13 +160,11 @@
 	for _, s := range h.b.endpoints {
 		h.b.recordLoad(s, &LoadReport{Queue: 40, InFlight: 42})
 	}
-	_, ev := h.query(0, 1)
-	if actions := h.turn(ev...); len(actionsOf[Reject](actions)) != 1 || len(actionsOf[Send](actions)) > 0 {
+	if actions := h.begin(newQuery{parts: 1}); len(actionsOf[Reject](actions)) != 1 || len(actionsOf[Send](actions)) > 0 {
 		t.Errorf("want a refusal at once, got %v", actions)
 	}
 	h.now += 3 * time.Second
-	_, ev = h.query(0, 1)
-	onlyAction[Send](h, h.turn(ev...))
+	h.sendOnePart(0)
 }
 
 // A balancer that only ever saw a jam admits again: what it forgets with each rejection leads to its first estimate, and
@@ -166,7 +172,11 @@
 func TestAdmit_JamIsForgotten(t *testing.T) {
 	h := newFleetBench(t)
 	jam := func() { // long ago, and nothing since
-		h.b.fleet.Mean, h.b.fleet.Deviation, h.b.meanWeight, h.b.meanParts, h.b.fleet.RecentAnswers = 800e3, 300e3, 1, 30, nil
+		h.b.fleet.Mean = 800e3
+		h.b.fleet.Deviation = 300e3
+		h.b.meanWeight = 1
+		h.b.meanParts = 30
+		h.b.fleet.RecentAnswers = nil
 		for _, s := range h.b.servers {
 			s.Recent = []float64{700e3, 700e3, 700e3, 700e3}
 		}
@@ -174,8 +184,7 @@
 	jam()
 	refused := 0
 	for ; refused < 20; refused++ {
-		_, events := h.query(0, 30)
-		if len(actionsOf[Send](h.turn(events...))) > 0 {
+		if len(actionsOf[Send](h.begin(newQuery{parts: 30}))) > 0 {
 			break
 		}
 		h.now += time.Second
@@ -186,16 +195,20 @@
 	for _, c := range []struct {
 		queue float64
 		sends int
-	}{{0, 30}, {40, 0}} {
+	}{
+		{queue: 0, sends: 30},
+		{queue: 40, sends: 0},
+	} {
 		h = newFleetBench(t)
 		if jam(); c.queue > 0 {
-			h.b.fleet.Mean, h.b.fleet.Deviation = 100e3, 20e3
+			h.b.fleet.Mean = 100e3
+			h.b.fleet.Deviation = 20e3
 		}
 		for _, s := range h.b.servers {
-			s.ProbedQueue, s.ProbedQueueAt = c.queue, h.now
+			s.ProbedQueue = c.queue
+			s.ProbedQueueAt = h.now
 		}
-		_, events := h.query(0, 30)
-		if n := len(actionsOf[Send](h.turn(events...))); n != c.sends {
+		if n := len(actionsOf[Send](h.begin(newQuery{parts: 30}))); n != c.sends {
 			t.Errorf("%d parts sent, queues of %v", n, c.queue)
 		}
 	}
@@ -205,14 +218,18 @@
 // one part it would count as of no weight, and be rejected in a lull.
 func TestAdmit_WideQueriesBesideNarrowOnes(t *testing.T) {
 	h := newFleetBench(t)
-	h.b.meanWeight, h.b.meanParts = 1, 15.5 // as the queries below have on average
+	// as the queries below have on average
+	h.b.meanWeight = 1
+	h.b.meanParts = 15.5
 	for i := range 200 {
 		n := 1
 		if i%2 == 0 {
 			n = 30
 		}
-		_, events := h.query(0, n)
-		h.b.fleet.Mean, h.b.fleet.Deviation = 200e3, 100e3 // 1.2 ln 30 deviations: 0.61 of the objective
+		_, events := h.query(newQuery{parts: n})
+		// 1.2 ln 30 deviations: 0.61 of the objective
+		h.b.fleet.Mean = 200e3
+		h.b.fleet.Deviation = 100e3
 		sends := actionsOf[Send](h.turn(events...))
 		if len(sends) != n {
 			t.Fatalf("query %d: %d of %d parts sent", i, len(sends), n)
@@ -229,15 +246,20 @@
 	for _, c := range []struct {
 		queue float64
 		sends int
-	}{{3, 10}, {28, 0}} {
+	}{
+		{queue: 3, sends: 10},
+		{queue: 28, sends: 0},
+	} {
 		h := newFleetBench(t)
-		h.b.settings.PeerMessages, h.b.fleet.Options.ProbesShared = true, true
-		h.b.meanWeight, h.b.meanParts = 1, 10
+		h.b.settings.PeerMessages = true
+		h.b.fleet.Options.ProbesShared = true
+		h.b.meanWeight = 1
+		h.b.meanParts = 10
 		for _, s := range h.b.servers { // at 28 a part would wait for 0.7 of the objective, and the servers are not full
-			s.Queue, s.ReportedAt = c.queue, h.now
+			s.Queue = c.queue
+			s.ReportedAt = h.now
 		}
-		_, events := h.query(0, 10)
-		actions := h.turn(events...)
+		actions := h.begin(newQuery{parts: 10})
 		if n := len(actionsOf[Send](actions)); n != c.sends || c.sends == 0 && len(actionsOf[Reject](actions)) != 1 {
 			t.Errorf("queues of %v: %d parts sent", c.queue, n)
 		}
@@ -254,8 +276,7 @@
 		for _, id := range []Replica{"b", "c", "d"} {
 			h.b.servers[id].avoidUntil = h.now + 100*ms
 		}
-		_, events := h.query(0, 1)
-		if n := len(actionsOf[Reject](h.turn(events...))); n == 1 != out {
+		if n := len(actionsOf[Reject](h.begin(newQuery{parts: 1}))); n == 1 != out {
 			t.Errorf("excluded %v: %d rejected", out, n)
 		}
 	}
@@ -268,21 +289,24 @@
 		stale       bool
 		sends       int
 	}{
-		{100e3, 4, false, 30},
-		{100e3, 15, false, 0}, // one part would be in time
-		{500e3, 2, false, 0},
-		{500e3, 2, true, 30}, // as the servers were once
+		{mean: 100e3, queue: 4, stale: false, sends: 30},
+		{mean: 100e3, queue: 15, stale: false, sends: 0}, // one part would be in time
+		{mean: 500e3, queue: 2, stale: false, sends: 0},
+		{mean: 500e3, queue: 2, stale: true, sends: 30}, // as the servers were once
 	} {
 		h := newFleetBench(t)
-		h.b.fleet.Mean, h.b.fleet.Deviation, h.b.meanWeight, h.b.meanParts = c.mean, 20e3, 1, 30
+		h.b.fleet.Mean = c.mean
+		h.b.fleet.Deviation = 20e3
+		h.b.meanWeight = 1
+		h.b.meanParts = 30
 		if c.stale {
 			h.b.fleet.RecentAnswers = nil
 		}
 		for _, s := range h.b.servers {
-			s.ProbedQueue, s.ProbedQueueAt = c.queue, h.now
+			s.ProbedQueue = c.queue
+			s.ProbedQueueAt = h.now
 		}
-		_, events := h.query(0, 30)
-		if n := len(actionsOf[Send](h.turn(events...))); n != c.sends {
+		if n := len(actionsOf[Send](h.begin(newQuery{parts: 30}))); n != c.sends {
 			t.Errorf("%+v: %d parts sent", c, n)
 		}
 	}
--- a/balance/attempts_test.go
+++ b/balance/attempts_test.go
@@ -11,16 +11,14 @@
 	settings.Classes[0].Idempotency = NonIdempotent
 	for _, r := range []AttemptResult{Failed, Reset, TimedOut, Canceled} {
 		h := newHarness(t, settings)
-		_, ev := h.query(0, 1)
-		s := onlyAction[Send](h, h.turn(ev...))
+		s := h.sendOnePart(0)
 		actions := h.end(s, 0, r, 50*ms)
 		onlyAction[Fail](h, actions)
 		h.wantNone(actions, "second attempt", len(actionsOf[Send](actions)))
 	}
 	for _, r := range []AttemptResult{QueueFull, ConnectFailed} {
 		h := newHarness(t, settings)
-		_, ev := h.query(0, 1)
-		s := onlyAction[Send](h, h.turn(ev...))
+		s := h.sendOnePart(0)
 		if again := onlyAction[Send](h, h.end(s, 0, r, 5*ms)); again.Replica == s.Replica {
 			t.Errorf("result %d: sent again to the same server", r)
 		}
@@ -29,22 +27,21 @@
 
 func TestRetry_KeyedPartKeepsItsDedupWindow(t *testing.T) {
 	settings := testSettings()
-	settings.Classes[0].Idempotency, settings.Classes[0].DedupWindow, settings.Classes[0].OverdueFraction = KeyedIdempotent, 200*ms, 0.5
+	settings.Classes[0].Idempotency = KeyedIdempotent
+	settings.Classes[0].DedupWindow = 200 * ms
+	settings.Classes[0].OverdueFraction = 0.5
 	h := newHarness(t, settings)
-	_, ev := h.query(0, 1)
-	s := onlyAction[Send](h, h.turn(ev...))
+	s := h.sendOnePart(0)
 	onlyAction[Send](h, h.end(s, 0, Failed, 100*ms))
 	h = newHarness(t, settings)
-	_, ev = h.query(0, 1)
-	s = onlyAction[Send](h, h.turn(ev...))
+	s = h.sendOnePart(0)
 	actions := h.end(s, 0, Failed, 250*ms)
 	h.wantNone(actions, "repeat after the window", len(actionsOf[Send](actions)))
 }
 
 func TestRetry_AttemptsAreCapped(t *testing.T) {
 	h := newHarness(t, testSettings())
-	_, ev := h.query(0, 1)
-	s := onlyAction[Send](h, h.turn(ev...))
+	s := h.sendOnePart(0)
 	s = onlyAction[Send](h, h.end(s, 0, Failed, 5*ms))
 	s = onlyAction[Send](h, h.end(s, 1, Failed, 5*ms))
 	actions := h.end(s, 2, Failed, 5*ms)
@@ -54,10 +51,11 @@
 
 func TestRetry_Budget(t *testing.T) {
 	settings := testSettings()
-	settings.Rules.RetryBudgetWindow, settings.Rules.RetryBudgetBase, settings.Rules.RetryBudgetRatio = 10*time.Second, 1, 0
+	settings.Rules.RetryBudgetWindow = 10 * time.Second
+	settings.Rules.RetryBudgetBase = 1
+	settings.Rules.RetryBudgetRatio = 0
 	h := newHarness(t, settings)
-	_, ev := h.query(0, 1)
-	s := onlyAction[Send](h, h.turn(ev...))
+	s := h.sendOnePart(0)
 	s = onlyAction[Send](h, h.end(s, 0, Failed, 5*ms))
 	actions := h.end(s, 1, Failed, 5*ms)
 	h.wantNone(actions, "attempt beyond the budget", len(actionsOf[Send](actions)))
@@ -66,16 +64,14 @@
 func TestAttempts_CanceledOneShowsSlowness(t *testing.T) {
 	h := newHarness(t, testSettings())
 	h.serve(40, 100*ms)
-	_, ev := h.query(0, 1)
-	s := onlyAction[Send](h, h.turn(ev...))
+	s := h.sendOnePart(0)
 	srv := h.b.servers[s.Replica]
 	r := srv.Latency
 	h.end(s, 0, Canceled, 800*ms)
 	if last := srv.Recent[len(srv.Recent)-1]; last != 800e3 || srv.Latency <= r {
 		t.Errorf("last time %v, R %v after %v: a censored time counts", last, srv.Latency, r)
 	}
-	_, ev = h.query(0, 1)
-	s = onlyAction[Send](h, h.turn(ev...))
+	s = h.sendOnePart(0)
 	before := len(h.b.servers[s.Replica].Recent)
 	h.end(s, 0, Canceled, 20*ms)
 	if srv := h.b.servers[s.Replica]; len(srv.Recent) != before || slices.Contains(srv.Recent, 20e3) {
@@ -136,7 +132,8 @@
 	if r.attempts[s.Part]++; r.attempts[s.Part] > 1 {
 		r.retries = append(r.retries, r.now)
 		start := r.now - r.rules.RetryBudgetWindow
-		retries, accepted := float64(countSince(r.retries, start)), float64(countSince(r.accepted, start+1))
+		retries := float64(countSince(r.retries, start))
+		accepted := float64(countSince(r.accepted, start+1))
 		if retries > r.rules.RetryBudgetBase+r.rules.RetryBudgetRatio*accepted {
 			r.Fatalf("%v retries within a window that accepted %v", retries, accepted)
 		}
@@ -162,9 +159,11 @@
 // and the ratio of the queries and parts accepted in it, parts of a second step and hedged requests included.
 func TestRetry_BudgetHoldsInEveryWindow(t *testing.T) {
 	settings := testSettings()
-	settings.Classes[0].FollowUpParts, settings.Classes[0].OverdueFraction = 2, 0.3
+	settings.Classes[0].FollowUpParts = 2
+	settings.Classes[0].OverdueFraction = 0.3
 	settings.Rules.RetryBudgetWindow = 2 * time.Second
-	settings.Rules.RetryBudgetBase, settings.Rules.RetryBudgetRatio = 3, 0.1
+	settings.Rules.RetryBudgetBase = 3
+	settings.Rules.RetryBudgetRatio = 0.1
 	settings.MaxAttempts = 4
 	run := &budgetRun{
 		harness: newHarness(t, settings), rules: settings.Rules, attempts: map[ID]int{}, secondSteps: map[ID]bool{},
@@ -173,7 +172,7 @@
 		run.now += 20 * ms
 		var events []Event
 		if i%4 == 0 {
-			_, events = run.query(0, 3)
+			_, events = run.query(newQuery{parts: 3})
 		}
 		run.step(events)
 	}
@@ -185,9 +184,9 @@
 // Where the healthy replicas reject a part its attempts are spread over the time left.
 func TestRetry_AttemptsAfterFullReplicasAreSpread(t *testing.T) {
 	h := newFleetBench(t, "a", "b", "c")
-	_, events := h.query(0, 1)
-	s := onlyAction[Send](h, h.turn(events...))
-	at, times := 0, []time.Duration{}
+	s := h.sendOnePart(0)
+	at := 0
+	times := []time.Duration{}
 	start := h.now
 	actions := h.end(s, at, QueueFull, ms)
 	for h.now < start+900*ms && at < 3 {
--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -9,8 +9,13 @@
 // BenchmarkTurn_WideQueries plays queries of thirty parts on sixty servers, four in flight, one attempt in fifty lost.
 func BenchmarkTurn_WideQueries(b *testing.B) {
 	settings := testSettings()
-	settings.Cells, settings.Reach, settings.Shards, settings.Instances = 20, 3, 20, 20
-	settings.CanProbe, settings.LoadReportsOnProbe, settings.PeerMessages = true, true, true
+	settings.Cells = 20
+	settings.Reach = 3
+	settings.Shards = 20
+	settings.Instances = 20
+	settings.CanProbe = true
+	settings.LoadReportsOnProbe = true
+	settings.PeerMessages = true
 	balancer, err := New(settings)
 	if err != nil {
 		b.Fatal(err)
@@ -19,7 +24,8 @@
 	for i := range 60 {
 		list = append(list, Endpoint{Replica: Replica(fmt.Sprint("s", i)), Cell: i % 20})
 	}
-	now, next := 100*time.Second, ID(1)
+	now := 100 * time.Second
+	next := ID(1)
 	pending := []Event{EndpointList{Kind: ListFull, Endpoints: list}}
 	b.ReportAllocs()
 	for range b.N {
@@ -40,9 +46,15 @@
 					result = Failed
 				}
 				report := &LoadReport{Queue: float64(len(pending) % 3), InFlight: 1, Utilization: -1}
-				pending = append(pending, AttemptEnded{Part: a.Part, Replica: a.Replica, Result: result, Report: report})
+				pending = append(
+					pending,
+					AttemptEnded{Part: a.Part, Replica: a.Replica, Result: result, Report: report},
+				)
 			case Probe:
-				pending = append(pending, ProbeEnded{Replica: a.Replica, Result: OK, Report: &LoadReport{Queue: 1, InFlight: 1}})
+				pending = append(
+					pending,
+					ProbeEnded{Replica: a.Replica, Result: OK, Report: &LoadReport{Queue: 1, InFlight: 1}},
+				)
 			}
 		}
 	}
--- a/balance/crash_test.go
+++ b/balance/crash_test.go
@@ -12,8 +12,8 @@
 	settings.Classes = append(settings.Classes, settings.Classes[0])
 	h := newHarness(t, settings)
 	h.serve(10, 100*ms)
-	id, ev := h.query(0, 3)
-	sends := actionsOf[Send](h.turn(ev...))
+	id, events := h.query(newQuery{parts: 3})
+	sends := actionsOf[Send](h.turn(events...))
 	for i, s := range sends[:2] {
 		h.now += 5 * ms
 		actions := h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: Reset, Elapsed: 50 * ms})
@@ -29,13 +29,11 @@
 			t.Error("another query was rejected")
 		}
 	}
-	_, ev = h.query(0, 3)
-	ahead := onlyAction[Send](h, h.turn(ev...))
+	ahead := onlyAction[Send](h, h.begin(newQuery{parts: 3}))
 	if n := len(actionsOf[Send](h.end(ahead, 0, OK, 20*ms))); n != 2 {
 		t.Errorf("%d parts sent once the one ahead came back, want 2", n)
 	}
-	_, ev = h.query(1, 3)
-	if n := len(actionsOf[Send](h.turn(ev...))); n != 3 {
+	if n := len(actionsOf[Send](h.begin(newQuery{class: 1, parts: 3}))); n != 3 {
 		t.Errorf("%d of 3 parts of another class sent at once", n)
 	}
 }
@@ -46,8 +44,7 @@
 	settings.CanProbe = true
 	h := newHarness(t, settings)
 	h.serve(10, 100*ms)
-	_, ev := h.query(0, 3)
-	for _, s := range actionsOf[Send](h.turn(ev...))[:2] {
+	for _, s := range actionsOf[Send](h.begin(newQuery{parts: 3}))[:2] {
 		h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: Reset, Elapsed: 50 * ms})
 		actions := h.turn(ProbeEnded{Replica: s.Replica, Result: OK})
 		if len(actionsOf[Reject](actions)) > 0 || len(actionsOf[Send](actions)) != 1 {
@@ -60,15 +57,15 @@
 func TestCrash_RetryOfACrashingQueryIsRejected(t *testing.T) {
 	h := newHarness(t, testSettings())
 	h.serve(10, 100*ms)
-	id, ev := h.query(0, 3)
+	id, events := h.query(newQuery{parts: 3})
 	keyed := func() {
-		q := ev[0].(Query)
+		q := events[0].(Query)
 		q.Key = "k"
-		ev[0] = q
+		events[0] = q
 	}
 	keyed()
 	var died []Event
-	for _, s := range actionsOf[Send](h.turn(ev...)) {
+	for _, s := range actionsOf[Send](h.turn(events...)) {
 		died = append(died, AttemptEnded{Part: s.Part, Replica: s.Replica, Result: Reset})
 	}
 	h.now += 50 * ms
@@ -76,15 +73,15 @@
 		t.Fatalf("rejected %v", r)
 	}
 	h.now += 500 * ms
-	id, ev = h.query(0, 3)
+	id, events = h.query(newQuery{parts: 3})
 	keyed()
-	if actions := h.turn(ev...); onlyAction[Reject](h, actions).Query != id || len(actionsOf[Send](actions)) > 0 {
+	if actions := h.turn(events...); onlyAction[Reject](h, actions).Query != id || len(actionsOf[Send](actions)) > 0 {
 		t.Errorf("the repeat was begun: %v", actions)
 	}
 	h.now += time.Minute
-	_, ev = h.query(0, 3)
+	_, events = h.query(newQuery{parts: 3})
 	keyed()
-	if len(actionsOf[Send](h.turn(ev...))) == 0 {
+	if len(actionsOf[Send](h.turn(events...))) == 0 {
 		t.Error("the key is never served again")
 	}
 }
--- a/balance/endpoints_test.go
+++ b/balance/endpoints_test.go
@@ -10,28 +10,26 @@
 	h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{
 		{Replica: "a", Cell: 0, State: Draining}, {Replica: "b", Cell: 1, State: Removed}}})
 	for range 10 {
-		_, ev := h.query(0, 1)
-		if s := onlyAction[Send](h, h.turn(ev...)); s.Replica != "c" {
+		if s := h.sendOnePart(0); s.Replica != "c" {
 			t.Fatalf("sent to %s", s.Replica)
 		}
 	}
 	h.turn(EndpointList{Kind: ListFull, Endpoints: []Endpoint{{Replica: "a", Cell: 0}}})
-	_, ev := h.query(0, 1)
-	if s := onlyAction[Send](h, h.turn(ev...)); s.Replica != "a" {
+	if s := h.sendOnePart(0); s.Replica != "a" {
 		t.Errorf("sent to %s, which the full list no longer names", s.Replica)
 	}
 }
 
 func TestEndpoints_FailedCallKeepsTheListAndPollsAgain(t *testing.T) {
 	settings := testSettings()
-	settings.ListOnRequest, settings.Rules.MaxListAge = true, 10*time.Second
+	settings.ListOnRequest = true
+	settings.Rules.MaxListAge = 10 * time.Second
 	var waits []time.Duration
 	for settings.Seed = range 2 {
 		h := newHarness(t, settings)
 		actions := h.turn(EndpointList{Kind: ListFailed})
 		h.wantNone(actions, "call in the turn of the failed one", len(actionsOf[WatchEndpoints](actions)))
-		_, ev := h.query(0, 1)
-		onlyAction[Send](h, h.turn(ev...))
+		h.sendOnePart(0)
 		failed := h.now
 		for len(actionsOf[WatchEndpoints](actions)) == 0 {
 			if h.now += 100 * ms; h.now > failed+settings.Rules.MaxListAge {
--- a/balance/gossip_test.go
+++ b/balance/gossip_test.go
@@ -12,7 +12,10 @@
 // newGossipHarness is a balancer of eighty that may send gossip and probe.
 func newGossipHarness(t *testing.T) *harness {
 	settings := testSettings()
-	settings.Instances, settings.PeerMessages, settings.CanProbe, settings.ProbeTimeout = 80, true, true, 250*ms
+	settings.Instances = 80
+	settings.PeerMessages = true
+	settings.CanProbe = true
+	settings.ProbeTimeout = 250 * ms
 	h := newHarness(t, settings)
 	h.serve(100, 100*ms)
 	return h
@@ -30,19 +33,19 @@
 
 // An unresponsive server found by one balancer is avoided by the others, before each has lost parts of its own there.
 func TestGossip_UnresponsiveServerIsKnownToAll(t *testing.T) {
-	from, to := newGossipHarness(t), newGossipHarness(t)
+	from := newGossipHarness(t)
+	to := newGossipHarness(t)
 	messages := gossipAfterProbe(from, Canceled, 0)
 	if len(messages) != 1 || len(messages[0].Payload) > MaxGossipBytes {
 		t.Fatalf("sent %v", messages)
 	}
 	to.now = from.now
-	to.turn(GossipReceived{messages[0].Payload}, GossipReceived{messages[0].Payload}) // doubled
+	to.turn(GossipReceived{Payload: messages[0].Payload}, GossipReceived{Payload: messages[0].Payload}) // doubled
 	if s := to.b.servers["a"]; !s.Unresponsive {
 		t.Fatal("an unresponsive server is still trusted")
 	}
 	for range 20 {
-		_, events := to.query(0, 1)
-		if s := onlyAction[Send](to, to.turn(events...)); s.Replica == "a" {
+		if s := to.sendOnePart(0); s.Replica == "a" {
 			t.Fatal("a part went to the unresponsive server")
 		}
 	}
@@ -51,7 +54,7 @@
 		t.Fatal("that an unresponsive server is back was not sent")
 	}
 	to.now = from.now
-	to.turn(GossipReceived{messages[0].Payload})
+	to.turn(GossipReceived{Payload: messages[0].Payload})
 	if to.turn(); to.b.servers["a"].Unresponsive {
 		t.Error("a server that answers is still avoided")
 	}
@@ -64,15 +67,18 @@
 func TestGossip_UnresponsiveFromAnotherZone(t *testing.T) {
 	unresponsive := func(h *harness, zone int) bool {
 		h.now += time.Second
-		h.turn(GossipReceived{gossip.EncodeLoad(h.now, zone, []gossip.Observation{{Key: gossip.ServerKey("a"), Value: gossip.Unresponsive}})})
+		h.turn(GossipReceived{Payload: gossip.EncodeLoad(
+			h.now,
+			zone,
+			[]gossip.Observation{{Key: gossip.ServerKey("a"), Value: gossip.Unresponsive}},
+		)})
 		return h.b.servers["a"].Unresponsive
 	}
 	h := newGossipHarness(t)
 	if unresponsive(h, 1) {
 		t.Error("taken from another zone")
 	}
-	_, events := h.query(0, 9)
-	sends := actionsOf[Send](h.turn(events...))
+	sends := actionsOf[Send](h.begin(newQuery{parts: 9}))
 	if !unresponsive(h, 0) {
 		t.Fatal("not taken from the own zone")
 	}
@@ -87,13 +93,14 @@
 }
 
 func TestGossip_LongQueueAndItsEnd(t *testing.T) {
-	from, to := newGossipHarness(t), newGossipHarness(t)
+	from := newGossipHarness(t)
+	to := newGossipHarness(t)
 	messages := gossipAfterProbe(from, OK, 40)
 	if len(messages) != 1 {
 		t.Fatal("a long queue was not sent")
 	}
 	to.now = from.now
-	to.turn(GossipReceived{messages[0].Payload})
+	to.turn(GossipReceived{Payload: messages[0].Payload})
 	if q := to.b.servers["a"].Queue; q < 20 {
 		t.Fatalf("queue taken as %v", q)
 	}
@@ -102,7 +109,7 @@
 		t.Fatal("the end of a long queue was not sent")
 	}
 	to.now = from.now
-	to.turn(GossipReceived{messages[0].Payload})
+	to.turn(GossipReceived{Payload: messages[0].Payload})
 	if q := to.b.servers["a"].Queue; q > 15 {
 		t.Fatalf("queue taken as %v after its end", q)
 	}
@@ -130,7 +137,8 @@
 			return gossip.EncodeLoad(0, 0, load.Observations)
 		}},
 	} {
-		from, to := newGossipHarness(t), newGossipHarness(t)
+		from := newGossipHarness(t)
+		to := newGossipHarness(t)
 		text := gossipAfterProbe(from, Canceled, 0)[0].Payload
 		if c.bend != nil {
 			text = c.bend(text)
@@ -139,7 +147,7 @@
 		if c.ok {
 			to.b.servers["a"].LastSuccess = to.now - 10*ms
 		}
-		if to.turn(GossipReceived{text}); to.b.servers["a"].Unresponsive {
+		if to.turn(GossipReceived{Payload: text}); to.b.servers["a"].Unresponsive {
 			t.Errorf("%s: the server is left", name)
 		}
 	}
@@ -156,9 +164,10 @@
 			t.Errorf("few %v: sent %v", few, messages)
 		}
 		h = newGossipHarness(t)
-		h.b.settings.PeerMessages, h.b.fleet.Options.ProbesShared = false, false
+		h.b.settings.PeerMessages = false
+		h.b.fleet.Options.ProbesShared = false
 		h.now += time.Second
-		if h.turn(GossipReceived{message}); h.b.servers["a"].ProbeUnanswered {
+		if h.turn(GossipReceived{Payload: message}); h.b.servers["a"].ProbeUnanswered {
 			t.Error("a message counts where they are not allowed")
 		}
 	}
@@ -183,7 +192,14 @@
 
 func FuzzReceiveGossip(f *testing.F) {
 	f.Add([]byte(nil))
-	f.Add(gossip.EncodeLoad(time.Hour, 0, []gossip.Observation{{Key: gossip.ServerKey("a"), Value: 7}, {Key: gossip.ServerKey("b"), Value: gossip.Unresponsive}}))
+	f.Add(gossip.EncodeLoad(
+		time.Hour,
+		0,
+		[]gossip.Observation{
+			{Key: gossip.ServerKey("a"), Value: 7},
+			{Key: gossip.ServerKey("b"), Value: gossip.Unresponsive},
+		},
+	))
 	f.Add(append(gossip.EncodeLoad(0, 0, nil), 1, 2, 3))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		load, ok := gossip.DecodeLoad(0, text)
@@ -191,12 +207,16 @@
 			t.Fatalf("%x: %v, %d remarks", text, ok, len(load.Observations))
 		}
 		settings := testSettings()
-		settings.Instances, settings.PeerMessages = 80, true
+		settings.Instances = 80
+		settings.PeerMessages = true
 		b, err := New(settings)
 		if err != nil {
 			t.Fatal(err)
 		}
-		b.Turn(time.Second, []Event{EndpointList{Kind: ListFull, Endpoints: threeServers()}, GossipReceived{Payload: text}})
+		b.Turn(
+			time.Second,
+			[]Event{EndpointList{Kind: ListFull, Endpoints: threeServers()}, GossipReceived{Payload: text}},
+		)
 		if len(b.servers) != 3 {
 			t.Fatal("a message changed the list")
 		}
--- a/balance/harness_test.go
+++ b/balance/harness_test.go
@@ -14,10 +14,22 @@
 func testSettings() Settings {
 	return Settings{
 		Seed: 1, Instances: 2, Tick: 5 * ms,
-		Classes: []Class{{Objective: time.Second, Deadline: 3 * time.Second, Weight: 1, Idempotency: Idempotent, MinFraction: 1, CompleteFraction: 1}},
-		Cells:   3, Reach: 3, Shards: 6, MaxCallParts: 1,
+		Classes: []Class{{
+			Objective:        time.Second,
+			Deadline:         3 * time.Second,
+			Weight:           1,
+			Idempotency:      Idempotent,
+			MinFraction:      1,
+			CompleteFraction: 1,
+		}},
+		Cells: 3, Reach: 3, Shards: 6, MaxCallParts: 1,
 		MaxAttempts: 3, CanHedge: true, CanCancel: true, MaxRetryAfter: time.Second,
-		Rules: Rules{WarmupPeriod: 10 * time.Second, WarmupMinCapacity: 0.2, OverloadMultiple: 2, OverloadPeriod: 2 * time.Second},
+		Rules: Rules{
+			WarmupPeriod:      10 * time.Second,
+			WarmupMinCapacity: 0.2,
+			OverloadMultiple:  2,
+			OverloadPeriod:    2 * time.Second,
+		},
 	}
 }
 
@@ -54,18 +66,47 @@
 	return actions
 }
 
-// query returns the events of a query of class c with n parts. Its id comes first, those of its parts follow.
-func (h *harness) query(c, n int) (ID, []Event) {
+// newQuery describes a query of a test.
+type newQuery struct {
+	class int
+	parts int
+}
+
+// query returns the events of a query and its parts. Its id comes first, those of its parts follow.
+func (h *harness) query(q newQuery) (ID, []Event) {
 	id := h.next
-	left := h.b.settings.Classes[c].Deadline
-	events := []Event{Query{ID: id, Group: uint64(id), Class: c, TimeLeft: left, Parts: n}}
-	for i := range n {
-		events = append(events, Part{ID: id + 1 + ID(i), Group: uint64(id), Shard: i, Weight: 1 / float64(n)})
+	events := []Event{Query{
+		ID:       id,
+		Group:    uint64(id),
+		Class:    q.class,
+		TimeLeft: h.b.settings.Classes[q.class].Deadline,
+		Parts:    q.parts,
+	}}
+	for i := range q.parts {
+		events = append(events, Part{
+			ID:     id + 1 + ID(i),
+			Group:  uint64(id),
+			Shard:  i,
+			Weight: 1 / float64(q.parts),
+		})
 	}
-	h.next += ID(n) + 1
+	h.next += ID(q.parts) + 1
 	return id, events
 }
 
+// begin plays a turn with a new query and returns its actions.
+func (h *harness) begin(q newQuery) []Action {
+	h.Helper()
+	_, events := h.query(q)
+	return h.turn(events...)
+}
+
+// sendOnePart begins a query of one part, which must be sent at once.
+func (h *harness) sendOnePart(class int) Send {
+	h.Helper()
+	return onlyAction[Send](h, h.begin(newQuery{class: class, parts: 1}))
+}
+
 func actionsOf[T Action](actions []Action) (found []T) {
 	for _, a := range actions {
 		if t, ok := a.(T); ok {
@@ -103,8 +144,8 @@
 func (h *harness) serve(n int, took time.Duration) {
 	h.Helper()
 	for range n {
-		id, ev := h.query(0, 1)
-		s := onlyAction[Send](h, h.turn(ev...))
+		id, events := h.query(newQuery{parts: 1})
+		s := onlyAction[Send](h, h.turn(events...))
 		if a := onlyAction[Answer](h, h.end(s, 0, OK, took)); a.Query != id || !a.Complete {
 			h.Fatalf("answer %v for query %d", a, id)
 		}
@@ -115,8 +156,7 @@
 func (h *harness) hedged() (Send, Hedge) {
 	h.Helper()
 	h.serve(60, 100*ms)
-	_, ev := h.query(0, 1)
-	s := onlyAction[Send](h, h.turn(ev...))
+	s := h.sendOnePart(0)
 	h.now += 600 * ms
 	return s, onlyAction[Hedge](h, h.turn(TimerFired{}))
 }
@@ -140,8 +180,8 @@
 func (h *harness) serveFirst(n int) {
 	h.Helper()
 	for range n {
-		id, ev := h.query(0, 1)
-		onlyAction[Answer](h, h.end(onlyAction[Send](h, h.turn(ev...)), 0, OK, 100*ms))
+		id, events := h.query(newQuery{parts: 1})
+		onlyAction[Answer](h, h.end(onlyAction[Send](h, h.turn(events...)), 0, OK, 100*ms))
 		h.next++
 		s := onlyAction[Send](h, h.turn(Part{ID: h.next, Group: uint64(id), Weight: 1}))
 		onlyAction[Answer](h, h.end(s, 0, OK, 100*ms))
@@ -165,11 +205,24 @@
 // for. Every shard is on the same four servers.
 func newFleetBench(t *testing.T, out ...Replica) *harness {
 	settings := testSettings()
-	settings.Instances, settings.CanHedge, settings.Cells, settings.Reach, settings.MaxAttempts = 300, false, 4, 4, 4
+	settings.Instances = 300
+	settings.CanHedge = false
+	settings.Cells = 4
+	settings.Reach = 4
+	settings.MaxAttempts = 4
 	report := settings.Classes[0]
-	report.MinFraction, report.PartialFraction, report.OverdueFraction = 0.5, 0.8, 0.1
+	report.MinFraction = 0.5
+	report.PartialFraction = 0.8
+	report.OverdueFraction = 0.1
 	settings.Classes = append(settings.Classes, report)
-	h := newHarness(t, settings, Endpoint{Replica: "a", Cell: 0}, Endpoint{Replica: "b", Cell: 1}, Endpoint{Replica: "c", Cell: 2}, Endpoint{Replica: "d", Cell: 3})
+	h := newHarness(
+		t,
+		settings,
+		Endpoint{Replica: "a", Cell: 0},
+		Endpoint{Replica: "b", Cell: 1},
+		Endpoint{Replica: "c", Cell: 2},
+		Endpoint{Replica: "d", Cell: 3},
+	)
 	h.serve(60, 100*ms)
 	var list []Endpoint
 	for _, id := range out {
--- a/balance/hedging_test.go
+++ b/balance/hedging_test.go
@@ -13,8 +13,7 @@
 	settings.Classes[1].Idempotency = NonIdempotent
 	h := newHarness(t, settings)
 	h.serve(60, 100*ms)
-	_, ev := h.query(1, 1)
-	onlyAction[Send](h, h.turn(ev...))
+	h.sendOnePart(1)
 	h.now += 900 * ms
 	actions := h.turn(TimerFired{})
 	h.wantNone(actions, "copy", len(actionsOf[Hedge](actions))+len(actionsOf[Cancel](actions)))
@@ -39,8 +38,7 @@
 	settings.CanHedge = false
 	h := newHarness(t, settings)
 	h.serve(60, 100*ms)
-	_, ev := h.query(0, 1)
-	s := onlyAction[Send](h, h.turn(ev...))
+	s := h.sendOnePart(0)
 	for range 40 {
 		h.now += 10 * ms
 		actions := h.turn(TimerFired{})
@@ -69,8 +67,7 @@
 	if d := h.b.servers[s.Replica].Penalty; d < 1 {
 		t.Errorf("penalty %v in a server that lost a part", d)
 	}
-	_, ev := h.query(0, 1)
-	s = onlyAction[Send](h, h.turn(ev...))
+	s = h.sendOnePart(0)
 	h.end(s, 0, Canceled, 20*ms)
 	if d := h.b.servers[s.Replica].Penalty; d != 0 {
 		t.Errorf("penalty %v after an early cancellation", d)
@@ -84,9 +81,10 @@
 	settings.CanHedge = false
 	h := newHarness(t, settings)
 	h.serve(60, 100*ms)
-	h.b.fleet.Mean, h.b.fleet.Deviation = 150e3, 80e3 // late is 390 ms
-	_, ev := h.query(0, 1)
-	s := onlyAction[Send](h, h.turn(ev...))
+	// late is 390 ms
+	h.b.fleet.Mean = 150e3
+	h.b.fleet.Deviation = 80e3
+	s := h.sendOnePart(0)
 	h.now += 600 * ms
 	actions := h.turn(TimerFired{})
 	h.wantNone(actions, "early cancellation", len(actionsOf[Cancel](actions)))
@@ -104,12 +102,12 @@
 	h := newHarness(t, settings)
 	h.serve(60, 100*ms)
 	h.b.hedgeTokens = 1
-	_, ev := h.query(0, 1)
-	lost := onlyAction[Send](h, h.turn(ev...))
+	lost := h.sendOnePart(0)
 	srv := h.b.servers[lost.Replica]
 	calledAt := time.Duration(0)
 	for sent := h.now; calledAt == 0 && h.now < sent+2*time.Second; h.now += 10 * ms {
-		srv.LastSuccess, srv.PerClass[0].LastSuccess = h.now, h.now
+		srv.LastSuccess = h.now
+		srv.PerClass[0].LastSuccess = h.now
 		if len(actionsOf[Cancel](h.turn(TimerFired{}))) > 0 {
 			calledAt = h.now - sent
 		}
@@ -123,7 +121,8 @@
 	if r := h.b.rank(srv); r > 10*micros(100*ms) {
 		t.Errorf("rank %v: a lost part counts as load", r)
 	}
-	penalty, tokens := srv.Penalty, h.b.hedgeTokens
+	penalty := srv.Penalty
+	tokens := h.b.hedgeTokens
 	again := onlyAction[Send](h, h.turn(AttemptEnded{Part: lost.Part, Replica: lost.Replica, Result: Canceled}))
 	if srv.Penalty != penalty || srv.PerClass[0].Penalty != 1 || again.Replica == lost.Replica {
 		t.Errorf("penalty %v, with the class %v; again at %s", srv.Penalty, srv.PerClass[0].Penalty, again.Replica)
@@ -142,8 +141,7 @@
 			h = newFleetBench(t, "a", "b", "c")
 		}
 		h.b.hedgeTokens = 10
-		_, events := h.query(0, 1)
-		s := onlyAction[Send](h, h.turn(events...))
+		s := h.sendOnePart(0)
 		called := 0
 		for range 160 {
 			h.now += 5 * ms
@@ -161,16 +159,19 @@
 	for _, c := range []struct {
 		queue float64
 		calls bool
-	}{{15, false}, {0, true}} {
+	}{
+		{queue: 15, calls: false},
+		{queue: 0, calls: true},
+	} {
 		h := newFleetBench(t, "a", "b")
 		h.b.hedgeTokens = 10
-		_, events := h.query(0, 1)
-		h.turn(events...)
+		h.begin(newQuery{parts: 1})
 		called := 0
 		for range 120 {
 			h.now += 5 * ms
 			for _, s := range h.b.servers {
-				s.Queue, s.ReportedAt = c.queue, h.now
+				s.Queue = c.queue
+				s.ReportedAt = h.now
 			}
 			called += len(actionsOf[Cancel](h.turn(TimerFired{})))
 		}
@@ -188,16 +189,20 @@
 		own, others float64
 		long        bool // the others, by a message of long ago
 		calls       bool
-	}{{0, 15, false, true}, {15, 0, true, true}, {15, 15, false, false}} {
+	}{
+		{own: 0, others: 15, long: false, calls: true},
+		{own: 15, others: 0, long: true, calls: true},
+		{own: 15, others: 15, long: false, calls: false},
+	} {
 		h := newFleetBench(t)
 		h.b.hedgeTokens = 10
-		_, events := h.query(0, 1)
-		at := onlyAction[Send](h, h.turn(events...)).Replica
+		at := h.sendOnePart(0).Replica
 		called := 0
 		for range 120 {
 			h.now += 5 * ms
 			for id, s := range h.b.servers {
-				s.ReportedAt, s.Queue = h.now, c.others
+				s.ReportedAt = h.now
+				s.Queue = c.others
 				if s.QueueWasLong = c.long; id == at {
 					s.Queue = c.own
 				} else if c.long {
--- a/balance/limits_test.go
+++ b/balance/limits_test.go
@@ -10,8 +10,7 @@
 	h.Helper()
 	got := map[Replica]int{}
 	for range n {
-		_, events := h.query(0, 1)
-		s := onlyAction[Send](h, h.turn(events...))
+		s := h.sendOnePart(0)
 		got[s.Replica]++
 		h.end(s, 0, OK, 50*ms)
 	}
@@ -31,14 +30,40 @@
 	if n := h.counts(50)["a"]; n != 0 {
 		t.Fatalf("%d parts at an ejected server", n)
 	}
-	h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", Cell: 0, HealthLimits: HealthLimits{EjectedClasses: 1, HalfOpenClasses: 1}}}})
+	h.turn(EndpointList{
+		Kind: ListDelta,
+		Endpoints: []Endpoint{{
+			Replica:      "a",
+			Cell:         0,
+			HealthLimits: HealthLimits{EjectedClasses: 1, HalfOpenClasses: 1},
+		}},
+	})
 	// Told again for another reason, before it is used: still one.
-	h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", Cell: 0, HealthLimits: HealthLimits{EjectedClasses: 1, TrafficFraction: 0.5}}}})
+	h.turn(EndpointList{
+		Kind: ListDelta,
+		Endpoints: []Endpoint{{
+			Replica:      "a",
+			Cell:         0,
+			HealthLimits: HealthLimits{EjectedClasses: 1, TrafficFraction: 0.5},
+		}},
+	})
 	if n := h.counts(50)["a"]; n != 1 {
 		t.Fatalf("%d parts at an ejected server for one half-open request", n)
 	}
 	h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{
-		{Replica: "a", Cell: 0, HealthLimits: HealthLimits{EjectedClasses: 1}}, {Replica: "b", Cell: 1, State: Removed}, {Replica: "c", Cell: 2, HealthLimits: HealthLimits{EjectedClasses: 3}},
+		{
+			Replica:      "a",
+			Cell:         0,
+			HealthLimits: HealthLimits{EjectedClasses: 1},
+		}, {
+			Replica: "b",
+			Cell:    1,
+			State:   Removed,
+		}, {
+			Replica:      "c",
+			Cell:         2,
+			HealthLimits: HealthLimits{EjectedClasses: 3},
+		},
 	}})
 	if got := h.counts(20); got["a"]+got["c"] != 20 {
 		t.Fatalf("%v", got)
@@ -49,13 +74,16 @@
 func TestLimits_EjectedServerIsNoWayAroundABusyOne(t *testing.T) {
 	settings := testSettings()
 	settings.Classes[0].Idempotency = NonIdempotent
-	h := newHarness(t, settings, Endpoint{Replica: "a", Cell: 0, HealthLimits: HealthLimits{EjectedClasses: 1}}, Endpoint{Replica: "b", Cell: 1, HealthLimits: HealthLimits{MaxInFlight: 1}})
-	_, events := h.query(0, 1)
-	if s := onlyAction[Send](h, h.turn(events...)); s.Replica != "b" {
+	h := newHarness(
+		t,
+		settings,
+		Endpoint{Replica: "a", Cell: 0, HealthLimits: HealthLimits{EjectedClasses: 1}},
+		Endpoint{Replica: "b", Cell: 1, HealthLimits: HealthLimits{MaxInFlight: 1}},
+	)
+	if s := h.sendOnePart(0); s.Replica != "b" {
 		t.Fatalf("sent to %s", s.Replica)
 	}
-	_, events = h.query(0, 1)
-	actions := h.turn(events...)
+	actions := h.begin(newQuery{parts: 1})
 	h.wantNone(actions, "second part at a server that takes one", len(actionsOf[Send](actions)))
 }
 
@@ -64,8 +92,7 @@
 	h := newHarness(t, testSettings(), endpointsWithLimits(HealthLimits{MaxInFlight: 2})...)
 	out := 0
 	for range 30 {
-		_, events := h.query(0, 1)
-		for _, s := range actionsOf[Send](h.turn(events...)) {
+		for _, s := range actionsOf[Send](h.begin(newQuery{parts: 1})) {
 			if s.Replica == "a" {
 				out++
 			}
@@ -90,14 +117,14 @@
 	trace := func(e HealthLimits) (got []Replica) {
 		h := newHarness(t, testSettings(), endpointsWithLimits(e)...)
 		for range 200 {
-			_, events := h.query(0, 1)
-			s := onlyAction[Send](h, h.turn(events...))
+			s := h.sendOnePart(0)
 			got = append(got, s.Replica)
 			h.end(s, 0, OK, time.Duration(20+len(got)%7*10)*ms)
 		}
 		return got
 	}
-	plain, full := trace(HealthLimits{}), trace(HealthLimits{TrafficFraction: 1})
+	plain := trace(HealthLimits{})
+	full := trace(HealthLimits{TrafficFraction: 1})
 	for i := range plain {
 		if plain[i] != full[i] {
 			t.Fatalf("choice %d: %s, not %s", i, full[i], plain[i])
@@ -110,7 +137,7 @@
 func TestLimits_PartsNameTheirCandidates(t *testing.T) {
 	h := newHarness(t, testSettings())
 	holders := func(list ...Candidate) (ID, []Event) {
-		id, events := h.query(0, 1)
+		id, events := h.query(newQuery{parts: 1})
 		p := events[1].(Part)
 		p.Candidates = list
 		events[1] = p
@@ -118,7 +145,11 @@
 	}
 	got := map[Replica]int{}
 	for range 1000 {
-		_, events := holders(Candidate{Replica: "a", TrafficFraction: 0.25}, Candidate{Replica: "b"}, Candidate{Replica: "unlisted"})
+		_, events := holders(
+			Candidate{Replica: "a", TrafficFraction: 0.25},
+			Candidate{Replica: "b"},
+			Candidate{Replica: "unlisted"},
+		)
 		s := onlyAction[Send](h, h.turn(events...))
 		got[s.Replica]++
 		h.end(s, 0, OK, 50*ms)
@@ -128,12 +159,18 @@
 	}
 	id, events := holders(Candidate{Replica: "a"})
 	s := onlyAction[Send](h, h.turn(events...))
-	if actions := h.turn(CandidatesChanged{Part: s.Part, Candidates: []Candidate{}}, AttemptEnded{Part: s.Part, Replica: "a", Result: NotSent}); onlyAction[Reject](h, actions).Query != id {
+	if actions := h.turn(
+		CandidatesChanged{Part: s.Part, Candidates: []Candidate{}},
+		AttemptEnded{Part: s.Part, Replica: "a", Result: NotSent},
+	); onlyAction[Reject](h, actions).Query != id {
 		t.Errorf("%v", actions)
 	}
 	_, events = holders(Candidate{Replica: "a"})
 	s = onlyAction[Send](h, h.turn(events...))
-	if actions := h.turn(CandidatesChanged{Part: s.Part, Candidates: []Candidate{{Replica: "c"}}}, AttemptEnded{Part: s.Part, Replica: "a", Result: NotSent}); onlyAction[Send](h, actions).Replica != "c" {
+	if actions := h.turn(
+		CandidatesChanged{Part: s.Part, Candidates: []Candidate{{Replica: "c"}}},
+		AttemptEnded{Part: s.Part, Replica: "a", Result: NotSent},
+	); onlyAction[Send](h, actions).Replica != "c" {
 		t.Errorf("%v", actions)
 	}
 }
--- a/balance/path_test.go
+++ b/balance/path_test.go
@@ -18,9 +18,9 @@
 		t.Fatalf("path usable %v, median %v", h.b.paths[1].Usable(), h.b.fleet.MedianServiceTime)
 	}
 	h.b.paths[1].NextHalfOpen = h.now + time.Hour
-	_, ev := h.query(0, 6)
+	_, events := h.query(newQuery{parts: 6})
 	far := func() (n int) {
-		for _, s := range actionsOf[Send](h.turn(ev...)) {
+		for _, s := range actionsOf[Send](h.turn(events...)) {
 			n += h.b.servers[s.Replica].zone
 		}
 		return n
@@ -29,7 +29,7 @@
 		t.Errorf("%d parts over a slow path", n)
 	}
 	h.b.paths[1].NextHalfOpen = 0
-	_, ev = h.query(0, 6)
+	_, events = h.query(newQuery{parts: 6})
 	if n := far(); n != 1 {
 		t.Errorf("%d parts test the path, want 1", n)
 	}
@@ -58,7 +58,8 @@
 // Failures count against a path only while they outnumber what is still in flight there; anything from there clears it.
 func TestPath_FewFastFailuresDoNotCloseIt(t *testing.T) {
 	h := newHarness(t, testSettings(), twoZones()...)
-	path, s := h.b.paths[1], h.b.servers["b"]
+	path := h.b.paths[1]
+	s := h.b.servers["b"]
 	path.InFlight = make([]time.Duration, 20)
 	for range 4 {
 		s.RecordClassFailure(0, h.now, h.now, h.b.halfOpenDelay())
@@ -81,12 +82,17 @@
 	for _, c := range []struct {
 		parts  int
 		silent bool
-	}{{suspicion.MaxTypicalOverdue, true}, {3, false}} {
+	}{
+		{parts: suspicion.MaxTypicalOverdue, silent: true},
+		{parts: 3, silent: false},
+	} {
 		settings := testSettings()
 		settings.CanHedge = false
 		h := newHarness(t, settings, twoZones()...)
 		h.serve(60, 100*ms)
-		h.b.fleet.Mean, h.b.fleet.Deviation, h.b.hedgeTokens = 100e3, 50e3, maxHedgeTokens
+		h.b.fleet.Mean = 100e3
+		h.b.fleet.Deviation = 50e3
+		h.b.hedgeTokens = maxHedgeTokens
 		h.now += time.Millisecond
 		for _, s := range h.b.endpoints {
 			s.avoidUntil = h.now // all may be sent to
@@ -94,8 +100,7 @@
 				s.avoidUntil = h.now + time.Hour
 			}
 		}
-		_, ev := h.query(0, c.parts)
-		if n := len(actionsOf[Send](h.turn(ev...))); n != c.parts {
+		if n := len(actionsOf[Send](h.begin(newQuery{parts: c.parts}))); n != c.parts {
 			t.Fatalf("%d of %d parts sent", n, c.parts)
 		}
 		for _, s := range h.b.endpoints {
--- a/balance/probing_test.go
+++ b/balance/probing_test.go
@@ -8,18 +8,22 @@
 // A new query asks its replicas for a report and waits for it, but not for one that does not come.
 func TestProbe_NewQueryProbesItsReplicas(t *testing.T) {
 	settings := testSettings()
-	settings.CanProbe, settings.LoadReportsOnProbe = true, true
+	settings.CanProbe = true
+	settings.LoadReportsOnProbe = true
 	h := newHarness(t, settings)
 	h.b.probeTokens = 1
-	_, ev := h.query(0, 3)
-	actions := h.turn(ev...)
+	actions := h.begin(newQuery{parts: 3})
 	probes := actionsOf[Probe](actions)
 	if len(probes) != 1 {
 		t.Fatalf("want one probe, got %v", actions)
 	}
 	h.wantNone(actions, "send before the report", len(actionsOf[Send](actions)))
 	h.now += 5 * ms
-	actions = h.turn(ProbeEnded{Replica: probes[0].Replica, Result: OK, Report: &LoadReport{Queue: -1, InFlight: 9, Utilization: -1}})
+	actions = h.turn(ProbeEnded{
+		Replica: probes[0].Replica,
+		Result:  OK,
+		Report:  &LoadReport{Queue: -1, InFlight: 9, Utilization: -1},
+	})
 	for _, s := range actionsOf[Send](actions)[:2] {
 		if s.Replica == probes[0].Replica {
 			t.Error("the replica that reports nine parts in flight was not passed over")
@@ -27,8 +31,7 @@
 	}
 	h.now += time.Second
 	h.b.probeTokens = 1
-	_, ev = h.query(0, 3)
-	h.turn(ev...)
+	h.begin(newQuery{parts: 3})
 	h.now += 30 * ms
 	if n := len(actionsOf[Send](h.turn(TimerFired{}))); n == 0 {
 		t.Error("still waiting for a report that does not come")
--- a/balance/query_test.go
+++ b/balance/query_test.go
@@ -7,13 +7,12 @@
 
 func TestQuery_OneFinalAnswer(t *testing.T) {
 	h := newHarness(t, testSettings())
-	id, ev := h.query(0, 1)
-	s := onlyAction[Send](h, h.turn(ev...))
+	id, events := h.query(newQuery{parts: 1})
+	s := onlyAction[Send](h, h.turn(events...))
 	h.now += 100 * ms
 	actions := h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: OK}, ClientDisconnected{Query: id})
 	h.wantNone(actions, "action after the client left", len(actionsOf[Answer](actions)))
-	_, ev = h.query(0, 1)
-	s = onlyAction[Send](h, h.turn(ev...))
+	s = h.sendOnePart(0)
 	onlyAction[Answer](h, h.end(s, 0, OK, 100*ms))
 	actions = h.turn(ClientDisconnected{Query: id}, AttemptEnded{Part: s.Part, Replica: s.Replica, Result: OK})
 	if len(actions) != 0 {
@@ -25,8 +24,8 @@
 	settings := testSettings()
 	settings.Classes[0].OverdueFraction = 0.3
 	h := newHarness(t, settings)
-	id, ev := h.query(0, 1)
-	onlyAction[Send](h, h.turn(ev...))
+	id, events := h.query(newQuery{parts: 1})
+	onlyAction[Send](h, h.turn(events...))
 	h.now += 3*time.Second - 15*ms
 	if r := onlyAction[Reject](h, h.turn(TimerFired{})); r.Query != id {
 		t.Errorf("rejected %d, want %d", r.Query, id)
@@ -37,8 +36,8 @@
 	settings := testSettings()
 	settings.Classes[0].Idempotency = NonIdempotent
 	h := newHarness(t, settings)
-	id, ev := h.query(0, 1)
-	onlyAction[Send](h, h.turn(ev...))
+	id, events := h.query(newQuery{parts: 1})
+	onlyAction[Send](h, h.turn(events...))
 	h.now += time.Second - 10*ms
 	if f := onlyAction[Fail](h, h.turn(TimerFired{})); f.Query != id {
 		t.Errorf("failed %d, want %d", f.Query, id)
@@ -47,10 +46,12 @@
 
 func TestQuery_PartialAnswers(t *testing.T) {
 	settings := testSettings()
-	settings.Classes[0].MinFraction, settings.Classes[0].PartialFraction, settings.Classes[0].OverdueFraction = 0.6, 0.8, 0.1
+	settings.Classes[0].MinFraction = 0.6
+	settings.Classes[0].PartialFraction = 0.8
+	settings.Classes[0].OverdueFraction = 0.1
 	h := newHarness(t, settings)
-	id, ev := h.query(0, 3)
-	sends := actionsOf[Send](h.turn(ev...))
+	id, events := h.query(newQuery{parts: 3})
+	sends := actionsOf[Send](h.turn(events...))
 	h.now += 100 * ms
 	actions := h.turn(AttemptEnded{Part: sends[0].Part, Replica: sends[0].Replica, Result: OK},
 		AttemptEnded{Part: sends[1].Part, Replica: sends[1].Replica, Result: OK})
@@ -59,8 +60,7 @@
 	if a := onlyAction[Answer](h, h.turn(TimerFired{})); a.Query != id || a.Complete {
 		t.Errorf("answer %v, want a partial one of %d", a, id)
 	}
-	_, ev = h.query(0, 3)
-	sends = actionsOf[Send](h.turn(ev...))
+	sends = actionsOf[Send](h.begin(newQuery{parts: 3}))
 	h.now += 100 * ms
 	h.turn(AttemptEnded{Part: sends[0].Part, Replica: sends[0].Replica, Result: OK})
 	h.now += 3*time.Second - 110*ms
@@ -73,8 +73,8 @@
 	settings := testSettings()
 	settings.Classes[0].FollowUpParts = 1
 	h := newHarness(t, settings)
-	id, ev := h.query(0, 1)
-	s := onlyAction[Send](h, h.turn(ev...))
+	id, events := h.query(newQuery{parts: 1})
+	s := onlyAction[Send](h, h.turn(events...))
 	if a := onlyAction[Answer](h, h.end(s, 0, OK, 50*ms)); !a.Complete {
 		t.Error("first step not whole")
 	}
@@ -110,11 +110,12 @@
 // Parts that a complete answer does not need wait in reserve, and no retry is spent on them.
 func TestQuery_PartsNotNeededWaitInReserve(t *testing.T) {
 	settings := testSettings()
-	settings.Classes[0].CompleteFraction, settings.Classes[0].MinFraction = 0.6, 0.6
+	settings.Classes[0].CompleteFraction = 0.6
+	settings.Classes[0].MinFraction = 0.6
 	h := newHarness(t, settings)
 	h.serve(60, 100*ms)
-	id, ev := h.query(0, 10)
-	sends := actionsOf[Send](h.turn(ev...))
+	id, events := h.query(newQuery{parts: 10})
+	sends := actionsOf[Send](h.turn(events...))
 	if len(sends) != 6 {
 		t.Fatalf("%d of 10 parts sent at once, want the 6 that are needed", len(sends))
 	}
@@ -124,12 +125,12 @@
 	if next.Part == sends[0].Part {
 		t.Error("the failed part was sent again with others unsent")
 	}
-	var events []Event
+	var ends []Event
 	for _, s := range append(sends[1:], next) {
-		events = append(events, AttemptEnded{Part: s.Part, Replica: s.Replica, Result: OK})
+		ends = append(ends, AttemptEnded{Part: s.Part, Replica: s.Replica, Result: OK})
 	}
 	h.now += 50 * ms
-	if a := onlyAction[Answer](h, h.turn(events...)); a.Query != id || !a.Complete {
+	if a := onlyAction[Answer](h, h.turn(ends...)); a.Query != id || !a.Complete {
 		t.Errorf("answer %v", a)
 	}
 }
@@ -137,13 +138,16 @@
 // A first step that waits for its last part until the objective leaves the second step none.
 func TestQuery_FirstStepLeavesTimeForTheSecond(t *testing.T) {
 	settings := testSettings()
-	settings.Classes[0].MinFraction, settings.Classes[0].PartialFraction, settings.Classes[0].OverdueFraction, settings.Classes[0].FollowUpParts = 0.5, 0.9, 0.1, 3
+	settings.Classes[0].MinFraction = 0.5
+	settings.Classes[0].PartialFraction = 0.9
+	settings.Classes[0].OverdueFraction = 0.1
+	settings.Classes[0].FollowUpParts = 3
 	settings.CanHedge = false
 	h := newHarness(t, settings)
 	h.serveFirst(60)
-	id, ev := h.query(0, 3)
+	id, events := h.query(newQuery{parts: 3})
 	start := h.now
-	sends := actionsOf[Send](h.turn(ev...))
+	sends := actionsOf[Send](h.turn(events...))
 	h.now += 100 * ms
 	h.turn(AttemptEnded{Part: sends[0].Part, Replica: sends[0].Replica, Result: OK},
 		AttemptEnded{Part: sends[1].Part, Replica: sends[1].Replica, Result: OK})
@@ -164,7 +168,8 @@
 func TestQuery_ShedsOptionalPartsOfCrowdedShards(t *testing.T) {
 	crowd := func(h *harness, queue float64) {
 		for _, id := range []Replica{"c", "d"} {
-			h.b.servers[id].Queue, h.b.servers[id].ReportedAt = queue, h.now
+			h.b.servers[id].Queue = queue
+			h.b.servers[id].ReportedAt = h.now
 		}
 	}
 	for _, c := range []struct {
@@ -172,14 +177,14 @@
 		queue       float64
 		class, want int
 	}{
-		{[]Replica{"a", "b"}, 12, 1, 5}, // the floor is half of ten
-		{[]Replica{"a", "b"}, 12, 0, 10},
-		{[]Replica{"a", "b"}, 0, 1, 10},
-		{[]Replica{"a"}, 12, 1, 10},
+		{out: []Replica{"a", "b"}, queue: 12, class: 1, want: 5}, // the floor is half of ten
+		{out: []Replica{"a", "b"}, queue: 12, class: 0, want: 10},
+		{out: []Replica{"a", "b"}, queue: 0, class: 1, want: 10},
+		{out: []Replica{"a"}, queue: 12, class: 1, want: 10},
 	} {
 		h := newFleetBench(t, c.out...)
 		crowd(h, c.queue)
-		id, events := h.query(c.class, 10)
+		id, events := h.query(newQuery{class: c.class, parts: 10})
 		sends := actionsOf[Send](h.turn(events...))
 		if len(sends) != c.want {
 			t.Errorf("%v excluded, queue %v, class %d: %d parts sent, want %d", c.out, c.queue, c.class, len(sends), c.want)
@@ -190,7 +195,12 @@
 		}
 		var actions []Action
 		for _, s := range sends {
-			actions = append(actions, h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: OK, Elapsed: 10 * ms})...)
+			actions = append(actions, h.turn(AttemptEnded{
+				Part:    s.Part,
+				Replica: s.Replica,
+				Result:  OK,
+				Elapsed: 10 * ms,
+			})...)
 		}
 		if a := onlyAction[Answer](h, actions); a.Query != id || a.Complete {
 			t.Errorf("answer %+v", a)
--- a/balance/ranking_test.go
+++ b/balance/ranking_test.go
@@ -10,7 +10,9 @@
 func TestRank_IsC3(t *testing.T) {
 	h := newHarness(t, testSettings())
 	s := h.b.servers["a"]
-	s.Measured, s.ReportedAt, s.Averages = true, h.now, estimate.Averages{Latency: 300, ServiceTime: 100, Queue: 2}
+	s.Measured = true
+	s.ReportedAt = h.now
+	s.Averages = estimate.Averages{Latency: 300, ServiceTime: 100, Queue: 2}
 	s.InFlight = []time.Duration{0}
 	// n = 2: q̂ = 1 + 1x2 + 2 = 5; 300 - 100 + 125 x 100
 	if got := h.b.rank(s); got != 12700 {
@@ -20,25 +22,36 @@
 
 func TestRank_UnmeasuredServerHasTheMean(t *testing.T) {
 	h := newHarness(t, testSettings())
-	if got := h.b.fleet.AveragesOf(&h.b.servers["a"].Server, h.now); got != (estimate.Averages{Latency: 1e6, ServiceTime: 1e6, Queue: 0}) {
+	if got := h.b.fleet.AveragesOf(&h.b.servers["a"].Server, h.now); got != (estimate.Averages{
+		Latency:     1e6,
+		ServiceTime: 1e6,
+		Queue:       0,
+	}) {
 		t.Errorf("before any answer %+v, want the objective, the objective and 0", got)
 	}
 	for name, r := range map[Replica]float64{"b": 100, "c": 300} {
 		s := h.b.servers[name]
-		s.Measured, s.Latency, s.ServiceTime, s.Queue = true, r, r/2, r/100
+		s.Measured = true
+		s.Latency = r
+		s.ServiceTime = r / 2
+		s.Queue = r / 100
 	}
 	h.turn(TimerFired{})
-	if got := h.b.fleet.AveragesOf(&h.b.servers["a"].Server, h.now); got != (estimate.Averages{Latency: 200, ServiceTime: 100, Queue: 2}) {
+	if got := h.b.fleet.AveragesOf(&h.b.servers["a"].Server, h.now); got != (estimate.Averages{
+		Latency:     200,
+		ServiceTime: 100,
+		Queue:       2,
+	}) {
 		t.Errorf("%+v, want the means 200, 100 and 2", got)
 	}
 }
 
 func TestRank_LoadReportsFeedTheQueue(t *testing.T) {
 	settings := testSettings()
-	settings.CanProbe, settings.LoadReportsOnProbe = true, true
+	settings.CanProbe = true
+	settings.LoadReportsOnProbe = true
 	h := newHarness(t, settings)
-	_, ev := h.query(0, 12)
-	actions := h.turn(ev...)
+	actions := h.begin(newQuery{parts: 12})
 	p := actionsOf[Probe](actions)
 	if len(p) == 0 {
 		t.Fatalf("no probe for 12 parts: %v", actions)
@@ -53,7 +66,9 @@
 	h := newHarness(t, testSettings())
 	h.serve(60, 100*ms)
 	s := h.b.servers["a"]
-	s.Latency, s.Penalty, s.NextHalfOpen = 5e6, 1, h.now+time.Hour
+	s.Latency = 5e6
+	s.Penalty = 1
+	s.NextHalfOpen = h.now + time.Hour
 	h.serve(5, 100*ms)
 	if s.Latency != 5e6 {
 		t.Errorf("R %v of an ejected server was pulled toward the winner", s.Latency)
@@ -65,11 +80,16 @@
 	settings := testSettings()
 	settings.Instances = 80
 	h := newHarness(t, settings)
-	a, b := h.b.servers["a"], h.b.servers["b"]
+	a := h.b.servers["a"]
+	b := h.b.servers["b"]
 	for _, s := range []*server{a, b} {
-		s.Measured, s.ReportedAt, s.Latency, s.ServiceTime = true, h.now, 100e3, 100e3
+		s.Measured = true
+		s.ReportedAt = h.now
+		s.Latency = 100e3
+		s.ServiceTime = 100e3
 	}
-	a.InFlight, b.Queue = []time.Duration{0}, 20
+	a.InFlight = []time.Duration{0}
+	b.Queue = 20
 	if h.b.rank(a) >= h.b.rank(b) {
 		t.Error("one own part outranks a queue of twenty")
 	}
@@ -79,8 +99,7 @@
 func TestLatency_WideQueryDoesNotOutweighOthers(t *testing.T) {
 	h := newHarness(t, testSettings())
 	h.serve(80, 100*ms)
-	_, ev := h.query(0, 60)
-	sends := actionsOf[Send](h.turn(ev...))
+	sends := actionsOf[Send](h.begin(newQuery{parts: 60}))
 	for i, s := range sends {
 		h.now += 10 * ms
 		if i == 40 {
@@ -98,7 +117,9 @@
 	h := newHarness(t, testSettings())
 	for i, name := range []Replica{"a", "b", "c"} {
 		s := h.b.servers[name]
-		s.Measured, s.ReportedAt, s.Averages = true, h.now, estimate.Averages{Latency: 100e3, ServiceTime: 100e3, Queue: float64(9 * i)}
+		s.Measured = true
+		s.ReportedAt = h.now
+		s.Averages = estimate.Averages{Latency: 100e3, ServiceTime: 100e3, Queue: float64(9 * i)}
 	}
 	h.turn(TimerFired{})
 	if q := h.b.fleet.AveragesOf(&h.b.servers["c"].Server, h.now).Queue; q != 18 {
--- a/balance/selection_test.go
+++ b/balance/selection_test.go
@@ -12,10 +12,11 @@
 	h := newHarness(t, testSettings())
 	for i, name := range []Replica{"a", "b", "c"} {
 		s := h.b.servers[name]
-		s.Measured, s.ReportedAt, s.Averages = true, h.now, estimate.Averages{Latency: 100e3, ServiceTime: 100e3, Queue: float64(3 - i)}
+		s.Measured = true
+		s.ReportedAt = h.now
+		s.Averages = estimate.Averages{Latency: 100e3, ServiceTime: 100e3, Queue: float64(3 - i)}
 	}
-	_, ev := h.query(0, 1)
-	if s := onlyAction[Send](h, h.turn(ev...)); s.Replica != "c" {
+	if s := h.sendOnePart(0); s.Replica != "c" {
 		t.Errorf("sent to %s, want c with the shortest queue", s.Replica)
 	}
 	// R 100, S 100: losers move half way to the winner's q of 1, the winner stays.
@@ -26,9 +27,9 @@
 
 func TestChoose_PartsOfOneTurnSpread(t *testing.T) {
 	h := newHarness(t, testSettings())
-	_, ev := h.query(0, 3)
+	_, events := h.query(newQuery{parts: 3})
 	used := map[Replica]bool{}
-	for _, s := range actionsOf[Send](h.turn(ev...)) {
+	for _, s := range actionsOf[Send](h.turn(events...)) {
 		used[s.Replica] = true
 	}
 	if len(used) != 3 {
@@ -39,15 +40,13 @@
 func TestChoose_FailingServerIsAvoidedAndRecovers(t *testing.T) {
 	h := newHarness(t, testSettings())
 	h.serve(30, 100*ms)
-	_, ev := h.query(0, 1)
-	s := onlyAction[Send](h, h.turn(ev...))
+	s := h.sendOnePart(0)
 	bad := s.Replica
 	s = onlyAction[Send](h, h.end(s, 0, Failed, 2*ms))
 	onlyAction[Answer](h, h.end(s, 1, OK, 100*ms))
 	halfOpenRequests := 0
 	for i := range 40 {
-		_, ev := h.query(0, 1)
-		s := onlyAction[Send](h, h.turn(ev...))
+		s := h.sendOnePart(0)
 		if s.Replica == bad {
 			if halfOpenRequests++; i == 0 {
 				t.Error("the next part went to the server that just failed")
@@ -63,13 +62,11 @@
 func TestChoose_UnresponsiveServerGetsNothing(t *testing.T) {
 	h := newHarness(t, testSettings())
 	h.serve(60, 100*ms)
-	_, ev := h.query(0, 1)
-	unresponsive := onlyAction[Send](h, h.turn(ev...)).Replica
+	unresponsive := h.sendOnePart(0).Replica
 	h.now += 500 * ms
 	h.turn(TimerFired{})
 	for range 6 {
-		_, ev := h.query(0, 1)
-		if s := onlyAction[Send](h, h.turn(ev...)); s.Replica == unresponsive {
+		if s := h.sendOnePart(0); s.Replica == unresponsive {
 			t.Errorf("a part went to %s, which answers nothing", unresponsive)
 		}
 	}
@@ -79,33 +76,35 @@
 	h := newHarness(t, testSettings())
 	h.serve(30, 100*ms)
 	for _, s := range h.b.servers {
-		s.Penalty, s.NextHalfOpen = 2, h.now+time.Hour
+		s.Penalty = 2
+		s.NextHalfOpen = h.now + time.Hour
 	}
-	_, ev := h.query(0, 3)
-	if n := len(actionsOf[Send](h.turn(ev...))); n != 3 {
+	if n := len(actionsOf[Send](h.begin(newQuery{parts: 3}))); n != 3 {
 		t.Errorf("%d of 3 parts sent with every server unhealthy", n)
 	}
 }
 
 func TestChoose_FullServerIsAvoidedForAWhile(t *testing.T) {
 	h := newHarness(t, testSettings())
-	_, ev := h.query(0, 1)
-	s := onlyAction[Send](h, h.turn(ev...))
+	s := h.sendOnePart(0)
 	full := s.Replica
 	onlyAction[Send](h, h.end(s, 0, QueueFull, 2*ms))
 	for range 4 {
-		_, ev := h.query(0, 1)
-		if s := onlyAction[Send](h, h.turn(ev...)); s.Replica == full {
+		if s := h.sendOnePart(0); s.Replica == full {
 			t.Error("a part went to a server that is full")
 		}
 	}
 }
 
 func TestChoose_TiesGoToTheOwnZone(t *testing.T) {
-	h := newHarness(t, testSettings(), Endpoint{Replica: "a", Cell: 0, Zone: 1}, Endpoint{Replica: "b", Cell: 1, Zone: 0})
+	h := newHarness(
+		t,
+		testSettings(),
+		Endpoint{Replica: "a", Cell: 0, Zone: 1},
+		Endpoint{Replica: "b", Cell: 1, Zone: 0},
+	)
 	for range 20 {
-		_, ev := h.query(0, 1)
-		s := onlyAction[Send](h, h.turn(ev...))
+		s := h.sendOnePart(0)
 		if s.Replica != "b" {
 			t.Fatal("a tie left the own zone")
 		}
@@ -120,14 +119,12 @@
 	slow.Recent = []float64{900e3, 900e3, 900e3, 900e3}
 	slow.NextHalfOpen = h.now + time.Hour
 	for range 9 {
-		_, ev := h.query(0, 1)
-		if s := onlyAction[Send](h, h.turn(ev...)); s.Replica == "a" {
+		if s := h.sendOnePart(0); s.Replica == "a" {
 			t.Fatal("a part went to a slow server")
 		}
 	}
 	slow.NextHalfOpen = 0
-	_, ev := h.query(0, 1)
-	if s := onlyAction[Send](h, h.turn(ev...)); s.Replica != "a" {
+	if s := h.sendOnePart(0); s.Replica != "a" {
 		t.Error("a slow server is never tried again")
 	}
 }
@@ -143,8 +140,7 @@
 			s.Penalty = 2
 		}
 	}
-	_, ev := h.query(0, 3)
-	for _, s := range actionsOf[Send](h.turn(ev...)) {
+	for _, s := range actionsOf[Send](h.begin(newQuery{parts: 3})) {
 		if s.Replica == "a" {
 			t.Error("a part went to the slow server")
 		}
@@ -174,13 +170,14 @@
 	}
 	down.avoidUntil = h.now
 	var spells []time.Duration
-	_, ev := h.query(0, 1)
+	_, events := h.query(newQuery{parts: 1})
 	for try := range 2 {
-		s := onlyAction[Send](h, h.turn(ev...))
+		s := onlyAction[Send](h, h.turn(events...))
 		actions := h.end(s, try, ConnectFailed, 5*ms)
 		h.wantNone(actions, "send to a server just found down", len(actionsOf[Send](actions)))
 		spells = append(spells, down.avoidUntil-h.now)
-		down.avoidUntil, ev = 0, nil
+		down.avoidUntil = 0
+		events = nil
 	}
 	if spells[0] <= 0 || spells[1] <= spells[0] {
 		t.Errorf("kept off for %v, want a spell that grows", spells)
@@ -195,8 +192,7 @@
 		settings.Instances = n
 		h := newHarness(t, settings)
 		h.serve(30, 100*ms)
-		_, ev := h.query(0, 1)
-		s := onlyAction[Send](h, h.turn(ev...))
+		s := h.sendOnePart(0)
 		h.end(s, 0, Failed, 2*ms)
 		gaps = append(gaps, h.b.servers[s.Replica].NextHalfOpen-h.now)
 	}
@@ -211,12 +207,13 @@
 	h.serve(60, 100*ms)
 	for i, s := range h.b.endpoints {
 		if i < 6 {
-			s.Penalty, s.NextHalfOpen = 1, 0
+			s.Penalty = 1
+			s.NextHalfOpen = 0
 		}
 	}
-	_, ev := h.query(0, 6)
+	_, events := h.query(newQuery{parts: 6})
 	halfOpenRequests := 0
-	for _, s := range actionsOf[Send](h.turn(ev...)) {
+	for _, s := range actionsOf[Send](h.turn(events...)) {
 		if h.b.servers[s.Replica].Penalty > 0 {
 			halfOpenRequests++
 		}
@@ -235,24 +232,21 @@
 	bad := h.b.servers["a"]
 	var lost Send
 	for lost.Replica != "a" {
-		_, ev := h.query(0, 1)
-		if s := onlyAction[Send](h, h.turn(ev...)); s.Replica == "a" {
+		if s := h.sendOnePart(0); s.Replica == "a" {
 			lost = s
 		} else {
 			h.end(s, 0, OK, 100*ms)
 		}
 	}
 	other := func() (sent bool) {
-		_, ev := h.query(1, 1)
-		s := onlyAction[Send](h, h.turn(ev...))
+		s := h.sendOnePart(1)
 		h.end(s, 0, OK, 100*ms)
 		return s.Replica == "a"
 	}
 	var calledOff []Cancel
 	for i := 0; len(calledOff) == 0 && i < 20; i++ {
 		bad.LastSuccess = h.now // it answers the other class all the time
-		_, ev := h.query(1, 1)
-		actions := h.turn(ev...)
+		actions := h.begin(newQuery{class: 1, parts: 1})
 		actions = append(actions, h.end(actionsOf[Send](actions)[0], 0, OK, 100*ms)...)
 		calledOff = actionsOf[Cancel](actions)
 	}
@@ -276,10 +270,10 @@
 func TestChoose_NonIdempotentPartsAreTheLastHalfOpenRequests(t *testing.T) {
 	h := newHarness(t, twoClasses(NonIdempotent))
 	h.serve(30, 100*ms)
-	h.b.servers["a"].Penalty, h.b.servers["a"].NextHalfOpen = 1, h.now
+	h.b.servers["a"].Penalty = 1
+	h.b.servers["a"].NextHalfOpen = h.now
 	for _, class := range []int{1, 0} { // a half-open request is due
-		_, ev := h.query(class, 1)
-		if s := onlyAction[Send](h, h.turn(ev...)); (s.Replica == "a") != (class == 0) {
+		if s := h.sendOnePart(class); (s.Replica == "a") != (class == 0) {
 			t.Errorf("class %d goes to %s", class, s.Replica)
 		}
 	}
@@ -299,8 +293,7 @@
 		}
 	}
 	for class, want := range []bool{true, false} {
-		_, ev := h.query(class, 1)
-		if s := onlyAction[Send](h, h.turn(ev...)); (s.Replica == "a") != want {
+		if s := h.sendOnePart(class); (s.Replica == "a") != want {
 			t.Errorf("class %d goes to %s", class, s.Replica)
 		}
 	}
@@ -314,20 +307,26 @@
 		busy   int // parts in flight at the healthy servers
 		effect Idempotency
 		want   bool
-	}{{0.25, 8, Idempotent, true}, {0.25, 0, Idempotent, false}, {0.8, 8, Idempotent, false}, {0.25, 8, NonIdempotent, false}} {
+	}{
+		{loss: 0.25, busy: 8, effect: Idempotent, want: true},
+		{loss: 0.25, busy: 0, effect: Idempotent, want: false},
+		{loss: 0.8, busy: 8, effect: Idempotent, want: false},
+		{loss: 0.25, busy: 8, effect: NonIdempotent, want: false},
+	} {
 		h := newHarness(t, twoClasses(c.effect))
 		h.serve(60, 100*ms)
 		for id, s := range h.b.servers {
 			if id == "a" {
-				s.PerClass[1].Penalty, s.PerClass[1].LossRate, s.PerClass[1].NextHalfOpen = 1, c.loss, h.now+time.Hour
+				s.PerClass[1].Penalty = 1
+				s.PerClass[1].LossRate = c.loss
+				s.PerClass[1].NextHalfOpen = h.now + time.Hour
 				continue
 			}
 			for range c.busy {
 				s.InFlight = append(s.InFlight, h.now)
 			}
 		}
-		_, ev := h.query(1, 1)
-		if s := onlyAction[Send](h, h.turn(ev...)); (s.Replica == "a") != c.want {
+		if s := h.sendOnePart(1); (s.Replica == "a") != c.want {
 			t.Errorf("%+v: went to %s", c, s.Replica)
 		}
 	}
@@ -345,15 +344,13 @@
 func TestChoose_PartWaitsForAFullReplicaRatherThanAnExcludedOne(t *testing.T) {
 	h := newFleetBench(t, "a", "b", "c")
 	for range 40 { // of 200 parts about one may try a server that is excluded
-		_, events := h.query(0, 5)
-		if n := countByReplica(actionsOf[Send](h.turn(events...))); n["d"] < 4 {
+		if n := countByReplica(actionsOf[Send](h.begin(newQuery{parts: 5}))); n["d"] < 4 {
 			t.Fatalf("parts went to %v", n)
 		}
 	}
 	h = newFleetBench(t, "a", "b", "c")
 	h.b.servers["d"].avoidUntil = h.now + 100*ms
-	_, events := h.query(0, 1)
-	if actions := h.turn(events...); len(actionsOf[Send](actions)) != 0 {
+	if actions := h.begin(newQuery{parts: 1}); len(actionsOf[Send](actions)) != 0 {
 		t.Fatalf("sent while the one healthy replica is full: %v", actions)
 	}
 }
@@ -363,12 +360,16 @@
 	halfOpenRequests := map[float64]int{}
 	for _, share := range []float64{0, 0.3} {
 		h := newFleetBench(t)
-		h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", HealthLimits: HealthLimits{TrafficFraction: share}}}})
+		h.turn(EndpointList{
+			Kind:      ListDelta,
+			Endpoints: []Endpoint{{Replica: "a", HealthLimits: HealthLimits{TrafficFraction: share}}},
+		})
 		for range 60 {
 			s := h.b.servers["a"]
-			s.Penalty, s.NextHalfOpen, s.PerClass[0].NextHalfOpen = 1, 0, 0
-			_, events := h.query(0, 1)
-			s1 := onlyAction[Send](h, h.turn(events...))
+			s.Penalty = 1
+			s.NextHalfOpen = 0
+			s.PerClass[0].NextHalfOpen = 0
+			s1 := h.sendOnePart(0)
 			if s1.Replica == "a" {
 				halfOpenRequests[share]++
 			}
--- a/balance/slowstart_test.go
+++ b/balance/slowstart_test.go
@@ -12,8 +12,7 @@
 	h := newHarness(t, testSettings(), Endpoint{Replica: "a", Cell: 0, Started: 100 * time.Second})
 	sends := 0
 	for range 20 {
-		_, ev := h.query(0, 1)
-		sends += len(actionsOf[Send](h.turn(ev...)))
+		sends += len(actionsOf[Send](h.begin(newQuery{parts: 1})))
 		h.now += 100 * ms
 	}
 	// 2 x 0.2 x 2 s / 250 ms / 2 balancers is 1.6 parts, and 2.9 when the window ends.
@@ -21,8 +20,7 @@
 		t.Errorf("%d parts sent to a server that warms up within its window, want 1 to 3", sends)
 	}
 	h.now += 11 * time.Second
-	_, ev := h.query(0, 1)
-	if len(actionsOf[Send](h.turn(ev...))) != 1 {
+	if len(actionsOf[Send](h.begin(newQuery{parts: 1}))) != 1 {
 		t.Error("nothing sent to a server that is warm by now")
 	}
 }
@@ -44,11 +42,21 @@
 		n         int
 		from, tip float64
 		window    time.Duration
-	}{{1, 0.2, 2, 2 * time.Second}, {80, 0.2, 2, 2 * time.Second}, {79, 0.17, 3, 2 * time.Second},
-		{73, 0.22, 2, 2 * time.Second}, {68, 0.18, 4, time.Second}} {
-		n, settings := c.n, testSettings()
-		settings.Rules.WarmupMinCapacity, settings.Rules.OverloadMultiple, settings.Rules.OverloadPeriod = c.from, c.tip, c.window
-		settings.Instances, settings.Cells, settings.Reach = n, 1, 1
+	}{
+		{n: 1, from: 0.2, tip: 2, window: 2 * time.Second},
+		{n: 80, from: 0.2, tip: 2, window: 2 * time.Second},
+		{n: 79, from: 0.17, tip: 3, window: 2 * time.Second},
+		{n: 73, from: 0.22, tip: 2, window: 2 * time.Second},
+		{n: 68, from: 0.18, tip: 4, window: time.Second},
+	} {
+		n := c.n
+		settings := testSettings()
+		settings.Rules.WarmupMinCapacity = c.from
+		settings.Rules.OverloadMultiple = c.tip
+		settings.Rules.OverloadPeriod = c.window
+		settings.Instances = n
+		settings.Cells = 1
+		settings.Reach = 1
 		start := 100 * time.Second
 		var all []*Balancer
 		for i := range n {
@@ -59,7 +67,8 @@
 			}
 			b.now = start
 			b.Turn(start, []Event{EndpointList{Kind: ListFull, Endpoints: []Endpoint{{Replica: "a", Started: start}}}})
-			b.fleet.Mean, b.fleet.Deviation = micros(work), 0
+			b.fleet.Mean = micros(work)
+			b.fleet.Deviation = 0
 			all = append(all, b)
 		}
 		var sent []time.Duration
@@ -69,7 +78,10 @@
 				var events []Event
 				for _, a := range attemptsInOrder(b) {
 					if now-a.sent >= work {
-						events = append(events, AttemptEnded{Part: a.part.ID, Attempt: a.number, Replica: "a", Result: OK, Elapsed: work})
+						events = append(
+							events,
+							AttemptEnded{Part: a.part.ID, Attempt: a.number, Replica: "a", Result: OK, Elapsed: work},
+						)
 					}
 				}
 				id += 2
@@ -105,18 +117,21 @@
 // else the caution of all starves the server, as most balancers send little.
 func TestSlowStart_ServerGetsItsPartOfTheFlow(t *testing.T) {
 	settings := testSettings()
-	settings.Instances, settings.CanHedge = 80, false
+	settings.Instances = 80
+	settings.CanHedge = false
 	h := newHarness(t, settings)
 	h.serve(600, 50*ms)
 	h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", Cell: 0, Started: h.now}}})
-	start, sends := h.now, 0
+	start := h.now
+	sends := 0
 	for h.now < start+4*time.Second {
 		for _, name := range []Replica{"b", "c"} {
 			s := h.b.servers[name]
-			s.Queue, s.ReportedAt = 3, h.now // the warm are busy
+			// the warm are busy
+			s.Queue = 3
+			s.ReportedAt = h.now
 		}
-		_, ev := h.query(0, 1)
-		s := onlyAction[Send](h, h.turn(ev...))
+		s := h.sendOnePart(0)
 		if s.Replica == "a" {
 			sends++
 		}
@@ -133,10 +148,13 @@
 // for so long, and the last warm replica of its shards gets them all.
 func TestSlowStart_ServerIsNotStarvedByManyQuietBalancers(t *testing.T) {
 	const gatherers = 300
-	sends, late := 0, 0
+	sends := 0
+	late := 0
 	for i := range gatherers {
 		settings := testSettings()
-		settings.Instances, settings.Seed, settings.CanHedge = gatherers, uint64(i+1), false
+		settings.Instances = gatherers
+		settings.Seed = uint64(i + 1)
+		settings.CanHedge = false
 		list := []Endpoint{}
 		for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
 			list = append(list, Endpoint{Replica: Replica(name), Cell: len(list) % 3})
@@ -171,18 +189,19 @@
 		}
 		h.turn(EndpointList{Kind: ListDelta, Endpoints: list}) // shares of 0.52 and 0.68
 		for _, s := range h.b.servers {
-			s.SlowStart.Credit, s.SlowStart.FirstSendThreshold = 0, 1
+			s.SlowStart.Credit = 0
+			s.SlowStart.FirstSendThreshold = 1
 		}
 	}
-	n, parts := map[Replica]int{}, 0
+	n := map[Replica]int{}
+	parts := 0
 	for i := range 60 {
 		h := newFleetBench(t)
 		h.b.rng = rand.New(rand.NewPCG(uint64(i), 1))
 		if startAll(h); i >= 40 {
 			h.b.fleet.Demand.Offered *= 10
 		}
-		_, events := h.query(0, 6)
-		sends := actionsOf[Send](h.turn(events...))
+		sends := actionsOf[Send](h.begin(newQuery{parts: 6}))
 		if i >= 40 {
 			if len(sends) > 0 {
 				t.Fatalf("%d parts sent to servers that warm up, ten times what they answer is asked", len(sends))
--- a/balance/turn_test.go
+++ b/balance/turn_test.go
@@ -10,12 +10,15 @@
 	run := func() (actions []Action) {
 		h := newHarness(t, testSettings())
 		for i := range 30 {
-			_, ev := h.query(0, 1+i%3)
-			got := h.turn(ev...)
+			got := h.begin(newQuery{parts: 1 + i%3})
 			actions = append(actions, got...)
 			h.now += 40 * ms
 			for _, s := range actionsOf[Send](got) {
-				actions = append(actions, h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: AttemptResult(i % 3)})...)
+				actions = append(actions, h.turn(AttemptEnded{
+					Part:    s.Part,
+					Replica: s.Replica,
+					Result:  AttemptResult(i % 3),
+				})...)
 			}
 		}
 		return actions
@@ -27,10 +30,11 @@
 
 func TestTurn_TimerWithALongObjective(t *testing.T) {
 	settings := testSettings()
-	settings.Classes[0].Objective, settings.Classes[0].Deadline, settings.Classes[0].OverdueFraction = time.Minute, 2*time.Minute, 0.5
+	settings.Classes[0].Objective = time.Minute
+	settings.Classes[0].Deadline = 2 * time.Minute
+	settings.Classes[0].OverdueFraction = 0.5
 	h := newHarness(t, settings)
-	_, ev := h.query(0, 1)
-	if w := onlyAction[StartTimer](h, h.turn(ev...)); w.After > 15*ms {
+	if w := onlyAction[StartTimer](h, h.begin(newQuery{parts: 1})); w.After > 15*ms {
 		t.Errorf("next look after %v: a query could outlive its time", w.After)
 	}
 }
