--- a/balance/attempts_test.go
+++ b/balance/attempts_test.go
@@ -9,18 +9,18 @@
 func TestRetry_NeverOfANonIdempotentPart(t *testing.T) {
 	settings := testSettings()
 	settings.Classes[0].Idempotency = NonIdempotent
-	for _, r := range []AttemptResult{Failed, Reset, TimedOut, Canceled} {
+	for _, result := range []AttemptResult{Failed, Reset, TimedOut, Canceled} {
 		h := newHarness(t, settings)
-		s := h.sendOnePart(0)
-		actions := h.end(s, 0, r, 50*ms)
+		send := h.sendOnePart(0)
+		actions := h.end(send, 0, result, 50*ms)
 		onlyAction[Fail](h, actions)
-		h.wantNone(actions, "second attempt", len(actionsOf[Send](actions)))
+		h.wantNone(actions, "second attempt", countOf[Send](actions))
 	}
-	for _, r := range []AttemptResult{QueueFull, ConnectFailed} {
+	for _, result := range []AttemptResult{QueueFull, ConnectFailed} {
 		h := newHarness(t, settings)
-		s := h.sendOnePart(0)
-		if again := onlyAction[Send](h, h.end(s, 0, r, 5*ms)); again.Replica == s.Replica {
-			t.Errorf("result %d: sent again to the same server", r)
+		send := h.sendOnePart(0)
+		if again := onlyAction[Send](h, h.end(send, 0, result, 5*ms)); again.Replica == send.Replica {
+			t.Errorf("result %d: sent again to the same server", result)
 		}
 	}
 }
@@ -31,21 +31,21 @@
 	settings.Classes[0].DedupWindow = 200 * ms
 	settings.Classes[0].OverdueFraction = 0.5
 	h := newHarness(t, settings)
-	s := h.sendOnePart(0)
-	onlyAction[Send](h, h.end(s, 0, Failed, 100*ms))
+	send := h.sendOnePart(0)
+	onlyAction[Send](h, h.end(send, 0, Failed, 100*ms))
 	h = newHarness(t, settings)
-	s = h.sendOnePart(0)
-	actions := h.end(s, 0, Failed, 250*ms)
-	h.wantNone(actions, "repeat after the window", len(actionsOf[Send](actions)))
+	send = h.sendOnePart(0)
+	actions := h.end(send, 0, Failed, 250*ms)
+	h.wantNone(actions, "repeat after the window", countOf[Send](actions))
 }
 
 func TestRetry_AttemptsAreCapped(t *testing.T) {
 	h := newHarness(t, testSettings())
-	s := h.sendOnePart(0)
-	s = onlyAction[Send](h, h.end(s, 0, Failed, 5*ms))
-	s = onlyAction[Send](h, h.end(s, 1, Failed, 5*ms))
-	actions := h.end(s, 2, Failed, 5*ms)
-	h.wantNone(actions, "fourth attempt", len(actionsOf[Send](actions)))
+	send := h.sendOnePart(0)
+	send = onlyAction[Send](h, h.end(send, 0, Failed, 5*ms))
+	send = onlyAction[Send](h, h.end(send, 1, Failed, 5*ms))
+	actions := h.end(send, 2, Failed, 5*ms)
+	h.wantNone(actions, "fourth attempt", countOf[Send](actions))
 	onlyAction[Reject](h, actions)
 }
 
@@ -55,26 +55,26 @@
 	settings.Rules.RetryBudgetBase = 1
 	settings.Rules.RetryBudgetRatio = 0
 	h := newHarness(t, settings)
-	s := h.sendOnePart(0)
-	s = onlyAction[Send](h, h.end(s, 0, Failed, 5*ms))
-	actions := h.end(s, 1, Failed, 5*ms)
-	h.wantNone(actions, "attempt beyond the budget", len(actionsOf[Send](actions)))
+	send := h.sendOnePart(0)
+	send = onlyAction[Send](h, h.end(send, 0, Failed, 5*ms))
+	actions := h.end(send, 1, Failed, 5*ms)
+	h.wantNone(actions, "attempt beyond the budget", countOf[Send](actions))
 }
 
 func TestAttempts_CanceledOneShowsSlowness(t *testing.T) {
 	h := newHarness(t, testSettings())
 	h.serve(40, 100*ms)
-	s := h.sendOnePart(0)
-	srv := h.b.servers[s.Replica]
-	r := srv.Latency
-	h.end(s, 0, Canceled, 800*ms)
-	if last := srv.Recent[len(srv.Recent)-1]; last != 800e3 || srv.Latency <= r {
-		t.Errorf("last time %v, R %v after %v: a censored time counts", last, srv.Latency, r)
-	}
-	s = h.sendOnePart(0)
-	before := len(h.b.servers[s.Replica].Recent)
-	h.end(s, 0, Canceled, 20*ms)
-	if srv := h.b.servers[s.Replica]; len(srv.Recent) != before || slices.Contains(srv.Recent, 20e3) {
+	send := h.sendOnePart(0)
+	server := h.b.servers[send.Replica]
+	r := server.Latency
+	h.end(send, 0, Canceled, 800*ms)
+	if last := server.Recent[len(server.Recent)-1]; last != 800e3 || server.Latency <= r {
+		t.Errorf("last time %v, R %v after %v: a censored time counts", last, server.Latency, r)
+	}
+	send = h.sendOnePart(0)
+	before := len(h.b.servers[send.Replica].Recent)
+	h.end(send, 0, Canceled, 20*ms)
+	if server := h.b.servers[send.Replica]; len(server.Recent) != before || slices.Contains(server.Recent, 20e3) {
 		t.Error("a short attempt canceled counts as a quick answer")
 	}
 }
@@ -127,9 +127,10 @@
 }
 
 // attemptEnd counts an attempt, checks the budget if it is a retry, and returns its end.
-func (r *budgetRun) attemptEnd(s Send) Event {
+func (r *budgetRun) attemptEnd(send Send) Event {
 	r.Helper()
-	if r.attempts[s.Part]++; r.attempts[s.Part] > 1 {
+	r.attempts[send.Part]++
+	if r.attempts[send.Part] > 1 {
 		r.retries = append(r.retries, r.now)
 		start := r.now - r.rules.RetryBudgetWindow
 		retries := float64(countSince(r.retries, start))
@@ -142,7 +143,7 @@
 	if r.b.rng.Float64() < 0.5 {
 		result = Failed
 	}
-	return AttemptEnded{Part: s.Part, Attempt: r.attempts[s.Part] - 1, Replica: s.Replica, Result: result}
+	return AttemptEnded{Part: send.Part, Attempt: r.attempts[send.Part] - 1, Replica: send.Replica, Result: result}
 }
 
 // countSince counts the times at or after start.
@@ -183,12 +184,12 @@
 
 // Where the healthy replicas reject a part its attempts are spread over the time left.
 func TestRetry_AttemptsAfterFullReplicasAreSpread(t *testing.T) {
-	h := newFleetBench(t, "a", "b", "c")
-	s := h.sendOnePart(0)
+	h := newFleetHarness(t, "a", "b", "c")
+	send := h.sendOnePart(0)
 	at := 0
 	times := []time.Duration{}
 	start := h.now
-	actions := h.end(s, at, QueueFull, ms)
+	actions := h.end(send, at, QueueFull, ms)
 	for h.now < start+900*ms && at < 3 {
 		if again := actionsOf[Send](actions); len(again) == 1 {
 			at++
--- a/balance/crash_test.go
+++ b/balance/crash_test.go
@@ -14,26 +14,26 @@
 	h.serve(10, 100*ms)
 	id, events := h.query(newQuery{parts: 3})
 	sends := actionsOf[Send](h.turn(events...))
-	for i, s := range sends[:2] {
+	for i, send := range sends[:2] {
 		h.now += 5 * ms
-		actions := h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: Reset, Elapsed: 50 * ms})
-		if p := onlyAction[Probe](h, actions); p.Replica != s.Replica {
-			t.Fatalf("asked %s whether it lives, want %s", p.Replica, s.Replica)
+		actions := h.turn(AttemptEnded{Part: send.Part, Replica: send.Replica, Result: Reset, Elapsed: 50 * ms})
+		if probe := onlyAction[Probe](h, actions); probe.Replica != send.Replica {
+			t.Fatalf("asked %s whether it lives, want %s", probe.Replica, send.Replica)
 		}
-		h.wantNone(actions, "part sent again before the server was asked", len(actionsOf[Send](actions)))
+		h.wantNone(actions, "part sent again before the server was asked", countOf[Send](actions))
 		h.now += 5 * ms
-		actions = h.turn(ProbeEnded{Replica: s.Replica, Result: ConnectFailed})
-		if over := len(actionsOf[Reject](actions)); over != i {
+		actions = h.turn(ProbeEnded{Replica: send.Replica, Result: ConnectFailed})
+		if over := countOf[Reject](actions); over != i {
 			t.Fatalf("rejected %d times after %d deaths", over, i+1)
 		} else if over == 1 && onlyAction[Reject](h, actions).Query != id {
 			t.Error("another query was rejected")
 		}
 	}
 	ahead := onlyAction[Send](h, h.begin(newQuery{parts: 3}))
-	if n := len(actionsOf[Send](h.end(ahead, 0, OK, 20*ms))); n != 2 {
+	if n := countOf[Send](h.end(ahead, 0, OK, 20*ms)); n != 2 {
 		t.Errorf("%d parts sent once the one ahead came back, want 2", n)
 	}
-	if n := len(actionsOf[Send](h.begin(newQuery{class: 1, parts: 3}))); n != 3 {
+	if n := countOf[Send](h.begin(newQuery{class: 1, parts: 3})); n != 3 {
 		t.Errorf("%d of 3 parts of another class sent at once", n)
 	}
 }
@@ -44,10 +44,10 @@
 	settings.CanProbe = true
 	h := newHarness(t, settings)
 	h.serve(10, 100*ms)
-	for _, s := range actionsOf[Send](h.begin(newQuery{parts: 3}))[:2] {
-		h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: Reset, Elapsed: 50 * ms})
-		actions := h.turn(ProbeEnded{Replica: s.Replica, Result: OK})
-		if len(actionsOf[Reject](actions)) > 0 || len(actionsOf[Send](actions)) != 1 {
+	for _, send := range actionsOf[Send](h.begin(newQuery{parts: 3}))[:2] {
+		h.turn(AttemptEnded{Part: send.Part, Replica: send.Replica, Result: Reset, Elapsed: 50 * ms})
+		actions := h.turn(ProbeEnded{Replica: send.Replica, Result: OK})
+		if countOf[Reject](actions) > 0 || countOf[Send](actions) != 1 {
 			t.Errorf("want the part sent again, got %v", actions)
 		}
 	}
@@ -65,23 +65,23 @@
 	}
 	keyed()
 	var died []Event
-	for _, s := range actionsOf[Send](h.turn(events...)) {
-		died = append(died, AttemptEnded{Part: s.Part, Replica: s.Replica, Result: Reset})
+	for _, send := range actionsOf[Send](h.turn(events...)) {
+		died = append(died, endOf(send, Reset))
 	}
 	h.now += 50 * ms
-	if r := onlyAction[Reject](h, h.turn(died...)); r.Query != id {
-		t.Fatalf("rejected %v", r)
+	if rejection := onlyAction[Reject](h, h.turn(died...)); rejection.Query != id {
+		t.Fatalf("rejected %v", rejection)
 	}
 	h.now += 500 * ms
 	id, events = h.query(newQuery{parts: 3})
 	keyed()
-	if actions := h.turn(events...); onlyAction[Reject](h, actions).Query != id || len(actionsOf[Send](actions)) > 0 {
+	if actions := h.turn(events...); onlyAction[Reject](h, actions).Query != id || countOf[Send](actions) > 0 {
 		t.Errorf("the repeat was begun: %v", actions)
 	}
 	h.now += time.Minute
 	_, events = h.query(newQuery{parts: 3})
 	keyed()
-	if len(actionsOf[Send](h.turn(events...))) == 0 {
+	if countOf[Send](h.turn(events...)) == 0 {
 		t.Error("the key is never served again")
 	}
 }
--- a/balance/endpoints_test.go
+++ b/balance/endpoints_test.go
@@ -10,13 +10,13 @@
 	h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{
 		{Replica: "a", Cell: 0, State: Draining}, {Replica: "b", Cell: 1, State: Removed}}})
 	for range 10 {
-		if s := h.sendOnePart(0); s.Replica != "c" {
-			t.Fatalf("sent to %s", s.Replica)
+		if send := h.sendOnePart(0); send.Replica != "c" {
+			t.Fatalf("sent to %s", send.Replica)
 		}
 	}
 	h.turn(EndpointList{Kind: ListFull, Endpoints: []Endpoint{{Replica: "a", Cell: 0}}})
-	if s := h.sendOnePart(0); s.Replica != "a" {
-		t.Errorf("sent to %s, which the full list no longer names", s.Replica)
+	if send := h.sendOnePart(0); send.Replica != "a" {
+		t.Errorf("sent to %s, which the full list no longer names", send.Replica)
 	}
 }
 
@@ -28,11 +28,12 @@
 	for settings.Seed = range 2 {
 		h := newHarness(t, settings)
 		actions := h.turn(EndpointList{Kind: ListFailed})
-		h.wantNone(actions, "call in the turn of the failed one", len(actionsOf[WatchEndpoints](actions)))
+		h.wantNone(actions, "call in the turn of the failed one", countOf[WatchEndpoints](actions))
 		h.sendOnePart(0)
 		failed := h.now
-		for len(actionsOf[WatchEndpoints](actions)) == 0 {
-			if h.now += 100 * ms; h.now > failed+settings.Rules.MaxListAge {
+		for countOf[WatchEndpoints](actions) == 0 {
+			h.now += 100 * ms
+			if h.now > failed+settings.Rules.MaxListAge {
 				t.Fatal("the list was not asked for again in the stated time")
 			}
 			actions = h.turn(TimerFired{})
--- a/balance/gossip_test.go
+++ b/balance/gossip_test.go
@@ -22,13 +22,13 @@
 }
 
 // gossipAfterProbe is what h sends after a probe of server "a" ended so.
-func gossipAfterProbe(h *harness, r AttemptResult, queue float64) []SendGossip {
+func gossipAfterProbe(h *harness, result AttemptResult, queue float64) []SendGossip {
 	h.now += time.Second // nothing of "a" is known since
-	p := ProbeEnded{Replica: "a", Result: r, Elapsed: 250 * ms}
-	if r == OK {
-		p.Report = &LoadReport{Queue: queue, InFlight: -1, Utilization: -1}
+	ended := ProbeEnded{Replica: "a", Result: result, Elapsed: 250 * ms}
+	if result == OK {
+		ended.Report = &LoadReport{Queue: queue, InFlight: -1, Utilization: -1}
 	}
-	return actionsOf[SendGossip](h.turn(p))
+	return actionsOf[SendGossip](h.turn(ended))
 }
 
 // An unresponsive server found by one balancer is avoided by the others, before each has lost parts of its own there.
@@ -41,29 +41,33 @@
 	}
 	to.now = from.now
 	to.turn(GossipReceived{Payload: messages[0].Payload}, GossipReceived{Payload: messages[0].Payload}) // doubled
-	if s := to.b.servers["a"]; !s.Unresponsive {
+	if server := to.b.servers["a"]; !server.Unresponsive {
 		t.Fatal("an unresponsive server is still trusted")
 	}
 	for range 20 {
-		if s := to.sendOnePart(0); s.Replica == "a" {
+		if send := to.sendOnePart(0); send.Replica == "a" {
 			t.Fatal("a part went to the unresponsive server")
 		}
 	}
 	// It answers somebody: one message lets it in again.
-	if messages = gossipAfterProbe(from, OK, 1); len(messages) != 1 {
+	messages = gossipAfterProbe(from, OK, 1)
+	if len(messages) != 1 {
 		t.Fatal("that an unresponsive server is back was not sent")
 	}
 	to.now = from.now
 	to.turn(GossipReceived{Payload: messages[0].Payload})
-	if to.turn(); to.b.servers["a"].Unresponsive {
+	to.turn()
+	if to.b.servers["a"].Unresponsive {
 		t.Error("a server that answers is still avoided")
 	}
-	if messages = gossipAfterProbe(from, OK, 1); len(messages) != 0 {
+	messages = gossipAfterProbe(from, OK, 1)
+	if len(messages) != 0 {
 		t.Error("a short queue of a server that was neither unresponsive nor crowded was sent")
 	}
 }
 
-// That a server is unresponsive, heard from another zone, may be of the path there, which is not this one's; and an answer ends what was sent.
+// An observation from another zone that a server is unresponsive is ignored: it may be due to the network path
+// between the two. An answer of the server overrides the observation.
 func TestGossip_UnresponsiveFromAnotherZone(t *testing.T) {
 	unresponsive := func(h *harness, zone int) bool {
 		h.now += time.Second
@@ -82,9 +86,9 @@
 	if !unresponsive(h, 0) {
 		t.Fatal("not taken from the own zone")
 	}
-	for _, s := range sends {
-		if s.Replica == "a" {
-			h.turn(AttemptEnded{Part: s.Part, Replica: "a", Result: OK, Elapsed: time.Second})
+	for _, send := range sends {
+		if send.Replica == "a" {
+			h.turn(AttemptEnded{Part: send.Part, Replica: "a", Result: OK, Elapsed: time.Second})
 		}
 	}
 	if countByReplica(sends)["a"] == 0 || h.b.servers["a"].ProbeUnanswered {
@@ -113,25 +117,30 @@
 	if q := to.b.servers["a"].Queue; q > 15 {
 		t.Fatalf("queue taken as %v after its end", q)
 	}
-	if messages = gossipAfterProbe(from, OK, 0); len(messages) != 0 {
+	messages = gossipAfterProbe(from, OK, 0)
+	if len(messages) != 0 {
 		t.Error("an ordinary queue was sent: all would send to the shortest")
 	}
 }
 
 // Own evidence counts for more than what another heard earlier, and old messages are ignored.
 func TestGossip_IgnoredMessages(t *testing.T) {
-	for name, c := range map[string]struct {
-		late time.Duration
-		bend func([]byte) []byte
-		ok   bool // answered here just now
+	for name, test := range map[string]struct {
+		delay       time.Duration // of the message
+		change      func([]byte) []byte
+		hasAnswered bool // the server answered the receiver just now
 	}{
-		"contradicted": {ok: true},
-		"old":          {late: time.Second},
-		"garbled":      {bend: func(b []byte) []byte { b = bytes.Clone(b); b[len(b)-1] ^= 1; return b }},
-		"cut":          {bend: func(b []byte) []byte { return b[:len(b)-1] }},
-		"too long":     {bend: func(b []byte) []byte { return append(bytes.Clone(b), make([]byte, 300)...) }},
-		"empty":        {bend: func([]byte) []byte { return nil }},
-		"of a stranger": {bend: func(b []byte) []byte {
+		"contradicted": {hasAnswered: true},
+		"old":          {delay: time.Second},
+		"garbled": {change: func(b []byte) []byte {
+			b = bytes.Clone(b)
+			b[len(b)-1] ^= 1
+			return b
+		}},
+		"cut":      {change: func(b []byte) []byte { return b[:len(b)-1] }},
+		"too long": {change: func(b []byte) []byte { return append(bytes.Clone(b), make([]byte, 300)...) }},
+		"empty":    {change: func([]byte) []byte { return nil }},
+		"of an unknown server": {change: func(b []byte) []byte {
 			load, _ := gossip.DecodeLoad(0, b)
 			load.Observations[0].Key++
 			return gossip.EncodeLoad(0, 0, load.Observations)
@@ -139,23 +148,25 @@
 	} {
 		from := newGossipHarness(t)
 		to := newGossipHarness(t)
-		text := gossipAfterProbe(from, Canceled, 0)[0].Payload
-		if c.bend != nil {
-			text = c.bend(text)
+		payload := gossipAfterProbe(from, Canceled, 0)[0].Payload
+		if test.change != nil {
+			payload = test.change(payload)
 		}
-		to.now = from.now + c.late
-		if c.ok {
+		to.now = from.now + test.delay
+		if test.hasAnswered {
 			to.b.servers["a"].LastSuccess = to.now - 10*ms
 		}
-		if to.turn(GossipReceived{Payload: text}); to.b.servers["a"].Unresponsive {
-			t.Errorf("%s: the server is left", name)
+		to.turn(GossipReceived{Payload: payload})
+		if to.b.servers["a"].Unresponsive {
+			t.Errorf("%s: the server counts as unresponsive", name)
 		}
 	}
 	// Where messages are not allowed, or balancers are few, none is sent and none counts.
 	for _, few := range []bool{false, true} {
 		h := newGossipHarness(t)
 		message := gossipAfterProbe(h, Canceled, 0)[0].Payload
-		if h = newGossipHarness(t); few {
+		h = newGossipHarness(t)
+		if few {
 			h.b.settings.Instances = fleet.MaxExtrapolated
 		} else {
 			h.b.settings.PeerMessages = false
@@ -167,7 +178,8 @@
 		h.b.settings.PeerMessages = false
 		h.b.fleet.Options.ProbesShared = false
 		h.now += time.Second
-		if h.turn(GossipReceived{Payload: message}); h.b.servers["a"].ProbeUnanswered {
+		h.turn(GossipReceived{Payload: message})
+		if h.b.servers["a"].ProbeUnanswered {
 			t.Error("a message counts where they are not allowed")
 		}
 	}
@@ -180,13 +192,14 @@
 	if messages := gossipAfterProbe(h, Canceled, 0); len(messages) != 0 {
 		t.Errorf("sent %v with nothing earned", messages)
 	}
-	var remarks []gossip.Observation
+	var observations []gossip.Observation
 	for i := range 200 {
-		remarks = append(remarks, gossip.Observation{Key: uint32(i), Value: byte(i)})
+		observations = append(observations, gossip.Observation{Key: uint32(i), Value: byte(i)})
 	}
-	text := gossip.EncodeLoad(0, 0, remarks)
-	if got, ok := gossip.DecodeLoad(0, text); !ok || len(text) > MaxGossipBytes || len(got.Observations) != gossip.MaxObservations {
-		t.Errorf("%d bytes, %d observations, %v", len(text), len(got.Observations), ok)
+	payload := gossip.EncodeLoad(0, 0, observations)
+	got, ok := gossip.DecodeLoad(0, payload)
+	if !ok || len(payload) > MaxGossipBytes || len(got.Observations) != gossip.MaxObservations {
+		t.Errorf("%d bytes, %d observations, %v", len(payload), len(got.Observations), ok)
 	}
 }
 
@@ -201,10 +214,10 @@
 		},
 	))
 	f.Add(append(gossip.EncodeLoad(0, 0, nil), 1, 2, 3))
-	f.Fuzz(func(t *testing.T, text []byte) {
-		load, ok := gossip.DecodeLoad(0, text)
-		if ok != IsGossip(text) || ok && len(text) != gossip.EncodedSize(len(load.Observations)) {
-			t.Fatalf("%x: %v, %d remarks", text, ok, len(load.Observations))
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		load, ok := gossip.DecodeLoad(0, payload)
+		if ok != IsGossip(payload) || ok && len(payload) != gossip.EncodedSize(len(load.Observations)) {
+			t.Fatalf("%x: %v, %d observations", payload, ok, len(load.Observations))
 		}
 		settings := testSettings()
 		settings.Instances = 80
@@ -215,7 +228,7 @@
 		}
 		b.Turn(
 			time.Second,
-			[]Event{EndpointList{Kind: ListFull, Endpoints: threeServers()}, GossipReceived{Payload: text}},
+			[]Event{EndpointList{Kind: ListFull, Endpoints: threeServers()}, GossipReceived{Payload: payload}},
 		)
 		if len(b.servers) != 3 {
 			t.Fatal("a message changed the list")
--- a/balance/harness_test.go
+++ b/balance/harness_test.go
@@ -60,11 +60,8 @@
 	return []Endpoint{{Replica: "a", Cell: 0}, {Replica: "b", Cell: 1}, {Replica: "c", Cell: 2}}
 }
 
-func (h *harness) turn(events ...Event) []Action {
-	h.Helper()
-	actions := h.b.Turn(h.now, events)
-	return actions
-}
+// turn plays a turn at the present time.
+func (h *harness) turn(events ...Event) []Action { return h.b.Turn(h.now, events) }
 
 // newQuery describes a query of a test.
 type newQuery struct {
@@ -116,6 +113,9 @@
 	return found
 }
 
+// countOf returns how many of the actions are of a type.
+func countOf[T Action](actions []Action) int { return len(actionsOf[T](actions)) }
+
 func onlyAction[T Action](h *harness, actions []Action) T {
 	h.Helper()
 	found := actionsOf[T](actions)
@@ -133,7 +133,12 @@
 	}
 }
 
-// end reports an attempt's outcome after took.
+// endOf is the end of a part's first attempt.
+func endOf(send Send, result AttemptResult) AttemptEnded {
+	return AttemptEnded{Part: send.Part, Replica: send.Replica, Result: result}
+}
+
+// end ends an attempt after the time that it took.
 func (h *harness) end(s Send, attempt int, r AttemptResult, took time.Duration) []Action {
 	h.Helper()
 	h.now += took
@@ -145,20 +150,21 @@
 	h.Helper()
 	for range n {
 		id, events := h.query(newQuery{parts: 1})
-		s := onlyAction[Send](h, h.turn(events...))
-		if a := onlyAction[Answer](h, h.end(s, 0, OK, took)); a.Query != id || !a.Complete {
-			h.Fatalf("answer %v for query %d", a, id)
+		send := onlyAction[Send](h, h.turn(events...))
+		if answer := onlyAction[Answer](h, h.end(send, 0, OK, took)); answer.Query != id || !answer.Complete {
+			h.Fatalf("answer %v for query %d", answer, id)
 		}
 	}
 }
 
-// hedged runs queries of 100 ms and then one whose part is late; it returns that part's attempt and the copy.
+// hedged runs queries of 100 ms and then one whose part is overdue; it returns that part's attempt and the hedged
+// request.
 func (h *harness) hedged() (Send, Hedge) {
 	h.Helper()
 	h.serve(60, 100*ms)
-	s := h.sendOnePart(0)
+	send := h.sendOnePart(0)
 	h.now += 600 * ms
-	return s, onlyAction[Hedge](h, h.turn(TimerFired{}))
+	return send, onlyAction[Hedge](h, h.turn(TimerFired{}))
 }
 
 // attemptsInOrder returns the attempts in flight in the order in which they were sent.
@@ -183,27 +189,29 @@
 		id, events := h.query(newQuery{parts: 1})
 		onlyAction[Answer](h, h.end(onlyAction[Send](h, h.turn(events...)), 0, OK, 100*ms))
 		h.next++
-		s := onlyAction[Send](h, h.turn(Part{ID: h.next, Group: uint64(id), Weight: 1}))
-		onlyAction[Answer](h, h.end(s, 0, OK, 100*ms))
+		send := onlyAction[Send](h, h.turn(Part{ID: h.next, Group: uint64(id), Weight: 1}))
+		onlyAction[Answer](h, h.end(send, 0, OK, 100*ms))
 		h.next++
 	}
 }
 
-// twoClasses: class 1 is like class 0, or unsafe.
-func twoClasses(e Idempotency) Settings {
+// twoClasses are settings with a second class that differs in its idempotency.
+func twoClasses(idempotency Idempotency) Settings {
 	settings := testSettings()
 	settings.CanHedge = false
 	settings.Classes = append(settings.Classes, settings.Classes[0])
-	settings.Classes[1].Idempotency = e
+	settings.Classes[1].Idempotency = idempotency
 	return settings
 }
 
-// Shares of a server that the fleet finds to lose nearly all of its parts.
+// almostNoTraffic is the traffic fraction of a server that the fleet found to lose nearly all of its parts.
 const almostNoTraffic = 0.005
 
-// newFleetBench is one of 300 balancers, whose classes are a search that needs every part, and a report that half of them do
-// for. Every shard is on the same four servers.
-func newFleetBench(t *testing.T, out ...Replica) *harness {
+// newFleetHarness drives one of 300 balancers. Class 0 is a search that needs every part, class 1 a report for
+// which half of the parts are enough. Every shard is on the same four servers, of which those excluded get almost
+// no traffic.
+func newFleetHarness(t *testing.T, excluded ...Replica) *harness {
+	t.Helper()
 	settings := testSettings()
 	settings.Instances = 300
 	settings.CanHedge = false
@@ -225,10 +233,12 @@
 	)
 	h.serve(60, 100*ms)
 	var list []Endpoint
-	for _, id := range out {
-		m := Endpoint{Replica: id, Cell: int(id[0] - 'a')}
-		m.TrafficFraction = almostNoTraffic
-		list = append(list, m)
+	for _, id := range excluded {
+		list = append(list, Endpoint{
+			Replica:      id,
+			Cell:         int(id[0] - 'a'),
+			HealthLimits: HealthLimits{TrafficFraction: almostNoTraffic},
+		})
 	}
 	h.turn(EndpointList{Kind: ListDelta, Endpoints: list})
 	return h
@@ -236,8 +246,8 @@
 
 func countByReplica(sends []Send) map[Replica]int {
 	n := map[Replica]int{}
-	for _, s := range sends {
-		n[s.Replica]++
+	for _, send := range sends {
+		n[send.Replica]++
 	}
 	return n
 }
--- a/balance/limits_test.go
+++ b/balance/limits_test.go
@@ -10,9 +10,9 @@
 	h.Helper()
 	got := map[Replica]int{}
 	for range n {
-		s := h.sendOnePart(0)
-		got[s.Replica]++
-		h.end(s, 0, OK, 50*ms)
+		send := h.sendOnePart(0)
+		got[send.Replica]++
+		h.end(send, 0, OK, 50*ms)
 	}
 	return got
 }
@@ -23,8 +23,8 @@
 	return list
 }
 
-// An ejected server gets nothing of that class while another replica is listed, but for one part for each half-open request that
-// is granted; where all are ejected, parts go there all the same.
+// An ejected server gets nothing of that class while another replica is listed, but for one part for each
+// half-open request that is granted; where all are ejected, parts go there all the same.
 func TestLimits_EjectedServerGetsHalfOpenRequestsOnly(t *testing.T) {
 	h := newHarness(t, testSettings(), endpointsWithLimits(HealthLimits{EjectedClasses: 1})...)
 	if n := h.counts(50)["a"]; n != 0 {
@@ -80,11 +80,11 @@
 		Endpoint{Replica: "a", Cell: 0, HealthLimits: HealthLimits{EjectedClasses: 1}},
 		Endpoint{Replica: "b", Cell: 1, HealthLimits: HealthLimits{MaxInFlight: 1}},
 	)
-	if s := h.sendOnePart(0); s.Replica != "b" {
-		t.Fatalf("sent to %s", s.Replica)
+	if send := h.sendOnePart(0); send.Replica != "b" {
+		t.Fatalf("sent to %s", send.Replica)
 	}
 	actions := h.begin(newQuery{parts: 1})
-	h.wantNone(actions, "second part at a server that takes one", len(actionsOf[Send](actions)))
+	h.wantNone(actions, "second part at a server that takes one", countOf[Send](actions))
 }
 
 // A server takes no more parts at once than it says.
@@ -92,8 +92,8 @@
 	h := newHarness(t, testSettings(), endpointsWithLimits(HealthLimits{MaxInFlight: 2})...)
 	out := 0
 	for range 30 {
-		for _, s := range actionsOf[Send](h.begin(newQuery{parts: 1})) {
-			if s.Replica == "a" {
+		for _, send := range actionsOf[Send](h.begin(newQuery{parts: 1})) {
+			if send.Replica == "a" {
 				out++
 			}
 		}
@@ -117,9 +117,9 @@
 	trace := func(e HealthLimits) (got []Replica) {
 		h := newHarness(t, testSettings(), endpointsWithLimits(e)...)
 		for range 200 {
-			s := h.sendOnePart(0)
-			got = append(got, s.Replica)
-			h.end(s, 0, OK, time.Duration(20+len(got)%7*10)*ms)
+			send := h.sendOnePart(0)
+			got = append(got, send.Replica)
+			h.end(send, 0, OK, time.Duration(20+len(got)%7*10)*ms)
 		}
 		return got
 	}
@@ -150,26 +150,26 @@
 			Candidate{Replica: "b"},
 			Candidate{Replica: "unlisted"},
 		)
-		s := onlyAction[Send](h, h.turn(events...))
-		got[s.Replica]++
-		h.end(s, 0, OK, 50*ms)
+		send := onlyAction[Send](h, h.turn(events...))
+		got[send.Replica]++
+		h.end(send, 0, OK, 50*ms)
 	}
 	if got["c"] != 0 || got["a"] < 50 || got["a"] > 350 || got["a"]+got["b"] != 1000 {
 		t.Errorf("%v", got)
 	}
 	id, events := holders(Candidate{Replica: "a"})
-	s := onlyAction[Send](h, h.turn(events...))
+	send := onlyAction[Send](h, h.turn(events...))
 	if actions := h.turn(
-		CandidatesChanged{Part: s.Part, Candidates: []Candidate{}},
-		AttemptEnded{Part: s.Part, Replica: "a", Result: NotSent},
+		CandidatesChanged{Part: send.Part, Candidates: []Candidate{}},
+		AttemptEnded{Part: send.Part, Replica: "a", Result: NotSent},
 	); onlyAction[Reject](h, actions).Query != id {
 		t.Errorf("%v", actions)
 	}
 	_, events = holders(Candidate{Replica: "a"})
-	s = onlyAction[Send](h, h.turn(events...))
+	send = onlyAction[Send](h, h.turn(events...))
 	if actions := h.turn(
-		CandidatesChanged{Part: s.Part, Candidates: []Candidate{{Replica: "c"}}},
-		AttemptEnded{Part: s.Part, Replica: "a", Result: NotSent},
+		CandidatesChanged{Part: send.Part, Candidates: []Candidate{{Replica: "c"}}},
+		AttemptEnded{Part: send.Part, Replica: "a", Result: NotSent},
 	); onlyAction[Send](h, actions).Replica != "c" {
 		t.Errorf("%v", actions)
 	}
--- a/balance/path_test.go
+++ b/balance/path_test.go
@@ -20,8 +20,8 @@
 	h.b.paths[1].NextHalfOpen = h.now + time.Hour
 	_, events := h.query(newQuery{parts: 6})
 	far := func() (n int) {
-		for _, s := range actionsOf[Send](h.turn(events...)) {
-			n += h.b.servers[s.Replica].zone
+		for _, send := range actionsOf[Send](h.turn(events...)) {
+			n += h.b.servers[send.Replica].zone
 		}
 		return n
 	}
@@ -44,13 +44,15 @@
 	for range 12 {
 		h.b.fleet.RecordAnswer(&far.Server, h.now, 600e3, 40)
 	}
-	if h.turn(TimerFired{}); !far.Path.Usable() {
+	h.turn(TimerFired{})
+	if !far.Path.Usable() {
 		t.Error("a few slow parts made the path slow")
 	}
 	for range 40 {
 		h.b.fleet.RecordAnswer(&far.Server, h.now, 1.5e6, 40)
 	}
-	if h.turn(TimerFired{}); far.Path.Usable() {
+	h.turn(TimerFired{})
+	if far.Path.Usable() {
 		t.Error("every answer takes long, and the path is still used")
 	}
 }
@@ -59,27 +61,28 @@
 func TestPath_FewFastFailuresDoNotCloseIt(t *testing.T) {
 	h := newHarness(t, testSettings(), twoZones()...)
 	path := h.b.paths[1]
-	s := h.b.servers["b"]
+	server := h.b.servers["b"]
 	path.InFlight = make([]time.Duration, 20)
 	for range 4 {
-		s.RecordClassFailure(0, h.now, h.now, h.b.halfOpenDelay())
+		server.RecordClassFailure(0, h.now, h.now, h.b.halfOpenDelay())
 	}
 	if !path.Usable() {
 		t.Error("four failures with twenty parts in flight closed the path")
 	}
-	if path.InFlight = nil; path.Usable() {
+	path.InFlight = nil
+	if path.Usable() {
 		t.Error("four failures and nothing in flight: the path must be avoided")
 	}
-	h.b.fleet.RecordAnswer(&s.Server, h.now, 100e3, 1)
+	h.b.fleet.RecordAnswer(&server.Server, h.now, 100e3, 1)
 	if !path.Usable() {
 		t.Error("an answer must open the path")
 	}
 }
 
-// Many parts are in flight over a path and nothing comes from there: it is left before any of them is late by itself, and
-// they move. A few slow ones are no sign.
+// Many parts are in flight over a path and nothing comes back: the path is avoided before any of them is overdue, and
+// they are moved. A few slow parts do not suffice.
 func TestPath_OneThatTakesAllPartsIsAvoidedEarly(t *testing.T) {
-	for _, c := range []struct {
+	for _, test := range []struct {
 		parts  int
 		silent bool
 	}{
@@ -94,26 +97,27 @@
 		h.b.fleet.Deviation = 50e3
 		h.b.hedgeTokens = maxHedgeTokens
 		h.now += time.Millisecond
-		for _, s := range h.b.endpoints {
-			s.avoidUntil = h.now // all may be sent to
-			if s.zone == 0 {
-				s.avoidUntil = h.now + time.Hour
+		for _, server := range h.b.endpoints {
+			server.avoidUntil = h.now // all may be sent to
+			if server.zone == 0 {
+				server.avoidUntil = h.now + time.Hour
 			}
 		}
-		if n := len(actionsOf[Send](h.begin(newQuery{parts: c.parts}))); n != c.parts {
-			t.Fatalf("%d of %d parts sent", n, c.parts)
+		if n := countOf[Send](h.begin(newQuery{parts: test.parts})); n != test.parts {
+			t.Fatalf("%d of %d parts sent", n, test.parts)
 		}
-		for _, s := range h.b.endpoints {
-			s.avoidUntil = 0
+		for _, server := range h.b.endpoints {
+			server.avoidUntil = 0
 		}
 		h.now += 160 * ms
 		h.turn(TimerFired{})
-		if h.b.paths[1].Usable() == c.silent {
-			t.Errorf("%d parts in flight, none answered: path usable %v", c.parts, h.b.paths[1].Usable())
+		if h.b.paths[1].Usable() == test.silent {
+			t.Errorf("%d parts in flight, none answered: path usable %v", test.parts, h.b.paths[1].Usable())
 		}
 		h.now += 10 * ms
-		if n := len(h.b.attempts); c.silent && !slices.ContainsFunc(attemptsInOrder(h.b), func(a *attempt) bool { return a.canceled }) {
-			t.Errorf("none of %d parts is moved", n)
+		isCanceled := func(a *attempt) bool { return a.canceled }
+		if test.silent && !slices.ContainsFunc(attemptsInOrder(h.b), isCanceled) {
+			t.Errorf("none of %d parts is moved", len(h.b.attempts))
 		}
 	}
 }
--- a/balance/probing_test.go
+++ b/balance/probing_test.go
@@ -17,15 +17,15 @@
 	if len(probes) != 1 {
 		t.Fatalf("want one probe, got %v", actions)
 	}
-	h.wantNone(actions, "send before the report", len(actionsOf[Send](actions)))
+	h.wantNone(actions, "send before the report", countOf[Send](actions))
 	h.now += 5 * ms
 	actions = h.turn(ProbeEnded{
 		Replica: probes[0].Replica,
 		Result:  OK,
 		Report:  &LoadReport{Queue: -1, InFlight: 9, Utilization: -1},
 	})
-	for _, s := range actionsOf[Send](actions)[:2] {
-		if s.Replica == probes[0].Replica {
+	for _, send := range actionsOf[Send](actions)[:2] {
+		if send.Replica == probes[0].Replica {
 			t.Error("the replica that reports nine parts in flight was not passed over")
 		}
 	}
@@ -33,7 +33,7 @@
 	h.b.probeTokens = 1
 	h.begin(newQuery{parts: 3})
 	h.now += 30 * ms
-	if n := len(actionsOf[Send](h.turn(TimerFired{}))); n == 0 {
+	if n := countOf[Send](h.turn(TimerFired{})); n == 0 {
 		t.Error("still waiting for a report that does not come")
 	}
 }
--- a/balance/query_test.go
+++ b/balance/query_test.go
@@ -8,13 +8,13 @@
 func TestQuery_OneFinalAnswer(t *testing.T) {
 	h := newHarness(t, testSettings())
 	id, events := h.query(newQuery{parts: 1})
-	s := onlyAction[Send](h, h.turn(events...))
+	send := onlyAction[Send](h, h.turn(events...))
 	h.now += 100 * ms
-	actions := h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: OK}, ClientDisconnected{Query: id})
-	h.wantNone(actions, "action after the client left", len(actionsOf[Answer](actions)))
-	s = h.sendOnePart(0)
-	onlyAction[Answer](h, h.end(s, 0, OK, 100*ms))
-	actions = h.turn(ClientDisconnected{Query: id}, AttemptEnded{Part: s.Part, Replica: s.Replica, Result: OK})
+	actions := h.turn(endOf(send, OK), ClientDisconnected{Query: id})
+	h.wantNone(actions, "action after the client left", countOf[Answer](actions))
+	send = h.sendOnePart(0)
+	onlyAction[Answer](h, h.end(send, 0, OK, 100*ms))
+	actions = h.turn(ClientDisconnected{Query: id}, endOf(send, OK))
 	if len(actions) != 0 {
 		t.Errorf("actions for ids no longer held: %v", actions)
 	}
@@ -27,8 +27,8 @@
 	id, events := h.query(newQuery{parts: 1})
 	onlyAction[Send](h, h.turn(events...))
 	h.now += 3*time.Second - 15*ms
-	if r := onlyAction[Reject](h, h.turn(TimerFired{})); r.Query != id {
-		t.Errorf("rejected %d, want %d", r.Query, id)
+	if rejection := onlyAction[Reject](h, h.turn(TimerFired{})); rejection.Query != id {
+		t.Errorf("rejected %d, want %d", rejection.Query, id)
 	}
 }
 
@@ -39,8 +39,8 @@
 	id, events := h.query(newQuery{parts: 1})
 	onlyAction[Send](h, h.turn(events...))
 	h.now += time.Second - 10*ms
-	if f := onlyAction[Fail](h, h.turn(TimerFired{})); f.Query != id {
-		t.Errorf("failed %d, want %d", f.Query, id)
+	if failure := onlyAction[Fail](h, h.turn(TimerFired{})); failure.Query != id {
+		t.Errorf("failed %d, want %d", failure.Query, id)
 	}
 }
 
@@ -53,19 +53,19 @@
 	id, events := h.query(newQuery{parts: 3})
 	sends := actionsOf[Send](h.turn(events...))
 	h.now += 100 * ms
-	actions := h.turn(AttemptEnded{Part: sends[0].Part, Replica: sends[0].Replica, Result: OK},
-		AttemptEnded{Part: sends[1].Part, Replica: sends[1].Replica, Result: OK})
-	h.wantNone(actions, "early partial answer", len(actionsOf[Answer](actions)))
+	actions := h.turn(endOf(sends[0], OK),
+		endOf(sends[1], OK))
+	h.wantNone(actions, "early partial answer", countOf[Answer](actions))
 	h.now += 890 * ms
-	if a := onlyAction[Answer](h, h.turn(TimerFired{})); a.Query != id || a.Complete {
-		t.Errorf("answer %v, want a partial one of %d", a, id)
+	if answer := onlyAction[Answer](h, h.turn(TimerFired{})); answer.Query != id || answer.Complete {
+		t.Errorf("answer %v, want a partial one of %d", answer, id)
 	}
 	sends = actionsOf[Send](h.begin(newQuery{parts: 3}))
 	h.now += 100 * ms
-	h.turn(AttemptEnded{Part: sends[0].Part, Replica: sends[0].Replica, Result: OK})
+	h.turn(endOf(sends[0], OK))
 	h.now += 3*time.Second - 110*ms
 	actions = h.turn(TimerFired{})
-	h.wantNone(actions, "answer under the floor", len(actionsOf[Answer](actions)))
+	h.wantNone(actions, "answer under the floor", countOf[Answer](actions))
 	onlyAction[Reject](h, actions)
 }
 
@@ -74,18 +74,18 @@
 	settings.Classes[0].FollowUpParts = 1
 	h := newHarness(t, settings)
 	id, events := h.query(newQuery{parts: 1})
-	s := onlyAction[Send](h, h.turn(events...))
-	if a := onlyAction[Answer](h, h.end(s, 0, OK, 50*ms)); !a.Complete {
-		t.Error("first step not whole")
+	send := onlyAction[Send](h, h.turn(events...))
+	if answer := onlyAction[Answer](h, h.end(send, 0, OK, 50*ms)); !answer.Complete {
+		t.Error("first step not complete")
 	}
 	h.now += 5 * ms
-	s = onlyAction[Send](h, h.turn(Part{ID: 99, Group: uint64(id), Shard: 0, Weight: 1}))
-	if a := onlyAction[Answer](h, h.end(s, 0, OK, 50*ms)); a.Query != id || !a.Complete {
-		t.Errorf("second answer %v", a)
+	send = onlyAction[Send](h, h.turn(Part{ID: 99, Group: uint64(id), Shard: 0, Weight: 1}))
+	if answer := onlyAction[Answer](h, h.end(send, 0, OK, 50*ms)); answer.Query != id || !answer.Complete {
+		t.Errorf("second answer %v", answer)
 	}
 }
 
-// A later try may have more time left than a first one, which then must not count as late.
+// A retry may have more time left than first attempts, which then must not count as retries.
 func TestQuery_LongerRetryDoesNotAgeFirstAttempts(t *testing.T) {
 	for _, marks := range []bool{true, false} {
 		settings := testSettings()
@@ -95,14 +95,14 @@
 		again := Query{Group: 2, TimeLeft: 2500 * ms, IsRetry: marks}
 		for range 5 {
 			if w := h.b.timeSpent(first); w != 0 {
-				t.Errorf("marked %v: a first try has waited %v", marks, w)
+				t.Errorf("marked %v: a first attempt has waited %v", marks, w)
 			}
 		}
 		if w := h.b.timeSpent(again); w != 500*ms {
-			t.Errorf("marked %v: a try with 2.5 of 3 s left has waited %v, want 0.5 s", marks, w)
+			t.Errorf("marked %v: a retry with 2.5 of 3 s left has waited %v, want 0.5 s", marks, w)
 		}
 		if w := h.b.timeSpent(first); w != 0 {
-			t.Errorf("marked %v: a first try has waited %v after a longer one", marks, w)
+			t.Errorf("marked %v: a first attempt has waited %v after a longer one", marks, w)
 		}
 	}
 }
@@ -120,18 +120,18 @@
 		t.Fatalf("%d of 10 parts sent at once, want the 6 that are needed", len(sends))
 	}
 	h.now += 10 * ms
-	actions := h.turn(AttemptEnded{Part: sends[0].Part, Replica: sends[0].Replica, Result: Failed})
+	actions := h.turn(endOf(sends[0], Failed))
 	next := onlyAction[Send](h, actions)
 	if next.Part == sends[0].Part {
 		t.Error("the failed part was sent again with others unsent")
 	}
 	var ends []Event
-	for _, s := range append(sends[1:], next) {
-		ends = append(ends, AttemptEnded{Part: s.Part, Replica: s.Replica, Result: OK})
+	for _, send := range append(sends[1:], next) {
+		ends = append(ends, endOf(send, OK))
 	}
 	h.now += 50 * ms
-	if a := onlyAction[Answer](h, h.turn(ends...)); a.Query != id || !a.Complete {
-		t.Errorf("answer %v", a)
+	if answer := onlyAction[Answer](h, h.turn(ends...)); answer.Query != id || !answer.Complete {
+		t.Errorf("answer %v", answer)
 	}
 }
 
@@ -149,8 +149,8 @@
 	start := h.now
 	sends := actionsOf[Send](h.turn(events...))
 	h.now += 100 * ms
-	h.turn(AttemptEnded{Part: sends[0].Part, Replica: sends[0].Replica, Result: OK},
-		AttemptEnded{Part: sends[1].Part, Replica: sends[1].Replica, Result: OK})
+	h.turn(endOf(sends[0], OK),
+		endOf(sends[1], OK))
 	for h.now < start+time.Second {
 		h.now += 10 * ms
 		if a := actionsOf[Answer](h.turn(TimerFired{})); len(a) > 0 {
@@ -163,8 +163,8 @@
 	t.Error("no answer from two of three parts before the objective")
 }
 
-// A report leaves a shard to the searches where half of its replicas are excluded and the others are crowded, answers at
-// once from the rest, and never from less than its floor.
+// Where half of a shard's replicas are excluded and the others are crowded, a query of the report class leaves out its
+// optional parts. It is answered at once from the others, and never from less than its least fraction.
 func TestQuery_ShedsOptionalPartsOfCrowdedShards(t *testing.T) {
 	crowd := func(h *harness, queue float64) {
 		for _, id := range []Replica{"c", "d"} {
@@ -172,7 +172,7 @@
 			h.b.servers[id].ReportedAt = h.now
 		}
 	}
-	for _, c := range []struct {
+	for _, test := range []struct {
 		out         []Replica
 		queue       float64
 		class, want int
@@ -182,28 +182,28 @@
 		{out: []Replica{"a", "b"}, queue: 0, class: 1, want: 10},
 		{out: []Replica{"a"}, queue: 12, class: 1, want: 10},
 	} {
-		h := newFleetBench(t, c.out...)
-		crowd(h, c.queue)
-		id, events := h.query(newQuery{class: c.class, parts: 10})
+		h := newFleetHarness(t, test.out...)
+		crowd(h, test.queue)
+		id, events := h.query(newQuery{class: test.class, parts: 10})
 		sends := actionsOf[Send](h.turn(events...))
-		if len(sends) != c.want {
-			t.Errorf("%v excluded, queue %v, class %d: %d parts sent, want %d", c.out, c.queue, c.class, len(sends), c.want)
+		if len(sends) != test.want {
+			t.Errorf("%+v: %d parts sent", test, len(sends))
 			continue
 		}
-		if c.want == 10 {
+		if test.want == 10 {
 			continue
 		}
 		var actions []Action
-		for _, s := range sends {
+		for _, send := range sends {
 			actions = append(actions, h.turn(AttemptEnded{
-				Part:    s.Part,
-				Replica: s.Replica,
+				Part:    send.Part,
+				Replica: send.Replica,
 				Result:  OK,
 				Elapsed: 10 * ms,
 			})...)
 		}
-		if a := onlyAction[Answer](h, actions); a.Query != id || a.Complete {
-			t.Errorf("answer %+v", a)
+		if answer := onlyAction[Answer](h, actions); answer.Query != id || answer.Complete {
+			t.Errorf("answer %+v", answer)
 		}
 	}
 }
--- a/balance/ranking_test.go
+++ b/balance/ranking_test.go
@@ -9,13 +9,13 @@
 
 func TestRank_IsC3(t *testing.T) {
 	h := newHarness(t, testSettings())
-	s := h.b.servers["a"]
-	s.Measured = true
-	s.ReportedAt = h.now
-	s.Averages = estimate.Averages{Latency: 300, ServiceTime: 100, Queue: 2}
-	s.InFlight = []time.Duration{0}
+	server := h.b.servers["a"]
+	server.Measured = true
+	server.ReportedAt = h.now
+	server.Averages = estimate.Averages{Latency: 300, ServiceTime: 100, Queue: 2}
+	server.InFlight = []time.Duration{0}
 	// n = 2: q̂ = 1 + 1x2 + 2 = 5; 300 - 100 + 125 x 100
-	if got := h.b.rank(s); got != 12700 {
+	if got := h.b.rank(server); got != 12700 {
 		t.Errorf("rank %v, want 12700", got)
 	}
 }
@@ -30,11 +30,11 @@
 		t.Errorf("before any answer %+v, want the objective, the objective and 0", got)
 	}
 	for name, r := range map[Replica]float64{"b": 100, "c": 300} {
-		s := h.b.servers[name]
-		s.Measured = true
-		s.Latency = r
-		s.ServiceTime = r / 2
-		s.Queue = r / 100
+		server := h.b.servers[name]
+		server.Measured = true
+		server.Latency = r
+		server.ServiceTime = r / 2
+		server.Queue = r / 100
 	}
 	h.turn(TimerFired{})
 	if got := h.b.fleet.AveragesOf(&h.b.servers["a"].Server, h.now); got != (estimate.Averages{
@@ -52,12 +52,16 @@
 	settings.LoadReportsOnProbe = true
 	h := newHarness(t, settings)
 	actions := h.begin(newQuery{parts: 12})
-	p := actionsOf[Probe](actions)
-	if len(p) == 0 {
+	probes := actionsOf[Probe](actions)
+	if len(probes) == 0 {
 		t.Fatalf("no probe for 12 parts: %v", actions)
 	}
-	h.turn(ProbeEnded{Replica: p[0].Replica, Result: OK, Report: &LoadReport{Queue: -1, InFlight: 20, Utilization: -1}})
-	if q := h.b.servers[p[0].Replica].Queue; q < 10 {
+	h.turn(ProbeEnded{
+		Replica: probes[0].Replica,
+		Result:  OK,
+		Report:  &LoadReport{Queue: -1, InFlight: 20, Utilization: -1},
+	})
+	if q := h.b.servers[probes[0].Replica].Queue; q < 10 {
 		t.Errorf("q %v after a report of 20", q)
 	}
 }
@@ -65,13 +69,13 @@
 func TestPullBack_NotOfUnhealthyServers(t *testing.T) {
 	h := newHarness(t, testSettings())
 	h.serve(60, 100*ms)
-	s := h.b.servers["a"]
-	s.Latency = 5e6
-	s.Penalty = 1
-	s.NextHalfOpen = h.now + time.Hour
+	server := h.b.servers["a"]
+	server.Latency = 5e6
+	server.Penalty = 1
+	server.NextHalfOpen = h.now + time.Hour
 	h.serve(5, 100*ms)
-	if s.Latency != 5e6 {
-		t.Errorf("R %v of an ejected server was pulled toward the winner", s.Latency)
+	if server.Latency != 5e6 {
+		t.Errorf("R %v of an ejected server was pulled toward the winner", server.Latency)
 	}
 }
 
@@ -80,17 +84,17 @@
 	settings := testSettings()
 	settings.Instances = 80
 	h := newHarness(t, settings)
-	a := h.b.servers["a"]
-	b := h.b.servers["b"]
-	for _, s := range []*server{a, b} {
-		s.Measured = true
-		s.ReportedAt = h.now
-		s.Latency = 100e3
-		s.ServiceTime = 100e3
+	ownRequest := h.b.servers["a"]
+	longQueue := h.b.servers["b"]
+	for _, server := range []*server{ownRequest, longQueue} {
+		server.Measured = true
+		server.ReportedAt = h.now
+		server.Latency = 100e3
+		server.ServiceTime = 100e3
 	}
-	a.InFlight = []time.Duration{0}
-	b.Queue = 20
-	if h.b.rank(a) >= h.b.rank(b) {
+	ownRequest.InFlight = []time.Duration{0}
+	longQueue.Queue = 20
+	if h.b.rank(ownRequest) >= h.b.rank(longQueue) {
 		t.Error("one own part outranks a queue of twenty")
 	}
 }
@@ -100,15 +104,16 @@
 	h := newHarness(t, testSettings())
 	h.serve(80, 100*ms)
 	sends := actionsOf[Send](h.begin(newQuery{parts: 60}))
-	for i, s := range sends {
+	for i, send := range sends {
 		h.now += 10 * ms
 		if i == 40 {
 			h.now += 300 * ms
 		}
-		h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: OK})
+		h.turn(endOf(send, OK))
 	}
 	if len(sends) != 60 || h.b.fleet.Mean > 400e3 {
-		t.Errorf("%d parts; mean %.0f us, of many queries of 100 ms and one of 10 to 900 ms", len(sends), h.b.fleet.Mean)
+		t.Errorf("%d parts; mean %.0f us, of many queries of 100 ms and one of 10 to 900 ms",
+			len(sends), h.b.fleet.Mean)
 	}
 }
 
@@ -116,10 +121,10 @@
 func TestRank_OldLoadReportCountsLess(t *testing.T) {
 	h := newHarness(t, testSettings())
 	for i, name := range []Replica{"a", "b", "c"} {
-		s := h.b.servers[name]
-		s.Measured = true
-		s.ReportedAt = h.now
-		s.Averages = estimate.Averages{Latency: 100e3, ServiceTime: 100e3, Queue: float64(9 * i)}
+		server := h.b.servers[name]
+		server.Measured = true
+		server.ReportedAt = h.now
+		server.Averages = estimate.Averages{Latency: 100e3, ServiceTime: 100e3, Queue: float64(9 * i)}
 	}
 	h.turn(TimerFired{})
 	if q := h.b.fleet.AveragesOf(&h.b.servers["c"].Server, h.now).Queue; q != 18 {
--- a/balance/selection_test.go
+++ b/balance/selection_test.go
@@ -11,13 +11,13 @@
 func TestChoose_LowestRank(t *testing.T) {
 	h := newHarness(t, testSettings())
 	for i, name := range []Replica{"a", "b", "c"} {
-		s := h.b.servers[name]
-		s.Measured = true
-		s.ReportedAt = h.now
-		s.Averages = estimate.Averages{Latency: 100e3, ServiceTime: 100e3, Queue: float64(3 - i)}
+		server := h.b.servers[name]
+		server.Measured = true
+		server.ReportedAt = h.now
+		server.Averages = estimate.Averages{Latency: 100e3, ServiceTime: 100e3, Queue: float64(3 - i)}
 	}
-	if s := h.sendOnePart(0); s.Replica != "c" {
-		t.Errorf("sent to %s, want c with the shortest queue", s.Replica)
+	if send := h.sendOnePart(0); send.Replica != "c" {
+		t.Errorf("sent to %s, want c with the shortest queue", send.Replica)
 	}
 	// R 100, S 100: losers move half way to the winner's q of 1, the winner stays.
 	if a, b := h.b.servers["a"].Queue, h.b.servers["b"].Queue; a != 2 || b != 1.5 {
@@ -29,8 +29,8 @@
 	h := newHarness(t, testSettings())
 	_, events := h.query(newQuery{parts: 3})
 	used := map[Replica]bool{}
-	for _, s := range actionsOf[Send](h.turn(events...)) {
-		used[s.Replica] = true
+	for _, send := range actionsOf[Send](h.turn(events...)) {
+		used[send.Replica] = true
 	}
 	if len(used) != 3 {
 		t.Errorf("three parts went to %d servers: os must rise at once", len(used))
@@ -40,19 +40,20 @@
 func TestChoose_FailingServerIsAvoidedAndRecovers(t *testing.T) {
 	h := newHarness(t, testSettings())
 	h.serve(30, 100*ms)
-	s := h.sendOnePart(0)
-	bad := s.Replica
-	s = onlyAction[Send](h, h.end(s, 0, Failed, 2*ms))
-	onlyAction[Answer](h, h.end(s, 1, OK, 100*ms))
+	send := h.sendOnePart(0)
+	bad := send.Replica
+	send = onlyAction[Send](h, h.end(send, 0, Failed, 2*ms))
+	onlyAction[Answer](h, h.end(send, 1, OK, 100*ms))
 	halfOpenRequests := 0
 	for i := range 40 {
-		s := h.sendOnePart(0)
-		if s.Replica == bad {
-			if halfOpenRequests++; i == 0 {
+		send := h.sendOnePart(0)
+		if send.Replica == bad {
+			halfOpenRequests++
+			if i == 0 {
 				t.Error("the next part went to the server that just failed")
 			}
 		}
-		onlyAction[Answer](h, h.end(s, 0, OK, 100*ms))
+		onlyAction[Answer](h, h.end(send, 0, OK, 100*ms))
 	}
 	if halfOpenRequests == 0 || h.b.servers[bad].Penalty > 0 {
 		t.Errorf("%d half-open requests, penalty %v: it must come back", halfOpenRequests, h.b.servers[bad].Penalty)
@@ -66,7 +67,7 @@
 	h.now += 500 * ms
 	h.turn(TimerFired{})
 	for range 6 {
-		if s := h.sendOnePart(0); s.Replica == unresponsive {
+		if send := h.sendOnePart(0); send.Replica == unresponsive {
 			t.Errorf("a part went to %s, which answers nothing", unresponsive)
 		}
 	}
@@ -75,22 +76,22 @@
 func TestChoose_AllUnhealthyAreStillSent(t *testing.T) {
 	h := newHarness(t, testSettings())
 	h.serve(30, 100*ms)
-	for _, s := range h.b.servers {
-		s.Penalty = 2
-		s.NextHalfOpen = h.now + time.Hour
+	for _, server := range h.b.servers {
+		server.Penalty = 2
+		server.NextHalfOpen = h.now + time.Hour
 	}
-	if n := len(actionsOf[Send](h.begin(newQuery{parts: 3}))); n != 3 {
+	if n := countOf[Send](h.begin(newQuery{parts: 3})); n != 3 {
 		t.Errorf("%d of 3 parts sent with every server unhealthy", n)
 	}
 }
 
 func TestChoose_FullServerIsAvoidedForAWhile(t *testing.T) {
 	h := newHarness(t, testSettings())
-	s := h.sendOnePart(0)
-	full := s.Replica
-	onlyAction[Send](h, h.end(s, 0, QueueFull, 2*ms))
+	send := h.sendOnePart(0)
+	full := send.Replica
+	onlyAction[Send](h, h.end(send, 0, QueueFull, 2*ms))
 	for range 4 {
-		if s := h.sendOnePart(0); s.Replica == full {
+		if send := h.sendOnePart(0); send.Replica == full {
 			t.Error("a part went to a server that is full")
 		}
 	}
@@ -104,11 +105,11 @@
 		Endpoint{Replica: "b", Cell: 1, Zone: 0},
 	)
 	for range 20 {
-		s := h.sendOnePart(0)
-		if s.Replica != "b" {
+		send := h.sendOnePart(0)
+		if send.Replica != "b" {
 			t.Fatal("a tie left the own zone")
 		}
-		onlyAction[Answer](h, h.end(s, 0, OK, 100*ms))
+		onlyAction[Answer](h, h.end(send, 0, OK, 100*ms))
 	}
 }
 
@@ -119,12 +120,12 @@
 	slow.Recent = []float64{900e3, 900e3, 900e3, 900e3}
 	slow.NextHalfOpen = h.now + time.Hour
 	for range 9 {
-		if s := h.sendOnePart(0); s.Replica == "a" {
+		if send := h.sendOnePart(0); send.Replica == "a" {
 			t.Fatal("a part went to a slow server")
 		}
 	}
 	slow.NextHalfOpen = 0
-	if s := h.sendOnePart(0); s.Replica != "a" {
+	if send := h.sendOnePart(0); send.Replica != "a" {
 		t.Error("a slow server is never tried again")
 	}
 }
@@ -134,14 +135,14 @@
 	h.serve(40, 100*ms)
 	slow := h.b.servers["a"]
 	slow.Recent = []float64{900e3, 900e3, 900e3, 900e3}
-	for _, s := range h.b.servers {
-		s.NextHalfOpen = h.now + time.Hour
-		if s != slow {
-			s.Penalty = 2
+	for _, server := range h.b.servers {
+		server.NextHalfOpen = h.now + time.Hour
+		if server != slow {
+			server.Penalty = 2
 		}
 	}
-	for _, s := range actionsOf[Send](h.begin(newQuery{parts: 3})) {
-		if s.Replica == "a" {
+	for _, send := range actionsOf[Send](h.begin(newQuery{parts: 3})) {
+		if send.Replica == "a" {
 			t.Error("a part went to the slow server")
 		}
 	}
@@ -165,16 +166,16 @@
 	h := newHarness(t, testSettings())
 	h.serve(30, 100*ms)
 	down := h.b.servers["a"]
-	for _, s := range h.b.servers {
-		s.avoidUntil = h.now + time.Hour
+	for _, server := range h.b.servers {
+		server.avoidUntil = h.now + time.Hour
 	}
 	down.avoidUntil = h.now
 	var spells []time.Duration
 	_, events := h.query(newQuery{parts: 1})
 	for try := range 2 {
-		s := onlyAction[Send](h, h.turn(events...))
-		actions := h.end(s, try, ConnectFailed, 5*ms)
-		h.wantNone(actions, "send to a server just found down", len(actionsOf[Send](actions)))
+		send := onlyAction[Send](h, h.turn(events...))
+		actions := h.end(send, try, ConnectFailed, 5*ms)
+		h.wantNone(actions, "send to a server just found down", countOf[Send](actions))
 		spells = append(spells, down.avoidUntil-h.now)
 		down.avoidUntil = 0
 		events = nil
@@ -192,9 +193,9 @@
 		settings.Instances = n
 		h := newHarness(t, settings)
 		h.serve(30, 100*ms)
-		s := h.sendOnePart(0)
-		h.end(s, 0, Failed, 2*ms)
-		gaps = append(gaps, h.b.servers[s.Replica].NextHalfOpen-h.now)
+		send := h.sendOnePart(0)
+		h.end(send, 0, Failed, 2*ms)
+		gaps = append(gaps, h.b.servers[send.Replica].NextHalfOpen-h.now)
 	}
 	if gaps[0] <= 0 || gaps[1] < 4*gaps[0] {
 		t.Errorf("half-open requests after %v: at n = 80 each must wait over four times as long as at 2", gaps)
@@ -205,16 +206,16 @@
 func TestChoose_QueryCarriesOneHalfOpenRequest(t *testing.T) {
 	h := newHarness(t, testSettings(), twoZones()...)
 	h.serve(60, 100*ms)
-	for i, s := range h.b.endpoints {
+	for i, server := range h.b.endpoints {
 		if i < 6 {
-			s.Penalty = 1
-			s.NextHalfOpen = 0
+			server.Penalty = 1
+			server.NextHalfOpen = 0
 		}
 	}
 	_, events := h.query(newQuery{parts: 6})
 	halfOpenRequests := 0
-	for _, s := range actionsOf[Send](h.turn(events...)) {
-		if h.b.servers[s.Replica].Penalty > 0 {
+	for _, send := range actionsOf[Send](h.turn(events...)) {
+		if h.b.servers[send.Replica].Penalty > 0 {
 			halfOpenRequests++
 		}
 	}
@@ -232,16 +233,16 @@
 	bad := h.b.servers["a"]
 	var lost Send
 	for lost.Replica != "a" {
-		if s := h.sendOnePart(0); s.Replica == "a" {
-			lost = s
+		if send := h.sendOnePart(0); send.Replica == "a" {
+			lost = send
 		} else {
-			h.end(s, 0, OK, 100*ms)
+			h.end(send, 0, OK, 100*ms)
 		}
 	}
 	other := func() (sent bool) {
-		s := h.sendOnePart(1)
-		h.end(s, 0, OK, 100*ms)
-		return s.Replica == "a"
+		send := h.sendOnePart(1)
+		h.end(send, 0, OK, 100*ms)
+		return send.Replica == "a"
 	}
 	var calledOff []Cancel
 	for i := 0; len(calledOff) == 0 && i < 20; i++ {
@@ -273,8 +274,8 @@
 	h.b.servers["a"].Penalty = 1
 	h.b.servers["a"].NextHalfOpen = h.now
 	for _, class := range []int{1, 0} { // a half-open request is due
-		if s := h.sendOnePart(class); (s.Replica == "a") != (class == 0) {
-			t.Errorf("class %d goes to %s", class, s.Replica)
+		if send := h.sendOnePart(class); (send.Replica == "a") != (class == 0) {
+			t.Errorf("class %d goes to %s", class, send.Replica)
 		}
 	}
 }
@@ -283,18 +284,18 @@
 func TestChoose_ReplicaThatLosesTheClassIsTheLastResort(t *testing.T) {
 	h := newHarness(t, twoClasses(Idempotent))
 	h.serve(40, 100*ms)
-	for id, s := range h.b.servers {
-		s.NextHalfOpen = h.now + time.Hour
-		s.PerClass[0].NextHalfOpen = s.NextHalfOpen
+	for id, server := range h.b.servers {
+		server.NextHalfOpen = h.now + time.Hour
+		server.PerClass[0].NextHalfOpen = server.NextHalfOpen
 		if id == "a" {
-			s.Recent = []float64{900e3, 900e3, 900e3, 900e3}
+			server.Recent = []float64{900e3, 900e3, 900e3, 900e3}
 		} else {
-			s.PerClass[0].Penalty = 1
+			server.PerClass[0].Penalty = 1
 		}
 	}
 	for class, want := range []bool{true, false} {
-		if s := h.sendOnePart(class); (s.Replica == "a") != want {
-			t.Errorf("class %d goes to %s", class, s.Replica)
+		if send := h.sendOnePart(class); (send.Replica == "a") != want {
+			t.Errorf("class %d goes to %s", class, send.Replica)
 		}
 	}
 }
@@ -302,7 +303,7 @@
 // A server that loses some answers is of use while the healthy ones are busy, but not to what is not idempotent,
 // nor once it loses most.
 func TestChoose_ServerThatLosesSomeAnswersHelpsTheBusy(t *testing.T) {
-	for _, c := range []struct {
+	for _, test := range []struct {
 		loss   float64
 		busy   int // parts in flight at the healthy servers
 		effect Idempotency
@@ -313,21 +314,21 @@
 		{loss: 0.8, busy: 8, effect: Idempotent, want: false},
 		{loss: 0.25, busy: 8, effect: NonIdempotent, want: false},
 	} {
-		h := newHarness(t, twoClasses(c.effect))
+		h := newHarness(t, twoClasses(test.effect))
 		h.serve(60, 100*ms)
-		for id, s := range h.b.servers {
+		for id, server := range h.b.servers {
 			if id == "a" {
-				s.PerClass[1].Penalty = 1
-				s.PerClass[1].LossRate = c.loss
-				s.PerClass[1].NextHalfOpen = h.now + time.Hour
+				server.PerClass[1].Penalty = 1
+				server.PerClass[1].LossRate = test.loss
+				server.PerClass[1].NextHalfOpen = h.now + time.Hour
 				continue
 			}
-			for range c.busy {
-				s.InFlight = append(s.InFlight, h.now)
+			for range test.busy {
+				server.InFlight = append(server.InFlight, h.now)
 			}
 		}
-		if s := h.sendOnePart(1); (s.Replica == "a") != c.want {
-			t.Errorf("%+v: went to %s", c, s.Replica)
+		if send := h.sendOnePart(1); (send.Replica == "a") != test.want {
+			t.Errorf("%+v: went to %s", test, send.Replica)
 		}
 	}
 	var of suspicion.Record
@@ -342,38 +343,39 @@
 // A part waits for a replica that is full for a moment, and does not spend its attempts at one that has next to no
 // share. Guards against searches that died of a part in 60 ms, while its two healthy replicas served others.
 func TestChoose_PartWaitsForAFullReplicaRatherThanAnExcludedOne(t *testing.T) {
-	h := newFleetBench(t, "a", "b", "c")
+	h := newFleetHarness(t, "a", "b", "c")
 	for range 40 { // of 200 parts about one may try a server that is excluded
 		if n := countByReplica(actionsOf[Send](h.begin(newQuery{parts: 5}))); n["d"] < 4 {
 			t.Fatalf("parts went to %v", n)
 		}
 	}
-	h = newFleetBench(t, "a", "b", "c")
+	h = newFleetHarness(t, "a", "b", "c")
 	h.b.servers["d"].avoidUntil = h.now + 100*ms
-	if actions := h.begin(newQuery{parts: 1}); len(actionsOf[Send](actions)) != 0 {
+	if actions := h.begin(newQuery{parts: 1}); countOf[Send](actions) != 0 {
 		t.Fatalf("sent while the one healthy replica is full: %v", actions)
 	}
 }
 
-// A server that the fleet knows to lose some is tried by its share, not by the clock of each balancer that holds failures against it.
+// A server of which the fleet knows that it loses some parts gets half-open requests in proportion to its traffic
+// fraction, not by the clock of each balancer that holds failures against it.
 func TestChoose_HalfOpenRequestsGoByTrafficFraction(t *testing.T) {
 	halfOpenRequests := map[float64]int{}
 	for _, share := range []float64{0, 0.3} {
-		h := newFleetBench(t)
+		h := newFleetHarness(t)
 		h.turn(EndpointList{
 			Kind:      ListDelta,
 			Endpoints: []Endpoint{{Replica: "a", HealthLimits: HealthLimits{TrafficFraction: share}}},
 		})
 		for range 60 {
-			s := h.b.servers["a"]
-			s.Penalty = 1
-			s.NextHalfOpen = 0
-			s.PerClass[0].NextHalfOpen = 0
-			s1 := h.sendOnePart(0)
-			if s1.Replica == "a" {
+			server := h.b.servers["a"]
+			server.Penalty = 1
+			server.NextHalfOpen = 0
+			server.PerClass[0].NextHalfOpen = 0
+			send := h.sendOnePart(0)
+			if send.Replica == "a" {
 				halfOpenRequests[share]++
 			}
-			h.turn(AttemptEnded{Part: s1.Part, Replica: s1.Replica, Result: OK, Elapsed: 10 * ms})
+			h.turn(AttemptEnded{Part: send.Part, Replica: send.Replica, Result: OK, Elapsed: 10 * ms})
 			h.now += 100 * ms
 		}
 	}
--- a/balance/slowstart_test.go
+++ b/balance/slowstart_test.go
@@ -12,7 +12,7 @@
 	h := newHarness(t, testSettings(), Endpoint{Replica: "a", Cell: 0, Started: 100 * time.Second})
 	sends := 0
 	for range 20 {
-		sends += len(actionsOf[Send](h.begin(newQuery{parts: 1})))
+		sends += countOf[Send](h.begin(newQuery{parts: 1}))
 		h.now += 100 * ms
 	}
 	// 2 x 0.2 x 2 s / 250 ms / 2 balancers is 1.6 parts, and 2.9 when the window ends.
@@ -20,7 +20,7 @@
 		t.Errorf("%d parts sent to a server that warms up within its window, want 1 to 3", sends)
 	}
 	h.now += 11 * time.Second
-	if len(actionsOf[Send](h.begin(newQuery{parts: 1}))) != 1 {
+	if countOf[Send](h.begin(newQuery{parts: 1})) != 1 {
 		t.Error("nothing sent to a server that is warm by now")
 	}
 }
@@ -29,92 +29,115 @@
 	h := newHarness(t, testSettings())
 	h.serve(9, 100*ms)
 	h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", Cell: 0, Started: h.now}}})
-	if s := h.b.servers["a"]; s.Measured || h.b.fleet.Capacity(&s.Server, h.now) != 0.2 {
-		t.Errorf("heard %v, share %v after a restart", s.Measured, h.b.fleet.Capacity(&s.Server, h.now))
+	if server := h.b.servers["a"]; server.Measured || h.b.fleet.Capacity(&server.Server, h.now) != 0.2 {
+		t.Errorf("heard %v, share %v after a restart", server.Measured, h.b.fleet.Capacity(&server.Server, h.now))
 	}
 }
 
+// warmingFleet is many balancers with one server, which has just started.
+type warmingFleet struct {
+	balancers []*Balancer
+	nextID    ID
+}
+
+const warmingWork = 100 * ms // of each part at the server of a warmingFleet
+
+func newWarmingFleet(t *testing.T, settings Settings, start time.Duration) *warmingFleet {
+	t.Helper()
+	fleet := &warmingFleet{}
+	for i := range settings.Instances {
+		settings.Seed = uint64(i)
+		b, err := New(settings)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.now = start
+		b.Turn(start, []Event{EndpointList{Kind: ListFull, Endpoints: []Endpoint{{Replica: "a", Started: start}}}})
+		b.fleet.Mean = micros(warmingWork)
+		b.fleet.Deviation = 0
+		fleet.balancers = append(fleet.balancers, b)
+	}
+	return fleet
+}
+
+// play plays a turn of each balancer, to which a new query comes, and returns how many parts they send together.
+func (f *warmingFleet) play(now time.Duration) (sends int) {
+	for _, b := range f.balancers {
+		events := endedAttempts(b, now)
+		f.nextID += 2
+		events = append(events,
+			Query{ID: f.nextID, Group: uint64(f.nextID), TimeLeft: 3 * time.Second, Parts: 1},
+			Part{ID: f.nextID + 1, Group: uint64(f.nextID), Weight: 1})
+		sends += countOf[Send](b.Turn(now, events))
+	}
+	return sends
+}
+
+// endedAttempts returns the ends of a balancer's attempts that are answered by now.
+func endedAttempts(b *Balancer, now time.Duration) (events []Event) {
+	for _, a := range attemptsInOrder(b) {
+		if now-a.sent < warmingWork {
+			continue
+		}
+		events = append(events, AttemptEnded{
+			Part:    a.part.ID,
+			Attempt: a.number,
+			Replica: "a",
+			Result:  OK,
+			Elapsed: warmingWork,
+		})
+	}
+	return events
+}
+
 // Rule 4: however many balancers there are, together they keep to the stated multiple of a warming server's
 // capacity in every window, and do not starve it.
 func TestSlowStart_ManyBalancersDoNotOverloadAServer(t *testing.T) {
-	const work = 100 * ms
-	for _, c := range []struct {
-		n         int
-		from, tip float64
-		window    time.Duration
+	for _, test := range []struct {
+		balancers        int
+		minCapacity      float64
+		overloadMultiple float64
+		overloadPeriod   time.Duration
 	}{
-		{n: 1, from: 0.2, tip: 2, window: 2 * time.Second},
-		{n: 80, from: 0.2, tip: 2, window: 2 * time.Second},
-		{n: 79, from: 0.17, tip: 3, window: 2 * time.Second},
-		{n: 73, from: 0.22, tip: 2, window: 2 * time.Second},
-		{n: 68, from: 0.18, tip: 4, window: time.Second},
+		{balancers: 1, minCapacity: 0.2, overloadMultiple: 2, overloadPeriod: 2 * time.Second},
+		{balancers: 80, minCapacity: 0.2, overloadMultiple: 2, overloadPeriod: 2 * time.Second},
+		{balancers: 79, minCapacity: 0.17, overloadMultiple: 3, overloadPeriod: 2 * time.Second},
+		{balancers: 73, minCapacity: 0.22, overloadMultiple: 2, overloadPeriod: 2 * time.Second},
+		{balancers: 68, minCapacity: 0.18, overloadMultiple: 4, overloadPeriod: time.Second},
 	} {
-		n := c.n
 		settings := testSettings()
-		settings.Rules.WarmupMinCapacity = c.from
-		settings.Rules.OverloadMultiple = c.tip
-		settings.Rules.OverloadPeriod = c.window
-		settings.Instances = n
+		settings.Rules.WarmupMinCapacity = test.minCapacity
+		settings.Rules.OverloadMultiple = test.overloadMultiple
+		settings.Rules.OverloadPeriod = test.overloadPeriod
+		settings.Instances = test.balancers
 		settings.Cells = 1
 		settings.Reach = 1
 		start := 100 * time.Second
-		var all []*Balancer
-		for i := range n {
-			settings.Seed = uint64(i)
-			b, err := New(settings)
-			if err != nil {
-				t.Fatal(err)
-			}
-			b.now = start
-			b.Turn(start, []Event{EndpointList{Kind: ListFull, Endpoints: []Endpoint{{Replica: "a", Started: start}}}})
-			b.fleet.Mean = micros(work)
-			b.fleet.Deviation = 0
-			all = append(all, b)
-		}
+		fleet := newWarmingFleet(t, settings, start)
 		var sent []time.Duration
-		id := ID(0)
-		for now := start; now < start+settings.Rules.WarmupPeriod; now += work / 2 {
-			for _, b := range all {
-				var events []Event
-				for _, a := range attemptsInOrder(b) {
-					if now-a.sent >= work {
-						events = append(
-							events,
-							AttemptEnded{Part: a.part.ID, Attempt: a.number, Replica: "a", Result: OK, Elapsed: work},
-						)
-					}
-				}
-				id += 2
-				events = append(events, Query{ID: id, Group: uint64(id), TimeLeft: 3 * time.Second, Parts: 1},
-					Part{ID: id + 1, Group: uint64(id), Weight: 1})
-				for _, action := range b.Turn(now, events) {
-					if _, ok := action.(Send); ok {
-						sent = append(sent, now)
-					}
-				}
+		for now := start; now < start+settings.Rules.WarmupPeriod; now += warmingWork / 2 {
+			for range fleet.play(now) {
+				sent = append(sent, now)
 			}
 		}
 		if len(sent) == 0 {
-			t.Errorf("n = %d: a server that warms up draws nothing", n)
+			t.Errorf("%+v: a server that warms up is sent nothing", test)
 		}
 		for i, at := range sent {
-			inWindow := 0
-			for _, s := range sent[:i+1] {
-				if s > at-settings.Rules.OverloadPeriod {
-					inWindow++
-				}
-			}
-			share := settings.Rules.WarmupMinCapacity + (1-settings.Rules.WarmupMinCapacity)*float64(at-start)/float64(settings.Rules.WarmupPeriod)
-			most := settings.Rules.OverloadMultiple * share * micros(settings.Rules.OverloadPeriod) / micros(work) * 2 // of two cores
-			if float64(inWindow) > most {
-				t.Fatalf("n = %d: %d parts in the window up to %v, at most %.1f", n, inWindow, at-start, most)
+			inWindow := countSince(sent[:i+1], at-test.overloadPeriod+1)
+			warm := float64(at-start) / float64(settings.Rules.WarmupPeriod)
+			capacity := test.minCapacity + (1-test.minCapacity)*warm
+			const cores = 2
+			limit := test.overloadMultiple * capacity * micros(test.overloadPeriod) / micros(warmingWork) * cores
+			if float64(inWindow) > limit {
+				t.Fatalf("%+v: %d parts in the window up to %v, at most %.1f", test, inWindow, at-start, limit)
 			}
 		}
 	}
 }
 
-// One of many balancers gives a server that warms up its part of what it sends itself, whatever 1/n of the budget allows:
-// else the caution of all starves the server, as most balancers send little.
+// One of many balancers gives a server that warms up its part of what it sends itself, whatever 1/n of the budget
+// allows: else the caution of all starves the server, as most balancers send little.
 func TestSlowStart_ServerGetsItsPartOfTheFlow(t *testing.T) {
 	settings := testSettings()
 	settings.Instances = 80
@@ -126,16 +149,16 @@
 	sends := 0
 	for h.now < start+4*time.Second {
 		for _, name := range []Replica{"b", "c"} {
-			s := h.b.servers[name]
-			// the warm are busy
-			s.Queue = 3
-			s.ReportedAt = h.now
+			server := h.b.servers[name]
+			// The warm servers are busy.
+			server.Queue = 3
+			server.ReportedAt = h.now
 		}
-		s := h.sendOnePart(0)
-		if s.Replica == "a" {
+		send := h.sendOnePart(0)
+		if send.Replica == "a" {
 			sends++
 		}
-		h.end(s, 0, OK, 50*ms)
+		h.end(send, 0, OK, 50*ms)
 	}
 	// 20 parts a second, 10 at a warm server; 0.2 to 0.5 of 1.8 times that for 4 s are 25 parts. 1/n alone is one.
 	if sends < 7 || sends > 30 {
@@ -143,16 +166,16 @@
 	}
 }
 
-// Three hundred balancers of thin traffic owe a server that warms up their part from its start on, though each owes it one in
-// many seconds, and together no more than that. Guards against all beginning with nothing owed: then none sends any
-// for so long, and the last warm replica of its shards gets them all.
+// Three hundred balancers of thin traffic owe a server that warms up their part from its start on, though each
+// owes it one in many seconds, and together no more than that. Guards against all beginning with nothing owed:
+// then none sends any for so long, and the last warm replica of its shards gets them all.
 func TestSlowStart_ServerIsNotStarvedByManyQuietBalancers(t *testing.T) {
-	const gatherers = 300
+	const balancers = 300
 	sends := 0
-	late := 0
-	for i := range gatherers {
+	inSecondSecond := 0
+	for i := range balancers {
 		settings := testSettings()
-		settings.Instances = gatherers
+		settings.Instances = balancers
 		settings.Seed = uint64(i + 1)
 		settings.CanHedge = false
 		list := []Endpoint{}
@@ -163,24 +186,27 @@
 		list[0].Started = h.now
 		h.turn(EndpointList{Kind: ListDelta, Endpoints: list[:1]})
 		for start := h.now; h.now < start+2*time.Second; h.now += 100 * ms {
-			h.b.fleet.Demand.Answered = 0.5 * slowstart.DemandPeriods * h.b.minObjective.Seconds() // it sends a part in two seconds
+			const partsPerSecond = 0.5 // of each balancer
+			h.b.fleet.Demand.Answered = partsPerSecond * slowstart.DemandPeriods * h.b.minObjective.Seconds()
 			h.turn(TimerFired{})
-			if s := h.b.servers["a"]; s.SlowStart.Credit >= 1 { // a part is sent as soon as it is owed
-				s.SlowStart.Credit--
-				if sends++; h.now >= start+time.Second {
-					late++
+			if server := h.b.servers["a"]; server.SlowStart.Credit >= 1 { // a part is sent as soon as it is owed
+				server.SlowStart.Credit--
+				sends++
+				if h.now >= start+time.Second {
+					inSecondSecond++
 				}
 			}
 		}
 	}
 	// A warm one of eight gets 18.75 parts a second of 150; 1.8 times that by 0.2 to 0.36 of its capacity is 19 in 2 s.
-	if sends < 10 || sends > 30 || late == 0 || late == sends {
-		t.Errorf("%d parts in two seconds, %d in the second of them; want about 19, in both", sends, late)
+	if sends < 10 || sends > 30 || inSecondSecond == 0 || inSecondSecond == sends {
+		t.Errorf("%d parts in two seconds, %d in the second of them; want about 19, in both", sends, inSecondSecond)
 	}
 }
 
-// Where all replicas of a shard are warming up, a query that needs sixty such parts is begun: each part may go to a replica
-// picked at random, in proportion to what these can do. Not where more is asked than servers were seen to answer.
+// Where all replicas of a shard are warming up, a query that needs sixty such parts is begun: each part may go to
+// a replica picked at random, in proportion to what these can do. Not where more is asked than servers were seen
+// to answer.
 func TestSlowStart_ReplicasAreSampledAtRandom(t *testing.T) {
 	startAll := func(h *harness) {
 		var list []Endpoint
@@ -188,17 +214,18 @@
 			list = append(list, Endpoint{Replica: id, Cell: i, Started: h.now - time.Duration(4+2*(i%2))*time.Second})
 		}
 		h.turn(EndpointList{Kind: ListDelta, Endpoints: list}) // shares of 0.52 and 0.68
-		for _, s := range h.b.servers {
-			s.SlowStart.Credit = 0
-			s.SlowStart.FirstSendThreshold = 1
+		for _, server := range h.b.servers {
+			server.SlowStart.Credit = 0
+			server.SlowStart.FirstSendThreshold = 1
 		}
 	}
 	n := map[Replica]int{}
 	parts := 0
 	for i := range 60 {
-		h := newFleetBench(t)
+		h := newFleetHarness(t)
 		h.b.rng = rand.New(rand.NewPCG(uint64(i), 1))
-		if startAll(h); i >= 40 {
+		startAll(h)
+		if i >= 40 {
 			h.b.fleet.Demand.Offered *= 10
 		}
 		sends := actionsOf[Send](h.begin(newQuery{parts: 6}))
--- a/balance/turn_test.go
+++ b/balance/turn_test.go
@@ -13,10 +13,10 @@
 			got := h.begin(newQuery{parts: 1 + i%3})
 			actions = append(actions, got...)
 			h.now += 40 * ms
-			for _, s := range actionsOf[Send](got) {
+			for _, send := range actionsOf[Send](got) {
 				actions = append(actions, h.turn(AttemptEnded{
-					Part:    s.Part,
-					Replica: s.Replica,
+					Part:    send.Part,
+					Replica: send.Replica,
 					Result:  AttemptResult(i % 3),
 				})...)
 			}
@@ -34,8 +34,8 @@
 	settings.Classes[0].Deadline = 2 * time.Minute
 	settings.Classes[0].OverdueFraction = 0.5
 	h := newHarness(t, settings)
-	if w := onlyAction[StartTimer](h, h.begin(newQuery{parts: 1})); w.After > 15*ms {
-		t.Errorf("next look after %v: a query could outlive its time", w.After)
+	if timer := onlyAction[StartTimer](h, h.begin(newQuery{parts: 1})); timer.After > 15*ms {
+		t.Errorf("next look after %v: a query could outlive its time", timer.After)
 	}
 }
 
