--- a/balance/crash_test.go
+++ b/balance/crash_test.go
@@ -5,86 +5,84 @@
 	"time"
 )
 
-// Two servers die under a query before any part came back: it ends, and its class sends one part ahead.
+// Two servers crash under a query before any part is answered: the query ends, and later queries of its class send one
+// part ahead of the others.
 func TestCrash_QueryThatCrashesServersEnds(t *testing.T) {
 	settings := testSettings()
 	settings.CanProbe = true
 	settings.Classes = append(settings.Classes, settings.Classes[0])
 	h := newHarness(t, settings)
 	h.serve(10, 100*ms)
-	id, ev := h.query(0, 3)
-	sends := actionsOf[Send](h.turn(ev...))
-	for i, s := range sends[:2] {
+	id, events := h.query(newQuery{parts: 3})
+	sends := actionsOf[Send](h.turn(events...))
+	for i, send := range sends[:2] {
 		h.now += 5 * ms
-		actions := h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: Reset, Elapsed: 50 * ms})
-		if p := onlyAction[Probe](h, actions); p.Replica != s.Replica {
-			t.Fatalf("asked %s whether it lives, want %s", p.Replica, s.Replica)
+		actions := h.turn(AttemptEnded{Part: send.Part, Replica: send.Replica, Result: Reset, Elapsed: 50 * ms})
+		if probe := onlyAction[Probe](h, actions); probe.Replica != send.Replica {
+			t.Fatalf("probed %s, want %s", probe.Replica, send.Replica)
 		}
-		h.wantNone(actions, "part sent again before the server was asked", len(actionsOf[Send](actions)))
+		h.wantNone(actions, "retry before the probe has ended", countOf[Send](actions))
 		h.now += 5 * ms
-		actions = h.turn(ProbeEnded{Replica: s.Replica, Result: ConnectFailed})
-		if over := len(actionsOf[Reject](actions)); over != i {
-			t.Fatalf("rejected %d times after %d deaths", over, i+1)
+		actions = h.turn(ProbeEnded{Replica: send.Replica, Result: ConnectFailed})
+		if over := countOf[Reject](actions); over != i {
+			t.Fatalf("rejected %d times after %d crashes", over, i+1)
 		} else if over == 1 && onlyAction[Reject](h, actions).Query != id {
 			t.Error("another query was rejected")
 		}
 	}
-	_, ev = h.query(0, 3)
-	ahead := onlyAction[Send](h, h.turn(ev...))
-	if n := len(actionsOf[Send](h.end(ahead, 0, OK, 20*ms))); n != 2 {
+	ahead := onlyAction[Send](h, h.begin(newQuery{parts: 3}))
+	if n := countOf[Send](h.end(ahead, 0, OK, 20*ms)); n != 2 {
 		t.Errorf("%d parts sent once the one ahead came back, want 2", n)
 	}
-	_, ev = h.query(1, 3)
-	if n := len(actionsOf[Send](h.turn(ev...))); n != 3 {
+	if n := countOf[Send](h.begin(newQuery{class: 1, parts: 3})); n != 3 {
 		t.Errorf("%d of 3 parts of another class sent at once", n)
 	}
 }
 
-// Connections break, but the servers live: answers are lost, and the query is innocent.
+// Where connections break and the servers are still up, only answers were lost: the query is not held responsible.
 func TestCrash_LostAnswersAreNoCrashes(t *testing.T) {
 	settings := testSettings()
 	settings.CanProbe = true
 	h := newHarness(t, settings)
 	h.serve(10, 100*ms)
-	_, ev := h.query(0, 3)
-	for _, s := range actionsOf[Send](h.turn(ev...))[:2] {
-		h.turn(AttemptEnded{Part: s.Part, Replica: s.Replica, Result: Reset, Elapsed: 50 * ms})
-		actions := h.turn(ProbeEnded{Replica: s.Replica, Result: OK})
-		if len(actionsOf[Reject](actions)) > 0 || len(actionsOf[Send](actions)) != 1 {
+	for _, send := range actionsOf[Send](h.begin(newQuery{parts: 3}))[:2] {
+		h.turn(AttemptEnded{Part: send.Part, Replica: send.Replica, Result: Reset, Elapsed: 50 * ms})
+		actions := h.turn(ProbeEnded{Replica: send.Replica, Result: OK})
+		if countOf[Reject](actions) > 0 || countOf[Send](actions) != 1 {
 			t.Errorf("want the part sent again, got %v", actions)
 		}
 	}
 }
 
-// A query under which servers died comes again with its key: it is rejected before it costs more servers.
+// A query under which servers crashed is retried with its key: it is rejected before it crashes more servers.
 func TestCrash_RetryOfACrashingQueryIsRejected(t *testing.T) {
 	h := newHarness(t, testSettings())
 	h.serve(10, 100*ms)
-	id, ev := h.query(0, 3)
+	id, events := h.query(newQuery{parts: 3})
 	keyed := func() {
-		q := ev[0].(Query)
+		q := events[0].(Query)
 		q.Key = "k"
-		ev[0] = q
+		events[0] = q
 	}
 	keyed()
-	var died []Event
-	for _, s := range actionsOf[Send](h.turn(ev...)) {
-		died = append(died, AttemptEnded{Part: s.Part, Replica: s.Replica, Result: Reset})
+	var resets []Event
+	for _, send := range actionsOf[Send](h.turn(events...)) {
+		resets = append(resets, endOf(send, Reset))
 	}
 	h.now += 50 * ms
-	if r := onlyAction[Reject](h, h.turn(died...)); r.Query != id {
-		t.Fatalf("rejected %v", r)
+	if rejection := onlyAction[Reject](h, h.turn(resets...)); rejection.Query != id {
+		t.Fatalf("rejected %v", rejection)
 	}
 	h.now += 500 * ms
-	id, ev = h.query(0, 3)
+	id, events = h.query(newQuery{parts: 3})
 	keyed()
-	if actions := h.turn(ev...); onlyAction[Reject](h, actions).Query != id || len(actionsOf[Send](actions)) > 0 {
+	if actions := h.turn(events...); onlyAction[Reject](h, actions).Query != id || countOf[Send](actions) > 0 {
 		t.Errorf("the repeat was begun: %v", actions)
 	}
 	h.now += time.Minute
-	_, ev = h.query(0, 3)
+	_, events = h.query(newQuery{parts: 3})
 	keyed()
-	if len(actionsOf[Send](h.turn(ev...))) == 0 {
+	if countOf[Send](h.turn(events...)) == 0 {
 		t.Error("the key is never served again")
 	}
 }
--- a/balance/harness_test.go
+++ b/balance/harness_test.go
@@ -10,24 +10,43 @@
 
 const ms = time.Millisecond
 
-// testSettings: one zone, three cells with a server each, every shard on all three.
+// testSettings are settings of one zone with three cells of a server each, where every shard is on all three servers.
 func testSettings() Settings {
 	return Settings{
-		Seed: 1, Instances: 2, Tick: 5 * ms,
-		Classes: []Class{{Objective: time.Second, Deadline: 3 * time.Second, Weight: 1, Idempotency: Idempotent, MinFraction: 1, CompleteFraction: 1}},
-		Cells:   3, Reach: 3, Shards: 6, MaxCallParts: 1,
-		MaxAttempts: 3, CanHedge: true, CanCancel: true, MaxRetryAfter: time.Second,
-		Rules: Rules{WarmupPeriod: 10 * time.Second, WarmupMinCapacity: 0.2, OverloadMultiple: 2, OverloadPeriod: 2 * time.Second},
+		Seed:      1,
+		Instances: 2,
+		Tick:      5 * ms,
+		Classes: []Class{{
+			Objective:        time.Second,
+			Deadline:         3 * time.Second,
+			Weight:           1,
+			Idempotency:      Idempotent,
+			MinFraction:      1,
+			CompleteFraction: 1,
+		}},
+		Cells:         3,
+		Reach:         3,
+		Shards:        6,
+		MaxCallParts:  1,
+		MaxAttempts:   3,
+		CanHedge:      true,
+		CanCancel:     true,
+		MaxRetryAfter: time.Second,
+		Rules: Rules{
+			WarmupPeriod:      10 * time.Second,
+			WarmupMinCapacity: 0.2,
+			OverloadMultiple:  2,
+			OverloadPeriod:    2 * time.Second,
+		},
 	}
 }
 
-// harness drives a Balancer by hand.
+// harness drives a Balancer turn by turn, in virtual time.
 type harness struct {
 	*testing.T
 	b    *Balancer
 	now  time.Duration
-	next ID
-	sent map[ID]int
+	next ID // of a query or part
 }
 
 func newHarness(t *testing.T, settings Settings, list ...Endpoint) *harness {
@@ -36,7 +55,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &harness{T: t, b: b, now: 100 * time.Second, next: 1, sent: map[ID]int{}}
+	h := &harness{T: t, b: b, now: 100 * time.Second, next: 1}
 	if list == nil {
 		list = threeServers()
 	}
@@ -48,24 +67,50 @@
 	return []Endpoint{{Replica: "a", Cell: 0}, {Replica: "b", Cell: 1}, {Replica: "c", Cell: 2}}
 }
 
-func (h *harness) turn(events ...Event) []Action {
-	h.Helper()
-	actions := h.b.Turn(h.now, events)
-	return actions
+// turn plays a turn at the present time.
+func (h *harness) turn(events ...Event) []Action { return h.b.Turn(h.now, events) }
+
+// newQuery describes a query of a test.
+type newQuery struct {
+	class int
+	parts int
 }
 
-// query returns the events of a query of class c with n parts. Its id comes first, those of its parts follow.
-func (h *harness) query(c, n int) (ID, []Event) {
+// query returns the events of a query and its parts. Its id comes first, those of its parts follow.
+func (h *harness) query(q newQuery) (ID, []Event) {
 	id := h.next
-	left := h.b.settings.Classes[c].Deadline
-	events := []Event{Query{ID: id, Group: uint64(id), Class: c, TimeLeft: left, Parts: n}}
-	for i := range n {
-		events = append(events, Part{ID: id + 1 + ID(i), Group: uint64(id), Shard: i, Weight: 1 / float64(n)})
+	events := []Event{Query{
+		ID:       id,
+		Group:    uint64(id),
+		Class:    q.class,
+		TimeLeft: h.b.settings.Classes[q.class].Deadline,
+		Parts:    q.parts,
+	}}
+	for i := range q.parts {
+		events = append(events, Part{
+			ID:     id + 1 + ID(i),
+			Group:  uint64(id),
+			Shard:  i,
+			Weight: 1 / float64(q.parts),
+		})
 	}
-	h.next += ID(n) + 1
+	h.next += ID(q.parts) + 1
 	return id, events
 }
 
+// begin plays a turn with a new query and returns its actions.
+func (h *harness) begin(q newQuery) []Action {
+	h.Helper()
+	_, events := h.query(q)
+	return h.turn(events...)
+}
+
+// sendOnePart begins a query of one part, which must be sent at once.
+func (h *harness) sendOnePart(class int) Send {
+	h.Helper()
+	return onlyAction[Send](h, h.begin(newQuery{class: class, parts: 1}))
+}
+
 func actionsOf[T Action](actions []Action) (found []T) {
 	for _, a := range actions {
 		if t, ok := a.(T); ok {
@@ -75,6 +120,9 @@
 	return found
 }
 
+// countOf returns how many of the actions are of a type.
+func countOf[T Action](actions []Action) int { return len(actionsOf[T](actions)) }
+
 func onlyAction[T Action](h *harness, actions []Action) T {
 	h.Helper()
 	found := actionsOf[T](actions)
@@ -92,33 +140,38 @@
 	}
 }
 
-// end reports an attempt's outcome after took.
+// endOf is the end of a part's first attempt.
+func endOf(send Send, result AttemptResult) AttemptEnded {
+	return AttemptEnded{Part: send.Part, Replica: send.Replica, Result: result}
+}
+
+// end ends an attempt after the time that it took.
 func (h *harness) end(s Send, attempt int, r AttemptResult, took time.Duration) []Action {
 	h.Helper()
 	h.now += took
 	return h.turn(AttemptEnded{Part: s.Part, Attempt: attempt, Replica: s.Replica, Result: r, Elapsed: took})
 }
 
-// serve runs n one-part queries to their answers, each in took.
+// serve runs n one-part queries to their answers; each takes so long.
 func (h *harness) serve(n int, took time.Duration) {
 	h.Helper()
 	for range n {
-		id, ev := h.query(0, 1)
-		s := onlyAction[Send](h, h.turn(ev...))
-		if a := onlyAction[Answer](h, h.end(s, 0, OK, took)); a.Query != id || !a.Complete {
-			h.Fatalf("answer %v for query %d", a, id)
+		id, events := h.query(newQuery{parts: 1})
+		send := onlyAction[Send](h, h.turn(events...))
+		if answer := onlyAction[Answer](h, h.end(send, 0, OK, took)); answer.Query != id || !answer.Complete {
+			h.Fatalf("answer %v for query %d", answer, id)
 		}
 	}
 }
 
-// hedged runs queries of 100 ms and then one whose part is late; it returns that part's attempt and the copy.
+// hedged runs queries of 100 ms and then one whose part is overdue; it returns that part's attempt and the hedged
+// request.
 func (h *harness) hedged() (Send, Hedge) {
 	h.Helper()
 	h.serve(60, 100*ms)
-	_, ev := h.query(0, 1)
-	s := onlyAction[Send](h, h.turn(ev...))
+	send := h.sendOnePart(0)
 	h.now += 600 * ms
-	return s, onlyAction[Hedge](h, h.turn(TimerFired{}))
+	return send, onlyAction[Hedge](h, h.turn(TimerFired{}))
 }
 
 // attemptsInOrder returns the attempts in flight in the order in which they were sent.
@@ -136,46 +189,63 @@
 	return list
 }
 
-// serveFirst runs n one-part queries through both steps, 100 ms each.
-func (h *harness) serveFirst(n int) {
+// serveBothSteps runs n one-part queries through both of their steps, 100 ms each.
+func (h *harness) serveBothSteps(n int) {
 	h.Helper()
 	for range n {
-		id, ev := h.query(0, 1)
-		onlyAction[Answer](h, h.end(onlyAction[Send](h, h.turn(ev...)), 0, OK, 100*ms))
+		id, events := h.query(newQuery{parts: 1})
+		onlyAction[Answer](h, h.end(onlyAction[Send](h, h.turn(events...)), 0, OK, 100*ms))
 		h.next++
-		s := onlyAction[Send](h, h.turn(Part{ID: h.next, Group: uint64(id), Weight: 1}))
-		onlyAction[Answer](h, h.end(s, 0, OK, 100*ms))
+		send := onlyAction[Send](h, h.turn(Part{ID: h.next, Group: uint64(id), Weight: 1}))
+		onlyAction[Answer](h, h.end(send, 0, OK, 100*ms))
 		h.next++
 	}
 }
 
-// twoClasses: class 1 is like class 0, or unsafe.
-func twoClasses(e Idempotency) Settings {
+// twoClasses are settings with a second class that differs in its idempotency.
+func twoClasses(idempotency Idempotency) Settings {
 	settings := testSettings()
 	settings.CanHedge = false
 	settings.Classes = append(settings.Classes, settings.Classes[0])
-	settings.Classes[1].Idempotency = e
+	settings.Classes[1].Idempotency = idempotency
 	return settings
 }
 
-// Shares of a server that the fleet finds to lose nearly all of its parts.
+// almostNoTraffic is the traffic fraction of a server that the fleet found to lose nearly all of its parts.
 const almostNoTraffic = 0.005
 
-// newFleetBench is one of 300 balancers, whose classes are a search that needs every part, and a report that half of them do
-// for. Every shard is on the same four servers.
-func newFleetBench(t *testing.T, out ...Replica) *harness {
+// newFleetHarness drives one of 300 balancers. Class 0 is a search that needs every part, class 1 a report for
+// which half of the parts are enough. Every shard is on the same four servers, of which those excluded get almost
+// no traffic.
+func newFleetHarness(t *testing.T, excluded ...Replica) *harness {
+	t.Helper()
 	settings := testSettings()
-	settings.Instances, settings.CanHedge, settings.Cells, settings.Reach, settings.MaxAttempts = 300, false, 4, 4, 4
+	settings.Instances = 300
+	settings.CanHedge = false
+	settings.Cells = 4
+	settings.Reach = 4
+	settings.MaxAttempts = 4
 	report := settings.Classes[0]
-	report.MinFraction, report.PartialFraction, report.OverdueFraction = 0.5, 0.8, 0.1
+	report.MinFraction = 0.5
+	report.PartialFraction = 0.8
+	report.OverdueFraction = 0.1
 	settings.Classes = append(settings.Classes, report)
-	h := newHarness(t, settings, Endpoint{Replica: "a", Cell: 0}, Endpoint{Replica: "b", Cell: 1}, Endpoint{Replica: "c", Cell: 2}, Endpoint{Replica: "d", Cell: 3})
+	h := newHarness(
+		t,
+		settings,
+		Endpoint{Replica: "a", Cell: 0},
+		Endpoint{Replica: "b", Cell: 1},
+		Endpoint{Replica: "c", Cell: 2},
+		Endpoint{Replica: "d", Cell: 3},
+	)
 	h.serve(60, 100*ms)
 	var list []Endpoint
-	for _, id := range out {
-		m := Endpoint{Replica: id, Cell: int(id[0] - 'a')}
-		m.TrafficFraction = almostNoTraffic
-		list = append(list, m)
+	for _, id := range excluded {
+		list = append(list, Endpoint{
+			Replica:      id,
+			Cell:         int(id[0] - 'a'),
+			HealthLimits: HealthLimits{TrafficFraction: almostNoTraffic},
+		})
 	}
 	h.turn(EndpointList{Kind: ListDelta, Endpoints: list})
 	return h
@@ -183,8 +253,8 @@
 
 func countByReplica(sends []Send) map[Replica]int {
 	n := map[Replica]int{}
-	for _, s := range sends {
-		n[s.Replica]++
+	for _, send := range sends {
+		n[send.Replica]++
 	}
 	return n
 }
--- a/balance/limits_test.go
+++ b/balance/limits_test.go
@@ -10,10 +10,9 @@
 	h.Helper()
 	got := map[Replica]int{}
 	for range n {
-		_, events := h.query(0, 1)
-		s := onlyAction[Send](h, h.turn(events...))
-		got[s.Replica]++
-		h.end(s, 0, OK, 50*ms)
+		send := h.sendOnePart(0)
+		got[send.Replica]++
+		h.end(send, 0, OK, 50*ms)
 	}
 	return got
 }
@@ -24,49 +23,77 @@
 	return list
 }
 
-// An ejected server gets nothing of that class while another replica is listed, but for one part for each half-open request that
-// is granted; where all are ejected, parts go there all the same.
+// An ejected server gets nothing of that class while another replica is listed, but for one part for each
+// half-open request that is granted; where all are ejected, parts go there all the same.
 func TestLimits_EjectedServerGetsHalfOpenRequestsOnly(t *testing.T) {
 	h := newHarness(t, testSettings(), endpointsWithLimits(HealthLimits{EjectedClasses: 1})...)
 	if n := h.counts(50)["a"]; n != 0 {
 		t.Fatalf("%d parts at an ejected server", n)
 	}
-	h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", Cell: 0, HealthLimits: HealthLimits{EjectedClasses: 1, HalfOpenClasses: 1}}}})
-	// Told again for another reason, before it is used: still one.
-	h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", Cell: 0, HealthLimits: HealthLimits{EjectedClasses: 1, TrafficFraction: 0.5}}}})
+	h.turn(EndpointList{
+		Kind: ListDelta,
+		Endpoints: []Endpoint{{
+			Replica:      "a",
+			Cell:         0,
+			HealthLimits: HealthLimits{EjectedClasses: 1, HalfOpenClasses: 1},
+		}},
+	})
+	// A later update, before the half-open request is used, grants no second one.
+	h.turn(EndpointList{
+		Kind: ListDelta,
+		Endpoints: []Endpoint{{
+			Replica:      "a",
+			Cell:         0,
+			HealthLimits: HealthLimits{EjectedClasses: 1, TrafficFraction: 0.5},
+		}},
+	})
 	if n := h.counts(50)["a"]; n != 1 {
 		t.Fatalf("%d parts at an ejected server for one half-open request", n)
 	}
 	h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{
-		{Replica: "a", Cell: 0, HealthLimits: HealthLimits{EjectedClasses: 1}}, {Replica: "b", Cell: 1, State: Removed}, {Replica: "c", Cell: 2, HealthLimits: HealthLimits{EjectedClasses: 3}},
+		{
+			Replica:      "a",
+			Cell:         0,
+			HealthLimits: HealthLimits{EjectedClasses: 1},
+		}, {
+			Replica: "b",
+			Cell:    1,
+			State:   Removed,
+		}, {
+			Replica:      "c",
+			Cell:         2,
+			HealthLimits: HealthLimits{EjectedClasses: 3},
+		},
 	}})
 	if got := h.counts(20); got["a"]+got["c"] != 20 {
 		t.Fatalf("%v", got)
 	}
 }
 
-// What is not idempotent waits for a replica that is busy rather than go to one that is ejected.
+// A part that is not idempotent waits for a busy replica rather than go to an ejected one.
 func TestLimits_EjectedServerIsNoWayAroundABusyOne(t *testing.T) {
 	settings := testSettings()
 	settings.Classes[0].Idempotency = NonIdempotent
-	h := newHarness(t, settings, Endpoint{Replica: "a", Cell: 0, HealthLimits: HealthLimits{EjectedClasses: 1}}, Endpoint{Replica: "b", Cell: 1, HealthLimits: HealthLimits{MaxInFlight: 1}})
-	_, events := h.query(0, 1)
-	if s := onlyAction[Send](h, h.turn(events...)); s.Replica != "b" {
-		t.Fatalf("sent to %s", s.Replica)
+	h := newHarness(
+		t,
+		settings,
+		Endpoint{Replica: "a", Cell: 0, HealthLimits: HealthLimits{EjectedClasses: 1}},
+		Endpoint{Replica: "b", Cell: 1, HealthLimits: HealthLimits{MaxInFlight: 1}},
+	)
+	if send := h.sendOnePart(0); send.Replica != "b" {
+		t.Fatalf("sent to %s", send.Replica)
 	}
-	_, events = h.query(0, 1)
-	actions := h.turn(events...)
-	h.wantNone(actions, "second part at a server that takes one", len(actionsOf[Send](actions)))
+	actions := h.begin(newQuery{parts: 1})
+	h.wantNone(actions, "second part at a server that takes one", countOf[Send](actions))
 }
 
-// A server takes no more parts at once than it says.
+// A server gets no more parts at once than its limit of requests in flight.
 func TestLimits_MaxInFlight(t *testing.T) {
 	h := newHarness(t, testSettings(), endpointsWithLimits(HealthLimits{MaxInFlight: 2})...)
 	out := 0
 	for range 30 {
-		_, events := h.query(0, 1)
-		for _, s := range actionsOf[Send](h.turn(events...)) {
-			if s.Replica == "a" {
+		for _, send := range actionsOf[Send](h.begin(newQuery{parts: 1})) {
+			if send.Replica == "a" {
 				out++
 			}
 		}
@@ -76,7 +103,7 @@
 	}
 }
 
-// A share of a half beside two whole ones: a fifth of the parts, about.
+// A server with traffic fraction 0.25 beside two with all of their traffic gets 8 to 20 % of the parts.
 func TestLimits_TrafficFraction(t *testing.T) {
 	h := newHarness(t, testSettings(), endpointsWithLimits(HealthLimits{TrafficFraction: 0.25})...)
 	got := h.counts(2000)
@@ -90,14 +117,14 @@
 	trace := func(e HealthLimits) (got []Replica) {
 		h := newHarness(t, testSettings(), endpointsWithLimits(e)...)
 		for range 200 {
-			_, events := h.query(0, 1)
-			s := onlyAction[Send](h, h.turn(events...))
-			got = append(got, s.Replica)
-			h.end(s, 0, OK, time.Duration(20+len(got)%7*10)*ms)
+			send := h.sendOnePart(0)
+			got = append(got, send.Replica)
+			h.end(send, 0, OK, time.Duration(20+len(got)%7*10)*ms)
 		}
 		return got
 	}
-	plain, full := trace(HealthLimits{}), trace(HealthLimits{TrafficFraction: 1})
+	plain := trace(HealthLimits{})
+	full := trace(HealthLimits{TrafficFraction: 1})
 	for i := range plain {
 		if plain[i] != full[i] {
 			t.Fatalf("choice %d: %s, not %s", i, full[i], plain[i])
@@ -105,12 +132,12 @@
 	}
 }
 
-// A part that names its replicas goes to them only; one whose copy warms up gets its share; when the last is taken away
-// the query ends at once, and a replica given instead is asked.
+// A part that names its candidates goes to them only, and to one with a traffic fraction less often. When the last
+// candidate is removed the query ends at once; a replica that replaces it gets the part.
 func TestLimits_PartsNameTheirCandidates(t *testing.T) {
 	h := newHarness(t, testSettings())
 	holders := func(list ...Candidate) (ID, []Event) {
-		id, events := h.query(0, 1)
+		id, events := h.query(newQuery{parts: 1})
 		p := events[1].(Part)
 		p.Candidates = list
 		events[1] = p
@@ -118,22 +145,32 @@
 	}
 	got := map[Replica]int{}
 	for range 1000 {
-		_, events := holders(Candidate{Replica: "a", TrafficFraction: 0.25}, Candidate{Replica: "b"}, Candidate{Replica: "unlisted"})
-		s := onlyAction[Send](h, h.turn(events...))
-		got[s.Replica]++
-		h.end(s, 0, OK, 50*ms)
+		_, events := holders(
+			Candidate{Replica: "a", TrafficFraction: 0.25},
+			Candidate{Replica: "b"},
+			Candidate{Replica: "unlisted"},
+		)
+		send := onlyAction[Send](h, h.turn(events...))
+		got[send.Replica]++
+		h.end(send, 0, OK, 50*ms)
 	}
 	if got["c"] != 0 || got["a"] < 50 || got["a"] > 350 || got["a"]+got["b"] != 1000 {
 		t.Errorf("%v", got)
 	}
 	id, events := holders(Candidate{Replica: "a"})
-	s := onlyAction[Send](h, h.turn(events...))
-	if actions := h.turn(CandidatesChanged{Part: s.Part, Candidates: []Candidate{}}, AttemptEnded{Part: s.Part, Replica: "a", Result: NotSent}); onlyAction[Reject](h, actions).Query != id {
+	send := onlyAction[Send](h, h.turn(events...))
+	if actions := h.turn(
+		CandidatesChanged{Part: send.Part, Candidates: []Candidate{}},
+		AttemptEnded{Part: send.Part, Replica: "a", Result: NotSent},
+	); onlyAction[Reject](h, actions).Query != id {
 		t.Errorf("%v", actions)
 	}
 	_, events = holders(Candidate{Replica: "a"})
-	s = onlyAction[Send](h, h.turn(events...))
-	if actions := h.turn(CandidatesChanged{Part: s.Part, Candidates: []Candidate{{Replica: "c"}}}, AttemptEnded{Part: s.Part, Replica: "a", Result: NotSent}); onlyAction[Send](h, actions).Replica != "c" {
+	send = onlyAction[Send](h, h.turn(events...))
+	if actions := h.turn(
+		CandidatesChanged{Part: send.Part, Candidates: []Candidate{{Replica: "c"}}},
+		AttemptEnded{Part: send.Part, Replica: "a", Result: NotSent},
+	); onlyAction[Send](h, actions).Replica != "c" {
 		t.Errorf("%v", actions)
 	}
 }
--- a/balance/progress.go
+++ b/balance/progress.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rooktrestle/internal/control/estimate"
+	"rooktrestle/internal/control/retrydetect"
 )
 
 const (
@@ -40,16 +41,26 @@
 	return p.completable() || p.reachable >= p.least-weightTolerance && p.least < p.needed
 }
 
+// ending is what becomes of a query's step.
+type ending int
+
+const (
+	continues ending = iota
+	answeredComplete
+	answeredPartly
+	givenUp
+)
+
 // progress sums up the parts of a query's step.
 func (q *query) progress() progress {
 	done := progress{needed: q.neededWeight(), least: q.minWeight()}
-	for _, p := range q.parts {
-		if p.answered {
-			done.weight += p.Weight
+	for _, part := range q.parts {
+		if part.answered {
+			done.weight += part.Weight
 			done.answered++
 		}
-		if !p.abandoned {
-			done.reachable += p.Weight
+		if !part.abandoned {
+			done.reachable += part.Weight
 		}
 	}
 	done.waiting = q.step > 0 && done.answered < len(q.parts)
@@ -84,8 +95,13 @@
 
 // timeSpent is how long a client has waited in earlier attempts of a query; it counts against the objective.
 func (b *Balancer) timeSpent(e Query) time.Duration {
-	tolerance := timeLeftToleranceTicks * b.settings.Tick
-	if b.firstAttempts[e.Class].IsFirstAttempt(e.TimeLeft, b.settings.ClientsMarkRetries, e.IsRetry, tolerance) {
+	attempt := retrydetect.Attempt{
+		TimeLeft:     e.TimeLeft,
+		Tolerance:    timeLeftToleranceTicks * b.settings.Tick,
+		ClientsMark:  b.settings.ClientsMarkRetries,
+		MarkedARetry: e.IsRetry,
+	}
+	if b.firstAttempts[e.Class].IsFirstAttempt(attempt) {
 		return 0
 	}
 	return max(0, b.settings.Classes[e.Class].Deadline-e.TimeLeft)
--- a/balance/selection_test.go
+++ b/balance/selection_test.go
@@ -11,12 +11,13 @@
 func TestChoose_LowestRank(t *testing.T) {
 	h := newHarness(t, testSettings())
 	for i, name := range []Replica{"a", "b", "c"} {
-		s := h.b.servers[name]
-		s.Measured, s.ReportedAt, s.Averages = true, h.now, estimate.Averages{Latency: 100e3, ServiceTime: 100e3, Queue: float64(3 - i)}
+		server := h.b.servers[name]
+		server.Measured = true
+		server.ReportedAt = h.now
+		server.Averages = estimate.Averages{Latency: 100e3, ServiceTime: 100e3, Queue: float64(3 - i)}
 	}
-	_, ev := h.query(0, 1)
-	if s := onlyAction[Send](h, h.turn(ev...)); s.Replica != "c" {
-		t.Errorf("sent to %s, want c with the shortest queue", s.Replica)
+	if send := h.sendOnePart(0); send.Replica != "c" {
+		t.Errorf("sent to %s, want c with the shortest queue", send.Replica)
 	}
 	// R 100, S 100: losers move half way to the winner's q of 1, the winner stays.
 	if a, b := h.b.servers["a"].Queue, h.b.servers["b"].Queue; a != 2 || b != 1.5 {
@@ -26,10 +27,10 @@
 
 func TestChoose_PartsOfOneTurnSpread(t *testing.T) {
 	h := newHarness(t, testSettings())
-	_, ev := h.query(0, 3)
+	_, events := h.query(newQuery{parts: 3})
 	used := map[Replica]bool{}
-	for _, s := range actionsOf[Send](h.turn(ev...)) {
-		used[s.Replica] = true
+	for _, send := range actionsOf[Send](h.turn(events...)) {
+		used[send.Replica] = true
 	}
 	if len(used) != 3 {
 		t.Errorf("three parts went to %d servers: os must rise at once", len(used))
@@ -39,21 +40,20 @@
 func TestChoose_FailingServerIsAvoidedAndRecovers(t *testing.T) {
 	h := newHarness(t, testSettings())
 	h.serve(30, 100*ms)
-	_, ev := h.query(0, 1)
-	s := onlyAction[Send](h, h.turn(ev...))
-	bad := s.Replica
-	s = onlyAction[Send](h, h.end(s, 0, Failed, 2*ms))
-	onlyAction[Answer](h, h.end(s, 1, OK, 100*ms))
+	send := h.sendOnePart(0)
+	bad := send.Replica
+	send = onlyAction[Send](h, h.end(send, 0, Failed, 2*ms))
+	onlyAction[Answer](h, h.end(send, 1, OK, 100*ms))
 	halfOpenRequests := 0
 	for i := range 40 {
-		_, ev := h.query(0, 1)
-		s := onlyAction[Send](h, h.turn(ev...))
-		if s.Replica == bad {
-			if halfOpenRequests++; i == 0 {
+		send := h.sendOnePart(0)
+		if send.Replica == bad {
+			halfOpenRequests++
+			if i == 0 {
 				t.Error("the next part went to the server that just failed")
 			}
 		}
-		onlyAction[Answer](h, h.end(s, 0, OK, 100*ms))
+		onlyAction[Answer](h, h.end(send, 0, OK, 100*ms))
 	}
 	if halfOpenRequests == 0 || h.b.servers[bad].Penalty > 0 {
 		t.Errorf("%d half-open requests, penalty %v: it must come back", halfOpenRequests, h.b.servers[bad].Penalty)
@@ -63,13 +63,11 @@
 func TestChoose_UnresponsiveServerGetsNothing(t *testing.T) {
 	h := newHarness(t, testSettings())
 	h.serve(60, 100*ms)
-	_, ev := h.query(0, 1)
-	unresponsive := onlyAction[Send](h, h.turn(ev...)).Replica
+	unresponsive := h.sendOnePart(0).Replica
 	h.now += 500 * ms
 	h.turn(TimerFired{})
 	for range 6 {
-		_, ev := h.query(0, 1)
-		if s := onlyAction[Send](h, h.turn(ev...)); s.Replica == unresponsive {
+		if send := h.sendOnePart(0); send.Replica == unresponsive {
 			t.Errorf("a part went to %s, which answers nothing", unresponsive)
 		}
 	}
@@ -78,38 +76,40 @@
 func TestChoose_AllUnhealthyAreStillSent(t *testing.T) {
 	h := newHarness(t, testSettings())
 	h.serve(30, 100*ms)
-	for _, s := range h.b.servers {
-		s.Penalty, s.NextHalfOpen = 2, h.now+time.Hour
+	for _, server := range h.b.servers {
+		server.Penalty = 2
+		server.NextHalfOpen = h.now + time.Hour
 	}
-	_, ev := h.query(0, 3)
-	if n := len(actionsOf[Send](h.turn(ev...))); n != 3 {
+	if n := countOf[Send](h.begin(newQuery{parts: 3})); n != 3 {
 		t.Errorf("%d of 3 parts sent with every server unhealthy", n)
 	}
 }
 
 func TestChoose_FullServerIsAvoidedForAWhile(t *testing.T) {
 	h := newHarness(t, testSettings())
-	_, ev := h.query(0, 1)
-	s := onlyAction[Send](h, h.turn(ev...))
-	full := s.Replica
-	onlyAction[Send](h, h.end(s, 0, QueueFull, 2*ms))
+	send := h.sendOnePart(0)
+	full := send.Replica
+	onlyAction[Send](h, h.end(send, 0, QueueFull, 2*ms))
 	for range 4 {
-		_, ev := h.query(0, 1)
-		if s := onlyAction[Send](h, h.turn(ev...)); s.Replica == full {
+		if send := h.sendOnePart(0); send.Replica == full {
 			t.Error("a part went to a server that is full")
 		}
 	}
 }
 
 func TestChoose_TiesGoToTheOwnZone(t *testing.T) {
-	h := newHarness(t, testSettings(), Endpoint{Replica: "a", Cell: 0, Zone: 1}, Endpoint{Replica: "b", Cell: 1, Zone: 0})
+	h := newHarness(
+		t,
+		testSettings(),
+		Endpoint{Replica: "a", Cell: 0, Zone: 1},
+		Endpoint{Replica: "b", Cell: 1, Zone: 0},
+	)
 	for range 20 {
-		_, ev := h.query(0, 1)
-		s := onlyAction[Send](h, h.turn(ev...))
-		if s.Replica != "b" {
+		send := h.sendOnePart(0)
+		if send.Replica != "b" {
 			t.Fatal("a tie left the own zone")
 		}
-		onlyAction[Answer](h, h.end(s, 0, OK, 100*ms))
+		onlyAction[Answer](h, h.end(send, 0, OK, 100*ms))
 	}
 }
 
@@ -120,14 +120,12 @@
 	slow.Recent = []float64{900e3, 900e3, 900e3, 900e3}
 	slow.NextHalfOpen = h.now + time.Hour
 	for range 9 {
-		_, ev := h.query(0, 1)
-		if s := onlyAction[Send](h, h.turn(ev...)); s.Replica == "a" {
+		if send := h.sendOnePart(0); send.Replica == "a" {
 			t.Fatal("a part went to a slow server")
 		}
 	}
 	slow.NextHalfOpen = 0
-	_, ev := h.query(0, 1)
-	if s := onlyAction[Send](h, h.turn(ev...)); s.Replica != "a" {
+	if send := h.sendOnePart(0); send.Replica != "a" {
 		t.Error("a slow server is never tried again")
 	}
 }
@@ -137,15 +135,14 @@
 	h.serve(40, 100*ms)
 	slow := h.b.servers["a"]
 	slow.Recent = []float64{900e3, 900e3, 900e3, 900e3}
-	for _, s := range h.b.servers {
-		s.NextHalfOpen = h.now + time.Hour
-		if s != slow {
-			s.Penalty = 2
+	for _, server := range h.b.servers {
+		server.NextHalfOpen = h.now + time.Hour
+		if server != slow {
+			server.Penalty = 2
 		}
 	}
-	_, ev := h.query(0, 3)
-	for _, s := range actionsOf[Send](h.turn(ev...)) {
-		if s.Replica == "a" {
+	for _, send := range actionsOf[Send](h.begin(newQuery{parts: 3})) {
+		if send.Replica == "a" {
 			t.Error("a part went to the slow server")
 		}
 	}
@@ -164,30 +161,31 @@
 	}
 }
 
-// A server that refuses connections draws nothing for a spell, which grows.
+// A server that refuses connections gets nothing for a time that grows with each failure.
 func TestChoose_DownServerIsAvoided(t *testing.T) {
 	h := newHarness(t, testSettings())
 	h.serve(30, 100*ms)
 	down := h.b.servers["a"]
-	for _, s := range h.b.servers {
-		s.avoidUntil = h.now + time.Hour
+	for _, server := range h.b.servers {
+		server.avoidUntil = h.now + time.Hour
 	}
 	down.avoidUntil = h.now
-	var spells []time.Duration
-	_, ev := h.query(0, 1)
-	for try := range 2 {
-		s := onlyAction[Send](h, h.turn(ev...))
-		actions := h.end(s, try, ConnectFailed, 5*ms)
-		h.wantNone(actions, "send to a server just found down", len(actionsOf[Send](actions)))
-		spells = append(spells, down.avoidUntil-h.now)
-		down.avoidUntil, ev = 0, nil
-	}
-	if spells[0] <= 0 || spells[1] <= spells[0] {
-		t.Errorf("kept off for %v, want a spell that grows", spells)
+	var delays []time.Duration
+	_, events := h.query(newQuery{parts: 1})
+	for attempt := range 2 {
+		send := onlyAction[Send](h, h.turn(events...))
+		actions := h.end(send, attempt, ConnectFailed, 5*ms)
+		h.wantNone(actions, "send to a server just found down", countOf[Send](actions))
+		delays = append(delays, down.avoidUntil-h.now)
+		down.avoidUntil = 0
+		events = nil
+	}
+	if delays[0] <= 0 || delays[1] <= delays[0] {
+		t.Errorf("kept off for %v, want a time that grows", delays)
 	}
 }
 
-// n balancers try a bad server: each leaves it the longer, the more there are.
+// The more balancers there are, the longer each of them waits between half-open requests to a faulty server.
 func TestChoose_HalfOpenRequestsAreSpacedByInstances(t *testing.T) {
 	var gaps []time.Duration
 	for _, n := range []int{2, 80} {
@@ -195,29 +193,30 @@
 		settings.Instances = n
 		h := newHarness(t, settings)
 		h.serve(30, 100*ms)
-		_, ev := h.query(0, 1)
-		s := onlyAction[Send](h, h.turn(ev...))
-		h.end(s, 0, Failed, 2*ms)
-		gaps = append(gaps, h.b.servers[s.Replica].NextHalfOpen-h.now)
+		send := h.sendOnePart(0)
+		h.end(send, 0, Failed, 2*ms)
+		gaps = append(gaps, h.b.servers[send.Replica].NextHalfOpen-h.now)
 	}
 	if gaps[0] <= 0 || gaps[1] < 4*gaps[0] {
 		t.Errorf("half-open requests after %v: at n = 80 each must wait over four times as long as at 2", gaps)
 	}
 }
 
-// With many balancers a half-open request is due at every unhealthy server when a wide query comes: it carries one.
+// With many balancers a half-open request is due at every unhealthy server when a wide query comes: only one of
+// its parts is sent as one.
 func TestChoose_QueryCarriesOneHalfOpenRequest(t *testing.T) {
 	h := newHarness(t, testSettings(), twoZones()...)
 	h.serve(60, 100*ms)
-	for i, s := range h.b.endpoints {
+	for i, server := range h.b.endpoints {
 		if i < 6 {
-			s.Penalty, s.NextHalfOpen = 1, 0
+			server.Penalty = 1
+			server.NextHalfOpen = 0
 		}
 	}
-	_, ev := h.query(0, 6)
+	_, events := h.query(newQuery{parts: 6})
 	halfOpenRequests := 0
-	for _, s := range actionsOf[Send](h.turn(ev...)) {
-		if h.b.servers[s.Replica].Penalty > 0 {
+	for _, send := range actionsOf[Send](h.turn(events...)) {
+		if h.b.servers[send.Replica].Penalty > 0 {
 			halfOpenRequests++
 		}
 	}
@@ -226,7 +225,7 @@
 	}
 }
 
-// A server that loses one class of queries and serves the others: a late part of that class is canceled though
+// A server loses one class of queries and serves the others: an overdue part of that class is canceled though
 // others are answered, and the class goes elsewhere.
 func TestChoose_ServerThatLosesOneClass(t *testing.T) {
 	h := newHarness(t, twoClasses(Idempotent))
@@ -235,24 +234,21 @@
 	bad := h.b.servers["a"]
 	var lost Send
 	for lost.Replica != "a" {
-		_, ev := h.query(0, 1)
-		if s := onlyAction[Send](h, h.turn(ev...)); s.Replica == "a" {
-			lost = s
+		if send := h.sendOnePart(0); send.Replica == "a" {
+			lost = send
 		} else {
-			h.end(s, 0, OK, 100*ms)
+			h.end(send, 0, OK, 100*ms)
 		}
 	}
 	other := func() (sent bool) {
-		_, ev := h.query(1, 1)
-		s := onlyAction[Send](h, h.turn(ev...))
-		h.end(s, 0, OK, 100*ms)
-		return s.Replica == "a"
+		send := h.sendOnePart(1)
+		h.end(send, 0, OK, 100*ms)
+		return send.Replica == "a"
 	}
 	var calledOff []Cancel
 	for i := 0; len(calledOff) == 0 && i < 20; i++ {
 		bad.LastSuccess = h.now // it answers the other class all the time
-		_, ev := h.query(1, 1)
-		actions := h.turn(ev...)
+		actions := h.begin(newQuery{class: 1, parts: 1})
 		actions = append(actions, h.end(actionsOf[Send](actions)[0], 0, OK, 100*ms)...)
 		calledOff = actionsOf[Cancel](actions)
 	}
@@ -272,63 +268,68 @@
 	}
 }
 
-// What is not idempotent does not try an unhealthy server while other classes can.
+// A part that is not idempotent is not used as a half-open request while parts of other classes can be.
 func TestChoose_NonIdempotentPartsAreTheLastHalfOpenRequests(t *testing.T) {
 	h := newHarness(t, twoClasses(NonIdempotent))
 	h.serve(30, 100*ms)
-	h.b.servers["a"].Penalty, h.b.servers["a"].NextHalfOpen = 1, h.now
+	h.b.servers["a"].Penalty = 1
+	h.b.servers["a"].NextHalfOpen = h.now
 	for _, class := range []int{1, 0} { // a half-open request is due
-		_, ev := h.query(class, 1)
-		if s := onlyAction[Send](h, h.turn(ev...)); (s.Replica == "a") != (class == 0) {
-			t.Errorf("class %d goes to %s", class, s.Replica)
+		if send := h.sendOnePart(class); (send.Replica == "a") != (class == 0) {
+			t.Errorf("class %d goes to %s", class, send.Replica)
 		}
 	}
 }
 
-// Where no replica is healthy, one that loses the class comes after one that is slow.
+// Where no replica is healthy, a slow one is preferred to one that loses the class.
 func TestChoose_ReplicaThatLosesTheClassIsTheLastResort(t *testing.T) {
 	h := newHarness(t, twoClasses(Idempotent))
 	h.serve(40, 100*ms)
-	for id, s := range h.b.servers {
-		s.NextHalfOpen = h.now + time.Hour
-		s.PerClass[0].NextHalfOpen = s.NextHalfOpen
+	for id, server := range h.b.servers {
+		server.NextHalfOpen = h.now + time.Hour
+		server.PerClass[0].NextHalfOpen = server.NextHalfOpen
 		if id == "a" {
-			s.Recent = []float64{900e3, 900e3, 900e3, 900e3}
+			server.Recent = []float64{900e3, 900e3, 900e3, 900e3}
 		} else {
-			s.PerClass[0].Penalty = 1
+			server.PerClass[0].Penalty = 1
 		}
 	}
 	for class, want := range []bool{true, false} {
-		_, ev := h.query(class, 1)
-		if s := onlyAction[Send](h, h.turn(ev...)); (s.Replica == "a") != want {
-			t.Errorf("class %d goes to %s", class, s.Replica)
+		if send := h.sendOnePart(class); (send.Replica == "a") != want {
+			t.Errorf("class %d goes to %s", class, send.Replica)
 		}
 	}
 }
 
-// A server that loses some answers is of use while the healthy ones are busy, but not to what is not idempotent,
-// nor once it loses most.
+// A server that loses some answers is used while the healthy ones are busy, but not for parts that are not
+// idempotent, nor once it loses most answers.
 func TestChoose_ServerThatLosesSomeAnswersHelpsTheBusy(t *testing.T) {
-	for _, c := range []struct {
+	for _, test := range []struct {
 		loss   float64
 		busy   int // parts in flight at the healthy servers
 		effect Idempotency
 		want   bool
-	}{{0.25, 8, Idempotent, true}, {0.25, 0, Idempotent, false}, {0.8, 8, Idempotent, false}, {0.25, 8, NonIdempotent, false}} {
-		h := newHarness(t, twoClasses(c.effect))
+	}{
+		{loss: 0.25, busy: 8, effect: Idempotent, want: true},
+		{loss: 0.25, busy: 0, effect: Idempotent, want: false},
+		{loss: 0.8, busy: 8, effect: Idempotent, want: false},
+		{loss: 0.25, busy: 8, effect: NonIdempotent, want: false},
+	} {
+		h := newHarness(t, twoClasses(test.effect))
 		h.serve(60, 100*ms)
-		for id, s := range h.b.servers {
+		for id, server := range h.b.servers {
 			if id == "a" {
-				s.PerClass[1].Penalty, s.PerClass[1].LossRate, s.PerClass[1].NextHalfOpen = 1, c.loss, h.now+time.Hour
+				server.PerClass[1].Penalty = 1
+				server.PerClass[1].LossRate = test.loss
+				server.PerClass[1].NextHalfOpen = h.now + time.Hour
 				continue
 			}
-			for range c.busy {
-				s.InFlight = append(s.InFlight, h.now)
+			for range test.busy {
+				server.InFlight = append(server.InFlight, h.now)
 			}
 		}
-		_, ev := h.query(1, 1)
-		if s := onlyAction[Send](h, h.turn(ev...)); (s.Replica == "a") != c.want {
-			t.Errorf("%+v: went to %s", c, s.Replica)
+		if send := h.sendOnePart(1); (send.Replica == "a") != test.want {
+			t.Errorf("%+v: went to %s", test, send.Replica)
 		}
 	}
 	var of suspicion.Record
@@ -341,42 +342,45 @@
 }
 
 // A part waits for a replica that is full for a moment, and does not spend its attempts at one that has next to no
-// share. Guards against searches that died of a part in 60 ms, while its two healthy replicas served others.
+// traffic. Guards against searches that failed within 60 ms, while the two healthy replicas of a part served others.
 func TestChoose_PartWaitsForAFullReplicaRatherThanAnExcludedOne(t *testing.T) {
-	h := newFleetBench(t, "a", "b", "c")
+	h := newFleetHarness(t, "a", "b", "c")
 	for range 40 { // of 200 parts about one may try a server that is excluded
-		_, events := h.query(0, 5)
-		if n := countByReplica(actionsOf[Send](h.turn(events...))); n["d"] < 4 {
+		if n := countByReplica(actionsOf[Send](h.begin(newQuery{parts: 5}))); n["d"] < 4 {
 			t.Fatalf("parts went to %v", n)
 		}
 	}
-	h = newFleetBench(t, "a", "b", "c")
+	h = newFleetHarness(t, "a", "b", "c")
 	h.b.servers["d"].avoidUntil = h.now + 100*ms
-	_, events := h.query(0, 1)
-	if actions := h.turn(events...); len(actionsOf[Send](actions)) != 0 {
+	if actions := h.begin(newQuery{parts: 1}); countOf[Send](actions) != 0 {
 		t.Fatalf("sent while the one healthy replica is full: %v", actions)
 	}
 }
 
-// A server that the fleet knows to lose some is tried by its share, not by the clock of each balancer that holds failures against it.
+// A server of which the fleet knows that it loses some parts gets half-open requests in proportion to its traffic
+// fraction, not by the clock of each balancer that holds failures against it.
 func TestChoose_HalfOpenRequestsGoByTrafficFraction(t *testing.T) {
 	halfOpenRequests := map[float64]int{}
 	for _, share := range []float64{0, 0.3} {
-		h := newFleetBench(t)
-		h.turn(EndpointList{Kind: ListDelta, Endpoints: []Endpoint{{Replica: "a", HealthLimits: HealthLimits{TrafficFraction: share}}}})
+		h := newFleetHarness(t)
+		h.turn(EndpointList{
+			Kind:      ListDelta,
+			Endpoints: []Endpoint{{Replica: "a", HealthLimits: HealthLimits{TrafficFraction: share}}},
+		})
 		for range 60 {
-			s := h.b.servers["a"]
-			s.Penalty, s.NextHalfOpen, s.PerClass[0].NextHalfOpen = 1, 0, 0
-			_, events := h.query(0, 1)
-			s1 := onlyAction[Send](h, h.turn(events...))
-			if s1.Replica == "a" {
+			server := h.b.servers["a"]
+			server.Penalty = 1
+			server.NextHalfOpen = 0
+			server.PerClass[0].NextHalfOpen = 0
+			send := h.sendOnePart(0)
+			if send.Replica == "a" {
 				halfOpenRequests[share]++
 			}
-			h.turn(AttemptEnded{Part: s1.Part, Replica: s1.Replica, Result: OK, Elapsed: 10 * ms})
+			h.turn(AttemptEnded{Part: send.Part, Replica: send.Replica, Result: OK, Elapsed: 10 * ms})
 			h.now += 100 * ms
 		}
 	}
-	// Between two servers, one of share w gets 2w/(1+w) of what it would get: 0.46.
+	// Of two servers, one with traffic fraction w gets 2w/(1+w) of what it would get: 0.46.
 	if halfOpenRequests[0] != 60 || halfOpenRequests[0.3] < 18 || halfOpenRequests[0.3] > 38 {
 		t.Errorf("%v half-open requests of 60", halfOpenRequests)
 	}
--- a/balance/turn.go
+++ b/balance/turn.go
@@ -5,25 +5,26 @@
 	"time"
 )
 
-// When the next turn comes, and when queries end by it.
+// When the next turn comes, and how long before its deadline a query ends.
 const (
 	listRetryInterval = 0.5  // of the age at which the list is stale: mean wait after a failed call
-	timerInterval     = 0.01 // of the shortest objective: time between two looks for overdue attempts
-	answerMarginTicks = 3    // ticks before its deadline by which an answer leaves
+	timerInterval     = 0.01 // of the shortest objective: time between two checks for overdue attempts
+	answerMarginTicks = 3    // ticks before its deadline at which a query is answered at the latest
 )
 
 // Turn takes the events of one turn and returns the actions, in order. The clock never goes back.
 func (b *Balancer) Turn(now time.Duration, events []Event) []Action {
 	passed := now - b.now
-	b.now, b.actions = now, nil
+	b.now = now
+	b.actions = nil
 	b.fleet.EarnSlowStart(now, passed)
 	for _, event := range events {
 		b.handle(event)
 	}
 	b.fleet.Assess(now)
-	for _, q := range b.queries {
-		if !q.done {
-			b.advance(q)
+	for _, query := range b.queries {
+		if !query.done {
+			b.advance(query)
 		}
 	}
 	b.queries = slices.DeleteFunc(b.queries, func(q *query) bool { return q.done })
@@ -39,8 +40,8 @@
 	case Part:
 		b.addPart(e)
 	case CandidatesChanged:
-		if p := b.parts[e.Part]; p != nil {
-			p.Candidates = e.Candidates
+		if part := b.parts[e.Part]; part != nil {
+			part.Candidates = e.Candidates
 		}
 	case AttemptEnded:
 		b.endAttempt(e)
@@ -51,8 +52,8 @@
 	case GossipReceived:
 		b.receiveGossip(e)
 	case ClientDisconnected:
-		if q := b.byID[e.Query]; q != nil {
-			b.endQuery(q)
+		if query := b.byID[e.Query]; query != nil {
+			b.endQuery(query)
 		}
 	}
 }
--- a/internal/control/outlier/message.go
+++ b/internal/control/outlier/message.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// messageKind is the letter L, version 1 of the message: for each server two counts of four bits each, of attempts that
-	// failed there and of attempts that it answered since the sender's last message.
+	// messageKind is the letter L, version 1 of the message: for each server two counts of four bits each, of
+	// attempts that failed there and of attempts that it answered since the sender's last message.
 	messageKind = 0x4c
 	countBits   = 4
 	maxCount    = 1<<countBits - 1 // larger counts are sent as maxCount
@@ -16,8 +16,9 @@
 
 // observation is what one aggregator saw itself of one server.
 type observation struct {
-	key              uint32 // gossip.ServerKey of the server's id
-	failed, answered int    // outcomes of attempts
+	key      uint32 // gossip.ServerKey of the server's id
+	failed   int    // attempts that failed there
+	answered int    // attempts that it answered
 }
 
 // message is a decoded gossip message.
