Look at the client and the clock right before each call is written

Cause: whether a call may begin was decided in a turn and never looked at again. A process that is held up, or one that reads a request and its client's close in one go, wrote calls for clients that had left long before, and told servers a time that was no longer left. The close was in the system's queue, unread. Lines: leaf Pool.write (frame made in the turn), Core.requestArrived. Change: tcp.Conn.WriteLate makes the bytes when their turn comes; the frame states the time left then, and is not made if an attempt was canceled, its part or query is over, or the client's socket shows its end (one poll in 10 ms). Interface of test transports follows; they now also check that nothing abandoned is handed on.

--- a/internal/aggregator/actions.go
+++ b/internal/aggregator/actions.go
@@ -89,6 +89,7 @@
 		Payload:           query.request.Payload,
 		FollowUp:          query.followUp,
 		FirstStepComplete: query.firstStepCompleted,
+		Abandoned:         attempt.abandoned,
 	}
 	if query.view != nil {
 		call.Epoch = query.view.Map.Epoch
--- a/internal/aggregator/attempt.go
+++ b/internal/aggregator/attempt.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"rooktrestle/balance"
@@ -22,7 +23,12 @@
 	index    int // in Core.timeouts
 
 	timedOut        bool // the deadline is over; the backend has yet to end it
-	cancelRequested bool
+	cancelRequested atomic.Bool
+}
+
+// abandoned reports that the attempt must not begin any more. Any goroutine may call it.
+func (a *attempt) abandoned(now time.Time) bool {
+	return a.cancelRequested.Load() || a.part.over.Load() || a.part.query.request.clientLeft(now)
 }
 
 // Deadline is when the attempt times out; attempts of one time come in the order of their sending.
@@ -67,10 +73,9 @@
 
 // cancel lets the backend give an attempt up. The attempt is in flight until the backend reports its end.
 func (c *Core) cancel(a *attempt) {
-	if a.cancelRequested {
+	if a.cancelRequested.Swap(true) {
 		return
 	}
-	a.cancelRequested = true
 	c.Counters.Canceled++
 	c.backend.Cancel(c.now, a.id, c.isOpen(a.part) && !a.part.answered)
 }
@@ -159,6 +164,7 @@
 		return
 	}
 	p.answered = true
+	p.over.Store(true)
 	p.score = score
 	p.value = value
 }
--- a/internal/aggregator/query.go
+++ b/internal/aggregator/query.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"rooktrestle/balance"
@@ -46,6 +47,7 @@
 	attempts       int    // sent so far
 	placementIndex int    // in the query's placement
 
+	over     atomic.Bool // it is answered, or of no open step any more: no attempt of it begins
 	answered bool
 	score    float64
 	value    string
@@ -57,6 +59,11 @@
 // requestArrived opens a query for a request, or rejects it at once.
 func (c *Core) requestArrived(request *Request) {
 	c.Counters.Received++
+	if request.clientLeft(c.now) { // its disconnect is still to come, and finds nothing
+		request.done = true
+		c.Counters.countFinal(FinalAnswer{Status: StatusDisconnected})
+		return
+	}
 	deadline := request.Arrived.Add(request.Timeout)
 	idInUse := c.requestIDs[request.ID] > 0
 	overdue := !c.now.Before(deadline)
@@ -150,6 +157,7 @@
 func (c *Core) dropParts(q *query) {
 	for _, p := range q.parts {
 		delete(c.parts, p.id)
+		p.over.Store(true)
 	}
 }
 
--- a/internal/aggregator/request.go
+++ b/internal/aggregator/request.go
@@ -30,9 +30,16 @@
 	// It is called again if the query is restarted on another view.
 	Layout func(*shardmap.View) []PartSpec
 
+	// ClientLeft, if set, asks whether the client has gone away, also where no ClientDisconnected has come yet. Any
+	// goroutine may call it; it does not block.
+	ClientLeft func(now time.Time) bool
+
 	done bool // it has its final answer, or its client has disconnected
 }
 
+// clientLeft reports whether the client is known to have gone away.
+func (r *Request) clientLeft(now time.Time) bool { return r.ClientLeft != nil && r.ClientLeft(now) }
+
 // FinalStatus is how a query ended.
 type FinalStatus int
 
@@ -83,4 +90,14 @@
 	FirstStepComplete bool  // second step: the first one was complete
 
 	Epoch shardmap.Epoch // of the query's view; 0: the servers of a shard are fixed
+
+	// Abandoned reports that the attempt must not begin any more: it was canceled, its part is over, or its client has
+	// gone away. nil: it may. Any goroutine may call it, right before the call is written; it does not block.
+	Abandoned func(now time.Time) bool
+}
+
+// Expired reports whether it is too late for a call that is not written yet.
+func (call Call) Expired(now time.Time) bool {
+	missedWindow := !call.WriteBy.IsZero() && !now.Before(call.WriteBy)
+	return !now.Before(call.Deadline) || missedWindow
 }
--- a/internal/aggregator/restart.go
+++ b/internal/aggregator/restart.go
@@ -48,7 +48,7 @@
 		delete(c.attempts, a.id)
 		c.timeouts.Remove(a)
 		c.releaseRequestID(a.part.query)
-		if !a.cancelRequested {
+		if !a.cancelRequested.Load() {
 			c.backend.Cancel(c.now, a.id, false)
 		}
 	}
--- a/internal/backend/leaf/attempt.go
+++ b/internal/backend/leaf/attempt.go
@@ -42,12 +42,6 @@
 	unconfirmed bool
 }
 
-// expired reports whether an attempt that is not written yet must not be written any more.
-func (a *attempt) expired(now time.Time) bool {
-	hasWriteBy := !a.call.WriteBy.IsZero()
-	return !now.Before(a.call.Deadline) || hasWriteBy && !now.Before(a.call.WriteBy)
-}
-
 // batch is the attempts that go to a server in one call.
 type batch struct {
 	host          *host
@@ -152,7 +146,12 @@
 	}
 	conn.lastUsed = now
 	attempts := batch.attempts
-	conn.transport.WriteWithin(within, callFrame(now, calls), func(result tcp.WriteResult) {
+	write := tcp.LateWrite{
+		Size:   callSize(calls),
+		Within: within,
+		Bytes:  func(now time.Time) []byte { return sendableFrame(now, calls) },
+	}
+	conn.transport.WriteLate(write, func(result tcp.WriteResult) {
 		p.mailbox.Put(writeFinished{conn: conn, attempts: attempts, result: result})
 	})
 }
@@ -176,7 +175,7 @@
 				Canceled: true,
 				Cause:    errServerReplaced,
 			})
-		case attempt.expired(now):
+		case attempt.call.Expired(now):
 			p.fail(attempt, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true})
 		default:
 			sendable = append(sendable, attempt)
--- a/internal/backend/leaf/frame.go
+++ b/internal/backend/leaf/frame.go
@@ -132,6 +132,27 @@
 	return err
 }
 
+// sendableFrame returns the frame of one call as it is at now; nil if any of its attempts must not begin any more. Those of
+// the others are sent again by whoever decides.
+func sendableFrame(now time.Time, calls []aggregator.Call) []byte {
+	for _, call := range calls {
+		if call.Expired(now) || call.Abandoned != nil && call.Abandoned(now) {
+			return nil
+		}
+	}
+	return callFrame(now, calls)
+}
+
+// callSize is about the length of a call's frame.
+func callSize(calls []aggregator.Call) int {
+	const optionsSize = 32
+	size := 0
+	for _, call := range calls {
+		size += len(call.Name) + len(call.Payload) + optionsSize
+	}
+	return size
+}
+
 // callFrame returns the frame of one call.
 func callFrame(now time.Time, calls []aggregator.Call) []byte {
 	var payload []byte
--- a/internal/backend/leaf/frame_test.go
+++ b/internal/backend/leaf/frame_test.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"rooktrestle/balance"
+	"rooktrestle/internal/aggregator"
 )
 
 // What is wrong with a frame is found as soon as its bytes show it, without waiting for its end.
@@ -99,3 +101,31 @@
 	}
 	return printed
 }
+
+// The time that a call tells its server is what is left when it is written; a call that must not begin any more has no
+// frame, and none of the parts that share it goes out.
+func TestSendableFrame(t *testing.T) {
+	deadline := testStart.Add(time.Second)
+	good := aggregator.Call{Name: "q.1", Shard: 1, Deadline: deadline, Payload: "x"}
+	abandoned := good
+	abandoned.Abandoned = func(time.Time) bool { return true }
+	outsideWindow := good
+	outsideWindow.WriteBy = testStart
+	for name, test := range map[string]struct {
+		now   time.Time
+		calls []aggregator.Call
+		want  string // in the frame; empty: there is none
+	}{
+		"at once":           {testStart, []aggregator.Call{good}, " d=1000 "},
+		"held up":           {testStart.Add(150 * time.Millisecond), []aggregator.Call{good}, " d=850 "},
+		"at the deadline":   {deadline, []aggregator.Call{good}, ""},
+		"abandoned":         {testStart, []aggregator.Call{abandoned}, ""},
+		"with an abandoned": {testStart, []aggregator.Call{good, abandoned}, ""},
+		"outside a window":  {testStart, []aggregator.Call{outsideWindow}, ""},
+	} {
+		frame := string(sendableFrame(test.now, test.calls))
+		if (frame == "") != (test.want == "") || !strings.Contains(frame, test.want) {
+			t.Errorf("%s: %q, want %q", name, frame, test.want)
+		}
+	}
+}
--- a/internal/backend/leaf/harness_test.go
+++ b/internal/backend/leaf/harness_test.go
@@ -70,9 +70,16 @@
 	lastReceived time.Time
 }
 
-func (f *fakeTransport) WriteWithin(d time.Duration, b []byte, done func(tcp.WriteResult)) {
-	if d <= 0 || d > maxWriteDelay {
-		f.harness.t.Fatalf("%q may wait for %v", b, d)
+func (f *fakeTransport) WriteLate(write tcp.LateWrite, done func(tcp.WriteResult)) {
+	b := write.Bytes(f.harness.now)
+	if write.Within <= 0 || write.Within > maxWriteDelay {
+		f.harness.t.Fatalf("%q may wait for %v", b, write.Within)
+	}
+	if b == nil {
+		f.harness.t.Fatal("an attempt is handed on that must not begin any more")
+	}
+	if write.Size < len(b)/2 || write.Size > 2*len(b) {
+		f.harness.t.Fatalf("%q is said to have %d bytes", b, write.Size)
 	}
 	f.Write(b, done)
 }
@@ -180,7 +187,7 @@
 }
 
 func newHarness(t *testing.T) *harness {
-	h := &harness{t: t, now: time.Unix(1000, 0)}
+	h := &harness{t: t, now: testStart}
 	h.pool = NewPool(Limits{
 		MaxStreams: 2, IdleTimeout: 12 * time.Second, ConnectTimeout: 250 * time.Millisecond, MaxConnections: 3,
 		UnresponsiveAfter: time.Second, ConnsPerServer: 8,
--- a/internal/backend/leaf/loopback_test.go
+++ b/internal/backend/leaf/loopback_test.go
@@ -32,7 +32,7 @@
 }
 
 func newLoopback(t *testing.T, dial DialFunc) *loopback {
-	b := &loopback{t: t, now: time.Unix(1000, 0), mailbox: aggregator.NewMailbox(), available: true}
+	b := &loopback{t: t, now: testStart, mailbox: aggregator.NewMailbox(), available: true}
 	b.pool = NewPool(Limits{
 		MaxStreams: 10, IdleTimeout: 12 * time.Second, ConnectTimeout: 250 * time.Millisecond, MaxConnections: 10,
 		UnresponsiveAfter: time.Second, ConnsPerServer: 1,
@@ -159,12 +159,19 @@
 	return patientTransport{conn}, nil
 }
 
-// patientTransport writes whatever the pool writes, however late the machine gets to it. The harness checks the limits
-// that the pool gives.
+// testStart is when the clocks of the tests begin.
+var testStart = time.Unix(1000, 0)
+
+// patientTransport writes whatever the pool writes, however late the machine gets to it: by the clock of the tests no time
+// passes until then. The harness checks the limits that the pool gives.
 type patientTransport struct{ *tcp.Conn }
 
-func (t patientTransport) WriteWithin(_ time.Duration, b []byte, done func(tcp.WriteResult)) {
-	t.Conn.WriteWithin(patience, b, done)
+func (t patientTransport) WriteLate(write tcp.LateWrite, done func(tcp.WriteResult)) {
+	t.Conn.WriteLate(tcp.LateWrite{
+		Size:   write.Size,
+		Within: patience,
+		Bytes:  func(time.Time) []byte { return write.Bytes(testStart) },
+	}, done)
 }
 
 // dialGate dials connections that come up when the test says so.
--- a/internal/frontend/health/health_test.go
+++ b/internal/frontend/health/health_test.go
@@ -20,6 +20,7 @@
 func (c *fakeConn) CloseGracefully()                        {}
 func (c *fakeConn) CloseAndWait()                           {}
 func (c *fakeConn) Close(error)                             {}
+func (c *fakeConn) PeerClosed() bool                        { return false }
 
 // get makes a health check and returns the response as it is written.
 func get(t *testing.T, responder *Responder, target string) string {
--- a/internal/frontend/sru/server_test.go
+++ b/internal/frontend/sru/server_test.go
@@ -25,6 +25,7 @@
 func (c *fakeConn) CloseGracefully()                        {}
 func (c *fakeConn) CloseAndWait()                           {}
 func (c *fakeConn) Close(error)                             {}
+func (c *fakeConn) PeerClosed() bool                        { return false }
 
 // client is a client's connection to a frontend with two databases, of which the second takes no corrections.
 type client struct {
--- a/internal/net/httpserve/exchange.go
+++ b/internal/net/httpserve/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"rooktrestle/internal/protocol/http1"
@@ -14,7 +15,30 @@
 	FirstByteAt time.Time // when the request began to come in
 
 	conn         *serverConn
-	onDisconnect func() // under the connection's lock
+	onDisconnect func()       // under the connection's lock
+	lookedAt     atomic.Int64 // when ClientLeft last asked the system, as time since FirstByteAt; 0: never
+}
+
+// maxLookAge is how long what the system said of a client's connection is relied on.
+const maxLookAge = 10 * time.Millisecond
+
+// ClientLeft reports whether the response was given, or the client has closed its connection, as far as the system knows by
+// now: what OnDisconnect announces may be late. Any goroutine may call it.
+func (x *Exchange) ClientLeft(now time.Time) bool {
+	c := x.conn
+	c.mu.Lock()
+	waiting := c.current == x
+	c.mu.Unlock()
+	if !waiting {
+		return true
+	}
+	elapsed := now.Sub(x.FirstByteAt)
+	lookedAt := time.Duration(x.lookedAt.Load())
+	if lookedAt > 0 && elapsed-lookedAt < maxLookAge {
+		return false
+	}
+	x.lookedAt.Store(int64(elapsed))
+	return c.conn.PeerClosed()
 }
 
 // OnDisconnect sets what is called if the client goes away before the response. It returns false if that has happened
--- a/internal/net/httpserve/helpers_test.go
+++ b/internal/net/httpserve/helpers_test.go
@@ -22,12 +22,14 @@
 	written                 strings.Builder
 	closedGracefully        bool
 	closed, closedAndWaited bool
+	peerClosed              bool // by what the system says
 }
 
 func (c *fakeConn) Write(b []byte, _ func(tcp.WriteResult)) { c.written.Write(b) }
 func (c *fakeConn) CloseAndWait()                           { c.closedAndWaited = true }
 func (c *fakeConn) CloseGracefully()                        { c.closedGracefully = true }
 func (c *fakeConn) Close(error)                             { c.closed = true }
+func (c *fakeConn) PeerClosed() bool                        { return c.peerClosed }
 
 // startTime is what the clock of most tests shows.
 func startTime() time.Time { return time.Unix(1000, 0) }
--- a/internal/net/httpserve/server.go
+++ b/internal/net/httpserve/server.go
@@ -108,6 +108,7 @@
 	CloseGracefully()
 	Close(cause error)
 	CloseAndWait()
+	PeerClosed() bool
 }
 
 // Accept returns the handler of a new connection, for tcp.Listen.
--- a/internal/net/tcp/close.go
+++ b/internal/net/tcp/close.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 )
 
 // CloseGracefully ends the connection once all that is queued is written: it half-closes, reads on for a while without
@@ -97,3 +98,22 @@
 	}
 	return true
 }
+
+// PeerClosed asks the system whether the peer has closed its direction of the connection, and reports whether it has, or
+// the connection has ended: Handler.Closed may still be to come, behind whatever else the process has to do.
+func (c *Conn) PeerClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.ended {
+		return true
+	}
+	conn, ok := c.socket.(netpoll.Conn)
+	if !ok {
+		return false
+	}
+	polled := []unix.PollFd{{Fd: int32(conn.Fd()), Events: unix.POLLRDHUP}}
+	// Where the system does not answer, or is interrupted, Handler.Closed is to tell.
+	ready, err := unix.Poll(polled, 0)
+	const ended = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	return err == nil && ready > 0 && polled[0].Revents&ended != 0
+}
--- a/internal/net/tcp/races_test.go
+++ b/internal/net/tcp/races_test.go
@@ -16,19 +16,25 @@
 
 // What waits behind another write until its time is over never leaves, and says so; what has time leaves. Guards a request
 // that was decided for now against being sent seconds later, to a server that drains by then.
-func TestConn_WriteWithin_Expires(t *testing.T) {
+func TestConn_WriteLate_Expires(t *testing.T) {
 	c, peer, _ := connect(t, nil)
-	held, release, results := make(chan struct{}), make(chan struct{}), make(chan WriteResult, 2)
+	held, release, results := make(chan struct{}), make(chan struct{}), make(chan WriteResult, 3)
 	c.Write([]byte("first "), func(WriteResult) { // whatever is queued now waits behind it
 		close(held)
 		<-release
 	})
 	<-held
-	c.WriteWithin(1, []byte("late "), func(r WriteResult) { results <- r })
-	c.WriteWithin(time.Hour, []byte("good"), func(r WriteResult) { results <- r })
+	late := func(within time.Duration, text []byte) {
+		write := LateWrite{Size: len(text), Within: within, Bytes: func(time.Time) []byte { return text }}
+		c.WriteLate(write, func(r WriteResult) { results <- r })
+	}
+	late(1, []byte("late "))
+	late(time.Hour, nil) // of no use any more when its turn comes
+	late(time.Hour, []byte("good"))
 	close(release)
-	if late, good := <-results, <-results; late != WriteExpired || good != WriteComplete {
-		t.Errorf("late: %v, good: %v", late, good)
+	if expired, unused, good := <-results, <-results, <-results; expired != WriteExpired || unused != WriteExpired ||
+		good != WriteComplete {
+		t.Errorf("late: %v, of no use: %v, good: %v", expired, unused, good)
 	}
 	c.CloseGracefully()
 	if text, err := io.ReadAll(peer); string(text) != "first good" || err != nil {
--- a/internal/net/tcp/write.go
+++ b/internal/net/tcp/write.go
@@ -15,12 +15,25 @@
 	WriteComplete  WriteResult = iota // all of it was handed to the system
 	WriteNone                         // provably no byte of it
 	WriteUncertain                    // it failed on the way: any part of it may arrive
-	WriteExpired                      // no byte of it: the time within which it was to begin was over
+	WriteExpired                      // no byte of it: it was of no use any more when its turn came
 )
 
+// LateWrite is a write whose bytes are made when its turn comes, so that what they say of the time is true then.
+type LateWrite struct {
+	// Size is about how many bytes it makes: they count among those that are queued.
+	Size int
+	// Within is the time within which writing has to begin.
+	Within time.Duration
+	// Bytes makes what is written at now; nil: it is of no use any more. It runs on a goroutine of the connection's, right
+	// before the system call, and must not block.
+	Bytes func(now time.Time) []byte
+}
+
 // pendingWrite is a write that waits in the queue.
 type pendingWrite struct {
 	data     []byte
+	late     func(now time.Time) []byte // makes data; nil: data is there
+	size     int
 	deadline time.Time         // by which it has to begin; zero: none
 	done     func(WriteResult) // nil: nobody wants to know
 }
@@ -28,20 +41,25 @@
 // Write queues bytes, which belong to the connection from then on. done, which may be nil, is called once with how far
 // they came, never on the caller's goroutine. What is written after a close comes to WriteNone.
 func (c *Conn) Write(b []byte, done func(WriteResult)) {
-	c.enqueue(pendingWrite{data: b, done: done})
+	c.enqueue(pendingWrite{data: b, size: len(b), done: done})
 }
 
-// WriteWithin is Write for what is of no use any more after d: what has not begun by then never does and comes to
-// WriteExpired. Guards what was decided for a moment against a peer that reads slowly: behind other bytes it would wait
-// for seconds.
-func (c *Conn) WriteWithin(d time.Duration, b []byte, done func(WriteResult)) {
-	c.enqueue(pendingWrite{data: b, deadline: time.Now().Add(d), done: done})
+// WriteLate is Write for bytes that are made when their turn comes. What has not begun within its time, or is of no use
+// any more by then, comes to WriteExpired. Guards what was decided for a moment against a peer that reads slowly, and
+// against a process that is held up: its clock has moved on, and those that it was meant for may have left.
+func (c *Conn) WriteLate(write LateWrite, done func(WriteResult)) {
+	c.enqueue(pendingWrite{
+		late:     write.Bytes,
+		size:     write.Size,
+		deadline: time.Now().Add(write.Within),
+		done:     done,
+	})
 }
 
 func (c *Conn) enqueue(pending pendingWrite) {
 	c.mu.Lock()
 	// Guards memory against a peer that sends requests and does not read.
-	if c.queued+len(pending.data) > maxQueuedBytes && !c.closed {
+	if c.queued+pending.size > maxQueuedBytes && !c.closed {
 		c.closed = true
 		c.cause = ErrSlowReader
 		go c.closeSocket()
@@ -54,7 +72,7 @@
 		return
 	}
 	c.queue = append(c.queue, pending)
-	c.queued += len(pending.data)
+	c.queued += pending.size
 	start := !c.writing
 	c.writing = true
 	c.mu.Unlock()
@@ -104,15 +122,16 @@
 	c.mu.Lock()
 	closed := c.closed
 	c.mu.Unlock()
-	switch {
-	case closed || !c.socket.IsActive():
+	if closed || !c.socket.IsActive() {
 		return WriteNone
-	case !pending.deadline.IsZero() && time.Now().After(pending.deadline):
+	}
+	data := pending.bytes(time.Now())
+	if data == nil {
 		return WriteExpired
 	}
 	// Not by Writer: between WriteBinary and Flush netpoll may release the buffers of a connection that ends. Write holds
 	// them until it returns.
-	n, err := c.socket.Write(pending.data)
+	n, err := c.socket.Write(data)
 	if err == nil {
 		return WriteComplete
 	}
@@ -124,3 +143,14 @@
 	}
 	return WriteUncertain
 }
+
+// bytes are what is written at now; nil: nothing, it is of no use any more.
+func (w pendingWrite) bytes(now time.Time) []byte {
+	if !w.deadline.IsZero() && now.After(w.deadline) {
+		return nil
+	}
+	if w.late != nil {
+		return w.late(now)
+	}
+	return w.data
+}
