Take operators' calls at the control address, and serve beside the process that is replaced

Change: protocol/admin (codec), frontend/admin (listener on sockets of its own; a crowd of idle callers is evicted), control/maintenance (the operators' state, apart from discovery's; merged by revision), app/maintenance.go (shared in TMPDIR, locked, written again until it can be), aggregator: a detached server drains in the same turn and warms up once it is back. Client and gossip sockets share their port; a process that starts beside another listens once it is ready, and the one that ends stops accepting at once, its accept queue emptied first, and ends each connection with its answer.

--- a/cmd/rooktrestle/harness_test.go
+++ b/cmd/rooktrestle/harness_test.go
@@ -74,7 +74,12 @@
 		p.last <- last
 	}()
 	t.Cleanup(func() { _, _ = p.cmd.Process.Kill(), p.cmd.Wait() }) // it has ended, unless the test has failed
-	if <-ready; len(p.listen) < listeners {
+	select {
+	case <-ready:
+	case <-time.After(patience):
+		t.Fatalf("the program does not open %d listeners", listeners)
+	}
+	if len(p.listen) < listeners {
 		t.Fatalf("the program ended: %s", <-p.last)
 	}
 	return p
--- a/cmd/rooktrestle/operators_test.go
+++ b/cmd/rooktrestle/operators_test.go
@@ -52,12 +52,12 @@
 	control string
 }
 
-// start starts a process of the node and waits until it listens for clients.
+// start starts a process of the node and waits until it listens for operators and for clients.
 func (n *node) start() operatedProcess {
 	n.t.Helper()
 	control := n.address(controlPort + n.processes)
 	n.processes++
-	p := start(n.t, 1, []string{
+	p := start(n.t, 2, []string{
 		"NODE_CONFIG=" + n.conf,
 		"NODE_DISCOVERY=" + n.discovery,
 		"NODE_LISTEN=" + n.address(clientPort),
--- a/internal/aggregator/core.go
+++ b/internal/aggregator/core.go
@@ -59,6 +59,8 @@
 	requestIDs map[string]int
 	servers    map[balance.Replica]Server
 
+	maintenance maintenance
+
 	attemptsSent uint64
 	deadlines    timers.DeadlineQueue[*query]   // of the open queries
 	timeouts     timers.DeadlineQueue[*attempt] // of the attempts in flight that have not timed out yet
@@ -85,6 +87,8 @@
 		attempts:   map[AttemptID]*attempt{},
 		requestIDs: map[string]int{},
 		servers:    map[balance.Replica]Server{},
+
+		maintenance: newMaintenance(),
 	}
 }
 
@@ -141,6 +145,8 @@
 		c.lateAnswer(e.Server)
 	case EndpointsChanged:
 		c.notify(c.updateServers(e))
+	case MaintenanceChanged:
+		c.maintenanceChanged(e)
 	case GossipReceived:
 		c.gossipReceived(e.Payload)
 	case ShardMapOffered:
--- a/internal/aggregator/counters.go
+++ b/internal/aggregator/counters.go
@@ -32,6 +32,34 @@
 	GossipInvalid  uint64
 
 	Panics uint64 // recovered
+
+	ByClass []ClassCounters // answers, by the class's index
+}
+
+// ClassCounters count the answers to the queries of one class.
+type ClassCounters struct {
+	Served   uint64
+	Rejected uint64
+	Failed   uint64
+}
+
+// countAnswer counts an answer under its query's class.
+func (c *Counters) countAnswer(class int, status FinalStatus) {
+	if class < 0 {
+		return
+	}
+	for len(c.ByClass) <= class {
+		c.ByClass = append(c.ByClass, ClassCounters{})
+	}
+	counters := &c.ByClass[class]
+	switch status {
+	case StatusServed:
+		counters.Served++
+	case StatusRejected:
+		counters.Rejected++
+	case StatusFailed:
+		counters.Failed++
+	}
 }
 
 // countFinal counts the end of a query.
--- a/internal/aggregator/endpoints.go
+++ b/internal/aggregator/endpoints.go
@@ -19,10 +19,10 @@
 	Started time.Time // start of its process; zero: long ago
 }
 
-// Available says whether a server takes new work by the endpoint list as last received.
+// Available says whether a server takes new work, by the endpoint list as last received and by the operators.
 func (c *Core) Available(id balance.Replica) bool {
 	s, ok := c.servers[id]
-	return ok && s.State == balance.InService
+	return ok && s.State == balance.InService && !c.maintenance.detached[id]
 }
 
 // Server is what the endpoint list says of a server; a server that is not listed has its ID only.
@@ -45,14 +45,20 @@
 
 // updateServers takes a list of servers, or changes of one, and returns it as the balancer gets it.
 func (c *Core) updateServers(changed EndpointsChanged) balance.EndpointList {
+	former := c.servers
 	if changed.Kind != balance.ListDelta && changed.Kind != balance.ListFailed {
-		clear(c.servers)
+		c.servers = make(map[balance.Replica]Server, len(changed.Servers))
 	}
 	list := balance.EndpointList{Kind: changed.Kind}
 	for _, s := range changed.Servers {
 		c.updateServer(s)
 		list.Endpoints = append(list.Endpoints, c.endpoint(s))
 	}
+	for id := range former {
+		if _, listed := c.servers[id]; !listed {
+			c.maintenance.unlisted(id)
+		}
+	}
 	if c.Outliers != nil {
 		c.Outliers.Retain(func(id string) bool {
 			_, listed := c.servers[balance.Replica(id)]
@@ -65,16 +71,21 @@
 // updateServer takes what the list says of one server.
 func (c *Core) updateServer(server Server) {
 	if server.State == balance.Removed {
+		if _, listed := c.servers[server.ID]; listed {
+			c.maintenance.unlisted(server.ID)
+		}
 		delete(c.servers, server.ID)
 		return
 	}
 	c.servers[server.ID] = server
+	c.maintenance.listed(server.ID)
 	if c.Outliers != nil {
 		c.Outliers.Add(string(server.ID), c.startedAt(server))
 	}
 }
 
-// endpoint is a server as the balancer gets it. An outlier has a reduced fraction of its traffic.
+// endpoint is a server as the balancer gets it. One that an operator has taken out drains, and an outlier has a reduced
+// fraction of its traffic.
 func (c *Core) endpoint(server Server) balance.Endpoint {
 	endpoint := balance.Endpoint{
 		HealthLimits: server.HealthLimits,
@@ -85,6 +96,9 @@
 		State:        server.State,
 		Started:      c.startedAt(server),
 	}
+	if c.maintenance.detached[server.ID] && endpoint.State == balance.InService {
+		endpoint.State = balance.Draining
+	}
 	if c.Outliers == nil {
 		return endpoint
 	}
@@ -94,10 +108,15 @@
 	return endpoint
 }
 
-// startedAt is when a server's process started, by the balancer's clock; 0: long ago.
+// startedAt is when a server's process started, by the balancer's clock; 0: long ago. One that an operator has put back
+// counts as started then at the earliest: what it was taken out for has restarted it, as a rule.
 func (c *Core) startedAt(s Server) time.Duration {
-	if s.Started.IsZero() {
-		return 0
+	started := time.Duration(0)
+	if !s.Started.IsZero() {
+		started = max(0, c.clock(s.Started))
+	}
+	if attached, ok := c.maintenance.attached[s.ID]; ok {
+		started = max(started, c.clock(attached))
 	}
-	return max(0, c.clock(s.Started))
+	return started
 }
--- a/internal/aggregator/messages.go
+++ b/internal/aggregator/messages.go
@@ -52,6 +52,11 @@
 		Map    *shardmap.Map
 		Err    error // why it has none
 	}
+	// MaintenanceChanged says that an operator has taken a server out of service, or put it back.
+	MaintenanceChanged struct {
+		Server   balance.Replica
+		Detached bool
+	}
 	// GossipReceived is a datagram from another aggregator, not validated.
 	GossipReceived struct{ Payload []byte }
 	// EndpointsChanged is a list of servers, or changes of one, from discovery.
@@ -68,6 +73,7 @@
 func (LateAnswer) message()         {}
 func (ShardMapOffered) message()    {}
 func (EndpointsChanged) message()   {}
+func (MaintenanceChanged) message() {}
 func (GossipReceived) message()     {}
 func (RunOnLoop) message()          {}
 
@@ -78,4 +84,5 @@
 func (LateAnswer) event()         {}
 func (ShardMapOffered) event()    {}
 func (EndpointsChanged) event()   {}
+func (MaintenanceChanged) event() {}
 func (GossipReceived) event()     {}
--- a/internal/aggregator/restart.go
+++ b/internal/aggregator/restart.go
@@ -38,6 +38,8 @@
 			}
 		case EndpointsChanged:
 			c.updateServers(e)
+		case MaintenanceChanged:
+			c.maintenanceChanged(e)
 		}
 	}
 }
--- /dev/null
+++ b/internal/app/operators.go
@@ -0,0 +1,156 @@
+package app
+
+import (
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"rooktrestle/balance"
+	"rooktrestle/internal/aggregator"
+	adminfront "rooktrestle/internal/frontend/admin"
+	"rooktrestle/internal/protocol/admin"
+)
+
+// adminTimeout is how long a call of an operator waits for the loop. An answer is due within a second.
+const adminTimeout = 800 * time.Millisecond
+
+// Reasons for which a call of an operator is not carried out.
+var (
+	errNotReady      = errors.New("not ready")
+	errBusy          = errors.New("busy")
+	errUnknownServer = errors.New("no such server was ever listed")
+)
+
+// operators answers the calls at the control address.
+type operators struct {
+	server      *platformServer
+	maintenance *maintenanceStore
+	listener    *adminfront.Server // nil: no control address is configured
+	ready       atomic.Bool        // the process serves clients
+	reloads     reloadCounters
+}
+
+// reloadCounters count the configurations that SIGHUP brought.
+type reloadCounters struct {
+	loaded  atomic.Uint64
+	invalid atomic.Uint64
+}
+
+// newOperators reads what operators have told an earlier process, and posts it to the loop.
+func newOperators(s *platformServer) *operators {
+	o := &operators{server: s}
+	folder := s.node.StateDir
+	if s.node.Control == "" {
+		folder = "" // nobody calls: nothing is to survive
+	}
+	o.maintenance = newMaintenanceStore(folder, s.node.Name, func(server string, detached bool) {
+		s.mailbox.Put(aggregator.MaintenanceChanged{Server: balance.Replica(server), Detached: detached})
+	}, logf)
+	return o
+}
+
+// listen opens the control address, where one is configured, and follows what the other process of a replacement is told.
+func (o *operators) listen() (err error) {
+	address := o.server.node.Control
+	if address == "" {
+		return nil
+	}
+	if o.listener, err = adminfront.Listen(address, o.answer); err != nil {
+		return fmt.Errorf("control: %w", err)
+	}
+	logf("listen control %s", o.listener.Addr())
+	go o.maintenance.run(o.server.stop) // not waited for: it may block on a disk
+	return nil
+}
+
+// close ends the listener.
+func (o *operators) close() {
+	if o.listener != nil {
+		o.listener.Close()
+	}
+}
+
+// answer carries out a call. Several goroutines call it.
+func (o *operators) answer(command admin.Command) string {
+	var err error
+	switch command.Verb {
+	case admin.Ping:
+		if !o.ready.Load() {
+			err = errNotReady
+		}
+	case admin.Info:
+		var figures []admin.Figure
+		if err = o.onLoop(func() { figures = o.server.figures() }); err == nil {
+			return admin.Figures(figures)
+		}
+	case admin.Detach:
+		err = o.setMaintenance(command.Server, true)
+	case admin.Attach:
+		err = o.setMaintenance(command.Server, false)
+	}
+	if err != nil {
+		return admin.Failure(err)
+	}
+	return admin.Done()
+}
+
+// setMaintenance takes a server out of service, or puts it back. The loop has it once it returns without an error.
+func (o *operators) setMaintenance(server string, detached bool) error {
+	known := false
+	if err := o.onLoop(func() { known = o.server.core.KnowsServer(balance.Replica(server)) }); err != nil {
+		return err
+	}
+	if !known {
+		return errUnknownServer
+	}
+	return o.maintenance.set(server, detached)
+}
+
+// onLoop runs f on the loop. Where that takes too long f may run later, and what it writes is not read.
+func (o *operators) onLoop(f func()) error {
+	done := make(chan struct{})
+	o.server.mailbox.Put(aggregator.RunOnLoop(func() {
+		f()
+		close(done)
+	}))
+	timeout := time.NewTimer(adminTimeout)
+	defer timeout.Stop()
+	select {
+	case <-done:
+		return nil
+	case <-o.server.loopDone:
+		return errBusy
+	case <-timeout.C:
+		return errBusy
+	}
+}
+
+// figuresPrefix begins the name of each figure.
+const figuresPrefix = "mixer."
+
+// figures are the figures that operators read. It runs on the loop.
+func (s *platformServer) figures() []admin.Figure {
+	var figures []admin.Figure
+	add := func(name string, value uint64) {
+		figures = append(figures, admin.Figure{Name: figuresPrefix + name, Value: value})
+	}
+	for class, name := range s.node.Deployment.Classes {
+		var counters aggregator.ClassCounters
+		if class < len(s.core.Counters.ByClass) {
+			counters = s.core.Counters.ByClass[class]
+		}
+		prefix := "transactions." + name + "."
+		add(prefix+"answered", counters.Served)
+		add(prefix+"deferred", counters.Rejected)
+		add(prefix+"errored", counters.Failed)
+	}
+	listed, avoided := s.core.ClusterSize()
+	add("sends", s.pool.Stats.Written)
+	add("current", uint64(s.core.OpenQueries()))
+	add("cluster_size", uint64(listed))
+	add("cluster_unhealthy", uint64(avoided))
+	add("conf_loaded", s.operators.reloads.loaded.Load())
+	add("conf_invalid", s.operators.reloads.invalid.Load())
+	return figures
+}
--- a/internal/app/platform.go
+++ b/internal/app/platform.go
@@ -18,6 +18,7 @@
 	"rooktrestle/internal/backend/leaf"
 	"rooktrestle/internal/config"
 	"rooktrestle/internal/control/outlier"
+	adminfront "rooktrestle/internal/frontend/admin"
 	"rooktrestle/internal/frontend/platform"
 	"rooktrestle/internal/net/discovery"
 	"rooktrestle/internal/net/gossip"
@@ -35,6 +36,8 @@
 	discoveryTimeout = 3 * time.Second
 	// reservedSockets are set aside for the listener, discovery, pollers and standard streams.
 	reservedSockets = 32
+	// controlSockets are set aside for operators, their listener included, where they have an address to call.
+	controlSockets = adminfront.MaxConns + 4
 	// keepAliveDivisor: clients use at most a third of the sockets for requests, and half of that third may be idle
 	// keep-alive connections.
 	keepAliveDivisor = 6
@@ -75,9 +78,9 @@
 	if err := server.start(); err != nil {
 		return err
 	}
-	server.serve(reloads, terminations)
+	err = server.serve(reloads, terminations)
 	server.shutdown()
-	return nil
+	return err
 }
 
 // platformServer is the aggregator behind the platform's protocol.
@@ -92,9 +95,11 @@
 	loop     *aggregator.Loop
 	frontend *platform.Frontend
 	limiter  *tcp.ConnLimiter
-	listener *tcp.Server
+	listener *tcp.Server   // nil until clients are served
 	stop     chan struct{} // closed to end the loop and the watcher
 	loopDone chan struct{}
+
+	operators *operators
 }
 
 // newPlatformServer builds the server. It opens the gossip socket, which the caller closes, and nothing else.
@@ -120,6 +125,7 @@
 	}, s.mailbox, leaf.DialTCP)
 	s.core = aggregator.NewCore(decisions, s.pool, platformLimits(node), s.clock.Now())
 	s.pool.SetDirectory(s.core)
+	s.operators = newOperators(s) // before the list: no turn may know a server and not that it is out of service
 	s.openGossip()
 	if err := s.newWatcher(); err != nil {
 		s.closeGossip()
@@ -238,8 +244,12 @@
 		return text
 	})
 	s.frontend.MaxKeepAlive = s.node.Sockets / keepAliveDivisor
+	reserved := reservedSockets
+	if s.node.Control != "" {
+		reserved += controlSockets
+	}
 	s.limiter = &tcp.ConnLimiter{
-		Max:   s.node.Sockets - s.node.Sockets/3 - reservedSockets,
+		Max:   s.node.Sockets - s.node.Sockets/3 - reserved,
 		Evict: func() bool { return s.frontend.EvictIdle(true) },
 	}
 }
@@ -258,21 +268,47 @@
 	return text
 }
 
-// start listens and starts the loop. shutdown ends it.
-func (s *platformServer) start() (err error) {
-	if s.listener, err = tcp.Listen(s.node.Listen, s.limiter, s.frontend.Accept); err != nil {
+// start opens the control address and starts the loop, which shutdown ends. It listens for clients, too, unless another
+// process of this instance does: this one takes its share of their connections once it can serve them.
+func (s *platformServer) start() error {
+	if err := s.operators.listen(); err != nil {
 		return err
 	}
-	logf("listen http %s", s.listener.Addr())
 	go func() {
 		defer close(s.loopDone)
 		s.loop.Run()
 	}()
+	if tcp.Listeners(s.node.Listen) > 0 {
+		logf("another process listens on %s: this one will once it is ready", s.node.Listen)
+		return nil
+	}
+	return s.listen()
+}
+
+// listen listens for clients.
+func (s *platformServer) listen() (err error) {
+	if s.listener, err = tcp.ListenShared(s.node.Listen, s.limiter, s.frontend.Accept); err != nil {
+		return err
+	}
+	logf("listen http %s", s.listener.Addr())
 	return nil
 }
 
-// serve serves until a termination signal. The frontend is ready once discovery has answered, or after discoveryTimeout.
-func (s *platformServer) serve(reloads, terminations <-chan os.Signal) {
+// becomeReady tells clients and operators that this process serves.
+func (s *platformServer) becomeReady() error {
+	if s.listener == nil {
+		if err := s.listen(); err != nil {
+			return err
+		}
+	}
+	s.frontend.SetReady(true)
+	s.operators.ready.Store(true)
+	return nil
+}
+
+// serve serves until a termination signal, or an error. The process is ready once discovery has answered, or after
+// discoveryTimeout.
+func (s *platformServer) serve(reloads, terminations <-chan os.Signal) error {
 	discovered := make(chan struct{}, 1)
 	// Ends when stop is closed; the process does not wait for a call to discovery.
 	go s.watcher.Run(s.stop, func() {
@@ -289,13 +325,17 @@
 	for {
 		select {
 		case <-discovered:
-			s.frontend.SetReady(true)
+			if err := s.becomeReady(); err != nil {
+				return err
+			}
 		case <-timeout:
-			s.frontend.SetReady(true)
+			if err := s.becomeReady(); err != nil {
+				return err
+			}
 		case <-counterRequests:
 			s.loop.Do(func() { logf("%s", s.countersText()) })
 		case <-terminations:
-			return
+			return nil
 		}
 	}
 }
@@ -306,6 +346,9 @@
 func (s *platformServer) shutdown() {
 	s.frontend.SetReady(false)
 	logf("shutting down")
+	if s.listener != nil && tcp.Listeners(s.listener.Addr()) > 1 {
+		s.leaveToSuccessor()
+	}
 	time.Sleep(shutdownGrace)
 	s.limiter.StopAdmitting()
 	s.frontend.Shutdown()
@@ -313,19 +356,30 @@
 		s.loop.Do(func() { openQueries = s.core.OpenQueries() })
 		time.Sleep(drainPollInterval)
 	}
-	s.listener.Close()
+	if s.listener != nil {
+		s.listener.Close()
+	}
+	s.operators.close()
 	close(s.stop)
 	<-s.loopDone
 	logf("%s", s.countersText())
 }
 
+// leaveToSuccessor lets the process that replaces this one have every new connection. Requests on the connections that this
+// one has are served as before, and each answer ends its connection.
+func (s *platformServer) leaveToSuccessor() {
+	logf("another process listens on %s: it has the new connections", s.listener.Addr())
+	s.listener.StopAccepting()
+	s.frontend.EndKeepAlive()
+}
+
 // handleReloads reloads the configuration on each signal, until stop is closed. It runs off the loop.
 func (s *platformServer) handleReloads(reloads <-chan os.Signal) {
 	node := s.node
 	for {
 		select {
 		case <-reloads:
-			node = reload(node, s.watcher)
+			node = s.reload(node)
 		case <-s.stop:
 			return
 		}
@@ -334,15 +388,17 @@
 
 // reload reads the configuration again and applies what can change in a running process. After an error the former
 // configuration stays in force.
-func reload(node config.Node, watcher *discovery.Watcher) config.Node {
+func (s *platformServer) reload(node config.Node) config.Node {
 	next, restartNeeded, err := node.Reload(os.Getenv)
 	if err != nil {
+		s.operators.reloads.invalid.Add(1)
 		logf("configuration reload failed, keeping the former one: %v", err)
 		return node
 	}
+	s.operators.reloads.loaded.Add(1)
 	debug.SetMemoryLimit(memoryLimit(next))
 	if next.Discovery != node.Discovery {
-		watcher.SwitchTo(next.Discovery)
+		s.watcher.SwitchTo(next.Discovery)
 	}
 	if restartNeeded {
 		logf("configuration reloaded: what changed beside discovery and memory waits for the next start")
--- a/internal/backend/leaf/attempt.go
+++ b/internal/backend/leaf/attempt.go
@@ -186,6 +186,9 @@
 
 // handleWriteFinished takes how far a call was written.
 func (p *Pool) handleWriteFinished(m writeFinished) {
+	if m.result == tcp.WriteComplete {
+		p.Stats.Written += uint64(len(m.attempts))
+	}
 	for _, a := range m.attempts {
 		p.handleWritten(a, m.result)
 	}
--- a/internal/backend/leaf/pool.go
+++ b/internal/backend/leaf/pool.go
@@ -62,6 +62,7 @@
 	Broken      uint64 // connections that ended without the pool having closed them
 	Corrupt     uint64 // connections closed because of what came on them
 	LateAnswers uint64 // answers to attempts that had been canceled
+	Written     uint64 // attempts whose call was written completely
 }
 
 // Directory tells the pool what is listed of a server now. A server may have begun draining, moved or restarted since its
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -37,14 +37,16 @@
 	PeerListen       string          // where gossip of the other instances arrives; empty: none does
 	Peers            []string        // from where each instance of the fleet sends, this one included
 	PeerBroadcast    string          // reaches all instances
+	Control          string          // host:port where operators call; empty: nowhere
+	StateDir         string          // shared with the processes that this one replaces or is replaced by; empty: none
 	Deployment       settings.Deployment
 
 	fileDiscovery string // discovery as the file has it
 	fileSettings  []byte // and the settings
 }
 
-// LoadNode reads the file that NODE_CONFIG names. NODE_NAME, NODE_LISTEN and NODE_DISCOVERY override it. env is
-// os.Getenv, or a test's.
+// LoadNode reads the file that NODE_CONFIG names. NODE_NAME, NODE_LISTEN, NODE_DISCOVERY and NODE_CONTROL override it, and
+// TMPDIR is where state is shared. env is os.Getenv, or a test's.
 func LoadNode(env func(string) string) (Node, error) {
 	path := env("NODE_CONFIG")
 	if path == "" {
@@ -62,6 +64,8 @@
 		"NODE_NAME":      &node.Name,
 		"NODE_LISTEN":    &node.Listen,
 		"NODE_DISCOVERY": &node.Discovery,
+		"NODE_CONTROL":   &node.Control,
+		"TMPDIR":         &node.StateDir,
 	}
 	for name, field := range fields {
 		if value := env(name); value != "" {
@@ -111,6 +115,7 @@
 	PeerListen       string          `json:"peer_listen"`
 	Peers            []string        `json:"peers"`
 	PeerBroadcast    string          `json:"peers_all"`
+	Control          string          `json:"control"`
 	Settings         json.RawMessage `json:"settings"`
 }
 
@@ -135,6 +140,7 @@
 		PeerListen:       file.PeerListen,
 		Peers:            file.Peers,
 		PeerBroadcast:    file.PeerBroadcast,
+		Control:          file.Control,
 		fileDiscovery:    file.Discovery,
 		fileSettings:     file.Settings,
 	}
--- a/internal/net/gossip/gossip.go
+++ b/internal/net/gossip/gossip.go
@@ -3,6 +3,7 @@
 package gossip
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -10,6 +11,7 @@
 	"sync/atomic"
 
 	"rooktrestle/balance"
+	"rooktrestle/internal/net/tcp"
 )
 
 // Stats count datagrams. They may be read by any goroutine.
@@ -59,9 +61,13 @@
 		}
 		t.peers[addr] = i != options.OwnIndex
 	}
-	if t.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(listenAddr)); err != nil {
+	// A process that replaces this one listens beside it: each gets a part of the datagrams until one has ended.
+	config := net.ListenConfig{Control: tcp.SharePort}
+	conn, err := config.ListenPacket(context.Background(), "udp4", listenAddr.String())
+	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
+	t.conn = conn.(*net.UDPConn)
 	go t.receive(options.Receive) // until Close
 	return t, nil
 }
--- a/internal/net/httpserve/server.go
+++ b/internal/net/httpserve/server.go
@@ -50,6 +50,7 @@
 	now      func() time.Time
 
 	mu       sync.Mutex
+	leaving  bool // every response ends its connection
 	closing  bool // every response ends its connection, and no request is passed on any more
 	conns    map[*serverConn]bool
 	unused   list.List // of *serverConn without a complete request so far, oldest first
@@ -64,6 +65,13 @@
 	return &Server{handle: handle, timeouts: timeouts, now: now, conns: map[*serverConn]bool{}}
 }
 
+// EndKeepAlive lets every response from now on end its connection: clients open their next ones elsewhere.
+func (s *Server) EndKeepAlive() {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+}
+
 // Shutdown ends the server gracefully, without waiting: connections without a request in flight end, each later response
 // ends its connection, and no request is passed on any more. One of which a part has come, or that comes on a connection
 // that was accepted just now, is rejected with 503; the client may send it again, as nothing was done for it. Once
@@ -139,5 +147,5 @@
 func (s *Server) endsConnection(x *Exchange) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return x.Close || s.closing || s.overloaded()
+	return x.Close || s.leaving || s.closing || s.overloaded()
 }
--- a/internal/net/tcp/listen.go
+++ b/internal/net/tcp/listen.go
@@ -13,7 +13,7 @@
 
 // Server accepts connections on one address.
 type Server struct {
-	listener net.Listener
+	listener netpoll.Listener
 	loop     netpoll.EventLoop
 }
 
@@ -23,7 +23,24 @@
 // Listen listens on addr, host:port, and serves each connection that limiter admits with the handler that accept makes of
 // it. accept may be called on the poller and must not block. The caller closes the server.
 func Listen(addr string, limiter *ConnLimiter, accept func(*Conn) Handler) (*Server, error) {
-	listener, err := net.Listen("tcp", addr)
+	return openServer(&net.ListenConfig{}, addr, limiter, accept)
+}
+
+// ListenShared is Listen on an address on which another process of the same user may listen, too, if it also shares it:
+// new connections go to either. For processes that replace each other.
+func ListenShared(addr string, limiter *ConnLimiter, accept func(*Conn) Handler) (*Server, error) {
+	return openServer(&net.ListenConfig{Control: SharePort}, addr, limiter, accept)
+}
+
+func openServer(
+	config *net.ListenConfig, addr string, limiter *ConnLimiter, accept func(*Conn) Handler,
+) (*Server, error) {
+	opened, err := config.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := netpoll.ConvertListener(opened) // with a descriptor of its own
+	_ = opened.Close()                               // the socket stays with the other descriptor
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/protocol/admin/admin_test.go
@@ -0,0 +1,64 @@
+package admin
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+func TestParse(t *testing.T) {
+	for line, want := range map[string]Command{
+		"PING\n":                {Verb: Ping},
+		"INFO":                  {Verb: Info},
+		"DETACH s-5be2a07c\r\n": {Verb: Detach, Server: "s-5be2a07c"},
+		" ATTACH  s-1 \n":       {Verb: Attach, Server: "s-1"},
+	} {
+		if got, err := Parse(line); got != want || err != nil {
+			t.Errorf("%q: %+v, %v", line, got, err)
+		}
+	}
+	for line, want := range map[string]error{
+		"":             ErrNoCall,
+		"\r\n":         ErrNoCall,
+		"ping":         ErrUnknownCall,
+		"\x00\xff":     ErrUnknownCall,
+		"PING now":     ErrArguments,
+		"DETACH":       ErrNoServer,
+		"ATTACH a b":   ErrArguments,
+		"DETACH\ta\tb": ErrArguments,
+	} {
+		if got, err := Parse(line); !errors.Is(err, want) || got != (Command{}) {
+			t.Errorf("%q: %+v, %v; want %v", line, got, err, want)
+		}
+	}
+}
+
+func TestAnswers(t *testing.T) {
+	if Done() != "done\n" || Failure(errors.New("no\nserver")) != "error no server\n" {
+		t.Errorf("%q, %q", Done(), Failure(errors.New("no\nserver")))
+	}
+	text := Figures([]Figure{{"mixer.current", 14}, {"mixer.sends", 0}})
+	if text != "mixer.current=14\nmixer.sends=0\nend\n" {
+		t.Errorf("%q", text)
+	}
+}
+
+// Whatever a line holds, it is one of the calls or an error on one line.
+func FuzzParse(f *testing.F) {
+	f.Add("DETACH s-1")
+	f.Add("\x00 \n INFO")
+	f.Fuzz(func(t *testing.T, line string) {
+		command, err := Parse(line)
+		if err != nil {
+			answer := Failure(err)
+			if command != (Command{}) || strings.Count(answer, "\n") != 1 || !strings.HasPrefix(answer, "error ") {
+				t.Errorf("%q: %+v, %q", line, command, answer)
+			}
+			return
+		}
+		named := command.Verb == Detach || command.Verb == Attach
+		if named != (command.Server != "") || strings.ContainsAny(command.Server, " \n") {
+			t.Errorf("%q: %+v", line, command)
+		}
+	})
+}
