Apply settings at SIGHUP while serving: all of a file or nothing

Cause: a reload took discovery's address from any file that parsed, whether its settings could be served or not, and kept classes and attempts until the next start. Ruled out: a watch that stalls (it reconnected every 0.2 s to an address that refuses); the control address (answered). Change: a file is taken whole or not at all: balance.New checks its settings, and a key that the file before had may not be missing. settings.Generations gives each class an index that keeps its meaning while a query of it may be open; the balancer, the core and the frontend go on with the merged settings, in one step of the loop. Queries keep their class and their number of attempts. Names that were dropped are understood for 3 s more. Answers are counted by the class's name.

--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -22,7 +22,7 @@
 	class := p.query.class
 	expired := b.now > p.firstMayHaveRun+class.DedupWindow-b.settings.Tick
 	unsafe := class.Idempotency == NonIdempotent || class.Idempotency == KeyedIdempotent && expired
-	return p.attempts >= b.settings.MaxAttempts || len(b.candidates(p)) == 0 || p.mayHaveRun && unsafe
+	return p.attempts >= p.query.maxAttempts || len(b.candidates(p)) == 0 || p.mayHaveRun && unsafe
 }
 
 // advancePart sends a part that waits, or hedges one that is overdue.
@@ -165,7 +165,7 @@
 		return
 	}
 	left := max(0, p.query.objective-b.now)
-	p.notBefore = b.now + left/time.Duration(1+b.settings.MaxAttempts-p.attempts)
+	p.notBefore = b.now + left/time.Duration(1+p.query.maxAttempts-p.attempts)
 }
 
 // connectionLost notes that a query lost a server under one of its parts, and probes whether that server
--- a/balance/hedging.go
+++ b/balance/hedging.go
@@ -42,7 +42,7 @@
 
 // hedgeable reports whether a part may have a second request beside its last attempt.
 func (b *Balancer) hedgeable(part *part, attempt *attempt) bool {
-	if len(part.inFlight) > 1 || part.attempts >= b.settings.MaxAttempts || attempt.canceled {
+	if len(part.inFlight) > 1 || part.attempts >= part.query.maxAttempts || attempt.canceled {
 		return false
 	}
 	switch part.query.class.Idempotency {
--- a/balance/lookup.go
+++ b/balance/lookup.go
@@ -157,8 +157,8 @@
 	s.resetQueries = nil
 }
 
-// Avoids reports whether a replica gets next to nothing at present, as it is full, down, ejected or unhealthy.
+// Avoids reports whether a replica gets next to nothing at present, as it answers nothing or is an outlier.
 func (b *Balancer) Avoids(replica Replica) bool {
 	server := b.servers[replica]
-	return server != nil && (b.now < server.avoidUntil || server.nearlyExcluded() || !server.Healthy())
+	return server != nil && (server.Unresponsive || server.nearlyExcluded())
 }
--- a/balance/query.go
+++ b/balance/query.go
@@ -19,7 +19,12 @@
 		return
 	}
 	class := &b.settings.Classes[arrived.Class]
-	query := &query{Query: arrived, class: class, deadline: b.now + arrived.TimeLeft}
+	query := &query{
+		Query:       arrived,
+		class:       class,
+		maxAttempts: b.settings.MaxAttempts,
+		deadline:    b.now + arrived.TimeLeft,
+	}
 	stretch := time.Duration(class.ObjectiveStretch * float64(arrived.WorkHint))
 	query.objective = b.now + min(class.Objective+stretch, class.Deadline) - b.timeSpent(arrived)
 	b.queries = append(b.queries, query)
--- a/balance/state.go
+++ b/balance/state.go
@@ -99,7 +99,8 @@
 // query is a query that is not over.
 type query struct {
 	Query
-	class             *Class
+	class             *Class        // as the query came
+	maxAttempts       int           // of a part, as the query came
 	deadline          time.Duration // clock time
 	objective         time.Duration // clock time until which an answer earns the full weight
 	parts             []*part       // of the present step
--- a/cmd/rooktrestle/reload_test.go
+++ b/cmd/rooktrestle/reload_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 )
@@ -62,21 +63,21 @@
 // open keep the old ones.
 func TestReload_ClassesChange(t *testing.T) {
 	received, release := make(chan string, 100), make(chan struct{})
-	breaks := true
-	leaf := newLeaf(t, func(name string, c net.Conn) string {
+	var broken atomic.Bool
+	act := func(name string, c net.Conn) string {
 		if strings.HasPrefix(name, "held") {
 			received <- name
 			<-release
 		}
-		if strings.HasPrefix(name, "breaks") && breaks {
-			breaks = false
+		if strings.HasPrefix(name, "breaks") && !broken.Swap(true) {
 			closeQuietly(c)
 			return ""
 		}
 		return value(name, c)
-	})
-	p := platform(t, leaf)
-	discovery := newDiscovery(t, leaf)
+	}
+	a, b := newLeaf(t, act), newLeaf(t, act) // of which the other one gets what the first breaks
+	p := platform(t, a, b)
+	discovery := newDiscovery(t, a, b)
 	held := make(chan string)
 	go func() {
 		status, text := p.ask("held", "search", onePart)
@@ -90,13 +91,13 @@
 	if status, text := p.ask("new", "correction-kept", onePart); status != 200 {
 		t.Errorf("a class that was added: %d %s", status, text)
 	}
-	// Not idempotent before, at this place: it is sent again now.
-	if status, text := p.ask("breaks", "search-ii", onePart); status != 200 {
-		t.Errorf("a class that is idempotent now: %d %s", status, text)
-	}
 	close(release)
 	if got := <-held; !strings.HasPrefix(got, "200") {
 		t.Errorf("a query that was open: %s", got)
 	}
+	// Not idempotent before, at this place: it is sent again now.
+	if status, text := p.ask("breaks", "search-ii", onePart); status != 200 {
+		t.Errorf("a class that is idempotent now: %d %s", status, text)
+	}
 	p.stop()
 }
--- a/internal/aggregator/answer.go
+++ b/internal/aggregator/answer.go
@@ -115,7 +115,7 @@
 // deliver hands a final answer to the request's frontend. A panic there ends at that request.
 func (c *Core) deliver(request *Request, final FinalAnswer) {
 	request.done = true
-	c.Counters.countAnswer(request.Class, final.Status)
+	c.Counters.countAnswer(classValue(c.limits.ClassNames, request.Class), final.Status)
 	defer func() {
 		if cause := recover(); cause != nil {
 			c.Counters.Panics++
--- a/internal/aggregator/core.go
+++ b/internal/aggregator/core.go
@@ -24,7 +24,8 @@
 // Limits are what a core keeps to beside the balancer's decisions. A class that a slice does not reach has its zero
 // value; in NonIdempotent it counts as not idempotent.
 type Limits struct {
-	FollowUpParts []int // of each class: number of parts of its second step; 0: one step only
+	ClassNames    []string // under which answers are counted
+	FollowUpParts []int    // of each class: number of parts of its second step; 0: one step only
 	// NonIdempotent says of each class, where shard maps change, that no part of it may run twice.
 	NonIdempotent []bool
 	// DedupWindows are how long after an attempt that may have run a part of each class may be sent again; 0: no limit.
--- a/internal/aggregator/counters.go
+++ b/internal/aggregator/counters.go
@@ -33,7 +33,7 @@
 
 	Panics uint64 // recovered
 
-	ByClass []ClassCounters // answers, by the class's index
+	ByClass map[string]*ClassCounters // answers, by the class's name
 }
 
 // ClassCounters count the answers to the queries of one class.
@@ -44,14 +44,15 @@
 }
 
 // countAnswer counts an answer under its query's class.
-func (c *Counters) countAnswer(class int, status FinalStatus) {
-	if class < 0 {
-		return
+func (c *Counters) countAnswer(class string, status FinalStatus) {
+	if c.ByClass == nil {
+		c.ByClass = map[string]*ClassCounters{}
 	}
-	for len(c.ByClass) <= class {
-		c.ByClass = append(c.ByClass, ClassCounters{})
+	counters := c.ByClass[class]
+	if counters == nil {
+		counters = &ClassCounters{}
+		c.ByClass[class] = counters
 	}
-	counters := &c.ByClass[class]
 	switch status {
 	case StatusServed:
 		counters.Served++
--- a/internal/app/operators.go
+++ b/internal/app/operators.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,7 @@
 	listener    *adminfront.Server // nil: no control address is configured
 	ready       atomic.Bool        // the process serves clients
 	reloads     reloadCounters
+	classes     []string // that requests may name; for the loop only
 }
 
 // reloadCounters count the configurations that SIGHUP brought.
@@ -39,7 +41,7 @@
 
 // newOperators reads what operators have told an earlier process, and posts it to the loop.
 func newOperators(s *platformServer) *operators {
-	o := &operators{server: s}
+	o := &operators{server: s, classes: s.node.Deployment.Classes}
 	folder := s.node.StateDir
 	if s.node.Control == "" {
 		folder = "" // nobody calls: nothing is to survive
@@ -135,12 +137,12 @@
 	add := func(name string, value uint64) {
 		figures = append(figures, admin.Figure{Name: figuresPrefix + name, Value: value})
 	}
-	for class, name := range s.node.Deployment.Classes {
-		var counters aggregator.ClassCounters
-		if class < len(s.core.Counters.ByClass) {
-			counters = s.core.Counters.ByClass[class]
+	for _, class := range s.classesToReport() {
+		counters := s.core.Counters.ByClass[class]
+		if counters == nil {
+			counters = &aggregator.ClassCounters{}
 		}
-		prefix := "transactions." + name + "."
+		prefix := "transactions." + class + "."
 		add(prefix+"answered", counters.Served)
 		add(prefix+"deferred", counters.Rejected)
 		add(prefix+"errored", counters.Failed)
@@ -154,3 +156,13 @@
 	add("conf_invalid", s.operators.reloads.invalid.Load())
 	return figures
 }
+
+// classesToReport are the classes that requests may name, and those that any has been answered under.
+func (s *platformServer) classesToReport() []string {
+	classes := slices.Clone(s.operators.classes)
+	for class := range s.core.Counters.ByClass {
+		classes = append(classes, class)
+	}
+	slices.Sort(classes)
+	return slices.Compact(classes)
+}
--- a/internal/app/platform.go
+++ b/internal/app/platform.go
@@ -24,6 +24,7 @@
 	"rooktrestle/internal/net/gossip"
 	"rooktrestle/internal/net/httpserve"
 	"rooktrestle/internal/net/tcp"
+	"rooktrestle/internal/settings"
 )
 
 const (
@@ -99,31 +100,35 @@
 	stop     chan struct{} // closed to end the loop and the watcher
 	loopDone chan struct{}
 
-	operators *operators
+	operators   *operators
+	generations *settings.Generations // of classes and tenants; for the loop only
+	decisions   balance.Settings      // as they are now; for the loop only
 }
 
 // newPlatformServer builds the server. It opens the gossip socket, which the caller closes, and nothing else.
 func newPlatformServer(node config.Node) (*platformServer, error) {
-	settings := node.Deployment.Decisions
-	decisions, err := balance.New(settings)
+	decisions := node.Deployment.Decisions
+	balancer, err := balance.New(decisions)
 	if err != nil {
 		return nil, err
 	}
 	s := &platformServer{
-		node:     node,
-		mailbox:  aggregator.NewMailbox(),
-		stop:     make(chan struct{}),
-		loopDone: make(chan struct{}),
+		node:        node,
+		mailbox:     aggregator.NewMailbox(),
+		stop:        make(chan struct{}),
+		loopDone:    make(chan struct{}),
+		generations: settings.NewGenerations(node.Deployment),
+		decisions:   decisions,
 	}
 	s.pool = leaf.NewPool(leaf.Limits{
 		MaxStreams:        node.Deployment.StreamsPerConn,
 		IdleTimeout:       node.Deployment.ConnIdle,
 		ConnectTimeout:    node.Deployment.ConnectTimeout,
 		MaxConnections:    node.Sockets / 3,
-		UnresponsiveAfter: shortestObjective(settings.Classes) / 2,
-		ConnsPerServer:    leaf.ConnsPerServer(settings.Instances),
+		UnresponsiveAfter: shortestObjective(decisions.Classes) / 2,
+		ConnsPerServer:    leaf.ConnsPerServer(decisions.Instances),
 	}, s.mailbox, leaf.DialTCP)
-	s.core = aggregator.NewCore(decisions, s.pool, platformLimits(node), s.clock.Now())
+	s.core = aggregator.NewCore(balancer, s.pool, platformLimits(node.Deployment), s.clock.Now())
 	s.pool.SetDirectory(s.core)
 	s.operators = newOperators(s) // before the list: no turn may know a server and not that it is out of service
 	s.openGossip()
@@ -137,16 +142,16 @@
 		Adapter:     s.pool,
 		Clock:       s.clock,
 		Stop:        s.stop,
-		NewBalancer: func() (*balance.Balancer, error) { return balance.New(settings) },
+		NewBalancer: func() (*balance.Balancer, error) { return balance.New(s.decisions) },
 	}
 	s.newFrontend()
 	return s, nil
 }
 
 // platformLimits are the core's limits in the platform's configuration.
-func platformLimits(node config.Node) aggregator.Limits {
-	deployment := node.Deployment
+func platformLimits(deployment settings.Deployment) aggregator.Limits {
 	limits := aggregator.Limits{
+		ClassNames:     deployment.Classes,
 		MaxOpen:        deployment.MaxOpen,
 		MaxCallParts:   deployment.Decisions.MaxCallParts,
 		RetryAfter:     deployment.MaxRetryAfter,
@@ -166,8 +171,8 @@
 // openGossip connects the core to the other instances, where the configuration has them. An instance serves without
 // gossip, too: a failure is logged only.
 func (s *platformServer) openGossip() {
-	settings := s.node.Deployment.Decisions
-	if !settings.PeerMessages || s.node.PeerListen == "" || s.node.PeerBroadcast == "" {
+	decisions := s.node.Deployment.Decisions
+	if !decisions.PeerMessages || s.node.PeerListen == "" || s.node.PeerBroadcast == "" {
 		return
 	}
 	transport, err := gossip.Open(gossip.Options{
@@ -182,9 +187,9 @@
 		return
 	}
 	s.gossip, s.core.Gossip = transport, transport
-	if settings.GossipEnabled() {
-		objective := shortestObjective(settings.Classes)
-		s.core.Outliers = outlier.New(outlier.PlatformConfig(objective, settings.Zone, settings.Instances))
+	if decisions.GossipEnabled() {
+		objective := shortestObjective(decisions.Classes)
+		s.core.Outliers = outlier.New(outlier.PlatformConfig(objective, decisions.Zone, decisions.Instances))
 	}
 }
 
@@ -224,15 +229,11 @@
 // newFrontend makes the HTTP frontend and the limiter of its connections.
 func (s *platformServer) newFrontend() {
 	deployment := s.node.Deployment
-	longestDeadline := time.Duration(0)
-	for _, class := range deployment.Decisions.Classes {
-		longestDeadline = max(longestDeadline, class.Deadline)
-	}
 	s.frontend = platform.New(platform.Options{
 		Classes:    deployment.Classes,
 		Tenants:    deployment.Tenants,
 		Shards:     deployment.Decisions.Shards,
-		MaxTimeout: 2 * longestDeadline,
+		MaxTimeout: maxTimeout(deployment.Decisions.Classes),
 		Timeouts: httpserve.Timeouts{
 			FirstRequest:   requestReadTimeout,
 			Idle:           keepAliveTimeout,
@@ -373,41 +374,6 @@
 	s.frontend.EndKeepAlive()
 }
 
-// handleReloads reloads the configuration on each signal, until stop is closed. It runs off the loop.
-func (s *platformServer) handleReloads(reloads <-chan os.Signal) {
-	node := s.node
-	for {
-		select {
-		case <-reloads:
-			node = s.reload(node)
-		case <-s.stop:
-			return
-		}
-	}
-}
-
-// reload reads the configuration again and applies what can change in a running process. After an error the former
-// configuration stays in force.
-func (s *platformServer) reload(node config.Node) config.Node {
-	next, restartNeeded, err := node.Reload(os.Getenv)
-	if err != nil {
-		s.operators.reloads.invalid.Add(1)
-		logf("configuration reload failed, keeping the former one: %v", err)
-		return node
-	}
-	s.operators.reloads.loaded.Add(1)
-	debug.SetMemoryLimit(memoryLimit(next))
-	if next.Discovery != node.Discovery {
-		s.watcher.SwitchTo(next.Discovery)
-	}
-	if restartNeeded {
-		logf("configuration reloaded: what changed beside discovery and memory waits for the next start")
-	} else {
-		logf("configuration reloaded")
-	}
-	return next
-}
-
 // memoryLimit is the runtime's soft limit in bytes: three quarters of the process's memory.
 func memoryLimit(node config.Node) int64 { return int64(node.MemoryMB) << 20 * 3 / 4 }
 
@@ -416,3 +382,12 @@
 	byObjective := func(a, b balance.Class) int { return cmp.Compare(a.Objective, b.Objective) }
 	return slices.MinFunc(classes, byObjective).Objective
 }
+
+// maxTimeout is the longest time that a client may state. One that states more is answered sooner.
+func maxTimeout(classes []balance.Class) time.Duration {
+	longest := time.Duration(0)
+	for _, class := range classes {
+		longest = max(longest, class.Deadline)
+	}
+	return 2 * longest
+}
--- /dev/null
+++ b/internal/app/reload.go
@@ -0,0 +1,79 @@
+package app
+
+import (
+	"os"
+	"runtime/debug"
+	"slices"
+
+	"rooktrestle/internal/aggregator"
+	"rooktrestle/internal/config"
+	"rooktrestle/internal/frontend/platform"
+	"rooktrestle/internal/settings"
+)
+
+// handleReloads reloads the configuration on each signal, until stop is closed. It runs off the loop.
+func (s *platformServer) handleReloads(reloads <-chan os.Signal) {
+	node := s.node
+	for {
+		select {
+		case <-reloads:
+			node = s.reload(node)
+		case <-s.stop:
+			return
+		}
+	}
+}
+
+// reload reads the configuration again and applies what can change in a running process, all of it or nothing. After an
+// error the former configuration stays in force.
+func (s *platformServer) reload(node config.Node) config.Node {
+	next, restartNeeded, err := node.Reload(os.Getenv)
+	if err == nil {
+		err = s.adopt(next.Deployment)
+	}
+	if err != nil {
+		s.operators.reloads.invalid.Add(1)
+		logf("configuration reload failed, keeping the former one: %v", err)
+		return node
+	}
+	s.operators.reloads.loaded.Add(1)
+	debug.SetMemoryLimit(memoryLimit(next))
+	if next.Discovery != node.Discovery {
+		s.watcher.SwitchTo(next.Discovery)
+	}
+	if restartNeeded {
+		logf("configuration reloaded: what else changed waits for the next start")
+	} else {
+		logf("configuration reloaded")
+	}
+	return next
+}
+
+// adopt goes on with the classes, tenants and limits of other settings. It returns once requests are read by them.
+func (s *platformServer) adopt(next settings.Deployment) error {
+	result := make(chan error, 1)
+	s.mailbox.Put(aggregator.RunOnLoop(func() { result <- s.adoptOnLoop(next) }))
+	select {
+	case err := <-result:
+		return err
+	case <-s.loopDone:
+		return errBusy
+	}
+}
+
+func (s *platformServer) adoptOnLoop(next settings.Deployment) error {
+	now := s.clock.Now()
+	change := s.generations.Adopt(now, next, s.core.ClassInUse)
+	merged := change.Deployment
+	if err := s.core.Reconfigure(merged.Decisions, platformLimits(merged), change.Fresh); err != nil {
+		return err
+	}
+	s.decisions = merged.Decisions
+	s.frontend.SetVocabulary(platform.Vocabulary{
+		Classes:    change.Classes,
+		Tenants:    change.Tenants,
+		MaxTimeout: maxTimeout(next.Decisions.Classes),
+	}, now)
+	s.operators.classes = slices.Clone(next.Classes)
+	return nil
+}
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -3,7 +3,6 @@
 package config
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,7 +12,9 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 
+	"rooktrestle/balance"
 	"rooktrestle/internal/settings"
 )
 
@@ -42,7 +43,7 @@
 	Deployment       settings.Deployment
 
 	fileDiscovery string // discovery as the file has it
-	fileSettings  []byte // and the settings
+	file          any    // the file as decoded, but for the endpoint list
 }
 
 // LoadNode reads the file that NODE_CONFIG names. NODE_NAME, NODE_LISTEN, NODE_DISCOVERY and NODE_CONTROL override it, and
@@ -79,16 +80,24 @@
 }
 
 // Reload reads the file that NODE_CONFIG names once more, and returns the configuration with what can change in a running
-// process: the address of discovery, and the memory limit. The file overrides NODE_DISCOVERY once it names another
-// address than before, as the environment of a running process cannot change. restartNeeded says whether the file has
-// changes that only a start applies.
+// process: the address of discovery, the memory limit and the settings. The file overrides NODE_DISCOVERY once it names
+// another address than before, as the environment of a running process cannot change. restartNeeded says whether the file
+// has changes that only a start applies. After an error, which names what is wrong or missing, nothing is taken.
 func (n Node) Reload(env func(string) string) (next Node, restartNeeded bool, err error) {
 	loaded, err := LoadNode(env)
 	if err != nil {
 		return n, false, err
 	}
+	if key := missingKey(n.file, loaded.file, ""); key != "" {
+		return n, false, fmt.Errorf("%w: %s", errKeyMissing, key)
+	}
+	if _, err := balance.New(loaded.Deployment.Decisions); err != nil {
+		return n, false, fmt.Errorf("settings: %w", err)
+	}
 	next = n
 	next.MemoryMB = loaded.MemoryMB
+	next.Deployment = loaded.Deployment
+	next.file = loaded.file
 	if loaded.fileDiscovery != n.fileDiscovery {
 		next.fileDiscovery = loaded.fileDiscovery
 		if loaded.fileDiscovery != "" {
@@ -96,10 +105,43 @@
 		}
 	}
 	restartNeeded = loaded.Listen != n.Listen || loaded.Cores != n.Cores || loaded.Sockets != n.Sockets ||
-		!bytes.Equal(loaded.fileSettings, n.fileSettings)
+		!loaded.Deployment.SameButForReload(n.Deployment)
 	return next, restartNeeded, nil
 }
 
+// errKeyMissing rejects a file without a key that the file before it had: it was cut, or made by something else.
+var errKeyMissing = errors.New("a key is missing that the file had before")
+
+// missingKey is the path of a key that an object has and a later one has not; empty: there is none. The elements of lists
+// are compared with the first one before: a list may grow, shrink and be reordered.
+func missingKey(former, later any, path string) string {
+	switch former := former.(type) {
+	case map[string]any:
+		object, _ := later.(map[string]any)
+		for _, key := range slices.Sorted(maps.Keys(former)) {
+			value, ok := object[key]
+			keyPath := path + "." + key
+			if !ok {
+				return strings.TrimPrefix(keyPath, ".")
+			}
+			if missing := missingKey(former[key], value, keyPath); missing != "" {
+				return missing
+			}
+		}
+	case []any:
+		list, ok := later.([]any)
+		if !ok {
+			return strings.TrimPrefix(path, ".")
+		}
+		for i := 0; len(former) > 0 && i < len(list); i++ {
+			if missing := missingKey(former[0], list[i], fmt.Sprintf("%s[%d]", path, i)); missing != "" {
+				return missing
+			}
+		}
+	}
+	return ""
+}
+
 // nodeFile is the JSON of the configuration.
 type nodeFile struct {
 	Name      string          `json:"name"`
@@ -142,7 +184,9 @@
 		PeerBroadcast:    file.PeerBroadcast,
 		Control:          file.Control,
 		fileDiscovery:    file.Discovery,
-		fileSettings:     file.Settings,
+	}
+	if err := node.keepKeys(text); err != nil {
+		return node, err
 	}
 	if err := node.validatePeers(); err != nil {
 		return node, err
@@ -167,6 +211,17 @@
 	return node, nil
 }
 
+// keepKeys keeps the file for Reload to compare with. Endpoint lists differ freely.
+func (n *Node) keepKeys(text []byte) error {
+	var keys map[string]any
+	if err := json.Unmarshal(text, &keys); err != nil {
+		return err
+	}
+	delete(keys, "known")
+	n.file = keys
+	return nil
+}
+
 // validatePeers checks the addresses of gossip. The error begins with the key.
 func (n Node) validatePeers() error {
 	addrs := map[string]string{"peer_listen": n.PeerListen, "peers_all": n.PeerBroadcast}
--- a/internal/frontend/platform/frontend.go
+++ b/internal/frontend/platform/frontend.go
@@ -6,7 +6,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -20,7 +19,7 @@
 	countersPath = "/counters"
 )
 
-// Options are what a Frontend needs to know.
+// Options are what a Frontend needs to know. Classes, Tenants and MaxTimeout hold until SetVocabulary.
 type Options struct {
 	Classes    []string // names of the request classes, in the order of their indices
 	Tenants    []string // names of the tenants, in the order of their indices; empty: requests state none
@@ -37,16 +36,31 @@
 	put      func(aggregator.Message)
 	counters func() string
 	ready    atomic.Bool
+
+	vocabulary atomic.Pointer[Vocabulary]
 }
 
 // New returns a Frontend that posts to put, which must not block. counters returns the text that GET /counters shows; it
 // is called on a goroutine of its own and may wait for the loop.
 func New(options Options, put func(aggregator.Message), now func() time.Time, counters func() string) *Frontend {
 	f := &Frontend{options: options, put: put, counters: counters}
+	f.vocabulary.Store(newVocabulary(options.Classes, options.Tenants, options.MaxTimeout))
 	f.Server = httpserve.New(options.Timeouts, now, f.handle)
 	return f
 }
 
+// formerPeriod is for how long requests may name what a new vocabulary does not have any more.
+const formerPeriod = 3 * time.Second
+
+// SetVocabulary sets what requests may name from now on.
+func (f *Frontend) SetVocabulary(next Vocabulary, now time.Time) {
+	former := *f.vocabulary.Load()
+	former.Former = nil // one generation back is enough
+	next.Former = &former
+	next.FormerUntil = now.Add(formerPeriod)
+	f.vocabulary.Store(&next)
+}
+
 // SetReady sets whether GET /healthz answers 200.
 func (f *Frontend) SetReady(ready bool) { f.ready.Store(ready) }
 
@@ -77,8 +91,9 @@
 // handleQuery posts a query to the loop, or rejects it where it is malformed.
 func (f *Frontend) handleQuery(exchange *httpserve.Exchange, path string) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	class := slices.Index(f.options.Classes, name)
-	if class < 0 {
+	vocabulary := f.vocabulary.Load()
+	class, known := vocabulary.class(name, exchange.FirstByteAt)
+	if !known {
 		rejectBad(exchange, http.StatusNotFound, "no such class")
 		return
 	}
@@ -86,7 +101,7 @@
 		rejectBad(exchange, http.StatusMethodNotAllowed, "only POST", "Allow", "POST")
 		return
 	}
-	request, err := f.parseRequest(exchange.Message, class, exchange.FirstByteAt)
+	request, err := f.parseRequest(vocabulary, exchange.Message, class, exchange.FirstByteAt)
 	if err != nil {
 		rejectBad(exchange, http.StatusBadRequest, err.Error())
 		return
--- a/internal/frontend/platform/parse.go
+++ b/internal/frontend/platform/parse.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -44,9 +43,11 @@
 }
 
 // parseRequest decodes a query. arrived is when its first byte came. An error is meant for the client.
-func (f *Frontend) parseRequest(m *http1.Message, class int, arrived time.Time) (*aggregator.Request, error) {
+func (f *Frontend) parseRequest(
+	vocabulary *Vocabulary, m *http1.Message, class int, arrived time.Time,
+) (*aggregator.Request, error) {
 	request := &aggregator.Request{Class: class, Arrived: arrived}
-	if err := f.parseHeader(m.Header, request); err != nil {
+	if err := parseHeader(vocabulary, m.Header, request); err != nil {
 		return nil, err
 	}
 	body, err := decodeBody(m.Body)
@@ -61,24 +62,28 @@
 }
 
 // parseHeader reads what the header states of a request.
-func (f *Frontend) parseHeader(header http1.Header, request *aggregator.Request) error {
+func parseHeader(vocabulary *Vocabulary, header http1.Header, request *aggregator.Request) error {
 	request.ID, request.IsRetry = header.Get("X-Request-Id"), header.Get("X-Retry") == "1"
 	if !validID(request.ID) {
 		return fmt.Errorf("X-Request-Id %q", request.ID)
 	}
-	if stated := header.Get("X-Class"); stated != "" && stated != f.options.Classes[request.Class] {
-		return fmt.Errorf("X-Class %q does not go with the path", stated)
+	if stated := header.Get("X-Class"); stated != "" {
+		if class, ok := vocabulary.class(stated, request.Arrived); !ok || class != request.Class {
+			return fmt.Errorf("X-Class %q does not go with the path", stated)
+		}
 	}
-	if name := header.Get("X-Tenant"); name != "" || len(f.options.Tenants) > 0 {
-		if request.Tenant = slices.Index(f.options.Tenants, name); request.Tenant < 0 {
+	if name := header.Get("X-Tenant"); name != "" || len(vocabulary.Tenants) > 0 {
+		tenant, ok := vocabulary.tenant(name, request.Arrived)
+		if !ok {
 			return fmt.Errorf("X-Tenant %q", name)
 		}
+		request.Tenant = tenant
 	}
 	deadline, err := parseDeadline(header.Get("X-Deadline"))
 	if err != nil {
 		return err
 	}
-	request.Timeout = min(deadline, f.options.MaxTimeout)
+	request.Timeout = min(deadline, vocabulary.MaxTimeout)
 	return nil
 }
 
--- a/internal/frontend/platform/parse_test.go
+++ b/internal/frontend/platform/parse_test.go
@@ -47,14 +47,14 @@
 		},
 	}
 	m, f := message(goodHeader("", ""), goodBody)
-	if r, err := f.parseRequest(m, 0, arrived); err != nil || !reflect.DeepEqual(r, want) {
+	if r, err := f.parseRequest(f.vocabulary.Load(), m, 0, arrived); err != nil || !reflect.DeepEqual(r, want) {
 		t.Errorf("%+v, %v; want %+v", r, err, want)
 	}
 }
 
 func TestParseRequest_CapsTheDeadline(t *testing.T) {
 	m, f := message(goodHeader("x-deadline", "7"), goodBody)
-	if r, err := f.parseRequest(m, 0, time.Unix(1000, 0)); err != nil || r.Timeout != time.Second {
+	if r, err := f.parseRequest(f.vocabulary.Load(), m, 0, time.Unix(1000, 0)); err != nil || r.Timeout != time.Second {
 		t.Errorf("%+v, %v", r, err)
 	}
 }
@@ -90,7 +90,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			m, f := message(goodHeader(c.field, c.value), c.body)
-			if r, err := f.parseRequest(m, 0, time.Unix(1000, 0)); err == nil || err.Error() != c.want {
+			if r, err := f.parseRequest(f.vocabulary.Load(), m, 0, time.Unix(1000, 0)); err == nil || err.Error() != c.want {
 				t.Errorf("%+v, %v; want %s", r, err, c.want)
 			}
 		})
