Find servers' starts by their age, so that a set clock leaves none warm that is cold

Related path (time read and relied on later): a server's start, stated by the wall clock, was converted by the wall clock as it was at the process's start. Set back by an hour, a server that started just now would have counted as warm (flooded while cold); set forward, as cold for an hour. Found by reading; the conversion now goes by the age, once for each start, and knows recent steps. Test: four steps at three moments.

--- /dev/null
+++ b/internal/aggregator/clockstep_test.go
@@ -0,0 +1,80 @@
+package aggregator
+
+import (
+	"testing"
+	"time"
+)
+
+// A server's start is stated by a clock that may be set at any time, while the balancer's goes on evenly. Whenever it was
+// set, the server counts as started when it did; or later, where that cannot be told.
+func TestWallClock_StartsThroughSteps(t *testing.T) {
+	epoch := time.Unix(1_700_000_000, 0)
+	const start = 100 * time.Second // of a server, in time that has passed since the epoch
+	for _, step := range []time.Duration{-time.Hour, -2 * time.Second, 2 * time.Second, time.Hour} {
+		for name, steppedAt := range map[string]time.Duration{
+			"before the start":               start - 10*time.Second,
+			"between the start and its list": start + 2*time.Second,
+			"after the list":                 start + time.Minute,
+		} {
+			var clock wallClock
+			wall := func(passed time.Duration) time.Time { // what the wall clock shows
+				if passed >= steppedAt {
+					return epoch.Add(passed + step)
+				}
+				return epoch.Add(passed)
+			}
+			for passed := time.Duration(0); passed < start; passed += time.Second {
+				clock.observe(passed, wall(passed), epoch)
+			}
+			const listedAt = start + 5*time.Second
+			clock.observe(listedAt, wall(listedAt), epoch)
+			got := clock.spanClock(listedAt, wall(listedAt), wall(start))
+			if got < start || got > listedAt {
+				t.Errorf("set by %v %s: started at %v, want %v", step, name, got, start)
+			}
+			if steppedAt != start+2*time.Second && got != start {
+				t.Errorf("set by %v %s: started at %v, want exactly %v", step, name, got, start)
+			}
+		}
+	}
+}
+
+func TestWallClock_WithoutSteps(t *testing.T) {
+	const now = 24 * time.Hour
+	wall := time.Unix(1_700_000_000, 0)
+	for name, test := range map[string]struct {
+		stated time.Time
+		want   time.Duration
+	}{
+		"not stated":                         {time.Time{}, 0},
+		"3 s ago":                            {wall.Add(-3 * time.Second), now - 3*time.Second},
+		"an hour ago":                        {wall.Add(-time.Hour), now - time.Hour},
+		"before the balancer's clock begins": {wall.Add(-48 * time.Hour), 0},
+		"in the future":                      {wall.Add(time.Second), now},
+	} {
+		var clock wallClock
+		clock.observe(now, wall, wall.Add(-now))
+		if got := clock.spanClock(now, wall, test.stated); got != test.want {
+			t.Errorf("%s: %v, want %v", name, got, test.want)
+		}
+	}
+}
+
+// A start keeps its time on the balancer's clock, however often it is listed and whatever the clock of the machines says by
+// then; a new start has a time of its own.
+func TestCore_StartIsNotedOnce(t *testing.T) {
+	h := newHarness(t)
+	server := Server{ID: "a", Addr: "a:1", Started: h.now}
+	h.turn(changeOf(server))
+	first := h.core.startedAt(server)
+	h.now = h.now.Add(time.Hour)
+	h.turn(changeOf(server))
+	if again := h.core.startedAt(server); again != first {
+		t.Errorf("started at %v, and at %v when it was listed again", first, again)
+	}
+	server.Started = h.now
+	h.turn(changeOf(server))
+	if next := h.core.startedAt(server); next != first+time.Hour {
+		t.Errorf("started again at %v, want %v", next, first+time.Hour)
+	}
+}
--- a/internal/aggregator/core.go
+++ b/internal/aggregator/core.go
@@ -59,6 +59,8 @@
 	// requestIDs counts the users of each request id: the open query, and its attempts that are in flight.
 	requestIDs map[string]int
 	servers    map[balance.Replica]Server
+	starts     map[balance.Replica]serverStart // of the listed servers
+	wallClock  wallClock
 
 	maintenance maintenance
 
@@ -88,6 +90,7 @@
 		attempts:   map[AttemptID]*attempt{},
 		requestIDs: map[string]int{},
 		servers:    map[balance.Replica]Server{},
+		starts:     map[balance.Replica]serverStart{},
 
 		maintenance: newMaintenance(),
 	}
@@ -113,6 +116,7 @@
 // nothing is.
 func (c *Core) Turn(now time.Time, events []Event) (next time.Time) {
 	c.now = now
+	c.wallClock.observe(c.clock(now), now, c.epoch)
 	for _, event := range events {
 		c.handle(event)
 	}
--- a/internal/aggregator/endpoints.go
+++ b/internal/aggregator/endpoints.go
@@ -57,6 +57,7 @@
 	for id := range former {
 		if _, listed := c.servers[id]; !listed {
 			c.maintenance.unlisted(id)
+			delete(c.starts, id)
 		}
 	}
 	if c.Outliers != nil {
@@ -75,9 +76,11 @@
 			c.maintenance.unlisted(server.ID)
 		}
 		delete(c.servers, server.ID)
+		delete(c.starts, server.ID)
 		return
 	}
 	c.servers[server.ID] = server
+	c.noteStart(server)
 	c.maintenance.listed(server.ID)
 	if c.Outliers != nil {
 		c.Outliers.Add(string(server.ID), c.startedAt(server))
@@ -111,12 +114,21 @@
 // startedAt is when a server's process started, by the balancer's clock; 0: long ago. One that an operator has put back
 // counts as started then at the earliest: what it was taken out for has restarted it, as a rule.
 func (c *Core) startedAt(s Server) time.Duration {
-	started := time.Duration(0)
-	if !s.Started.IsZero() {
-		started = max(0, c.clock(s.Started))
-	}
+	started := c.starts[s.ID].clock
 	if attached, ok := c.maintenance.attached[s.ID]; ok {
 		started = max(started, c.clock(attached))
 	}
 	return started
 }
+
+// noteStart finds out when a listed server started, once for each of its starts: the balancer takes another time for another
+// start.
+func (c *Core) noteStart(server Server) {
+	if known, ok := c.starts[server.ID]; ok && known.listed.Equal(server.Started) {
+		return
+	}
+	c.starts[server.ID] = serverStart{
+		listed: server.Started,
+		clock:  c.wallClock.spanClock(c.clock(c.now), c.now, server.Started),
+	}
+}
--- a/internal/aggregator/maintenance_test.go
+++ b/internal/aggregator/maintenance_test.go
@@ -101,6 +101,8 @@
 	}
 	later := h.now.Add(time.Second)
 	server.Started = later
+	h.now = later
+	h.turn(changeOf(server))
 	if got, want := h.core.startedAt(server), h.core.clock(later); got != want {
 		t.Errorf("it counts as started at %v though it is listed with %v", got, want)
 	}
