--- a/cmd/rooktrestle/operators_test.go
+++ b/cmd/rooktrestle/operators_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Operators' terms: servers taken out by hand, and a process that is replaced while it serves.
@@ -190,3 +192,37 @@
 		t.Errorf("%d of %d queries were forwarded though their clients had left", sent, clients)
 	}
 }
+
+// Descriptors run out for a while: connections wait in the listener's queue meanwhile, and are served at once afterwards.
+func TestDescriptorsRunOut_ListenerGoesOn(t *testing.T) {
+	p := platform(t, newLeaf(t, value))
+	if status, text := p.ask("before", "search", onePart); status != 200 {
+		t.Fatalf("%d %s", status, text)
+	}
+	pid := p.cmd.Process.Pid
+	var limit unix.Rlimit
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &limit); err != nil {
+		t.Fatal(err)
+	}
+	few := limit
+	few.Cur = 3 // fewer than are open: every new one fails
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &few, nil); err != nil {
+		t.Fatal(err)
+	}
+	var waiting []httpClient
+	for i := range 20 {
+		c := p.connect() // by the system alone
+		c.mustSend(t, fmt.Sprint("waits", i), patientDeadline)
+		waiting = append(waiting, c)
+	}
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
+		t.Fatal(err)
+	}
+	for i, c := range waiting {
+		if status, text, err := c.answer(); status != 200 || err != nil {
+			t.Errorf("%d: %d %s, %v", i, status, text, err)
+		}
+		closeQuietly(c)
+	}
+	p.stop()
+}
--- a/internal/net/tcp/listen.go
+++ b/internal/net/tcp/listen.go
@@ -39,11 +39,12 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := netpoll.ConvertListener(opened) // with a descriptor of its own
-	_ = opened.Close()                               // the socket stays with the other descriptor
+	converted, err := netpoll.ConvertListener(opened) // with a descriptor of its own
+	_ = opened.Close()                                // the socket stays with the other descriptor
 	if err != nil {
 		return nil, err
 	}
+	listener := steadyListener{Listener: converted, pause: time.Sleep}
 	loop, err := netpoll.NewEventLoop(
 		onReadable,
 		netpoll.WithOnPrepare(func(socket netpoll.Connection) context.Context {
