--- a/balance/lookup.go
+++ b/balance/lookup.go
@@ -157,8 +157,9 @@
 	s.resetQueries = nil
 }
 
-// Avoids reports whether a replica gets next to nothing at present, as it answers nothing or is an outlier.
+// Avoids reports whether a replica gets next to nothing at present, as it is down or an outlier. One that is only suspected,
+// or full, is no more than less preferred.
 func (b *Balancer) Avoids(replica Replica) bool {
 	server := b.servers[replica]
-	return server != nil && (server.Unresponsive || server.nearlyExcluded())
+	return server != nil && (b.now < server.avoidUntil && server.Penalty > 0 || server.nearlyExcluded())
 }
--- a/internal/aggregator/answer.go
+++ b/internal/aggregator/answer.go
@@ -100,6 +100,7 @@
 		final.DeadlineExceeded = true
 	}
 	c.Counters.countFinal(final)
+	c.traceQuery(query.request, final.Status, reasonOfEnd(final))
 	if final.Status == StatusDisconnected {
 		query.request.done = true // nobody is left to take the answer
 		return
--- a/internal/aggregator/attempt.go
+++ b/internal/aggregator/attempt.go
@@ -90,6 +90,7 @@
 	c.removeAttempt(a)
 	result := a.result(ended.Err)
 	c.Counters.Results[result]++
+	c.traceAttempt(a, result, ended.Err)
 	if neverRan(result) {
 		a.part.forgetSend(a.sent)
 	}
--- a/internal/aggregator/core.go
+++ b/internal/aggregator/core.go
@@ -63,6 +63,7 @@
 	wallClock  wallClock
 
 	maintenance maintenance
+	trace       trace
 
 	attemptsSent uint64
 	deadlines    timers.DeadlineQueue[*query]   // of the open queries
--- a/internal/aggregator/endpoints.go
+++ b/internal/aggregator/endpoints.go
@@ -71,6 +71,7 @@
 
 // updateServer takes what the list says of one server.
 func (c *Core) updateServer(server Server) {
+	c.traceServer(server)
 	if server.State == balance.Removed {
 		if _, listed := c.servers[server.ID]; listed {
 			c.maintenance.unlisted(server.ID)
--- a/internal/aggregator/maintenance.go
+++ b/internal/aggregator/maintenance.go
@@ -51,6 +51,7 @@
 	if m.detached[changed.Server] == changed.Detached {
 		return
 	}
+	c.traceMaintenance(changed)
 	if !c.KnowsServer(changed.Server) { // of an earlier process: it was listed then
 		m.known[changed.Server] = false
 	}
--- a/internal/aggregator/query.go
+++ b/internal/aggregator/query.go
@@ -62,14 +62,14 @@
 	if request.clientLeft(c.now) { // its disconnect is still to come, and finds nothing
 		request.done = true
 		c.Counters.countFinal(FinalAnswer{Status: StatusDisconnected})
+		c.traceQuery(request, StatusDisconnected, reasonLeft)
 		return
 	}
 	deadline := request.Arrived.Add(request.Timeout)
-	idInUse := c.requestIDs[request.ID] > 0
-	overdue := !c.now.Before(deadline)
-	if c.atCapacity() || idInUse || overdue {
+	if reason := c.reasonToReject(request, deadline); reason != "" {
 		c.Counters.Rejected++
 		c.Counters.RejectedAtCapacity++
+		c.traceQuery(request, StatusRejected, reason)
 		c.deliver(request, c.rejection())
 		return
 	}
@@ -88,6 +88,19 @@
 	c.submit(q, specs)
 }
 
+// reasonToReject is why a request is rejected on arrival; empty: it is not.
+func (c *Core) reasonToReject(request *Request, deadline time.Time) string {
+	switch {
+	case c.atCapacity():
+		return reasonCapacity
+	case c.requestIDs[request.ID] > 0:
+		return reasonIDInUse
+	case !c.now.Before(deadline):
+		return reasonOverdue
+	}
+	return ""
+}
+
 // atCapacity says that no more queries may be held. It guards the process's memory.
 func (c *Core) atCapacity() bool { return c.limits.MaxOpen > 0 && c.Load() >= c.limits.MaxOpen }
 
--- a/internal/app/platform.go
+++ b/internal/app/platform.go
@@ -334,7 +334,7 @@
 				return err
 			}
 		case <-counterRequests:
-			s.loop.Do(func() { logf("%s", s.countersText()) })
+			s.loop.Do(func() { logf("%s\n%s", s.countersText(), s.core.Trace()) })
 		case <-terminations:
 			return nil
 		}
--- a/internal/backend/serialconn/attempt.go
+++ b/internal/backend/serialconn/attempt.go
@@ -47,7 +47,8 @@
 			Cause:    errServerDraining,
 		}
 	}
-	if attempt.canceled || !now.Before(attempt.call.Deadline) {
+	call := &attempt.call
+	if attempt.canceled || call.Expired(now) || call.Abandoned != nil && call.Abandoned(now) {
 		return nil, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true}
 	}
 	var work query.Work
--- a/internal/frontend/sru/server.go
+++ b/internal/frontend/sru/server.go
@@ -109,7 +109,8 @@
 		respondXML(exchange, sru.SearchResponse(searchResult(&request, &outcome)))
 	}
 	lastRecord := request.StartRecord - 1 + request.MaxRecords
-	cancel, immediate := s.Service.Search(gateway.Caller{}, []string{database.Name}, request.Query, lastRecord, respond)
+	caller := gateway.Caller{Left: exchange.ClientLeft}
+	cancel, immediate := s.Service.Search(caller, []string{database.Name}, request.Query, lastRecord, respond)
 	await(exchange, cancel, immediate, respond)
 }
 
@@ -153,7 +154,8 @@
 		}
 		respondXML(exchange, sru.UpdateResponse(true, update.Record.ID, nil))
 	}
-	cancel, immediate := s.Service.Correct(gateway.Caller{}, database, update.Action, update.Record, respond)
+	caller := gateway.Caller{Left: exchange.ClientLeft}
+	cancel, immediate := s.Service.Correct(caller, database, update.Action, update.Record, respond)
 	await(exchange, cancel, immediate, respond)
 }
 
--- a/internal/frontend/z3950/association_test.go
+++ b/internal/frontend/z3950/association_test.go
@@ -30,6 +30,7 @@
 }
 func (c *fakeConn) CloseGracefully() { c.closed = true }
 func (c *fakeConn) CloseAndWait()    { c.evicted = true }
+func (c *fakeConn) PeerClosed() bool { return c.closed || c.evicted }
 
 // origin is the client's side of an association.
 type origin struct {
--- a/internal/frontend/z3950/operation.go
+++ b/internal/frontend/z3950/operation.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"time"
 
 	"rooktrestle/internal/gateway"
 	"rooktrestle/internal/protocol/z3950"
@@ -61,6 +62,11 @@
 	return &operation{reference: unit.Child(z3950.FieldReferenceID), request: unit.Tag}
 }
 
+// caller is who the association's operations are for.
+func (a *association) caller() gateway.Caller {
+	return gateway.Caller{User: a.user, Left: func(time.Time) bool { return a.conn.PeerClosed() }}
+}
+
 // starter starts an operation at the gateway. It returns either its outcome, if that is known at once, or how to cancel
 // it, and then done is called later with the outcome, on the event loop.
 type starter func(done func(gateway.Outcome)) (gateway.Cancel, *gateway.Outcome)
--- a/internal/frontend/z3950/present.go
+++ b/internal/frontend/z3950/present.go
@@ -38,7 +38,7 @@
 		return
 	}
 	a.start(operation, func(done func(gateway.Outcome)) (gateway.Cancel, *gateway.Outcome) {
-		return a.server.Service.Search(gateway.Caller{User: a.user}, set.databases, set.query, last, done)
+		return a.server.Service.Search(a.caller(), set.databases, set.query, last, done)
 	}, func(outcome gateway.Outcome) {
 		switch outcome.Kind {
 		case gateway.Complete:
--- a/internal/frontend/z3950/search.go
+++ b/internal/frontend/z3950/search.go
@@ -72,7 +72,7 @@
 	}
 	fetch := min(a.server.Service.Config.Limits.MaxRecords, max(prefetch, request.smallMax, request.mediumSent))
 	a.start(operation, func(done func(gateway.Outcome)) (gateway.Cancel, *gateway.Outcome) {
-		return a.server.Service.Search(gateway.Caller{User: a.user}, request.databases, tree, fetch, done)
+		return a.server.Service.Search(a.caller(), request.databases, tree, fetch, done)
 	}, func(outcome gateway.Outcome) {
 		delete(a.sets, request.setName)
 		if outcome.Kind != gateway.Complete && outcome.Kind != gateway.Partial {
--- a/internal/frontend/z3950/server.go
+++ b/internal/frontend/z3950/server.go
@@ -58,6 +58,7 @@
 	Write(b []byte, done func(tcp.WriteResult))
 	CloseGracefully()
 	CloseAndWait()
+	PeerClosed() bool
 }
 
 // Accept returns the handler of a new connection.
--- a/internal/frontend/z3950/update.go
+++ b/internal/frontend/z3950/update.go
@@ -14,7 +14,7 @@
 		return
 	}
 	a.start(operation, func(done func(gateway.Outcome)) (gateway.Cancel, *gateway.Outcome) {
-		return a.server.Service.Correct(gateway.Caller{User: a.user}, request.Database, request.Action, request.Record, done)
+		return a.server.Service.Correct(a.caller(), request.Database, request.Action, request.Record, done)
 	}, func(outcome gateway.Outcome) {
 		if outcome.Kind != gateway.Complete {
 			a.fail(operation, diagnosticOf(outcome))
