--- a/cmd/rooktrestle/operators_test.go
+++ b/cmd/rooktrestle/operators_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -160,6 +161,95 @@
 	}
 }
 
+// A call to either process of a replacement holds for both, and a second process that is killed leaves the first serving.
+func TestOperators_CallsAndKillsDuringReplacement(t *testing.T) {
+	a, b := newLeaf(t, value), newLeaf(t, value)
+	n := newNode(t, a, b)
+	former := n.start()
+	former.awaitReady()
+	killed := n.start()
+	killed.kill()
+	<-killed.last
+	former.serve("alone")
+	next := n.start()
+	next.awaitReady()
+	next.expect("DETACH s-0", "done")
+	for detached := false; !detached; { // the first process learns of it by the shared folder
+		detached = former.figure("cluster_unhealthy") == 1
+	}
+	before := len(a.seen())
+	next.serve("both")
+	former.signal(syscall.SIGTERM)
+	next.serve("ending")
+	former.stop()
+	if sent := a.seen()[before:]; len(sent) > 0 {
+		t.Errorf("the server that was taken out got %q", sent)
+	}
+	next.stop()
+}
+
+// figure reads a figure.
+func (p operatedProcess) figure(name string) int {
+	p.t.Helper()
+	lines := p.call("INFO")
+	if len(lines) == 0 || lines[len(lines)-1] != "end" {
+		p.t.Fatalf("INFO: %q", lines)
+	}
+	for _, line := range lines {
+		if text, ok := strings.CutPrefix(line, "mixer."+name+"="); ok {
+			value, err := strconv.Atoi(text)
+			if err != nil {
+				p.t.Fatalf("%s: %v", line, err)
+			}
+			return value
+		}
+	}
+	p.t.Fatalf("%s is not among %q", name, lines)
+	return 0
+}
+
+// The figures are what clients and leaf servers have seen.
+func TestOperators_Figures(t *testing.T) {
+	breaks := func(name string, c net.Conn) string {
+		if strings.HasPrefix(name, "breaks") {
+			closeQuietly(c)
+			return ""
+		}
+		return value(name, c)
+	}
+	a, b := newLeaf(t, breaks), newLeaf(t, breaks)
+	n := newNode(t, a, b)
+	p := n.start()
+	p.awaitReady()
+	p.serve("q")
+	for i := range 3 {
+		if status, text := p.ask(fmt.Sprint("breaks", i), "correction", onePart); status != 502 {
+			t.Errorf("%d %s", status, text)
+		}
+	}
+	writeFile(t, n.conf, "{")
+	p.hup()
+	configure(t, n.conf, n.discovery)
+	p.hup()
+	sent := len(a.seen()) + len(b.seen())
+	for name, want := range map[string]int{
+		"transactions.search.answered":     20,
+		"transactions.correction.answered": 0,
+		"transactions.correction.errored":  3,
+		"transactions.report.deferred":     0,
+		"sends":                            sent,
+		"current":                          0,
+		"cluster_size":                     2,
+		"conf_loaded":                      1,
+		"conf_invalid":                     1,
+	} {
+		if got := p.figure(name); got != want {
+			t.Errorf("%s is %d, want %d", name, got, want)
+		}
+	}
+	p.stop()
+}
+
 // Clients send their queries and leave while the process is stopped. Nothing of them is forwarded once it goes on: they
 // left long ago.
 func TestStoppedProcess_ForwardsNothingOfClientsThatLeft(t *testing.T) {
