--- a/cmd/rooktrestle/operators_test.go
+++ b/cmd/rooktrestle/operators_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -283,6 +284,51 @@
 	}
 }
 
+// Parts fail, and their clients leave, while the process is stopped. Nothing is sent again for them once it goes on.
+func TestStoppedProcess_SendsNothingAgainForClientsThatLeft(t *testing.T) {
+	const clients = 10
+	var attempts atomic.Int64
+	received := make(chan struct{}, 2*clients)
+	stopped := make(chan struct{})
+	var answered sync.WaitGroup
+	fails := func(name string, c net.Conn) string {
+		if !strings.HasPrefix(name, "left") {
+			return value(name, c)
+		}
+		attempts.Add(1)
+		received <- struct{}{}
+		answered.Go(func() {
+			<-stopped
+			writeFrame(c, '5', name+" E 0 -\n")
+		})
+		return ""
+	}
+	p := platform(t, newLeaf(t, fails), newLeaf(t, fails))
+	var open []httpClient
+	for i := range clients {
+		c := p.connect()
+		c.mustSend(t, fmt.Sprint("left", i), patientDeadline)
+		open = append(open, c)
+		select {
+		case <-received:
+		case <-time.After(patience):
+			t.Fatal("a query is not forwarded")
+		}
+	}
+	p.signal(syscall.SIGSTOP)
+	close(stopped)
+	answered.Wait()
+	for _, c := range open {
+		closeQuietly(c)
+	}
+	time.Sleep(100 * time.Millisecond) // longer than a client's connection goes without a look
+	p.signal(syscall.SIGCONT)
+	p.stop()
+	if again := attempts.Load() - clients; again > 0 {
+		t.Errorf("%d of %d parts were sent again though their clients had left", again, clients)
+	}
+}
+
 // Descriptors run out for a while: connections wait in the listener's queue meanwhile, and are served at once afterwards.
 func TestDescriptorsRunOut_ListenerGoesOn(t *testing.T) {
 	p := platform(t, newLeaf(t, value))
