--- a/internal/settings/generations.go
+++ b/internal/settings/generations.go
@@ -132,14 +132,26 @@
 
 // fixed is what only a start applies.
 type fixed struct {
-	rules                      balance.Rules
-	tick, idle, connectTimeout time.Duration
-	instances, index, zone     int
-	cells, reach, shards       int
-	maxCallParts, streams      int
-	hedge, cancel, probe       bool
-	gossip, marked, onProbe    bool
-	listOnRequest, byWork      bool
+	rules          balance.Rules
+	tick           time.Duration
+	idle           time.Duration
+	connectTimeout time.Duration
+	instances      int
+	index          int
+	zone           int
+	cells          int
+	reach          int
+	shards         int
+	maxCallParts   int
+	streams        int
+	hedge          bool
+	cancel         bool
+	probe          bool
+	gossip         bool
+	marked         bool
+	onProbe        bool
+	listOnRequest  bool
+	byWork         bool
 }
 
 func fixedPart(d Deployment) fixed {
