--- a/internal/aggregator/abandoned_test.go
+++ b/internal/aggregator/abandoned_test.go
@@ -11,7 +11,7 @@
 	h := newHarness(t)
 	request := h.newRequest("q", 0)
 	request.Parts = []PartSpec{{Shard: 0, Weight: 1}}
-	request.ClientLeft = func(time.Time) bool { return true }
+	request.Disconnected = func(time.Time) bool { return true }
 	h.turn(RequestArrived{Request: request})
 	h.turn(ClientDisconnected{Request: request})
 	if len(h.calls) > 0 || len(h.answers["q"]) > 0 || h.core.OpenQueries() > 0 {
@@ -41,7 +41,7 @@
 			h := newHarness(t)
 			request := h.newRequest("q", 0)
 			request.Parts = []PartSpec{{Shard: 0, Weight: 1}}
-			request.ClientLeft = func(time.Time) bool { return left }
+			request.Disconnected = func(time.Time) bool { return left }
 			h.turn(RequestArrived{Request: request})
 			if len(h.calls) != 1 || h.calls[0].Abandoned(h.now) {
 				t.Fatalf("%d calls, of which the first may begin", len(h.calls))
--- a/internal/aggregator/attempt.go
+++ b/internal/aggregator/attempt.go
@@ -28,7 +28,7 @@
 
 // abandoned reports that the attempt must not begin any more. Any goroutine may call it.
 func (a *attempt) abandoned(now time.Time) bool {
-	return a.cancelRequested.Load() || a.part.over.Load() || a.part.query.request.clientLeft(now)
+	return a.cancelRequested.Load() || a.part.over.Load() || a.part.query.request.disconnected(now)
 }
 
 // Deadline is when the attempt times out; attempts of one time come in the order of their sending.
--- a/internal/aggregator/query.go
+++ b/internal/aggregator/query.go
@@ -59,10 +59,10 @@
 // requestArrived opens a query for a request, or rejects it at once.
 func (c *Core) requestArrived(request *Request) {
 	c.Counters.Received++
-	if request.clientLeft(c.now) { // its disconnect is still to come, and finds nothing
+	if request.disconnected(c.now) { // its disconnect is still to come, and finds nothing
 		request.done = true
 		c.Counters.countFinal(FinalAnswer{Status: StatusDisconnected})
-		c.traceQuery(request, StatusDisconnected, reasonLeft)
+		c.traceQuery(request, StatusDisconnected, reasonDisconnected)
 		return
 	}
 	deadline := request.Arrived.Add(request.Timeout)
--- a/internal/aggregator/request.go
+++ b/internal/aggregator/request.go
@@ -30,15 +30,17 @@
 	// It is called again if the query is restarted on another view.
 	Layout func(*shardmap.View) []PartSpec
 
-	// ClientLeft, if set, asks whether the client has gone away, also where no ClientDisconnected has come yet. Any
+	// Disconnected, if set, asks whether the client has gone away, also where no ClientDisconnected has come yet. Any
 	// goroutine may call it; it does not block.
-	ClientLeft func(now time.Time) bool
+	Disconnected func(now time.Time) bool
 
 	done bool // it has its final answer, or its client has disconnected
 }
 
-// clientLeft reports whether the client is known to have gone away.
-func (r *Request) clientLeft(now time.Time) bool { return r.ClientLeft != nil && r.ClientLeft(now) }
+// disconnected reports whether the client is known to have gone away.
+func (r *Request) disconnected(now time.Time) bool {
+	return r.Disconnected != nil && r.Disconnected(now)
+}
 
 // FinalStatus is how a query ended.
 type FinalStatus int
--- a/internal/aggregator/trace.go
+++ b/internal/aggregator/trace.go
@@ -13,19 +13,19 @@
 
 // Why requests ended.
 const (
-	reasonCapacity = "too many queries are open"
-	reasonIDInUse  = "its id is in use"
-	reasonOverdue  = "its time was over on arrival"
-	reasonDecided  = "decided"
-	reasonDeadline = "its time is over"
-	reasonLeft     = "its client has left"
+	reasonCapacity     = "too many queries are open"
+	reasonIDInUse      = "its id is in use"
+	reasonOverdue      = "its time was over on arrival"
+	reasonDecided      = "decided"
+	reasonDeadline     = "its time is over"
+	reasonDisconnected = "its client has left"
 )
 
 // reasonOfEnd is why a query ended that was open.
 func reasonOfEnd(final FinalAnswer) string {
 	switch {
 	case final.Status == StatusDisconnected:
-		return reasonLeft
+		return reasonDisconnected
 	case final.DeadlineExceeded:
 		return reasonDeadline
 	}
--- a/internal/aggregator/trace_test.go
+++ b/internal/aggregator/trace_test.go
@@ -31,7 +31,7 @@
 		"reset: ",
 		"the connection broke",
 		"request failed class 1: failed: " + reasonDecided,
-		"request left class 0: client left: " + reasonLeft,
+		"request left class 0: client left: " + reasonDisconnected,
 		"request late class 0: ",
 		"server a: listed in service",
 		"server a: listed as draining",
--- a/internal/app/operators.go
+++ b/internal/app/operators.go
@@ -99,11 +99,11 @@
 
 // setMaintenance takes a server out of service, or puts it back. The loop has it once it returns without an error.
 func (o *operators) setMaintenance(server string, detached bool) error {
-	known := false
-	if err := o.onLoop(func() { known = o.server.core.KnowsServer(balance.Replica(server)) }); err != nil {
+	listed := false
+	if err := o.onLoop(func() { listed = o.server.core.KnowsServer(balance.Replica(server)) }); err != nil {
 		return err
 	}
-	if !known {
+	if !listed {
 		return errUnknownServer
 	}
 	return o.maintenance.set(server, detached)
--- a/internal/frontend/platform/frontend.go
+++ b/internal/frontend/platform/frontend.go
@@ -107,7 +107,7 @@
 		return
 	}
 	request.Frontend = responder{exchange}
-	request.ClientLeft = exchange.ClientLeft
+	request.Disconnected = exchange.Disconnected
 	disconnected := func() { f.put(aggregator.ClientDisconnected{Request: request}) }
 	// In this order: a disconnect in between would reach the loop before its request, and be forgotten.
 	f.put(aggregator.RequestArrived{Request: request})
--- a/internal/frontend/sru/server.go
+++ b/internal/frontend/sru/server.go
@@ -109,7 +109,7 @@
 		respondXML(exchange, sru.SearchResponse(searchResult(&request, &outcome)))
 	}
 	lastRecord := request.StartRecord - 1 + request.MaxRecords
-	caller := gateway.Caller{Left: exchange.ClientLeft}
+	caller := gateway.Caller{Disconnected: exchange.Disconnected}
 	cancel, immediate := s.Service.Search(caller, []string{database.Name}, request.Query, lastRecord, respond)
 	await(exchange, cancel, immediate, respond)
 }
@@ -154,7 +154,7 @@
 		}
 		respondXML(exchange, sru.UpdateResponse(true, update.Record.ID, nil))
 	}
-	caller := gateway.Caller{Left: exchange.ClientLeft}
+	caller := gateway.Caller{Disconnected: exchange.Disconnected}
 	cancel, immediate := s.Service.Correct(caller, database, update.Action, update.Record, respond)
 	await(exchange, cancel, immediate, respond)
 }
--- a/internal/frontend/z3950/operation.go
+++ b/internal/frontend/z3950/operation.go
@@ -64,7 +64,7 @@
 
 // caller is who the association's operations are for.
 func (a *association) caller() gateway.Caller {
-	return gateway.Caller{User: a.user, Left: func(time.Time) bool { return a.conn.PeerClosed() }}
+	return gateway.Caller{User: a.user, Disconnected: func(time.Time) bool { return a.conn.PeerClosed() }}
 }
 
 // starter starts an operation at the gateway. It returns either its outcome, if that is known at once, or how to cancel
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,8 +28,8 @@
 // Caller identifies a client.
 type Caller struct {
 	User string // empty: the client has not signed on
-	// Left, if set, asks whether the client has gone away; see aggregator.Request.ClientLeft.
-	Left func(now time.Time) bool
+	// Disconnected, if set, asks whether the client has gone away; see aggregator.Request.Disconnected.
+	Disconnected func(now time.Time) bool
 }
 
 // Cancel cancels a search or correction: no further part is sent, and no outcome is reported. It may be called at any
@@ -184,7 +184,7 @@
 		Layout:   sub.layout,
 		Frontend: &pendingAnswer{done: done, sortByID: sub.layout != nil},
 
-		ClientLeft: caller.Left,
+		Disconnected: caller.Disconnected,
 	}
 	for _, shard := range sub.shards {
 		request.Parts = append(request.Parts, aggregator.PartSpec{Shard: shard, Weight: 1 / float64(len(sub.shards))})
--- a/internal/net/gossip/gossip.go
+++ b/internal/net/gossip/gossip.go
@@ -62,7 +62,7 @@
 		t.peers[addr] = i != options.OwnIndex
 	}
 	// A process that replaces this one listens beside it: each gets a part of the datagrams until one has ended.
-	config := net.ListenConfig{Control: tcp.SharePort}
+	config := net.ListenConfig{Control: tcp.ReusePort}
 	conn, err := config.ListenPacket(context.Background(), "udp4", listenAddr.String())
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
--- a/internal/net/httpserve/exchange.go
+++ b/internal/net/httpserve/exchange.go
@@ -16,15 +16,15 @@
 
 	conn         *serverConn
 	onDisconnect func()       // under the connection's lock
-	lookedAt     atomic.Int64 // when ClientLeft last asked the system, as time since FirstByteAt; 0: never
+	lookedAt     atomic.Int64 // when Disconnected last asked the system, as time since FirstByteAt; 0: never
 }
 
 // maxLookAge is how long what the system said of a client's connection is relied on.
 const maxLookAge = 10 * time.Millisecond
 
-// ClientLeft reports whether the response was given, or the client has closed its connection, as far as the system knows by
+// Disconnected reports whether the response was given, or the client has closed its connection, as far as the system knows by
 // now: what OnDisconnect announces may be late. Any goroutine may call it.
-func (x *Exchange) ClientLeft(now time.Time) bool {
+func (x *Exchange) Disconnected(now time.Time) bool {
 	c := x.conn
 	c.mu.Lock()
 	waiting := c.current == x
--- a/internal/net/httpserve/server_test.go
+++ b/internal/net/httpserve/server_test.go
@@ -211,26 +211,26 @@
 
 // What the system says of a client's connection counts at once, whenever its end is reported; it is asked again after a
 // while only.
-func TestExchange_ClientLeft(t *testing.T) {
+func TestExchange_Disconnected(t *testing.T) {
 	var x *Exchange
 	s := New(Timeouts{}, startTime, func(passed *Exchange) { x = passed })
 	conn := &fakeConn{}
 	c := s.Attach(conn)
 	c.Data([]byte(getRequest))
 	now := startTime().Add(time.Millisecond)
-	if x.ClientLeft(now) {
+	if x.Disconnected(now) {
 		t.Error("the client has left")
 	}
 	conn.peerClosed = true
-	if x.ClientLeft(now.Add(maxLookAge / 2)) {
+	if x.Disconnected(now.Add(maxLookAge / 2)) {
 		t.Error("the system was asked again at once")
 	}
-	if !x.ClientLeft(now.Add(maxLookAge)) {
+	if !x.Disconnected(now.Add(maxLookAge)) {
 		t.Error("the close was not seen")
 	}
 	conn.peerClosed = false
 	x.Respond(http.StatusOK, nil)
-	if !x.ClientLeft(now.Add(3 * maxLookAge)) {
+	if !x.Disconnected(now.Add(3 * maxLookAge)) {
 		t.Error("a client that has its response waits")
 	}
 }
--- a/internal/net/tcp/listen.go
+++ b/internal/net/tcp/listen.go
@@ -29,7 +29,7 @@
 // ListenShared is Listen on an address on which another process of the same user may listen, too, if it also shares it:
 // new connections go to either. For processes that replace each other.
 func ListenShared(addr string, limiter *ConnLimiter, accept func(*Conn) Handler) (*Server, error) {
-	return openServer(&net.ListenConfig{Control: SharePort}, addr, limiter, accept)
+	return openServer(&net.ListenConfig{Control: ReusePort}, addr, limiter, accept)
 }
 
 func openServer(
--- a/internal/net/tcp/share.go
+++ b/internal/net/tcp/share.go
@@ -22,9 +22,9 @@
 	acceptDrainInterval = 200 * time.Microsecond
 )
 
-// SharePort has a socket share its port with those of other processes that do so (SO_REUSEPORT). It is for
+// ReusePort has a socket share its port with those of other processes that do so (SO_REUSEPORT). It is for
 // net.ListenConfig.Control. Where the system refuses, the socket does not share, and the listening shows whether it can.
-func SharePort(_, _ string, raw syscall.RawConn) error {
+func ReusePort(_, _ string, raw syscall.RawConn) error {
 	return raw.Control(func(fd uintptr) {
 		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
 	})
@@ -56,7 +56,7 @@
 // Listeners is how many sockets of this machine listen on addr, IP:port. Sockets that listen on all addresses do not count.
 // It is 0 where that cannot be found out.
 func Listeners(addr string) (count int) {
-	wanted, err := netip.ParseAddrPort(addr)
+	target, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return 0
 	}
@@ -65,7 +65,7 @@
 		if err != nil {
 			continue
 		}
-		count += countListeners(table, wanted)
+		count += countListeners(table, target)
 		_ = table.Close() // it was only read
 	}
 	return count
@@ -79,12 +79,12 @@
 )
 
 // countListeners counts the listening sockets of a table that have an address.
-func countListeners(table io.Reader, wanted netip.AddrPort) (count int) {
-	wantedText := tableAddress(wanted)
+func countListeners(table io.Reader, target netip.AddrPort) (count int) {
+	targetText := tableAddress(target)
 	for lines := bufio.NewScanner(table); lines.Scan(); {
 		columns := strings.Fields(lines.Text())
 		if len(columns) > stateColumn && columns[stateColumn] == stateListening &&
-			columns[localAddressColumn] == wantedText {
+			columns[localAddressColumn] == targetText {
 			count++
 		}
 	}
--- a/internal/protocol/admin/admin.go
+++ b/internal/protocol/admin/admin.go
@@ -44,12 +44,12 @@
 
 // Parse decodes a call's line, with or without its end.
 func Parse(line string) (Command, error) {
-	words := strings.Fields(line)
-	if len(words) == 0 {
+	fields := strings.Fields(line)
+	if len(fields) == 0 {
 		return Command{}, ErrNoCall
 	}
-	command := Command{Verb: Verb(words[0])}
-	arguments := words[1:]
+	command := Command{Verb: Verb(fields[0])}
+	arguments := fields[1:]
 	switch command.Verb {
 	case Ping, Info:
 		if len(arguments) > 0 {
@@ -64,7 +64,7 @@
 		}
 		command.Server = arguments[0]
 	default:
-		return Command{}, fmt.Errorf("%w %.40q", ErrUnknownCall, words[0])
+		return Command{}, fmt.Errorf("%w %.40q", ErrUnknownCall, fields[0])
 	}
 	return command, nil
 }
