--- a/balance/lookup.go
+++ b/balance/lookup.go
@@ -2,7 +2,10 @@
 
 // This file decides nothing: it looks up what a Balancer remembers, and adds and removes it.
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // replicas are the servers in service that hold a shard.
 func (b *Balancer) replicas(shard int) []*server {
@@ -96,6 +99,22 @@
 	return servers[:n]
 }
 
+// addQuery adds a query that has come, under the settings of now.
+func (b *Balancer) addQuery(arrived Query) {
+	class := &b.settings.Classes[arrived.Class]
+	query := &query{
+		Query:       arrived,
+		class:       class,
+		maxAttempts: b.settings.MaxAttempts,
+		deadline:    b.now + arrived.TimeLeft,
+	}
+	stretch := time.Duration(class.ObjectiveStretch * float64(arrived.WorkHint))
+	query.objective = b.now + min(class.Objective+stretch, class.Deadline) - b.timeSpent(arrived)
+	b.queries = append(b.queries, query)
+	b.byID[arrived.ID] = query
+	b.byGroup[arrived.Group] = query
+}
+
 func (b *Balancer) addPart(arrived Part) {
 	query := b.byGroup[arrived.Group]
 	if query == nil || query.done {
--- a/balance/query.go
+++ b/balance/query.go
@@ -18,18 +18,7 @@
 		b.emit(Reject{Query: arrived.ID})
 		return
 	}
-	class := &b.settings.Classes[arrived.Class]
-	query := &query{
-		Query:       arrived,
-		class:       class,
-		maxAttempts: b.settings.MaxAttempts,
-		deadline:    b.now + arrived.TimeLeft,
-	}
-	stretch := time.Duration(class.ObjectiveStretch * float64(arrived.WorkHint))
-	query.objective = b.now + min(class.Objective+stretch, class.Deadline) - b.timeSpent(arrived)
-	b.queries = append(b.queries, query)
-	b.byID[arrived.ID] = query
-	b.byGroup[arrived.Group] = query
+	b.addQuery(arrived)
 	b.retryBudget.RecordRequest(b.now)
 }
 
