Write operators' calls down again where the file has lost them

Cause: a store that had written its table never compared the file with it again; a file that was removed, corrupt, or written by a process that had not read it cost the next process the ban. The look now notes whether the file holds all of the table. Seen: the new test fails three of three ways before, passes with -race after.

--- a/internal/aggregator/endpoints.go
+++ b/internal/aggregator/endpoints.go
@@ -45,8 +45,9 @@
 
 // updateServers takes a list of servers, or changes of one, and returns it as the balancer gets it.
 func (c *Core) updateServers(changed EndpointsChanged) balance.EndpointList {
-	former := c.servers
+	var former map[balance.Replica]Server // that the list need not name any more
 	if changed.Kind != balance.ListDelta && changed.Kind != balance.ListFailed {
+		former = c.servers
 		c.servers = make(map[balance.Replica]Server, len(changed.Servers))
 	}
 	list := balance.EndpointList{Kind: changed.Kind}
--- a/internal/app/maintenance.go
+++ b/internal/app/maintenance.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -61,9 +62,9 @@
 // set takes an operator's call. Once it returns without an error the call holds, for this process and for the one that
 // replaces it.
 func (m *maintenanceStore) set(server string, detached bool) error {
-	m.sync() // the other process may have had a call on the server since
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.exchange() // the other process may have had a call on the server since
 	changed, err := m.table.Set(server, detached)
 	if err != nil || !changed {
 		return err
@@ -122,9 +123,12 @@
 	m.report(m.write())
 }
 
-// read merges the file into the table.
+// read merges the file into the table, and notes whether the file holds all of it.
 func (m *maintenanceStore) read() error {
 	text, err := m.file.Load()
+	if errors.Is(err, atomicfile.ErrNotExist) || errors.Is(err, atomicfile.ErrCorrupt) {
+		m.unwritten = len(m.table.Entries()) > 0
+	}
 	if errors.Is(err, atomicfile.ErrNotExist) {
 		return nil
 	}
@@ -139,6 +143,7 @@
 		m.apply(changed.Server, changed.Detached)
 		m.log("maintenance: %s detached=%v by another process", changed.Server, changed.Detached)
 	}
+	m.unwritten = !slices.Equal(m.table.Entries(), entries)
 	return nil
 }
 
--- a/internal/app/maintenance_test.go
+++ b/internal/app/maintenance_test.go
@@ -226,3 +226,25 @@
 	p.sync()
 	p.expect(t, "without a folder", map[string]bool{"a": true})
 }
+
+// The file loses what a process holds: it is gone, corrupt, or another process has written it without having read it. The
+// next look writes it down again.
+func TestMaintenanceStore_FileLosesCalls(t *testing.T) {
+	for name, lose := range map[string]func(path string) error{
+		"gone":         os.Remove,
+		"corrupt":      func(path string) error { return os.WriteFile(path, []byte("rkeep"), 0o600) },
+		"written over": func(path string) error { return atomicfile.New(atomicfile.OS{}, path).Store([]byte(`{"version":1}`)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			folder := t.TempDir()
+			p := startStore(t, folder)
+			p.mustSet(t, "a", true)
+			if err := lose(filepath.Join(folder, "rooktrestle-n_0-maintenance")); err != nil {
+				t.Fatal(err)
+			}
+			p.sync()
+			p.sync()
+			startStore(t, folder).expect(t, "the next process", map[string]bool{"a": true})
+		})
+	}
+}
