--- a/review/standin/settings.go
+++ b/review/standin/settings.go
@@ -99,20 +99,6 @@
 	})
 }
 
-// kathmanduSettings are the settings of a mixer of the first deployment, in small.
-func kathmanduSettings(mixers, rank, cells int) map[string]any {
-	return settings(settingsOptions{
-		classes: []class{
-			{name: "line-search", effect: "safe", aim: 1.5, deadline: 4, worth: 1, late: 0.3, memory: 5, floor: 1},
-			{name: "line-correction", effect: "unsafe", aim: 1.5, deadline: 3, worth: 1, late: 0.3, memory: 5, floor: 1},
-		},
-		tenants: []string{"national-tv", "national-radio"},
-		cells:   cells, inARow: 4, shards: 2 * cells, mixers: mixers, rank: rank,
-		fields: []string{"pending"}, how: "pull", maxOpen: 115, coldFrom: 0.28, tip: 3, fall: 2,
-		zones: []string{"a", "b"}, sendCap: 4, marks: false, callParts: 1,
-	})
-}
-
 // nodeOptions are what the cases vary of a mixer's configuration.
 type nodeOptions struct {
 	name, listen, discovery, control string
