--- a/review/standin/ber.go
+++ b/review/standin/ber.go
@@ -12,6 +12,8 @@
 	apduInitResponse   = 21
 	apduSearch         = 22
 	apduSearchResponse = 23
+	apduES             = 46 // extended services: here, a database update
+	apduESResponse     = 47
 	tagReferenceID     = 2
 )
 
@@ -163,3 +165,16 @@
 		berInt(27, 0),
 		berSeq(28, berSeq(-16, ber(0, false, []byte(database)), retrieval)))
 }
+
+// oidDiagnostics is 1.2.840.10003.4.1, the diagnostic set Bib-1.
+var oidDiagnostics = []byte{0x2a, 0x86, 0x48, 0xce, 0x13, 0x04, 0x01}
+
+// updateResponse answers an update: it is done, or refused with the diagnostic "database access denied", and had no effect.
+func updateResponse(reference []byte, done bool) []byte {
+	ref := ber(tagReferenceID, false, reference)
+	if done {
+		return berSeq(apduESResponse, ref, berInt(3, 1))
+	}
+	refusal := berSeq(-16, ber(-6, false, oidDiagnostics), ber(-2, false, []byte{0, 236}), ber(-26, false, []byte("read only")))
+	return berSeq(apduESResponse, ref, berInt(3, 3), berSeq(4, refusal))
+}
--- a/review/standin/copies.go
+++ b/review/standin/copies.go
@@ -22,10 +22,16 @@
 	copySeconds = 30
 	copyShare   = 0.05 // of the answers that a second copy follows
 	pieceGap    = 5 * time.Millisecond
+
+	correctionShare = 0.2 // corrections for each search
 )
 
-// needle is the form of the search terms, each of which is searched for once.
-var needle = regexp.MustCompile(`needle[0-9]{6}`)
+// needle is the form of the search terms, each of which is searched for once. locked is that of the records whose
+// correction every node refuses, without any effect.
+var (
+	needle = regexp.MustCompile(`needle[0-9]{6}`)
+	locked = regexp.MustCompile(`locked[0-9]{6}`)
+)
 
 // target is a sound Z39.50 target, but for the second copies.
 type target struct {
@@ -63,6 +69,11 @@
 		switch request.tag {
 		case apduInit:
 			_, _ = conn.Write(initResponse())
+		case apduES:
+			reference := request.child(tagReferenceID)
+			time.Sleep(time.Duration(5+rand.IntN(20)) * time.Millisecond)
+			t.lab.log("%s refuses the correction %s of %s", t.name, reference, locked.Find(request.body))
+			_, _ = conn.Write(updateResponse(reference, false))
 		case apduSearch:
 			reference := request.child(tagReferenceID)
 			term := needle.Find(request.body)
@@ -90,7 +101,8 @@
 }
 
 // playCopies lets SRU clients search through a mixer whose nodes speak Z39.50. Some answers are followed by a second copy of
-// themselves. Every record that a client gets has to be one that was made for its own search.
+// themselves. Every record that a client gets has to be one that was made for its own search, and a correction that its
+// node refuses may not be told done.
 func playCopies(l *lab) {
 	share, sent := copyShare, &atomic.Int64{}
 	if !l.trouble {
@@ -111,6 +123,12 @@
 aim = "1.5s"
 deadline = "4s"
 late_worth = 0.3
+[[class]]
+name = "line-correction"
+aim = "1.5s"
+deadline = "3s"
+late_worth = 0.3
+unsafe = true
 [[tenant]]
 name = "national-tv"
 quota = 200
@@ -118,6 +136,7 @@
 name = "captions"
 shards = [0, 1, 2]
 search = "line-search"
+correction = "line-correction"
 tenant = "national-tv"
 `, sruAddr)
 	for i := range 3 {
@@ -146,7 +165,19 @@
 		l.copyLog("mixer")
 		l.finish(exitNotRun, "the mixer serves no search")
 	}
-	var next, served, other, wrong atomic.Int64
+	// correct asks for the correction of a record that all nodes refuse to correct.
+	correct := func(id string) (body string, err error) {
+		update := `<updateRequest xmlns="http://www.loc.gov/zing/srw/update/"><version>1.0</version><action>info:srw/action/1/replace</action>` +
+			`<recordIdentifier>` + id + `</recordIdentifier><record><recordPacking>xml</recordPacking><recordData><line/></recordData></record></updateRequest>`
+		response, err := client.Post("http://"+sruAddr+"/captions", "text/xml", strings.NewReader(update))
+		if err != nil {
+			return "", err
+		}
+		defer func() { _ = response.Body.Close() }()
+		text, err := io.ReadAll(response.Body)
+		return string(text), err
+	}
+	var next, served, other, wrong, refused, untrue atomic.Int64
 	var clients sync.WaitGroup
 	end := time.Now().Add(copySeconds * time.Second)
 	for range copyClients {
@@ -154,6 +185,18 @@
 		go func() {
 			defer clients.Done()
 			for time.Now().Before(end) {
+				if rand.Float64() < correctionShare {
+					id := fmt.Sprintf("locked%06d", next.Add(1))
+					body, err := correct(id)
+					done := strings.Contains(body, "<operationStatus>success<")
+					l.log("correction of %s: told done: %v, error %v", id, done, err)
+					if done {
+						untrue.Add(1)
+						l.log("UNTRUE: the correction of %s is told done, though no node has made it: %s", id, body)
+					} else {
+						refused.Add(1)
+					}
+				}
 				term := fmt.Sprintf("needle%06d", next.Add(1))
 				status, body, err := search(term)
 				found := needle.FindAllString(body, -1)
@@ -176,10 +219,11 @@
 		}()
 	}
 	clients.Wait()
-	counts := fmt.Sprintf("%d searches served, %d not served or in part, %d second copies, %d with records of another search",
-		served.Load(), other.Load(), sent.Load(), wrong.Load())
+	counts := fmt.Sprintf("%d second copies; of the searches %d were served, %d not or in part, %d with records of another search; "+
+		"of the corrections that the nodes refuse %d were told so and %d were told done",
+		sent.Load(), served.Load(), other.Load(), wrong.Load(), refused.Load(), untrue.Load())
 	switch {
-	case wrong.Load() > 0:
+	case wrong.Load()+untrue.Load() > 0:
 		l.finish(exitBroken, "%s", counts)
 	case served.Load() < 500 || l.trouble && sent.Load() < 50:
 		l.copyLog("mixer")
