Pass the idempotency key of a keyed query on to its servers as `k`

Nothing read the header (platform.parseHeader), no type carried the key (aggregator.Request, OutgoingAttempt), and leaf.callOptions wrote `d` alone. A part's id begins with the query's id, which is new in each retry, so no server could tell a repeat. The decisions rely on servers that can: the mixer's own retry within the window ran twice, too.

Ruled out by the case's record: a part that one mixer sends twice by itself (each id occurs once), a repeat after the 5 s (45 to 91 ms), servers that do not drop a repeat with the same `k` (with it the case holds), a key that is lost on one way only (no list has any).

Change: the frontend reads the key, the core gives it to each attempt of the query, follow-ups included, and the leaf backend writes it into the list. Which class is keyed comes from the settings that apply to the query, also after a reload. A keyed query without a usable key gets 400, as its repeats could not be recognized; for 3 s after a reload that makes a class keyed, a query without one still belongs to the class as it was.

--- a/cmd/rooktrestle/harness_test.go
+++ b/cmd/rooktrestle/harness_test.go
@@ -191,15 +191,20 @@
 	return p.askWithin(testTimeout, id, class, body)
 }
 
-// askWithin sends a query with a deadline and returns the status and the body.
-func (p *program) askWithin(deadline time.Duration, id, class, body string) (int, string) {
-	p.t.Helper()
+// newQuery returns the HTTP request of a query.
+func (p *program) newQuery(deadline time.Duration, id, class, body string) *http.Request {
 	r, _ := http.NewRequest("POST", "http://"+p.listen["http"]+"/"+class, strings.NewReader(body))
 	r.Header.Set("X-Request-Id", id)
 	r.Header.Set("X-Class", class)
 	r.Header.Set("X-Tenant", "tv")
 	r.Header.Set("X-Deadline", deadlineHeader(deadline))
-	resp, err := http.DefaultClient.Do(r)
+	return r
+}
+
+// askWithin sends a query with a deadline and returns the status and the body.
+func (p *program) askWithin(deadline time.Duration, id, class, body string) (int, string) {
+	p.t.Helper()
+	resp, err := http.DefaultClient.Do(p.newQuery(deadline, id, class, body))
 	if err != nil {
 		p.t.Fatal(err)
 	}
--- a/internal/aggregator/actions.go
+++ b/internal/aggregator/actions.go
@@ -89,6 +89,7 @@
 		Deadline:          attempt.deadline,
 		WriteBy:           c.writeBy(part),
 		Payload:           query.request.Payload,
+		IdempotencyKey:    query.request.IdempotencyKey,
 		FollowUp:          query.followUp,
 		FirstStepComplete: query.firstStepComplete,
 		Abandoned:         attempt.abandoned,
--- a/internal/aggregator/request.go
+++ b/internal/aggregator/request.go
@@ -26,6 +26,8 @@
 	Payload  string
 	Parts    []PartSpec
 	Frontend Frontend
+	// IdempotencyKey is the client's key of a query in a keyed class, the same in all of its retries; empty: none.
+	IdempotencyKey string
 	// Layout, if set, returns the parts for the view of the shard map that the query is pinned to, each for one shard.
 	// It is called again if the query is restarted on another view.
 	Layout func(*shardmap.View) []PartSpec
@@ -86,6 +88,8 @@
 	Deadline time.Time // when the aggregator stops waiting
 	WriteBy  time.Time // when it may no longer be written; zero: no limit
 	Payload  string
+	// IdempotencyKey is that of its query: servers recognize a repeat of a part by it, whichever aggregator sends it.
+	IdempotencyKey string
 
 	FollowUp          bool  // its part belongs to a second step
 	FirstStepShards   []int // second step: shards answered in the first step
--- a/internal/aggregator/same_turn_test.go
+++ b/internal/aggregator/same_turn_test.go
@@ -33,6 +33,48 @@
 	return r
 }
 
+// Every attempt of a keyed query must carry the client's idempotency key: servers would run a retry or a follow-up without
+// it although they have run the part for the same client before.
+func TestCore_AttemptsCarryTheIdempotencyKey(t *testing.T) {
+	const key = "5c0f6e1a"
+	expectKey := func(t *testing.T, h *harness, want string) {
+		t.Helper()
+		if len(h.attempts) == 0 {
+			t.Fatal("nothing was sent")
+		}
+		for _, attempt := range h.attempts {
+			if attempt.IdempotencyKey != want {
+				t.Errorf("%s carries key %q, want %q", attempt.Name, attempt.IdempotencyKey, want)
+			}
+		}
+	}
+	keyed := func(h *harness, class int) {
+		r := h.newRequest("q", class)
+		r.IdempotencyKey = key
+		r.Parts = []PartSpec{{Shard: 0, Weight: 0.5}, {Shard: 1, Weight: 0.5}}
+		h.turn(RequestArrived{Request: r})
+	}
+	t.Run("first attempts and retries", func(t *testing.T) {
+		h := newHarness(t)
+		keyed(h, 0)
+		expectKey(t, h, key)
+		h.endAll(&AttemptError{Progress: Answered})
+		h.advance(time.Second)
+		expectKey(t, h, key)
+	})
+	t.Run("follow-ups", func(t *testing.T) {
+		h := newHarness(t)
+		keyed(h, 2)
+		h.endAll(nil)
+		expectKey(t, h, key)
+	})
+	t.Run("a query without a key", func(t *testing.T) {
+		h := newHarness(t)
+		h.request("q", 0, 2)
+		expectKey(t, h, "")
+	})
+}
+
 // A part that may have run must be written again within the deduplication window of its class, which starts with its
 // first attempt that may have run. The balancer checks this when it sends, but the connection may be established later.
 func TestCore_DedupWindowBindsTheWrite(t *testing.T) {
--- a/internal/app/platform.go
+++ b/internal/app/platform.go
@@ -232,10 +232,8 @@
 func (s *platformServer) newFrontend() {
 	deployment := s.node.Deployment
 	s.frontend = platform.New(platform.Options{
-		Classes:    deployment.Classes,
-		Tenants:    deployment.Tenants,
+		Vocabulary: frontendVocabulary(deployment, indexByName(deployment.Classes), indexByName(deployment.Tenants)),
 		Shards:     deployment.BalancerSettings.Shards,
-		MaxTimeout: maxTimeout(deployment.BalancerSettings.Classes),
 		Timeouts: httpserve.Timeouts{
 			FirstRequest:   requestReadTimeout,
 			Idle:           keepAliveTimeout,
@@ -257,6 +255,27 @@
 	}
 }
 
+// frontendVocabulary returns what requests may name: the given classes and tenants, with their indices in deployment.
+func frontendVocabulary(deployment settings.Deployment, classes, tenants map[string]int) platform.Vocabulary {
+	vocabulary := platform.Vocabulary{Classes: map[string]platform.Class{}, Tenants: tenants}
+	named := make([]balance.Class, 0, len(classes))
+	for name, index := range classes {
+		class := deployment.BalancerSettings.Classes[index]
+		vocabulary.Classes[name] = platform.Class{Index: index, Keyed: class.Idempotency == balance.KeyedIdempotent}
+		named = append(named, class)
+	}
+	vocabulary.MaxTimeout = maxTimeout(named)
+	return vocabulary
+}
+
+func indexByName(names []string) map[string]int {
+	indices := make(map[string]int, len(names))
+	for i, name := range names {
+		indices[name] = i
+	}
+	return indices
+}
+
 // countersText formats the counters for GET /counters and for the log at exit. It runs on the loop, or after the loop
 // has ended.
 func (s *platformServer) countersText() string {
--- a/internal/app/reload.go
+++ b/internal/app/reload.go
@@ -7,7 +7,6 @@
 
 	"rooktrestle/internal/aggregator"
 	"rooktrestle/internal/config"
-	"rooktrestle/internal/frontend/platform"
 	"rooktrestle/internal/settings"
 )
 
@@ -69,11 +68,7 @@
 		return err
 	}
 	s.balancerSettings = merged.BalancerSettings
-	s.frontend.SetVocabulary(platform.Vocabulary{
-		Classes:    change.Classes,
-		Tenants:    change.Tenants,
-		MaxTimeout: maxTimeout(next.BalancerSettings.Classes),
-	}, now)
+	s.frontend.SetVocabulary(frontendVocabulary(merged, change.Classes, change.Tenants), now)
 	s.operators.classes = slices.Clone(next.Classes)
 	return nil
 }
--- a/internal/backend/leaf/frame.go
+++ b/internal/backend/leaf/frame.go
@@ -149,7 +149,7 @@
 	const optionsSize = 32
 	size := 0
 	for _, attempt := range attempts {
-		size += len(attempt.Name) + len(attempt.Payload) + optionsSize
+		size += len(attempt.Name) + len(attempt.IdempotencyKey) + len(attempt.Payload) + optionsSize
 	}
 	return size
 }
@@ -165,10 +165,14 @@
 	return AppendFrame(nil, frameCall, payload)
 }
 
-// callOptions returns the options of a part: the time to its deadline in milliseconds, at least 1, and, for a follow-up,
-// the shards that answered the first step and whether the first step was complete.
+// callOptions returns the options of a part: the time to its deadline in milliseconds, at least 1, in a keyed class its
+// query's idempotency key, and, for a follow-up, the shards that answered the first step and whether the first step was
+// complete.
 func callOptions(now time.Time, attempt aggregator.OutgoingAttempt) string {
 	options := fmt.Sprintf("d=%d", max(1, attempt.Deadline.Sub(now).Milliseconds()))
+	if attempt.IdempotencyKey != "" {
+		options += ",k=" + attempt.IdempotencyKey
+	}
 	if !attempt.FollowUp {
 		return options
 	}
--- a/internal/backend/leaf/frame_test.go
+++ b/internal/backend/leaf/frame_test.go
@@ -102,13 +102,19 @@
 	return printed
 }
 
-// The time to the deadline that a call states is computed when the call is written. If any part of a call is expired or
+// The time to the deadline that a call states is computed when the call is written. Each part of a keyed class has its
+// query's idempotency key, without which a repeat would run again. If any part of a call is expired or
 // abandoned by then, the call has no frame, and none of its parts is sent.
 func TestSendableFrame(t *testing.T) {
 	deadline := testStart.Add(time.Second)
 	valid := aggregator.OutgoingAttempt{Name: "q.1", Shard: 1, Deadline: deadline, Payload: "x"}
 	abandoned := valid
 	abandoned.Abandoned = func(time.Time) bool { return true }
+	keyed := valid
+	keyed.IdempotencyKey = "5c0f"
+	keyedFollowUp := keyed
+	keyedFollowUp.FollowUp = true
+	keyedFollowUp.FirstStepShards = []int{1, 3}
 	outsideWindow := valid
 	outsideWindow.WriteBy = testStart
 	for name, test := range map[string]struct {
@@ -118,6 +124,8 @@
 	}{
 		"at once":           {testStart, []aggregator.OutgoingAttempt{valid}, " d=1000 "},
 		"delayed":           {testStart.Add(150 * time.Millisecond), []aggregator.OutgoingAttempt{valid}, " d=850 "},
+		"keyed":             {testStart, []aggregator.OutgoingAttempt{keyed}, " d=1000,k=5c0f "},
+		"keyed follow-up":   {testStart, []aggregator.OutgoingAttempt{keyedFollowUp}, " d=1000,k=5c0f,from=1+3,whole=0 "},
 		"at the deadline":   {deadline, []aggregator.OutgoingAttempt{valid}, ""},
 		"abandoned":         {testStart, []aggregator.OutgoingAttempt{abandoned}, ""},
 		"with an abandoned": {testStart, []aggregator.OutgoingAttempt{valid, abandoned}, ""},
--- a/internal/frontend/platform/frontend.go
+++ b/internal/frontend/platform/frontend.go
@@ -19,12 +19,10 @@
 	countersPath = "/counters"
 )
 
-// Options configure a Frontend. Classes, Tenants and MaxTimeout apply until SetVocabulary is called.
+// Options configure a Frontend.
 type Options struct {
-	Classes    []string // names of the request classes, in the order of their indices
-	Tenants    []string // names of the tenants, in the order of their indices; empty: requests must not state one
-	Shards     int      // a query's parts name shards from 0 to Shards-1
-	MaxTimeout time.Duration
+	Vocabulary Vocabulary // applies until SetVocabulary is called
+	Shards     int        // a query's parts name shards from 0 to Shards-1
 	Timeouts   httpserve.Timeouts
 }
 
@@ -44,7 +42,7 @@
 // GET /counters; it is called on a goroutine of its own and may wait for the loop.
 func New(options Options, put func(aggregator.Message), now func() time.Time, counters func() string) *Frontend {
 	f := &Frontend{options: options, put: put, counters: counters}
-	f.vocabulary.Store(newVocabulary(options.Classes, options.Tenants, options.MaxTimeout))
+	f.vocabulary.Store(&options.Vocabulary)
 	f.Server = httpserve.New(options.Timeouts, now, f.handle)
 	return f
 }
@@ -92,7 +90,7 @@
 func (f *Frontend) handleQuery(exchange *httpserve.Exchange, path string) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	vocabulary := f.vocabulary.Load()
-	class, known := vocabulary.class(name, exchange.FirstByteAt)
+	class, known := vocabulary.class(name, hasIdempotencyKey(exchange.Header), exchange.FirstByteAt)
 	if !known {
 		respondError(exchange, http.StatusNotFound, "no such class")
 		return
--- a/internal/frontend/platform/parse.go
+++ b/internal/frontend/platform/parse.go
@@ -19,7 +19,8 @@
 	maxDeadline     = 1e6  // seconds; the longest deadline that a client may state
 	maxWorkHint     = 1e12 // microseconds; a work hint must be below it
 	maxIDLength     = 128
-	termLength      = 16 // hexadecimal digits
+	maxKeyLength    = 256 // of an idempotency key
+	termLength      = 16  // hexadecimal digits
 )
 
 // Errors of a query's body. The client receives their texts with status 400.
@@ -45,12 +46,17 @@
 
 // parseRequest decodes a query. arrived is when its first byte was received. The client receives the text of an error.
 func (f *Frontend) parseRequest(
-	vocabulary *Vocabulary, m *http1.Message, class int, arrived time.Time,
+	vocabulary *Vocabulary, m *http1.Message, class Class, arrived time.Time,
 ) (*aggregator.Request, error) {
-	request := &aggregator.Request{Class: class, Arrived: arrived}
+	request := &aggregator.Request{Class: class.Index, Arrived: arrived}
 	if err := parseHeader(vocabulary, m.Header, request); err != nil {
 		return nil, err
 	}
+	key, err := parseIdempotencyKey(m.Header, class)
+	if err != nil {
+		return nil, err
+	}
+	request.IdempotencyKey = key
 	body, err := decodeBody(m.Body)
 	if err != nil {
 		return nil, err
@@ -65,11 +71,12 @@
 // parseHeader parses the header fields of a request.
 func parseHeader(vocabulary *Vocabulary, header http1.Header, request *aggregator.Request) error {
 	request.ID, request.IsRetry = header.Get("X-Request-Id"), header.Get("X-Retry") == "1"
-	if !validID(request.ID) {
+	if !validListItem(request.ID, maxIDLength) {
 		return fmt.Errorf("X-Request-Id %q", request.ID)
 	}
 	if stated := header.Get("X-Class"); stated != "" {
-		if class, ok := vocabulary.class(stated, request.Arrived); !ok || class != request.Class {
+		class, ok := vocabulary.class(stated, hasIdempotencyKey(header), request.Arrived)
+		if !ok || class.Index != request.Class {
 			return fmt.Errorf("X-Class %q does not go with the path", stated)
 		}
 	}
@@ -88,6 +95,24 @@
 	return nil
 }
 
+// idempotencyKeyField is the header field with the idempotency key of a query.
+const idempotencyKeyField = "Idempotency-Key"
+
+func hasIdempotencyKey(header http1.Header) bool { return header.Get(idempotencyKeyField) != "" }
+
+// parseIdempotencyKey returns the idempotency key of a query. A keyed class requires one: without it, servers could not
+// recognize a repeat of its parts. In other classes the field is ignored, as their parts are sent without a key.
+func parseIdempotencyKey(header http1.Header, class Class) (string, error) {
+	if !class.Keyed {
+		return "", nil
+	}
+	key := header.Get(idempotencyKeyField)
+	if !validListItem(key, maxKeyLength) {
+		return "", fmt.Errorf("%s %q", idempotencyKeyField, key)
+	}
+	return key, nil
+}
+
 // parseDeadline parses a deadline, in seconds from the request's arrival. Only digits and a point are accepted, not the
 // other forms of strconv.ParseFloat.
 func parseDeadline(text string) (time.Duration, error) {
@@ -154,12 +179,13 @@
 	return nil
 }
 
-// validID reports whether a request's id can be part of a line of the leaf protocol.
-func validID(id string) bool {
-	for i := range len(id) {
-		if id[i] <= ' ' || id[i] >= 0x7f || id[i] == ',' { // a comma: the header field was repeated
+// validListItem reports whether a request's id or idempotency key can be part of a line of the leaf protocol. A comma,
+// which would end it there, also shows that the header field was repeated.
+func validListItem(text string, maxLength int) bool {
+	for i := range len(text) {
+		if text[i] <= ' ' || text[i] >= 0x7f || text[i] == ',' {
 			return false
 		}
 	}
-	return id != "" && len(id) <= maxIDLength
+	return text != "" && len(text) <= maxLength
 }
--- a/internal/frontend/platform/parse_test.go
+++ b/internal/frontend/platform/parse_test.go
@@ -9,6 +9,12 @@
 	"rooktrestle/internal/protocol/http1"
 )
 
+// Classes of the tests' vocabulary.
+var (
+	classA     = Class{Index: 0}
+	keyedClass = Class{Index: 2, Keyed: true}
+)
+
 const validBody = `{"slices":[{"slice":1,"mass":0.25,"micros":1500},{"slice":3,"mass":0.75,"term":"00112233aabbccdd"}],"filter":"f"}`
 
 // validHeader returns the header of a request that is accepted, with one field changed.
@@ -22,10 +28,12 @@
 
 func message(h http1.Header, body string) (*http1.Message, *Frontend) {
 	f := New(Options{
-		Classes:    []string{"a", "b"},
-		Tenants:    []string{"one", "two"},
-		Shards:     4,
-		MaxTimeout: time.Second,
+		Vocabulary: Vocabulary{
+			Classes:    map[string]Class{"a": classA, "b": {Index: 1}, "keyed": keyedClass},
+			Tenants:    map[string]int{"one": 0, "two": 1},
+			MaxTimeout: time.Second,
+		},
+		Shards: 4,
 	}, nil, time.Now, nil)
 	return &http1.Message{Header: h, Body: []byte(body)}, f
 }
@@ -47,18 +55,74 @@
 		},
 	}
 	m, f := message(validHeader("", ""), validBody)
-	if r, err := f.parseRequest(f.vocabulary.Load(), m, 0, arrived); err != nil || !reflect.DeepEqual(r, want) {
+	if r, err := f.parseRequest(f.vocabulary.Load(), m, classA, arrived); err != nil || !reflect.DeepEqual(r, want) {
 		t.Errorf("%+v, %v; want %+v", r, err, want)
 	}
 }
 
 func TestParseRequest_CapsTheDeadline(t *testing.T) {
 	m, f := message(validHeader("x-deadline", "7"), validBody)
-	if r, err := f.parseRequest(f.vocabulary.Load(), m, 0, time.Unix(1000, 0)); err != nil || r.Timeout != time.Second {
+	if r, err := f.parseRequest(f.vocabulary.Load(), m, classA, time.Unix(1000, 0)); err != nil || r.Timeout != time.Second {
 		t.Errorf("%+v, %v", r, err)
 	}
 }
 
+// The idempotency key of a query is lost on its way to the servers, or a keyed query is sent without one.
+func TestParseRequest_IdempotencyKey(t *testing.T) {
+	const key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+	for name, c := range map[string]struct {
+		class   Class
+		header  string
+		want    string
+		wantErr string
+	}{
+		"a keyed class":             {class: keyedClass, header: key, want: key},
+		"a class that is not":       {class: classA, header: key},
+		"no key":                    {class: keyedClass, wantErr: `Idempotency-Key ""`},
+		"two keys":                  {class: keyedClass, header: "a,b", wantErr: `Idempotency-Key "a,b"`},
+		"a key with a space":        {class: keyedClass, header: "a b", wantErr: `Idempotency-Key "a b"`},
+		"nonsense, where no key is": {class: classA, header: "a, b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			header := validHeader("idempotency-key", c.header)
+			delete(header, "x-class")
+			m, f := message(header, validBody)
+			r, err := f.parseRequest(f.vocabulary.Load(), m, c.class, time.Unix(1000, 0))
+			switch {
+			case c.wantErr != "":
+				if err == nil || err.Error() != c.wantErr {
+					t.Errorf("%+v, %v; want %s", r, err, c.wantErr)
+				}
+			case err != nil || r.IdempotencyKey != c.want:
+				t.Errorf("%+v, %v; want key %q", r, err, c.want)
+			}
+		})
+	}
+}
+
+// Clients learn some time after a reload that a class has become keyed: until then their queries have no key, and belong to
+// the class as it was.
+func TestVocabulary_ClassBecomesKeyed(t *testing.T) {
+	changed := time.Unix(1000, 0)
+	frontend := New(Options{Vocabulary: Vocabulary{Classes: map[string]Class{"a": classA}}}, nil, time.Now, nil)
+	frontend.SetVocabulary(Vocabulary{Classes: map[string]Class{"a": keyedClass}}, changed)
+	for name, c := range map[string]struct {
+		hasKey bool
+		after  time.Duration
+		want   Class
+	}{
+		"without a key, at once":    {want: classA},
+		"with a key, at once":       {hasKey: true, want: keyedClass},
+		"without a key, a while on": {after: previousGracePeriod + 1, want: keyedClass},
+		"with a key, a while on":    {hasKey: true, after: previousGracePeriod + 1, want: keyedClass},
+	} {
+		got, ok := frontend.vocabulary.Load().class("a", c.hasKey, changed.Add(c.after))
+		if !ok || got != c.want {
+			t.Errorf("%s: %+v, %v; want %+v", name, got, ok, c.want)
+		}
+	}
+}
+
 // Each malformed request is rejected with the reason that its client receives.
 func TestParseRequest_Rejects(t *testing.T) {
 	const invalidSlice = "body: a slice that is missing, twice there or not within 0 to 3"
@@ -90,7 +154,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			m, f := message(validHeader(c.field, c.value), c.body)
-			if r, err := f.parseRequest(f.vocabulary.Load(), m, 0, time.Unix(1000, 0)); err == nil || err.Error() != c.want {
+			if r, err := f.parseRequest(f.vocabulary.Load(), m, classA, time.Unix(1000, 0)); err == nil || err.Error() != c.want {
 				t.Errorf("%+v, %v; want %s", r, err, c.want)
 			}
 		})
--- a/internal/frontend/platform/races_test.go
+++ b/internal/frontend/platform/races_test.go
@@ -53,7 +53,8 @@
 }
 
 func newFrontend(put func(aggregator.Message)) *Frontend {
-	return New(Options{Classes: []string{"a"}, Shards: 4, MaxTimeout: time.Minute}, put, time.Now, nil)
+	vocabulary := Vocabulary{Classes: map[string]Class{"a": classA}, MaxTimeout: time.Minute}
+	return New(Options{Vocabulary: vocabulary, Shards: 4}, put, time.Now, nil)
 }
 
 // query returns the HTTP request of query number n.
--- a/internal/frontend/platform/vocabulary.go
+++ b/internal/frontend/platform/vocabulary.go
@@ -2,11 +2,11 @@
 
 import "time"
 
-// Vocabulary contains the class and tenant names that requests may state, with their indices, and the longest timeout. It
-// is not modified once it is in use.
+// Vocabulary contains the classes and tenants that requests may name, and the longest timeout. It is not modified once it
+// is in use.
 type Vocabulary struct {
-	Classes    map[string]int
-	Tenants    map[string]int // empty: requests must not state one
+	Classes    map[string]Class
+	Tenants    map[string]int // indices; empty: requests must not state a tenant
 	MaxTimeout time.Duration
 	// Previous contains names that are accepted until PreviousUntil, from requests that were sent before their clients were
 	// notified of the change. nil: none.
@@ -14,26 +14,23 @@
 	PreviousUntil time.Time
 }
 
-// newVocabulary returns a vocabulary in which the index of a name is its position.
-func newVocabulary(classes, tenants []string, maxTimeout time.Duration) *Vocabulary {
-	return &Vocabulary{Classes: indexByName(classes), Tenants: indexByName(tenants), MaxTimeout: maxTimeout}
+// Class is a request class.
+type Class struct {
+	Index int
+	Keyed bool // each of its queries has an idempotency key
 }
 
-func indexByName(names []string) map[string]int {
-	indices := make(map[string]int, len(names))
-	for i, name := range names {
-		indices[name] = i
+// class returns a class by a name that requests may state at now. hasKey reports whether the request has an idempotency
+// key: one without, of a class that has just become keyed, still belongs to the previous class of that name.
+func (v *Vocabulary) class(name string, hasKey bool, now time.Time) (class Class, ok bool) {
+	class, ok = v.Classes[name]
+	if ok && (hasKey || !class.Keyed) || v.Previous == nil || now.After(v.PreviousUntil) {
+		return class, ok
 	}
-	return indices
-}
-
-// class returns the index of a class by a name that requests may state at now.
-func (v *Vocabulary) class(name string, now time.Time) (index int, ok bool) {
-	if index, ok = v.Classes[name]; ok || v.Previous == nil || now.After(v.PreviousUntil) {
-		return index, ok
+	if previous, found := v.Previous.Classes[name]; found {
+		return previous, true
 	}
-	index, ok = v.Previous.Classes[name]
-	return index, ok
+	return class, ok
 }
 
 // tenant returns the index of a tenant by a name that requests may state at now.
