Read X-Key, the resource that a query is about

Effect: the decisions know a query that crashes servers by its key and reject its repeats (balance/query.go, crashingKeys). The first part's term stood in for the key; where parts state no term, there was none, and a repeat of such a query was let through to the next server.

Change: the header's key is the query's key; without one, the first term of a part is, as before. Test: TestParseRequest_KeyOfTheQuery, failing before.

--- a/internal/frontend/platform/parse.go
+++ b/internal/frontend/platform/parse.go
@@ -71,6 +71,7 @@
 // parseHeader parses the header fields of a request.
 func parseHeader(vocabulary *Vocabulary, header http1.Header, request *aggregator.Request) error {
 	request.ID, request.IsRetry = header.Get("X-Request-Id"), header.Get("X-Retry") == "1"
+	request.Key = header.Get("X-Key")
 	if !validListItem(request.ID, maxIDLength) {
 		return fmt.Errorf("X-Request-Id %q", request.ID)
 	}
@@ -137,7 +138,8 @@
 	return body, nil
 }
 
-// addParts sets a request's parts and its key, which is the first term that a part states.
+// addParts sets a request's parts and, if its header states no key, its key, which is then the first term that a part
+// states.
 func (f *Frontend) addParts(parts []querySlice, request *aggregator.Request) error {
 	seen, sum := map[int]bool{}, 0.0
 	for _, part := range parts {
--- a/internal/frontend/platform/parse_test.go
+++ b/internal/frontend/platform/parse_test.go
@@ -67,6 +67,22 @@
 	}
 }
 
+// Without the key that a query is about, queries of one key that crash servers are not recognized.
+func TestParseRequest_KeyOfTheQuery(t *testing.T) {
+	const noTerm = `{"slices":[{"slice":1,"mass":1}],"filter":"f"}`
+	for name, c := range map[string]struct{ header, body, want string }{
+		"stated":                   {header: "u:kd6b", body: noTerm, want: "u:kd6b"},
+		"stated, and a part's too": {header: "u:kd6b", body: validBody, want: "u:kd6b"},
+		"a part's alone":           {body: validBody, want: "00112233aabbccdd"},
+		"neither":                  {body: noTerm},
+	} {
+		m, f := message(validHeader("x-key", c.header), c.body)
+		if r, err := f.parseRequest(f.vocabulary.Load(), m, classA, time.Unix(1000, 0)); err != nil || r.Key != c.want {
+			t.Errorf("%s: %+v, %v; want key %q", name, r, err, c.want)
+		}
+	}
+}
+
 // The idempotency key of a query is lost on its way to the servers, or a keyed query is sent without one.
 func TestParseRequest_IdempotencyKey(t *testing.T) {
 	const key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
