Collect the events of both connection pools in one place, also after a panic

The emission of events stands twice, in leaf and in serialconn; and in leaf a panic in Pool.Handle leaves `handling` set, so that all that the pool emits later waits for its next message. In both, what was emitted before the panic waited for the next message, too.

Cause: the flag was reset at the end of the step only (leaf), and the events were returned there only (both).

Change: aggregator.EventCollector runs a step and returns its events. After a panic it posts those emitted so far to the mailbox and collects no more. Nothing else changes.

--- a/internal/backend/leaf/attempt.go
+++ b/internal/backend/leaf/attempt.go
@@ -317,5 +317,5 @@
 	}
 	ended.Attempt = attempt.outgoing.Attempt
 	aggregator.SetSubject(ended.Err, attempt.host.id, attempt.outgoing.Name)
-	p.emit(ended)
+	p.events.Emit(ended)
 }
--- a/internal/backend/leaf/pool.go
+++ b/internal/backend/leaf/pool.go
@@ -86,8 +86,7 @@
 	attempts  map[aggregator.AttemptID]*attempt // that have not ended
 	connCount int                               // connections that are dialing or open
 
-	pendingEvents []aggregator.Event // for the core, emitted by the message or sweep being handled
-	handling      bool               // a message or a sweep is being handled
+	events aggregator.EventCollector
 }
 
 // host is the pool's state for one server: its connections, and the batches and load probes that wait for one.
@@ -120,6 +119,7 @@
 		mailbox:  mailbox,
 		hosts:    map[balance.Replica]*host{},
 		attempts: map[aggregator.AttemptID]*attempt{},
+		events:   aggregator.NewEventCollector(mailbox),
 	}
 	p.dial = func(c *conn, addr string, timeout time.Duration) {
 		go func() { mailbox.Put(runDial(c, addr, timeout, dial, mailbox)) }()
@@ -151,8 +151,13 @@
 
 // Handle handles a message that the pool posted. It returns the resulting events, and whether the message is one of the
 // pool's.
-func (p *Pool) Handle(now time.Time, message aggregator.Message) ([]aggregator.Event, bool) {
-	p.handling = true
+func (p *Pool) Handle(now time.Time, message aggregator.Message) (events []aggregator.Event, handled bool) {
+	events = p.events.Collect(func() { handled = p.handle(now, message) })
+	return events, handled
+}
+
+// handle handles a message and reports whether it is one of the pool's.
+func (p *Pool) handle(now time.Time, message aggregator.Message) bool {
 	switch m := message.(type) {
 	case dialResult:
 		p.handleDialResult(now, m)
@@ -167,28 +172,9 @@
 	case cancelWritten:
 		p.handleCancelWritten(now, m.attempt)
 	default:
-		p.handling = false
-		return nil, false
+		return false
 	}
-	return p.takeEvents(), true
-}
-
-// emit passes an event to the core: as a result of the message or sweep being handled, or, if the core itself called the
-// pool, through the mailbox in a later turn.
-func (p *Pool) emit(e aggregator.Event) {
-	if p.handling {
-		p.pendingEvents = append(p.pendingEvents, e)
-	} else {
-		p.mailbox.Put(e)
-	}
-}
-
-// takeEvents ends the handling of a message or sweep and returns its events.
-func (p *Pool) takeEvents() []aggregator.Event {
-	p.handling = false
-	events := p.pendingEvents
-	p.pendingEvents = nil
-	return events
+	return true
 }
 
 func (p *Pool) host(id balance.Replica) *host {
--- a/internal/backend/leaf/probe.go
+++ b/internal/backend/leaf/probe.go
@@ -109,5 +109,5 @@
 		return
 	}
 	probe.ended = true
-	p.emit(aggregator.ProbeEnded{Server: probe.host.id, Err: err, Elapsed: now.Sub(probe.sentAt), Report: report})
+	p.events.Emit(aggregator.ProbeEnded{Server: probe.host.id, Err: err, Elapsed: now.Sub(probe.sentAt), Report: report})
 }
--- a/internal/backend/leaf/receive.go
+++ b/internal/backend/leaf/receive.go
@@ -116,7 +116,7 @@
 	if _, canceled := conn.canceledAt[name]; canceled {
 		p.Stats.LateAnswers++
 		delete(conn.canceledAt, name)
-		p.emit(aggregator.LateAnswer{Server: conn.host.id})
+		p.events.Emit(aggregator.LateAnswer{Server: conn.host.id})
 		return nil
 	}
 	if name == conn.lastAnswered {
--- a/internal/backend/leaf/sweep.go
+++ b/internal/backend/leaf/sweep.go
@@ -19,8 +19,12 @@
 // Sweep ends overdue probes and closes connections: idle ones before the server closes them, draining ones, and those with
 // an overdue frame or an overdue answer to a probe behind a cancel frame. It returns when it has to be called again; zero if
 // nothing is pending.
-func (p *Pool) Sweep(now time.Time) ([]aggregator.Event, time.Time) {
-	p.handling = true
+func (p *Pool) Sweep(now time.Time) (events []aggregator.Event, next time.Time) {
+	events = p.events.Collect(func() { next = p.sweep(now) })
+	return events, next
+}
+
+func (p *Pool) sweep(now time.Time) time.Time {
 	var next wakeup
 	for _, host := range p.sortedHosts() {
 		for _, probe := range host.probes {
@@ -33,7 +37,7 @@
 			delete(p.hosts, host.id)
 		}
 	}
-	return p.takeEvents(), next.earliest
+	return next.earliest
 }
 
 func (p *Pool) sweepProbe(now time.Time, probe *probe, next *wakeup) {
--- a/internal/backend/serialconn/attempt.go
+++ b/internal/backend/serialconn/attempt.go
@@ -108,5 +108,5 @@
 	}
 	ended.Attempt = attempt.outgoing.Attempt
 	aggregator.SetSubject(ended.Err, attempt.server.ID, attempt.outgoing.Name)
-	p.emit(ended)
+	p.events.Emit(ended)
 }
--- a/internal/backend/serialconn/pool.go
+++ b/internal/backend/serialconn/pool.go
@@ -51,8 +51,7 @@
 	attempts         map[aggregator.AttemptID]*attempt
 	connCount        int // connections that are dialing or open
 
-	pendingEvents []aggregator.Event // for the core, emitted by the message or sweep being handled
-	handling      bool               // a message or a sweep is being handled
+	events aggregator.EventCollector
 }
 
 // NewPool returns a pool that posts its messages to mailbox, opens connections with dial and encodes attempts with the
@@ -65,6 +64,7 @@
 		idle:             map[balance.Replica][]*conn{},
 		awaitingGreeting: map[*conn]time.Time{},
 		attempts:         map[aggregator.AttemptID]*attempt{},
+		events:           aggregator.NewEventCollector(mailbox),
 	}
 	p.dial = func(c *conn, addr string, codec Codec) {
 		go func() { mailbox.Put(p.runDial(c, addr, codec, dial)) }()
@@ -122,14 +122,18 @@
 
 // Probe fails at once: these protocols have no load probe.
 func (p *Pool) Probe(_ time.Time, to aggregator.Server) {
-	p.emit(aggregator.ProbeEnded{Server: to.ID, Err: &aggregator.AttemptError{Progress: aggregator.NotConnected}})
+	p.events.Emit(aggregator.ProbeEnded{Server: to.ID, Err: &aggregator.AttemptError{Progress: aggregator.NotConnected}})
 }
 
 // Handle handles a message that the pool posted. It returns the resulting events, and whether the message is one of the
 // pool's.
-func (p *Pool) Handle(now time.Time, message aggregator.Message) ([]aggregator.Event, bool) {
-	p.handling = true
-	defer func() { p.handling = false }()
+func (p *Pool) Handle(now time.Time, message aggregator.Message) (events []aggregator.Event, handled bool) {
+	events = p.events.Collect(func() { handled = p.handle(now, message) })
+	return events, handled
+}
+
+// handle handles a message and reports whether it is one of the pool's.
+func (p *Pool) handle(now time.Time, message aggregator.Message) bool {
 	switch m := message.(type) {
 	case dialResult:
 		p.handleDialResult(now, m)
@@ -140,19 +144,16 @@
 	case writeFinished:
 		p.handleWritten(m.attempt, m.result)
 	default:
-		return nil, false
+		return false
 	}
-	return p.takeEvents(), true
+	return true
 }
 
 // Sweep closes idle connections before the server closes them, and connections whose greeting is not answered in time. It
 // returns when it has to be called again; zero if nothing is pending.
-func (p *Pool) Sweep(now time.Time) ([]aggregator.Event, time.Time) {
-	next := p.sweepIdle(now)
-	p.handling = true
-	defer func() { p.handling = false }()
-	next = earlier(next, p.sweepGreeting(now))
-	return p.takeEvents(), next
+func (p *Pool) Sweep(now time.Time) (events []aggregator.Event, next time.Time) {
+	events = p.events.Collect(func() { next = earlier(p.sweepIdle(now), p.sweepGreeting(now)) })
+	return events, next
 }
 
 // sweepIdle closes idle connections that are no longer usable, and returns when the next one has to be closed.
@@ -190,20 +191,3 @@
 	}
 	return a
 }
-
-// emit passes an event to the core: as a result of the message or sweep being handled, or, if the core itself called the
-// pool, through the mailbox in a later turn.
-func (p *Pool) emit(e aggregator.Event) {
-	if p.handling {
-		p.pendingEvents = append(p.pendingEvents, e)
-	} else {
-		p.mailbox.Put(e)
-	}
-}
-
-// takeEvents removes and returns the events of the message or sweep being handled.
-func (p *Pool) takeEvents() []aggregator.Event {
-	events := p.pendingEvents
-	p.pendingEvents = nil
-	return events
-}
