Take no answer of a library server for another request's

Cause, twice. serialconn took a connection for idle as soon as its attempt had an answer, though bytes behind the answer had been read; and it gave whatever came next to the attempt that was out: the clients ignored the reference id of a Z39.50 response, and took a search's response for an update's.

Ruled out: the decoders (each copy was decoded right), the gateway (it merged what it was given), the leaf backend (its answers are matched by name, and bytes beyond them close the connection: TestPool_ForeignAnswers in leaf, new, passed before).

Change: a reply states the kind and, where the protocol has it, the identity of the request that it answers, and the codec compares both with the attempt's. One that does not match closes its connection, and the attempt may have run. A connection is idle only if nothing was read behind its answer, nor since. Where answers have no identity (SRU), an update goes out on a new connection. A first octet that begins no PDU ends a Z39.50 association at once, instead of a wait for a length that never comes. A search over SRU whose server repeats no query cannot be told from a copy that arrives after it was written; that stays.

FuzzPool plays foreign replies, too.

--- a/internal/backend/leaf/pool_test.go
+++ b/internal/backend/leaf/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -363,3 +364,65 @@
 		})
 	}
 }
+
+// What a server sends beyond an answer must not become the answer to the next part, nor keep that one from its own.
+func TestPool_ForeignAnswers(t *testing.T) {
+	answerTo := func(a *attemptModel) Frame {
+		a.answer = 'S'
+		return Frame{frameAnswer, fmt.Appendf(nil, "%s S 7 queue=1\n%s", a.name, validValue)}
+	}
+	for name, c := range map[string]struct {
+		behind func(answer Frame) framesReceived // the first answer and what comes with it
+		before func(answer Frame) framesReceived // what comes after the next part is written, if that is on the same connection
+	}{
+		"a second copy with the answer": {
+			behind: func(answer Frame) framesReceived { return framesReceived{frames: []Frame{answer, answer}} },
+		},
+		"a second copy in two pieces": {
+			behind: func(answer Frame) framesReceived { return framesReceived{frames: []Frame{answer}, partial: true} },
+			before: func(answer Frame) framesReceived { return framesReceived{frames: []Frame{answer}} },
+		},
+		"a second copy after the next part": {
+			before: func(answer Frame) framesReceived { return framesReceived{frames: []Frame{answer}} },
+		},
+		"noise with the answer": {
+			behind: func(answer Frame) framesReceived {
+				return framesReceived{frames: []Frame{answer}, err: errors.New("noise")}
+			},
+		},
+		"noise after the next part": {
+			before: func(Frame) framesReceived { return framesReceived{err: errors.New("noise")} },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			first, transport := h.sendWritten()
+			answer := answerTo(first)
+			received := framesReceived{frames: []Frame{answer}}
+			if c.behind != nil {
+				received = c.behind(answer)
+			}
+			received.conn = transport.conn
+			h.post(received)
+			second := h.send()
+			for second.transport == nil {
+				h.finishDial(nil)
+			}
+			second.transport.settle(tcp.WriteComplete)
+			h.runTurn()
+			if c.before != nil && second.transport == transport {
+				before := c.before(answer)
+				before.conn = transport.conn
+				h.post(before)
+			}
+			transport.finishAbort()
+			h.runTurn()
+			if second.endCount == 0 { // it still waits for its own answer
+				h.receive(second.transport, answerTo(second))
+			}
+			if first.endCount != 1 || second.endCount != 1 { // the harness has checked with which results
+				t.Errorf("ended %d and %d times", first.endCount, second.endCount)
+			}
+		})
+	}
+}
--- a/internal/backend/serialconn/attempt.go
+++ b/internal/backend/serialconn/attempt.go
@@ -13,6 +13,7 @@
 // attempt is one attempt at a part, from Send until its AttemptEnded event is emitted.
 type attempt struct {
 	outgoing  aggregator.OutgoingAttempt
+	work      query.Work // decoded payload
 	server    aggregator.Server
 	conn      *conn
 	progress  aggregator.Progress // an upper bound until the write result arrives
@@ -20,6 +21,14 @@
 	canceled  bool
 }
 
+// decodeWork decodes an attempt's payload.
+func (a *attempt) decodeWork() *aggregator.AttemptError {
+	if err := json.Unmarshal([]byte(a.outgoing.Payload), &a.work); err != nil {
+		return &aggregator.AttemptError{Progress: aggregator.NotConnected, Cause: fmt.Errorf("decode payload: %w", err)}
+	}
+	return nil
+}
+
 // write sends an attempt on a connection. Conditions that may have changed while the attempt waited for the connection are
 // checked again before its first byte: the server may have begun draining, and the attempt may have expired.
 func (p *Pool) write(now time.Time, conn *conn, attempt *attempt) {
@@ -51,11 +60,7 @@
 	if attempt.canceled || outgoing.Expired(now) || outgoing.Abandoned != nil && outgoing.Abandoned(now) {
 		return nil, &aggregator.AttemptError{Progress: aggregator.NotConnected, Canceled: true}
 	}
-	var work query.Work
-	if err := json.Unmarshal([]byte(attempt.outgoing.Payload), &work); err != nil {
-		return nil, &aggregator.AttemptError{Progress: aggregator.NotConnected, Cause: fmt.Errorf("decode payload: %w", err)}
-	}
-	request, err := p.codec(attempt.server.ID).Request(attempt.outgoing, work)
+	request, err := p.codec(attempt.server.ID).Request(attempt.outgoing, attempt.work)
 	if err != nil {
 		return nil, &aggregator.AttemptError{Progress: aggregator.NotConnected, Cause: err}
 	}
--- a/internal/backend/serialconn/conn.go
+++ b/internal/backend/serialconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"rooktrestle/balance"
@@ -26,6 +27,9 @@
 	closed    bool
 	attempt   *attempt // in flight on it, or for which it was dialed; nil: none
 	lastUsed  time.Time
+
+	reads        atomic.Uint64 // reads of its socket so far; counted by replyReader
+	handledReads uint64        // the same, as of the last dataReceived that the pool has handled
 }
 
 // replyReader decodes the bytes received on a connection and posts the answers to the loop. It is a tcp.Handler.
@@ -33,6 +37,7 @@
 	conn    *conn
 	mailbox aggregator.Poster
 	parser  Parser
+	partial bool // the last read ended within an answer, or in bytes that are none
 	failed  bool // the stream is corrupt: all further bytes are dropped
 }
 
@@ -41,10 +46,13 @@
 	if r.failed {
 		return
 	}
+	reads := r.conn.reads.Add(1) // before the answers are posted: see conn.isQuiet
 	replies, err := r.parser.Feed(b)
-	for _, reply := range replies {
-		r.mailbox.Put(replyReceived{conn: r.conn, reply: reply})
+	partial := err != nil || r.parser.Partial()
+	if len(replies) > 0 || partial && !r.partial {
+		r.mailbox.Put(dataReceived{conn: r.conn, replies: replies, partial: partial, reads: reads})
 	}
+	r.partial = partial
 	if err != nil {
 		r.failed = true
 		r.mailbox.Put(connectionClosed{conn: r.conn, err: err})
@@ -54,8 +62,8 @@
 // Closed handles the close of the connection.
 func (r *replyReader) Closed(err error) {
 	if !r.failed {
-		for _, reply := range r.parser.End() {
-			r.mailbox.Put(replyReceived{conn: r.conn, reply: reply})
+		if replies := r.parser.End(); len(replies) > 0 {
+			r.mailbox.Put(dataReceived{conn: r.conn, replies: replies, reads: r.conn.reads.Load()})
 		}
 	}
 	r.mailbox.Put(connectionClosed{conn: r.conn, err: err})
@@ -94,6 +102,10 @@
 		p.closeConn(conn, errNotNeeded)
 		return
 	}
+	if !conn.isQuiet() {
+		p.closeUnwritten(conn, errEarlyAnswer)
+		return
+	}
 	if greeting := p.codec(conn.server).Greeting(); greeting != nil {
 		conn.transport.Write(greeting, nil)
 		p.awaitingGreeting[conn] = now
@@ -103,31 +115,68 @@
 	p.write(now, conn, conn.attempt)
 }
 
-// handleReply handles one answer received on a connection.
-func (p *Pool) handleReply(now time.Time, conn *conn, reply Reply) {
+// handleData handles the result of one read of a connection.
+func (p *Pool) handleData(now time.Time, received dataReceived) {
+	conn := received.conn
+	conn.handledReads = received.reads
+	for i, reply := range received.replies {
+		if conn.closed {
+			return
+		}
+		isLast := i == len(received.replies)-1 && !received.partial
+		p.handleReply(now, conn, reply, isLast)
+	}
+	if received.partial && conn.attempt == nil && !conn.closed {
+		p.Stats.LateAnswers++
+		p.closeConn(conn, errUnexpectedBytes)
+	}
+}
+
+// handleReply handles one answer received on a connection. isLast reports that nothing was received behind it.
+func (p *Pool) handleReply(now time.Time, conn *conn, reply Reply, isLast bool) {
 	attempt := conn.attempt
 	switch {
-	case reply.Greeting && !conn.ready:
+	case reply.Greeting && !conn.ready && isLast:
 		p.handleGreeting(now, conn, reply)
-		return
 	case !conn.ready:
-		// It cannot be the answer to the waiting attempt, which is not written yet.
+		// It, or what is behind the greeting, cannot be the answer to the waiting attempt, which is not written yet.
 		p.closeUnwritten(conn, errEarlyAnswer)
-		return
-	case attempt == nil || attempt.canceled || reply.Greeting:
-		p.Stats.LateAnswers++ // further answers on this connection could not be matched to their requests
-		p.closeConn(conn, errUnexpectedReply)
-		if attempt != nil {
-			p.failLost(attempt, errCanceled)
+	case !p.isAnswered(attempt, reply):
+		p.handleUnexpectedReply(conn)
+	default:
+		p.end(attempt, aggregator.AttemptEnded{Err: reply.Err, Score: reply.Score, Value: reply.Value})
+		switch {
+		case reply.Close:
+			p.closeConn(conn, errCloseRequested)
+		case !isLast:
+			p.Stats.LateAnswers++
+			p.closeConn(conn, errUnexpectedBytes)
+		default:
+			p.release(now, conn)
 		}
-		return
 	}
-	p.end(attempt, aggregator.AttemptEnded{Err: reply.Err, Score: reply.Score, Value: reply.Value})
-	if reply.Close {
-		p.closeConn(conn, errCloseRequested)
+}
+
+// isAnswered reports whether a reply answers an attempt, which may be nil.
+func (p *Pool) isAnswered(attempt *attempt, reply Reply) bool {
+	return attempt != nil && !attempt.canceled && !reply.Greeting &&
+		p.codec(attempt.server.ID).Answers(reply, attempt.outgoing, attempt.work)
+}
+
+// handleUnexpectedReply closes a connection on which an answer was received that its attempt, if there is one, does not
+// match: further answers could not be matched to their requests either. The attempt may have run.
+func (p *Pool) handleUnexpectedReply(conn *conn) {
+	p.Stats.LateAnswers++
+	p.closeConn(conn, errUnexpectedReply)
+	attempt := conn.attempt
+	if attempt == nil {
 		return
 	}
-	p.release(now, conn)
+	cause := errUnexpectedReply
+	if attempt.canceled {
+		cause = errCanceled
+	}
+	p.failLost(attempt, cause)
 }
 
 // handleGreeting handles the answer to a connection's greeting.
@@ -187,10 +236,16 @@
 	p.idle[conn.server] = append(p.idle[conn.server], conn)
 }
 
-// takeIdle removes and returns an idle connection that the server cannot have closed for idleness; nil if there is none.
+// takeIdle removes and returns an idle connection that the server cannot have closed for idleness; nil if there is none. It
+// closes those on which anything was received while they were idle.
 func (p *Pool) takeIdle(now time.Time, to aggregator.Server) *conn {
-	for _, c := range slices.Backward(p.idle[to.ID]) {
-		if c.addr == to.Addr && !p.stale(now, c) {
+	for _, c := range slices.Backward(slices.Clone(p.idle[to.ID])) {
+		switch {
+		case c.addr != to.Addr || p.stale(now, c):
+		case !c.isQuiet():
+			p.Stats.LateAnswers++
+			p.closeConn(c, errUnexpectedBytes)
+		default:
 			p.removeIdle(c)
 			return c
 		}
@@ -198,6 +253,10 @@
 	return nil
 }
 
+// isQuiet reports whether nothing was received on the connection since the last answer that the pool has handled. The
+// message about it may still be in the mailbox, and there is none for bytes that the parser skips.
+func (c *conn) isQuiet() bool { return c.reads.Load() == c.handledReads }
+
 func (p *Pool) removeIdle(c *conn) {
 	p.idle[c.server] = slices.DeleteFunc(p.idle[c.server], func(other *conn) bool { return other == c })
 	if len(p.idle[c.server]) == 0 {
--- a/internal/backend/serialconn/harness_test.go
+++ b/internal/backend/serialconn/harness_test.go
@@ -121,6 +121,12 @@
 	return []byte(attempt.Name), nil
 }
 
+func (nameCodec) Answers(reply Reply, attempt aggregator.OutgoingAttempt, _ query.Work) bool {
+	return reply.Request == attempt.Name
+}
+
+func (nameCodec) IdentifiesAnswers() bool { return true }
+
 func (nameCodec) Parser() Parser { return nil }
 
 // newHarness returns a harness whose pool does not dial: finishDial posts the results of dials.
--- a/internal/backend/serialconn/main_test.go
+++ b/internal/backend/serialconn/main_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"go.uber.org/goleak"
+	"rooktrestle/internal/testbed/leakcheck"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) { leakcheck.Main(m) }
--- a/internal/backend/serialconn/messages.go
+++ b/internal/backend/serialconn/messages.go
@@ -14,11 +14,13 @@
 		transport Transport
 		err       error
 	}
-	// replyReceived is one answer received on a connection.
-	replyReceived struct {
+	// dataReceived is the result of one read of a connection, or of its end.
+	dataReceived struct {
 		aggregator.AdapterMessage
-		conn  *conn
-		reply Reply
+		conn    *conn
+		replies []Reply
+		partial bool   // bytes follow the replies: the beginning of another answer, or none that can be parsed
+		reads   uint64 // number of reads of the connection so far
 	}
 	// connectionClosed reports that a connection is closed, or that bytes received on it cannot be parsed. err is nil if the
 	// server closed it gracefully.
--- a/internal/backend/serialconn/pool.go
+++ b/internal/backend/serialconn/pool.go
@@ -32,7 +32,7 @@
 	Dials       uint64 // started
 	DialsFailed uint64 // refused or timed out
 	Broken      uint64 // connections closed by the server or by an error, not by the pool
-	LateAnswers uint64 // answers received with no request waiting for them
+	LateAnswers uint64 // answers received, or begun, that no waiting request matches
 }
 
 // Pool manages the connections to all servers and the attempts on them. It is an aggregator.Backend and an
@@ -90,14 +90,33 @@
 // Send sends each attempt on a connection of its own: an idle one, or a new one.
 func (p *Pool) Send(now time.Time, to aggregator.Server, attempts []aggregator.OutgoingAttempt) {
 	for _, outgoing := range attempts {
-		a := &attempt{outgoing: outgoing, server: to}
-		p.attempts[outgoing.Attempt] = a
-		if c := p.takeIdle(now, to); c != nil {
-			p.write(now, c, a)
-			continue
+		p.send(now, &attempt{outgoing: outgoing, server: to})
+	}
+}
+
+func (p *Pool) send(now time.Time, attempt *attempt) {
+	p.attempts[attempt.outgoing.Attempt] = attempt
+	if err := attempt.decodeWork(); err != nil {
+		p.fail(attempt, err)
+		return
+	}
+	if p.mayReuse(attempt) {
+		if conn := p.takeIdle(now, attempt.server); conn != nil {
+			p.write(now, conn, attempt)
+			return
 		}
-		p.connect(now, to, a)
 	}
+	p.connect(now, attempt.server, attempt)
+}
+
+// mayReuse reports whether an attempt may be sent on a connection that has carried a request before. Where answers do not
+// state what they answer, a late second copy of an answer could be taken for the success of an update.
+func (p *Pool) mayReuse(attempt *attempt) bool {
+	if KindOf(attempt.work) != UpdateRequest {
+		return true
+	}
+	codec := p.codec(attempt.server.ID)
+	return codec != nil && codec.IdentifiesAnswers()
 }
 
 // Cancel cancels an attempt. None of the protocols can cancel a request so that no answer follows, so the connection is
@@ -137,8 +156,8 @@
 	switch m := message.(type) {
 	case dialResult:
 		p.handleDialResult(now, m)
-	case replyReceived:
-		p.handleReply(now, m.conn, m.reply)
+	case dataReceived:
+		p.handleData(now, m)
 	case connectionClosed:
 		p.handleClosed(m.conn, m.err)
 	case writeFinished:
--- a/internal/backend/serialconn/pool_test.go
+++ b/internal/backend/serialconn/pool_test.go
@@ -70,12 +70,20 @@
 	if f == nil || f.closed {
 		return
 	}
-	for _, a := range h.sent {
-		if a.transport == f && a.endCount == 0 {
-			a.answered = true
+	reply := Reply{Value: "v", Close: pick%2 == 1, Request: "another request"}
+	if pick%3 != 2 {
+		for _, a := range h.sent {
+			if a.transport == f && a.endCount == 0 {
+				a.answered = true
+				reply.Request = a.name
+			}
 		}
 	}
-	h.post(replyReceived{conn: f.conn, reply: Reply{Value: "v", Close: pick%2 == 1}})
+	received := dataReceived{conn: f.conn, replies: []Reply{reply}, partial: pick%5 == 4}
+	if pick%7 == 6 { // a second copy
+		received.replies = append(received.replies, reply)
+	}
+	h.post(received)
 }
 
 func stepDrain(h *harness, _ int, _ *fakeTransport, _ *attemptModel) { h.draining = !h.draining }
@@ -89,7 +97,7 @@
 
 func stepGreeted(h *harness, _ int, f *fakeTransport, _ *attemptModel) {
 	if f != nil && !f.closed {
-		h.post(replyReceived{conn: f.conn, reply: Reply{Greeting: true}})
+		h.post(dataReceived{conn: f.conn, replies: []Reply{{Greeting: true}}})
 	}
 }
 
@@ -119,3 +127,22 @@
 		h.finish()
 	})
 }
+
+// Bytes that were read from an idle connection, but that the pool has not handled yet, would be taken for the beginning of
+// the answer to the next request.
+func TestPool_UnhandledBytesOnIdleConnection(t *testing.T) {
+	h := newHarness(t)
+	h.send()
+	h.finishDial(h.sent[0], nil)
+	first := h.transports[0]
+	first.settle(tcp.WriteComplete)
+	h.sent[0].answered = true
+	h.post(dataReceived{conn: first.conn, replies: []Reply{{Value: "v", Request: h.sent[0].name}}})
+	first.conn.reads.Add(1) // as replyReader does before it posts its message
+	h.send()
+	h.finishDial(h.sent[1], nil)
+	if !first.closed || len(h.transports) != 2 || h.sent[1].transport != h.transports[1] {
+		t.Errorf("closed: %v; the next request was sent on the same connection: %v", first.closed, h.sent[1].transport == first)
+	}
+	h.finish()
+}
--- a/internal/backend/sru/client.go
+++ b/internal/backend/sru/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"strings"
 
 	"rooktrestle/internal/aggregator"
 	"rooktrestle/internal/backend/serialconn"
@@ -48,6 +49,16 @@
 		"Content-Type", sru.XMLType, "SOAPAction", `""`), nil
 }
 
+// Answers reports whether a reply may be the answer to an attempt's request: it has the same kind and, if it repeats its
+// query, the same query. HTTP has no means to tell the answers to two requests apart.
+func (c *Client) Answers(reply serialconn.Reply, _ aggregator.OutgoingAttempt, work query.Work) bool {
+	sameKind := reply.Kind == serialconn.UnknownRequest || reply.Kind == serialconn.KindOf(work)
+	return sameKind && (reply.Request == "" || reply.Request == strings.TrimSpace(work.CQL))
+}
+
+// IdentifiesAnswers returns false.
+func (c *Client) IdentifiesAnswers() bool { return false }
+
 // Parser returns a parser for one connection.
 func (c *Client) Parser() serialconn.Parser {
 	return &clientParser{http1.Parser{Responses: true, MaxBody: maxAnswerLen}}
@@ -67,6 +78,9 @@
 	}
 }
 
+// Partial reports whether an answer has begun and is not complete.
+func (p *clientParser) Partial() bool { return p.http.Begun() }
+
 // End returns the answer that is completed by the end of the stream: one without a stated length.
 func (p *clientParser) End() []serialconn.Reply {
 	if m := p.http.End(); m != nil {
@@ -79,7 +93,21 @@
 // which does not show whether the request ran.
 func toReply(message *http1.Message) serialconn.Reply {
 	reply := serialconn.Reply{Close: message.Close}
-	result, err := parseResult(message)
+	if message.Status != http.StatusOK {
+		reply.Err = answeredError(fmt.Errorf("status %d", message.Status))
+		return reply
+	}
+	response, err := sru.ParseResponse(message.Body)
+	if err != nil {
+		reply.Err = answeredError(err)
+		return reply
+	}
+	reply.Kind = serialconn.SearchRequest
+	if response.Update {
+		reply.Kind = serialconn.UpdateRequest
+	}
+	reply.Request = response.EchoedQuery
+	result, err := partResult(response)
 	if err != nil {
 		reply.Err = err
 		return reply
@@ -89,15 +117,8 @@
 	return reply
 }
 
-// parseResult returns the result that an answer contains, or an AttemptError.
-func parseResult(message *http1.Message) (query.PartResult, error) {
-	if message.Status != http.StatusOK {
-		return query.PartResult{}, answeredError(fmt.Errorf("status %d", message.Status))
-	}
-	response, err := sru.ParseResponse(message.Body)
-	if err != nil {
-		return query.PartResult{}, answeredError(err)
-	}
+// partResult returns the result that a response contains, or an AttemptError.
+func partResult(response sru.Response) (query.PartResult, error) {
 	if response.Diagnostic != nil {
 		if err := serverError(response.Diagnostic); err != nil {
 			return query.PartResult{}, err
--- a/internal/backend/z3950/client.go
+++ b/internal/backend/z3950/client.go
@@ -21,6 +21,12 @@
 	maxPartialLen = z3950.MaxPDU + 64
 )
 
+// The class in the first octet of an encoded value.
+const (
+	classMask    = 0xc0
+	contextClass = 0x80 // of each PDU
+)
+
 const (
 	// unreachableSetSize is a large-set lower bound that no result set reaches, so every search response may have records.
 	unreachableSetSize = 1 << 30
@@ -99,6 +105,14 @@
 	).Encode(nil), nil
 }
 
+// Answers reports whether a reply has the reference id and the kind of an attempt's request.
+func (c *Client) Answers(reply serialconn.Reply, attempt aggregator.OutgoingAttempt, work query.Work) bool {
+	return reply.Kind == serialconn.KindOf(work) && reply.Request == attempt.Name
+}
+
+// IdentifiesAnswers returns true: a target repeats the reference id of a request in its response.
+func (c *Client) IdentifiesAnswers() bool { return true }
+
 // Parser returns a parser for one connection.
 func (c *Client) Parser() serialconn.Parser { return &clientParser{} }
 
@@ -108,6 +122,9 @@
 func (p *clientParser) Feed(data []byte) (replies []serialconn.Reply, err error) {
 	p.buf = append(p.buf, data...)
 	for len(p.buf) > 0 {
+		if p.buf[0]&classMask != contextClass { // it may state a length that never arrives
+			return replies, errNotPDU
+		}
 		node, rest, err := z3950.Decode(p.buf)
 		if errors.Is(err, z3950.ErrMore) && len(p.buf) <= maxPartialLen {
 			return replies, nil
@@ -125,14 +142,14 @@
 	return replies, nil
 }
 
+// Partial reports whether a response has begun and is not complete.
+func (p *clientParser) Partial() bool { return len(p.buf) > 0 }
+
 // End returns nothing: every response has a stated end, so the end of the stream completes none.
 func (p *clientParser) End() []serialconn.Reply { return nil }
 
 // toReply converts a response to a reply. An error means that the association cannot be used any more.
 func toReply(node *z3950.Node) (serialconn.Reply, error) {
-	if node.Class != z3950.Context {
-		return serialconn.Reply{}, errNotPDU
-	}
 	switch node.Tag {
 	case z3950.InitResponse:
 		reply := serialconn.Reply{Greeting: true}
@@ -141,9 +158,9 @@
 		}
 		return reply, nil
 	case z3950.SearchResponse:
-		return resultReply(parseSearchResponse(node)), nil
+		return resultReply(node, serialconn.SearchRequest, parseSearchResponse(node)), nil
 	case z3950.EsResponse:
-		return resultReply(parseUpdateResponse(node)), nil
+		return resultReply(node, serialconn.UpdateRequest, parseUpdateResponse(node)), nil
 	case z3950.ClosePDU:
 		reason := node.Child(z3950.FieldCloseReason).IntOr(reasonUnspecified)
 		details := node.Child(z3950.FieldCloseInformation).Text()
@@ -173,15 +190,18 @@
 	return result
 }
 
-// resultReply converts a result to a reply. A diagnostic about the request is an answer. One about the target is an error,
-// which does not show whether the request ran.
-func resultReply(result query.PartResult) serialconn.Reply {
+// resultReply converts the result in a response to a reply. A diagnostic about the request is an answer. One about the target
+// is an error, which does not show whether the request ran.
+func resultReply(node *z3950.Node, kind serialconn.RequestKind, result query.PartResult) serialconn.Reply {
+	reply := serialconn.Reply{Kind: kind, Request: node.Child(z3950.FieldReferenceID).Text()}
 	if result.Diagnostic != nil {
-		if err := targetError(result.Diagnostic); err != nil {
-			return serialconn.Reply{Err: err}
+		if reply.Err = targetError(result.Diagnostic); reply.Err != nil {
+			return reply
 		}
 	}
-	return serialconn.Reply{Value: query.Encode(result), Score: float64(result.Count)}
+	reply.Value = query.Encode(result)
+	reply.Score = float64(result.Count)
+	return reply
 }
 
 // targetError returns the AttemptError of a diagnostic about the target; nil if the diagnostic is about the request.
--- a/internal/protocol/sru/response.go
+++ b/internal/protocol/sru/response.go
@@ -19,6 +19,7 @@
 	Update           bool   // the response is to an update
 	Succeeded        bool   // whether the update succeeded
 	ID               string // identifier of the updated record
+	EchoedQuery      string // query of the search, if the response repeats it
 }
 
 // ParseResponse decodes a server's response, bare or in a SOAP envelope. It returns an error if the text is not a valid
@@ -36,6 +37,7 @@
 			return response, fmt.Errorf("sru: invalid numberOfRecords %q", count)
 		}
 		response.Records = parseRecords(root)
+		response.EchoedQuery = root.text("echoedSearchRetrieveRequest", "query")
 	case "updateResponse":
 		response.Update = true
 		response.Succeeded = root.text("operationStatus") == statusSuccess
