Let a failed client fail TestServer_StopAccepting at once, not hang it

Cause: a client in a goroutine of the test called t.Fatal, which ends the goroutine and not the test; its result never came. The check is the same: any error of a client fails the test, now with its text.

--- a/internal/net/tcp/share_test.go
+++ b/internal/net/tcp/share_test.go
@@ -33,16 +33,22 @@
 
 func greeting(t *testing.T, addr string) string {
 	t.Helper()
-	conn, err := net.Dial("tcp", addr)
+	word, err := dialGreeting(addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = conn.Close() }()
-	word, err := io.ReadAll(conn)
+	return word
+}
+
+// dialGreeting returns what the server sends on a new connection. Any goroutine may call it.
+func dialGreeting(addr string) (string, error) {
+	conn, err := net.Dial("tcp", addr)
 	if err != nil {
-		t.Fatal(err)
+		return "", err
 	}
-	return string(word)
+	defer func() { _ = conn.Close() }()
+	word, err := io.ReadAll(conn)
+	return string(word), err
 }
 
 // Two servers share an address. Once one of them has stopped accepting, all new connections go to the other, and none
@@ -62,18 +68,23 @@
 		t.Errorf("connections by server: %v, want some of each", words)
 	}
 	const clients = 50
-	greeted, begin := make(chan string, clients), make(chan struct{})
+	type result struct {
+		word string
+		err  error
+	}
+	greeted, begin := make(chan result, clients), make(chan struct{})
 	for range clients {
 		go func() {
 			<-begin
-			greeted <- greeting(t, addr)
+			word, err := dialGreeting(addr)
+			greeted <- result{word, err}
 		}()
 	}
 	close(begin)
 	previous.StopAccepting()
 	for range clients {
-		if word := <-greeted; word != "previous" && word != "next" {
-			t.Errorf("%q", word)
+		if got := <-greeted; got.err != nil || got.word != "previous" && got.word != "next" {
+			t.Errorf("%q, %v", got.word, got.err)
 		}
 	}
 	for range 100 {
