--- a/review/second/tools/main.go
+++ b/review/second/tools/main.go
@@ -11,6 +11,7 @@
 // cases are the cases by name. Each returns whether the rule held, and what was seen.
 var cases = map[string]func(*lab) (status int, seen string, err error){
 	"neweffect": newEffectCase,
+	"shutdown":  shutdownCase,
 }
 
 // The programs are started on the main thread: they are killed when the thread ends that started them.
