--- a/review/second/tools/main.go
+++ b/review/second/tools/main.go
@@ -10,6 +10,7 @@
 
 // cases are the cases by name. Each returns whether the rule held, and what was seen.
 var cases = map[string]func(*lab) (status int, seen string, err error){
+	"atonce":    atOnceCase,
 	"neweffect": newEffectCase,
 	"shutdown":  shutdownCase,
 }
