--- a/review/second/tools/main.go
+++ b/review/second/tools/main.go
@@ -13,6 +13,7 @@
 	"atonce":    atOnceCase,
 	"neweffect": newEffectCase,
 	"shutdown":  shutdownCase,
+	"weight":    weightCase,
 }
 
 // The programs are started on the main thread: they are killed when the thread ends that started them.
