--- a/review/second/tools/main.go
+++ b/review/second/tools/main.go
@@ -12,6 +12,7 @@
 var cases = map[string]func(*lab) (status int, seen string, err error){
 	"atonce":    atOnceCase,
 	"neweffect": newEffectCase,
+	"resultset": resultSetCase,
 	"shutdown":  shutdownCase,
 	"weight":    weightCase,
 }
