Review case: a process that replaces another forgets where discovery moved

Seen: with NODE_DISCOVERY unchanged the new process calls the former address for ever; 15 parts went to a draining server over 6 s after it was told.

--- a/review/second/tools/main.go
+++ b/review/second/tools/main.go
@@ -11,9 +11,9 @@
 // cases are the cases by name. Each returns whether the rule held, and what was seen.
 var cases = map[string]func(*lab) (status int, seen string, err error){
 	"atonce":    atOnceCase,
+	"moved":     movedCase,
 	"neweffect": newEffectCase,
 	"resultset": resultSetCase,
-	"shutdown":  shutdownCase,
 	"weight":    weightCase,
 }
 
--- a/review/second/tools/partners.go
+++ b/review/second/tools/partners.go
@@ -9,9 +9,7 @@
 	"net/http"
 	"os"
 	"regexp"
-	"slices"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -27,9 +25,6 @@
 	work    time.Duration // of a part
 	silent  atomic.Bool
 	seen    func(*http.Request) // called with each request; may be nil
-
-	mu      sync.Mutex
-	updates []string // identifiers of the records that were corrected, in order
 }
 
 func newSRUNode(l *lab, id string, records int) (*sruNode, error) {
@@ -43,7 +38,6 @@
 }
 
 func (n *sruNode) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, _ := io.ReadAll(r.Body)
 	if n.seen != nil {
 		n.seen(r)
 	}
@@ -54,17 +48,6 @@
 	}
 	block := strings.TrimPrefix(r.URL.Path, "/block-")
 	w.Header().Set("Content-Type", "text/xml")
-	if r.Method == http.MethodPost {
-		id := regexp.MustCompile(`recordIdentifier>([^<]*)<`).FindSubmatch(body)
-		n.mu.Lock()
-		n.updates = append(n.updates, string(id[1]))
-		n.mu.Unlock()
-		n.lab.note("%s corrects %s", n.id, id[1])
-		time.Sleep(n.work)
-		fmt.Fprint(w, `<updateResponse xmlns="http://www.loc.gov/zing/srw/update/"><version>1.0</version>`+
-			`<operationStatus>success</operationStatus></updateResponse>`)
-		return
-	}
 	query := r.URL.Query()
 	most := 0
 	fmt.Sscan(query.Get("maximumRecords"), &most)
@@ -187,8 +170,6 @@
 	initRequest, initResponse       = 20, 21
 	searchRequest, searchResponse   = 22, 23
 	presentRequest, presentResponse = 24, 25
-	updateRequest, closePDU         = 46, 48
-	oidUpdate                       = "\x2a\x86\x48\xce\x13\x09\x05\x01\x01"
 	oidBib1                         = "\x2a\x86\x48\xce\x13\x03\x01"
 	oidXML                          = "\x2a\x86\x48\xce\x13\x05\x6d\x0a"
 )
@@ -234,29 +215,6 @@
 	return o.read(patience)
 }
 
-// correct replaces one record of a database.
-func (o *origin) correct(database, id string, patience time.Duration) (node, error) {
-	record := group(4, group(-8, primitive(-6, oidXML), primitive(1, "<dc><identifier>"+id+"</identifier></dc>")))
-	toKeep := group(1, group(-16, number(1, 2), primitive(2, database)))
-	records := group(2, group(-16, group(1, primitive(2, id)), record))
-	o.conn.Write(group(updateRequest, primitive(2, id), number(3, 1), primitive(4, oidUpdate),
-		group(10, primitive(-6, oidUpdate), group(0, group(1, toKeep, records))), number(11, 1)))
-	return o.read(patience)
-}
-
-// corrected reports whether a record was corrected at any node.
-func (f *front) corrected(id string) bool {
-	for _, n := range f.nodes {
-		n.mu.Lock()
-		found := slices.Contains(n.updates, id)
-		n.mu.Unlock()
-		if found {
-			return true
-		}
-	}
-	return false
-}
-
 // lines returns the identifiers of the records in an answer.
 func lines(answer node) (ids []string) {
 	for _, m := range regexp.MustCompile(`<line[^>]*>([^<]*)</line>`).FindAllSubmatch(answer.body, -1) {
--- a/review/second/tools/platform.go
+++ b/review/second/tools/platform.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -99,8 +100,13 @@
 
 // startAggregator starts the aggregator and waits until it is ready.
 func (p *platform) startAggregator(name, control string) (*process, error) {
+	return p.startAggregatorWith(name, control, p.discovery.addr)
+}
+
+// startAggregatorWith is startAggregator with another address of discovery in the environment.
+func (p *platform) startAggregatorWith(name, control, discovery string) (*process, error) {
 	proc, err := p.start(name, "", "NODE_CONFIG="+p.configPath, "NODE_NAME=n0", "NODE_LISTEN="+p.listen,
-		"NODE_DISCOVERY="+p.discovery.addr, "NODE_CONTROL="+control, "TMPDIR="+p.dir)
+		"NODE_DISCOVERY="+discovery, "NODE_CONTROL="+control, "TMPDIR="+p.dir)
 	if err != nil {
 		return nil, err
 	}
@@ -134,7 +140,9 @@
 
 // discovery is the agent that tells the list of leaf servers.
 type discovery struct {
-	addr string
+	addr     string
+	listener net.Listener
+	server   *discoveryServer
 
 	mu      sync.Mutex
 	version int
@@ -147,16 +155,38 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &discovery{addr: listener.Addr().String(), version: 41, changed: make(chan struct{})}
+	d := &discovery{addr: listener.Addr().String(), listener: listener, version: 41, changed: make(chan struct{})}
 	for _, s := range leaves {
 		zone := []string{"singha-hall", "lalitpur-hall"}[s.cell%2]
 		d.entries = append(d.entries, object{"id": s.id, "addr": s.addr, "zone": zone, "kind": "small-2c",
 			"cell": s.cell, "state": "SERVING", "weight": 1.0, "started_ms": 0})
 	}
-	go http.Serve(listener, d)
+	d.server = &discoveryServer{http.Server{Handler: d}}
+	go d.server.Serve(listener)
 	return d, nil
 }
 
+type discoveryServer struct{ http.Server }
+
+// CloseNow closes all open connections.
+func (s *discoveryServer) CloseNow() { s.Close() }
+
+// setState tells the state of a leaf server.
+func (d *discovery) setState(id, state string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, e := range d.entries {
+		if e["id"] == id {
+			e = maps.Clone(e)
+			e["state"] = state
+			d.entries[i] = e
+		}
+	}
+	d.version++
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
 func (d *discovery) list() object {
 	d.mu.Lock()
 	defer d.mu.Unlock()
