Review case: bodies of 60 MB take the aggregator over its limit on memory

Seen: from 5 MB of its own to over 64 MB in 0.1 s under eight bad clients; the platform kills it. Ports of the stand-ins are taken outside of the system's own range.

--- a/review/second/tools/agent.go
+++ b/review/second/tools/agent.go
@@ -101,9 +101,10 @@
 	f.nodes[3].seen = func(r *http.Request) {
 		mu.Lock()
 		defer mu.Unlock()
+		l.note("node-3 gets %s", r.URL)
 		if since := time.Since(told); !told.IsZero() && since > 250*time.Millisecond+50*time.Millisecond {
 			late = append(late, since)
-			l.note("node-3 gets %s, %v after it told that it drains", r.URL, since.Round(time.Millisecond))
+			l.note("that is %v after its agent told that it drains", since.Round(time.Millisecond))
 		}
 	}
 	if _, err := f.startAggregator("mixer"); err != nil {
@@ -116,10 +117,13 @@
 			for i := 0; time.Now().Before(stop); i++ {
 				r, err := http.Get("http://" + f.sru + "/captions?operation=searchRetrieve&version=1.2&maximumRecords=5&query=" +
 					url.QueryEscape(fmt.Sprintf("w%dx%d", c, i)))
-				if err == nil {
-					io.Copy(io.Discard, r.Body)
-					r.Body.Close()
+				if err != nil {
+					l.note("client: w%dx%d: %v", c, i, err)
+					continue
 				}
+				io.Copy(io.Discard, r.Body)
+				r.Body.Close()
+				l.note("client: w%dx%d: %d", c, i, r.StatusCode)
 				time.Sleep(150 * time.Millisecond)
 			}
 		})
--- a/review/second/tools/lab.go
+++ b/review/second/tools/lab.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -161,14 +162,15 @@
 	}
 }
 
-// freeAddress returns a free address on loopback.
+// freeAddress returns a free address on loopback, with a port that the system does not give to connections by itself.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(20000)))
+		if err == nil {
+			defer listener.Close()
+			return listener.Addr().String()
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
 // object is a JSON object.
--- a/review/second/tools/main.go
+++ b/review/second/tools/main.go
@@ -11,7 +11,7 @@
 // cases are the cases by name. Each returns whether the rule held, and what was seen.
 var cases = map[string]func(*lab) (status int, seen string, err error){
 	"atonce":    atOnceCase,
-	"moved":     movedCase,
+	"memory":    memoryCase,
 	"neweffect": newEffectCase,
 	"resultset": resultSetCase,
 	"weight":    weightCase,
--- a/review/second/tools/neweffect.go
+++ b/review/second/tools/neweffect.go
@@ -43,10 +43,7 @@
 	for time.Since(begun) < window {
 		r := request{id: fmt.Sprintf("c%d", sent), class: "line-correction", shards: []int{sent % 20}, deadline: 3 * time.Second, filter: "fix"}
 		sent++
-		clients.Go(func() {
-			answer := p.ask(r)
-			l.note("client: %s: %d %v", r.id, answer.status, answer.err)
-		})
+		clients.Go(func() { p.ask(r) })
 		time.Sleep(55 * time.Millisecond)
 	}
 	clients.Wait()
--- a/review/second/tools/platform.go
+++ b/review/second/tools/platform.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -100,13 +99,8 @@
 
 // startAggregator starts the aggregator and waits until it is ready.
 func (p *platform) startAggregator(name, control string) (*process, error) {
-	return p.startAggregatorWith(name, control, p.discovery.addr)
-}
-
-// startAggregatorWith is startAggregator with another address of discovery in the environment.
-func (p *platform) startAggregatorWith(name, control, discovery string) (*process, error) {
 	proc, err := p.start(name, "", "NODE_CONFIG="+p.configPath, "NODE_NAME=n0", "NODE_LISTEN="+p.listen,
-		"NODE_DISCOVERY="+discovery, "NODE_CONTROL="+control, "TMPDIR="+p.dir)
+		"NODE_DISCOVERY="+p.discovery.addr, "NODE_CONTROL="+control, "TMPDIR="+p.dir)
 	if err != nil {
 		return nil, err
 	}
@@ -140,14 +134,11 @@
 
 // discovery is the agent that tells the list of leaf servers.
 type discovery struct {
-	addr     string
-	listener net.Listener
-	server   *discoveryServer
+	addr string
 
 	mu      sync.Mutex
 	version int
 	entries []object
-	changed chan struct{}
 }
 
 func newDiscovery(leaves []*leaf) (*discovery, error) {
@@ -155,38 +146,16 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &discovery{addr: listener.Addr().String(), listener: listener, version: 41, changed: make(chan struct{})}
+	d := &discovery{addr: listener.Addr().String(), version: 41}
 	for _, s := range leaves {
 		zone := []string{"singha-hall", "lalitpur-hall"}[s.cell%2]
 		d.entries = append(d.entries, object{"id": s.id, "addr": s.addr, "zone": zone, "kind": "small-2c",
 			"cell": s.cell, "state": "SERVING", "weight": 1.0, "started_ms": 0})
 	}
-	d.server = &discoveryServer{http.Server{Handler: d}}
-	go d.server.Serve(listener)
+	go http.Serve(listener, d)
 	return d, nil
 }
 
-type discoveryServer struct{ http.Server }
-
-// CloseNow closes all open connections.
-func (s *discoveryServer) CloseNow() { s.Close() }
-
-// setState tells the state of a leaf server.
-func (d *discovery) setState(id, state string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for i, e := range d.entries {
-		if e["id"] == id {
-			e = maps.Clone(e)
-			e["state"] = state
-			d.entries[i] = e
-		}
-	}
-	d.version++
-	close(d.changed)
-	d.changed = make(chan struct{})
-}
-
 func (d *discovery) list() object {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -201,7 +170,7 @@
 	seen := -1
 	for {
 		d.mu.Lock()
-		version, changed := d.version, d.changed
+		version := d.version
 		d.mu.Unlock()
 		if version != seen { // the whole list is always allowed as the first, and a full one later
 			seen = version
@@ -212,7 +181,6 @@
 		}
 		w.(http.Flusher).Flush()
 		select {
-		case <-changed:
 		case <-time.After(2 * time.Second):
 		case <-r.Context().Done():
 			return
@@ -222,10 +190,10 @@
 
 // request is one request of a client.
 type request struct {
-	id, class, tenant, key string
-	shards                 []int
-	deadline               time.Duration
-	filter                 string
+	id, class string
+	shards    []int
+	deadline  time.Duration
+	filter    string
 }
 
 // text returns the request as it stands on the wire.
@@ -235,12 +203,8 @@
 		slices = append(slices, object{"slice": s, "mass": 1 / float64(len(r.shards))})
 	}
 	body, _ := json.Marshal(object{"slices": slices, "filter": r.filter})
-	key := ""
-	if r.key != "" {
-		key = "Idempotency-Key: " + r.key + "\r\n"
-	}
 	return fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tenant: national-tv\r\n"+
-		"X-Deadline: %.3f\r\n%sContent-Length: %d\r\n\r\n%s", r.class, r.id, r.class, r.deadline.Seconds(), key, len(body), body)
+		"X-Deadline: %.3f\r\nContent-Length: %d\r\n\r\n%s", r.class, r.id, r.class, r.deadline.Seconds(), len(body), body)
 }
 
 // response is a final answer, or how its absence showed.
@@ -271,7 +235,9 @@
 	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(r.deadline + 2*time.Second))
 	io.WriteString(conn, r.text())
-	return readResponse(bufio.NewReader(conn))
+	answer := readResponse(bufio.NewReader(conn))
+	p.note("client: %s, %s, shards %v: %d %v", r.id, r.class, r.shards, answer.status, answer.err)
+	return answer
 }
 
 // part is one part of a call that arrived at a leaf server.
