Read accepted connections in turns, and no faster than they are handled

One client that sent small requests of unknown classes on one connection without waiting did the same at 32 MB (trial: after 305 ms), and one with 'GET /' after 129 ms.

Cause: netpoll's poller reads a connection as long as anything has arrived, whatever its handler still has to do, and doubles the read buffer up to 8 MB. It has no way to pause a connection. It also keeps the processor for the scheduler's 10 ms while a client fills the socket, and the handler of that connection for another 10 ms, so others wait.

Ruled out: the requests that are held (all were answered 413 or 404 at once); the responses (queued bytes are capped at 1 MB a connection); the kernel's buffers alone: with SO_RCVBUF of 16 KB and netpoll as it was, one 'GET /' client took 179,556 KB and six of new classes 332,924 KB (trials on a scratch copy, not killed). Running the handlers on the poller itself: netpoll frees a connection's operator by waiting for the poller, which would wait for itself.

Change: accepted connections are read by the runtime's sockets, each on its goroutine, in turns of 4 KB with four buffers for a listener; one with a backlog waits behind those without, and yields between turns. What has no turn stays in the kernel (64 KB a direction), which stops the client. A client that doesn't read its responses is not read either. Input of a connection that is being closed is discarded in the kernel. Dialed connections stay on netpoll. Responses that wait together are written together.

TestSteadyListener_Accept: accepts continue inside Accept now, as no poller waits for its return; it checks the same errors, pauses and ends, each after all the transient ones.

--- a/internal/net/tcp/accept.go
+++ b/internal/net/tcp/accept.go
@@ -5,12 +5,10 @@
 	"net"
 	"syscall"
 	"time"
-
-	"github.com/cloudwego/netpoll"
 )
 
-// acceptPause is the pause after a failed accept. It blocks the poller: while the cause lasts, for example when the
-// process has no free descriptors, the listener is reported as readable again immediately.
+// acceptPause is the pause after a failed accept: while the cause lasts, for example when the process has no free
+// descriptors, the next accept fails immediately.
 const acceptPause = 2 * time.Millisecond
 
 // transientAcceptErrors are the errors that accept(2) documents for connections closed in the accept queue, for
@@ -22,21 +20,21 @@
 	syscall.EHOSTUNREACH, syscall.EOPNOTSUPP, syscall.ENETUNREACH, syscall.ETIMEDOUT,
 }
 
-// steadyListener continues to accept after transient errors. netpoll itself logs each of them without a pause, and
-// stops polling the listener for up to a second when the process has no free descriptors.
+// steadyListener continues to accept after transient errors.
 type steadyListener struct {
-	netpoll.Listener
+	net.Listener
 	pause func(time.Duration)
 }
 
-// Accept returns neither a connection nor an error if there is nothing to accept at present, as netpoll expects.
+// Accept waits for the next connection. An error means that the listener is closed or unusable.
 func (l steadyListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil && isTransient(err) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err == nil || !isTransient(err) {
+			return conn, err
+		}
 		l.pause(acceptPause)
-		return nil, nil
 	}
-	return conn, err
 }
 
 func isTransient(err error) bool {
--- a/internal/net/tcp/accept_test.go
+++ b/internal/net/tcp/accept_test.go
@@ -3,16 +3,15 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
-
-	"github.com/cloudwego/netpoll"
 )
 
 // failingListener fails each accept with the next of its errors.
 type failingListener struct {
-	netpoll.Listener
+	net.Listener
 	errs []error
 }
 
@@ -22,24 +21,18 @@
 	return nil, err
 }
 
-// A listener continues after every transient error, and pauses after each; netpoll receives none of them. It returns
-// the errors that state that the listener itself is closed or invalid.
+// A listener continues after every transient error, and pauses after each. It returns the errors that state that the
+// listener itself is closed or invalid.
 func TestSteadyListener_Accept(t *testing.T) {
-	failing := &failingListener{errs: append([]error{}, transientAcceptErrors...)}
-	pauses := 0
-	listener := steadyListener{Listener: failing, pause: func(time.Duration) { pauses++ }}
-	for _, cause := range transientAcceptErrors {
-		if conn, err := listener.Accept(); conn != nil || err != nil {
-			t.Errorf("%v: %v, %v", cause, conn, err)
-		}
-	}
-	if pauses != len(transientAcceptErrors) {
-		t.Errorf("%d pauses", pauses)
-	}
 	for _, end := range []error{net.ErrClosed, syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK} {
-		failing.errs = []error{end}
-		if _, err := listener.Accept(); !errors.Is(err, end) {
-			t.Errorf("%v: %v", end, err)
+		failing := &failingListener{errs: append(slices.Clone(transientAcceptErrors), end)}
+		pauses := 0
+		listener := steadyListener{Listener: failing, pause: func(time.Duration) { pauses++ }}
+		if conn, err := listener.Accept(); conn != nil || !errors.Is(err, end) {
+			t.Errorf("%v: %v, %v", end, conn, err)
+		}
+		if pauses != len(transientAcceptErrors) || len(failing.errs) != 0 {
+			t.Errorf("%v: %d pauses, %d accepts left", end, pauses, len(failing.errs))
 		}
 	}
 }
--- a/internal/net/tcp/close.go
+++ b/internal/net/tcp/close.go
@@ -4,7 +4,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
 )
 
@@ -31,10 +30,11 @@
 
 // CloseAndWait closes the connection and returns when Handler.Closed has returned; from then on its limiter can admit
 // another connection. The caller must not hold a lock that Handler.Closed acquires, and must not be the connection's
-// own handler: netpoll closes a connection only once its read callback has returned.
+// own handler: a connection is closed only once its handler has returned.
 func (c *Conn) CloseAndWait() {
 	c.mu.Lock()
 	c.closed = true
+	c.notifySent()
 	c.mu.Unlock()
 	c.closeSocket()
 	<-c.done
@@ -46,14 +46,16 @@
 func (c *Conn) Abort(cause error, done func()) {
 	c.mu.Lock()
 	c.markClosed(cause)
-	if conn, ok := c.socket.(netpoll.Conn); ok && !c.fdReleased {
-		// A zero linger time discards unsent data at the close. If setting it fails, the close is a plain one.
-		_ = syscall.SetsockoptLinger(conn.Fd(), syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+	if !c.fdReleased {
+		c.socket.control(func(fd int) {
+			// A zero linger time discards unsent data at the close. If setting it fails, the close is a plain one.
+			_ = syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+		})
 	}
 	c.mu.Unlock()
 	go func() {
 		c.closeSocket()
-		<-c.done // netpoll closes only once the connection's read callback has returned
+		<-c.done // closed only once the connection's handler has returned
 		done()
 	}()
 }
@@ -61,12 +63,13 @@
 // markClosed records the close, and its cause unless one is recorded already. It is called with the lock held.
 func (c *Conn) markClosed(cause error) {
 	c.closed = true
+	c.notifySent()
 	if c.cause == nil {
 		c.cause = cause
 	}
 }
 
-// closeSocket closes the netpoll connection, which may call Handler.Closed.
+// closeSocket closes the socket. For a dialed connection it may call Handler.Closed.
 func (c *Conn) closeSocket() {
 	_ = c.socket.Close() // closing a closed connection has no effect
 }
@@ -93,10 +96,9 @@
 		// handleClosed, which removes the connection from the limiter's list, runs after it was added.
 		c.limiter.addLingering(c)
 	}
-	if conn, ok := c.socket.(netpoll.Conn); ok {
-		return syscall.Shutdown(conn.Fd(), syscall.SHUT_WR) == nil
-	}
-	return true
+	err := errPeerClosed // if the socket is closed
+	c.socket.control(func(fd int) { err = syscall.Shutdown(fd, syscall.SHUT_WR) })
+	return err == nil
 }
 
 // PeerClosed reports whether the connection is closed, or the peer has closed its sending direction. It queries the
@@ -107,13 +109,13 @@
 	if c.closed || c.fdReleased {
 		return true
 	}
-	conn, ok := c.socket.(netpoll.Conn)
-	if !ok {
-		return false
-	}
-	polled := []unix.PollFd{{Fd: int32(conn.Fd()), Events: unix.POLLRDHUP}}
-	// If poll fails or is interrupted, the caller relies on Handler.Closed.
-	ready, err := unix.Poll(polled, 0)
-	const ended = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
-	return err == nil && ready > 0 && polled[0].Revents&ended != 0
+	ended := true // if the socket is closed
+	c.socket.control(func(fd int) {
+		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		// If poll fails or is interrupted, the caller relies on Handler.Closed.
+		ready, err := unix.Poll(polled, 0)
+		const endEvents = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+		ended = err == nil && ready > 0 && polled[0].Revents&endEvents != 0
+	})
+	return ended
 }
--- a/internal/net/tcp/conn.go
+++ b/internal/net/tcp/conn.go
@@ -7,23 +7,25 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
-
-	"github.com/cloudwego/netpoll"
 )
 
 const (
 	writeTimeout   = 2 * time.Second // of one write; the connection is closed when it elapses
 	maxQueuedBytes = 1 << 20         // waiting to be written on one connection
-	lingerTimeout  = time.Second     // for the peer to close after CloseGracefully
+	// maxUnsentToRead is how many bytes may wait to be written on an accepted connection that is read: a client that does
+	// not read its responses sends no more requests.
+	maxUnsentToRead = 16 << 10
+	lingerTimeout   = time.Second // for the peer to close after CloseGracefully
 )
 
 // ErrSlowReader is the cause of closing a connection whose peer does not read: more than maxQueuedBytes are queued for
 // it.
 var ErrSlowReader = errors.New("the peer does not read")
 
-// Handler handles the events of a connection. Its methods are called one at a time, in order, on netpoll's goroutines.
-// Data is called with the bytes that were read; b is valid during the call only. Closed is called once, after all other
+// Handler handles the events of a connection. Its methods are called one at a time, in order, on netpoll's goroutines or
+// the goroutine of an accepted connection. Data is called with the bytes that were read; b is valid during the call only. Closed is called once, after all other
 // calls, with the cause that was passed to Close or Abort, ErrSlowReader, or the error of a write or a panic; err is
 // nil if the peer closed the connection. A panic in Data closes the connection, one in Closed is logged; neither ends
 // the process.
@@ -35,9 +37,13 @@
 // Opener is implemented by a Handler that sends first: Opened is called once, before Data, on an accepted connection.
 type Opener interface{ Opened() }
 
+// Resumer is implemented by a Handler that leaves work for a later turn of an accepted connection: Resume is called in a
+// turn after Conn.Wake.
+type Resumer interface{ Resume() }
+
 // Conn is one connection. Its methods may be called by any goroutine and do not block, except for CloseAndWait.
 type Conn struct {
-	socket  netpoll.Connection
+	socket  transport
 	peer    net.Addr
 	handler Handler
 	limiter *ConnLimiter // that admitted the connection; nil: it was dialed
@@ -47,66 +53,54 @@
 
 	lingering *list.Element // in the limiter's list, guarded by the limiter's lock; nil: not in it
 
+	unread atomic.Bool // accepted: more has arrived than was read
+
 	mu         sync.Mutex
 	queue      []pendingWrite
-	queued     int  // bytes in queue
-	writing    bool // writeQueue is running
-	closed     bool // by either side, or broken
-	fdReleased bool // the descriptor may belong to another connection by now
-	closing    bool // CloseGracefully was called: reject further writes, and half-close once the queue is empty
+	unsent     int           // bytes in queue, and of the write in progress
+	sent       chan struct{} // closed when unsent decreases or the connection is closed; nil: nobody waits for it
+	writing    bool          // writeQueue is running
+	closed     bool          // by either side, or broken
+	fdReleased bool          // the descriptor may belong to another connection by now
+	closing    bool          // CloseGracefully was called: reject further writes, and half-close once the queue is empty
 	cause      error
 }
 
 // Peer returns the address of the other side.
 func (c *Conn) Peer() string { return c.peer.String() }
 
-// read passes the bytes that have arrived to the handler. netpoll calls it, one call at a time.
-func (c *Conn) read() {
-	reader := c.socket.Reader()
-	n := reader.Len()
-	if n == 0 {
-		return
-	}
-	b, err := reader.Next(n)
-	if err != nil {
-		return
-	}
-	defer func() { _ = reader.Release() }() // fails on a closed connection, whose buffers are released anyway
+// rejectsData reports whether the handler receives nothing more, because this side closes the connection.
+func (c *Conn) rejectsData() bool {
 	c.mu.Lock()
-	drop := c.closed || c.closing
-	c.mu.Unlock()
-	if drop {
-		return
-	}
-	// A panic closes only this connection. The handler's Closed then ends the operations that use it.
-	defer func() {
-		if p := recover(); p != nil {
-			fmt.Fprintf(os.Stderr, "connection %v: panic: %v\n", c.peer, p)
-			c.Close(fmt.Errorf("panic: %v", p))
-		}
-	}()
+	defer c.mu.Unlock()
+	return c.closed || c.closing
+}
+
+// passData passes the bytes that were read to the handler.
+func (c *Conn) passData(b []byte) {
+	defer c.recoverPanic()
 	c.handler.Data(b)
 }
 
+// recoverPanic closes the connection after a panic of its handler, which affects nothing else. The handler's Closed then
+// ends the operations that use the connection.
+func (c *Conn) recoverPanic() {
+	if p := recover(); p != nil {
+		fmt.Fprintf(os.Stderr, "connection %v: panic: %v\n", c.peer, p)
+		c.Close(fmt.Errorf("panic: %v", p))
+	}
+}
+
 // opened calls the handler's Opened if it implements Opener.
 func (c *Conn) opened() {
 	if opener, ok := c.handler.(Opener); ok {
+		defer c.recoverPanic()
 		opener.Opened()
 	}
 }
 
-// attach registers the callback by which netpoll reports that the connection was closed, and sets the write timeout.
-func (c *Conn) attach() {
-	// Neither call fails on a new connection: their errors concern other connection types.
-	_ = c.socket.SetWriteTimeout(writeTimeout)
-	_ = c.socket.AddCloseCallback(func(netpoll.Connection) error {
-		c.handleClosed()
-		return nil
-	})
-}
-
-// handleClosed notifies the limiter and the handler that the connection is closed. netpoll calls it before it releases
-// the descriptor.
+// handleClosed notifies the limiter and the handler that the connection is closed. For a dialed connection netpoll calls
+// it before it releases the descriptor.
 func (c *Conn) handleClosed() {
 	c.closeOnce.Do(func() {
 		defer close(c.done)
@@ -114,6 +108,7 @@
 		c.closed = true
 		c.fdReleased = true
 		cause := c.cause
+		c.notifySent()
 		c.mu.Unlock()
 		if c.limiter != nil {
 			c.limiter.release(c)
--- a/internal/net/tcp/dial.go
+++ b/internal/net/tcp/dial.go
@@ -74,11 +74,16 @@
 
 // newDialed creates the Conn of an established connection.
 func newDialed(socket netpoll.Connection, peer net.Addr, handler func(*Conn) Handler) (*Conn, error) {
-	c := &Conn{socket: socket, peer: peer, done: make(chan struct{})}
+	c := &Conn{socket: dialedSocket{socket}, peer: peer, done: make(chan struct{})}
 	c.handler = handler(c)
-	c.attach()
+	// Neither call fails on a new connection: their errors concern other connection types.
+	_ = socket.SetWriteTimeout(writeTimeout)
+	_ = socket.AddCloseCallback(func(netpoll.Connection) error {
+		c.handleClosed()
+		return nil
+	})
 	err := socket.SetOnRequest(func(context.Context, netpoll.Connection) error {
-		c.read()
+		c.readDialed(socket.Reader())
 		return nil
 	})
 	if err != nil {
@@ -90,3 +95,19 @@
 	}
 	return c, nil
 }
+
+// readDialed passes the bytes that have arrived to the handler. netpoll calls it, one call at a time.
+func (c *Conn) readDialed(reader netpoll.Reader) {
+	n := reader.Len()
+	if n == 0 {
+		return
+	}
+	b, err := reader.Next(n)
+	if err != nil {
+		return
+	}
+	defer func() { _ = reader.Release() }() // fails on a closed connection, whose buffers are released anyway
+	if !c.rejectsData() {
+		c.passData(b)
+	}
+}
--- a/internal/net/tcp/limiter.go
+++ b/internal/net/tcp/limiter.go
@@ -63,13 +63,9 @@
 	}
 }
 
-// admitLater waits up to AdmitTimeout until a connection that admit has rejected can be admitted. It blocks, so it must
-// not be called on the poller.
-func (l *ConnLimiter) admitLater() bool {
-	if !l.beginWaiting() {
-		return false
-	}
-	defer l.endWaiting()
+// admitLater waits up to AdmitTimeout, or until closed is closed, until a connection that admit has rejected can be
+// admitted. It is called between beginWaiting and endWaiting.
+func (l *ConnLimiter) admitLater(closed <-chan struct{}) bool {
 	timeout := time.NewTimer(l.AdmitTimeout)
 	defer timeout.Stop()
 	for {
@@ -81,10 +77,13 @@
 		case <-changed:
 		case <-timeout.C:
 			return false
+		case <-closed:
+			return false
 		}
 	}
 }
 
+// beginWaiting returns false if a connection that admit has rejected may not wait.
 func (l *ConnLimiter) beginWaiting() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -123,14 +122,26 @@
 func (l *ConnLimiter) release(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.open--
-	l.notifyChange()
+	l.removeOne()
 	if c.lingering != nil {
 		l.lingering.Remove(c.lingering)
 		c.lingering = nil
 	}
 }
 
+// releasePlace removes an admitted connection that was not opened from the count.
+func (l *ConnLimiter) releasePlace() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.removeOne()
+}
+
+// removeOne removes one connection from the count. It is called with the lock held.
+func (l *ConnLimiter) removeOne() {
+	l.open--
+	l.notifyChange()
+}
+
 // addLingering records that a connection only waits for its peer to close. Lingering connections are the first to be
 // closed in favor of new ones.
 func (l *ConnLimiter) addLingering(c *Conn) {
--- a/internal/net/tcp/listen.go
+++ b/internal/net/tcp/listen.go
@@ -3,115 +3,179 @@
 import (
 	"context"
 	"net"
+	"sync"
+	"syscall"
 	"time"
 
-	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 )
 
-// shutdownTimeout is how long Server.Close waits for connections whose handlers are running.
-const shutdownTimeout = 100 * time.Millisecond
+const (
+	// shutdownTimeout is how long Server.Close waits for writes in progress.
+	shutdownTimeout = 100 * time.Millisecond
+	// shutdownPollInterval is the time between two checks for writes in progress.
+	shutdownPollInterval = time.Millisecond
+	// socketBufferBytes is the size of the kernel's buffers of an accepted connection, one for each direction. The
+	// kernel would increase them to some megabytes for a peer that sends or reads slowly.
+	socketBufferBytes = 64 << 10
+	noKeepAliveProbes = -1 // for net.ListenConfig
+)
 
 // Server accepts connections on one address.
 type Server struct {
-	listener netpoll.Listener
-	loop     netpoll.EventLoop
-}
+	listener *net.TCPListener
+	limiter  *ConnLimiter
+	accept   func(*Conn) Handler
+	turns    *turnQueue
+	closed   chan struct{} // closed by Close
 
-// connKey is the context key of a connection's *Conn. The context of a connection that was not admitted has no *Conn.
-type connKey struct{}
+	mu    sync.Mutex
+	conns map[*Conn]bool // open
+}
 
 // Listen listens on addr, host:port, and serves each connection that limiter admits with the handler that accept
-// returns. accept may be called on the poller and must not block. The caller closes the server.
+// returns. The connections of a server are read in turns. accept must not block. The caller closes the server.
 func Listen(addr string, limiter *ConnLimiter, accept func(*Conn) Handler) (*Server, error) {
-	return openServer(&net.ListenConfig{}, addr, limiter, accept)
+	return openServer(setSocketBuffers, addr, limiter, accept)
 }
 
 // ListenShared is Listen with SO_REUSEPORT: another process of the same user may listen on the same address if it sets
 // the option, too, and new connections go to either process. It lets a new process take over from a running one.
 func ListenShared(addr string, limiter *ConnLimiter, accept func(*Conn) Handler) (*Server, error) {
-	return openServer(&net.ListenConfig{Control: ReusePort}, addr, limiter, accept)
+	control := func(network, address string, raw syscall.RawConn) error {
+		if err := ReusePort(network, address, raw); err != nil {
+			return err
+		}
+		return setSocketBuffers(network, address, raw)
+	}
+	return openServer(control, addr, limiter, accept)
+}
+
+// setSocketBuffers sets the sizes of the kernel's buffers, which accepted connections inherit. It is for
+// net.ListenConfig.Control. If setting a size fails, the kernel's default applies.
+func setSocketBuffers(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, socketBufferBytes)
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, socketBufferBytes)
+	})
 }
 
 func openServer(
-	config *net.ListenConfig, addr string, limiter *ConnLimiter, accept func(*Conn) Handler,
+	control func(network, address string, raw syscall.RawConn) error,
+	addr string, limiter *ConnLimiter, accept func(*Conn) Handler,
 ) (*Server, error) {
-	opened, err := config.Listen(context.Background(), "tcp", addr)
+	config := net.ListenConfig{Control: control, KeepAlive: noKeepAliveProbes}
+	config.SetMultipathTCP(false)
+	listener, err := config.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	converted, err := netpoll.ConvertListener(opened) // duplicates the descriptor
-	_ = opened.Close()                                // the duplicate keeps the socket open
-	if err != nil {
-		return nil, err
-	}
-	listener := steadyListener{Listener: converted, pause: time.Sleep}
-	loop, err := netpoll.NewEventLoop(
-		onReadable,
-		netpoll.WithOnPrepare(func(socket netpoll.Connection) context.Context {
-			return prepare(socket, limiter, accept)
-		}),
-		netpoll.WithOnConnect(func(ctx context.Context, socket netpoll.Connection) context.Context {
-			return onConnect(ctx, socket, limiter, accept)
-		}))
-	if err != nil {
-		_ = listener.Close() // nothing was accepted
-		return nil, err
-	}
-	// Server.Close ends the goroutine; the error of Serve only states that the listener was closed.
-	go func() { _ = loop.Serve(listener) }()
-	return &Server{listener: listener, loop: loop}, nil
-}
-
-// prepare creates the Conn of an accepted connection before anything is read from it. It runs on the poller.
-func prepare(socket netpoll.Connection, limiter *ConnLimiter, accept func(*Conn) Handler) context.Context {
-	if !limiter.admit() {
-		return context.Background() // onConnect admits it later or closes it, once it is registered with the poller
+	s := &Server{
+		listener: listener.(*net.TCPListener),
+		limiter:  limiter,
+		accept:   accept,
+		turns:    newTurnQueue(),
+		closed:   make(chan struct{}),
+		conns:    map[*Conn]bool{},
 	}
-	return withConn(newConn(socket, limiter, accept))
+	go s.acceptAll() // Close ends it
+	return s, nil
 }
 
-// onConnect calls the handler's Opened, if it has one. It does not run on the poller, so a connection that was not
-// admitted may wait here until it is.
-func onConnect(
-	ctx context.Context, socket netpoll.Connection, limiter *ConnLimiter, accept func(*Conn) Handler,
-) context.Context {
-	c, ok := ctx.Value(connKey{}).(*Conn)
-	if !ok {
-		if !limiter.admitLater() {
-			_ = socket.Close() // not admitted
-			return ctx
+// acceptAll accepts connections until the listener is closed.
+func (s *Server) acceptAll() {
+	listener := steadyListener{Listener: s.listener, pause: time.Sleep}
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
 		}
-		// If it was closed during the wait, netpoll reports that once this call has returned.
-		c = newConn(socket, limiter, accept)
-		ctx = withConn(c)
+		s.admit(conn.(*net.TCPConn))
 	}
-	c.opened()
-	return ctx
 }
 
-// newConn creates the Conn of a connection that the limiter has admitted.
-func newConn(socket netpoll.Connection, limiter *ConnLimiter, accept func(*Conn) Handler) *Conn {
-	c := &Conn{socket: socket, peer: socket.RemoteAddr(), limiter: limiter, done: make(chan struct{})}
-	c.handler = accept(c)
-	c.attach()
-	return c
+// admit serves a new connection if the limiter admits it, immediately or later, and closes it otherwise.
+func (s *Server) admit(conn *net.TCPConn) {
+	if s.limiter.admit() {
+		s.open(conn)
+		return
+	}
+	if !s.limiter.beginWaiting() {
+		_ = conn.Close() // not admitted
+		return
+	}
+	go func() {
+		defer s.limiter.endWaiting()
+		if s.limiter.admitLater(s.closed) {
+			s.open(conn)
+		} else {
+			_ = conn.Close() // not admitted
+		}
+	}()
 }
 
-func withConn(c *Conn) context.Context { return context.WithValue(context.Background(), connKey{}, c) }
-
-func onReadable(ctx context.Context, _ netpoll.Connection) error {
-	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
-		c.read()
+// open serves a connection that the limiter has admitted.
+func (s *Server) open(conn *net.TCPConn) {
+	socket, err := newAcceptedSocket(conn)
+	if err != nil {
+		_ = conn.Close()
+		s.limiter.releasePlace()
+		return
+	}
+	c := &Conn{socket: socket, peer: conn.RemoteAddr(), limiter: s.limiter, done: make(chan struct{})}
+	c.handler = s.accept(c)
+	s.mu.Lock()
+	s.conns[c] = true
+	s.mu.Unlock()
+	if s.isClosed() { // Close may not have seen it
+		c.Close(nil)
 	}
-	return nil
+	go func() {
+		c.serve(socket, s.turns)
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
 }
 
 // Addr returns the address that the server listens on, host:port.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Close stops accepting and waits up to shutdownTimeout for connections whose handlers are running.
+// Close stops accepting and closes all connections, once their queued writes are sent or shutdownTimeout has elapsed. It
+// does not wait for handlers that are running. It is called once.
 func (s *Server) Close() {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	_ = s.loop.Shutdown(ctx) // fails if connections are still open; they are closed when the process exits
+	_ = s.listener.Close() // StopAccepting may have closed it
+	close(s.closed)
+	for begun := time.Now(); s.writing() && time.Since(begun) < shutdownTimeout; {
+		time.Sleep(shutdownPollInterval)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.Close(nil)
+	}
+}
+
+func (s *Server) isClosed() bool {
+	select {
+	case <-s.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// writing reports whether a connection has writes that are not sent.
+func (s *Server) writing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.mu.Lock()
+		unsent := c.unsent
+		c.mu.Unlock()
+		if unsent > 0 {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/net/tcp/share.go
+++ b/internal/net/tcp/share.go
@@ -34,22 +34,34 @@
 // StopAccepting stops listening and leaves open connections as they are. Connections in the accept queue are accepted
 // first, because the kernel would reset them. New connections go to the other processes that listen on the address.
 func (s *Server) StopAccepting() {
-	fd := s.listener.Fd()
-	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-	for started := time.Now(); time.Since(started) < acceptDrainTimeout; time.Sleep(acceptDrainInterval) {
-		polled[0].Revents = 0
-		if ready, err := unix.Poll(polled, 0); ready == 0 && err == nil {
-			break
-		}
+	defer func() { _ = s.listener.Close() }() // ends acceptAll; Close may have closed it
+	raw, err := s.listener.SyscallConn()
+	if err != nil {
+		return // it is closed
 	}
-	// netpoll uses the descriptor number until the process exits, so it must not be reused: it is replaced by
-	// /dev/null, which has no events.
 	null, err := os.Open(os.DevNull)
 	if err != nil {
-		return // the server goes on accepting the connections that the limiter admits
+		return
 	}
 	defer func() { _ = null.Close() }()
-	_ = unix.Dup3(int(null.Fd()), fd, unix.O_CLOEXEC)
+	for started := time.Now(); time.Since(started) < acceptDrainTimeout; time.Sleep(acceptDrainInterval) {
+		stopped := false
+		_ = raw.Control(func(fd uintptr) { stopped = replaceIfEmpty(int(fd), int(null.Fd())) }) // fails if it is closed
+		if stopped {
+			return
+		}
+	}
+}
+
+// replaceIfEmpty replaces a listening socket by null, which ends the listening, if its accept queue is empty. It returns
+// false if the queue is not. A close would take longer, as it waits for the goroutine that accepts, and the kernel would
+// reset the connections that arrive in the meantime.
+func replaceIfEmpty(listener, null int) bool {
+	if readable(listener) {
+		return false
+	}
+	_ = unix.Dup3(null, listener, unix.O_CLOEXEC) // if it fails, the close ends the listening
+	return true
 }
 
 // socketTables are the kernel's tables of TCP sockets.
--- a/internal/net/tcp/write.go
+++ b/internal/net/tcp/write.go
@@ -1,9 +1,8 @@
 package tcp
 
 import (
-	"errors"
+	"bytes"
 	"fmt"
-	"syscall"
 	"time"
 )
 
@@ -61,9 +60,8 @@
 func (c *Conn) enqueue(pending pendingWrite) {
 	c.mu.Lock()
 	// Limits the memory that a peer can use by sending requests without reading the responses.
-	if c.queued+pending.size > maxQueuedBytes && !c.closed {
-		c.closed = true
-		c.cause = ErrSlowReader
+	if c.unsent+pending.size > maxQueuedBytes && !c.closed {
+		c.markClosed(ErrSlowReader)
 		go c.closeSocket()
 	}
 	if c.closed || c.closing {
@@ -74,7 +72,7 @@
 		return
 	}
 	c.queue = append(c.queue, pending)
-	c.queued += pending.size
+	c.unsent += pending.size
 	start := !c.writing
 	c.writing = true
 	c.mu.Unlock()
@@ -92,22 +90,91 @@
 		if len(writes) == 0 {
 			return
 		}
-		for _, w := range writes {
-			result := c.write(w)
-			if w.done != nil {
-				w.done(result)
+		for len(writes) > 0 {
+			next, count := joinWrites(writes)
+			writes = writes[count:]
+			result := c.write(next)
+			c.countSent(next.size)
+			if next.done != nil {
+				next.done(result)
 			}
 		}
 	}
 }
 
+// maxJoinedBytes is the maximum size of a write that joins several.
+const maxJoinedBytes = 16 << 10
+
+// joinWrites returns the first of the writes, joined with those that follow it as long as nobody asks for their
+// outcomes, and the number of writes that it consists of. Clients that send many requests at once receive the responses
+// in few packets.
+func joinWrites(writes []pendingWrite) (joined pendingWrite, count int) {
+	joined = writes[0]
+	if !joined.joinable() || len(writes) == 1 || !writes[1].joinable() {
+		return joined, 1
+	}
+	joined.data = bytes.Clone(joined.data)
+	for count = 1; count < len(writes) && writes[count].joinable(); count++ {
+		next := writes[count]
+		if joined.size+next.size > maxJoinedBytes {
+			break
+		}
+		joined.data = append(joined.data, next.data...)
+		joined.size += next.size
+	}
+	return joined, count
+}
+
+// joinable reports whether a write may be joined with others.
+func (w pendingWrite) joinable() bool {
+	return w.makeData == nil && w.done == nil && w.deadline.IsZero()
+}
+
+// countSent records that a write is completed, successfully or not.
+func (c *Conn) countSent(size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unsent -= size
+	c.notifySent()
+}
+
+// notifySent wakes awaitSent. It is called with the lock held.
+func (c *Conn) notifySent() {
+	if c.sent != nil {
+		close(c.sent)
+		c.sent = nil
+	}
+}
+
+// awaitSent waits until at most limit bytes wait to be written. It returns false if the connection is closed, or ended
+// is.
+func (c *Conn) awaitSent(ended <-chan struct{}, limit int) bool {
+	for {
+		c.mu.Lock()
+		if c.unsent <= limit || c.closed {
+			closed := c.closed
+			c.mu.Unlock()
+			return !closed
+		}
+		if c.sent == nil {
+			c.sent = make(chan struct{})
+		}
+		sent := c.sent
+		c.mu.Unlock()
+		select {
+		case <-sent:
+		case <-ended:
+			return false
+		}
+	}
+}
+
 // takeQueue removes and returns all queued writes. If there are none, it marks the writing as stopped, and half-closes
 // the connection if CloseGracefully was called.
 func (c *Conn) takeQueue() []pendingWrite {
 	c.mu.Lock()
 	writes := c.queue
 	c.queue = nil
-	c.queued = 0
 	if len(writes) > 0 {
 		c.mu.Unlock()
 		return writes
@@ -132,16 +199,12 @@
 	if data == nil {
 		return WriteExpired
 	}
-	// Not socket.Writer: netpoll may release the buffers of a connection that is closed between WriteBinary and Flush.
-	// Write retains them until it returns.
 	n, err := c.socket.Write(data)
 	if err == nil {
 		return WriteComplete
 	}
 	c.Close(fmt.Errorf("write: %w", err))
-	// n is 0 if the connection was already closed. EPIPE and ECONNRESET are returned by the first system call only,
-	// which has then sent nothing. After any other error the peer may receive any part of the data.
-	if n == 0 || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
+	if n == 0 {
 		return WriteNone
 	}
 	return WriteUncertain
