Cap the memory that clients can make the process hold, in one budget

Cause: each connection was bounded (80 KB), all together were not: 651 connections times 64 KB are more than the process has.

Change: net/membudget counts what all connections hold (their fixed part, incomplete requests, requests in flight, long responses that are not read, units and cached records of Z39.50) against one limit, a quarter of memory_mb. Over it, those release memory that have held most for longest: half requests get 503, what stands behind a request in flight is dropped and answered 429 after it, cached records are fetched again by the next Present, clients that don't read are closed. A request that is complete and finds nothing to release gets 503. The health listener has its own eighth. Connections are limited to three quarters of it (768 at 32 MB: above the 651 that 1,024 descriptors give). Requests behind one in flight are handled in the connection's turns, 64 a turn; up to 256 KB of them wait (Z39.50: 8 units), and an excess no longer costs the answer of the one in flight. Trailers are limited, chunks that lead over the limit are refused at their size line. The counters say what is used, reclaimed and refused.

--- a/cmd/rooktrestle/harness_test.go
+++ b/cmd/rooktrestle/harness_test.go
@@ -39,9 +39,15 @@
 // start starts the program and waits until it has logged this number of listeners.
 func start(t *testing.T, listeners int, env []string, args ...string) *program {
 	t.Helper()
-	p := &program{t: t, cmd: exec.Command(os.Args[0], args...), listen: map[string]string{},
+	return startCommand(t, listeners, append(env, "ROOKTRESTLE_PROGRAM=1"), exec.Command(os.Args[0], args...))
+}
+
+// startCommand starts a command that runs the program, as start does.
+func startCommand(t *testing.T, listeners int, env []string, command *exec.Cmd) *program {
+	t.Helper()
+	p := &program{t: t, cmd: command, listen: map[string]string{},
 		lastLine: make(chan string, 1), configLines: make(chan string, 8)}
-	p.cmd.Env = append(append(os.Environ(), "ROOKTRESTLE_PROGRAM=1"), env...)
+	p.cmd.Env = append(os.Environ(), env...)
 	out, err := p.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/app/partnercounters.go
+++ b/internal/app/partnercounters.go
@@ -31,7 +31,7 @@
 	text += fmt.Sprintf("; checks: %d targets, %d begun, held back %d, late p50 %v p99 %v",
 		checks.Tasks, checks.Starts, checks.Delayed, checks.StartDelayP50, checks.StartDelayP99)
 	text += fmt.Sprintf("; conclusions changed %d", p.healthTracker.changes)
-	return text + p.shardMaps.counters()
+	return text + p.shardMaps.counters() + clientMemoryText(p.memory)
 }
 
 // serversJSON returns the body of GET /servers. It blocks until the loop has read the health table.
--- a/internal/app/partnerlisteners.go
+++ b/internal/app/partnerlisteners.go
@@ -8,6 +8,7 @@
 	zfront "rooktrestle/internal/frontend/z3950"
 	"rooktrestle/internal/gateway"
 	"rooktrestle/internal/net/httpserve"
+	"rooktrestle/internal/net/membudget"
 	"rooktrestle/internal/net/tcp"
 )
 
@@ -51,18 +52,28 @@
 	accept       func(*tcp.Conn) tcp.Handler
 }
 
-// listen builds the frontends and opens their listeners. Each listener has its own socket limit and evicts only its own
-// connections, so that an overload of one of them does not affect the others.
-func (p *PartnersDeployment) listen() error {
+// buildFrontends builds the frontends and the budgets of their clients' memory.
+func (p *PartnersDeployment) buildFrontends() {
 	service := &gateway.Service{Config: p.conf, Post: p.mailbox.Put, Now: p.clock.Now}
+	total := clientMemory(p.conf.Limits.MemoryMB)
+	p.memory = membudget.New(total-total/healthMemoryDivisor, p.clock.Now)
 	p.sru = httpserve.New(sruTimeouts, p.clock.Now, (&srufront.Server{Service: service}).Handle)
+	p.sru.Memory = p.memory
 	p.health = httpserve.New(healthTimeouts, p.clock.Now, p.reporter.HTTP)
+	p.health.Memory = membudget.New(total/healthMemoryDivisor, p.clock.Now)
 	associationTimes := zfront.Times{
 		Init:   associationInitTimeout,
 		Idle:   associationIdleTimeout,
 		Recent: resultSetsRecent,
 	}
 	p.z3950 = zfront.New(service, associationTimes, p.clock.Now)
+	p.z3950.Memory = p.memory
+}
+
+// listen builds the frontends and opens their listeners. Each listener has its own socket limit and evicts only its own
+// connections, so that an overload of one of them does not affect the others.
+func (p *PartnersDeployment) listen() error {
+	p.buildFrontends()
 	addrs := p.conf.Listen
 	sockets := p.conf.Listen.SocketLimits
 	for _, listener := range []partnerListener{
--- a/internal/app/partners.go
+++ b/internal/app/partners.go
@@ -19,6 +19,7 @@
 	fronthealth "rooktrestle/internal/frontend/health"
 	zfront "rooktrestle/internal/frontend/z3950"
 	"rooktrestle/internal/net/httpserve"
+	"rooktrestle/internal/net/membudget"
 	"rooktrestle/internal/net/tcp"
 )
 
@@ -42,6 +43,7 @@
 	reporter      *fronthealth.Responder // answers checks of the aggregator itself
 	checks        *background.Runner     // health checks of the servers
 
+	memory    *membudget.Budget // of what clients of SRU and Z39.50 hold
 	sru       *httpserve.Server
 	z3950     *zfront.Server
 	health    *httpserve.Server
--- a/internal/app/platform.go
+++ b/internal/app/platform.go
@@ -21,6 +21,7 @@
 	"rooktrestle/internal/frontend/platform"
 	"rooktrestle/internal/net/discovery"
 	"rooktrestle/internal/net/gossip"
+	"rooktrestle/internal/net/membudget"
 	"rooktrestle/internal/net/tcp"
 	"rooktrestle/internal/settings"
 )
@@ -79,6 +80,7 @@
 	watcher  *discovery.Watcher
 	loop     *aggregator.Loop
 	frontend *platform.Frontend
+	memory   *membudget.Budget // of what clients hold
 	limiter  *tcp.ConnLimiter
 	listener *tcp.Server   // nil until the process listens for clients
 	stop     chan struct{} // closed to end the loop and the watcher
@@ -224,7 +226,7 @@
 		text += fmt.Sprintf("; servers that lose parts: %d, remarks on them heard %d",
 			outliers.EjectedCount(), outliers.ObservationsReceived)
 	}
-	return text
+	return text + clientMemoryText(s.memory)
 }
 
 // start opens the control address and starts the loop, which shutdown stops. It also listens for clients, unless
--- a/internal/app/platformfrontend.go
+++ b/internal/app/platformfrontend.go
@@ -7,6 +7,7 @@
 	adminfront "rooktrestle/internal/frontend/admin"
 	"rooktrestle/internal/frontend/platform"
 	"rooktrestle/internal/net/httpserve"
+	"rooktrestle/internal/net/membudget"
 	"rooktrestle/internal/net/tcp"
 	"rooktrestle/internal/settings"
 )
@@ -45,12 +46,14 @@
 		return text
 	})
 	s.frontend.MaxKeepAlive = s.node.Sockets / keepAliveDivisor
+	s.memory = membudget.New(clientMemory(s.node.MemoryMB), s.clock.Now)
+	s.frontend.Memory = s.memory
 	reserved := reservedSockets
 	if s.node.Control != "" {
 		reserved += controlSockets
 	}
 	s.limiter = &tcp.ConnLimiter{
-		Max:   s.node.Sockets - s.node.Sockets/3 - reserved,
+		Max:   min(s.node.Sockets-s.node.Sockets/3-reserved, maxConnsInMemory(s.node.MemoryMB)),
 		Evict: func() bool { return s.frontend.EvictIdle(true) },
 	}
 }
--- a/internal/app/reload.go
+++ b/internal/app/reload.go
@@ -37,6 +37,7 @@
 	}
 	s.operators.reloads.loaded.Add(1)
 	debug.SetMemoryLimit(memoryLimit(next))
+	s.memory.SetLimit(clientMemory(next.MemoryMB))
 	if next.Discovery != node.Discovery {
 		s.watcher.SwitchTo(next.Discovery)
 	}
--- a/internal/frontend/health/health_test.go
+++ b/internal/frontend/health/health_test.go
@@ -21,6 +21,8 @@
 func (c *fakeConn) CloseAndWait()                           {}
 func (c *fakeConn) Close(error)                             {}
 func (c *fakeConn) PeerClosed() bool                        { return false }
+func (c *fakeConn) InputPending() bool                      { return false }
+func (c *fakeConn) Wake()                                   {}
 
 // get performs an HTTP health check and returns the response as written to the connection.
 func get(t *testing.T, responder *Responder, target string) string {
--- a/internal/frontend/platform/frontend.go
+++ b/internal/frontend/platform/frontend.go
@@ -104,6 +104,7 @@
 		respondError(exchange, http.StatusBadRequest, err.Error())
 		return
 	}
+	exchange.Body = nil // the request has what it needs of it
 	request.Frontend = responder{exchange}
 	request.Disconnected = exchange.Disconnected
 	disconnected := func() { f.put(aggregator.ClientDisconnected{Request: request}) }
--- a/internal/frontend/platform/races_test.go
+++ b/internal/frontend/platform/races_test.go
@@ -31,6 +31,7 @@
 }
 
 func (o connObserver) Data(b []byte)    { o.Handler.Data(b); o.handled <- len(b) }
+func (o connObserver) Resume()          { o.Handler.(tcp.Resumer).Resume() }
 func (o connObserver) Closed(err error) { o.Handler.Closed(err); close(o.closed) }
 
 // serve listens until the test ends. It returns a client's connection and the observer of the server's handler for it.
@@ -71,9 +72,8 @@
 }
 
 // A client disconnects after its request was parsed and before it is posted to the loop. The request was sent behind
-// another one, so it is posted by the goroutine that answers that one, concurrently with the handling of the connection's
-// close. The request must reach the loop before the disconnect: otherwise the disconnect would be ignored, and the query
-// would be forwarded for a disconnected client.
+// another one, so it is posted only once that one is answered. The request must reach the loop before the disconnect:
+// otherwise the disconnect would be ignored, and the query would be forwarded for a disconnected client.
 func TestFrontend_DisconnectBeforeHandOver(t *testing.T) {
 	var client net.Conn
 	var observer connObserver
@@ -81,7 +81,9 @@
 	f := newFrontend(func(m aggregator.Message) {
 		if arrived, ok := m.(aggregator.RequestArrived); ok && arrived.Request.ID == "2" {
 			_ = client.Close() // its answers are not read
-			<-observer.closed  // the close has been handled, and the request is not posted yet
+			for !arrived.Request.Disconnected(time.Now()) {
+				time.Sleep(time.Millisecond) // until the kernel has the close; the request is not posted yet
+			}
 		}
 		posted <- m
 	})
--- a/internal/frontend/sru/server_test.go
+++ b/internal/frontend/sru/server_test.go
@@ -26,6 +26,8 @@
 func (c *fakeConn) CloseAndWait()                           {}
 func (c *fakeConn) Close(error)                             {}
 func (c *fakeConn) PeerClosed() bool                        { return false }
+func (c *fakeConn) InputPending() bool                      { return false }
+func (c *fakeConn) Wake()                                   {}
 
 // client is a client's connection to a frontend with two databases, of which the second is read-only.
 type client struct {
--- a/internal/frontend/z3950/association.go
+++ b/internal/frontend/z3950/association.go
@@ -1,12 +1,14 @@
 package z3950
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"strings"
 	"sync"
 	"time"
 
+	"rooktrestle/internal/net/membudget"
 	"rooktrestle/internal/protocol/z3950"
 )
 
@@ -45,12 +47,17 @@
 	initialized  bool                  // Init was accepted
 	closed       bool                  // PDUs are neither handled nor sent
 	shuttingDown bool                  // close when the operation in flight completes
+	overLimit    bool                  // more was sent at once than is held: it is dropped, and the association is closed after the rest
 	user         string                // from Init; empty: anonymous
 	messageSize  int                   // negotiated in Init, in bytes
 	resultSets   map[string]*resultSet // by name
 	inFlight     *operation            // nil: none
 	pending      []*z3950.Node         // PDUs that wait for the operation in flight, in order of arrival
+	pendingBytes int                   // of memory that pending holds
+	unsentBytes  int                   // of long responses that are not sent yet
 	idleTimer    *time.Timer           // closes the association if it is idle; nil: not started
+
+	account *membudget.Account // of the memory that the association holds
 }
 
 // Data decodes and handles PDUs. It is called without the lock held. After a panic in Data the caller closes the
@@ -58,12 +65,13 @@
 func (a *association) Data(data []byte) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.closed {
+	if a.closed || a.overLimit {
 		return
 	}
 	a.restartIdleTimer()
 	a.buf = append(a.buf, data...)
-	for len(a.buf) > 0 && !a.closed {
+	defer a.limitMemory()
+	for len(a.buf) > 0 && !a.closed && !a.overLimit {
 		pdu, rest, err := z3950.Decode(a.buf)
 		// Checked before the PDU is complete: otherwise the association would wait for more bytes from a peer that
 		// speaks another protocol.
@@ -78,7 +86,7 @@
 			a.close(z3950.CloseProtocol, err.Error())
 			return
 		}
-		a.buf = append([]byte(nil), rest...)
+		a.buf = bytes.Clone(rest)
 		a.server.increment(&a.server.count.Units)
 		a.receive(pdu)
 	}
@@ -92,6 +100,7 @@
 	a.closed = true
 	a.cancelOperations()
 	a.resultSets = nil
+	a.account.Close()
 	if a.idleTimer != nil {
 		a.idleTimer.Stop()
 	}
@@ -118,6 +127,8 @@
 	}
 	a.closed = true
 	a.cancelOperations()
+	a.buf = nil
+	a.resultSets = nil
 	a.send(z3950.Constructed(z3950.ClosePDU,
 		z3950.Integer(z3950.FieldCloseReason, reason),
 		z3950.String(z3950.FieldCloseInformation, information)))
@@ -150,9 +161,6 @@
 	})
 }
 
-// send writes a PDU.
-func (a *association) send(pdu *z3950.Node) { a.conn.Write(pdu.Encode(nil), nil) }
-
 // receive handles a PDU. While an operation is in flight, Close and TriggerResourceControl are handled at once and all
 // other PDUs are queued.
 func (a *association) receive(pdu *z3950.Node) {
@@ -164,16 +172,25 @@
 			a.cancelInFlight()
 		}
 	case a.inFlight != nil:
-		a.pending = append(a.pending, pdu)
-		// Bounds the memory that an origin can occupy with pipelined requests.
-		if len(a.pending) > maxPendingPDUs {
-			a.close(z3950.CloseLimits, "too many requests at once")
+		// Bounds the memory that an origin can occupy with pipelined requests. The operation in flight may have run, so it
+		// is answered first.
+		if len(a.pending) == maxPendingPDUs {
+			a.dropSurplus()
+			return
 		}
+		a.pending = append(a.pending, pdu)
+		a.pendingBytes += pdu.Held()
 	default:
 		a.perform(pdu)
 	}
 }
 
+// dropSurplus drops what is not decoded yet, and what arrives from now on.
+func (a *association) dropSurplus() {
+	a.overLimit = true
+	a.buf = nil
+}
+
 // performPending handles the pending PDUs after the operation in flight has ended.
 func (a *association) performPending() {
 	a.inFlight = nil
@@ -183,8 +200,12 @@
 	for a.inFlight == nil && len(a.pending) > 0 && !a.closed {
 		pdu := a.pending[0]
 		a.pending = a.pending[1:]
+		a.pendingBytes -= pdu.Held()
 		a.perform(pdu)
 	}
+	if a.inFlight == nil && a.overLimit {
+		a.close(z3950.CloseLimits, "too many requests at once")
+	}
 }
 
 // perform handles a PDU while no operation is in flight.
--- a/internal/frontend/z3950/association_test.go
+++ b/internal/frontend/z3950/association_test.go
@@ -14,6 +14,7 @@
 
 // fakeConn records the PDUs that are written to a connection, and how it is closed.
 type fakeConn struct {
+	aborted bool // Close was called
 	t       *testing.T
 	pdus    []*z3950.Node
 	closed  bool // gracefully
@@ -30,6 +31,7 @@
 }
 func (c *fakeConn) CloseGracefully() { c.closed = true }
 func (c *fakeConn) CloseAndWait()    { c.evicted = true }
+func (c *fakeConn) Close(error)      { c.aborted = true }
 func (c *fakeConn) PeerClosed() bool { return c.closed || c.evicted }
 
 // origin is the client side of an association.
@@ -234,17 +236,61 @@
 	}
 }
 
+// An origin that sends more units at once than may wait is answered what is in flight and what waits, and then closed.
+// Guards against ending an update that may have run without its answer.
 func TestAssociation_TooManyPendingUnits(t *testing.T) {
 	o := newAssociation(t)
-	for range maxPendingPDUs + 1 {
-		o.send(searchPDU(t, "set", false))
+	for range maxPendingPDUs + 3 {
+		o.send(searchPDU(t, "set", true))
 	}
-	if o.closed {
-		t.Fatalf("closed with %d PDUs pending", maxPendingPDUs)
+	if o.closed || o.canceled != 0 {
+		t.Fatalf("closed %v, %d requests canceled with an operation in flight", o.closed, o.canceled)
+	}
+	for i := range maxPendingPDUs + 1 {
+		if o.closed {
+			t.Fatalf("closed after %d answers", i)
+		}
+		o.answer(1)
+	}
+	if o.last().Child(z3950.FieldCloseReason).IntOr(-1) != z3950.CloseLimits || !o.closed || len(o.requests) != 0 {
+		t.Errorf("response %+v, closed %v, %d more requests", o.last(), o.closed, len(o.requests))
 	}
+}
+
+// Associations that hold much release it when the memory is needed: first the records that a Present can fetch again,
+// then the association itself. Guards against result sets and half units that add up until the process is killed.
+func TestAssociation_Memory(t *testing.T) {
+	o := newAssociation(t)
 	o.send(searchPDU(t, "set", false))
-	if o.last().Child(z3950.FieldCloseReason).IntOr(-1) != z3950.CloseLimits || !o.closed || o.canceled != 1 {
-		t.Errorf("response %+v, closed %v, %d requests canceled", o.last(), o.closed, o.canceled)
+	o.answer(5)
+	a := o.handler.(*association)
+	held := func() (bytes int) {
+		for _, set := range a.resultSets {
+			bytes += set.recordBytes()
+		}
+		return bytes + len(a.buf)
+	}
+	if held() == 0 {
+		t.Fatal("no records are cached")
+	}
+	a.reclaim()
+	if held() != 0 || o.closed {
+		t.Errorf("%d bytes are held, closed %v", held(), o.closed)
+	}
+	o.send(presentPDU("set", 1, 5)) // fetched again
+	o.answer(5)
+	if n := o.last().Child(z3950.FieldRecordsReturned).IntOr(-1); n != 5 {
+		t.Errorf("%d records of a result set that was released", n)
+	}
+	o.send(searchPDU(t, "other", false))
+	o.handler.Data([]byte{pduIdentifier}) // a unit begins
+	a.reclaim()
+	if o.closed || len(a.buf) != 0 {
+		t.Errorf("closed %v with a search in flight, %d bytes of a unit are held", o.closed, len(a.buf))
+	}
+	o.answer(1)
+	if o.last().Child(z3950.FieldCloseReason).IntOr(-1) != z3950.CloseLimits || !o.closed {
+		t.Errorf("response %+v, closed %v", o.last(), o.closed)
 	}
 }
 
--- a/internal/frontend/z3950/operation.go
+++ b/internal/frontend/z3950/operation.go
@@ -86,6 +86,7 @@
 		a.restartIdleTimer()
 		a.performPending()
 		a.updateEvictionClass()
+		a.limitMemory()
 	})
 	operation.cancel = cancel
 	if immediate != nil {
@@ -116,7 +117,7 @@
 	if a.inFlight != nil && !a.inFlight.ended {
 		a.inFlight.abort()
 	}
-	a.inFlight, a.pending = nil, nil
+	a.inFlight, a.pending, a.pendingBytes = nil, nil, 0
 }
 
 // fail responds to a request with a diagnostic, in the response PDU of the request's type.
--- a/internal/frontend/z3950/server.go
+++ b/internal/frontend/z3950/server.go
@@ -9,6 +9,7 @@
 
 	"rooktrestle/internal/control/eviction"
 	"rooktrestle/internal/gateway"
+	"rooktrestle/internal/net/membudget"
 	"rooktrestle/internal/net/tcp"
 	"rooktrestle/internal/protocol/z3950"
 )
@@ -23,6 +24,8 @@
 // Server is the Z39.50 target. All methods may be called from any goroutine.
 type Server struct {
 	Service *gateway.Service // not changed after New
+	// Memory is the budget of the memory that associations hold; nil: no limit. Set it before the first association.
+	Memory *membudget.Budget
 
 	times Times
 	now   func() time.Time
@@ -58,6 +61,7 @@
 	Write(b []byte, done func(tcp.WriteResult))
 	CloseGracefully()
 	CloseAndWait()
+	Close(cause error)
 	PeerClosed() bool
 }
 
@@ -73,6 +77,7 @@
 	s.count.Associations++
 	s.mu.Unlock()
 	a.mu.Lock()
+	a.account = s.Memory.Open(associationBytes, a.reclaim)
 	a.setIdleTimer(cmp.Or(s.times.Init, s.times.Idle))
 	a.mu.Unlock()
 	return a
--- a/internal/net/httpserve/conn.go
+++ b/internal/net/httpserve/conn.go
@@ -8,15 +8,18 @@
 	"sync"
 	"time"
 
+	"rooktrestle/internal/net/membudget"
 	"rooktrestle/internal/protocol/http1"
 )
 
-// maxPipelinedBytes is the maximum number of bytes buffered behind a request in flight.
-const maxPipelinedBytes = http1.MaxBody + http1.MaxHead
-
-// errPipelinedTooMuch is the cause of closing the connection of a client that sends more than maxPipelinedBytes behind
-// a request in flight.
-var errPipelinedTooMuch = fmt.Errorf("more than %d bytes sent behind a request in flight", maxPipelinedBytes)
+const (
+	// maxPipelinedBytes is the maximum number of bytes buffered behind a request.
+	maxPipelinedBytes = 256 << 10
+	// maxRequestsPerTurn is how many requests of a connection are handled before others have their turn.
+	maxRequestsPerTurn = 64
+	// ConnBytes is the memory in bytes of a connection that holds no request: its goroutine, its timer and its state.
+	ConnBytes = 8 << 10
+)
 
 const continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -28,18 +31,27 @@
 
 	mu           sync.Mutex
 	parser       http1.Parser
-	firstByteAt  time.Time // of the next request
+	parsed       *http1.Message // a complete request that is not handled yet; nil: none
+	firstByteAt  time.Time      // of the next request
 	lastReadAt   time.Time
 	current      *Exchange // the request in flight: passed to the handler, and not responded to
+	currentBytes int       // of memory that current holds
+	unsentBytes  int       // of long responses that are not sent yet
+	discarding   bool      // more was sent at once than is held: the rest is dropped, and the connection ends
 	closed       bool      // by either side: nothing more is read or written
 	timer        *time.Timer
 	sentContinue bool // for the next request
 	advancing    bool // advance is running: a nested call returns at once
 	used         bool // a complete request has arrived
 
+	account *membudget.Account // of the memory that the connection holds
+
 	listPosition // guarded by the server's lock
 }
 
+// begun reports whether a request behind the one in flight has arrived, at least in part.
+func (c *serverConn) begun() bool { return c.parsed != nil || c.parser.Begun() }
+
 // startTimer limits the time until the next request is complete; 0: no limit.
 func (c *serverConn) startTimer(d time.Duration) {
 	if c.timer != nil {
@@ -59,7 +71,7 @@
 	if c.current != nil || c.closed {
 		return
 	}
-	if c.parser.Begun() {
+	if c.begun() {
 		c.rejectBad(http.StatusRequestTimeout, "the request did not come in time")
 		return
 	}
@@ -73,7 +85,7 @@
 	defer c.mu.Unlock()
 	switch {
 	case c.current != nil || c.closed:
-	case c.parser.Begun():
+	case c.begun():
 		c.rejectAtShutdown()
 	default:
 		c.closed = true
@@ -98,6 +110,7 @@
 func (c *serverConn) writeLast(response []byte) {
 	c.closed = true
 	c.stopTimer()
+	c.dropInput()
 	c.conn.Write(response, nil)
 	c.conn.CloseGracefully()
 }
@@ -110,7 +123,7 @@
 		return
 	}
 	c.lastReadAt = c.server.now()
-	if !c.parser.Begun() {
+	if !c.begun() {
 		c.firstByteAt = c.lastReadAt
 		// The timeout of the first request runs from the start of the connection and is not restarted, so that a client
 		// that begins a request and never completes it is disconnected in time.
@@ -118,48 +131,104 @@
 			c.startTimer(c.server.timeouts.ReadRequest)
 		}
 	}
-	c.parser.Feed(data)
-	// Limits the memory that a client can use by sending behind a request in flight.
-	if c.current != nil && c.parser.Buffered() > maxPipelinedBytes {
-		c.closed = true
-		c.conn.Close(errPipelinedTooMuch)
-		return
+	if !c.discarding {
+		c.parser.Feed(data)
 	}
 	c.advance()
+	c.limitMemory()
 }
 
-// advance passes complete requests to the handler, one at a time. It is called with the lock held, and releases it
-// while the handler runs, because the handler may respond at once.
+// Resume handles requests that a previous turn has left. It implements tcp.Resumer.
+func (c *serverConn) Resume() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.advance()
+	c.limitMemory()
+	if c.current == nil && !c.closed {
+		c.listAsIdle()
+	}
+}
+
+// advance passes complete requests to the handler, one at a time, and at most maxRequestsPerTurn. It is called with the
+// lock held, and releases it while the handler runs, because the handler may respond at once.
 func (c *serverConn) advance() {
 	if c.advancing {
 		return
 	}
 	c.advancing = true
 	defer func() { c.advancing = false }()
-	for c.current == nil && !c.closed {
-		request, err := c.parser.Next()
-		if err != nil {
-			c.rejectMalformed(err)
+	for handled := 0; c.current == nil && !c.closed; handled++ {
+		if handled == maxRequestsPerTurn {
+			c.conn.Wake()
 			return
 		}
-		if request == nil {
-			c.sendContinueIfExpected()
+		if !c.parseNext() {
 			return
 		}
-		c.sentContinue = false
-		c.used = true
-		if !c.beginRequest() {
-			c.rejectAtShutdown()
+		// Before everything has been read that the client has sent, it is not known whether it is still there.
+		if c.conn.InputPending() && !c.discarding && c.parser.Buffered() <= maxPipelinedBytes {
 			return
 		}
-		x := &Exchange{Message: request, FirstByteAt: c.firstByteAt, conn: c}
-		c.firstByteAt = c.lastReadAt // of a pipelined request that follows this one
-		c.current = x
-		c.stopTimer()
-		c.mu.Unlock()
+		c.handleParsed()
+	}
+	if c.current != nil && c.parser.Buffered() > maxPipelinedBytes {
+		c.discarding = true
+	}
+}
+
+// parseNext parses the next request unless one is parsed already. It returns false if there is none.
+func (c *serverConn) parseNext() (complete bool) {
+	if c.parsed != nil {
+		return true
+	}
+	request, err := c.parser.Next()
+	switch {
+	case c.discarding && request == nil:
+		c.rejectSurplus()
+		return false
+	case err != nil:
+		c.rejectMalformed(err)
+		return false
+	case request == nil:
+		c.sendContinueIfExpected()
+		return false
+	}
+	c.parsed = request
+	return true
+}
+
+// handleParsed passes the parsed request to the handler, or rejects it.
+func (c *serverConn) handleParsed() {
+	request := c.parsed
+	c.parsed = nil
+	c.sentContinue = false
+	c.used = true
+	if !c.beginRequest() {
+		c.rejectAtShutdown()
+		return
+	}
+	x := &Exchange{Message: request, FirstByteAt: c.firstByteAt, conn: c}
+	c.firstByteAt = c.lastReadAt // of a pipelined request that follows this one
+	c.current = x
+	c.currentBytes = request.Held()
+	c.stopTimer()
+	pending, overMemory := c.conn.InputPending(), !c.hold()
+	c.mu.Unlock()
+	switch {
+	case overMemory:
+		c.server.count(&c.server.counters.OverMemory)
+		x.Respond(http.StatusServiceUnavailable, nil)
+	case pending: // the client sends on and on
+		x.Respond(http.StatusTooManyRequests, nil)
+	default:
 		c.handle(x)
-		c.mu.Lock()
 	}
+	c.mu.Lock()
+}
+
+// rejectSurplus responds to what a client has sent beyond what is held for it, and closes the connection.
+func (c *serverConn) rejectSurplus() {
+	c.rejectBad(http.StatusTooManyRequests, "more was sent at once than is held")
 }
 
 func (c *serverConn) rejectMalformed(err error) {
@@ -217,6 +286,9 @@
 		onDisconnect = c.current.onDisconnect
 	}
 	c.current = nil
+	c.parsed = nil
+	c.parser.Discard()
+	c.account.Close()
 	c.mu.Unlock()
 	c.server.mu.Lock()
 	delete(c.server.conns, c)
--- a/internal/net/httpserve/evict.go
+++ b/internal/net/httpserve/evict.go
@@ -69,6 +69,15 @@
 	}
 }
 
+// listAsIdle lists the connection as idle unless it is in a list already.
+func (c *serverConn) listAsIdle() {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if c.list == nil {
+		c.moveToList(&c.server.idle)
+	}
+}
+
 // removeFromList removes a connection from its list, if any. It is called with the server's lock held.
 func (c *serverConn) removeFromList() {
 	if c.list != nil {
--- a/internal/net/httpserve/exchange.go
+++ b/internal/net/httpserve/exchange.go
@@ -52,8 +52,7 @@
 }
 
 // Respond sends the response; fields are alternating names and values of its header. Calls after the first one, or
-// after the client has disconnected, have no effect. It may be called by any goroutine, and may pass the next request
-// to the handler before it returns.
+// after the client has disconnected, have no effect. It may be called by any goroutine.
 func (x *Exchange) Respond(status int, body []byte, fields ...string) {
 	c := x.conn
 	c.mu.Lock()
@@ -62,6 +61,8 @@
 		return
 	}
 	c.current = nil
+	c.currentBytes = 0
+	c.hold() // less than before, which is never refused
 	if c.closed {
 		return
 	}
@@ -73,26 +74,26 @@
 	if x.Method == http.MethodHead {
 		response = response[:len(response)-len(body)]
 	}
-	c.conn.Write(response, nil)
+	c.writeResponse(response)
 	if last {
 		c.closed = true
+		c.dropInput()
 		c.conn.CloseGracefully()
 		return
 	}
 	c.awaitRequest()
 }
 
-// awaitRequest continues with the next request of the connection, which may have arrived already.
+// awaitRequest continues with the next request of the connection, which may have arrived already: it is handled in the
+// connection's next turn, or in the present one if that goes on.
 func (c *serverConn) awaitRequest() {
-	if c.parser.Begun() {
-		c.startTimer(c.server.timeouts.ReadRequest)
-	} else {
+	if !c.begun() && !c.discarding {
 		c.startTimer(c.server.timeouts.Idle)
+		c.listAsIdle()
+		return
 	}
-	c.advance()
-	if c.current == nil && !c.closed {
-		c.server.mu.Lock()
-		c.moveToList(&c.server.idle)
-		c.server.mu.Unlock()
+	c.startTimer(c.server.timeouts.ReadRequest)
+	if !c.advancing {
+		c.conn.Wake()
 	}
 }
--- a/internal/net/httpserve/helpers_test.go
+++ b/internal/net/httpserve/helpers_test.go
@@ -22,14 +22,44 @@
 	written                 strings.Builder
 	closedGracefully        bool
 	closed, closedAndWaited bool
-	peerClosed              bool // the state that PeerClosed reports
+	peerClosed              bool          // the state that PeerClosed reports
+	inputPending            bool          // the state that InputPending reports
+	woken                   bool          // Wake was called, and its turn has not begun
+	rejected                chan struct{} // closed by CloseGracefully; may be nil
+}
+
+// statuses returns the statuses of the responses, separated by spaces.
+func (c *fakeConn) statuses() string {
+	var statuses []string
+	for _, response := range strings.Split(c.written.String(), "HTTP/1.1 ")[1:] {
+		statuses = append(statuses, response[:len("200")])
+	}
+	return strings.Join(statuses, " ")
+}
+
+// takeTurns gives a connection the turns that it has asked for by Wake, and returns their number.
+func (c *fakeConn) takeTurns(handler tcp.Handler) (turns int) {
+	for ; c.woken; turns++ {
+		c.woken = false
+		handler.(tcp.Resumer).Resume()
+	}
+	return turns
 }
 
 func (c *fakeConn) Write(b []byte, _ func(tcp.WriteResult)) { c.written.Write(b) }
 func (c *fakeConn) CloseAndWait()                           { c.closedAndWaited = true }
-func (c *fakeConn) CloseGracefully()                        { c.closedGracefully = true }
-func (c *fakeConn) Close(error)                             { c.closed = true }
-func (c *fakeConn) PeerClosed() bool                        { return c.peerClosed }
+
+func (c *fakeConn) CloseGracefully() {
+	c.closedGracefully = true
+	if c.rejected != nil {
+		close(c.rejected)
+	}
+}
+
+func (c *fakeConn) Close(error)        { c.closed = true }
+func (c *fakeConn) PeerClosed() bool   { return c.peerClosed }
+func (c *fakeConn) InputPending() bool { return c.inputPending }
+func (c *fakeConn) Wake()              { c.woken = true }
 
 // startTime is the time of the clock in most tests.
 func startTime() time.Time { return time.Unix(1000, 0) }
@@ -46,6 +76,8 @@
 	h.Handler.Data(b)
 }
 
+func (h heldHandler) Resume() { h.Handler.(tcp.Resumer).Resume() }
+
 func (h heldHandler) Closed(err error) {
 	h.Handler.Closed(err)
 	close(h.closed)
--- a/internal/net/httpserve/races_test.go
+++ b/internal/net/httpserve/races_test.go
@@ -26,25 +26,17 @@
 }
 
 // The client receives the last response even if its connection is closed with unread bytes in the socket: a plain close
-// would send a reset, which discards the response. The test blocks the poller, so that the bytes stay in the socket.
+// would send a reset, which discards the response. The test holds the connection's turn, so that the bytes stay in the
+// socket.
 func TestExchange_Respond_SurvivesCloseOverUnreadBytes(t *testing.T) {
 	s := newTestServer(t)
-	accepting, release := make(chan struct{}), make(chan struct{})
-	first := true
-	s.acceptWith(func(conn *tcp.Conn) tcp.Handler {
-		if !first { // on the poller
-			close(accepting)
-			<-release
-		}
-		first = false
-		return s.Accept(conn)
-	})
-	c := s.connect(t)
+	c, h := s.connectHeld(t)
 	c.send(1)
+	h.passOne()
 	x := <-s.requests
-	s.connect(t)
-	<-accepting
-	c.send(2) // stays unread
+	c.sendText("P")
+	<-h.arrived
+	c.sendText(strings.Repeat("x", 10000)) // stays unread
 	x.Close = true
 	x.Respond(http.StatusOK, []byte(strings.Repeat("x", 1<<16)))
 	firstByte := make([]byte, 1) // read once the response has begun to arrive, and the close behind it was sent
@@ -54,7 +46,9 @@
 	c.in.Reset(io.MultiReader(strings.NewReader("H"), c.TCPConn))
 	c.expect(http.StatusOK, strings.Repeat("x", 1<<16))
 	c.expectEOF()
-	close(release)
+	h.release <- struct{}{}
+	_ = c.Close() // everything was read
+	<-h.closed
 }
 
 // A request that has partly arrived before the shutdown is rejected with 503, a connection that is accepted during the
--- a/internal/net/httpserve/server.go
+++ b/internal/net/httpserve/server.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"rooktrestle/internal/net/membudget"
 	"rooktrestle/internal/net/tcp"
 )
 
@@ -31,6 +32,7 @@
 	Evicted            uint64 // idle connections closed in favor of others
 	Panics             uint64 // of the handler
 	RejectedAtShutdown uint64 // requests rejected with 503 during the shutdown
+	OverMemory         uint64 // requests rejected, complete or not, because clients held the memory that they may hold
 }
 
 // String formats the counters as GET /counters shows them. Operators' scripts match the names, so they must not change.
@@ -47,6 +49,9 @@
 	// out of connections. Set it before the first connection.
 	MaxKeepAlive int
 
+	// Memory is the budget of the memory that connections hold; nil: no limit. Set it before the first connection.
+	Memory *membudget.Budget
+
 	handle   func(*Exchange)
 	timeouts Timeouts
 	now      func() time.Time
@@ -61,8 +66,7 @@
 }
 
 // New returns a Server that passes each request to handle, which responds to it immediately or later. handle is called
-// on the connection's goroutine, or on the goroutine that responded to the previous request, and should not block. If
-// it panics, the response has status 500. now is the clock.
+// in a turn of the connection, and should not block. If it panics, the response has status 500. now is the clock.
 func New(timeouts Timeouts, now func() time.Time, handle func(*Exchange)) *Server {
 	return &Server{handle: handle, timeouts: timeouts, now: now, conns: map[*serverConn]bool{}}
 }
@@ -120,6 +124,8 @@
 	Close(cause error)
 	CloseAndWait()
 	PeerClosed() bool
+	InputPending() bool
+	Wake()
 }
 
 // Accept returns the handler of a new connection, for tcp.Listen.
@@ -129,6 +135,7 @@
 func (s *Server) Attach(conn Conn) tcp.Handler {
 	c := &serverConn{server: s, conn: conn}
 	c.mu.Lock()
+	c.account = s.Memory.Open(ConnBytes, c.reclaim)
 	c.startTimer(cmp.Or(s.timeouts.FirstRequest, s.timeouts.Idle))
 	c.mu.Unlock()
 	s.mu.Lock()
--- a/internal/net/httpserve/server_test.go
+++ b/internal/net/httpserve/server_test.go
@@ -6,8 +6,13 @@
 	"strings"
 	"testing"
 	"time"
+
+	"rooktrestle/internal/net/membudget"
 )
 
+// turnBytes is what a connection reads in one turn.
+const turnBytes = 4 << 10
+
 const getRequest = "GET / HTTP/1.1\r\n\r\n"
 
 func TestServer_OneRequestAtATimeInOrder(t *testing.T) {
@@ -21,6 +26,10 @@
 	}
 	passed[0].Respond(http.StatusOK, []byte("one"))
 	passed[0].Respond(http.StatusOK, []byte("again")) // only the first counts
+	if len(passed) != 1 {
+		t.Errorf("the second request was passed on outside of a turn")
+	}
+	conn.takeTurns(c)
 	if len(passed) != 2 || passed[1].Target != "/2" {
 		t.Fatalf("%d requests", len(passed))
 	}
@@ -59,10 +68,10 @@
 	}
 }
 
-func TestServer_ShutdownAndFlood(t *testing.T) {
+func TestServer_Shutdown_OpenAndNewConnections(t *testing.T) {
 	var x *Exchange
 	s := New(Timeouts{}, startTime, func(passed *Exchange) { x = passed })
-	idle, busy, flooding := &fakeConn{}, &fakeConn{}, &fakeConn{}
+	idle, busy, late := &fakeConn{}, &fakeConn{}, &fakeConn{}
 	s.Attach(idle)
 	s.Attach(busy).Data([]byte(getRequest))
 	s.Shutdown()
@@ -73,12 +82,116 @@
 	if !busy.closedGracefully || !strings.Contains(busy.written.String(), "Connection: close") {
 		t.Errorf("%q", busy.written.String())
 	}
-	f := s.Attach(flooding)
-	f.Data([]byte(getRequest))
-	f.Data([]byte(strings.Repeat("x", 90<<10)))
-	x.Respond(http.StatusOK, nil)
-	if flooding.written.Len() != 0 {
-		t.Errorf("the flooding client received %q", flooding.written.String())
+	s.Attach(late).Data([]byte(getRequest))
+	if late.written.Len() != 0 || !late.closedGracefully {
+		t.Errorf("a connection after the shutdown received %q, closed: %v", late.written.String(), late.closedGracefully)
+	}
+}
+
+// A client that sends more behind a request in flight than is held receives the response to that, those to the complete
+// requests that are held, and 429 for the rest; then its connection is closed. Guards against closing the connection
+// without the responses: the request in flight had run.
+func TestServer_SentTooMuchAtOnce(t *testing.T) {
+	var passed []*Exchange
+	s := New(Timeouts{}, startTime, func(x *Exchange) { passed = append(passed, x) })
+	conn := &fakeConn{}
+	c := s.Attach(conn)
+	c.Data([]byte("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET /3"))
+	for range maxPipelinedBytes/turnBytes + 1 {
+		c.Data([]byte(strings.Repeat("x", turnBytes)))
+	}
+	if held := c.(*serverConn).parser.Held(); held > 2*maxPipelinedBytes {
+		t.Errorf("%d bytes are held", held)
+	}
+	for i, body := range []string{"one", "two"} {
+		if len(passed) != i+1 || conn.closedGracefully {
+			t.Fatalf("%d requests were passed on, closed: %v", len(passed), conn.closedGracefully)
+		}
+		passed[i].Respond(http.StatusOK, []byte(body))
+		conn.takeTurns(c)
+	}
+	if statuses := conn.statuses(); statuses != "200 200 429" || !conn.closedGracefully || len(passed) != 2 {
+		t.Errorf("%s, closed: %v, %d requests passed on", statuses, conn.closedGracefully, len(passed))
+	}
+}
+
+// While more of a client's input waits to be read, none of its requests is passed on: the client may have disconnected
+// behind it. One that sends without end receives 429. Guards against forwarding requests of clients that sent much and
+// left.
+func TestServer_InputPending_NothingIsPassedOn(t *testing.T) {
+	var passed []*Exchange
+	s := New(Timeouts{}, startTime, func(x *Exchange) { passed = append(passed, x) })
+	left := &fakeConn{inputPending: true}
+	c := s.Attach(left)
+	c.Data([]byte("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n"))
+	c.Data([]byte("GET /3 HTTP/1.1\r\n\r\n"))
+	c.Closed(nil)
+	if len(passed) != 0 || left.written.Len() != 0 {
+		t.Errorf("%d requests of a client that left were passed on, it received %q", len(passed), left.written.String())
+	}
+	flooding := &fakeConn{inputPending: true}
+	c = s.Attach(flooding)
+	for range 2 * maxPipelinedBytes / turnBytes {
+		c.Data([]byte(strings.Repeat(getRequest, turnBytes/len(getRequest))))
+		flooding.takeTurns(c)
+	}
+	if held := c.(*serverConn).parser.Held(); held > 2*maxPipelinedBytes || len(passed) != 0 {
+		t.Errorf("%d bytes are held, %d requests passed on", held, len(passed))
+	}
+	if statuses := strings.Fields(flooding.statuses()); len(statuses) == 0 || strings.Trim(flooding.statuses(), "429 ") != "" {
+		t.Errorf("%d responses, some with another status than 429", len(statuses))
+	}
+	flooding.inputPending = false
+	c.Data([]byte("GET /last HTTP/1.1\r\n\r\n"))
+	if len(passed) != 1 {
+		t.Errorf("%d requests passed on after everything was read", len(passed))
+	}
+}
+
+// Requests that are responded to at once are handled in several turns.
+func TestServer_ManyRequests_TakeTurns(t *testing.T) {
+	s := New(Timeouts{}, startTime, func(x *Exchange) { x.Respond(http.StatusOK, nil) })
+	conn := &fakeConn{}
+	c := s.Attach(conn)
+	c.Data([]byte(strings.Repeat(getRequest, 3*maxRequestsPerTurn)))
+	if n := strings.Count(conn.written.String(), "HTTP/1.1 200"); n != maxRequestsPerTurn {
+		t.Errorf("%d requests in one turn", n)
+	}
+	turns := conn.takeTurns(c)
+	if n := strings.Count(conn.written.String(), "HTTP/1.1 200"); n != 3*maxRequestsPerTurn || turns < 2 {
+		t.Errorf("%d requests in %d more turns", n, turns)
+	}
+}
+
+// Clients that begin requests and don't complete them have to release the memory that others need. Guards against
+// holding hundreds of half requests until the process is killed.
+func TestServer_Memory_HalfRequestsAreRejected(t *testing.T) {
+	now := startTime()
+	var passed []*Exchange
+	s := New(Timeouts{}, func() time.Time { return now }, func(x *Exchange) { passed = append(passed, x) })
+	const budget = 1 << 20
+	s.Memory = membudget.New(budget, func() time.Time { return now })
+	half := "POST /half HTTP/1.1\r\nContent-Length: 60000\r\n\r\n" + strings.Repeat("x", 50000)
+	var stalled []*fakeConn
+	for range 100 {
+		now = now.Add(time.Millisecond)
+		conn := &fakeConn{rejected: make(chan struct{})}
+		stalled = append(stalled, conn)
+		s.Attach(conn).Data([]byte(half))
+	}
+	usual := &fakeConn{}
+	c := s.Attach(usual)
+	c.Data([]byte(half))
+	c.Data([]byte(strings.Repeat("x", 10000)))
+	if len(passed) != 1 {
+		t.Fatalf("%d requests passed on; the usual client received %q", len(passed), usual.written.String())
+	}
+	<-stalled[0].rejected // it has held its half the longest
+	if !strings.HasPrefix(stalled[0].written.String(), "HTTP/1.1 503 ") {
+		t.Errorf("the first half request received %q", stalled[0].written.String())
+	}
+	if s.Counters().OverMemory == 0 {
+		t.Error("no half request was rejected")
 	}
 }
 
@@ -164,9 +277,13 @@
 	now := startTime()
 	var x *Exchange
 	s := New(Timeouts{}, func() time.Time { return now }, func(passed *Exchange) { x = passed })
-	s.Attach(&fakeConn{}).Data([]byte("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n"))
+	conn := &fakeConn{}
+	c := s.Attach(conn)
+	c.Data([]byte("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n"))
 	now = now.Add(time.Second)
-	if x.Respond(http.StatusOK, nil); x.Target != "/2" || !x.FirstByteAt.Equal(startTime()) {
+	x.Respond(http.StatusOK, nil)
+	conn.takeTurns(c)
+	if x.Target != "/2" || !x.FirstByteAt.Equal(startTime()) {
 		t.Errorf("%s began at %v", x.Target, x.FirstByteAt)
 	}
 }
--- a/internal/protocol/http1/message.go
+++ b/internal/protocol/http1/message.go
@@ -59,6 +59,18 @@
 	Close          bool // the connection is to be closed after the message
 }
 
+// fieldOverhead is the memory that a header field takes beyond its text, in bytes.
+const fieldOverhead = 64
+
+// Held returns the approximate number of bytes of memory that the message takes.
+func (m *Message) Held() int {
+	held := len(m.Method) + len(m.Target) + cap(m.Body)
+	for name, value := range m.Header {
+		held += len(name) + len(value) + fieldOverhead
+	}
+	return held
+}
+
 // parseStartLine parses the request line or the status line, and returns whether the version is HTTP/1.0.
 func (m *Message) parseStartLine(line string, response bool) (http10 bool, err error) {
 	var version string
@@ -106,9 +118,6 @@
 
 // parseFields parses the header field lines, which follow the start line.
 func (m *Message) parseFields(lines []string) error {
-	if len(lines) > MaxFields {
-		return reject(431, "over %d fields", MaxFields)
-	}
 	for _, line := range lines {
 		name, value, ok := strings.Cut(line, ":")
 		if !ok || !isToken(name) {
--- a/internal/protocol/http1/parser.go
+++ b/internal/protocol/http1/parser.go
@@ -2,12 +2,17 @@
 
 import (
 	"bytes"
+	"errors"
 	"strconv"
 	"strings"
 )
 
-// maxChunkLine is the maximum length in bytes of a line between chunks and of a trailer field.
-const maxChunkLine = 1024
+const (
+	// maxChunkLine is the maximum length in bytes of a line between chunks and of a trailer field.
+	maxChunkLine = 1024
+	// compactBytes is how many parsed bytes a buffer may begin with before it is copied.
+	compactBytes = 4 << 10
+)
 
 // stage is the part of a message that is parsed next.
 type stage int
@@ -48,12 +53,35 @@
 	MaxBody int
 
 	buf       []byte
+	parsed    int // bytes before buf in its array: they are parsed, and not released yet
+	searched  int // bytes of buf in which the end of the head was not found
 	stage     stage
 	message   *Message // the message in progress; nil until its head is parsed
 	remaining int      // unparsed bytes of the body or the chunk
+	trailer   int      // bytes of the trailer so far
 	err       error    // why the stream is broken; nil: it is not
 }
 
+// Held returns the number of bytes of memory that the parser holds.
+func (p *Parser) Held() int {
+	held := p.parsed + cap(p.buf)
+	if p.message != nil {
+		held += p.message.Held()
+	}
+	return held
+}
+
+// Discard drops what was received of the next messages. The stream cannot be parsed any further.
+func (p *Parser) Discard() {
+	p.err = errDiscarded
+	p.stage = broken
+	p.message = nil
+	p.setBuffer(nil)
+}
+
+// errDiscarded is the error of a parser after Discard.
+var errDiscarded = errors.New("the input was discarded")
+
 // Buffered returns the number of bytes that were fed but not parsed yet.
 func (p *Parser) Buffered() int { return len(p.buf) }
 
@@ -82,7 +110,8 @@
 		if err != nil {
 			p.err = err
 			p.stage = broken
-			p.buf = nil
+			p.message = nil
+			p.setBuffer(nil)
 			return nil, err
 		}
 		switch progress {
@@ -135,6 +164,9 @@
 		if line == "" {
 			return completed, nil
 		}
+		if p.trailer += len(line); p.trailer > MaxHead {
+			return needBytes, reject(431, "trailer over %d bytes", MaxHead)
+		}
 	}
 	return advanced, nil
 }
@@ -171,9 +203,13 @@
 		return reject(400, "chunk size %q", size)
 	}
 	p.remaining = int(n)
-	if n == 0 {
+	switch {
+	case n == 0:
 		p.stage = inTrailer
-	} else {
+		p.trailer = 0
+	case p.Stream == nil && len(p.message.Body)+p.remaining > p.maxBody():
+		return reject(413, "body over %d bytes", p.maxBody())
+	default:
 		p.stage = inChunk
 	}
 	return nil
@@ -182,11 +218,22 @@
 // discard removes parsed bytes from the buffer, and releases the buffer if it is empty.
 func (p *Parser) discard(n int) {
 	p.buf = p.buf[n:]
+	p.parsed += n
+	p.searched = 0
 	if len(p.buf) == 0 {
-		p.buf = nil
+		p.setBuffer(nil)
+	} else if p.parsed > max(compactBytes, len(p.buf)/2) {
+		p.setBuffer(bytes.Clone(p.buf))
 	}
 }
 
+// setBuffer replaces the buffer.
+func (p *Parser) setBuffer(buf []byte) {
+	p.buf = buf
+	p.parsed = 0
+	p.searched = 0
+}
+
 // deliver passes body bytes to Stream or appends them to the message.
 func (p *Parser) deliver(b []byte) error {
 	if p.Stream != nil {
@@ -225,15 +272,23 @@
 	for len(p.buf) > 0 && (p.buf[0] == '\r' || p.buf[0] == '\n') { // empty lines before a message are ignored
 		p.discard(1)
 	}
-	const headEnd = "\r\n\r\n"
-	end := bytes.Index(p.buf, []byte(headEnd))
+	const lineEnd, headEnd = "\r\n", "\r\n\r\n"
+	end := bytes.Index(p.buf[p.searched:], []byte(headEnd))
+	if end >= 0 {
+		end += p.searched
+	}
 	if end < 0 && len(p.buf) > MaxHead || end > MaxHead {
 		return nil, reject(431, "head over %d bytes", MaxHead)
 	}
 	if end < 0 {
+		p.searched = max(0, len(p.buf)-len(headEnd)+1) // the end may begin in the last bytes
 		return nil, nil
 	}
-	lines := strings.Split(string(p.buf[:end]), "\r\n")
+	head := p.buf[:end]
+	if bytes.Count(head, []byte(lineEnd)) > MaxFields { // before they are split: they may be many and short
+		return nil, reject(431, "over %d fields", MaxFields)
+	}
+	lines := strings.Split(string(head), lineEnd)
 	p.discard(end + len(headEnd))
 	return lines, nil
 }
