Forward nothing of a client that has sent much at once until all of it is read

Cause: the end of a connection is behind what its client has sent. As long as that is not read, neither POLLRDHUP nor a read shows the close, and the first request of the burst is forwarded.

Ruled out: the look at the socket right before each call (it works, and shows nothing while the end is hidden); the order of disconnect and arrival in the loop; requests that stay in the parser (Closed drops them).

Change: a complete request is handed over only if nothing waits unread in the socket and, where its client sends requests without waiting for the answers, nothing has arrived for 5 ms. A client that sends one request at a time is not held up: nothing is behind its request.

--- a/cmd/rooktrestle/hostile_test.go
+++ b/cmd/rooktrestle/hostile_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -158,3 +159,47 @@
 	}
 	p.stop()
 }
+
+// Clients send many requests at once while the process is stopped, more than the kernel holds for it, and disconnect:
+// the end of each connection stands behind what nobody has read. After the process continues, none of the requests is
+// forwarded. Guards against forwarding requests of clients that have left.
+func TestStoppedProcess_ForwardsNothingOfClientsThatSentMuchAndLeft(t *testing.T) {
+	const clients, requests, filterBytes = 20, 300, 3000
+	var forwarded atomic.Int64
+	leaf := newLeaf(t, func(name string, c net.Conn) string {
+		if strings.HasPrefix(name, "left") {
+			forwarded.Add(1)
+		}
+		return answerValue(name, c)
+	})
+	p := startPlatform(t, leaf)
+	if status, text := p.ask("first", "search", onePart); status != 200 { // establishes a connection to the leaf server
+		t.Fatalf("%d %s", status, text)
+	}
+	p.signal(syscall.SIGSTOP)
+	for i := range clients {
+		conn, err := net.Dial("tcp", p.listen["http"])
+		if err != nil {
+			t.Fatal(err)
+		}
+		// The kernel takes all of it, so that the close is behind it.
+		if err := conn.(*net.TCPConn).SetWriteBuffer(4 << 20); err != nil {
+			t.Fatal(err)
+		}
+		body := fmt.Sprintf(`{"slices":[{"slice":1,"mass":1}],"filter":%q}`, strings.Repeat("f", filterBytes))
+		var all strings.Builder
+		for j := range requests {
+			all.WriteString(rawQuery(testDeadline, fmt.Sprintf("left%d-%d", i, j), body))
+		}
+		if err := conn.SetWriteDeadline(time.Now().Add(time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(conn, all.String()) // as much as the kernel takes
+		closeQuietly(conn)
+	}
+	p.signal(syscall.SIGCONT)
+	p.stop()
+	if n := forwarded.Load(); n > 0 {
+		t.Errorf("%d requests were forwarded after their clients had disconnected", n)
+	}
+}
--- a/internal/net/httpserve/conn.go
+++ b/internal/net/httpserve/conn.go
@@ -15,6 +15,9 @@
 const (
 	// maxPipelinedBytes is the maximum number of bytes buffered behind a request.
 	maxPipelinedBytes = 256 << 10
+	// quietTime is how long nothing may have arrived from a client that sends several requests at once before one of them
+	// is passed to the handler: as long as its system has more to send, the end of its connection may be behind it.
+	quietTime = 5 * time.Millisecond
 	// maxRequestsPerTurn is how many requests of a connection are handled before others have their turn.
 	maxRequestsPerTurn = 64
 	// ConnBytes is the memory in bytes of a connection that holds no request: its goroutine, its timer and its state.
@@ -38,7 +41,9 @@
 	currentBytes int       // of memory that current holds
 	unsentBytes  int       // of long responses that are not sent yet
 	discarding   bool      // more was sent at once than is held: the rest is dropped, and the connection ends
-	closed       bool      // by either side: nothing more is read or written
+	pipelining   bool      // the client has sent a request before the response to the previous one
+	quietTimer   *time.Timer
+	closed       bool // by either side: nothing more is read or written
 	timer        *time.Timer
 	sentContinue bool // for the next request
 	advancing    bool // advance is running: a nested call returns at once
@@ -122,7 +127,14 @@
 	if c.closed {
 		return
 	}
+	previousReadAt := c.lastReadAt
 	c.lastReadAt = c.server.now()
+	switch {
+	case c.current != nil:
+		c.pipelining = true
+	case !c.begun() && c.lastReadAt.Sub(previousReadAt) >= quietTime:
+		c.pipelining = false
+	}
 	if !c.begun() {
 		c.firstByteAt = c.lastReadAt
 		// The timeout of the first request runs from the start of the connection and is not restarted, so that a client
@@ -165,8 +177,7 @@
 		if !c.parseNext() {
 			return
 		}
-		// Before everything has been read that the client has sent, it is not known whether it is still there.
-		if c.conn.InputPending() && !c.discarding && c.parser.Buffered() <= maxPipelinedBytes {
+		if c.awaitsInput() {
 			return
 		}
 		c.handleParsed()
@@ -197,6 +208,30 @@
 	return true
 }
 
+// awaitsInput reports whether more is to be read before the parsed request is handled. Until everything has been read that
+// the client has sent, it is not known whether the client is still there.
+func (c *serverConn) awaitsInput() bool {
+	if c.conn.InputPending() {
+		return !c.discarding && c.parser.Buffered() <= maxPipelinedBytes
+	}
+	if c.parser.Begun() {
+		c.pipelining = true
+	}
+	quiet := c.server.now().Sub(c.lastReadAt)
+	if !c.pipelining || quiet >= quietTime {
+		return false
+	}
+	c.stopQuietTimer()
+	c.quietTimer = time.AfterFunc(quietTime-quiet, c.conn.Wake)
+	return true
+}
+
+func (c *serverConn) stopQuietTimer() {
+	if c.quietTimer != nil {
+		c.quietTimer.Stop()
+	}
+}
+
 // handleParsed passes the parsed request to the handler, or rejects it.
 func (c *serverConn) handleParsed() {
 	request := c.parsed
@@ -281,6 +316,7 @@
 	c.mu.Lock()
 	c.closed = true
 	c.stopTimer()
+	c.stopQuietTimer()
 	var onDisconnect func()
 	if c.current != nil {
 		onDisconnect = c.current.onDisconnect
--- a/internal/net/httpserve/helpers_test.go
+++ b/internal/net/httpserve/helpers_test.go
@@ -24,7 +24,7 @@
 	closed, closedAndWaited bool
 	peerClosed              bool          // the state that PeerClosed reports
 	inputPending            bool          // the state that InputPending reports
-	woken                   bool          // Wake was called, and its turn has not begun
+	woken                   atomic.Bool   // Wake was called, and its turn has not begun
 	rejected                chan struct{} // closed by CloseGracefully; may be nil
 }
 
@@ -39,8 +39,7 @@
 
 // takeTurns gives a connection the turns that it has asked for by Wake, and returns their number.
 func (c *fakeConn) takeTurns(handler tcp.Handler) (turns int) {
-	for ; c.woken; turns++ {
-		c.woken = false
+	for ; c.woken.Swap(false); turns++ {
 		handler.(tcp.Resumer).Resume()
 	}
 	return turns
@@ -59,7 +58,21 @@
 func (c *fakeConn) Close(error)        { c.closed = true }
 func (c *fakeConn) PeerClosed() bool   { return c.peerClosed }
 func (c *fakeConn) InputPending() bool { return c.inputPending }
-func (c *fakeConn) Wake()              { c.woken = true }
+func (c *fakeConn) Wake()              { c.woken.Store(true) }
+
+// testClock is a clock that a test sets.
+type testClock struct{ now time.Time }
+
+func newTestClock() *testClock { return &testClock{startTime()} }
+
+func (c *testClock) time() time.Time { return c.now }
+
+// pass lets so much time pass that everything has arrived which a client has sent at once.
+func (c *testClock) pass(conn *fakeConn, handler tcp.Handler) {
+	c.now = c.now.Add(quietTime)
+	conn.Wake()
+	conn.takeTurns(handler)
+}
 
 // startTime is the time of the clock in most tests.
 func startTime() time.Time { return time.Unix(1000, 0) }
--- a/internal/net/httpserve/server_test.go
+++ b/internal/net/httpserve/server_test.go
@@ -17,10 +17,15 @@
 
 func TestServer_OneRequestAtATimeInOrder(t *testing.T) {
 	var passed []*Exchange
-	s := New(Timeouts{}, startTime, func(x *Exchange) { passed = append(passed, x) })
+	clock := newTestClock()
+	s := New(Timeouts{}, clock.time, func(x *Exchange) { passed = append(passed, x) })
 	conn := &fakeConn{}
 	c := s.Attach(conn)
 	c.Data([]byte("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET"))
+	if len(passed) != 0 {
+		t.Error("a request was passed on while more may be arriving")
+	}
+	clock.pass(conn, c)
 	if len(passed) != 1 {
 		t.Fatalf("%d requests in flight", len(passed))
 	}
@@ -93,16 +98,19 @@
 // without the responses: the request in flight had run.
 func TestServer_SentTooMuchAtOnce(t *testing.T) {
 	var passed []*Exchange
-	s := New(Timeouts{}, startTime, func(x *Exchange) { passed = append(passed, x) })
+	clock := newTestClock()
+	s := New(Timeouts{}, clock.time, func(x *Exchange) { passed = append(passed, x) })
 	conn := &fakeConn{}
 	c := s.Attach(conn)
 	c.Data([]byte("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET /3"))
+	clock.pass(conn, c)
 	for range maxPipelinedBytes/turnBytes + 1 {
 		c.Data([]byte(strings.Repeat("x", turnBytes)))
 	}
 	if held := c.(*serverConn).parser.Held(); held > 2*maxPipelinedBytes {
 		t.Errorf("%d bytes are held", held)
 	}
+	clock.now = clock.now.Add(quietTime)
 	for i, body := range []string{"one", "two"} {
 		if len(passed) != i+1 || conn.closedGracefully {
 			t.Fatalf("%d requests were passed on, closed: %v", len(passed), conn.closedGracefully)
@@ -120,7 +128,8 @@
 // left.
 func TestServer_InputPending_NothingIsPassedOn(t *testing.T) {
 	var passed []*Exchange
-	s := New(Timeouts{}, startTime, func(x *Exchange) { passed = append(passed, x) })
+	clock := newTestClock()
+	s := New(Timeouts{}, clock.time, func(x *Exchange) { passed = append(passed, x) })
 	left := &fakeConn{inputPending: true}
 	c := s.Attach(left)
 	c.Data([]byte("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n"))
@@ -143,6 +152,10 @@
 	}
 	flooding.inputPending = false
 	c.Data([]byte("GET /last HTTP/1.1\r\n\r\n"))
+	if len(passed) != 0 {
+		t.Error("a request was passed on while more may be arriving")
+	}
+	clock.pass(flooding, c)
 	if len(passed) != 1 {
 		t.Errorf("%d requests passed on after everything was read", len(passed))
 	}
@@ -150,10 +163,13 @@
 
 // Requests that are responded to at once are handled in several turns.
 func TestServer_ManyRequests_TakeTurns(t *testing.T) {
-	s := New(Timeouts{}, startTime, func(x *Exchange) { x.Respond(http.StatusOK, nil) })
+	clock := newTestClock()
+	s := New(Timeouts{}, clock.time, func(x *Exchange) { x.Respond(http.StatusOK, nil) })
 	conn := &fakeConn{}
 	c := s.Attach(conn)
 	c.Data([]byte(strings.Repeat(getRequest, 3*maxRequestsPerTurn)))
+	clock.now = clock.now.Add(quietTime)
+	c.(*serverConn).Resume()
 	if n := strings.Count(conn.written.String(), "HTTP/1.1 200"); n != maxRequestsPerTurn {
 		t.Errorf("%d requests in one turn", n)
 	}
@@ -281,6 +297,7 @@
 	c := s.Attach(conn)
 	c.Data([]byte("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n"))
 	now = now.Add(time.Second)
+	c.(*serverConn).Resume()
 	x.Respond(http.StatusOK, nil)
 	conn.takeTurns(c)
 	if x.Target != "/2" || !x.FirstByteAt.Equal(startTime()) {
--- a/internal/net/tcp/accepted.go
+++ b/internal/net/tcp/accepted.go
@@ -132,6 +132,12 @@
 	return more, err
 }
 
+// hasUnread reports whether the socket has unread input.
+func (s *acceptedSocket) hasUnread() (unread bool) {
+	s.control(func(fd int) { unread = unreadBytes(fd) > 0 })
+	return unread
+}
+
 // discarded states the length of a discard. Its content is neither read nor written.
 var discarded [discardBytes]byte
 
@@ -199,6 +205,7 @@
 	}
 	defer turns.release(buffer)
 	if woken {
+		c.unread.Store(socket.hasUnread())
 		c.resumeHandler()
 		open = true
 	} else {
