Reject a request whose id may have run within the last minute

Cause: the core knows an id as long as its query is open or an attempt is in flight. A client that leaves ends both at once: its attempts are canceled, which doesn't stop a server that has begun.

Ruled out: the same id twice in one turn, or while in flight (rejected, as before); retries of the core itself (the part is closed).

An id of which nothing has run may come again, as PROTOCOL wants after a close that crossed a request. All classes: a safe one would be a second copy while its server still works.

--- a/internal/aggregator/attempt.go
+++ b/internal/aggregator/attempt.go
@@ -87,8 +87,11 @@
 		return
 	}
 	query := a.part.query
-	c.removeAttempt(a)
 	result := a.result(ended.Err)
+	if !neverRan(result) {
+		query.mayHaveRun = true
+	}
+	c.removeAttempt(a)
 	c.Counters.Results[result]++
 	c.traceAttempt(a, result, ended.Err)
 	if neverRan(result) {
--- a/internal/aggregator/core.go
+++ b/internal/aggregator/core.go
@@ -12,6 +12,7 @@
 
 	"rooktrestle/balance"
 	"rooktrestle/internal/control/outlier"
+	"rooktrestle/internal/control/recentset"
 	"rooktrestle/internal/control/timers"
 )
 
@@ -23,6 +24,13 @@
 // were sent modulo this value.
 const clockAlignment = 1 << 16 * time.Millisecond
 
+const (
+	// finishedIDWindow is how long a request id that may have run is rejected: far longer than clients wait for an answer.
+	finishedIDWindow = time.Minute
+	// maxFinishedIDs is how many ids are stored within that time, or fewer.
+	maxFinishedIDs = 16 << 10
+)
+
 // Limits contains what a core enforces in addition to the balancer's decisions. In a slice that is indexed by
 // class, a class beyond its end has the zero value; in NonIdempotent it counts as non-idempotent.
 type Limits struct {
@@ -61,9 +69,11 @@
 	attempts  map[AttemptID]*attempt
 	// requestIDs counts the uses of each request id: by the open query, and by its attempts in flight.
 	requestIDs map[string]int
-	servers    map[balance.Replica]Server
-	starts     map[balance.Replica]serverStart // of the listed servers
-	wallClock  wallClock
+	// finishedIDs contains the request ids of queries that may have run and are not in use any more.
+	finishedIDs *recentset.Set
+	servers     map[balance.Replica]Server
+	starts      map[balance.Replica]serverStart // of the listed servers
+	wallClock   wallClock
 
 	maintenance maintenance
 	trace       trace
@@ -93,8 +103,10 @@
 		parts:      map[balance.ID]*part{},
 		attempts:   map[AttemptID]*attempt{},
 		requestIDs: map[string]int{},
-		servers:    map[balance.Replica]Server{},
-		starts:     map[balance.Replica]serverStart{},
+
+		finishedIDs: recentset.New(finishedIDWindow, maxFinishedIDs),
+		servers:     map[balance.Replica]Server{},
+		starts:      map[balance.Replica]serverStart{},
 
 		maintenance: newMaintenance(),
 	}
--- a/internal/aggregator/core_test.go
+++ b/internal/aggregator/core_test.go
@@ -255,12 +255,17 @@
 	if answers := h.answers["q"]; len(answers) != 2 || answers[1].Status != StatusRejected {
 		t.Errorf("while its attempts are in flight: %d answers", len(answers))
 	}
+	h.endAll(&AttemptError{Progress: NotConnected, Canceled: true})
+	again := h.request("q", 0, 1)
+	if len(h.attempts) != 1 {
+		t.Error("rejected though nothing of it is in flight, and nothing has run")
+	}
+	h.turn(ClientDisconnected{Request: again})
 	h.endAll(&AttemptError{Progress: Written, Canceled: true})
 	h.request("q", 0, 1)
-	if len(h.attempts) != 1 {
-		t.Error("rejected though nothing of it is in flight")
+	if len(h.attempts) != 0 {
+		t.Error("sent though an attempt that was canceled may have run")
 	}
-	h.endAll(nil)
 	if len(h.core.requestIDs) != 0 {
 		t.Errorf("ids are still in use: %v", h.core.requestIDs)
 	}
--- a/internal/aggregator/query.go
+++ b/internal/aggregator/query.go
@@ -18,7 +18,9 @@
 	deadline time.Time
 	parts    []*part // of the current step
 	inFlight int     // attempts of all its steps
-	index    int     // in Core.deadlines
+	// mayHaveRun: a server may have executed one of its attempts.
+	mayHaveRun bool
+	index      int // in Core.deadlines
 
 	followUp          bool    // it is in its second step
 	firstStep         []*part // answered parts of the first step, once the second has begun
@@ -95,6 +97,8 @@
 		return reasonCapacity
 	case c.requestIDs[request.ID] > 0:
 		return reasonIDInUse
+	case c.finishedIDs.Contains(request.ID, c.now):
+		return reasonIDHasRun
 	case !c.now.Before(deadline):
 		return reasonExpiredOnArrival
 	}
@@ -178,12 +182,18 @@
 func (c *Core) isOpen(p *part) bool { return c.parts[p.id] == p }
 
 // releaseRequestID releases one use of a query's request id. While any use remains, no other query may have the id: its
-// parts would have the names of parts that are in flight, and servers would treat them as duplicates.
+// parts would have the names of parts that are in flight, and servers would treat them as duplicates. Once it may have
+// run, no query may have it for finishedIDWindow: its client sends it again after it has disconnected, and it would run
+// twice.
 func (c *Core) releaseRequestID(q *query) {
 	id := q.request.ID
 	c.requestIDs[id]--
-	if c.requestIDs[id] <= 0 {
-		delete(c.requestIDs, id)
+	if c.requestIDs[id] > 0 {
+		return
+	}
+	delete(c.requestIDs, id)
+	if q.mayHaveRun {
+		c.finishedIDs.Add(id, c.now)
 	}
 }
 
--- a/internal/aggregator/restart.go
+++ b/internal/aggregator/restart.go
@@ -50,6 +50,7 @@
 	for _, a := range c.attemptsInFlight(func(*attempt) bool { return true }) {
 		delete(c.attempts, a.id)
 		c.timeouts.Remove(a)
+		a.part.query.mayHaveRun = true
 		c.releaseRequestID(a.part.query)
 		if !a.cancelRequested.Load() {
 			c.backend.Cancel(c.now, a.id, false)
--- a/internal/aggregator/trace.go
+++ b/internal/aggregator/trace.go
@@ -15,6 +15,7 @@
 const (
 	reasonCapacity         = "too many queries are open"
 	reasonIDInUse          = "its id is in use"
+	reasonIDHasRun         = "its id has run"
 	reasonExpiredOnArrival = "its time was over on arrival"
 	reasonDecided          = "decided"
 	reasonDeadlineExpired  = "its time is over"
