Count the buffers of Z39.50 units with what their growth leaves behind

Cause: such a buffer grows by copies; the garbage of the growth is as large as the buffer until the collector has run. Each unit of many in one read also copied the rest of the buffer.

Change: the budget counts a unit's buffer twice; the buffer is copied once for each read.

--- a/internal/frontend/z3950/association.go
+++ b/internal/frontend/z3950/association.go
@@ -70,7 +70,13 @@
 	}
 	a.restartIdleTimer()
 	a.buf = append(a.buf, data...)
-	defer a.limitMemory()
+	decoded := false
+	defer func() {
+		if decoded {
+			a.buf = bytes.Clone(a.buf) // without what is decoded
+		}
+		a.limitMemory()
+	}()
 	for len(a.buf) > 0 && !a.closed && !a.overLimit {
 		pdu, rest, err := z3950.Decode(a.buf)
 		// Checked before the PDU is complete: otherwise the association would wait for more bytes from a peer that
@@ -86,7 +92,8 @@
 			a.close(z3950.CloseProtocol, err.Error())
 			return
 		}
-		a.buf = bytes.Clone(rest)
+		a.buf = rest
+		decoded = true
 		a.server.increment(&a.server.count.Units)
 		a.receive(pdu)
 	}
--- a/internal/frontend/z3950/memory.go
+++ b/internal/frontend/z3950/memory.go
@@ -13,6 +13,8 @@
 	associationBytes = 8 << 10
 	// longResponseBytes is the length from which a response counts as held until it is sent.
 	longResponseBytes = 4 << 10
+	// growthFactor: a buffer that has grown leaves as much behind for the garbage collector.
+	growthFactor = 2
 	// resultSetBytes is the memory in bytes of a result set without records.
 	resultSetBytes = 1 << 10
 )
@@ -24,7 +26,7 @@
 // hold states to the budget what the association holds. It returns false if the association has to release memory. It is
 // called with the lock held.
 func (a *association) hold() bool {
-	held := cap(a.buf) + a.pendingBytes + a.unsentBytes
+	held := growthFactor*cap(a.buf) + a.pendingBytes + a.unsentBytes
 	for _, set := range a.resultSets {
 		held += resultSetBytes + set.recordBytes()
 	}
