Read dialed connections in turns, too: the project leaves netpoll

The same cause as with clients, in the other direction.

Cause: netpoll's poller reads a connection as long as anything arrives. Its handler closes the connection at the first bytes, but has its turn only when the poller has lost the processor.

Change: dialed connections use the same sockets as accepted ones, with turns of 32 KB. DialServerFirst is Dial: both differed by what netpoll lost. A connection has ended when its last write has returned. The tests' leak checks know no exceptions any more.

TestDial_BusyHandler_StopsItsPeer fails before (64 MB of 64 taken).

--- a/internal/app/healthclient.go
+++ b/internal/app/healthclient.go
@@ -142,7 +142,7 @@
 				Profile: profile,
 				Addr:    profile.AddrFor(server),
 				Bridge:  conf.Checks.GRPCBridge,
-				Dial:    tcp.DialServerFirst,
+				Dial:    tcp.Dial,
 			}
 			checks = append(checks, serverCheck{check, i})
 		}
--- a/internal/app/partners_test.go
+++ b/internal/app/partners_test.go
@@ -50,10 +50,6 @@
 
 const fixedShards = "[shards]\ncount = 1\ncells = 1\nreach = 1"
 
-// netpollPoller matches the goroutine that polls the process's connections. The network library starts it with the
-// first listener and never stops it.
-var netpollPoller = goleak.IgnoreAnyFunction("github.com/cloudwego/netpoll.(*defaultPoll).Wait")
-
 // Stopping a deployment that has served a request and started a health check leaks no goroutine.
 func TestPartnersDeployment_Stop_LeavesNoGoroutine(t *testing.T) {
 	shardMap := "[blocks]\narchive = \"captions\"\nkeep = %q\n"
@@ -67,7 +63,7 @@
 			dir := t.TempDir()
 			shards := strings.Replace(c.shards, "%q", strconv.Quote(filepath.Join(dir, "cache")), 1)
 			startAndStop(t, filepath.Join(dir, "partners.toml"), shards, c.database)
-			goleak.VerifyNone(t, ignoreRunning, netpollPoller)
+			goleak.VerifyNone(t, ignoreRunning)
 		})
 	}
 }
--- a/internal/backend/healthcheck/check.go
+++ b/internal/backend/healthcheck/check.go
@@ -25,7 +25,7 @@
 	Profile *config.CheckProfile
 	Addr    string     // of the server's check port
 	Bridge  string     // address of grpchealth, for gRPC checks
-	Dial    tcp.Dialer // tcp.DialServerFirst outside tests, since agents send first and close the connection
+	Dial    tcp.Dialer // tcp.Dial outside tests, since agents send first and close the connection
 }
 
 // Result is the result of a check.
--- a/internal/backend/healthcheck/check_test.go
+++ b/internal/backend/healthcheck/check_test.go
@@ -56,7 +56,7 @@
 // dialWithLongTimeout dials with longTimeout, so that a check's timeout elapses only while it waits for the answer. On
 // a busy machine the dial alone may take longer than shortTimeout, and the load would decide where the check times out.
 func dialWithLongTimeout(addr string, _ time.Duration, handler func(*tcp.Conn) tcp.Handler) (*tcp.Conn, error) {
-	return tcp.DialServerFirst(addr, longTimeout, handler)
+	return tcp.Dial(addr, longTimeout, handler)
 }
 
 func newAgent(t *testing.T, line string) *replica.Agent {
@@ -239,7 +239,7 @@
 		Profile: profile,
 		Addr:    "127.0.0.1:7",
 		Bridge:  strings.TrimPrefix(bridge.URL, "http://"),
-		Dial:    tcp.DialServerFirst,
+		Dial:    tcp.Dial,
 	}
 	for service, failed := range map[string]bool{"captions": false, "coverage": true} {
 		profile.Service = service
--- a/internal/backend/leaf/loopback_test.go
+++ b/internal/backend/leaf/loopback_test.go
@@ -150,10 +150,9 @@
 const networkTimeout = time.Minute
 
 // dialUntimed is DialTCP without the pool's time limits, which use the machine's clock and not the test's: on a busy machine
-// they would end attempts that the test expects to be written. It dials with the net package: netpoll's dialing reports one
-// connection in some thousands as closed by its peer when it is not, and a test has no other server to retry at.
+// they would end attempts that the test expects to be written.
 func dialUntimed(addr string, _ time.Duration, handler func(*tcp.Conn) tcp.Handler) (Transport, error) {
-	conn, err := tcp.DialServerFirst(addr, networkTimeout, handler)
+	conn, err := tcp.Dial(addr, networkTimeout, handler)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/frontend/admin/server.go
+++ b/internal/frontend/admin/server.go
@@ -1,5 +1,5 @@
-// Package admin serves the operators' protocol (package protocol/admin). It uses the standard library's sockets instead
-// of netpoll's, so that operators receive responses while clients keep netpoll's pollers busy. It has its own limit of
+// Package admin serves the operators' protocol (package protocol/admin). It uses sockets of its own instead of those of
+// net/tcp, so that operators receive responses while clients fill the turns of their listener. It has its own limit of
 // connections, so that clients and operators cannot exhaust each other's.
 package admin
 
--- a/internal/frontend/platform/races_test.go
+++ b/internal/frontend/platform/races_test.go
@@ -7,18 +7,12 @@
 	"testing"
 	"time"
 
-	"go.uber.org/goleak"
-
 	"rooktrestle/internal/aggregator"
 	"rooktrestle/internal/net/tcp"
+	"rooktrestle/internal/testbed/leakcheck"
 )
 
-func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction(netpollPoller))
-}
-
-// netpollPoller runs as long as the process: netpoll starts its pollers once and never stops them.
-const netpollPoller = "github.com/cloudwego/netpoll.(*defaultPoll).Wait"
+func TestMain(m *testing.M) { leakcheck.Main(m) }
 
 // The tests of this file force races with a client's disconnect into a fixed order, on real connections: see
 // docs/crossings.md.
--- a/internal/net/tcp/close.go
+++ b/internal/net/tcp/close.go
@@ -25,7 +25,7 @@
 	c.mu.Lock()
 	c.markClosed(cause)
 	c.mu.Unlock()
-	go c.closeSocket() // may call Handler.Closed synchronously, and the caller may hold a lock that Closed acquires
+	c.closeSocket()
 }
 
 // CloseAndWait closes the connection and returns when Handler.Closed has returned; from then on its limiter can admit
@@ -69,7 +69,7 @@
 	}
 }
 
-// closeSocket closes the socket. For a dialed connection it may call Handler.Closed.
+// closeSocket closes the socket, which ends the connection's goroutine.
 func (c *Conn) closeSocket() {
 	_ = c.socket.Close() // closing a closed connection has no effect
 }
--- a/internal/net/tcp/conn.go
+++ b/internal/net/tcp/conn.go
@@ -24,8 +24,8 @@
 // it.
 var ErrSlowReader = errors.New("the peer does not read")
 
-// Handler handles the events of a connection. Its methods are called one at a time, in order, on netpoll's goroutines or
-// the goroutine of an accepted connection. Data is called with the bytes that were read; b is valid during the call only. Closed is called once, after all other
+// Handler handles the events of a connection. Its methods are called one at a time, in order, on the connection's
+// goroutine. Data is called with the bytes that were read; b is valid during the call only. Closed is called once, after all other
 // calls, with the cause that was passed to Close or Abort, ErrSlowReader, or the error of a write or a panic; err is
 // nil if the peer closed the connection. A panic in Data closes the connection, one in Closed is logged; neither ends
 // the process.
@@ -37,13 +37,13 @@
 // Opener is implemented by a Handler that sends first: Opened is called once, before Data, on an accepted connection.
 type Opener interface{ Opened() }
 
-// Resumer is implemented by a Handler that leaves work for a later turn of an accepted connection: Resume is called in a
-// turn after Conn.Wake.
+// Resumer is implemented by a Handler that leaves work for a later turn of its connection: Resume is called in a turn
+// after Conn.Wake.
 type Resumer interface{ Resume() }
 
 // Conn is one connection. Its methods may be called by any goroutine and do not block, except for CloseAndWait.
 type Conn struct {
-	socket  transport
+	socket  *socket
 	peer    net.Addr
 	handler Handler
 	limiter *ConnLimiter // that admitted the connection; nil: it was dialed
@@ -53,7 +53,7 @@
 
 	lingering *list.Element // in the limiter's list, guarded by the limiter's lock; nil: not in it
 
-	unread atomic.Bool // accepted: more has arrived than was read
+	unread atomic.Bool // more has arrived than was read
 
 	mu         sync.Mutex
 	queue      []pendingWrite
@@ -99,8 +99,7 @@
 	}
 }
 
-// handleClosed notifies the limiter and the handler that the connection is closed. For a dialed connection netpoll calls
-// it before it releases the descriptor.
+// handleClosed notifies the limiter and the handler that the connection is closed.
 func (c *Conn) handleClosed() {
 	c.closeOnce.Do(func() {
 		defer close(c.done)
--- a/internal/net/tcp/dial_test.go
+++ b/internal/net/tcp/dial_test.go
@@ -13,9 +13,8 @@
 )
 
 // Data of a peer that sends first and closes immediately is read, however much later this side reads. Guards health
-// checks by agents against netpoll's dialing, which reports a connection that is closed before its poller handles it as
-// never established.
-func TestDialServerFirst_PeerSendsAndCloses(t *testing.T) {
+// checks by agents against taking a connection that is closed before it is read for one that was never established.
+func TestDial_PeerSendsAndCloses(t *testing.T) {
 	addr := listenAndServe(t, func(conn *net.TCPConn) {
 		if _, err := io.WriteString(conn, "up drain\n"); err != nil {
 			t.Errorf("send first: %v", err)
@@ -27,7 +26,7 @@
 		dialers.Go(func() {
 			for range 100 {
 				h := newRecordingHandler()
-				c, err := DialServerFirst(addr, time.Minute, func(*Conn) Handler { return h })
+				c, err := Dial(addr, time.Minute, func(*Conn) Handler { return h })
 				if err != nil {
 					t.Error(err)
 					return
@@ -44,13 +43,13 @@
 }
 
 // Dialing fails if no socket listens on the address, and if the address is invalid.
-func TestDialServerFirst_UnreachableAddress(t *testing.T) {
+func TestDial_UnreachableAddress(t *testing.T) {
 	// Port 1 is never assigned as an ephemeral port; one that a listener has just freed may be in use by another
 	// process.
 	for name, addr := range map[string]string{"nobody listens": "127.0.0.1:1", "not a port": "127.0.0.1:none"} {
 		t.Run(name, func(t *testing.T) {
 			newHandler := func(*Conn) Handler { return newRecordingHandler() }
-			if c, err := DialServerFirst(addr, time.Minute, newHandler); err == nil {
+			if c, err := Dial(addr, time.Minute, newHandler); err == nil {
 				t.Errorf("%s: connected to %v", addr, c.Peer())
 			}
 		})
--- a/internal/net/tcp/helpers_test.go
+++ b/internal/net/tcp/helpers_test.go
@@ -54,10 +54,8 @@
 	t.Helper()
 	listener := listen(t)
 	h := newRecordingHandler()
-	// Not Dial: while other connections are being closed, netpoll's dialing falsely reports one in some thousands of
-	// new connections as closed by the peer.
 	newHandler := func(*Conn) Handler { return hookedHandler{h, before} }
-	c, err := DialServerFirst(listener.Addr().String(), time.Minute, newHandler)
+	c, err := Dial(listener.Addr().String(), time.Minute, newHandler)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/net/tcp/listen.go
+++ b/internal/net/tcp/listen.go
@@ -74,7 +74,7 @@
 		listener: listener.(*net.TCPListener),
 		limiter:  limiter,
 		accept:   accept,
-		turns:    newTurnQueue(),
+		turns:    newTurnQueue(turnBytes),
 		closed:   make(chan struct{}),
 		conns:    map[*Conn]bool{},
 	}
@@ -116,7 +116,7 @@
 
 // open serves a connection that the limiter has admitted.
 func (s *Server) open(conn *net.TCPConn) {
-	socket, err := newAcceptedSocket(conn)
+	socket, err := newSocket(conn)
 	if err != nil {
 		_ = conn.Close()
 		s.limiter.releasePlace()
@@ -131,7 +131,7 @@
 		c.Close(nil)
 	}
 	go func() {
-		c.serve(socket, s.turns)
+		c.serve(s.turns)
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
--- a/internal/net/tcp/races_test.go
+++ b/internal/net/tcp/races_test.go
@@ -88,7 +88,7 @@
 }
 
 // If the peer resets the connection while this side writes, the connection is closed and each write is reported once.
-// Guards against writing into buffers that netpoll has released when the connection was closed.
+// Guards against writing with a descriptor that was released when the connection was closed.
 func TestConn_Write_WhilePeerResets(t *testing.T) {
 	addr := listenAndServe(t, func(conn *net.TCPConn) {
 		_ = conn.SetLinger(0) // the close sends a reset; if this fails, the test sees an orderly close
@@ -100,7 +100,7 @@
 		dialers.Go(func() {
 			for range 300 {
 				h := newRecordingHandler()
-				c, err := DialServerFirst(addr, time.Minute, func(*Conn) Handler { return h })
+				c, err := Dial(addr, time.Minute, func(*Conn) Handler { return h })
 				if err != nil {
 					continue // the reset arrived before the connection was established
 				}
--- a/internal/net/tcp/accepted.go
+++ b/internal/net/tcp/socket.go
@@ -16,11 +16,11 @@
 // discardBytes is how much input of a connection that is being closed one turn discards.
 const discardBytes = 256 << 10
 
-// acceptedSocket is the transport of an accepted connection. It is not read by netpoll, whose poller reads whatever has
-// arrived, however much the handler still has to do: a client that sends without pause could make the process hold any
-// amount of memory, and would keep the poller from other connections. Here the kernel keeps what the connection has no
-// turn to read, and then stops the client from sending.
-type acceptedSocket struct {
+// socket is the socket of a connection. It is read by its connection's goroutine, in turns. A poller that reads whatever
+// has arrived, however much the handler still has to do, would let a peer that sends without pause make the process hold
+// any amount of memory, and would keep the processor from other connections. Here the kernel keeps what the connection
+// has no turn to read, and then stops the peer from sending.
+type socket struct {
 	conn  *net.TCPConn
 	raw   syscall.RawConn
 	once  sync.Once
@@ -29,24 +29,25 @@
 	woken atomic.Bool // wake was called, and its turn has not begun
 }
 
-func newAcceptedSocket(conn *net.TCPConn) (*acceptedSocket, error) {
+func newSocket(conn *net.TCPConn) (*socket, error) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return nil, err
 	}
-	return &acceptedSocket{conn: conn, raw: raw, ended: make(chan struct{})}, nil
+	return &socket{conn: conn, raw: raw, ended: make(chan struct{})}, nil
 }
 
-// Write implements transport.
-func (s *acceptedSocket) Write(b []byte) (n int, err error) {
+// Write blocks until all of b is handed to the kernel, or the write fails. Without an error n is len(b). With one, the
+// kernel has taken n bytes, with certainty.
+func (s *socket) Write(b []byte) (n int, err error) {
 	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
 	return s.conn.Write(b)
 }
 
-// Close implements transport.
-func (s *acceptedSocket) Close() error {
+// Close closes the socket. Closing a closed socket has no effect.
+func (s *socket) Close() error {
 	s.once.Do(func() {
 		close(s.ended)
 		_ = s.conn.Close() // nothing more is read or written
@@ -54,8 +55,8 @@
 	return nil
 }
 
-// IsActive implements transport.
-func (s *acceptedSocket) IsActive() bool {
+// IsActive reports whether this side has not closed the socket.
+func (s *socket) IsActive() bool {
 	select {
 	case <-s.ended:
 		return false
@@ -64,8 +65,8 @@
 	}
 }
 
-// control implements transport.
-func (s *acceptedSocket) control(f func(fd int)) {
+// control calls f with the descriptor, unless it is closed.
+func (s *socket) control(f func(fd int)) {
 	_ = s.raw.Control(func(fd uintptr) { f(int(fd)) }) // fails on a closed socket: f is not called
 }
 
@@ -73,14 +74,14 @@
 var past = time.Unix(1, 0)
 
 // wake ends awaitReadable.
-func (s *acceptedSocket) wake() {
+func (s *socket) wake() {
 	s.woken.Store(true)
 	_ = s.conn.SetReadDeadline(past) // fails on a closed socket, for which nothing waits
 }
 
 // awaitReadable waits until the socket has input, which includes its end, or wake is called, or was called since the
 // last call returned: woken is then true. The error states that the socket is closed.
-func (s *acceptedSocket) awaitReadable() (woken bool, err error) {
+func (s *socket) awaitReadable() (woken bool, err error) {
 	for {
 		if s.woken.Load() {
 			// The deadline first: a call of wake that comes between the two statements sets both again.
@@ -112,7 +113,7 @@
 
 // read reads into buffer without waiting. more is set if it is known that more input waits. n is 0 without an error if
 // there is no input. At the end of the input the error is errPeerClosed.
-func (s *acceptedSocket) read(buffer []byte) (n int, more bool, err error) {
+func (s *socket) read(buffer []byte) (n int, more bool, err error) {
 	err = errPeerClosed // if the socket is closed
 	s.control(func(fd int) {
 		n, err = receive(fd, buffer, 0)
@@ -122,7 +123,7 @@
 }
 
 // discard is read for input that is dropped.
-func (s *acceptedSocket) discard() (more bool, err error) {
+func (s *socket) discard() (more bool, err error) {
 	err = errPeerClosed // if the socket is closed
 	s.control(func(fd int) {
 		// With MSG_TRUNC the kernel drops the bytes and leaves the buffer as it is (tcp(7)).
@@ -133,7 +134,7 @@
 }
 
 // hasUnread reports whether the socket has unread input.
-func (s *acceptedSocket) hasUnread() (unread bool) {
+func (s *socket) hasUnread() (unread bool) {
 	s.control(func(fd int) { unread = unreadBytes(fd) > 0 })
 	return unread
 }
@@ -171,48 +172,49 @@
 	return n
 }
 
-// serve reads an accepted connection until it is closed by either side, and then notifies the handler. It runs on the
-// connection's goroutine.
-func (c *Conn) serve(socket *acceptedSocket, turns *turnQueue) {
+// serve reads a connection until it is closed by either side, and then notifies the handler. It runs on the connection's
+// goroutine.
+func (c *Conn) serve(turns *turnQueue) {
 	defer func() {
-		_ = socket.Close()
+		_ = c.socket.Close()
+		c.awaitWriter()
 		c.handleClosed()
 	}()
 	c.opened()
-	for c.takeTurn(socket, turns) {
+	for c.takeTurn(turns) {
 	}
 	if c.rejectsData() {
-		c.awaitSent(socket.ended, 0) // the last response: the peer may have closed its sending direction only
+		c.awaitSent(c.socket.ended, 0) // the last response: the peer may have closed its sending direction only
 	}
 }
 
 // takeTurn waits for something to do, and does it in a turn. It returns false if the connection is closed.
-func (c *Conn) takeTurn(socket *acceptedSocket, turns *turnQueue) (open bool) {
-	backlogged := c.unread.Load() || socket.woken.Load()
-	woken := socket.woken.Load() // the handler's backlog goes before further input
+func (c *Conn) takeTurn(turns *turnQueue) (open bool) {
+	backlogged := c.unread.Load() || c.socket.woken.Load()
+	woken := c.socket.woken.Load() // the handler's backlog goes before further input
 	if woken || !backlogged {
 		var err error
-		if woken, err = socket.awaitReadable(); err != nil {
+		if woken, err = c.socket.awaitReadable(); err != nil {
 			return false
 		}
 	}
-	if !c.awaitSent(socket.ended, maxUnsentToRead) {
+	if c.limiter != nil && !c.awaitSent(c.socket.ended, maxUnsentToRead) {
 		return false
 	}
-	buffer := turns.acquire(backlogged, socket.ended)
+	buffer := turns.acquire(backlogged, c.socket.ended)
 	if buffer == nil {
 		return false
 	}
 	defer turns.release(buffer)
 	if woken {
-		c.unread.Store(socket.hasUnread())
+		c.unread.Store(c.socket.hasUnread())
 		c.resumeHandler()
 		open = true
 	} else {
-		open = c.readTurn(socket, buffer)
+		open = c.readTurn(buffer)
 	}
-	if c.unread.Load() || socket.woken.Load() {
-		// Before the next turn begins: clients that send without pause would otherwise keep the processor from everything
+	if c.unread.Load() || c.socket.woken.Load() {
+		// Before the next turn begins: peers that send without pause would otherwise keep the processor from everything
 		// else for the scheduler's time slice of ten milliseconds.
 		runtime.Gosched()
 	}
@@ -220,16 +222,16 @@
 }
 
 // readTurn reads once, and passes what was read to the handler. It returns false if the connection is closed.
-func (c *Conn) readTurn(socket *acceptedSocket, buffer []byte) (open bool) {
+func (c *Conn) readTurn(buffer []byte) (open bool) {
 	c.mu.Lock()
 	drop := c.closed || c.closing
 	c.mu.Unlock()
 	if drop {
-		more, err := socket.discard()
+		more, err := c.socket.discard()
 		c.unread.Store(more)
 		return err == nil
 	}
-	n, more, err := socket.read(buffer)
+	n, more, err := c.socket.read(buffer)
 	c.unread.Store(more)
 	if err != nil {
 		return false
@@ -248,13 +250,8 @@
 	}
 }
 
-// Wake lets the handler's Resume be called in the connection's next turn, before more is read. It has no effect on a
-// dialed connection.
-func (c *Conn) Wake() {
-	if socket, ok := c.socket.(*acceptedSocket); ok {
-		socket.wake()
-	}
-}
+// Wake lets the handler's Resume be called in the connection's next turn, before more is read.
+func (c *Conn) Wake() { c.socket.wake() }
 
 // InputPending reports whether more input has arrived than was read: the peer may even have closed the connection
 // behind it.
--- a/internal/net/tcp/turns.go
+++ b/internal/net/tcp/turns.go
@@ -6,16 +6,16 @@
 )
 
 const (
-	// turnBytes is how much of a connection's input one turn reads. It bounds the time for which the connections of a
+	// turnBytes is how much of an accepted connection's input one turn reads. It bounds the time for which the connections of a
 	// listener wait for each other.
 	turnBytes = 4 << 10
-	// turnSlots is how many connections of a listener may have their turn at once.
+	// turnSlots is how many connections of a queue may have their turn at once.
 	turnSlots = 4
 	// maxFreshInARow is how many connections without a backlog may have their turn before one with a backlog.
 	maxFreshInARow = 16
 )
 
-// turnQueue gives the connections of a listener their turns to read and to handle what was read, in the order in which
+// turnQueue gives connections, those of a listener for example, their turns to read and to handle what was read, in the order in which
 // they ask. A connection with a backlog, which had more input than it could read in its previous turn, waits behind
 // those without one, so that a client that sends without pause does not delay the others. A turn comes with the buffer
 // to read into: the memory for reading does not depend on the number of connections.
@@ -32,10 +32,11 @@
 	granted chan []byte // receives the buffer of the turn; it has room for it
 }
 
-func newTurnQueue() *turnQueue {
+// newTurnQueue returns a queue whose turns have buffers of this size.
+func newTurnQueue(bufferBytes int) *turnQueue {
 	q := &turnQueue{}
 	for range turnSlots {
-		q.buffers = append(q.buffers, make([]byte, turnBytes))
+		q.buffers = append(q.buffers, make([]byte, bufferBytes))
 	}
 	return q
 }
--- a/internal/net/tcp/turns_test.go
+++ b/internal/net/tcp/turns_test.go
@@ -57,6 +57,36 @@
 	}
 }
 
+// A peer that sends at full speed on a dialed connection is stopped, too. Guards against answers that never end, which
+// took the process over its limit on memory before their connection was closed.
+func TestDial_BusyHandler_StopsItsPeer(t *testing.T) {
+	const total = 64 << 20
+	written := make(chan int, 1)
+	addr := listenAndServe(t, func(conn *net.TCPConn) {
+		if err := conn.SetWriteDeadline(time.Now().Add(2 * time.Second)); err != nil {
+			t.Error(err)
+		}
+		n, _ := conn.Write(make([]byte, total)) // fails when the kernel has taken what it holds
+		written <- n
+		_ = conn.Close()
+	})
+	h := blockingHandler{newRecordingHandler(), make(chan struct{}, 1), make(chan struct{}), &atomic.Int64{}}
+	c, err := Dial(addr, time.Minute, func(*Conn) Handler { return h })
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-h.reading
+	if n := <-written; n > total/2 { // the kernel's own buffers hold up to some 10 MB
+		t.Errorf("%d bytes were taken while the handler was busy", n)
+	}
+	if n := h.received.Load(); n > dialedTurnBytes {
+		t.Errorf("%d bytes were read in one turn", n)
+	}
+	close(h.release)
+	c.Close(nil)
+	<-h.closed
+}
+
 // turnOrder records the names of connections in the order in which they had their turns.
 type turnOrder struct {
 	t     *testing.T
@@ -86,7 +116,7 @@
 // Connections have their turns in the order of their arrival, those with a backlog after the others, but not never.
 // Guards against clients that send without pause and keep others from being read.
 func TestTurnQueue_Order(t *testing.T) {
-	o := &turnOrder{t: t, queue: newTurnQueue(), names: make(chan string, 100)}
+	o := &turnOrder{t: t, queue: newTurnQueue(turnBytes), names: make(chan string, 100)}
 	var held [][]byte
 	for range turnSlots {
 		held = append(held, o.queue.acquire(false, nil))
@@ -118,7 +148,7 @@
 
 // A connection that is closed while it waits for its turn leaves the queue, and passes on a turn that it was granted.
 func TestTurnQueue_ClosedWhileWaiting(t *testing.T) {
-	q := newTurnQueue()
+	q := newTurnQueue(turnBytes)
 	var held [][]byte
 	for range turnSlots {
 		held = append(held, q.acquire(false, nil))
--- a/internal/net/tcp/write.go
+++ b/internal/net/tcp/write.go
@@ -169,6 +169,23 @@
 	}
 }
 
+// awaitWriter waits until no write is in progress, on a closed socket: a write would still use the descriptor.
+func (c *Conn) awaitWriter() {
+	for {
+		c.mu.Lock()
+		if c.unsent == 0 {
+			c.mu.Unlock()
+			return
+		}
+		if c.sent == nil {
+			c.sent = make(chan struct{})
+		}
+		sent := c.sent
+		c.mu.Unlock()
+		<-sent
+	}
+}
+
 // takeQueue removes and returns all queued writes. If there are none, it marks the writing as stopped, and half-closes
 // the connection if CloseGracefully was called.
 func (c *Conn) takeQueue() []pendingWrite {
