Hold up only clients that send much at once, not those that send steadily

Cause: the pause was asked of every client with a request behind another. Only where much arrives at once can more, and the end of the connection, be hidden in its system.

Change: the pause is asked while a burst lasts: from a read of 2 KB or more, or with input behind it, up to two shorter reads in a row. What is expected to follow counts like what waits unread, also for the 429 beyond 256 KB.

--- a/internal/net/httpserve/conn.go
+++ b/internal/net/httpserve/conn.go
@@ -15,9 +15,13 @@
 const (
 	// maxPipelinedBytes is the maximum number of bytes buffered behind a request.
 	maxPipelinedBytes = 256 << 10
-	// quietTime is how long nothing may have arrived from a client that sends several requests at once before one of them
-	// is passed to the handler: as long as its system has more to send, the end of its connection may be behind it.
+	// quietTime is how long nothing may have arrived from a client that sends much at once before one of its requests is
+	// passed to the handler: as long as its system has more to send, the end of its connection may be behind it.
 	quietTime = 5 * time.Millisecond
+	// burstBytes is how much of a client's input is much at once: a read of that size begins a burst.
+	burstBytes = 2 << 10
+	// maxSmallReads is the number of shorter reads in a row that end a burst.
+	maxSmallReads = 2
 	// maxRequestsPerTurn is how many requests of a connection are handled before others have their turn.
 	maxRequestsPerTurn = 64
 	// ConnBytes is the memory in bytes of a connection that holds no request: its goroutine, its timer and its state.
@@ -42,6 +46,8 @@
 	unsentBytes  int       // of long responses that are not sent yet
 	discarding   bool      // more was sent at once than is held: the rest is dropped, and the connection ends
 	pipelining   bool      // the client has sent a request before the response to the previous one
+	burst        bool      // much has arrived at once, and more may follow
+	smallReads   int       // in a row, during a burst
 	quietTimer   *time.Timer
 	closed       bool // by either side: nothing more is read or written
 	timer        *time.Timer
@@ -143,6 +149,7 @@
 			c.startTimer(c.server.timeouts.ReadRequest)
 		}
 	}
+	c.trackBurst(len(data))
 	if !c.discarding {
 		c.parser.Feed(data)
 	}
@@ -150,6 +157,19 @@
 	c.limitMemory()
 }
 
+// trackBurst records whether the client sends much at once, after a read of n bytes.
+func (c *serverConn) trackBurst(n int) {
+	if n >= burstBytes || c.conn.InputPending() {
+		c.burst = true
+		c.smallReads = 0
+		return
+	}
+	c.smallReads++
+	if c.smallReads >= maxSmallReads {
+		c.burst = false
+	}
+}
+
 // Resume handles requests that a previous turn has left. It implements tcp.Resumer.
 func (c *serverConn) Resume() {
 	c.mu.Lock()
@@ -211,21 +231,27 @@
 // awaitsInput reports whether more is to be read before the parsed request is handled. Until everything has been read that
 // the client has sent, it is not known whether the client is still there.
 func (c *serverConn) awaitsInput() bool {
-	if c.conn.InputPending() {
-		return !c.discarding && c.parser.Buffered() <= maxPipelinedBytes
-	}
 	if c.parser.Begun() {
 		c.pipelining = true
 	}
-	quiet := c.server.now().Sub(c.lastReadAt)
-	if !c.pipelining || quiet >= quietTime {
+	if !c.expectsMore() || c.discarding || c.parser.Buffered() > maxPipelinedBytes {
 		return false
 	}
-	c.stopQuietTimer()
-	c.quietTimer = time.AfterFunc(quietTime-quiet, c.conn.Wake)
+	if !c.conn.InputPending() {
+		c.stopQuietTimer()
+		c.quietTimer = time.AfterFunc(quietTime-c.quietFor(), c.conn.Wake)
+	}
 	return true
 }
 
+// expectsMore reports whether the client has sent more than was read, as far as is known.
+func (c *serverConn) expectsMore() bool {
+	return c.conn.InputPending() || c.pipelining && c.burst && c.quietFor() < quietTime
+}
+
+// quietFor returns the time since something was read.
+func (c *serverConn) quietFor() time.Duration { return c.server.now().Sub(c.lastReadAt) }
+
 func (c *serverConn) stopQuietTimer() {
 	if c.quietTimer != nil {
 		c.quietTimer.Stop()
@@ -247,13 +273,13 @@
 	c.current = x
 	c.currentBytes = request.Held()
 	c.stopTimer()
-	pending, overMemory := c.conn.InputPending(), !c.hold()
+	expectsMore, overMemory := c.expectsMore(), !c.hold()
 	c.mu.Unlock()
 	switch {
 	case overMemory:
 		c.server.count(&c.server.counters.OverMemory)
 		x.Respond(http.StatusServiceUnavailable, nil)
-	case pending: // the client sends on and on
+	case expectsMore: // the client sends on and on
 		x.Respond(http.StatusTooManyRequests, nil)
 	default:
 		c.handle(x)
