--- a/internal/app/clientmemory.go
+++ b/internal/app/clientmemory.go
@@ -28,6 +28,6 @@
 func clientMemoryText(budget *membudget.Budget) string {
 	used, limit := budget.Used()
 	counters := budget.Counters()
-	return fmt.Sprintf("; memory of clients: %d of %d KB, reclaimed %d, refused %d",
-		used>>10, limit>>10, counters.Reclaimed, counters.Refused)
+	return fmt.Sprintf("; memory of clients: %d of %d KB, reclaimed %d, rejected %d",
+		used>>10, limit>>10, counters.Reclaimed, counters.Rejected)
 }
--- a/internal/frontend/z3950/association.go
+++ b/internal/frontend/z3950/association.go
@@ -186,7 +186,7 @@
 			return
 		}
 		a.pending = append(a.pending, pdu)
-		a.pendingBytes += pdu.Held()
+		a.pendingBytes += pdu.MemorySize()
 	default:
 		a.perform(pdu)
 	}
@@ -207,7 +207,7 @@
 	for a.inFlight == nil && len(a.pending) > 0 && !a.closed {
 		pdu := a.pending[0]
 		a.pending = a.pending[1:]
-		a.pendingBytes -= pdu.Held()
+		a.pendingBytes -= pdu.MemorySize()
 		a.perform(pdu)
 	}
 	if a.inFlight == nil && a.overLimit {
--- a/internal/frontend/z3950/memory.go
+++ b/internal/frontend/z3950/memory.go
@@ -23,14 +23,14 @@
 // the memory that they may hold.
 var errOverMemory = errors.New("the origin does not read, and the memory is needed")
 
-// hold states to the budget what the association holds. It returns false if the association has to release memory. It is
+// chargeAccount states to the budget what the association holds. It returns false if the association has to release memory. It is
 // called with the lock held.
-func (a *association) hold() bool {
-	held := growthFactor*cap(a.buf) + a.pendingBytes + a.unsentBytes
+func (a *association) chargeAccount() bool {
+	total := growthFactor*cap(a.buf) + a.pendingBytes + a.unsentBytes
 	for _, set := range a.resultSets {
-		held += resultSetBytes + set.recordBytes()
+		total += resultSetBytes + set.recordBytes()
 	}
-	return a.account.Hold(int64(held), held > 0)
+	return a.account.Charge(int64(total), total > 0)
 }
 
 // recordBytes returns the memory of the cached records.
@@ -44,7 +44,7 @@
 // limitMemory states to the budget what the association holds, and releases what it may not hold. It is called with the
 // lock held.
 func (a *association) limitMemory() {
-	if !a.hold() {
+	if !a.chargeAccount() {
 		a.releaseMemory()
 	}
 }
@@ -78,7 +78,7 @@
 	default:
 		a.close(z3950.CloseLimits, "the memory is needed")
 	}
-	a.hold() // less than before, which is never refused
+	a.chargeAccount() // less than before, which is never refused
 }
 
 // send writes a PDU. It is called with the lock held.
@@ -90,11 +90,11 @@
 		return
 	}
 	a.unsentBytes += size
-	a.hold() // if it is refused, others release memory: this response is sent soon, unless its origin does not read
+	a.chargeAccount() // if it is refused, others release memory: this response is sent soon, unless its origin does not read
 	a.conn.Write(encoded, func(tcp.WriteResult) {
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.unsentBytes -= size
-		a.hold()
+		a.chargeAccount()
 	})
 }
--- a/internal/net/httpserve/conn.go
+++ b/internal/net/httpserve/conn.go
@@ -271,9 +271,9 @@
 	x := &Exchange{Message: request, FirstByteAt: c.firstByteAt, conn: c}
 	c.firstByteAt = c.lastReadAt // of a pipelined request that follows this one
 	c.current = x
-	c.currentBytes = request.Held()
+	c.currentBytes = request.MemorySize()
 	c.stopTimer()
-	expectsMore, overMemory := c.expectsMore(), !c.hold()
+	expectsMore, overMemory := c.expectsMore(), !c.chargeAccount()
 	c.mu.Unlock()
 	switch {
 	case overMemory:
--- a/internal/net/httpserve/exchange.go
+++ b/internal/net/httpserve/exchange.go
@@ -62,7 +62,7 @@
 	}
 	c.current = nil
 	c.currentBytes = 0
-	c.hold() // less than before, which is never refused
+	c.chargeAccount() // less than before, which is never refused
 	if c.closed {
 		return
 	}
--- a/internal/net/httpserve/memory.go
+++ b/internal/net/httpserve/memory.go
@@ -16,24 +16,24 @@
 // the memory that they may hold.
 var errOverMemory = errors.New("the peer does not read, and the memory is needed")
 
-// hold states to the budget what the connection holds. It returns false if the connection has to release memory. It is
+// chargeAccount states to the budget what the connection holds. It returns false if the connection has to release memory. It is
 // called with the lock held.
-func (c *serverConn) hold() bool {
-	reclaimable := c.parser.Held() + c.unsentBytes
+func (c *serverConn) chargeAccount() bool {
+	reclaimable := c.parser.MemorySize() + c.unsentBytes
 	if c.parsed != nil {
-		reclaimable += c.parsed.Held()
+		reclaimable += c.parsed.MemorySize()
 	}
-	held := reclaimable
+	total := reclaimable
 	if c.current != nil {
-		held += c.currentBytes
+		total += c.currentBytes
 	}
-	return c.account.Hold(int64(held), reclaimable > 0)
+	return c.account.Charge(int64(total), reclaimable > 0)
 }
 
 // limitMemory states to the budget what the connection holds, and releases what it may not hold. It is called with the
 // lock held.
 func (c *serverConn) limitMemory() {
-	if !c.hold() {
+	if !c.chargeAccount() {
 		c.releaseMemory()
 	}
 }
@@ -66,7 +66,7 @@
 func (c *serverConn) dropInput() {
 	c.parsed = nil
 	c.parser.Discard()
-	c.hold() // less than before, which is never refused
+	c.chargeAccount() // less than before, which is never refused
 }
 
 // writeResponse sends a response. It is called with the lock held.
@@ -77,11 +77,11 @@
 		return
 	}
 	c.unsentBytes += size
-	c.hold() // if it is refused, others release memory: this response is sent soon, unless its client does not read
+	c.chargeAccount() // if it is refused, others release memory: this response is sent soon, unless its client does not read
 	c.conn.Write(response, func(tcp.WriteResult) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.unsentBytes -= size
-		c.hold()
+		c.chargeAccount()
 	})
 }
--- a/internal/net/httpserve/server_test.go
+++ b/internal/net/httpserve/server_test.go
@@ -103,7 +103,7 @@
 	for range maxPipelinedBytes/turnBytes + 1 {
 		c.Data([]byte(strings.Repeat("x", turnBytes)))
 	}
-	if held := c.(*serverConn).parser.Held(); held > 2*maxPipelinedBytes {
+	if held := c.(*serverConn).parser.MemorySize(); held > 2*maxPipelinedBytes {
 		t.Errorf("%d bytes are held", held)
 	}
 	clock.now = clock.now.Add(quietTime)
@@ -140,7 +140,7 @@
 		c.Data([]byte(strings.Repeat(getRequest, turnBytes/len(getRequest))))
 		flooding.takeTurns(c)
 	}
-	if held := c.(*serverConn).parser.Held(); held > 2*maxPipelinedBytes || len(passed) != 0 {
+	if held := c.(*serverConn).parser.MemorySize(); held > 2*maxPipelinedBytes || len(passed) != 0 {
 		t.Errorf("%d bytes are held, %d requests passed on", held, len(passed))
 	}
 	if statuses := strings.Fields(flooding.statuses()); len(statuses) == 0 || strings.Trim(flooding.statuses(), "429 ") != "" {
--- a/internal/net/membudget/membudget.go
+++ b/internal/net/membudget/membudget.go
@@ -27,7 +27,7 @@
 // Counters count what a budget has done since its creation.
 type Counters struct {
 	Reclaimed uint64 // requests to an account to release memory
-	Refused   uint64 // calls of Hold that returned false
+	Rejected  uint64 // calls of Charge that returned false
 }
 
 // Account is what one connection holds. A nil Account accepts everything.
@@ -36,11 +36,11 @@
 	reclaim func()
 
 	// The following fields are guarded by the budget's lock.
-	fixed       int64     // held as long as the account is open
-	held        int64     // beyond fixed
-	heldSince   time.Time // since when held is not 0
-	reclaimable bool
-	reclaiming  bool // reclaim was called and has not returned
+	fixed        int64     // in use as long as the account is open
+	charged      int64     // beyond fixed
+	chargedSince time.Time // since when charged is not 0
+	reclaimable  bool
+	reclaiming   bool // reclaim was called and has not returned
 }
 
 // New returns a budget of limit bytes. now is the clock.
@@ -76,7 +76,7 @@
 }
 
 // Open opens an account that holds fixed bytes until Close. reclaim is called on a goroutine of its own when the account
-// is to release what it can; it calls Hold with what remains.
+// is to release what it can; it calls Charge with what remains.
 func (b *Budget) Open(fixed int64, reclaim func()) *Account {
 	if b == nil {
 		return nil
@@ -90,10 +90,10 @@
 	return a
 }
 
-// Hold states what the account holds now, beyond its fixed part. reclaimable states whether reclaim can release any of
-// it. If Hold returns false, the budget is exceeded and it is this account that has to release memory: the caller does
-// so at once, and calls Hold again. It is not called by reclaim's caller, so a lock that reclaim acquires may be held.
-func (a *Account) Hold(bytes int64, reclaimable bool) bool {
+// Charge states what the account holds now, beyond its fixed part. reclaimable states whether reclaim can release any of
+// it. If Charge returns false, the budget is exceeded and it is this account that has to release memory: the caller does
+// so at once, and calls Charge again. It is not called by reclaim's caller, so a lock that reclaim acquires may be held.
+func (a *Account) Charge(bytes int64, reclaimable bool) bool {
 	if a == nil {
 		return true
 	}
@@ -103,20 +103,20 @@
 	if !b.accounts[a] {
 		return true
 	}
-	if a.held == 0 && bytes > 0 {
-		a.heldSince = b.now()
+	if a.charged == 0 && bytes > 0 {
+		a.chargedSince = b.now()
 	}
-	more := bytes > a.held
-	b.used += bytes - a.held
+	more := bytes > a.charged
+	b.used += bytes - a.charged
 	if a.reclaiming {
-		b.reclaiming += bytes - a.held
+		b.reclaiming += bytes - a.charged
 	}
-	a.held = bytes
+	a.charged = bytes
 	a.reclaimable = reclaimable
 	if !more || b.reclaimFor(a) {
 		return true
 	}
-	b.counters.Refused++
+	b.counters.Rejected++
 	return false
 }
 
@@ -132,9 +132,9 @@
 		return
 	}
 	delete(b.accounts, a)
-	b.used -= a.fixed + a.held
+	b.used -= a.fixed + a.charged
 	if a.reclaiming {
-		b.reclaiming -= a.held
+		b.reclaiming -= a.charged
 	}
 }
 
@@ -147,9 +147,9 @@
 			return false
 		}
 		victim.reclaiming = true
-		b.reclaiming += victim.held
+		b.reclaiming += victim.charged
 		b.counters.Reclaimed++
-		go b.runReclaim(victim) // it acquires locks that the caller may hold; Hold and Close end its effect
+		go b.runReclaim(victim) // it acquires locks that the caller may hold; Charge and Close end its effect
 	}
 	return true
 }
@@ -161,7 +161,7 @@
 	defer b.mu.Unlock()
 	victim.reclaiming = false
 	if b.accounts[victim] {
-		b.reclaiming -= victim.held
+		b.reclaiming -= victim.charged
 	}
 }
 
@@ -171,17 +171,17 @@
 	sum, count := int64(0), int64(0)
 	for a := range b.accounts {
 		if a.canReclaim() {
-			sum += a.held
+			sum += a.charged
 			count++
 		}
 	}
 	now, highest := b.now(), 0.0
 	for a := range b.accounts {
-		if !a.canReclaim() || a.held*count < sum {
+		if !a.canReclaim() || a.charged*count < sum {
 			continue
 		}
 		// Byte-seconds; one nanosecond more, so that those which have just begun are compared by their size.
-		score := float64(a.held) * float64(now.Sub(a.heldSince)+1)
+		score := float64(a.charged) * float64(now.Sub(a.chargedSince)+1)
 		if score > highest {
 			victim, highest = a, score
 		}
@@ -190,4 +190,4 @@
 }
 
 // canReclaim reports whether the account may be asked to release memory. It is called with the lock held.
-func (a *Account) canReclaim() bool { return a.reclaimable && !a.reclaiming && a.held > 0 }
+func (a *Account) canReclaim() bool { return a.reclaimable && !a.reclaiming && a.charged > 0 }
--- a/internal/net/membudget/membudget_test.go
+++ b/internal/net/membudget/membudget_test.go
@@ -28,7 +28,7 @@
 	opened := make(chan struct{})
 	a = b.Open(fixed, func() {
 		<-opened
-		a.Hold(0, false)
+		a.Charge(0, false)
 		b.reclaimed <- name
 	})
 	close(opened)
@@ -56,25 +56,25 @@
 func TestBudget_LongestAndLargestFirst(t *testing.T) {
 	b := newTestBudget(100)
 	stalled, small, arriving := b.open("stalled", 0), b.open("small", 0), b.open("arriving", 0)
-	if !stalled.Hold(40, true) || !small.Hold(1, true) {
+	if !stalled.Charge(40, true) || !small.Charge(1, true) {
 		t.Fatal("refused under the limit")
 	}
 	b.now = b.now.Add(time.Second)
-	if !arriving.Hold(59, true) {
+	if !arriving.Charge(59, true) {
 		t.Error("refused at the limit")
 	}
 	b.now = b.now.Add(time.Millisecond)
-	if !arriving.Hold(64, true) {
+	if !arriving.Charge(64, true) {
 		t.Error("refused while another can release memory")
 	}
 	b.expect(t, 65, "stalled")
-	if arriving.Hold(200, true) {
+	if arriving.Charge(200, true) {
 		t.Error("accepted beyond the limit, and no other account holds enough")
 	}
-	arriving.Hold(0, false)
+	arriving.Charge(0, false)
 	small.Close()
 	b.expect(t, 0)
-	if c := b.Counters(); c != (Counters{Reclaimed: 1, Refused: 1}) {
+	if c := b.Counters(); c != (Counters{Reclaimed: 1, Rejected: 1}) {
 		t.Errorf("counters: %+v", c)
 	}
 }
@@ -84,16 +84,16 @@
 func TestBudget_NothingToReclaim(t *testing.T) {
 	b := newTestBudget(100)
 	inFlight, next := b.open("in flight", 10), b.open("next", 10)
-	if !inFlight.Hold(70, false) || next.Hold(20, false) {
+	if !inFlight.Charge(70, false) || next.Charge(20, false) {
 		t.Error("want the first one only")
 	}
-	next.Hold(0, false)
-	if !inFlight.Hold(60, false) {
+	next.Charge(0, false)
+	if !inFlight.Charge(60, false) {
 		t.Error("refused to hold less")
 	}
 	inFlight.Close()
 	inFlight.Close()
-	if !inFlight.Hold(1000, true) || !next.Hold(90, false) {
+	if !inFlight.Charge(1000, true) || !next.Charge(90, false) {
 		t.Error("a closed account still counts")
 	}
 	b.expect(t, 100)
@@ -103,11 +103,11 @@
 func TestBudget_FixedPart(t *testing.T) {
 	b := newTestBudget(100)
 	first := b.open("first", 40)
-	first.Hold(30, true)
+	first.Charge(30, true)
 	second := b.open("second", 40)
 	b.expect(t, 80, "first")
 	b.SetLimit(70)
-	if second.Hold(1, true) {
+	if second.Charge(1, true) {
 		t.Error("accepted beyond the new limit")
 	}
 	if used, limit := b.Used(); used != 81 || limit != 70 {
@@ -118,7 +118,7 @@
 func TestBudget_NilHasNoLimit(t *testing.T) {
 	var b *Budget
 	a := b.Open(1, nil)
-	if !a.Hold(1<<40, true) || b.Counters() != (Counters{}) {
+	if !a.Charge(1<<40, true) || b.Counters() != (Counters{}) {
 		t.Error("a nil budget refuses")
 	}
 	a.Close()
--- a/internal/protocol/http1/message.go
+++ b/internal/protocol/http1/message.go
@@ -62,13 +62,13 @@
 // fieldOverhead is the memory that a header field takes beyond its text, in bytes.
 const fieldOverhead = 64
 
-// Held returns the approximate number of bytes of memory that the message takes.
-func (m *Message) Held() int {
-	held := len(m.Method) + len(m.Target) + cap(m.Body)
+// MemorySize returns the approximate number of bytes of memory that the message takes.
+func (m *Message) MemorySize() int {
+	size := len(m.Method) + len(m.Target) + cap(m.Body)
 	for name, value := range m.Header {
-		held += len(name) + len(value) + fieldOverhead
+		size += len(name) + len(value) + fieldOverhead
 	}
-	return held
+	return size
 }
 
 // parseStartLine parses the request line or the status line, and returns whether the version is HTTP/1.0.
--- a/internal/protocol/http1/parser.go
+++ b/internal/protocol/http1/parser.go
@@ -62,13 +62,13 @@
 	err       error    // why the stream is broken; nil: it is not
 }
 
-// Held returns the number of bytes of memory that the parser holds.
-func (p *Parser) Held() int {
-	held := p.parsed + cap(p.buf)
+// MemorySize returns the number of bytes of memory that the parser holds.
+func (p *Parser) MemorySize() int {
+	size := p.parsed + cap(p.buf)
 	if p.message != nil {
-		held += p.message.Held()
+		size += p.message.MemorySize()
 	}
-	return held
+	return size
 }
 
 // Discard drops what was received of the next messages. The stream cannot be parsed any further.
--- a/internal/protocol/z3950/node.go
+++ b/internal/protocol/z3950/node.go
@@ -226,11 +226,11 @@
 // nodeBytes is the memory in bytes of a value without content.
 const nodeBytes = 96
 
-// Held returns the approximate number of bytes of memory that the value takes, with all values inside.
-func (n *Node) Held() int {
-	held := nodeBytes + cap(n.Bytes)
+// MemorySize returns the approximate number of bytes of memory that the value takes, with all values inside.
+func (n *Node) MemorySize() int {
+	size := nodeBytes + cap(n.Bytes)
 	for _, child := range n.Children {
-		held += child.Held()
+		size += child.MemorySize()
 	}
-	return held
+	return size
 }
