Keep a server drained whose check told a weight of 0 and fell silent

What callers saw: the agent of a node told the weight 0%, which drains it, and then hung.

Cause: Table.strongestAdmin took a weight of 0 for a drain only while the check's last result was valid (three intervals and the timeout, 7 s). An administrative state was bound to the validity of the report that carried it. The words drain and maint were not.

Ruled out: an answer of the agent that ended the drain (none came), a failed check taken for one (RecordCheck drops it where silence is ignored), the check of the connection that such a server gets (it succeeded during the drain, too).

Change: the administrative state of a check is a function of its last weight and its last keyword, without a clock. /servers shows it as counting for as long. TestDrain_ByCheckStaysUntilReady left the weight out of its 20 s of silence; it no longer does. FuzzTable draws weights of 0.

--- a/internal/control/health/checks.go
+++ b/internal/control/health/checks.go
@@ -170,20 +170,25 @@
 	return server.suppressed
 }
 
-// strongestAdmin returns the stronger of Drain and Maintenance by the checks of a server, and why. These states do not
-// expire: they last until the same check reports Ready. A weight of 0 drains the server while it is valid.
+// adminState returns the administrative state that a check has set. A weight of 0 drains the server, as in HAProxy. The
+// state does not expire: it lasts until the same check reports Ready or another weight, however long the check is silent.
+func (c *checkState) adminState() AdminState {
+	if c.weight == 0 && c.admin != Maintenance {
+		return Drain
+	}
+	return c.admin
+}
+
+// strongestAdmin returns the stronger of Drain and Maintenance by the checks of a server, and why.
 func (t *Table) strongestAdmin(server *server) (strongest AdminState, reason string) {
 	for i := range server.checks {
 		check := &server.checks[i]
-		admin := check.admin
-		if admin != Maintenance && check.weight == 0 && t.valid(check) {
-			admin = Drain
-		}
-		if admin != Drain && admin != Maintenance || admin <= strongest {
+		admin := check.adminState()
+		if admin <= max(Ready, strongest) {
 			continue
 		}
 		finding := admin.String()
-		if check.weight == 0 && check.admin != admin {
+		if check.admin != admin {
 			finding = "weight 0"
 		}
 		strongest = admin
--- a/internal/control/health/checks_test.go
+++ b/internal/control/health/checks_test.go
@@ -92,10 +92,7 @@
 		f.table.RecordCheck(f.now, "n1", 0, result)
 		f.applyChanges()
 		f.resetCounts()
-		if name != "weight 0" { // a weight expires
-			f.run(20*time.Second, 20)
-		}
-		f.run(time.Second, 20)
+		f.run(21*time.Second, 20)
 		if f.sent["n1"] != 0 || f.decisions["n1"].State == InService || f.table.UsableReplicas(1, search) != 1 {
 			t.Errorf("%s: %d parts were sent, %+v", name, f.sent["n1"], f.decisions["n1"])
 		}
--- a/internal/control/health/decision.go
+++ b/internal/control/health/decision.go
@@ -13,7 +13,7 @@
 //	endpoint list: draining                  draining
 //	a check's last state: maint              out of service
 //	a check's last state: drain              draining
-//	a check's weight, still valid: 0         draining
+//	a check's last weight: 0                 draining
 //	checks down, and server unreachable      out of service
 //	checks down, last replica of a shard     in service, as last resort
 //	checks down, and checks suspect          as without checks
--- a/internal/control/health/facts.go
+++ b/internal/control/health/facts.go
@@ -67,14 +67,13 @@
 		Finding:   check.condition(),
 		Age:       t.now.Sub(check.resultAt),
 		Validity:  config.Validity,
-		Effective: t.valid(check),
+		Effective: t.valid(check) || check.adminState() > Ready,
 	}
 	if check.resultAt.IsZero() {
 		fact.Age = noAge
 	}
 	if check.admin != AdminUnset {
 		fact.Finding += " " + check.admin.String()
-		fact.Effective = fact.Effective || check.admin != Ready
 	}
 	if check.weight >= 0 {
 		fact.Finding += " " + percent(check.weight)
--- a/internal/control/health/rules.go
+++ b/internal/control/health/rules.go
@@ -11,7 +11,7 @@
 	Name           string
 	Fall           int           // consecutive failures after which a server is down, at least 1
 	Rise           int           // consecutive successes after which it is up again, at least 1
-	Validity       time.Duration // how long a result counts; administrative states count until the check changes them
+	Validity       time.Duration // how long a result counts; administrative states and a weight of 0 do not expire
 	IgnoreFailures bool          // only states that the server sends count, failed checks do not
 }
 
--- a/internal/control/health/table_test.go
+++ b/internal/control/health/table_test.go
@@ -53,7 +53,8 @@
 	table   *Table
 	now     time.Time
 	ids     []ID
-	drained map[ID]bool // by a check
+	drain   map[ID]AdminState // the last state that the agent check has set
+	weight0 map[ID]bool       // the agent check's last weight is 0
 }
 
 // The checks of a checkedTable, by index.
@@ -79,7 +80,8 @@
 			table:   table,
 			now:     origin,
 			ids:     []ID{"a", "b", "c", "d", "e", "f"},
-			drained: map[ID]bool{},
+			drain:   map[ID]AdminState{},
+			weight0: map[ID]bool{},
 		}
 		for i := range c.ids {
 			c.updateEndpoint(i, inUse)
@@ -136,13 +138,19 @@
 		Weight:  -1,
 		MaxConn: c.rng.IntN(4) - 1,
 	}
+	check := c.rng.IntN(2)
 	if c.rng.IntN(4) == 0 {
 		result.Weight = float64(1+c.rng.IntN(4)) / 4
 	}
-	check := c.rng.IntN(2)
+	if check == agentCheck && c.rng.IntN(12) == 0 {
+		result.Weight = 0
+	}
 	if check == agentCheck && !result.Failed && c.rng.IntN(6) == 0 {
 		result.Admin = AdminState(1 + c.rng.IntN(3))
-		c.drained[id] = result.Admin != Ready
+		c.drain[id] = result.Admin
+	}
+	if check == agentCheck && !result.Failed && result.Weight >= 0 {
+		c.weight0[id] = result.Weight == 0
 	}
 	c.table.RecordCheck(c.now, id, check, result)
 }
@@ -166,7 +174,7 @@
 	if !ok {
 		c.t.Fatalf("%s is not listed", id)
 	}
-	if c.drained[id] && d.State == InService {
+	if (c.drain[id] > Ready || c.weight0[id]) && d.State == InService {
 		c.t.Fatalf("%s is in service although drained: %+v", id, d)
 	}
 	available := 0
