Count the last report of a check whose silence is ignored until its next one

What callers could see: a server whose agent had said "stopped" or "down" and then hung got its share again 7 s later, and one whose agent had limited it to a weight or to a number of parts in flight got more than that.

With silence = "ignore" a check that gives no answer "has no effect, as in HAProxy" (docs/health.md), but its last report expired, which is an effect. The comment in setDown says that only an explicit Up ends a Down, and time ended it, too.

Change: Validity 0 is "until the next result", and the default where silence is ignored. Where a file sets valid, it holds as before, and checks whose silence counts as a failure expire as before.

Ruled out as too wide: no expiry for any check. A check that fails by silence says something new with each failure.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -206,6 +206,25 @@
 	}
 }
 
+// By default a result counts until the next one if a check's silence has no effect, and else for three intervals and the
+// timeout.
+func TestLoadPartners_ValidityOfResults(t *testing.T) {
+	p, err := LoadPartners("../../deploy/partners.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, want := range map[string]time.Duration{
+		"http-node":            15 * time.Second, // its key valid
+		"init":                 0,
+		"agent 127.0.0.1:9014": 0,
+		"http /healthz":        7 * time.Second,
+	} {
+		if got := p.CheckProfile(name).ResultTTL.Duration; got != want {
+			t.Errorf("%s: %v, want %v", name, got, want)
+		}
+	}
+}
+
 func TestParseNode(t *testing.T) {
 	text := `{"name":"n3","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",
 		"limits":{"cores":1.5,"memory_mb":100,"sockets":50},
--- a/internal/config/healthchecks.go
+++ b/internal/config/healthchecks.go
@@ -59,7 +59,7 @@
 	FastChecks   int      `toml:"fast_for"` // number of checks at FastInterval
 	DownInterval Duration `toml:"slow"`     // interval while the server is down
 	Timeout      Duration `toml:"timeout"`
-	ResultTTL    Duration `toml:"valid"` // how long a result is valid
+	ResultTTL    Duration `toml:"valid"` // how long a result is valid; 0: until the next one
 	Fall         int      `toml:"fall"`
 	Rise         int      `toml:"rise"`
 	NoResult     string   `toml:"silence"` // what a check without a result counts as: "down" or "ignore"
@@ -153,11 +153,13 @@
 	setDefault(&f.FastInterval.Duration, max(f.Interval.Duration/4, 10*time.Millisecond))
 	setDefault(&f.FastChecks, 4)
 	setDefault(&f.DownInterval.Duration, f.Interval.Duration)
-	setDefault(&f.ResultTTL.Duration, 3*max(f.DownInterval.Duration, f.Interval.Duration)+f.Timeout.Duration)
 	setDefault(&f.Method, "GET")
 	setDefault(&f.ExpectStatus, "200-399")
 	setDefault(&f.DrainStatus, "404")
 	setDefault(&f.NoResult, noResult)
+	if f.NoResult != noResultIgnored { // a check whose silence has no effect has said nothing new
+		setDefault(&f.ResultTTL.Duration, 3*max(f.DownInterval.Duration, f.Interval.Duration)+f.Timeout.Duration)
+	}
 	if f.Kind == CheckHTTP || f.Kind == CheckSRU {
 		setDefault(&f.Path, "/")
 	}
--- a/internal/config/healthcheckvalidate.go
+++ b/internal/config/healthcheckvalidate.go
@@ -119,7 +119,8 @@
 		problems.addf(path+".timeout", "check %q: timeout must be at most 1m, not %v",
 			f.Name, f.Timeout.Duration)
 	}
-	if nextResult := f.DownInterval.Duration + f.Timeout.Duration; f.ResultTTL.Duration < nextResult {
+	nextResult := f.DownInterval.Duration + f.Timeout.Duration
+	if ttl := f.ResultTTL.Duration; ttl > 0 && ttl < nextResult {
 		problems.addf(path+".valid", "check %q: valid %v is shorter than the time until the next result, up to %v",
 			f.Name, f.ResultTTL.Duration, nextResult)
 	}
--- a/internal/control/health/checks.go
+++ b/internal/control/health/checks.go
@@ -112,7 +112,8 @@
 
 // valid reports whether the last result of a check still counts.
 func (t *Table) valid(check *checkState) bool {
-	return !check.resultAt.IsZero() && t.now.Sub(check.resultAt) <= t.checks[check.config].Validity
+	validity := t.checks[check.config].Validity
+	return !check.resultAt.IsZero() && (validity == 0 || t.now.Sub(check.resultAt) <= validity)
 }
 
 // hasValidCheck reports whether any check of a server is valid.
--- a/internal/control/health/rules.go
+++ b/internal/control/health/rules.go
@@ -8,17 +8,18 @@
 
 // CheckConfig is the configuration of one health check.
 type CheckConfig struct {
-	Name           string
-	Fall           int           // consecutive failures after which a server is down, at least 1
-	Rise           int           // consecutive successes after which it is up again, at least 1
-	Validity       time.Duration // how long a result counts; administrative states and a weight of 0 do not expire
-	IgnoreFailures bool          // only states that the server sends count, failed checks do not
+	Name string
+	Fall int // consecutive failures after which a server is down, at least 1
+	Rise int // consecutive successes after which it is up again, at least 1
+	// Validity is how long a result counts; 0: until the next one. Administrative states and a weight of 0 never expire.
+	Validity       time.Duration
+	IgnoreFailures bool // only states that the server sends count, failed checks do not
 }
 
 func (c CheckConfig) validate() error {
-	if c.Name == "" || c.Fall < 1 || c.Rise < 1 || c.Validity <= 0 {
+	if c.Name == "" || c.Fall < 1 || c.Rise < 1 || c.Validity < 0 {
 		return fmt.Errorf("check %q: fall %d, rise %d, validity %v: must have a name, fall and rise of at least 1,"+
-			" and a positive validity", c.Name, c.Fall, c.Rise, c.Validity)
+			" and no negative validity", c.Name, c.Fall, c.Rise, c.Validity)
 	}
 	return nil
 }
--- a/internal/control/health/schedule.go
+++ b/internal/control/health/schedule.go
@@ -56,8 +56,10 @@
 func (t *Table) scheduleChecks(server *server, next *earliest) {
 	for i := range server.checks {
 		check := &server.checks[i]
-		if t.valid(check) && (check.down || check.degraded || check.weight >= 0 || check.maxConn >= 0) {
-			next.add(check.resultAt.Add(t.checks[check.config].Validity + expiryMargin))
+		validity := t.checks[check.config].Validity
+		expires := validity > 0 && t.valid(check)
+		if expires && (check.down || check.degraded || check.weight >= 0 || check.maxConn >= 0) {
+			next.add(check.resultAt.Add(validity + expiryMargin))
 		}
 	}
 	if server.suppressed {
