Hand the drains of silent checks to the next process of the second front

Cause: the states that somebody sets through a check lived in the process alone. On the platform, operators' calls outlive it.

Change: health.Table names its exclusions, what keeps a server out until the same check ends it. The second front writes them to $TMPDIR/rooktrestle-NAME-checks off the loop (atomicfile, locked, repeated while it fails) and restores them before the first endpoint list is used, but for checks that the file no longer gives a server: no result would end those. Without TMPDIR nothing is written, as for DETACH. The log of a repeated failure stood in maintenanceStore; failureLog serves both.

Not taken: to hold a new process back until each check has answered (a hung agent never does); weights and maxconn in the file (agents that report their load change them with every answer, and each change would be a write).

--- a/cmd/rooktrestle/partners_test.go
+++ b/cmd/rooktrestle/partners_test.go
@@ -85,6 +85,7 @@
 	deadline  time.Duration     // of all classes; 0: testTimeout
 	addresses map[string]string // of servers that are not replicas of the archive, by ID
 	checks    map[string]string // lines of the operator's file with health checks, by server ID
+	stateDir  string            // of the process and its successors; empty: one of its own
 }
 
 // startPartners starts a partners' deployment with two SRU servers and two Z39.50 targets on the ring: the replicas of
@@ -111,7 +112,16 @@
 	}
 	path := filepath.Join(t.TempDir(), "partners.toml")
 	writeFile(t, path, file.String())
-	p := start(t, 4, nil, "serve", "--front", path)
+	if options.stateDir == "" {
+		options.stateDir = t.TempDir()
+	}
+	return servePartners(t, path, options.stateDir)
+}
+
+// servePartners starts a partners' deployment from an operator's file.
+func servePartners(t *testing.T, path, stateDir string) *program {
+	t.Helper()
+	p := start(t, 4, []string{"TMPDIR=" + stateDir}, "serve", "--front", path)
 	p.confPath = path
 	return p
 }
--- a/internal/app/healthtracker.go
+++ b/internal/app/healthtracker.go
@@ -23,6 +23,8 @@
 	objectives []time.Duration            // of each class
 	log        *slog.Logger
 	mailbox    aggregator.Poster
+	exclusions *exclusionStore
+	saved      uint64 // health.Table.ExclusionsVersion of the exclusions passed to the store
 	evaluating bool   // an evaluateHealth message is in the mailbox
 	changes    uint64 // notable changes so far, for the counters
 	version    uint64 // incremented by every change that may affect which servers are usable
@@ -39,6 +41,8 @@
 // evaluateHealth makes the loop evaluate the outcomes recorded since the last evaluation.
 type evaluateHealth struct{ aggregator.AdapterMessage }
 
+// newHealthTracker returns a tracker of these servers, with the exclusions that a previous process has stored. The
+// caller posts the first endpoint list, and then the events of a first call of evaluate.
 func newHealthTracker(
 	conf *config.Partners, servers []aggregator.Server, now time.Time, mailbox aggregator.Poster, log *slog.Logger,
 ) (*healthTracker, error) {
@@ -47,11 +51,12 @@
 		return nil, err
 	}
 	h := &healthTracker{
-		table:   table,
-		servers: map[health.ID]aggregator.Server{},
-		shards:  map[health.ID]map[int]bool{},
-		log:     log,
-		mailbox: mailbox,
+		table:      table,
+		servers:    map[health.ID]aggregator.Server{},
+		shards:     map[health.ID]map[int]bool{},
+		log:        log,
+		mailbox:    mailbox,
+		exclusions: newExclusionStore(conf.StateDir, conf.Name, log),
 	}
 	for _, class := range conf.Classes {
 		h.objectives = append(h.objectives, class.Objective.Duration)
@@ -66,10 +71,36 @@
 		listed = append(listed, entry)
 	}
 	table.ReplaceEndpoints(now, listed)
-	h.evaluate(now)
+	h.restoreExclusions(conf, now)
 	return h, nil
 }
 
+// restoreExclusions applies the exclusions that a previous process has stored. Those by a check that the file no longer
+// gives a server are dropped: no result would ever end them.
+func (h *healthTracker) restoreExclusions(conf *config.Partners, now time.Time) {
+	checks := map[health.ID][]string{}
+	for _, server := range conf.Servers {
+		checks[health.ID(server.ID)] = server.Checks
+	}
+	stored := h.exclusions.load()
+	current := slices.DeleteFunc(slices.Clone(stored), func(exclusion health.Exclusion) bool {
+		return !slices.Contains(checks[exclusion.Server], exclusion.Check)
+	})
+	h.table.RestoreExclusions(now, current)
+	h.saved = h.table.ExclusionsVersion()
+	if restored := h.table.Exclusions(); !slices.Equal(restored, stored) {
+		h.exclusions.save(restored)
+	}
+}
+
+// saveExclusions passes the exclusions to the store if they have changed.
+func (h *healthTracker) saveExclusions() {
+	if version := h.table.ExclusionsVersion(); version != h.saved {
+		h.saved = version
+		h.exclusions.save(h.table.Exclusions())
+	}
+}
+
 // shardsOfCell returns the shards whose replicas include the servers of a cell: those that start at the cell or at one
 // of the reach-1 cells before it on the ring.
 func shardsOfCell(conf *config.Partners, cell int) (shards []int) {
@@ -150,6 +181,7 @@
 	switch m := message.(type) {
 	case checkCompleted:
 		h.table.RecordCheck(now, m.server, m.source, m.result.CheckResult)
+		h.saveExclusions()
 	case evaluateHealth:
 		h.evaluating = false
 	default:
--- a/internal/app/maintenance.go
+++ b/internal/app/maintenance.go
@@ -29,10 +29,10 @@
 	apply    func(server string, detached bool) // called with the lock held; it must not block
 	log      func(format string, args ...any)
 
-	mu            sync.Mutex
-	table         maintenance.Table
-	unsaved       bool   // the file lacks entries of the table
-	loggedFailure string // text of the last logged failure; empty: the last access succeeded
+	mu      sync.Mutex
+	table   maintenance.Table
+	unsaved bool // the file lacks entries of the table
+	failure failureLog
 }
 
 // newMaintenanceStore loads the state that a previous process has written to a directory; an empty dir disables the
@@ -41,6 +41,10 @@
 	dir, nodeName string, apply func(string, bool), log func(string, ...any),
 ) *maintenanceStore {
 	m := &maintenanceStore{apply: apply, log: log}
+	m.failure = failureLog{
+		failed:    func(err error) { log("maintenance: what operators have said may be lost with this process: %v", err) },
+		recovered: func() { log("maintenance: what operators have said is written down again") },
+	}
 	if dir == "" {
 		return m
 	}
@@ -108,22 +112,22 @@
 		return
 	}
 	if !m.unsaved {
-		m.logFailure(m.read())
+		m.failure.log(m.read())
 		return
 	}
 	release, err := lockFile(m.lockPath)
 	if err != nil {
-		m.logFailure(err)
+		m.failure.log(err)
 		return
 	}
 	defer release()
 	// A corrupt file is overwritten, as each process has the complete table in memory. A file of a newer program
 	// version is not.
 	if err := m.read(); errors.Is(err, maintenance.ErrUnsupported) {
-		m.logFailure(err)
+		m.failure.log(err)
 		return
 	}
-	m.logFailure(m.write())
+	m.failure.log(m.write())
 }
 
 // read merges the file into the table, and sets m.unsaved if the file lacks entries.
@@ -160,23 +164,6 @@
 	return err
 }
 
-// logFailure logs a failure when it first occurs or its text changes, and logs recovery once.
-func (m *maintenanceStore) logFailure(err error) {
-	text := ""
-	if err != nil {
-		text = err.Error()
-	}
-	if text == m.loggedFailure {
-		return
-	}
-	m.loggedFailure = text
-	if err != nil {
-		m.log("maintenance: what operators have said may be lost with this process: %v", err)
-	} else {
-		m.log("maintenance: what operators have said is written down again")
-	}
-}
-
 // lockFile acquires an exclusive lock on a file. It does not block: the process that holds the lock may be stopped.
 func lockFile(path string) (release func(), err error) {
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
--- a/internal/app/partners.go
+++ b/internal/app/partners.go
@@ -49,23 +49,25 @@
 	health    *httpserve.Server
 	listeners map[string]*tcp.Server // by protocol
 
-	stop       chan struct{} // closed to end the goroutines
-	loopDone   chan struct{}
-	checksDone chan struct{}
+	stop           chan struct{} // closed to end the goroutines
+	loopDone       chan struct{}
+	checksDone     chan struct{}
+	exclusionsDone chan struct{}
 }
 
 // StartPartners builds a deployment from a validated configuration and starts it; the caller must call Stop. seed seeds
 // all its random choices.
 func StartPartners(conf *config.Partners, seed uint64, log *slog.Logger) (*PartnersDeployment, error) {
 	p := &PartnersDeployment{
-		conf:       conf,
-		log:        log,
-		clock:      aggregator.SystemClock{},
-		mailbox:    aggregator.NewMailbox(),
-		listeners:  map[string]*tcp.Server{},
-		stop:       make(chan struct{}),
-		loopDone:   make(chan struct{}),
-		checksDone: make(chan struct{}),
+		conf:           conf,
+		log:            log,
+		clock:          aggregator.SystemClock{},
+		mailbox:        aggregator.NewMailbox(),
+		listeners:      map[string]*tcp.Server{},
+		stop:           make(chan struct{}),
+		loopDone:       make(chan struct{}),
+		checksDone:     make(chan struct{}),
+		exclusionsDone: make(chan struct{}),
 	}
 	if err := p.buildLoop(conf.BalancerSettings(seed)); err != nil {
 		return nil, err
@@ -109,6 +111,9 @@
 		p.core.Resharding = p.shardMaps.resharding()
 	}
 	p.mailbox.Put(aggregator.EndpointsChanged{Kind: balance.ListFull, Servers: servers})
+	for _, event := range p.healthTracker.evaluate(now) {
+		p.mailbox.Put(event)
+	}
 	p.reporter = &fronthealth.Responder{
 		Now:     p.clock.Now,
 		Wait:    p.conf.Listen.AgentWait.Duration,
@@ -228,6 +233,10 @@
 		defer close(p.checksDone)
 		p.checks.Run(p.stop)
 	}()
+	go func() {
+		defer close(p.exclusionsDone)
+		p.healthTracker.exclusions.run(p.stop)
+	}()
 }
 
 // Stop drains the deployment and stops it. Readiness reports draining at once, while queries are still accepted for the
@@ -247,6 +256,7 @@
 	close(p.stop)
 	<-p.loopDone
 	<-p.checksDone
+	<-p.exclusionsDone
 	if p.shardMaps != nil {
 		p.shardMaps.wait()
 	}
--- a/internal/app/servepartners.go
+++ b/internal/app/servepartners.go
@@ -14,6 +14,7 @@
 
 // ServePartners serves SRU and Z39.50 as an operator's file configures until SIGTERM or SIGINT. SIGUSR1 logs the
 // counters. SIGHUP polls the shard map's source and validates the file, whose changes take effect at the next start.
+// TMPDIR names the directory with the state that outlives a process.
 func ServePartners(path string, log *slog.Logger) error {
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP) // from the start: an unhandled SIGHUP would kill the process
@@ -21,6 +22,7 @@
 	if err != nil {
 		return err
 	}
+	conf.StateDir = os.Getenv("TMPDIR")
 	debug.SetMemoryLimit(int64(conf.Limits.MemoryMB) << 20 * 3 / 4)
 	terminations, counterRequests := make(chan os.Signal, 2), make(chan os.Signal, 1)
 	signal.Notify(terminations, syscall.SIGTERM, syscall.SIGINT)
--- a/internal/config/partners.go
+++ b/internal/config/partners.go
@@ -43,6 +43,10 @@
 	Checks        Checks         `toml:"checks"`
 	CheckProfiles []CheckProfile `toml:"check"`
 	HealthConfig  HealthRules    `toml:"health"`
+
+	// StateDir is the directory where a process leaves what its successor has to know; empty: none. It is not a key of
+	// the file.
+	StateDir string `toml:"-"`
 }
 
 // Listen has the addresses of the listeners (host:port; empty: disabled) and their limits of sockets.
--- a/internal/control/health/checks.go
+++ b/internal/control/health/checks.go
@@ -35,9 +35,13 @@
 	if result.Failed && config.IgnoreFailures {
 		return // the previous result counts until it expires
 	}
+	before := t.exclusion(id, c)
 	c.resultAt = t.now
 	c.setStates(&result)
 	c.setDown(&result, config)
+	if after := t.exclusion(id, c); !after.sameStates(&before) {
+		t.exclusionsVersion++
+	}
 	if !c.down && !result.Failed && !config.IgnoreFailures && t.checkMayMarkReachable(server) {
 		server.checkRecoveries++
 		server.connectFailures = t.rules.MaxConnectFailures - 1
--- a/internal/control/health/table.go
+++ b/internal/control/health/table.go
@@ -26,6 +26,8 @@
 	dirty       []int // servers whose decision has to be recomputed
 	changes     []Change
 
+	exclusionsVersion uint64 // incremented when an exclusion begins, changes or ends
+
 	checkedServers      int       // servers with a valid check
 	failingServers      int       // checked servers that are down by their checks
 	suspect             bool      // so many fail that the checks are taken to be wrong
@@ -169,6 +171,7 @@
 	t.removeReplicas(i)
 	t.timers.Cancel(i)
 	t.updateCheckCounts(server, checkSummary{})
+	t.exclusionsVersion++
 	delete(t.index, server.ID)
 	t.servers[i] = nil
 	t.freeIndices = append(t.freeIndices, i)
--- a/internal/control/health/types.go
+++ b/internal/control/health/types.go
@@ -7,6 +7,11 @@
 // docs/health.md describes how the evidence is merged; decision.go implements that table.
 package health
 
+import (
+	"fmt"
+	"slices"
+)
+
 // ID identifies a server.
 type ID string
 
@@ -21,8 +26,24 @@
 	Maintenance                   // like Drain, and the server is removed from the balancer's list
 )
 
+// adminStateNames are the states as agents send them, by AdminState.
+var adminStateNames = [...]string{"", "ready", "drain", "maint"}
+
 // String returns the state as agents send it.
-func (a AdminState) String() string { return [...]string{"", "ready", "drain", "maint"}[a] }
+func (a AdminState) String() string { return adminStateNames[a] }
+
+// MarshalText returns the state as agents send it.
+func (a AdminState) MarshalText() ([]byte, error) { return []byte(a.String()), nil }
+
+// UnmarshalText parses a state as agents send it.
+func (a *AdminState) UnmarshalText(text []byte) error {
+	state := slices.Index(adminStateNames[:], string(text))
+	if state < 0 {
+		return fmt.Errorf("administrative state %q is unknown", text)
+	}
+	*a = AdminState(state)
+	return nil
+}
 
 // OperState is the operational state of a server as a check reports it.
 type OperState int8
