--- a/cmd/rooktrestle/adminstate_test.go
+++ b/cmd/rooktrestle/adminstate_test.go
@@ -73,7 +73,8 @@
 	}
 }
 
-// A drained server received parts again when its agent hung (weight 0), or when the process was replaced meanwhile.
+// A drained server received parts again when the process was replaced while its agent was silent. (That a report expires
+// within one process is guarded by control/health's TestAdminState_LastsUntilItsCheckEndsIt.)
 func TestAdminState_ByAgent_Lasts(t *testing.T) {
 	for _, test := range []struct {
 		line    string
